--- /dev/null
+++ b/adapters/platform/platform.h
@@ -0,0 +1,49 @@
+/*
+ * The platform over HTTP: key-value service (Consul's published KV and session interface),
+ * instance list and client directory (JSON). One object a task.
+ */
+#ifndef AP_PLATFORM_H
+#define AP_PLATFORM_H
+
+#include "base/base.h"
+#include "conf/conf.h"
+#include "port/port.h"
+#include "settings/settings.h"
+
+#include <event2/event.h>
+
+typedef struct ap_platform ap_platform_t;
+
+ap_platform_t *ap_platform_new(struct event_base *base, const ap_settings_t *settings);
+void ap_platform_free(ap_platform_t *p);
+/** ap_platform_kv() - the key-value port; valid while @p lives. */
+ap_kv_port_t ap_platform_kv(ap_platform_t *p);
+
+/**
+ * struct ap_fleet - one reading of the instance list.
+ */
+typedef struct ap_fleet {
+	ap_upstream_t *upstreams;
+	size_t n_upstreams;
+	ap_entry_t *entries;
+	size_t n_entries;
+} ap_fleet_t;
+
+/** ap_platform_list() - reads the instance list; @done gets NULL and @err when it could not. */
+void ap_platform_list(ap_platform_t *p, void (*done)(void *ctx, ap_fleet_t *fleet, ap_err_t *err),
+		      void *ctx);
+void ap_fleet_free(ap_fleet_t *fleet);
+
+/** ap_platform_publish() - writes the client directory's entries of @region (JSON text). */
+void ap_platform_publish(ap_platform_t *p, const char *region, const char *json,
+			 void (*done)(void *ctx, bool ok), void *ctx);
+
+typedef struct ap_platform_stats {
+	uint64_t reads;	 /* calls that read the store, waiting watches included */
+	uint64_t writes; /* calls that write to the store, session renewals included */
+	uint64_t failures;
+} ap_platform_stats_t;
+
+ap_platform_stats_t ap_platform_stats(const ap_platform_t *p);
+
+#endif
--- /dev/null
+++ b/adapters/settings/settings.h
@@ -0,0 +1,72 @@
+/*
+ * Settings of one process, read from a TOML file and checked before anything starts.
+ */
+#ifndef AP_SETTINGS_H
+#define AP_SETTINGS_H
+
+#include "base/base.h"
+
+#define AP_CURVE_KEY_MAX 41 /* Z85 text of a CURVE key, with terminator */
+#define AP_TOKEN_MAX 128
+
+typedef enum ap_settings_status {
+	AP_SETTINGS_OK,
+	AP_SETTINGS_UNREADABLE,
+	AP_SETTINGS_SYNTAX,
+	AP_SETTINGS_INVALID, /* unknown or wrong key; the message gives file, line and key */
+} ap_settings_status_t;
+
+typedef struct ap_address {
+	char host[AP_HOST_MAX];
+	uint16_t port;
+} ap_address_t;
+
+/**
+ * struct ap_settings - everything a daemon is told; TOML tables are given per group.
+ *
+ * [instance] id, region, data_centre, host
+ * [listen] callers, data, control (ports on @host), admin = "IP:PORT", admin_token
+ * [keys] public, secret (CURVE, Z85), peers = [accepted public keys]
+ * [platform] store, instances, directory = "IP:PORT"
+ * [limits] header_bytes, body_bytes, connections, request_seconds, queue, retry_ratio
+ * [log] level = "debug|info|warning|error", events = ring size
+ */
+typedef struct ap_settings {
+	char id[AP_NAME_MAX];
+	char region[AP_NAME_MAX];
+	char data_centre[AP_NAME_MAX];
+	char host[AP_HOST_MAX];
+	uint16_t caller_port;
+	uint16_t data_port;
+	uint16_t control_port;
+	ap_address_t admin;
+	char admin_token[AP_TOKEN_MAX];
+	char public_key[AP_CURVE_KEY_MAX];
+	char secret_key[AP_CURVE_KEY_MAX];
+	char (*peer_keys)[AP_CURVE_KEY_MAX];
+	size_t n_peer_keys;
+	ap_address_t store;
+	ap_address_t instances;
+	ap_address_t directory;
+	size_t header_bytes;
+	size_t body_bytes;
+	size_t connections;
+	ap_usec_t request_time;
+	size_t queue;
+	double retry_ratio;
+	int log_level; /* as in syslog.h */
+	size_t events;
+} ap_settings_t;
+
+ap_settings_status_t ap_settings_load(const char *path, ap_settings_t *settings, ap_err_t *err);
+void ap_settings_clear(ap_settings_t *settings);
+
+/**
+ * ap_toml_read() - a TOML file as a JSON tree; used for settings and configuration documents.
+ * @line: line of a syntax error
+ *
+ * Return: JSON text to free(), or NULL with @err set.
+ */
+char *ap_toml_read(const char *path, int *line, ap_err_t *err);
+
+#endif
