Bound what a peer message may claim before it is unpacked

Ruled out: the envelope reader, which saw no object yet. Now a scan refuses any message whose claimed lengths do not fit in its bytes. Before: wire_test aborted under sanitizers; after: it passes.

--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -1,5 +1,6 @@
 /* Envelope and element readers of the peer codec. */
 #include "wire/wire.h"
+#include "wire/scan.h"
 
 #include <string.h>
 
@@ -24,6 +25,10 @@
 		ap_err_set(err, "message of %zu bytes is too long", len);
 		return AP_WIRE_TOO_LONG;
 	}
+	if (!ap_wire_bounds_ok(data, len)) {
+		ap_err_set(err, "message of %zu bytes is cut or claims more than it holds", len);
+		return AP_WIRE_MALFORMED;
+	}
 	if (msgpack_unpack(data, len, &off, zone, &root) != MSGPACK_UNPACK_SUCCESS) {
 		ap_err_set(err, "message is not msgpack");
 		return AP_WIRE_MALFORMED;
