--- /dev/null
+++ b/adapters/peer/peer.c
@@ -0,0 +1,356 @@
+/*
+ * Peers over ZeroMQ: one ROUTER receives from all, one DEALER a peer sends to it. A message is two
+ * frames, the sender's id and the bytes. Delivery is not promised; the protocols above cope.
+ */
+#include "peer/peer.h"
+#include "log/log.h"
+#include "peer/auth.h"
+#include "wire/wire.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <zmq.h>
+
+#define HEARTBEAT_MS 2000
+#define HEARTBEAT_TIMEOUT_MS 6000
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 2000
+#define QUEUE_MESSAGES 4096
+#define RECEIVE_BATCH 256
+#define IDLE_CLOSE (120 * AP_SEC)
+#define SWEEP_SECONDS 30
+
+typedef struct remote {
+	char id[AP_NAME_MAX];
+	char endpoint[AP_HOST_MAX + 16];
+	char key[AP_CURVE_KEY_MAX];
+	void *socket; /* NULL while unused */
+	ap_usec_t last_send;
+	UT_hash_handle hh;
+} remote_t;
+
+struct ap_peer {
+	ap_peer_config_t config;
+	void *zmq;
+	ap_auth_t *auth;
+	void *router;
+	struct event *readable;
+	struct event *sweep;
+	uint16_t port;
+	remote_t *remotes;
+	ap_peer_stats_t stats;
+};
+
+static void set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void set_common(void *socket)
+{
+	set_int(socket, ZMQ_LINGER, 0);
+	set_int(socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
+	set_int(socket, ZMQ_RCVHWM, QUEUE_MESSAGES);
+	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	set_int(socket, ZMQ_HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS);
+	set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+}
+
+static void close_remote(remote_t *r)
+{
+	if (r->socket)
+		zmq_close(r->socket);
+	r->socket = NULL;
+}
+
+static bool open_remote(ap_peer_t *p, remote_t *r)
+{
+	const ap_settings_t *s = p->config.settings;
+
+	r->socket = zmq_socket(p->zmq, ZMQ_DEALER);
+	if (!r->socket)
+		return false;
+	set_common(r->socket);
+	if (zmq_setsockopt(r->socket, ZMQ_CURVE_SERVERKEY, r->key, strlen(r->key) + 1) == 0 &&
+	    zmq_setsockopt(r->socket, ZMQ_CURVE_PUBLICKEY, s->public_key,
+			   strlen(s->public_key) + 1) == 0 &&
+	    zmq_setsockopt(r->socket, ZMQ_CURVE_SECRETKEY, s->secret_key,
+			   strlen(s->secret_key) + 1) == 0 &&
+	    zmq_connect(r->socket, r->endpoint) == 0)
+		return true;
+	close_remote(r);
+	return false;
+}
+
+/* The claimed sender must hold the key that is known for that id. */
+static bool sender_ok(ap_peer_t *p, const char *id, zmq_msg_t *payload)
+{
+	const char *key = zmq_msg_gets(payload, "User-Id");
+	remote_t *r;
+
+	if (!key)
+		return false;
+	HASH_FIND_STR(p->remotes, id, r);
+	return !r || strcmp(r->key, key) == 0;
+}
+
+static void deliver(ap_peer_t *p, zmq_msg_t *sender, zmq_msg_t *payload)
+{
+	char id[AP_NAME_MAX];
+	size_t len = zmq_msg_size(sender);
+
+	if (len == 0 || len >= sizeof(id)) {
+		p->stats.dropped++;
+		return;
+	}
+	memcpy(id, zmq_msg_data(sender), len);
+	id[len] = '\0';
+	if (!sender_ok(p, id, payload)) {
+		p->stats.refused_keys++;
+		ap_log(LOG_WARNING, "peer %s: message under a key that is not its own", id);
+		return;
+	}
+	p->stats.received++;
+	p->stats.received_bytes += zmq_msg_size(payload);
+	p->config.receive(p->config.ctx, id, zmq_msg_data(payload), zmq_msg_size(payload));
+}
+
+/* Takes one whole message off the router; false when none waits. */
+static bool receive_one(ap_peer_t *p)
+{
+	zmq_msg_t frames[3];
+	int more = 1;
+	int n = 0;
+
+	while (more) {
+		zmq_msg_t spare;
+		zmq_msg_t *into = n < 3 ? &frames[n] : &spare;
+
+		zmq_msg_init(into);
+		if (zmq_msg_recv(into, p->router, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(into);
+			break;
+		}
+		more = zmq_msg_more(into);
+		if (n >= 3)
+			zmq_msg_close(&spare);
+		n++;
+	}
+	if (n == 3)
+		deliver(p, &frames[1], &frames[2]);
+	else if (n > 0)
+		p->stats.dropped++;
+	for (int i = 0; i < n && i < 3; i++)
+		zmq_msg_close(&frames[i]);
+	return n > 0;
+}
+
+static void on_readable(evutil_socket_t fd, short what, void *arg)
+{
+	ap_peer_t *p = arg;
+
+	(void)fd;
+	(void)what;
+	for (int i = 0; i < RECEIVE_BATCH; i++) {
+		if (!receive_one(p))
+			return;
+	}
+	/* The descriptor is edge-triggered: come back for the rest after other events. */
+	event_active(p->readable, EV_READ, 0);
+}
+
+static void on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	ap_peer_t *p = arg;
+	ap_usec_t now = ap_now();
+	remote_t *r;
+	remote_t *next;
+
+	(void)fd;
+	(void)what;
+	HASH_ITER (hh, p->remotes, r, next) {
+		if (r->socket && now - r->last_send > IDLE_CLOSE)
+			close_remote(r);
+	}
+}
+
+static ap_peer_status_t bind_router(ap_peer_t *p, ap_err_t *err)
+{
+	const ap_settings_t *s = p->config.settings;
+	char endpoint[AP_HOST_MAX + 16];
+	char bound[AP_HOST_MAX + 32];
+	size_t size = sizeof(bound);
+
+	p->router = zmq_socket(p->zmq, ZMQ_ROUTER);
+	if (!p->router) {
+		ap_err_set(err, "socket: %s", zmq_strerror(errno));
+		return AP_PEER_BIND;
+	}
+	set_common(p->router);
+	set_int(p->router, ZMQ_CURVE_SERVER, 1);
+	zmq_setsockopt(p->router, ZMQ_ZAP_DOMAIN, AP_ZAP_DOMAIN, strlen(AP_ZAP_DOMAIN));
+	if (zmq_setsockopt(p->router, ZMQ_CURVE_SECRETKEY, s->secret_key,
+			   strlen(s->secret_key) + 1) != 0) {
+		ap_err_set(err, "keys.secret is not a CURVE key of 40 characters");
+		return AP_PEER_KEY;
+	}
+	int64_t max = AP_WIRE_MAX;
+
+	zmq_setsockopt(p->router, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s:%u", s->host, p->config.port);
+	if (zmq_bind(p->router, endpoint) != 0) {
+		ap_err_set(err, "%s: %s", endpoint, zmq_strerror(errno));
+		return AP_PEER_BIND;
+	}
+	zmq_getsockopt(p->router, ZMQ_LAST_ENDPOINT, bound, &size);
+	p->port = (uint16_t)strtoul(strrchr(bound, ':') + 1, NULL, 10);
+	return AP_PEER_OK;
+}
+
+static void watch(ap_peer_t *p)
+{
+	const struct timeval every = {.tv_sec = SWEEP_SECONDS};
+	size_t size = sizeof(int);
+	int fd;
+
+	zmq_getsockopt(p->router, ZMQ_FD, &fd, &size);
+	p->readable = event_new(p->config.base, fd, EV_READ | EV_PERSIST, on_readable, p);
+	event_add(p->readable, NULL);
+	event_active(p->readable, EV_READ, 0);
+	p->sweep = event_new(p->config.base, -1, EV_PERSIST, on_sweep, p);
+	event_add(p->sweep, &every);
+}
+
+ap_peer_status_t ap_peer_new(const ap_peer_config_t *config, ap_peer_t **peer, ap_err_t *err)
+{
+	ap_peer_t *p = calloc(1, sizeof(*p));
+	ap_peer_status_t status;
+
+	*peer = NULL;
+	if (!p)
+		return AP_PEER_BIND;
+	p->config = *config;
+	p->zmq = zmq_ctx_new();
+	p->auth = ap_auth_new(config->base, p->zmq, config->settings);
+	if (!p->auth) {
+		ap_err_set(err, "key check: %s", zmq_strerror(errno));
+		ap_peer_free(p);
+		return AP_PEER_BIND;
+	}
+	status = bind_router(p, err);
+	if (status != AP_PEER_OK) {
+		ap_peer_free(p);
+		return status;
+	}
+	watch(p);
+	*peer = p;
+	return AP_PEER_OK;
+}
+
+void ap_peer_free(ap_peer_t *p)
+{
+	remote_t *r;
+	remote_t *next;
+
+	if (!p)
+		return;
+	HASH_ITER (hh, p->remotes, r, next) {
+		HASH_DEL(p->remotes, r);
+		close_remote(r);
+		free(r);
+	}
+	if (p->readable)
+		event_free(p->readable);
+	if (p->sweep)
+		event_free(p->sweep);
+	if (p->router)
+		zmq_close(p->router);
+	ap_auth_free(p->auth);
+	zmq_ctx_term(p->zmq);
+	free(p);
+}
+
+uint16_t ap_peer_port_number(const ap_peer_t *p)
+{
+	return p->port;
+}
+
+void ap_peer_know(ap_peer_t *p, const char *id, const char *host, uint16_t port,
+		  const char *public_key)
+{
+	const char *key = public_key && *public_key ? public_key : p->config.settings->public_key;
+	char endpoint[AP_HOST_MAX + 16];
+	remote_t *r;
+
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s:%u", host, port);
+	HASH_FIND_STR(p->remotes, id, r);
+	if (r && strcmp(r->endpoint, endpoint) == 0 && strcmp(r->key, key) == 0)
+		return;
+	if (!r) {
+		r = calloc(1, sizeof(*r));
+		if (!r)
+			return;
+		ap_copy_name(r->id, sizeof(r->id), id);
+		HASH_ADD_STR(p->remotes, id, r);
+	}
+	close_remote(r);
+	ap_copy_name(r->endpoint, sizeof(r->endpoint), endpoint);
+	ap_copy_name(r->key, sizeof(r->key), key);
+}
+
+void ap_peer_forget(ap_peer_t *p, const char *id)
+{
+	remote_t *r;
+
+	HASH_FIND_STR(p->remotes, id, r);
+	if (!r)
+		return;
+	HASH_DEL(p->remotes, r);
+	close_remote(r);
+	free(r);
+}
+
+bool ap_peer_send(ap_peer_t *p, const char *to, const void *data, size_t len)
+{
+	const char *own = p->config.settings->id;
+	remote_t *r;
+
+	HASH_FIND_STR(p->remotes, to, r);
+	if (!r || (!r->socket && !open_remote(p, r))) {
+		p->stats.dropped++;
+		return false;
+	}
+	r->last_send = ap_now();
+	if (zmq_send(r->socket, own, strlen(own), ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
+		p->stats.dropped++;
+		return false;
+	}
+	/* The first frame was taken, so the second one is too. */
+	zmq_send(r->socket, data, len, ZMQ_DONTWAIT);
+	p->stats.sent++;
+	p->stats.sent_bytes += len;
+	return true;
+}
+
+static void port_send(void *ctx, const char *to, const void *data, size_t len)
+{
+	ap_peer_send(ctx, to, data, len);
+}
+
+ap_peer_port_t ap_peer_as_port(ap_peer_t *p)
+{
+	return (ap_peer_port_t){.ctx = p, .send = port_send};
+}
+
+ap_peer_stats_t ap_peer_stats(const ap_peer_t *p)
+{
+	ap_peer_stats_t stats = p->stats;
+
+	stats.refused_keys += ap_auth_refused(p->auth);
+	return stats;
+}
--- a/adapters/peer/peer.h
+++ b/adapters/peer/peer.h
@@ -14,12 +14,12 @@
 
 /**
  * struct ap_peer_config - made once at start.
+ * @settings: own id, host and keys; must outlive the object
  * @port: own listening port; 0 lets the system choose, see ap_peer_port_number()
  * @receive: takes each message of a peer with a known key; @from is the sender's id
  */
 typedef struct ap_peer_config {
 	struct event_base *base;
-	void *zmq;
 	const ap_settings_t *settings;
 	uint16_t port;
 	void *ctx;
@@ -35,7 +35,10 @@
 ap_peer_status_t ap_peer_new(const ap_peer_config_t *config, ap_peer_t **peer, ap_err_t *err);
 void ap_peer_free(ap_peer_t *peer);
 uint16_t ap_peer_port_number(const ap_peer_t *peer);
-/** ap_peer_know() - address and key of the entry @id; replaces what was known. */
+/**
+ * ap_peer_know() - address and key of the entry @id; replaces what was known.
+ * @public_key: its CURVE key; when empty, the entry is taken to share our own
+ */
 void ap_peer_know(ap_peer_t *peer, const char *id, const char *host, uint16_t port,
 		  const char *public_key);
 void ap_peer_forget(ap_peer_t *peer, const char *id);
