--- a/adapters/peer/peer.c
+++ b/adapters/peer/peer.c
@@ -254,13 +254,15 @@
 
 void ap_peer_free(ap_peer_t *p)
 {
-	remote_t *r;
 	remote_t *next;
+	remote_t *r;
 
 	if (!p)
 		return;
-	HASH_ITER (hh, p->remotes, r, next) {
-		HASH_DEL(p->remotes, r);
+	r = p->remotes;
+	HASH_CLEAR(hh, p->remotes); /* frees the table; the items stay linked */
+	for (; r; r = next) {
+		next = r->hh.next;
 		close_remote(r);
 		free(r);
 	}
