--- /dev/null
+++ b/lib/limit/admission.c
@@ -0,0 +1,377 @@
+/*
+ * Admission: a bounded number of requests runs, a bounded number waits in one queue per rank, the
+ * lowest rank is shed first, and a request that can no longer meet its deadline is shed at once.
+ */
+#include "limit/caller.h"
+#include "limit/limit.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#define RANKS_PER_CLASS 3
+#define RANKS (RANKS_PER_CLASS * AP_CLASS_COUNT)
+#define HOLD_START (1 * AP_SEC) /* how long a request is thought to run before any ended */
+#define HOLD_GAIN 0.05
+#define RETRY_MIN (1 * AP_SEC)
+#define RETRY_MAX (30 * AP_SEC)
+
+/* A class starts only while less than this part of the places is taken, by whatever class. */
+static const double class_part[AP_CLASS_COUNT] = {1.0, 0.95, 0.8};
+#define GUEST_PART 0.5 /* the part of the running places that guests may fill */
+
+typedef enum ap_place {
+	AP_PLACE_WAITING,
+	AP_PLACE_RUNNING,
+} ap_place_t;
+
+typedef struct ap_ticket {
+	uint64_t token;
+	UT_hash_handle hh;
+	TAILQ_ENTRY(ap_ticket) link;
+	ap_place_t place;
+	unsigned rank;
+	ap_class_t cls;
+	bool guest;
+	ap_usec_t deadline;
+	ap_usec_t work;
+	ap_usec_t started;
+	char caller[AP_NAME_MAX];
+} ap_ticket_t;
+
+TAILQ_HEAD(ap_ticket_queue, ap_ticket);
+
+struct ap_admission {
+	ap_admission_config_t config;
+	ap_ticket_t *tickets;
+	struct ap_ticket_queue queues[RANKS];
+	size_t queued[RANKS];
+	size_t running_max;
+	size_t running;
+	size_t running_guests;
+	size_t waiting;
+	double hold_us;
+	bool dispatching;
+	ap_caller_limits_t *callers;
+};
+
+ap_admission_t *ap_admission_new(const ap_admission_config_t *config)
+{
+	ap_admission_t *a = calloc(1, sizeof(*a));
+
+	if (!a)
+		return NULL;
+	a->config = *config;
+	a->running_max = SIZE_MAX;
+	a->hold_us = HOLD_START;
+	a->callers = ap_caller_limits_new();
+	if (!a->callers) {
+		free(a);
+		return NULL;
+	}
+	for (int i = 0; i < RANKS; i++)
+		TAILQ_INIT(&a->queues[i]);
+	return a;
+}
+
+/* Clearing the table leaves its items linked to each other. */
+void ap_admission_free(ap_admission_t *a)
+{
+	ap_ticket_t *ticket;
+
+	if (!a)
+		return;
+	ticket = a->tickets;
+	HASH_CLEAR(hh, a->tickets);
+	while (ticket) {
+		ap_ticket_t *next = ticket->hh.next;
+
+		free(ticket);
+		ticket = next;
+	}
+	ap_caller_limits_free(a->callers);
+	free(a);
+}
+
+static unsigned rank_of(const ap_ask_t *ask)
+{
+	unsigned within = 1;
+
+	if (ask->guest)
+		within = 2;
+	else if (ask->home_bound)
+		within = 0;
+	return ask->cls * RANKS_PER_CLASS + within;
+}
+
+static size_t part_of(const ap_admission_t *a, double part)
+{
+	double places = (double)a->running_max * part;
+
+	return places > 1 ? (size_t)places : 1;
+}
+
+static bool has_place(const ap_admission_t *a, ap_class_t cls, bool guest)
+{
+	if (a->running >= a->running_max)
+		return false;
+	if (a->running_max == SIZE_MAX)
+		return true;
+	if (a->running >= part_of(a, class_part[cls]))
+		return false;
+	return !guest || a->running_guests < part_of(a, GUEST_PART);
+}
+
+/* Requests that would start before one of @rank. */
+static size_t ahead_of(const ap_admission_t *a, unsigned rank)
+{
+	size_t n = 0;
+
+	for (unsigned i = 0; i <= rank; i++)
+		n += a->queued[i];
+	return n;
+}
+
+static double queue_time(const ap_admission_t *a, size_t ahead)
+{
+	double places = a->running_max > 0 ? (double)a->running_max : 1;
+
+	return (double)(ahead + 1) * a->hold_us / places;
+}
+
+static ap_usec_t retry_after(const ap_admission_t *a)
+{
+	ap_usec_t wait = (ap_usec_t)queue_time(a, a->waiting);
+
+	if (wait < RETRY_MIN)
+		return RETRY_MIN;
+	return wait < RETRY_MAX ? wait : RETRY_MAX;
+}
+
+static void forget(ap_admission_t *a, ap_ticket_t *ticket)
+{
+	if (ticket->caller[0])
+		ap_caller_limits_done(a->callers, ticket->caller);
+	HASH_DEL(a->tickets, ticket);
+	free(ticket);
+}
+
+static void unqueue(ap_admission_t *a, ap_ticket_t *ticket)
+{
+	TAILQ_REMOVE(&a->queues[ticket->rank], ticket, link);
+	a->queued[ticket->rank]--;
+	a->waiting--;
+}
+
+static void shed(ap_admission_t *a, ap_ticket_t *ticket)
+{
+	uint64_t token = ticket->token;
+	ap_usec_t wait = retry_after(a);
+
+	unqueue(a, ticket);
+	forget(a, ticket);
+	a->config.shed(a->config.env.ctx, token, wait);
+}
+
+static void run(ap_admission_t *a, ap_ticket_t *ticket, ap_usec_t now)
+{
+	ticket->place = AP_PLACE_RUNNING;
+	ticket->started = now;
+	a->running++;
+	if (ticket->guest)
+		a->running_guests++;
+	ap_require(&a->config.env, a->running <= a->running_max, AP_INV_BOUNDS,
+		   "running requests within their limit");
+}
+
+static void enqueue(ap_admission_t *a, ap_ticket_t *ticket)
+{
+	ticket->place = AP_PLACE_WAITING;
+	TAILQ_INSERT_TAIL(&a->queues[ticket->rank], ticket, link);
+	a->queued[ticket->rank]++;
+	a->waiting++;
+	ap_require(&a->config.env, a->waiting <= a->config.queue_max, AP_INV_BOUNDS,
+		   "waiting requests within their limit");
+}
+
+/* The last request of the lowest rank that is below @rank, or NULL. */
+static ap_ticket_t *lowest_below(const ap_admission_t *a, unsigned rank)
+{
+	for (unsigned i = RANKS; i-- > rank + 1;) {
+		ap_ticket_t *ticket = TAILQ_LAST(&a->queues[i], ap_ticket_queue);
+
+		if (ticket)
+			return ticket;
+	}
+	return NULL;
+}
+
+static ap_ticket_t *new_ticket(ap_admission_t *a, const ap_ask_t *ask)
+{
+	ap_ticket_t *ticket = calloc(1, sizeof(*ticket));
+
+	if (!ticket)
+		return NULL;
+	ticket->token = ask->token;
+	ticket->rank = rank_of(ask);
+	ticket->cls = ask->cls;
+	ticket->guest = ask->guest;
+	ticket->deadline = ask->deadline;
+	ticket->work = ask->work;
+	if (ask->caller && !ask->guest)
+		ap_copy_name(ticket->caller, sizeof(ticket->caller), ask->caller->name);
+	HASH_ADD(hh, a->tickets, token, sizeof(ticket->token), ticket);
+	return ticket;
+}
+
+static bool in_time(const ap_admission_t *a, const ap_ask_t *ask, ap_usec_t now)
+{
+	double wait = queue_time(a, ahead_of(a, rank_of(ask)));
+
+	return (double)now + wait + (double)ask->work <= (double)ask->deadline;
+}
+
+/* Guests were counted against their limits at the entry that they came from. */
+static bool within_limits(ap_admission_t *a, const ap_ask_t *ask, ap_usec_t now, ap_usec_t *retry)
+{
+	if (!ask->caller || ask->guest)
+		return true;
+	return ap_caller_limits_take(a->callers, ask->caller, ask->share, now, retry);
+}
+
+static void give_back(ap_admission_t *a, const ap_ask_t *ask)
+{
+	if (ask->caller && !ask->guest)
+		ap_caller_limits_done(a->callers, ask->caller->name);
+}
+
+ap_admit_t ap_admission_ask(ap_admission_t *a, const ap_ask_t *ask, ap_usec_t now, ap_usec_t *retry)
+{
+	ap_ticket_t *ticket;
+	bool now_free = has_place(a, ask->cls, ask->guest);
+
+	*retry = RETRY_MIN;
+	if (!within_limits(a, ask, now, retry))
+		return AP_ADMIT_LIMIT;
+	if (now + ask->work > ask->deadline || (!now_free && !in_time(a, ask, now))) {
+		give_back(a, ask);
+		*retry = retry_after(a);
+		return AP_ADMIT_SHED;
+	}
+	if (!now_free && a->waiting >= a->config.queue_max) {
+		ap_ticket_t *victim = lowest_below(a, rank_of(ask));
+
+		if (!victim) {
+			give_back(a, ask);
+			*retry = retry_after(a);
+			return AP_ADMIT_SHED;
+		}
+		shed(a, victim);
+	}
+	ticket = new_ticket(a, ask);
+	if (!ticket) {
+		give_back(a, ask);
+		return AP_ADMIT_SHED;
+	}
+	if (now_free) {
+		run(a, ticket, now);
+		return AP_ADMIT_NOW;
+	}
+	enqueue(a, ticket);
+	return AP_ADMIT_QUEUE;
+}
+
+static ap_ticket_t *next_ready(const ap_admission_t *a)
+{
+	for (unsigned i = 0; i < RANKS; i++) {
+		ap_ticket_t *ticket = TAILQ_FIRST(&a->queues[i]);
+
+		if (ticket && has_place(a, ticket->cls, ticket->guest))
+			return ticket;
+	}
+	return NULL;
+}
+
+static ap_ticket_t *first_late(const ap_admission_t *a, ap_usec_t now)
+{
+	ap_ticket_t *ticket;
+
+	for (unsigned i = 0; i < RANKS; i++)
+		TAILQ_FOREACH (ticket, &a->queues[i], link)
+			if (now + ticket->work > ticket->deadline)
+				return ticket;
+	return NULL;
+}
+
+/* Starts anew after each one, since the callback may change the queues. */
+static void shed_late(ap_admission_t *a, ap_usec_t now)
+{
+	ap_ticket_t *ticket;
+
+	while ((ticket = first_late(a, now)))
+		shed(a, ticket);
+}
+
+/* Callbacks may ask, end or cancel requests: only the outermost call goes round. */
+static void start_waiting(ap_admission_t *a, ap_usec_t now)
+{
+	ap_ticket_t *ticket;
+
+	if (a->dispatching)
+		return;
+	a->dispatching = true;
+	while ((ticket = next_ready(a))) {
+		unqueue(a, ticket);
+		if (now + ticket->work > ticket->deadline) {
+			uint64_t token = ticket->token;
+
+			forget(a, ticket);
+			a->config.shed(a->config.env.ctx, token, retry_after(a));
+			continue;
+		}
+		run(a, ticket, now);
+		a->config.ready(a->config.env.ctx, ticket->token);
+	}
+	a->dispatching = false;
+}
+
+void ap_admission_done(ap_admission_t *a, uint64_t token, ap_usec_t now)
+{
+	ap_ticket_t *ticket = NULL;
+
+	HASH_FIND(hh, a->tickets, &token, sizeof(token), ticket);
+	if (!ticket || ticket->place != AP_PLACE_RUNNING)
+		return;
+	a->running--;
+	if (ticket->guest)
+		a->running_guests--;
+	a->hold_us += HOLD_GAIN * ((double)(now - ticket->started) - a->hold_us);
+	forget(a, ticket);
+	start_waiting(a, now);
+}
+
+void ap_admission_cancel(ap_admission_t *a, uint64_t token, ap_usec_t now)
+{
+	ap_ticket_t *ticket = NULL;
+
+	HASH_FIND(hh, a->tickets, &token, sizeof(token), ticket);
+	if (!ticket || ticket->place != AP_PLACE_WAITING)
+		return;
+	unqueue(a, ticket);
+	forget(a, ticket);
+	start_waiting(a, now);
+}
+
+void ap_admission_set_capacity(ap_admission_t *a, size_t running_max, ap_usec_t now)
+{
+	a->running_max = running_max;
+	start_waiting(a, now);
+}
+
+void ap_admission_tick(ap_admission_t *a, ap_usec_t now)
+{
+	shed_late(a, now);
+	start_waiting(a, now);
+	ap_caller_limits_sweep(a->callers, now);
+}
--- /dev/null
+++ b/lib/route/health.c
@@ -0,0 +1,120 @@
+/* Ejection of failing upstreams, return through single trials and a ramp. */
+#include "route/node.h"
+
+#define FAILURES_TO_EJECT 3
+#define EJECT_BASE (5 * AP_SEC)
+#define EJECT_DOUBLINGS_MAX 4
+#define RAMP_TIME (10 * AP_SEC)
+#define RAMP_START 0.1 /* share of its ordinary work right after the trial */
+
+static void eject(ap_node_t *node, ap_usec_t now)
+{
+	unsigned doublings = node->ejections;
+
+	if (doublings > EJECT_DOUBLINGS_MAX)
+		doublings = EJECT_DOUBLINGS_MAX;
+	node->health = AP_HEALTH_EJECTED;
+	node->until = now + (EJECT_BASE << doublings);
+	node->ejections++;
+	node->failures = 0;
+}
+
+static bool room_to_eject(const ap_node_t *node)
+{
+	return node->group && (node->group->ejected + 1) * 2 <= node->group->n;
+}
+
+static bool failed(ap_node_t *node, ap_usec_t now)
+{
+	node->failures++;
+	switch (node->health) {
+	case AP_HEALTH_TRIAL:
+		eject(node, now);
+		return true;
+	case AP_HEALTH_GOOD:
+	case AP_HEALTH_RAMP:
+		if (node->failures < FAILURES_TO_EJECT || !room_to_eject(node))
+			return false;
+		node->group->ejected++;
+		eject(node, now);
+		return true;
+	case AP_HEALTH_EJECTED:
+		break;
+	}
+	return false;
+}
+
+static bool succeeded(ap_node_t *node, ap_usec_t now)
+{
+	node->failures = 0;
+	if (node->health == AP_HEALTH_TRIAL) {
+		node->health = AP_HEALTH_RAMP;
+		node->until = now + RAMP_TIME;
+		if (node->group && node->group->ejected > 0)
+			node->group->ejected--;
+		return true;
+	}
+	if (node->health == AP_HEALTH_RAMP && now >= node->until) {
+		node->health = AP_HEALTH_GOOD;
+		node->ejections = 0;
+		return true;
+	}
+	return false;
+}
+
+bool ap_health_ended(ap_node_t *node, ap_attempt_end_t end, bool trial, ap_usec_t now)
+{
+	if (trial && node->trials > 0)
+		node->trials--;
+	if (node->health == AP_HEALTH_TRIAL && !trial)
+		return false;
+	switch (end) {
+	case AP_ATTEMPT_OK:
+		return succeeded(node, now);
+	case AP_ATTEMPT_FAILED:
+	case AP_ATTEMPT_TIMEOUT:
+		return failed(node, now);
+	case AP_ATTEMPT_REFUSED:
+	case AP_ATTEMPT_CANCELLED:
+	case AP_ATTEMPT_SILENT:
+		break;
+	}
+	return false;
+}
+
+bool ap_health_started(ap_node_t *node, ap_usec_t now)
+{
+	if (node->health == AP_HEALTH_EJECTED && now >= node->until)
+		node->health = AP_HEALTH_TRIAL;
+	if (node->health != AP_HEALTH_TRIAL)
+		return false;
+	node->trials++;
+	return true;
+}
+
+bool ap_health_allows(const ap_node_t *node, ap_class_t cls, double draw, ap_usec_t now)
+{
+	double share;
+
+	switch (node->health) {
+	case AP_HEALTH_GOOD:
+		return true;
+	case AP_HEALTH_EJECTED:
+		return now >= node->until && cls != AP_CLASS_RESERVATION;
+	case AP_HEALTH_TRIAL:
+		return node->trials == 0 && cls != AP_CLASS_RESERVATION;
+	case AP_HEALTH_RAMP:
+		break;
+	}
+	if (now >= node->until)
+		return true;
+	share = 1 - (1 - RAMP_START) * (double)(node->until - now) / (double)RAMP_TIME;
+	return draw < share;
+}
+
+const char *ap_health_name(ap_health_t health)
+{
+	static const char *const names[] = {"good", "ejected", "trial", "ramp"};
+
+	return names[health];
+}
--- /dev/null
+++ b/lib/route/route.c
@@ -0,0 +1,388 @@
+/* Routing of one entry: takes reports, chooses, and follows each attempt to its end. */
+#include "route/state.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVICE_GAIN 0.05   /* weight of a new observation of the time in a slot */
+#define CLASS_GAIN 0.01	    /* weight of a new request in the classes' shares */
+#define HOPELESS_FACTOR 2.0 /* expected wait over time left that is refused at once */
+#define TRUST_AFTER_GAP 0.6 /* of what was believed, when cache events were lost */
+#define TRUST_GAIN 0.1
+#define FLIGHTS_MAX 1000000   /* attempts in progress at one entry */
+#define CAPACITY_HEADROOM 1.5 /* callers are spread unevenly over entries */
+#define CAPACITY_MIN 8
+#define LEAVING_GRACE (3 * AP_SEC) /* work chosen before the departure was known */
+
+ap_route_t *ap_route_new(const ap_route_config_t *config)
+{
+	ap_route_t *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->config = *config;
+	r->entries_here = 1;
+	ap_rng_seed(&r->rng, config->seed);
+	r->prefixes = ap_prefix_new();
+	if (!r->prefixes) {
+		free(r);
+		return NULL;
+	}
+	for (int c = 0; c < AP_CLASS_COUNT; c++)
+		r->class_share[c] = 1.0 / AP_CLASS_COUNT;
+	return r;
+}
+
+static void free_nodes(ap_node_t *node)
+{
+	while (node) {
+		ap_node_t *next = node->hh.next;
+
+		free(node);
+		node = next;
+	}
+}
+
+static void free_flights(ap_flight_t *flight)
+{
+	while (flight) {
+		ap_flight_t *next = flight->hh.next;
+
+		free(flight);
+		flight = next;
+	}
+}
+
+/* Clearing a table leaves its items linked to each other. */
+void ap_route_free(ap_route_t *r)
+{
+	ap_node_t *nodes;
+	ap_flight_t *flights;
+
+	if (!r)
+		return;
+	nodes = r->nodes;
+	flights = r->flights;
+	HASH_CLEAR(hh, r->nodes);
+	HASH_CLEAR(hh, r->flights);
+	free_nodes(nodes);
+	free_flights(flights);
+	ap_route_drop_sets(r);
+	ap_spill_clear(r);
+	free(r->slots);
+	free(r->groups);
+	ap_prefix_free(r->prefixes);
+	if (r->view)
+		ap_view_unref(r->view);
+	free(r);
+}
+
+bool ap_residency_allows(const ap_request_t *req, const char *region)
+{
+	if (!req->service->home_bound)
+		return true;
+	return req->home && strcmp(req->home, region) == 0;
+}
+
+static const char *model_name(const ap_set_t *set, const ap_request_t *req)
+{
+	return set->model ? set->model->name : req->service->name;
+}
+
+static void fill_choice(const ap_request_t *req, const ap_set_t *set, const ap_score_t *score,
+			ap_choice_t *choice)
+{
+	*choice = (ap_choice_t){
+		.upstream = score->node->index,
+		.priority = req->cls,
+		.expected_wait = (ap_usec_t)score->wait,
+		.expected_cost = score->cost,
+		.cached_tokens = score->cached,
+	};
+	ap_copy_name(choice->upstream_id, sizeof(choice->upstream_id), score->node->id);
+	if (set->model)
+		ap_copy_name(choice->model, sizeof(choice->model), set->model->name);
+}
+
+static void fill_region(const ap_request_t *req, const ap_set_t *set, const ap_room_state_t *room,
+			ap_choice_t *choice)
+{
+	double prefill = set->model ? set->model->prefill_us * req->tokens_in : 0;
+
+	*choice = (ap_choice_t){
+		.upstream = SIZE_MAX,
+		.priority = req->cls,
+		.expected_wait = room->offer.wait + AP_NETWORK_FAR + (ap_usec_t)prefill,
+	};
+	ap_copy_name(choice->region, sizeof(choice->region), room->offer.region);
+	if (set->model)
+		ap_copy_name(choice->model, sizeof(choice->model), set->model->name);
+}
+
+ap_route_status_t ap_route_choose(ap_route_t *r, const ap_request_t *req, ap_usec_t now,
+				  ap_choice_t *choice)
+{
+	ap_room_state_t *room;
+	ap_score_t best = {0};
+	ap_set_t *set;
+	double left = (double)(req->deadline - now);
+	bool found;
+
+	if (!ap_residency_allows(req, r->config.region))
+		return AP_ROUTE_WRONG_REGION;
+	set = ap_route_set(r, req);
+	if (!set)
+		return AP_ROUTE_NO_SERVICE;
+	if (left <= 0)
+		return AP_ROUTE_TOO_LATE;
+	if (req->forwarded && !ap_guest_allows(r, model_name(set, req), now))
+		return AP_ROUTE_NO_UPSTREAM;
+	found = ap_route_pick(r, req, set, now, &best);
+	room = ap_spill_choose(r, req, set, found ? best.wait : INFINITY, now);
+	if (room) {
+		fill_region(req, set, room, choice);
+		return AP_ROUTE_OK;
+	}
+	if (!found)
+		return AP_ROUTE_NO_UPSTREAM;
+	if (best.wait > left * HOPELESS_FACTOR)
+		return AP_ROUTE_TOO_LATE;
+	fill_choice(req, set, &best, choice);
+	return AP_ROUTE_OK;
+}
+
+static ap_flight_t *find_flight(ap_route_t *r, const ap_request_t *req, const ap_node_t *node)
+{
+	ap_flight_key_t key = {.id = req->id, .slot = node->slot};
+	ap_flight_t *flight = NULL;
+
+	HASH_FIND(hh, r->flights, &key, sizeof(key), flight);
+	return flight;
+}
+
+static void add_flight(ap_route_t *r, const ap_request_t *req, const ap_choice_t *choice,
+		       const ap_set_t *set, ap_node_t *node, bool trial)
+{
+	double prefill_us = set && set->model ? set->model->prefill_us : 0;
+	uint32_t computed = req->tokens_in - choice->cached_tokens;
+	ap_flight_t *flight;
+
+	if (find_flight(r, req, node))
+		return;
+	flight = calloc(1, sizeof(*flight));
+	if (!flight)
+		return;
+	flight->key.id = req->id;
+	flight->key.slot = node->slot;
+	flight->expected = choice->expected_wait;
+	flight->prefill = (ap_usec_t)(computed * prefill_us);
+	flight->first_at = AP_NEVER;
+	flight->trial = trial;
+	flight->guest = req->forwarded;
+	if (set)
+		ap_copy_name(flight->model, sizeof(flight->model), model_name(set, req));
+	HASH_ADD(hh, r->flights, key, sizeof(flight->key), flight);
+}
+
+static void note_class(ap_route_t *r, ap_class_t cls)
+{
+	for (int c = 0; c < AP_CLASS_COUNT; c++)
+		r->class_share[c] += CLASS_GAIN * ((c == (int)cls) - r->class_share[c]);
+}
+
+static void remember_prefix(ap_route_t *r, const ap_request_t *req, ap_node_t *node)
+{
+	for (size_t i = 0; i < req->n_blocks; i++) {
+		ap_holder_t holder = {
+			.slot = node->slot,
+			.epoch = node->epoch,
+			.stamp = node->stored,
+		};
+
+		ap_prefix_add(r->prefixes, req->blocks[i], holder);
+	}
+}
+
+static bool check_forward(ap_route_t *r, const ap_request_t *req, const ap_choice_t *choice)
+{
+	bool resident = ap_require(&r->config.env, ap_residency_allows(req, choice->region),
+				   AP_INV_RESIDENCY, "home-bound request to another region");
+	bool first_hop = ap_require(&r->config.env, !req->forwarded, AP_INV_ONE_HOP,
+				    "forwarded request to a further region");
+
+	return resident && first_hop;
+}
+
+static bool check_dispatch(ap_route_t *r, const ap_request_t *req, const ap_node_t *node,
+			   ap_usec_t now)
+{
+	bool resident = ap_residency_allows(req, r->config.region) && node->here;
+	bool leaving = node->listed_leaving ||
+		       (ap_node_leaving(node, now) && now - node->leaving_at > LEAVING_GRACE);
+
+	resident = ap_require(&r->config.env, resident, AP_INV_RESIDENCY,
+			      "request to an upstream outside its region");
+	leaving = !ap_require(&r->config.env, !leaving, AP_INV_LEAVING,
+			      "new work to a leaving upstream");
+	return resident && !leaving;
+}
+
+static ap_node_t *chosen_node(const ap_route_t *r, const ap_choice_t *choice)
+{
+	if (choice->upstream_id[0])
+		return ap_route_node(r, choice->upstream_id);
+	if (!r->view || choice->upstream >= r->view->n_upstreams)
+		return NULL;
+	return ap_route_node(r, r->view->upstreams[choice->upstream].id);
+}
+
+void ap_route_started(ap_route_t *r, const ap_request_t *req, const ap_choice_t *choice,
+		      ap_usec_t now)
+{
+	ap_set_t *set = ap_route_set(r, req);
+	const char *model = set ? model_name(set, req) : choice->model;
+	ap_node_t *node;
+
+	if (choice->region[0]) {
+		if (check_forward(r, req, choice))
+			ap_spill_sent(r, choice->region, model, now);
+		ap_emit(&r->config.env, now, "route.away", req->id, "region=%s wait_us=%lld",
+			choice->region, (long long)choice->expected_wait);
+		return;
+	}
+	node = chosen_node(r, choice);
+	if (!node || !check_dispatch(r, req, node, now))
+		return;
+	if (!ap_require(&r->config.env, HASH_COUNT(r->flights) < FLIGHTS_MAX, AP_INV_BOUNDS,
+			"attempts in progress"))
+		return;
+	add_flight(r, req, choice, set, node, ap_health_started(node, now));
+	note_class(r, req->cls);
+	remember_prefix(r, req, node);
+	ap_node_count(node, 1, now);
+	if (req->forwarded)
+		ap_guest_started(r, model, now);
+	ap_emit(&r->config.env, now, "route.start", req->id, "upstream=%s wait_us=%lld cached=%u",
+		node->id, (long long)choice->expected_wait, choice->cached_tokens);
+}
+
+void ap_route_first_token(ap_route_t *r, const ap_request_t *req, const char *upstream,
+			  ap_usec_t waited, ap_usec_t now)
+{
+	ap_node_t *node = ap_route_node(r, upstream);
+	ap_flight_t *flight = node ? find_flight(r, req, node) : NULL;
+
+	if (!flight || flight->first_at != AP_NEVER)
+		return;
+	flight->first_at = now;
+	ap_node_observe(node, waited, flight->expected, now);
+	if (flight->guest)
+		ap_guest_settle(r, flight->model, now > req->deadline, now);
+}
+
+static void note_service(ap_route_t *r, const ap_flight_t *flight, ap_usec_t now)
+{
+	ap_model_state_t *state = ap_route_model(r, flight->model);
+	double sample;
+
+	if (!state || flight->first_at == AP_NEVER)
+		return;
+	sample = (double)(now - flight->first_at + flight->prefill);
+	if (state->service_us <= 0)
+		state->service_us = sample;
+	state->service_us += SERVICE_GAIN * (sample - state->service_us);
+}
+
+void ap_route_finished(ap_route_t *r, const ap_request_t *req, const char *upstream,
+		       ap_attempt_end_t end, ap_usec_t now)
+{
+	ap_node_t *node = ap_route_node(r, upstream);
+	ap_flight_t *flight = node ? find_flight(r, req, node) : NULL;
+
+	if (!flight)
+		return;
+	if (end == AP_ATTEMPT_OK)
+		note_service(r, flight, now);
+	ap_node_count(node, -1, now);
+	if (ap_health_ended(node, end, flight->trial, now))
+		ap_emit(&r->config.env, now, "route.health", req->id, "upstream=%s state=%s",
+			node->id, ap_health_name(node->health));
+	HASH_DEL(r->flights, flight);
+	free(flight);
+}
+
+void ap_route_load(ap_route_t *r, const ap_load_report_t *report, ap_usec_t now)
+{
+	ap_node_t *node = ap_route_node(r, report->upstream);
+
+	(void)now;
+	if (node)
+		ap_node_report(node, report);
+}
+
+static void note_gap(ap_node_t *node, uint64_t seq)
+{
+	if (node->has_cache_seq && seq > node->cache_seq + 1)
+		node->trust *= TRUST_AFTER_GAP;
+	if (!node->has_cache_seq || seq > node->cache_seq)
+		node->cache_seq = seq;
+	node->has_cache_seq = true;
+}
+
+void ap_route_cache(ap_route_t *r, const ap_cache_event_t *event, ap_usec_t now)
+{
+	ap_node_t *node = ap_route_node(r, event->upstream);
+
+	(void)now;
+	if (!node)
+		return;
+	note_gap(node, event->seq);
+	node->trust += TRUST_GAIN * (1 - node->trust);
+	for (size_t i = 0; i < event->n_blocks; i++) {
+		ap_holder_t holder = {.slot = node->slot, .epoch = node->epoch};
+
+		if (!event->stored) {
+			ap_prefix_remove(r->prefixes, event->blocks[i], node->slot);
+			continue;
+		}
+		holder.stamp = ++node->stored;
+		ap_prefix_add(r->prefixes, event->blocks[i], holder);
+	}
+}
+
+void ap_route_cached(ap_route_t *r, const char *upstream, uint32_t expected, uint32_t actual)
+{
+	ap_node_t *node = ap_route_node(r, upstream);
+	double ratio;
+
+	if (!node || expected == 0)
+		return;
+	ratio = fmin((double)actual / expected, 1);
+	node->trust += TRUST_GAIN * (ratio - node->trust);
+}
+
+void ap_route_leaving(ap_route_t *r, const char *upstream, ap_usec_t now)
+{
+	ap_node_t *node = ap_route_node(r, upstream);
+
+	if (!node || ap_node_leaving(node, now))
+		return;
+	node->leaving_at = now;
+	ap_emit(&r->config.env, now, "route.leaving", (ap_xid_t){0}, "upstream=%s", upstream);
+}
+
+size_t ap_route_capacity(const ap_route_t *r, ap_usec_t now)
+{
+	double sum = 0;
+	ap_node_t *node;
+	ap_node_t *next;
+
+	HASH_ITER (hh, r->nodes, node, next) {
+		if (!node->here || node->index == AP_NODE_ABSENT || ap_node_leaving(node, now))
+			continue;
+		sum += node->limit;
+	}
+	sum = sum * CAPACITY_HEADROOM / (double)r->entries_here;
+	return sum > CAPACITY_MIN ? (size_t)sum : CAPACITY_MIN;
+}
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -61,9 +61,15 @@
  * @expected_wait: microseconds until the first token
  * @expected_cost: micro-units
  * @cached_tokens: prompt tokens expected to be cached there
+ * @upstream_id: the upstream's id, which stays valid when a new view is set; empty for a region
+ * @model: model to ask the engine for; empty for a plain service
+ * @priority: to be given to the engine, 0 is the most urgent
  */
 typedef struct ap_choice {
 	size_t upstream;
+	char upstream_id[AP_NAME_MAX];
+	char model[AP_NAME_MAX];
+	unsigned priority;
 	char region[AP_NAME_MAX];
 	ap_usec_t expected_wait;
 	double expected_cost;
@@ -147,9 +153,23 @@
 		       ap_attempt_end_t end, ap_usec_t now);
 void ap_route_load(ap_route_t *r, const ap_load_report_t *report, ap_usec_t now);
 void ap_route_room(ap_route_t *r, const ap_room_t *room, ap_usec_t now);
+/** ap_route_refused() - another region refused a guest; it is left alone for a while. */
+void ap_route_refused(ap_route_t *r, const char *region, const char *model, ap_usec_t now);
 /** ap_route_own_room() - rate and wait that this region offers guests for @model. */
 ap_room_t ap_route_own_room(ap_route_t *r, const char *model, ap_usec_t now);
 void ap_route_cache(ap_route_t *r, const ap_cache_event_t *event, ap_usec_t now);
+/**
+ * ap_route_cached() - how many prompt tokens an engine said it had cached.
+ * @expected: what ap_choice.cached_tokens promised
+ * @actual: what the answer's usage figures say
+ */
+void ap_route_cached(ap_route_t *r, const char *upstream, uint32_t expected, uint32_t actual);
+/**
+ * ap_route_capacity() - requests that this entry may run at once, from the limits that adapt to
+ * the measured delay of its region's upstreams and its share of them; for
+ * ap_admission_set_capacity().
+ */
+size_t ap_route_capacity(const ap_route_t *r, ap_usec_t now);
 /** ap_route_leaving() - no new work for @upstream from now on. */
 void ap_route_leaving(ap_route_t *r, const char *upstream, ap_usec_t now);
 
--- /dev/null
+++ b/lib/route/spill.c
@@ -0,0 +1,290 @@
+/*
+ * Sending to another region, and taking guests. A sender leaves home only when home cannot meet
+ * the deadline, and uses its share of the advertised room. A receiver raises what it takes as its
+ * caches warm and lowers it when its own requests are late.
+ */
+#include "route/state.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROOM_LIFE (5 * AP_SEC)	 /* an older offer is void */
+#define STRAIN_ON 1.0		 /* mean of expected wait over time left that opens sending away */
+#define STRAIN_OFF 0.5		 /* and that closes it again */
+#define STRAIN_TIME (2 * AP_SEC) /* time constant of that mean */
+#define SENDERS_MAX 2.0		 /* other regions assumed to need one region's room at once */
+#define SHARE_BURST 2.0		 /* requests that a share may save up */
+#define REFUSED_REST (2 * AP_SEC)
+#define GUEST_START 0.1		    /* share of spare capacity offered while caches are cold */
+#define GUEST_GROWTH (10 * AP_SEC)  /* time in which a well-served guest rate grows e-fold */
+#define GUEST_CUT 0.7		    /* on a late guest */
+#define GUEST_FORGET (120 * AP_SEC) /* after which caches count as cold again */
+#define SPARE_USED_MAX 0.8	    /* utilisation above which nothing is offered */
+
+ap_model_state_t *ap_route_model(ap_route_t *r, const char *model)
+{
+	ap_model_state_t *state = NULL;
+
+	HASH_FIND_STR(r->models, model, state);
+	if (state)
+		return state;
+	state = calloc(1, sizeof(*state));
+	if (!state)
+		return NULL;
+	ap_copy_name(state->model, sizeof(state->model), model);
+	HASH_ADD_STR(r->models, model, state);
+	return state;
+}
+
+void ap_spill_clear(ap_route_t *r)
+{
+	ap_room_state_t *room = r->rooms;
+	ap_model_state_t *model = r->models;
+
+	HASH_CLEAR(hh, r->rooms);
+	HASH_CLEAR(hh, r->models);
+	while (room) {
+		ap_room_state_t *next = room->hh.next;
+
+		free(room);
+		room = next;
+	}
+	while (model) {
+		ap_model_state_t *next = model->hh.next;
+
+		free(model);
+		model = next;
+	}
+}
+
+static void room_key(char key[2 * AP_NAME_MAX], const char *region, const char *model)
+{
+	snprintf(key, 2 * AP_NAME_MAX, "%s/%s", region, model);
+}
+
+void ap_route_room(ap_route_t *r, const ap_room_t *room, ap_usec_t now)
+{
+	char key[2 * AP_NAME_MAX];
+	ap_room_state_t *state = NULL;
+
+	if (strcmp(room->region, r->config.region) == 0)
+		return;
+	room_key(key, room->region, room->model);
+	HASH_FIND_STR(r->rooms, key, state);
+	if (!state) {
+		if (HASH_COUNT(r->rooms) >= AP_ROOMS_MAX)
+			return;
+		state = calloc(1, sizeof(*state));
+		if (!state)
+			return;
+		ap_copy_name(state->key, sizeof(state->key), key);
+		state->filled_at = now;
+		state->tokens = 1;
+		HASH_ADD_STR(r->rooms, key, state);
+	} else if (room->at < state->offer.at) {
+		return;
+	}
+	state->offer = *room;
+}
+
+static double own_share(const ap_route_t *r, double rate)
+{
+	double senders = fmin(SENDERS_MAX, fmax((double)r->other_regions, 1));
+
+	return rate / senders / (double)r->entries_here;
+}
+
+static void fill(const ap_route_t *r, ap_room_state_t *room, ap_usec_t now)
+{
+	double elapsed = (double)(now - room->filled_at) / (double)AP_SEC;
+	double share = own_share(r, room->offer.rate);
+	double most = fmax(1, share * SHARE_BURST);
+
+	if (elapsed > 0)
+		room->tokens = fmin(room->tokens + share * elapsed, most);
+	room->filled_at = now;
+}
+
+static bool offers(const ap_route_t *r, ap_room_state_t *room, const char *model, ap_usec_t now)
+{
+	if (strcmp(room->offer.model, model) != 0 || now - room->offer.at > ROOM_LIFE)
+		return false;
+	if (room->offer.rate <= 0 || now < room->refused_until)
+		return false;
+	fill(r, room, now);
+	return room->tokens >= 1;
+}
+
+static void note_strain(ap_model_state_t *state, double strain, ap_usec_t now)
+{
+	double keep = exp(-(double)(now - state->strain_at) / (double)STRAIN_TIME);
+
+	strain = fmin(strain, 4);
+	state->strain = keep * state->strain + (1 - keep) * strain;
+	state->strain_at = now;
+	if (state->strain >= STRAIN_ON)
+		state->spilling = true;
+	else if (state->strain <= STRAIN_OFF)
+		state->spilling = false;
+}
+
+ap_room_state_t *ap_spill_choose(ap_route_t *r, const ap_request_t *req, const ap_set_t *set,
+				 double wait, ap_usec_t now)
+{
+	const char *model = set->model ? set->model->name : req->service->name;
+	double prefill = set->model ? set->model->prefill_us * req->tokens_in : 0;
+	double left = (double)(req->deadline - now);
+	ap_model_state_t *state = ap_route_model(r, model);
+	ap_room_state_t *best = NULL;
+	ap_room_state_t *room;
+	ap_room_state_t *next;
+	double best_wait = 0;
+
+	if (!state || req->forwarded || req->service->home_bound || !set->elsewhere)
+		return NULL;
+	note_strain(state, wait / fmax(left, 1), now);
+	if (!state->spilling || wait <= left)
+		return NULL;
+	HASH_ITER (hh, r->rooms, room, next) {
+		double there = (double)room->offer.wait + AP_NETWORK_FAR + prefill;
+
+		if (!offers(r, room, model, now) || there >= wait || there > left)
+			continue;
+		if (best && there >= best_wait)
+			continue;
+		best = room;
+		best_wait = there;
+	}
+	return best;
+}
+
+void ap_spill_sent(ap_route_t *r, const char *region, const char *model, ap_usec_t now)
+{
+	char key[2 * AP_NAME_MAX];
+	ap_room_state_t *room = NULL;
+
+	room_key(key, region, model);
+	HASH_FIND_STR(r->rooms, key, room);
+	if (!room)
+		return;
+	fill(r, room, now);
+	room->tokens = fmax(room->tokens - 1, 0);
+}
+
+void ap_route_refused(ap_route_t *r, const char *region, const char *model, ap_usec_t now)
+{
+	char key[2 * AP_NAME_MAX];
+	ap_room_state_t *room = NULL;
+
+	room_key(key, region, model);
+	HASH_FIND_STR(r->rooms, key, room);
+	if (room)
+		room->refused_until = now + REFUSED_REST;
+}
+
+/* Requests per second that the region could take beyond its own, were its caches warm. */
+static double spare_rate(const ap_set_t *set, double service_us, ap_usec_t now)
+{
+	double load = 0;
+	double batch = 0;
+	double spare;
+
+	for (size_t i = 0; i < set->n; i++) {
+		const ap_node_t *node = set->nodes[i];
+
+		if (ap_node_leaving(node, now) || node->health == AP_HEALTH_EJECTED)
+			continue;
+		load += fmin(ap_node_load(node, now), 2 * node->batch);
+		batch += node->batch;
+	}
+	spare = batch * SPARE_USED_MAX - load;
+	return spare > 0 && service_us > 0 ? spare * AP_SEC / service_us : 0;
+}
+
+static ap_set_t *set_of_model(ap_route_t *r, const char *model)
+{
+	const ap_conf_t *conf = r->view ? r->view->conf : NULL;
+
+	for (size_t i = 0; conf && i < conf->n_services; i++) {
+		const ap_service_t *service = &conf->services[i];
+		ap_request_t req = {.service = service, .model = service->plain ? NULL : model};
+		ap_set_t *set;
+
+		if (service->plain && strcmp(service->name, model) != 0)
+			continue;
+		set = ap_route_set(r, &req);
+		if (set && set->n > 0)
+			return set;
+	}
+	return NULL;
+}
+
+static void ramp_guests(ap_model_state_t *state, double spare, ap_usec_t now)
+{
+	double start = spare * GUEST_START;
+	double elapsed = (double)(now - state->guest_at);
+
+	if (now - state->guest_seen_at > GUEST_FORGET)
+		state->guest_rate = start;
+	else
+		state->guest_rate *= exp(elapsed / (double)GUEST_GROWTH);
+	state->guest_rate = fmin(fmax(state->guest_rate, start), spare);
+	state->guest_at = now;
+}
+
+ap_room_t ap_route_own_room(ap_route_t *r, const char *model, ap_usec_t now)
+{
+	ap_room_t room = {.at = now};
+	ap_set_t *set = set_of_model(r, model);
+	ap_model_state_t *state = ap_route_model(r, model);
+	double service_us;
+
+	ap_copy_name(room.region, sizeof(room.region), r->config.region);
+	ap_copy_name(room.model, sizeof(room.model), model);
+	if (!set || !state)
+		return room;
+	service_us = state->service_us;
+	ramp_guests(state, spare_rate(set, service_us, now), now);
+	room.rate = state->guest_rate;
+	return room;
+}
+
+bool ap_guest_allows(ap_route_t *r, const char *model, ap_usec_t now)
+{
+	ap_model_state_t *state = ap_route_model(r, model);
+	double share;
+	double elapsed;
+
+	if (!state)
+		return false;
+	ap_route_own_room(r, model, now);
+	share = state->guest_rate / (double)r->entries_here;
+	elapsed = (double)(now - state->guest_filled_at) / (double)AP_SEC;
+	state->guest_filled_at = now;
+	state->guest_tokens =
+		fmin(state->guest_tokens + share * elapsed, fmax(1, share * SHARE_BURST));
+	return state->guest_rate > 0 && state->guest_tokens >= 1;
+}
+
+void ap_guest_started(ap_route_t *r, const char *model, ap_usec_t now)
+{
+	ap_model_state_t *state = ap_route_model(r, model);
+
+	if (!state)
+		return;
+	state->guest_tokens = fmax(state->guest_tokens - 1, 0);
+	state->guest_seen_at = now;
+}
+
+void ap_guest_settle(ap_route_t *r, const char *model, bool late, ap_usec_t now)
+{
+	ap_model_state_t *state = ap_route_model(r, model);
+
+	if (!state)
+		return;
+	state->guest_seen_at = now;
+	if (late)
+		state->guest_rate *= GUEST_CUT;
+}
--- /dev/null
+++ b/lib/route/view.c
@@ -0,0 +1,288 @@
+/* Takes views of the fleet and derives candidates from services, pools and labels. */
+#include "route/state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIMIT_START 2.0 /* a new upstream's concurrency limit, in batches */
+
+ap_node_t *ap_route_node(const ap_route_t *r, const char *id)
+{
+	ap_node_t *node = NULL;
+
+	HASH_FIND_STR(r->nodes, id, node);
+	return node;
+}
+
+void ap_route_drop_sets(ap_route_t *r)
+{
+	ap_set_t *set = r->sets;
+
+	HASH_CLEAR(hh, r->sets);
+	while (set) {
+		ap_set_t *next = set->hh.next;
+
+		free(set->nodes);
+		free(set);
+		set = next;
+	}
+}
+
+static size_t free_slot(ap_route_t *r)
+{
+	ap_node_t **grown;
+
+	for (size_t i = 0; i < r->n_slots; i++)
+		if (!r->slots[i])
+			return i;
+	if (r->n_slots == UINT16_MAX)
+		return UINT16_MAX;
+	grown = realloc(r->slots, (r->n_slots + 1) * sizeof(ap_node_t *));
+	if (!grown)
+		return UINT16_MAX;
+	r->slots = grown;
+	r->slots[r->n_slots] = NULL;
+	return r->n_slots++;
+}
+
+static ap_node_t *add_node(ap_route_t *r, const char *id)
+{
+	size_t slot = free_slot(r);
+	ap_node_t *node;
+
+	if (slot == UINT16_MAX)
+		return NULL;
+	node = malloc(sizeof(*node));
+	if (!node)
+		return NULL;
+	r->next_epoch = r->next_epoch == UINT16_MAX ? 1 : r->next_epoch + 1;
+	ap_node_init(node, id, (uint16_t)slot, r->next_epoch);
+	r->slots[slot] = node;
+	HASH_ADD_STR(r->nodes, id, node);
+	return node;
+}
+
+static void drop_absent_nodes(ap_route_t *r)
+{
+	ap_node_t *node;
+	ap_node_t *next;
+	ap_node_t *dropped = NULL;
+
+	HASH_ITER (hh, r->nodes, node, next) {
+		if (node->index != AP_NODE_ABSENT || node->running > 0)
+			continue;
+		HASH_DEL(r->nodes, node);
+		r->slots[node->slot] = NULL;
+		node->dropped = dropped;
+		dropped = node;
+	}
+	while (dropped) {
+		next = dropped->dropped;
+		free(dropped);
+		dropped = next;
+	}
+}
+
+static size_t pool_of(const ap_conf_t *conf, const ap_upstream_t *up)
+{
+	for (size_t i = 0; i < conf->n_pools; i++)
+		if (ap_selector_match(&conf->pools[i].instances, &up->labels))
+			return i;
+	return SIZE_MAX;
+}
+
+static void place_node(ap_route_t *r, ap_node_t *node, const ap_upstream_t *up, size_t index,
+		       ap_usec_t now)
+{
+	size_t pool = r->view->conf ? pool_of(r->view->conf, up) : SIZE_MAX;
+
+	node->index = index;
+	node->here = strcmp(up->region, r->config.region) == 0;
+	node->same_centre = strcmp(up->data_centre, r->config.data_centre) == 0;
+	node->listed_leaving = up->leaving;
+	node->counted = 0;
+	if (pool == SIZE_MAX)
+		return;
+	node->pool = &r->view->conf->pools[pool];
+	node->batch = node->pool->slots > 0 ? node->pool->slots : 1;
+	if (node->limit < 1)
+		node->limit = node->batch * LIMIT_START;
+	if (!node->here)
+		return;
+	node->group = &r->groups[pool];
+	node->group->n++;
+	node->group->batch += node->batch;
+	if (node->health == AP_HEALTH_EJECTED || node->health == AP_HEALTH_TRIAL)
+		node->group->ejected++;
+	ap_node_recount(node, now);
+}
+
+static void count_entries(ap_route_t *r)
+{
+	const ap_view_t *view = r->view;
+	char names[AP_REGIONS_MAX][AP_NAME_MAX];
+	size_t n = 0;
+
+	r->entries_here = 0;
+	for (size_t i = 0; i < view->n_entries; i++) {
+		const char *region = view->entries[i].region;
+		size_t at = 0;
+
+		if (strcmp(region, r->config.region) == 0) {
+			r->entries_here++;
+			continue;
+		}
+		while (at < n && strcmp(names[at], region) != 0)
+			at++;
+		if (at == n && n < AP_REGIONS_MAX)
+			ap_copy_name(names[n++], AP_NAME_MAX, region);
+	}
+	if (r->entries_here == 0)
+		r->entries_here = 1;
+	r->other_regions = n;
+}
+
+void ap_route_set_view(ap_route_t *r, const ap_view_t *view, ap_usec_t now)
+{
+	ap_view_t *old = r->view;
+	ap_node_t *node;
+	ap_node_t *next;
+
+	ap_route_drop_sets(r);
+	r->view = ap_view_ref(view);
+	free(r->groups);
+	r->n_groups = view->conf ? view->conf->n_pools : 0;
+	r->groups = calloc(r->n_groups + 1, sizeof(*r->groups));
+	HASH_ITER (hh, r->nodes, node, next) {
+		node->index = AP_NODE_ABSENT;
+		node->group = NULL;
+		node->pool = NULL;
+	}
+	for (size_t i = 0; r->groups && i < view->n_upstreams; i++) {
+		node = ap_route_node(r, view->upstreams[i].id);
+		if (!node)
+			node = add_node(r, view->upstreams[i].id);
+		if (node)
+			place_node(r, node, &view->upstreams[i], i, now);
+	}
+	drop_absent_nodes(r);
+	count_entries(r);
+	ap_view_unref(old);
+}
+
+static bool has_model(const ap_upstream_t *up, const char *name)
+{
+	for (size_t i = 0; i < up->n_models; i++)
+		if (strcmp(up->models[i], name) == 0)
+			return true;
+	return false;
+}
+
+static bool given(const char *text)
+{
+	return text && *text;
+}
+
+static bool serves(const ap_upstream_t *up, const ap_pool_t *pool, const ap_service_t *service,
+		   const ap_model_t *model, const char *adapter)
+{
+	if (!pool || pool->plain != service->plain)
+		return false;
+	if (!ap_selector_match(&service->pools, &pool->labels))
+		return false;
+	if (service->plain)
+		return true;
+	return has_model(up, given(adapter) ? adapter : model->name);
+}
+
+static void fill_set(ap_route_t *r, ap_set_t *set, const ap_service_t *service, const char *adapter)
+{
+	ap_node_t *node;
+
+	set->nodes = calloc(r->view->n_upstreams + 1, sizeof(ap_node_t *));
+	for (size_t i = 0; set->nodes && i < r->view->n_upstreams; i++) {
+		const ap_upstream_t *up = &r->view->upstreams[i];
+
+		node = ap_route_node(r, up->id);
+		if (!node || node->index != i ||
+		    !serves(up, node->pool, service, set->model, adapter))
+			continue;
+		if (!node->here) {
+			set->elsewhere = true;
+			continue;
+		}
+		set->nodes[set->n++] = node;
+		set->batch += node->batch;
+	}
+}
+
+static const ap_model_t *model_of(const ap_conf_t *conf, const ap_service_t *service,
+				  const ap_request_t *req)
+{
+	const ap_adapter_t *adapter;
+	const ap_model_t *model;
+
+	if (given(req->model)) {
+		model = ap_conf_model(conf, req->model);
+		return model && ap_selector_match(&service->models, &model->labels) ? model : NULL;
+	}
+	if (given(req->adapter)) {
+		adapter = ap_conf_adapter(conf, req->adapter);
+		return adapter ? ap_conf_model(conf, adapter->model) : NULL;
+	}
+	for (size_t i = 0; i < conf->n_models; i++)
+		if (ap_selector_match(&service->models, &conf->models[i].labels))
+			return &conf->models[i];
+	return NULL;
+}
+
+static bool adapter_fits(const ap_conf_t *conf, const ap_request_t *req, const ap_model_t *model)
+{
+	const ap_adapter_t *adapter;
+
+	if (!given(req->adapter))
+		return true;
+	adapter = ap_conf_adapter(conf, req->adapter);
+	return adapter && strcmp(adapter->model, model->name) == 0;
+}
+
+static ap_set_t *make_set(ap_route_t *r, const ap_request_t *req, const char *key)
+{
+	const ap_conf_t *conf = r->view->conf;
+	const ap_service_t *service = ap_conf_service(conf, req->service->name);
+	const ap_model_t *model = NULL;
+	ap_set_t *set;
+
+	if (!service)
+		return NULL;
+	if (!service->plain) {
+		model = model_of(conf, service, req);
+		if (!model || !adapter_fits(conf, req, model))
+			return NULL;
+	}
+	set = calloc(1, sizeof(*set));
+	if (!set)
+		return NULL;
+	ap_copy_name(set->key, sizeof(set->key), key);
+	set->model = model;
+	fill_set(r, set, service, req->adapter);
+	HASH_ADD_STR(r->sets, key, set);
+	return set;
+}
+
+ap_set_t *ap_route_set(ap_route_t *r, const ap_request_t *req)
+{
+	char key[AP_SET_KEY_MAX];
+	ap_set_t *set = NULL;
+
+	if (!r->view || !r->view->conf)
+		return NULL;
+	if (req->service->plain)
+		snprintf(key, sizeof(key), "%s", req->service->name);
+	else
+		snprintf(key, sizeof(key), "%s/%s/%s", req->service->name,
+			 req->model ? req->model : "", req->adapter ? req->adapter : "");
+	HASH_FIND_STR(r->sets, key, set);
+	return set ? set : make_set(r, req, key);
+}
--- /dev/null
+++ b/test/limit_test.c
@@ -0,0 +1,237 @@
+/* Admission by class, deadlines, callers' shares and the retry budget. */
+#include "fleet.h"
+
+#include "limit/limit.h"
+
+#define T0 (1000 * AP_SEC)
+#define TOKENS 64
+
+typedef enum seen {
+	SEEN_NOTHING,
+	SEEN_READY,
+	SEEN_SHED,
+} seen_t;
+
+typedef struct world {
+	broken_t broken; /* first: the callbacks' context is the env's */
+	seen_t seen[TOKENS];
+	ap_usec_t retry_after;
+	ap_admission_t *a;
+} world_t;
+
+static void on_ready(void *ctx, uint64_t token)
+{
+	((world_t *)ctx)->seen[token] = SEEN_READY;
+}
+
+static void on_shed(void *ctx, uint64_t token, ap_usec_t retry_after)
+{
+	world_t *w = ctx;
+
+	w->seen[token] = SEEN_SHED;
+	w->retry_after = retry_after;
+}
+
+static int setup(void **state)
+{
+	world_t *w = calloc(1, sizeof(*w));
+	ap_admission_config_t config = {
+		.queue_max = 4,
+		.env = {.ctx = w, .violated = broken_note},
+		.ready = on_ready,
+		.shed = on_shed,
+	};
+
+	w->a = ap_admission_new(&config);
+	ap_admission_set_capacity(w->a, 1, T0);
+	*state = w;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	world_t *w = *state;
+
+	for (int i = 0; i <= AP_INV_BOUNDS; i++)
+		assert_int_equal(w->broken.count[i], 0);
+	ap_admission_free(w->a);
+	free(w);
+	return 0;
+}
+
+static ap_ask_t ask_of(uint64_t token, ap_class_t cls)
+{
+	ap_ask_t ask = {
+		.token = token,
+		.cls = cls,
+		.deadline = T0 + 60 * AP_SEC,
+		.work = 100 * AP_MSEC,
+		.share = 1,
+	};
+
+	return ask;
+}
+
+static ap_admit_t ask(world_t *w, ap_ask_t a, ap_usec_t now)
+{
+	return ap_admission_ask(w->a, &a, now, &w->retry_after);
+}
+
+static void test_classes_start_in_order(void **state)
+{
+	world_t *w = *state;
+	ap_ask_t guest = ask_of(3, AP_CLASS_RESERVATION);
+	ap_ask_t bound = ask_of(4, AP_CLASS_RESERVATION);
+	static const uint64_t order[] = {4, 3, 2, 1};
+
+	guest.guest = true;
+	bound.home_bound = true;
+	assert_int_equal(ask(w, ask_of(0, AP_CLASS_LONG), T0), AP_ADMIT_NOW);
+	assert_int_equal(ask(w, ask_of(1, AP_CLASS_LONG), T0), AP_ADMIT_QUEUE);
+	assert_int_equal(ask(w, ask_of(2, AP_CLASS_SHORT), T0), AP_ADMIT_QUEUE);
+	assert_int_equal(ask(w, guest, T0), AP_ADMIT_QUEUE);
+	assert_int_equal(ask(w, bound, T0), AP_ADMIT_QUEUE);
+	ap_admission_done(w->a, 0, T0);
+	for (size_t i = 0; i < 4; i++) {
+		for (size_t j = 0; j < 4; j++)
+			assert_int_equal(w->seen[order[j]], j <= i ? SEEN_READY : SEEN_NOTHING);
+		ap_admission_done(w->a, order[i], T0);
+	}
+}
+
+static void test_lowest_class_is_shed_first(void **state)
+{
+	world_t *w = *state;
+
+	ask(w, ask_of(0, AP_CLASS_LONG), T0);
+	for (uint64_t i = 1; i <= 4; i++)
+		assert_int_equal(ask(w, ask_of(i, i % 2 ? AP_CLASS_LONG : AP_CLASS_SHORT), T0),
+				 AP_ADMIT_QUEUE);
+	assert_int_equal(ask(w, ask_of(5, AP_CLASS_LONG), T0), AP_ADMIT_SHED);
+	assert_true(w->retry_after >= AP_SEC);
+	assert_int_equal(ask(w, ask_of(6, AP_CLASS_RESERVATION), T0), AP_ADMIT_QUEUE);
+	assert_int_equal(w->seen[3], SEEN_SHED);
+	assert_int_equal(ask(w, ask_of(7, AP_CLASS_RESERVATION), T0), AP_ADMIT_QUEUE);
+	assert_int_equal(w->seen[1], SEEN_SHED);
+	assert_int_equal(ask(w, ask_of(8, AP_CLASS_SHORT), T0), AP_ADMIT_SHED);
+	assert_int_equal(w->seen[2], SEEN_NOTHING);
+}
+
+static void test_late_requests_are_given_up_at_once(void **state)
+{
+	world_t *w = *state;
+	ap_ask_t late = ask_of(1, AP_CLASS_SHORT);
+
+	ask(w, ask_of(0, AP_CLASS_LONG), T0);
+	late.deadline = T0 + 50 * AP_MSEC;
+	assert_int_equal(ask(w, late, T0), AP_ADMIT_SHED);
+	late.deadline = T0 + 5 * AP_SEC;
+	assert_int_equal(ask(w, late, T0), AP_ADMIT_QUEUE);
+	ap_admission_tick(w->a, T0 + 4800 * AP_MSEC);
+	assert_int_equal(w->seen[1], SEEN_NOTHING);
+	ap_admission_tick(w->a, T0 + 4950 * AP_MSEC);
+	assert_int_equal(w->seen[1], SEEN_SHED);
+	assert_true(w->retry_after >= AP_SEC);
+}
+
+static void test_places_are_kept_for_higher_classes(void **state)
+{
+	world_t *w = *state;
+	unsigned admitted[AP_CLASS_COUNT] = {0};
+	uint64_t token = 0;
+
+	ap_admission_set_capacity(w->a, 20, T0);
+	for (int c = AP_CLASS_LONG; c >= AP_CLASS_RESERVATION; c--)
+		while (ask(w, ask_of(token++, c), T0) == AP_ADMIT_NOW)
+			admitted[c]++;
+	assert_true(admitted[AP_CLASS_SHORT] > 0);
+	assert_true(admitted[AP_CLASS_RESERVATION] > 0);
+	assert_int_equal(admitted[0] + admitted[1] + admitted[2], 20);
+}
+
+static void test_cancel_frees_the_place_in_the_queue(void **state)
+{
+	world_t *w = *state;
+
+	ask(w, ask_of(0, AP_CLASS_LONG), T0);
+	assert_int_equal(ask(w, ask_of(1, AP_CLASS_SHORT), T0), AP_ADMIT_QUEUE);
+	ap_admission_cancel(w->a, 1, T0);
+	ap_admission_done(w->a, 0, T0);
+	assert_int_equal(w->seen[1], SEEN_NOTHING);
+	assert_int_equal(ask(w, ask_of(2, AP_CLASS_LONG), T0), AP_ADMIT_NOW);
+}
+
+/* Entries that each enforce a share admit the whole rate together, without asking each other. */
+static void test_callers_rate_is_shared(void **state)
+{
+	world_t *w = *state;
+	ap_caller_t caller = {.name = "crew", .rate = 100, .burst = 10, .concurrent = 1000};
+	unsigned admitted = 0;
+
+	ap_admission_set_capacity(w->a, SIZE_MAX, T0);
+	for (int i = 0; i < 10000; i++) {
+		ap_usec_t now = T0 + i * AP_MSEC;
+		ap_ask_t a = ask_of(1, AP_CLASS_SHORT);
+
+		a.caller = &caller;
+		a.share = 0.25;
+		if (ask(w, a, now) != AP_ADMIT_NOW)
+			continue;
+		admitted++;
+		ap_admission_done(w->a, 1, now);
+	}
+	assert_in_range(admitted, 245, 260);
+	assert_true(w->retry_after > 0);
+}
+
+static void test_callers_concurrency_is_shared(void **state)
+{
+	world_t *w = *state;
+	ap_caller_t caller = {.name = "crew", .rate = 1000, .burst = 1000, .concurrent = 8};
+
+	ap_admission_set_capacity(w->a, SIZE_MAX, T0);
+	for (uint64_t i = 0; i < 4; i++) {
+		ap_ask_t a = ask_of(i, AP_CLASS_SHORT);
+
+		a.caller = &caller;
+		a.share = 0.25;
+		assert_int_equal(ask(w, a, T0), i < 2 ? AP_ADMIT_NOW : AP_ADMIT_LIMIT);
+	}
+}
+
+static void test_retry_budget(void **state)
+{
+	world_t *w = *state;
+	ap_env_t env = {.ctx = w, .violated = broken_note};
+	ap_retry_budget_t *b = ap_retry_budget_new(0.1, &env);
+	unsigned retries = 0;
+
+	for (int i = 0; i < 10000; i++) {
+		ap_usec_t now = T0 + i * AP_MSEC;
+
+		ap_retry_budget_request(b, now);
+		while (ap_retry_budget_take(b, now, now + AP_SEC, 100 * AP_MSEC))
+			retries++;
+	}
+	assert_in_range(retries, 900, 1001);
+	assert_false(ap_retry_budget_take(b, T0, T0 + 50 * AP_MSEC, 100 * AP_MSEC));
+	ap_retry_budget_free(b);
+}
+
+#define WORLD_TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		WORLD_TEST(test_classes_start_in_order),
+		WORLD_TEST(test_lowest_class_is_shed_first),
+		WORLD_TEST(test_late_requests_are_given_up_at_once),
+		WORLD_TEST(test_places_are_kept_for_higher_classes),
+		WORLD_TEST(test_cancel_frees_the_place_in_the_queue),
+		WORLD_TEST(test_callers_rate_is_shared),
+		WORLD_TEST(test_callers_concurrency_is_shared),
+		WORLD_TEST(test_retry_budget),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
