Check configuration documents as a whole, and settings with file, line and key

Selectors that find nothing are refused, since a slip in a label would otherwise take a service away in silence. An absent models or adapters selector finds nothing, so that a rule for models doesn't place adapters. settings.h gains ap_toml_line(), which points messages at a line.

--- /dev/null
+++ b/adapters/settings/settings.c
@@ -0,0 +1,391 @@
+/* Settings of one process: reads the file, checks every key, gives file, line and key of a fault.
+ */
+#include "settings/settings.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+#include <zmq.h>
+
+#define CURVE_TEXT_BYTES (AP_CURVE_KEY_MAX - 1)
+#define PEER_KEYS_MAX 4096
+#define TOKEN_MIN 16 /* characters of the admin token */
+
+typedef struct loader {
+	const char *path;
+	ap_settings_t *s;
+	ap_err_t *err;
+	const char *group;
+} loader_t;
+
+typedef ap_settings_status_t (*read_t)(loader_t *l, const char *key, json_t *value, void *at);
+
+/* One key of a file, and where its value goes. */
+typedef struct setting {
+	const char *group;
+	const char *key;
+	bool required;
+	read_t read;
+	size_t offset;
+} setting_t;
+
+static ap_settings_status_t wrong(loader_t *l, const char *key, const char *what)
+{
+	const char *const keys[] = {l->group, key};
+
+	ap_err_set(l->err, "%s:%d: %s.%s: %s", l->path, ap_toml_line(l->path, keys, 2), l->group,
+		   key, what);
+	return AP_SETTINGS_INVALID;
+}
+
+static ap_settings_status_t read_name(loader_t *l, const char *key, json_t *value, void *at)
+{
+	const char *text = json_string_value(value);
+
+	if (!text || !*text || strlen(text) >= AP_NAME_MAX ||
+	    strspn(text, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-") !=
+		    strlen(text))
+		return wrong(l, key, "must be a name of letters, digits, \".\", \"_\" and \"-\"");
+	ap_copy_name(at, AP_NAME_MAX, text);
+	return AP_SETTINGS_OK;
+}
+
+static bool is_ip(const char *text)
+{
+	unsigned char buf[16];
+
+	return inet_pton(AF_INET, text, buf) == 1 || inet_pton(AF_INET6, text, buf) == 1;
+}
+
+static ap_settings_status_t read_host(loader_t *l, const char *key, json_t *value, void *at)
+{
+	const char *text = json_string_value(value);
+
+	if (!text || !is_ip(text) || !ap_copy_name(at, AP_HOST_MAX, text))
+		return wrong(l, key, "must be an IP number");
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_port(loader_t *l, const char *key, json_t *value, void *at)
+{
+	json_int_t port = json_integer_value(value);
+
+	if (!json_is_integer(value) || port < 1 || port > UINT16_MAX)
+		return wrong(l, key, "must be a port from 1 to 65535");
+	*(uint16_t *)at = (uint16_t)port;
+	return AP_SETTINGS_OK;
+}
+
+/* "IP:PORT" or "[IP]:PORT". */
+static bool parse_address(const char *text, ap_address_t *out)
+{
+	const char *colon = strrchr(text, ':');
+	char host[AP_HOST_MAX + 2];
+	size_t len;
+	char *end;
+	unsigned long port;
+
+	if (!colon || colon == text || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	len = (size_t)(colon - text);
+	memcpy(host, text, len);
+	host[len] = '\0';
+	if (host[0] == '[' && host[len - 1] == ']') {
+		host[len - 1] = '\0';
+		memmove(host, host + 1, len - 1);
+	}
+	port = strtoul(colon + 1, &end, 10);
+	if (end == colon + 1 || *end || port < 1 || port > UINT16_MAX)
+		return false;
+	out->port = (uint16_t)port;
+	return is_ip(host) && ap_copy_name(out->host, sizeof(out->host), host);
+}
+
+static ap_settings_status_t read_address(loader_t *l, const char *key, json_t *value, void *at)
+{
+	const char *text = json_string_value(value);
+
+	if (!text || !parse_address(text, at))
+		return wrong(l, key, "must be \"IP:PORT\"");
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_token(loader_t *l, const char *key, json_t *value, void *at)
+{
+	const char *text = json_string_value(value);
+
+	if (!text || strlen(text) < TOKEN_MIN || !ap_copy_name(at, AP_TOKEN_MAX, text))
+		return wrong(l, key, "must be a text of 16 to 127 characters");
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_curve(loader_t *l, const char *key, json_t *value, void *at)
+{
+	const char *text = json_string_value(value);
+	uint8_t raw[32];
+
+	if (!text || strlen(text) != CURVE_TEXT_BYTES || !zmq_z85_decode(raw, text))
+		return wrong(l, key, "must be a CURVE key of 40 Z85 characters");
+	ap_copy_name(at, AP_CURVE_KEY_MAX, text);
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_peers(loader_t *l, const char *key, json_t *value, void *at)
+{
+	size_t n = json_array_size(value);
+
+	(void)at;
+	if (!json_is_array(value) || n > PEER_KEYS_MAX)
+		return wrong(l, key, "must be an array of CURVE keys");
+	l->s->peer_keys = calloc(n + 1, sizeof(*l->s->peer_keys));
+	if (!l->s->peer_keys)
+		return wrong(l, key, "out of memory");
+	for (size_t i = 0; i < n; i++) {
+		ap_settings_status_t status;
+
+		status = read_curve(l, key, json_array_get(value, i), l->s->peer_keys[i]);
+		if (status != AP_SETTINGS_OK)
+			return status;
+		l->s->n_peer_keys++;
+	}
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_whole(loader_t *l, const char *key, json_t *value, json_int_t min,
+				       json_int_t max, json_int_t *out)
+{
+	char what[96];
+
+	*out = json_integer_value(value);
+	if (json_is_integer(value) && *out >= min && *out <= max)
+		return AP_SETTINGS_OK;
+	snprintf(what, sizeof(what), "must be a whole number from %lld to %lld", (long long)min,
+		 (long long)max);
+	return wrong(l, key, what);
+}
+
+static ap_settings_status_t read_bytes(loader_t *l, const char *key, json_t *value, void *at)
+{
+	json_int_t number;
+	ap_settings_status_t status = read_whole(l, key, value, 1024, 64 << 20, &number);
+
+	if (status == AP_SETTINGS_OK)
+		*(size_t *)at = (size_t)number;
+	return status;
+}
+
+static ap_settings_status_t read_count(loader_t *l, const char *key, json_t *value, void *at)
+{
+	json_int_t number;
+	ap_settings_status_t status = read_whole(l, key, value, 1, 1000000, &number);
+
+	if (status == AP_SETTINGS_OK)
+		*(size_t *)at = (size_t)number;
+	return status;
+}
+
+static ap_settings_status_t read_seconds(loader_t *l, const char *key, json_t *value, void *at)
+{
+	json_int_t number;
+	ap_settings_status_t status = read_whole(l, key, value, 1, 86400, &number);
+
+	if (status == AP_SETTINGS_OK)
+		*(ap_usec_t *)at = number * AP_SEC;
+	return status;
+}
+
+static ap_settings_status_t read_ratio(loader_t *l, const char *key, json_t *value, void *at)
+{
+	double number = json_number_value(value);
+
+	if (!json_is_number(value) || !(number >= 0.0 && number <= 1.0))
+		return wrong(l, key, "must be a number from 0 to 1");
+	*(double *)at = number;
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_level(loader_t *l, const char *key, json_t *value, void *at)
+{
+	static const struct {
+		const char *name;
+		int level;
+	} levels[] = {
+		{"debug", LOG_DEBUG},
+		{"info", LOG_INFO},
+		{"warning", LOG_WARNING},
+		{"error", LOG_ERR},
+	};
+	const char *text = json_string_value(value);
+
+	for (size_t i = 0; text && i < sizeof(levels) / sizeof(levels[0]); i++) {
+		if (strcmp(levels[i].name, text) == 0) {
+			*(int *)at = levels[i].level;
+			return AP_SETTINGS_OK;
+		}
+	}
+	return wrong(l, key, "must be \"debug\", \"info\", \"warning\" or \"error\"");
+}
+
+#define SETTING(grp, name, needed, reader, member)                                                 \
+	{                                                                                          \
+		.group = (grp), .key = (name), .required = (needed), .read = (reader),             \
+		.offset = offsetof(ap_settings_t, member)                                          \
+	}
+
+static const setting_t known[] = {
+	SETTING("instance", "id", true, read_name, id),
+	SETTING("instance", "region", true, read_name, region),
+	SETTING("instance", "data_centre", true, read_name, data_centre),
+	SETTING("instance", "host", true, read_host, host),
+	SETTING("listen", "callers", true, read_port, caller_port),
+	SETTING("listen", "data", true, read_port, data_port),
+	SETTING("listen", "control", true, read_port, control_port),
+	SETTING("listen", "admin", true, read_address, admin),
+	SETTING("listen", "admin_token", true, read_token, admin_token),
+	SETTING("keys", "public", true, read_curve, public_key),
+	SETTING("keys", "secret", true, read_curve, secret_key),
+	SETTING("keys", "peers", true, read_peers, peer_keys),
+	SETTING("platform", "store", true, read_address, store),
+	SETTING("platform", "instances", true, read_address, instances),
+	SETTING("platform", "directory", true, read_address, directory),
+	SETTING("limits", "header_bytes", false, read_bytes, header_bytes),
+	SETTING("limits", "body_bytes", false, read_bytes, body_bytes),
+	SETTING("limits", "connections", false, read_count, connections),
+	SETTING("limits", "request_seconds", false, read_seconds, request_time),
+	SETTING("limits", "queue", false, read_count, queue),
+	SETTING("limits", "retry_ratio", false, read_ratio, retry_ratio),
+	SETTING("log", "level", false, read_level, log_level),
+	SETTING("log", "events", false, read_count, events),
+};
+
+#define N_KNOWN (sizeof(known) / sizeof(known[0]))
+
+static bool group_known(const char *group)
+{
+	for (size_t i = 0; i < N_KNOWN; i++) {
+		if (strcmp(known[i].group, group) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool key_known(const char *group, const char *key)
+{
+	for (size_t i = 0; i < N_KNOWN; i++) {
+		if (strcmp(known[i].group, group) == 0 && strcmp(known[i].key, key) == 0)
+			return true;
+	}
+	return false;
+}
+
+static ap_settings_status_t check_keys(loader_t *l, json_t *root)
+{
+	const char *group;
+	const char *key;
+	json_t *table;
+	json_t *value;
+
+	json_object_foreach (root, group, table) {
+		if (!group_known(group) || !json_is_object(table)) {
+			ap_err_set(l->err, "%s:%d: %.80s: unknown table or not a table", l->path,
+				   ap_toml_line(l->path, &group, 1), group);
+			return AP_SETTINGS_INVALID;
+		}
+		l->group = group;
+		json_object_foreach (table, key, value) {
+			if (!key_known(group, key))
+				return wrong(l, key, "unknown key");
+		}
+	}
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_all(loader_t *l, json_t *root)
+{
+	for (size_t i = 0; i < N_KNOWN; i++) {
+		const setting_t *k = &known[i];
+		json_t *value = json_object_get(json_object_get(root, k->group), k->key);
+		ap_settings_status_t status;
+
+		l->group = k->group;
+		if (!value && k->required)
+			return wrong(l, k->key, "is missing");
+		if (!value)
+			continue;
+		status = k->read(l, k->key, value, (char *)l->s + k->offset);
+		if (status != AP_SETTINGS_OK)
+			return status;
+	}
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t check_key_pair(loader_t *l)
+{
+	char derived[AP_CURVE_KEY_MAX];
+
+	l->group = "keys";
+	if (zmq_curve_public(derived, l->s->secret_key) != 0)
+		return wrong(l, "secret", "can't be used: libzmq is built without CURVE");
+	if (strcmp(derived, l->s->public_key) != 0)
+		return wrong(l, "public", "does not belong to keys.secret");
+	return AP_SETTINGS_OK;
+}
+
+static void set_defaults(ap_settings_t *s)
+{
+	*s = (ap_settings_t){
+		.header_bytes = 16 << 10,
+		.body_bytes = 1 << 20,
+		.connections = 1024,
+		.request_time = 600 * AP_SEC,
+		.queue = 256,
+		.retry_ratio = 0.1,
+		.log_level = LOG_INFO,
+		.events = 4096,
+	};
+}
+
+static ap_settings_status_t load_tree(loader_t *l, json_t *root)
+{
+	ap_settings_status_t status = check_keys(l, root);
+
+	if (status == AP_SETTINGS_OK)
+		status = read_all(l, root);
+	if (status == AP_SETTINGS_OK)
+		status = check_key_pair(l);
+	return status;
+}
+
+ap_settings_status_t ap_settings_load(const char *path, ap_settings_t *settings, ap_err_t *err)
+{
+	loader_t l = {.path = path, .s = settings, .err = err};
+	ap_settings_status_t status;
+	int line;
+	char *text;
+	json_t *root;
+
+	set_defaults(settings);
+	text = ap_toml_read(path, &line, err);
+	if (!text)
+		return line > 0 ? AP_SETTINGS_SYNTAX : AP_SETTINGS_UNREADABLE;
+	root = json_loads(text, JSON_ALLOW_NUL, NULL);
+	free(text);
+	if (!root) {
+		ap_err_set(err, "%s: holds a value that settings don't take", path);
+		return AP_SETTINGS_SYNTAX;
+	}
+	status = load_tree(&l, root);
+	json_decref(root);
+	if (status != AP_SETTINGS_OK)
+		ap_settings_clear(settings);
+	return status;
+}
+
+void ap_settings_clear(ap_settings_t *settings)
+{
+	free(settings->peer_keys);
+	explicit_bzero(settings, sizeof(*settings));
+}
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -69,4 +69,11 @@
  */
 char *ap_toml_read(const char *path, int *line, ap_err_t *err);
 
+/**
+ * ap_toml_line() - where the value under nested @keys is written, to point at it in a message.
+ *
+ * Return: its line, or that of the innermost table that exists; 0 when none does.
+ */
+int ap_toml_line(const char *path, const char *const *keys, size_t n);
+
 #endif
--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -172,6 +172,7 @@
 /**
  * struct ap_conf - one checked document. Immutable once parsed.
  * @generation: set by whoever accepted it; 0 for none
+ * @callers: sorted by key hash
  * @json: the document itself; do not change it
  */
 typedef struct ap_conf {
@@ -195,7 +196,8 @@
 /**
  * ap_conf_parse() - checks a whole document and builds it.
  * @json: {"service": {NAME: {...}}, "pool": ..., "model": ..., "adapter": ..., "rule": ...,
- *        "caller": ...}; a reference is taken, so the caller no longer changes it
+ *        "caller": ...}; a reference is taken, so the caller no longer changes it. Durations are
+ *        whole milliseconds in fields that end in _ms.
  * @conf: the result, with one reference
  * @err: names the object and the field that is wrong
  *
@@ -206,7 +208,7 @@
 void ap_conf_unref(ap_conf_t *conf);
 
 /**
- * ap_conf_merge() - three-way merge by field.
+ * ap_conf_merge() - three-way merge by field; check the result with ap_conf_parse().
  * @base: the document that @mine was made from
  * @theirs: the document now in force
  * @merged: a new reference when every field that both changed got the same value
--- /dev/null
+++ b/lib/conf/parse.h
@@ -0,0 +1,52 @@
+/* Reading of single fields, private to the package. */
+#ifndef AP_CONF_PARSE_H
+#define AP_CONF_PARSE_H
+
+#include "conf/conf.h"
+
+/* What a field of a document holds and where it goes. */
+typedef enum ap_field_type {
+	AP_FIELD_BOOL,
+	AP_FIELD_U32,
+	AP_FIELD_U64,
+	AP_FIELD_SIZE,
+	AP_FIELD_DOUBLE,
+	AP_FIELD_MSEC,	   /* integer milliseconds into an ap_usec_t */
+	AP_FIELD_NAME,	   /* char[AP_NAME_MAX] */
+	AP_FIELD_KEY_HASH, /* char[AP_KEY_HASH_TEXT_MAX] */
+	AP_FIELD_CLASS,
+	AP_FIELD_LABELS,
+	AP_FIELD_SELECTOR,
+	AP_FIELD_NONE_SELECTOR, /* selector that matches nothing when absent */
+} ap_field_type_t;
+
+/**
+ * struct ap_field - one field of a kind of object.
+ * @offset: in the object's struct
+ * @min: lowest number allowed
+ * @max: highest number allowed
+ * @def: number, or truth value, when the field is absent
+ */
+typedef struct ap_field {
+	const char *name;
+	ap_field_type_t type;
+	size_t offset;
+	bool required;
+	double min;
+	double max;
+	double def;
+} ap_field_t;
+
+/**
+ * ap_fields_read() - fills @object from @json by @fields.
+ * @where: "kind/name" for messages
+ */
+ap_conf_status_t ap_fields_read(const ap_field_t *fields, size_t n, json_t *json, void *object,
+				const char *where, ap_err_t *err);
+/** ap_name_ok() - may @text name an object? */
+bool ap_name_ok(const char *text);
+void ap_selector_clear(ap_selector_t *sel);
+/** ap_conf_check_refs() - every reference and selector of a whole document finds something. */
+ap_conf_status_t ap_conf_check_refs(const ap_conf_t *conf, ap_err_t *err);
+
+#endif
