--- /dev/null
+++ b/adapters/call/call.c
@@ -0,0 +1,176 @@
+/* Small HTTP calls, a connection each. */
+#include "call/call.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define ANSWER_MAX_BYTES (8 << 20)
+
+typedef struct ap_call ap_call_t;
+LIST_HEAD(ap_call_list, ap_call);
+
+struct ap_calls {
+	struct event_base *base;
+	struct ap_call_list list;
+	uint64_t failed;
+};
+
+struct ap_call {
+	LIST_ENTRY(ap_call) link;
+	ap_calls_t *owner;
+	struct evhttp_connection *conn;
+	struct event *later; /* ends the call outside of the library's callback */
+	ap_call_done_t done;
+	void *arg;
+	bool written;
+	bool reported;
+};
+
+static void call_free(ap_call_t *call)
+{
+	LIST_REMOVE(call, link);
+	if (call->later)
+		event_free(call->later);
+	if (call->conn)
+		evhttp_connection_free(call->conn);
+	free(call);
+}
+
+static void report(ap_call_t *call, const ap_call_answer_t *answer)
+{
+	call->reported = true;
+	if (answer->end != AP_CALL_ANSWERED)
+		call->owner->failed++;
+	call->done(call->arg, answer);
+}
+
+static void on_later(evutil_socket_t fd, short what, void *arg)
+{
+	ap_call_t *call = arg;
+
+	(void)fd;
+	(void)what;
+	if (!call->reported) {
+		ap_call_answer_t lost = {.end = call->written ? AP_CALL_LOST : AP_CALL_NOT_SENT};
+
+		report(call, &lost);
+	}
+	call_free(call);
+}
+
+static void end_later(ap_call_t *call)
+{
+	event_active(call->later, EV_TIMEOUT, 0);
+}
+
+static void on_output(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	ap_call_t *call = arg;
+
+	(void)buf;
+	if (info->n_deleted > 0)
+		call->written = true;
+}
+
+static void on_answer(struct evhttp_request *req, void *arg)
+{
+	ap_call_t *call = arg;
+	ap_call_answer_t answer = {.end = AP_CALL_ANSWERED};
+	struct evbuffer *body;
+
+	if (call->reported)
+		return;
+	if (!req || evhttp_request_get_response_code(req) == 0) {
+		end_later(call);
+		return;
+	}
+	answer.code = evhttp_request_get_response_code(req);
+	body = evhttp_request_get_input_buffer(req);
+	evbuffer_add(body, "", 1);
+	answer.len = evbuffer_get_length(body) - 1;
+	answer.body = (const char *)evbuffer_pullup(body, -1);
+	answer.headers = evhttp_request_get_input_headers(req);
+	report(call, &answer);
+	end_later(call);
+}
+
+static bool start(ap_call_t *call, const ap_call_spec_t *spec)
+{
+	struct evhttp_request *req = evhttp_request_new(on_answer, call);
+	struct timeval limit = {.tv_sec = spec->limit / AP_SEC, .tv_usec = spec->limit % AP_SEC};
+	struct bufferevent *bev;
+	char host[AP_HOST_MAX + 8];
+
+	if (!req)
+		return false;
+	call->conn =
+		evhttp_connection_base_new(call->owner->base, NULL, spec->to->host, spec->to->port);
+	if (!call->conn) {
+		evhttp_request_free(req);
+		return false;
+	}
+	evhttp_connection_set_timeout_tv(call->conn, &limit);
+	evhttp_connection_set_retries(call->conn, 0);
+	evhttp_connection_set_max_body_size(call->conn, ANSWER_MAX_BYTES);
+	bev = evhttp_connection_get_bufferevent(call->conn);
+	evbuffer_add_cb(bufferevent_get_output(bev), on_output, call);
+	snprintf(host, sizeof(host), "%s:%u", spec->to->host, spec->to->port);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", host);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
+	if (spec->len > 0)
+		evbuffer_add(evhttp_request_get_output_buffer(req), spec->body, spec->len);
+	return evhttp_make_request(call->conn, req, spec->method, spec->path) == 0;
+}
+
+ap_calls_t *ap_calls_new(struct event_base *base)
+{
+	ap_calls_t *calls = calloc(1, sizeof(*calls));
+
+	if (!calls)
+		return NULL;
+	calls->base = base;
+	LIST_INIT(&calls->list);
+	return calls;
+}
+
+void ap_calls_free(ap_calls_t *calls)
+{
+	ap_call_t *call;
+	ap_call_t *next;
+
+	if (!calls)
+		return;
+	for (call = LIST_FIRST(&calls->list); call; call = next) {
+		next = LIST_NEXT(call, link);
+		/* Freeing the connection may run on_answer(); it must find nothing to report. */
+		if (!call->reported)
+			free(call->arg);
+		call->reported = true;
+		call_free(call);
+	}
+	free(calls);
+}
+
+void ap_call(ap_calls_t *calls, const ap_call_spec_t *spec)
+{
+	ap_call_t *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->owner = calls;
+	call->done = spec->done;
+	call->arg = spec->arg;
+	call->later = event_new(calls->base, -1, 0, on_later, call);
+	LIST_INSERT_HEAD(&calls->list, call, link);
+	if (!start(call, spec))
+		end_later(call);
+}
+
+uint64_t ap_calls_failed(const ap_calls_t *calls)
+{
+	return calls->failed;
+}
