--- /dev/null
+++ b/lib/once/ask.c
@@ -0,0 +1,235 @@
+/* Questions about permits whose issuer does not answer: the witness first, then successors. */
+#include "once/state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char *step_target(const ap_once_t *o, const question_t *q)
+{
+	const ap_permit_t *p = &q->permit;
+	const peer_t *issuer = once_peer(o, p->issuer);
+
+	switch (q->step) {
+	case 0:
+		return issuer && ap_id_eq(issuer->inc, p->xid.inc) ? p->issuer : NULL;
+	case 1:
+		return p->witness[0] != '\0' ? p->witness : NULL;
+	case 2:
+	case 3:
+		return hand_heir(o, p->xid.inc, q->step - 2);
+	default:
+		if (ap_id_is_zero(p->witness_inc))
+			return NULL;
+		return hand_heir(o, p->witness_inc, q->step - 4);
+	}
+}
+
+static bool was_asked(const question_t *q, const char *id)
+{
+	for (unsigned i = 0; i < q->step; i++) {
+		if (strcmp(q->asked[i], id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void send_ask(ap_once_t *o, question_t *q)
+{
+	ap_once_msg_t msg = {.kind = AP_ONCE_MSG_ASK, .number = q->number, .text = q->text};
+
+	q->resend_at = o->now + o->config.limits.ask_wait / RESENDS;
+	once_send(o, q->asked[q->step], &msg);
+}
+
+/* Goes on to the next entry that may know; UNKNOWN when none is left. */
+static ap_once_kind_t ask_next(ap_once_t *o, question_t *q, ap_once_verdict_t *v)
+{
+	for (; q->step < QUESTION_STEPS; q->step++) {
+		const char *target = step_target(o, q);
+
+		if (!target || was_asked(q, target))
+			continue;
+		ap_copy_name(q->asked[q->step], AP_NAME_MAX, target);
+		if (strcmp(target, o->config.id) == 0) {
+			if (once_judge_here(o, &q->permit, v) != AP_ONCE_UNKNOWN)
+				return v->kind;
+			continue;
+		}
+		if (!once_in_region(o, once_peer(o, target)))
+			continue;
+		q->give_up_at = o->now + o->config.limits.ask_wait;
+		send_ask(o, q);
+		return once_verdict(v, AP_ONCE_PENDING, "");
+	}
+	return once_verdict(v, AP_ONCE_UNKNOWN, "no entry can tell whether it ran");
+}
+
+static void remove_question(ap_once_t *o, question_t *q)
+{
+	TAILQ_REMOVE(&o->questions, q, link);
+	o->n_questions--;
+	free(q);
+}
+
+static ap_once_kind_t start_question(ap_once_t *o, const char *text, const ap_permit_t *permit,
+				     uint64_t token, ap_once_verdict_t *v)
+{
+	question_t *q;
+
+	if (o->n_questions >= o->config.limits.questions_max)
+		return once_verdict(v, AP_ONCE_UNKNOWN, "too many questions in progress");
+	q = calloc(1, sizeof(*q));
+	if (!q)
+		return once_verdict(v, AP_ONCE_UNKNOWN, "no memory for a question");
+	q->number = ++o->question_seq;
+	q->token = token;
+	q->permit = *permit;
+	ap_copy_name(q->text, sizeof(q->text), text);
+	TAILQ_INSERT_TAIL(&o->questions, q, link);
+	o->n_questions++;
+	if (ask_next(o, q, v) != AP_ONCE_PENDING)
+		remove_question(o, q);
+	return v->kind;
+}
+
+ap_once_kind_t ap_once_judge(ap_once_t *o, const char *text, const char *service,
+			     const char *caller, uint64_t token, ap_usec_t now,
+			     ap_once_verdict_t *verdict)
+{
+	ap_permit_t permit;
+
+	once_set_now(o, now);
+	if (!ap_permit_read(text, &permit) || strcmp(permit.service, service) != 0 ||
+	    strcmp(permit.caller, caller) != 0)
+		once_verdict(verdict, AP_ONCE_REFUSED, "not a permit of this caller and service");
+	else if (ap_id_eq(permit.xid.inc, o->config.inc))
+		issuer_judge(o, &permit, verdict);
+	else
+		start_question(o, text, &permit, token, verdict);
+	if (verdict->kind != AP_ONCE_PENDING)
+		once_decide(o, 0, verdict);
+	return verdict->kind;
+}
+
+void ask_asked(ap_once_t *o, const char *from, const ap_once_msg_t *msg)
+{
+	ap_once_msg_t reply = {.kind = AP_ONCE_MSG_TOLD, .number = msg->number};
+	ap_once_verdict_t v;
+	ap_permit_t permit;
+
+	if (!msg->text || !ap_permit_read(msg->text, &permit))
+		return;
+	once_judge_here(o, &permit, &v);
+	reply.verdict = v.kind;
+	reply.outcome = v.outcome;
+	reply.answer = v.answer;
+	reply.len = v.len;
+	once_send(o, from, &reply);
+}
+
+static void settle(ap_once_t *o, question_t *q, const ap_once_verdict_t *v)
+{
+	uint64_t token = q->token;
+
+	remove_question(o, q);
+	once_decide(o, token, v);
+}
+
+static void go_on(ap_once_t *o, question_t *q)
+{
+	ap_once_verdict_t v;
+
+	q->step++;
+	if (ask_next(o, q, &v) != AP_ONCE_PENDING)
+		settle(o, q, &v);
+}
+
+static const char *told_why(ap_once_kind_t kind)
+{
+	switch (kind) {
+	case AP_ONCE_NOT_RUN:
+		return "the permit was closed before it ran";
+	case AP_ONCE_USED:
+		return "the permit's call was completed";
+	case AP_ONCE_RUNNING:
+		return "the permit's call is in progress";
+	default:
+		return "the permit is not genuine";
+	}
+}
+
+void ask_told(ap_once_t *o, const char *from, const ap_once_msg_t *msg)
+{
+	question_t *q;
+	ap_once_verdict_t v;
+
+	TAILQ_FOREACH (q, &o->questions, link) {
+		if (q->number == msg->number && strcmp(q->asked[q->step], from) == 0)
+			break;
+	}
+	if (!q)
+		return;
+	switch (msg->verdict) {
+	case AP_ONCE_NOT_RUN:
+	case AP_ONCE_USED:
+	case AP_ONCE_RUNNING:
+	case AP_ONCE_REFUSED:
+		once_verdict(&v, msg->verdict, told_why(msg->verdict));
+		v.outcome = msg->outcome;
+		v.answer = msg->answer;
+		v.len = msg->len;
+		settle(o, q, &v);
+		break;
+	default:
+		go_on(o, q);
+		break;
+	}
+}
+
+static question_t *first_late(const ap_once_t *o)
+{
+	question_t *q;
+
+	TAILQ_FOREACH (q, &o->questions, link) {
+		if (o->now >= q->give_up_at)
+			return q;
+	}
+	return NULL;
+}
+
+/* One question at a time: the driver may call back in between. */
+void ask_tick(ap_once_t *o)
+{
+	question_t *q;
+
+	while ((q = first_late(o)))
+		go_on(o, q);
+	TAILQ_FOREACH (q, &o->questions, link) {
+		if (o->now >= q->resend_at)
+			send_ask(o, q);
+	}
+}
+
+void ask_cancel(ap_once_t *o, uint64_t token)
+{
+	question_t *q;
+
+	TAILQ_FOREACH (q, &o->questions, link) {
+		if (q->token == token)
+			break;
+	}
+	if (q)
+		remove_question(o, q);
+}
+
+void ask_free(ap_once_t *o)
+{
+	question_t *q = TAILQ_FIRST(&o->questions);
+
+	while (q) {
+		question_t *next = TAILQ_NEXT(q, link);
+
+		remove_question(o, q);
+		q = next;
+	}
+}
--- /dev/null
+++ b/lib/once/claim.c
@@ -0,0 +1,425 @@
+/*
+ * Claims in the key-value service for callers with only an idempotency key. A claim is one entry of
+ * a slot, so that old ones make room and the store's size stays bounded. Slots hold hashes only.
+ */
+#include "once/table.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SLOTS 4096	    /* keys in the store for each region */
+#define SLOT_CLAIMS_MAX 512 /* claims in one of them */
+#define ATTEMPTS_MAX 8	    /* writes refused because another one came first */
+#define KEY_MAX 160
+
+/* One claim as it stands in a slot. */
+typedef struct slot_claim {
+	ap_id_t hash;
+	ap_id_t inc;
+	uint64_t nonce;
+	uint64_t wall;
+} slot_claim_t;
+
+struct ap_claims {
+	ap_claims_config_t config;
+	ap_once_limits_t limits;
+	ap_usec_t now;
+	uint32_t wall;
+	uint64_t seq;
+	uint64_t attempt_seq;
+	answers_t answers;
+	table_t table;
+	record_t *by_token;
+	struct record_list waiting;
+};
+
+/* One call to the key-value service. */
+typedef struct call {
+	ap_claims_t *claims;
+	ap_xid_t key;
+	uint64_t attempt;
+} call_t;
+
+void ap_claims_default(ap_claims_config_t *config)
+{
+	config->retention = 24 * 3600;
+	config->wait = AP_SEC;
+	config->records_max = 16384;
+	config->answers_max = 1024;
+	config->answer_bytes = 64 << 10;
+}
+
+ap_claims_t *ap_claims_new(const ap_claims_config_t *config)
+{
+	ap_claims_t *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->config = *config;
+	c->limits = (ap_once_limits_t){
+		.answers_max = config->answers_max,
+		.answers_bytes = config->answers_max * config->answer_bytes,
+		.answer_bytes = config->answer_bytes,
+	};
+	answers_init(&c->answers, &c->limits);
+	table_init(&c->table, config->records_max, &c->answers);
+	TAILQ_INIT(&c->waiting);
+	return c;
+}
+
+void ap_claims_free(ap_claims_t *c)
+{
+	if (!c)
+		return;
+	HASH_CLEAR(hh_token, c->by_token);
+	table_clear(&c->table);
+	free(c);
+}
+
+static void set_now(ap_claims_t *c, ap_usec_t now)
+{
+	if (now > c->now)
+		c->now = now;
+}
+
+static ap_usec_t retention(const ap_claims_t *c)
+{
+	return (ap_usec_t)c->config.retention * AP_SEC;
+}
+
+static ap_xid_t hash_key(const char *key, const char *service, const char *caller)
+{
+	const char *parts[] = {service, caller, key};
+	crypto_generichash_state state;
+	ap_xid_t id = {.seq = 0};
+
+	crypto_generichash_init(&state, NULL, 0, sizeof(id.inc));
+	for (int i = 0; i < 3; i++)
+		crypto_generichash_update(&state, (const unsigned char *)parts[i],
+					  strlen(parts[i]) + 1);
+	crypto_generichash_final(&state, (unsigned char *)&id.inc, sizeof(id.inc));
+	return id;
+}
+
+static void slot_name(const ap_claims_t *c, ap_xid_t key, char out[KEY_MAX])
+{
+	snprintf(out, KEY_MAX, "arbutuspond/once/%s/%03x", c->config.region,
+		 (unsigned)(key.inc.hi % SLOTS));
+}
+
+static ap_once_kind_t give(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why)
+{
+	*v = (ap_once_verdict_t){.kind = kind, .why = why, .outcome = AP_OUTCOME_UNKNOWN};
+	if (kind == AP_ONCE_NOT_RUN)
+		v->outcome = AP_OUTCOME_NOT_RUN;
+	return kind;
+}
+
+/* Ends the wait for the store. A claim that is given up may be taken up again here. */
+static void settle(ap_claims_t *c, record_t *r, ap_once_kind_t kind, const char *why)
+{
+	ap_once_verdict_t v;
+	uint64_t token = r->token;
+
+	give(&v, kind, why);
+	TAILQ_REMOVE(&c->waiting, r, by_wait);
+	if (kind == AP_ONCE_GO) {
+		r->state = RECORD_RUNNING;
+		r->give_up_at = c->now + retention(c) / 2;
+	} else {
+		r->state = RECORD_FINISHED;
+		r->outcome = v.outcome;
+		token_remove(&c->by_token, r);
+	}
+	/* Claimed elsewhere: only the store knows for how long. */
+	if (kind == AP_ONCE_USED)
+		table_remove(&c->table, r);
+	c->config.decided(c->config.ctx, token, &v);
+}
+
+static call_t *new_call(ap_claims_t *c, record_t *r)
+{
+	call_t *call = malloc(sizeof(*call));
+
+	if (!call)
+		return NULL;
+	r->attempt = ++c->attempt_seq;
+	*call = (call_t){.claims = c, .key = r->xid, .attempt = r->attempt};
+	return call;
+}
+
+/* The record that a reply belongs to; NULL when it was given up in between. */
+static record_t *end_call(call_t *call)
+{
+	record_t *r = table_find(&call->claims->table, call->key);
+
+	if (r && (r->state != RECORD_BEGINNING || r->attempt != call->attempt))
+		r = NULL;
+	free(call);
+	return r;
+}
+
+static void on_read(void *arg, const ap_kv_result_t *result);
+static void on_write(void *arg, const ap_kv_result_t *result);
+
+static bool read_slot(ap_claims_t *c, record_t *r)
+{
+	const ap_kv_port_t *kv = &c->config.kv;
+	char name[KEY_MAX];
+	call_t *call = new_call(c, r);
+
+	if (!call)
+		return false;
+	slot_name(c, r->xid, name);
+	kv->get(kv->ctx, name, 0, 0, on_read, call);
+	return true;
+}
+
+/* The slot's claims that still hold, and the one for @r if it is among them. */
+static size_t keep_valid(const ap_claims_t *c, const ap_kv_result_t *result, slot_claim_t *out,
+			 ap_xid_t key, slot_claim_t **found)
+{
+	size_t n = result->value ? result->len / sizeof(slot_claim_t) : 0;
+	size_t kept = 0;
+
+	*found = NULL;
+	for (size_t i = 0; i < n && kept < SLOT_CLAIMS_MAX; i++) {
+		slot_claim_t claim;
+
+		memcpy(&claim, (const char *)result->value + i * sizeof(claim), sizeof(claim));
+		if (claim.wall + c->config.retention < c->wall)
+			continue;
+		out[kept] = claim;
+		if (ap_id_eq(claim.hash, key.inc))
+			*found = &out[kept];
+		kept++;
+	}
+	return kept;
+}
+
+static void write_slot(ap_claims_t *c, record_t *r, slot_claim_t *claims, size_t n, uint64_t index)
+{
+	const ap_kv_port_t *kv = &c->config.kv;
+	char name[KEY_MAX];
+	call_t *call;
+
+	if (n >= SLOT_CLAIMS_MAX) {
+		settle(c, r, AP_ONCE_NOT_RUN, "too many claims are kept");
+		return;
+	}
+	call = new_call(c, r);
+	if (!call) {
+		settle(c, r, AP_ONCE_NOT_RUN, "no memory for the claim");
+		return;
+	}
+	claims[n] = (slot_claim_t){
+		.hash = r->xid.inc,
+		.inc = c->config.inc,
+		.nonce = r->nonce,
+		.wall = c->wall,
+	};
+	slot_name(c, r->xid, name);
+	kv->cas(kv->ctx, name, claims, (n + 1) * sizeof(*claims), index, on_write, call);
+}
+
+static bool is_own(const ap_claims_t *c, const record_t *r, const slot_claim_t *claim)
+{
+	return ap_id_eq(claim->inc, c->config.inc) && claim->nonce == r->nonce;
+}
+
+static void on_read(void *arg, const ap_kv_result_t *result)
+{
+	ap_claims_t *c = ((call_t *)arg)->claims;
+	record_t *r = end_call(arg);
+	slot_claim_t *found;
+	slot_claim_t claims[SLOT_CLAIMS_MAX + 1];
+	size_t n;
+
+	if (!r)
+		return;
+	if (result->status != AP_KV_OK && result->status != AP_KV_ABSENT) {
+		settle(c, r, AP_ONCE_NOT_RUN, "the key-value service cannot be reached");
+		return;
+	}
+	if (result->len % sizeof(slot_claim_t) != 0) {
+		settle(c, r, AP_ONCE_NOT_RUN, "the claims in the store are not readable");
+		return;
+	}
+	n = keep_valid(c, result, claims, r->xid, &found);
+	if (found && !is_own(c, r, found)) {
+		settle(c, r, AP_ONCE_USED, "the key was used at another entry");
+		return;
+	}
+	if (found && found->wall + c->config.retention / 2 > c->wall) {
+		settle(c, r, AP_ONCE_GO, "");
+		return;
+	}
+	/* An own claim that is about to lapse is made anew. */
+	if (found)
+		*found = claims[--n];
+	write_slot(c, r, claims, n, result->status == AP_KV_OK ? result->index : 0);
+}
+
+static void on_write(void *arg, const ap_kv_result_t *result)
+{
+	ap_claims_t *c = ((call_t *)arg)->claims;
+	record_t *r = end_call(arg);
+
+	if (!r)
+		return;
+	switch (result->status) {
+	case AP_KV_OK:
+		settle(c, r, AP_ONCE_GO, "");
+		return;
+	case AP_KV_UNAVAILABLE:
+		settle(c, r, AP_ONCE_NOT_RUN, "the key-value service cannot be reached");
+		return;
+	case AP_KV_CONFLICT:
+	case AP_KV_ABSENT:
+	case AP_KV_UNSURE:
+		break;
+	}
+	if (++r->tries >= ATTEMPTS_MAX || !read_slot(c, r))
+		settle(c, r, AP_ONCE_NOT_RUN, "the claim was contended for too long");
+}
+
+/* Forgets the oldest claim that is not in progress. */
+static bool make_room(ap_claims_t *c)
+{
+	record_t *r;
+
+	if (c->table.n < c->table.max)
+		return true;
+	TAILQ_FOREACH (r, &c->table.by_age, by_age) {
+		if (r->token != 0)
+			continue;
+		table_remove(&c->table, r);
+		return true;
+	}
+	return false;
+}
+
+static record_t *add_claim(ap_claims_t *c, ap_xid_t key)
+{
+	record_t *r;
+
+	if (!make_room(c))
+		return NULL;
+	r = table_add(&c->table, key, c->now + retention(c));
+	if (r)
+		r->nonce = ++c->seq;
+	return r;
+}
+
+/* What is known here without the store; PENDING when the claim is to be made. */
+static ap_once_kind_t look_up(const record_t *r, ap_once_verdict_t *v)
+{
+	if (!r)
+		return give(v, AP_ONCE_PENDING, "");
+	if (r->state != RECORD_FINISHED)
+		return give(v, AP_ONCE_RUNNING, "a call with this key is in progress");
+	if (r->outcome == AP_OUTCOME_NOT_RUN)
+		return give(v, AP_ONCE_PENDING, "");
+	if (r->outcome == AP_OUTCOME_UNKNOWN)
+		return give(v, AP_ONCE_UNKNOWN, "the key's call has no known outcome");
+	give(v, AP_ONCE_USED, "the key's call was completed");
+	v->outcome = r->outcome;
+	v->answer = r->answer;
+	v->len = r->len;
+	return v->kind;
+}
+
+ap_once_kind_t ap_claims_use(ap_claims_t *c, const char *key, const char *service,
+			     const char *caller, uint64_t token, ap_usec_t now, uint32_t wall,
+			     ap_once_verdict_t *verdict)
+{
+	ap_xid_t id = hash_key(key, service, caller);
+	record_t *r = table_find(&c->table, id);
+
+	set_now(c, now);
+	c->wall = wall;
+	if (look_up(r, verdict) != AP_ONCE_PENDING)
+		return verdict->kind;
+	if (!r)
+		r = add_claim(c, id);
+	if (!r)
+		return give(verdict, AP_ONCE_NOT_RUN, "too many claims in progress");
+	r->state = RECORD_BEGINNING;
+	r->dispatched = false;
+	r->tries = 0;
+	r->give_up_at = c->now + c->config.wait;
+	if (!read_slot(c, r)) {
+		table_remove(&c->table, r);
+		return give(verdict, AP_ONCE_NOT_RUN, "no memory for the claim");
+	}
+	token_add(&c->by_token, r, token);
+	TAILQ_INSERT_TAIL(&c->waiting, r, by_wait);
+	return verdict->kind;
+}
+
+bool ap_claims_dispatch(ap_claims_t *c, uint64_t token, ap_usec_t now)
+{
+	record_t *r = token_find(c->by_token, token);
+	bool once = r && r->state == RECORD_RUNNING && !r->dispatched;
+
+	set_now(c, now);
+	ap_require(&c->config.env, once, AP_INV_ONCE, "a dispatch without a claim");
+	if (!once)
+		return false;
+	/* Another entry may drop the claim once it is older than the retention. */
+	if (c->now >= r->give_up_at)
+		return false;
+	r->dispatched = true;
+	return true;
+}
+
+void ap_claims_done(ap_claims_t *c, uint64_t token, ap_outcome_t outcome, const void *answer,
+		    size_t len, ap_usec_t now)
+{
+	record_t *r = token_find(c->by_token, token);
+
+	set_now(c, now);
+	if (!r || r->state != RECORD_RUNNING)
+		return;
+	ap_require(&c->config.env, r->dispatched || outcome == AP_OUTCOME_NOT_RUN, AP_INV_ONCE,
+		   "an outcome of a claim that was not dispatched");
+	token_remove(&c->by_token, r);
+	r->state = RECORD_FINISHED;
+	r->outcome = outcome;
+	if (outcome != AP_OUTCOME_NOT_RUN)
+		answers_store(&c->answers, r, answer, len);
+}
+
+void ap_claims_cancel(ap_claims_t *c, uint64_t token, ap_usec_t now)
+{
+	record_t *r = token_find(c->by_token, token);
+
+	set_now(c, now);
+	if (!r || r->state != RECORD_BEGINNING)
+		return;
+	TAILQ_REMOVE(&c->waiting, r, by_wait);
+	r->state = RECORD_FINISHED;
+	r->outcome = AP_OUTCOME_NOT_RUN;
+	token_remove(&c->by_token, r);
+}
+
+void ap_claims_tick(ap_claims_t *c, ap_usec_t now)
+{
+	record_t *r;
+
+	set_now(c, now);
+	while ((r = TAILQ_FIRST(&c->waiting)) && c->now >= r->give_up_at)
+		settle(c, r, AP_ONCE_NOT_RUN, "the claim took too long");
+	table_expire(&c->table, c->now);
+	ap_require(&c->config.env, c->table.n <= c->table.max, AP_INV_BOUNDS,
+		   "the table of claims is over its bound");
+}
+
+ap_usec_t ap_claims_due(const ap_claims_t *c)
+{
+	const record_t *r = TAILQ_FIRST(&c->waiting);
+
+	return r ? r->give_up_at : AP_NEVER;
+}
--- /dev/null
+++ b/lib/once/issuer.c
@@ -0,0 +1,335 @@
+/* The issuer's side: permits, their one dispatch, and their end. */
+#include "once/state.h"
+
+#include <string.h>
+
+/* A table that is being handed over keeps its order. */
+static void prolong(ap_once_t *o, record_t *r)
+{
+	if (!o->own_estate)
+		table_keep(&o->issued, r, o->now + o->config.limits.keep);
+}
+
+static void close_record(ap_once_t *o, record_t *r)
+{
+	r->state = RECORD_FINISHED;
+	r->outcome = AP_OUTCOME_NOT_RUN;
+	r->said_not_run = true;
+	prolong(o, r);
+}
+
+/* Shifts the counters of unused permits on to the present. */
+static void turn_buckets(ap_once_t *o)
+{
+	ap_usec_t width = o->config.limits.ttl / (ISSUE_BUCKETS - 1) + 1;
+	ap_usec_t passed = (o->now - o->bucket_start) / width;
+	size_t shift = passed < ISSUE_BUCKETS ? (size_t)passed : ISSUE_BUCKETS;
+
+	if (shift == 0)
+		return;
+	memmove(o->buckets + shift, o->buckets, (ISSUE_BUCKETS - shift) * sizeof(o->buckets[0]));
+	memset(o->buckets, 0, shift * sizeof(o->buckets[0]));
+	o->bucket_start += passed * width;
+}
+
+/* Permits that may still be used for the first time, counted too high rather than too low. */
+static size_t count_unexpired(ap_once_t *o)
+{
+	size_t n = 0;
+
+	turn_buckets(o);
+	for (int i = 0; i < ISSUE_BUCKETS; i++)
+		n += o->buckets[i];
+	return n;
+}
+
+ap_once_status_t ap_once_issue(ap_once_t *o, const char *service, const char *caller, ap_usec_t now,
+			       char text[AP_PERMIT_TEXT_MAX])
+{
+	ap_permit_t permit = {.xid = {.inc = o->config.inc}};
+
+	once_set_now(o, now);
+	if (o->closing)
+		return AP_ONCE_DRAINING;
+	if (service[0] == '\0' || !ap_copy_name(permit.service, sizeof(permit.service), service))
+		return AP_ONCE_BAD_NAME;
+	if (caller[0] == '\0' || !ap_copy_name(permit.caller, sizeof(permit.caller), caller))
+		return AP_ONCE_BAD_NAME;
+	table_expire(&o->issued, o->now);
+	/* Each unused permit may yet need a record, so that no use lacks one. */
+	if (count_unexpired(o) + o->issued.n >= o->config.limits.records_max)
+		return AP_ONCE_FULL;
+	permit.xid.seq = ++o->seq;
+	permit.expires = o->now + o->config.limits.ttl;
+	ap_copy_name(permit.issuer, sizeof(permit.issuer), o->config.id);
+	witness_choose(o, &permit);
+	if (!ap_permit_write(&permit, o->config.key, text))
+		return AP_ONCE_BAD_NAME;
+	o->buckets[0]++;
+	o->counts.issued++;
+	o->counts.issued_alone += permit.witness[0] == '\0';
+	return AP_ONCE_OK;
+}
+
+static void send_begin(ap_once_t *o, record_t *r)
+{
+	ap_once_msg_t msg = {
+		.kind = AP_ONCE_MSG_BEGIN,
+		.about = r->witness_inc,
+		.xid = r->xid,
+		.clock = r->witness_expires,
+	};
+
+	memcpy(msg.tag, r->tag, sizeof(msg.tag));
+	r->resend_at = o->now + o->config.limits.begun_wait / RESENDS;
+	once_send(o, r->witness, &msg);
+}
+
+static void send_done(ap_once_t *o, const record_t *r)
+{
+	ap_once_msg_t msg = {
+		.kind = AP_ONCE_MSG_DONE,
+		.about = r->witness_inc,
+		.xid = r->xid,
+		.outcome = r->outcome,
+		.answer = r->answer,
+		.len = r->len,
+	};
+
+	if (r->witness[0] != '\0')
+		once_send(o, r->witness, &msg);
+}
+
+static ap_once_kind_t go(ap_once_t *o, record_t *r, ap_once_verdict_t *v)
+{
+	ap_require(&o->config.env, !r->said_not_run && !r->dispatched, AP_INV_ONCE,
+		   "a permit goes ahead after it was closed or dispatched");
+	r->state = RECORD_RUNNING;
+	return once_verdict(v, AP_ONCE_GO, "");
+}
+
+static record_t *add_record(ap_once_t *o, const ap_permit_t *permit)
+{
+	record_t *r = table_add(&o->issued, permit->xid, permit->expires + o->config.limits.keep);
+
+	if (!r)
+		return NULL;
+	memcpy(r->tag, permit->tag, sizeof(r->tag));
+	ap_copy_name(r->witness, sizeof(r->witness), permit->witness);
+	r->witness_inc = permit->witness_inc;
+	r->witness_expires = permit->witness_expires;
+	return r;
+}
+
+static ap_once_kind_t start(ap_once_t *o, const ap_permit_t *permit, uint64_t token,
+			    ap_once_verdict_t *v)
+{
+	record_t *r = add_record(o, permit);
+
+	if (!r)
+		return once_verdict(v, AP_ONCE_UNKNOWN, "no memory for the permit's record");
+	token_add(&o->by_token, r, token);
+	if (r->witness[0] == '\0')
+		return go(o, r, v);
+	r->state = RECORD_BEGINNING;
+	r->give_up_at = o->now + o->config.limits.begun_wait;
+	TAILQ_INSERT_TAIL(&o->waiting, r, by_wait);
+	send_begin(o, r);
+	return once_verdict(v, AP_ONCE_PENDING, "");
+}
+
+/* What can be said of a permit without starting it; PENDING when it is unused and may start. */
+static ap_once_kind_t look_up(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v)
+{
+	const record_t *r;
+
+	if (!ap_permit_genuine(permit, o->config.key))
+		return once_verdict(v, AP_ONCE_REFUSED, "the permit is not genuine");
+	r = once_find(o, &o->issued, permit->xid);
+	if (r)
+		return once_verdict_of(r, v);
+	if (o->now >= permit->expires + o->config.limits.keep)
+		return once_verdict(v, AP_ONCE_UNKNOWN, "the permit expired long ago");
+	if (o->now > permit->expires)
+		return once_verdict(v, AP_ONCE_NOT_RUN, "the permit expired unused");
+	if (o->closing)
+		return once_verdict(v, AP_ONCE_NOT_RUN, "the permit's issuer shuts down");
+	return once_verdict(v, AP_ONCE_PENDING, "");
+}
+
+static ap_once_kind_t use_own(ap_once_t *o, const ap_permit_t *permit, uint64_t token,
+			      ap_once_verdict_t *v)
+{
+	if (look_up(o, permit, v) == AP_ONCE_PENDING)
+		return start(o, permit, token, v);
+	once_decide(o, 0, v);
+	return v->kind;
+}
+
+ap_once_kind_t issuer_judge(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v)
+{
+	record_t *r;
+
+	if (look_up(o, permit, v) != AP_ONCE_PENDING)
+		return v->kind;
+	r = add_record(o, permit);
+	if (!r)
+		return once_verdict(v, AP_ONCE_UNKNOWN, "no memory for the permit's record");
+	close_record(o, r);
+	return once_verdict_of(r, v);
+}
+
+ap_once_kind_t ap_once_use(ap_once_t *o, const char *text, const char *service, const char *caller,
+			   uint64_t token, ap_usec_t now, ap_once_verdict_t *verdict)
+{
+	ap_permit_t permit;
+	const peer_t *issuer;
+
+	once_set_now(o, now);
+	if (!ap_permit_read(text, &permit) || strcmp(permit.service, service) != 0 ||
+	    strcmp(permit.caller, caller) != 0) {
+		once_verdict(verdict, AP_ONCE_REFUSED, "not a permit of this caller and service");
+		once_decide(o, 0, verdict);
+		return verdict->kind;
+	}
+	if (ap_id_eq(permit.xid.inc, o->config.inc))
+		return use_own(o, &permit, token, verdict);
+	issuer = once_peer(o, permit.issuer);
+	if (issuer && !once_in_region(o, issuer)) {
+		once_verdict(verdict, AP_ONCE_WRONG_REGION, "issued in another region");
+		ap_copy_name(verdict->entry, sizeof(verdict->entry), permit.issuer);
+		return verdict->kind;
+	}
+	if (issuer && ap_id_eq(issuer->inc, permit.xid.inc)) {
+		once_verdict(verdict, AP_ONCE_PASS, "");
+		ap_copy_name(verdict->entry, sizeof(verdict->entry), permit.issuer);
+		return verdict->kind;
+	}
+	return ap_once_judge(o, text, service, caller, token, now, verdict);
+}
+
+bool ap_once_dispatch(ap_once_t *o, uint64_t token, ap_usec_t now)
+{
+	record_t *r = token_find(o->by_token, token);
+	bool once;
+
+	once_set_now(o, now);
+	if (o->closing)
+		return false;
+	once = r && r->state == RECORD_RUNNING && !r->dispatched && !r->said_not_run;
+	ap_require(&o->config.env, once, AP_INV_ONCE, "a dispatch without leave, or a second one");
+	if (!once)
+		return false;
+	r->dispatched = true;
+	o->counts.dispatched++;
+	return true;
+}
+
+void ap_once_done(ap_once_t *o, uint64_t token, ap_outcome_t outcome, const void *answer,
+		  size_t len, ap_usec_t now)
+{
+	record_t *r = token_find(o->by_token, token);
+
+	once_set_now(o, now);
+	if (!r || r->state != RECORD_RUNNING)
+		return;
+	ap_require(&o->config.env, r->dispatched || outcome == AP_OUTCOME_NOT_RUN, AP_INV_ONCE,
+		   "an outcome of a permit that was not dispatched");
+	token_remove(&o->by_token, r);
+	r->outcome = outcome;
+	if (outcome == AP_OUTCOME_NOT_RUN) {
+		close_record(o, r);
+	} else {
+		r->state = RECORD_FINISHED;
+		prolong(o, r);
+		answers_store(&o->answers, r, answer, len);
+	}
+	send_done(o, r);
+}
+
+/* Ends a wait for the witness without a dispatch. */
+static uint64_t stop_waiting(ap_once_t *o, record_t *r)
+{
+	uint64_t token = r->token;
+
+	TAILQ_REMOVE(&o->waiting, r, by_wait);
+	token_remove(&o->by_token, r);
+	close_record(o, r);
+	send_done(o, r);
+	return token;
+}
+
+static void give_up(ap_once_t *o, record_t *r, const char *why)
+{
+	ap_once_verdict_t v;
+	uint64_t token = stop_waiting(o, r);
+
+	ap_emit(&o->config.env, o->now, "once.not-run", r->xid, "why=\"%s\"", why);
+	once_verdict(&v, AP_ONCE_NOT_RUN, why);
+	once_decide(o, token, &v);
+}
+
+void ap_once_cancel(ap_once_t *o, uint64_t token, ap_usec_t now)
+{
+	record_t *r = token_find(o->by_token, token);
+
+	once_set_now(o, now);
+	if (r && r->state == RECORD_BEGINNING)
+		stop_waiting(o, r);
+	if (!r)
+		ask_cancel(o, token);
+}
+
+static record_t *find_waiting(const ap_once_t *o, const ap_once_msg_t *msg)
+{
+	record_t *r = table_find(&o->issued, msg->xid);
+
+	if (!r || r->state != RECORD_BEGINNING || !ap_id_eq(r->witness_inc, msg->from))
+		return NULL;
+	return r;
+}
+
+void issuer_begun(ap_once_t *o, const ap_once_msg_t *msg)
+{
+	record_t *r = find_waiting(o, msg);
+	ap_once_verdict_t v;
+
+	if (!r)
+		return;
+	if (o->now >= r->give_up_at) {
+		give_up(o, r, "the witness acknowledged too late");
+		return;
+	}
+	TAILQ_REMOVE(&o->waiting, r, by_wait);
+	go(o, r, &v);
+	once_decide(o, r->token, &v);
+}
+
+void issuer_denied(ap_once_t *o, const ap_once_msg_t *msg)
+{
+	record_t *r = find_waiting(o, msg);
+
+	if (r)
+		give_up(o, r, "the witness refused the permit");
+}
+
+/* One record at a time: the driver may call back in between. */
+void issuer_tick(ap_once_t *o)
+{
+	record_t *r;
+
+	TAILQ_FOREACH (r, &o->waiting, by_wait) {
+		if (o->now < r->give_up_at && o->now >= r->resend_at)
+			send_begin(o, r);
+	}
+	while ((r = TAILQ_FIRST(&o->waiting)) && o->now >= r->give_up_at)
+		give_up(o, r, "the witness did not answer in time");
+	if (!o->closing)
+		table_expire(&o->issued, o->now);
+}
+
+void issuer_close_waiting(ap_once_t *o)
+{
+	while (!TAILQ_EMPTY(&o->waiting))
+		give_up(o, TAILQ_FIRST(&o->waiting), "the entry shuts down");
+}
--- /dev/null
+++ b/lib/once/once.c
@@ -0,0 +1,326 @@
+/* At most once: the object, its view of other entries, and the way of messages to its parts. */
+#include "once/state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+const ap_once_limits_t ap_once_default_limits = {
+	.ttl = 60 * AP_SEC,
+	.keep = 600 * AP_SEC,
+	.begun_wait = 250 * AP_MSEC,
+	.ask_wait = 200 * AP_MSEC,
+	.probe_every = AP_SEC,
+	.hand_wait = 3 * AP_SEC,
+	.records_max = 16384,
+	.answers_max = 4096,
+	.answers_bytes = 16 << 20,
+	.answer_bytes = 64 << 10,
+	.questions_max = 1024,
+};
+
+ap_once_t *ap_once_new(const ap_once_config_t *config, ap_usec_t now)
+{
+	ap_once_t *o = calloc(1, sizeof(*o));
+
+	if (!o)
+		return NULL;
+	o->config = *config;
+	o->now = now;
+	o->probe_at = now;
+	o->bucket_start = now;
+	answers_init(&o->answers, &o->config.limits);
+	table_init(&o->issued, config->limits.records_max, &o->answers);
+	table_init(&o->witnessed, config->limits.records_max, &o->answers);
+	TAILQ_INIT(&o->waiting);
+	TAILQ_INIT(&o->issuers_by_age);
+	TAILQ_INIT(&o->questions);
+	TAILQ_INIT(&o->estates);
+	return o;
+}
+
+void ap_once_free(ap_once_t *o)
+{
+	if (!o)
+		return;
+	HASH_CLEAR(hh_token, o->by_token);
+	table_clear(&o->issued);
+	table_clear(&o->witnessed);
+	ask_free(o);
+	hand_free(o);
+	witness_forget_issuers(o, AP_NEVER);
+	free(o->contacts);
+	free(o->peers);
+	free(o);
+}
+
+void once_set_now(ap_once_t *o, ap_usec_t now)
+{
+	if (now > o->now)
+		o->now = now;
+}
+
+static int compare_ids(const void *a, const void *b)
+{
+	return strcmp(((const peer_t *)a)->id, ((const peer_t *)b)->id);
+}
+
+/* Entries of other data centres first: one that is lost takes the issuer alone. */
+static int compare_contacts(const void *a, const void *b)
+{
+	const peer_t *x = *(peer_t *const *)a;
+	const peer_t *y = *(peer_t *const *)b;
+
+	if (x->score != y->score)
+		return x->score > y->score ? -1 : 1;
+	return strcmp(x->id, y->id);
+}
+
+static peer_t make_peer(const ap_once_t *o, const ap_entry_t *entry)
+{
+	const double other_data_centre = 1e6;
+	uint64_t own = ap_hash(&o->config.inc, sizeof(o->config.inc), 0);
+	peer_t peer = {.inc = entry->inc, .leaving = entry->leaving};
+	const peer_t *old = once_peer(o, entry->id);
+
+	ap_copy_name(peer.id, sizeof(peer.id), entry->id);
+	ap_copy_name(peer.region, sizeof(peer.region), entry->region);
+	ap_copy_name(peer.data_centre, sizeof(peer.data_centre), entry->data_centre);
+	peer.score = ap_rendezvous(own, ap_hash_str(entry->id, 0), 1);
+	if (strcmp(entry->data_centre, o->config.data_centre) != 0)
+		peer.score += other_data_centre;
+	if (old && ap_id_eq(old->inc, entry->inc)) {
+		peer.probes_lost = old->probes_lost;
+		peer.heard_inc = old->heard_inc;
+		peer.heard_at = old->heard_at;
+		peer.heard_clock = old->heard_clock;
+	}
+	return peer;
+}
+
+static void choose_contacts(ap_once_t *o)
+{
+	o->n_contacts = 0;
+	for (size_t i = 0; i < o->n_peers; i++) {
+		peer_t *peer = &o->peers[i];
+
+		if (once_in_region(o, peer) && !peer->leaving)
+			o->contacts[o->n_contacts++] = peer;
+	}
+	qsort(o->contacts, o->n_contacts, sizeof(peer_t *), compare_contacts);
+}
+
+void ap_once_set_entries(ap_once_t *o, const ap_entry_t *entries, size_t n, ap_usec_t now)
+{
+	peer_t *peers = calloc(n + 1, sizeof(*peers));
+	peer_t **contacts = calloc(n + 1, sizeof(peer_t *));
+	size_t kept = 0;
+
+	once_set_now(o, now);
+	if (!peers || !contacts) {
+		free(peers);
+		free(contacts);
+		return;
+	}
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(entries[i].id, o->config.id) != 0)
+			peers[kept++] = make_peer(o, &entries[i]);
+	}
+	qsort(peers, kept, sizeof(*peers), compare_ids);
+	free(o->peers);
+	free(o->contacts);
+	o->peers = peers;
+	o->n_peers = kept;
+	o->contacts = contacts;
+	choose_contacts(o);
+	o->probe_at = o->now;
+}
+
+peer_t *once_peer(const ap_once_t *o, const char *id)
+{
+	size_t low = 0;
+	size_t high = o->n_peers;
+
+	while (low < high) {
+		size_t mid = (low + high) / 2;
+		int order = strcmp(id, o->peers[mid].id);
+
+		if (order == 0)
+			return &o->peers[mid];
+		if (order < 0)
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return NULL;
+}
+
+bool once_in_region(const ap_once_t *o, const peer_t *peer)
+{
+	return peer && strcmp(peer->region, o->config.region) == 0;
+}
+
+void once_send(ap_once_t *o, const char *to, ap_once_msg_t *msg)
+{
+	const peer_t *peer = once_peer(o, to);
+
+	if (!peer)
+		return;
+	if (!ap_require(&o->config.env, once_in_region(o, peer), AP_INV_RESIDENCY,
+			"a permit's message is addressed to another region"))
+		return;
+	msg->from = o->config.inc;
+	o->counts.messages++;
+	o->config.send(o->config.ctx, to, msg);
+}
+
+ap_once_kind_t once_verdict(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why)
+{
+	*v = (ap_once_verdict_t){.kind = kind, .why = why, .outcome = AP_OUTCOME_UNKNOWN};
+	if (kind == AP_ONCE_NOT_RUN)
+		v->outcome = AP_OUTCOME_NOT_RUN;
+	return kind;
+}
+
+ap_once_kind_t once_verdict_of(const record_t *r, ap_once_verdict_t *v)
+{
+	if (r->state != RECORD_FINISHED)
+		return once_verdict(v, AP_ONCE_RUNNING, "the permit's call is in progress");
+	if (r->outcome == AP_OUTCOME_NOT_RUN)
+		return once_verdict(v, AP_ONCE_NOT_RUN, "the permit was closed before it ran");
+	if (r->outcome == AP_OUTCOME_UNKNOWN)
+		return once_verdict(v, AP_ONCE_UNKNOWN, "the permit's call has no known outcome");
+	once_verdict(v, AP_ONCE_USED, "the permit's call was completed");
+	v->outcome = r->outcome;
+	v->answer = r->answer;
+	v->len = r->len;
+	return v->kind;
+}
+
+record_t *once_find(const ap_once_t *o, const table_t *t, ap_xid_t xid)
+{
+	record_t *r = table_find(t, xid);
+
+	if (!r && o->own_estate)
+		r = table_find(&o->own_estate->table, xid);
+	return r;
+}
+
+void once_decide(ap_once_t *o, uint64_t token, const ap_once_verdict_t *v)
+{
+	switch (v->kind) {
+	case AP_ONCE_NOT_RUN:
+		o->counts.not_run++;
+		break;
+	case AP_ONCE_UNKNOWN:
+		o->counts.unknown++;
+		break;
+	case AP_ONCE_USED:
+	case AP_ONCE_RUNNING:
+		o->counts.used_again++;
+		break;
+	case AP_ONCE_REFUSED:
+		o->counts.refused++;
+		break;
+	default:
+		break;
+	}
+	if (token != 0)
+		o->config.decided(o->config.ctx, token, v);
+}
+
+ap_once_kind_t once_judge_here(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v)
+{
+	if (ap_id_eq(permit->xid.inc, o->config.inc))
+		return issuer_judge(o, permit, v);
+	once_verdict(v, AP_ONCE_UNKNOWN, "the permit's issuer and witness are gone");
+	if (ap_id_eq(permit->witness_inc, o->config.inc))
+		witness_judge(o, permit, v);
+	if (v->kind != AP_ONCE_UNKNOWN)
+		return v->kind;
+	return hand_judge(o, permit, v);
+}
+
+void ap_once_receive(ap_once_t *o, const char *from, const ap_once_msg_t *msg, ap_usec_t now)
+{
+	once_set_now(o, now);
+	if (!once_in_region(o, once_peer(o, from)))
+		return;
+	switch (msg->kind) {
+	case AP_ONCE_MSG_PROBE:
+		witness_probe(o, from, msg);
+		break;
+	case AP_ONCE_MSG_PROBED:
+		witness_probed(o, from, msg);
+		break;
+	case AP_ONCE_MSG_BEGIN:
+		witness_begin(o, from, msg);
+		break;
+	case AP_ONCE_MSG_BEGUN:
+		issuer_begun(o, msg);
+		break;
+	case AP_ONCE_MSG_DENIED:
+		issuer_denied(o, msg);
+		break;
+	case AP_ONCE_MSG_DONE:
+		witness_done(o, msg);
+		break;
+	case AP_ONCE_MSG_ASK:
+		ask_asked(o, from, msg);
+		break;
+	case AP_ONCE_MSG_TOLD:
+		ask_told(o, from, msg);
+		break;
+	case AP_ONCE_MSG_HAND:
+		hand_take(o, from, msg);
+		break;
+	case AP_ONCE_MSG_HELD:
+		hand_held(o, from, msg);
+		break;
+	}
+}
+
+void ap_once_tick(ap_once_t *o, ap_usec_t now)
+{
+	once_set_now(o, now);
+	issuer_tick(o);
+	witness_tick(o);
+	ask_tick(o);
+	hand_tick(o);
+	ap_require(&o->config.env, o->issued.n <= o->issued.max, AP_INV_BOUNDS,
+		   "the table of issued permits is over its bound");
+	ap_require(&o->config.env, o->witnessed.n <= o->witnessed.max, AP_INV_BOUNDS,
+		   "the table of witnessed permits is over its bound");
+	ap_require(&o->config.env, o->answers.bytes <= o->config.limits.answers_bytes,
+		   AP_INV_BOUNDS, "the stored answers are over their bound");
+}
+
+static ap_usec_t earlier(ap_usec_t a, ap_usec_t b)
+{
+	return a < b ? a : b;
+}
+
+ap_usec_t ap_once_due(const ap_once_t *o)
+{
+	ap_usec_t due = o->probe_at;
+	const record_t *r;
+	const question_t *q;
+
+	TAILQ_FOREACH (r, &o->waiting, by_wait)
+		due = earlier(due, earlier(r->resend_at, r->give_up_at));
+	TAILQ_FOREACH (q, &o->questions, link)
+		due = earlier(due, earlier(q->resend_at, q->give_up_at));
+	if (o->closing && !o->hand.done)
+		due = earlier(due, o->hand.resend_at);
+	return due;
+}
+
+ap_once_counts_t ap_once_counts(const ap_once_t *o)
+{
+	ap_once_counts_t counts = o->counts;
+
+	counts.issued_records = o->issued.n;
+	counts.witnessed_records = o->witnessed.n;
+	counts.answers = o->answers.n;
+	counts.answer_bytes = o->answers.bytes;
+	return counts;
+}
--- /dev/null
+++ b/lib/once/state.h
@@ -0,0 +1,162 @@
+/* State of one object and the calls between its parts: issuer, witness, questions, hand-over. */
+#ifndef AP_ONCE_STATE_H
+#define AP_ONCE_STATE_H
+
+#include "once/table.h"
+
+#define CONTACTS 3	  /* possible witnesses that are probed */
+#define PROBES_LOST_MAX 3 /* unanswered probes after which a contact counts as silent */
+#define ISSUE_BUCKETS 16  /* parts of a permit's life by which unused permits are counted */
+#define ISSUERS_MAX 2048  /* incarnations whose keys a witness keeps */
+#define ESTATES_MAX 64	  /* tables taken over from others */
+#define HEIRS 2		  /* successors that are tried, best first */
+#define RESENDS 3	  /* tries within one wait */
+#define QUESTION_STEPS 6  /* issuer, witness, two successors of each */
+#define CLOSING_SHARE 8	  /* a witness leaves one part in this many of its table to closing */
+
+/* Another entry. */
+typedef struct peer {
+	char id[AP_NAME_MAX];
+	ap_id_t inc;
+	char region[AP_NAME_MAX];
+	char data_centre[AP_NAME_MAX];
+	bool leaving;
+	double score;
+	unsigned probes_lost;
+	ap_id_t heard_inc;
+	ap_usec_t heard_at;
+	ap_usec_t heard_clock;
+} peer_t;
+
+/* Key of an issuer that named this entry as a possible witness. */
+typedef struct issuer {
+	ap_id_t inc;
+	unsigned char key[AP_ONCE_KEY_BYTES];
+	ap_usec_t drop_at;
+	TAILQ_ENTRY(issuer) by_age;
+	UT_hash_handle hh;
+} issuer_t;
+
+TAILQ_HEAD(issuer_list, issuer);
+
+/* A judgement that other entries are asked for. */
+typedef struct question {
+	uint64_t number;
+	uint64_t token;
+	char text[AP_PERMIT_TEXT_MAX];
+	ap_permit_t permit;
+	unsigned step;
+	char asked[QUESTION_STEPS][AP_NAME_MAX];
+	ap_usec_t resend_at;
+	ap_usec_t give_up_at;
+	TAILQ_ENTRY(question) link;
+} question_t;
+
+TAILQ_HEAD(question_list, question);
+
+/*
+ * What one incarnation left behind: its records as issuer and as witness. A permit that is not
+ * among them and expires after @horizon, moved on by the time since @taken_at, has not run.
+ */
+typedef struct estate {
+	ap_id_t inc;
+	ap_usec_t horizon;
+	ap_usec_t taken_at;
+	bool complete;
+	uint64_t next_part;
+	table_t table;
+	TAILQ_ENTRY(estate) link;
+} estate_t;
+
+TAILQ_HEAD(estate_list, estate);
+
+/* Progress of handing estates over. */
+typedef struct hand {
+	estate_t *estate;
+	record_t *cursor;
+	uint64_t part;
+	unsigned heir;
+	unsigned tries;
+	ap_usec_t resend_at;
+	ap_usec_t give_up_at;
+	bool done;
+} hand_t;
+
+struct ap_once {
+	ap_once_config_t config;
+	ap_usec_t now;
+	bool closing;
+	peer_t *peers; /* by id */
+	size_t n_peers;
+	peer_t **contacts; /* of the own region, best possible witness first */
+	size_t n_contacts;
+	ap_usec_t probe_at;
+	uint64_t seq;
+	uint64_t question_seq;
+	ap_usec_t bucket_start;
+	uint32_t buckets[ISSUE_BUCKETS];
+	answers_t answers;
+	table_t issued;
+	table_t witnessed;
+	record_t *by_token;
+	struct record_list waiting;
+	issuer_t *issuers;
+	struct issuer_list issuers_by_age;
+	struct question_list questions;
+	size_t n_questions;
+	struct estate_list estates;
+	size_t n_estates;
+	estate_t *own_estate;
+	hand_t hand;
+	ap_once_counts_t counts;
+};
+
+/* once.c */
+void once_set_now(ap_once_t *o, ap_usec_t now);
+peer_t *once_peer(const ap_once_t *o, const char *id);
+bool once_in_region(const ap_once_t *o, const peer_t *peer);
+void once_send(ap_once_t *o, const char *to, ap_once_msg_t *msg);
+ap_once_kind_t once_verdict(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why);
+ap_once_kind_t once_verdict_of(const record_t *r, ap_once_verdict_t *v);
+/** once_find() - in @t, or among what is being handed over. */
+record_t *once_find(const ap_once_t *o, const table_t *t, ap_xid_t xid);
+void once_decide(ap_once_t *o, uint64_t token, const ap_once_verdict_t *v);
+/** once_judge_here() - what this entry alone can say; closes @permit if it may. */
+ap_once_kind_t once_judge_here(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v);
+
+/* issuer.c */
+ap_once_kind_t issuer_judge(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v);
+void issuer_begun(ap_once_t *o, const ap_once_msg_t *msg);
+void issuer_denied(ap_once_t *o, const ap_once_msg_t *msg);
+void issuer_tick(ap_once_t *o);
+void issuer_close_waiting(ap_once_t *o);
+
+/* witness.c */
+void witness_probe(ap_once_t *o, const char *from, const ap_once_msg_t *msg);
+void witness_probed(ap_once_t *o, const char *from, const ap_once_msg_t *msg);
+void witness_begin(ap_once_t *o, const char *from, const ap_once_msg_t *msg);
+void witness_done(ap_once_t *o, const ap_once_msg_t *msg);
+void witness_tick(ap_once_t *o);
+/** witness_forget_issuers() - drops keys whose time is not after @until. */
+void witness_forget_issuers(ap_once_t *o, ap_usec_t until);
+ap_once_kind_t witness_judge(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v);
+/** witness_choose() - sets the witness of a new permit; leaves it empty without one. */
+void witness_choose(ap_once_t *o, ap_permit_t *permit);
+
+/* ask.c */
+void ask_asked(ap_once_t *o, const char *from, const ap_once_msg_t *msg);
+void ask_told(ap_once_t *o, const char *from, const ap_once_msg_t *msg);
+void ask_tick(ap_once_t *o);
+void ask_cancel(ap_once_t *o, uint64_t token);
+void ask_free(ap_once_t *o);
+
+/* hand.c */
+void hand_take(ap_once_t *o, const char *from, const ap_once_msg_t *msg);
+void hand_held(ap_once_t *o, const char *from, const ap_once_msg_t *msg);
+void hand_tick(ap_once_t *o);
+void hand_free(ap_once_t *o);
+/** hand_heir() - successor number @rank of the incarnation @inc; may be this entry itself. */
+const char *hand_heir(const ap_once_t *o, ap_id_t inc, unsigned rank);
+ap_once_kind_t hand_judge(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v);
+
+#endif
--- /dev/null
+++ b/lib/once/table.c
@@ -0,0 +1,173 @@
+/* Records by identifier and by age, and a bounded store of answers. */
+#include "once/table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void token_add(record_t **by_token, record_t *r, uint64_t token)
+{
+	r->token = token;
+	HASH_ADD(hh_token, *by_token, token, sizeof(r->token), r);
+}
+
+record_t *token_find(record_t *by_token, uint64_t token)
+{
+	record_t *r = NULL;
+
+	HASH_FIND(hh_token, by_token, &token, sizeof(token), r);
+	return r;
+}
+
+void token_remove(record_t **by_token, record_t *r)
+{
+	if (r->token == 0 || !*by_token)
+		return;
+	HASH_DELETE(hh_token, *by_token, r);
+	r->token = 0;
+}
+
+void answers_init(answers_t *a, const ap_once_limits_t *limits)
+{
+	*a = (answers_t){.limits = limits};
+	TAILQ_INIT(&a->list);
+}
+
+static void drop_answer(answers_t *a, record_t *r)
+{
+	if (!r->answer)
+		return;
+	TAILQ_REMOVE(&a->list, r, by_answer);
+	a->n--;
+	a->bytes -= r->len;
+	free(r->answer);
+	r->answer = NULL;
+	r->len = 0;
+}
+
+static bool has_room(const answers_t *a, size_t len)
+{
+	return a->n < a->limits->answers_max && a->bytes + len <= a->limits->answers_bytes;
+}
+
+void answers_store(answers_t *a, record_t *r, const void *answer, size_t len)
+{
+	drop_answer(a, r);
+	if (len == 0 || len > a->limits->answer_bytes || len > a->limits->answers_bytes)
+		return;
+	while (!has_room(a, len) && !TAILQ_EMPTY(&a->list))
+		drop_answer(a, TAILQ_FIRST(&a->list));
+	if (!has_room(a, len))
+		return;
+	r->answer = malloc(len);
+	if (!r->answer)
+		return;
+	memcpy(r->answer, answer, len);
+	r->len = len;
+	TAILQ_INSERT_TAIL(&a->list, r, by_answer);
+	a->n++;
+	a->bytes += len;
+}
+
+void table_init(table_t *t, size_t max, answers_t *answers)
+{
+	*t = (table_t){.max = max, .answers = answers};
+	TAILQ_INIT(&t->by_age);
+}
+
+void table_clear(table_t *t)
+{
+	record_t *r = TAILQ_FIRST(&t->by_age);
+
+	while (r) {
+		record_t *next = TAILQ_NEXT(r, by_age);
+
+		table_remove(t, r);
+		r = next;
+	}
+}
+
+record_t *table_find(const table_t *t, ap_xid_t xid)
+{
+	record_t *r = NULL;
+
+	HASH_FIND(hh, t->by_xid, &xid, sizeof(xid), r);
+	return r;
+}
+
+static void unlink_record(table_t *t, record_t *r)
+{
+	if (t->by_xid)
+		HASH_DELETE(hh, t->by_xid, r);
+	TAILQ_REMOVE(&t->by_age, r, by_age);
+	t->n--;
+}
+
+static void insert_by_age(table_t *t, record_t *r)
+{
+	record_t *before = TAILQ_LAST(&t->by_age, record_list);
+
+	while (before && before->drop_at > r->drop_at)
+		before = TAILQ_PREV(before, record_list, by_age);
+	if (before)
+		TAILQ_INSERT_AFTER(&t->by_age, before, r, by_age);
+	else
+		TAILQ_INSERT_HEAD(&t->by_age, r, by_age);
+}
+
+static void link_record(table_t *t, record_t *r)
+{
+	HASH_ADD(hh, t->by_xid, xid, sizeof(r->xid), r);
+	insert_by_age(t, r);
+	t->n++;
+}
+
+record_t *table_add(table_t *t, ap_xid_t xid, ap_usec_t drop_at)
+{
+	record_t *r;
+
+	if (t->n >= t->max)
+		return NULL;
+	r = calloc(1, sizeof(*r));
+	if (!r)
+		return NULL;
+	r->xid = xid;
+	r->drop_at = drop_at;
+	link_record(t, r);
+	return r;
+}
+
+void table_remove(table_t *t, record_t *r)
+{
+	drop_answer(t->answers, r);
+	unlink_record(t, r);
+	free(r);
+}
+
+void table_keep(table_t *t, record_t *r, ap_usec_t drop_at)
+{
+	if (drop_at <= r->drop_at)
+		return;
+	TAILQ_REMOVE(&t->by_age, r, by_age);
+	r->drop_at = drop_at;
+	insert_by_age(t, r);
+}
+
+void table_move(table_t *to, table_t *from, record_t *r)
+{
+	unlink_record(from, r);
+	link_record(to, r);
+}
+
+void table_expire(table_t *t, ap_usec_t now)
+{
+	record_t *r = TAILQ_FIRST(&t->by_age);
+
+	while (r && r->drop_at <= now) {
+		record_t *next = TAILQ_NEXT(r, by_age);
+
+		/* A use in progress is forgotten only after its end. */
+		if (r->state == RECORD_FINISHED || r->token == 0)
+			table_remove(t, r);
+		r = next;
+	}
+}
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -6,6 +6,7 @@
 #define AP_WIRE_H
 
 #include "base/base.h"
+#include "once/once.h"
 
 #include <msgpack.h>
 
@@ -90,4 +91,19 @@
 /** ap_wire_array() - a reader over a nested array. */
 ap_wire_reader_t ap_wire_array(ap_wire_reader_t *r);
 
+/**
+ * struct ap_wire_once - a permit message that was read, with what it points to.
+ */
+typedef struct ap_wire_once {
+	ap_once_msg_t msg;
+	ap_once_item_t items[AP_ONCE_ITEMS_MAX];
+	char text[AP_PERMIT_TEXT_MAX];
+} ap_wire_once_t;
+
+/** ap_wire_pack_once() - packs the body of an AP_WIRE_ONCE message. */
+void ap_wire_pack_once(msgpack_packer *pk, const ap_once_msg_t *msg);
+/** ap_wire_read_once() - answers point into the message; @out is valid with AP_WIRE_OK only. */
+ap_wire_status_t ap_wire_read_once(const ap_wire_head_t *head, const msgpack_object *body,
+				   ap_wire_once_t *out, ap_err_t *err);
+
 #endif
