--- a/lib/wire/once.c
+++ b/lib/wire/once.c
@@ -7,7 +7,7 @@
 
 static void pack_item(msgpack_packer *pk, const ap_once_item_t *item)
 {
-	msgpack_pack_array(pk, 5);
+	msgpack_pack_array(pk, 6);
 	ap_wire_pack_xid(pk, item->xid);
 	msgpack_pack_uint32(pk, item->outcome);
 	msgpack_pack_int64(pk, item->left);
@@ -20,7 +20,7 @@
 	bool probe = msg->kind == AP_ONCE_MSG_PROBE;
 	bool begin = msg->kind == AP_ONCE_MSG_BEGIN;
 
-	msgpack_pack_array(pk, 13);
+	msgpack_pack_array(pk, 14);
 	msgpack_pack_uint32(pk, msg->kind);
 	ap_wire_pack_id(pk, msg->about);
 	ap_wire_pack_xid(pk, msg->xid);
--- /dev/null
+++ b/test/once_run_test.c
@@ -0,0 +1,185 @@
+/*
+ * Long randomised runs of permits with every fault at once. The program asserts its invariants; an
+ * oracle beside it counts what the service ran. Then each rule is broken on purpose.
+ * `once_run_test --seed N` runs that seed for longer.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "once_world.h"
+
+static const world_rates_t faulty = {
+	.loss = 0.03,
+	.twice = 0.05,
+	.late = 0.01,
+	.delay = 2 * AP_MSEC,
+	.late_by = 3 * AP_SEC,
+	.pause_every = 2 * AP_SEC,
+	.pause = 500 * AP_MSEC,
+	.crash_every = 5 * AP_SEC,
+	.restart = 2 * AP_SEC,
+	.cut_every = 20 * AP_SEC,
+	.cut = 3 * AP_SEC,
+	.drain_every = 15 * AP_SEC,
+	.service = 30 * AP_MSEC,
+	.refuse = 0.02,
+	.reuse = 0.4,
+	.elsewhere = 0.2,
+};
+
+/* Short times, so that permits expire and records are forgotten within a run. */
+static ap_once_limits_t short_limits(void)
+{
+	ap_once_limits_t limits = ap_once_default_limits;
+
+	limits.ttl = 4 * AP_SEC;
+	limits.keep = 10 * AP_SEC;
+	limits.begun_wait = 50 * AP_MSEC;
+	limits.ask_wait = 50 * AP_MSEC;
+	limits.probe_every = 500 * AP_MSEC;
+	limits.answers_max = 500;
+	return limits;
+}
+
+static void run_seed(world_t *w, uint64_t seed, ap_usec_t length)
+{
+	w->rates = faulty;
+	w->limits = short_limits();
+	world_start(w, seed, 6);
+	world_live(w, length, 2 * AP_MSEC);
+	world_run(w, w->now + 20 * AP_SEC);
+}
+
+static void print_run(const world_t *w, uint64_t seed)
+{
+	print_message("seed %llu: %llu events, %zu permits; go %llu, used %llu, not-run %llu, "
+		      "unknown %llu, running %llu, passed %llu\n",
+		      (unsigned long long)seed, (unsigned long long)w->events, w->n_calls,
+		      (unsigned long long)w->verdicts[AP_ONCE_GO],
+		      (unsigned long long)w->verdicts[AP_ONCE_USED],
+		      (unsigned long long)w->verdicts[AP_ONCE_NOT_RUN],
+		      (unsigned long long)w->verdicts[AP_ONCE_UNKNOWN],
+		      (unsigned long long)w->verdicts[AP_ONCE_RUNNING],
+		      (unsigned long long)w->verdicts[AP_ONCE_PASS]);
+}
+
+static uint64_t check_seed(uint64_t seed, ap_usec_t length)
+{
+	world_t w = {0};
+	uint64_t events;
+
+	run_seed(&w, seed, length);
+	print_run(&w, seed);
+	if (w.first)
+		print_message("seed %llu: %s\n", (unsigned long long)seed, w.first);
+	events = w.events;
+	/* A run that met no difficulty proves nothing. */
+	assert_true(w.verdicts[AP_ONCE_UNKNOWN] > 0 && w.verdicts[AP_ONCE_NOT_RUN] > 0);
+	assert_true(w.verdicts[AP_ONCE_GO] > w.n_calls / 2);
+	assert_int_equal(w.verdicts[AP_ONCE_REFUSED], 0);
+	assert_int_equal(w.program, 0);
+	assert_int_equal(w.oracle, 0);
+	world_free(&w);
+	return events;
+}
+
+static void test_a_million_events_break_no_rule(void **state)
+{
+	uint64_t events = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 4; seed++)
+		events += check_seed(seed, 60 * AP_SEC);
+	print_message("%llu events in all\n", (unsigned long long)events);
+	assert_true(events >= 1000000);
+}
+
+/* A witness that acknowledges what it has closed. */
+static bool acknowledge_always(world_t *w, unsigned from, unsigned to, ap_once_msg_t *msg)
+{
+	(void)w;
+	(void)from;
+	(void)to;
+	if (msg->kind == AP_ONCE_MSG_DENIED)
+		msg->kind = AP_ONCE_MSG_BEGUN;
+	return true;
+}
+
+/* A witness that calls a begun permit closed. */
+static bool deny_begun(world_t *w, unsigned from, unsigned to, ap_once_msg_t *msg)
+{
+	(void)w;
+	(void)from;
+	(void)to;
+	if (msg->kind == AP_ONCE_MSG_TOLD && msg->verdict == AP_ONCE_UNKNOWN)
+		msg->verdict = AP_ONCE_NOT_RUN;
+	return true;
+}
+
+/* A successor that is told of no record. */
+static bool hand_nothing(world_t *w, unsigned from, unsigned to, ap_once_msg_t *msg)
+{
+	(void)w;
+	(void)from;
+	(void)to;
+	if (msg->kind == AP_ONCE_MSG_HAND)
+		msg->n_items = 0;
+	return true;
+}
+
+/* An answer that reaches the wrong question. */
+static bool cross_answers(world_t *w, unsigned from, unsigned to, ap_once_msg_t *msg)
+{
+	static const size_t other = SIZE_MAX;
+
+	(void)w;
+	(void)from;
+	(void)to;
+	if (msg->kind == AP_ONCE_MSG_DONE && msg->len > 0)
+		msg->answer = &other;
+	return true;
+}
+
+static void test_each_broken_rule_is_caught(void **state)
+{
+	static const struct {
+		const char *name;
+		bool (*tamper)(world_t *w, unsigned from, unsigned to, ap_once_msg_t *msg);
+		bool program; /* the program itself must see it too */
+	} cases[] = {
+		{"acknowledges after closing", acknowledge_always, true},
+		{"says not-run of a begun permit", deny_begun, false},
+		{"hands over nothing", hand_nothing, false},
+		{"crosses answers", cross_answers, false},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		world_t w = {.tamper = cases[i].tamper};
+
+		run_seed(&w, 1, 60 * AP_SEC);
+		print_message("%s: oracle %u, program %u (%s)\n", cases[i].name, w.oracle,
+			      w.program, w.first ? w.first : "not caught");
+		assert_true(w.oracle > 0);
+		if (cases[i].program)
+			assert_true(w.program > 0);
+		world_free(&w);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_million_events_break_no_rule),
+		cmocka_unit_test(test_each_broken_rule_is_caught),
+	};
+
+	if (argc == 3 && strcmp(argv[1], "--seed") == 0) {
+		check_seed(strtoull(argv[2], NULL, 10), 600 * AP_SEC);
+		return 0;
+	}
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
