--- a/test/once_run_test.c
+++ b/test/once_run_test.c
@@ -25,6 +25,7 @@
 	.cut = 3 * AP_SEC,
 	.drain_every = 15 * AP_SEC,
 	.service = 30 * AP_MSEC,
+	.stale = 0.2,
 	.refuse = 0.02,
 	.reuse = 0.4,
 	.elsewhere = 0.2,
