--- /dev/null
+++ b/bench/once_bench.c
@@ -0,0 +1,549 @@
+/*
+ * Three ways to run a call at most once, over the same calls and the same faults in virtual time:
+ * a permit with a witness (the library's code), a claim in the store for each call, and an owner by
+ * hash with a lease. The last two are models that favour them: no message is lost, and the store
+ * takes any load.
+ */
+#include "../test/once_world.h"
+
+#include <time.h>
+
+#define NODES 8
+#define SEEDS 5
+#define HOURS 2
+#define RUN_TIME ((ap_usec_t)HOURS * 3600 * AP_SEC)
+#define CALLS_PER_SEC 10
+#define HOP (400) /* mean one-way delay in the region, microseconds */
+#define STORE_DELAY (4 * AP_MSEC)
+#define SERVICE (200 * AP_MSEC)
+#define RETRY_AFTER (2 * AP_SEC)
+#define LEASE (15 * AP_SEC)
+#define VIEW_LAG AP_SEC
+
+/* Mean interval for the whole region and mean length. */
+static const struct {
+	const char *name;
+	ap_usec_t every;
+	ap_usec_t length;
+} faults[] = {
+	{"kill", 60 * AP_SEC, 10 * AP_SEC},
+	{"pause", 30 * AP_SEC, 2 * AP_SEC},
+	{"cut", 300 * AP_SEC, 20 * AP_SEC},
+	{"store outage", 600 * AP_SEC, 60 * AP_SEC},
+};
+
+typedef enum step_kind {
+	STEP_KILL,
+	STEP_PAUSE,
+	STEP_CUT,
+	STEP_STORE,
+	STEP_CALL
+} step_kind_t;
+
+typedef struct step {
+	ap_usec_t at;
+	step_kind_t kind;
+	unsigned node;
+	ap_usec_t length;
+	unsigned sides;
+} step_t;
+
+/* Everything in order of time, and the faults alone. */
+typedef struct plan {
+	step_t *steps;
+	size_t n;
+	size_t max;
+	step_t *faults;
+	size_t n_faults;
+} plan_t;
+
+typedef struct tally {
+	uint64_t calls;
+	uint64_t by_outcome[3];
+	uint64_t twice;
+	uint64_t store_calls;
+	uint64_t messages;
+	ap_usec_t *waits;
+	size_t n_waits;
+} tally_t;
+
+static void add_step(plan_t *plan, step_t step)
+{
+	if (plan->n == plan->max) {
+		plan->max = plan->max ? 2 * plan->max : 4096;
+		plan->steps = realloc(plan->steps, plan->max * sizeof(step_t));
+	}
+	plan->steps[plan->n++] = step;
+}
+
+static int compare_steps(const void *a, const void *b)
+{
+	const step_t *x = a;
+	const step_t *y = b;
+
+	return (x->at > y->at) - (x->at < y->at);
+}
+
+static void add_steps(plan_t *plan, ap_rng_t *rng, step_kind_t kind, ap_usec_t every,
+		      ap_usec_t length)
+{
+	ap_usec_t at = 5 * AP_SEC;
+
+	while ((at += 1 + (ap_usec_t)ap_rng_exp(rng, (double)every)) < RUN_TIME)
+		add_step(plan, (step_t){
+				       .at = at,
+				       .kind = kind,
+				       .node = (unsigned)ap_rng_below(rng, NODES),
+				       .length = 1 + (ap_usec_t)ap_rng_exp(rng, (double)length),
+				       .sides = (unsigned)ap_rng_below(rng, 1u << NODES),
+			       });
+}
+
+static plan_t make_plan(uint64_t seed)
+{
+	plan_t plan = {0};
+	ap_rng_t rng;
+
+	ap_rng_seed(&rng, seed);
+	for (int kind = STEP_KILL; kind <= STEP_STORE; kind++)
+		add_steps(&plan, &rng, (step_kind_t)kind, faults[kind].every, faults[kind].length);
+	add_steps(&plan, &rng, STEP_CALL, AP_SEC / CALLS_PER_SEC, SERVICE);
+	qsort(plan.steps, plan.n, sizeof(step_t), compare_steps);
+	plan.faults = calloc(plan.n, sizeof(step_t));
+	for (size_t i = 0; i < plan.n; i++) {
+		if (plan.steps[i].kind != STEP_CALL)
+			plan.faults[plan.n_faults++] = plan.steps[i];
+	}
+	return plan;
+}
+
+static void add_result(tally_t *t, const world_call_t *call)
+{
+	t->calls++;
+	t->by_outcome[call->has_result ? call->result : AP_OUTCOME_UNKNOWN]++;
+	t->twice += call->runs > 1;
+	if (call->runs > 0)
+		t->waits[t->n_waits++] = call->waited;
+}
+
+static bool is_reachable(const world_t *w, unsigned n)
+{
+	return w->nodes[n].up && w->nodes[n].paused_until <= w->now;
+}
+
+/* The entry that a client finds: the wanted one, or the next that takes its connection. */
+static int find_entry(const world_t *w, unsigned wanted)
+{
+	for (unsigned i = 0; i < NODES; i++) {
+		if (is_reachable(w, (wanted + i) % NODES))
+			return (int)((wanted + i) % NODES);
+	}
+	return -1;
+}
+
+static void apply_fault(world_t *w, const step_t *step)
+{
+	world_node_t *node = &w->nodes[step->node];
+
+	if (step->kind == STEP_CUT) {
+		w->cut = true;
+		w->cut_until = step->at + step->length;
+		for (unsigned i = 0; i < NODES; i++)
+			w->nodes[i].side = step->sides >> i & 1;
+	}
+	if (step->kind == STEP_PAUSE && node->up) {
+		node->paused_at = step->at;
+		node->paused_until = step->at + step->length;
+	}
+	if (step->kind == STEP_KILL && node->up) {
+		world_down(w, step->node);
+		world_push(w, (world_event_t){.kind = WORLD_UP,
+					      .at = step->at + step->length,
+					      .node = step->node});
+	}
+}
+
+static void advance(world_t *w, ap_usec_t at)
+{
+	world_run(w, at);
+	if (w->cut && w->now >= w->cut_until)
+		w->cut = false;
+}
+
+static world_t *new_world(uint64_t seed)
+{
+	world_t *w = calloc(1, sizeof(*w));
+
+	w->rates = (world_rates_t){.delay = HOP, .service = SERVICE, .loss = 0.0001};
+	w->limits = ap_once_default_limits;
+	world_start(w, seed, NODES);
+	return w;
+}
+
+static void run_permits(const plan_t *plan, uint64_t seed, tally_t *t)
+{
+	world_t *w = new_world(seed);
+
+	for (size_t i = 0; i < plan->n; i++) {
+		const step_t *step = &plan->steps[i];
+		int entry;
+		size_t call;
+
+		advance(w, step->at);
+		if (step->kind != STEP_CALL) {
+			apply_fault(w, step);
+			continue;
+		}
+		entry = find_entry(w, step->node);
+		call = entry < 0 ? SIZE_MAX : world_issue(w, (unsigned)entry);
+		if (call == SIZE_MAX)
+			continue;
+		w->rates.service = step->length;
+		world_use(w, (unsigned)entry, call, false);
+		world_push(w, (world_event_t){.kind = WORLD_RETRY,
+					      .at = w->now + RETRY_AFTER,
+					      .call = call});
+	}
+	advance(w, RUN_TIME + 60 * AP_SEC);
+	for (size_t i = 0; i < w->n_calls; i++)
+		add_result(t, &w->calls[i]);
+	t->messages += w->messages;
+	if (w->first)
+		printf("rule broken: %s\n", w->first);
+	world_free(w);
+	free(w);
+}
+
+/* What the plan did to each node and to the store, for the models. */
+typedef struct history {
+	const plan_t *plan;
+	size_t from; /* steps before this one ended long ago */
+} history_t;
+
+#define FAULT_MAX (300 * AP_SEC) /* no fault of a plan lasts longer */
+
+/* The first step of @kind at @node (any node: NODES) that overlaps the time from @start to @end. */
+static const step_t *find_step(history_t *h, step_kind_t kind, unsigned node, ap_usec_t start,
+			       ap_usec_t end)
+{
+	const plan_t *plan = h->plan;
+
+	while (h->from < plan->n_faults && plan->faults[h->from].at + FAULT_MAX < start)
+		h->from++;
+	for (size_t i = h->from; i < plan->n_faults && plan->faults[i].at <= end; i++) {
+		const step_t *step = &plan->faults[i];
+
+		if (step->kind != kind || (node < NODES && step->node != node))
+			continue;
+		if (step->at + step->length >= start)
+			return step;
+	}
+	return NULL;
+}
+
+static bool is_away(history_t *h, unsigned node, ap_usec_t at)
+{
+	return find_step(h, STEP_KILL, node, at, at) || find_step(h, STEP_PAUSE, node, at, at);
+}
+
+static int find_model_entry(history_t *h, unsigned wanted, ap_usec_t at)
+{
+	for (unsigned i = 0; i < NODES; i++) {
+		if (!is_away(h, (wanted + i) % NODES, at))
+			return (int)((wanted + i) % NODES);
+	}
+	return -1;
+}
+
+/* The node fails, or pauses for longer than its client waits, while it holds the call. */
+static bool is_lost_during(history_t *h, unsigned node, ap_usec_t start, ap_usec_t end)
+{
+	const step_t *pause = find_step(h, STEP_PAUSE, node, start, end);
+
+	if (find_step(h, STEP_KILL, node, start, end))
+		return true;
+	return pause && pause->length > RETRY_AFTER;
+}
+
+static ap_usec_t draw(ap_rng_t *rng, ap_usec_t mean)
+{
+	return mean / 2 + (ap_usec_t)ap_rng_exp(rng, (double)mean / 2);
+}
+
+/* One read and one write; after the write only the entry knows more than that it was claimed. */
+static ap_outcome_t model_claim(history_t *h, ap_rng_t *rng, unsigned entry, const step_t *call,
+				tally_t *t, ap_usec_t *wait)
+{
+	ap_usec_t written = call->at + draw(rng, STORE_DELAY) + STORE_DELAY / 2;
+
+	*wait = written + STORE_DELAY / 2 - call->at;
+	t->store_calls += 2;
+	if (find_step(h, STEP_STORE, NODES, call->at, written))
+		return AP_OUTCOME_NOT_RUN;
+	if (find_step(h, STEP_STORE, NODES, written, call->at + *wait))
+		return AP_OUTCOME_NOT_RUN;
+	if (is_lost_during(h, entry, written, call->at + *wait + call->length))
+		return AP_OUTCOME_UNKNOWN;
+	return AP_OUTCOME_COMPLETED;
+}
+
+static bool is_cut(history_t *h, unsigned a, unsigned b, ap_usec_t at)
+{
+	const step_t *cut = find_step(h, STEP_CUT, NODES, at, at);
+
+	return cut && (cut->sides >> a & 1) != (cut->sides >> b & 1);
+}
+
+/* A lease ends with the store's outage, or when its holder was away for longer than it. */
+static bool holds_lease(history_t *h, unsigned node, ap_usec_t at)
+{
+	const step_t *outage = find_step(h, STEP_STORE, NODES, at, at);
+	const step_t *killed = find_step(h, STEP_KILL, node, at, at);
+	const step_t *paused = find_step(h, STEP_PAUSE, node, at, at);
+
+	if (outage && at - outage->at > LEASE)
+		return false;
+	if (killed && at - killed->at > LEASE)
+		return false;
+	return !paused || at - paused->at <= LEASE;
+}
+
+/* The owner keeps its table in memory; a new one cannot tell what the old one had begun. */
+static ap_outcome_t model_lease(history_t *h, ap_rng_t *rng, unsigned entry, const step_t *call,
+				tally_t *t, ap_usec_t *wait)
+{
+	uint64_t key = ap_rng_u64(rng);
+	double best = 0;
+	unsigned owner = NODES;
+	ap_usec_t arrival;
+
+	for (unsigned i = 0; i < NODES; i++) {
+		double score = ap_rendezvous(key, i, 1);
+
+		if (score <= best || !holds_lease(h, i, call->at))
+			continue;
+		best = score;
+		owner = i;
+	}
+	if (owner == NODES)
+		return AP_OUTCOME_NOT_RUN;
+	*wait = owner == entry ? 0 : draw(rng, HOP);
+	t->messages += owner == entry ? 0 : 2;
+	arrival = call->at + *wait;
+	/* Known to be away for a while: not sent. Else it cannot be told whether it took the call.
+	 */
+	if (is_away(h, owner, call->at - VIEW_LAG) && is_away(h, owner, arrival))
+		return AP_OUTCOME_NOT_RUN;
+	if (is_cut(h, entry, owner, call->at - VIEW_LAG) && is_cut(h, entry, owner, arrival))
+		return AP_OUTCOME_NOT_RUN;
+	if (is_away(h, owner, arrival) || is_cut(h, entry, owner, arrival))
+		return AP_OUTCOME_UNKNOWN;
+	if (is_lost_during(h, owner, arrival, arrival + call->length))
+		return AP_OUTCOME_UNKNOWN;
+	return AP_OUTCOME_COMPLETED;
+}
+
+typedef ap_outcome_t (*model_t)(history_t *h, ap_rng_t *rng, unsigned entry, const step_t *call,
+				tally_t *t, ap_usec_t *wait);
+
+static void run_model(const plan_t *plan, uint64_t seed, tally_t *t, model_t model)
+{
+	history_t h = {.plan = plan};
+	ap_rng_t rng;
+
+	ap_rng_seed(&rng, seed);
+	for (size_t i = 0; i < plan->n; i++) {
+		const step_t *step = &plan->steps[i];
+		ap_usec_t wait = 0;
+		ap_outcome_t outcome;
+		int entry;
+
+		if (step->kind != STEP_CALL)
+			continue;
+		entry = find_model_entry(&h, step->node, step->at);
+		if (entry < 0)
+			continue;
+		outcome = model(&h, &rng, (unsigned)entry, step, t, &wait);
+		t->calls++;
+		t->by_outcome[outcome]++;
+		if (outcome == AP_OUTCOME_COMPLETED)
+			t->waits[t->n_waits++] = wait;
+	}
+}
+
+/* Report. */
+
+typedef struct figures {
+	double unknown; /* share of calls */
+	double not_run;
+	double p50; /* milliseconds until the call may be dispatched */
+	double p99;
+	double store; /* store calls for each call */
+	double messages;
+	uint64_t calls;
+	uint64_t twice;
+} figures_t;
+
+static int compare_times(const void *a, const void *b)
+{
+	const ap_usec_t *x = a;
+	const ap_usec_t *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+static figures_t summarise(tally_t *t)
+{
+	double calls = (double)t->calls;
+	size_t p50 = t->n_waits / 2;
+	size_t p99 = t->n_waits * 99 / 100;
+
+	qsort(t->waits, t->n_waits, sizeof(*t->waits), compare_times);
+	return (figures_t){
+		.unknown = (double)t->by_outcome[AP_OUTCOME_UNKNOWN] / calls,
+		.not_run = (double)t->by_outcome[AP_OUTCOME_NOT_RUN] / calls,
+		.p50 = (double)t->waits[p50] / AP_MSEC,
+		.p99 = (double)t->waits[p99] / AP_MSEC,
+		.store = (double)t->store_calls / calls,
+		.messages = (double)t->messages / calls,
+		.calls = t->calls,
+		.twice = t->twice,
+	};
+}
+
+static figures_t measure(model_t model)
+{
+	tally_t t = {0};
+	figures_t figures;
+
+	t.waits = malloc((size_t)SEEDS * HOURS * 3600 * CALLS_PER_SEC * 2 * sizeof(*t.waits));
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		plan_t plan = make_plan(seed);
+
+		if (model)
+			run_model(&plan, seed, &t, model);
+		else
+			run_permits(&plan, seed, &t);
+		free(plan.faults);
+		free(plan.steps);
+	}
+	figures = summarise(&t);
+	free(t.waits);
+	return figures;
+}
+
+static void print_row(const char *name, const figures_t *f)
+{
+	printf("%-22s %8llu %10.4f %10.4f %9.2f %9.2f %9.2f %9.2f\n", name,
+	       (unsigned long long)f->calls, 100 * f->unknown, 100 * f->not_run, f->p50, f->p99,
+	       f->store, f->messages);
+}
+
+static void print_verdict(const char *what, double value, const char *relation, double target,
+			  bool met)
+{
+	printf("%-52s %10.4f  target %s %.4f: %s\n", what, value, relation, target,
+	       met ? "met" : "missed");
+}
+
+/* Processor time of one permit at issuer and witness together, without sockets. */
+
+static ap_once_t *ends[2];
+static ap_usec_t loop_now;
+
+static void loop_send(void *ctx, const char *to, const ap_once_msg_t *msg)
+{
+	ap_once_t *other = ends[strcmp(to, "a") != 0];
+
+	ap_once_receive(other, ctx, msg, loop_now);
+}
+
+static void loop_decided(void *ctx, uint64_t token, const ap_once_verdict_t *v)
+{
+	ap_once_t *o = ends[strcmp(ctx, "a") != 0];
+
+	if (v->kind != AP_ONCE_GO || !ap_once_dispatch(o, token, loop_now))
+		return;
+	ap_once_done(o, token, AP_OUTCOME_COMPLETED, "answer", 6, loop_now);
+}
+
+static double time_permits(unsigned n)
+{
+	static char *const names[2] = {"a", "b"};
+	ap_entry_t entries[2] = {{.id = "a", .inc = {1, 1}, .region = "north"},
+				 {.id = "b", .inc = {2, 2}, .region = "north"}};
+	struct timespec start;
+	struct timespec end;
+
+	for (int i = 0; i < 2; i++) {
+		ap_once_config_t config = {.inc = entries[i].inc,
+					   .region = "north",
+					   .limits = ap_once_default_limits,
+					   .ctx = names[i],
+					   .send = loop_send,
+					   .decided = loop_decided};
+
+		strcpy(config.id, names[i]);
+		ends[i] = ap_once_new(&config, 0);
+	}
+	for (int i = 0; i < 2; i++)
+		ap_once_set_entries(ends[i], entries, 2, 0);
+	ap_once_tick(ends[0], loop_now);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &start);
+	for (unsigned i = 0; i < n; i++) {
+		char text[AP_PERMIT_TEXT_MAX];
+		ap_once_verdict_t v;
+
+		/* At the design size a node gives a few permits each second. */
+		loop_now += 100 * AP_MSEC;
+		if (i % 10 == 0)
+			ap_once_tick(ends[0], loop_now);
+		if (i % 10 == 0)
+			ap_once_tick(ends[1], loop_now);
+		ap_once_issue(ends[0], "reserve", "clerk", loop_now, text);
+		ap_once_use(ends[0], text, "reserve", "clerk", i + 1UL, loop_now, &v);
+	}
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &end);
+	if (ap_once_counts(ends[0]).dispatched != n)
+		printf("only %llu permits were dispatched\n",
+		       (unsigned long long)ap_once_counts(ends[0]).dispatched);
+	for (int i = 0; i < 2; i++)
+		ap_once_free(ends[i]);
+	return ((double)(end.tv_sec - start.tv_sec) * 1e9 + (double)(end.tv_nsec - start.tv_nsec)) /
+	       n / 1000;
+}
+
+int main(void)
+{
+	figures_t permits = measure(NULL);
+	figures_t claims = measure(model_claim);
+	figures_t leases = measure(model_lease);
+
+	printf("%d entries, %d calls/s, %d seeds of %d h; service %.0f ms, hop %.1f ms, store %.0f "
+	       "ms\n",
+	       NODES, CALLS_PER_SEC, SEEDS, HOURS, (double)SERVICE / (double)AP_MSEC,
+	       (double)HOP / (double)AP_MSEC, (double)STORE_DELAY / (double)AP_MSEC);
+	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++)
+		printf("fault: %s every %.0f s in the region, for %.0f s\n", faults[i].name,
+		       (double)faults[i].every / (double)AP_SEC,
+		       (double)faults[i].length / (double)AP_SEC);
+	printf("%-22s %8s %10s %10s %9s %9s %9s %9s\n", "way", "calls", "unknown %", "not-run %",
+	       "p50 ms", "p99 ms", "store/call", "msgs/call");
+	print_row("permit and witness", &permits);
+	print_row("claim for each call", &claims);
+	print_row("owner with a lease", &leases);
+	print_verdict("permits: calls that ran twice", (double)permits.twice, "=", 0,
+		      permits.twice == 0);
+	print_verdict("permits: unknown %, against claims", 100 * permits.unknown,
+		      "<=", 100 * claims.unknown, permits.unknown <= claims.unknown);
+	print_verdict("permits: unknown %, against leases", 100 * permits.unknown,
+		      "<=", 100 * leases.unknown, permits.unknown <= leases.unknown);
+	print_verdict("permits: not-run %, against claims", 100 * permits.not_run,
+		      "<=", 100 * claims.not_run, permits.not_run <= claims.not_run);
+	print_verdict("permits: p50 delay ms, against claims", permits.p50, "<=", claims.p50,
+		      permits.p50 <= claims.p50);
+	print_verdict("permits: store calls for each call", permits.store, "=", 0,
+		      permits.store == 0);
+	printf("processor time of a permit, issuer and witness: %.2f us\n", time_permits(200000));
+	return 0;
+}
--- a/lib/once/issuer.c
+++ b/lib/once/issuer.c
@@ -319,8 +319,10 @@
 	record_t *r;
 
 	TAILQ_FOREACH (r, &o->waiting, by_wait) {
-		if (o->now < r->give_up_at && o->now >= r->resend_at)
-			send_begin(o, r);
+		if (o->now >= r->give_up_at || o->now < r->resend_at)
+			continue;
+		witness_suspect(o, r->witness);
+		send_begin(o, r);
 	}
 	while ((r = TAILQ_FIRST(&o->waiting)) && o->now >= r->give_up_at)
 		give_up(o, r, "the witness did not answer in time");
--- a/lib/once/once.c
+++ b/lib/once/once.c
@@ -131,8 +131,9 @@
 	o->peers = peers;
 	o->n_peers = kept;
 	o->contacts = contacts;
+	if (o->n_contacts == 0)
+		o->probe_at = o->now;
 	choose_contacts(o);
-	o->probe_at = o->now;
 }
 
 peer_t *once_peer(const ap_once_t *o, const char *id)
--- a/lib/once/state.h
+++ b/lib/once/state.h
@@ -140,6 +140,8 @@
 /** witness_forget_issuers() - drops keys whose time is not after @until. */
 void witness_forget_issuers(ap_once_t *o, ap_usec_t until);
 ap_once_kind_t witness_judge(ap_once_t *o, const ap_permit_t *permit, ap_once_verdict_t *v);
+/** witness_suspect() - @id did not answer in time; no permit names it until it does. */
+void witness_suspect(ap_once_t *o, const char *id);
 /** witness_choose() - sets the witness of a new permit; leaves it empty without one. */
 void witness_choose(ap_once_t *o, ap_permit_t *permit);
 
--- a/lib/once/witness.c
+++ b/lib/once/witness.c
@@ -121,6 +121,14 @@
 	return !ap_id_is_zero(peer->heard_inc) && o->now - peer->heard_at < limit;
 }
 
+void witness_suspect(ap_once_t *o, const char *id)
+{
+	peer_t *peer = once_peer(o, id);
+
+	if (peer)
+		peer->heard_inc = (ap_id_t){0};
+}
+
 void witness_choose(ap_once_t *o, ap_permit_t *permit)
 {
 	const peer_t *best = NULL;
--- a/test/once_net.h
+++ b/test/once_net.h
@@ -42,6 +42,7 @@
 	WORLD_ENDED,
 	WORLD_RETRY,
 	WORLD_UP,
+	WORLD_OTHER, /* for @other */
 } world_event_kind_t;
 
 typedef struct world_event {
@@ -82,7 +83,7 @@
 	bool said_not_run;
 	bool has_result;
 	ap_outcome_t result;
-	ap_usec_t started;
+	ap_usec_t waited; /* from use to dispatch */
 } world_call_t;
 
 typedef struct world_use {
@@ -116,12 +117,14 @@
 	/* Changes a message on its way; false loses it. */
 	bool (*tamper)(struct world *w, unsigned from, unsigned to, ap_once_msg_t *msg);
 	uint64_t events;
+	uint64_t messages;
 	uint64_t verdicts[AP_ONCE_REFUSED + 1];
 	unsigned program; /* invariants that the program saw broken */
 	unsigned oracle;  /* rules that the oracle saw broken */
 	const char *first;
-	ap_usec_t wait_sum; /* from use to leave to dispatch */
-	uint64_t waits;
+	/* Takes events of the kind WORLD_OTHER. */
+	void (*other)(struct world *w, const world_event_t *event);
+	void *ctx;
 } world_t;
 
 static inline void world_broken(world_t *w, unsigned *count, const char *what)
@@ -256,6 +259,7 @@
 	if (target < 0 || (w->tamper && !w->tamper(w, from, (unsigned)target, &msg)))
 		return;
 	head.from = msg.from;
+	w->messages++;
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
 	ap_wire_begin(&pk, &head);
--- a/test/once_world.h
+++ b/test/once_world.h
@@ -41,8 +41,7 @@
 		ap_once_done(node->once, token, AP_OUTCOME_NOT_RUN, NULL, 0, world_clock(w, node));
 		return;
 	}
-	w->wait_sum += w->now - w->uses[token - 1].at;
-	w->waits++;
+	call->waited = w->now - w->uses[token - 1].at;
 	if (!refused) {
 		call->committed++;
 		world_check(w, call->committed == 1, "a permit was dispatched twice");
@@ -222,7 +221,7 @@
 /* A permit from @issuer. Return: its number, or SIZE_MAX when none was given. */
 static inline size_t world_issue(world_t *w, unsigned issuer)
 {
-	world_call_t call = {.issuer = issuer, .started = w->now};
+	world_call_t call = {.issuer = issuer};
 
 	if (w->n_calls == w->calls_max) {
 		w->calls_max = w->calls_max ? 2 * w->calls_max : 1024;
@@ -298,7 +297,7 @@
 
 static inline bool world_of_node(world_event_kind_t kind)
 {
-	return kind != WORLD_RUN && kind != WORLD_RETRY && kind != WORLD_UP;
+	return kind < WORLD_RUN || kind == WORLD_ENDED;
 }
 
 /* Takes the next event. Return: false when none is left before @until. */
@@ -350,6 +349,9 @@
 	case WORLD_RETRY:
 		world_retry(w, &e);
 		break;
+	case WORLD_OTHER:
+		w->other(w, &e);
+		break;
 	case WORLD_UP:
 		world_up(w, e.node);
 		world_view(w, e.node, 0);
