--- /dev/null
+++ b/test/standin/batch.h
@@ -0,0 +1,59 @@
+/* Continuous batching: slots, a queue by priority, prefill and decode on timers. */
+#ifndef STANDIN_BATCH_H
+#define STANDIN_BATCH_H
+
+#include "cache.h"
+#include "server.h"
+
+#define PROMPT_BLOCKS_MAX 64
+#define PROMPT_BLOCK_BYTES 512
+#define TOKEN_BYTES 4 /* bytes of prompt text per token */
+
+/**
+ * struct job - one request at work or waiting.
+ * @begin: number of the first token, above 0 when resumed
+ * @next: number of the next token
+ * @end: number of tokens after which the answer is whole
+ * @due: when the next token is due
+ */
+typedef struct job {
+	TAILQ_ENTRY(job) link;
+	struct batch *batch;
+	exchange_t *x;
+	struct event *timer;
+	fault_t fault;
+	char model[AP_NAME_MAX];
+	bool chat;
+	bool stream;
+	bool running;
+	int priority;
+	uint64_t seed;
+	uint64_t blocks[PROMPT_BLOCKS_MAX];
+	size_t n_blocks;
+	unsigned prompt_tokens;
+	unsigned cached_tokens;
+	unsigned begin;
+	unsigned next;
+	unsigned end;
+	ap_usec_t due;
+	char *text;
+	size_t len;
+} job_t;
+
+TAILQ_HEAD(jobs, job);
+
+typedef struct batch {
+	struct event_base *base;
+	cache_t cache;
+	unsigned slots;
+	double prefill_us;
+	double decode_us;
+	unsigned running;
+	unsigned waiting;
+	struct jobs jobs;
+} batch_t;
+
+/** batch_add() - queues a job made with calloc(); it frees itself at its end. */
+void batch_add(batch_t *b, job_t *job);
+
+#endif
--- /dev/null
+++ b/test/standin/store.h
@@ -0,0 +1,58 @@
+/* Key-value pairs with compare-and-swap, and sessions that lapse; time comes in as an argument. */
+#ifndef STANDIN_STORE_H
+#define STANDIN_STORE_H
+
+#include "base/base.h"
+
+#include <uthash.h>
+
+#define SESSION_ID_MAX 40
+
+/**
+ * struct pair - one key with its value.
+ * @modified: index of its last change
+ * @lock_index: how often it was acquired
+ * @session: its holder, or empty
+ */
+typedef struct pair {
+	char *key;
+	void *value;
+	size_t len;
+	uint64_t created;
+	uint64_t modified;
+	uint64_t lock_index;
+	char session[SESSION_ID_MAX];
+	UT_hash_handle hh;
+} pair_t;
+
+typedef struct session {
+	char id[SESSION_ID_MAX];
+	ap_usec_t ttl;
+	ap_usec_t lapses;
+	UT_hash_handle hh;
+} session_t;
+
+typedef struct store {
+	pair_t *pairs;
+	session_t *sessions;
+	uint64_t index;
+	ap_rng_t rng;
+} store_t;
+
+void store_init(store_t *s, uint64_t seed);
+void store_clear(store_t *s);
+pair_t *store_get(store_t *s, const char *key);
+/** store_put() - writes whatever the index is. */
+void store_put(store_t *s, const char *key, const void *value, size_t len);
+/** store_cas() - writes when the key's index is @index; 0: when it is absent. */
+bool store_cas(store_t *s, const char *key, const void *value, size_t len, uint64_t index);
+/** store_acquire() - writes and binds the key, unless another session holds it. */
+bool store_acquire(store_t *s, const char *key, const void *value, size_t len, const char *session);
+bool store_release(store_t *s, const char *key, const char *session);
+session_t *store_session(store_t *s, const char *id);
+session_t *store_session_create(store_t *s, ap_usec_t ttl, ap_usec_t now);
+void store_session_end(store_t *s, session_t *session);
+/** store_expire() - ends the sessions that lapsed before @now. */
+void store_expire(store_t *s, ap_usec_t now);
+
+#endif
