--- a/test/standin/cache.c
+++ b/test/standin/cache.c
@@ -22,12 +22,14 @@
 
 void cache_clear(cache_t *c)
 {
-	block_t *b;
-	block_t *next;
+	block_t *b = TAILQ_FIRST(&c->used);
+
+	HASH_CLEAR(hh, c->blocks);
+	while (b) {
+		block_t *next = TAILQ_NEXT(b, link);
 
-	HASH_ITER (hh, c->blocks, b, next) {
-		HASH_DEL(c->blocks, b);
 		free(b);
+		b = next;
 	}
 	if (!c->publisher)
 		return;
