--- a/adapters/peer/peer.h
+++ b/adapters/peer/peer.h
@@ -5,6 +5,7 @@
 #define AP_PEER_H
 
 #include "base/base.h"
+#include "log/log.h"
 #include "port/port.h"
 #include "settings/settings.h"
 
@@ -14,13 +15,15 @@
 
 /**
  * struct ap_peer_config - made once at start.
+ * @settings: own id, host and keys; must outlive the object
+ * @clock: the task's clock for its time line, told to peers and advanced by theirs; may be NULL
  * @port: own listening port; 0 lets the system choose, see ap_peer_port_number()
  * @receive: takes each message of a peer with a known key; @from is the sender's id
  */
 typedef struct ap_peer_config {
 	struct event_base *base;
-	void *zmq;
 	const ap_settings_t *settings;
+	ap_hlc_t *clock;
 	uint16_t port;
 	void *ctx;
 	void (*receive)(void *ctx, const char *from, const void *data, size_t len);
@@ -35,7 +38,10 @@
 ap_peer_status_t ap_peer_new(const ap_peer_config_t *config, ap_peer_t **peer, ap_err_t *err);
 void ap_peer_free(ap_peer_t *peer);
 uint16_t ap_peer_port_number(const ap_peer_t *peer);
-/** ap_peer_know() - address and key of the entry @id; replaces what was known. */
+/**
+ * ap_peer_know() - address and key of the entry @id; replaces what was known.
+ * @public_key: its CURVE key; when empty, the entry is taken to share our own
+ */
 void ap_peer_know(ap_peer_t *peer, const char *id, const char *host, uint16_t port,
 		  const char *public_key);
 void ap_peer_forget(ap_peer_t *peer, const char *id);
