--- a/test/standin/batch.c
+++ b/test/standin/batch.c
@@ -250,7 +250,7 @@
 	b->waiting--;
 	b->running++;
 	job->running = true;
-	job->cached_tokens = (unsigned)(held * PROMPT_BLOCK_BYTES / TOKEN_BYTES);
+	job->cached_tokens = (unsigned)(held * AP_PREFIX_BLOCK_BYTES / TOKEN_BYTES);
 	job->due = ap_now() +
 		   (ap_usec_t)(b->prefill_us * (job->prompt_tokens - job->cached_tokens)) +
 		   (ap_usec_t)b->decode_us;
--- a/test/standin/batch.h
+++ b/test/standin/batch.h
@@ -5,8 +5,8 @@
 #include "cache.h"
 #include "server.h"
 
-#define PROMPT_BLOCKS_MAX 64
-#define PROMPT_BLOCK_BYTES 512
+#include "route/route.h"
+
 #define TOKEN_BYTES 4 /* bytes of prompt text per token */
 
 /**
@@ -28,7 +28,7 @@
 	bool running;
 	int priority;
 	uint64_t seed;
-	uint64_t blocks[PROMPT_BLOCKS_MAX];
+	uint64_t blocks[AP_PREFIX_BLOCKS_MAX];
 	size_t n_blocks;
 	unsigned prompt_tokens;
 	unsigned cached_tokens;
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -73,50 +73,23 @@
 	exchange_reply_json(x, 400, json_pack("{s:{s:s}}", "error", "message", what));
 }
 
-static void append_text(char **text, size_t *len, const char *more)
+/* The prompt as the gateway measures it: the value of "messages" or "prompt" as compact JSON. */
+static char *prompt_of(json_t *body)
 {
-	size_t n = strlen(more);
-	char *grown = realloc(*text, *len + n + 1);
+	json_t *prompt = json_object_get(body, "messages");
 
-	if (!grown)
-		abort();
-	memcpy(grown + *len, more, n + 1);
-	*text = grown;
-	*len += n;
-}
-
-/* The prompt: a text, or the contents of all messages one after the other. */
-static char *prompt_of(json_t *body, size_t *len)
-{
-	json_t *messages = json_object_get(body, "messages");
-	const char *prompt = json_string_value(json_object_get(body, "prompt"));
-	char *text = NULL;
-	json_t *message;
-	size_t i;
-
-	*len = 0;
-	if (prompt)
-		append_text(&text, len, prompt);
-	json_array_foreach (messages, i, message) {
-		const char *content = json_string_value(json_object_get(message, "content"));
-
-		append_text(&text, len, content ? content : "");
-	}
-	return text;
+	if (!prompt)
+		prompt = json_object_get(body, "prompt");
+	return prompt ? json_dumps(prompt, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
 }
 
-static void hash_prompt(job_t *job, const char *text, size_t len)
+static void hash_prompt(job_t *job, const char *text)
 {
-	uint64_t chained = 0;
+	size_t len = strlen(text);
 
 	job->seed = ap_hash(text, len, 0);
 	job->prompt_tokens = (unsigned)(len / TOKEN_BYTES + 1);
-	while (len >= PROMPT_BLOCK_BYTES && job->n_blocks < PROMPT_BLOCKS_MAX) {
-		chained = ap_hash(text, PROMPT_BLOCK_BYTES, chained);
-		job->blocks[job->n_blocks++] = chained;
-		text += PROMPT_BLOCK_BYTES;
-		len -= PROMPT_BLOCK_BYTES;
-	}
+	job->n_blocks = ap_prefix_blocks(text, len, job->blocks);
 }
 
 static json_int_t int_at(json_t *body, const char *key, json_int_t otherwise)
@@ -132,14 +105,13 @@
 	const char *model = json_string_value(json_object_get(body, "model"));
 	json_int_t end = int_at(body, "max_tokens", TOKENS_DEFAULT);
 	json_int_t begin = int_at(json_object_get(body, "resume"), "tokens", 0);
-	size_t len;
 	char *prompt;
 
 	if (!model || !find_model(e, model))
 		return "no such model";
 	if (end < 1 || end > TOKENS_MAX || begin < 0 || begin >= end)
 		return "wrong number of tokens";
-	prompt = prompt_of(body, &len);
+	prompt = prompt_of(body);
 	if (!prompt)
 		return "no prompt";
 	ap_copy_name(job->model, sizeof(job->model), model);
@@ -147,7 +119,7 @@
 	job->priority = (int)int_at(body, "priority", 0);
 	job->next = (unsigned)begin;
 	job->end = (unsigned)end;
-	hash_prompt(job, prompt, len);
+	hash_prompt(job, prompt);
 	free(prompt);
 	return NULL;
 }
