--- a/test/standin/plain.c
+++ b/test/standin/plain.c
@@ -101,16 +101,19 @@
 	plain_t p = {.listen = "127.0.0.1:0", .id = "plain"};
 	struct event_base *base = loop_new();
 	work_t *w;
-	work_t *next;
 
 	argp_parse(&parser, argc, argv, 0, NULL, &p);
 	p.server = server_new(base, p.listen, on_request, &p);
 	loop_run(base);
 	server_free(p.server);
 	event_base_free(base);
-	HASH_ITER (hh, p.works, w, next) {
-		HASH_DEL(p.works, w);
+	w = p.works;
+	HASH_CLEAR(hh, p.works);
+	while (w) {
+		work_t *next = w->hh.next;
+
 		free(w);
+		w = next;
 	}
 	return 0;
 }
