--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -353,11 +353,14 @@
 
 static void drop_watches(platform_t *pl)
 {
-	while (!LIST_EMPTY(&pl->watches)) {
-		watch_t *w = LIST_FIRST(&pl->watches);
+	watch_t *w = LIST_FIRST(&pl->watches);
+
+	while (w) {
+		watch_t *next = LIST_NEXT(w, link);
 
 		exchange_close(w->x, true);
 		watch_free(w);
+		w = next;
 	}
 }
 
--- a/test/standin/server.c
+++ b/test/standin/server.c
@@ -193,7 +193,7 @@
 
 static int bound_port(struct evhttp_bound_socket *bound)
 {
-	struct sockaddr_storage addr;
+	struct sockaddr_storage addr = {0};
 	socklen_t len = sizeof(addr);
 
 	getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&addr, &len);
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -18,26 +18,26 @@
 	ap_rng_seed(&s->rng, seed);
 }
 
-static void pair_free(store_t *s, pair_t *p)
-{
-	HASH_DEL(s->pairs, p);
-	free(p->key);
-	free(p->value);
-	free(p);
-}
-
 void store_clear(store_t *s)
 {
-	pair_t *p;
-	pair_t *next_pair;
-	session_t *session;
-	session_t *next;
+	session_t *session = s->sessions;
+	pair_t *p = s->pairs;
+
+	HASH_CLEAR(hh, s->pairs);
+	HASH_CLEAR(hh, s->sessions);
+	while (p) {
+		pair_t *next = p->hh.next;
+
+		free(p->key);
+		free(p->value);
+		free(p);
+		p = next;
+	}
+	while (session) {
+		session_t *next = session->hh.next;
 
-	HASH_ITER (hh, s->pairs, p, next_pair)
-		pair_free(s, p);
-	HASH_ITER (hh, s->sessions, session, next) {
-		HASH_DEL(s->sessions, session);
 		free(session);
+		session = next;
 	}
 }
 
