--- a/test/standin/server.c
+++ b/test/standin/server.c
@@ -193,13 +193,16 @@
 
 static int bound_port(struct evhttp_bound_socket *bound)
 {
-	struct sockaddr_storage addr = {0};
+	union {
+		struct sockaddr any;
+		struct sockaddr_in v4;
+		struct sockaddr_in6 v6;
+	} addr = {.v6 = {0}};
 	socklen_t len = sizeof(addr);
 
-	getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&addr, &len);
-	if (addr.ss_family == AF_INET6)
-		return ntohs(((struct sockaddr_in6 *)&addr)->sin6_port);
-	return ntohs(((struct sockaddr_in *)&addr)->sin_port);
+	if (getsockname(evhttp_bound_socket_get_fd(bound), &addr.any, &len) != 0)
+		return 0;
+	return ntohs(addr.any.sa_family == AF_INET6 ? addr.v6.sin6_port : addr.v4.sin_port);
 }
 
 server_t *server_new(struct event_base *base, const char *address, request_t request, void *ctx)
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -15,16 +15,16 @@
 void store_init(store_t *s, uint64_t seed)
 {
 	*s = (store_t){.index = 1};
+	LIST_INIT(&s->sessions);
 	ap_rng_seed(&s->rng, seed);
 }
 
 void store_clear(store_t *s)
 {
-	session_t *session = s->sessions;
+	session_t *session = LIST_FIRST(&s->sessions);
 	pair_t *p = s->pairs;
 
 	HASH_CLEAR(hh, s->pairs);
-	HASH_CLEAR(hh, s->sessions);
 	while (p) {
 		pair_t *next = p->hh.next;
 
@@ -34,7 +34,7 @@
 		p = next;
 	}
 	while (session) {
-		session_t *next = session->hh.next;
+		session_t *next = LIST_NEXT(session, link);
 
 		free(session);
 		session = next;
@@ -111,8 +111,11 @@
 {
 	session_t *session;
 
-	HASH_FIND_STR(s->sessions, id, session);
-	return session;
+	LIST_FOREACH (session, &s->sessions, link) {
+		if (strcmp(session->id, id) == 0)
+			return session;
+	}
+	return NULL;
 }
 
 session_t *store_session_create(store_t *s, ap_usec_t ttl, ap_usec_t now)
@@ -126,7 +129,7 @@
 		 (unsigned long long)(id.lo & 0xffffffffffff));
 	session->ttl = ttl;
 	session->lapses = now + ttl;
-	HASH_ADD_STR(s->sessions, id, session);
+	LIST_INSERT_HEAD(&s->sessions, session, link);
 	return session;
 }
 
@@ -141,17 +144,19 @@
 		p->session[0] = '\0';
 		p->modified = ++s->index;
 	}
-	HASH_DEL(s->sessions, session);
+	LIST_REMOVE(session, link);
 	free(session);
 }
 
 void store_expire(store_t *s, ap_usec_t now)
 {
-	session_t *session;
-	session_t *next;
+	session_t *session = LIST_FIRST(&s->sessions);
+
+	while (session) {
+		session_t *next = LIST_NEXT(session, link);
 
-	HASH_ITER (hh, s->sessions, session, next) {
 		if (session->lapses <= now)
 			store_session_end(s, session);
+		session = next;
 	}
 }
--- a/test/standin/store.h
+++ b/test/standin/store.h
@@ -4,6 +4,7 @@
 
 #include "base/base.h"
 
+#include <sys/queue.h>
 #include <uthash.h>
 
 #define SESSION_ID_MAX 40
@@ -29,12 +30,12 @@
 	char id[SESSION_ID_MAX];
 	ap_usec_t ttl;
 	ap_usec_t lapses;
-	UT_hash_handle hh;
+	LIST_ENTRY(session) link;
 } session_t;
 
 typedef struct store {
 	pair_t *pairs;
-	session_t *sessions;
+	LIST_HEAD(, session) sessions;
 	uint64_t index;
 	ap_rng_t rng;
 } store_t;
