--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -79,8 +79,7 @@
 	return AP_SETTINGS_OK;
 }
 
-/* "IP:PORT" or "[IP]:PORT". */
-static bool parse_address(const char *text, ap_address_t *out)
+bool ap_address_parse(const char *text, ap_address_t *out)
 {
 	const char *colon = strrchr(text, ':');
 	char host[AP_HOST_MAX + 2];
@@ -108,7 +107,7 @@
 {
 	const char *text = json_string_value(value);
 
-	if (!text || !parse_address(text, at))
+	if (!text || !ap_address_parse(text, at))
 		return wrong(l, key, "must be \"IP:PORT\"");
 	return AP_SETTINGS_OK;
 }
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -21,6 +21,9 @@
 	uint16_t port;
 } ap_address_t;
 
+/** ap_address_parse() - "IP:PORT" or "[IP]:PORT"; false when it is neither. */
+bool ap_address_parse(const char *text, ap_address_t *out);
+
 /**
  * struct ap_settings - everything a daemon is told; TOML tables are given per group.
  *
--- /dev/null
+++ b/cmd/arbutuspondctl/config.c
@@ -0,0 +1,261 @@
+/* Commands on the configuration: apply, get, diff. */
+#include "http.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PATH_PARTS_MAX 3
+
+static bool is_toml(const char *path)
+{
+	size_t len = strlen(path);
+
+	return len > 5 && strcmp(path + len - 5, ".toml") == 0;
+}
+
+static json_t *load_document(const char *path, ap_err_t *err)
+{
+	json_error_t where;
+	json_t *json;
+	char *text;
+	int line;
+
+	if (!is_toml(path)) {
+		json = json_load_file(path, JSON_REJECT_DUPLICATES, &where);
+		if (!json)
+			ap_err_set(err, "%s:%d: %s", path, where.line, where.text);
+		return json;
+	}
+	text = ap_toml_read(path, &line, err);
+	if (!text)
+		return NULL;
+	json = json_loads(text, 0, &where);
+	if (!json)
+		ap_err_set(err, "%s: holds a value that a configuration doesn't take", path);
+	free(text);
+	return json;
+}
+
+/* Line of the field that a message "kind/name/field: what" is about; 0 when not known. */
+static int line_of(const char *path, const char *message)
+{
+	char copy[256];
+	const char *parts[PATH_PARTS_MAX];
+	char *rest = copy;
+	size_t n = 0;
+
+	if (!is_toml(path))
+		return 0;
+	ap_copy_name(copy, sizeof(copy), message);
+	copy[strcspn(copy, ":")] = '\0';
+	while (rest && n < PATH_PARTS_MAX)
+		parts[n++] = strsep(&rest, "/");
+	return ap_toml_line(path, parts, n);
+}
+
+/* Reads and checks the file on the command line before anything is sent. */
+static json_t *checked_document(const ctl_options_t *o)
+{
+	ap_err_t err = {""};
+	json_t *json = load_document(o->argument, &err);
+	ap_conf_t *conf;
+	int line;
+
+	if (!json) {
+		ctl_fail(CTL_INVALID, "%s", err.text);
+		return NULL;
+	}
+	if (ap_conf_parse(json, 0, &conf, &err) == AP_CONF_OK) {
+		ap_conf_unref(conf);
+		return json;
+	}
+	line = line_of(o->argument, err.text);
+	if (line > 0)
+		ctl_fail(CTL_INVALID, "%s:%d: %s", o->argument, line, err.text);
+	else
+		ctl_fail(CTL_INVALID, "%s: %s", o->argument, err.text);
+	json_decref(json);
+	return NULL;
+}
+
+/**
+ * struct config - the configuration in force.
+ * @document: new reference
+ */
+typedef struct config {
+	json_int_t generation;
+	json_t *document;
+} config_t;
+
+static ctl_exit_t read_config(const ctl_options_t *o, config_t *config)
+{
+	http_request_t request = http_admin(o, &o->admins[0], EVHTTP_REQ_GET, "/config");
+	http_answer_t answer;
+	ctl_exit_t status = CTL_OK;
+	json_t *json;
+
+	*config = (config_t){0};
+	if (!http_call(&request, &answer) || answer.code != 200) {
+		status = http_fail(&request, &answer);
+	} else {
+		json = http_json(&answer);
+		config->generation = json_integer_value(json_object_get(json, "generation"));
+		config->document = json_incref(json_object_get(json, "document"));
+		json_decref(json);
+		if (!config->document)
+			status = ctl_fail(CTL_REFUSED, "the answer holds no document");
+	}
+	http_clear(&answer);
+	return status;
+}
+
+static void print_generation(const ctl_options_t *o, json_int_t generation)
+{
+	if (o->json)
+		ctl_print_json(json_pack("{s:I}", "generation", generation));
+	else
+		printf("generation %" JSON_INTEGER_FORMAT "\n", generation);
+}
+
+/* The answer to a write was lost: the document in force tells whether it was taken. */
+static ctl_exit_t settle(const ctl_options_t *o, json_t *sent)
+{
+	config_t now;
+	ctl_exit_t status = read_config(o, &now);
+
+	if (status == CTL_OK && json_equal(now.document, sent)) {
+		print_generation(o, now.generation);
+	} else {
+		status = ctl_fail(CTL_UNKNOWN, "not known whether it was accepted; see 'get'");
+	}
+	json_decref(now.document);
+	return status;
+}
+
+static ctl_exit_t put_document(const ctl_options_t *o, json_t *document, uint64_t base)
+{
+	char path[64];
+	http_request_t request = http_admin(o, &o->admins[0], EVHTTP_REQ_PUT, path);
+	http_answer_t answer;
+	ctl_exit_t status = CTL_OK;
+	char *text = json_dumps(document, JSON_COMPACT);
+
+	snprintf(path, sizeof(path), "/config?base=%" PRIu64, base);
+	request.body = text;
+	if (http_call(&request, &answer) && answer.code == 200) {
+		json_t *json = http_json(&answer);
+
+		print_generation(o, json_integer_value(json_object_get(json, "generation")));
+		json_decref(json);
+	} else {
+		status = http_fail(&request, &answer);
+	}
+	http_clear(&answer);
+	free(text);
+	return status == CTL_UNKNOWN ? settle(o, document) : status;
+}
+
+/* Which generation the file counts as made from. */
+static ctl_exit_t choose_base(const ctl_options_t *o, uint64_t *base)
+{
+	config_t now;
+	ctl_exit_t status;
+
+	*base = o->base;
+	if (o->has_base)
+		return CTL_OK;
+	status = read_config(o, &now);
+	if (status != CTL_OK)
+		return status;
+	json_decref(now.document);
+	*base = (uint64_t)now.generation;
+	if (now.generation > 0 && !o->replace)
+		return ctl_fail(CTL_CONFLICT,
+				"generation %" JSON_INTEGER_FORMAT
+				" is in force; give --base=N, the one that the file was made from, "
+				"or --replace",
+				now.generation);
+	return CTL_OK;
+}
+
+ctl_exit_t ctl_apply(const ctl_options_t *o)
+{
+	json_t *document = checked_document(o);
+	ctl_exit_t status;
+	uint64_t base;
+
+	if (!document)
+		return CTL_INVALID;
+	status = choose_base(o, &base);
+	if (status == CTL_OK)
+		status = put_document(o, document, base);
+	json_decref(document);
+	return status;
+}
+
+ctl_exit_t ctl_get(const ctl_options_t *o)
+{
+	config_t now;
+	ctl_exit_t status = read_config(o, &now);
+
+	if (status != CTL_OK)
+		return status;
+	if (o->json) {
+		ctl_print_json(json_pack("{s:I, s:o}", "generation", now.generation, "document",
+					 now.document));
+		return CTL_OK;
+	}
+	fprintf(stderr, "generation %" JSON_INTEGER_FORMAT "\n", now.generation);
+	json_dumpf(now.document, stdout, JSON_INDENT(2));
+	putchar('\n');
+	json_decref(now.document);
+	return CTL_OK;
+}
+
+static void print_value(json_t *value)
+{
+	if (json_is_null(value))
+		fputs("(absent)", stdout);
+	else
+		json_dumpf(value, stdout, JSON_COMPACT | JSON_ENCODE_ANY);
+}
+
+static void print_difference(json_t *diff)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (diff, i, item) {
+		printf("%s: ", json_string_value(json_object_get(item, "field")));
+		print_value(json_object_get(item, "old"));
+		fputs(" -> ", stdout);
+		print_value(json_object_get(item, "new"));
+		putchar('\n');
+	}
+}
+
+ctl_exit_t ctl_diff(const ctl_options_t *o)
+{
+	json_t *document = checked_document(o);
+	ctl_exit_t status;
+	config_t now;
+	json_t *diff;
+
+	if (!document)
+		return CTL_INVALID;
+	status = read_config(o, &now);
+	if (status == CTL_OK) {
+		diff = ap_conf_diff(now.document, document);
+		status = json_array_size(diff) > 0 ? CTL_DIFFERENT : CTL_OK;
+		if (o->json)
+			ctl_print_json(json_incref(diff));
+		else
+			print_difference(diff);
+		json_decref(diff);
+	}
+	json_decref(now.document);
+	json_decref(document);
+	return status;
+}
--- /dev/null
+++ b/cmd/arbutuspondctl/http.c
@@ -0,0 +1,193 @@
+/* The tool's HTTP client: one event loop a call. */
+#include "http.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define CALL_TIMEOUT_S 120
+
+typedef struct call {
+	const http_request_t *request;
+	http_answer_t *answer;
+	struct event_base *base;
+} call_t;
+
+static void take_part(call_t *call, struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	http_answer_t *a = call->answer;
+	size_t len = evbuffer_get_length(in);
+	char *grown = realloc(a->body, a->len + len + 1);
+
+	if (!grown)
+		abort();
+	a->body = grown;
+	evbuffer_remove(in, a->body + a->len, len);
+	a->body[a->len + len] = '\0';
+	if (call->request->part && evhttp_request_get_response_code(req) == 200)
+		call->request->part(call->request->ctx, a->body + a->len, len);
+	a->len += len;
+}
+
+static void on_part(struct evhttp_request *req, void *arg)
+{
+	take_part(arg, req);
+}
+
+static int on_head(struct evhttp_request *req, void *arg)
+{
+	call_t *call = arg;
+	struct evkeyval *header;
+
+	call->answer->code = evhttp_request_get_response_code(req);
+	TAILQ_FOREACH (header, evhttp_request_get_input_headers(req), next)
+		evhttp_add_header(&call->answer->headers, header->key, header->value);
+	return 0;
+}
+
+static void on_done(struct evhttp_request *req, void *arg)
+{
+	call_t *call = arg;
+
+	if (req && evhttp_request_get_response_code(req) != 0) {
+		take_part(call, req);
+		call->answer->whole = true;
+	}
+	event_base_loopbreak(call->base);
+}
+
+static void add_headers(struct evhttp_request *req, const http_request_t *request)
+{
+	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+	char text[512];
+
+	snprintf(text, sizeof(text), "%s:%u", request->to->host, request->to->port);
+	evhttp_add_header(out, "Host", text);
+	evhttp_add_header(out, "Connection", "close");
+	if (request->bearer) {
+		snprintf(text, sizeof(text), "Bearer %s", request->bearer);
+		evhttp_add_header(out, "Authorization", text);
+	}
+	for (const char *const *h = request->headers; h && *h; h += 2) {
+		if (h[1] && *h[1])
+			evhttp_add_header(out, h[0], h[1]);
+	}
+	if (request->body)
+		evbuffer_add(evhttp_request_get_output_buffer(req), request->body,
+			     strlen(request->body));
+}
+
+static bool start(call_t *call, struct evhttp_connection *conn)
+{
+	struct evhttp_request *req = evhttp_request_new(on_done, call);
+
+	if (!req)
+		return false;
+	evhttp_request_set_header_cb(req, on_head);
+	evhttp_request_set_chunked_cb(req, on_part);
+	add_headers(req, call->request);
+	return evhttp_make_request(conn, req, call->request->method, call->request->path) == 0;
+}
+
+bool http_call(const http_request_t *request, http_answer_t *answer)
+{
+	struct event_base *base = event_base_new();
+	call_t call = {.request = request, .answer = answer, .base = base};
+	struct evhttp_connection *conn;
+
+	*answer = (http_answer_t){.body = strdup("")};
+	TAILQ_INIT(&answer->headers);
+	if (!base || !answer->body)
+		abort();
+	conn = evhttp_connection_base_new(base, NULL, request->to->host, request->to->port);
+	if (!conn)
+		abort();
+	evhttp_connection_set_timeout(conn, CALL_TIMEOUT_S);
+	if (start(&call, conn))
+		event_base_dispatch(base);
+	answer->connected = answer->code != 0 ||
+			    bufferevent_getfd(evhttp_connection_get_bufferevent(conn)) >= 0;
+	evhttp_connection_free(conn);
+	event_base_free(base);
+	return answer->whole;
+}
+
+void http_clear(http_answer_t *answer)
+{
+	evhttp_clear_headers(&answer->headers);
+	free(answer->body);
+}
+
+const char *http_header(const http_answer_t *answer, const char *name)
+{
+	const char *value = evhttp_find_header(&answer->headers, name);
+
+	return value ? value : "";
+}
+
+json_t *http_json(const http_answer_t *answer)
+{
+	return json_loadb(answer->body, answer->len, 0, NULL);
+}
+
+static ctl_exit_t exit_for(int code)
+{
+	switch (code) {
+	case 400:
+		return CTL_INVALID;
+	case 409:
+		return CTL_CONFLICT;
+	case 502:
+	case 504:
+		return CTL_UNKNOWN;
+	case 503:
+		return CTL_NOT_RUN;
+	default:
+		return CTL_REFUSED;
+	}
+}
+
+static void print_fields(json_t *fields)
+{
+	json_t *field;
+	size_t i;
+
+	json_array_foreach (fields, i, field) {
+		const char *name = json_string_value(field);
+
+		fprintf(stderr, "  %s\n", name ? name : "?");
+	}
+}
+
+ctl_exit_t http_fail(const http_request_t *request, const http_answer_t *answer)
+{
+	json_t *json;
+	json_t *error;
+	const char *message;
+
+	if (!answer->whole) {
+		ctl_fail(CTL_UNREACHABLE, "%s:%u: %s", request->to->host, request->to->port,
+			 answer->connected ? "no whole answer" : "no connection");
+		return answer->connected && request->method != EVHTTP_REQ_GET ? CTL_UNKNOWN
+									      : CTL_UNREACHABLE;
+	}
+	json = http_json(answer);
+	error = json_object_get(json, "error");
+	message = json_string_value(json_object_get(error, "message"));
+	ctl_fail(CTL_REFUSED, "%s:%u answered %d: %s", request->to->host, request->to->port,
+		 answer->code, message ? message : answer->body);
+	print_fields(json_object_get(json, "fields"));
+	json_decref(json);
+	return exit_for(answer->code);
+}
+
+http_request_t http_admin(const ctl_options_t *o, const ap_address_t *to,
+			  enum evhttp_cmd_type method, const char *path)
+{
+	return (http_request_t){.to = to, .method = method, .path = path, .bearer = o->token};
+}
