--- a/cmd/arbutuspondctl/ask.c
+++ b/cmd/arbutuspondctl/ask.c
@@ -186,9 +186,9 @@
 	if (ask->o->json) {
 		ctl_print_json(json_pack(
 			"{s:i, s:s%, s:s, s:s, s:s, s:s, s:s, s:b}", "status", answer->code,
-			"answer", (const char *)evbuffer_pullup(ask->text, -1), len, "region",
-			ask->region, "cost", ask->cost, "outcome", ask->outcome, "request",
-			http_header(answer, "Arbutuspond-Request-Id"), "permit",
+			"answer", len ? (const char *)evbuffer_pullup(ask->text, -1) : "", len,
+			"region", ask->region, "cost", ask->cost, "outcome", ask->outcome,
+			"request", http_header(answer, "Arbutuspond-Request-Id"), "permit",
 			permit ? permit : "", "whole", ask->done));
 		return;
 	}
