--- /dev/null
+++ b/adapters/http/client.c
@@ -0,0 +1,469 @@
+/*
+ * The client side: requests to upstreams over kept connections, with limits. A limit that passes
+ * on a connection is settled by a probe over a new one, so that a connection which went silent is
+ * told from an upstream that does not answer. Connections are freed from the event loop only,
+ * never from within a callback of the library.
+ */
+#include "http/client.h"
+
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define PROBE_LIMIT (1 * AP_SEC)
+#define PROVED_FOR (500 * AP_MSEC)    /* how long a whole answer proves its connection */
+#define USER_TIMEOUT_MS 10000	      /* unacknowledged bytes close a connection after this */
+#define LIBRARY_TIMEOUT_S (24 * 3600) /* our own limits come first */
+
+void conn_discard(conn_t *conn)
+{
+	ap_http_client_t *client = conn->address->client;
+
+	if (conn->place == PLACE_DEAD)
+		return;
+	if (conn->place != PLACE_NONE)
+		TAILQ_REMOVE(conn->place == PLACE_IDLE ? &conn->address->idle
+						       : &conn->address->busy,
+			     conn, link);
+	conn->place = PLACE_DEAD;
+	TAILQ_INSERT_TAIL(&client->dead, conn, link);
+	event_active(client->reaper, 0, 0);
+}
+
+/* A drain while the descriptor is open is a write; the library drains unsent bytes after closing.
+ */
+static void on_output(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	conn_t *conn = arg;
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn->evcon);
+
+	(void)buf;
+	if (info->n_deleted && conn->fetch && bufferevent_getfd(bev) >= 0)
+		conn->fetch->written += info->n_deleted;
+}
+
+static void on_idle_close(struct evhttp_connection *evcon, void *arg)
+{
+	conn_t *conn = arg;
+
+	(void)evcon;
+	if (conn->place == PLACE_IDLE)
+		conn_discard(conn);
+}
+
+static conn_t *conn_open(address_t *address)
+{
+	struct event_base *base = address->client->base;
+	struct timeval limit = {.tv_sec = LIBRARY_TIMEOUT_S};
+	conn_t *conn = calloc(1, sizeof(*conn));
+
+	if (!conn)
+		return NULL;
+	conn->address = address;
+	conn->opened = ap_now();
+	conn->evcon = evhttp_connection_base_new(base, NULL, address->host, address->port);
+	if (!conn->evcon) {
+		free(conn);
+		return NULL;
+	}
+	evhttp_connection_set_retries(conn->evcon, 0);
+	evhttp_connection_set_timeout_tv(conn->evcon, &limit);
+	evhttp_connection_set_closecb(conn->evcon, on_idle_close, conn);
+	evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(conn->evcon)),
+			on_output, conn);
+	address->client->stats.opened++;
+	address->conns++;
+	return conn;
+}
+
+/* The most recently used connection, so that the others can age and be closed. */
+static conn_t *conn_reuse(address_t *address, bool fresh, ap_usec_t now)
+{
+	conn_t *conn;
+
+	while ((conn = TAILQ_FIRST(&address->idle)) != NULL) {
+		if (now - conn->proved > conn->idle_limit) {
+			address->client->stats.idle_closed++;
+			conn_discard(conn);
+			continue;
+		}
+		if (fresh && now - conn->proved > PROVED_FOR)
+			return NULL;
+		TAILQ_REMOVE(&address->idle, conn, link);
+		conn->place = PLACE_NONE;
+		address->client->stats.reused++;
+		return conn;
+	}
+	return NULL;
+}
+
+static address_t *address_new(ap_http_client_t *client, const char *key, const char *host,
+			      uint16_t port)
+{
+	address_t *address = calloc(1, sizeof(*address));
+
+	if (!address)
+		return NULL;
+	ap_copy_name(address->key, sizeof(address->key), key);
+	ap_copy_name(address->host, sizeof(address->host), host);
+	address->port = port;
+	address->client = client;
+	TAILQ_INIT(&address->idle);
+	TAILQ_INIT(&address->busy);
+	return address;
+}
+
+static void address_insert(ap_http_client_t *client, address_t *address)
+{
+	HASH_ADD(hh, client->addresses, key, strlen(address->key), address);
+}
+
+static address_t *address_of(ap_http_client_t *client, const char *host, uint16_t port)
+{
+	char key[ADDRESS_KEY_MAX];
+	address_t *address;
+
+	snprintf(key, sizeof(key), "%s %u", host, port);
+	HASH_FIND_STR(client->addresses, key, address);
+	if (address)
+		return address;
+	address = address_new(client, key, host, port);
+	if (address)
+		address_insert(client, address);
+	return address;
+}
+
+static void fetch_free(ap_http_fetch_t *fetch)
+{
+	if (fetch->probe)
+		ap_http_fetch_cancel(fetch->probe);
+	event_free(fetch->timer);
+	free(fetch);
+}
+
+/* Ends @fetch; @keep returns its connection to the pool once the library is done with it. */
+static void finish(ap_http_fetch_t *fetch, ap_http_end_t end, bool keep)
+{
+	conn_t *conn = fetch->conn;
+	bool written = fetch->written > 0;
+
+	conn->fetch = NULL;
+	if (keep && !conn->retired) {
+		conn->proved = ap_now();
+		conn->idle_limit = fetch->config.idle;
+		conn->keep = true;
+		event_active(conn->address->client->reaper, 0, 0);
+	} else {
+		conn_discard(conn);
+	}
+	fetch->config.end(fetch->config.ctx, end, written);
+	fetch_free(fetch);
+}
+
+static int on_head(struct evhttp_request *req, void *arg)
+{
+	conn_t *conn = arg;
+	ap_http_fetch_t *fetch = conn->fetch;
+	ap_http_head_t head = {
+		.status = evhttp_request_get_response_code(req),
+		.headers = evhttp_request_get_input_headers(req),
+	};
+
+	if (!fetch)
+		return 0;
+	fetch->heard = true;
+	fetch->last = ap_now();
+	if (fetch->config.head)
+		fetch->config.head(fetch->config.ctx, &head);
+	return 0;
+}
+
+static void on_chunk(struct evhttp_request *req, void *arg)
+{
+	conn_t *conn = arg;
+	ap_http_fetch_t *fetch = conn->fetch;
+	struct evbuffer *buf = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(buf);
+
+	if (!fetch || len == 0)
+		return;
+	fetch->last = ap_now();
+	fetch->got += len;
+	if (fetch->got > fetch->config.answer_max) {
+		finish(fetch, AP_HTTP_MALFORMED, false);
+		return;
+	}
+	if (fetch->config.data)
+		fetch->config.data(fetch->config.ctx, evbuffer_pullup(buf, -1), len);
+}
+
+static bool has_no_body(const struct evhttp_request *req)
+{
+	int status = req->response_code;
+
+	return req->type == EVHTTP_REQ_HEAD || status == HTTP_NOCONTENT ||
+	       status == HTTP_NOTMODIFIED || status < 200;
+}
+
+/* Whole by framing: the length or the last chunk was reached, and nothing follows. */
+static bool framed_whole(const struct evhttp_request *req, struct bufferevent *bev)
+{
+	if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+		return false;
+	if (has_no_body(req) || evhttp_find_header(req->input_headers, "Content-Length"))
+		return true;
+	return evhttp_find_header(req->input_headers, "Transfer-Encoding") != NULL;
+}
+
+static void on_done(struct evhttp_request *req, void *arg)
+{
+	conn_t *conn = arg;
+	ap_http_fetch_t *fetch = conn->fetch;
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn->evcon);
+
+	if (!fetch) {
+		conn->failed = true;
+		return;
+	}
+	if (!req)
+		finish(fetch, fetch->library_end, false);
+	else if (req->response_code == 0)
+		finish(fetch, fetch->written ? AP_HTTP_RESET : AP_HTTP_UNREACHABLE, false);
+	else if (!framed_whole(req, bev))
+		finish(fetch, AP_HTTP_MALFORMED, false);
+	else
+		finish(fetch, AP_HTTP_WHOLE, bufferevent_getfd(bev) >= 0);
+}
+
+static void on_error(enum evhttp_request_error error, void *arg)
+{
+	conn_t *conn = arg;
+
+	if (conn->fetch &&
+	    (error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG))
+		conn->fetch->library_end = AP_HTTP_MALFORMED;
+}
+
+static void arm(ap_http_fetch_t *fetch, ap_usec_t delay)
+{
+	struct timeval tv;
+
+	if (delay < AP_MSEC)
+		delay = AP_MSEC;
+	tv.tv_sec = (time_t)(delay / AP_SEC);
+	tv.tv_usec = (suseconds_t)(delay % AP_SEC);
+	event_add(fetch->timer, &tv);
+}
+
+static ap_usec_t limit_of(const ap_http_fetch_t *fetch)
+{
+	return fetch->heard ? fetch->config.between : fetch->config.first_byte;
+}
+
+static void on_probe_end(void *ctx, ap_http_end_t end, bool written)
+{
+	ap_http_fetch_t *fetch = ctx;
+
+	(void)written;
+	fetch->probe = NULL;
+	fetch->probed =
+		end == AP_HTTP_WHOLE || end == AP_HTTP_MALFORMED ? PROBE_ANSWERED : PROBE_FAILED;
+	if (fetch->limit_passed)
+		fetch_limit(fetch);
+}
+
+/* Any answer over a new connection shows that the upstream itself is there. */
+static void start_probe(ap_http_fetch_t *fetch)
+{
+	address_t *address = fetch->conn->address;
+	ap_http_fetch_config_t config = {
+		.host = address->host,
+		.port = address->port,
+		.method = EVHTTP_REQ_HEAD,
+		.target = "/",
+		.fresh = true,
+		.first_byte = PROBE_LIMIT,
+		.between = PROBE_LIMIT,
+		.answer_max = 64 * 1024,
+		.ctx = fetch,
+		.end = on_probe_end,
+	};
+
+	fetch->suspected = fetch->last;
+	fetch->probed = PROBE_FAILED;
+	fetch->probe = fetch_over(address->client, &config, conn_open(address), true);
+	if (fetch->probe)
+		fetch->probed = PROBE_RUNNING;
+	address->client->stats.probes++;
+}
+
+/* Idle connections opened before the silence began are as doubtful as the silent one. */
+static void retire_older(address_t *address, ap_usec_t before)
+{
+	conn_t *conn;
+	conn_t *next;
+
+	for (conn = TAILQ_FIRST(&address->idle); conn; conn = next) {
+		next = TAILQ_NEXT(conn, link);
+		if (conn->proved <= before) {
+			conn_discard(conn);
+			address->client->stats.retired++;
+		}
+	}
+	TAILQ_FOREACH (conn, &address->busy, link) {
+		if (conn->opened <= before)
+			conn->retired = true;
+	}
+}
+
+void fetch_limit(ap_http_fetch_t *fetch)
+{
+	address_t *address = fetch->conn->address;
+
+	fetch->limit_passed = true;
+	if (fetch->is_probe || fetch->probed == PROBE_FAILED) {
+		finish(fetch, AP_HTTP_TIMEOUT, false);
+		return;
+	}
+	if (fetch->probed == PROBE_RUNNING)
+		return;
+	address->client->stats.retired++;
+	retire_older(address, fetch->suspected);
+	finish(fetch, AP_HTTP_SILENT, false);
+}
+
+/* Half of a limit without a byte raises the suspicion; at the whole limit the probe decides. */
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	ap_http_fetch_t *fetch = arg;
+	ap_usec_t limit = limit_of(fetch);
+	ap_usec_t now = ap_now();
+	ap_usec_t silent = now - fetch->last;
+
+	(void)fd;
+	(void)what;
+	if (fetch->paused) {
+		arm(fetch, limit / 2);
+		return;
+	}
+	if (silent >= limit) {
+		if (fetch->probed == PROBE_NONE && !fetch->is_probe)
+			start_probe(fetch);
+		fetch_limit(fetch);
+		return;
+	}
+	if (fetch->probed != PROBE_NONE && fetch->suspected != fetch->last) {
+		if (fetch->probe)
+			ap_http_fetch_cancel(fetch->probe);
+		fetch->probe = NULL;
+		fetch->probed = PROBE_NONE;
+	}
+	if (silent >= limit / 2 && fetch->probed == PROBE_NONE && !fetch->is_probe)
+		start_probe(fetch);
+	arm(fetch, silent < limit / 2 ? limit / 2 - silent : limit - silent);
+}
+
+static void set_socket(conn_t *conn)
+{
+	int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn->evcon));
+	int one = 1;
+	unsigned timeout = USER_TIMEOUT_MS;
+
+	if (fd < 0)
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+static struct evhttp_request *make_request(conn_t *conn, const ap_http_fetch_config_t *config)
+{
+	struct evhttp_request *req = evhttp_request_new(on_done, conn);
+	struct evkeyvalq *headers;
+
+	if (!req)
+		return NULL;
+	headers = evhttp_request_get_output_headers(req);
+	for (size_t i = 0; i < config->n_headers; i++)
+		evhttp_add_header(headers, config->headers[i].name, config->headers[i].value);
+	if (!evhttp_find_header(headers, "Host"))
+		evhttp_add_header(headers, "Host", conn->address->host);
+	evbuffer_add(evhttp_request_get_output_buffer(req), config->body, config->len);
+	evhttp_request_set_header_cb(req, on_head);
+	evhttp_request_set_chunked_cb(req, on_chunk);
+	evhttp_request_set_error_cb(req, on_error);
+	return req;
+}
+
+ap_http_fetch_t *fetch_over(ap_http_client_t *client, const ap_http_fetch_config_t *config,
+			    conn_t *conn, bool is_probe)
+{
+	ap_http_fetch_t *fetch = calloc(1, sizeof(*fetch));
+	struct evhttp_request *req = conn ? make_request(conn, config) : NULL;
+
+	if (fetch)
+		fetch->timer = evtimer_new(client->base, on_timer, fetch);
+	if (!fetch || !req || !fetch->timer) {
+		if (req)
+			evhttp_request_free(req);
+		if (conn)
+			conn_discard(conn);
+		if (fetch && fetch->timer)
+			event_free(fetch->timer);
+		free(fetch);
+		return NULL;
+	}
+	fetch->config = *config;
+	fetch->conn = conn;
+	fetch->is_probe = is_probe;
+	fetch->library_end = AP_HTTP_RESET;
+	fetch->last = ap_now();
+	conn->keep = false;
+	conn->place = PLACE_BUSY;
+	TAILQ_INSERT_TAIL(&conn->address->busy, conn, link);
+	/* The library may report a failed connect from within. */
+	if (evhttp_make_request(conn->evcon, req, config->method, config->target) != 0 ||
+	    conn->failed) {
+		conn_discard(conn);
+		event_free(fetch->timer);
+		free(fetch);
+		return NULL;
+	}
+	conn->fetch = fetch;
+	set_socket(conn);
+	arm(fetch, config->first_byte / 2);
+	return fetch;
+}
+
+ap_http_fetch_t *ap_http_fetch(ap_http_client_t *client, const ap_http_fetch_config_t *config)
+{
+	address_t *address = address_of(client, config->host, config->port);
+	conn_t *conn;
+
+	if (!address)
+		return NULL;
+	conn = conn_reuse(address, config->fresh, ap_now());
+	if (!conn)
+		conn = conn_open(address);
+	return fetch_over(client, config, conn, false);
+}
+
+void ap_http_fetch_cancel(ap_http_fetch_t *fetch)
+{
+	fetch->conn->fetch = NULL;
+	conn_discard(fetch->conn);
+	fetch_free(fetch);
+}
+
+void ap_http_fetch_pause(ap_http_fetch_t *fetch, bool paused)
+{
+	if (fetch->paused == paused)
+		return;
+	fetch->paused = paused;
+	fetch->last = ap_now();
+	/* Later, since the library turns reading on again after each part. */
+	event_active(fetch->conn->address->client->reaper, 0, 0);
+}
--- /dev/null
+++ b/adapters/http/http.h
@@ -0,0 +1,174 @@
+/*
+ * HTTP/1.1 over evhttp: a server for callers and a client for upstreams. One object a task; all
+ * callbacks come from the task's event loop.
+ */
+#ifndef AP_HTTP_H
+#define AP_HTTP_H
+
+#include "base/base.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+/**
+ * struct ap_http_header - one header line; both texts are copied by whoever takes it.
+ */
+typedef struct ap_http_header {
+	const char *name;
+	const char *value;
+} ap_http_header_t;
+
+typedef enum ap_http_status {
+	AP_HTTP_STATUS_OK,
+	AP_HTTP_STATUS_BIND,	  /* the address is taken or wrong */
+	AP_HTTP_STATUS_NO_MEMORY, /* nothing was made */
+} ap_http_status_t;
+
+typedef struct ap_http_server ap_http_server_t;
+
+/*
+ * One request of a caller. The handle is valid until the final reply was given or the closed
+ * callback returned, whichever comes first.
+ */
+typedef struct ap_http_call ap_http_call_t;
+
+/**
+ * struct ap_http_server_config - made once at start.
+ * @port: 0 lets the system choose, see ap_http_server_port()
+ * @header_bytes: largest request line and headers
+ * @body_bytes: largest body
+ * @connections: open connections at most; more are closed at once
+ * @idle: life of a connection without a request, and of a reply that the caller does not read
+ * @request: takes each whole request
+ */
+typedef struct ap_http_server_config {
+	struct event_base *base;
+	const char *host;
+	uint16_t port;
+	size_t header_bytes;
+	size_t body_bytes;
+	size_t connections;
+	ap_usec_t idle;
+	void *ctx;
+	void (*request)(void *ctx, ap_http_call_t *call);
+} ap_http_server_config_t;
+
+ap_http_status_t ap_http_server_new(const ap_http_server_config_t *config,
+				    ap_http_server_t **server, ap_err_t *err);
+/** ap_http_server_free() - closes every connection; open calls get their closed callback. */
+void ap_http_server_free(ap_http_server_t *server);
+uint16_t ap_http_server_port(const ap_http_server_t *server);
+
+/**
+ * ap_http_call_watch() - who hears of @call.
+ * @closed: the caller hung up; the handle ends with this callback
+ * @drained: all that was written has gone to the caller
+ */
+void ap_http_call_watch(ap_http_call_t *call, void *ctx, void (*closed)(void *ctx),
+			void (*drained)(void *ctx));
+enum evhttp_cmd_type ap_http_call_method(const ap_http_call_t *call);
+/** ap_http_call_target() - path and query as received. */
+const char *ap_http_call_target(const ap_http_call_t *call);
+/** ap_http_call_path() - path without the query. */
+const char *ap_http_call_path(const ap_http_call_t *call);
+/** ap_http_call_query() - copies one decoded query value; false when absent or too long. */
+bool ap_http_call_query(const ap_http_call_t *call, const char *key, char *out, size_t size);
+/** ap_http_call_header() - NULL when absent. */
+const char *ap_http_call_header(const ap_http_call_t *call, const char *name);
+const void *ap_http_call_body(ap_http_call_t *call, size_t *len);
+/** ap_http_call_drop_body() - frees the body unread. */
+void ap_http_call_drop_body(ap_http_call_t *call);
+
+/** ap_http_reply() - a whole answer; ends @call. */
+void ap_http_reply(ap_http_call_t *call, int status, const ap_http_header_t *headers, size_t n,
+		   const void *body, size_t len);
+/** ap_http_reply_start() - begins an answer in parts. */
+void ap_http_reply_start(ap_http_call_t *call, int status, const ap_http_header_t *headers,
+			 size_t n);
+void ap_http_reply_write(ap_http_call_t *call, const void *data, size_t len);
+/** ap_http_reply_end() - ends an answer in parts; ends @call. */
+void ap_http_reply_end(ap_http_call_t *call);
+/** ap_http_reply_abort() - closes the connection so that the answer is seen as cut; ends @call. */
+void ap_http_reply_abort(ap_http_call_t *call);
+/** ap_http_reply_pending() - bytes written but not yet taken by the caller's connection. */
+size_t ap_http_reply_pending(const ap_http_call_t *call);
+
+typedef struct ap_http_client ap_http_client_t;
+typedef struct ap_http_fetch ap_http_fetch_t;
+
+/* How a request to an upstream ended. */
+typedef enum ap_http_end {
+	AP_HTTP_WHOLE,	     /* the answer is whole by its framing */
+	AP_HTTP_UNREACHABLE, /* no connection */
+	AP_HTTP_RESET,	     /* closed before the answer was whole */
+	AP_HTTP_TIMEOUT,     /* a limit passed, and a new connection does not answer either */
+	AP_HTTP_SILENT,	     /* a limit passed, but a new connection answers */
+	AP_HTTP_MALFORMED,   /* wrong length, no framing, or too long */
+} ap_http_end_t;
+
+/**
+ * struct ap_http_head - head of an upstream's answer, valid during the callback.
+ */
+typedef struct ap_http_head {
+	int status;
+	struct evkeyvalq *headers;
+} ap_http_head_t;
+
+/**
+ * struct ap_http_fetch_config - one request to an upstream.
+ * @method: one of EVHTTP_REQ_*
+ * @fresh: use only a new or just-proved connection
+ * @first_byte: limit from now to the head of the answer
+ * @between: limit between two parts of the answer
+ * @idle: how long the connection may be kept for another request
+ * @answer_max: largest answer in bytes
+ * @head: the head has come
+ * @data: a part of the body
+ * @end: the last callback; @written: a byte of the request was given to the connection
+ */
+typedef struct ap_http_fetch_config {
+	const char *host;
+	uint16_t port;
+	enum evhttp_cmd_type method;
+	const char *target;
+	const ap_http_header_t *headers;
+	size_t n_headers;
+	const void *body;
+	size_t len;
+	bool fresh;
+	ap_usec_t first_byte;
+	ap_usec_t between;
+	ap_usec_t idle;
+	size_t answer_max;
+	void *ctx;
+	void (*head)(void *ctx, const ap_http_head_t *head);
+	void (*data)(void *ctx, const void *data, size_t len);
+	void (*end)(void *ctx, ap_http_end_t end, bool written);
+} ap_http_fetch_config_t;
+
+ap_http_client_t *ap_http_client_new(struct event_base *base);
+/** ap_http_client_free() - drops open requests without callbacks. */
+void ap_http_client_free(ap_http_client_t *client);
+/**
+ * ap_http_fetch() - sends a request; no callback comes from within the call.
+ *
+ * Return: a handle valid until the end callback or ap_http_fetch_cancel(), or NULL when nothing
+ * was sent.
+ */
+ap_http_fetch_t *ap_http_fetch(ap_http_client_t *client, const ap_http_fetch_config_t *config);
+/** ap_http_fetch_cancel() - closes the connection; no callback follows. */
+void ap_http_fetch_cancel(ap_http_fetch_t *fetch);
+/** ap_http_fetch_pause() - stops or restarts reading the answer; limits stand still meanwhile. */
+void ap_http_fetch_pause(ap_http_fetch_t *fetch, bool paused);
+
+typedef struct ap_http_client_stats {
+	uint64_t opened;
+	uint64_t reused;
+	uint64_t probes;
+	uint64_t retired; /* connections closed because a new one answered while one was silent */
+	uint64_t idle_closed;
+} ap_http_client_stats_t;
+
+ap_http_client_stats_t ap_http_client_stats(const ap_http_client_t *client);
+
+#endif
--- /dev/null
+++ b/adapters/http/pool.c
@@ -0,0 +1,165 @@
+/* Life of the client's connections: kept, aged, freed and paused from the event loop. */
+#include "http/client.h"
+
+#include <event2/bufferevent.h>
+#include <stdlib.h>
+
+#define SWEEP_S 1 /* how often idle connections are aged */
+
+static void free_dead(ap_http_client_t *client)
+{
+	conn_t *conn = TAILQ_FIRST(&client->dead);
+	conn_t *next;
+
+	TAILQ_INIT(&client->dead);
+	for (; conn; conn = next) {
+		next = TAILQ_NEXT(conn, link);
+		evhttp_connection_set_closecb(conn->evcon, NULL, NULL);
+		evhttp_connection_free(conn->evcon);
+		conn->address->conns--;
+		free(conn);
+	}
+}
+
+static void apply_pause(conn_t *conn)
+{
+	bool stop = conn->fetch && conn->fetch->paused;
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn->evcon);
+
+	if (stop)
+		bufferevent_disable(bev, EV_READ);
+	else if (conn->stopped)
+		bufferevent_enable(bev, EV_READ);
+	conn->stopped = stop;
+}
+
+static void settle(address_t *address)
+{
+	conn_t *conn;
+	conn_t *next;
+
+	for (conn = TAILQ_FIRST(&address->busy); conn; conn = next) {
+		next = TAILQ_NEXT(conn, link);
+		apply_pause(conn);
+		if (!conn->keep)
+			continue;
+		conn->keep = false;
+		if (bufferevent_getfd(evhttp_connection_get_bufferevent(conn->evcon)) < 0) {
+			conn_discard(conn);
+			continue;
+		}
+		TAILQ_REMOVE(&address->busy, conn, link);
+		TAILQ_INSERT_HEAD(&address->idle, conn, link);
+		conn->place = PLACE_IDLE;
+	}
+}
+
+static void on_reap(evutil_socket_t fd, short what, void *arg)
+{
+	ap_http_client_t *client = arg;
+	address_t *address;
+
+	(void)fd;
+	(void)what;
+	for (address = client->addresses; address; address = address->hh.next)
+		settle(address);
+	free_dead(client);
+}
+
+static void age_idle(address_t *address, ap_usec_t now)
+{
+	conn_t *conn;
+	conn_t *next;
+
+	for (conn = TAILQ_FIRST(&address->idle); conn; conn = next) {
+		next = TAILQ_NEXT(conn, link);
+		if (now - conn->proved <= conn->idle_limit)
+			continue;
+		address->client->stats.idle_closed++;
+		conn_discard(conn);
+	}
+}
+
+static void on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	ap_http_client_t *client = arg;
+	struct timeval again = {.tv_sec = SWEEP_S};
+	ap_usec_t now = ap_now();
+	address_t *empty = NULL;
+	address_t *address;
+
+	(void)fd;
+	(void)what;
+	for (address = client->addresses; address; address = address->hh.next) {
+		age_idle(address, now);
+		if (address->conns == 0)
+			empty = address;
+	}
+	/* One a turn is enough, since addresses change slowly. */
+	if (empty) {
+		HASH_DEL(client->addresses, empty);
+		free(empty);
+	}
+	event_add(client->sweep, &again);
+}
+
+ap_http_client_t *ap_http_client_new(struct event_base *base)
+{
+	ap_http_client_t *client = calloc(1, sizeof(*client));
+	struct timeval again = {.tv_sec = SWEEP_S};
+
+	if (!client)
+		return NULL;
+	client->base = base;
+	TAILQ_INIT(&client->dead);
+	client->reaper = event_new(base, -1, 0, on_reap, client);
+	client->sweep = evtimer_new(base, on_sweep, client);
+	if (!client->reaper || !client->sweep) {
+		ap_http_client_free(client);
+		return NULL;
+	}
+	event_add(client->sweep, &again);
+	return client;
+}
+
+static void drop_all(struct conns *conns)
+{
+	conn_t *conn;
+
+	while ((conn = TAILQ_FIRST(conns)) != NULL) {
+		if (conn->fetch)
+			ap_http_fetch_cancel(conn->fetch);
+		else
+			conn_discard(conn);
+	}
+}
+
+void ap_http_client_free(ap_http_client_t *client)
+{
+	address_t *address;
+	address_t *next;
+
+	if (!client)
+		return;
+	for (address = client->addresses; address; address = address->hh.next) {
+		drop_all(&address->busy);
+		drop_all(&address->idle);
+	}
+	free_dead(client);
+	address = client->addresses;
+	HASH_CLEAR(hh, client->addresses);
+	for (; address; address = next) {
+		next = address->hh.next;
+		free(address);
+	}
+	if (client->reaper)
+		event_free(client->reaper);
+	if (client->sweep)
+		event_free(client->sweep);
+	free(client);
+}
+
+ap_http_client_stats_t ap_http_client_stats(const ap_http_client_t *client)
+{
+	return client->stats;
+}
--- /dev/null
+++ b/adapters/http/server.c
@@ -0,0 +1,393 @@
+/* The server side: whole requests in, whole or streamed answers out, hang-ups noticed. */
+#include "http/http.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 1024
+#define ACCEPT_PAUSE_MS 20 /* how long accepting rests while too many connections are open */
+
+struct ap_http_call {
+	LIST_ENTRY(ap_http_call) link;
+	ap_http_server_t *server;
+	struct evhttp_request *req;
+	struct evhttp_connection *conn;
+	struct event *hangup;
+	char *path;
+	bool started;
+	void *ctx;
+	void (*closed)(void *ctx);
+	void (*drained)(void *ctx);
+};
+
+struct ap_http_server {
+	ap_http_server_config_t config;
+	struct evhttp *http;
+	struct evconnlistener *listener;
+	struct event *accept_again;
+	struct timeval idle;
+	uint16_t port;
+	LIST_HEAD(, ap_http_call) calls;
+};
+
+static struct bufferevent *call_bev(const ap_http_call_t *call)
+{
+	return evhttp_connection_get_bufferevent(call->conn);
+}
+
+static void call_free(ap_http_call_t *call)
+{
+	LIST_REMOVE(call, link);
+	if (call->hangup)
+		event_free(call->hangup);
+	free(call->path);
+	free(call);
+}
+
+/* The library takes the connection back: its own limits hold again. */
+static void call_detach(ap_http_call_t *call)
+{
+	evhttp_connection_set_closecb(call->conn, NULL, NULL);
+	bufferevent_set_timeouts(call_bev(call), &call->server->idle, &call->server->idle);
+	call_free(call);
+}
+
+static void tell_closed(ap_http_call_t *call)
+{
+	if (call->closed)
+		call->closed(call->ctx);
+}
+
+/* The library closes the connection while a reply is open. */
+static void on_close(struct evhttp_connection *conn, void *arg)
+{
+	ap_http_call_t *call = arg;
+	struct evhttp_request *req = call->req;
+
+	(void)conn;
+	tell_closed(call);
+	call_free(call);
+	/* A request that was taken off its connection is left to us. */
+	if (!evhttp_request_get_connection(req))
+		evhttp_request_free(req);
+}
+
+/* Before a reply starts the library does not read, so it would not see a hang-up. */
+static void on_hangup(evutil_socket_t fd, short what, void *arg)
+{
+	ap_http_call_t *call = arg;
+	struct evhttp_connection *conn = call->conn;
+
+	(void)fd;
+	(void)what;
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	tell_closed(call);
+	call_free(call);
+	evhttp_connection_free(conn);
+}
+
+static char *path_of(const struct evhttp_request *req)
+{
+	const char *uri = evhttp_request_get_uri(req);
+
+	return uri ? strndup(uri, strcspn(uri, "?#")) : NULL;
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	ap_http_server_t *server = arg;
+	ap_http_call_t *call = calloc(1, sizeof(*call));
+	struct bufferevent *bev;
+
+	if (!call) {
+		evhttp_send_error(req, HTTP_SERVUNAVAIL, NULL);
+		return;
+	}
+	call->server = server;
+	call->req = req;
+	call->conn = evhttp_request_get_connection(req);
+	call->path = path_of(req);
+	LIST_INSERT_HEAD(&server->calls, call, link);
+	bev = call_bev(call);
+	bufferevent_set_timeouts(bev, NULL, &server->idle);
+	evhttp_connection_set_closecb(call->conn, on_close, call);
+	call->hangup =
+		event_new(server->config.base, bufferevent_getfd(bev), EV_CLOSED, on_hangup, call);
+	if (call->hangup)
+		event_add(call->hangup, NULL);
+	server->config.request(server->config.ctx, call);
+}
+
+/* The lowest free descriptor tells how many are open; the library does not count connections. */
+static bool too_many_open(const ap_http_server_t *server)
+{
+	int lowest = dup(STDERR_FILENO);
+
+	if (lowest < 0)
+		return true;
+	close(lowest);
+	return server->config.connections && (size_t)lowest > server->config.connections;
+}
+
+static void on_accept_again(evutil_socket_t fd, short what, void *arg)
+{
+	ap_http_server_t *server = arg;
+	struct timeval pause = {.tv_usec = ACCEPT_PAUSE_MS * 1000};
+
+	(void)fd;
+	(void)what;
+	if (too_many_open(server))
+		event_add(server->accept_again, &pause);
+	else
+		evconnlistener_enable(server->listener);
+}
+
+static void stop_accepting(ap_http_server_t *server)
+{
+	struct timeval pause = {.tv_usec = ACCEPT_PAUSE_MS * 1000};
+
+	evconnlistener_disable(server->listener);
+	event_add(server->accept_again, &pause);
+}
+
+static void on_accept_error(struct evconnlistener *listener, void *arg)
+{
+	(void)listener;
+	stop_accepting(arg);
+}
+
+static struct bufferevent *on_new_connection(struct event_base *base, void *arg)
+{
+	if (too_many_open(arg))
+		stop_accepting(arg);
+	return bufferevent_socket_new(base, -1, 0);
+}
+
+static ap_http_status_t listen_on(ap_http_server_t *server, ap_err_t *err)
+{
+	const ap_http_server_config_t *config = &server->config;
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+	socklen_t bound = sizeof(addr);
+	int one = 1;
+
+	/* Port 0 is refused by the parser, so the port is set afterwards. */
+	if (evutil_parse_sockaddr_port(config->host, (struct sockaddr *)&addr, &len) < 0) {
+		ap_err_set(err, "%s is not a numeric address", config->host);
+		return AP_HTTP_STATUS_BIND;
+	}
+	if (addr.ss_family == AF_INET)
+		((struct sockaddr_in *)&addr)->sin_port = htons(config->port);
+	else
+		((struct sockaddr_in6 *)&addr)->sin6_port = htons(config->port);
+	server->listener = evconnlistener_new_bind(config->base, NULL, NULL,
+						   LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC |
+							   LEV_OPT_CLOSE_ON_FREE,
+						   BACKLOG, (struct sockaddr *)&addr, len);
+	if (!server->listener) {
+		ap_err_set(err, "cannot listen on %s port %u: %s", config->host, config->port,
+			   strerror(errno));
+		return AP_HTTP_STATUS_BIND;
+	}
+	/* Accepted sockets inherit this. */
+	setsockopt(evconnlistener_get_fd(server->listener), IPPROTO_TCP, TCP_NODELAY, &one,
+		   sizeof(one));
+	getsockname(evconnlistener_get_fd(server->listener), (struct sockaddr *)&addr, &bound);
+	server->port = ntohs(addr.ss_family == AF_INET ? ((struct sockaddr_in *)&addr)->sin_port
+						       : ((struct sockaddr_in6 *)&addr)->sin6_port);
+	evhttp_bind_listener(server->http, server->listener);
+	evconnlistener_set_error_cb(server->listener, on_accept_error);
+	return AP_HTTP_STATUS_OK;
+}
+
+ap_http_status_t ap_http_server_new(const ap_http_server_config_t *config, ap_http_server_t **out,
+				    ap_err_t *err)
+{
+	ap_http_server_t *server = calloc(1, sizeof(*server));
+	ap_http_status_t status;
+
+	if (!server)
+		return AP_HTTP_STATUS_NO_MEMORY;
+	server->config = *config;
+	server->idle.tv_sec = (time_t)(config->idle / AP_SEC);
+	server->idle.tv_usec = (suseconds_t)(config->idle % AP_SEC);
+	LIST_INIT(&server->calls);
+	server->http = evhttp_new(config->base);
+	server->accept_again = evtimer_new(config->base, on_accept_again, server);
+	if (!server->http || !server->accept_again) {
+		ap_http_server_free(server);
+		return AP_HTTP_STATUS_NO_MEMORY;
+	}
+	evhttp_set_max_headers_size(server->http, (ev_ssize_t)config->header_bytes);
+	evhttp_set_max_body_size(server->http, (ev_ssize_t)config->body_bytes);
+	evhttp_set_timeout_tv(server->http, &server->idle);
+	evhttp_set_allowed_methods(server->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+							 EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
+							 EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+	evhttp_set_bevcb(server->http, on_new_connection, server);
+	evhttp_set_gencb(server->http, on_request, server);
+	status = listen_on(server, err);
+	if (status != AP_HTTP_STATUS_OK) {
+		ap_http_server_free(server);
+		return status;
+	}
+	*out = server;
+	return AP_HTTP_STATUS_OK;
+}
+
+void ap_http_server_free(ap_http_server_t *server)
+{
+	if (!server)
+		return;
+	if (server->http)
+		evhttp_free(server->http);
+	if (server->accept_again)
+		event_free(server->accept_again);
+	free(server);
+}
+
+uint16_t ap_http_server_port(const ap_http_server_t *server)
+{
+	return server->port;
+}
+
+void ap_http_call_watch(ap_http_call_t *call, void *ctx, void (*closed)(void *ctx),
+			void (*drained)(void *ctx))
+{
+	call->ctx = ctx;
+	call->closed = closed;
+	call->drained = drained;
+}
+
+enum evhttp_cmd_type ap_http_call_method(const ap_http_call_t *call)
+{
+	return evhttp_request_get_command(call->req);
+}
+
+const char *ap_http_call_target(const ap_http_call_t *call)
+{
+	return evhttp_request_get_uri(call->req);
+}
+
+const char *ap_http_call_path(const ap_http_call_t *call)
+{
+	return call->path ? call->path : "";
+}
+
+bool ap_http_call_query(const ap_http_call_t *call, const char *key, char *out, size_t size)
+{
+	const char *query = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(call->req));
+	struct evkeyvalq values;
+	const char *value;
+	bool found;
+
+	out[0] = '\0';
+	if (!query || evhttp_parse_query_str(query, &values) != 0)
+		return false;
+	value = evhttp_find_header(&values, key);
+	found = value && ap_copy_name(out, size, value);
+	evhttp_clear_headers(&values);
+	return found;
+}
+
+const char *ap_http_call_header(const ap_http_call_t *call, const char *name)
+{
+	return evhttp_find_header(evhttp_request_get_input_headers(call->req), name);
+}
+
+const void *ap_http_call_body(ap_http_call_t *call, size_t *len)
+{
+	struct evbuffer *body = evhttp_request_get_input_buffer(call->req);
+
+	*len = evbuffer_get_length(body);
+	return *len ? (const void *)evbuffer_pullup(body, -1) : "";
+}
+
+void ap_http_call_drop_body(ap_http_call_t *call)
+{
+	struct evbuffer *body = evhttp_request_get_input_buffer(call->req);
+
+	evbuffer_drain(body, evbuffer_get_length(body));
+}
+
+static void add_headers(struct evhttp_request *req, const ap_http_header_t *headers, size_t n)
+{
+	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+
+	for (size_t i = 0; i < n; i++)
+		evhttp_add_header(out, headers[i].name, headers[i].value);
+}
+
+void ap_http_reply(ap_http_call_t *call, int status, const ap_http_header_t *headers, size_t n,
+		   const void *body, size_t len)
+{
+	struct evhttp_request *req = call->req;
+
+	add_headers(req, headers, n);
+	evbuffer_add(evhttp_request_get_output_buffer(req), body, len);
+	call_detach(call);
+	evhttp_send_reply(req, status, NULL, NULL);
+}
+
+void ap_http_reply_start(ap_http_call_t *call, int status, const ap_http_header_t *headers,
+			 size_t n)
+{
+	add_headers(call->req, headers, n);
+	event_free(call->hangup);
+	call->hangup = NULL;
+	call->started = true;
+	evhttp_send_reply_start(call->req, status, NULL);
+}
+
+static void on_drained(struct evhttp_connection *conn, void *arg)
+{
+	ap_http_call_t *call = arg;
+
+	(void)conn;
+	if (call->drained)
+		call->drained(call->ctx);
+}
+
+void ap_http_reply_write(ap_http_call_t *call, const void *data, size_t len)
+{
+	struct evbuffer *buf = evbuffer_new();
+
+	if (!buf)
+		return;
+	evbuffer_add(buf, data, len);
+	evhttp_send_reply_chunk_with_cb(call->req, buf, on_drained, call);
+	evbuffer_free(buf);
+}
+
+void ap_http_reply_end(ap_http_call_t *call)
+{
+	struct evhttp_request *req = call->req;
+
+	call_detach(call);
+	evhttp_send_reply_end(req);
+}
+
+void ap_http_reply_abort(ap_http_call_t *call)
+{
+	struct evhttp_connection *conn = call->conn;
+
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	call_free(call);
+	evhttp_connection_free(conn);
+}
+
+size_t ap_http_reply_pending(const ap_http_call_t *call)
+{
+	return evbuffer_get_length(bufferevent_get_output(call_bev(call)));
+}
--- /dev/null
+++ b/test/fake_upstream.h
@@ -0,0 +1,285 @@
+/* An upstream in the test's own event loop, with a fault to bring about. */
+#ifndef AP_FAKE_UPSTREAM_H
+#define AP_FAKE_UPSTREAM_H
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#define FAKE_TOKENS 6
+
+typedef enum fake_mode {
+	FAKE_NONE,
+	FAKE_RESET_BEFORE, /* closes when the request was read */
+	FAKE_RESET_AFTER,  /* closes in the middle of the answer */
+	FAKE_STALL_BEFORE, /* reads the request and says nothing, on any connection */
+	FAKE_STALL_MIDDLE, /* says nothing after half an answer */
+	FAKE_HALF,	   /* ends the answer's framing cleanly without its end mark */
+	FAKE_WRONG_LENGTH, /* more bytes than the stated length */
+	FAKE_SHORT_LENGTH, /* fewer bytes than the stated length, then a close */
+	FAKE_NO_FRAMING,   /* neither length nor chunks */
+	FAKE_WRONG_ID,	   /* another request's id */
+	FAKE_REFUSE,	   /* 503 with X-Not-Started */
+	FAKE_DRAIN,	   /* 503 with X-Not-Started and X-Draining */
+	FAKE_ERROR,	   /* 500 */
+	FAKE_SILENT,	   /* connections with a request behind them answer no more */
+	FAKE_SLOW_READER,  /* a long answer of many parts */
+} fake_mode_t;
+
+typedef struct fake {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	uint16_t port;
+	fake_mode_t mode;
+	int faults;	 /* answers that still show the fault; below 0: all */
+	int connections; /* accepted so far */
+	int open;	 /* open now */
+	int requests;	 /* whole requests read, probes left out */
+	int probes;
+	int answered;
+	int hangups;	  /* closed by the other side before the answer was whole */
+	char last[65536]; /* last request as read */
+} fake_t;
+
+typedef struct fake_conn {
+	fake_t *fake;
+	struct bufferevent *bev;
+	int served;
+	bool busy;
+} fake_conn_t;
+
+static inline void fake_conn_free(fake_conn_t *conn)
+{
+	conn->fake->open--;
+	bufferevent_free(conn->bev);
+	free(conn);
+}
+
+static inline void fake_on_event(struct bufferevent *bev, short what, void *arg)
+{
+	fake_conn_t *conn = arg;
+
+	(void)bev;
+	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+		return;
+	if (conn->busy)
+		conn->fake->hangups++;
+	fake_conn_free(conn);
+}
+
+static inline void fake_on_flushed(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	fake_conn_free(arg);
+}
+
+/* Closes once what was written has gone out. */
+static inline void fake_close(fake_conn_t *conn)
+{
+	bufferevent_disable(conn->bev, EV_READ);
+	if (evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0)
+		fake_conn_free(conn);
+	else
+		bufferevent_setcb(conn->bev, NULL, fake_on_flushed, fake_on_event, conn);
+}
+
+static inline void fake_chunk(struct evbuffer *out, const char *text)
+{
+	evbuffer_add_printf(out, "%zx\r\n%s\r\n", strlen(text), text);
+}
+
+static inline void fake_request_id(const char *request, char *out, size_t size)
+{
+	const char *line = strcasestr(request, "\r\nX-Request-Id: ");
+
+	out[0] = '\0';
+	if (line)
+		snprintf(out, size, "%.*s", (int)strcspn(line + 16, "\r"), line + 16);
+}
+
+static inline int fake_resume_from(const char *request)
+{
+	const char *at = strstr(request, "\"resume\"");
+	const char *tokens = at ? strstr(at, "\"tokens\":") : NULL;
+
+	return tokens ? atoi(tokens + 9) : 0;
+}
+
+static inline void fake_stream(fake_conn_t *conn, const char *id, int from, fake_mode_t mode)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	int tokens = mode == FAKE_SLOW_READER ? 20000 : FAKE_TOKENS;
+	char event[512];
+
+	evbuffer_add_printf(out,
+			    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+			    "X-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+			    id);
+	for (int i = from; i < tokens; i++) {
+		if (i == FAKE_TOKENS / 2 && (mode == FAKE_RESET_AFTER || mode == FAKE_STALL_MIDDLE))
+			return;
+		if (i == FAKE_TOKENS / 2 && mode == FAKE_HALF) {
+			fake_chunk(out, "data: {\"choices\":[{\"del");
+			evbuffer_add_printf(out, "0\r\n\r\n");
+			return;
+		}
+		snprintf(event, sizeof(event),
+			 "data: {\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", i);
+		fake_chunk(out, event);
+	}
+	fake_chunk(out, "data: [DONE]\n\n");
+	evbuffer_add_printf(out, "0\r\n\r\n");
+}
+
+static inline void fake_whole(fake_conn_t *conn, const char *id, fake_mode_t mode)
+{
+	static const char body[] = "{\"choices\":[{\"message\":{\"content\":\"whole\"}}],"
+				   "\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":1}}";
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	size_t len = sizeof(body) - 1;
+	size_t claimed = len;
+	size_t sent = len;
+
+	if (mode == FAKE_WRONG_LENGTH)
+		claimed = len - 10;
+	if (mode == FAKE_SHORT_LENGTH || mode == FAKE_STALL_MIDDLE || mode == FAKE_RESET_AFTER)
+		sent = len / 2;
+	evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n");
+	evbuffer_add_printf(out, "X-Request-Id: %s\r\n", id);
+	if (mode != FAKE_NO_FRAMING)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", claimed);
+	evbuffer_add_printf(out, "\r\n");
+	evbuffer_add(out, body, mode == FAKE_HALF ? len / 2 : sent);
+}
+
+static inline bool fake_closes_after(fake_mode_t mode)
+{
+	return mode == FAKE_RESET_AFTER || mode == FAKE_HALF || mode == FAKE_SHORT_LENGTH ||
+	       mode == FAKE_NO_FRAMING;
+}
+
+static inline void fake_refuse(fake_conn_t *conn, fake_mode_t mode)
+{
+	evbuffer_add_printf(bufferevent_get_output(conn->bev),
+			    "HTTP/1.1 %s\r\n%s%sContent-Length: 0\r\n\r\n",
+			    mode == FAKE_ERROR ? "500 Error" : "503 Unavailable",
+			    mode == FAKE_ERROR ? "" : "X-Not-Started: true\r\n",
+			    mode == FAKE_DRAIN ? "X-Draining: true\r\n" : "");
+}
+
+static inline void fake_answer(fake_conn_t *conn, const char *request)
+{
+	fake_t *fake = conn->fake;
+	fake_mode_t mode = fake->faults != 0 ? fake->mode : FAKE_NONE;
+	char id[128];
+
+	if (mode == FAKE_SILENT && conn->served == 0)
+		mode = FAKE_NONE;
+	if (mode != FAKE_NONE && fake->faults > 0)
+		fake->faults--;
+	conn->busy = true;
+	if (mode == FAKE_STALL_BEFORE || mode == FAKE_SILENT)
+		return;
+	if (mode == FAKE_RESET_BEFORE) {
+		conn->busy = false;
+		fake_close(conn);
+		return;
+	}
+	fake_request_id(request, id, sizeof(id));
+	if (mode == FAKE_WRONG_ID)
+		snprintf(id, sizeof(id), "another");
+	if (mode == FAKE_REFUSE || mode == FAKE_DRAIN || mode == FAKE_ERROR)
+		fake_refuse(conn, mode);
+	else if (strstr(request, "\"stream\": true") || strstr(request, "\"stream\":true"))
+		fake_stream(conn, id, fake_resume_from(request), mode);
+	else
+		fake_whole(conn, id, mode);
+	conn->served++;
+	fake->answered++;
+	conn->busy = mode == FAKE_STALL_MIDDLE || mode == FAKE_SLOW_READER;
+	if (fake_closes_after(mode))
+		fake_close(conn);
+}
+
+static inline void fake_on_read(struct bufferevent *bev, void *arg)
+{
+	fake_conn_t *conn = arg;
+	fake_t *fake = conn->fake;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t len = evbuffer_get_length(in);
+	char *text = (char *)malloc(len + 1);
+	const char *end;
+	const char *length;
+	size_t body = 0;
+
+	evbuffer_copyout(in, text, len);
+	text[len] = '\0';
+	end = strstr(text, "\r\n\r\n");
+	length = strcasestr(text, "\r\nContent-Length: ");
+	if (end && length && length < end)
+		body = strtoul(length + 18, NULL, 10);
+	if (!end || (size_t)(end + 4 - text) + body > len) {
+		free(text);
+		return;
+	}
+	evbuffer_drain(in, len);
+	if (strncmp(text, "HEAD ", 5) == 0) {
+		fake->probes++;
+		if (fake->mode != FAKE_STALL_BEFORE)
+			bufferevent_write(bev, "HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n",
+					  41);
+	} else {
+		fake->requests++;
+		snprintf(fake->last, sizeof(fake->last), "%s", text);
+		fake_answer(conn, text);
+	}
+	free(text);
+}
+
+static inline void fake_on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+				  struct sockaddr *addr, int len, void *arg)
+{
+	fake_t *fake = arg;
+	fake_conn_t *conn = calloc(1, sizeof(*conn));
+
+	(void)listener;
+	(void)addr;
+	(void)len;
+	conn->fake = fake;
+	conn->bev = bufferevent_socket_new(fake->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	fake->connections++;
+	fake->open++;
+	bufferevent_setcb(conn->bev, fake_on_read, NULL, fake_on_event, conn);
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+}
+
+static inline void fake_start(fake_t *fake, struct event_base *base)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(addr);
+
+	memset(fake, 0, sizeof(*fake));
+	fake->base = base;
+	fake->faults = -1;
+	fake->listener = evconnlistener_new_bind(base, fake_on_accept, fake, LEV_OPT_CLOSE_ON_FREE,
+						 1024, (struct sockaddr *)&addr, sizeof(addr));
+	getsockname(evconnlistener_get_fd(fake->listener), (struct sockaddr *)&addr, &len);
+	fake->port = ntohs(addr.sin_port);
+}
+
+static inline void fake_stop(fake_t *fake)
+{
+	evconnlistener_free(fake->listener);
+}
+
+#endif
--- /dev/null
+++ b/test/http_test.c
@@ -0,0 +1,352 @@
+/* The HTTP client against an upstream with faults, and the server against callers with faults. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "fake_upstream.h"
+#include "http/http.h"
+
+#define LIMIT (100 * AP_MSEC)
+
+typedef struct result {
+	struct event_base *base;
+	int status;
+	size_t got;
+	bool ended;
+	ap_http_end_t end;
+	bool written;
+} result_t;
+
+static void on_head(void *ctx, const ap_http_head_t *head)
+{
+	((result_t *)ctx)->status = head->status;
+}
+
+static void on_data(void *ctx, const void *data, size_t len)
+{
+	(void)data;
+	((result_t *)ctx)->got += len;
+}
+
+static void on_end(void *ctx, ap_http_end_t end, bool written)
+{
+	result_t *result = ctx;
+
+	result->ended = true;
+	result->end = end;
+	result->written = written;
+	event_base_loopbreak(result->base);
+}
+
+static ap_http_fetch_t *begin(ap_http_client_t *client, uint16_t port, result_t *result,
+			      struct event_base *base, bool fresh)
+{
+	static const ap_http_header_t headers[] = {{"X-Request-Id", "r1"}};
+	ap_http_fetch_config_t config = {
+		.host = "127.0.0.1",
+		.port = port,
+		.method = EVHTTP_REQ_POST,
+		.target = "/v1/completions",
+		.headers = headers,
+		.n_headers = 1,
+		.body = "{\"stream\": false}",
+		.len = 17,
+		.fresh = fresh,
+		.first_byte = LIMIT,
+		.between = LIMIT,
+		.idle = 60 * AP_SEC,
+		.answer_max = 1 << 20,
+		.ctx = result,
+		.head = on_head,
+		.data = on_data,
+		.end = on_end,
+	};
+
+	*result = (result_t){.base = base};
+	return ap_http_fetch(client, &config);
+}
+
+static void ask(ap_http_client_t *client, uint16_t port, result_t *result, struct event_base *base)
+{
+	assert_non_null(begin(client, port, result, base, false));
+	event_base_dispatch(base);
+	assert_true(result->ended);
+}
+
+static void settle(struct event_base *base)
+{
+	struct timeval tv = {.tv_usec = 20000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+/* Runs the loop until @cond holds; a hang is left to the test's own time limit. */
+#define RUN_UNTIL(base, cond)                                                                      \
+	do {                                                                                       \
+		while (!(cond))                                                                    \
+			event_base_loop(base, EVLOOP_ONCE);                                        \
+	} while (0)
+
+static void test_each_fault_has_its_end(void **state)
+{
+	static const struct {
+		fake_mode_t mode;
+		ap_http_end_t end;
+	} cases[] = {
+		{FAKE_NONE, AP_HTTP_WHOLE},
+		{FAKE_RESET_BEFORE, AP_HTTP_RESET},
+		{FAKE_RESET_AFTER, AP_HTTP_RESET},
+		{FAKE_STALL_BEFORE, AP_HTTP_TIMEOUT},
+		{FAKE_STALL_MIDDLE, AP_HTTP_SILENT},
+		{FAKE_HALF, AP_HTTP_RESET},
+		{FAKE_WRONG_LENGTH, AP_HTTP_MALFORMED},
+		{FAKE_SHORT_LENGTH, AP_HTTP_RESET},
+		{FAKE_NO_FRAMING, AP_HTTP_MALFORMED},
+		{FAKE_REFUSE, AP_HTTP_WHOLE},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct event_base *base = event_base_new();
+		ap_http_client_t *client = ap_http_client_new(base);
+		result_t result;
+		fake_t fake;
+
+		print_message("fault %d\n", cases[i].mode);
+		fake_start(&fake, base);
+		fake.mode = cases[i].mode;
+		ask(client, fake.port, &result, base);
+		assert_int_equal(result.end, cases[i].end);
+		assert_true(result.written);
+		ap_http_client_free(client);
+		RUN_UNTIL(base, fake.open == 0);
+		fake_stop(&fake);
+		event_base_free(base);
+	}
+}
+
+static void test_refused_connection_wrote_nothing(void **state)
+{
+	struct event_base *base = event_base_new();
+	ap_http_client_t *client = ap_http_client_new(base);
+	result_t result;
+	fake_t fake;
+
+	(void)state;
+	fake_start(&fake, base);
+	fake_stop(&fake);
+	/* The refusal may be known at once. */
+	if (begin(client, fake.port, &result, base, false)) {
+		event_base_dispatch(base);
+		assert_int_equal(result.end, AP_HTTP_UNREACHABLE);
+		assert_false(result.written);
+	}
+	ap_http_client_free(client);
+	event_base_free(base);
+}
+
+static void test_connections_are_reused_unless_fresh_is_asked(void **state)
+{
+	struct event_base *base = event_base_new();
+	ap_http_client_t *client = ap_http_client_new(base);
+	struct timeval past_proof = {.tv_usec = 600000};
+	result_t result;
+	fake_t fake;
+
+	(void)state;
+	fake_start(&fake, base);
+	for (int i = 0; i < 5; i++) {
+		ask(client, fake.port, &result, base);
+		assert_int_equal(result.end, AP_HTTP_WHOLE);
+		settle(base);
+	}
+	assert_int_equal(fake.connections, 1);
+	event_base_loopexit(base, &past_proof);
+	event_base_dispatch(base);
+	assert_non_null(begin(client, fake.port, &result, base, true));
+	event_base_dispatch(base);
+	assert_int_equal(fake.connections, 2);
+	ap_http_client_free(client);
+	RUN_UNTIL(base, fake.open == 0);
+	fake_stop(&fake);
+	event_base_free(base);
+}
+
+static void test_silent_connection_is_retired_and_upstream_not_blamed(void **state)
+{
+	struct event_base *base = event_base_new();
+	ap_http_client_t *client = ap_http_client_new(base);
+	result_t result;
+	fake_t fake;
+
+	(void)state;
+	fake_start(&fake, base);
+	ask(client, fake.port, &result, base);
+	settle(base);
+	fake.mode = FAKE_SILENT;
+	ask(client, fake.port, &result, base);
+	assert_int_equal(result.end, AP_HTTP_SILENT);
+	assert_int_equal(fake.probes, 1);
+	ask(client, fake.port, &result, base);
+	assert_int_equal(result.end, AP_HTTP_WHOLE);
+	assert_int_equal(ap_http_client_stats(client).retired, 1);
+	ap_http_client_free(client);
+	RUN_UNTIL(base, fake.open == 0);
+	fake_stop(&fake);
+	event_base_free(base);
+}
+
+static void test_cancel_closes_the_connection(void **state)
+{
+	struct event_base *base = event_base_new();
+	ap_http_client_t *client = ap_http_client_new(base);
+	ap_http_fetch_t *fetch;
+	result_t result;
+	fake_t fake;
+
+	(void)state;
+	fake_start(&fake, base);
+	fake.mode = FAKE_STALL_BEFORE;
+	fetch = begin(client, fake.port, &result, base, false);
+	RUN_UNTIL(base, fake.requests == 1);
+	ap_http_fetch_cancel(fetch);
+	RUN_UNTIL(base, fake.hangups == 1);
+	assert_false(result.ended);
+	ap_http_client_free(client);
+	fake_stop(&fake);
+	event_base_free(base);
+}
+
+typedef struct server_seen {
+	struct event_base *base;
+	ap_http_call_t *call;
+	int requests;
+	int closed;
+} server_seen_t;
+
+static void on_closed(void *ctx)
+{
+	((server_seen_t *)ctx)->closed++;
+}
+
+static void on_request(void *ctx, ap_http_call_t *call)
+{
+	server_seen_t *seen = ctx;
+
+	seen->call = call;
+	seen->requests++;
+	ap_http_call_watch(call, seen, on_closed, NULL);
+}
+
+static ap_http_server_t *serve(server_seen_t *seen)
+{
+	ap_http_server_config_t config = {
+		.base = seen->base,
+		.host = "127.0.0.1",
+		.header_bytes = 4096,
+		.body_bytes = 4096,
+		.idle = 5 * AP_SEC,
+		.ctx = seen,
+		.request = on_request,
+	};
+	ap_http_server_t *server = NULL;
+
+	assert_int_equal(ap_http_server_new(&config, &server, NULL), AP_HTTP_STATUS_OK);
+	return server;
+}
+
+static struct bufferevent *dial(struct event_base *base, uint16_t port, const char *text)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons(port),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct bufferevent *bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	bufferevent_socket_connect(bev, (struct sockaddr *)&addr, sizeof(addr));
+	evbuffer_add(bufferevent_get_output(bev), text, strlen(text));
+	settle(base);
+	return bev;
+}
+
+static void test_hang_up_is_seen_at_each_point(void **state)
+{
+	for (int point = 0; point < 3; point++) {
+		server_seen_t seen = {.base = event_base_new()};
+		ap_http_server_t *server = serve(&seen);
+		struct bufferevent *bev;
+
+		(void)state;
+		bev = dial(seen.base, ap_http_server_port(server), "GET /x HTTP/1.1\r\n\r\n");
+		RUN_UNTIL(seen.base, seen.requests == 1);
+		if (point > 0)
+			ap_http_reply_start(seen.call, 200, NULL, 0);
+		if (point > 1)
+			ap_http_reply_write(seen.call, "part", 4);
+		settle(seen.base);
+		assert_int_equal(seen.closed, 0);
+		bufferevent_free(bev);
+		RUN_UNTIL(seen.base, seen.closed == 1);
+		ap_http_server_free(server);
+		event_base_free(seen.base);
+	}
+}
+
+static void test_server_freed_with_open_calls(void **state)
+{
+	server_seen_t seen = {.base = event_base_new()};
+	ap_http_server_t *server = serve(&seen);
+	struct bufferevent *bev;
+
+	(void)state;
+	bev = dial(seen.base, ap_http_server_port(server), "GET /x HTTP/1.1\r\n\r\n");
+	RUN_UNTIL(seen.base, seen.requests == 1);
+	ap_http_server_free(server);
+	assert_int_equal(seen.closed, 1);
+	bufferevent_free(bev);
+	event_base_free(seen.base);
+}
+
+static void test_malformed_input_never_reaches_the_handler(void **state)
+{
+	static const char *const inputs[] = {
+		"POST /x HTTP/1.1\r\nContent-Length: 9999\r\n\r\n",
+		"POST /x HTTP/1.1\r\nContent-Length: 20\r\n\r\nshort",
+		"POST /x HTTP/1.1\r\nContent-Length: -4\r\n\r\n",
+		"garbage\r\n\r\n",
+		"BREW /x HTTP/1.1\r\n\r\n",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(inputs) / sizeof(inputs[0]); i++) {
+		server_seen_t seen = {.base = event_base_new()};
+		ap_http_server_t *server = serve(&seen);
+		struct bufferevent *bev;
+
+		bev = dial(seen.base, ap_http_server_port(server), inputs[i]);
+		assert_int_equal(seen.requests, 0);
+		bufferevent_free(bev);
+		settle(seen.base);
+		ap_http_server_free(server);
+		event_base_free(seen.base);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_fault_has_its_end),
+		cmocka_unit_test(test_refused_connection_wrote_nothing),
+		cmocka_unit_test(test_connections_are_reused_unless_fresh_is_asked),
+		cmocka_unit_test(test_silent_connection_is_retired_and_upstream_not_blamed),
+		cmocka_unit_test(test_cancel_closes_the_connection),
+		cmocka_unit_test(test_hang_up_is_seen_at_each_point),
+		cmocka_unit_test(test_server_freed_with_open_calls),
+		cmocka_unit_test(test_malformed_input_never_reaches_the_handler),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
