--- /dev/null
+++ b/lib/report/report.h
@@ -0,0 +1,73 @@
+/*
+ * What entries tell each other of upstreams: who polls which one, load and cache in small deltas,
+ * room for guests between regions, and upstreams that are leaving. Pure decisions.
+ */
+#ifndef AP_REPORT_H
+#define AP_REPORT_H
+
+#include "base/base.h"
+#include "conf/conf.h"
+#include "port/port.h"
+#include "route/route.h"
+
+typedef enum ap_report_status {
+	AP_REPORT_OK,
+	AP_REPORT_MALFORMED, /* the message is not one of reports */
+} ap_report_status_t;
+
+/**
+ * struct ap_report_config - made once at start.
+ * @ctx: passed to the callbacks below
+ * @load: a report of another poller; its time is already on the own clock
+ * @room: another region's offer
+ * @cache: cache events of an engine that another entry listens to
+ * @leaving: an upstream that takes no new work; told once until it is back
+ */
+typedef struct ap_report_config {
+	ap_entry_t self;
+	uint64_t seed;
+	ap_peer_port_t peer;
+	ap_env_t env;
+	void *ctx;
+	void (*load)(void *ctx, const ap_load_report_t *report);
+	void (*room)(void *ctx, const ap_room_t *room);
+	void (*cache)(void *ctx, const ap_cache_event_t *event);
+	void (*leaving)(void *ctx, const char *upstream);
+} ap_report_config_t;
+
+typedef struct ap_report ap_report_t;
+
+ap_report_t *ap_report_new(const ap_report_config_t *config, ap_usec_t now);
+void ap_report_free(ap_report_t *r);
+void ap_report_set_entries(ap_report_t *r, const ap_entry_t *entries, size_t n, ap_usec_t now);
+/** ap_report_set_upstreams() - the platform's list; those of other regions are left out. */
+void ap_report_set_upstreams(ap_report_t *r, const ap_upstream_t *upstreams, size_t n,
+			     ap_usec_t now);
+/** ap_report_receive() - takes a whole message of kind AP_WIRE_REPORT. */
+ap_report_status_t ap_report_receive(ap_report_t *r, const char *from, const void *data, size_t len,
+				     ap_usec_t now, ap_err_t *err);
+/** ap_report_tick() - due work; call it every 100 to 250 ms. */
+void ap_report_tick(ap_report_t *r, ap_usec_t now);
+
+/** ap_report_polls() - does this entry poll @upstream (and listen to its cache events)? */
+bool ap_report_polls(const ap_report_t *r, const char *upstream);
+/** ap_report_polled() - a load that this entry read itself. */
+void ap_report_polled(ap_report_t *r, const ap_load_report_t *report, ap_usec_t now);
+/** ap_report_cached() - cache events that this entry heard itself. */
+void ap_report_cached(ap_report_t *r, const ap_cache_event_t *event, ap_usec_t now);
+/** ap_report_own_room() - what the own region offers guests for one model. */
+void ap_report_own_room(ap_report_t *r, const ap_room_t *room, ap_usec_t now);
+/** ap_report_saw_leaving() - this entry saw a drain header or refusal; tells the region at once. */
+void ap_report_saw_leaving(ap_report_t *r, const char *upstream, ap_usec_t now);
+bool ap_report_is_leaving(const ap_report_t *r, const char *upstream);
+
+typedef struct ap_report_stats {
+	uint64_t sent;
+	uint64_t sent_bytes;
+	uint64_t loads_heard;
+	uint64_t cache_dropped; /* block hashes left out to keep to the budget */
+} ap_report_stats_t;
+
+ap_report_stats_t ap_report_stats(const ap_report_t *r);
+
+#endif
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -50,6 +50,16 @@
 	return AP_WIRE_OK;
 }
 
+uint32_t ap_wire_peek(const void *data, size_t len)
+{
+	const unsigned char *bytes = data;
+
+	/* array of 5, version and kind are one byte each */
+	if (len < 3 || bytes[0] != 0x95 || bytes[1] != AP_WIRE_VERSION || bytes[2] >= 0x80)
+		return 0;
+	return bytes[2];
+}
+
 void ap_wire_pack_str(msgpack_packer *pk, const char *text)
 {
 	msgpack_pack_str_with_body(pk, text, strlen(text));
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -61,6 +61,9 @@
 ap_wire_status_t ap_wire_open(const void *data, size_t len, msgpack_zone *zone,
 			      ap_wire_head_t *head, msgpack_object *body, ap_err_t *err);
 
+/** ap_wire_peek() - kind of a message without reading it; 0 when it has no known envelope. */
+uint32_t ap_wire_peek(const void *data, size_t len);
+
 void ap_wire_pack_str(msgpack_packer *pk, const char *text);
 void ap_wire_pack_bin(msgpack_packer *pk, const void *data, size_t len);
 void ap_wire_pack_id(msgpack_packer *pk, ap_id_t id);
