--- /dev/null
+++ b/lib/member/probe.c
@@ -0,0 +1,282 @@
+/*
+ * Failure detection within a region. Members stand on a ring by the hash of their ids; each pings
+ * the next few. One that misses a neighbour asks others to ping it, then bears witness; a death
+ * needs two witnesses where two are left, and time for the suspect to deny it.
+ */
+#include "member/private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PING_PERIOD AP_SEC
+#define DEAD_PING_PERIOD (5 * AP_SEC)
+#define ASKED_OTHERS 3	     /* members asked to ping a silent neighbour */
+#define MISSED_FOR_WITNESS 2 /* periods */
+#define WITNESSES_NEEDED 2
+#define DENY_TIME (3 * AP_SEC)
+#define SUSPICION_LAPSE (15 * AP_SEC)
+#define PINGED_MAX 16 /* neighbours and suspects between them */
+
+void node_clear_suspicion(ap_node_t *node)
+{
+	node->n_witness = 0;
+	node->rumour_tells = 0;
+	node->suspect_at = 0;
+}
+
+static bool add_witness(ap_node_t *node, const char *by)
+{
+	for (size_t i = 0; i < node->n_witness; i++) {
+		if (strcmp(node->witness[i], by) == 0)
+			return false;
+	}
+	if (node->n_witness == WITNESSES_MAX)
+		return false;
+	ap_copy_name(node->witness[node->n_witness++], AP_NAME_MAX, by);
+	return true;
+}
+
+static void suspect(ap_member_t *m, ap_node_t *node, const char *by, ap_usec_t now)
+{
+	if (!node_live(node) || !add_witness(node, by))
+		return;
+	if (node->n_witness == 1) {
+		node->suspect_at = now;
+		m->dirty = true;
+	}
+	node->rumour_tells = 3;
+	ap_emit(&m->cfg.env, now, "member.suspect", (ap_xid_t){.seq = 0}, "id=%s by=%s",
+		node->rec.entry.id, by);
+}
+
+static void bear_witness(ap_member_t *m, ap_node_t *node, ap_usec_t now)
+{
+	size_t before = node->n_witness;
+
+	suspect(m, node, m->cfg.self.id, now);
+	m->stats.suspicions += node->n_witness > before;
+}
+
+void member_rumour(ap_member_t *m, const ap_rumour_t *rumour, ap_usec_t now)
+{
+	ap_node_t *node = member_find(m, rumour->id);
+
+	if (!node || !ap_id_eq(node->rec.entry.inc, rumour->inc) ||
+	    node->rec.version != rumour->version)
+		return;
+	if (node == m->self) {
+		if (m->self->rec.state != AP_MEMBER_DEAD) {
+			m->stats.refuted++;
+			member_restate(m, rumour->version, now);
+		}
+		return;
+	}
+	suspect(m, node, rumour->by, now);
+	if (node->missed >= 1)
+		bear_witness(m, node, now);
+}
+
+void member_ping(ap_member_t *m, ap_node_t *node, ap_usec_t now)
+{
+	ap_member_message_t msg = {.type = AP_MEMBER_PING, .token = m->seq + 1};
+
+	if (node_live(node) && node->pinged_at == 0)
+		node->pinged_at = now;
+	/* A dead or suspected one is shown what is said of it, so that it can deny it. */
+	if (node->rec.state == AP_MEMBER_DEAD || node->n_witness > 0) {
+		msg.records = &node->rec;
+		msg.n_records = 1;
+	}
+	member_send(m, node->rec.entry.id, &msg);
+}
+
+static bool pick_helper(const ap_member_t *m, const ap_node_t *node)
+{
+	return pick_live_peer(m, node) && node->missed == 0 && node->n_witness == 0;
+}
+
+static void ask_others(ap_member_t *m, const ap_node_t *node)
+{
+	ap_node_t *helpers[ASKED_OTHERS];
+	size_t n = member_pick(m, pick_helper, helpers, ASKED_OTHERS);
+	ap_member_message_t msg = {.type = AP_MEMBER_ASK, .token = m->seq + 1};
+
+	ap_copy_name(msg.text, sizeof(msg.text), node->rec.entry.id);
+	for (size_t i = 0; i < n; i++) {
+		if (helpers[i] != node)
+			member_send(m, helpers[i]->rec.entry.id, &msg);
+	}
+}
+
+void member_asked(ap_member_t *m, const char *from, const ap_member_message_t *msg, ap_usec_t now)
+{
+	ap_node_t *node = member_find(m, msg->text);
+
+	if (!node || node == m->self)
+		return;
+	node->relay_token = msg->token;
+	ap_copy_name(node->relay_to, sizeof(node->relay_to), from);
+	member_ping(m, node, now);
+}
+
+void member_acked(ap_member_t *m, const char *from, ap_id_t inc)
+{
+	ap_node_t *node = member_find(m, from);
+
+	if (!node || !ap_id_eq(node->rec.entry.inc, inc))
+		return;
+	node->missed = 0;
+	node->pinged_at = 0;
+	if (node->relay_token) {
+		ap_member_message_t msg = {.type = AP_MEMBER_ACK, .token = node->relay_token};
+
+		/* Told on with the target's name and its incarnation as the record. */
+		ap_copy_name(msg.text, sizeof(msg.text), from);
+		msg.records = &node->rec;
+		msg.n_records = 1;
+		member_send(m, node->relay_to, &msg);
+		node->relay_token = 0;
+	}
+}
+
+static int by_ring(const void *a, const void *b)
+{
+	const ap_node_t *x = *(ap_node_t *const *)a;
+	const ap_node_t *y = *(ap_node_t *const *)b;
+
+	if (x->id_hash == y->id_hash)
+		return 0;
+	return x->id_hash < y->id_hash ? -1 : 1;
+}
+
+/* The next neighbours on the ring; suspects among them don't count, so that gaps close early. */
+static size_t neighbours(ap_member_t *m, ap_node_t **out)
+{
+	size_t n = 0, kept = 0, unsuspected = 0, at = 0;
+	ap_node_t **ring = calloc(HASH_COUNT(m->nodes), sizeof(*ring));
+	ap_node_t *node;
+
+	if (!ring)
+		abort();
+	for (node = m->nodes; node; node = node->hh.next) {
+		if (node->own_region && (node_live(node) || node == m->self))
+			ring[n++] = node;
+	}
+	qsort(ring, n, sizeof(*ring), by_ring);
+	while (ring[at] != m->self)
+		at++;
+	for (size_t i = 1; i < n && unsuspected < NEIGHBOURS && kept < PINGED_MAX; i++) {
+		out[kept] = ring[(at + i) % n];
+		unsuspected += out[kept]->n_witness == 0;
+		kept++;
+	}
+	free(ring);
+	return kept;
+}
+
+static void age_ping(ap_member_t *m, ap_node_t *node, ap_usec_t now)
+{
+	if (!node->watched && node->missed > 0 && now >= node->missed_until)
+		node->missed = 0;
+	if (node->pinged_at == 0 || now - node->pinged_at < PING_PERIOD)
+		return;
+	if (!node->watched) {
+		/* Pinged for another member: counts only beside that one's suspicion. */
+		node->pinged_at = 0;
+		node->missed = 1;
+		node->missed_until = now + SUSPICION_LAPSE;
+		if (node->n_witness > 0)
+			bear_witness(m, node, now);
+		return;
+	}
+	node->missed++;
+	node->pinged_at = now;
+	if (node->missed == 1)
+		ask_others(m, node);
+	if (node->missed >= MISSED_FOR_WITNESS || node->n_witness > 0)
+		bear_witness(m, node, now);
+}
+
+static size_t witnesses_needed(const ap_member_t *m)
+{
+	size_t voters = 1;
+	ap_node_t *node;
+
+	for (node = m->nodes; node; node = node->hh.next) {
+		if (node != m->self && pick_live_peer(m, node) && node->n_witness == 0)
+			voters++;
+	}
+	return voters < WITNESSES_NEEDED ? voters : WITNESSES_NEEDED;
+}
+
+static void judge(ap_member_t *m, ap_node_t *node, size_t needed, ap_usec_t now)
+{
+	ap_record_t dead;
+
+	if (node->n_witness == 0 || !node_live(node))
+		return;
+	if (node->n_witness >= needed && now - node->suspect_at >= DENY_TIME) {
+		dead = node->rec;
+		dead.state = AP_MEMBER_DEAD;
+		member_merge(m, &dead, now);
+		return;
+	}
+	if (now - node->suspect_at >= SUSPICION_LAPSE) {
+		node_clear_suspicion(node);
+		m->dirty = true;
+	}
+}
+
+static bool pick_silent(const ap_member_t *m, const ap_node_t *node)
+{
+	(void)m;
+	return node->own_region && !node_live(node);
+}
+
+void member_probe_reset(ap_member_t *m)
+{
+	ap_node_t *node;
+
+	for (node = m->nodes; node; node = node->hh.next) {
+		node->pinged_at = 0;
+		node->missed = 0;
+		node->relay_token = 0;
+		if (node->n_witness > 0)
+			node_clear_suspicion(node);
+	}
+}
+
+static void watch(ap_member_t *m, ap_node_t *node, ap_usec_t now)
+{
+	node->watched = true;
+	member_ping(m, node, now);
+}
+
+void member_probe_tick(ap_member_t *m, ap_usec_t now)
+{
+	ap_node_t *targets[PINGED_MAX];
+	ap_node_t *node;
+	size_t n, needed;
+
+	for (node = m->nodes; node; node = node->hh.next) {
+		if (node_live(node) && node->own_region && node != m->self)
+			age_ping(m, node, now);
+	}
+	needed = witnesses_needed(m);
+	for (node = m->nodes; node; node = node->hh.next)
+		judge(m, node, needed, now);
+	if (now >= m->next_ping) {
+		m->next_ping = now + PING_PERIOD;
+		n = neighbours(m, targets);
+		for (node = m->nodes; node; node = node->hh.next)
+			node->watched = false;
+		for (size_t i = 0; i < n; i++)
+			watch(m, targets[i], now);
+	}
+	if (now >= m->next_dead_ping) {
+		m->next_dead_ping = now + DEAD_PING_PERIOD;
+		if (member_pick(m, pick_silent, targets, 1) == 1)
+			member_ping(m, targets[0], now);
+	}
+}
--- /dev/null
+++ b/lib/member/table.c
@@ -0,0 +1,223 @@
+/* The table of records: which one wins, and what becomes known by it. */
+#include "member/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TOMBSTONE_KEEP (2 * 3600 * AP_SEC) /* longer than regions lose each other */
+#define SETTLE_TIME (30 * AP_SEC) /* a new process may still outbid its predecessor's epoch */
+#define EXTRA_TELLS 2
+
+ap_node_t *member_find(const ap_member_t *m, const char *id)
+{
+	ap_node_t *node;
+
+	HASH_FIND_STR(m->nodes, id, node);
+	return node;
+}
+
+bool node_live(const ap_node_t *node)
+{
+	return node->rec.state == AP_MEMBER_ALIVE || node->rec.state == AP_MEMBER_LEAVING;
+}
+
+size_t member_live_in_region(const ap_member_t *m)
+{
+	size_t n = 0;
+	ap_node_t *node;
+
+	for (node = m->nodes; node; node = node->hh.next)
+		n += node->own_region && node_live(node);
+	return n;
+}
+
+int record_cmp(const ap_record_t *a, const ap_record_t *b)
+{
+	int inc = ap_id_cmp(a->entry.inc, b->entry.inc);
+
+	if (a->epoch != b->epoch)
+		return a->epoch < b->epoch ? -1 : 1;
+	if (inc != 0)
+		return inc;
+	if (a->version != b->version)
+		return a->version < b->version ? -1 : 1;
+	if (a->state != b->state)
+		return a->state < b->state ? -1 : 1;
+	return 0;
+}
+
+uint64_t record_key(const ap_record_t *rec)
+{
+	uint64_t parts[5] = {rec->epoch, rec->entry.inc.hi, rec->entry.inc.lo, rec->version,
+			     (uint64_t)rec->state};
+
+	return ap_hash(parts, sizeof(parts), 0);
+}
+
+/* A record reaches all n members when each passes it on about log2(n) times. */
+static unsigned tells_needed(const ap_member_t *m)
+{
+	size_t n = member_live_in_region(m) + 1;
+	unsigned tells = EXTRA_TELLS;
+
+	while (n > 1) {
+		n /= 2;
+		tells++;
+	}
+	return tells;
+}
+
+static void tell_driver(ap_member_t *m, const ap_node_t *node)
+{
+	m->dirty = true;
+	if (m->cfg.known && node != m->self)
+		m->cfg.known(m->cfg.ctx, &node->rec.entry);
+}
+
+ap_node_t *member_add(ap_member_t *m, const ap_record_t *rec, ap_usec_t now)
+{
+	ap_node_t *node = calloc(1, sizeof(*node));
+
+	if (!node)
+		abort();
+	node->rec = *rec;
+	node->id_hash = ap_hash_str(rec->entry.id, 0);
+	node->region_hash = ap_hash_str(rec->entry.region, 0);
+	node->own_region = strcmp(rec->entry.region, m->cfg.self.region) == 0;
+	node->since = now;
+	HASH_ADD_STR(m->nodes, rec.entry.id, node);
+	return node;
+}
+
+static void describe_change(ap_member_t *m, const ap_node_t *node, ap_usec_t now)
+{
+	char inc[AP_ID_TEXT_MAX];
+
+	ap_id_format(node->rec.entry.inc, inc);
+	ap_emit(&m->cfg.env, now, "member.state", (ap_xid_t){.seq = 0}, "id=%s inc=%s state=%s",
+		node->rec.entry.id, inc, ap_member_state_name(node->rec.state));
+}
+
+void member_restate(ap_member_t *m, uint64_t above, ap_usec_t now)
+{
+	ap_record_t *rec = &m->self->rec;
+
+	if (m->superseded)
+		return;
+	rec->version = (above > rec->version ? above : rec->version) + 1;
+	m->self->tells = tells_needed(m);
+	m->self->since = now;
+	m->dirty = true;
+}
+
+/* Someone says something of the own id. */
+static void merge_self(ap_member_t *m, const ap_record_t *rec, ap_usec_t now)
+{
+	ap_record_t *own = &m->self->rec;
+
+	if (ap_id_eq(rec->entry.inc, own->entry.inc)) {
+		if (record_cmp(rec, own) > 0 && own->state != AP_MEMBER_DEAD) {
+			m->stats.refuted++;
+			member_restate(m, rec->version, now);
+		}
+		return;
+	}
+	if (record_cmp(rec, own) < 0) {
+		if (m->self->tells == 0)
+			m->self->tells = tells_needed(m);
+		return;
+	}
+	if (now - m->started < SETTLE_TIME) {
+		own->epoch = rec->epoch + 1;
+		member_restate(m, own->version, now);
+		return;
+	}
+	if (m->superseded)
+		return;
+	m->superseded = true;
+	m->self->tells = 0;
+	ap_emit(&m->cfg.env, now, "member.superseded", (ap_xid_t){.seq = 0}, "id=%s",
+		own->entry.id);
+	if (m->cfg.superseded)
+		m->cfg.superseded(m->cfg.ctx);
+}
+
+static void take_record(ap_member_t *m, ap_node_t *node, const ap_record_t *rec, ap_usec_t now)
+{
+	bool state_changed =
+		node->rec.state != rec->state || !ap_id_eq(node->rec.entry.inc, rec->entry.inc);
+
+	if (rec->state == AP_MEMBER_DEAD && node_live(node))
+		m->stats.deaths++;
+	node->rec = *rec;
+	node->rec.entry.leaving = rec->state == AP_MEMBER_LEAVING;
+	node->tells = tells_needed(m);
+	node->missed = 0;
+	node->pinged_at = 0;
+	node_clear_suspicion(node);
+	if (state_changed) {
+		node->since = now;
+		describe_change(m, node, now);
+	}
+	tell_driver(m, node);
+}
+
+void member_merge(ap_member_t *m, const ap_record_t *rec, ap_usec_t now)
+{
+	ap_node_t *node = member_find(m, rec->entry.id);
+
+	if (node == m->self) {
+		merge_self(m, rec, now);
+		return;
+	}
+	if (!node) {
+		if (rec->state == AP_MEMBER_DEAD)
+			return;
+		node = member_add(m, rec, now);
+		node->rec.state = AP_MEMBER_LISTED;
+		take_record(m, node, rec, now);
+		return;
+	}
+	if (node->rec.state == AP_MEMBER_LISTED || record_cmp(rec, &node->rec) > 0)
+		take_record(m, node, rec, now);
+}
+
+void member_forget_old(ap_member_t *m, ap_usec_t now)
+{
+	ap_node_t *node, *next;
+
+	HASH_ITER (hh, m->nodes, node, next) {
+		if (node == m->self || node->listed || node_live(node))
+			continue;
+		if (node->rec.state == AP_MEMBER_DEAD && now - node->since < TOMBSTONE_KEEP)
+			continue;
+		HASH_DEL(m->nodes, node);
+		free(node);
+		m->dirty = true;
+	}
+}
+
+size_t member_pick(ap_member_t *m, bool (*ok)(const ap_member_t *, const ap_node_t *),
+		   ap_node_t **out, size_t k)
+{
+	size_t seen = 0;
+	ap_node_t *node;
+
+	for (node = m->nodes; node; node = node->hh.next) {
+		uint64_t at;
+
+		if (node == m->self || !ok(m, node))
+			continue;
+		at = seen < k ? seen : ap_rng_below(&m->rng, seen + 1);
+		if (at < k)
+			out[at] = node;
+		seen++;
+	}
+	return seen < k ? seen : k;
+}
+
+bool pick_live_peer(const ap_member_t *m, const ap_node_t *node)
+{
+	(void)m;
+	return node->own_region && node_live(node);
+}
--- /dev/null
+++ b/lib/port/call.c
@@ -0,0 +1,45 @@
+/* Key-value calls under way for one owner. */
+#include "port/call.h"
+
+#include <stdlib.h>
+
+struct ap_kv_call {
+	ap_kv_calls_t *calls; /* NULL once the owner gave up */
+	ap_kv_answer_t answer;
+	LIST_ENTRY(ap_kv_call) link;
+};
+
+ap_kv_call_t *ap_kv_call_new(ap_kv_calls_t *calls, ap_kv_answer_t answer)
+{
+	ap_kv_call_t *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->calls = calls;
+	call->answer = answer;
+	LIST_INSERT_HEAD(&calls->open, call, link);
+	return call;
+}
+
+void ap_kv_call_done(void *arg, const ap_kv_result_t *result)
+{
+	ap_kv_call_t *call = arg;
+	ap_kv_calls_t *calls = call->calls;
+	ap_kv_answer_t answer = call->answer;
+
+	if (calls)
+		LIST_REMOVE(call, link);
+	free(call);
+	if (calls)
+		answer(calls->owner, result);
+}
+
+void ap_kv_calls_drop(ap_kv_calls_t *calls)
+{
+	while (!LIST_EMPTY(&calls->open)) {
+		ap_kv_call_t *call = LIST_FIRST(&calls->open);
+
+		LIST_REMOVE(call, link);
+		call->calls = NULL;
+	}
+}
--- /dev/null
+++ b/lib/wire/member.c
@@ -0,0 +1,129 @@
+/* Bodies of membership messages. */
+#include "member/private.h"
+#include "wire/frame.h"
+
+#include <stdlib.h>
+
+#define RECORDS_MAX 1024 /* of one message */
+#define TRIPLES_MAX 4096
+
+static void pack_record(msgpack_packer *pk, const ap_record_t *rec)
+{
+	msgpack_pack_array(pk, 4);
+	ap_wire_pack_entry(pk, &rec->entry);
+	msgpack_pack_uint64(pk, rec->epoch);
+	msgpack_pack_uint64(pk, rec->version);
+	msgpack_pack_uint32(pk, (uint32_t)rec->state);
+}
+
+static void pack_rumour(msgpack_packer *pk, const ap_rumour_t *rumour)
+{
+	msgpack_pack_array(pk, 4);
+	ap_wire_pack_str(pk, rumour->id);
+	ap_wire_pack_id(pk, rumour->inc);
+	msgpack_pack_uint64(pk, rumour->version);
+	ap_wire_pack_str(pk, rumour->by);
+}
+
+void ap_wire_pack_member(msgpack_packer *pk, const ap_member_message_t *msg)
+{
+	msgpack_pack_array(pk, 6);
+	msgpack_pack_uint32(pk, (uint32_t)msg->type);
+	msgpack_pack_uint64(pk, msg->token);
+	ap_wire_pack_str(pk, msg->text);
+	msgpack_pack_array(pk, msg->n_records);
+	for (size_t i = 0; i < msg->n_records; i++)
+		pack_record(pk, &msg->records[i]);
+	msgpack_pack_array(pk, msg->n_rumours);
+	for (size_t i = 0; i < msg->n_rumours; i++)
+		pack_rumour(pk, &msg->rumours[i]);
+	msgpack_pack_array(pk, msg->n_triples * 3);
+	for (size_t i = 0; i < msg->n_triples; i++) {
+		msgpack_pack_uint64(pk, msg->triples[i].a);
+		msgpack_pack_uint64(pk, msg->triples[i].b);
+		msgpack_pack_uint64(pk, msg->triples[i].c);
+	}
+}
+
+static bool read_record(ap_wire_reader_t *r, ap_record_t *rec)
+{
+	ap_wire_reader_t e = ap_wire_array(r);
+	uint64_t state;
+
+	ap_wire_entry(&e, &rec->entry);
+	rec->epoch = ap_wire_u64(&e);
+	rec->version = ap_wire_u64(&e);
+	state = ap_wire_u64(&e);
+	rec->state = (ap_member_state_t)state;
+	return e.ok &&
+	       (state == AP_MEMBER_ALIVE || state == AP_MEMBER_LEAVING || state == AP_MEMBER_DEAD);
+}
+
+static bool read_rumour(ap_wire_reader_t *r, ap_rumour_t *rumour)
+{
+	ap_wire_reader_t e = ap_wire_array(r);
+
+	ap_wire_str(&e, rumour->id, sizeof(rumour->id));
+	rumour->inc = ap_wire_id(&e);
+	rumour->version = ap_wire_u64(&e);
+	ap_wire_str(&e, rumour->by, sizeof(rumour->by));
+	return e.ok;
+}
+
+static void *room_for(size_t n, size_t max, size_t size, bool *ok)
+{
+	void *room = n > 0 && n <= max ? calloc(n, size) : NULL;
+
+	if (n > 0 && !room)
+		*ok = false;
+	return room;
+}
+
+static bool read_lists(ap_wire_reader_t *r, ap_member_message_t *msg)
+{
+	ap_wire_reader_t records = ap_wire_array(r);
+	ap_wire_reader_t rumours = ap_wire_array(r);
+	ap_wire_reader_t triples = ap_wire_array(r);
+	bool ok = r->ok && triples.left % 3 == 0;
+	ap_record_t *rec = room_for(records.left, RECORDS_MAX, sizeof(*rec), &ok);
+	ap_rumour_t *rum = room_for(rumours.left, RECORDS_MAX, sizeof(*rum), &ok);
+	ap_triple_t *tri = room_for(triples.left / 3, TRIPLES_MAX, sizeof(*tri), &ok);
+
+	msg->records = rec;
+	msg->rumours = rum;
+	msg->triples = tri;
+	while (ok && records.left > 0)
+		ok = read_record(&records, &rec[msg->n_records++]);
+	while (ok && rumours.left > 0)
+		ok = read_rumour(&rumours, &rum[msg->n_rumours++]);
+	while (ok && triples.left > 0) {
+		tri->a = ap_wire_u64(&triples);
+		tri->b = ap_wire_u64(&triples);
+		tri->c = ap_wire_u64(&triples);
+		ok = triples.ok;
+		tri++;
+		msg->n_triples++;
+	}
+	return ok;
+}
+
+bool ap_wire_member(const msgpack_object *body, ap_member_message_t *msg)
+{
+	ap_wire_reader_t r = ap_wire_reader(body);
+
+	*msg = (ap_member_message_t){.type = (ap_member_type_t)ap_wire_u64(&r)};
+	msg->token = ap_wire_u64(&r);
+	ap_wire_str(&r, msg->text, sizeof(msg->text));
+	if (read_lists(&r, msg))
+		return true;
+	ap_wire_member_clear(msg);
+	return false;
+}
+
+void ap_wire_member_clear(ap_member_message_t *msg)
+{
+	free((void *)msg->records);
+	free((void *)msg->rumours);
+	free((void *)msg->triples);
+	*msg = (ap_member_message_t){.n_records = 0};
+}
