--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -458,6 +458,11 @@
 	fetch_free(fetch);
 }
 
+bool ap_http_fetch_written(const ap_http_fetch_t *fetch)
+{
+	return fetch->written > 0;
+}
+
 void ap_http_fetch_pause(ap_http_fetch_t *fetch, bool paused)
 {
 	if (fetch->paused == paused)
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -158,6 +158,8 @@
 ap_http_fetch_t *ap_http_fetch(ap_http_client_t *client, const ap_http_fetch_config_t *config);
 /** ap_http_fetch_cancel() - closes the connection; no callback follows. */
 void ap_http_fetch_cancel(ap_http_fetch_t *fetch);
+/** ap_http_fetch_written() - was a byte of the request given to the connection? */
+bool ap_http_fetch_written(const ap_http_fetch_t *fetch);
 /** ap_http_fetch_pause() - stops or restarts reading the answer; limits stand still meanwhile. */
 void ap_http_fetch_pause(ap_http_fetch_t *fetch, bool paused);
 
--- /dev/null
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -0,0 +1,430 @@
+/* One attempt at an upstream, and what is done with the parts of its answer. */
+#include "entry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define CHOICES_MAX 2 /* a region that can't be reached leaves one more choice */
+#define UPSTREAM_HEADERS_MAX 4
+
+static const ap_upstream_t *upstream_by_id(const ap_view_t *view, const char *id)
+{
+	for (size_t i = 0; i < view->n_upstreams; i++) {
+		if (strcmp(view->upstreams[i].id, id) == 0)
+			return &view->upstreams[i];
+	}
+	return NULL;
+}
+
+static const ap_pool_t *pool_of(const ap_view_t *view, const ap_service_t *service,
+				const char *upstream)
+{
+	const ap_upstream_t *up = upstream_by_id(view, upstream);
+
+	for (size_t i = 0; up && i < view->conf->n_pools; i++) {
+		const ap_pool_t *pool = &view->conf->pools[i];
+
+		if (ap_selector_match(&service->pools, &pool->labels) &&
+		    ap_selector_match(&pool->instances, &up->labels))
+			return pool;
+	}
+	return NULL;
+}
+
+static void attempt_finished(exchange_t *x, ap_attempt_end_t end)
+{
+	if (!x->flying)
+		return;
+	x->flying = false;
+	ap_route_finished(x->entry->route, &x->req, x->choice.upstream_id, end, ap_now());
+	ap_emit(&x->entry->env, ap_now(), "attempt.end", x->req.id, "upstream=%s end=%d",
+		x->choice.upstream_id, end);
+}
+
+static void add_tried(exchange_t *x)
+{
+	char *place;
+
+	if (x->req.n_tried >= ATTEMPTS_MAX)
+		return;
+	place = x->tried[x->req.n_tried];
+	ap_copy_name(place, AP_NAME_MAX, x->choice.upstream_id);
+	x->req.tried[x->req.n_tried++] = place;
+}
+
+static bool is_json(const exchange_t *x)
+{
+	return strncasecmp(x->answer_type, "application/json", 16) == 0;
+}
+
+/* An answer whose length was stated too short is framed well, but does not parse. */
+bool attempt_whole(exchange_t *x)
+{
+	size_t len = evbuffer_get_length(x->answer);
+	json_t *doc;
+	json_t *tokens;
+
+	if (x->sse)
+		return x->stream.done;
+	if (!is_json(x) || len == 0)
+		return true;
+	doc = json_loadb((const char *)evbuffer_pullup(x->answer, -1), len, JSON_DECODE_ANY, NULL);
+	if (!doc)
+		return false;
+	tokens = json_object_get(json_object_get(doc, "usage"), "completion_tokens");
+	x->stream.tokens = (uint32_t)json_integer_value(tokens);
+	json_decref(doc);
+	return true;
+}
+
+static void price(exchange_t *x)
+{
+	const ap_pool_t *pool = pool_of(x->view, x->req.service, x->choice.upstream_id);
+
+	if (pool)
+		x->cost =
+			ap_price(pool, x->req.tokens_in, x->choice.cached_tokens, x->stream.tokens);
+	ap_copy_name(x->region, sizeof(x->region), x->entry->config.settings->region);
+}
+
+static void succeed(exchange_t *x)
+{
+	attempt_finished(x, AP_ATTEMPT_OK);
+	price(x);
+	exchange_completed(x);
+}
+
+void attempt_head(exchange_t *x, int status, const char *content_type)
+{
+	x->status = status;
+	ap_copy_name(x->answer_type, sizeof(x->answer_type), content_type ? content_type : "");
+	x->sse = status == 200 && strncasecmp(x->answer_type, "text/event-stream", 17) == 0;
+}
+
+static void on_events(void *ctx, const void *data, size_t len)
+{
+	exchange_t *x = ctx;
+
+	if (!x->reply_started)
+		sink_start(x);
+	sink_write(x, data, len);
+}
+
+static void first_seen(exchange_t *x)
+{
+	ap_usec_t now = ap_now();
+
+	if (x->first_seen || !x->flying)
+		return;
+	x->first_seen = true;
+	ap_route_first_token(x->entry->route, &x->req, x->choice.upstream_id, now - x->sent_at,
+			     now);
+}
+
+bool attempt_data(exchange_t *x, const void *data, size_t len)
+{
+	first_seen(x);
+	if (x->sse)
+		return stream_feed(&x->stream, data, len, on_events, x);
+	evbuffer_add(x->answer, data, len);
+	return evbuffer_get_length(x->answer) <= ANSWER_MAX;
+}
+
+/* Ends the attempt from within a callback of the connection. */
+static void drop_fetch(exchange_t *x, ap_attempt_end_t end, const char *why)
+{
+	ap_http_fetch_cancel(x->fetch);
+	x->fetch = NULL;
+	attempt_finished(x, end);
+	add_tried(x);
+	exchange_retry(x, false, why);
+}
+
+static void on_head(void *ctx, const ap_http_head_t *head)
+{
+	exchange_t *x = ctx;
+	const char *id = evhttp_find_header(head->headers, "X-Request-Id");
+	const char *draining = evhttp_find_header(head->headers, "X-Draining");
+	const char *refused = evhttp_find_header(head->headers, "X-Not-Started");
+	bool own = id && strcmp(id, x->attempt_name) == 0;
+
+	if (draining && strcasecmp(draining, "true") == 0)
+		entry_leaving(x->entry, x->choice.upstream_id, true);
+	x->refused =
+		head->status == HTTP_SERVUNAVAIL && refused && strcasecmp(refused, "true") == 0;
+	/* Plain services and refusals may leave the name out, but none may carry another one. */
+	x->matched = own || (!id && (x->req.service->plain || x->refused));
+	if (!x->matched) {
+		x->entry->counts[COUNT_CROSSED_ANSWERS]++;
+		drop_fetch(x, AP_ATTEMPT_FAILED, "an answer to another request came");
+		return;
+	}
+	attempt_head(x, head->status, evhttp_find_header(head->headers, "Content-Type"));
+	if (x->reply_started && !x->sse)
+		drop_fetch(x, AP_ATTEMPT_FAILED, "a stream was not resumed as a stream");
+}
+
+static void on_data(void *ctx, const void *data, size_t len)
+{
+	exchange_t *x = ctx;
+
+	if (x->phase == PHASE_ENDED)
+		return;
+	if (!attempt_data(x, data, len)) {
+		drop_fetch(x, AP_ATTEMPT_FAILED, "the answer is too long");
+		return;
+	}
+	if (x->sse && x->stream.done) {
+		succeed(x);
+		return;
+	}
+	if (sink_full(x)) {
+		x->paused = true;
+		ap_http_fetch_pause(x->fetch, true);
+	}
+}
+
+/* An answer that is whole by its framing. */
+static void judge_answer(exchange_t *x)
+{
+	const char *why = NULL;
+
+	if (x->refused) {
+		attempt_finished(x, AP_ATTEMPT_REFUSED);
+		add_tried(x);
+		exchange_retry(x, true, "the upstream refused it");
+		return;
+	}
+	if (x->status >= 500)
+		why = "the upstream failed";
+	else if (!attempt_whole(x))
+		why = x->sse ? "a stream ended without its end mark" : "an answer was cut";
+	if (!why) {
+		succeed(x);
+		return;
+	}
+	attempt_finished(x, AP_ATTEMPT_FAILED);
+	add_tried(x);
+	exchange_retry(x, false, why);
+}
+
+static void on_end(void *ctx, ap_http_end_t end, bool written)
+{
+	static const struct {
+		ap_attempt_end_t end;
+		const char *why;
+	} ends[] = {
+		[AP_HTTP_UNREACHABLE] = {AP_ATTEMPT_FAILED, "the upstream can't be reached"},
+		[AP_HTTP_RESET] = {AP_ATTEMPT_FAILED, "the upstream closed the connection"},
+		[AP_HTTP_TIMEOUT] = {AP_ATTEMPT_TIMEOUT, "the upstream did not answer in time"},
+		[AP_HTTP_SILENT] = {AP_ATTEMPT_SILENT, "the connection went silent"},
+		[AP_HTTP_MALFORMED] = {AP_ATTEMPT_FAILED, "the answer's length is wrong"},
+	};
+	exchange_t *x = ctx;
+
+	x->fetch = NULL;
+	if (x->phase == PHASE_ENDED) {
+		exchange_settle(x);
+		return;
+	}
+	if (end == AP_HTTP_WHOLE) {
+		judge_answer(x);
+		return;
+	}
+	attempt_finished(x, ends[end].end);
+	if (end == AP_HTTP_SILENT)
+		x->entry->counts[COUNT_SILENT]++;
+	else
+		add_tried(x);
+	exchange_retry(x, !written, ends[end].why);
+}
+
+void attempt_cancel(exchange_t *x)
+{
+	if (x->fetch) {
+		if (ap_http_fetch_written(x->fetch))
+			x->maybe_ran = true;
+		ap_http_fetch_cancel(x->fetch);
+		x->fetch = NULL;
+	}
+	if (x->away.open) {
+		x->maybe_ran = true;
+		away_cancel(x);
+	}
+	attempt_finished(x, AP_ATTEMPT_CANCELLED);
+}
+
+void attempt_flow(exchange_t *x)
+{
+	if (x->away.open)
+		away_credit(x);
+	if (!x->paused || sink_full(x))
+		return;
+	x->paused = false;
+	if (x->fetch)
+		ap_http_fetch_pause(x->fetch, false);
+}
+
+static void fetch_config(exchange_t *x, const ap_upstream_t *up, ap_http_fetch_config_t *config)
+{
+	const ap_service_t *service = x->req.service;
+
+	*config = (ap_http_fetch_config_t){
+		.host = up->host,
+		.port = up->port,
+		.method = x->method,
+		.target = x->target,
+		.body = x->raw,
+		.len = x->raw_len,
+		.fresh = !service->repeatable,
+		.first_byte = service->first_byte,
+		.between = service->between,
+		.idle = service->idle,
+		.answer_max = x->wants_stream ? STREAM_MAX : ANSWER_MAX,
+		.ctx = x,
+		.head = on_head,
+		.data = on_data,
+		.end = on_end,
+	};
+}
+
+static size_t upstream_headers(const exchange_t *x, ap_http_header_t out[UPSTREAM_HEADERS_MAX])
+{
+	size_t n = 0;
+
+	out[n++] = (ap_http_header_t){"X-Request-Id", x->attempt_name};
+	if (x->content_type[0])
+		out[n++] = (ap_http_header_t){"Content-Type", x->content_type};
+	else if (x->doc)
+		out[n++] = (ap_http_header_t){"Content-Type", "application/json"};
+	if (x->idempotency_key[0])
+		out[n++] = (ap_http_header_t){"Idempotency-Key", x->idempotency_key};
+	return n;
+}
+
+/* Residency and leaving are asserted here once more, where the bytes go out. */
+static bool may_send(exchange_t *x, const ap_upstream_t *up)
+{
+	const ap_env_t *env = &x->entry->env;
+	bool resident = ap_residency_allows(&x->req, up->region);
+	bool stays = strcmp(up->region, x->entry->config.settings->region) == 0;
+
+	return ap_require(env, resident && stays, AP_INV_RESIDENCY, "upstream of another region") &&
+	       ap_require(env, !up->leaving, AP_INV_LEAVING, "new work to a leaving upstream");
+}
+
+static bool send_to(exchange_t *x, const ap_upstream_t *up)
+{
+	ap_http_header_t headers[UPSTREAM_HEADERS_MAX];
+	ap_http_fetch_config_t config;
+	char *text = x->doc ? body_for_upstream(x) : NULL;
+
+	fetch_config(x, up, &config);
+	config.headers = headers;
+	config.n_headers = upstream_headers(x, headers);
+	if (x->doc) {
+		config.body = text;
+		config.len = text ? strlen(text) : 0;
+	}
+	x->sent_at = ap_now();
+	x->fetch = ap_http_fetch(x->entry->client, &config);
+	free(text);
+	return x->fetch != NULL;
+}
+
+static void start_upstream(exchange_t *x)
+{
+	entry_t *entry = x->entry;
+	const ap_upstream_t *up = upstream_by_id(entry->view, x->choice.upstream_id);
+
+	if (!up || !may_send(x, up)) {
+		exchange_give_up(x, "the chosen upstream is gone");
+		return;
+	}
+	if (x->req.service->permit && entry->hooks.dispatch &&
+	    !entry->hooks.dispatch(entry->hooks.ctx, x)) {
+		exchange_give_up(x, "the permit allows no dispatch");
+		return;
+	}
+	snprintf(x->attempt_name, sizeof(x->attempt_name), "%s.%u", x->name, x->attempts);
+	ap_route_started(entry->route, &x->req, &x->choice, ap_now());
+	x->flying = true;
+	ap_emit(&entry->env, ap_now(), "attempt.start", x->req.id, "upstream=%s attempt=%u", up->id,
+		x->attempts);
+	if (send_to(x, up))
+		return;
+	attempt_finished(x, AP_ATTEMPT_FAILED);
+	add_tried(x);
+	exchange_retry(x, true, "the upstream can't be reached");
+}
+
+static bool start_away(exchange_t *x)
+{
+	const ap_entry_t *to = away_pick(x, x->choice.region);
+
+	/* One crossing only: whatever comes of it, no further region is asked. */
+	x->req.stay = true;
+	if (!to || !away_start(x, to->id, 1))
+		return false;
+	ap_route_started(x->entry->route, &x->req, &x->choice, ap_now());
+	x->entry->counts[COUNT_SENT_AWAY]++;
+	return true;
+}
+
+static void reset(exchange_t *x)
+{
+	evbuffer_drain(x->answer, evbuffer_get_length(x->answer));
+	stream_cut(&x->stream);
+	x->matched = false;
+	x->refused = false;
+	x->first_seen = false;
+	x->sse = false;
+}
+
+static void no_choice(exchange_t *x, ap_route_status_t status)
+{
+	entry_fault_t fault = {.error = ENTRY_OVERLOADED, .retry_after = AP_SEC};
+
+	if (x->maybe_ran || status == AP_ROUTE_NO_UPSTREAM) {
+		exchange_give_up(x, "no upstream is left for it");
+		return;
+	}
+	ap_copy_name(fault.text, sizeof(fault.text), "no upstream can answer in time");
+	if (status == AP_ROUTE_NO_SERVICE) {
+		fault.error = ENTRY_NOT_FOUND;
+		ap_copy_name(fault.text, sizeof(fault.text), "no such model in this service");
+	} else if (status == AP_ROUTE_WRONG_REGION) {
+		fault.error = ENTRY_WRONG_REGION;
+		fault.entries = entries_json(x->entry, x->req.caller, true);
+		ap_copy_name(fault.text, sizeof(fault.text), "this request stays in its region");
+	}
+	if (fault.error != ENTRY_OVERLOADED)
+		fault.retry_after = 0;
+	exchange_refuse(x, &fault);
+}
+
+void attempt_start(exchange_t *x)
+{
+	entry_t *entry = x->entry;
+	ap_route_status_t status;
+
+	reset(x);
+	for (int i = 0; i < CHOICES_MAX; i++) {
+		status = ap_route_choose(entry->route, &x->req, ap_now(), &x->choice);
+		if (status != AP_ROUTE_OK) {
+			no_choice(x, status);
+			return;
+		}
+		x->attempts++;
+		entry->counts[COUNT_ATTEMPTS]++;
+		if (!x->choice.region[0]) {
+			start_upstream(x);
+			return;
+		}
+		if (start_away(x))
+			return;
+	}
+	exchange_give_up(x, "another region can't be reached");
+}
--- /dev/null
+++ b/cmd/arbutuspond/entry-away.c
@@ -0,0 +1,265 @@
+/* The attempt at another entry: the request goes there once, its answer comes back under credit. */
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MARGIN (200 * AP_MSEC) /* the other entry's own limits come first */
+#define AHEAD_MAX (1u << 20)   /* bytes past the credit that break the protocol */
+
+const ap_entry_t *away_pick(exchange_t *x, const char *region)
+{
+	const ap_view_t *view = x->entry->view;
+	const ap_entry_t *picked = NULL;
+	uint64_t seen = 0;
+
+	for (size_t i = 0; i < view->n_entries; i++) {
+		const ap_entry_t *entry = &view->entries[i];
+
+		if (entry->leaving || strcmp(entry->region, region) != 0)
+			continue;
+		if (ap_rng_below(&x->entry->rng, ++seen) == 0)
+			picked = entry;
+	}
+	return picked;
+}
+
+static const char *region_of(const exchange_t *x, const char *id)
+{
+	const ap_view_t *view = x->entry->view;
+
+	for (size_t i = 0; i < view->n_entries; i++) {
+		if (strcmp(view->entries[i].id, id) == 0)
+			return view->entries[i].region;
+	}
+	return "";
+}
+
+static void arm(exchange_t *x, ap_usec_t delay)
+{
+	struct timeval tv = {
+		.tv_sec = (time_t)(delay / AP_SEC),
+		.tv_usec = (suseconds_t)(delay % AP_SEC),
+	};
+
+	evtimer_add(x->away.limit, &tv);
+}
+
+static ap_usec_t limit_of(const exchange_t *x)
+{
+	const ap_service_t *service = x->req.service;
+
+	return (x->away.heard ? service->between : service->deadline) + MARGIN;
+}
+
+void away_close(exchange_t *x)
+{
+	if (!x->away.open)
+		return;
+	x->away.open = false;
+	HASH_DELETE(hh_away, x->entry->away, x);
+	event_free(x->away.limit);
+	x->away.limit = NULL;
+}
+
+void away_cancel(exchange_t *x)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_CANCEL, .exchange = x->away.exchange};
+
+	entry_send(x->entry, x->away.to, &msg);
+	away_close(x);
+}
+
+static void on_limit(evutil_socket_t fd, short what, void *arg)
+{
+	exchange_t *x = arg;
+	ap_usec_t silent = ap_now() - x->away.last;
+	ap_usec_t limit = limit_of(x);
+
+	(void)fd;
+	(void)what;
+	/* No credit is out while the caller does not read, so nothing can come. */
+	if (silent < limit || x->away.got >= x->away.granted) {
+		arm(x, silent < limit ? limit - silent : limit);
+		return;
+	}
+	away_cancel(x);
+	exchange_retry(x, false, "the other entry did not answer in time");
+}
+
+static void fill_request(const exchange_t *x, unsigned hops, ap_forward_request_t *request)
+{
+	request->request = x->req.id;
+	request->hops = hops;
+	ap_copy_name(request->caller, sizeof(request->caller), x->req.caller->name);
+	ap_copy_name(request->home, sizeof(request->home), x->home);
+	ap_copy_name(request->service, sizeof(request->service), x->req.service->name);
+	ap_copy_name(request->model, sizeof(request->model), x->model);
+	ap_copy_name(request->adapter, sizeof(request->adapter), x->adapter);
+	ap_copy_name(request->content_type, sizeof(request->content_type), x->content_type);
+	ap_copy_name(request->permit, sizeof(request->permit), x->permit);
+	request->stream = x->wants_stream;
+	request->method = x->method;
+	request->first_byte = x->req.deadline - ap_now();
+	request->credit = x->away.granted;
+}
+
+static bool send_request(exchange_t *x, unsigned hops)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD, .exchange = x->away.exchange};
+	ap_forward_request_t *request = &msg.u.request;
+	char *text = x->doc ? json_dumps(x->doc, JSON_COMPACT) : NULL;
+	bool sent = false;
+
+	fill_request(x, hops, request);
+	request->body = text ? text : x->raw;
+	request->len = text ? strlen(text) : x->raw_len;
+	if (request->len <= AP_FORWARD_BODY_MAX &&
+	    ap_copy_name(request->target, sizeof(request->target), x->target))
+		sent = entry_send(x->entry, x->away.to, &msg);
+	free(text);
+	return sent;
+}
+
+static bool allowed(const exchange_t *x, const char *to, unsigned hops)
+{
+	const ap_env_t *env = &x->entry->env;
+	const char *region = region_of(x, to);
+	bool here = strcmp(region, x->entry->config.settings->region) == 0;
+
+	return ap_require(env, !x->is_guest, AP_INV_ONE_HOP, "a guest's request sent on") &&
+	       ap_require(env, here == (hops == 0), AP_INV_ONE_HOP, "a crossing not counted") &&
+	       ap_require(env, ap_residency_allows(&x->req, region), AP_INV_RESIDENCY,
+			  "home-bound request sent to another region");
+}
+
+bool away_start(exchange_t *x, const char *to, unsigned hops)
+{
+	entry_t *entry = x->entry;
+	away_t *away = &x->away;
+
+	if (!region_of(x, to)[0] || !allowed(x, to, hops))
+		return false;
+	*away = (away_t){
+		.exchange = {entry->config.inc, ++entry->next_token},
+		.granted = FORWARD_WINDOW,
+		.last = ap_now(),
+	};
+	ap_copy_name(away->to, sizeof(away->to), to);
+	if (!send_request(x, hops))
+		return false;
+	away->limit = evtimer_new(entry->config.base, on_limit, x);
+	away->open = true;
+	HASH_ADD(hh_away, entry->away, away.exchange, sizeof(away->exchange), x);
+	arm(x, limit_of(x));
+	ap_emit(&entry->env, ap_now(), "away.start", x->req.id, "to=%s hops=%u", to, hops);
+	return true;
+}
+
+/* Grants more once the caller has taken most of what came. */
+void away_credit(exchange_t *x)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_CREDIT, .exchange = x->away.exchange};
+	away_t *away = &x->away;
+
+	if (sink_full(x) || away->granted - away->got > FORWARD_WINDOW / 2)
+		return;
+	away->granted = away->got + FORWARD_WINDOW;
+	away->last = ap_now();
+	msg.u.credit = away->granted;
+	entry_send(x->entry, away->to, &msg);
+}
+
+static void broken(exchange_t *x, const char *why)
+{
+	away_cancel(x);
+	exchange_retry(x, false, why);
+}
+
+static void take_data(exchange_t *x, const ap_forward_data_t *data)
+{
+	away_t *away = &x->away;
+
+	if (data->offset != away->got || away->got + data->len > away->granted + AHEAD_MAX) {
+		broken(x, "a part of the answer was lost between entries");
+		return;
+	}
+	away->got += data->len;
+	if (!attempt_data(x, data->data, data->len)) {
+		broken(x, "the answer is too long");
+		return;
+	}
+	away_credit(x);
+}
+
+static void take_fault(exchange_t *x, const ap_forward_end_t *end)
+{
+	entry_error_t error;
+	entry_fault_t fault = {.retry_after = end->retry_after};
+	bool pass = x->permit[0] != '\0';
+
+	/* What the holder of a permit says of it is final, and so is a fault of the request. */
+	if (entry_error_by_code(end->code, &error) &&
+	    (pass || (end->status < 500 && end->status != 421 && end->status != 429))) {
+		fault.error = error;
+		ap_copy_name(fault.text, sizeof(fault.text), end->text);
+		if (entry_error_outcome(error) != AP_OUTCOME_NOT_RUN)
+			x->maybe_ran = true;
+		exchange_refuse(x, &fault);
+		return;
+	}
+	exchange_retry(x, end->outcome == AP_OUTCOME_NOT_RUN, "the other region did not serve it");
+}
+
+static void take_end(exchange_t *x, const ap_forward_end_t *end)
+{
+	away_close(x);
+	if (end->outcome != AP_OUTCOME_COMPLETED || end->code[0]) {
+		take_fault(x, end);
+		return;
+	}
+	/* The end mark stays with the other entry; its word and the byte count stand for it. */
+	if (x->sse && end->total == x->away.got)
+		x->stream.done = true;
+	if (end->total != x->away.got || !attempt_whole(x)) {
+		exchange_retry(x, false, "an answer was cut between entries");
+		return;
+	}
+	x->matched = true;
+	x->cost = end->cost;
+	ap_copy_name(x->region, sizeof(x->region), end->region);
+	exchange_completed(x);
+}
+
+static void take_head(exchange_t *x, const ap_forward_head_t *head)
+{
+	attempt_head(x, (int)head->status, head->content_type);
+	if (x->reply_started && !x->sse)
+		broken(x, "a stream was not resumed as a stream");
+}
+
+void away_receive(entry_t *entry, const char *from, const ap_forward_msg_t *msg)
+{
+	exchange_t *x;
+
+	HASH_FIND(hh_away, entry->away, &msg->exchange, sizeof(msg->exchange), x);
+	if (!x || strcmp(x->away.to, from) != 0) {
+		entry->counts[COUNT_LATE_ANSWERS]++;
+		return;
+	}
+	x->away.heard = true;
+	x->away.last = ap_now();
+	switch (msg->kind) {
+	case AP_WIRE_FORWARD_HEAD:
+		take_head(x, &msg->u.head);
+		break;
+	case AP_WIRE_FORWARD_DATA:
+		take_data(x, &msg->u.data);
+		break;
+	case AP_WIRE_FORWARD_END:
+		take_end(x, &msg->u.end);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/cmd/arbutuspond/entry-core.c
@@ -0,0 +1,484 @@
+/* The entry task's state: views, messages of the control task, drain and counters. */
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_US 20000	  /* how often queued requests are looked at */
+#define REPORT_S 1	  /* how often counters and room go to the control task */
+#define CAPACITY_FACTOR 2 /* requests in progress per upstream slot of this entry's share */
+#define CAPACITY_MIN 8
+#define CALLER_IDLE (75 * AP_SEC)
+
+static const char *const count_names[COUNT_N] = {
+	[COUNT_REQUESTS] = "requests",
+	[COUNT_COMPLETED] = "completed",
+	[COUNT_NOT_RUN] = "not_run",
+	[COUNT_UNKNOWN] = "unknown",
+	[COUNT_WRONG_INPUT] = "wrong_input",
+	[COUNT_SHED] = "shed",
+	[COUNT_ATTEMPTS] = "attempts",
+	[COUNT_RETRIES] = "retries",
+	[COUNT_RESUMES] = "resumes",
+	[COUNT_SENT_AWAY] = "sent_away",
+	[COUNT_GUESTS] = "guests",
+	[COUNT_LATE_ANSWERS] = "late_answers",
+	[COUNT_CROSSED_ANSWERS] = "crossed_answers",
+	[COUNT_CUT_STREAMS] = "cut_streams",
+	[COUNT_SILENT] = "silent_connections",
+	[COUNT_HANG_UPS] = "hang_ups",
+	[COUNT_TOKENS] = "tokens",
+	[COUNT_REFUSED_MESSAGES] = "refused_messages",
+};
+
+static void note_event(void *ctx, const ap_event_t *event)
+{
+	entry_t *entry = ctx;
+	ap_note_t note = {.kind = AP_NOTE_EVENT};
+
+	ap_copy_name(note.u.event.kind, sizeof(note.u.event.kind), event->kind);
+	ap_copy_name(note.u.event.detail, sizeof(note.u.event.detail), event->detail);
+	note.u.event.request = event->request;
+	entry->config.note(entry->config.ctx, &note);
+}
+
+exchange_t *exchange_by_token(const entry_t *entry, uint64_t token)
+{
+	exchange_t *x;
+
+	HASH_FIND(hh, entry->exchanges, &token, sizeof(token), x);
+	return x;
+}
+
+static void on_ready(void *ctx, uint64_t token)
+{
+	exchange_t *x = exchange_by_token(ctx, token);
+
+	if (x)
+		exchange_admitted(x);
+}
+
+static void on_shed(void *ctx, uint64_t token, ap_usec_t retry_after)
+{
+	exchange_t *x = exchange_by_token(ctx, token);
+
+	if (x)
+		exchange_shed(x, retry_after);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	entry_t *entry = arg;
+	struct timeval again = {.tv_usec = TICK_US};
+
+	(void)fd;
+	(void)what;
+	ap_admission_tick(entry->admission, ap_now());
+	event_add(entry->tick, &again);
+}
+
+static void add_count(struct evbuffer *out, const char *name, uint64_t value)
+{
+	evbuffer_add_printf(out, "# TYPE arbutuspond_%s_total counter\narbutuspond_%s_total %llu\n",
+			    name, name, (unsigned long long)value);
+}
+
+char *entry_counters_text(const entry_t *entry)
+{
+	struct evbuffer *out = evbuffer_new();
+	ap_http_client_stats_t client = ap_http_client_stats(entry->client);
+	char *text;
+	size_t len;
+
+	for (int i = 0; i < COUNT_N; i++)
+		add_count(out, count_names[i], entry->counts[i]);
+	add_count(out, "upstream_connections", client.opened);
+	add_count(out, "upstream_reuses", client.reused);
+	add_count(out, "upstream_probes", client.probes);
+	add_count(out, "upstream_retired", client.retired);
+	evbuffer_add_printf(out, "# TYPE arbutuspond_errors_total counter\n");
+	for (int i = 0; i < ENTRY_ERROR_COUNT; i++)
+		evbuffer_add_printf(out, "arbutuspond_errors_total{code=\"%s\"} %llu\n",
+				    entry_error_code(i), (unsigned long long)entry->errors[i]);
+	evbuffer_add_printf(out,
+			    "# TYPE arbutuspond_in_progress gauge\narbutuspond_in_progress %u\n",
+			    HASH_COUNT(entry->exchanges));
+	len = evbuffer_get_length(out);
+	text = malloc(len + 1);
+	if (text) {
+		evbuffer_remove(out, text, len);
+		text[len] = '\0';
+	}
+	evbuffer_free(out);
+	return text;
+}
+
+static void note_own_room(entry_t *entry, ap_usec_t now)
+{
+	const ap_conf_t *conf = entry->view ? entry->view->conf : NULL;
+
+	for (size_t i = 0; conf && i < conf->n_models; i++) {
+		ap_note_t note = {.kind = AP_NOTE_OWN_ROOM};
+
+		note.u.room = ap_route_own_room(entry->route, conf->models[i].name, now);
+		entry->config.note(entry->config.ctx, &note);
+	}
+}
+
+static void on_report(evutil_socket_t fd, short what, void *arg)
+{
+	entry_t *entry = arg;
+	struct timeval again = {.tv_sec = REPORT_S};
+	ap_note_t note = {.kind = AP_NOTE_COUNTERS};
+
+	(void)fd;
+	(void)what;
+	note.u.text = entry_counters_text(entry);
+	if (note.u.text)
+		entry->config.note(entry->config.ctx, &note);
+	note_own_room(entry, ap_now());
+	event_add(entry->report, &again);
+}
+
+static ap_http_status_t open_server(entry_t *entry, ap_err_t *err)
+{
+	const ap_settings_t *settings = entry->config.settings;
+	ap_http_server_config_t config = {
+		.base = entry->config.base,
+		.host = settings->host,
+		.port = settings->caller_port,
+		.header_bytes = settings->header_bytes,
+		.body_bytes = settings->body_bytes,
+		.connections = settings->connections,
+		.idle = CALLER_IDLE,
+		.ctx = entry,
+		.request = caller_request,
+	};
+
+	return ap_http_server_new(&config, &entry->server, err);
+}
+
+static bool make_decisions(entry_t *entry)
+{
+	const ap_settings_t *settings = entry->config.settings;
+	ap_route_config_t route = {.seed = entry->config.inc.lo, .env = entry->env};
+	ap_admission_config_t admission = {
+		.queue_max = settings->queue,
+		.env = entry->env,
+		.ready = on_ready,
+		.shed = on_shed,
+	};
+
+	ap_copy_name(route.region, sizeof(route.region), settings->region);
+	ap_copy_name(route.data_centre, sizeof(route.data_centre), settings->data_centre);
+	entry->route = ap_route_new(&route);
+	entry->admission = ap_admission_new(&admission);
+	entry->budget = ap_retry_budget_new(settings->retry_ratio, &entry->env);
+	return entry->route && entry->admission && entry->budget;
+}
+
+static void start_timers(entry_t *entry)
+{
+	on_tick(-1, 0, entry);
+	event_add(entry->report, &(struct timeval){.tv_sec = REPORT_S});
+}
+
+ap_http_status_t entry_new(const entry_config_t *config, entry_t **out, ap_err_t *err)
+{
+	entry_t *entry = calloc(1, sizeof(*entry));
+	ap_http_status_t status;
+
+	if (!entry)
+		return AP_HTTP_STATUS_NO_MEMORY;
+	entry->config = *config;
+	entry->env = (ap_env_t){.ctx = entry, .event = note_event};
+	ap_rng_seed(&entry->rng, config->inc.hi);
+	entry->client = ap_http_client_new(config->base);
+	entry->tick = evtimer_new(config->base, on_tick, entry);
+	entry->report = evtimer_new(config->base, on_report, entry);
+	if (!entry->client || !entry->tick || !entry->report || !make_decisions(entry)) {
+		entry_free(entry);
+		return AP_HTTP_STATUS_NO_MEMORY;
+	}
+	status = open_server(entry, err);
+	if (status != AP_HTTP_STATUS_OK) {
+		entry_free(entry);
+		return status;
+	}
+	start_timers(entry);
+	*out = entry;
+	return AP_HTTP_STATUS_OK;
+}
+
+static void forget_leaving(entry_t *entry)
+{
+	leaving_t *first = entry->leaving;
+	leaving_t *next;
+
+	HASH_CLEAR(hh, entry->leaving);
+	for (; first; first = next) {
+		next = first->hh.next;
+		free(first);
+	}
+}
+
+static void free_exchanges(entry_t *entry)
+{
+	exchange_t *x = entry->exchanges;
+	exchange_t *next;
+
+	for (; x; x = next) {
+		next = x->hh.next;
+		x->call = NULL;
+		exchange_free(x);
+	}
+}
+
+void entry_free(entry_t *entry)
+{
+	if (!entry)
+		return;
+	/* The callers' connections go first, so that nobody is answered from here on. */
+	for (exchange_t *x = entry->exchanges; x; x = x->hh.next) {
+		if (x->call)
+			ap_http_call_watch(x->call, NULL, NULL, NULL);
+	}
+	ap_http_server_free(entry->server);
+	free_exchanges(entry);
+	ap_http_client_free(entry->client);
+	ap_route_free(entry->route);
+	if (entry->admission)
+		ap_admission_free(entry->admission);
+	if (entry->budget)
+		ap_retry_budget_free(entry->budget);
+	if (entry->view)
+		ap_view_unref(entry->view);
+	forget_leaving(entry);
+	if (entry->tick)
+		event_free(entry->tick);
+	if (entry->report)
+		event_free(entry->report);
+	free(entry);
+}
+
+uint16_t entry_port(const entry_t *entry)
+{
+	return ap_http_server_port(entry->server);
+}
+
+static size_t entries_here(const entry_t *entry)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < entry->view->n_entries; i++) {
+		const ap_entry_t *other = &entry->view->entries[i];
+
+		if (!other->leaving && strcmp(other->region, entry->config.settings->region) == 0)
+			n++;
+	}
+	return n ? n : 1;
+}
+
+static size_t slots_of(const ap_conf_t *conf, const ap_upstream_t *upstream)
+{
+	for (size_t i = 0; i < conf->n_pools; i++) {
+		if (ap_selector_match(&conf->pools[i].instances, &upstream->labels))
+			return conf->pools[i].slots;
+	}
+	return 0;
+}
+
+/* This entry's share of the region's slots, and as many again that wait at the upstreams. */
+static size_t capacity(const entry_t *entry)
+{
+	const ap_view_t *view = entry->view;
+	size_t slots = 0;
+	size_t share;
+
+	for (size_t i = 0; i < view->n_upstreams && view->conf; i++) {
+		const ap_upstream_t *up = &view->upstreams[i];
+
+		if (strcmp(up->region, entry->config.settings->region) == 0 && !up->leaving)
+			slots += slots_of(view->conf, up);
+	}
+	share = CAPACITY_FACTOR * slots / entries_here(entry);
+	return share > CAPACITY_MIN ? share : CAPACITY_MIN;
+}
+
+static bool is_member(const ap_view_t *view, const char *id)
+{
+	for (size_t i = 0; i < view->n_entries; i++) {
+		if (strcmp(view->entries[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* An answer to an entry that is gone would be held up until its time limit. */
+static void drop_lost_guests(entry_t *entry)
+{
+	exchange_t *x;
+	exchange_t *next;
+
+	for (x = entry->exchanges; x; x = next) {
+		next = x->hh.next;
+		if (x->is_guest && !is_member(entry->view, x->guest.from))
+			exchange_gone(x);
+	}
+}
+
+static void set_view(entry_t *entry, ap_view_t *view)
+{
+	ap_usec_t now = ap_now();
+
+	if (entry->view && view->number <= entry->view->number) {
+		ap_view_unref(view);
+		return;
+	}
+	if (entry->view)
+		ap_view_unref(entry->view);
+	entry->view = view;
+	forget_leaving(entry);
+	ap_route_set_view(entry->route, view, now);
+	ap_admission_set_capacity(entry->admission, capacity(entry), now);
+	drop_lost_guests(entry);
+	if (entry->hooks.view)
+		entry->hooks.view(entry->hooks.ctx, view);
+}
+
+bool entry_knows_leaving(const entry_t *entry, const char *upstream)
+{
+	leaving_t *known;
+
+	HASH_FIND_STR(entry->leaving, upstream, known);
+	return known != NULL;
+}
+
+static void remember_leaving(entry_t *entry, const char *upstream)
+{
+	leaving_t *known = calloc(1, sizeof(*known));
+
+	if (!known)
+		return;
+	ap_copy_name(known->name, sizeof(known->name), upstream);
+	HASH_ADD_STR(entry->leaving, name, known);
+}
+
+void entry_leaving(entry_t *entry, const char *upstream, bool tell)
+{
+	ap_note_t note = {.kind = AP_NOTE_LEAVING};
+
+	ap_route_leaving(entry->route, upstream, ap_now());
+	if (entry_knows_leaving(entry, upstream))
+		return;
+	if (HASH_COUNT(entry->leaving) < LEAVING_MAX)
+		remember_leaving(entry, upstream);
+	if (!tell)
+		return;
+	ap_copy_name(note.u.name, sizeof(note.u.name), upstream);
+	entry->config.note(entry->config.ctx, &note);
+	ap_emit(&entry->env, ap_now(), "upstream.leaving", (ap_xid_t){0}, "upstream=%s", upstream);
+}
+
+void entry_hooks_drained(entry_t *entry)
+{
+	ap_note_t note = {.kind = AP_NOTE_DRAINED};
+
+	ap_require(&entry->env, HASH_COUNT(entry->exchanges) == 0, AP_INV_EXIT,
+		   "drained with requests in progress");
+	entry->config.note(entry->config.ctx, &note);
+}
+
+void entry_check_drained(entry_t *entry)
+{
+	if (!entry->draining || entry->drained || entry->exchanges)
+		return;
+	entry->drained = true;
+	if (entry->hooks.drain)
+		entry->hooks.drain(entry->hooks.ctx);
+	else
+		entry_hooks_drained(entry);
+}
+
+static void take_cache(entry_t *entry, ap_cache_event_t *event)
+{
+	ap_route_cache(entry->route, event, ap_now());
+	free(event);
+}
+
+bool entry_note(entry_t *entry, ap_note_t *note)
+{
+	switch (note->kind) {
+	case AP_NOTE_VIEW:
+		set_view(entry, note->u.view);
+		break;
+	case AP_NOTE_LOAD:
+		ap_route_load(entry->route, &note->u.load, ap_now());
+		break;
+	case AP_NOTE_ROOM:
+		ap_route_room(entry->route, &note->u.room, ap_now());
+		break;
+	case AP_NOTE_CACHE:
+		take_cache(entry, note->u.cache);
+		break;
+	case AP_NOTE_LEAVING:
+		entry_leaving(entry, note->u.name, false);
+		break;
+	case AP_NOTE_DRAIN:
+		entry->draining = true;
+		entry_check_drained(entry);
+		break;
+	case AP_NOTE_STOP:
+		return false;
+	default:
+		break;
+	}
+	return true;
+}
+
+static void receive_forward(entry_t *entry, const char *from, const ap_forward_msg_t *msg)
+{
+	switch (msg->kind) {
+	case AP_WIRE_FORWARD:
+	case AP_WIRE_FORWARD_CREDIT:
+	case AP_WIRE_FORWARD_CANCEL:
+		guest_receive(entry, from, msg);
+		break;
+	default:
+		away_receive(entry, from, msg);
+		break;
+	}
+}
+
+void entry_receive(entry_t *entry, const char *from, const void *data, size_t len)
+{
+	ap_forward_msg_t msg;
+	ap_wire_head_t head;
+	msgpack_object body;
+	msgpack_zone zone;
+
+	if (ap_wire_peek(data, len) == AP_WIRE_ONCE) {
+		if (entry->hooks.message)
+			entry->hooks.message(entry->hooks.ctx, from, data, len);
+		return;
+	}
+	msgpack_zone_init(&zone, 4096);
+	if (ap_wire_open(data, len, &zone, &head, &body, NULL) == AP_WIRE_OK &&
+	    ap_forward_read(head.kind, &body, &msg) == AP_WIRE_OK)
+		receive_forward(entry, from, &msg);
+	else
+		entry->counts[COUNT_REFUSED_MESSAGES]++;
+	msgpack_zone_destroy(&zone);
+}
+
+bool entry_send(entry_t *entry, const char *to, const ap_forward_msg_t *msg)
+{
+	msgpack_sbuffer buf;
+	bool sent;
+
+	msgpack_sbuffer_init(&buf);
+	ap_forward_pack(&buf, entry->config.inc, ++entry->next_message, msg);
+	sent = entry->config.send(entry->config.ctx, to, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	return sent;
+}
--- /dev/null
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -0,0 +1,341 @@
+/* One request from its arrival to its outcome: admission, gate, attempts, end. */
+#include "entry.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OUTSIDER_SHARE 0.1 /* of a caller's limits, at an entry that the caller should not use */
+#define EXPECTED_WORK (50 * AP_MSEC)
+
+static void name_of(ap_xid_t xid, char out[REQUEST_TEXT_MAX])
+{
+	char inc[AP_ID_TEXT_MAX];
+
+	ap_id_format(xid.inc, inc);
+	snprintf(out, REQUEST_TEXT_MAX, "%s-%" PRIu64, inc, xid.seq);
+}
+
+static void on_limit(evutil_socket_t fd, short what, void *arg);
+
+exchange_t *exchange_new(entry_t *entry, const ap_caller_t *caller, const ap_service_t *service)
+{
+	exchange_t *x = calloc(1, sizeof(*x));
+	ap_usec_t now = ap_now();
+
+	if (!x)
+		return NULL;
+	x->entry = entry;
+	x->token = ++entry->next_token;
+	x->view = ap_view_ref(entry->view);
+	x->answer = evbuffer_new();
+	x->limit = evtimer_new(entry->config.base, on_limit, x);
+	stream_init(&x->stream, service->resumable);
+	ap_copy_name(x->home, sizeof(x->home), caller->home);
+	x->req.id = (ap_xid_t){entry->config.inc, x->token};
+	x->req.service = service;
+	x->req.caller = caller;
+	x->req.home = x->home;
+	x->req.cls = service->cls;
+	x->req.arrival = now;
+	x->req.deadline = now + service->deadline;
+	/* A call that may run twice nowhere must not depend on a message that may be lost. */
+	x->req.stay = !service->repeatable || service->permit;
+	name_of(x->req.id, x->name);
+	HASH_ADD(hh, entry->exchanges, token, sizeof(x->token), x);
+	return x;
+}
+
+void exchange_free(exchange_t *x)
+{
+	entry_t *entry = x->entry;
+
+	attempt_cancel(x);
+	guest_forget(x);
+	HASH_DELETE(hh, entry->exchanges, x);
+	event_free(x->limit);
+	evbuffer_free(x->answer);
+	stream_clear(&x->stream);
+	json_decref(x->doc);
+	free(x->raw);
+	free(x->target);
+	ap_view_unref(x->view);
+	free(x);
+	entry_check_drained(entry);
+}
+
+/* Frees an exchange that has ended, once nothing of it is under way. */
+void exchange_settle(exchange_t *x)
+{
+	if (x->phase != PHASE_ENDED || x->fetch)
+		return;
+	if (x->is_guest && evbuffer_get_length(x->guest.out) > 0)
+		return;
+	exchange_free(x);
+}
+
+static void count_outcome(entry_t *entry, ap_outcome_t outcome)
+{
+	static const entry_count_t counts[] = {
+		[AP_OUTCOME_COMPLETED] = COUNT_COMPLETED,
+		[AP_OUTCOME_NOT_RUN] = COUNT_NOT_RUN,
+		[AP_OUTCOME_UNKNOWN] = COUNT_UNKNOWN,
+	};
+
+	entry->counts[counts[outcome]]++;
+}
+
+/* The outcome is known: everybody but the asker is told. */
+static void end(exchange_t *x, ap_outcome_t outcome, const char *why)
+{
+	entry_t *entry = x->entry;
+	bool whole = outcome == AP_OUTCOME_COMPLETED && !x->sse;
+	size_t len = whole ? evbuffer_get_length(x->answer) : 0;
+	const void *answer = len ? (const void *)evbuffer_pullup(x->answer, -1) : NULL;
+	ap_usec_t now = ap_now();
+
+	x->phase = PHASE_ENDED;
+	count_outcome(entry, outcome);
+	entry->counts[COUNT_TOKENS] += x->stream.tokens;
+	ap_emit(&entry->env, now, "request.end", x->req.id,
+		"outcome=%s why=%s service=%s region=%s attempts=%u cost=%.3f",
+		ap_outcome_name(outcome), why, x->req.service->name, x->region, x->attempts,
+		x->cost);
+	if (entry->hooks.ended && x->req.service->permit)
+		entry->hooks.ended(entry->hooks.ctx, x, outcome, answer, len);
+	ap_admission_done(entry->admission, x->token, now);
+}
+
+static void fail(exchange_t *x, entry_fault_t *fault)
+{
+	attempt_cancel(x);
+	end(x, entry_error_outcome(fault->error), entry_error_code(fault->error));
+	sink_fault(x, fault);
+	exchange_settle(x);
+}
+
+static void fail_with(exchange_t *x, entry_error_t error, const char *text)
+{
+	entry_fault_t fault = {.error = error};
+
+	ap_copy_name(fault.text, sizeof(fault.text), text);
+	fail(x, &fault);
+}
+
+/* What is said when no attempt is left. */
+void exchange_give_up(exchange_t *x, const char *why)
+{
+	if (!x->maybe_ran)
+		fail_with(x, ENTRY_NOT_RUN, why);
+	else if (x->req.service->repeatable)
+		fail_with(x, ENTRY_UPSTREAM_FAILED, why);
+	else
+		fail_with(x, ENTRY_UNKNOWN, why);
+}
+
+static void on_limit(evutil_socket_t fd, short what, void *arg)
+{
+	exchange_t *x = arg;
+
+	(void)fd;
+	(void)what;
+	if (x->phase == PHASE_ENDED) {
+		exchange_free(x);
+		return;
+	}
+	if (x->phase == PHASE_WAITING)
+		ap_admission_cancel(x->entry->admission, x->token, ap_now());
+	if (x->phase == PHASE_GATE && x->entry->hooks.hung_up)
+		x->entry->hooks.hung_up(x->entry->hooks.ctx, x);
+	attempt_cancel(x);
+	if (x->maybe_ran)
+		fail_with(x, ENTRY_UNKNOWN, "the time limit of a request passed");
+	else
+		fail_with(x, ENTRY_NOT_RUN, "the time limit of a request passed");
+}
+
+/* The part of a caller's limits that this entry enforces; the entries it should use share them. */
+static double share_of(const exchange_t *x)
+{
+	const ap_entry_t *found[AP_ENTRIES_MAX];
+	const ap_caller_t *caller = x->req.caller;
+	const char *own = x->entry->config.settings->id;
+	size_t n = ap_entries_for(x->view, caller->name, caller->home, x->req.service->home_bound,
+				  found);
+
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(found[i]->id, own) == 0)
+			return 1.0 / (double)n;
+	}
+	return n ? OUTSIDER_SHARE / (double)n : 1.0;
+}
+
+void exchange_begin(exchange_t *x)
+{
+	entry_t *entry = x->entry;
+	ap_usec_t now = ap_now();
+	ap_usec_t longest = entry->config.settings->request_time;
+	struct timeval limit = {
+		.tv_sec = (time_t)(longest / AP_SEC),
+		.tv_usec = (suseconds_t)(longest % AP_SEC),
+	};
+	entry_fault_t fault = {.error = ENTRY_OVER_LIMIT, .text = "over this caller's limit"};
+	ap_ask_t ask = {
+		.token = x->token,
+		.caller = x->req.caller,
+		.cls = x->req.cls,
+		.guest = x->req.forwarded,
+		.home_bound = x->req.service->home_bound,
+		.deadline = x->req.deadline,
+		.work = EXPECTED_WORK,
+		.share = share_of(x),
+	};
+
+	ap_require(&entry->env, ap_residency_allows(&x->req, entry->config.settings->region),
+		   AP_INV_RESIDENCY, "home-bound request held outside its region");
+	entry->counts[COUNT_REQUESTS]++;
+	ap_retry_budget_request(entry->budget, now);
+	event_add(x->limit, &limit);
+	switch (ap_admission_ask(entry->admission, &ask, now, &fault.retry_after)) {
+	case AP_ADMIT_NOW:
+		exchange_admitted(x);
+		break;
+	case AP_ADMIT_QUEUE:
+		break;
+	case AP_ADMIT_SHED:
+		exchange_shed(x, fault.retry_after);
+		break;
+	case AP_ADMIT_LIMIT:
+		fail(x, &fault);
+		break;
+	}
+}
+
+void exchange_shed(exchange_t *x, ap_usec_t retry_after)
+{
+	entry_fault_t fault = {
+		.error = ENTRY_OVERLOADED,
+		.retry_after = retry_after,
+		.text = "too much is in progress here",
+	};
+
+	x->entry->counts[COUNT_SHED]++;
+	fail(x, &fault);
+}
+
+void exchange_admitted(exchange_t *x)
+{
+	entry_hooks_t *hooks = &x->entry->hooks;
+
+	if (!x->req.service->permit) {
+		exchange_go(x);
+		return;
+	}
+	x->phase = PHASE_GATE;
+	if (hooks->gate)
+		hooks->gate(hooks->ctx, x);
+	else
+		fail_with(x, ENTRY_NOT_RUN, "this entry can't judge permits");
+}
+
+void exchange_go(exchange_t *x)
+{
+	x->phase = PHASE_RUNNING;
+	attempt_start(x);
+}
+
+void exchange_refuse(exchange_t *x, entry_fault_t *fault)
+{
+	fail(x, fault);
+}
+
+void exchange_stored(exchange_t *x, const void *answer, size_t len)
+{
+	evbuffer_drain(x->answer, evbuffer_get_length(x->answer));
+	evbuffer_add(x->answer, answer, len);
+	x->status = 200;
+	ap_copy_name(x->region, sizeof(x->region), x->entry->config.settings->region);
+	if (!x->answer_type[0])
+		ap_copy_name(x->answer_type, sizeof(x->answer_type), "application/json");
+	end(x, AP_OUTCOME_COMPLETED, "stored");
+	sink_finish(x);
+	exchange_settle(x);
+}
+
+void exchange_pass(exchange_t *x, const char *to)
+{
+	x->phase = PHASE_RUNNING;
+	if (!away_start(x, to, 0))
+		fail_with(x, ENTRY_NOT_RUN, "the entry that holds the permit can't be reached");
+}
+
+void exchange_completed(exchange_t *x)
+{
+	ap_require(&x->entry->env, x->matched && (!x->sse || x->stream.done), AP_INV_WHOLE_ANSWER,
+		   "an answer that is not whole or not its own");
+	end(x, AP_OUTCOME_COMPLETED, "answered");
+	sink_finish(x);
+	exchange_settle(x);
+}
+
+void exchange_gone(exchange_t *x)
+{
+	ap_outcome_t outcome = AP_OUTCOME_NOT_RUN;
+
+	if (x->phase == PHASE_ENDED) {
+		if (x->is_guest)
+			exchange_free(x);
+		return;
+	}
+	/* The outcome of a call that runs at most once is worth knowing without its caller. */
+	if (x->phase == PHASE_RUNNING && x->req.service->permit)
+		return;
+	if (x->phase == PHASE_WAITING)
+		ap_admission_cancel(x->entry->admission, x->token, ap_now());
+	if (x->phase == PHASE_GATE && x->entry->hooks.hung_up)
+		x->entry->hooks.hung_up(x->entry->hooks.ctx, x);
+	attempt_cancel(x);
+	if (x->maybe_ran)
+		outcome = AP_OUTCOME_UNKNOWN;
+	if (x->is_guest)
+		evbuffer_drain(x->guest.out, evbuffer_get_length(x->guest.out));
+	end(x, outcome, "hung-up");
+	exchange_settle(x);
+}
+
+static bool may_resume(const exchange_t *x)
+{
+	return x->sse && x->req.service->resumable;
+}
+
+void exchange_retry(exchange_t *x, bool certainly_not_run, const char *why)
+{
+	ap_usec_t now = ap_now();
+	bool started = x->reply_started;
+
+	if (!certainly_not_run)
+		x->maybe_ran = true;
+	if (started && !may_resume(x)) {
+		exchange_give_up(x, why);
+		return;
+	}
+	if (!certainly_not_run && !x->req.service->repeatable) {
+		exchange_give_up(x, why);
+		return;
+	}
+	if (x->attempts >= ATTEMPTS_MAX) {
+		exchange_give_up(x, why);
+		return;
+	}
+	/* A stream that goes on has a new first byte to wait for. */
+	if (started)
+		x->req.deadline = now + x->req.service->first_byte;
+	if (!ap_retry_budget_take(x->entry->budget, now, x->req.deadline,
+				  x->choice.expected_wait)) {
+		exchange_give_up(x, why);
+		return;
+	}
+	x->entry->counts[started ? COUNT_RESUMES : COUNT_RETRIES]++;
+	attempt_start(x);
+}
--- /dev/null
+++ b/cmd/arbutuspond/entry-guest.c
@@ -0,0 +1,225 @@
+/* Requests that another entry passed on: served or refused here, never sent further. */
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PART_MAX 65536 /* bytes of one part of an answer */
+
+static exchange_t *find(const entry_t *entry, const char *from, ap_xid_t exchange)
+{
+	exchange_t *x;
+
+	HASH_FIND(hh_guest, entry->guests, &exchange, sizeof(exchange), x);
+	return x && strcmp(x->guest.from, from) == 0 ? x : NULL;
+}
+
+static void refuse(entry_t *entry, const char *from, ap_xid_t exchange, entry_error_t error,
+		   const char *text)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_END, .exchange = exchange};
+	ap_forward_end_t *end = &msg.u.end;
+
+	end->outcome = entry_error_outcome(error);
+	end->status = (uint32_t)entry_error_status(error);
+	ap_copy_name(end->region, sizeof(end->region), entry->config.settings->region);
+	ap_copy_name(end->code, sizeof(end->code), entry_error_code(error));
+	ap_copy_name(end->text, sizeof(end->text), text);
+	entry_send(entry, from, &msg);
+}
+
+static const ap_caller_t *caller_by_name(const ap_conf_t *conf, const char *name)
+{
+	for (size_t i = 0; i < conf->n_callers; i++) {
+		if (strcmp(conf->callers[i].name, name) == 0)
+			return &conf->callers[i];
+	}
+	return NULL;
+}
+
+static const char *region_of(const entry_t *entry, const char *id)
+{
+	for (size_t i = 0; i < entry->view->n_entries; i++) {
+		if (strcmp(entry->view->entries[i].id, id) == 0)
+			return entry->view->entries[i].region;
+	}
+	return NULL;
+}
+
+/* The sender counts the crossing; a count that does not fit where it is from is refused. */
+static bool hops_fit(const entry_t *entry, const char *from, uint32_t hops)
+{
+	const char *region = region_of(entry, from);
+	bool here = region && strcmp(region, entry->config.settings->region) == 0;
+
+	return region && hops == (here ? 0 : 1);
+}
+
+static bool take_body(exchange_t *x, const ap_forward_request_t *request, entry_fault_t *fault)
+{
+	json_t *doc;
+	bool ok;
+
+	if (x->req.service->plain) {
+		x->raw = malloc(request->len + 1);
+		if (x->raw)
+			memcpy(x->raw, request->body, request->len);
+		x->raw_len = x->raw ? request->len : 0;
+		return x->raw != NULL;
+	}
+	doc = body_read(request->body, request->len, fault);
+	ok = doc && body_take(x, doc, fault);
+	json_decref(doc);
+	return ok;
+}
+
+static void fill(exchange_t *x, const char *from, const ap_forward_msg_t *msg)
+{
+	const ap_forward_request_t *request = &msg->u.request;
+	entry_t *entry = x->entry;
+
+	x->is_guest = true;
+	x->guest.exchange = msg->exchange;
+	x->guest.credit = request->credit;
+	x->guest.out = evbuffer_new();
+	ap_copy_name(x->guest.from, sizeof(x->guest.from), from);
+	x->req.id = request->request;
+	x->req.forwarded = request->hops > 0;
+	x->req.stay = true;
+	if (request->first_byte < x->req.service->deadline)
+		x->req.deadline = x->req.arrival + request->first_byte;
+	x->method = (enum evhttp_cmd_type)request->method;
+	x->target = strdup(request->target);
+	ap_copy_name(x->model, sizeof(x->model), request->model);
+	ap_copy_name(x->adapter, sizeof(x->adapter), request->adapter);
+	ap_copy_name(x->content_type, sizeof(x->content_type), request->content_type);
+	ap_copy_name(x->permit, sizeof(x->permit), request->permit);
+	HASH_ADD(hh_guest, entry->guests, guest.exchange, sizeof(x->guest.exchange), x);
+}
+
+static void begin(entry_t *entry, const char *from, const ap_forward_msg_t *msg,
+		  const ap_caller_t *caller, const ap_service_t *service)
+{
+	entry_fault_t fault = {.error = ENTRY_BAD_REQUEST};
+	exchange_t *x = exchange_new(entry, caller, service);
+
+	if (!x) {
+		refuse(entry, from, msg->exchange, ENTRY_OVERLOADED, "out of memory");
+		return;
+	}
+	fill(x, from, msg);
+	if (!take_body(x, &msg->u.request, &fault)) {
+		exchange_free(x);
+		refuse(entry, from, msg->exchange, fault.error, fault.text);
+		return;
+	}
+	entry->counts[COUNT_GUESTS]++;
+	exchange_begin(x);
+}
+
+static void take_request(entry_t *entry, const char *from, const ap_forward_msg_t *msg)
+{
+	const ap_forward_request_t *request = &msg->u.request;
+	const ap_conf_t *conf = entry->view ? entry->view->conf : NULL;
+	const ap_service_t *service = conf ? ap_conf_service(conf, request->service) : NULL;
+	const ap_caller_t *caller = conf ? caller_by_name(conf, request->caller) : NULL;
+	const char *here = entry->config.settings->region;
+	bool bound;
+
+	if (!conf || !hops_fit(entry, from, request->hops) || find(entry, from, msg->exchange)) {
+		entry->counts[COUNT_REFUSED_MESSAGES]++;
+		return;
+	}
+	if (entry->draining) {
+		refuse(entry, from, msg->exchange, ENTRY_DRAINING, "this entry is shutting down");
+		return;
+	}
+	if (!service || !caller) {
+		refuse(entry, from, msg->exchange, ENTRY_NOT_RUN, "not configured here yet");
+		return;
+	}
+	/* Either side's configuration may know first that a service is bound to its home. */
+	bound = service->home_bound;
+	if (bound && (strcmp(caller->home, here) != 0 || strcmp(request->home, here) != 0)) {
+		entry->counts[COUNT_REFUSED_MESSAGES]++;
+		refuse(entry, from, msg->exchange, ENTRY_WRONG_REGION, "stays in its home region");
+		return;
+	}
+	begin(entry, from, msg, caller, service);
+}
+
+static bool send_part(exchange_t *x)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_DATA, .exchange = x->guest.exchange};
+	guest_t *guest = &x->guest;
+	size_t len = evbuffer_get_length(guest->out);
+
+	if (len > PART_MAX)
+		len = PART_MAX;
+	msg.u.data.offset = guest->sent;
+	msg.u.data.data = evbuffer_pullup(guest->out, (ev_ssize_t)len);
+	msg.u.data.len = len;
+	if (!entry_send(x->entry, guest->from, &msg))
+		return false;
+	evbuffer_drain(guest->out, len);
+	guest->sent += len;
+	return true;
+}
+
+static void send_end(exchange_t *x)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_END, .exchange = x->guest.exchange};
+
+	x->guest.end.total = x->guest.sent;
+	msg.u.end = x->guest.end;
+	entry_send(x->entry, x->guest.from, &msg);
+}
+
+void guest_pump(exchange_t *x)
+{
+	guest_t *guest = &x->guest;
+
+	while (evbuffer_get_length(guest->out) > 0 && guest->sent < guest->credit) {
+		/* A queue that is full means a sender that is gone; its own limits tell it. */
+		if (!send_part(x)) {
+			evbuffer_drain(guest->out, evbuffer_get_length(guest->out));
+			guest->ended = false;
+			return;
+		}
+	}
+	if (guest->ended && evbuffer_get_length(guest->out) == 0) {
+		guest->ended = false;
+		send_end(x);
+	}
+}
+
+void guest_forget(exchange_t *x)
+{
+	if (!x->is_guest)
+		return;
+	HASH_DELETE(hh_guest, x->entry->guests, x);
+	evbuffer_free(x->guest.out);
+	x->is_guest = false;
+}
+
+void guest_receive(entry_t *entry, const char *from, const ap_forward_msg_t *msg)
+{
+	exchange_t *x;
+
+	if (msg->kind == AP_WIRE_FORWARD) {
+		take_request(entry, from, msg);
+		return;
+	}
+	x = find(entry, from, msg->exchange);
+	if (!x)
+		return;
+	if (msg->kind == AP_WIRE_FORWARD_CANCEL) {
+		exchange_gone(x);
+		return;
+	}
+	if (msg->u.credit > x->guest.credit)
+		x->guest.credit = msg->u.credit;
+	guest_pump(x);
+	attempt_flow(x);
+	exchange_settle(x);
+}
--- /dev/null
+++ b/cmd/arbutuspond/entry-stream.c
@@ -0,0 +1,117 @@
+/* Server-sent events of an upstream: only whole events are passed on, and tokens are counted. */
+#include "entry.h"
+
+#include <string.h>
+
+#define EVENT_MAX (1u << 20) /* bytes of one event */
+
+static const char done_mark[] = "[DONE]";
+
+void stream_init(stream_t *s, bool keep_text)
+{
+	s->part = evbuffer_new();
+	s->text = keep_text ? evbuffer_new() : NULL;
+}
+
+void stream_clear(stream_t *s)
+{
+	if (s->part)
+		evbuffer_free(s->part);
+	if (s->text)
+		evbuffer_free(s->text);
+	s->part = NULL;
+	s->text = NULL;
+}
+
+void stream_cut(stream_t *s)
+{
+	evbuffer_drain(s->part, evbuffer_get_length(s->part));
+	s->scanned = 0;
+}
+
+static const char *content_of(json_t *event)
+{
+	json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
+	json_t *text = json_object_get(choice, "text");
+
+	if (!text)
+		text = json_object_get(json_object_get(choice, "delta"), "content");
+	return json_string_value(text);
+}
+
+static void count_token(stream_t *s, const char *data, size_t len)
+{
+	json_t *event = json_loadb(data, len, 0, NULL);
+	const char *text = content_of(event);
+
+	if (text && text[0]) {
+		s->tokens++;
+		if (s->text)
+			evbuffer_add(s->text, text, strlen(text));
+	}
+	json_decref(event);
+}
+
+/* Looks at one whole event. Return: false for the end mark. */
+static bool take_event(stream_t *s, const char *event, size_t len)
+{
+	const char *data = memmem(event, len, "data:", 5);
+	size_t left;
+
+	if (!data)
+		return true;
+	data += 5;
+	left = len - (size_t)(data - event);
+	while (left && *data == ' ') {
+		data++;
+		left--;
+	}
+	if (left >= sizeof(done_mark) - 1 && memcmp(data, done_mark, sizeof(done_mark) - 1) == 0)
+		return false;
+	count_token(s, data, left);
+	return true;
+}
+
+/* The length of the first event of @data with its empty line, or 0. */
+static size_t event_length(const char *data, size_t len, size_t from)
+{
+	const char *end = memmem(data + from, len - from, "\n\n", 2);
+	const char *crlf = memmem(data + from, len - from, "\r\n\r\n", 4);
+
+	if (crlf && (!end || crlf < end))
+		return (size_t)(crlf - data) + 4;
+	return end ? (size_t)(end - data) + 2 : 0;
+}
+
+bool stream_feed(stream_t *s, const void *data, size_t len,
+		 void (*events)(void *ctx, const void *data, size_t len), void *ctx)
+{
+	const char *all;
+	size_t total;
+	size_t used = 0;
+	size_t n;
+
+	if (s->done)
+		return true;
+	evbuffer_add(s->part, data, len);
+	total = evbuffer_get_length(s->part);
+	all = (const char *)evbuffer_pullup(s->part, -1);
+	while (used < total) {
+		n = event_length(all + used, total - used, s->scanned);
+		if (n == 0)
+			break;
+		s->scanned = 0;
+		if (!take_event(s, all + used, n)) {
+			s->done = true;
+			break;
+		}
+		used += n;
+	}
+	if (used)
+		events(ctx, all, used);
+	evbuffer_drain(s->part, used);
+	total = evbuffer_get_length(s->part);
+	/* The empty line may be cut anywhere, so the last three bytes are looked at again. */
+	s->scanned = total > 3 ? total - 3 : 0;
+	return total <= EVENT_MAX;
+}
--- /dev/null
+++ b/cmd/arbutuspond/entry.h
@@ -0,0 +1,377 @@
+/*
+ * The entry task's own parts: callers' requests become exchanges, each of which makes attempts at
+ * upstreams or at another entry until one answer is whole. Private to the daemon.
+ */
+#ifndef AP_ENTRY_H
+#define AP_ENTRY_H
+
+#include "http/http.h"
+#include "limit/limit.h"
+#include "route/route.h"
+#include "settings/settings.h"
+#include "task.h"
+#include "wire/wire.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <jansson.h>
+
+#define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
+#include <uthash.h>
+
+#define REPLY_HIGH (256 * 1024)	    /* bytes waiting for a caller above which reading stops */
+#define REPLY_LOW (64 * 1024)	    /* bytes below which it goes on */
+#define ANSWER_MAX (16u << 20)	    /* bytes of an answer that is given in one piece */
+#define STREAM_MAX (256u << 20)	    /* bytes of a streamed answer */
+#define ATTEMPTS_MAX 8		    /* attempts of one request; as many as ap_request can name */
+#define FORWARD_WINDOW (256 * 1024) /* bytes of answer that another entry may send ahead */
+#define REQUEST_TEXT_MAX 64	    /* bytes of a request's name, with its terminator */
+#define LEAVING_MAX 1024	    /* upstreams remembered as leaving between two views */
+
+typedef struct entry entry_t;
+typedef struct exchange exchange_t;
+
+/* Errors that callers are told, each with a stable code. */
+typedef enum entry_error {
+	ENTRY_BAD_REQUEST,
+	ENTRY_UNAUTHORIZED,
+	ENTRY_FORBIDDEN,
+	ENTRY_NOT_FOUND,
+	ENTRY_PERMIT_USED,
+	ENTRY_TOO_LARGE,
+	ENTRY_WRONG_REGION,
+	ENTRY_PERMIT_NEEDED,
+	ENTRY_OVER_LIMIT,
+	ENTRY_OVERLOADED,
+	ENTRY_UPSTREAM_FAILED,
+	ENTRY_NOT_RUN,
+	ENTRY_UNKNOWN,
+	ENTRY_DRAINING,
+	ENTRY_ERROR_COUNT,
+} entry_error_t;
+
+/**
+ * struct entry_fault - one error for a caller.
+ * @retry_after: microseconds, or 0 for none
+ * @entries: JSON array of entries to use instead; reference is taken over
+ */
+typedef struct entry_fault {
+	entry_error_t error;
+	ap_usec_t retry_after;
+	json_t *entries;
+	char text[AP_FORWARD_TEXT_MAX];
+} entry_fault_t;
+
+typedef enum entry_count {
+	COUNT_REQUESTS,
+	COUNT_COMPLETED,
+	COUNT_NOT_RUN,
+	COUNT_UNKNOWN,
+	COUNT_WRONG_INPUT,
+	COUNT_SHED,
+	COUNT_ATTEMPTS,
+	COUNT_RETRIES,
+	COUNT_RESUMES,
+	COUNT_SENT_AWAY,
+	COUNT_GUESTS,
+	COUNT_LATE_ANSWERS,
+	COUNT_CROSSED_ANSWERS,
+	COUNT_CUT_STREAMS,
+	COUNT_SILENT,
+	COUNT_HANG_UPS,
+	COUNT_TOKENS,
+	COUNT_REFUSED_MESSAGES,
+	COUNT_N,
+} entry_count_t;
+
+/**
+ * struct entry_hooks - where calls that may run at most once are decided; all may be NULL.
+ * @gate: an admitted call of a service that needs a permit; answers later, or at once, with
+ *        exchange_go(), exchange_pass() or exchange_refuse()
+ * @dispatch: just before the first byte is written; on false nothing is written
+ * @ended: the exchange has its outcome; @answer is set when it was given in one piece
+ * @hung_up: the caller of a call that waits at the gate hung up
+ * @permits: POST /v1/permits; must reply
+ * @message: a peer message of kind AP_WIRE_ONCE
+ * @view: a new view is in force
+ * @drain: all requests have ended; calls entry_hooks_drained() once its records are handed over
+ */
+typedef struct entry_hooks {
+	void *ctx;
+	void (*gate)(void *ctx, exchange_t *x);
+	bool (*dispatch)(void *ctx, exchange_t *x);
+	void (*ended)(void *ctx, exchange_t *x, ap_outcome_t outcome, const void *answer,
+		      size_t len);
+	void (*hung_up)(void *ctx, exchange_t *x);
+	void (*permits)(void *ctx, ap_http_call_t *call, const ap_caller_t *caller,
+			const ap_service_t *service);
+	void (*message)(void *ctx, const char *from, const void *data, size_t len);
+	void (*view)(void *ctx, const ap_view_t *view);
+	void (*drain)(void *ctx);
+} entry_hooks_t;
+
+/**
+ * struct entry_config - made once at start.
+ * @note: takes a message for the control task
+ * @send: sends to another entry; false when certainly not sent
+ */
+typedef struct entry_config {
+	const ap_settings_t *settings;
+	struct event_base *base;
+	ap_id_t inc;
+	void *ctx;
+	void (*note)(void *ctx, const ap_note_t *note);
+	bool (*send)(void *ctx, const char *to, const void *data, size_t len);
+} entry_config_t;
+
+typedef struct leaving {
+	char name[AP_NAME_MAX];
+	UT_hash_handle hh;
+} leaving_t;
+
+struct entry {
+	entry_config_t config;
+	entry_hooks_t hooks;
+	ap_env_t env;
+	ap_rng_t rng;
+	ap_http_server_t *server;
+	ap_http_client_t *client;
+	ap_route_t *route;
+	ap_admission_t *admission;
+	ap_retry_budget_t *budget;
+	ap_view_t *view;
+	exchange_t *exchanges; /* by token */
+	exchange_t *away;      /* by the exchange's name at the other entry */
+	exchange_t *guests;    /* by the sender's name of the exchange */
+	leaving_t *leaving;
+	struct event *tick;
+	struct event *report;
+	uint64_t next_token;
+	uint64_t next_message;
+	bool draining;
+	bool drained;
+	uint64_t counts[COUNT_N];
+	uint64_t errors[ENTRY_ERROR_COUNT];
+};
+
+typedef enum exchange_phase {
+	PHASE_WAITING, /* for admission */
+	PHASE_GATE,    /* for the permit's decision */
+	PHASE_RUNNING,
+	PHASE_ENDED, /* answered; its attempt may still be closing */
+} exchange_phase_t;
+
+/**
+ * struct stream - server-sent events taken apart.
+ * @part: an event that is not whole yet
+ * @tokens: generated tokens passed on
+ * @text: their text, kept for a resume
+ */
+typedef struct stream {
+	struct evbuffer *part;
+	size_t scanned;
+	uint32_t tokens;
+	struct evbuffer *text;
+	bool done;
+} stream_t;
+
+/**
+ * struct guest - the entry that passed a request to this one.
+ * @out: parts of the answer that wait for credit
+ */
+typedef struct guest {
+	char from[AP_NAME_MAX];
+	ap_xid_t exchange;
+	uint64_t credit;
+	uint64_t sent;
+	struct evbuffer *out;
+	ap_forward_end_t end;
+	bool ended;
+} guest_t;
+
+/**
+ * struct away - the attempt at another entry.
+ * @exchange: names this attempt in messages
+ * @got: bytes of the answer that came
+ * @granted: bytes that may have been sent
+ */
+typedef struct away {
+	bool open;
+	ap_xid_t exchange;
+	char to[AP_NAME_MAX];
+	uint64_t got;
+	uint64_t granted;
+	bool heard;
+	ap_usec_t last;
+	struct event *limit;
+} away_t;
+
+/**
+ * struct exchange - one request from its arrival to its whole answer.
+ * @token: this entry's number for it
+ * @call: its caller here; NULL for a guest, or when the caller was answered or hung up
+ * @doc: body of an inference request
+ * @raw: body of a plain request
+ * @maybe_ran: some attempt may have started at an upstream
+ * @flying: the choice of upstream waits to hear how the present attempt ended
+ * @matched: the present answer carries the name of the present attempt
+ */
+struct exchange {
+	entry_t *entry;
+	uint64_t token;
+	UT_hash_handle hh;
+	UT_hash_handle hh_away;
+	UT_hash_handle hh_guest;
+	exchange_phase_t phase;
+	ap_view_t *view;
+	ap_request_t req;
+	char name[REQUEST_TEXT_MAX];
+	char home[AP_NAME_MAX];
+	char model[AP_NAME_MAX];
+	char adapter[AP_NAME_MAX];
+	ap_http_call_t *call;
+	guest_t guest;
+	bool is_guest;
+	enum evhttp_cmd_type method;
+	char *target;
+	char content_type[AP_FORWARD_TYPE_MAX];
+	char permit[AP_FORWARD_PERMIT_MAX];
+	char idempotency_key[AP_NAME_MAX];
+	json_t *doc;
+	char *raw;
+	size_t raw_len;
+	bool wants_stream;
+	struct event *limit;
+
+	ap_choice_t choice;
+	char attempt_name[REQUEST_TEXT_MAX + 12];
+	char tried[ATTEMPTS_MAX][AP_NAME_MAX];
+	unsigned attempts;
+	ap_http_fetch_t *fetch;
+	away_t away;
+	ap_usec_t sent_at;
+	bool maybe_ran;
+	bool flying;
+	bool first_seen;
+	bool matched;
+	bool refused;
+	int status;
+	bool sse;
+	char answer_type[AP_FORWARD_TYPE_MAX];
+	struct evbuffer *answer;
+	stream_t stream;
+	bool reply_started;
+	bool paused;
+	double cost;
+	char region[AP_NAME_MAX];
+};
+
+/* entry-core.c */
+ap_http_status_t entry_new(const entry_config_t *config, entry_t **entry, ap_err_t *err);
+void entry_free(entry_t *entry);
+uint16_t entry_port(const entry_t *entry);
+/* entry_note() - takes a message of the control task; false for stop. */
+bool entry_note(entry_t *entry, ap_note_t *note);
+/* entry_receive() - takes a message of another entry on the data port. */
+void entry_receive(entry_t *entry, const char *from, const void *data, size_t len);
+/* entry_hooks_drained() - the hooks have nothing left to hand over. */
+void entry_hooks_drained(entry_t *entry);
+void entry_check_drained(entry_t *entry);
+void entry_leaving(entry_t *entry, const char *upstream, bool tell);
+bool entry_knows_leaving(const entry_t *entry, const char *upstream);
+char *entry_counters_text(const entry_t *entry);
+exchange_t *exchange_by_token(const entry_t *entry, uint64_t token);
+
+/* entry-reply.c */
+int entry_error_status(entry_error_t error);
+const char *entry_error_code(entry_error_t error);
+ap_outcome_t entry_error_outcome(entry_error_t error);
+bool entry_error_by_code(const char *code, entry_error_t *error);
+/* reply_fault() - answers @call with an error; @fault's entries are released. */
+void reply_fault(entry_t *entry, ap_http_call_t *call, const char *name, entry_fault_t *fault);
+void reply_simple(entry_t *entry, ap_http_call_t *call, entry_error_t error, const char *text);
+void reply_json(ap_http_call_t *call, int status, json_t *json);
+json_t *entries_json(const entry_t *entry, const ap_caller_t *caller, bool home_only);
+/* The asker of an exchange, caller or other entry: */
+void sink_start(exchange_t *x);
+void sink_write(exchange_t *x, const void *data, size_t len);
+void sink_finish(exchange_t *x);
+void sink_fault(exchange_t *x, entry_fault_t *fault);
+/* sink_full() - must reading stop? */
+bool sink_full(const exchange_t *x);
+
+/* entry-caller.c */
+void caller_request(void *ctx, ap_http_call_t *call);
+
+/* entry-body.c */
+/* body_read() - a new reference to an object, or NULL with @fault set. */
+json_t *body_read(const void *data, size_t len, entry_fault_t *fault);
+/* body_take() - what @doc asks for; takes its own reference. */
+bool body_take(exchange_t *x, json_t *doc, entry_fault_t *fault);
+/* body_model() - splits SERVICE/MODEL/ADAPTER; false when a part is too long. */
+bool body_model(const char *text, char *service, char *model, char *adapter);
+/* body_for_upstream() - text of the request as the chosen engine gets it; free() it. */
+char *body_for_upstream(const exchange_t *x);
+
+/* entry-exchange.c */
+exchange_t *exchange_new(entry_t *entry, const ap_caller_t *caller, const ap_service_t *service);
+/* exchange_begin() - asks for admission. */
+void exchange_begin(exchange_t *x);
+/* exchange_admitted() - the admission started it. */
+void exchange_admitted(exchange_t *x);
+void exchange_shed(exchange_t *x, ap_usec_t retry_after);
+/* exchange_go() - the gate opened. */
+void exchange_go(exchange_t *x);
+/* exchange_refuse() - ends it with an error instead of an attempt. */
+void exchange_refuse(exchange_t *x, entry_fault_t *fault);
+/* exchange_stored() - ends it with an answer given before. */
+void exchange_stored(exchange_t *x, const void *answer, size_t len);
+/* exchange_pass() - the entry @to of the own region must run it. */
+void exchange_pass(exchange_t *x, const char *to);
+/* exchange_gone() - its caller hung up, or the entry that passed it on cancelled it. */
+void exchange_gone(exchange_t *x);
+/* exchange_retry() - the attempt ended without a whole answer. */
+void exchange_retry(exchange_t *x, bool certainly_not_run, const char *why);
+/* exchange_give_up() - no attempt is left. */
+void exchange_give_up(exchange_t *x, const char *why);
+void exchange_completed(exchange_t *x);
+void exchange_free(exchange_t *x);
+/* exchange_settle() - frees an exchange that has ended, once nothing of it is under way. */
+void exchange_settle(exchange_t *x);
+
+/* entry-attempt.c */
+void attempt_start(exchange_t *x);
+void attempt_cancel(exchange_t *x);
+/* Parts of an answer, from an upstream or from another entry: */
+void attempt_head(exchange_t *x, int status, const char *content_type);
+/* attempt_data() - false when the answer is too long. */
+bool attempt_data(exchange_t *x, const void *data, size_t len);
+/* attempt_whole() - is the collected answer a whole one? */
+bool attempt_whole(exchange_t *x);
+void attempt_flow(exchange_t *x);
+
+/* entry-stream.c */
+void stream_init(stream_t *s, bool keep_text);
+void stream_clear(stream_t *s);
+/* stream_cut() - drops an event that is not whole. */
+void stream_cut(stream_t *s);
+/* stream_feed() - takes bytes; whole events go to @events. False when one is too long. */
+bool stream_feed(stream_t *s, const void *data, size_t len,
+		 void (*events)(void *ctx, const void *data, size_t len), void *ctx);
+
+/* entry-away.c */
+/* away_start() - passes @x to the entry @to. Return: false when certainly not sent. */
+bool away_start(exchange_t *x, const char *to, unsigned hops);
+const ap_entry_t *away_pick(exchange_t *x, const char *region);
+void away_cancel(exchange_t *x);
+void away_close(exchange_t *x);
+void away_credit(exchange_t *x);
+void away_receive(entry_t *entry, const char *from, const ap_forward_msg_t *msg);
+bool entry_send(entry_t *entry, const char *to, const ap_forward_msg_t *msg);
+
+/* entry-guest.c */
+void guest_receive(entry_t *entry, const char *from, const ap_forward_msg_t *msg);
+void guest_pump(exchange_t *x);
+void guest_forget(exchange_t *x);
+
+#endif
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -23,6 +23,7 @@
  * struct ap_request - what the decisions know of a request.
  * @home: the caller's home region; the only one allowed when the service is home-bound
  * @forwarded: came from another region, so it is served or refused here
+ * @stay: no other region is to be asked: one was, or the call may not be repeated
  * @deadline: absolute time of the first byte
  * @tokens_in: estimated prompt tokens
  * @tokens_out: estimated or limited generated tokens
@@ -37,6 +38,7 @@
 	const char *adapter;
 	const char *home;
 	bool forwarded;
+	bool stay;
 	ap_class_t cls;
 	ap_usec_t arrival;
 	ap_usec_t deadline;
--- a/lib/route/spill.c
+++ b/lib/route/spill.c
@@ -145,7 +145,7 @@
 	if (!state || req->forwarded || req->service->home_bound || !set->elsewhere)
 		return NULL;
 	note_strain(state, wait / fmax(left, 1), now);
-	if (!state->spilling || wait <= left)
+	if (req->stay || !state->spilling || wait <= left)
 		return NULL;
 	HASH_ITER (hh, r->rooms, room, next) {
 		double there = (double)room->offer.wait + AP_NETWORK_FAR + prefill;
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -93,4 +93,92 @@
 /** ap_wire_array() - a reader over a nested array. */
 ap_wire_reader_t ap_wire_array(ap_wire_reader_t *r);
 
+#define AP_FORWARD_TARGET_MAX 2048
+#define AP_FORWARD_TYPE_MAX 128
+#define AP_FORWARD_PERMIT_MAX 512
+#define AP_FORWARD_CODE_MAX 32
+#define AP_FORWARD_TEXT_MAX 192
+#define AP_FORWARD_BODY_MAX (3u << 20) /* bytes of a request body that may be passed on */
+
+/**
+ * struct ap_forward_request - a request for another entry to serve or refuse.
+ * @request: name of the request on the time line
+ * @hops: regions crossed, this crossing included; 0 between entries of one region
+ * @stream: the caller asked for server-sent events
+ * @first_byte: microseconds left until the first byte is due
+ * @credit: bytes of answer that may be sent before more credit comes
+ */
+typedef struct ap_forward_request {
+	ap_xid_t request;
+	uint32_t hops;
+	char caller[AP_NAME_MAX];
+	char home[AP_NAME_MAX];
+	char service[AP_NAME_MAX];
+	char model[AP_NAME_MAX];
+	char adapter[AP_NAME_MAX];
+	bool stream;
+	uint32_t method;
+	char target[AP_FORWARD_TARGET_MAX];
+	char content_type[AP_FORWARD_TYPE_MAX];
+	char permit[AP_FORWARD_PERMIT_MAX];
+	ap_usec_t first_byte;
+	uint64_t credit;
+	const void *body;
+	size_t len;
+} ap_forward_request_t;
+
+typedef struct ap_forward_head {
+	uint32_t status;
+	char content_type[AP_FORWARD_TYPE_MAX];
+} ap_forward_head_t;
+
+/**
+ * struct ap_forward_data - a part of the answer.
+ * @offset: bytes of the answer sent before it
+ */
+typedef struct ap_forward_data {
+	uint64_t offset;
+	const void *data;
+	size_t len;
+} ap_forward_data_t;
+
+/**
+ * struct ap_forward_end - the end of an answer, or the reason that there is none.
+ * @status: HTTP status of the answer or of the error
+ * @total: bytes of the whole answer
+ * @code: stable code of the error; empty for a whole answer
+ */
+typedef struct ap_forward_end {
+	ap_outcome_t outcome;
+	uint32_t status;
+	uint64_t total;
+	double cost;
+	char region[AP_NAME_MAX];
+	char code[AP_FORWARD_CODE_MAX];
+	char text[AP_FORWARD_TEXT_MAX];
+	ap_usec_t retry_after;
+} ap_forward_end_t;
+
+/**
+ * struct ap_forward_msg - one message of kind AP_WIRE_FORWARD and those after it.
+ * @exchange: correlates it with the exchange of the entry that passed the request on
+ * @credit: bytes of answer that may have been sent in all
+ */
+typedef struct ap_forward_msg {
+	uint32_t kind;
+	ap_xid_t exchange;
+	union {
+		ap_forward_request_t request;
+		ap_forward_head_t head;
+		ap_forward_data_t data;
+		ap_forward_end_t end;
+		uint64_t credit;
+	} u;
+} ap_forward_msg_t;
+
+/** ap_forward_pack() - appends a whole message to @buf. */
+void ap_forward_pack(msgpack_sbuffer *buf, ap_id_t from, uint64_t seq, const ap_forward_msg_t *msg);
+/** ap_forward_read() - takes apart a body; pointers in @msg point into it. */
+ap_wire_status_t ap_forward_read(uint32_t kind, const msgpack_object *body, ap_forward_msg_t *msg);
+
 #endif
