--- /dev/null
+++ b/adapters/platform/kv.c
@@ -0,0 +1,255 @@
+/* The key-value port over Consul's published KV and session interface. */
+#include "platform/call.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_LIMIT (3 * AP_SEC)
+#define WATCH_MARGIN (5 * AP_SEC) /* the service may answer a watch a little late */
+#define PATH_MAX_BYTES 512
+
+/* What is kept while a call is in progress. */
+typedef struct pending {
+	ap_kv_done_t done;
+	void *arg;
+	bool write;
+} pending_t;
+
+static pending_t *pending_new(ap_kv_done_t done, void *arg, bool write)
+{
+	pending_t *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		abort();
+	p->done = done;
+	p->arg = arg;
+	p->write = write;
+	return p;
+}
+
+static void finish(pending_t *p, const ap_kv_result_t *result)
+{
+	p->done(p->arg, result);
+	free(p);
+}
+
+/* Turns a call that brought no usable answer into a status of this layer. */
+static ap_kv_status_t failure(const pending_t *p, const ap_call_answer_t *a, ap_err_t *err)
+{
+	if (a->end == AP_CALL_NOT_SENT) {
+		ap_err_set(err, "store cannot be reached");
+		return AP_KV_UNAVAILABLE;
+	}
+	if (a->end == AP_CALL_LOST)
+		ap_err_set(err, "store gave no answer");
+	else
+		ap_err_set(err, "store answered %d: %.100s", a->code, a->body);
+	if (!p->write)
+		return AP_KV_UNAVAILABLE;
+	if (a->end == AP_CALL_ANSWERED && a->code >= 400 && a->code < 500)
+		return AP_KV_UNAVAILABLE;
+	return AP_KV_UNSURE;
+}
+
+static json_int_t int_of(json_t *o, const char *key)
+{
+	return json_integer_value(json_object_get(o, key));
+}
+
+/* Fills @result from the first item of the answer; @value holds its decoded bytes. */
+static bool read_item(const ap_call_answer_t *a, ap_kv_result_t *result, unsigned char **value)
+{
+	json_t *root = json_loads(a->body, 0, NULL);
+	json_t *item = json_array_get(root, 0);
+	const char *text = json_string_value(json_object_get(item, "Value"));
+	const char *session = json_string_value(json_object_get(item, "Session"));
+	bool ok = json_is_object(item);
+
+	*value = NULL;
+	if (ok) {
+		result->index = (uint64_t)int_of(item, "ModifyIndex");
+		result->lock_index = (uint64_t)int_of(item, "LockIndex");
+		ap_copy_name(result->session, sizeof(result->session), session ? session : "");
+	}
+	if (ok && text) {
+		size_t room = strlen(text) + 1;
+
+		*value = malloc(room);
+		ok = *value &&
+		     sodium_base642bin(*value, room, text, strlen(text), NULL, &result->len, NULL,
+				       sodium_base64_VARIANT_ORIGINAL) == 0;
+		result->value = *value;
+	}
+	json_decref(root);
+	return ok;
+}
+
+static void on_get(void *arg, const ap_call_answer_t *a)
+{
+	pending_t *p = arg;
+	ap_kv_result_t result = {.status = AP_KV_OK};
+	unsigned char *value = NULL;
+
+	if (a->end == AP_CALL_ANSWERED && a->code == 404) {
+		result.status = AP_KV_ABSENT;
+		result.index = a->index;
+	} else if (a->end != AP_CALL_ANSWERED || a->code != 200) {
+		result.status = failure(p, a, &result.err);
+	} else if (!read_item(a, &result, &value)) {
+		result.status = AP_KV_UNAVAILABLE;
+		ap_err_set(&result.err, "store gave an answer that cannot be read");
+	}
+	finish(p, &result);
+	free(value);
+}
+
+static void on_put(void *arg, const ap_call_answer_t *a)
+{
+	pending_t *p = arg;
+	ap_kv_result_t result = {.status = AP_KV_OK};
+
+	if (a->end == AP_CALL_ANSWERED && a->code == 200)
+		result.status = strncmp(a->body, "true", 4) == 0 ? AP_KV_OK : AP_KV_CONFLICT;
+	else if (a->end == AP_CALL_ANSWERED && strstr(a->body, "invalid session"))
+		result.status = AP_KV_ABSENT;
+	else
+		result.status = failure(p, a, &result.err);
+	finish(p, &result);
+}
+
+static void on_session(void *arg, const ap_call_answer_t *a)
+{
+	pending_t *p = arg;
+	ap_kv_result_t result = {.status = AP_KV_OK};
+
+	if (a->end == AP_CALL_ANSWERED && a->code == 404) {
+		result.status = AP_KV_ABSENT;
+	} else if (a->end != AP_CALL_ANSWERED || a->code != 200) {
+		result.status = failure(p, a, &result.err);
+	} else {
+		json_t *root = json_loads(a->body, 0, NULL);
+		const char *id = json_string_value(json_object_get(root, "ID"));
+
+		ap_copy_name(result.session, sizeof(result.session), id ? id : "");
+		json_decref(root);
+	}
+	finish(p, &result);
+}
+
+static void read_call(ap_platform_t *pl, const char *path, ap_usec_t limit, pending_t *p)
+{
+	ap_call_spec_t spec = {.to = &pl->settings->store,
+			       .method = EVHTTP_REQ_GET,
+			       .path = path,
+			       .limit = limit,
+			       .done = on_get,
+			       .arg = p};
+
+	pl->stats.reads++;
+	ap_call(pl, &spec);
+}
+
+static void write_call(ap_platform_t *pl, const char *path, const void *body, size_t len,
+		       ap_call_done_t done, pending_t *p)
+{
+	ap_call_spec_t spec = {.to = &pl->settings->store,
+			       .method = EVHTTP_REQ_PUT,
+			       .path = path,
+			       .body = body,
+			       .len = len,
+			       .limit = CALL_LIMIT,
+			       .done = done,
+			       .arg = p};
+
+	pl->stats.writes++;
+	ap_call(pl, &spec);
+}
+
+static void kv_get(void *ctx, const char *key, uint64_t index, ap_usec_t wait, ap_kv_done_t done,
+		   void *arg)
+{
+	char path[PATH_MAX_BYTES];
+	ap_usec_t limit = CALL_LIMIT;
+
+	if (index > 0 && wait > 0) {
+		snprintf(path, sizeof(path), "/v1/kv/%s?index=%" PRIu64 "&wait=%" PRId64 "ms", key,
+			 index, wait / AP_MSEC);
+		limit = wait + WATCH_MARGIN;
+	} else {
+		snprintf(path, sizeof(path), "/v1/kv/%s", key);
+	}
+	read_call(ctx, path, limit, pending_new(done, arg, false));
+}
+
+static void kv_cas(void *ctx, const char *key, const void *value, size_t len, uint64_t index,
+		   ap_kv_done_t done, void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/kv/%s?cas=%" PRIu64, key, index);
+	write_call(ctx, path, value, len, on_put, pending_new(done, arg, true));
+}
+
+static void kv_acquire(void *ctx, const char *key, const void *value, size_t len,
+		       const char *session, ap_kv_done_t done, void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/kv/%s?acquire=%s", key, session);
+	write_call(ctx, path, value, len, on_put, pending_new(done, arg, true));
+}
+
+static void kv_release(void *ctx, const char *key, const char *session, ap_kv_done_t done,
+		       void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/kv/%s?release=%s", key, session);
+	write_call(ctx, path, NULL, 0, on_put, pending_new(done, arg, true));
+}
+
+static void kv_session_create(void *ctx, ap_usec_t ttl, ap_kv_done_t done, void *arg)
+{
+	char body[128];
+	int len =
+		snprintf(body, sizeof(body),
+			 "{\"TTL\":\"%" PRId64 "s\",\"Behavior\":\"release\",\"LockDelay\":\"0s\"}",
+			 ttl / AP_SEC);
+
+	write_call(ctx, "/v1/session/create", body, (size_t)len, on_session,
+		   pending_new(done, arg, true));
+}
+
+static void kv_session_renew(void *ctx, const char *session, ap_kv_done_t done, void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/session/renew/%s", session);
+	write_call(ctx, path, NULL, 0, on_session, pending_new(done, arg, true));
+}
+
+static void kv_session_destroy(void *ctx, const char *session, ap_kv_done_t done, void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/session/destroy/%s", session);
+	write_call(ctx, path, NULL, 0, on_put, pending_new(done, arg, true));
+}
+
+ap_kv_port_t ap_platform_kv(ap_platform_t *p)
+{
+	return (ap_kv_port_t){
+		.ctx = p,
+		.get = kv_get,
+		.cas = kv_cas,
+		.acquire = kv_acquire,
+		.release = kv_release,
+		.session_create = kv_session_create,
+		.session_renew = kv_session_renew,
+		.session_destroy = kv_session_destroy,
+	};
+}
--- /dev/null
+++ b/adapters/platform/list.c
@@ -0,0 +1,237 @@
+/* The platform's instance list and client directory, as JSON over HTTP. */
+#include "platform/call.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_LIMIT (3 * AP_SEC)
+#define DEFAULT_ENTRY_WEIGHT 1.0
+
+typedef struct list_call {
+	void (*done)(void *ctx, ap_fleet_t *fleet, ap_err_t *err);
+	void *ctx;
+} list_call_t;
+
+typedef struct publish_call {
+	void (*done)(void *ctx, bool ok);
+	void *ctx;
+} publish_call_t;
+
+static bool copy_text(json_t *o, const char *key, char *out, size_t size)
+{
+	const char *text = json_string_value(json_object_get(o, key));
+
+	return text && *text && ap_copy_name(out, size, text);
+}
+
+static uint16_t port_of(json_t *o, const char *key)
+{
+	json_int_t value = json_integer_value(json_object_get(o, key));
+
+	return value > 0 && value <= UINT16_MAX ? (uint16_t)value : 0;
+}
+
+static bool is_leaving(json_t *o)
+{
+	const char *state = json_string_value(json_object_get(o, "state"));
+
+	return state && strcmp(state, "leaving") == 0;
+}
+
+static void add_label(ap_labels_t *labels, const char *key, const char *value)
+{
+	ap_label_t *grown = realloc(labels->v, (labels->n + 1) * sizeof(*grown));
+
+	if (!grown)
+		abort();
+	labels->v = grown;
+	labels->v[labels->n++] = (ap_label_t){.key = strdup(key), .value = strdup(value)};
+}
+
+static ap_labels_t read_labels(json_t *o)
+{
+	json_t *labels = json_object_get(o, "labels");
+	ap_labels_t out = {0};
+	const char *key;
+	json_t *value;
+
+	json_object_foreach (labels, key, value) {
+		if (json_is_string(value) && strcmp(key, "region") != 0 &&
+		    strcmp(key, "data_centre") != 0)
+			add_label(&out, key, json_string_value(value));
+	}
+	return out;
+}
+
+static bool read_upstream(json_t *o, ap_upstream_t *u)
+{
+	if (!copy_text(o, "id", u->id, sizeof(u->id)) ||
+	    !copy_text(o, "host", u->host, sizeof(u->host)) ||
+	    !copy_text(o, "region", u->region, sizeof(u->region)) ||
+	    !copy_text(o, "data_centre", u->data_centre, sizeof(u->data_centre)))
+		return false;
+	u->port = port_of(o, "port");
+	if (!u->port)
+		return false;
+	u->leaving = is_leaving(o);
+	u->labels = read_labels(o);
+	add_label(&u->labels, "region", u->region);
+	add_label(&u->labels, "data_centre", u->data_centre);
+	return true;
+}
+
+static bool read_entry(json_t *o, ap_entry_t *e)
+{
+	if (!copy_text(o, "id", e->id, sizeof(e->id)) ||
+	    !copy_text(o, "host", e->host, sizeof(e->host)) ||
+	    !copy_text(o, "region", e->region, sizeof(e->region)) ||
+	    !copy_text(o, "data_centre", e->data_centre, sizeof(e->data_centre)))
+		return false;
+	copy_text(o, "public_key", e->public_key, sizeof(e->public_key));
+	e->caller_port = port_of(o, "port");
+	e->data_port = port_of(o, "data_port");
+	e->control_port = port_of(o, "control_port");
+	e->leaving = is_leaving(o);
+	e->weight = DEFAULT_ENTRY_WEIGHT;
+	return e->caller_port && e->data_port && e->control_port;
+}
+
+static void read_instance(json_t *o, ap_fleet_t *fleet)
+{
+	const char *role = json_string_value(json_object_get(o, "role"));
+
+	if (!role)
+		return;
+	if (strcmp(role, "upstream") == 0 &&
+	    read_upstream(o, &fleet->upstreams[fleet->n_upstreams]))
+		fleet->n_upstreams++;
+	else if (strcmp(role, "entry") == 0 && read_entry(o, &fleet->entries[fleet->n_entries]))
+		fleet->n_entries++;
+}
+
+static ap_fleet_t *read_fleet(const char *text, ap_err_t *err)
+{
+	json_error_t where;
+	json_t *root = json_loads(text, 0, &where);
+	json_t *list = json_object_get(root, "instances");
+	ap_fleet_t *fleet;
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(list)) {
+		ap_err_set(err, "instance list: %s", root ? "no array \"instances\"" : where.text);
+		json_decref(root);
+		return NULL;
+	}
+	fleet = calloc(1, sizeof(*fleet));
+	if (!fleet)
+		abort();
+	fleet->upstreams = calloc(json_array_size(list) + 1, sizeof(*fleet->upstreams));
+	fleet->entries = calloc(json_array_size(list) + 1, sizeof(*fleet->entries));
+	if (!fleet->upstreams || !fleet->entries)
+		abort();
+	json_array_foreach (list, i, item)
+		read_instance(item, fleet);
+	json_decref(root);
+	return fleet;
+}
+
+void ap_fleet_free(ap_fleet_t *fleet)
+{
+	if (!fleet)
+		return;
+	for (size_t i = 0; i < fleet->n_upstreams; i++)
+		ap_labels_clear(&fleet->upstreams[i].labels);
+	free(fleet->upstreams);
+	free(fleet->entries);
+	free(fleet);
+}
+
+static void on_list(void *arg, const ap_call_answer_t *a)
+{
+	list_call_t *call = arg;
+	ap_fleet_t *fleet = NULL;
+	ap_err_t err = {"instance list cannot be reached"};
+
+	if (a->end == AP_CALL_ANSWERED && a->code == 200)
+		fleet = read_fleet(a->body, &err);
+	else if (a->end == AP_CALL_ANSWERED)
+		ap_err_set(&err, "instance list answered %d", a->code);
+	call->done(call->ctx, fleet, &err);
+	free(call);
+}
+
+void ap_platform_list(ap_platform_t *p, void (*done)(void *ctx, ap_fleet_t *fleet, ap_err_t *err),
+		      void *ctx)
+{
+	list_call_t *call = calloc(1, sizeof(*call));
+	ap_call_spec_t spec = {.to = &p->settings->instances,
+			       .method = EVHTTP_REQ_GET,
+			       .path = "/v1/instances",
+			       .limit = CALL_LIMIT,
+			       .done = on_list,
+			       .arg = call};
+
+	if (!call)
+		abort();
+	call->done = done;
+	call->ctx = ctx;
+	ap_call(p, &spec);
+}
+
+static void on_published(void *arg, const ap_call_answer_t *a)
+{
+	publish_call_t *call = arg;
+
+	call->done(call->ctx, a->end == AP_CALL_ANSWERED && a->code == 200);
+	free(call);
+}
+
+void ap_platform_publish(ap_platform_t *p, const char *region, const char *json,
+			 void (*done)(void *ctx, bool ok), void *ctx)
+{
+	publish_call_t *call = calloc(1, sizeof(*call));
+	char path[AP_NAME_MAX + 32];
+	ap_call_spec_t spec = {.to = &p->settings->directory,
+			       .method = EVHTTP_REQ_PUT,
+			       .path = path,
+			       .body = json,
+			       .len = strlen(json),
+			       .limit = CALL_LIMIT,
+			       .done = on_published,
+			       .arg = call};
+
+	if (!call)
+		abort();
+	call->done = done;
+	call->ctx = ctx;
+	snprintf(path, sizeof(path), "/v1/directory/%s", region);
+	ap_call(p, &spec);
+}
+
+ap_platform_t *ap_platform_new(struct event_base *base, const ap_settings_t *settings)
+{
+	ap_platform_t *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->base = base;
+	p->settings = settings;
+	LIST_INIT(&p->calls);
+	return p;
+}
+
+void ap_platform_free(ap_platform_t *p)
+{
+	if (!p)
+		return;
+	ap_call_drop_all(p);
+	free(p);
+}
+
+ap_platform_stats_t ap_platform_stats(const ap_platform_t *p)
+{
+	return p->stats;
+}
