--- a/adapters/platform/call.c
+++ b/adapters/call/call.c
@@ -1,19 +1,27 @@
-/* HTTP calls to the platform. A connection each: calls are rare, and none rides on a stale one. */
-#include "platform/call.h"
+/* Small HTTP calls, a connection each. */
+#include "call/call.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/keyvalq_struct.h>
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #define ANSWER_MAX_BYTES (8 << 20)
 
+typedef struct ap_call ap_call_t;
+LIST_HEAD(ap_call_list, ap_call);
+
+struct ap_calls {
+	struct event_base *base;
+	struct ap_call_list list;
+	uint64_t failed;
+};
+
 struct ap_call {
 	LIST_ENTRY(ap_call) link;
-	ap_platform_t *platform;
+	ap_calls_t *owner;
 	struct evhttp_connection *conn;
 	struct event *later; /* ends the call outside of the library's callback */
 	ap_call_done_t done;
@@ -36,7 +44,7 @@
 {
 	call->reported = true;
 	if (answer->end != AP_CALL_ANSWERED)
-		call->platform->stats.failures++;
+		call->owner->failed++;
 	call->done(call->arg, answer);
 }
 
@@ -73,7 +81,6 @@
 	ap_call_t *call = arg;
 	ap_call_answer_t answer = {.end = AP_CALL_ANSWERED};
 	struct evbuffer *body;
-	const char *index;
 
 	if (call->reported)
 		return;
@@ -86,9 +93,7 @@
 	evbuffer_add(body, "", 1);
 	answer.len = evbuffer_get_length(body) - 1;
 	answer.body = (const char *)evbuffer_pullup(body, -1);
-	index = evhttp_find_header(evhttp_request_get_input_headers(req), "X-Consul-Index");
-	if (index)
-		answer.index = strtoull(index, NULL, 10);
+	answer.headers = evhttp_request_get_input_headers(req);
 	report(call, &answer);
 	end_later(call);
 }
@@ -102,8 +107,8 @@
 
 	if (!req)
 		return false;
-	call->conn = evhttp_connection_base_new(call->platform->base, NULL, spec->to->host,
-						spec->to->port);
+	call->conn =
+		evhttp_connection_base_new(call->owner->base, NULL, spec->to->host, spec->to->port);
 	if (!call->conn) {
 		evhttp_request_free(req);
 		return false;
@@ -121,33 +126,51 @@
 	return evhttp_make_request(call->conn, req, spec->method, spec->path) == 0;
 }
 
-void ap_call(ap_platform_t *p, const ap_call_spec_t *spec)
+ap_calls_t *ap_calls_new(struct event_base *base)
 {
-	ap_call_t *call = calloc(1, sizeof(*call));
+	ap_calls_t *calls = calloc(1, sizeof(*calls));
 
-	if (!call)
-		abort();
-	call->platform = p;
-	call->done = spec->done;
-	call->arg = spec->arg;
-	call->later = event_new(p->base, -1, 0, on_later, call);
-	LIST_INSERT_HEAD(&p->calls, call, link);
-	if (!start(call, spec))
-		end_later(call);
+	if (!calls)
+		return NULL;
+	calls->base = base;
+	LIST_INIT(&calls->list);
+	return calls;
 }
 
-void ap_call_drop_all(ap_platform_t *p)
+void ap_calls_free(ap_calls_t *calls)
 {
-	ap_call_t *call = LIST_FIRST(&p->calls);
-
-	while (call) {
-		ap_call_t *next = LIST_NEXT(call, link);
+	ap_call_t *call;
+	ap_call_t *next;
 
+	if (!calls)
+		return;
+	for (call = LIST_FIRST(&calls->list); call; call = next) {
+		next = LIST_NEXT(call, link);
 		/* Freeing the connection may run on_answer(); it must find nothing to report. */
 		if (!call->reported)
 			free(call->arg);
 		call->reported = true;
 		call_free(call);
-		call = next;
 	}
+	free(calls);
+}
+
+void ap_call(ap_calls_t *calls, const ap_call_spec_t *spec)
+{
+	ap_call_t *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->owner = calls;
+	call->done = spec->done;
+	call->arg = spec->arg;
+	call->later = event_new(calls->base, -1, 0, on_later, call);
+	LIST_INSERT_HEAD(&calls->list, call, link);
+	if (!start(call, spec))
+		end_later(call);
+}
+
+uint64_t ap_calls_failed(const ap_calls_t *calls)
+{
+	return calls->failed;
 }
--- a/adapters/platform/call.h
+++ b/adapters/call/call.h
@@ -1,11 +1,15 @@
-/* One HTTP call to the platform on a connection of its own. Private to the adapter. */
-#ifndef AP_PLATFORM_CALL_H
-#define AP_PLATFORM_CALL_H
+/*
+ * Small HTTP calls to the platform and to upstreams' control interfaces, a connection each: they
+ * are rare, and none rides on a stale connection.
+ */
+#ifndef AP_CALL_H
+#define AP_CALL_H
 
-#include "platform/platform.h"
+#include "base/base.h"
+#include "settings/settings.h"
 
+#include <event2/event.h>
 #include <event2/http.h>
-#include <sys/queue.h>
 
 /* What became of a call. */
 typedef enum ap_call_end {
@@ -18,14 +22,14 @@
  * struct ap_call_answer - valid during the callback only.
  * @code: HTTP status code
  * @body: NUL-terminated
- * @index: value of the X-Consul-Index header, or 0
+ * @headers: NULL unless answered
  */
 typedef struct ap_call_answer {
 	ap_call_end_t end;
 	int code;
 	const char *body;
 	size_t len;
-	uint64_t index;
+	struct evkeyvalq *headers;
 } ap_call_answer_t;
 
 typedef void (*ap_call_done_t)(void *arg, const ap_call_answer_t *answer);
@@ -47,19 +51,15 @@
 	void *arg;
 } ap_call_spec_t;
 
-typedef struct ap_call ap_call_t;
-LIST_HEAD(ap_call_list, ap_call);
-
-struct ap_platform {
-	struct event_base *base;
-	const ap_settings_t *settings;
-	struct ap_call_list calls;
-	ap_platform_stats_t stats;
-};
+/* The calls in progress of one task. */
+typedef struct ap_calls ap_calls_t;
 
-/** ap_call() - starts a call; done comes once, later, unless the platform object is freed. */
-void ap_call(ap_platform_t *p, const ap_call_spec_t *spec);
-/** ap_call_drop_all() - forgets every call in progress without calling back. */
-void ap_call_drop_all(ap_platform_t *p);
+ap_calls_t *ap_calls_new(struct event_base *base);
+/** ap_calls_free() - drops every call in progress without calling back. */
+void ap_calls_free(ap_calls_t *calls);
+/** ap_call() - starts a call; done comes once, later. */
+void ap_call(ap_calls_t *calls, const ap_call_spec_t *spec);
+/** ap_calls_failed() - calls so far that brought no answer. */
+uint64_t ap_calls_failed(const ap_calls_t *calls);
 
 #endif
--- a/adapters/log/log.c
+++ b/adapters/log/log.c
@@ -46,6 +46,14 @@
 	return ts.tv_sec * AP_SEC + ts.tv_nsec / 1000;
 }
 
+uint64_t ap_wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
 void ap_random(void *buf, size_t len)
 {
 	char *at = buf;
--- a/adapters/log/log.h
+++ b/adapters/log/log.h
@@ -15,6 +15,8 @@
 
 /** ap_now() - CLOCK_BOOTTIME in microseconds: monotonic and counting suspension. */
 ap_usec_t ap_now(void);
+/** ap_wall_ms() - CLOCK_REALTIME in milliseconds, for time lines and history only. */
+uint64_t ap_wall_ms(void);
 /** ap_random() - fills @buf from the system's random source. */
 void ap_random(void *buf, size_t len);
 
--- a/adapters/peer/peer.c
+++ b/adapters/peer/peer.c
@@ -1,9 +1,9 @@
 /*
- * Peers over ZeroMQ: one ROUTER receives from all, one DEALER a peer sends to it. A message is two
- * frames, the sender's id and the bytes. Delivery is not promised; the protocols above cope.
+ * Peers over ZeroMQ: one ROUTER receives from all, one DEALER a peer sends to it. A message is
+ * three frames: the sender's id, its clock for the time line, and the bytes. Delivery is not
+ * promised; the protocols above cope.
  */
 #include "peer/peer.h"
-#include "log/log.h"
 #include "peer/auth.h"
 #include "wire/wire.h"
 
@@ -20,6 +20,10 @@
 #define RECONNECT_MAX_MS 2000
 #define QUEUE_MESSAGES 4096
 #define RECEIVE_BATCH 256
+#define FRAMES 4 /* routing id, sender, clock, bytes */
+#define CLOCK_COUNT_BITS 16
+#define CLOCK_COUNT_MASK 0xffffu
+#define CLOCK_AHEAD_MAX_MS 60000
 #define IDLE_CLOSE (120 * AP_SEC)
 #define SWEEP_SECONDS 30
 
@@ -99,7 +103,34 @@
 	return !r || strcmp(r->key, key) == 0;
 }
 
-static void deliver(ap_peer_t *p, zmq_msg_t *sender, zmq_msg_t *payload)
+/* The clock's wire form: 48 bits of milliseconds, 16 bits of count. */
+static uint64_t clock_now(ap_peer_t *p)
+{
+	ap_hlc_t at;
+
+	if (!p->config.clock)
+		return 0;
+	at = ap_hlc_now(p->config.clock, ap_wall_ms());
+	return at.wall_ms << CLOCK_COUNT_BITS | (at.count & CLOCK_COUNT_MASK);
+}
+
+static void clock_seen(ap_peer_t *p, zmq_msg_t *frame)
+{
+	uint64_t wall = ap_wall_ms();
+	uint64_t packed;
+	ap_hlc_t at;
+
+	if (!p->config.clock || zmq_msg_size(frame) != sizeof(packed))
+		return;
+	memcpy(&packed, zmq_msg_data(frame), sizeof(packed));
+	at.wall_ms = packed >> CLOCK_COUNT_BITS;
+	at.count = packed & CLOCK_COUNT_MASK;
+	/* A peer far ahead has a wrong wall clock; following it would spoil our own time line. */
+	if (at.wall_ms < wall + CLOCK_AHEAD_MAX_MS)
+		ap_hlc_seen(p->config.clock, at, wall);
+}
+
+static void deliver(ap_peer_t *p, zmq_msg_t *sender, zmq_msg_t *clock, zmq_msg_t *payload)
 {
 	char id[AP_NAME_MAX];
 	size_t len = zmq_msg_size(sender);
@@ -115,6 +146,7 @@
 		ap_log(LOG_WARNING, "peer %s: message under a key that is not its own", id);
 		return;
 	}
+	clock_seen(p, clock);
 	p->stats.received++;
 	p->stats.received_bytes += zmq_msg_size(payload);
 	p->config.receive(p->config.ctx, id, zmq_msg_data(payload), zmq_msg_size(payload));
@@ -123,13 +155,13 @@
 /* Takes one whole message off the router; false when none waits. */
 static bool receive_one(ap_peer_t *p)
 {
-	zmq_msg_t frames[3];
+	zmq_msg_t frames[FRAMES];
 	int more = 1;
 	int n = 0;
 
 	while (more) {
 		zmq_msg_t spare;
-		zmq_msg_t *into = n < 3 ? &frames[n] : &spare;
+		zmq_msg_t *into = n < FRAMES ? &frames[n] : &spare;
 
 		zmq_msg_init(into);
 		if (zmq_msg_recv(into, p->router, ZMQ_DONTWAIT) < 0) {
@@ -137,15 +169,15 @@
 			break;
 		}
 		more = zmq_msg_more(into);
-		if (n >= 3)
+		if (n >= FRAMES)
 			zmq_msg_close(&spare);
 		n++;
 	}
-	if (n == 3)
-		deliver(p, &frames[1], &frames[2]);
+	if (n == FRAMES)
+		deliver(p, &frames[1], &frames[2], &frames[3]);
 	else if (n > 0)
 		p->stats.dropped++;
-	for (int i = 0; i < n && i < 3; i++)
+	for (int i = 0; i < n && i < FRAMES; i++)
 		zmq_msg_close(&frames[i]);
 	return n > 0;
 }
@@ -320,6 +352,7 @@
 bool ap_peer_send(ap_peer_t *p, const char *to, const void *data, size_t len)
 {
 	const char *own = p->config.settings->id;
+	uint64_t clock = clock_now(p);
 	remote_t *r;
 
 	HASH_FIND_STR(p->remotes, to, r);
@@ -332,7 +365,8 @@
 		p->stats.dropped++;
 		return false;
 	}
-	/* The first frame was taken, so the second one is too. */
+	/* The first frame was taken, so the others are too. */
+	zmq_send(r->socket, &clock, sizeof(clock), ZMQ_SNDMORE | ZMQ_DONTWAIT);
 	zmq_send(r->socket, data, len, ZMQ_DONTWAIT);
 	p->stats.sent++;
 	p->stats.sent_bytes += len;
--- a/adapters/peer/peer.h
+++ b/adapters/peer/peer.h
@@ -5,6 +5,7 @@
 #define AP_PEER_H
 
 #include "base/base.h"
+#include "log/log.h"
 #include "port/port.h"
 #include "settings/settings.h"
 
@@ -15,12 +16,14 @@
 /**
  * struct ap_peer_config - made once at start.
  * @settings: own id, host and keys; must outlive the object
+ * @clock: the task's clock for its time line, told to peers and advanced by theirs; may be NULL
  * @port: own listening port; 0 lets the system choose, see ap_peer_port_number()
  * @receive: takes each message of a peer with a known key; @from is the sender's id
  */
 typedef struct ap_peer_config {
 	struct event_base *base;
 	const ap_settings_t *settings;
+	ap_hlc_t *clock;
 	uint16_t port;
 	void *ctx;
 	void (*receive)(void *ctx, const char *from, const void *data, size_t len);
--- a/adapters/platform/kv.c
+++ b/adapters/platform/kv.c
@@ -1,5 +1,5 @@
 /* The key-value port over Consul's published KV and session interface. */
-#include "platform/call.h"
+#include "platform/private.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -55,6 +55,13 @@
 	return AP_KV_UNSURE;
 }
 
+static uint64_t index_header(const ap_call_answer_t *a)
+{
+	const char *text = evhttp_find_header(a->headers, "X-Consul-Index");
+
+	return text ? strtoull(text, NULL, 10) : 0;
+}
+
 static json_int_t int_of(json_t *o, const char *key)
 {
 	return json_integer_value(json_object_get(o, key));
@@ -96,7 +103,7 @@
 
 	if (a->end == AP_CALL_ANSWERED && a->code == 404) {
 		result.status = AP_KV_ABSENT;
-		result.index = a->index;
+		result.index = index_header(a);
 	} else if (a->end != AP_CALL_ANSWERED || a->code != 200) {
 		result.status = failure(p, a, &result.err);
 	} else if (!read_item(a, &result, &value)) {
@@ -150,7 +157,7 @@
 			       .arg = p};
 
 	pl->stats.reads++;
-	ap_call(pl, &spec);
+	ap_call(pl->calls, &spec);
 }
 
 static void write_call(ap_platform_t *pl, const char *path, const void *body, size_t len,
@@ -166,7 +173,7 @@
 			       .arg = p};
 
 	pl->stats.writes++;
-	ap_call(pl, &spec);
+	ap_call(pl->calls, &spec);
 }
 
 static void kv_get(void *ctx, const char *key, uint64_t index, ap_usec_t wait, ap_kv_done_t done,
--- a/adapters/platform/list.c
+++ b/adapters/platform/list.c
@@ -1,5 +1,5 @@
 /* The platform's instance list and client directory, as JSON over HTTP. */
-#include "platform/call.h"
+#include "platform/private.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -178,7 +178,7 @@
 		abort();
 	call->done = done;
 	call->ctx = ctx;
-	ap_call(p, &spec);
+	ap_call(p->calls, &spec);
 }
 
 static void on_published(void *arg, const ap_call_answer_t *a)
@@ -208,7 +208,7 @@
 	call->done = done;
 	call->ctx = ctx;
 	snprintf(path, sizeof(path), "/v1/directory/%s", region);
-	ap_call(p, &spec);
+	ap_call(p->calls, &spec);
 }
 
 ap_platform_t *ap_platform_new(struct event_base *base, const ap_settings_t *settings)
@@ -217,9 +217,8 @@
 
 	if (!p)
 		return NULL;
-	p->base = base;
 	p->settings = settings;
-	LIST_INIT(&p->calls);
+	p->calls = ap_calls_new(base);
 	return p;
 }
 
@@ -227,11 +226,14 @@
 {
 	if (!p)
 		return;
-	ap_call_drop_all(p);
+	ap_calls_free(p->calls);
 	free(p);
 }
 
 ap_platform_stats_t ap_platform_stats(const ap_platform_t *p)
 {
-	return p->stats;
+	ap_platform_stats_t stats = p->stats;
+
+	stats.failures = ap_calls_failed(p->calls);
+	return stats;
 }
--- /dev/null
+++ b/adapters/platform/private.h
@@ -0,0 +1,14 @@
+/* State shared by the files of the platform adapter. */
+#ifndef AP_PLATFORM_PRIVATE_H
+#define AP_PLATFORM_PRIVATE_H
+
+#include "call/call.h"
+#include "platform/platform.h"
+
+struct ap_platform {
+	const ap_settings_t *settings;
+	ap_calls_t *calls;
+	ap_platform_stats_t stats;
+};
+
+#endif
--- a/cmd/arbutuspond/task.h
+++ b/cmd/arbutuspond/task.h
@@ -43,6 +43,7 @@
 		char name[AP_NAME_MAX];
 		char *text;
 		struct {
+			ap_hlc_t at;
 			char kind[32];
 			ap_xid_t request;
 			char detail[256];
