--- /dev/null
+++ b/cmd/arbutuspond/control-poll.c
@@ -0,0 +1,360 @@
+/* What control asks of upstreams itself: load, loaded models, and orders. */
+#include "control.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_EVERY (500 * AP_MSEC)
+#define MODELS_EVERY (5 * AP_SEC)
+#define CALL_LIMIT (2 * AP_SEC)
+#define PATH_MAX_BYTES 256
+
+typedef struct target {
+	char id[AP_NAME_MAX];
+	ap_address_t address;
+	bool in_list;
+	bool load_asked;
+	bool models_asked;
+	ap_usec_t load_due;
+	ap_usec_t models_due;
+	bool models_known;
+	ap_observed_t *models;
+	size_t n_models;
+} target_t;
+
+struct ap_poll {
+	ap_control_t *control;
+	ap_calls_t *calls;
+	target_t *targets;
+	size_t n;
+};
+
+/* Argument of a call in progress; targets may come and go meanwhile. */
+typedef struct asked {
+	ap_poll_t *poll;
+	char upstream[AP_NAME_MAX];
+} asked_t;
+
+typedef struct ordered {
+	ap_order_done_t done;
+	void *arg;
+} ordered_t;
+
+static target_t *find(const ap_poll_t *p, const char *id)
+{
+	for (size_t i = 0; i < p->n; i++) {
+		if (strcmp(p->targets[i].id, id) == 0)
+			return &p->targets[i];
+	}
+	return NULL;
+}
+
+ap_poll_t *ap_poll_new(ap_control_t *c)
+{
+	ap_poll_t *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		abort();
+	p->control = c;
+	p->calls = ap_calls_new(c->base);
+	return p;
+}
+
+void ap_poll_free(ap_poll_t *p)
+{
+	if (!p)
+		return;
+	ap_calls_free(p->calls);
+	for (size_t i = 0; i < p->n; i++)
+		free(p->targets[i].models);
+	free(p->targets);
+	free(p);
+}
+
+static target_t *add(ap_poll_t *p, const ap_upstream_t *u)
+{
+	target_t *grown = realloc(p->targets, (p->n + 1) * sizeof(*grown));
+
+	if (!grown)
+		abort();
+	p->targets = grown;
+	grown[p->n] = (target_t){0};
+	ap_copy_name(grown[p->n].id, sizeof(grown[p->n].id), u->id);
+	return &grown[p->n++];
+}
+
+static void drop_unlisted(ap_poll_t *p)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < p->n; i++) {
+		if (p->targets[i].in_list)
+			p->targets[kept++] = p->targets[i];
+		else
+			free(p->targets[i].models);
+	}
+	p->n = kept;
+}
+
+void ap_poll_set_upstreams(ap_poll_t *p, const ap_upstream_t *upstreams, size_t n)
+{
+	for (size_t i = 0; i < p->n; i++)
+		p->targets[i].in_list = false;
+	for (size_t i = 0; i < n; i++) {
+		const ap_upstream_t *u = &upstreams[i];
+		target_t *t;
+
+		if (strcmp(u->region, p->control->settings->region) != 0)
+			continue;
+		t = find(p, u->id);
+		if (!t)
+			t = add(p, u);
+		t->in_list = true;
+		ap_copy_name(t->address.host, sizeof(t->address.host), u->host);
+		t->address.port = u->port;
+	}
+	drop_unlisted(p);
+}
+
+static asked_t *asked_new(ap_poll_t *p, const char *upstream)
+{
+	asked_t *asked = calloc(1, sizeof(*asked));
+
+	if (!asked)
+		abort();
+	asked->poll = p;
+	ap_copy_name(asked->upstream, sizeof(asked->upstream), upstream);
+	return asked;
+}
+
+static double gauge(const char *text, const char *name)
+{
+	const char *line = strstr(text, name);
+
+	return line ? strtod(line + strlen(name), NULL) : 0;
+}
+
+static void note_draining(const asked_t *asked, const ap_call_answer_t *a)
+{
+	if (a->headers && evhttp_find_header(a->headers, "X-Draining"))
+		ap_report_saw_leaving(asked->poll->control->report, asked->upstream, ap_now());
+}
+
+static void on_load(void *arg, const ap_call_answer_t *a)
+{
+	asked_t *asked = arg;
+	ap_control_t *c = asked->poll->control;
+	target_t *t = find(asked->poll, asked->upstream);
+	ap_note_t note = {.kind = AP_NOTE_LOAD};
+
+	if (t)
+		t->load_asked = false;
+	note_draining(asked, a);
+	if (a->end == AP_CALL_ANSWERED && a->code == 200 && strstr(a->body, "engine_running ")) {
+		ap_copy_name(note.u.load.upstream, sizeof(note.u.load.upstream), asked->upstream);
+		note.u.load.at = ap_now();
+		note.u.load.running = (uint32_t)gauge(a->body, "engine_running ");
+		note.u.load.waiting = (uint32_t)gauge(a->body, "engine_waiting ");
+		note.u.load.kv_used = gauge(a->body, "engine_kv_used ");
+		ap_report_polled(c->report, &note.u.load, note.u.load.at);
+		ap_link_send(c->link, &note);
+	}
+	free(asked);
+}
+
+/* Reads {"models":[{"name","version"}],"fence":N}; false when it is something else. */
+static bool read_models(const char *text, ap_observed_t **models, size_t *n, uint64_t *fence)
+{
+	json_t *root = json_loads(text, 0, NULL);
+	json_t *list = json_object_get(root, "models");
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(list)) {
+		json_decref(root);
+		return false;
+	}
+	*fence = (uint64_t)json_integer_value(json_object_get(root, "fence"));
+	*n = json_array_size(list);
+	*models = calloc(*n + 1, sizeof(**models));
+	if (!*models)
+		abort();
+	json_array_foreach (list, i, item) {
+		const char *name = json_string_value(json_object_get(item, "name"));
+		const char *version = json_string_value(json_object_get(item, "version"));
+
+		ap_copy_name((*models)[i].name, AP_NAME_MAX, name ? name : "");
+		ap_copy_name((*models)[i].version, AP_NAME_MAX, version ? version : "");
+	}
+	json_decref(root);
+	return true;
+}
+
+static bool same_models(const target_t *t, const ap_observed_t *models, size_t n)
+{
+	return t->models_known && t->n_models == n &&
+	       (n == 0 || memcmp(t->models, models, n * sizeof(*models)) == 0);
+}
+
+static void on_models(void *arg, const ap_call_answer_t *a)
+{
+	asked_t *asked = arg;
+	ap_control_t *c = asked->poll->control;
+	target_t *t = find(asked->poll, asked->upstream);
+	ap_observed_t *models;
+	uint64_t fence;
+	size_t n;
+
+	if (t)
+		t->models_asked = false;
+	note_draining(asked, a);
+	if (t && a->end == AP_CALL_ANSWERED && a->code == 200 &&
+	    read_models(a->body, &models, &n, &fence)) {
+		c->view_stale = c->view_stale || !same_models(t, models, n);
+		free(t->models);
+		t->models = models;
+		t->n_models = n;
+		t->models_known = true;
+		ap_order_observed(c->order, t->id, models, n, fence, ap_now());
+	}
+	free(asked);
+}
+
+static void ask(ap_poll_t *p, const target_t *t, const char *path, ap_call_done_t done)
+{
+	ap_call(p->calls, &(ap_call_spec_t){.to = &t->address,
+					    .method = EVHTTP_REQ_GET,
+					    .path = path,
+					    .limit = CALL_LIMIT,
+					    .done = done,
+					    .arg = asked_new(p, t->id)});
+}
+
+void ap_poll_observe(ap_poll_t *p, const char *upstream)
+{
+	target_t *t = find(p, upstream);
+
+	if (!t || t->models_asked)
+		return;
+	t->models_asked = true;
+	t->models_due = ap_now() + MODELS_EVERY;
+	ask(p, t, "/admin/models", on_models);
+}
+
+void ap_poll_tick(ap_poll_t *p, ap_usec_t now)
+{
+	for (size_t i = 0; i < p->n; i++) {
+		target_t *t = &p->targets[i];
+
+		if (!ap_report_polls(p->control->report, t->id))
+			continue;
+		if (now >= t->load_due && !t->load_asked) {
+			t->load_asked = true;
+			t->load_due = now + LOAD_EVERY;
+			ask(p, t, "/metrics", on_load);
+		}
+		if (now >= t->models_due)
+			ap_poll_observe(p, t->id);
+	}
+}
+
+const ap_observed_t *ap_poll_models(const ap_poll_t *p, const char *upstream, size_t *n)
+{
+	target_t *t = find(p, upstream);
+
+	if (!t || !t->models_known)
+		return NULL;
+	*n = t->n_models;
+	return t->models;
+}
+
+/* Orders. */
+
+static ap_order_status_t order_status(const ap_call_answer_t *a, ap_err_t *err)
+{
+	if (a->end == AP_CALL_NOT_SENT) {
+		ap_err_set(err, "upstream cannot be reached");
+		return AP_ORDER_REFUSED;
+	}
+	if (a->end == AP_CALL_LOST) {
+		ap_err_set(err, "upstream gave no answer");
+		return AP_ORDER_UNSURE;
+	}
+	if (a->code == 200)
+		return AP_ORDER_OK;
+	ap_err_set(err, "upstream answered %d: %.100s", a->code, a->body);
+	if (a->code == 409)
+		return AP_ORDER_FENCED;
+	if (a->code < 500 || evhttp_find_header(a->headers, "X-Not-Started"))
+		return AP_ORDER_REFUSED;
+	return AP_ORDER_UNSURE;
+}
+
+static void on_ordered(void *arg, const ap_call_answer_t *a)
+{
+	ordered_t *o = arg;
+	ap_err_t err = {""};
+	ap_order_status_t status = order_status(a, &err);
+
+	o->done(o->arg, status, &err);
+	free(o);
+}
+
+static void refuse_later(evutil_socket_t fd, short what, void *arg)
+{
+	ap_call_answer_t answer = {.end = AP_CALL_NOT_SENT};
+
+	(void)fd;
+	(void)what;
+	on_ordered(arg, &answer);
+}
+
+static void send_order(ap_poll_t *p, const char *upstream, enum evhttp_cmd_type method,
+		       const char *path, ap_usec_t limit, ap_order_done_t done, void *arg)
+{
+	const struct timeval now = {0};
+	target_t *t = find(p, upstream);
+	ordered_t *o = calloc(1, sizeof(*o));
+
+	if (!o)
+		abort();
+	o->done = done;
+	o->arg = arg;
+	if (!t) {
+		event_base_once(p->control->base, -1, EV_TIMEOUT, refuse_later, o, &now);
+		return;
+	}
+	ap_call(p->calls, &(ap_call_spec_t){.to = &t->address,
+					    .method = method,
+					    .path = path,
+					    .limit = limit,
+					    .done = on_ordered,
+					    .arg = o});
+}
+
+static void order_load(void *ctx, const char *upstream, const char *model, const char *version,
+		       uint64_t fence, ap_usec_t limit, ap_order_done_t done, void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/admin/models/%s?version=%s&fence=%" PRIu64, model, version,
+		 fence);
+	send_order(ctx, upstream, EVHTTP_REQ_PUT, path, limit, done, arg);
+}
+
+static void order_unload(void *ctx, const char *upstream, const char *model, uint64_t fence,
+			 ap_usec_t limit, ap_order_done_t done, void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/admin/models/%s?fence=%" PRIu64, model, fence);
+	send_order(ctx, upstream, EVHTTP_REQ_DELETE, path, limit, done, arg);
+}
+
+ap_order_port_t ap_poll_orders(ap_poll_t *p)
+{
+	return (ap_order_port_t){.ctx = p, .load = order_load, .unload = order_unload};
+}
--- /dev/null
+++ b/cmd/arbutuspond/control-view.c
@@ -0,0 +1,212 @@
+/* The fleet as the entry task sees it, from the instance list, membership, reports and polls. */
+#include "control.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIST_EVERY (2 * AP_SEC)
+#define LIST_SPREAD_MS 500 /* so that instances do not read it all at once */
+#define PUBLISH_DELAY (1 * AP_SEC)
+#define PUBLISH_EVERY (5 * AP_SEC)
+#define MODELS_MAX 32 /* names of models and adapters on one upstream */
+
+static void know_listed_peers(ap_control_t *c, const ap_fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->n_entries; i++) {
+		const ap_entry_t *e = &fleet->entries[i];
+
+		if (strcmp(e->id, c->settings->id) != 0)
+			ap_peer_know(c->peer, e->id, e->host, e->control_port, e->public_key);
+	}
+}
+
+static void on_list(void *ctx, ap_fleet_t *fleet, ap_err_t *err)
+{
+	ap_control_t *c = ctx;
+	ap_usec_t now = ap_now();
+
+	c->list_asked = false;
+	if (!fleet) {
+		ap_log(LOG_WARNING, "%s", err->text);
+		return;
+	}
+	ap_fleet_free(c->fleet);
+	c->fleet = fleet;
+	know_listed_peers(c, fleet);
+	ap_member_listed(c->member, fleet->entries, fleet->n_entries, now);
+	ap_order_set_upstreams(c->order, fleet->upstreams, fleet->n_upstreams, now);
+	ap_report_set_upstreams(c->report, fleet->upstreams, fleet->n_upstreams, now);
+	ap_poll_set_upstreams(c->poll, fleet->upstreams, fleet->n_upstreams);
+	c->view_stale = true;
+}
+
+void ap_control_read_list(ap_control_t *c, ap_usec_t now)
+{
+	if (c->list_asked || now < c->list_due)
+		return;
+	c->list_asked = true;
+	c->list_due = now + LIST_EVERY + (ap_usec_t)(c->args->inc.hi % LIST_SPREAD_MS) * AP_MSEC;
+	ap_platform_list(c->platform, on_list, c);
+}
+
+/* Live entries, the own one included; the caller frees @entries. */
+static size_t live_entries(ap_control_t *c, ap_entry_t **entries)
+{
+	size_t n;
+
+	*entries = calloc(AP_ENTRIES_KNOWN_MAX, sizeof(**entries));
+	if (!*entries)
+		abort();
+	n = ap_member_entries(c->member, *entries, AP_ENTRIES_KNOWN_MAX);
+	return n < AP_ENTRIES_KNOWN_MAX ? n : AP_ENTRIES_KNOWN_MAX;
+}
+
+void ap_control_entries_changed(ap_control_t *c, ap_usec_t now)
+{
+	ap_entry_t *entries;
+	size_t n = live_entries(c, &entries);
+
+	ap_spread_set_entries(c->spread, entries, n, now);
+	ap_order_set_entries(c->order, entries, n, now);
+	ap_report_set_entries(c->report, entries, n, now);
+	free(entries);
+	c->view_stale = true;
+	if (c->publish_due == 0)
+		c->publish_due = now + PUBLISH_DELAY;
+}
+
+/* Models that the rules declare for an upstream; used until it was asked itself. */
+static size_t declared_models(const ap_conf_t *conf, const ap_upstream_t *u,
+			      char *names[MODELS_MAX])
+{
+	size_t n = 0;
+
+	for (size_t r = 0; conf && r < conf->n_rules; r++) {
+		const ap_rule_t *rule = &conf->rules[r];
+		bool placed = false;
+
+		for (size_t p = 0; p < conf->n_pools && !placed; p++)
+			placed = ap_selector_match(&rule->pools, &conf->pools[p].labels) &&
+				 ap_selector_match(&conf->pools[p].instances, &u->labels);
+		for (size_t m = 0; placed && m < conf->n_models && n < MODELS_MAX; m++) {
+			if (ap_selector_match(&rule->models, &conf->models[m].labels))
+				names[n++] = conf->models[m].name;
+		}
+		for (size_t a = 0; placed && a < conf->n_adapters && n < MODELS_MAX; a++) {
+			if (ap_selector_match(&rule->adapters, &conf->adapters[a].labels))
+				names[n++] = conf->adapters[a].name;
+		}
+	}
+	return n;
+}
+
+static size_t upstream_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *u,
+			      char *names[MODELS_MAX])
+{
+	size_t n;
+	const ap_observed_t *seen = ap_poll_models(c->poll, u->id, &n);
+
+	if (!seen)
+		return declared_models(conf, u, names);
+	if (n > MODELS_MAX)
+		n = MODELS_MAX;
+	for (size_t i = 0; i < n; i++)
+		names[i] = (char *)seen[i].name;
+	return n;
+}
+
+/* Shallow copies that ap_view_new() copies whole; @names holds their model names. */
+static ap_upstream_t *view_upstreams(ap_control_t *c, const ap_conf_t *conf,
+				     char *(*names)[MODELS_MAX])
+{
+	size_t n = c->fleet->n_upstreams;
+	ap_upstream_t *out = calloc(n + 1, sizeof(*out));
+
+	if (!out)
+		abort();
+	for (size_t i = 0; i < n; i++) {
+		out[i] = c->fleet->upstreams[i];
+		out[i].leaving = out[i].leaving || ap_report_is_leaving(c->report, out[i].id);
+		out[i].n_models = upstream_models(c, conf, &out[i], names[i]);
+		out[i].models = names[i];
+	}
+	return out;
+}
+
+void ap_control_send_view(ap_control_t *c)
+{
+	const ap_conf_t *conf = ap_spread_current(c->spread);
+	ap_note_t note = {.kind = AP_NOTE_VIEW};
+	char *(*names)[MODELS_MAX];
+	ap_upstream_t *upstreams;
+	ap_entry_t *entries;
+	size_t n_entries;
+
+	if (!c->view_stale || !c->fleet)
+		return;
+	names = calloc(c->fleet->n_upstreams + 1, sizeof(*names));
+	if (!names)
+		abort();
+	n_entries = live_entries(c, &entries);
+	upstreams = view_upstreams(c, conf, names);
+	note.u.view = ap_view_new(c->view_number + 1, conf, upstreams, c->fleet->n_upstreams,
+				  entries, n_entries);
+	if (ap_link_send(c->link, &note)) {
+		c->view_number++;
+		c->view_stale = false;
+	} else {
+		ap_view_unref(note.u.view);
+	}
+	free(upstreams);
+	free(entries);
+	free(names);
+}
+
+static void on_published(void *ctx, bool ok)
+{
+	ap_control_t *c = ctx;
+
+	if (!ok && c->publish_due == 0)
+		c->publish_due = ap_now() + PUBLISH_EVERY;
+}
+
+static char *directory_text(const ap_entry_t *entries, size_t n, const char *region)
+{
+	json_t *list = json_array();
+	json_t *root;
+	char *text;
+
+	for (size_t i = 0; i < n; i++) {
+		const ap_entry_t *e = &entries[i];
+
+		if (strcmp(e->region, region) == 0 && !e->leaving)
+			json_array_append_new(list,
+					      json_pack("{s:s,s:s,s:i}", "id", e->id, "host",
+							e->host, "port", (int)e->caller_port));
+	}
+	root = json_pack("{s:s,s:o}", "region", region, "entries", list);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+void ap_control_publish(ap_control_t *c, ap_usec_t now)
+{
+	const char *region = c->settings->region;
+	ap_entry_t *entries;
+	char *text;
+	size_t n;
+
+	if (c->publish_due == 0 || now < c->publish_due)
+		return;
+	c->publish_due = 0;
+	n = live_entries(c, &entries);
+	if (ap_member_has_duty(entries, n, "directory", region, NULL, c->settings->id, 1)) {
+		text = directory_text(entries, n, region);
+		if (text)
+			ap_platform_publish(c->platform, region, text, on_published, c);
+		free(text);
+	}
+	free(entries);
+}
--- /dev/null
+++ b/cmd/arbutuspond/control.c
@@ -0,0 +1,427 @@
+/* The control task: wires membership, configuration, orders and reports to peers and platform. */
+#include "control.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "wire/wire.h"
+
+#define LEASE_TTL (15 * AP_SEC)
+#define WEIGHT_BYTES_PER_SECOND 2e9
+#define LOADS_AT_ONCE 4
+#define FAREWELL (300 * AP_MSEC) /* for the last messages to leave the sockets */
+
+static void on_env_event(void *ctx, const ap_event_t *event)
+{
+	ap_control_t *c = ctx;
+
+	ap_ring_add(c->ring, ap_hlc_now(&c->clock, ap_wall_ms()), event);
+}
+
+static void on_env_violated(void *ctx, ap_invariant_t invariant, const char *what)
+{
+	(void)ctx;
+	ap_log(LOG_CRIT, "invariant %s broken: %s", ap_invariant_name(invariant), what);
+	abort();
+}
+
+ap_env_t ap_control_env(ap_control_t *c)
+{
+	return (ap_env_t){.ctx = c, .event = on_env_event, .violated = on_env_violated};
+}
+
+static void control_event(ap_control_t *c, const char *kind, const char *detail)
+{
+	ap_event_t event = {.at = ap_now(), .kind = kind, .detail = detail};
+
+	on_env_event(c, &event);
+}
+
+static ap_entry_t self_entry(const ap_control_t *c)
+{
+	const ap_settings_t *s = c->settings;
+	ap_entry_t e = {.inc = c->args->inc,
+			.caller_port = s->caller_port,
+			.data_port = s->data_port,
+			.control_port = ap_peer_port_number(c->peer),
+			.weight = 1.0};
+
+	ap_copy_name(e.id, sizeof(e.id), s->id);
+	ap_copy_name(e.host, sizeof(e.host), s->host);
+	ap_copy_name(e.region, sizeof(e.region), s->region);
+	ap_copy_name(e.data_centre, sizeof(e.data_centre), s->data_centre);
+	ap_copy_name(e.public_key, sizeof(e.public_key), s->public_key);
+	return e;
+}
+
+void ap_control_drain(ap_control_t *c, const char *why)
+{
+	ap_note_t note = {.kind = AP_NOTE_DRAIN};
+	ap_usec_t now = ap_now();
+
+	if (c->draining)
+		return;
+	c->draining = true;
+	ap_log(LOG_NOTICE, "draining: %s", why);
+	control_event(c, "control.drain", why);
+	ap_member_leave(c->member, now);
+	ap_order_leave(c->order, now);
+	ap_control_entries_changed(c, now);
+	ap_control_send_view(c);
+	ap_link_send(c->link, &note);
+}
+
+bool ap_control_ready(ap_control_t *c, ap_err_t *why)
+{
+	if (c->draining) {
+		ap_err_set(why, "draining");
+		return false;
+	}
+	if (!c->fleet) {
+		ap_err_set(why, "the instance list was not read yet");
+		return false;
+	}
+	if (c->view_number == 0) {
+		ap_err_set(why, "the entry task has no view of the fleet yet");
+		return false;
+	}
+	return ap_spread_ready(c->spread, ap_now(), why);
+}
+
+/* From the membership part. */
+
+static void on_member_known(void *ctx, const ap_entry_t *entry)
+{
+	ap_control_t *c = ctx;
+
+	ap_peer_know(c->peer, entry->id, entry->host, entry->control_port, entry->public_key);
+}
+
+static void on_member_changed(void *ctx)
+{
+	ap_control_entries_changed(ctx, ap_now());
+}
+
+static void on_member_superseded(void *ctx)
+{
+	ap_control_drain(ctx, "a later process runs under the same id");
+}
+
+/* From the configuration part. */
+static void on_in_force(void *ctx, const ap_conf_t *conf)
+{
+	ap_control_t *c = ctx;
+
+	ap_log(LOG_NOTICE, "configuration %" PRIu64 " is in force", conf->generation);
+	ap_order_set_conf(c->order, conf, ap_now());
+	c->view_stale = true;
+}
+
+/* From the reports part. */
+
+static void on_report_load(void *ctx, const ap_load_report_t *report)
+{
+	ap_control_t *c = ctx;
+	ap_note_t note = {.kind = AP_NOTE_LOAD, .u.load = *report};
+
+	ap_link_send(c->link, &note);
+}
+
+static void on_report_room(void *ctx, const ap_room_t *room)
+{
+	ap_control_t *c = ctx;
+	ap_note_t note = {.kind = AP_NOTE_ROOM, .u.room = *room};
+
+	ap_link_send(c->link, &note);
+}
+
+static void on_report_cache(void *ctx, const ap_cache_event_t *event)
+{
+	ap_control_t *c = ctx;
+	size_t bytes = event->n_blocks * sizeof(*event->blocks);
+	ap_cache_event_t *copy = malloc(sizeof(*copy) + bytes);
+	ap_note_t note = {.kind = AP_NOTE_CACHE, .u.cache = copy};
+
+	if (!copy)
+		return;
+	*copy = *event;
+	copy->blocks = (const uint64_t *)(copy + 1);
+	if (bytes > 0)
+		memcpy(copy + 1, event->blocks, bytes);
+	if (!ap_link_send(c->link, &note))
+		free(copy);
+}
+
+static void on_report_leaving(void *ctx, const char *upstream)
+{
+	ap_control_t *c = ctx;
+	ap_note_t note = {.kind = AP_NOTE_LEAVING};
+
+	ap_copy_name(note.u.name, sizeof(note.u.name), upstream);
+	ap_link_send(c->link, &note);
+	c->view_stale = true;
+}
+
+/* From the orders part. */
+static void on_observe(void *ctx, const char *upstream)
+{
+	ap_control_t *c = ctx;
+
+	ap_poll_observe(c->poll, upstream);
+}
+
+static void on_peer_message(void *ctx, const char *from, const void *data, size_t len)
+{
+	ap_control_t *c = ctx;
+	ap_usec_t now = ap_now();
+	msgpack_object body;
+	ap_wire_head_t head;
+	msgpack_zone zone;
+	ap_wire_status_t status;
+	ap_err_t err = {""};
+	bool taken = true;
+
+	msgpack_zone_init(&zone, 4096);
+	status = ap_wire_open(data, len, &zone, &head, &body, &err);
+	msgpack_zone_destroy(&zone);
+	if (status != AP_WIRE_OK)
+		taken = false;
+	else if (head.kind == AP_WIRE_MEMBER)
+		taken = ap_member_receive(c->member, from, data, len, now, &err) == AP_MEMBER_OK;
+	else if (head.kind == AP_WIRE_SPREAD)
+		taken = ap_spread_receive(c->spread, from, data, len, now, &err) == AP_SPREAD_OK;
+	else if (head.kind == AP_WIRE_REPORT)
+		taken = ap_report_receive(c->report, from, data, len, now, &err) == AP_REPORT_OK;
+	if (!taken)
+		ap_log(LOG_WARNING, "message from %s: %s", from, err.text);
+}
+
+static void add_entry_event(ap_control_t *c, const ap_note_t *note)
+{
+	ap_event_t event = {.at = ap_now(),
+			    .kind = note->u.event.kind,
+			    .request = note->u.event.request,
+			    .detail = note->u.event.detail};
+	uint64_t wall = ap_wall_ms();
+
+	if (note->u.event.at.wall_ms == 0) {
+		ap_ring_add(c->ring, ap_hlc_now(&c->clock, wall), &event);
+		return;
+	}
+	ap_hlc_seen(&c->clock, note->u.event.at, wall);
+	ap_ring_add(c->ring, note->u.event.at, &event);
+}
+
+static void on_note(void *ctx, ap_note_t *note)
+{
+	ap_control_t *c = ctx;
+	ap_usec_t now = ap_now();
+
+	switch (note->kind) {
+	case AP_NOTE_LEAVING:
+		ap_report_saw_leaving(c->report, note->u.name, now);
+		c->view_stale = true;
+		break;
+	case AP_NOTE_DRAINED:
+		c->drained = true;
+		ap_member_left(c->member, now);
+		c->stop_at = now + FAREWELL;
+		break;
+	case AP_NOTE_EVENT:
+		add_entry_event(c, note);
+		break;
+	case AP_NOTE_COUNTERS:
+		free(c->entry_counters);
+		c->entry_counters = note->u.text;
+		break;
+	case AP_NOTE_OWN_ROOM:
+		ap_report_own_room(c->report, &note->u.room, now);
+		break;
+	case AP_NOTE_FAILED:
+		ap_log(LOG_ERR, "entry task: %s", note->u.name);
+		c->failed = true;
+		event_base_loopbreak(c->base);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	ap_control_t *c = arg;
+	ap_usec_t now = ap_now();
+
+	(void)fd;
+	(void)what;
+	ap_control_read_list(c, now);
+	ap_member_tick(c->member, now);
+	ap_spread_tick(c->spread, now);
+	ap_report_tick(c->report, now);
+	ap_poll_tick(c->poll, now);
+	/* Orders leave within this call, so the clock is read just before it. */
+	ap_order_tick(c->order, ap_now());
+	ap_control_send_view(c);
+	ap_control_publish(c, now);
+	if (c->stop_at && now >= c->stop_at)
+		event_base_loopbreak(c->base);
+}
+
+static void on_signal(evutil_socket_t signum, short what, void *arg)
+{
+	ap_control_t *c = arg;
+	ap_note_t note = {.kind = AP_NOTE_STOP};
+
+	(void)what;
+	if (!c->draining) {
+		ap_control_drain(c, signum == SIGTERM ? "SIGTERM" : "SIGINT");
+		return;
+	}
+	ap_log(LOG_WARNING, "second signal: ending with requests in progress");
+	c->failed = true;
+	ap_link_send(c->link, &note);
+	event_base_loopbreak(c->base);
+}
+
+static bool open_peer(ap_control_t *c)
+{
+	ap_peer_config_t config = {.base = c->base,
+				   .settings = c->settings,
+				   .clock = &c->clock,
+				   .port = c->settings->control_port,
+				   .ctx = c,
+				   .receive = on_peer_message};
+	ap_err_t err;
+
+	if (ap_peer_new(&config, &c->peer, &err) == AP_PEER_OK)
+		return true;
+	ap_log(LOG_ERR, "control listener: %s", err.text);
+	return false;
+}
+
+static void open_decisions(ap_control_t *c, ap_usec_t now)
+{
+	ap_entry_t self = self_entry(c);
+	ap_peer_port_t peer = ap_peer_as_port(c->peer);
+	ap_kv_port_t kv = ap_platform_kv(c->platform);
+	ap_env_t env = ap_control_env(c);
+	uint64_t seed = c->args->inc.lo;
+
+	c->member = ap_member_new(&(ap_member_config_t){.self = self,
+							.epoch = ap_wall_ms(),
+							.seed = seed,
+							.peer = peer,
+							.env = env,
+							.ctx = c,
+							.known = on_member_known,
+							.changed = on_member_changed,
+							.superseded = on_member_superseded},
+				  now);
+	c->spread = ap_spread_new(&(ap_spread_config_t){.self = self,
+							.seed = seed + 1,
+							.kv = kv,
+							.peer = peer,
+							.env = env,
+							.ctx = c,
+							.in_force = on_in_force},
+				  now);
+	c->order = ap_order_new(&(ap_order_config_t){.self = self,
+						     .seed = seed + 2,
+						     .lease_ttl = LEASE_TTL,
+						     .weight_rate = WEIGHT_BYTES_PER_SECOND,
+						     .loads_max = LOADS_AT_ONCE,
+						     .kv = kv,
+						     .port = ap_poll_orders(c->poll),
+						     .env = env,
+						     .ctx = c,
+						     .observe = on_observe},
+				now);
+	c->report = ap_report_new(&(ap_report_config_t){.self = self,
+							.seed = seed + 3,
+							.peer = peer,
+							.env = env,
+							.ctx = c,
+							.load = on_report_load,
+							.room = on_report_room,
+							.cache = on_report_cache,
+							.leaving = on_report_leaving},
+				  now);
+}
+
+static void watch(ap_control_t *c)
+{
+	const struct timeval every = {.tv_usec = AP_CONTROL_TICK_MS * 1000};
+
+	c->tick = event_new(c->base, -1, EV_PERSIST, on_tick, c);
+	event_add(c->tick, &every);
+	c->signals[0] = evsignal_new(c->base, SIGTERM, on_signal, c);
+	c->signals[1] = evsignal_new(c->base, SIGINT, on_signal, c);
+	event_add(c->signals[0], NULL);
+	event_add(c->signals[1], NULL);
+}
+
+static bool open_all(ap_control_t *c)
+{
+	ap_usec_t now = ap_now();
+	ap_err_t err;
+
+	c->base = event_base_new();
+	c->link = ap_link_new(c->args->zmq, AP_LINK_NAME, true, c->base, on_note, c);
+	c->ring = ap_ring_new(c->settings->events, c->settings->id, c->settings->data_centre);
+	if (!c->link || !c->ring || !open_peer(c))
+		return false;
+	c->platform = ap_platform_new(c->base, c->settings);
+	c->poll = ap_poll_new(c);
+	open_decisions(c, now);
+	c->admin = ap_admin_new(c, &err);
+	if (!c->admin) {
+		ap_log(LOG_ERR, "admin listener: %s", err.text);
+		return false;
+	}
+	ap_control_entries_changed(c, now);
+	watch(c);
+	control_event(c, "control.start", AP_VERSION);
+	return true;
+}
+
+static void close_all(ap_control_t *c)
+{
+	for (int i = 0; i < 2; i++) {
+		if (c->signals[i])
+			event_free(c->signals[i]);
+	}
+	if (c->tick)
+		event_free(c->tick);
+	ap_admin_free(c->admin);
+	ap_report_free(c->report);
+	ap_order_free(c->order);
+	ap_spread_free(c->spread);
+	ap_member_free(c->member);
+	ap_poll_free(c->poll);
+	ap_platform_free(c->platform);
+	ap_peer_free(c->peer);
+	ap_link_free(c->link);
+	ap_fleet_free(c->fleet);
+	ap_ring_free(c->ring);
+	free(c->entry_counters);
+	if (c->base)
+		event_base_free(c->base);
+}
+
+void *ap_control_task(void *arg)
+{
+	const ap_task_args_t *args = arg;
+	ap_control_t control = {.args = args, .settings = args->settings};
+
+	if (open_all(&control)) {
+		ap_log(LOG_NOTICE, "instance %s of region %s started", control.settings->id,
+		       control.settings->region);
+		event_base_dispatch(control.base);
+	} else {
+		control.failed = true;
+	}
+	close_all(&control);
+	return control.failed ? arg : NULL;
+}
--- a/cmd/arbutuspond/task.h
+++ b/cmd/arbutuspond/task.h
@@ -14,6 +14,8 @@
 
 #include <event2/event.h>
 
+#define AP_LINK_NAME "entry-control" /* the pair between the two tasks */
+
 typedef enum ap_note_kind {
 	/* control to entry */
 	AP_NOTE_VIEW,	 /* @view: a new view; the receiver owns the reference */
@@ -28,6 +30,7 @@
 	AP_NOTE_EVENT,	  /* @event with @detail: for the time line */
 	AP_NOTE_COUNTERS, /* @text: Prometheus text, owned by the receiver */
 	AP_NOTE_OWN_ROOM, /* @room: what this region offers */
+	AP_NOTE_FAILED,	  /* @name: why the entry task cannot go on */
 } ap_note_kind_t;
 
 /**
@@ -71,7 +74,12 @@
 	ap_id_t inc;
 } ap_task_args_t;
 
-/** ap_entry_task() and ap_control_task() - thread bodies; arg is an ap_task_args_t. */
+/**
+ * ap_entry_task() and ap_control_task() - thread bodies; @arg is an ap_task_args_t.
+ * The control task binds the link AP_LINK_NAME, the entry task connects to it.
+ *
+ * Return: NULL after a clean end, anything else when the task failed or was cut short.
+ */
 void *ap_entry_task(void *arg);
 void *ap_control_task(void *arg);
 
