--- /dev/null
+++ b/test/platform_test.c
@@ -0,0 +1,301 @@
+/* The platform adapter against a fake HTTP server: what each answer and each fault is turned into.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "platform/platform.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* What the fake does with the next request. */
+typedef enum fault {
+	FAULT_NONE,
+	FAULT_HANG_UP, /* closes without an answer */
+	FAULT_REFUSE,  /* nothing listens */
+	FAULT_STALL,   /* never answers */
+} fault_t;
+
+typedef struct fake {
+	fault_t fault;
+	int code;
+	const char *body;
+	char uri[256];
+	int requests;
+} fake_t;
+
+static struct event_base *base;
+static struct evhttp *server;
+static uint16_t server_port;
+static fake_t fake;
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct evbuffer *buf = evbuffer_new();
+
+	(void)arg;
+	fake.requests++;
+	ap_copy_name(fake.uri, sizeof(fake.uri), evhttp_request_get_uri(req));
+	if (fake.fault == FAULT_HANG_UP) {
+		evhttp_connection_free(evhttp_request_get_connection(req));
+	} else if (fake.fault != FAULT_STALL) {
+		evbuffer_add(buf, fake.body, strlen(fake.body));
+		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Consul-Index", "41");
+		evhttp_send_reply(req, fake.code, NULL, buf);
+	}
+	evbuffer_free(buf);
+}
+
+static void start(fault_t fault, int code, const char *body, ap_settings_t *settings)
+{
+	fake = (fake_t){.fault = fault, .code = code, .body = body};
+	*settings = (ap_settings_t){0};
+	ap_copy_name(settings->store.host, AP_HOST_MAX, "127.0.0.1");
+	/* Port 1 is reserved and refuses. */
+	settings->store.port = fault == FAULT_REFUSE ? 1 : server_port;
+	settings->instances = settings->store;
+	settings->directory = settings->store;
+}
+
+typedef struct got {
+	int calls;
+	ap_kv_status_t status;
+	uint64_t index;
+	uint64_t lock_index;
+	char value[32];
+	char session[AP_SESSION_MAX];
+} got_t;
+
+static void on_done(void *arg, const ap_kv_result_t *result)
+{
+	got_t *got = arg;
+
+	got->calls++;
+	got->status = result->status;
+	got->index = result->index;
+	got->lock_index = result->lock_index;
+	ap_copy_name(got->session, sizeof(got->session), result->session);
+	if (result->len < sizeof(got->value) && result->value)
+		memcpy(got->value, result->value, result->len);
+	event_base_loopbreak(base);
+}
+
+typedef enum operation {
+	OP_GET,
+	OP_WATCH,
+	OP_CAS,
+	OP_ACQUIRE,
+	OP_RELEASE,
+	OP_SESSION,
+	OP_RENEW,
+} operation_t;
+
+static got_t perform(operation_t op, const ap_settings_t *settings)
+{
+	ap_platform_t *p = ap_platform_new(base, settings);
+	ap_kv_port_t kv = ap_platform_kv(p);
+	got_t got = {0};
+
+	if (op == OP_GET)
+		kv.get(kv.ctx, "a/b", 0, 0, on_done, &got);
+	else if (op == OP_WATCH)
+		kv.get(kv.ctx, "a/b", 7, 1500 * AP_MSEC, on_done, &got);
+	else if (op == OP_CAS)
+		kv.cas(kv.ctx, "a/b", "xyz", 3, 9, on_done, &got);
+	else if (op == OP_ACQUIRE)
+		kv.acquire(kv.ctx, "a/b", "xyz", 3, "S", on_done, &got);
+	else if (op == OP_RELEASE)
+		kv.release(kv.ctx, "a/b", "S", on_done, &got);
+	else if (op == OP_SESSION)
+		kv.session_create(kv.ctx, 15 * AP_SEC, on_done, &got);
+	else
+		kv.session_renew(kv.ctx, "S", on_done, &got);
+	assert_int_equal(got.calls, 0); /* never from within the call */
+	event_base_dispatch(base);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	ap_platform_free(p);
+	return got;
+}
+
+#define ITEM                                                                                       \
+	"[{\"Key\":\"a/b\",\"Value\":\"aGVsbG8=\",\"ModifyIndex\":12,\"LockIndex\":3,"             \
+	"\"Session\":\"S\"}]"
+
+static const struct {
+	operation_t op;
+	fault_t fault;
+	int code;
+	const char *body;
+	ap_kv_status_t expected;
+	const char *uri;
+} rows[] = {
+	{OP_GET, FAULT_NONE, 200, ITEM, AP_KV_OK, "/v1/kv/a/b"},
+	{OP_GET, FAULT_NONE, 404, "", AP_KV_ABSENT, NULL},
+	{OP_GET, FAULT_NONE, 500, "no leader", AP_KV_UNAVAILABLE, NULL},
+	{OP_GET, FAULT_NONE, 200, "[]", AP_KV_UNAVAILABLE, NULL},
+	{OP_GET, FAULT_NONE, 200, "{", AP_KV_UNAVAILABLE, NULL},
+	{OP_GET, FAULT_NONE, 200, "[{\"Value\":\"!\"}]", AP_KV_UNAVAILABLE, NULL},
+	{OP_GET, FAULT_HANG_UP, 0, "", AP_KV_UNAVAILABLE, NULL},
+	{OP_GET, FAULT_REFUSE, 0, "", AP_KV_UNAVAILABLE, NULL},
+	{OP_WATCH, FAULT_NONE, 200, ITEM, AP_KV_OK, "/v1/kv/a/b?index=7&wait=1500ms"},
+	{OP_CAS, FAULT_NONE, 200, "true", AP_KV_OK, "/v1/kv/a/b?cas=9"},
+	{OP_CAS, FAULT_NONE, 200, "false", AP_KV_CONFLICT, NULL},
+	{OP_CAS, FAULT_NONE, 500, "no leader", AP_KV_UNSURE, NULL},
+	{OP_CAS, FAULT_NONE, 413, "too large", AP_KV_UNAVAILABLE, NULL},
+	{OP_CAS, FAULT_HANG_UP, 0, "", AP_KV_UNSURE, NULL},
+	{OP_CAS, FAULT_REFUSE, 0, "", AP_KV_UNAVAILABLE, NULL},
+	{OP_ACQUIRE, FAULT_NONE, 200, "true", AP_KV_OK, "/v1/kv/a/b?acquire=S"},
+	{OP_ACQUIRE, FAULT_NONE, 200, "false", AP_KV_CONFLICT, NULL},
+	{OP_ACQUIRE, FAULT_NONE, 500, "invalid session \"S\"", AP_KV_ABSENT, NULL},
+	{OP_ACQUIRE, FAULT_HANG_UP, 0, "", AP_KV_UNSURE, NULL},
+	{OP_RELEASE, FAULT_NONE, 200, "true", AP_KV_OK, "/v1/kv/a/b?release=S"},
+	{OP_SESSION, FAULT_NONE, 200, "{\"ID\":\"T\"}", AP_KV_OK, "/v1/session/create"},
+	{OP_SESSION, FAULT_HANG_UP, 0, "", AP_KV_UNSURE, NULL},
+	{OP_RENEW, FAULT_NONE, 200, "[{\"ID\":\"S\"}]", AP_KV_OK, "/v1/session/renew/S"},
+	{OP_RENEW, FAULT_NONE, 404, "", AP_KV_ABSENT, NULL},
+	{OP_RENEW, FAULT_REFUSE, 0, "", AP_KV_UNAVAILABLE, NULL},
+};
+
+static void test_each_answer_and_fault(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		ap_settings_t settings;
+		got_t got;
+
+		start(rows[i].fault, rows[i].code, rows[i].body, &settings);
+		got = perform(rows[i].op, &settings);
+		if (got.calls != 1 || got.status != rows[i].expected)
+			fail_msg("row %zu: %d callbacks, status %d", i, got.calls, got.status);
+		if (rows[i].uri)
+			assert_string_equal(fake.uri, rows[i].uri);
+		if (rows[i].fault != FAULT_REFUSE)
+			assert_int_equal(fake.requests, 1); /* a write is not sent twice */
+	}
+}
+
+static void test_values_are_decoded(void **state)
+{
+	ap_settings_t settings;
+	got_t got;
+
+	(void)state;
+	start(FAULT_NONE, 200, ITEM, &settings);
+	got = perform(OP_GET, &settings);
+	assert_string_equal(got.value, "hello");
+	assert_int_equal(got.index, 12);
+	assert_int_equal(got.lock_index, 3);
+	assert_string_equal(got.session, "S");
+	start(FAULT_NONE, 404, "", &settings);
+	assert_int_equal(perform(OP_GET, &settings).index, 41);
+	start(FAULT_NONE, 200, "{\"ID\":\"T\"}", &settings);
+	assert_string_equal(perform(OP_SESSION, &settings).session, "T");
+}
+
+static ap_fleet_t *fleet;
+
+static void on_list(void *ctx, ap_fleet_t *list, ap_err_t *err)
+{
+	(void)ctx;
+	(void)err;
+	fleet = list;
+	event_base_loopbreak(base);
+}
+
+static void test_instance_list(void **state)
+{
+	static const char list[] =
+		"{\"instances\":["
+		"{\"id\":\"u\",\"role\":\"upstream\",\"host\":\"127.0.0.1\",\"port\":9,"
+		"\"region\":\"r\",\"data_centre\":\"d\",\"state\":\"leaving\","
+		"\"labels\":{\"tier\":\"gpu\",\"region\":\"forged\"}},"
+		"{\"id\":\"no-port\",\"role\":\"upstream\",\"host\":\"127.0.0.1\","
+		"\"region\":\"r\",\"data_centre\":\"d\"},"
+		"{\"id\":\"e\",\"role\":\"entry\",\"host\":\"127.0.0.1\",\"port\":1,\"data_port\":"
+		"2,"
+		"\"control_port\":3,\"region\":\"r\",\"data_centre\":\"d\",\"state\":\"live\"}]}";
+	ap_settings_t settings;
+	ap_platform_t *p;
+
+	(void)state;
+	start(FAULT_NONE, 200, list, &settings);
+	p = ap_platform_new(base, &settings);
+	ap_platform_list(p, on_list, NULL);
+	event_base_dispatch(base);
+	assert_non_null(fleet);
+	assert_int_equal(fleet->n_upstreams, 1);
+	assert_true(fleet->upstreams[0].leaving);
+	assert_string_equal(ap_labels_get(&fleet->upstreams[0].labels, "tier"), "gpu");
+	assert_string_equal(ap_labels_get(&fleet->upstreams[0].labels, "region"), "r");
+	assert_int_equal(fleet->n_entries, 1);
+	assert_int_equal(fleet->entries[0].control_port, 3);
+	ap_fleet_free(fleet);
+	fake.body = "{}";
+	ap_platform_list(p, on_list, NULL);
+	event_base_dispatch(base);
+	assert_null(fleet);
+	ap_platform_free(p);
+}
+
+static void test_dropped_calls_are_freed(void **state)
+{
+	ap_settings_t settings;
+	got_t got = {0};
+	ap_platform_t *p;
+	ap_kv_port_t kv;
+
+	(void)state;
+	start(FAULT_STALL, 200, ITEM, &settings);
+	p = ap_platform_new(base, &settings);
+	kv = ap_platform_kv(p);
+	kv.get(kv.ctx, "k", 0, 0, on_done, &got);
+	while (fake.requests == 0)
+		event_base_loop(base, EVLOOP_ONCE);
+	ap_platform_free(p);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	assert_int_equal(got.calls, 0);
+}
+
+static int setup(void **state)
+{
+	struct evhttp_bound_socket *bound;
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+
+	(void)state;
+	base = event_base_new();
+	server = evhttp_new(base);
+	evhttp_set_gencb(server, on_request, NULL);
+	bound = evhttp_bind_socket_with_handle(server, "127.0.0.1", 0);
+	if (!bound)
+		return -1;
+	getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&addr, &len);
+	server_port = ntohs(addr.sin_port);
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	(void)state;
+	evhttp_free(server);
+	event_base_free(base);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_answer_and_fault),
+		cmocka_unit_test(test_values_are_decoded),
+		cmocka_unit_test(test_instance_list),
+		cmocka_unit_test(test_dropped_calls_are_freed),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
