--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # run.sh BUILD [NAME]: runs every benchmark, or the one called NAME, and counts missed targets.
-# A benchmark prints each figure beside its target and ends such a line with "met" or "missed".
+# A benchmark prints each figure beside its target and says on such a line "met" or "missed", in either case.
 build=$1
 name=${2:-all}
 out=$(mktemp)
@@ -17,4 +17,4 @@
 	echo "no benchmark is called $name" >&2
 	exit 2
 fi
-echo "targets met: $(grep -c ' met$' "$out"), missed: $(grep -c ' missed$' "$out")"
+echo "targets met: $(grep -ciw 'met' "$out"), missed: $(grep -ciw 'missed' "$out")"
