--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define TICK_US 20000	  /* how often queued requests are looked at */
 #define REPORT_S 1	  /* how often counters and room go to the control task */
@@ -31,6 +32,14 @@
 	[COUNT_REFUSED_MESSAGES] = "refused_messages",
 };
 
+static uint64_t wall_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
 static void note_event(void *ctx, const ap_event_t *event)
 {
 	entry_t *entry = ctx;
@@ -39,6 +48,7 @@
 	ap_copy_name(note.u.event.kind, sizeof(note.u.event.kind), event->kind);
 	ap_copy_name(note.u.event.detail, sizeof(note.u.event.detail), event->detail);
 	note.u.event.request = event->request;
+	note.u.event.at = ap_hlc_now(entry->config.clock, wall_ms());
 	entry->config.note(entry->config.ctx, &note);
 }
 
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -112,6 +112,7 @@
 
 /**
  * struct entry_config - made once at start.
+ * @clock: the task's clock for its time line
  * @note: takes a message for the control task
  * @send: sends to another entry; false when certainly not sent
  */
@@ -119,6 +120,7 @@
 	const ap_settings_t *settings;
 	struct event_base *base;
 	ap_id_t inc;
+	ap_hlc_t *clock;
 	void *ctx;
 	void (*note)(void *ctx, const ap_note_t *note);
 	bool (*send)(void *ctx, const char *to, const void *data, size_t len);
--- /dev/null
+++ b/test/entry_test.c
@@ -0,0 +1,385 @@
+/* One entry between callers and upstreams with faults: answers, outcomes and wrong input. */
+#include "entry_rig.h"
+
+#define CHAT "/v1/chat/completions"
+#define BODY(model, stream)                                                                        \
+	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
+
+static void check(const char *answer, int status, const char *part, const char *other)
+{
+	char line[32];
+
+	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
+	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
+	    !strstr(answer, other))
+		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
+}
+
+typedef struct fault_case {
+	fake_mode_t mode;
+	int faults; /* how many answers show it */
+	int upstreams;
+	const char *model;
+	const char *stream;
+	int status;
+	const char *part;
+	const char *other;
+	int requests; /* that reached any upstream */
+} fault_case_t;
+
+#define WHOLE "Arbutuspond-Outcome: completed"
+#define UNKNOWN "Arbutuspond-Outcome: unknown"
+#define NOT_RUN "Arbutuspond-Outcome: not-run"
+#define ENDED "data: [DONE]\n\n"
+#define CUT "event: error\n"
+
+static const fault_case_t faults[] = {
+	/* repeatable, whole answers: one fault is made good elsewhere */
+	{FAKE_NONE, 0, 1, "ask", "false", 200, WHOLE, "\"whole\"", 1},
+	{FAKE_RESET_BEFORE, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_RESET_AFTER, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_STALL_BEFORE, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_STALL_MIDDLE, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_HALF, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_WRONG_LENGTH, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_SHORT_LENGTH, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_WRONG_ID, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_REFUSE, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_DRAIN, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_ERROR, 1, 2, "ask", "false", 200, WHOLE, "\"whole\"", 2},
+	/* not repeatable: run once, and unknown unless it was refused */
+	{FAKE_RESET_BEFORE, -1, 2, "once", "false", 504, UNKNOWN, "\"unknown\"", 1},
+	{FAKE_RESET_AFTER, -1, 2, "once", "false", 504, UNKNOWN, "\"unknown\"", 1},
+	{FAKE_STALL_BEFORE, -1, 2, "once", "false", 504, UNKNOWN, "\"unknown\"", 1},
+	{FAKE_WRONG_LENGTH, -1, 2, "once", "false", 504, UNKNOWN, "\"unknown\"", 1},
+	{FAKE_WRONG_ID, -1, 2, "once", "false", 504, UNKNOWN, "\"unknown\"", 1},
+	{FAKE_ERROR, -1, 2, "once", "false", 504, UNKNOWN, "\"unknown\"", 1},
+	{FAKE_REFUSE, 1, 2, "once", "false", 200, WHOLE, "\"whole\"", 2},
+	{FAKE_REFUSE, -1, 2, "once", "false", 503, NOT_RUN, "\"not_run\"", 2},
+	{FAKE_DRAIN, -1, 2, "once", "false", 503, NOT_RUN, "\"not_run\"", 2},
+	/* streams: resumed where the service allows it, else cut with a clear event */
+	{FAKE_NONE, 0, 1, "ask", "true", 200, "outcome=completed", ENDED, 1},
+	{FAKE_RESET_BEFORE, 1, 2, "ask", "true", 200, "outcome=completed", ENDED, 2},
+	{FAKE_RESET_AFTER, 1, 2, "ask", "true", 200, "outcome=completed", ENDED, 2},
+	{FAKE_STALL_MIDDLE, 1, 2, "ask", "true", 200, "outcome=completed", ENDED, 2},
+	{FAKE_HALF, 1, 2, "ask", "true", 200, "outcome=completed", ENDED, 2},
+	{FAKE_RESET_AFTER, -1, 2, "once", "true", 200, CUT, "\"unknown\"", 1},
+	{FAKE_STALL_MIDDLE, -1, 2, "once", "true", 200, CUT, "\"unknown\"", 1},
+	{FAKE_HALF, -1, 2, "once", "true", 200, CUT, "\"unknown\"", 1},
+	{FAKE_WRONG_ID, -1, 1, "ask", "true", 502, UNKNOWN, "\"upstream_failed\"", 1},
+};
+
+static void run_fault(const fault_case_t *c)
+{
+	char body[256];
+	char *answer;
+	int requests = 0;
+	rig_t rig;
+
+	rig_init(&rig);
+	for (int i = 0; i < c->upstreams; i++)
+		rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	snprintf(body, sizeof(body),
+		 "{\"model\":\"%s\",\"stream\":%s,\"messages\":[{\"content\":\"hi\"}]}", c->model,
+		 c->stream);
+	for (int i = 0; i < c->upstreams; i++) {
+		rig.fakes[i].mode = c->mode;
+		rig.fakes[i].faults = c->faults;
+	}
+	/* One fault in all: the upstream that shows it takes it from the others. */
+	answer = NULL;
+	if (c->faults == 1) {
+		rig_caller_t caller;
+
+		rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, body);
+		RUN_UNTIL(rig.base, rig.fakes[0].requests + rig.fakes[1].requests > 0);
+		rig.fakes[0].faults = 0;
+		rig.fakes[1].faults = 0;
+		answer = rig_answer(&rig, &caller);
+	} else {
+		answer = rig_ask(&rig, 0, CHAT, body);
+	}
+	for (int i = 0; i < c->upstreams; i++)
+		requests += rig.fakes[i].requests;
+	check(answer, c->status, c->part, c->other);
+	if (strstr(answer, CUT))
+		assert_null(strstr(answer, "[DONE]"));
+	if (strcmp(c->other, ENDED) == 0) {
+		for (int i = 0; i < FAKE_TOKENS; i++) {
+			char token[8];
+
+			snprintf(token, sizeof(token), "\"t%d ", i);
+			assert_non_null(strstr(answer, token));
+			assert_null(strstr(strstr(answer, token) + 1, token));
+		}
+	}
+	assert_int_equal(requests, c->requests);
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_each_fault_has_its_outcome(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		print_message("case %zu: mode %d %s stream=%s\n", i, faults[i].mode,
+			      faults[i].model, faults[i].stream);
+		run_fault(&faults[i]);
+	}
+}
+
+typedef struct input_case {
+	const char *method;
+	const char *path;
+	const char *headers;
+	const char *body;
+	int status;
+	const char *code;
+} input_case_t;
+
+static const input_case_t inputs[] = {
+	{"POST", CHAT, "", BODY("ask", "false"), 401, "unauthorized"},
+	{"POST", CHAT, "Authorization: Bearer no\r\n", "", 401, "unauthorized"},
+	{"POST", CHAT, RIG_AUTH "Arbutuspond-Region: cuyo\r\n", "{}", 403, "forbidden"},
+	{"POST", CHAT, RIG_AUTH, "{\"model\":", 400, "bad_request"},
+	{"POST", CHAT, RIG_AUTH, "[]", 400, "bad_request"},
+	{"POST", CHAT, RIG_AUTH, "{\"model\":\"ask\"}", 400, "bad_request"},
+	{"POST", CHAT, RIG_AUTH, "{\"model\":7,\"prompt\":\"x\"}", 400, "bad_request"},
+	{"POST", CHAT, RIG_AUTH, BODY("ask", "7"), 400, "bad_request"},
+	{"GET", CHAT, RIG_AUTH, "", 400, "bad_request"},
+	{"POST", CHAT, RIG_AUTH, BODY("none", "false"), 404, "not_found"},
+	{"POST", CHAT, RIG_AUTH, BODY("ask/none", "false"), 404, "not_found"},
+	{"POST", CHAT, RIG_AUTH, BODY("plan", "false"), 404, "not_found"},
+	{"POST", CHAT, RIG_AUTH "Arbutuspond-Service: none\r\n", "", 404, "not_found"},
+	{"POST", CHAT, RIG_AUTH "Arbutuspond-Service: dossier\r\n", BODY("ask", "false"), 400,
+	 "bad_request"},
+	{"GET", "/s/none/x", RIG_AUTH, "", 404, "not_found"},
+	{"GET", "/elsewhere", RIG_AUTH, "", 404, "not_found"},
+	{"POST", "/s/reserve/x", RIG_AUTH, "{}", 428, "permit_needed"},
+	{"GET", "/v1/entries", RIG_AUTH, "", 400, "bad_request"},
+	{"GET", "/v1/entries?service=none", RIG_AUTH, "", 404, "not_found"},
+	{"POST", "/v1/permits?service=reserve", RIG_AUTH, "", 404, "not_found"},
+};
+
+static void test_each_wrong_input_has_its_error(void **state)
+{
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	for (size_t i = 0; i < sizeof(inputs) / sizeof(inputs[0]); i++) {
+		const input_case_t *c = &inputs[i];
+		rig_caller_t caller;
+		char code[64];
+		char *answer;
+
+		rig_call(&rig, 0, &caller, c->method, c->path, c->headers, c->body);
+		answer = rig_answer(&rig, &caller);
+		snprintf(code, sizeof(code), "\"code\":\"%s\"", c->code);
+		check(answer, c->status, code, NOT_RUN);
+		free(answer);
+	}
+	assert_int_equal(rig.fakes[0].requests, 0);
+	rig_clear(&rig);
+}
+
+static void test_body_past_the_service_limit_is_too_large(void **state)
+{
+	char body[2000];
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	memset(body, 'x', sizeof(body) - 1);
+	body[sizeof(body) - 1] = '\0';
+	rig_init(&rig);
+	rig_show(&rig);
+	answer = rig_ask(&rig, 0, "/s/plan/x", body);
+	check(answer, 413, "\"too_large\"", NOT_RUN);
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_no_upstream_means_not_run(void **state)
+{
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_show(&rig);
+	answer = rig_ask(&rig, 0, CHAT, BODY("once", "false"));
+	check(answer, 503, "\"not_run\"", NOT_RUN);
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_plain_service_passes_path_and_body(void **state)
+{
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "desk");
+	rig_show(&rig);
+	answer = rig_ask(&rig, 0, "/s/plan/floor?hall=2", "stand 7");
+	check(answer, 200, WHOLE, "Arbutuspond-Cost: 5.000");
+	assert_non_null(strstr(rig.fakes[0].last, "POST /floor?hall=2 HTTP/1.1"));
+	assert_non_null(strstr(rig.fakes[0].last, "\r\n\r\nstand 7"));
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_hang_up_cancels_upstream(void **state)
+{
+	static const fake_mode_t modes[] = {FAKE_STALL_BEFORE, FAKE_STALL_MIDDLE};
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		rig_caller_t caller;
+		rig_t rig;
+
+		rig_init(&rig);
+		rig_add_fake(&rig, "recife", "gpu");
+		rig.fakes[0].mode = modes[i];
+		rig_show(&rig);
+		rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("once", "true"));
+		RUN_UNTIL(rig.base, rig.fakes[0].requests == 1);
+		if (modes[i] == FAKE_STALL_MIDDLE)
+			RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
+		rig_hang_up(&caller);
+		RUN_UNTIL(rig.base, rig.fakes[0].hangups == 1);
+		RUN_UNTIL(rig.base, !rig.entries[0].entry->exchanges);
+		assert_int_equal(rig.entries[0].entry->counts[COUNT_HANG_UPS], 1);
+		rig_clear(&rig);
+	}
+}
+
+static void test_slow_reader_bounds_what_is_held(void **state)
+{
+	rig_caller_t caller;
+	size_t most = 0;
+	char *answer;
+	exchange_t *x;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig.fakes[0].mode = FAKE_SLOW_READER;
+	rig_show(&rig);
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "true"));
+	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
+	bufferevent_disable(caller.bev, EV_READ);
+	x = rig.entries[0].entry->exchanges;
+	for (int i = 0; i < 200; i++) {
+		event_base_loop(rig.base, EVLOOP_NONBLOCK);
+		if (rig.entries[0].entry->exchanges && x->call &&
+		    ap_http_reply_pending(x->call) > most)
+			most = ap_http_reply_pending(x->call);
+	}
+	assert_true(most < 2 * REPLY_HIGH);
+	bufferevent_enable(caller.bev, EV_READ);
+	answer = rig_answer(&rig, &caller);
+	check(answer, 200, "t19999 ", ENDED);
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_draining_upstream_gets_no_more_work(void **state)
+{
+	char *answer;
+	int before;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	rig.fakes[0].mode = FAKE_DRAIN;
+	for (int i = 0; i < 20 && rig.fakes[0].requests == 0; i++)
+		free(rig_ask(&rig, 0, CHAT, BODY("ask", "false")));
+	before = rig.fakes[0].requests;
+	assert_int_equal(before, 1);
+	assert_int_equal(rig.entries[0].leaving, 1);
+	for (int i = 0; i < 20; i++) {
+		answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
+		check(answer, 200, WHOLE, "whole");
+		free(answer);
+	}
+	assert_int_equal(rig.fakes[0].requests, before);
+	rig_clear(&rig);
+}
+
+static void test_drain_finishes_what_is_in_progress(void **state)
+{
+	ap_note_t drain = {.kind = AP_NOTE_DRAIN};
+	rig_caller_t caller;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	rig.fakes[0].mode = FAKE_SLOW_READER;
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "true"));
+	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
+	entry_note(rig.entries[0].entry, &drain);
+	assert_false(rig.entries[0].drained);
+	answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
+	check(answer, 503, "\"draining\"", NOT_RUN);
+	free(answer);
+	{
+		rig_caller_t list;
+
+		rig_call(&rig, 0, &list, "GET", "/v1/entries?service=ask", RIG_AUTH, "");
+		answer = rig_answer(&rig, &list);
+		check(answer, 200, "\"entries\":[]", "ttl");
+		free(answer);
+	}
+	answer = rig_answer(&rig, &caller);
+	check(answer, 200, "t19999 ", ENDED);
+	free(answer);
+	RUN_UNTIL(rig.base, rig.entries[0].drained);
+	rig_clear(&rig);
+}
+
+static void test_entries_lists_live_ones(void **state)
+{
+	rig_caller_t caller;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_show(&rig);
+	rig_call(&rig, 0, &caller, "GET", "/v1/entries?service=ask", RIG_AUTH, "");
+	answer = rig_answer(&rig, &caller);
+	check(answer, 200, "\"id\":\"recife-0\"", "\"ttl\":");
+	free(answer);
+	rig_clear(&rig);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_fault_has_its_outcome),
+		cmocka_unit_test(test_each_wrong_input_has_its_error),
+		cmocka_unit_test(test_body_past_the_service_limit_is_too_large),
+		cmocka_unit_test(test_no_upstream_means_not_run),
+		cmocka_unit_test(test_plain_service_passes_path_and_body),
+		cmocka_unit_test(test_hang_up_cancels_upstream),
+		cmocka_unit_test(test_slow_reader_bounds_what_is_held),
+		cmocka_unit_test(test_draining_upstream_gets_no_more_work),
+		cmocka_unit_test(test_drain_finishes_what_is_in_progress),
+		cmocka_unit_test(test_entries_lists_live_ones),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
