--- /dev/null
+++ b/lib/order/issue.c
@@ -0,0 +1,139 @@
+/* Sends single orders, never without a lease that outlasts what the upstream can't check. */
+#include "order/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ORDER_MARGIN (2 * AP_SEC)
+#define REFUSED_WAIT (15 * AP_SEC)
+
+void order_calls_drop(ap_order_t *o)
+{
+	while (!LIST_EMPTY(&o->calls)) {
+		ap_order_call_t *call = LIST_FIRST(&o->calls);
+
+		LIST_REMOVE(call, link);
+		call->order = NULL;
+	}
+}
+
+/* Longest time that one order may take. Unfenced ones must end well before the lease can lapse. */
+static ap_usec_t limit_for(const ap_order_t *o, const ap_target_t *t)
+{
+	ap_usec_t longest = o->cfg.lease_ttl / 2 - ORDER_MARGIN;
+
+	if (t->fenced || t->pool->order_deadline < longest)
+		return t->pool->order_deadline;
+	return longest;
+}
+
+bool order_may_issue(ap_order_t *o, ap_target_t *t, ap_usec_t now)
+{
+	ap_usec_t left = ap_lease_left(o->lease, now);
+
+	if (left == 0)
+		return false;
+	if (t->fence_seen > ap_lease_fence(o->lease)) {
+		ap_lease_doubt(o->lease, now);
+		return false;
+	}
+	if (t->fenced)
+		return true;
+	/* Orders of an earlier holder may be under way for as long as its lease could last. */
+	if (left < limit_for(o, t) + ORDER_MARGIN ||
+	    now - ap_lease_since(o->lease) < o->cfg.lease_ttl) {
+		o->stats.held_back++;
+		return false;
+	}
+	return true;
+}
+
+static void order_done(void *arg, ap_order_status_t status, const ap_err_t *err)
+{
+	ap_order_call_t *call = arg;
+	ap_order_t *o = call->order;
+	ap_target_t *t = NULL;
+
+	if (o) {
+		LIST_REMOVE(call, link);
+		HASH_FIND_STR(o->targets, call->upstream, t);
+	}
+	free(call);
+	if (!t)
+		return;
+	t->busy = false;
+	t->known = false;
+	switch (status) {
+	case AP_ORDER_OK:
+		break;
+	case AP_ORDER_FENCED:
+		o->stats.fenced++;
+		ap_lease_doubt(o->lease, o->now);
+		break;
+	case AP_ORDER_REFUSED:
+		ap_copy_name(t->refused, sizeof(t->refused), t->item);
+		t->refused_until = o->now + REFUSED_WAIT;
+		break;
+	case AP_ORDER_UNSURE:
+		/* It may be carried out as late as its limit; nothing may cross it before. */
+		o->stats.unsure++;
+		t->quiet_until = t->issued_at + t->limit;
+		break;
+	}
+	ap_emit(&o->cfg.env, o->now, "order.done", (ap_xid_t){.seq = 0},
+		"upstream=%s item=%s status=%d why=%s", t->up.id, t->item, (int)status,
+		err ? err->text : "");
+}
+
+static bool start(ap_order_t *o, ap_target_t *t, const char *name, bool load, ap_usec_t now)
+{
+	uint64_t fence = ap_lease_fence(o->lease);
+	bool holds = ap_lease_left(o->lease, now) > 0;
+
+	if (!ap_require(&o->cfg.env, holds, AP_INV_ORDER, "an order without a lease") ||
+	    !ap_require(&o->cfg.env, fence >= o->last_fence && fence >= t->fence_seen, AP_INV_ORDER,
+			"an order with a lower fencing number"))
+		return false;
+	o->last_fence = fence;
+	t->busy = true;
+	t->loading = load;
+	t->issued_at = now;
+	t->limit = limit_for(o, t);
+	ap_copy_name(t->item, sizeof(t->item), name);
+	ap_emit(&o->cfg.env, now, load ? "order.load" : "order.unload", (ap_xid_t){.seq = 0},
+		"upstream=%s item=%s fence=%llu", t->up.id, name, (unsigned long long)fence);
+	return true;
+}
+
+static ap_order_call_t *call_new(ap_order_t *o, const ap_target_t *t)
+{
+	ap_order_call_t *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->order = o;
+	ap_copy_name(call->upstream, sizeof(call->upstream), t->up.id);
+	LIST_INSERT_HEAD(&o->calls, call, link);
+	return call;
+}
+
+void order_load(ap_order_t *o, ap_target_t *t, const ap_item_t *item, ap_usec_t now)
+{
+	if (!start(o, t, item->name, true, now))
+		return;
+	if (o->weight_free_at < now)
+		o->weight_free_at = now;
+	o->weight_free_at += (ap_usec_t)((double)item->bytes / o->cfg.weight_rate * AP_SEC);
+	o->stats.loads++;
+	o->cfg.port.load(o->cfg.port.ctx, t->up.id, item->name, item->version, o->last_fence,
+			 t->limit, order_done, call_new(o, t));
+}
+
+void order_unload(ap_order_t *o, ap_target_t *t, const char *name, ap_usec_t now)
+{
+	if (!start(o, t, name, false, now))
+		return;
+	o->stats.unloads++;
+	o->cfg.port.unload(o->cfg.port.ctx, t->up.id, name, o->last_fence, t->limit, order_done,
+			   call_new(o, t));
+}
--- a/lib/order/order.h
+++ b/lib/order/order.h
@@ -82,6 +82,7 @@
  * @loads_max: loads under way at once in the region
  * @ctx: passed to the callback below
  * @observe: asks the driver to read an upstream's models and give them to ap_order_observed()
+ *           within 10 seconds or not at all
  */
 typedef struct ap_order_config {
 	ap_entry_t self;
