--- /dev/null
+++ b/bench/policy/ours.c
@@ -0,0 +1,313 @@
+/* Our policy: the decisions of lib/route and lib/limit, one set of them for each entry. */
+#include "sim.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define QUEUE_MAX 64
+#define RETRY_RATIO 0.1
+
+typedef struct ours ours_t;
+
+typedef struct our_entry {
+	ours_t *all;
+	int region;
+	int number;
+	ap_route_t *route;
+	ap_admission_t *admission;
+	ap_retry_budget_t *retries;
+} our_entry_t;
+
+struct ours {
+	sim_t *sim;
+	our_entry_t *entries;
+	int n;
+};
+
+static our_entry_t *entry_at(ours_t *o, int region, int number)
+{
+	return &o->entries[region * o->sim->row->entries + number];
+}
+
+static our_entry_t *entry_of(ours_t *o, const job_t *job)
+{
+	return entry_at(o, job->at_region, job->entry);
+}
+
+static void leave(our_entry_t *e, job_t *job)
+{
+	ap_admission_done(e->admission, job->req.id.seq, e->all->sim->now);
+}
+
+static void give_up(our_entry_t *e, job_t *job, bool away)
+{
+	leave(e, job);
+	if (away) {
+		job->req.forwarded = false;
+		sim_refuse(e->all->sim, job);
+		return;
+	}
+	sim_give_up(e->all->sim, job);
+}
+
+static int region_number(const char *name)
+{
+	for (int i = 0; i < REGIONS; i++)
+		if (strcmp(region_names[i], name) == 0)
+			return i;
+	return 0;
+}
+
+static void send_away(our_entry_t *e, job_t *job, const ap_choice_t *choice)
+{
+	sim_t *sim = e->all->sim;
+
+	ap_route_started(e->route, &job->req, choice, sim->now);
+	job->req.forwarded = true;
+	leave(e, job);
+	sim_forward(sim, job, region_number(choice->region), job->arrival->entry);
+}
+
+static void decide(our_entry_t *e, job_t *job)
+{
+	sim_t *sim = e->all->sim;
+	ap_choice_t choice;
+	ap_route_status_t status = ap_route_choose(e->route, &job->req, sim->now, &choice);
+
+	if (status != AP_ROUTE_OK) {
+		give_up(e, job, job->req.forwarded && job->attempts == 0);
+		return;
+	}
+	if (choice.region[0]) {
+		send_away(e, job, &choice);
+		return;
+	}
+	job->priority = choice.priority;
+	job->engine = atoi(choice.upstream_id + 1);
+	job->choice = choice;
+	sim_dispatch(sim, job, job->engine);
+}
+
+static job_t *job_of(ours_t *o, uint64_t token)
+{
+	return &o->sim->jobs[token - 1];
+}
+
+static void on_ready(void *ctx, uint64_t token)
+{
+	our_entry_t *e = ctx;
+	job_t *job = job_of(e->all, token);
+
+	sim_admitted(e->all->sim, job);
+	decide(e, job);
+}
+
+static void on_shed(void *ctx, uint64_t token, ap_usec_t retry_after)
+{
+	our_entry_t *e = ctx;
+	job_t *job = job_of(e->all, token);
+
+	(void)retry_after;
+	if (job->req.forwarded) {
+		job->req.forwarded = false;
+		sim_refuse(e->all->sim, job);
+		return;
+	}
+	sim_give_up(e->all->sim, job);
+}
+
+static void ask(our_entry_t *e, job_t *job)
+{
+	sim_t *sim = e->all->sim;
+	ap_usec_t retry_after;
+	ap_ask_t ask = {
+		.token = job->req.id.seq,
+		.cls = job->req.cls,
+		.guest = job->req.forwarded,
+		.home_bound = job->req.service->home_bound,
+		.deadline = job->req.deadline,
+		.work = (ap_usec_t)(job->req.tokens_in * PREFILL_US / 2),
+		.share = 1,
+	};
+
+	switch (ap_admission_ask(e->admission, &ask, sim->now, &retry_after)) {
+	case AP_ADMIT_NOW:
+		on_ready(e, ask.token);
+		break;
+	case AP_ADMIT_QUEUE:
+		break;
+	case AP_ADMIT_SHED:
+	case AP_ADMIT_LIMIT:
+		on_shed(e, ask.token, retry_after);
+		break;
+	}
+}
+
+static void our_view(void *state)
+{
+	ours_t *o = state;
+
+	for (int i = 0; i < o->n; i++)
+		ap_route_set_view(o->entries[i].route, o->sim->view, o->sim->now);
+}
+
+static void init_entry(ours_t *o, our_entry_t *e, int i)
+{
+	ap_route_config_t route = {.seed = 100 + (uint64_t)i};
+	ap_admission_config_t admission = {
+		.queue_max = QUEUE_MAX,
+		.env = {.ctx = e},
+		.ready = on_ready,
+		.shed = on_shed,
+	};
+
+	e->all = o;
+	e->region = i / o->sim->row->entries;
+	e->number = i % o->sim->row->entries;
+	ap_copy_name(route.region, AP_NAME_MAX, region_names[e->region]);
+	ap_copy_name(route.data_centre, AP_NAME_MAX, region_names[e->region]);
+	e->route = ap_route_new(&route);
+	e->admission = ap_admission_new(&admission);
+	e->retries = ap_retry_budget_new(RETRY_RATIO, NULL);
+}
+
+static void *our_new(sim_t *sim)
+{
+	ours_t *o = calloc(1, sizeof(*o));
+
+	o->sim = sim;
+	o->n = sim->row->entries * REGIONS;
+	o->entries = calloc((size_t)o->n, sizeof(*o->entries));
+	for (int i = 0; i < o->n; i++)
+		init_entry(o, &o->entries[i], i);
+	our_view(o);
+	return o;
+}
+
+static void our_free(void *state)
+{
+	ours_t *o = state;
+
+	for (int i = 0; i < o->n; i++) {
+		ap_route_free(o->entries[i].route);
+		ap_admission_free(o->entries[i].admission);
+		ap_retry_budget_free(o->entries[i].retries);
+	}
+	free(o->entries);
+	free(o);
+}
+
+static void our_arrived(void *state, job_t *job)
+{
+	our_entry_t *e = entry_of(state, job);
+
+	ap_retry_budget_request(e->retries, e->all->sim->now);
+	ask(e, job);
+}
+
+static void our_forwarded(void *state, job_t *job)
+{
+	ask(entry_of(state, job), job);
+}
+
+static void our_refused(void *state, job_t *job)
+{
+	our_entry_t *e = entry_of(state, job);
+
+	job->req.stay = true;
+	ask(e, job);
+}
+
+static void our_started(void *state, job_t *job)
+{
+	our_entry_t *e = entry_of(state, job);
+
+	ap_route_started(e->route, &job->req, &job->choice, e->all->sim->now);
+}
+
+static void our_first(void *state, job_t *job, uint32_t cached)
+{
+	our_entry_t *e = entry_of(state, job);
+	const char *upstream = job->choice.upstream_id;
+	ap_usec_t now = e->all->sim->now;
+
+	ap_route_first_token(e->route, &job->req, upstream, now - job->dispatched, now);
+	ap_route_cached(e->route, upstream, job->choice.cached_tokens, cached);
+}
+
+static void our_finished(void *state, job_t *job)
+{
+	our_entry_t *e = entry_of(state, job);
+
+	ap_route_finished(e->route, &job->req, job->choice.upstream_id, AP_ATTEMPT_OK,
+			  e->all->sim->now);
+	leave(e, job);
+}
+
+static void our_failed(void *state, job_t *job, ap_attempt_end_t end)
+{
+	our_entry_t *e = entry_of(state, job);
+	ap_usec_t now = e->all->sim->now;
+
+	ap_route_finished(e->route, &job->req, job->choice.upstream_id, end, now);
+	if (job->attempts >= ATTEMPTS_MAX ||
+	    !ap_retry_budget_take(e->retries, now, job->req.deadline, job->choice.expected_wait)) {
+		give_up(e, job, false);
+		return;
+	}
+	ap_copy_name(job->tried[job->req.n_tried], AP_NAME_MAX, job->choice.upstream_id);
+	job->req.tried[job->req.n_tried] = job->tried[job->req.n_tried];
+	job->req.n_tried++;
+	decide(e, job);
+}
+
+static void our_load(void *state, const ap_load_report_t *report, int engine)
+{
+	ours_t *o = state;
+
+	for (int i = 0; i < o->sim->row->entries; i++)
+		ap_route_load(entry_at(o, engine / PER_REGION, i)->route, report, o->sim->now);
+}
+
+static void our_cache(void *state, const ap_cache_event_t *event, int engine)
+{
+	ours_t *o = state;
+
+	for (int i = 0; i < o->sim->row->entries; i++)
+		ap_route_cache(entry_at(o, engine / PER_REGION, i)->route, event, o->sim->now);
+}
+
+static void our_tick(void *state)
+{
+	ours_t *o = state;
+	ap_usec_t now = o->sim->now;
+	ap_room_t rooms[REGIONS];
+
+	for (int r = 0; r < REGIONS; r++)
+		rooms[r] = ap_route_own_room(entry_at(o, r, 0)->route, "m", now);
+	for (int i = 0; i < o->n; i++) {
+		our_entry_t *e = &o->entries[i];
+
+		for (int r = 0; r < REGIONS; r++)
+			ap_route_room(e->route, &rooms[r], now);
+		ap_admission_set_capacity(e->admission, ap_route_capacity(e->route, now), now);
+		ap_admission_tick(e->admission, now);
+	}
+}
+
+const policy_t policy_ours = {
+	.name = "ours",
+	.new_state = our_new,
+	.free_state = our_free,
+	.arrived = our_arrived,
+	.forwarded = our_forwarded,
+	.refused = our_refused,
+	.started = our_started,
+	.first_token = our_first,
+	.finished = our_finished,
+	.failed = our_failed,
+	.load = our_load,
+	.cache = our_cache,
+	.tick = our_tick,
+	.view = our_view,
+};
