--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -6,6 +6,7 @@
 #define AP_WIRE_H
 
 #include "base/base.h"
+#include "once/once.h"
 
 #include <msgpack.h>
 
@@ -180,5 +181,19 @@
 void ap_forward_pack(msgpack_sbuffer *buf, ap_id_t from, uint64_t seq, const ap_forward_msg_t *msg);
 /** ap_forward_read() - takes apart a body; pointers in @msg point into it. */
 ap_wire_status_t ap_forward_read(uint32_t kind, const msgpack_object *body, ap_forward_msg_t *msg);
+/**
+ * struct ap_wire_once - a permit message that was read, with what it points to.
+ */
+typedef struct ap_wire_once {
+	ap_once_msg_t msg;
+	ap_once_item_t items[AP_ONCE_ITEMS_MAX];
+	char text[AP_PERMIT_TEXT_MAX];
+} ap_wire_once_t;
+
+/** ap_wire_pack_once() - packs the body of an AP_WIRE_ONCE message. */
+void ap_wire_pack_once(msgpack_packer *pk, const ap_once_msg_t *msg);
+/** ap_wire_read_once() - answers point into the message; @out is valid with AP_WIRE_OK only. */
+ap_wire_status_t ap_wire_read_once(const ap_wire_head_t *head, const msgpack_object *body,
+				   ap_wire_once_t *out, ap_err_t *err);
 
 #endif
