--- /dev/null
+++ b/samples/fleet.sh
@@ -0,0 +1,148 @@
+# Starts stand-ins and three entry instances in two regions; read in by samples/demo.sh and tests.
+# Needs $BUILD. Sets $DIR, a temporary folder, and $ADMIN_1 to 3, $CALLERS_1 to 3, $TOKEN. Whoever
+# reads this in calls fleet_stop at the end; it ends only the processes that were started here.
+
+DIR=$(mktemp -d)
+TOKEN=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
+CTL=$BUILD/cmd/arbutuspondctl
+PIDS=
+WAIT_TICKS=300 # tenths of a second
+
+# fleet_wait WHAT COMMAND...: runs COMMAND until it succeeds.
+fleet_wait() {
+	what=$1
+	shift
+	ticks=0
+	until "$@" >/dev/null 2>&1; do
+		ticks=$((ticks + 1))
+		if [ $ticks -gt $WAIT_TICKS ]; then
+			echo "gave up waiting for $what" >&2
+			return 1
+		fi
+		sleep 0.1
+	done
+}
+
+# fleet_start NAME PROGRAM ARGUMENTS...: starts a process; its number is in $DIR/NAME.pid.
+fleet_start() {
+	name=$1
+	shift
+	"$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
+	echo $! >"$DIR/$name.pid"
+	PIDS="$PIDS $!"
+}
+
+# fleet_standin NAME PROGRAM ARGUMENTS...: the same, and waits until it listens.
+fleet_standin() {
+	fleet_start "$@" --listen 127.0.0.1:0
+	fleet_wait "$1" grep -q listening "$DIR/$1.out"
+}
+
+fleet_address() {
+	sed -n 's/^listening //p' "$DIR/$1.out"
+}
+
+# fleet_upstream ID REGION WORK: one line of the platform's list.
+fleet_upstream() {
+	address=$(fleet_address "$1")
+	printf '{"id":"%s","role":"upstream","host":"127.0.0.1","port":%s,"region":"%s",' \
+		"$1" "${address##*:}" "$2"
+	printf '"data_centre":"%s-a","state":"live","labels":{"trade":"%s","work":"%s"}}' \
+		"$2" "$TRADE" "$3"
+}
+
+# fleet_settings NUMBER REGION CALLERS DATA CONTROL ADMIN: settings of one entry instance.
+fleet_settings() {
+	sed -e "s|@ID@|entry-$1|; s|@REGION@|$2|; s|@DATA_CENTRE@|$2-a|" \
+		-e "s|@CALLERS@|$3|; s|@DATA@|$4|; s|@CONTROL@|$5|; s|@ADMIN@|$6|" \
+		-e "s|@TOKEN@|$TOKEN|; s|@PLATFORM@|$(fleet_address platform)|" \
+		"$SAMPLES/entry.toml" |
+		awk -v pair="$DIR/key-$1" -v peers="$DIR/peers" '
+			/@PUBLIC@/ { getline line < pair; print line; next }
+			/@SECRET@/ { getline line < pair; print line; next }
+			/@PEERS@/ { printf "peers = ["; while ((getline line < peers) > 0) printf "%s, ", line; print "]"; next }
+			{ print }' >"$DIR/entry-$1.toml"
+	printf '{"id":"entry-%s","role":"entry","host":"127.0.0.1","port":%s,"region":"%s",' \
+		"$1" "$3" "$2" >"$DIR/entry-$1.json"
+	printf '"data_centre":"%s-a","state":"live","data_port":%s,"control_port":%s,' \
+		"$2" "$4" "$5" >>"$DIR/entry-$1.json"
+	printf '"public_key":"%s"}' "$(public_key "$1")" >>"$DIR/entry-$1.json"
+}
+
+public_key() {
+	sed -n "s/^public = '\(.*\)'\$/\1/p" "$DIR/key-$1"
+}
+
+fleet_keys() {
+	for n in 1 2 3; do
+		"$CTL" keygen >"$DIR/key-$n"
+		echo "'$(public_key $n)'" >>"$DIR/peers"
+	done
+}
+
+# fleet_list STATE_OF_ENTRY_1: writes the platform's instance list.
+fleet_list() {
+	{
+		printf '{"instances":['
+		for n in 1 2 3; do
+			cat "$DIR/entry-$n.json"
+			printf ','
+		done
+		cat "$DIR/upstreams.json"
+		printf ']}'
+	} >"$DIR/instances.json"
+	curl -sf -X PUT --data-binary @"$DIR/instances.json" \
+		"http://$(fleet_address platform)/v1/instances" >/dev/null
+}
+
+# fleet_ready ADMIN: is the instance ready?
+fleet_ready() {
+	curl -sf -H "Authorization: Bearer $TOKEN" "http://$1/ready"
+}
+
+# fleet_up TRADE HOME AWAY: two entries in region HOME and one in AWAY, upstreams in both.
+fleet_up() {
+	TRADE=$1
+	fleet_standin platform "$BUILD/test/standin-platform"
+	for region in "$2" "$3"; do
+		fleet_standin "planning-$region" "$BUILD/test/standin-engine" \
+			--id "planning-$region" --models "$4"
+		fleet_standin "questions-$region" "$BUILD/test/standin-engine" \
+			--id "questions-$region" --models "$5"
+		fleet_standin "desk-$region" "$BUILD/test/standin-plain" --id "desk-$region"
+	done
+	{
+		for region in "$2" "$3"; do
+			fleet_upstream "planning-$region" "$region" "$6"
+			printf ','
+			fleet_upstream "questions-$region" "$region" "$7"
+			printf ','
+			fleet_upstream "desk-$region" "$region" "$8"
+			[ "$region" = "$3" ] || printf ','
+		done
+	} >"$DIR/upstreams.json"
+	fleet_keys
+	set -- "$2" "$3" $("$BUILD/test/standin-ports" 12)
+	fleet_settings 1 "$1" "$3" "$4" "$5" "$6"
+	fleet_settings 2 "$1" "$7" "$8" "$9" "${10}"
+	fleet_settings 3 "$2" "${11}" "${12}" "${13}" "${14}"
+	CALLERS_1=127.0.0.1:$3 ADMIN_1=127.0.0.1:$6
+	CALLERS_2=127.0.0.1:$7 ADMIN_2=127.0.0.1:${10}
+	CALLERS_3=127.0.0.1:${11} ADMIN_3=127.0.0.1:${14}
+	fleet_list
+	for n in 1 2 3; do
+		"$BUILD/cmd/arbutuspond" --check-settings --settings "$DIR/entry-$n.toml" >/dev/null
+		fleet_start "entry-$n" "$BUILD/cmd/arbutuspond" --settings "$DIR/entry-$n.toml"
+	done
+}
+
+# fleet_stop: ends what is still running and removes the folder. Fails when a daemon did.
+fleet_stop() {
+	for pid in $PIDS; do
+		kill "$pid" 2>/dev/null
+	done
+	for pid in $PIDS; do
+		wait "$pid" 2>/dev/null
+	done
+	rm -rf "$DIR"
+}
