--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -265,7 +265,7 @@
 static int setup(void **state)
 {
 	struct evhttp_bound_socket *bound;
-	struct sockaddr_in addr;
+	struct sockaddr_in addr = {0};
 	socklen_t len = sizeof(addr);
 
 	(void)state;
