Stop the entry task after its drain

Cause: control left its loop on DRAINED without a last STOP, so the entry task went on serving 503s for ever and the process never ended (seen: three daemons alive 3 s after SIGTERM). Ruled out: requests in progress, there were none. Now STOP follows the farewell.

--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -265,8 +265,10 @@
 	ap_order_tick(c->order, ap_now());
 	ap_control_send_view(c);
 	ap_control_publish(c, now);
-	if (c->stop_at && now >= c->stop_at)
+	if (c->stop_at && now >= c->stop_at) {
+		ap_link_send(c->link, &(ap_note_t){.kind = AP_NOTE_STOP});
 		event_base_loopbreak(c->base);
+	}
 }
 
 static void on_signal(evutil_socket_t signum, short what, void *arg)
--- a/cmd/arbutuspond/task.h
+++ b/cmd/arbutuspond/task.h
@@ -24,7 +24,7 @@
 	AP_NOTE_CACHE,	 /* @cache: an engine's cache event, owned by the receiver */
 	AP_NOTE_LEAVING, /* @name: an upstream that takes no new work (both ways) */
 	AP_NOTE_DRAIN,	 /* finish what is in progress, take nothing new, then say DRAINED */
-	AP_NOTE_STOP,	 /* stop at once */
+	AP_NOTE_STOP,	 /* stop at once; also the last note after DRAINED */
 	/* entry to control */
 	AP_NOTE_DRAINED,
 	AP_NOTE_EVENT,	  /* @event with @detail: for the time line */
