--- a/cmd/arbutuspond/entry-away.c
+++ b/cmd/arbutuspond/entry-away.c
@@ -196,13 +196,17 @@
 {
 	entry_error_t error;
 	entry_fault_t fault = {.retry_after = end->retry_after};
-	bool pass = x->permit[0] != '\0';
+	bool known = entry_error_by_code(end->code, &error);
 
-	/* What the holder of a permit says of it is final, and so is a fault of the request. */
-	if (entry_error_by_code(end->code, &error) &&
-	    (pass || (end->status < 500 && end->status != 421 && end->status != 429))) {
+	if (known) {
 		fault.error = error;
 		ap_copy_name(fault.text, sizeof(fault.text), end->text);
+	}
+	/* The holder of a permit may have refused the request without a look at the permit. */
+	if (x->passed && known && error != ENTRY_UNKNOWN && exchange_judge(x, &fault))
+		return;
+	if (known &&
+	    (x->passed || (end->status < 500 && end->status != 421 && end->status != 429))) {
 		if (entry_error_outcome(error) != AP_OUTCOME_NOT_RUN)
 			x->maybe_ran = true;
 		exchange_refuse(x, &fault);
--- a/cmd/arbutuspond/entry-caller.c
+++ b/cmd/arbutuspond/entry-caller.c
@@ -119,6 +119,16 @@
 	       ap_http_call_header(a->call, "Idempotency-Key");
 }
 
+/* A name that is cut would stand for another call too. */
+static bool permit_fits(const asked_t *a)
+{
+	const char *permit = ap_http_call_header(a->call, "Arbutuspond-Permit");
+	const char *key = ap_http_call_header(a->call, "Idempotency-Key");
+
+	return (!permit || strlen(permit) < AP_FORWARD_PERMIT_MAX) &&
+	       (!key || strlen(key) < AP_NAME_MAX);
+}
+
 /* What line and headers alone decide for a known service. Return: true when all is well. */
 static bool check_service(const asked_t *a, const ap_service_t *service)
 {
@@ -130,6 +140,10 @@
 		refuse(a, ENTRY_TOO_LARGE, "the body is larger than this service takes");
 		return false;
 	}
+	if (service->permit && !permit_fits(a)) {
+		refuse(a, ENTRY_BAD_REQUEST, "the permit or the idempotency key is too long");
+		return false;
+	}
 	if (service->permit && !permit_given(a)) {
 		refuse(a, ENTRY_PERMIT_NEEDED, "this call needs a permit or an idempotency key");
 		return false;
--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -113,6 +113,8 @@
 	evbuffer_add_printf(out,
 			    "# TYPE arbutuspond_in_progress gauge\narbutuspond_in_progress %u\n",
 			    HASH_COUNT(entry->exchanges));
+	if (entry->hooks.counters)
+		entry->hooks.counters(entry->hooks.ctx, out);
 	len = evbuffer_get_length(out);
 	text = malloc(len + 1);
 	if (text) {
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -137,6 +137,10 @@
 static void on_limit(evutil_socket_t fd, short what, void *arg)
 {
 	exchange_t *x = arg;
+	entry_fault_t late = {
+		.error = ENTRY_NOT_RUN,
+		.text = "the time limit of a request passed",
+	};
 
 	(void)fd;
 	(void)what;
@@ -144,15 +148,17 @@
 		exchange_free(x);
 		return;
 	}
-	if (x->phase == PHASE_WAITING)
+	if (x->phase == PHASE_WAITING) {
 		ap_admission_cancel(x->entry->admission, x->token, ap_now());
+		if (exchange_judge(x, &late))
+			return;
+	}
 	if (x->phase == PHASE_GATE && x->entry->hooks.hung_up)
 		x->entry->hooks.hung_up(x->entry->hooks.ctx, x);
 	attempt_cancel(x);
-	if (x->maybe_ran)
-		fail_with(x, ENTRY_UNKNOWN, "the time limit of a request passed");
-	else
-		fail_with(x, ENTRY_NOT_RUN, "the time limit of a request passed");
+	if (x->maybe_ran || x->judged)
+		late.error = ENTRY_UNKNOWN;
+	fail(x, &late);
 }
 
 /* The part of a caller's limits that this entry enforces; the entries it should use share them. */
@@ -207,7 +213,8 @@
 		exchange_shed(x, fault.retry_after);
 		break;
 	case AP_ADMIT_LIMIT:
-		fail(x, &fault);
+		if (!exchange_judge(x, &fault))
+			fail(x, &fault);
 		break;
 	}
 }
@@ -221,7 +228,8 @@
 	};
 
 	x->entry->counts[COUNT_SHED]++;
-	fail(x, &fault);
+	if (!exchange_judge(x, &fault))
+		fail(x, &fault);
 }
 
 void exchange_admitted(exchange_t *x)
@@ -250,11 +258,12 @@
 	fail(x, fault);
 }
 
-void exchange_stored(exchange_t *x, const void *answer, size_t len)
+void exchange_stored(exchange_t *x, int status, const char *type, const void *answer, size_t len)
 {
 	evbuffer_drain(x->answer, evbuffer_get_length(x->answer));
 	evbuffer_add(x->answer, answer, len);
-	x->status = 200;
+	x->status = status;
+	ap_copy_name(x->answer_type, sizeof(x->answer_type), type);
 	ap_copy_name(x->region, sizeof(x->region), x->entry->config.settings->region);
 	if (!x->answer_type[0])
 		ap_copy_name(x->answer_type, sizeof(x->answer_type), "application/json");
@@ -263,11 +272,30 @@
 	exchange_settle(x);
 }
 
+bool exchange_judge(exchange_t *x, const entry_fault_t *held)
+{
+	const entry_hooks_t *hooks = &x->entry->hooks;
+
+	if (!x->req.service->permit || !x->permit[0] || x->judged || !hooks->judge)
+		return false;
+	x->phase = PHASE_GATE;
+	x->judged = true;
+	x->held = *held;
+	hooks->judge(hooks->ctx, x);
+	return true;
+}
+
 void exchange_pass(exchange_t *x, const char *to)
 {
+	entry_fault_t fault = {
+		.error = ENTRY_NOT_RUN,
+		.text = "the entry that holds the permit can't be reached",
+	};
+
 	x->phase = PHASE_RUNNING;
-	if (!away_start(x, to, 0))
-		fail_with(x, ENTRY_NOT_RUN, "the entry that holds the permit can't be reached");
+	x->passed = true;
+	if (!away_start(x, to, 0) && !exchange_judge(x, &fault))
+		fail(x, &fault);
 }
 
 void exchange_completed(exchange_t *x)
@@ -296,7 +324,7 @@
 	if (x->phase == PHASE_GATE && x->entry->hooks.hung_up)
 		x->entry->hooks.hung_up(x->entry->hooks.ctx, x);
 	attempt_cancel(x);
-	if (x->maybe_ran)
+	if (x->maybe_ran || x->judged)
 		outcome = AP_OUTCOME_UNKNOWN;
 	if (x->is_guest)
 		evbuffer_drain(x->guest.out, evbuffer_get_length(x->guest.out));
@@ -313,7 +341,11 @@
 {
 	ap_usec_t now = ap_now();
 	bool started = x->reply_started;
+	entry_fault_t held = {.error = ENTRY_NOT_RUN};
 
+	ap_copy_name(held.text, sizeof(held.text), why);
+	if (x->passed && !started && exchange_judge(x, &held))
+		return;
 	if (!certainly_not_run)
 		x->maybe_ran = true;
 	if (started && !may_resume(x)) {
--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -99,12 +99,19 @@
 	json_decref(json);
 }
 
+static ap_outcome_t fault_outcome(const entry_fault_t *fault)
+{
+	return fault->completed ? AP_OUTCOME_COMPLETED : errors[fault->error].outcome;
+}
+
 static json_t *fault_json(const entry_fault_t *fault)
 {
-	json_t *json = json_pack("{s:{s:s, s:s, s:s}}", "error", "code", errors[fault->error].code,
-				 "message", fault->text, "outcome",
-				 ap_outcome_name(errors[fault->error].outcome));
+	json_t *json =
+		json_pack("{s:{s:s, s:s, s:s}}", "error", "code", errors[fault->error].code,
+			  "message", fault->text, "outcome", ap_outcome_name(fault_outcome(fault)));
 
+	if (json && fault->stored)
+		json_object_set(json_object_get(json, "error"), "answer", fault->stored);
 	if (json && fault->entries)
 		json_object_set(json_object_get(json, "error"), "entries", fault->entries);
 	return json;
@@ -119,6 +126,14 @@
 	return text;
 }
 
+static void release(entry_fault_t *fault)
+{
+	json_decref(fault->entries);
+	json_decref(fault->stored);
+	fault->entries = NULL;
+	fault->stored = NULL;
+}
+
 void reply_fault(entry_t *entry, ap_http_call_t *call, const char *name, entry_fault_t *fault)
 {
 	char *text = fault_text(fault);
@@ -132,13 +147,12 @@
 	add_header(&list, "Content-Type", "application/json");
 	add_header(&list, "Arbutuspond-Request-Id", name);
 	add_header(&list, "Arbutuspond-Region", entry->config.settings->region);
-	add_header(&list, "Arbutuspond-Outcome", ap_outcome_name(errors[fault->error].outcome));
+	add_header(&list, "Arbutuspond-Outcome", ap_outcome_name(fault_outcome(fault)));
 	add_header(&list, "Retry-After", retry);
 	ap_http_reply(call, errors[fault->error].status, list.v, list.n, text ? text : "",
 		      text ? strlen(text) : 0);
 	free(text);
-	json_decref(fault->entries);
-	fault->entries = NULL;
+	release(fault);
 }
 
 void reply_simple(entry_t *entry, ap_http_call_t *call, entry_error_t error, const char *text)
@@ -284,8 +298,7 @@
 		reply_fault(x->entry, x->call, x->name, fault);
 	}
 	x->call = NULL;
-	json_decref(fault->entries);
-	fault->entries = NULL;
+	release(fault);
 }
 
 bool sink_full(const exchange_t *x)
--- a/cmd/arbutuspond/entry.c
+++ b/cmd/arbutuspond/entry.c
@@ -1,5 +1,6 @@
 /* The entry task: its event loop, its link to the control task and its peers on the data port. */
 #include "entry.h"
+#include "entry-once.h"
 
 #include "log/log.h"
 #include "peer/peer.h"
@@ -13,6 +14,7 @@
 	ap_link_t *link;
 	ap_peer_t *peer;
 	entry_t *entry;
+	entry_once_t *once;
 	ap_hlc_t clock;
 	char (*known)[AP_NAME_MAX];
 	size_t n_known;
@@ -144,6 +146,11 @@
 		tell_failed(task, &err);
 		return false;
 	}
+	task->once = entry_once_new(task->entry);
+	if (!task->once) {
+		tell_failed(task, &err);
+		return false;
+	}
 	ap_log(LOG_INFO, "callers are served on %s port %u", task->args->settings->host,
 	       entry_port(task->entry));
 	event_base_dispatch(task->base);
@@ -157,6 +164,7 @@
 	bool clean = task.base && run(&task);
 
 	entry_free(task.entry);
+	entry_once_free(task.once);
 	if (task.peer)
 		ap_peer_free(task.peer);
 	ap_link_free(task.link);
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -54,11 +54,15 @@
  * struct entry_fault - one error for a caller.
  * @retry_after: microseconds, or 0 for none
  * @entries: JSON array of entries to use instead; reference is taken over
+ * @completed: the call that this one repeats was completed
+ * @stored: its answer, if it is still there; reference is taken over
  */
 typedef struct entry_fault {
 	entry_error_t error;
 	ap_usec_t retry_after;
 	json_t *entries;
+	bool completed;
+	json_t *stored;
 	char text[AP_FORWARD_TEXT_MAX];
 } entry_fault_t;
 
@@ -88,17 +92,21 @@
  * struct entry_hooks - where calls that may run at most once are decided; all may be NULL.
  * @gate: an admitted call of a service that needs a permit; answers later, or at once, with
  *        exchange_go(), exchange_pass() or exchange_refuse()
+ * @judge: a call with a permit that was given up before it reached the gate or after it was passed
+ *         on; answers later, or at once, with exchange_stored() or exchange_refuse()
  * @dispatch: just before the first byte is written; on false nothing is written
  * @ended: the exchange has its outcome; @answer is set when it was given in one piece
  * @hung_up: the caller of a call that waits at the gate hung up
  * @permits: POST /v1/permits; must reply
  * @message: a peer message of kind AP_WIRE_ONCE
  * @view: a new view is in force
+ * @counters: adds Prometheus text
  * @drain: all requests have ended; calls entry_hooks_drained() once its records are handed over
  */
 typedef struct entry_hooks {
 	void *ctx;
 	void (*gate)(void *ctx, exchange_t *x);
+	void (*judge)(void *ctx, exchange_t *x);
 	bool (*dispatch)(void *ctx, exchange_t *x);
 	void (*ended)(void *ctx, exchange_t *x, ap_outcome_t outcome, const void *answer,
 		      size_t len);
@@ -107,6 +115,7 @@
 			const ap_service_t *service);
 	void (*message)(void *ctx, const char *from, const void *data, size_t len);
 	void (*view)(void *ctx, const ap_view_t *view);
+	void (*counters)(void *ctx, struct evbuffer *out);
 	void (*drain)(void *ctx);
 } entry_hooks_t;
 
@@ -216,6 +225,9 @@
  * @raw: body of a plain request
  * @maybe_ran: some attempt may have started at an upstream
  * @flying: the choice of upstream waits to hear how the present attempt ended
+ * @passed: the entry that issued its permit has it
+ * @judged: the gate asks what became of its permit
+ * @held: what is said if its permit never ran
  * @matched: the present answer carries the name of the present attempt
  */
 struct exchange {
@@ -253,6 +265,9 @@
 	away_t away;
 	ap_usec_t sent_at;
 	bool maybe_ran;
+	bool passed;
+	bool judged;
+	entry_fault_t held;
 	bool flying;
 	bool first_seen;
 	bool matched;
@@ -326,10 +341,15 @@
 void exchange_go(exchange_t *x);
 /* exchange_refuse() - ends it with an error instead of an attempt. */
 void exchange_refuse(exchange_t *x, entry_fault_t *fault);
-/* exchange_stored() - ends it with an answer given before. */
-void exchange_stored(exchange_t *x, const void *answer, size_t len);
+/* exchange_stored() - ends it with an answer given before; @type may be empty. */
+void exchange_stored(exchange_t *x, int status, const char *type, const void *answer, size_t len);
 /* exchange_pass() - the entry @to of the own region must run it. */
 void exchange_pass(exchange_t *x, const char *to);
+/*
+ * exchange_judge() - before anything is said of a permit, finds out what became of it. Return:
+ * false when that is not needed; else @held is said if it never ran.
+ */
+bool exchange_judge(exchange_t *x, const entry_fault_t *held);
 /* exchange_gone() - its caller hung up, or the entry that passed it on cancelled it. */
 void exchange_gone(exchange_t *x);
 /* exchange_retry() - the attempt ended without a whole answer. */
--- a/lib/once/claim.c
+++ b/lib/once/claim.c
@@ -375,6 +375,14 @@
 	return true;
 }
 
+void ap_claims_not_started(ap_claims_t *c, uint64_t token)
+{
+	record_t *r = token_find(c->by_token, token);
+
+	if (r && r->state == RECORD_RUNNING)
+		r->dispatched = false;
+}
+
 void ap_claims_done(ap_claims_t *c, uint64_t token, ap_outcome_t outcome, const void *answer,
 		    size_t len, ap_usec_t now)
 {
--- a/lib/once/issuer.c
+++ b/lib/once/issuer.c
@@ -225,6 +225,14 @@
 	return true;
 }
 
+void ap_once_not_started(ap_once_t *o, uint64_t token)
+{
+	record_t *r = token_find(o->by_token, token);
+
+	if (r && r->state == RECORD_RUNNING)
+		r->dispatched = false;
+}
+
 void ap_once_done(ap_once_t *o, uint64_t token, ap_outcome_t outcome, const void *answer,
 		  size_t len, ap_usec_t now)
 {
--- a/lib/once/once.h
+++ b/lib/once/once.h
@@ -216,6 +216,12 @@
  */
 bool ap_once_dispatch(ap_once_t *o, uint64_t token, ap_usec_t now);
 
+/**
+ * ap_once_not_started() - the dispatch certainly reached nobody, so that ap_once_dispatch() may
+ * be asked once more.
+ */
+void ap_once_not_started(ap_once_t *o, uint64_t token);
+
 /** ap_once_done() - a use that got AP_ONCE_GO ended; NOT_RUN closes the permit for good. */
 void ap_once_done(ap_once_t *o, uint64_t token, ap_outcome_t outcome, const void *answer,
 		  size_t len, ap_usec_t now);
@@ -299,6 +305,8 @@
 			     const char *caller, uint64_t token, ap_usec_t now, uint32_t wall,
 			     ap_once_verdict_t *verdict);
 bool ap_claims_dispatch(ap_claims_t *c, uint64_t token, ap_usec_t now);
+/** ap_claims_not_started() - as ap_once_not_started(). */
+void ap_claims_not_started(ap_claims_t *c, uint64_t token);
 void ap_claims_done(ap_claims_t *c, uint64_t token, ap_outcome_t outcome, const void *answer,
 		    size_t len, ap_usec_t now);
 void ap_claims_cancel(ap_claims_t *c, uint64_t token, ap_usec_t now);
