--- a/lib/once/claim.c
+++ b/lib/once/claim.c
@@ -33,6 +33,7 @@
 	table_t table;
 	record_t *by_token;
 	struct record_list waiting;
+	LIST_HEAD(, call) calls;
 };
 
 /* One call to the key-value service. */
@@ -40,6 +41,7 @@
 	ap_claims_t *claims;
 	ap_xid_t key;
 	uint64_t attempt;
+	LIST_ENTRY(call) link;
 } call_t;
 
 void ap_claims_default(ap_claims_config_t *config)
@@ -71,8 +73,15 @@
 
 void ap_claims_free(ap_claims_t *c)
 {
+	call_t *call;
+	call_t *next;
+
 	if (!c)
 		return;
+	for (call = LIST_FIRST(&c->calls); call; call = next) {
+		next = LIST_NEXT(call, link);
+		free(call);
+	}
 	HASH_CLEAR(hh_token, c->by_token);
 	table_clear(&c->table);
 	free(c);
@@ -147,6 +156,7 @@
 		return NULL;
 	r->attempt = ++c->attempt_seq;
 	*call = (call_t){.claims = c, .key = r->xid, .attempt = r->attempt};
+	LIST_INSERT_HEAD(&c->calls, call, link);
 	return call;
 }
 
@@ -157,6 +167,7 @@
 
 	if (r && (r->state != RECORD_BEGINNING || r->attempt != call->attempt))
 		r = NULL;
+	LIST_REMOVE(call, link);
 	free(call);
 	return r;
 }
--- a/lib/once/state.h
+++ b/lib/once/state.h
@@ -6,6 +6,7 @@
 
 #define CONTACTS 3	  /* possible witnesses that are probed */
 #define PROBES_LOST_MAX 3 /* unanswered probes after which a contact counts as silent */
+#define LONELY_PROBES 8	  /* probes in one interval while no contact answers */
 #define ISSUE_BUCKETS 16  /* parts of a permit's life by which unused permits are counted */
 #define ISSUERS_MAX 2048  /* incarnations whose keys a witness keeps */
 #define ESTATES_MAX 64	  /* tables taken over from others */
--- a/lib/once/witness.c
+++ b/lib/once/witness.c
@@ -40,6 +40,22 @@
 	}
 }
 
+static bool is_fresh(const ap_once_t *o, const peer_t *peer)
+{
+	ap_usec_t limit = PROBES_LOST_MAX * o->config.limits.probe_every;
+
+	return !ap_id_is_zero(peer->heard_inc) && o->now - peer->heard_at < limit;
+}
+
+static bool any_fresh(const ap_once_t *o)
+{
+	for (size_t i = 0; i < o->n_contacts; i++) {
+		if (is_fresh(o, o->contacts[i]))
+			return true;
+	}
+	return o->n_contacts == 0;
+}
+
 void witness_tick(ap_once_t *o)
 {
 	witness_forget_issuers(o, o->now);
@@ -49,6 +65,8 @@
 	if (o->now < o->probe_at)
 		return;
 	o->probe_at = o->now + o->config.limits.probe_every;
+	if (!any_fresh(o))
+		o->probe_at = o->now + o->config.limits.probe_every / LONELY_PROBES;
 	probe_contacts(o);
 }
 
@@ -114,13 +132,6 @@
 	peer->heard_clock = msg->clock;
 }
 
-static bool is_fresh(const ap_once_t *o, const peer_t *peer)
-{
-	ap_usec_t limit = PROBES_LOST_MAX * o->config.limits.probe_every;
-
-	return !ap_id_is_zero(peer->heard_inc) && o->now - peer->heard_at < limit;
-}
-
 void witness_suspect(ap_once_t *o, const char *id)
 {
 	peer_t *peer = once_peer(o, id);
