--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -92,10 +92,10 @@
 
 typedef struct ap_cache_queued {
 	ap_cache_item_t item;
-	TAILQ_ENTRY(ap_cache_queued) link;
+	STAILQ_ENTRY(ap_cache_queued) link;
 } ap_cache_queued_t;
 
-TAILQ_HEAD(ap_cache_queue, ap_cache_queued);
+STAILQ_HEAD(ap_cache_queue, ap_cache_queued);
 
 /**
  * struct ap_report_peer - another entry of the own region.
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -29,8 +29,8 @@
 	r->now = now;
 	ap_rng_seed(&r->rng, config->seed);
 	LIST_INIT(&r->rooms);
-	TAILQ_INIT(&r->own_cache);
-	TAILQ_INIT(&r->relay_cache);
+	STAILQ_INIT(&r->own_cache);
+	STAILQ_INIT(&r->relay_cache);
 	r->next_flush = now + (ap_usec_t)ap_rng_below(&r->rng, FLUSH_PERIOD);
 	r->next_rooms = now + (ap_usec_t)ap_rng_below(&r->rng, ROOM_PERIOD);
 	return r;
@@ -40,8 +40,8 @@
 {
 	ap_cache_queued_t *entry;
 
-	while ((entry = TAILQ_FIRST(queue)) != NULL) {
-		TAILQ_REMOVE(queue, entry, link);
+	while ((entry = STAILQ_FIRST(queue)) != NULL) {
+		STAILQ_REMOVE_HEAD(queue, link);
 		free(entry);
 	}
 }
@@ -211,12 +211,12 @@
 	if (!entry)
 		abort();
 	entry->item = *item;
-	TAILQ_INSERT_TAIL(queue, entry, link);
+	STAILQ_INSERT_TAIL(queue, entry, link);
 	if (++*queued <= CACHE_QUEUE_MAX)
 		return;
-	entry = TAILQ_FIRST(queue);
+	entry = STAILQ_FIRST(queue);
 	r->stats.cache_dropped += entry->item.n;
-	TAILQ_REMOVE(queue, entry, link);
+	STAILQ_REMOVE_HEAD(queue, link);
 	free(entry);
 	--*queued;
 }
--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -120,10 +120,10 @@
 {
 	ap_cache_queued_t *entry;
 
-	while ((entry = TAILQ_FIRST(&r->relay_cache)) != NULL &&
+	while ((entry = STAILQ_FIRST(&r->relay_cache)) != NULL &&
 	       news->all.n_cache < CACHE_PER_MESSAGE) {
 		news->cache[news->all.n_cache++] = entry->item;
-		TAILQ_REMOVE(&r->relay_cache, entry, link);
+		STAILQ_REMOVE_HEAD(&r->relay_cache, link);
 		r->relay_queued--;
 		free(entry);
 	}
@@ -136,7 +136,7 @@
 	ap_cache_queued_t *entry;
 
 	r->cache_credit = fmin(r->cache_credit + share, fmax(CACHE_BLOCKS_MAX, 2 * share));
-	while ((entry = TAILQ_FIRST(&r->own_cache)) != NULL && r->cache_credit >= 1.0 &&
+	while ((entry = STAILQ_FIRST(&r->own_cache)) != NULL && r->cache_credit >= 1.0 &&
 	       news->all.n_cache < CACHE_PER_MESSAGE / 2) {
 		ap_cache_item_t *item = &news->cache[news->all.n_cache++];
 
@@ -145,7 +145,7 @@
 			item->n = (size_t)r->cache_credit;
 		r->stats.cache_dropped += entry->item.n - item->n;
 		r->cache_credit -= item->n > 0 ? (double)item->n : 1.0;
-		TAILQ_REMOVE(&r->own_cache, entry, link);
+		STAILQ_REMOVE_HEAD(&r->own_cache, link);
 		r->own_queued--;
 		free(entry);
 	}
