--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -99,7 +99,7 @@
 
 /**
  * struct ap_report_peer - another entry of the own region.
- * @id: points into the entries
+ * @id: points into the region's entries
  */
 typedef struct ap_report_peer {
 	const char *id;
@@ -113,6 +113,8 @@
 	uint64_t seq;
 	ap_entry_t *entries; /* all live ones, the own one included */
 	size_t n_entries;
+	ap_entry_t *region; /* those of the own region */
+	size_t n_region;
 	ap_report_peer_t *peers;
 	size_t n_peers;
 	size_t groups; /* 0: everyone is told directly */
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -66,6 +66,7 @@
 	drop_queue(&r->own_cache);
 	drop_queue(&r->relay_cache);
 	free(r->entries);
+	free(r->region);
 	free(r->peers);
 	free(r);
 }
@@ -86,8 +87,7 @@
 static void assign(ap_report_t *r, ap_polled_t *up)
 {
 	const ap_entry_t *first[POLLERS];
-	size_t n = ap_member_rank(r->entries, r->n_entries, up->id, r->cfg.self.region, NULL, first,
-				  POLLERS);
+	size_t n = ap_member_rank(r->region, r->n_region, up->id, NULL, NULL, first, POLLERS);
 
 	up->polls = false;
 	up->primary = n > 0 && strcmp(first[0]->id, r->cfg.self.id) == 0;
@@ -100,19 +100,44 @@
 	return r->groups == 0 ? 0 : ap_hash_str(id, 0) % r->groups;
 }
 
+static ap_entry_t *copy_entries(const ap_entry_t *entries, size_t n, const char *region,
+				size_t *kept)
+{
+	ap_entry_t *copy = calloc(n + 1, sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*kept = 0;
+	for (size_t i = 0; i < n; i++) {
+		if (!region || strcmp(entries[i].region, region) == 0)
+			copy[(*kept)++] = entries[i];
+	}
+	return copy;
+}
+
+/* Is anything else in the own region now that duties depend on? */
+static bool region_changed(const ap_report_t *r, const ap_entry_t *region, size_t n)
+{
+	if (n != r->n_region)
+		return true;
+	for (size_t i = 0; i < n; i++) {
+		if (region[i].leaving != r->region[i].leaving ||
+		    strcmp(region[i].id, r->region[i].id) != 0)
+			return true;
+	}
+	return false;
+}
+
 static void set_peers(ap_report_t *r)
 {
 	free(r->peers);
 	r->n_peers = 0;
-	r->peers = calloc(r->n_entries + 1, sizeof(*r->peers));
+	r->peers = calloc(r->n_region + 1, sizeof(*r->peers));
 	if (!r->peers)
 		abort();
-	for (size_t i = 0; i < r->n_entries; i++) {
-		const ap_entry_t *entry = &r->entries[i];
-
-		if (strcmp(entry->region, r->cfg.self.region) == 0 &&
-		    strcmp(entry->id, r->cfg.self.id) != 0)
-			r->peers[r->n_peers++].id = entry->id;
+	for (size_t i = 0; i < r->n_region; i++) {
+		if (strcmp(r->region[i].id, r->cfg.self.id) != 0)
+			r->peers[r->n_peers++].id = r->region[i].id;
 	}
 	r->groups = r->n_peers < DIRECT_MAX ? 0 : (size_t)lround(sqrt((double)r->n_peers));
 	if (r->groups > GROUPS_MAX)
@@ -126,15 +151,20 @@
 {
 	const ap_entry_t *self = &r->cfg.self;
 	ap_polled_t *up;
+	ap_entry_t *region;
+	size_t n_region;
 
 	r->now = now;
 	free(r->entries);
-	r->entries = calloc(n + 1, sizeof(*r->entries));
-	if (!r->entries)
-		abort();
-	if (n > 0)
-		memcpy(r->entries, entries, n * sizeof(*entries));
-	r->n_entries = n;
+	r->entries = copy_entries(entries, n, NULL, &r->n_entries);
+	region = copy_entries(entries, n, self->region, &n_region);
+	if (!region_changed(r, region, n_region)) {
+		free(region);
+		return;
+	}
+	free(r->region);
+	r->region = region;
+	r->n_region = n_region;
 	set_peers(r);
 	r->delegate =
 		ap_member_has_duty(entries, n, "room", self->region, NULL, self->id, DELEGATES);
