Real processes under the store's outage, with one instance killed, one paused, one replaced

Seen first: with the stand-in's one fault taking away list and store together, a replacement found no peer for 30 s and had no configuration. Cause: its only way to peers is the platform's instance list, which the outage of the key-value service does not concern. The stand-in now has a fault for each; with the store away and the list up, the replacement takes the configuration from its peer and is ready.

--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -42,7 +42,8 @@
 	ap_rng_t rng;
 	json_t *instances;
 	json_t *directory;
-	bool away;
+	bool away;	/* key-value service */
+	bool list_away; /* instance list and client directory */
 	long stall_ms;
 	double lose;
 	uint64_t reads;
@@ -322,6 +323,15 @@
 	delayed_free(ctx);
 }
 
+/* Is the service that @x asks away? */
+static bool is_away(const platform_t *pl, const exchange_t *x)
+{
+	bool store = strncmp(exchange_path(x), "/v1/kv/", strlen("/v1/kv/")) == 0 ||
+		     strncmp(exchange_path(x), "/v1/session/", strlen("/v1/session/")) == 0;
+
+	return store ? pl->away : pl->list_away;
+}
+
 static void on_delayed(evutil_socket_t fd, short what, void *arg)
 {
 	delayed_t *d = arg;
@@ -332,7 +342,7 @@
 	(void)what;
 	delayed_free(d);
 	exchange_watch(x, NULL, NULL);
-	if (pl->away)
+	if (is_away(pl, x))
 		exchange_close(x, true);
 	else
 		serve(pl, x);
@@ -367,10 +377,12 @@
 static void set_fault(platform_t *pl, exchange_t *x)
 {
 	const char *away = exchange_query(x, "away");
+	const char *list_away = exchange_query(x, "list_away");
 	const char *stall = exchange_query(x, "stall_ms");
 	const char *lose = exchange_query(x, "lose");
 
 	pl->away = away && atoi(away) != 0;
+	pl->list_away = list_away && atoi(list_away) != 0;
 	pl->stall_ms = stall ? atol(stall) : 0;
 	pl->lose = lose ? strtod(lose, NULL) : 0.0;
 	if (pl->away)
@@ -390,7 +402,7 @@
 		exchange_reply_json(x, 200,
 				    json_pack("{s:I, s:I}", "reads", (json_int_t)pl->reads,
 					      "writes", (json_int_t)pl->writes));
-	else if (pl->away)
+	else if (is_away(pl, x))
 		exchange_close(x, true);
 	else if (pl->stall_ms > 0)
 		delay(pl, x);
