--- a/samples/fleet.sh
+++ b/samples/fleet.sh
@@ -139,10 +139,10 @@
 # fleet_stop: ends what is still running and removes the folder. Fails when a daemon did.
 fleet_stop() {
 	for pid in $PIDS; do
-		kill "$pid" 2>/dev/null
+		kill "$pid" 2>/dev/null || true
 	done
 	for pid in $PIDS; do
-		wait "$pid" 2>/dev/null
+		wait "$pid" 2>/dev/null || true
 	done
 	rm -rf "$DIR"
 }
