--- a/cmd/arbutuspond/entry-away.c
+++ b/cmd/arbutuspond/entry-away.c
@@ -180,7 +180,8 @@
 {
 	away_t *away = &x->away;
 
-	if (data->offset != away->got || away->got + data->len > away->granted + AHEAD_MAX) {
+	if (!away->headed || data->offset != away->got ||
+	    away->got + data->len > away->granted + AHEAD_MAX) {
 		broken(x, "a part of the answer was lost between entries");
 		return;
 	}
@@ -208,6 +209,8 @@
 		exchange_refuse(x, &fault);
 		return;
 	}
+	if (end->outcome == AP_OUTCOME_NOT_RUN && x->choice.region[0])
+		ap_route_refused(x->entry->route, x->choice.region, x->choice.model, ap_now());
 	exchange_retry(x, end->outcome == AP_OUTCOME_NOT_RUN, "the other region did not serve it");
 }
 
@@ -221,7 +224,7 @@
 	/* The end mark stays with the other entry; its word and the byte count stand for it. */
 	if (x->sse && end->total == x->away.got)
 		x->stream.done = true;
-	if (end->total != x->away.got || !attempt_whole(x)) {
+	if (!x->away.headed || end->total != x->away.got || !attempt_whole(x)) {
 		exchange_retry(x, false, "an answer was cut between entries");
 		return;
 	}
@@ -233,6 +236,7 @@
 
 static void take_head(exchange_t *x, const ap_forward_head_t *head)
 {
+	x->away.headed = true;
 	attempt_head(x, (int)head->status, head->content_type);
 	if (x->reply_started && !x->sse)
 		broken(x, "a stream was not resumed as a stream");
--- a/cmd/arbutuspond/entry-guest.c
+++ b/cmd/arbutuspond/entry-guest.c
@@ -55,6 +55,22 @@
 	return region && hops == (here ? 0 : 1);
 }
 
+/* What goes into a request line must not be able to end it. */
+static bool line_ok(const ap_forward_request_t *request)
+{
+	uint32_t methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+			   EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
+	uint32_t method = request->method;
+
+	if (request->target[0] != '/' || !(method & methods) || (method & (method - 1)))
+		return false;
+	for (const char *c = request->target; *c; c++) {
+		if ((unsigned char)*c <= ' ' || *c == 0x7f)
+			return false;
+	}
+	return true;
+}
+
 static bool take_body(exchange_t *x, const ap_forward_request_t *request, entry_fault_t *fault)
 {
 	json_t *doc;
@@ -124,7 +140,6 @@
 	const ap_service_t *service = conf ? ap_conf_service(conf, request->service) : NULL;
 	const ap_caller_t *caller = conf ? caller_by_name(conf, request->caller) : NULL;
 	const char *here = entry->config.settings->region;
-	bool bound;
 
 	if (!conf || !hops_fit(entry, from, request->hops) || find(entry, from, msg->exchange)) {
 		entry->counts[COUNT_REFUSED_MESSAGES]++;
@@ -138,9 +153,9 @@
 		refuse(entry, from, msg->exchange, ENTRY_NOT_RUN, "not configured here yet");
 		return;
 	}
-	/* Either side's configuration may know first that a service is bound to its home. */
-	bound = service->home_bound;
-	if (bound && (strcmp(caller->home, here) != 0 || strcmp(request->home, here) != 0)) {
+	/* This side's configuration may know first that a service is bound to its home. */
+	if (service->home_bound &&
+	    (strcmp(caller->home, here) != 0 || strcmp(request->home, here) != 0)) {
 		entry->counts[COUNT_REFUSED_MESSAGES]++;
 		refuse(entry, from, msg->exchange, ENTRY_WRONG_REGION, "stays in its home region");
 		return;
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -196,6 +196,7 @@
  * @exchange: names this attempt in messages
  * @got: bytes of the answer that came
  * @granted: bytes that may have been sent
+ * @headed: the head of the answer came
  */
 typedef struct away {
 	bool open;
@@ -204,6 +205,7 @@
 	uint64_t got;
 	uint64_t granted;
 	bool heard;
+	bool headed;
 	ap_usec_t last;
 	struct event *limit;
 } away_t;
--- /dev/null
+++ b/test/forward_test.c
@@ -0,0 +1,372 @@
+/* Requests passed to another region: one hop, residency, lost messages, credit, cancellation. */
+#include "entry_rig.h"
+
+#define CHAT "/v1/chat/completions"
+#define BODY(model, stream)                                                                        \
+	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
+
+/* Cuyo offers room once it has served a request itself. */
+static void warm_up(rig_t *rig)
+{
+	rig_caller_t caller;
+
+	rig_call(rig, 1, &caller, "POST", CHAT, RIG_AUTH "Arbutuspond-Service: ask\r\n",
+		 BODY("ask", "false"));
+	free(rig_answer(rig, &caller));
+	for (ap_usec_t ahead = 0; ahead <= 60 * AP_SEC; ahead += AP_SEC)
+		ap_route_own_room(rig->entries[1].entry->route, "m",
+				  ap_now() - 60 * AP_SEC + ahead);
+	rig->fakes[0].requests = 0;
+}
+
+/* Recife has no upstream of its own; Cuyo has one and offers room. */
+static void two_regions(rig_t *rig)
+{
+	ap_note_t room = {.kind = AP_NOTE_ROOM};
+
+	rig_init(rig);
+	rig_add_entry(rig, "cuyo");
+	rig_add_fake(rig, "cuyo", "gpu");
+	rig_show(rig);
+	room.u.room = (ap_room_t){.rate = 1000, .wait = AP_MSEC, .at = ap_now()};
+	ap_copy_name(room.u.room.region, AP_NAME_MAX, "cuyo");
+	ap_copy_name(room.u.room.model, AP_NAME_MAX, "m");
+	entry_note(rig->entries[0].entry, &room);
+	warm_up(rig);
+}
+
+static void check(const char *answer, int status, const char *part, const char *other)
+{
+	char line[32];
+
+	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
+	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
+	    !strstr(answer, other))
+		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
+}
+
+static uint64_t count(const rig_t *rig, int entry, entry_count_t which)
+{
+	return rig->entries[entry].entry->counts[which];
+}
+
+typedef struct away_case {
+	fake_mode_t mode;
+	uint32_t lost; /* kind of message that never arrives */
+	const char *stream;
+	int status;
+	const char *part;
+	const char *other;
+} away_case_t;
+
+#define WHOLE "Arbutuspond-Outcome: completed"
+#define FAILED "Arbutuspond-Outcome: unknown"
+#define NOT_RUN "Arbutuspond-Outcome: not-run"
+#define CUT "event: error\n"
+
+static const away_case_t cases[] = {
+	{FAKE_NONE, 0, "false", 200, WHOLE, "Arbutuspond-Region: cuyo"},
+	{FAKE_NONE, 0, "true", 200, "outcome=completed", "region=cuyo\n\ndata: [DONE]"},
+	{FAKE_REFUSE, 0, "false", 503, NOT_RUN, "\"not_run\""},
+	{FAKE_ERROR, 0, "false", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_RESET_BEFORE, 0, "false", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_WRONG_ID, 0, "false", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_RESET_AFTER, 0, "true", 200, CUT, "\"unknown\""},
+	{FAKE_HALF, 0, "true", 200, CUT, "\"unknown\""},
+	{FAKE_NONE, AP_WIRE_FORWARD, "false", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_NONE, AP_WIRE_FORWARD_HEAD, "false", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_NONE, AP_WIRE_FORWARD_DATA, "false", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_NONE, AP_WIRE_FORWARD_DATA, "true", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_NONE, AP_WIRE_FORWARD_END, "false", 502, FAILED, "\"upstream_failed\""},
+	{FAKE_NONE, AP_WIRE_FORWARD_END, "true", 200, CUT, "\"unknown\""},
+};
+
+static void test_each_fault_between_regions(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const away_case_t *c = &cases[i];
+		char *answer;
+		rig_t rig;
+
+		print_message("case %zu: mode %d lost %u stream=%s\n", i, c->mode, c->lost,
+			      c->stream);
+		two_regions(&rig);
+		rig.fakes[0].mode = c->mode;
+		rig.drop_kind = c->lost;
+		answer = rig_ask(&rig, 0, CHAT,
+				 c->stream[0] == 't' ? BODY("ask", "true") : BODY("ask", "false"));
+		check(answer, c->status, c->part, c->other);
+		if (strstr(answer, CUT))
+			assert_null(strstr(answer, "[DONE]"));
+		assert_int_equal(rig.seen[AP_WIRE_FORWARD], 1);
+		free(answer);
+		rig_clear(&rig);
+	}
+}
+
+static void test_home_bound_and_unrepeatable_calls_stay(void **state)
+{
+	static const char *const bodies[] = {BODY("dossier", "false"), BODY("once", "false")};
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		char *answer;
+		rig_t rig;
+
+		two_regions(&rig);
+		answer = rig_ask(&rig, 0, CHAT, bodies[i]);
+		check(answer, 503, NOT_RUN, "\"not_run\"");
+		assert_int_equal(rig.seen[AP_WIRE_FORWARD], 0);
+		assert_int_equal(rig.fakes[0].requests, 0);
+		free(answer);
+		rig_clear(&rig);
+	}
+}
+
+static void test_wrong_region_is_told_from_headers_alone(void **state)
+{
+	static const char *const headers[] = {
+		RIG_AUTH,
+		RIG_AUTH "Arbutuspond-Service: dossier\r\n",
+	};
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		rig_caller_t caller;
+		char *answer;
+		rig_t rig;
+
+		two_regions(&rig);
+		rig_call(&rig, 1, &caller, "POST", CHAT, headers[i], "{never parsed");
+		answer = rig_answer(&rig, &caller);
+		check(answer, 421, "\"wrong_region\"", "\"id\":\"recife-0\"");
+		assert_non_null(strstr(answer, NOT_RUN));
+		assert_null(strstr(answer, "\"id\":\"cuyo-0\""));
+		assert_int_equal(rig.fakes[0].requests, 0);
+		free(answer);
+		rig_clear(&rig);
+	}
+}
+
+static void deliver(rig_t *rig, int to, const char *from, const ap_forward_msg_t *msg)
+{
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	ap_forward_pack(&buf, (ap_id_t){9, 9}, 1, msg);
+	entry_receive(rig->entries[to].entry, from, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static ap_forward_msg_t forged(const char *service, uint32_t hops)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD, .exchange = {{9, 9}, 1}};
+
+	msg.u.request = (ap_forward_request_t){
+		.request = {{9, 9}, 2},
+		.hops = hops,
+		.caller = "crew",
+		.home = "recife",
+		.model = "m",
+		.method = EVHTTP_REQ_POST,
+		.target = CHAT,
+		.first_byte = AP_SEC,
+		.credit = 1000,
+		.body = BODY("ask", "false"),
+		.len = sizeof(BODY("ask", "false")) - 1,
+	};
+	ap_copy_name(msg.u.request.service, AP_NAME_MAX, service);
+	return msg;
+}
+
+static void test_requests_that_break_a_rule_are_refused(void **state)
+{
+	static const struct {
+		const char *service;
+		uint32_t hops;
+		const char *from;
+		int answers; /* refusals sent back */
+	} rules[] = {
+		{"ask", 0, "recife-0", 0},     /* a crossing that is not counted */
+		{"ask", 2, "recife-0", 0},     /* a second crossing */
+		{"ask", 1, "nobody", 0},       /* not a member */
+		{"dossier", 1, "recife-0", 1}, /* bound to its home */
+		{"none", 1, "recife-0", 1},    /* not configured */
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(rules) / sizeof(rules[0]); i++) {
+		ap_forward_msg_t msg = forged(rules[i].service, rules[i].hops);
+		rig_t rig;
+
+		two_regions(&rig);
+		deliver(&rig, 1, rules[i].from, &msg);
+		assert_int_equal(rig.seen[AP_WIRE_FORWARD_END], rules[i].answers);
+		assert_int_equal(count(&rig, 1, COUNT_GUESTS), 0);
+		assert_null(rig.entries[1].entry->exchanges);
+		rig_clear(&rig);
+	}
+}
+
+static void test_answers_that_match_nothing_are_dropped(void **state)
+{
+	ap_forward_msg_t end = {.kind = AP_WIRE_FORWARD_END};
+	rig_caller_t caller;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	two_regions(&rig);
+	rig.fakes[0].mode = FAKE_STALL_BEFORE;
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "false"));
+	RUN_UNTIL(rig.base, rig.fakes[0].requests == 1);
+	end.exchange = rig.entries[0].entry->away->away.exchange;
+	/* The right exchange from the wrong entry, then an exchange that is not open. */
+	deliver(&rig, 0, "recife-9", &end);
+	end.exchange.seq++;
+	deliver(&rig, 0, "cuyo-0", &end);
+	assert_int_equal(count(&rig, 0, COUNT_LATE_ANSWERS), 2);
+	answer = rig_answer(&rig, &caller);
+	check(answer, 502, FAILED, "\"upstream_failed\"");
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_hang_up_cancels_in_the_other_region(void **state)
+{
+	rig_caller_t caller;
+	rig_t rig;
+
+	(void)state;
+	two_regions(&rig);
+	rig.fakes[0].mode = FAKE_STALL_MIDDLE;
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "true"));
+	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
+	rig_hang_up(&caller);
+	RUN_UNTIL(rig.base, rig.fakes[0].hangups == 1);
+	RUN_UNTIL(rig.base, !rig.entries[0].entry->exchanges && !rig.entries[1].entry->exchanges);
+	assert_int_equal(rig.seen[AP_WIRE_FORWARD_CANCEL], 1);
+	rig_clear(&rig);
+}
+
+static void test_credit_bounds_what_a_slow_reader_holds(void **state)
+{
+	rig_caller_t caller;
+	size_t most = 0;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	two_regions(&rig);
+	rig.fakes[0].mode = FAKE_SLOW_READER;
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "true"));
+	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
+	bufferevent_disable(caller.bev, EV_READ);
+	for (int i = 0; i < 200; i++) {
+		exchange_t *guest;
+		exchange_t *x;
+		size_t held = 0;
+
+		event_base_loop(rig.base, EVLOOP_NONBLOCK);
+		x = rig.entries[0].entry->exchanges;
+		guest = rig.entries[1].entry->exchanges;
+		if (x && x->call)
+			held += ap_http_reply_pending(x->call);
+		if (guest && guest->is_guest)
+			held += evbuffer_get_length(guest->guest.out);
+		if (held > most)
+			most = held;
+	}
+	assert_true(most < 4 * REPLY_HIGH);
+	bufferevent_enable(caller.bev, EV_READ);
+	answer = rig_answer(&rig, &caller);
+	check(answer, 200, "t19999 ", "data: [DONE]");
+	assert_true(rig.seen[AP_WIRE_FORWARD_CREDIT] > 0);
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_entry_that_drains_refuses_guests_and_finishes_them(void **state)
+{
+	ap_note_t drain = {.kind = AP_NOTE_DRAIN};
+	rig_caller_t caller;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	two_regions(&rig);
+	rig.fakes[0].mode = FAKE_SLOW_READER;
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "true"));
+	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
+	entry_note(rig.entries[1].entry, &drain);
+	answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
+	check(answer, 503, NOT_RUN, "\"not_run\"");
+	free(answer);
+	assert_false(rig.entries[1].drained);
+	answer = rig_answer(&rig, &caller);
+	check(answer, 200, "t19999 ", "data: [DONE]");
+	free(answer);
+	RUN_UNTIL(rig.base, rig.entries[1].drained);
+	rig_clear(&rig);
+}
+
+static ap_forward_msg_t sample(uint32_t kind)
+{
+	ap_forward_msg_t msg = {.kind = kind, .exchange = {{9, 9}, 1}};
+
+	if (kind == AP_WIRE_FORWARD)
+		return forged("ask", 1);
+	if (kind == AP_WIRE_FORWARD_DATA)
+		msg.u.data = (ap_forward_data_t){.data = "part", .len = 4};
+	else if (kind == AP_WIRE_FORWARD_END)
+		msg.u.end = (ap_forward_end_t){.status = 200, .total = 4, .region = "cuyo"};
+	else if (kind == AP_WIRE_FORWARD_HEAD)
+		msg.u.head = (ap_forward_head_t){.status = 200, .content_type = "text/plain"};
+	else
+		msg.u.credit = 7;
+	return msg;
+}
+
+static void test_damaged_messages_do_no_harm(void **state)
+{
+	msgpack_sbuffer buf;
+	ap_rng_t rng;
+	rig_t rig;
+
+	(void)state;
+	two_regions(&rig);
+	ap_rng_seed(&rng, 5);
+	msgpack_sbuffer_init(&buf);
+	for (int i = 0; i < 20000; i++) {
+		ap_forward_msg_t msg = sample(AP_WIRE_FORWARD + (uint32_t)ap_rng_below(&rng, 6));
+		size_t at;
+
+		buf.size = 0;
+		ap_forward_pack(&buf, (ap_id_t){9, 9}, 1, &msg);
+		at = ap_rng_below(&rng, buf.size);
+		buf.data[at] = (char)ap_rng_u64(&rng);
+		entry_receive(rig.entries[1].entry, "recife-0", buf.data,
+			      ap_rng_below(&rng, 4) ? buf.size : at);
+	}
+	msgpack_sbuffer_destroy(&buf);
+	assert_true(count(&rig, 1, COUNT_REFUSED_MESSAGES) > 0);
+	rig_clear(&rig);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_fault_between_regions),
+		cmocka_unit_test(test_home_bound_and_unrepeatable_calls_stay),
+		cmocka_unit_test(test_wrong_region_is_told_from_headers_alone),
+		cmocka_unit_test(test_requests_that_break_a_rule_are_refused),
+		cmocka_unit_test(test_answers_that_match_nothing_are_dropped),
+		cmocka_unit_test(test_hang_up_cancels_in_the_other_region),
+		cmocka_unit_test(test_credit_bounds_what_a_slow_reader_holds),
+		cmocka_unit_test(test_entry_that_drains_refuses_guests_and_finishes_them),
+		cmocka_unit_test(test_damaged_messages_do_no_harm),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
