--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -280,14 +280,16 @@
 static void start_probe(ap_http_fetch_t *fetch)
 {
 	address_t *address = fetch->conn->address;
+	/* The verdict is due when the limit passes, so that it costs no time of its own. */
+	ap_usec_t limit = limit_of(fetch) / 2 < PROBE_LIMIT ? limit_of(fetch) / 2 : PROBE_LIMIT;
 	ap_http_fetch_config_t config = {
 		.host = address->host,
 		.port = address->port,
 		.method = EVHTTP_REQ_HEAD,
 		.target = "/",
 		.fresh = true,
-		.first_byte = PROBE_LIMIT,
-		.between = PROBE_LIMIT,
+		.first_byte = limit,
+		.between = limit,
 		.answer_max = 64 * 1024,
 		.ctx = fetch,
 		.end = on_probe_end,
--- a/cmd/arbutuspond/entry-guest.c
+++ b/cmd/arbutuspond/entry-guest.c
@@ -141,7 +141,8 @@
 	const ap_caller_t *caller = conf ? caller_by_name(conf, request->caller) : NULL;
 	const char *here = entry->config.settings->region;
 
-	if (!conf || !hops_fit(entry, from, request->hops) || find(entry, from, msg->exchange)) {
+	if (!conf || !hops_fit(entry, from, request->hops) || !line_ok(request) ||
+	    find(entry, from, msg->exchange)) {
 		entry->counts[COUNT_REFUSED_MESSAGES]++;
 		return;
 	}
