--- a/test/once_net.h
+++ b/test/once_net.h
@@ -66,6 +66,7 @@
 	bool draining;
 	unsigned side;
 	ap_id_t inc;
+	unsigned char key[AP_ONCE_KEY_BYTES];
 	ap_once_t *once;
 	ap_usec_t clock_offset;
 	ap_usec_t paused_at;
@@ -102,6 +103,7 @@
 	ap_once_limits_t limits;
 	world_node_t nodes[WORLD_NODES_MAX];
 	unsigned n_nodes;
+	bool same_start; /* a restarted node keeps its incarnation, which it must not */
 	bool cut;
 	ap_usec_t cut_until;
 	world_event_t *heap;
--- a/test/once_run_test.c
+++ b/test/once_run_test.c
@@ -150,16 +150,18 @@
 		const char *name;
 		bool (*tamper)(world_t *w, unsigned from, unsigned to, ap_once_msg_t *msg);
 		bool program; /* the program itself must see it too */
+		bool same_start;
 	} cases[] = {
-		{"acknowledges after closing", acknowledge_always, true},
-		{"says not-run of a begun permit", deny_begun, false},
-		{"hands over nothing", hand_nothing, false},
-		{"crosses answers", cross_answers, false},
+		{"acknowledges after closing", acknowledge_always, true, false},
+		{"says not-run of a begun permit", deny_begun, false, false},
+		{"hands over nothing", hand_nothing, false, false},
+		{"crosses answers", cross_answers, false, false},
+		{"uses an incarnation twice", NULL, false, true},
 	};
 
 	(void)state;
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		world_t w = {.tamper = cases[i].tamper};
+		world_t w = {.tamper = cases[i].tamper, .same_start = cases[i].same_start};
 
 		run_seed(&w, 1, 60 * AP_SEC);
 		print_message("%s: oracle %u, program %u (%s)\n", cases[i].name, w.oracle,
--- a/test/once_world.h
+++ b/test/once_world.h
@@ -178,6 +178,11 @@
 	snprintf(config.data_centre, sizeof(config.data_centre), "dc-%u", n % 2);
 	for (size_t i = 0; i < sizeof(config.key); i++)
 		config.key[i] = (unsigned char)ap_rng_u64(&w->rng);
+	if (w->same_start && !ap_id_is_zero(node->inc)) {
+		config.inc = node->inc;
+		memcpy(config.key, node->key, sizeof(config.key));
+	}
+	memcpy(node->key, config.key, sizeof(node->key));
 	node->world = w;
 	node->up = true;
 	node->draining = false;
