--- /dev/null
+++ b/test/entry_once_test.c
@@ -0,0 +1,164 @@
+/* Permits in the entry task: what callers are told when messages between entries are lost. */
+#include "entry_rig.h"
+
+#include "entry-once.h"
+#include "once/once.h"
+
+#define HEADERS_MAX (AP_PERMIT_TEXT_MAX + 128)
+
+typedef struct pair {
+	rig_t rig;
+	entry_once_t *once[2];
+} pair_t;
+
+static void start(pair_t *p)
+{
+	rig_init(&p->rig);
+	rig_add_entry(&p->rig, "recife");
+	strcpy(p->rig.entries[1].settings.id, "recife-1");
+	rig_add_fake(&p->rig, "recife", "desk");
+	for (int i = 0; i < 2; i++)
+		p->once[i] = entry_once_new(p->rig.entries[i].entry);
+	rig_show(&p->rig);
+}
+
+static void stop(pair_t *p)
+{
+	for (int i = 0; i < 2; i++) {
+		entry_free(p->rig.entries[i].entry);
+		p->rig.entries[i].entry = NULL;
+		entry_once_free(p->once[i]);
+	}
+	rig_clear(&p->rig);
+}
+
+static bool issue(pair_t *p, char text[AP_PERMIT_TEXT_MAX])
+{
+	char *answer = rig_ask(&p->rig, 0, "/v1/permits?service=reserve", "");
+	const char *at = strstr(answer, "\"permit\":\"");
+	ap_permit_t permit;
+	bool ok = at && sscanf(at, "\"permit\":\"%511[^\"]", text) == 1;
+
+	free(answer);
+	return ok && ap_permit_read(text, &permit) && strcmp(permit.witness, "recife-1") == 0;
+}
+
+/* Presents the permit; the answer ends up in @answer. */
+static void present(pair_t *p, int entry, const char *text, char **answer)
+{
+	char headers[HEADERS_MAX];
+	rig_caller_t caller;
+
+	snprintf(headers, sizeof(headers), RIG_AUTH "Arbutuspond-Permit: %s\r\n", text);
+	rig_call(&p->rig, entry, &caller, "POST", "/s/reserve/stand", headers, "stand 7");
+	*answer = rig_answer(&p->rig, &caller);
+}
+
+static void expect(const char *name, char *answer, int status, const char *word)
+{
+	char line[32];
+
+	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
+	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, word))
+		fail_msg("%s: %s", name, answer);
+	free(answer);
+}
+
+static const struct {
+	const char *name;
+	uint32_t lost;
+	int entry; /* where the permit is presented; entry 0 issued it */
+	int status;
+	const char *word;
+	int runs;
+	int then_status; /* of the same permit at its issuer afterwards */
+	const char *then_word;
+} cases[] = {
+	{"nothing lost", 0, 1, 200, "Outcome: completed", 1, 409, "\"answer\":{\"status\":200"},
+	{"request lost", AP_WIRE_FORWARD, 1, 503, "not_run", 0, 503, "not_run"},
+	{"answer lost", AP_WIRE_FORWARD_DATA, 1, 200, "Outcome: completed", 1, 409, "permit_used"},
+	{"end of the answer lost", AP_WIRE_FORWARD_END, 1, 200, "Outcome: completed", 1, 409,
+	 "permit_used"},
+	{"witness not reached", AP_WIRE_ONCE, 0, 503, "not_run", 0, 503, "not_run"},
+	{"witness not reached, passed on by it", AP_WIRE_ONCE, 1, 503, "not_run", 0, 503,
+	 "not_run"},
+};
+
+static void test_lost_messages(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char text[AP_PERMIT_TEXT_MAX];
+		pair_t p;
+		char *answer;
+
+		start(&p);
+		while (!issue(&p, text))
+			;
+		p.rig.drop_kind = cases[i].lost;
+		present(&p, cases[i].entry, text, &answer);
+		expect(cases[i].name, answer, cases[i].status, cases[i].word);
+		p.rig.drop_kind = 0;
+		present(&p, 0, text, &answer);
+		expect(cases[i].name, answer, cases[i].then_status, cases[i].then_word);
+		assert_int_equal(p.rig.fakes[0].requests, cases[i].runs);
+		stop(&p);
+	}
+}
+
+/* A refusal at the door says not-run, so its permit may not run later. */
+static void test_a_shed_permit_is_closed(void **state)
+{
+	char text[AP_PERMIT_TEXT_MAX];
+	pair_t p;
+	char *answer;
+
+	(void)state;
+	start(&p);
+	while (!issue(&p, text))
+		;
+	ap_admission_set_capacity(p.rig.entries[0].entry->admission, 0, ap_now());
+	present(&p, 0, text, &answer);
+	expect("shed", answer, 503, "overloaded");
+	rig_show(&p.rig);
+	present(&p, 0, text, &answer);
+	expect("presented again", answer, 503, "not_run");
+	assert_int_equal(p.rig.fakes[0].requests, 0);
+	stop(&p);
+}
+
+/* The refusal of an upstream that did not start leaves the permit good for another attempt. */
+static void test_a_refused_start_is_tried_again(void **state)
+{
+	char text[AP_PERMIT_TEXT_MAX];
+	pair_t p;
+	char *answer;
+
+	(void)state;
+	start(&p);
+	rig_add_fake(&p.rig, "recife", "desk");
+	rig_show(&p.rig);
+	for (int i = 0; i < 2; i++)
+		p.rig.fakes[i].mode = FAKE_REFUSE;
+	p.rig.fakes[0].faults = -1;
+	p.rig.fakes[1].faults = 0;
+	for (int i = 0; i < 10 && p.rig.fakes[0].requests == 0; i++) {
+		while (!issue(&p, text))
+			;
+		present(&p, 0, text, &answer);
+		expect("refused once", answer, 200, "Outcome: completed");
+	}
+	assert_true(p.rig.fakes[0].requests > 0);
+	stop(&p);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lost_messages),
+		cmocka_unit_test(test_a_shed_permit_is_closed),
+		cmocka_unit_test(test_a_refused_start_is_tried_again),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -224,6 +224,7 @@
 		ap_copy_name(members[i].region, AP_NAME_MAX, rig->entries[i].settings.region);
 		ap_copy_name(members[i].host, AP_HOST_MAX, "127.0.0.1");
 		members[i].caller_port = entry_port(rig->entries[i].entry);
+		members[i].inc = rig->entries[i].entry->config.inc;
 		members[i].weight = 1;
 	}
 	for (int i = 0; i < rig->n_entries; i++) {
