--- a/cmd/arbutuspond/entry-once.c
+++ b/cmd/arbutuspond/entry-once.c
@@ -247,7 +247,7 @@
 {
 	entry_once_t *o = ctx;
 
-	if (x->maybe_ran)
+	if (x->maybe_ran || x->passed)
 		return false;
 	if (x->permit[0]) {
 		if (x->attempts > 1)
