--- a/lib/limit/admission.c
+++ b/lib/limit/admission.c
@@ -12,15 +12,23 @@
 
 #define RANKS_PER_CLASS 3
 #define RANKS (RANKS_PER_CLASS * AP_CLASS_COUNT)
-#define HOLD_START (1 * AP_SEC) /* how long a request is thought to run before any ended */
+#define HOLD_START (1 * AP_SEC)		 /* how long a request is thought to run before any ended */
+#define RATE_TIME (5.0 * (double)AP_SEC) /* time constant of rates */
+#define FREED_MIN 0.05 /* part of the freed places that a class gets at the least, as estimated */
 #define HOLD_GAIN 0.05
 #define RETRY_MIN (1 * AP_SEC)
 #define RETRY_MAX (30 * AP_SEC)
 
 /* A class starts only while less than this part of the places is taken, by whatever class. */
-static const double class_part[AP_CLASS_COUNT] = {1.0, 0.95, 0.8};
+static const double class_part[AP_CLASS_COUNT] = {1.0, 0.9, 0.75};
 #define GUEST_PART 0.5 /* the part of the running places that guests may fill */
 
+/* A count that fades, to estimate events per microsecond. */
+typedef struct ap_rate {
+	double count;
+	ap_usec_t at;
+} ap_rate_t;
+
 typedef enum ap_place {
 	AP_PLACE_WAITING,
 	AP_PLACE_RUNNING,
@@ -52,6 +60,7 @@
 	size_t running_guests;
 	size_t waiting;
 	double hold_us;
+	ap_rate_t asked[AP_CLASS_COUNT];
 	bool dispatching;
 	ap_caller_limits_t *callers;
 };
@@ -133,20 +142,38 @@
 	return n;
 }
 
-static double queue_time(const ap_admission_t *a, size_t ahead)
+static double rate_of(const ap_rate_t *rate, ap_usec_t now)
+{
+	return rate->count * exp(-(double)(now - rate->at) / RATE_TIME) / RATE_TIME;
+}
+
+static void rate_add(ap_rate_t *rate, ap_usec_t now)
+{
+	rate->count = rate->count * exp(-(double)(now - rate->at) / RATE_TIME) + 1;
+	rate->at = now;
+}
+
+/*
+ * Expected microseconds until the next request of @cls with @ahead before it starts: places come
+ * free at a rate, and higher classes that are still to come take their part of them first.
+ */
+static double queue_time(const ap_admission_t *a, ap_class_t cls, size_t ahead, ap_usec_t now)
 {
-	double places = a->running_max > 0 ? (double)a->running_max : 1;
+	double places = fmax((double)a->running_max * class_part[cls], 1);
+	double freed = places / a->hold_us;
+	double taken = 0;
 
-	return (double)(ahead + 1) * a->hold_us / places;
+	for (int c = 0; c < (int)cls; c++)
+		taken += rate_of(&a->asked[c], now);
+	return (double)(ahead + 1) / fmax(freed - taken, freed * FREED_MIN);
 }
 
-static ap_usec_t retry_after(const ap_admission_t *a)
+/* When a request that was given up may come again: after those that wait now have started. */
+static ap_usec_t retry_after(const ap_admission_t *a, ap_class_t cls, ap_usec_t now)
 {
-	ap_usec_t wait = (ap_usec_t)queue_time(a, a->waiting);
+	double wait = queue_time(a, cls, a->waiting, now);
 
-	if (wait < RETRY_MIN)
-		return RETRY_MIN;
-	return wait < RETRY_MAX ? wait : RETRY_MAX;
+	return (ap_usec_t)fmin(fmax(wait, RETRY_MIN), RETRY_MAX);
 }
 
 static void forget(ap_admission_t *a, ap_ticket_t *ticket)
@@ -164,10 +191,10 @@
 	a->waiting--;
 }
 
-static void shed(ap_admission_t *a, ap_ticket_t *ticket)
+static void shed(ap_admission_t *a, ap_ticket_t *ticket, ap_usec_t now)
 {
 	uint64_t token = ticket->token;
-	ap_usec_t wait = retry_after(a);
+	ap_usec_t wait = retry_after(a, ticket->cls, now);
 
 	unqueue(a, ticket);
 	forget(a, ticket);
@@ -181,8 +208,6 @@
 	a->running++;
 	if (ticket->guest)
 		a->running_guests++;
-	ap_require(&a->config.env, a->running <= a->running_max, AP_INV_BOUNDS,
-		   "running requests within their limit");
 }
 
 static void enqueue(ap_admission_t *a, ap_ticket_t *ticket)
@@ -227,7 +252,7 @@
 
 static bool in_time(const ap_admission_t *a, const ap_ask_t *ask, ap_usec_t now)
 {
-	double wait = queue_time(a, ahead_of(a, rank_of(ask)));
+	double wait = queue_time(a, ask->cls, ahead_of(a, rank_of(ask)), now);
 
 	return (double)now + wait + (double)ask->work <= (double)ask->deadline;
 }
@@ -252,11 +277,12 @@
 	bool now_free = has_place(a, ask->cls, ask->guest);
 
 	*retry = RETRY_MIN;
+	rate_add(&a->asked[ask->cls], now);
 	if (!within_limits(a, ask, now, retry))
 		return AP_ADMIT_LIMIT;
 	if (now + ask->work > ask->deadline || (!now_free && !in_time(a, ask, now))) {
 		give_back(a, ask);
-		*retry = retry_after(a);
+		*retry = retry_after(a, ask->cls, now);
 		return AP_ADMIT_SHED;
 	}
 	if (!now_free && a->waiting >= a->config.queue_max) {
@@ -264,10 +290,10 @@
 
 		if (!victim) {
 			give_back(a, ask);
-			*retry = retry_after(a);
+			*retry = retry_after(a, ask->cls, now);
 			return AP_ADMIT_SHED;
 		}
-		shed(a, victim);
+		shed(a, victim, now);
 	}
 	ticket = new_ticket(a, ask);
 	if (!ticket) {
@@ -278,6 +304,7 @@
 		run(a, ticket, now);
 		return AP_ADMIT_NOW;
 	}
+	*retry = (ap_usec_t)queue_time(a, ask->cls, ahead_of(a, ticket->rank), now);
 	enqueue(a, ticket);
 	return AP_ADMIT_QUEUE;
 }
@@ -310,7 +337,7 @@
 	ap_ticket_t *ticket;
 
 	while ((ticket = first_late(a, now)))
-		shed(a, ticket);
+		shed(a, ticket, now);
 }
 
 /* Callbacks may ask, end or cancel requests: only the outermost call goes round. */
@@ -325,9 +352,10 @@
 		unqueue(a, ticket);
 		if (now + ticket->work > ticket->deadline) {
 			uint64_t token = ticket->token;
+			ap_usec_t wait = retry_after(a, ticket->cls, now);
 
 			forget(a, ticket);
-			a->config.shed(a->config.env.ctx, token, retry_after(a));
+			a->config.shed(a->config.env.ctx, token, wait);
 			continue;
 		}
 		run(a, ticket, now);
--- a/lib/limit/limit.h
+++ b/lib/limit/limit.h
@@ -22,7 +22,7 @@
  * struct ap_admission_config - made once at start.
  * @queue_max: requests waiting over all classes
  * @ready: starts a queued request; it was counted as running before the call
- * @shed: a queued request is given up; @retry_after in microseconds
+ * @shed: a queued request is given up; @retry_after in microseconds; may not ask for another one
  */
 typedef struct ap_admission_config {
 	size_t queue_max;
@@ -54,6 +54,10 @@
 void ap_admission_free(ap_admission_t *a);
 /** ap_admission_set_capacity() - requests that may run at once, from the upstreams' limits. */
 void ap_admission_set_capacity(ap_admission_t *a, size_t running_max, ap_usec_t now);
+/**
+ * ap_admission_ask() - decides about one request.
+ * @retry_after: microseconds; when queued the expected wait, when refused when to come again
+ */
 ap_admit_t ap_admission_ask(ap_admission_t *a, const ap_ask_t *ask, ap_usec_t now,
 			    ap_usec_t *retry_after);
 /** ap_admission_done() - an admitted request ended; may call ready or shed. */
@@ -72,4 +76,13 @@
 bool ap_retry_budget_take(ap_retry_budget_t *b, ap_usec_t now, ap_usec_t deadline,
 			  ap_usec_t expected);
 
+/**
+ * ap_retry_budget_take_class() - as ap_retry_budget_take(), but what is left of a low budget is
+ * kept for the higher classes.
+ */
+bool ap_retry_budget_take_class(ap_retry_budget_t *b, ap_class_t cls, ap_usec_t now,
+				ap_usec_t deadline, ap_usec_t expected);
+/** ap_retry_budget_retried() - a retry is dispatched; asserts that the budget granted it. */
+void ap_retry_budget_retried(ap_retry_budget_t *b);
+
 #endif
--- a/lib/limit/retry.c
+++ b/lib/limit/retry.c
@@ -8,12 +8,15 @@
 #define MOST_TOKENS 20.0	      /* a long quiet time can't be saved up for a storm */
 #define SAVED_HALF_LIFE (10 * AP_SEC) /* old first attempts pay for less and less */
 
+/* Tokens that a class leaves for those above it. */
+static const double kept_tokens[AP_CLASS_COUNT] = {0, 2, 4};
+
 struct ap_retry_budget {
 	double ratio;
 	double tokens;
 	ap_usec_t at;
-	uint64_t requests;
-	uint64_t retries;
+	uint64_t granted;
+	uint64_t retried;
 	ap_env_t env;
 };
 
@@ -47,21 +50,28 @@
 void ap_retry_budget_request(ap_retry_budget_t *b, ap_usec_t now)
 {
 	decay(b, now);
-	b->requests++;
 	b->tokens = fmin(b->tokens + b->ratio, MOST_TOKENS);
 }
 
 bool ap_retry_budget_take(ap_retry_budget_t *b, ap_usec_t now, ap_usec_t deadline,
 			  ap_usec_t expected)
 {
-	double most;
+	return ap_retry_budget_take_class(b, AP_CLASS_RESERVATION, now, deadline, expected);
+}
 
+bool ap_retry_budget_take_class(ap_retry_budget_t *b, ap_class_t cls, ap_usec_t now,
+				ap_usec_t deadline, ap_usec_t expected)
+{
 	decay(b, now);
-	if (b->tokens < 1 || deadline - now < expected)
+	if (b->tokens < 1 + kept_tokens[cls] || deadline - now < expected)
 		return false;
 	b->tokens -= 1;
-	b->retries++;
-	most = b->ratio * (double)b->requests + START_TOKENS + 1e-6 * (double)b->requests;
-	return ap_require(&b->env, (double)b->retries <= most, AP_INV_BOUNDS,
-			  "retries within their budget");
+	b->granted++;
+	return true;
+}
+
+void ap_retry_budget_retried(ap_retry_budget_t *b)
+{
+	b->retried++;
+	ap_require(&b->env, b->retried <= b->granted, AP_INV_BOUNDS, "retries within their budget");
 }
--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -9,15 +9,18 @@
 
 #define CANDIDATES_MAX 32
 #define SMALL_SET 8 /* sets up to this size are weighed whole */
-#define RANDOM_PICKS 2
+#define RANDOM_PICKS 8
 #define AFFINE_PICKS 2
-#define AFFINE_LOOK 8	       /* places of the rendezvous order that bounded load may skip */
-#define AFFINE_BLOCKS 4	       /* leading blocks that decide where a new prefix goes */
-#define LOAD_BOUND 1.25	       /* of the mean load: an affine upstream above it is skipped */
-#define LOAD_SLACK 1.0	       /* requests above the bound that are always allowed */
-#define LATE_FACTOR 4.0	       /* weight of a microsecond past the deadline */
-#define UTILISATION_US 20000.0 /* cost of a full batch: spreads work while nothing waits */
+#define AFFINE_LOOK 8	/* places of the rendezvous order that bounded load may skip */
+#define AFFINE_BLOCKS 4 /* leading blocks that decide where a new prefix goes */
+#define LOAD_BOUND 1.25 /* of the mean load: an affine upstream above it is skipped */
+#define LOAD_SLACK 1.0	/* requests above the bound that are always allowed */
+#define SLOTS_KEPT 0.5	/* slots of a batch that a class leaves to each one above it */
+#define LATE_FACTOR 4.0 /* weight of a microsecond past the deadline */
+#define UTILISATION_US 20000.0
+#define FAILURE_US 4e6 /* cost of an attempt that fails */
 #define TOKENS_PER_BLOCK 128
+#define INV_SQRT_2PI 0.39894228040143268
 
 bool ap_route_allowed(const ap_node_t *node, const ap_request_t *req, ap_usec_t now)
 {
@@ -57,28 +60,51 @@
 	return low;
 }
 
+/* Mean of the part of a normal variable that is above zero. */
+static double positive_part(double mean, double sd)
+{
+	double z = mean / sd;
+
+	return mean * 0.5 * erfc(-z * M_SQRT1_2) + sd * exp(-z * z / 2) * INV_SQRT_2PI;
+}
+
+/*
+ * Expected time until a slot is free: for the first one to end if the batch is full, then for
+ * those ahead that the engine serves before this class.
+ */
 static double queue_wait(const ap_route_t *r, const ap_request_t *req, const ap_node_t *node,
-			 double service_us, ap_usec_t now)
+			 const ap_load_t *load, double service_us)
 {
-	double load = ap_node_load(node, now);
-	double ahead = load + 1 - node->batch;
+	double kept = req->cls * SLOTS_KEPT;
+	double over = load->mean + 1 - node->batch + kept;
+	double full = 0.5 * erfc(-(over - 0.5) / load->sd * M_SQRT1_2);
+	double ahead = positive_part(over - 1, load->sd);
 	double share = 0;
 
-	if (ahead <= 0)
-		return 0;
 	for (int c = 0; c <= (int)req->cls && c < AP_CLASS_COUNT; c++)
 		share += r->class_share[c];
-	return (1 + (ahead - 1) * fmin(share, 1)) * service_us / node->batch;
+	return (full + ahead * fmin(share, 1)) * service_us / node->batch;
+}
+
+/*
+ * A load drawn from what is known: entries that choose at the same moment from the same report
+ * would otherwise all take the same upstream.
+ */
+static double drawn_load(ap_route_t *r, const ap_load_t *load)
+{
+	double normal =
+		(ap_rng_unit(&r->rng) + ap_rng_unit(&r->rng) + ap_rng_unit(&r->rng) - 1.5) * 2;
+
+	return fmax(load->mean + load->sd * normal, 0);
 }
 
 static ap_score_t weigh(ap_route_t *r, const ap_request_t *req, const ap_set_t *set,
 			ap_node_t *node, ap_usec_t now)
 {
-	ap_model_state_t *state =
-		ap_route_model(r, set->model ? set->model->name : req->service->name);
 	double prefill_us = set->model ? set->model->prefill_us : 0;
-	double service_us = state ? state->service_us : 0;
+	double service_us = set->state->service_us;
 	double left = (double)(req->deadline - now);
+	ap_load_t load = ap_node_load(node, service_us, now);
 	ap_score_t score = {.node = node};
 	double cached;
 	double compute;
@@ -87,13 +113,14 @@
 	cached = fmin((double)score.depth * TOKENS_PER_BLOCK, req->tokens_in) * node->trust;
 	score.cached = (uint32_t)cached;
 	compute = (req->tokens_in - cached) * prefill_us;
-	score.wait =
-		(queue_wait(r, req, node, service_us, now) + compute) * ap_node_slowness(node, now);
+	score.wait = (queue_wait(r, req, node, &load, service_us) + compute) *
+		     ap_node_slowness(node, now);
 	if (!node->same_centre)
 		score.wait += AP_NETWORK_NEAR;
 	score.cost = ap_price(node->pool, req->tokens_in, score.cached, req->tokens_out);
 	score.total = score.wait + score.cost * req->service->price_weight +
-		      UTILISATION_US * ap_node_load(node, now) / node->batch;
+		      UTILISATION_US * drawn_load(r, &load) / node->batch;
+	score.total += ap_health_failing(node, now) * FAILURE_US;
 	if (score.wait > left)
 		score.total += (score.wait - left) * LATE_FACTOR;
 	return score;
@@ -113,28 +140,31 @@
 		list->nodes[list->n++] = node;
 }
 
-static void add_holders(const ap_route_t *r, const ap_request_t *req, ap_shortlist_t *list)
+static void add_holders(const ap_route_t *r, const ap_request_t *req, const ap_set_t *set,
+			ap_shortlist_t *list)
 {
 	const ap_holder_t *holder = NULL;
 
 	for (size_t depth = req->n_blocks; depth > 0 && !holder; depth--)
 		holder = ap_prefix_find(r->prefixes, req->blocks[depth - 1]);
 	for (int i = 0; holder && i < AP_PREFIX_HOLDERS; i++) {
-		ap_node_t *node = holder[i].slot < r->n_slots ? r->slots[holder[i].slot] : NULL;
+		uint16_t slot = holder[i].slot;
 
-		if (holder[i].epoch != 0 && node && holds(&holder[i], node))
-			shortlist_add(list, node);
+		if (holder[i].epoch == 0 || slot >= set->n_member || !set->member[slot])
+			continue;
+		if (holds(&holder[i], r->slots[slot]))
+			shortlist_add(list, r->slots[slot]);
 	}
 }
 
-static bool within_bound(const ap_node_t *node, ap_usec_t now)
+static bool within_bound(const ap_node_t *node, double service_us, ap_usec_t now)
 {
 	double mean;
 
 	if (!node->group || node->group->batch <= 0)
 		return true;
-	mean = node->group->load / node->group->batch * node->batch;
-	return ap_node_load(node, now) <= mean * LOAD_BOUND + LOAD_SLACK;
+	mean = node->group->usual * node->batch;
+	return ap_node_load(node, service_us, now).mean <= mean * LOAD_BOUND + LOAD_SLACK;
 }
 
 typedef struct ap_affine {
@@ -143,8 +173,8 @@
 } ap_affine_t;
 
 /* The first places of the rendezvous order of a prefix, skipping upstreams above the load bound. */
-static void add_affine(const ap_request_t *req, const ap_set_t *set, ap_shortlist_t *list,
-		       ap_usec_t now)
+static void add_affine(const ap_request_t *req, const ap_set_t *set, double service_us,
+		       ap_shortlist_t *list, ap_usec_t now)
 {
 	ap_affine_t best[AFFINE_LOOK];
 	size_t n = 0;
@@ -166,7 +196,7 @@
 		best[place] = (ap_affine_t){.node = node, .score = score};
 	}
 	for (size_t i = 0; i < n && taken < AFFINE_PICKS; i++) {
-		if (!within_bound(best[i].node, now))
+		if (!within_bound(best[i].node, service_us, now))
 			continue;
 		shortlist_add(list, best[i].node);
 		taken++;
@@ -236,8 +266,8 @@
 	if (set->n == 0)
 		return false;
 	if (set->n > SMALL_SET) {
-		add_holders(r, req, &list);
-		add_affine(req, set, &list, now);
+		add_holders(r, req, set, &list);
+		add_affine(req, set, set->state->service_us, &list, now);
 		add_random(r, set, &list);
 		if (best_of(r, req, set, &list, true, now, best))
 			return true;
--- a/lib/route/health.c
+++ b/lib/route/health.c
@@ -1,12 +1,31 @@
 /* Ejection of failing upstreams, return through single trials and a ramp. */
 #include "route/node.h"
 
+#include <math.h>
+
 #define FAILURES_TO_EJECT 3
+#define FAILING_GAIN 0.2		/* weight of a new attempt in the share that fails */
+#define FAILING_HALF_LIFE (10 * AP_SEC) /* an unused upstream's failures are forgotten */
 #define EJECT_BASE (5 * AP_SEC)
 #define EJECT_DOUBLINGS_MAX 4
 #define RAMP_TIME (10 * AP_SEC)
 #define RAMP_START 0.1 /* share of its ordinary work right after the trial */
 
+double ap_health_failing(const ap_node_t *node, ap_usec_t now)
+{
+	double halves = (double)(now - node->failing_at) / (double)FAILING_HALF_LIFE;
+
+	return node->failing * exp2(-fmax(halves, 0));
+}
+
+static void note_failing(ap_node_t *node, bool bad, ap_usec_t now)
+{
+	double failing = ap_health_failing(node, now);
+
+	node->failing = failing + FAILING_GAIN * ((bad ? 1 : 0) - failing);
+	node->failing_at = now;
+}
+
 static void eject(ap_node_t *node, ap_usec_t now)
 {
 	unsigned doublings = node->ejections;
@@ -17,6 +36,7 @@
 	node->until = now + (EJECT_BASE << doublings);
 	node->ejections++;
 	node->failures = 0;
+	node->failing = 0; /* else its trial would not be chosen for long */
 }
 
 static bool room_to_eject(const ap_node_t *node)
@@ -70,9 +90,11 @@
 		return false;
 	switch (end) {
 	case AP_ATTEMPT_OK:
+		note_failing(node, false, now);
 		return succeeded(node, now);
 	case AP_ATTEMPT_FAILED:
 	case AP_ATTEMPT_TIMEOUT:
+		note_failing(node, true, now);
 		return failed(node, now);
 	case AP_ATTEMPT_REFUSED:
 	case AP_ATTEMPT_CANCELLED:
--- a/lib/route/node.c
+++ b/lib/route/node.c
@@ -4,12 +4,16 @@
 #include <math.h>
 #include <string.h>
 
-#define LEAVING_HOLD (300 * AP_SEC)   /* a told departure outlives a lagging list */
-#define SLOW_HALF_LIFE (30 * AP_SEC)  /* an unused upstream's slowness is forgotten */
-#define SLOW_GAIN 0.15		      /* weight of a new observation */
-#define SLOW_MAX 4.0		      /* bound on the logarithm of the factor */
-#define WAIT_FLOOR (5 * AP_MSEC)      /* shorter waits say nothing about slowness */
-#define REPORT_TRUST (2 * AP_SEC)     /* age at which a report has lost most of its worth */
+#define LEAVING_HOLD (300 * AP_SEC)  /* a told departure outlives a lagging list */
+#define SLOW_HALF_LIFE (30 * AP_SEC) /* an unused upstream's slowness is forgotten */
+#define SLOW_GAIN 0.15		     /* weight of a new observation */
+#define SLOW_MAX 4.0		     /* bound on the logarithm of the factor */
+#define WAIT_FLOOR (5 * AP_MSEC)     /* shorter waits say nothing about slowness */
+#define SERVICE_UNKNOWN 1e6 /* microseconds in a slot, before any request was seen to end */
+#define QUEUE_DRAIN 0.1	    /* part of freed slots that a queue gets, the rest goes to new work */
+#define OTHERS_PART 0.2	    /* of an own dispatch that each other entry is taken to do as well */
+#define USUAL_TIME (20.0 * AP_SEC)    /* time constant of a pool's usual load */
+#define LOAD_SD_MIN 0.25	      /* variance of a fresh report, in requests squared */
 #define LIMIT_FACTOR_MAX 4.0	      /* limit in batches */
 #define LIMIT_CUT 0.9		      /* on delay above what was expected */
 #define LIMIT_CUT_PERIOD (1 * AP_SEC) /* one cut for one congestion */
@@ -36,20 +40,42 @@
 	return node->leaving_at <= now && now - node->leaving_at < LEAVING_HOLD;
 }
 
-double ap_node_load(const ap_node_t *node, ap_usec_t now)
+static double group_mean(const ap_node_t *node)
 {
+	if (!node->group || node->group->batch <= 0)
+		return node->running;
+	return node->group->usual * node->batch;
+}
+
+/*
+ * A report goes stale as the requests it counted leave and unseen ones come: what is expected
+ * moves to the pool's mean, and what is not known grows to the spread of independent arrivals.
+ * A queue lasts longer than that: it shrinks only as fast as slots come free.
+ */
+ap_load_t ap_node_load(const ap_node_t *node, double service_us, ap_usec_t now)
+{
+	double mean = group_mean(node);
 	double own = node->running;
-	double mean = 0;
+	ap_load_t load = {.mean = own, .sd = sqrt(mean + LOAD_SD_MIN)};
+	double age;
 	double fresh;
-	double load;
+	double queued;
+	double left;
+	double running;
 
 	if (!node->has_report)
-		return own;
-	if (node->group && node->group->batch > 0)
-		mean = node->group->load / node->group->batch * node->batch;
-	fresh = exp(-(double)(now - node->report_at) / (double)REPORT_TRUST);
-	load = mean + (node->reported - mean) * fresh + node->delta;
-	return load > own ? load : own;
+		return load;
+	service_us = service_us > 0 ? service_us : SERVICE_UNKNOWN;
+	age = fmax((double)(now - node->report_at), 0);
+	fresh = exp(-age / service_us);
+	queued = fmax(node->reported - node->batch, 0);
+	left = fmax(queued - age * node->batch / service_us * QUEUE_DRAIN, 0);
+	running = fmin(mean, node->batch);
+	running += (node->reported - queued - running) * fresh;
+	load.mean = running + left + node->delta * (1 + OTHERS_PART * node->others);
+	load.mean = fmax(load.mean, own);
+	load.sd = sqrt(mean * (1 - fresh * fresh) + LOAD_SD_MIN);
+	return load;
 }
 
 static double unregressed_load(const ap_node_t *node)
@@ -59,17 +85,32 @@
 	return load > node->running ? load : node->running;
 }
 
+static void note_usual(ap_group_t *group, ap_usec_t now)
+{
+	double keep;
+
+	if (!group || group->batch <= 0)
+		return;
+	keep = exp(-(double)(now - group->usual_at) / USUAL_TIME);
+	if (group->usual_at == 0)
+		keep = 0;
+	if (now <= group->usual_at)
+		return;
+	group->usual = keep * group->usual + (1 - keep) * group->load / group->batch;
+	group->usual_at = now;
+}
+
 void ap_node_recount(ap_node_t *node, ap_usec_t now)
 {
 	double load = unregressed_load(node);
 
-	(void)now;
 	if (node->group)
 		node->group->load += load - node->counted;
 	node->counted = load;
+	note_usual(node->group, now);
 }
 
-void ap_node_report(ap_node_t *node, const ap_load_report_t *report)
+void ap_node_report(ap_node_t *node, const ap_load_report_t *report, ap_usec_t now)
 {
 	if (node->has_report && report->at <= node->report_at)
 		return;
@@ -81,7 +122,7 @@
 	for (unsigned i = 0; i < AP_NODE_DELTAS; i++)
 		if (node->deltas[i].step != 0 && node->deltas[i].at > report->at)
 			node->delta += node->deltas[i].step;
-	ap_node_recount(node, report->at);
+	ap_node_recount(node, now);
 }
 
 void ap_node_count(ap_node_t *node, int step, ap_usec_t now)
--- a/lib/route/node.h
+++ b/lib/route/node.h
@@ -29,12 +29,15 @@
  * struct ap_group - upstreams of one pool in the own region.
  * @load: sum of the members' estimated requests
  * @batch: sum of their batch slots
+ * @usual: running mean of load per batch slot
  */
 typedef struct ap_group {
 	size_t n;
 	size_t ejected;
 	double load;
 	double batch;
+	double usual;
+	ap_usec_t usual_at;
 } ap_group_t;
 
 /**
@@ -47,6 +50,8 @@
  * @reported: running and waiting requests in the last report
  * @delta: own dispatches less own ends since that report was read
  * @slow: observed over expected wait, a running geometric mean as a logarithm
+ * @failing: running share of attempts that failed
+ * @others: other entries that send it work
  * @limit: requests to have there at once, adapted to the measured delay
  */
 typedef struct ap_node {
@@ -70,6 +75,7 @@
 	double reported;
 	double kv_used;
 	double delta;
+	double others;
 	double counted;
 	uint32_t running;
 	ap_delta_t deltas[AP_NODE_DELTAS];
@@ -78,6 +84,8 @@
 	ap_health_t health;
 	ap_usec_t until;
 	unsigned failures;
+	double failing;
+	ap_usec_t failing_at;
 	unsigned ejections;
 	uint32_t trials;
 	double slow;
@@ -94,9 +102,19 @@
 
 void ap_node_init(ap_node_t *node, const char *id, uint16_t slot, uint16_t epoch);
 bool ap_node_leaving(const ap_node_t *node, ap_usec_t now);
-/** ap_node_load() - requests there now, as far as can be known. */
-double ap_node_load(const ap_node_t *node, ap_usec_t now);
-void ap_node_report(ap_node_t *node, const ap_load_report_t *report);
+/**
+ * struct ap_load - what is known of the requests at an upstream.
+ * @mean: the expected number now
+ * @sd: standard deviation, which grows with the age of the last report
+ */
+typedef struct ap_load {
+	double mean;
+	double sd;
+} ap_load_t;
+
+/** ap_node_load() - requests there now; @service_us is the mean time that one stays. */
+ap_load_t ap_node_load(const ap_node_t *node, double service_us, ap_usec_t now);
+void ap_node_report(ap_node_t *node, const ap_load_report_t *report, ap_usec_t now);
 /** ap_node_count() - an own request was dispatched (+1) or ended (-1). */
 void ap_node_count(ap_node_t *node, int step, ap_usec_t now);
 /** ap_node_slowness() - factor on its expected wait, 1 for an ordinary upstream. */
@@ -114,6 +132,8 @@
  * Return: whether the state changed.
  */
 bool ap_health_ended(ap_node_t *node, ap_attempt_end_t end, bool trial, ap_usec_t now);
+/** ap_health_failing() - expected share of attempts that fail there. */
+double ap_health_failing(const ap_node_t *node, ap_usec_t now);
 /** ap_health_allows() - may @node get this request? @draw is a uniform random number. */
 bool ap_health_allows(const ap_node_t *node, ap_class_t cls, double draw, ap_usec_t now);
 /** ap_health_started() - moves an ejected node whose time is over to trial. Return: a trial. */
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -8,11 +8,14 @@
 #define SERVICE_GAIN 0.05   /* weight of a new observation of the time in a slot */
 #define CLASS_GAIN 0.01	    /* weight of a new request in the classes' shares */
 #define HOPELESS_FACTOR 2.0 /* expected wait over time left that is refused at once */
-#define TRUST_AFTER_GAP 0.6 /* of what was believed, when cache events were lost */
+#define TRUST_AFTER_GAP 0.9
 #define TRUST_GAIN 0.1
 #define FLIGHTS_MAX 1000000   /* attempts in progress at one entry */
-#define CAPACITY_HEADROOM 1.5 /* callers are spread unevenly over entries */
-#define CAPACITY_MIN 8
+#define LOAD_TARGET 0.8	      /* requests per slot above which entries take less */
+#define PLACES_CUT 2.0	      /* per second and unit of excess load */
+#define PLACES_GROWTH 0.2     /* per second below the target */
+#define PLACES_FACTOR_MAX 8.0 /* of an even share: callers are spread unevenly over entries */
+#define PLACES_MIN 6
 #define LEAVING_GRACE (3 * AP_SEC) /* work chosen before the departure was known */
 
 ap_route_t *ap_route_new(const ap_route_config_t *config)
@@ -23,6 +26,7 @@
 		return NULL;
 	r->config = *config;
 	r->entries_here = 1;
+	r->places_factor = PLACES_FACTOR_MAX;
 	ap_rng_seed(&r->rng, config->seed);
 	r->prefixes = ap_prefix_new();
 	if (!r->prefixes) {
@@ -152,6 +156,22 @@
 	return AP_ROUTE_OK;
 }
 
+bool ap_route_away(ap_route_t *r, const ap_request_t *req, ap_usec_t wait, ap_usec_t now,
+		   ap_choice_t *choice)
+{
+	ap_room_state_t *room;
+	ap_set_t *set;
+
+	if (!ap_residency_allows(req, r->config.region) || req->deadline <= now)
+		return false;
+	set = ap_route_set(r, req);
+	room = set ? ap_spill_choose(r, req, set, (double)wait, now) : NULL;
+	if (!room)
+		return false;
+	fill_region(req, set, room, choice);
+	return true;
+}
+
 static ap_flight_t *find_flight(ap_route_t *r, const ap_request_t *req, const ap_node_t *node)
 {
 	ap_flight_key_t key = {.id = req->id, .slot = node->slot};
@@ -278,7 +298,7 @@
 	flight->first_at = now;
 	ap_node_observe(node, waited, flight->expected, now);
 	if (flight->guest)
-		ap_guest_settle(r, flight->model, now > req->deadline, now);
+		ap_guest_settle(r, flight->model, now > req->deadline);
 }
 
 static void note_service(ap_route_t *r, const ap_flight_t *flight, ap_usec_t now)
@@ -316,9 +336,8 @@
 {
 	ap_node_t *node = ap_route_node(r, report->upstream);
 
-	(void)now;
 	if (node)
-		ap_node_report(node, report);
+		ap_node_report(node, report, now);
 }
 
 static void note_gap(ap_node_t *node, uint64_t seq)
@@ -335,7 +354,7 @@
 	ap_node_t *node = ap_route_node(r, event->upstream);
 
 	(void)now;
-	if (!node)
+	if (!node || !node->here)
 		return;
 	note_gap(node, event->seq);
 	node->trust += TRUST_GAIN * (1 - node->trust);
@@ -372,17 +391,38 @@
 	ap_emit(&r->config.env, now, "route.leaving", (ap_xid_t){0}, "upstream=%s", upstream);
 }
 
-size_t ap_route_capacity(const ap_route_t *r, ap_usec_t now)
+/* Slots of the region's usable upstreams, and the requests there by the last reports. */
+static void sum_slots(const ap_route_t *r, ap_usec_t now, double *slots, double *load)
 {
-	double sum = 0;
 	ap_node_t *node;
 	ap_node_t *next;
 
 	HASH_ITER (hh, r->nodes, node, next) {
 		if (!node->here || node->index == AP_NODE_ABSENT || ap_node_leaving(node, now))
 			continue;
-		sum += node->limit;
+		if (node->health == AP_HEALTH_EJECTED)
+			continue;
+		*slots += fmin(node->batch, node->limit);
+		*load += node->counted;
 	}
-	sum = sum * CAPACITY_HEADROOM / (double)r->entries_here;
-	return sum > CAPACITY_MIN ? (size_t)sum : CAPACITY_MIN;
+}
+
+size_t ap_route_capacity(ap_route_t *r, ap_usec_t now)
+{
+	double slots = 0;
+	double load = 0;
+	double elapsed = (double)(now - r->places_at) / (double)AP_SEC;
+	double excess;
+
+	sum_slots(r, now, &slots, &load);
+	elapsed = fmin(fmax(elapsed, 0), 1);
+	excess = slots > 0 ? load / slots - LOAD_TARGET : 1;
+	if (excess > 0)
+		r->places_factor *= exp(-excess * PLACES_CUT * elapsed);
+	else
+		r->places_factor *= exp(PLACES_GROWTH * elapsed);
+	r->places_factor = fmin(fmax(r->places_factor, 1), PLACES_FACTOR_MAX);
+	r->places_at = now;
+	slots = slots * r->places_factor / (double)r->entries_here;
+	return slots > PLACES_MIN ? (size_t)slots : PLACES_MIN;
 }
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -23,6 +23,7 @@
  * struct ap_request - what the decisions know of a request.
  * @home: the caller's home region; the only one allowed when the service is home-bound
  * @forwarded: came from another region, so it is served or refused here
+ * @stay: another region refused it, so it stays in this one
  * @deadline: absolute time of the first byte
  * @tokens_in: estimated prompt tokens
  * @tokens_out: estimated or limited generated tokens
@@ -37,6 +38,7 @@
 	const char *adapter;
 	const char *home;
 	bool forwarded;
+	bool stay;
 	ap_class_t cls;
 	ap_usec_t arrival;
 	ap_usec_t deadline;
@@ -144,6 +146,15 @@
 /** ap_route_choose() - picks an upstream or a region; changes nothing until ap_route_started(). */
 ap_route_status_t ap_route_choose(ap_route_t *r, const ap_request_t *req, ap_usec_t now,
 				  ap_choice_t *choice);
+/**
+ * ap_route_away() - another region for a request that would wait too long for admission here.
+ * To be asked when ap_admission_ask() queued or shed it.
+ * @wait: expected wait for admission in microseconds; AP_NEVER when it was shed
+ *
+ * Return: true with @choice set to a region, to be confirmed by ap_route_started().
+ */
+bool ap_route_away(ap_route_t *r, const ap_request_t *req, ap_usec_t wait, ap_usec_t now,
+		   ap_choice_t *choice);
 /** ap_route_started() - the request is about to be written to @choice. */
 void ap_route_started(ap_route_t *r, const ap_request_t *req, const ap_choice_t *choice,
 		      ap_usec_t now);
@@ -169,7 +180,7 @@
  * the measured delay of its region's upstreams and its share of them; for
  * ap_admission_set_capacity().
  */
-size_t ap_route_capacity(const ap_route_t *r, ap_usec_t now);
+size_t ap_route_capacity(ap_route_t *r, ap_usec_t now);
 /** ap_route_leaving() - no new work for @upstream from now on. */
 void ap_route_leaving(ap_route_t *r, const char *upstream, ap_usec_t now);
 
--- a/lib/route/spill.c
+++ b/lib/route/spill.c
@@ -13,15 +13,21 @@
 #define ROOM_LIFE (5 * AP_SEC)	 /* an older offer is void */
 #define STRAIN_ON 1.0		 /* mean of expected wait over time left that opens sending away */
 #define STRAIN_OFF 0.5		 /* and that closes it again */
+#define STRAIN_MAX 4.0		 /* bound on one request's part in the mean */
 #define STRAIN_TIME (2 * AP_SEC) /* time constant of that mean */
-#define SENDERS_MAX 2.0		 /* other regions assumed to need one region's room at once */
-#define SHARE_BURST 2.0		 /* requests that a share may save up */
+#define SENDERS_MAX 1.0
+#define SHARE_BURST 5.0
+#define SHARE_LEAST 4.0 /* and that even a small share may */
 #define REFUSED_REST (2 * AP_SEC)
-#define GUEST_START 0.1		    /* share of spare capacity offered while caches are cold */
-#define GUEST_GROWTH (10 * AP_SEC)  /* time in which a well-served guest rate grows e-fold */
-#define GUEST_CUT 0.7		    /* on a late guest */
-#define GUEST_FORGET (120 * AP_SEC) /* after which caches count as cold again */
-#define SPARE_USED_MAX 0.8	    /* utilisation above which nothing is offered */
+#define GUEST_START 0.25	       /* share of spare capacity offered while caches are cold */
+#define GUEST_GROWTH (10 * AP_SEC)     /* time in which a well-served guest rate grows e-fold */
+#define GUEST_RATE_TIME (5.0 * AP_SEC) /* time constant of the rate at which guests come */
+#define GUEST_CUT 0.7		       /* on a late guest */
+#define GUEST_FORGET (120 * AP_SEC)    /* after which caches count as cold again */
+#define SPARE_USED_MAX 0.8	       /* utilisation above which nothing is offered */
+
+/* Requests of a share that a class leaves for those above it. */
+static const double kept_tokens[AP_CLASS_COUNT] = {0, 0, 2};
 
 ap_model_state_t *ap_route_model(ap_route_t *r, const char *model)
 {
@@ -81,7 +87,7 @@
 			return;
 		ap_copy_name(state->key, sizeof(state->key), key);
 		state->filled_at = now;
-		state->tokens = 1;
+		state->tokens = SHARE_LEAST;
 		HASH_ADD_STR(r->rooms, key, state);
 	} else if (room->at < state->offer.at) {
 		return;
@@ -100,34 +106,36 @@
 {
 	double elapsed = (double)(now - room->filled_at) / (double)AP_SEC;
 	double share = own_share(r, room->offer.rate);
-	double most = fmax(1, share * SHARE_BURST);
+	double most = fmax(SHARE_LEAST, share * SHARE_BURST);
 
 	if (elapsed > 0)
 		room->tokens = fmin(room->tokens + share * elapsed, most);
 	room->filled_at = now;
 }
 
-static bool offers(const ap_route_t *r, ap_room_state_t *room, const char *model, ap_usec_t now)
+static bool offers(const ap_route_t *r, ap_room_state_t *room, const char *model, ap_class_t cls,
+		   ap_usec_t now)
 {
 	if (strcmp(room->offer.model, model) != 0 || now - room->offer.at > ROOM_LIFE)
 		return false;
 	if (room->offer.rate <= 0 || now < room->refused_until)
 		return false;
 	fill(r, room, now);
-	return room->tokens >= 1;
+	return room->tokens >= 1 + kept_tokens[cls];
 }
 
-static void note_strain(ap_model_state_t *state, double strain, ap_usec_t now)
+static bool note_strain(ap_model_state_t *state, ap_class_t cls, double strain, ap_usec_t now)
 {
-	double keep = exp(-(double)(now - state->strain_at) / (double)STRAIN_TIME);
-
-	strain = fmin(strain, 4);
-	state->strain = keep * state->strain + (1 - keep) * strain;
-	state->strain_at = now;
-	if (state->strain >= STRAIN_ON)
-		state->spilling = true;
-	else if (state->strain <= STRAIN_OFF)
-		state->spilling = false;
+	double keep = exp(-(double)(now - state->strain_at[cls]) / (double)STRAIN_TIME);
+
+	strain = fmin(strain, STRAIN_MAX);
+	state->strain[cls] = keep * state->strain[cls] + (1 - keep) * strain;
+	state->strain_at[cls] = now;
+	if (state->strain[cls] >= STRAIN_ON)
+		state->spilling[cls] = true;
+	else if (state->strain[cls] <= STRAIN_OFF)
+		state->spilling[cls] = false;
+	return state->spilling[cls];
 }
 
 ap_room_state_t *ap_spill_choose(ap_route_t *r, const ap_request_t *req, const ap_set_t *set,
@@ -136,21 +144,20 @@
 	const char *model = set->model ? set->model->name : req->service->name;
 	double prefill = set->model ? set->model->prefill_us * req->tokens_in : 0;
 	double left = (double)(req->deadline - now);
-	ap_model_state_t *state = ap_route_model(r, model);
+	ap_model_state_t *state = set->state;
 	ap_room_state_t *best = NULL;
 	ap_room_state_t *room;
 	ap_room_state_t *next;
 	double best_wait = 0;
 
-	if (!state || req->forwarded || req->service->home_bound || !set->elsewhere)
+	if (req->forwarded || req->stay || req->service->home_bound || !set->elsewhere)
 		return NULL;
-	note_strain(state, wait / fmax(left, 1), now);
-	if (!state->spilling || wait <= left)
+	if (!note_strain(state, req->cls, wait / fmax(left, 1), now) || wait <= left)
 		return NULL;
 	HASH_ITER (hh, r->rooms, room, next) {
 		double there = (double)room->offer.wait + AP_NETWORK_FAR + prefill;
 
-		if (!offers(r, room, model, now) || there >= wait || there > left)
+		if (!offers(r, room, model, req->cls, now) || there >= wait || there > left)
 			continue;
 		if (best && there >= best_wait)
 			continue;
@@ -184,7 +191,7 @@
 		room->refused_until = now + REFUSED_REST;
 }
 
-/* Requests per second that the region could take beyond its own, were its caches warm. */
+/* Requests per second that the region could take more, were its caches warm; may be negative. */
 static double spare_rate(const ap_set_t *set, double service_us, ap_usec_t now)
 {
 	double load = 0;
@@ -196,11 +203,11 @@
 
 		if (ap_node_leaving(node, now) || node->health == AP_HEALTH_EJECTED)
 			continue;
-		load += fmin(ap_node_load(node, now), 2 * node->batch);
+		load += fmin(ap_node_load(node, service_us, now).mean, 2 * node->batch);
 		batch += node->batch;
 	}
 	spare = batch * SPARE_USED_MAX - load;
-	return spare > 0 && service_us > 0 ? spare * AP_SEC / service_us : 0;
+	return service_us > 0 ? spare * AP_SEC / service_us : 0;
 }
 
 static ap_set_t *set_of_model(ap_route_t *r, const char *model)
@@ -221,11 +228,24 @@
 	return NULL;
 }
 
-static void ramp_guests(ap_model_state_t *state, double spare, ap_usec_t now)
+static double guests_per_second(const ap_model_state_t *state, ap_usec_t now)
 {
-	double start = spare * GUEST_START;
+	double fade = exp(-(double)(now - state->guest_seen_at) / (double)GUEST_RATE_TIME);
+
+	return state->guests_seen * fade * AP_SEC / GUEST_RATE_TIME;
+}
+
+/*
+ * What is taken rises to the spare rate as caches warm. Guests that are here already are part of
+ * the load, so their rate counts as spare.
+ */
+static void ramp_guests(const ap_route_t *r, ap_model_state_t *state, double spare, ap_usec_t now)
+{
+	double start;
 	double elapsed = (double)(now - state->guest_at);
 
+	spare = fmax(spare + guests_per_second(state, now) * (double)r->entries_here, 0);
+	start = spare * GUEST_START;
 	if (now - state->guest_seen_at > GUEST_FORGET)
 		state->guest_rate = start;
 	else
@@ -246,7 +266,7 @@
 	if (!set || !state)
 		return room;
 	service_us = state->service_us;
-	ramp_guests(state, spare_rate(set, service_us, now), now);
+	ramp_guests(r, state, spare_rate(set, service_us, now), now);
 	room.rate = state->guest_rate;
 	return room;
 }
@@ -275,16 +295,16 @@
 	if (!state)
 		return;
 	state->guest_tokens = fmax(state->guest_tokens - 1, 0);
+	state->guests_seen = guests_per_second(state, now) * GUEST_RATE_TIME / AP_SEC + 1;
 	state->guest_seen_at = now;
 }
 
-void ap_guest_settle(ap_route_t *r, const char *model, bool late, ap_usec_t now)
+void ap_guest_settle(ap_route_t *r, const char *model, bool late)
 {
 	ap_model_state_t *state = ap_route_model(r, model);
 
 	if (!state)
 		return;
-	state->guest_seen_at = now;
 	if (late)
 		state->guest_rate *= GUEST_CUT;
 }
--- a/lib/route/state.h
+++ b/lib/route/state.h
@@ -14,18 +14,46 @@
 #define AP_NETWORK_NEAR 500	      /* microseconds to another data centre of the region */
 #define AP_NETWORK_FAR (60 * AP_MSEC) /* there and back to another region */
 
+/**
+ * struct ap_model_state - guests and spilling for one model.
+ * @spilling: home was found unable to meet the class's deadlines
+ * @strain: running mean of expected wait at home over time left
+ * @guest_rate: requests per second of guests taken by the region, rises as caches warm
+ * @guests_seen: guests lately started, a count that fades
+ * @service_us: running mean of the time that a request keeps a batch slot
+ */
+typedef struct ap_model_state {
+	char model[AP_NAME_MAX];
+	UT_hash_handle hh;
+	bool spilling[AP_CLASS_COUNT];
+	double strain[AP_CLASS_COUNT];
+	ap_usec_t strain_at[AP_CLASS_COUNT];
+	double guest_rate;
+	double guest_tokens;
+	ap_usec_t guest_filled_at;
+	ap_usec_t guest_at;
+	ap_usec_t guest_seen_at;
+	double guests_seen;
+	double service_us;
+} ap_model_state_t;
+
 /**
  * struct ap_set - upstreams that may serve a (service, model, adapter); made once per view.
  * @nodes: those of the own region
+ * @member: for each slot number below @n_member whether @nodes has its upstream
  * @model: model to ask for, or NULL for a plain service
+ * @state: of the model, or of the plain service
  * @elsewhere: another region lists an upstream that could serve it
  */
 typedef struct ap_set {
 	char key[AP_SET_KEY_MAX];
 	UT_hash_handle hh;
 	const ap_model_t *model;
+	ap_model_state_t *state;
 	ap_node_t **nodes;
 	size_t n;
+	bool *member;
+	size_t n_member;
 	bool elsewhere;
 	double batch;
 } ap_set_t;
@@ -43,27 +71,6 @@
 	ap_usec_t refused_until;
 } ap_room_state_t;
 
-/**
- * struct ap_model_state - guests and spilling for one model.
- * @spilling: home was found unable to meet deadlines
- * @strain: running mean of expected wait at home over time left
- * @guest_rate: requests per second of guests taken by the region, rises as caches warm
- * @service_us: running mean of the time that a request keeps a batch slot
- */
-typedef struct ap_model_state {
-	char model[AP_NAME_MAX];
-	UT_hash_handle hh;
-	bool spilling;
-	double strain;
-	ap_usec_t strain_at;
-	double guest_rate;
-	double guest_tokens;
-	ap_usec_t guest_filled_at;
-	ap_usec_t guest_at;
-	ap_usec_t guest_seen_at;
-	double service_us;
-} ap_model_state_t;
-
 /* One request may have attempts at several upstreams. */
 typedef struct ap_flight_key {
 	ap_xid_t id;
@@ -107,6 +114,8 @@
 	ap_prefix_index_t *prefixes;
 	uint16_t next_epoch;
 	double class_share[AP_CLASS_COUNT];
+	double places_factor;
+	ap_usec_t places_at;
 };
 
 ap_node_t *ap_route_node(const ap_route_t *r, const char *id);
@@ -145,6 +154,6 @@
 bool ap_guest_allows(ap_route_t *r, const char *model, ap_usec_t now);
 void ap_guest_started(ap_route_t *r, const char *model, ap_usec_t now);
 /** ap_guest_settle() - a guest's first token came; @late when it waited longer than foreseen. */
-void ap_guest_settle(ap_route_t *r, const char *model, bool late, ap_usec_t now);
+void ap_guest_settle(ap_route_t *r, const char *model, bool late);
 
 #endif
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -24,6 +24,7 @@
 		ap_set_t *next = set->hh.next;
 
 		free(set->nodes);
+		free(set->member);
 		free(set);
 		set = next;
 	}
@@ -168,6 +169,8 @@
 	}
 	drop_absent_nodes(r);
 	count_entries(r);
+	HASH_ITER (hh, r->nodes, node, next)
+		node->others = r->entries_here - 1;
 	ap_view_unref(old);
 }
 
@@ -201,7 +204,11 @@
 	ap_node_t *node;
 
 	set->nodes = calloc(r->view->n_upstreams + 1, sizeof(ap_node_t *));
-	for (size_t i = 0; set->nodes && i < r->view->n_upstreams; i++) {
+	set->member = calloc(r->n_slots + 1, sizeof(*set->member));
+	if (!set->nodes || !set->member)
+		return;
+	set->n_member = r->n_slots;
+	for (size_t i = 0; i < r->view->n_upstreams; i++) {
 		const ap_upstream_t *up = &r->view->upstreams[i];
 
 		node = ap_route_node(r, up->id);
@@ -213,6 +220,7 @@
 			continue;
 		}
 		set->nodes[set->n++] = node;
+		set->member[node->slot] = true;
 		set->batch += node->batch;
 	}
 }
@@ -264,6 +272,11 @@
 	set = calloc(1, sizeof(*set));
 	if (!set)
 		return NULL;
+	set->state = ap_route_model(r, model ? model->name : service->name);
+	if (!set->state) {
+		free(set);
+		return NULL;
+	}
 	ap_copy_name(set->key, sizeof(set->key), key);
 	set->model = model;
 	fill_set(r, set, service, req->adapter);
--- /dev/null
+++ b/test/spill_test.c
@@ -0,0 +1,237 @@
+/* Sending to another region: shares, hysteresis, the guests' ramp, and a region cut off. */
+#include "fleet.h"
+
+#define T0 (1000 * AP_SEC)
+
+typedef struct world {
+	fleet_t fleet;
+	broken_t broken;
+	ap_route_t *route;
+	uint64_t seq;
+} world_t;
+
+static int setup(void **state)
+{
+	world_t *w = calloc(1, sizeof(*w));
+	ap_route_config_t config = {
+		.region = "recife",
+		.data_centre = "dc1",
+		.seed = 3,
+		.env = {.ctx = &w->broken, .violated = broken_note},
+	};
+
+	fleet_init(&w->fleet);
+	fleet_add_upstreams(&w->fleet, "recife", "gpu", 4);
+	fleet_add_upstreams(&w->fleet, "salvador", "gpu", 4);
+	fleet_add_upstreams(&w->fleet, "litoral", "gpu", 4);
+	fleet_add_entries(&w->fleet, "recife", 2);
+	fleet_add_entries(&w->fleet, "salvador", 2);
+	fleet_add_entries(&w->fleet, "litoral", 2);
+	w->route = ap_route_new(&config);
+	fleet_show(&w->fleet, w->route, T0);
+	*state = w;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	world_t *w = *state;
+
+	for (int i = 0; i <= AP_INV_BOUNDS; i++)
+		assert_int_equal(w->broken.count[i], 0);
+	ap_route_free(w->route);
+	fleet_clear(&w->fleet);
+	free(w);
+	return 0;
+}
+
+static void offer(world_t *w, const char *region, double rate, ap_usec_t now)
+{
+	ap_room_t room = {.model = "m", .rate = rate, .at = now};
+
+	ap_copy_name(room.region, sizeof(room.region), region);
+	ap_route_room(w->route, &room, now);
+}
+
+/* Asks for requests that would wait @wait for admission; returns how many were sent away. */
+static unsigned sent(world_t *w, const char *service, ap_usec_t wait, unsigned n, ap_usec_t now)
+{
+	unsigned away = 0;
+
+	for (unsigned i = 0; i < n; i++) {
+		ap_request_t req = fleet_request(&w->fleet, service, ++w->seq, now);
+		ap_choice_t choice;
+
+		if (!ap_route_away(w->route, &req, wait, now, &choice))
+			continue;
+		assert_true(choice.region[0]);
+		assert_string_equal(choice.upstream_id, "");
+		ap_route_started(w->route, &req, &choice, now);
+		away++;
+	}
+	return away;
+}
+
+/* One late request a tenth of a second, for @time. */
+static unsigned press(world_t *w, const char *service, ap_usec_t wait, ap_usec_t from,
+		      ap_usec_t time, double rate)
+{
+	unsigned away = 0;
+
+	for (ap_usec_t now = from; now < from + time; now += 100 * AP_MSEC) {
+		if (rate > 0)
+			offer(w, "salvador", rate, now);
+		away += sent(w, service, wait, 1, now);
+	}
+	return away;
+}
+
+static void test_stays_home_while_deadlines_hold(void **state)
+{
+	assert_int_equal(press(*state, "ask", 2 * AP_SEC, T0, 10 * AP_SEC, 1000), 0);
+}
+
+static void test_home_bound_and_refused_stay(void **state)
+{
+	world_t *w = *state;
+	ap_request_t req;
+	ap_choice_t choice;
+
+	assert_int_equal(press(w, "dossier", AP_NEVER, T0, 10 * AP_SEC, 1000), 0);
+	assert_true(press(w, "ask", AP_NEVER, T0, 10 * AP_SEC, 1000) > 0);
+	req = fleet_request(&w->fleet, "ask", 1, T0 + 10 * AP_SEC);
+	req.stay = true;
+	assert_false(ap_route_away(w->route, &req, AP_NEVER, T0 + 10 * AP_SEC, &choice));
+	req.stay = false;
+	req.forwarded = true;
+	assert_false(ap_route_away(w->route, &req, AP_NEVER, T0 + 10 * AP_SEC, &choice));
+}
+
+static void test_sends_no_more_than_its_share(void **state)
+{
+	world_t *w = *state;
+	unsigned away = press(w, "ask", AP_NEVER, T0, 100 * AP_SEC, 4);
+
+	/* half of 4 a second for one of two entries, and what was saved up at the start */
+	assert_in_range(away, 150, 215);
+}
+
+static void test_hysteresis(void **state)
+{
+	world_t *w = *state;
+	ap_usec_t now = T0 + 20 * AP_SEC;
+
+	press(w, "ask", AP_NEVER, T0, 20 * AP_SEC, 1000);
+	offer(w, "salvador", 1000, now);
+	assert_int_equal(sent(w, "ask", 5 * AP_SEC, 1, now), 1);
+	press(w, "ask", 100 * AP_MSEC, now, 20 * AP_SEC, 1000);
+	now += 20 * AP_SEC;
+	offer(w, "salvador", 1000, now);
+	assert_int_equal(sent(w, "ask", 5 * AP_SEC, 1, now), 0);
+}
+
+static void test_cut_off_region_serves_on(void **state)
+{
+	world_t *w = *state;
+	ap_usec_t now = T0 + 40 * AP_SEC;
+	ap_request_t req = fleet_request(&w->fleet, "ask", 1, now);
+	ap_choice_t choice;
+
+	press(w, "ask", AP_NEVER, T0, 20 * AP_SEC, 1000);
+	assert_int_equal(press(w, "ask", AP_NEVER, T0 + 26 * AP_SEC, 10 * AP_SEC, 0), 0);
+	assert_int_equal(ap_route_choose(w->route, &req, now, &choice), AP_ROUTE_OK);
+	assert_string_equal(choice.region, "");
+	assert_memory_equal(choice.upstream_id, "recife", 6);
+}
+
+static void test_refusal_gives_the_region_a_rest(void **state)
+{
+	world_t *w = *state;
+	ap_usec_t now = T0 + 20 * AP_SEC;
+
+	press(w, "ask", AP_NEVER, T0, 20 * AP_SEC, 1000);
+	offer(w, "salvador", 1000, now);
+	ap_route_refused(w->route, "salvador", "m", now);
+	assert_int_equal(sent(w, "ask", AP_NEVER, 5, now), 0);
+	offer(w, "litoral", 1000, now);
+	assert_int_equal(sent(w, "ask", AP_NEVER, 1, now), 1);
+}
+
+/* One served request, so that the time in a slot is known. */
+static void serve(world_t *w, bool forwarded, ap_usec_t took, ap_usec_t now)
+{
+	ap_request_t req = fleet_request(&w->fleet, "ask", ++w->seq, now);
+	ap_choice_t choice;
+
+	req.forwarded = forwarded;
+	if (ap_route_choose(w->route, &req, now, &choice) != AP_ROUTE_OK)
+		return;
+	ap_route_started(w->route, &req, &choice, now);
+	ap_route_first_token(w->route, &req, choice.upstream_id, 50 * AP_MSEC, now);
+	ap_route_finished(w->route, &req, choice.upstream_id, AP_ATTEMPT_OK, now + took);
+}
+
+static void report_all(world_t *w, uint32_t running, ap_usec_t now)
+{
+	for (int i = 0; i < 4; i++) {
+		ap_load_report_t report = {.at = now, .running = running};
+
+		snprintf(report.upstream, sizeof(report.upstream), "recife-gpu-%d", i);
+		ap_route_load(w->route, &report, now);
+	}
+}
+
+static void test_room_rises_as_guests_are_served(void **state)
+{
+	world_t *w = *state;
+	double cold;
+	double warm;
+
+	assert_true(ap_route_own_room(w->route, "m", T0).rate <= 0);
+	report_all(w, 0, T0);
+	serve(w, false, AP_SEC, T0);
+	cold = ap_route_own_room(w->route, "m", T0 + 2 * AP_SEC).rate;
+	assert_true(cold > 0);
+	for (int i = 0; i < 400; i++) {
+		ap_usec_t now = T0 + 2 * AP_SEC + i * 100 * AP_MSEC;
+
+		report_all(w, 0, now);
+		serve(w, true, AP_SEC, now);
+	}
+	warm = ap_route_own_room(w->route, "m", T0 + 42 * AP_SEC).rate;
+	assert_true(warm > cold * 2);
+	report_all(w, 8, T0 + 43 * AP_SEC);
+	assert_true(ap_route_own_room(w->route, "m", T0 + 43 * AP_SEC).rate < warm / 2);
+}
+
+static void test_full_region_takes_no_guests(void **state)
+{
+	world_t *w = *state;
+	ap_request_t req = fleet_request(&w->fleet, "ask", 900, T0 + 4 * AP_SEC);
+	ap_choice_t choice;
+
+	serve(w, false, AP_SEC, T0);
+	report_all(w, 8, T0 + 4 * AP_SEC);
+	assert_int_equal(ap_route_choose(w->route, &req, req.arrival, &choice), AP_ROUTE_OK);
+	req.forwarded = true;
+	assert_int_equal(ap_route_choose(w->route, &req, req.arrival, &choice),
+			 AP_ROUTE_NO_UPSTREAM);
+}
+
+#define WORLD_TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		WORLD_TEST(test_stays_home_while_deadlines_hold),
+		WORLD_TEST(test_home_bound_and_refused_stay),
+		WORLD_TEST(test_sends_no_more_than_its_share),
+		WORLD_TEST(test_hysteresis),
+		WORLD_TEST(test_cut_off_region_serves_on),
+		WORLD_TEST(test_refusal_gives_the_region_a_rest),
+		WORLD_TEST(test_room_rises_as_guests_are_served),
+		WORLD_TEST(test_full_region_takes_no_guests),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
