--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -21,6 +21,9 @@
 	uint16_t port;
 } ap_address_t;
 
+/** ap_address_parse() - "IP:PORT" or "[IP]:PORT"; false when it is neither. */
+bool ap_address_parse(const char *text, ap_address_t *out);
+
 /**
  * struct ap_settings - everything a daemon is told; TOML tables are given per group.
  *
@@ -69,4 +72,11 @@
  */
 char *ap_toml_read(const char *path, int *line, ap_err_t *err);
 
+/**
+ * ap_toml_line() - where the value under nested @keys is written, to point at it in a message.
+ *
+ * Return: its line, or that of the innermost table that exists; 0 when none does.
+ */
+int ap_toml_line(const char *path, const char *const *keys, size_t n);
+
 #endif
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -198,7 +198,7 @@
 static void fail_at(world_t *w, const char *id, uint64_t seq, ap_attempt_end_t end, ap_usec_t now)
 {
 	ap_request_t req = fleet_request(&w->fleet, "ask", seq, now);
-	ap_choice_t choice = {.upstream = SIZE_MAX};
+	ap_choice_t choice = {.upstream = SIZE_MAX, .expected_wait = 10 * AP_MSEC};
 
 	ap_copy_name(choice.upstream_id, sizeof(choice.upstream_id), id);
 	run_one(w, &req, &choice, end, now);
