--- a/bench/policy/sim.c
+++ b/bench/policy/sim.c
@@ -250,11 +250,9 @@
 	sim_push(sim, sim->now + NEWS_PERIOD, SIM_NEWS, NULL, NULL);
 }
 
-static void handle(sim_t *sim, const sim_event_t *event)
+static void handle_job(sim_t *sim, sim_kind_t kind, job_t *job)
 {
-	job_t *job = event->job;
-
-	switch (event->kind) {
+	switch (kind) {
 	case SIM_ARRIVE:
 		sim->policy->arrived(sim->state, job);
 		break;
@@ -274,9 +272,15 @@
 	case SIM_FORWARDED:
 		sim->policy->forwarded(sim->state, job);
 		break;
-	case SIM_REFUSED:
+	default:
 		sim->policy->refused(sim->state, job);
 		break;
+	}
+}
+
+static void handle_fleet(sim_t *sim, const sim_event_t *event)
+{
+	switch (event->kind) {
 	case SIM_REPORT:
 		on_report(sim);
 		break;
@@ -293,7 +297,7 @@
 	case SIM_VIEW:
 		on_view(sim);
 		break;
-	case SIM_LOST:
+	default:
 		on_lost(sim);
 		break;
 	}
@@ -401,7 +405,10 @@
 		sim->now = event.at;
 		if (event.job && event.job->generation != event.generation)
 			continue;
-		handle(sim, &event);
+		if (event.job)
+			handle_job(sim, event.kind, event.job);
+		else
+			handle_fleet(sim, &event);
 	}
 	collect(sim);
 	stop(sim);
--- a/bench/policy/workload.c
+++ b/bench/policy/workload.c
@@ -273,6 +273,7 @@
 		}
 	}
 	free(m);
-	qsort(list, *n, sizeof(*list), by_time);
+	if (list)
+		qsort(list, *n, sizeof(*list), by_time);
 	return list;
 }
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -103,6 +103,7 @@
 	node->same_centre = strcmp(up->data_centre, r->config.data_centre) == 0;
 	node->listed_leaving = up->leaving;
 	node->counted = 0;
+	node->others = (double)(r->entries_here - 1);
 	if (pool == SIZE_MAX)
 		return;
 	node->pool = &r->view->conf->pools[pool];
@@ -144,6 +145,17 @@
 	r->other_regions = n;
 }
 
+static void settle_groups(ap_route_t *r, ap_usec_t now)
+{
+	for (size_t i = 0; r->groups && i < r->n_groups; i++) {
+		ap_group_t *group = &r->groups[i];
+
+		if (group->batch > 0)
+			group->usual = group->load / group->batch;
+		group->usual_at = now;
+	}
+}
+
 void ap_route_set_view(ap_route_t *r, const ap_view_t *view, ap_usec_t now)
 {
 	ap_view_t *old = r->view;
@@ -152,6 +164,7 @@
 
 	ap_route_drop_sets(r);
 	r->view = ap_view_ref(view);
+	count_entries(r);
 	free(r->groups);
 	r->n_groups = view->conf ? view->conf->n_pools : 0;
 	r->groups = calloc(r->n_groups + 1, sizeof(*r->groups));
@@ -168,9 +181,7 @@
 			place_node(r, node, &view->upstreams[i], i, now);
 	}
 	drop_absent_nodes(r);
-	count_entries(r);
-	HASH_ITER (hh, r->nodes, node, next)
-		node->others = r->entries_here - 1;
+	settle_groups(r, now);
 	ap_view_unref(old);
 }
 
