A drain waits until answers have gone out; hung upstreams are blamed

A connection opened for a request can't have been lost track of: its first-byte limit counts against the upstream, else an engine that answers probes but no request would never be ejected. What a caller sends ahead while its request is in progress is bounded.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -322,12 +322,18 @@
 	}
 }
 
+/* A connection just opened can't have been lost track of: its first byte is the upstream's duty. */
+static bool may_be_silent(const ap_http_fetch_t *fetch)
+{
+	return !fetch->is_probe && (fetch->heard || !fetch->on_new);
+}
+
 void fetch_limit(ap_http_fetch_t *fetch)
 {
 	address_t *address = fetch->conn->address;
 
 	fetch->limit_passed = true;
-	if (fetch->is_probe || fetch->probed == PROBE_FAILED) {
+	if (!may_be_silent(fetch) || fetch->probed == PROBE_FAILED) {
 		finish(fetch, AP_HTTP_TIMEOUT, false);
 		return;
 	}
@@ -353,7 +359,7 @@
 		return;
 	}
 	if (silent >= limit) {
-		if (fetch->probed == PROBE_NONE && !fetch->is_probe)
+		if (fetch->probed == PROBE_NONE && may_be_silent(fetch))
 			start_probe(fetch);
 		fetch_limit(fetch);
 		return;
@@ -364,7 +370,7 @@
 		fetch->probe = NULL;
 		fetch->probed = PROBE_NONE;
 	}
-	if (silent >= limit / 2 && fetch->probed == PROBE_NONE && !fetch->is_probe)
+	if (silent >= limit / 2 && fetch->probed == PROBE_NONE && may_be_silent(fetch))
 		start_probe(fetch);
 	arm(fetch, silent < limit / 2 ? limit / 2 - silent : limit - silent);
 }
@@ -421,6 +427,7 @@
 	fetch->config = *config;
 	fetch->conn = conn;
 	fetch->is_probe = is_probe;
+	fetch->on_new = conn->proved == 0;
 	fetch->library_end = AP_HTTP_RESET;
 	fetch->last = ap_now();
 	conn->keep = false;
--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -78,6 +78,7 @@
  * struct ap_http_fetch - one request to an upstream.
  * @last: when the last byte came, or the request was sent
  * @suspected: value of @last when the probe was started
+ * @on_new: its connection was opened for it
  * @library_end: what a failure reported by the library means
  */
 struct ap_http_fetch {
@@ -91,6 +92,7 @@
 	size_t written;
 	size_t got;
 	bool is_probe;
+	bool on_new;
 	bool heard;
 	bool paused;
 	bool limit_passed;
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -40,6 +40,7 @@
  * @connections: open connections at most; more are closed at once
  * @idle: life of a connection without a request, and of a reply that the caller does not read
  * @request: takes each whole request
+ * @flushed: the last answer that was still going out has gone, or its caller has; may be NULL
  */
 typedef struct ap_http_server_config {
 	struct event_base *base;
@@ -51,12 +52,15 @@
 	ap_usec_t idle;
 	void *ctx;
 	void (*request)(void *ctx, ap_http_call_t *call);
+	void (*flushed)(void *ctx);
 } ap_http_server_config_t;
 
 ap_http_status_t ap_http_server_new(const ap_http_server_config_t *config,
 				    ap_http_server_t **server, ap_err_t *err);
 /** ap_http_server_free() - closes every connection; open calls get their closed callback. */
 void ap_http_server_free(ap_http_server_t *server);
+/** ap_http_server_flushing() - answers that were given but have not all gone out. */
+size_t ap_http_server_flushing(const ap_http_server_t *server);
 uint16_t ap_http_server_port(const ap_http_server_t *server);
 
 /**
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #define BACKLOG 1024
+#define AHEAD_MAX 65536	   /* bytes that a caller may send while its request is in progress */
 #define ACCEPT_PAUSE_MS 20 /* how long accepting rests while too many connections are open */
 
 struct ap_http_call {
@@ -25,7 +26,7 @@
 	struct evhttp_connection *conn;
 	struct event *hangup;
 	char *path;
-	bool started;
+	bool ended; /* answered, but not all of the answer has gone out */
 	void *ctx;
 	void (*closed)(void *ctx);
 	void (*drained)(void *ctx);
@@ -38,6 +39,7 @@
 	struct event *accept_again;
 	struct timeval idle;
 	uint16_t port;
+	size_t flushing;
 	LIST_HEAD(, ap_http_call) calls;
 };
 
@@ -55,12 +57,39 @@
 	free(call);
 }
 
-/* The library takes the connection back: its own limits hold again. */
-static void call_detach(ap_http_call_t *call)
+static void flushed(ap_http_call_t *call)
 {
-	evhttp_connection_set_closecb(call->conn, NULL, NULL);
-	bufferevent_set_timeouts(call_bev(call), &call->server->idle, &call->server->idle);
+	ap_http_server_t *server = call->server;
+
+	server->flushing--;
 	call_free(call);
+	if (server->flushing == 0 && server->config.flushed)
+		server->config.flushed(server->config.ctx);
+}
+
+/* The whole answer has gone out; the library's own limits hold again. */
+static void on_complete(struct evhttp_request *req, void *arg)
+{
+	ap_http_call_t *call = arg;
+	struct bufferevent *bev = call_bev(call);
+
+	(void)req;
+	evhttp_connection_set_closecb(call->conn, NULL, NULL);
+	bufferevent_set_timeouts(bev, &call->server->idle, &call->server->idle);
+	bufferevent_setwatermark(bev, EV_READ, 0, 0);
+	flushed(call);
+}
+
+/* The handle ends here; what is left is to see the answer out. */
+static void call_ended(ap_http_call_t *call)
+{
+	call->ended = true;
+	call->closed = NULL;
+	call->drained = NULL;
+	call->server->flushing++;
+	if (call->hangup)
+		event_del(call->hangup);
+	evhttp_request_set_on_complete_cb(call->req, on_complete, call);
 }
 
 static void tell_closed(ap_http_call_t *call)
@@ -77,7 +106,10 @@
 
 	(void)conn;
 	tell_closed(call);
-	call_free(call);
+	if (call->ended)
+		flushed(call);
+	else
+		call_free(call);
 	/* A request that was taken off its connection is left to us. */
 	if (!evhttp_request_get_connection(req))
 		evhttp_request_free(req);
@@ -121,6 +153,7 @@
 	LIST_INSERT_HEAD(&server->calls, call, link);
 	bev = call_bev(call);
 	bufferevent_set_timeouts(bev, NULL, &server->idle);
+	bufferevent_setwatermark(bev, EV_READ, 0, AHEAD_MAX);
 	evhttp_connection_set_closecb(call->conn, on_close, call);
 	call->hangup =
 		event_new(server->config.base, bufferevent_getfd(bev), EV_CLOSED, on_hangup, call);
@@ -250,6 +283,7 @@
 {
 	if (!server)
 		return;
+	server->config.flushed = NULL;
 	if (server->http)
 		evhttp_free(server->http);
 	if (server->accept_again)
@@ -257,6 +291,11 @@
 	free(server);
 }
 
+size_t ap_http_server_flushing(const ap_http_server_t *server)
+{
+	return server->flushing;
+}
+
 uint16_t ap_http_server_port(const ap_http_server_t *server)
 {
 	return server->port;
@@ -336,7 +375,7 @@
 
 	add_headers(req, headers, n);
 	evbuffer_add(evhttp_request_get_output_buffer(req), body, len);
-	call_detach(call);
+	call_ended(call);
 	evhttp_send_reply(req, status, NULL, NULL);
 }
 
@@ -346,7 +385,6 @@
 	add_headers(call->req, headers, n);
 	event_free(call->hangup);
 	call->hangup = NULL;
-	call->started = true;
 	evhttp_send_reply_start(call->req, status, NULL);
 }
 
@@ -374,7 +412,7 @@
 {
 	struct evhttp_request *req = call->req;
 
-	call_detach(call);
+	call_ended(call);
 	evhttp_send_reply_end(req);
 }
 
--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -177,6 +177,8 @@
 		return;
 	}
 	if (x->sse && x->stream.done) {
+		/* Only the end of the framing is left, and no caller to wait for. */
+		ap_http_fetch_pause(x->fetch, false);
 		succeed(x);
 		return;
 	}
--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -150,6 +150,11 @@
 	event_add(entry->report, &again);
 }
 
+static void on_flushed(void *ctx)
+{
+	entry_check_drained(ctx);
+}
+
 static ap_http_status_t open_server(entry_t *entry, ap_err_t *err)
 {
 	const ap_settings_t *settings = entry->config.settings;
@@ -163,6 +168,7 @@
 		.idle = CALLER_IDLE,
 		.ctx = entry,
 		.request = caller_request,
+		.flushed = on_flushed,
 	};
 
 	return ap_http_server_new(&config, &entry->server, err);
@@ -403,6 +409,8 @@
 {
 	if (!entry->draining || entry->drained || entry->exchanges)
 		return;
+	if (ap_http_server_flushing(entry->server) > 0)
+		return;
 	entry->drained = true;
 	if (entry->hooks.drain)
 		entry->hooks.drain(entry->hooks.ctx);
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -289,8 +289,10 @@
 		return;
 	}
 	/* The outcome of a call that runs at most once is worth knowing without its caller. */
-	if (x->phase == PHASE_RUNNING && x->req.service->permit)
+	if (x->phase == PHASE_RUNNING && x->req.service->permit) {
+		attempt_flow(x);
 		return;
+	}
 	if (x->phase == PHASE_WAITING)
 		ap_admission_cancel(x->entry->admission, x->token, ap_now());
 	if (x->phase == PHASE_GATE && x->entry->hooks.hung_up)
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -350,6 +350,32 @@
 	rig_clear(&rig);
 }
 
+static void test_drain_waits_until_answers_have_gone_out(void **state)
+{
+	ap_note_t drain = {.kind = AP_NOTE_DRAIN};
+	rig_caller_t caller;
+	entry_t *entry;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	entry = rig.entries[0].entry;
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	rig.fakes[0].mode = FAKE_LARGE;
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "false"));
+	bufferevent_disable(caller.bev, EV_READ);
+	RUN_UNTIL(rig.base, entry->counts[COUNT_COMPLETED] == 1 && !entry->exchanges);
+	entry_note(entry, &drain);
+	assert_false(rig.entries[0].drained);
+	bufferevent_enable(caller.bev, EV_READ);
+	RUN_UNTIL(rig.base, caller.closed);
+	assert_true(evbuffer_get_length(caller.got) > FAKE_LARGE_BYTES);
+	assert_true(rig.entries[0].drained);
+	rig_hang_up(&caller);
+	rig_clear(&rig);
+}
+
 static void test_entries_lists_live_ones(void **state)
 {
 	rig_caller_t caller;
@@ -378,6 +404,7 @@
 		cmocka_unit_test(test_slow_reader_bounds_what_is_held),
 		cmocka_unit_test(test_draining_upstream_gets_no_more_work),
 		cmocka_unit_test(test_drain_finishes_what_is_in_progress),
+		cmocka_unit_test(test_drain_waits_until_answers_have_gone_out),
 		cmocka_unit_test(test_entries_lists_live_ones),
 	};
 
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 
 #define FAKE_TOKENS 6
+#define FAKE_LARGE_BYTES (15 << 20)
 
 typedef enum fake_mode {
 	FAKE_NONE,
@@ -32,6 +33,8 @@
 	FAKE_DRAIN,	   /* 503 with X-Not-Started and X-Draining */
 	FAKE_ERROR,	   /* 500 */
 	FAKE_SILENT,	   /* connections with a request behind them answer no more */
+	FAKE_HUNG,	   /* answers probes but no request, on any connection */
+	FAKE_LARGE,	   /* a whole answer that socket buffers don't hold */
 	FAKE_SLOW_READER,  /* a long answer of many parts */
 } fake_mode_t;
 
@@ -161,6 +164,22 @@
 	evbuffer_add(out, body, mode == FAKE_HALF ? len / 2 : sent);
 }
 
+static inline void fake_large(fake_conn_t *conn, const char *id)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	char *text = malloc(FAKE_LARGE_BYTES);
+
+	memset(text, 'x', FAKE_LARGE_BYTES);
+	text[0] = '"';
+	text[FAKE_LARGE_BYTES - 1] = '"';
+	evbuffer_add_printf(out,
+			    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+			    "X-Request-Id: %s\r\nContent-Length: %d\r\n\r\n",
+			    id, FAKE_LARGE_BYTES);
+	evbuffer_add(out, text, FAKE_LARGE_BYTES);
+	free(text);
+}
+
 static inline bool fake_closes_after(fake_mode_t mode)
 {
 	return mode == FAKE_RESET_AFTER || mode == FAKE_HALF || mode == FAKE_SHORT_LENGTH ||
@@ -187,7 +206,7 @@
 	if (mode != FAKE_NONE && fake->faults > 0)
 		fake->faults--;
 	conn->busy = true;
-	if (mode == FAKE_STALL_BEFORE || mode == FAKE_SILENT)
+	if (mode == FAKE_STALL_BEFORE || mode == FAKE_SILENT || mode == FAKE_HUNG)
 		return;
 	if (mode == FAKE_RESET_BEFORE) {
 		conn->busy = false;
@@ -199,6 +218,8 @@
 		snprintf(id, sizeof(id), "another");
 	if (mode == FAKE_REFUSE || mode == FAKE_DRAIN || mode == FAKE_ERROR)
 		fake_refuse(conn, mode);
+	else if (mode == FAKE_LARGE)
+		fake_large(conn, id);
 	else if (strstr(request, "\"stream\": true") || strstr(request, "\"stream\":true"))
 		fake_stream(conn, id, fake_resume_from(request), mode);
 	else
