--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -96,6 +96,8 @@
 void ap_http_reply_abort(ap_http_call_t *call);
 /** ap_http_reply_pending() - bytes written but not yet taken by the caller's connection. */
 size_t ap_http_reply_pending(const ap_http_call_t *call);
+/** ap_http_call_ahead() - bytes that the caller sent after its request, held unread. */
+size_t ap_http_call_ahead(const ap_http_call_t *call);
 
 typedef struct ap_http_client ap_http_client_t;
 typedef struct ap_http_fetch ap_http_fetch_t;
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -429,3 +429,8 @@
 {
 	return evbuffer_get_length(bufferevent_get_output(call_bev(call)));
 }
+
+size_t ap_http_call_ahead(const ap_http_call_t *call)
+{
+	return evbuffer_get_length(bufferevent_get_input(call_bev(call)));
+}
--- /dev/null
+++ b/test/entry_limit_test.c
@@ -0,0 +1,186 @@
+/* Limits of one entry: callers' rates, time, what is held, and connections that went silent. */
+#include "entry_rig.h"
+
+#define CHAT "/v1/chat/completions"
+#define BODY(model, stream)                                                                        \
+	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
+
+static void check(const char *answer, int status, const char *part, const char *other)
+{
+	char line[32];
+
+	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
+	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
+	    !strstr(answer, other))
+		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
+}
+
+static void test_caller_over_its_rate_is_told_when_to_come_back(void **state)
+{
+	rig_caller_t caller;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	for (int i = 0; i < 2; i++) {
+		rig_call(&rig, 0, &caller, "POST", CHAT, "Authorization: Bearer modest-key\r\n",
+			 BODY("ask", "false"));
+		answer = rig_answer(&rig, &caller);
+		if (i == 0)
+			check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
+		else
+			check(answer, 429, "\"over_limit\"", "Retry-After: ");
+		free(answer);
+	}
+	assert_int_equal(rig.fakes[0].requests, 1);
+	rig_clear(&rig);
+}
+
+static void test_full_queue_sheds_with_retry_after(void **state)
+{
+	rig_caller_t held[32];
+	rig_caller_t late;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	entry_free(rig.entries[0].entry);
+	rig.n_entries = 0;
+	rig.queue = 2;
+	rig_add_entry(&rig, "recife");
+	rig_show(&rig);
+	rig.fakes[0].mode = FAKE_STALL_BEFORE;
+	for (int i = 0; i < 32; i++)
+		rig_call(&rig, 0, &held[i], "POST", CHAT, RIG_AUTH, BODY("once", "false"));
+	RUN_UNTIL(rig.base, rig.entries[0].entry->counts[COUNT_REQUESTS] == 32);
+	rig_call(&rig, 0, &late, "POST", CHAT, RIG_AUTH, BODY("once", "false"));
+	answer = rig_answer(&rig, &late);
+	check(answer, 503, "\"overloaded\"", "Retry-After: ");
+	assert_non_null(strstr(answer, "Arbutuspond-Outcome: not-run"));
+	free(answer);
+	for (int i = 0; i < 32; i++)
+		rig_hang_up(&held[i]);
+	RUN_UNTIL(rig.base, !rig.entries[0].entry->exchanges);
+	rig_clear(&rig);
+}
+
+static void test_time_limit_of_a_request(void **state)
+{
+	static const struct {
+		fake_mode_t mode;
+		const char *stream;
+		int status;
+		const char *part;
+	} cases[] = {
+		{FAKE_STALL_BEFORE, "false", 504, "Arbutuspond-Outcome: unknown"},
+		{FAKE_STALL_MIDDLE, "true", 200, "event: error\n"},
+	};
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		char body[128];
+		char *answer;
+		rig_t rig;
+
+		rig_init(&rig);
+		rig_add_fake(&rig, "recife", "gpu");
+		rig_show(&rig);
+		rig.entries[0].settings.request_time = 250 * AP_MSEC;
+		rig.fakes[0].mode = cases[i].mode;
+		snprintf(body, sizeof(body), "{\"model\":\"once\",\"stream\":%s,\"prompt\":\"hi\"}",
+			 cases[i].stream);
+		answer = rig_ask(&rig, 0, "/v1/completions", body);
+		check(answer, cases[i].status, cases[i].part, "time limit of a request");
+		assert_null(strstr(answer, "[DONE]"));
+		free(answer);
+		rig_clear(&rig);
+	}
+}
+
+static void test_silent_connection_is_not_the_upstreams_fault(void **state)
+{
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	free(rig_ask(&rig, 0, CHAT, BODY("ask", "false")));
+	rig.fakes[0].mode = FAKE_SILENT;
+	for (int i = 0; i < 3; i++) {
+		answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
+		check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
+		free(answer);
+		rig.fakes[0].mode = FAKE_NONE;
+	}
+	assert_int_equal(rig.entries[0].entry->counts[COUNT_SILENT], 1);
+	assert_true(ap_http_client_stats(rig.entries[0].entry->client).retired >= 1);
+	rig_clear(&rig);
+}
+
+static void test_unrepeatable_calls_avoid_old_connections(void **state)
+{
+	struct timeval past_proof = {.tv_usec = 700000};
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	free(rig_ask(&rig, 0, CHAT, BODY("ask", "false")));
+	rig.fakes[0].mode = FAKE_SILENT;
+	event_base_loopexit(rig.base, &past_proof);
+	event_base_dispatch(rig.base);
+	answer = rig_ask(&rig, 0, CHAT, BODY("once", "false"));
+	check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
+	assert_int_equal(rig.fakes[0].connections, 2);
+	free(answer);
+	rig_clear(&rig);
+}
+
+static void test_caller_that_sends_ahead_is_held_back(void **state)
+{
+	static char flood[1 << 20];
+	rig_caller_t caller;
+	exchange_t *x;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	rig.fakes[0].mode = FAKE_STALL_MIDDLE;
+	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("once", "true"));
+	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
+	x = rig.entries[0].entry->exchanges;
+	for (int i = 0; i < 16; i++)
+		bufferevent_write(caller.bev, flood, sizeof(flood));
+	for (int i = 0; i < 100 && rig.entries[0].entry->exchanges; i++)
+		event_base_loop(rig.base, EVLOOP_NONBLOCK);
+	if (rig.entries[0].entry->exchanges)
+		assert_in_range(ap_http_call_ahead(x->call), 0, 1 << 18);
+	rig_hang_up(&caller);
+	RUN_UNTIL(rig.base, !rig.entries[0].entry->exchanges);
+	rig_clear(&rig);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_caller_over_its_rate_is_told_when_to_come_back),
+		cmocka_unit_test(test_full_queue_sheds_with_retry_after),
+		cmocka_unit_test(test_time_limit_of_a_request),
+		cmocka_unit_test(test_silent_connection_is_not_the_upstreams_fault),
+		cmocka_unit_test(test_unrepeatable_calls_avoid_old_connections),
+		cmocka_unit_test(test_caller_that_sends_ahead_is_held_back),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -41,7 +41,8 @@
 	"\"model\":{\"m\":{\"labels\":{\"size\":\"small\"},\"version\":\"1\",\"weight_bytes\":1,"
 	"\"prefill_us\":1,\"decode_us\":1000}},"
 	"\"caller\":{\"crew\":{\"home\":\"recife\",\"key_hash\":\"%s\",\"rate\":10000,"
-	"\"burst\":10000,\"concurrent\":1000}}}";
+	"\"burst\":10000,\"concurrent\":1000},"
+	"\"modest\":{\"home\":\"recife\",\"key_hash\":\"%s\",\"rate\":0.5,\"burst\":1}}}";
 
 typedef struct rig rig_t;
 
@@ -76,6 +77,7 @@
 	bool fake_leaving[RIG_UPSTREAMS];
 	int n_fakes;
 	TAILQ_HEAD(, rig_message) messages;
+	size_t queue;	    /* requests that may wait at an entry; 0 for many */
 	uint32_t drop_kind; /* kind of message that is lost */
 	uint64_t seen[128]; /* messages by kind */
 };
@@ -135,12 +137,14 @@
 RIG_FN void rig_conf(rig_t *rig)
 {
 	char hash[AP_KEY_HASH_TEXT_MAX];
-	char text[sizeof(rig_document) + sizeof(hash)];
+	char modest[AP_KEY_HASH_TEXT_MAX];
+	char text[sizeof(rig_document) + sizeof(hash) + sizeof(modest)];
 	ap_err_t err = {.text = ""};
 	json_t *json;
 
 	ap_key_hash(RIG_KEY, hash);
-	snprintf(text, sizeof(text), rig_document, hash);
+	ap_key_hash("modest-key", modest);
+	snprintf(text, sizeof(text), rig_document, hash, modest);
 	json = json_loads(text, 0, NULL);
 	if (ap_conf_parse(json, 1, &rig->conf, &err) != AP_CONF_OK)
 		fail_msg("%s", err.text);
@@ -168,7 +172,7 @@
 		.body_bytes = 1 << 20,
 		.connections = 0,
 		.request_time = 20 * AP_SEC,
-		.queue = 100,
+		.queue = rig->queue ? rig->queue : 100,
 		.retry_ratio = 1.0,
 	};
 	snprintf(e->settings.id, sizeof(e->settings.id), "%s-0", region);
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -8,6 +8,8 @@
 #include "fake_upstream.h"
 #include "http/http.h"
 
+#include <unistd.h>
+
 #define LIMIT (100 * AP_MSEC)
 
 typedef struct result {
@@ -254,7 +256,7 @@
 	return server;
 }
 
-static struct bufferevent *dial(struct event_base *base, uint16_t port, const char *text)
+static struct bufferevent *start_dial(struct event_base *base, uint16_t port, const char *text)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET,
 				   .sin_port = htons(port),
@@ -264,6 +266,13 @@
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 	bufferevent_socket_connect(bev, (struct sockaddr *)&addr, sizeof(addr));
 	evbuffer_add(bufferevent_get_output(bev), text, strlen(text));
+	return bev;
+}
+
+static struct bufferevent *dial(struct event_base *base, uint16_t port, const char *text)
+{
+	struct bufferevent *bev = start_dial(base, port, text);
+
 	settle(base);
 	return bev;
 }
@@ -291,6 +300,68 @@
 	}
 }
 
+#define DIALS 30
+#define SPARE 8 /* connections that the server may have open at once */
+
+typedef struct holder {
+	ap_http_call_t *held[DIALS];
+	int n_held;
+	int total;
+} holder_t;
+
+static void on_held(void *ctx, ap_http_call_t *call)
+{
+	holder_t *h = ctx;
+
+	h->held[h->n_held++] = call;
+	h->total++;
+}
+
+static int lowest_descriptor(void)
+{
+	int fd = dup(2);
+
+	close(fd);
+	return fd;
+}
+
+static void test_connections_are_bounded(void **state)
+{
+	struct event_base *base = event_base_new();
+	struct bufferevent *dials[DIALS];
+	holder_t h = {.n_held = 0};
+	ap_http_server_config_t config = {
+		.base = base,
+		.host = "127.0.0.1",
+		.header_bytes = 4096,
+		.body_bytes = 4096,
+		.connections = (size_t)lowest_descriptor() + DIALS + SPARE,
+		.idle = 5 * AP_SEC,
+		.ctx = &h,
+		.request = on_held,
+	};
+	ap_http_server_t *server;
+	int most = 0;
+
+	(void)state;
+	assert_int_equal(ap_http_server_new(&config, &server, NULL), AP_HTTP_STATUS_OK);
+	for (int i = 0; i < DIALS; i++)
+		dials[i] = start_dial(base, ap_http_server_port(server),
+				      "GET /x HTTP/1.1\r\nConnection: close\r\n\r\n");
+	while (h.total < DIALS) {
+		settle(base);
+		if (h.n_held > most)
+			most = h.n_held;
+		while (h.n_held > 0)
+			ap_http_reply(h.held[--h.n_held], 200, NULL, 0, "", 0);
+	}
+	assert_in_range(most, 1, SPARE);
+	for (int i = 0; i < DIALS; i++)
+		bufferevent_free(dials[i]);
+	ap_http_server_free(server);
+	event_base_free(base);
+}
+
 static void test_server_freed_with_open_calls(void **state)
 {
 	server_seen_t seen = {.base = event_base_new()};
@@ -340,6 +411,7 @@
 		cmocka_unit_test(test_silent_connection_is_retired_and_upstream_not_blamed),
 		cmocka_unit_test(test_cancel_closes_the_connection),
 		cmocka_unit_test(test_hang_up_is_seen_at_each_point),
+		cmocka_unit_test(test_connections_are_bounded),
 		cmocka_unit_test(test_server_freed_with_open_calls),
 		cmocka_unit_test(test_malformed_input_never_reaches_the_handler),
 	};
