--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 
 #define PROBE_LIMIT (1 * AP_SEC)
+#define ANSWER_HEADERS_MAX 65536
 #define PROVED_FOR (500 * AP_MSEC)    /* how long a whole answer proves its connection */
 #define USER_TIMEOUT_MS 10000	      /* unacknowledged bytes close a connection after this */
 #define LIBRARY_TIMEOUT_S (24 * 3600) /* our own limits come first */
@@ -71,6 +72,7 @@
 		return NULL;
 	}
 	evhttp_connection_set_retries(conn->evcon, 0);
+	evhttp_connection_set_max_headers_size(conn->evcon, ANSWER_HEADERS_MAX);
 	evhttp_connection_set_timeout_tv(conn->evcon, &limit);
 	evhttp_connection_set_closecb(conn->evcon, on_idle_close, conn);
 	evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(conn->evcon)),
@@ -430,6 +432,7 @@
 	fetch->on_new = conn->proved == 0;
 	fetch->library_end = AP_HTTP_RESET;
 	fetch->last = ap_now();
+	evhttp_connection_set_max_body_size(conn->evcon, (ev_ssize_t)config->answer_max);
 	conn->keep = false;
 	conn->place = PLACE_BUSY;
 	TAILQ_INSERT_TAIL(&conn->address->busy, conn, link);
--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -23,7 +23,7 @@
 {
 	const ap_upstream_t *up = upstream_by_id(view, upstream);
 
-	for (size_t i = 0; up && i < view->conf->n_pools; i++) {
+	for (size_t i = 0; up && view->conf && i < view->conf->n_pools; i++) {
 		const ap_pool_t *pool = &view->conf->pools[i];
 
 		if (ap_selector_match(&service->pools, &pool->labels) &&
@@ -81,7 +81,7 @@
 
 static void price(exchange_t *x)
 {
-	const ap_pool_t *pool = pool_of(x->view, x->req.service, x->choice.upstream_id);
+	const ap_pool_t *pool = pool_of(x->entry->view, x->req.service, x->choice.upstream_id);
 
 	if (pool)
 		x->cost =
--- a/cmd/arbutuspond/entry-caller.c
+++ b/cmd/arbutuspond/entry-caller.c
@@ -4,6 +4,7 @@
  */
 #include "entry.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -75,6 +76,27 @@
 		ap_copy_name(out, size, value);
 }
 
+/* A value that was cut would mean something else, so one that does not fit is refused. */
+static bool headers_fit(const asked_t *a)
+{
+	static const struct {
+		const char *name;
+		size_t size;
+	} bounds[] = {
+		{"Content-Type", AP_FORWARD_TYPE_MAX},
+		{"Arbutuspond-Permit", AP_FORWARD_PERMIT_MAX},
+		{"Idempotency-Key", IDEMPOTENCY_KEY_MAX},
+	};
+
+	for (size_t i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
+		const char *value = ap_http_call_header(a->call, bounds[i].name);
+
+		if (value && strlen(value) >= bounds[i].size)
+			return false;
+	}
+	return true;
+}
+
 static exchange_t *begin(const asked_t *a, const ap_service_t *service)
 {
 	exchange_t *x = exchange_new(a->entry, a->caller, service);
@@ -136,6 +158,10 @@
 		wrong_region(a);
 		return false;
 	}
+	if (!headers_fit(a)) {
+		refuse(a, ENTRY_BAD_REQUEST, "a header is too long");
+		return false;
+	}
 	if (!body_fits(a, service)) {
 		refuse(a, ENTRY_TOO_LARGE, "the body is larger than this service takes");
 		return false;
@@ -151,8 +177,19 @@
 	return true;
 }
 
+/* What the upstream is asked for: the rest of the path, and the query. */
+static char *target_of(const char *rest)
+{
+	char *target = malloc(strlen(rest) + 2);
+
+	if (target)
+		sprintf(target, "%s%s", rest[0] == '/' ? "" : "/", rest);
+	return target;
+}
+
 static void plain_call(const asked_t *a)
 {
+	entry_fault_t fault = {.error = ENTRY_OVERLOADED, .text = "out of memory"};
 	const char *target = ap_http_call_target(a->call) + strlen(PLAIN_PREFIX);
 	size_t name = strcspn(target, "/?#");
 	const ap_service_t *service = NULL;
@@ -174,11 +211,14 @@
 	x = begin(a, service);
 	if (!x)
 		return;
-	x->target = strdup(target[name] == '/' ? target + name : "/");
+	x->target = target_of(target + name);
 	body = ap_http_call_body(a->call, &x->raw_len);
 	x->raw = malloc(x->raw_len + 1);
-	if (x->raw)
-		memcpy(x->raw, body, x->raw_len);
+	if (!x->raw || !x->target) {
+		drop(x, &fault);
+		return;
+	}
+	memcpy(x->raw, body, x->raw_len);
 	ap_http_call_drop_body(a->call);
 	exchange_begin(x);
 }
--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -256,6 +256,8 @@
 {
 	if (!entry)
 		return;
+	/* What is cut off here was not drained. */
+	entry->drained = true;
 	/* The callers' connections go first, so that nobody is answered from here on. */
 	for (exchange_t *x = entry->exchanges; x; x = x->hh.next) {
 		if (x->call)
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -22,10 +22,11 @@
 #define REPLY_HIGH (256 * 1024)	    /* bytes waiting for a caller above which reading stops */
 #define REPLY_LOW (64 * 1024)	    /* bytes below which it goes on */
 #define ANSWER_MAX (16u << 20)	    /* bytes of an answer that is given in one piece */
-#define STREAM_MAX (256u << 20)	    /* bytes of a streamed answer */
+#define STREAM_MAX (64u << 20)	    /* bytes of a streamed answer */
 #define ATTEMPTS_MAX 8		    /* attempts of one request; as many as ap_request can name */
 #define FORWARD_WINDOW (256 * 1024) /* bytes of answer that another entry may send ahead */
 #define REQUEST_TEXT_MAX 64	    /* bytes of a request's name, with its terminator */
+#define IDEMPOTENCY_KEY_MAX 256	    /* bytes, with its terminator */
 #define LEAVING_MAX 1024	    /* upstreams remembered as leaving between two views */
 
 typedef struct entry entry_t;
@@ -252,7 +253,7 @@
 	char *target;
 	char content_type[AP_FORWARD_TYPE_MAX];
 	char permit[AP_FORWARD_PERMIT_MAX];
-	char idempotency_key[AP_NAME_MAX];
+	char idempotency_key[IDEMPOTENCY_KEY_MAX];
 	json_t *doc;
 	char *raw;
 	size_t raw_len;
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -231,6 +231,8 @@
 	assert_non_null(strstr(rig.fakes[0].last, "POST /floor?hall=2 HTTP/1.1"));
 	assert_non_null(strstr(rig.fakes[0].last, "\r\n\r\nstand 7"));
 	free(answer);
+	free(rig_ask(&rig, 0, "/s/plan?hall=3", ""));
+	assert_non_null(strstr(rig.fakes[0].last, "POST /?hall=3 HTTP/1.1"));
 	rig_clear(&rig);
 }
 
