--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -77,6 +77,9 @@
 	bool fake_leaving[RIG_UPSTREAMS];
 	int n_fakes;
 	TAILQ_HEAD(, rig_message) messages;
+	bool fast;   /* set before entries are added: short limits */
+	double loss; /* part of the messages that is lost */
+	ap_rng_t rng;
 	size_t queue;	    /* requests that may wait at an entry; 0 for many */
 	uint32_t drop_kind; /* kind of message that is lost */
 	uint64_t seen[128]; /* messages by kind */
@@ -110,7 +113,7 @@
 	memcpy(m->data, data, len);
 	ap_copy_name(m->from, sizeof(m->from), e->settings.id);
 	e->rig->seen[m->kind % 128]++;
-	if (m->to < 0 || m->kind == e->rig->drop_kind) {
+	if (m->to < 0 || m->kind == e->rig->drop_kind || ap_rng_unit(&e->rig->rng) < e->rig->loss) {
 		free(m);
 		return true;
 	}
@@ -145,6 +148,8 @@
 	ap_key_hash(RIG_KEY, hash);
 	ap_key_hash("modest-key", modest);
 	snprintf(text, sizeof(text), rig_document, hash, modest);
+	for (char *at = text; rig->fast && (at = strstr(at, "_ms\":")) != NULL; at++)
+		memcpy(at + 5, at[5] == '6' ? " 80" : " 500", at[5] == '6' ? 3 : 4);
 	json = json_loads(text, 0, NULL);
 	if (ap_conf_parse(json, 1, &rig->conf, &err) != AP_CONF_OK)
 		fail_msg("%s", err.text);
@@ -239,9 +244,10 @@
 	}
 }
 
-RIG_FN void rig_init(rig_t *rig)
+RIG_FN void rig_init_as(rig_t *rig, bool fast)
 {
 	memset(rig, 0, sizeof(*rig));
+	rig->fast = fast;
 	rig->base = event_base_new();
 	rig->deliver = evtimer_new(rig->base, rig_deliver, rig);
 	TAILQ_INIT(&rig->messages);
@@ -249,6 +255,11 @@
 	rig_add_entry(rig, "recife");
 }
 
+RIG_FN void rig_init(rig_t *rig)
+{
+	rig_init_as(rig, false);
+}
+
 RIG_FN void rig_clear(rig_t *rig)
 {
 	rig_message_t *m;
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -38,6 +38,8 @@
 	FAKE_SLOW_READER,  /* a long answer of many parts */
 } fake_mode_t;
 
+#define FAKE_MARKS 4096 /* requests that carry "mark-N" are told apart up to this number */
+
 typedef struct fake {
 	struct event_base *base;
 	struct evconnlistener *listener;
@@ -49,8 +51,11 @@
 	int requests;	 /* whole requests read, probes left out */
 	int probes;
 	int answered;
-	int hangups;	  /* closed by the other side before the answer was whole */
-	char last[65536]; /* last request as read */
+	int hangups;	    /* closed by the other side before the answer was whole */
+	char last[65536];   /* last request as read */
+	double fault_share; /* above 0: this part of the answers shows a fault at random */
+	unsigned short rng[3];
+	unsigned char ran[FAKE_MARKS]; /* how often the request with each mark was begun */
 } fake_t;
 
 typedef struct fake_conn {
@@ -109,6 +114,27 @@
 		snprintf(out, size, "%.*s", (int)strcspn(line + 16, "\r"), line + 16);
 }
 
+static inline int fake_mark(const char *request)
+{
+	const char *at = strstr(request, "mark-");
+	int mark = at ? atoi(at + 5) : 0;
+
+	return mark >= 0 && mark < FAKE_MARKS ? mark : 0;
+}
+
+static inline fake_mode_t fake_random_mode(fake_t *fake)
+{
+	static const fake_mode_t modes[] = {
+		FAKE_RESET_BEFORE, FAKE_RESET_AFTER,  FAKE_STALL_BEFORE, FAKE_STALL_MIDDLE,
+		FAKE_HALF,	   FAKE_WRONG_LENGTH, FAKE_SHORT_LENGTH, FAKE_WRONG_ID,
+		FAKE_REFUSE,	   FAKE_ERROR,	      FAKE_SILENT,	 FAKE_HUNG,
+	};
+
+	if (erand48(fake->rng) >= fake->fault_share)
+		return FAKE_NONE;
+	return modes[(size_t)(erand48(fake->rng) * (sizeof(modes) / sizeof(modes[0])))];
+}
+
 static inline int fake_resume_from(const char *request)
 {
 	const char *at = strstr(request, "\"resume\"");
@@ -117,7 +143,8 @@
 	return tokens ? atoi(tokens + 9) : 0;
 }
 
-static inline void fake_stream(fake_conn_t *conn, const char *id, int from, fake_mode_t mode)
+static inline void fake_stream(fake_conn_t *conn, const char *id, int from, int mark,
+			       fake_mode_t mode)
 {
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 	int tokens = mode == FAKE_SLOW_READER ? 20000 : FAKE_TOKENS;
@@ -136,19 +163,23 @@
 			return;
 		}
 		snprintf(event, sizeof(event),
-			 "data: {\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", i);
+			 "data: {\"choices\":[{\"delta\":{\"content\":\"t%d mark-%d.\"}}]}\n\n", i,
+			 mark);
 		fake_chunk(out, event);
 	}
 	fake_chunk(out, "data: [DONE]\n\n");
 	evbuffer_add_printf(out, "0\r\n\r\n");
 }
 
-static inline void fake_whole(fake_conn_t *conn, const char *id, fake_mode_t mode)
+static inline void fake_whole(fake_conn_t *conn, const char *id, int mark, fake_mode_t mode)
 {
-	static const char body[] = "{\"choices\":[{\"message\":{\"content\":\"whole\"}}],"
-				   "\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":1}}";
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
-	size_t len = sizeof(body) - 1;
+	char body[256];
+	size_t len = (size_t)snprintf(body, sizeof(body),
+				      "{\"choices\":[{\"message\":{\"content\":\"whole\"}}],"
+				      "\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":1},"
+				      "\"of\":\"mark-%d.\"}",
+				      mark);
 	size_t claimed = len;
 	size_t sent = len;
 
@@ -199,8 +230,14 @@
 {
 	fake_t *fake = conn->fake;
 	fake_mode_t mode = fake->faults != 0 ? fake->mode : FAKE_NONE;
+	int mark = fake_mark(request);
 	char id[128];
 
+	if (fake->fault_share > 0)
+		mode = fake_random_mode(fake);
+	if (mode != FAKE_REFUSE && mode != FAKE_DRAIN)
+		fake->ran[mark]++;
+
 	if (mode == FAKE_SILENT && conn->served == 0)
 		mode = FAKE_NONE;
 	if (mode != FAKE_NONE && fake->faults > 0)
@@ -221,9 +258,9 @@
 	else if (mode == FAKE_LARGE)
 		fake_large(conn, id);
 	else if (strstr(request, "\"stream\": true") || strstr(request, "\"stream\":true"))
-		fake_stream(conn, id, fake_resume_from(request), mode);
+		fake_stream(conn, id, fake_resume_from(request), mark, mode);
 	else
-		fake_whole(conn, id, mode);
+		fake_whole(conn, id, mark, mode);
 	conn->served++;
 	fake->answered++;
 	conn->busy = mode == FAKE_STALL_MIDDLE || mode == FAKE_SLOW_READER;
