--- a/test/shared_run_test.c
+++ b/test/shared_run_test.c
@@ -308,6 +308,7 @@
 	ap_spread_free(node->s);
 	ap_order_free(node->o);
 	ap_report_free(node->r);
+	node->gate->paused = false;
 	node->life++;
 }
 
--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -29,6 +29,7 @@
 	int cut_region;
 	int events_reverted;
 	int events_forked;
+	bool over;
 } fleet_t;
 
 typedef struct answer {
@@ -50,7 +51,7 @@
 {
 	fleet_t *f = ctx;
 
-	if (!f->nodes[to].down)
+	if (!f->over && !f->nodes[to].down)
 		assert_int_equal(
 			ap_spread_receive(f->nodes[to].s, from, data, len, f->sim.now, NULL),
 			AP_SPREAD_OK);
@@ -88,6 +89,8 @@
 	fleet_t *f = arg;
 
 	(void)data;
+	if (f->over)
+		return;
 	for (int i = 0; i < f->n; i++) {
 		if (!f->nodes[i].down)
 			ap_spread_tick(f->nodes[i].s, f->sim.now);
@@ -157,7 +160,9 @@
 {
 	for (int i = 0; i < f->n; i++)
 		ap_spread_free(f->nodes[i].s);
-	fake_run(&f->sim, f->sim.now);
+	f->over = true;
+	fake_store_away(&f->store, true);
+	fake_run(&f->sim, f->sim.now + 200 * AP_SEC);
 	fake_store_clear(&f->store);
 	fake_sim_clear(&f->sim);
 	free(f);
