Membership: a lone witness keeps its conclusions to itself, and an accused member has time to deny

An entry that hears nobody concluded that all others were dead and told them so. Rumours went whole to each suspect from every member that passed them on; now the witness alone tells it once. Records are passed on half as often, anti-entropy covers the rest.

--- a/lib/member/gossip.c
+++ b/lib/member/gossip.c
@@ -211,14 +211,6 @@
 	}
 }
 
-static void tell_suspects(ap_member_t *m, const ap_member_message_t *msg)
-{
-	for (size_t i = 0; i < msg->n_rumours; i++) {
-		if (strcmp(msg->rumours[i].id, m->cfg.self.id) != 0)
-			member_send(m, msg->rumours[i].id, msg);
-	}
-}
-
 static void pass_on(ap_member_t *m)
 {
 	ap_record_t records[RECORDS_PER_MESSAGE];
@@ -234,8 +226,6 @@
 	n = member_pick(m, pick_live_peer, peers, FANOUT);
 	for (size_t i = 0; i < n; i++)
 		member_send(m, peers[i]->rec.entry.id, &msg);
-	if (msg.n_rumours > 0)
-		tell_suspects(m, &msg);
 }
 
 void member_tell_region(ap_member_t *m)
--- a/lib/member/private.h
+++ b/lib/member/private.h
@@ -128,6 +128,8 @@
 uint64_t record_key(const ap_record_t *rec);
 bool node_live(const ap_node_t *node);
 size_t member_live_in_region(const ap_member_t *m);
+void member_conclude(ap_member_t *m, ap_node_t *node, const ap_record_t *rec, ap_usec_t now);
+void member_accused(ap_member_t *m, ap_node_t *node, ap_usec_t now);
 void member_merge(ap_member_t *m, const ap_record_t *rec, ap_usec_t now);
 void member_restate(ap_member_t *m, uint64_t above, ap_usec_t now);
 void member_forget_old(ap_member_t *m, ap_usec_t now);
--- a/lib/member/probe.c
+++ b/lib/member/probe.c
@@ -50,12 +50,26 @@
 		node->rec.entry.id, by);
 }
 
+/* The suspect hears of it at once, so that it can deny it. */
+static void tell_suspect(ap_member_t *m, const ap_node_t *node)
+{
+	ap_rumour_t rumour = {.inc = node->rec.entry.inc, .version = node->rec.version};
+	ap_member_message_t msg = {.type = AP_MEMBER_RECORDS, .rumours = &rumour, .n_rumours = 1};
+
+	ap_copy_name(rumour.id, sizeof(rumour.id), node->rec.entry.id);
+	ap_copy_name(rumour.by, sizeof(rumour.by), m->cfg.self.id);
+	member_send(m, node->rec.entry.id, &msg);
+}
+
 static void bear_witness(ap_member_t *m, ap_node_t *node, ap_usec_t now)
 {
 	size_t before = node->n_witness;
 
 	suspect(m, node, m->cfg.self.id, now);
-	m->stats.suspicions += node->n_witness > before;
+	if (node->n_witness == before)
+		return;
+	m->stats.suspicions++;
+	tell_suspect(m, node);
 }
 
 void member_rumour(ap_member_t *m, const ap_rumour_t *rumour, ap_usec_t now)
@@ -202,7 +216,16 @@
 		bear_witness(m, node, now);
 }
 
-static size_t witnesses_needed(const ap_member_t *m)
+/* A death that others concluded of the version known here: counts once it wasn't denied in time. */
+void member_accused(ap_member_t *m, ap_node_t *node, ap_usec_t now)
+{
+	suspect(m, node, "others", now);
+	suspect(m, node, "others too", now);
+	node->rumour_tells = 0;
+}
+
+/* Entries of the region that could bear witness, the own one included. */
+static size_t voters_left(const ap_member_t *m)
 {
 	size_t voters = 1;
 	ap_node_t *node;
@@ -211,11 +234,12 @@
 		if (node != m->self && pick_live_peer(m, node) && node->n_witness == 0)
 			voters++;
 	}
-	return voters < WITNESSES_NEEDED ? voters : WITNESSES_NEEDED;
+	return voters;
 }
 
-static void judge(ap_member_t *m, ap_node_t *node, size_t needed, ap_usec_t now)
+static void judge(ap_member_t *m, ap_node_t *node, size_t voters, ap_usec_t now)
 {
+	size_t needed = voters < WITNESSES_NEEDED ? voters : WITNESSES_NEEDED;
 	ap_record_t dead;
 
 	if (node->n_witness == 0 || !node_live(node))
@@ -223,7 +247,10 @@
 	if (node->n_witness >= needed && now - node->suspect_at >= DENY_TIME) {
 		dead = node->rec;
 		dead.state = AP_MEMBER_DEAD;
-		member_merge(m, &dead, now);
+		member_conclude(m, node, &dead, now);
+		/* One that hears nobody keeps it to itself: the fault may be its own. */
+		if (voters < WITNESSES_NEEDED)
+			node->tells = 0;
 		return;
 	}
 	if (now - node->suspect_at >= SUSPICION_LAPSE) {
@@ -261,15 +288,15 @@
 {
 	ap_node_t *targets[PINGED_MAX];
 	ap_node_t *node;
-	size_t n, needed;
+	size_t n, voters;
 
 	for (node = m->nodes; node; node = node->hh.next) {
 		if (node_live(node) && node->own_region && node != m->self)
 			age_ping(m, node, now);
 	}
-	needed = witnesses_needed(m);
+	voters = voters_left(m);
 	for (node = m->nodes; node; node = node->hh.next)
-		judge(m, node, needed, now);
+		judge(m, node, voters, now);
 	if (now >= m->next_ping) {
 		m->next_ping = now + PING_PERIOD;
 		n = neighbours(m, targets);
--- a/lib/member/table.c
+++ b/lib/member/table.c
@@ -54,14 +54,14 @@
 	return ap_hash(parts, sizeof(parts), 0);
 }
 
-/* A record reaches all n members when each passes it on about log2(n) times. */
+/* A record reaches nearly all n members when each passes it on to about log2(n) others. */
 static unsigned tells_needed(const ap_member_t *m)
 {
 	size_t n = member_live_in_region(m) + 1;
 	unsigned tells = EXTRA_TELLS;
 
 	while (n > 1) {
-		n /= 2;
+		n /= 4;
 		tells++;
 	}
 	return tells;
@@ -162,6 +162,17 @@
 	tell_driver(m, node);
 }
 
+void member_conclude(ap_member_t *m, ap_node_t *node, const ap_record_t *rec, ap_usec_t now)
+{
+	take_record(m, node, rec, now);
+}
+
+static bool same_version(const ap_record_t *a, const ap_record_t *b)
+{
+	return ap_id_eq(a->entry.inc, b->entry.inc) && a->epoch == b->epoch &&
+	       a->version == b->version;
+}
+
 void member_merge(ap_member_t *m, const ap_record_t *rec, ap_usec_t now)
 {
 	ap_node_t *node = member_find(m, rec->entry.id);
@@ -178,6 +189,11 @@
 		take_record(m, node, rec, now);
 		return;
 	}
+	if (rec->state == AP_MEMBER_DEAD && node->own_region && node_live(node) &&
+	    same_version(rec, &node->rec)) {
+		member_accused(m, node, now);
+		return;
+	}
 	if (node->rec.state == AP_MEMBER_LISTED || record_cmp(rec, &node->rec) > 0)
 		take_record(m, node, rec, now);
 }
--- a/test/member_test.c
+++ b/test/member_test.c
@@ -31,6 +31,7 @@
 	int blocked_from; /* one-way loss; -1 for none */
 	int blocked_to;
 	int cut_region; /* cut off from the others; -1 for none */
+	int deaf;	/* hears nobody; -1 for none */
 	int split;	/* nodes below it and the others don't hear each other; 0 for none */
 } fleet_t;
 
@@ -48,6 +49,8 @@
 {
 	const fleet_t *f = ctx;
 
+	if (to == f->deaf)
+		return true;
 	if (from == f->blocked_from && (to == f->blocked_to || f->blocked_to < 0))
 		return true;
 	if (f->cut_region >= 0 &&
@@ -121,7 +124,7 @@
 	assert_non_null(f);
 	f->n = n;
 	f->regions = regions;
-	f->blocked_from = f->cut_region = -1;
+	f->blocked_from = f->cut_region = f->deaf = -1;
 	ap_rng_seed(&f->sim.rng, 5);
 	f->net = (fake_net_t){.sim = &f->sim,
 			      .loss = loss,
@@ -290,6 +293,27 @@
 	fleet_free(f);
 }
 
+static void test_deaf_one_harms_only_itself(void **state)
+{
+	fleet_t *f = fleet_new(12, 1, 0.0);
+
+	(void)state;
+	f->deaf = 4;
+	run_for(f, 60);
+	for (int i = 0; i < f->n; i++) {
+		if (i != 4)
+			assert_int_equal(ap_member_stats(f->nodes[i].m).deaths, 1);
+	}
+	f->deaf = -1;
+	run_for(f, 30);
+	assert_agreed(f);
+	for (int i = 0; i < f->n; i++) {
+		if (i != 4)
+			assert_int_equal(ap_member_stats(f->nodes[i].m).deaths, 1);
+	}
+	fleet_free(f);
+}
+
 static void test_partition_within_a_region_heals(void **state)
 {
 	fleet_t *f = fleet_new(16, 1, 0.02);
@@ -409,6 +433,7 @@
 		cmocka_unit_test(test_paused_one_wakes_and_denies_its_death),
 		cmocka_unit_test(test_paused_one_that_was_replaced_stands_down),
 		cmocka_unit_test(test_one_way_loss_between_two_kills_nobody),
+		cmocka_unit_test(test_deaf_one_harms_only_itself),
 		cmocka_unit_test(test_partition_within_a_region_heals),
 		cmocka_unit_test(test_region_cut_off_is_unreachable_not_dead),
 		cmocka_unit_test(test_leaving_is_told_at_once),
--- a/test/order_test.c
+++ b/test/order_test.c
@@ -499,6 +499,35 @@
 	world_free(w);
 }
 
+/* Pools that ignore fencing: no order may still be on its way when the next holder sends one. */
+static void test_unfenced_orders_end_before_the_lease_can_lapse(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 50; seed < 60; seed++) {
+		world_t *w = world_new(seed, false);
+		entry_t *first;
+
+		set_conf(w, 1, "v1", 2, false);
+		run(w, 4 * TTL);
+		first = holder(w);
+		assert_non_null(first);
+		fake_store_away(&w->store, true);
+		/* Its lease has a few seconds left and there is something to do. */
+		run(w, TTL - TTL / 3);
+		w->lose = 1.0;
+		set_conf(w, 2, "v2", 3, false);
+		for (int i = 0; i < 200 && holder(w) == first; i++)
+			run(w, TICK);
+		first->gate.paused = true;
+		w->lose = 0.0;
+		w->order_time = AP_MSEC;
+		fake_store_away(&w->store, false);
+		run(w, 4 * TTL);
+		assert_true(matches(w, "v2", 3));
+		world_free(w);
+	}
+}
+
 static void test_random_faults_keep_fences_in_order_and_models_served(void **state)
 {
 	(void)state;
@@ -545,6 +574,7 @@
 		cmocka_unit_test(test_leaving_upstream_is_replaced),
 		cmocka_unit_test(test_paused_holder_wakes_with_orders_ready_and_sends_none),
 		cmocka_unit_test(test_store_away_in_the_middle_stops_orders_until_it_is_back),
+		cmocka_unit_test(test_unfenced_orders_end_before_the_lease_can_lapse),
 		cmocka_unit_test(test_random_faults_keep_fences_in_order_and_models_served),
 	};
 
