--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -20,7 +20,7 @@
  * @age: milliseconds since it was read
  */
 typedef struct ap_load_item {
-	uint64_t upstream; /* hash of its id */
+	uint32_t upstream; /* hash of its id */
 	uint64_t age;
 	uint32_t running;
 	uint32_t waiting;
@@ -36,7 +36,7 @@
 } ap_room_item_t;
 
 typedef struct ap_cache_item {
-	uint64_t upstream;
+	uint32_t upstream;
 	uint64_t seq;
 	bool stored;
 	uint64_t blocks[CACHE_BLOCKS_MAX];
@@ -47,6 +47,7 @@
 	AP_REPORT_RELAY = 1, /* for the receiver and its group */
 	AP_REPORT_GROUP,     /* for the receiver */
 	AP_REPORT_REGION,    /* rooms of another region, for the receiver's whole region */
+	AP_REPORT_ASK,	     /* @loads names upstreams whose reports are missed */
 } ap_report_type_t;
 
 typedef struct ap_report_message {
@@ -66,7 +67,7 @@
  */
 typedef struct ap_polled {
 	char id[AP_NAME_MAX];
-	uint64_t hash;
+	uint32_t hash;
 	bool listed;
 	bool primary;	       /* this entry polls it and tells */
 	bool polls;	       /* this entry polls it */
@@ -127,7 +128,8 @@
 	struct ap_cache_queue relay_cache;
 	size_t own_queued;
 	size_t relay_queued;
-	double cache_credit; /* block hashes that may be told now */
+	double cache_credit; /* bytes of cache events that may be told now */
+	ap_usec_t cache_credited;
 	ap_usec_t next_flush;
 	ap_usec_t next_rooms;
 	ap_report_stats_t stats;
@@ -139,7 +141,7 @@
 void ap_wire_report_clear(ap_report_message_t *msg);
 
 /* report.c */
-ap_polled_t *report_by_hash(const ap_report_t *r, uint64_t hash);
+ap_polled_t *report_by_hash(const ap_report_t *r, uint32_t hash);
 void report_mark_leaving(ap_report_t *r, const char *upstream, bool heard);
 ap_room_known_t *report_room(ap_report_t *r, const ap_room_t *room);
 void report_queue_cache(ap_report_t *r, struct ap_cache_queue *queue, size_t *queued,
@@ -149,6 +151,7 @@
 void report_send(ap_report_t *r, const char *to, const ap_report_message_t *msg);
 void report_flush(ap_report_t *r);
 void report_send_rooms(ap_report_t *r);
+void report_answer(ap_report_t *r, const char *to, const ap_report_message_t *ask);
 void report_tell_leaving(ap_report_t *r, const char *upstream, bool all);
 
 #endif
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -12,7 +12,10 @@
 #define DELEGATES 2
 #define DIRECT_MAX 16 /* entries of a region that tell each other directly */
 #define FLUSH_PERIOD (500 * AP_MSEC)
-#define ROOM_PERIOD (4 * AP_SEC)    /* of each delegate */
+#define GROUPED_FLUSH_PERIOD AP_SEC /* where groups pass reports on */
+#define ROOM_AGAIN (2 * AP_SEC)	    /* an unchanged offer is told again after that */
+#define ROOM_CHANGE_PART 0.1
+#define ROOM_PERIOD (2 * AP_SEC)    /* of each delegate */
 #define LEAVING_KEEP (300 * AP_SEC) /* unless it is said again */
 #define LEAVING_AGAIN (60 * AP_SEC)
 #define LEAVING_TELLS 2 /* after the first one */
@@ -71,7 +74,7 @@
 	free(r);
 }
 
-ap_polled_t *report_by_hash(const ap_report_t *r, uint64_t hash)
+ap_polled_t *report_by_hash(const ap_report_t *r, uint32_t hash)
 {
 	ap_polled_t *up;
 
@@ -79,9 +82,17 @@
 	return up;
 }
 
+/* Upstreams travel as 32 bits of their id's hash; a region has a few hundred of them. */
+static uint32_t id_hash(const char *id)
+{
+	return (uint32_t)ap_hash_str(id, 0);
+}
+
 static ap_polled_t *find(const ap_report_t *r, const char *id)
 {
-	return report_by_hash(r, ap_hash_str(id, 0));
+	ap_polled_t *up = report_by_hash(r, id_hash(id));
+
+	return up && strcmp(up->id, id) == 0 ? up : NULL;
 }
 
 static void assign(ap_report_t *r, ap_polled_t *up)
@@ -176,12 +187,17 @@
 {
 	ap_polled_t *up = find(r, upstream->id);
 
+	if (!up && report_by_hash(r, id_hash(upstream->id))) {
+		ap_emit(&r->cfg.env, r->now, "report.collision", (ap_xid_t){.seq = 0}, "id=%s",
+			upstream->id);
+		return;
+	}
 	if (!up) {
 		up = calloc(1, sizeof(*up));
 		if (!up)
 			abort();
 		ap_copy_name(up->id, sizeof(up->id), upstream->id);
-		up->hash = ap_hash_str(up->id, 0);
+		up->hash = id_hash(up->id);
 		up->leaving_until = -1;
 		HASH_ADD(hh, r->upstreams, hash, sizeof(up->hash), up);
 		assign(r, up);
@@ -363,6 +379,16 @@
 	r->cfg.load(r->cfg.ctx, &up->load);
 }
 
+static bool room_news(const ap_room_known_t *known, const ap_room_t *room)
+{
+	double gap = fabs(room->rate - known->room.rate);
+	ap_usec_t wait_gap = llabs(room->wait - known->room.wait);
+
+	return known->room.at < 0 || room->at - known->room.at >= ROOM_AGAIN ||
+	       gap > known->room.rate * ROOM_CHANGE_PART ||
+	       (double)wait_gap > (double)known->room.wait * ROOM_CHANGE_PART;
+}
+
 static void take_room(ap_report_t *r, const ap_room_item_t *item, ap_report_type_t type)
 {
 	ap_room_t room = {.rate = (double)item->rate_milli / 1000.0};
@@ -377,7 +403,7 @@
 	if (strcmp(room.region, r->cfg.self.region) == 0)
 		return;
 	known = report_room(r, &room);
-	if (!known || room.at <= known->room.at)
+	if (!known || room.at <= known->room.at || !room_news(known, &room))
 		return;
 	known->room = room;
 	known->tell = type == AP_REPORT_REGION;
@@ -418,7 +444,9 @@
 		return AP_REPORT_MALFORMED;
 	}
 	relay = msg.type == AP_REPORT_RELAY;
-	for (size_t i = 0; i < msg.n_loads; i++)
+	if (msg.type == AP_REPORT_ASK)
+		report_answer(r, from, &msg);
+	for (size_t i = 0; i < msg.n_loads && msg.type != AP_REPORT_ASK; i++)
 		take_load(r, &msg.loads[i], relay);
 	for (size_t i = 0; i < msg.n_rooms; i++)
 		take_room(r, &msg.rooms[i], msg.type);
@@ -435,7 +463,7 @@
 {
 	r->now = now;
 	if (now >= r->next_flush) {
-		r->next_flush = now + FLUSH_PERIOD;
+		r->next_flush = now + (r->groups > 0 ? GROUPED_FLUSH_PERIOD : FLUSH_PERIOD);
 		report_flush(r);
 	}
 	if (r->delegate && now >= r->next_rooms) {
--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -13,11 +13,15 @@
 
 #define REFRESH_TIME (3 * AP_SEC)     /* an unchanged load is told again after that */
 #define OTHER_SILENT (2500 * AP_MSEC) /* then the second poller tells */
+#define MISSED_TIME (4 * AP_SEC)      /* a report older than that should have been followed */
+#define ASKED_MAX 64
 #define CHANGE_PART 0.1
 #define KV_CHANGE 0.05
-#define CACHE_BYTES 2048.0 /* a second that each entry may get of cache events */
+#define CACHE_BYTES 1024.0 /* a second that each entry may get of cache events */
 #define BLOCK_BYTES 9.0
-#define FLUSHES_PER_SECOND 2.0
+#define EVENT_BYTES 12.0  /* beside its blocks */
+#define LOAD_BYTES 3072.0 /* a second that each entry may get of loads */
+#define LOAD_ITEM_BYTES 13.0
 #define GOSSIP_FANOUT 3
 #define DELEGATES 2
 
@@ -40,6 +44,14 @@
 	return gap > 1 && gap > told * CHANGE_PART;
 }
 
+/* Shortest time between two reports of one upstream, so that all of them keep to the budget. */
+static ap_usec_t load_gap(const ap_report_t *r)
+{
+	double bytes = (double)HASH_COUNT(r->upstreams) * LOAD_ITEM_BYTES;
+
+	return (ap_usec_t)(bytes / LOAD_BYTES * AP_SEC);
+}
+
 static bool worth_telling(const ap_report_t *r, const ap_polled_t *up)
 {
 	const ap_load_report_t *load = &up->load, *told = &up->told;
@@ -48,6 +60,8 @@
 		return false;
 	if (told->upstream[0] == '\0' || load->at - told->at >= REFRESH_TIME)
 		return true;
+	if (load->at - told->at < load_gap(r))
+		return false;
 	return changed(load->running, told->running) || changed(load->waiting, told->waiting) ||
 	       fabs(load->kv_used - told->kv_used) > KV_CHANGE;
 }
@@ -129,22 +143,30 @@
 	}
 }
 
-/* The first blocks of a prompt are the ones worth most, so an event is cut at its end. */
+/*
+ * The first blocks of a prompt are the ones worth most, so an event is cut at its end. Credit is in
+ * bytes, the own share of what the whole region may tell each of its entries.
+ */
 static void collect_own_cache(ap_report_t *r, news_t *news)
 {
-	double share = CACHE_BYTES / BLOCK_BYTES / FLUSHES_PER_SECOND / (double)(r->n_peers + 1);
+	double share = CACHE_BYTES / (double)(r->n_peers + 1);
+	double seconds = (double)(r->now - r->cache_credited) / AP_SEC;
+	double most = EVENT_BYTES + CACHE_BLOCKS_MAX * BLOCK_BYTES;
 	ap_cache_queued_t *entry;
 
-	r->cache_credit = fmin(r->cache_credit + share, fmax(CACHE_BLOCKS_MAX, 2 * share));
-	while ((entry = STAILQ_FIRST(&r->own_cache)) != NULL && r->cache_credit >= 1.0 &&
+	r->cache_credited = r->now;
+	r->cache_credit = fmin(r->cache_credit + share * seconds, fmax(most, share));
+	while ((entry = STAILQ_FIRST(&r->own_cache)) != NULL &&
+	       r->cache_credit >= EVENT_BYTES + BLOCK_BYTES &&
 	       news->all.n_cache < CACHE_PER_MESSAGE / 2) {
 		ap_cache_item_t *item = &news->cache[news->all.n_cache++];
+		size_t fits = (size_t)((r->cache_credit - EVENT_BYTES) / BLOCK_BYTES);
 
 		*item = entry->item;
-		if ((double)item->n > r->cache_credit)
-			item->n = (size_t)r->cache_credit;
+		if (item->n > fits)
+			item->n = fits;
 		r->stats.cache_dropped += entry->item.n - item->n;
-		r->cache_credit -= item->n > 0 ? (double)item->n : 1.0;
+		r->cache_credit -= EVENT_BYTES + (double)item->n * BLOCK_BYTES;
 		STAILQ_REMOVE_HEAD(&r->own_cache, link);
 		r->own_queued--;
 		free(entry);
@@ -168,14 +190,11 @@
 }
 
 /* A random member of each group, so that one that is gone costs no group more than one flush. */
-static void send_relays(ap_report_t *r, news_t *news)
+static void send_relays(ap_report_t *r, const ap_report_message_t *msg)
 {
 	const char *pick[GROUPS_MAX] = {NULL};
 	size_t seen[GROUPS_MAX] = {0};
 
-	if (is_empty(&news->own))
-		return;
-	news->own.type = AP_REPORT_RELAY;
 	for (size_t i = 0; i < r->n_peers; i++) {
 		size_t g = r->peers[i].group;
 
@@ -184,8 +203,55 @@
 	}
 	for (size_t g = 0; g < r->groups; g++) {
 		if (pick[g])
-			report_send(r, pick[g], &news->own);
+			report_send(r, pick[g], msg);
+	}
+}
+
+/* Offers are few and short-lived, so they go out twice; the later copy is not passed on. */
+static void relay(ap_report_t *r, news_t *news)
+{
+	ap_report_message_t rooms = {
+		.type = AP_REPORT_RELAY, .rooms = news->own.rooms, .n_rooms = news->own.n_rooms};
+
+	news->own.type = AP_REPORT_RELAY;
+	if (!is_empty(&news->own))
+		send_relays(r, &news->own);
+	if (rooms.n_rooms > 0)
+		send_relays(r, &rooms);
+}
+
+static bool known_lately(const ap_report_t *r, const ap_polled_t *up)
+{
+	return up->load.upstream[0] != '\0' && r->now - up->load.at < MISSED_TIME;
+}
+
+/* Asks one entry at random for reports that should have come; costs nothing while none is lost. */
+static void ask_for_missed(ap_report_t *r, news_t *news)
+{
+	ap_report_message_t ask = {.type = AP_REPORT_ASK, .loads = news->loads};
+	ap_polled_t *up;
+
+	for (up = r->upstreams; up && ask.n_loads < ASKED_MAX; up = up->hh.next) {
+		if (!up->polls && !known_lately(r, up))
+			news->loads[ask.n_loads++] = (ap_load_item_t){.upstream = up->hash};
+	}
+	if (ask.n_loads > 0 && r->n_peers > 0)
+		report_send(r, r->peers[ap_rng_below(&r->rng, r->n_peers)].id, &ask);
+}
+
+void report_answer(ap_report_t *r, const char *to, const ap_report_message_t *ask)
+{
+	ap_load_item_t loads[ASKED_MAX];
+	ap_report_message_t msg = {.type = AP_REPORT_GROUP, .loads = loads};
+
+	for (size_t i = 0; i < ask->n_loads && msg.n_loads < ASKED_MAX; i++) {
+		const ap_polled_t *up = report_by_hash(r, ask->loads[i].upstream);
+
+		if (up && known_lately(r, up))
+			loads[msg.n_loads++] = load_item(r, up);
 	}
+	if (msg.n_loads > 0)
+		report_send(r, to, &msg);
 }
 
 static void repeat_leaving(ap_report_t *r)
@@ -217,8 +283,9 @@
 	collect_rooms(r, news, false);
 	collect_relayed_cache(r, news);
 	send_group(r, news);
-	send_relays(r, news);
+	relay(r, news);
 	repeat_leaving(r);
+	ask_for_missed(r, news);
 	free(news);
 }
 
--- a/lib/spread/force.c
+++ b/lib/spread/force.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FETCH_TIME (2 * AP_SEC) /* for one try */
-#define FETCH_TRIES 4
+#define FETCH_TIME AP_SEC /* for one try */
+#define FETCH_TRIES 6
 
 ap_segment_t *spread_first_missing(ap_spread_t *s, const ap_head_t *head, size_t *at)
 {
--- a/lib/spread/peers.c
+++ b/lib/spread/peers.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define PUSH_FANOUT 4
-#define DIGEST_PERIOD (4 * AP_SEC)
+#define DIGEST_PERIOD (2 * AP_SEC)
 #define REGION_DIGEST_PERIOD (4 * AP_SEC)
 #define START_PERIOD AP_SEC
 #define START_ASKED 3
--- a/lib/wire/report.c
+++ b/lib/wire/report.c
@@ -76,7 +76,7 @@
 	while (*ok && list.left > 0) {
 		ap_load_item_t *load = &msg->loads[msg->n_loads++];
 
-		load->upstream = ap_wire_u64(&list);
+		load->upstream = (uint32_t)ap_wire_u64(&list);
 		load->age = ap_wire_u64(&list);
 		load->running = (uint32_t)ap_wire_u64(&list);
 		load->waiting = (uint32_t)ap_wire_u64(&list);
@@ -112,7 +112,7 @@
 		ap_cache_item_t *item = &msg->cache[msg->n_cache++];
 		ap_wire_reader_t e = ap_wire_array(&list);
 
-		item->upstream = ap_wire_u64(&e);
+		item->upstream = (uint32_t)ap_wire_u64(&e);
 		item->seq = ap_wire_u64(&e);
 		item->stored = ap_wire_u64(&e) != 0;
 		while (e.ok && e.left > 0 && item->n < CACHE_BLOCKS_MAX)
@@ -136,7 +136,7 @@
 {
 	ap_wire_reader_t r = ap_wire_reader(body);
 	uint64_t type = ap_wire_u64(&r);
-	bool ok = r.ok && type >= AP_REPORT_RELAY && type <= AP_REPORT_REGION;
+	bool ok = r.ok && type >= AP_REPORT_RELAY && type <= AP_REPORT_ASK;
 
 	*msg = (ap_report_message_t){.type = (ap_report_type_t)type};
 	read_loads(&r, msg, &ok);
--- a/test/order_test.c
+++ b/test/order_test.c
@@ -40,6 +40,7 @@
 	engine_t engines[ENGINES];
 	double lose; /* share of orders without an answer; half of them carried out */
 	ap_usec_t order_time;
+	bool late; /* orders take effect only at their limit, without an answer */
 	int carried;
 	int running;
 	int running_max;
@@ -174,6 +175,10 @@
 	/* A lost one may take effect as late as its limit. */
 	if (o->lost)
 		takes = (ap_usec_t)(ap_rng_unit(&w->sim.rng) * (double)limit);
+	if (w->late) {
+		o->lost = o->carry = true;
+		takes = limit;
+	}
 	if (o->load) {
 		w->loads++;
 		if (++w->running > w->running_max)
@@ -503,7 +508,7 @@
 static void test_unfenced_orders_end_before_the_lease_can_lapse(void **state)
 {
 	(void)state;
-	for (uint64_t seed = 50; seed < 60; seed++) {
+	for (uint64_t seed = 50; seed < 70; seed++) {
 		world_t *w = world_new(seed, false);
 		entry_t *first;
 
@@ -513,13 +518,13 @@
 		assert_non_null(first);
 		fake_store_away(&w->store, true);
 		/* Its lease has a few seconds left and there is something to do. */
-		run(w, TTL - TTL / 3);
-		w->lose = 1.0;
+		run(w, 30 * AP_SEC + (ap_usec_t)ap_rng_below(&w->sim.rng, 28 * AP_SEC));
+		w->late = true;
 		set_conf(w, 2, "v2", 3, false);
 		for (int i = 0; i < 200 && holder(w) == first; i++)
 			run(w, TICK);
 		first->gate.paused = true;
-		w->lose = 0.0;
+		w->late = false;
 		w->order_time = AP_MSEC;
 		fake_store_away(&w->store, false);
 		run(w, 4 * TTL);
--- a/test/shared_run_test.c
+++ b/test/shared_run_test.c
@@ -243,6 +243,17 @@
 			 "pools", "models", "replicas", replicas);
 }
 
+static uint64_t stored_generation(run_t *w)
+{
+	const fake_key_t *key = fake_key(&w->store, AP_SPREAD_HEAD_KEY, false);
+	json_t *head = key ? json_loadb(key->value, key->len, 0, NULL) : NULL;
+	json_t *first = json_array_get(json_object_get(head, "history"), 0);
+	uint64_t generation = (uint64_t)json_integer_value(json_object_get(first, "generation"));
+
+	json_decref(head);
+	return generation;
+}
+
 static void proposed(void *arg, const ap_spread_result_t *result)
 {
 	run_t *w = arg;
@@ -251,6 +262,8 @@
 	if (result->status != AP_SPREAD_OK)
 		return;
 	w->accepted++;
+	/* Said only of what the store holds. */
+	assert_true(stored_generation(w) >= result->generation);
 	if (result->generation > w->acknowledged)
 		w->acknowledged = result->generation;
 }
--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -293,6 +293,27 @@
 	fleet_free(f);
 }
 
+/* The store names a generation, as written by the same one as here. */
+static void assert_stored(fleet_t *f, uint64_t generation)
+{
+	const fake_key_t *key = fake_key(&f->store, AP_SPREAD_HEAD_KEY, false);
+	json_t *head = json_loadb(key->value, key->len, 0, NULL);
+	json_t *own = ap_spread_history(f->nodes[0].s);
+	size_t found = 0, i, k;
+	json_t *a, *b;
+
+	json_array_foreach (json_object_get(head, "history"), i, a) {
+		json_array_foreach (own, k, b) {
+			found += json_equal(a, b) &&
+				 json_integer_value(json_object_get(a, "generation")) ==
+					 (json_int_t)generation;
+		}
+	}
+	assert_int_equal(found, 1);
+	json_decref(head);
+	json_decref(own);
+}
+
 /* Whatever answers get lost, "ok" means in the history, once, and "unavailable" means not there. */
 static void test_lost_answers_are_settled(void **state)
 {
@@ -314,6 +335,7 @@
 		if (a.status == AP_SPREAD_OK) {
 			assert_int_equal(a.generation, before + 1);
 			assert_true(changed);
+			assert_stored(f, a.generation);
 		} else if (a.status != AP_SPREAD_UNSURE) {
 			assert_int_equal(a.status, AP_SPREAD_UNAVAILABLE);
 			assert_false(changed);
