--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 
 #define PROBE_LIMIT (1 * AP_SEC)
+#define ANSWER_HEADERS_MAX 65536
 #define PROVED_FOR (500 * AP_MSEC)    /* how long a whole answer proves its connection */
 #define USER_TIMEOUT_MS 10000	      /* unacknowledged bytes close a connection after this */
 #define LIBRARY_TIMEOUT_S (24 * 3600) /* our own limits come first */
@@ -71,6 +72,7 @@
 		return NULL;
 	}
 	evhttp_connection_set_retries(conn->evcon, 0);
+	evhttp_connection_set_max_headers_size(conn->evcon, ANSWER_HEADERS_MAX);
 	evhttp_connection_set_timeout_tv(conn->evcon, &limit);
 	evhttp_connection_set_closecb(conn->evcon, on_idle_close, conn);
 	evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(conn->evcon)),
@@ -322,12 +324,18 @@
 	}
 }
 
+/* A connection just opened can't have been lost track of: its first byte is the upstream's duty. */
+static bool may_be_silent(const ap_http_fetch_t *fetch)
+{
+	return !fetch->is_probe && (fetch->heard || !fetch->on_new);
+}
+
 void fetch_limit(ap_http_fetch_t *fetch)
 {
 	address_t *address = fetch->conn->address;
 
 	fetch->limit_passed = true;
-	if (fetch->is_probe || fetch->probed == PROBE_FAILED) {
+	if (!may_be_silent(fetch) || fetch->probed == PROBE_FAILED) {
 		finish(fetch, AP_HTTP_TIMEOUT, false);
 		return;
 	}
@@ -353,7 +361,7 @@
 		return;
 	}
 	if (silent >= limit) {
-		if (fetch->probed == PROBE_NONE && !fetch->is_probe)
+		if (fetch->probed == PROBE_NONE && may_be_silent(fetch))
 			start_probe(fetch);
 		fetch_limit(fetch);
 		return;
@@ -364,7 +372,7 @@
 		fetch->probe = NULL;
 		fetch->probed = PROBE_NONE;
 	}
-	if (silent >= limit / 2 && fetch->probed == PROBE_NONE && !fetch->is_probe)
+	if (silent >= limit / 2 && fetch->probed == PROBE_NONE && may_be_silent(fetch))
 		start_probe(fetch);
 	arm(fetch, silent < limit / 2 ? limit / 2 - silent : limit - silent);
 }
@@ -421,8 +429,10 @@
 	fetch->config = *config;
 	fetch->conn = conn;
 	fetch->is_probe = is_probe;
+	fetch->on_new = conn->proved == 0;
 	fetch->library_end = AP_HTTP_RESET;
 	fetch->last = ap_now();
+	evhttp_connection_set_max_body_size(conn->evcon, (ev_ssize_t)config->answer_max);
 	conn->keep = false;
 	conn->place = PLACE_BUSY;
 	TAILQ_INSERT_TAIL(&conn->address->busy, conn, link);
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -41,7 +41,8 @@
 	"\"model\":{\"m\":{\"labels\":{\"size\":\"small\"},\"version\":\"1\",\"weight_bytes\":1,"
 	"\"prefill_us\":1,\"decode_us\":1000}},"
 	"\"caller\":{\"crew\":{\"home\":\"recife\",\"key_hash\":\"%s\",\"rate\":10000,"
-	"\"burst\":10000,\"concurrent\":1000}}}";
+	"\"burst\":10000,\"concurrent\":1000},"
+	"\"modest\":{\"home\":\"recife\",\"key_hash\":\"%s\",\"rate\":0.5,\"burst\":1}}}";
 
 typedef struct rig rig_t;
 
@@ -76,6 +77,10 @@
 	bool fake_leaving[RIG_UPSTREAMS];
 	int n_fakes;
 	TAILQ_HEAD(, rig_message) messages;
+	bool fast;   /* set before entries are added: short limits */
+	double loss; /* part of the messages that is lost */
+	ap_rng_t rng;
+	size_t queue;	    /* requests that may wait at an entry; 0 for many */
 	uint32_t drop_kind; /* kind of message that is lost */
 	uint64_t seen[128]; /* messages by kind */
 };
@@ -108,7 +113,7 @@
 	memcpy(m->data, data, len);
 	ap_copy_name(m->from, sizeof(m->from), e->settings.id);
 	e->rig->seen[m->kind % 128]++;
-	if (m->to < 0 || m->kind == e->rig->drop_kind) {
+	if (m->to < 0 || m->kind == e->rig->drop_kind || ap_rng_unit(&e->rig->rng) < e->rig->loss) {
 		free(m);
 		return true;
 	}
@@ -135,12 +140,16 @@
 RIG_FN void rig_conf(rig_t *rig)
 {
 	char hash[AP_KEY_HASH_TEXT_MAX];
-	char text[sizeof(rig_document) + sizeof(hash)];
+	char modest[AP_KEY_HASH_TEXT_MAX];
+	char text[sizeof(rig_document) + sizeof(hash) + sizeof(modest)];
 	ap_err_t err = {.text = ""};
 	json_t *json;
 
 	ap_key_hash(RIG_KEY, hash);
-	snprintf(text, sizeof(text), rig_document, hash);
+	ap_key_hash("modest-key", modest);
+	snprintf(text, sizeof(text), rig_document, hash, modest);
+	for (char *at = text; rig->fast && (at = strstr(at, "_ms\":")) != NULL; at++)
+		memcpy(at + 5, at[5] == '6' ? " 80" : " 500", at[5] == '6' ? 3 : 4);
 	json = json_loads(text, 0, NULL);
 	if (ap_conf_parse(json, 1, &rig->conf, &err) != AP_CONF_OK)
 		fail_msg("%s", err.text);
@@ -168,7 +177,7 @@
 		.body_bytes = 1 << 20,
 		.connections = 0,
 		.request_time = 20 * AP_SEC,
-		.queue = 100,
+		.queue = rig->queue ? rig->queue : 100,
 		.retry_ratio = 1.0,
 	};
 	snprintf(e->settings.id, sizeof(e->settings.id), "%s-0", region);
@@ -236,9 +245,10 @@
 	}
 }
 
-RIG_FN void rig_init(rig_t *rig)
+RIG_FN void rig_init_as(rig_t *rig, bool fast)
 {
 	memset(rig, 0, sizeof(*rig));
+	rig->fast = fast;
 	rig->base = event_base_new();
 	rig->deliver = evtimer_new(rig->base, rig_deliver, rig);
 	TAILQ_INIT(&rig->messages);
@@ -246,6 +256,11 @@
 	rig_add_entry(rig, "recife");
 }
 
+RIG_FN void rig_init(rig_t *rig)
+{
+	rig_init_as(rig, false);
+}
+
 RIG_FN void rig_clear(rig_t *rig)
 {
 	rig_message_t *m;
