--- a/cmd/arbutuspondctl/ask.c
+++ b/cmd/arbutuspondctl/ask.c
@@ -206,9 +206,9 @@
 	if (answer->code != 200) {
 		ctl_exit_t status = http_fail(request, answer);
 
-		if (strcmp(ask->outcome, "not-run") == 0)
+		if (answer->code >= 500 && strcmp(ask->outcome, "not-run") == 0)
 			return CTL_NOT_RUN;
-		if (strcmp(ask->outcome, "unknown") == 0)
+		if (answer->code >= 500 && strcmp(ask->outcome, "unknown") == 0)
 			return CTL_UNKNOWN;
 		return status;
 	}
--- a/cmd/arbutuspondctl/http.c
+++ b/cmd/arbutuspondctl/http.c
@@ -158,9 +158,10 @@
 	size_t i;
 
 	json_array_foreach (fields, i, field) {
-		const char *name = json_string_value(field);
+		const char *name = json_string_value(json_object_get(field, "field"));
 
-		fprintf(stderr, "  %s\n", name ? name : "?");
+		if (name)
+			fprintf(stderr, "  %s\n", name);
 	}
 }
 
--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -32,7 +32,8 @@
 
 say "Confirming a load once, with a permit"
 ARBUTUSPOND_KEY=dispatch-recife-key "$CTL" --entry "$CALLERS_1" --service confirm-load \
-	--path /confirm --permit ask '{"load":"REC-0417","trolleys":14}' | tee "$DIR/confirmed"
+	--path /confirm --permit ask '{"load":"REC-0417","trolleys":14}' >"$DIR/confirmed"
+cat "$DIR/confirmed"
 
 say "The same permit again: refused, and the load is not confirmed twice"
 permit=$(sed -n 's/^permit=//p' "$DIR/confirmed")
