Read the fencing number after a lease was taken

An acquire over the platform's interface answers only whether it was carried out, so every holder ordered with fencing number 0 and fencing did nothing. The fake store told the number in its answer, which hid this; it now tells what the real service tells.

--- a/lib/order/lease.c
+++ b/lib/order/lease.c
@@ -136,9 +136,8 @@
 	ap_lease_t *l = owner;
 
 	l->waiting = false;
-	if (result->status == AP_KV_OK)
-		hold(l, result->lock_index);
-	else if (result->status == AP_KV_UNSURE)
+	/* The answer says only that it was carried out; the fencing number has to be read. */
+	if (result->status == AP_KV_OK || result->status == AP_KV_UNSURE)
 		settle(l);
 	else
 		drop(l, RETRY_TIME);
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -19,6 +19,7 @@
 
 /**
  * struct ap_kv_result - outcome of one call; pointers are valid during the callback only.
+ * Only a read fills @index, @lock_index and @value; a write tells whether it was carried out.
  * @index: the key's modification index
  * @lock_index: the key's fencing number: how often its lease was taken
  * @session: session that holds the key, or the one just made; empty for none
--- a/test/fake.h
+++ b/test/fake.h
@@ -227,6 +227,7 @@
 	a->done(a->arg, &a->result);
 }
 
+/* As the real service: only a read (@key given) tells index, fencing number and holder. */
 FAKE void fake_answer(fake_store_t *s, ap_kv_done_t done, void *arg, ap_kv_status_t status,
 		      const fake_key_t *key, const char *session)
 {
@@ -408,7 +409,7 @@
 	if (carried && fits)
 		fake_write(s, key, value, len);
 	if (!trouble)
-		fake_answer(s, done, arg, fits ? AP_KV_OK : AP_KV_CONFLICT, key, NULL);
+		fake_answer(s, done, arg, fits ? AP_KV_OK : AP_KV_CONFLICT, NULL, NULL);
 }
 
 FAKE void fake_acquire(void *ctx, const char *name, const void *value, size_t len,
@@ -430,7 +431,7 @@
 		fake_write(s, key, value, len);
 	}
 	if (!trouble)
-		fake_answer(s, done, arg, fits ? AP_KV_OK : AP_KV_CONFLICT, key, NULL);
+		fake_answer(s, done, arg, fits ? AP_KV_OK : AP_KV_CONFLICT, NULL, NULL);
 }
 
 FAKE void fake_release(void *ctx, const char *name, const char *session, ap_kv_done_t done,
