--- /dev/null
+++ b/test/pages_test.sh
@@ -0,0 +1,28 @@
+# The pages name only what exists: linked files, tests, commands of the tool and its options.
+# Usage: pages_test.sh BUILD_DIRECTORY
+set -u
+cd "$(dirname "$0")/.." || exit 1
+FAILED=0
+lack() {
+	echo "$1"
+	FAILED=1
+}
+for page in README.md $(find docs -name '*.md'); do
+	for link in $(grep -o '](\([^)#]*\)' "$page" | sed 's/^](//' | grep -v '^http'); do
+		[ -e "$(dirname "$page")/$link" ] || lack "$page: no such file: $link"
+	done
+	for name in $(grep -oh '`[a-z_]*_test`' "$page" | tr -d '`' | sort -u); do
+		[ -e "test/$name.c" ] || [ -e "test/$name.sh" ] || lack "$page: no such test: $name"
+	done
+	for name in $(grep -oh '`test_[a-z_]*`' "$page" | tr -d '`' | sort -u); do
+		grep -q "unit_test($name)" test/*.c || lack "$page: no such test case: $name"
+	done
+done
+"$1/cmd/arbutuspondctl" --help >/tmp/help.$$
+for page in docs/man/arbutuspondctl.1 $(find docs/operators -name '*.md'); do
+	for option in $(sed 's/\\-/-/g' "$page" | grep -o 'arbutuspondctl.*' | grep -o -- '--[a-z-]*[a-z]'); do
+		grep -q -- "$option" /tmp/help.$$ || lack "$page: no such option: $option"
+	done
+done
+rm -f /tmp/help.$$
+exit $FAILED
