--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -6,7 +6,7 @@
 BUILD=${1:-build}
 SAMPLES=$(dirname "$0")
 . "$SAMPLES/fleet.sh"
-trap 'fleet_stop' EXIT
+trap 'status=$?; fleet_stop || exit 1; exit $status' EXIT
 trap 'exit 1' INT TERM
 
 say() {
@@ -24,12 +24,14 @@
 for admin in "$ADMIN_1" "$ADMIN_2" "$ADMIN_3"; do
 	fleet_wait "$admin to be ready" fleet_ready "$admin"
 done
+fleet_wait "all instances to know each other" fleet_alive "$ADMIN_1" 3
 "$CTL" --admin "$ADMIN_1" status
 
 say "Galley question, answered as a stream"
 ARBUTUSPOND_KEY=galley-recife-key "$CTL" --entry "$CALLERS_1" --service galley --max-tokens 12 \
 	ask "How many special meals are in row 12 of this galley?"
 
+fleet_wait "a witness for permits" fleet_has_witness "$ADMIN_1"
 say "Confirming a load once, with a permit"
 ARBUTUSPOND_KEY=dispatch-recife-key "$CTL" --entry "$CALLERS_1" --service confirm-load \
 	--path /confirm --permit ask '{"load":"REC-0417","trolleys":14}' >"$DIR/confirmed"
@@ -46,14 +48,12 @@
 
 say "Draining entry-1; it ends by itself when its requests are done"
 "$CTL" --admin "$ADMIN_1" drain
-wait "$(cat "$DIR/entry-1.pid")"
+fleet_wait_end entry-1
 echo "exit status $?"
 
 say "The end of the joined time line of the other two"
 "$CTL" --admin "$ADMIN_2" --admin "$ADMIN_3" timeline | tail -n 5
 
-for n in 2 3; do
-	kill "$(cat "$DIR/entry-$n.pid")"
-	wait "$(cat "$DIR/entry-$n.pid")"
-done
+fleet_end entry-2
+fleet_end entry-3
 say "All entry instances ended with exit status 0"
--- a/samples/fleet.sh
+++ b/samples/fleet.sh
@@ -1,11 +1,12 @@
 # Starts stand-ins and three entry instances in two regions; read in by samples/demo.sh and tests.
 # Needs $BUILD. Sets $DIR, a temporary folder, and $ADMIN_1 to 3, $CALLERS_1 to 3, $TOKEN. Whoever
 # reads this in calls fleet_stop at the end; it ends only the processes that were started here.
+# shellcheck shell=sh
 
 DIR=$(mktemp -d)
 TOKEN=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
 CTL=$BUILD/cmd/arbutuspondctl
-PIDS=
+RUNNING= # names of what was started, the latest first
 WAIT_TICKS=300 # tenths of a second
 
 # fleet_wait WHAT COMMAND...: runs COMMAND until it succeeds.
@@ -29,7 +30,32 @@
 	shift
 	"$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
 	echo $! >"$DIR/$name.pid"
-	PIDS="$PIDS $!"
+	RUNNING="$name $RUNNING"
+}
+
+# fleet_gone PID: has the process ended, waited for or not?
+fleet_gone() {
+	[ ! -e "/proc/$1" ] || grep -q '^State:.Z' "/proc/$1/status"
+}
+
+# fleet_wait_end NAME: waits until the process has ended. Return: its exit status.
+fleet_wait_end() {
+	pid=$(cat "$DIR/$1.pid")
+	fleet_wait "the end of $1" fleet_gone "$pid" || kill -9 "$pid"
+	ended=0
+	wait "$pid" || ended=$?
+	RUNNING=$(echo "$RUNNING" | sed "s/\(^\| \)$1 /\1/")
+	[ $ended -eq 0 ] || {
+		echo "$1 ended with status $ended:" >&2
+		tail -n 20 "$DIR/$1.log" >&2
+	}
+	return $ended
+}
+
+# fleet_end NAME: asks the process to end and waits for it. Return: its exit status.
+fleet_end() {
+	kill "$(cat "$DIR/$1.pid")" 2>/dev/null || true
+	fleet_wait_end "$1"
 }
 
 # fleet_standin NAME PROGRAM ARGUMENTS...: the same, and waits until it listens.
@@ -80,7 +106,7 @@
 	done
 }
 
-# fleet_list STATE_OF_ENTRY_1: writes the platform's instance list.
+# fleet_list: writes the platform's instance list.
 fleet_list() {
 	{
 		printf '{"instances":['
@@ -100,7 +126,23 @@
 	curl -sf -H "Authorization: Bearer $TOKEN" "http://$1/ready"
 }
 
-# fleet_up TRADE HOME AWAY: two entries in region HOME and one in AWAY, upstreams in both.
+# fleet_metric ADMIN PATTERN: does a line of the instance's counters match?
+fleet_metric() {
+	curl -sf -H "Authorization: Bearer $TOKEN" "http://$1/metrics" | grep -q "^arbutuspond_$2\$"
+}
+
+# fleet_alive ADMIN COUNT: does the instance believe so many alive?
+fleet_alive() {
+	fleet_metric "$1" "members_alive $2"
+}
+
+# fleet_has_witness ADMIN: has the instance probed the others of its region as witnesses for permits?
+fleet_has_witness() {
+	fleet_metric "$1" "permits_messages_total \\([4-9]\\|[1-9][0-9][0-9]*\\)"
+}
+
+# fleet_up TRADE HOME AWAY MODELS MODELS WORK WORK WORK: two entries in region HOME and one in AWAY;
+# in both two engines, with the models and the labels "work" given, and a plain service.
 fleet_up() {
 	TRADE=$1
 	fleet_standin platform "$BUILD/test/standin-platform"
@@ -136,13 +178,13 @@
 	done
 }
 
-# fleet_stop: ends what is still running and removes the folder. Fails when a daemon did.
+# fleet_stop: ends what is still running, entries first, and removes the folder. Return: 0 when
+# every process ended with status 0.
 fleet_stop() {
-	for pid in $PIDS; do
-		kill "$pid" 2>/dev/null
-	done
-	for pid in $PIDS; do
-		wait "$pid" 2>/dev/null
+	failed=0
+	for name in $RUNNING; do
+		fleet_end "$name" || failed=1
 	done
 	rm -rf "$DIR"
+	return $failed
 }
