End a process without a leak, and give each test fleet ports of its own

With its end status checked, an instance under the address sanitizer showed the key-value watch that is open at its end: its owner had dropped it and the platform never called back. The platform now ends open calls on request. Two fleets that ran at once could pick the same port (seen once: fleet_test under sanitizers, Address already in use); each now holds a lock on a range.

--- a/adapters/platform/kv.c
+++ b/adapters/platform/kv.c
@@ -14,12 +14,13 @@
 
 /* What is kept while a call is in progress. */
 typedef struct pending {
+	LIST_ENTRY(pending) link;
 	ap_kv_done_t done;
 	void *arg;
 	bool write;
 } pending_t;
 
-static pending_t *pending_new(ap_kv_done_t done, void *arg, bool write)
+static pending_t *pending_new(ap_platform_t *pl, ap_kv_done_t done, void *arg, bool write)
 {
 	pending_t *p = calloc(1, sizeof(*p));
 
@@ -28,15 +29,32 @@
 	p->done = done;
 	p->arg = arg;
 	p->write = write;
+	LIST_INSERT_HEAD(&pl->pending, p, link);
 	return p;
 }
 
 static void finish(pending_t *p, const ap_kv_result_t *result)
 {
+	LIST_REMOVE(p, link);
 	p->done(p->arg, result);
 	free(p);
 }
 
+void ap_platform_finish(ap_platform_t *pl)
+{
+	pending_t *p = LIST_FIRST(&pl->pending);
+
+	LIST_INIT(&pl->pending);
+	/* each one itself is freed with the call that it belongs to */
+	while (p) {
+		ap_kv_result_t result = {.status = p->write ? AP_KV_UNSURE : AP_KV_UNAVAILABLE};
+		pending_t *next = LIST_NEXT(p, link);
+
+		p->done(p->arg, &result);
+		p = next;
+	}
+}
+
 /* Turns a call that brought no usable answer into a status of this layer. */
 static ap_kv_status_t failure(const pending_t *p, const ap_call_answer_t *a, ap_err_t *err)
 {
@@ -189,7 +207,7 @@
 	} else {
 		snprintf(path, sizeof(path), "/v1/kv/%s", key);
 	}
-	read_call(ctx, path, limit, pending_new(done, arg, false));
+	read_call(ctx, path, limit, pending_new(ctx, done, arg, false));
 }
 
 static void kv_cas(void *ctx, const char *key, const void *value, size_t len, uint64_t index,
@@ -198,7 +216,7 @@
 	char path[PATH_MAX_BYTES];
 
 	snprintf(path, sizeof(path), "/v1/kv/%s?cas=%" PRIu64, key, index);
-	write_call(ctx, path, value, len, on_put, pending_new(done, arg, true));
+	write_call(ctx, path, value, len, on_put, pending_new(ctx, done, arg, true));
 }
 
 static void kv_acquire(void *ctx, const char *key, const void *value, size_t len,
@@ -207,7 +225,7 @@
 	char path[PATH_MAX_BYTES];
 
 	snprintf(path, sizeof(path), "/v1/kv/%s?acquire=%s", key, session);
-	write_call(ctx, path, value, len, on_put, pending_new(done, arg, true));
+	write_call(ctx, path, value, len, on_put, pending_new(ctx, done, arg, true));
 }
 
 static void kv_release(void *ctx, const char *key, const char *session, ap_kv_done_t done,
@@ -216,7 +234,7 @@
 	char path[PATH_MAX_BYTES];
 
 	snprintf(path, sizeof(path), "/v1/kv/%s?release=%s", key, session);
-	write_call(ctx, path, NULL, 0, on_put, pending_new(done, arg, true));
+	write_call(ctx, path, NULL, 0, on_put, pending_new(ctx, done, arg, true));
 }
 
 static void kv_session_create(void *ctx, ap_usec_t ttl, ap_kv_done_t done, void *arg)
@@ -228,7 +246,7 @@
 			 ttl / AP_SEC);
 
 	write_call(ctx, "/v1/session/create", body, (size_t)len, on_session,
-		   pending_new(done, arg, true));
+		   pending_new(ctx, done, arg, true));
 }
 
 static void kv_session_renew(void *ctx, const char *session, ap_kv_done_t done, void *arg)
@@ -236,7 +254,7 @@
 	char path[PATH_MAX_BYTES];
 
 	snprintf(path, sizeof(path), "/v1/session/renew/%s", session);
-	write_call(ctx, path, NULL, 0, on_session, pending_new(done, arg, true));
+	write_call(ctx, path, NULL, 0, on_session, pending_new(ctx, done, arg, true));
 }
 
 static void kv_session_destroy(void *ctx, const char *session, ap_kv_done_t done, void *arg)
@@ -244,7 +262,7 @@
 	char path[PATH_MAX_BYTES];
 
 	snprintf(path, sizeof(path), "/v1/session/destroy/%s", session);
-	write_call(ctx, path, NULL, 0, on_put, pending_new(done, arg, true));
+	write_call(ctx, path, NULL, 0, on_put, pending_new(ctx, done, arg, true));
 }
 
 ap_kv_port_t ap_platform_kv(ap_platform_t *p)
--- a/adapters/platform/list.c
+++ b/adapters/platform/list.c
@@ -219,6 +219,7 @@
 		return NULL;
 	p->settings = settings;
 	p->calls = ap_calls_new(base);
+	LIST_INIT(&p->pending);
 	return p;
 }
 
--- a/adapters/platform/platform.h
+++ b/adapters/platform/platform.h
@@ -15,6 +15,13 @@
 typedef struct ap_platform ap_platform_t;
 
 ap_platform_t *ap_platform_new(struct event_base *base, const ap_settings_t *settings);
+/**
+ * ap_platform_finish() - ends the key-value calls in progress with their callbacks. For owners that
+ * have given up their calls and free what belongs to one in its callback; ap_platform_free()
+ * follows.
+ */
+void ap_platform_finish(ap_platform_t *p);
+/** ap_platform_free() - drops calls in progress without a callback. */
 void ap_platform_free(ap_platform_t *p);
 /** ap_platform_kv() - the key-value port; valid while @p lives. */
 ap_kv_port_t ap_platform_kv(ap_platform_t *p);
--- a/adapters/platform/private.h
+++ b/adapters/platform/private.h
@@ -5,9 +5,12 @@
 #include "call/call.h"
 #include "platform/platform.h"
 
+#include <sys/queue.h>
+
 struct ap_platform {
 	const ap_settings_t *settings;
 	ap_calls_t *calls;
+	LIST_HEAD(, pending) pending; /* key-value calls in progress */
 	ap_platform_stats_t stats;
 };
 
--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -402,6 +402,8 @@
 	ap_spread_free(c->spread);
 	ap_member_free(c->member);
 	ap_poll_free(c->poll);
+	if (c->platform)
+		ap_platform_finish(c->platform);
 	ap_platform_free(c->platform);
 	ap_peer_free(c->peer);
 	ap_link_free(c->link);
--- a/samples/fleet.sh
+++ b/samples/fleet.sh
@@ -8,6 +8,9 @@
 CTL=$BUILD/cmd/arbutuspondctl
 RUNNING= # names of what was started, the latest first
 WAIT_TICKS=300 # tenths of a second
+PORT_FIRST=10000
+PORT_RANGE=40
+PORT_RANGES=500
 
 # fleet_wait WHAT COMMAND...: runs COMMAND until it succeeds.
 fleet_wait() {
@@ -106,6 +109,19 @@
 	done
 }
 
+# fleet_ports COUNT: free ports that no other fleet of this user takes, since a lock on their range
+# is held as long as this shell and what it started live.
+fleet_ports() {
+	locks=${TMPDIR:-/tmp}/arbutuspond-ports-$(id -u)
+	mkdir -p "$locks"
+	while :; do
+		range=$(($(od -An -N2 -tu2 /dev/urandom) % PORT_RANGES))
+		exec 9>"$locks/$range"
+		flock -n 9 && break
+	done
+	PORTS=$("$BUILD/test/standin-ports" "$1" $((PORT_FIRST + range * PORT_RANGE)))
+}
+
 # fleet_list: writes the platform's instance list.
 fleet_list() {
 	{
@@ -164,7 +180,9 @@
 		done
 	} >"$DIR/upstreams.json"
 	fleet_keys
-	set -- "$2" "$3" $("$BUILD/test/standin-ports" 12)
+	fleet_ports 12
+	# shellcheck disable=SC2086
+	set -- "$2" "$3" $PORTS
 	fleet_settings 1 "$1" "$3" "$4" "$5" "$6"
 	fleet_settings 2 "$1" "$7" "$8" "$9" "${10}"
 	fleet_settings 3 "$2" "${11}" "${12}" "${13}" "${14}"
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -262,6 +262,28 @@
 	assert_int_equal(got.calls, 0);
 }
 
+static void test_finished_calls_are_told_once(void **state)
+{
+	ap_settings_t settings;
+	got_t got = {0};
+	ap_platform_t *p;
+	ap_kv_port_t kv;
+
+	(void)state;
+	start(FAULT_STALL, 200, ITEM, &settings);
+	p = ap_platform_new(base, &settings);
+	kv = ap_platform_kv(p);
+	kv.cas(kv.ctx, "k", "v", 1, 0, on_done, &got);
+	while (fake.requests == 0)
+		event_base_loop(base, EVLOOP_ONCE);
+	ap_platform_finish(p);
+	assert_int_equal(got.calls, 1);
+	assert_int_equal(got.status, AP_KV_UNSURE);
+	ap_platform_free(p);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	assert_int_equal(got.calls, 1);
+}
+
 static int setup(void **state)
 {
 	struct evhttp_bound_socket *bound;
@@ -295,6 +317,7 @@
 		cmocka_unit_test(test_values_are_decoded),
 		cmocka_unit_test(test_instance_list),
 		cmocka_unit_test(test_dropped_calls_are_freed),
+		cmocka_unit_test(test_finished_calls_are_told_once),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
--- a/test/standin/ports.c
+++ b/test/standin/ports.c
@@ -1,19 +1,15 @@
 /*
- * Prints free TCP ports of the loopback address, one a line. They lie below the range that the
- * system gives to outgoing connections, so that none is taken before it is used.
+ * Prints free TCP ports of the loopback address, one a line, from a given one on. Below the range
+ * that the system gives to outgoing connections none is taken before it is used, if whoever asks
+ * sees to it that no other does so for the same range.
  */
-#include "log/log.h"
-
 #include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define PORT_FIRST 10000
-#define PORTS 20000
-#define WANTED_MAX 256
-#define TRIES_MAX 100000
+#define TRIES_MAX 1000
 
 /* Return: a bound socket, or -1 when the port is taken. */
 static int bind_port(uint16_t port)
@@ -35,23 +31,20 @@
 
 int main(int argc, char **argv)
 {
-	int wanted = argc > 1 ? atoi(argv[1]) : 1;
-	ap_rng_t rng;
-	uint64_t seed;
+	int wanted = argc == 3 ? atoi(argv[1]) : 0;
+	int port = argc == 3 ? atoi(argv[2]) : 0;
 
-	if (wanted < 1 || wanted > WANTED_MAX) {
-		fprintf(stderr, "usage: standin-ports COUNT\n");
+	if (wanted < 1 || port < 1) {
+		fprintf(stderr, "usage: standin-ports COUNT FIRST\n");
 		return EXIT_FAILURE;
 	}
-	ap_random(&seed, sizeof(seed));
-	ap_rng_seed(&rng, seed);
-	/* every socket stays bound until the end, so no port is printed twice */
-	for (int i = 0; i < TRIES_MAX && wanted > 0; i++) {
-		uint16_t port = (uint16_t)(PORT_FIRST + ap_rng_below(&rng, PORTS));
+	for (int i = 0; i < TRIES_MAX && wanted > 0; i++, port++) {
+		int fd = bind_port((uint16_t)port);
 
-		if (bind_port(port) < 0)
+		if (fd < 0)
 			continue;
-		printf("%u\n", port);
+		close(fd);
+		printf("%d\n", port);
 		wanted--;
 	}
 	return wanted == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
