--- a/test/ctl_test.sh
+++ b/test/ctl_test.sh
@@ -107,4 +107,28 @@
 		FAILED=1
 	}
 done
+
+# one request's events only, over all instances
+request=$(ask --json --service rules --whole "Which firms?" | sed 's/.*"request":"\([^"]*\)".*/\1/')
+expect 0 'request.end.*outcome=completed' "$CTL" --admin "$ADMIN_2" --admin "$ADMIN_1" \
+	--request "$request" timeline
+expect 0 '^0$' sh -c "'$CTL' --admin $ADMIN_1 --request $request timeline | grep -vc $request || true"
+
+# a graceful shutdown: nothing new is taken, the stream in progress comes to its end
+ask --service rules --max-tokens 3000 "Which stands are left?" >"$DIR/stream" 2>&1 &
+stream=$!
+fleet_wait "the stream to start" test -s "$DIR/stream" || FAILED=1
+expect 0 '^draining$' admin drain
+expect 6 '503' ask --service rules "Which firms may apply?"
+kill -0 $stream || {
+	echo "the stream was over before the new request was refused: nothing was shown"
+	FAILED=1
+}
+wait $stream || FAILED=1
+grep -q 'outcome=completed' "$DIR/stream" || {
+	echo "the stream was cut off:"
+	tail -c 300 "$DIR/stream"
+	FAILED=1
+}
+fleet_wait_end entry-1 || FAILED=1
 exit $FAILED
--- a/test/pages_test.sh
+++ b/test/pages_test.sh
@@ -18,6 +18,10 @@
 		grep -q "unit_test($name)" test/*.c || lack "$page: no such test case: $name"
 	done
 done
+for kind in $(grep -rhoE '"[a-z]+\.[a-z-]+"' cmd/arbutuspond lib --include='*.c' | tr -d '"' |
+	grep -v '\.h$' | sort -u); do
+	grep -q "\`$kind\`" docs/operators/time-line.md || lack "not on the page of events: $kind"
+done
 "$1/cmd/arbutuspondctl" --help >/tmp/help.$$
 for page in docs/man/arbutuspondctl.1 $(find docs/operators -name '*.md'); do
 	for option in $(sed 's/\\-/-/g' "$page" | grep -o 'arbutuspondctl.*' | grep -o -- '--[a-z-]*[a-z]'); do
