--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -29,6 +29,7 @@
 	int cut_region;
 	int events_reverted;
 	int events_forked;
+	bool over;
 } fleet_t;
 
 typedef struct answer {
@@ -50,7 +51,7 @@
 {
 	fleet_t *f = ctx;
 
-	if (!f->nodes[to].down)
+	if (!f->over && !f->nodes[to].down)
 		assert_int_equal(
 			ap_spread_receive(f->nodes[to].s, from, data, len, f->sim.now, NULL),
 			AP_SPREAD_OK);
@@ -88,6 +89,8 @@
 	fleet_t *f = arg;
 
 	(void)data;
+	if (f->over)
+		return;
 	for (int i = 0; i < f->n; i++) {
 		if (!f->nodes[i].down)
 			ap_spread_tick(f->nodes[i].s, f->sim.now);
@@ -157,7 +160,9 @@
 {
 	for (int i = 0; i < f->n; i++)
 		ap_spread_free(f->nodes[i].s);
-	fake_run(&f->sim, f->sim.now);
+	f->over = true;
+	fake_store_away(&f->store, true);
+	fake_run(&f->sim, f->sim.now + 200 * AP_SEC);
 	fake_store_clear(&f->store);
 	fake_sim_clear(&f->sim);
 	free(f);
@@ -288,6 +293,27 @@
 	fleet_free(f);
 }
 
+/* The store names a generation, as written by the same one as here. */
+static void assert_stored(fleet_t *f, uint64_t generation)
+{
+	const fake_key_t *key = fake_key(&f->store, AP_SPREAD_HEAD_KEY, false);
+	json_t *head = json_loadb(key->value, key->len, 0, NULL);
+	json_t *own = ap_spread_history(f->nodes[0].s);
+	size_t found = 0, i, k;
+	json_t *a, *b;
+
+	json_array_foreach (json_object_get(head, "history"), i, a) {
+		json_array_foreach (own, k, b) {
+			found += json_equal(a, b) &&
+				 json_integer_value(json_object_get(a, "generation")) ==
+					 (json_int_t)generation;
+		}
+	}
+	assert_int_equal(found, 1);
+	json_decref(head);
+	json_decref(own);
+}
+
 /* Whatever answers get lost, "ok" means in the history, once, and "unavailable" means not there. */
 static void test_lost_answers_are_settled(void **state)
 {
@@ -309,6 +335,7 @@
 		if (a.status == AP_SPREAD_OK) {
 			assert_int_equal(a.generation, before + 1);
 			assert_true(changed);
+			assert_stored(f, a.generation);
 		} else if (a.status != AP_SPREAD_UNSURE) {
 			assert_int_equal(a.status, AP_SPREAD_UNAVAILABLE);
 			assert_false(changed);
