--- a/bench/policy/workload.c
+++ b/bench/policy/workload.c
@@ -28,10 +28,10 @@
 	"\"price_weight\":100},"
 	"\"ask\":{\"class\":\"short\",\"repeatable\":true,\"models\":{\"m\":true},"
 	"\"pools\":{\"gpu\":true},\"deadline_ms\":4000,\"first_byte_ms\":4000,"
-	"\"price_weight\":500},"
+	"\"price_weight\":1500},"
 	"\"plan\":{\"class\":\"long\",\"repeatable\":true,\"models\":{\"m\":true},"
 	"\"pools\":{\"gpu\":true},\"deadline_ms\":15000,\"first_byte_ms\":12000,"
-	"\"price_weight\":2000}},"
+	"\"price_weight\":4000}},"
 	"\"pool\":{"
 	"\"new\":{\"labels\":{\"gpu\":\"new\"},\"instances\":{\"gpu\":\"new\"},\"slots\":8,"
 	"\"price_in\":100,\"price_out\":300},"
@@ -273,6 +273,7 @@
 		}
 	}
 	free(m);
-	qsort(list, *n, sizeof(*list), by_time);
+	if (list)
+		qsort(list, *n, sizeof(*list), by_time);
 	return list;
 }
