Orders: a reading that was sent before an order ended no longer counts

A driver that reads on its own account could give a late answer from before an order. The caller now says when a reading was sent. Loads keep to 2 KB/s and cache events to 0.75 KB/s a region.

--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -36,6 +36,7 @@
 typedef struct asked {
 	ap_poll_t *poll;
 	char upstream[AP_NAME_MAX];
+	ap_usec_t at;
 } asked_t;
 
 typedef struct ordered {
@@ -127,6 +128,7 @@
 		abort();
 	asked->poll = p;
 	ap_copy_name(asked->upstream, sizeof(asked->upstream), upstream);
+	asked->at = ap_now();
 	return asked;
 }
 
@@ -218,7 +220,7 @@
 		t->models = models;
 		t->n_models = n;
 		t->models_known = true;
-		ap_order_observed(c->order, t->id, models, n, fence, ap_now());
+		ap_order_observed(c->order, t->id, models, n, fence, asked->at, ap_now());
 	}
 	free(asked);
 }
--- a/lib/order/issue.c
+++ b/lib/order/issue.c
@@ -63,6 +63,8 @@
 		return;
 	t->busy = false;
 	t->known = false;
+	t->asked_at = 0;
+	t->ended_at = AP_NEVER;
 	switch (status) {
 	case AP_ORDER_OK:
 		break;
--- a/lib/order/order.c
+++ b/lib/order/order.c
@@ -129,13 +129,13 @@
 }
 
 void ap_order_observed(ap_order_t *o, const char *upstream, const ap_observed_t *models, size_t n,
-		       uint64_t fence, ap_usec_t now)
+		       uint64_t fence, ap_usec_t asked, ap_usec_t now)
 {
 	ap_target_t *t;
 
 	o->now = now;
 	HASH_FIND_STR(o->targets, upstream, t);
-	if (!t || t->busy)
+	if (!t || t->busy || asked < t->ended_at || asked < t->read_at)
 		return;
 	free(t->observed);
 	t->observed = calloc(n + 1, sizeof(*t->observed));
@@ -145,9 +145,9 @@
 		memcpy(t->observed, models, n * sizeof(*models));
 	t->n_observed = n;
 	t->fence_seen = fence;
-	t->read_at = now;
+	t->read_at = asked;
 	/* An order without an answer may still change it. */
-	t->known = now >= t->quiet_until;
+	t->known = asked >= t->quiet_until;
 }
 
 static const ap_observed_t *observed_here(const ap_target_t *t, const char *name)
@@ -159,7 +159,6 @@
 	return NULL;
 }
 
-/* A reading under way may show the past once an order was sent, so none is sent meanwhile. */
 static bool reading(const ap_target_t *t, ap_usec_t now)
 {
 	return t->asked_at > t->read_at && now - t->asked_at < READ_LIMIT;
@@ -167,7 +166,7 @@
 
 static bool trusted(const ap_target_t *t, ap_usec_t now)
 {
-	return t->known && !t->busy && !reading(t, now) && now - t->read_at < FRESH_TIME;
+	return t->known && !t->busy && now - t->read_at < FRESH_TIME;
 }
 
 /* Others that are certainly able to serve @name; any version when @version is NULL. */
@@ -346,6 +345,10 @@
 
 	o->now = now;
 	ap_lease_tick(o->lease, now);
+	for (t = o->targets; t; t = t->hh.next) {
+		if (t->ended_at == AP_NEVER)
+			t->ended_at = now;
+	}
 	if (o->dirty)
 		order_declare(o);
 	if (ap_lease_left(o->lease, now) == 0) {
--- a/lib/order/order.h
+++ b/lib/order/order.h
@@ -107,9 +107,10 @@
 /**
  * ap_order_observed() - what an upstream says it has loaded.
  * @fence: highest fencing number that it has seen; 0 when it keeps none
+ * @asked: when the reading was sent; one sent before the last order ended is left out
  */
 void ap_order_observed(ap_order_t *o, const char *upstream, const ap_observed_t *models, size_t n,
-		       uint64_t fence, ap_usec_t now);
+		       uint64_t fence, ap_usec_t asked, ap_usec_t now);
 /** ap_order_tick() - due work; @now is read just before the call, since orders go out in it. */
 void ap_order_tick(ap_order_t *o, ap_usec_t now);
 /** ap_order_leave() - gives the lease back. */
--- a/lib/order/private.h
+++ b/lib/order/private.h
@@ -33,7 +33,7 @@
 	size_t n_observed;
 	uint64_t fence_seen;
 	bool known;	   /* read since the last order ended and since the lease was taken */
-	ap_usec_t read_at; /* last answer, or 0 */
+	ap_usec_t read_at; /* when the last answer was asked for, or 0 */
 	ap_usec_t asked_at;
 	/* order under way or just ended */
 	bool busy;
@@ -42,6 +42,7 @@
 	ap_usec_t issued_at;
 	ap_usec_t limit;
 	ap_usec_t quiet_until;
+	ap_usec_t ended_at;	   /* of the last order; AP_NEVER until the next tick */
 	char refused[AP_NAME_MAX]; /* item whose load was refused last */
 	ap_usec_t refused_until;
 	struct ap_target *gone;
--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -17,10 +17,10 @@
 #define ASKED_MAX 64
 #define CHANGE_PART 0.1
 #define KV_CHANGE 0.05
-#define CACHE_BYTES 1024.0 /* a second that each entry may get of cache events */
+#define CACHE_BYTES 768.0 /* a second that each entry may get of cache events */
 #define BLOCK_BYTES 9.0
 #define EVENT_BYTES 12.0  /* beside its blocks */
-#define LOAD_BYTES 3072.0 /* a second that each entry may get of loads */
+#define LOAD_BYTES 2048.0 /* a second that each entry may get of loads */
 #define LOAD_ITEM_BYTES 13.0
 #define GOSSIP_FANOUT 3
 #define DELEGATES 2
--- a/test/order_test.c
+++ b/test/order_test.c
@@ -205,6 +205,7 @@
 	ap_observed_t has[ITEMS];
 	size_t n;
 	uint64_t fence;
+	ap_usec_t asked;
 } reading_t;
 
 static void read_arrives(void *arg, void *data)
@@ -212,8 +213,9 @@
 	reading_t *r = data;
 
 	(void)arg;
-	if (!r->to->gate.paused)
-		ap_order_observed(r->to->o, r->upstream, r->has, r->n, r->fence, r->to->w->sim.now);
+	if (r->to->o && !r->to->gate.paused)
+		ap_order_observed(r->to->o, r->upstream, r->has, r->n, r->fence, r->asked,
+				  r->to->w->sim.now);
 }
 
 static void observe(void *ctx, const char *upstream)
@@ -221,14 +223,19 @@
 	entry_t *entry = ctx;
 	engine_t *e = &entry->w->engines[atoi(upstream + 1)];
 	reading_t *r = calloc(1, sizeof(*r));
+	ap_usec_t takes = 20 * AP_MSEC;
 
 	assert_non_null(r);
 	r->to = entry;
+	r->asked = entry->w->sim.now;
 	ap_copy_name(r->upstream, AP_NAME_MAX, upstream);
 	memcpy(r->has, e->has, sizeof(r->has));
 	r->n = e->n;
 	r->fence = e->fenced ? e->fence : 0;
-	fake_at(&entry->w->sim, entry->w->sim.now + 20 * AP_MSEC, read_arrives, NULL, r);
+	/* Some come late, after an order that was sent meanwhile. */
+	if (ap_rng_unit(&entry->w->sim.rng) < 0.2)
+		takes += (ap_usec_t)ap_rng_below(&entry->w->sim.rng, 8 * AP_SEC);
+	fake_at(&entry->w->sim, entry->w->sim.now + takes, read_arrives, NULL, r);
 }
 
 static void violated(void *ctx, ap_invariant_t invariant, const char *what)
@@ -336,8 +343,13 @@
 	while (w->sim.now < end) {
 		fake_run(&w->sim, w->sim.now + TICK);
 		for (int i = 0; i < ENTRIES; i++) {
-			if (!w->entries[i].gate.paused)
-				ap_order_tick(w->entries[i].o, w->sim.now);
+			if (w->entries[i].gate.paused)
+				continue;
+			ap_order_tick(w->entries[i].o, w->sim.now);
+			/* The driver reads of its own accord as well. */
+			if (ap_rng_unit(&w->sim.rng) < 0.05)
+				observe(&w->entries[i],
+					w->engines[ap_rng_below(&w->sim.rng, ENGINES)].up.id);
 		}
 	}
 }
--- a/test/shared_run_test.c
+++ b/test/shared_run_test.c
@@ -227,7 +227,7 @@
 	ap_observed_t none = {.name = "", .version = ""};
 
 	ap_order_observed(node->o, upstream, &none, 0, node->run->engine_fence[atoi(upstream + 1)],
-			  node->run->sim.now);
+			  node->run->sim.now, node->run->sim.now);
 }
 
 static json_t *document(int rate, int replicas)
