--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -330,21 +330,22 @@
 {
 	ap_room_item_t rooms[ROOMS_PER_MESSAGE];
 	ap_report_message_t msg = {.type = AP_REPORT_REGION, .rooms = rooms};
+	const ap_entry_t *entries = r->entries;
+	size_t n = r->n_entries;
 	ap_room_known_t *known;
 
 	LIST_FOREACH (known, &r->rooms, link) {
 		if (known->own && msg.n_rooms < ROOMS_PER_MESSAGE)
 			rooms[msg.n_rooms++] = room_item(r, &known->room);
 	}
-	if (msg.n_rooms == 0)
+	if (msg.n_rooms == 0 || !entries)
 		return;
-	for (size_t i = 0; i < r->n_entries; i++) {
+	for (size_t i = 0; i < n; i++) {
 		const ap_entry_t *pick;
 
-		if (strcmp(r->entries[i].region, r->cfg.self.region) == 0 ||
-		    region_seen_before(r, i))
+		if (strcmp(entries[i].region, r->cfg.self.region) == 0 || region_seen_before(r, i))
 			continue;
-		pick = any_entry_of(r, r->entries[i].region);
+		pick = any_entry_of(r, entries[i].region);
 		if (pick)
 			report_send(r, pick->id, &msg);
 	}
