--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -299,10 +299,10 @@
 	}
 }
 
-static bool region_seen_before(const ap_report_t *r, size_t at)
+static bool region_seen_before(const ap_entry_t *entries, size_t at)
 {
 	for (size_t i = 0; i < at; i++) {
-		if (strcmp(r->entries[i].region, r->entries[at].region) == 0)
+		if (strcmp(entries[i].region, entries[at].region) == 0)
 			return true;
 	}
 	return false;
@@ -310,14 +310,16 @@
 
 static const ap_entry_t *any_entry_of(ap_report_t *r, const char *region)
 {
+	const ap_entry_t *entries = r->entries;
+	size_t n = r->n_entries;
 	const ap_entry_t *pick = NULL;
 	size_t seen = 0;
 
-	for (size_t i = 0; i < r->n_entries; i++) {
-		if (r->entries[i].leaving || strcmp(r->entries[i].region, region) != 0)
+	for (size_t i = 0; i < n; i++) {
+		if (entries[i].leaving || strcmp(entries[i].region, region) != 0)
 			continue;
 		if (ap_rng_below(&r->rng, ++seen) == 0)
-			pick = &r->entries[i];
+			pick = &entries[i];
 	}
 	return pick;
 }
@@ -343,7 +345,8 @@
 	for (size_t i = 0; i < n; i++) {
 		const ap_entry_t *pick;
 
-		if (strcmp(entries[i].region, r->cfg.self.region) == 0 || region_seen_before(r, i))
+		if (strcmp(entries[i].region, r->cfg.self.region) == 0 ||
+		    region_seen_before(entries, i))
 			continue;
 		pick = any_entry_of(r, entries[i].region);
 		if (pick)
