--- a/lib/member/private.h
+++ b/lib/member/private.h
@@ -76,7 +76,6 @@
 	uint64_t seq;
 	bool joined;
 	bool superseded;
-	bool leaving;
 	bool dirty;
 	ap_region_heard_t heard[REGIONS_MAX];
 	size_t n_heard;
--- a/lib/spread/peers.c
+++ b/lib/spread/peers.c
@@ -1,5 +1,4 @@
 /* Configuration between entries: new heads pushed, generations compared, segments handed out. */
-#include "member/member.h"
 #include "spread/private.h"
 #include "wire/frame.h"
 
@@ -11,7 +10,6 @@
 #define REGION_DIGEST_PERIOD (4 * AP_SEC)
 #define START_PERIOD AP_SEC
 #define START_ASKED 3
-#define DELEGATES 2
 
 static void send_to(ap_spread_t *s, const char *to, const ap_spread_message_t *msg)
 {
--- a/lib/spread/private.h
+++ b/lib/spread/private.h
@@ -44,8 +44,6 @@
 
 TAILQ_HEAD(ap_head_list, ap_head);
 
-typedef struct ap_spread_stage ap_spread_stage_t;
-
 /**
  * struct ap_fetch - a newer head whose segments are being fetched.
  * @from: peer to ask; empty for the store
@@ -61,7 +59,6 @@
 typedef enum ap_proposal_step {
 	AP_PROPOSAL_NONE,
 	AP_PROPOSAL_READ,     /* reading the head */
-	AP_PROPOSAL_CATCH_UP, /* fetching a head newer than the one in force */
 	AP_PROPOSAL_SEGMENTS, /* writing segments */
 	AP_PROPOSAL_HEAD,     /* moving the head */
 	AP_PROPOSAL_PAUSE,    /* reading the head again after a while */
