--- a/cmd/arbutuspond/control-admin.c
+++ b/cmd/arbutuspond/control-admin.c
@@ -230,16 +230,17 @@
 
 static json_t *upstreams_json(ap_control_t *c)
 {
+	const ap_conf_t *conf = ap_spread_current(c->spread);
 	json_t *out = json_array();
 
 	for (size_t i = 0; c->fleet && i < c->fleet->n_upstreams; i++) {
 		const ap_upstream_t *u = &c->fleet->upstreams[i];
-		size_t n = 0;
-		const ap_observed_t *models = ap_poll_models(c->poll, u->id, &n);
+		char *loaded[AP_MODELS_MAX];
+		size_t n = ap_control_models(c, conf, u, loaded);
 		json_t *names = json_array();
 
-		for (size_t m = 0; models && m < n; m++)
-			json_array_append_new(names, json_string(models[m].name));
+		for (size_t m = 0; m < n; m++)
+			json_array_append_new(names, json_string(loaded[m]));
 		json_array_append_new(
 			out,
 			json_pack("{s:s,s:s,s:s,s:b,s:b,s:o}", "id", u->id, "region", u->region,
--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -20,9 +20,6 @@
 	bool models_asked;
 	ap_usec_t load_due;
 	ap_usec_t models_due;
-	bool models_known;
-	ap_observed_t *models;
-	size_t n_models;
 } target_t;
 
 struct ap_poll {
@@ -68,8 +65,6 @@
 	if (!p)
 		return;
 	ap_calls_free(p->calls);
-	for (size_t i = 0; i < p->n; i++)
-		free(p->targets[i].models);
 	free(p->targets);
 	free(p);
 }
@@ -93,8 +88,6 @@
 	for (size_t i = 0; i < p->n; i++) {
 		if (p->targets[i].in_list)
 			p->targets[kept++] = p->targets[i];
-		else
-			free(p->targets[i].models);
 	}
 	p->n = kept;
 }
@@ -193,10 +186,16 @@
 	return true;
 }
 
-static bool same_models(const target_t *t, const ap_observed_t *models, size_t n)
+static void share_models(ap_control_t *c, const char *upstream, const ap_observed_t *models,
+			 size_t n)
 {
-	return t->models_known && t->n_models == n &&
-	       (n == 0 || memcmp(t->models, models, n * sizeof(*models)) == 0);
+	uint32_t names[AP_REPORT_MODELS_MAX];
+
+	if (n > AP_REPORT_MODELS_MAX)
+		n = AP_REPORT_MODELS_MAX;
+	for (size_t i = 0; i < n; i++)
+		names[i] = ap_report_name_hash(models[i].name);
+	ap_report_models_read(c->report, upstream, names, n, ap_now());
 }
 
 static void on_models(void *arg, const ap_call_answer_t *a)
@@ -213,12 +212,9 @@
 	note_draining(asked, a);
 	if (t && a->end == AP_CALL_ANSWERED && a->code == 200 &&
 	    read_models(a->body, &models, &n, &fence)) {
-		c->view_stale = c->view_stale || !same_models(t, models, n);
-		free(t->models);
-		t->models = models;
-		t->n_models = n;
-		t->models_known = true;
+		share_models(c, t->id, models, n);
 		ap_order_observed(c->order, t->id, models, n, fence, ap_now());
+		free(models);
 	}
 	free(asked);
 }
@@ -261,16 +257,6 @@
 	}
 }
 
-const ap_observed_t *ap_poll_models(const ap_poll_t *p, const char *upstream, size_t *n)
-{
-	target_t *t = find(p, upstream);
-
-	if (!t || !t->models_known)
-		return NULL;
-	*n = t->n_models;
-	return t->models;
-}
-
 /* Orders. */
 
 static ap_order_status_t order_status(const ap_call_answer_t *a, ap_err_t *err)
--- a/cmd/arbutuspond/control-view.c
+++ b/cmd/arbutuspond/control-view.c
@@ -9,7 +9,6 @@
 #define LIST_SPREAD_MS 500 /* so that instances do not read it all at once */
 #define PUBLISH_DELAY (1 * AP_SEC)
 #define PUBLISH_EVERY (5 * AP_SEC)
-#define MODELS_MAX 32 /* names of models and adapters on one upstream */
 
 static void know_listed_peers(ap_control_t *c, const ap_fleet_t *fleet)
 {
@@ -78,7 +77,7 @@
 
 /* Models that the rules declare for an upstream; used until it was asked itself. */
 static size_t declared_models(const ap_conf_t *conf, const ap_upstream_t *u,
-			      char *names[MODELS_MAX])
+			      char *names[AP_MODELS_MAX])
 {
 	size_t n = 0;
 
@@ -89,11 +88,11 @@
 		for (size_t p = 0; p < conf->n_pools && !placed; p++)
 			placed = ap_selector_match(&rule->pools, &conf->pools[p].labels) &&
 				 ap_selector_match(&conf->pools[p].instances, &u->labels);
-		for (size_t m = 0; placed && m < conf->n_models && n < MODELS_MAX; m++) {
+		for (size_t m = 0; placed && m < conf->n_models && n < AP_MODELS_MAX; m++) {
 			if (ap_selector_match(&rule->models, &conf->models[m].labels))
 				names[n++] = conf->models[m].name;
 		}
-		for (size_t a = 0; placed && a < conf->n_adapters && n < MODELS_MAX; a++) {
+		for (size_t a = 0; placed && a < conf->n_adapters && n < AP_MODELS_MAX; a++) {
 			if (ap_selector_match(&rule->adapters, &conf->adapters[a].labels))
 				names[n++] = conf->adapters[a].name;
 		}
@@ -101,24 +100,45 @@
 	return n;
 }
 
-static size_t upstream_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *u,
-			      char *names[MODELS_MAX])
+static bool is_told(const uint32_t *told, size_t n, const char *name)
 {
-	size_t n;
-	const ap_observed_t *seen = ap_poll_models(c->poll, u->id, &n);
-
-	if (!seen)
-		return declared_models(conf, u, names);
-	if (n > MODELS_MAX)
-		n = MODELS_MAX;
-	for (size_t i = 0; i < n; i++)
-		names[i] = (char *)seen[i].name;
+	uint32_t hash = ap_report_name_hash(name);
+
+	for (size_t i = 0; i < n; i++) {
+		if (told[i] == hash)
+			return true;
+	}
+	return false;
+}
+
+static size_t told_models(const ap_conf_t *conf, const uint32_t *told, size_t n_told,
+			  char *names[AP_MODELS_MAX])
+{
+	size_t n = 0;
+
+	for (size_t i = 0; conf && i < conf->n_models && n < AP_MODELS_MAX; i++) {
+		if (is_told(told, n_told, conf->models[i].name))
+			names[n++] = conf->models[i].name;
+	}
+	for (size_t i = 0; conf && i < conf->n_adapters && n < AP_MODELS_MAX; i++) {
+		if (is_told(told, n_told, conf->adapters[i].name))
+			names[n++] = conf->adapters[i].name;
+	}
 	return n;
 }
 
+size_t ap_control_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *upstream,
+			 char *names[AP_MODELS_MAX])
+{
+	size_t n;
+	const uint32_t *told = ap_report_models(c->report, upstream->id, &n);
+
+	return told ? told_models(conf, told, n, names) : declared_models(conf, upstream, names);
+}
+
 /* Shallow copies that ap_view_new() copies whole; @names holds their model names. */
 static ap_upstream_t *view_upstreams(ap_control_t *c, const ap_conf_t *conf,
-				     char *(*names)[MODELS_MAX])
+				     char *(*names)[AP_MODELS_MAX])
 {
 	size_t n = c->fleet->n_upstreams;
 	ap_upstream_t *out = calloc(n + 1, sizeof(*out));
@@ -128,7 +148,7 @@
 	for (size_t i = 0; i < n; i++) {
 		out[i] = c->fleet->upstreams[i];
 		out[i].leaving = out[i].leaving || ap_report_is_leaving(c->report, out[i].id);
-		out[i].n_models = upstream_models(c, conf, &out[i], names[i]);
+		out[i].n_models = ap_control_models(c, conf, &out[i], names[i]);
 		out[i].models = names[i];
 	}
 	return out;
@@ -138,7 +158,7 @@
 {
 	const ap_conf_t *conf = ap_spread_current(c->spread);
 	ap_note_t note = {.kind = AP_NOTE_VIEW};
-	char *(*names)[MODELS_MAX];
+	char *(*names)[AP_MODELS_MAX];
 	ap_upstream_t *upstreams;
 	ap_entry_t *entries;
 	size_t n_entries;
--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -164,6 +164,14 @@
 	c->view_stale = true;
 }
 
+static void on_report_models(void *ctx, const char *upstream)
+{
+	ap_control_t *c = ctx;
+
+	(void)upstream;
+	c->view_stale = true;
+}
+
 /* From the orders part. */
 static void on_observe(void *ctx, const char *upstream)
 {
@@ -348,7 +356,8 @@
 							.load = on_report_load,
 							.room = on_report_room,
 							.cache = on_report_cache,
-							.leaving = on_report_leaving},
+							.leaving = on_report_leaving,
+							.models = on_report_models},
 				  now);
 }
 
--- a/cmd/arbutuspond/control.h
+++ b/cmd/arbutuspond/control.h
@@ -64,6 +64,15 @@
 void ap_control_read_list(ap_control_t *c, ap_usec_t now);
 /** ap_control_entries_changed() - membership changed: tells every part. */
 void ap_control_entries_changed(ap_control_t *c, ap_usec_t now);
+#define AP_MODELS_MAX AP_REPORT_MODELS_MAX /* names on one upstream */
+
+/**
+ * ap_control_models() - names of models and adapters on an upstream: what its pollers read, or
+ * what the rules declare when nobody told yet.
+ * @names: pointers into @conf
+ */
+size_t ap_control_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *upstream,
+			 char *names[AP_MODELS_MAX]);
 /** ap_control_send_view() - hands entry a new view when the last one is stale. */
 void ap_control_send_view(ap_control_t *c);
 /** ap_control_publish() - writes the client directory when due and ours to write. */
@@ -78,8 +87,6 @@
 void ap_poll_tick(ap_poll_t *p, ap_usec_t now);
 /** ap_poll_observe() - reads an upstream's models now, for the reconciler. */
 void ap_poll_observe(ap_poll_t *p, const char *upstream);
-/** ap_poll_models() - names loaded as last read; NULL when never read here. */
-const ap_observed_t *ap_poll_models(const ap_poll_t *p, const char *upstream, size_t *n);
 /** ap_poll_orders() - the port through which orders go. */
 ap_order_port_t ap_poll_orders(ap_poll_t *p);
 
--- /dev/null
+++ b/lib/report/models.c
@@ -0,0 +1,111 @@
+/*
+ * Which models and adapters each upstream has loaded. Its pollers read that; they tell the region
+ * when it changes and, in case a message was lost, now and then.
+ */
+#include "report/private.h"
+
+#include <string.h>
+
+#define MODELS_AGAIN (30 * AP_SEC)
+#define CHANGE_TELLS 3 /* readings after a change that are told, since messages get lost */
+
+uint32_t ap_report_name_hash(const char *name)
+{
+	return (uint32_t)ap_hash_str(name, 0);
+}
+
+static ap_polled_t *find(const ap_report_t *r, const char *upstream)
+{
+	return report_by_hash(r, (uint32_t)ap_hash_str(upstream, 0));
+}
+
+/* Return: true when it is other than what was known. */
+static bool set_models(ap_models_known_t *known, const uint32_t *names, size_t n, ap_usec_t at)
+{
+	bool same;
+
+	if (n > AP_REPORT_MODELS_MAX)
+		n = AP_REPORT_MODELS_MAX;
+	same = known->at > 0 && known->n == n &&
+	       (n == 0 || memcmp(known->names, names, n * sizeof(*names)) == 0);
+	known->at = at;
+	known->n = n;
+	if (!same && n > 0)
+		memcpy(known->names, names, n * sizeof(*names));
+	return !same;
+}
+
+static void tell_driver(const ap_report_t *r, const ap_polled_t *up)
+{
+	if (r->cfg.models)
+		r->cfg.models(r->cfg.ctx, up->id);
+}
+
+void ap_report_models_read(ap_report_t *r, const char *upstream, const uint32_t *names, size_t n,
+			   ap_usec_t now)
+{
+	ap_polled_t *up = find(r, upstream);
+
+	r->now = now;
+	if (!up)
+		return;
+	if (set_models(&up->models, names, n, now)) {
+		up->models.tells = CHANGE_TELLS;
+		tell_driver(r, up);
+	}
+	if (up->models.tells == 0 && now - up->models.told_at >= MODELS_AGAIN)
+		up->models.tells = 1;
+	if (up->models.tells > 0) {
+		up->models.tells--;
+		up->models.tell = true;
+	}
+}
+
+const uint32_t *ap_report_models(const ap_report_t *r, const char *upstream, size_t *n)
+{
+	const ap_polled_t *up = find(r, upstream);
+
+	if (!up || up->models.at == 0)
+		return NULL;
+	*n = up->models.n;
+	return up->models.names;
+}
+
+static void add_item(const ap_report_t *r, const ap_polled_t *up, ap_report_message_t *msg)
+{
+	ap_models_item_t *item = &msg->models[msg->n_models++];
+
+	item->upstream = up->hash;
+	item->age = (uint64_t)((r->now - up->models.at) / AP_MSEC);
+	item->n = up->models.n;
+	memcpy(item->names, up->models.names, sizeof(item->names));
+}
+
+void report_collect_models(ap_report_t *r, ap_report_message_t *msg, bool own)
+{
+	ap_polled_t *up;
+
+	for (up = r->upstreams; up && msg->n_models < MODELS_PER_MESSAGE; up = up->hh.next) {
+		bool *due = own ? &up->models.tell : &up->models.relay;
+
+		if (!*due)
+			continue;
+		*due = false;
+		if (own)
+			up->models.told_at = r->now;
+		add_item(r, up, msg);
+	}
+}
+
+void report_take_models(ap_report_t *r, const ap_models_item_t *item, bool relay)
+{
+	ap_polled_t *up = report_by_hash(r, item->upstream);
+	ap_usec_t at = r->now - (ap_usec_t)item->age * AP_MSEC;
+
+	if (!up || item->age > UINT32_MAX || at <= up->models.at)
+		return;
+	up->models.told_at = r->now;
+	up->models.relay = relay;
+	if (set_models(&up->models, item->names, item->n, at))
+		tell_driver(r, up);
+}
--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -11,6 +11,7 @@
 #define LOADS_PER_MESSAGE 512
 #define ROOMS_PER_MESSAGE 64
 #define CACHE_PER_MESSAGE 64
+#define MODELS_PER_MESSAGE 32
 #define LEAVING_PER_MESSAGE 32
 #define GROUPS_MAX 64
 #define CACHE_BLOCKS_MAX 16 /* of one event that is told */
@@ -43,6 +44,28 @@
 	size_t n;
 } ap_cache_item_t;
 
+/**
+ * struct ap_models_item - what one upstream has loaded, on the wire.
+ * @age: milliseconds since it was read
+ */
+typedef struct ap_models_item {
+	uint32_t upstream;
+	uint64_t age;
+	uint32_t names[AP_REPORT_MODELS_MAX];
+	size_t n;
+} ap_models_item_t;
+
+/* What of an upstream's models is known and still to be told. */
+typedef struct ap_models_known {
+	uint32_t names[AP_REPORT_MODELS_MAX];
+	size_t n;
+	ap_usec_t at;	   /* when it was read; 0: never */
+	bool tell;	   /* to the whole region */
+	bool relay;	   /* to the own group */
+	unsigned tells;	   /* readings that are still to be told */
+	ap_usec_t told_at; /* when it was last told or heard */
+} ap_models_known_t;
+
 typedef enum ap_report_type {
 	AP_REPORT_RELAY = 1, /* for the receiver and its group */
 	AP_REPORT_GROUP,     /* for the receiver */
@@ -60,6 +83,8 @@
 	size_t n_cache;
 	char (*leaving)[AP_NAME_MAX];
 	size_t n_leaving;
+	ap_models_item_t *models;
+	size_t n_models;
 } ap_report_message_t;
 
 /**
@@ -79,6 +104,7 @@
 	ap_usec_t leaving_until;
 	ap_usec_t leaving_told_at;
 	unsigned leaving_tells;
+	ap_models_known_t models;
 	struct ap_polled *gone;
 	UT_hash_handle hh;
 } ap_polled_t;
@@ -147,6 +173,10 @@
 void report_queue_cache(ap_report_t *r, struct ap_cache_queue *queue, size_t *queued,
 			const ap_cache_item_t *item);
 
+/* models.c */
+void report_collect_models(ap_report_t *r, ap_report_message_t *msg, bool own);
+void report_take_models(ap_report_t *r, const ap_models_item_t *item, bool relay);
+
 /* share.c */
 void report_send(ap_report_t *r, const char *to, const ap_report_message_t *msg);
 void report_flush(ap_report_t *r);
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -452,6 +452,8 @@
 		take_room(r, &msg.rooms[i], msg.type);
 	for (size_t i = 0; i < msg.n_cache; i++)
 		take_cache(r, &msg.cache[i], relay);
+	for (size_t i = 0; i < msg.n_models; i++)
+		report_take_models(r, &msg.models[i], relay);
 	for (size_t i = 0; i < msg.n_leaving; i++)
 		report_mark_leaving(r, msg.leaving[i], true);
 	ap_wire_report_clear(&msg);
--- a/lib/report/report.h
+++ b/lib/report/report.h
@@ -10,6 +10,8 @@
 #include "port/port.h"
 #include "route/route.h"
 
+#define AP_REPORT_MODELS_MAX 32 /* models and adapters told of one upstream */
+
 typedef enum ap_report_status {
 	AP_REPORT_OK,
 	AP_REPORT_MALFORMED, /* the message is not one of reports */
@@ -22,6 +24,7 @@
  * @room: another region's offer
  * @cache: cache events of an engine that another entry listens to
  * @leaving: an upstream that takes no new work; told once until it is back
+ * @models: ap_report_models() now gives another answer for @upstream; may be NULL
  */
 typedef struct ap_report_config {
 	ap_entry_t self;
@@ -33,6 +36,7 @@
 	void (*room)(void *ctx, const ap_room_t *room);
 	void (*cache)(void *ctx, const ap_cache_event_t *event);
 	void (*leaving)(void *ctx, const char *upstream);
+	void (*models)(void *ctx, const char *upstream);
 } ap_report_config_t;
 
 typedef struct ap_report ap_report_t;
@@ -55,6 +59,16 @@
 void ap_report_polled(ap_report_t *r, const ap_load_report_t *report, ap_usec_t now);
 /** ap_report_cached() - cache events that this entry heard itself. */
 void ap_report_cached(ap_report_t *r, const ap_cache_event_t *event, ap_usec_t now);
+/** ap_report_name_hash() - how the name of a model or adapter is told. */
+uint32_t ap_report_name_hash(const char *name);
+/**
+ * ap_report_models_read() - what an upstream has loaded, as this entry read it itself.
+ * @names: hashes of names by ap_report_name_hash(); at most AP_REPORT_MODELS_MAX are kept
+ */
+void ap_report_models_read(ap_report_t *r, const char *upstream, const uint32_t *names, size_t n,
+			   ap_usec_t now);
+/** ap_report_models() - what @upstream has loaded as last read or heard; NULL when never. */
+const uint32_t *ap_report_models(const ap_report_t *r, const char *upstream, size_t *n);
 /** ap_report_own_room() - what the own region offers guests for one model. */
 void ap_report_own_room(ap_report_t *r, const ap_room_t *room, ap_usec_t now);
 /** ap_report_saw_leaving() - this entry saw a drain header or refusal; tells the region at once. */
--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -93,6 +93,7 @@
 	ap_load_item_t loads[LOADS_PER_MESSAGE];
 	ap_room_item_t rooms[ROOMS_PER_MESSAGE];
 	ap_cache_item_t cache[CACHE_PER_MESSAGE];
+	ap_models_item_t models[MODELS_PER_MESSAGE];
 	ap_report_message_t own;
 	ap_report_message_t all;
 } news_t;
@@ -175,7 +176,7 @@
 
 static bool is_empty(const ap_report_message_t *msg)
 {
-	return msg->n_loads + msg->n_rooms + msg->n_cache == 0;
+	return msg->n_loads + msg->n_rooms + msg->n_cache + msg->n_models == 0;
 }
 
 static void send_group(ap_report_t *r, news_t *news)
@@ -275,13 +276,16 @@
 	news->all.loads = news->loads;
 	news->all.rooms = news->rooms;
 	news->all.cache = news->cache;
+	news->all.models = news->models;
 	collect_loads(r, news, true);
 	collect_rooms(r, news, true);
 	collect_own_cache(r, news);
+	report_collect_models(r, &news->all, true);
 	news->own = news->all;
 	collect_loads(r, news, false);
 	collect_rooms(r, news, false);
 	collect_relayed_cache(r, news);
+	report_collect_models(r, &news->all, false);
 	send_group(r, news);
 	relay(r, news);
 	repeat_leaving(r);
--- a/lib/wire/report.c
+++ b/lib/wire/report.c
@@ -36,9 +36,23 @@
 	}
 }
 
+static void pack_models(msgpack_packer *pk, const ap_report_message_t *msg)
+{
+	msgpack_pack_array(pk, msg->n_models);
+	for (size_t i = 0; i < msg->n_models; i++) {
+		const ap_models_item_t *item = &msg->models[i];
+
+		msgpack_pack_array(pk, 2 + item->n);
+		msgpack_pack_uint32(pk, item->upstream);
+		msgpack_pack_uint64(pk, item->age);
+		for (size_t k = 0; k < item->n; k++)
+			msgpack_pack_uint32(pk, item->names[k]);
+	}
+}
+
 void ap_wire_pack_report(msgpack_packer *pk, const ap_report_message_t *msg)
 {
-	msgpack_pack_array(pk, 5);
+	msgpack_pack_array(pk, 6);
 	msgpack_pack_uint32(pk, (uint32_t)msg->type);
 	msgpack_pack_array(pk, msg->n_loads * LOAD_FIELDS);
 	for (size_t i = 0; i < msg->n_loads; i++) {
@@ -55,6 +69,7 @@
 	msgpack_pack_array(pk, msg->n_leaving);
 	for (size_t i = 0; i < msg->n_leaving; i++)
 		ap_wire_pack_str(pk, msg->leaving[i]);
+	pack_models(pk, msg);
 }
 
 static void *room_for(size_t n, size_t max, size_t size, bool *ok)
@@ -132,6 +147,23 @@
 	}
 }
 
+static void read_models(ap_wire_reader_t *r, ap_report_message_t *msg, bool *ok)
+{
+	ap_wire_reader_t list = ap_wire_array(r);
+
+	msg->models = room_for(list.left, MODELS_PER_MESSAGE, sizeof(*msg->models), ok);
+	while (*ok && list.left > 0) {
+		ap_models_item_t *item = &msg->models[msg->n_models++];
+		ap_wire_reader_t e = ap_wire_array(&list);
+
+		item->upstream = (uint32_t)ap_wire_u64(&e);
+		item->age = ap_wire_u64(&e);
+		while (e.ok && e.left > 0 && item->n < AP_REPORT_MODELS_MAX)
+			item->names[item->n++] = (uint32_t)ap_wire_u64(&e);
+		*ok = e.ok;
+	}
+}
+
 bool ap_wire_report(const msgpack_object *body, ap_report_message_t *msg)
 {
 	ap_wire_reader_t r = ap_wire_reader(body);
@@ -143,6 +175,7 @@
 	read_rooms(&r, msg, &ok);
 	read_cache(&r, msg, &ok);
 	read_leaving(&r, msg, &ok);
+	read_models(&r, msg, &ok);
 	if (ok && r.ok)
 		return true;
 	ap_wire_report_clear(msg);
@@ -155,5 +188,6 @@
 	free(msg->rooms);
 	free(msg->cache);
 	free(msg->leaving);
+	free(msg->models);
 	*msg = (ap_report_message_t){.n_loads = 0};
 }
--- a/test/report_test.c
+++ b/test/report_test.c
@@ -36,7 +36,8 @@
 	int upstreams;
 	ap_entry_t entries[MAX];
 	ap_upstream_t list[UPSTREAMS];
-	bool busy; /* loads change all the time */
+	bool busy;	 /* loads change all the time */
+	uint32_t loaded; /* hash of the model on every upstream */
 } fleet_t;
 
 static void on_load(void *ctx, const ap_load_report_t *report)
@@ -140,6 +141,7 @@
 	node->load_at[up] = load.at;
 	node->running[up] = load.running;
 	ap_report_polled(node->r, &load, f->sim.now);
+	ap_report_models_read(node->r, f->list[up].id, &f->loaded, 1, f->sim.now);
 }
 
 static void run(fleet_t *f, int seconds)
@@ -197,6 +199,38 @@
 	}
 }
 
+/* How many live entries of an upstream's region know that it has loaded just @name. */
+static int know_model(const fleet_t *f, int up, uint32_t name)
+{
+	int known = 0;
+
+	for (int i = 0; i < f->n; i++) {
+		size_t n = 0;
+		const uint32_t *names = ap_report_models(f->nodes[i].r, f->list[up].id, &n);
+
+		known += names && n == 1 && names[0] == name;
+	}
+	return known;
+}
+
+static void test_loaded_models_are_known_to_the_whole_region_only(void **state)
+{
+	const uint32_t first = ap_report_name_hash("first");
+	const uint32_t second = ap_report_name_hash("second");
+	fleet_t *f = fleet_new(120, 2, 60);
+
+	(void)state;
+	f->loaded = first;
+	run(f, 40);
+	for (int u = 0; u < f->upstreams; u++)
+		assert_int_equal(know_model(f, u, first), 60);
+	f->loaded = second;
+	run(f, 100);
+	for (int u = 0; u < f->upstreams; u++)
+		assert_int_equal(know_model(f, u, second), 60);
+	fleet_free(f);
+}
+
 static void test_lost_poller_is_stood_in_for(void **state)
 {
 	fleet_t *f = fleet_new(30, 1, 40);
@@ -329,6 +363,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_two_pollers_and_all_know_every_load),
+		cmocka_unit_test(test_loaded_models_are_known_to_the_whole_region_only),
 		cmocka_unit_test(test_lost_poller_is_stood_in_for),
 		cmocka_unit_test(test_leaving_is_known_to_the_region_within_three_seconds),
 		cmocka_unit_test(test_room_reaches_every_other_region),
