--- a/lib/report/models.c
+++ b/lib/report/models.c
@@ -1,14 +1,12 @@
 /*
- * Which models and adapters each upstream has loaded. Its pollers read that; they tell the region
- * when it changes and, in case a message was lost, now and then.
+ * Which models and adapters each upstream has loaded. Its pollers read that and tell the region
+ * when it changes. Entries compare digests with one another at random, so that a lost message is
+ * made good.
  */
 #include "report/private.h"
 
 #include <string.h>
 
-#define MODELS_AGAIN (30 * AP_SEC)
-#define CHANGE_TELLS 3 /* readings after a change that are told, since messages get lost */
-
 uint32_t ap_report_name_hash(const char *name)
 {
 	return (uint32_t)ap_hash_str(name, 0);
@@ -49,16 +47,10 @@
 	r->now = now;
 	if (!up)
 		return;
-	if (set_models(&up->models, names, n, now)) {
-		up->models.tells = CHANGE_TELLS;
-		tell_driver(r, up);
-	}
-	if (up->models.tells == 0 && now - up->models.told_at >= MODELS_AGAIN)
-		up->models.tells = 1;
-	if (up->models.tells > 0) {
-		up->models.tells--;
-		up->models.tell = true;
-	}
+	if (!set_models(&up->models, names, n, now))
+		return;
+	up->models.tell = true;
+	tell_driver(r, up);
 }
 
 const uint32_t *ap_report_models(const ap_report_t *r, const char *upstream, size_t *n)
@@ -91,8 +83,6 @@
 		if (!*due)
 			continue;
 		*due = false;
-		if (own)
-			up->models.told_at = r->now;
 		add_item(r, up, msg);
 	}
 }
@@ -104,8 +94,49 @@
 
 	if (!up || item->age > UINT32_MAX || at <= up->models.at)
 		return;
-	up->models.told_at = r->now;
 	up->models.relay = relay;
 	if (set_models(&up->models, item->names, item->n, at))
 		tell_driver(r, up);
 }
+
+/* The same for entries that know the same; independent of order and of when it was read. */
+static uint32_t models_digest(const ap_report_t *r)
+{
+	const ap_polled_t *up;
+	uint32_t digest = 0;
+
+	for (up = r->upstreams; up; up = up->hh.next) {
+		const ap_models_known_t *known = &up->models;
+
+		if (known->at > 0)
+			digest ^= (uint32_t)ap_hash(known->names,
+						    known->n * sizeof(known->names[0]), up->hash);
+	}
+	return digest;
+}
+
+void report_compare_models(ap_report_t *r)
+{
+	ap_report_message_t msg = {.type = AP_REPORT_DIGEST, .digest = models_digest(r)};
+
+	if (r->n_peers > 0)
+		report_send(r, r->peers[ap_rng_below(&r->rng, r->n_peers)].id, &msg);
+}
+
+void report_answer_digest(ap_report_t *r, const char *to, uint32_t digest)
+{
+	ap_models_item_t items[MODELS_PER_MESSAGE];
+	ap_report_message_t msg = {.type = AP_REPORT_GROUP, .models = items};
+	const ap_polled_t *up;
+
+	if (digest == models_digest(r))
+		return;
+	for (up = r->upstreams; up; up = up->hh.next) {
+		if (up->models.at > 0)
+			add_item(r, up, &msg);
+		if (msg.n_models == MODELS_PER_MESSAGE || (!up->hh.next && msg.n_models > 0)) {
+			report_send(r, to, &msg);
+			msg.n_models = 0;
+		}
+	}
+}
--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -59,11 +59,9 @@
 typedef struct ap_models_known {
 	uint32_t names[AP_REPORT_MODELS_MAX];
 	size_t n;
-	ap_usec_t at;	   /* when it was read; 0: never */
-	bool tell;	   /* to the whole region */
-	bool relay;	   /* to the own group */
-	unsigned tells;	   /* readings that are still to be told */
-	ap_usec_t told_at; /* when it was last told or heard */
+	ap_usec_t at; /* when it was read; 0: never */
+	bool tell;    /* to the whole region */
+	bool relay;   /* to the own group */
 } ap_models_known_t;
 
 typedef enum ap_report_type {
@@ -71,6 +69,7 @@
 	AP_REPORT_GROUP,     /* for the receiver */
 	AP_REPORT_REGION,    /* rooms of another region, for the receiver's whole region */
 	AP_REPORT_ASK,	     /* @loads names upstreams whose reports are missed */
+	AP_REPORT_DIGEST,    /* @digest of all models known; answered when it differs */
 } ap_report_type_t;
 
 typedef struct ap_report_message {
@@ -85,6 +84,7 @@
 	size_t n_leaving;
 	ap_models_item_t *models;
 	size_t n_models;
+	uint32_t digest;
 } ap_report_message_t;
 
 /**
@@ -158,6 +158,7 @@
 	ap_usec_t cache_credited;
 	ap_usec_t next_flush;
 	ap_usec_t next_rooms;
+	ap_usec_t next_compare;
 	ap_report_stats_t stats;
 };
 
@@ -175,6 +176,8 @@
 
 /* models.c */
 void report_collect_models(ap_report_t *r, ap_report_message_t *msg, bool own);
+void report_compare_models(ap_report_t *r);
+void report_answer_digest(ap_report_t *r, const char *to, uint32_t digest);
 void report_take_models(ap_report_t *r, const ap_models_item_t *item, bool relay);
 
 /* share.c */
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -18,7 +18,8 @@
 #define ROOM_PERIOD (2 * AP_SEC)    /* of each delegate */
 #define LEAVING_KEEP (300 * AP_SEC) /* unless it is said again */
 #define LEAVING_AGAIN (60 * AP_SEC)
-#define LEAVING_TELLS 2 /* after the first one */
+#define LEAVING_TELLS 2		    /* after the first one */
+#define COMPARE_PERIOD (5 * AP_SEC) /* of what is known of loaded models */
 #define ROOMS_MAX 512
 #define CACHE_QUEUE_MAX 256 /* events */
 
@@ -35,6 +36,7 @@
 	STAILQ_INIT(&r->own_cache);
 	STAILQ_INIT(&r->relay_cache);
 	r->next_flush = now + (ap_usec_t)ap_rng_below(&r->rng, FLUSH_PERIOD);
+	r->next_compare = now + (ap_usec_t)ap_rng_below(&r->rng, COMPARE_PERIOD);
 	r->next_rooms = now + (ap_usec_t)ap_rng_below(&r->rng, ROOM_PERIOD);
 	return r;
 }
@@ -446,6 +448,8 @@
 	relay = msg.type == AP_REPORT_RELAY;
 	if (msg.type == AP_REPORT_ASK)
 		report_answer(r, from, &msg);
+	if (msg.type == AP_REPORT_DIGEST)
+		report_answer_digest(r, from, msg.digest);
 	for (size_t i = 0; i < msg.n_loads && msg.type != AP_REPORT_ASK; i++)
 		take_load(r, &msg.loads[i], relay);
 	for (size_t i = 0; i < msg.n_rooms; i++)
@@ -468,6 +472,10 @@
 		r->next_flush = now + (r->groups > 0 ? GROUPED_FLUSH_PERIOD : FLUSH_PERIOD);
 		report_flush(r);
 	}
+	if (now >= r->next_compare) {
+		r->next_compare = now + COMPARE_PERIOD;
+		report_compare_models(r);
+	}
 	if (r->delegate && now >= r->next_rooms) {
 		r->next_rooms = now + ROOM_PERIOD;
 		report_send_rooms(r);
--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -3,7 +3,6 @@
  * entries form groups of about the square root of their number: each tells its own group and one
  * member of every other group, which passes it on to its own.
  */
-#include "member/member.h"
 #include "report/private.h"
 #include "wire/frame.h"
 
@@ -17,13 +16,12 @@
 #define ASKED_MAX 64
 #define CHANGE_PART 0.1
 #define KV_CHANGE 0.05
-#define CACHE_BYTES 1024.0 /* a second that each entry may get of cache events */
+#define CACHE_BYTES 768.0 /* a second that each entry may get of cache events */
 #define BLOCK_BYTES 9.0
 #define EVENT_BYTES 12.0  /* beside its blocks */
-#define LOAD_BYTES 3072.0 /* a second that each entry may get of loads */
+#define LOAD_BYTES 2048.0 /* a second that each entry may get of loads */
 #define LOAD_ITEM_BYTES 13.0
 #define GOSSIP_FANOUT 3
-#define DELEGATES 2
 
 void report_send(ap_report_t *r, const char *to, const ap_report_message_t *msg)
 {
@@ -305,38 +303,57 @@
 	}
 }
 
-static bool region_seen_before(const ap_report_t *r, size_t at)
+static bool region_seen_before(const ap_entry_t *entries, size_t at)
 {
 	for (size_t i = 0; i < at; i++) {
-		if (strcmp(r->entries[i].region, r->entries[at].region) == 0)
+		if (strcmp(entries[i].region, entries[at].region) == 0)
 			return true;
 	}
 	return false;
 }
 
-/* The own region's offers, to one delegate of each other region. */
+static const ap_entry_t *any_entry_of(ap_report_t *r, const char *region)
+{
+	const ap_entry_t *entries = r->entries;
+	size_t n = r->n_entries;
+	const ap_entry_t *pick = NULL;
+	size_t seen = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		if (entries[i].leaving || strcmp(entries[i].region, region) != 0)
+			continue;
+		if (ap_rng_below(&r->rng, ++seen) == 0)
+			pick = &entries[i];
+	}
+	return pick;
+}
+
+/*
+ * The own region's offers, to one entry of each other region. A different one each time, since
+ * telling its region costs the receiver more than anything else that control sends.
+ */
 void report_send_rooms(ap_report_t *r)
 {
 	ap_room_item_t rooms[ROOMS_PER_MESSAGE];
 	ap_report_message_t msg = {.type = AP_REPORT_REGION, .rooms = rooms};
+	const ap_entry_t *entries = r->entries;
+	size_t n = r->n_entries;
 	ap_room_known_t *known;
 
 	LIST_FOREACH (known, &r->rooms, link) {
 		if (known->own && msg.n_rooms < ROOMS_PER_MESSAGE)
 			rooms[msg.n_rooms++] = room_item(r, &known->room);
 	}
-	if (msg.n_rooms == 0)
+	if (msg.n_rooms == 0 || !entries)
 		return;
-	for (size_t i = 0; i < r->n_entries; i++) {
-		const ap_entry_t *first[DELEGATES];
-		size_t n;
+	for (size_t i = 0; i < n; i++) {
+		const ap_entry_t *pick;
 
-		if (strcmp(r->entries[i].region, r->cfg.self.region) == 0 ||
-		    region_seen_before(r, i))
+		if (strcmp(entries[i].region, r->cfg.self.region) == 0 ||
+		    region_seen_before(entries, i))
 			continue;
-		n = ap_member_rank(r->entries, r->n_entries, "room", r->entries[i].region, NULL,
-				   first, DELEGATES);
-		if (n > 0)
-			report_send(r, first[ap_rng_below(&r->rng, n)]->id, &msg);
+		pick = any_entry_of(r, entries[i].region);
+		if (pick)
+			report_send(r, pick->id, &msg);
 	}
 }
--- a/lib/wire/report.c
+++ b/lib/wire/report.c
@@ -52,7 +52,7 @@
 
 void ap_wire_pack_report(msgpack_packer *pk, const ap_report_message_t *msg)
 {
-	msgpack_pack_array(pk, 6);
+	msgpack_pack_array(pk, 7);
 	msgpack_pack_uint32(pk, (uint32_t)msg->type);
 	msgpack_pack_array(pk, msg->n_loads * LOAD_FIELDS);
 	for (size_t i = 0; i < msg->n_loads; i++) {
@@ -70,6 +70,7 @@
 	for (size_t i = 0; i < msg->n_leaving; i++)
 		ap_wire_pack_str(pk, msg->leaving[i]);
 	pack_models(pk, msg);
+	msgpack_pack_uint32(pk, msg->digest);
 }
 
 static void *room_for(size_t n, size_t max, size_t size, bool *ok)
@@ -168,7 +169,7 @@
 {
 	ap_wire_reader_t r = ap_wire_reader(body);
 	uint64_t type = ap_wire_u64(&r);
-	bool ok = r.ok && type >= AP_REPORT_RELAY && type <= AP_REPORT_ASK;
+	bool ok = r.ok && type >= AP_REPORT_RELAY && type <= AP_REPORT_DIGEST;
 
 	*msg = (ap_report_message_t){.type = (ap_report_type_t)type};
 	read_loads(&r, msg, &ok);
@@ -176,6 +177,7 @@
 	read_cache(&r, msg, &ok);
 	read_leaving(&r, msg, &ok);
 	read_models(&r, msg, &ok);
+	msg->digest = (uint32_t)ap_wire_u64(&r);
 	if (ok && r.ok)
 		return true;
 	ap_wire_report_clear(msg);
