--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -24,6 +24,7 @@
 		ap_set_t *next = set->hh.next;
 
 		free(set->nodes);
+		free(set->member);
 		free(set);
 		set = next;
 	}
@@ -102,6 +103,7 @@
 	node->same_centre = strcmp(up->data_centre, r->config.data_centre) == 0;
 	node->listed_leaving = up->leaving;
 	node->counted = 0;
+	node->others = (double)(r->entries_here - 1);
 	if (pool == SIZE_MAX)
 		return;
 	node->pool = &r->view->conf->pools[pool];
@@ -143,6 +145,17 @@
 	r->other_regions = n;
 }
 
+static void settle_groups(ap_route_t *r, ap_usec_t now)
+{
+	for (size_t i = 0; r->groups && i < r->n_groups; i++) {
+		ap_group_t *group = &r->groups[i];
+
+		if (group->batch > 0)
+			group->usual = group->load / group->batch;
+		group->usual_at = now;
+	}
+}
+
 void ap_route_set_view(ap_route_t *r, const ap_view_t *view, ap_usec_t now)
 {
 	ap_view_t *old = r->view;
@@ -151,6 +164,7 @@
 
 	ap_route_drop_sets(r);
 	r->view = ap_view_ref(view);
+	count_entries(r);
 	free(r->groups);
 	r->n_groups = view->conf ? view->conf->n_pools : 0;
 	r->groups = calloc(r->n_groups + 1, sizeof(*r->groups));
@@ -167,7 +181,7 @@
 			place_node(r, node, &view->upstreams[i], i, now);
 	}
 	drop_absent_nodes(r);
-	count_entries(r);
+	settle_groups(r, now);
 	ap_view_unref(old);
 }
 
@@ -201,7 +215,11 @@
 	ap_node_t *node;
 
 	set->nodes = calloc(r->view->n_upstreams + 1, sizeof(ap_node_t *));
-	for (size_t i = 0; set->nodes && i < r->view->n_upstreams; i++) {
+	set->member = calloc(r->n_slots + 1, sizeof(*set->member));
+	if (!set->nodes || !set->member)
+		return;
+	set->n_member = r->n_slots;
+	for (size_t i = 0; i < r->view->n_upstreams; i++) {
 		const ap_upstream_t *up = &r->view->upstreams[i];
 
 		node = ap_route_node(r, up->id);
@@ -213,6 +231,7 @@
 			continue;
 		}
 		set->nodes[set->n++] = node;
+		set->member[node->slot] = true;
 		set->batch += node->batch;
 	}
 }
@@ -264,6 +283,11 @@
 	set = calloc(1, sizeof(*set));
 	if (!set)
 		return NULL;
+	set->state = ap_route_model(r, model ? model->name : service->name);
+	if (!set->state) {
+		free(set);
+		return NULL;
+	}
 	ap_copy_name(set->key, sizeof(set->key), key);
 	set->model = model;
 	fill_set(r, set, service, req->adapter);
