--- a/lib/once/ask.c
+++ b/lib/once/ask.c
@@ -92,6 +92,19 @@
 	return v->kind;
 }
 
+static bool is_elsewhere(const ap_once_t *o, const ap_permit_t *permit)
+{
+	const peer_t *issuer = once_peer(o, permit->issuer);
+
+	return issuer && !once_in_region(o, issuer);
+}
+
+static void say_elsewhere(const ap_permit_t *permit, ap_once_verdict_t *v)
+{
+	once_verdict(v, AP_ONCE_WRONG_REGION, "issued in another region");
+	ap_copy_name(v->entry, sizeof(v->entry), permit->issuer);
+}
+
 ap_once_kind_t ap_once_judge(ap_once_t *o, const char *text, const char *service,
 			     const char *caller, uint64_t token, ap_usec_t now,
 			     ap_once_verdict_t *verdict)
@@ -104,6 +117,8 @@
 		once_verdict(verdict, AP_ONCE_REFUSED, "not a permit of this caller and service");
 	else if (ap_id_eq(permit.xid.inc, o->config.inc))
 		issuer_judge(o, &permit, verdict);
+	else if (is_elsewhere(o, &permit))
+		say_elsewhere(&permit, verdict);
 	else
 		start_question(o, text, &permit, token, verdict);
 	if (verdict->kind != AP_ONCE_PENDING)
--- a/lib/once/issuer.c
+++ b/lib/once/issuer.c
@@ -195,12 +195,7 @@
 	if (ap_id_eq(permit.xid.inc, o->config.inc))
 		return use_own(o, &permit, token, verdict);
 	issuer = once_peer(o, permit.issuer);
-	if (issuer && !once_in_region(o, issuer)) {
-		once_verdict(verdict, AP_ONCE_WRONG_REGION, "issued in another region");
-		ap_copy_name(verdict->entry, sizeof(verdict->entry), permit.issuer);
-		return verdict->kind;
-	}
-	if (issuer && ap_id_eq(issuer->inc, permit.xid.inc)) {
+	if (once_in_region(o, issuer) && ap_id_eq(issuer->inc, permit.xid.inc)) {
 		once_verdict(verdict, AP_ONCE_PASS, "");
 		ap_copy_name(verdict->entry, sizeof(verdict->entry), permit.issuer);
 		return verdict->kind;
--- a/test/claim_test.c
+++ b/test/claim_test.c
@@ -154,37 +154,29 @@
 
 static void begin_call(bench_t *b, store_call_t call, fault_t fault)
 {
-	call.apply = true;
+	static const struct {
+		bool lost;
+		ap_kv_status_t forced;
+		ap_usec_t delay;
+	} faults[] = {
+		[FAULT_DOWN] = {true, AP_KV_UNAVAILABLE, 0},
+		[FAULT_LOST_ANSWER] = {false, AP_KV_UNSURE, 0},
+		[FAULT_LOST] = {true, AP_KV_UNSURE, 0},
+		[FAULT_LATE] = {true, AP_KV_UNSURE, 0},
+		[FAULT_SILENT] = {false, AP_KV_OK, 60 * AP_SEC},
+		[FAULT_LIES] = {false, AP_KV_OK, 0},
+	};
+	store_call_t late = call;
+
+	late.apply = true;
+	if (fault == FAULT_LATE)
+		add_call(b, &late, 200 * AP_MSEC);
+	call.apply = !faults[fault].lost;
 	call.answer = true;
-	switch (fault) {
-	case FAULT_NONE:
-		break;
-	case FAULT_DOWN:
-		call.apply = false;
-		call.forced = AP_KV_UNAVAILABLE;
-		break;
-	case FAULT_LOST_ANSWER:
-		call.forced = AP_KV_UNSURE;
-		break;
-	case FAULT_LOST:
-		call.apply = false;
-		call.forced = AP_KV_UNSURE;
-		break;
-	case FAULT_LATE:
-		call.answer = false;
-		add_call(b, &call, 200 * AP_MSEC);
-		call.answer = true;
-		call.apply = false;
-		call.forced = AP_KV_UNSURE;
-		break;
-	case FAULT_SILENT:
-		add_call(b, &call, 60 * AP_SEC);
-		return;
-	case FAULT_LIES:
-		call.lies = true;
-		break;
-	}
-	add_call(b, &call, STORE_DELAY + (ap_usec_t)ap_rng_below(&b->rng, STORE_DELAY));
+	call.forced = faults[fault].forced;
+	call.lies = fault == FAULT_LIES;
+	add_call(b, &call,
+		 faults[fault].delay + STORE_DELAY + (ap_usec_t)ap_rng_below(&b->rng, STORE_DELAY));
 }
 
 static void store_get(void *ctx, const char *key, uint64_t index, ap_usec_t wait, ap_kv_done_t done,
--- a/test/once_net.h
+++ b/test/once_net.h
@@ -103,6 +103,7 @@
 	ap_once_limits_t limits;
 	world_node_t nodes[WORLD_NODES_MAX];
 	unsigned n_nodes;
+	unsigned n_south; /* the last ones, in another region */
 	bool same_start; /* a restarted node keeps its incarnation, which it must not */
 	bool cut;
 	ap_usec_t cut_until;
@@ -226,6 +227,11 @@
 	return -1;
 }
 
+static inline const char *world_region(const world_t *w, unsigned n)
+{
+	return n < w->n_nodes - w->n_south ? "north" : "south";
+}
+
 /* Puts something on the way between two nodes, with the network's faults. */
 static inline void world_carry(world_t *w, unsigned from, const world_event_t *event)
 {
@@ -260,6 +266,8 @@
 
 	if (target < 0 || (w->tamper && !w->tamper(w, from, (unsigned)target, &msg)))
 		return;
+	world_check(w, world_region(w, from) == world_region(w, (unsigned)target),
+		    "a permit's message left its region");
 	head.from = msg.from;
 	w->messages++;
 	msgpack_sbuffer_init(&buf);
--- a/test/once_run_test.c
+++ b/test/once_run_test.c
@@ -49,7 +49,8 @@
 {
 	w->rates = faulty;
 	w->limits = short_limits();
-	world_start(w, seed, 6);
+	w->n_south = 3;
+	world_start(w, seed, 9);
 	world_live(w, length, 2 * AP_MSEC);
 	world_run(w, w->now + 20 * AP_SEC);
 }
@@ -81,6 +82,7 @@
 	assert_true(w.verdicts[AP_ONCE_UNKNOWN] > 0 && w.verdicts[AP_ONCE_NOT_RUN] > 0);
 	assert_true(w.verdicts[AP_ONCE_GO] > w.n_calls / 2);
 	assert_int_equal(w.verdicts[AP_ONCE_REFUSED], 0);
+	assert_true(w.verdicts[AP_ONCE_WRONG_REGION] > 0);
 	assert_int_equal(w.program, 0);
 	assert_int_equal(w.oracle, 0);
 	world_free(&w);
@@ -93,7 +95,7 @@
 
 	(void)state;
 	for (uint64_t seed = 1; seed <= 4; seed++)
-		events += check_seed(seed, 60 * AP_SEC);
+		events += check_seed(seed, 65 * AP_SEC);
 	print_message("%llu events in all\n", (unsigned long long)events);
 	assert_true(events >= 1000000);
 }
@@ -163,7 +165,7 @@
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		world_t w = {.tamper = cases[i].tamper, .same_start = cases[i].same_start};
 
-		run_seed(&w, 1, 60 * AP_SEC);
+		run_seed(&w, 1, 65 * AP_SEC);
 		print_message("%s: oracle %u, program %u (%s)\n", cases[i].name, w.oracle,
 			      w.program, w.first ? w.first : "not caught");
 		assert_true(w.oracle > 0);
--- a/test/once_world.h
+++ b/test/once_world.h
@@ -153,7 +153,7 @@
 			continue;
 		*entry = (ap_entry_t){.inc = node->inc, .weight = 1};
 		strcpy(entry->id, node->id);
-		strcpy(entry->region, "north");
+		strcpy(entry->region, world_region(w, i));
 		snprintf(entry->data_centre, sizeof(entry->data_centre), "dc-%u", i % 2);
 		count++;
 	}
@@ -174,7 +174,7 @@
 
 	snprintf(node->id, sizeof(node->id), "entry-%u", n);
 	strcpy(config.id, node->id);
-	strcpy(config.region, "north");
+	strcpy(config.region, world_region(w, n));
 	snprintf(config.data_centre, sizeof(config.data_centre), "dc-%u", n % 2);
 	for (size_t i = 0; i < sizeof(config.key); i++)
 		config.key[i] = (unsigned char)ap_rng_u64(&w->rng);
