--- a/cmd/arbutuspond/entry-once.c
+++ b/cmd/arbutuspond/entry-once.c
@@ -307,6 +307,9 @@
 			   json_pack("{s:s, s:I}", "permit", text, "expires",
 				     (json_int_t)(ap_once_default_limits.ttl / AP_SEC)));
 		break;
+	case AP_ONCE_OVER_LIMIT:
+		refuse_permit(o->entry, call, ENTRY_OVER_LIMIT, "too many of your permits are out");
+		break;
 	case AP_ONCE_DRAINING:
 		refuse_permit(o->entry, call, ENTRY_DRAINING, "this entry is shutting down");
 		break;
--- a/lib/once/issuer.c
+++ b/lib/once/issuer.c
@@ -18,35 +18,22 @@
 	prolong(o, r);
 }
 
-/* Shifts the counters of unused permits on to the present. */
-static void turn_buckets(ap_once_t *o)
+/* Each unused permit may yet need a record, so that no use lacks one. */
+static ap_once_status_t take_quota(ap_once_t *o, const char *caller)
 {
-	ap_usec_t width = o->config.limits.ttl / (ISSUE_BUCKETS - 1) + 1;
-	ap_usec_t passed = (o->now - o->bucket_start) / width;
-	size_t shift = passed < ISSUE_BUCKETS ? (size_t)passed : ISSUE_BUCKETS;
+	size_t max = o->config.limits.records_max;
 
-	if (shift == 0)
-		return;
-	memmove(o->buckets + shift, o->buckets, (ISSUE_BUCKETS - shift) * sizeof(o->buckets[0]));
-	memset(o->buckets, 0, shift * sizeof(o->buckets[0]));
-	o->bucket_start += passed * width;
-}
-
-/* Permits that may still be used for the first time, counted too high rather than too low. */
-static size_t count_unexpired(ap_once_t *o)
-{
-	size_t n = 0;
-
-	turn_buckets(o);
-	for (int i = 0; i < ISSUE_BUCKETS; i++)
-		n += o->buckets[i];
-	return n;
+	table_expire(&o->issued, o->now);
+	if (o->issued.n >= max)
+		return AP_ONCE_FULL;
+	return quota_take(&o->quota, caller, max - o->issued.n, max / CALLER_SHARE, o->now);
 }
 
 ap_once_status_t ap_once_issue(ap_once_t *o, const char *service, const char *caller, ap_usec_t now,
 			       char text[AP_PERMIT_TEXT_MAX])
 {
 	ap_permit_t permit = {.xid = {.inc = o->config.inc}};
+	ap_once_status_t status;
 
 	once_set_now(o, now);
 	if (o->closing)
@@ -55,17 +42,15 @@
 		return AP_ONCE_BAD_NAME;
 	if (caller[0] == '\0' || !ap_copy_name(permit.caller, sizeof(permit.caller), caller))
 		return AP_ONCE_BAD_NAME;
-	table_expire(&o->issued, o->now);
-	/* Each unused permit may yet need a record, so that no use lacks one. */
-	if (count_unexpired(o) + o->issued.n >= o->config.limits.records_max)
-		return AP_ONCE_FULL;
+	status = take_quota(o, caller);
+	if (status != AP_ONCE_OK)
+		return status;
 	permit.xid.seq = ++o->seq;
 	permit.expires = o->now + o->config.limits.ttl;
 	ap_copy_name(permit.issuer, sizeof(permit.issuer), o->config.id);
 	witness_choose(o, &permit);
 	if (!ap_permit_write(&permit, o->config.key, text))
 		return AP_ONCE_BAD_NAME;
-	o->buckets[0]++;
 	o->counts.issued++;
 	o->counts.issued_alone += permit.witness[0] == '\0';
 	return AP_ONCE_OK;
--- a/lib/once/once.c
+++ b/lib/once/once.c
@@ -27,7 +27,7 @@
 	o->config = *config;
 	o->now = now;
 	o->probe_at = now;
-	o->bucket_start = now;
+	quota_init(&o->quota, config->limits.ttl, now);
 	answers_init(&o->answers, &o->config.limits);
 	table_init(&o->issued, config->limits.records_max, &o->answers);
 	table_init(&o->witnessed, config->limits.records_max, &o->answers);
@@ -45,6 +45,7 @@
 	HASH_CLEAR(hh_token, o->by_token);
 	table_clear(&o->issued);
 	table_clear(&o->witnessed);
+	quota_clear(&o->quota);
 	ask_free(o);
 	hand_free(o);
 	witness_forget_issuers(o, AP_NEVER);
--- a/lib/once/once.h
+++ b/lib/once/once.h
@@ -16,10 +16,11 @@
 
 typedef enum ap_once_status {
 	AP_ONCE_OK,
-	AP_ONCE_FULL,	   /* too many permits are out */
-	AP_ONCE_DRAINING,  /* the issuer is shutting down */
-	AP_ONCE_BAD_NAME,  /* a name is empty or too long */
-	AP_ONCE_NO_MEMORY, /* nothing was done */
+	AP_ONCE_FULL,	    /* too many permits are out */
+	AP_ONCE_OVER_LIMIT, /* too many unused permits of this caller are out */
+	AP_ONCE_DRAINING,   /* the issuer is shutting down */
+	AP_ONCE_BAD_NAME,   /* a name is empty or too long */
+	AP_ONCE_NO_MEMORY,  /* nothing was done */
 } ap_once_status_t;
 
 /**
--- a/lib/once/state.h
+++ b/lib/once/state.h
@@ -2,12 +2,13 @@
 #ifndef AP_ONCE_STATE_H
 #define AP_ONCE_STATE_H
 
+#include "once/quota.h"
 #include "once/table.h"
 
 #define CONTACTS 3	  /* possible witnesses that are probed */
 #define PROBES_LOST_MAX 3 /* unanswered probes after which a contact counts as silent */
 #define LONELY_PROBES 8	  /* probes in one interval while no contact answers */
-#define ISSUE_BUCKETS 16  /* parts of a permit's life by which unused permits are counted */
+#define CALLER_SHARE 8	  /* one caller may have one part in this many of all unused permits */
 #define ISSUERS_MAX 2048  /* incarnations whose keys a witness keeps */
 #define ESTATES_MAX 64	  /* tables taken over from others */
 #define HEIRS 2		  /* successors that are tried, best first */
@@ -94,8 +95,7 @@
 	ap_usec_t probe_at;
 	uint64_t seq;
 	uint64_t question_seq;
-	ap_usec_t bucket_start;
-	uint32_t buckets[ISSUE_BUCKETS];
+	quota_t quota;
 	answers_t answers;
 	table_t issued;
 	table_t witnessed;
--- a/test/once_net.h
+++ b/test/once_net.h
@@ -104,7 +104,7 @@
 	world_node_t nodes[WORLD_NODES_MAX];
 	unsigned n_nodes;
 	unsigned n_south; /* the last ones, in another region */
-	bool same_start; /* a restarted node keeps its incarnation, which it must not */
+	bool same_start;  /* a restarted node keeps its incarnation, which it must not */
 	bool cut;
 	ap_usec_t cut_until;
 	world_event_t *heap;
--- a/test/once_test.c
+++ b/test/once_test.c
@@ -390,9 +390,22 @@
 	assert_true(read > 1000);
 }
 
+/* Permits for @caller until no more are given. Return: how many, and why they ended. */
+static size_t issue_all(world_t *w, const char *caller, ap_once_status_t *status)
+{
+	char text[AP_PERMIT_TEXT_MAX];
+	size_t n = 0;
+
+	while ((*status = ap_once_issue(w->nodes[ISSUER].once, "reserve", caller,
+					world_clock(w, &w->nodes[ISSUER]), text)) == AP_ONCE_OK)
+		n++;
+	return n;
+}
+
 static void test_tables_stay_within_their_bounds(void **state)
 {
 	world_t w = {0};
+	ap_once_status_t status;
 	ap_once_counts_t counts;
 	size_t issued = 0;
 
@@ -400,20 +413,27 @@
 	w.rates = (world_rates_t){.delay = AP_MSEC, .service = AP_MSEC};
 	w.limits = ap_once_default_limits;
 	w.limits.records_max = 64;
-	w.limits.answers_max = 8;
+	w.limits.answers_max = 4;
 	world_start(&w, 7, 2);
 	run_ms(&w, 100);
 	while (world_issue(&w, ISSUER) != SIZE_MAX)
 		world_use(&w, ISSUER, issued++, false);
+	assert_int_equal(issued, 8);
+	assert_int_equal(issue_all(&w, "clerk", &status), 0);
+	assert_int_equal(status, AP_ONCE_OVER_LIMIT);
+	for (char caller[] = "a"; caller[0] <= 'z'; caller[0]++)
+		issued += issue_all(&w, caller, &status);
+	assert_int_equal(status, AP_ONCE_FULL);
+	/* A used permit counts twice until its time is over. */
+	assert_int_equal(issued, 64 - 8);
 	run_ms(&w, 1000);
 	counts = ap_once_counts(w.nodes[ISSUER].once);
-	assert_in_range(issued, 16, 64);
-	assert_in_range(counts.issued_records, 16, 64);
-	assert_int_equal(counts.answers, 8);
+	assert_int_equal(counts.issued_records, 8);
+	assert_int_equal(counts.answers, 4);
 	world_run(&w, w.now + w.limits.ttl + w.limits.keep + 2 * AP_SEC);
 	assert_int_equal(ap_once_counts(w.nodes[ISSUER].once).issued_records, 0);
 	assert_int_equal(ap_once_counts(w.nodes[1].once).witnessed_records, 0);
-	assert_true(world_issue(&w, ISSUER) != SIZE_MAX);
+	assert_true(issue_all(&w, "clerk", &status) == 8);
 	assert_int_equal(w.program + w.oracle, 0);
 	world_free(&w);
 }
