--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -9,7 +9,7 @@
 
 #define CANDIDATES_MAX 32
 #define SMALL_SET 8 /* sets up to this size are weighed whole */
-#define RANDOM_PICKS 8
+#define RANDOM_PICKS 4
 #define AFFINE_PICKS 2
 #define AFFINE_LOOK 8	/* places of the rendezvous order that bounded load may skip */
 #define AFFINE_BLOCKS 4 /* leading blocks that decide where a new prefix goes */
--- a/lib/route/node.c
+++ b/lib/route/node.c
@@ -12,7 +12,7 @@
 #define SERVICE_UNKNOWN 1e6 /* microseconds in a slot, before any request was seen to end */
 #define QUEUE_DRAIN 0.1	    /* part of freed slots that a queue gets, the rest goes to new work */
 #define OTHERS_PART 0.2	    /* of an own dispatch that each other entry is taken to do as well */
-#define USUAL_TIME (20.0 * AP_SEC)    /* time constant of a pool's usual load */
+#define USUAL_TIME (60.0 * AP_SEC)    /* time constant of a pool's usual load */
 #define LOAD_SD_MIN 0.25	      /* variance of a fresh report, in requests squared */
 #define LIMIT_FACTOR_MAX 4.0	      /* limit in batches */
 #define LIMIT_CUT 0.9		      /* on delay above what was expected */
