Leaving: a choice made just before the news may still be written; bound on attempts in progress

A view that lists an upstream as leaving between choice and write tripped the assertion at once, which would have ended the process.

--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -25,6 +25,8 @@
 	if (!r)
 		return NULL;
 	r->config = *config;
+	if (r->config.flights_max == 0)
+		r->config.flights_max = FLIGHTS_MAX;
 	r->entries_here = 1;
 	r->places_factor = PLACES_FACTOR_MAX;
 	ap_rng_seed(&r->rng, config->seed);
@@ -238,8 +240,7 @@
 			   ap_usec_t now)
 {
 	bool resident = ap_residency_allows(req, r->config.region) && node->here;
-	bool leaving = node->listed_leaving ||
-		       (ap_node_leaving(node, now) && now - node->leaving_at > LEAVING_GRACE);
+	bool leaving = ap_node_leaving(node, now) && now - node->leaving_at > LEAVING_GRACE;
 
 	resident = ap_require(&r->config.env, resident, AP_INV_RESIDENCY,
 			      "request to an upstream outside its region");
@@ -274,8 +275,8 @@
 	node = chosen_node(r, choice);
 	if (!node || !check_dispatch(r, req, node, now))
 		return;
-	if (!ap_require(&r->config.env, HASH_COUNT(r->flights) < FLIGHTS_MAX, AP_INV_BOUNDS,
-			"attempts in progress"))
+	if (!ap_require(&r->config.env, HASH_COUNT(r->flights) < r->config.flights_max,
+			AP_INV_BOUNDS, "attempts in progress"))
 		return;
 	add_flight(r, req, choice, set, node, ap_health_started(node, now));
 	note_class(r, req->cls);
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -131,11 +131,13 @@
  * @region: own region
  * @data_centre: own data centre
  * @seed: of its random choices
+ * @flights_max: attempts in progress at once; 0 for the default
  */
 typedef struct ap_route_config {
 	char region[AP_NAME_MAX];
 	char data_centre[AP_NAME_MAX];
 	uint64_t seed;
+	size_t flights_max;
 	ap_env_t env;
 } ap_route_config_t;
 
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -93,6 +93,16 @@
 	return SIZE_MAX;
 }
 
+/* The list lags, so only a change in it overrules what was told before. */
+static void note_listed(ap_node_t *node, bool leaving, ap_usec_t now)
+{
+	if (leaving && !ap_node_leaving(node, now))
+		node->leaving_at = now;
+	if (!leaving && node->listed_leaving)
+		node->leaving_at = AP_NEVER;
+	node->listed_leaving = leaving;
+}
+
 static void place_node(ap_route_t *r, ap_node_t *node, const ap_upstream_t *up, size_t index,
 		       ap_usec_t now)
 {
@@ -101,7 +111,7 @@
 	node->index = index;
 	node->here = strcmp(up->region, r->config.region) == 0;
 	node->same_centre = strcmp(up->data_centre, r->config.data_centre) == 0;
-	node->listed_leaving = up->leaving;
+	note_listed(node, up->leaving, now);
 	node->counted = 0;
 	node->others = (double)(r->entries_here - 1);
 	if (pool == SIZE_MAX)
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -2,6 +2,7 @@
 #include "fleet.h"
 
 #define T0 (1000 * AP_SEC)
+#define FLIGHTS 4 /* attempts in progress at once */
 
 typedef struct world {
 	fleet_t fleet;
@@ -13,6 +14,7 @@
 {
 	ap_route_config_t config = {
 		.seed = 7,
+		.flights_max = FLIGHTS,
 		.env = {.ctx = &w->broken, .violated = broken_note},
 	};
 
@@ -116,6 +118,15 @@
 	}
 }
 
+static bool chosen_of(world_t *w, const char *service, const char *id, ap_usec_t now)
+{
+	ap_request_t req = fleet_request(&w->fleet, service, 90001, now);
+	ap_choice_t choice;
+
+	return ap_route_choose(w->route, &req, now, &choice) == AP_ROUTE_OK &&
+	       strcmp(choice.upstream_id, id) == 0;
+}
+
 static void run_one(world_t *w, ap_request_t *req, ap_choice_t *choice, ap_attempt_end_t end,
 		    ap_usec_t now)
 {
@@ -297,6 +308,30 @@
 	assert_int_equal(ap_route_choose(w->route, &req, T0, &choice), AP_ROUTE_OK);
 }
 
+/* A choice made just before the news may still be written; a later one may not. */
+static void test_leaving_after_the_choice(void **state)
+{
+	static const struct {
+		ap_usec_t later;
+		unsigned broken;
+	} cases[] = {{AP_SEC, 0}, {4 * AP_SEC, 1}};
+	world_t *w = *state;
+
+	for (size_t i = 0; i < 2; i++) {
+		ap_request_t req = fleet_request(&w->fleet, "reserve", i + 1, T0);
+		ap_choice_t choice = {.upstream_id = "recife-plain-1"};
+
+		w->fleet.upstreams[11].leaving = true;
+		fleet_show(&w->fleet, w->route, T0);
+		ap_route_started(w->route, &req, &choice, T0 + cases[i].later);
+		assert_int_equal(w->broken.count[AP_INV_LEAVING], cases[i].broken);
+	}
+	w->fleet.upstreams[11].leaving = false;
+	fleet_show(&w->fleet, w->route, T0 + 5 * AP_SEC);
+	ap_route_leaving(w->route, "recife-plain-0", T0);
+	assert_true(chosen_of(w, "reserve", "recife-plain-1", T0 + 5 * AP_SEC));
+}
+
 /* Each forged choice breaks one invariant; the library must see it. */
 static void test_broken_invariants_are_seen(void **state)
 {
@@ -331,6 +366,20 @@
 	}
 }
 
+static void test_attempts_beyond_their_bound_are_seen(void **state)
+{
+	world_t *w = *state;
+	ap_choice_t choice = {.upstream_id = "recife-gpu-1"};
+
+	for (uint64_t i = 0; i <= FLIGHTS; i++) {
+		ap_request_t req = fleet_request(&w->fleet, "ask", i + 1, T0);
+
+		assert_int_equal(w->broken.count[AP_INV_BOUNDS], 0);
+		ap_route_started(w->route, &req, &choice, T0);
+	}
+	assert_int_equal(w->broken.count[AP_INV_BOUNDS], 1);
+}
+
 static void test_entries_for_a_caller(void **state)
 {
 	world_t *w = *state;
@@ -402,7 +451,9 @@
 		WORLD_TEST(test_at_most_half_a_pool_is_ejected),
 		WORLD_TEST(test_slow_upstream_is_avoided),
 		WORLD_TEST(test_state_survives_a_new_view),
+		WORLD_TEST(test_leaving_after_the_choice),
 		WORLD_TEST(test_broken_invariants_are_seen),
+		WORLD_TEST(test_attempts_beyond_their_bound_are_seen),
 		WORLD_TEST(test_entries_for_a_caller),
 		WORLD_TEST(test_few_callers_move_when_an_entry_comes),
 		cmocka_unit_test(test_price),
