--- a/lib/route/spill.c
+++ b/lib/route/spill.c
@@ -1,7 +1,7 @@
 /*
- * Sending to another region, and taking guests. A sender leaves home only when home cannot meet
- * the deadline, and uses its share of the advertised room. A receiver raises what it takes as its
- * caches warm and lowers it when its own requests are late.
+ * Sending to another region, and taking guests. A sender leaves home only when most of the time
+ * until the deadline would go by waiting there, and uses its share of the advertised room. A
+ * receiver raises what it takes as its caches warm and lowers it when its own requests are late.
  */
 #include "route/state.h"
 
@@ -11,8 +11,9 @@
 #include <string.h>
 
 #define ROOM_LIFE (5 * AP_SEC)	 /* an older offer is void */
-#define STRAIN_ON 1.0		 /* mean of expected wait over time left that opens sending away */
-#define STRAIN_OFF 0.5		 /* and that closes it again */
+#define HOME_PART 0.5		 /* of the time left that may be spent waiting at home */
+#define STRAIN_ON 0.5		 /* mean of expected wait over time left that opens sending away */
+#define STRAIN_OFF 0.25		 /* and that closes it again */
 #define STRAIN_MAX 4.0		 /* bound on one request's part in the mean */
 #define STRAIN_TIME (2 * AP_SEC) /* time constant of that mean */
 #define SENDERS_MAX 1.0
@@ -152,7 +153,7 @@
 
 	if (req->forwarded || req->stay || req->service->home_bound || !set->elsewhere)
 		return NULL;
-	if (!note_strain(state, req->cls, wait / fmax(left, 1), now) || wait <= left)
+	if (!note_strain(state, req->cls, wait / fmax(left, 1), now) || wait <= left * HOME_PART)
 		return NULL;
 	HASH_ITER (hh, r->rooms, room, next) {
 		double there = (double)room->offer.wait + AP_NETWORK_FAR + prefill;
