--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -347,6 +347,15 @@
 	evbuffer_free(c->got);
 }
 
+/* Each event begins a line: no part of a broken one is left before it. */
+RIG_FN void rig_check_events(const char *answer)
+{
+	for (const char *at = answer; (at = strstr(at, "data: ")) != NULL; at++) {
+		if (at[-1] != '\n')
+			fail_msg("an event was cut: %s", answer);
+	}
+}
+
 #define RIG_AUTH "Authorization: Bearer " RIG_KEY "\r\n"
 
 RIG_FN char *rig_ask(rig_t *rig, int entry, const char *path, const char *body)
--- a/test/entry_run_test.c
+++ b/test/entry_run_test.c
@@ -88,6 +88,7 @@
 	bool completed = strstr(answer, "Arbutuspond-Outcome: completed") != NULL;
 
 	check_own(answer, a->mark);
+	rig_check_events(answer);
 	if (a->once)
 		assert_in_range(times_begun(rig, a->mark), 0, 1);
 	if (strstr(answer, "Arbutuspond-Outcome: not-run")) {
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -103,6 +103,7 @@
 	for (int i = 0; i < c->upstreams; i++)
 		requests += rig.fakes[i].requests;
 	check(answer, c->status, c->part, c->other);
+	rig_check_events(answer);
 	if (strstr(answer, CUT))
 		assert_null(strstr(answer, "[DONE]"));
 	if (strcmp(c->other, ENDED) == 0) {
