--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -11,27 +11,6 @@
 #define CAPACITY_MIN 8
 #define CALLER_IDLE (75 * AP_SEC)
 
-static const char *const count_names[COUNT_N] = {
-	[COUNT_REQUESTS] = "requests",
-	[COUNT_COMPLETED] = "completed",
-	[COUNT_NOT_RUN] = "not_run",
-	[COUNT_UNKNOWN] = "unknown",
-	[COUNT_WRONG_INPUT] = "wrong_input",
-	[COUNT_SHED] = "shed",
-	[COUNT_ATTEMPTS] = "attempts",
-	[COUNT_RETRIES] = "retries",
-	[COUNT_RESUMES] = "resumes",
-	[COUNT_SENT_AWAY] = "sent_away",
-	[COUNT_GUESTS] = "guests",
-	[COUNT_LATE_ANSWERS] = "late_answers",
-	[COUNT_CROSSED_ANSWERS] = "crossed_answers",
-	[COUNT_CUT_STREAMS] = "cut_streams",
-	[COUNT_SILENT] = "silent_connections",
-	[COUNT_HANG_UPS] = "hang_ups",
-	[COUNT_TOKENS] = "tokens",
-	[COUNT_REFUSED_MESSAGES] = "refused_messages",
-};
-
 static uint64_t wall_ms(void)
 {
 	struct timespec now;
@@ -87,44 +66,6 @@
 	event_add(entry->tick, &again);
 }
 
-static void add_count(struct evbuffer *out, const char *name, uint64_t value)
-{
-	evbuffer_add_printf(out, "# TYPE arbutuspond_%s_total counter\narbutuspond_%s_total %llu\n",
-			    name, name, (unsigned long long)value);
-}
-
-char *entry_counters_text(const entry_t *entry)
-{
-	struct evbuffer *out = evbuffer_new();
-	ap_http_client_stats_t client = ap_http_client_stats(entry->client);
-	char *text;
-	size_t len;
-
-	for (int i = 0; i < COUNT_N; i++)
-		add_count(out, count_names[i], entry->counts[i]);
-	add_count(out, "upstream_connections", client.opened);
-	add_count(out, "upstream_reuses", client.reused);
-	add_count(out, "upstream_probes", client.probes);
-	add_count(out, "upstream_retired", client.retired);
-	evbuffer_add_printf(out, "# TYPE arbutuspond_errors_total counter\n");
-	for (int i = 0; i < ENTRY_ERROR_COUNT; i++)
-		evbuffer_add_printf(out, "arbutuspond_errors_total{code=\"%s\"} %llu\n",
-				    entry_error_code(i), (unsigned long long)entry->errors[i]);
-	evbuffer_add_printf(out,
-			    "# TYPE arbutuspond_in_progress gauge\narbutuspond_in_progress %u\n",
-			    HASH_COUNT(entry->exchanges));
-	if (entry->hooks.counters)
-		entry->hooks.counters(entry->hooks.ctx, out);
-	len = evbuffer_get_length(out);
-	text = malloc(len + 1);
-	if (text) {
-		evbuffer_remove(out, text, len);
-		text[len] = '\0';
-	}
-	evbuffer_free(out);
-	return text;
-}
-
 static void note_own_room(entry_t *entry, ap_usec_t now)
 {
 	const ap_conf_t *conf = entry->view ? entry->view->conf : NULL;
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -98,6 +98,7 @@
 	x->phase = PHASE_ENDED;
 	count_outcome(entry, outcome);
 	entry->counts[COUNT_TOKENS] += x->stream.tokens;
+	entry->cost += x->cost;
 	ap_emit(&entry->env, now, "request.end", x->req.id,
 		"outcome=%s why=%s service=%s region=%s attempts=%u cost=%.3f",
 		ap_outcome_name(outcome), why, x->req.service->name, x->region, x->attempts,
--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -248,9 +248,16 @@
 	guest_pump(x);
 }
 
+static void count_first_byte(exchange_t *x)
+{
+	if (!x->is_guest)
+		entry_count_delay(x->entry, x->req.cls, ap_now() - x->req.arrival);
+}
+
 void sink_start(exchange_t *x)
 {
 	x->reply_started = true;
+	count_first_byte(x);
 	if (x->is_guest)
 		guest_head(x);
 	else if (x->call)
@@ -269,6 +276,8 @@
 
 void sink_finish(exchange_t *x)
 {
+	if (!x->reply_started)
+		count_first_byte(x);
 	if (x->is_guest) {
 		if (!x->reply_started) {
 			guest_head(x);
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -136,6 +136,16 @@
 	bool (*send)(void *ctx, const char *to, const void *data, size_t len);
 } entry_config_t;
 
+#define DELAY_BUCKETS 11
+
+/**
+ * struct delays - from a request's arrival to the first byte of its answer.
+ */
+typedef struct delays {
+	uint64_t buckets[DELAY_BUCKETS];
+	ap_usec_t sum;
+} delays_t;
+
 typedef struct leaving {
 	char name[AP_NAME_MAX];
 	UT_hash_handle hh;
@@ -163,6 +173,8 @@
 	bool draining;
 	bool drained;
 	uint64_t counts[COUNT_N];
+	delays_t delays[AP_CLASS_COUNT];
+	double cost;
 	uint64_t errors[ENTRY_ERROR_COUNT];
 };
 
@@ -299,9 +311,12 @@
 void entry_check_drained(entry_t *entry);
 void entry_leaving(entry_t *entry, const char *upstream, bool tell);
 bool entry_knows_leaving(const entry_t *entry, const char *upstream);
-char *entry_counters_text(const entry_t *entry);
 exchange_t *exchange_by_token(const entry_t *entry, uint64_t token);
 
+/* entry-counters.c */
+char *entry_counters_text(const entry_t *entry);
+void entry_count_delay(entry_t *entry, ap_class_t cls, ap_usec_t delay);
+
 /* entry-reply.c */
 int entry_error_status(entry_error_t error);
 const char *entry_error_code(entry_error_t error);
--- a/test/entry_run_test.c
+++ b/test/entry_run_test.c
@@ -77,8 +77,10 @@
 
 		snprintf(token, sizeof(token), "\"t%d mark-%d.", i, mark);
 		at = strstr(at, token);
-		if (!at || strstr(at + 1, token))
+		if (!at || strstr(at + 1, token)) {
 			fail_msg("request %d: token %d missing or doubled: %s", mark, i, answer);
+			return;
+		}
 	}
 }
 
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -221,6 +221,7 @@
 static void test_plain_service_passes_path_and_body(void **state)
 {
 	char *answer;
+	char *text;
 	rig_t rig;
 
 	(void)state;
@@ -229,6 +230,11 @@
 	rig_show(&rig);
 	answer = rig_ask(&rig, 0, "/s/plan/floor?hall=2", "stand 7");
 	check(answer, 200, WHOLE, "Arbutuspond-Cost: 5.000");
+	text = entry_counters_text(rig.entries[0].entry);
+	assert_non_null(strstr(text, "arbutuspond_cost_micro_units_total 5.000\n"));
+	assert_non_null(strstr(text, "arbutuspond_first_byte_seconds_count{class=\"short\"} 1\n"));
+	assert_non_null(strstr(text, "arbutuspond_completed_total 1\n"));
+	free(text);
 	assert_non_null(strstr(rig.fakes[0].last, "POST /floor?hall=2 HTTP/1.1"));
 	assert_non_null(strstr(rig.fakes[0].last, "\r\n\r\nstand 7"));
 	free(answer);
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -130,9 +130,11 @@
 		FAKE_REFUSE,	   FAKE_ERROR,	      FAKE_SILENT,	 FAKE_HUNG,
 	};
 
+	const int n = sizeof(modes) / sizeof(modes[0]);
+
 	if (erand48(fake->rng) >= fake->fault_share)
 		return FAKE_NONE;
-	return modes[(size_t)(erand48(fake->rng) * (sizeof(modes) / sizeof(modes[0])))];
+	return modes[(int)(erand48(fake->rng) * n)];
 }
 
 static inline int fake_resume_from(const char *request)
