--- a/test/entry_limit_test.c
+++ b/test/entry_limit_test.c
@@ -1,20 +1,6 @@
 /* Limits of one entry: callers' rates, time, what is held, and connections that went silent. */
 #include "entry_rig.h"
 
-#define CHAT "/v1/chat/completions"
-#define BODY(model, stream)                                                                        \
-	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
-
-static void check(const char *answer, int status, const char *part, const char *other)
-{
-	char line[32];
-
-	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
-	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
-	    !strstr(answer, other))
-		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
-}
-
 static void test_caller_over_its_rate_is_told_when_to_come_back(void **state)
 {
 	rig_caller_t caller;
@@ -30,9 +16,9 @@
 			 BODY("ask", "false"));
 		answer = rig_answer(&rig, &caller);
 		if (i == 0)
-			check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
+			rig_check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
 		else
-			check(answer, 429, "\"over_limit\"", "Retry-After: ");
+			rig_check(answer, 429, "\"over_limit\"", "Retry-After: ");
 		free(answer);
 	}
 	assert_int_equal(rig.fakes[0].requests, 1);
@@ -60,7 +46,7 @@
 	RUN_UNTIL(rig.base, rig.entries[0].entry->counts[COUNT_REQUESTS] == 32);
 	rig_call(&rig, 0, &late, "POST", CHAT, RIG_AUTH, BODY("once", "false"));
 	answer = rig_answer(&rig, &late);
-	check(answer, 503, "\"overloaded\"", "Retry-After: ");
+	rig_check(answer, 503, "\"overloaded\"", "Retry-After: ");
 	assert_non_null(strstr(answer, "Arbutuspond-Outcome: not-run"));
 	free(answer);
 	for (int i = 0; i < 32; i++)
@@ -95,7 +81,7 @@
 		snprintf(body, sizeof(body), "{\"model\":\"once\",\"stream\":%s,\"prompt\":\"hi\"}",
 			 cases[i].stream);
 		answer = rig_ask(&rig, 0, "/v1/completions", body);
-		check(answer, cases[i].status, cases[i].part, "time limit of a request");
+		rig_check(answer, cases[i].status, cases[i].part, "time limit of a request");
 		assert_null(strstr(answer, "[DONE]"));
 		free(answer);
 		rig_clear(&rig);
@@ -115,7 +101,7 @@
 	rig.fakes[0].mode = FAKE_SILENT;
 	for (int i = 0; i < 3; i++) {
 		answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
-		check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
+		rig_check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
 		free(answer);
 		rig.fakes[0].mode = FAKE_NONE;
 	}
@@ -139,7 +125,7 @@
 	event_base_loopexit(rig.base, &past_proof);
 	event_base_dispatch(rig.base);
 	answer = rig_ask(&rig, 0, CHAT, BODY("once", "false"));
-	check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
+	rig_check(answer, 200, "Arbutuspond-Outcome: completed", "whole");
 	assert_int_equal(rig.fakes[0].connections, 2);
 	free(answer);
 	rig_clear(&rig);
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -348,6 +348,21 @@
 	evbuffer_free(c->got);
 }
 
+#define CHAT "/v1/chat/completions"
+#define BODY(model, stream)                                                                        \
+	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
+
+/* The status and two texts that an answer must have. */
+RIG_FN void rig_check(const char *answer, int status, const char *part, const char *other)
+{
+	char line[32];
+
+	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
+	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
+	    !strstr(answer, other))
+		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
+}
+
 /* Each event begins a line: no part of a broken one is left before it. */
 RIG_FN void rig_check_events(const char *answer)
 {
--- a/test/entry_run_test.c
+++ b/test/entry_run_test.c
@@ -5,7 +5,6 @@
  */
 #include "entry_rig.h"
 
-#define CHAT "/v1/chat/completions"
 #define REQUESTS 400
 #define IN_PROGRESS 16
 
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -1,20 +1,6 @@
 /* One entry between callers and upstreams with faults: answers, outcomes and wrong input. */
 #include "entry_rig.h"
 
-#define CHAT "/v1/chat/completions"
-#define BODY(model, stream)                                                                        \
-	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
-
-static void check(const char *answer, int status, const char *part, const char *other)
-{
-	char line[32];
-
-	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
-	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
-	    !strstr(answer, other))
-		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
-}
-
 typedef struct fault_case {
 	fake_mode_t mode;
 	int faults; /* how many answers show it */
@@ -102,7 +88,7 @@
 	}
 	for (int i = 0; i < c->upstreams; i++)
 		requests += rig.fakes[i].requests;
-	check(answer, c->status, c->part, c->other);
+	rig_check(answer, c->status, c->part, c->other);
 	rig_check_events(answer);
 	if (strstr(answer, CUT))
 		assert_null(strstr(answer, "[DONE]"));
@@ -180,7 +166,7 @@
 		rig_call(&rig, 0, &caller, c->method, c->path, c->headers, c->body);
 		answer = rig_answer(&rig, &caller);
 		snprintf(code, sizeof(code), "\"code\":\"%s\"", c->code);
-		check(answer, c->status, code, NOT_RUN);
+		rig_check(answer, c->status, code, NOT_RUN);
 		free(answer);
 	}
 	assert_int_equal(rig.fakes[0].requests, 0);
@@ -199,7 +185,7 @@
 	rig_init(&rig);
 	rig_show(&rig);
 	answer = rig_ask(&rig, 0, "/s/plan/x", body);
-	check(answer, 413, "\"too_large\"", NOT_RUN);
+	rig_check(answer, 413, "\"too_large\"", NOT_RUN);
 	free(answer);
 	rig_clear(&rig);
 }
@@ -213,7 +199,7 @@
 	rig_init(&rig);
 	rig_show(&rig);
 	answer = rig_ask(&rig, 0, CHAT, BODY("once", "false"));
-	check(answer, 503, "\"not_run\"", NOT_RUN);
+	rig_check(answer, 503, "\"not_run\"", NOT_RUN);
 	free(answer);
 	rig_clear(&rig);
 }
@@ -229,7 +215,7 @@
 	rig_add_fake(&rig, "recife", "desk");
 	rig_show(&rig);
 	answer = rig_ask(&rig, 0, "/s/plan/floor?hall=2", "stand 7");
-	check(answer, 200, WHOLE, "Arbutuspond-Cost: 5.000");
+	rig_check(answer, 200, WHOLE, "Arbutuspond-Cost: 5.000");
 	text = entry_counters_text(rig.entries[0].entry);
 	assert_non_null(strstr(text, "arbutuspond_cost_micro_units_total 5.000\n"));
 	assert_non_null(strstr(text, "arbutuspond_first_byte_seconds_count{class=\"short\"} 1\n"));
@@ -294,7 +280,7 @@
 	assert_true(most < 2 * REPLY_HIGH);
 	bufferevent_enable(caller.bev, EV_READ);
 	answer = rig_answer(&rig, &caller);
-	check(answer, 200, "t19999 ", ENDED);
+	rig_check(answer, 200, "t19999 ", ENDED);
 	free(answer);
 	rig_clear(&rig);
 }
@@ -318,7 +304,7 @@
 	assert_int_equal(rig.entries[0].leaving, 1);
 	for (int i = 0; i < 20; i++) {
 		answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
-		check(answer, 200, WHOLE, "whole");
+		rig_check(answer, 200, WHOLE, "whole");
 		free(answer);
 	}
 	assert_int_equal(rig.fakes[0].requests, before);
@@ -342,18 +328,18 @@
 	entry_note(rig.entries[0].entry, &drain);
 	assert_false(rig.entries[0].drained);
 	answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
-	check(answer, 503, "\"draining\"", NOT_RUN);
+	rig_check(answer, 503, "\"draining\"", NOT_RUN);
 	free(answer);
 	{
 		rig_caller_t list;
 
 		rig_call(&rig, 0, &list, "GET", "/v1/entries?service=ask", RIG_AUTH, "");
 		answer = rig_answer(&rig, &list);
-		check(answer, 200, "\"entries\":[]", "ttl");
+		rig_check(answer, 200, "\"entries\":[]", "ttl");
 		free(answer);
 	}
 	answer = rig_answer(&rig, &caller);
-	check(answer, 200, "t19999 ", ENDED);
+	rig_check(answer, 200, "t19999 ", ENDED);
 	free(answer);
 	RUN_UNTIL(rig.base, rig.entries[0].drained);
 	rig_clear(&rig);
@@ -396,7 +382,7 @@
 	rig_show(&rig);
 	rig_call(&rig, 0, &caller, "GET", "/v1/entries?service=ask", RIG_AUTH, "");
 	answer = rig_answer(&rig, &caller);
-	check(answer, 200, "\"id\":\"recife-0\"", "\"ttl\":");
+	rig_check(answer, 200, "\"id\":\"recife-0\"", "\"ttl\":");
 	free(answer);
 	rig_clear(&rig);
 }
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -1,10 +1,6 @@
 /* Requests passed to another region: one hop, residency, lost messages, credit, cancellation. */
 #include "entry_rig.h"
 
-#define CHAT "/v1/chat/completions"
-#define BODY(model, stream)                                                                        \
-	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
-
 /* Cuyo offers room once it has served a request itself. */
 static void warm_up(rig_t *rig)
 {
@@ -35,16 +31,6 @@
 	warm_up(rig);
 }
 
-static void check(const char *answer, int status, const char *part, const char *other)
-{
-	char line[32];
-
-	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
-	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
-	    !strstr(answer, other))
-		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
-}
-
 static uint64_t count(const rig_t *rig, int entry, entry_count_t which)
 {
 	return rig->entries[entry].entry->counts[which];
@@ -96,7 +82,7 @@
 		rig.drop_kind = c->lost;
 		answer = rig_ask(&rig, 0, CHAT,
 				 c->stream[0] == 't' ? BODY("ask", "true") : BODY("ask", "false"));
-		check(answer, c->status, c->part, c->other);
+		rig_check(answer, c->status, c->part, c->other);
 		if (strstr(answer, CUT))
 			assert_null(strstr(answer, "[DONE]"));
 		assert_int_equal(rig.seen[AP_WIRE_FORWARD], 1);
@@ -116,7 +102,7 @@
 
 		two_regions(&rig);
 		answer = rig_ask(&rig, 0, CHAT, bodies[i]);
-		check(answer, 503, NOT_RUN, "\"not_run\"");
+		rig_check(answer, 503, NOT_RUN, "\"not_run\"");
 		assert_int_equal(rig.seen[AP_WIRE_FORWARD], 0);
 		assert_int_equal(rig.fakes[0].requests, 0);
 		free(answer);
@@ -140,7 +126,7 @@
 		two_regions(&rig);
 		rig_call(&rig, 1, &caller, "POST", CHAT, headers[i], "{never parsed");
 		answer = rig_answer(&rig, &caller);
-		check(answer, 421, "\"wrong_region\"", "\"id\":\"recife-0\"");
+		rig_check(answer, 421, "\"wrong_region\"", "\"id\":\"recife-0\"");
 		assert_non_null(strstr(answer, NOT_RUN));
 		assert_null(strstr(answer, "\"id\":\"cuyo-0\""));
 		assert_int_equal(rig.fakes[0].requests, 0);
@@ -228,7 +214,7 @@
 	deliver(&rig, 0, "cuyo-0", &end);
 	assert_int_equal(count(&rig, 0, COUNT_LATE_ANSWERS), 2);
 	answer = rig_answer(&rig, &caller);
-	check(answer, 502, FAILED, "\"upstream_failed\"");
+	rig_check(answer, 502, FAILED, "\"upstream_failed\"");
 	free(answer);
 	rig_clear(&rig);
 }
@@ -281,7 +267,7 @@
 	assert_true(most < 4 * REPLY_HIGH);
 	bufferevent_enable(caller.bev, EV_READ);
 	answer = rig_answer(&rig, &caller);
-	check(answer, 200, "t19999 ", "data: [DONE]");
+	rig_check(answer, 200, "t19999 ", "data: [DONE]");
 	assert_true(rig.seen[AP_WIRE_FORWARD_CREDIT] > 0);
 	free(answer);
 	rig_clear(&rig);
@@ -301,11 +287,11 @@
 	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
 	entry_note(rig.entries[1].entry, &drain);
 	answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
-	check(answer, 503, NOT_RUN, "\"not_run\"");
+	rig_check(answer, 503, NOT_RUN, "\"not_run\"");
 	free(answer);
 	assert_false(rig.entries[1].drained);
 	answer = rig_answer(&rig, &caller);
-	check(answer, 200, "t19999 ", "data: [DONE]");
+	rig_check(answer, 200, "t19999 ", "data: [DONE]");
 	free(answer);
 	RUN_UNTIL(rig.base, rig.entries[1].drained);
 	rig_clear(&rig);
