--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -1,6 +1,6 @@
 /*
  * HTTP/1.1 over evhttp: a server for callers and a client for upstreams. One object a task; all
- * callbacks come from the task's event loop.
+ * callbacks come from the task's event loop. The process must ignore SIGPIPE.
  */
 #ifndef AP_HTTP_H
 #define AP_HTTP_H
--- a/bench/path_bench.c
+++ b/bench/path_bench.c
@@ -6,6 +6,7 @@
 
 #include <event2/thread.h>
 #include <malloc.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -294,6 +295,7 @@
 {
 	bench_t b = {.open = 0};
 
+	signal(SIGPIPE, SIG_IGN);
 	evthread_use_pthreads();
 	raise_descriptors();
 	b.base = precise_base();
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -14,6 +14,7 @@
 #include "entry.h"
 #include "fake_upstream.h"
 
+#include <signal.h>
 #include <sys/queue.h>
 
 #define RIG_ENTRIES 2
@@ -247,6 +248,7 @@
 
 RIG_FN void rig_init_as(rig_t *rig, bool fast)
 {
+	signal(SIGPIPE, SIG_IGN);
 	memset(rig, 0, sizeof(*rig));
 	rig->fast = fast;
 	rig->base = event_base_new();
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -8,6 +8,7 @@
 #include "fake_upstream.h"
 #include "http/http.h"
 
+#include <signal.h>
 #include <unistd.h>
 
 #define LIMIT (100 * AP_MSEC)
@@ -416,5 +417,6 @@
 		cmocka_unit_test(test_malformed_input_never_reaches_the_handler),
 	};
 
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
