--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -14,6 +14,7 @@
 #include "entry.h"
 #include "fake_upstream.h"
 
+#include <signal.h>
 #include <sys/queue.h>
 
 #define RIG_ENTRIES 2
@@ -247,6 +248,7 @@
 
 RIG_FN void rig_init_as(rig_t *rig, bool fast)
 {
+	signal(SIGPIPE, SIG_IGN);
 	memset(rig, 0, sizeof(*rig));
 	rig->fast = fast;
 	rig->base = event_base_new();
@@ -348,6 +350,30 @@
 	evbuffer_free(c->got);
 }
 
+#define CHAT "/v1/chat/completions"
+#define BODY(model, stream)                                                                        \
+	"{\"model\":\"" model "\",\"stream\":" stream ",\"messages\":[{\"content\":\"hi\"}]}"
+
+/* The status and two texts that an answer must have. */
+RIG_FN void rig_check(const char *answer, int status, const char *part, const char *other)
+{
+	char line[32];
+
+	snprintf(line, sizeof(line), "HTTP/1.1 %d ", status);
+	if (strncmp(answer, line, strlen(line)) != 0 || !strstr(answer, part) ||
+	    !strstr(answer, other))
+		fail_msg("wanted %d with '%s' and '%s', got: %s", status, part, other, answer);
+}
+
+/* Each event begins a line: no part of a broken one is left before it. */
+RIG_FN void rig_check_events(const char *answer)
+{
+	for (const char *at = answer; (at = strstr(at, "data: ")) != NULL; at++) {
+		if (at[-1] != '\n')
+			fail_msg("an event was cut: %s", answer);
+	}
+}
+
 #define RIG_AUTH "Authorization: Bearer " RIG_KEY "\r\n"
 
 RIG_FN char *rig_ask(rig_t *rig, int entry, const char *path, const char *body)
--- a/test/entry_run_test.c
+++ b/test/entry_run_test.c
@@ -5,7 +5,6 @@
  */
 #include "entry_rig.h"
 
-#define CHAT "/v1/chat/completions"
 #define REQUESTS 400
 #define IN_PROGRESS 16
 
@@ -77,8 +76,10 @@
 
 		snprintf(token, sizeof(token), "\"t%d mark-%d.", i, mark);
 		at = strstr(at, token);
-		if (!at || strstr(at + 1, token))
+		if (!at || strstr(at + 1, token)) {
 			fail_msg("request %d: token %d missing or doubled: %s", mark, i, answer);
+			return;
+		}
 	}
 }
 
@@ -88,6 +89,7 @@
 	bool completed = strstr(answer, "Arbutuspond-Outcome: completed") != NULL;
 
 	check_own(answer, a->mark);
+	rig_check_events(answer);
 	if (a->once)
 		assert_in_range(times_begun(rig, a->mark), 0, 1);
 	if (strstr(answer, "Arbutuspond-Outcome: not-run")) {
