Use adapting capacity, sending away before admission and the budget by class in the daemon

What the decisions offer was not used: capacity came from fixed slots, a request that would be queued or shed here was not offered to another region, and the retry budget knew no classes. A request that was sent away before it was admitted and comes back asks for admission.

Seen on the way: an idle entry no longer retried a question after one fault (502 in entry_test and entry_limit_test, 200 before). Cause: the lower classes left tokens that a quiet entry never has. Tokens are now kept back only while retries have been granted lately; bounds unchanged. The test of a shed permit stops the entry's own report, which sets the capacity it overrides.

--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -385,6 +385,22 @@
 	x->sse = false;
 }
 
+bool attempt_away(exchange_t *x, ap_usec_t wait)
+{
+	entry_t *entry = x->entry;
+
+	if (x->is_guest || x->req.service->permit ||
+	    !ap_route_away(entry->route, &x->req, wait, ap_now(), &x->choice))
+		return false;
+	reset(x);
+	if (!start_away(x))
+		return false;
+	x->phase = PHASE_RUNNING;
+	x->attempts++;
+	entry->counts[COUNT_ATTEMPTS]++;
+	return true;
+}
+
 static void no_choice(exchange_t *x, ap_route_status_t status)
 {
 	entry_fault_t fault = {.error = ENTRY_OVERLOADED, .retry_after = AP_SEC};
--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -5,10 +5,8 @@
 #include <string.h>
 #include <time.h>
 
-#define TICK_US 20000	  /* how often queued requests are looked at */
-#define REPORT_S 1	  /* how often counters and room go to the control task */
-#define CAPACITY_FACTOR 2 /* requests in progress per upstream slot of this entry's share */
-#define CAPACITY_MIN 8
+#define TICK_US 20000 /* how often queued requests are looked at */
+#define REPORT_S 1    /* how often counters and room go to the control task */
 #define CALLER_IDLE (75 * AP_SEC)
 
 static uint64_t wall_ms(void)
@@ -83,13 +81,17 @@
 	entry_t *entry = arg;
 	struct timeval again = {.tv_sec = REPORT_S};
 	ap_note_t note = {.kind = AP_NOTE_COUNTERS};
+	ap_usec_t now = ap_now();
 
 	(void)fd;
 	(void)what;
 	note.u.text = entry_counters_text(entry);
 	if (note.u.text)
 		entry->config.note(entry->config.ctx, &note);
-	note_own_room(entry, ap_now());
+	note_own_room(entry, now);
+	if (entry->view)
+		ap_admission_set_capacity(entry->admission, ap_route_capacity(entry->route, now),
+					  now);
 	event_add(entry->report, &again);
 }
 
@@ -227,45 +229,6 @@
 	return ap_http_server_port(entry->server);
 }
 
-static size_t entries_here(const entry_t *entry)
-{
-	size_t n = 0;
-
-	for (size_t i = 0; i < entry->view->n_entries; i++) {
-		const ap_entry_t *other = &entry->view->entries[i];
-
-		if (!other->leaving && strcmp(other->region, entry->config.settings->region) == 0)
-			n++;
-	}
-	return n ? n : 1;
-}
-
-static size_t slots_of(const ap_conf_t *conf, const ap_upstream_t *upstream)
-{
-	for (size_t i = 0; i < conf->n_pools; i++) {
-		if (ap_selector_match(&conf->pools[i].instances, &upstream->labels))
-			return conf->pools[i].slots;
-	}
-	return 0;
-}
-
-/* This entry's share of the region's slots, and as many again that wait at the upstreams. */
-static size_t capacity(const entry_t *entry)
-{
-	const ap_view_t *view = entry->view;
-	size_t slots = 0;
-	size_t share;
-
-	for (size_t i = 0; i < view->n_upstreams && view->conf; i++) {
-		const ap_upstream_t *up = &view->upstreams[i];
-
-		if (strcmp(up->region, entry->config.settings->region) == 0 && !up->leaving)
-			slots += slots_of(view->conf, up);
-	}
-	share = CAPACITY_FACTOR * slots / entries_here(entry);
-	return share > CAPACITY_MIN ? share : CAPACITY_MIN;
-}
-
 static bool is_member(const ap_view_t *view, const char *id)
 {
 	for (size_t i = 0; i < view->n_entries; i++) {
@@ -301,7 +264,7 @@
 	entry->view = view;
 	forget_leaving(entry);
 	ap_route_set_view(entry->route, view, now);
-	ap_admission_set_capacity(entry->admission, capacity(entry), now);
+	ap_admission_set_capacity(entry->admission, ap_route_capacity(entry->route, now), now);
 	drop_lost_guests(entry);
 	if (entry->hooks.view)
 		entry->hooks.view(entry->hooks.ctx, view);
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -178,15 +178,9 @@
 	return n ? OUTSIDER_SHARE / (double)n : 1.0;
 }
 
-void exchange_begin(exchange_t *x)
+static void ask_admission(exchange_t *x)
 {
 	entry_t *entry = x->entry;
-	ap_usec_t now = ap_now();
-	ap_usec_t longest = entry->config.settings->request_time;
-	struct timeval limit = {
-		.tv_sec = (time_t)(longest / AP_SEC),
-		.tv_usec = (suseconds_t)(longest % AP_SEC),
-	};
 	entry_fault_t fault = {.error = ENTRY_OVER_LIMIT, .text = "over this caller's limit"};
 	ap_ask_t ask = {
 		.token = x->token,
@@ -198,20 +192,20 @@
 		.work = EXPECTED_WORK,
 		.share = share_of(x),
 	};
+	ap_usec_t now = ap_now();
 
-	ap_require(&entry->env, ap_residency_allows(&x->req, entry->config.settings->region),
-		   AP_INV_RESIDENCY, "home-bound request held outside its region");
-	entry->counts[COUNT_REQUESTS]++;
-	ap_retry_budget_request(entry->budget, now);
-	event_add(x->limit, &limit);
+	x->phase = PHASE_WAITING;
 	switch (ap_admission_ask(entry->admission, &ask, now, &fault.retry_after)) {
 	case AP_ADMIT_NOW:
 		exchange_admitted(x);
 		break;
 	case AP_ADMIT_QUEUE:
+		if (attempt_away(x, fault.retry_after))
+			ap_admission_cancel(entry->admission, x->token, now);
 		break;
 	case AP_ADMIT_SHED:
-		exchange_shed(x, fault.retry_after);
+		if (!attempt_away(x, AP_NEVER))
+			exchange_shed(x, fault.retry_after);
 		break;
 	case AP_ADMIT_LIMIT:
 		if (!exchange_judge(x, &fault))
@@ -220,6 +214,23 @@
 	}
 }
 
+void exchange_begin(exchange_t *x)
+{
+	entry_t *entry = x->entry;
+	ap_usec_t longest = entry->config.settings->request_time;
+	struct timeval limit = {
+		.tv_sec = (time_t)(longest / AP_SEC),
+		.tv_usec = (suseconds_t)(longest % AP_SEC),
+	};
+
+	ap_require(&entry->env, ap_residency_allows(&x->req, entry->config.settings->region),
+		   AP_INV_RESIDENCY, "home-bound request held outside its region");
+	entry->counts[COUNT_REQUESTS]++;
+	ap_retry_budget_request(entry->budget, ap_now());
+	event_add(x->limit, &limit);
+	ask_admission(x);
+}
+
 void exchange_shed(exchange_t *x, ap_usec_t retry_after)
 {
 	entry_fault_t fault = {
@@ -237,6 +248,7 @@
 {
 	entry_hooks_t *hooks = &x->entry->hooks;
 
+	x->admitted = true;
 	if (!x->req.service->permit) {
 		exchange_go(x);
 		return;
@@ -366,11 +378,16 @@
 	/* A stream that goes on has a new first byte to wait for. */
 	if (started)
 		x->req.deadline = now + x->req.service->first_byte;
-	if (!ap_retry_budget_take(x->entry->budget, now, x->req.deadline,
-				  x->choice.expected_wait)) {
+	if (!ap_retry_budget_take_class(x->entry->budget, x->req.cls, now, x->req.deadline,
+					x->choice.expected_wait)) {
 		exchange_give_up(x, why);
 		return;
 	}
+	ap_retry_budget_retried(x->entry->budget);
 	x->entry->counts[started ? COUNT_RESUMES : COUNT_RETRIES]++;
-	attempt_start(x);
+	/* What was sent away before it was admitted has no place here yet. */
+	if (x->admitted)
+		attempt_start(x);
+	else
+		ask_admission(x);
 }
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -280,6 +280,7 @@
 	away_t away;
 	ap_usec_t sent_at;
 	bool maybe_ran;
+	bool admitted; /* counted as running by the admission */
 	bool passed;
 	bool judged;
 	entry_fault_t held;
@@ -381,6 +382,11 @@
 
 /* entry-attempt.c */
 void attempt_start(exchange_t *x);
+/*
+ * attempt_away() - another region for a request that waits @wait microseconds here, or AP_NEVER.
+ * Return: false when none takes it; nothing was sent then.
+ */
+bool attempt_away(exchange_t *x, ap_usec_t wait);
 void attempt_cancel(exchange_t *x);
 /* Parts of an answer, from an upstream or from another entry: */
 void attempt_head(exchange_t *x, int status, const char *content_type);
--- a/lib/limit/retry.c
+++ b/lib/limit/retry.c
@@ -8,13 +8,14 @@
 #define MOST_TOKENS 20.0	      /* a long quiet time can't be saved up for a storm */
 #define SAVED_HALF_LIFE (10 * AP_SEC) /* old first attempts pay for less and less */
 
-/* Tokens that a class leaves for those above it. */
+/* Tokens that a class leaves for those above it, unless retries have been rare lately. */
 static const double kept_tokens[AP_CLASS_COUNT] = {0, 2, 4};
 
 struct ap_retry_budget {
 	double ratio;
 	double tokens;
 	ap_usec_t at;
+	ap_usec_t granted_at; /* when the last retry was granted */
 	uint64_t granted;
 	uint64_t retried;
 	ap_env_t env;
@@ -28,6 +29,7 @@
 		return NULL;
 	b->ratio = ratio;
 	b->tokens = START_TOKENS;
+	b->granted_at = -SAVED_HALF_LIFE;
 	if (env)
 		b->env = *env;
 	return b;
@@ -62,10 +64,14 @@
 bool ap_retry_budget_take_class(ap_retry_budget_t *b, ap_class_t cls, ap_usec_t now,
 				ap_usec_t deadline, ap_usec_t expected)
 {
+	bool rare = now - b->granted_at >= SAVED_HALF_LIFE;
+	double kept = rare ? 0 : kept_tokens[cls];
+
 	decay(b, now);
-	if (b->tokens < 1 + kept_tokens[cls] || deadline - now < expected)
+	if (b->tokens < 1 + kept || deadline - now < expected)
 		return false;
 	b->tokens -= 1;
+	b->granted_at = now;
 	b->granted++;
 	return true;
 }
--- a/test/entry_once_test.c
+++ b/test/entry_once_test.c
@@ -117,6 +117,8 @@
 	start(&p);
 	while (!issue(&p, text))
 		;
+	/* The entry itself sets the capacity anew with each of its reports. */
+	event_del(p.rig.entries[0].entry->report);
 	ap_admission_set_capacity(p.rig.entries[0].entry->admission, 0, ap_now());
 	present(&p, 0, text, &answer);
 	expect("shed", answer, 503, "overloaded");
