Pace the reading of the instance list by its size; the lease's time is a setting; untried regions offer room

List: every entry read it each 2 s. At 1,020 instances of about 245 bytes that is 125 KB/s a node (computed, not run) against a budget of 18 KB/s for all control. Now a reading costs at most 4 KB/s on average, readings of a region are spread, and whoever reads that an upstream is leaving tells the region at once. Lease: 15 s left 5.5 s for an order to upstreams that ignore fencing numbers; 60 s by default. Room: a region that had served no request of a model offered none, so the first requests away waited for its own first one. It is now taken to serve at the assumed time.

--- a/adapters/platform/list.c
+++ b/adapters/platform/list.c
@@ -159,6 +159,8 @@
 		fleet = read_fleet(a->body, &err);
 	else if (a->end == AP_CALL_ANSWERED)
 		ap_err_set(&err, "instance list answered %d", a->code);
+	if (fleet)
+		fleet->bytes = a->len;
 	call->done(call->ctx, fleet, &err);
 	free(call);
 }
--- a/adapters/platform/platform.h
+++ b/adapters/platform/platform.h
@@ -28,12 +28,14 @@
 
 /**
  * struct ap_fleet - one reading of the instance list.
+ * @bytes: length of the answer
  */
 typedef struct ap_fleet {
 	ap_upstream_t *upstreams;
 	size_t n_upstreams;
 	ap_entry_t *entries;
 	size_t n_entries;
+	size_t bytes;
 } ap_fleet_t;
 
 /** ap_platform_list() - reads the instance list; @done gets NULL and @err when it could not. */
--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -196,6 +196,17 @@
 	return status;
 }
 
+/* The bounds are those of the key-value service's sessions. */
+static ap_settings_status_t read_lease(loader_t *l, const char *key, json_t *value, void *at)
+{
+	json_int_t number;
+	ap_settings_status_t status = read_whole(l, key, value, 10, 3600, &number);
+
+	if (status == AP_SETTINGS_OK)
+		*(ap_usec_t *)at = number * AP_SEC;
+	return status;
+}
+
 static ap_settings_status_t read_ratio(loader_t *l, const char *key, json_t *value, void *at)
 {
 	double number = json_number_value(value);
@@ -256,6 +267,7 @@
 	SETTING("limits", "request_seconds", false, read_seconds, request_time),
 	SETTING("limits", "queue", false, read_count, queue),
 	SETTING("limits", "retry_ratio", false, read_ratio, retry_ratio),
+	SETTING("limits", "lease_seconds", false, read_lease, lease_time),
 	SETTING("log", "level", false, read_level, log_level),
 	SETTING("log", "events", false, read_count, events),
 };
@@ -342,6 +354,7 @@
 		.request_time = 600 * AP_SEC,
 		.queue = 256,
 		.retry_ratio = 0.1,
+		.lease_time = 60 * AP_SEC,
 		.log_level = LOG_INFO,
 		.events = 4096,
 	};
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -31,7 +31,8 @@
  * [listen] callers, data, control (ports on @host), admin = "IP:PORT", admin_token
  * [keys] public, secret (CURVE, Z85), peers = [accepted public keys]
  * [platform] store, instances, directory = "IP:PORT"
- * [limits] header_bytes, body_bytes, connections, request_seconds, queue, retry_ratio
+ * [limits] header_bytes, body_bytes, connections, request_seconds, queue, retry_ratio,
+ *          lease_seconds (of the reconciler)
  * [log] level = "debug|info|warning|error", events = ring size
  */
 typedef struct ap_settings {
@@ -57,6 +58,7 @@
 	ap_usec_t request_time;
 	size_t queue;
 	double retry_ratio;
+	ap_usec_t lease_time;
 	int log_level; /* as in syslog.h */
 	size_t events;
 } ap_settings_t;
--- a/cmd/arbutuspond/control-view.c
+++ b/cmd/arbutuspond/control-view.c
@@ -6,7 +6,9 @@
 #include <string.h>
 
 #define LIST_EVERY (2 * AP_SEC)
-#define LIST_SPREAD_MS 500 /* so that instances do not read it all at once */
+#define LIST_EVERY_MAX (120 * AP_SEC)
+#define LIST_BYTES_PER_SECOND 4096 /* a longer list is read less often */
+#define LIST_SPREAD_MS 500	   /* steps of the jitter */
 #define PUBLISH_DELAY (1 * AP_SEC)
 #define PUBLISH_EVERY (5 * AP_SEC)
 
@@ -20,6 +22,29 @@
 	}
 }
 
+/* A tenth of jitter keeps the entries' readings spread over the interval. */
+static ap_usec_t list_interval(const ap_control_t *c, size_t bytes)
+{
+	ap_usec_t every = (ap_usec_t)bytes * AP_SEC / LIST_BYTES_PER_SECOND;
+
+	if (every < LIST_EVERY)
+		every = LIST_EVERY;
+	if (every > LIST_EVERY_MAX)
+		every = LIST_EVERY_MAX;
+	return every + (ap_usec_t)(c->args->inc.hi % LIST_SPREAD_MS) * every / LIST_SPREAD_MS / 10;
+}
+
+/* Others read the list at other times; whoever sees a leaving upstream first tells the region. */
+static void tell_leaving(ap_control_t *c, const ap_fleet_t *fleet, ap_usec_t now)
+{
+	for (size_t i = 0; i < fleet->n_upstreams; i++) {
+		const ap_upstream_t *u = &fleet->upstreams[i];
+
+		if (u->leaving && strcmp(u->region, c->settings->region) == 0)
+			ap_report_saw_leaving(c->report, u->id, now);
+	}
+}
+
 static void on_list(void *ctx, ap_fleet_t *fleet, ap_err_t *err)
 {
 	ap_control_t *c = ctx;
@@ -37,6 +62,8 @@
 	ap_order_set_upstreams(c->order, fleet->upstreams, fleet->n_upstreams, now);
 	ap_report_set_upstreams(c->report, fleet->upstreams, fleet->n_upstreams, now);
 	ap_poll_set_upstreams(c->poll, fleet->upstreams, fleet->n_upstreams);
+	tell_leaving(c, fleet, now);
+	c->list_due = now + list_interval(c, fleet->bytes);
 	c->view_stale = true;
 }
 
--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -8,7 +8,6 @@
 
 #include "wire/wire.h"
 
-#define LEASE_TTL (15 * AP_SEC)
 #define WEIGHT_BYTES_PER_SECOND 2e9
 #define LOADS_AT_ONCE 4
 #define FAREWELL (300 * AP_MSEC) /* for the last messages to leave the sockets */
@@ -339,7 +338,7 @@
 				  now);
 	c->order = ap_order_new(&(ap_order_config_t){.self = self,
 						     .seed = seed + 2,
-						     .lease_ttl = LEASE_TTL,
+						     .lease_ttl = c->settings->lease_time,
 						     .weight_rate = WEIGHT_BYTES_PER_SECOND,
 						     .loads_max = LOADS_AT_ONCE,
 						     .kv = kv,
--- a/lib/route/node.c
+++ b/lib/route/node.c
@@ -9,9 +9,8 @@
 #define SLOW_GAIN 0.15		     /* weight of a new observation */
 #define SLOW_MAX 4.0		     /* bound on the logarithm of the factor */
 #define WAIT_FLOOR (5 * AP_MSEC)     /* shorter waits say nothing about slowness */
-#define SERVICE_UNKNOWN 1e6 /* microseconds in a slot, before any request was seen to end */
-#define QUEUE_DRAIN 0.1	    /* part of freed slots that a queue gets, the rest goes to new work */
-#define OTHERS_PART 0.2	    /* of an own dispatch that each other entry is taken to do as well */
+#define QUEUE_DRAIN 0.1 /* part of freed slots that a queue gets, the rest goes to new work */
+#define OTHERS_PART 0.2 /* of an own dispatch that each other entry is taken to do as well */
 #define USUAL_TIME (60.0 * AP_SEC)    /* time constant of a pool's usual load */
 #define LOAD_SD_MIN 0.25	      /* variance of a fresh report, in requests squared */
 #define LIMIT_FACTOR_MAX 4.0	      /* limit in batches */
--- a/lib/route/node.h
+++ b/lib/route/node.h
@@ -7,6 +7,8 @@
 
 #include <uthash.h>
 
+#define SERVICE_UNKNOWN 1e6 /* microseconds in a slot, before any request was seen to end */
+
 #define AP_NODE_ABSENT SIZE_MAX
 #define AP_NODE_DELTAS 32 /* own dispatches and ends remembered to correct a late report */
 
--- a/lib/route/spill.c
+++ b/lib/route/spill.c
@@ -208,7 +208,7 @@
 		batch += node->batch;
 	}
 	spare = batch * SPARE_USED_MAX - load;
-	return service_us > 0 ? spare * AP_SEC / service_us : 0;
+	return spare * AP_SEC / (service_us > 0 ? service_us : SERVICE_UNKNOWN);
 }
 
 static ap_set_t *set_of_model(ap_route_t *r, const char *model)
