--- a/bench/run.sh
+++ b/bench/run.sh
@@ -6,12 +6,17 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 found=no
-for program in "$build"/bench/*_bench; do
-	short=$(basename "$program" _bench)
+for program in "$build"/bench/*_bench "$(dirname "$0")"/*_bench.sh; do
+	short=$(basename "$program" .sh)
+	short=${short%_bench}
 	[ "$name" = all ] || [ "$name" = "$short" ] || continue
 	found=yes
 	echo "== $short"
-	"$program" | tee -a "$out" || echo "$short: failed"
+	case $program in
+	*.sh) set -- bash "$program" "$build" ;;
+	*) set -- "$program" ;;
+	esac
+	"$@" | tee -a "$out" || echo "$short: failed"
 done
 if [ "$found" = no ]; then
 	echo "no benchmark is called $name" >&2
--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LOAD_EVERY (500 * AP_MSEC)
+#define LOAD_EVERY (1 * AP_SEC)
 #define MODELS_EVERY (5 * AP_SEC)
 #define CALL_LIMIT (2 * AP_SEC)
 #define PATH_MAX_BYTES 256
--- a/cmd/arbutuspond/control-view.c
+++ b/cmd/arbutuspond/control-view.c
@@ -7,7 +7,7 @@
 
 #define LIST_EVERY (2 * AP_SEC)
 #define LIST_EVERY_MAX (120 * AP_SEC)
-#define LIST_BYTES_PER_SECOND 4096 /* a longer list is read less often */
+#define LIST_BYTES_PER_SECOND 2048 /* a longer list is read less often */
 #define LIST_SPREAD_MS 500	   /* steps of the jitter */
 #define PUBLISH_DELAY (1 * AP_SEC)
 #define PUBLISH_EVERY (5 * AP_SEC)
