test: two regions of real daemons cut off from each other

standin-link relays TCP connections and cuts, freezes or delays them; the preloaded standin-detour leads a daemon's connections through it, since daemons know each other by the addresses they announce. Trials that had to fail and did: no cut at all (entry-3 never lost the platform), and the cut left out between the regions' control ports (entry-3 took generation 2).

--- a/samples/fleet.sh
+++ b/samples/fleet.sh
@@ -1,6 +1,9 @@
 # Starts stand-ins and three entry instances in two regions; read in by samples/demo.sh and tests.
 # Needs $BUILD. Sets $DIR, a temporary folder, and $ADMIN_1 to 3, $CALLERS_1 to 3, $TOKEN. Whoever
 # reads this in calls fleet_stop at the end; it ends only the processes that were started here.
+# Before fleet_up, whoever reads this in may set ENTRIES to "1 2 3 4" for a second entry in the other
+# region, LINKED to names of stand-ins that are listed by the address of a standin-link, and define
+# fleet_run, called as fleet_run NUMBER to start an entry another way.
 # shellcheck shell=sh
 
 DIR=$(mktemp -d)
@@ -11,6 +14,8 @@
 PORT_FIRST=10000
 PORT_RANGE=40
 PORT_RANGES=500
+ENTRIES="1 2 3"
+LINKED=
 
 # fleet_wait WHAT COMMAND...: runs COMMAND until it succeeds.
 fleet_wait() {
@@ -71,9 +76,18 @@
 	sed -n 's/^listening //p' "$DIR/$1.out"
 }
 
+# fleet_listed NAME: the address that the platform's list gives: that of its link, if it has one.
+fleet_listed() {
+	[ ! -e "$DIR/link-$1.out" ] || {
+		sed -n 's/^link \([^ ]*\) .*/\1/p' "$DIR/link-$1.out"
+		return
+	}
+	fleet_address "$1"
+}
+
 # fleet_upstream ID REGION WORK: one line of the platform's list.
 fleet_upstream() {
-	address=$(fleet_address "$1")
+	address=$(fleet_listed "$1")
 	printf '{"id":"%s","role":"upstream","host":"127.0.0.1","port":%s,"region":"%s",' \
 		"$1" "${address##*:}" "$2"
 	printf '"data_centre":"%s-a","state":"live","labels":{"trade":"%s","work":"%s"}}' \
@@ -103,7 +117,7 @@
 }
 
 fleet_keys() {
-	for n in 1 2 3; do
+	for n in $ENTRIES; do
 		"$CTL" keygen >"$DIR/key-$n"
 		echo "'$(public_key $n)'" >>"$DIR/peers"
 	done
@@ -126,7 +140,7 @@
 fleet_list() {
 	{
 		printf '{"instances":['
-		for n in 1 2 3; do
+		for n in $ENTRIES; do
 			cat "$DIR/entry-$n.json"
 			printf ','
 		done
@@ -157,6 +171,11 @@
 	fleet_metric "$1" "permits_messages_total \\([4-9]\\|[1-9][0-9][0-9]*\\)"
 }
 
+# fleet_run NUMBER: starts an entry.
+fleet_run() {
+	fleet_start "entry-$1" "$BUILD/cmd/arbutuspond" --settings "$DIR/entry-$1.toml"
+}
+
 # fleet_up TRADE HOME AWAY MODELS MODELS WORK WORK WORK: two entries in region HOME and one in AWAY;
 # in both two engines, with the models and the labels "work" given, and a plain service.
 fleet_up() {
@@ -169,6 +188,9 @@
 			--id "questions-$region" --models "$5"
 		fleet_standin "desk-$region" "$BUILD/test/standin-plain" --id "desk-$region"
 	done
+	for name in $LINKED; do
+		fleet_standin "link-$name" "$BUILD/test/standin-link" --to "$(fleet_address "$name")"
+	done
 	{
 		for region in "$2" "$3"; do
 			fleet_upstream "planning-$region" "$region" "$6"
@@ -180,7 +202,7 @@
 		done
 	} >"$DIR/upstreams.json"
 	fleet_keys
-	fleet_ports 12
+	fleet_ports 16
 	# shellcheck disable=SC2086
 	set -- "$2" "$3" $PORTS
 	fleet_settings 1 "$1" "$3" "$4" "$5" "$6"
@@ -189,10 +211,15 @@
 	CALLERS_1=127.0.0.1:$3 ADMIN_1=127.0.0.1:$6
 	CALLERS_2=127.0.0.1:$7 ADMIN_2=127.0.0.1:${10}
 	CALLERS_3=127.0.0.1:${11} ADMIN_3=127.0.0.1:${14}
+	case $ENTRIES in *4*)
+		fleet_settings 4 "$2" "${15}" "${16}" "${17}" "${18}"
+		CALLERS_4=127.0.0.1:${15} ADMIN_4=127.0.0.1:${18}
+		;;
+	esac
 	fleet_list
-	for n in 1 2 3; do
+	for n in $ENTRIES; do
 		"$BUILD/cmd/arbutuspond" --check-settings --settings "$DIR/entry-$n.toml" >/dev/null
-		fleet_start "entry-$n" "$BUILD/cmd/arbutuspond" --settings "$DIR/entry-$n.toml"
+		fleet_run "$n"
 	done
 }
 
--- /dev/null
+++ b/test/common.sh
@@ -0,0 +1,113 @@
+# What the tests with real daemons share; read in by them. Takes the build directory as $1.
+# shellcheck shell=bash disable=SC2034
+set -u
+BUILD=$1
+SAMPLES=$(dirname "$0")/../samples
+. "$SAMPLES/fleet.sh"
+trap 'status=$?; fleet_stop >/dev/null; exit $status' EXIT
+trap 'exit 1' INT TERM
+export ARBUTUSPOND_TOKEN="$TOKEN"
+FAILED=0
+
+# check WHAT EXPECTED FOUND
+check() {
+	if [ "$2" = "$3" ]; then
+		echo "ok: $1"
+		return
+	fi
+	echo "not ok: $1: expected $2, found $3"
+	FAILED=1
+}
+
+# await WHAT COMMAND...: waits for it; the test ends when it doesn't come.
+await() {
+	fleet_wait "$@" || {
+		tail -n 5 "$DIR"/entry-*.log
+		exit 1
+	}
+	echo "ok: $1"
+}
+
+admin_get() {
+	curl -sf -H "Authorization: Bearer $TOKEN" "http://$1/$2"
+}
+
+# counter ADMIN NAME
+counter() {
+	admin_get "$1" metrics | sed -n "s/^arbutuspond_$2 //p"
+}
+
+counter_is() {
+	[ "$(counter "$1" "$2")" = "$3" ]
+}
+
+# member_is ADMIN ID STATE: does the instance believe that of the other?
+member_is() {
+	admin_get "$1" state | tr '{' '\n' | grep "\"id\":\"$2\"" | grep -q "\"state\":\"$3\""
+}
+
+# fault NAME QUERY: sets a stand-in's fault.
+fault() {
+	curl -sf -X PUT "http://$(fleet_address "$1")/fault?$2" >/dev/null
+}
+
+# plain_count NAME: requests that a plain service has worked on; plain_most NAME: most for one body.
+plain_count() {
+	curl -sf "http://$(fleet_address "$1")/count" | sed 's/.*"count":\([0-9]*\).*/\1/'
+}
+
+plain_most() {
+	curl -sf "http://$(fleet_address "$1")/count" | sed 's/.*"most":\([0-9]*\).*/\1/'
+}
+
+plain_counted() {
+	[ "$(plain_count "$1")" = "$2" ]
+}
+
+# call KEY ADDRESS PATH BODY CURL-ARGUMENTS...: prints the status, the error's code and the outcome.
+call() {
+	key=$1 url=http://$2$3 body=$4
+	shift 4
+	answer=$(curl -s -i -H "Authorization: Bearer $key" -d "$body" "$@" "$url" | tr -d '\r')
+	printf '%s %s%s\n' "$(echo "$answer" | sed -n '1s/^[^ ]* \([0-9]*\).*/\1/p')" \
+		"$(echo "$answer" | sed -n 's/.*"code":"\([a-z_]*\)".*/\1 /p')" \
+		"$(echo "$answer" | sed -n 's/^Arbutuspond-Outcome: //p')"
+}
+
+# question KEY ADDRESS MODEL: a short inference request.
+question() {
+	call "$1" "$2" /v1/chat/completions \
+		"{\"model\":\"$3\",\"max_tokens\":4,\"messages\":[{\"role\":\"user\",\"content\":\"$RANDOM\"}]}" \
+		-H "Arbutuspond-Service: $3"
+}
+
+# permit KEY ADDRESS: a permit for confirm-load.
+permit() {
+	curl -s -X POST -H "Authorization: Bearer $1" "http://$2/v1/permits?service=confirm-load" |
+		sed -n 's/.*"permit":"\([^"]*\)".*/\1/p'
+}
+
+# confirm KEY ADDRESS BODY: a call that may run at most once, with a new permit.
+confirm() {
+	call "$1" "$2" /s/confirm-load/confirm "$3" -H "Arbutuspond-Permit: $(permit "$1" "$2")"
+}
+
+# bandeja_up: the fleet of samples/demo.sh with its configuration in force everywhere.
+bandeja_up() {
+	fleet_up catering recife fortaleza reconciler,carrier-contracts galley-small \
+		planning questions dispatch || exit 1
+	await "the admin listener" "$CTL" --admin "$ADMIN_1" get
+	"$CTL" --admin "$ADMIN_1" apply "$SAMPLES/bandeja-alta.toml" >/dev/null || exit 1
+	for n in $ENTRIES; do
+		await "entry-$n is ready" fleet_ready "$(admin_of "$n")"
+	done
+}
+
+# admin_of NUMBER, callers_of NUMBER: addresses of an entry.
+admin_of() {
+	eval "echo \$ADMIN_$1"
+}
+
+callers_of() {
+	eval "echo \$CALLERS_$1"
+}
--- /dev/null
+++ b/test/partition_test.sh
@@ -0,0 +1,109 @@
+# Two regions of two entries each lose every link between them, and one of them the platform too;
+# later all heals. Each region serves its own, nothing crosses, configuration only moves forward.
+# Usage: partition_test.sh BUILD_DIRECTORY
+. "$(dirname "$0")/common.sh"
+ENTRIES="1 2 3 4"
+RECIFE=dispatch-recife-key
+FORTALEZA=dispatch-fortaleza-key
+
+# port NUMBER NAME: a port from an entry's settings.
+port() {
+	sed -n "s/^$2 = \"\{0,1\}\([0-9.]*:\)\{0,1\}\([0-9]*\).*/\2/p" "$DIR/entry-$1.toml"
+}
+
+# Whatever goes from one region to the other, and from Fortaleza to the platform, takes the link.
+start_link() {
+	targets="--to $(fleet_address platform)"
+	for n in $ENTRIES; do
+		targets="$targets --to 127.0.0.1:$(port "$n" data) --to 127.0.0.1:$(port "$n" control)"
+	done
+	# shellcheck disable=SC2086
+	fleet_standin link "$BUILD/test/standin-link" $targets
+	awk '/^link/ { print $3, $2 }' "$DIR/link.out" >"$DIR/all"
+	sed -n '6,9p' "$DIR/all" >"$DIR/from-recife"
+	sed -n '1,5p' "$DIR/all" >"$DIR/from-fortaleza"
+}
+
+fleet_run() {
+	[ "$1" != 1 ] || start_link
+	from=recife
+	[ "$1" -lt 3 ] || from=fortaleza
+	fleet_start "entry-$1" env LD_PRELOAD="$BUILD/test/libstandin-detour.so" \
+		ASAN_OPTIONS=verify_asan_link_order=0 STANDIN_DETOURS="$DIR/from-$from" \
+		"$BUILD/cmd/arbutuspond" --settings "$DIR/entry-$1.toml"
+}
+
+# change ADMIN SLOTS: prints the new generation.
+change() {
+	sed "s/^\( *\)slots = [0-9]*/\1slots = $2/" "$SAMPLES/bandeja-alta.toml" >"$DIR/conf.toml"
+	"$CTL" --admin "$1" apply --replace "$DIR/conf.toml" | sed -n 's/^generation //p'
+}
+
+all_generations() {
+	for n in $ENTRIES; do
+		counter_is "$(admin_of "$n")" config_generation "$1" || return 1
+	done
+}
+
+sees_all() {
+	for n in $ENTRIES; do
+		for other in $ENTRIES; do
+			[ "$n" = "$other" ] || member_is "$(admin_of "$n")" "entry-$other" alive || return 1
+		done
+	done
+}
+
+# serves WHEN: each region answers its own callers and refuses the other's home-bound requests.
+serves() {
+	for n in $ENTRIES; do
+		home=recife away=fortaleza
+		[ "$n" -lt 3 ] || home=fortaleza away=recife
+		at=$(callers_of "$n")
+		check "$1: galley question at entry-$n" "200 completed" \
+			"$(question "galley-$home-key" "$at" galley)"
+		check "$1: manifest at entry-$n" "200 completed" \
+			"$(question "planning-$home-key" "$at" manifests)"
+		check "$1: the other region's manifest at entry-$n" "421 wrong_region not-run" \
+			"$(question "planning-$away-key" "$at" manifests)"
+		check "$1: confirmation at entry-$n" "200 completed" \
+			"$(confirm "dispatch-$home-key" "$at" "$1-$n")"
+		check "$1: the other region's confirmation at entry-$n" "421 wrong_region not-run" \
+			"$(call "dispatch-$away-key" "$at" /s/confirm-load/confirm "$1-$n-away")"
+	done
+}
+
+bandeja_up
+await "all are alive for each other" sees_all
+check "the link is in use" 1 "$(curl -s "http://$(fleet_address link)/" | grep -c '"accepted":[1-9]')"
+serves before
+
+fault link mode=cut
+await "entry-3 is without the platform" counter_is "$ADMIN_3" store_answers 0
+await "entry-4 is without the platform" counter_is "$ADMIN_4" store_answers 0
+check "a change is accepted in Recife" 2 "$(change "$ADMIN_2" 17)"
+await "it is in force at entry-1" counter_is "$ADMIN_1" config_generation 2
+serves cut
+check "entry-3 keeps its generation" 1 "$(counter "$ADMIN_3" config_generation)"
+check "a change at entry-4 is refused" "" "$(change "$ADMIN_4" 18 2>/dev/null)"
+check "the other region isn't declared dead" "0 0" \
+	"$(counter "$ADMIN_1" members_dead) $(counter "$ADMIN_3" members_dead)"
+check "entry-4 is ready all the same" 0 "$(fleet_ready "$ADMIN_4" >/dev/null; echo $?)"
+
+fault link mode=pass
+await "generation 2 is in force everywhere" all_generations 2
+await "all are alive for each other again" sees_all
+serves healed
+check "the next change, accepted in Fortaleza" 3 "$(change "$ADMIN_4" 19)"
+await "generation 3 is in force everywhere" all_generations 3
+
+for n in $ENTRIES; do
+	for name in config_reverted_total config_forked_total sent_away_total guests_total \
+		peer_refused_keys_total; do
+		check "entry-$n: $name" 0 "$(counter "$(admin_of "$n")" $name)"
+	done
+done
+for region in recife fortaleza; do
+	check "confirmations that ran in $region" 6 "$(plain_count "desk-$region")"
+	check "most for one of them" 1 "$(plain_most "desk-$region")"
+done
+exit $FAILED
