entry: requests lost on silent connections are tried again beyond the retry budget

Cause: six connections silent at once, and the budget, one token and a tenth a request, paid for two or three tries; the others got 502 unknown though a new connection worked.

--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -236,10 +236,13 @@
 		return;
 	}
 	attempt_finished(x, ends[end].end);
-	if (end == AP_HTTP_SILENT)
+	if (end == AP_HTTP_SILENT) {
 		x->entry->counts[COUNT_SILENT]++;
-	else
+		x->lost = !x->fresh;
+		x->fresh = true;
+	} else {
 		add_tried(x);
+	}
 	exchange_retry(x, !written, ends[end].why);
 }
 
@@ -280,7 +283,7 @@
 		.target = x->target,
 		.body = x->raw,
 		.len = x->raw_len,
-		.fresh = !service->repeatable,
+		.fresh = x->fresh || !service->repeatable,
 		.first_byte = service->first_byte,
 		.between = service->between,
 		.idle = service->idle,
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -339,6 +339,19 @@
 	return x->sse && x->req.service->resumable;
 }
 
+/*
+ * The first try after a silent connection is not taken from the budget: all connections may go
+ * silent at once, and what was lost on its way was no load for the upstream.
+ */
+static bool may_try_again(exchange_t *x, ap_usec_t now)
+{
+	if (!x->lost)
+		return ap_retry_budget_take(x->entry->budget, now, x->req.deadline,
+					    x->choice.expected_wait);
+	x->lost = false;
+	return x->req.deadline - now >= x->choice.expected_wait;
+}
+
 void exchange_retry(exchange_t *x, bool certainly_not_run, const char *why)
 {
 	ap_usec_t now = ap_now();
@@ -365,8 +378,7 @@
 	/* A stream that goes on has a new first byte to wait for. */
 	if (started)
 		x->req.deadline = now + x->req.service->first_byte;
-	if (!ap_retry_budget_take(x->entry->budget, now, x->req.deadline,
-				  x->choice.expected_wait)) {
+	if (!may_try_again(x, now)) {
 		exchange_give_up(x, why);
 		return;
 	}
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -227,6 +227,8 @@
  * @doc: body of an inference request
  * @raw: body of a plain request
  * @maybe_ran: some attempt may have started at an upstream
+ * @lost: the latest attempt was the first that met a silent connection
+ * @fresh: it met one, so that it uses only new or just-proved connections
  * @flying: the choice of upstream waits to hear how the present attempt ended
  * @passed: the entry that issued its permit has it
  * @judged: the gate asks what became of its permit
@@ -272,6 +274,8 @@
 	bool judged;
 	entry_fault_t held;
 	bool flying;
+	bool lost;
+	bool fresh;
 	bool first_seen;
 	bool matched;
 	bool refused;
--- a/test/common.sh
+++ b/test/common.sh
@@ -8,6 +8,7 @@
 trap 'exit 1' INT TERM
 export ARBUTUSPOND_TOKEN="$TOKEN"
 FAILED=0
+CONF=$SAMPLES/bandeja-alta.toml
 
 # check WHAT EXPECTED FOUND
 check() {
@@ -64,6 +65,11 @@
 	[ "$(plain_count "$1")" = "$2" ]
 }
 
+# engine_count NAME KIND: what an engine counts: asked, orders, old_orders or fence.
+engine_count() {
+	curl -sf "http://$(fleet_address "$1")/count" | sed "s/.*\"$2\":\([0-9]*\).*/\1/"
+}
+
 # call KEY ADDRESS PATH BODY CURL-ARGUMENTS...: prints the status, the error's code and the outcome.
 call() {
 	key=$1 url=http://$2$3 body=$4
@@ -77,7 +83,7 @@
 # question KEY ADDRESS MODEL: a short inference request.
 question() {
 	call "$1" "$2" /v1/chat/completions \
-		"{\"model\":\"$3\",\"max_tokens\":4,\"messages\":[{\"role\":\"user\",\"content\":\"$RANDOM\"}]}" \
+		"{\"model\":\"$3\",\"max_tokens\":32,\"messages\":[{\"role\":\"user\",\"content\":\"$RANDOM\"}]}" \
 		-H "Arbutuspond-Service: $3"
 }
 
@@ -97,7 +103,7 @@
 	fleet_up catering recife fortaleza reconciler,carrier-contracts galley-small \
 		planning questions dispatch || exit 1
 	await "the admin listener" "$CTL" --admin "$ADMIN_1" get
-	"$CTL" --admin "$ADMIN_1" apply "$SAMPLES/bandeja-alta.toml" >/dev/null || exit 1
+	"$CTL" --admin "$ADMIN_1" apply "$CONF" >/dev/null || exit 1
 	for n in $ENTRIES; do
 		await "entry-$n is ready" fleet_ready "$(admin_of "$n")"
 	done
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -27,6 +27,9 @@
 	uint64_t fence;
 	model_t models[MODELS_MAX];
 	size_t n_models;
+	unsigned asked;	     /* inference requests, refused ones included */
+	unsigned orders;     /* orders that came */
+	unsigned old_orders; /* of these, with an older fencing number than one seen */
 	server_t *server;
 	batch_t batch;
 } engine_t;
@@ -133,6 +136,7 @@
 	job_t *job;
 	const char *wrong;
 
+	e->asked++;
 	if (fault == FAULT_REFUSE || fault == FAULT_DRAIN) {
 		exchange_refuse(x);
 		return;
@@ -179,6 +183,9 @@
 	uint64_t fence = fence_text ? strtoull(fence_text, NULL, 10) : 0;
 	bool done = true;
 
+	e->orders++;
+	if (fence < e->fence)
+		e->old_orders++;
 	if (e->fenced && fence < e->fence) {
 		exchange_reply_json(x, 409, json_pack("{s:I}", "fence", (json_int_t)e->fence));
 		return;
@@ -195,6 +202,14 @@
 		bad_request(x, "no room for another model");
 }
 
+static void counts(engine_t *e, exchange_t *x)
+{
+	exchange_reply_json(x, 200,
+			    json_pack("{s:i, s:i, s:i, s:I}", "asked", (int)e->asked, "orders",
+				      (int)e->orders, "old_orders", (int)e->old_orders, "fence",
+				      (json_int_t)e->fence));
+}
+
 static void metrics(engine_t *e, exchange_t *x)
 {
 	char text[256];
@@ -217,6 +232,8 @@
 		infer(e, x, false);
 	else if (exchange_is(x, EVHTTP_REQ_GET, "/metrics"))
 		metrics(e, x);
+	else if (exchange_is(x, EVHTTP_REQ_GET, "/count"))
+		counts(e, x);
 	else if (exchange_is(x, EVHTTP_REQ_GET, "/admin/models"))
 		list_models(e, x);
 	else if (strncmp(path, orders, sizeof(orders) - 1) == 0)
