--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -352,6 +352,23 @@
 	return x->sse && x->req.service->resumable;
 }
 
+/*
+ * The first try after a silent connection is not taken from the budget: all connections may go
+ * silent at once, and what was lost on its way was no load for the upstream.
+ */
+static bool may_try_again(exchange_t *x, ap_usec_t now)
+{
+	if (x->lost) {
+		x->lost = false;
+		return x->req.deadline - now >= x->choice.expected_wait;
+	}
+	if (!ap_retry_budget_take_class(x->entry->budget, x->req.cls, now, x->req.deadline,
+					x->choice.expected_wait))
+		return false;
+	ap_retry_budget_retried(x->entry->budget);
+	return true;
+}
+
 void exchange_retry(exchange_t *x, bool certainly_not_run, const char *why)
 {
 	ap_usec_t now = ap_now();
@@ -378,12 +395,10 @@
 	/* A stream that goes on has a new first byte to wait for. */
 	if (started)
 		x->req.deadline = now + x->req.service->first_byte;
-	if (!ap_retry_budget_take_class(x->entry->budget, x->req.cls, now, x->req.deadline,
-					x->choice.expected_wait)) {
+	if (!may_try_again(x, now)) {
 		exchange_give_up(x, why);
 		return;
 	}
-	ap_retry_budget_retried(x->entry->budget);
 	x->entry->counts[started ? COUNT_RESUMES : COUNT_RETRIES]++;
 	/* What was sent away before it was admitted has no place here yet. */
 	if (x->admitted)
