Wire cache events: each poller subscribes to its engines and tells the region

The decisions took cache events and the reports told them, but no daemon heard any (found by listing public functions that nothing calls). Shown by fleet_test: after a question of 2,600 bytes both pollers of the region count events. Functions that nothing used are gone, and a message's kind is peeked at rather than unpacked twice.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -95,8 +95,6 @@
 void ap_http_reply_write(ap_http_call_t *call, const void *data, size_t len);
 /** ap_http_reply_end() - ends an answer in parts; ends @call. */
 void ap_http_reply_end(ap_http_call_t *call);
-/** ap_http_reply_abort() - closes the connection so that the answer is seen as cut; ends @call. */
-void ap_http_reply_abort(ap_http_call_t *call);
 /** ap_http_reply_pending() - bytes written but not yet taken by the caller's connection. */
 size_t ap_http_reply_pending(const ap_http_call_t *call);
 /** ap_http_call_ahead() - bytes that the caller sent after its request, held unread. */
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -432,15 +432,6 @@
 	evhttp_send_reply_end(req);
 }
 
-void ap_http_reply_abort(ap_http_call_t *call)
-{
-	struct evhttp_connection *conn = call->conn;
-
-	evhttp_connection_set_closecb(conn, NULL, NULL);
-	call_free(call);
-	evhttp_connection_free(conn);
-}
-
 size_t ap_http_reply_pending(const ap_http_call_t *call)
 {
 	return evbuffer_get_length(bufferevent_get_output(call_bev(call)));
--- a/cmd/arbutuspond/control-admin.c
+++ b/cmd/arbutuspond/control-admin.c
@@ -310,6 +310,7 @@
 	write_counter(buf, "orders_fenced_total", order.fenced);
 	write_counter(buf, "orders_held_back_total", order.held_back);
 	write_counter(buf, "reports_sent_bytes_total", report.sent_bytes);
+	write_counter(buf, "cache_events_total", c->cache_events);
 	write_counter(buf, "peer_sent_total", peer.sent);
 	write_counter(buf, "peer_sent_bytes_total", peer.sent_bytes);
 	write_counter(buf, "peer_received_bytes_total", peer.received_bytes);
--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -15,6 +15,8 @@
 typedef struct target {
 	char id[AP_NAME_MAX];
 	ap_address_t address;
+	uint16_t events_port;	 /* of its cache events; 0: none */
+	ap_listener_t *listener; /* while this entry polls it */
 	bool in_list;
 	bool load_asked;
 	bool models_asked;
@@ -66,6 +68,8 @@
 	if (!p)
 		return;
 	ap_calls_free(p->calls);
+	for (size_t i = 0; i < p->n; i++)
+		ap_listener_free(p->targets[i].listener);
 	free(p->targets);
 	free(p);
 }
@@ -89,10 +93,36 @@
 	for (size_t i = 0; i < p->n; i++) {
 		if (p->targets[i].in_list)
 			p->targets[kept++] = p->targets[i];
+		else
+			ap_listener_free(p->targets[i].listener);
 	}
 	p->n = kept;
 }
 
+static uint16_t events_port(const ap_upstream_t *u)
+{
+	const char *text = ap_labels_get(&u->labels, "events_port");
+	unsigned long port = text ? strtoul(text, NULL, 10) : 0;
+
+	return port <= UINT16_MAX ? (uint16_t)port : 0;
+}
+
+/* Both pollers listen, so that one of them may be lost; the reports keep to one teller. */
+static void listen_if_due(ap_poll_t *p, target_t *t, bool due)
+{
+	ap_address_t at = t->address;
+
+	if (due == (t->listener != NULL) || (due && t->events_port == 0))
+		return;
+	if (!due) {
+		ap_listener_free(t->listener);
+		t->listener = NULL;
+		return;
+	}
+	at.port = t->events_port;
+	t->listener = ap_listener_new(p->control, t->id, &at);
+}
+
 void ap_poll_set_upstreams(ap_poll_t *p, const ap_upstream_t *upstreams, size_t n)
 {
 	for (size_t i = 0; i < p->n; i++)
@@ -109,6 +139,7 @@
 		t->in_list = true;
 		ap_copy_name(t->address.host, sizeof(t->address.host), u->host);
 		t->address.port = u->port;
+		t->events_port = events_port(u);
 	}
 	drop_unlisted(p);
 }
@@ -247,7 +278,10 @@
 	for (size_t i = 0; i < p->n; i++) {
 		target_t *t = &p->targets[i];
 
-		if (!ap_report_polls(p->control->report, t->id))
+		bool polls = ap_report_polls(p->control->report, t->id);
+
+		listen_if_due(p, t, polls);
+		if (!polls)
 			continue;
 		if (now >= t->load_due && !t->load_asked) {
 			t->load_asked = true;
--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -136,9 +136,8 @@
 	ap_link_send(c->link, &note);
 }
 
-static void on_report_cache(void *ctx, const ap_cache_event_t *event)
+void ap_control_cache_event(ap_control_t *c, const ap_cache_event_t *event)
 {
-	ap_control_t *c = ctx;
 	size_t bytes = event->n_blocks * sizeof(*event->blocks);
 	ap_cache_event_t *copy = malloc(sizeof(*copy) + bytes);
 	ap_note_t note = {.kind = AP_NOTE_CACHE, .u.cache = copy};
@@ -153,6 +152,11 @@
 		free(copy);
 }
 
+static void on_report_cache(void *ctx, const ap_cache_event_t *event)
+{
+	ap_control_cache_event(ctx, event);
+}
+
 static void on_report_leaving(void *ctx, const char *upstream)
 {
 	ap_control_t *c = ctx;
@@ -183,24 +187,22 @@
 {
 	ap_control_t *c = ctx;
 	ap_usec_t now = ap_now();
-	msgpack_object body;
-	ap_wire_head_t head;
-	msgpack_zone zone;
-	ap_wire_status_t status;
-	ap_err_t err = {""};
-	bool taken = true;
-
-	msgpack_zone_init(&zone, 4096);
-	status = ap_wire_open(data, len, &zone, &head, &body, &err);
-	msgpack_zone_destroy(&zone);
-	if (status != AP_WIRE_OK)
-		taken = false;
-	else if (head.kind == AP_WIRE_MEMBER)
+	ap_err_t err = {"no message of this protocol"};
+	bool taken = false;
+
+	switch (ap_wire_peek(data, len)) {
+	case AP_WIRE_MEMBER:
 		taken = ap_member_receive(c->member, from, data, len, now, &err) == AP_MEMBER_OK;
-	else if (head.kind == AP_WIRE_SPREAD)
+		break;
+	case AP_WIRE_SPREAD:
 		taken = ap_spread_receive(c->spread, from, data, len, now, &err) == AP_SPREAD_OK;
-	else if (head.kind == AP_WIRE_REPORT)
+		break;
+	case AP_WIRE_REPORT:
 		taken = ap_report_receive(c->report, from, data, len, now, &err) == AP_REPORT_OK;
+		break;
+	default:
+		break;
+	}
 	if (!taken)
 		ap_log(LOG_WARNING, "message from %s: %s", from, err.text);
 }
--- a/cmd/arbutuspond/control.h
+++ b/cmd/arbutuspond/control.h
@@ -17,6 +17,7 @@
 #define AP_ENTRIES_KNOWN_MAX 4096 /* entries of all regions that are kept track of */
 
 typedef struct ap_poll ap_poll_t;
+typedef struct ap_listener ap_listener_t;
 typedef struct ap_admin ap_admin_t;
 
 typedef struct ap_control {
@@ -43,8 +44,9 @@
 	uint64_t view_number; /* number of the last view */
 	bool view_stale;      /* entry needs a new view */
 	ap_usec_t
-		publish_due;  /* earliest next write to the client directory; 0: nothing to write */
-	char *entry_counters; /* last counters of the entry task */
+		publish_due; /* earliest next write to the client directory; 0: nothing to write */
+	uint64_t cache_events; /* heard from engines here */
+	char *entry_counters;  /* last counters of the entry task */
 	bool draining;
 	bool drained;
 	ap_usec_t stop_at; /* when to leave the loop after the drain; 0: not yet */
@@ -90,6 +92,14 @@
 /** ap_poll_orders() - the port through which orders go. */
 ap_order_port_t ap_poll_orders(ap_poll_t *p);
 
+/* control-cache.c: cache events of the engines that this entry polls */
+
+/** ap_listener_new() - subscribes at @at; NULL when that address cannot be used. */
+ap_listener_t *ap_listener_new(ap_control_t *c, const char *upstream, const ap_address_t *at);
+void ap_listener_free(ap_listener_t *l);
+/** ap_control_cache_event() - hands an event to the entry task. */
+void ap_control_cache_event(ap_control_t *c, const ap_cache_event_t *event);
+
 /* control-admin.c: the admin listener */
 
 ap_admin_t *ap_admin_new(ap_control_t *c, ap_err_t *err);
--- a/lib/limit/caller.c
+++ b/lib/limit/caller.c
@@ -132,8 +132,3 @@
 	}
 	free_buckets(idle);
 }
-
-size_t ap_caller_limits_count(const ap_caller_limits_t *l)
-{
-	return HASH_COUNT(l->buckets);
-}
--- a/lib/limit/caller.h
+++ b/lib/limit/caller.h
@@ -18,6 +18,5 @@
 void ap_caller_limits_done(ap_caller_limits_t *l, const char *name);
 /** ap_caller_limits_sweep() - forgets callers whose bucket is full again. */
 void ap_caller_limits_sweep(ap_caller_limits_t *l, ap_usec_t now);
-size_t ap_caller_limits_count(const ap_caller_limits_t *l);
 
 #endif
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -277,16 +277,6 @@
 	return n;
 }
 
-bool ap_member_joined(const ap_member_t *m)
-{
-	return m->joined || HASH_COUNT(m->nodes) == 1;
-}
-
-const ap_entry_t *ap_member_self(const ap_member_t *m)
-{
-	return &m->self->rec.entry;
-}
-
 ap_member_stats_t ap_member_stats(const ap_member_t *m)
 {
 	ap_member_stats_t stats = m->stats;
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -90,10 +90,6 @@
  * Return: how many there are; at most @max are written.
  */
 size_t ap_member_entries(const ap_member_t *m, ap_entry_t *out, size_t max);
-/** ap_member_joined() - another entry answered, or none is listed. */
-bool ap_member_joined(const ap_member_t *m);
-/** ap_member_self() - own record as told to others. */
-const ap_entry_t *ap_member_self(const ap_member_t *m);
 
 typedef struct ap_member_stats {
 	size_t alive;
--- a/lib/route/prefix.c
+++ b/lib/route/prefix.c
@@ -30,11 +30,6 @@
 	free(x);
 }
 
-size_t ap_prefix_bytes(void)
-{
-	return sizeof(ap_prefix_index_t);
-}
-
 static size_t set_of(uint64_t block)
 {
 	return (block ^ block >> 32) & (SETS - 1);
--- a/lib/route/prefix.h
+++ b/lib/route/prefix.h
@@ -26,6 +26,5 @@
 void ap_prefix_remove(ap_prefix_index_t *x, uint64_t block, uint16_t slot);
 /** ap_prefix_find() - holders of @block, newest first, or NULL. */
 const ap_holder_t *ap_prefix_find(const ap_prefix_index_t *x, uint64_t block);
-size_t ap_prefix_bytes(void);
 
 #endif
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -13,26 +13,29 @@
 	msgpack_pack_uint64(pk, head->seq);
 }
 
+bool ap_wire_unpack(const void *data, size_t len, msgpack_zone *zone, msgpack_object *root)
+{
+	size_t off = 0;
+
+	return ap_wire_bounds_ok(data, len) &&
+	       msgpack_unpack(data, len, &off, zone, root) == MSGPACK_UNPACK_SUCCESS;
+}
+
 ap_wire_status_t ap_wire_open(const void *data, size_t len, msgpack_zone *zone,
 			      ap_wire_head_t *head, msgpack_object *body, ap_err_t *err)
 {
 	msgpack_object root;
 	ap_wire_reader_t r;
-	size_t off = 0;
 	uint64_t version;
 
 	if (len > AP_WIRE_MAX) {
 		ap_err_set(err, "message of %zu bytes is too long", len);
 		return AP_WIRE_TOO_LONG;
 	}
-	if (!ap_wire_bounds_ok(data, len)) {
+	if (!ap_wire_unpack(data, len, zone, &root)) {
 		ap_err_set(err, "message of %zu bytes is cut or claims more than it holds", len);
 		return AP_WIRE_MALFORMED;
 	}
-	if (msgpack_unpack(data, len, &off, zone, &root) != MSGPACK_UNPACK_SUCCESS) {
-		ap_err_set(err, "message is not msgpack");
-		return AP_WIRE_MALFORMED;
-	}
 	r = ap_wire_reader(&root);
 	version = ap_wire_u64(&r);
 	if (r.ok && version != AP_WIRE_VERSION) {
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -65,6 +65,14 @@
 /** ap_wire_peek() - kind of a message without reading it; 0 when it has no known envelope. */
 uint32_t ap_wire_peek(const void *data, size_t len);
 
+/**
+ * ap_wire_unpack() - one whole msgpack object, whose claimed lengths are checked first.
+ * @zone: holds the object; the caller inits it before and destroys it after
+ *
+ * Return: false when @data is anything else.
+ */
+bool ap_wire_unpack(const void *data, size_t len, msgpack_zone *zone, msgpack_object *root);
+
 void ap_wire_pack_str(msgpack_packer *pk, const char *text);
 void ap_wire_pack_bin(msgpack_packer *pk, const void *data, size_t len);
 void ap_wire_pack_id(msgpack_packer *pk, ap_id_t id);
--- a/samples/fleet.sh
+++ b/samples/fleet.sh
@@ -85,13 +85,22 @@
 	fleet_address "$1"
 }
 
+# fleet_engine ID MODELS: an engine that publishes its cache events.
+fleet_engine() {
+	fleet_ports 1
+	echo "$PORTS" >"$DIR/$1.events"
+	fleet_standin "$1" "$BUILD/test/standin-engine" --id "$1" --models "$2" --events-port "$PORTS"
+}
+
 # fleet_upstream ID REGION WORK: one line of the platform's list.
 fleet_upstream() {
 	address=$(fleet_listed "$1")
 	printf '{"id":"%s","role":"upstream","host":"127.0.0.1","port":%s,"region":"%s",' \
 		"$1" "${address##*:}" "$2"
-	printf '"data_centre":"%s-a","state":"live","labels":{"trade":"%s","work":"%s"}}' \
+	printf '"data_centre":"%s-a","state":"live","labels":{"trade":"%s","work":"%s"' \
 		"$2" "$TRADE" "$3"
+	[ ! -e "$DIR/$1.events" ] || printf ',"events_port":"%s"' "$(cat "$DIR/$1.events")"
+	printf '}}'
 }
 
 # fleet_settings NUMBER REGION CALLERS DATA CONTROL ADMIN: settings of one entry instance.
@@ -182,10 +191,8 @@
 	TRADE=$1
 	fleet_standin platform "$BUILD/test/standin-platform"
 	for region in "$2" "$3"; do
-		fleet_standin "planning-$region" "$BUILD/test/standin-engine" \
-			--id "planning-$region" --models "$4"
-		fleet_standin "questions-$region" "$BUILD/test/standin-engine" \
-			--id "questions-$region" --models "$5"
+		fleet_engine "planning-$region" "$4"
+		fleet_engine "questions-$region" "$5"
 		fleet_standin "desk-$region" "$BUILD/test/standin-plain" --id "desk-$region"
 	done
 	for name in $LINKED; do
--- a/test/fleet_test.sh
+++ b/test/fleet_test.sh
@@ -64,6 +64,16 @@
 done
 check "a question is answered before the outage" question "$CALLERS_1"
 
+counter_above() {
+	[ "$(admin_get "$1" metrics | sed -n "s/^arbutuspond_$2 //p")" -gt "$3" ]
+}
+
+long=$(printf 'special meal %.0s' $(seq 200))
+fleet_wait "cache events of an engine" sh -c "\"$CTL\" --entry $CALLERS_1 --service galley \
+	--max-tokens 1 ask \"$long\" >/dev/null; curl -sf -H 'Authorization: Bearer $TOKEN' \
+	http://$ADMIN_1/metrics | grep -q '^arbutuspond_cache_events_total [1-9]'"
+fleet_wait "cache events at the other poller" counter_above "$ADMIN_2" cache_events_total 0
+
 store_fault away=1
 status=0
 change 17 2>/dev/null || status=$?
