Settle segment writes whose answers were lost by reading them back

Cause: a proposal wrote a segment up to three times and gave up when every answer was lost, though the segment was there (seen over real processes: with the stand-in's lose=1 both operators got 503 and the generation stayed; nothing was wrong, but no change could be made). New test test_writes_without_any_answer_are_settled_by_reading: AP_SPREAD_UNAVAILABLE before, accepted after.

--- a/lib/spread/propose.c
+++ b/lib/spread/propose.c
@@ -194,22 +194,51 @@
 	write_segment(s);
 }
 
+static void next_segment(ap_spread_t *s)
+{
+	s->proposal.writing = s->proposal.writing->hh.next;
+	write_segment(s);
+}
+
+/* Creating the same segment once more does no harm. */
+static void segment_again(ap_spread_t *s)
+{
+	if (++s->proposal.write_failures < WRITE_FAILURES_MAX)
+		write_segment(s);
+	else
+		give_up(s);
+}
+
+/* A segment's key is the hash of its content, so that one that is there is the right one. */
+static void segment_read(void *owner, const ap_kv_result_t *result)
+{
+	ap_spread_t *s = owner;
+
+	spread_store_answered(s, result);
+	if (result->status == AP_KV_OK)
+		next_segment(s);
+	else
+		segment_again(s);
+}
+
 static void segment_written(void *owner, const ap_kv_result_t *result)
 {
 	ap_spread_t *s = owner;
-	ap_proposal_t *p = &s->proposal;
+	char key[AP_NAME_MAX + AP_ID_TEXT_MAX];
 
 	spread_store_answered(s, result);
 	if (result->status == AP_KV_OK || result->status == AP_KV_CONFLICT) {
-		p->writing = p->writing->hh.next;
-		write_segment(s);
+		next_segment(s);
 		return;
 	}
-	/* Creating the same segment once more does no harm. */
-	if (++p->write_failures < WRITE_FAILURES_MAX)
-		write_segment(s);
-	else
-		give_up(s);
+	if (result->status != AP_KV_UNSURE) {
+		segment_again(s);
+		return;
+	}
+	segment_key(s->proposal.writing->hash, key, sizeof(key));
+	s->stats.reads++;
+	s->cfg.kv.get(s->cfg.kv.ctx, key, 0, 0, ap_kv_call_done,
+		      ap_kv_call_new(&s->proposal_calls, segment_read));
 }
 
 /* Segments of the generation in force are in the store, unless the store was set back. */
--- a/test/fake.h
+++ b/test/fake.h
@@ -200,6 +200,7 @@
 typedef struct fake_store {
 	fake_sim_t *sim;
 	bool away;
+	bool mute;   /* every write is carried out and its answer lost */
 	double lose; /* share of calls whose answer is lost; half of them were carried out */
 	ap_usec_t delay;
 	ap_usec_t stall; /* added to every answer */
@@ -342,6 +343,10 @@
 		fake_answer(s, done, arg, AP_KV_UNAVAILABLE, NULL, NULL);
 		return true;
 	}
+	if (write && s->mute) {
+		fake_answer(s, done, arg, AP_KV_UNSURE, NULL, NULL);
+		return true;
+	}
 	if (ap_rng_unit(&s->sim->rng) >= s->lose)
 		return false;
 	*carried = ap_rng_unit(&s->sim->rng) < 0.5;
--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -347,6 +347,25 @@
 	fleet_free(f);
 }
 
+static void test_writes_without_any_answer_are_settled_by_reading(void **state)
+{
+	fleet_t *f = fleet_new(3);
+	json_t *doc = document(40);
+	answer_t a;
+
+	(void)state;
+	f->store.mute = true;
+	a = propose(f, 0, doc, 0);
+	assert_int_equal(a.status, AP_SPREAD_OK);
+	assert_stored(f, a.generation);
+	set_field(doc, "c1", "rate", 11);
+	a = propose(f, 1, doc, a.generation);
+	assert_int_equal(a.status, AP_SPREAD_OK);
+	assert_stored(f, a.generation);
+	json_decref(doc);
+	fleet_free(f);
+}
+
 static void test_store_away_changes_nothing_and_new_ones_start_from_peers(void **state)
 {
 	fleet_t *f = fleet_new(9);
@@ -500,6 +519,7 @@
 		cmocka_unit_test(test_invalid_document_names_object_and_field),
 		cmocka_unit_test(test_two_operators_disjoint_fields_merge_same_field_conflicts),
 		cmocka_unit_test(test_lost_answers_are_settled),
+		cmocka_unit_test(test_writes_without_any_answer_are_settled_by_reading),
 		cmocka_unit_test(test_store_away_changes_nothing_and_new_ones_start_from_peers),
 		cmocka_unit_test(test_slow_store_only_slows_changes),
 		cmocka_unit_test(test_region_cut_off_keeps_its_generation_and_catches_up),
