Never say not-run of a request that was sent before

Cause: a request that was sent to another region before it was admitted, and whose answer got lost, asks for admission again; shed there, it was told not-run though the other region may have begun it. Ruled out: the outcome of refusals, which count as not run only when no byte was written.

leaving_test marked the wrong upstream when its record shared a line with others; mended.

--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -108,9 +108,18 @@
 	ap_admission_done(entry->admission, x->token, now);
 }
 
+/* A request that was sent before may have run, whatever keeps it from being sent again. */
+static void admit_unknown(const exchange_t *x, entry_fault_t *fault)
+{
+	if (!x->maybe_ran || x->judged || entry_error_outcome(fault->error) != AP_OUTCOME_NOT_RUN)
+		return;
+	fault->error = x->req.service->repeatable ? ENTRY_UPSTREAM_FAILED : ENTRY_UNKNOWN;
+}
+
 static void fail(exchange_t *x, entry_fault_t *fault)
 {
 	attempt_cancel(x);
+	admit_unknown(x, fault);
 	end(x, entry_error_outcome(fault->error), entry_error_code(fault->error));
 	sink_fault(x, fault);
 	exchange_settle(x);
--- a/test/leaving_test.sh
+++ b/test/leaving_test.sh
@@ -98,7 +98,7 @@
 rest=$(echo "$REPLICAS" | tr ' ' '\n' | grep -vx "$first")
 second=$(busiest $rest)
 check "$second took work before" 0 "$([ "$(taken "$second")" -gt 0 ]; echo $?)"
-sed "/\"id\":\"$second\"/s/\(\"id\":\"$second\".*\"state\":\)\"live\"/\1\"leaving\"/" \
+sed "/\"id\":\"$second\"/s/\(\"id\":\"$second\"[^}]*\"state\":\)\"live\"/\1\"leaving\"/" \
 	"$DIR/upstreams.json" >"$DIR/leaving.json"
 mv "$DIR/leaving.json" "$DIR/upstreams.json"
 fleet_list
