Look upstreams up in one place; one reader for each kind of bounded setting

Found by reading the whole change again. models.c had its own look-up of an upstream beside that of report.c and left out its check of the id, so that two ids with the same 32-bit hash would have shared their models; it calls report_find() now. The readers of sizes and of seconds in the settings were the same but for their bounds. A doc comment named a function that does not exist.

--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -166,45 +166,48 @@
 	return wrong(l, key, what);
 }
 
-static ap_settings_status_t read_bytes(loader_t *l, const char *key, json_t *value, void *at)
+static ap_settings_status_t read_size(loader_t *l, const char *key, json_t *value, size_t min,
+				      size_t max, size_t *size)
 {
 	json_int_t number;
-	ap_settings_status_t status = read_whole(l, key, value, 1024, 64 << 20, &number);
+	ap_settings_status_t status =
+		read_whole(l, key, value, (json_int_t)min, (json_int_t)max, &number);
 
 	if (status == AP_SETTINGS_OK)
-		*(size_t *)at = (size_t)number;
+		*size = (size_t)number;
 	return status;
 }
 
+static ap_settings_status_t read_bytes(loader_t *l, const char *key, json_t *value, void *at)
+{
+	return read_size(l, key, value, 1024, 64 << 20, at);
+}
+
 static ap_settings_status_t read_count(loader_t *l, const char *key, json_t *value, void *at)
+{
+	return read_size(l, key, value, 1, 1000000, at);
+}
+
+static ap_settings_status_t read_span(loader_t *l, const char *key, json_t *value, json_int_t min_s,
+				      json_int_t max_s, ap_usec_t *span)
 {
 	json_int_t number;
-	ap_settings_status_t status = read_whole(l, key, value, 1, 1000000, &number);
+	ap_settings_status_t status = read_whole(l, key, value, min_s, max_s, &number);
 
 	if (status == AP_SETTINGS_OK)
-		*(size_t *)at = (size_t)number;
+		*span = number * AP_SEC;
 	return status;
 }
 
 static ap_settings_status_t read_seconds(loader_t *l, const char *key, json_t *value, void *at)
 {
-	json_int_t number;
-	ap_settings_status_t status = read_whole(l, key, value, 1, 86400, &number);
-
-	if (status == AP_SETTINGS_OK)
-		*(ap_usec_t *)at = number * AP_SEC;
-	return status;
+	return read_span(l, key, value, 1, 86400, at);
 }
 
 /* The bounds are those of the key-value service's sessions. */
 static ap_settings_status_t read_lease(loader_t *l, const char *key, json_t *value, void *at)
 {
-	json_int_t number;
-	ap_settings_status_t status = read_whole(l, key, value, 10, 3600, &number);
-
-	if (status == AP_SETTINGS_OK)
-		*(ap_usec_t *)at = number * AP_SEC;
-	return status;
+	return read_span(l, key, value, 10, 3600, at);
 }
 
 static ap_settings_status_t read_ratio(loader_t *l, const char *key, json_t *value, void *at)
--- a/lib/report/models.c
+++ b/lib/report/models.c
@@ -12,11 +12,6 @@
 	return (uint32_t)ap_hash_str(name, 0);
 }
 
-static ap_polled_t *find(const ap_report_t *r, const char *upstream)
-{
-	return report_by_hash(r, (uint32_t)ap_hash_str(upstream, 0));
-}
-
 /* Return: true when it is other than what was known. */
 static bool set_models(ap_models_known_t *known, const uint32_t *names, size_t n, ap_usec_t at)
 {
@@ -42,7 +37,7 @@
 void ap_report_models_read(ap_report_t *r, const char *upstream, const uint32_t *names, size_t n,
 			   ap_usec_t now)
 {
-	ap_polled_t *up = find(r, upstream);
+	ap_polled_t *up = report_find(r, upstream);
 
 	r->now = now;
 	if (!up)
@@ -55,7 +50,7 @@
 
 const uint32_t *ap_report_models(const ap_report_t *r, const char *upstream, size_t *n)
 {
-	const ap_polled_t *up = find(r, upstream);
+	const ap_polled_t *up = report_find(r, upstream);
 
 	if (!up || up->models.at == 0)
 		return NULL;
--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -169,6 +169,7 @@
 
 /* report.c */
 ap_polled_t *report_by_hash(const ap_report_t *r, uint32_t hash);
+ap_polled_t *report_find(const ap_report_t *r, const char *id);
 void report_mark_leaving(ap_report_t *r, const char *upstream, bool heard);
 ap_room_known_t *report_room(ap_report_t *r, const ap_room_t *room);
 void report_queue_cache(ap_report_t *r, struct ap_cache_queue *queue, size_t *queued,
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -90,7 +90,7 @@
 	return (uint32_t)ap_hash_str(id, 0);
 }
 
-static ap_polled_t *find(const ap_report_t *r, const char *id)
+ap_polled_t *report_find(const ap_report_t *r, const char *id)
 {
 	ap_polled_t *up = report_by_hash(r, id_hash(id));
 
@@ -187,7 +187,7 @@
 
 static void take_upstream(ap_report_t *r, const ap_upstream_t *upstream)
 {
-	ap_polled_t *up = find(r, upstream->id);
+	ap_polled_t *up = report_find(r, upstream->id);
 
 	if (!up && report_by_hash(r, id_hash(upstream->id))) {
 		ap_emit(&r->cfg.env, r->now, "report.collision", (ap_xid_t){.seq = 0}, "id=%s",
@@ -234,14 +234,14 @@
 
 bool ap_report_polls(const ap_report_t *r, const char *upstream)
 {
-	const ap_polled_t *up = find(r, upstream);
+	const ap_polled_t *up = report_find(r, upstream);
 
 	return up && up->polls;
 }
 
 void ap_report_polled(ap_report_t *r, const ap_load_report_t *report, ap_usec_t now)
 {
-	ap_polled_t *up = find(r, report->upstream);
+	ap_polled_t *up = report_find(r, report->upstream);
 
 	r->now = now;
 	if (!up || report->at < up->load.at)
@@ -271,7 +271,7 @@
 
 void ap_report_cached(ap_report_t *r, const ap_cache_event_t *event, ap_usec_t now)
 {
-	const ap_polled_t *up = find(r, event->upstream);
+	const ap_polled_t *up = report_find(r, event->upstream);
 	ap_cache_item_t item = {.seq = event->seq, .stored = event->stored};
 
 	r->now = now;
@@ -325,7 +325,7 @@
 
 void report_mark_leaving(ap_report_t *r, const char *upstream, bool heard)
 {
-	ap_polled_t *up = find(r, upstream);
+	ap_polled_t *up = report_find(r, upstream);
 	bool fresh;
 
 	if (!up)
@@ -355,7 +355,7 @@
 
 bool ap_report_is_leaving(const ap_report_t *r, const char *upstream)
 {
-	const ap_polled_t *up = find(r, upstream);
+	const ap_polled_t *up = report_find(r, upstream);
 
 	return up && r->now < up->leaving_until;
 }
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -53,7 +53,7 @@
 /** ap_prefix_blocks() - chained block hashes of a prompt. Return: how many were written. */
 size_t ap_prefix_blocks(const char *text, size_t len, uint64_t blocks[AP_PREFIX_BLOCKS_MAX]);
 
-/** ap_home_bound_allows() - residency rule used at every step: may @req be handled in @region? */
+/** ap_residency_allows() - residency rule used at every step: may @req be handled in @region? */
 bool ap_residency_allows(const ap_request_t *req, const char *region);
 
 /**
