Answer every wrong input with our own error; limit a request's arrival; count callers' connections

What evhttp refused by itself (a body over the limit, bad lines, headers, chunks, methods, expectations) was answered in HTML, and a request that was cut off not at all: caller_test was red at the first of these. Libevent 2.1 has no call for its own answers, so what is written on a connection without a request of ours is taken for one, and ours goes before it. Ruled out: a larger limit with a refusal of ours (not for headers or chunks), a filtering bufferevent (cuts answers off at a close).

limits.arrival_seconds bounds the time from a request's first byte to its last; the idle limit between bytes alone let a trickle hold a connection for good.

The bound on connections went by the lowest free descriptor: with 8 allowed and 8 other descriptors open none was served (the old test with that bound hung). test_connections_are_bounded assumed that meaning; it now asks for exactly as many as are allowed, with other descriptors open.

Parts of a stream are written to the socket directly in place of unfreezing the library's buffer.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -35,14 +35,30 @@
  */
 typedef struct ap_http_call ap_http_call_t;
 
+/* Why something that a caller sent never becomes a request. */
+typedef enum ap_http_refusal {
+	AP_HTTP_REFUSED_MALFORMED,   /* line, headers or chunks; or line and headers too long */
+	AP_HTTP_REFUSED_TOO_LARGE,   /* the body; or its chunks are malformed */
+	AP_HTTP_REFUSED_METHOD,	     /* not one that is taken */
+	AP_HTTP_REFUSED_EXPECT,	     /* an expectation other than 100-continue */
+	AP_HTTP_REFUSED_LATE,	     /* it did not arrive within its limit */
+	AP_HTTP_REFUSED_TRUNCATED,   /* the caller closed before it was whole */
+	AP_HTTP_REFUSED_CONNECTIONS, /* too many connections are open */
+	AP_HTTP_REFUSED_BUSY,	     /* out of memory */
+} ap_http_refusal_t;
+
 /**
  * struct ap_http_server_config - made once at start.
  * @port: 0 lets the system choose, see ap_http_server_port()
  * @header_bytes: largest request line and headers
  * @body_bytes: largest body
- * @connections: open connections at most; more are closed at once
+ * @connections: open connections at most, 0 for any number; requests on some more are refused, any
+ *               beyond these are closed at once
  * @idle: life of a connection without a request, and of a reply that the caller does not read
+ * @arrival: from a request's first byte to its last, 0 for any time
  * @request: takes each whole request
+ * @refused: answers what never becomes a request, with ap_http_reply() before it returns; nothing
+ *           else may be asked of @call. NULL leaves these answers to the library
  * @flushed: the last answer that was still going out has gone, or its caller has; may be NULL
  */
 typedef struct ap_http_server_config {
@@ -53,8 +69,10 @@
 	size_t body_bytes;
 	size_t connections;
 	ap_usec_t idle;
+	ap_usec_t arrival;
 	void *ctx;
 	void (*request)(void *ctx, ap_http_call_t *call);
+	void (*refused)(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 	void (*flushed)(void *ctx);
 } ap_http_server_config_t;
 
@@ -64,6 +82,22 @@
 void ap_http_server_free(ap_http_server_t *server);
 /** ap_http_server_flushing() - answers that were given but have not all gone out. */
 size_t ap_http_server_flushing(const ap_http_server_t *server);
+
+/**
+ * struct ap_http_server_stats - what became of callers' connections.
+ * @open: open now
+ * @late: requests that did not arrive within their limit
+ * @refused: requests refused since too many connections were open
+ * @closed: connections closed at once for that reason
+ */
+typedef struct ap_http_server_stats {
+	size_t open;
+	uint64_t late;
+	uint64_t refused;
+	uint64_t closed;
+} ap_http_server_stats_t;
+
+ap_http_server_stats_t ap_http_server_stats(const ap_http_server_t *server);
 uint16_t ap_http_server_port(const ap_http_server_t *server);
 
 /**
--- /dev/null
+++ b/adapters/http/server-conn.c
@@ -0,0 +1,342 @@
+/*
+ * Callers' connections: how many are open, how long a request may take to arrive, and our own
+ * answer in place of one that the library would give by itself.
+ */
+#include "http/server.h"
+#include "log/log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define SPARE_MIN 16	    /* connections past the bound that still get an answer, */
+#define SPARE_PART 8	    /* or this part of the bound */
+#define LINGER (2 * AP_SEC) /* how long a refused caller may go on sending */
+#define LINGER_PART 65536   /* bytes thrown away at a time */
+#define STATUS_LINE_MIN 12  /* bytes up to the end of the status */
+#define STATUS_AT 9	    /* byte of a status line at which the status begins */
+#define STATUS_CONTINUE 100
+
+/**
+ * struct lingerer - a connection that was answered for the last time. Closing it with bytes unread
+ * would take the answer back.
+ */
+struct lingerer {
+	LIST_ENTRY(lingerer) link;
+	ap_http_server_t *server;
+	struct event *event;
+	ap_usec_t until;
+};
+
+static struct timeval timeval_of(ap_usec_t span)
+{
+	return (struct timeval){
+		.tv_sec = (time_t)(span / AP_SEC),
+		.tv_usec = (suseconds_t)(span % AP_SEC),
+	};
+}
+
+static size_t count_open(const ap_http_server_t *server)
+{
+	return HASH_COUNT(server->conns) + server->n_lingering;
+}
+
+ap_http_server_stats_t ap_http_server_stats(const ap_http_server_t *server)
+{
+	ap_http_server_stats_t stats = server->stats;
+
+	stats.open = count_open(server);
+	return stats;
+}
+
+static bool past_bound(const ap_http_server_t *server, size_t spare)
+{
+	size_t bound = server->config.connections;
+
+	return bound && count_open(server) > bound + spare;
+}
+
+static size_t spare_of(const ap_http_server_t *server)
+{
+	size_t part = server->config.connections / SPARE_PART;
+
+	return part > SPARE_MIN ? part : SPARE_MIN;
+}
+
+static void linger_free(lingerer_t *l)
+{
+	l->server->n_lingering--;
+	LIST_REMOVE(l, link);
+	close(event_get_fd(l->event));
+	event_free(l->event);
+	free(l);
+}
+
+static void on_linger(evutil_socket_t fd, short what, void *arg)
+{
+	char unread[LINGER_PART];
+	lingerer_t *l = arg;
+	ssize_t got = recv(fd, unread, sizeof(unread), 0);
+	bool more = got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
+
+	if ((what & EV_TIMEOUT) || !more || ap_now() >= l->until)
+		linger_free(l);
+}
+
+/* Takes over @fd. */
+static void linger_on(ap_http_server_t *server, int fd)
+{
+	struct timeval limit = timeval_of(LINGER);
+	lingerer_t *l = calloc(1, sizeof(*l));
+
+	if (l)
+		l->event = event_new(server->config.base, fd, EV_READ | EV_PERSIST, on_linger, l);
+	if (!l || !l->event) {
+		free(l);
+		close(fd);
+		return;
+	}
+	l->server = server;
+	l->until = ap_now() + LINGER;
+	LIST_INSERT_HEAD(&server->lingering, l, link);
+	server->n_lingering++;
+	event_add(l->event, &limit);
+}
+
+/*
+ * The library keeps its descriptor until it finds that no more can be written; ours outlives it.
+ */
+void conn_last(server_conn_t *conn, struct evbuffer *out)
+{
+	int own = bufferevent_getfd(conn->bev);
+	int fd = fcntl(own, F_DUPFD_CLOEXEC, 0);
+
+	conn->refused = true;
+	event_del(conn->timer);
+	evbuffer_write(out, own);
+	shutdown(own, SHUT_WR);
+	if (fd >= 0)
+		linger_on(conn->server, fd);
+}
+
+static void refuse(server_conn_t *conn, ap_http_refusal_t why)
+{
+	const ap_http_server_config_t *config = &conn->server->config;
+	ap_http_call_t call = {.server = conn->server, .conn = conn};
+
+	if (config->refused)
+		config->refused(config->ctx, &call, why);
+}
+
+/* Ends the library's side as if its idle limit had passed; @conn is freed. */
+static void drop(server_conn_t *conn)
+{
+	bufferevent_trigger_event(conn->bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
+static void on_closed(struct evhttp_connection *evcon, void *arg)
+{
+	server_conn_t *conn = arg;
+
+	(void)evcon;
+	if (conn->call)
+		call_closed(conn->call);
+	else if (conn->arriving && !conn->refused && !conn->server->closing)
+		refuse(conn, AP_HTTP_REFUSED_TRUNCATED);
+	conn_free(conn);
+}
+
+/* The library tells of a connection only through the argument that it set on its bufferevent. */
+static void adopt(server_conn_t *conn)
+{
+	struct bufferevent *bev = conn->bev;
+	void *evcon;
+
+	bufferevent_getcb(bev, NULL, NULL, NULL, &evcon);
+	conn->evcon = evcon;
+	bufferevent_decref(bev);
+	if (!evcon) {
+		conn_free(conn);
+		return;
+	}
+	evhttp_connection_set_closecb(evcon, on_closed, conn);
+	if (conn->excess) {
+		conn->server->stats.closed++;
+		drop(conn);
+	}
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	server_conn_t *conn = arg;
+
+	(void)fd;
+	(void)what;
+	if (!conn->evcon) {
+		adopt(conn);
+		return;
+	}
+	conn->server->stats.late++;
+	refuse(conn, AP_HTTP_REFUSED_LATE);
+	drop(conn);
+}
+
+static void begin_arrival(server_conn_t *conn)
+{
+	struct timeval limit = timeval_of(conn->server->config.arrival);
+
+	conn->arriving = true;
+	if (conn->server->config.arrival)
+		event_add(conn->timer, &limit);
+}
+
+static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
+{
+	server_conn_t *conn = arg;
+
+	(void)in;
+	if (info->n_added > 0 && !conn->call && !conn->arriving && !conn->refused)
+		begin_arrival(conn);
+}
+
+static ap_http_refusal_t refusal_of(int status)
+{
+	switch (status) {
+	case HTTP_ENTITYTOOLARGE:
+		return AP_HTTP_REFUSED_TOO_LARGE;
+	case HTTP_NOTIMPLEMENTED:
+		return AP_HTTP_REFUSED_METHOD;
+	case HTTP_EXPECTATIONFAILED:
+		return AP_HTTP_REFUSED_EXPECT;
+	case HTTP_SERVUNAVAIL:
+		return AP_HTTP_REFUSED_BUSY;
+	default:
+		return AP_HTTP_REFUSED_MALFORMED;
+	}
+}
+
+/* Status of the answer that was just added behind @before bytes; 0 for none. */
+static int status_added(struct evbuffer *out, size_t before)
+{
+	char line[STATUS_LINE_MIN + 1] = "";
+	struct evbuffer_ptr at;
+
+	if (evbuffer_ptr_set(out, &at, before, EVBUFFER_PTR_SET) != 0 ||
+	    evbuffer_copyout_from(out, &at, line, STATUS_LINE_MIN) != STATUS_LINE_MIN ||
+	    strncmp(line, "HTTP/", 5) != 0)
+		return 0;
+	return (int)strtol(line + STATUS_AT, NULL, 10);
+}
+
+/*
+ * What is written without a call is the library's own answer. It never goes out: ours goes before
+ * it, and then the connection takes no more.
+ */
+static void on_output(struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
+{
+	server_conn_t *conn = arg;
+	int status;
+
+	if (conn->call) {
+		if (info->n_deleted > 0 && evbuffer_get_length(out) == 0 && conn->call->drained)
+			conn->call->drained(conn->call->ctx);
+		return;
+	}
+	if (info->n_added == 0 || conn->refused)
+		return;
+	status = status_added(out, info->orig_size);
+	if (status != 0 && status != STATUS_CONTINUE)
+		refuse(conn, refusal_of(status));
+}
+
+static bool watch(server_conn_t *conn)
+{
+	struct bufferevent *bev = conn->bev;
+
+	conn->timer = evtimer_new(conn->server->config.base, on_timer, conn);
+	return conn->timer && evbuffer_add_cb(bufferevent_get_input(bev), on_input, conn) &&
+	       evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
+}
+
+struct bufferevent *conn_new(ap_http_server_t *server)
+{
+	server_conn_t *conn = calloc(1, sizeof(*conn));
+
+	if (!conn)
+		return NULL;
+	conn->server = server;
+	conn->bev = bufferevent_socket_new(server->config.base, -1, 0);
+	if (!conn->bev || !watch(conn)) {
+		if (conn->bev)
+			bufferevent_free(conn->bev);
+		if (conn->timer)
+			event_free(conn->timer);
+		free(conn);
+		return NULL;
+	}
+	bufferevent_incref(conn->bev);
+	HASH_ADD_PTR(server->conns, bev, conn);
+	conn->over = past_bound(server, 0);
+	conn->excess = past_bound(server, spare_of(server));
+	/* Runs before the loop looks at the new connection's descriptor. */
+	event_active(conn->timer, EV_TIMEOUT, 0);
+	return conn->bev;
+}
+
+server_conn_t *conn_of(const ap_http_server_t *server, struct evhttp_connection *evcon)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(evcon);
+	server_conn_t *conn;
+
+	HASH_FIND_PTR(server->conns, &bev, conn);
+	return conn;
+}
+
+void conn_free(server_conn_t *conn)
+{
+	HASH_DELETE(hh, conn->server->conns, conn);
+	event_free(conn->timer);
+	free(conn);
+}
+
+void conn_free_all(ap_http_server_t *server)
+{
+	server_conn_t *conn;
+	server_conn_t *next;
+	lingerer_t *l;
+	lingerer_t *l_next;
+
+	/* What is left was opened, but not adopted yet. */
+	HASH_ITER (hh, server->conns, conn, next) {
+		bufferevent_decref(conn->bev);
+		conn_free(conn);
+	}
+	for (l = LIST_FIRST(&server->lingering); l; l = l_next) {
+		l_next = LIST_NEXT(l, link);
+		linger_free(l);
+	}
+}
+
+void conn_arrived(server_conn_t *conn)
+{
+	conn->arriving = false;
+	event_del(conn->timer);
+}
+
+void conn_ready(server_conn_t *conn)
+{
+	conn->call = NULL;
+	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
+		begin_arrival(conn);
+}
+
+bool conn_over(server_conn_t *conn)
+{
+	conn->over = conn->over && past_bound(conn->server, 0);
+	if (conn->over)
+		conn->server->stats.refused++;
+	return conn->over;
+}
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -1,8 +1,6 @@
 /* The server side: whole requests in, whole or streamed answers out, hang-ups noticed. */
-#include "http/http.h"
+#include "http/server.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
@@ -11,41 +9,15 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #define BACKLOG 1024
 #define AHEAD_MAX 65536	   /* bytes that a caller may send while its request is in progress */
-#define ACCEPT_PAUSE_MS 20 /* how long accepting rests while too many connections are open */
-
-struct ap_http_call {
-	LIST_ENTRY(ap_http_call) link;
-	ap_http_server_t *server;
-	struct evhttp_request *req;
-	struct evhttp_connection *conn;
-	struct event *hangup;
-	char *path;
-	bool ended; /* answered, but not all of the answer has gone out */
-	void *ctx;
-	void (*closed)(void *ctx);
-	void (*drained)(void *ctx);
-};
-
-struct ap_http_server {
-	ap_http_server_config_t config;
-	struct evhttp *http;
-	struct evconnlistener *listener;
-	struct event *accept_again;
-	struct timeval idle;
-	uint16_t port;
-	size_t flushing;
-	LIST_HEAD(, ap_http_call) calls;
-};
+#define ACCEPT_PAUSE_MS 20 /* how long accepting rests when no descriptor is left */
 
 static struct bufferevent *call_bev(const ap_http_call_t *call)
 {
-	return evhttp_connection_get_bufferevent(call->conn);
+	return call->conn->bev;
 }
 
 static void call_free(ap_http_call_t *call)
@@ -74,9 +46,9 @@
 	struct bufferevent *bev = call_bev(call);
 
 	(void)req;
-	evhttp_connection_set_closecb(call->conn, NULL, NULL);
 	bufferevent_set_timeouts(bev, &call->server->idle, &call->server->idle);
 	bufferevent_setwatermark(bev, EV_READ, 0, 0);
+	conn_ready(call->conn);
 	flushed(call);
 }
 
@@ -98,13 +70,10 @@
 		call->closed(call->ctx);
 }
 
-/* The library closes the connection while a reply is open. */
-static void on_close(struct evhttp_connection *conn, void *arg)
+void call_closed(ap_http_call_t *call)
 {
-	ap_http_call_t *call = arg;
 	struct evhttp_request *req = call->req;
 
-	(void)conn;
 	tell_closed(call);
 	if (call->ended)
 		flushed(call);
@@ -119,14 +88,14 @@
 static void on_hangup(evutil_socket_t fd, short what, void *arg)
 {
 	ap_http_call_t *call = arg;
-	struct evhttp_connection *conn = call->conn;
+	server_conn_t *conn = call->conn;
 
 	(void)fd;
 	(void)what;
-	evhttp_connection_set_closecb(conn, NULL, NULL);
+	conn->call = NULL;
 	tell_closed(call);
 	call_free(call);
-	evhttp_connection_free(conn);
+	evhttp_connection_free(conn->evcon);
 }
 
 static char *path_of(const struct evhttp_request *req)
@@ -148,63 +117,48 @@
 	}
 	call->server = server;
 	call->req = req;
-	call->conn = evhttp_request_get_connection(req);
+	call->conn = conn_of(server, evhttp_request_get_connection(req));
+	call->conn->call = call;
+	conn_arrived(call->conn);
 	call->path = path_of(req);
 	LIST_INSERT_HEAD(&server->calls, call, link);
 	bev = call_bev(call);
 	bufferevent_set_timeouts(bev, NULL, &server->idle);
 	bufferevent_setwatermark(bev, EV_READ, 0, AHEAD_MAX);
-	evhttp_connection_set_closecb(call->conn, on_close, call);
 	call->hangup =
 		event_new(server->config.base, bufferevent_getfd(bev), EV_CLOSED, on_hangup, call);
 	if (call->hangup)
 		event_add(call->hangup, NULL);
-	server->config.request(server->config.ctx, call);
-}
-
-/* The lowest free descriptor tells how many are open; the library does not count connections. */
-static bool too_many_open(const ap_http_server_t *server)
-{
-	int lowest = dup(STDERR_FILENO);
-
-	if (lowest < 0)
-		return true;
-	close(lowest);
-	return server->config.connections && (size_t)lowest > server->config.connections;
+	if (!conn_over(call->conn) || !server->config.refused) {
+		server->config.request(server->config.ctx, call);
+		return;
+	}
+	ap_http_call_drop_body(call);
+	server->config.refused(server->config.ctx, call, AP_HTTP_REFUSED_CONNECTIONS);
 }
 
 static void on_accept_again(evutil_socket_t fd, short what, void *arg)
 {
 	ap_http_server_t *server = arg;
-	struct timeval pause = {.tv_usec = ACCEPT_PAUSE_MS * 1000};
 
 	(void)fd;
 	(void)what;
-	if (too_many_open(server))
-		event_add(server->accept_again, &pause);
-	else
-		evconnlistener_enable(server->listener);
+	evconnlistener_enable(server->listener);
 }
 
-static void stop_accepting(ap_http_server_t *server)
+static void on_accept_error(struct evconnlistener *listener, void *arg)
 {
+	ap_http_server_t *server = arg;
 	struct timeval pause = {.tv_usec = ACCEPT_PAUSE_MS * 1000};
 
-	evconnlistener_disable(server->listener);
+	evconnlistener_disable(listener);
 	event_add(server->accept_again, &pause);
 }
 
-static void on_accept_error(struct evconnlistener *listener, void *arg)
-{
-	(void)listener;
-	stop_accepting(arg);
-}
-
 static struct bufferevent *on_new_connection(struct event_base *base, void *arg)
 {
-	if (too_many_open(arg))
-		stop_accepting(arg);
-	return bufferevent_socket_new(base, -1, 0);
+	(void)base;
+	return conn_new(arg);
 }
 
 static ap_http_status_t listen_on(ap_http_server_t *server, ap_err_t *err)
@@ -256,6 +210,7 @@
 	server->idle.tv_sec = (time_t)(config->idle / AP_SEC);
 	server->idle.tv_usec = (suseconds_t)(config->idle % AP_SEC);
 	LIST_INIT(&server->calls);
+	LIST_INIT(&server->lingering);
 	server->http = evhttp_new(config->base);
 	server->accept_again = evtimer_new(config->base, on_accept_again, server);
 	if (!server->http || !server->accept_again) {
@@ -284,8 +239,10 @@
 	if (!server)
 		return;
 	server->config.flushed = NULL;
+	server->closing = true;
 	if (server->http)
 		evhttp_free(server->http);
+	conn_free_all(server);
 	if (server->accept_again)
 		event_free(server->accept_again);
 	free(server);
@@ -368,11 +325,34 @@
 		evhttp_add_header(out, headers[i].name, headers[i].value);
 }
 
+/* The answer to what the library did not take. */
+static void reply_past(ap_http_call_t *call, int status, const ap_http_header_t *headers, size_t n,
+		       const void *body, size_t len)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	if (!out)
+		return;
+	evbuffer_add_printf(out, "HTTP/1.1 %d Refused\r\n", status);
+	for (size_t i = 0; i < n; i++)
+		evbuffer_add_printf(out, "%s: %s\r\n", headers[i].name, headers[i].value);
+	evbuffer_add_printf(out, "Connection: close\r\nContent-Length: %zu\r\n\r\n", len);
+	evbuffer_add(out, body, len);
+	conn_last(call->conn, out);
+	evbuffer_free(out);
+}
+
 void ap_http_reply(ap_http_call_t *call, int status, const ap_http_header_t *headers, size_t n,
 		   const void *body, size_t len)
 {
 	struct evhttp_request *req = call->req;
 
+	if (!req) {
+		reply_past(call, status, headers, n, body, len);
+		return;
+	}
+	if (call->conn->over)
+		evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
 	add_headers(req, headers, n);
 	evbuffer_add(evhttp_request_get_output_buffer(req), body, len);
 	call_ended(call);
@@ -388,40 +368,37 @@
 	evhttp_send_reply_start(call->req, status, NULL);
 }
 
-static void on_drained(struct evhttp_connection *conn, void *arg)
-{
-	ap_http_call_t *call = arg;
-
-	(void)conn;
-	if (call->drained)
-		call->drained(call->ctx);
-}
-
 /*
  * Writes at once what the socket takes. The library would first wait for the socket to become
  * writable, which costs three system calls a token; what is left over goes that way.
  */
-static void write_through(struct bufferevent *bev)
+static void write_part(ap_http_call_t *call, struct evbuffer *part)
 {
-	struct evbuffer *out = bufferevent_get_output(bev);
+	struct evbuffer *out = bufferevent_get_output(call_bev(call));
 
-	evbuffer_unfreeze(out, 1);
-	evbuffer_write(out, bufferevent_getfd(bev));
-	evbuffer_freeze(out, 1);
 	if (evbuffer_get_length(out) == 0)
-		bufferevent_disable(bev, EV_WRITE);
+		evbuffer_write(part, bufferevent_getfd(call_bev(call)));
+	if (evbuffer_get_length(part) > 0)
+		evbuffer_add_buffer(out, part);
 }
 
 void ap_http_reply_write(ap_http_call_t *call, const void *data, size_t len)
 {
-	struct evbuffer *buf = evbuffer_new();
+	struct evbuffer *part;
 
-	if (!buf)
+	if (len == 0 || evhttp_request_get_command(call->req) == EVHTTP_REQ_HEAD)
+		return;
+	part = evbuffer_new();
+	if (!part)
 		return;
-	evbuffer_add(buf, data, len);
-	evhttp_send_reply_chunk_with_cb(call->req, buf, on_drained, call);
-	evbuffer_free(buf);
-	write_through(call_bev(call));
+	/* An older caller knows no chunks. */
+	if (call->req->chunked)
+		evbuffer_add_printf(part, "%zx\r\n", len);
+	evbuffer_add(part, data, len);
+	if (call->req->chunked)
+		evbuffer_add(part, "\r\n", 2);
+	write_part(call, part);
+	evbuffer_free(part);
 }
 
 void ap_http_reply_end(ap_http_call_t *call)
--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -204,6 +204,11 @@
 	return read_span(l, key, value, 1, 86400, at);
 }
 
+static ap_settings_status_t read_arrival(loader_t *l, const char *key, json_t *value, void *at)
+{
+	return read_span(l, key, value, 1, 600, at);
+}
+
 /* The bounds are those of the key-value service's sessions. */
 static ap_settings_status_t read_lease(loader_t *l, const char *key, json_t *value, void *at)
 {
@@ -267,6 +272,7 @@
 	SETTING("limits", "header_bytes", false, read_bytes, header_bytes),
 	SETTING("limits", "body_bytes", false, read_bytes, body_bytes),
 	SETTING("limits", "connections", false, read_count, connections),
+	SETTING("limits", "arrival_seconds", false, read_arrival, arrival_time),
 	SETTING("limits", "request_seconds", false, read_seconds, request_time),
 	SETTING("limits", "queue", false, read_count, queue),
 	SETTING("limits", "retry_ratio", false, read_ratio, retry_ratio),
@@ -354,6 +360,7 @@
 		.header_bytes = 16 << 10,
 		.body_bytes = 1 << 20,
 		.connections = 1024,
+		.arrival_time = 30 * AP_SEC,
 		.request_time = 600 * AP_SEC,
 		.queue = 256,
 		.retry_ratio = 0.1,
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -31,9 +31,9 @@
  * [listen] callers, data, control (ports on @host), admin = "IP:PORT", admin_token
  * [keys] public, secret (CURVE, Z85), peers = [accepted public keys]
  * [platform] store, instances, directory = "IP:PORT"
- * [limits] header_bytes, body_bytes, connections, request_seconds, queue, retry_ratio,
- *          lease_seconds (of the reconciler)
- * [log] level = "debug|info|warning|error", events = ring size
+ * [limits] header_bytes, body_bytes, connections, arrival_seconds, request_seconds, queue,
+ * retry_ratio, lease_seconds (of the reconciler) [log] level = "debug|info|warning|error", events =
+ * ring size
  */
 typedef struct ap_settings {
 	char id[AP_NAME_MAX];
@@ -55,6 +55,7 @@
 	size_t header_bytes;
 	size_t body_bytes;
 	size_t connections;
+	ap_usec_t arrival_time;
 	ap_usec_t request_time;
 	size_t queue;
 	double retry_ratio;
--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -111,8 +111,10 @@
 		.body_bytes = settings->body_bytes,
 		.connections = settings->connections,
 		.idle = CALLER_IDLE,
+		.arrival = settings->arrival_time,
 		.ctx = entry,
 		.request = caller_request,
+		.refused = caller_refused,
 		.flushed = on_flushed,
 	};
 
--- a/cmd/arbutuspond/entry-counters.c
+++ b/cmd/arbutuspond/entry-counters.c
@@ -71,11 +71,19 @@
 {
 	struct evbuffer *out = evbuffer_new();
 	ap_http_client_stats_t client = ap_http_client_stats(entry->client);
+	ap_http_server_stats_t server = ap_http_server_stats(entry->server);
 	char *text;
 	size_t len;
 
 	for (int i = 0; i < COUNT_N; i++)
 		add_count(out, count_names[i], entry->counts[i]);
+	add_count(out, "late_requests", server.late);
+	add_count(out, "refused_connections", server.refused);
+	add_count(out, "closed_connections", server.closed);
+	evbuffer_add_printf(out,
+			    "# TYPE arbutuspond_caller_connections gauge\n"
+			    "arbutuspond_caller_connections %zu\n",
+			    server.open);
 	add_count(out, "upstream_connections", client.opened);
 	add_count(out, "upstream_reuses", client.reused);
 	add_count(out, "upstream_probes", client.probes);
--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -16,6 +16,7 @@
 	[ENTRY_UNAUTHORIZED] = {401, "unauthorized", AP_OUTCOME_NOT_RUN},
 	[ENTRY_FORBIDDEN] = {403, "forbidden", AP_OUTCOME_NOT_RUN},
 	[ENTRY_NOT_FOUND] = {404, "not_found", AP_OUTCOME_NOT_RUN},
+	[ENTRY_REQUEST_TIMEOUT] = {408, "request_timeout", AP_OUTCOME_NOT_RUN},
 	[ENTRY_PERMIT_USED] = {409, "permit_used", AP_OUTCOME_UNKNOWN},
 	[ENTRY_TOO_LARGE] = {413, "too_large", AP_OUTCOME_NOT_RUN},
 	[ENTRY_WRONG_REGION] = {421, "wrong_region", AP_OUTCOME_NOT_RUN},
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -38,6 +38,7 @@
 	ENTRY_UNAUTHORIZED,
 	ENTRY_FORBIDDEN,
 	ENTRY_NOT_FOUND,
+	ENTRY_REQUEST_TIMEOUT,
 	ENTRY_PERMIT_USED,
 	ENTRY_TOO_LARGE,
 	ENTRY_WRONG_REGION,
@@ -342,6 +343,8 @@
 
 /* entry-caller.c */
 void caller_request(void *ctx, ap_http_call_t *call);
+/* caller_refused() - answers what never became a request. */
+void caller_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
 /* entry-body.c */
 /* body_read() - a new reference to an object, or NULL with @fault set. */
--- /dev/null
+++ b/test/caller_test.c
@@ -0,0 +1,277 @@
+/* What callers send wrongly, byte by byte: each gets the entry's own error, in one form. */
+#include "entry_rig.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LINE(text) text " HTTP/1.1\r\n"
+#define CLOSE "Connection: close\r\n"
+#define ASK_HEAD LINE("POST " CHAT) RIG_AUTH CLOSE
+#define CHUNKED ASK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define UPLOAD (4u << 20) /* bytes, past the entry's limit and past socket buffers */
+
+static void send_fill(int fd, size_t n)
+{
+	char *fill = malloc(n);
+
+	memset(fill, 'x', n);
+	assert_int_equal(send(fd, fill, n, 0), (ssize_t)n);
+	free(fill);
+}
+
+/*
+ * Sends @text byte for byte. A "%N" at its end stands for N bytes more, a "$" for the end of the
+ * sending direction.
+ */
+static void send_raw(rig_t *rig, int entry, rig_caller_t *c, const char *text)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons(entry_port(rig->entries[entry].entry)),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	size_t len = strcspn(text, "%$");
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	memset(c, 0, sizeof(*c));
+	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+	assert_int_equal(send(fd, text, len, 0), (ssize_t)len);
+	if (text[len] == '$')
+		shutdown(fd, SHUT_WR);
+	if (text[len] == '%')
+		send_fill(fd, strtoul(text + len + 1, NULL, 10));
+	evutil_make_socket_nonblocking(fd);
+	c->got = evbuffer_new();
+	c->bev = bufferevent_socket_new(rig->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(c->bev, rig_on_read, NULL, rig_on_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+/* One answer and no more, with status, outcome, code and a message. */
+static void check_error(const char *answer, int status, const char *code)
+{
+	const char *body = strstr(answer, "\r\n\r\n");
+	json_t *doc = body ? json_loads(body + 4, 0, NULL) : NULL;
+	json_t *error = json_object_get(doc, "error");
+	const char *got = json_string_value(json_object_get(error, "code"));
+	const char *message = json_string_value(json_object_get(error, "message"));
+	const char *outcome = json_string_value(json_object_get(error, "outcome"));
+
+	rig_check(answer, status, "Content-Type: application/json\r\n",
+		  "Arbutuspond-Outcome: not-run\r\n");
+	if (!got || strcmp(got, code) != 0 || !message || !message[0] || !outcome ||
+	    strcmp(outcome, "not-run") != 0)
+		fail_msg("wanted %s, got: %s", code, answer);
+	json_decref(doc);
+}
+
+static void test_each_wrong_input_gets_one_form_of_error(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *text;
+		int status;
+		const char *code;
+	} cases[] = {
+		{"no key", LINE("GET /v1/entries?service=ask") CLOSE "\r\n", 401, "unauthorized"},
+		{"unknown key",
+		 LINE("GET /v1/entries?service=ask") CLOSE "Authorization: Bearer nobody\r\n\r\n",
+		 401, "unauthorized"},
+		{"unknown service",
+		 ASK_HEAD "Content-Length: 30\r\n\r\n{\"model\":\"no\",\"prompt\":\"text\"}", 404,
+		 "not_found"},
+		{"unknown model",
+		 ASK_HEAD "Content-Length: 34\r\n\r\n{\"model\":\"ask/no\",\"prompt\":\"text\"}",
+		 404, "not_found"},
+		{"unknown plain service", LINE("GET /s/no/x") RIG_AUTH CLOSE "\r\n", 404,
+		 "not_found"},
+		{"bad path", LINE("GET /v2/none") RIG_AUTH CLOSE "\r\n", 404, "not_found"},
+		{"bad JSON", ASK_HEAD "Content-Length: 9\r\n\r\n{\"model\":", 400, "bad_request"},
+		{"JSON but no object", ASK_HEAD "Content-Length: 4\r\n\r\n[42]", 400,
+		 "bad_request"},
+		{"no body", ASK_HEAD "\r\n", 400, "bad_request"},
+		{"method that is not for this path", LINE("PUT " CHAT) RIG_AUTH CLOSE "\r\n", 400,
+		 "bad_request"},
+		{"method not taken", LINE("TRACE " CHAT) RIG_AUTH "\r\n", 400, "bad_request"},
+		{"method not known", LINE("BREW " CHAT) RIG_AUTH "\r\n", 400, "bad_request"},
+		{"body over the service's limit",
+		 LINE("POST /s/plan/x") RIG_AUTH CLOSE "Content-Length: 1001\r\n\r\n%1001", 413,
+		 "too_large"},
+		{"body over the limit, by its length",
+		 ASK_HEAD "Content-Length: 99999999\r\n\r\nbegin", 413, "too_large"},
+		{"the same, asked for before it is sent",
+		 ASK_HEAD "Content-Length: 99999999\r\nExpect: 100-continue\r\n\r\n", 413,
+		 "too_large"},
+		{"body over the limit, in one chunk", CHUNKED "fffffff\r\nbegin", 413, "too_large"},
+		{"body over the limit, in two chunks", CHUNKED "4\r\nabcd\r\nffffe\r\nbegin", 413,
+		 "too_large"},
+		{"line over the limit", "GET /%9000", 400, "bad_request"},
+		{"header over the limit", ASK_HEAD "X-Long: %9000", 400, "bad_request"},
+		{"body cut off", ASK_HEAD "Content-Length: 99\r\n\r\n{\"model\":$", 400,
+		 "bad_request"},
+		{"chunk cut off", CHUNKED "20\r\n{\"model\":$", 400, "bad_request"},
+		{"headers cut off", ASK_HEAD "Content-Le$", 400, "bad_request"},
+		{"line cut off", "POST /v1/ch$", 400, "bad_request"},
+		{"chunk without a size", CHUNKED "size\r\nbegin\r\n", 413, "too_large"},
+		{"length below zero", ASK_HEAD "Content-Length: -4\r\n\r\n", 400, "bad_request"},
+		{"length that is no number", ASK_HEAD "Content-Length: four\r\n\r\n", 400,
+		 "bad_request"},
+		{"line without a path", "garbage\r\n\r\n", 400, "bad_request"},
+		{"version not known", "GET /v1/entries HTTP/x\r\n\r\n", 400, "bad_request"},
+		{"header without a colon", ASK_HEAD "nothing\r\n\r\n", 400, "bad_request"},
+		{"other expectation", ASK_HEAD "Content-Length: 4\r\nExpect: the-best\r\n\r\n{}  ",
+		 400, "bad_request"},
+	};
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig_caller_t c;
+		char *answer;
+
+		print_message("%s\n", cases[i].name);
+		send_raw(&rig, 0, &c, cases[i].text);
+		answer = rig_answer(&rig, &c);
+		check_error(answer, cases[i].status, cases[i].code);
+		free(answer);
+	}
+	assert_int_equal(rig.fakes[0].requests, 0);
+	rig_clear(&rig);
+}
+
+static void test_error_reaches_a_caller_that_goes_on_sending(void **state)
+{
+	char *fill = calloc(1, UPLOAD);
+	rig_caller_t c;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_show(&rig);
+	send_raw(&rig, 0, &c, ASK_HEAD "Content-Length: 4194304\r\n\r\n");
+	bufferevent_write(c.bev, fill, UPLOAD);
+	answer = rig_answer(&rig, &c);
+	check_error(answer, 413, "too_large");
+	free(answer);
+	free(fill);
+	RUN_UNTIL(rig.base, ap_http_server_stats(rig.entries[0].entry->server).open == 0);
+	rig_clear(&rig);
+}
+
+static void trickle(evutil_socket_t fd, short what, void *arg)
+{
+	rig_caller_t *c = arg;
+
+	(void)fd;
+	(void)what;
+	if (!c->closed)
+		bufferevent_write(c->bev, "x", 1);
+}
+
+/* A byte now and then does not put the limit off, wherever the request has got to. */
+static void test_request_that_trickles_in_is_cut_off(void **state)
+{
+	static const char *const begins[] = {
+		"GE",
+		ASK_HEAD "X-Slow: ",
+		ASK_HEAD "Content-Length: 9999\r\n\r\n",
+		CHUNKED "ffff\r\n",
+		LINE("GET /v1/entries?service=ask") RIG_AUTH "\r\nGET /v1/ent",
+	};
+	struct timeval often = {.tv_usec = 10000};
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig.arrival = 80 * AP_MSEC;
+	rig_add_entry(&rig, "fortaleza");
+	rig_show(&rig);
+	for (size_t i = 0; i < sizeof(begins) / sizeof(begins[0]); i++) {
+		rig_caller_t c;
+		struct event *more = event_new(rig.base, -1, EV_PERSIST, trickle, &c);
+		char *answer;
+		char *last;
+
+		print_message("begins with: %.20s\n", begins[i]);
+		send_raw(&rig, 1, &c, begins[i]);
+		event_add(more, &often);
+		answer = rig_answer(&rig, &c);
+		event_free(more);
+		last = strstr(answer, "HTTP/1.1 408");
+		check_error(last ? last : answer, 408, "request_timeout");
+		assert_int_equal(ap_http_server_stats(rig.entries[1].entry->server).late, i + 1);
+		free(answer);
+	}
+	rig_clear(&rig);
+}
+
+static void test_limit_on_arrival_leaves_admitted_requests_alone(void **state)
+{
+	rig_caller_t c;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig.arrival = 50 * AP_MSEC;
+	rig_add_entry(&rig, "recife");
+	rig_add_fake(&rig, "recife", "gpu");
+	rig.fakes[0].mode = FAKE_STALL_BEFORE;
+	rig_show(&rig);
+	rig_call(&rig, 1, &c, "POST", CHAT, RIG_AUTH, BODY("once", "false"));
+	answer = rig_answer(&rig, &c);
+	rig_check(answer, 504, "\"unknown\"", "Arbutuspond-Outcome: unknown");
+	assert_int_equal(ap_http_server_stats(rig.entries[1].entry->server).late, 0);
+	free(answer);
+	rig_clear(&rig);
+}
+
+#define CONNECTIONS 3
+
+static void test_connections_over_the_bound_are_refused(void **state)
+{
+	static const char text[] = LINE("GET /v1/entries?service=ask") RIG_AUTH "\r\n";
+	rig_caller_t held[CONNECTIONS];
+	rig_caller_t c;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig.connections = CONNECTIONS;
+	rig_add_entry(&rig, "fortaleza");
+	rig_show(&rig);
+	for (int i = 0; i < CONNECTIONS; i++) {
+		send_raw(&rig, 1, &held[i], text);
+		RUN_UNTIL(rig.base, evbuffer_get_length(held[i].got) > 0);
+	}
+	send_raw(&rig, 1, &c, text);
+	answer = rig_answer(&rig, &c);
+	check_error(answer, 503, "overloaded");
+	rig_check(answer, 503, "Retry-After: 1\r\n", "Connection: close\r\n");
+	assert_int_equal(ap_http_server_stats(rig.entries[1].entry->server).refused, 1);
+	free(answer);
+	for (int i = 0; i < CONNECTIONS; i++)
+		rig_hang_up(&held[i]);
+	RUN_UNTIL(rig.base, ap_http_server_stats(rig.entries[1].entry->server).open == 0);
+	rig_call(&rig, 1, &c, "GET", "/v1/entries?service=ask", RIG_AUTH, "");
+	answer = rig_answer(&rig, &c);
+	rig_check(answer, 200, "\"entries\"", "\"ttl\"");
+	free(answer);
+	rig_clear(&rig);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_wrong_input_gets_one_form_of_error),
+		cmocka_unit_test(test_error_reaches_a_caller_that_goes_on_sending),
+		cmocka_unit_test(test_request_that_trickles_in_is_cut_off),
+		cmocka_unit_test(test_limit_on_arrival_leaves_admitted_requests_alone),
+		cmocka_unit_test(test_connections_over_the_bound_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -82,6 +82,8 @@
 	double loss; /* part of the messages that is lost */
 	ap_rng_t rng;
 	size_t queue;	    /* requests that may wait at an entry; 0 for many */
+	size_t connections; /* that callers may have open at an entry; 0 for any number */
+	ap_usec_t arrival;  /* limit on a request's arrival; 0 for none */
 	uint32_t drop_kind; /* kind of message that is lost */
 	uint64_t seen[128]; /* messages by kind */
 };
@@ -176,7 +178,8 @@
 		.host = "127.0.0.1",
 		.header_bytes = 8192,
 		.body_bytes = 1 << 20,
-		.connections = 0,
+		.connections = rig->connections,
+		.arrival_time = rig->arrival,
 		.request_time = 20 * AP_SEC,
 		.queue = rig->queue ? rig->queue : 100,
 		.retry_ratio = 1.0,
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -301,13 +301,13 @@
 	}
 }
 
-#define DIALS 30
-#define SPARE 8 /* connections that the server may have open at once */
+#define DIALS 60
+#define BOUND 8	  /* connections that may be open at once */
+#define OTHERS 40 /* descriptors open for other things */
 
 typedef struct holder {
 	ap_http_call_t *held[DIALS];
 	int n_held;
-	int total;
 } holder_t;
 
 static void on_held(void *ctx, ap_http_call_t *call)
@@ -315,51 +315,63 @@
 	holder_t *h = ctx;
 
 	h->held[h->n_held++] = call;
-	h->total++;
 }
 
-static int lowest_descriptor(void)
+static void on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
 {
-	int fd = dup(2);
+	(void)ctx;
+	assert_int_equal(why, AP_HTTP_REFUSED_CONNECTIONS);
+	ap_http_reply(call, 503, NULL, 0, "", 0);
+}
+
+static uint64_t turned_away(const ap_http_server_t *server)
+{
+	ap_http_server_stats_t stats = ap_http_server_stats(server);
 
-	close(fd);
-	return fd;
+	return stats.refused + stats.closed;
 }
 
+/* Exactly as many connections are served as are allowed, whatever other descriptors are open. */
 static void test_connections_are_bounded(void **state)
 {
+	static const char text[] = "GET /x HTTP/1.1\r\n\r\n";
 	struct event_base *base = event_base_new();
 	struct bufferevent *dials[DIALS];
+	int others[OTHERS];
 	holder_t h = {.n_held = 0};
 	ap_http_server_config_t config = {
 		.base = base,
 		.host = "127.0.0.1",
 		.header_bytes = 4096,
 		.body_bytes = 4096,
-		.connections = (size_t)lowest_descriptor() + DIALS + SPARE,
+		.connections = BOUND,
 		.idle = 5 * AP_SEC,
 		.ctx = &h,
 		.request = on_held,
+		.refused = on_refused,
 	};
 	ap_http_server_t *server;
-	int most = 0;
 
 	(void)state;
+	for (int i = 0; i < OTHERS; i++)
+		others[i] = dup(STDERR_FILENO);
 	assert_int_equal(ap_http_server_new(&config, &server, NULL), AP_HTTP_STATUS_OK);
 	for (int i = 0; i < DIALS; i++)
-		dials[i] = start_dial(base, ap_http_server_port(server),
-				      "GET /x HTTP/1.1\r\nConnection: close\r\n\r\n");
-	while (h.total < DIALS) {
-		settle(base);
-		if (h.n_held > most)
-			most = h.n_held;
-		while (h.n_held > 0)
-			ap_http_reply(h.held[--h.n_held], 200, NULL, 0, "", 0);
-	}
-	assert_in_range(most, 1, SPARE);
+		dials[i] = start_dial(base, ap_http_server_port(server), text);
+	RUN_UNTIL(base, turned_away(server) == DIALS - BOUND);
+	RUN_UNTIL(base, ap_http_server_stats(server).open == BOUND);
+	assert_int_equal(h.n_held, BOUND);
+	assert_in_range(ap_http_server_stats(server).refused, 1, DIALS - BOUND);
 	for (int i = 0; i < DIALS; i++)
 		bufferevent_free(dials[i]);
+	RUN_UNTIL(base, ap_http_server_stats(server).open == 0);
+	h.n_held = 0;
+	dials[0] = start_dial(base, ap_http_server_port(server), text);
+	RUN_UNTIL(base, h.n_held == 1);
+	bufferevent_free(dials[0]);
 	ap_http_server_free(server);
+	for (int i = 0; i < OTHERS; i++)
+		close(others[i]);
 	event_base_free(base);
 }
 
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -89,6 +89,7 @@
 	assert_string_equal(s.secret_key, secret_key);
 	assert_int_equal(s.queue, 10);
 	assert_int_equal(s.log_level, LOG_INFO);
+	assert_int_equal(s.arrival_time, 30 * AP_SEC);
 	assert_int_equal(s.request_time, 600 * AP_SEC);
 	ap_settings_clear(&s);
 	assert_string_equal(s.secret_key, "");
@@ -123,6 +124,9 @@
 	{21, "retry_ratio = 1.5", AP_SETTINGS_INVALID, ":21: limits.retry_ratio"},
 	{21, "retry_ratio = nan", AP_SETTINGS_INVALID, ":21: limits.retry_ratio"},
 	{21, "header_bytes = 10", AP_SETTINGS_INVALID, ":21: limits.header_bytes"},
+	{21, "arrival_seconds = 0", AP_SETTINGS_INVALID, ":21: limits.arrival_seconds"},
+	{21, "arrival_seconds = 601", AP_SETTINGS_INVALID, ":21: limits.arrival_seconds"},
+	{21, "arrival_seconds = 1.5", AP_SETTINGS_INVALID, ":21: limits.arrival_seconds"},
 	{21, "request_seconds = 2020-01-01", AP_SETTINGS_INVALID, ":21: limits.request_seconds"},
 };
 
