Prove the cause of a false not-run; assert that what was sent is never called not-run

Read as well and found sound: the count of written bytes (set when the buffer is drained to an open descriptor, before anything can read them), cancel and retry (maybe_ran is kept), refusals after an attempt that was written, the time limit in queue and gate, the guest's own limits, the counting of the test's upstreams (a refusing one counts nothing).

Found unsound: a FORWARD that comes twice, the second time after the first one's request ended. A draining entry refused it with not-run, which the sender may take for the answer to the first one; another one began it again. Each entry now keeps the last number of each sender and drops what does not rise.

New: end() asserts that nothing sent is called not-run; test_shed_on_its_return_is_not_said_not_to_ have_run (without the mend the assertion ends the run); test_doubled_and_late_requests_are_neither_ begun_nor_refused (before: begun again). entry_run_test now looks at error events of streams too.

--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -217,6 +217,7 @@
 	if (entry->view)
 		ap_view_unref(entry->view);
 	forget_leaving(entry);
+	guest_forget_askers(entry, NULL);
 	if (entry->tick)
 		event_free(entry->tick);
 	if (entry->report)
@@ -229,7 +230,7 @@
 	return ap_http_server_port(entry->server);
 }
 
-static bool is_member(const ap_view_t *view, const char *id)
+bool entry_is_member(const ap_view_t *view, const char *id)
 {
 	for (size_t i = 0; i < view->n_entries; i++) {
 		if (strcmp(view->entries[i].id, id) == 0)
@@ -246,7 +247,7 @@
 
 	for (x = entry->exchanges; x; x = next) {
 		next = x->hh.next;
-		if (x->is_guest && !is_member(entry->view, x->guest.from))
+		if (x->is_guest && !entry_is_member(entry->view, x->guest.from))
 			exchange_gone(x);
 	}
 }
@@ -266,6 +267,7 @@
 	ap_route_set_view(entry->route, view, now);
 	ap_admission_set_capacity(entry->admission, ap_route_capacity(entry->route, now), now);
 	drop_lost_guests(entry);
+	guest_forget_askers(entry, view);
 	if (entry->hooks.view)
 		entry->hooks.view(entry->hooks.ctx, view);
 }
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -95,6 +95,9 @@
 	const void *answer = len ? (const void *)evbuffer_pullup(x->answer, -1) : NULL;
 	ap_usec_t now = ap_now();
 
+	/* Of a permit that was judged its issuer or witness knows better than this entry. */
+	ap_require(&entry->env, outcome != AP_OUTCOME_NOT_RUN || !x->maybe_ran || x->judged,
+		   AP_INV_ONCE, "not-run said of a request that was sent before");
 	x->phase = PHASE_ENDED;
 	count_outcome(entry, outcome);
 	entry->counts[COUNT_TOKENS] += x->stream.tokens;
@@ -108,7 +111,10 @@
 	ap_admission_done(entry->admission, x->token, now);
 }
 
-/* A request that was sent before may have run, whatever keeps it from being sent again. */
+/*
+ * A request that was sent before may have run, whatever keeps it from being sent again: it asks for
+ * admission anew when it comes back from another region, and may be shed then.
+ */
 static void admit_unknown(const exchange_t *x, entry_fault_t *fault)
 {
 	if (!x->maybe_ran || x->judged || entry_error_outcome(fault->error) != AP_OUTCOME_NOT_RUN)
--- a/cmd/arbutuspond/entry-guest.c
+++ b/cmd/arbutuspond/entry-guest.c
@@ -46,6 +46,58 @@
 	return NULL;
 }
 
+static void add_asker(entry_t *entry, asker_t *asker)
+{
+	HASH_ADD_STR(entry->askers, name, asker);
+}
+
+static asker_t *asker_of(entry_t *entry, const char *from)
+{
+	asker_t *asker;
+
+	HASH_FIND_STR(entry->askers, from, asker);
+	if (asker)
+		return asker;
+	asker = calloc(1, sizeof(*asker));
+	if (!asker)
+		return NULL;
+	ap_copy_name(asker->name, sizeof(asker->name), from);
+	add_asker(entry, asker);
+	return asker;
+}
+
+/*
+ * Senders number their requests upwards. One that comes again, or after a later one, is neither
+ * begun nor refused: a refusal would say not-run of what may have run here.
+ */
+static bool is_first(entry_t *entry, const char *from, ap_xid_t exchange)
+{
+	asker_t *asker = asker_of(entry, from);
+
+	if (!asker)
+		return false;
+	if (ap_id_eq(asker->last.inc, exchange.inc) && exchange.seq <= asker->last.seq)
+		return false;
+	asker->last = exchange;
+	return true;
+}
+
+/* Clearing the table leaves its items linked to each other. */
+void guest_forget_askers(entry_t *entry, const ap_view_t *view)
+{
+	asker_t *asker = entry->askers;
+	asker_t *next;
+
+	HASH_CLEAR(hh, entry->askers);
+	for (; asker; asker = next) {
+		next = asker->hh.next;
+		if (view && entry_is_member(view, asker->name))
+			add_asker(entry, asker);
+		else
+			free(asker);
+	}
+}
+
 /* The sender counts the crossing; a count that does not fit where it is from is refused. */
 static bool hops_fit(const entry_t *entry, const char *from, uint32_t hops)
 {
@@ -142,7 +194,7 @@
 	const char *here = entry->config.settings->region;
 
 	if (!conf || !hops_fit(entry, from, request->hops) || !line_ok(request) ||
-	    find(entry, from, msg->exchange)) {
+	    !is_first(entry, from, msg->exchange)) {
 		entry->counts[COUNT_REFUSED_MESSAGES]++;
 		return;
 	}
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -151,6 +151,16 @@
 	UT_hash_handle hh;
 } leaving_t;
 
+/**
+ * struct asker - an entry that passes requests to this one.
+ * @last: the latest of its exchanges that came
+ */
+typedef struct asker {
+	char name[AP_NAME_MAX];
+	ap_xid_t last;
+	UT_hash_handle hh;
+} asker_t;
+
 struct entry {
 	entry_config_t config;
 	entry_hooks_t hooks;
@@ -166,6 +176,7 @@
 	exchange_t *away;      /* by the exchange's name at the other entry */
 	exchange_t *guests;    /* by the sender's name of the exchange */
 	leaving_t *leaving;
+	asker_t *askers; /* by name; members of the view only */
 	struct event *tick;
 	struct event *report;
 	uint64_t next_token;
@@ -315,6 +326,7 @@
 void entry_hooks_drained(entry_t *entry);
 void entry_check_drained(entry_t *entry);
 void entry_leaving(entry_t *entry, const char *upstream, bool tell);
+bool entry_is_member(const ap_view_t *view, const char *id);
 bool entry_knows_leaving(const entry_t *entry, const char *upstream);
 exchange_t *exchange_by_token(const entry_t *entry, uint64_t token);
 
@@ -423,5 +435,7 @@
 void guest_receive(entry_t *entry, const char *from, const ap_forward_msg_t *msg);
 void guest_pump(exchange_t *x);
 void guest_forget(exchange_t *x);
+/* guest_forget_askers() - but for the members of @view, which may be NULL. */
+void guest_forget_askers(entry_t *entry, const ap_view_t *view);
 
 #endif
--- a/test/entry_run_test.c
+++ b/test/entry_run_test.c
@@ -83,6 +83,13 @@
 	}
 }
 
+/* In the header, or in the error that ends a stream. */
+static bool said_not_run(const char *answer)
+{
+	return strstr(answer, "Arbutuspond-Outcome: not-run") ||
+	       strstr(answer, "\"outcome\":\"not-run\"");
+}
+
 static void judge(rig_t *rig, asked_t *a, const char *answer, tally_t *t)
 {
 	bool ended = strstr(answer, "data: [DONE]\n\n") != NULL;
@@ -92,7 +99,7 @@
 	rig_check_events(answer);
 	if (a->once)
 		assert_in_range(times_begun(rig, a->mark), 0, 1);
-	if (strstr(answer, "Arbutuspond-Outcome: not-run")) {
+	if (said_not_run(answer)) {
 		t->not_run++;
 		assert_int_equal(times_begun(rig, a->mark), 0);
 	} else if (strstr(answer, "Arbutuspond-Outcome: unknown")) {
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -16,11 +16,11 @@
 }
 
 /* Recife has no upstream of its own; Cuyo has one and offers room. */
-static void two_regions(rig_t *rig)
+static void two_regions_as(rig_t *rig, bool fast)
 {
 	ap_note_t room = {.kind = AP_NOTE_ROOM};
 
-	rig_init(rig);
+	rig_init_as(rig, fast);
 	rig_add_entry(rig, "cuyo");
 	rig_add_fake(rig, "cuyo", "gpu");
 	rig_show(rig);
@@ -31,6 +31,11 @@
 	warm_up(rig);
 }
 
+static void two_regions(rig_t *rig)
+{
+	two_regions_as(rig, false);
+}
+
 static uint64_t count(const rig_t *rig, int entry, entry_count_t which)
 {
 	return rig->entries[entry].entry->counts[which];
@@ -91,6 +96,38 @@
 	}
 }
 
+/* Sent away for want of a place here, it comes back to the same want; its upstream had begun it. */
+static void test_shed_on_its_return_is_not_said_not_to_have_run(void **state)
+{
+	static const away_case_t returns[] = {
+		{FAKE_ERROR, 0, "false", 502, FAILED, "\"unknown\""},
+		{FAKE_NONE, AP_WIRE_FORWARD_HEAD, "false", 502, FAILED, "\"unknown\""},
+		{FAKE_NONE, AP_WIRE_FORWARD_DATA, "false", 502, FAILED, "\"unknown\""},
+		{FAKE_RESET_AFTER, 0, "true", 200, CUT, "\"unknown\""},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(returns) / sizeof(returns[0]); i++) {
+		const away_case_t *c = &returns[i];
+		char *answer;
+		rig_t rig;
+
+		two_regions_as(&rig, true);
+		/* The entry itself sets the capacity anew with each of its reports. */
+		event_del(rig.entries[0].entry->report);
+		ap_admission_set_capacity(rig.entries[0].entry->admission, 0, ap_now());
+		rig.fakes[0].mode = c->mode;
+		rig.drop_kind = c->lost;
+		answer = rig_ask(&rig, 0, CHAT,
+				 c->stream[0] == 't' ? BODY("ask", "true") : BODY("ask", "false"));
+		rig_check(answer, c->status, c->part, c->other);
+		assert_null(strstr(answer, "not-run"));
+		assert_true(rig.fakes[0].requests > 0);
+		free(answer);
+		rig_clear(&rig);
+	}
+}
+
 static void test_home_bound_and_unrepeatable_calls_stay(void **state)
 {
 	static const char *const bodies[] = {BODY("dossier", "false"), BODY("once", "false")};
@@ -195,6 +232,41 @@
 	}
 }
 
+/* The second message may come when the first one's request has ended. */
+static void test_doubled_and_late_requests_are_neither_begun_nor_refused(void **state)
+{
+	static const struct {
+		bool draining;
+		uint64_t seq; /* of the second message; the first one has 2 */
+	} seconds[] = {
+		{false, 2},
+		{true, 2},
+		{false, 1},
+		{true, 1},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(seconds) / sizeof(seconds[0]); i++) {
+		ap_forward_msg_t msg = forged("ask", 1);
+		entry_t *there;
+		rig_t rig;
+
+		two_regions(&rig);
+		there = rig.entries[1].entry;
+		msg.exchange.seq = 2;
+		deliver(&rig, 1, "recife-0", &msg);
+		RUN_UNTIL(rig.base, rig.seen[AP_WIRE_FORWARD_END] == 1 && !there->exchanges);
+		there->draining = seconds[i].draining;
+		msg.exchange.seq = seconds[i].seq;
+		deliver(&rig, 1, "recife-0", &msg);
+		assert_null(there->exchanges);
+		assert_int_equal(rig.seen[AP_WIRE_FORWARD_END], 1);
+		assert_int_equal(rig.fakes[0].requests, 1);
+		assert_int_equal(count(&rig, 1, COUNT_REFUSED_MESSAGES), 1);
+		rig_clear(&rig);
+	}
+}
+
 static void test_answers_that_match_nothing_are_dropped(void **state)
 {
 	ap_forward_msg_t end = {.kind = AP_WIRE_FORWARD_END};
@@ -344,9 +416,11 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_each_fault_between_regions),
+		cmocka_unit_test(test_shed_on_its_return_is_not_said_not_to_have_run),
 		cmocka_unit_test(test_home_bound_and_unrepeatable_calls_stay),
 		cmocka_unit_test(test_wrong_region_is_told_from_headers_alone),
 		cmocka_unit_test(test_requests_that_break_a_rule_are_refused),
+		cmocka_unit_test(test_doubled_and_late_requests_are_neither_begun_nor_refused),
 		cmocka_unit_test(test_answers_that_match_nothing_are_dropped),
 		cmocka_unit_test(test_hang_up_cancels_in_the_other_region),
 		cmocka_unit_test(test_credit_bounds_what_a_slow_reader_holds),
