Ask the entry that made a claim what became of its call

Cause: an entry that found another entry's claim of an idempotency key said permit_used, unknown, though that entry mostly knew the outcome and had the answer. Now the owner, named in the claim, is asked (CLAIM, CLAIMED; up to three times within 200 ms): stored answer, in progress with Retry-After, not run, or as before when it is gone or does not answer.

--- a/bench/permit_bench.c
+++ b/bench/permit_bench.c
@@ -23,7 +23,7 @@
 static ap_once_t *witness; /* stands for every other entry */
 static char addressed[AP_NAME_MAX];
 static ap_usec_t loop_now;
-static uint64_t bytes_of[AP_ONCE_MSG_HELD + 1];
+static uint64_t bytes_of[AP_ONCE_MSG_LAST + 1];
 
 static void add_bytes(const ap_once_msg_t *msg)
 {
--- a/cmd/arbutuspond/entry-once.c
+++ b/cmd/arbutuspond/entry-once.c
@@ -45,6 +45,21 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+static bool send_claim(void *ctx, ap_id_t to, const ap_once_msg_t *msg)
+{
+	entry_once_t *o = ctx;
+
+	return o->entry && ap_once_send_to(o->once, to, msg);
+}
+
+static void receive(entry_once_t *o, const char *from, const ap_once_msg_t *msg)
+{
+	if (msg->kind != AP_ONCE_MSG_CLAIM && msg->kind != AP_ONCE_MSG_CLAIMED)
+		ap_once_receive(o->once, from, msg, ap_now());
+	else if (ap_once_in_region(o->once, from))
+		ap_claims_receive(o->claims, msg, ap_now());
+}
+
 static void on_message(void *ctx, const char *from, const void *data, size_t len)
 {
 	entry_once_t *o = ctx;
@@ -56,7 +71,7 @@
 	msgpack_zone_init(&zone, MESSAGE_ZONE);
 	if (ap_wire_open(data, len, &zone, &head, &body, NULL) == AP_WIRE_OK &&
 	    ap_wire_read_once(&head, &body, &read, NULL) == AP_WIRE_OK)
-		ap_once_receive(o->once, from, &read.msg, ap_now());
+		receive(o, from, &read.msg);
 	else
 		o->entry->counts[COUNT_REFUSED_MESSAGES]++;
 	msgpack_zone_destroy(&zone);
@@ -411,6 +426,7 @@
 		.kv = ap_platform_kv(o->platform),
 		.env = o->entry->env,
 		.ctx = o,
+		.send = send_claim,
 		.decided = on_decided,
 	};
 
--- a/lib/once/claim.c
+++ b/lib/once/claim.c
@@ -2,7 +2,7 @@
  * Claims in the key-value service for callers with only an idempotency key. A claim is one entry of
  * a slot, so that old ones make room and the store's size stays bounded. Slots hold hashes only.
  */
-#include "once/table.h"
+#include "once/claim.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -22,20 +22,6 @@
 	uint64_t wall;
 } slot_claim_t;
 
-struct ap_claims {
-	ap_claims_config_t config;
-	ap_once_limits_t limits;
-	ap_usec_t now;
-	uint32_t wall;
-	uint64_t seq;
-	uint64_t attempt_seq;
-	answers_t answers;
-	table_t table;
-	record_t *by_token;
-	struct record_list waiting;
-	LIST_HEAD(, call) calls;
-};
-
 /* One call to the key-value service. */
 typedef struct call {
 	ap_claims_t *claims;
@@ -48,6 +34,7 @@
 {
 	config->retention = 24 * 3600;
 	config->wait = AP_SEC;
+	config->ask_wait = 200 * AP_MSEC;
 	config->records_max = 16384;
 	config->answers_max = 1024;
 	config->answer_bytes = 64 << 10;
@@ -68,6 +55,7 @@
 	answers_init(&c->answers, &c->limits);
 	table_init(&c->table, config->records_max, &c->answers);
 	TAILQ_INIT(&c->waiting);
+	TAILQ_INIT(&c->asking);
 	return c;
 }
 
@@ -87,7 +75,7 @@
 	free(c);
 }
 
-static void set_now(ap_claims_t *c, ap_usec_t now)
+void claims_set_now(ap_claims_t *c, ap_usec_t now)
 {
 	if (now > c->now)
 		c->now = now;
@@ -118,21 +106,13 @@
 		 (unsigned)(key.inc.hi % SLOTS));
 }
 
-static ap_once_kind_t give(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why)
-{
-	*v = (ap_once_verdict_t){.kind = kind, .why = why, .outcome = AP_OUTCOME_UNKNOWN};
-	if (kind == AP_ONCE_NOT_RUN)
-		v->outcome = AP_OUTCOME_NOT_RUN;
-	return kind;
-}
-
 /* Ends the wait for the store. A claim that is given up may be taken up again here. */
 static void settle(ap_claims_t *c, record_t *r, ap_once_kind_t kind, const char *why)
 {
 	ap_once_verdict_t v;
 	uint64_t token = r->token;
 
-	give(&v, kind, why);
+	once_verdict(&v, kind, why);
 	TAILQ_REMOVE(&c->waiting, r, by_wait);
 	if (kind == AP_ONCE_GO) {
 		r->state = RECORD_RUNNING;
@@ -240,6 +220,18 @@
 	return ap_id_eq(claim->inc, c->config.inc) && claim->nonce == r->nonce;
 }
 
+/* A claim of this entry that it has forgotten is as unknown as one of an entry that is gone. */
+static void claimed_by(ap_claims_t *c, record_t *r, const slot_claim_t *claim)
+{
+	ap_once_verdict_t v;
+
+	if (!ap_id_eq(claim->inc, c->config.inc) &&
+	    owner_ask(c, r, (ap_xid_t){claim->inc, claim->nonce}))
+		return;
+	owner_unknown(&v);
+	settle(c, r, v.kind, v.why);
+}
+
 static void on_read(void *arg, const ap_kv_result_t *result)
 {
 	ap_claims_t *c = ((call_t *)arg)->claims;
@@ -260,7 +252,7 @@
 	}
 	n = keep_valid(c, result, claims, r->xid, &found);
 	if (found && !is_own(c, r, found)) {
-		settle(c, r, AP_ONCE_USED, "the key was used at another entry");
+		claimed_by(c, r, found);
 		return;
 	}
 	if (found && found->wall + c->config.retention / 2 > c->wall) {
@@ -324,24 +316,29 @@
 	return r;
 }
 
-/* What is known here without the store; PENDING when the claim is to be made. */
-static ap_once_kind_t look_up(const record_t *r, ap_once_verdict_t *v)
+ap_once_kind_t claim_verdict_of(const record_t *r, ap_once_verdict_t *v)
 {
-	if (!r)
-		return give(v, AP_ONCE_PENDING, "");
 	if (r->state != RECORD_FINISHED)
-		return give(v, AP_ONCE_RUNNING, "a call with this key is in progress");
+		return once_verdict(v, AP_ONCE_RUNNING, "a call with this key is in progress");
 	if (r->outcome == AP_OUTCOME_NOT_RUN)
-		return give(v, AP_ONCE_PENDING, "");
+		return once_verdict(v, AP_ONCE_NOT_RUN, "the key's call did not run");
 	if (r->outcome == AP_OUTCOME_UNKNOWN)
-		return give(v, AP_ONCE_UNKNOWN, "the key's call has no known outcome");
-	give(v, AP_ONCE_USED, "the key's call was completed");
+		return once_verdict(v, AP_ONCE_UNKNOWN, "the key's call has no known outcome");
+	once_verdict(v, AP_ONCE_USED, "the key's call was completed");
 	v->outcome = r->outcome;
 	v->answer = r->answer;
 	v->len = r->len;
 	return v->kind;
 }
 
+/* What is known here without the store; PENDING when the claim is to be made. */
+static ap_once_kind_t look_up(const record_t *r, ap_once_verdict_t *v)
+{
+	if (!r || claim_verdict_of(r, v) == AP_ONCE_NOT_RUN)
+		return once_verdict(v, AP_ONCE_PENDING, "");
+	return v->kind;
+}
+
 ap_once_kind_t ap_claims_use(ap_claims_t *c, const char *key, const char *service,
 			     const char *caller, uint64_t token, ap_usec_t now, uint32_t wall,
 			     ap_once_verdict_t *verdict)
@@ -349,21 +346,21 @@
 	ap_xid_t id = hash_key(key, service, caller);
 	record_t *r = table_find(&c->table, id);
 
-	set_now(c, now);
+	claims_set_now(c, now);
 	c->wall = wall;
 	if (look_up(r, verdict) != AP_ONCE_PENDING)
 		return verdict->kind;
 	if (!r)
 		r = add_claim(c, id);
 	if (!r)
-		return give(verdict, AP_ONCE_NOT_RUN, "too many claims in progress");
+		return once_verdict(verdict, AP_ONCE_NOT_RUN, "too many claims in progress");
 	r->state = RECORD_BEGINNING;
 	r->dispatched = false;
 	r->tries = 0;
 	r->give_up_at = c->now + c->config.wait;
 	if (!read_slot(c, r)) {
 		table_remove(&c->table, r);
-		return give(verdict, AP_ONCE_NOT_RUN, "no memory for the claim");
+		return once_verdict(verdict, AP_ONCE_NOT_RUN, "no memory for the claim");
 	}
 	token_add(&c->by_token, r, token);
 	TAILQ_INSERT_TAIL(&c->waiting, r, by_wait);
@@ -375,7 +372,7 @@
 	record_t *r = token_find(c->by_token, token);
 	bool once = r && r->state == RECORD_RUNNING && !r->dispatched;
 
-	set_now(c, now);
+	claims_set_now(c, now);
 	ap_require(&c->config.env, once, AP_INV_ONCE, "a dispatch without a claim");
 	if (!once)
 		return false;
@@ -399,7 +396,7 @@
 {
 	record_t *r = token_find(c->by_token, token);
 
-	set_now(c, now);
+	claims_set_now(c, now);
 	if (!r || r->state != RECORD_RUNNING)
 		return;
 	ap_require(&c->config.env, r->dispatched || outcome == AP_OUTCOME_NOT_RUN, AP_INV_ONCE,
@@ -411,26 +408,33 @@
 		answers_store(&c->answers, r, answer, len);
 }
 
-void ap_claims_cancel(ap_claims_t *c, uint64_t token, ap_usec_t now)
+static void stop_waiting(ap_claims_t *c, record_t *r)
 {
-	record_t *r = token_find(c->by_token, token);
-
-	set_now(c, now);
-	if (!r || r->state != RECORD_BEGINNING)
-		return;
 	TAILQ_REMOVE(&c->waiting, r, by_wait);
 	r->state = RECORD_FINISHED;
 	r->outcome = AP_OUTCOME_NOT_RUN;
 	token_remove(&c->by_token, r);
 }
 
+void ap_claims_cancel(ap_claims_t *c, uint64_t token, ap_usec_t now)
+{
+	record_t *r = token_find(c->by_token, token);
+
+	claims_set_now(c, now);
+	if (r && r->state == RECORD_ASKING)
+		owner_cancel(c, r);
+	else if (r && r->state == RECORD_BEGINNING)
+		stop_waiting(c, r);
+}
+
 void ap_claims_tick(ap_claims_t *c, ap_usec_t now)
 {
 	record_t *r;
 
-	set_now(c, now);
+	claims_set_now(c, now);
 	while ((r = TAILQ_FIRST(&c->waiting)) && c->now >= r->give_up_at)
 		settle(c, r, AP_ONCE_NOT_RUN, "the claim took too long");
+	owner_tick(c);
 	table_expire(&c->table, c->now);
 	ap_require(&c->config.env, c->table.n <= c->table.max, AP_INV_BOUNDS,
 		   "the table of claims is over its bound");
@@ -440,5 +444,7 @@
 {
 	const record_t *r = TAILQ_FIRST(&c->waiting);
 
-	return r ? r->give_up_at : AP_NEVER;
+	ap_usec_t due = owner_due(c);
+
+	return r && r->give_up_at < due ? r->give_up_at : due;
 }
--- a/lib/once/once.c
+++ b/lib/once/once.c
@@ -175,6 +175,24 @@
 	o->config.send(o->config.ctx, to, msg);
 }
 
+bool ap_once_in_region(const ap_once_t *o, const char *id)
+{
+	return once_in_region(o, once_peer(o, id));
+}
+
+bool ap_once_send_to(ap_once_t *o, ap_id_t to, const ap_once_msg_t *msg)
+{
+	ap_once_msg_t copy = *msg;
+
+	for (size_t i = 0; i < o->n_peers; i++) {
+		if (!once_in_region(o, &o->peers[i]) || !ap_id_eq(o->peers[i].inc, to))
+			continue;
+		once_send(o, o->peers[i].id, &copy);
+		return true;
+	}
+	return false;
+}
+
 ap_once_kind_t once_verdict(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why)
 {
 	*v = (ap_once_verdict_t){.kind = kind, .why = why, .outcome = AP_OUTCOME_UNKNOWN};
@@ -278,6 +296,9 @@
 	case AP_ONCE_MSG_HELD:
 		hand_held(o, from, msg);
 		break;
+	case AP_ONCE_MSG_CLAIM:
+	case AP_ONCE_MSG_CLAIMED:
+		break;
 	}
 }
 
--- a/lib/once/once.h
+++ b/lib/once/once.h
@@ -89,6 +89,9 @@
 	AP_ONCE_MSG_TOLD,      /* reply: @verdict, @outcome, @answer */
 	AP_ONCE_MSG_HAND,      /* part @number of the table of @about, whole from @clock on */
 	AP_ONCE_MSG_HELD,      /* reply: part @number is kept */
+	AP_ONCE_MSG_CLAIM,     /* what became of the claim @xid of @about? */
+	AP_ONCE_MSG_CLAIMED,   /* reply: @verdict, @outcome, @answer */
+	AP_ONCE_MSG_LAST = AP_ONCE_MSG_CLAIMED,
 } ap_once_msg_kind_t;
 
 /**
@@ -107,7 +110,9 @@
 /**
  * struct ap_once_msg - a message between two entries of one region; pointers are borrowed.
  * @from: sender's incarnation
- * @about: incarnation that the message is meant for (BEGIN, DONE) or speaks about (HAND, HELD)
+ * @about: incarnation that the message is meant for (BEGIN, DONE, CLAIM) or speaks about (HAND,
+ *         HELD)
+ * @xid: of a claim: its key's hash and its number
  * @number: of a question, or of a part
  * @last: no part follows
  */
@@ -240,6 +245,10 @@
  * no use is in progress; one that still is will be handed over as unknown.
  */
 void ap_once_drain(ap_once_t *o, ap_usec_t now);
+/** ap_once_in_region() - is @id known as an entry of the own region? */
+bool ap_once_in_region(const ap_once_t *o, const char *id);
+/** ap_once_send_to() - to the entry of the own region with the incarnation @to; false if none. */
+bool ap_once_send_to(ap_once_t *o, ap_id_t to, const ap_once_msg_t *msg);
 /** ap_once_drained() - the hand-over is complete, or its time is up. */
 bool ap_once_drained(const ap_once_t *o);
 
@@ -277,6 +286,9 @@
  * @wait: longest time until the claim is decided
  * @records_max: claims remembered in this process
  * @answers_max, @answer_bytes: stored answers and the longest one
+ * @ask_wait: longest wait for the owner of another entry's claim
+ * @send: sends to the entry of the own region whose incarnation is @to; false when there is none.
+ *        May lose, double, delay and reorder. NULL: nobody is asked.
  * @decided: as for permits; a claim has AP_ONCE_GO, USED, RUNNING, NOT_RUN or UNKNOWN
  */
 typedef struct ap_claims_config {
@@ -284,12 +296,14 @@
 	char region[AP_NAME_MAX];
 	uint32_t retention;
 	ap_usec_t wait;
+	ap_usec_t ask_wait;
 	size_t records_max;
 	size_t answers_max;
 	size_t answer_bytes;
 	ap_kv_port_t kv;
 	ap_env_t env;
 	void *ctx;
+	bool (*send)(void *ctx, ap_id_t to, const ap_once_msg_t *msg);
 	void (*decided)(void *ctx, uint64_t token, const ap_once_verdict_t *verdict);
 } ap_claims_config_t;
 
@@ -311,6 +325,8 @@
 void ap_claims_done(ap_claims_t *c, uint64_t token, ap_outcome_t outcome, const void *answer,
 		    size_t len, ap_usec_t now);
 void ap_claims_cancel(ap_claims_t *c, uint64_t token, ap_usec_t now);
+/** ap_claims_receive() - a message of kind CLAIM or CLAIMED from an entry of the own region. */
+void ap_claims_receive(ap_claims_t *c, const ap_once_msg_t *msg, ap_usec_t now);
 void ap_claims_tick(ap_claims_t *c, ap_usec_t now);
 ap_usec_t ap_claims_due(const ap_claims_t *c);
 
--- /dev/null
+++ b/lib/once/owner.c
@@ -0,0 +1,167 @@
+/*
+ * The entry that made a claim is asked how its call ended; the store only tells which entry that
+ * is. Nothing is closed by a question: the owner may take its claim up again.
+ */
+#include "once/claim.h"
+
+void owner_unknown(ap_once_verdict_t *v)
+{
+	once_verdict(v, AP_ONCE_USED, "the key was used at another entry");
+}
+
+static bool send_question(ap_claims_t *c, record_t *r)
+{
+	ap_once_msg_t msg = {
+		.kind = AP_ONCE_MSG_CLAIM,
+		.from = c->config.inc,
+		.about = r->owner.inc,
+		.xid = {r->xid.inc, r->owner.seq},
+		.number = r->attempt,
+	};
+
+	r->resend_at = c->now + c->config.ask_wait / RESENDS;
+	return c->config.send(c->config.ctx, r->owner.inc, &msg);
+}
+
+/* Called while @r waits for the store. */
+bool owner_ask(ap_claims_t *c, record_t *r, ap_xid_t owner)
+{
+	if (!c->config.send)
+		return false;
+	r->owner = owner;
+	r->attempt = ++c->attempt_seq;
+	if (!send_question(c, r))
+		return false;
+	TAILQ_REMOVE(&c->waiting, r, by_wait);
+	TAILQ_INSERT_TAIL(&c->asking, r, by_wait);
+	r->state = RECORD_ASKING;
+	if (r->give_up_at > c->now + c->config.ask_wait)
+		r->give_up_at = c->now + c->config.ask_wait;
+	return true;
+}
+
+/* Only the owner knows for how long its word holds, so nothing is kept of it. */
+static void forget(ap_claims_t *c, record_t *r)
+{
+	TAILQ_REMOVE(&c->asking, r, by_wait);
+	token_remove(&c->by_token, r);
+	table_remove(&c->table, r);
+}
+
+void owner_cancel(ap_claims_t *c, record_t *r)
+{
+	forget(c, r);
+}
+
+static void settle(ap_claims_t *c, record_t *r, const ap_once_verdict_t *v)
+{
+	uint64_t token = r->token;
+
+	forget(c, r);
+	c->config.decided(c->config.ctx, token, v);
+}
+
+static void asked(ap_claims_t *c, const ap_once_msg_t *msg)
+{
+	ap_once_msg_t reply = {
+		.kind = AP_ONCE_MSG_CLAIMED,
+		.from = c->config.inc,
+		.xid = msg->xid,
+		.number = msg->number,
+	};
+	const record_t *r = table_find(&c->table, (ap_xid_t){.inc = msg->xid.inc});
+	ap_once_verdict_t v;
+
+	if (!c->config.send || !ap_id_eq(msg->about, c->config.inc))
+		return;
+	once_verdict(&v, AP_ONCE_UNKNOWN, "");
+	if (r && r->nonce == msg->xid.seq && r->state != RECORD_ASKING)
+		claim_verdict_of(r, &v);
+	reply.verdict = v.kind;
+	reply.outcome = v.outcome;
+	reply.answer = v.answer;
+	reply.len = v.len;
+	c->config.send(c->config.ctx, msg->from, &reply);
+}
+
+static void take_verdict(const ap_once_msg_t *msg, ap_once_verdict_t *v)
+{
+	switch (msg->verdict) {
+	case AP_ONCE_USED:
+		once_verdict(v, AP_ONCE_USED, "the key's call was completed at another entry");
+		v->outcome = msg->outcome;
+		v->answer = msg->answer;
+		v->len = msg->len;
+		break;
+	case AP_ONCE_RUNNING:
+		once_verdict(v, AP_ONCE_RUNNING, "the key's call is in progress at another entry");
+		break;
+	case AP_ONCE_NOT_RUN:
+		once_verdict(v, AP_ONCE_NOT_RUN,
+			     "the key's call did not run, but is claimed by another entry");
+		break;
+	default:
+		owner_unknown(v);
+		break;
+	}
+}
+
+/* A late or doubled answer finds another question, or none. */
+static void told(ap_claims_t *c, const ap_once_msg_t *msg)
+{
+	record_t *r = table_find(&c->table, (ap_xid_t){.inc = msg->xid.inc});
+	ap_once_verdict_t v;
+
+	if (!r || r->state != RECORD_ASKING || r->attempt != msg->number ||
+	    !ap_id_eq(r->owner.inc, msg->from))
+		return;
+	take_verdict(msg, &v);
+	settle(c, r, &v);
+}
+
+void ap_claims_receive(ap_claims_t *c, const ap_once_msg_t *msg, ap_usec_t now)
+{
+	claims_set_now(c, now);
+	if (msg->kind == AP_ONCE_MSG_CLAIM)
+		asked(c, msg);
+	else if (msg->kind == AP_ONCE_MSG_CLAIMED)
+		told(c, msg);
+}
+
+static record_t *first_late(const ap_claims_t *c)
+{
+	record_t *r;
+
+	TAILQ_FOREACH (r, &c->asking, by_wait) {
+		if (c->now >= r->give_up_at)
+			return r;
+	}
+	return NULL;
+}
+
+/* One at a time: the driver may call back in between. */
+void owner_tick(ap_claims_t *c)
+{
+	ap_once_verdict_t v;
+	record_t *r;
+
+	owner_unknown(&v);
+	while ((r = first_late(c)))
+		settle(c, r, &v);
+	TAILQ_FOREACH (r, &c->asking, by_wait) {
+		if (c->now >= r->resend_at)
+			send_question(c, r);
+	}
+}
+
+ap_usec_t owner_due(const ap_claims_t *c)
+{
+	ap_usec_t due = AP_NEVER;
+	const record_t *r;
+
+	TAILQ_FOREACH (r, &c->asking, by_wait) {
+		due = r->resend_at < due ? r->resend_at : due;
+		due = r->give_up_at < due ? r->give_up_at : due;
+	}
+	return due;
+}
--- a/lib/once/state.h
+++ b/lib/once/state.h
@@ -12,7 +12,6 @@
 #define ISSUERS_MAX 2048  /* incarnations whose keys a witness keeps */
 #define ESTATES_MAX 64	  /* tables taken over from others */
 #define HEIRS 2		  /* successors that are tried, best first */
-#define RESENDS 3	  /* tries within one wait */
 #define QUESTION_STEPS 6  /* issuer, witness, two successors of each */
 #define CLOSING_SHARE 8	  /* a witness leaves one part in this many of its table to closing */
 
@@ -117,7 +116,6 @@
 peer_t *once_peer(const ap_once_t *o, const char *id);
 bool once_in_region(const ap_once_t *o, const peer_t *peer);
 void once_send(ap_once_t *o, const char *to, ap_once_msg_t *msg);
-ap_once_kind_t once_verdict(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why);
 ap_once_kind_t once_verdict_of(const record_t *r, ap_once_verdict_t *v);
 /** once_find() - in @t, or among what is being handed over. */
 record_t *once_find(const ap_once_t *o, const table_t *t, ap_xid_t xid);
--- a/lib/once/table.h
+++ b/lib/once/table.h
@@ -9,8 +9,11 @@
 #define HASH_FUNCTION(key, len, hash) ((hash) = (unsigned)ap_hash(key, len, 0))
 #include <uthash.h>
 
+#define RESENDS 3 /* tries within one wait */
+
 typedef enum record_state {
 	RECORD_BEGINNING, /* issuer: waits for the witness */
+	RECORD_ASKING,	  /* claim: waits for the entry that made it */
 	RECORD_RUNNING,	  /* issuer: may be dispatched or was; witness: acknowledged */
 	RECORD_FINISHED,  /* @outcome holds */
 } record_state_t;
@@ -20,8 +23,9 @@
  * @said_not_run: a caller was told so; it must never run
  * @dispatched: the first byte may have been written
  * @drop_at: forgotten after this, on the own clock
- * @resend_at, @give_up_at: while beginning
+ * @resend_at, @give_up_at: while beginning or asking
  * @nonce, @attempt, @tries: of a claim, which is kept under its key's hash in place of an xid
+ * @owner: incarnation and number of another entry's claim, while asking
  */
 typedef struct record {
 	ap_xid_t xid;
@@ -39,6 +43,7 @@
 	uint64_t nonce;
 	uint64_t attempt;
 	unsigned tries;
+	ap_xid_t owner;
 	unsigned char tag[AP_PERMIT_TAG_BYTES];
 	void *answer;
 	size_t len;
@@ -73,6 +78,9 @@
 record_t *token_find(record_t *by_token, uint64_t token);
 void token_remove(record_t **by_token, record_t *r);
 
+/** once_verdict() - sets @v; outcome and text are those of @kind. */
+ap_once_kind_t once_verdict(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why);
+
 void answers_init(answers_t *a, const ap_once_limits_t *limits);
 /** answers_store() - copies an answer into @r unless it is too long; drops the oldest for room. */
 void answers_store(answers_t *a, record_t *r, const void *answer, size_t len);
--- a/lib/wire/once.c
+++ b/lib/wire/once.c
@@ -105,7 +105,7 @@
 
 	memset(out, 0, sizeof(*out));
 	msg->from = head->from;
-	msg->kind = (ap_once_msg_kind_t)read_enum(&r, AP_ONCE_MSG_HELD);
+	msg->kind = (ap_once_msg_kind_t)read_enum(&r, AP_ONCE_MSG_LAST);
 	msg->about = ap_wire_id(&r);
 	msg->xid = ap_wire_xid(&r);
 	msg->number = ap_wire_u64(&r);
--- /dev/null
+++ b/test/claim_world.h
@@ -0,0 +1,442 @@
+/*
+ * Entries that claim idempotency keys in virtual time: a store that is down, slow, contended or
+ * loses answers, and messages that are lost, doubled or late. What ran is counted apart from the
+ * program.
+ */
+#ifndef AP_CLAIM_WORLD_H
+#define AP_CLAIM_WORLD_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "once/once.h"
+
+#define CALLS_MAX 4096
+#define SLOTS_MAX 4096
+#define KEYS_MAX 20000
+#define ENTRIES 4
+#define STORE_DELAY AP_MSEC
+#define PACKETS_MAX 4096
+#define ANSWER "answer"
+
+/* What becomes of a write. */
+typedef enum fault {
+	FAULT_NONE,
+	FAULT_DOWN,	   /* not carried out, and the caller knows it */
+	FAULT_LOST_ANSWER, /* carried out, the caller cannot tell */
+	FAULT_LOST,	   /* not carried out, the caller cannot tell */
+	FAULT_LATE,	   /* the caller cannot tell, and it is carried out later */
+	FAULT_SILENT,	   /* carried out, and the answer comes very late */
+	FAULT_LIES,	   /* writes whatever the index, and says that it went well */
+} fault_t;
+
+/* What becomes of messages between the entries. */
+typedef enum net_fault {
+	NET_NOBODY, /* no entry knows another one */
+	NET_WELL,
+	NET_FIRST_LOST,
+	NET_LOST,
+	NET_DOUBLED,
+	NET_LATE, /* after the wait for an answer */
+	NET_RANDOM,
+} net_fault_t;
+
+typedef struct packet {
+	bool used;
+	ap_usec_t due;
+	int to;
+	ap_once_msg_t msg;
+	char answer[sizeof(ANSWER)];
+} packet_t;
+
+typedef struct slot {
+	char key[160];
+	uint64_t index;
+	void *value;
+	size_t len;
+} slot_t;
+
+typedef struct store_call {
+	bool used;
+	ap_usec_t due;
+	bool write;
+	bool apply;
+	bool answer;
+	ap_kv_status_t forced; /* AP_KV_OK: as the store finds it */
+	char key[160];
+	void *value;
+	size_t len;
+	uint64_t index;
+	ap_kv_done_t done;
+	void *arg;
+	bool lies;
+} store_call_t;
+
+typedef struct key_record {
+	unsigned committed;
+	bool said_not_run;
+} key_record_t;
+
+typedef struct bench {
+	ap_usec_t now;
+	ap_rng_t rng;
+	slot_t slots[SLOTS_MAX];
+	size_t n_slots;
+	uint64_t index;
+	store_call_t calls[CALLS_MAX];
+	size_t calls_top;
+	fault_t read_fault;
+	fault_t write_fault;
+	bool write_fault_once;
+	bool random_faults;
+	ap_claims_t *claims[ENTRIES];
+	ap_id_t incs[ENTRIES];
+	bool paused[ENTRIES];
+	packet_t packets[PACKETS_MAX];
+	size_t packets_top;
+	net_fault_t net;
+	unsigned sent;
+	unsigned told_answer; /* verdicts that came with the stored answer */
+	key_record_t keys[KEYS_MAX];
+	ap_once_kind_t last;
+	ap_outcome_t last_outcome;
+	ap_outcome_t end; /* of the calls that are dispatched */
+	uint64_t last_token;
+	unsigned goes;
+	unsigned broken;
+	unsigned program;
+	bool hold; /* a call that may go ahead is not dispatched */
+} bench_t;
+
+static inline slot_t *find_slot(bench_t *b, const char *key)
+{
+	for (size_t i = 0; i < b->n_slots; i++) {
+		if (strcmp(b->slots[i].key, key) == 0)
+			return &b->slots[i];
+	}
+	return NULL;
+}
+
+static inline ap_kv_status_t apply_write(bench_t *b, const store_call_t *call)
+{
+	slot_t *slot = find_slot(b, call->key);
+
+	if (!call->lies && (slot ? slot->index : 0) != call->index)
+		return AP_KV_CONFLICT;
+	if (!slot) {
+		slot = &b->slots[b->n_slots++];
+		strcpy(slot->key, call->key);
+	}
+	free(slot->value);
+	slot->value = malloc(call->len);
+	memcpy(slot->value, call->value, call->len);
+	slot->len = call->len;
+	slot->index = ++b->index;
+	return AP_KV_OK;
+}
+
+static inline void finish_call(bench_t *b, store_call_t *call)
+{
+	store_call_t copy = *call;
+	ap_kv_result_t result = {.status = AP_KV_OK};
+	const slot_t *slot;
+
+	call->used = false;
+	if (copy.write && copy.apply)
+		result.status = apply_write(b, &copy);
+	slot = find_slot(b, copy.key);
+	if (!copy.write && slot) {
+		result.index = slot->index;
+		result.value = slot->value;
+		result.len = slot->len;
+	} else if (!copy.write) {
+		result.status = AP_KV_ABSENT;
+	}
+	if (copy.forced != AP_KV_OK)
+		result = (ap_kv_result_t){.status = copy.forced};
+	if (copy.answer)
+		copy.done(copy.arg, &result);
+	free(copy.value);
+}
+
+static inline void add_call(bench_t *b, const store_call_t *call, ap_usec_t delay)
+{
+	for (size_t i = 0; i < CALLS_MAX; i++) {
+		if (b->calls[i].used)
+			continue;
+		b->calls_top = i < b->calls_top ? b->calls_top : i + 1;
+		b->calls[i] = *call;
+		b->calls[i].used = true;
+		b->calls[i].due = b->now + delay;
+		b->calls[i].value = malloc(call->len + 1);
+		if (call->len > 0)
+			memcpy(b->calls[i].value, call->value, call->len);
+		return;
+	}
+	fail();
+}
+
+static inline fault_t random_fault(bench_t *b)
+{
+	uint64_t n = ap_rng_below(&b->rng, 40);
+
+	return n <= FAULT_SILENT ? (fault_t)n : FAULT_NONE;
+}
+
+static inline void begin_call(bench_t *b, store_call_t call, fault_t fault)
+{
+	static const struct {
+		bool lost;
+		ap_kv_status_t forced;
+		ap_usec_t delay;
+	} faults[] = {
+		[FAULT_DOWN] = {true, AP_KV_UNAVAILABLE, 0},
+		[FAULT_LOST_ANSWER] = {false, AP_KV_UNSURE, 0},
+		[FAULT_LOST] = {true, AP_KV_UNSURE, 0},
+		[FAULT_LATE] = {true, AP_KV_UNSURE, 0},
+		[FAULT_SILENT] = {false, AP_KV_OK, 60 * AP_SEC},
+		[FAULT_LIES] = {false, AP_KV_OK, 0},
+	};
+	store_call_t late = call;
+
+	late.apply = true;
+	if (fault == FAULT_LATE)
+		add_call(b, &late, 200 * AP_MSEC);
+	call.apply = !faults[fault].lost;
+	call.answer = true;
+	call.forced = faults[fault].forced;
+	call.lies = fault == FAULT_LIES;
+	add_call(b, &call,
+		 faults[fault].delay + STORE_DELAY + (ap_usec_t)ap_rng_below(&b->rng, STORE_DELAY));
+}
+
+static inline void store_get(void *ctx, const char *key, uint64_t index, ap_usec_t wait,
+			     ap_kv_done_t done, void *arg)
+{
+	bench_t *b = ctx;
+	store_call_t call = {.done = done, .arg = arg};
+
+	(void)index;
+	(void)wait;
+	strcpy(call.key, key);
+	begin_call(b, call, b->random_faults ? random_fault(b) : b->read_fault);
+}
+
+static inline void store_cas(void *ctx, const char *key, const void *value, size_t len,
+			     uint64_t index, ap_kv_done_t done, void *arg)
+{
+	bench_t *b = ctx;
+	store_call_t call = {.write = true,
+			     .value = (void *)value,
+			     .len = len,
+			     .index = index,
+			     .done = done,
+			     .arg = arg};
+	fault_t fault = b->random_faults ? random_fault(b) : b->write_fault;
+
+	strcpy(call.key, key);
+	if (b->write_fault_once)
+		b->write_fault = FAULT_NONE;
+	begin_call(b, call, fault);
+}
+
+static inline void add_packet(bench_t *b, int to, const ap_once_msg_t *msg, ap_usec_t delay)
+{
+	for (size_t i = 0; i < PACKETS_MAX; i++) {
+		packet_t *p = &b->packets[i];
+
+		if (p->used)
+			continue;
+		b->packets_top = i < b->packets_top ? b->packets_top : i + 1;
+		*p = (packet_t){.used = true, .due = b->now + delay, .to = to, .msg = *msg};
+		if (msg->len > 0)
+			memcpy(p->answer, msg->answer, msg->len);
+		p->msg.answer = p->answer;
+		return;
+	}
+	fail();
+}
+
+static inline net_fault_t random_net(bench_t *b)
+{
+	return (net_fault_t)(NET_WELL + ap_rng_below(&b->rng, NET_RANDOM - NET_WELL));
+}
+
+static inline bool net_send(void *ctx, ap_id_t to, const ap_once_msg_t *msg)
+{
+	bench_t *b = ctx;
+	net_fault_t fault = b->net == NET_RANDOM ? random_net(b) : b->net;
+	ap_usec_t delay = fault == NET_LATE ? AP_SEC : AP_MSEC;
+	int i = 0;
+
+	while (i < ENTRIES && !ap_id_eq(b->incs[i], to))
+		i++;
+	if (fault == NET_NOBODY || i == ENTRIES)
+		return false;
+	if (fault == NET_LOST || (fault == NET_FIRST_LOST && b->sent++ == 0))
+		return true;
+	add_packet(b, i, msg, delay);
+	if (fault == NET_DOUBLED)
+		add_packet(b, i, msg, delay + AP_MSEC);
+	return true;
+}
+
+static inline ap_usec_t packets_due(const bench_t *b)
+{
+	ap_usec_t due = AP_NEVER;
+
+	for (size_t i = 0; i < b->packets_top; i++) {
+		if (b->packets[i].used && b->packets[i].due < due)
+			due = b->packets[i].due;
+	}
+	return due;
+}
+
+static inline void deliver(bench_t *b)
+{
+	for (size_t i = 0; i < b->packets_top; i++) {
+		packet_t p = b->packets[i];
+
+		if (!p.used || p.due > b->now)
+			continue;
+		b->packets[i].used = false;
+		p.msg.answer = p.answer;
+		if (!b->paused[p.to])
+			ap_claims_receive(b->claims[p.to], &p.msg, b->now);
+	}
+}
+
+static inline store_call_t *earliest(bench_t *b)
+{
+	store_call_t *first = NULL;
+
+	for (size_t i = 0; i < b->calls_top; i++) {
+		if (b->calls[i].used && (!first || b->calls[i].due < first->due))
+			first = &b->calls[i];
+	}
+	return first;
+}
+
+static inline void run(bench_t *b, ap_usec_t length)
+{
+	const ap_usec_t tick = 50 * AP_MSEC;
+	ap_usec_t end = b->now + length;
+
+	while (b->now < end) {
+		store_call_t *call = earliest(b);
+		ap_usec_t next = b->now + tick < end ? b->now + tick : end;
+
+		if (call && call->due < next)
+			next = call->due > b->now ? call->due : b->now;
+		if (packets_due(b) < next)
+			next = packets_due(b) > b->now ? packets_due(b) : b->now;
+		b->now = next;
+		deliver(b);
+		for (int i = 0; i < ENTRIES; i++)
+			ap_claims_tick(b->claims[i], b->now);
+		if (call && call->due <= b->now)
+			finish_call(b, call);
+	}
+}
+
+/* Token: entry in the low digit, key above it, then a number that makes it unique. */
+static inline uint64_t make_token(bench_t *b, int entry, size_t key)
+{
+	return ++b->last_token * 1000000 + key * 10 + (uint64_t)entry + 1;
+}
+
+static inline void verdict(bench_t *b, uint64_t token, const ap_once_verdict_t *v)
+{
+	int entry = (int)(token % 10) - 1;
+	key_record_t *key = &b->keys[token / 10 % 100000];
+
+	b->last = v->kind;
+	b->last_outcome = v->outcome;
+	b->told_answer += v->kind == AP_ONCE_USED && v->len == strlen(ANSWER) &&
+			  memcmp(v->answer, ANSWER, v->len) == 0;
+	if (v->kind == AP_ONCE_USED && v->outcome == AP_OUTCOME_COMPLETED)
+		b->broken += key->committed != 1;
+	if (v->kind != AP_ONCE_GO || b->hold)
+		return;
+	if (!ap_claims_dispatch(b->claims[entry], token, b->now))
+		return;
+	b->goes++;
+	if (b->random_faults && ap_rng_below(&b->rng, 20) == 0) {
+		ap_claims_done(b->claims[entry], token, AP_OUTCOME_NOT_RUN, NULL, 0, b->now);
+		return;
+	}
+	if (b->end == AP_OUTCOME_NOT_RUN) {
+		ap_claims_done(b->claims[entry], token, AP_OUTCOME_NOT_RUN, NULL, 0, b->now);
+		return;
+	}
+	key->committed++;
+	b->broken += key->committed != 1;
+	ap_claims_done(b->claims[entry], token, b->end, ANSWER, strlen(ANSWER), b->now);
+}
+
+static inline void decided(void *ctx, uint64_t token, const ap_once_verdict_t *v)
+{
+	verdict(ctx, token, v);
+}
+
+static inline void violated(void *ctx, ap_invariant_t invariant, const char *what)
+{
+	(void)invariant;
+	(void)what;
+	((bench_t *)ctx)->program++;
+}
+
+static inline ap_once_kind_t use(bench_t *b, int entry, size_t key)
+{
+	char text[32];
+	uint64_t token = make_token(b, entry, key);
+	ap_once_verdict_t v;
+
+	snprintf(text, sizeof(text), "load-%zu", key);
+	ap_claims_use(b->claims[entry], text, "confirm", "loader", token, b->now,
+		      (uint32_t)(b->now / AP_SEC), &v);
+	if (v.kind != AP_ONCE_PENDING)
+		verdict(b, token, &v);
+	return v.kind;
+}
+
+static inline bench_t *start(void)
+{
+	bench_t *b = calloc(1, sizeof(*b));
+	ap_claims_config_t config = {
+		.kv = {.ctx = b, .get = store_get, .cas = store_cas},
+		.ctx = b,
+		.env = {.ctx = b, .violated = violated},
+		.send = net_send,
+		.decided = decided,
+	};
+
+	b->end = AP_OUTCOME_COMPLETED;
+	ap_rng_seed(&b->rng, 3);
+	ap_claims_default(&config);
+	strcpy(config.region, "north");
+	for (int i = 0; i < ENTRIES; i++) {
+		config.inc = ap_rng_id(&b->rng);
+		b->incs[i] = config.inc;
+		b->claims[i] = ap_claims_new(&config);
+	}
+	return b;
+}
+
+static inline void stop(bench_t *b)
+{
+	run(b, 61 * AP_SEC);
+	for (int i = 0; i < ENTRIES; i++)
+		ap_claims_free(b->claims[i]);
+	for (size_t i = 0; i < b->n_slots; i++)
+		free(b->slots[i].value);
+	free(b);
+}
+
+#endif
--- a/test/permit_test.sh
+++ b/test/permit_test.sh
@@ -52,6 +52,11 @@
 	issue "$1" | tr '_-' '/+' | base64 -d 2>/dev/null | grep -aq "$2"
 }
 
+# told_completed ADDRESS HEADER BODY: is the call, which ran before, said to be completed?
+told_completed() {
+	[ "$(confirm "$@")" = "409 permit_used completed" ]
+}
+
 restart_1() {
 	fleet_start entry-1 "$BUILD/cmd/arbutuspond" --settings "$DIR/entry-1.toml"
 	fleet_wait "entry-1 to be ready" fleet_ready "$ADMIN_1" || exit 1
@@ -89,7 +94,13 @@
 key="Idempotency-Key: load-17"
 check "an idempotency key" "200 completed" "$(confirm "$CALLERS_1" "$key" c)"
 check "the same again" "409 permit_used completed" "$(confirm "$CALLERS_1" "$key" c)"
-check "the same elsewhere" "409 permit_used unknown" "$(confirm "$CALLERS_2" "$key" c)"
+check "the same elsewhere" "409 permit_used completed" "$(confirm "$CALLERS_2" "$key" c)"
+check "its stored answer" 1 "$(grep -c '"answer":{.*served_by' "$DIR/answer")"
+kill -STOP "$(cat "$DIR/entry-1.pid")"
+check "the same while its entry is paused" "409 permit_used unknown" \
+	"$(confirm "$CALLERS_2" "$key" c)"
+kill -CONT "$(cat "$DIR/entry-1.pid")"
+fleet_wait "entry-1 to answer again" told_completed "$CALLERS_2" "$key" c || exit 1
 curl -s -X PUT "http://$(fleet_address platform)/fault?away=1" >/dev/null
 check "a key with the store away" "503 not_run not-run" \
 	"$(confirm "$CALLERS_1" "Idempotency-Key: load-18" d)"
@@ -109,13 +120,19 @@
 check "what ran" 5 "$(count)"
 
 permit="Arbutuspond-Permit: $(issue "$CALLERS_1")"
+key="Idempotency-Key: load-19"
 fault stall-before
+confirm "$CALLERS_1" "$key" k >/dev/null &
+fleet_wait "the key's call to start" counted 6 || exit 1
+check "a key in progress elsewhere" "409 permit_used unknown" "$(confirm "$CALLERS_2" "$key" k)"
 confirm "$CALLERS_1" "$permit" g >/dev/null &
-fleet_wait "the call to start" counted 6 || exit 1
+fleet_wait "the call to start" counted 7 || exit 1
 kill -9 "$(cat "$DIR/entry-1.pid")"
 fault none
+check "an idempotency key whose entry ended" "409 permit_used unknown" \
+	"$(confirm "$CALLERS_2" "$key" c)"
 check "issuer ended after begun" "504 unknown unknown" "$(confirm "$CALLERS_2" "$permit" g)"
-check "what ran" 6 "$(count)"
+check "what ran" 7 "$(count)"
 
 restart_1
 used="Arbutuspond-Permit: $(issue "$CALLERS_1")"
@@ -127,5 +144,5 @@
 check "used before the drain" "409 permit_used completed" "$(confirm "$CALLERS_2" "$used" h)"
 check "its stored answer" 1 "$(grep -c '"answer":{.*served_by' "$DIR/answer")"
 check "unused before the drain" "503 not_run not-run" "$(confirm "$CALLERS_2" "$unused" i)"
-check "what ran" 7 "$(count)"
+check "what ran" 8 "$(count)"
 exit $failed
--- a/test/wire_once_test.c
+++ b/test/wire_once_test.c
@@ -61,7 +61,7 @@
 							   .len = 1}};
 
 	(void)state;
-	for (int kind = AP_ONCE_MSG_PROBE; kind <= AP_ONCE_MSG_HELD; kind++) {
+	for (int kind = AP_ONCE_MSG_PROBE; kind <= AP_ONCE_MSG_LAST; kind++) {
 		ap_once_msg_t msg = sample((ap_once_msg_kind_t)kind, items);
 		msgpack_sbuffer buf;
 		msgpack_zone zone;
@@ -103,7 +103,7 @@
 		{0, INT64_MAX, AP_ONCE_MSG_BEGIN, 0},
 		{0, INT64_MIN, AP_ONCE_MSG_BEGIN, 0},
 		{0, 0, 0, 0},
-		{0, 0, AP_ONCE_MSG_HELD + 1, 0},
+		{0, 0, AP_ONCE_MSG_LAST + 1, 0},
 		{0, 0, AP_ONCE_MSG_TOLD, AP_ONCE_REFUSED + 1},
 		{AP_ONCE_ITEMS_MAX + 1, 0, AP_ONCE_MSG_HAND, 0},
 	};
@@ -138,7 +138,7 @@
 	(void)state;
 	ap_rng_seed(&rng, 17);
 	for (int i = 0; i < 60000; i++) {
-		int kind = AP_ONCE_MSG_PROBE + i % AP_ONCE_MSG_HELD;
+		int kind = AP_ONCE_MSG_PROBE + i % AP_ONCE_MSG_LAST;
 		ap_once_msg_t msg = sample((ap_once_msg_kind_t)kind, items);
 		msgpack_sbuffer buf;
 		msgpack_zone zone;
@@ -152,7 +152,7 @@
 		msgpack_zone_init(&zone, 1024);
 		if (unpack(&buf, &zone, &got) == AP_WIRE_OK) {
 			read++;
-			assert_in_range(got.msg.kind, AP_ONCE_MSG_PROBE, AP_ONCE_MSG_HELD);
+			assert_in_range(got.msg.kind, AP_ONCE_MSG_PROBE, AP_ONCE_MSG_LAST);
 			assert_true(got.msg.n_items <= AP_ONCE_ITEMS_MAX);
 			assert_true(strlen(got.text) < AP_PERMIT_TEXT_MAX);
 			assert_true(got.msg.len <= buf.size);
