Pass two fixed lists of headers on between callers and upstreams

Only Content-Type and Idempotency-Key reached an upstream and only Content-Type came back, so traces, conditions, languages, Location and Retry-After were lost (header_test, red before). Two fixed lists were weighed against a list per service and against passing all but a few.

Between entries they are a last element of FORWARD and HEAD, which older versions skip and do not send; the version number stays. The receiver applies its own list.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -116,6 +116,7 @@
 bool ap_http_call_query(const ap_http_call_t *call, const char *key, char *out, size_t size);
 /** ap_http_call_header() - NULL when absent. */
 const char *ap_http_call_header(const ap_http_call_t *call, const char *name);
+const struct evkeyvalq *ap_http_call_headers(const ap_http_call_t *call);
 const void *ap_http_call_body(ap_http_call_t *call, size_t *len);
 /** ap_http_call_drop_body() - frees the body unread. */
 void ap_http_call_drop_body(ap_http_call_t *call);
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -302,6 +302,11 @@
 	return evhttp_find_header(evhttp_request_get_input_headers(call->req), name);
 }
 
+const struct evkeyvalq *ap_http_call_headers(const ap_http_call_t *call)
+{
+	return evhttp_request_get_input_headers(call->req);
+}
+
 const void *ap_http_call_body(ap_http_call_t *call, size_t *len)
 {
 	struct evbuffer *body = evhttp_request_get_input_buffer(call->req);
--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -7,7 +7,7 @@
 #include <strings.h>
 
 #define CHOICES_MAX 2 /* a region that can't be reached leaves one more choice */
-#define UPSTREAM_HEADERS_MAX 4
+#define UPSTREAM_HEADERS_MAX (3 + PASSED_HEADERS_MAX)
 
 static const ap_upstream_t *upstream_by_id(const ap_view_t *view, const char *id)
 {
@@ -171,6 +171,8 @@
 		drop_fetch(x, AP_ATTEMPT_FAILED, "an answer to another request came");
 		return;
 	}
+	if (x->req.service->plain)
+		headers_take(&x->answered, HEADERS_ANSWERED, head->headers);
 	attempt_head(x, head->status, evhttp_find_header(head->headers, "Content-Type"));
 	if (x->reply_started && !x->sse)
 		drop_fetch(x, AP_ATTEMPT_FAILED, "a stream was not resumed as a stream");
@@ -316,7 +318,7 @@
 		out[n++] = (ap_http_header_t){"Content-Type", "application/json"};
 	if (x->idempotency_key[0])
 		out[n++] = (ap_http_header_t){"Idempotency-Key", x->idempotency_key};
-	return n;
+	return n + headers_list(&x->asked, HEADERS_ASKED, out + n);
 }
 
 /* Residency and leaving are asserted here once more, where the bytes go out. */
@@ -392,6 +394,7 @@
 {
 	evbuffer_drain(x->answer, evbuffer_get_length(x->answer));
 	stream_cut(&x->stream);
+	headers_clear(&x->answered);
 	x->matched = false;
 	x->refused = false;
 	x->first_seen = false;
--- a/cmd/arbutuspond/entry-away.c
+++ b/cmd/arbutuspond/entry-away.c
@@ -102,6 +102,7 @@
 	request->method = x->method;
 	request->first_byte = x->req.deadline - ap_now();
 	request->credit = x->away.granted;
+	headers_pack(&x->asked, HEADERS_ASKED, &request->headers);
 }
 
 static bool send_request(exchange_t *x, unsigned hops)
@@ -241,6 +242,7 @@
 static void take_head(exchange_t *x, const ap_forward_head_t *head)
 {
 	x->away.headed = true;
+	headers_unpack(&x->answered, HEADERS_ANSWERED, &head->headers);
 	attempt_head(x, (int)head->status, head->content_type);
 	if (x->reply_started && !x->sse)
 		broken(x, "a stream was not resumed as a stream");
--- a/cmd/arbutuspond/entry-caller.c
+++ b/cmd/arbutuspond/entry-caller.c
@@ -97,8 +97,22 @@
 	return true;
 }
 
+/* A body that was refused leaves nothing behind: the exchange has not begun. */
+static void drop(exchange_t *x, entry_fault_t *fault)
+{
+	ap_http_call_t *call = x->call;
+	entry_t *entry = x->entry;
+
+	ap_http_call_watch(call, NULL, NULL, NULL);
+	x->call = NULL;
+	exchange_free(x);
+	entry->counts[COUNT_WRONG_INPUT]++;
+	reply_fault(entry, call, NULL, fault);
+}
+
 static exchange_t *begin(const asked_t *a, const ap_service_t *service)
 {
+	entry_fault_t fault = {.error = ENTRY_BAD_REQUEST, .text = "a header is too long"};
 	exchange_t *x = exchange_new(a->entry, a->caller, service);
 
 	if (!x) {
@@ -111,20 +125,10 @@
 	copy_header(a->call, "Arbutuspond-Permit", x->permit, sizeof(x->permit));
 	copy_header(a->call, "Idempotency-Key", x->idempotency_key, sizeof(x->idempotency_key));
 	ap_http_call_watch(a->call, x, on_gone, on_drained);
-	return x;
-}
-
-/* A body that was refused leaves nothing behind: the exchange has not begun. */
-static void drop(exchange_t *x, entry_fault_t *fault)
-{
-	ap_http_call_t *call = x->call;
-	entry_t *entry = x->entry;
-
-	ap_http_call_watch(call, NULL, NULL, NULL);
-	x->call = NULL;
-	exchange_free(x);
-	entry->counts[COUNT_WRONG_INPUT]++;
-	reply_fault(entry, call, NULL, fault);
+	if (headers_take(&x->asked, HEADERS_ASKED, ap_http_call_headers(a->call)))
+		return x;
+	drop(x, &fault);
+	return NULL;
 }
 
 static bool body_fits(const asked_t *a, const ap_service_t *service)
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -57,6 +57,8 @@
 	event_free(x->limit);
 	evbuffer_free(x->answer);
 	stream_clear(&x->stream);
+	headers_clear(&x->asked);
+	headers_clear(&x->answered);
 	json_decref(x->doc);
 	free(x->raw);
 	free(x->target);
@@ -289,6 +291,7 @@
 void exchange_stored(exchange_t *x, int status, const char *type, const void *answer, size_t len)
 {
 	evbuffer_drain(x->answer, evbuffer_get_length(x->answer));
+	headers_clear(&x->answered);
 	evbuffer_add(x->answer, answer, len);
 	x->status = status;
 	ap_copy_name(x->answer_type, sizeof(x->answer_type), type);
--- a/cmd/arbutuspond/entry-guest.c
+++ b/cmd/arbutuspond/entry-guest.c
@@ -162,6 +162,7 @@
 	ap_copy_name(x->adapter, sizeof(x->adapter), request->adapter);
 	ap_copy_name(x->content_type, sizeof(x->content_type), request->content_type);
 	ap_copy_name(x->permit, sizeof(x->permit), request->permit);
+	headers_unpack(&x->asked, HEADERS_ASKED, &request->headers);
 	HASH_ADD(hh_guest, entry->guests, guest.exchange, sizeof(x->guest.exchange), x);
 }
 
--- /dev/null
+++ b/cmd/arbutuspond/entry-headers.c
@@ -0,0 +1,139 @@
+/*
+ * Headers passed on between callers and upstreams: those of two fixed lists and no others, so that
+ * keys, hop-by-hop headers and our own stay where they are.
+ */
+#include "entry.h"
+
+#include <event2/keyvalq_struct.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+#define HEADER_VALUE_MAX 1024 /* bytes, with the terminator */
+#define SEPARATOR ", "
+
+static const char *const names[HEADERS_WAYS][PASSED_HEADERS_MAX] = {
+	[HEADERS_ASKED] = {"Accept", "Accept-Language", "If-Match", "If-Modified-Since",
+			   "If-None-Match", "If-Unmodified-Since", "traceparent", "tracestate"},
+	[HEADERS_ANSWERED] = {"Cache-Control", "Content-Disposition", "Content-Encoding",
+			      "Content-Language", "ETag", "Last-Modified", "Location",
+			      "Retry-After", "Vary"},
+};
+
+/* Is @name one of the words in @list? */
+static bool lists(const char *list, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (const char *at = list; at && *at; at += strcspn(at, ",")) {
+		at += strspn(at, ", \t");
+		if (strncasecmp(at, name, len) == 0 && strchr(", \t", at[len]))
+			return true;
+	}
+	return false;
+}
+
+/* Joins the values of all lines of one header. Return: false when they do not fit. */
+static bool join(const struct evkeyvalq *from, const char *name, char out[HEADER_VALUE_MAX])
+{
+	const struct evkeyval *line;
+	size_t used = 0;
+
+	out[0] = '\0';
+	TAILQ_FOREACH (line, from, next) {
+		const char *gap = used ? SEPARATOR : "";
+		size_t len = strlen(gap) + strlen(line->value);
+
+		if (strcasecmp(line->key, name) != 0 || !line->value[0])
+			continue;
+		if (used + len >= HEADER_VALUE_MAX)
+			return false;
+		memcpy(out + used, gap, strlen(gap));
+		memcpy(out + used + strlen(gap), line->value, strlen(line->value) + 1);
+		used += len;
+	}
+	return true;
+}
+
+void headers_clear(header_set_t *set)
+{
+	for (int i = 0; i < PASSED_HEADERS_MAX; i++) {
+		free(set->values[i]);
+		set->values[i] = NULL;
+	}
+}
+
+bool headers_take(header_set_t *set, headers_way_t way, const struct evkeyvalq *from)
+{
+	const char *hop = evhttp_find_header(from, "Connection");
+	char value[HEADER_VALUE_MAX];
+	bool all = true;
+
+	headers_clear(set);
+	for (int i = 0; i < PASSED_HEADERS_MAX && names[way][i]; i++) {
+		if (lists(hop, names[way][i]))
+			continue;
+		if (!join(from, names[way][i], value))
+			all = false;
+		else if (value[0])
+			set->values[i] = strdup(value);
+	}
+	return all;
+}
+
+size_t headers_list(const header_set_t *set, headers_way_t way, ap_http_header_t *out)
+{
+	size_t n = 0;
+
+	for (int i = 0; i < PASSED_HEADERS_MAX; i++) {
+		if (set->values[i])
+			out[n++] = (ap_http_header_t){names[way][i], set->values[i]};
+	}
+	return n;
+}
+
+void headers_pack(const header_set_t *set, headers_way_t way, ap_forward_headers_t *out)
+{
+	ap_http_header_t list[PASSED_HEADERS_MAX];
+
+	out->n = headers_list(set, way, list);
+	for (size_t i = 0; i < out->n; i++) {
+		out->v[i].name = list[i].name;
+		out->v[i].name_len = strlen(list[i].name);
+		out->v[i].value = list[i].value;
+		out->v[i].value_len = strlen(list[i].value);
+	}
+}
+
+/* A value from another entry must not be able to begin a line of its own. */
+static bool value_ok(const ap_forward_header_t *header)
+{
+	for (size_t i = 0; i < header->value_len; i++) {
+		unsigned char c = (unsigned char)header->value[i];
+
+		if ((c < ' ' && c != '\t') || c == 0x7f)
+			return false;
+	}
+	return header->value_len > 0 && header->value_len < HEADER_VALUE_MAX;
+}
+
+static void unpack_one(header_set_t *set, headers_way_t way, const ap_forward_header_t *header)
+{
+	for (int i = 0; i < PASSED_HEADERS_MAX && names[way][i]; i++) {
+		if (strlen(names[way][i]) != header->name_len ||
+		    strncasecmp(names[way][i], header->name, header->name_len) != 0)
+			continue;
+		free(set->values[i]);
+		set->values[i] = strndup(header->value, header->value_len);
+	}
+}
+
+void headers_unpack(header_set_t *set, headers_way_t way, const ap_forward_headers_t *from)
+{
+	headers_clear(set);
+	for (size_t i = 0; i < from->n; i++) {
+		if (value_ok(&from->v[i]))
+			unpack_one(set, way, &from->v[i]);
+	}
+}
--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define REPLY_HEADERS_MAX 8
+#define REPLY_HEADERS_MAX (8 + PASSED_HEADERS_MAX)
 #define NUMBER_TEXT_MAX 32
 
 static const struct {
@@ -66,6 +66,11 @@
 		list->v[list->n++] = (ap_http_header_t){name, value};
 }
 
+static void add_answered(header_list_t *list, const exchange_t *x)
+{
+	list->n += headers_list(&x->answered, HEADERS_ANSWERED, list->v + list->n);
+}
+
 static json_t *entry_json(const ap_entry_t *entry)
 {
 	return json_pack("{s:s, s:s, s:i, s:s}", "id", entry->id, "host", entry->host, "port",
@@ -173,7 +178,9 @@
 	/* The outcome and the final cost of a stream come at its end. */
 	snprintf(cost, sizeof(cost), "%.3f", x->choice.expected_cost);
 	add_header(&list, "Content-Type", x->answer_type);
-	add_header(&list, "Cache-Control", "no-cache");
+	add_answered(&list, x);
+	if (!x->req.service->plain)
+		add_header(&list, "Cache-Control", "no-cache");
 	add_header(&list, "Arbutuspond-Request-Id", x->name);
 	add_header(&list, "Arbutuspond-Region", x->region);
 	add_header(&list, "Arbutuspond-Cost", cost);
@@ -189,6 +196,7 @@
 
 	snprintf(cost, sizeof(cost), "%.3f", x->cost);
 	add_header(&list, "Content-Type", x->answer_type);
+	add_answered(&list, x);
 	add_header(&list, "Arbutuspond-Request-Id", x->name);
 	add_header(&list, "Arbutuspond-Region", x->region);
 	add_header(&list, "Arbutuspond-Cost", cost);
@@ -228,6 +236,7 @@
 
 	msg.u.head.status = (uint32_t)x->status;
 	ap_copy_name(msg.u.head.content_type, sizeof(msg.u.head.content_type), x->answer_type);
+	headers_pack(&x->answered, HEADERS_ANSWERED, &msg.u.head.headers);
 	entry_send(x->entry, x->guest.from, &msg);
 }
 
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -197,6 +197,22 @@
 	PHASE_ENDED, /* answered; its attempt may still be closing */
 } exchange_phase_t;
 
+#define PASSED_HEADERS_MAX 9 /* names in the longer list of headers that are passed on */
+
+/* Which way headers are passed on. */
+typedef enum headers_way {
+	HEADERS_ASKED,	  /* from callers to upstreams */
+	HEADERS_ANSWERED, /* from plain services to callers */
+	HEADERS_WAYS,
+} headers_way_t;
+
+/**
+ * struct header_set - headers that are passed on, in the order of their way's list.
+ */
+typedef struct header_set {
+	char *values[PASSED_HEADERS_MAX];
+} header_set_t;
+
 /**
  * struct stream - server-sent events taken apart.
  * @part: an event that is not whole yet
@@ -278,6 +294,7 @@
 	enum evhttp_cmd_type method;
 	char *target;
 	char content_type[AP_FORWARD_TYPE_MAX];
+	header_set_t asked;
 	char permit[AP_FORWARD_PERMIT_MAX];
 	char idempotency_key[IDEMPOTENCY_KEY_MAX];
 	json_t *doc;
@@ -307,6 +324,7 @@
 	int status;
 	bool sse;
 	char answer_type[AP_FORWARD_TYPE_MAX];
+	header_set_t answered;
 	struct evbuffer *answer;
 	stream_t stream;
 	bool reply_started;
@@ -358,6 +376,16 @@
 /* caller_refused() - answers what never became a request. */
 void caller_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
+/* entry-headers.c */
+/* headers_take() - replaces @set; false when one did not fit and was left out. */
+bool headers_take(header_set_t *set, headers_way_t way, const struct evkeyvalq *from);
+void headers_clear(header_set_t *set);
+/* headers_list() - writes up to PASSED_HEADERS_MAX to @out; they point into @set. */
+size_t headers_list(const header_set_t *set, headers_way_t way, ap_http_header_t *out);
+void headers_pack(const header_set_t *set, headers_way_t way, ap_forward_headers_t *out);
+/* headers_unpack() - replaces @set; what is not on the list is left out. */
+void headers_unpack(header_set_t *set, headers_way_t way, const ap_forward_headers_t *from);
+
 /* entry-body.c */
 /* body_read() - a new reference to an object, or NULL with @fault set. */
 json_t *body_read(const void *data, size_t len, entry_fault_t *fault);
--- a/lib/wire/forward.c
+++ b/lib/wire/forward.c
@@ -3,6 +3,32 @@
 
 #include <string.h>
 
+static void pack_headers(msgpack_packer *pk, const ap_forward_headers_t *h)
+{
+	msgpack_pack_array(pk, 2 * h->n);
+	for (size_t i = 0; i < h->n; i++) {
+		msgpack_pack_str_with_body(pk, h->v[i].name, h->v[i].name_len);
+		msgpack_pack_str_with_body(pk, h->v[i].value, h->v[i].value_len);
+	}
+}
+
+/* The last element; older versions leave it out. */
+static void read_headers(ap_wire_reader_t *r, ap_forward_headers_t *out)
+{
+	ap_wire_reader_t list;
+
+	if (!r->ok || r->left == 0)
+		return;
+	list = ap_wire_array(r);
+	for (; list.ok && list.left > 0 && out->n < AP_FORWARD_HEADERS_MAX; out->n++) {
+		ap_forward_header_t *header = &out->v[out->n];
+
+		header->name = ap_wire_text(&list, &header->name_len);
+		header->value = ap_wire_text(&list, &header->value_len);
+	}
+	r->ok = r->ok && list.ok;
+}
+
 static void pack_request(msgpack_packer *pk, const ap_forward_request_t *r)
 {
 	ap_wire_pack_xid(pk, r->request);
@@ -23,6 +49,7 @@
 	msgpack_pack_int64(pk, r->first_byte);
 	msgpack_pack_uint64(pk, r->credit);
 	ap_wire_pack_bin(pk, r->body, r->len);
+	pack_headers(pk, &r->headers);
 }
 
 static void read_request(ap_wire_reader_t *r, ap_forward_request_t *out)
@@ -42,6 +69,7 @@
 	out->first_byte = ap_wire_i64(r);
 	out->credit = ap_wire_u64(r);
 	out->body = ap_wire_bin(r, &out->len);
+	read_headers(r, &out->headers);
 }
 
 static void pack_end(msgpack_packer *pk, const ap_forward_end_t *e)
@@ -76,8 +104,9 @@
 {
 	switch (kind) {
 	case AP_WIRE_FORWARD:
-		return 18;
+		return 19;
 	case AP_WIRE_FORWARD_HEAD:
+		return 5;
 	case AP_WIRE_FORWARD_DATA:
 		return 4;
 	case AP_WIRE_FORWARD_END:
@@ -105,6 +134,7 @@
 	case AP_WIRE_FORWARD_HEAD:
 		msgpack_pack_uint32(&pk, msg->u.head.status);
 		ap_wire_pack_str(&pk, msg->u.head.content_type);
+		pack_headers(&pk, &msg->u.head.headers);
 		break;
 	case AP_WIRE_FORWARD_DATA:
 		msgpack_pack_uint64(&pk, msg->u.data.offset);
@@ -135,6 +165,7 @@
 	case AP_WIRE_FORWARD_HEAD:
 		msg->u.head.status = (uint32_t)ap_wire_u64(&r);
 		ap_wire_str(&r, msg->u.head.content_type, sizeof(msg->u.head.content_type));
+		read_headers(&r, &msg->u.head.headers);
 		break;
 	case AP_WIRE_FORWARD_DATA:
 		msg->u.data.offset = ap_wire_u64(&r);
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -164,6 +164,19 @@
 	out[o->via.str.size] = '\0';
 }
 
+const char *ap_wire_text(ap_wire_reader_t *r, size_t *len)
+{
+	const msgpack_object *o = take(r);
+
+	*len = 0;
+	if (!o || o->type != MSGPACK_OBJECT_STR) {
+		r->ok = false;
+		return NULL;
+	}
+	*len = o->via.str.size;
+	return o->via.str.ptr;
+}
+
 const void *ap_wire_bin(ap_wire_reader_t *r, size_t *len)
 {
 	const msgpack_object *o = take(r);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -99,6 +99,8 @@
 const void *ap_wire_bin(ap_wire_reader_t *r, size_t *len);
 ap_id_t ap_wire_id(ap_wire_reader_t *r);
 ap_xid_t ap_wire_xid(ap_wire_reader_t *r);
+/** ap_wire_text() - points into the message, without a terminator. */
+const char *ap_wire_text(ap_wire_reader_t *r, size_t *len);
 /** ap_wire_array() - a reader over a nested array. */
 ap_wire_reader_t ap_wire_array(ap_wire_reader_t *r);
 
@@ -109,6 +111,26 @@
 #define AP_FORWARD_TEXT_MAX 192
 #define AP_FORWARD_BODY_MAX (3u << 20) /* bytes of a request body that may be passed on */
 
+#define AP_FORWARD_HEADERS_MAX 16
+
+/**
+ * struct ap_forward_header - one header; both texts point into the message, without terminators.
+ */
+typedef struct ap_forward_header {
+	const char *name;
+	size_t name_len;
+	const char *value;
+	size_t value_len;
+} ap_forward_header_t;
+
+/**
+ * struct ap_forward_headers - headers passed on; an entry of an older version sends none.
+ */
+typedef struct ap_forward_headers {
+	size_t n;
+	ap_forward_header_t v[AP_FORWARD_HEADERS_MAX];
+} ap_forward_headers_t;
+
 /**
  * struct ap_forward_request - a request for another entry to serve or refuse.
  * @request: name of the request on the time line
@@ -134,11 +156,13 @@
 	uint64_t credit;
 	const void *body;
 	size_t len;
+	ap_forward_headers_t headers;
 } ap_forward_request_t;
 
 typedef struct ap_forward_head {
 	uint32_t status;
 	char content_type[AP_FORWARD_TYPE_MAX];
+	ap_forward_headers_t headers;
 } ap_forward_head_t;
 
 /**
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -86,6 +86,8 @@
 	ap_usec_t arrival;  /* limit on a request's arrival; 0 for none */
 	uint32_t drop_kind; /* kind of message that is lost */
 	uint64_t seen[128]; /* messages by kind */
+	char head[4096];    /* the last head of an answer between entries */
+	size_t head_len;
 };
 
 #define RIG_FN __attribute__((unused)) static
@@ -116,6 +118,10 @@
 	memcpy(m->data, data, len);
 	ap_copy_name(m->from, sizeof(m->from), e->settings.id);
 	e->rig->seen[m->kind % 128]++;
+	if (m->kind == AP_WIRE_FORWARD_HEAD && len <= sizeof(e->rig->head)) {
+		memcpy(e->rig->head, data, len);
+		e->rig->head_len = len;
+	}
 	if (m->to < 0 || m->kind == e->rig->drop_kind || ap_rng_unit(&e->rig->rng) < e->rig->loss) {
 		free(m);
 		return true;
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -54,6 +54,7 @@
 	int answered;
 	int hangups;	    /* closed by the other side before the answer was whole */
 	char last[65536];   /* last request as read */
+	const char *extra;  /* more header lines of a whole answer; may be NULL */
 	double fault_share; /* above 0: this part of the answers shows a fault at random */
 	unsigned short rng[3];
 	unsigned char ran[FAKE_MARKS]; /* how often the request with each mark was begun */
@@ -192,6 +193,8 @@
 		sent = len / 2;
 	evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n");
 	evbuffer_add_printf(out, "X-Request-Id: %s\r\n", id);
+	if (conn->fake->extra)
+		evbuffer_add_printf(out, "%s", conn->fake->extra);
 	if (mode != FAKE_NO_FRAMING)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", claimed);
 	evbuffer_add_printf(out, "\r\n");
