Pay the first retry after a silent connection from a bounded reserve

It was paid by nobody: an overloaded upstream that still answers probes shows one silent connection after another, and each of its requests was sent again (entry_limit_test, red before). Budget that is left unspent now fills a reserve of 150, one entry's requests within the longest first-byte limit at the size to design for; over time retries of both kinds stay within retry_ratio, which ap_retry_budget_retried() asserts. Weighed: no limit; the budget alone; a debt.

--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -370,20 +370,19 @@
 	return x->sse && x->req.service->resumable;
 }
 
-/*
- * The first try after a silent connection is not taken from the budget: all connections may go
- * silent at once, and what was lost on its way was no load for the upstream.
- */
+/* The first try after a silent connection has a reserve: all may go silent at once. */
 static bool may_try_again(exchange_t *x, ap_usec_t now)
 {
-	if (x->lost) {
-		x->lost = false;
-		return x->req.deadline - now >= x->choice.expected_wait;
-	}
-	if (!ap_retry_budget_take_class(x->entry->budget, x->req.cls, now, x->req.deadline,
-					x->choice.expected_wait))
+	ap_retry_budget_t *budget = x->entry->budget;
+	ap_usec_t deadline = x->req.deadline;
+	ap_usec_t wait = x->choice.expected_wait;
+	bool lost = x->lost;
+
+	x->lost = false;
+	if (!(lost && ap_retry_budget_take_silent(budget, now, deadline, wait)) &&
+	    !ap_retry_budget_take_class(budget, x->req.cls, now, deadline, wait))
 		return false;
-	ap_retry_budget_retried(x->entry->budget);
+	ap_retry_budget_retried(budget);
 	return true;
 }
 
--- a/lib/limit/limit.h
+++ b/lib/limit/limit.h
@@ -82,6 +82,12 @@
  */
 bool ap_retry_budget_take_class(ap_retry_budget_t *b, ap_class_t cls, ap_usec_t now,
 				ap_usec_t deadline, ap_usec_t expected);
+/**
+ * ap_retry_budget_take_silent() - as ap_retry_budget_take(), for a request that was lost on a
+ * silent connection: paid from a reserve that only budget left unspent fills.
+ */
+bool ap_retry_budget_take_silent(ap_retry_budget_t *b, ap_usec_t now, ap_usec_t deadline,
+				 ap_usec_t expected);
 /** ap_retry_budget_retried() - a retry is dispatched; asserts that the budget granted it. */
 void ap_retry_budget_retried(ap_retry_budget_t *b);
 
--- a/test/entry_limit_test.c
+++ b/test/entry_limit_test.c
@@ -110,6 +110,33 @@
 	rig_clear(&rig);
 }
 
+/* A slow upstream looks like one silent connection after another; that must not double its load. */
+static void test_retries_after_silence_are_bounded(void **state)
+{
+	ap_usec_t now = ap_now();
+	entry_t *entry;
+	char *answer;
+	rig_t rig;
+
+	(void)state;
+	rig_init_as(&rig, true);
+	entry = rig.entries[0].entry;
+	ap_retry_budget_free(entry->budget);
+	entry->budget = ap_retry_budget_new(0, &entry->env);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	while (ap_retry_budget_take_silent(entry->budget, now, now + AP_SEC, 0) ||
+	       ap_retry_budget_take(entry->budget, now, now + AP_SEC, 0))
+		;
+	free(rig_ask(&rig, 0, CHAT, BODY("ask", "false")));
+	rig.fakes[0].mode = FAKE_SILENT;
+	answer = rig_ask(&rig, 0, CHAT, BODY("ask", "false"));
+	rig_check(answer, 502, "Arbutuspond-Outcome: unknown", "the connection went silent");
+	assert_int_equal(entry->counts[COUNT_RETRIES], 0);
+	free(answer);
+	rig_clear(&rig);
+}
+
 static void test_unrepeatable_calls_avoid_old_connections(void **state)
 {
 	struct timeval past_proof = {.tv_usec = 700000};
@@ -164,6 +191,7 @@
 		cmocka_unit_test(test_full_queue_sheds_with_retry_after),
 		cmocka_unit_test(test_time_limit_of_a_request),
 		cmocka_unit_test(test_silent_connection_is_not_the_upstreams_fault),
+		cmocka_unit_test(test_retries_after_silence_are_bounded),
 		cmocka_unit_test(test_unrepeatable_calls_avoid_old_connections),
 		cmocka_unit_test(test_caller_that_sends_ahead_is_held_back),
 	};
--- a/test/limit_test.c
+++ b/test/limit_test.c
@@ -218,6 +218,64 @@
 	ap_retry_budget_free(b);
 }
 
+/* Requests lost to silence are tried again at once, but not without end. */
+static void test_reserve_for_silent_connections(void **state)
+{
+	static const struct {
+		int requests; /* one every 125 ms, all whole */
+		int lost;     /* then so many are lost at once, */
+		unsigned min; /* and so many are tried again */
+		unsigned max;
+	} steps[] = {
+		{0, 1000, 150, 150},
+		{8, 1000, 0, 1},
+		{800, 1000, 60, 80}, /* 100 s of a node's share of the design size */
+		{8000, 1000, 150, 150},
+	};
+	world_t *w = *state;
+	ap_env_t env = {.ctx = w, .violated = broken_note};
+	ap_retry_budget_t *b = ap_retry_budget_new(0.1, &env);
+	ap_usec_t now = T0;
+
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		unsigned retried = 0;
+
+		for (int k = 0; k < steps[i].requests; k++, now += 125 * AP_MSEC)
+			ap_retry_budget_request(b, now);
+		assert_false(ap_retry_budget_take_silent(b, now, now + AP_MSEC, AP_SEC));
+		for (int k = 0; k < steps[i].lost; k++) {
+			if (!ap_retry_budget_take_silent(b, now, now + AP_SEC, AP_MSEC))
+				continue;
+			ap_retry_budget_retried(b);
+			retried++;
+		}
+		assert_in_range(retried, steps[i].min, steps[i].max);
+	}
+	ap_retry_budget_free(b);
+}
+
+/* Half of all requests meet a silent connection for hours: an upstream that is slow, not away. */
+static void test_lasting_silence_keeps_within_the_budget(void **state)
+{
+	world_t *w = *state;
+	ap_env_t env = {.ctx = w, .violated = broken_note};
+	ap_retry_budget_t *b = ap_retry_budget_new(0.1, &env);
+	unsigned retries = 0;
+
+	for (int i = 0; i < 40000; i++) {
+		ap_usec_t now = T0 + i * 125 * AP_MSEC;
+
+		ap_retry_budget_request(b, now);
+		if (i % 2 || (!ap_retry_budget_take_silent(b, now, now + AP_SEC, AP_MSEC) &&
+			      !ap_retry_budget_take(b, now, now + AP_SEC, AP_MSEC)))
+			continue;
+		ap_retry_budget_retried(b);
+		retries++;
+	}
+	assert_in_range(retries, 4000, 4151);
+	ap_retry_budget_free(b);
+}
+
 static void ask_within_shed(void *ctx, uint64_t token, ap_usec_t retry_after)
 {
 	world_t *w = ctx;
@@ -270,6 +328,8 @@
 		WORLD_TEST(test_callers_rate_is_shared),
 		WORLD_TEST(test_callers_concurrency_is_shared),
 		WORLD_TEST(test_retry_budget),
+		WORLD_TEST(test_reserve_for_silent_connections),
+		WORLD_TEST(test_lasting_silence_keeps_within_the_budget),
 		WORLD_TEST(test_broken_bounds_are_seen),
 	};
 
