Tell the region before a model is unloaded from an upstream

Cause: entries learn what an upstream has loaded from polls, seconds late, so requests chosen in the meantime met a 404 and were tried again elsewhere. The reconciler now withdraws the model there first, by a small item in report messages with a fencing number, a rising number and a time after which it lapses; 5 s later it unloads, if that is still right and the lease still held.

--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -114,6 +114,21 @@
 	ap_order_set_conf(node->o, conf, node->f->sim.now);
 }
 
+static void withdraw(void *ctx, const char *upstream, const char *item, uint64_t fence,
+		     uint64_t number, ap_usec_t keep)
+{
+	node_t *node = ctx;
+
+	ap_report_withdraw(node->r, upstream, item, fence, number, keep, node->f->sim.now);
+}
+
+static bool withdrawn(void *ctx, const char *upstream, const char *item)
+{
+	const node_t *node = ctx;
+
+	return ap_report_is_withdrawn(node->r, upstream, item);
+}
+
 static void observe(void *ctx, const char *upstream)
 {
 	(void)ctx;
@@ -309,7 +324,9 @@
 				   .loads_max = 4,
 				   .kv = fake_gate_port(&node->gate, &f->store),
 				   .ctx = node,
-				   .observe = observe};
+				   .observe = observe,
+				   .withdraw = withdraw,
+				   .withdrawn = withdrawn};
 	ap_report_config_t report = {.seed = seed,
 				     .peer = peer,
 				     .ctx = node,
--- a/cmd/arbutuspond/control-admin.c
+++ b/cmd/arbutuspond/control-admin.c
@@ -307,6 +307,7 @@
 	write_counter(buf, "orders_holder", order.holder);
 	write_counter(buf, "orders_missing", order.missing);
 	write_counter(buf, "orders_surplus", order.surplus);
+	write_counter(buf, "orders_withdrawals_total", order.withdrawals);
 	write_counter(buf, "orders_fenced_total", order.fenced);
 	write_counter(buf, "orders_held_back_total", order.held_back);
 	write_counter(buf, "reports_sent_bytes_total", report.sent_bytes);
--- a/cmd/arbutuspond/control-view.c
+++ b/cmd/arbutuspond/control-view.c
@@ -154,8 +154,8 @@
 	return n;
 }
 
-size_t ap_control_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *upstream,
-			 char *names[AP_MODELS_MAX])
+static size_t known_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *upstream,
+			   char *names[AP_MODELS_MAX])
 {
 	size_t n;
 	const uint32_t *told = ap_report_models(c->report, upstream->id, &n);
@@ -163,6 +163,37 @@
 	return told ? told_models(conf, told, n, names) : declared_models(conf, upstream, names);
 }
 
+/* Can another upstream of the own region serve @name? */
+static bool others_serve(ap_control_t *c, const char *but, const char *name)
+{
+	for (size_t i = 0; i < c->fleet->n_upstreams; i++) {
+		const ap_upstream_t *u = &c->fleet->upstreams[i];
+		size_t n;
+		const uint32_t *told = ap_report_models(c->report, u->id, &n);
+
+		if (told && is_told(told, n, name) && strcmp(u->id, but) != 0 && !u->leaving &&
+		    !ap_report_is_leaving(c->report, u->id) &&
+		    !ap_report_is_withdrawn(c->report, u->id, name))
+			return true;
+	}
+	return false;
+}
+
+/* A model that is about to be unloaded takes no new work, unless nobody else has it. */
+size_t ap_control_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *upstream,
+			 char *names[AP_MODELS_MAX])
+{
+	size_t n = known_models(c, conf, upstream, names);
+	size_t kept = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		if (!ap_report_is_withdrawn(c->report, upstream->id, names[i]) ||
+		    !others_serve(c, upstream->id, names[i]))
+			names[kept++] = names[i];
+	}
+	return kept;
+}
+
 /* Shallow copies that ap_view_new() copies whole; @names holds their model names. */
 static ap_upstream_t *view_upstreams(ap_control_t *c, const ap_conf_t *conf,
 				     char *(*names)[AP_MODELS_MAX])
--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -183,6 +183,21 @@
 	ap_poll_observe(c->poll, upstream);
 }
 
+static void on_withdraw(void *ctx, const char *upstream, const char *item, uint64_t fence,
+			uint64_t number, ap_usec_t keep)
+{
+	ap_control_t *c = ctx;
+
+	ap_report_withdraw(c->report, upstream, item, fence, number, keep, ap_now());
+}
+
+static bool is_withdrawn(void *ctx, const char *upstream, const char *item)
+{
+	const ap_control_t *c = ctx;
+
+	return ap_report_is_withdrawn(c->report, upstream, item);
+}
+
 static void on_peer_message(void *ctx, const char *from, const void *data, size_t len)
 {
 	ap_control_t *c = ctx;
@@ -347,7 +362,9 @@
 						     .port = ap_poll_orders(c->poll),
 						     .env = env,
 						     .ctx = c,
-						     .observe = on_observe},
+						     .observe = on_observe,
+						     .withdraw = on_withdraw,
+						     .withdrawn = is_withdrawn},
 				now);
 	c->report = ap_report_new(&(ap_report_config_t){.self = self,
 							.seed = seed + 3,
--- a/cmd/arbutuspond/control.h
+++ b/cmd/arbutuspond/control.h
@@ -70,7 +70,7 @@
 
 /**
  * ap_control_models() - names of models and adapters on an upstream: what its pollers read, or
- * what the rules declare when nobody told yet.
+ * what the rules declare when nobody told yet; without those that it is about to lose.
  * @names: pointers into @conf
  */
 size_t ap_control_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *upstream,
--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -164,6 +164,8 @@
 	if (draining && strcasecmp(draining, "true") == 0)
 		entry_leaving(x->entry, x->choice.upstream_id, true);
 	x->refused = is_refusal(x, head->status, refused && strcasecmp(refused, "true") == 0);
+	if (x->refused && head->status == HTTP_NOTFOUND && !x->req.service->plain)
+		x->entry->counts[COUNT_MISSING_MODELS]++;
 	/* Plain services and refusals may leave the name out, but none may carry another one. */
 	x->matched = own || (!id && (x->req.service->plain || x->refused));
 	if (!x->matched) {
--- a/cmd/arbutuspond/entry-counters.c
+++ b/cmd/arbutuspond/entry-counters.c
@@ -12,6 +12,7 @@
 	[COUNT_SHED] = "shed",
 	[COUNT_ATTEMPTS] = "attempts",
 	[COUNT_RETRIES] = "retries",
+	[COUNT_MISSING_MODELS] = "missing_models",
 	[COUNT_RESUMES] = "resumes",
 	[COUNT_SENT_AWAY] = "sent_away",
 	[COUNT_GUESTS] = "guests",
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -76,6 +76,7 @@
 	COUNT_SHED,
 	COUNT_ATTEMPTS,
 	COUNT_RETRIES,
+	COUNT_MISSING_MODELS, /* attempts at an engine without the model */
 	COUNT_RESUMES,
 	COUNT_SENT_AWAY,
 	COUNT_GUESTS,
--- a/lib/order/issue.c
+++ b/lib/order/issue.c
@@ -18,7 +18,7 @@
 }
 
 /* Longest time that one order may take. Unfenced ones must end well before the lease can lapse. */
-static ap_usec_t limit_for(const ap_order_t *o, const ap_target_t *t)
+ap_usec_t order_limit(const ap_order_t *o, const ap_target_t *t)
 {
 	ap_usec_t longest = o->cfg.lease_ttl / 2 - ORDER_MARGIN;
 
@@ -40,7 +40,7 @@
 	if (t->fenced)
 		return true;
 	/* Orders of an earlier holder may be under way for as long as its lease could last. */
-	if (left < limit_for(o, t) + ORDER_MARGIN ||
+	if (left < order_limit(o, t) + ORDER_MARGIN ||
 	    now - ap_lease_since(o->lease) < o->cfg.lease_ttl) {
 		o->stats.held_back++;
 		return false;
@@ -100,7 +100,7 @@
 	t->busy = true;
 	t->loading = load;
 	t->issued_at = now;
-	t->limit = limit_for(o, t);
+	t->limit = order_limit(o, t);
 	ap_copy_name(t->item, sizeof(t->item), name);
 	ap_emit(&o->cfg.env, now, load ? "order.load" : "order.unload", (ap_xid_t){.seq = 0},
 		"upstream=%s item=%s fence=%llu", t->up.id, name, (unsigned long long)fence);
--- a/lib/order/order.c
+++ b/lib/order/order.c
@@ -150,7 +150,7 @@
 	t->known = asked >= t->quiet_until;
 }
 
-static const ap_observed_t *observed_here(const ap_target_t *t, const char *name)
+const ap_observed_t *order_observed_here(const ap_target_t *t, const char *name)
 {
 	for (size_t i = 0; i < t->n_observed; i++) {
 		if (strcmp(t->observed[i].name, name) == 0)
@@ -169,21 +169,35 @@
 	return t->known && !t->busy && now - t->read_at < FRESH_TIME;
 }
 
-/* Others that are certainly able to serve @name; any version when @version is NULL. */
-static uint32_t holders(const ap_order_t *o, const ap_target_t *but, const char *name,
-			const char *version, ap_usec_t now)
+/* Does @t serve @name as last read? Any version when @version is NULL. */
+static bool serves(const ap_order_t *o, const ap_target_t *t, const char *name, const char *version)
+{
+	const ap_observed_t *seen = order_observed_here(t, name);
+
+	return seen && t->present && !t->up.leaving &&
+	       (!version || strcmp(seen->version, version) == 0) &&
+	       !o->cfg.withdrawn(o->cfg.ctx, t->up.id, name);
+}
+
+uint32_t order_holders(const ap_order_t *o, const ap_target_t *but, const char *name,
+		       const char *version, ap_usec_t now)
 {
 	const ap_target_t *t;
 	uint32_t n = 0;
 
-	for (t = o->targets; t; t = t->hh.next) {
-		const ap_observed_t *seen;
+	for (t = o->targets; t; t = t->hh.next)
+		n += t != but && trusted(t, now) && serves(o, t, name, version);
+	return n;
+}
 
-		if (t == but || !t->present || t->up.leaving || !trusted(t, now))
-			continue;
-		seen = observed_here(t, name);
-		n += seen && (!version || strcmp(seen->version, version) == 0);
-	}
+uint32_t order_likely_holders(const ap_order_t *o, const ap_target_t *but, const char *name,
+			      const char *version, ap_usec_t now)
+{
+	const ap_target_t *t;
+	uint32_t n = 0;
+
+	for (t = o->targets; t; t = t->hh.next)
+		n += t != but && now - t->read_at < FRESH_TIME && serves(o, t, name, version);
 	return n;
 }
 
@@ -223,7 +237,7 @@
 
 	for (t = o->targets; t; t = t->hh.next) {
 		if (!target_in_pool(t, item->pool) || !trusted(t, now) ||
-		    observed_here(t, item->name) || !may_load(o, t, item->name, now))
+		    order_observed_here(t, item->name) || !may_load(o, t, item->name, now))
 			continue;
 		if (!best || order_score(item->name, t) > order_score(item->name, best))
 			best = t;
@@ -233,7 +247,7 @@
 
 static bool model_present(const ap_target_t *t, const ap_item_t *item)
 {
-	return !item->model || observed_here(t, item->model);
+	return !item->model || order_observed_here(t, item->model);
 }
 
 /* Return: true when an order was sent to @t or for it. */
@@ -241,17 +255,19 @@
 {
 	for (size_t i = 0; i < t->n_declared; i++) {
 		const ap_item_t *item = &t->declared[i];
-		const ap_observed_t *seen = observed_here(t, item->name);
+		const ap_observed_t *seen = order_observed_here(t, item->name);
 		ap_target_t *at = t;
 
 		if (seen && strcmp(seen->version, item->version) == 0)
 			continue;
 		if (!model_present(t, item) || !may_load(o, t, item->name, now))
 			continue;
-		if (seen && holders(o, t, item->name, NULL, now) == 0) {
+		if (seen && order_holders(o, t, item->name, NULL, now) == 0) {
 			ap_target_t *spare;
 
-			if (pending_elsewhere(o, t, item->name))
+			/* A spare may be under an order for something else. */
+			if (pending_elsewhere(o, t, item->name) ||
+			    order_likely_holders(o, t, item->name, NULL, now) > 0)
 				continue;
 			spare = item->model ? NULL : find_spare(o, item, now);
 			at = spare ? spare : t;
@@ -264,7 +280,7 @@
 	return false;
 }
 
-static bool is_declared(const ap_target_t *t, const char *name)
+bool order_is_declared(const ap_target_t *t, const char *name)
 {
 	for (size_t i = 0; i < t->n_declared; i++) {
 		if (strcmp(t->declared[i].name, name) == 0)
@@ -273,33 +289,6 @@
 	return false;
 }
 
-static bool adapters_left(const ap_order_t *o, const ap_target_t *t, const char *model)
-{
-	for (size_t i = 0; i < t->n_observed; i++) {
-		const ap_adapter_t *adapter = ap_conf_adapter(o->conf, t->observed[i].name);
-
-		if (adapter && strcmp(adapter->model, model) == 0)
-			return true;
-	}
-	return false;
-}
-
-static void unload_one(ap_order_t *o, ap_target_t *t, ap_usec_t now)
-{
-	for (size_t i = 0; i < t->n_observed; i++) {
-		const char *name = t->observed[i].name;
-		uint32_t wanted = order_replicas(o, name);
-
-		if (is_declared(t, name) || adapters_left(o, t, name))
-			continue;
-		if (holders(o, t, name, order_version(o, name), now) < wanted)
-			continue;
-		if (order_may_issue(o, t, now))
-			order_unload(o, t, name, now);
-		return;
-	}
-}
-
 static void read_back(ap_order_t *o, ap_target_t *t, ap_usec_t now)
 {
 	if (t->busy || reading(t, now) || now < t->quiet_until)
@@ -320,13 +309,13 @@
 		if (!t->pool)
 			continue;
 		for (size_t i = 0; i < t->n_declared; i++) {
-			const ap_observed_t *seen = observed_here(t, t->declared[i].name);
+			const ap_observed_t *seen = order_observed_here(t, t->declared[i].name);
 
 			o->stats.missing +=
 				!seen || strcmp(seen->version, t->declared[i].version) != 0;
 		}
 		for (size_t i = 0; i < t->n_observed; i++)
-			o->stats.surplus += !is_declared(t, t->observed[i].name);
+			o->stats.surplus += !order_is_declared(t, t->observed[i].name);
 	}
 }
 
@@ -336,7 +325,20 @@
 	if (!trusted(t, now) || now < t->quiet_until)
 		return;
 	if (!load_one(o, t, now) && trusted(t, now))
-		unload_one(o, t, now);
+		order_unload_surplus(o, t, now);
+}
+
+static bool may_order(const ap_target_t *t)
+{
+	return t->pool && t->present && !t->up.leaving;
+}
+
+static void drop_withdrawals(ap_order_t *o, ap_usec_t now)
+{
+	ap_target_t *t;
+
+	for (t = o->targets; t; t = t->hh.next)
+		order_withdraw_drop(o, t, "no lease", now);
 }
 
 void ap_order_tick(ap_order_t *o, ap_usec_t now)
@@ -353,18 +355,25 @@
 		order_declare(o);
 	if (ap_lease_left(o->lease, now) == 0) {
 		o->held_since = AP_NEVER;
+		drop_withdrawals(o, now);
 		return;
 	}
 	if (o->held_since != ap_lease_since(o->lease)) {
 		/* What was read before may be another holder's past. */
 		o->held_since = ap_lease_since(o->lease);
-		for (t = o->targets; t; t = t->hh.next) {
+		drop_withdrawals(o, now);
+		for (t = o->targets; t; t = t->hh.next)
 			t->known = false;
-		}
 	}
 	count_gaps(o);
 	for (t = o->targets; t; t = t->hh.next) {
-		if (t->pool && t->present && !t->up.leaving && ap_lease_left(o->lease, now) > 0)
+		if (may_order(t))
+			order_withdraw_tend(o, t, trusted(t, now) && now >= t->quiet_until, now);
+		else
+			order_withdraw_drop(o, t, "no orders go there now", now);
+	}
+	for (t = o->targets; t; t = t->hh.next) {
+		if (may_order(t) && ap_lease_left(o->lease, now) > 0)
 			reconcile(o, t, now);
 	}
 }
--- a/lib/order/order.h
+++ b/lib/order/order.h
@@ -83,6 +83,9 @@
  * @ctx: passed to the callback below
  * @observe: asks the driver to read an upstream's models and give them to ap_order_observed()
  *           within 10 seconds or not at all
+ * @withdraw: tells the region's entries that @upstream takes no new work for @item during @keep,
+ *            or, with 0, that it does again; the newest by @fence and @number counts
+ * @withdrawn: does that hold now, as far as this entry knows?
  */
 typedef struct ap_order_config {
 	ap_entry_t self;
@@ -95,6 +98,9 @@
 	ap_env_t env;
 	void *ctx;
 	void (*observe)(void *ctx, const char *upstream);
+	void (*withdraw)(void *ctx, const char *upstream, const char *item, uint64_t fence,
+			 uint64_t number, ap_usec_t keep);
+	bool (*withdrawn)(void *ctx, const char *upstream, const char *item);
 } ap_order_config_t;
 
 ap_order_t *ap_order_new(const ap_order_config_t *config, ap_usec_t now);
@@ -126,8 +132,9 @@
 	uint64_t unsure;  /* without an answer */
 	uint64_t
 		held_back; /* not sent: too little lease time, or another holder's orders may run */
-	uint32_t missing;  /* declared and not observed */
-	uint32_t surplus;  /* observed and not declared */
+	uint64_t withdrawals; /* items that the region was told of before they are unloaded */
+	uint32_t missing;     /* declared and not observed */
+	uint32_t surplus;     /* observed and not declared */
 } ap_order_stats_t;
 
 ap_order_stats_t ap_order_stats(const ap_order_t *o, ap_usec_t now);
--- a/lib/order/private.h
+++ b/lib/order/private.h
@@ -45,6 +45,11 @@
 	ap_usec_t ended_at;	   /* of the last order; AP_NEVER until the next tick */
 	char refused[AP_NAME_MAX]; /* item whose load was refused last */
 	ap_usec_t refused_until;
+	char withdrawn[AP_NAME_MAX]; /* item that is to be unloaded, as the region was told; or
+					empty */
+	ap_usec_t withdrawn_at;
+	ap_usec_t told_at;
+	bool unload_sent;
 	struct ap_target *gone;
 	UT_hash_handle hh;
 } ap_target_t;
@@ -66,10 +71,24 @@
 	ap_usec_t held_since; /* of the lease that the observations belong to */
 	ap_usec_t weight_free_at;
 	uint64_t last_fence;
+	uint64_t withdraw_number;
 	LIST_HEAD(, ap_order_call) calls;
 	ap_order_stats_t stats;
 };
 
+/* order.c; holders are others that certainly serve @name, likely ones may be under an order */
+bool order_is_declared(const ap_target_t *t, const char *name);
+const ap_observed_t *order_observed_here(const ap_target_t *t, const char *name);
+uint32_t order_holders(const ap_order_t *o, const ap_target_t *but, const char *name,
+		       const char *version, ap_usec_t now);
+uint32_t order_likely_holders(const ap_order_t *o, const ap_target_t *but, const char *name,
+			      const char *version, ap_usec_t now);
+
+/* withdraw.c */
+void order_withdraw_tend(ap_order_t *o, ap_target_t *t, bool settled, ap_usec_t now);
+void order_withdraw_drop(ap_order_t *o, ap_target_t *t, const char *why, ap_usec_t now);
+void order_unload_surplus(ap_order_t *o, ap_target_t *t, ap_usec_t now);
+
 /* declare.c */
 void order_declare(ap_order_t *o);
 bool target_in_pool(const ap_target_t *t, const ap_pool_t *pool);
@@ -78,6 +97,7 @@
 double order_score(const char *item, const ap_target_t *t);
 
 /* issue.c */
+ap_usec_t order_limit(const ap_order_t *o, const ap_target_t *t);
 bool order_may_issue(ap_order_t *o, ap_target_t *t, ap_usec_t now);
 void order_load(ap_order_t *o, ap_target_t *t, const ap_item_t *item, ap_usec_t now);
 void order_unload(ap_order_t *o, ap_target_t *t, const char *name, ap_usec_t now);
--- /dev/null
+++ b/lib/order/withdraw.c
@@ -0,0 +1,158 @@
+/*
+ * Unloading. The region is told first that an upstream takes no new work for the model, then there
+ * is a wait until all have heard it and what was chosen before has been sent; then the order goes.
+ * Whenever the reason falls away in the meantime, that is taken back.
+ */
+#include "order/private.h"
+
+#include <string.h>
+
+#define WITHDRAW_WAIT (5 * AP_SEC)  /* to hear it, and to send what was chosen before */
+#define TELL_AGAIN (2 * AP_SEC)	    /* for entries that start or lost all earlier messages */
+#define WITHDRAW_KEEP (20 * AP_SEC) /* after the last time it was told */
+#define GAP_MAX                                                                                    \
+	(WITHDRAW_KEEP / 2)	/* between two times; after a longer one the wait begins anew      \
+				 */
+#define GONE_KEEP (60 * AP_SEC) /* until all know that it is not loaded any more */
+
+static void tell(ap_order_t *o, ap_target_t *t, const char *name, ap_usec_t keep, ap_usec_t now)
+{
+	t->told_at = now;
+	o->cfg.withdraw(o->cfg.ctx, t->up.id, name, ap_lease_fence(o->lease), ++o->withdraw_number,
+			keep);
+}
+
+/* Whoever heard it once leaves the upstream alone until the order ended and all know what it did.
+ */
+static ap_usec_t keep_for(const ap_order_t *o, const ap_target_t *t)
+{
+	return GAP_MAX + order_limit(o, t) + GONE_KEEP;
+}
+
+static void emit(const ap_order_t *o, const ap_target_t *t, const char *kind, const char *why)
+{
+	ap_emit(&o->cfg.env, o->now, kind, (ap_xid_t){.seq = 0}, "upstream=%s item=%s why=%s",
+		t->up.id, t->withdrawn, why);
+}
+
+static void begin(ap_order_t *o, ap_target_t *t, const char *name, ap_usec_t now)
+{
+	ap_copy_name(t->withdrawn, sizeof(t->withdrawn), name);
+	t->withdrawn_at = now;
+	t->unload_sent = false;
+	o->stats.withdrawals++;
+	emit(o, t, "order.withdraw", "");
+	tell(o, t, name, keep_for(o, t), now);
+}
+
+static void take_back(ap_order_t *o, ap_target_t *t, const char *why, ap_usec_t now)
+{
+	emit(o, t, "order.taken-back", why);
+	tell(o, t, t->withdrawn, 0, now);
+	t->withdrawn[0] = '\0';
+}
+
+void order_withdraw_drop(ap_order_t *o, ap_target_t *t, const char *why, ap_usec_t now)
+{
+	if (t->withdrawn[0] == '\0')
+		return;
+	/* An order that was sent may be carried out: then it lapses, and polls tell the truth. */
+	if (t->unload_sent)
+		t->withdrawn[0] = '\0';
+	else
+		take_back(o, t, why, now);
+}
+
+static bool adapters_left(const ap_order_t *o, const ap_target_t *t, const char *model)
+{
+	for (size_t i = 0; i < t->n_observed; i++) {
+		const ap_adapter_t *adapter = ap_conf_adapter(o->conf, t->observed[i].name);
+
+		if (adapter && strcmp(adapter->model, model) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Is @name surplus here, with as many others as declared able to serve it? */
+static bool may_unload(const ap_order_t *o, const ap_target_t *t, const char *name, ap_usec_t now)
+{
+	return !order_is_declared(t, name) && !adapters_left(o, t, name) &&
+	       order_holders(o, t, name, order_version(o, name), now) >= order_replicas(o, name);
+}
+
+/*
+ * What an earlier holder, or a load since, left behind. An order of that holder may still be
+ * carried out as late as its limit.
+ */
+static void restore(ap_order_t *o, ap_target_t *t, ap_usec_t now)
+{
+	if (now - ap_lease_since(o->lease) < t->pool->order_deadline)
+		return;
+	for (size_t i = 0; i < t->n_observed; i++) {
+		const char *name = t->observed[i].name;
+
+		if (strcmp(name, t->withdrawn) != 0 &&
+		    o->cfg.withdrawn(o->cfg.ctx, t->up.id, name) && !may_unload(o, t, name, now))
+			tell(o, t, name, 0, now);
+	}
+}
+
+/* Others are under an order now and then; that alone is no reason to begin anew. */
+static bool too_few_others(const ap_order_t *o, const ap_target_t *t, ap_usec_t now)
+{
+	const char *name = t->withdrawn;
+
+	return order_likely_holders(o, t, name, order_version(o, name), now) <
+	       order_replicas(o, name);
+}
+
+/* @settled: what was last read of @t is how it is now. */
+void order_withdraw_tend(ap_order_t *o, ap_target_t *t, bool settled, ap_usec_t now)
+{
+	if (settled)
+		restore(o, t, now);
+	if (t->withdrawn[0] == '\0')
+		return;
+	if (settled && !order_observed_here(t, t->withdrawn)) {
+		tell(o, t, t->withdrawn, GONE_KEEP, now);
+		t->withdrawn[0] = '\0';
+		return;
+	}
+	if ((settled || !t->unload_sent) && order_is_declared(t, t->withdrawn)) {
+		take_back(o, t, "declared again", now);
+		return;
+	}
+	if (settled && too_few_others(o, t, now)) {
+		take_back(o, t, "too few others", now);
+		return;
+	}
+	/* After a pause, entries that started meanwhile have not heard it. */
+	if (now - t->told_at > GAP_MAX)
+		t->withdrawn_at = now;
+	if (now - t->told_at >= TELL_AGAIN)
+		tell(o, t, t->withdrawn, keep_for(o, t), now);
+}
+
+static void withdraw_one(ap_order_t *o, ap_target_t *t, ap_usec_t now)
+{
+	for (size_t i = 0; i < t->n_observed; i++) {
+		if (!may_unload(o, t, t->observed[i].name, now))
+			continue;
+		begin(o, t, t->observed[i].name, now);
+		return;
+	}
+}
+
+void order_unload_surplus(ap_order_t *o, ap_target_t *t, ap_usec_t now)
+{
+	if (t->withdrawn[0] == '\0') {
+		withdraw_one(o, t, now);
+		return;
+	}
+	if (now - t->withdrawn_at < WITHDRAW_WAIT || !may_unload(o, t, t->withdrawn, now) ||
+	    !order_may_issue(o, t, now))
+		return;
+	t->unload_sent = true;
+	order_unload(o, t, t->withdrawn, now);
+}
--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -13,6 +13,7 @@
 #define CACHE_PER_MESSAGE 64
 #define MODELS_PER_MESSAGE 32
 #define LEAVING_PER_MESSAGE 32
+#define WITHDRAWALS_PER_MESSAGE 64
 #define GROUPS_MAX 64
 #define CACHE_BLOCKS_MAX 16 /* of one event that is told */
 
@@ -55,6 +56,31 @@
 	size_t n;
 } ap_models_item_t;
 
+/**
+ * struct ap_withdrawal_item - an upstream takes no new work for a model or adapter, on the wire.
+ * @keep: milliseconds for which that holds; 0: taken back
+ */
+typedef struct ap_withdrawal_item {
+	uint32_t upstream;
+	uint32_t name;
+	uint64_t fence;
+	uint64_t number;
+	uint64_t keep;
+} ap_withdrawal_item_t;
+
+/* The newest that is known of an upstream and a model. */
+typedef struct ap_withdrawal {
+	uint32_t upstream;
+	uint32_t name;
+	uint64_t fence;
+	uint64_t number;
+	ap_usec_t heard_at;
+	ap_usec_t until;
+	bool in_force;
+	unsigned tells; /* still to be told to the region */
+	LIST_ENTRY(ap_withdrawal) link;
+} ap_withdrawal_t;
+
 /* What of an upstream's models is known and still to be told. */
 typedef struct ap_models_known {
 	uint32_t names[AP_REPORT_MODELS_MAX];
@@ -85,6 +111,8 @@
 	ap_models_item_t *models;
 	size_t n_models;
 	uint32_t digest;
+	ap_withdrawal_item_t *withdrawals;
+	size_t n_withdrawals;
 } ap_report_message_t;
 
 /**
@@ -150,6 +178,8 @@
 	ap_polled_t *upstreams; /* by hash */
 	LIST_HEAD(, ap_room_known) rooms;
 	size_t n_rooms;
+	LIST_HEAD(, ap_withdrawal) withdrawals;
+	size_t n_withdrawals;
 	struct ap_cache_queue own_cache;
 	struct ap_cache_queue relay_cache;
 	size_t own_queued;
@@ -181,11 +211,18 @@
 void report_answer_digest(ap_report_t *r, const char *to, uint32_t digest);
 void report_take_models(ap_report_t *r, const ap_models_item_t *item, bool relay);
 
+/* withdraw.c */
+void report_take_withdrawal(ap_report_t *r, const ap_withdrawal_item_t *item);
+void report_repeat_withdrawals(ap_report_t *r);
+void report_expire_withdrawals(ap_report_t *r);
+void report_clear_withdrawals(ap_report_t *r);
+
 /* share.c */
 void report_send(ap_report_t *r, const char *to, const ap_report_message_t *msg);
 void report_flush(ap_report_t *r);
 void report_send_rooms(ap_report_t *r);
 void report_answer(ap_report_t *r, const char *to, const ap_report_message_t *ask);
 void report_tell_leaving(ap_report_t *r, const char *upstream, bool all);
+void report_tell_withdrawals(ap_report_t *r, ap_withdrawal_item_t *items, size_t n, bool all);
 
 #endif
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -33,6 +33,7 @@
 	r->now = now;
 	ap_rng_seed(&r->rng, config->seed);
 	LIST_INIT(&r->rooms);
+	LIST_INIT(&r->withdrawals);
 	STAILQ_INIT(&r->own_cache);
 	STAILQ_INIT(&r->relay_cache);
 	r->next_flush = now + (ap_usec_t)ap_rng_below(&r->rng, FLUSH_PERIOD);
@@ -68,6 +69,7 @@
 		LIST_REMOVE(room, link);
 		free(room);
 	}
+	report_clear_withdrawals(r);
 	drop_queue(&r->own_cache);
 	drop_queue(&r->relay_cache);
 	free(r->entries);
@@ -460,6 +462,8 @@
 		report_take_models(r, &msg.models[i], relay);
 	for (size_t i = 0; i < msg.n_leaving; i++)
 		report_mark_leaving(r, msg.leaving[i], true);
+	for (size_t i = 0; i < msg.n_withdrawals; i++)
+		report_take_withdrawal(r, &msg.withdrawals[i]);
 	ap_wire_report_clear(&msg);
 	ap_wire_in_close(&in);
 	return AP_REPORT_OK;
@@ -468,6 +472,7 @@
 void ap_report_tick(ap_report_t *r, ap_usec_t now)
 {
 	r->now = now;
+	report_expire_withdrawals(r);
 	if (now >= r->next_flush) {
 		r->next_flush = now + (r->groups > 0 ? GROUPED_FLUSH_PERIOD : FLUSH_PERIOD);
 		report_flush(r);
--- a/lib/report/report.h
+++ b/lib/report/report.h
@@ -24,7 +24,8 @@
  * @room: another region's offer
  * @cache: cache events of an engine that another entry listens to
  * @leaving: an upstream that takes no new work; told once until it is back
- * @models: ap_report_models() now gives another answer for @upstream; may be NULL
+ * @models: ap_report_models() or ap_report_is_withdrawn() now gives another answer for @upstream;
+ *          may be NULL
  */
 typedef struct ap_report_config {
 	ap_entry_t self;
@@ -74,6 +75,17 @@
 /** ap_report_saw_leaving() - this entry saw a drain header or refusal; tells the region at once. */
 void ap_report_saw_leaving(ap_report_t *r, const char *upstream, ap_usec_t now);
 bool ap_report_is_leaving(const ap_report_t *r, const char *upstream);
+/**
+ * ap_report_withdraw() - tells the region that an upstream takes no new work for a model or
+ * adapter.
+ * @name: of the model or adapter
+ * @fence: fencing number of the lease under which that was decided
+ * @number: rises with each call under one @fence; the newest by @fence and @number counts
+ * @keep: time for which it holds unless it is told again; 0 takes it back
+ */
+void ap_report_withdraw(ap_report_t *r, const char *upstream, const char *name, uint64_t fence,
+			uint64_t number, ap_usec_t keep, ap_usec_t now);
+bool ap_report_is_withdrawn(const ap_report_t *r, const char *upstream, const char *name);
 
 typedef struct ap_report_stats {
 	uint64_t sent;
--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -287,20 +287,35 @@
 	send_group(r, news);
 	relay(r, news);
 	repeat_leaving(r);
+	report_repeat_withdrawals(r);
 	ask_for_missed(r, news);
 	free(news);
 }
 
+/* To all of the region, or to a few at random. */
+static void tell_peers(ap_report_t *r, const ap_report_message_t *msg, bool all)
+{
+	for (size_t i = 0; i < r->n_peers; i++) {
+		if (all || ap_rng_below(&r->rng, r->n_peers) < GOSSIP_FANOUT)
+			report_send(r, r->peers[i].id, msg);
+	}
+}
+
 void report_tell_leaving(ap_report_t *r, const char *upstream, bool all)
 {
 	char id[1][AP_NAME_MAX];
 	ap_report_message_t msg = {.type = AP_REPORT_GROUP, .leaving = id, .n_leaving = 1};
 
 	ap_copy_name(id[0], AP_NAME_MAX, upstream);
-	for (size_t i = 0; i < r->n_peers; i++) {
-		if (all || ap_rng_below(&r->rng, r->n_peers) < GOSSIP_FANOUT)
-			report_send(r, r->peers[i].id, &msg);
-	}
+	tell_peers(r, &msg, all);
+}
+
+void report_tell_withdrawals(ap_report_t *r, ap_withdrawal_item_t *items, size_t n, bool all)
+{
+	ap_report_message_t msg = {
+		.type = AP_REPORT_GROUP, .withdrawals = items, .n_withdrawals = n};
+
+	tell_peers(r, &msg, all);
 }
 
 static bool region_seen_before(const ap_entry_t *entries, size_t at)
--- /dev/null
+++ b/lib/report/withdraw.c
@@ -0,0 +1,176 @@
+/*
+ * Models and adapters that upstreams are about to lose. The reconciler tells the region before it
+ * unloads one, so that entries choose other upstreams in the meantime. What is told lapses by
+ * itself, and the newest by fencing number and number counts, whatever the order of arrival.
+ */
+#include "report/private.h"
+
+#include <stdlib.h>
+
+#define REPEATS 2		/* after the first one, when it changes something */
+#define OLD_TIME (60 * AP_SEC)	/* a message on its way longer than that is not expected */
+#define KEEP_MAX (600 * AP_SEC) /* a longer one on the wire is left out */
+#define WITHDRAWALS_MAX 4096
+
+static ap_withdrawal_t *find(const ap_report_t *r, uint32_t upstream, uint32_t name)
+{
+	ap_withdrawal_t *w;
+
+	LIST_FOREACH (w, &r->withdrawals, link) {
+		if (w->upstream == upstream && w->name == name)
+			return w;
+	}
+	return NULL;
+}
+
+static ap_withdrawal_t *find_or_add(ap_report_t *r, uint32_t upstream, uint32_t name)
+{
+	ap_withdrawal_t *w = find(r, upstream, name);
+
+	if (w || r->n_withdrawals == WITHDRAWALS_MAX)
+		return w;
+	w = calloc(1, sizeof(*w));
+	if (!w)
+		abort();
+	w->upstream = upstream;
+	w->name = name;
+	LIST_INSERT_HEAD(&r->withdrawals, w, link);
+	r->n_withdrawals++;
+	return w;
+}
+
+static void drop(ap_report_t *r, ap_withdrawal_t *w)
+{
+	LIST_REMOVE(w, link);
+	r->n_withdrawals--;
+	free(w);
+}
+
+void report_clear_withdrawals(ap_report_t *r)
+{
+	ap_withdrawal_t *w;
+
+	while ((w = LIST_FIRST(&r->withdrawals)) != NULL)
+		drop(r, w);
+}
+
+static void tell_driver(const ap_report_t *r, const ap_withdrawal_t *w)
+{
+	const ap_polled_t *up = report_by_hash(r, w->upstream);
+
+	if (up && r->cfg.models)
+		r->cfg.models(r->cfg.ctx, up->id);
+}
+
+static bool is_newer(const ap_withdrawal_item_t *item, const ap_withdrawal_t *w)
+{
+	return item->fence > w->fence || (item->fence == w->fence && item->number > w->number);
+}
+
+/* Return: true when the upstream is now withdrawn and was not before, or the other way round. */
+static bool take(ap_report_t *r, const ap_withdrawal_item_t *item, ap_withdrawal_t **taken)
+{
+	ap_withdrawal_t *w = find_or_add(r, item->upstream, item->name);
+	bool before;
+
+	*taken = NULL;
+	if (!w || !is_newer(item, w))
+		return false;
+	before = w->in_force;
+	w->fence = item->fence;
+	w->number = item->number;
+	w->heard_at = r->now;
+	w->until = r->now + (ap_usec_t)item->keep * AP_MSEC;
+	w->in_force = item->keep > 0;
+	w->tells = 0;
+	*taken = w;
+	if (w->in_force != before)
+		tell_driver(r, w);
+	return w->in_force != before;
+}
+
+static ap_withdrawal_item_t item_of(const ap_report_t *r, const ap_withdrawal_t *w)
+{
+	return (ap_withdrawal_item_t){
+		.upstream = w->upstream,
+		.name = w->name,
+		.fence = w->fence,
+		.number = w->number,
+		.keep = w->in_force ? (uint64_t)((w->until - r->now) / AP_MSEC) : 0,
+	};
+}
+
+void report_take_withdrawal(ap_report_t *r, const ap_withdrawal_item_t *item)
+{
+	ap_withdrawal_item_t again;
+	ap_withdrawal_t *w;
+
+	if (item->keep > KEEP_MAX / AP_MSEC || !take(r, item, &w))
+		return;
+	/* Passed on, so that a lost message doesn't matter. */
+	again = item_of(r, w);
+	report_tell_withdrawals(r, &again, 1, false);
+}
+
+void ap_report_withdraw(ap_report_t *r, const char *upstream, const char *name, uint64_t fence,
+			uint64_t number, ap_usec_t keep, ap_usec_t now)
+{
+	ap_withdrawal_item_t item = {.upstream = (uint32_t)ap_hash_str(upstream, 0),
+				     .name = ap_report_name_hash(name),
+				     .fence = fence,
+				     .number = number,
+				     .keep = (uint64_t)(keep / AP_MSEC)};
+	ap_withdrawal_t *w;
+	bool changed;
+
+	r->now = now;
+	changed = take(r, &item, &w);
+	if (!w)
+		return;
+	w->tells = 1;
+	if (!changed)
+		return;
+	w->tells = REPEATS;
+	report_tell_withdrawals(r, &item, 1, true);
+}
+
+bool ap_report_is_withdrawn(const ap_report_t *r, const char *upstream, const char *name)
+{
+	const ap_withdrawal_t *w =
+		find(r, (uint32_t)ap_hash_str(upstream, 0), ap_report_name_hash(name));
+
+	return w && w->in_force && r->now < w->until;
+}
+
+void report_repeat_withdrawals(ap_report_t *r)
+{
+	ap_withdrawal_item_t items[WITHDRAWALS_PER_MESSAGE];
+	ap_withdrawal_t *w;
+	size_t n = 0;
+
+	LIST_FOREACH (w, &r->withdrawals, link) {
+		if (w->tells == 0 || n == WITHDRAWALS_PER_MESSAGE)
+			continue;
+		w->tells--;
+		items[n++] = item_of(r, w);
+	}
+	if (n > 0)
+		report_tell_withdrawals(r, items, n, true);
+}
+
+void report_expire_withdrawals(ap_report_t *r)
+{
+	ap_withdrawal_t *w, *next;
+
+	for (w = LIST_FIRST(&r->withdrawals); w; w = next) {
+		next = LIST_NEXT(w, link);
+		if (w->in_force && r->now >= w->until) {
+			w->in_force = false;
+			w->tells = 0;
+			tell_driver(r, w);
+		}
+		/* What was taken back is remembered against late messages. */
+		if (!w->in_force && r->now - w->heard_at >= OLD_TIME)
+			drop(r, w);
+	}
+}
--- a/lib/wire/report.c
+++ b/lib/wire/report.c
@@ -50,9 +50,24 @@
 	}
 }
 
+static void pack_withdrawals(msgpack_packer *pk, const ap_report_message_t *msg)
+{
+	msgpack_pack_array(pk, msg->n_withdrawals);
+	for (size_t i = 0; i < msg->n_withdrawals; i++) {
+		const ap_withdrawal_item_t *item = &msg->withdrawals[i];
+
+		msgpack_pack_array(pk, 5);
+		msgpack_pack_uint32(pk, item->upstream);
+		msgpack_pack_uint32(pk, item->name);
+		msgpack_pack_uint64(pk, item->fence);
+		msgpack_pack_uint64(pk, item->number);
+		msgpack_pack_uint64(pk, item->keep);
+	}
+}
+
 void ap_wire_pack_report(msgpack_packer *pk, const ap_report_message_t *msg)
 {
-	msgpack_pack_array(pk, 7);
+	msgpack_pack_array(pk, 8);
 	msgpack_pack_uint32(pk, (uint32_t)msg->type);
 	msgpack_pack_array(pk, msg->n_loads * LOAD_FIELDS);
 	for (size_t i = 0; i < msg->n_loads; i++) {
@@ -71,6 +86,7 @@
 		ap_wire_pack_str(pk, msg->leaving[i]);
 	pack_models(pk, msg);
 	msgpack_pack_uint32(pk, msg->digest);
+	pack_withdrawals(pk, msg);
 }
 
 static void *room_for(size_t n, size_t max, size_t size, bool *ok)
@@ -165,6 +181,25 @@
 	}
 }
 
+static void read_withdrawals(ap_wire_reader_t *r, ap_report_message_t *msg, bool *ok)
+{
+	ap_wire_reader_t list = ap_wire_array(r);
+
+	msg->withdrawals =
+		room_for(list.left, WITHDRAWALS_PER_MESSAGE, sizeof(*msg->withdrawals), ok);
+	while (*ok && list.left > 0) {
+		ap_withdrawal_item_t *item = &msg->withdrawals[msg->n_withdrawals++];
+		ap_wire_reader_t e = ap_wire_array(&list);
+
+		item->upstream = (uint32_t)ap_wire_u64(&e);
+		item->name = (uint32_t)ap_wire_u64(&e);
+		item->fence = ap_wire_u64(&e);
+		item->number = ap_wire_u64(&e);
+		item->keep = ap_wire_u64(&e);
+		*ok = e.ok;
+	}
+}
+
 bool ap_wire_report(const msgpack_object *body, ap_report_message_t *msg)
 {
 	ap_wire_reader_t r = ap_wire_reader(body);
@@ -178,6 +213,9 @@
 	read_leaving(&r, msg, &ok);
 	read_models(&r, msg, &ok);
 	msg->digest = (uint32_t)ap_wire_u64(&r);
+	/* Instances of an earlier version end here. */
+	if (r.left > 0)
+		read_withdrawals(&r, msg, &ok);
 	if (ok && r.ok)
 		return true;
 	ap_wire_report_clear(msg);
@@ -191,5 +229,6 @@
 	free(msg->cache);
 	free(msg->leaving);
 	free(msg->models);
+	free(msg->withdrawals);
 	*msg = (ap_report_message_t){.n_loads = 0};
 }
--- a/test/report_test.c
+++ b/test/report_test.c
@@ -280,6 +280,69 @@
 	fleet_free(f);
 }
 
+/* How many live entries take the upstream for withdrawn. */
+static int know_withdrawn(const fleet_t *f, const char *upstream)
+{
+	int known = 0;
+
+	for (int i = 0; i < f->n; i++)
+		known += !f->nodes[i].down && ap_report_is_withdrawn(f->nodes[i].r, upstream, "m");
+	return known;
+}
+
+static void test_withdrawal_is_known_to_the_region_within_three_seconds(void **state)
+{
+	fleet_t *f = fleet_new(150, 1, 180);
+
+	(void)state;
+	run(f, 2);
+	for (int i = 0; i < f->n; i += 10)
+		f->nodes[i].down = true;
+	for (uint64_t round = 1; round <= 20; round++) {
+		ap_report_withdraw(f->nodes[7].r, "u5", "m", 4, 2 * round, 20 * AP_SEC, f->sim.now);
+		run(f, 3);
+		assert_int_equal(know_withdrawn(f, "u5"), 135);
+		assert_int_equal(know_withdrawn(f, "u6"), 0);
+		ap_report_withdraw(f->nodes[7].r, "u5", "m", 4, 2 * round + 1, 0, f->sim.now);
+		run(f, 3);
+		assert_int_equal(know_withdrawn(f, "u5"), 0);
+	}
+	fleet_free(f);
+}
+
+static void test_newest_withdrawal_counts_and_lapses_by_itself(void **state)
+{
+	static const struct {
+		uint64_t fence, number;
+		ap_usec_t keep;
+		bool in_force;
+	} steps[] = {
+		{4, 7, 20 * AP_SEC, true},
+		{4, 6, 0, true},
+		{3, 9, 0, true},
+		{4, 8, 0, false},
+		{4, 7, 20 * AP_SEC, false},
+		{5, 1, 20 * AP_SEC, true},
+		{4, 99, 0, true},
+		{5, 2, 0, false},
+		{5, 3, 10 * AP_SEC, true},
+	};
+	fleet_t *f = fleet_new(8, 1, 6);
+
+	(void)state;
+	f->net.loss = 0.0;
+	run(f, 2);
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		ap_report_withdraw(f->nodes[i % 8].r, "u5", "m", steps[i].fence, steps[i].number,
+				   steps[i].keep, f->sim.now);
+		run(f, 2);
+		assert_int_equal(know_withdrawn(f, "u5"), steps[i].in_force ? 8 : 0);
+	}
+	run(f, 9);
+	assert_int_equal(know_withdrawn(f, "u5"), 0);
+	fleet_free(f);
+}
+
 static void test_room_reaches_every_other_region(void **state)
 {
 	fleet_t *f = fleet_new(60, 3, 30);
@@ -366,6 +429,8 @@
 		cmocka_unit_test(test_loaded_models_are_known_to_the_whole_region_only),
 		cmocka_unit_test(test_lost_poller_is_stood_in_for),
 		cmocka_unit_test(test_leaving_is_known_to_the_region_within_three_seconds),
+		cmocka_unit_test(test_withdrawal_is_known_to_the_region_within_three_seconds),
+		cmocka_unit_test(test_newest_withdrawal_counts_and_lapses_by_itself),
 		cmocka_unit_test(test_room_reaches_every_other_region),
 		cmocka_unit_test(test_bytes_stay_in_budget_with_busy_loads_and_caches),
 		cmocka_unit_test(test_malformed_messages_are_refused),
--- a/test/shared_run_test.c
+++ b/test/shared_run_test.c
@@ -221,6 +221,21 @@
 }
 
 /* An engine that never shows what it was told keeps the orders coming. */
+static void withdraw(void *ctx, const char *upstream, const char *item, uint64_t fence,
+		     uint64_t number, ap_usec_t keep)
+{
+	node_t *node = ctx;
+
+	ap_report_withdraw(node->r, upstream, item, fence, number, keep, node->run->sim.now);
+}
+
+static bool withdrawn(void *ctx, const char *upstream, const char *item)
+{
+	const node_t *node = ctx;
+
+	return ap_report_is_withdrawn(node->r, upstream, item);
+}
+
 static void observe(void *ctx, const char *upstream)
 {
 	node_t *node = ctx;
@@ -374,7 +389,9 @@
 						    .port = {node, load, unload},
 						    .env = env,
 						    .ctx = node,
-						    .observe = observe},
+						    .observe = observe,
+						    .withdraw = withdraw,
+						    .withdrawn = withdrawn},
 			       w->sim.now);
 	node->r = ap_report_new(&(ap_report_config_t){.self = node->entry,
 						      .seed = seed,
--- /dev/null
+++ b/test/unload_test.sh
@@ -0,0 +1,90 @@
+# A model is unloaded from one of three replicas while questions come all the time: none of them meets
+# the engine without it, since the region is told first.
+# Usage: unload_test.sh BUILD_DIRECTORY
+. "$(dirname "$0")/common.sh"
+GALLEY=galley-recife-key
+AFTER=40 # more questions at each entry once it is unloaded
+REPLICAS="questions-recife questions-b questions-c"
+
+add_engine() {
+	fleet_standin "$1" "$BUILD/test/standin-engine" --id "$1" --models galley-small
+	printf ',\n' >>"$DIR/upstreams.json"
+	fleet_upstream "$1" recife questions >>"$DIR/upstreams.json"
+	fleet_list
+}
+
+# knows ADMIN NAME: does the entry send work for the model there?
+knows() {
+	admin_get "$1" state | tr '{' '\n' | grep "\"id\":\"$2\"" | grep -q 'galley-small'
+}
+
+has_model() {
+	curl -sf "http://$(fleet_address "$1")/admin/models" | grep -q '"galley-small"'
+}
+
+without_model() {
+	for name in $REPLICAS; do
+		has_model "$name" || echo "$name"
+	done
+}
+
+one_is_unloaded() {
+	[ "$(without_model | wc -l)" = 1 ]
+}
+
+# ask_on ADDRESS FILE: questions one after another as long as $DIR/asking is there.
+ask_on() {
+	while [ -e "$DIR/asking" ]; do
+		question $GALLEY "$1" galley
+	done >"$2"
+}
+
+# more_asked FILE: have AFTER more been answered since $DIR/unloaded was written?
+more_asked() {
+	[ "$(wc -l <"$1")" -ge $(($(cat "$1.before") + AFTER)) ]
+}
+
+CONF=$DIR/conf.toml
+sed 's/^rate = .*/rate = 1000.0/; s/^burst = .*/burst = 2000.0/; s/^replicas = .*/replicas = 3/' \
+	"$SAMPLES/bandeja-alta.toml" >"$CONF"
+bandeja_up
+add_engine questions-b
+add_engine questions-c
+for n in 1 2; do
+	for name in $REPLICAS; do
+		await "entry-$n knows $name" knows "$(admin_of $n)" "$name"
+	done
+done
+
+asking=
+touch "$DIR/asking"
+for n in 1 2; do
+	ask_on "$(callers_of $n)" "$DIR/answers-$n" &
+	asking="$asking $!"
+done
+sed 's/^replicas = .*/replicas = 2/' "$CONF" >"$DIR/fewer.toml"
+check "fewer replicas are declared" 0 \
+	"$("$CTL" --admin "$ADMIN_1" apply --base 1 "$DIR/fewer.toml" >/dev/null; echo $?)"
+await "one replica is unloaded" one_is_unloaded
+gone=$(without_model)
+for n in 1 2; do
+	wc -l <"$DIR/answers-$n" >"$DIR/answers-$n.before"
+done
+for n in 1 2; do
+	await "more questions at entry-$n" more_asked "$DIR/answers-$n"
+	check "entry-$n sends none to $gone" 1 "$(knows "$(admin_of $n)" "$gone"; echo $?)"
+done
+rm "$DIR/asking"
+# shellcheck disable=SC2086
+wait $asking
+check "$gone took work before" 0 "$([ "$(engine_count "$gone" asked)" -gt 0 ]; echo $?)"
+for n in $ENTRIES; do
+	check "tries of entry-$n at an engine without the model" 0 \
+		"$(counter "$(admin_of "$n")" missing_models_total)"
+done
+for n in 1 2; do
+	check "answers of entry-$n other than whole ones" 0 \
+		"$(grep -vc '^200 completed$' "$DIR/answers-$n")"
+done
+echo "$(cat "$DIR"/answers-? | wc -l) questions"
+exit $FAILED
