--- a/test/order_world.h
+++ b/test/order_world.h
@@ -5,7 +5,8 @@
 #ifndef AP_TEST_ORDER_WORLD_H
 #define AP_TEST_ORDER_WORLD_H
 
-#include "fake.h"
+#include "fake_gate.h"
+#include "fake_net.h"
 #include "order/order.h"
 #include "report/report.h"
 
