--- a/lib/report/withdraw.c
+++ b/lib/report/withdraw.c
@@ -48,10 +48,14 @@
 
 void report_clear_withdrawals(ap_report_t *r)
 {
-	ap_withdrawal_t *w;
+	ap_withdrawal_t *w = LIST_FIRST(&r->withdrawals), *next;
 
-	while ((w = LIST_FIRST(&r->withdrawals)) != NULL)
-		drop(r, w);
+	LIST_INIT(&r->withdrawals);
+	r->n_withdrawals = 0;
+	for (; w; w = next) {
+		next = LIST_NEXT(w, link);
+		free(w);
+	}
 }
 
 static void tell_driver(const ap_report_t *r, const ap_withdrawal_t *w)
