--- a/cmd/arbutuspond/entry-away.c
+++ b/cmd/arbutuspond/entry-away.c
@@ -4,8 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MARGIN (200 * AP_MSEC) /* the other entry's own limits come first */
-#define AHEAD_MAX (1u << 20)   /* bytes past the credit that break the protocol */
+#define AHEAD_MAX (1u << 20) /* bytes past the credit that break the protocol */
 
 const ap_entry_t *away_pick(exchange_t *x, const char *region)
 {
@@ -49,7 +48,7 @@
 {
 	const ap_service_t *service = x->req.service;
 
-	return (x->away.heard ? service->between : service->deadline) + MARGIN;
+	return (x->away.heard ? service->between : service->deadline) + FORWARD_MARGIN;
 }
 
 void away_close(exchange_t *x)
@@ -70,6 +69,14 @@
 	away_close(x);
 }
 
+static void send_credit(const exchange_t *x)
+{
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_CREDIT, .exchange = x->away.exchange};
+
+	msg.u.credit = x->away.granted;
+	entry_send(x->entry, x->away.to, &msg);
+}
+
 static void on_limit(evutil_socket_t fd, short what, void *arg)
 {
 	exchange_t *x = arg;
@@ -78,9 +85,15 @@
 
 	(void)fd;
 	(void)what;
-	/* No credit is out while the caller does not read, so nothing can come. */
-	if (silent < limit || x->away.got >= x->away.granted) {
-		arm(x, silent < limit ? limit - silent : limit);
+	if (silent < limit) {
+		arm(x, limit - silent);
+		return;
+	}
+	/* No credit is out while the caller does not read, so nothing can come but this side lives.
+	 */
+	if (x->away.got >= x->away.granted) {
+		send_credit(x);
+		arm(x, limit);
 		return;
 	}
 	away_cancel(x);
@@ -159,15 +172,13 @@
 /* Grants more once the caller has taken most of what came. */
 void away_credit(exchange_t *x)
 {
-	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_CREDIT, .exchange = x->away.exchange};
 	away_t *away = &x->away;
 
 	if (sink_full(x) || away->granted - away->got > FORWARD_WINDOW / 2)
 		return;
 	away->granted = away->got + FORWARD_WINDOW;
 	away->last = ap_now();
-	msg.u.credit = away->granted;
-	entry_send(x->entry, away->to, &msg);
+	send_credit(x);
 }
 
 static void broken(exchange_t *x, const char *why)
--- a/cmd/arbutuspond/entry-counters.c
+++ b/cmd/arbutuspond/entry-counters.c
@@ -15,6 +15,7 @@
 	[COUNT_RESUMES] = "resumes",
 	[COUNT_SENT_AWAY] = "sent_away",
 	[COUNT_GUESTS] = "guests",
+	[COUNT_LOST_GUESTS] = "lost_guests",
 	[COUNT_LATE_ANSWERS] = "late_answers",
 	[COUNT_CROSSED_ANSWERS] = "crossed_answers",
 	[COUNT_CUT_STREAMS] = "cut_streams",
--- a/cmd/arbutuspond/entry-guest.c
+++ b/cmd/arbutuspond/entry-guest.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PART_MAX 65536 /* bytes of one part of an answer */
+#define PART_MAX 65536	 /* bytes of one part of an answer */
+#define UNHEARD_LIMITS 4 /* a sender that waits too says so once a limit */
 
 static exchange_t *find(const entry_t *entry, const char *from, ap_xid_t exchange)
 {
@@ -141,6 +142,29 @@
 	return ok;
 }
 
+/* A sender that is gone, or cut off, neither grants credit nor cancels. */
+static void on_unheard(evutil_socket_t fd, short what, void *arg)
+{
+	exchange_t *x = arg;
+
+	(void)fd;
+	(void)what;
+	x->entry->counts[COUNT_LOST_GUESTS]++;
+	evbuffer_drain(x->guest.out, evbuffer_get_length(x->guest.out));
+	exchange_gone(x);
+}
+
+static void arm_unheard(exchange_t *x)
+{
+	ap_usec_t limit = UNHEARD_LIMITS * (x->req.service->between + FORWARD_MARGIN);
+	struct timeval tv = {
+		.tv_sec = (time_t)(limit / AP_SEC),
+		.tv_usec = (suseconds_t)(limit % AP_SEC),
+	};
+
+	evtimer_add(x->guest.unheard, &tv);
+}
+
 static void fill(exchange_t *x, const char *from, const ap_forward_msg_t *msg)
 {
 	const ap_forward_request_t *request = &msg->u.request;
@@ -150,6 +174,7 @@
 	x->guest.exchange = msg->exchange;
 	x->guest.credit = request->credit;
 	x->guest.out = evbuffer_new();
+	x->guest.unheard = evtimer_new(entry->config.base, on_unheard, x);
 	ap_copy_name(x->guest.from, sizeof(x->guest.from), from);
 	x->req.id = request->request;
 	x->req.forwarded = request->hops > 0;
@@ -255,7 +280,13 @@
 			return;
 		}
 	}
-	if (guest->ended && evbuffer_get_length(guest->out) == 0) {
+	if (evbuffer_get_length(guest->out) > 0) {
+		if (!evtimer_pending(guest->unheard, NULL))
+			arm_unheard(x);
+		return;
+	}
+	evtimer_del(guest->unheard);
+	if (guest->ended) {
 		guest->ended = false;
 		send_end(x);
 	}
@@ -267,6 +298,7 @@
 		return;
 	HASH_DELETE(hh_guest, x->entry->guests, x);
 	evbuffer_free(x->guest.out);
+	event_free(x->guest.unheard);
 	x->is_guest = false;
 }
 
@@ -287,6 +319,7 @@
 	}
 	if (msg->u.credit > x->guest.credit)
 		x->guest.credit = msg->u.credit;
+	evtimer_del(x->guest.unheard);
 	guest_pump(x);
 	attempt_flow(x);
 	exchange_settle(x);
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -19,15 +19,16 @@
 #define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
 #include <uthash.h>
 
-#define REPLY_HIGH (256 * 1024)	    /* bytes waiting for a caller above which reading stops */
-#define REPLY_LOW (64 * 1024)	    /* bytes below which it goes on */
-#define ANSWER_MAX (16u << 20)	    /* bytes of an answer that is given in one piece */
-#define STREAM_MAX (64u << 20)	    /* bytes of a streamed answer */
-#define ATTEMPTS_MAX 8		    /* attempts of one request; as many as ap_request can name */
-#define FORWARD_WINDOW (256 * 1024) /* bytes of answer that another entry may send ahead */
-#define REQUEST_TEXT_MAX 64	    /* bytes of a request's name, with its terminator */
-#define IDEMPOTENCY_KEY_MAX 256	    /* bytes, with its terminator */
-#define LEAVING_MAX 1024	    /* upstreams remembered as leaving between two views */
+#define REPLY_HIGH (256 * 1024)	       /* bytes waiting for a caller above which reading stops */
+#define REPLY_LOW (64 * 1024)	       /* bytes below which it goes on */
+#define ANSWER_MAX (16u << 20)	       /* bytes of an answer that is given in one piece */
+#define STREAM_MAX (64u << 20)	       /* bytes of a streamed answer */
+#define ATTEMPTS_MAX 8		       /* attempts of one request; as many as ap_request can name */
+#define FORWARD_WINDOW (256 * 1024)    /* bytes of answer that another entry may send ahead */
+#define FORWARD_MARGIN (200 * AP_MSEC) /* the other entry's own limits come first */
+#define REQUEST_TEXT_MAX 64	       /* bytes of a request's name, with its terminator */
+#define IDEMPOTENCY_KEY_MAX 256	       /* bytes, with its terminator */
+#define LEAVING_MAX 1024	       /* upstreams remembered as leaving between two views */
 
 typedef struct entry entry_t;
 typedef struct exchange exchange_t;
@@ -79,6 +80,7 @@
 	COUNT_RESUMES,
 	COUNT_SENT_AWAY,
 	COUNT_GUESTS,
+	COUNT_LOST_GUESTS,
 	COUNT_LATE_ANSWERS,
 	COUNT_CROSSED_ANSWERS,
 	COUNT_CUT_STREAMS,
@@ -213,6 +215,7 @@
 /**
  * struct guest - the entry that passed a request to this one.
  * @out: parts of the answer that wait for credit
+ * @unheard: gives the guest up when its sender says nothing while they wait
  */
 typedef struct guest {
 	char from[AP_NAME_MAX];
@@ -220,6 +223,7 @@
 	uint64_t credit;
 	uint64_t sent;
 	struct evbuffer *out;
+	struct event *unheard;
 	ap_forward_end_t end;
 	bool ended;
 } guest_t;
--- a/samples/fleet.sh
+++ b/samples/fleet.sh
@@ -2,8 +2,9 @@
 # Needs $BUILD. Sets $DIR, a temporary folder, and $ADMIN_1 to 3, $CALLERS_1 to 3, $TOKEN. Whoever
 # reads this in calls fleet_stop at the end; it ends only the processes that were started here.
 # Before fleet_up, whoever reads this in may set ENTRIES to "1 2 3 4" for a second entry in the other
-# region, LINKED to names of stand-ins that are listed by the address of a standin-link, and define
-# fleet_run, called as fleet_run NUMBER to start an entry another way.
+# region, ENGINE_OPTIONS to options of each engine, LINKED to names of stand-ins that are listed by
+# the address of a standin-link, and define fleet_run, called as fleet_run NUMBER to start an entry
+# another way.
 # shellcheck shell=sh
 
 DIR=$(mktemp -d)
@@ -16,6 +17,7 @@
 PORT_RANGES=500
 ENTRIES="1 2 3"
 LINKED=
+ENGINE_OPTIONS=
 
 # fleet_wait WHAT COMMAND...: runs COMMAND until it succeeds.
 fleet_wait() {
@@ -89,7 +91,9 @@
 fleet_engine() {
 	fleet_ports 1
 	echo "$PORTS" >"$DIR/$1.events"
-	fleet_standin "$1" "$BUILD/test/standin-engine" --id "$1" --models "$2" --events-port "$PORTS"
+	# shellcheck disable=SC2086
+	fleet_standin "$1" "$BUILD/test/standin-engine" --id "$1" --models "$2" --events-port "$PORTS" \
+		$ENGINE_OPTIONS
 }
 
 # fleet_upstream ID REGION WORK: one line of the platform's list.
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -345,6 +345,56 @@
 	rig_clear(&rig);
 }
 
+/* A stream whose caller stops reading, until the other region waits for credit. */
+static exchange_t *stalled(rig_t *rig, rig_caller_t *caller)
+{
+	exchange_t *x;
+
+	two_regions(rig);
+	rig->fakes[0].mode = FAKE_SLOW_READER;
+	rig_call(rig, 0, caller, "POST", CHAT, RIG_AUTH, BODY("ask", "true"));
+	RUN_UNTIL(rig->base, evbuffer_get_length(caller->got) > 0);
+	bufferevent_disable(caller->bev, EV_READ);
+	x = rig->entries[1].entry->exchanges;
+	RUN_UNTIL(rig->base, evtimer_pending(x->guest.unheard, NULL));
+	return x;
+}
+
+static void test_guest_of_a_sender_that_fell_silent_is_given_up(void **state)
+{
+	rig_caller_t caller;
+	rig_t rig;
+
+	(void)state;
+	assert_non_null(stalled(&rig, &caller));
+	rig.loss = 1;
+	RUN_UNTIL(rig.base, !rig.entries[1].entry->exchanges);
+	assert_int_equal(count(&rig, 1, COUNT_LOST_GUESTS), 1);
+	RUN_UNTIL(rig.base, rig.fakes[0].open == 0);
+	rig_clear(&rig);
+}
+
+static void test_guest_of_a_caller_that_pauses_stays(void **state)
+{
+	rig_caller_t caller;
+	char *answer;
+	rig_t rig;
+	unsigned said;
+
+	(void)state;
+	assert_non_null(stalled(&rig, &caller));
+	said = rig.seen[AP_WIRE_FORWARD_CREDIT];
+	/* Each of these words comes after a limit; without them the guest has as many as it may
+	 * miss. */
+	RUN_UNTIL(rig.base, rig.seen[AP_WIRE_FORWARD_CREDIT] == said + 6);
+	bufferevent_enable(caller.bev, EV_READ);
+	answer = rig_answer(&rig, &caller);
+	rig_check(answer, 200, "t19999 ", "data: [DONE]");
+	assert_int_equal(count(&rig, 1, COUNT_LOST_GUESTS), 0);
+	free(answer);
+	rig_clear(&rig);
+}
+
 static void test_entry_that_drains_refuses_guests_and_finishes_them(void **state)
 {
 	ap_note_t drain = {.kind = AP_NOTE_DRAIN};
@@ -424,6 +474,8 @@
 		cmocka_unit_test(test_answers_that_match_nothing_are_dropped),
 		cmocka_unit_test(test_hang_up_cancels_in_the_other_region),
 		cmocka_unit_test(test_credit_bounds_what_a_slow_reader_holds),
+		cmocka_unit_test(test_guest_of_a_sender_that_fell_silent_is_given_up),
+		cmocka_unit_test(test_guest_of_a_caller_that_pauses_stays),
 		cmocka_unit_test(test_entry_that_drains_refuses_guests_and_finishes_them),
 		cmocka_unit_test(test_damaged_messages_do_no_harm),
 	};
