--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define REPLY_HEADERS_MAX 8
+#define REPLY_HEADERS_MAX (8 + PASSED_HEADERS_MAX)
 #define NUMBER_TEXT_MAX 32
 
 static const struct {
@@ -16,6 +16,7 @@
 	[ENTRY_UNAUTHORIZED] = {401, "unauthorized", AP_OUTCOME_NOT_RUN},
 	[ENTRY_FORBIDDEN] = {403, "forbidden", AP_OUTCOME_NOT_RUN},
 	[ENTRY_NOT_FOUND] = {404, "not_found", AP_OUTCOME_NOT_RUN},
+	[ENTRY_REQUEST_TIMEOUT] = {408, "request_timeout", AP_OUTCOME_NOT_RUN},
 	[ENTRY_PERMIT_USED] = {409, "permit_used", AP_OUTCOME_UNKNOWN},
 	[ENTRY_TOO_LARGE] = {413, "too_large", AP_OUTCOME_NOT_RUN},
 	[ENTRY_WRONG_REGION] = {421, "wrong_region", AP_OUTCOME_NOT_RUN},
@@ -65,6 +66,11 @@
 		list->v[list->n++] = (ap_http_header_t){name, value};
 }
 
+static void add_answered(header_list_t *list, const exchange_t *x)
+{
+	list->n += headers_list(&x->answered, HEADERS_ANSWERED, list->v + list->n);
+}
+
 static json_t *entry_json(const ap_entry_t *entry)
 {
 	return json_pack("{s:s, s:s, s:i, s:s}", "id", entry->id, "host", entry->host, "port",
@@ -172,7 +178,9 @@
 	/* The outcome and the final cost of a stream come at its end. */
 	snprintf(cost, sizeof(cost), "%.3f", x->choice.expected_cost);
 	add_header(&list, "Content-Type", x->answer_type);
-	add_header(&list, "Cache-Control", "no-cache");
+	add_answered(&list, x);
+	if (!x->req.service->plain)
+		add_header(&list, "Cache-Control", "no-cache");
 	add_header(&list, "Arbutuspond-Request-Id", x->name);
 	add_header(&list, "Arbutuspond-Region", x->region);
 	add_header(&list, "Arbutuspond-Cost", cost);
@@ -188,6 +196,7 @@
 
 	snprintf(cost, sizeof(cost), "%.3f", x->cost);
 	add_header(&list, "Content-Type", x->answer_type);
+	add_answered(&list, x);
 	add_header(&list, "Arbutuspond-Request-Id", x->name);
 	add_header(&list, "Arbutuspond-Region", x->region);
 	add_header(&list, "Arbutuspond-Cost", cost);
@@ -227,6 +236,7 @@
 
 	msg.u.head.status = (uint32_t)x->status;
 	ap_copy_name(msg.u.head.content_type, sizeof(msg.u.head.content_type), x->answer_type);
+	headers_pack(&x->answered, HEADERS_ANSWERED, &msg.u.head.headers);
 	entry_send(x->entry, x->guest.from, &msg);
 }
 
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -39,6 +39,7 @@
 	ENTRY_UNAUTHORIZED,
 	ENTRY_FORBIDDEN,
 	ENTRY_NOT_FOUND,
+	ENTRY_REQUEST_TIMEOUT,
 	ENTRY_PERMIT_USED,
 	ENTRY_TOO_LARGE,
 	ENTRY_WRONG_REGION,
@@ -77,6 +78,7 @@
 	COUNT_SHED,
 	COUNT_ATTEMPTS,
 	COUNT_RETRIES,
+	COUNT_MISSING_MODELS, /* attempts at an engine without the model */
 	COUNT_RESUMES,
 	COUNT_SENT_AWAY,
 	COUNT_GUESTS,
@@ -198,6 +200,22 @@
 	PHASE_ENDED, /* answered; its attempt may still be closing */
 } exchange_phase_t;
 
+#define PASSED_HEADERS_MAX 9 /* names in the longer list of headers that are passed on */
+
+/* Which way headers are passed on. */
+typedef enum headers_way {
+	HEADERS_ASKED,	  /* from callers to upstreams */
+	HEADERS_ANSWERED, /* from plain services to callers */
+	HEADERS_WAYS,
+} headers_way_t;
+
+/**
+ * struct header_set - headers that are passed on, in the order of their way's list.
+ */
+typedef struct header_set {
+	char *values[PASSED_HEADERS_MAX];
+} header_set_t;
+
 /**
  * struct stream - server-sent events taken apart.
  * @part: an event that is not whole yet
@@ -281,6 +299,7 @@
 	enum evhttp_cmd_type method;
 	char *target;
 	char content_type[AP_FORWARD_TYPE_MAX];
+	header_set_t asked;
 	char permit[AP_FORWARD_PERMIT_MAX];
 	char idempotency_key[IDEMPOTENCY_KEY_MAX];
 	json_t *doc;
@@ -310,6 +329,7 @@
 	int status;
 	bool sse;
 	char answer_type[AP_FORWARD_TYPE_MAX];
+	header_set_t answered;
 	struct evbuffer *answer;
 	stream_t stream;
 	bool reply_started;
@@ -358,6 +378,18 @@
 
 /* entry-caller.c */
 void caller_request(void *ctx, ap_http_call_t *call);
+/* caller_refused() - answers what never became a request. */
+void caller_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
+
+/* entry-headers.c */
+/* headers_take() - replaces @set; false when one did not fit and was left out. */
+bool headers_take(header_set_t *set, headers_way_t way, const struct evkeyvalq *from);
+void headers_clear(header_set_t *set);
+/* headers_list() - writes up to PASSED_HEADERS_MAX to @out; they point into @set. */
+size_t headers_list(const header_set_t *set, headers_way_t way, ap_http_header_t *out);
+void headers_pack(const header_set_t *set, headers_way_t way, ap_forward_headers_t *out);
+/* headers_unpack() - replaces @set; what is not on the list is left out. */
+void headers_unpack(header_set_t *set, headers_way_t way, const ap_forward_headers_t *from);
 
 /* entry-body.c */
 /* body_read() - a new reference to an object, or NULL with @fault set. */
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -82,8 +82,12 @@
 	double loss; /* part of the messages that is lost */
 	ap_rng_t rng;
 	size_t queue;	    /* requests that may wait at an entry; 0 for many */
+	size_t connections; /* that callers may have open at an entry; 0 for any number */
+	ap_usec_t arrival;  /* limit on a request's arrival; 0 for none */
 	uint32_t drop_kind; /* kind of message that is lost */
 	uint64_t seen[128]; /* messages by kind */
+	char head[4096];    /* the last head of an answer between entries */
+	size_t head_len;
 };
 
 #define RIG_FN __attribute__((unused)) static
@@ -114,6 +118,10 @@
 	memcpy(m->data, data, len);
 	ap_copy_name(m->from, sizeof(m->from), e->settings.id);
 	e->rig->seen[m->kind % 128]++;
+	if (m->kind == AP_WIRE_FORWARD_HEAD && len <= sizeof(e->rig->head)) {
+		memcpy(e->rig->head, data, len);
+		e->rig->head_len = len;
+	}
 	if (m->to < 0 || m->kind == e->rig->drop_kind || ap_rng_unit(&e->rig->rng) < e->rig->loss) {
 		free(m);
 		return true;
@@ -176,7 +184,8 @@
 		.host = "127.0.0.1",
 		.header_bytes = 8192,
 		.body_bytes = 1 << 20,
-		.connections = 0,
+		.connections = rig->connections,
+		.arrival_time = rig->arrival,
 		.request_time = 20 * AP_SEC,
 		.queue = rig->queue ? rig->queue : 100,
 		.retry_ratio = 1.0,
