--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -57,6 +57,8 @@
 	event_free(x->limit);
 	evbuffer_free(x->answer);
 	stream_clear(&x->stream);
+	headers_clear(&x->asked);
+	headers_clear(&x->answered);
 	json_decref(x->doc);
 	free(x->raw);
 	free(x->target);
@@ -289,6 +291,7 @@
 void exchange_stored(exchange_t *x, int status, const char *type, const void *answer, size_t len)
 {
 	evbuffer_drain(x->answer, evbuffer_get_length(x->answer));
+	headers_clear(&x->answered);
 	evbuffer_add(x->answer, answer, len);
 	x->status = status;
 	ap_copy_name(x->answer_type, sizeof(x->answer_type), type);
@@ -367,20 +370,19 @@
 	return x->sse && x->req.service->resumable;
 }
 
-/*
- * The first try after a silent connection is not taken from the budget: all connections may go
- * silent at once, and what was lost on its way was no load for the upstream.
- */
+/* The first try after a silent connection has a reserve: all may go silent at once. */
 static bool may_try_again(exchange_t *x, ap_usec_t now)
 {
-	if (x->lost) {
-		x->lost = false;
-		return x->req.deadline - now >= x->choice.expected_wait;
-	}
-	if (!ap_retry_budget_take_class(x->entry->budget, x->req.cls, now, x->req.deadline,
-					x->choice.expected_wait))
+	ap_retry_budget_t *budget = x->entry->budget;
+	ap_usec_t deadline = x->req.deadline;
+	ap_usec_t wait = x->choice.expected_wait;
+	bool lost = x->lost;
+
+	x->lost = false;
+	if (!(lost && ap_retry_budget_take_silent(budget, now, deadline, wait)) &&
+	    !ap_retry_budget_take_class(budget, x->req.cls, now, deadline, wait))
 		return false;
-	ap_retry_budget_retried(x->entry->budget);
+	ap_retry_budget_retried(budget);
 	return true;
 }
 
