Say not-run only of what is known of the call, not of the try

A request with a permit or key that was refused before anybody looked at it, or whose key could not be checked in the store, was told not-run, though an earlier try with the same permit or key may have run.

--- a/cmd/arbutuspond/entry-caller.c
+++ b/cmd/arbutuspond/entry-caller.c
@@ -45,7 +45,7 @@
 	ap_copy_name(fault.text, sizeof(fault.text),
 		     "this request stays in its home region; use one of the entries listed");
 	a->entry->counts[COUNT_WRONG_INPUT]++;
-	reply_fault(a->entry, a->call, NULL, &fault);
+	reply_early(a->entry, a->call, &fault);
 }
 
 static void refuse(const asked_t *a, entry_error_t error, const char *text)
@@ -107,7 +107,7 @@
 	x->call = NULL;
 	exchange_free(x);
 	entry->counts[COUNT_WRONG_INPUT]++;
-	reply_fault(entry, call, NULL, fault);
+	reply_early(entry, call, fault);
 }
 
 static exchange_t *begin(const asked_t *a, const ap_service_t *service)
@@ -372,7 +372,7 @@
 	fault.entries = entries_json(a->entry, a->caller, false);
 	ap_copy_name(fault.text, sizeof(fault.text),
 		     "this entry is shutting down; use one of the entries listed");
-	reply_fault(a->entry, a->call, NULL, &fault);
+	reply_early(a->entry, a->call, &fault);
 }
 
 static bool region_agrees(const asked_t *a)
@@ -451,5 +451,6 @@
 	else
 		entry->counts[COUNT_WRONG_INPUT]++;
 	ap_copy_name(fault.text, sizeof(fault.text), refusals[why].text);
+	/* Its headers may not have come, so nobody knows whether it has a permit. */
 	reply_fault(entry, call, NULL, &fault);
 }
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -124,11 +124,22 @@
 	fault->error = x->req.service->repeatable ? ENTRY_UPSTREAM_FAILED : ENTRY_UNKNOWN;
 }
 
+/* Until its claim is made, nobody knows here what became of earlier calls with the same key. */
+static bool key_unchecked(const exchange_t *x)
+{
+	return x->req.service->permit && !x->permit[0] && x->phase != PHASE_RUNNING;
+}
+
 static void fail(exchange_t *x, entry_fault_t *fault)
 {
+	ap_outcome_t outcome;
+
 	attempt_cancel(x);
 	admit_unknown(x, fault);
-	end(x, entry_error_outcome(fault->error), entry_error_code(fault->error));
+	outcome = entry_error_outcome(fault->error);
+	if (key_unchecked(x))
+		fault_of_try(fault);
+	end(x, outcome, entry_error_code(fault->error));
 	sink_fault(x, fault);
 	exchange_settle(x);
 }
--- a/cmd/arbutuspond/entry-once.c
+++ b/cmd/arbutuspond/entry-once.c
@@ -180,6 +180,7 @@
 
 	fault.entries = entries_json(x->entry, x->req.caller, x->req.service->home_bound);
 	ap_copy_name(fault.text, sizeof(fault.text), v->why);
+	fault_of_try(&fault);
 	exchange_refuse(x, &fault);
 }
 
--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -27,6 +27,7 @@
 	[ENTRY_NOT_RUN] = {503, "not_run", AP_OUTCOME_NOT_RUN},
 	[ENTRY_UNKNOWN] = {504, "unknown", AP_OUTCOME_UNKNOWN},
 	[ENTRY_DRAINING] = {503, "draining", AP_OUTCOME_NOT_RUN},
+	[ENTRY_UNCHECKED] = {503, "unchecked", AP_OUTCOME_UNKNOWN},
 };
 
 int entry_error_status(entry_error_t error)
@@ -107,7 +108,24 @@
 
 static ap_outcome_t fault_outcome(const entry_fault_t *fault)
 {
-	return fault->completed ? AP_OUTCOME_COMPLETED : errors[fault->error].outcome;
+	if (fault->completed)
+		return AP_OUTCOME_COMPLETED;
+	return fault->of_try ? AP_OUTCOME_UNKNOWN : errors[fault->error].outcome;
+}
+
+void fault_of_try(entry_fault_t *fault)
+{
+	if (errors[fault->error].outcome != AP_OUTCOME_NOT_RUN)
+		return;
+	fault->of_try = true;
+	if (fault->error == ENTRY_NOT_RUN)
+		fault->error = ENTRY_UNCHECKED;
+}
+
+static bool may_repeat_another(const ap_http_call_t *call)
+{
+	return ap_http_call_header(call, "Arbutuspond-Permit") ||
+	       ap_http_call_header(call, "Idempotency-Key");
 }
 
 static json_t *fault_json(const entry_fault_t *fault)
@@ -161,13 +179,20 @@
 	release(fault);
 }
 
+void reply_early(entry_t *entry, ap_http_call_t *call, entry_fault_t *fault)
+{
+	if (may_repeat_another(call))
+		fault_of_try(fault);
+	reply_fault(entry, call, NULL, fault);
+}
+
 void reply_simple(entry_t *entry, ap_http_call_t *call, entry_error_t error, const char *text)
 {
 	entry_fault_t fault = {.error = error};
 
 	ap_copy_name(fault.text, sizeof(fault.text), text);
 	entry->counts[COUNT_WRONG_INPUT]++;
-	reply_fault(entry, call, NULL, &fault);
+	reply_early(entry, call, &fault);
 }
 
 static void call_start(exchange_t *x)
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -50,6 +50,7 @@
 	ENTRY_NOT_RUN,
 	ENTRY_UNKNOWN,
 	ENTRY_DRAINING,
+	ENTRY_UNCHECKED,
 	ENTRY_ERROR_COUNT,
 } entry_error_t;
 
@@ -58,6 +59,7 @@
  * @retry_after: microseconds, or 0 for none
  * @entries: JSON array of entries to use instead; reference is taken over
  * @completed: the call that this one repeats was completed
+ * @of_try: not run, but an earlier try with the same permit or key may have been
  * @stored: its answer, if it is still there; reference is taken over
  */
 typedef struct entry_fault {
@@ -65,6 +67,7 @@
 	ap_usec_t retry_after;
 	json_t *entries;
 	bool completed;
+	bool of_try;
 	json_t *stored;
 	char text[AP_FORWARD_TEXT_MAX];
 } entry_fault_t;
@@ -366,6 +369,10 @@
 bool entry_error_by_code(const char *code, entry_error_t *error);
 /* reply_fault() - answers @call with an error; @fault's entries are released. */
 void reply_fault(entry_t *entry, ap_http_call_t *call, const char *name, entry_fault_t *fault);
+/* fault_of_try() - not-run is true of this try alone; of the call nothing is known. */
+void fault_of_try(entry_fault_t *fault);
+/* reply_early() - answers what was refused before anybody looked at its permit or key. */
+void reply_early(entry_t *entry, ap_http_call_t *call, entry_fault_t *fault);
 void reply_simple(entry_t *entry, ap_http_call_t *call, entry_error_t error, const char *text);
 void reply_json(ap_http_call_t *call, int status, json_t *json);
 json_t *entries_json(const entry_t *entry, const ap_caller_t *caller, bool home_only);
