Dispatch and end of a call at most once stand in one place

Permits and claims each had their own copy of the one dispatch, of its withdrawal, of the end of a call and of the end of a wait; they are record_dispatch(), record_not_started(), record_end() and record_stop_waiting() now. A claim's dispatch also looks at said_not_run, as a permit's did.

--- a/lib/once/claim.c
+++ b/lib/once/claim.c
@@ -113,14 +113,12 @@
 	uint64_t token = r->token;
 
 	once_verdict(&v, kind, why);
-	TAILQ_REMOVE(&c->waiting, r, by_wait);
 	if (kind == AP_ONCE_GO) {
+		TAILQ_REMOVE(&c->waiting, r, by_wait);
 		r->state = RECORD_RUNNING;
 		r->give_up_at = c->now + retention(c) / 2;
 	} else {
-		r->state = RECORD_FINISHED;
-		r->outcome = v.outcome;
-		token_remove(&c->by_token, r);
+		record_stop_waiting(&c->by_token, &c->waiting, r);
 	}
 	/* Claimed elsewhere: only the store knows for how long. */
 	if (kind == AP_ONCE_USED)
@@ -370,25 +368,15 @@
 bool ap_claims_dispatch(ap_claims_t *c, uint64_t token, ap_usec_t now)
 {
 	record_t *r = token_find(c->by_token, token);
-	bool once = r && r->state == RECORD_RUNNING && !r->dispatched;
 
 	claims_set_now(c, now);
-	ap_require(&c->config.env, once, AP_INV_ONCE, "a dispatch without a claim");
-	if (!once)
-		return false;
 	/* Another entry may drop the claim once it is older than the retention. */
-	if (c->now >= r->give_up_at)
-		return false;
-	r->dispatched = true;
-	return true;
+	return record_dispatch(r, r && c->now < r->give_up_at, &c->config.env);
 }
 
 void ap_claims_not_started(ap_claims_t *c, uint64_t token)
 {
-	record_t *r = token_find(c->by_token, token);
-
-	if (r && r->state == RECORD_RUNNING)
-		r->dispatched = false;
+	record_not_started(token_find(c->by_token, token));
 }
 
 void ap_claims_done(ap_claims_t *c, uint64_t token, ap_outcome_t outcome, const void *answer,
@@ -397,25 +385,10 @@
 	record_t *r = token_find(c->by_token, token);
 
 	claims_set_now(c, now);
-	if (!r || r->state != RECORD_RUNNING)
-		return;
-	ap_require(&c->config.env, r->dispatched || outcome == AP_OUTCOME_NOT_RUN, AP_INV_ONCE,
-		   "an outcome of a claim that was not dispatched");
-	token_remove(&c->by_token, r);
-	r->state = RECORD_FINISHED;
-	r->outcome = outcome;
-	if (outcome != AP_OUTCOME_NOT_RUN)
+	if (record_end(&c->by_token, r, outcome, &c->config.env) && outcome != AP_OUTCOME_NOT_RUN)
 		answers_store(&c->answers, r, answer, len);
 }
 
-static void stop_waiting(ap_claims_t *c, record_t *r)
-{
-	TAILQ_REMOVE(&c->waiting, r, by_wait);
-	r->state = RECORD_FINISHED;
-	r->outcome = AP_OUTCOME_NOT_RUN;
-	token_remove(&c->by_token, r);
-}
-
 void ap_claims_cancel(ap_claims_t *c, uint64_t token, ap_usec_t now)
 {
 	record_t *r = token_find(c->by_token, token);
@@ -424,7 +397,7 @@
 	if (r && r->state == RECORD_ASKING)
 		owner_cancel(c, r);
 	else if (r && r->state == RECORD_BEGINNING)
-		stop_waiting(c, r);
+		record_stop_waiting(&c->by_token, &c->waiting, r);
 }
 
 void ap_claims_tick(ap_claims_t *c, ap_usec_t now)
@@ -443,7 +416,6 @@
 ap_usec_t ap_claims_due(const ap_claims_t *c)
 {
 	const record_t *r = TAILQ_FIRST(&c->waiting);
-
 	ap_usec_t due = owner_due(c);
 
 	return r && r->give_up_at < due ? r->give_up_at : due;
--- a/lib/once/issuer.c
+++ b/lib/once/issuer.c
@@ -190,27 +190,18 @@
 
 bool ap_once_dispatch(ap_once_t *o, uint64_t token, ap_usec_t now)
 {
-	record_t *r = token_find(o->by_token, token);
-	bool once;
-
 	once_set_now(o, now);
 	if (o->closing)
 		return false;
-	once = r && r->state == RECORD_RUNNING && !r->dispatched && !r->said_not_run;
-	ap_require(&o->config.env, once, AP_INV_ONCE, "a dispatch without leave, or a second one");
-	if (!once)
+	if (!record_dispatch(token_find(o->by_token, token), true, &o->config.env))
 		return false;
-	r->dispatched = true;
 	o->counts.dispatched++;
 	return true;
 }
 
 void ap_once_not_started(ap_once_t *o, uint64_t token)
 {
-	record_t *r = token_find(o->by_token, token);
-
-	if (r && r->state == RECORD_RUNNING)
-		r->dispatched = false;
+	record_not_started(token_find(o->by_token, token));
 }
 
 void ap_once_done(ap_once_t *o, uint64_t token, ap_outcome_t outcome, const void *answer,
@@ -219,16 +210,11 @@
 	record_t *r = token_find(o->by_token, token);
 
 	once_set_now(o, now);
-	if (!r || r->state != RECORD_RUNNING)
+	if (!record_end(&o->by_token, r, outcome, &o->config.env))
 		return;
-	ap_require(&o->config.env, r->dispatched || outcome == AP_OUTCOME_NOT_RUN, AP_INV_ONCE,
-		   "an outcome of a permit that was not dispatched");
-	token_remove(&o->by_token, r);
-	r->outcome = outcome;
 	if (outcome == AP_OUTCOME_NOT_RUN) {
 		close_record(o, r);
 	} else {
-		r->state = RECORD_FINISHED;
 		prolong(o, r);
 		answers_store(&o->answers, r, answer, len);
 	}
@@ -240,8 +226,7 @@
 {
 	uint64_t token = r->token;
 
-	TAILQ_REMOVE(&o->waiting, r, by_wait);
-	token_remove(&o->by_token, r);
+	record_stop_waiting(&o->by_token, &o->waiting, r);
 	close_record(o, r);
 	send_done(o, r);
 	return token;
--- a/lib/once/table.c
+++ b/lib/once/table.c
@@ -26,6 +26,43 @@
 	r->token = 0;
 }
 
+bool record_dispatch(record_t *r, bool in_time, const ap_env_t *env)
+{
+	bool once = r && r->state == RECORD_RUNNING && !r->dispatched && !r->said_not_run;
+
+	ap_require(env, once, AP_INV_ONCE, "a dispatch without leave, or a second one");
+	if (!once || !in_time)
+		return false;
+	r->dispatched = true;
+	return true;
+}
+
+void record_not_started(record_t *r)
+{
+	if (r && r->state == RECORD_RUNNING)
+		r->dispatched = false;
+}
+
+bool record_end(record_t **by_token, record_t *r, ap_outcome_t outcome, const ap_env_t *env)
+{
+	if (!r || r->state != RECORD_RUNNING)
+		return false;
+	ap_require(env, r->dispatched || outcome == AP_OUTCOME_NOT_RUN, AP_INV_ONCE,
+		   "an outcome of a call that was not dispatched");
+	token_remove(by_token, r);
+	r->state = RECORD_FINISHED;
+	r->outcome = outcome;
+	return true;
+}
+
+void record_stop_waiting(record_t **by_token, struct record_list *waiting, record_t *r)
+{
+	TAILQ_REMOVE(waiting, r, by_wait);
+	token_remove(by_token, r);
+	r->state = RECORD_FINISHED;
+	r->outcome = AP_OUTCOME_NOT_RUN;
+}
+
 void answers_init(answers_t *a, const ap_once_limits_t *limits)
 {
 	*a = (answers_t){.limits = limits};
--- a/lib/once/table.h
+++ b/lib/once/table.h
@@ -78,6 +78,20 @@
 record_t *token_find(record_t *by_token, uint64_t token);
 void token_remove(record_t **by_token, record_t *r);
 
+/**
+ * record_dispatch() - the one dispatch of a call that may go ahead.
+ * @in_time: false when it is too late for that
+ *
+ * Return: true at most once, unless record_not_started() was called in between.
+ */
+bool record_dispatch(record_t *r, bool in_time, const ap_env_t *env);
+/** record_not_started() - the dispatch certainly reached nobody. */
+void record_not_started(record_t *r);
+/** record_end() - a call that went ahead has its outcome; false when there is no such call. */
+bool record_end(record_t **by_token, record_t *r, ap_outcome_t outcome, const ap_env_t *env);
+/** record_stop_waiting() - takes a call that has not gone ahead off the list @waiting. */
+void record_stop_waiting(record_t **by_token, struct record_list *waiting, record_t *r);
+
 /** once_verdict() - sets @v; outcome and text are those of @kind. */
 ap_once_kind_t once_verdict(ap_once_verdict_t *v, ap_once_kind_t kind, const char *why);
 
