Delete segments of the configuration that are no longer used

The port, the adapter (DELETE with cas), the stand-in and the fakes have one now. Each head lists what it and earlier ones left out; a proposer deletes up to 4 of those that are 8 generations and 10 minutes old, at the index read before it moved the head, and whoever uses an old segment again writes it anew.

--- a/adapters/platform/kv.c
+++ b/adapters/platform/kv.c
@@ -178,11 +178,11 @@
 	ap_call(pl->calls, &spec);
 }
 
-static void write_call(ap_platform_t *pl, const char *path, const void *body, size_t len,
-		       ap_call_done_t done, pending_t *p)
+static void send_write(ap_platform_t *pl, enum evhttp_cmd_type method, const char *path,
+		       const void *body, size_t len, ap_call_done_t done, pending_t *p)
 {
 	ap_call_spec_t spec = {.to = &pl->settings->store,
-			       .method = EVHTTP_REQ_PUT,
+			       .method = method,
 			       .path = path,
 			       .body = body,
 			       .len = len,
@@ -194,6 +194,12 @@
 	ap_call(pl->calls, &spec);
 }
 
+static void write_call(ap_platform_t *pl, const char *path, const void *body, size_t len,
+		       ap_call_done_t done, pending_t *p)
+{
+	send_write(pl, EVHTTP_REQ_PUT, path, body, len, done, p);
+}
+
 static void kv_get(void *ctx, const char *key, uint64_t index, ap_usec_t wait, ap_kv_done_t done,
 		   void *arg)
 {
@@ -219,6 +225,15 @@
 	write_call(ctx, path, value, len, on_put, pending_new(ctx, done, arg, true));
 }
 
+static void kv_del(void *ctx, const char *key, uint64_t index, ap_kv_done_t done, void *arg)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/kv/%s?cas=%" PRIu64, key, index);
+	send_write(ctx, EVHTTP_REQ_DELETE, path, NULL, 0, on_put,
+		   pending_new(ctx, done, arg, true));
+}
+
 static void kv_acquire(void *ctx, const char *key, const void *value, size_t len,
 		       const char *session, ap_kv_done_t done, void *arg)
 {
@@ -271,6 +286,7 @@
 		.ctx = p,
 		.get = kv_get,
 		.cas = kv_cas,
+		.del = kv_del,
 		.acquire = kv_acquire,
 		.release = kv_release,
 		.session_create = kv_session_create,
--- a/cmd/arbutuspond/control-admin.c
+++ b/cmd/arbutuspond/control-admin.c
@@ -297,6 +297,8 @@
 	write_counter(buf, "config_reverted_total", spread.reverted);
 	write_counter(buf, "config_forked_total", spread.forked);
 	write_counter(buf, "config_invalid_total", spread.invalid);
+	write_counter(buf, "config_segments_deleted_total", spread.deleted);
+	write_counter(buf, "config_segments_old", spread.retired);
 	write_counter(buf, "store_answers", spread.store_answers);
 	write_counter(buf, "store_reads_total", platform.reads);
 	write_counter(buf, "store_writes_total", platform.writes);
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -40,6 +40,7 @@
  * struct ap_kv_port - the platform's key-value service.
  * @get: reads @key; with @index above 0 waits up to @wait for a newer one (a watch)
  * @cas: writes @key if its index is @index; 0 creates it if absent
+ * @del: removes @key if its index is @index, which is above 0; one that is absent is no fault
  * @acquire: writes @key and binds it to @session, unless another one holds it
  * @session_create: a session that lapses @ttl after its last renewal; its keys are then unbound
  */
@@ -49,6 +50,7 @@
 		    void *arg);
 	void (*cas)(void *ctx, const char *key, const void *value, size_t len, uint64_t index,
 		    ap_kv_done_t done, void *arg);
+	void (*del)(void *ctx, const char *key, uint64_t index, ap_kv_done_t done, void *arg);
 	void (*acquire)(void *ctx, const char *key, const void *value, size_t len,
 			const char *session, ap_kv_done_t done, void *arg);
 	void (*release)(void *ctx, const char *key, const char *session, ap_kv_done_t done,
--- a/lib/spread/head.c
+++ b/lib/spread/head.c
@@ -14,6 +14,7 @@
 	if (!head)
 		return;
 	free(head->segments);
+	free(head->retired);
 	free(head);
 }
 
@@ -72,6 +73,30 @@
 	return true;
 }
 
+static bool parse_retired(json_t *list, ap_head_t *head)
+{
+	size_t n = json_array_size(list);
+
+	if (n > RETIRED_MAX)
+		return false;
+	head->retired = calloc(n + 1, sizeof(*head->retired));
+	if (!head->retired)
+		abort();
+	for (size_t i = 0; i < n; i++) {
+		json_int_t generation = 0, at = 0;
+		const char *hash = NULL;
+
+		if (json_unpack(json_array_get(list, i), "[s, I, I]", &hash, &generation, &at) !=
+			    0 ||
+		    !ap_id_parse(hash, &head->retired[i].hash))
+			return false;
+		head->retired[i].generation = (uint64_t)generation;
+		head->retired[i].at = (uint64_t)at;
+	}
+	head->n_retired = n;
+	return true;
+}
+
 ap_head_t *head_parse(const void *text, size_t len, ap_err_t *err)
 {
 	json_t *json = json_loadb(text, len, 0, NULL);
@@ -80,7 +105,8 @@
 	if (!head)
 		abort();
 	if (!json || !parse_history(json_object_get(json, "history"), head) ||
-	    !parse_segments(json_object_get(json, "segments"), head)) {
+	    !parse_segments(json_object_get(json, "segments"), head) ||
+	    !parse_retired(json_object_get(json, "retired"), head)) {
 		ap_err_set(err, "head of %zu bytes is malformed", len);
 		head_free(head);
 		head = NULL;
@@ -93,7 +119,9 @@
 {
 	json_t *segments = json_array();
 	json_t *history = json_array();
-	json_t *json = json_pack("{s:o, s:o}", "history", history, "segments", segments);
+	json_t *retired = json_array();
+	json_t *json = json_pack("{s:o, s:o, s:o}", "history", history, "segments", segments,
+				 "retired", retired);
 	char hex[AP_ID_TEXT_MAX];
 	char *text;
 
@@ -109,6 +137,14 @@
 							 (json_int_t)past->generation, "nonce", hex,
 							 "at", (json_int_t)past->at));
 	}
+	for (size_t i = 0; i < head->n_retired; i++) {
+		const ap_retired_t *old = &head->retired[i];
+
+		ap_id_format(old->hash, hex);
+		json_array_append_new(retired,
+				      json_pack("[s, I, I]", hex, (json_int_t)old->generation,
+						(json_int_t)old->at));
+	}
 	text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(json);
 	if (!text)
--- a/lib/spread/private.h
+++ b/lib/spread/private.h
@@ -12,6 +12,8 @@
 #define HISTORY_MAX 64 /* generations named in a head */
 #define HEADS_KEPT 8   /* generations whose documents are kept as bases of proposals */
 #define SEGMENTS_MAX 4096
+#define RETIRED_MAX 512 /* old segments named in a head */
+#define DUE_MAX 4	/* of them deleted with one change */
 
 /**
  * struct ap_segment - an immutable part of a document, named by its hash.
@@ -30,15 +32,38 @@
 	uint64_t at; /* wall milliseconds */
 } ap_past_t;
 
+/**
+ * struct ap_retired - a segment that is not used any more.
+ * @generation: the first one without it
+ * @at: when that was made, in wall milliseconds
+ */
+typedef struct ap_retired {
+	ap_id_t hash;
+	uint64_t generation;
+	uint64_t at;
+} ap_retired_t;
+
+/**
+ * struct ap_due - a retired segment that is about to be deleted.
+ * @index: its key's index before the head was moved; 0: not known, so not deleted
+ */
+typedef struct ap_due {
+	ap_id_t hash;
+	uint64_t index;
+} ap_due_t;
+
 /**
  * struct ap_head - names the segments of one generation and who wrote the last ones.
  * @history: newest first; the first one is the head itself
+ * @retired: old segments that may still be in the store, oldest first
  */
 typedef struct ap_head {
 	ap_id_t *segments;
 	size_t n;
 	ap_past_t history[HISTORY_MAX];
 	size_t n_history;
+	ap_retired_t *retired;
+	size_t n_retired;
 	TAILQ_ENTRY(ap_head) link;
 } ap_head_t;
 
@@ -83,6 +108,11 @@
 	ap_segment_t *segments;
 	ap_conf_t *conf;
 	ap_segment_t *writing;
+	uint64_t touching; /* index of the segment that is written anew; 0: it is created */
+	bool on_stored;	   /* the store holds the head that this one is made from */
+	ap_due_t due[DUE_MAX];
+	size_t n_due;
+	size_t due_read;
 } ap_proposal_t;
 
 struct ap_spread {
@@ -105,6 +135,7 @@
 	ap_kv_calls_t watch_calls;
 	ap_kv_calls_t fetch_calls;
 	ap_kv_calls_t proposal_calls;
+	ap_kv_calls_t delete_calls;
 	bool watching;
 	uint64_t watch_index;
 	ap_usec_t watch_deadline;
@@ -184,7 +215,16 @@
 const ap_entry_t *spread_random_peer(ap_spread_t *s);
 void spread_handle(ap_spread_t *s, const char *from, const ap_spread_message_t *msg);
 
+/* retire.c */
+/** retired_carry() - what @old names or lists as retired, and @head does not name. */
+void retired_carry(ap_head_t *head, const ap_head_t *old);
+/** spread_read_due() - reads the indexes of what is to be deleted, then moves the head. */
+void spread_read_due(ap_spread_t *s);
+/** spread_delete_due() - the head was moved. */
+void spread_delete_due(ap_spread_t *s);
+
 /* propose.c */
+void spread_move_head(ap_spread_t *s);
 void spread_proposal_tick(ap_spread_t *s);
 void spread_proposal_clear(ap_spread_t *s);
 
--- a/lib/spread/propose.c
+++ b/lib/spread/propose.c
@@ -16,7 +16,6 @@
 
 static void read_head(ap_spread_t *s);
 static void write_segment(ap_spread_t *s);
-static void move_head(ap_spread_t *s);
 
 void spread_proposal_clear(ap_spread_t *s)
 {
@@ -90,6 +89,7 @@
 		p->head = NULL;
 		p->conf = NULL;
 	}
+	spread_delete_due(s);
 	finish(s, &result);
 }
 
@@ -188,63 +188,79 @@
 		return;
 	}
 	json_decref(doc);
+	retired_carry(p->head, s->head);
 	p->head_sent = false;
 	p->step = AP_PROPOSAL_SEGMENTS;
 	p->writing = p->segments;
+	p->touching = 0;
 	write_segment(s);
 }
 
 static void next_segment(ap_spread_t *s)
 {
 	s->proposal.writing = s->proposal.writing->hh.next;
+	s->proposal.touching = 0;
 	write_segment(s);
 }
 
-/* Creating the same segment once more does no harm. */
+/* Writing the same segment once more does no harm. */
 static void segment_again(ap_spread_t *s)
 {
+	s->proposal.touching = 0;
 	if (++s->proposal.write_failures < WRITE_FAILURES_MAX)
 		write_segment(s);
 	else
 		give_up(s);
 }
 
-/* A segment's key is the hash of its content, so that one that is there is the right one. */
+/*
+ * A segment's key is the hash of its content, so that one that is there is the right one. But who
+ * read its index before the head was moved may be about to delete it, so it is written anew.
+ */
 static void segment_read(void *owner, const ap_kv_result_t *result)
 {
 	ap_spread_t *s = owner;
+	ap_proposal_t *p = &s->proposal;
 
 	spread_store_answered(s, result);
-	if (result->status == AP_KV_OK)
-		next_segment(s);
-	else
+	if (result->status != AP_KV_OK) {
 		segment_again(s);
+		return;
+	}
+	if (p->touching > 0 && result->index != p->touching) {
+		next_segment(s);
+		return;
+	}
+	p->touching = result->index;
+	write_segment(s);
 }
 
 static void segment_written(void *owner, const ap_kv_result_t *result)
 {
 	ap_spread_t *s = owner;
+	ap_proposal_t *p = &s->proposal;
 	char key[AP_NAME_MAX + AP_ID_TEXT_MAX];
+	bool taken = result->status == AP_KV_CONFLICT && p->touching == 0;
 
 	spread_store_answered(s, result);
-	if (result->status == AP_KV_OK || result->status == AP_KV_CONFLICT) {
+	if (result->status == AP_KV_OK) {
 		next_segment(s);
 		return;
 	}
-	if (result->status != AP_KV_UNSURE) {
+	if (result->status != AP_KV_UNSURE && !taken) {
 		segment_again(s);
 		return;
 	}
-	segment_key(s->proposal.writing->hash, key, sizeof(key));
+	segment_key(p->writing->hash, key, sizeof(key));
 	s->stats.reads++;
 	s->cfg.kv.get(s->cfg.kv.ctx, key, 0, 0, ap_kv_call_done,
 		      ap_kv_call_new(&s->proposal_calls, segment_read));
 }
 
-/* Segments of the generation in force are in the store, unless the store was set back. */
+/* Segments of the head that the new one is made from are in the store. */
 static bool is_stored(const ap_spread_t *s, const ap_segment_t *seg)
 {
-	if (!s->head || s->stats.reverted > 0 || s->stats.forked > 0)
+	if (!s->proposal.on_stored)
 		return false;
 	for (size_t i = 0; i < s->head->n; i++) {
 		if (ap_id_eq(s->head->segments[i], seg->hash))
@@ -261,13 +277,13 @@
 	while (p->writing && is_stored(s, p->writing))
 		p->writing = p->writing->hh.next;
 	if (!p->writing) {
-		move_head(s);
+		spread_read_due(s);
 		return;
 	}
 	segment_key(p->writing->hash, key, sizeof(key));
 	s->stats.writes++;
-	s->cfg.kv.cas(s->cfg.kv.ctx, key, p->writing->text, p->writing->len, 0, ap_kv_call_done,
-		      ap_kv_call_new(&s->proposal_calls, segment_written));
+	s->cfg.kv.cas(s->cfg.kv.ctx, key, p->writing->text, p->writing->len, p->touching,
+		      ap_kv_call_done, ap_kv_call_new(&s->proposal_calls, segment_written));
 }
 
 static void head_moved(void *owner, const ap_kv_result_t *result)
@@ -294,7 +310,7 @@
 	}
 }
 
-static void move_head(ap_spread_t *s)
+void spread_move_head(ap_spread_t *s)
 {
 	ap_proposal_t *p = &s->proposal;
 	char *text = head_format(p->head);
@@ -321,7 +337,7 @@
 	if (index == p->index) {
 		/* Unmoved: the lost one may still come, and then this one conflicts. */
 		if (++p->rounds < ROUNDS_MAX)
-			move_head(s);
+			spread_move_head(s);
 		else
 			give_up(s);
 		return true;
@@ -339,6 +355,8 @@
 	}
 	p->index = index;
 	p->head_sent = false;
+	p->on_stored =
+		stored && s->head && ap_id_eq(stored->history[0].nonce, s->head->history[0].nonce);
 	if (++p->rounds > ROUNDS_MAX) {
 		head_free(stored);
 		fail(s, AP_SPREAD_BUSY, "others change the configuration too often; try again");
--- /dev/null
+++ b/lib/spread/retire.c
@@ -0,0 +1,149 @@
+/*
+ * Segments that the head no longer names. Each head lists them with the generation that left them
+ * out. A proposer reads the indexes of some that are old enough, moves the head, and then deletes
+ * those whose index is still the same: whoever uses one again on top of that head writes it anew
+ * first, so that its index has changed or it is created again.
+ */
+#include "spread/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TIME_LEFT_MIN (20 * AP_SEC) /* of a proposal; with less, nothing is deleted */
+#define GRACE_MS (600 * 1000)	    /* for whoever still reads an older head */
+
+static bool names(const ap_head_t *head, ap_id_t hash)
+{
+	for (size_t i = 0; i < head->n; i++) {
+		if (ap_id_eq(head->segments[i], hash))
+			return true;
+	}
+	return false;
+}
+
+static void add(ap_head_t *head, ap_retired_t retired)
+{
+	/* Beyond that the oldest are forgotten and stay in the store. */
+	if (head->n_retired == RETIRED_MAX) {
+		head->n_retired--;
+		memmove(head->retired, head->retired + 1, head->n_retired * sizeof(*head->retired));
+	}
+	head->retired[head->n_retired++] = retired;
+}
+
+static bool is_retired(const ap_head_t *head, ap_id_t hash)
+{
+	for (size_t i = 0; i < head->n_retired; i++) {
+		if (ap_id_eq(head->retired[i].hash, hash))
+			return true;
+	}
+	return false;
+}
+
+void retired_carry(ap_head_t *head, const ap_head_t *old)
+{
+	const ap_past_t *own = &head->history[0];
+
+	free(head->retired);
+	head->n_retired = 0;
+	head->retired = calloc(RETIRED_MAX, sizeof(*head->retired));
+	if (!head->retired)
+		abort();
+	for (size_t i = 0; old && i < old->n_retired; i++) {
+		if (!names(head, old->retired[i].hash))
+			add(head, old->retired[i]);
+	}
+	for (size_t i = 0; old && i < old->n; i++) {
+		ap_id_t hash = old->segments[i];
+
+		if (!names(head, hash) && !is_retired(head, hash))
+			add(head, (ap_retired_t){hash, own->generation, own->at});
+	}
+}
+
+static void forget(ap_head_t *head, ap_id_t hash)
+{
+	for (size_t i = 0; i < head->n_retired; i++) {
+		if (!ap_id_eq(head->retired[i].hash, hash))
+			continue;
+		head->n_retired--;
+		memmove(&head->retired[i], &head->retired[i + 1],
+			(head->n_retired - i) * sizeof(*head->retired));
+		return;
+	}
+}
+
+static bool is_old(const ap_head_t *head, const ap_retired_t *retired)
+{
+	const ap_past_t *own = &head->history[0];
+
+	return own->generation >= retired->generation + HEADS_KEPT &&
+	       own->at >= retired->at + GRACE_MS;
+}
+
+static void read_next(ap_spread_t *s);
+
+static void index_read(void *owner, const ap_kv_result_t *result)
+{
+	ap_spread_t *s = owner;
+	ap_proposal_t *p = &s->proposal;
+	ap_due_t *due = &p->due[p->due_read++];
+
+	spread_store_answered(s, result);
+	if (result->status == AP_KV_OK)
+		due->index = result->index;
+	else if (result->status == AP_KV_ABSENT)
+		forget(p->head, due->hash);
+	read_next(s);
+}
+
+static void read_next(ap_spread_t *s)
+{
+	ap_proposal_t *p = &s->proposal;
+	char key[AP_NAME_MAX + AP_ID_TEXT_MAX];
+
+	if (p->due_read == p->n_due || p->deadline - s->now < TIME_LEFT_MIN) {
+		spread_move_head(s);
+		return;
+	}
+	segment_key(p->due[p->due_read].hash, key, sizeof(key));
+	s->stats.reads++;
+	s->cfg.kv.get(s->cfg.kv.ctx, key, 0, 0, ap_kv_call_done,
+		      ap_kv_call_new(&s->proposal_calls, index_read));
+}
+
+void spread_read_due(ap_spread_t *s)
+{
+	ap_proposal_t *p = &s->proposal;
+
+	p->n_due = 0;
+	p->due_read = 0;
+	for (size_t i = 0; i < p->head->n_retired && p->n_due < DUE_MAX; i++) {
+		if (is_old(p->head, &p->head->retired[i]))
+			p->due[p->n_due++] = (ap_due_t){.hash = p->head->retired[i].hash};
+	}
+	read_next(s);
+}
+
+static void deleted(void *owner, const ap_kv_result_t *result)
+{
+	ap_spread_t *s = owner;
+
+	s->stats.deleted += result->status == AP_KV_OK;
+}
+
+void spread_delete_due(ap_spread_t *s)
+{
+	const ap_proposal_t *p = &s->proposal;
+
+	for (size_t i = 0; i < p->n_due; i++) {
+		char key[AP_NAME_MAX + AP_ID_TEXT_MAX];
+
+		if (p->due[i].index == 0)
+			continue;
+		segment_key(p->due[i].hash, key, sizeof(key));
+		s->stats.writes++;
+		s->cfg.kv.del(s->cfg.kv.ctx, key, p->due[i].index, ap_kv_call_done,
+			      ap_kv_call_new(&s->delete_calls, deleted));
+	}
+}
--- a/lib/spread/spread.c
+++ b/lib/spread/spread.c
@@ -27,9 +27,11 @@
 	s->watch_calls.owner = s;
 	s->fetch_calls.owner = s;
 	s->proposal_calls.owner = s;
+	s->delete_calls.owner = s;
 	LIST_INIT(&s->watch_calls.open);
 	LIST_INIT(&s->fetch_calls.open);
 	LIST_INIT(&s->proposal_calls.open);
+	LIST_INIT(&s->delete_calls.open);
 	s->next_read = now + (ap_usec_t)ap_rng_below(&s->rng, AP_SEC);
 	s->next_region_digest = now + (ap_usec_t)ap_rng_below(&s->rng, 4 * AP_SEC);
 	return s;
@@ -44,6 +46,7 @@
 	ap_kv_calls_drop(&s->watch_calls);
 	spread_fetch_drop(s);
 	spread_proposal_clear(s);
+	ap_kv_calls_drop(&s->delete_calls);
 	while ((head = TAILQ_FIRST(&s->heads)) != NULL) {
 		TAILQ_REMOVE(&s->heads, head, link);
 		head_free(head);
@@ -160,5 +163,8 @@
 
 ap_spread_stats_t ap_spread_stats(const ap_spread_t *s)
 {
-	return s->stats;
+	ap_spread_stats_t stats = s->stats;
+
+	stats.retired = s->head ? s->head->n_retired : 0;
+	return stats;
 }
--- a/lib/spread/spread.h
+++ b/lib/spread/spread.h
@@ -100,6 +100,8 @@
 	uint64_t reverted;  /* heads refused because they went back */
 	uint64_t forked;    /* heads of the same generation by another writer */
 	uint64_t invalid;   /* newer documents that this program can't read */
+	uint64_t deleted;   /* old segments deleted from the store */
+	size_t retired;	    /* old segments that may still be there */
 	bool store_answers; /* the last store call was answered */
 } ap_spread_stats_t;
 
--- a/test/fake_gate.h
+++ b/test/fake_gate.h
@@ -90,6 +90,13 @@
 		     fake_gated(g, done, arg));
 }
 
+FAKE void fake_gate_del(void *ctx, const char *key, uint64_t index, ap_kv_done_t done, void *arg)
+{
+	fake_gate_t *g = ctx;
+
+	g->inner.del(g->inner.ctx, key, index, fake_gate_done, fake_gated(g, done, arg));
+}
+
 FAKE void fake_gate_acquire(void *ctx, const char *key, const void *value, size_t len,
 			    const char *session, ap_kv_done_t done, void *arg)
 {
@@ -128,6 +135,7 @@
 		.ctx = g,
 		.get = fake_gate_get,
 		.cas = fake_gate_cas,
+		.del = fake_gate_del,
 		.acquire = fake_gate_acquire,
 		.session_create = fake_gate_create,
 		.session_renew = fake_gate_renew,
--- a/test/fake_store.h
+++ b/test/fake_store.h
@@ -46,10 +46,13 @@
 	uint64_t index;
 	uint64_t reads;
 	uint64_t writes;
+	uint64_t deleted_bytes;
 	uint64_t watched;
 	fake_key_t *keys;
 	fake_session_t *sessions;
 	LIST_HEAD(, fake_watch) watches;
+	void (*changed)(void *ctx); /* a value was written or deleted; may be NULL */
+	void *changed_ctx;
 } fake_store_t;
 
 typedef struct fake_answer {
@@ -142,6 +145,8 @@
 		memcpy(key->value, value, len);
 	key->len = len;
 	key->index = ++s->index;
+	if (s->changed)
+		s->changed(s->changed_ctx);
 	fake_wake(s, key->name, key, AP_KV_OK);
 }
 
@@ -259,6 +264,28 @@
 		fake_answer(s, done, arg, fits ? AP_KV_OK : AP_KV_CONFLICT, NULL, NULL);
 }
 
+FAKE void fake_del(void *ctx, const char *name, uint64_t index, ap_kv_done_t done, void *arg)
+{
+	fake_store_t *s = ctx;
+	bool carried;
+	bool trouble = fake_trouble(s, true, done, arg, &carried);
+	fake_key_t *key = fake_key(s, name, false);
+	bool fits = !key || !key->value || key->index == index;
+
+	if (carried && fits && key) {
+		s->deleted_bytes += key->len;
+		free(key->value);
+		key->value = NULL;
+		key->len = 0;
+		key->index = 0;
+		s->index++;
+		if (s->changed)
+			s->changed(s->changed_ctx);
+	}
+	if (!trouble)
+		fake_answer(s, done, arg, fits ? AP_KV_OK : AP_KV_CONFLICT, NULL, NULL);
+}
+
 FAKE void fake_acquire(void *ctx, const char *name, const void *value, size_t len,
 		       const char *session, ap_kv_done_t done, void *arg)
 {
@@ -353,6 +380,7 @@
 		.ctx = s,
 		.get = fake_get,
 		.cas = fake_cas,
+		.del = fake_del,
 		.acquire = fake_acquire,
 		.release = fake_release,
 		.session_create = fake_session_create,
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -90,6 +90,7 @@
 	OP_GET,
 	OP_WATCH,
 	OP_CAS,
+	OP_DELETE,
 	OP_ACQUIRE,
 	OP_RELEASE,
 	OP_SESSION,
@@ -108,6 +109,8 @@
 		kv.get(kv.ctx, "a/b", 7, 1500 * AP_MSEC, on_done, &got);
 	else if (op == OP_CAS)
 		kv.cas(kv.ctx, "a/b", "xyz", 3, 9, on_done, &got);
+	else if (op == OP_DELETE)
+		kv.del(kv.ctx, "a/b", 9, on_done, &got);
 	else if (op == OP_ACQUIRE)
 		kv.acquire(kv.ctx, "a/b", "xyz", 3, "S", on_done, &got);
 	else if (op == OP_RELEASE)
@@ -150,6 +153,11 @@
 	{OP_CAS, FAULT_NONE, 413, "too large", AP_KV_UNAVAILABLE, NULL},
 	{OP_CAS, FAULT_HANG_UP, 0, "", AP_KV_UNSURE, NULL},
 	{OP_CAS, FAULT_REFUSE, 0, "", AP_KV_UNAVAILABLE, NULL},
+	{OP_DELETE, FAULT_NONE, 200, "true", AP_KV_OK, "/v1/kv/a/b?cas=9"},
+	{OP_DELETE, FAULT_NONE, 200, "false", AP_KV_CONFLICT, NULL},
+	{OP_DELETE, FAULT_NONE, 500, "no leader", AP_KV_UNSURE, NULL},
+	{OP_DELETE, FAULT_HANG_UP, 0, "", AP_KV_UNSURE, NULL},
+	{OP_DELETE, FAULT_REFUSE, 0, "", AP_KV_UNAVAILABLE, NULL},
 	{OP_ACQUIRE, FAULT_NONE, 200, "true", AP_KV_OK, "/v1/kv/a/b?acquire=S"},
 	{OP_ACQUIRE, FAULT_NONE, 200, "false", AP_KV_CONFLICT, NULL},
 	{OP_ACQUIRE, FAULT_NONE, 500, "invalid session \"S\"", AP_KV_ABSENT, NULL},
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -179,6 +179,17 @@
 	exchange_reply_json(x, code, json);
 }
 
+static void kv_del(platform_t *pl, exchange_t *x, const char *key)
+{
+	const char *cas = exchange_query(x, "cas");
+	const pair_t *p = store_get(&pl->store, key);
+	uint64_t index = p ? p->modified : 0;
+
+	if (cas)
+		index = strtoull(cas, NULL, 10);
+	reply_write(pl, x, 200, json_boolean(store_del(&pl->store, key, index)));
+}
+
 static void kv_write(platform_t *pl, exchange_t *x, const char *key)
 {
 	const char *cas = exchange_query(x, "cas");
@@ -279,6 +290,9 @@
 	if (exchange_is(x, EVHTTP_REQ_GET, exchange_path(x))) {
 		pl->reads++;
 		kv_read(pl, x, key);
+	} else if (exchange_is(x, EVHTTP_REQ_DELETE, exchange_path(x))) {
+		pl->writes++;
+		kv_del(pl, x, key);
 	} else {
 		pl->writes++;
 		kv_write(pl, x, key);
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -96,6 +96,22 @@
 	return true;
 }
 
+bool store_del(store_t *s, const char *key, uint64_t index)
+{
+	pair_t *p = store_get(s, key);
+
+	if (!p)
+		return true;
+	if (p->modified != index)
+		return false;
+	s->index++;
+	HASH_DEL(s->pairs, p);
+	free(p->key);
+	free(p->value);
+	free(p);
+	return true;
+}
+
 bool store_release(store_t *s, const char *key, const char *session)
 {
 	pair_t *p = store_get(s, key);
--- a/test/standin/store.h
+++ b/test/standin/store.h
@@ -49,6 +49,8 @@
 bool store_cas(store_t *s, const char *key, const void *value, size_t len, uint64_t index);
 /** store_acquire() - writes and binds the key, unless another session holds it. */
 bool store_acquire(store_t *s, const char *key, const void *value, size_t len, const char *session);
+/** store_del() - removes the key when its index is @index or it is absent. */
+bool store_del(store_t *s, const char *key, uint64_t index);
 bool store_release(store_t *s, const char *key, const char *session);
 session_t *store_session(store_t *s, const char *id);
 session_t *store_session_create(store_t *s, ap_usec_t ttl, ap_usec_t now);
