--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -19,15 +19,16 @@
 #define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
 #include <uthash.h>
 
-#define REPLY_HIGH (256 * 1024)	    /* bytes waiting for a caller above which reading stops */
-#define REPLY_LOW (64 * 1024)	    /* bytes below which it goes on */
-#define ANSWER_MAX (16u << 20)	    /* bytes of an answer that is given in one piece */
-#define STREAM_MAX (64u << 20)	    /* bytes of a streamed answer */
-#define ATTEMPTS_MAX 8		    /* attempts of one request; as many as ap_request can name */
-#define FORWARD_WINDOW (256 * 1024) /* bytes of answer that another entry may send ahead */
-#define REQUEST_TEXT_MAX 64	    /* bytes of a request's name, with its terminator */
-#define IDEMPOTENCY_KEY_MAX 256	    /* bytes, with its terminator */
-#define LEAVING_MAX 1024	    /* upstreams remembered as leaving between two views */
+#define REPLY_HIGH (256 * 1024)	       /* bytes waiting for a caller above which reading stops */
+#define REPLY_LOW (64 * 1024)	       /* bytes below which it goes on */
+#define ANSWER_MAX (16u << 20)	       /* bytes of an answer that is given in one piece */
+#define STREAM_MAX (64u << 20)	       /* bytes of a streamed answer */
+#define ATTEMPTS_MAX 8		       /* attempts of one request; as many as ap_request can name */
+#define FORWARD_WINDOW (256 * 1024)    /* bytes of answer that another entry may send ahead */
+#define FORWARD_MARGIN (200 * AP_MSEC) /* the other entry's own limits come first */
+#define REQUEST_TEXT_MAX 64	       /* bytes of a request's name, with its terminator */
+#define IDEMPOTENCY_KEY_MAX 256	       /* bytes, with its terminator */
+#define LEAVING_MAX 1024	       /* upstreams remembered as leaving between two views */
 
 typedef struct entry entry_t;
 typedef struct exchange exchange_t;
@@ -81,6 +82,7 @@
 	COUNT_RESUMES,
 	COUNT_SENT_AWAY,
 	COUNT_GUESTS,
+	COUNT_LOST_GUESTS,
 	COUNT_LATE_ANSWERS,
 	COUNT_CROSSED_ANSWERS,
 	COUNT_CUT_STREAMS,
@@ -183,6 +185,7 @@
 	struct event *report;
 	uint64_t next_token;
 	uint64_t next_message;
+	size_t held; /* calls that the hooks hold outside exchanges */
 	bool draining;
 	bool drained;
 	uint64_t counts[COUNT_N];
@@ -198,6 +201,22 @@
 	PHASE_ENDED, /* answered; its attempt may still be closing */
 } exchange_phase_t;
 
+#define PASSED_HEADERS_MAX 9 /* names in the longer list of headers that are passed on */
+
+/* Which way headers are passed on. */
+typedef enum headers_way {
+	HEADERS_ASKED,	  /* from callers to upstreams */
+	HEADERS_ANSWERED, /* from plain services to callers */
+	HEADERS_WAYS,
+} headers_way_t;
+
+/**
+ * struct header_set - headers that are passed on, in the order of their way's list.
+ */
+typedef struct header_set {
+	char *values[PASSED_HEADERS_MAX];
+} header_set_t;
+
 /**
  * struct stream - server-sent events taken apart.
  * @part: an event that is not whole yet
@@ -215,6 +234,7 @@
 /**
  * struct guest - the entry that passed a request to this one.
  * @out: parts of the answer that wait for credit
+ * @unheard: gives the guest up when its sender says nothing while they wait
  */
 typedef struct guest {
 	char from[AP_NAME_MAX];
@@ -222,6 +242,7 @@
 	uint64_t credit;
 	uint64_t sent;
 	struct evbuffer *out;
+	struct event *unheard;
 	ap_forward_end_t end;
 	bool ended;
 } guest_t;
@@ -279,6 +300,7 @@
 	enum evhttp_cmd_type method;
 	char *target;
 	char content_type[AP_FORWARD_TYPE_MAX];
+	header_set_t asked;
 	char permit[AP_FORWARD_PERMIT_MAX];
 	char idempotency_key[IDEMPOTENCY_KEY_MAX];
 	json_t *doc;
@@ -308,6 +330,7 @@
 	int status;
 	bool sse;
 	char answer_type[AP_FORWARD_TYPE_MAX];
+	header_set_t answered;
 	struct evbuffer *answer;
 	stream_t stream;
 	bool reply_started;
@@ -359,6 +382,16 @@
 /* caller_refused() - answers what never became a request. */
 void caller_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
+/* entry-headers.c */
+/* headers_take() - replaces @set; false when one did not fit and was left out. */
+bool headers_take(header_set_t *set, headers_way_t way, const struct evkeyvalq *from);
+void headers_clear(header_set_t *set);
+/* headers_list() - writes up to PASSED_HEADERS_MAX to @out; they point into @set. */
+size_t headers_list(const header_set_t *set, headers_way_t way, ap_http_header_t *out);
+void headers_pack(const header_set_t *set, headers_way_t way, ap_forward_headers_t *out);
+/* headers_unpack() - replaces @set; what is not on the list is left out. */
+void headers_unpack(header_set_t *set, headers_way_t way, const ap_forward_headers_t *from);
+
 /* entry-body.c */
 /* body_read() - a new reference to an object, or NULL with @fault set. */
 json_t *body_read(const void *data, size_t len, entry_fault_t *fault);
