Count control's bytes on real sockets; one frame a message, heartbeats to a rate

Causes: both ends of every connection sent ZMTP heartbeats each 2 s, also where nothing else was sent, and a message was three encrypted frames of 35 bytes overhead each.

The bench also tells what the bytes are for, and the worst second of any node.

--- a/adapters/peer/peer.c
+++ b/adapters/peer/peer.c
@@ -1,7 +1,7 @@
 /*
- * Peers over ZeroMQ: one ROUTER receives from all, one DEALER a peer sends to it. A message is
- * three frames: the sender's id, its clock for the time line, and the bytes. Delivery is not
- * promised; the protocols above cope.
+ * Peers over ZeroMQ: one ROUTER receives from all, one DEALER a peer sends to it. A message is one
+ * frame, since each frame is encrypted by itself: the sender's id, its clock for the time line, and
+ * the bytes. Delivery is not promised; the protocols above cope.
  */
 #include "peer/peer.h"
 #include "peer/auth.h"
@@ -14,16 +14,21 @@
 #include <uthash.h>
 #include <zmq.h>
 
-#define HEARTBEAT_MS 2000
+#define HEARTBEAT_MIN_MS 2000
+#define HEARTBEAT_MAX_MS 60000
+#define HEARTBEAT_MS_PER_PEER 500 /* all of a process's heartbeats together keep to a rate */
 #define HEARTBEAT_TIMEOUT_MS 6000
+#define HEARTBEATS_MISSED 3 /* until the receiving side gives a connection up */
+#define UNACKED_MS 6000	    /* written bytes that TCP has no acknowledgement of */
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 2000
 #define QUEUE_MESSAGES 4096
 #define RECEIVE_BATCH 256
-#define FRAMES 4 /* routing id, sender, clock, bytes */
+#define FRAMES 2 /* routing id, message */
 #define CLOCK_COUNT_BITS 16
 #define CLOCK_COUNT_MASK 0xffffu
 #define CLOCK_AHEAD_MAX_MS 60000
+#define MESSAGE_MAX (AP_WIRE_MAX + 1 + AP_NAME_MAX + (int)sizeof(uint64_t))
 #define IDLE_CLOSE (120 * AP_SEC)
 #define SWEEP_SECONDS 30
 
@@ -58,11 +63,25 @@
 	set_int(socket, ZMQ_LINGER, 0);
 	set_int(socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
 	set_int(socket, ZMQ_RCVHWM, QUEUE_MESSAGES);
-	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+	set_int(socket, ZMQ_TCP_MAXRT, UNACKED_MS);
+}
+
+/*
+ * Only the sending side asks; the other one answers, and gives up a connection that nobody asks on.
+ * With many peers each is asked less often: a connection that swallows what is written is found by
+ * TCP anyway, and what is missed until then is made good by the protocols above.
+ */
+static void set_heartbeat(const ap_peer_t *p, void *socket)
+{
+	int every = (int)HASH_COUNT(p->remotes) * HEARTBEAT_MS_PER_PEER;
+
+	if (every < HEARTBEAT_MIN_MS)
+		every = HEARTBEAT_MIN_MS;
+	if (every > HEARTBEAT_MAX_MS)
+		every = HEARTBEAT_MAX_MS;
+	set_int(socket, ZMQ_HEARTBEAT_IVL, every);
 	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
-	set_int(socket, ZMQ_HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS);
-	set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
-	set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	set_int(socket, ZMQ_HEARTBEAT_TTL, every * HEARTBEATS_MISSED);
 }
 
 static void close_remote(remote_t *r)
@@ -80,6 +99,9 @@
 	if (!r->socket)
 		return false;
 	set_common(r->socket);
+	set_heartbeat(p, r->socket);
+	set_int(r->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	set_int(r->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	if (zmq_setsockopt(r->socket, ZMQ_CURVE_SERVERKEY, r->key, strlen(r->key) + 1) == 0 &&
 	    zmq_setsockopt(r->socket, ZMQ_CURVE_PUBLICKEY, s->public_key,
 			   strlen(s->public_key) + 1) == 0 &&
@@ -114,15 +136,13 @@
 	return at.wall_ms << CLOCK_COUNT_BITS | (at.count & CLOCK_COUNT_MASK);
 }
 
-static void clock_seen(ap_peer_t *p, zmq_msg_t *frame)
+static void clock_seen(ap_peer_t *p, uint64_t packed)
 {
 	uint64_t wall = ap_wall_ms();
-	uint64_t packed;
 	ap_hlc_t at;
 
-	if (!p->config.clock || zmq_msg_size(frame) != sizeof(packed))
+	if (!p->config.clock || packed == 0)
 		return;
-	memcpy(&packed, zmq_msg_data(frame), sizeof(packed));
 	at.wall_ms = packed >> CLOCK_COUNT_BITS;
 	at.count = packed & CLOCK_COUNT_MASK;
 	/* A peer far ahead has a wrong wall clock; following it would spoil our own time line. */
@@ -130,26 +150,43 @@
 		ap_hlc_seen(p->config.clock, at, wall);
 }
 
-static void deliver(ap_peer_t *p, zmq_msg_t *sender, zmq_msg_t *clock, zmq_msg_t *payload)
+/* Reads the envelope; the rest of the message is for the receiver. */
+static size_t read_envelope(zmq_msg_t *message, char id[AP_NAME_MAX], uint64_t *clock)
+{
+	const unsigned char *data = zmq_msg_data(message);
+	size_t size = zmq_msg_size(message);
+	size_t len = size > 0 ? data[0] : 0;
+	size_t envelope = 1 + len + sizeof(*clock);
+
+	if (len == 0 || len >= AP_NAME_MAX || size < envelope)
+		return 0;
+	memcpy(id, data + 1, len);
+	id[len] = '\0';
+	memcpy(clock, data + 1 + len, sizeof(*clock));
+	return envelope;
+}
+
+static void deliver(ap_peer_t *p, zmq_msg_t *message)
 {
 	char id[AP_NAME_MAX];
-	size_t len = zmq_msg_size(sender);
+	uint64_t clock;
+	size_t envelope = read_envelope(message, id, &clock);
+	const char *bytes = (const char *)zmq_msg_data(message) + envelope;
+	size_t len = zmq_msg_size(message) - envelope;
 
-	if (len == 0 || len >= sizeof(id)) {
+	if (envelope == 0) {
 		p->stats.dropped++;
 		return;
 	}
-	memcpy(id, zmq_msg_data(sender), len);
-	id[len] = '\0';
-	if (!sender_ok(p, id, payload)) {
+	if (!sender_ok(p, id, message)) {
 		p->stats.refused_keys++;
 		ap_log(LOG_WARNING, "peer %s: message under a key that is not its own", id);
 		return;
 	}
 	clock_seen(p, clock);
 	p->stats.received++;
-	p->stats.received_bytes += zmq_msg_size(payload);
-	p->config.receive(p->config.ctx, id, zmq_msg_data(payload), zmq_msg_size(payload));
+	p->stats.received_bytes += len;
+	p->config.receive(p->config.ctx, id, bytes, len);
 }
 
 /* Takes one whole message off the router; false when none waits. */
@@ -174,7 +211,7 @@
 		n++;
 	}
 	if (n == FRAMES)
-		deliver(p, &frames[1], &frames[2], &frames[3]);
+		deliver(p, &frames[1]);
 	else if (n > 0)
 		p->stats.dropped++;
 	for (int i = 0; i < n && i < FRAMES; i++)
@@ -231,7 +268,7 @@
 		ap_err_set(err, "keys.secret is not a CURVE key of 40 characters");
 		return AP_PEER_KEY;
 	}
-	int64_t max = AP_WIRE_MAX;
+	int64_t max = MESSAGE_MAX;
 
 	zmq_setsockopt(p->router, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s:%u", s->host, p->config.port);
@@ -349,25 +386,38 @@
 	free(r);
 }
 
+static void write_envelope(zmq_msg_t *message, const char *id, uint64_t clock)
+{
+	unsigned char *data = zmq_msg_data(message);
+	size_t len = strlen(id);
+
+	data[0] = (unsigned char)len;
+	memcpy(data + 1, id, len);
+	memcpy(data + 1 + len, &clock, sizeof(clock));
+}
+
 bool ap_peer_send(ap_peer_t *p, const char *to, const void *data, size_t len)
 {
 	const char *own = p->config.settings->id;
-	uint64_t clock = clock_now(p);
+	size_t envelope = 1 + strlen(own) + sizeof(uint64_t);
+	zmq_msg_t message;
 	remote_t *r;
 
 	HASH_FIND_STR(p->remotes, to, r);
-	if (!r || (!r->socket && !open_remote(p, r))) {
+	if (!r || (!r->socket && !open_remote(p, r)) ||
+	    zmq_msg_init_size(&message, envelope + len) != 0) {
 		p->stats.dropped++;
 		return false;
 	}
 	r->last_send = ap_now();
-	if (zmq_send(r->socket, own, strlen(own), ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
+	write_envelope(&message, own, clock_now(p));
+	if (len > 0)
+		memcpy((char *)zmq_msg_data(&message) + envelope, data, len);
+	if (zmq_msg_send(&message, r->socket, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(&message);
 		p->stats.dropped++;
 		return false;
 	}
-	/* The first frame was taken, so the others are too. */
-	zmq_send(r->socket, &clock, sizeof(clock), ZMQ_SNDMORE | ZMQ_DONTWAIT);
-	zmq_send(r->socket, data, len, ZMQ_DONTWAIT);
 	p->stats.sent++;
 	p->stats.sent_bytes += len;
 	return true;
--- a/bench/control/cost.c
+++ b/bench/control/cost.c
@@ -10,7 +10,8 @@
 		node->port.out_bytes = node->port.out_messages = 0;
 		node->cpu = 0.0;
 		node->gate.cost = 0.0;
-		memset(node->in_kind, 0, sizeof(node->in_kind));
+		node->bytes_before = 0;
+		memset(node->kinds, 0, sizeof(node->kinds));
 	}
 }
 
@@ -56,6 +57,16 @@
 	}
 }
 
+static void note_worst(const node_t *node, double bytes, double seconds, cost_t *cost)
+{
+	cost->bytes_max = bytes;
+	cost->worst = node->number;
+	cost->worst_out = (double)node->port.out_bytes / seconds;
+	cost->worst_messages = (double)(node->in_messages + node->port.out_messages) / seconds;
+	for (int k = 0; k < KINDS; k++)
+		cost->worst_kinds[k] = node->kinds[k] / seconds;
+}
+
 static void sum_up(const fleet_t *f, double seconds, cost_t *cost)
 {
 	int up = 0;
@@ -69,26 +80,34 @@
 		if (node->down)
 			continue;
 		up++;
-		for (int k = 0; k < 3; k++)
-			cost->in_kind[k] += (double)node->in_kind[k] / seconds;
 		cost->bytes_mean += bytes;
 		cost->messages_mean += messages;
 		cost->core_mean += core;
-		if (bytes > cost->bytes_max) {
-			cost->bytes_max = bytes;
-			cost->worst_out = (double)node->port.out_bytes / seconds;
-			for (int k = 0; k < 3; k++)
-				cost->worst_kind[k] = (double)node->in_kind[k] / seconds;
-		}
+		if (bytes > cost->bytes_max)
+			note_worst(node, bytes, seconds, cost);
 		cost->core_max = core > cost->core_max ? core : cost->core_max;
 	}
-	for (int k = 0; k < 3; k++)
-		cost->in_kind[k] /= up;
 	cost->bytes_mean /= up;
 	cost->messages_mean /= up;
 	cost->core_mean /= up;
 }
 
+/* Bytes of the second that just ended. */
+static void note_second(fleet_t *f, int second, cost_t *cost)
+{
+	for (int i = 0; i < f->n; i++) {
+		node_t *node = &f->nodes[i];
+		uint64_t bytes = node->in_bytes + node->port.out_bytes;
+		double gained = (double)(bytes - node->bytes_before);
+
+		node->bytes_before = bytes;
+		if (node->down || gained <= cost->second_bytes)
+			continue;
+		cost->second_bytes = gained;
+		cost->second_at = second;
+	}
+}
+
 cost_t run_phase(fleet_t *f, const phase_t *phase)
 {
 	cost_t cost = {0};
@@ -105,6 +124,7 @@
 		maybe(f, &due_restart, phase->restarts_per_second, restart_any);
 		if (f->sim.now < begin + s * AP_SEC)
 			fake_run(&f->sim, begin + s * AP_SEC);
+		note_second(f, s, &cost);
 		if (s % 60 == 0) {
 			double r = (double)(f->store.reads - minute_reads) / 60.0;
 			double w = (double)(f->store.writes - minute_writes) / 60.0;
--- a/bench/control/cost.h
+++ b/bench/control/cost.h
@@ -4,19 +4,30 @@
 
 #include "fleet.h"
 
-/* What one phase cost. */
+/**
+ * struct cost - what one phase cost; bytes are those of messages alone, both ways.
+ * @worst: number of the node with the most bytes
+ * @worst_kinds: its bytes a second by what they are for
+ * @second_bytes: most bytes of any node in one second
+ * @second_at: that second of the phase, from 1
+ * @reads: store calls a second, whole fleet
+ * @reads_worst: a second, in the worst minute
+ */
 typedef struct cost {
 	double bytes_mean;
 	double bytes_max;
-	double in_kind[3];    /* mean node */
-	double worst_kind[3]; /* of the worst node */
+	int worst;
+	double worst_kinds[KINDS];
 	double worst_out;
+	double worst_messages;
 	double messages_mean;
+	double second_bytes;
+	int second_at;
 	double core_mean; /* per cent */
 	double core_max;
-	double reads; /* store calls a second, whole fleet */
+	double reads;
 	double writes;
-	double reads_worst; /* a second, in the worst minute */
+	double reads_worst;
 	double writes_worst;
 } cost_t;
 
--- a/bench/control/fleet.c
+++ b/bench/control/fleet.c
@@ -7,6 +7,7 @@
 #define TICK (200 * AP_MSEC)
 #define CALLERS_MAX 1800
 #define MODELS 7
+#define MODELS_LOADED 2 /* by each upstream */
 
 static double cpu_now(void)
 {
@@ -77,24 +78,64 @@
 		return;
 	node->in_bytes += len;
 	node->in_messages++;
+	kinds_add(node->kinds, data, len);
 	begin = cpu_now();
 	switch (ap_wire_peek(data, len)) {
 	case AP_WIRE_MEMBER:
-		node->in_kind[0] += len;
 		ap_member_receive(node->m, from, data, len, f->sim.now, NULL);
 		break;
 	case AP_WIRE_SPREAD:
-		node->in_kind[1] += len;
 		ap_spread_receive(node->s, from, data, len, f->sim.now, NULL);
 		break;
 	default:
-		node->in_kind[2] += len;
 		ap_report_receive(node->r, from, data, len, f->sim.now, NULL);
 		break;
 	}
 	node->cpu += cpu_now() - begin;
 }
 
+static void record(fleet_t *f, int from, const char *to, size_t len)
+{
+	record_t *r = &f->record;
+
+	if (r->n == r->room) {
+		r->room = r->room ? r->room * 2 : 65536;
+		r->messages = realloc(r->messages, r->room * sizeof(*r->messages));
+		if (!r->messages)
+			abort();
+	}
+	r->messages[r->n++] =
+		(message_t){f->sim.now, (uint16_t)from, (uint16_t)atoi(to + 1), (uint32_t)len};
+}
+
+static void send_counted(void *ctx, const char *to, const void *data, size_t len)
+{
+	node_t *node = ctx;
+
+	double begin = cpu_now();
+
+	kinds_add(node->kinds, data, len);
+	node->cpu -= cpu_now() - begin;
+	if (node->f->record.on)
+		record(node->f, node->number, to, len);
+	fake_send(&node->port, to, data, len);
+}
+
+/* An upstream has two of the models loaded, and keeps them. */
+static void read_models(node_t *node, int upstream)
+{
+	uint32_t names[MODELS_LOADED];
+
+	for (int i = 0; i < MODELS_LOADED; i++) {
+		char name[AP_NAME_MAX];
+
+		snprintf(name, sizeof(name), "model-%d", (upstream + i) % MODELS);
+		names[i] = ap_report_name_hash(name);
+	}
+	ap_report_models_read(node->r, node->f->list[upstream].id, names, MODELS_LOADED,
+			      node->f->sim.now);
+}
+
 /* Every poller reads its upstreams once a second; loads, rooms and cache events never rest. */
 static void poll(node_t *node)
 {
@@ -119,6 +160,7 @@
 		for (int b = 0; b < 4; b++)
 			blocks[b] = ap_rng_u64(&f->sim.rng);
 		ap_report_cached(node->r, &event, now);
+		read_models(node, i);
 	}
 	for (int i = 0; i < MODELS; i++) {
 		ap_room_t room = {.rate = 10.0 + i, .wait = 100 * AP_MSEC};
@@ -218,7 +260,7 @@
 {
 	node_t *node = &f->nodes[i];
 	uint64_t seed = ++f->epoch * 1000003;
-	ap_peer_port_t peer = {&node->port, fake_send};
+	ap_peer_port_t peer = {node, send_counted};
 	ap_member_config_t member = {
 		.epoch = f->epoch, .seed = seed, .peer = peer, .ctx = node, .changed = changed};
 	ap_spread_config_t spread = {.seed = seed,
@@ -363,6 +405,7 @@
 	fake_store_clear(&f->store);
 	fake_sim_clear(&f->sim);
 	json_decref(f->doc);
+	free(f->record.messages);
 	free(f->scratch);
 	free(f->list);
 	free(f->nodes);
--- a/bench/control/fleet.h
+++ b/bench/control/fleet.h
@@ -7,6 +7,7 @@
 #define AP_BENCH_FLEET_H
 
 #include "../test/fake.h"
+#include "kinds.h"
 #include "member/member.h"
 #include "order/order.h"
 #include "report/report.h"
@@ -16,6 +17,23 @@
 #define MAX 420
 typedef struct node node_t;
 
+/**
+ * struct message - one message that was sent while messages are recorded.
+ */
+typedef struct message {
+	ap_usec_t at;
+	uint16_t from;
+	uint16_t to;
+	uint32_t len;
+} message_t;
+
+typedef struct record {
+	bool on;
+	message_t *messages;
+	size_t n;
+	size_t room;
+} record_t;
+
 typedef struct fleet {
 	fake_sim_t sim;
 	fake_net_t net;
@@ -28,6 +46,7 @@
 	uint64_t epoch;
 	ap_entry_t *scratch;
 	json_t *doc;
+	record_t record;
 } fleet_t;
 
 struct node {
@@ -44,7 +63,8 @@
 	unsigned life;
 	bool listed;
 	uint64_t in_bytes;
-	uint64_t in_kind[3]; /* membership, configuration, reports */
+	double kinds[KINDS];   /* bytes, both ways */
+	uint64_t bytes_before; /* both ways, up to the present second */
 	uint64_t in_messages;
 	double cpu; /* seconds */
 	ap_usec_t in_force_at;
@@ -54,12 +74,11 @@
 
 fleet_t *fleet_new(int n);
 void fleet_free(fleet_t *f);
-/* fleet_start() - a new process for entry @i, known to the list. */
+/** fleet_start() - a new process for entry @i, known to the list. */
 void fleet_start(fleet_t *f, int i);
-/* fleet_stop() - ends a process without a word. */
+/** fleet_stop() - ends a process without a word. */
 void fleet_stop(node_t *node);
-/* fleet_change() - a change of one caller by entry @by; the generation it made, 0 when it failed.
- */
+/** fleet_change() - one caller changed by entry @by; the generation made, 0 when it failed. */
 uint64_t fleet_change(fleet_t *f, int by);
 
 #endif
--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -1,10 +1,12 @@
 /* Cost of control per node at several sizes of the fleet, beside the targets for 420 entries. */
 #include "control/cost.h"
+#include "control/replay.h"
 #include "control/times.h"
 
 #include <malloc.h>
 
 #define DAY 86400.0
+#define REPLAY_SECONDS 30
 #define CHANGES_PER_DAY 460
 #define RESTARTS_PER_DAY 180
 
@@ -38,22 +40,50 @@
 	double out;
 } summary_t;
 
-static void print_phase(const char *name, const cost_t *c)
+static void print_bytes(const char *name, const cost_t *c)
 {
 	char label[64];
 
 	snprintf(label, sizeof(label), "%s: bytes/s, worst node", name);
 	row(label, c->bytes_max, "B/s", BYTES_TARGET);
-	printf("  %-46s %10.0f membership, %.0f configuration, %.0f reports; sent %.0f\n",
-	       "    of which received, worst node", c->worst_kind[0], c->worst_kind[1],
-	       c->worst_kind[2], c->worst_out);
-	printf("  %-46s %10.2f B/s, %.1f messages/s\n", "    mean node", c->bytes_mean,
+	for (int k = 0; k < KINDS; k++)
+		printf("      %-42s %10.0f B/s\n", kind_name((kind_t)k), c->worst_kinds[k]);
+	printf("    %-44s %10.2f B/s, %.1f messages/s\n", "of it sent; all messages", c->worst_out,
+	       c->worst_messages);
+	printf("    %-44s %10.2f B/s, %.1f messages/s\n", "mean node", c->bytes_mean,
 	       c->messages_mean);
-	printf("  %-46s %10.0f membership, %.0f configuration, %.0f reports\n",
-	       "    of which received, mean node", c->in_kind[0], c->in_kind[1], c->in_kind[2]);
+	printf("    %-44s %10.0f B in second %d (mean target %.0f)\n", "worst second of any node",
+	       c->second_bytes, c->second_at, BYTES_TARGET);
+}
+
+static void print_phase(const char *name, const cost_t *c)
+{
+	char label[64];
+
+	print_bytes(name, c);
 	snprintf(label, sizeof(label), "%s: processor, worst node", name);
 	row(label, c->core_max, "% core", CORE_TARGET);
-	printf("  %-46s %10.3f %% core\n", "    mean node", c->core_mean);
+	printf("    %-44s %10.3f %% core\n", "mean node", c->core_mean);
+}
+
+/* The worst node's messages on real sockets; the phase before must have been recorded. */
+static void print_replay(fleet_t *f, const char *name, const cost_t *c)
+{
+	replay_t r = replay_run(&f->record, f->n, c->worst, REPLAY_SECONDS);
+	char label[64];
+
+	snprintf(label, sizeof(label), "%s: on its sockets, TCP and IP included", name);
+	row(label, r.bytes, "B/s", BYTES_TARGET);
+	printf("    %-44s %10.1f messages/s of %.0f B/s\n", "replayed", r.messages,
+	       r.message_bytes);
+	printf("    %-44s %10.0f B/s, %.1f segments/s, %d connections\n", "streams", r.stream_bytes,
+	       r.segments, r.connections);
+}
+
+static void record_messages(fleet_t *f, bool on)
+{
+	f->record.on = on;
+	f->record.n = 0;
 }
 
 static summary_t measure(int n)
@@ -72,8 +102,11 @@
 	sum.memory = (double)(mallinfo2().uordblks - before) / n / 1e6;
 	printf("%d entries, %d regions, %d upstreams, %zu callers\n", n, f->regions, f->upstreams,
 	       json_object_size(json_object_get(f->doc, "caller")));
+	record_messages(f, true);
 	c = run_phase(f, &rest);
 	print_phase("at rest", &c);
+	print_replay(f, "at rest", &c);
+	record_messages(f, false);
 	sum.bytes = c.bytes_max;
 	sum.bytes_mean = c.bytes_mean;
 	sum.core = c.core_max;
@@ -99,11 +132,13 @@
 	row("change in force, 1 peer and message in 10 lost", sum.in_force, "s", IN_FORCE_TARGET);
 	printf("  %-46s %10.2f s\n", "    mean node", mean);
 	f->net.loss = 0.0;
+	record_messages(f, true);
 	c = run_phase(f, &lost);
 	row("data centre lost: store reads, worst minute", c.reads_worst, "/s", STORE_READS_TARGET);
 	row("data centre lost: store writes, worst minute", c.writes_worst, "/s",
 	    STORE_WRITES_TARGET);
-	row("data centre lost: bytes/s, worst node", c.bytes_max, "B/s", BYTES_TARGET);
+	print_bytes("data centre lost", &c);
+	print_replay(f, "data centre lost", &c);
 	printf("\n");
 	fleet_free(f);
 	return sum;
