Arm the entry task's ticks by what is due next

An idle daemon woke 100 times a second for permits and 50 times for admission. The permits' tick now follows ap_once_due() and ap_claims_due(), which nothing used, between 10 ms and 1 s, and is brought forward by each event that may set a time; the queue is looked at every 20 ms only while a request waits.

--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -5,8 +5,9 @@
 #include <string.h>
 #include <time.h>
 
-#define TICK_US 20000 /* how often queued requests are looked at */
-#define REPORT_S 1    /* how often counters and room go to the control task */
+#define TICK_US 20000 /* how often requests are looked at while any is queued */
+#define IDLE_TICK_S 1
+#define REPORT_S 1 /* how often counters and room go to the control task */
 #define CALLER_IDLE (75 * AP_SEC)
 
 static uint64_t wall_ms(void)
@@ -56,12 +57,26 @@
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	entry_t *entry = arg;
-	struct timeval again = {.tv_usec = TICK_US};
+	const struct timeval idle = {.tv_sec = IDLE_TICK_S};
 
 	(void)fd;
 	(void)what;
 	ap_admission_tick(entry->admission, ap_now());
-	event_add(entry->tick, &again);
+	entry->tick_soon = false;
+	if (ap_admission_queued(entry->admission) > 0)
+		entry_tick_soon(entry);
+	else
+		event_add(entry->tick, &idle);
+}
+
+void entry_tick_soon(entry_t *entry)
+{
+	const struct timeval soon = {.tv_usec = TICK_US};
+
+	if (entry->tick_soon)
+		return;
+	entry->tick_soon = true;
+	event_add(entry->tick, &soon);
 }
 
 static void note_own_room(entry_t *entry, ap_usec_t now)
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -209,6 +209,7 @@
 		exchange_admitted(x);
 		break;
 	case AP_ADMIT_QUEUE:
+		entry_tick_soon(entry);
 		if (attempt_away(x, fault.retry_after))
 			ap_admission_cancel(entry->admission, x->token, now);
 		break;
--- a/cmd/arbutuspond/entry-once.c
+++ b/cmd/arbutuspond/entry-once.c
@@ -10,7 +10,8 @@
 #include <string.h>
 #include <time.h>
 
-#define TICK_US 10000
+#define TICK_MIN (10 * AP_MSEC)
+#define TICK_MAX AP_SEC /* kept records end then at the latest */
 #define ANSWER_HEAD_MAX (AP_FORWARD_TYPE_MAX + 16)
 #define MESSAGE_ZONE 4096
 #define RUNNING_RETRY_AFTER AP_SEC
@@ -21,10 +22,26 @@
 	ap_claims_t *claims;
 	ap_platform_t *platform;
 	struct event *tick;
+	ap_usec_t tick_wait; /* that the tick was armed with */
 	bool draining;
 	uint64_t next_message;
 };
 
+static void arm_tick(entry_once_t *o, ap_usec_t wait)
+{
+	const struct timeval after = {.tv_sec = wait / AP_SEC, .tv_usec = wait % AP_SEC};
+
+	o->tick_wait = wait;
+	event_add(o->tick, &after);
+}
+
+/* Something may wait for a time that was not known when the tick was armed. */
+static void tick_soon(entry_once_t *o)
+{
+	if (o->tick_wait > TICK_MIN)
+		arm_tick(o, TICK_MIN);
+}
+
 static void send_message(void *ctx, const char *to, const ap_once_msg_t *msg)
 {
 	entry_once_t *o = ctx;
@@ -53,6 +70,7 @@
 	msgpack_object body;
 	msgpack_zone zone;
 
+	tick_soon(o);
 	msgpack_zone_init(&zone, MESSAGE_ZONE);
 	if (ap_wire_open(data, len, &zone, &head, &body, NULL) == AP_WIRE_OK &&
 	    ap_wire_read_once(&head, &body, &read, NULL) == AP_WIRE_OK)
@@ -226,6 +244,7 @@
 	const char *caller = x->req.caller->name;
 	ap_once_verdict_t v;
 
+	tick_soon(o);
 	if (x->permit[0])
 		ap_once_use(o->once, x->permit, service, caller, x->token, ap_now(), &v);
 	else
@@ -239,6 +258,7 @@
 	entry_once_t *o = ctx;
 	ap_once_verdict_t v;
 
+	tick_soon(o);
 	judge(o, x, &v);
 	act(o, x, &v);
 }
@@ -247,6 +267,7 @@
 {
 	entry_once_t *o = ctx;
 
+	tick_soon(o);
 	if (x->maybe_ran || x->passed)
 		return false;
 	if (x->permit[0]) {
@@ -265,6 +286,7 @@
 	size_t total = 0;
 	char *stored = answer ? write_stored(x, answer, len, &total) : NULL;
 
+	tick_soon(o);
 	if (x->permit[0])
 		ap_once_done(o->once, x->token, outcome, stored, total, ap_now());
 	else
@@ -323,6 +345,7 @@
 {
 	entry_once_t *o = ctx;
 
+	tick_soon(o);
 	ap_once_set_entries(o->once, view->entries, view->n_entries, ap_now());
 }
 
@@ -330,6 +353,7 @@
 {
 	entry_once_t *o = ctx;
 
+	tick_soon(o);
 	o->draining = true;
 	ap_once_drain(o->once, ap_now());
 }
@@ -368,10 +392,20 @@
 			    counts.issued_records, counts.witnessed_records, counts.answer_bytes);
 }
 
+static ap_usec_t next_wait(const entry_once_t *o)
+{
+	ap_usec_t permits = ap_once_due(o->once);
+	ap_usec_t claims = ap_claims_due(o->claims);
+	ap_usec_t wait = (permits < claims ? permits : claims) - ap_now();
+
+	if (o->draining || wait < TICK_MIN)
+		return TICK_MIN;
+	return wait < TICK_MAX ? wait : TICK_MAX;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	entry_once_t *o = arg;
-	struct timeval again = {.tv_usec = TICK_US};
 
 	(void)fd;
 	(void)what;
@@ -381,7 +415,7 @@
 		o->draining = false;
 		entry_hooks_drained(o->entry);
 	}
-	event_add(o->tick, &again);
+	arm_tick(o, next_wait(o));
 }
 
 static ap_once_t *new_permits(entry_once_t *o)
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -167,6 +167,7 @@
 	exchange_t *guests;    /* by the sender's name of the exchange */
 	leaving_t *leaving;
 	struct event *tick;
+	bool tick_soon; /* the tick is armed for queued requests */
 	struct event *report;
 	uint64_t next_token;
 	uint64_t next_message;
@@ -313,6 +314,8 @@
 void entry_receive(entry_t *entry, const char *from, const void *data, size_t len);
 /* entry_hooks_drained() - the hooks have nothing left to hand over. */
 void entry_hooks_drained(entry_t *entry);
+/** entry_tick_soon() - a request was queued: looks at the queue again in a while. */
+void entry_tick_soon(entry_t *entry);
 void entry_check_drained(entry_t *entry);
 void entry_leaving(entry_t *entry, const char *upstream, bool tell);
 bool entry_knows_leaving(const entry_t *entry, const char *upstream);
--- a/lib/limit/admission.c
+++ b/lib/limit/admission.c
@@ -403,3 +403,8 @@
 	start_waiting(a, now);
 	ap_caller_limits_sweep(a->callers, now);
 }
+
+size_t ap_admission_queued(const ap_admission_t *a)
+{
+	return ahead_of(a, RANKS - 1);
+}
--- a/lib/limit/limit.h
+++ b/lib/limit/limit.h
@@ -64,7 +64,13 @@
 void ap_admission_done(ap_admission_t *a, uint64_t token, ap_usec_t now);
 /** ap_admission_cancel() - a queued request's caller hung up. */
 void ap_admission_cancel(ap_admission_t *a, uint64_t token, ap_usec_t now);
+/**
+ * ap_admission_tick() - sheds what is late and starts what fits; call it every 20 ms while
+ * anything is queued, and every second otherwise.
+ */
 void ap_admission_tick(ap_admission_t *a, ap_usec_t now);
+/** ap_admission_queued() - requests waiting over all classes. */
+size_t ap_admission_queued(const ap_admission_t *a);
 
 typedef struct ap_retry_budget ap_retry_budget_t;
 
