Reports in one period, groups of one size, short items and deaths

- Groups came from a hash, and members of the largest one sent twice the mean.
They are of one size now.
- Own news were told each second, though one load may be told only as often as the budget allows.
One period for both, the budget's; loads are read just before it, by one poller while it is heard.
- Loads take 10 bytes in place of 13, offers name their region once, membership's hashes travel as 32 bits, and a death names the incarnation alone in place of address and key.

--- a/bench/control/cost.c
+++ b/bench/control/cost.c
@@ -1,6 +1,10 @@
 /* Phases: what happens during one, and the sums over all nodes that are up at its end. */
 #include "cost.h"
 
+#include <math.h>
+
+#define AGE_SAMPLE_SECONDS 7 /* no multiple of what is done periodically */
+
 static void clear_counts(fleet_t *f)
 {
 	for (int i = 0; i < f->n; i++) {
@@ -11,6 +15,7 @@
 		node->cpu = 0.0;
 		node->gate.cost = 0.0;
 		node->bytes_before = 0;
+		node->polls = 0;
 		memset(node->kinds, 0, sizeof(node->kinds));
 	}
 }
@@ -67,6 +72,24 @@
 		cost->worst_kinds[k] = node->kinds[k] / seconds;
 }
 
+/* Loads that the node's own polls brought are left out. */
+static void sum_ages(const fleet_t *f, cost_t *cost)
+{
+	for (int i = 0; i < f->n; i++) {
+		const node_t *node = &f->nodes[i];
+
+		for (int u = 0; !node->down && u < f->upstreams; u++) {
+			double age = (double)(f->sim.now - node->load_at[u]) / AP_SEC;
+
+			if (node->load_at[u] == 0 || ap_report_polls(node->r, f->list[u].id))
+				continue;
+			cost->age_sum += age;
+			cost->age_max = fmax(cost->age_max, age);
+			cost->ages++;
+		}
+	}
+}
+
 static void sum_up(const fleet_t *f, double seconds, cost_t *cost)
 {
 	int up = 0;
@@ -85,6 +108,7 @@
 		cost->core_mean += core;
 		if (bytes > cost->bytes_max)
 			note_worst(node, bytes, seconds, cost);
+		cost->polls_max = fmax(cost->polls_max, (double)node->polls / seconds);
 		cost->core_max = core > cost->core_max ? core : cost->core_max;
 	}
 	cost->bytes_mean /= up;
@@ -125,6 +149,8 @@
 		if (f->sim.now < begin + s * AP_SEC)
 			fake_run(&f->sim, begin + s * AP_SEC);
 		note_second(f, s, &cost);
+		if (s % AGE_SAMPLE_SECONDS == 0)
+			sum_ages(f, &cost);
 		if (s % 60 == 0) {
 			double r = (double)(f->store.reads - minute_reads) / 60.0;
 			double w = (double)(f->store.writes - minute_writes) / 60.0;
--- a/bench/control/cost.h
+++ b/bench/control/cost.h
@@ -10,6 +10,10 @@
  * @worst_kinds: its bytes a second by what they are for
  * @second_bytes: most bytes of any node in one second
  * @second_at: that second of the phase, from 1
+ * @polls_max: loads read a second by the node that reads most
+ * @age_sum: seconds since loads heard of others were read, over all nodes and upstreams
+ * @ages: how many of them
+ * @age_max: the oldest one
  * @reads: store calls a second, whole fleet
  * @reads_worst: a second, in the worst minute
  */
@@ -23,6 +27,10 @@
 	double messages_mean;
 	double second_bytes;
 	int second_at;
+	double polls_max;
+	double age_sum;
+	double ages;
+	double age_max;
 	double core_mean; /* per cent */
 	double core_max;
 	double reads;
--- a/bench/control/fleet.c
+++ b/bench/control/fleet.c
@@ -3,7 +3,6 @@
 
 #include <time.h>
 
-#define UPSTREAMS_MAX 600
 #define TICK (200 * AP_MSEC)
 #define CALLERS_MAX 1800
 #define MODELS 7
@@ -46,8 +45,9 @@
 
 static void on_load(void *ctx, const ap_load_report_t *report)
 {
-	(void)ctx;
-	(void)report;
+	node_t *node = ctx;
+
+	node->load_at[atoi(report->upstream + strlen("engine-"))] = report->at;
 }
 
 static void on_room(void *ctx, const ap_room_t *room)
@@ -136,37 +136,63 @@
 			      node->f->sim.now);
 }
 
-/* Every poller reads its upstreams once a second; loads, rooms and cache events never rest. */
-static void poll(node_t *node)
+/* Four blocks a second of each upstream that this entry listens to. */
+static void hear_blocks(node_t *node, int upstream)
+{
+	fleet_t *f = node->f;
+	uint64_t blocks[4];
+	ap_cache_event_t event = {.seq = (uint64_t)(f->sim.now / AP_SEC),
+				  .stored = true,
+				  .blocks = blocks,
+				  .n_blocks = 4};
+
+	for (int b = 0; b < 4; b++)
+		blocks[b] = ap_rng_u64(&f->sim.rng);
+	ap_copy_name(event.upstream, sizeof(event.upstream), f->list[upstream].id);
+	ap_report_cached(node->r, &event, f->sim.now);
+}
+
+static void read_load(node_t *node, int upstream)
+{
+	fleet_t *f = node->f;
+	ap_load_report_t load = {.at = f->sim.now, .kv_used = ap_rng_unit(&f->sim.rng)};
+
+	load.running = (uint32_t)ap_rng_below(&f->sim.rng, 64);
+	load.waiting = (uint32_t)ap_rng_below(&f->sim.rng, 16);
+	ap_copy_name(load.upstream, sizeof(load.upstream), f->list[upstream].id);
+	ap_report_polled(node->r, &load, f->sim.now);
+	node->read_at[upstream] = f->sim.now;
+	node->polls++;
+}
+
+/* Loads are read at most once a second, as the daemon does. */
+static void read_loads(node_t *node)
 {
 	fleet_t *f = node->f;
-	ap_usec_t now = f->sim.now;
 
 	for (int i = 0; i < f->upstreams; i++) {
-		ap_load_report_t load = {.at = now, .kv_used = ap_rng_unit(&f->sim.rng)};
-		uint64_t blocks[4];
-		ap_cache_event_t event = {.seq = (uint64_t)(now / AP_SEC),
-					  .stored = true,
-					  .blocks = blocks,
-					  .n_blocks = 4};
-
-		if (!ap_report_polls(node->r, f->list[i].id))
+		if (f->sim.now - node->read_at[i] < AP_SEC ||
+		    !ap_report_reads(node->r, f->list[i].id, f->sim.now))
 			continue;
-		load.running = (uint32_t)ap_rng_below(&f->sim.rng, 64);
-		load.waiting = (uint32_t)ap_rng_below(&f->sim.rng, 16);
-		ap_copy_name(load.upstream, sizeof(load.upstream), f->list[i].id);
-		ap_copy_name(event.upstream, sizeof(event.upstream), f->list[i].id);
-		ap_report_polled(node->r, &load, now);
-		for (int b = 0; b < 4; b++)
-			blocks[b] = ap_rng_u64(&f->sim.rng);
-		ap_report_cached(node->r, &event, now);
+		read_load(node, i);
 		read_models(node, i);
 	}
+}
+
+/* Once a second; loads, rooms and cache events never rest. */
+static void observe_upstreams(node_t *node)
+{
+	fleet_t *f = node->f;
+
+	for (int i = 0; i < f->upstreams; i++) {
+		if (ap_report_polls(node->r, f->list[i].id))
+			hear_blocks(node, i);
+	}
 	for (int i = 0; i < MODELS; i++) {
 		ap_room_t room = {.rate = 10.0 + i, .wait = 100 * AP_MSEC};
 
 		snprintf(room.model, sizeof(room.model), "model-%d", i);
-		ap_report_own_room(node->r, &room, now);
+		ap_report_own_room(node->r, &room, f->sim.now);
 	}
 }
 
@@ -191,8 +217,9 @@
 	ap_order_tick(node->o, f->sim.now);
 	if (f->sim.now >= node->next_poll) {
 		node->next_poll = f->sim.now + AP_SEC;
-		poll(node);
+		observe_upstreams(node);
 	}
+	read_loads(node);
 	ap_report_tick(node->r, f->sim.now);
 	node->cpu += cpu_now() - begin;
 	next = malloc(sizeof(*next));
@@ -294,6 +321,8 @@
 	node->gate.clock = cpu_now;
 	node->down = false;
 	node->generation = 0;
+	memset(node->load_at, 0, sizeof(node->load_at));
+	memset(node->read_at, 0, sizeof(node->read_at));
 	member.self = spread.self = order.self = report.self = node->entry;
 	node->m = ap_member_new(&member, f->sim.now);
 	node->s = ap_spread_new(&spread, f->sim.now);
--- a/bench/control/fleet.h
+++ b/bench/control/fleet.h
@@ -15,6 +15,8 @@
 #include "wire/wire.h"
 
 #define MAX 420
+#define UPSTREAMS_MAX 600
+
 typedef struct node node_t;
 
 /**
@@ -70,6 +72,9 @@
 	ap_usec_t in_force_at;
 	uint64_t generation;
 	ap_usec_t next_poll;
+	uint64_t polls;			  /* loads read by itself */
+	ap_usec_t read_at[UPSTREAMS_MAX]; /* by itself */
+	ap_usec_t load_at[UPSTREAMS_MAX]; /* of the newest load heard of; 0: none */
 };
 
 fleet_t *fleet_new(int n);
--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -54,6 +54,9 @@
 	       c->messages_mean);
 	printf("    %-44s %10.0f B in second %d (mean target %.0f)\n", "worst second of any node",
 	       c->second_bytes, c->second_at, BYTES_TARGET);
+	printf("    %-44s %10.2f s, oldest %.2f s\n", "age of loads, mean", c->age_sum / c->ages,
+	       c->age_max);
+	printf("    %-44s %10.2f /s\n", "polls of loads, node with most", c->polls_max);
 }
 
 static void print_phase(const char *name, const cost_t *c)
@@ -86,60 +89,96 @@
 	f->record.n = 0;
 }
 
-static summary_t measure(int n)
+static void measure_rest(fleet_t *f, summary_t *sum)
 {
 	const phase_t rest = {.seconds = 60};
-	const phase_t changes = {.seconds = 240, .changes_per_second = CHANGES_PER_DAY / DAY};
-	const phase_t restarts = {.seconds = 240,
-				  .restarts_per_second = RESTARTS_PER_DAY / DAY * n / MAX + 1e-9};
-	const phase_t lost = {.seconds = 120, .lose_data_centre = true};
-	size_t before = mallinfo2().uordblks;
-	fleet_t *f = fleet_new(n);
-	summary_t sum = {.n = n};
-	double mean, region, fleet;
 	cost_t c;
 
-	sum.memory = (double)(mallinfo2().uordblks - before) / n / 1e6;
-	printf("%d entries, %d regions, %d upstreams, %zu callers\n", n, f->regions, f->upstreams,
-	       json_object_size(json_object_get(f->doc, "caller")));
 	record_messages(f, true);
 	c = run_phase(f, &rest);
 	print_phase("at rest", &c);
 	print_replay(f, "at rest", &c);
 	record_messages(f, false);
-	sum.bytes = c.bytes_max;
-	sum.bytes_mean = c.bytes_mean;
-	sum.core = c.core_max;
 	row("at rest: store calls, whole fleet", c.reads + c.writes, "/s", STORE_REST_TARGET);
-	c = run_phase(f, &changes);
+	sum->bytes = c.bytes_max;
+	sum->bytes_mean = c.bytes_mean;
+	sum->core = c.core_max;
+}
+
+static void print_store(const char *name, const cost_t *c)
+{
+	char label[64];
+
+	snprintf(label, sizeof(label), "%s: store reads, worst minute", name);
+	row(label, c->reads_worst, "/s", STORE_READS_TARGET);
+	snprintf(label, sizeof(label), "%s: store writes, worst minute", name);
+	row(label, c->writes_worst, "/s", STORE_WRITES_TARGET);
+}
+
+static void measure_changes(fleet_t *f)
+{
+	const phase_t changes = {.seconds = 240, .changes_per_second = CHANGES_PER_DAY / DAY};
+	cost_t c = run_phase(f, &changes);
+
 	print_phase("460 changes a day", &c);
-	row("460 changes a day: store reads, worst minute", c.reads_worst, "/s",
-	    STORE_READS_TARGET);
-	row("460 changes a day: store writes, worst minute", c.writes_worst, "/s",
-	    STORE_WRITES_TARGET);
-	c = run_phase(f, &restarts);
-	row("180 restarts a day: store reads, worst minute", c.reads_worst, "/s",
-	    STORE_READS_TARGET);
-	row("180 restarts a day: store writes, worst minute", c.writes_worst, "/s",
-	    STORE_WRITES_TARGET);
-	row("memory a node (library's heap)", sum.memory, "MB", MEMORY_TARGET);
-	time_until_out(f, &region, &fleet);
+	print_store("460 changes a day", &c);
+}
+
+static void measure_restarts(fleet_t *f)
+{
+	const phase_t restarts = {
+		.seconds = 240, .restarts_per_second = RESTARTS_PER_DAY / DAY * f->n / MAX + 1e-9};
+	cost_t c = run_phase(f, &restarts);
+
+	print_store("180 restarts a day", &c);
+}
+
+static void measure_times(fleet_t *f, summary_t *sum)
+{
+	double mean, region;
+
+	time_until_out(f, &region, &sum->out);
 	row("dead entry out of its region", region, "s", IN_FORCE_TARGET);
-	row("dead entry out of the whole fleet", fleet, "s", IN_FORCE_TARGET);
-	sum.out = fleet;
+	row("dead entry out of the whole fleet", sum->out, "s", IN_FORCE_TARGET);
 	f->net.loss = 0.1;
-	sum.in_force = time_in_force(f, &mean);
-	row("change in force, 1 peer and message in 10 lost", sum.in_force, "s", IN_FORCE_TARGET);
-	printf("  %-46s %10.2f s\n", "    mean node", mean);
+	sum->in_force = time_in_force(f, &mean);
+	row("change in force, 1 peer and message in 10 lost", sum->in_force, "s", IN_FORCE_TARGET);
+	printf("    %-44s %10.2f s\n", "mean node", mean);
 	f->net.loss = 0.0;
+}
+
+static void measure_lost(fleet_t *f)
+{
+	const phase_t lost = {.seconds = 120, .lose_data_centre = true};
+	cost_t c;
+
 	record_messages(f, true);
 	c = run_phase(f, &lost);
-	row("data centre lost: store reads, worst minute", c.reads_worst, "/s", STORE_READS_TARGET);
-	row("data centre lost: store writes, worst minute", c.writes_worst, "/s",
-	    STORE_WRITES_TARGET);
+	print_store("data centre lost", &c);
 	print_bytes("data centre lost", &c);
 	print_replay(f, "data centre lost", &c);
+}
+
+/* @bytes_only: only what a node sends and gets, at rest and after the loss of a data centre. */
+static summary_t measure(int n, bool bytes_only)
+{
+	size_t before = mallinfo2().uordblks;
+	fleet_t *f = fleet_new(n);
+	summary_t sum = {.n = n};
+
+	sum.memory = (double)(mallinfo2().uordblks - before) / n / 1e6;
+	printf("%d entries, %d regions, %d upstreams, %zu callers\n", n, f->regions, f->upstreams,
+	       json_object_size(json_object_get(f->doc, "caller")));
+	measure_rest(f, &sum);
+	if (!bytes_only) {
+		measure_changes(f);
+		measure_restarts(f);
+		row("memory a node (library's heap)", sum.memory, "MB", MEMORY_TARGET);
+		measure_times(f, &sum);
+	}
+	measure_lost(f);
 	printf("\n");
+	fflush(stdout);
 	fleet_free(f);
 	return sum;
 }
@@ -151,13 +190,11 @@
 	summary_t all[4];
 
 	if (only > 0 && only <= MAX) {
-		measure(only);
+		measure(only, argc > 2 && strcmp(argv[2], "bytes") == 0);
 		return 0;
 	}
-	for (int i = 0; i < 4; i++) {
-		all[i] = measure(sizes[i]);
-		fflush(stdout);
-	}
+	for (int i = 0; i < 4; i++)
+		all[i] = measure(sizes[i], false);
 	printf("slopes, at rest (worst node)\n  entries  bytes/s  per entry  mean bytes/s   %% core"
 	       "   MB/node  in force s  out s\n");
 	for (int i = 0; i < 4; i++)
--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -281,7 +281,7 @@
 		bool polls = ap_report_polls(p->control->report, t->id);
 
 		listen_if_due(p, t, polls);
-		if (!polls)
+		if (!ap_report_reads(p->control->report, t->id, now))
 			continue;
 		if (now >= t->load_due && !t->load_asked) {
 			t->load_asked = true;
--- a/lib/member/gossip.c
+++ b/lib/member/gossip.c
@@ -70,7 +70,7 @@
 			continue;
 		if (i == n)
 			out[n++] = (ap_triple_t){.a = node->region_hash};
-		out[i].b ^= ap_hash(pair, sizeof(pair), 0);
+		out[i].b ^= (uint32_t)ap_hash(pair, sizeof(pair), 0);
 	}
 	for (size_t i = 0; i < n; i++) {
 		ap_usec_t at = member_region_heard(m, out[i].a);
--- a/lib/member/private.h
+++ b/lib/member/private.h
@@ -14,7 +14,8 @@
 
 /**
  * struct ap_record - what one incarnation says of itself, or others say of its death. The later
- * one of two records of an id wins, by epoch, incarnation, version and state.
+ * one of two records of an id wins, by epoch, incarnation, version and state. Of a death that
+ * others told only the id and incarnation of @entry are set.
  */
 typedef struct ap_record {
 	ap_entry_t entry;
@@ -35,8 +36,8 @@
 
 typedef struct ap_node {
 	ap_record_t rec;
-	uint64_t id_hash;
-	uint64_t region_hash;
+	uint64_t id_hash;     /* 32 bits of it, as all hashes that travel */
+	uint64_t region_hash; /* likewise */
 	bool own_region;
 	bool listed; /* in the platform's last list */
 	ap_usec_t since;
--- a/lib/member/table.c
+++ b/lib/member/table.c
@@ -51,7 +51,7 @@
 	uint64_t parts[5] = {rec->epoch, rec->entry.inc.hi, rec->entry.inc.lo, rec->version,
 			     (uint64_t)rec->state};
 
-	return ap_hash(parts, sizeof(parts), 0);
+	return (uint32_t)ap_hash(parts, sizeof(parts), 0);
 }
 
 /* A record reaches nearly all n members when each passes it on to about log2(n) others. */
@@ -81,8 +81,8 @@
 	if (!node)
 		abort();
 	node->rec = *rec;
-	node->id_hash = ap_hash_str(rec->entry.id, 0);
-	node->region_hash = ap_hash_str(rec->entry.region, 0);
+	node->id_hash = (uint32_t)ap_hash_str(rec->entry.id, 0);
+	node->region_hash = (uint32_t)ap_hash_str(rec->entry.region, 0);
 	node->own_region = strcmp(rec->entry.region, m->cfg.self.region) == 0;
 	node->since = now;
 	HASH_ADD_STR(m->nodes, rec.entry.id, node);
@@ -142,6 +142,18 @@
 		m->cfg.superseded(m->cfg.ctx);
 }
 
+/* A death tells no more of the entry than its incarnation. */
+static void set_record(ap_node_t *node, const ap_record_t *rec)
+{
+	ap_entry_t known = node->rec.entry;
+
+	node->rec = *rec;
+	if (rec->state != AP_MEMBER_DEAD)
+		return;
+	known.inc = rec->entry.inc;
+	node->rec.entry = known;
+}
+
 static void take_record(ap_member_t *m, ap_node_t *node, const ap_record_t *rec, ap_usec_t now)
 {
 	bool state_changed =
@@ -149,7 +161,7 @@
 
 	if (rec->state == AP_MEMBER_DEAD && node_live(node))
 		m->stats.deaths++;
-	node->rec = *rec;
+	set_record(node, rec);
 	node->rec.entry.leaving = rec->state == AP_MEMBER_LEAVING;
 	node->tells = tells_needed(m);
 	node->missed = 0;
--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -14,18 +14,21 @@
 #define MODELS_PER_MESSAGE 32
 #define LEAVING_PER_MESSAGE 32
 #define GROUPS_MAX 64
-#define CACHE_BLOCKS_MAX 16 /* of one event that is told */
+#define CACHE_BLOCKS_MAX 16	     /* of one event that is told */
+#define LOAD_AGE_UNIT (20 * AP_MSEC) /* ages up to 2.5 s take one byte */
+#define KV_UNIT 100.0		     /* parts that cache memory in use is told in */
 
 /**
  * struct ap_load_item - one load on the wire.
- * @age: milliseconds since it was read
+ * @age: since it was read, in units of LOAD_AGE_UNIT
+ * @kv: cache memory in use, in parts of KV_UNIT
  */
 typedef struct ap_load_item {
 	uint32_t upstream; /* hash of its id */
 	uint64_t age;
 	uint32_t running;
 	uint32_t waiting;
-	uint32_t kv_mille;
+	uint32_t kv;
 } ap_load_item_t;
 
 typedef struct ap_room_item {
@@ -130,6 +133,7 @@
  */
 typedef struct ap_report_peer {
 	const char *id;
+	uint64_t id_hash;
 	size_t group;
 } ap_report_peer_t;
 
@@ -170,6 +174,10 @@
 /* report.c */
 ap_polled_t *report_by_hash(const ap_report_t *r, uint32_t hash);
 ap_polled_t *report_find(const ap_report_t *r, const char *id);
+/* report_tells() - is this entry the one that reads and tells its load now? */
+bool report_tells(const ap_report_t *r, const ap_polled_t *up, ap_usec_t now);
+/* report_period() - time between two flushes; keeps all of the region's loads to their budget. */
+ap_usec_t report_period(const ap_report_t *r);
 void report_mark_leaving(ap_report_t *r, const char *upstream, bool heard);
 ap_room_known_t *report_room(ap_report_t *r, const ap_room_t *room);
 void report_queue_cache(ap_report_t *r, struct ap_cache_queue *queue, size_t *queued,
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -10,8 +10,12 @@
 
 #define POLLERS 2
 #define DELEGATES 2
-#define DIRECT_MAX 16 /* entries of a region that tell each other directly */
+#define OTHER_SILENT (2500 * AP_MSEC) /* then the second poller reads and tells */
+#define READ_AHEAD (300 * AP_MSEC)    /* loads are read that long before they are told */
+#define DIRECT_MAX 16		      /* entries of a region that tell each other directly */
 #define FLUSH_PERIOD (500 * AP_MSEC)
+#define LOAD_BYTES 1200.0 /* a second that each entry may get of loads */
+#define LOAD_ITEM_BYTES 10.0
 #define GROUPED_FLUSH_PERIOD AP_SEC /* where groups pass reports on */
 #define ROOM_AGAIN (2 * AP_SEC)	    /* an unchanged offer is told again after that */
 #define ROOM_CHANGE_PART 0.1
@@ -97,6 +101,28 @@
 	return up && strcmp(up->id, id) == 0 ? up : NULL;
 }
 
+ap_usec_t report_period(const ap_report_t *r)
+{
+	ap_usec_t shortest = r->groups > 0 ? GROUPED_FLUSH_PERIOD : FLUSH_PERIOD;
+	double bytes = (double)HASH_COUNT(r->upstreams) * LOAD_ITEM_BYTES;
+	ap_usec_t period = (ap_usec_t)(bytes / LOAD_BYTES * AP_SEC);
+
+	return period > shortest ? period : shortest;
+}
+
+/* Two periods pass between two reports at most, as long as none is lost. */
+static ap_usec_t other_silent(const ap_report_t *r)
+{
+	ap_usec_t time = 2 * report_period(r) + FLUSH_PERIOD;
+
+	return time > OTHER_SILENT ? time : OTHER_SILENT;
+}
+
+bool report_tells(const ap_report_t *r, const ap_polled_t *up, ap_usec_t now)
+{
+	return up->primary || (up->polls && now - up->heard_at >= other_silent(r));
+}
+
 static void assign(ap_report_t *r, ap_polled_t *up)
 {
 	const ap_entry_t *first[POLLERS];
@@ -108,11 +134,6 @@
 		up->polls = up->polls || strcmp(first[i]->id, r->cfg.self.id) == 0;
 }
 
-static size_t group_of(const ap_report_t *r, const char *id)
-{
-	return r->groups == 0 ? 0 : ap_hash_str(id, 0) % r->groups;
-}
-
 static ap_entry_t *copy_entries(const ap_entry_t *entries, size_t n, const char *region,
 				size_t *kept)
 {
@@ -141,23 +162,50 @@
 	return false;
 }
 
+static int by_id_hash(const void *a, const void *b)
+{
+	const ap_report_peer_t *x = a, *y = b;
+
+	if (x->id_hash == y->id_hash)
+		return strcmp(x->id, y->id);
+	return x->id_hash < y->id_hash ? -1 : 1;
+}
+
+/*
+ * Groups of equal size, since the largest one's members send most. They are cut from the order of
+ * the ids' hashes, so that a newcomer moves few others.
+ */
+static void set_groups(ap_report_t *r)
+{
+	size_t kept = 0;
+
+	r->groups = r->n_region <= DIRECT_MAX ? 0 : (size_t)lround(sqrt((double)r->n_region));
+	if (r->groups > GROUPS_MAX)
+		r->groups = GROUPS_MAX;
+	qsort(r->peers, r->n_region, sizeof(*r->peers), by_id_hash);
+	for (size_t i = 0; i < r->n_region; i++) {
+		ap_report_peer_t peer = r->peers[i];
+
+		peer.group = i * r->groups / r->n_region;
+		if (strcmp(peer.id, r->cfg.self.id) == 0)
+			r->own_group = peer.group;
+		else
+			r->peers[kept++] = peer;
+	}
+	r->n_peers = kept;
+}
+
 static void set_peers(ap_report_t *r)
 {
 	free(r->peers);
-	r->n_peers = 0;
 	r->peers = calloc(r->n_region + 1, sizeof(*r->peers));
 	if (!r->peers)
 		abort();
 	for (size_t i = 0; i < r->n_region; i++) {
-		if (strcmp(r->region[i].id, r->cfg.self.id) != 0)
-			r->peers[r->n_peers++].id = r->region[i].id;
+		r->peers[i].id = r->region[i].id;
+		r->peers[i].id_hash = ap_hash_str(r->region[i].id, 0);
 	}
-	r->groups = r->n_peers < DIRECT_MAX ? 0 : (size_t)lround(sqrt((double)r->n_peers));
-	if (r->groups > GROUPS_MAX)
-		r->groups = GROUPS_MAX;
-	r->own_group = group_of(r, r->cfg.self.id);
-	for (size_t i = 0; i < r->n_peers; i++)
-		r->peers[i].group = group_of(r, r->peers[i].id);
+	set_groups(r);
 }
 
 void ap_report_set_entries(ap_report_t *r, const ap_entry_t *entries, size_t n, ap_usec_t now)
@@ -239,6 +287,13 @@
 	return up && up->polls;
 }
 
+bool ap_report_reads(const ap_report_t *r, const char *upstream, ap_usec_t now)
+{
+	const ap_polled_t *up = report_find(r, upstream);
+
+	return up && report_tells(r, up, now) && now >= r->next_flush - READ_AHEAD;
+}
+
 void ap_report_polled(ap_report_t *r, const ap_load_report_t *report, ap_usec_t now)
 {
 	ap_polled_t *up = report_find(r, report->upstream);
@@ -363,7 +418,7 @@
 static void take_load(ap_report_t *r, const ap_load_item_t *item, bool relay)
 {
 	ap_polled_t *up = report_by_hash(r, item->upstream);
-	ap_usec_t at = r->now - (ap_usec_t)item->age * AP_MSEC;
+	ap_usec_t at = r->now - (ap_usec_t)item->age * LOAD_AGE_UNIT;
 
 	if (!up || item->age > UINT32_MAX)
 		return;
@@ -374,7 +429,7 @@
 	up->load.at = at;
 	up->load.running = item->running;
 	up->load.waiting = item->waiting;
-	up->load.kv_used = item->kv_mille / 1000.0;
+	up->load.kv_used = item->kv / KV_UNIT;
 	up->own_load = false;
 	up->relay = relay;
 	r->stats.loads_heard++;
@@ -469,7 +524,7 @@
 {
 	r->now = now;
 	if (now >= r->next_flush) {
-		r->next_flush = now + (r->groups > 0 ? GROUPED_FLUSH_PERIOD : FLUSH_PERIOD);
+		r->next_flush = now + report_period(r);
 		report_flush(r);
 	}
 	if (now >= r->next_compare) {
--- a/lib/report/report.h
+++ b/lib/report/report.h
@@ -55,6 +55,11 @@
 
 /** ap_report_polls() - does this entry poll @upstream (and listen to its cache events)? */
 bool ap_report_polls(const ap_report_t *r, const char *upstream);
+/**
+ * ap_report_reads() - should this entry read the load and models of @upstream now? The second one
+ * of its pollers does so only while it hears nothing of the first.
+ */
+bool ap_report_reads(const ap_report_t *r, const char *upstream, ap_usec_t now);
 /** ap_report_polled() - a load that this entry read itself. */
 void ap_report_polled(ap_report_t *r, const ap_load_report_t *report, ap_usec_t now);
 /** ap_report_cached() - cache events that this entry heard itself. */
--- a/lib/report/share.c
+++ b/lib/report/share.c
@@ -10,17 +10,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define REFRESH_TIME (3 * AP_SEC)     /* an unchanged load is told again after that */
-#define OTHER_SILENT (2500 * AP_MSEC) /* then the second poller tells */
-#define MISSED_TIME (4 * AP_SEC)      /* a report older than that should have been followed */
+#define REFRESH_TIME (3 * AP_SEC) /* an unchanged load is told again after that */
+#define MISSED_TIME (4 * AP_SEC)  /* a report older than that should have been followed */
 #define ASKED_MAX 64
 #define CHANGE_PART 0.1
 #define KV_CHANGE 0.05
 #define CACHE_BYTES 768.0 /* a second that each entry may get of cache events */
 #define BLOCK_BYTES 9.0
-#define EVENT_BYTES 12.0  /* beside its blocks */
-#define LOAD_BYTES 2048.0 /* a second that each entry may get of loads */
-#define LOAD_ITEM_BYTES 13.0
+#define EVENT_BYTES 12.0 /* beside its blocks */
 #define GOSSIP_FANOUT 3
 
 void report_send(ap_report_t *r, const char *to, const ap_report_message_t *msg)
@@ -42,24 +39,14 @@
 	return gap > 1 && gap > told * CHANGE_PART;
 }
 
-/* Shortest time between two reports of one upstream, so that all of them keep to the budget. */
-static ap_usec_t load_gap(const ap_report_t *r)
-{
-	double bytes = (double)HASH_COUNT(r->upstreams) * LOAD_ITEM_BYTES;
-
-	return (ap_usec_t)(bytes / LOAD_BYTES * AP_SEC);
-}
-
 static bool worth_telling(const ap_report_t *r, const ap_polled_t *up)
 {
 	const ap_load_report_t *load = &up->load, *told = &up->told;
 
-	if (!up->own_load || (!up->primary && r->now - up->heard_at < OTHER_SILENT))
+	if (!up->own_load || !report_tells(r, up, r->now))
 		return false;
-	if (told->upstream[0] == '\0' || load->at - told->at >= REFRESH_TIME)
+	if (told->upstream[0] == '\0' || load->at - told->at + report_period(r) > REFRESH_TIME)
 		return true;
-	if (load->at - told->at < load_gap(r))
-		return false;
 	return changed(load->running, told->running) || changed(load->waiting, told->waiting) ||
 	       fabs(load->kv_used - told->kv_used) > KV_CHANGE;
 }
@@ -68,10 +55,10 @@
 {
 	return (ap_load_item_t){
 		.upstream = up->hash,
-		.age = (uint64_t)((r->now - up->load.at) / AP_MSEC),
+		.age = (uint64_t)((r->now - up->load.at) / LOAD_AGE_UNIT),
 		.running = up->load.running,
 		.waiting = up->load.waiting,
-		.kv_mille = (uint32_t)(up->load.kv_used * 1000.0),
+		.kv = (uint32_t)(up->load.kv_used * KV_UNIT + 0.5),
 	};
 }
 
@@ -221,7 +208,11 @@
 
 static bool known_lately(const ap_report_t *r, const ap_polled_t *up)
 {
-	return up->load.upstream[0] != '\0' && r->now - up->load.at < MISSED_TIME;
+	ap_usec_t missed = 3 * report_period(r);
+
+	if (missed < MISSED_TIME)
+		missed = MISSED_TIME;
+	return up->load.upstream[0] != '\0' && r->now - up->load.at < missed;
 }
 
 /* Asks one entry at random for reports that should have come; costs nothing while none is lost. */
--- a/lib/wire/member.c
+++ b/lib/wire/member.c
@@ -6,9 +6,25 @@
 
 #define RECORDS_MAX 1024 /* of one message */
 #define TRIPLES_MAX 4096
+#define DEATH_FIELDS 5 /* elements of a record of a death */
+
+/* Who is dead is known already, or not of interest: the address and key stay away. */
+static void pack_death(msgpack_packer *pk, const ap_record_t *rec)
+{
+	msgpack_pack_array(pk, DEATH_FIELDS);
+	ap_wire_pack_str(pk, rec->entry.id);
+	ap_wire_pack_id(pk, rec->entry.inc);
+	msgpack_pack_uint64(pk, rec->epoch);
+	msgpack_pack_uint64(pk, rec->version);
+	msgpack_pack_uint32(pk, (uint32_t)rec->state);
+}
 
 static void pack_record(msgpack_packer *pk, const ap_record_t *rec)
 {
+	if (rec->state == AP_MEMBER_DEAD) {
+		pack_death(pk, rec);
+		return;
+	}
 	msgpack_pack_array(pk, 4);
 	ap_wire_pack_entry(pk, &rec->entry);
 	msgpack_pack_uint64(pk, rec->epoch);
@@ -48,15 +64,23 @@
 static bool read_record(ap_wire_reader_t *r, ap_record_t *rec)
 {
 	ap_wire_reader_t e = ap_wire_array(r);
+	bool death = e.left == DEATH_FIELDS;
 	uint64_t state;
 
-	ap_wire_entry(&e, &rec->entry);
+	if (death) {
+		ap_wire_str(&e, rec->entry.id, sizeof(rec->entry.id));
+		rec->entry.inc = ap_wire_id(&e);
+	} else {
+		ap_wire_entry(&e, &rec->entry);
+	}
 	rec->epoch = ap_wire_u64(&e);
 	rec->version = ap_wire_u64(&e);
 	state = ap_wire_u64(&e);
 	rec->state = (ap_member_state_t)state;
-	return e.ok &&
-	       (state == AP_MEMBER_ALIVE || state == AP_MEMBER_LEAVING || state == AP_MEMBER_DEAD);
+	if (!e.ok || rec->entry.id[0] == '\0')
+		return false;
+	return death ? state == AP_MEMBER_DEAD
+		     : state == AP_MEMBER_ALIVE || state == AP_MEMBER_LEAVING;
 }
 
 static bool read_rumour(ap_wire_reader_t *r, ap_rumour_t *rumour)
--- a/lib/wire/report.c
+++ b/lib/wire/report.c
@@ -3,21 +3,46 @@
 #include "wire/frame.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define LOAD_FIELDS 5
+#define ROOM_FIELDS 4
+
+static size_t rooms_of_region(const ap_report_message_t *msg, size_t from)
+{
+	size_t n = 1;
+
+	while (from + n < msg->n_rooms &&
+	       strcmp(msg->rooms[from].region, msg->rooms[from + n].region) == 0)
+		n++;
+	return n;
+}
+
+/* One flat array for each run of rooms of one region: its name, then the fields of each. */
+static void pack_region(msgpack_packer *pk, const ap_room_item_t *rooms, size_t n)
+{
+	msgpack_pack_array(pk, 1 + n * ROOM_FIELDS);
+	ap_wire_pack_str(pk, rooms[0].region);
+	for (size_t i = 0; i < n; i++) {
+		ap_wire_pack_str(pk, rooms[i].model);
+		msgpack_pack_uint64(pk, rooms[i].rate_milli);
+		msgpack_pack_uint64(pk, rooms[i].wait_ms);
+		msgpack_pack_uint64(pk, rooms[i].age);
+	}
+}
 
 static void pack_rooms(msgpack_packer *pk, const ap_report_message_t *msg)
 {
-	msgpack_pack_array(pk, msg->n_rooms);
-	for (size_t i = 0; i < msg->n_rooms; i++) {
-		const ap_room_item_t *room = &msg->rooms[i];
-
-		msgpack_pack_array(pk, 5);
-		ap_wire_pack_str(pk, room->region);
-		ap_wire_pack_str(pk, room->model);
-		msgpack_pack_uint64(pk, room->rate_milli);
-		msgpack_pack_uint64(pk, room->wait_ms);
-		msgpack_pack_uint64(pk, room->age);
+	size_t regions = 0;
+
+	for (size_t at = 0; at < msg->n_rooms; at += rooms_of_region(msg, at))
+		regions++;
+	msgpack_pack_array(pk, regions);
+	for (size_t at = 0; at < msg->n_rooms;) {
+		size_t n = rooms_of_region(msg, at);
+
+		pack_region(pk, &msg->rooms[at], n);
+		at += n;
 	}
 }
 
@@ -62,7 +87,7 @@
 		msgpack_pack_uint64(pk, load->age);
 		msgpack_pack_uint32(pk, load->running);
 		msgpack_pack_uint32(pk, load->waiting);
-		msgpack_pack_uint32(pk, load->kv_mille);
+		msgpack_pack_uint32(pk, load->kv);
 	}
 	pack_rooms(pk, msg);
 	pack_cache(pk, msg);
@@ -96,27 +121,40 @@
 		load->age = ap_wire_u64(&list);
 		load->running = (uint32_t)ap_wire_u64(&list);
 		load->waiting = (uint32_t)ap_wire_u64(&list);
-		load->kv_mille = (uint32_t)ap_wire_u64(&list);
+		load->kv = (uint32_t)ap_wire_u64(&list);
 		*ok = list.ok;
 	}
 }
 
-static void read_rooms(ap_wire_reader_t *r, ap_report_message_t *msg, bool *ok)
+static bool read_region(ap_wire_reader_t *list, ap_report_message_t *msg)
 {
-	ap_wire_reader_t list = ap_wire_array(r);
+	ap_wire_reader_t e = ap_wire_array(list);
+	char region[AP_NAME_MAX];
 
-	msg->rooms = room_for(list.left, ROOMS_PER_MESSAGE, sizeof(*msg->rooms), ok);
-	while (*ok && list.left > 0) {
+	ap_wire_str(&e, region, sizeof(region));
+	if (e.left % ROOM_FIELDS != 0 || e.left / ROOM_FIELDS > ROOMS_PER_MESSAGE - msg->n_rooms)
+		return false;
+	while (e.ok && e.left > 0) {
 		ap_room_item_t *room = &msg->rooms[msg->n_rooms++];
-		ap_wire_reader_t e = ap_wire_array(&list);
 
-		ap_wire_str(&e, room->region, sizeof(room->region));
+		ap_copy_name(room->region, sizeof(room->region), region);
 		ap_wire_str(&e, room->model, sizeof(room->model));
 		room->rate_milli = ap_wire_u64(&e);
 		room->wait_ms = ap_wire_u64(&e);
 		room->age = ap_wire_u64(&e);
-		*ok = e.ok;
 	}
+	return e.ok;
+}
+
+static void read_rooms(ap_wire_reader_t *r, ap_report_message_t *msg, bool *ok)
+{
+	ap_wire_reader_t list = ap_wire_array(r);
+
+	if (list.left > 0)
+		msg->rooms =
+			room_for(ROOMS_PER_MESSAGE, ROOMS_PER_MESSAGE, sizeof(*msg->rooms), ok);
+	while (*ok && list.left > 0)
+		*ok = read_region(&list, msg);
 }
 
 static void read_cache(ap_wire_reader_t *r, ap_report_message_t *msg, bool *ok)
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -10,7 +10,7 @@
 
 #include <msgpack.h>
 
-#define AP_WIRE_VERSION 1
+#define AP_WIRE_VERSION 2
 #define AP_WIRE_MAX (4u << 20) /* bytes of one message */
 
 typedef enum ap_wire_status {
