--- a/bench/control/fleet.h
+++ b/bench/control/fleet.h
@@ -6,7 +6,8 @@
 #ifndef AP_BENCH_FLEET_H
 #define AP_BENCH_FLEET_H
 
-#include "../test/fake.h"
+#include "../test/fake_gate.h"
+#include "../test/fake_net.h"
 #include "kinds.h"
 #include "member/member.h"
 #include "order/order.h"
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -38,6 +38,7 @@
 	ENTRY_UNAUTHORIZED,
 	ENTRY_FORBIDDEN,
 	ENTRY_NOT_FOUND,
+	ENTRY_REQUEST_TIMEOUT,
 	ENTRY_PERMIT_USED,
 	ENTRY_TOO_LARGE,
 	ENTRY_WRONG_REGION,
@@ -151,6 +152,16 @@
 	UT_hash_handle hh;
 } leaving_t;
 
+/**
+ * struct asker - an entry that passes requests to this one.
+ * @last: the latest of its exchanges that came
+ */
+typedef struct asker {
+	char name[AP_NAME_MAX];
+	ap_xid_t last;
+	UT_hash_handle hh;
+} asker_t;
+
 struct entry {
 	entry_config_t config;
 	entry_hooks_t hooks;
@@ -166,6 +177,7 @@
 	exchange_t *away;      /* by the exchange's name at the other entry */
 	exchange_t *guests;    /* by the sender's name of the exchange */
 	leaving_t *leaving;
+	asker_t *askers; /* by name; members of the view only */
 	struct event *tick;
 	bool tick_soon; /* the tick is armed for queued requests */
 	struct event *report;
@@ -186,6 +198,22 @@
 	PHASE_ENDED, /* answered; its attempt may still be closing */
 } exchange_phase_t;
 
+#define PASSED_HEADERS_MAX 9 /* names in the longer list of headers that are passed on */
+
+/* Which way headers are passed on. */
+typedef enum headers_way {
+	HEADERS_ASKED,	  /* from callers to upstreams */
+	HEADERS_ANSWERED, /* from plain services to callers */
+	HEADERS_WAYS,
+} headers_way_t;
+
+/**
+ * struct header_set - headers that are passed on, in the order of their way's list.
+ */
+typedef struct header_set {
+	char *values[PASSED_HEADERS_MAX];
+} header_set_t;
+
 /**
  * struct stream - server-sent events taken apart.
  * @part: an event that is not whole yet
@@ -267,6 +295,7 @@
 	enum evhttp_cmd_type method;
 	char *target;
 	char content_type[AP_FORWARD_TYPE_MAX];
+	header_set_t asked;
 	char permit[AP_FORWARD_PERMIT_MAX];
 	char idempotency_key[IDEMPOTENCY_KEY_MAX];
 	json_t *doc;
@@ -296,6 +325,7 @@
 	int status;
 	bool sse;
 	char answer_type[AP_FORWARD_TYPE_MAX];
+	header_set_t answered;
 	struct evbuffer *answer;
 	stream_t stream;
 	bool reply_started;
@@ -318,6 +348,7 @@
 void entry_tick_soon(entry_t *entry);
 void entry_check_drained(entry_t *entry);
 void entry_leaving(entry_t *entry, const char *upstream, bool tell);
+bool entry_is_member(const ap_view_t *view, const char *id);
 bool entry_knows_leaving(const entry_t *entry, const char *upstream);
 exchange_t *exchange_by_token(const entry_t *entry, uint64_t token);
 
@@ -345,6 +376,18 @@
 
 /* entry-caller.c */
 void caller_request(void *ctx, ap_http_call_t *call);
+/* caller_refused() - answers what never became a request. */
+void caller_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
+
+/* entry-headers.c */
+/* headers_take() - replaces @set; false when one did not fit and was left out. */
+bool headers_take(header_set_t *set, headers_way_t way, const struct evkeyvalq *from);
+void headers_clear(header_set_t *set);
+/* headers_list() - writes up to PASSED_HEADERS_MAX to @out; they point into @set. */
+size_t headers_list(const header_set_t *set, headers_way_t way, ap_http_header_t *out);
+void headers_pack(const header_set_t *set, headers_way_t way, ap_forward_headers_t *out);
+/* headers_unpack() - replaces @set; what is not on the list is left out. */
+void headers_unpack(header_set_t *set, headers_way_t way, const ap_forward_headers_t *from);
 
 /* entry-body.c */
 /* body_read() - a new reference to an object, or NULL with @fault set. */
@@ -426,5 +469,7 @@
 void guest_receive(entry_t *entry, const char *from, const ap_forward_msg_t *msg);
 void guest_pump(exchange_t *x);
 void guest_forget(exchange_t *x);
+/* guest_forget_askers() - but for the members of @view, which may be NULL. */
+void guest_forget_askers(entry_t *entry, const ap_view_t *view);
 
 #endif
