--- a/bench/control/cost.c
+++ b/bench/control/cost.c
@@ -17,6 +17,7 @@
 		node->bytes_before = 0;
 		node->polls = 0;
 		memset(node->kinds, 0, sizeof(node->kinds));
+		memset(node->kinds_before, 0, sizeof(node->kinds_before));
 	}
 }
 
@@ -125,10 +126,13 @@
 		double gained = (double)(bytes - node->bytes_before);
 
 		node->bytes_before = bytes;
-		if (node->down || gained <= cost->second_bytes)
-			continue;
-		cost->second_bytes = gained;
-		cost->second_at = second;
+		if (!node->down && gained > cost->second_bytes) {
+			cost->second_bytes = gained;
+			cost->second_at = second;
+			for (int k = 0; k < KINDS; k++)
+				cost->second_kinds[k] = node->kinds[k] - node->kinds_before[k];
+		}
+		memcpy(node->kinds_before, node->kinds, sizeof(node->kinds));
 	}
 }
 
--- a/bench/control/cost.h
+++ b/bench/control/cost.h
@@ -10,6 +10,7 @@
  * @worst_kinds: its bytes a second by what they are for
  * @second_bytes: most bytes of any node in one second
  * @second_at: that second of the phase, from 1
+ * @second_kinds: its bytes by what they are for
  * @polls_max: loads read a second by the node that reads most
  * @age_sum: seconds since loads heard of others were read, over all nodes and upstreams
  * @ages: how many of them
@@ -27,6 +28,7 @@
 	double messages_mean;
 	double second_bytes;
 	int second_at;
+	double second_kinds[KINDS];
 	double polls_max;
 	double age_sum;
 	double ages;
--- a/bench/control/fleet.h
+++ b/bench/control/fleet.h
@@ -66,8 +66,9 @@
 	unsigned life;
 	bool listed;
 	uint64_t in_bytes;
-	double kinds[KINDS];   /* bytes, both ways */
-	uint64_t bytes_before; /* both ways, up to the present second */
+	double kinds[KINDS];	    /* bytes, both ways */
+	double kinds_before[KINDS]; /* up to the present second */
+	uint64_t bytes_before;	    /* both ways, up to the present second */
 	uint64_t in_messages;
 	double cpu; /* seconds */
 	ap_usec_t in_force_at;
--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -7,6 +7,7 @@
 
 #define DAY 86400.0
 #define REPLAY_SECONDS 30
+#define SHOWN_PART 0.1 /* of the worst second; smaller kinds aren't named */
 #define CHANGES_PER_DAY 460
 #define RESTARTS_PER_DAY 180
 
@@ -54,6 +55,10 @@
 	       c->messages_mean);
 	printf("    %-44s %10.0f B in second %d (mean target %.0f)\n", "worst second of any node",
 	       c->second_bytes, c->second_at, BYTES_TARGET);
+	for (int k = 0; k < KINDS; k++) {
+		if (c->second_kinds[k] > c->second_bytes * SHOWN_PART)
+			printf("      %-42s %10.0f B\n", kind_name((kind_t)k), c->second_kinds[k]);
+	}
 	printf("    %-44s %10.2f s, oldest %.2f s\n", "age of loads, mean", c->age_sum / c->ages,
 	       c->age_max);
 	printf("    %-44s %10.2f /s\n", "polls of loads, node with most", c->polls_max);
