--- a/bench/control/kinds.c
+++ b/bench/control/kinds.c
@@ -5,7 +5,7 @@
 #include "spread/private.h"
 #include "wire/frame.h"
 
-#define REPORT_PARTS 7
+#define REPORT_PARTS 8
 
 static const char *const names[KINDS] = {
 	[KIND_PROBE] = "pings",
@@ -23,7 +23,7 @@
 /* Kinds of a report's parts, in the order of the codec. */
 static const kind_t report_parts[REPORT_PARTS] = {
 	KIND_REPORT_REST, KIND_LOAD,   KIND_ROOM,	 KIND_CACHE,
-	KIND_REPORT_REST, KIND_MODELS, KIND_REPORT_REST,
+	KIND_REPORT_REST, KIND_MODELS, KIND_REPORT_REST, KIND_MODELS,
 };
 
 const char *kind_name(kind_t kind)
--- a/bench/control/kinds.h
+++ b/bench/control/kinds.h
@@ -13,7 +13,7 @@
 	KIND_LOAD,
 	KIND_ROOM,
 	KIND_CACHE,
-	KIND_MODELS,
+	KIND_MODELS,	  /* loaded, and withdrawn before they are unloaded */
 	KIND_REPORT_REST, /* envelopes, digests and questions of reports */
 	KINDS,
 } kind_t;
--- a/lib/member/gossip.c
+++ b/lib/member/gossip.c
@@ -125,11 +125,16 @@
 
 		if (theirs->c < UINT32_MAX)
 			heard_region(m, theirs->a, now - (ap_usec_t)theirs->c * AP_MSEC);
+		/* Who was asked names its keys; both doing so would tell each record twice. */
+		if (msg->type != AP_MEMBER_SYNC)
+			continue;
 		while (at < n_own && own[at].a != theirs->a)
 			at++;
 		if (at == n_own || own[at].b != theirs->b)
 			send_keys(m, from, theirs->a, AP_MEMBER_KEYS);
 	}
+	if (msg->type != AP_MEMBER_SYNC)
+		return;
 	/* Regions that only this side knows. */
 	for (size_t i = 0; i < n_own; i++) {
 		size_t at = 0;
@@ -139,8 +144,7 @@
 		if (at == msg->n_triples)
 			send_keys(m, from, own[i].a, AP_MEMBER_KEYS);
 	}
-	if (msg->type == AP_MEMBER_SYNC)
-		member_sync_with(m, from, AP_MEMBER_SYNC_REPLY, now);
+	member_sync_with(m, from, AP_MEMBER_SYNC_REPLY, now);
 }
 
 static const ap_triple_t *find_key(const ap_member_message_t *msg, uint64_t id_hash)
