--- a/lib/member/gossip.c
+++ b/lib/member/gossip.c
@@ -283,10 +283,13 @@
 }
 
 /*
- * One member of each other region gets the digests: of those alive if any is known, else any one.
- * Picked at random, since what is known of a region may be old.
+ * One member of the other region whose turn it is gets the digests: of those alive if any is known,
+ * else any one. Picked at random, since what is known of a region may be old. Regions take turns,
+ * so that after a loss what they lack is not told to all of them at once.
+ *
+ * Return: how many other regions there are.
  */
-static void sync_regions(ap_member_t *m, ap_usec_t now)
+static size_t sync_region(ap_member_t *m, ap_usec_t now)
 {
 	uint64_t hashes[REGIONS_MAX];
 	ap_node_t *pick[REGIONS_MAX] = {NULL};
@@ -315,10 +318,23 @@
 		if (ap_rng_below(&m->rng, ++seen[i]) == 0)
 			pick[i] = node;
 	}
-	for (size_t i = 0; i < n; i++) {
-		if (pick[i])
-			member_sync_with(m, pick[i]->rec.entry.id, AP_MEMBER_SYNC, now);
-	}
+	if (n == 0)
+		return 0;
+	member_sync_with(m, pick[m->region_turn++ % n]->rec.entry.id, AP_MEMBER_SYNC, now);
+	return n;
+}
+
+static void sync_regions(ap_member_t *m, ap_usec_t now)
+{
+	size_t regions = is_delegate(m) ? sync_region(m, now) : 0;
+
+	if (regions == 0)
+		m->next_region_sync = now + REGION_SYNC_PERIOD;
+	else
+		m->next_region_sync += REGION_SYNC_PERIOD / (ap_usec_t)regions;
+	/* A paused process doesn't make good what it left out. */
+	if (m->next_region_sync < now)
+		m->next_region_sync = now;
 }
 
 void member_gossip_tick(ap_member_t *m, ap_usec_t now)
@@ -336,9 +352,6 @@
 		else
 			join(m, now);
 	}
-	if (now >= m->next_region_sync) {
-		m->next_region_sync = now + REGION_SYNC_PERIOD;
-		if (is_delegate(m))
-			sync_regions(m, now);
-	}
+	if (now >= m->next_region_sync)
+		sync_regions(m, now);
 }
--- a/lib/member/private.h
+++ b/lib/member/private.h
@@ -74,6 +74,7 @@
 	ap_usec_t next_dead_ping;
 	ap_usec_t next_sync;
 	ap_usec_t next_region_sync;
+	size_t region_turn;
 	uint64_t seq;
 	bool joined;
 	bool superseded;
