--- a/adapters/peer/peer.c
+++ b/adapters/peer/peer.c
@@ -391,9 +391,10 @@
 	unsigned char *data = zmq_msg_data(message);
 	size_t len = strlen(id);
 
-	data[0] = (unsigned char)len;
-	memcpy(data + 1, id, len);
-	memcpy(data + 1 + len, &clock, sizeof(clock));
+	*data++ = (unsigned char)len;
+	for (size_t i = 0; i < len; i++)
+		*data++ = (unsigned char)id[i];
+	memcpy(data, &clock, sizeof(clock));
 }
 
 bool ap_peer_send(ap_peer_t *p, const char *to, const void *data, size_t len)
