--- a/bench/control/replay.c
+++ b/bench/control/replay.c
@@ -19,7 +19,8 @@
 	uint32_t ports; /* local and remote */
 	uint64_t bytes;
 	uint64_t segments;
-	bool before; /* it was open when the measuring began */
+	uint64_t closed_bytes; /* of earlier connections over the same ports */
+	uint64_t closed_segments;
 	uint64_t bytes_before;
 	uint64_t segments_before;
 	bool open;
@@ -126,6 +127,18 @@
 	return s;
 }
 
+/* Counts that fell are those of a new connection. */
+static void note_counts(socket_count_t *s, uint64_t bytes, uint64_t segments)
+{
+	if (s->closed_segments + segments < s->segments) {
+		s->closed_bytes = s->bytes;
+		s->closed_segments = s->segments;
+	}
+	s->bytes = s->closed_bytes + bytes;
+	s->segments = s->closed_segments + segments;
+	s->open = true;
+}
+
 /* Takes the counts of one descriptor, if it is a connection of the node's own. */
 static void count_descriptor(player_t *p, int fd)
 {
@@ -147,9 +160,8 @@
 	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
 		return;
 	s = count_of(p, (uint32_t)from << 16 | to);
-	s->bytes = info.tcpi_bytes_sent + info.tcpi_bytes_received;
-	s->segments = (uint64_t)info.tcpi_segs_out + info.tcpi_segs_in;
-	s->open = true;
+	note_counts(s, info.tcpi_bytes_sent + info.tcpi_bytes_received,
+		    (uint64_t)info.tcpi_segs_out + info.tcpi_segs_in);
 }
 
 static void count_sockets(player_t *p)
--- a/cmd/arbutuspond/entry-once.c
+++ b/cmd/arbutuspond/entry-once.c
@@ -68,7 +68,10 @@
 {
 	entry_once_t *o = ctx;
 
-	return o->entry && ap_once_send_to(o->once, to, msg);
+	if (!o->entry)
+		return false;
+	tick_soon(o);
+	return ap_once_send_to(o->once, to, msg);
 }
 
 static void receive(entry_once_t *o, const char *from, const ap_once_msg_t *msg)
