--- a/adapters/peer/peer.c
+++ b/adapters/peer/peer.c
@@ -15,7 +15,7 @@
 #include <zmq.h>
 
 #define HEARTBEAT_MIN_MS 2000
-#define HEARTBEAT_MAX_MS 60000
+#define HEARTBEAT_MAX_MS 180000
 #define HEARTBEAT_MS_PER_PEER 500 /* all of a process's heartbeats together keep to a rate */
 #define HEARTBEAT_TIMEOUT_MS 6000
 #define HEARTBEATS_MISSED 3 /* until the receiving side gives a connection up */
--- a/test/report_test.c
+++ b/test/report_test.c
@@ -254,6 +254,46 @@
 	fleet_free(f);
 }
 
+/* Runs a few seconds and gives, as bits, the nodes that read the first upstream. */
+static unsigned readers(fleet_t *f, int seconds)
+{
+	unsigned seen = 0;
+
+	for (int t = 0; t < seconds * 10; t++) {
+		fake_run(&f->sim, f->sim.now + TICK);
+		for (int i = 0; i < f->n; i++) {
+			if (f->nodes[i].down)
+				continue;
+			if (ap_report_reads(f->nodes[i].r, f->list[0].id, f->sim.now)) {
+				seen |= 1u << i;
+				poll(f, &f->nodes[i], 0);
+			}
+			ap_report_tick(f->nodes[i].r, f->sim.now);
+		}
+	}
+	return seen;
+}
+
+static void test_second_poller_reads_only_while_the_first_is_silent(void **state)
+{
+	fleet_t *f = fleet_new(10, 1, 1);
+	unsigned first, second;
+
+	(void)state;
+	f->net.loss = 0;
+	f->busy = true;
+	readers(f, 5);
+	first = readers(f, 10);
+	assert_int_equal(__builtin_popcount(first), 1);
+	f->nodes[__builtin_ctz(first)].down = true;
+	second = readers(f, 4);
+	assert_int_equal(__builtin_popcount(second), 1);
+	f->nodes[__builtin_ctz(first)].down = false;
+	readers(f, 5);
+	assert_int_equal(readers(f, 10), first);
+	fleet_free(f);
+}
+
 static void test_leaving_is_known_to_the_region_within_three_seconds(void **state)
 {
 	fleet_t *f = fleet_new(150, 1, 180);
@@ -427,6 +467,7 @@
 		cmocka_unit_test(test_two_pollers_and_all_know_every_load),
 		cmocka_unit_test(test_loaded_models_are_known_to_the_whole_region_only),
 		cmocka_unit_test(test_lost_poller_is_stood_in_for),
+		cmocka_unit_test(test_second_poller_reads_only_while_the_first_is_silent),
 		cmocka_unit_test(test_leaving_is_known_to_the_region_within_three_seconds),
 		cmocka_unit_test(test_withdrawal_is_known_to_the_region_within_three_seconds),
 		cmocka_unit_test(test_newest_withdrawal_counts_and_lapses_by_itself),
