Keep places through a cut of capacity; send a prefix to one region; weigh own usual load

In the planning burst reservations waited 1 to 2.5 s for admission while engines had free slots: after the number that may run was cut, lower classes still held all of it. Places that these should have left free are now there beyond the number. With that, entries may take up to 0.85 requests a slot in place of 0.8, which keeps more long requests at home and served.

Of several regions with room the prompt's prefix decides. Trials of an ejected upstream go to short requests first, and the price of an attempt that fails counts. While reports are fresh, part of the usual load is the upstream's own, and reservations look at eight upstreams at random.

--- a/lib/limit/admission.c
+++ b/lib/limit/admission.c
@@ -58,6 +58,7 @@
 	size_t running_max;
 	size_t running;
 	size_t running_guests;
+	size_t running_of[AP_CLASS_COUNT];
 	size_t waiting;
 	double hold_us;
 	ap_rate_t asked[AP_CLASS_COUNT];
@@ -121,12 +122,31 @@
 	return places > 1 ? (size_t)places : 1;
 }
 
-static bool has_place(const ap_admission_t *a, ap_class_t cls, bool guest)
+/*
+ * After the capacity was cut, lower classes may hold more than their part of it. The places that
+ * they should have left free are there for @cls and those above it all the same.
+ */
+static bool has_kept_place(const ap_admission_t *a, ap_class_t cls)
 {
-	if (a->running >= a->running_max)
+	size_t above = 0;
+
+	if (cls + 1 >= AP_CLASS_COUNT)
+		return false;
+	for (int c = 0; c <= (int)cls; c++)
+		above += a->running_of[c];
+	if (a->running - above <= part_of(a, class_part[cls + 1]))
 		return false;
+	return above < part_of(a, 1 - class_part[cls + 1]);
+}
+
+static bool has_place(const ap_admission_t *a, ap_class_t cls, bool guest)
+{
 	if (a->running_max == SIZE_MAX)
 		return true;
+	if (!guest && has_kept_place(a, cls))
+		return true;
+	if (a->running >= a->running_max)
+		return false;
 	if (a->running >= part_of(a, class_part[cls]))
 		return false;
 	return !guest || a->running_guests < part_of(a, GUEST_PART);
@@ -206,6 +226,7 @@
 	ticket->place = AP_PLACE_RUNNING;
 	ticket->started = now;
 	a->running++;
+	a->running_of[ticket->cls]++;
 	if (ticket->guest)
 		a->running_guests++;
 }
@@ -372,6 +393,7 @@
 	if (!ticket || ticket->place != AP_PLACE_RUNNING)
 		return;
 	a->running--;
+	a->running_of[ticket->cls]--;
 	if (ticket->guest)
 		a->running_guests--;
 	a->hold_us += HOLD_GAIN * ((double)(now - ticket->started) - a->hold_us);
--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -10,15 +10,15 @@
 #define CANDIDATES_MAX 32
 #define SMALL_SET 8 /* sets up to this size are weighed whole */
 #define RANDOM_PICKS 4
+#define FIRST_CLASS_PICKS 8 /* for reservations, as long as reports are fresh */
 #define AFFINE_PICKS 2
 #define AFFINE_LOOK 8	/* places of the rendezvous order that bounded load may skip */
-#define AFFINE_BLOCKS 4 /* leading blocks that decide where a new prefix goes */
 #define LOAD_BOUND 1.25 /* of the mean load: an affine upstream above it is skipped */
 #define LOAD_SLACK 1.0	/* requests above the bound that are always allowed */
 #define SLOTS_KEPT 0.5	/* slots of a batch that a class leaves to each one above it */
 #define LATE_FACTOR 4.0 /* weight of a microsecond past the deadline */
 #define UTILISATION_US 20000.0
-#define FAILURE_US 4e6 /* cost of an attempt that fails */
+#define FAILURE_US 4e6 /* delay by an attempt that fails; its price comes on top */
 #define TOKENS_PER_BLOCK 128
 #define INV_SQRT_2PI 0.39894228040143268
 
@@ -120,7 +120,8 @@
 	score.cost = ap_price(node->pool, req->tokens_in, score.cached, req->tokens_out);
 	score.total = score.wait + score.cost * req->service->price_weight +
 		      UTILISATION_US * drawn_load(r, &load) / node->batch;
-	score.total += ap_health_failing(node, now) * FAILURE_US;
+	score.total += ap_health_failing(node, now) *
+		       (FAILURE_US + score.cost * req->service->price_weight);
 	if (score.wait > left)
 		score.total += (score.wait - left) * LATE_FACTOR;
 	return score;
@@ -203,10 +204,18 @@
 	}
 }
 
-static void add_random(ap_route_t *r, const ap_set_t *set, ap_shortlist_t *list)
+/* Further picks go only by fresh reports: by old ones all entries would see the same one empty. */
+static void add_random(ap_route_t *r, const ap_request_t *req, const ap_set_t *set,
+		       ap_shortlist_t *list, ap_usec_t now)
 {
-	for (int i = 0; i < RANDOM_PICKS; i++)
-		shortlist_add(list, set->nodes[ap_rng_below(&r->rng, set->n)]);
+	int picks = req->cls == AP_CLASS_RESERVATION ? FIRST_CLASS_PICKS : RANDOM_PICKS;
+
+	for (int i = 0; i < picks; i++) {
+		ap_node_t *node = set->nodes[ap_rng_below(&r->rng, set->n)];
+
+		if (i < RANDOM_PICKS || ap_node_fresh(node, set->state->service_us, now))
+			shortlist_add(list, node);
+	}
 }
 
 /* Weighs the shortlist. @strict: only upstreams that are healthy and below their limit. */
@@ -268,7 +277,7 @@
 	if (set->n > SMALL_SET) {
 		add_holders(r, req, set, &list);
 		add_affine(req, set, set->state->service_us, &list, now);
-		add_random(r, set, &list);
+		add_random(r, req, set, &list, now);
 		if (best_of(r, req, set, &list, true, now, best))
 			return true;
 	}
--- a/lib/route/health.c
+++ b/lib/route/health.c
@@ -8,6 +8,8 @@
 #define FAILING_HALF_LIFE (10 * AP_SEC) /* an unused upstream's failures are forgotten */
 #define EJECT_BASE (5 * AP_SEC)
 #define EJECT_DOUBLINGS_MAX 4
+#define TRIAL_LONG_WAIT                                                                            \
+	(5 * AP_SEC) /* time for a short request, which loses less, to be the trial */
 #define RAMP_TIME (10 * AP_SEC)
 #define RAMP_START 0.1 /* share of its ordinary work right after the trial */
 
@@ -114,6 +116,18 @@
 	return true;
 }
 
+static bool may_try(const ap_node_t *node, ap_class_t cls, ap_usec_t now)
+{
+	switch (cls) {
+	case AP_CLASS_RESERVATION:
+		return false;
+	case AP_CLASS_LONG:
+		return now >= node->until + TRIAL_LONG_WAIT;
+	default:
+		return now >= node->until;
+	}
+}
+
 bool ap_health_allows(const ap_node_t *node, ap_class_t cls, double draw, ap_usec_t now)
 {
 	double share;
@@ -122,9 +136,9 @@
 	case AP_HEALTH_GOOD:
 		return true;
 	case AP_HEALTH_EJECTED:
-		return now >= node->until && cls != AP_CLASS_RESERVATION;
+		return may_try(node, cls, now);
 	case AP_HEALTH_TRIAL:
-		return node->trials == 0 && cls != AP_CLASS_RESERVATION;
+		return node->trials == 0 && may_try(node, cls, now);
 	case AP_HEALTH_RAMP:
 		break;
 	}
--- a/lib/route/node.c
+++ b/lib/route/node.c
@@ -11,12 +11,14 @@
 #define WAIT_FLOOR (5 * AP_MSEC)     /* shorter waits say nothing about slowness */
 #define QUEUE_DRAIN 0.1 /* part of freed slots that a queue gets, the rest goes to new work */
 #define OTHERS_PART 0.2 /* of an own dispatch that each other entry is taken to do as well */
-#define USUAL_TIME (60.0 * AP_SEC)    /* time constant of a pool's usual load */
-#define LOAD_SD_MIN 0.25	      /* variance of a fresh report, in requests squared */
-#define LIMIT_FACTOR_MAX 4.0	      /* limit in batches */
-#define LIMIT_CUT 0.9		      /* on delay above what was expected */
-#define LIMIT_CUT_PERIOD (1 * AP_SEC) /* one cut for one congestion */
-#define LIMIT_DELAY_RATIO 3.0	      /* observed over expected wait that means congestion */
+#define USUAL_TIME (60.0 * AP_SEC)	/* time constant of a pool's usual load */
+#define NODE_USUAL_TIME (10.0 * AP_SEC) /* and of one upstream's */
+#define NODE_USUAL_PART 0.35		/* part of the latter in what a fresh report moves to */
+#define LOAD_SD_MIN 0.25		/* variance of a fresh report, in requests squared */
+#define LIMIT_FACTOR_MAX 4.0		/* limit in batches */
+#define LIMIT_CUT 0.9			/* on delay above what was expected */
+#define LIMIT_CUT_PERIOD (1 * AP_SEC)	/* one cut for one congestion */
+#define LIMIT_DELAY_RATIO 3.0		/* observed over expected wait that means congestion */
 #define TRUST_START 0.9
 
 void ap_node_init(ap_node_t *node, const char *id, uint16_t slot, uint16_t epoch)
@@ -39,11 +41,22 @@
 	return node->leaving_at <= now && now - node->leaving_at < LEAVING_HOLD;
 }
 
-static double group_mean(const ap_node_t *node)
+/*
+ * The load that is usual there. An upstream's own differs from its pool's by the prefixes that it
+ * holds; by late reports it would follow the swings that the choices make themselves.
+ */
+static double usual_load(const ap_node_t *node, bool fresh)
 {
+	double part = fresh ? NODE_USUAL_PART : 0;
+
 	if (!node->group || node->group->batch <= 0)
 		return node->running;
-	return node->group->usual * node->batch;
+	return (1 - part) * node->group->usual * node->batch + part * node->usual;
+}
+
+bool ap_node_fresh(const ap_node_t *node, double service_us, ap_usec_t now)
+{
+	return node->has_report && (double)(now - node->report_at) <= service_us;
 }
 
 /*
@@ -53,7 +66,7 @@
  */
 ap_load_t ap_node_load(const ap_node_t *node, double service_us, ap_usec_t now)
 {
-	double mean = group_mean(node);
+	double mean = usual_load(node, ap_node_fresh(node, service_us, now));
 	double own = node->running;
 	ap_load_t load = {.mean = own, .sd = sqrt(mean + LOAD_SD_MIN)};
 	double age;
@@ -99,6 +112,18 @@
 	group->usual_at = now;
 }
 
+static void note_node_usual(ap_node_t *node, double load, ap_usec_t now)
+{
+	double keep = exp(-(double)(now - node->usual_at) / NODE_USUAL_TIME);
+
+	if (node->usual_at == 0)
+		keep = 0;
+	if (now <= node->usual_at)
+		return;
+	node->usual = keep * node->usual + (1 - keep) * load;
+	node->usual_at = now;
+}
+
 void ap_node_recount(ap_node_t *node, ap_usec_t now)
 {
 	double load = unregressed_load(node);
@@ -106,6 +131,7 @@
 	if (node->group)
 		node->group->load += load - node->counted;
 	node->counted = load;
+	note_node_usual(node, load, now);
 	note_usual(node->group, now);
 }
 
--- a/lib/route/node.h
+++ b/lib/route/node.h
@@ -54,6 +54,7 @@
  * @slow: observed over expected wait, a running geometric mean as a logarithm
  * @failing: running share of attempts that failed
  * @others: other entries that send it work
+ * @usual: running mean of its load; more where prefixes are held that many requests share
  * @limit: requests to have there at once, adapted to the measured delay
  */
 typedef struct ap_node {
@@ -79,6 +80,8 @@
 	double delta;
 	double others;
 	double counted;
+	double usual;
+	ap_usec_t usual_at;
 	uint32_t running;
 	ap_delta_t deltas[AP_NODE_DELTAS];
 	unsigned next_delta;
@@ -116,6 +119,8 @@
 
 /** ap_node_load() - requests there now; @service_us is the mean time that one stays. */
 ap_load_t ap_node_load(const ap_node_t *node, double service_us, ap_usec_t now);
+/** ap_node_fresh() - is its last report younger than the mean time that a request stays? */
+bool ap_node_fresh(const ap_node_t *node, double service_us, ap_usec_t now);
 void ap_node_report(ap_node_t *node, const ap_load_report_t *report, ap_usec_t now);
 /** ap_node_count() - an own request was dispatched (+1) or ended (-1). */
 void ap_node_count(ap_node_t *node, int step, ap_usec_t now);
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -11,7 +11,7 @@
 #define TRUST_AFTER_GAP 0.9
 #define TRUST_GAIN 0.1
 #define FLIGHTS_MAX 1000000   /* attempts in progress at one entry */
-#define LOAD_TARGET 0.8	      /* requests per slot above which entries take less */
+#define LOAD_TARGET 0.85      /* requests per slot above which entries take less */
 #define PLACES_CUT 2.0	      /* per second and unit of excess load */
 #define PLACES_GROWTH 0.2     /* per second below the target */
 #define PLACES_FACTOR_MAX 8.0 /* of an even share: callers are spread unevenly over entries */
--- a/lib/route/spill.c
+++ b/lib/route/spill.c
@@ -139,6 +139,18 @@
 	return state->spilling[cls];
 }
 
+/*
+ * Which of the regions with room: by the prompt's prefix, so that it is computed anew in one region
+ * and not in each of them.
+ */
+static double affinity(const ap_request_t *req, const ap_room_state_t *room)
+{
+	size_t deciding = req->n_blocks < AFFINE_BLOCKS ? req->n_blocks : AFFINE_BLOCKS;
+	uint64_t prefix = deciding > 0 ? req->blocks[deciding - 1] : ap_hash_str(room->key, 1);
+
+	return ap_rendezvous(prefix, ap_hash_str(room->key, 0), room->offer.rate);
+}
+
 ap_room_state_t *ap_spill_choose(ap_route_t *r, const ap_request_t *req, const ap_set_t *set,
 				 double wait, ap_usec_t now)
 {
@@ -149,7 +161,7 @@
 	ap_room_state_t *best = NULL;
 	ap_room_state_t *room;
 	ap_room_state_t *next;
-	double best_wait = 0;
+	double best_affinity = 0;
 
 	if (req->forwarded || req->stay || req->service->home_bound || !set->elsewhere)
 		return NULL;
@@ -157,13 +169,15 @@
 		return NULL;
 	HASH_ITER (hh, r->rooms, room, next) {
 		double there = (double)room->offer.wait + AP_NETWORK_FAR + prefill;
+		double score;
 
 		if (!offers(r, room, model, req->cls, now) || there >= wait || there > left)
 			continue;
-		if (best && there >= best_wait)
+		score = affinity(req, room);
+		if (best && score <= best_affinity)
 			continue;
 		best = room;
-		best_wait = there;
+		best_affinity = score;
 	}
 	return best;
 }
--- a/lib/route/state.h
+++ b/lib/route/state.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #define AP_SET_KEY_MAX (3 * AP_NAME_MAX)
+#define AFFINE_BLOCKS 4		      /* leading blocks that decide where a new prefix goes */
 #define AP_REGIONS_MAX 32	      /* other regions whose room is kept */
 #define AP_ROOMS_MAX 512	      /* offers of other regions that are kept */
 #define AP_NETWORK_NEAR 500	      /* microseconds to another data centre of the region */
--- a/test/limit_test.c
+++ b/test/limit_test.c
@@ -149,6 +149,29 @@
 	assert_int_equal(admitted[0] + admitted[1] + admitted[2], 20);
 }
 
+/* Lower classes that run on after a cut don't keep the places of the higher ones. */
+static void test_kept_places_outlast_a_cut(void **state)
+{
+	static const struct {
+		ap_class_t cls;
+		ap_admit_t admit;
+	} cases[] = {
+		{AP_CLASS_LONG, AP_ADMIT_QUEUE},	{AP_CLASS_RESERVATION, AP_ADMIT_NOW},
+		{AP_CLASS_RESERVATION, AP_ADMIT_QUEUE}, {AP_CLASS_SHORT, AP_ADMIT_NOW},
+		{AP_CLASS_SHORT, AP_ADMIT_QUEUE},
+	};
+	world_t *w = *state;
+	uint64_t token = 0;
+
+	ap_admission_set_capacity(w->a, 40, T0);
+	while (ask(w, ask_of(token++, AP_CLASS_LONG), T0) == AP_ADMIT_NOW)
+		;
+	ap_admission_cancel(w->a, token - 1, T0);
+	ap_admission_set_capacity(w->a, 10, T0);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(ask(w, ask_of(token++, cases[i].cls), T0), cases[i].admit);
+}
+
 static void test_cancel_frees_the_place_in_the_queue(void **state)
 {
 	world_t *w = *state;
@@ -266,6 +289,7 @@
 		WORLD_TEST(test_lowest_class_is_shed_first),
 		WORLD_TEST(test_late_requests_are_given_up_at_once),
 		WORLD_TEST(test_places_are_kept_for_higher_classes),
+		WORLD_TEST(test_kept_places_outlast_a_cut),
 		WORLD_TEST(test_cancel_frees_the_place_in_the_queue),
 		WORLD_TEST(test_callers_rate_is_shared),
 		WORLD_TEST(test_callers_concurrency_is_shared),
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -192,9 +192,10 @@
 	assert_int_equal(choice.cached_tokens, 0);
 }
 
-static bool chosen_within(world_t *w, const char *id, unsigned tries, ap_usec_t now)
+static bool chosen_for(world_t *w, const char *service, const char *id, unsigned tries,
+		       ap_usec_t now)
 {
-	ap_request_t req = fleet_request(&w->fleet, "ask", 90000, now);
+	ap_request_t req = fleet_request(&w->fleet, service, 90000, now);
 	ap_choice_t choice;
 
 	for (unsigned i = 0; i < tries; i++) {
@@ -206,6 +207,11 @@
 	return false;
 }
 
+static bool chosen_within(world_t *w, const char *id, unsigned tries, ap_usec_t now)
+{
+	return chosen_for(w, "ask", id, tries, now);
+}
+
 static void fail_at(world_t *w, const char *id, uint64_t seq, ap_attempt_end_t end, ap_usec_t now)
 {
 	ap_request_t req = fleet_request(&w->fleet, "ask", seq, now);
@@ -243,6 +249,29 @@
 	assert_true(chosen_within(w, "recife-gpu-0", 2000, T0 + 18 * AP_SEC));
 }
 
+/* A long request loses more by a failed trial, so a short one gets some time to be it. */
+static void test_short_requests_try_first(void **state)
+{
+	static const struct {
+		const char *service;
+		ap_usec_t after;
+		bool tries;
+	} cases[] = {
+		{"ask", 4 * AP_SEC, false},
+		{"ask", 6 * AP_SEC, true},
+		{"dossier", 6 * AP_SEC, false},
+		{"dossier", 11 * AP_SEC, true},
+	};
+	world_t *w = *state;
+
+	for (uint64_t n = 1; n <= 3; n++)
+		fail_at(w, "recife-gpu-0", n, AP_ATTEMPT_FAILED, T0);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(
+			chosen_for(w, cases[i].service, "recife-gpu-0", 400, T0 + cases[i].after),
+			cases[i].tries);
+}
+
 static void test_at_most_half_a_pool_is_ejected(void **state)
 {
 	world_t *w = *state;
@@ -448,6 +477,7 @@
 		WORLD_TEST(test_prefix_goes_where_it_is_cached),
 		WORLD_TEST(test_cache_events_correct_own_history),
 		WORLD_TEST(test_ejection_trial_and_ramp),
+		WORLD_TEST(test_short_requests_try_first),
 		WORLD_TEST(test_at_most_half_a_pool_is_ejected),
 		WORLD_TEST(test_slow_upstream_is_avoided),
 		WORLD_TEST(test_state_survives_a_new_view),
--- a/test/spill_test.c
+++ b/test/spill_test.c
@@ -157,6 +157,39 @@
 	assert_int_equal(sent(w, "ask", AP_NEVER, 1, now), 1);
 }
 
+/* The region that a prompt with this prefix is sent to. */
+static void region_of(world_t *w, uint64_t prefix, char region[AP_NAME_MAX])
+{
+	ap_usec_t now = T0 + 20 * AP_SEC + (ap_usec_t)++w->seq * 100 * AP_MSEC;
+	ap_request_t req = fleet_request(&w->fleet, "ask", w->seq, now);
+	ap_choice_t choice;
+
+	req.blocks[0] = prefix;
+	req.n_blocks = 1;
+	offer(w, "salvador", 1000, now);
+	offer(w, "litoral", 1000, now);
+	assert_true(ap_route_away(w->route, &req, AP_NEVER, now, &choice));
+	ap_copy_name(region, AP_NAME_MAX, choice.region);
+}
+
+static void test_a_prefix_goes_to_one_region(void **state)
+{
+	world_t *w = *state;
+	unsigned to_salvador = 0;
+
+	press(w, "ask", AP_NEVER, T0, 20 * AP_SEC, 1000);
+	for (uint64_t prefix = 1; prefix <= 40; prefix++) {
+		char first[AP_NAME_MAX];
+		char again[AP_NAME_MAX];
+
+		region_of(w, prefix, first);
+		region_of(w, prefix, again);
+		assert_string_equal(first, again);
+		to_salvador += strcmp(first, "salvador") == 0;
+	}
+	assert_in_range(to_salvador, 10, 30);
+}
+
 /* One served request, so that the time in a slot is known. */
 static void serve(world_t *w, bool forwarded, ap_usec_t took, ap_usec_t now)
 {
@@ -232,6 +265,7 @@
 		WORLD_TEST(test_hysteresis),
 		WORLD_TEST(test_cut_off_region_serves_on),
 		WORLD_TEST(test_refusal_gives_the_region_a_rest),
+		WORLD_TEST(test_a_prefix_goes_to_one_region),
 		WORLD_TEST(test_room_rises_as_guests_are_served),
 		WORLD_TEST(test_full_region_takes_no_guests),
 	};
