Offer requests shed from the queue to other regions; use the engines' count of cached tokens

A request that was queued and then shed got 503 without any other region being asked; only one refused at the door was offered. Both now go the same way, under the same rules of residency, hop and deadline.

An engine's usage figures (prompt tokens and cached ones, in an answer or a stream's usage event) give the cost of a request and correct the trust in what is thought cached there; the daemon never called ap_route_cached(). Figures that can't be are left out.

--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -75,23 +75,40 @@
 		return false;
 	tokens = json_object_get(json_object_get(doc, "usage"), "completion_tokens");
 	x->stream.tokens = (uint32_t)json_integer_value(tokens);
+	usage_read(doc, &x->stream.usage);
 	json_decref(doc);
 	return true;
 }
 
+/* The engine may count tokens otherwise than the choice does: what compares is their share. */
+static void note_cached(exchange_t *x)
+{
+	const usage_t *usage = &x->stream.usage;
+	uint64_t cached = usage->cached_tokens;
+
+	if (!usage->known)
+		return;
+	cached = cached * x->req.tokens_in / usage->prompt_tokens;
+	ap_route_cached(x->entry->route, x->choice.upstream_id, x->choice.cached_tokens,
+			(uint32_t)cached);
+}
+
 static void price(exchange_t *x)
 {
 	const ap_pool_t *pool = pool_of(x->entry->view, x->req.service, x->choice.upstream_id);
+	const usage_t *usage = &x->stream.usage;
+	uint32_t prompt = usage->known ? usage->prompt_tokens : x->req.tokens_in;
+	uint32_t cached = usage->known ? usage->cached_tokens : x->choice.cached_tokens;
 
 	if (pool)
-		x->cost =
-			ap_price(pool, x->req.tokens_in, x->choice.cached_tokens, x->stream.tokens);
+		x->cost = ap_price(pool, prompt, cached, x->stream.tokens);
 	ap_copy_name(x->region, sizeof(x->region), x->entry->config.settings->region);
 }
 
 static void succeed(exchange_t *x)
 {
 	attempt_finished(x, AP_ATTEMPT_OK);
+	note_cached(x);
 	price(x);
 	exchange_completed(x);
 }
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -221,8 +221,7 @@
 			ap_admission_cancel(entry->admission, x->token, now);
 		break;
 	case AP_ADMIT_SHED:
-		if (!attempt_away(x, AP_NEVER))
-			exchange_shed(x, fault.retry_after);
+		exchange_shed(x, fault.retry_after);
 		break;
 	case AP_ADMIT_LIMIT:
 		if (!exchange_judge(x, &fault))
@@ -256,6 +255,8 @@
 		.text = "too much is in progress here",
 	};
 
+	if (attempt_away(x, AP_NEVER))
+		return;
 	x->entry->counts[COUNT_SHED]++;
 	if (!exchange_judge(x, &fault))
 		fail(x, &fault);
--- a/cmd/arbutuspond/entry-stream.c
+++ b/cmd/arbutuspond/entry-stream.c
@@ -27,6 +27,7 @@
 {
 	evbuffer_drain(s->part, evbuffer_get_length(s->part));
 	s->scanned = 0;
+	s->usage.known = false;
 }
 
 static const char *content_of(json_t *event)
@@ -39,6 +40,22 @@
 	return json_string_value(text);
 }
 
+void usage_read(json_t *doc, usage_t *usage)
+{
+	json_t *figures = json_object_get(doc, "usage");
+	json_t *details = json_object_get(figures, "prompt_tokens_details");
+	json_t *cached = json_object_get(details, "cached_tokens");
+	json_int_t prompt = json_integer_value(json_object_get(figures, "prompt_tokens"));
+	json_int_t held = json_integer_value(cached);
+
+	if (!json_is_integer(cached) || held < 0 || prompt < held || prompt < 1 ||
+	    prompt > UINT32_MAX)
+		return;
+	usage->known = true;
+	usage->prompt_tokens = (uint32_t)prompt;
+	usage->cached_tokens = (uint32_t)held;
+}
+
 static void count_token(stream_t *s, const char *data, size_t len)
 {
 	json_t *event = json_loadb(data, len, 0, NULL);
@@ -49,6 +66,7 @@
 		if (s->text)
 			evbuffer_add(s->text, text, strlen(text));
 	}
+	usage_read(event, &s->usage);
 	json_decref(event);
 }
 
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -213,16 +213,28 @@
 	char *values[PASSED_HEADERS_MAX];
 } header_set_t;
 
+/**
+ * struct usage - an engine's own figures of the prompt.
+ * @known: it gave them, and they are possible
+ */
+typedef struct usage {
+	bool known;
+	uint32_t prompt_tokens;
+	uint32_t cached_tokens;
+} usage_t;
+
 /**
  * struct stream - server-sent events taken apart.
  * @part: an event that is not whole yet
  * @tokens: generated tokens passed on
+ * @usage: what the engine said, if it did
  * @text: their text, kept for a resume
  */
 typedef struct stream {
 	struct evbuffer *part;
 	size_t scanned;
 	uint32_t tokens;
+	usage_t usage;
 	struct evbuffer *text;
 	bool done;
 } stream_t;
@@ -402,6 +414,8 @@
 void exchange_begin(exchange_t *x);
 /* exchange_admitted() - the admission started it. */
 void exchange_admitted(exchange_t *x);
+/* exchange_shed() - no place here, at the door or after it waited: sent away, or answered at once.
+ */
 void exchange_shed(exchange_t *x, ap_usec_t retry_after);
 /* exchange_go() - the gate opened. */
 void exchange_go(exchange_t *x);
@@ -444,6 +458,8 @@
 void attempt_flow(exchange_t *x);
 
 /* entry-stream.c */
+/* usage_read() - takes the figures of an answer or event, if it has some. */
+void usage_read(json_t *doc, usage_t *usage);
 void stream_init(stream_t *s, bool keep_text);
 void stream_clear(stream_t *s);
 /* stream_cut() - drops an event that is not whole. */
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -206,6 +206,97 @@
 	rig_clear(&rig);
 }
 
+#define USAGE(prompt, cached)                                                                      \
+	"\"prompt_tokens\":" prompt ",\"completion_tokens\":1,"                                    \
+	"\"prompt_tokens_details\":{\"cached_tokens\":" cached "}"
+
+/* One micro-unit a token; the gateway itself counts 5 for this prompt. */
+static void test_cost_goes_by_the_engines_figures(void **state)
+{
+	static const struct {
+		const char *usage;
+		const char *stream;
+		const char *cost;
+	} cases[] = {
+		{USAGE("100", "60"), "false", "Arbutuspond-Cost: 41.000"},
+		{USAGE("100", "60"), "true", "cost=46.000"},
+		{USAGE("100", "0"), "true", "cost=106.000"},
+		{NULL, "false", "Arbutuspond-Cost: 6.000"},
+		{USAGE("100", "101"), "false", "Arbutuspond-Cost: 6.000"},
+		{USAGE("100", "-1"), "false", "Arbutuspond-Cost: 6.000"},
+		{USAGE("100", "\"60\""), "true", "cost=11.000"},
+		{USAGE("0", "0"), "true", "cost=11.000"},
+	};
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		bool stream = strcmp(cases[i].stream, "true") == 0;
+		char *answer;
+
+		rig.fakes[0].usage = cases[i].usage;
+		answer =
+			rig_ask(&rig, 0, CHAT, stream ? BODY("ask", "true") : BODY("ask", "false"));
+		rig_check(answer, 200, cases[i].cost, "200 OK");
+		free(answer);
+	}
+	rig_clear(&rig);
+}
+
+#define PROMPT_BYTES 4096
+
+/* What the choice expects to be cached for @prompt. */
+static uint32_t expected_cached(const rig_t *rig, const char *prompt)
+{
+	char text[PROMPT_BYTES + 64];
+	int len = snprintf(text, sizeof(text), "[{\"content\":\"%s\"}]", prompt);
+	ap_request_t req = {
+		.service = ap_conf_service(rig->conf, "ask"),
+		.home = "recife",
+		.cls = AP_CLASS_SHORT,
+		.deadline = ap_now() + 60 * AP_SEC,
+		.tokens_in = PROMPT_BYTES / 4,
+	};
+	ap_choice_t choice;
+
+	req.n_blocks = ap_prefix_blocks(text, (size_t)len, req.blocks);
+	assert_int_equal(ap_route_choose(rig->entries[0].entry->route, &req, ap_now(), &choice),
+			 AP_ROUTE_OK);
+	return choice.cached_tokens;
+}
+
+static void test_engines_figures_correct_what_is_thought_cached(void **state)
+{
+	char prompt[PROMPT_BYTES + 1];
+	char body[PROMPT_BYTES + 128];
+	uint32_t first;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	rig_add_fake(&rig, "recife", "gpu");
+	rig_show(&rig);
+	memset(prompt, 'x', PROMPT_BYTES);
+	prompt[PROMPT_BYTES] = '\0';
+	snprintf(body, sizeof(body), "{\"model\":\"ask\",\"messages\":[{\"content\":\"%s\"}]}",
+		 prompt);
+	rig.fakes[0].usage = USAGE("1000", "0");
+	free(rig_ask(&rig, 0, CHAT, body));
+	first = expected_cached(&rig, prompt);
+	assert_true(first > 0);
+	for (int i = 0; i < 10; i++)
+		free(rig_ask(&rig, 0, CHAT, body));
+	assert_true(expected_cached(&rig, prompt) < first / 2);
+	rig.fakes[0].usage = USAGE("1000", "1000");
+	for (int i = 0; i < 30; i++)
+		free(rig_ask(&rig, 0, CHAT, body));
+	assert_true(expected_cached(&rig, prompt) >= first);
+	rig_clear(&rig);
+}
+
 static void test_plain_service_passes_path_and_body(void **state)
 {
 	char *answer;
@@ -396,6 +487,8 @@
 		cmocka_unit_test(test_each_wrong_input_has_its_error),
 		cmocka_unit_test(test_body_past_the_service_limit_is_too_large),
 		cmocka_unit_test(test_no_upstream_means_not_run),
+		cmocka_unit_test(test_cost_goes_by_the_engines_figures),
+		cmocka_unit_test(test_engines_figures_correct_what_is_thought_cached),
 		cmocka_unit_test(test_plain_service_passes_path_and_body),
 		cmocka_unit_test(test_hang_up_cancels_upstream),
 		cmocka_unit_test(test_slow_reader_bounds_what_is_held),
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -54,6 +54,7 @@
 	int answered;
 	int hangups;	    /* closed by the other side before the answer was whole */
 	char last[65536];   /* last request as read */
+	const char *usage;  /* figures of its answers; NULL for plain ones */
 	const char *extra;  /* more header lines of a whole answer; may be NULL */
 	double fault_share; /* above 0: this part of the answers shows a fault at random */
 	unsigned short rng[3];
@@ -171,6 +172,11 @@
 			 mark);
 		fake_chunk(out, event);
 	}
+	if (conn->fake->usage) {
+		snprintf(event, sizeof(event), "data: {\"choices\":[],\"usage\":{%s}}\n\n",
+			 conn->fake->usage);
+		fake_chunk(out, event);
+	}
 	fake_chunk(out, "data: [DONE]\n\n");
 	evbuffer_add_printf(out, "0\r\n\r\n");
 }
@@ -178,12 +184,13 @@
 static inline void fake_whole(fake_conn_t *conn, const char *id, int mark, fake_mode_t mode)
 {
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
-	char body[256];
-	size_t len = (size_t)snprintf(body, sizeof(body),
-				      "{\"choices\":[{\"message\":{\"content\":\"whole\"}}],"
-				      "\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":1},"
-				      "\"of\":\"mark-%d.\"}",
-				      mark);
+	const char *usage = conn->fake->usage;
+	char body[512];
+	size_t len = (size_t)snprintf(
+		body, sizeof(body),
+		"{\"choices\":[{\"message\":{\"content\":\"whole\"}}],\"usage\":{%s},"
+		"\"of\":\"mark-%d.\"}",
+		usage ? usage : "\"prompt_tokens\":3,\"completion_tokens\":1", mark);
 	size_t claimed = len;
 	size_t sent = len;
 
--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -15,19 +15,24 @@
 	rig->fakes[0].requests = 0;
 }
 
-/* Recife has no upstream of its own; Cuyo has one and offers room. */
-static void two_regions_as(rig_t *rig, bool fast)
+static void offer_room(rig_t *rig)
 {
 	ap_note_t room = {.kind = AP_NOTE_ROOM};
 
-	rig_init_as(rig, fast);
-	rig_add_entry(rig, "cuyo");
-	rig_add_fake(rig, "cuyo", "gpu");
-	rig_show(rig);
 	room.u.room = (ap_room_t){.rate = 1000, .wait = AP_MSEC, .at = ap_now()};
 	ap_copy_name(room.u.room.region, AP_NAME_MAX, "cuyo");
 	ap_copy_name(room.u.room.model, AP_NAME_MAX, "m");
 	entry_note(rig->entries[0].entry, &room);
+}
+
+/* Recife has no upstream of its own; Cuyo has one and offers room. */
+static void two_regions_as(rig_t *rig, bool fast)
+{
+	rig_init_as(rig, fast);
+	rig_add_entry(rig, "cuyo");
+	rig_add_fake(rig, "cuyo", "gpu");
+	rig_show(rig);
+	offer_room(rig);
 	warm_up(rig);
 }
 
@@ -128,6 +133,85 @@
 	}
 }
 
+#define OTHER_TOKENS (1ull << 40) /* of requests that only the admission knows */
+
+static ap_admit_t take_place(rig_t *rig, uint64_t number)
+{
+	ap_usec_t retry_after;
+	ap_ask_t ask = {
+		.token = OTHER_TOKENS + number,
+		.cls = AP_CLASS_RESERVATION,
+		.deadline = ap_now() + 60 * AP_SEC,
+	};
+
+	return ap_admission_ask(rig->entries[0].entry->admission, &ask, ap_now(), &retry_after);
+}
+
+/* Recife's places are taken, one more request may wait there, and deadlines were lately missed. */
+static void full_region(rig_t *rig)
+{
+	ap_usec_t before = ap_now() - AP_MSEC;
+	ap_request_t late = {.home = "recife", .deadline = ap_now(), .cls = AP_CLASS_SHORT};
+	ap_choice_t choice;
+	uint64_t n = 0;
+
+	rig_init(rig);
+	entry_free(rig->entries[0].entry);
+	rig->n_entries = 0;
+	rig->queue = 1;
+	rig_add_entry(rig, "recife");
+	rig_add_entry(rig, "cuyo");
+	rig_add_fake(rig, "cuyo", "gpu");
+	rig_add_fake(rig, "recife", "gpu");
+	rig_show(rig);
+	warm_up(rig);
+	late.service = ap_conf_service(rig->conf, "ask");
+	assert_false(ap_route_away(rig->entries[0].entry->route, &late, AP_NEVER, before, &choice));
+	while (take_place(rig, ++n) == AP_ADMIT_NOW)
+		;
+	ap_admission_cancel(rig->entries[0].entry->admission, OTHER_TOKENS + n, ap_now());
+}
+
+/* A request that waits gives way to one of a higher class. */
+static void test_shed_from_the_queue_is_offered_to_another_region(void **state)
+{
+	static const struct {
+		const char *body;
+		bool room;
+		int status;
+		const char *part;
+		const char *other;
+	} shed_cases[] = {
+		{BODY("ask", "false"), true, 200, WHOLE, "Arbutuspond-Region: cuyo"},
+		{BODY("ask", "false"), false, 503, "\"overloaded\"", "Retry-After: "},
+		{BODY("once", "false"), true, 503, "\"overloaded\"", "Retry-After: "},
+		{BODY("dossier", "false"), true, 503, "\"overloaded\"", "Retry-After: "},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(shed_cases) / sizeof(shed_cases[0]); i++) {
+		bool away = shed_cases[i].status == 200;
+		rig_caller_t caller;
+		char *answer;
+		rig_t rig;
+
+		full_region(&rig);
+		rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, shed_cases[i].body);
+		RUN_UNTIL(rig.base, count(&rig, 0, COUNT_REQUESTS) == 1);
+		assert_int_equal(rig.entries[0].entry->exchanges->phase, PHASE_WAITING);
+		if (shed_cases[i].room)
+			offer_room(&rig);
+		assert_int_equal(take_place(&rig, 0), AP_ADMIT_QUEUE);
+		answer = rig_answer(&rig, &caller);
+		rig_check(answer, shed_cases[i].status, shed_cases[i].part, shed_cases[i].other);
+		free(answer);
+		assert_int_equal(count(&rig, 0, COUNT_SENT_AWAY), away);
+		assert_int_equal(count(&rig, 0, COUNT_SHED), !away);
+		assert_int_equal(rig.fakes[1].requests, 0);
+		rig_clear(&rig);
+	}
+}
+
 static void test_home_bound_and_unrepeatable_calls_stay(void **state)
 {
 	static const char *const bodies[] = {BODY("dossier", "false"), BODY("once", "false")};
@@ -417,6 +501,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_each_fault_between_regions),
 		cmocka_unit_test(test_shed_on_its_return_is_not_said_not_to_have_run),
+		cmocka_unit_test(test_shed_from_the_queue_is_offered_to_another_region),
 		cmocka_unit_test(test_home_bound_and_unrepeatable_calls_stay),
 		cmocka_unit_test(test_wrong_region_is_told_from_headers_alone),
 		cmocka_unit_test(test_requests_that_break_a_rule_are_refused),
