--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -86,7 +86,11 @@
 		ap_err_set(why, "the entry task has no view of the fleet yet");
 		return false;
 	}
-	return ap_spread_ready(c->spread, ap_now(), why);
+	if (!ap_spread_ready(c->spread, ap_now(), why))
+		return false;
+	if (!c->witnessed)
+		ap_err_set(why, "no other entry of the region has answered as a witness yet");
+	return c->witnessed;
 }
 
 /* From the membership part. */
@@ -183,6 +187,21 @@
 	ap_poll_observe(c->poll, upstream);
 }
 
+static void on_withdraw(void *ctx, const char *upstream, const char *item, uint64_t fence,
+			uint64_t number, ap_usec_t keep)
+{
+	ap_control_t *c = ctx;
+
+	ap_report_withdraw(c->report, upstream, item, fence, number, keep, ap_now());
+}
+
+static bool is_withdrawn(void *ctx, const char *upstream, const char *item)
+{
+	const ap_control_t *c = ctx;
+
+	return ap_report_is_withdrawn(c->report, upstream, item);
+}
+
 static void on_peer_message(void *ctx, const char *from, const void *data, size_t len)
 {
 	ap_control_t *c = ctx;
@@ -248,6 +267,9 @@
 	case AP_NOTE_OWN_ROOM:
 		ap_report_own_room(c->report, &note->u.room, now);
 		break;
+	case AP_NOTE_WITNESSED:
+		c->witnessed = true;
+		break;
 	case AP_NOTE_FAILED:
 		ap_log(LOG_ERR, "entry task: %s", note->u.name);
 		c->failed = true;
@@ -347,7 +369,9 @@
 						     .port = ap_poll_orders(c->poll),
 						     .env = env,
 						     .ctx = c,
-						     .observe = on_observe},
+						     .observe = on_observe,
+						     .withdraw = on_withdraw,
+						     .withdrawn = is_withdrawn},
 				now);
 	c->report = ap_report_new(&(ap_report_config_t){.self = self,
 							.seed = seed + 3,
--- a/cmd/arbutuspond/control.h
+++ b/cmd/arbutuspond/control.h
@@ -47,6 +47,7 @@
 		publish_due; /* earliest next write to the client directory; 0: nothing to write */
 	uint64_t cache_events; /* heard from engines here */
 	char *entry_counters;  /* last counters of the entry task */
+	bool witnessed; /* the entry task knows witnesses for permits, or that there are none */
 	bool draining;
 	bool drained;
 	ap_usec_t stop_at; /* when to leave the loop after the drain; 0: not yet */
@@ -70,7 +71,7 @@
 
 /**
  * ap_control_models() - names of models and adapters on an upstream: what its pollers read, or
- * what the rules declare when nobody told yet.
+ * what the rules declare when nobody told yet; without those that it is about to lose.
  * @names: pointers into @conf
  */
 size_t ap_control_models(ap_control_t *c, const ap_conf_t *conf, const ap_upstream_t *upstream,
