--- a/lib/limit/admission.c
+++ b/lib/limit/admission.c
@@ -130,7 +130,7 @@
 {
 	size_t above = 0;
 
-	if (cls + 1 >= AP_CLASS_COUNT)
+	if (cls == AP_CLASS_LONG)
 		return false;
 	for (int c = 0; c <= (int)cls; c++)
 		above += a->running_of[c];
