--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -185,6 +185,7 @@
 	leaving_t *leaving;
 	asker_t *askers; /* by name; members of the view only */
 	struct event *tick;
+	bool tick_soon; /* the tick is armed for queued requests */
 	struct event *report;
 	uint64_t next_token;
 	uint64_t next_message;
@@ -220,16 +221,28 @@
 	char *values[PASSED_HEADERS_MAX];
 } header_set_t;
 
+/**
+ * struct usage - an engine's own figures of the prompt.
+ * @known: it gave them, and they are possible
+ */
+typedef struct usage {
+	bool known;
+	uint32_t prompt_tokens;
+	uint32_t cached_tokens;
+} usage_t;
+
 /**
  * struct stream - server-sent events taken apart.
  * @part: an event that is not whole yet
  * @tokens: generated tokens passed on
+ * @usage: what the engine said, if it did
  * @text: their text, kept for a resume
  */
 typedef struct stream {
 	struct evbuffer *part;
 	size_t scanned;
 	uint32_t tokens;
+	usage_t usage;
 	struct evbuffer *text;
 	bool done;
 } stream_t;
@@ -352,6 +365,8 @@
 void entry_receive(entry_t *entry, const char *from, const void *data, size_t len);
 /* entry_hooks_drained() - the hooks have nothing left to hand over. */
 void entry_hooks_drained(entry_t *entry);
+/** entry_tick_soon() - a request was queued: looks at the queue again in a while. */
+void entry_tick_soon(entry_t *entry);
 void entry_check_drained(entry_t *entry);
 void entry_leaving(entry_t *entry, const char *upstream, bool tell);
 bool entry_is_member(const ap_view_t *view, const char *id);
@@ -415,6 +430,8 @@
 void exchange_begin(exchange_t *x);
 /* exchange_admitted() - the admission started it. */
 void exchange_admitted(exchange_t *x);
+/* exchange_shed() - no place here, at the door or after it waited: sent away, or answered at once.
+ */
 void exchange_shed(exchange_t *x, ap_usec_t retry_after);
 /* exchange_go() - the gate opened. */
 void exchange_go(exchange_t *x);
@@ -457,6 +474,8 @@
 void attempt_flow(exchange_t *x);
 
 /* entry-stream.c */
+/* usage_read() - takes the figures of an answer or event, if it has some. */
+void usage_read(json_t *doc, usage_t *usage);
 void stream_init(stream_t *s, bool keep_text);
 void stream_clear(stream_t *s);
 /* stream_cut() - drops an event that is not whole. */
--- a/lib/member/gossip.c
+++ b/lib/member/gossip.c
@@ -70,7 +70,7 @@
 			continue;
 		if (i == n)
 			out[n++] = (ap_triple_t){.a = node->region_hash};
-		out[i].b ^= ap_hash(pair, sizeof(pair), 0);
+		out[i].b ^= (uint32_t)ap_hash(pair, sizeof(pair), 0);
 	}
 	for (size_t i = 0; i < n; i++) {
 		ap_usec_t at = member_region_heard(m, out[i].a);
@@ -125,11 +125,16 @@
 
 		if (theirs->c < UINT32_MAX)
 			heard_region(m, theirs->a, now - (ap_usec_t)theirs->c * AP_MSEC);
+		/* Who was asked names its keys; both doing so would tell each record twice. */
+		if (msg->type != AP_MEMBER_SYNC)
+			continue;
 		while (at < n_own && own[at].a != theirs->a)
 			at++;
 		if (at == n_own || own[at].b != theirs->b)
 			send_keys(m, from, theirs->a, AP_MEMBER_KEYS);
 	}
+	if (msg->type != AP_MEMBER_SYNC)
+		return;
 	/* Regions that only this side knows. */
 	for (size_t i = 0; i < n_own; i++) {
 		size_t at = 0;
@@ -139,8 +144,7 @@
 		if (at == msg->n_triples)
 			send_keys(m, from, own[i].a, AP_MEMBER_KEYS);
 	}
-	if (msg->type == AP_MEMBER_SYNC)
-		member_sync_with(m, from, AP_MEMBER_SYNC_REPLY, now);
+	member_sync_with(m, from, AP_MEMBER_SYNC_REPLY, now);
 }
 
 static const ap_triple_t *find_key(const ap_member_message_t *msg, uint64_t id_hash)
@@ -279,10 +283,13 @@
 }
 
 /*
- * One member of each other region gets the digests: of those alive if any is known, else any one.
- * Picked at random, since what is known of a region may be old.
+ * One member of the other region whose turn it is gets the digests: of those alive if any is known,
+ * else any one. Picked at random, since what is known of a region may be old. Regions take turns,
+ * so that after a loss what they lack is not told to all of them at once.
+ *
+ * Return: how many other regions there are.
  */
-static void sync_regions(ap_member_t *m, ap_usec_t now)
+static size_t sync_region(ap_member_t *m, ap_usec_t now)
 {
 	uint64_t hashes[REGIONS_MAX];
 	ap_node_t *pick[REGIONS_MAX] = {NULL};
@@ -311,10 +318,23 @@
 		if (ap_rng_below(&m->rng, ++seen[i]) == 0)
 			pick[i] = node;
 	}
-	for (size_t i = 0; i < n; i++) {
-		if (pick[i])
-			member_sync_with(m, pick[i]->rec.entry.id, AP_MEMBER_SYNC, now);
-	}
+	if (n == 0)
+		return 0;
+	member_sync_with(m, pick[m->region_turn++ % n]->rec.entry.id, AP_MEMBER_SYNC, now);
+	return n;
+}
+
+static void sync_regions(ap_member_t *m, ap_usec_t now)
+{
+	size_t regions = is_delegate(m) ? sync_region(m, now) : 0;
+
+	if (regions == 0)
+		m->next_region_sync = now + REGION_SYNC_PERIOD;
+	else
+		m->next_region_sync += REGION_SYNC_PERIOD / (ap_usec_t)regions;
+	/* A paused process doesn't make good what it left out. */
+	if (m->next_region_sync < now)
+		m->next_region_sync = now;
 }
 
 void member_gossip_tick(ap_member_t *m, ap_usec_t now)
@@ -332,9 +352,6 @@
 		else
 			join(m, now);
 	}
-	if (now >= m->next_region_sync) {
-		m->next_region_sync = now + REGION_SYNC_PERIOD;
-		if (is_delegate(m))
-			sync_regions(m, now);
-	}
+	if (now >= m->next_region_sync)
+		sync_regions(m, now);
 }
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -10,7 +10,7 @@
 
 #include <msgpack.h>
 
-#define AP_WIRE_VERSION 1
+#define AP_WIRE_VERSION 2
 #define AP_WIRE_MAX (4u << 20) /* bytes of one message */
 
 typedef enum ap_wire_status {
@@ -75,6 +75,7 @@
 
 void ap_wire_pack_str(msgpack_packer *pk, const char *text);
 void ap_wire_pack_bin(msgpack_packer *pk, const void *data, size_t len);
+/** ap_wire_pack_id() - an id of zeros takes no bytes. */
 void ap_wire_pack_id(msgpack_packer *pk, ap_id_t id);
 void ap_wire_pack_xid(msgpack_packer *pk, ap_xid_t xid);
 
