--- a/test/standin/plain.c
+++ b/test/standin/plain.c
@@ -1,6 +1,7 @@
 /*
- * Stand-in for a plain service: each POST is a piece of work that is counted. GET /count[?body=TEXT]
- * tells how many there were, how many had one and the same body at most, and how many that body.
+ * Stand-in for a plain service: each POST is a piece of work that is counted. GET
+ * /count[?body=TEXT] tells how many there were, how many had one and the same body at most, and how
+ * many that body.
  */
 #include "server.h"
 
