--- a/test/unload_test.sh
+++ b/test/unload_test.sh
@@ -32,6 +32,10 @@
 	[ "$(without_model | wc -l)" = 1 ]
 }
 
+takes_work() {
+	[ "$(engine_count "$1" asked)" -gt 0 ]
+}
+
 # ask_on ADDRESS FILE: questions one after another as long as $DIR/asking is there.
 ask_on() {
 	while [ -e "$DIR/asking" ]; do
@@ -62,6 +66,9 @@
 	ask_on "$(callers_of $n)" "$DIR/answers-$n" &
 	asking="$asking $!"
 done
+for name in $REPLICAS; do
+	await "$name takes work" takes_work "$name"
+done
 sed 's/^replicas = .*/replicas = 2/' "$CONF" >"$DIR/fewer.toml"
 check "fewer replicas are declared" 0 \
 	"$("$CTL" --admin "$ADMIN_1" apply --base 1 "$DIR/fewer.toml" >/dev/null; echo $?)"
@@ -77,7 +84,6 @@
 rm "$DIR/asking"
 # shellcheck disable=SC2086
 wait $asking
-check "$gone took work before" 0 "$([ "$(engine_count "$gone" asked)" -gt 0 ]; echo $?)"
 for n in $ENTRIES; do
 	check "tries of entry-$n at an engine without the model" 0 \
 		"$(counter "$(admin_of "$n")" missing_models_total)"
