--- a/test/forward_test.c
+++ b/test/forward_test.c
@@ -455,6 +455,7 @@
 	RUN_UNTIL(rig.base, !rig.entries[1].entry->exchanges);
 	assert_int_equal(count(&rig, 1, COUNT_LOST_GUESTS), 1);
 	RUN_UNTIL(rig.base, rig.fakes[0].open == 0);
+	rig_hang_up(&caller);
 	rig_clear(&rig);
 }
 
