Start the link between regions once

storm.sh starts entry-1 again, and with it started another link: the first one was left running, and cuts from then on met only what had been started since.

--- a/test/regions.sh
+++ b/test/regions.sh
@@ -22,7 +22,7 @@
 }
 
 fleet_run() {
-	[ "$1" != 1 ] || start_link
+	[ -e "$DIR/link.pid" ] || start_link
 	from=recife
 	[ "$1" -lt 3 ] || from=fortaleza
 	fleet_start "entry-$1" env LD_PRELOAD="$BUILD/test/libstandin-detour.so" \
