One piece of code for what stood twice

Found by reading the whole change again; behaviour stays as it is.

- Three loops over a view's entries asked for the region of one, or whether it is there: entry_region_of().
A passed request looked it up twice.
- entry-once had a twin of the exchange's way to fail: exchange_fail().
- Whether a call has a permit or key was asked by two functions: names_call().
The permit's length was checked a second time behind headers_fit().
- The blocks that decide where a prefix goes were picked in choose.c and spill.c: ap_route_prefix().
The 32-bit hash of an upstream's id was written out beside report_id_hash().
- Comments that the formatter had broken over odd lines read straight again.
- Tests: the set-up of one entry and one engine, random bytes, and one more engine for a script each stood in several files.
No assertion changed.

--- a/adapters/call/call.c
+++ b/adapters/call/call.c
@@ -1,5 +1,6 @@
 /* Small HTTP calls, a connection each. */
 #include "call/call.h"
+#include "log/log.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -101,7 +102,7 @@
 static bool start(ap_call_t *call, const ap_call_spec_t *spec)
 {
 	struct evhttp_request *req = evhttp_request_new(on_answer, call);
-	struct timeval limit = {.tv_sec = spec->limit / AP_SEC, .tv_usec = spec->limit % AP_SEC};
+	struct timeval limit = ap_timeval(spec->limit);
 	struct bufferevent *bev;
 	char host[AP_HOST_MAX + 8];
 
--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -5,6 +5,7 @@
  * never from within a callback of the library.
  */
 #include "http/client.h"
+#include "log/log.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
@@ -256,8 +257,7 @@
 
 	if (delay < AP_MSEC)
 		delay = AP_MSEC;
-	tv.tv_sec = (time_t)(delay / AP_SEC);
-	tv.tv_usec = (suseconds_t)(delay % AP_SEC);
+	tv = ap_timeval(delay);
 	event_add(fetch->timer, &tv);
 }
 
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -32,14 +32,6 @@
 	ap_usec_t until;
 };
 
-static struct timeval timeval_of(ap_usec_t span)
-{
-	return (struct timeval){
-		.tv_sec = (time_t)(span / AP_SEC),
-		.tv_usec = (suseconds_t)(span % AP_SEC),
-	};
-}
-
 static size_t count_open(const ap_http_server_t *server)
 {
 	return HASH_COUNT(server->conns) + server->n_lingering;
@@ -90,7 +82,7 @@
 /* Takes over @fd. */
 static void linger_on(ap_http_server_t *server, int fd)
 {
-	struct timeval limit = timeval_of(LINGER);
+	struct timeval limit = ap_timeval(LINGER);
 	lingerer_t *l = calloc(1, sizeof(*l));
 
 	if (l)
@@ -217,7 +209,7 @@
 
 static void begin_arrival(server_conn_t *conn)
 {
-	struct timeval limit = timeval_of(conn->server->config.arrival);
+	struct timeval limit = ap_timeval(conn->server->config.arrival);
 
 	conn->arriving = true;
 	conn->head_bytes = 0;
@@ -265,8 +257,7 @@
 	struct evbuffer_iovec part;
 	struct evbuffer_ptr at;
 
-	/* The buffer's start is frozen once it was written from; it may be looked at, not copied.
-	 */
+	/* The buffer's start may be frozen: then it can be looked at, but not copied. */
 	if (evbuffer_ptr_set(out, &at, before, EVBUFFER_PTR_SET) != 0 ||
 	    evbuffer_peek(out, STATUS_LINE_MIN, &at, &part, 1) < 1 ||
 	    part.iov_len < STATUS_LINE_MIN)
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -1,5 +1,6 @@
 /* The server side: whole requests in, whole or streamed answers out, hang-ups noticed. */
 #include "http/server.h"
+#include "log/log.h"
 
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -209,8 +210,7 @@
 	if (!server)
 		return AP_HTTP_STATUS_NO_MEMORY;
 	server->config = *config;
-	server->idle.tv_sec = (time_t)(config->idle / AP_SEC);
-	server->idle.tv_usec = (suseconds_t)(config->idle % AP_SEC);
+	server->idle = ap_timeval(config->idle);
 	LIST_INIT(&server->calls);
 	LIST_INIT(&server->lingering);
 	server->http = evhttp_new(config->base);
--- a/adapters/log/log.c
+++ b/adapters/log/log.c
@@ -46,6 +46,14 @@
 	return ts.tv_sec * AP_SEC + ts.tv_nsec / 1000;
 }
 
+struct timeval ap_timeval(ap_usec_t span)
+{
+	return (struct timeval){
+		.tv_sec = (time_t)(span / AP_SEC),
+		.tv_usec = (suseconds_t)(span % AP_SEC),
+	};
+}
+
 uint64_t ap_wall_ms(void)
 {
 	struct timespec ts;
--- a/adapters/log/log.h
+++ b/adapters/log/log.h
@@ -6,6 +6,7 @@
 
 #include "base/base.h"
 
+#include <sys/time.h>
 #include <syslog.h>
 
 /** ap_log_open() - @ident and the most verbose level to print; once, before any thread starts. */
@@ -15,6 +16,8 @@
 
 /** ap_now() - CLOCK_BOOTTIME in microseconds: monotonic and counting suspension. */
 ap_usec_t ap_now(void);
+/** ap_timeval() - @span, not below 0, as event loops take it. */
+struct timeval ap_timeval(ap_usec_t span);
 /** ap_wall_ms() - CLOCK_REALTIME in milliseconds, for time lines and history only. */
 uint64_t ap_wall_ms(void);
 /** ap_random() - fills @buf from the system's random source. */
--- a/bench/control/replay.c
+++ b/bench/control/replay.c
@@ -232,7 +232,7 @@
 
 static void run_for(const player_t *p, ap_usec_t time)
 {
-	const struct timeval length = {.tv_sec = time / AP_SEC, .tv_usec = time % AP_SEC};
+	const struct timeval length = ap_timeval(time);
 
 	event_base_loopexit(p->base, &length);
 	event_base_dispatch(p->base);
--- a/bench/path_bench.c
+++ b/bench/path_bench.c
@@ -106,10 +106,7 @@
 	ap_usec_t now = ap_now();
 
 	while (now < until) {
-		struct timeval tv = {
-			.tv_sec = (time_t)((until - now) / AP_SEC),
-			.tv_usec = (suseconds_t)((until - now) % AP_SEC),
-		};
+		struct timeval tv = ap_timeval(until - now);
 
 		event_base_loopexit(b->base, &tv);
 		event_base_dispatch(b->base);
--- a/cmd/arbutuspond/entry-away.c
+++ b/cmd/arbutuspond/entry-away.c
@@ -23,23 +23,9 @@
 	return picked;
 }
 
-static const char *region_of(const exchange_t *x, const char *id)
-{
-	const ap_view_t *view = x->entry->view;
-
-	for (size_t i = 0; i < view->n_entries; i++) {
-		if (strcmp(view->entries[i].id, id) == 0)
-			return view->entries[i].region;
-	}
-	return "";
-}
-
 static void arm(exchange_t *x, ap_usec_t delay)
 {
-	struct timeval tv = {
-		.tv_sec = (time_t)(delay / AP_SEC),
-		.tv_usec = (suseconds_t)(delay % AP_SEC),
-	};
+	struct timeval tv = ap_timeval(delay);
 
 	evtimer_add(x->away.limit, &tv);
 }
@@ -89,8 +75,7 @@
 		arm(x, limit - silent);
 		return;
 	}
-	/* No credit is out while the caller does not read, so nothing can come but this side lives.
-	 */
+	/* No credit is out while the caller does not read, so nothing can come; this side lives. */
 	if (x->away.got >= x->away.granted) {
 		send_credit(x);
 		arm(x, limit);
@@ -135,10 +120,9 @@
 	return sent;
 }
 
-static bool allowed(const exchange_t *x, const char *to, unsigned hops)
+static bool allowed(const exchange_t *x, const char *region, unsigned hops)
 {
 	const ap_env_t *env = &x->entry->env;
-	const char *region = region_of(x, to);
 	bool here = strcmp(region, x->entry->config.settings->region) == 0;
 
 	return ap_require(env, !x->is_guest, AP_INV_ONE_HOP, "a guest's request sent on") &&
@@ -150,9 +134,10 @@
 bool away_start(exchange_t *x, const char *to, unsigned hops)
 {
 	entry_t *entry = x->entry;
+	const char *region = entry_region_of(entry->view, to);
 	away_t *away = &x->away;
 
-	if (!region_of(x, to)[0] || !allowed(x, to, hops))
+	if (!region || !allowed(x, region, hops))
 		return false;
 	*away = (away_t){
 		.exchange = {entry->config.inc, ++entry->next_token},
--- a/cmd/arbutuspond/entry-caller.c
+++ b/cmd/arbutuspond/entry-caller.c
@@ -139,20 +139,12 @@
 	return len <= service->body_max;
 }
 
-static bool permit_given(const asked_t *a)
-{
-	return ap_http_call_header(a->call, "Arbutuspond-Permit") ||
-	       ap_http_call_header(a->call, "Idempotency-Key");
-}
-
 /* A name that is cut would stand for another call too. */
-static bool permit_fits(const asked_t *a)
+static bool key_fits(const asked_t *a)
 {
-	const char *permit = ap_http_call_header(a->call, "Arbutuspond-Permit");
 	const char *key = ap_http_call_header(a->call, "Idempotency-Key");
 
-	return (!permit || strlen(permit) < AP_FORWARD_PERMIT_MAX) &&
-	       (!key || strlen(key) < AP_NAME_MAX);
+	return !key || strlen(key) < AP_NAME_MAX;
 }
 
 /* What line and headers alone decide for a known service. Return: true when all is well. */
@@ -170,11 +162,11 @@
 		refuse(a, ENTRY_TOO_LARGE, "the body is larger than this service takes");
 		return false;
 	}
-	if (service->permit && !permit_fits(a)) {
+	if (service->permit && !key_fits(a)) {
 		refuse(a, ENTRY_BAD_REQUEST, "the permit or the idempotency key is too long");
 		return false;
 	}
-	if (service->permit && !permit_given(a)) {
+	if (service->permit && !names_call(a->call)) {
 		refuse(a, ENTRY_PERMIT_NEEDED, "this call needs a permit or an idempotency key");
 		return false;
 	}
--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -247,13 +247,13 @@
 	return ap_http_server_port(entry->server);
 }
 
-bool entry_is_member(const ap_view_t *view, const char *id)
+const char *entry_region_of(const ap_view_t *view, const char *id)
 {
 	for (size_t i = 0; i < view->n_entries; i++) {
 		if (strcmp(view->entries[i].id, id) == 0)
-			return true;
+			return view->entries[i].region;
 	}
-	return false;
+	return NULL;
 }
 
 /* An answer to an entry that is gone would be held up until its time limit. */
@@ -264,7 +264,7 @@
 
 	for (x = entry->exchanges; x; x = next) {
 		next = x->hh.next;
-		if (x->is_guest && !entry_is_member(entry->view, x->guest.from))
+		if (x->is_guest && !entry_region_of(entry->view, x->guest.from))
 			exchange_gone(x);
 	}
 }
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -144,7 +144,7 @@
 	exchange_settle(x);
 }
 
-static void fail_with(exchange_t *x, entry_error_t error, const char *text)
+void exchange_fail(exchange_t *x, entry_error_t error, const char *text)
 {
 	entry_fault_t fault = {.error = error};
 
@@ -156,11 +156,11 @@
 void exchange_give_up(exchange_t *x, const char *why)
 {
 	if (!x->maybe_ran)
-		fail_with(x, ENTRY_NOT_RUN, why);
+		exchange_fail(x, ENTRY_NOT_RUN, why);
 	else if (x->req.service->repeatable)
-		fail_with(x, ENTRY_UPSTREAM_FAILED, why);
+		exchange_fail(x, ENTRY_UPSTREAM_FAILED, why);
 	else
-		fail_with(x, ENTRY_UNKNOWN, why);
+		exchange_fail(x, ENTRY_UNKNOWN, why);
 }
 
 static void on_limit(evutil_socket_t fd, short what, void *arg)
@@ -245,11 +245,7 @@
 void exchange_begin(exchange_t *x)
 {
 	entry_t *entry = x->entry;
-	ap_usec_t longest = entry->config.settings->request_time;
-	struct timeval limit = {
-		.tv_sec = (time_t)(longest / AP_SEC),
-		.tv_usec = (suseconds_t)(longest % AP_SEC),
-	};
+	struct timeval limit = ap_timeval(entry->config.settings->request_time);
 
 	ap_require(&entry->env, ap_residency_allows(&x->req, entry->config.settings->region),
 		   AP_INV_RESIDENCY, "home-bound request held outside its region");
@@ -287,7 +283,7 @@
 	if (hooks->gate)
 		hooks->gate(hooks->ctx, x);
 	else
-		fail_with(x, ENTRY_NOT_RUN, "this entry can't judge permits");
+		exchange_fail(x, ENTRY_NOT_RUN, "this entry can't judge permits");
 }
 
 void exchange_go(exchange_t *x)
--- a/cmd/arbutuspond/entry-guest.c
+++ b/cmd/arbutuspond/entry-guest.c
@@ -38,15 +38,6 @@
 	return NULL;
 }
 
-static const char *region_of(const entry_t *entry, const char *id)
-{
-	for (size_t i = 0; i < entry->view->n_entries; i++) {
-		if (strcmp(entry->view->entries[i].id, id) == 0)
-			return entry->view->entries[i].region;
-	}
-	return NULL;
-}
-
 static void add_asker(entry_t *entry, asker_t *asker)
 {
 	HASH_ADD_STR(entry->askers, name, asker);
@@ -92,7 +83,7 @@
 	HASH_CLEAR(hh, entry->askers);
 	for (; asker; asker = next) {
 		next = asker->hh.next;
-		if (view && entry_is_member(view, asker->name))
+		if (view && entry_region_of(view, asker->name))
 			add_asker(entry, asker);
 		else
 			free(asker);
@@ -102,7 +93,7 @@
 /* The sender counts the crossing; a count that does not fit where it is from is refused. */
 static bool hops_fit(const entry_t *entry, const char *from, uint32_t hops)
 {
-	const char *region = region_of(entry, from);
+	const char *region = entry_region_of(entry->view, from);
 	bool here = region && strcmp(region, entry->config.settings->region) == 0;
 
 	return region && hops == (here ? 0 : 1);
@@ -156,13 +147,10 @@
 
 static void arm_unheard(exchange_t *x)
 {
-	ap_usec_t limit = UNHEARD_LIMITS * (x->req.service->between + FORWARD_MARGIN);
-	struct timeval tv = {
-		.tv_sec = (time_t)(limit / AP_SEC),
-		.tv_usec = (suseconds_t)(limit % AP_SEC),
-	};
+	ap_usec_t between = x->req.service->between + FORWARD_MARGIN;
+	struct timeval limit = ap_timeval(UNHEARD_LIMITS * between);
 
-	evtimer_add(x->guest.unheard, &tv);
+	evtimer_add(x->guest.unheard, &limit);
 }
 
 static void fill(exchange_t *x, const char *from, const ap_forward_msg_t *msg)
--- a/cmd/arbutuspond/entry-once.c
+++ b/cmd/arbutuspond/entry-once.c
@@ -31,7 +31,7 @@
 
 static void arm_tick(entry_once_t *o, ap_usec_t wait)
 {
-	const struct timeval after = {.tv_sec = wait / AP_SEC, .tv_usec = wait % AP_SEC};
+	const struct timeval after = ap_timeval(wait);
 
 	o->tick_wait = wait;
 	event_add(o->tick, &after);
@@ -149,21 +149,13 @@
 
 /* What callers are told. */
 
-static void refuse(exchange_t *x, entry_error_t error, const char *why)
-{
-	entry_fault_t fault = {.error = error};
-
-	ap_copy_name(fault.text, sizeof(fault.text), why);
-	exchange_refuse(x, &fault);
-}
-
 static void say_not_run(exchange_t *x, const char *why)
 {
 	/* The permit is closed now, so what was to be said of the request may be said. */
 	if (x->judged && entry_error_outcome(x->held.error) == AP_OUTCOME_NOT_RUN)
 		exchange_refuse(x, &x->held);
 	else
-		refuse(x, ENTRY_NOT_RUN, why);
+		exchange_fail(x, ENTRY_NOT_RUN, why);
 }
 
 static void say_used(exchange_t *x, const ap_once_verdict_t *v)
@@ -235,13 +227,13 @@
 		say_not_run(x, v->why);
 		break;
 	case AP_ONCE_UNKNOWN:
-		refuse(x, ENTRY_UNKNOWN, v->why);
+		exchange_fail(x, ENTRY_UNKNOWN, v->why);
 		break;
 	case AP_ONCE_WRONG_REGION:
 		say_wrong_region(x, v);
 		break;
 	case AP_ONCE_REFUSED:
-		refuse(x, ENTRY_FORBIDDEN, v->why);
+		exchange_fail(x, ENTRY_FORBIDDEN, v->why);
 		break;
 	}
 }
--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -122,7 +122,7 @@
 		fault->error = ENTRY_UNCHECKED;
 }
 
-static bool may_repeat_another(const ap_http_call_t *call)
+bool names_call(const ap_http_call_t *call)
 {
 	return ap_http_call_header(call, "Arbutuspond-Permit") ||
 	       ap_http_call_header(call, "Idempotency-Key");
@@ -181,7 +181,7 @@
 
 void reply_early(entry_t *entry, ap_http_call_t *call, entry_fault_t *fault)
 {
-	if (may_repeat_another(call))
+	if (names_call(call))
 		fault_of_try(fault);
 	reply_fault(entry, call, NULL, fault);
 }
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -369,7 +369,8 @@
 void entry_tick_soon(entry_t *entry);
 void entry_check_drained(entry_t *entry);
 void entry_leaving(entry_t *entry, const char *upstream, bool tell);
-bool entry_is_member(const ap_view_t *view, const char *id);
+/* entry_region_of() - NULL when @view has no entry of that name. */
+const char *entry_region_of(const ap_view_t *view, const char *id);
 bool entry_knows_leaving(const entry_t *entry, const char *upstream);
 exchange_t *exchange_by_token(const entry_t *entry, uint64_t token);
 
@@ -386,6 +387,8 @@
 void reply_fault(entry_t *entry, ap_http_call_t *call, const char *name, entry_fault_t *fault);
 /* fault_of_try() - not-run is true of this try alone; of the call nothing is known. */
 void fault_of_try(entry_fault_t *fault);
+/* names_call() - is there a permit or a key, with which an earlier try may have come? */
+bool names_call(const ap_http_call_t *call);
 /* reply_early() - answers what was refused before anybody looked at its permit or key. */
 void reply_early(entry_t *entry, ap_http_call_t *call, entry_fault_t *fault);
 void reply_simple(entry_t *entry, ap_http_call_t *call, entry_error_t error, const char *text);
@@ -435,6 +438,8 @@
 void exchange_shed(exchange_t *x, ap_usec_t retry_after);
 /* exchange_go() - the gate opened. */
 void exchange_go(exchange_t *x);
+/* exchange_fail() - ends it with an error and what is said of it. */
+void exchange_fail(exchange_t *x, entry_error_t error, const char *text);
 /* exchange_refuse() - ends it with an error instead of an attempt. */
 void exchange_refuse(exchange_t *x, entry_fault_t *fault);
 /* exchange_stored() - ends it with an answer given before; @type may be empty. */
--- a/lib/once/owner.c
+++ b/lib/once/owner.c
@@ -41,23 +41,18 @@
 }
 
 /* Only the owner knows for how long its word holds, so nothing is kept of it. */
-static void forget(ap_claims_t *c, record_t *r)
+void owner_cancel(ap_claims_t *c, record_t *r)
 {
 	TAILQ_REMOVE(&c->asking, r, by_wait);
 	token_remove(&c->by_token, r);
 	table_remove(&c->table, r);
 }
 
-void owner_cancel(ap_claims_t *c, record_t *r)
-{
-	forget(c, r);
-}
-
 static void settle(ap_claims_t *c, record_t *r, const ap_once_verdict_t *v)
 {
 	uint64_t token = r->token;
 
-	forget(c, r);
+	owner_cancel(c, r);
 	c->config.decided(c->config.ctx, token, v);
 }
 
--- a/lib/order/private.h
+++ b/lib/order/private.h
@@ -45,8 +45,7 @@
 	ap_usec_t ended_at;	   /* of the last order; AP_NEVER until the next tick */
 	char refused[AP_NAME_MAX]; /* item whose load was refused last */
 	ap_usec_t refused_until;
-	char withdrawn[AP_NAME_MAX]; /* item that is to be unloaded, as the region was told; or
-					empty */
+	char withdrawn[AP_NAME_MAX]; /* item to be unloaded that the region was told of; or empty */
 	ap_usec_t withdrawn_at;
 	ap_usec_t told_at;
 	bool unload_sent;
--- a/lib/order/withdraw.c
+++ b/lib/order/withdraw.c
@@ -10,10 +10,8 @@
 #define WITHDRAW_WAIT (5 * AP_SEC)  /* to hear it, and to send what was chosen before */
 #define TELL_AGAIN (2 * AP_SEC)	    /* for entries that start or lost all earlier messages */
 #define WITHDRAW_KEEP (20 * AP_SEC) /* after the last time it was told */
-#define GAP_MAX                                                                                    \
-	(WITHDRAW_KEEP / 2)	/* between two times; after a longer one the wait begins anew      \
-				 */
-#define GONE_KEEP (60 * AP_SEC) /* until all know that it is not loaded any more */
+#define GAP_MAX (WITHDRAW_KEEP / 2) /* between two times; after more the wait begins anew */
+#define GONE_KEEP (60 * AP_SEC)	    /* until all know that it is not loaded any more */
 
 static void tell(ap_order_t *o, ap_target_t *t, const char *name, ap_usec_t keep, ap_usec_t now)
 {
@@ -22,8 +20,7 @@
 			keep);
 }
 
-/* Whoever heard it once leaves the upstream alone until the order ended and all know what it did.
- */
+/* Whoever heard it once leaves the upstream alone until all know what the order did. */
 static ap_usec_t keep_for(const ap_order_t *o, const ap_target_t *t)
 {
 	return GAP_MAX + order_limit(o, t) + GONE_KEEP;
--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -203,6 +203,7 @@
 
 /* report.c */
 ap_polled_t *report_by_hash(const ap_report_t *r, uint32_t hash);
+uint32_t report_id_hash(const char *id);
 ap_polled_t *report_find(const ap_report_t *r, const char *id);
 /* report_tells() - is this entry the one that reads and tells its load now? */
 bool report_tells(const ap_report_t *r, const ap_polled_t *up, ap_usec_t now);
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -91,14 +91,14 @@
 }
 
 /* Upstreams travel as 32 bits of their id's hash; a region has a few hundred of them. */
-static uint32_t id_hash(const char *id)
+uint32_t report_id_hash(const char *id)
 {
 	return (uint32_t)ap_hash_str(id, 0);
 }
 
 ap_polled_t *report_find(const ap_report_t *r, const char *id)
 {
-	ap_polled_t *up = report_by_hash(r, id_hash(id));
+	ap_polled_t *up = report_by_hash(r, report_id_hash(id));
 
 	return up && strcmp(up->id, id) == 0 ? up : NULL;
 }
@@ -239,7 +239,7 @@
 {
 	ap_polled_t *up = report_find(r, upstream->id);
 
-	if (!up && report_by_hash(r, id_hash(upstream->id))) {
+	if (!up && report_by_hash(r, report_id_hash(upstream->id))) {
 		ap_emit(&r->cfg.env, r->now, "report.collision", (ap_xid_t){.seq = 0}, "id=%s",
 			upstream->id);
 		return;
@@ -249,7 +249,7 @@
 		if (!up)
 			abort();
 		ap_copy_name(up->id, sizeof(up->id), upstream->id);
-		up->hash = id_hash(up->id);
+		up->hash = report_id_hash(up->id);
 		up->leaving_until = -1;
 		HASH_ADD(hh, r->upstreams, hash, sizeof(up->hash), up);
 		assign(r, up);
--- a/lib/report/withdraw.c
+++ b/lib/report/withdraw.c
@@ -119,7 +119,7 @@
 void ap_report_withdraw(ap_report_t *r, const char *upstream, const char *name, uint64_t fence,
 			uint64_t number, ap_usec_t keep, ap_usec_t now)
 {
-	ap_withdrawal_item_t item = {.upstream = (uint32_t)ap_hash_str(upstream, 0),
+	ap_withdrawal_item_t item = {.upstream = report_id_hash(upstream),
 				     .name = ap_report_name_hash(name),
 				     .fence = fence,
 				     .number = number,
@@ -140,8 +140,7 @@
 
 bool ap_report_is_withdrawn(const ap_report_t *r, const char *upstream, const char *name)
 {
-	const ap_withdrawal_t *w =
-		find(r, (uint32_t)ap_hash_str(upstream, 0), ap_report_name_hash(name));
+	const ap_withdrawal_t *w = find(r, report_id_hash(upstream), ap_report_name_hash(name));
 
 	return w && w->in_force && r->now < w->until;
 }
--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -13,6 +13,7 @@
 #define FIRST_CLASS_PICKS 8 /* for reservations, as long as reports are fresh */
 #define AFFINE_PICKS 2
 #define AFFINE_LOOK 8	/* places of the rendezvous order that bounded load may skip */
+#define AFFINE_BLOCKS 4 /* leading blocks that decide where a new prefix goes */
 #define LOAD_BOUND 1.25 /* of the mean load: an affine upstream above it is skipped */
 #define LOAD_SLACK 1.0	/* requests above the bound that are always allowed */
 #define SLOTS_KEPT 0.5	/* slots of a batch that a class leaves to each one above it */
@@ -168,6 +169,16 @@
 	return ap_node_load(node, service_us, now).mean <= mean * LOAD_BOUND + LOAD_SLACK;
 }
 
+bool ap_route_prefix(const ap_request_t *req, uint64_t *prefix)
+{
+	size_t deciding = req->n_blocks < AFFINE_BLOCKS ? req->n_blocks : AFFINE_BLOCKS;
+
+	if (deciding == 0)
+		return false;
+	*prefix = req->blocks[deciding - 1];
+	return true;
+}
+
 typedef struct ap_affine {
 	ap_node_t *node;
 	double score;
@@ -180,13 +191,13 @@
 	ap_affine_t best[AFFINE_LOOK];
 	size_t n = 0;
 	size_t taken = 0;
-	size_t deciding = req->n_blocks < AFFINE_BLOCKS ? req->n_blocks : AFFINE_BLOCKS;
+	uint64_t prefix;
 
-	if (deciding == 0)
+	if (!ap_route_prefix(req, &prefix))
 		return;
 	for (size_t i = 0; i < set->n; i++) {
 		ap_node_t *node = set->nodes[i];
-		double score = ap_rendezvous(req->blocks[deciding - 1], node->key, node->batch);
+		double score = ap_rendezvous(prefix, node->key, node->batch);
 		size_t place;
 
 		if (n == AFFINE_LOOK && score <= best[n - 1].score)
--- a/lib/route/health.c
+++ b/lib/route/health.c
@@ -8,8 +8,7 @@
 #define FAILING_HALF_LIFE (10 * AP_SEC) /* an unused upstream's failures are forgotten */
 #define EJECT_BASE (5 * AP_SEC)
 #define EJECT_DOUBLINGS_MAX 4
-#define TRIAL_LONG_WAIT                                                                            \
-	(5 * AP_SEC) /* time for a short request, which loses less, to be the trial */
+#define TRIAL_LONG_WAIT (5 * AP_SEC) /* for a short request, which loses less, to be the trial */
 #define RAMP_TIME (10 * AP_SEC)
 #define RAMP_START 0.1 /* share of its ordinary work right after the trial */
 
--- a/lib/route/spill.c
+++ b/lib/route/spill.c
@@ -145,9 +145,10 @@
  */
 static double affinity(const ap_request_t *req, const ap_room_state_t *room)
 {
-	size_t deciding = req->n_blocks < AFFINE_BLOCKS ? req->n_blocks : AFFINE_BLOCKS;
-	uint64_t prefix = deciding > 0 ? req->blocks[deciding - 1] : ap_hash_str(room->key, 1);
+	uint64_t prefix;
 
+	if (!ap_route_prefix(req, &prefix))
+		prefix = ap_hash_str(room->key, 1);
 	return ap_rendezvous(prefix, ap_hash_str(room->key, 0), room->offer.rate);
 }
 
--- a/lib/route/state.h
+++ b/lib/route/state.h
@@ -9,7 +9,6 @@
 #include <uthash.h>
 
 #define AP_SET_KEY_MAX (3 * AP_NAME_MAX)
-#define AFFINE_BLOCKS 4		      /* leading blocks that decide where a new prefix goes */
 #define AP_REGIONS_MAX 32	      /* other regions whose room is kept */
 #define AP_ROOMS_MAX 512	      /* offers of other regions that are kept */
 #define AP_NETWORK_NEAR 500	      /* microseconds to another data centre of the region */
@@ -142,6 +141,8 @@
 /** ap_route_pick() - the best upstream of @set. Return: false when none may be used. */
 bool ap_route_pick(ap_route_t *r, const ap_request_t *req, const ap_set_t *set, ap_usec_t now,
 		   ap_score_t *best);
+/** ap_route_prefix() - what the start of the prompt is told by; false for none. */
+bool ap_route_prefix(const ap_request_t *req, uint64_t *prefix);
 /** ap_route_allowed() - may @node get new work of @req now, health aside? */
 bool ap_route_allowed(const ap_node_t *node, const ap_request_t *req, ap_usec_t now);
 
--- a/test/caller_test.c
+++ b/test/caller_test.c
@@ -130,9 +130,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	/* Each on a connection of its own, then behind a right request on the same one. */
 	for (size_t i = 0; i < 2 * sizeof(cases) / sizeof(cases[0]); i++) {
 		const size_t k = i / 2;
@@ -162,9 +160,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	send_raw(&rig, 0, &c, ASK_HEAD "Content-Length: 31\r\nExpect: 100-continue\r\n\r\n");
 	RUN_UNTIL(rig.base, evbuffer_get_length(c.got) > 0);
 	bufferevent_write(c.bev, "{\"model\":\"ask\",\"prompt\":\"text\"}", 31);
--- a/test/common.sh
+++ b/test/common.sh
@@ -109,6 +109,14 @@
 	done
 }
 
+# add_engine NAME: one more engine for questions in Recife.
+add_engine() {
+	fleet_standin "$1" "$BUILD/test/standin-engine" --id "$1" --models galley-small
+	printf ',\n' >>"$DIR/upstreams.json"
+	fleet_upstream "$1" recife questions >>"$DIR/upstreams.json"
+	fleet_list
+}
+
 # admin_of NUMBER, callers_of NUMBER: addresses of an entry.
 admin_of() {
 	eval "echo \$ADMIN_$1"
--- a/test/entry_limit_test.c
+++ b/test/entry_limit_test.c
@@ -8,9 +8,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	for (int i = 0; i < 2; i++) {
 		rig_call(&rig, 0, &caller, "POST", CHAT, "Authorization: Bearer modest-key\r\n",
 			 BODY("ask", "false"));
@@ -73,9 +71,7 @@
 		char *answer;
 		rig_t rig;
 
-		rig_init(&rig);
-		rig_add_fake(&rig, "recife", "gpu");
-		rig_show(&rig);
+		rig_init_one(&rig);
 		rig.entries[0].settings.request_time = 250 * AP_MSEC;
 		rig.fakes[0].mode = cases[i].mode;
 		snprintf(body, sizeof(body), "{\"model\":\"once\",\"stream\":%s,\"prompt\":\"hi\"}",
@@ -94,9 +90,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	free(rig_ask(&rig, 0, CHAT, BODY("ask", "false")));
 	rig.fakes[0].mode = FAKE_SILENT;
 	for (int i = 0; i < 3; i++) {
@@ -144,9 +138,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	free(rig_ask(&rig, 0, CHAT, BODY("ask", "false")));
 	rig.fakes[0].mode = FAKE_SILENT;
 	event_base_loopexit(rig.base, &past_proof);
@@ -166,9 +158,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	rig.fakes[0].mode = FAKE_STALL_MIDDLE;
 	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("once", "true"));
 	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -274,6 +274,14 @@
 	rig_init_as(rig, false);
 }
 
+/* One entry and one engine, both in Recife. */
+RIG_FN void rig_init_one(rig_t *rig)
+{
+	rig_init(rig);
+	rig_add_fake(rig, "recife", "gpu");
+	rig_show(rig);
+}
+
 RIG_FN void rig_clear(rig_t *rig)
 {
 	rig_message_t *m;
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -156,9 +156,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	for (size_t i = 0; i < sizeof(inputs) / sizeof(inputs[0]); i++) {
 		const input_case_t *c = &inputs[i];
 		rig_caller_t caller;
@@ -230,9 +228,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		bool stream = strcmp(cases[i].stream, "true") == 0;
 		char *answer;
@@ -276,9 +272,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	memset(prompt, 'x', PROMPT_BYTES);
 	prompt[PROMPT_BYTES] = '\0';
 	snprintf(body, sizeof(body), "{\"model\":\"ask\",\"messages\":[{\"content\":\"%s\"}]}",
@@ -412,9 +406,7 @@
 	rig_t rig;
 
 	(void)state;
-	rig_init(&rig);
-	rig_add_fake(&rig, "recife", "gpu");
-	rig_show(&rig);
+	rig_init_one(&rig);
 	rig.fakes[0].mode = FAKE_SLOW_READER;
 	rig_call(&rig, 0, &caller, "POST", CHAT, RIG_AUTH, BODY("ask", "true"));
 	RUN_UNTIL(rig.base, evbuffer_get_length(caller.got) > 0);
--- a/test/fake_sim.h
+++ b/test/fake_sim.h
@@ -83,6 +83,16 @@
 	sim->now = until;
 }
 
+/* fake_junk() - random bytes of a random length below @size. Return: the length. */
+FAKE size_t fake_junk(ap_rng_t *rng, unsigned char *junk, size_t size)
+{
+	size_t len = ap_rng_below(rng, size);
+
+	for (size_t i = 0; i < len; i++)
+		junk[i] = (unsigned char)ap_rng_u64(rng);
+	return len;
+}
+
 FAKE void fake_sim_clear(fake_sim_t *sim)
 {
 	for (size_t i = 0; i < sim->n; i++)
--- a/test/leaving_test.sh
+++ b/test/leaving_test.sh
@@ -38,13 +38,6 @@
 	done | sort -rn | sed -n '1s/.* //p'
 }
 
-add_engine() {
-	fleet_standin "$1" "$BUILD/test/standin-engine" --id "$1" --models galley-small
-	printf ',\n' >>"$DIR/upstreams.json"
-	fleet_upstream "$1" recife questions >>"$DIR/upstreams.json"
-	fleet_list
-}
-
 knows_models() {
 	admin_get "$1" state | tr '{' '\n' | grep "\"id\":\"$2\"" | grep -q 'galley-small'
 }
--- a/test/member_test.c
+++ b/test/member_test.c
@@ -415,10 +415,8 @@
 	(void)state;
 	ap_rng_seed(&rng, 3);
 	for (int i = 0; i < 20000; i++) {
-		size_t len = ap_rng_below(&rng, sizeof(junk));
+		size_t len = fake_junk(&rng, junk, sizeof(junk));
 
-		for (size_t k = 0; k < len; k++)
-			junk[k] = (unsigned char)ap_rng_u64(&rng);
 		assert_int_equal(ap_member_receive(f->nodes[0].m, "e1", junk, len, 0, NULL),
 				 AP_MEMBER_MALFORMED);
 	}
--- a/test/standin/batch.c
+++ b/test/standin/batch.c
@@ -220,10 +220,8 @@
 static void schedule(job_t *job)
 {
 	ap_usec_t wait = job->due - ap_now();
-	struct timeval tv = {0};
+	struct timeval tv = ap_timeval(wait > 0 ? wait : 0);
 
-	if (wait > 0)
-		tv = (struct timeval){.tv_sec = wait / AP_SEC, .tv_usec = wait % AP_SEC};
 	evtimer_add(job->timer, &tv);
 }
 
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -52,11 +52,6 @@
 	LIST_HEAD(, watch) watches;
 } platform_t;
 
-static struct timeval interval(ap_usec_t t)
-{
-	return (struct timeval){.tv_sec = t / AP_SEC, .tv_usec = t % AP_SEC};
-}
-
 /* "30s", "500ms" or "2m", as Consul writes durations. */
 static ap_usec_t parse_duration(const char *text, ap_usec_t otherwise)
 {
@@ -161,7 +156,7 @@
 	w = calloc(1, sizeof(*w));
 	if (!w)
 		abort();
-	limit = interval(parse_duration(exchange_query(x, "wait"), WAIT_DEFAULT));
+	limit = ap_timeval(parse_duration(exchange_query(x, "wait"), WAIT_DEFAULT));
 	*w = (watch_t){.platform = pl, .x = x, .index = known, .key = strdup(key)};
 	w->timer = evtimer_new(pl->base, on_watch_end, w);
 	evtimer_add(w->timer, &limit);
@@ -381,7 +376,7 @@
 
 static void delay(platform_t *pl, exchange_t *x)
 {
-	struct timeval later = interval(pl->stall_ms * AP_MSEC);
+	struct timeval later = ap_timeval(pl->stall_ms * AP_MSEC);
 	delayed_t *d = calloc(1, sizeof(*d));
 
 	if (!d)
@@ -475,7 +470,7 @@
 	static const struct argp parser = {options, parse_option, NULL, "Platform services",
 					   NULL,    NULL,	  NULL};
 	platform_t pl = {.listen = "127.0.0.1:0", .seed = 1};
-	const struct timeval tick = interval(TICK_MS * AP_MSEC);
+	const struct timeval tick = ap_timeval(TICK_MS * AP_MSEC);
 	struct event *ticker;
 
 	argp_parse(&parser, argc, argv, 0, NULL, &pl);
--- a/test/unload_test.sh
+++ b/test/unload_test.sh
@@ -6,13 +6,6 @@
 AFTER=40 # more questions at each entry once it is unloaded
 REPLICAS="questions-recife questions-b questions-c"
 
-add_engine() {
-	fleet_standin "$1" "$BUILD/test/standin-engine" --id "$1" --models galley-small
-	printf ',\n' >>"$DIR/upstreams.json"
-	fleet_upstream "$1" recife questions >>"$DIR/upstreams.json"
-	fleet_list
-}
-
 # knows ADMIN NAME: does the entry send work for the model there?
 knows() {
 	admin_get "$1" state | tr '{' '\n' | grep "\"id\":\"$2\"" | grep -q 'galley-small'
