--- a/adapters/call/call.c
+++ b/adapters/call/call.c
@@ -122,6 +122,9 @@
 	snprintf(host, sizeof(host), "%s:%u", spec->to->host, spec->to->port);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", host);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
+	if (spec->content_type && spec->len > 0)
+		evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+				  spec->content_type);
 	if (spec->known_tag)
 		evhttp_add_header(evhttp_request_get_output_headers(req), "If-None-Match",
 				  spec->known_tag);
--- a/adapters/call/call.h
+++ b/adapters/call/call.h
@@ -37,6 +37,7 @@
 /**
  * struct ap_call_spec - a call to make.
  * @path: with query, already encoded
+ * @content_type: of @body; NULL for none
  * @known_tag: ETag of an answer that need not be sent again (304 then); NULL for none
  * @limit: microseconds until it counts as lost
  * @arg: from malloc(); passed to @done, or freed when the call is dropped
@@ -47,6 +48,7 @@
 	const char *path;
 	const void *body;
 	size_t len;
+	const char *content_type;
 	const char *known_tag;
 	ap_usec_t limit;
 	ap_call_done_t done;
--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -18,7 +18,9 @@
 #define PROBE_LIMIT (1 * AP_SEC)
 #define ANSWER_HEADERS_MAX 65536
 #define PROVED_FOR (500 * AP_MSEC)    /* how long a whole answer proves its connection */
-#define USER_TIMEOUT_MS 10000	      /* unacknowledged bytes close a connection after this */
+#define UNACKED_DEFAULT (10 * AP_SEC) /* unacknowledged bytes close a connection after this */
+#define KEEPALIVE_PROBES 3	      /* of an idle connection, one each third of that time */
+#define KEEP_MARGIN (300 * AP_MSEC)   /* before the upstream itself closes an idle connection */
 #define LIBRARY_TIMEOUT_S (24 * 3600) /* our own limits come first */
 
 void conn_discard(conn_t *conn)
@@ -157,7 +159,8 @@
 	conn->fetch = NULL;
 	if (keep && !conn->retired) {
 		conn->proved = ap_now();
-		conn->idle_limit = fetch->config.idle;
+		conn->idle_limit =
+			fetch->config.idle < fetch->keep ? fetch->config.idle : fetch->keep;
 		conn->keep = true;
 		event_active(conn->address->client->reaper, 0, 0);
 	} else {
@@ -167,6 +170,19 @@
 	fetch_free(fetch);
 }
 
+/* How long the upstream keeps an idle connection, by its "Keep-Alive: timeout=SECONDS". */
+static ap_usec_t keep_of(const struct evkeyvalq *headers)
+{
+	const char *value = evhttp_find_header(headers, "Keep-Alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+	ap_usec_t keep;
+
+	if (!timeout)
+		return AP_NEVER;
+	keep = strtol(timeout + strlen("timeout="), NULL, 10) * AP_SEC - KEEP_MARGIN;
+	return keep > 0 ? keep : 0;
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	conn_t *conn = arg;
@@ -180,6 +196,7 @@
 		return 0;
 	fetch->heard = true;
 	fetch->last = ap_now();
+	fetch->keep = keep_of(head.headers);
 	if (fetch->config.head)
 		fetch->config.head(fetch->config.ctx, &head);
 	return 0;
@@ -212,14 +229,24 @@
 	       status == HTTP_NOTMODIFIED || status < 200;
 }
 
+static bool has_framing(const struct evhttp_request *req)
+{
+	return has_no_body(req) || evhttp_find_header(req->input_headers, "Content-Length") ||
+	       evhttp_find_header(req->input_headers, "Transfer-Encoding");
+}
+
 /* Whole by framing: the length or the last chunk was reached, and nothing follows. */
 static bool framed_whole(const struct evhttp_request *req, struct bufferevent *bev)
 {
 	if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
 		return false;
-	if (has_no_body(req) || evhttp_find_header(req->input_headers, "Content-Length"))
-		return true;
-	return evhttp_find_header(req->input_headers, "Transfer-Encoding") != NULL;
+	return has_framing(req);
+}
+
+/* An end that is not whole by framing alone. */
+static ap_http_end_t lenient_end(const struct evhttp_request *req)
+{
+	return has_framing(req) ? AP_HTTP_WHOLE : AP_HTTP_CLOSED;
 }
 
 static void on_done(struct evhttp_request *req, void *arg)
@@ -237,7 +264,7 @@
 	else if (req->response_code == 0)
 		finish(fetch, fetch->written ? AP_HTTP_RESET : AP_HTTP_UNREACHABLE, false);
 	else if (!framed_whole(req, bev))
-		finish(fetch, AP_HTTP_MALFORMED, false);
+		finish(fetch, fetch->config.lenient ? lenient_end(req) : AP_HTTP_MALFORMED, false);
 	else
 		finish(fetch, AP_HTTP_WHOLE, bufferevent_getfd(bev) >= 0);
 }
@@ -327,7 +354,7 @@
 /* A connection just opened can't have been lost track of: its first byte is the upstream's duty. */
 static bool may_be_silent(const ap_http_fetch_t *fetch)
 {
-	return !fetch->is_probe && (fetch->heard || !fetch->on_new);
+	return !fetch->is_probe && !fetch->config.no_probe && (fetch->heard || !fetch->on_new);
 }
 
 void fetch_limit(ap_http_fetch_t *fetch)
@@ -346,6 +373,12 @@
 	finish(fetch, AP_HTTP_SILENT, false);
 }
 
+/* A new connection that has taken nothing yet, though there is a limit for it. */
+static bool connecting(const ap_http_fetch_t *fetch)
+{
+	return fetch->config.connect > 0 && fetch->on_new && fetch->written == 0;
+}
+
 /* Half of a limit without a byte raises the suspicion; at the whole limit the probe decides. */
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -360,6 +393,10 @@
 		arm(fetch, limit / 2);
 		return;
 	}
+	if (connecting(fetch) && silent >= fetch->config.connect) {
+		finish(fetch, AP_HTTP_UNREACHABLE, false);
+		return;
+	}
 	if (silent >= limit) {
 		if (fetch->probed == PROBE_NONE && may_be_silent(fetch))
 			start_probe(fetch);
@@ -377,16 +414,33 @@
 	arm(fetch, silent < limit / 2 ? limit / 2 - silent : limit - silent);
 }
 
-static void set_socket(conn_t *conn)
+/* A peer that went away in silence is found by what it does not acknowledge. */
+static void set_keepalive(int fd, ap_usec_t unacked)
+{
+	int one = 1;
+	int probes = KEEPALIVE_PROBES;
+	int every = (int)(unacked / KEEPALIVE_PROBES / AP_SEC);
+
+	if (every < 1)
+		every = 1;
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &every, sizeof(every));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void set_socket(conn_t *conn, ap_usec_t unacked)
 {
 	int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn->evcon));
+	unsigned timeout = (unsigned)((unacked ? unacked : UNACKED_DEFAULT) / AP_MSEC);
 	int one = 1;
-	unsigned timeout = USER_TIMEOUT_MS;
 
 	if (fd < 0)
 		return;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+	if (unacked)
+		set_keepalive(fd, unacked);
 }
 
 static struct evhttp_request *make_request(conn_t *conn, const ap_http_fetch_config_t *config)
@@ -408,6 +462,13 @@
 	return req;
 }
 
+static ap_usec_t first_check(const ap_http_fetch_t *fetch)
+{
+	ap_usec_t half = fetch->config.first_byte / 2;
+
+	return connecting(fetch) && fetch->config.connect < half ? fetch->config.connect : half;
+}
+
 ap_http_fetch_t *fetch_over(ap_http_client_t *client, const ap_http_fetch_config_t *config,
 			    conn_t *conn, bool is_probe)
 {
@@ -431,6 +492,7 @@
 	fetch->is_probe = is_probe;
 	fetch->on_new = conn->proved == 0;
 	fetch->library_end = AP_HTTP_RESET;
+	fetch->keep = AP_NEVER;
 	fetch->last = ap_now();
 	evhttp_connection_set_max_body_size(conn->evcon, (ev_ssize_t)config->answer_max);
 	conn->keep = false;
@@ -445,8 +507,9 @@
 		return NULL;
 	}
 	conn->fetch = fetch;
-	set_socket(conn);
-	arm(fetch, config->first_byte / 2);
+	if (fetch->on_new)
+		set_socket(conn, config->unacked);
+	arm(fetch, first_check(fetch));
 	return fetch;
 }
 
--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -78,6 +78,7 @@
  * struct ap_http_fetch - one request to an upstream.
  * @last: when the last byte came, or the request was sent
  * @suspected: value of @last when the probe was started
+ * @keep: how long the upstream keeps the connection when it is idle
  * @on_new: its connection was opened for it
  * @library_end: what a failure reported by the library means
  */
@@ -91,6 +92,7 @@
 	ap_usec_t suspected;
 	size_t written;
 	size_t got;
+	ap_usec_t keep;
 	bool is_probe;
 	bool on_new;
 	bool heard;
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -131,6 +131,8 @@
 void ap_http_reply_write(ap_http_call_t *call, const void *data, size_t len);
 /** ap_http_reply_end() - ends an answer in parts; ends @call. */
 void ap_http_reply_end(ap_http_call_t *call);
+/** ap_http_call_cut() - closes the caller's connection amid the answer; ends @call. */
+void ap_http_call_cut(ap_http_call_t *call);
 /** ap_http_reply_pending() - bytes written but not yet taken by the caller's connection. */
 size_t ap_http_reply_pending(const ap_http_call_t *call);
 /** ap_http_call_ahead() - bytes that the caller sent after its request, held unread. */
@@ -142,6 +144,7 @@
 /* How a request to an upstream ended. */
 typedef enum ap_http_end {
 	AP_HTTP_WHOLE,	     /* the answer is whole by its framing */
+	AP_HTTP_CLOSED,	     /* it has no length, and the upstream closed in order */
 	AP_HTTP_UNREACHABLE, /* no connection */
 	AP_HTTP_RESET,	     /* closed before the answer was whole */
 	AP_HTTP_TIMEOUT,     /* a limit passed, and a new connection does not answer either */
@@ -161,9 +164,14 @@
  * struct ap_http_fetch_config - one request to an upstream.
  * @method: one of EVHTTP_REQ_*
  * @fresh: use only a new or just-proved connection
+ * @lenient: take an answer without a length (AP_HTTP_CLOSED), and one with bytes behind it, which
+ *           are dropped with the connection; otherwise both are AP_HTTP_MALFORMED
+ * @no_probe: a limit that passes is final
+ * @connect: limit for a new connection to take the first byte of the request; 0 for none
+ * @unacked: bytes without an acknowledgement for so long end the connection; 0 for the default
  * @first_byte: limit from now to the head of the answer
  * @between: limit between two parts of the answer
- * @idle: how long the connection may be kept for another request
+ * @idle: how long the connection may be kept for another request, unless the upstream says less
  * @answer_max: largest answer in bytes
  * @head: the head has come
  * @data: a part of the body
@@ -179,6 +187,10 @@
 	const void *body;
 	size_t len;
 	bool fresh;
+	bool lenient;
+	bool no_probe;
+	ap_usec_t connect;
+	ap_usec_t unacked;
 	ap_usec_t first_byte;
 	ap_usec_t between;
 	ap_usec_t idle;
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -416,6 +416,15 @@
 	evhttp_send_reply_end(req);
 }
 
+void ap_http_call_cut(ap_http_call_t *call)
+{
+	server_conn_t *conn = call->conn;
+
+	conn->call = NULL;
+	call_free(call);
+	evhttp_connection_free(conn->evcon);
+}
+
 size_t ap_http_reply_pending(const ap_http_call_t *call)
 {
 	return evbuffer_get_length(bufferevent_get_output(call_bev(call)));
--- /dev/null
+++ b/adapters/log/journal.c
@@ -0,0 +1,170 @@
+/* Structured records on a descriptor that may not take them: bounded, and never waited for. */
+#include "log/log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define SAMPLE_SEED 77
+#define FORMAT_MAX 256
+
+struct ap_journal {
+	ap_journal_config_t config;
+	char instance[AP_NAME_MAX];
+	char inc[AP_ID_TEXT_MAX];
+	char *waiting;
+	size_t n_waiting;
+	double tokens;
+	ap_usec_t tokens_at;
+	uint64_t told; /* dropped lines that a record has told of */
+	ap_journal_stats_t stats;
+};
+
+ap_journal_t *ap_journal_new(const ap_journal_config_t *config)
+{
+	ap_journal_t *j = calloc(1, sizeof(*j));
+	int flags = fcntl(config->fd, F_GETFL);
+
+	if (!j)
+		return NULL;
+	j->config = *config;
+	j->waiting = malloc(config->backlog);
+	if (!j->waiting) {
+		free(j);
+		return NULL;
+	}
+	ap_copy_name(j->instance, sizeof(j->instance), config->instance);
+	ap_id_format(config->inc, j->inc);
+	j->tokens = config->rate;
+	if (flags >= 0)
+		fcntl(config->fd, F_SETFL, flags | O_NONBLOCK);
+	return j;
+}
+
+void ap_journal_free(ap_journal_t *j)
+{
+	if (!j)
+		return;
+	ap_journal_flush(j);
+	free(j->waiting);
+	free(j);
+}
+
+bool ap_journal_takes(ap_journal_t *j, ap_record_class_t cls, const char *request)
+{
+	if (cls == AP_RECORD_RARE)
+		return true;
+	return j->config.sample > 0 && request &&
+	       ap_hash_str(request, SAMPLE_SEED) % j->config.sample == 0;
+}
+
+static bool take_token(ap_journal_t *j)
+{
+	ap_usec_t now = ap_now();
+
+	j->tokens += (double)(now - j->tokens_at) / (double)AP_SEC * j->config.rate;
+	if (j->tokens > j->config.rate)
+		j->tokens = j->config.rate;
+	j->tokens_at = now;
+	if (j->tokens < 1)
+		return false;
+	j->tokens -= 1;
+	return true;
+}
+
+void ap_journal_flush(ap_journal_t *j)
+{
+	size_t done = 0;
+
+	while (done < j->n_waiting) {
+		ssize_t n = write(j->config.fd, j->waiting + done, j->n_waiting - done);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			break;
+		done += (size_t)n;
+	}
+	memmove(j->waiting, j->waiting + done, j->n_waiting - done);
+	j->n_waiting -= done;
+}
+
+static void append(ap_journal_t *j, json_t *record)
+{
+	size_t room = j->config.backlog - j->n_waiting;
+	size_t len;
+
+	len = json_dumpb(record, j->waiting + j->n_waiting, room, JSON_COMPACT);
+	if (len == 0 || len + 1 > room) {
+		j->stats.dropped++;
+		return;
+	}
+	j->n_waiting += len;
+	j->waiting[j->n_waiting++] = '\n';
+	j->stats.written++;
+}
+
+static json_t *begin(const ap_journal_t *j, const char *event)
+{
+	struct timespec wall;
+	struct timespec steady;
+
+	clock_gettime(CLOCK_REALTIME, &wall);
+	clock_gettime(CLOCK_MONOTONIC, &steady);
+	return json_pack("{s:f,s:f,s:s,s:s,s:s}", "wall",
+			 (double)wall.tv_sec + (double)(wall.tv_nsec / 1000000) / 1e3, "steady",
+			 (double)steady.tv_sec + (double)(steady.tv_nsec / 1000) / 1e6, "instance",
+			 j->instance, "incarnation", j->inc, "event", event);
+}
+
+static void tell_dropped(ap_journal_t *j)
+{
+	json_t *record = begin(j, "log.dropped");
+
+	json_object_set_new(record, "lines",
+			    json_integer((json_int_t)(j->stats.dropped - j->told)));
+	j->told = j->stats.dropped;
+	append(j, record);
+	json_decref(record);
+}
+
+void ap_journal_write(ap_journal_t *j, ap_record_class_t cls, const char *event,
+		      const char *request, const char *fmt, ...)
+{
+	char format[FORMAT_MAX];
+	json_t *fields = NULL;
+	json_t *record;
+	va_list args;
+
+	if (!ap_journal_takes(j, cls, request))
+		return;
+	if (!take_token(j)) {
+		j->stats.dropped++;
+		return;
+	}
+	if (j->stats.dropped > j->told)
+		tell_dropped(j);
+	record = begin(j, event);
+	if (request)
+		json_object_set_new(record, "request", json_string(request));
+	if (fmt) {
+		snprintf(format, sizeof(format), "{%s}", fmt);
+		va_start(args, fmt);
+		fields = json_vpack_ex(NULL, 0, format, args);
+		va_end(args);
+		json_object_update(record, fields);
+		json_decref(fields);
+	}
+	append(j, record);
+	json_decref(record);
+}
+
+ap_journal_stats_t ap_journal_stats(const ap_journal_t *j)
+{
+	return j->stats;
+}
--- a/adapters/log/log.h
+++ b/adapters/log/log.h
@@ -34,6 +34,55 @@
 /** ap_hlc_seen() - advances @clock past a peer's. */
 void ap_hlc_seen(ap_hlc_t *clock, ap_hlc_t peer, uint64_t wall_ms);
 
+typedef struct ap_journal ap_journal_t;
+
+/* How much of a class of records is written under load. */
+typedef enum ap_record_class {
+	AP_RECORD_RARE,	    /* always, within the bound on the rate of lines */
+	AP_RECORD_ORDINARY, /* of one in some requests, the same ones on every instance */
+} ap_record_class_t;
+
+/**
+ * struct ap_journal_config - made once at start.
+ * @fd: where lines go; it is made non-blocking
+ * @sample: one in so many requests has its ordinary lines written; 0 for none
+ * @rate: lines a second at most
+ * @backlog: bytes that wait for a slow reader at most; lines beyond are counted and dropped
+ */
+typedef struct ap_journal_config {
+	int fd;
+	const char *instance;
+	ap_id_t inc;
+	unsigned sample;
+	unsigned rate;
+	size_t backlog;
+} ap_journal_config_t;
+
+typedef struct ap_journal_stats {
+	uint64_t written;
+	uint64_t dropped;
+} ap_journal_stats_t;
+
+/*
+ * Structured records, one JSON line each: time (wall and monotonic), instance, incarnation, event,
+ * request id, and the fields of the event. Writing never blocks.
+ */
+ap_journal_t *ap_journal_new(const ap_journal_config_t *config);
+void ap_journal_free(ap_journal_t *j);
+/** ap_journal_takes() - would a record of this class about @request be written? */
+bool ap_journal_takes(ap_journal_t *j, ap_record_class_t cls, const char *request);
+/**
+ * ap_journal_write() - writes one record, if ap_journal_takes() it.
+ * @event: stable name, such as "request.sent"
+ * @request: id, or NULL
+ * @fmt: fields as json_pack() takes them, without braces; NULL for none
+ */
+void ap_journal_write(ap_journal_t *j, ap_record_class_t cls, const char *event,
+		      const char *request, const char *fmt, ...);
+/** ap_journal_flush() - writes what waits, as far as the reader takes it; some times a second. */
+void ap_journal_flush(ap_journal_t *j);
+ap_journal_stats_t ap_journal_stats(const ap_journal_t *j);
+
 typedef struct ap_ring ap_ring_t;
 
 /** ap_ring_new() - keeps the last @max events; owned by one task. */
--- a/adapters/platform/list.c
+++ b/adapters/platform/list.c
@@ -10,7 +10,7 @@
 #define DEFAULT_ENTRY_WEIGHT 1.0
 
 typedef struct list_call {
-	void (*done)(void *ctx, ap_fleet_t *fleet, ap_err_t *err);
+	void (*done)(void *ctx, ap_listing_t *fleet, ap_err_t *err);
 	void *ctx;
 	bool conditional;
 } list_call_t;
@@ -99,7 +99,7 @@
 	return e->caller_port && e->data_port && e->control_port;
 }
 
-static void read_instance(json_t *o, ap_fleet_t *fleet)
+static void read_instance(json_t *o, ap_listing_t *fleet)
 {
 	const char *role = json_string_value(json_object_get(o, "role"));
 
@@ -112,12 +112,12 @@
 		fleet->n_entries++;
 }
 
-static ap_fleet_t *read_fleet(const char *text, ap_err_t *err)
+static ap_listing_t *read_fleet(const char *text, ap_err_t *err)
 {
 	json_error_t where;
 	json_t *root = json_loads(text, 0, &where);
 	json_t *list = json_object_get(root, "instances");
-	ap_fleet_t *fleet;
+	ap_listing_t *fleet;
 	json_t *item;
 	size_t i;
 
@@ -139,7 +139,7 @@
 	return fleet;
 }
 
-void ap_fleet_free(ap_fleet_t *fleet)
+void ap_listing_free(ap_listing_t *fleet)
 {
 	if (!fleet)
 		return;
@@ -150,7 +150,7 @@
 	free(fleet);
 }
 
-static void note_answer(ap_fleet_t *fleet, const ap_call_answer_t *a)
+static void note_answer(ap_listing_t *fleet, const ap_call_answer_t *a)
 {
 	const char *tag = evhttp_find_header(a->headers, "ETag");
 
@@ -162,7 +162,7 @@
 static void on_list(void *arg, const ap_call_answer_t *a)
 {
 	list_call_t *call = arg;
-	ap_fleet_t *fleet = NULL;
+	ap_listing_t *fleet = NULL;
 	ap_err_t err = {"instance list cannot be reached"};
 	bool unchanged = call->conditional && a->end == AP_CALL_ANSWERED && a->code == 304;
 
@@ -176,8 +176,8 @@
 	free(call);
 }
 
-void ap_platform_list(ap_platform_t *p, const ap_fleet_t *known,
-		      void (*done)(void *ctx, ap_fleet_t *fleet, ap_err_t *err), void *ctx)
+void ap_platform_list(ap_platform_t *p, const ap_listing_t *known,
+		      void (*done)(void *ctx, ap_listing_t *fleet, ap_err_t *err), void *ctx)
 {
 	list_call_t *call = calloc(1, sizeof(*call));
 	ap_call_spec_t spec = {.to = &p->settings->instances,
--- a/adapters/platform/platform.h
+++ b/adapters/platform/platform.h
@@ -29,27 +29,27 @@
 #define AP_TAG_MAX 128 /* a longer one is taken for none */
 
 /**
- * struct ap_fleet - one reading of the instance list.
+ * struct ap_listing - one reading of the instance list.
  * @bytes: length of the answer
  * @tag: its ETag; empty when the platform gives none
  */
-typedef struct ap_fleet {
+typedef struct ap_listing {
 	ap_upstream_t *upstreams;
 	size_t n_upstreams;
 	ap_entry_t *entries;
 	size_t n_entries;
 	size_t bytes;
 	char tag[AP_TAG_MAX];
-} ap_fleet_t;
+} ap_listing_t;
 
 /**
  * ap_platform_list() - reads the instance list.
  * @known: last reading, or NULL; where the platform gives tags, it isn't sent again unchanged
  * @done: gets NULL and @err when the list could not be read, NULL and no @err when it is as @known
  */
-void ap_platform_list(ap_platform_t *p, const ap_fleet_t *known,
-		      void (*done)(void *ctx, ap_fleet_t *fleet, ap_err_t *err), void *ctx);
-void ap_fleet_free(ap_fleet_t *fleet);
+void ap_platform_list(ap_platform_t *p, const ap_listing_t *known,
+		      void (*done)(void *ctx, ap_listing_t *fleet, ap_err_t *err), void *ctx);
+void ap_listing_free(ap_listing_t *fleet);
 
 /** ap_platform_publish() - writes the client directory's entries of @region (JSON text). */
 void ap_platform_publish(ap_platform_t *p, const char *region, const char *json,
--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -23,11 +23,19 @@
 
 typedef ap_settings_status_t (*read_t)(loader_t *l, const char *key, json_t *value, void *at);
 
+/* Which files must have a key. */
+typedef enum need {
+	NEED_NEVER,
+	NEED_ALWAYS,
+	NEED_APART,   /* unless there is a table [gateway] */
+	NEED_GATEWAY, /* if there is one */
+} need_t;
+
 /* One key of a file, and where its value goes. */
 typedef struct setting {
 	const char *group;
 	const char *key;
-	bool required;
+	need_t need;
 	read_t read;
 	size_t offset;
 } setting_t;
@@ -225,6 +233,58 @@
 	return AP_SETTINGS_OK;
 }
 
+static ap_settings_status_t read_number(loader_t *l, const char *key, json_t *value, void *at)
+{
+	double number = json_number_value(value);
+
+	if (!json_is_number(value) || !(number >= 0.0 && number <= 1e6))
+		return wrong(l, key, "must be a number from 0 to 1000000");
+	*(double *)at = number;
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_scaled(loader_t *l, const char *key, json_t *value, ap_usec_t unit,
+					ap_usec_t *span)
+{
+	double number = json_number_value(value);
+
+	if (!json_is_number(value) || !(number > 0.0 && number <= 1e6))
+		return wrong(l, key, "must be a number above 0, at most 1000000");
+	*span = (ap_usec_t)(number * (double)unit);
+	return AP_SETTINGS_OK;
+}
+
+static ap_settings_status_t read_short(loader_t *l, const char *key, json_t *value, void *at)
+{
+	return read_scaled(l, key, value, AP_SEC, at);
+}
+
+static ap_settings_status_t read_msec(loader_t *l, const char *key, json_t *value, void *at)
+{
+	return read_scaled(l, key, value, AP_MSEC, at);
+}
+
+static ap_settings_status_t read_data_centres(loader_t *l, const char *key, json_t *value, void *at)
+{
+	ap_gateway_settings_t *g = at;
+	const char *name;
+	json_t *region;
+
+	if (!json_is_object(value) || json_object_size(value) > AP_DATA_CENTRES_MAX)
+		return wrong(l, key,
+			     "must be a table of at most 32 data centres and their regions");
+	json_object_foreach (value, name, region) {
+		ap_data_centre_t *dc = &g->data_centres[g->n_data_centres];
+		const char *text = json_string_value(region);
+
+		if (!text || !ap_copy_name(dc->name, sizeof(dc->name), name) ||
+		    !ap_copy_name(dc->region, sizeof(dc->region), text))
+			return wrong(l, key, "must name each data centre's region");
+		g->n_data_centres++;
+	}
+	return AP_SETTINGS_OK;
+}
+
 static ap_settings_status_t read_level(loader_t *l, const char *key, json_t *value, void *at)
 {
 	static const struct {
@@ -249,36 +309,53 @@
 
 #define SETTING(grp, name, needed, reader, member)                                                 \
 	{                                                                                          \
-		.group = (grp), .key = (name), .required = (needed), .read = (reader),             \
+		.group = (grp), .key = (name), .need = (needed), .read = (reader),                 \
 		.offset = offsetof(ap_settings_t, member)                                          \
 	}
 
 static const setting_t known[] = {
-	SETTING("instance", "id", true, read_name, id),
-	SETTING("instance", "region", true, read_name, region),
-	SETTING("instance", "data_centre", true, read_name, data_centre),
-	SETTING("instance", "host", true, read_host, host),
-	SETTING("listen", "callers", true, read_port, caller_port),
-	SETTING("listen", "data", true, read_port, data_port),
-	SETTING("listen", "control", true, read_port, control_port),
-	SETTING("listen", "admin", true, read_address, admin),
-	SETTING("listen", "admin_token", true, read_token, admin_token),
-	SETTING("keys", "public", true, read_curve, public_key),
-	SETTING("keys", "secret", true, read_curve, secret_key),
-	SETTING("keys", "peers", true, read_peers, peer_keys),
-	SETTING("platform", "store", true, read_address, store),
-	SETTING("platform", "instances", true, read_address, instances),
-	SETTING("platform", "directory", true, read_address, directory),
-	SETTING("limits", "header_bytes", false, read_bytes, header_bytes),
-	SETTING("limits", "body_bytes", false, read_bytes, body_bytes),
-	SETTING("limits", "connections", false, read_count, connections),
-	SETTING("limits", "arrival_seconds", false, read_arrival, arrival_time),
-	SETTING("limits", "request_seconds", false, read_seconds, request_time),
-	SETTING("limits", "queue", false, read_count, queue),
-	SETTING("limits", "retry_ratio", false, read_ratio, retry_ratio),
-	SETTING("limits", "lease_seconds", false, read_lease, lease_time),
-	SETTING("log", "level", false, read_level, log_level),
-	SETTING("log", "events", false, read_count, events),
+	SETTING("instance", "id", NEED_ALWAYS, read_name, id),
+	SETTING("instance", "region", NEED_ALWAYS, read_name, region),
+	SETTING("instance", "data_centre", NEED_ALWAYS, read_name, data_centre),
+	SETTING("instance", "host", NEED_ALWAYS, read_host, host),
+	SETTING("listen", "callers", NEED_APART, read_port, caller_port),
+	SETTING("listen", "data", NEED_APART, read_port, data_port),
+	SETTING("listen", "control", NEED_APART, read_port, control_port),
+	SETTING("listen", "admin", NEED_APART, read_address, admin),
+	SETTING("listen", "admin_token", NEED_APART, read_token, admin_token),
+	SETTING("keys", "public", NEED_APART, read_curve, public_key),
+	SETTING("keys", "secret", NEED_APART, read_curve, secret_key),
+	SETTING("keys", "peers", NEED_APART, read_peers, peer_keys),
+	SETTING("platform", "store", NEED_APART, read_address, store),
+	SETTING("platform", "instances", NEED_APART, read_address, instances),
+	SETTING("platform", "directory", NEED_APART, read_address, directory),
+	SETTING("limits", "header_bytes", NEED_NEVER, read_bytes, header_bytes),
+	SETTING("limits", "body_bytes", NEED_NEVER, read_bytes, body_bytes),
+	SETTING("limits", "connections", NEED_NEVER, read_count, connections),
+	SETTING("limits", "arrival_seconds", NEED_NEVER, read_arrival, arrival_time),
+	SETTING("limits", "request_seconds", NEED_NEVER, read_seconds, request_time),
+	SETTING("limits", "queue", NEED_NEVER, read_count, queue),
+	SETTING("limits", "retry_ratio", NEED_NEVER, read_ratio, retry_ratio),
+	SETTING("limits", "lease_seconds", NEED_NEVER, read_lease, lease_time),
+	SETTING("gateway", "callers", NEED_GATEWAY, read_address, gateway.callers),
+	SETTING("gateway", "ready", NEED_GATEWAY, read_address, gateway.ready),
+	SETTING("gateway", "directory", NEED_GATEWAY, read_address, gateway.directory),
+	SETTING("gateway", "metrics", NEED_GATEWAY, read_address, gateway.metrics),
+	SETTING("gateway", "peer_port", NEED_GATEWAY, read_port, gateway.peer_port),
+	SETTING("gateway", "store", NEED_GATEWAY, read_address, gateway.store),
+	SETTING("gateway", "cores", NEED_GATEWAY, read_number, gateway.cores),
+	SETTING("gateway", "repeat_ratio", NEED_GATEWAY, read_number, gateway.repeat_ratio),
+	SETTING("gateway", "repeat_slack", NEED_GATEWAY, read_number, gateway.repeat_slack),
+	SETTING("gateway", "repeat_window_s", NEED_GATEWAY, read_short, gateway.repeat_window),
+	SETTING("gateway", "cold_over", NEED_GATEWAY, read_number, gateway.cold_over),
+	SETTING("gateway", "cold_slack", NEED_GATEWAY, read_number, gateway.cold_slack),
+	SETTING("gateway", "drain_ms", NEED_GATEWAY, read_msec, gateway.drain),
+	SETTING("gateway", "apply_ms", NEED_GATEWAY, read_msec, gateway.apply),
+	SETTING("gateway", "grace_s", NEED_GATEWAY, read_short, gateway.grace),
+	SETTING("gateway", "directory_s", NEED_GATEWAY, read_short, gateway.directory_ttl),
+	SETTING("gateway", "data_centres", NEED_GATEWAY, read_data_centres, gateway),
+	SETTING("log", "level", NEED_NEVER, read_level, log_level),
+	SETTING("log", "events", NEED_NEVER, read_count, events),
 };
 
 #define N_KNOWN (sizeof(known) / sizeof(known[0]))
@@ -323,6 +400,21 @@
 	return AP_SETTINGS_OK;
 }
 
+static bool is_needed(need_t need, bool gateway)
+{
+	switch (need) {
+	case NEED_ALWAYS:
+		return true;
+	case NEED_APART:
+		return !gateway;
+	case NEED_GATEWAY:
+		return gateway;
+	case NEED_NEVER:
+		break;
+	}
+	return false;
+}
+
 static ap_settings_status_t read_all(loader_t *l, json_t *root)
 {
 	for (size_t i = 0; i < N_KNOWN; i++) {
@@ -331,7 +423,7 @@
 		ap_settings_status_t status;
 
 		l->group = k->group;
-		if (!value && k->required)
+		if (!value && is_needed(k->need, l->s->gateway.present))
 			return wrong(l, k->key, "is missing");
 		if (!value)
 			continue;
@@ -374,9 +466,10 @@
 {
 	ap_settings_status_t status = check_keys(l, root);
 
+	l->s->gateway.present = json_object_get(root, "gateway") != NULL;
 	if (status == AP_SETTINGS_OK)
 		status = read_all(l, root);
-	if (status == AP_SETTINGS_OK)
+	if (status == AP_SETTINGS_OK && !l->s->gateway.present)
 		status = check_key_pair(l);
 	return status;
 }
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -24,6 +24,47 @@
 /** ap_address_parse() - "IP:PORT" or "[IP]:PORT"; false when it is neither. */
 bool ap_address_parse(const char *text, ap_address_t *out);
 
+#define AP_DATA_CENTRES_MAX 32
+
+/* A data centre of the deployment, and its region. */
+typedef struct ap_data_centre {
+	char name[AP_NAME_MAX];
+	char region[AP_NAME_MAX];
+} ap_data_centre_t;
+
+/**
+ * struct ap_gateway_settings - table [gateway]: the instance serves on its users' platform.
+ * @callers, @ready, @directory, @metrics: own listeners
+ * @peer_port: where other instances send requests of other regions; a port on the own host
+ * @store: the platform's key-value service
+ * @cores: share of a core that this instance has
+ * @drain: an upstream that leaves gets nothing more after this
+ * @apply: a new configuration is in force after this
+ * @grace: time between SIGTERM and the end
+ * @directory_ttl: how long callers keep an answer of the directory
+ */
+typedef struct ap_gateway_settings {
+	bool present;
+	ap_address_t callers;
+	ap_address_t ready;
+	ap_address_t directory;
+	ap_address_t metrics;
+	uint16_t peer_port;
+	ap_address_t store;
+	double cores;
+	double repeat_ratio;
+	double repeat_slack;
+	ap_usec_t repeat_window;
+	double cold_over;
+	double cold_slack;
+	ap_usec_t drain;
+	ap_usec_t apply;
+	ap_usec_t grace;
+	ap_usec_t directory_ttl;
+	ap_data_centre_t data_centres[AP_DATA_CENTRES_MAX];
+	size_t n_data_centres;
+} ap_gateway_settings_t;
+
 /**
  * struct ap_settings - everything a daemon is told; TOML tables are given per group.
  *
@@ -32,7 +73,9 @@
  * [keys] public, secret (CURVE, Z85), peers = [accepted public keys]
  * [platform] store, instances, directory = "IP:PORT"
  * [limits] header_bytes, body_bytes, connections, arrival_seconds, request_seconds, queue,
- * retry_ratio, lease_seconds (of the reconciler) [log] level = "debug|info|warning|error", events =
+ * retry_ratio, lease_seconds (of the reconciler)
+ * [gateway] see struct ap_gateway_settings; [listen], [keys] and [platform] are then not needed
+ * [log] level = "debug|info|warning|error", events =
  * ring size
  */
 typedef struct ap_settings {
@@ -62,6 +105,7 @@
 	ap_usec_t lease_time;
 	int log_level; /* as in syslog.h */
 	size_t events;
+	ap_gateway_settings_t gateway;
 } ap_settings_t;
 
 ap_settings_status_t ap_settings_load(const char *path, ap_settings_t *settings, ap_err_t *err);
--- a/cmd/arbutuspond/control-view.c
+++ b/cmd/arbutuspond/control-view.c
@@ -13,7 +13,7 @@
 #define PUBLISH_DELAY (1 * AP_SEC)
 #define PUBLISH_EVERY (5 * AP_SEC)
 
-static void know_listed_peers(ap_control_t *c, const ap_fleet_t *fleet)
+static void know_listed_peers(ap_control_t *c, const ap_listing_t *fleet)
 {
 	for (size_t i = 0; i < fleet->n_entries; i++) {
 		const ap_entry_t *e = &fleet->entries[i];
@@ -36,7 +36,7 @@
 }
 
 /* Others read the list at other times; whoever sees a leaving upstream first tells the region. */
-static void tell_leaving(ap_control_t *c, const ap_fleet_t *fleet, ap_usec_t now)
+static void tell_leaving(ap_control_t *c, const ap_listing_t *fleet, ap_usec_t now)
 {
 	for (size_t i = 0; i < fleet->n_upstreams; i++) {
 		const ap_upstream_t *u = &fleet->upstreams[i];
@@ -47,7 +47,7 @@
 }
 
 /* An unchanged list counts anew, since what it says of a restarted entry may be due only now. */
-static void take_list(ap_control_t *c, const ap_fleet_t *fleet, ap_usec_t now)
+static void take_list(ap_control_t *c, const ap_listing_t *fleet, ap_usec_t now)
 {
 	know_listed_peers(c, fleet);
 	ap_member_listed(c->member, fleet->entries, fleet->n_entries, now);
@@ -57,7 +57,7 @@
 	tell_leaving(c, fleet, now);
 }
 
-static void on_list(void *ctx, ap_fleet_t *fleet, ap_err_t *err)
+static void on_list(void *ctx, ap_listing_t *fleet, ap_err_t *err)
 {
 	ap_control_t *c = ctx;
 	ap_usec_t now = ap_now();
@@ -73,7 +73,7 @@
 		take_list(c, c->fleet, now);
 		return;
 	}
-	ap_fleet_free(c->fleet);
+	ap_listing_free(c->fleet);
 	c->fleet = fleet;
 	take_list(c, fleet, now);
 	c->view_stale = true;
--- a/cmd/arbutuspond/control.c
+++ b/cmd/arbutuspond/control.c
@@ -441,7 +441,7 @@
 	ap_platform_free(c->platform);
 	ap_peer_free(c->peer);
 	ap_link_free(c->link);
-	ap_fleet_free(c->fleet);
+	ap_listing_free(c->fleet);
 	ap_ring_free(c->ring);
 	free(c->entry_counters);
 	if (c->base)
--- a/cmd/arbutuspond/control.h
+++ b/cmd/arbutuspond/control.h
@@ -38,7 +38,7 @@
 	struct event *tick;
 	struct event *signals[2];
 
-	ap_fleet_t *fleet;    /* last reading of the instance list, or NULL */
+	ap_listing_t *fleet;  /* last reading of the instance list, or NULL */
 	ap_usec_t list_due;   /* when to read the instance list again */
 	bool list_asked;      /* a reading is under way */
 	uint64_t view_number; /* number of the last view */
--- /dev/null
+++ b/cmd/arbutuspond/gateway-call.c
@@ -0,0 +1,196 @@
+/* Requests that come in: from callers, and from instances of other regions. */
+#include "gateway.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIME_UNTOLD (30 * AP_SEC)  /* a caller that does not say how long it waits */
+#define RETRY_SOON (300 * AP_MSEC) /* to a caller that came before the configuration */
+
+static const ap_http_header_t type_json = {"Content-Type", "application/json"};
+
+/* An answer without an exchange. "not run" is certain: nothing was sent. */
+static void reply_early(gateway_t *gate, ap_http_call_t *call, int status, bool guest,
+			const char *error)
+{
+	ap_http_header_t headers[3] = {type_json};
+	char body[128];
+	char wait[24];
+	size_t n = 1;
+	int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", error);
+
+	if (status == 503) {
+		ap_host_retry_after(RETRY_SOON, wait);
+		headers[n++] = (ap_http_header_t){ap_host_retry_after_name(), wait};
+	}
+	if (guest)
+		headers[n++] = (ap_http_header_t){HOP_HEADER_NOT_RUN, "1"};
+	ap_http_reply(call, status, headers, n, body, (size_t)len);
+	(void)gate;
+}
+
+static void on_closed(void *ctx)
+{
+	gate_call_t *c = ctx;
+
+	c->call = NULL;
+	c->outcome = GATE_LEFT;
+	gate_note_step(c, "caller-left", NULL);
+	ap_exchange_gone(&c->x, ap_now());
+	gate_settle(c);
+}
+
+static void on_drained(void *ctx)
+{
+	gate_call_t *c = ctx;
+
+	if (!c->paused || !c->fetch)
+		return;
+	c->paused = false;
+	ap_http_fetch_pause(c->fetch, false);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	gate_call_t *c = arg;
+
+	(void)fd;
+	(void)what;
+	c->timer_at = 0;
+	ap_exchange_tick(&c->x, ap_now());
+	gate_settle(c);
+}
+
+static void fill_work(gate_call_t *c, const ap_host_request_t *r, ap_usec_t now)
+{
+	ap_work_t *work = &c->x.work;
+
+	work->stay = c->guest;
+	work->deadline = now + (r->time_left == AP_NEVER ? TIME_UNTOLD : r->time_left);
+	work->tokens_in = r->tokens_in;
+	work->tokens_out = r->tokens_out;
+	work->n_parts = r->n_parts;
+	memcpy(work->parts, r->parts, sizeof(work->parts));
+	if (r->last_event)
+		ap_copy_name(c->x.last_id, sizeof(c->x.last_id), r->last_event);
+	ap_copy_name(c->id, sizeof(c->id), r->id);
+}
+
+static gate_call_t *call_new(gateway_t *gate, ap_http_call_t *call, bool guest)
+{
+	gate_call_t *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->gate = gate;
+	c->call = call;
+	c->guest = guest;
+	c->timer = evtimer_new(gate->base, on_timer, c);
+	if (!c->timer) {
+		free(c);
+		return NULL;
+	}
+	TAILQ_INIT(&c->answer);
+	c->plan = ap_plan_ref(gate->plan);
+	c->x.ops = &gate_ops;
+	c->x.ctx = c;
+	LIST_INSERT_HEAD(&gate->calls, c, link);
+	return c;
+}
+
+/* Attempts that the instance which sent a guest leaves to us. */
+static unsigned attempts_of(const gate_call_t *c)
+{
+	const char *given = c->guest ? ap_http_call_header(c->call, HOP_HEADER_ATTEMPTS) : NULL;
+
+	return given ? (unsigned)strtoul(given, NULL, 10) : c->x.work.route->attempts;
+}
+
+static void begin(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+		  const ap_plan_route_t *route, bool guest)
+{
+	ap_usec_t now = ap_now();
+	gate_call_t *c = call_new(gate, call, guest);
+
+	if (!c) {
+		reply_early(gate, call, 503, guest, "out-of-memory");
+		return;
+	}
+	fill_work(c, r, now);
+	c->x.work.route = route;
+	c->x.work.pool = ap_plan_pick(c->plan, route, ap_rng_unit(&gate->rng));
+	ap_http_call_watch(call, c, on_closed, on_drained);
+	if (!guest && c->x.work.pool)
+		ap_fleet_request(gate->fleet, c->x.work.pool->name, now);
+	ap_exchange_start(&c->x, attempts_of(c), now);
+	gate_settle(c);
+}
+
+static void take(gateway_t *gate, ap_http_call_t *call, bool guest)
+{
+	const ap_plan_route_t *route;
+	ap_host_request_t request;
+	ap_err_t err;
+
+	gate->counters.requests++;
+	gate->counters.guests += guest;
+	if (!gate->plan) {
+		gate->counters.ended[GATE_REFUSED]++;
+		reply_early(gate, call, 503, guest, "no-configuration");
+		return;
+	}
+	if (ap_host_request(ap_http_call_headers(call), &request, &err) != AP_HOST_OK) {
+		gate->counters.ended[GATE_INVALID]++;
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "request.invalid", NULL, "s:s",
+				 "why", err.text);
+		reply_early(gate, call, 400, guest, "invalid-request");
+		return;
+	}
+	route = ap_plan_match(gate->plan, request.host, ap_http_call_path(call));
+	if (!route) {
+		gate->counters.ended[GATE_NO_ROUTE]++;
+		ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.no-route", request.id,
+				 "s:s,s:I", "path", ap_http_call_path(call), "version",
+				 (json_int_t)gate->plan->version);
+		/* A guest's route may be newer or older than our configuration. */
+		reply_early(gate, call, guest ? 503 : 404, guest, "no-route");
+		return;
+	}
+	begin(gate, call, &request, route, guest);
+}
+
+void gate_on_caller(void *ctx, ap_http_call_t *call)
+{
+	take(ctx, call, false);
+}
+
+void gate_on_peer(void *ctx, ap_http_call_t *call)
+{
+	take(ctx, call, true);
+}
+
+void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
+{
+	static const struct {
+		int status;
+		const char *error;
+	} answers[] = {
+		[AP_HTTP_REFUSED_MALFORMED] = {400, "malformed"},
+		[AP_HTTP_REFUSED_LONG_HEAD] = {431, "headers-too-long"},
+		[AP_HTTP_REFUSED_TOO_LARGE] = {413, "body-too-large"},
+		[AP_HTTP_REFUSED_METHOD] = {501, "method-not-supported"},
+		[AP_HTTP_REFUSED_EXPECT] = {417, "expectation-failed"},
+		[AP_HTTP_REFUSED_LATE] = {408, "arrived-too-slowly"},
+		[AP_HTTP_REFUSED_TRUNCATED] = {400, "truncated"},
+		[AP_HTTP_REFUSED_CONNECTIONS] = {503, "too-many-connections"},
+		[AP_HTTP_REFUSED_BUSY] = {503, "out-of-memory"},
+	};
+	gateway_t *gate = ctx;
+
+	gate->counters.ended[GATE_INVALID]++;
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "request.unreadable", NULL, "s:s", "why",
+			 answers[why].error);
+	reply_early(gate, call, answers[why].status, false, answers[why].error);
+}
--- /dev/null
+++ b/cmd/arbutuspond/gateway-record.c
@@ -0,0 +1,103 @@
+/* Records and counters of requests: a line for each decision, all of them when a request fails. */
+#include "gateway.h"
+
+#include <jansson.h>
+
+static const ap_usec_t bounds[GATE_BUCKETS] = {
+	5 * AP_MSEC,   10 * AP_MSEC, 25 * AP_MSEC, 50 * AP_MSEC, 100 * AP_MSEC, 250 * AP_MSEC,
+	500 * AP_MSEC, 1 * AP_SEC,   2 * AP_SEC,   4 * AP_SEC,	 8 * AP_SEC,	16 * AP_SEC,
+};
+
+static size_t bucket_of(ap_usec_t span)
+{
+	size_t i = 0;
+
+	while (i < GATE_BUCKETS && span > bounds[i])
+		i++;
+	return i;
+}
+
+static json_int_t msec(ap_usec_t span)
+{
+	return (json_int_t)(span / AP_MSEC);
+}
+
+void gate_note_step(gate_call_t *c, const char *step, const ap_target_t *target)
+{
+	gate_step_t *s = &c->steps[c->n_steps % GATE_STEPS_MAX];
+
+	c->n_steps++;
+	*s = (gate_step_t){.step = step, .at = ap_now() - c->x.arrival};
+	if (!target)
+		return;
+	ap_copy_name(s->target, sizeof(s->target), target->id);
+	s->wait = target->wait;
+	s->known_for = target->known_for;
+	s->cached = target->cached;
+	s->running = target->running;
+}
+
+static json_t *steps_of(const gate_call_t *c)
+{
+	size_t first = c->n_steps > GATE_STEPS_MAX ? c->n_steps - GATE_STEPS_MAX : 0;
+	json_t *list = json_array();
+
+	for (size_t i = first; i < c->n_steps; i++) {
+		const gate_step_t *s = &c->steps[i % GATE_STEPS_MAX];
+
+		json_array_append_new(
+			list, json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I}", "step", s->step, "target",
+					s->target, "at_ms", msec(s->at), "expected_ms",
+					msec(s->wait), "entry_age_ms", msec(s->known_for), "cached",
+					(json_int_t)s->cached, "running", (json_int_t)s->running));
+	}
+	return list;
+}
+
+static const char *outcome_name(gate_outcome_t outcome)
+{
+	static const char *const names[GATE_OUTCOMES] = {
+		"done", "failed", "refused", "unknown", "cut", "left", "no-route", "invalid",
+	};
+
+	return names[outcome];
+}
+
+static void count(gate_call_t *c, ap_usec_t took, ap_usec_t first)
+{
+	gate_counters_t *n = &c->gate->counters;
+
+	n->ended[c->outcome]++;
+	n->refused[c->x.reason]++;
+	n->whole[bucket_of(took)]++;
+	n->whole_sum += (double)took;
+	if (c->x.first_piece == 0)
+		return;
+	n->first[bucket_of(first)]++;
+	n->first_sum += (double)first;
+}
+
+void gate_record_end(gate_call_t *c)
+{
+	const ap_exchange_t *x = &c->x;
+	ap_usec_t now = ap_now();
+	ap_usec_t first = x->first_piece > 0 ? x->first_piece - x->arrival : 0;
+	bool ordinary =
+		c->outcome == GATE_DONE || c->outcome == GATE_FAILED || c->outcome == GATE_LEFT;
+	ap_record_class_t cls = ordinary ? AP_RECORD_ORDINARY : AP_RECORD_RARE;
+
+	count(c, now - x->arrival, first);
+	if (!ap_journal_takes(c->gate->journal, cls, c->id))
+		return;
+	ap_journal_write(c->gate->journal, cls, "request.ended", c->id,
+			 "s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o",
+			 "outcome", outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
+			 "route", x->work.route->name, "pool",
+			 x->work.pool ? x->work.pool->name : "", "guest", (int)c->guest, "status",
+			 c->status, "first_ms", msec(first), "took_ms", msec(now - x->arrival),
+			 "time_ms", msec(x->give_up - x->arrival), "bytes", (json_int_t)x->bytes,
+			 "sends", (int)x->sends, "runs", (int)x->runs, "refusals", (int)x->refusals,
+			 "version", (json_int_t)c->plan->version, "expected_ms",
+			 msec(x->target.wait), "store_age_ms",
+			 msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c));
+}
--- /dev/null
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -0,0 +1,155 @@
+/* Readiness, the directory for callers, and metrics. */
+#include "gateway.h"
+
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DIRECTORY_MAX 64 /* addresses that callers take */
+
+static const ap_http_header_t type_json = {"Content-Type", "application/json"};
+static const ap_http_header_t type_text = {"Content-Type", "text/plain; version=0.0.4"};
+
+static void reply_error(ap_http_call_t *call, int status, const char *error)
+{
+	char body[96];
+	int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", error);
+
+	ap_http_reply(call, status, &type_json, 1, body, (size_t)len);
+}
+
+void gate_on_ready(void *ctx, ap_http_call_t *call)
+{
+	gateway_t *gate = ctx;
+
+	if (!ap_host_is_ready_path(ap_http_call_path(call)))
+		reply_error(call, 404, "no-such-path");
+	else if (gate->leave_at != 0)
+		reply_error(call, 503, "leaving");
+	else if (!gate->plan)
+		reply_error(call, 503, "no-configuration");
+	else
+		ap_http_reply(call, 200, &type_json, 1, "{}\n", 3);
+}
+
+void gate_on_directory(void *ctx, ap_http_call_t *call)
+{
+	gateway_t *gate = ctx;
+	const ap_member_t *members[DIRECTORY_MAX];
+	char region[AP_NAME_MAX];
+	size_t n;
+	char *text;
+
+	if (!ap_host_is_directory_path(ap_http_call_path(call))) {
+		reply_error(call, 404, "no-such-path");
+		return;
+	}
+	if (!ap_host_asked_region(call, region, sizeof(region)))
+		ap_copy_name(region, sizeof(region), gate->self.region);
+	n = ap_fleet_directory(gate->fleet, region, members, DIRECTORY_MAX, ap_now());
+	text = n > 0 ? ap_host_directory_answer(members, n, gate->g->directory_ttl) : NULL;
+	if (!text) {
+		reply_error(call, 503, "no-instance");
+		return;
+	}
+	ap_http_reply(call, 200, &type_json, 1, text, strlen(text));
+	free(text);
+}
+
+static void put(struct evbuffer *out, const char *name, const char *labels, double value)
+{
+	evbuffer_add_printf(out, "arbutuspond_%s%s %.10g\n", name, labels, value);
+}
+
+static void put_outcomes(struct evbuffer *out, const gate_counters_t *n)
+{
+	static const char *const names[GATE_OUTCOMES] = {
+		"done", "failed", "refused", "unknown", "cut", "left", "no-route", "invalid",
+	};
+	char labels[64];
+
+	for (size_t i = 0; i < GATE_OUTCOMES; i++) {
+		snprintf(labels, sizeof(labels), "{outcome=\"%s\"}", names[i]);
+		put(out, "requests_ended_total", labels, (double)n->ended[i]);
+	}
+	for (size_t i = 1; i <= AP_REASON_UNPROVED; i++) {
+		snprintf(labels, sizeof(labels), "{reason=\"%s\"}", ap_reason_name((ap_reason_t)i));
+		put(out, "answers_own_total", labels, (double)n->refused[i]);
+	}
+}
+
+static void put_histogram(struct evbuffer *out, const char *name, const uint64_t *counts,
+			  double sum_us)
+{
+	static const double bounds_s[GATE_BUCKETS] = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+						      0.5,   1,	   2,	  4,	8,   16};
+	uint64_t total = 0;
+	char metric[64];
+	char labels[32];
+
+	snprintf(metric, sizeof(metric), "%s_bucket", name);
+	for (size_t i = 0; i < GATE_BUCKETS; i++) {
+		total += counts[i];
+		snprintf(labels, sizeof(labels), "{le=\"%g\"}", bounds_s[i]);
+		put(out, metric, labels, (double)total);
+	}
+	total += counts[GATE_BUCKETS];
+	put(out, metric, "{le=\"+Inf\"}", (double)total);
+	snprintf(metric, sizeof(metric), "%s_sum", name);
+	put(out, metric, "", sum_us / (double)AP_SEC);
+	snprintf(metric, sizeof(metric), "%s_count", name);
+	put(out, metric, "", (double)total);
+}
+
+static void put_gauges(struct evbuffer *out, gateway_t *gate)
+{
+	ap_usec_t now = ap_now();
+	ap_fleet_stats_t fleet = ap_fleet_stats(gate->fleet, now);
+	ap_host_store_stats_t store = ap_host_store_stats(gate->store);
+	ap_journal_stats_t journal = ap_journal_stats(gate->journal);
+	ap_usec_t age = ap_follow_age(gate->follow, now);
+
+	put(out, "upstreams", "{state=\"listed\"}", (double)fleet.replicas);
+	put(out, "upstreams", "{state=\"usable\"}", (double)fleet.usable);
+	put(out, "upstreams", "{state=\"draining\"}", (double)fleet.draining);
+	put(out, "upstreams", "{state=\"cold\"}", (double)fleet.cold);
+	put(out, "upstreams", "{state=\"ejected\"}", (double)fleet.ejected);
+	put(out, "instances", "", (double)fleet.members);
+	put(out, "work_running", "", (double)fleet.running);
+	put(out, "configuration_version", "", gate->plan ? (double)gate->plan->version : 0);
+	put(out, "store_age_seconds", "", age == AP_NEVER ? -1 : (double)age / (double)AP_SEC);
+	put(out, "store_calls_total", "{result=\"any\"}", (double)store.calls);
+	put(out, "store_calls_total", "{result=\"refused\"}", (double)store.refused);
+	put(out, "store_calls_total", "{result=\"unsure\"}", (double)store.unsure);
+	put(out, "store_unreadable_total", "", (double)gate->counters.unreadable);
+	put(out, "log_lines_total", "{result=\"written\"}", (double)journal.written);
+	put(out, "log_lines_total", "{result=\"dropped\"}", (double)journal.dropped);
+	put(out, "leaving", "", gate->leave_at != 0);
+}
+
+void gate_on_metrics(void *ctx, ap_http_call_t *call)
+{
+	gateway_t *gate = ctx;
+	const gate_counters_t *n = &gate->counters;
+	ap_http_client_stats_t client = ap_http_client_stats(gate->client);
+	struct evbuffer *out = evbuffer_new();
+
+	if (!out) {
+		reply_error(call, 503, "out-of-memory");
+		return;
+	}
+	put(out, "requests_total", "", (double)n->requests);
+	put(out, "guests_total", "", (double)n->guests);
+	put(out, "sends_total", "", (double)n->sends);
+	put(out, "sends_away_total", "", (double)n->sends_away);
+	put(out, "repeats_total", "", (double)n->repeats);
+	put(out, "upstream_connections_total", "{how=\"opened\"}", (double)client.opened);
+	put(out, "upstream_connections_total", "{how=\"reused\"}", (double)client.reused);
+	put_outcomes(out, n);
+	put_histogram(out, "first_piece_seconds", n->first, n->first_sum);
+	put_histogram(out, "request_seconds", n->whole, n->whole_sum);
+	put_gauges(out, gate);
+	ap_http_reply(call, 200, &type_text, 1, evbuffer_pullup(out, -1), evbuffer_get_length(out));
+	evbuffer_free(out);
+}
--- /dev/null
+++ b/cmd/arbutuspond/gateway-store.c
@@ -0,0 +1,265 @@
+/* The platform's store: what is read there becomes beliefs, and the instance enters itself. */
+#include "gateway.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_LIMIT                                                                                 \
+	(700 * AP_MSEC) /* some round trips between regions, and the store's own time              \
+			 */
+#define WATCH_WAIT (1 * AP_SEC)
+#define PACE_PART 4 /* reads in the shorter of the times in which a change must take effect */
+#define PACE_MAX (1 * AP_SEC)
+#define AWAY_AFTER (2500 * AP_MSEC) /* a few reads that failed */
+#define RETURN_TIME                                                                                \
+	(2500 * AP_MSEC) /* entries that lapsed are back two seconds after the store               \
+			  */
+#define LEASE_TTL (3 * AP_SEC)
+
+static void on_read(void *ctx, const ap_store_read_t *read)
+{
+	gateway_t *gate = ctx;
+	ap_usec_t now = ap_now();
+
+	ap_follow_answer(gate->follow, read, now);
+	gate_store_tick(gate, now);
+}
+
+static void on_written(void *ctx, ap_store_end_t end, uint64_t number)
+{
+	gateway_t *gate = ctx;
+	ap_usec_t now = ap_now();
+
+	ap_enrol_answer(gate->enrol, end, number, now);
+	gate_store_tick(gate, now);
+}
+
+static void op_list(void *ctx, const char *after)
+{
+	gateway_t *gate = ctx;
+
+	ap_host_store_list(gate->store, after, on_read, gate);
+}
+
+static void op_watch(void *ctx, uint64_t revision, ap_usec_t wait)
+{
+	gateway_t *gate = ctx;
+
+	ap_host_store_watch(gate->store, revision, wait, on_read, gate);
+}
+
+static void op_listing(void *ctx, bool begin)
+{
+	gateway_t *gate = ctx;
+	ap_usec_t now = ap_now();
+
+	if (begin)
+		ap_fleet_list_begin(gate->fleet);
+	else
+		ap_fleet_list_end(gate->fleet, ap_follow_unsure(gate->follow, now), now);
+}
+
+static void unreadable(gateway_t *gate, const char *key, const ap_err_t *err)
+{
+	gate->counters.unreadable++;
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "store.unreadable", NULL, "s:s,s:s", "key",
+			 key, "why", err->text);
+}
+
+static void take_plan(gateway_t *gate, const ap_store_item_t *item)
+{
+	ap_plan_t *plan;
+	ap_err_t err;
+
+	if (item->removed)
+		return;
+	if (ap_host_plan(item->value, item->len, &plan, &err) != AP_HOST_OK) {
+		unreadable(gate, item->key, &err);
+		return;
+	}
+	if (!ap_plan_supersedes(plan, gate->plan)) {
+		if (plan->version != gate->plan->version)
+			ap_journal_write(gate->journal, AP_RECORD_RARE, "configuration.refused",
+					 NULL, "s:I,s:I", "version", (json_int_t)plan->version,
+					 "in_force", (json_int_t)gate->plan->version);
+		ap_plan_unref(plan);
+		return;
+	}
+	ap_plan_unref(gate->plan);
+	gate->plan = plan;
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "configuration.taken", NULL, "s:I,s:i,s:i",
+			 "version", (json_int_t)plan->version, "routes", (int)plan->n_routes,
+			 "pools", (int)plan->n_pools);
+}
+
+static void take_replica(gateway_t *gate, const char *id, const ap_store_item_t *item)
+{
+	ap_usec_t now = ap_now();
+	ap_replica_entry_t entry;
+	ap_err_t err;
+
+	if (item->removed) {
+		bool unsure = ap_follow_unsure(gate->follow, now);
+
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.removed", NULL, "s:s,s:b",
+				 "upstream", id, "unsure", (int)unsure);
+		ap_fleet_removed(gate->fleet, id, unsure, now);
+		return;
+	}
+	if (ap_host_replica(id, item->value, item->len, &entry, &err) != AP_HOST_OK) {
+		unreadable(gate, item->key, &err);
+		return;
+	}
+	if (entry.draining)
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.draining", NULL,
+				 "s:s,s:s", "upstream", id, "pool", entry.pool);
+	ap_fleet_entry(gate->fleet, &entry, now);
+}
+
+static void take_instance(gateway_t *gate, const char *id, const ap_store_item_t *item)
+{
+	ap_usec_t now = ap_now();
+	ap_member_t member;
+	ap_err_t err;
+
+	if (strcmp(id, gate->self.id) == 0) {
+		ap_enrol_seen(gate->enrol, item->removed ? 0 : item->revision, now);
+		return;
+	}
+	if (item->removed) {
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "instance.lost", NULL, "s:s",
+				 "other", id);
+		ap_fleet_member_removed(gate->fleet, id, now);
+		return;
+	}
+	if (ap_host_member(id, item->value, item->len, &member, &err) != AP_HOST_OK) {
+		unreadable(gate, item->key, &err);
+		return;
+	}
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "instance.seen", NULL, "s:s,s:s,s:b",
+			 "other", id, "region", member.region, "leaving", (int)member.leaving);
+	ap_fleet_member(gate->fleet, &member, now);
+}
+
+static void op_item(void *ctx, const ap_store_item_t *item)
+{
+	gateway_t *gate = ctx;
+	const char *name;
+
+	switch (ap_host_key(item->key, &name)) {
+	case AP_HOST_KEY_PLAN:
+		take_plan(gate, item);
+		break;
+	case AP_HOST_KEY_EVACUATION:
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "evacuation", NULL, "s:s,s:b",
+				 "data_centre", name, "off", (int)item->removed);
+		ap_fleet_evacuate(gate->fleet, name, item->removed, ap_now());
+		break;
+	case AP_HOST_KEY_REPLICA:
+		take_replica(gate, name, item);
+		break;
+	case AP_HOST_KEY_INSTANCE:
+		take_instance(gate, name, item);
+		break;
+	case AP_HOST_KEY_OTHER:
+		break;
+	}
+}
+
+static void op_lease(void *ctx, ap_usec_t ttl)
+{
+	gateway_t *gate = ctx;
+
+	ap_host_store_lease(gate->store, ttl, on_written, gate);
+}
+
+static void op_keep(void *ctx, uint64_t lease)
+{
+	gateway_t *gate = ctx;
+
+	ap_host_store_keep(gate->store, lease, on_written, gate);
+}
+
+static void op_put(void *ctx, uint64_t lease, uint64_t revision)
+{
+	gateway_t *gate = ctx;
+	char *value = ap_host_member_write(&gate->self);
+
+	if (!value)
+		abort();
+	ap_host_store_put_member(gate->store, gate->self.id, value, lease, revision, on_written,
+				 gate);
+	free(value);
+}
+
+static void op_end(void *ctx, uint64_t lease)
+{
+	gateway_t *gate = ctx;
+
+	ap_host_store_end(gate->store, lease, on_written, gate);
+}
+
+static ap_usec_t pace_of(const ap_gateway_settings_t *g)
+{
+	ap_usec_t pace = (g->drain < g->apply ? g->drain : g->apply) / PACE_PART;
+
+	return pace < PACE_MAX ? pace : PACE_MAX;
+}
+
+bool gate_store_start(gateway_t *gate)
+{
+	ap_usec_t now = ap_now();
+	ap_follow_config_t follow = {
+		.pace = pace_of(gate->g),
+		.wait = WATCH_WAIT,
+		.away_after = AWAY_AFTER,
+		.unsure = RETURN_TIME,
+		.seed = gate->inc.lo,
+		.ctx = gate,
+		.list = op_list,
+		.watch = op_watch,
+		.listing = op_listing,
+		.item = op_item,
+	};
+	ap_enrol_config_t enrol = {
+		.ttl = LEASE_TTL,
+		.ctx = gate,
+		.lease = op_lease,
+		.keep = op_keep,
+		.put = op_put,
+		.end = op_end,
+	};
+
+	gate->store = ap_host_store_new(gate->base, &gate->g->store, CALL_LIMIT);
+	gate->follow = ap_follow_new(&follow, now);
+	gate->enrol = ap_enrol_new(&enrol, now);
+	return gate->store && gate->follow && gate->enrol;
+}
+
+static void note_away(gateway_t *gate, ap_usec_t now)
+{
+	ap_usec_t age = ap_follow_age(gate->follow, now);
+	bool away = age == AP_NEVER || age > AWAY_AFTER;
+
+	if (away == gate->store_away)
+		return;
+	gate->store_away = away;
+	ap_journal_write(gate->journal, AP_RECORD_RARE, away ? "store.away" : "store.back", NULL,
+			 NULL);
+}
+
+void gate_store_tick(gateway_t *gate, ap_usec_t now)
+{
+	ap_follow_tick(gate->follow, now);
+	ap_enrol_tick(gate->enrol, now);
+	note_away(gate, now);
+}
+
+void gate_store_stop(gateway_t *gate)
+{
+	ap_host_store_free(gate->store);
+	ap_follow_free(gate->follow);
+	ap_enrol_free(gate->enrol);
+}
--- /dev/null
+++ b/cmd/arbutuspond/gateway.c
@@ -0,0 +1,257 @@
+/* The gateway task: listeners, wiring, signals, and its graceful end. */
+#include "gateway.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define TICK (100 * AP_MSEC)
+#define FROZEN (700 * AP_MSEC)	     /* the process stood still for longer than any turn takes */
+#define HEADER_BYTES (32 << 10)	     /* twice what the platform's configuration allows callers */
+#define BODY_BYTES (8 << 20)	     /* the same for bodies */
+#define CALLER_IDLE (60 * AP_SEC)    /* longer than callers keep an idle connection */
+#define CALLER_ARRIVAL (10 * AP_SEC) /* some times what callers may take */
+#define CONNECTIONS 3000	     /* of the descriptors, the rest is for upstreams */
+#define LEAVE_PART 0.78		     /* of the grace: callers have taken another instance by then */
+#define END_PART 0.96		     /* of the grace: what is not done now is killed soon */
+#define SAMPLE 16		     /* one request in so many is written in full */
+#define LINES_PER_SECOND 200
+#define LOG_BACKLOG (128 << 10)
+#define ENTRY_GRACE (2 * AP_SEC) /* lapsed entries are back by then after the store returned */
+
+static ap_usec_t steady_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return ts.tv_sec * AP_SEC + ts.tv_nsec / 1000;
+}
+
+static bool listen_on(gateway_t *gate, ap_http_server_t **server, const char *host, uint16_t port,
+		      void (*request)(void *ctx, ap_http_call_t *call))
+{
+	ap_http_server_config_t config = {
+		.base = gate->base,
+		.host = host,
+		.port = port,
+		.header_bytes = HEADER_BYTES,
+		.body_bytes = BODY_BYTES,
+		.connections = CONNECTIONS,
+		.idle = CALLER_IDLE,
+		.arrival = CALLER_ARRIVAL,
+		.ctx = gate,
+		.request = request,
+		.refused = gate_on_refused,
+	};
+	ap_err_t err;
+
+	if (ap_http_server_new(&config, server, &err) == AP_HTTP_STATUS_OK)
+		return true;
+	ap_log(LOG_ERR, "%s", err.text);
+	return false;
+}
+
+static bool listen_all(gateway_t *gate)
+{
+	const ap_gateway_settings_t *g = gate->g;
+
+	return listen_on(gate, &gate->peers, gate->settings->host, g->peer_port, gate_on_peer) &&
+	       listen_on(gate, &gate->callers, g->callers.host, g->callers.port, gate_on_caller) &&
+	       listen_on(gate, &gate->ready, g->ready.host, g->ready.port, gate_on_ready) &&
+	       listen_on(gate, &gate->directory, g->directory.host, g->directory.port,
+			 gate_on_directory) &&
+	       listen_on(gate, &gate->metrics, g->metrics.host, g->metrics.port, gate_on_metrics);
+}
+
+static bool is_drained(const gateway_t *gate)
+{
+	return LIST_EMPTY(&gate->calls) && ap_http_server_flushing(gate->callers) == 0 &&
+	       ap_http_server_flushing(gate->peers) == 0;
+}
+
+static void check_leave(gateway_t *gate, ap_usec_t now)
+{
+	double waited = (double)(now - gate->leave_at);
+	double grace = (double)gate->g->grace;
+
+	if (gate->leave_at == 0)
+		return;
+	if (waited > END_PART * grace || (waited > LEAVE_PART * grace && is_drained(gate)))
+		event_base_loopbreak(gate->base);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	gateway_t *gate = arg;
+	ap_usec_t now = ap_now();
+	ap_usec_t steady = steady_now();
+	ap_usec_t stood = now - gate->ticked - TICK;
+
+	(void)fd;
+	(void)what;
+	if (stood > FROZEN) {
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "process.frozen", NULL, "s:I,s:I",
+				 "boot_ms", (json_int_t)(stood / AP_MSEC), "steady_ms",
+				 (json_int_t)((steady - gate->steady - TICK) / AP_MSEC));
+		ap_fleet_woke(gate->fleet, now);
+		ap_follow_again(gate->follow, now);
+	}
+	gate->ticked = now;
+	gate->steady = steady;
+	ap_fleet_tick(gate->fleet, now);
+	gate_store_tick(gate, now);
+	ap_journal_flush(gate->journal);
+	check_leave(gate, now);
+}
+
+static void on_term(evutil_socket_t fd, short what, void *arg)
+{
+	gateway_t *gate = arg;
+	ap_usec_t now = ap_now();
+
+	(void)fd;
+	(void)what;
+	if (gate->leave_at != 0)
+		return;
+	gate->leave_at = now;
+	gate->self.leaving = true;
+	ap_fleet_member(gate->fleet, &gate->self, now);
+	ap_enrol_changed(gate->enrol, now);
+	gate_store_tick(gate, now);
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "process.leaving", NULL, NULL);
+}
+
+static void on_hup(evutil_socket_t fd, short what, void *arg)
+{
+	gateway_t *gate = arg;
+
+	(void)fd;
+	(void)what;
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "process.reload", NULL, NULL);
+}
+
+static bool watch_signals(gateway_t *gate)
+{
+	const struct timeval every = ap_timeval(TICK);
+
+	gate->signals[0] = evsignal_new(gate->base, SIGTERM, on_term, gate);
+	gate->signals[1] = evsignal_new(gate->base, SIGINT, on_term, gate);
+	gate->signals[2] = evsignal_new(gate->base, SIGHUP, on_hup, gate);
+	for (size_t i = 0; i < 3; i++) {
+		if (!gate->signals[i] || event_add(gate->signals[i], NULL) != 0)
+			return false;
+	}
+	gate->tick = event_new(gate->base, -1, EV_PERSIST, on_tick, gate);
+	return gate->tick && event_add(gate->tick, &every) == 0;
+}
+
+static bool make_fleet(gateway_t *gate)
+{
+	const ap_settings_t *s = gate->settings;
+	const ap_gateway_settings_t *g = gate->g;
+	ap_fleet_config_t config = {
+		.cold_over = g->cold_over,
+		.cold_slack = g->cold_slack,
+		.repeat_ratio = g->repeat_ratio,
+		.repeat_slack = g->repeat_slack,
+		.repeat_window = g->repeat_window,
+		.entry_grace = ENTRY_GRACE,
+		.seed = gate->inc.hi,
+	};
+
+	ap_copy_name(config.id, sizeof(config.id), s->id);
+	ap_copy_name(config.region, sizeof(config.region), s->region);
+	ap_copy_name(config.data_centre, sizeof(config.data_centre), s->data_centre);
+	gate->fleet = ap_fleet_new(&config);
+	if (!gate->fleet)
+		return false;
+	for (size_t i = 0; i < g->n_data_centres; i++)
+		ap_fleet_data_centre(gate->fleet, g->data_centres[i].name,
+				     g->data_centres[i].region);
+	ap_fleet_member(gate->fleet, &gate->self, ap_now());
+	return true;
+}
+
+static void fill_self(gateway_t *gate)
+{
+	const ap_settings_t *s = gate->settings;
+
+	gate->self = (ap_member_t){
+		.caller_port = gate->g->callers.port,
+		.peer_port = gate->g->peer_port,
+		.cores = gate->g->cores,
+	};
+	ap_copy_name(gate->self.id, sizeof(gate->self.id), s->id);
+	ap_copy_name(gate->self.region, sizeof(gate->self.region), s->region);
+	ap_copy_name(gate->self.data_centre, sizeof(gate->self.data_centre), s->data_centre);
+	ap_copy_name(gate->self.host, sizeof(gate->self.host), s->host);
+}
+
+static bool start(gateway_t *gate)
+{
+	ap_journal_config_t journal = {
+		.fd = STDOUT_FILENO,
+		.instance = gate->settings->id,
+		.inc = gate->inc,
+		.sample = SAMPLE,
+		.rate = LINES_PER_SECOND,
+		.backlog = LOG_BACKLOG,
+	};
+
+	gate->base = ap_http_base_new();
+	gate->journal = ap_journal_new(&journal);
+	if (!gate->base || !gate->journal)
+		return false;
+	gate->ticked = ap_now();
+	gate->steady = steady_now();
+	gate->client = ap_http_client_new(gate->base);
+	fill_self(gate);
+	return gate->client && make_fleet(gate) && listen_all(gate) && gate_store_start(gate) &&
+	       watch_signals(gate);
+}
+
+static void stop(gateway_t *gate)
+{
+	ap_http_server_free(gate->callers);
+	ap_http_server_free(gate->peers);
+	ap_http_server_free(gate->ready);
+	ap_http_server_free(gate->directory);
+	ap_http_server_free(gate->metrics);
+	ap_http_client_free(gate->client);
+	gate_store_stop(gate);
+	ap_fleet_free(gate->fleet);
+	ap_plan_unref(gate->plan);
+	for (size_t i = 0; i < 3; i++) {
+		if (gate->signals[i])
+			event_free(gate->signals[i]);
+	}
+	if (gate->tick)
+		event_free(gate->tick);
+	if (gate->base)
+		event_base_free(gate->base);
+	ap_journal_free(gate->journal);
+}
+
+bool ap_gateway_task(const ap_settings_t *settings)
+{
+	gateway_t gate = {.settings = settings, .g = &settings->gateway};
+	bool ok;
+
+	LIST_INIT(&gate.calls);
+	ap_random(&gate.inc, sizeof(gate.inc));
+	ap_rng_seed(&gate.rng, gate.inc.hi ^ gate.inc.lo);
+	ok = start(&gate);
+	if (ok) {
+		ap_journal_write(gate.journal, AP_RECORD_RARE, "process.started", NULL, "s:s",
+				 "version", AP_VERSION);
+		ap_journal_flush(gate.journal);
+		event_base_dispatch(gate.base);
+		ap_journal_write(gate.journal, AP_RECORD_RARE, "process.stopped", NULL, "s:b",
+				 "drained", (int)is_drained(&gate));
+	}
+	stop(&gate);
+	return ok;
+}
--- /dev/null
+++ b/cmd/arbutuspond/gateway.h
@@ -0,0 +1,162 @@
+/*
+ * The gateway task: an instance on its users' platform. One event loop owns the listeners for
+ * callers and other instances, the connections to upstreams, the client of the platform's store
+ * and all state; a store that is slow or away never holds up a request.
+ */
+#ifndef AP_GATEWAY_H
+#define AP_GATEWAY_H
+
+#include "base/base.h"
+#include "exchange/exchange.h"
+#include "fleet/fleet.h"
+#include "follow/follow.h"
+#include "http/http.h"
+#include "log/log.h"
+#include "platform/host.h"
+#include "plan/plan.h"
+#include "settings/settings.h"
+
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/queue.h>
+
+#define GATE_STEPS_MAX 8
+
+/* Headers between instances; callers' headers of these names are not passed on. */
+#define HOP_HEADER_PREFIX "Arbutuspond-"
+#define HOP_HEADER_ATTEMPTS HOP_HEADER_PREFIX "Attempts"
+#define HOP_HEADER_NOT_RUN HOP_HEADER_PREFIX "Not-Run"
+#define HOP_HEADER_WAIT HOP_HEADER_PREFIX "Wait-Ms"
+
+/* How a request ended, for counters and records. */
+typedef enum gate_outcome {
+	GATE_DONE,    /* an upstream's good answer was passed on whole */
+	GATE_FAILED,  /* an upstream's answer that says it failed */
+	GATE_REFUSED, /* not run */
+	GATE_UNKNOWN, /* may have run */
+	GATE_CUT,     /* broken off amid its answer */
+	GATE_LEFT,    /* the caller left */
+	GATE_NO_ROUTE,
+	GATE_INVALID,
+	GATE_OUTCOMES,
+} gate_outcome_t;
+
+/* One decision about a request, kept for the record of a request that fails. */
+typedef struct gate_step {
+	const char *step;
+	char target[AP_NAME_MAX];
+	ap_usec_t at; /* since its arrival */
+	ap_usec_t wait;
+	ap_usec_t known_for;
+	uint32_t cached;
+	uint32_t running;
+} gate_step_t;
+
+typedef struct gateway gateway_t;
+
+/**
+ * struct gate_call - one request of a caller, or of another instance.
+ * @call: NULL once it is answered or its caller has left
+ * @guest: sent by an instance of another region
+ * @answer: headers of the present target's answer, copied
+ * @plan: the version that the request began with
+ * @started: the head of the answer went out, its body follows in parts
+ */
+typedef struct gate_call {
+	LIST_ENTRY(gate_call) link;
+	gateway_t *gate;
+	ap_exchange_t x;
+	ap_http_call_t *call;
+	ap_http_fetch_t *fetch;
+	struct event *timer;
+	ap_usec_t timer_at;
+	ap_plan_t *plan;
+	bool guest;
+	bool started;
+	bool paused;
+	struct evbuffer *body;
+	int status;
+	struct evkeyvalq answer;
+	char id[AP_HOST_ID_MAX];
+	gate_outcome_t outcome;
+	gate_step_t steps[GATE_STEPS_MAX];
+	size_t n_steps;
+} gate_call_t;
+
+/* Buckets of the time to the first piece and of the whole time. */
+#define GATE_BUCKETS 12
+
+typedef struct gate_counters {
+	uint64_t requests;
+	uint64_t guests;
+	uint64_t ended[GATE_OUTCOMES];
+	uint64_t refused[AP_REASON_UNPROVED + 1];
+	uint64_t sends;
+	uint64_t sends_away;
+	uint64_t repeats;
+	uint64_t unreadable;
+	uint64_t first[GATE_BUCKETS + 1];
+	uint64_t whole[GATE_BUCKETS + 1];
+	double first_sum;
+	double whole_sum;
+} gate_counters_t;
+
+struct gateway {
+	const ap_settings_t *settings;
+	const ap_gateway_settings_t *g;
+	ap_id_t inc;
+	struct event_base *base;
+	ap_journal_t *journal;
+	ap_fleet_t *fleet;
+	ap_plan_t *plan;
+	ap_follow_t *follow;
+	ap_enrol_t *enrol;
+	ap_host_store_t *store;
+	ap_http_client_t *client;
+	ap_http_server_t *callers;
+	ap_http_server_t *peers;
+	ap_http_server_t *ready;
+	ap_http_server_t *directory;
+	ap_http_server_t *metrics;
+	ap_member_t self;
+	ap_rng_t rng;
+	LIST_HEAD(, gate_call) calls;
+	struct event *tick;
+	struct event *signals[3];
+	ap_usec_t steady; /* the clock that stands still with the process, at the last tick */
+	ap_usec_t ticked;
+	ap_usec_t leave_at; /* when SIGTERM came; 0 before */
+	bool store_away;
+	gate_counters_t counters;
+};
+
+/* gateway.c */
+/** ap_gateway_task() - runs until it was told to stop and is drained. Return: false on a fault. */
+bool ap_gateway_task(const ap_settings_t *settings);
+
+/* gateway-call.c */
+void gate_on_caller(void *ctx, ap_http_call_t *call);
+void gate_on_peer(void *ctx, ap_http_call_t *call);
+/* Answers what never becomes a request. */
+void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
+
+/* gateway-send.c */
+extern const ap_exchange_ops_t gate_ops;
+/* Ends @c if its exchange is over, else sets its timer. */
+void gate_settle(gate_call_t *c);
+
+/* gateway-record.c */
+void gate_note_step(gate_call_t *c, const char *step, const ap_target_t *target);
+void gate_record_end(gate_call_t *c);
+
+/* gateway-store.c */
+bool gate_store_start(gateway_t *gate);
+void gate_store_tick(gateway_t *gate, ap_usec_t now);
+void gate_store_stop(gateway_t *gate);
+
+/* gateway-serve.c: readiness, directory, metrics */
+void gate_on_ready(void *ctx, ap_http_call_t *call);
+void gate_on_directory(void *ctx, ap_http_call_t *call);
+void gate_on_metrics(void *ctx, ap_http_call_t *call);
+
+#endif
--- a/cmd/arbutuspond/main.c
+++ b/cmd/arbutuspond/main.c
@@ -1,4 +1,5 @@
 /* The daemon: reads its settings, starts the entry task and runs the control task. */
+#include "gateway.h"
 #include "task.h"
 
 #include <argp.h>
@@ -116,7 +117,10 @@
 		return EXIT_FAILURE;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	status = run(&settings);
+	if (settings.gateway.present)
+		status = ap_gateway_task(&settings) ? EXIT_SUCCESS : EXIT_FAILURE;
+	else
+		status = run(&settings);
 	ap_settings_clear(&settings);
 	return status;
 }
--- a/cmd/arbutuspondctl/observe.c
+++ b/cmd/arbutuspondctl/observe.c
@@ -156,7 +156,7 @@
 
 static ctl_exit_t read_events(const ctl_options_t *o, const ap_address_t *admin, lines_t *lines)
 {
-	char path[64];
+	char path[64] = "";
 	http_request_t request = http_admin(o, admin, EVHTTP_REQ_GET, path);
 	http_answer_t answer;
 	ctl_exit_t status = CTL_OK;
--- /dev/null
+++ b/lib/exchange/events.c
@@ -0,0 +1,100 @@
+/* Events of a stream: where they end, and their ids. An event ends with an empty line. */
+#include "exchange/exchange.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ID_FIELD "id:"
+#define OVERLAP 3 /* bytes before the new ones that may belong to the empty line */
+
+/* Just past the empty line that begins at or after @from, or 0. */
+static size_t next_end(const char *data, size_t len, size_t from)
+{
+	for (size_t i = from; i + 1 < len; i++) {
+		if (data[i] != '\n')
+			continue;
+		if (data[i + 1] == '\n')
+			return i + 2;
+		if (data[i + 1] == '\r' && i + 2 < len && data[i + 2] == '\n')
+			return i + 3;
+	}
+	return 0;
+}
+
+size_t ap_events_whole(const char *data, size_t len, size_t scanned)
+{
+	size_t from = scanned > OVERLAP ? scanned - OVERLAP : 0;
+	size_t whole = 0;
+	size_t end;
+
+	while ((end = next_end(data, len, from)) != 0) {
+		whole = end;
+		from = end - 1;
+	}
+	return whole;
+}
+
+/* Copies the id of the one event in @data. */
+static bool event_id(const char *data, size_t len, char id[AP_EVENT_ID_MAX])
+{
+	size_t at = 0;
+
+	while (at < len) {
+		const char *line = data + at;
+		const char *stop = memchr(line, '\n', len - at);
+		size_t n = stop ? (size_t)(stop - line) : len - at;
+		size_t skip = strlen(ID_FIELD);
+
+		at += n + 1;
+		if (n < skip || memcmp(line, ID_FIELD, skip) != 0)
+			continue;
+		if (n > skip && line[skip] == ' ')
+			skip++;
+		n -= skip;
+		if (n > 0 && line[skip + n - 1] == '\r')
+			n--;
+		if (n >= AP_EVENT_ID_MAX)
+			return false;
+		memcpy(id, line + skip, n);
+		id[n] = '\0';
+		return true;
+	}
+	return false;
+}
+
+bool ap_events_last_id(const char *data, size_t len, char id[AP_EVENT_ID_MAX])
+{
+	size_t from = 0;
+	bool found = false;
+	size_t end;
+
+	while ((end = next_end(data, len, from)) != 0) {
+		found = event_id(data + from, end - from, id) || found;
+		from = end;
+	}
+	return found;
+}
+
+static bool past(const char *own, const char *id)
+{
+	char *own_end;
+	char *id_end;
+	unsigned long long a = strtoull(own, &own_end, 10);
+	unsigned long long b = strtoull(id, &id_end, 10);
+
+	return *own_end != '\0' || *id_end != '\0' || a > b;
+}
+
+size_t ap_events_after(const char *data, size_t len, const char *id)
+{
+	char own[AP_EVENT_ID_MAX];
+	size_t from = 0;
+	size_t end;
+
+	while ((end = next_end(data, len, from)) != 0) {
+		if (!event_id(data + from, end - from, own) || past(own, id))
+			return from;
+		from = end;
+	}
+	return len;
+}
--- /dev/null
+++ b/lib/fleet/budget.c
@@ -0,0 +1,58 @@
+/*
+ * Repetitions are paid for by requests. Each instance spends its own requests' part and an equal
+ * share of the slack, so that the sum holds with instances that don't hear of each other.
+ */
+#include "fleet/private.h"
+
+/* An instance that was started again has forgotten what it spent in the window before. */
+#define LIVES_IN_WINDOW 2.0
+#define RATIO_USED 0.8 /* requests are counted where they arrive, repetitions some time later */
+
+static void advance(const ap_fleet_t *f, ap_budget_t *b, ap_usec_t now)
+{
+	int64_t step = now / (f->config.repeat_window / BUDGET_STEPS);
+
+	if (step - b->step >= BUDGET_STEPS)
+		b->step = step - BUDGET_STEPS;
+	while (b->step < step) {
+		b->step++;
+		b->requests[b->step % BUDGET_STEPS] = 0;
+		b->repeats[b->step % BUDGET_STEPS] = 0;
+	}
+}
+
+static uint32_t sum(const uint32_t *counts)
+{
+	uint32_t total = 0;
+
+	for (size_t i = 0; i < BUDGET_STEPS; i++)
+		total += counts[i];
+	return total;
+}
+
+void ap_fleet_request(ap_fleet_t *f, const char *pool, ap_usec_t now)
+{
+	ap_pool_state_t *p = ap_pool_state(f, pool);
+
+	if (!p)
+		return;
+	advance(f, &p->budget, now);
+	p->budget.requests[p->budget.step % BUDGET_STEPS]++;
+}
+
+bool ap_fleet_may_repeat(ap_fleet_t *f, const char *pool, ap_usec_t now)
+{
+	ap_pool_state_t *p = ap_pool_state(f, pool);
+	double instances = f->most_members > 0 ? (double)f->most_members : 1;
+	double allowed;
+
+	if (!p)
+		return false;
+	advance(f, &p->budget, now);
+	allowed = RATIO_USED * f->config.repeat_ratio * sum(p->budget.requests) +
+		  f->config.repeat_slack / instances / LIVES_IN_WINDOW;
+	if (sum(p->budget.repeats) + 1 > allowed)
+		return false;
+	p->budget.repeats[p->budget.step % BUDGET_STEPS]++;
+	return true;
+}
--- /dev/null
+++ b/lib/fleet/choose.c
@@ -0,0 +1,303 @@
+/*
+ * Choice of an upstream of the own region by expected time and cached prefix, or of another
+ * region when it is better for the caller and the route's homes allow it.
+ */
+#include "fleet/private.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_US_PER_TOKEN 150.0 /* what one more request in a batch adds to each token's step */
+#define REREAD_WEIGHT 1.0	/* shared tokens read again also take the place of others' work */
+#define TRIED_US 60000.0	/* another upstream is worth this much, another region less */
+#define FAILING_US 400000.0	/* a request that fails is sent again, if it may be */
+#define ASSUMED_CACHED 0.5	/* other instances send this prefix to its first upstream too */
+#define JITTER_US 2000.0	/* below this, waits are alike */
+#define KV_FULL 0.9		/* above this share, engines preempt */
+#define KV_FULL_US 1500000.0
+#define ROUND_TRIP_US 115000.0 /* between regions, until an answer has told */
+#define AWAY_MARGIN_US 60000.0 /* a region is left for a clear gain only */
+#define STAY_SHARE 0.7	       /* of the objective: shorter waits are not worth leaving for */
+#define TOLD_HALF_LIFE (1 * AP_SEC)
+
+ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config)
+{
+	ap_fleet_t *f = calloc(1, sizeof(*f));
+
+	if (!f)
+		return NULL;
+	f->config = *config;
+	ap_rng_seed(&f->rng, config->seed);
+	ap_fleet_data_centre(f, config->data_centre, config->region);
+	return f;
+}
+
+#define FREE_ALL(head, type)                                                                       \
+	do {                                                                                       \
+		type *item = (head);                                                               \
+		HASH_CLEAR(hh, head);                                                              \
+		while (item) {                                                                     \
+			type *following = item->hh.next;                                           \
+			free(item);                                                                \
+			item = following;                                                          \
+		}                                                                                  \
+	} while (0)
+
+void ap_fleet_free(ap_fleet_t *f)
+{
+	if (!f)
+		return;
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		ap_holder_clear(f, &r->cache);
+	for (ap_away_t *a = f->aways; a; a = a->hh.next)
+		ap_holder_clear(f, &a->cache);
+	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
+		free(m->loads);
+	FREE_ALL(f->replicas, ap_replica_t);
+	FREE_ALL(f->members, ap_member_state_t);
+	FREE_ALL(f->pools, ap_pool_state_t);
+	FREE_ALL(f->aways, ap_away_t);
+	FREE_ALL(f->places, ap_place_t);
+	free(f);
+}
+
+static bool is_named(const char (*names)[AP_NAME_MAX], size_t n, const char *id)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(names[i], id) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool ap_work_tried(const ap_work_t *work, const char *id)
+{
+	return is_named(work->tried, work->n_tried, id);
+}
+
+bool ap_work_avoids(const ap_work_t *work, const char *id)
+{
+	return is_named(work->avoid, work->n_avoid, id);
+}
+
+/* All parts but the last, which is the request's own. */
+static uint64_t shared_key(const ap_work_t *work)
+{
+	uint64_t key = 0;
+
+	for (size_t i = 0; i + 1 < work->n_parts; i++)
+		key = ap_hash(&work->parts[i].id, sizeof(work->parts[i].id), key);
+	return key;
+}
+
+static uint32_t shared_tokens(const ap_work_t *work)
+{
+	uint32_t tokens = 0;
+
+	for (size_t i = 0; i + 1 < work->n_parts; i++)
+		tokens += work->parts[i].tokens;
+	return tokens < work->tokens_in ? tokens : work->tokens_in;
+}
+
+typedef struct candidate {
+	ap_replica_t *replica;
+	uint32_t cached;
+	double wait;
+	double score;
+} candidate_t;
+
+static bool eligible(ap_fleet_t *f, ap_replica_t *r, const ap_work_t *work, ap_usec_t now)
+{
+	return strcmp(r->entry.pool, work->pool->name) == 0 &&
+	       strcmp(r->region, f->config.region) == 0 && ap_replica_usable(f, r, now) &&
+	       !ap_work_avoids(work, r->entry.id) &&
+	       (!ap_replica_cold(f, r, work->pool->warmup, now) || work->pool->warmup_rate <= 0 ||
+		ap_cold_allows(f, r, work->pool, now));
+}
+
+/* The upstream to which every instance sends this prefix when nothing speaks against it. */
+static const ap_replica_t *first_for(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
+{
+	uint64_t key = shared_key(work);
+	const ap_replica_t *first = NULL;
+	double best = 0;
+
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		double score;
+
+		if (strcmp(r->entry.pool, work->pool->name) != 0 ||
+		    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now))
+			continue;
+		score = ap_rendezvous(key, ap_hash_str(r->entry.id, 0), 1);
+		if (score > best) {
+			best = score;
+			first = r;
+		}
+	}
+	return first;
+}
+
+static void weigh(ap_fleet_t *f, const ap_work_t *work, bool first, ap_usec_t now, candidate_t *c)
+{
+	ap_replica_t *r = c->replica;
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+	uint32_t shared = shared_tokens(work);
+	double failing = ap_replica_failing(r, now);
+
+	c->cached = ap_holder_cached(f, &r->cache, work);
+	if (first && c->cached < shared)
+		c->cached = (uint32_t)(shared * ASSUMED_CACHED);
+	c->wait = ap_replica_wait_us(f, r, work, work->tokens_in - c->cached);
+	c->score =
+		c->wait * (1 + failing) + failing * FAILING_US + ap_rng_unit(&f->rng) * JITTER_US;
+	if (work->pool->kv_tokens) {
+		double kv = (double)(r->own.kv + r->others.kv) / work->pool->kv_tokens;
+
+		c->score += ap_replica_running(r) * (work->tokens_out + 1) * STEP_US_PER_TOKEN;
+		if (c->cached < shared && p)
+			c->score += REREAD_WEIGHT * (shared - c->cached) / p->prefill_per_us;
+		if (kv > KV_FULL)
+			c->score += (kv - KV_FULL) * KV_FULL_US;
+	}
+	if (ap_work_tried(work, r->entry.id))
+		c->score += TRIED_US;
+}
+
+static bool best_here(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, candidate_t *best)
+{
+	const ap_replica_t *first = work->n_parts > 1 ? first_for(f, work, now) : NULL;
+	bool found = false;
+	bool found_well = false;
+
+	if (!ap_plan_home(work->route, f->config.region))
+		return false;
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		candidate_t c = {.replica = r};
+		bool well;
+
+		if (!eligible(f, r, work, now))
+			continue;
+		well = ap_replica_well(r, now);
+		if (found_well && !well)
+			continue;
+		weigh(f, work, r == first, now, &c);
+		if (!found || (well && !found_well) || c.score < best->score)
+			*best = c;
+		found = true;
+		found_well = found_well || well;
+	}
+	return found;
+}
+
+typedef struct away_candidate {
+	const ap_member_t *member;
+	double wait;
+	uint32_t cached;
+} away_candidate_t;
+
+static uint32_t slots_in(const ap_fleet_t *f, const char *region, const ap_plan_pool_t *pool,
+			 ap_usec_t now)
+{
+	uint32_t slots = 0;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (strcmp(r->region, region) == 0 && strcmp(r->entry.pool, pool->name) == 0 &&
+		    ap_replica_usable(f, r, now))
+			slots += ap_replica_slots(r, pool);
+	}
+	return slots;
+}
+
+/* What the region told, fading, and what was sent there since. */
+static double away_wait_us(ap_fleet_t *f, const ap_away_t *away, const ap_work_t *work,
+			   uint32_t slots, uint32_t cached, ap_usec_t now)
+{
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+	double halves = (double)(now - away->told) / (double)TOLD_HALF_LIFE;
+	double wait = ROUND_TRIP_US + (double)away->wait * exp2(-fmax(halves, 0));
+
+	if (p && p->mean_us > 0)
+		wait += away->since * exp2(-fmax(halves, 0)) * p->mean_us / slots;
+	if (p && work->pool->kv_tokens)
+		wait += (work->tokens_in - cached) / p->prefill_per_us;
+	return wait;
+}
+
+static bool best_away(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, away_candidate_t *best)
+{
+	bool found = false;
+
+	for (const ap_place_t *place = f->places; place; place = place->hh.next) {
+		away_candidate_t c = {0};
+		uint32_t slots;
+		ap_away_t *away;
+
+		if (strcmp(place->region, f->config.region) == 0 ||
+		    !ap_plan_home(work->route, place->region))
+			continue;
+		slots = slots_in(f, place->region, work->pool, now);
+		away = ap_away(f, place->region, work->pool->name);
+		if (slots == 0 || !away || now < away->refused_until)
+			continue;
+		c.member = ap_member_of_region(f, place->region, work, now);
+		if (!c.member)
+			continue;
+		c.cached = ap_holder_cached(f, &away->cache, work);
+		c.wait = away_wait_us(f, away, work, slots, c.cached, now);
+		if (!found || c.wait < best->wait)
+			*best = c;
+		found = true;
+	}
+	return found;
+}
+
+static void fill_here(const candidate_t *c, ap_usec_t now, ap_target_t *target)
+{
+	const ap_replica_t *r = c->replica;
+
+	*target = (ap_target_t){
+		.port = r->entry.port,
+		.wait = (ap_usec_t)c->wait,
+		.cached = c->cached,
+		.known_for = now - r->seen,
+		.running = ap_replica_running(r),
+	};
+	ap_copy_name(target->id, sizeof(target->id), r->entry.id);
+	ap_copy_name(target->host, sizeof(target->host), r->entry.host);
+	ap_copy_name(target->region, sizeof(target->region), r->region);
+}
+
+static void fill_away(const away_candidate_t *c, ap_target_t *target)
+{
+	*target = (ap_target_t){
+		.remote = true,
+		.port = c->member->peer_port,
+		.wait = (ap_usec_t)c->wait,
+		.cached = c->cached,
+	};
+	ap_copy_name(target->id, sizeof(target->id), c->member->id);
+	ap_copy_name(target->host, sizeof(target->host), c->member->host);
+	ap_copy_name(target->region, sizeof(target->region), c->member->region);
+}
+
+ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now,
+				  ap_target_t *target)
+{
+	double left = (double)(work->deadline - now);
+	double enough = STAY_SHARE * (double)work->route->objective;
+	candidate_t here = {0};
+	away_candidate_t away = {0};
+	bool is_here = best_here(f, work, now, &here);
+	bool is_away = false;
+
+	if (!work->stay && (!is_here || here.wait > enough))
+		is_away = best_away(f, work, now, &away);
+	if (!is_here && !is_away)
+		return AP_FLEET_NONE;
+	if (is_here && (!is_away || here.wait <= away.wait + AWAY_MARGIN_US))
+		fill_here(&here, now, target);
+	else
+		fill_away(&away, target);
+	return (double)target->wait > left ? AP_FLEET_LATE : AP_FLEET_OK;
+}
--- /dev/null
+++ b/lib/fleet/fleet.h
@@ -0,0 +1,251 @@
+/*
+ * What an instance believes about upstreams and other instances, and where it sends a request:
+ * who may get new work, what each is expected to take, which prompt prefixes it has cached, and
+ * which other region is better. Pure decisions: records, time and ends of work come in.
+ */
+#ifndef AP_FLEET_H
+#define AP_FLEET_H
+
+#include "base/base.h"
+#include "plan/plan.h"
+
+#define AP_PARTS_MAX 16	 /* parts of a prompt that are looked at */
+#define AP_TRIED_MAX 6	 /* targets that one request remembers */
+#define AP_PRIORITIES 10 /* ranks that engines know, 0 is the most urgent */
+
+/**
+ * struct ap_replica_entry - an upstream as the platform lists it.
+ * @id: new at each start of the upstream
+ * @cold_left: how much longer it is cold
+ * @leaves_in: when it goes whatever it is running; AP_NEVER when not told
+ */
+typedef struct ap_replica_entry {
+	char id[AP_NAME_MAX];
+	char pool[AP_NAME_MAX];
+	char host[AP_HOST_MAX];
+	uint16_t port;
+	char data_centre[AP_NAME_MAX];
+	uint32_t slots;
+	bool draining;
+	ap_usec_t cold_left;
+	ap_usec_t leaves_in;
+} ap_replica_entry_t;
+
+/**
+ * struct ap_member - another instance as it entered itself.
+ * @peer_port: where it takes requests of other regions
+ * @cores: share of a core that it has
+ * @leaving: takes no new callers
+ */
+typedef struct ap_member {
+	char id[AP_NAME_MAX];
+	char region[AP_NAME_MAX];
+	char data_centre[AP_NAME_MAX];
+	char host[AP_HOST_MAX];
+	uint16_t caller_port;
+	uint16_t peer_port;
+	double cores;
+	bool leaving;
+} ap_member_t;
+
+/* One part of a prompt; requests that share all parts before it share its KV cache. */
+typedef struct ap_part {
+	uint64_t id;
+	uint32_t tokens;
+} ap_part_t;
+
+/**
+ * struct ap_work - what is known of a request that looks for an upstream.
+ * @stay: came from another region, so it is served or refused here
+ * @deadline: absolute time of the final answer
+ * @parts: of its prompt, in order; the last one is its own or its session's
+ * @tried: targets that failed it; they come last
+ * @avoid: targets that must not be asked again
+ */
+typedef struct ap_work {
+	const ap_plan_route_t *route;
+	const ap_plan_pool_t *pool;
+	bool stay;
+	ap_usec_t deadline;
+	uint32_t tokens_in;
+	uint32_t tokens_out;
+	ap_part_t parts[AP_PARTS_MAX];
+	size_t n_parts;
+	char tried[AP_TRIED_MAX][AP_NAME_MAX];
+	size_t n_tried;
+	char avoid[AP_TRIED_MAX][AP_NAME_MAX];
+	size_t n_avoid;
+} ap_work_t;
+
+/**
+ * struct ap_target - where a request goes.
+ * @remote: an instance of another region, not an upstream
+ * @wait: expected time to the first piece of the answer
+ * @cached: prompt tokens that are expected to be cached there
+ * @known_for: age of the record behind it
+ * @running: requests it is believed to work on
+ */
+typedef struct ap_target {
+	bool remote;
+	char id[AP_NAME_MAX];
+	char host[AP_HOST_MAX];
+	uint16_t port;
+	char region[AP_NAME_MAX];
+	ap_usec_t wait;
+	uint32_t cached;
+	ap_usec_t known_for;
+	uint32_t running;
+} ap_target_t;
+
+typedef enum ap_fleet_status {
+	AP_FLEET_OK,
+	AP_FLEET_NONE, /* nothing allowed is usable */
+	AP_FLEET_LATE, /* nothing allowed can answer in time */
+} ap_fleet_status_t;
+
+/* How work at a target ended. */
+typedef enum ap_work_end {
+	AP_WORK_DONE,	     /* whole answer */
+	AP_WORK_ERROR,	     /* whole answer that says it failed */
+	AP_WORK_REFUSED,     /* it said that it did not run */
+	AP_WORK_GONE,	     /* another upstream has the address */
+	AP_WORK_UNREACHABLE, /* no connection */
+	AP_WORK_BROKEN,	     /* short or bad answer, reset */
+	AP_WORK_SILENT,	     /* nothing came within a limit */
+	AP_WORK_CANCELLED,   /* the caller left; says nothing about the target */
+} ap_work_end_t;
+
+/**
+ * struct ap_ticket - work under way at a target; filled by ap_fleet_sent().
+ */
+typedef struct ap_ticket {
+	bool open;
+	bool remote;
+	bool trial;
+	char id[AP_NAME_MAX];
+	char pool[AP_NAME_MAX];
+	char region[AP_NAME_MAX];
+	unsigned priority;
+	bool first; /* its first piece has come */
+	bool alone; /* nothing else waited there when it was sent */
+	uint32_t prefill;
+	uint32_t kv;
+	ap_usec_t sent;
+	ap_usec_t expected;
+} ap_ticket_t;
+
+/**
+ * struct ap_fleet_config - made once at start.
+ * @id: own id, which is never a target
+ * @cold_over, @cold_slack: a cold upstream bears @cold_over times its rate and @cold_slack more
+ * @repeat_ratio, @repeat_slack, @repeat_window: all instances together may send this part of a
+ *                pool's requests, and @repeat_slack more, once more in any such window
+ * @entry_grace: how long an entry that lapsed with the store away may stay believed
+ */
+typedef struct ap_fleet_config {
+	char id[AP_NAME_MAX];
+	char region[AP_NAME_MAX];
+	char data_centre[AP_NAME_MAX];
+	double cold_over;
+	double cold_slack;
+	double repeat_ratio;
+	double repeat_slack;
+	ap_usec_t repeat_window;
+	ap_usec_t entry_grace;
+	uint64_t seed;
+} ap_fleet_config_t;
+
+typedef struct ap_fleet ap_fleet_t;
+
+ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config);
+void ap_fleet_free(ap_fleet_t *f);
+/** ap_fleet_data_centre() - in which region a data centre is; to be told before any entry. */
+void ap_fleet_data_centre(ap_fleet_t *f, const char *data_centre, const char *region);
+
+/* Beliefs: replica.c */
+void ap_fleet_entry(ap_fleet_t *f, const ap_replica_entry_t *entry, ap_usec_t now);
+/**
+ * ap_fleet_removed() - the entry of @id is gone.
+ * @unsure: it lapsed while the store was away, and may come back
+ */
+void ap_fleet_removed(ap_fleet_t *f, const char *id, bool unsure, ap_usec_t now);
+/**
+ * ap_fleet_list_begin() - a whole list of the store follows; ap_fleet_list_end() removes the
+ * upstreams, evacuations and instances that were not in it.
+ */
+void ap_fleet_list_begin(ap_fleet_t *f);
+void ap_fleet_list_end(ap_fleet_t *f, bool unsure, ap_usec_t now);
+/** ap_fleet_evacuate() - nothing more for the upstreams of @data_centre, until @off. */
+void ap_fleet_evacuate(ap_fleet_t *f, const char *data_centre, bool off, ap_usec_t now);
+/** ap_fleet_tick() - forgets what has lapsed; some times a second. */
+void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now);
+/** ap_fleet_woke() - the process stood still until @now: what it measured is void. */
+void ap_fleet_woke(ap_fleet_t *f, ap_usec_t now);
+
+/* Other instances: member.c */
+void ap_fleet_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now);
+void ap_fleet_member_removed(ap_fleet_t *f, const char *id, ap_usec_t now);
+/** ap_fleet_members() - live instances of @region, or of all regions when it is NULL. */
+size_t ap_fleet_members(const ap_fleet_t *f, const char *region);
+/**
+ * ap_fleet_directory() - instances that callers of @region should use.
+ * @out: pointers that are valid until the next change
+ *
+ * Return: how many were written, at most @max; other regions' only when @region has none.
+ */
+size_t ap_fleet_directory(const ap_fleet_t *f, const char *region, const ap_member_t **out,
+			  size_t max, ap_usec_t now);
+
+/* Work: choose.c and load.c */
+ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now,
+				  ap_target_t *target);
+/** ap_fleet_sent() - the work goes to @target now. */
+void ap_fleet_sent(ap_fleet_t *f, const ap_work_t *work, const ap_target_t *target, ap_usec_t now,
+		   ap_ticket_t *ticket);
+/** ap_fleet_first() - the first piece of the answer came. */
+void ap_fleet_first(ap_fleet_t *f, ap_ticket_t *ticket, ap_usec_t now);
+void ap_fleet_done(ap_fleet_t *f, ap_ticket_t *ticket, ap_work_end_t end, ap_usec_t now);
+/** ap_fleet_told() - another region said how long work for @pool waits there. */
+void ap_fleet_told(ap_fleet_t *f, const char *region, const char *pool, ap_usec_t wait,
+		   ap_usec_t now);
+/** ap_fleet_wait() - how long a request of this kind would wait at this region's upstreams. */
+ap_usec_t ap_fleet_wait(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now);
+
+/* Repetitions: budget.c */
+/** ap_fleet_request() - a caller's request for @pool has come to this instance. */
+void ap_fleet_request(ap_fleet_t *f, const char *pool, ap_usec_t now);
+/** ap_fleet_may_repeat() - takes one repetition from this instance's part of the budget. */
+bool ap_fleet_may_repeat(ap_fleet_t *f, const char *pool, ap_usec_t now);
+
+/**
+ * struct ap_peer_load - work of another instance of this region at one upstream.
+ */
+typedef struct ap_peer_load {
+	char replica[AP_NAME_MAX];
+	uint32_t running;
+	uint32_t prefill;
+	uint32_t kv;
+} ap_peer_load_t;
+
+/** ap_fleet_peer_load() - replaces what instance @from had told. */
+void ap_fleet_peer_load(ap_fleet_t *f, const char *from, const ap_peer_load_t *loads, size_t n,
+			ap_usec_t now);
+/** ap_fleet_own_load() - what to tell others. Return: how many were written. */
+size_t ap_fleet_own_load(const ap_fleet_t *f, ap_peer_load_t *out, size_t max);
+
+/**
+ * struct ap_fleet_stats - gauges for metrics.
+ */
+typedef struct ap_fleet_stats {
+	size_t replicas;
+	size_t usable;
+	size_t draining;
+	size_t cold;
+	size_t ejected;
+	size_t members;
+	size_t running;
+} ap_fleet_stats_t;
+
+ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now);
+
+#endif
--- /dev/null
+++ b/lib/fleet/health.c
@@ -0,0 +1,87 @@
+/* Failing upstreams get less work, then none for a while, and come back through one trial. */
+#include "fleet/private.h"
+
+#include <math.h>
+
+#define FAILURES_TO_EJECT 3
+#define FAILING_GAIN 0.15
+#define FAILING_HALF_LIFE (4 * AP_SEC)
+#define EJECT_BASE (500 * AP_MSEC)
+#define EJECT_DOUBLINGS_MAX 4
+
+double ap_replica_failing(const ap_replica_t *r, ap_usec_t now)
+{
+	double halves = (double)(now - r->failing_at) / (double)FAILING_HALF_LIFE;
+
+	return r->failing * exp2(-fmax(halves, 0));
+}
+
+static void note(ap_replica_t *r, double bad, ap_usec_t now)
+{
+	double failing = ap_replica_failing(r, now);
+
+	r->failing = failing + FAILING_GAIN * (bad - failing);
+	r->failing_at = now;
+}
+
+bool ap_replica_well(const ap_replica_t *r, ap_usec_t now)
+{
+	if (r->until == 0)
+		return true;
+	return now >= r->until && !r->trial;
+}
+
+static void eject(ap_replica_t *r, ap_usec_t now)
+{
+	unsigned doublings =
+		r->ejections < EJECT_DOUBLINGS_MAX ? r->ejections : EJECT_DOUBLINGS_MAX;
+
+	r->until = now + (EJECT_BASE << doublings);
+	r->ejections++;
+	r->failures = 0;
+}
+
+static void failed(ap_replica_t *r, bool at_once, ap_usec_t now)
+{
+	note(r, 1, now);
+	r->failures++;
+	/* Work that was sent before it was ejected says nothing new. */
+	if (now < r->until)
+		return;
+	if (at_once || r->until != 0 || r->failures >= FAILURES_TO_EJECT)
+		eject(r, now);
+}
+
+void ap_replica_ended(ap_replica_t *r, ap_work_end_t end, bool trial, ap_usec_t now)
+{
+	if (trial)
+		r->trial = false;
+	switch (end) {
+	case AP_WORK_DONE:
+		note(r, 0, now);
+		r->failures = 0;
+		if (now >= r->until) {
+			r->until = 0;
+			r->ejections = 0;
+		}
+		break;
+	case AP_WORK_GONE:
+		r->gone = true;
+		break;
+	case AP_WORK_UNREACHABLE:
+		failed(r, true, now);
+		break;
+	case AP_WORK_ERROR:
+		note(r, 1, now);
+		break;
+	case AP_WORK_BROKEN:
+	case AP_WORK_SILENT:
+		failed(r, false, now);
+		break;
+	case AP_WORK_REFUSED:
+		note(r, 1, now);
+		break;
+	case AP_WORK_CANCELLED:
+		break;
+	}
+}
--- /dev/null
+++ b/lib/fleet/load.c
@@ -0,0 +1,331 @@
+/* Load of upstreams and how long work waits there; rates are learned from answers. */
+#include "fleet/private.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PREFILL_START 0.03 /* tokens in a microsecond, until one is measured */
+#define PREFILL_MIN 0.002
+#define PREFILL_MAX 1.0
+#define PREFILL_SAMPLE_MIN 1000 /* shorter prompts tell more of the rest than of reading */
+#define FIRST_STEP_US 20000.0	/* of an engine's time to the first token, not spent reading */
+#define MEAN_START_PLAIN_US 30000.0
+#define MEAN_START_ENGINE_US 800000.0
+#define LEARN 0.05
+#define SLOW_GAIN 0.08
+#define SLOW_MIN 0.5
+#define SLOW_MAX 8.0
+#define SLOW_BASE_US 30000.0	     /* below this, waits tell nothing of a slow upstream */
+#define LOADS_FRESH (1500 * AP_MSEC) /* some rounds of what instances tell each other */
+
+ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool)
+{
+	ap_pool_state_t *p;
+
+	HASH_FIND_STR(f->pools, pool, p);
+	if (p)
+		return p;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		return NULL;
+	ap_copy_name(p->name, sizeof(p->name), pool);
+	p->prefill_per_us = PREFILL_START;
+	HASH_ADD_STR(f->pools, name, p);
+	return p;
+}
+
+ap_away_t *ap_away(ap_fleet_t *f, const char *region, const char *pool)
+{
+	char key[2 * AP_NAME_MAX];
+	ap_away_t *away;
+
+	snprintf(key, sizeof(key), "%s %s", region, pool);
+	HASH_FIND_STR(f->aways, key, away);
+	if (away)
+		return away;
+	away = calloc(1, sizeof(*away));
+	if (!away)
+		return NULL;
+	ap_copy_name(away->key, sizeof(away->key), key);
+	ap_holder_init(&away->cache);
+	HASH_ADD_STR(f->aways, key, away);
+	return away;
+}
+
+uint32_t ap_replica_running(const ap_replica_t *r)
+{
+	return r->own.running + r->others.running;
+}
+
+uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool)
+{
+	uint32_t slots = r->entry.slots ? r->entry.slots : pool->slots;
+
+	return slots ? slots : 1;
+}
+
+static double mean_us(const ap_pool_state_t *p, const ap_plan_pool_t *pool)
+{
+	if (p && p->mean_us > 0)
+		return p->mean_us;
+	return pool->kv_tokens ? MEAN_START_ENGINE_US : MEAN_START_PLAIN_US;
+}
+
+double ap_replica_wait_us(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work,
+			  uint32_t uncached)
+{
+	const ap_plan_pool_t *pool = work->pool;
+	const ap_pool_state_t *p = ap_pool_state(f, pool->name);
+	uint32_t slots = ap_replica_slots(r, pool);
+	uint32_t running = ap_replica_running(r);
+	double rate = p ? p->prefill_per_us : PREFILL_START;
+	double wait = 0;
+
+	if (running >= slots)
+		wait = (running - slots + 1) * mean_us(p, pool) / slots;
+	if (pool->kv_tokens) {
+		double ahead = uncached + r->others.prefill[0];
+
+		for (unsigned i = 0; i <= work->route->priority && i < AP_PRIORITIES; i++)
+			ahead += r->own.prefill[i];
+		wait += FIRST_STEP_US + ahead / rate;
+	} else {
+		wait += mean_us(p, pool);
+	}
+	return wait * r->slow;
+}
+
+ap_usec_t ap_fleet_wait(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
+{
+	double best = -1;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		double wait;
+
+		if (strcmp(r->entry.pool, work->pool->name) != 0 ||
+		    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now) ||
+		    !ap_replica_well(r, now) || ap_replica_cold(f, r, work->pool->warmup, now))
+			continue;
+		wait = ap_replica_wait_us(f, r, work, 0);
+		if (best < 0 || wait < best)
+			best = wait;
+	}
+	return best < 0 ? AP_NEVER : (ap_usec_t)best;
+}
+
+static void add_told(ap_fleet_t *f, const ap_member_state_t *m)
+{
+	for (size_t i = 0; i < m->n_loads; i++) {
+		ap_replica_t *r = ap_replica_find(f, m->loads[i].replica);
+
+		if (!r)
+			continue;
+		r->others.running += m->loads[i].running;
+		r->others.prefill[0] += m->loads[i].prefill;
+		r->others.kv += m->loads[i].kv;
+	}
+}
+
+/* Instances that told nothing lately are taken to do as much as this one. */
+static void add_silent(ap_fleet_t *f, uint32_t silent)
+{
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		uint32_t prefill = 0;
+
+		for (unsigned i = 0; i < AP_PRIORITIES; i++)
+			prefill += r->own.prefill[i];
+		r->others.running += silent * r->own.running;
+		r->others.prefill[0] += silent * prefill;
+		r->others.kv += silent * r->own.kv;
+	}
+}
+
+void ap_load_recount(ap_fleet_t *f, ap_usec_t now)
+{
+	uint32_t silent = 0;
+
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		r->others = (ap_load_t){0};
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (!ap_member_live(m, now) || strcmp(m->member.region, f->config.region) != 0 ||
+		    strcmp(m->member.id, f->config.id) == 0)
+			continue;
+		if (m->loads_at > 0 && now - m->loads_at < LOADS_FRESH)
+			add_told(f, m);
+		else
+			silent++;
+	}
+	if (silent > 0)
+		add_silent(f, silent);
+}
+
+void ap_fleet_peer_load(ap_fleet_t *f, const char *from, const ap_peer_load_t *loads, size_t n,
+			ap_usec_t now)
+{
+	ap_member_state_t *m = ap_member_find(f, from);
+	ap_peer_load_t *copy;
+
+	if (!m)
+		return;
+	copy = calloc(n ? n : 1, sizeof(*copy));
+	if (!copy)
+		return;
+	for (size_t i = 0; i < n; i++)
+		copy[i] = loads[i];
+	free(m->loads);
+	m->loads = copy;
+	m->n_loads = n;
+	m->loads_at = now;
+	ap_load_recount(f, now);
+}
+
+size_t ap_fleet_own_load(const ap_fleet_t *f, ap_peer_load_t *out, size_t max)
+{
+	size_t n = 0;
+
+	for (const ap_replica_t *r = f->replicas; r && n < max; r = r->hh.next) {
+		if (r->own.running == 0)
+			continue;
+		out[n] = (ap_peer_load_t){.running = r->own.running, .kv = r->own.kv};
+		for (unsigned i = 0; i < AP_PRIORITIES; i++)
+			out[n].prefill += r->own.prefill[i];
+		ap_copy_name(out[n].replica, sizeof(out[n].replica), r->entry.id);
+		n++;
+	}
+	return n;
+}
+
+static void sent_away(ap_fleet_t *f, const ap_work_t *work, const ap_target_t *target)
+{
+	ap_away_t *away = ap_away(f, target->region, work->pool->name);
+
+	if (!away)
+		return;
+	away->since++;
+	/* As much as one upstream holds is remembered of a whole region: enough to go there again.
+	 */
+	ap_holder_add(f, &away->cache, work, work->pool->kv_tokens);
+}
+
+void ap_fleet_sent(ap_fleet_t *f, const ap_work_t *work, const ap_target_t *target, ap_usec_t now,
+		   ap_ticket_t *ticket)
+{
+	ap_replica_t *r = target->remote ? NULL : ap_replica_find(f, target->id);
+	unsigned priority = work->route->priority;
+
+	*ticket = (ap_ticket_t){
+		.open = true,
+		.remote = target->remote,
+		.priority = priority < AP_PRIORITIES ? priority : AP_PRIORITIES - 1,
+		.prefill = work->tokens_in - target->cached,
+		.kv = work->tokens_in + work->tokens_out,
+		.sent = now,
+		.expected = target->wait,
+	};
+	ap_copy_name(ticket->id, sizeof(ticket->id), target->id);
+	ap_copy_name(ticket->pool, sizeof(ticket->pool), work->pool->name);
+	ap_copy_name(ticket->region, sizeof(ticket->region), target->region);
+	if (target->remote)
+		sent_away(f, work, target);
+	if (!r)
+		return;
+	ticket->alone = ap_replica_running(r) == 0;
+	ticket->trial = r->until != 0;
+	r->trial = r->trial || ticket->trial;
+	if (ap_replica_cold(f, r, work->pool->warmup, now))
+		ap_cold_sent(r);
+	r->own.running++;
+	r->own.prefill[ticket->priority] += ticket->prefill;
+	r->own.kv += ticket->kv;
+	ap_holder_add(f, &r->cache, work, work->pool->kv_tokens);
+}
+
+static void learn_prefill(ap_fleet_t *f, const ap_ticket_t *ticket, ap_usec_t now)
+{
+	ap_pool_state_t *p = ap_pool_state(f, ticket->pool);
+	double spent = (double)(now - ticket->sent) - FIRST_STEP_US;
+	double rate;
+
+	if (!p || !ticket->alone || ticket->prefill < PREFILL_SAMPLE_MIN || spent <= 0)
+		return;
+	rate = fmin(fmax(ticket->prefill / spent, PREFILL_MIN), PREFILL_MAX);
+	p->prefill_per_us += LEARN * (rate - p->prefill_per_us);
+}
+
+static void learn_slow(ap_replica_t *r, const ap_ticket_t *ticket, ap_usec_t now)
+{
+	double seen = (double)(now - ticket->sent) + SLOW_BASE_US;
+	double expected = (double)ticket->expected + SLOW_BASE_US;
+	double ratio = fmin(fmax(seen / expected, 0.2), 5.0);
+
+	r->slow = fmin(fmax(r->slow * pow(ratio, SLOW_GAIN), SLOW_MIN), SLOW_MAX);
+}
+
+void ap_fleet_first(ap_fleet_t *f, ap_ticket_t *ticket, ap_usec_t now)
+{
+	ap_replica_t *r;
+
+	if (!ticket->open || ticket->first)
+		return;
+	ticket->first = true;
+	r = ticket->remote ? NULL : ap_replica_find(f, ticket->id);
+	if (!r)
+		return;
+	r->own.prefill[ticket->priority] -= ticket->prefill;
+	learn_prefill(f, ticket, now);
+	learn_slow(r, ticket, now);
+}
+
+static void done_here(ap_fleet_t *f, ap_replica_t *r, const ap_ticket_t *ticket, ap_work_end_t end,
+		      ap_usec_t now)
+{
+	ap_pool_state_t *p = ap_pool_state(f, ticket->pool);
+	double took = (double)(now - ticket->sent);
+
+	r->own.running--;
+	r->own.kv -= ticket->kv;
+	if (!ticket->first)
+		r->own.prefill[ticket->priority] -= ticket->prefill;
+	if (p && end == AP_WORK_DONE)
+		p->mean_us = p->mean_us > 0 ? p->mean_us + LEARN * (took - p->mean_us) : took;
+	ap_replica_ended(r, end, ticket->trial, now);
+}
+
+static void done_away(ap_fleet_t *f, const ap_ticket_t *ticket, ap_work_end_t end, ap_usec_t now)
+{
+	ap_member_state_t *m = ap_member_find(f, ticket->id);
+	ap_away_t *away = ap_away(f, ticket->region, ticket->pool);
+
+	if (end == AP_WORK_REFUSED && away)
+		away->refused_until = now + AP_SEC / 2;
+	if (m && (end == AP_WORK_UNREACHABLE || end == AP_WORK_SILENT || end == AP_WORK_BROKEN))
+		m->suspect_until = now + AP_SEC;
+}
+
+void ap_fleet_done(ap_fleet_t *f, ap_ticket_t *ticket, ap_work_end_t end, ap_usec_t now)
+{
+	ap_replica_t *r;
+
+	if (!ticket->open)
+		return;
+	ticket->open = false;
+	r = ticket->remote ? NULL : ap_replica_find(f, ticket->id);
+	if (ticket->remote)
+		done_away(f, ticket, end, now);
+	else if (r)
+		done_here(f, r, ticket, end, now);
+}
+
+void ap_fleet_told(ap_fleet_t *f, const char *region, const char *pool, ap_usec_t wait,
+		   ap_usec_t now)
+{
+	ap_away_t *away = ap_away(f, region, pool);
+
+	if (!away)
+		return;
+	away->wait = wait;
+	away->told = now;
+	away->since = 0;
+}
--- /dev/null
+++ b/lib/fleet/prefix.c
@@ -0,0 +1,108 @@
+/* Which parts of prompts each upstream is believed to have cached: least recently used yield. */
+#include "fleet/private.h"
+
+#include <stdlib.h>
+
+void ap_holder_init(ap_holder_t *h)
+{
+	TAILQ_INIT(&h->holdings);
+	h->tokens = 0;
+}
+
+static ap_cached_part_t *part_of(const ap_fleet_t *f, uint64_t id)
+{
+	ap_cached_part_t *part;
+
+	HASH_FIND(hh, f->parts, &id, sizeof(id), part);
+	return part;
+}
+
+static ap_holding_t *holding_of(const ap_fleet_t *f, const ap_holder_t *h, uint64_t id)
+{
+	ap_cached_part_t *part = part_of(f, id);
+	ap_holding_t *holding;
+
+	if (!part)
+		return NULL;
+	LIST_FOREACH (holding, &part->holdings, by_part) {
+		if (holding->holder == h)
+			return holding;
+	}
+	return NULL;
+}
+
+static void drop(ap_fleet_t *f, ap_holding_t *holding)
+{
+	ap_cached_part_t *part = holding->part;
+
+	holding->holder->tokens -= holding->tokens;
+	TAILQ_REMOVE(&holding->holder->holdings, holding, by_age);
+	LIST_REMOVE(holding, by_part);
+	free(holding);
+	if (LIST_EMPTY(&part->holdings)) {
+		HASH_DEL(f->parts, part);
+		free(part);
+	}
+}
+
+void ap_holder_clear(ap_fleet_t *f, ap_holder_t *h)
+{
+	ap_holding_t *holding;
+
+	while ((holding = TAILQ_FIRST(&h->holdings)) != NULL)
+		drop(f, holding);
+}
+
+uint32_t ap_holder_cached(const ap_fleet_t *f, const ap_holder_t *h, const ap_work_t *work)
+{
+	uint32_t tokens = 0;
+
+	for (size_t i = 0; i < work->n_parts; i++) {
+		if (!holding_of(f, h, work->parts[i].id))
+			break;
+		tokens += work->parts[i].tokens;
+	}
+	return tokens < work->tokens_in ? tokens : work->tokens_in;
+}
+
+static void add_part(ap_fleet_t *f, ap_holder_t *h, const ap_part_t *p)
+{
+	ap_holding_t *holding = holding_of(f, h, p->id);
+	ap_cached_part_t *part;
+
+	if (holding) {
+		TAILQ_REMOVE(&h->holdings, holding, by_age);
+		TAILQ_INSERT_HEAD(&h->holdings, holding, by_age);
+		return;
+	}
+	part = part_of(f, p->id);
+	if (!part) {
+		part = calloc(1, sizeof(*part));
+		if (!part)
+			return;
+		part->id = p->id;
+		LIST_INIT(&part->holdings);
+		HASH_ADD(hh, f->parts, id, sizeof(part->id), part);
+	}
+	holding = calloc(1, sizeof(*holding));
+	if (!holding) {
+		if (LIST_EMPTY(&part->holdings)) {
+			HASH_DEL(f->parts, part);
+			free(part);
+		}
+		return;
+	}
+	*holding = (ap_holding_t){.holder = h, .part = part, .tokens = p->tokens};
+	TAILQ_INSERT_HEAD(&h->holdings, holding, by_age);
+	LIST_INSERT_HEAD(&part->holdings, holding, by_part);
+	h->tokens += p->tokens;
+}
+
+void ap_holder_add(ap_fleet_t *f, ap_holder_t *h, const ap_work_t *work, uint64_t capacity)
+{
+	/* From the last part on, so that the shared ones in front are the youngest. */
+	for (size_t i = work->n_parts; i > 0; i--)
+		add_part(f, h, &work->parts[i - 1]);
+	while (h->tokens > capacity && !TAILQ_EMPTY(&h->holdings))
+		drop(f, TAILQ_LAST(&h->holdings, ap_holding_list));
+}
--- /dev/null
+++ b/lib/fleet/private.h
@@ -0,0 +1,189 @@
+/* State of the fleet, private to this package. */
+#ifndef AP_FLEET_PRIVATE_H
+#define AP_FLEET_PRIVATE_H
+
+#include "fleet/fleet.h"
+
+#include <sys/queue.h>
+
+#define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
+#include <uthash.h>
+
+typedef struct ap_holder ap_holder_t;
+typedef struct ap_cached_part ap_cached_part_t;
+
+/* One part of prompts that a holder is believed to have cached. */
+typedef struct ap_holding {
+	TAILQ_ENTRY(ap_holding) by_age;
+	LIST_ENTRY(ap_holding) by_part;
+	ap_holder_t *holder;
+	ap_cached_part_t *part;
+	uint32_t tokens;
+} ap_holding_t;
+
+struct ap_cached_part {
+	UT_hash_handle hh;
+	uint64_t id;
+	LIST_HEAD(, ap_holding) holdings;
+};
+
+/**
+ * struct ap_holder - KV cache of an upstream, or of another region as a whole.
+ * @tokens: sum over @holdings, the most recently used first
+ */
+struct ap_holder {
+	TAILQ_HEAD(ap_holding_list, ap_holding) holdings;
+	uint64_t tokens;
+};
+
+/* Work at an upstream, by whoever sent it. */
+typedef struct ap_load {
+	uint32_t running;
+	uint32_t prefill[AP_PRIORITIES];
+	uint32_t kv;
+} ap_load_t;
+
+/**
+ * struct ap_replica - an upstream.
+ * @seen: when its entry came last
+ * @lapses: when a missing entry is taken to be gone; AP_NEVER while it is listed
+ * @listed: in the list that is being read
+ * @others: sum of what instances of this region told
+ * @failing: share of recent work that failed, aged
+ * @failures: in a row
+ * @until: ejected until then
+ * @trial: one request is finding out whether it is well again
+ * @cold_tokens: requests that may be sent to it while it is cold
+ */
+typedef struct ap_replica {
+	UT_hash_handle hh;
+	ap_replica_entry_t entry;
+	char region[AP_NAME_MAX];
+	ap_usec_t seen;
+	ap_usec_t lapses;
+	ap_usec_t leaves;
+	bool listed;
+	bool gone;
+	ap_usec_t cold_until;
+	double cold_tokens;
+	ap_usec_t cold_at;
+	ap_load_t own;
+	ap_load_t others;
+	double failing;
+	ap_usec_t failing_at;
+	unsigned failures;
+	unsigned ejections;
+	ap_usec_t until;
+	bool trial;
+	double slow;
+	ap_holder_t cache;
+} ap_replica_t;
+
+typedef struct ap_member_state {
+	UT_hash_handle hh;
+	ap_member_t member;
+	bool removed;
+	bool listed;
+	ap_usec_t lapses;
+	ap_usec_t suspect_until;
+	ap_peer_load_t *loads;
+	size_t n_loads;
+	ap_usec_t loads_at;
+} ap_member_state_t;
+
+#define BUDGET_STEPS 10 /* parts of a window that are counted apart */
+
+/* Requests and repetitions of the last window, by part of it. */
+typedef struct ap_budget {
+	uint32_t requests[BUDGET_STEPS];
+	uint32_t repeats[BUDGET_STEPS];
+	int64_t step; /* the present one, counted since time 0 */
+} ap_budget_t;
+
+/* What is known of one pool: learned rates, and what was repeated. */
+typedef struct ap_pool_state {
+	UT_hash_handle hh;
+	char name[AP_NAME_MAX];
+	double prefill_per_us; /* prompt tokens read in a microsecond */
+	double mean_us;	       /* time of one request at an upstream */
+	ap_budget_t budget;
+} ap_pool_state_t;
+
+/* What is known of one pool in another region. */
+typedef struct ap_away {
+	UT_hash_handle hh;
+	char key[2 * AP_NAME_MAX];
+	ap_usec_t wait;
+	ap_usec_t told;
+	uint32_t since; /* requests sent there since */
+	ap_usec_t refused_until;
+	ap_holder_t cache;
+} ap_away_t;
+
+typedef struct ap_place {
+	UT_hash_handle hh;
+	char data_centre[AP_NAME_MAX];
+	char region[AP_NAME_MAX];
+	bool evacuated;
+	bool listed;
+	ap_usec_t back_at; /* when its evacuation ended; 0 for never */
+} ap_place_t;
+
+struct ap_fleet {
+	ap_fleet_config_t config;
+	ap_rng_t rng;
+	size_t most_members; /* live instances that were known at once, own one included */
+	ap_replica_t *replicas;
+	ap_member_state_t *members;
+	ap_pool_state_t *pools;
+	ap_away_t *aways;
+	ap_place_t *places;
+	ap_cached_part_t *parts;
+};
+
+/* replica.c */
+ap_replica_t *ap_replica_find(const ap_fleet_t *f, const char *id);
+/* Is @r in a state in which it may get new work? */
+bool ap_replica_usable(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+bool ap_replica_evacuated(const ap_fleet_t *f, const ap_replica_t *r);
+/* Does @r bear few requests only? @warmup is how long that lasts. */
+bool ap_replica_cold(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t warmup, ap_usec_t now);
+const char *ap_place_region(const ap_fleet_t *f, const char *data_centre);
+
+/* cold.c: the one instance that may send to a cold upstream, at a bounded rate */
+bool ap_cold_allows(ap_fleet_t *f, ap_replica_t *r, const ap_plan_pool_t *pool, ap_usec_t now);
+void ap_cold_sent(ap_replica_t *r);
+
+/* health.c */
+bool ap_replica_well(const ap_replica_t *r, ap_usec_t now);
+double ap_replica_failing(const ap_replica_t *r, ap_usec_t now);
+void ap_replica_ended(ap_replica_t *r, ap_work_end_t end, bool trial, ap_usec_t now);
+
+/* prefix.c */
+void ap_holder_init(ap_holder_t *h);
+void ap_holder_clear(ap_fleet_t *f, ap_holder_t *h);
+/* Tokens of @work's prompt that @h has cached. */
+uint32_t ap_holder_cached(const ap_fleet_t *f, const ap_holder_t *h, const ap_work_t *work);
+void ap_holder_add(ap_fleet_t *f, ap_holder_t *h, const ap_work_t *work, uint64_t capacity);
+
+/* member.c */
+bool ap_member_live(const ap_member_state_t *m, ap_usec_t now);
+ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id);
+/* A live instance of @region that is not suspected and not in @work's avoid list, or NULL. */
+const ap_member_t *ap_member_of_region(ap_fleet_t *f, const char *region, const ap_work_t *work,
+				       ap_usec_t now);
+
+/* load.c */
+ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool);
+ap_away_t *ap_away(ap_fleet_t *f, const char *region, const char *pool);
+void ap_load_recount(ap_fleet_t *f, ap_usec_t now);
+/* Expected time to the first piece of @work at @r, of which @uncached prompt tokens are read. */
+double ap_replica_wait_us(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work,
+			  uint32_t uncached);
+uint32_t ap_replica_running(const ap_replica_t *r);
+uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool);
+
+bool ap_work_tried(const ap_work_t *work, const char *id);
+bool ap_work_avoids(const ap_work_t *work, const char *id);
+
+#endif
--- /dev/null
+++ b/lib/fleet/replica.c
@@ -0,0 +1,213 @@
+/* Beliefs about upstreams: listed, draining, lapsed, evacuated, cold. */
+#include "fleet/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ENTRY_DELAY (1500 * AP_MSEC) /* an entry that comes this much later was written since */
+#define LEAVE_MARGIN (300 * AP_MSEC) /* a short answer still fits before an announced end */
+
+ap_replica_t *ap_replica_find(const ap_fleet_t *f, const char *id)
+{
+	ap_replica_t *r;
+
+	HASH_FIND_STR(f->replicas, id, r);
+	return r;
+}
+
+static ap_place_t *place_of(ap_fleet_t *f, const char *data_centre)
+{
+	ap_place_t *place;
+
+	HASH_FIND_STR(f->places, data_centre, place);
+	if (place)
+		return place;
+	place = calloc(1, sizeof(*place));
+	if (!place)
+		return NULL;
+	ap_copy_name(place->data_centre, sizeof(place->data_centre), data_centre);
+	HASH_ADD_STR(f->places, data_centre, place);
+	return place;
+}
+
+void ap_fleet_data_centre(ap_fleet_t *f, const char *data_centre, const char *region)
+{
+	ap_place_t *place = place_of(f, data_centre);
+
+	if (place)
+		ap_copy_name(place->region, sizeof(place->region), region);
+}
+
+const char *ap_place_region(const ap_fleet_t *f, const char *data_centre)
+{
+	const ap_place_t *place;
+
+	HASH_FIND_STR(f->places, data_centre, place);
+	return place ? place->region : "";
+}
+
+bool ap_replica_evacuated(const ap_fleet_t *f, const ap_replica_t *r)
+{
+	const ap_place_t *place;
+
+	HASH_FIND_STR(f->places, r->entry.data_centre, place);
+	return place && place->evacuated;
+}
+
+bool ap_replica_cold(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t warmup, ap_usec_t now)
+{
+	const ap_place_t *place;
+
+	if (now < r->cold_until)
+		return true;
+	HASH_FIND_STR(f->places, r->entry.data_centre, place);
+	if (!place || place->back_at == 0 || now >= place->back_at + warmup)
+		return false;
+	/* Upstreams that got nothing for a while are cold, until a later entry says otherwise. */
+	return r->seen < place->back_at + ENTRY_DELAY;
+}
+
+bool ap_replica_usable(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
+{
+	return !r->gone && !r->entry.draining && now < r->lapses && !ap_replica_evacuated(f, r) &&
+	       (r->leaves == AP_NEVER || now + LEAVE_MARGIN < r->leaves);
+}
+
+static ap_replica_t *add(ap_fleet_t *f, const ap_replica_entry_t *entry)
+{
+	ap_replica_t *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->entry = *entry;
+	r->slow = 1;
+	r->leaves = AP_NEVER;
+	ap_holder_init(&r->cache);
+	ap_copy_name(r->region, sizeof(r->region), ap_place_region(f, entry->data_centre));
+	HASH_ADD(hh, f->replicas, entry.id, strlen(r->entry.id), r);
+	return r;
+}
+
+void ap_fleet_entry(ap_fleet_t *f, const ap_replica_entry_t *entry, ap_usec_t now)
+{
+	ap_replica_t *r = ap_replica_find(f, entry->id);
+
+	if (!r)
+		r = add(f, entry);
+	if (!r)
+		return;
+	r->entry = *entry;
+	r->seen = now;
+	r->lapses = AP_NEVER;
+	r->listed = true;
+	if (entry->cold_left > 0 && now + entry->cold_left > r->cold_until)
+		r->cold_until = now + entry->cold_left;
+	/* Entries come late: the first word on its end is the nearest to the truth. */
+	if (entry->leaves_in != AP_NEVER && r->leaves == AP_NEVER)
+		r->leaves = now + entry->leaves_in;
+}
+
+static void drop(ap_fleet_t *f, ap_replica_t *r)
+{
+	HASH_DEL(f->replicas, r);
+	ap_holder_clear(f, &r->cache);
+	free(r);
+}
+
+void ap_fleet_removed(ap_fleet_t *f, const char *id, bool unsure, ap_usec_t now)
+{
+	ap_replica_t *r = ap_replica_find(f, id);
+
+	if (!r)
+		return;
+	/* One that was draining has left; a lapsed one may only have lost the store. */
+	if (!unsure || r->entry.draining)
+		drop(f, r);
+	else if (r->lapses == AP_NEVER)
+		r->lapses = now + f->config.entry_grace;
+}
+
+void ap_fleet_list_begin(ap_fleet_t *f)
+{
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		r->listed = false;
+	for (ap_place_t *p = f->places; p; p = p->hh.next)
+		p->listed = false;
+	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
+		m->listed = false;
+}
+
+void ap_fleet_list_end(ap_fleet_t *f, bool unsure, ap_usec_t now)
+{
+	ap_replica_t *next;
+	ap_replica_t *r;
+
+	HASH_ITER (hh, f->replicas, r, next) {
+		if (!r->listed)
+			ap_fleet_removed(f, r->entry.id, unsure, now);
+	}
+	for (ap_place_t *p = f->places; p; p = p->hh.next) {
+		if (!p->listed && p->evacuated)
+			ap_fleet_evacuate(f, p->data_centre, true, now);
+	}
+	for (ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (!m->listed)
+			ap_fleet_member_removed(f, m->member.id, now);
+	}
+}
+
+void ap_fleet_evacuate(ap_fleet_t *f, const char *data_centre, bool off, ap_usec_t now)
+{
+	ap_place_t *place = place_of(f, data_centre);
+
+	if (!place)
+		return;
+	if (place->evacuated && off)
+		place->back_at = now;
+	place->evacuated = !off;
+	place->listed = true;
+}
+
+void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_replica_t *next;
+	ap_replica_t *r;
+	ap_member_state_t *m;
+
+	HASH_ITER (hh, f->replicas, r, next) {
+		if (now >= r->lapses)
+			drop(f, r);
+	}
+	for (m = f->members; m; m = m->hh.next) {
+		if (m->removed && now >= m->lapses && m->n_loads > 0) {
+			free(m->loads);
+			m->loads = NULL;
+			m->n_loads = 0;
+		}
+	}
+	ap_load_recount(f, now);
+}
+
+void ap_fleet_woke(ap_fleet_t *f, ap_usec_t now)
+{
+	(void)now;
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		r->failures = 0;
+		r->until = 0;
+	}
+}
+
+ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now)
+{
+	ap_fleet_stats_t stats = {.members = ap_fleet_members(f, NULL)};
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		stats.replicas++;
+		stats.usable += ap_replica_usable(f, r, now);
+		stats.draining += r->entry.draining;
+		stats.cold += now < r->cold_until;
+		stats.ejected += now < r->until;
+		stats.running += r->own.running;
+	}
+	return stats;
+}
--- /dev/null
+++ b/lib/follow/enrol.c
@@ -0,0 +1,152 @@
+/* An instance's own key in the store, kept by a lease that is made again when it has ended. */
+#include "follow/follow.h"
+
+#include <stdlib.h>
+
+#define RENEWALS 3 /* in the life of a lease, so that one or two may be lost */
+#define RETRY (250 * AP_MSEC)
+#define REFUSED_RETRY (500 * AP_MSEC)
+
+typedef enum step {
+	STEP_LEASE,
+	STEP_PUT,
+	STEP_KEEP,
+	STEP_END,
+	STEP_OVER,
+} step_t;
+
+struct ap_enrol {
+	ap_enrol_config_t config;
+	step_t step;
+	bool calling;
+	bool dirty; /* the key must be written again */
+	bool leaving;
+	uint64_t lease;
+	uint64_t revision;
+	ap_usec_t due;
+};
+
+ap_enrol_t *ap_enrol_new(const ap_enrol_config_t *config, ap_usec_t now)
+{
+	ap_enrol_t *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		return NULL;
+	e->config = *config;
+	e->due = now;
+	return e;
+}
+
+void ap_enrol_free(ap_enrol_t *e)
+{
+	free(e);
+}
+
+void ap_enrol_tick(ap_enrol_t *e, ap_usec_t now)
+{
+	if (e->calling || now < e->due || e->step == STEP_OVER)
+		return;
+	if (e->leaving)
+		e->step = e->lease ? STEP_END : STEP_OVER;
+	e->calling = e->step != STEP_OVER;
+	switch (e->step) {
+	case STEP_LEASE:
+		e->config.lease(e->config.ctx, e->config.ttl);
+		break;
+	case STEP_PUT:
+		e->dirty = false;
+		e->config.put(e->config.ctx, e->lease, e->revision);
+		break;
+	case STEP_KEEP:
+		e->config.keep(e->config.ctx, e->lease);
+		break;
+	case STEP_END:
+		e->config.end(e->config.ctx, e->lease);
+		break;
+	case STEP_OVER:
+		break;
+	}
+}
+
+ap_usec_t ap_enrol_due(const ap_enrol_t *e)
+{
+	return e->calling || e->step == STEP_OVER ? AP_NEVER : e->due;
+}
+
+static void next(ap_enrol_t *e, step_t step, ap_usec_t due)
+{
+	e->step = step;
+	e->due = due;
+}
+
+static void succeeded(ap_enrol_t *e, uint64_t number, ap_usec_t now)
+{
+	switch (e->step) {
+	case STEP_LEASE:
+		e->lease = number;
+		next(e, STEP_PUT, now);
+		break;
+	case STEP_PUT:
+		e->revision = number;
+		next(e, STEP_KEEP, now + e->config.ttl / RENEWALS);
+		break;
+	case STEP_KEEP:
+		next(e, STEP_KEEP, now + e->config.ttl / RENEWALS);
+		break;
+	case STEP_END:
+	case STEP_OVER:
+		next(e, STEP_OVER, now);
+		break;
+	}
+}
+
+void ap_enrol_answer(ap_enrol_t *e, ap_store_end_t end, uint64_t number, ap_usec_t now)
+{
+	e->calling = false;
+	switch (end) {
+	case AP_STORE_OK:
+		succeeded(e, number, now);
+		break;
+	case AP_STORE_CONFLICT:
+		e->revision = number;
+		next(e, STEP_PUT, now);
+		break;
+	case AP_STORE_ABSENT:
+		e->lease = 0;
+		next(e, e->step == STEP_END ? STEP_OVER : STEP_LEASE, now);
+		break;
+	case AP_STORE_COMPACTED:
+	case AP_STORE_REFUSED:
+		e->due = now + REFUSED_RETRY;
+		break;
+	case AP_STORE_UNSURE:
+		e->due = now + RETRY;
+		break;
+	}
+	if (e->dirty && e->step == STEP_KEEP)
+		next(e, STEP_PUT, now);
+}
+
+void ap_enrol_changed(ap_enrol_t *e, ap_usec_t now)
+{
+	e->dirty = true;
+	if (e->step == STEP_KEEP && !e->calling)
+		next(e, STEP_PUT, now);
+}
+
+void ap_enrol_seen(ap_enrol_t *e, uint64_t revision, ap_usec_t now)
+{
+	if (revision > e->revision)
+		e->revision = revision;
+	if (revision > 0 || e->step != STEP_KEEP)
+		return;
+	e->revision = 0;
+	ap_enrol_changed(e, now);
+}
+
+void ap_enrol_leave(ap_enrol_t *e, ap_usec_t now)
+{
+	e->leaving = true;
+	if (!e->calling)
+		e->due = now;
+}
--- /dev/null
+++ b/lib/follow/follow.c
@@ -0,0 +1,157 @@
+/* A whole list, then changes at a pace; after a gap in the history a whole list again. */
+#include "follow/follow.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_MAX 256
+#define BACKOFF_FIRST (150 * AP_MSEC)
+#define BACKOFF_MAX (800 * AP_MSEC)
+#define SPREAD 0.2 /* of a pause, so that instances don't call in step */
+
+typedef enum state {
+	STATE_LIST,
+	STATE_WATCH,
+} state_t;
+
+struct ap_follow {
+	ap_follow_config_t config;
+	ap_rng_t rng;
+	state_t state;
+	bool calling;
+	bool again;
+	bool whole; /* a list has been read to its end */
+	char after[KEY_MAX];
+	uint64_t as_of;
+	uint64_t list_as_of;
+	ap_usec_t due;
+	ap_usec_t answered;
+	ap_usec_t returned; /* when the store came back last */
+	ap_usec_t backoff;
+};
+
+ap_follow_t *ap_follow_new(const ap_follow_config_t *config, ap_usec_t now)
+{
+	ap_follow_t *f = calloc(1, sizeof(*f));
+
+	if (!f)
+		return NULL;
+	f->config = *config;
+	f->due = now;
+	f->answered = now;
+	f->returned = -config->unsure;
+	ap_rng_seed(&f->rng, config->seed);
+	return f;
+}
+
+void ap_follow_free(ap_follow_t *f)
+{
+	free(f);
+}
+
+static ap_usec_t spread(ap_follow_t *f, ap_usec_t pause)
+{
+	return pause + (ap_usec_t)((ap_rng_unit(&f->rng) - 0.5) * SPREAD * (double)pause);
+}
+
+static void begin_list(ap_follow_t *f)
+{
+	f->state = STATE_LIST;
+	f->after[0] = '\0';
+	f->again = false;
+}
+
+void ap_follow_tick(ap_follow_t *f, ap_usec_t now)
+{
+	if (f->calling || now < f->due)
+		return;
+	if (f->again)
+		begin_list(f);
+	f->calling = true;
+	if (f->state == STATE_LIST)
+		f->config.list(f->config.ctx, f->after);
+	else
+		f->config.watch(f->config.ctx, f->as_of, f->config.wait);
+}
+
+ap_usec_t ap_follow_due(const ap_follow_t *f)
+{
+	return f->calling ? AP_NEVER : f->due;
+}
+
+static void give_items(ap_follow_t *f, const ap_store_read_t *read)
+{
+	for (size_t i = 0; i < read->n; i++)
+		f->config.item(f->config.ctx, &read->items[i]);
+}
+
+/* Pages are no snapshot: changes since the first one are watched for again. */
+static void take_page(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now)
+{
+	if (f->after[0] == '\0') {
+		f->list_as_of = read->as_of;
+		f->config.listing(f->config.ctx, true);
+	}
+	give_items(f, read);
+	if (read->more && read->n > 0) {
+		ap_copy_name(f->after, sizeof(f->after), read->items[read->n - 1].key);
+		f->due = now;
+		return;
+	}
+	f->config.listing(f->config.ctx, false);
+	f->as_of = f->list_as_of;
+	f->state = STATE_WATCH;
+	f->whole = true;
+	f->due = now + spread(f, f->config.pace);
+}
+
+static void failed(ap_follow_t *f, ap_usec_t now)
+{
+	f->backoff = f->backoff ? f->backoff * 2 : BACKOFF_FIRST;
+	if (f->backoff > BACKOFF_MAX)
+		f->backoff = BACKOFF_MAX;
+	f->due = now + spread(f, f->backoff);
+}
+
+void ap_follow_answer(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now)
+{
+	f->calling = false;
+	if (read->end == AP_STORE_COMPACTED) {
+		f->answered = now;
+		f->again = true;
+		f->due = now;
+		return;
+	}
+	if (read->end != AP_STORE_OK) {
+		failed(f, now);
+		return;
+	}
+	if (now - f->answered > f->config.away_after)
+		f->returned = now;
+	f->answered = now;
+	f->backoff = 0;
+	if (f->state == STATE_LIST) {
+		take_page(f, read, now);
+		return;
+	}
+	give_items(f, read);
+	if (read->as_of > f->as_of)
+		f->as_of = read->as_of;
+	f->due = now + spread(f, f->config.pace);
+}
+
+void ap_follow_again(ap_follow_t *f, ap_usec_t now)
+{
+	f->again = true;
+	f->due = now;
+}
+
+ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now)
+{
+	return f->whole ? now - f->answered : AP_NEVER;
+}
+
+bool ap_follow_unsure(const ap_follow_t *f, ap_usec_t now)
+{
+	return now - f->returned < f->config.unsure;
+}
--- /dev/null
+++ b/lib/follow/follow.h
@@ -0,0 +1,122 @@
+/*
+ * Reading the platform's store: one whole list, then its changes at a pace that costs few calls.
+ * Answers that are lost, refused or late, and history that is gone, are ordinary cases. And the
+ * lease under which an instance enters itself there. Pure decisions: calls go out through
+ * callbacks, answers and time come in.
+ */
+#ifndef AP_FOLLOW_H
+#define AP_FOLLOW_H
+
+#include "base/base.h"
+
+/* How a call to the store ended. */
+typedef enum ap_store_end {
+	AP_STORE_OK,
+	AP_STORE_CONFLICT,  /* the condition does not hold; nothing changed */
+	AP_STORE_ABSENT,    /* no such key or lease */
+	AP_STORE_COMPACTED, /* history that a watch asked for is gone */
+	AP_STORE_REFUSED,   /* certainly not carried out */
+	AP_STORE_UNSURE,    /* no whole answer: it may have been carried out */
+} ap_store_end_t;
+
+/**
+ * struct ap_store_item - a key as it is now, or that it was removed.
+ */
+typedef struct ap_store_item {
+	const char *key;
+	const void *value;
+	size_t len;
+	uint64_t revision;
+	bool removed;
+} ap_store_item_t;
+
+/**
+ * struct ap_store_read - answer to a list or a watch; valid during the call that takes it.
+ * @as_of: revision that the answer describes
+ * @more: another page follows the last item
+ */
+typedef struct ap_store_read {
+	ap_store_end_t end;
+	const ap_store_item_t *items;
+	size_t n;
+	uint64_t as_of;
+	bool more;
+} ap_store_read_t;
+
+typedef struct ap_follow ap_follow_t;
+
+/**
+ * struct ap_follow_config - made once at start.
+ * @pace: time between two reads; a change is known that much later
+ * @wait: how long the store may hold a watch back
+ * @away_after: without an answer for this long the store counts as away
+ * @unsure: how long after its return what is missing may come back
+ * @list: asks for the items after @after (empty for the first page)
+ * @watch: asks for the changes after @revision
+ * @listing: a whole list begins (@begin) or ended
+ * @item: a key as it is now, or removed
+ */
+typedef struct ap_follow_config {
+	ap_usec_t pace;
+	ap_usec_t wait;
+	ap_usec_t away_after;
+	ap_usec_t unsure;
+	uint64_t seed;
+	void *ctx;
+	void (*list)(void *ctx, const char *after);
+	void (*watch)(void *ctx, uint64_t revision, ap_usec_t wait);
+	void (*listing)(void *ctx, bool begin);
+	void (*item)(void *ctx, const ap_store_item_t *item);
+} ap_follow_config_t;
+
+ap_follow_t *ap_follow_new(const ap_follow_config_t *config, ap_usec_t now);
+void ap_follow_free(ap_follow_t *f);
+/** ap_follow_tick() - makes the next call when it is due. */
+void ap_follow_tick(ap_follow_t *f, ap_usec_t now);
+/** ap_follow_due() - when ap_follow_tick() has something to do; AP_NEVER during a call. */
+ap_usec_t ap_follow_due(const ap_follow_t *f);
+/** ap_follow_answer() - the call under way ended. */
+void ap_follow_answer(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now);
+/** ap_follow_again() - what is known is in doubt: read the whole list next. */
+void ap_follow_again(ap_follow_t *f, ap_usec_t now);
+/** ap_follow_age() - time since the last answer; AP_NEVER before the first list was whole. */
+ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now);
+/** ap_follow_unsure() - was the store away just now, so that missing keys may come back? */
+bool ap_follow_unsure(const ap_follow_t *f, ap_usec_t now);
+
+typedef struct ap_enrol ap_enrol_t;
+
+/**
+ * struct ap_enrol_config - the key of one instance, bound to a lease.
+ * @ttl: life of the lease after its last renewal
+ * @lease: asks for a lease
+ * @keep: renews it
+ * @put: writes the key under @lease if its revision is @revision, 0 for none
+ * @end: ends the lease and removes the key
+ */
+typedef struct ap_enrol_config {
+	ap_usec_t ttl;
+	void *ctx;
+	void (*lease)(void *ctx, ap_usec_t ttl);
+	void (*keep)(void *ctx, uint64_t lease);
+	void (*put)(void *ctx, uint64_t lease, uint64_t revision);
+	void (*end)(void *ctx, uint64_t lease);
+} ap_enrol_config_t;
+
+ap_enrol_t *ap_enrol_new(const ap_enrol_config_t *config, ap_usec_t now);
+void ap_enrol_free(ap_enrol_t *e);
+void ap_enrol_tick(ap_enrol_t *e, ap_usec_t now);
+ap_usec_t ap_enrol_due(const ap_enrol_t *e);
+/**
+ * ap_enrol_answer() - the call under way ended.
+ * @number: the lease that was made, or the key's revision
+ */
+void ap_enrol_answer(ap_enrol_t *e, ap_store_end_t end, uint64_t number, ap_usec_t now);
+/** ap_enrol_changed() - the key's value is another one now: write it again. */
+void ap_enrol_changed(ap_enrol_t *e, ap_usec_t now);
+/** ap_enrol_seen() - the key was read from the store at @revision, 0 when it was removed. */
+void ap_enrol_seen(ap_enrol_t *e, uint64_t revision, ap_usec_t now);
+/** ap_enrol_leave() - ends the lease; nothing more is written. */
+void ap_enrol_leave(ap_enrol_t *e, ap_usec_t now);
+
+#endif
--- /dev/null
+++ b/lib/plan/plan.c
@@ -0,0 +1,140 @@
+/* Routes in force: lookup by host and longest prefix. */
+#include "plan/plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+static int compare(const void *a, const void *b)
+{
+	const ap_plan_route_t *x = a;
+	const ap_plan_route_t *y = b;
+	size_t x_len = strlen(x->prefix);
+	size_t y_len = strlen(y->prefix);
+	int by_host = strcasecmp(x->host, y->host);
+
+	if (by_host != 0)
+		return by_host;
+	if (x_len != y_len)
+		return x_len > y_len ? -1 : 1;
+	return strcmp(x->prefix, y->prefix);
+}
+
+static void free_routes(ap_plan_route_t *routes, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		free(routes[i].shares);
+	free(routes);
+}
+
+ap_plan_t *ap_plan_new(uint64_t version, ap_plan_route_t *routes, size_t n_routes,
+		       ap_plan_pool_t *pools, size_t n_pools)
+{
+	ap_plan_t *plan = calloc(1, sizeof(*plan));
+
+	if (!plan) {
+		free_routes(routes, n_routes);
+		free(pools);
+		return NULL;
+	}
+	if (n_routes > 0)
+		qsort(routes, n_routes, sizeof(*routes), compare);
+	plan->refs = 1;
+	plan->version = version;
+	plan->routes = routes;
+	plan->n_routes = n_routes;
+	plan->pools = pools;
+	plan->n_pools = n_pools;
+	return plan;
+}
+
+ap_plan_t *ap_plan_ref(ap_plan_t *plan)
+{
+	if (plan)
+		plan->refs++;
+	return plan;
+}
+
+void ap_plan_unref(ap_plan_t *plan)
+{
+	if (!plan || --plan->refs > 0)
+		return;
+	free_routes(plan->routes, plan->n_routes);
+	free(plan->pools);
+	free(plan);
+}
+
+/* Index of the first route whose host is not before @host. */
+static size_t first_of_host(const ap_plan_t *plan, const char *host)
+{
+	size_t low = 0;
+	size_t high = plan->n_routes;
+
+	while (low < high) {
+		size_t mid = low + (high - low) / 2;
+
+		if (strcasecmp(plan->routes[mid].host, host) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+const ap_plan_route_t *ap_plan_match(const ap_plan_t *plan, const char *host, const char *path)
+{
+	for (size_t i = first_of_host(plan, host); i < plan->n_routes; i++) {
+		const ap_plan_route_t *route = &plan->routes[i];
+
+		if (strcasecmp(route->host, host) != 0)
+			return NULL;
+		if (strncmp(path, route->prefix, strlen(route->prefix)) == 0)
+			return route;
+	}
+	return NULL;
+}
+
+const ap_plan_pool_t *ap_plan_pool(const ap_plan_t *plan, const char *name)
+{
+	for (size_t i = 0; i < plan->n_pools; i++) {
+		if (strcmp(plan->pools[i].name, name) == 0)
+			return &plan->pools[i];
+	}
+	return NULL;
+}
+
+const ap_plan_pool_t *ap_plan_pick(const ap_plan_t *plan, const ap_plan_route_t *route, double draw)
+{
+	double total = 0;
+	double at;
+
+	for (size_t i = 0; i < route->n_shares; i++)
+		total += route->shares[i].weight;
+	at = draw * total;
+	for (size_t i = 0; i < route->n_shares; i++) {
+		at -= route->shares[i].weight;
+		if (at < 0)
+			return ap_plan_pool(plan, route->shares[i].pool);
+	}
+	return NULL;
+}
+
+bool ap_plan_home(const ap_plan_route_t *route, const char *region)
+{
+	for (size_t i = 0; i < route->n_homes; i++) {
+		if (strcmp(route->homes[i], region) == 0)
+			return true;
+	}
+	return route->n_homes == 0;
+}
+
+bool ap_plan_repeatable(const ap_plan_route_t *route)
+{
+	return route->kind == AP_KIND_IDEMPOTENT ||
+	       (route->kind == AP_KIND_STREAM && route->resumable);
+}
+
+bool ap_plan_supersedes(const ap_plan_t *next, const ap_plan_t *plan)
+{
+	return !plan || next->version > plan->version;
+}
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -213,10 +213,10 @@
 	assert_string_equal(perform(OP_SESSION, &settings).session, "T");
 }
 
-static ap_fleet_t *fleet;
+static ap_listing_t *fleet;
 static bool list_failed;
 
-static void on_list(void *ctx, ap_fleet_t *list, ap_err_t *err)
+static void on_list(void *ctx, ap_listing_t *list, ap_err_t *err)
 {
 	(void)ctx;
 	fleet = list;
@@ -251,7 +251,7 @@
 	assert_string_equal(ap_labels_get(&fleet->upstreams[0].labels, "region"), "r");
 	assert_int_equal(fleet->n_entries, 1);
 	assert_int_equal(fleet->entries[0].control_port, 3);
-	ap_fleet_free(fleet);
+	ap_listing_free(fleet);
 	fake.body = "{}";
 	ap_platform_list(p, NULL, on_list, NULL);
 	event_base_dispatch(base);
@@ -267,7 +267,7 @@
 		const char *known; /* that comes with the next question; NULL: none */
 	} cases[] = {{NULL, NULL}, {"\"a1\"", "\"a1\""}};
 	ap_settings_t settings;
-	ap_fleet_t *first;
+	ap_listing_t *first;
 	ap_platform_t *p;
 
 	(void)state;
@@ -286,7 +286,7 @@
 		assert_null(fleet);
 		assert_int_equal(list_failed, cases[i].known == NULL);
 		assert_string_equal(fake.known_tag, cases[i].known ? cases[i].known : "");
-		ap_fleet_free(first);
+		ap_listing_free(first);
 		ap_platform_free(p);
 	}
 }
