--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -81,6 +81,11 @@
 				    ap_http_server_t **server, ap_err_t *err);
 /** ap_http_server_free() - closes every connection; open calls get their closed callback. */
 void ap_http_server_free(ap_http_server_t *server);
+/**
+ * ap_http_server_stop() - takes no more connections and closes the idle ones. Requests under way
+ * go on; each caller's answer should say that its connection closes.
+ */
+void ap_http_server_stop(ap_http_server_t *server);
 /** ap_http_server_flushing() - answers that were given but have not all gone out. */
 size_t ap_http_server_flushing(const ap_http_server_t *server);
 
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -339,6 +339,17 @@
 	free(conn);
 }
 
+void conn_drop_idle(ap_http_server_t *server)
+{
+	server_conn_t *conn;
+	server_conn_t *next;
+
+	HASH_ITER (hh, server->conns, conn, next) {
+		if (conn->evcon && !conn->call && !conn->arriving)
+			drop(conn);
+	}
+}
+
 void conn_free_all(ap_http_server_t *server)
 {
 	server_conn_t *conn;
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -196,7 +196,7 @@
 	getsockname(evconnlistener_get_fd(server->listener), (struct sockaddr *)&addr, &bound);
 	server->port = ntohs(addr.ss_family == AF_INET ? ((struct sockaddr_in *)&addr)->sin_port
 						       : ((struct sockaddr_in6 *)&addr)->sin6_port);
-	evhttp_bind_listener(server->http, server->listener);
+	server->bound = evhttp_bind_listener(server->http, server->listener);
 	evconnlistener_set_error_cb(server->listener, on_accept_error);
 	return AP_HTTP_STATUS_OK;
 }
@@ -250,6 +250,17 @@
 	free(server);
 }
 
+void ap_http_server_stop(ap_http_server_t *server)
+{
+	if (!server->listener)
+		return;
+	event_del(server->accept_again);
+	server->listener = NULL;
+	if (server->bound)
+		evhttp_del_accept_socket(server->http, server->bound);
+	conn_drop_idle(server);
+}
+
 size_t ap_http_server_flushing(const ap_http_server_t *server)
 {
 	return server->flushing;
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -63,7 +63,8 @@
 struct ap_http_server {
 	ap_http_server_config_t config;
 	struct evhttp *http;
-	struct evconnlistener *listener;
+	struct evconnlistener *listener; /* NULL once it takes no more connections */
+	struct evhttp_bound_socket *bound;
 	struct event *accept_again;
 	struct timeval idle;
 	uint16_t port;
@@ -89,6 +90,8 @@
 bool conn_over(server_conn_t *conn);
 /* conn_last() - sends @out past the library and closes the connection. */
 void conn_last(server_conn_t *conn, struct evbuffer *out);
+/* conn_drop_idle() - closes connections on which no request is under way. */
+void conn_drop_idle(ap_http_server_t *server);
 /* conn_free_all() - after the library has closed its connections. */
 void conn_free_all(ap_http_server_t *server);
 
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -3,9 +3,11 @@
 
 #include <event2/buffer.h>
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define STOPGAP_PART 4	 /* of the usual lifetime, for an answer that is soon another one */
 #define DIRECTORY_MAX 64 /* addresses that callers take */
 
 static const ap_http_header_t type_json = {"Content-Type", "application/json"};
@@ -37,7 +39,10 @@
 {
 	gateway_t *gate = ctx;
 	const ap_member_t *members[DIRECTORY_MAX];
+	ap_usec_t ttl = gate->g->directory_ttl;
 	char region[AP_NAME_MAX];
+	char host[AP_PREFIX_MAX];
+	bool stopgap = false;
 	size_t n;
 	char *text;
 
@@ -45,10 +50,17 @@
 		reply_error(call, 404, "no-such-path");
 		return;
 	}
-	if (!ap_host_asked_region(call, region, sizeof(region)))
+	if (!ap_host_asked(call, region, host))
 		ap_copy_name(region, sizeof(region), gate->self.region);
-	n = ap_fleet_directory(gate->fleet, region, members, DIRECTORY_MAX, ap_now());
-	text = n > 0 ? ap_host_directory_answer(members, n, gate->g->directory_ttl) : NULL;
+	n = ap_fleet_directory(gate->fleet, gate->plan, host, region, members, DIRECTORY_MAX,
+			       &stopgap, ap_now());
+	if (stopgap) {
+		ttl /= STOPGAP_PART;
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "directory.stopgap", NULL,
+				 "s:s,s:s,s:i,s:s", "region", region, "host", host, "named", (int)n,
+				 "first", n > 0 ? members[0]->id : "");
+	}
+	text = n > 0 ? ap_host_directory_answer(members, n, ttl) : NULL;
 	if (!text) {
 		reply_error(call, 503, "no-instance");
 		return;
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -15,7 +15,6 @@
 #define CALLER_IDLE (60 * AP_SEC)    /* longer than callers keep an idle connection */
 #define CALLER_ARRIVAL (10 * AP_SEC) /* some times what callers may take */
 #define CONNECTIONS 3000	     /* of the descriptors, the rest is for upstreams */
-#define LEAVE_PART 0.78		     /* of the grace: callers have taken another instance by then */
 #define END_PART 0.96		     /* of the grace: what is not done now is killed soon */
 #define SAMPLE 16		     /* one request in so many is written in full */
 #define LINES_PER_SECOND 200
@@ -79,7 +78,13 @@
 
 	if (gate->leave_at == 0)
 		return;
-	if (waited > END_PART * grace || (waited > LEAVE_PART * grace && is_drained(gate)))
+	/* Most callers have asked the directory again; the others find no listener and go on. */
+	if (now - gate->leave_at > gate->g->directory_ttl && !gate->stopped) {
+		gate->stopped = true;
+		ap_http_server_stop(gate->callers);
+		ap_http_server_stop(gate->peers);
+	}
+	if (waited > END_PART * grace || (gate->stopped && is_drained(gate)))
 		event_base_loopbreak(gate->base);
 }
 
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -126,6 +126,7 @@
 	ap_usec_t steady; /* the clock that stands still with the process, at the last tick */
 	ap_usec_t ticked;
 	ap_usec_t leave_at; /* when SIGTERM came; 0 before */
+	bool stopped;	    /* takes no more connections */
 	bool store_away;
 	gate_counters_t counters;
 };
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -189,12 +189,15 @@
 size_t ap_fleet_members(const ap_fleet_t *f, const char *region);
 /**
  * ap_fleet_directory() - instances that callers of @region should use.
+ * @plan, @host: where what they ask for may be served; @plan may be NULL
  * @out: pointers that are valid until the next change
+ * @stopgap: none of their region is there to stay; they should ask again soon
  *
- * Return: how many were written, at most @max; other regions' only when @region has none.
+ * Return: how many were written, at most @max.
  */
-size_t ap_fleet_directory(const ap_fleet_t *f, const char *region, const ap_member_t **out,
-			  size_t max, ap_usec_t now);
+size_t ap_fleet_directory(const ap_fleet_t *f, const ap_plan_t *plan, const char *host,
+			  const char *region, const ap_member_t **out, size_t max, bool *stopgap,
+			  ap_usec_t now);
 
 /* Work: choose.c and load.c */
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now,
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MEMBER_GRACE (1500 * AP_MSEC) /* a lapsed one that is alive enters itself again by then */
+#define LEAVING_NAMED (1200 * AP_MSEC) /* less than it goes on taking connections */
+#define MEMBER_GRACE (1500 * AP_MSEC)  /* a lapsed one that is alive enters itself again by then */
 
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id)
 {
@@ -23,14 +24,15 @@
 {
 	ap_member_state_t *m = ap_member_find(f, member->id);
 
-	(void)now;
 	if (!m) {
 		m = calloc(1, sizeof(*m));
 		if (!m)
 			return;
-		m->member = *member;
+		ap_copy_name(m->member.id, sizeof(m->member.id), member->id);
 		HASH_ADD(hh, f->members, member.id, strlen(m->member.id), m);
 	}
+	if (member->leaving && !m->member.leaving)
+		m->leaving_since = now;
 	m->member = *member;
 	m->removed = false;
 	m->listed = true;
@@ -60,26 +62,73 @@
 	return n;
 }
 
-static size_t name_those(const ap_fleet_t *f, const char *region, const ap_member_t **out,
-			 size_t max, ap_usec_t now)
+/* Which instances an answer of the directory may name. */
+typedef enum naming {
+	NAME_STAYING, /* of the caller's region */
+	NAME_LEAVING, /* of the caller's region, while they still take connections */
+	NAME_HOMES,   /* of regions in which most of what the caller may ask for is served */
+	NAMINGS,
+} naming_t;
+
+typedef struct asker {
+	const ap_plan_t *plan;
+	const char *host;
+	const char *region;
+	size_t most_homes; /* routes that a region with an instance that stays may serve */
+	ap_usec_t now;
+} asker_t;
+
+static size_t homes_at(const ap_member_t *member, const asker_t *a)
 {
-	size_t n = 0;
+	return a->plan ? ap_plan_host_homes(a->plan, a->host, member->region) : 0;
+}
 
-	for (const ap_member_state_t *m = f->members; m && n < max; m = m->hh.next) {
-		if (!ap_member_live(m, now) || m->member.leaving)
-			continue;
-		if (!region || strcmp(m->member.region, region) == 0)
-			out[n++] = &m->member;
+static void find_most_homes(const ap_fleet_t *f, asker_t *a)
+{
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (ap_member_live(m, a->now) && !m->member.leaving &&
+		    homes_at(&m->member, a) > a->most_homes)
+			a->most_homes = homes_at(&m->member, a);
 	}
-	return n;
 }
 
-size_t ap_fleet_directory(const ap_fleet_t *f, const char *region, const ap_member_t **out,
-			  size_t max, ap_usec_t now)
+static bool may_name(const ap_member_state_t *m, naming_t naming, const asker_t *a)
 {
-	size_t n = name_those(f, region, out, max, now);
+	const ap_member_t *member = &m->member;
+	bool near = strcmp(member->region, a->region) == 0;
+
+	if (!ap_member_live(m, a->now))
+		return false;
+	switch (naming) {
+	case NAME_STAYING:
+		return near && !member->leaving;
+	case NAME_LEAVING:
+		return near && a->now < m->leaving_since + LEAVING_NAMED;
+	case NAME_HOMES:
+		return !member->leaving && homes_at(member, a) == a->most_homes;
+	case NAMINGS:
+		break;
+	}
+	return false;
+}
+
+size_t ap_fleet_directory(const ap_fleet_t *f, const ap_plan_t *plan, const char *host,
+			  const char *region, const ap_member_t **out, size_t max, bool *stopgap,
+			  ap_usec_t now)
+{
+	asker_t asker = {.plan = plan, .host = host, .region = region, .now = now};
+	size_t n = 0;
 
-	return n > 0 ? n : name_those(f, NULL, out, max, now);
+	for (naming_t naming = NAME_STAYING; naming < NAMINGS && n == 0; naming++) {
+		*stopgap = naming != NAME_STAYING;
+		if (naming == NAME_HOMES)
+			find_most_homes(f, &asker);
+		for (const ap_member_state_t *m = f->members; m && n < max; m = m->hh.next) {
+			if (may_name(m, naming, &asker))
+				out[n++] = &m->member;
+		}
+	}
+	return n;
 }
 
 const ap_member_t *ap_member_of_region(ap_fleet_t *f, const char *region, const ap_work_t *work,
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -86,6 +86,7 @@
 	bool listed;
 	ap_usec_t lapses;
 	ap_usec_t suspect_until;
+	ap_usec_t leaving_since;
 	ap_peer_load_t *loads;
 	size_t n_loads;
 	ap_usec_t loads_at;
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -128,6 +128,20 @@
 	return route->n_homes == 0;
 }
 
+size_t ap_plan_host_homes(const ap_plan_t *plan, const char *host, const char *region)
+{
+	size_t homes = 0;
+
+	for (size_t i = first_of_host(plan, host); i < plan->n_routes; i++) {
+		const ap_plan_route_t *route = &plan->routes[i];
+
+		if (strcasecmp(route->host, host) != 0)
+			break;
+		homes += ap_plan_home(route, region);
+	}
+	return homes;
+}
+
 bool ap_plan_repeatable(const ap_plan_route_t *route)
 {
 	return route->kind == AP_KIND_IDEMPOTENT ||
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -102,6 +102,8 @@
 				   double draw);
 /** ap_plan_home() - may requests of @route be served in @region? */
 bool ap_plan_home(const ap_plan_route_t *route, const char *region);
+/** ap_plan_host_homes() - how many routes of @host may be served in @region. */
+size_t ap_plan_host_homes(const ap_plan_t *plan, const char *host, const char *region);
 /** ap_plan_repeatable() - may a request of @route run more than once? */
 bool ap_plan_repeatable(const ap_plan_route_t *route);
 /** ap_plan_supersedes() - may @next come into force after @plan, which may be NULL? */
--- /dev/null
+++ b/test/plan_test.c
@@ -0,0 +1,117 @@
+/* Routes in force: longest prefix, homes, splits, versions. */
+#include "plan/plan.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct spec {
+	const char *host;
+	const char *prefix;
+	const char *home;
+	const char *pool;
+} spec_t;
+
+static ap_plan_t *plan_of(uint64_t version, const spec_t *specs, size_t n)
+{
+	ap_plan_route_t *routes = calloc(n + 1, sizeof(*routes));
+	ap_plan_pool_t *pools = calloc(2, sizeof(*pools));
+
+	for (size_t i = 0; i < n; i++) {
+		ap_copy_name(routes[i].host, sizeof(routes[i].host), specs[i].host);
+		ap_copy_name(routes[i].prefix, sizeof(routes[i].prefix), specs[i].prefix);
+		routes[i].shares = calloc(1, sizeof(*routes[i].shares));
+		routes[i].n_shares = 1;
+		routes[i].shares[0].weight = 1;
+		ap_copy_name(routes[i].shares[0].pool, AP_NAME_MAX, specs[i].pool);
+		if (specs[i].home) {
+			ap_copy_name(routes[i].homes[0], AP_NAME_MAX, specs[i].home);
+			routes[i].n_homes = 1;
+		}
+	}
+	ap_copy_name(pools[0].name, AP_NAME_MAX, "a");
+	ap_copy_name(pools[1].name, AP_NAME_MAX, "b");
+	return ap_plan_new(version, routes, n, pools, 2);
+}
+
+static const spec_t several[] = {
+	{"x.example", "/", NULL, "a"},
+	{"x.example", "/long/", "south", "b"},
+	{"x.example", "/long/er/", NULL, "a"},
+	{"w.example", "/long/", NULL, "b"},
+	{"y.example", "/only/", NULL, "a"},
+};
+
+static void longest_prefix_of_the_host(void **state)
+{
+	ap_plan_t *plan = plan_of(1, several, 5);
+
+	(void)state;
+	assert_string_equal(ap_plan_match(plan, "x.example", "/long/er/q")->prefix, "/long/er/");
+	assert_string_equal(ap_plan_match(plan, "X.example", "/long/q")->prefix, "/long/");
+	assert_string_equal(ap_plan_match(plan, "x.example", "/q")->prefix, "/");
+	assert_null(ap_plan_match(plan, "y.example", "/q"));
+	assert_null(ap_plan_match(plan, "z.example", "/long/"));
+	assert_null(ap_plan_match(plan, "", "/"));
+	ap_plan_unref(plan);
+}
+
+static void homes_of_a_host_are_counted_by_route(void **state)
+{
+	ap_plan_t *plan = plan_of(1, several, 5);
+
+	(void)state;
+	assert_int_equal(ap_plan_host_homes(plan, "x.example", "south"), 3);
+	assert_int_equal(ap_plan_host_homes(plan, "x.example", "north"), 2);
+	assert_int_equal(ap_plan_host_homes(plan, "z.example", "north"), 0);
+	ap_plan_unref(plan);
+}
+
+static void a_split_follows_its_weights(void **state)
+{
+	ap_plan_t *plan = plan_of(1, several, 1);
+	ap_plan_route_t *route = &plan->routes[0];
+	size_t b = 0;
+
+	(void)state;
+	free(route->shares);
+	route->shares = calloc(3, sizeof(*route->shares));
+	route->n_shares = 3;
+	route->shares[0] = (ap_plan_share_t){.pool = "a", .weight = 90};
+	route->shares[1] = (ap_plan_share_t){.pool = "b", .weight = 10};
+	route->shares[2] = (ap_plan_share_t){.pool = "gone", .weight = 0};
+	for (int i = 0; i < 1000; i++)
+		b += strcmp(ap_plan_pick(plan, route, i / 1000.0)->name, "b") == 0;
+	assert_int_equal(b, 100);
+	ap_plan_unref(plan);
+}
+
+static void a_version_never_falls(void **state)
+{
+	ap_plan_t *older = plan_of(7, several, 1);
+	ap_plan_t *newer = plan_of(9, several, 1);
+
+	(void)state;
+	assert_true(ap_plan_supersedes(older, NULL));
+	assert_true(ap_plan_supersedes(newer, older));
+	assert_false(ap_plan_supersedes(older, newer));
+	assert_false(ap_plan_supersedes(older, older));
+	ap_plan_unref(older);
+	ap_plan_unref(newer);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(longest_prefix_of_the_host),
+		cmocka_unit_test(homes_of_a_host_are_counted_by_route),
+		cmocka_unit_test(a_split_follows_its_weights),
+		cmocka_unit_test(a_version_never_falls),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
