--- /dev/null
+++ b/test/belief_test.c
@@ -0,0 +1,367 @@
+/* Beliefs about upstreams and instances. */
+#include "fleet_world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+static ap_fleet_t *north(void)
+{
+	ap_fleet_t *f = world_fleet("n1", "north");
+
+	world_member(f, "n1", "north", false, WORLD_START);
+	return f;
+}
+
+static ap_fleet_status_t choose(ap_fleet_t *f, const ap_plan_pool_t *pool, ap_usec_t now,
+				ap_target_t *target)
+{
+	ap_work_t work = world_work(pool->kv_tokens ? &world_stream : &world_call, pool, now);
+
+	return ap_fleet_choose(f, &work, now, target);
+}
+
+static bool is_usable(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_target_t target;
+
+	return choose(f, &world_desk, now, &target) == AP_FLEET_OK;
+}
+
+static void a_draining_upstream_gets_nothing_more(void **state)
+{
+	ap_replica_entry_t e = world_entry("d1", "desk", "north");
+	ap_fleet_t *f = north();
+
+	(void)state;
+	ap_fleet_entry(f, &e, WORLD_START);
+	assert_true(is_usable(f, WORLD_START));
+	e.draining = true;
+	ap_fleet_entry(f, &e, WORLD_START);
+	assert_false(is_usable(f, WORLD_START));
+	ap_fleet_free(f);
+}
+
+static void a_removed_upstream_is_gone_at_once(void **state)
+{
+	ap_fleet_t *f = north();
+
+	(void)state;
+	world_replica(f, "d1", "desk", "north", WORLD_START);
+	ap_fleet_removed(f, "d1", false, WORLD_START);
+	assert_false(is_usable(f, WORLD_START));
+	ap_fleet_free(f);
+}
+
+/* Entries that lapsed with the store away are back two seconds after it, or gone. */
+static void a_lapsed_upstream_stays_for_its_grace(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_usec_t now = WORLD_START;
+
+	(void)state;
+	world_replica(f, "d1", "desk", "north", now);
+	ap_fleet_removed(f, "d1", true, now);
+	assert_true(is_usable(f, now + 2 * AP_SEC - 1));
+	assert_false(is_usable(f, now + 2 * AP_SEC));
+	world_replica(f, "d1", "desk", "north", now + AP_SEC);
+	assert_true(is_usable(f, now + 3 * AP_SEC));
+	/* One that had said that it leaves is not waited for. */
+	ap_replica_entry_t e = world_entry("d1", "desk", "north");
+	e.draining = true;
+	ap_fleet_entry(f, &e, now);
+	ap_fleet_removed(f, "d1", true, now);
+	assert_int_equal(ap_fleet_stats(f, now).replicas, 0);
+	ap_fleet_free(f);
+}
+
+static void a_whole_list_removes_what_it_does_not_hold(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_usec_t now = WORLD_START;
+
+	(void)state;
+	world_replica(f, "d1", "desk", "north", now);
+	world_replica(f, "d2", "desk", "north", now);
+	world_member(f, "n2", "north", false, now);
+	ap_fleet_evacuate(f, "north-1", false, now);
+	ap_fleet_list_begin(f);
+	world_replica(f, "d2", "desk", "north", now);
+	ap_fleet_list_end(f, false, now);
+	assert_int_equal(ap_fleet_stats(f, now).replicas, 1);
+	assert_int_equal(ap_fleet_members(f, NULL), 1); /* itself is never removed */
+	assert_true(is_usable(f, now));
+	ap_fleet_free(f);
+}
+
+static void an_upstream_told_to_go_is_left_before(void **state)
+{
+	ap_replica_entry_t e = world_entry("d1", "desk", "north");
+	ap_fleet_t *f = north();
+
+	(void)state;
+	e.leaves_in = 2 * AP_SEC;
+	ap_fleet_entry(f, &e, WORLD_START);
+	assert_true(is_usable(f, WORLD_START));
+	/* A later entry repeats the word; the end does not move away. */
+	ap_fleet_entry(f, &e, WORLD_START + AP_SEC);
+	assert_false(is_usable(f, WORLD_START + 2 * AP_SEC));
+	ap_fleet_free(f);
+}
+
+static void an_evacuated_data_centre_gets_nothing(void **state)
+{
+	ap_fleet_t *f = north();
+
+	(void)state;
+	world_replica(f, "d1", "desk", "north", WORLD_START);
+	ap_fleet_evacuate(f, "north-1", false, WORLD_START);
+	assert_false(is_usable(f, WORLD_START));
+	ap_fleet_evacuate(f, "north-1", true, WORLD_START);
+	assert_true(is_usable(f, WORLD_START));
+	ap_fleet_free(f);
+}
+
+static void an_address_taken_over_is_not_used_again(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_work_t work = world_work(&world_call, &world_desk, WORLD_START);
+	ap_ticket_t ticket;
+	ap_target_t target;
+
+	(void)state;
+	world_replica(f, "d1", "desk", "north", WORLD_START);
+	assert_int_equal(ap_fleet_choose(f, &work, WORLD_START, &target), AP_FLEET_OK);
+	ap_fleet_sent(f, &work, &target, WORLD_START, &ticket);
+	ap_fleet_done(f, &ticket, AP_WORK_GONE, WORLD_START);
+	assert_false(is_usable(f, WORLD_START));
+	world_replica(f, "d1b", "desk", "north", WORLD_START);
+	assert_true(is_usable(f, WORLD_START));
+	ap_fleet_free(f);
+}
+
+/* Sends to a cold upstream from every instance as fast as each lets it, for a second. */
+static unsigned sent_cold(ap_fleet_t **fleets, size_t n, ap_usec_t from)
+{
+	unsigned sent = 0;
+
+	for (ap_usec_t now = from; now < from + AP_SEC; now += 10 * AP_MSEC) {
+		for (size_t i = 0; i < n; i++) {
+			ap_work_t work = world_work(&world_stream, &world_engines, now);
+			ap_ticket_t ticket;
+			ap_target_t target;
+
+			if (ap_fleet_choose(fleets[i], &work, now, &target) != AP_FLEET_OK)
+				continue;
+			ap_fleet_sent(fleets[i], &work, &target, now, &ticket);
+			ap_fleet_done(fleets[i], &ticket, AP_WORK_DONE, now);
+			sent++;
+		}
+	}
+	return sent;
+}
+
+static void cold_rates_hold_summed_over_all_instances(void **state)
+{
+	ap_fleet_t *fleets[5];
+	ap_replica_entry_t e = world_entry("e1", "engines", "north");
+	unsigned bound = (unsigned)(1.5 * world_engines.warmup_rate + 3);
+	unsigned sent;
+
+	(void)state;
+	e.cold_left = 3 * AP_SEC;
+	for (int i = 0; i < 5; i++) {
+		char id[AP_NAME_MAX];
+
+		snprintf(id, sizeof(id), "n%d", i);
+		fleets[i] = world_fleet(id, "north");
+		/* All but the last one know of all; that one takes itself to be alone. */
+		for (int k = 0; k < 5; k++) {
+			snprintf(id, sizeof(id), "n%d", k);
+			if (i != 4 || k == 4)
+				world_member(fleets[i], id, "north", false, WORLD_START);
+		}
+		ap_fleet_entry(fleets[i], &e, WORLD_START);
+	}
+	sent = sent_cold(fleets, 5, WORLD_START + AP_SEC);
+	assert_true(sent > 0);
+	assert_true(sent <= bound);
+	/* Warm: no bound any more. */
+	assert_true(sent_cold(fleets, 5, WORLD_START + 4 * AP_SEC) > bound);
+	for (int i = 0; i < 5; i++)
+		ap_fleet_free(fleets[i]);
+}
+
+static void after_an_evacuation_upstreams_are_cold_until_they_say_otherwise(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_usec_t now = WORLD_START;
+
+	(void)state;
+	world_replica(f, "e1", "engines", "north", now);
+	ap_fleet_evacuate(f, "north-1", false, now);
+	ap_fleet_evacuate(f, "north-1", true, now + AP_SEC);
+	assert_true(sent_cold(&f, 1, now + AP_SEC) <= 9);
+	world_replica(f, "e1", "engines", "north", now + 3 * AP_SEC);
+	assert_true(sent_cold(&f, 1, now + 3 * AP_SEC) > 9);
+	ap_fleet_free(f);
+}
+
+static void repetitions_hold_summed_over_all_instances(void **state)
+{
+	unsigned repeats = 0;
+	unsigned requests = 0;
+
+	(void)state;
+	for (int i = 0; i < 8; i++) {
+		char id[AP_NAME_MAX];
+		ap_fleet_t *f;
+
+		snprintf(id, sizeof(id), "n%d", i);
+		f = world_fleet(id, "north");
+		for (int k = 0; k < 8; k++) {
+			snprintf(id, sizeof(id), "n%d", k);
+			world_member(f, id, "north", false, WORLD_START);
+		}
+		/* The others are lost; its part stays what it was. */
+		for (int k = 0; k < 8; k++) {
+			snprintf(id, sizeof(id), "n%d", k);
+			ap_fleet_member_removed(f, id, WORLD_START);
+		}
+		for (ap_usec_t now = WORLD_START; now < WORLD_START + 10 * AP_SEC;
+		     now += 100 * AP_MSEC) {
+			ap_fleet_request(f, "desk", now);
+			requests++;
+			for (int k = 0; k < 3; k++)
+				repeats += ap_fleet_may_repeat(f, "desk", now);
+		}
+		ap_fleet_free(f);
+	}
+	assert_true(repeats > 0.1 * requests);
+	assert_true(repeats <= 0.2 * requests + 40);
+}
+
+static void an_unreachable_upstream_comes_back_through_one_trial(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_work_t work = world_work(&world_call, &world_desk, WORLD_START);
+	ap_usec_t now = WORLD_START;
+	ap_ticket_t tickets[3];
+	ap_target_t target;
+
+	(void)state;
+	world_replica(f, "d1", "desk", "north", now);
+	world_replica(f, "d2", "desk", "north", now);
+	target = (ap_target_t){.id = "d1", .region = "north"};
+	ap_fleet_sent(f, &work, &target, now, &tickets[0]);
+	ap_fleet_done(f, &tickets[0], AP_WORK_UNREACHABLE, now);
+	for (int i = 0; i < 20; i++) {
+		assert_int_equal(choose(f, &world_desk, now, &target), AP_FLEET_OK);
+		assert_string_equal(target.id, "d2");
+	}
+	now += AP_SEC;
+	target = (ap_target_t){.id = "d1", .region = "north"};
+	ap_fleet_sent(f, &work, &target, now, &tickets[1]);
+	for (int i = 0; i < 20; i++) {
+		assert_int_equal(choose(f, &world_desk, now, &target), AP_FLEET_OK);
+		assert_string_equal(target.id, "d2");
+	}
+	ap_fleet_done(f, &tickets[1], AP_WORK_DONE, now);
+	assert_int_equal(ap_fleet_stats(f, now).ejected, 0);
+	ap_fleet_free(f);
+}
+
+static void the_last_upstream_is_used_however_it_fails(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_work_t work = world_work(&world_call, &world_desk, WORLD_START);
+	ap_ticket_t ticket;
+	ap_target_t target;
+
+	(void)state;
+	world_replica(f, "d1", "desk", "north", WORLD_START);
+	for (int i = 0; i < 10; i++) {
+		assert_int_equal(ap_fleet_choose(f, &work, WORLD_START, &target), AP_FLEET_OK);
+		ap_fleet_sent(f, &work, &target, WORLD_START, &ticket);
+		ap_fleet_done(f, &ticket, AP_WORK_BROKEN, WORLD_START);
+	}
+	ap_fleet_free(f);
+}
+
+static size_t named(ap_fleet_t *f, const char *region, bool *stopgap, ap_usec_t now,
+		    const char **first)
+{
+	const ap_member_t *out[8];
+	size_t n = ap_fleet_directory(f, NULL, "", region, out, 8, stopgap, now);
+
+	*first = n > 0 ? out[0]->id : "";
+	return n;
+}
+
+static void the_directory_names_the_caller_s_region(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_usec_t now = WORLD_START;
+	const char *first;
+	bool stopgap;
+
+	(void)state;
+	world_member(f, "n2", "north", false, now);
+	world_member(f, "s1", "south", false, now);
+	assert_int_equal(named(f, "north", &stopgap, now, &first), 2);
+	assert_false(stopgap);
+	assert_int_equal(named(f, "south", &stopgap, now, &first), 1);
+	assert_string_equal(first, "s1");
+	/* Leaving ones are named only while nobody else is there, and not for long. */
+	world_member(f, "n2", "north", true, now);
+	assert_int_equal(named(f, "north", &stopgap, now, &first), 1);
+	assert_string_equal(first, "n1");
+	world_member(f, "s1", "south", true, now);
+	assert_int_equal(named(f, "south", &stopgap, now, &first), 1);
+	assert_string_equal(first, "s1");
+	assert_true(stopgap);
+	now += 2 * AP_SEC;
+	assert_int_equal(named(f, "south", &stopgap, now, &first), 1);
+	assert_string_equal(first, "n1");
+	assert_true(stopgap);
+	ap_fleet_free(f);
+}
+
+static void a_lost_instance_is_not_named_for_long(void **state)
+{
+	ap_fleet_t *f = north();
+	ap_usec_t now = WORLD_START;
+	const char *first;
+	bool stopgap;
+
+	(void)state;
+	world_member(f, "n2", "north", false, now);
+	ap_fleet_member_removed(f, "n2", now);
+	assert_int_equal(named(f, "north", &stopgap, now + AP_SEC, &first), 2);
+	assert_int_equal(named(f, "north", &stopgap, now + 2 * AP_SEC, &first), 1);
+	ap_fleet_free(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_draining_upstream_gets_nothing_more),
+		cmocka_unit_test(a_removed_upstream_is_gone_at_once),
+		cmocka_unit_test(a_lapsed_upstream_stays_for_its_grace),
+		cmocka_unit_test(a_whole_list_removes_what_it_does_not_hold),
+		cmocka_unit_test(an_upstream_told_to_go_is_left_before),
+		cmocka_unit_test(an_evacuated_data_centre_gets_nothing),
+		cmocka_unit_test(an_address_taken_over_is_not_used_again),
+		cmocka_unit_test(cold_rates_hold_summed_over_all_instances),
+		cmocka_unit_test(after_an_evacuation_upstreams_are_cold_until_they_say_otherwise),
+		cmocka_unit_test(repetitions_hold_summed_over_all_instances),
+		cmocka_unit_test(an_unreachable_upstream_comes_back_through_one_trial),
+		cmocka_unit_test(the_last_upstream_is_used_however_it_fails),
+		cmocka_unit_test(the_directory_names_the_caller_s_region),
+		cmocka_unit_test(a_lost_instance_is_not_named_for_long),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/fleet_world.h
@@ -0,0 +1,111 @@
+/* A small deployment for tests of the beliefs: two regions, engines and a plain service. */
+#ifndef AP_TEST_FLEET_WORLD_H
+#define AP_TEST_FLEET_WORLD_H
+
+#include "fleet/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WORLD_START (1000 * AP_SEC)
+
+static inline ap_fleet_t *world_fleet(const char *id, const char *region)
+{
+	ap_fleet_config_t config = {
+		.cold_over = 1.5,
+		.cold_slack = 3,
+		.repeat_ratio = 0.2,
+		.repeat_slack = 40,
+		.repeat_window = 10 * AP_SEC,
+		.entry_grace = 2 * AP_SEC,
+		.seed = ap_hash_str(id, 3),
+	};
+	ap_fleet_t *f;
+
+	ap_copy_name(config.id, sizeof(config.id), id);
+	ap_copy_name(config.region, sizeof(config.region), region);
+	snprintf(config.data_centre, sizeof(config.data_centre), "%s-1", region);
+	f = ap_fleet_new(&config);
+	ap_fleet_data_centre(f, "north-1", "north");
+	ap_fleet_data_centre(f, "south-1", "south");
+	return f;
+}
+
+static inline void world_member(ap_fleet_t *f, const char *id, const char *region, bool leaving,
+				ap_usec_t now)
+{
+	ap_member_t m = {.caller_port = 80, .peer_port = 81, .cores = 0.25, .leaving = leaving};
+
+	ap_copy_name(m.id, sizeof(m.id), id);
+	ap_copy_name(m.region, sizeof(m.region), region);
+	snprintf(m.data_centre, sizeof(m.data_centre), "%s-1", region);
+	ap_copy_name(m.host, sizeof(m.host), "127.0.0.1");
+	ap_fleet_member(f, &m, now);
+}
+
+static inline ap_replica_entry_t world_entry(const char *id, const char *pool, const char *region)
+{
+	ap_replica_entry_t e = {.port = 9000, .slots = 8, .leaves_in = AP_NEVER};
+
+	ap_copy_name(e.id, sizeof(e.id), id);
+	ap_copy_name(e.pool, sizeof(e.pool), pool);
+	ap_copy_name(e.host, sizeof(e.host), "127.0.0.1");
+	snprintf(e.data_centre, sizeof(e.data_centre), "%s-1", region);
+	return e;
+}
+
+static inline void world_replica(ap_fleet_t *f, const char *id, const char *pool,
+				 const char *region, ap_usec_t now)
+{
+	ap_replica_entry_t e = world_entry(id, pool, region);
+
+	ap_fleet_entry(f, &e, now);
+}
+
+static const ap_plan_pool_t world_engines = {
+	.name = "engines",
+	.warmup = 3 * AP_SEC,
+	.warmup_rate = 4,
+	.slots = 8,
+	.kv_tokens = 100000,
+};
+static const ap_plan_pool_t world_desk = {.name = "desk", .slots = 4};
+
+static const ap_plan_route_t world_stream = {
+	.name = "stream",
+	.kind = AP_KIND_STREAM,
+	.timeout = 8 * AP_SEC,
+	.objective = AP_SEC,
+	.attempts = 2,
+};
+static const ap_plan_route_t world_call = {
+	.name = "call",
+	.kind = AP_KIND_ONCE,
+	.timeout = 2 * AP_SEC,
+	.objective = 400 * AP_MSEC,
+	.attempts = 1,
+};
+
+static inline ap_work_t world_work(const ap_plan_route_t *route, const ap_plan_pool_t *pool,
+				   ap_usec_t now)
+{
+	return (ap_work_t){
+		.route = route,
+		.pool = pool,
+		.deadline = now + route->timeout,
+		.tokens_in = 200,
+		.tokens_out = 50,
+	};
+}
+
+/* A prompt that shares @subject's prefix of @tokens tokens. */
+static inline void world_prompt(ap_work_t *work, uint64_t subject, uint32_t tokens, uint64_t own)
+{
+	work->n_parts = 2;
+	work->parts[0] = (ap_part_t){.id = subject, .tokens = tokens};
+	work->parts[1] = (ap_part_t){.id = 1u << 20 | own, .tokens = 100};
+	work->tokens_in = tokens + 100;
+}
+
+#endif
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -39,10 +39,8 @@
 }
 
 static const spec_t several[] = {
-	{"x.example", "/", NULL, "a"},
-	{"x.example", "/long/", "south", "b"},
-	{"x.example", "/long/er/", NULL, "a"},
-	{"w.example", "/long/", NULL, "b"},
+	{"x.example", "/", NULL, "a"},	       {"x.example", "/long/", "south", "b"},
+	{"x.example", "/long/er/", NULL, "a"}, {"w.example", "/long/", NULL, "b"},
 	{"y.example", "/only/", NULL, "a"},
 };
 
