Tell the region's other instances of own work and prefixes

Cause: an instance took the others to do as much as itself at each upstream, which is noise with few requests each; and once it had sent a prefix elsewhere it stayed there, so that half of the shared parts were read again. Now: CURVE messages of a few hundred bytes, four a second, within the region; a prefix goes to its first or second upstream by hash unless others are clearly better; few others are weighed, at random, because all instances see the same late loads.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -168,7 +168,14 @@
 
 void gate_on_peer(void *ctx, ap_http_call_t *call)
 {
-	take(ctx, call, true);
+	gateway_t *gate = ctx;
+
+	if (gate_peer_trusts(gate, call)) {
+		take(gate, call, true);
+		return;
+	}
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.untrusted", NULL, NULL);
+	reply_early(gate, call, 503, true, "not-an-instance");
 }
 
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
--- /dev/null
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -0,0 +1,132 @@
+/*
+ * What instances tell each other, over ZeroMQ with CURVE. All share one key pair, which the first
+ * of them leaves in the store; requests between regions carry a proof that is derived from it.
+ */
+#include "gateway.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <zmq.h>
+
+#define PROOF_BYTES 16
+#define PROOF_CONTEXT "arbutuspond request between regions"
+#define PORT_AFTER_PEER 1 /* of the ports for traffic between instances, behind that for requests */
+#define SECRET_TEXT (2 * (AP_CURVE_KEY_MAX - 1)) /* public and secret key */
+
+static void on_message(void *ctx, const char *from, const void *data, size_t len)
+{
+	gateway_t *gate = ctx;
+
+	if (!ap_fleet_heard(gate->fleet, from, data, len, ap_now()))
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL, "s:s",
+				 "from", from);
+}
+
+static bool use_keys(gateway_t *gate, const char *text)
+{
+	ap_settings_t *s = &gate->peer_settings;
+	char derived[AP_CURVE_KEY_MAX];
+
+	memcpy(s->public_key, text, AP_CURVE_KEY_MAX - 1);
+	memcpy(s->secret_key, text + AP_CURVE_KEY_MAX - 1, AP_CURVE_KEY_MAX - 1);
+	return zmq_curve_public(derived, s->secret_key) == 0 && strcmp(derived, s->public_key) == 0;
+}
+
+/* What proves to know the secret without telling it. */
+static void derive_proof(gateway_t *gate, const char *text)
+{
+	unsigned char hash[PROOF_BYTES];
+
+	crypto_generichash(hash, sizeof(hash), (const unsigned char *)text, strlen(text),
+			   (const unsigned char *)PROOF_CONTEXT, strlen(PROOF_CONTEXT));
+	sodium_bin2hex(gate->proof, sizeof(gate->proof), hash, sizeof(hash));
+}
+
+static void know_member(void *ctx, const ap_member_t *member)
+{
+	gate_peer_know(ctx, member);
+}
+
+void gate_peer_secret(gateway_t *gate, const void *secret, size_t len)
+{
+	ap_peer_config_t config = {
+		.base = gate->base,
+		.settings = &gate->peer_settings,
+		.port = (uint16_t)(gate->g->peer_port + PORT_AFTER_PEER),
+		.ctx = gate,
+		.receive = on_message,
+	};
+	char text[SECRET_TEXT + 1];
+	ap_err_t err;
+
+	if (gate->peer)
+		return;
+	if (len != SECRET_TEXT) {
+		ap_log(LOG_ERR, "the instances' secret has a wrong length");
+		return;
+	}
+	memcpy(text, secret, len);
+	text[len] = '\0';
+	if (!use_keys(gate, text)) {
+		ap_log(LOG_ERR, "the instances' secret is not a key pair");
+		return;
+	}
+	derive_proof(gate, text);
+	if (ap_peer_new(&config, &gate->peer, &err) != AP_PEER_OK) {
+		ap_log(LOG_ERR, "%s", err.text);
+		gate->peer = NULL;
+		return;
+	}
+	ap_fleet_each_member(gate->fleet, know_member, gate);
+}
+
+static void on_made(void *ctx, ap_store_end_t end, uint64_t number)
+{
+	gateway_t *gate = ctx;
+
+	(void)number;
+	/* Whoever was first: the next read of the store shows it. */
+	if (end != AP_STORE_OK && end != AP_STORE_CONFLICT)
+		gate->secret_asked = false;
+}
+
+void gate_peer_make_secret(gateway_t *gate)
+{
+	char text[SECRET_TEXT + 2];
+	char public_key[AP_CURVE_KEY_MAX];
+	char secret_key[AP_CURVE_KEY_MAX];
+
+	if (gate->peer || gate->secret_asked || zmq_curve_keypair(public_key, secret_key) != 0)
+		return;
+	gate->secret_asked = true;
+	snprintf(text, sizeof(text), "%s%s", public_key, secret_key);
+	ap_host_store_put_secret(gate->store, text, SECRET_TEXT, on_made, gate);
+}
+
+void gate_peer_know(gateway_t *gate, const ap_member_t *member)
+{
+	if (!gate->peer || strcmp(member->id, gate->self.id) == 0 ||
+	    strcmp(member->region, gate->self.region) != 0)
+		return;
+	ap_peer_know(gate->peer, member->id, member->host,
+		     (uint16_t)(member->peer_port + PORT_AFTER_PEER), "");
+}
+
+void gate_peer_tick(gateway_t *gate, ap_usec_t now)
+{
+	ap_peer_port_t port;
+
+	if (!gate->peer)
+		return;
+	port = ap_peer_as_port(gate->peer);
+	ap_fleet_tell(gate->fleet, &port, now);
+}
+
+bool gate_peer_trusts(const gateway_t *gate, ap_http_call_t *call)
+{
+	const char *given = ap_http_call_header(call, HOP_HEADER_PROOF);
+	size_t len = strlen(gate->proof);
+
+	return len > 0 && given && strlen(given) == len &&
+	       sodium_memcmp(given, gate->proof, len) == 0;
+}
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -180,8 +180,9 @@
 	drop_hop_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n == AP_HOST_HEADERS_MAX)
+	if (headers->n + 2 > AP_HOST_HEADERS_MAX)
 		return false;
+	headers->v[headers->n++] = (ap_http_header_t){HOP_HEADER_PROOF, c->gate->proof};
 	/* One run there; what is left of the attempts stays with us. */
 	headers->v[headers->n++] = (ap_http_header_t){HOP_HEADER_ATTEMPTS, "1"};
 	return true;
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -59,6 +59,8 @@
 		ap_fleet_list_begin(gate->fleet);
 	else
 		ap_fleet_list_end(gate->fleet, ap_follow_unsure(gate->follow, now), now);
+	if (!begin)
+		gate_peer_make_secret(gate);
 }
 
 static void unreadable(gateway_t *gate, const char *key, const ap_err_t *err)
@@ -141,6 +143,7 @@
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "instance.seen", NULL, "s:s,s:s,s:b",
 			 "other", id, "region", member.region, "leaving", (int)member.leaving);
 	ap_fleet_member(gate->fleet, &member, now);
+	gate_peer_know(gate, &member);
 }
 
 static void op_item(void *ctx, const ap_store_item_t *item)
@@ -163,6 +166,10 @@
 	case AP_HOST_KEY_INSTANCE:
 		take_instance(gate, name, item);
 		break;
+	case AP_HOST_KEY_SECRET:
+		if (!item->removed)
+			gate_peer_secret(gate, item->value, item->len);
+		break;
 	case AP_HOST_KEY_OTHER:
 		break;
 	}
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -108,6 +108,7 @@
 	gate->steady = steady;
 	ap_fleet_tick(gate->fleet, now);
 	gate_store_tick(gate, now);
+	gate_peer_tick(gate, now);
 	ap_journal_flush(gate->journal);
 	check_leave(gate, now);
 }
@@ -193,6 +194,8 @@
 	ap_copy_name(gate->self.region, sizeof(gate->self.region), s->region);
 	ap_copy_name(gate->self.data_centre, sizeof(gate->self.data_centre), s->data_centre);
 	ap_copy_name(gate->self.host, sizeof(gate->self.host), s->host);
+	ap_copy_name(gate->peer_settings.id, sizeof(gate->peer_settings.id), s->id);
+	ap_copy_name(gate->peer_settings.host, sizeof(gate->peer_settings.host), s->host);
 }
 
 static bool start(gateway_t *gate)
@@ -227,6 +230,7 @@
 	ap_http_server_free(gate->metrics);
 	ap_http_client_free(gate->client);
 	gate_store_stop(gate);
+	ap_peer_free(gate->peer);
 	ap_fleet_free(gate->fleet);
 	ap_plan_unref(gate->plan);
 	for (size_t i = 0; i < 3; i++) {
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -12,6 +12,7 @@
 #include "follow/follow.h"
 #include "http/http.h"
 #include "log/log.h"
+#include "peer/peer.h"
 #include "platform/host.h"
 #include "plan/plan.h"
 #include "settings/settings.h"
@@ -26,6 +27,7 @@
 #define HOP_HEADER_PREFIX "Arbutuspond-"
 #define HOP_HEADER_ATTEMPTS HOP_HEADER_PREFIX "Attempts"
 #define HOP_HEADER_NOT_RUN HOP_HEADER_PREFIX "Not-Run"
+#define HOP_HEADER_PROOF HOP_HEADER_PREFIX "Proof"
 #define HOP_HEADER_WAIT HOP_HEADER_PREFIX "Wait-Ms"
 
 /* How a request ended, for counters and records. */
@@ -118,6 +120,10 @@
 	ap_http_server_t *ready;
 	ap_http_server_t *directory;
 	ap_http_server_t *metrics;
+	ap_settings_t peer_settings; /* own id and host, and the key pair that all share */
+	ap_peer_t *peer;	     /* NULL until the secret is known */
+	char proof[AP_NAME_MAX];     /* of knowing the secret; empty until then */
+	bool secret_asked;
 	ap_member_t self;
 	ap_rng_t rng;
 	LIST_HEAD(, gate_call) calls;
@@ -155,6 +161,16 @@
 void gate_store_tick(gateway_t *gate, ap_usec_t now);
 void gate_store_stop(gateway_t *gate);
 
+/* gateway-peer.c: what instances tell each other */
+/* The secret that all instances share was read from the store. */
+void gate_peer_secret(gateway_t *gate, const void *secret, size_t len);
+/* Makes the secret, unless there is one. */
+void gate_peer_make_secret(gateway_t *gate);
+void gate_peer_know(gateway_t *gate, const ap_member_t *member);
+void gate_peer_tick(gateway_t *gate, ap_usec_t now);
+/* Does a request come from an instance of ours? */
+bool gate_peer_trusts(const gateway_t *gate, ap_http_call_t *call);
+
 /* gateway-serve.c: readiness, directory, metrics */
 void gate_on_ready(void *ctx, ap_http_call_t *call);
 void gate_on_directory(void *ctx, ap_http_call_t *call);
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -12,7 +12,10 @@
 #define REREAD_WEIGHT 1.0	/* shared tokens read again also take the place of others' work */
 #define TRIED_US 60000.0	/* another upstream is worth this much, another region less */
 #define FAILING_US 400000.0	/* a request that fails is sent again, if it may be */
-#define ASSUMED_CACHED 0.5	/* other instances send this prefix to its first upstream too */
+#define AFFINE_MIN 256		/* tokens; shorter prefixes are no reason to choose an upstream */
+#define RANKED 2		/* upstreams that a prefix goes to by hash */
+#define SAMPLE_MIN 2		/* others that are weighed: more would be chosen by all at once */
+#define CANDIDATES_MAX 1024
 #define JITTER_US 2000.0	/* below this, waits are alike */
 #define KV_FULL 0.9		/* above this share, engines preempt */
 #define KV_FULL_US 1500000.0
@@ -116,26 +119,32 @@
 		ap_cold_allows(f, r, work->pool, now));
 }
 
-/* The upstream to which every instance sends this prefix when nothing speaks against it. */
-static const ap_replica_t *first_for(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
+/* Upstreams of the own region that may get the work. */
+typedef struct candidates {
+	ap_replica_t *v[CANDIDATES_MAX];
+	size_t n;
+	ap_replica_t *ranked[RANKED];
+} candidates_t;
+
+/* The upstreams to which every instance sends this prefix when nothing speaks against them. */
+static void rank(const ap_work_t *work, candidates_t *all)
 {
 	uint64_t key = shared_key(work);
-	const ap_replica_t *first = NULL;
-	double best = 0;
-
-	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		double score;
-
-		if (strcmp(r->entry.pool, work->pool->name) != 0 ||
-		    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now))
-			continue;
-		score = ap_rendezvous(key, ap_hash_str(r->entry.id, 0), 1);
-		if (score > best) {
-			best = score;
-			first = r;
+	double best[RANKED] = {0};
+
+	for (size_t i = 0; i < all->n; i++) {
+		double score = ap_rendezvous(key, all->v[i]->tag, 1);
+
+		if (score > best[0]) {
+			best[1] = best[0];
+			all->ranked[1] = all->ranked[0];
+			best[0] = score;
+			all->ranked[0] = all->v[i];
+		} else if (score > best[1]) {
+			best[1] = score;
+			all->ranked[1] = all->v[i];
 		}
 	}
-	return first;
 }
 
 static void weigh(ap_fleet_t *f, const ap_work_t *work, bool first, ap_usec_t now, candidate_t *c)
@@ -146,16 +155,14 @@
 	double failing = ap_replica_failing(r, now);
 
 	c->cached = ap_holder_cached(f, &r->cache, work);
-	if (first && c->cached < shared)
-		c->cached = (uint32_t)(shared * ASSUMED_CACHED);
 	c->wait = ap_replica_wait_us(f, r, work, work->tokens_in - c->cached);
-	c->score =
-		c->wait * (1 + failing) + failing * FAILING_US + ap_rng_unit(&f->rng) * JITTER_US;
+	c->score = c->wait * (1 + failing) + failing * FAILING_US +
+		   ap_rng_unit(&f->rng) * JITTER_US;
 	if (work->pool->kv_tokens) {
 		double kv = (double)(r->own.kv + r->others.kv) / work->pool->kv_tokens;
 
 		c->score += ap_replica_running(r) * (work->tokens_out + 1) * STEP_US_PER_TOKEN;
-		if (c->cached < shared && p)
+		if (c->cached < shared && p && !first)
 			c->score += REREAD_WEIGHT * (shared - c->cached) / p->prefill_per_us;
 		if (kv > KV_FULL)
 			c->score += (kv - KV_FULL) * KV_FULL_US;
@@ -164,30 +171,76 @@
 		c->score += TRIED_US;
 }
 
+/* Ejected ones only when there are no others. */
+static void gather(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, candidates_t *all)
+{
+	bool well = false;
+
+	all->n = 0;
+	for (ap_replica_t *r = f->replicas; r && all->n < CANDIDATES_MAX; r = r->hh.next) {
+		if (!eligible(f, r, work, now))
+			continue;
+		r->kv_tokens = work->pool->kv_tokens;
+		if (ap_replica_well(r, now) && !well) {
+			well = true;
+			all->n = 0;
+		}
+		if (ap_replica_well(r, now) == well)
+			all->v[all->n++] = r;
+	}
+}
+
+static void consider(ap_fleet_t *f, const ap_work_t *work, ap_replica_t *r, bool first,
+		     ap_usec_t now, candidate_t *best)
+{
+	candidate_t c = {.replica = r};
+
+	weigh(f, work, first, now, &c);
+	if (!best->replica || c.score < best->score)
+		*best = c;
+}
+
+/*
+ * What is known of others' work is some tenths of a second old, so that the best of all would be
+ * chosen by all instances at once: each weighs a few at random.
+ */
+static void consider_some(ap_fleet_t *f, const ap_work_t *work, candidates_t *all, ap_usec_t now,
+			  candidate_t *best)
+{
+	size_t instances = ap_fleet_members(f, f->config.region);
+	size_t some = instances > 0 ? (all->n + instances - 1) / instances : all->n;
+
+	if (some < SAMPLE_MIN)
+		some = SAMPLE_MIN;
+	for (size_t i = 0; i < some && i < all->n; i++) {
+		size_t k = i + ap_rng_below(&f->rng, all->n - i);
+		ap_replica_t *r = all->v[k];
+
+		all->v[k] = all->v[i];
+		all->v[i] = r;
+		consider(f, work, r, false, now, best);
+	}
+}
+
 static bool best_here(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, candidate_t *best)
 {
-	const ap_replica_t *first = work->n_parts > 1 ? first_for(f, work, now) : NULL;
-	bool found = false;
-	bool found_well = false;
+	uint32_t shared = shared_tokens(work);
+	candidates_t all = {0};
 
 	if (!ap_plan_home(work->route, f->config.region))
 		return false;
-	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		candidate_t c = {.replica = r};
-		bool well;
-
-		if (!eligible(f, r, work, now))
-			continue;
-		well = ap_replica_well(r, now);
-		if (found_well && !well)
-			continue;
-		weigh(f, work, r == first, now, &c);
-		if (!found || (well && !found_well) || c.score < best->score)
-			*best = c;
-		found = true;
-		found_well = found_well || well;
+	gather(f, work, now, &all);
+	if (shared >= AFFINE_MIN && work->pool->kv_tokens) {
+		rank(work, &all);
+		for (size_t i = 0; i < RANKED && all.ranked[i]; i++)
+			consider(f, work, all.ranked[i], i == 0, now, best);
+		for (size_t i = 0; i < all.n; i++) {
+			if (ap_holder_cached(f, &all.v[i]->cache, work) >= shared)
+				consider(f, work, all.v[i], false, now, best);
+		}
 	}
-	return found;
+	consider_some(f, work, &all, now, best);
+	return best->replica != NULL;
 }
 
 typedef struct away_candidate {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -8,6 +8,7 @@
 
 #include "base/base.h"
 #include "plan/plan.h"
+#include "port/port.h"
 
 #define AP_PARTS_MAX 16	 /* parts of a prompt that are looked at */
 #define AP_TRIED_MAX 6	 /* targets that one request remembers */
@@ -187,6 +188,9 @@
 void ap_fleet_member_removed(ap_fleet_t *f, const char *id, ap_usec_t now);
 /** ap_fleet_members() - live instances of @region, or of all regions when it is NULL. */
 size_t ap_fleet_members(const ap_fleet_t *f, const char *region);
+/** ap_fleet_each_member() - shows every known instance, live or not. */
+void ap_fleet_each_member(const ap_fleet_t *f, void (*show)(void *ctx, const ap_member_t *member),
+			  void *ctx);
 /**
  * ap_fleet_directory() - instances that callers of @region should use.
  * @plan, @host: where what they ask for may be served; @plan may be NULL
@@ -220,21 +224,15 @@
 /** ap_fleet_may_repeat() - takes one repetition from this instance's part of the budget. */
 bool ap_fleet_may_repeat(ap_fleet_t *f, const char *pool, ap_usec_t now);
 
+/* What instances tell each other: tell.c */
 /**
- * struct ap_peer_load - work of another instance of this region at one upstream.
+ * ap_fleet_tell() - tells the region's other instances of own work and of prefixes sent to
+ * upstreams. To be called some times a second; it decides by itself whether there is something to
+ * tell.
  */
-typedef struct ap_peer_load {
-	char replica[AP_NAME_MAX];
-	uint32_t running;
-	uint32_t prefill;
-	uint32_t kv;
-} ap_peer_load_t;
-
-/** ap_fleet_peer_load() - replaces what instance @from had told. */
-void ap_fleet_peer_load(ap_fleet_t *f, const char *from, const ap_peer_load_t *loads, size_t n,
-			ap_usec_t now);
-/** ap_fleet_own_load() - what to tell others. Return: how many were written. */
-size_t ap_fleet_own_load(const ap_fleet_t *f, ap_peer_load_t *out, size_t max);
+void ap_fleet_tell(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now);
+/** ap_fleet_heard() - another instance told something. Return: false when it can't be read. */
+bool ap_fleet_heard(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
 
 /**
  * struct ap_fleet_stats - gauges for metrics.
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -56,7 +56,11 @@
 
 uint32_t ap_replica_running(const ap_replica_t *r)
 {
-	return r->own.running + r->others.running;
+	uint32_t running = 0;
+
+	for (unsigned i = 0; i < AP_PRIORITIES; i++)
+		running += r->own.running[i] + r->others.running[i];
+	return running;
 }
 
 uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool)
@@ -79,17 +83,21 @@
 	const ap_plan_pool_t *pool = work->pool;
 	const ap_pool_state_t *p = ap_pool_state(f, pool->name);
 	uint32_t slots = ap_replica_slots(r, pool);
-	uint32_t running = ap_replica_running(r);
 	double rate = p ? p->prefill_per_us : PREFILL_START;
+	double ahead = uncached;
+	uint32_t running = 0;
 	double wait = 0;
 
+	/* More urgent work goes first; less urgent work gives way. */
+	for (unsigned i = 0; i <= work->route->priority && i < AP_PRIORITIES; i++) {
+		ahead += r->own.prefill[i] + r->others.prefill[i];
+		running += r->own.running[i] + r->others.running[i];
+	}
+	if (!pool->kv_tokens)
+		running = ap_replica_running(r);
 	if (running >= slots)
 		wait = (running - slots + 1) * mean_us(p, pool) / slots;
 	if (pool->kv_tokens) {
-		double ahead = uncached + r->others.prefill[0];
-
-		for (unsigned i = 0; i <= work->route->priority && i < AP_PRIORITIES; i++)
-			ahead += r->own.prefill[i];
 		wait += FIRST_STEP_US + ahead / rate;
 	} else {
 		wait += mean_us(p, pool);
@@ -115,37 +123,37 @@
 	return best < 0 ? AP_NEVER : (ap_usec_t)best;
 }
 
+static void add_load(ap_load_t *sum, const ap_load_t *load, uint32_t times)
+{
+	for (unsigned i = 0; i < AP_PRIORITIES; i++) {
+		sum->running[i] += times * load->running[i];
+		sum->prefill[i] += times * load->prefill[i];
+	}
+	sum->kv += times * load->kv;
+}
+
 static void add_told(ap_fleet_t *f, const ap_member_state_t *m)
 {
 	for (size_t i = 0; i < m->n_loads; i++) {
-		ap_replica_t *r = ap_replica_find(f, m->loads[i].replica);
+		ap_replica_t *r = ap_replica_by_tag(f, m->loads[i].tag);
 
-		if (!r)
-			continue;
-		r->others.running += m->loads[i].running;
-		r->others.prefill[0] += m->loads[i].prefill;
-		r->others.kv += m->loads[i].kv;
+		if (r)
+			add_load(&r->others, &m->loads[i].load, 1);
 	}
 }
 
 /* Instances that told nothing lately are taken to do as much as this one. */
 static void add_silent(ap_fleet_t *f, uint32_t silent)
 {
-	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		uint32_t prefill = 0;
-
-		for (unsigned i = 0; i < AP_PRIORITIES; i++)
-			prefill += r->own.prefill[i];
-		r->others.running += silent * r->own.running;
-		r->others.prefill[0] += silent * prefill;
-		r->others.kv += silent * r->own.kv;
-	}
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		add_load(&r->others, &r->own, silent);
 }
 
 void ap_load_recount(ap_fleet_t *f, ap_usec_t now)
 {
 	uint32_t silent = 0;
 
+	f->recount = false;
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next)
 		r->others = (ap_load_t){0};
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
@@ -161,42 +169,6 @@
 		add_silent(f, silent);
 }
 
-void ap_fleet_peer_load(ap_fleet_t *f, const char *from, const ap_peer_load_t *loads, size_t n,
-			ap_usec_t now)
-{
-	ap_member_state_t *m = ap_member_find(f, from);
-	ap_peer_load_t *copy;
-
-	if (!m)
-		return;
-	copy = calloc(n ? n : 1, sizeof(*copy));
-	if (!copy)
-		return;
-	for (size_t i = 0; i < n; i++)
-		copy[i] = loads[i];
-	free(m->loads);
-	m->loads = copy;
-	m->n_loads = n;
-	m->loads_at = now;
-	ap_load_recount(f, now);
-}
-
-size_t ap_fleet_own_load(const ap_fleet_t *f, ap_peer_load_t *out, size_t max)
-{
-	size_t n = 0;
-
-	for (const ap_replica_t *r = f->replicas; r && n < max; r = r->hh.next) {
-		if (r->own.running == 0)
-			continue;
-		out[n] = (ap_peer_load_t){.running = r->own.running, .kv = r->own.kv};
-		for (unsigned i = 0; i < AP_PRIORITIES; i++)
-			out[n].prefill += r->own.prefill[i];
-		ap_copy_name(out[n].replica, sizeof(out[n].replica), r->entry.id);
-		n++;
-	}
-	return n;
-}
-
 static void sent_away(ap_fleet_t *f, const ap_work_t *work, const ap_target_t *target)
 {
 	ap_away_t *away = ap_away(f, target->region, work->pool->name);
@@ -236,10 +208,11 @@
 	r->trial = r->trial || ticket->trial;
 	if (ap_replica_cold(f, r, work->pool->warmup, now))
 		ap_cold_sent(r);
-	r->own.running++;
+	r->own.running[ticket->priority]++;
 	r->own.prefill[ticket->priority] += ticket->prefill;
 	r->own.kv += ticket->kv;
 	ap_holder_add(f, &r->cache, work, work->pool->kv_tokens);
+	ap_tell_later(f, r, work);
 }
 
 static void learn_prefill(ap_fleet_t *f, const ap_ticket_t *ticket, ap_usec_t now)
@@ -284,7 +257,7 @@
 	ap_pool_state_t *p = ap_pool_state(f, ticket->pool);
 	double took = (double)(now - ticket->sent);
 
-	r->own.running--;
+	r->own.running[ticket->priority]--;
 	r->own.kv -= ticket->kv;
 	if (!ticket->first)
 		r->own.prefill[ticket->priority] -= ticket->prefill;
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -62,6 +62,13 @@
 	return n;
 }
 
+void ap_fleet_each_member(const ap_fleet_t *f, void (*show)(void *ctx, const ap_member_t *member),
+			  void *ctx)
+{
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next)
+		show(ctx, &m->member);
+}
+
 /* Which instances an answer of the directory may name. */
 typedef enum naming {
 	NAME_STAYING, /* of the caller's region */
--- a/lib/fleet/prefix.c
+++ b/lib/fleet/prefix.c
@@ -98,11 +98,22 @@
 	h->tokens += p->tokens;
 }
 
+static void shrink(ap_fleet_t *f, ap_holder_t *h, uint64_t capacity)
+{
+	while (h->tokens > capacity && !TAILQ_EMPTY(&h->holdings))
+		drop(f, TAILQ_LAST(&h->holdings, ap_holding_list));
+}
+
+void ap_holder_add_part(ap_fleet_t *f, ap_holder_t *h, const ap_part_t *part, uint64_t capacity)
+{
+	add_part(f, h, part);
+	shrink(f, h, capacity);
+}
+
 void ap_holder_add(ap_fleet_t *f, ap_holder_t *h, const ap_work_t *work, uint64_t capacity)
 {
 	/* From the last part on, so that the shared ones in front are the youngest. */
 	for (size_t i = work->n_parts; i > 0; i--)
 		add_part(f, h, &work->parts[i - 1]);
-	while (h->tokens > capacity && !TAILQ_EMPTY(&h->holdings))
-		drop(f, TAILQ_LAST(&h->holdings, ap_holding_list));
+	shrink(f, h, capacity);
 }
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -36,15 +36,31 @@
 	uint64_t tokens;
 };
 
-/* Work at an upstream, by whoever sent it. */
+/* Work at an upstream, by whoever sent it; by priority, the most urgent first. */
 typedef struct ap_load {
-	uint32_t running;
-	uint32_t prefill[AP_PRIORITIES];
-	uint32_t kv;
+	uint32_t running[AP_PRIORITIES];
+	uint32_t prefill[AP_PRIORITIES]; /* prompt tokens to be read before the first piece */
+	uint32_t kv;			 /* tokens of prompts and answers */
 } ap_load_t;
 
+/* Work of another instance at one upstream, as it told. */
+typedef struct ap_told_load {
+	uint32_t tag;
+	ap_load_t load;
+} ap_told_load_t;
+
+/* A prefix that was sent to an upstream and that others don't know of yet. */
+typedef struct ap_news {
+	uint64_t part;
+	uint32_t tokens;
+	uint32_t tag;
+} ap_news_t;
+
+#define NEWS_MAX 64 /* between two rounds of telling; more are not told */
+
 /**
  * struct ap_replica - an upstream.
+ * @tag: its id's hash, by which instances name it to each other
  * @seen: when its entry came last
  * @lapses: when a missing entry is taken to be gone; AP_NEVER while it is listed
  * @listed: in the list that is being read
@@ -59,6 +75,7 @@
 	UT_hash_handle hh;
 	ap_replica_entry_t entry;
 	char region[AP_NAME_MAX];
+	uint32_t tag;
 	ap_usec_t seen;
 	ap_usec_t lapses;
 	ap_usec_t leaves;
@@ -76,6 +93,7 @@
 	ap_usec_t until;
 	bool trial;
 	double slow;
+	uint32_t kv_tokens; /* of its pool, known once work was sent there; 0 before */
 	ap_holder_t cache;
 } ap_replica_t;
 
@@ -87,7 +105,7 @@
 	ap_usec_t lapses;
 	ap_usec_t suspect_until;
 	ap_usec_t leaving_since;
-	ap_peer_load_t *loads;
+	ap_told_load_t *loads;
 	size_t n_loads;
 	ap_usec_t loads_at;
 } ap_member_state_t;
@@ -140,6 +158,12 @@
 	ap_away_t *aways;
 	ap_place_t *places;
 	ap_cached_part_t *parts;
+	bool recount; /* what others told has changed */
+	ap_news_t news[NEWS_MAX];
+	size_t n_news;
+	uint64_t told_seq;
+	ap_usec_t told_at;
+	bool told_work; /* the last round told of some work */
 };
 
 /* replica.c */
@@ -166,6 +190,7 @@
 /* Tokens of @work's prompt that @h has cached. */
 uint32_t ap_holder_cached(const ap_fleet_t *f, const ap_holder_t *h, const ap_work_t *work);
 void ap_holder_add(ap_fleet_t *f, ap_holder_t *h, const ap_work_t *work, uint64_t capacity);
+void ap_holder_add_part(ap_fleet_t *f, ap_holder_t *h, const ap_part_t *part, uint64_t capacity);
 
 /* member.c */
 bool ap_member_live(const ap_member_state_t *m, ap_usec_t now);
@@ -182,6 +207,9 @@
 double ap_replica_wait_us(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work,
 			  uint32_t uncached);
 uint32_t ap_replica_running(const ap_replica_t *r);
+ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag);
+/* Notes for the next round that @work's shared prefix goes to @r. */
+void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work);
 uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool);
 
 bool ap_work_tried(const ap_work_t *work, const char *id);
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -7,6 +7,15 @@
 #define ENTRY_DELAY (1500 * AP_MSEC) /* an entry that comes this much later was written since */
 #define LEAVE_MARGIN (300 * AP_MSEC) /* a short answer still fits before an announced end */
 
+ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag)
+{
+	ap_replica_t *r = f->replicas;
+
+	while (r && r->tag != tag)
+		r = r->hh.next;
+	return r;
+}
+
 ap_replica_t *ap_replica_find(const ap_fleet_t *f, const char *id)
 {
 	ap_replica_t *r;
@@ -81,6 +90,7 @@
 		return NULL;
 	r->entry = *entry;
 	r->slow = 1;
+	r->tag = (uint32_t)ap_hash_str(entry->id, 0);
 	r->leaves = AP_NEVER;
 	ap_holder_init(&r->cache);
 	ap_copy_name(r->region, sizeof(r->region), ap_place_region(f, entry->data_centre));
@@ -207,7 +217,8 @@
 		stats.draining += r->entry.draining;
 		stats.cold += now < r->cold_until;
 		stats.ejected += now < r->until;
-		stats.running += r->own.running;
+		for (size_t i = 0; i < AP_PRIORITIES; i++)
+			stats.running += r->own.running[i];
 	}
 	return stats;
 }
--- /dev/null
+++ b/lib/fleet/tell.c
@@ -0,0 +1,195 @@
+/*
+ * What instances tell each other. Within a region: own work at each upstream, and prefixes sent
+ * there. Each message stands for itself, so that a lost one costs only its age.
+ */
+#include "fleet/private.h"
+#include "wire/frame.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TELL_EVERY (250 * AP_MSEC) /* well below the time that a request takes */
+#define TELL_IDLE (1 * AP_SEC)	   /* nothing to tell: often enough to count as heard of */
+#define PREFIX_MIN 256		   /* tokens; shorter prefixes are read again at little cost */
+#define LOADS_MAX 4096
+
+void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work)
+{
+	for (size_t i = 0; i + 1 < work->n_parts && f->n_news < NEWS_MAX; i++) {
+		if (work->parts[i].tokens < PREFIX_MIN)
+			continue;
+		f->news[f->n_news++] = (ap_news_t){
+			.part = work->parts[i].id,
+			.tokens = work->parts[i].tokens,
+			.tag = r->tag,
+		};
+	}
+}
+
+static bool has_work(const ap_replica_t *r)
+{
+	for (size_t i = 0; i < AP_PRIORITIES; i++) {
+		if (r->own.running[i] > 0)
+			return true;
+	}
+	return false;
+}
+
+static size_t ranks_used(const ap_load_t *load)
+{
+	size_t n = AP_PRIORITIES;
+
+	while (n > 0 && load->running[n - 1] == 0)
+		n--;
+	return n;
+}
+
+static void pack_load(msgpack_packer *pk, const ap_replica_t *r)
+{
+	size_t n = ranks_used(&r->own);
+
+	msgpack_pack_array(pk, 2 + 2 * n);
+	msgpack_pack_uint32(pk, r->tag);
+	msgpack_pack_uint32(pk, r->own.kv);
+	for (size_t i = 0; i < n; i++) {
+		msgpack_pack_uint32(pk, r->own.running[i]);
+		msgpack_pack_uint32(pk, r->own.prefill[i]);
+	}
+}
+
+static size_t pack_loads(const ap_fleet_t *f, msgpack_packer *pk)
+{
+	size_t n = 0;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		n += has_work(r);
+	msgpack_pack_array(pk, n);
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (has_work(r))
+			pack_load(pk, r);
+	}
+	return n;
+}
+
+static void pack_news(const ap_fleet_t *f, msgpack_packer *pk)
+{
+	msgpack_pack_array(pk, f->n_news);
+	for (size_t i = 0; i < f->n_news; i++) {
+		msgpack_pack_array(pk, 3);
+		msgpack_pack_uint64(pk, f->news[i].part);
+		msgpack_pack_uint32(pk, f->news[i].tokens);
+		msgpack_pack_uint32(pk, f->news[i].tag);
+	}
+}
+
+static bool is_other(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
+{
+	return ap_member_live(m, now) && strcmp(m->member.id, f->config.id) != 0;
+}
+
+static bool is_near(const ap_fleet_t *f, const ap_member_state_t *m)
+{
+	return strcmp(m->member.region, f->config.region) == 0;
+}
+
+static void tell_region(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
+{
+	ap_wire_out_t out;
+	size_t n;
+
+	ap_wire_out_begin(&out, AP_WIRE_FLEET, (ap_id_t){0}, ++f->told_seq);
+	msgpack_pack_array(&out.pk, 2);
+	n = pack_loads(f, &out.pk);
+	pack_news(f, &out.pk);
+	if (n > 0 || f->told_work || f->n_news > 0 || now - f->told_at >= TELL_IDLE) {
+		for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+			if (is_other(f, m, now) && is_near(f, m))
+				ap_wire_out_send(&out, peer, m->member.id);
+		}
+		f->told_at = now;
+		f->told_work = n > 0;
+	}
+	f->n_news = 0;
+	ap_wire_out_end(&out);
+}
+
+void ap_fleet_tell(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
+{
+	if (now - f->told_at < TELL_EVERY)
+		return;
+	tell_region(f, peer, now);
+}
+
+static bool read_load(ap_wire_reader_t *r, ap_told_load_t *told)
+{
+	ap_wire_reader_t e = ap_wire_array(r);
+
+	*told = (ap_told_load_t){.tag = (uint32_t)ap_wire_u64(&e)};
+	told->load.kv = (uint32_t)ap_wire_u64(&e);
+	for (size_t i = 0; i < AP_PRIORITIES && e.left >= 2; i++) {
+		told->load.running[i] = (uint32_t)ap_wire_u64(&e);
+		told->load.prefill[i] = (uint32_t)ap_wire_u64(&e);
+	}
+	return e.ok;
+}
+
+static bool take_loads(ap_fleet_t *f, ap_member_state_t *m, ap_wire_reader_t *loads, ap_usec_t now)
+{
+	ap_told_load_t *told;
+	size_t n = 0;
+
+	if (!loads->ok || loads->left > LOADS_MAX)
+		return false;
+	told = calloc(loads->left + 1, sizeof(*told));
+	if (!told)
+		return false;
+	while (loads->left > 0) {
+		if (!read_load(loads, &told[n++])) {
+			free(told);
+			return false;
+		}
+	}
+	free(m->loads);
+	m->loads = told;
+	m->n_loads = n;
+	m->loads_at = now;
+	f->recount = true;
+	return true;
+}
+
+static bool take_news(ap_fleet_t *f, ap_wire_reader_t *news)
+{
+	while (news->left > 0) {
+		ap_wire_reader_t e = ap_wire_array(news);
+		ap_part_t part = {.id = ap_wire_u64(&e)};
+		ap_replica_t *r;
+
+		part.tokens = (uint32_t)ap_wire_u64(&e);
+		r = ap_replica_by_tag(f, (uint32_t)ap_wire_u64(&e));
+		if (!e.ok)
+			return false;
+		if (r && r->kv_tokens > 0)
+			ap_holder_add_part(f, &r->cache, &part, r->kv_tokens);
+	}
+	return news->ok;
+}
+
+bool ap_fleet_heard(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now)
+{
+	ap_member_state_t *m = ap_member_find(f, from);
+	ap_wire_reader_t loads;
+	ap_wire_reader_t news;
+	ap_wire_reader_t r;
+	ap_wire_in_t in;
+	bool ok;
+
+	if (!ap_wire_in_open(&in, AP_WIRE_FLEET, data, len, NULL))
+		return false;
+	r = ap_wire_reader(&in.body);
+	loads = ap_wire_array(&r);
+	news = ap_wire_array(&r);
+	/* One that is not known yet is not counted; it tells again soon. */
+	ok = r.ok && (!m || take_loads(f, m, &loads, now)) && take_news(f, &news);
+	ap_wire_in_close(&in);
+	return ok;
+}
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -38,6 +38,8 @@
 	AP_WIRE_SPREAD = 64,
 	/* 80 to 95: load, cache and room reports, leaving upstreams (control task) */
 	AP_WIRE_REPORT = 80,
+	/* 96 to 111: work and waits (gateway task) */
+	AP_WIRE_FLEET = 96,
 } ap_wire_kind_t;
 
 /**
