Start with the store away, and tell of leaving between instances

Started again they had no configuration, and nobody knew who was leaving, since that too went through the store. Now: an instance whose first read fails asks one named in its settings for what that read last; a request from a known machine is trusted; leaving and coming back is told within the region; the last instance of a region takes connections for 2.8 s instead of 2.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -118,6 +118,8 @@
 const char *ap_http_call_target(const ap_http_call_t *call);
 /** ap_http_call_path() - path without the query. */
 const char *ap_http_call_path(const ap_http_call_t *call);
+/** ap_http_call_peer() - numeric address of the caller; empty when it is not known. */
+const char *ap_http_call_peer(const ap_http_call_t *call);
 /** ap_http_call_query() - copies one decoded query value; false when absent or too long. */
 bool ap_http_call_query(const ap_http_call_t *call, const char *key, char *out, size_t size);
 /** ap_http_call_header() - NULL when absent. */
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -294,6 +294,16 @@
 	return call->path ? call->path : "";
 }
 
+const char *ap_http_call_peer(const ap_http_call_t *call)
+{
+	char *address = NULL;
+	ev_uint16_t port;
+
+	if (call->conn->evcon)
+		evhttp_connection_get_peer(call->conn->evcon, &address, &port);
+	return address ? address : "";
+}
+
 bool ap_http_call_query(const ap_http_call_t *call, const char *key, char *out, size_t size)
 {
 	const char *query = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(call->req));
--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -264,6 +264,23 @@
 	return read_scaled(l, key, value, AP_MSEC, at);
 }
 
+static ap_settings_status_t read_seeds(loader_t *l, const char *key, json_t *value, void *at)
+{
+	ap_gateway_settings_t *g = at;
+	json_t *seed;
+	size_t i;
+
+	if (!json_is_array(value) || json_array_size(value) > AP_SEEDS_MAX)
+		return wrong(l, key, "must be an array of at most 8 addresses");
+	json_array_foreach (value, i, seed) {
+		const char *text = json_string_value(seed);
+
+		if (!text || !ap_address_parse(text, &g->seeds[g->n_seeds++]))
+			return wrong(l, key, "must be an array of \"IP:PORT\"");
+	}
+	return AP_SETTINGS_OK;
+}
+
 static ap_settings_status_t read_data_centres(loader_t *l, const char *key, json_t *value, void *at)
 {
 	ap_gateway_settings_t *g = at;
@@ -341,6 +358,8 @@
 	SETTING("gateway", "ready", NEED_GATEWAY, read_address, gateway.ready),
 	SETTING("gateway", "directory", NEED_GATEWAY, read_address, gateway.directory),
 	SETTING("gateway", "metrics", NEED_GATEWAY, read_address, gateway.metrics),
+	SETTING("gateway", "control", NEED_NEVER, read_address, gateway.control),
+	SETTING("gateway", "seeds", NEED_NEVER, read_seeds, gateway),
 	SETTING("gateway", "peer_port", NEED_GATEWAY, read_port, gateway.peer_port),
 	SETTING("gateway", "store", NEED_GATEWAY, read_address, gateway.store),
 	SETTING("gateway", "cores", NEED_GATEWAY, read_number, gateway.cores),
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -25,6 +25,7 @@
 bool ap_address_parse(const char *text, ap_address_t *out);
 
 #define AP_DATA_CENTRES_MAX 32
+#define AP_SEEDS_MAX 8
 
 /* A data centre of the deployment, and its region. */
 typedef struct ap_data_centre {
@@ -35,6 +36,8 @@
 /**
  * struct ap_gateway_settings - table [gateway]: the instance serves on its users' platform.
  * @callers, @ready, @directory, @metrics: own listeners
+ * @control: where other instances that start ask what the store held; optional
+ * @seeds: instances that are asked so, which may be stale
  * @peer_port: where other instances send requests of other regions; a port on the own host
  * @store: the platform's key-value service
  * @cores: share of a core that this instance has
@@ -49,6 +52,9 @@
 	ap_address_t ready;
 	ap_address_t directory;
 	ap_address_t metrics;
+	ap_address_t control;
+	ap_address_t seeds[AP_SEEDS_MAX];
+	size_t n_seeds;
 	uint16_t peer_port;
 	ap_address_t store;
 	double cores;
--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -10,7 +10,8 @@
 
 #define PROOF_BYTES 16
 #define PROOF_CONTEXT "arbutuspond request between regions"
-#define PORT_AFTER_PEER 1 /* of the ports for traffic between instances, behind that for requests */
+#define PORT_AFTER_PEER 1 /* of the ports for traffic between instances, behind that for requests  \
+			   */
 #define SECRET_TEXT (2 * (AP_CURVE_KEY_MAX - 1)) /* public and secret key */
 
 static void on_message(void *ctx, const char *from, const void *data, size_t len)
@@ -127,6 +128,8 @@
 	const char *given = ap_http_call_header(call, HOP_HEADER_PROOF);
 	size_t len = strlen(gate->proof);
 
-	return len > 0 && given && strlen(given) == len &&
-	       sodium_memcmp(given, gate->proof, len) == 0;
+	if (len > 0 && given && strlen(given) == len && sodium_memcmp(given, gate->proof, len) == 0)
+		return true;
+	/* One that was started with the store away has no secret yet, but its machine is known. */
+	return ap_fleet_knows_host(gate->fleet, ap_http_call_peer(call));
 }
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -25,6 +25,7 @@
 
 	ap_follow_answer(gate->follow, read, now);
 	gate_store_tick(gate, now);
+	gate_seed_tick(gate, now);
 }
 
 static void on_written(void *ctx, ap_store_end_t end, uint64_t number)
@@ -55,6 +56,7 @@
 	gateway_t *gate = ctx;
 	ap_usec_t now = ap_now();
 
+	ap_items_listing(gate->items, begin);
 	if (begin)
 		ap_fleet_list_begin(gate->fleet);
 	else
@@ -146,12 +148,14 @@
 	gate_peer_know(gate, &member);
 }
 
-static void op_item(void *ctx, const ap_store_item_t *item)
+void gate_store_item(gateway_t *gate, const ap_store_item_t *item)
 {
-	gateway_t *gate = ctx;
 	const char *name;
+	ap_host_key_t key = ap_host_key(item->key, &name);
 
-	switch (ap_host_key(item->key, &name)) {
+	if (key != AP_HOST_KEY_OTHER)
+		ap_items_put(gate->items, item);
+	switch (key) {
 	case AP_HOST_KEY_PLAN:
 		take_plan(gate, item);
 		break;
@@ -175,6 +179,11 @@
 	}
 }
 
+static void op_item(void *ctx, const ap_store_item_t *item)
+{
+	gate_store_item(ctx, item);
+}
+
 static void op_lease(void *ctx, ap_usec_t ttl)
 {
 	gateway_t *gate = ctx;
@@ -241,8 +250,9 @@
 
 	gate->store = ap_host_store_new(gate->base, &gate->g->store, CALL_LIMIT);
 	gate->follow = ap_follow_new(&follow, now);
+	gate->items = ap_items_new();
 	gate->enrol = ap_enrol_new(&enrol, now);
-	return gate->store && gate->follow && gate->enrol;
+	return gate->store && gate->follow && gate->items && gate->enrol;
 }
 
 static void note_away(gateway_t *gate, ap_usec_t now)
@@ -268,5 +278,6 @@
 {
 	ap_host_store_free(gate->store);
 	ap_follow_free(gate->follow);
+	ap_items_free(gate->items);
 	ap_enrol_free(gate->enrol);
 }
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -15,6 +15,7 @@
 #define CALLER_IDLE (60 * AP_SEC)    /* longer than callers keep an idle connection */
 #define CALLER_ARRIVAL (10 * AP_SEC) /* some times what callers may take */
 #define CONNECTIONS 3000	     /* of the descriptors, the rest is for upstreams */
+#define LAST_WAITS (2800 * AP_MSEC)  /* requests taken later would not end within the grace */
 #define END_PART 0.96		     /* of the grace: what is not done now is killed soon */
 #define SAMPLE 16		     /* one request in so many is written in full */
 #define LINES_PER_SECOND 200
@@ -62,7 +63,9 @@
 	       listen_on(gate, &gate->ready, g->ready.host, g->ready.port, gate_on_ready) &&
 	       listen_on(gate, &gate->directory, g->directory.host, g->directory.port,
 			 gate_on_directory) &&
-	       listen_on(gate, &gate->metrics, g->metrics.host, g->metrics.port, gate_on_metrics);
+	       listen_on(gate, &gate->metrics, g->metrics.host, g->metrics.port, gate_on_metrics) &&
+	       (g->control.port == 0 ||
+		listen_on(gate, &gate->control, g->control.host, g->control.port, gate_on_control));
 }
 
 static bool is_drained(const gateway_t *gate)
@@ -71,6 +74,18 @@
 	       ap_http_server_flushing(gate->peers) == 0;
 }
 
+/*
+ * Most callers have asked the directory again after one lifetime of its answers; the others find no
+ * listener and go on. The last instance of a region waits a little longer for another one.
+ */
+static bool may_stop(const gateway_t *gate, ap_usec_t now)
+{
+	ap_usec_t waited = now - gate->leave_at;
+
+	return waited > LAST_WAITS ||
+	       (waited > gate->g->directory_ttl && ap_fleet_staying(gate->fleet, now) > 0);
+}
+
 static void check_leave(gateway_t *gate, ap_usec_t now)
 {
 	double waited = (double)(now - gate->leave_at);
@@ -78,8 +93,7 @@
 
 	if (gate->leave_at == 0)
 		return;
-	/* Most callers have asked the directory again; the others find no listener and go on. */
-	if (now - gate->leave_at > gate->g->directory_ttl && !gate->stopped) {
+	if (!gate->stopped && may_stop(gate, now)) {
 		gate->stopped = true;
 		ap_http_server_stop(gate->callers);
 		ap_http_server_stop(gate->peers);
@@ -108,6 +122,7 @@
 	gate->steady = steady;
 	ap_fleet_tick(gate->fleet, now);
 	gate_store_tick(gate, now);
+	gate_seed_tick(gate, now);
 	gate_peer_tick(gate, now);
 	ap_journal_flush(gate->journal);
 	check_leave(gate, now);
@@ -127,6 +142,7 @@
 	ap_fleet_member(gate->fleet, &gate->self, now);
 	ap_enrol_changed(gate->enrol, now);
 	gate_store_tick(gate, now);
+	gate_peer_tick(gate, now);
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "process.leaving", NULL, NULL);
 }
 
@@ -159,6 +175,7 @@
 	const ap_settings_t *s = gate->settings;
 	const ap_gateway_settings_t *g = gate->g;
 	ap_fleet_config_t config = {
+		.inc = gate->inc,
 		.cold_over = g->cold_over,
 		.cold_slack = g->cold_slack,
 		.repeat_ratio = g->repeat_ratio,
@@ -214,11 +231,13 @@
 	if (!gate->base || !gate->journal)
 		return false;
 	gate->ticked = ap_now();
+	gate->started = gate->ticked;
+	gate->calls_out = ap_calls_new(gate->base);
 	gate->steady = steady_now();
 	gate->client = ap_http_client_new(gate->base);
 	fill_self(gate);
-	return gate->client && make_fleet(gate) && listen_all(gate) && gate_store_start(gate) &&
-	       watch_signals(gate);
+	return gate->client && gate->calls_out && make_fleet(gate) && listen_all(gate) &&
+	       gate_store_start(gate) && watch_signals(gate);
 }
 
 static void stop(gateway_t *gate)
@@ -228,6 +247,8 @@
 	ap_http_server_free(gate->ready);
 	ap_http_server_free(gate->directory);
 	ap_http_server_free(gate->metrics);
+	ap_http_server_free(gate->control);
+	ap_calls_free(gate->calls_out);
 	ap_http_client_free(gate->client);
 	gate_store_stop(gate);
 	ap_peer_free(gate->peer);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -112,6 +112,7 @@
 	ap_fleet_t *fleet;
 	ap_plan_t *plan;
 	ap_follow_t *follow;
+	ap_items_t *items;
 	ap_enrol_t *enrol;
 	ap_host_store_t *store;
 	ap_http_client_t *client;
@@ -120,6 +121,11 @@
 	ap_http_server_t *ready;
 	ap_http_server_t *directory;
 	ap_http_server_t *metrics;
+	ap_http_server_t *control;
+	ap_calls_t *calls_out; /* to other instances */
+	bool seed_asked;
+	size_t next_seed;
+	ap_usec_t started;
 	ap_settings_t peer_settings; /* own id and host, and the key pair that all share */
 	ap_peer_t *peer;	     /* NULL until the secret is known */
 	char proof[AP_NAME_MAX];     /* of knowing the secret; empty until then */
@@ -160,6 +166,12 @@
 bool gate_store_start(gateway_t *gate);
 void gate_store_tick(gateway_t *gate, ap_usec_t now);
 void gate_store_stop(gateway_t *gate);
+/* Takes one item of the store, read by this instance or by another one. */
+void gate_store_item(gateway_t *gate, const ap_store_item_t *item);
+
+/* gateway-seed.c */
+void gate_on_control(void *ctx, ap_http_call_t *call);
+void gate_seed_tick(gateway_t *gate, ap_usec_t now);
 
 /* gateway-peer.c: what instances tell each other */
 /* The secret that all instances share was read from the store. */
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -138,6 +138,7 @@
 /**
  * struct ap_fleet_config - made once at start.
  * @id: own id, which is never a target
+ * @inc: own incarnation
  * @cold_over, @cold_slack: a cold upstream bears @cold_over times its rate and @cold_slack more
  * @repeat_ratio, @repeat_slack, @repeat_window: all instances together may send this part of a
  *                pool's requests, and @repeat_slack more, once more in any such window
@@ -145,6 +146,7 @@
  */
 typedef struct ap_fleet_config {
 	char id[AP_NAME_MAX];
+	ap_id_t inc;
 	char region[AP_NAME_MAX];
 	char data_centre[AP_NAME_MAX];
 	double cold_over;
@@ -186,8 +188,12 @@
 /* Other instances: member.c */
 void ap_fleet_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now);
 void ap_fleet_member_removed(ap_fleet_t *f, const char *id, ap_usec_t now);
+/** ap_fleet_staying() - live instances of the own region that don't leave, itself left out. */
+size_t ap_fleet_staying(const ap_fleet_t *f, ap_usec_t now);
 /** ap_fleet_members() - live instances of @region, or of all regions when it is NULL. */
 size_t ap_fleet_members(const ap_fleet_t *f, const char *region);
+/** ap_fleet_knows_host() - did an instance enter itself with this address? */
+bool ap_fleet_knows_host(const ap_fleet_t *f, const char *host);
 /** ap_fleet_each_member() - shows every known instance, live or not. */
 void ap_fleet_each_member(const ap_fleet_t *f, void (*show)(void *ctx, const ap_member_t *member),
 			  void *ctx);
@@ -227,8 +233,8 @@
 /* What instances tell each other: tell.c */
 /**
  * ap_fleet_tell() - tells the region's other instances of own work and of prefixes sent to
- * upstreams. To be called some times a second; it decides by itself whether there is something to
- * tell.
+ * upstreams, and whether it leaves. To be called some times a second; it decides by itself whether
+ * there is something to tell.
  */
 void ap_fleet_tell(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now);
 /** ap_fleet_heard() - another instance told something. Return: false when it can't be read. */
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LEAVING_NAMED (1200 * AP_MSEC) /* less than it goes on taking connections */
+#define LEAVING_NAMED (2200 * AP_MSEC) /* less than the last one of a region takes connections */
+#define HEARD_FRESH (1500 * AP_MSEC)   /* some rounds of what instances tell each other */
 #define MEMBER_GRACE (1500 * AP_MSEC)  /* a lapsed one that is alive enters itself again by then */
 
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id)
@@ -17,7 +18,8 @@
 
 bool ap_member_live(const ap_member_state_t *m, ap_usec_t now)
 {
-	return !m->removed || now < m->lapses;
+	return !m->removed || now < m->lapses ||
+	       (m->heard_at > 0 && now - m->heard_at < HEARD_FRESH);
 }
 
 void ap_fleet_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now)
@@ -62,6 +64,27 @@
 	return n;
 }
 
+size_t ap_fleet_staying(const ap_fleet_t *f, ap_usec_t now)
+{
+	size_t n = 0;
+
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		n += ap_member_live(m, now) && !m->member.leaving &&
+		     strcmp(m->member.region, f->config.region) == 0 &&
+		     strcmp(m->member.id, f->config.id) != 0;
+	}
+	return n;
+}
+
+bool ap_fleet_knows_host(const ap_fleet_t *f, const char *host)
+{
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (strcmp(m->member.host, host) == 0)
+			return true;
+	}
+	return false;
+}
+
 void ap_fleet_each_member(const ap_fleet_t *f, void (*show)(void *ctx, const ap_member_t *member),
 			  void *ctx)
 {
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -105,6 +105,8 @@
 	ap_usec_t lapses;
 	ap_usec_t suspect_until;
 	ap_usec_t leaving_since;
+	ap_id_t left;	    /* the incarnation that said so */
+	ap_usec_t heard_at; /* when it told something last; 0 for never */
 	ap_told_load_t *loads;
 	size_t n_loads;
 	ap_usec_t loads_at;
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -1,6 +1,7 @@
 /*
  * What instances tell each other. Within a region: own work at each upstream, and prefixes sent
- * there. Each message stands for itself, so that a lost one costs only its age.
+ * there, and whether the instance leaves: that way it is known while the store is away. Each
+ * message stands for itself, so that a lost one costs only its age.
  */
 #include "fleet/private.h"
 #include "wire/frame.h"
@@ -94,14 +95,20 @@
 
 static void tell_region(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
 {
+	const ap_member_state_t *self = ap_member_find(f, f->config.id);
+	bool leaving = self && self->member.leaving;
 	ap_wire_out_t out;
 	size_t n;
 
-	ap_wire_out_begin(&out, AP_WIRE_FLEET, (ap_id_t){0}, ++f->told_seq);
-	msgpack_pack_array(&out.pk, 2);
+	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->told_seq);
+	msgpack_pack_array(&out.pk, 3);
 	n = pack_loads(f, &out.pk);
 	pack_news(f, &out.pk);
-	if (n > 0 || f->told_work || f->n_news > 0 || now - f->told_at >= TELL_IDLE) {
+	if (leaving)
+		msgpack_pack_true(&out.pk);
+	else
+		msgpack_pack_false(&out.pk);
+	if (n > 0 || f->told_work || f->n_news > 0 || leaving || now - f->told_at >= TELL_IDLE) {
 		for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 			if (is_other(f, m, now) && is_near(f, m))
 				ap_wire_out_send(&out, peer, m->member.id);
@@ -174,6 +181,18 @@
 	return news->ok;
 }
 
+/* An instance that left and was started again has another incarnation. */
+static void take_leaving(ap_member_state_t *m, ap_id_t inc, bool leaving, ap_usec_t now)
+{
+	m->heard_at = now;
+	if (leaving && !m->member.leaving)
+		m->leaving_since = now;
+	if (leaving)
+		m->left = inc;
+	if (leaving || !ap_id_eq(inc, m->left))
+		m->member.leaving = leaving;
+}
+
 bool ap_fleet_heard(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, from);
@@ -181,6 +200,7 @@
 	ap_wire_reader_t news;
 	ap_wire_reader_t r;
 	ap_wire_in_t in;
+	bool leaving;
 	bool ok;
 
 	if (!ap_wire_in_open(&in, AP_WIRE_FLEET, data, len, NULL))
@@ -189,7 +209,10 @@
 	loads = ap_wire_array(&r);
 	news = ap_wire_array(&r);
 	/* One that is not known yet is not counted; it tells again soon. */
+	leaving = ap_wire_bool(&r);
 	ok = r.ok && (!m || take_loads(f, m, &loads, now)) && take_news(f, &news);
+	if (ok && m)
+		take_leaving(m, in.head.from, leaving, now);
 	ap_wire_in_close(&in);
 	return ok;
 }
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -151,6 +151,11 @@
 	return f->whole ? now - f->answered : AP_NEVER;
 }
 
+bool ap_follow_failed(const ap_follow_t *f)
+{
+	return f->backoff > 0;
+}
+
 bool ap_follow_unsure(const ap_follow_t *f, ap_usec_t now)
 {
 	return now - f->returned < f->config.unsure;
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -81,9 +81,27 @@
 void ap_follow_again(ap_follow_t *f, ap_usec_t now);
 /** ap_follow_age() - time since the last answer; AP_NEVER before the first list was whole. */
 ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now);
+/** ap_follow_failed() - did the last call bring no answer? */
+bool ap_follow_failed(const ap_follow_t *f);
 /** ap_follow_unsure() - was the store away just now, so that missing keys may come back? */
 bool ap_follow_unsure(const ap_follow_t *f, ap_usec_t now);
 
+typedef struct ap_items ap_items_t;
+
+/*
+ * What was read last, for an instance that starts while the store is away.
+ */
+ap_items_t *ap_items_new(void);
+void ap_items_free(ap_items_t *items);
+void ap_items_put(ap_items_t *items, const ap_store_item_t *item);
+/** ap_items_listing() - a whole list begins, or has ended: what was not in it goes. */
+void ap_items_listing(ap_items_t *items, bool begin);
+/** ap_items_pack() - all but the item @without, which may be NULL. Return: bytes to free(). */
+void *ap_items_pack(const ap_items_t *items, const char *without, size_t *len);
+/** ap_items_unpack() - shows each item of packed ones. Return: false when they can't be read. */
+bool ap_items_unpack(const void *data, size_t len, void *ctx,
+		     void (*item)(void *ctx, const ap_store_item_t *item));
+
 typedef struct ap_enrol ap_enrol_t;
 
 /**
--- /dev/null
+++ b/lib/follow/items.c
@@ -0,0 +1,167 @@
+/*
+ * What was read from the store last, kept as it was, so that an instance which starts while the
+ * store is away can have it from another one.
+ */
+#include "follow/follow.h"
+#include "wire/frame.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
+#include <uthash.h>
+
+#define KEY_MAX 256
+#define VALUE_MAX (2 << 20)
+
+typedef struct kept {
+	UT_hash_handle hh;
+	char key[KEY_MAX];
+	void *value;
+	size_t len;
+	uint64_t revision;
+	bool listed;
+} kept_t;
+
+struct ap_items {
+	kept_t *table;
+};
+
+ap_items_t *ap_items_new(void)
+{
+	return calloc(1, sizeof(ap_items_t));
+}
+
+static void drop(ap_items_t *items, kept_t *k)
+{
+	HASH_DEL(items->table, k);
+	free(k->value);
+	free(k);
+}
+
+void ap_items_free(ap_items_t *items)
+{
+	kept_t *next;
+	kept_t *k;
+
+	if (!items)
+		return;
+	HASH_ITER (hh, items->table, k, next)
+		drop(items, k);
+	free(items);
+}
+
+static kept_t *make(ap_items_t *items, const char *key)
+{
+	kept_t *k = calloc(1, sizeof(*k));
+
+	if (!k || !ap_copy_name(k->key, sizeof(k->key), key)) {
+		free(k);
+		return NULL;
+	}
+	HASH_ADD_STR(items->table, key, k);
+	return k;
+}
+
+void ap_items_put(ap_items_t *items, const ap_store_item_t *item)
+{
+	void *copy;
+	kept_t *k;
+
+	HASH_FIND_STR(items->table, item->key, k);
+	if (item->removed) {
+		if (k)
+			drop(items, k);
+		return;
+	}
+	copy = malloc(item->len + 1);
+	if (!copy)
+		return;
+	if (item->len > 0)
+		memcpy(copy, item->value, item->len);
+	if (!k)
+		k = make(items, item->key);
+	if (!k) {
+		free(copy);
+		return;
+	}
+	free(k->value);
+	k->value = copy;
+	k->len = item->len;
+	k->revision = item->revision;
+	k->listed = true;
+}
+
+void ap_items_listing(ap_items_t *items, bool begin)
+{
+	kept_t *next;
+	kept_t *k;
+
+	HASH_ITER (hh, items->table, k, next) {
+		if (!begin && !k->listed)
+			drop(items, k);
+		else if (begin)
+			k->listed = false;
+	}
+}
+
+void *ap_items_pack(const ap_items_t *items, const char *without, size_t *len)
+{
+	kept_t *left_out = NULL;
+	ap_wire_out_t out;
+	void *bytes;
+
+	if (without)
+		HASH_FIND_STR(items->table, without, left_out);
+
+	ap_wire_out_begin(&out, AP_WIRE_SNAPSHOT, (ap_id_t){0}, 1);
+	msgpack_pack_array(&out.pk, HASH_COUNT(items->table) - (left_out ? 1 : 0));
+	for (const kept_t *k = items->table; k; k = k->hh.next) {
+		if (k == left_out)
+			continue;
+		msgpack_pack_array(&out.pk, 3);
+		ap_wire_pack_str(&out.pk, k->key);
+		ap_wire_pack_bin(&out.pk, k->value, k->len);
+		msgpack_pack_uint64(&out.pk, k->revision);
+	}
+	bytes = malloc(out.buf.size);
+	if (bytes)
+		memcpy(bytes, out.buf.data, out.buf.size);
+	*len = bytes ? out.buf.size : 0;
+	ap_wire_out_end(&out);
+	return bytes;
+}
+
+static bool unpack_one(ap_wire_reader_t *list, void *ctx,
+		       void (*item)(void *ctx, const ap_store_item_t *item))
+{
+	ap_wire_reader_t e = ap_wire_array(list);
+	ap_store_item_t one = {0};
+	char key[KEY_MAX];
+
+	ap_wire_str(&e, key, sizeof(key));
+	one.key = key;
+	one.value = ap_wire_bin(&e, &one.len);
+	one.revision = ap_wire_u64(&e);
+	if (!e.ok || one.len > VALUE_MAX)
+		return false;
+	item(ctx, &one);
+	return true;
+}
+
+bool ap_items_unpack(const void *data, size_t len, void *ctx,
+		     void (*item)(void *ctx, const ap_store_item_t *item))
+{
+	ap_wire_reader_t list;
+	ap_wire_in_t in;
+	bool ok;
+
+	if (!ap_wire_in_open(&in, AP_WIRE_SNAPSHOT, data, len, NULL))
+		return false;
+	list = ap_wire_reader(&in.body);
+	ok = list.ok;
+	while (ok && list.left > 0)
+		ok = unpack_one(&list, ctx, item);
+	ap_wire_in_close(&in);
+	return ok;
+}
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -40,6 +40,7 @@
 	AP_WIRE_REPORT = 80,
 	/* 96 to 111: work and waits (gateway task) */
 	AP_WIRE_FLEET = 96,
+	AP_WIRE_SNAPSHOT,
 } ap_wire_kind_t;
 
 /**
