--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -128,7 +128,9 @@
 	char region[AP_NAME_MAX];
 	unsigned priority;
 	bool first; /* its first piece has come */
-	bool alone; /* nothing else waited there when it was sent */
+	bool alone;  /* nothing else waited there when it was sent */
+	bool queued; /* it had to wait for a place there */
+	ap_usec_t first_at;
 	uint32_t prefill;
 	uint32_t kv;
 	ap_usec_t sent;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -204,6 +204,7 @@
 	if (!r)
 		return;
 	ticket->alone = ap_replica_running(r) == 0;
+	ticket->queued = ap_replica_running(r) >= ap_replica_slots(r, work->pool);
 	ticket->trial = r->until != 0;
 	r->trial = r->trial || ticket->trial;
 	if (ap_replica_cold(f, r, work->pool->warmup, now))
@@ -243,6 +244,7 @@
 	if (!ticket->open || ticket->first)
 		return;
 	ticket->first = true;
+	ticket->first_at = now;
 	r = ticket->remote ? NULL : ap_replica_find(f, ticket->id);
 	if (!r)
 		return;
@@ -251,18 +253,31 @@
 	learn_slow(r, ticket, now);
 }
 
-static void done_here(ap_fleet_t *f, ap_replica_t *r, const ap_ticket_t *ticket, ap_work_end_t end,
-		      ap_usec_t now)
+/* How long work takes a place at an upstream. What it waited for the place does not count. */
+static void learn_mean(ap_fleet_t *f, const ap_ticket_t *ticket, ap_usec_t now)
 {
 	ap_pool_state_t *p = ap_pool_state(f, ticket->pool);
 	double took = (double)(now - ticket->sent);
 
+	if (!p)
+		return;
+	if (ticket->first_at > 0 && ticket->prefill > 0)
+		took = (double)(now - ticket->first_at) + FIRST_STEP_US +
+		       ticket->prefill / p->prefill_per_us;
+	else if (ticket->queued)
+		return;
+	p->mean_us = p->mean_us > 0 ? p->mean_us + LEARN * (took - p->mean_us) : took;
+}
+
+static void done_here(ap_fleet_t *f, ap_replica_t *r, const ap_ticket_t *ticket, ap_work_end_t end,
+		      ap_usec_t now)
+{
 	r->own.running[ticket->priority]--;
 	r->own.kv -= ticket->kv;
 	if (!ticket->first)
 		r->own.prefill[ticket->priority] -= ticket->prefill;
-	if (p && end == AP_WORK_DONE)
-		p->mean_us = p->mean_us > 0 ? p->mean_us + LEARN * (took - p->mean_us) : took;
+	if (end == AP_WORK_DONE)
+		learn_mean(f, ticket, now);
 	ap_replica_ended(r, end, ticket->trial, now);
 }
 
