Keep each large prefix in one region, and tell regions' waits

Reading such a prefix takes longer than the way to another region. Now: the region that keeps a prefix is chosen by weighted hash, and the request goes there if it is not cached here and the other region's wait, which some of its instances tell each half second, allows.

--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -10,8 +10,9 @@
 
 #define PROOF_BYTES 16
 #define PROOF_CONTEXT "arbutuspond request between regions"
-#define PORT_AFTER_PEER 1 /* of the ports for traffic between instances, behind that for requests  \
-			   */
+#define PORT_AFTER_PEER                                                                            \
+	1 /* of the ports for traffic between instances, behind that for requests                  \
+	   */
 #define SECRET_TEXT (2 * (AP_CURVE_KEY_MAX - 1)) /* public and secret key */
 
 static void on_message(void *ctx, const char *from, const void *data, size_t len)
@@ -106,8 +107,7 @@
 
 void gate_peer_know(gateway_t *gate, const ap_member_t *member)
 {
-	if (!gate->peer || strcmp(member->id, gate->self.id) == 0 ||
-	    strcmp(member->region, gate->self.region) != 0)
+	if (!gate->peer || strcmp(member->id, gate->self.id) == 0)
 		return;
 	ap_peer_know(gate->peer, member->id, member->host,
 		     (uint16_t)(member->peer_port + PORT_AFTER_PEER), "");
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -55,6 +55,7 @@
 {
 	x->reason = reason;
 	x->over = true;
+	x->ops->decided(x->ctx, "given-up", reason == AP_REASON_TOO_LATE ? &x->target : NULL);
 	if (x->committed) {
 		x->ops->cut(x->ctx);
 		return;
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -16,13 +16,14 @@
 #define RANKED 2		/* upstreams that a prefix goes to by hash */
 #define SAMPLE_MIN 2		/* others that are weighed: more would be chosen by all at once */
 #define CANDIDATES_MAX 1024
-#define JITTER_US 2000.0	/* below this, waits are alike */
-#define KV_FULL 0.9		/* above this share, engines preempt */
+#define JITTER_US 2000.0 /* below this, waits are alike */
+#define KV_FULL 0.9	 /* above this share, engines preempt */
 #define KV_FULL_US 1500000.0
 #define ROUND_TRIP_US 115000.0 /* between regions, until an answer has told */
 #define AWAY_MARGIN_US 60000.0 /* a region is left for a clear gain only */
 #define STAY_SHARE 0.7	       /* of the objective: shorter waits are not worth leaving for */
-#define TOLD_HALF_LIFE (1 * AP_SEC)
+#define ADMIT_SHARE 0.9	       /* of the objective: what waits longer makes all that follow late */
+#define TOLD_HALF_LIFE (2 * AP_SEC) /* some rounds of telling */
 
 ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config)
 {
@@ -107,6 +108,7 @@
 	ap_replica_t *replica;
 	uint32_t cached;
 	double wait;
+	double queue; /* part of the wait that is others' work */
 	double score;
 } candidate_t;
 
@@ -147,6 +149,13 @@
 	}
 }
 
+static double read_us(ap_fleet_t *f, const ap_work_t *work, uint32_t cached)
+{
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+
+	return p && work->pool->kv_tokens ? (work->tokens_in - cached) / p->prefill_per_us : 0;
+}
+
 static void weigh(ap_fleet_t *f, const ap_work_t *work, bool first, ap_usec_t now, candidate_t *c)
 {
 	ap_replica_t *r = c->replica;
@@ -156,8 +165,10 @@
 
 	c->cached = ap_holder_cached(f, &r->cache, work);
 	c->wait = ap_replica_wait_us(f, r, work, work->tokens_in - c->cached);
-	c->score = c->wait * (1 + failing) + failing * FAILING_US +
-		   ap_rng_unit(&f->rng) * JITTER_US;
+	c->queue = c->wait - read_us(f, work, c->cached);
+	c->wait *= ap_replica_slow(r, now);
+	c->score =
+		c->wait * (1 + failing) + failing * FAILING_US + ap_rng_unit(&f->rng) * JITTER_US;
 	if (work->pool->kv_tokens) {
 		double kv = (double)(r->own.kv + r->others.kv) / work->pool->kv_tokens;
 
@@ -246,6 +257,7 @@
 typedef struct away_candidate {
 	const ap_member_t *member;
 	double wait;
+	double queue;
 	uint32_t cached;
 } away_candidate_t;
 
@@ -263,21 +275,51 @@
 }
 
 /* What the region told, fading, and what was sent there since. */
-static double away_wait_us(ap_fleet_t *f, const ap_away_t *away, const ap_work_t *work,
-			   uint32_t slots, uint32_t cached, ap_usec_t now)
+static double away_queue_us(ap_fleet_t *f, const ap_away_t *away, const ap_work_t *work,
+			    uint32_t slots, ap_usec_t now)
 {
 	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
 	double halves = (double)(now - away->told) / (double)TOLD_HALF_LIFE;
 	double wait = ROUND_TRIP_US + (double)away->wait * exp2(-fmax(halves, 0));
 
+	/* The other instances of this region send about as much there. */
 	if (p && p->mean_us > 0)
-		wait += away->since * exp2(-fmax(halves, 0)) * p->mean_us / slots;
-	if (p && work->pool->kv_tokens)
-		wait += (work->tokens_in - cached) / p->prefill_per_us;
+		wait += away->since * (double)ap_fleet_members(f, f->config.region) * p->mean_us /
+			slots;
 	return wait;
 }
 
-static bool best_away(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, away_candidate_t *best)
+/*
+ * The region whose upstreams keep this prefix, by weighted hash: to read it anew takes longer than
+ * the way there. NULL when its reading is shorter.
+ */
+static const char *region_of_prefix(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
+{
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+	uint64_t key = shared_key(work);
+	const char *chosen = NULL;
+	double best = 0;
+
+	if (!p || !work->pool->kv_tokens ||
+	    shared_tokens(work) / p->prefill_per_us < ROUND_TRIP_US + AWAY_MARGIN_US)
+		return NULL;
+	for (const ap_place_t *place = f->places; place; place = place->hh.next) {
+		uint32_t slots = slots_in(f, place->region, work->pool, now);
+		double score;
+
+		if (slots == 0 || !ap_plan_home(work->route, place->region))
+			continue;
+		score = ap_rendezvous(key, ap_hash_str(place->region, 0), slots);
+		if (score > best) {
+			best = score;
+			chosen = place->region;
+		}
+	}
+	return chosen;
+}
+
+static bool best_away(ap_fleet_t *f, const ap_work_t *work, const char *keeper, ap_usec_t now,
+		      away_candidate_t *best)
 {
 	bool found = false;
 
@@ -297,7 +339,10 @@
 		if (!c.member)
 			continue;
 		c.cached = ap_holder_cached(f, &away->cache, work);
-		c.wait = away_wait_us(f, away, work, slots, c.cached, now);
+		if (keeper && strcmp(place->region, keeper) == 0 && c.cached < shared_tokens(work))
+			c.cached = shared_tokens(work);
+		c.queue = away_queue_us(f, away, work, slots, now);
+		c.wait = c.queue + read_us(f, work, c.cached);
 		if (!found || c.wait < best->wait)
 			*best = c;
 		found = true;
@@ -312,6 +357,7 @@
 	*target = (ap_target_t){
 		.port = r->entry.port,
 		.wait = (ap_usec_t)c->wait,
+		.queue = (ap_usec_t)c->queue,
 		.cached = c->cached,
 		.known_for = now - r->seen,
 		.running = ap_replica_running(r),
@@ -327,6 +373,7 @@
 		.remote = true,
 		.port = c->member->peer_port,
 		.wait = (ap_usec_t)c->wait,
+		.queue = (ap_usec_t)c->queue,
 		.cached = c->cached,
 	};
 	ap_copy_name(target->id, sizeof(target->id), c->member->id);
@@ -343,14 +390,19 @@
 	away_candidate_t away = {0};
 	bool is_here = best_here(f, work, now, &here);
 	bool is_away = false;
+	const char *keeper = work->stay ? NULL : region_of_prefix(f, work, now);
 
-	if (!work->stay && (!is_here || here.wait > enough))
-		is_away = best_away(f, work, now, &away);
+	if (!work->stay &&
+	    (!is_here || here.wait > enough || (keeper && here.cached < shared_tokens(work))))
+		is_away = best_away(f, work, keeper, now, &away);
 	if (!is_here && !is_away)
 		return AP_FLEET_NONE;
 	if (is_here && (!is_away || here.wait <= away.wait + AWAY_MARGIN_US))
 		fill_here(&here, now, target);
 	else
 		fill_away(&away, target);
-	return (double)target->wait > left ? AP_FLEET_LATE : AP_FLEET_OK;
+	if ((double)target->wait > left ||
+	    (double)target->queue > ADMIT_SHARE * (double)work->route->objective)
+		return AP_FLEET_LATE;
+	return AP_FLEET_OK;
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -82,6 +82,7 @@
  * struct ap_target - where a request goes.
  * @remote: an instance of another region, not an upstream
  * @wait: expected time to the first piece of the answer
+ * @queue: part of it that is others' work, or the way
  * @cached: prompt tokens that are expected to be cached there
  * @known_for: age of the record behind it
  * @running: requests it is believed to work on
@@ -93,6 +94,7 @@
 	uint16_t port;
 	char region[AP_NAME_MAX];
 	ap_usec_t wait;
+	ap_usec_t queue;
 	uint32_t cached;
 	ap_usec_t known_for;
 	uint32_t running;
@@ -127,7 +129,7 @@
 	char pool[AP_NAME_MAX];
 	char region[AP_NAME_MAX];
 	unsigned priority;
-	bool first; /* its first piece has come */
+	bool first;  /* its first piece has come */
 	bool alone;  /* nothing else waited there when it was sent */
 	bool queued; /* it had to wait for a place there */
 	ap_usec_t first_at;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -15,6 +15,9 @@
 #define MEAN_START_ENGINE_US 800000.0
 #define LEARN 0.05
 #define SLOW_GAIN 0.08
+#define SLOW_HALF_LIFE (20 * AP_SEC) /* what was not seen again is forgotten */
+#define RATIO_MIN 0.2		     /* of seen and expected wait: one answer alone shows no more */
+#define RATIO_MAX 5.0
 #define SLOW_MIN 0.5
 #define SLOW_MAX 8.0
 #define SLOW_BASE_US 30000.0	     /* below this, waits tell nothing of a slow upstream */
@@ -102,25 +105,44 @@
 	} else {
 		wait += mean_us(p, pool);
 	}
-	return wait * r->slow;
+	return wait;
 }
 
-ap_usec_t ap_fleet_wait(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
+/* Waits for places and for prompts that are read first, whatever their priority. */
+static double queue_us(const ap_replica_t *r, const ap_pool_state_t *p)
 {
-	double best = -1;
+	uint32_t slots = r->entry.slots ? r->entry.slots : 1;
+	uint32_t running = ap_replica_running(r);
+	double wait = 0;
 
-	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		double wait;
+	if (running >= slots)
+		wait = (running - slots + 1) * p->mean_us / slots;
+	for (unsigned i = 0; i < AP_PRIORITIES; i++)
+		wait += (r->own.prefill[i] + r->others.prefill[i]) / p->prefill_per_us;
+	return wait;
+}
+
+ap_usec_t ap_pool_wait(ap_fleet_t *f, const ap_pool_state_t *p, ap_usec_t now)
+{
+	double sum = 0;
+	size_t n = 0;
 
-		if (strcmp(r->entry.pool, work->pool->name) != 0 ||
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (strcmp(r->entry.pool, p->name) != 0 ||
 		    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now) ||
-		    !ap_replica_well(r, now) || ap_replica_cold(f, r, work->pool->warmup, now))
+		    !ap_replica_well(r, now) || now < r->cold_until)
 			continue;
-		wait = ap_replica_wait_us(f, r, work, 0);
-		if (best < 0 || wait < best)
-			best = wait;
+		sum += queue_us(r, p);
+		n++;
 	}
-	return best < 0 ? AP_NEVER : (ap_usec_t)best;
+	return n > 0 ? (ap_usec_t)(sum / (double)n) : AP_NEVER;
+}
+
+ap_usec_t ap_fleet_wait(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
+{
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+
+	return p ? ap_pool_wait(f, p, now) : AP_NEVER;
 }
 
 static void add_load(ap_load_t *sum, const ap_load_t *load, uint32_t times)
@@ -228,13 +250,22 @@
 	p->prefill_per_us += LEARN * (rate - p->prefill_per_us);
 }
 
+double ap_replica_slow(const ap_replica_t *r, ap_usec_t now)
+{
+	double halves = (double)(now - r->slow_at) / (double)SLOW_HALF_LIFE;
+
+	return 1 + (r->slow - 1) * exp2(-fmax(halves, 0));
+}
+
 static void learn_slow(ap_replica_t *r, const ap_ticket_t *ticket, ap_usec_t now)
 {
 	double seen = (double)(now - ticket->sent) + SLOW_BASE_US;
 	double expected = (double)ticket->expected + SLOW_BASE_US;
-	double ratio = fmin(fmax(seen / expected, 0.2), 5.0);
+	double ratio = fmin(fmax(seen / expected, RATIO_MIN), RATIO_MAX);
 
-	r->slow = fmin(fmax(r->slow * pow(ratio, SLOW_GAIN), SLOW_MIN), SLOW_MAX);
+	r->slow = ap_replica_slow(r, now) * pow(ratio, SLOW_GAIN);
+	r->slow = fmin(fmax(r->slow, SLOW_MIN), SLOW_MAX);
+	r->slow_at = now;
 }
 
 void ap_fleet_first(ap_fleet_t *f, ap_ticket_t *ticket, ap_usec_t now)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -92,7 +92,8 @@
 	unsigned ejections;
 	ap_usec_t until;
 	bool trial;
-	double slow;
+	double slow; /* seen against expected waits, 1 for as expected */
+	ap_usec_t slow_at;
 	uint32_t kv_tokens; /* of its pool, known once work was sent there; 0 before */
 	ap_holder_t cache;
 } ap_replica_t;
@@ -165,6 +166,7 @@
 	size_t n_news;
 	uint64_t told_seq;
 	ap_usec_t told_at;
+	ap_usec_t told_away_at;
 	bool told_work; /* the last round told of some work */
 };
 
@@ -203,11 +205,14 @@
 
 /* load.c */
 ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool);
+/* Mean wait for a place at the pool's upstreams of this region; AP_NEVER when none is usable. */
+ap_usec_t ap_pool_wait(ap_fleet_t *f, const ap_pool_state_t *p, ap_usec_t now);
 ap_away_t *ap_away(ap_fleet_t *f, const char *region, const char *pool);
 void ap_load_recount(ap_fleet_t *f, ap_usec_t now);
 /* Expected time to the first piece of @work at @r, of which @uncached prompt tokens are read. */
 double ap_replica_wait_us(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work,
 			  uint32_t uncached);
+double ap_replica_slow(const ap_replica_t *r, ap_usec_t now);
 uint32_t ap_replica_running(const ap_replica_t *r);
 ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag);
 /* Notes for the next round that @work's shared prefix goes to @r. */
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -10,6 +10,8 @@
 #include <string.h>
 
 #define TELL_EVERY (250 * AP_MSEC) /* well below the time that a request takes */
+#define AWAY_EVERY (500 * AP_MSEC) /* waits of a region change over seconds */
+#define AWAY_TELLERS 3		   /* instances of a region that tell one of another region */
 #define TELL_IDLE (1 * AP_SEC)	   /* nothing to tell: often enough to count as heard of */
 #define PREFIX_MIN 256		   /* tokens; shorter prefixes are read again at little cost */
 #define LOADS_MAX 4096
@@ -120,8 +122,58 @@
 	ap_wire_out_end(&out);
 }
 
+static double tells_away(const ap_member_state_t *from, const ap_member_state_t *to)
+{
+	return ap_rendezvous(ap_hash_str(to->member.id, 5), ap_hash_str(from->member.id, 6), 1);
+}
+
+/* Few tell each instance of another region, so that connections don't grow with all pairs. */
+static bool is_teller(const ap_fleet_t *f, const ap_member_state_t *self,
+		      const ap_member_state_t *to, ap_usec_t now)
+{
+	double own = tells_away(self, to);
+	size_t better = 0;
+
+	for (const ap_member_state_t *m = f->members; m && better < AWAY_TELLERS; m = m->hh.next)
+		better += is_other(f, m, now) && is_near(f, m) && tells_away(m, to) > own;
+	return better < AWAY_TELLERS;
+}
+
+static void pack_waits(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now)
+{
+	msgpack_pack_array(pk, HASH_COUNT(f->pools));
+	for (const ap_pool_state_t *p = f->pools; p; p = p->hh.next) {
+		ap_usec_t wait = ap_pool_wait(f, p, now);
+
+		msgpack_pack_array(pk, 2);
+		ap_wire_pack_str(pk, p->name);
+		msgpack_pack_uint64(pk, wait == AP_NEVER ? UINT32_MAX : (uint64_t)(wait / AP_MSEC));
+	}
+}
+
+static void tell_away(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
+{
+	const ap_member_state_t *self = ap_member_find(f, f->config.id);
+	ap_wire_out_t out;
+
+	f->told_away_at = now;
+	if (!self || self->member.leaving)
+		return;
+	ap_wire_out_begin(&out, AP_WIRE_WAITS, f->config.inc, ++f->told_seq);
+	msgpack_pack_array(&out.pk, 2);
+	ap_wire_pack_str(&out.pk, f->config.region);
+	pack_waits(f, &out.pk, now);
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (is_other(f, m, now) && !is_near(f, m) && is_teller(f, self, m, now))
+			ap_wire_out_send(&out, peer, m->member.id);
+	}
+	ap_wire_out_end(&out);
+}
+
 void ap_fleet_tell(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
 {
+	if (now - f->told_away_at >= AWAY_EVERY)
+		tell_away(f, peer, now);
 	if (now - f->told_at < TELL_EVERY)
 		return;
 	tell_region(f, peer, now);
@@ -193,26 +245,57 @@
 		m->member.leaving = leaving;
 }
 
-bool ap_fleet_heard(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now)
+static bool heard_work(ap_fleet_t *f, const char *from, const ap_wire_in_t *in, ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, from);
-	ap_wire_reader_t loads;
-	ap_wire_reader_t news;
-	ap_wire_reader_t r;
+	ap_wire_reader_t r = ap_wire_reader(&in->body);
+	ap_wire_reader_t loads = ap_wire_array(&r);
+	ap_wire_reader_t news = ap_wire_array(&r);
+	bool leaving = ap_wire_bool(&r);
+
+	/* One that is not known yet is not counted; it tells again soon. */
+	if (!r.ok || (m && !take_loads(f, m, &loads, now)) || !take_news(f, &news))
+		return false;
+	if (m)
+		take_leaving(m, in->head.from, leaving, now);
+	return true;
+}
+
+static bool heard_waits(ap_fleet_t *f, const ap_wire_in_t *in, ap_usec_t now)
+{
+	ap_wire_reader_t r = ap_wire_reader(&in->body);
+	ap_wire_reader_t waits;
+	char region[AP_NAME_MAX];
+
+	ap_wire_str(&r, region, sizeof(region));
+	waits = ap_wire_array(&r);
+	if (!r.ok)
+		return false;
+	while (waits.left > 0) {
+		ap_wire_reader_t e = ap_wire_array(&waits);
+		char pool[AP_NAME_MAX];
+		uint64_t wait;
+
+		ap_wire_str(&e, pool, sizeof(pool));
+		wait = ap_wire_u64(&e);
+		if (!e.ok || wait > UINT32_MAX)
+			return false;
+		ap_fleet_told(f, region, pool, (ap_usec_t)wait * AP_MSEC, now);
+	}
+	return true;
+}
+
+bool ap_fleet_heard(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now)
+{
+	uint32_t kind = ap_wire_peek(data, len);
 	ap_wire_in_t in;
-	bool leaving;
 	bool ok;
 
-	if (!ap_wire_in_open(&in, AP_WIRE_FLEET, data, len, NULL))
+	if (kind != AP_WIRE_FLEET && kind != AP_WIRE_WAITS)
 		return false;
-	r = ap_wire_reader(&in.body);
-	loads = ap_wire_array(&r);
-	news = ap_wire_array(&r);
-	/* One that is not known yet is not counted; it tells again soon. */
-	leaving = ap_wire_bool(&r);
-	ok = r.ok && (!m || take_loads(f, m, &loads, now)) && take_news(f, &news);
-	if (ok && m)
-		take_leaving(m, in.head.from, leaving, now);
+	if (!ap_wire_in_open(&in, (ap_wire_kind_t)kind, data, len, NULL))
+		return false;
+	ok = kind == AP_WIRE_FLEET ? heard_work(f, from, &in, now) : heard_waits(f, &in, now);
 	ap_wire_in_close(&in);
 	return ok;
 }
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -41,6 +41,7 @@
 	/* 96 to 111: work and waits (gateway task) */
 	AP_WIRE_FLEET = 96,
 	AP_WIRE_SNAPSHOT,
+	AP_WIRE_WAITS,
 } ap_wire_kind_t;
 
 /**
