--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -22,7 +22,7 @@
 #define ROUND_TRIP_US 115000.0 /* between regions, until an answer has told */
 #define AWAY_MARGIN_US 60000.0 /* a region is left for a clear gain only */
 #define STAY_SHARE 0.7	       /* of the objective: shorter waits are not worth leaving for */
-#define ADMIT_SHARE 0.9	       /* of the objective: what waits longer makes all that follow late */
+#define ADMIT_SHARE 2.0	       /* objectives: what would wait longer for others is worth more elsewhere or later */
 #define TOLD_HALF_LIFE (2 * AP_SEC) /* some rounds of telling */
 
 ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config)
