--- a/adapters/log/journal.c
+++ b/adapters/log/journal.c
@@ -94,19 +94,17 @@
 	j->n_waiting -= done;
 }
 
-static void append(ap_journal_t *j, json_t *record)
+static bool append(ap_journal_t *j, json_t *record)
 {
 	size_t room = j->config.backlog - j->n_waiting;
 	size_t len;
 
 	len = json_dumpb(record, j->waiting + j->n_waiting, room, JSON_COMPACT);
-	if (len == 0 || len + 1 > room) {
-		j->stats.dropped++;
-		return;
-	}
+	if (len == 0 || len + 1 > room)
+		return false;
 	j->n_waiting += len;
 	j->waiting[j->n_waiting++] = '\n';
-	j->stats.written++;
+	return true;
 }
 
 static json_t *begin(const ap_journal_t *j, const char *event)
@@ -128,8 +126,8 @@
 
 	json_object_set_new(record, "lines",
 			    json_integer((json_int_t)(j->stats.dropped - j->told)));
-	j->told = j->stats.dropped;
-	append(j, record);
+	if (append(j, record))
+		j->told = j->stats.dropped;
 	json_decref(record);
 }
 
@@ -160,7 +158,10 @@
 		json_object_update(record, fields);
 		json_decref(fields);
 	}
-	append(j, record);
+	if (append(j, record))
+		j->stats.written++;
+	else
+		j->stats.dropped++;
 	json_decref(record);
 }
 
--- /dev/null
+++ b/lib/fleet/away.c
@@ -0,0 +1,115 @@
+/*
+ * Other regions: how long work would wait there, and which of them keeps a large prefix, so that
+ * it is not read again in each.
+ */
+#include "fleet/private.h"
+
+#include <math.h>
+#include <string.h>
+
+#define ROUND_TRIP_US 115000.0	    /* between regions, until an answer has told */
+#define TOLD_HALF_LIFE (2 * AP_SEC) /* some rounds of telling */
+
+static uint32_t slots_in(const ap_fleet_t *f, const char *region, const ap_plan_pool_t *pool,
+			 ap_usec_t now)
+{
+	uint32_t slots = 0;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (strcmp(r->region, region) == 0 && strcmp(r->entry.pool, pool->name) == 0 &&
+		    ap_replica_usable(f, r, now))
+			slots += ap_replica_slots(r, pool);
+	}
+	return slots;
+}
+
+/* What the region told, fading, and what was sent there since. */
+static double away_queue_us(ap_fleet_t *f, const ap_away_t *away, const ap_work_t *work,
+			    uint32_t slots, ap_usec_t now)
+{
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+	double halves = (double)(now - away->told) / (double)TOLD_HALF_LIFE;
+	double wait = ROUND_TRIP_US + (double)away->wait * exp2(-fmax(halves, 0));
+
+	/* The other instances of this region send about as much there. */
+	if (p && p->mean_us > 0)
+		wait += away->since * (double)ap_fleet_members(f, f->config.region) * p->mean_us /
+			slots;
+	return wait;
+}
+
+/*
+ * The region whose upstreams keep this prefix, by weighted hash: to read it anew takes longer than
+ * the way there. NULL when its reading is shorter.
+ */
+const char *ap_region_of_prefix(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
+{
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+	uint64_t key = ap_work_shared_key(work);
+	const char *chosen = NULL;
+	double best = 0;
+
+	if (!p || !work->pool->kv_tokens ||
+	    ap_work_shared_tokens(work) / p->prefill_per_us < ROUND_TRIP_US + AWAY_MARGIN_US)
+		return NULL;
+	for (const ap_place_t *place = f->places; place; place = place->hh.next) {
+		uint32_t slots = slots_in(f, place->region, work->pool, now);
+		double score;
+
+		if (slots == 0 || !ap_plan_home(work->route, place->region))
+			continue;
+		score = ap_rendezvous(key, ap_hash_str(place->region, 0), slots);
+		if (score > best) {
+			best = score;
+			chosen = place->region;
+		}
+	}
+	return chosen;
+}
+
+bool ap_best_away(ap_fleet_t *f, const ap_work_t *work, const char *keeper, ap_usec_t now,
+		  ap_away_candidate_t *best)
+{
+	bool found = false;
+
+	for (const ap_place_t *place = f->places; place; place = place->hh.next) {
+		ap_away_candidate_t c = {0};
+		uint32_t slots;
+		ap_away_t *away;
+
+		if (strcmp(place->region, f->config.region) == 0 ||
+		    !ap_plan_home(work->route, place->region))
+			continue;
+		slots = slots_in(f, place->region, work->pool, now);
+		away = ap_away(f, place->region, work->pool->name);
+		if (slots == 0 || !away || now < away->refused_until)
+			continue;
+		c.member = ap_member_of_region(f, place->region, work, now);
+		if (!c.member)
+			continue;
+		c.cached = ap_holder_cached(f, &away->cache, work);
+		if (keeper && strcmp(place->region, keeper) == 0 &&
+		    c.cached < ap_work_shared_tokens(work))
+			c.cached = ap_work_shared_tokens(work);
+		c.queue = away_queue_us(f, away, work, slots, now);
+		c.wait = c.queue + ap_read_us(f, work, c.cached);
+		if (!found || c.wait < best->wait)
+			*best = c;
+		found = true;
+	}
+	return found;
+}
+
+void ap_fill_away(const ap_away_candidate_t *c, ap_target_t *target)
+{
+	*target = (ap_target_t){
+		.remote = true,
+		.port = c->member->peer_port,
+		.wait = (ap_usec_t)c->wait,
+		.queue = (ap_usec_t)c->queue,
+		.cached = c->cached,
+	};
+	ap_copy_name(target->id, sizeof(target->id), c->member->id);
+	ap_copy_name(target->host, sizeof(target->host), c->member->host);
+	ap_copy_name(target->region, sizeof(target->region), c->member->region);
+}
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -19,11 +19,8 @@
 #define JITTER_US 2000.0 /* below this, waits are alike */
 #define KV_FULL 0.9	 /* above this share, engines preempt */
 #define KV_FULL_US 1500000.0
-#define ROUND_TRIP_US 115000.0 /* between regions, until an answer has told */
-#define AWAY_MARGIN_US 60000.0 /* a region is left for a clear gain only */
-#define STAY_SHARE 0.7	       /* of the objective: shorter waits are not worth leaving for */
-#define ADMIT_SHARE 2.0	       /* objectives: what would wait longer for others is worth more elsewhere or later */
-#define TOLD_HALF_LIFE (2 * AP_SEC) /* some rounds of telling */
+#define STAY_SHARE 0.7 /* of the objective: shorter waits are not worth leaving for */
+#define ADMIT_SHARE 2.0 /* objectives that work may wait for others: later it is no use here */
 
 ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config)
 {
@@ -86,7 +83,7 @@
 }
 
 /* All parts but the last, which is the request's own. */
-static uint64_t shared_key(const ap_work_t *work)
+uint64_t ap_work_shared_key(const ap_work_t *work)
 {
 	uint64_t key = 0;
 
@@ -95,7 +92,7 @@
 	return key;
 }
 
-static uint32_t shared_tokens(const ap_work_t *work)
+uint32_t ap_work_shared_tokens(const ap_work_t *work)
 {
 	uint32_t tokens = 0;
 
@@ -131,7 +128,7 @@
 /* The upstreams to which every instance sends this prefix when nothing speaks against them. */
 static void rank(const ap_work_t *work, candidates_t *all)
 {
-	uint64_t key = shared_key(work);
+	uint64_t key = ap_work_shared_key(work);
 	double best[RANKED] = {0};
 
 	for (size_t i = 0; i < all->n; i++) {
@@ -149,7 +146,7 @@
 	}
 }
 
-static double read_us(ap_fleet_t *f, const ap_work_t *work, uint32_t cached)
+double ap_read_us(ap_fleet_t *f, const ap_work_t *work, uint32_t cached)
 {
 	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
 
@@ -160,12 +157,12 @@
 {
 	ap_replica_t *r = c->replica;
 	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
-	uint32_t shared = shared_tokens(work);
+	uint32_t shared = ap_work_shared_tokens(work);
 	double failing = ap_replica_failing(r, now);
 
 	c->cached = ap_holder_cached(f, &r->cache, work);
 	c->wait = ap_replica_wait_us(f, r, work, work->tokens_in - c->cached);
-	c->queue = c->wait - read_us(f, work, c->cached);
+	c->queue = c->wait - ap_read_us(f, work, c->cached);
 	c->wait *= ap_replica_slow(r, now);
 	c->score =
 		c->wait * (1 + failing) + failing * FAILING_US + ap_rng_unit(&f->rng) * JITTER_US;
@@ -235,7 +232,7 @@
 
 static bool best_here(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, candidate_t *best)
 {
-	uint32_t shared = shared_tokens(work);
+	uint32_t shared = ap_work_shared_tokens(work);
 	candidates_t all = {0};
 
 	if (!ap_plan_home(work->route, f->config.region))
@@ -254,102 +251,6 @@
 	return best->replica != NULL;
 }
 
-typedef struct away_candidate {
-	const ap_member_t *member;
-	double wait;
-	double queue;
-	uint32_t cached;
-} away_candidate_t;
-
-static uint32_t slots_in(const ap_fleet_t *f, const char *region, const ap_plan_pool_t *pool,
-			 ap_usec_t now)
-{
-	uint32_t slots = 0;
-
-	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		if (strcmp(r->region, region) == 0 && strcmp(r->entry.pool, pool->name) == 0 &&
-		    ap_replica_usable(f, r, now))
-			slots += ap_replica_slots(r, pool);
-	}
-	return slots;
-}
-
-/* What the region told, fading, and what was sent there since. */
-static double away_queue_us(ap_fleet_t *f, const ap_away_t *away, const ap_work_t *work,
-			    uint32_t slots, ap_usec_t now)
-{
-	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
-	double halves = (double)(now - away->told) / (double)TOLD_HALF_LIFE;
-	double wait = ROUND_TRIP_US + (double)away->wait * exp2(-fmax(halves, 0));
-
-	/* The other instances of this region send about as much there. */
-	if (p && p->mean_us > 0)
-		wait += away->since * (double)ap_fleet_members(f, f->config.region) * p->mean_us /
-			slots;
-	return wait;
-}
-
-/*
- * The region whose upstreams keep this prefix, by weighted hash: to read it anew takes longer than
- * the way there. NULL when its reading is shorter.
- */
-static const char *region_of_prefix(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now)
-{
-	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
-	uint64_t key = shared_key(work);
-	const char *chosen = NULL;
-	double best = 0;
-
-	if (!p || !work->pool->kv_tokens ||
-	    shared_tokens(work) / p->prefill_per_us < ROUND_TRIP_US + AWAY_MARGIN_US)
-		return NULL;
-	for (const ap_place_t *place = f->places; place; place = place->hh.next) {
-		uint32_t slots = slots_in(f, place->region, work->pool, now);
-		double score;
-
-		if (slots == 0 || !ap_plan_home(work->route, place->region))
-			continue;
-		score = ap_rendezvous(key, ap_hash_str(place->region, 0), slots);
-		if (score > best) {
-			best = score;
-			chosen = place->region;
-		}
-	}
-	return chosen;
-}
-
-static bool best_away(ap_fleet_t *f, const ap_work_t *work, const char *keeper, ap_usec_t now,
-		      away_candidate_t *best)
-{
-	bool found = false;
-
-	for (const ap_place_t *place = f->places; place; place = place->hh.next) {
-		away_candidate_t c = {0};
-		uint32_t slots;
-		ap_away_t *away;
-
-		if (strcmp(place->region, f->config.region) == 0 ||
-		    !ap_plan_home(work->route, place->region))
-			continue;
-		slots = slots_in(f, place->region, work->pool, now);
-		away = ap_away(f, place->region, work->pool->name);
-		if (slots == 0 || !away || now < away->refused_until)
-			continue;
-		c.member = ap_member_of_region(f, place->region, work, now);
-		if (!c.member)
-			continue;
-		c.cached = ap_holder_cached(f, &away->cache, work);
-		if (keeper && strcmp(place->region, keeper) == 0 && c.cached < shared_tokens(work))
-			c.cached = shared_tokens(work);
-		c.queue = away_queue_us(f, away, work, slots, now);
-		c.wait = c.queue + read_us(f, work, c.cached);
-		if (!found || c.wait < best->wait)
-			*best = c;
-		found = true;
-	}
-	return found;
-}
-
 static void fill_here(const candidate_t *c, ap_usec_t now, ap_target_t *target)
 {
 	const ap_replica_t *r = c->replica;
@@ -367,40 +268,26 @@
 	ap_copy_name(target->region, sizeof(target->region), r->region);
 }
 
-static void fill_away(const away_candidate_t *c, ap_target_t *target)
-{
-	*target = (ap_target_t){
-		.remote = true,
-		.port = c->member->peer_port,
-		.wait = (ap_usec_t)c->wait,
-		.queue = (ap_usec_t)c->queue,
-		.cached = c->cached,
-	};
-	ap_copy_name(target->id, sizeof(target->id), c->member->id);
-	ap_copy_name(target->host, sizeof(target->host), c->member->host);
-	ap_copy_name(target->region, sizeof(target->region), c->member->region);
-}
-
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now,
 				  ap_target_t *target)
 {
 	double left = (double)(work->deadline - now);
 	double enough = STAY_SHARE * (double)work->route->objective;
 	candidate_t here = {0};
-	away_candidate_t away = {0};
+	ap_away_candidate_t away = {0};
 	bool is_here = best_here(f, work, now, &here);
 	bool is_away = false;
-	const char *keeper = work->stay ? NULL : region_of_prefix(f, work, now);
+	const char *keeper = work->stay ? NULL : ap_region_of_prefix(f, work, now);
 
-	if (!work->stay &&
-	    (!is_here || here.wait > enough || (keeper && here.cached < shared_tokens(work))))
-		is_away = best_away(f, work, keeper, now, &away);
+	if (!work->stay && (!is_here || here.wait > enough ||
+			    (keeper && here.cached < ap_work_shared_tokens(work))))
+		is_away = ap_best_away(f, work, keeper, now, &away);
 	if (!is_here && !is_away)
 		return AP_FLEET_NONE;
 	if (is_here && (!is_away || here.wait <= away.wait + AWAY_MARGIN_US))
 		fill_here(&here, now, target);
 	else
-		fill_away(&away, target);
+		ap_fill_away(&away, target);
 	if ((double)target->wait > left ||
 	    (double)target->queue > ADMIT_SHARE * (double)work->route->objective)
 		return AP_FLEET_LATE;
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -219,6 +219,34 @@
 void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work);
 uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool);
 
+/* choose.c */
+/* Names the prefix: all parts but the last, which is the request's own. */
+uint64_t ap_work_shared_key(const ap_work_t *work);
+uint32_t ap_work_shared_tokens(const ap_work_t *work);
+/* Time to read what is not cached of a prompt. */
+double ap_read_us(ap_fleet_t *f, const ap_work_t *work, uint32_t cached);
+
+/* away.c */
+#define AWAY_MARGIN_US 60000.0 /* a region is left for a clear gain only */
+
+/* An instance of another region that may take the work. */
+typedef struct ap_away_candidate {
+	const ap_member_t *member;
+	double wait;
+	double queue;
+	uint32_t cached;
+} ap_away_candidate_t;
+
+/*
+ * The region whose upstreams keep this prefix, by weighted hash. NULL when to read it anew is
+ * shorter than the way.
+ */
+const char *ap_region_of_prefix(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now);
+/* The best other region; @keeper is the one that is taken to have the prefix cached, or NULL. */
+bool ap_best_away(ap_fleet_t *f, const ap_work_t *work, const char *keeper, ap_usec_t now,
+		  ap_away_candidate_t *best);
+void ap_fill_away(const ap_away_candidate_t *c, ap_target_t *target);
+
 bool ap_work_tried(const ap_work_t *work, const char *id);
 bool ap_work_avoids(const ap_work_t *work, const char *id);
 
--- /dev/null
+++ b/test/choice_test.c
@@ -0,0 +1,410 @@
+/*
+ * Where work goes under load. Each test is a pattern of requests over a few instances that tell
+ * each other their work, in virtual time and without a network.
+ */
+#include "fleet_world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#define INSTANCES_MAX 32
+#define MESSAGES_MAX 4096
+#define WORK_MAX 4096
+
+/* Messages between the instances of a test, delivered when it says so. */
+typedef struct mail {
+	char from[AP_NAME_MAX];
+	char to[AP_NAME_MAX];
+	char data[4096];
+	size_t len;
+} mail_t;
+
+typedef struct sender {
+	struct net *net;
+	char id[AP_NAME_MAX];
+} sender_t;
+
+typedef struct net {
+	ap_fleet_t *fleets[INSTANCES_MAX];
+	sender_t senders[INSTANCES_MAX];
+	size_t n;
+	mail_t *mails;
+	size_t n_mails;
+} net_t;
+
+static void net_send(void *ctx, const char *to, const void *data, size_t len)
+{
+	sender_t *s = ctx;
+	mail_t *m = &s->net->mails[s->net->n_mails++];
+
+	assert_true(s->net->n_mails < MESSAGES_MAX && len <= sizeof(m->data));
+	ap_copy_name(m->from, sizeof(m->from), s->id);
+	ap_copy_name(m->to, sizeof(m->to), to);
+	memcpy(m->data, data, len);
+	m->len = len;
+}
+
+static void net_begin(net_t *net, size_t north, size_t south)
+{
+	*net = (net_t){.n = north + south};
+	net->mails = calloc(MESSAGES_MAX, sizeof(*net->mails));
+	for (size_t i = 0; i < net->n; i++) {
+		const char *region = i < north ? "north" : "south";
+
+		snprintf(net->senders[i].id, AP_NAME_MAX, "i%zu", i);
+		net->senders[i].net = net;
+		net->fleets[i] = world_fleet(net->senders[i].id, region);
+	}
+	for (size_t i = 0; i < net->n; i++) {
+		for (size_t k = 0; k < net->n; k++)
+			world_member(net->fleets[i], net->senders[k].id,
+				     k < north ? "north" : "south", false, WORLD_START);
+	}
+}
+
+static void net_replicas(net_t *net, const char *pool, const char *region, int n)
+{
+	for (size_t i = 0; i < net->n; i++) {
+		for (int k = 0; k < n; k++) {
+			char id[AP_NAME_MAX];
+
+			snprintf(id, sizeof(id), "%s-%s-%d", pool, region, k);
+			world_replica(net->fleets[i], id, pool, region, WORLD_START);
+		}
+	}
+}
+
+static void net_tell(net_t *net, ap_usec_t now)
+{
+	for (size_t i = 0; i < net->n; i++) {
+		ap_peer_port_t port = {.ctx = &net->senders[i], .send = net_send};
+
+		ap_fleet_tell(net->fleets[i], &port, now);
+	}
+	for (size_t m = 0; m < net->n_mails; m++) {
+		const mail_t *mail = &net->mails[m];
+
+		for (size_t i = 0; i < net->n; i++) {
+			if (strcmp(net->senders[i].id, mail->to) == 0)
+				assert_true(ap_fleet_heard(net->fleets[i], mail->from, mail->data,
+							   mail->len, now));
+		}
+	}
+	net->n_mails = 0;
+	for (size_t i = 0; i < net->n; i++)
+		ap_fleet_tick(net->fleets[i], now);
+}
+
+static void net_end(net_t *net)
+{
+	for (size_t i = 0; i < net->n; i++)
+		ap_fleet_free(net->fleets[i]);
+	free(net->mails);
+}
+
+static void send_work(ap_fleet_t *f, ap_work_t *work, ap_usec_t now, ap_target_t *target,
+		      ap_ticket_t *ticket)
+{
+	assert_int_equal(ap_fleet_choose(f, work, now, target), AP_FLEET_OK);
+	ap_fleet_sent(f, work, target, now, ticket);
+}
+
+/* Requests of 20 subjects at 3 instances: all send a subject to the same upstream. */
+static void subjects_spread_over_instances_find_one_cache(void **state)
+{
+	char where[20][AP_NAME_MAX] = {0};
+	unsigned elsewhere = 0;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 3, 0);
+	net_replicas(&net, "engines", "north", 8);
+	for (int i = 0; i < 600; i++) {
+		ap_usec_t now = WORLD_START + i * 50 * AP_MSEC;
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		uint64_t subject = 1 + (uint64_t)(i * 7 % 20);
+		ap_ticket_t ticket;
+		ap_target_t target;
+
+		world_prompt(&work, subject, 8000, (uint64_t)i);
+		send_work(net.fleets[i % 3], &work, now, &target, &ticket);
+		if (where[subject - 1][0] && strcmp(where[subject - 1], target.id) != 0)
+			elsewhere++;
+		ap_copy_name(where[subject - 1], AP_NAME_MAX, target.id);
+		ap_fleet_first(net.fleets[i % 3], &ticket, now + 30 * AP_MSEC);
+		ap_fleet_done(net.fleets[i % 3], &ticket, AP_WORK_DONE, now + 200 * AP_MSEC);
+		if (i % 5 == 0)
+			net_tell(&net, now);
+	}
+	assert_true(elsewhere * 20 < 600);
+	net_end(&net);
+}
+
+/* A large prefix is read once over both regions, not once in each. */
+static void large_prefixes_are_kept_by_one_region(void **state)
+{
+	unsigned away = 0;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 2, 2);
+	net_replicas(&net, "engines", "north", 4);
+	net_replicas(&net, "engines", "south", 4);
+	for (int i = 0; i < 40; i++) {
+		ap_usec_t now = WORLD_START + i * 100 * AP_MSEC;
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		ap_target_t from_north;
+		ap_target_t from_south;
+
+		world_prompt(&work, 1 + (uint64_t)i, 14000, (uint64_t)i);
+		assert_int_equal(ap_fleet_choose(net.fleets[0], &work, now, &from_north),
+				 AP_FLEET_OK);
+		assert_int_equal(ap_fleet_choose(net.fleets[2], &work, now, &from_south),
+				 AP_FLEET_OK);
+		assert_string_equal(from_north.region, from_south.region);
+		away += from_north.remote;
+	}
+	/* The regions are alike, so each keeps about half. */
+	assert_in_range(away, 8, 32);
+	net_end(&net);
+}
+
+static void small_prefixes_stay_in_their_region(void **state)
+{
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 2, 2);
+	net_replicas(&net, "engines", "north", 4);
+	net_replicas(&net, "engines", "south", 4);
+	for (int i = 0; i < 40; i++) {
+		ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+		ap_target_t target;
+
+		world_prompt(&work, 1 + (uint64_t)i, 1000, (uint64_t)i);
+		assert_int_equal(ap_fleet_choose(net.fleets[0], &work, WORLD_START, &target),
+				 AP_FLEET_OK);
+		assert_false(target.remote);
+	}
+	net_end(&net);
+}
+
+/* A route that is at home here is never sent elsewhere, however long it waits. */
+static void home_bound_work_stays_under_any_load(void **state)
+{
+	ap_plan_route_t route = world_stream;
+	ap_ticket_t tickets[400];
+	net_t net;
+
+	(void)state;
+	ap_copy_name(route.homes[0], AP_NAME_MAX, "north");
+	route.n_homes = 1;
+	net_begin(&net, 1, 1);
+	net_replicas(&net, "engines", "north", 1);
+	net_replicas(&net, "engines", "south", 4);
+	for (int i = 0; i < 400; i++) {
+		ap_work_t work = world_work(&route, &world_engines, WORLD_START);
+		ap_target_t target;
+
+		world_prompt(&work, 1 + (uint64_t)i, 14000, (uint64_t)i);
+		if (ap_fleet_choose(net.fleets[0], &work, WORLD_START, &target) != AP_FLEET_OK)
+			break;
+		assert_false(target.remote);
+		ap_fleet_sent(net.fleets[0], &work, &target, WORLD_START, &tickets[i]);
+	}
+	net_end(&net);
+}
+
+/* A region whose upstreams are all busy sends on to one that says it has room. */
+static void a_full_region_sends_to_one_with_room(void **state)
+{
+	unsigned away = 0;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 1, 1);
+	net_replicas(&net, "engines", "north", 2);
+	net_replicas(&net, "engines", "south", 6);
+	for (int i = 0; i < 120; i++) {
+		ap_usec_t now = WORLD_START + i * 5 * AP_MSEC;
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		ap_ticket_t ticket;
+		ap_target_t target;
+
+		if (i % 20 == 0)
+			net_tell(&net, now);
+		if (ap_fleet_choose(net.fleets[0], &work, now, &target) != AP_FLEET_OK)
+			continue;
+		away += target.remote;
+		ap_fleet_sent(net.fleets[0], &work, &target, now, &ticket);
+	}
+	assert_true(away > 20);
+	net_end(&net);
+}
+
+static void a_region_without_upstreams_sends_all_on(void **state)
+{
+	ap_work_t work = world_work(&world_call, &world_desk, WORLD_START);
+	ap_target_t target;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 1, 1);
+	net_replicas(&net, "desk", "south", 1);
+	assert_int_equal(ap_fleet_choose(net.fleets[0], &work, WORLD_START, &target), AP_FLEET_OK);
+	assert_true(target.remote);
+	assert_string_equal(target.id, "i1");
+	work.stay = true; /* a guest crosses once */
+	assert_int_equal(ap_fleet_choose(net.fleets[0], &work, WORLD_START, &target),
+			 AP_FLEET_NONE);
+	net_end(&net);
+}
+
+/* 24 instances get a request each at the same moment, on reports of the moment before. */
+static void a_burst_on_late_reports_does_not_herd(void **state)
+{
+	unsigned per_engine[12] = {0};
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 24, 0);
+	net_replicas(&net, "engines", "north", 12);
+	net_tell(&net, WORLD_START);
+	for (size_t i = 0; i < 24; i++) {
+		ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+		ap_target_t target;
+		int k;
+
+		assert_int_equal(ap_fleet_choose(net.fleets[i], &work, WORLD_START, &target),
+				 AP_FLEET_OK);
+		assert_int_equal(sscanf(target.id, "engines-north-%d", &k), 1);
+		per_engine[k]++;
+	}
+	for (int k = 0; k < 12; k++)
+		assert_true(per_engine[k] <= 8);
+	net_end(&net);
+}
+
+/* What others told counts: an engine that all of them use is left alone. */
+static void work_of_other_instances_counts(void **state)
+{
+	ap_target_t busy = {.id = "engines-north-0", .region = "north"};
+	unsigned chosen = 0;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 3, 0);
+	net_replicas(&net, "engines", "north", 2);
+	for (int i = 0; i < 20; i++) {
+		ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+		ap_ticket_t ticket;
+
+		ap_fleet_sent(net.fleets[1 + i % 2], &work, &busy, WORLD_START, &ticket);
+	}
+	net_tell(&net, WORLD_START + AP_SEC);
+	for (int i = 0; i < 50; i++) {
+		ap_usec_t now = WORLD_START + AP_SEC;
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		ap_target_t target;
+
+		assert_int_equal(ap_fleet_choose(net.fleets[0], &work, now, &target), AP_FLEET_OK);
+		chosen += strcmp(target.id, busy.id) == 0;
+	}
+	assert_int_equal(chosen, 0);
+	net_end(&net);
+}
+
+/* The largest requests are refused for the load of others only, not for their own size. */
+static void the_largest_request_is_not_refused_for_its_size(void **state)
+{
+	ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+	ap_target_t target;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 1, 0);
+	net_replicas(&net, "engines", "north", 2);
+	work.tokens_in = 90000; /* three objectives to read */
+	assert_int_equal(ap_fleet_choose(net.fleets[0], &work, WORLD_START, &target), AP_FLEET_OK);
+	net_end(&net);
+}
+
+/* With all places taken for longer than two objectives nothing more is taken on. */
+static void a_burst_beyond_all_places_is_refused(void **state)
+{
+	unsigned taken = 0;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 1, 0);
+	net_replicas(&net, "engines", "north", 1);
+	for (int i = 0; i < 200; i++) {
+		ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+		ap_ticket_t ticket;
+		ap_target_t target;
+
+		if (ap_fleet_choose(net.fleets[0], &work, WORLD_START, &target) != AP_FLEET_OK)
+			break;
+		ap_fleet_sent(net.fleets[0], &work, &target, WORLD_START, &ticket);
+		taken++;
+	}
+	assert_in_range(taken, 9, 60);
+	net_end(&net);
+}
+
+static void a_message_that_cannot_be_read_changes_nothing(void **state)
+{
+	static const char junk[] = "\x94\x02\x60\xc0\x93\xff";
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 2, 0);
+	assert_false(ap_fleet_heard(net.fleets[0], "i1", junk, sizeof(junk) - 1, WORLD_START));
+	assert_false(ap_fleet_heard(net.fleets[0], "i1", "", 0, WORLD_START));
+	net_end(&net);
+}
+
+/* The store is away: who leaves, and who is back, is told between instances. */
+static void leaving_is_told_while_the_store_is_away(void **state)
+{
+	ap_usec_t now = WORLD_START;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 2, 0);
+	assert_int_equal(ap_fleet_staying(net.fleets[0], now), 1);
+	world_member(net.fleets[1], "i1", "north", true, now);
+	net_tell(&net, now + AP_SEC);
+	assert_int_equal(ap_fleet_staying(net.fleets[0], now + AP_SEC), 0);
+	/* Started again: another incarnation, and no entry in the store yet. */
+	ap_fleet_free(net.fleets[1]);
+	net.fleets[1] = world_start("i1", "north", 2);
+	world_member(net.fleets[1], "i1", "north", false, now);
+	world_member(net.fleets[1], "i0", "north", false, now);
+	net_tell(&net, now + 3 * AP_SEC);
+	assert_int_equal(ap_fleet_staying(net.fleets[0], now + 3 * AP_SEC), 1);
+	net_end(&net);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(subjects_spread_over_instances_find_one_cache),
+		cmocka_unit_test(large_prefixes_are_kept_by_one_region),
+		cmocka_unit_test(small_prefixes_stay_in_their_region),
+		cmocka_unit_test(home_bound_work_stays_under_any_load),
+		cmocka_unit_test(a_full_region_sends_to_one_with_room),
+		cmocka_unit_test(a_region_without_upstreams_sends_all_on),
+		cmocka_unit_test(a_burst_on_late_reports_does_not_herd),
+		cmocka_unit_test(work_of_other_instances_counts),
+		cmocka_unit_test(the_largest_request_is_not_refused_for_its_size),
+		cmocka_unit_test(a_burst_beyond_all_places_is_refused),
+		cmocka_unit_test(a_message_that_cannot_be_read_changes_nothing),
+		cmocka_unit_test(leaving_is_told_while_the_store_is_away),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -10,7 +10,8 @@
 
 #define WORLD_START (1000 * AP_SEC)
 
-static inline ap_fleet_t *world_fleet(const char *id, const char *region)
+/* An instance; @inc tells its starts apart. */
+static inline ap_fleet_t *world_start(const char *id, const char *region, uint64_t inc)
 {
 	ap_fleet_config_t config = {
 		.cold_over = 1.5,
@@ -19,6 +20,7 @@
 		.repeat_slack = 40,
 		.repeat_window = 10 * AP_SEC,
 		.entry_grace = 2 * AP_SEC,
+		.inc = {.hi = inc, .lo = ap_hash_str(id, 4)},
 		.seed = ap_hash_str(id, 3),
 	};
 	ap_fleet_t *f;
@@ -32,6 +34,11 @@
 	return f;
 }
 
+static inline ap_fleet_t *world_fleet(const char *id, const char *region)
+{
+	return world_start(id, region, 1);
+}
+
 static inline void world_member(ap_fleet_t *f, const char *id, const char *region, bool leaving,
 				ap_usec_t now)
 {
--- /dev/null
+++ b/test/follow_test.c
@@ -0,0 +1,411 @@
+/* Reading the store at a pace, the lease of the own entry, and items kept for others. */
+#include "follow/follow.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define START (50 * AP_SEC)
+#define PACE (800 * AP_MSEC)
+
+typedef struct seen {
+	int lists;
+	int watches;
+	char after[64];
+	uint64_t revision;
+	int begun;
+	int ended;
+	char items[256];
+} seen_t;
+
+static void op_list(void *ctx, const char *after)
+{
+	seen_t *s = ctx;
+
+	s->lists++;
+	ap_copy_name(s->after, sizeof(s->after), after);
+}
+
+static void op_watch(void *ctx, uint64_t revision, ap_usec_t wait)
+{
+	seen_t *s = ctx;
+
+	(void)wait;
+	s->watches++;
+	s->revision = revision;
+}
+
+static void op_listing(void *ctx, bool begin)
+{
+	seen_t *s = ctx;
+
+	s->begun += begin;
+	s->ended += !begin;
+}
+
+static void op_item(void *ctx, const ap_store_item_t *item)
+{
+	seen_t *s = ctx;
+	size_t len = strlen(s->items);
+
+	snprintf(s->items + len, sizeof(s->items) - len, "%s%s ", item->removed ? "-" : "",
+		 item->key);
+}
+
+static ap_follow_t *follow(seen_t *s)
+{
+	ap_follow_config_t config = {
+		.pace = PACE,
+		.wait = AP_SEC,
+		.away_after = 2 * AP_SEC,
+		.unsure = 2 * AP_SEC,
+		.ctx = s,
+		.list = op_list,
+		.watch = op_watch,
+		.listing = op_listing,
+		.item = op_item,
+	};
+
+	return ap_follow_new(&config, START);
+}
+
+static void answer(ap_follow_t *f, ap_store_end_t end, const char *key, uint64_t as_of, bool more,
+		   ap_usec_t now)
+{
+	ap_store_item_t item = {.key = key, .value = "v", .len = 1, .revision = as_of};
+	ap_store_read_t read = {
+		.end = end, .items = &item, .n = key ? 1 : 0, .as_of = as_of, .more = more};
+
+	ap_follow_answer(f, &read, now);
+}
+
+static void pages_then_changes_since_the_first_page(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+
+	(void)state;
+	ap_follow_tick(f, START);
+	assert_int_equal(s.lists, 1);
+	assert_int_equal(ap_follow_due(f), AP_NEVER);
+	assert_int_equal(ap_follow_age(f, START), AP_NEVER);
+	answer(f, AP_STORE_OK, "a", 10, true, START);
+	ap_follow_tick(f, START);
+	assert_string_equal(s.after, "a");
+	answer(f, AP_STORE_OK, "b", 12, false, START);
+	assert_int_equal(s.begun, 1);
+	assert_int_equal(s.ended, 1);
+	ap_follow_tick(f, START);
+	assert_int_equal(s.watches, 0); /* at a pace */
+	ap_follow_tick(f, START + 2 * PACE);
+	assert_int_equal(s.watches, 1);
+	assert_int_equal(s.revision, 10); /* pages are no snapshot */
+	answer(f, AP_STORE_OK, "c", 15, false, START + 2 * PACE);
+	ap_follow_tick(f, START + 4 * PACE);
+	assert_int_equal(s.revision, 15);
+	assert_string_equal(s.items, "a b c ");
+	ap_follow_free(f);
+}
+
+static void lost_history_means_a_whole_list(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+
+	(void)state;
+	ap_follow_tick(f, START);
+	answer(f, AP_STORE_OK, "a", 10, false, START);
+	ap_follow_tick(f, START + 2 * PACE);
+	answer(f, AP_STORE_COMPACTED, NULL, 0, false, START + 2 * PACE);
+	ap_follow_tick(f, START + 2 * PACE);
+	assert_int_equal(s.lists, 2);
+	assert_string_equal(s.after, "");
+	ap_follow_free(f);
+}
+
+static void failures_back_off_and_end_in_doubt_about_what_lapsed(void **state)
+{
+	static const ap_store_end_t ends[] = {AP_STORE_REFUSED, AP_STORE_UNSURE, AP_STORE_ABSENT};
+	ap_usec_t now = START;
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+
+	(void)state;
+	ap_follow_tick(f, now);
+	answer(f, AP_STORE_OK, "a", 10, false, now);
+	for (int i = 0; i < 12; i++) {
+		now = ap_follow_due(f);
+		ap_follow_tick(f, now);
+		answer(f, ends[i % 3], NULL, 0, false, now);
+		assert_true(ap_follow_due(f) > now);
+		assert_true(ap_follow_due(f) <= now + AP_SEC);
+		assert_true(ap_follow_failed(f));
+	}
+	assert_false(ap_follow_unsure(f, now));
+	assert_true(ap_follow_age(f, now) > 2 * AP_SEC);
+	now = ap_follow_due(f);
+	ap_follow_tick(f, now);
+	answer(f, AP_STORE_OK, "b", 20, false, now);
+	assert_true(ap_follow_unsure(f, now));
+	assert_false(ap_follow_unsure(f, now + 2 * AP_SEC));
+	assert_int_equal(ap_follow_age(f, now), 0);
+	ap_follow_free(f);
+}
+
+static void doubt_reads_the_whole_list(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+
+	(void)state;
+	ap_follow_tick(f, START);
+	answer(f, AP_STORE_OK, "a", 10, false, START);
+	ap_follow_again(f, START);
+	ap_follow_tick(f, START);
+	assert_int_equal(s.lists, 2);
+	ap_follow_free(f);
+}
+
+typedef struct entry {
+	int leases;
+	int keeps;
+	int puts;
+	int ends;
+	uint64_t lease;
+	uint64_t revision;
+} entry_t;
+
+static void op_lease(void *ctx, ap_usec_t ttl)
+{
+	(void)ttl;
+	((entry_t *)ctx)->leases++;
+}
+
+static void op_keep(void *ctx, uint64_t lease)
+{
+	entry_t *e = ctx;
+
+	e->keeps++;
+	e->lease = lease;
+}
+
+static void op_put(void *ctx, uint64_t lease, uint64_t revision)
+{
+	entry_t *e = ctx;
+
+	e->puts++;
+	e->lease = lease;
+	e->revision = revision;
+}
+
+static void op_end(void *ctx, uint64_t lease)
+{
+	(void)lease;
+	((entry_t *)ctx)->ends++;
+}
+
+static ap_enrol_t *enrolled(entry_t *e)
+{
+	ap_enrol_config_t config = {
+		.ttl = 3 * AP_SEC,
+		.ctx = e,
+		.lease = op_lease,
+		.keep = op_keep,
+		.put = op_put,
+		.end = op_end,
+	};
+	ap_enrol_t *enrol = ap_enrol_new(&config, START);
+
+	ap_enrol_tick(enrol, START);
+	ap_enrol_answer(enrol, AP_STORE_OK, 7, START);
+	ap_enrol_tick(enrol, START);
+	return enrol;
+}
+
+static void a_lease_is_renewed_well_before_it_ends(void **state)
+{
+	entry_t e = {0};
+	ap_enrol_t *enrol = enrolled(&e);
+
+	(void)state;
+	assert_int_equal(e.puts, 1);
+	assert_int_equal(e.lease, 7);
+	assert_int_equal(e.revision, 0);
+	ap_enrol_answer(enrol, AP_STORE_OK, 40, START);
+	assert_true(ap_enrol_due(enrol) <= START + AP_SEC);
+	ap_enrol_tick(enrol, START + AP_SEC);
+	assert_int_equal(e.keeps, 1);
+	ap_enrol_free(enrol);
+}
+
+static void an_ended_lease_is_made_again(void **state)
+{
+	entry_t e = {0};
+	ap_enrol_t *enrol = enrolled(&e);
+
+	(void)state;
+	ap_enrol_answer(enrol, AP_STORE_OK, 40, START);
+	ap_enrol_tick(enrol, START + AP_SEC);
+	ap_enrol_answer(enrol, AP_STORE_ABSENT, 0, START + AP_SEC);
+	ap_enrol_tick(enrol, START + AP_SEC);
+	assert_int_equal(e.leases, 2);
+	ap_enrol_free(enrol);
+}
+
+/* The entry of the process before is still there, or a late write came first. */
+static void a_conflict_is_settled_by_the_present_revision(void **state)
+{
+	entry_t e = {0};
+	ap_enrol_t *enrol = enrolled(&e);
+
+	(void)state;
+	ap_enrol_answer(enrol, AP_STORE_CONFLICT, 33, START);
+	ap_enrol_tick(enrol, START);
+	assert_int_equal(e.puts, 2);
+	assert_int_equal(e.revision, 33);
+	ap_enrol_free(enrol);
+}
+
+static void a_removed_entry_is_written_again(void **state)
+{
+	entry_t e = {0};
+	ap_enrol_t *enrol = enrolled(&e);
+
+	(void)state;
+	ap_enrol_answer(enrol, AP_STORE_OK, 40, START);
+	ap_enrol_seen(enrol, 40, START);
+	ap_enrol_seen(enrol, 0, START);
+	ap_enrol_tick(enrol, START);
+	assert_int_equal(e.puts, 2);
+	assert_int_equal(e.revision, 0);
+	ap_enrol_free(enrol);
+}
+
+static void a_change_during_any_call_is_written_after_it(void **state)
+{
+	entry_t e = {0};
+	ap_enrol_t *enrol = enrolled(&e);
+
+	(void)state;
+	ap_enrol_changed(enrol, START); /* during the put */
+	ap_enrol_answer(enrol, AP_STORE_OK, 40, START);
+	ap_enrol_tick(enrol, START);
+	assert_int_equal(e.puts, 2);
+	ap_enrol_answer(enrol, AP_STORE_OK, 41, START);
+	ap_enrol_tick(enrol, START + AP_SEC);
+	ap_enrol_changed(enrol, START + AP_SEC); /* during the renewal */
+	ap_enrol_answer(enrol, AP_STORE_OK, 0, START + AP_SEC);
+	ap_enrol_tick(enrol, START + AP_SEC);
+	assert_int_equal(e.puts, 3);
+	assert_int_equal(e.revision, 41);
+	ap_enrol_free(enrol);
+}
+
+static void calls_that_fail_are_made_again(void **state)
+{
+	entry_t e = {0};
+	ap_enrol_t *enrol = enrolled(&e);
+
+	(void)state;
+	ap_enrol_answer(enrol, AP_STORE_UNSURE, 0, START);
+	assert_int_equal(e.puts, 1);
+	ap_enrol_tick(enrol, START + AP_SEC);
+	assert_int_equal(e.puts, 2);
+	ap_enrol_answer(enrol, AP_STORE_REFUSED, 0, START + AP_SEC);
+	ap_enrol_tick(enrol, START + 2 * AP_SEC);
+	assert_int_equal(e.puts, 3);
+	ap_enrol_free(enrol);
+}
+
+static void leaving_ends_the_lease(void **state)
+{
+	entry_t e = {0};
+	ap_enrol_t *enrol = enrolled(&e);
+
+	(void)state;
+	ap_enrol_answer(enrol, AP_STORE_OK, 40, START);
+	ap_enrol_leave(enrol, START);
+	ap_enrol_tick(enrol, START);
+	assert_int_equal(e.ends, 1);
+	ap_enrol_answer(enrol, AP_STORE_OK, 0, START);
+	assert_int_equal(ap_enrol_due(enrol), AP_NEVER);
+	ap_enrol_free(enrol);
+}
+
+static void put(ap_items_t *items, const char *key, const char *value, uint64_t revision)
+{
+	ap_store_item_t item = {
+		.key = key,
+		.value = value,
+		.len = value ? strlen(value) : 0,
+		.revision = revision,
+		.removed = value == NULL,
+	};
+
+	ap_items_put(items, &item);
+}
+
+static void collect(void *ctx, const ap_store_item_t *item)
+{
+	char *out = ctx;
+	size_t len = strlen(out);
+
+	snprintf(out + len, 256 - len, "%s=%.*s@%d ", item->key, (int)item->len,
+		 (const char *)item->value, (int)item->revision);
+}
+
+static void kept_items_reach_an_instance_that_starts(void **state)
+{
+	ap_items_t *items = ap_items_new();
+	char got[256] = "";
+	size_t len;
+	char *bytes;
+
+	(void)state;
+	put(items, "a", "1", 3);
+	put(items, "b", "2", 4);
+	put(items, "a", "5", 6);
+	put(items, "gone", "x", 7);
+	put(items, "gone", NULL, 8);
+	put(items, "secret", "s", 9);
+	bytes = ap_items_pack(items, "secret", &len);
+	assert_true(ap_items_unpack(bytes, len, got, collect));
+	assert_string_equal(got, "a=5@6 b=2@4 ");
+	for (size_t cut = 0; cut < len; cut++)
+		assert_false(ap_items_unpack(bytes, cut, got, collect));
+	free(bytes);
+	ap_items_listing(items, true);
+	put(items, "b", "2", 4);
+	ap_items_listing(items, false);
+	bytes = ap_items_pack(items, NULL, &len);
+	got[0] = '\0';
+	assert_true(ap_items_unpack(bytes, len, got, collect));
+	assert_string_equal(got, "b=2@4 ");
+	free(bytes);
+	ap_items_free(items);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(pages_then_changes_since_the_first_page),
+		cmocka_unit_test(lost_history_means_a_whole_list),
+		cmocka_unit_test(failures_back_off_and_end_in_doubt_about_what_lapsed),
+		cmocka_unit_test(doubt_reads_the_whole_list),
+		cmocka_unit_test(a_lease_is_renewed_well_before_it_ends),
+		cmocka_unit_test(an_ended_lease_is_made_again),
+		cmocka_unit_test(a_conflict_is_settled_by_the_present_revision),
+		cmocka_unit_test(a_removed_entry_is_written_again),
+		cmocka_unit_test(a_change_during_any_call_is_written_after_it),
+		cmocka_unit_test(calls_that_fail_are_made_again),
+		cmocka_unit_test(leaving_ends_the_lease),
+		cmocka_unit_test(kept_items_reach_an_instance_that_starts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/host_test.c
@@ -0,0 +1,422 @@
+/* The platform's records and headers, and ours for it. */
+#include "platform/host.h"
+#include "log/log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <unistd.h>
+
+static const char replica_text[] =
+	"{\"service\":\"p\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"z1\",\"version\":\"v1\","
+	"\"slots\":64,\"state\":\"ready\",\"coldLeftMs\":1500,\"new\":{},\"seq\":4}";
+
+static ap_host_status_t replica(const char *text, ap_replica_entry_t *entry)
+{
+	ap_err_t err;
+
+	return ap_host_replica("i-1", text, strlen(text), entry, &err);
+}
+
+static void a_replica_s_record(void **state)
+{
+	ap_replica_entry_t e;
+
+	(void)state;
+	assert_int_equal(replica(replica_text, &e), AP_HOST_OK);
+	assert_string_equal(e.pool, "p");
+	assert_string_equal(e.host, "10.0.0.9");
+	assert_int_equal(e.port, 8080);
+	assert_int_equal(e.slots, 64);
+	assert_int_equal(e.cold_left, 1500 * AP_MSEC);
+	assert_int_equal(e.leaves_in, AP_NEVER);
+	assert_false(e.draining);
+}
+
+static void a_leaving_replica_s_record(void **state)
+{
+	ap_replica_entry_t e;
+
+	(void)state;
+	assert_int_equal(replica("{\"service\":\"p\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+				 "\"state\":\"draining\",\"drainLeftMs\":2000}",
+				 &e),
+			 AP_HOST_OK);
+	assert_true(e.draining);
+	assert_int_equal(e.leaves_in, 2 * AP_SEC);
+	/* A state that we don't know gets no work. */
+	assert_int_equal(replica("{\"service\":\"p\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+				 "\"state\":\"resting\"}",
+				 &e),
+			 AP_HOST_OK);
+	assert_true(e.draining);
+}
+
+static void records_that_cannot_be_read(void **state)
+{
+	static const char *const wrong[] = {
+		"",
+		"[]",
+		"{",
+		"{}",
+		"{\"service\":\"p\"}",
+		"{\"service\":7,\"addr\":\"10.0.0.9:80\"}",
+		"{\"service\":\"p\",\"addr\":\"nowhere\"}",
+	};
+	ap_replica_entry_t e;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++)
+		assert_int_not_equal(replica(wrong[i], &e), AP_HOST_OK);
+}
+
+static const char plan_text[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"x.example\",\"prefix\":\"/a/\","
+	"\"kind\":\"stream\",\"timeoutMs\":5000,\"goalMs\":1000,\"priority\":1,\"split\":["
+	"{\"service\":\"p\",\"weight\":90},{\"service\":\"q\",\"weight\":10}],\"attempts\":2,"
+	"\"sticky\":true,\"resumable\":true,\"gapAimMs\":1200,\"homeRegions\":[\"north\"]},"
+	"{\"name\":\"r2\",\"host\":\"x.example\",\"prefix\":\"/b/\",\"kind\":\"non_idempotent\","
+	"\"timeoutMs\":2000,\"goalMs\":400,\"service\":\"q\",\"attempts\":1,\"homeRegions\":[]}],"
+	"\"services\":[{\"name\":\"p\",\"maxConns\":360,\"warmupS\":3.0,\"warmupPerS\":4.5,"
+	"\"engine\":{\"slots\":64,\"kvTokens\":1000}},{\"name\":\"q\"}],\"limits\":{}}";
+
+static void a_configuration(void **state)
+{
+	const ap_plan_route_t *route;
+	ap_plan_t *plan;
+	ap_err_t err;
+
+	(void)state;
+	assert_int_equal(ap_host_plan(plan_text, strlen(plan_text), &plan, &err), AP_HOST_OK);
+	assert_int_equal(plan->version, 7);
+	route = ap_plan_match(plan, "x.example", "/a/q");
+	assert_int_equal(route->kind, AP_KIND_STREAM);
+	assert_true(route->resumable);
+	assert_int_equal(route->objective, AP_SEC);
+	assert_int_equal(route->pause, 1200 * AP_MSEC);
+	assert_int_equal(route->n_shares, 2);
+	assert_true(ap_plan_home(route, "north"));
+	assert_false(ap_plan_home(route, "south"));
+	assert_true(ap_plan_repeatable(route));
+	assert_int_equal(ap_plan_pick(plan, route, 0.95)->kv_tokens, 0);
+	assert_int_equal(ap_plan_pick(plan, route, 0.5)->kv_tokens, 1000);
+	route = ap_plan_match(plan, "x.example", "/b/");
+	assert_false(ap_plan_repeatable(route));
+	ap_plan_unref(plan);
+}
+
+/* Damaged bytes are refused whole; what is in force stays. */
+static void damaged_configurations(void **state)
+{
+	size_t len = strlen(plan_text);
+	char *copy = strdup(plan_text);
+	ap_plan_t *plan;
+	ap_err_t err;
+
+	(void)state;
+	for (size_t cut = 0; cut < len; cut++)
+		assert_int_not_equal(ap_host_plan(copy, cut, &plan, &err), AP_HOST_OK);
+	for (size_t i = 0; i < len; i++) {
+		copy[i] = '7';
+		if (ap_host_plan(copy, len, &plan, &err) == AP_HOST_OK)
+			ap_plan_unref(plan);
+		copy[i] = plan_text[i];
+	}
+	free(copy);
+}
+
+static void keys_of_the_store(void **state)
+{
+	const char *name;
+
+	(void)state;
+	assert_int_equal(ap_host_key("op/config", &name), AP_HOST_KEY_PLAN);
+	assert_int_equal(ap_host_key("servers/i-1", &name), AP_HOST_KEY_REPLICA);
+	assert_string_equal(name, "i-1");
+	assert_int_equal(ap_host_key("op/evacuate/z", &name), AP_HOST_KEY_EVACUATION);
+	assert_int_equal(ap_host_key("arbutuspond/instances/n", &name), AP_HOST_KEY_INSTANCE);
+	assert_int_equal(ap_host_key("servers/", &name), AP_HOST_KEY_OTHER);
+	assert_int_equal(ap_host_key("status/x", &name), AP_HOST_KEY_OTHER);
+}
+
+static void an_instance_s_entry_there_and_back(void **state)
+{
+	ap_member_t m = {.id = "n1",
+			 .region = "north",
+			 .data_centre = "z",
+			 .host = "10.0.0.1",
+			 .caller_port = 80,
+			 .peer_port = 81,
+			 .cores = 0.25,
+			 .leaving = true};
+	char *text = ap_host_member_write(&m);
+	ap_member_t back;
+	ap_err_t err;
+
+	(void)state;
+	assert_int_equal(ap_host_member("n1", text, strlen(text), &back, &err), AP_HOST_OK);
+	assert_memory_equal(&m, &back, sizeof(m));
+	for (size_t cut = 0; cut < strlen(text); cut++)
+		assert_int_not_equal(ap_host_member("n1", text, cut, &back, &err), AP_HOST_OK);
+	free(text);
+}
+
+typedef struct evkeyvalq headers_t;
+
+static void fill(headers_t *h, const char *const pairs[][2], size_t n)
+{
+	TAILQ_INIT(h);
+	for (size_t i = 0; i < n; i++)
+		evhttp_add_header(h, pairs[i][0], pairs[i][1]);
+}
+
+static const char *value_of(const ap_host_headers_t *h, const char *name)
+{
+	for (size_t i = 0; i < h->n; i++) {
+		if (evutil_ascii_strcasecmp(h->v[i].name, name) == 0)
+			return h->v[i].value;
+	}
+	return NULL;
+}
+
+static void what_a_request_s_headers_say(void **state)
+{
+	static const char *const pairs[][2] = {
+		{"Host", "x.example:8080"},	  {"Request-Id", "abc"},
+		{"Deadline-Ms", "1500"},	  {"Token-Count", "1460,80"},
+		{"Prefix-Hash", "5c:800,9f:410"}, {"Last-Event-Id", "7"},
+	};
+	ap_host_request_t r;
+	headers_t h;
+	ap_err_t err;
+
+	(void)state;
+	fill(&h, pairs, 6);
+	assert_int_equal(ap_host_request(&h, &r, &err), AP_HOST_OK);
+	assert_string_equal(r.host, "x.example");
+	assert_string_equal(r.id, "abc");
+	assert_int_equal(r.time_left, 1500 * AP_MSEC);
+	assert_int_equal(r.tokens_in, 1460);
+	assert_int_equal(r.tokens_out, 80);
+	assert_int_equal(r.n_parts, 2);
+	assert_int_equal(r.parts[0].id, 0x5c);
+	assert_int_equal(r.parts[1].tokens, 410);
+	assert_string_equal(r.last_event, "7");
+	evhttp_clear_headers(&h);
+}
+
+static void what_a_request_s_headers_may_lack_or_get_wrong(void **state)
+{
+	static const char *const pairs[][2] = {
+		{"Host", "x.example"},
+		{"Deadline-Ms", "soon"},
+		{"Token-Count", "-"},
+		{"Prefix-Hash", "zz:1,5c:2"},
+	};
+	ap_host_request_t r;
+	headers_t h;
+	ap_err_t err;
+
+	(void)state;
+	fill(&h, pairs, 4);
+	assert_int_equal(ap_host_request(&h, &r, &err), AP_HOST_OK);
+	assert_int_equal(r.time_left, AP_NEVER);
+	assert_int_equal(r.n_parts, 0);
+	evhttp_clear_headers(&h);
+	fill(&h, pairs, 0);
+	assert_int_equal(ap_host_request(&h, &r, &err), AP_HOST_INVALID);
+}
+
+/* What concerns one connection, and what is ours to say, is not passed on. */
+static void headers_to_an_upstream(void **state)
+{
+	static const char *const pairs[][2] = {
+		{"Host", "x.example"},
+		{"Request-Id", "abc"},
+		{"Connection", "X-Hop, close"},
+		{"X-Hop", "1"},
+		{"X-Own", "2"},
+		{"Deadline-Ms", "9000"},
+		{"Hold", "h"},
+		{"Pin-Ms", "5"},
+		{"Kv-Backup", "1.2.3.4:5"},
+		{"Kv-From", "x"},
+		{"Kv-Fetch", "y"},
+		{"Expect-Instance", "other"},
+		{"Expect-Version", "3"},
+		{"Request-Priority", "0"},
+		{"Content-Length", "5"},
+		{"Transfer-Encoding", "chunked"},
+	};
+	static const char *const never[] = {
+		"Connection", "X-Hop",	  "Hold",	    "Pin-Ms",	      "Kv-Backup",
+		"Kv-From",    "Kv-Fetch", "Expect-Version", "Content-Length", "Transfer-Encoding",
+	};
+	ap_host_headers_t out;
+	headers_t h;
+	ap_host_send_t send = {
+		.from = &h, .upstream = "i-1", .time_left = 1234 * AP_MSEC, .priority = 2};
+
+	(void)state;
+	fill(&h, pairs, 16);
+	assert_true(ap_host_send_headers(&send, &out));
+	for (size_t i = 0; i < sizeof(never) / sizeof(never[0]); i++)
+		assert_null(value_of(&out, never[i]));
+	assert_string_equal(value_of(&out, "Request-Id"), "abc");
+	assert_string_equal(value_of(&out, "X-Own"), "2");
+	assert_string_equal(value_of(&out, "Deadline-Ms"), "1234");
+	assert_string_equal(value_of(&out, "Expect-Instance"), "i-1");
+	assert_string_equal(value_of(&out, "Request-Priority"), "2");
+	send.priority = 10;
+	send.upstream = NULL;
+	send.last_event = "8";
+	assert_true(ap_host_send_headers(&send, &out));
+	assert_null(value_of(&out, "Request-Priority"));
+	assert_null(value_of(&out, "Expect-Instance"));
+	assert_string_equal(value_of(&out, "Last-Event-Id"), "8");
+	evhttp_clear_headers(&h);
+}
+
+static void too_many_headers_are_not_cut_short(void **state)
+{
+	ap_host_headers_t out;
+	headers_t h;
+	ap_host_send_t send = {.from = &h};
+
+	(void)state;
+	TAILQ_INIT(&h);
+	for (int i = 0; i < AP_HOST_HEADERS_MAX + 1; i++)
+		evhttp_add_header(&h, "X-Many", "1");
+	assert_false(ap_host_send_headers(&send, &out));
+	evhttp_clear_headers(&h);
+}
+
+static void what_an_answer_says_of_itself(void **state)
+{
+	static const char *const shed[][2] = {{"Not-Run", "1"}, {"Request-Id", "abc"}};
+	static const char *const good[][2] = {{"Server-Stamp", "s"}, {"Request-Id", "abc"}};
+	ap_host_answer_t a;
+	headers_t h;
+
+	(void)state;
+	fill(&h, shed, 2);
+	a = ap_host_answer(&h, 503, "abc");
+	assert_true(a.not_run && a.own && !a.stamped);
+	assert_false(ap_host_answer(&h, 503, "other").own);
+	evhttp_clear_headers(&h);
+	fill(&h, good, 2);
+	a = ap_host_answer(&h, 503, "abc");
+	assert_true(!a.not_run && a.own && a.stamped);
+	assert_true(ap_host_answer(&h, 421, "abc").not_run);
+	evhttp_clear_headers(&h);
+}
+
+static ap_journal_t *journal_on(int fd, unsigned sample, unsigned rate, size_t backlog)
+{
+	ap_journal_config_t config = {
+		.fd = fd, .instance = "n1", .sample = sample, .rate = rate, .backlog = backlog};
+
+	return ap_journal_new(&config);
+}
+
+static void a_record_is_one_line_of_json(void **state)
+{
+	char line[512] = "";
+	ap_journal_t *j;
+	int fds[2];
+
+	(void)state;
+	assert_int_equal(pipe(fds), 0);
+	j = journal_on(fds[1], 1, 100, 4096);
+	ap_journal_write(j, AP_RECORD_RARE, "request.sent", "id\"1", "s:s,s:i", "target", "u1", "n",
+			 3);
+	ap_journal_flush(j);
+	assert_true(read(fds[0], line, sizeof(line) - 1) > 0);
+	assert_non_null(strstr(line, "\"event\":\"request.sent\""));
+	assert_non_null(strstr(line, "\"request\":\"id\\\"1\""));
+	assert_non_null(strstr(line, "\"target\":\"u1\",\"n\":3}\n"));
+	ap_journal_free(j);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+/* A reader that stops costs neither time nor memory; what it missed is counted and said. */
+static void a_reader_that_stops_is_not_waited_for(void **state)
+{
+	static char drained[1 << 20];
+	ap_journal_stats_t stats;
+	ap_journal_t *j;
+	int fds[2];
+
+	(void)state;
+	assert_int_equal(pipe(fds), 0);
+	j = journal_on(fds[1], 1, 1000000, 8192);
+	for (int i = 0; i < 5000; i++) {
+		ap_journal_write(j, AP_RECORD_RARE, "test.line", NULL, "s:i", "i", i);
+		ap_journal_flush(j);
+	}
+	stats = ap_journal_stats(j);
+	assert_true(stats.dropped > 0);
+	assert_int_equal(stats.written + stats.dropped, 5000);
+	assert_true(read(fds[0], drained, sizeof(drained)) > 0);
+	ap_journal_flush(j);
+	ap_journal_write(j, AP_RECORD_RARE, "test.line", NULL, NULL);
+	ap_journal_flush(j);
+	assert_true(read(fds[0], drained, sizeof(drained) - 1) > 0);
+	assert_non_null(strstr(drained, "log.dropped"));
+	ap_journal_free(j);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+/* Ten times the usual load: lines keep to their rate, and samples are of the same requests. */
+static void lines_keep_to_their_bound(void **state)
+{
+	ap_journal_t *a = journal_on(STDERR_FILENO, 16, 50, 1 << 20);
+	ap_journal_t *b = journal_on(STDERR_FILENO, 16, 50, 1 << 20);
+	unsigned taken = 0;
+
+	(void)state;
+	for (int i = 0; i < 1600; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "r%d", i);
+		assert_int_equal(ap_journal_takes(a, AP_RECORD_ORDINARY, id),
+				 ap_journal_takes(b, AP_RECORD_ORDINARY, id));
+		taken += ap_journal_takes(a, AP_RECORD_ORDINARY, id);
+		assert_true(ap_journal_takes(a, AP_RECORD_RARE, id));
+	}
+	assert_in_range(taken, 50, 150);
+	ap_journal_free(a);
+	ap_journal_free(b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_replica_s_record),
+		cmocka_unit_test(a_leaving_replica_s_record),
+		cmocka_unit_test(records_that_cannot_be_read),
+		cmocka_unit_test(a_configuration),
+		cmocka_unit_test(damaged_configurations),
+		cmocka_unit_test(keys_of_the_store),
+		cmocka_unit_test(an_instance_s_entry_there_and_back),
+		cmocka_unit_test(what_a_request_s_headers_say),
+		cmocka_unit_test(what_a_request_s_headers_may_lack_or_get_wrong),
+		cmocka_unit_test(headers_to_an_upstream),
+		cmocka_unit_test(too_many_headers_are_not_cut_short),
+		cmocka_unit_test(what_an_answer_says_of_itself),
+		cmocka_unit_test(a_record_is_one_line_of_json),
+		cmocka_unit_test(a_reader_that_stops_is_not_waited_for),
+		cmocka_unit_test(lines_keep_to_their_bound),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
