--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -82,19 +82,21 @@
 	const ap_exchange_t *x = &c->x;
 	ap_usec_t now = ap_now();
 	ap_usec_t first = x->first_piece > 0 ? x->first_piece - x->arrival : 0;
-	bool ordinary =
-		c->outcome == GATE_DONE || c->outcome == GATE_FAILED || c->outcome == GATE_LEFT;
+	bool late = first > x->work.route->objective;
+	bool ordinary = !late && (c->outcome == GATE_DONE || c->outcome == GATE_FAILED ||
+				  c->outcome == GATE_LEFT);
 	ap_record_class_t cls = ordinary ? AP_RECORD_ORDINARY : AP_RECORD_RARE;
 
 	count(c, now - x->arrival, first);
 	if (!ap_journal_takes(c->gate->journal, cls, c->id))
 		return;
 	ap_journal_write(c->gate->journal, cls, "request.ended", c->id,
-			 "s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o",
+			 "s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o",
 			 "outcome", outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 			 "route", x->work.route->name, "pool",
 			 x->work.pool ? x->work.pool->name : "", "guest", (int)c->guest, "status",
-			 c->status, "first_ms", msec(first), "took_ms", msec(now - x->arrival),
+			 c->status, "first_ms", msec(first), "objective_ms",
+			 msec(x->work.route->objective), "took_ms", msec(now - x->arrival),
 			 "time_ms", msec(x->give_up - x->arrival), "bytes", (json_int_t)x->bytes,
 			 "sends", (int)x->sends, "runs", (int)x->runs, "refusals", (int)x->refusals,
 			 "version", (json_int_t)c->plan->version, "expected_ms",
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -10,8 +10,8 @@
 	(700 * AP_MSEC) /* some round trips between regions, and the store's own time              \
 			 */
 #define WATCH_WAIT (1 * AP_SEC)
-#define PACE_PART 4 /* reads in the shorter of the times in which a change must take effect */
-#define PACE_MAX (1 * AP_SEC)
+#define PACE_PART 3 /* reads in the shorter of the times in which a change must take effect */
+#define PACE_MAX (2 * AP_SEC)
 #define AWAY_AFTER (2500 * AP_MSEC) /* a few reads that failed */
 #define RETURN_TIME                                                                                \
 	(2500 * AP_MSEC) /* entries that lapsed are back two seconds after the store               \
--- a/cmd/arbutuspondctl/ctl.h
+++ b/cmd/arbutuspondctl/ctl.h
@@ -8,11 +8,12 @@
 #include <jansson.h>
 
 #define ADMINS_MAX 512
+#define FILES_MAX 512
 
 /* Exit statuses; EX_USAGE (64) for a wrong command line. */
 typedef enum ctl_exit {
 	CTL_OK = 0,
-	CTL_DIFFERENT = 1,   /* diff found a difference, or status an instance that isn't ready */
+	CTL_DIFFERENT = 1,   /* a difference, an instance that isn't ready, or no cause found */
 	CTL_INVALID = 2,     /* a file or document is wrong */
 	CTL_CONFLICT = 3,    /* others changed the same fields */
 	CTL_REFUSED = 4,     /* wrong token or key, no such thing, over a limit */
@@ -25,6 +26,7 @@
  * struct ctl_options - the command line.
  * @token: of the admin listeners
  * @key: a caller's API key
+ * @files: logs to read; standard input when there are none
  * @permit: permit to use, empty to take one first, or NULL
  * @base: generation that the file was made from
  */
@@ -49,6 +51,8 @@
 	unsigned max_tokens;
 	const char *command;
 	const char *argument;
+	const char *files[FILES_MAX];
+	size_t n_files;
 } ctl_options_t;
 
 ctl_exit_t ctl_apply(const ctl_options_t *o);
@@ -58,6 +62,7 @@
 ctl_exit_t ctl_drain(const ctl_options_t *o);
 ctl_exit_t ctl_events(const ctl_options_t *o);
 ctl_exit_t ctl_timeline(const ctl_options_t *o);
+ctl_exit_t ctl_explain(const ctl_options_t *o);
 ctl_exit_t ctl_ask(const ctl_options_t *o);
 ctl_exit_t ctl_keygen(const ctl_options_t *o);
 ctl_exit_t ctl_key_hash(const ctl_options_t *o);
--- /dev/null
+++ b/cmd/arbutuspondctl/explain.c
@@ -0,0 +1,356 @@
+/*
+ * Why did a request fail? Reads the records of all processes, joins those of one request, tells its
+ * story in order and names the cause. Lines may have something in front, as collectors put there.
+ */
+#include "ctl.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define AROUND_BEFORE 3.0 /* seconds: beliefs that changed so long before its arrival, */
+#define AROUND_AFTER 0.5  /* and so long after its end, are shown */
+
+/* Records that say what an instance came to believe, not what it did with a request. */
+static const char *const belief_events[] = {
+	"configuration.refused", "configuration.taken", "directory.stopgap", "evacuation",
+	"instance.lost",	 "instance.seen",	"log.dropped",	     "peer.unreadable",
+	"process.frozen",	 "process.leaving",	"process.reload",    "process.started",
+	"process.stopped",	 "seed.answered",	"store.away",	     "store.back",
+	"store.unreadable",	 "upstream.draining",	"upstream.removed",
+};
+
+static const char *const request_events[] = {
+	"request.ended", "request.no-route", "request.invalid", "request.unreadable",
+	"answer.headers-cut", "peer.untrusted",
+};
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+typedef struct records {
+	json_t **v;
+	size_t n;
+	size_t room;
+	size_t skipped; /* lines that are no record */
+	size_t unknown; /* records of an event that this version does not know */
+} records_t;
+
+static bool is_one_of(const char *const *names, size_t n, const char *name)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(names[i], name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static const char *text_at(json_t *o, const char *field)
+{
+	const char *text = json_string_value(json_object_get(o, field));
+
+	return text ? text : "";
+}
+
+static int64_t int_at(json_t *o, const char *field)
+{
+	return (int64_t)json_number_value(json_object_get(o, field));
+}
+
+static double wall_at(json_t *o)
+{
+	return json_number_value(json_object_get(o, "wall"));
+}
+
+static void keep(records_t *r, json_t *record)
+{
+	if (r->n == r->room) {
+		r->room = r->room ? 2 * r->room : 256;
+		r->v = realloc(r->v, r->room * sizeof(*r->v));
+		if (!r->v)
+			abort();
+	}
+	r->v[r->n++] = record;
+}
+
+static void take_line(records_t *r, const char *line)
+{
+	const char *start = strchr(line, '{');
+	json_t *record = start ? json_loads(start, 0, NULL) : NULL;
+	const char *event = text_at(record, "event");
+
+	if (!record || !*event) {
+		r->skipped += line[strspn(line, " \t\r\n")] != '\0';
+		json_decref(record);
+		return;
+	}
+	if (!is_one_of(belief_events, COUNT(belief_events), event) &&
+	    !is_one_of(request_events, COUNT(request_events), event)) {
+		r->unknown++;
+		json_decref(record);
+		return;
+	}
+	keep(r, record);
+}
+
+static void read_stream(records_t *r, FILE *in)
+{
+	char *line = NULL;
+	size_t size = 0;
+
+	while (getline(&line, &size, in) >= 0)
+		take_line(r, line);
+	free(line);
+}
+
+static bool read_all(const ctl_options_t *o, records_t *r)
+{
+	if (o->n_files == 0)
+		read_stream(r, stdin);
+	for (size_t i = 0; i < o->n_files; i++) {
+		FILE *in = fopen(o->files[i], "r");
+
+		if (!in) {
+			ctl_fail(CTL_INVALID, "%s: %s", o->files[i], strerror(errno));
+			return false;
+		}
+		read_stream(r, in);
+		fclose(in);
+	}
+	return true;
+}
+
+static int by_wall(const void *a, const void *b)
+{
+	double x = wall_at(*(json_t *const *)a);
+	double y = wall_at(*(json_t *const *)b);
+
+	return x < y ? -1 : x > y;
+}
+
+static bool is_of(json_t *record, const char *id)
+{
+	return strcmp(text_at(record, "request"), id) == 0;
+}
+
+/* When the request came and ended, over all instances that saw it. */
+static bool span_of(const records_t *r, const char *id, double *from, double *to)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < r->n; i++) {
+		double end = wall_at(r->v[i]);
+		double start = end - (double)int_at(r->v[i], "took_ms") / 1e3;
+
+		if (!is_of(r->v[i], id))
+			continue;
+		*from = found ? fmin(*from, start) : start;
+		*to = found ? fmax(*to, end) : end;
+		found = true;
+	}
+	return found;
+}
+
+static bool saw_it(const records_t *r, const char *id, const char *instance)
+{
+	for (size_t i = 0; i < r->n; i++) {
+		if (is_of(r->v[i], id) && strcmp(text_at(r->v[i], "instance"), instance) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void print_steps(json_t *record)
+{
+	json_t *step;
+	size_t i;
+
+	json_array_foreach (json_object_get(record, "steps"), i, step) {
+		printf("    %+6" PRId64 " ms  %-12s %s", int_at(step, "at_ms"),
+		       text_at(step, "step"), text_at(step, "target"));
+		if (*text_at(step, "target"))
+			printf("  expected %" PRId64 " ms, %" PRId64 " running, %" PRId64
+			       " tokens cached, entry %" PRId64 " ms old",
+			       int_at(step, "expected_ms"), int_at(step, "running"),
+			       int_at(step, "cached"), int_at(step, "entry_age_ms"));
+		putchar('\n');
+	}
+}
+
+static void print_request(json_t *record)
+{
+	printf("%.3f %s %s%s: %s%s%s, status %" PRId64 "\n", wall_at(record),
+	       text_at(record, "instance"), text_at(record, "event"),
+	       json_is_true(json_object_get(record, "guest")) ? " (from another region)" : "",
+	       text_at(record, "outcome"),
+	       strcmp(text_at(record, "reason"), "none") != 0 ? ", " : "",
+	       strcmp(text_at(record, "reason"), "none") != 0 ? text_at(record, "reason") : "",
+	       int_at(record, "status"));
+	printf("    route %s, pool %s, configuration %" PRId64 ", store read %" PRId64
+	       " ms before\n",
+	       text_at(record, "route"), text_at(record, "pool"), int_at(record, "version"),
+	       int_at(record, "store_age_ms"));
+	printf("    first piece %" PRId64 " ms of %" PRId64 ", in all %" PRId64 " ms of %" PRId64
+	       "\n",
+	       int_at(record, "first_ms"), int_at(record, "objective_ms"),
+	       int_at(record, "took_ms"), int_at(record, "time_ms"));
+	print_steps(record);
+}
+
+static void print_belief(json_t *record)
+{
+	static const char *const shown[] = {
+		"upstream", "other", "data_centre", "off", "leaving", "version", "unsure", "why",
+		"lines",
+	};
+
+	printf("%.3f %s %s", wall_at(record), text_at(record, "instance"),
+	       text_at(record, "event"));
+	for (size_t i = 0; i < COUNT(shown); i++) {
+		json_t *value = json_object_get(record, shown[i]);
+
+		if (!value)
+			continue;
+		printf(" %s=", shown[i]);
+		json_dumpf(value, stdout, JSON_ENCODE_ANY);
+	}
+	putchar('\n');
+}
+
+static void print_story(const records_t *r, const char *id, double from, double to)
+{
+	for (size_t i = 0; i < r->n; i++) {
+		json_t *record = r->v[i];
+		double at = wall_at(record);
+
+		if (is_of(record, id))
+			print_request(record);
+		else if (at >= from - AROUND_BEFORE && at <= to + AROUND_AFTER &&
+			 is_one_of(belief_events, COUNT(belief_events), text_at(record, "event")) &&
+			 saw_it(r, id, text_at(record, "instance")))
+			print_belief(record);
+	}
+}
+
+/* The last step of that name, or NULL. */
+static json_t *last_step(json_t *record, const char *name)
+{
+	json_t *found = NULL;
+	json_t *step;
+	size_t i;
+
+	json_array_foreach (json_object_get(record, "steps"), i, step) {
+		if (strcmp(text_at(step, "step"), name) == 0)
+			found = step;
+	}
+	return found;
+}
+
+typedef struct cause {
+	const char *reason;
+	const char *text;
+	const char *step; /* whose target is meant */
+} cause_t;
+
+static const cause_t causes[] = {
+	{"no-upstream", "no upstream that the route allows was usable", NULL},
+	{"too-late", "every upstream that the route allows was too busy", "given-up"},
+	{"refused", "every upstream that was asked refused", "refused-by"},
+	{"budget", "the budget for sending again was spent, after", "failed-at"},
+	{"broken", "the answer broke off at", "failed-at"},
+	{"timeout", "no answer within its time from", "sent"},
+	{"unproved", "a failure that promised too much came from", "sent"},
+};
+
+static bool print_failure(json_t *record)
+{
+	const char *reason = text_at(record, "reason");
+
+	for (size_t i = 0; i < COUNT(causes); i++) {
+		json_t *step;
+
+		if (strcmp(causes[i].reason, reason) != 0)
+			continue;
+		step = causes[i].step ? last_step(record, causes[i].step) : NULL;
+		printf("cause: %s", causes[i].text);
+		if (step && *text_at(step, "target"))
+			printf(" %s (expected %" PRId64 " ms, %" PRId64 " running)",
+			       text_at(step, "target"), int_at(step, "expected_ms"),
+			       int_at(step, "running"));
+		putchar('\n');
+		return true;
+	}
+	return false;
+}
+
+static bool print_late(json_t *record)
+{
+	int64_t first = int_at(record, "first_ms");
+	int64_t objective = int_at(record, "objective_ms");
+	json_t *step = last_step(record, "sent-again");
+
+	if (objective == 0 || first <= objective)
+		return false;
+	if (!step)
+		step = last_step(record, "sent");
+	printf("cause: the first piece came %" PRId64 " ms late from %s, where %" PRId64
+	       " ms were expected with %" PRId64 " running\n",
+	       first - objective, text_at(step, "target"), int_at(step, "expected_ms"),
+	       int_at(step, "running"));
+	return true;
+}
+
+/* The instance that the caller spoke to knows best; another region's word comes second. */
+static bool print_cause(const records_t *r, const char *id)
+{
+	for (int guest = 0; guest <= 1; guest++) {
+		for (size_t i = r->n; i > 0; i--) {
+			json_t *record = r->v[i - 1];
+
+			if (!is_of(record, id) ||
+			    json_is_true(json_object_get(record, "guest")) != (guest == 1))
+				continue;
+			if (print_failure(record) || print_late(record))
+				return true;
+			if (strcmp(text_at(record, "outcome"), "left") == 0) {
+				puts("cause: the caller left before it was answered");
+				return true;
+			}
+			if (strcmp(text_at(record, "event"), "request.no-route") == 0) {
+				puts("cause: no route of the configuration in force matches");
+				return true;
+			}
+		}
+	}
+	return false;
+}
+
+ctl_exit_t ctl_explain(const ctl_options_t *o)
+{
+	records_t r = {0};
+	double from = 0;
+	double to = 0;
+	ctl_exit_t status = CTL_OK;
+
+	if (!read_all(o, &r))
+		return CTL_INVALID;
+	qsort(r.v, r.n, sizeof(*r.v), by_wall);
+	if (r.skipped > 0 || r.unknown > 0)
+		fprintf(stderr, "arbutuspondctl: %zu lines are no records, %zu of unknown events\n",
+			r.skipped, r.unknown);
+	if (!span_of(&r, o->argument, &from, &to)) {
+		status = ctl_fail(CTL_REFUSED, "%s: no record of this request", o->argument);
+	} else {
+		print_story(&r, o->argument, from, to);
+		if (!print_cause(&r, o->argument)) {
+			puts("cause: none found; it was answered in time");
+			status = CTL_DIFFERENT;
+		}
+	}
+	for (size_t i = 0; i < r.n; i++)
+		json_decref(r.v[i]);
+	free(r.v);
+	return status;
+}
--- a/cmd/arbutuspondctl/main.c
+++ b/cmd/arbutuspondctl/main.c
@@ -49,7 +49,7 @@
 	{0},
 };
 
-static const char args_doc[] = "COMMAND [ARGUMENT]";
+static const char args_doc[] = "COMMAND [ARGUMENT...]";
 static const char doc[] =
 	"Operate an arbutuspond deployment.\v"
 	"Commands:\n"
@@ -60,10 +60,11 @@
 	"  drain          shut the --admin's instance down gracefully\n"
 	"  events         time line of the first --admin\n"
 	"  timeline       time lines of all --admin joined\n"
+	"  explain ID [LOG...]  tell from logs why a request failed\n"
 	"  ask [TEXT]     ask a service as a caller does\n"
 	"  keygen         make a CURVE key pair for [keys] in settings\n"
 	"  key-hash       hash of an API key for a caller's key_hash\n\n"
-	"Exit status: 0 done; 1 different or not ready; 2 invalid; 3 conflict; 4 refused; "
+	"Exit status: 0 done; 1 different, not ready, or no cause found; 2 invalid; 3 conflict; 4 refused; "
 	"5 no connection; 6 not run; 7 unknown; 64 wrong command line.";
 
 typedef struct command {
@@ -78,6 +79,7 @@
 	{"diff", ctl_diff, true, true},		 {"status", ctl_status, true, false},
 	{"drain", ctl_drain, true, false},	 {"events", ctl_events, true, false},
 	{"timeline", ctl_timeline, true, false}, {"ask", ctl_ask, false, false},
+	{"explain", ctl_explain, false, false},
 	{"keygen", ctl_keygen, false, false},	 {"key-hash", ctl_key_hash, false, false},
 };
 
@@ -122,6 +124,8 @@
 		o->command = text;
 	else if (!o->argument)
 		o->argument = text;
+	else if (strcmp(o->command, "explain") == 0 && o->n_files < FILES_MAX)
+		o->files[o->n_files++] = text;
 	else
 		argp_error(state, "%s: one argument too many", text);
 }
@@ -147,6 +151,8 @@
 		argp_error(state, "--admin is missing");
 	else if (command->needs_file && !o->argument)
 		argp_error(state, "a file is missing");
+	else if (command->run == ctl_explain && !o->argument)
+		argp_error(state, "a request's id is missing");
 	else if (command->run == ctl_ask &&
 		 (!o->has_entry || !o->service || (!o->path && !o->argument)))
 		argp_error(state, "ask needs --entry, --service and a question or --path");
--- /dev/null
+++ b/test/soak/main.c
@@ -0,0 +1,495 @@
+/* The schedule: what goes wrong when, drawn from one seed. */
+#include "soak.h"
+
+#include <argp.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define RATE 60 /* requests a second */
+#define TICK_MS 20
+#define BEAT (1000 * AP_MSEC)
+#define WARM_UP (3 * AP_SEC)
+#define RECOVER (12 * AP_SEC) /* recoverS of the platform's bounds */
+#define QUIET (3 * AP_SEC)
+#define REPLICAS_A_POOL 2 /* in each region */
+#define REPEAT_RATIO 0.2
+#define REPEAT_SLACK 54
+#define REPEAT_WINDOW (10 * AP_SEC)
+#define QUIET_SERVED 0.98 /* of requests after recovery, with nothing wrong any more */
+
+const char *const soak_regions[REGIONS] = {"north", "south"};
+static const char *const pools[] = {"desk", "engines"};
+
+/* Something to be undone or done later. */
+typedef struct later {
+	TAILQ_ENTRY(later) entry;
+	ap_usec_t at;
+	void (*what)(soak_t *s, size_t i);
+	size_t i;
+} later_t;
+
+static TAILQ_HEAD(, later) laters = TAILQ_HEAD_INITIALIZER(laters);
+
+void soak_finding(soak_t *s, const char *fmt, ...)
+{
+	va_list args;
+
+	s->findings++;
+	printf("finding at %.3f s: ", (double)(ap_now() - s->start) / (double)AP_SEC);
+	va_start(args, fmt);
+	vprintf(fmt, args);
+	va_end(args);
+	putchar('\n');
+	fflush(stdout);
+}
+
+static void do_later(soak_t *s, ap_usec_t delay, void (*what)(soak_t *s, size_t i), size_t i)
+{
+	later_t *l = calloc(1, sizeof(*l));
+
+	(void)s;
+	if (!l)
+		abort();
+	*l = (later_t){.at = ap_now() + delay, .what = what, .i = i};
+	TAILQ_INSERT_TAIL(&laters, l, entry);
+}
+
+static void run_laters(soak_t *s, bool all)
+{
+	ap_usec_t now = ap_now();
+	later_t *next;
+
+	for (later_t *l = TAILQ_FIRST(&laters); l; l = next) {
+		next = TAILQ_NEXT(l, entry);
+		if (!all && now < l->at)
+			continue;
+		TAILQ_REMOVE(&laters, l, entry);
+		l->what(s, l->i);
+		free(l);
+		/* What it did may have changed the list. */
+		next = TAILQ_FIRST(&laters);
+	}
+}
+
+void plan_put(soak_t *s)
+{
+	static const char *const kinds[] = {"non_idempotent", "idempotent", "stream", "stream"};
+	static const char *const prefixes[] = {"/once/", "/idem/", "/stream/", "/resume/"};
+	json_t *routes = json_array();
+	json_t *root;
+	char *text;
+
+	s->version += 1 + ap_rng_below(&s->schedule, 3);
+	for (int k = 0; k < SOAK_KINDS; k++) {
+		json_t *r = json_pack(
+			"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name", prefixes[k],
+			"host", "soak.example", "prefix", prefixes[k], "kind", kinds[k],
+			"timeoutMs", 3000, "goalMs", 500, "priority", k, "service", pools[k / 2],
+			"attempts", k == SOAK_IDEMPOTENT || k == SOAK_RESUMABLE ? 2 : 1,
+			"resumable", k == SOAK_RESUMABLE, "gapAimMs", 800, "homeRegions");
+
+		if (k == SOAK_RESUMABLE)
+			json_array_append_new(json_object_get(r, "homeRegions"),
+					      json_string(soak_regions[0]));
+		json_array_append_new(routes, r);
+	}
+	root = json_pack("{s:I,s:o,s:[{s:s},{s:s}],s:{}}", "version", (json_int_t)s->version,
+			 "routes", routes, "services", "name", pools[0], "name", pools[1],
+			 "limits");
+	text = json_dumps(root, JSON_COMPACT);
+	store_put(s->store, "op/config", text, 0);
+	free(text);
+	json_decref(root);
+}
+
+static ap_usec_t span(soak_t *s, int from_ms, int to_ms)
+{
+	return (from_ms + (ap_usec_t)ap_rng_below(&s->schedule, (uint64_t)(to_ms - from_ms))) *
+	       AP_MSEC;
+}
+
+static void start_gate(soak_t *s, size_t i)
+{
+	if (s->gates[i].pid == 0)
+		gate_start(&s->gates[i]);
+}
+
+static void wake_gate(soak_t *s, size_t i)
+{
+	if (s->gates[i].paused)
+		gate_signal(&s->gates[i], SIGCONT);
+}
+
+static void heal_store(soak_t *s, size_t i)
+{
+	(void)i;
+	store_set(s->store, STORE_UP);
+}
+
+static void heal_store_link(soak_t *s, size_t i)
+{
+	link_set(s->gates[i].store_link, LINK_OPEN);
+	s->gates[i].touched = ap_now();
+}
+
+static void heal_replica(soak_t *s, size_t i)
+{
+	s->replicas[i].mode = REPLICA_GOOD;
+	if (s->replicas[i].link)
+		link_set(s->replicas[i].link, LINK_OPEN);
+}
+
+/* The entry of a crashed upstream goes with its next life, as one that lapsed. */
+static void renew_replica(soak_t *s, size_t i)
+{
+	replica_t *r = &s->replicas[i];
+	char pool[AP_NAME_MAX];
+	char key[96];
+
+	snprintf(key, sizeof(key), "servers/%s", r->id);
+	ap_copy_name(pool, sizeof(pool), r->pool);
+	store_remove(s->store, key);
+	replica_stop(r);
+	replica_start(s, i, pool, r->region);
+}
+
+static void end_evacuation(soak_t *s, size_t i)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "op/evacuate/%s-1", soak_regions[i]);
+	store_remove(s->store, key);
+}
+
+static void fault_kill(soak_t *s, size_t i)
+{
+	gate_signal(&s->gates[i], SIGKILL);
+}
+
+static void fault_term(soak_t *s, size_t i)
+{
+	if (!s->gates[i].paused)
+		gate_signal(&s->gates[i], SIGTERM);
+}
+
+static void fault_pause(soak_t *s, size_t i)
+{
+	gate_signal(&s->gates[i], SIGSTOP);
+	do_later(s, span(s, 300, 3000), wake_gate, i);
+}
+
+static void fault_hup(soak_t *s, size_t i)
+{
+	gate_signal(&s->gates[i], SIGHUP);
+}
+
+static void fault_kill_all(soak_t *s, size_t i)
+{
+	(void)i;
+	for (size_t k = 0; k < s->n_gates; k++)
+		gate_signal(&s->gates[k], SIGKILL);
+}
+
+static void fault_store(soak_t *s, size_t i)
+{
+	(void)i;
+	store_set(s->store, (store_mode_t)(1 + ap_rng_below(&s->schedule, STORE_MODES - 1)));
+	do_later(s, span(s, 500, 5000), heal_store, 0);
+}
+
+static void fault_compact(soak_t *s, size_t i)
+{
+	(void)i;
+	store_compact(s->store);
+}
+
+static void fault_store_link(soak_t *s, size_t i)
+{
+	if (!s->gates[i].store_link)
+		return;
+	s->gates[i].touched = ap_now();
+	link_set(s->gates[i].store_link,
+		 (link_mode_t)(1 + ap_rng_below(&s->schedule, LINK_MODES - 1)));
+	do_later(s, span(s, 500, 5000), heal_store_link, i);
+}
+
+static void fault_replica(soak_t *s, size_t i)
+{
+	i %= s->n_replicas;
+	s->replicas[i].mode = (replica_mode_t)(1 + ap_rng_below(&s->schedule, REPLICA_MODES - 1));
+	do_later(s, span(s, 500, 4000), heal_replica, i);
+}
+
+static void fault_replica_link(soak_t *s, size_t i)
+{
+	i %= s->n_replicas;
+	if (!s->replicas[i].link)
+		return;
+	link_set(s->replicas[i].link,
+		 (link_mode_t)(1 + ap_rng_below(&s->schedule, LINK_MODES - 1)));
+	do_later(s, span(s, 300, 3000), heal_replica, i);
+}
+
+static void fault_crash(soak_t *s, size_t i)
+{
+	i %= s->n_replicas;
+	if (!s->replicas[i].server || s->replicas[i].draining)
+		return;
+	replica_crash(s, i);
+	do_later(s, span(s, 500, 3000), renew_replica, i);
+}
+
+static void fault_drain(soak_t *s, size_t i)
+{
+	i %= s->n_replicas;
+	if (!s->replicas[i].server || s->replicas[i].draining)
+		return;
+	replica_drain(s, i);
+	do_later(s, span(s, 4000, 6000), renew_replica, i);
+}
+
+static void fault_plan(soak_t *s, size_t i)
+{
+	(void)i;
+	plan_put(s);
+}
+
+static void fault_evacuate(soak_t *s, size_t i)
+{
+	char key[64];
+
+	i %= REGIONS;
+	snprintf(key, sizeof(key), "op/evacuate/%s-1", soak_regions[i]);
+	store_put(s->store, key, "{}", 0);
+	do_later(s, span(s, 500, 3000), end_evacuation, i);
+}
+
+static const struct {
+	const char *name;
+	unsigned weight;
+	void (*strike)(soak_t *s, size_t i);
+} faults[] = {
+	{"kill", 6, fault_kill},	 {"term", 6, fault_term},
+	{"pause", 5, fault_pause},	 {"hup", 2, fault_hup},
+	{"kill-all", 1, fault_kill_all}, {"store", 4, fault_store},
+	{"compact", 2, fault_compact},	 {"store-link", 5, fault_store_link},
+	{"replica", 8, fault_replica},	 {"replica-link", 6, fault_replica_link},
+	{"crash", 5, fault_crash},	 {"drain", 4, fault_drain},
+	{"plan", 4, fault_plan},	 {"evacuate", 2, fault_evacuate},
+};
+
+#define FAULTS (sizeof(faults) / sizeof(faults[0]))
+
+static void strike(soak_t *s)
+{
+	uint64_t total = 0;
+	uint64_t at;
+	size_t k = 0;
+	size_t i = ap_rng_below(&s->schedule, s->n_gates);
+
+	for (size_t f = 0; f < FAULTS; f++)
+		total += faults[f].weight;
+	at = ap_rng_below(&s->schedule, total);
+	while (at >= faults[k].weight)
+		at -= faults[k++].weight;
+	if (s->verbose)
+		fprintf(stderr, "%.3f s: %s %zu\n", (double)(ap_now() - s->start) / (double)AP_SEC,
+			faults[k].name, i);
+	faults[k].strike(s, i);
+	s->faults++;
+	s->fault_kinds[k]++;
+}
+
+static void reap(soak_t *s)
+{
+	for (size_t i = 0; i < s->n_gates; i++) {
+		int status;
+
+		if (s->gates[i].pid <= 0 ||
+		    waitpid(s->gates[i].pid, &status, WNOHANG) != s->gates[i].pid)
+			continue;
+		gate_ended(&s->gates[i], status);
+		do_later(s, span(s, 200, 1500), start_gate, i);
+	}
+}
+
+/* Drives the world for @how_long; @faulty with faults. */
+static void play(soak_t *s, ap_usec_t how_long, bool sending, bool faulty)
+{
+	ap_usec_t until = ap_now() + how_long;
+	ap_usec_t next_send = ap_now();
+	ap_usec_t next_beat = ap_now();
+	ap_usec_t next_fault = ap_now() + AP_SEC;
+
+	while (ap_now() < until) {
+		struct timeval tick = {.tv_usec = TICK_MS * 1000};
+		ap_usec_t now = ap_now();
+
+		for (; sending && next_send <= now; next_send += AP_SEC / RATE)
+			caller_send(s);
+		if (now >= next_beat) {
+			for (size_t i = 0; i < s->n_replicas; i++)
+				replica_beat(s, i);
+			for (size_t i = 0; i < s->n_gates; i++)
+				gate_check_version(&s->gates[i]);
+			next_beat = now + BEAT;
+		}
+		if (faulty && now >= next_fault) {
+			strike(s);
+			next_fault = now + span(s, 100, 900);
+		}
+		run_laters(s, false);
+		reap(s);
+		event_base_loopexit(s->base, &tick);
+		event_base_dispatch(s->base);
+	}
+}
+
+/* Of requests and repetitions over the whole run, which is some windows long. */
+static void check_budget(soak_t *s, ap_usec_t lasted)
+{
+	double windows = 1 + (double)lasted / (double)REPEAT_WINDOW;
+	double most = REPEAT_RATIO * s->sent + windows * 2 * REPEAT_SLACK;
+
+	if (s->repeats > most)
+		soak_finding(s, "budget: %u repetitions of %u requests", s->repeats, s->sent);
+}
+
+static void begin(soak_t *s, size_t n_gates)
+{
+	snprintf(s->dir, sizeof(s->dir), "/tmp/soak-XXXXXX");
+	if (!mkdtemp(s->dir))
+		abort();
+	s->base = ap_http_base_new();
+	s->client = ap_http_client_new(s->base);
+	s->store = store_new(s);
+	for (unsigned region = 0; region < REGIONS; region++) {
+		for (size_t p = 0; p < 2; p++) {
+			for (int k = 0; k < REPLICAS_A_POOL; k++)
+				replica_start(s, s->n_replicas++, pools[p], region);
+		}
+	}
+	plan_put(s);
+	s->n_gates = n_gates;
+	for (size_t i = 0; i < n_gates; i++) {
+		s->gates[i].soak = s;
+		s->gates[i].region = (unsigned)(i % REGIONS);
+		snprintf(s->gates[i].id, sizeof(s->gates[i].id), "g%zu", i);
+	}
+	for (size_t i = 0; i < n_gates; i++)
+		gate_start(&s->gates[i]);
+}
+
+static void finish(soak_t *s)
+{
+	for (size_t i = 0; i < s->n_gates; i++) {
+		if (s->gates[i].pid > 0) {
+			kill(s->gates[i].pid, SIGKILL);
+			waitpid(s->gates[i].pid, NULL, 0);
+		}
+		link_free(s->gates[i].store_link);
+	}
+	for (size_t i = 0; i < s->n_replicas; i++)
+		replica_stop(&s->replicas[i]);
+	ap_http_client_free(s->client);
+	store_free(s->store);
+	event_base_free(s->base);
+}
+
+static void report(const soak_t *s, uint64_t seed)
+{
+	printf("seed %llu: %u requests, %u served, %u refused, %u failed, %u repeated; %u faults:",
+	       (unsigned long long)seed, s->sent, s->served, s->refused, s->failed, s->repeats,
+	       s->faults);
+	for (size_t k = 0; k < FAULTS; k++)
+		printf(" %s %u", faults[k].name, s->fault_kinds[k]);
+	printf("; after recovery %u of %u served; %u findings\n", s->quiet_served, s->quiet_sent,
+	       s->findings);
+	if (s->findings > 0)
+		printf("logs are in %s\n", s->dir);
+}
+
+typedef struct options {
+	const char *program;
+	uint64_t seed;
+	int seconds;
+	size_t gates;
+	bool verbose;
+} options_t;
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	options_t *o = state->input;
+
+	switch (key) {
+	case 'p':
+		o->program = arg;
+		return 0;
+	case 's':
+		o->seed = strtoull(arg, NULL, 10);
+		return 0;
+	case 't':
+		o->seconds = atoi(arg);
+		return 0;
+	case 'g':
+		o->gates = strtoul(arg, NULL, 10);
+		return 0;
+	case 'v':
+		o->verbose = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (!o->program || o->gates < 2 || o->gates > GATES_MAX)
+			argp_error(state, "--program is needed, and 2 to %d gates", GATES_MAX);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{"program", 'p', "FILE", 0, "the daemon", 0},
+		{"seed", 's', "N", 0, "of the schedule", 0},
+		{"seconds", 't', "N", 0, "how long faults strike", 0},
+		{"gates", 'g', "N", 0, "instances", 0},
+		{"verbose", 'v', NULL, 0, "tell of each fault", 0},
+		{0},
+	};
+	static const struct argp parser = {options, parse_option, NULL, "Randomised soak.",
+					   NULL,    NULL,	  NULL};
+	options_t o = {.seed = 1, .seconds = 20, .gates = 6};
+	static soak_t s;
+
+	argp_parse(&parser, argc, argv, 0, NULL, &o);
+	signal(SIGPIPE, SIG_IGN);
+	s.program = o.program;
+	s.verbose = o.verbose;
+	ap_rng_seed(&s.rng, o.seed);
+	ap_rng_seed(&s.schedule, o.seed);
+	s.start = ap_now();
+	begin(&s, o.gates);
+	play(&s, WARM_UP, false, false);
+	s.start = ap_now();
+	play(&s, o.seconds * AP_SEC, true, true);
+	run_laters(&s, true);
+	play(&s, RECOVER, true, false);
+	s.start = ap_now();
+	s.quiet = true;
+	play(&s, QUIET, true, false);
+	play(&s, 5 * AP_SEC, false, false);
+	if (s.quiet_served < QUIET_SERVED * s.quiet_sent)
+		soak_finding(&s, "recovery: %u of %u served", s.quiet_served, s.quiet_sent);
+	check_budget(&s, (o.seconds + 20) * AP_SEC);
+	caller_retire(&s);
+	finish(&s);
+	report(&s, o.seed);
+	return s.findings > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/soak/replica.c
@@ -0,0 +1,266 @@
+/* An upstream: runs each request once it has come, notes that it ran, and may go wrong. */
+#include "soak.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define EVENTS 6
+#define STEP_MS 15
+#define WORK_MAX_MS 60
+#define SLOW_TIMES 8
+#define WRONG_PART 0.3
+#define SLOTS 16
+#define DRAIN_BOUND (3 * AP_SEC) /* drain_ms of the settings */
+#define TOUCH (6 * AP_SEC)	 /* bounds hold for what was left alone for so long */
+
+typedef struct job {
+	LIST_ENTRY(job) entry;
+	replica_t *replica;
+	ap_http_call_t *call;
+	struct event *timer;
+	soak_kind_t kind;
+	char id[24];
+	unsigned next; /* event of a stream */
+	bool breaks;
+	bool started;
+} job_t;
+
+static LIST_HEAD(, job) jobs = LIST_HEAD_INITIALIZER(jobs);
+
+static void job_free(job_t *j)
+{
+	j->replica->running--;
+	LIST_REMOVE(j, entry);
+	event_free(j->timer);
+	free(j);
+}
+
+static void on_closed(void *ctx)
+{
+	job_free(ctx);
+}
+
+static bool in_touch(const soak_t *s, ap_usec_t now)
+{
+	if (now - s->store_touched < TOUCH)
+		return false;
+	for (size_t i = 0; i < s->n_gates; i++) {
+		if (now - s->gates[i].touched < TOUCH)
+			return false;
+	}
+	return true;
+}
+
+static void check_arrival(replica_t *r, const request_t *q)
+{
+	ap_usec_t now = ap_now();
+
+	if (q->kind == SOAK_RESUMABLE && r->region != 0)
+		soak_finding(r->soak, "home: %s reached %s", q->id, r->id);
+	if (r->draining && now - r->draining_since > DRAIN_BOUND && in_touch(r->soak, now))
+		soak_finding(r->soak, "drain: %s reached %s late", q->id, r->id);
+}
+
+static void reply_refused(ap_http_call_t *call, int status)
+{
+	static const ap_http_header_t headers[] = {{"Not-Run", "1"}};
+
+	ap_http_reply(call, status, headers, 1, NULL, 0);
+}
+
+static void reply_whole(job_t *j, int status)
+{
+	ap_http_header_t headers[] = {{"Request-Id", j->id}, {"Server-Stamp", j->replica->id}};
+	ap_http_call_t *call = j->call;
+	char body[96];
+	int len = snprintf(body, sizeof(body), "%s by %s\n", j->id, j->replica->id);
+
+	ap_http_call_watch(call, NULL, NULL, NULL);
+	job_free(j);
+	ap_http_reply(call, status, headers, 2, body, (size_t)len);
+}
+
+static void break_off(job_t *j)
+{
+	ap_http_call_t *call = j->call;
+
+	ap_http_call_watch(call, NULL, NULL, NULL);
+	job_free(j);
+	ap_http_call_cut(call);
+}
+
+static void arm(job_t *j, unsigned ms)
+{
+	struct timeval tv;
+
+	if (j->replica->mode == REPLICA_SLOW)
+		ms *= SLOW_TIMES;
+	tv = ap_timeval(ms * AP_MSEC);
+	event_add(j->timer, &tv);
+}
+
+/* One event a turn; half of one when it breaks. */
+static void step_stream(job_t *j)
+{
+	ap_http_header_t headers[] = {{"Request-Id", j->id},
+				      {"Server-Stamp", j->replica->id},
+				      {"Content-Type", "text/event-stream"}};
+	char event[96];
+	int len = snprintf(event, sizeof(event), "id: %u\ndata: %s\n\n", j->next, j->id);
+
+	if (!j->started)
+		ap_http_reply_start(j->call, 200, headers, 3);
+	j->started = true;
+	if (j->breaks && j->next == EVENTS / 2) {
+		ap_http_reply_write(j->call, event, (size_t)len / 2);
+		break_off(j);
+		return;
+	}
+	ap_http_reply_write(j->call, event, (size_t)len);
+	if (j->next++ < EVENTS) {
+		arm(j, STEP_MS);
+		return;
+	}
+	ap_http_call_t *call = j->call;
+
+	ap_http_call_watch(call, NULL, NULL, NULL);
+	job_free(j);
+	ap_http_reply_end(call);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	job_t *j = arg;
+
+	(void)fd;
+	(void)what;
+	if (j->kind == SOAK_STREAM || j->kind == SOAK_RESUMABLE)
+		step_stream(j);
+	else if (j->breaks)
+		break_off(j);
+	else
+		reply_whole(j, j->replica->mode == REPLICA_ERRS ? 500 : 200);
+}
+
+static void run(replica_t *r, ap_http_call_t *call, request_t *q)
+{
+	const char *after = ap_http_call_header(call, "Last-Event-Id");
+	job_t *j = calloc(1, sizeof(*j));
+
+	if (!j)
+		abort();
+	q->runs++;
+	if (q->runs > 1 && (q->kind == SOAK_ONCE || q->kind == SOAK_STREAM))
+		soak_finding(r->soak, "once: %s ran %u times", q->id, q->runs);
+	j->replica = r;
+	j->call = call;
+	j->kind = q->kind;
+	j->next = after ? (unsigned)strtoul(after, NULL, 10) + 1 : 1;
+	j->breaks = r->mode == REPLICA_BREAKS && ap_rng_unit(&r->soak->rng) < WRONG_PART;
+	ap_copy_name(j->id, sizeof(j->id), q->id);
+	j->timer = evtimer_new(r->soak->base, on_timer, j);
+	LIST_INSERT_HEAD(&jobs, j, entry);
+	r->running++;
+	ap_http_call_watch(call, j, on_closed, NULL);
+	arm(j, 5 + (unsigned)ap_rng_below(&r->soak->rng, WORK_MAX_MS));
+}
+
+static void on_request(void *ctx, ap_http_call_t *call)
+{
+	replica_t *r = ctx;
+	const char *id = ap_http_call_header(call, "Request-Id");
+	const char *expected = ap_http_call_header(call, "Expect-Instance");
+	request_t *q = NULL;
+
+	if (id)
+		HASH_FIND_STR(r->soak->requests, id, q);
+	if (!q) {
+		soak_finding(r->soak, "unasked: %s at %s", id ? id : "no id", r->id);
+		reply_refused(call, 400);
+		return;
+	}
+	r->soak->arrivals++;
+	r->soak->repeats += q->arrivals++ > 0;
+	if (expected && strcmp(expected, r->id) != 0) {
+		reply_refused(call, 421);
+		return;
+	}
+	check_arrival(r, q);
+	if (r->running >= SLOTS ||
+	    (r->mode == REPLICA_SHEDS && ap_rng_unit(&r->soak->rng) < WRONG_PART)) {
+		reply_refused(call, 503);
+		return;
+	}
+	run(r, call, q);
+}
+
+void replica_beat(soak_t *s, size_t i)
+{
+	replica_t *r = &s->replicas[i];
+	char key[96];
+	json_t *o;
+	char *text;
+	char addr[32];
+	char dc[32];
+
+	if (!r->server)
+		return;
+	snprintf(key, sizeof(key), "servers/%s", r->id);
+	snprintf(addr, sizeof(addr), "127.0.0.1:%u", link_port(r->link));
+	snprintf(dc, sizeof(dc), "%s-1", soak_regions[r->region]);
+	o = json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:I}", "service", r->pool, "addr", addr, "zone", dc,
+		      "slots", SLOTS, "state", r->draining ? "draining" : "ready", "coldLeftMs", 0,
+		      "seq", (json_int_t)(ap_now() / AP_MSEC));
+	text = json_dumps(o, JSON_COMPACT);
+	store_put(s->store, key, text, 0);
+	free(text);
+	json_decref(o);
+}
+
+void replica_start(soak_t *s, size_t i, const char *pool, unsigned region)
+{
+	replica_t *r = &s->replicas[i];
+	ap_http_server_config_t config = {
+		.base = s->base,
+		.host = "127.0.0.1",
+		.header_bytes = 65536,
+		.body_bytes = 1 << 20,
+		.idle = 30 * AP_SEC,
+		.ctx = r,
+		.request = on_request,
+	};
+	unsigned born = r->born + 1;
+
+	*r = (replica_t){.soak = s, .region = region, .born = born};
+	ap_copy_name(r->pool, sizeof(r->pool), pool);
+	snprintf(r->id, sizeof(r->id), "i%d-%zu-%u", (int)getpid(), i, born);
+	if (ap_http_server_new(&config, &r->server, NULL) != AP_HTTP_STATUS_OK)
+		abort();
+	r->link = link_new(s->base, ap_http_server_port(r->server));
+	replica_beat(s, i);
+}
+
+void replica_stop(replica_t *r)
+{
+	if (!r->server)
+		return;
+	ap_http_server_free(r->server);
+	r->server = NULL;
+	link_free(r->link);
+	r->link = NULL;
+}
+
+void replica_crash(soak_t *s, size_t i)
+{
+	replica_stop(&s->replicas[i]);
+}
+
+void replica_drain(soak_t *s, size_t i)
+{
+	s->replicas[i].draining = true;
+	s->replicas[i].draining_since = ap_now();
+	replica_beat(s, i);
+}
--- /dev/null
+++ b/test/soak/store.c
@@ -0,0 +1,379 @@
+/* The platform's store as its page publishes it: items, leases, conditional writes, watches. */
+#include "soak.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WATCH_POLL_MS 20
+#define LOSES_PART 0.4
+
+typedef struct item {
+	UT_hash_handle hh;
+	char key[128];
+	char *value; /* base64 */
+	uint64_t revision;
+	uint64_t lease;
+	bool removed;
+} item_t;
+
+typedef struct lease {
+	UT_hash_handle hh;
+	uint64_t id;
+	ap_usec_t ttl;
+	ap_usec_t ends;
+} lease_t;
+
+typedef struct waiter {
+	LIST_ENTRY(waiter) entry;
+	ap_http_call_t *call;
+	uint64_t after;
+	ap_usec_t until;
+} waiter_t;
+
+struct store {
+	soak_t *soak;
+	ap_http_server_t *server;
+	struct event *tick;
+	item_t *items;
+	lease_t *leases;
+	uint64_t revision;
+	uint64_t history; /* changes up to here are forgotten */
+	uint64_t next_lease;
+	store_mode_t mode;
+	LIST_HEAD(, waiter) waiters;
+};
+
+static void reply(ap_http_call_t *call, int status, json_t *body)
+{
+	static const ap_http_header_t type = {"Content-Type", "application/json"};
+	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+
+	ap_http_reply(call, status, &type, 1, text, text ? strlen(text) : 0);
+	free(text);
+	json_decref(body);
+}
+
+static item_t *item_of(store_t *st, const char *key)
+{
+	item_t *item;
+
+	HASH_FIND_STR(st->items, key, item);
+	if (item)
+		return item;
+	item = calloc(1, sizeof(*item));
+	if (!item)
+		abort();
+	ap_copy_name(item->key, sizeof(item->key), key);
+	HASH_ADD_STR(st->items, key, item);
+	return item;
+}
+
+static void write_item(store_t *st, const char *key, const char *base64, uint64_t lease)
+{
+	item_t *item = item_of(st, key);
+
+	free(item->value);
+	item->value = base64 ? strdup(base64) : NULL;
+	item->removed = base64 == NULL;
+	item->lease = lease;
+	item->revision = ++st->revision;
+}
+
+void store_put(store_t *st, const char *key, const char *value, uint64_t lease)
+{
+	size_t room = sodium_base64_ENCODED_LEN(strlen(value), sodium_base64_VARIANT_ORIGINAL);
+	char *text = malloc(room);
+
+	if (!text)
+		abort();
+	sodium_bin2base64(text, room, (const unsigned char *)value, strlen(value),
+			  sodium_base64_VARIANT_ORIGINAL);
+	write_item(st, key, text, lease);
+	free(text);
+}
+
+void store_remove(store_t *st, const char *key)
+{
+	write_item(st, key, NULL, 0);
+}
+
+static json_t *show(const item_t *item)
+{
+	if (item->removed)
+		return json_pack("{s:s,s:I,s:b}", "key", item->key, "rev",
+				 (json_int_t)item->revision, "deleted", 1);
+	return json_pack("{s:s,s:s,s:I,s:I}", "key", item->key, "value", item->value, "rev",
+			 (json_int_t)item->revision, "lease", (json_int_t)item->lease);
+}
+
+static json_t *list(const store_t *st, const char *field, uint64_t after, bool removed_too)
+{
+	json_t *items = json_array();
+
+	for (const item_t *i = st->items; i; i = i->hh.next) {
+		if (i->revision > after && (removed_too || !i->removed))
+			json_array_append_new(items, show(i));
+	}
+	return json_pack("{s:o,s:b,s:I}", field, items, "truncated", 0, "asOf",
+			 (json_int_t)st->revision);
+}
+
+static void answer_watch(store_t *st, waiter_t *w)
+{
+	LIST_REMOVE(w, entry);
+	reply(w->call, 200, list(st, "events", w->after, true));
+	free(w);
+}
+
+static void on_waiter_gone(void *ctx)
+{
+	waiter_t *w = ctx;
+
+	LIST_REMOVE(w, entry);
+	free(w);
+}
+
+static void watch(store_t *st, ap_http_call_t *call)
+{
+	char after[32];
+	char wait[32];
+	waiter_t *w;
+
+	ap_http_call_query(call, "after", after, sizeof(after));
+	ap_http_call_query(call, "waitMs", wait, sizeof(wait));
+	if (strtoull(after, NULL, 10) < st->history) {
+		reply(call, 410, NULL);
+		return;
+	}
+	w = calloc(1, sizeof(*w));
+	if (!w)
+		abort();
+	w->call = call;
+	w->after = strtoull(after, NULL, 10);
+	w->until = ap_now() + strtol(wait, NULL, 10) * AP_MSEC;
+	LIST_INSERT_HEAD(&st->waiters, w, entry);
+	ap_http_call_watch(call, w, on_waiter_gone, NULL);
+}
+
+static bool holds(store_t *st, json_t *conditions)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach (conditions, i, row) {
+		item_t *item = item_of(st, json_string_value(json_object_get(row, "key")));
+		uint64_t now = item->removed || !item->value ? 0 : item->revision;
+
+		if (now != (uint64_t)json_integer_value(json_object_get(row, "rev")))
+			return false;
+	}
+	return true;
+}
+
+static json_t *present(store_t *st, json_t *conditions)
+{
+	json_t *items = json_array();
+	json_t *row;
+	size_t i;
+
+	json_array_foreach (conditions, i, row) {
+		item_t *item = item_of(st, json_string_value(json_object_get(row, "key")));
+
+		if (item->value)
+			json_array_append_new(items, show(item));
+	}
+	return json_pack("{s:o}", "items", items);
+}
+
+/* Return: the status; @body is the answer's. */
+static int txn(store_t *st, json_t *root, json_t **body)
+{
+	json_t *conditions = json_object_get(root, "expectRev");
+	json_t *row;
+	size_t i;
+
+	if (!holds(st, conditions)) {
+		*body = present(st, conditions);
+		return 412;
+	}
+	json_array_foreach (json_object_get(root, "puts"), i, row) {
+		uint64_t id = (uint64_t)json_integer_value(json_object_get(row, "lease"));
+		lease_t *lease = NULL;
+
+		HASH_FIND(hh, st->leases, &id, sizeof(id), lease);
+		if (id != 0 && !lease)
+			return 404;
+		write_item(st, json_string_value(json_object_get(row, "key")),
+			   json_string_value(json_object_get(row, "value")), id);
+	}
+	*body = json_pack("{s:I}", "rev", (json_int_t)st->revision);
+	return 200;
+}
+
+static int new_lease(store_t *st, json_t *root, json_t **body)
+{
+	lease_t *lease = calloc(1, sizeof(*lease));
+
+	if (!lease)
+		abort();
+	lease->id = ++st->next_lease;
+	lease->ttl = json_integer_value(json_object_get(root, "ttlMs")) * AP_MSEC;
+	lease->ends = ap_now() + lease->ttl;
+	HASH_ADD(hh, st->leases, id, sizeof(lease->id), lease);
+	*body = json_pack("{s:I,s:I}", "lease", (json_int_t)lease->id, "ttlMs",
+			  (json_int_t)(lease->ttl / AP_MSEC));
+	return 200;
+}
+
+static lease_t *named_lease(store_t *st, const char *path)
+{
+	uint64_t id = strtoull(strrchr(path, '/') + 1, NULL, 10);
+	lease_t *lease;
+
+	HASH_FIND(hh, st->leases, &id, sizeof(id), lease);
+	return lease;
+}
+
+static void end_lease(store_t *st, lease_t *lease)
+{
+	for (item_t *i = st->items; i; i = i->hh.next) {
+		if (i->lease == lease->id && !i->removed)
+			write_item(st, i->key, NULL, 0);
+	}
+	HASH_DEL(st->leases, lease);
+	free(lease);
+}
+
+static int change(store_t *st, ap_http_call_t *call, const char *path, json_t **body)
+{
+	size_t len;
+	const char *text = ap_http_call_body(call, &len);
+	json_t *root = json_loadb(text, len, 0, NULL);
+	lease_t *lease;
+	int status = 404;
+
+	if (strcmp(path, "/api/kv-txn") == 0) {
+		status = txn(st, root, body);
+	} else if (strcmp(path, "/api/kv-lease") == 0) {
+		status = new_lease(st, root, body);
+	} else if ((lease = named_lease(st, path)) != NULL) {
+		status = 200;
+		if (strncmp(path, "/api/kv-keep/", 13) == 0)
+			lease->ends = ap_now() + lease->ttl;
+		else
+			end_lease(st, lease);
+		*body = json_object();
+	}
+	json_decref(root);
+	return status;
+}
+
+static void on_request(void *ctx, ap_http_call_t *call)
+{
+	store_t *st = ctx;
+	const char *path = ap_http_call_path(call);
+	json_t *body = NULL;
+	int status;
+
+	if (st->mode == STORE_BUSY) {
+		reply(call, 503, NULL);
+	} else if (strcmp(path, "/api/kv-range") == 0) {
+		reply(call, 200, list(st, "items", 0, false));
+	} else if (strcmp(path, "/api/kv-watch") == 0) {
+		watch(st, call);
+	} else {
+		status = change(st, call, path, &body);
+		if (st->mode == STORE_LOSES && ap_rng_unit(&st->soak->rng) < LOSES_PART) {
+			json_decref(body);
+			ap_http_call_cut(call);
+		} else {
+			reply(call, status, body);
+		}
+	}
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	store_t *st = arg;
+	ap_usec_t now = ap_now();
+	lease_t *next_lease;
+	lease_t *lease;
+	waiter_t *next;
+
+	(void)fd;
+	(void)what;
+	/* While it is away, leases stand still. */
+	HASH_ITER (hh, st->leases, lease, next_lease) {
+		if (st->mode == STORE_BUSY)
+			lease->ends = now + lease->ttl;
+		else if (now >= lease->ends)
+			end_lease(st, lease);
+	}
+	for (waiter_t *w = LIST_FIRST(&st->waiters); w; w = next) {
+		next = LIST_NEXT(w, entry);
+		if (st->revision > w->after || now >= w->until)
+			answer_watch(st, w);
+	}
+}
+
+store_t *store_new(soak_t *s)
+{
+	const struct timeval every = {.tv_usec = WATCH_POLL_MS * 1000};
+	store_t *st = calloc(1, sizeof(*st));
+	ap_http_server_config_t config = {
+		.base = s->base,
+		.host = "127.0.0.1",
+		.header_bytes = 65536,
+		.body_bytes = 8 << 20,
+		.idle = 60 * AP_SEC,
+		.ctx = st,
+		.request = on_request,
+	};
+
+	if (!st || ap_http_server_new(&config, &st->server, NULL) != AP_HTTP_STATUS_OK)
+		abort();
+	st->soak = s;
+	st->revision = 100;
+	LIST_INIT(&st->waiters);
+	st->tick = event_new(s->base, -1, EV_PERSIST, on_tick, st);
+	event_add(st->tick, &every);
+	return st;
+}
+
+uint16_t store_port(const store_t *st)
+{
+	return ap_http_server_port(st->server);
+}
+
+void store_set(store_t *st, store_mode_t mode)
+{
+	st->mode = mode;
+	st->soak->store_touched = ap_now();
+}
+
+void store_compact(store_t *st)
+{
+	st->history = st->revision;
+}
+
+void store_free(store_t *st)
+{
+	ap_http_server_free(st->server);
+	event_free(st->tick);
+	for (item_t *i = st->items, *next; i; i = next) {
+		next = i->hh.next;
+		HASH_DEL(st->items, i);
+		free(i->value);
+		free(i);
+	}
+	for (lease_t *l = st->leases, *next; l; l = next) {
+		next = l->hh.next;
+		HASH_DEL(st->leases, l);
+		free(l);
+	}
+	free(st);
+}
