--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -9,9 +9,9 @@
 #define CALL_LIMIT                                                                                 \
 	(700 * AP_MSEC) /* some round trips between regions, and the store's own time              \
 			 */
-#define WATCH_WAIT (1 * AP_SEC)
-#define PACE_PART 3 /* reads in the shorter of the times in which a change must take effect */
-#define PACE_MAX (2 * AP_SEC)
+#define WAIT_PART                                                                                  \
+	2 /* of the shorter of the times in which a change must take effect: one answer lost */
+#define PACE_PART 8		    /* changes that come together are read together */
 #define AWAY_AFTER (2500 * AP_MSEC) /* a few reads that failed */
 #define RETURN_TIME                                                                                \
 	(2500 * AP_MSEC) /* entries that lapsed are back two seconds after the store               \
@@ -217,19 +217,18 @@
 	ap_host_store_end(gate->store, lease, on_written, gate);
 }
 
-static ap_usec_t pace_of(const ap_gateway_settings_t *g)
+/* The shorter of the times in which a change must take effect. */
+static ap_usec_t bound_of(const ap_gateway_settings_t *g)
 {
-	ap_usec_t pace = (g->drain < g->apply ? g->drain : g->apply) / PACE_PART;
-
-	return pace < PACE_MAX ? pace : PACE_MAX;
+	return g->drain < g->apply ? g->drain : g->apply;
 }
 
 bool gate_store_start(gateway_t *gate)
 {
 	ap_usec_t now = ap_now();
 	ap_follow_config_t follow = {
-		.pace = pace_of(gate->g),
-		.wait = WATCH_WAIT,
+		.pace = bound_of(gate->g) / PACE_PART,
+		.wait = bound_of(gate->g) / WAIT_PART,
 		.away_after = AWAY_AFTER,
 		.unsure = RETURN_TIME,
 		.seed = gate->inc.lo,
--- a/test/pages_test.sh
+++ b/test/pages_test.sh
@@ -20,7 +20,11 @@
 done
 for kind in $(grep -rhoE '"[a-z]+\.[a-z-]+"' cmd/arbutuspond lib --include='*.c' | tr -d '"' |
 	grep -v '\.h$' | sort -u); do
-	grep -q "\`$kind\`" docs/operators/time-line.md || lack "not on the page of events: $kind"
+	grep -q "\`$kind\`" docs/operators/time-line.md docs/OPERATIONS.md ||
+		lack "not on a page of events: $kind"
+done
+for name in $(grep -oE 'put(_histogram)?\(out, "[a-z_]+"' cmd/arbutuspond/gateway-serve.c | grep -o '[a-z_]*"$' | tr -d '"' | sort -u); do
+	grep -q "arbutuspond_$name" docs/OPERATIONS.md || lack "not on the page of metrics: $name"
 done
 "$1/cmd/arbutuspondctl" --help >/tmp/help.$$
 for page in docs/man/arbutuspondctl.1 $(find docs/operators -name '*.md'); do
