Don't suspect an instance for what its upstreams break off

Now only silence and no connection make it suspected, and suspected ones are asked when there are no others.

--- a/lib/fleet/away.c
+++ b/lib/fleet/away.c
@@ -82,7 +82,7 @@
 			continue;
 		slots = slots_in(f, place->region, work->pool, now);
 		away = ap_away(f, place->region, work->pool->name);
-		if (slots == 0 || !away || now < away->refused_until)
+		if (slots == 0 || !away)
 			continue;
 		c.member = ap_member_of_region(f, place->region, work, now);
 		if (!c.member)
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -21,6 +21,7 @@
 #define SLOW_MIN 0.5
 #define SLOW_MAX 8.0
 #define SLOW_BASE_US 30000.0	     /* below this, waits tell nothing of a slow upstream */
+#define SUSPECT_TIME (1 * AP_SEC)    /* some of the time that a connection may take */
 #define LOADS_FRESH (1500 * AP_MSEC) /* some rounds of what instances tell each other */
 
 ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool)
@@ -312,15 +313,13 @@
 	ap_replica_ended(r, end, ticket->trial, now);
 }
 
+/* What breaks off there is its upstreams' fault; only silence and no connection are its own. */
 static void done_away(ap_fleet_t *f, const ap_ticket_t *ticket, ap_work_end_t end, ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, ticket->id);
-	ap_away_t *away = ap_away(f, ticket->region, ticket->pool);
 
-	if (end == AP_WORK_REFUSED && away)
-		away->refused_until = now + AP_SEC / 2;
-	if (m && (end == AP_WORK_UNREACHABLE || end == AP_WORK_SILENT || end == AP_WORK_BROKEN))
-		m->suspect_until = now + AP_SEC;
+	if (m && (end == AP_WORK_UNREACHABLE || end == AP_WORK_SILENT))
+		m->suspect_until = now + SUSPECT_TIME;
 }
 
 void ap_fleet_done(ap_fleet_t *f, ap_ticket_t *ticket, ap_work_end_t end, ap_usec_t now)
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -165,12 +165,19 @@
 				       ap_usec_t now)
 {
 	const ap_member_t *chosen = NULL;
+	bool sound = false;
 	uint64_t seen = 0;
 
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (!ap_member_live(m, now) || m->member.leaving || now < m->suspect_until ||
+		bool suspected = now < m->suspect_until;
+
+		if (!ap_member_live(m, now) || m->member.leaving || (sound && suspected) ||
 		    strcmp(m->member.region, region) != 0 || ap_work_avoids(work, m->member.id))
 			continue;
+		if (!sound && !suspected) {
+			sound = true;
+			seen = 0;
+		}
 		/* Each of those seen so far is as likely to be the chosen one. */
 		if (ap_rng_below(&f->rng, ++seen) == 0)
 			chosen = &m->member;
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -138,7 +138,6 @@
 	ap_usec_t wait;
 	ap_usec_t told;
 	uint32_t since; /* requests sent there since */
-	ap_usec_t refused_until;
 	ap_holder_t cache;
 } ap_away_t;
 
@@ -199,7 +198,7 @@
 /* member.c */
 bool ap_member_live(const ap_member_state_t *m, ap_usec_t now);
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id);
-/* A live instance of @region that is not suspected and not in @work's avoid list, or NULL. */
+/* A live instance of @region that @work does not avoid, a suspected one only for want of others. */
 const ap_member_t *ap_member_of_region(ap_fleet_t *f, const char *region, const ap_work_t *work,
 				       ap_usec_t now);
 
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -263,6 +263,32 @@
 	net_end(&net);
 }
 
+/*
+ * Upstreams of the other region break off what they run: its instances, who pass that on, are still
+ * asked. (The incident of bandeja-rotas: 276 requests refused with places free.)
+ */
+static void breaking_upstreams_elsewhere_leave_their_instances_trusted(void **state)
+{
+	static const ap_work_end_t ends[] = {AP_WORK_BROKEN, AP_WORK_REFUSED, AP_WORK_UNREACHABLE};
+	ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+	ap_ticket_t ticket;
+	ap_target_t target;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 1, 2);
+	net_replicas(&net, "engines", "south", 2);
+	for (size_t e = 0; e < 3; e++) {
+		for (int i = 0; i < 10; i++) {
+			send_work(net.fleets[0], &work, WORLD_START, &target, &ticket);
+			ap_fleet_done(net.fleets[0], &ticket, ends[e], WORLD_START);
+		}
+	}
+	/* All are suspected now: better than to refuse. */
+	assert_int_equal(ap_fleet_choose(net.fleets[0], &work, WORLD_START, &target), AP_FLEET_OK);
+	net_end(&net);
+}
+
 /* 24 instances get a request each at the same moment, on reports of the moment before. */
 static void a_burst_on_late_reports_does_not_herd(void **state)
 {
@@ -398,6 +424,7 @@
 		cmocka_unit_test(home_bound_work_stays_under_any_load),
 		cmocka_unit_test(a_full_region_sends_to_one_with_room),
 		cmocka_unit_test(a_region_without_upstreams_sends_all_on),
+		cmocka_unit_test(breaking_upstreams_elsewhere_leave_their_instances_trusted),
 		cmocka_unit_test(a_burst_on_late_reports_does_not_herd),
 		cmocka_unit_test(work_of_other_instances_counts),
 		cmocka_unit_test(the_largest_request_is_not_refused_for_its_size),
