--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -22,9 +22,16 @@
 	       (m->heard_at > 0 && now - m->heard_at < HEARD_FRESH);
 }
 
+void ap_member_changed(ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
+{
+	if (strcmp(m->member.region, f->config.region) == 0)
+		f->members_changed = now;
+}
+
 void ap_fleet_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, member->id);
+	bool changed;
 
 	if (!m) {
 		m = calloc(1, sizeof(*m));
@@ -35,7 +42,10 @@
 	}
 	if (member->leaving && !m->member.leaving)
 		m->leaving_since = now;
+	changed = m->removed || !m->listed || member->leaving != m->member.leaving;
 	m->member = *member;
+	if (changed)
+		ap_member_changed(f, m, now);
 	m->removed = false;
 	m->listed = true;
 	m->suspect_until = 0;
@@ -50,6 +60,7 @@
 	if (!m || m->removed || strcmp(id, f->config.id) == 0)
 		return;
 	m->removed = true;
+	ap_member_changed(f, m, now);
 	m->lapses = m->member.leaving ? now : now + MEMBER_GRACE;
 }
 
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -153,7 +153,8 @@
 struct ap_fleet {
 	ap_fleet_config_t config;
 	ap_rng_t rng;
-	size_t most_members; /* live instances that were known at once, own one included */
+	ap_usec_t members_changed; /* when those of the own region did last */
+	size_t most_members;	   /* live instances that were known at once, own one included */
 	ap_replica_t *replicas;
 	ap_member_state_t *members;
 	ap_pool_state_t *pools;
@@ -196,6 +197,8 @@
 void ap_holder_add_part(ap_fleet_t *f, ap_holder_t *h, const ap_part_t *part, uint64_t capacity);
 
 /* member.c */
+/* Notes a change of who is in the own region, or of who leaves it. */
+void ap_member_changed(ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now);
 bool ap_member_live(const ap_member_state_t *m, ap_usec_t now);
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id);
 /* A live instance of @region that @work does not avoid, a suspected one only for want of others. */
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -234,15 +234,18 @@
 }
 
 /* An instance that left and was started again has another incarnation. */
-static void take_leaving(ap_member_state_t *m, ap_id_t inc, bool leaving, ap_usec_t now)
+static void take_leaving(ap_fleet_t *f, ap_member_state_t *m, ap_id_t inc, bool leaving,
+			 ap_usec_t now)
 {
 	m->heard_at = now;
 	if (leaving && !m->member.leaving)
 		m->leaving_since = now;
 	if (leaving)
 		m->left = inc;
-	if (leaving || !ap_id_eq(inc, m->left))
-		m->member.leaving = leaving;
+	if (leaving == m->member.leaving || (!leaving && ap_id_eq(inc, m->left)))
+		return;
+	m->member.leaving = leaving;
+	ap_member_changed(f, m, now);
 }
 
 static bool heard_work(ap_fleet_t *f, const char *from, const ap_wire_in_t *in, ap_usec_t now)
@@ -257,7 +260,7 @@
 	if (!r.ok || (m && !take_loads(f, m, &loads, now)) || !take_news(f, &news))
 		return false;
 	if (m)
-		take_leaving(m, in->head.from, leaving, now);
+		take_leaving(f, m, in->head.from, leaving, now);
 	return true;
 }
 
