--- a/lib/fleet/prefix.c
+++ b/lib/fleet/prefix.c
@@ -36,7 +36,7 @@
 	ap_cached_part_t *part = holding->part;
 
 	holding->holder->tokens -= holding->tokens;
-	/* The analyzer does not follow the list's ends. NOLINTNEXTLINE(clang-analyzer-core.*) */
+	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): it does not follow the list's ends */
 	TAILQ_REMOVE(&holding->holder->holdings, holding, by_age);
 	LIST_REMOVE(holding, by_part);
 	if (LIST_EMPTY(&part->holdings)) {
