Let three instances of a large region watch the store for all

Now the three first by hash do, tell at once when a change came, and the others ask once for each change told; where nobody is heard to watch for 1.6 s, or in regions of fewer than seven, each watches itself. What is read always comes from the store.

--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -22,6 +22,8 @@
 	if (!ap_fleet_heard(gate->fleet, from, data, len, ap_now()))
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL, "s:s",
 				 "from", from);
+	else
+		gate_store_tick(gate, ap_now());
 }
 
 static bool use_keys(gateway_t *gate, const char *text)
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -25,6 +25,7 @@
 
 	ap_follow_answer(gate->follow, read, now);
 	gate_store_tick(gate, now);
+	gate_peer_tick(gate, now);
 	gate_seed_tick(gate, now);
 }
 
@@ -266,8 +267,20 @@
 			 NULL);
 }
 
+/* In a large region some instances watch the store for all, and tell when something changed. */
+static void share_watch(gateway_t *gate, ap_usec_t now)
+{
+	uint64_t changed;
+
+	if (gate->peer && ap_fleet_store_watched(gate->fleet, now, &changed))
+		ap_follow_rest(gate->follow, changed, now);
+	ap_fleet_tell_store(gate->fleet, ap_follow_watching(gate->follow, now),
+			    ap_follow_changed(gate->follow));
+}
+
 void gate_store_tick(gateway_t *gate, ap_usec_t now)
 {
+	share_watch(gate, now);
 	ap_follow_tick(gate->follow, now);
 	ap_enrol_tick(gate->enrol, now);
 	note_away(gate, now);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -241,6 +241,18 @@
  * there is something to tell.
  */
 void ap_fleet_tell(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now);
+/**
+ * ap_fleet_tell_store() - what the next rounds tell of the store.
+ * @watching: this instance watches it with success
+ * @changed: revision of the last change that it read
+ */
+void ap_fleet_tell_store(ap_fleet_t *f, bool watching, uint64_t changed);
+/**
+ * ap_fleet_store_watched() - do enough others of this region watch the store for this instance?
+ * Some watch for all in a large region; in a small one each does for itself.
+ * @changed: the last change that any of them read
+ */
+bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *changed);
 /** ap_fleet_heard() - another instance told something. Return: false when it can't be read. */
 bool ap_fleet_heard(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
 
--- a/lib/fleet/prefix.c
+++ b/lib/fleet/prefix.c
@@ -36,11 +36,10 @@
 	ap_cached_part_t *part = holding->part;
 
 	holding->holder->tokens -= holding->tokens;
-	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): it does not follow the list's ends */
 	TAILQ_REMOVE(&holding->holder->holdings, holding, by_age);
 	LIST_REMOVE(holding, by_part);
 	if (LIST_EMPTY(&part->holdings)) {
-		HASH_DEL(f->parts, part);
+		HASH_DEL(f->parts, part); /* NOLINT(clang-analyzer-core.NullDereference) */
 		free(part);
 	}
 	free(holding);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -108,6 +108,8 @@
 	ap_usec_t leaving_since;
 	ap_id_t left;	    /* the incarnation that said so */
 	ap_usec_t heard_at; /* when it told something last; 0 for never */
+	bool watching;	    /* it watches the store */
+	uint64_t changed;   /* the last change that it read there */
 	ap_told_load_t *loads;
 	size_t n_loads;
 	ap_usec_t loads_at;
@@ -168,6 +170,8 @@
 	ap_usec_t told_at;
 	ap_usec_t told_away_at;
 	bool told_work; /* the last round told of some work */
+	bool watching;
+	uint64_t changed;
 };
 
 /* replica.c */
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -15,6 +15,10 @@
 #define TELL_IDLE (1 * AP_SEC)	   /* nothing to tell: often enough to count as heard of */
 #define PREFIX_MIN 256		   /* tokens; shorter prefixes are read again at little cost */
 #define LOADS_MAX 4096
+#define WATCHER_KEY 11
+#define WATCHERS 3     /* of a region: two may be cut off from the store unnoticed */
+#define WATCHED_FROM 7 /* instances; fewer each watch for themselves */
+#define WATCHER_FRESH (1600 * AP_MSEC) /* it is told at least each second */
 
 void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work)
 {
@@ -85,6 +89,15 @@
 	}
 }
 
+static void pack_store(const ap_fleet_t *f, msgpack_packer *pk)
+{
+	if (f->watching)
+		msgpack_pack_true(pk);
+	else
+		msgpack_pack_false(pk);
+	msgpack_pack_uint64(pk, f->changed);
+}
+
 static bool is_other(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
 {
 	return ap_member_live(m, now) && strcmp(m->member.id, f->config.id) != 0;
@@ -103,13 +116,14 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->told_seq);
-	msgpack_pack_array(&out.pk, 3);
+	msgpack_pack_array(&out.pk, 5);
 	n = pack_loads(f, &out.pk);
 	pack_news(f, &out.pk);
 	if (leaving)
 		msgpack_pack_true(&out.pk);
 	else
 		msgpack_pack_false(&out.pk);
+	pack_store(f, &out.pk);
 	if (n > 0 || f->told_work || f->n_news > 0 || leaving || now - f->told_at >= TELL_IDLE) {
 		for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 			if (is_other(f, m, now) && is_near(f, m))
@@ -258,12 +272,17 @@
 	ap_wire_reader_t loads = ap_wire_array(&r);
 	ap_wire_reader_t news = ap_wire_array(&r);
 	bool leaving = ap_wire_bool(&r);
+	bool watching = ap_wire_bool(&r);
+	uint64_t changed = ap_wire_u64(&r);
 
 	/* One that is not known yet is not counted; it tells again soon. */
 	if (!r.ok || (m && !take_loads(f, m, &loads, now)) || !take_news(f, &news))
 		return false;
-	if (m)
-		take_leaving(f, m, in->head.from, leaving, now);
+	if (!m)
+		return true;
+	take_leaving(f, m, in->head.from, leaving, now);
+	m->watching = watching;
+	m->changed = changed;
 	return true;
 }
 
@@ -307,3 +326,38 @@
 	ap_wire_in_close(&in);
 	return ok;
 }
+
+void ap_fleet_tell_store(ap_fleet_t *f, bool watching, uint64_t changed)
+{
+	/* A change is told at once, so that the others need not ask for it. */
+	if (watching && changed != f->changed)
+		f->told_at = 0;
+	f->watching = watching;
+	f->changed = changed;
+}
+
+/* Who should watch is told by hash, so that all agree without a word. */
+static double watcher_score(const char *id)
+{
+	return ap_rendezvous(WATCHER_KEY, ap_hash_str(id, 7), 1);
+}
+
+bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *changed)
+{
+	double own = watcher_score(f->config.id);
+	size_t instances = 0;
+	size_t watching = 0;
+
+	*changed = 0;
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (!ap_member_live(m, now) || !is_near(f, m))
+			continue;
+		instances++;
+		if (!is_other(f, m, now) || !m->watching || now - m->heard_at > WATCHER_FRESH)
+			continue;
+		if (m->changed > *changed)
+			*changed = m->changed;
+		watching += watcher_score(m->member.id) > own;
+	}
+	return instances >= WATCHED_FROM && watching >= WATCHERS;
+}
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -24,6 +24,9 @@
 	char after[KEY_MAX];
 	uint64_t as_of;
 	uint64_t list_as_of;
+	uint64_t changed;
+	uint64_t hinted;  /* a change that others told of and that is still to be read */
+	ap_usec_t rested; /* when it last rested */
 	ap_usec_t due;
 	ap_usec_t answered;
 	ap_usec_t returned; /* when the store came back last */
@@ -71,7 +74,7 @@
 	if (f->state == STATE_LIST)
 		f->config.list(f->config.ctx, f->after);
 	else
-		f->config.watch(f->config.ctx, f->as_of, f->config.wait);
+		f->config.watch(f->config.ctx, f->as_of, f->hinted ? 0 : f->config.wait);
 }
 
 ap_usec_t ap_follow_due(const ap_follow_t *f)
@@ -81,8 +84,11 @@
 
 static void give_items(ap_follow_t *f, const ap_store_read_t *read)
 {
-	for (size_t i = 0; i < read->n; i++)
+	for (size_t i = 0; i < read->n; i++) {
+		if (read->items[i].revision > f->changed)
+			f->changed = read->items[i].revision;
 		f->config.item(f->config.ctx, &read->items[i]);
+	}
 }
 
 /* Pages are no snapshot: changes since the first one are watched for again. */
@@ -137,6 +143,10 @@
 	give_items(f, read);
 	if (read->as_of > f->as_of)
 		f->as_of = read->as_of;
+	/* What was told is read by then, even if nothing is left of it. */
+	if (f->hinted && f->as_of >= f->hinted && f->changed < f->hinted)
+		f->changed = f->hinted;
+	f->hinted = 0;
 	f->due = now + spread(f, f->config.pace);
 }
 
@@ -146,6 +156,30 @@
 	f->due = now;
 }
 
+uint64_t ap_follow_changed(const ap_follow_t *f)
+{
+	return f->changed;
+}
+
+void ap_follow_rest(ap_follow_t *f, uint64_t told, ap_usec_t now)
+{
+	if (f->calling || f->again || f->backoff > 0 || f->state != STATE_WATCH)
+		return;
+	f->rested = now;
+	if (told > f->changed) {
+		f->hinted = told;
+		f->due = now;
+		return;
+	}
+	f->answered = now;
+	f->due = now + f->config.pace;
+}
+
+bool ap_follow_watching(const ap_follow_t *f, ap_usec_t now)
+{
+	return f->whole && f->backoff == 0 && now - f->rested > f->config.pace;
+}
+
 ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now)
 {
 	return f->whole ? now - f->answered : AP_NEVER;
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -79,6 +79,16 @@
 void ap_follow_answer(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now);
 /** ap_follow_again() - what is known is in doubt: read the whole list next. */
 void ap_follow_again(ap_follow_t *f, ap_usec_t now);
+/** ap_follow_changed() - revision of the last change that was read. */
+uint64_t ap_follow_changed(const ap_follow_t *f);
+/**
+ * ap_follow_rest() - others watch the store and tell of changes: no watch of our own is needed, but
+ * one at once when the last change that they told of, @told, was not read yet. To be called each
+ * tick while that is so.
+ */
+void ap_follow_rest(ap_follow_t *f, uint64_t told, ap_usec_t now);
+/** ap_follow_watching() - does it ask the store itself, with success so far? */
+bool ap_follow_watching(const ap_follow_t *f, ap_usec_t now);
 /** ap_follow_age() - time since the last answer; AP_NEVER before the first list was whole. */
 ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now);
 /** ap_follow_failed() - did the last call bring no answer? */
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -419,6 +419,60 @@
 	net_end(&net);
 }
 
+/* 12 instances: three watch the store; when one of them can't, the next one does. */
+static void some_instances_watch_the_store_for_all(void **state)
+{
+	bool watches[12];
+	uint64_t changed;
+	unsigned n = 0;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 12, 0);
+	for (int round = 0; round < 2; round++) {
+		ap_usec_t now = WORLD_START + (1 + round) * 2 * AP_SEC;
+
+		for (int i = 0; i < 12; i++)
+			ap_fleet_tell_store(net.fleets[i], true, 40 + (uint64_t)round);
+		net_tell(&net, now);
+		n = 0;
+		for (int i = 0; i < 12; i++) {
+			watches[i] = !ap_fleet_store_watched(net.fleets[i], now, &changed);
+			n += watches[i];
+			assert_int_equal(changed, 40 + round);
+		}
+		assert_int_equal(n, 3);
+	}
+	for (int i = 0; i < 12; i++)
+		ap_fleet_tell_store(net.fleets[i], !watches[i], 41);
+	net_tell(&net, WORLD_START + 6 * AP_SEC);
+	n = 0;
+	for (int i = 0; i < 12; i++)
+		n += !watches[i] &&
+		     !ap_fleet_store_watched(net.fleets[i], WORLD_START + 6 * AP_SEC, &changed);
+	assert_int_equal(n, 3);
+	/* Silence: all watch. */
+	for (int i = 0; i < 12; i++)
+		assert_false(
+			ap_fleet_store_watched(net.fleets[i], WORLD_START + 9 * AP_SEC, &changed));
+	net_end(&net);
+}
+
+static void a_small_region_watches_the_store_one_by_one(void **state)
+{
+	uint64_t changed;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 4, 4);
+	for (int i = 0; i < 8; i++)
+		ap_fleet_tell_store(net.fleets[i], true, 40);
+	net_tell(&net, WORLD_START + AP_SEC);
+	for (int i = 0; i < 8; i++)
+		assert_false(ap_fleet_store_watched(net.fleets[i], WORLD_START + AP_SEC, &changed));
+	net_end(&net);
+}
+
 static void a_message_that_cannot_be_read_changes_nothing(void **state)
 {
 	static const char junk[] = "\x94\x02\x60\xc0\x93\xff";
@@ -468,6 +522,8 @@
 		cmocka_unit_test(work_of_other_instances_counts),
 		cmocka_unit_test(the_largest_request_is_not_refused_for_its_size),
 		cmocka_unit_test(a_burst_beyond_all_places_is_refused),
+		cmocka_unit_test(some_instances_watch_the_store_for_all),
+		cmocka_unit_test(a_small_region_watches_the_store_one_by_one),
 		cmocka_unit_test(a_message_that_cannot_be_read_changes_nothing),
 		cmocka_unit_test(leaving_is_told_while_the_store_is_away),
 	};
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -171,6 +171,43 @@
 	ap_follow_free(f);
 }
 
+/* Others watch: no call of our own, but one at once for each change that they tell of. */
+static void watched_by_others_it_asks_only_for_told_changes(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+	ap_usec_t now = START;
+
+	(void)state;
+	ap_follow_tick(f, now);
+	answer(f, AP_STORE_OK, "a", 10, false, now);
+	for (int i = 0; i < 100; i++) {
+		now += 100 * AP_MSEC;
+		ap_follow_rest(f, 10, now);
+		ap_follow_tick(f, now);
+	}
+	assert_int_equal(s.watches, 0);
+	assert_int_equal(ap_follow_age(f, now), 0);
+	assert_false(ap_follow_watching(f, now));
+	ap_follow_rest(f, 12, now);
+	ap_follow_tick(f, now);
+	assert_int_equal(s.watches, 1);
+	answer(f, AP_STORE_OK, "b", 12, false, now);
+	/* Told of a key that is gone since: what the store knows by then is enough. */
+	ap_follow_rest(f, 15, now);
+	ap_follow_tick(f, now);
+	answer(f, AP_STORE_OK, NULL, 16, false, now);
+	ap_follow_rest(f, 15, now);
+	ap_follow_tick(f, now + PACE / 2);
+	assert_int_equal(s.watches, 2);
+	/* Nobody tells any more: it watches itself again. */
+	now += 2 * PACE;
+	ap_follow_tick(f, now);
+	assert_int_equal(s.watches, 3);
+	assert_true(ap_follow_watching(f, now));
+	ap_follow_free(f);
+}
+
 typedef struct entry {
 	int leases;
 	int keeps;
@@ -397,6 +434,7 @@
 		cmocka_unit_test(lost_history_means_a_whole_list),
 		cmocka_unit_test(failures_back_off_and_end_in_doubt_about_what_lapsed),
 		cmocka_unit_test(doubt_reads_the_whole_list),
+		cmocka_unit_test(watched_by_others_it_asks_only_for_told_changes),
 		cmocka_unit_test(a_lease_is_renewed_well_before_it_ends),
 		cmocka_unit_test(an_ended_lease_is_made_again),
 		cmocka_unit_test(a_conflict_is_settled_by_the_present_revision),
