--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -20,7 +20,7 @@
 #define KV_FULL 0.9	 /* above this share, engines preempt */
 #define KV_FULL_US 1500000.0
 #define STAY_SHARE 0.7	/* of the objective: shorter waits are not worth leaving for */
-#define ADMIT_SHARE 2.0 /* objectives that work may wait for others: later it is no use here */
+#define ADMIT_SHARE 0.7 /* of the objective, that work may wait for others: the rest is its own */
 
 ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -129,9 +129,9 @@
 	char pool[AP_NAME_MAX];
 	char region[AP_NAME_MAX];
 	unsigned priority;
-	bool first;  /* its first piece has come */
-	bool alone;  /* nothing else waited there when it was sent */
-	bool queued; /* it had to wait for a place there */
+	bool first;	  /* its first piece has come */
+	bool alone;	  /* nothing else waited there when it was sent */
+	double slot_wait; /* reckoned wait for a place there, in microseconds, before scaling */
 	ap_usec_t first_at;
 	uint32_t prefill;
 	uint32_t kv;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -14,6 +14,10 @@
 #define MEAN_START_PLAIN_US 30000.0
 #define MEAN_START_ENGINE_US 800000.0
 #define LEARN 0.05
+#define WAIT_SAMPLE_MIN_US 100000.0 /* shorter waits tell more of the rest */
+#define WAIT_SCALE_MIN 0.1
+#define WAIT_SCALE_MAX 3.0
+#define WAIT_LEARN 0.03
 #define SLOW_GAIN 0.08
 #define SLOW_HALF_LIFE (20 * AP_SEC) /* what was not seen again is forgotten */
 #define RATIO_MIN 0.2		     /* of seen and expected wait: one answer alone shows no more */
@@ -37,6 +41,7 @@
 		return NULL;
 	ap_copy_name(p->name, sizeof(p->name), pool);
 	p->prefill_per_us = PREFILL_START;
+	p->wait_scale = 1;
 	HASH_ADD_STR(f->pools, name, p);
 	return p;
 }
@@ -82,51 +87,58 @@
 	return pool->kv_tokens ? MEAN_START_ENGINE_US : MEAN_START_PLAIN_US;
 }
 
+/* What of the work at @r goes before work of @rank. A plain service knows no priorities. */
+static uint32_t running_before(const ap_replica_t *r, bool engine, unsigned rank)
+{
+	uint32_t running = 0;
+
+	if (!engine)
+		return ap_replica_running(r);
+	for (unsigned i = 0; i <= rank && i < AP_PRIORITIES; i++)
+		running += r->own.running[i] + r->others.running[i];
+	return running;
+}
+
+static double prefill_before(const ap_replica_t *r, unsigned rank)
+{
+	double tokens = 0;
+
+	for (unsigned i = 0; i <= rank && i < AP_PRIORITIES; i++)
+		tokens += r->own.prefill[i] + r->others.prefill[i];
+	return tokens;
+}
+
+/* Wait for a place, if each took the mean time; seen waits scale it. */
+static double slot_wait_us(uint32_t running, uint32_t slots, double mean)
+{
+	return running >= slots ? (running - slots + 1) * mean / slots : 0;
+}
+
 double ap_replica_wait_us(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work,
 			  uint32_t uncached)
 {
 	const ap_plan_pool_t *pool = work->pool;
 	const ap_pool_state_t *p = ap_pool_state(f, pool->name);
-	uint32_t slots = ap_replica_slots(r, pool);
-	double rate = p ? p->prefill_per_us : PREFILL_START;
-	double ahead = uncached;
-	uint32_t running = 0;
-	double wait = 0;
+	unsigned rank = work->route->priority;
+	uint32_t running = running_before(r, pool->kv_tokens > 0, rank);
+	double wait = slot_wait_us(running, ap_replica_slots(r, pool), mean_us(p, pool));
 
-	/* More urgent work goes first; less urgent work gives way. */
-	for (unsigned i = 0; i <= work->route->priority && i < AP_PRIORITIES; i++) {
-		ahead += r->own.prefill[i] + r->others.prefill[i];
-		running += r->own.running[i] + r->others.running[i];
-	}
-	if (!pool->kv_tokens)
-		running = ap_replica_running(r);
-	if (running >= slots)
-		wait = (running - slots + 1) * mean_us(p, pool) / slots;
-	if (pool->kv_tokens) {
-		wait += FIRST_STEP_US + ahead / rate;
-	} else {
-		wait += mean_us(p, pool);
-	}
-	return wait;
+	if (!p)
+		return wait;
+	wait *= p->wait_scale;
+	if (pool->kv_tokens == 0)
+		return wait + mean_us(p, pool);
+	return wait + FIRST_STEP_US + (uncached + prefill_before(r, rank)) / p->prefill_per_us;
 }
 
 /* Waits for places and for prompts that are read first, of work up to @rank. */
 static double queue_us(const ap_replica_t *r, const ap_pool_state_t *p, unsigned rank)
 {
 	uint32_t slots = r->entry.slots ? r->entry.slots : 1;
-	uint32_t running = 0;
-	double wait = 0;
+	uint32_t running = running_before(r, r->kv_tokens > 0, rank);
 
-	/* A plain service knows no priorities. */
-	if (r->kv_tokens == 0)
-		rank = AP_PRIORITIES - 1;
-	for (unsigned i = 0; i <= rank; i++) {
-		running += r->own.running[i] + r->others.running[i];
-		wait += (r->own.prefill[i] + r->others.prefill[i]) / p->prefill_per_us;
-	}
-	if (running >= slots)
-		wait += (running - slots + 1) * p->mean_us / slots;
-	return wait;
+	return slot_wait_us(running, slots, p->mean_us) * p->wait_scale +
+	       prefill_before(r, rank) / p->prefill_per_us;
 }
 
 static int by_size(const void *a, const void *b)
@@ -254,7 +266,10 @@
 	if (!r)
 		return;
 	ticket->alone = ap_replica_running(r) == 0;
-	ticket->queued = ap_replica_running(r) >= ap_replica_slots(r, work->pool);
+	ticket->slot_wait =
+		slot_wait_us(running_before(r, work->pool->kv_tokens > 0, ticket->priority),
+			     ap_replica_slots(r, work->pool),
+			     mean_us(ap_pool_state(f, work->pool->name), work->pool));
 	ticket->trial = r->until != 0;
 	r->trial = r->trial || ticket->trial;
 	if (ap_replica_cold(f, r, work->pool->warmup, now))
@@ -278,6 +293,20 @@
 	p->prefill_per_us += LEARN * (rate - p->prefill_per_us);
 }
 
+/* Places come free sooner than one after the other, or later: by how much is seen. */
+static void learn_wait(ap_fleet_t *f, const ap_ticket_t *ticket, ap_usec_t now)
+{
+	ap_pool_state_t *p = ap_pool_state(f, ticket->pool);
+	double rest = (double)ticket->expected - ticket->slot_wait * (p ? p->wait_scale : 1);
+	double seen;
+
+	if (!p || ticket->slot_wait < WAIT_SAMPLE_MIN_US)
+		return;
+	seen = ((double)(now - ticket->sent) - fmax(rest, 0)) / ticket->slot_wait;
+	seen = fmin(fmax(seen, WAIT_SCALE_MIN), WAIT_SCALE_MAX);
+	p->wait_scale += WAIT_LEARN * (seen - p->wait_scale);
+}
+
 double ap_replica_slow(const ap_replica_t *r, ap_usec_t now)
 {
 	double halves = (double)(now - r->slow_at) / (double)SLOW_HALF_LIFE;
@@ -309,6 +338,7 @@
 		return;
 	r->own.prefill[ticket->priority] -= ticket->prefill;
 	learn_prefill(f, ticket, now);
+	learn_wait(f, ticket, now);
 	learn_slow(r, ticket, now);
 }
 
@@ -323,7 +353,7 @@
 	if (ticket->first_at > 0 && ticket->prefill > 0)
 		took = (double)(now - ticket->first_at) + FIRST_STEP_US +
 		       ticket->prefill / p->prefill_per_us;
-	else if (ticket->queued)
+	else if (ticket->slot_wait > 0)
 		return;
 	p->mean_us = p->mean_us > 0 ? p->mean_us + LEARN * (took - p->mean_us) : took;
 }
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -130,6 +130,7 @@
 	char name[AP_NAME_MAX];
 	double prefill_per_us; /* prompt tokens read in a microsecond */
 	double mean_us;	       /* time of one request at an upstream */
+	double wait_scale;     /* seen against reckoned waits for a place */
 	ap_budget_t budget;
 } ap_pool_state_t;
 
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -396,7 +396,7 @@
 	net_end(&net);
 }
 
-/* With all places taken for longer than two objectives nothing more is taken on. */
+/* With all places taken for most of an objective nothing more is taken on. */
 static void a_burst_beyond_all_places_is_refused(void **state)
 {
 	unsigned taken = 0;
--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -48,7 +48,7 @@
 	static unsigned at;
 
 	if (at == 0)
-		at = (unsigned)getpid() * LISTENERS;
+		at = (unsigned)getpid() * GATES_MAX;
 	for (;;) {
 		uint16_t first = (uint16_t)(PORT_FIRST + at++ * LISTENERS % PORT_ROOM);
 		uint16_t n = 0;
