--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -128,6 +128,18 @@
 	check_leave(gate, now);
 }
 
+static ap_fleet_config_t bounds_of(const ap_gateway_settings_t *g)
+{
+	return (ap_fleet_config_t){
+		.cold_over = g->cold_over,
+		.cold_slack = g->cold_slack,
+		.repeat_ratio = g->repeat_ratio,
+		.repeat_slack = g->repeat_slack,
+		.repeat_window = g->repeat_window,
+		.entry_grace = ENTRY_GRACE,
+	};
+}
+
 static void on_term(evutil_socket_t fd, short what, void *arg)
 {
 	gateway_t *gate = arg;
@@ -146,13 +158,33 @@
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "process.leaving", NULL, NULL);
 }
 
+/* What is bounded may change; who and where this instance is may not. */
 static void on_hup(evutil_socket_t fd, short what, void *arg)
 {
 	gateway_t *gate = arg;
+	ap_settings_t fresh;
+	ap_fleet_config_t bounds;
+	ap_err_t err;
 
 	(void)fd;
 	(void)what;
-	ap_journal_write(gate->journal, AP_RECORD_RARE, "process.reload", NULL, NULL);
+	if (ap_settings_load(gate->path, &fresh, &err) != AP_SETTINGS_OK) {
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "process.reload", NULL, "s:b,s:s",
+				 "taken", 0, "why", err.text);
+		return;
+	}
+	if (fresh.gateway.present) {
+		bounds = bounds_of(&fresh.gateway);
+		ap_fleet_set_bounds(gate->fleet, &bounds);
+		gate->settings->gateway.grace = fresh.gateway.grace;
+		gate->settings->gateway.directory_ttl = fresh.gateway.directory_ttl;
+		memcpy(gate->settings->gateway.seeds, fresh.gateway.seeds,
+		       sizeof(fresh.gateway.seeds));
+		gate->settings->gateway.n_seeds = fresh.gateway.n_seeds;
+	}
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "process.reload", NULL, "s:b", "taken",
+			 (int)fresh.gateway.present);
+	ap_settings_clear(&fresh);
 }
 
 static bool watch_signals(gateway_t *gate)
@@ -174,17 +206,10 @@
 {
 	const ap_settings_t *s = gate->settings;
 	const ap_gateway_settings_t *g = gate->g;
-	ap_fleet_config_t config = {
-		.inc = gate->inc,
-		.cold_over = g->cold_over,
-		.cold_slack = g->cold_slack,
-		.repeat_ratio = g->repeat_ratio,
-		.repeat_slack = g->repeat_slack,
-		.repeat_window = g->repeat_window,
-		.entry_grace = ENTRY_GRACE,
-		.seed = gate->inc.hi,
-	};
+	ap_fleet_config_t config = bounds_of(g);
 
+	config.inc = gate->inc;
+	config.seed = gate->inc.hi;
 	ap_copy_name(config.id, sizeof(config.id), s->id);
 	ap_copy_name(config.region, sizeof(config.region), s->region);
 	ap_copy_name(config.data_centre, sizeof(config.data_centre), s->data_centre);
@@ -265,9 +290,9 @@
 	ap_journal_free(gate->journal);
 }
 
-bool ap_gateway_task(const ap_settings_t *settings)
+bool ap_gateway_task(ap_settings_t *settings, const char *path)
 {
-	gateway_t gate = {.settings = settings, .g = &settings->gateway};
+	gateway_t gate = {.settings = settings, .g = &settings->gateway, .path = path};
 	bool ok;
 
 	LIST_INIT(&gate.calls);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -104,8 +104,9 @@
 } gate_counters_t;
 
 struct gateway {
-	const ap_settings_t *settings;
+	ap_settings_t *settings;
 	const ap_gateway_settings_t *g;
+	const char *path; /* of the settings */
 	ap_id_t inc;
 	struct event_base *base;
 	ap_journal_t *journal;
@@ -144,8 +145,13 @@
 };
 
 /* gateway.c */
-/** ap_gateway_task() - runs until it was told to stop and is drained. Return: false on a fault. */
-bool ap_gateway_task(const ap_settings_t *settings);
+/**
+ * ap_gateway_task() - runs until it was told to stop and is drained.
+ * @path: of the settings, which are read again on SIGHUP
+ *
+ * Return: false on a fault.
+ */
+bool ap_gateway_task(ap_settings_t *settings, const char *path);
 
 /* gateway-call.c */
 void gate_on_caller(void *ctx, ap_http_call_t *call);
--- a/cmd/arbutuspond/main.c
+++ b/cmd/arbutuspond/main.c
@@ -118,7 +118,7 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	if (settings.gateway.present)
-		status = ap_gateway_task(&settings) ? EXIT_SUCCESS : EXIT_FAILURE;
+		status = ap_gateway_task(&settings, options.settings) ? EXIT_SUCCESS : EXIT_FAILURE;
 	else
 		status = run(&settings);
 	ap_settings_clear(&settings);
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -34,6 +34,15 @@
 	return f;
 }
 
+void ap_fleet_set_bounds(ap_fleet_t *f, const ap_fleet_config_t *config)
+{
+	f->config.cold_over = config->cold_over;
+	f->config.cold_slack = config->cold_slack;
+	f->config.repeat_ratio = config->repeat_ratio;
+	f->config.repeat_slack = config->repeat_slack;
+	f->config.entry_grace = config->entry_grace;
+}
+
 /* Frees what a table held; each item begins with its handle. */
 static void free_items(void *item)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -166,6 +166,8 @@
 
 ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config);
 void ap_fleet_free(ap_fleet_t *f);
+/** ap_fleet_set_bounds() - takes the bounds of @config over; identity and seed stay. */
+void ap_fleet_set_bounds(ap_fleet_t *f, const ap_fleet_config_t *config);
 /** ap_fleet_data_centre() - in which region a data centre is; to be told before any entry. */
 void ap_fleet_data_centre(ap_fleet_t *f, const char *data_centre, const char *region);
 
--- a/lib/fleet/prefix.c
+++ b/lib/fleet/prefix.c
@@ -3,6 +3,8 @@
 
 #include <stdlib.h>
 
+#define TOKENS_MIN 64 /* a part counts as this many at least, which bounds their number */
+
 void ap_holder_init(ap_holder_t *h)
 {
 	TAILQ_INIT(&h->holdings);
@@ -94,10 +96,11 @@
 		}
 		return;
 	}
-	*holding = (ap_holding_t){.holder = h, .part = part, .tokens = p->tokens};
+	*holding = (ap_holding_t){.holder = h, .part = part};
+	holding->tokens = p->tokens > TOKENS_MIN ? p->tokens : TOKENS_MIN;
 	TAILQ_INSERT_HEAD(&h->holdings, holding, by_age);
 	LIST_INSERT_HEAD(&part->holdings, holding, by_part);
-	h->tokens += p->tokens;
+	h->tokens += holding->tokens;
 }
 
 static void shrink(ap_fleet_t *f, ap_holder_t *h, uint64_t capacity)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -63,7 +63,11 @@
  * @tag: its id's hash, by which instances name it to each other
  * @seen: when its entry came last
  * @lapses: when a missing entry is taken to be gone; AP_NEVER while it is listed
+ * @leaves: when it goes whatever it is running; AP_NEVER when not told
  * @listed: in the list that is being read
+ * @gone: another upstream has its address
+ * @cold_until: by its entry
+ * @own: work that this instance sent
  * @others: sum of what instances of this region told
  * @failing: share of recent work that failed, aged
  * @failures: in a row
@@ -98,6 +102,17 @@
 	ap_holder_t cache;
 } ap_replica_t;
 
+/**
+ * struct ap_member_state - another instance, or this one.
+ * @removed: its entry is gone; it counts as live until @lapses
+ * @listed: in the list that is being read
+ * @suspect_until: it was silent or had no connection
+ * @left: the incarnation that said that it leaves
+ * @heard_at: when it told something last; 0 for never
+ * @watching: it watches the store
+ * @changed: the last change that it read there
+ * @loads: its work at upstreams, as it told at @loads_at
+ */
 typedef struct ap_member_state {
 	UT_hash_handle hh;
 	ap_member_t member;
@@ -106,10 +121,10 @@
 	ap_usec_t lapses;
 	ap_usec_t suspect_until;
 	ap_usec_t leaving_since;
-	ap_id_t left;	    /* the incarnation that said so */
-	ap_usec_t heard_at; /* when it told something last; 0 for never */
-	bool watching;	    /* it watches the store */
-	uint64_t changed;   /* the last change that it read there */
+	ap_id_t left;
+	ap_usec_t heard_at;
+	bool watching;
+	uint64_t changed;
 	ap_told_load_t *loads;
 	size_t n_loads;
 	ap_usec_t loads_at;
@@ -144,6 +159,7 @@
 	ap_holder_t cache;
 } ap_away_t;
 
+/* A data centre of the deployment. */
 typedef struct ap_place {
 	UT_hash_handle hh;
 	char data_centre[AP_NAME_MAX];
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -12,6 +12,7 @@
 #define TELL_EVERY (250 * AP_MSEC) /* well below the time that a request takes */
 #define AWAY_EVERY (500 * AP_MSEC) /* waits of a region change over seconds */
 #define AWAY_TELLERS 3		   /* instances of a region that tell one of another region */
+#define TELLS_A_SECOND 100	   /* messages of one instance at most: 16 KB/s, see CAPACITY.md */
 #define TELL_IDLE (1 * AP_SEC)	   /* nothing to tell: often enough to count as heard of */
 #define PREFIX_MIN 256		   /* tokens; shorter prefixes are read again at little cost */
 #define LOADS_MAX 4096
@@ -187,11 +188,20 @@
 	ap_wire_out_end(&out);
 }
 
+/* In a large region each round is for many: all of them together keep to a rate. */
+static ap_usec_t tell_every(const ap_fleet_t *f)
+{
+	ap_usec_t every =
+		(ap_usec_t)ap_fleet_members(f, f->config.region) * AP_SEC / TELLS_A_SECOND;
+
+	return every > TELL_EVERY ? every : TELL_EVERY;
+}
+
 void ap_fleet_tell(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
 {
 	if (now - f->told_away_at >= AWAY_EVERY)
 		tell_away(f, peer, now);
-	if (now - f->told_at < TELL_EVERY)
+	if (now - f->told_at < tell_every(f))
 		return;
 	tell_region(f, peer, now);
 }
