--- a/test/http_test.c
+++ b/test/http_test.c
@@ -43,6 +43,8 @@
 	event_base_loopbreak(result->base);
 }
 
+static bool lenient; /* of the requests that follow */
+
 static ap_http_fetch_t *begin(ap_http_client_t *client, uint16_t port, result_t *result,
 			      struct event_base *base, bool fresh)
 {
@@ -57,6 +59,7 @@
 		.body = "{\"stream\": false}",
 		.len = 17,
 		.fresh = fresh,
+		.lenient = lenient,
 		.first_byte = LIMIT,
 		.between = LIMIT,
 		.idle = 60 * AP_SEC,
@@ -127,6 +130,44 @@
 	}
 }
 
+/* Surplus bytes belong to nobody and end the connection; without a length the close is the end. */
+static void test_lenient_requests_take_what_has_no_length(void **state)
+{
+	static const struct {
+		fake_mode_t mode;
+		ap_http_end_t end;
+	} cases[] = {
+		{FAKE_NO_FRAMING, AP_HTTP_CLOSED},
+		{FAKE_WRONG_LENGTH, AP_HTTP_WHOLE},
+		{FAKE_HALF, AP_HTTP_RESET},
+		{FAKE_RESET_AFTER, AP_HTTP_RESET},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct event_base *base = event_base_new();
+		ap_http_client_t *client = ap_http_client_new(base);
+		result_t result;
+		fake_t fake;
+
+		fake_start(&fake, base);
+		fake.mode = cases[i].mode;
+		fake.faults = 1;
+		lenient = true;
+		ask(client, fake.port, &result, base);
+		assert_int_equal(result.end, cases[i].end);
+		settle(base);
+		ask(client, fake.port, &result, base);
+		lenient = false;
+		assert_int_equal(result.end, AP_HTTP_WHOLE);
+		assert_int_equal(fake.connections, 2);
+		ap_http_client_free(client);
+		RUN_UNTIL(base, fake.open == 0);
+		fake_stop(&fake);
+		event_base_free(base);
+	}
+}
+
 static void test_refused_connection_wrote_nothing(void **state)
 {
 	struct event_base *base = event_base_new();
@@ -301,6 +342,73 @@
 	}
 }
 
+static void on_end_of(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	*(short *)arg |= what;
+}
+
+/* Idle connections close and new ones are refused, but what is under way is answered. */
+static void test_a_stopped_server_finishes_what_it_has(void **state)
+{
+	server_seen_t seen = {.base = event_base_new()};
+	ap_http_server_t *server = serve(&seen);
+	uint16_t port = ap_http_server_port(server);
+	struct bufferevent *idle = dial(seen.base, port, "GET /x HTTP/1.1\r\n\r\n");
+	struct bufferevent *busy;
+	struct bufferevent *late;
+	short ended[3] = {0};
+	char got[256] = "";
+
+	(void)state;
+	RUN_UNTIL(seen.base, seen.requests == 1);
+	ap_http_reply(seen.call, 200, NULL, 0, "a", 1);
+	settle(seen.base);
+	busy = dial(seen.base, port, "GET /y HTTP/1.1\r\n\r\n");
+	RUN_UNTIL(seen.base, seen.requests == 2);
+	bufferevent_setcb(idle, NULL, NULL, on_end_of, &ended[0]);
+	bufferevent_setcb(busy, NULL, NULL, on_end_of, &ended[1]);
+	ap_http_server_stop(server);
+	ap_http_server_stop(server);
+	RUN_UNTIL(seen.base, ended[0] & BEV_EVENT_EOF);
+	late = start_dial(seen.base, port, "GET /z HTTP/1.1\r\n\r\n");
+	bufferevent_setcb(late, NULL, NULL, on_end_of, &ended[2]);
+	RUN_UNTIL(seen.base, ended[2] & BEV_EVENT_ERROR);
+	assert_int_equal(seen.requests, 2);
+	assert_int_equal(ended[1], 0);
+	ap_http_reply(seen.call, 200, NULL, 0, "whole", 5);
+	settle(seen.base);
+	bufferevent_read(busy, got, sizeof(got) - 1);
+	assert_non_null(strstr(got, "whole"));
+	bufferevent_free(idle);
+	bufferevent_free(busy);
+	bufferevent_free(late);
+	ap_http_server_free(server);
+	event_base_free(seen.base);
+}
+
+static void test_a_cut_answer_does_not_look_whole(void **state)
+{
+	server_seen_t seen = {.base = event_base_new()};
+	ap_http_server_t *server = serve(&seen);
+	ap_http_client_t *client = ap_http_client_new(seen.base);
+	result_t result;
+
+	(void)state;
+	assert_non_null(begin(client, ap_http_server_port(server), &result, seen.base, false));
+	RUN_UNTIL(seen.base, seen.requests == 1);
+	ap_http_reply_start(seen.call, 200, NULL, 0);
+	ap_http_reply_write(seen.call, "part", 4);
+	settle(seen.base);
+	ap_http_call_cut(seen.call);
+	RUN_UNTIL(seen.base, result.ended);
+	assert_int_equal(result.end, AP_HTTP_RESET);
+	assert_int_equal(seen.closed, 0); /* who cuts is not told of it */
+	ap_http_client_free(client);
+	ap_http_server_free(server);
+	event_base_free(seen.base);
+}
+
 #define DIALS 60
 #define BOUND 8	  /* connections that may be open at once */
 #define OTHERS 40 /* descriptors open for other things */
@@ -419,11 +527,14 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_each_fault_has_its_end),
+		cmocka_unit_test(test_lenient_requests_take_what_has_no_length),
 		cmocka_unit_test(test_refused_connection_wrote_nothing),
 		cmocka_unit_test(test_connections_are_reused_unless_fresh_is_asked),
 		cmocka_unit_test(test_silent_connection_is_retired_and_upstream_not_blamed),
 		cmocka_unit_test(test_cancel_closes_the_connection),
 		cmocka_unit_test(test_hang_up_is_seen_at_each_point),
+		cmocka_unit_test(test_a_stopped_server_finishes_what_it_has),
+		cmocka_unit_test(test_a_cut_answer_does_not_look_whole),
 		cmocka_unit_test(test_connections_are_bounded),
 		cmocka_unit_test(test_server_freed_with_open_calls),
 		cmocka_unit_test(test_malformed_input_never_reaches_the_handler),
