--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -412,16 +412,32 @@
 		printf(" %s %u", faults[k].name, s->fault_kinds[k]);
 	printf("; after recovery %u of %u served; %u findings\n", s->quiet_served, s->quiet_sent,
 	       s->findings);
-	if (s->findings > 0)
+	if (s->findings > 0 || s->keep)
 		printf("logs are in %s\n", s->dir);
 }
 
+static void remove_logs(const soak_t *s)
+{
+	static const char *const ends[] = {"log", "toml"};
+
+	for (size_t i = 0; i < s->n_gates; i++) {
+		for (size_t k = 0; k < 2; k++) {
+			char path[192];
+
+			snprintf(path, sizeof(path), "%s/%s.%s", s->dir, s->gates[i].id, ends[k]);
+			unlink(path);
+		}
+	}
+	rmdir(s->dir);
+}
+
 typedef struct options {
 	const char *program;
 	uint64_t seed;
 	int seconds;
 	size_t gates;
 	bool verbose;
+	bool keep;
 } options_t;
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
@@ -444,6 +460,9 @@
 	case 'v':
 		o->verbose = true;
 		return 0;
+	case 'k':
+		o->keep = true;
+		return 0;
 	case ARGP_KEY_END:
 		if (!o->program || o->gates < 2 || o->gates > GATES_MAX)
 			argp_error(state, "--program is needed, and 2 to %d gates", GATES_MAX);
@@ -460,6 +479,7 @@
 		{"seed", 's', "N", 0, "of the schedule", 0},
 		{"seconds", 't', "N", 0, "how long faults strike", 0},
 		{"gates", 'g', "N", 0, "instances", 0},
+		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
 		{"verbose", 'v', NULL, 0, "tell of each fault", 0},
 		{0},
 	};
@@ -472,6 +492,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	s.program = o.program;
 	s.verbose = o.verbose;
+	s.keep = o.keep;
 	ap_rng_seed(&s.rng, o.seed);
 	ap_rng_seed(&s.schedule, o.seed);
 	s.start = ap_now();
@@ -491,5 +512,7 @@
 	caller_retire(&s);
 	finish(&s);
 	report(&s, o.seed);
+	if (s.findings == 0 && !s.keep)
+		remove_logs(&s);
 	return s.findings > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -150,6 +150,7 @@
 	const char *program;
 	char dir[64];
 	bool verbose;
+	bool keep; /* the logs of a run without findings */
 	store_t *store;
 	ap_http_client_t *client;
 	gate_t gates[GATES_MAX];
