--- a/cmd/arbutuspondctl/main.c
+++ b/cmd/arbutuspondctl/main.c
@@ -50,22 +50,22 @@
 };
 
 static const char args_doc[] = "COMMAND [ARGUMENT...]";
-static const char doc[] =
-	"Operate an arbutuspond deployment.\v"
-	"Commands:\n"
-	"  apply FILE     put a configuration (.toml or .json) in force\n"
-	"  get            print the configuration in force\n"
-	"  diff FILE      fields in which FILE differs from it\n"
-	"  status         state of each --admin\n"
-	"  drain          shut the --admin's instance down gracefully\n"
-	"  events         time line of the first --admin\n"
-	"  timeline       time lines of all --admin joined\n"
-	"  explain ID [LOG...]  tell from logs why a request failed\n"
-	"  ask [TEXT]     ask a service as a caller does\n"
-	"  keygen         make a CURVE key pair for [keys] in settings\n"
-	"  key-hash       hash of an API key for a caller's key_hash\n\n"
-	"Exit status: 0 done; 1 different, not ready, or no cause found; 2 invalid; 3 conflict; 4 refused; "
-	"5 no connection; 6 not run; 7 unknown; 64 wrong command line.";
+static const char doc[] = "Operate an arbutuspond deployment.\v"
+			  "Commands:\n"
+			  "  apply FILE     put a configuration (.toml or .json) in force\n"
+			  "  get            print the configuration in force\n"
+			  "  diff FILE      fields in which FILE differs from it\n"
+			  "  status         state of each --admin\n"
+			  "  drain          shut the --admin's instance down gracefully\n"
+			  "  events         time line of the first --admin\n"
+			  "  timeline       time lines of all --admin joined\n"
+			  "  explain ID [LOG...]  tell from logs why a request failed\n"
+			  "  ask [TEXT]     ask a service as a caller does\n"
+			  "  keygen         make a CURVE key pair for [keys] in settings\n"
+			  "  key-hash       hash of an API key for a caller's key_hash\n\n"
+			  "Exit status: 0 done; 1 different, not ready, or no cause found; 2 "
+			  "invalid; 3 conflict; 4 refused; "
+			  "5 no connection; 6 not run; 7 unknown; 64 wrong command line.";
 
 typedef struct command {
 	const char *name;
@@ -75,12 +75,12 @@
 } command_t;
 
 static const command_t commands[] = {
-	{"apply", ctl_apply, true, true},	 {"get", ctl_get, true, false},
-	{"diff", ctl_diff, true, true},		 {"status", ctl_status, true, false},
-	{"drain", ctl_drain, true, false},	 {"events", ctl_events, true, false},
-	{"timeline", ctl_timeline, true, false}, {"ask", ctl_ask, false, false},
-	{"explain", ctl_explain, false, false},
-	{"keygen", ctl_keygen, false, false},	 {"key-hash", ctl_key_hash, false, false},
+	{"apply", ctl_apply, true, true},	  {"get", ctl_get, true, false},
+	{"diff", ctl_diff, true, true},		  {"status", ctl_status, true, false},
+	{"drain", ctl_drain, true, false},	  {"events", ctl_events, true, false},
+	{"timeline", ctl_timeline, true, false},  {"ask", ctl_ask, false, false},
+	{"explain", ctl_explain, false, false},	  {"keygen", ctl_keygen, false, false},
+	{"key-hash", ctl_key_hash, false, false},
 };
 
 ctl_exit_t ctl_fail(ctl_exit_t status, const char *fmt, ...)
