--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -12,8 +12,7 @@
 static const ap_http_header_t type_json = {"Content-Type", "application/json"};
 
 /* An answer without an exchange. "not run" is certain: nothing was sent. */
-static void reply_early(gateway_t *gate, ap_http_call_t *call, int status, bool guest,
-			const char *error)
+static void reply_early(ap_http_call_t *call, int status, bool guest, const char *error)
 {
 	ap_http_header_t headers[3] = {type_json};
 	char body[128];
@@ -28,7 +27,6 @@
 	if (guest)
 		headers[n++] = (ap_http_header_t){HOP_HEADER_NOT_RUN, "1"};
 	ap_http_reply(call, status, headers, n, body, (size_t)len);
-	(void)gate;
 }
 
 static void on_closed(void *ctx)
@@ -115,7 +113,7 @@
 	gate_call_t *c = call_new(gate, call, guest);
 
 	if (!c) {
-		reply_early(gate, call, 503, guest, "out-of-memory");
+		reply_early(call, 503, guest, "out-of-memory");
 		return;
 	}
 	fill_work(c, r, now);
@@ -138,14 +136,14 @@
 	gate->counters.guests += guest;
 	if (!gate->plan) {
 		gate->counters.ended[GATE_REFUSED]++;
-		reply_early(gate, call, 503, guest, "no-configuration");
+		reply_early(call, 503, guest, "no-configuration");
 		return;
 	}
 	if (ap_host_request(ap_http_call_headers(call), &request, &err) != AP_HOST_OK) {
 		gate->counters.ended[GATE_INVALID]++;
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "request.invalid", NULL, "s:s",
 				 "why", err.text);
-		reply_early(gate, call, 400, guest, "invalid-request");
+		reply_early(call, 400, guest, "invalid-request");
 		return;
 	}
 	route = ap_plan_match(gate->plan, request.host, ap_http_call_path(call));
@@ -155,7 +153,7 @@
 				 "s:s,s:I", "path", ap_http_call_path(call), "version",
 				 (json_int_t)gate->plan->version);
 		/* A guest's route may be newer or older than our configuration. */
-		reply_early(gate, call, guest ? 503 : 404, guest, "no-route");
+		reply_early(call, guest ? 503 : 404, guest, "no-route");
 		return;
 	}
 	begin(gate, call, &request, route, guest);
@@ -175,7 +173,7 @@
 		return;
 	}
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.untrusted", NULL, NULL);
-	reply_early(gate, call, 503, true, "not-an-instance");
+	reply_early(call, 503, true, "not-an-instance");
 }
 
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
@@ -199,5 +197,5 @@
 	gate->counters.ended[GATE_INVALID]++;
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "request.unreadable", NULL, "s:s", "why",
 			 answers[why].error);
-	reply_early(gate, call, answers[why].status, false, answers[why].error);
+	reply_early(call, answers[why].status, false, answers[why].error);
 }
