--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -13,6 +13,7 @@
 #define ANSWER_MAX 4096
 
 typedef struct ask {
+	LIST_ENTRY(ask) entry;
 	soak_t *soak;
 	gate_t *gate;
 	request_t *q;
@@ -23,6 +24,14 @@
 	size_t len;
 } ask_t;
 
+static LIST_HEAD(, ask) asks = LIST_HEAD_INITIALIZER(asks);
+
+static void ask_free(ask_t *a)
+{
+	LIST_REMOVE(a, entry);
+	free(a);
+}
+
 static const char *const paths[SOAK_KINDS] = {"/once/", "/idem/", "/stream/", "/resume/"};
 
 static bool is_promise(int status)
@@ -118,7 +127,7 @@
 				     a->status);
 	}
 	count(a, whole);
-	free(a);
+	ask_free(a);
 }
 
 static gate_t *some_gate(soak_t *s)
@@ -178,9 +187,10 @@
 	if (!a)
 		abort();
 	*a = (ask_t){.soak = s, .gate = g, .q = q};
+	LIST_INSERT_HEAD(&asks, a, entry);
 	if (!g || !ap_http_fetch(s->client, &config)) {
 		q->done = true;
-		free(a);
+		ask_free(a);
 		return;
 	}
 	s->sent++;
@@ -192,7 +202,12 @@
 {
 	request_t *next;
 	request_t *q;
+	ask_t *a_next;
 
+	for (ask_t *a = LIST_FIRST(&asks); a; a = a_next) {
+		a_next = LIST_NEXT(a, entry);
+		ask_free(a);
+	}
 	q = s->requests;
 	HASH_CLEAR(hh, s->requests); /* frees the table; the items stay linked */
 	for (; q; q = next) {
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -400,6 +400,10 @@
 		replica_stop(&s->replicas[i]);
 	ap_http_client_free(s->client);
 	store_free(s->store);
+	for (later_t *l = TAILQ_FIRST(&laters), *next; l; l = next) {
+		next = TAILQ_NEXT(l, entry);
+		free(l);
+	}
 	event_base_free(s->base);
 }
 
@@ -509,8 +513,8 @@
 	if (s.quiet_served < QUIET_SERVED * s.quiet_sent)
 		soak_finding(&s, "recovery: %u of %u served", s.quiet_served, s.quiet_sent);
 	check_budget(&s, (o.seconds + 20) * AP_SEC);
-	caller_retire(&s);
 	finish(&s);
+	caller_retire(&s);
 	report(&s, o.seed);
 	if (s.findings == 0 && !s.keep)
 		remove_logs(&s);
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -79,8 +79,8 @@
 	int len = snprintf(body, sizeof(body), "%s by %s\n", j->id, j->replica->id);
 
 	ap_http_call_watch(call, NULL, NULL, NULL);
-	job_free(j);
 	ap_http_reply(call, status, headers, 2, body, (size_t)len);
+	job_free(j);
 }
 
 static void break_off(job_t *j)
