Wait after a start before sending to cold upstreams

Ruled out: an upstream not known to be cold. Now membership counts as settled two seconds later after a start; the test failed before.

--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define LEAVING_NAMED (2200 * AP_MSEC) /* less than the last one of a region takes connections */
+#define START_SETTLES (2 * AP_SEC)     /* some reads of the store, far away ones included */
 #define HEARD_FRESH (1500 * AP_MSEC)   /* some rounds of what instances tell each other */
 #define MEMBER_GRACE (1500 * AP_MSEC)  /* a lapsed one that is alive enters itself again by then */
 
@@ -24,7 +25,14 @@
 
 void ap_member_changed(ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
 {
-	if (strcmp(m->member.region, f->config.region) == 0)
+	bool self = strcmp(m->member.id, f->config.id) == 0;
+
+	if (strcmp(m->member.region, f->config.region) != 0)
+		return;
+	/* Those that started with it enter themselves, and are read, by then. */
+	if (self && f->members_changed == 0)
+		now += START_SETTLES;
+	if (now > f->members_changed)
 		f->members_changed = now;
 }
 
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -172,7 +172,7 @@
 struct ap_fleet {
 	ap_fleet_config_t config;
 	ap_rng_t rng;
-	ap_usec_t members_changed; /* when those of the own region did last */
+	ap_usec_t members_changed; /* when those of the own region did last; at first later */
 	size_t most_members;	   /* live instances that were known at once, own one included */
 	ap_replica_t *replicas;
 	ap_member_state_t *members;
--- a/test/belief_test.c
+++ b/test/belief_test.c
@@ -252,6 +252,43 @@
 		ap_fleet_free(fleets[i]);
 }
 
+/*
+ * A region comes back as a whole: each instance knows only itself until it has read the store once
+ * more, and the upstreams are cold. (Grown ferias-stands, mix --seed 1045954207119: 14 in a
+ * second.)
+ */
+static void cold_rates_hold_when_a_region_starts(void **state)
+{
+	enum {
+		INSTANCES = 12
+	};
+	ap_replica_entry_t e = world_entry("e1", "engines", "north");
+	unsigned bound = (unsigned)(1.5 * world_engines.warmup_rate + 3);
+	ap_fleet_t *fleets[INSTANCES];
+	char id[AP_NAME_MAX];
+
+	(void)state;
+	e.cold_left = 30 * AP_SEC;
+	for (int i = 0; i < INSTANCES; i++) {
+		snprintf(id, sizeof(id), "n%d", i);
+		fleets[i] = world_fleet(id, "north");
+		world_member(fleets[i], id, "north", false, WORLD_START);
+		ap_fleet_entry(fleets[i], &e, WORLD_START);
+	}
+	assert_true(sent_cold(fleets, INSTANCES, WORLD_START + 300 * AP_MSEC) <= bound);
+	for (int i = 0; i < INSTANCES; i++) {
+		for (int k = 0; k < INSTANCES; k++) {
+			snprintf(id, sizeof(id), "n%d", k);
+			world_member(fleets[i], id, "north", false, WORLD_START + 1300 * AP_MSEC);
+		}
+	}
+	assert_true(sent_cold(fleets, INSTANCES, WORLD_START + 1300 * AP_MSEC) <= bound);
+	/* One of them takes it on in the end. */
+	assert_in_range(sent_cold(fleets, INSTANCES, WORLD_START + 4 * AP_SEC), 1, bound);
+	for (int i = 0; i < INSTANCES; i++)
+		ap_fleet_free(fleets[i]);
+}
+
 static void after_an_evacuation_upstreams_are_cold_until_they_say_otherwise(void **state)
 {
 	ap_fleet_t *f = north();
@@ -414,6 +451,7 @@
 		cmocka_unit_test(an_address_taken_over_is_not_used_again),
 		cmocka_unit_test(cold_rates_hold_summed_over_all_instances),
 		cmocka_unit_test(cold_rates_hold_while_owners_change),
+		cmocka_unit_test(cold_rates_hold_when_a_region_starts),
 		cmocka_unit_test(after_an_evacuation_upstreams_are_cold_until_they_say_otherwise),
 		cmocka_unit_test(repetitions_hold_summed_over_all_instances),
 		cmocka_unit_test(an_unreachable_upstream_comes_back_through_one_trial),
