Find upstreams by their tag in a table

Cause: what other instances tell names upstreams by tag, and each tag was looked for along the list of all upstreams, for all that was told, ten times a second.

Nothing else changes; two upstreams with one tag, if there ever are, may now be taken for the other one of the two.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -68,6 +68,7 @@
 	void *const first[] = {f->replicas, f->members, f->pools, f->aways, f->places};
 
 	HASH_CLEAR(hh, f->replicas);
+	HASH_CLEAR(by_tag, f->tagged);
 	HASH_CLEAR(hh, f->members);
 	HASH_CLEAR(hh, f->pools);
 	HASH_CLEAR(hh, f->aways);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -77,6 +77,7 @@
  */
 typedef struct ap_replica {
 	UT_hash_handle hh;
+	UT_hash_handle by_tag;
 	ap_replica_entry_t entry;
 	char region[AP_NAME_MAX];
 	uint32_t tag;
@@ -175,6 +176,7 @@
 	ap_usec_t members_changed; /* when those of the own region did last; at first later */
 	size_t most_members;	   /* live instances that were known at once, own one included */
 	ap_replica_t *replicas;
+	ap_replica_t *tagged; /* the same ones, by tag */
 	ap_member_state_t *members;
 	ap_pool_state_t *pools;
 	ap_away_t *aways;
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -9,10 +9,9 @@
 
 ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag)
 {
-	ap_replica_t *r = f->replicas;
+	ap_replica_t *r;
 
-	while (r && r->tag != tag)
-		r = r->hh.next;
+	HASH_FIND(by_tag, f->tagged, &tag, sizeof(tag), r);
 	return r;
 }
 
@@ -95,6 +94,7 @@
 	ap_holder_init(&r->cache);
 	ap_copy_name(r->region, sizeof(r->region), ap_place_region(f, entry->data_centre));
 	HASH_ADD(hh, f->replicas, entry.id, strlen(r->entry.id), r);
+	HASH_ADD(by_tag, f->tagged, tag, sizeof(r->tag), r);
 	return r;
 }
 
@@ -120,6 +120,7 @@
 static void drop(ap_fleet_t *f, ap_replica_t *r)
 {
 	HASH_DEL(f->replicas, r);
+	HASH_DELETE(by_tag, f->tagged, r);
 	ap_holder_clear(f, &r->cache);
 	free(r);
 }
