Say once what stood twice in this change

- the gateway's outcome names, bounds of its histograms and body of its own errors, which records, metrics and answers each had
- gate_store_item() in place of two functions that only called it
- ap_wire_pack_bool() for five places that packed a truth value
- the exchange's failed answer goes the way of all other failures when it is sent again; ap_exchange_gone(), ap_exchange_clear() and ap_fleet_woke() lose a time that they did not use
- paths of the soak, and who knows whom in belief_test

Behaviour stays; the tests keep their assertions.

--- /dev/null
+++ b/adapters/http/headers.c
@@ -0,0 +1,19 @@
+/* Headers' values. */
+#include "http/http.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define GAPS ", \t"
+
+bool ap_http_lists(const char *list, const char *word)
+{
+	size_t len = strlen(word);
+
+	for (const char *at = list; at && *at; at += strcspn(at, ",")) {
+		at += strspn(at, GAPS);
+		if (strncasecmp(at, word, len) == 0 && strchr(GAPS, at[len]))
+			return true;
+	}
+	return false;
+}
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -18,6 +18,12 @@
 	const char *value;
 } ap_http_header_t;
 
+/**
+ * ap_http_lists() - is @word one of the words of a header's value, as "Connection" lists them?
+ * @list: NULL for a header that is not there
+ */
+bool ap_http_lists(const char *list, const char *word);
+
 /** ap_http_base_new() - an event loop that serves many short writes well. */
 struct event_base *ap_http_base_new(void);
 
--- a/cmd/arbutuspond/entry-headers.c
+++ b/cmd/arbutuspond/entry-headers.c
@@ -21,19 +21,6 @@
 			      "Retry-After", "Vary"},
 };
 
-/* Is @name one of the words in @list? */
-static bool lists(const char *list, const char *name)
-{
-	size_t len = strlen(name);
-
-	for (const char *at = list; at && *at; at += strcspn(at, ",")) {
-		at += strspn(at, ", \t");
-		if (strncasecmp(at, name, len) == 0 && strchr(", \t", at[len]))
-			return true;
-	}
-	return false;
-}
-
 /* Joins the values of all lines of one header. Return: false when they do not fit. */
 static bool join(const struct evkeyvalq *from, const char *name, char out[HEADER_VALUE_MAX])
 {
@@ -72,7 +59,7 @@
 
 	headers_clear(set);
 	for (int i = 0; i < PASSED_HEADERS_MAX && names[way][i]; i++) {
-		if (lists(hop, names[way][i]))
+		if (ap_http_lists(hop, names[way][i]))
 			continue;
 		if (!join(from, names[way][i], value))
 			all = false;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -9,16 +9,14 @@
 #define TIME_UNTOLD (30 * AP_SEC)  /* a caller that does not say how long it waits */
 #define RETRY_SOON (300 * AP_MSEC) /* to a caller that came before the configuration */
 
-static const ap_http_header_t type_json = {"Content-Type", "application/json"};
-
 /* An answer without an exchange. "not run" is certain: nothing was sent. */
 static void reply_early(ap_http_call_t *call, int status, bool guest, const char *error)
 {
-	ap_http_header_t headers[3] = {type_json};
-	char body[128];
+	ap_http_header_t headers[3] = {gate_json};
+	char body[GATE_ERROR_MAX];
 	char wait[24];
 	size_t n = 1;
-	int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", error);
+	size_t len = gate_error_body(error, body);
 
 	if (status == 503) {
 		ap_host_retry_after(RETRY_SOON, wait);
@@ -26,7 +24,7 @@
 	}
 	if (guest)
 		headers[n++] = (ap_http_header_t){HOP_HEADER_NOT_RUN, "1"};
-	ap_http_reply(call, status, headers, n, body, (size_t)len);
+	ap_http_reply(call, status, headers, n, body, len);
 }
 
 static void on_closed(void *ctx)
@@ -36,7 +34,7 @@
 	c->call = NULL;
 	c->outcome = GATE_LEFT;
 	gate_note_step(c, "caller-left", NULL);
-	ap_exchange_gone(&c->x, ap_now());
+	ap_exchange_gone(&c->x);
 	gate_settle(c);
 }
 
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -3,7 +3,7 @@
 
 #include <jansson.h>
 
-static const ap_usec_t bounds[GATE_BUCKETS] = {
+const ap_usec_t gate_bounds[GATE_BUCKETS] = {
 	5 * AP_MSEC,   10 * AP_MSEC, 25 * AP_MSEC, 50 * AP_MSEC, 100 * AP_MSEC, 250 * AP_MSEC,
 	500 * AP_MSEC, 1 * AP_SEC,   2 * AP_SEC,   4 * AP_SEC,	 8 * AP_SEC,	16 * AP_SEC,
 };
@@ -12,7 +12,7 @@
 {
 	size_t i = 0;
 
-	while (i < GATE_BUCKETS && span > bounds[i])
+	while (i < GATE_BUCKETS && span > gate_bounds[i])
 		i++;
 	return i;
 }
@@ -54,7 +54,7 @@
 	return list;
 }
 
-static const char *outcome_name(gate_outcome_t outcome)
+const char *gate_outcome_name(gate_outcome_t outcome)
 {
 	static const char *const names[GATE_OUTCOMES] = {
 		"done", "failed", "refused", "unknown", "cut", "left", "no-route", "invalid",
@@ -93,11 +93,11 @@
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
 		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o",
-		"outcome", outcome_name(c->outcome), "reason", ap_reason_name(x->reason), "route",
-		x->work.route->name, "pool", x->work.pool ? x->work.pool->name : "", "guest",
-		(int)c->guest, "status", c->status, "first_ms", msec(first), "objective_ms",
-		msec(x->work.route->objective), "took_ms", msec(now - x->arrival), "time_ms",
-		msec(x->give_up - x->arrival), "bytes", (json_int_t)x->bytes, "sends",
+		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
+		"route", x->work.route->name, "pool", x->work.pool ? x->work.pool->name : "",
+		"guest", (int)c->guest, "status", c->status, "first_ms", msec(first),
+		"objective_ms", msec(x->work.route->objective), "took_ms", msec(now - x->arrival),
+		"time_ms", msec(x->give_up - x->arrival), "bytes", (json_int_t)x->bytes, "sends",
 		(int)x->sends, "runs", (int)x->runs, "refusals", (int)x->refusals, "version",
 		(json_int_t)c->plan->version, "expected_ms", msec(x->target.wait), "store_age_ms",
 		msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c));
--- a/cmd/arbutuspond/gateway-seed.c
+++ b/cmd/arbutuspond/gateway-seed.c
@@ -20,7 +20,6 @@
 	gateway_t *gate = ctx;
 	void *bytes = NULL;
 	size_t len = 0;
-
 	bool known = ap_fleet_knows_host(gate->fleet, ap_http_call_peer(call));
 
 	if (strcmp(ap_http_call_path(call), SNAPSHOT_PATH) == 0 && gate->plan)
@@ -32,12 +31,7 @@
 	free(bytes);
 }
 
-static void on_item(void *ctx, const ap_store_item_t *item)
-{
-	gate_store_item(ctx, item);
-}
-
-/* What a call to another instance keeps. */
+/* What a call to another instance keeps: ap_call() takes only what it may free. */
 typedef struct asked {
 	gateway_t *gate;
 } asked_t;
@@ -52,7 +46,7 @@
 	/* The store may have answered meanwhile: its word is newer. */
 	if (ap_follow_age(gate->follow, ap_now()) != AP_NEVER)
 		return;
-	ok = ok && ap_items_unpack(answer->body, answer->len, gate, on_item);
+	ok = ok && ap_items_unpack(answer->body, answer->len, gate, gate_store_item);
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "seed.answered", NULL, "s:b,s:I", "taken",
 			 (int)ok, "version", gate->plan ? (json_int_t)gate->plan->version : 0);
 }
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -27,7 +27,7 @@
 {
 	LIST_REMOVE(c, link);
 	event_free(c->timer);
-	ap_exchange_clear(&c->x, ap_now());
+	ap_exchange_clear(&c->x);
 	forget_answer(c);
 	if (c->body)
 		evbuffer_free(c->body);
@@ -350,11 +350,11 @@
 {
 	gate_call_t *c = ctx;
 	ap_http_call_t *call = c->call;
-	ap_host_headers_t headers = {.v[0] = {"Content-Type", "application/json"}, .n = 1};
-	char body[128];
+	ap_host_headers_t headers = {.v[0] = gate_json, .n = 1};
+	char body[GATE_ERROR_MAX];
 	char wait[24];
 	char again[24];
-	int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", ap_reason_name(reason));
+	size_t len = gate_error_body(ap_reason_name(reason), body);
 
 	c->call = NULL;
 	c->status = status;
@@ -369,7 +369,7 @@
 	}
 	add_wait(c, &headers, wait);
 	add_close(c, &headers);
-	ap_http_reply(call, status, headers.v, headers.n, body, (size_t)len);
+	ap_http_reply(call, status, headers.v, headers.n, body, len);
 }
 
 static void op_decided(void *ctx, const char *step, const ap_target_t *target)
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -10,15 +10,20 @@
 #define STOPGAP_PART 4	 /* of the usual lifetime, for an answer that is soon another one */
 #define DIRECTORY_MAX 64 /* addresses that callers take */
 
-static const ap_http_header_t type_json = {"Content-Type", "application/json"};
+const ap_http_header_t gate_json = {"Content-Type", "application/json"};
 static const ap_http_header_t type_text = {"Content-Type", "text/plain; version=0.0.4"};
 
+size_t gate_error_body(const char *error, char out[GATE_ERROR_MAX])
+{
+	return (size_t)snprintf(out, GATE_ERROR_MAX, "{\"error\":\"%s\"}\n", error);
+}
+
 static void reply_error(ap_http_call_t *call, int status, const char *error)
 {
-	char body[96];
-	int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", error);
+	char body[GATE_ERROR_MAX];
+	size_t len = gate_error_body(error, body);
 
-	ap_http_reply(call, status, &type_json, 1, body, (size_t)len);
+	ap_http_reply(call, status, &gate_json, 1, body, len);
 }
 
 void gate_on_ready(void *ctx, ap_http_call_t *call)
@@ -32,7 +37,7 @@
 	else if (!gate->plan)
 		reply_error(call, 503, "no-configuration");
 	else
-		ap_http_reply(call, 200, &type_json, 1, "{}\n", 3);
+		ap_http_reply(call, 200, &gate_json, 1, "{}\n", 3);
 }
 
 void gate_on_directory(void *ctx, ap_http_call_t *call)
@@ -65,7 +70,7 @@
 		reply_error(call, 503, "no-instance");
 		return;
 	}
-	ap_http_reply(call, 200, &type_json, 1, text, strlen(text));
+	ap_http_reply(call, 200, &gate_json, 1, text, strlen(text));
 	free(text);
 }
 
@@ -76,13 +81,11 @@
 
 static void put_outcomes(struct evbuffer *out, const gate_counters_t *n)
 {
-	static const char *const names[GATE_OUTCOMES] = {
-		"done", "failed", "refused", "unknown", "cut", "left", "no-route", "invalid",
-	};
 	char labels[64];
 
 	for (size_t i = 0; i < GATE_OUTCOMES; i++) {
-		snprintf(labels, sizeof(labels), "{outcome=\"%s\"}", names[i]);
+		snprintf(labels, sizeof(labels), "{outcome=\"%s\"}",
+			 gate_outcome_name((gate_outcome_t)i));
 		put(out, "requests_ended_total", labels, (double)n->ended[i]);
 	}
 	for (size_t i = 1; i <= AP_REASON_UNPROVED; i++) {
@@ -94,8 +97,6 @@
 static void put_histogram(struct evbuffer *out, const char *name, const uint64_t *counts,
 			  double sum_us)
 {
-	static const double bounds_s[GATE_BUCKETS] = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
-						      0.5,   1,	   2,	  4,	8,   16};
 	uint64_t total = 0;
 	char metric[64];
 	char labels[32];
@@ -103,7 +104,8 @@
 	snprintf(metric, sizeof(metric), "%s_bucket", name);
 	for (size_t i = 0; i < GATE_BUCKETS; i++) {
 		total += counts[i];
-		snprintf(labels, sizeof(labels), "{le=\"%g\"}", bounds_s[i]);
+		snprintf(labels, sizeof(labels), "{le=\"%g\"}",
+			 (double)gate_bounds[i] / (double)AP_SEC);
 		put(out, metric, labels, (double)total);
 	}
 	total += counts[GATE_BUCKETS];
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -149,8 +149,9 @@
 	gate_peer_know(gate, &member);
 }
 
-void gate_store_item(gateway_t *gate, const ap_store_item_t *item)
+void gate_store_item(void *ctx, const ap_store_item_t *item)
 {
+	gateway_t *gate = ctx;
 	const char *name;
 	ap_host_key_t key = ap_host_key(item->key, &name);
 
@@ -180,11 +181,6 @@
 	}
 }
 
-static void op_item(void *ctx, const ap_store_item_t *item)
-{
-	gate_store_item(ctx, item);
-}
-
 static void op_lease(void *ctx, ap_usec_t ttl)
 {
 	gateway_t *gate = ctx;
@@ -237,7 +233,7 @@
 		.list = op_list,
 		.watch = op_watch,
 		.listing = op_listing,
-		.item = op_item,
+		.item = gate_store_item,
 	};
 	ap_enrol_config_t enrol = {
 		.ttl = LEASE_TTL,
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -115,7 +115,7 @@
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "process.frozen", NULL, "s:I,s:I",
 				 "boot_ms", (json_int_t)(stood / AP_MSEC), "steady_ms",
 				 (json_int_t)((steady - gate->steady - TICK) / AP_MSEC));
-		ap_fleet_woke(gate->fleet, now);
+		ap_fleet_woke(gate->fleet);
 		ap_follow_again(gate->follow, now);
 	}
 	gate->ticked = now;
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -165,6 +165,8 @@
 void gate_settle(gate_call_t *c);
 
 /* gateway-record.c */
+extern const ap_usec_t gate_bounds[GATE_BUCKETS];
+const char *gate_outcome_name(gate_outcome_t outcome);
 void gate_note_step(gate_call_t *c, const char *step, const ap_target_t *target);
 void gate_record_end(gate_call_t *c);
 
@@ -172,8 +174,8 @@
 bool gate_store_start(gateway_t *gate);
 void gate_store_tick(gateway_t *gate, ap_usec_t now);
 void gate_store_stop(gateway_t *gate);
-/* Takes one item of the store, read by this instance or by another one. */
-void gate_store_item(gateway_t *gate, const ap_store_item_t *item);
+/* Takes one item of the store, read by this instance or by another one; @ctx is the gateway. */
+void gate_store_item(void *ctx, const ap_store_item_t *item);
 
 /* gateway-seed.c */
 void gate_on_control(void *ctx, ap_http_call_t *call);
@@ -190,6 +192,10 @@
 bool gate_peer_trusts(const gateway_t *gate, ap_http_call_t *call);
 
 /* gateway-serve.c: readiness, directory, metrics */
+#define GATE_ERROR_MAX 128
+extern const ap_http_header_t gate_json;
+/* Writes the body of an error of ours, which goes with gate_json. Return: its length. */
+size_t gate_error_body(const char *error, char out[GATE_ERROR_MAX]);
 void gate_on_ready(void *ctx, ap_http_call_t *call);
 void gate_on_directory(void *ctx, ap_http_call_t *call);
 void gate_on_metrics(void *ctx, ap_http_call_t *call);
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -177,12 +177,12 @@
 	dispatch_or_answer(x, now);
 }
 
-/* The target failed and the request may have run there. */
-static void failed(ap_exchange_t *x, ap_work_end_t end, ap_reason_t reason, ap_usec_t now)
+/* The target failed and the request may have run there, which is counted already. */
+static void run_again_or_answer(ap_exchange_t *x, ap_work_end_t end, ap_reason_t reason,
+				ap_usec_t now)
 {
 	ap_reason_t why;
 
-	x->runs++;
 	if (end == AP_WORK_SILENT)
 		avoid_target(x);
 	else
@@ -192,6 +192,12 @@
 		answer(x, reason, now);
 }
 
+static void failed(ap_exchange_t *x, ap_work_end_t end, ap_reason_t reason, ap_usec_t now)
+{
+	x->runs++;
+	run_again_or_answer(x, end, reason, now);
+}
+
 void ap_exchange_head(ap_exchange_t *x, const ap_answer_head_t *head, ap_usec_t now)
 {
 	x->headed = true;
@@ -304,24 +310,15 @@
 /* A whole answer that says that the request failed. */
 static void deliver_failure(ap_exchange_t *x, ap_usec_t now)
 {
-	ap_reason_t why;
+	bool error = x->head.status >= 500;
 
-	finish_send(x, x->head.status >= 500 ? AP_WORK_ERROR : AP_WORK_DONE);
-	if (x->head.status >= 500 && x->committed) {
-		x->runs++;
-		answer(x, AP_REASON_BROKEN, now);
-		return;
-	}
+	finish_send(x, error ? AP_WORK_ERROR : AP_WORK_DONE);
 	x->runs++;
-	if (x->head.status >= 500 && may_run_again(x, now)) {
-		remember(x->work.tried, &x->work.n_tried, x->target.id);
-		x->ops->decided(x->ctx, "failed-at", &x->target);
-		if (dispatch(x, &why, now))
-			return;
+	if (error && x->committed)
 		answer(x, AP_REASON_BROKEN, now);
-		return;
-	}
-	if (!x->head.own || promises(x->head.status))
+	else if (error && may_run_again(x, now))
+		run_again_or_answer(x, AP_WORK_ERROR, AP_REASON_BROKEN, now);
+	else if (!x->head.own || promises(x->head.status))
 		answer(x, AP_REASON_UNPROVED, now);
 	else
 		deliver(x, now);
@@ -381,16 +378,15 @@
 	}
 }
 
-void ap_exchange_gone(ap_exchange_t *x, ap_usec_t now)
+void ap_exchange_gone(ap_exchange_t *x)
 {
-	(void)now;
 	stop_send(x, AP_WORK_CANCELLED);
 	x->over = true;
 }
 
-void ap_exchange_clear(ap_exchange_t *x, ap_usec_t now)
+void ap_exchange_clear(ap_exchange_t *x)
 {
-	ap_exchange_gone(x, now);
+	ap_exchange_gone(x);
 	free(x->held);
 	x->held = NULL;
 }
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -131,12 +131,12 @@
  */
 void ap_exchange_start(ap_exchange_t *x, unsigned attempts, ap_usec_t now);
 /** ap_exchange_clear() - frees what it holds; drops a connection that is under way. */
-void ap_exchange_clear(ap_exchange_t *x, ap_usec_t now);
+void ap_exchange_clear(ap_exchange_t *x);
 void ap_exchange_head(ap_exchange_t *x, const ap_answer_head_t *head, ap_usec_t now);
 void ap_exchange_data(ap_exchange_t *x, const void *data, size_t len, ap_usec_t now);
 void ap_exchange_end(ap_exchange_t *x, ap_link_end_t end, ap_usec_t now);
 /** ap_exchange_gone() - the caller has left. */
-void ap_exchange_gone(ap_exchange_t *x, ap_usec_t now);
+void ap_exchange_gone(ap_exchange_t *x);
 void ap_exchange_tick(ap_exchange_t *x, ap_usec_t now);
 /** ap_exchange_due() - when ap_exchange_tick() is to be called next. */
 ap_usec_t ap_exchange_due(const ap_exchange_t *x);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -188,8 +188,8 @@
 void ap_fleet_evacuate(ap_fleet_t *f, const char *data_centre, bool off, ap_usec_t now);
 /** ap_fleet_tick() - forgets what has lapsed; some times a second. */
 void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now);
-/** ap_fleet_woke() - the process stood still until @now: what it measured is void. */
-void ap_fleet_woke(ap_fleet_t *f, ap_usec_t now);
+/** ap_fleet_woke() - the process stood still: what it measured is void. */
+void ap_fleet_woke(ap_fleet_t *f);
 
 /* Other instances: member.c */
 void ap_fleet_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now);
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -199,9 +199,8 @@
 	ap_load_recount(f, now);
 }
 
-void ap_fleet_woke(ap_fleet_t *f, ap_usec_t now)
+void ap_fleet_woke(ap_fleet_t *f)
 {
-	(void)now;
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		r->failures = 0;
 		r->until = 0;
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -92,10 +92,7 @@
 
 static void pack_store(const ap_fleet_t *f, msgpack_packer *pk)
 {
-	if (f->watching)
-		msgpack_pack_true(pk);
-	else
-		msgpack_pack_false(pk);
+	ap_wire_pack_bool(pk, f->watching);
 	msgpack_pack_uint64(pk, f->changed);
 }
 
@@ -120,10 +117,7 @@
 	msgpack_pack_array(&out.pk, 5);
 	n = pack_loads(f, &out.pk);
 	pack_news(f, &out.pk);
-	if (leaving)
-		msgpack_pack_true(&out.pk);
-	else
-		msgpack_pack_false(&out.pk);
+	ap_wire_pack_bool(&out.pk, leaving);
 	pack_store(f, &out.pk);
 	if (n > 0 || f->told_work || f->n_news > 0 || leaving || now - f->told_at >= TELL_IDLE) {
 		for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
--- a/lib/wire/forward.c
+++ b/lib/wire/forward.c
@@ -38,10 +38,7 @@
 	ap_wire_pack_str(pk, r->service);
 	ap_wire_pack_str(pk, r->model);
 	ap_wire_pack_str(pk, r->adapter);
-	if (r->stream)
-		msgpack_pack_true(pk);
-	else
-		msgpack_pack_false(pk);
+	ap_wire_pack_bool(pk, r->stream);
 	msgpack_pack_uint32(pk, r->method);
 	ap_wire_pack_str(pk, r->target);
 	ap_wire_pack_str(pk, r->content_type);
--- a/lib/wire/frame.c
+++ b/lib/wire/frame.c
@@ -59,10 +59,7 @@
 	ap_wire_pack_str(pk, entry->region);
 	ap_wire_pack_str(pk, entry->data_centre);
 	ap_wire_pack_str(pk, entry->public_key);
-	if (entry->leaving)
-		msgpack_pack_true(pk);
-	else
-		msgpack_pack_false(pk);
+	ap_wire_pack_bool(pk, entry->leaving);
 	msgpack_pack_uint32(pk, (uint32_t)(entry->weight * WEIGHT_UNIT + 0.5));
 }
 
--- a/lib/wire/once.c
+++ b/lib/wire/once.c
@@ -28,7 +28,7 @@
 	msgpack_pack_int64(pk, msg->clock);
 	msgpack_pack_uint32(pk, msg->verdict);
 	msgpack_pack_uint32(pk, msg->outcome);
-	msg->last ? msgpack_pack_true(pk) : msgpack_pack_false(pk);
+	ap_wire_pack_bool(pk, msg->last);
 	ap_wire_pack_bin(pk, msg->key, probe ? sizeof(msg->key) : 0);
 	ap_wire_pack_bin(pk, msg->tag, begin ? sizeof(msg->tag) : 0);
 	ap_wire_pack_str(pk, msg->text ? msg->text : "");
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -73,6 +73,14 @@
 	msgpack_pack_bin_with_body(pk, data, len);
 }
 
+void ap_wire_pack_bool(msgpack_packer *pk, bool value)
+{
+	if (value)
+		msgpack_pack_true(pk);
+	else
+		msgpack_pack_false(pk);
+}
+
 void ap_wire_pack_id(msgpack_packer *pk, ap_id_t id)
 {
 	uint64_t pair[2] = {id.hi, id.lo};
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -79,6 +79,7 @@
 
 void ap_wire_pack_str(msgpack_packer *pk, const char *text);
 void ap_wire_pack_bin(msgpack_packer *pk, const void *data, size_t len);
+void ap_wire_pack_bool(msgpack_packer *pk, bool value);
 /** ap_wire_pack_id() - an id of zeros takes no bytes. */
 void ap_wire_pack_id(msgpack_packer *pk, ap_id_t id);
 void ap_wire_pack_xid(msgpack_packer *pk, ap_xid_t xid);
--- a/test/belief_test.c
+++ b/test/belief_test.c
@@ -142,6 +142,17 @@
 	ap_fleet_free(f);
 }
 
+/* @f knows of @n instances of the north, n0 and so on. */
+static void know_all(ap_fleet_t *f, int n, ap_usec_t now)
+{
+	for (int k = 0; k < n; k++) {
+		char id[AP_NAME_MAX];
+
+		snprintf(id, sizeof(id), "n%d", k);
+		world_member(f, id, "north", false, now);
+	}
+}
+
 /* Sends to a cold upstream from every instance as fast as each lets it, for a second. */
 static unsigned sent_cold(ap_fleet_t **fleets, size_t n, ap_usec_t from)
 {
@@ -217,10 +228,7 @@
 	for (int i = 0; i < INSTANCES; i++) {
 		snprintf(id, sizeof(id), "n%d", i);
 		fleets[i] = world_fleet(id, "north");
-		for (int k = 0; k < INSTANCES; k++) {
-			snprintf(id, sizeof(id), "n%d", k);
-			world_member(fleets[i], id, "north", false, WORLD_START);
-		}
+		know_all(fleets[i], INSTANCES, WORLD_START);
 		ap_fleet_entry(fleets[i], &e, WORLD_START);
 	}
 	/* Eight times in a second the one that sends leaves, and all hear of it. */
@@ -276,12 +284,8 @@
 		ap_fleet_entry(fleets[i], &e, WORLD_START);
 	}
 	assert_true(sent_cold(fleets, INSTANCES, WORLD_START + 300 * AP_MSEC) <= bound);
-	for (int i = 0; i < INSTANCES; i++) {
-		for (int k = 0; k < INSTANCES; k++) {
-			snprintf(id, sizeof(id), "n%d", k);
-			world_member(fleets[i], id, "north", false, WORLD_START + 1300 * AP_MSEC);
-		}
-	}
+	for (int i = 0; i < INSTANCES; i++)
+		know_all(fleets[i], INSTANCES, WORLD_START + 1300 * AP_MSEC);
 	assert_true(sent_cold(fleets, INSTANCES, WORLD_START + 1300 * AP_MSEC) <= bound);
 	/* One of them takes it on in the end. */
 	assert_in_range(sent_cold(fleets, INSTANCES, WORLD_START + 4 * AP_SEC), 1, bound);
@@ -316,10 +320,7 @@
 
 		snprintf(id, sizeof(id), "n%d", i);
 		f = world_fleet(id, "north");
-		for (int k = 0; k < 8; k++) {
-			snprintf(id, sizeof(id), "n%d", k);
-			world_member(f, id, "north", false, WORLD_START);
-		}
+		know_all(f, 8, WORLD_START);
 		/* The others are lost; its part stays what it was. */
 		for (int k = 0; k < 8; k++) {
 			snprintf(id, sizeof(id), "n%d", k);
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -191,7 +191,7 @@
 
 static void finish(world_t *w)
 {
-	ap_exchange_clear(&w->x, w->now);
+	ap_exchange_clear(&w->x);
 	/* Whatever was sent has ended, and its load is given back. */
 	assert_int_equal(w->n_ends, w->n_sent);
 }
@@ -449,7 +449,7 @@
 	(void)state;
 	begin(&w, AP_KIND_STREAM, true, 2);
 	head(&w, 200);
-	ap_exchange_gone(&w.x, w.now);
+	ap_exchange_gone(&w.x);
 	assert_int_equal(w.dropped, 1);
 	assert_int_equal(w.ends[0], AP_WORK_CANCELLED);
 	assert_true(w.x.over);
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -32,8 +32,6 @@
 	free(a);
 }
 
-static const char *const paths[SOAK_KINDS] = {"/once/", "/idem/", "/stream/", "/resume/"};
-
 static bool is_promise(int status)
 {
 	return status == 408 || status == 421 || status == 429 || status == 503;
@@ -166,7 +164,7 @@
 		.host = "127.0.0.1",
 		.port = g ? g->port : 0,
 		.method = q->kind == SOAK_IDEMPOTENT ? EVHTTP_REQ_GET : EVHTTP_REQ_POST,
-		.target = paths[q->kind],
+		.target = soak_paths[q->kind],
 		.headers = headers,
 		.n_headers = 3,
 		.body = "body",
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -25,6 +25,7 @@
 #define QUIET_SERVED 0.98 /* of requests after recovery, with nothing wrong any more */
 
 const char *const soak_regions[REGIONS] = {"north", "south"};
+const char *const soak_paths[SOAK_KINDS] = {"/once/", "/idem/", "/stream/", "/resume/"};
 static const char *const pools[] = {"desk", "engines"};
 
 /* Something to be undone or done later. */
@@ -81,7 +82,6 @@
 void plan_put(soak_t *s)
 {
 	static const char *const kinds[] = {"non_idempotent", "idempotent", "stream", "stream"};
-	static const char *const prefixes[] = {"/once/", "/idem/", "/stream/", "/resume/"};
 	json_t *routes = json_array();
 	json_t *root;
 	char *text;
@@ -89,8 +89,8 @@
 	s->version += 1 + ap_rng_below(&s->schedule, 3);
 	for (int k = 0; k < SOAK_KINDS; k++) {
 		json_t *r = json_pack(
-			"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name", prefixes[k],
-			"host", "soak.example", "prefix", prefixes[k], "kind", kinds[k],
+			"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name", soak_paths[k],
+			"host", "soak.example", "prefix", soak_paths[k], "kind", kinds[k],
 			"timeoutMs", 3000, "goalMs", 500, "priority", k, "service", pools[k / 2],
 			"attempts", k == SOAK_IDEMPOTENT || k == SOAK_RESUMABLE ? 2 : 1,
 			"resumable", k == SOAK_RESUMABLE, "gapAimMs", 800, "homeRegions");
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -33,6 +33,7 @@
 } soak_kind_t;
 
 extern const char *const soak_regions[REGIONS];
+extern const char *const soak_paths[SOAK_KINDS]; /* one route each */
 
 /* One request of a caller, kept to the end: what was said of it against what ran. */
 typedef struct request {
