End the soak's instances with the soak

Killed or crashed (a ctest time-out, say), it left its instances running. Each now gets SIGKILL from the kernel when the soak ends. Seen: killed after 4 s, no instance is left; before, four were.

--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -90,6 +91,7 @@
 
 void gate_start(gate_t *g)
 {
+	pid_t soak = getpid();
 	char settings[192];
 	char log[192];
 
@@ -108,6 +110,10 @@
 	if (g->pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 
+		/* None is left when the soak itself is killed, or was already. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		if (getppid() != soak)
+			_exit(EXIT_FAILURE);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		execl(g->soak->program, g->soak->program, "--settings", settings, (char *)NULL);
