Take out the lease's end that nothing called

An instance that leaves says so in its entry and lets the lease lapse; ending the lease cost a call and gained nothing, and was never wired.

--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -207,13 +207,6 @@
 	free(value);
 }
 
-static void op_end(void *ctx, uint64_t lease)
-{
-	gateway_t *gate = ctx;
-
-	ap_host_store_end(gate->store, lease, on_written, gate);
-}
-
 /* The shorter of the times in which a change must take effect. */
 static ap_usec_t bound_of(const ap_gateway_settings_t *g)
 {
@@ -241,7 +234,6 @@
 		.lease = op_lease,
 		.keep = op_keep,
 		.put = op_put,
-		.end = op_end,
 	};
 
 	gate->store = ap_host_store_new(gate->base, &gate->g->store, CALL_LIMIT);
--- a/lib/follow/enrol.c
+++ b/lib/follow/enrol.c
@@ -11,8 +11,6 @@
 	STEP_LEASE,
 	STEP_PUT,
 	STEP_KEEP,
-	STEP_END,
-	STEP_OVER,
 } step_t;
 
 struct ap_enrol {
@@ -20,7 +18,6 @@
 	step_t step;
 	bool calling;
 	bool dirty; /* the key must be written again */
-	bool leaving;
 	uint64_t lease;
 	uint64_t revision;
 	ap_usec_t due;
@@ -44,11 +41,9 @@
 
 void ap_enrol_tick(ap_enrol_t *e, ap_usec_t now)
 {
-	if (e->calling || now < e->due || e->step == STEP_OVER)
+	if (e->calling || now < e->due)
 		return;
-	if (e->leaving)
-		e->step = e->lease ? STEP_END : STEP_OVER;
-	e->calling = e->step != STEP_OVER;
+	e->calling = true;
 	switch (e->step) {
 	case STEP_LEASE:
 		e->config.lease(e->config.ctx, e->config.ttl);
@@ -60,17 +55,12 @@
 	case STEP_KEEP:
 		e->config.keep(e->config.ctx, e->lease);
 		break;
-	case STEP_END:
-		e->config.end(e->config.ctx, e->lease);
-		break;
-	case STEP_OVER:
-		break;
 	}
 }
 
 ap_usec_t ap_enrol_due(const ap_enrol_t *e)
 {
-	return e->calling || e->step == STEP_OVER ? AP_NEVER : e->due;
+	return e->calling ? AP_NEVER : e->due;
 }
 
 static void next(ap_enrol_t *e, step_t step, ap_usec_t due)
@@ -93,10 +83,6 @@
 	case STEP_KEEP:
 		next(e, STEP_KEEP, now + e->config.ttl / RENEWALS);
 		break;
-	case STEP_END:
-	case STEP_OVER:
-		next(e, STEP_OVER, now);
-		break;
 	}
 }
 
@@ -113,7 +99,7 @@
 		break;
 	case AP_STORE_ABSENT:
 		e->lease = 0;
-		next(e, e->step == STEP_END ? STEP_OVER : STEP_LEASE, now);
+		next(e, STEP_LEASE, now);
 		break;
 	case AP_STORE_COMPACTED:
 	case AP_STORE_REFUSED:
@@ -143,10 +129,3 @@
 	e->revision = 0;
 	ap_enrol_changed(e, now);
 }
-
-void ap_enrol_leave(ap_enrol_t *e, ap_usec_t now)
-{
-	e->leaving = true;
-	if (!e->calling)
-		e->due = now;
-}
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -120,7 +120,6 @@
  * @lease: asks for a lease
  * @keep: renews it
  * @put: writes the key under @lease if its revision is @revision, 0 for none
- * @end: ends the lease and removes the key
  */
 typedef struct ap_enrol_config {
 	ap_usec_t ttl;
@@ -128,7 +127,6 @@
 	void (*lease)(void *ctx, ap_usec_t ttl);
 	void (*keep)(void *ctx, uint64_t lease);
 	void (*put)(void *ctx, uint64_t lease, uint64_t revision);
-	void (*end)(void *ctx, uint64_t lease);
 } ap_enrol_config_t;
 
 ap_enrol_t *ap_enrol_new(const ap_enrol_config_t *config, ap_usec_t now);
@@ -144,7 +142,5 @@
 void ap_enrol_changed(ap_enrol_t *e, ap_usec_t now);
 /** ap_enrol_seen() - the key was read from the store at @revision, 0 when it was removed. */
 void ap_enrol_seen(ap_enrol_t *e, uint64_t revision, ap_usec_t now);
-/** ap_enrol_leave() - ends the lease; nothing more is written. */
-void ap_enrol_leave(ap_enrol_t *e, ap_usec_t now);
 
 #endif
