Tell of each change of mind, and test that every decision has its line

An upstream that was ejected, came back, moved or lapsed, and an instance that was suspected, left no line: on-call saw only that work went elsewhere. The fleet now tells each change through one callback; steps of a request are an enum instead of texts, so that two tests walk all values: a decision without a scene that shows its line, with target, expected time and age, fails them. A stream that goes on elsewhere is the step resumed. explain shows the new beliefs and names the last target of any kind of send, where a time-out named the first.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -33,7 +33,6 @@
 
 	c->call = NULL;
 	c->outcome = GATE_LEFT;
-	gate_note_step(c, "caller-left", NULL);
 	ap_exchange_gone(&c->x);
 	gate_settle(c);
 }
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -22,7 +22,7 @@
 	return (json_int_t)(span / AP_MSEC);
 }
 
-void gate_note_step(gate_call_t *c, const char *step, const ap_target_t *target)
+void gate_note_step(gate_call_t *c, ap_step_t step, const ap_target_t *target)
 {
 	gate_step_t *s = &c->steps[c->n_steps % GATE_STEPS_MAX];
 
@@ -37,6 +37,26 @@
 	s->running = target->running;
 }
 
+static const char *belief_name(ap_belief_t belief)
+{
+	static const char *const names[AP_BELIEFS] = {
+		"upstream.ejected", "upstream.back",	  "upstream.moved",
+		"upstream.lapsed",  "instance.suspected",
+	};
+
+	return names[belief];
+}
+
+void gate_on_belief(void *ctx, const ap_belief_note_t *note)
+{
+	gateway_t *gate = ctx;
+	const char *who = note->belief == AP_BELIEF_SUSPECTED ? "other" : "upstream";
+
+	ap_journal_write(gate->journal, AP_RECORD_RARE, belief_name(note->belief), NULL,
+			 "s:s,s:I,s:I,s:i", who, note->id, "entry_age_ms", msec(note->known_for),
+			 "lasts_ms", msec(note->lasts), "failures", (int)note->failures);
+}
+
 static json_t *steps_of(const gate_call_t *c)
 {
 	size_t first = c->n_steps > GATE_STEPS_MAX ? c->n_steps - GATE_STEPS_MAX : 0;
@@ -46,10 +66,11 @@
 		const gate_step_t *s = &c->steps[i % GATE_STEPS_MAX];
 
 		json_array_append_new(
-			list, json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I}", "step", s->step, "target",
-					s->target, "at_ms", msec(s->at), "expected_ms",
-					msec(s->wait), "entry_age_ms", msec(s->known_for), "cached",
-					(json_int_t)s->cached, "running", (json_int_t)s->running));
+			list,
+			json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I}", "step", ap_step_name(s->step),
+				  "target", s->target, "at_ms", msec(s->at), "expected_ms",
+				  msec(s->wait), "entry_age_ms", msec(s->known_for), "cached",
+				  (json_int_t)s->cached, "running", (json_int_t)s->running));
 	}
 	return list;
 }
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -372,7 +372,7 @@
 	ap_http_reply(call, status, headers.v, headers.n, body, len);
 }
 
-static void op_decided(void *ctx, const char *step, const ap_target_t *target)
+static void op_decided(void *ctx, ap_step_t step, const ap_target_t *target)
 {
 	gate_note_step(ctx, step, target);
 }
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -208,6 +208,8 @@
 	const ap_gateway_settings_t *g = gate->g;
 	ap_fleet_config_t config = bounds_of(g);
 
+	config.ctx = gate;
+	config.believed = gate_on_belief;
 	config.inc = gate->inc;
 	config.seed = gate->inc.hi;
 	ap_copy_name(config.id, sizeof(config.id), s->id);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -45,7 +45,7 @@
 
 /* One decision about a request, kept for the record of a request that fails. */
 typedef struct gate_step {
-	const char *step;
+	ap_step_t step;
 	char target[AP_NAME_MAX];
 	ap_usec_t at; /* since its arrival */
 	ap_usec_t wait;
@@ -167,7 +167,8 @@
 /* gateway-record.c */
 extern const ap_usec_t gate_bounds[GATE_BUCKETS];
 const char *gate_outcome_name(gate_outcome_t outcome);
-void gate_note_step(gate_call_t *c, const char *step, const ap_target_t *target);
+void gate_on_belief(void *ctx, const ap_belief_note_t *note);
+void gate_note_step(gate_call_t *c, ap_step_t step, const ap_target_t *target);
 void gate_record_end(gate_call_t *c);
 
 /* gateway-store.c */
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -20,7 +20,8 @@
 	"instance.lost",	 "instance.seen",	"log.dropped",	     "peer.unreadable",
 	"process.frozen",	 "process.leaving",	"process.reload",    "process.started",
 	"process.stopped",	 "seed.answered",	"store.away",	     "store.back",
-	"store.unreadable",	 "upstream.draining",	"upstream.removed",
+	"store.unreadable",	 "upstream.draining",	"upstream.removed",  "upstream.ejected",
+	"upstream.back",	 "upstream.moved",	"upstream.lapsed",   "instance.suspected",
 };
 
 static const char *const request_events[] = {
@@ -253,10 +254,25 @@
 	return found;
 }
 
+/* The last step that sent it somewhere, or NULL. */
+static json_t *last_send(json_t *record)
+{
+	static const char *const sends[] = {"sent", "sent-again", "resumed"};
+	json_t *found = NULL;
+	json_t *step;
+	size_t i;
+
+	json_array_foreach (json_object_get(record, "steps"), i, step) {
+		if (is_one_of(sends, COUNT(sends), text_at(step, "step")))
+			found = step;
+	}
+	return found;
+}
+
 typedef struct cause {
 	const char *reason;
 	const char *text;
-	const char *step; /* whose target is meant */
+	const char *step; /* whose target is meant; "sent" is the last send of any kind */
 } cause_t;
 
 static const cause_t causes[] = {
@@ -269,6 +285,11 @@
 	{"unproved", "a failure that promised too much came from", "sent"},
 };
 
+static json_t *step_of(json_t *record, const char *name)
+{
+	return strcmp(name, "sent") == 0 ? last_send(record) : last_step(record, name);
+}
+
 static bool print_failure(json_t *record)
 {
 	const char *reason = text_at(record, "reason");
@@ -278,7 +299,7 @@
 
 		if (strcmp(causes[i].reason, reason) != 0)
 			continue;
-		step = causes[i].step ? last_step(record, causes[i].step) : NULL;
+		step = causes[i].step ? step_of(record, causes[i].step) : NULL;
 		printf("cause: %s", causes[i].text);
 		if (step && *text_at(step, "target"))
 			printf(" %s (expected %" PRId64 " ms, %" PRId64 " running)",
@@ -294,12 +315,10 @@
 {
 	int64_t first = int_at(record, "first_ms");
 	int64_t objective = int_at(record, "objective_ms");
-	json_t *step = last_step(record, "sent-again");
+	json_t *step = last_send(record);
 
 	if (objective == 0 || first <= objective)
 		return false;
-	if (!step)
-		step = last_step(record, "sent");
 	printf("cause: the first piece came %" PRId64 " ms late from %s, where %" PRId64
 	       " ms were expected with %" PRId64 " running\n",
 	       first - objective, text_at(step, "target"), int_at(step, "expected_ms"),
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -23,6 +23,16 @@
 	return names[reason];
 }
 
+const char *ap_step_name(ap_step_t step)
+{
+	static const char *const names[AP_STEPS] = {
+		"sent",	     "sent-again", "resumed",	  "refused-by", "unreachable",
+		"failed-at", "silent",	   "caller-left", "given-up",
+	};
+
+	return names[step];
+}
+
 static void finish_send(ap_exchange_t *x, ap_work_end_t end)
 {
 	x->sending = false;
@@ -55,7 +65,7 @@
 {
 	x->reason = reason;
 	x->over = true;
-	x->ops->decided(x->ctx, "given-up", reason == AP_REASON_TOO_LATE ? &x->target : NULL);
+	x->ops->decided(x->ctx, AP_STEP_GIVEN_UP, reason == AP_REASON_TOO_LATE ? &x->target : NULL);
 	if (x->committed) {
 		x->ops->cut(x->ctx);
 		return;
@@ -93,6 +103,13 @@
 	x->head = (ap_answer_head_t){0};
 }
 
+static ap_step_t step_of_send(const ap_exchange_t *x)
+{
+	if (x->sends == 1)
+		return AP_STEP_SENT;
+	return x->resuming ? AP_STEP_RESUMED : AP_STEP_SENT_AGAIN;
+}
+
 static bool send_to_target(ap_exchange_t *x, ap_usec_t now)
 {
 	forget_answer(x);
@@ -105,7 +122,7 @@
 	x->sending = true;
 	x->sends++;
 	x->ops->sent(x->ctx, &x->target, &x->ticket);
-	x->ops->decided(x->ctx, x->sends > 1 ? "sent-again" : "sent", &x->target);
+	x->ops->decided(x->ctx, step_of_send(x), &x->target);
 	return true;
 }
 
@@ -173,7 +190,7 @@
 	finish_send(x, x->head.moved ? AP_WORK_GONE : AP_WORK_REFUSED);
 	x->refusals++;
 	avoid_target(x);
-	x->ops->decided(x->ctx, "refused-by", &x->target);
+	x->ops->decided(x->ctx, AP_STEP_REFUSED_BY, &x->target);
 	dispatch_or_answer(x, now);
 }
 
@@ -187,7 +204,7 @@
 		avoid_target(x);
 	else
 		remember(x->work.tried, &x->work.n_tried, x->target.id);
-	x->ops->decided(x->ctx, "failed-at", &x->target);
+	x->ops->decided(x->ctx, AP_STEP_FAILED_AT, &x->target);
 	if (!may_run_again(x, now) || !dispatch(x, &why, now))
 		answer(x, reason, now);
 }
@@ -356,7 +373,7 @@
 		finish_send(x, AP_WORK_UNREACHABLE);
 		x->sends--;
 		avoid_target(x);
-		x->ops->decided(x->ctx, "unreachable", &x->target);
+		x->ops->decided(x->ctx, AP_STEP_UNREACHABLE, &x->target);
 		if (++x->unsent < UNSENT_MAX)
 			dispatch_or_answer(x, now);
 		else
@@ -380,6 +397,8 @@
 
 void ap_exchange_gone(ap_exchange_t *x)
 {
+	if (!x->over)
+		x->ops->decided(x->ctx, AP_STEP_CALLER_LEFT, x->sending ? &x->target : NULL);
 	stop_send(x, AP_WORK_CANCELLED);
 	x->over = true;
 }
@@ -444,6 +463,6 @@
 	}
 	x->paid = true;
 	stop_send(x, AP_WORK_SILENT);
-	x->ops->decided(x->ctx, "silent", &x->target);
+	x->ops->decided(x->ctx, AP_STEP_SILENT, &x->target);
 	failed(x, AP_WORK_SILENT, AP_REASON_TIMEOUT, now);
 }
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -48,6 +48,22 @@
 
 const char *ap_reason_name(ap_reason_t reason);
 
+/* What is decided on the way of a request; each is told to the driver's log with its target. */
+typedef enum ap_step {
+	AP_STEP_SENT,
+	AP_STEP_SENT_AGAIN,
+	AP_STEP_RESUMED, /* sent again to go on after the last event that was passed on */
+	AP_STEP_REFUSED_BY,
+	AP_STEP_UNREACHABLE,
+	AP_STEP_FAILED_AT,
+	AP_STEP_SILENT, /* left for another one, because nothing came */
+	AP_STEP_CALLER_LEFT,
+	AP_STEP_GIVEN_UP,
+	AP_STEPS,
+} ap_step_t;
+
+const char *ap_step_name(ap_step_t step);
+
 typedef struct ap_exchange ap_exchange_t;
 
 /**
@@ -62,7 +78,7 @@
  * @end: the answer is whole
  * @cut: the caller's connection is closed, so that the answer does not look whole
  * @reply: the final answer is ours; @retry_after is 0 when nothing is promised
- * @decided: what was decided, for the log; @step is a constant name
+ * @decided: what was decided, for the log; @target is NULL when none is behind it
  */
 typedef struct ap_exchange_ops {
 	ap_fleet_status_t (*choose)(void *ctx, const ap_work_t *work, ap_target_t *target);
@@ -77,7 +93,7 @@
 	void (*end)(void *ctx);
 	void (*cut)(void *ctx);
 	void (*reply)(void *ctx, int status, ap_usec_t retry_after, ap_reason_t reason);
-	void (*decided)(void *ctx, const char *step, const ap_target_t *target);
+	void (*decided)(void *ctx, ap_step_t step, const ap_target_t *target);
 } ap_exchange_ops_t;
 
 /**
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -139,6 +139,34 @@
 	ap_usec_t expected;
 } ap_ticket_t;
 
+/*
+ * What an instance comes to believe by itself, from answers and time. What the store said has
+ * records of its own.
+ */
+typedef enum ap_belief {
+	AP_BELIEF_EJECTED,   /* an upstream failed and gets nothing for a while */
+	AP_BELIEF_BACK,	     /* it answered again */
+	AP_BELIEF_MOVED,     /* another upstream has its address */
+	AP_BELIEF_LAPSED,    /* its entry did not come back when the store did */
+	AP_BELIEF_SUSPECTED, /* another instance had no connection, or was silent */
+	AP_BELIEFS,
+} ap_belief_t;
+
+/**
+ * struct ap_belief_note - one change of mind, for the log.
+ * @id: the upstream or instance
+ * @known_for: age of the record in the store behind it
+ * @lasts: how long it will hold at least; 0 when that is not known
+ * @failures: seen in a row before it
+ */
+typedef struct ap_belief_note {
+	ap_belief_t belief;
+	const char *id;
+	ap_usec_t known_for;
+	ap_usec_t lasts;
+	unsigned failures;
+} ap_belief_note_t;
+
 /**
  * struct ap_fleet_config - made once at start.
  * @id: own id, which is never a target
@@ -147,6 +175,7 @@
  * @repeat_ratio, @repeat_slack, @repeat_window: all instances together may send this part of a
  *                pool's requests, and @repeat_slack more, once more in any such window
  * @entry_grace: how long an entry that lapsed with the store away may stay believed
+ * @believed: is told of each change of mind; may be NULL
  */
 typedef struct ap_fleet_config {
 	char id[AP_NAME_MAX];
@@ -160,6 +189,8 @@
 	ap_usec_t repeat_window;
 	ap_usec_t entry_grace;
 	uint64_t seed;
+	void *ctx;
+	void (*believed)(void *ctx, const ap_belief_note_t *note);
 } ap_fleet_config_t;
 
 typedef struct ap_fleet ap_fleet_t;
--- a/lib/fleet/health.c
+++ b/lib/fleet/health.c
@@ -31,17 +31,18 @@
 	return now >= r->until && !r->trial;
 }
 
-static void eject(ap_replica_t *r, ap_usec_t now)
+static void eject(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
 {
 	unsigned doublings =
 		r->ejections < EJECT_DOUBLINGS_MAX ? r->ejections : EJECT_DOUBLINGS_MAX;
 
 	r->until = now + (EJECT_BASE << doublings);
 	r->ejections++;
+	ap_believe(f, AP_BELIEF_EJECTED, r, r->until - now, now);
 	r->failures = 0;
 }
 
-static void failed(ap_replica_t *r, bool at_once, ap_usec_t now)
+static void failed(const ap_fleet_t *f, ap_replica_t *r, bool at_once, ap_usec_t now)
 {
 	note(r, 1, now);
 	r->failures++;
@@ -49,10 +50,19 @@
 	if (now < r->until)
 		return;
 	if (at_once || r->until != 0 || r->failures >= FAILURES_TO_EJECT)
-		eject(r, now);
+		eject(f, r, now);
 }
 
-void ap_replica_ended(ap_replica_t *r, ap_work_end_t end, bool trial, ap_usec_t now)
+static void recovered(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
+{
+	if (r->until == 0 || now < r->until)
+		return;
+	r->until = 0;
+	r->ejections = 0;
+	ap_believe(f, AP_BELIEF_BACK, r, 0, now);
+}
+
+void ap_replica_ended(ap_fleet_t *f, ap_replica_t *r, ap_work_end_t end, bool trial, ap_usec_t now)
 {
 	if (trial)
 		r->trial = false;
@@ -60,23 +70,22 @@
 	case AP_WORK_DONE:
 		note(r, 0, now);
 		r->failures = 0;
-		if (now >= r->until) {
-			r->until = 0;
-			r->ejections = 0;
-		}
+		recovered(f, r, now);
 		break;
 	case AP_WORK_GONE:
+		if (!r->gone)
+			ap_believe(f, AP_BELIEF_MOVED, r, 0, now);
 		r->gone = true;
 		break;
 	case AP_WORK_UNREACHABLE:
-		failed(r, true, now);
+		failed(f, r, true, now);
 		break;
 	case AP_WORK_ERROR:
 		note(r, 1, now);
 		break;
 	case AP_WORK_BROKEN:
 	case AP_WORK_SILENT:
-		failed(r, false, now);
+		failed(f, r, false, now);
 		break;
 	case AP_WORK_REFUSED:
 		note(r, 1, now);
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -24,8 +24,7 @@
 #define RATIO_MAX 5.0
 #define SLOW_MIN 0.5
 #define SLOW_MAX 8.0
-#define SLOW_BASE_US 30000.0	  /* below this, waits tell nothing of a slow upstream */
-#define SUSPECT_TIME (1 * AP_SEC) /* some of the time that a connection may take */
+#define SLOW_BASE_US 30000.0 /* below this, waits tell nothing of a slow upstream */
 #define WAITS_MAX 1024
 #define LOADS_FRESH (1500 * AP_MSEC) /* some rounds of what instances tell each other */
 
@@ -374,7 +373,7 @@
 		r->own.prefill[ticket->priority] -= ticket->prefill;
 	if (end == AP_WORK_DONE)
 		learn_mean(f, ticket, now);
-	ap_replica_ended(r, end, ticket->trial, now);
+	ap_replica_ended(f, r, end, ticket->trial, now);
 }
 
 /* What breaks off there is its upstreams' fault; only silence and no connection are its own. */
@@ -383,7 +382,7 @@
 	ap_member_state_t *m = ap_member_find(f, ticket->id);
 
 	if (m && (end == AP_WORK_UNREACHABLE || end == AP_WORK_SILENT))
-		m->suspect_until = now + SUSPECT_TIME;
+		ap_member_suspect(f, m, now);
 }
 
 void ap_fleet_done(ap_fleet_t *f, ap_ticket_t *ticket, ap_work_end_t end, ap_usec_t now)
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -7,6 +7,7 @@
 #define LEAVING_NAMED (2200 * AP_MSEC) /* less than the last one of a region takes connections */
 #define START_SETTLES (2 * AP_SEC)     /* some reads of the store, far away ones included */
 #define HEARD_FRESH (1500 * AP_MSEC)   /* some rounds of what instances tell each other */
+#define SUSPECT_TIME (1 * AP_SEC)      /* some of the time that a connection may take */
 #define MEMBER_GRACE (1500 * AP_MSEC)  /* a lapsed one that is alive enters itself again by then */
 
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id)
@@ -36,6 +37,19 @@
 		f->members_changed = now;
 }
 
+void ap_member_suspect(const ap_fleet_t *f, ap_member_state_t *m, ap_usec_t now)
+{
+	const ap_belief_note_t note = {
+		.belief = AP_BELIEF_SUSPECTED,
+		.id = m->member.id,
+		.lasts = SUSPECT_TIME,
+	};
+
+	if (now >= m->suspect_until && f->config.believed)
+		f->config.believed(f->config.ctx, &note);
+	m->suspect_until = now + SUSPECT_TIME;
+}
+
 void ap_fleet_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, member->id);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -194,6 +194,8 @@
 };
 
 /* replica.c */
+void ap_believe(const ap_fleet_t *f, ap_belief_t belief, const ap_replica_t *r, ap_usec_t lasts,
+		ap_usec_t now);
 ap_replica_t *ap_replica_find(const ap_fleet_t *f, const char *id);
 /* Is @r in a state in which it may get new work? */
 bool ap_replica_usable(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
@@ -209,7 +211,7 @@
 /* health.c */
 bool ap_replica_well(const ap_replica_t *r, ap_usec_t now);
 double ap_replica_failing(const ap_replica_t *r, ap_usec_t now);
-void ap_replica_ended(ap_replica_t *r, ap_work_end_t end, bool trial, ap_usec_t now);
+void ap_replica_ended(ap_fleet_t *f, ap_replica_t *r, ap_work_end_t end, bool trial, ap_usec_t now);
 
 /* prefix.c */
 void ap_holder_init(ap_holder_t *h);
@@ -222,6 +224,8 @@
 /* member.c */
 /* Notes a change of who is in the own region, or of who leaves it. */
 void ap_member_changed(ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now);
+/* It was silent or had no connection: others are asked first for a while. */
+void ap_member_suspect(const ap_fleet_t *f, ap_member_state_t *m, ap_usec_t now);
 bool ap_member_live(const ap_member_state_t *m, ap_usec_t now);
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id);
 /* A live instance of @region that @work does not avoid, a suspected one only for want of others. */
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -23,6 +23,21 @@
 	return r;
 }
 
+void ap_believe(const ap_fleet_t *f, ap_belief_t belief, const ap_replica_t *r, ap_usec_t lasts,
+		ap_usec_t now)
+{
+	const ap_belief_note_t note = {
+		.belief = belief,
+		.id = r->entry.id,
+		.known_for = now - r->seen,
+		.lasts = lasts,
+		.failures = r->failures,
+	};
+
+	if (f->config.believed)
+		f->config.believed(f->config.ctx, &note);
+}
+
 static ap_place_t *place_of(ap_fleet_t *f, const char *data_centre)
 {
 	ap_place_t *place;
@@ -186,8 +201,10 @@
 	ap_member_state_t *m;
 
 	HASH_ITER (hh, f->replicas, r, next) {
-		if (now >= r->lapses)
-			drop(f, r);
+		if (now < r->lapses)
+			continue;
+		ap_believe(f, AP_BELIEF_LAPSED, r, 0, now);
+		drop(f, r);
 	}
 	for (m = f->members; m; m = m->hh.next) {
 		if (m->removed && now >= m->lapses && m->n_loads > 0) {
--- a/test/belief_test.c
+++ b/test/belief_test.c
@@ -440,6 +440,103 @@
 	ap_fleet_free(f);
 }
 
+static ap_belief_note_t told[AP_BELIEFS];
+static char told_of[AP_BELIEFS][AP_NAME_MAX];
+static unsigned n_told[AP_BELIEFS];
+
+static void on_believed(void *ctx, const ap_belief_note_t *note)
+{
+	(void)ctx;
+	told[note->belief] = *note;
+	ap_copy_name(told_of[note->belief], AP_NAME_MAX, note->id);
+	n_told[note->belief]++;
+}
+
+/* A request to @id ends in this way. */
+static void sent_and_ended(ap_fleet_t *f, const char *id, const char *region, ap_work_end_t end,
+			   ap_usec_t now)
+{
+	ap_work_t work = world_work(&world_call, &world_desk, now);
+	ap_target_t target = {.remote = strcmp(region, "north") != 0};
+	ap_ticket_t ticket;
+
+	ap_copy_name(target.id, sizeof(target.id), id);
+	ap_copy_name(target.region, sizeof(target.region), region);
+	ap_fleet_sent(f, &work, &target, now, &ticket);
+	ap_fleet_done(f, &ticket, end, now);
+}
+
+static void play_ejected(ap_fleet_t *f, ap_usec_t now)
+{
+	sent_and_ended(f, "d1", "north", AP_WORK_UNREACHABLE, now);
+	assert_true(told[AP_BELIEF_EJECTED].lasts > 0);
+	assert_int_equal(told[AP_BELIEF_EJECTED].failures, 1);
+}
+
+static void play_back(ap_fleet_t *f, ap_usec_t now)
+{
+	sent_and_ended(f, "d1", "north", AP_WORK_UNREACHABLE, now);
+	sent_and_ended(f, "d1", "north", AP_WORK_DONE, now + 10 * AP_SEC);
+	sent_and_ended(f, "d1", "north", AP_WORK_DONE, now + 10 * AP_SEC);
+}
+
+static void play_moved(ap_fleet_t *f, ap_usec_t now)
+{
+	sent_and_ended(f, "d1", "north", AP_WORK_GONE, now);
+	sent_and_ended(f, "d1", "north", AP_WORK_GONE, now);
+}
+
+static void play_lapsed(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_fleet_removed(f, "d1", true, now);
+	ap_fleet_tick(f, now + AP_SEC);
+	assert_int_equal(n_told[AP_BELIEF_LAPSED], 0);
+	ap_fleet_tick(f, now + 2 * AP_SEC);
+}
+
+static void play_suspected(ap_fleet_t *f, ap_usec_t now)
+{
+	sent_and_ended(f, "s1", "south", AP_WORK_SILENT, now);
+	sent_and_ended(f, "s1", "south", AP_WORK_SILENT, now + 1); /* nothing new */
+}
+
+static void each_change_of_mind_is_told_once(void **state)
+{
+	static const struct {
+		void (*play)(ap_fleet_t *f, ap_usec_t now);
+		const char *id;
+	} scenes[AP_BELIEFS] = {
+		[AP_BELIEF_EJECTED] = {play_ejected, "d1"},
+		[AP_BELIEF_BACK] = {play_back, "d1"},
+		[AP_BELIEF_MOVED] = {play_moved, "d1"},
+		[AP_BELIEF_LAPSED] = {play_lapsed, "d1"},
+		[AP_BELIEF_SUSPECTED] = {play_suspected, "s1"},
+	};
+
+	(void)state;
+	for (ap_belief_t b = 0; b < AP_BELIEFS; b++) {
+		ap_fleet_config_t config = {.entry_grace = 2 * AP_SEC, .believed = on_believed};
+		ap_fleet_t *f;
+
+		assert_non_null(scenes[b].play); /* a new belief needs its scene */
+		memset(n_told, 0, sizeof(n_told));
+		ap_copy_name(config.id, sizeof(config.id), "n1");
+		ap_copy_name(config.region, sizeof(config.region), "north");
+		ap_copy_name(config.data_centre, sizeof(config.data_centre), "north-1");
+		f = ap_fleet_new(&config);
+		ap_fleet_data_centre(f, "south-1", "south");
+		world_member(f, "s1", "south", false, WORLD_START);
+		world_replica(f, "d1", "desk", "north", WORLD_START);
+		scenes[b].play(f, WORLD_START + AP_SEC);
+		assert_int_equal(n_told[b], 1);
+		assert_string_equal(told_of[b], scenes[b].id);
+		/* Entries in the store have an age; other instances are known by what they tell. */
+		if (b != AP_BELIEF_SUSPECTED)
+			assert_true(told[b].known_for >= AP_SEC);
+		ap_fleet_free(f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -459,6 +556,7 @@
 		cmocka_unit_test(the_last_upstream_is_used_however_it_fails),
 		cmocka_unit_test(the_directory_names_the_caller_s_region),
 		cmocka_unit_test(a_lost_instance_is_not_named_for_long),
+		cmocka_unit_test(each_change_of_mind_is_told_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -36,6 +36,8 @@
 	ap_reason_t reason;
 	ap_work_end_t ends[SENDS_MAX];
 	int n_ends;
+	bool stepped[AP_STEPS];
+	ap_target_t behind[AP_STEPS]; /* the target that was told with the step */
 } world_t;
 
 static ap_fleet_status_t op_choose(void *ctx, const ap_work_t *work, ap_target_t *target)
@@ -53,7 +55,8 @@
 			avoided = avoided || strcmp(work->tried[k], id) == 0;
 		if (avoided)
 			continue;
-		*target = (ap_target_t){.wait = 50 * AP_MSEC, .port = 1};
+		*target = (ap_target_t){
+			.wait = 50 * AP_MSEC, .port = 1, .known_for = AP_SEC, .running = 3};
 		ap_copy_name(target->id, sizeof(target->id), id);
 		return AP_FLEET_OK;
 	}
@@ -142,11 +145,12 @@
 	w->reason = reason;
 }
 
-static void op_decided(void *ctx, const char *step, const ap_target_t *target)
+static void op_decided(void *ctx, ap_step_t step, const ap_target_t *target)
 {
-	(void)ctx;
-	(void)step;
-	(void)target;
+	world_t *w = ctx;
+
+	w->stepped[step] = true;
+	w->behind[step] = target ? *target : (ap_target_t){0};
 }
 
 static const ap_exchange_ops_t ops = {
@@ -524,6 +528,95 @@
 	finish(&w);
 }
 
+static void play_sent(world_t *w)
+{
+	begin(w, AP_KIND_ONCE, false, 1);
+}
+
+static void play_sent_again(world_t *w)
+{
+	begin(w, AP_KIND_IDEMPOTENT, false, 2);
+	end(w, AP_LINK_BROKEN);
+}
+
+static void play_resumed(world_t *w)
+{
+	begin(w, AP_KIND_STREAM, true, 2);
+	head(w, 200);
+	data(w, "id: 1\ndata: a\n\n");
+	end(w, AP_LINK_BROKEN);
+}
+
+static void play_refused_by(world_t *w)
+{
+	begin(w, AP_KIND_ONCE, false, 1);
+	refuse(w, 503);
+}
+
+static void play_unreachable(world_t *w)
+{
+	begin(w, AP_KIND_ONCE, false, 1);
+	end(w, AP_LINK_UNSENT);
+}
+
+static void play_failed_at(world_t *w)
+{
+	begin(w, AP_KIND_ONCE, false, 1);
+	end(w, AP_LINK_BROKEN);
+}
+
+static void play_silent(world_t *w)
+{
+	begin(w, AP_KIND_IDEMPOTENT, false, 2);
+	w->now = ap_exchange_due(&w->x);
+	ap_exchange_tick(&w->x, w->now);
+}
+
+static void play_caller_left(world_t *w)
+{
+	begin(w, AP_KIND_ONCE, false, 1);
+	ap_exchange_gone(&w->x);
+}
+
+/* What it was given up for is told with the best target there was: here none. */
+static void play_given_up(world_t *w)
+{
+	w->targets = -1;
+	begin(w, AP_KIND_ONCE, false, 1);
+}
+
+static void each_decision_is_told_with_its_inputs(void **state)
+{
+	static void (*const plays[AP_STEPS])(world_t * w) = {
+		[AP_STEP_SENT] = play_sent,
+		[AP_STEP_SENT_AGAIN] = play_sent_again,
+		[AP_STEP_RESUMED] = play_resumed,
+		[AP_STEP_REFUSED_BY] = play_refused_by,
+		[AP_STEP_UNREACHABLE] = play_unreachable,
+		[AP_STEP_FAILED_AT] = play_failed_at,
+		[AP_STEP_SILENT] = play_silent,
+		[AP_STEP_CALLER_LEFT] = play_caller_left,
+		[AP_STEP_GIVEN_UP] = play_given_up,
+	};
+
+	(void)state;
+	for (ap_step_t step = 0; step < AP_STEPS; step++) {
+		world_t w = {0};
+
+		assert_non_null(plays[step]); /* a new decision needs its line here */
+		assert_true(strlen(ap_step_name(step)) > 0);
+		plays[step](&w);
+		assert_true(w.stepped[step]);
+		if (step != AP_STEP_GIVEN_UP) {
+			assert_true(strlen(w.behind[step].id) > 0);
+			assert_int_equal(w.behind[step].known_for, AP_SEC);
+			assert_int_equal(w.behind[step].wait, 50 * AP_MSEC);
+			assert_int_equal(w.behind[step].running, 3);
+		}
+		finish(&w);
+	}
+}
+
 static void event_ends_and_ids(void **state)
 {
 	static const char text[] = "id: 7\r\ndata: x\r\n\r\nid:8\ndata: y\n\ndata";
@@ -564,6 +657,7 @@
 		cmocka_unit_test(a_silent_upstream_is_left_for_another_one),
 		cmocka_unit_test(silence_alone_ends_nothing),
 		cmocka_unit_test(silence_with_the_budget_spent_ends_nothing),
+		cmocka_unit_test(each_decision_is_told_with_its_inputs),
 		cmocka_unit_test(event_ends_and_ids),
 	};
 
