Pass changes of the store on within a large region

Who reads a change now passes it on with the revision it stands on; the others take it if nothing is missing in between, else read the store after 150 ms. An answer that comes after a change was heard never puts an older value in place. Large changes (the operator's document) are still read by each.

--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -4,6 +4,8 @@
  */
 #include "gateway.h"
 
+#include "wire/frame.h"
+
 #include <sodium.h>
 #include <string.h>
 #include <zmq.h>
@@ -18,12 +20,16 @@
 static void on_message(void *ctx, const char *from, const void *data, size_t len)
 {
 	gateway_t *gate = ctx;
+	ap_usec_t now = ap_now();
+	bool ok = ap_wire_peek(data, len) == AP_WIRE_CHANGES
+			  ? ap_changes_take(gate->follow, data, len, now)
+			  : ap_fleet_heard(gate->fleet, from, data, len, now);
 
-	if (!ap_fleet_heard(gate->fleet, from, data, len, ap_now()))
+	if (!ok)
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL, "s:s",
 				 "from", from);
 	else
-		gate_store_tick(gate, ap_now());
+		gate_store_tick(gate, now);
 }
 
 static bool use_keys(gateway_t *gate, const char *text)
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -17,6 +17,8 @@
 	(2500 * AP_MSEC) /* entries that lapsed are back two seconds after the store               \
 			  */
 #define LEASE_TTL (3 * AP_SEC)
+/* Larger changes are read from the store by each: passed on by several they would cost more. */
+#define PASS_BYTES_MAX (8 << 10)
 
 static void on_read(void *ctx, const ap_store_read_t *read)
 {
@@ -181,6 +183,22 @@
 	}
 }
 
+static void op_pass(void *ctx, uint64_t after, const ap_store_read_t *read)
+{
+	gateway_t *gate = ctx;
+	ap_peer_port_t port;
+	size_t len;
+	void *bytes;
+
+	if (!gate->peer)
+		return;
+	port = ap_peer_as_port(gate->peer);
+	bytes = ap_changes_pack(after, read, &len);
+	if (bytes && len <= PASS_BYTES_MAX)
+		ap_fleet_pass(gate->fleet, &port, bytes, len, ap_now());
+	free(bytes);
+}
+
 static void op_lease(void *ctx, ap_usec_t ttl)
 {
 	gateway_t *gate = ctx;
@@ -227,6 +245,7 @@
 		.watch = op_watch,
 		.listing = op_listing,
 		.item = gate_store_item,
+		.pass = op_pass,
 	};
 	ap_enrol_config_t enrol = {
 		.ttl = LEASE_TTL,
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -286,6 +286,12 @@
  * @changed: the last change that any of them read
  */
 bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *changed);
+/**
+ * ap_fleet_pass() - sends a message of changes in the store to the region's other instances, if
+ * some watch there for all.
+ */
+void ap_fleet_pass(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
+		   ap_usec_t now);
 /** ap_fleet_heard() - another instance told something. Return: false when it can't be read. */
 bool ap_fleet_heard(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
 
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -340,6 +340,26 @@
 	f->changed = changed;
 }
 
+static bool watches_for_all(const ap_fleet_t *f, ap_usec_t now)
+{
+	size_t instances = 0;
+
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next)
+		instances += ap_member_live(m, now) && is_near(f, m);
+	return instances >= WATCHED_FROM;
+}
+
+void ap_fleet_pass(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
+		   ap_usec_t now)
+{
+	if (!watches_for_all(f, now))
+		return;
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (is_other(f, m, now) && is_near(f, m))
+			peer->send(peer->ctx, m->member.id, data, len);
+	}
+}
+
 /* Who should watch is told by hash, so that all agree without a word. */
 static double watcher_score(const char *id)
 {
@@ -349,19 +369,17 @@
 bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *changed)
 {
 	double own = watcher_score(f->config.id);
-	size_t instances = 0;
 	size_t watching = 0;
 
 	*changed = 0;
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		if (!ap_member_live(m, now) || !is_near(f, m))
 			continue;
-		instances++;
 		if (!is_other(f, m, now) || !m->watching || now - m->heard_at > WATCHER_FRESH)
 			continue;
 		if (m->changed > *changed)
 			*changed = m->changed;
 		watching += watcher_score(m->member.id) > own;
 	}
-	return instances >= WATCHED_FROM && watching >= WATCHERS;
+	return watching >= WATCHERS && watches_for_all(f, now);
 }
--- /dev/null
+++ b/lib/follow/changes.c
@@ -0,0 +1,91 @@
+/*
+ * Changes that one instance read from the store, as it passes them on to others: they need not ask
+ * for them. A message stands on the one before it: who missed that reads the store by itself.
+ */
+#include "follow/follow.h"
+#include "wire/frame.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CHANGES_MAX 512 /* items of one answer of the store at most */
+
+static void pack_item(msgpack_packer *pk, const ap_store_item_t *item)
+{
+	msgpack_pack_array(pk, 4);
+	ap_wire_pack_str(pk, item->key);
+	ap_wire_pack_bin(pk, item->value, item->len);
+	msgpack_pack_uint64(pk, item->revision);
+	ap_wire_pack_bool(pk, item->removed);
+}
+
+void *ap_changes_pack(uint64_t after, const ap_store_read_t *read, size_t *len)
+{
+	ap_wire_out_t out;
+	void *bytes;
+
+	ap_wire_out_begin(&out, AP_WIRE_CHANGES, (ap_id_t){0}, 1);
+	msgpack_pack_array(&out.pk, 3);
+	msgpack_pack_uint64(&out.pk, after);
+	msgpack_pack_uint64(&out.pk, read->as_of);
+	msgpack_pack_array(&out.pk, read->n);
+	for (size_t i = 0; i < read->n; i++)
+		pack_item(&out.pk, &read->items[i]);
+	bytes = malloc(out.buf.size);
+	if (bytes)
+		memcpy(bytes, out.buf.data, out.buf.size);
+	*len = bytes ? out.buf.size : 0;
+	ap_wire_out_end(&out);
+	return bytes;
+}
+
+/* The value stays in the message. */
+static bool read_item(ap_wire_reader_t *list, ap_store_item_t *item, char key[AP_STORE_KEY_MAX])
+{
+	ap_wire_reader_t e = ap_wire_array(list);
+
+	*item = (ap_store_item_t){.key = key};
+	ap_wire_str(&e, key, AP_STORE_KEY_MAX);
+	item->value = ap_wire_bin(&e, &item->len);
+	item->revision = ap_wire_u64(&e);
+	item->removed = ap_wire_bool(&e);
+	return e.ok && key[0] != '\0';
+}
+
+bool ap_changes_take(ap_follow_t *f, const void *data, size_t len, ap_usec_t now)
+{
+	char(*keys)[AP_STORE_KEY_MAX] = NULL;
+	ap_store_item_t *items = NULL;
+	ap_store_read_t read = {.end = AP_STORE_OK};
+	ap_wire_reader_t list;
+	ap_wire_reader_t r;
+	ap_wire_in_t in;
+	uint64_t after;
+	size_t n;
+	bool ok;
+
+	if (!ap_wire_in_open(&in, AP_WIRE_CHANGES, data, len, NULL))
+		return false;
+	r = ap_wire_reader(&in.body);
+	after = ap_wire_u64(&r);
+	read.as_of = ap_wire_u64(&r);
+	list = ap_wire_array(&r);
+	n = list.left;
+	ok = r.ok && list.ok && n <= CHANGES_MAX;
+	if (ok) {
+		items = calloc(n + 1, sizeof(*items));
+		keys = calloc(n + 1, sizeof(*keys));
+		ok = items && keys;
+	}
+	while (ok && read.n < n) {
+		ok = read_item(&list, &items[read.n], keys[read.n]);
+		read.n++;
+	}
+	read.items = items;
+	if (ok)
+		ap_follow_heard(f, after, &read, now);
+	free(items);
+	free(keys);
+	ap_wire_in_close(&in);
+	return ok;
+}
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEY_MAX 256
 #define BACKOFF_FIRST (150 * AP_MSEC)
 #define BACKOFF_MAX (800 * AP_MSEC)
-#define SPREAD 0.2 /* of a pause, so that instances don't call in step */
+#define HINT_WAIT (150 * AP_MSEC) /* a change that others passed on is here by then */
+#define SPREAD 0.2		  /* of a pause, so that instances don't call in step */
 
 typedef enum state {
 	STATE_LIST,
@@ -21,8 +21,9 @@
 	bool calling;
 	bool again;
 	bool whole; /* a list has been read to its end */
-	char after[KEY_MAX];
+	char after[AP_STORE_KEY_MAX];
 	uint64_t as_of;
+	uint64_t asked; /* changes after this revision are being asked for */
 	uint64_t list_as_of;
 	uint64_t changed;
 	uint64_t hinted;  /* a change that others told of and that is still to be read */
@@ -64,6 +65,12 @@
 	f->again = false;
 }
 
+static void watch(ap_follow_t *f)
+{
+	f->asked = f->as_of;
+	f->config.watch(f->config.ctx, f->as_of, f->hinted ? 0 : f->config.wait);
+}
+
 void ap_follow_tick(ap_follow_t *f, ap_usec_t now)
 {
 	if (f->calling || now < f->due)
@@ -74,7 +81,7 @@
 	if (f->state == STATE_LIST)
 		f->config.list(f->config.ctx, f->after);
 	else
-		f->config.watch(f->config.ctx, f->as_of, f->hinted ? 0 : f->config.wait);
+		watch(f);
 }
 
 ap_usec_t ap_follow_due(const ap_follow_t *f)
@@ -82,13 +89,34 @@
 	return f->calling ? AP_NEVER : f->due;
 }
 
-static void give_items(ap_follow_t *f, const ap_store_read_t *read)
+/* Items up to revision @known have been given already, perhaps newer ones of their keys too. */
+static size_t give_items(ap_follow_t *f, const ap_store_read_t *read, uint64_t known)
 {
+	size_t given = 0;
+
 	for (size_t i = 0; i < read->n; i++) {
+		if (read->items[i].revision <= known)
+			continue;
+		given++;
 		if (read->items[i].revision > f->changed)
 			f->changed = read->items[i].revision;
 		f->config.item(f->config.ctx, &read->items[i]);
 	}
+	return given;
+}
+
+static void take_changes(ap_follow_t *f, const ap_store_read_t *read)
+{
+	size_t given = give_items(f, read, f->as_of);
+
+	if (read->as_of > f->as_of)
+		f->as_of = read->as_of;
+	if (given > 0 && !f->hinted && f->config.pass)
+		f->config.pass(f->config.ctx, f->asked, read);
+	/* What was told is read by then, even if nothing is left of it. */
+	if (f->hinted && f->as_of >= f->hinted && f->changed < f->hinted)
+		f->changed = f->hinted;
+	f->hinted = 0;
 }
 
 /* Pages are no snapshot: changes since the first one are watched for again. */
@@ -98,7 +126,7 @@
 		f->list_as_of = read->as_of;
 		f->config.listing(f->config.ctx, true);
 	}
-	give_items(f, read);
+	give_items(f, read, 0);
 	if (read->more && read->n > 0) {
 		ap_copy_name(f->after, sizeof(f->after), read->items[read->n - 1].key);
 		f->due = now;
@@ -140,13 +168,7 @@
 		take_page(f, read, now);
 		return;
 	}
-	give_items(f, read);
-	if (read->as_of > f->as_of)
-		f->as_of = read->as_of;
-	/* What was told is read by then, even if nothing is left of it. */
-	if (f->hinted && f->as_of >= f->hinted && f->changed < f->hinted)
-		f->changed = f->hinted;
-	f->hinted = 0;
+	take_changes(f, read);
 	f->due = now + spread(f, f->config.pace);
 }
 
@@ -156,6 +178,18 @@
 	f->due = now;
 }
 
+void ap_follow_heard(ap_follow_t *f, uint64_t after, const ap_store_read_t *read, ap_usec_t now)
+{
+	if (f->state != STATE_WATCH || f->again || after > f->as_of || read->as_of <= f->as_of)
+		return;
+	give_items(f, read, f->as_of);
+	f->as_of = read->as_of;
+	if (f->calling || !f->hinted || f->as_of < f->hinted)
+		return;
+	f->hinted = 0;
+	f->due = now + f->config.pace;
+}
+
 uint64_t ap_follow_changed(const ap_follow_t *f)
 {
 	return f->changed;
@@ -166,11 +200,13 @@
 	if (f->calling || f->again || f->backoff > 0 || f->state != STATE_WATCH)
 		return;
 	f->rested = now;
-	if (told > f->changed) {
+	if (told > f->changed && told > f->as_of) {
+		if (!f->hinted)
+			f->due = now + HINT_WAIT;
 		f->hinted = told;
-		f->due = now;
 		return;
 	}
+	f->hinted = 0;
 	f->answered = now;
 	f->due = now + f->config.pace;
 }
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -9,6 +9,8 @@
 
 #include "base/base.h"
 
+#define AP_STORE_KEY_MAX 256 /* bytes of a key with terminator; the store allows 200 */
+
 /* How a call to the store ended. */
 typedef enum ap_store_end {
 	AP_STORE_OK,
@@ -55,6 +57,7 @@
  * @watch: asks for the changes after @revision
  * @listing: a whole list begins (@begin) or ended
  * @item: a key as it is now, or removed
+ * @pass: this instance watches for others too, and read these changes after @after; may be NULL
  */
 typedef struct ap_follow_config {
 	ap_usec_t pace;
@@ -67,6 +70,7 @@
 	void (*watch)(void *ctx, uint64_t revision, ap_usec_t wait);
 	void (*listing)(void *ctx, bool begin);
 	void (*item)(void *ctx, const ap_store_item_t *item);
+	void (*pass)(void *ctx, uint64_t after, const ap_store_read_t *read);
 } ap_follow_config_t;
 
 ap_follow_t *ap_follow_new(const ap_follow_config_t *config, ap_usec_t now);
@@ -82,11 +86,20 @@
 /** ap_follow_changed() - revision of the last change that was read. */
 uint64_t ap_follow_changed(const ap_follow_t *f);
 /**
- * ap_follow_rest() - others watch the store and tell of changes: no watch of our own is needed, but
- * one at once when the last change that they told of, @told, was not read yet. To be called each
+ * ap_follow_rest() - others watch the store and pass changes on: no watch of our own is needed, but
+ * one when the last change that they told of, @told, has not come for a moment. To be called each
  * tick while that is so.
  */
 void ap_follow_rest(ap_follow_t *f, uint64_t told, ap_usec_t now);
+/**
+ * ap_follow_heard() - another instance read these changes after revision @after. Taken only if
+ * nothing is missing between what was read here and @after.
+ */
+void ap_follow_heard(ap_follow_t *f, uint64_t after, const ap_store_read_t *read, ap_usec_t now);
+/** ap_changes_pack() - what ap_follow_heard() takes, as a message. Return: bytes to free(). */
+void *ap_changes_pack(uint64_t after, const ap_store_read_t *read, size_t *len);
+/** ap_changes_take() - gives such a message to @f. Return: false when it can't be read. */
+bool ap_changes_take(ap_follow_t *f, const void *data, size_t len, ap_usec_t now);
 /** ap_follow_watching() - does it ask the store itself, with success so far? */
 bool ap_follow_watching(const ap_follow_t *f, ap_usec_t now);
 /** ap_follow_age() - time since the last answer; AP_NEVER before the first list was whole. */
--- a/lib/follow/items.c
+++ b/lib/follow/items.c
@@ -11,12 +11,11 @@
 #define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
 #include <uthash.h>
 
-#define KEY_MAX 256
 #define VALUE_MAX (2 << 20)
 
 typedef struct kept {
 	UT_hash_handle hh;
-	char key[KEY_MAX];
+	char key[AP_STORE_KEY_MAX];
 	void *value;
 	size_t len;
 	uint64_t revision;
@@ -142,7 +141,7 @@
 {
 	ap_wire_reader_t e = ap_wire_array(list);
 	ap_store_item_t one = {0};
-	char key[KEY_MAX];
+	char key[AP_STORE_KEY_MAX];
 
 	ap_wire_str(&e, key, sizeof(key));
 	one.key = key;
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -42,6 +42,7 @@
 	AP_WIRE_FLEET = 96,
 	AP_WIRE_SNAPSHOT,
 	AP_WIRE_WAITS,
+	AP_WIRE_CHANGES,
 } ap_wire_kind_t;
 
 /**
