--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -284,7 +284,7 @@
 	r->own.prefill[ticket->priority] += ticket->prefill;
 	r->own.kv += ticket->kv;
 	ap_holder_add(f, &r->cache, work, work->pool->kv_tokens);
-	ap_tell_later(f, r, work);
+	ap_tell_later(f, r, work, target->cached);
 }
 
 static void learn_prefill(ap_fleet_t *f, const ap_ticket_t *ticket, ap_usec_t now)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -188,6 +188,7 @@
 	uint64_t told_seq;
 	ap_usec_t told_at;
 	ap_usec_t told_away_at;
+	bool sent_heavy; /* a prompt that takes long to read, since the last round */
 	bool told_work; /* the last round told of some work */
 	bool watching;
 	uint64_t changed;
@@ -255,8 +256,8 @@
 double ap_replica_own_us(ap_fleet_t *f, const ap_work_t *work, uint32_t cached);
 uint32_t ap_replica_running(const ap_replica_t *r);
 ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag);
-/* Notes for the next round that @work's shared prefix goes to @r. */
-void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work);
+/* Notes for the next round that @work goes to @r, where @cached tokens of it need no reading. */
+void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work, uint32_t cached);
 uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool);
 
 /* choose.c */
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -12,7 +12,9 @@
 #define TELL_EVERY (250 * AP_MSEC) /* well below the time that a request takes */
 #define AWAY_EVERY (500 * AP_MSEC) /* waits of a region change over seconds */
 #define AWAY_TELLERS 3		   /* instances of a region that tell one of another region */
-#define TELLS_A_SECOND 100	   /* messages of one instance at most: 16 KB/s, see CAPACITY.md */
+#define TELLS_A_SECOND 100	   /* messages of one instance in ordinary rounds, see CAPACITY.md */
+#define HEAVY_US 50000.0	   /* of reading: more than most requests wait in all */
+#define HEAVY_EVERY (100 * AP_MSEC) /* after a prompt that takes long to read */
 #define TELL_IDLE (1 * AP_SEC)	   /* nothing to tell: often enough to count as heard of */
 #define PREFIX_MIN 256		   /* tokens; shorter prefixes are read again at little cost */
 #define LOADS_MAX 4096
@@ -21,8 +23,10 @@
 #define WATCHED_FROM 7 /* instances; fewer each watch for themselves */
 #define WATCHER_FRESH (1600 * AP_MSEC) /* it is told at least each second */
 
-void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work)
+void ap_tell_later(ap_fleet_t *f, const ap_replica_t *r, const ap_work_t *work, uint32_t cached)
 {
+	if (ap_read_us(f, work, cached) > HEAVY_US)
+		f->sent_heavy = true;
 	for (size_t i = 0; i + 1 < work->n_parts && f->n_news < NEWS_MAX; i++) {
 		if (work->parts[i].tokens < PREFIX_MIN)
 			continue;
@@ -128,6 +132,7 @@
 		f->told_work = n > 0;
 	}
 	f->n_news = 0;
+	f->sent_heavy = false;
 	ap_wire_out_end(&out);
 }
 
@@ -195,7 +200,7 @@
 {
 	if (now - f->told_away_at >= AWAY_EVERY)
 		tell_away(f, peer, now);
-	if (now - f->told_at < tell_every(f))
+	if (now - f->told_at < (f->sent_heavy ? HEAVY_EVERY : tell_every(f)))
 		return;
 	tell_region(f, peer, now);
 }
