Age cached prefixes by what others read, weigh two holders, ask upstreams that are back

Instances took prefixes to be cached that were long gone: another one's own prompt tokens, a fifth of what is read, aged nothing here. And all holders of a prefix were weighed, many under load, so that all instances chose the same idlest engine from loads told a quarter of a second ago. Now the tokens that no prefix names are told and age what is cached, and two holders at random are weighed. Upstreams of a data centre that is back from evacuation were all taken for cold, 3 s of half a region, as nothing says which are; other regions were told their places were free. One instance now asks each for its health and tells the others; waits that are told leave out what is taken for cold.

--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -123,6 +123,7 @@
 	ap_fleet_tick(gate->fleet, now);
 	gate_store_tick(gate, now);
 	gate_seed_tick(gate, now);
+	gate_health_tick(gate, now);
 	gate_peer_tick(gate, now);
 	ap_journal_flush(gate->journal);
 	check_leave(gate, now);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -182,6 +182,9 @@
 void gate_on_control(void *ctx, ap_http_call_t *call);
 void gate_seed_tick(gateway_t *gate, ap_usec_t now);
 
+/* gateway-health.c */
+void gate_health_tick(gateway_t *gate, ap_usec_t now);
+
 /* gateway-peer.c: what instances tell each other */
 /* The secret that all instances share was read from the store. */
 void gate_peer_secret(gateway_t *gate, const void *secret, size_t len);
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -14,6 +14,7 @@
 #define FAILING_US 400000.0	/* a request that fails is sent again, if it may be */
 #define AFFINE_MIN 256		/* tokens; shorter prefixes are no reason to choose an upstream */
 #define RANKED 2		/* upstreams that a prefix goes to by hash */
+#define HOLDERS 2		/* upstreams that have a prefix cached that are weighed */
 #define SAMPLE_MIN 2		/* others that are weighed: more would be chosen by all at once */
 #define CANDIDATES_MAX 1024
 #define JITTER_US 2000.0 /* below this, waits are alike */
@@ -245,6 +246,31 @@
 	}
 }
 
+/* A few at random of those that have the prefix cached, for the same reason. */
+static void consider_holders(ap_fleet_t *f, const ap_work_t *work, const candidates_t *all,
+			     ap_usec_t now, candidate_t *best)
+{
+	uint32_t shared = ap_work_shared_tokens(work);
+	ap_replica_t *holders[HOLDERS];
+	size_t n = 0;
+
+	for (size_t i = 0; i < all->n; i++) {
+		if (ap_holder_cached(f, &all->v[i]->cache, work) < shared)
+			continue;
+		if (n < HOLDERS) {
+			holders[n] = all->v[i];
+		} else {
+			size_t k = ap_rng_below(&f->rng, n + 1);
+
+			if (k < HOLDERS)
+				holders[k] = all->v[i];
+		}
+		n++;
+	}
+	for (size_t i = 0; i < n && i < HOLDERS; i++)
+		consider(f, work, holders[i], false, now, best);
+}
+
 static bool best_here(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, candidate_t *best)
 {
 	uint32_t shared = ap_work_shared_tokens(work);
@@ -257,10 +283,7 @@
 		rank(work, &all);
 		for (size_t i = 0; i < RANKED && all.ranked[i]; i++)
 			consider(f, work, all.ranked[i], i == 0, now, best);
-		for (size_t i = 0; i < all.n; i++) {
-			if (ap_holder_cached(f, &all.v[i]->cache, work) >= shared)
-				consider(f, work, all.v[i], false, now, best);
-		}
+		consider_holders(f, work, &all, now, best);
 	}
 	consider_some(f, work, &all, now, best);
 	return best->replica != NULL;
@@ -292,8 +315,11 @@
 	ap_away_candidate_t away = {0};
 	bool is_here = best_here(f, work, now, &here);
 	bool is_away = false;
+	ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
 	const char *keeper = work->stay ? NULL : ap_region_of_prefix(f, work, now);
 
+	if (p)
+		p->warmup = work->pool->warmup;
 	if (!work->stay && (!is_here || here.wait > enough ||
 			    (keeper && here.cached < ap_work_shared_tokens(work))))
 		is_away = ap_best_away(f, work, keeper, now, &away);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -217,6 +217,13 @@
 void ap_fleet_list_end(ap_fleet_t *f, bool unsure, ap_usec_t now);
 /** ap_fleet_evacuate() - nothing more for the upstreams of @data_centre, until @off. */
 void ap_fleet_evacuate(ap_fleet_t *f, const char *data_centre, bool off, ap_usec_t now);
+/**
+ * ap_fleet_ask() - an upstream whose health is to be asked, because nobody knows whether it is
+ * cold. To be called until there is none.
+ */
+bool ap_fleet_ask(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *whom);
+/** ap_fleet_answered() - it said how much longer it is cold, 0 for not at all. */
+void ap_fleet_answered(ap_fleet_t *f, const char *id, ap_usec_t cold_left, ap_usec_t now);
 /** ap_fleet_tick() - forgets what has lapsed; some times a second. */
 void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now);
 /** ap_fleet_woke() - the process stood still: what it measured is void. */
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -118,7 +118,7 @@
 {
 	const ap_plan_pool_t *pool = work->pool;
 	const ap_pool_state_t *p = ap_pool_state(f, pool->name);
-	unsigned rank = work->route->priority;
+	unsigned rank = ap_work_rank(work);
 	uint32_t running = running_before(r, pool->kv_tokens > 0, rank);
 	double wait = slot_wait_us(running, ap_replica_slots(r, pool), mean_us(p, pool));
 
@@ -177,7 +177,7 @@
 	for (const ap_replica_t *r = f->replicas; r && n < WAITS_MAX; r = r->hh.next) {
 		if (strcmp(r->entry.pool, p->name) != 0 ||
 		    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now) ||
-		    !ap_replica_well(r, now) || now < r->cold_until)
+		    !ap_replica_well(r, now) || ap_replica_cold(f, r, p->warmup, now))
 			continue;
 		waits[n++] = queue_us(r, p, rank);
 	}
@@ -249,16 +249,24 @@
 	ap_holder_add(f, &away->cache, work, work->pool->kv_tokens);
 }
 
+/* Tokens of @work, prompt and answer, that no part names. */
+static uint32_t unnamed_tokens(const ap_work_t *work)
+{
+	uint32_t named = 0;
+
+	for (size_t i = 0; i < work->n_parts; i++)
+		named += work->parts[i].tokens;
+	return work->tokens_out + (work->tokens_in > named ? work->tokens_in - named : 0);
+}
+
 void ap_fleet_sent(ap_fleet_t *f, const ap_work_t *work, const ap_target_t *target, ap_usec_t now,
 		   ap_ticket_t *ticket)
 {
 	ap_replica_t *r = target->remote ? NULL : ap_replica_find(f, target->id);
-	unsigned priority = work->route->priority;
-
 	*ticket = (ap_ticket_t){
 		.open = true,
 		.remote = target->remote,
-		.priority = priority < AP_PRIORITIES ? priority : AP_PRIORITIES - 1,
+		.priority = ap_work_rank(work),
 		.prefill = work->tokens_in - target->cached,
 		.kv = work->tokens_in + work->tokens_out,
 		.sent = now,
@@ -284,6 +292,8 @@
 	r->own.prefill[ticket->priority] += ticket->prefill;
 	r->own.kv += ticket->kv;
 	ap_holder_add(f, &r->cache, work, work->pool->kv_tokens);
+	ap_holder_fill(f, &r->cache, unnamed_tokens(work), work->pool->kv_tokens);
+	r->filled += work->tokens_in - ap_work_shared_tokens(work) + work->tokens_out;
 	ap_tell_later(f, r, work, target->cached);
 }
 
--- a/lib/fleet/prefix.c
+++ b/lib/fleet/prefix.c
@@ -39,6 +39,10 @@
 
 	holding->holder->tokens -= holding->tokens;
 	TAILQ_REMOVE(&holding->holder->holdings, holding, by_age);
+	if (!part) {
+		free(holding);
+		return;
+	}
 	LIST_REMOVE(holding, by_part);
 	if (LIST_EMPTY(&part->holdings)) {
 		HASH_DEL(f->parts, part); /* NOLINT(clang-analyzer-core.NullDereference) */
@@ -114,6 +118,24 @@
 	}
 }
 
+void ap_holder_fill(ap_fleet_t *f, ap_holder_t *h, uint32_t tokens, uint64_t capacity)
+{
+	ap_holding_t *youngest = TAILQ_FIRST(&h->holdings);
+
+	if (tokens == 0)
+		return;
+	if (!youngest || youngest->part) {
+		youngest = calloc(1, sizeof(*youngest));
+		if (!youngest)
+			return;
+		youngest->holder = h;
+		TAILQ_INSERT_HEAD(&h->holdings, youngest, by_age);
+	}
+	youngest->tokens += tokens;
+	h->tokens += tokens;
+	shrink(f, h, capacity);
+}
+
 void ap_holder_add_part(ap_fleet_t *f, ap_holder_t *h, const ap_part_t *part, uint64_t capacity)
 {
 	add_part(f, h, part);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -12,7 +12,8 @@
 typedef struct ap_holder ap_holder_t;
 typedef struct ap_cached_part ap_cached_part_t;
 
-/* One part of prompts that a holder is believed to have cached. */
+/* One part of prompts that a holder is believed to have cached; @part is NULL for unnamed tokens.
+ */
 typedef struct ap_holding {
 	TAILQ_ENTRY(ap_holding) by_age;
 	LIST_ENTRY(ap_holding) by_part;
@@ -87,6 +88,9 @@
 	bool listed;
 	bool gone;
 	ap_usec_t cold_until;
+	ap_usec_t asked;      /* for its health, last; 0 for never */
+	ap_usec_t answered;   /* when it said last whether it is cold */
+	ap_usec_t told_until; /* the others are told of that until then */
 	double cold_tokens;
 	ap_usec_t cold_at;
 	ap_load_t own;
@@ -99,6 +103,7 @@
 	bool trial;
 	double slow; /* seen against expected waits, 1 for as expected */
 	ap_usec_t slow_at;
+	uint32_t filled;    /* tokens sent there that others are not told of as prefixes, untold */
 	uint32_t kv_tokens; /* of its pool, known once work was sent there; 0 before */
 	ap_holder_t cache;
 } ap_replica_t;
@@ -147,6 +152,7 @@
 	double prefill_per_us; /* prompt tokens read in a microsecond */
 	double mean_us;	       /* time of one request at an upstream */
 	double wait_scale;     /* seen against reckoned waits for a place */
+	ap_usec_t warmup; /* as the configuration says, once work looked for an upstream */
 	ap_budget_t budget;
 } ap_pool_state_t;
 
@@ -189,7 +195,7 @@
 	ap_usec_t told_at;
 	ap_usec_t told_away_at;
 	bool sent_heavy; /* a prompt that takes long to read, since the last round */
-	bool told_work; /* the last round told of some work */
+	bool told_work;	 /* the last round told of some work */
 	bool watching;
 	uint64_t changed;
 };
@@ -203,10 +209,19 @@
 bool ap_replica_evacuated(const ap_fleet_t *f, const ap_replica_t *r);
 /* Does @r bear few requests only? @warmup is how long that lasts. */
 bool ap_replica_cold(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t warmup, ap_usec_t now);
+const ap_place_t *ap_place(const ap_fleet_t *f, const char *data_centre);
 const char *ap_place_region(const ap_fleet_t *f, const char *data_centre);
 
+/* doubt.c: is it not known whether @r is cold? */
+bool ap_replica_doubted(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t warmup,
+			ap_usec_t now);
+/* It said itself how much longer it is cold, to this instance or to another one. */
+void ap_replica_answered(ap_replica_t *r, ap_usec_t cold_left, ap_usec_t now);
+
 /* cold.c: the one instance that may send to a cold upstream, at a bounded rate */
 bool ap_cold_allows(ap_fleet_t *f, ap_replica_t *r, const ap_plan_pool_t *pool, ap_usec_t now);
+/* Is this the instance that may send to @r while it is cold? */
+bool ap_cold_owns(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
 void ap_cold_sent(ap_replica_t *r);
 
 /* health.c */
@@ -220,6 +235,8 @@
 /* Tokens of @work's prompt that @h has cached. */
 uint32_t ap_holder_cached(const ap_fleet_t *f, const ap_holder_t *h, const ap_work_t *work);
 void ap_holder_add(ap_fleet_t *f, ap_holder_t *h, const ap_work_t *work, uint64_t capacity);
+/* Tokens that nobody asks for again took the place of older ones. */
+void ap_holder_fill(ap_fleet_t *f, ap_holder_t *h, uint32_t tokens, uint64_t capacity);
 void ap_holder_add_part(ap_fleet_t *f, ap_holder_t *h, const ap_part_t *part, uint64_t capacity);
 
 /* member.c */
@@ -235,6 +252,13 @@
 
 /* load.c */
 ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool);
+static inline unsigned ap_work_rank(const ap_work_t *work)
+{
+	unsigned priority = work->route->priority;
+
+	return priority < AP_PRIORITIES ? priority : AP_PRIORITIES - 1;
+}
+
 /* Two ranks are told apart between regions: the most urgent work, and all. */
 static inline unsigned ap_rank_told(unsigned priority)
 {
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ENTRY_DELAY (1500 * AP_MSEC) /* an entry that comes this much later was written since */
 #define LEAVE_MARGIN (300 * AP_MSEC) /* a short answer still fits before an announced end */
 
 ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag)
@@ -61,33 +60,31 @@
 		ap_copy_name(place->region, sizeof(place->region), region);
 }
 
-const char *ap_place_region(const ap_fleet_t *f, const char *data_centre)
+const ap_place_t *ap_place(const ap_fleet_t *f, const char *data_centre)
 {
 	const ap_place_t *place;
 
 	HASH_FIND_STR(f->places, data_centre, place);
+	return place;
+}
+
+const char *ap_place_region(const ap_fleet_t *f, const char *data_centre)
+{
+	const ap_place_t *place = ap_place(f, data_centre);
+
 	return place ? place->region : "";
 }
 
 bool ap_replica_evacuated(const ap_fleet_t *f, const ap_replica_t *r)
 {
-	const ap_place_t *place;
+	const ap_place_t *place = ap_place(f, r->entry.data_centre);
 
-	HASH_FIND_STR(f->places, r->entry.data_centre, place);
 	return place && place->evacuated;
 }
 
 bool ap_replica_cold(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t warmup, ap_usec_t now)
 {
-	const ap_place_t *place;
-
-	if (now < r->cold_until)
-		return true;
-	HASH_FIND_STR(f->places, r->entry.data_centre, place);
-	if (!place || place->back_at == 0 || now >= place->back_at + warmup)
-		return false;
-	/* Upstreams that got nothing for a while are cold, until a later entry says otherwise. */
-	return r->seen < place->back_at + ENTRY_DELAY;
+	return now < r->cold_until || ap_replica_doubted(f, r, warmup, now);
 }
 
 bool ap_replica_usable(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -12,11 +12,11 @@
 #define TELL_EVERY (250 * AP_MSEC) /* well below the time that a request takes */
 #define AWAY_EVERY (500 * AP_MSEC) /* waits of a region change over seconds */
 #define AWAY_TELLERS 3		   /* instances of a region that tell one of another region */
-#define TELLS_A_SECOND 100	   /* messages of one instance in ordinary rounds, see CAPACITY.md */
-#define HEAVY_US 50000.0	   /* of reading: more than most requests wait in all */
+#define TELLS_A_SECOND 100 /* messages of one instance in ordinary rounds, see CAPACITY.md */
+#define HEAVY_US 50000.0   /* of reading: more than most requests wait in all */
 #define HEAVY_EVERY (100 * AP_MSEC) /* after a prompt that takes long to read */
-#define TELL_IDLE (1 * AP_SEC)	   /* nothing to tell: often enough to count as heard of */
-#define PREFIX_MIN 256		   /* tokens; shorter prefixes are read again at little cost */
+#define TELL_IDLE (1 * AP_SEC)	    /* nothing to tell: often enough to count as heard of */
+#define PREFIX_MIN 256		    /* tokens; shorter prefixes are read again at little cost */
 #define LOADS_MAX 4096
 #define WATCHER_KEY 11
 #define WATCHERS 3     /* of a region: two may be cut off from the store unnoticed */
@@ -94,6 +94,44 @@
 	}
 }
 
+/* What upstreams said of their health: how much longer each is cold. */
+static size_t pack_answers(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now)
+{
+	size_t n = 0;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		n += now < r->told_until;
+	msgpack_pack_array(pk, n);
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (now >= r->told_until)
+			continue;
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint32(pk, r->tag);
+		msgpack_pack_uint64(
+			pk, now < r->cold_until ? (uint64_t)(r->cold_until - now) / AP_MSEC : 0);
+	}
+	return n;
+}
+
+/* Requests' own tokens take the place of prefixes, whoever sent them. */
+static size_t pack_filled(ap_fleet_t *f, msgpack_packer *pk)
+{
+	size_t n = 0;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		n += r->filled > 0 && r->kv_tokens > 0;
+	msgpack_pack_array(pk, n);
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (r->filled == 0 || r->kv_tokens == 0)
+			continue;
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint32(pk, r->tag);
+		msgpack_pack_uint32(pk, r->filled);
+		r->filled = 0;
+	}
+	return n;
+}
+
 static void pack_store(const ap_fleet_t *f, msgpack_packer *pk)
 {
 	ap_wire_pack_bool(pk, f->watching);
@@ -118,11 +156,13 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->told_seq);
-	msgpack_pack_array(&out.pk, 5);
+	msgpack_pack_array(&out.pk, 7);
 	n = pack_loads(f, &out.pk);
 	pack_news(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, leaving);
 	pack_store(f, &out.pk);
+	n += pack_answers(f, &out.pk, now);
+	n += pack_filled(f, &out.pk);
 	if (n > 0 || f->told_work || f->n_news > 0 || leaving || now - f->told_at >= TELL_IDLE) {
 		for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 			if (is_other(f, m, now) && is_near(f, m))
@@ -259,6 +299,36 @@
 	return news->ok;
 }
 
+static bool take_answers(ap_fleet_t *f, ap_wire_reader_t *answers, ap_usec_t now)
+{
+	while (answers->left > 0) {
+		ap_wire_reader_t e = ap_wire_array(answers);
+		ap_replica_t *r = ap_replica_by_tag(f, (uint32_t)ap_wire_u64(&e));
+		uint64_t cold_ms = ap_wire_u64(&e);
+
+		if (!e.ok || cold_ms > UINT32_MAX)
+			return false;
+		if (r)
+			ap_replica_answered(r, (ap_usec_t)cold_ms * AP_MSEC, now);
+	}
+	return true;
+}
+
+static bool take_filled(ap_fleet_t *f, ap_wire_reader_t *filled)
+{
+	while (filled->left > 0) {
+		ap_wire_reader_t e = ap_wire_array(filled);
+		ap_replica_t *r = ap_replica_by_tag(f, (uint32_t)ap_wire_u64(&e));
+		uint32_t tokens = (uint32_t)ap_wire_u64(&e);
+
+		if (!e.ok)
+			return false;
+		if (r && r->kv_tokens > 0)
+			ap_holder_fill(f, &r->cache, tokens, r->kv_tokens);
+	}
+	return true;
+}
+
 /* An instance that left and was started again has another incarnation. */
 static void take_leaving(ap_fleet_t *f, ap_member_state_t *m, ap_id_t inc, bool leaving,
 			 ap_usec_t now)
@@ -283,9 +353,12 @@
 	bool leaving = ap_wire_bool(&r);
 	bool watching = ap_wire_bool(&r);
 	uint64_t changed = ap_wire_u64(&r);
+	ap_wire_reader_t answers = ap_wire_array(&r);
+	ap_wire_reader_t filled = ap_wire_array(&r);
 
 	/* One that is not known yet is not counted; it tells again soon. */
-	if (!r.ok || (m && !take_loads(f, m, &loads, now)) || !take_news(f, &news))
+	if (!r.ok || (m && !take_loads(f, m, &loads, now)) || !take_news(f, &news) ||
+	    !take_answers(f, &answers, now) || !take_filled(f, &filled))
 		return false;
 	if (!m)
 		return true;
--- a/test/belief_test.c
+++ b/test/belief_test.c
@@ -308,6 +308,61 @@
 	ap_fleet_free(f);
 }
 
+/* What one instance asked and told to another one, which is @other. */
+static ap_fleet_t *other;
+
+static void to_other(void *ctx, const char *to, const void *data, size_t len)
+{
+	(void)ctx;
+	(void)to;
+	assert_true(ap_fleet_heard(other, "n1", data, len, WORLD_START + 3 * AP_SEC));
+}
+
+/* One instance asks each upstream that is back whether it is cold, and the others are told. */
+static void after_an_evacuation_one_instance_asks(void **state)
+{
+	ap_fleet_t *fleets[2] = {north(), world_fleet("n2", "north")};
+	ap_usec_t back = WORLD_START + AP_SEC;
+	ap_usec_t now = back + AP_SEC;
+	ap_peer_port_t peer = {.send = to_other};
+	ap_replica_entry_t whom = {0};
+	unsigned asked = 0;
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		/* Of two, n1 has been there for longer and n2 leaves: n1 asks. */
+		world_member(fleets[i], "n1", "north", false, WORLD_START - 10 * AP_SEC);
+		world_member(fleets[i], "n2", "north", true, WORLD_START - 10 * AP_SEC);
+		world_replica(fleets[i], "e1", "engines", "north", WORLD_START);
+		world_replica(fleets[i], "e2", "engines", "north", WORLD_START);
+		ap_fleet_evacuate(fleets[i], "north-1", false, WORLD_START);
+		ap_fleet_evacuate(fleets[i], "north-1", true, back);
+		sent_cold(&fleets[i], 1, back);			    /* tells it of the pool */
+		assert_false(ap_fleet_ask(fleets[i], back, &whom)); /* too soon to be true */
+	}
+	assert_false(ap_fleet_ask(fleets[1], now, &whom));
+	while (ap_fleet_ask(fleets[0], now, &whom))
+		asked++;
+	assert_int_equal(asked, 2);
+	/* One answer is lost: it is asked again, the other one is not. */
+	ap_fleet_answered(fleets[0], "e1", 0, now);
+	now += AP_SEC;
+	assert_true(ap_fleet_ask(fleets[0], now, &whom));
+	assert_string_equal(whom.id, "e2");
+	ap_fleet_answered(fleets[0], "e2", 20 * AP_SEC, now);
+	assert_false(ap_fleet_ask(fleets[0], now, &whom));
+	other = fleets[1];
+	ap_fleet_answered(fleets[0], "e1", 0, now);
+	ap_fleet_tell(fleets[0], &peer, now);
+	for (int i = 0; i < 2; i++) {
+		ap_fleet_stats_t stats = ap_fleet_stats(fleets[i], now);
+
+		assert_int_equal(stats.cold, 1);		/* e2, by its own word */
+		assert_true(sent_cold(&fleets[i], 1, now) > 9); /* e1 bears everything */
+		ap_fleet_free(fleets[i]);
+	}
+}
+
 static void repetitions_hold_summed_over_all_instances(void **state)
 {
 	unsigned repeats = 0;
@@ -551,6 +606,7 @@
 		cmocka_unit_test(cold_rates_hold_while_owners_change),
 		cmocka_unit_test(cold_rates_hold_when_a_region_starts),
 		cmocka_unit_test(after_an_evacuation_upstreams_are_cold_until_they_say_otherwise),
+		cmocka_unit_test(after_an_evacuation_one_instance_asks),
 		cmocka_unit_test(repetitions_hold_summed_over_all_instances),
 		cmocka_unit_test(an_unreachable_upstream_comes_back_through_one_trial),
 		cmocka_unit_test(the_last_upstream_is_used_however_it_fails),
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -352,6 +352,99 @@
 	net_end(&net);
 }
 
+/*
+ * All engines have all prefixes cached and one of them has nothing to do, as all believe: found by
+ * the grown scale days, where ten instances sent to one engine within a fifth of a second.
+ */
+static void a_burst_on_prefixes_cached_everywhere_does_not_herd(void **state)
+{
+	enum {
+		ENGINES = 12,
+		INSTANCES = 20
+	};
+	unsigned per_engine[ENGINES] = {0};
+	net_t net;
+
+	(void)state;
+	net_begin(&net, INSTANCES, 0);
+	net_replicas(&net, "engines", "north", ENGINES);
+	for (size_t i = 0; i < INSTANCES; i++) {
+		for (int k = 0; k < ENGINES; k++) {
+			ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+			ap_target_t target = {.port = 1};
+			ap_ticket_t ticket;
+
+			world_prompt(&work, 1 + i, 8000, 1);
+			snprintf(target.id, sizeof(target.id), "engines-north-%d", k);
+			ap_fleet_sent(net.fleets[i], &work, &target, WORLD_START, &ticket);
+			if (k == 0)
+				ap_fleet_done(net.fleets[i], &ticket, AP_WORK_DONE,
+					      WORLD_START + AP_SEC);
+		}
+	}
+	net_tell(&net, WORLD_START + AP_SEC);
+	for (size_t i = 0; i < INSTANCES; i++) {
+		ap_usec_t now = WORLD_START + AP_SEC;
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		ap_target_t target;
+		int k;
+
+		world_prompt(&work, 1 + i, 8000, 2);
+		if (ap_fleet_choose(net.fleets[i], &work, now, &target) != AP_FLEET_OK)
+			continue;
+		assert_int_equal(sscanf(target.id, "engines-north-%d", &k), 1);
+		per_engine[k]++;
+	}
+	/* Half of them at most: six of twelve engines are weighed by each. */
+	for (int k = 0; k < ENGINES; k++)
+		assert_true(per_engine[k] <= INSTANCES * 3 / 4);
+	net_end(&net);
+}
+
+/* Prompts' own tokens push a prefix out, at the instance that sent them and at the others. */
+static void a_prefix_ages_with_what_is_read_after_it(void **state)
+{
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 2, 0);
+	net_replicas(&net, "engines", "north", 1);
+	for (int i = 0; i <= 40; i++) {
+		ap_usec_t now = WORLD_START + i * AP_SEC;
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		ap_work_t again = work;
+		ap_target_t target;
+		ap_ticket_t ticket;
+
+		world_prompt(&again, 1, 8000, 1000 + (uint64_t)i);
+		if (i == 0 || i == 40) {
+			for (int k = 0; k < 2; k++) {
+				assert_int_equal(
+					ap_fleet_choose(net.fleets[k], &again, now, &target),
+					AP_FLEET_OK);
+				assert_int_equal(target.cached, 0);
+			}
+		}
+		if (i == 0)
+			work = again;
+		work.tokens_in = i == 0 ? work.tokens_in : 4000;
+		send_work(net.fleets[0], &work, now, &target, &ticket);
+		ap_fleet_first(net.fleets[0], &ticket, now + AP_MSEC);
+		ap_fleet_done(net.fleets[0], &ticket, AP_WORK_DONE, now + 2 * AP_MSEC);
+		net_tell(&net, now + 500 * AP_MSEC);
+		if (i == 0) {
+			world_prompt(&again, 1, 8000, 999);
+			for (int k = 0; k < 2; k++) {
+				assert_int_equal(ap_fleet_choose(net.fleets[k], &again,
+								 now + 500 * AP_MSEC, &target),
+						 AP_FLEET_OK);
+				assert_int_equal(target.cached, 8000);
+			}
+		}
+	}
+	net_end(&net);
+}
+
 /* What others told counts: an engine that all of them use is left alone. */
 static void work_of_other_instances_counts(void **state)
 {
@@ -546,6 +639,8 @@
 		cmocka_unit_test(a_region_without_upstreams_sends_all_on),
 		cmocka_unit_test(breaking_upstreams_elsewhere_leave_their_instances_trusted),
 		cmocka_unit_test(a_burst_on_late_reports_does_not_herd),
+		cmocka_unit_test(a_burst_on_prefixes_cached_everywhere_does_not_herd),
+		cmocka_unit_test(a_prefix_ages_with_what_is_read_after_it),
 		cmocka_unit_test(work_of_other_instances_counts),
 		cmocka_unit_test(the_largest_request_is_not_refused_for_its_size),
 		cmocka_unit_test(a_pool_that_was_slow_is_asked_again),
--- a/test/host_test.c
+++ b/test/host_test.c
@@ -298,6 +298,32 @@
 	evhttp_clear_headers(&h);
 }
 
+static void what_an_upstream_says_of_its_health(void **state)
+{
+	static const char *const warm[][2] = {{"Instance-Id", "i-1"}};
+	static const char *const cold[][2] = {{"Instance-Id", "i-1"}, {"Cold-Ms", "1500"}};
+	static const char *const bad[][2] = {{"Instance-Id", "i-1"}, {"Cold-Ms", "soon"}};
+	ap_usec_t left = -1;
+	headers_t h;
+
+	(void)state;
+	fill(&h, warm, 1);
+	assert_true(ap_host_health(&h, "i-1", &left));
+	assert_int_equal(left, 0);
+	assert_false(ap_host_health(&h, "i-2", &left)); /* the address is another one's now */
+	evhttp_clear_headers(&h);
+	fill(&h, cold, 2);
+	assert_true(ap_host_health(&h, "i-1", &left));
+	assert_int_equal(left, 1500 * AP_MSEC);
+	evhttp_clear_headers(&h);
+	fill(&h, bad, 2);
+	assert_false(ap_host_health(&h, "i-1", &left));
+	evhttp_clear_headers(&h);
+	fill(&h, cold + 1, 1);
+	assert_false(ap_host_health(&h, "i-1", &left));
+	evhttp_clear_headers(&h);
+}
+
 static void what_an_answer_says_of_itself(void **state)
 {
 	static const char *const shed[][2] = {{"Not-Run", "1"}, {"Request-Id", "abc"}};
@@ -412,6 +438,7 @@
 		cmocka_unit_test(what_a_request_s_headers_may_lack_or_get_wrong),
 		cmocka_unit_test(headers_to_an_upstream),
 		cmocka_unit_test(too_many_headers_are_not_cut_short),
+		cmocka_unit_test(what_an_upstream_says_of_its_health),
 		cmocka_unit_test(what_an_answer_says_of_itself),
 		cmocka_unit_test(a_record_is_one_line_of_json),
 		cmocka_unit_test(a_reader_that_stops_is_not_waited_for),
