--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -80,6 +80,10 @@
 
 static void remember(char (*names)[AP_NAME_MAX], size_t *n, const char *id)
 {
+	for (size_t i = 0; i < *n; i++) {
+		if (strcmp(names[i], id) == 0)
+			return;
+	}
 	/* A full list forgets its oldest entry. */
 	if (*n == AP_TRIED_MAX) {
 		memmove(names[0], names[1], (AP_TRIED_MAX - 1) * AP_NAME_MAX);
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -496,6 +496,19 @@
 	finish(&w);
 }
 
+static void what_is_avoided_is_remembered_once(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_IDEMPOTENT, false, 2);
+	w.now = ap_exchange_due(&w.x);
+	ap_exchange_tick(&w.x, w.now);
+	assert_int_equal(w.n_sent, 2);
+	assert_int_equal(w.x.work.n_avoid, 1);
+	finish(&w);
+}
+
 static void silence_alone_ends_nothing(void **state)
 {
 	world_t w = {.targets = 1};
@@ -655,6 +668,7 @@
 		cmocka_unit_test(a_caller_that_left_frees_the_upstream),
 		cmocka_unit_test(the_route_s_time_is_kept),
 		cmocka_unit_test(a_silent_upstream_is_left_for_another_one),
+		cmocka_unit_test(what_is_avoided_is_remembered_once),
 		cmocka_unit_test(silence_alone_ends_nothing),
 		cmocka_unit_test(silence_with_the_budget_spent_ends_nothing),
 		cmocka_unit_test(each_decision_is_told_with_its_inputs),
