--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -54,18 +54,31 @@
 	ap_host_store_watch(gate->store, revision, wait, on_read, gate);
 }
 
+/* One line for all that a whole list held. */
+static void note_listed(gateway_t *gate, ap_usec_t now)
+{
+	ap_fleet_stats_t stats = ap_fleet_stats(gate->fleet, now);
+
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "store.listed", NULL, "s:i,s:i,s:i,s:I",
+			 "upstreams", (int)stats.replicas, "draining", (int)stats.draining,
+			 "instances", (int)stats.members, "version",
+			 gate->plan ? (json_int_t)gate->plan->version : 0);
+}
+
 static void op_listing(void *ctx, bool begin)
 {
 	gateway_t *gate = ctx;
 	ap_usec_t now = ap_now();
 
+	gate->listing = begin;
 	ap_items_listing(gate->items, begin);
-	if (begin)
+	if (begin) {
 		ap_fleet_list_begin(gate->fleet);
-	else
-		ap_fleet_list_end(gate->fleet, ap_follow_unsure(gate->follow, now), now);
-	if (!begin)
-		gate_peer_make_secret(gate);
+		return;
+	}
+	ap_fleet_list_end(gate->fleet, ap_follow_unsure(gate->follow, now), now);
+	note_listed(gate, now);
+	gate_peer_make_secret(gate);
 }
 
 static void unreadable(gateway_t *gate, const char *key, const ap_err_t *err)
@@ -119,7 +132,7 @@
 		unreadable(gate, item->key, &err);
 		return;
 	}
-	if (entry.draining)
+	if (entry.draining && !gate->listing)
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.draining", NULL,
 				 "s:s,s:s", "upstream", id, "pool", entry.pool);
 	ap_fleet_entry(gate->fleet, &entry, now);
@@ -145,8 +158,10 @@
 		unreadable(gate, item->key, &err);
 		return;
 	}
-	ap_journal_write(gate->journal, AP_RECORD_RARE, "instance.seen", NULL, "s:s,s:s,s:b",
-			 "other", id, "region", member.region, "leaving", (int)member.leaving);
+	if (!gate->listing)
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "instance.seen", NULL,
+				 "s:s,s:s,s:b", "other", id, "region", member.region, "leaving",
+				 (int)member.leaving);
 	ap_fleet_member(gate->fleet, &member, now);
 	gate_peer_know(gate, &member);
 }
@@ -265,7 +280,7 @@
 static void note_away(gateway_t *gate, ap_usec_t now)
 {
 	ap_usec_t age = ap_follow_age(gate->follow, now);
-	bool away = age == AP_NEVER || age > AWAY_AFTER;
+	bool away = (age == AP_NEVER ? now - gate->started : age) > AWAY_AFTER;
 
 	if (away == gate->store_away)
 		return;
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -141,6 +141,7 @@
 	ap_usec_t leave_at; /* when SIGTERM came; 0 before */
 	bool stopped;	    /* takes no more connections */
 	bool store_away;
+	bool listing; /* a whole list of the store is being read */
 	gate_counters_t counters;
 };
 
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -20,8 +20,9 @@
 	"instance.lost",	 "instance.seen",	"log.dropped",	     "peer.unreadable",
 	"process.frozen",	 "process.leaving",	"process.reload",    "process.started",
 	"process.stopped",	 "seed.answered",	"store.away",	     "store.back",
-	"store.unreadable",	 "upstream.draining",	"upstream.removed",  "upstream.ejected",
-	"upstream.back",	 "upstream.moved",	"upstream.lapsed",   "instance.suspected",
+	"store.listed",		 "upstream.asked",	"store.unreadable",  "upstream.draining",
+	"upstream.removed",	 "upstream.ejected",	"upstream.back",     "upstream.moved",
+	"upstream.lapsed",	 "instance.suspected",
 };
 
 static const char *const request_events[] = {
