Go to where a large prefix is cached before reading it anew

A third of long prompts were read anew although an upstream of the same or another region had read their prefix in the last seconds: the home region was taken when it was 60 ms faster with all its reading, and the upstream that is first by hash was free of the cost of reading even when another one held the prefix. Both now count the reading twice, as other choices do, as long as the wait elsewhere is under 0.7 of the objective.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -247,8 +247,8 @@
 }
 
 /* A few at random of those that have the prefix cached, for the same reason. */
-static void consider_holders(ap_fleet_t *f, const ap_work_t *work, const candidates_t *all,
-			     ap_usec_t now, candidate_t *best)
+static size_t consider_holders(ap_fleet_t *f, const ap_work_t *work, const candidates_t *all,
+			       ap_usec_t now, candidate_t *best)
 {
 	uint32_t shared = ap_work_shared_tokens(work);
 	ap_replica_t *holders[HOLDERS];
@@ -269,6 +269,7 @@
 	}
 	for (size_t i = 0; i < n && i < HOLDERS; i++)
 		consider(f, work, holders[i], false, now, best);
+	return n;
 }
 
 static bool best_here(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now, candidate_t *best)
@@ -280,10 +281,11 @@
 		return false;
 	gather(f, work, now, &all);
 	if (shared >= AFFINE_MIN && work->pool->kv_tokens) {
+		size_t holders = consider_holders(f, work, &all, now, best);
+
 		rank(work, &all);
 		for (size_t i = 0; i < RANKED && all.ranked[i]; i++)
-			consider(f, work, all.ranked[i], i == 0, now, best);
-		consider_holders(f, work, &all, now, best);
+			consider(f, work, all.ranked[i], i == 0 && holders == 0, now, best);
 	}
 	consider_some(f, work, &all, now, best);
 	return best->replica != NULL;
@@ -306,6 +308,20 @@
 	ap_copy_name(target->region, sizeof(target->region), r->region);
 }
 
+/* To read a large prefix anew takes from others too; not to wait too long counts for more. */
+static bool stays(ap_fleet_t *f, const ap_work_t *work, const candidate_t *here,
+		  const ap_away_candidate_t *away)
+{
+	uint32_t shared = ap_work_shared_tokens(work);
+	double enough = STAY_SHARE * (double)work->route->objective;
+	double reread = 0;
+
+	if (here->cached < shared && away->cached >= shared && away->wait < enough)
+		reread = REREAD_WEIGHT *
+			 (ap_read_us(f, work, here->cached) - ap_read_us(f, work, away->cached));
+	return here->wait + reread <= away->wait + AWAY_MARGIN_US;
+}
+
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now,
 				  ap_target_t *target)
 {
@@ -325,7 +341,7 @@
 		is_away = ap_best_away(f, work, keeper, now, &away);
 	if (!is_here && !is_away)
 		return AP_FLEET_NONE;
-	if (is_here && (!is_away || here.wait <= away.wait + AWAY_MARGIN_US))
+	if (is_here && (!is_away || stays(f, work, &here, &away)))
 		fill_here(&here, now, target);
 	else
 		ap_fill_away(&away, target);
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -172,6 +172,39 @@
 	net_end(&net);
 }
 
+/* To wait a little longer elsewhere is better for all than to read a large prefix anew here. */
+static void a_prefix_cached_elsewhere_is_worth_a_short_wait(void **state)
+{
+	ap_usec_t now = WORLD_START;
+	bool found = false;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 1, 1);
+	net_replicas(&net, "engines", "north", 4);
+	net_replicas(&net, "engines", "south", 4);
+	for (uint64_t subject = 1; subject < 20 && !found; subject++) {
+		ap_fleet_t *f = net.fleets[0];
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		ap_target_t target;
+
+		world_prompt(&work, subject, 8000, 1);
+		ap_fleet_told(f, "south", "engines", 0, 0, now);
+		assert_int_equal(ap_fleet_choose(f, &work, now, &target), AP_FLEET_OK);
+		if (!target.remote)
+			continue; /* kept here */
+		found = true;
+		ap_fleet_told(f, "south", "engines", 0, 300 * AP_MSEC, now);
+		assert_int_equal(ap_fleet_choose(f, &work, now, &target), AP_FLEET_OK);
+		assert_true(target.remote);
+		ap_fleet_told(f, "south", "engines", 0, 800 * AP_MSEC, now);
+		assert_int_equal(ap_fleet_choose(f, &work, now, &target), AP_FLEET_OK);
+		assert_false(target.remote);
+	}
+	assert_true(found);
+	net_end(&net);
+}
+
 static void small_prefixes_stay_in_their_region(void **state)
 {
 	net_t net;
@@ -632,6 +665,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(subjects_spread_over_instances_find_one_cache),
 		cmocka_unit_test(large_prefixes_are_kept_by_one_region),
+		cmocka_unit_test(a_prefix_cached_elsewhere_is_worth_a_short_wait),
 		cmocka_unit_test(small_prefixes_stay_in_their_region),
 		cmocka_unit_test(home_bound_work_stays_under_any_load),
 		cmocka_unit_test(a_full_region_sends_to_one_with_room),
