Read a large prefix anew only where there is room

It now counts seventeen times its time, and an upstream that has half its places taken does not read anew what another one has. One with room does, before anybody is refused for a prefix that all ask for.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -9,7 +9,8 @@
 #include <string.h>
 
 #define STEP_US_PER_TOKEN 150.0 /* what one more request in a batch adds to each token's step */
-#define REREAD_WEIGHT 1.0	/* shared tokens read again also take the place of others' work */
+#define REREAD_WEIGHT 16.0	/* of reading anew: only for want of one that has it and has room */
+#define REFUSED_US 60000000.0	/* more than all else: refused there, or read anew by a busy one */
 #define TRIED_US 60000.0	/* another upstream is worth this much, another region less */
 #define FAILING_US 400000.0	/* a request that fails is sent again, if it may be */
 #define AFFINE_MIN 256		/* tokens; shorter prefixes are no reason to choose an upstream */
@@ -169,14 +170,24 @@
 	return p && work->pool->kv_tokens ? (work->tokens_in - cached) / p->prefill_per_us : 0;
 }
 
+/* Not for what it takes itself: that is seen to change only if it is tried. */
+static bool is_late(const ap_work_t *work, double queue, ap_usec_t now)
+{
+	return queue > (double)(work->deadline - now) ||
+	       queue > ADMIT_SHARE * (double)work->route->objective;
+}
+
 static void weigh(ap_fleet_t *f, const ap_work_t *work, bool first, ap_usec_t now, candidate_t *c)
 {
 	ap_replica_t *r = c->replica;
 	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
 	uint32_t shared = ap_work_shared_tokens(work);
 	double failing = ap_replica_failing(r, now);
+	uint32_t slots = ap_replica_slots(r, work->pool);
+	bool anew;
 
 	c->cached = ap_holder_cached(f, &r->cache, work);
+	anew = work->pool->kv_tokens > 0 && !first && shared >= AFFINE_MIN && c->cached < shared;
 	c->wait = ap_replica_wait_us(f, r, work, work->tokens_in - c->cached);
 	c->queue = c->wait - ap_replica_own_us(f, work, c->cached);
 	c->wait *= ap_replica_slow(r, now);
@@ -186,13 +197,15 @@
 		double kv = (double)(r->own.kv + r->others.kv) / work->pool->kv_tokens;
 
 		c->score += ap_replica_running(r) * (work->tokens_out + 1) * STEP_US_PER_TOKEN;
-		if (c->cached < shared && p && !first)
+		if (anew && p)
 			c->score += REREAD_WEIGHT * (shared - c->cached) / p->prefill_per_us;
 		if (kv > KV_FULL)
 			c->score += (kv - KV_FULL) * KV_FULL_US;
 	}
 	if (ap_work_tried(work, r->entry.id))
 		c->score += TRIED_US;
+	if (is_late(work, c->queue, now) || (anew && 2 * ap_replica_running(r) > slots))
+		c->score += REFUSED_US;
 }
 
 /* Ejected ones only when there are no others. */
@@ -325,7 +338,6 @@
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_work_t *work, ap_usec_t now,
 				  ap_target_t *target)
 {
-	double left = (double)(work->deadline - now);
 	double enough = STAY_SHARE * (double)work->route->objective;
 	candidate_t here = {0};
 	ap_away_candidate_t away = {0};
@@ -345,9 +357,5 @@
 		fill_here(&here, now, target);
 	else
 		ap_fill_away(&away, target);
-	/* Not for what it takes itself: that is seen to change only if it is tried. */
-	if ((double)target->queue > left ||
-	    (double)target->queue > ADMIT_SHARE * (double)work->route->objective)
-		return AP_FLEET_LATE;
-	return AP_FLEET_OK;
+	return is_late(work, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
 }
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -434,6 +434,37 @@
 	net_end(&net);
 }
 
+/* All ask for one prefix: it is read anew elsewhere before anybody is refused. */
+static void a_hot_prefix_spreads_before_it_is_refused(void **state)
+{
+	ap_fleet_t *f = world_fleet("i0", "north");
+	unsigned elsewhere = 0;
+
+	(void)state;
+	world_member(f, "i0", "north", false, WORLD_START);
+	for (int i = 0; i < 4; i++) {
+		char id[AP_NAME_MAX];
+
+		snprintf(id, sizeof(id), "e%d", i);
+		world_replica(f, id, "engines", "north", WORLD_START);
+	}
+	for (uint64_t i = 0; i < 4 * 8; i++) {
+		ap_work_t work = world_work(&world_stream, &world_engines, WORLD_START);
+		char first[AP_NAME_MAX];
+		ap_target_t target;
+		ap_ticket_t ticket;
+
+		world_prompt(&work, 1, 2000, i);
+		send_work(f, &work, WORLD_START, &target, &ticket); /* none is refused */
+		if (i == 0)
+			ap_copy_name(first, sizeof(first), target.id);
+		ap_fleet_first(f, &ticket, WORLD_START + AP_MSEC); /* read, and still running */
+		elsewhere += strcmp(first, target.id) != 0;
+	}
+	assert_true(elsewhere > 0);
+	ap_fleet_free(f);
+}
+
 /* Prompts' own tokens push a prefix out, at the instance that sent them and at the others. */
 static void a_prefix_ages_with_what_is_read_after_it(void **state)
 {
@@ -674,6 +705,7 @@
 		cmocka_unit_test(breaking_upstreams_elsewhere_leave_their_instances_trusted),
 		cmocka_unit_test(a_burst_on_late_reports_does_not_herd),
 		cmocka_unit_test(a_burst_on_prefixes_cached_everywhere_does_not_herd),
+		cmocka_unit_test(a_hot_prefix_spreads_before_it_is_refused),
 		cmocka_unit_test(a_prefix_ages_with_what_is_read_after_it),
 		cmocka_unit_test(work_of_other_instances_counts),
 		cmocka_unit_test(the_largest_request_is_not_refused_for_its_size),
