Soak the links between instances

Only the ways to the store and to upstreams could go wrong: requests between regions and what instances tell each other never did. Other instances now reach each one through two links of the proxy, whose faults come from a random stream of their own, so that old seeds keep their schedules.

--- a/test/soak/gate.c
+++ b/test/soak/gate.c
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <jansson.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
@@ -13,8 +14,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#define PEER_LINKS 2
 #define LISTENERS                                                                                  \
 	7 /* callers, ready, directory, metrics, control, requests and talk of instances */
+#define PORTS (LISTENERS + PEER_LINKS) /* in a row: the instance's own, then those of its links */
 #define SEEDS 3
 #define PORT_FIRST 10240
 #define PORT_ROOM 20000
@@ -51,12 +54,12 @@
 	if (at == 0)
 		at = (unsigned)getpid() * GATES_MAX;
 	for (;;) {
-		uint16_t first = (uint16_t)(PORT_FIRST + at++ * LISTENERS % PORT_ROOM);
+		uint16_t first = (uint16_t)(PORT_FIRST + at++ * PORTS % PORT_ROOM);
 		uint16_t n = 0;
 
-		while (first + n < UINT16_MAX && n < LISTENERS && is_free((uint16_t)(first + n)))
+		while (first + n < UINT16_MAX && n < PORTS && is_free((uint16_t)(first + n)))
 			n++;
-		if (n == LISTENERS)
+		if (n == PORTS)
 			return first;
 	}
 }
@@ -98,7 +101,13 @@
 	if (!g->port)
 		g->port = free_ports();
 	if (!g->store_link)
-		g->store_link = link_new(g->soak->base, store_port(g->soak->store));
+		g->store_link = link_new(g->soak->base, 0, store_port(g->soak->store));
+	for (unsigned i = 0; i < PEER_LINKS; i++) {
+		if (!g->peer_links[i])
+			g->peer_links[i] =
+				link_new(g->soak->base, (uint16_t)(g->port + LISTENERS + i),
+					 (uint16_t)(g->port + PORT_PEER + i));
+	}
 	snprintf(settings, sizeof(settings), "%s/%s.toml", g->soak->dir, g->id);
 	snprintf(log, sizeof(log), "%s/%s.log", g->soak->dir, g->id);
 	write_settings(g, settings);
@@ -121,6 +130,21 @@
 	}
 }
 
+char *gate_entry_through_links(soak_t *s, const char *id, const char *entry)
+{
+	json_t *o = json_loads(entry, 0, NULL);
+	char *text;
+
+	for (size_t i = 0; i < s->n_gates; i++) {
+		if (strcmp(s->gates[i].id, id) == 0)
+			json_object_set_new(o, "peer_port",
+					    json_integer(link_port(s->gates[i].peer_links[0])));
+	}
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return text;
+}
+
 void gate_signal(gate_t *g, int signal)
 {
 	if (g->pid <= 0)
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -307,6 +307,27 @@
 	s->fault_kinds[k]++;
 }
 
+static void heal_peer_links(soak_t *s, size_t i)
+{
+	for (size_t k = 0; k < 2; k++)
+		link_set(s->gates[i].peer_links[k], LINK_OPEN);
+}
+
+/* The way from all others to one instance, for requests and for what instances tell each other. */
+static void strike_links(soak_t *s)
+{
+	size_t i = ap_rng_below(&s->links, s->n_gates);
+	link_mode_t mode = (link_mode_t)(1 + ap_rng_below(&s->links, LINK_MODES - 1));
+
+	for (size_t k = 0; k < 2; k++)
+		link_set(s->gates[i].peer_links[k], mode);
+	do_later(s, (ap_usec_t)(300 + ap_rng_below(&s->links, 3700)) * AP_MSEC, heal_peer_links, i);
+	if (s->verbose)
+		fprintf(stderr, "%.3f s: peer-link %zu\n",
+			(double)(ap_now() - s->start) / (double)AP_SEC, i);
+	s->link_faults++;
+}
+
 static void reap(soak_t *s)
 {
 	for (size_t i = 0; i < s->n_gates; i++) {
@@ -327,6 +348,7 @@
 	ap_usec_t next_send = ap_now();
 	ap_usec_t next_beat = ap_now();
 	ap_usec_t next_fault = ap_now() + AP_SEC;
+	ap_usec_t next_link_fault = ap_now() + AP_SEC;
 
 	while (ap_now() < until) {
 		struct timeval tick = {.tv_usec = TICK_MS * 1000};
@@ -345,6 +367,11 @@
 			strike(s);
 			next_fault = now + span(s, 100, 900);
 		}
+		if (faulty && now >= next_link_fault) {
+			strike_links(s);
+			next_link_fault =
+				now + (ap_usec_t)(500 + ap_rng_below(&s->links, 2500)) * AP_MSEC;
+		}
 		run_laters(s, false);
 		reap(s);
 		event_base_loopexit(s->base, &tick);
@@ -395,6 +422,8 @@
 			waitpid(s->gates[i].pid, NULL, 0);
 		}
 		link_free(s->gates[i].store_link);
+		for (size_t k = 0; k < 2; k++)
+			link_free(s->gates[i].peer_links[k]);
 	}
 	for (size_t i = 0; i < s->n_replicas; i++)
 		replica_stop(&s->replicas[i]);
@@ -414,6 +443,7 @@
 	       s->faults);
 	for (size_t k = 0; k < FAULTS; k++)
 		printf(" %s %u", faults[k].name, s->fault_kinds[k]);
+	printf(" peer-link %u", s->link_faults);
 	printf("; after recovery %u of %u served; %u findings\n", s->quiet_served, s->quiet_sent,
 	       s->findings);
 	if (s->findings > 0 || s->keep)
@@ -499,6 +529,7 @@
 	s.keep = o.keep;
 	ap_rng_seed(&s.rng, o.seed);
 	ap_rng_seed(&s.schedule, o.seed);
+	ap_rng_seed(&s.links, o.seed + 1);
 	s.start = ap_now();
 	begin(&s, o.gates);
 	play(&s, WARM_UP, false, false);
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -136,9 +136,9 @@
 	bufferevent_enable(p->far, EV_READ | EV_WRITE);
 }
 
-link_t *link_new(struct event_base *base, uint16_t to)
+link_t *link_new(struct event_base *base, uint16_t port, uint16_t to)
 {
-	struct sockaddr_in any = {.sin_family = AF_INET};
+	struct sockaddr_in any = {.sin_family = AF_INET, .sin_port = htons(port)};
 	socklen_t len = sizeof(any);
 	link_t *l = calloc(1, sizeof(*l));
 
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -239,7 +239,7 @@
 	snprintf(r->id, sizeof(r->id), "i%d-%zu-%u", (int)getpid(), i, born);
 	if (ap_http_server_new(&config, &r->server, NULL) != AP_HTTP_STATUS_OK)
 		abort();
-	r->link = link_new(s->base, ap_http_server_port(r->server));
+	r->link = link_new(s->base, 0, ap_http_server_port(r->server));
 	replica_beat(s, i);
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -60,7 +60,8 @@
 
 typedef struct link link_t;
 
-link_t *link_new(struct event_base *base, uint16_t to);
+/* Listens on @port, 0 for any. */
+link_t *link_new(struct event_base *base, uint16_t port, uint16_t to);
 uint16_t link_port(const link_t *l);
 void link_set(link_t *l, link_mode_t mode);
 link_mode_t link_mode(const link_t *l);
@@ -123,6 +124,7 @@
 	unsigned region;
 	uint16_t port; /* of the first of its listeners */
 	link_t *store_link;
+	link_t *peer_links[2]; /* for requests and talk of other instances */
 	pid_t pid;
 	bool paused;
 	bool leaving;
@@ -136,6 +138,8 @@
 /* Takes note of an instance that has ended. Return: true when it did so by itself. */
 bool gate_ended(gate_t *g, int status);
 void gate_check_version(gate_t *g);
+/* Other instances reach it through links: its entry in the store, JSON text, is changed to them. */
+char *gate_entry_through_links(soak_t *s, const char *id, const char *entry);
 
 /* caller.c */
 void caller_send(soak_t *s);
@@ -148,6 +152,7 @@
 	struct event_base *base;
 	ap_rng_t rng;	   /* of requests and of what goes wrong with each */
 	ap_rng_t schedule; /* of faults, so that one seed gives one schedule */
+	ap_rng_t links;	   /* of faults of links between instances, a schedule of their own */
 	const char *program;
 	char dir[64];
 	bool verbose;
@@ -173,6 +178,7 @@
 	unsigned arrivals;
 	unsigned repeats;
 	unsigned faults;
+	unsigned link_faults;
 	unsigned findings;
 	unsigned fault_kinds[32];
 };
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define INSTANCES "arbutuspond/instances/" /* keys of ours */
 #define WATCH_POLL_MS 20
 #define LOSES_PART 0.4
 
@@ -189,6 +190,30 @@
 	return json_pack("{s:o}", "items", items);
 }
 
+/* An instance enters itself: others are told of the links to it. */
+static void enter_instance(store_t *st, const char *key, const char *base64, uint64_t lease)
+{
+	unsigned char entry[1024];
+	size_t len = 0;
+	char *text;
+
+	if (sodium_base642bin(entry, sizeof(entry) - 1, base64, strlen(base64), NULL, &len, NULL,
+			      sodium_base64_VARIANT_ORIGINAL) != 0)
+		abort();
+	entry[len] = '\0';
+	text = gate_entry_through_links(st->soak, key + strlen(INSTANCES), (const char *)entry);
+	store_put(st, key, text, lease);
+	free(text);
+}
+
+static void put(store_t *st, const char *key, const char *base64, uint64_t lease)
+{
+	if (strncmp(key, INSTANCES, strlen(INSTANCES)) == 0)
+		enter_instance(st, key, base64, lease);
+	else
+		write_item(st, key, base64, lease);
+}
+
 /* Return: the status; @body is the answer's. */
 static int txn(store_t *st, json_t *root, json_t **body)
 {
@@ -207,8 +232,8 @@
 		HASH_FIND(hh, st->leases, &id, sizeof(id), lease);
 		if (id != 0 && !lease)
 			return 404;
-		write_item(st, json_string_value(json_object_get(row, "key")),
-			   json_string_value(json_object_get(row, "value")), id);
+		put(st, json_string_value(json_object_get(row, "key")),
+		    json_string_value(json_object_get(row, "value")), id);
 	}
 	*body = json_pack("{s:I}", "rev", (json_int_t)st->revision);
 	return 200;
