Leave a holder of a prefix that fails

Since reading anew counts for much, a holder that failed half of its requests was still chosen over a sound one without the prefix: 180 ms against several seconds. What is cached there now counts the less the more it fails, for nothing at one in three. Found by reading; the test fails before.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -13,10 +13,11 @@
 #define REFUSED_US 60000000.0	/* more than all else: refused there, or read anew by a busy one */
 #define TRIED_US 60000.0	/* another upstream is worth this much, another region less */
 #define FAILING_US 400000.0	/* a request that fails is sent again, if it may be */
-#define AFFINE_MIN 256		/* tokens; shorter prefixes are no reason to choose an upstream */
-#define RANKED 2		/* upstreams that a prefix goes to by hash */
-#define HOLDERS 2		/* upstreams that have a prefix cached that are weighed */
-#define SAMPLE_MIN 2		/* others that are weighed: more would be chosen by all at once */
+#define FAILS_TOO_OFTEN 0.33 /* share of requests: worse than the reading, a third of its worth */
+#define AFFINE_MIN 256	     /* tokens; shorter prefixes are no reason to choose an upstream */
+#define RANKED 2	     /* upstreams that a prefix goes to by hash */
+#define HOLDERS 2	     /* upstreams that have a prefix cached that are weighed */
+#define SAMPLE_MIN 2	     /* others that are weighed: more would be chosen by all at once */
 #define CANDIDATES_MAX 1024
 #define JITTER_US 2000.0 /* below this, waits are alike */
 #define KV_FULL 0.9	 /* above this share, engines preempt */
@@ -177,10 +178,23 @@
 	       queue > ADMIT_SHARE * (double)work->route->objective;
 }
 
+/* What it costs to read a large prefix anew, or to rely on a holder that fails. */
+static double prefix_cost(ap_fleet_t *f, const ap_work_t *work, const candidate_t *c, bool anew,
+			  double failing)
+{
+	uint32_t shared = ap_work_shared_tokens(work);
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+
+	if (!p || shared < AFFINE_MIN)
+		return 0;
+	if (anew)
+		return REREAD_WEIGHT * (shared - c->cached) / p->prefill_per_us;
+	return REREAD_WEIGHT * fmin(failing / FAILS_TOO_OFTEN, 1) * shared / p->prefill_per_us;
+}
+
 static void weigh(ap_fleet_t *f, const ap_work_t *work, bool first, ap_usec_t now, candidate_t *c)
 {
 	ap_replica_t *r = c->replica;
-	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
 	uint32_t shared = ap_work_shared_tokens(work);
 	double failing = ap_replica_failing(r, now);
 	uint32_t slots = ap_replica_slots(r, work->pool);
@@ -197,8 +211,7 @@
 		double kv = (double)(r->own.kv + r->others.kv) / work->pool->kv_tokens;
 
 		c->score += ap_replica_running(r) * (work->tokens_out + 1) * STEP_US_PER_TOKEN;
-		if (anew && p)
-			c->score += REREAD_WEIGHT * (shared - c->cached) / p->prefill_per_us;
+		c->score += prefix_cost(f, work, c, anew, failing);
 		if (kv > KV_FULL)
 			c->score += (kv - KV_FULL) * KV_FULL_US;
 	}
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -465,6 +465,35 @@
 	ap_fleet_free(f);
 }
 
+/* What is cached at one that fails is not worth the failure. */
+static void a_prefix_is_read_anew_when_its_holder_fails(void **state)
+{
+	ap_fleet_t *f = world_fleet("i0", "north");
+	ap_usec_t now = WORLD_START;
+	char first[AP_NAME_MAX] = "";
+
+	(void)state;
+	world_member(f, "i0", "north", false, now);
+	world_replica(f, "e1", "engines", "north", now);
+	world_replica(f, "e2", "engines", "north", now);
+	for (uint64_t i = 0; i < 6; i++, now += 100 * AP_MSEC) {
+		ap_work_t work = world_work(&world_stream, &world_engines, now);
+		ap_target_t target;
+		ap_ticket_t ticket;
+
+		world_prompt(&work, 1, 8000, i);
+		send_work(f, &work, now, &target, &ticket);
+		if (i == 0)
+			ap_copy_name(first, sizeof(first), target.id);
+		if (i == 5)
+			assert_string_not_equal(target.id, first);
+		ap_fleet_first(f, &ticket, now + 30 * AP_MSEC);
+		ap_fleet_done(f, &ticket, i == 0 ? AP_WORK_DONE : AP_WORK_ERROR,
+			      now + 50 * AP_MSEC);
+	}
+	ap_fleet_free(f);
+}
+
 /* Prompts' own tokens push a prefix out, at the instance that sent them and at the others. */
 static void a_prefix_ages_with_what_is_read_after_it(void **state)
 {
@@ -706,6 +735,7 @@
 		cmocka_unit_test(a_burst_on_late_reports_does_not_herd),
 		cmocka_unit_test(a_burst_on_prefixes_cached_everywhere_does_not_herd),
 		cmocka_unit_test(a_hot_prefix_spreads_before_it_is_refused),
+		cmocka_unit_test(a_prefix_is_read_anew_when_its_holder_fails),
 		cmocka_unit_test(a_prefix_ages_with_what_is_read_after_it),
 		cmocka_unit_test(work_of_other_instances_counts),
 		cmocka_unit_test(the_largest_request_is_not_refused_for_its_size),
