--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -12,13 +12,12 @@
 typedef struct ap_holder ap_holder_t;
 typedef struct ap_cached_part ap_cached_part_t;
 
-/* One part of prompts that a holder is believed to have cached; @part is NULL for unnamed tokens.
- */
+/* One part of prompts that a holder is believed to have cached, or tokens without a name. */
 typedef struct ap_holding {
 	TAILQ_ENTRY(ap_holding) by_age;
 	LIST_ENTRY(ap_holding) by_part;
 	ap_holder_t *holder;
-	ap_cached_part_t *part;
+	ap_cached_part_t *part; /* NULL for tokens without a name */
 	uint32_t tokens;
 } ap_holding_t;
 
