Read the rounds of instances of the version before

Two fields were added to what instances of a region tell each other; while a deployment is upgraded, new instances could not read old ones' rounds at all. Fields that were added later may be missing.

--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -344,6 +344,12 @@
 	ap_member_changed(f, m, now);
 }
 
+/* Instances of an earlier version don't send it. */
+static ap_wire_reader_t later_field(ap_wire_reader_t *r)
+{
+	return r->left > 0 ? ap_wire_array(r) : (ap_wire_reader_t){.ok = true};
+}
+
 static bool heard_work(ap_fleet_t *f, const char *from, const ap_wire_in_t *in, ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, from);
@@ -353,12 +359,12 @@
 	bool leaving = ap_wire_bool(&r);
 	bool watching = ap_wire_bool(&r);
 	uint64_t changed = ap_wire_u64(&r);
-	ap_wire_reader_t answers = ap_wire_array(&r);
-	ap_wire_reader_t filled = ap_wire_array(&r);
+	ap_wire_reader_t answers = later_field(&r);
+	ap_wire_reader_t filled = later_field(&r);
 
 	/* One that is not known yet is not counted; it tells again soon. */
-	if (!r.ok || (m && !take_loads(f, m, &loads, now)) || !take_news(f, &news) ||
-	    !take_answers(f, &answers, now) || !take_filled(f, &filled))
+	if (!r.ok || !answers.ok || !filled.ok || (m && !take_loads(f, m, &loads, now)) ||
+	    !take_news(f, &news) || !take_answers(f, &answers, now) || !take_filled(f, &filled))
 		return false;
 	if (!m)
 		return true;
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -3,6 +3,7 @@
  * each other their work, in virtual time and without a network.
  */
 #include "fleet_world.h"
+#include "wire/frame.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -698,6 +699,32 @@
 	net_end(&net);
 }
 
+/* While a deployment is upgraded, instances of the version before tell less: that much is taken. */
+static void a_round_of_the_version_before_is_read(void **state)
+{
+	ap_wire_out_t out;
+	uint64_t changed;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 7, 0);
+	for (int watcher = 1; watcher < 7; watcher++) {
+		ap_wire_out_begin(&out, AP_WIRE_FLEET, (ap_id_t){.hi = 1}, 1);
+		msgpack_pack_array(&out.pk, 5);
+		msgpack_pack_array(&out.pk, 0);
+		msgpack_pack_array(&out.pk, 0);
+		ap_wire_pack_bool(&out.pk, false);
+		ap_wire_pack_bool(&out.pk, true);
+		msgpack_pack_uint64(&out.pk, 77);
+		assert_true(ap_fleet_heard(net.fleets[0], net.senders[watcher].id, out.buf.data,
+					   out.buf.size, WORLD_START));
+		ap_wire_out_end(&out);
+	}
+	ap_fleet_store_watched(net.fleets[0], WORLD_START, &changed);
+	assert_int_equal(changed, 77);
+	net_end(&net);
+}
+
 /* The store is away: who leaves, and who is back, is told between instances. */
 static void leaving_is_told_while_the_store_is_away(void **state)
 {
@@ -744,6 +771,7 @@
 		cmocka_unit_test(some_instances_watch_the_store_for_all),
 		cmocka_unit_test(a_small_region_watches_the_store_one_by_one),
 		cmocka_unit_test(a_message_that_cannot_be_read_changes_nothing),
+		cmocka_unit_test(a_round_of_the_version_before_is_read),
 		cmocka_unit_test(leaving_is_told_while_the_store_is_away),
 	};
 
