Say once what this change said twice

The bytes of a packed message were copied out in two places: ap_wire_out_take() gives them away. Two loops sent to all other instances of the region: send_near(). What a prefix costs in the choice summed its tokens and looked its pool up again for each upstream that weigh() had them for, and the share of the objective that is enough was reckoned twice. No behaviour changes.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -179,22 +179,18 @@
 }
 
 /* What it costs to read a large prefix anew, or to rely on a holder that fails. */
-static double prefix_cost(ap_fleet_t *f, const ap_work_t *work, const candidate_t *c, bool anew,
+static double prefix_cost(const ap_pool_state_t *p, uint32_t shared, uint32_t cached, bool anew,
 			  double failing)
 {
-	uint32_t shared = ap_work_shared_tokens(work);
-	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
+	double lost = anew ? shared - cached : fmin(failing / FAILS_TOO_OFTEN, 1) * shared;
 
-	if (!p || shared < AFFINE_MIN)
-		return 0;
-	if (anew)
-		return REREAD_WEIGHT * (shared - c->cached) / p->prefill_per_us;
-	return REREAD_WEIGHT * fmin(failing / FAILS_TOO_OFTEN, 1) * shared / p->prefill_per_us;
+	return p && shared >= AFFINE_MIN ? REREAD_WEIGHT * lost / p->prefill_per_us : 0;
 }
 
 static void weigh(ap_fleet_t *f, const ap_work_t *work, bool first, ap_usec_t now, candidate_t *c)
 {
 	ap_replica_t *r = c->replica;
+	const ap_pool_state_t *p = ap_pool_state(f, work->pool->name);
 	uint32_t shared = ap_work_shared_tokens(work);
 	double failing = ap_replica_failing(r, now);
 	uint32_t slots = ap_replica_slots(r, work->pool);
@@ -211,7 +207,7 @@
 		double kv = (double)(r->own.kv + r->others.kv) / work->pool->kv_tokens;
 
 		c->score += ap_replica_running(r) * (work->tokens_out + 1) * STEP_US_PER_TOKEN;
-		c->score += prefix_cost(f, work, c, anew, failing);
+		c->score += prefix_cost(p, shared, c->cached, anew, failing);
 		if (kv > KV_FULL)
 			c->score += (kv - KV_FULL) * KV_FULL_US;
 	}
@@ -335,11 +331,10 @@
 }
 
 /* To read a large prefix anew takes from others too; not to wait too long counts for more. */
-static bool stays(ap_fleet_t *f, const ap_work_t *work, const candidate_t *here,
+static bool stays(ap_fleet_t *f, const ap_work_t *work, double enough, const candidate_t *here,
 		  const ap_away_candidate_t *away)
 {
 	uint32_t shared = ap_work_shared_tokens(work);
-	double enough = STAY_SHARE * (double)work->route->objective;
 	double reread = 0;
 
 	if (here->cached < shared && away->cached >= shared && away->wait < enough)
@@ -366,7 +361,7 @@
 		is_away = ap_best_away(f, work, keeper, now, &away);
 	if (!is_here && !is_away)
 		return AP_FLEET_NONE;
-	if (is_here && (!is_away || stays(f, work, &here, &away)))
+	if (is_here && (!is_away || stays(f, work, enough, &here, &away)))
 		fill_here(&here, now, target);
 	else
 		ap_fill_away(&away, target);
--- a/lib/fleet/tell.c
+++ b/lib/fleet/tell.c
@@ -148,6 +148,15 @@
 	return strcmp(m->member.region, f->config.region) == 0;
 }
 
+static void send_near(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
+		      ap_usec_t now)
+{
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (is_other(f, m, now) && is_near(f, m))
+			peer->send(peer->ctx, m->member.id, data, len);
+	}
+}
+
 static void tell_region(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
 {
 	const ap_member_state_t *self = ap_member_find(f, f->config.id);
@@ -164,10 +173,7 @@
 	n += pack_answers(f, &out.pk, now);
 	n += pack_filled(f, &out.pk);
 	if (n > 0 || f->told_work || f->n_news > 0 || leaving || now - f->told_at >= TELL_IDLE) {
-		for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-			if (is_other(f, m, now) && is_near(f, m))
-				ap_wire_out_send(&out, peer, m->member.id);
-		}
+		send_near(f, peer, out.buf.data, out.buf.size, now);
 		f->told_at = now;
 		f->told_work = n > 0;
 	}
@@ -436,12 +442,8 @@
 void ap_fleet_pass(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
 		   ap_usec_t now)
 {
-	if (!watches_for_all(f, now))
-		return;
-	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (is_other(f, m, now) && is_near(f, m))
-			peer->send(peer->ctx, m->member.id, data, len);
-	}
+	if (watches_for_all(f, now))
+		send_near(f, peer, data, len, now);
 }
 
 /* Who should watch is told by hash, so that all agree without a word. */
--- a/lib/follow/changes.c
+++ b/lib/follow/changes.c
@@ -6,7 +6,6 @@
 #include "wire/frame.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #define CHANGES_MAX 512 /* items of one answer of the store at most */
 
@@ -22,7 +21,6 @@
 void *ap_changes_pack(uint64_t after, const ap_store_read_t *read, size_t *len)
 {
 	ap_wire_out_t out;
-	void *bytes;
 
 	ap_wire_out_begin(&out, AP_WIRE_CHANGES, (ap_id_t){0}, 1);
 	msgpack_pack_array(&out.pk, 3);
@@ -31,12 +29,7 @@
 	msgpack_pack_array(&out.pk, read->n);
 	for (size_t i = 0; i < read->n; i++)
 		pack_item(&out.pk, &read->items[i]);
-	bytes = malloc(out.buf.size);
-	if (bytes)
-		memcpy(bytes, out.buf.data, out.buf.size);
-	*len = bytes ? out.buf.size : 0;
-	ap_wire_out_end(&out);
-	return bytes;
+	return ap_wire_out_take(&out, len);
 }
 
 /* The value stays in the message. */
--- a/lib/follow/items.c
+++ b/lib/follow/items.c
@@ -113,7 +113,6 @@
 {
 	kept_t *left_out = NULL;
 	ap_wire_out_t out;
-	void *bytes;
 
 	if (without)
 		HASH_FIND_STR(items->table, without, left_out);
@@ -128,12 +127,7 @@
 		ap_wire_pack_bin(&out.pk, k->value, k->len);
 		msgpack_pack_uint64(&out.pk, k->revision);
 	}
-	bytes = malloc(out.buf.size);
-	if (bytes)
-		memcpy(bytes, out.buf.data, out.buf.size);
-	*len = bytes ? out.buf.size : 0;
-	ap_wire_out_end(&out);
-	return bytes;
+	return ap_wire_out_take(&out, len);
 }
 
 static bool unpack_one(ap_wire_reader_t *list, void *ctx,
--- a/lib/wire/frame.c
+++ b/lib/wire/frame.c
@@ -26,6 +26,12 @@
 	msgpack_sbuffer_destroy(&out->buf);
 }
 
+void *ap_wire_out_take(ap_wire_out_t *out, size_t *len)
+{
+	*len = out->buf.size;
+	return msgpack_sbuffer_release(&out->buf);
+}
+
 bool ap_wire_in_open(ap_wire_in_t *in, ap_wire_kind_t kind, const void *data, size_t len,
 		     ap_err_t *err)
 {
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -19,6 +19,8 @@
 /** ap_wire_out_send() - sends it; can be called for several receivers. */
 void ap_wire_out_send(const ap_wire_out_t *out, const ap_peer_port_t *peer, const char *to);
 void ap_wire_out_end(ap_wire_out_t *out);
+/** ap_wire_out_take() - ends it and gives its bytes. Return: bytes to free(). */
+void *ap_wire_out_take(ap_wire_out_t *out, size_t *len);
 
 /**
  * struct ap_wire_in - a message being read.
