--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -34,6 +34,7 @@
 	ap_copy_name(s->target, sizeof(s->target), target->id);
 	s->wait = target->wait;
 	s->entry_age = target->entry_age;
+	s->cold = target->cold;
 	s->cached = target->cached;
 	s->running = target->running;
 }
@@ -68,11 +69,11 @@
 		const gate_step_t *s = &c->steps[i % GATE_STEPS_MAX];
 
 		json_array_append_new(
-			list,
-			json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I}", "step", ap_step_name(s->step),
-				  "target", s->target, "at_ms", msec(s->at), "expected_ms",
-				  msec(s->wait), "entry_age_ms", msec(s->entry_age), "cached",
-				  (json_int_t)s->cached, "running", (json_int_t)s->running));
+			list, json_pack("{s:s,s:s,s:I,s:I,s:I,s:b,s:I,s:I}", "step",
+					ap_step_name(s->step), "target", s->target, "at_ms",
+					msec(s->at), "expected_ms", msec(s->wait), "entry_age_ms",
+					msec(s->entry_age), "cold", (int)s->cold, "cached",
+					(json_int_t)s->cached, "running", (json_int_t)s->running));
 	}
 	return list;
 }
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -227,6 +227,7 @@
 	c->paused = false;
 	c->fetch = ap_http_fetch(gate->client, &config);
 	gate->counters.sends += c->fetch != NULL;
+	gate->counters.cold_sent += c->fetch && target->cold;
 	gate->counters.forwarded_sent += c->fetch && target->remote;
 	return c->fetch != NULL;
 }
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -136,6 +136,8 @@
 	put(out, "work_running", "", (double)fleet.running);
 	put(out, "configuration_version", "", gate->plan ? (double)gate->plan->version : 0);
 	put(out, "store_age_seconds", "", age == AP_NEVER ? -1 : (double)age / (double)AP_SEC);
+	put(out, "store_era", "", (double)gate->store_era);
+	put(out, "store_revision", "", (double)ap_follow_revision(gate->follow));
 	put(out, "store_calls_total", "{result=\"any\"}", (double)store.calls);
 	put(out, "store_calls_total", "{result=\"refused\"}", (double)store.refused);
 	put(out, "store_calls_total", "{result=\"unsure\"}", (double)store.unsure);
@@ -160,6 +162,7 @@
 	put(out, "guests_total", "", (double)n->forwarded_received);
 	put(out, "sends_total", "", (double)n->sends);
 	put(out, "sends_away_total", "", (double)n->forwarded_sent);
+	put(out, "sends_cold_total", "", (double)n->cold_sent);
 	put(out, "repeats_total", "", (double)n->retries);
 	put(out, "upstream_connections_total", "{how=\"opened\"}", (double)client.opened);
 	put(out, "upstream_connections_total", "{how=\"reused\"}", (double)client.reused);
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -25,11 +25,25 @@
 /* Larger changes are not relayed; relays by several instances would cost more than reads. */
 #define RELAY_BYTES_MAX (8 << 10)
 
+/* Records that the store returned to an older copy of itself. */
+static void record_era(gateway_t *gate, const ap_store_read_t *read)
+{
+	if (read->era == 0 || read->era == gate->store_era)
+		return;
+	if (gate->store_era != 0)
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "store.era", NULL, "s:I,s:I,s:I",
+				 "era", (json_int_t)read->era, "before",
+				 (json_int_t)gate->store_era, "revision",
+				 (json_int_t)ap_follow_revision(gate->follow));
+	gate->store_era = read->era;
+}
+
 static void on_read(void *ctx, const ap_store_read_t *read)
 {
 	gateway_t *gate = ctx;
 	ap_usec_t now = ap_now();
 
+	record_era(gate, read);
 	ap_follow_response(gate->follow, read, now);
 	gate_store_tick(gate, now);
 	gate_peer_tick(gate, now);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -57,6 +57,7 @@
  * @at: time since the request's arrival, in microseconds
  * @wait: expected at the target, in microseconds
  * @entry_age: time since the upstream's record was received, in microseconds; 0 for an instance
+ * @cold: the upstream was believed to be cold, or may have been
  * @cached: tokens of the prompt that are expected to be cached there
  * @running: requests in flight there
  */
@@ -66,6 +67,7 @@
 	ap_usec_t at;
 	ap_usec_t wait;
 	ap_usec_t entry_age;
+	bool cold;
 	uint32_t cached;
 	uint32_t running;
 } gate_step_t;
@@ -116,6 +118,7 @@
  * @forwarded_received: requests from remote regions
  * @own_errors: by reason, responses that this instance generated; other requests count at 0
  * @sends: requests sent to upstreams and remote regions, with retries
+ * @cold_sent: requests sent to upstreams that were believed to be cold
  * @forwarded_sent: requests sent to remote regions
  * @unreadable: records of the store that could not be decoded
  * @first_chunk: histogram of the time until the first chunk of the response
@@ -128,6 +131,7 @@
 	uint64_t ended[GATE_OUTCOMES];
 	uint64_t own_errors[AP_REASON_UNPROVED + 1];
 	uint64_t sends;
+	uint64_t cold_sent;
 	uint64_t forwarded_sent;
 	uint64_t retries;
 	uint64_t unreadable;
@@ -176,6 +180,7 @@
 	ap_usec_t drain_started;       /* when SIGTERM or SIGINT arrived; 0 before */
 	bool listeners_closed;	       /* accepts no more connections */
 	bool store_unavailable;	       /* the state that was logged last */
+	uint64_t store_era;	       /* of the last response; 0 if none stated it */
 	bool listing;		       /* a complete list of the store is being read */
 	gate_counters_t counters;
 };
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -23,7 +23,7 @@
 	"process.stopped",	 "seed.answered",	"store.away",	     "store.back",
 	"store.listed",		 "upstream.asked",	"store.unreadable",  "upstream.draining",
 	"upstream.removed",	 "upstream.ejected",	"upstream.back",     "upstream.moved",
-	"upstream.lapsed",	 "instance.suspected",
+	"upstream.lapsed",	 "instance.suspected",	"store.era",
 };
 
 static const char *const request_events[] = {
@@ -180,9 +180,10 @@
 		       text_at(step, "step"), text_at(step, "target"));
 		if (*text_at(step, "target"))
 			printf("  expected %" PRId64 " ms, %" PRId64 " running, %" PRId64
-			       " tokens cached, entry %" PRId64 " ms old",
+			       " tokens cached, entry %" PRId64 " ms old%s",
 			       int_at(step, "expected_ms"), int_at(step, "running"),
-			       int_at(step, "cached"), int_at(step, "entry_age_ms"));
+			       int_at(step, "cached"), int_at(step, "entry_age_ms"),
+			       json_is_true(json_object_get(step, "cold")) ? ", cold" : "");
 		putchar('\n');
 	}
 }
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -347,7 +347,8 @@
 	return best->replica != NULL;
 }
 
-static void fill_local_target(const candidate_t *c, ap_usec_t now, ap_target_t *target)
+static void fill_local_target(const ap_fleet_t *f, const ap_dispatch_t *req, const candidate_t *c,
+			      ap_usec_t now, ap_target_t *target)
 {
 	const ap_replica_t *r = c->replica;
 
@@ -358,6 +359,7 @@
 		.cached = c->cached,
 		.entry_age = now - r->received_at,
 		.running = ap_replica_running(r),
+		.cold = ap_replica_cold(f, r, req->pool->warmup, now),
 	};
 	ap_copy_name(target->id, sizeof(target->id), r->entry.id);
 	ap_copy_name(target->host, sizeof(target->host), r->entry.host);
@@ -399,7 +401,7 @@
 	if (!found_local && !found_remote)
 		return AP_FLEET_NONE;
 	if (found_local && (!found_remote || prefer_local(f, req, wait_limit, &local, &remote)))
-		fill_local_target(&local, now, target);
+		fill_local_target(f, req, &local, now, target);
 	else
 		ap_fill_remote_target(&remote, target);
 	return too_late(req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -98,6 +98,7 @@
  * @cached: prompt tokens expected to be in the target's prefix cache
  * @entry_age: age in microseconds of the upstream's entry; 0 for a remote target
  * @running: requests that the upstream is expected to be processing
+ * @cold: the upstream is believed to be cold, or may be
  */
 typedef struct ap_target {
 	bool remote;
@@ -110,6 +111,7 @@
 	uint32_t cached;
 	ap_usec_t entry_age;
 	uint32_t running;
+	bool cold;
 } ap_target_t;
 
 typedef enum ap_fleet_status {
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -200,6 +200,11 @@
 	f->due = now + f->config.interval;
 }
 
+uint64_t ap_follow_revision(const ap_follow_t *f)
+{
+	return f->as_of;
+}
+
 uint64_t ap_follow_last_change(const ap_follow_t *f)
 {
 	return f->last_change;
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -41,6 +41,7 @@
 
 /**
  * struct ap_store_read - response to a list or a watch; valid during the call that it is passed to.
+ * @era: rises when the store has returned to an older copy of itself; 0 if unknown
  * @as_of: revision of the store that the response describes
  * @more: another page follows the last item
  */
@@ -48,6 +49,7 @@
 	ap_store_end_t end;
 	const ap_store_item_t *items;
 	size_t n;
+	uint64_t era;
 	uint64_t as_of;
 	bool more;
 } ap_store_read_t;
@@ -92,6 +94,8 @@
 void ap_follow_response(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now);
 /** ap_follow_relist() - reads the complete list next, since the known items may be wrong. */
 void ap_follow_relist(ap_follow_t *f, ap_usec_t now);
+/** ap_follow_revision() - returns the revision up to which this instance knows the store. */
+uint64_t ap_follow_revision(const ap_follow_t *f);
 /** ap_follow_last_change() - returns the revision of the last change that was read. */
 uint64_t ap_follow_last_change(const ap_follow_t *f);
 /**
