Compare revisions of the store within one era only

What callers saw: requests that went to an upstream that was still cold; dozens of them in one second, where the upstream had stated what it bears, make it crash and take its streams with it.

Cause: when the store returns as an older copy of itself it gives out revisions again, and lib/follow compared revisions of the new history with those of the old. An instance on standby makes no call, so no 410 reaches it: relays (as_of not above what it knew) and announcements (not above its last change) looked old and were dropped until the store had counted past what it knew, and the changes below that were never delivered. A watcher whose next call came after the counter had caught up missed the same changes. An instance that missed the start of an evacuation ignores its end, doesn't take the upstreams for possibly cold, and sends to them without a bound.

Class: an ordering token that is compared outside the history that issued it.

Change: each response, relay and announcement carries the store's era. A later era makes the list be read anew, with standbys spread over one interval; an earlier one is ignored; records that the copy lacks may come back for as long as after an outage.

Why this works: a comparison across histories can't be made right by any order of arrival, so none is made.

--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -314,11 +314,12 @@
 static void share_store_watch(gateway_t *gate, ap_usec_t now)
 {
 	uint64_t changed;
+	uint64_t era;
 
-	if (gate->peer && ap_fleet_store_watched(gate->fleet, now, &changed))
-		ap_follow_stand_by(gate->follow, changed, now);
+	if (gate->peer && ap_fleet_store_watched(gate->fleet, now, &era, &changed))
+		ap_follow_stand_by(gate->follow, era, changed, now);
 	ap_fleet_set_store_state(gate->fleet, ap_follow_watching(gate->follow, now),
-				 ap_follow_last_change(gate->follow));
+				 ap_follow_era(gate->follow), ap_follow_last_change(gate->follow));
 }
 
 void gate_store_tick(gateway_t *gate, ap_usec_t now)
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -168,13 +168,14 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 7);
+	msgpack_pack_array(&out.pk, 8);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
 	pack_store(f, &out.pk);
 	n += pack_health(f, &out.pk, now);
 	n += pack_unnamed(f, &out.pk);
+	msgpack_pack_uint64(&out.pk, f->store_era);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -386,6 +387,7 @@
 	uint64_t revision = ap_wire_u64(&r);
 	ap_wire_reader_t health = optional_array(&r);
 	ap_wire_reader_t unnamed = optional_array(&r);
+	uint64_t era = r.left > 0 ? ap_wire_u64(&r) : 0;
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
@@ -396,6 +398,7 @@
 		return true;
 	apply_draining(f, m, in->head.from, draining, now);
 	m->watches_store = watching;
+	m->store_era = era;
 	m->store_revision = revision;
 	return true;
 }
@@ -444,13 +447,14 @@
 	return ok;
 }
 
-void ap_fleet_set_store_state(ap_fleet_t *f, bool watching, uint64_t revision)
+void ap_fleet_set_store_state(ap_fleet_t *f, bool watching, uint64_t era, uint64_t revision)
 {
 	/* Announces a change at once, so that the other instances need not query the store for it.
 	 */
-	if (watching && revision != f->store_revision)
+	if (watching && (era != f->store_era || revision != f->store_revision))
 		f->announced_at = 0;
 	f->watches_store = watching;
+	f->store_era = era;
 	f->store_revision = revision;
 }
 
@@ -476,11 +480,12 @@
 	return ap_rendezvous(WATCHER_KEY, ap_hash_str(id, 7), 1);
 }
 
-bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *revision)
+bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *era, uint64_t *revision)
 {
 	double own = watcher_score(f->config.id);
 	size_t watching = 0;
 
+	*era = 0;
 	*revision = 0;
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		if (!ap_member_live(m, now) || !in_own_region(f, m))
@@ -488,7 +493,11 @@
 		if (!is_live_other(f, m, now) || !m->watches_store ||
 		    now - m->heard_at > WATCHER_MAX_AGE)
 			continue;
-		if (m->store_revision > *revision)
+		if (m->store_era > *era) {
+			*era = m->store_era;
+			*revision = 0;
+		}
+		if (m->store_era == *era && m->store_revision > *revision)
 			*revision = m->store_revision;
 		watching += watcher_score(m->member.id) > own;
 	}
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -351,16 +351,18 @@
 /**
  * ap_fleet_set_store_state() - sets what the next announcements say of the store.
  * @watching: this instance watches the store successfully
+ * @era: of the store, to which @revision belongs
  * @revision: revision of the last change that it read
  */
-void ap_fleet_set_store_state(ap_fleet_t *f, bool watching, uint64_t revision);
+void ap_fleet_set_store_state(ap_fleet_t *f, bool watching, uint64_t era, uint64_t revision);
 /**
  * ap_fleet_store_watched() - returns whether enough other instances of the region watch the store,
  * so that this one need not. In a large region some instances watch for all; in a small one each
  * instance watches for itself.
- * @revision: receives the revision of the last change that any of them read
+ * @era: receives the latest era of the store that any of them knows
+ * @revision: receives the revision of the last change of that era that any of them read
  */
-bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *revision);
+bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *era, uint64_t *revision);
 /**
  * ap_fleet_relay() - sends a message with changes of the store to the other instances of the
  * region, if some instances watch the store for all there.
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -132,7 +132,7 @@
  * @draining_inc: the incarnation that announced that it is draining
  * @heard_at: time of the last announcement; 0 for none
  * @watches_store: the instance watches the store
- * @store_revision: revision of the last change of the store that the instance read
+ * @store_era, @store_revision: of the last change of the store that the instance read
  * @loads: its load at upstreams, as announced at @loads_at
  */
 typedef struct ap_member_state {
@@ -146,6 +146,7 @@
 	ap_id_t draining_inc;
 	ap_usec_t heard_at;
 	bool watches_store;
+	uint64_t store_era;
 	uint64_t store_revision;
 	ap_announced_load_t *loads;
 	size_t n_loads;
@@ -217,6 +218,7 @@
 	bool announced_load;   /* the last announcement held loads, health check results or
 				* unnamed tokens */
 	bool watches_store;
+	uint64_t store_era;
 	uint64_t store_revision;
 };
 
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -22,6 +22,7 @@
 	bool relist;
 	bool listed; /* a list has been read to its end */
 	char after[AP_STORE_KEY_MAX];
+	uint64_t era; /* that all revisions below belong to; 0 until a response stated one */
 	uint64_t as_of;
 	uint64_t watched_from; /* revision after which the call in progress requests changes */
 	uint64_t list_as_of;
@@ -58,6 +59,12 @@
 	return pause + (ap_usec_t)((ap_rng_unit(&f->rng) - 0.5) * JITTER * (double)pause);
 }
 
+/* Returns a random part of @span, so that instances don't call at the same time. */
+static ap_usec_t some_of(ap_follow_t *f, ap_usec_t span)
+{
+	return (ap_usec_t)(ap_rng_unit(&f->rng) * (double)span);
+}
+
 static void begin_list(ap_follow_t *f)
 {
 	f->state = STATE_LIST;
@@ -153,9 +160,42 @@
 	f->due = now + add_jitter(f, f->backoff);
 }
 
+/*
+ * The store returned to an older copy of itself and gives out again the revisions after that
+ * copy's. The list is read anew at @due. Keys whose last write was lost may be written again.
+ */
+static void enter_era(ap_follow_t *f, uint64_t era, ap_usec_t due, ap_usec_t now)
+{
+	f->era = era;
+	f->last_change = 0;
+	f->announced = 0;
+	f->available_again_at = now;
+	f->relist = true;
+	f->due = due;
+}
+
+/* Returns whether a response of @era describes the history that is known here. */
+static bool is_known_era(ap_follow_t *f, uint64_t era, ap_usec_t now)
+{
+	if (f->era == 0 && !f->listed && f->after[0] == '\0')
+		f->era = era;
+	if (era > f->era)
+		enter_era(f, era, now, now);
+	else if (era < f->era)
+		back_off(f, now);
+	else
+		return true;
+	return false;
+}
+
 void ap_follow_response(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now)
 {
+	bool answered = read->end == AP_STORE_OK || read->end == AP_STORE_COMPACTED;
+
 	f->calling = false;
+	/* A response without an era is of a store that never returns to a copy. */
+	if (answered && read->era > 0 && !is_known_era(f, read->era, now))
+		return;
 	if (read->end == AP_STORE_COMPACTED) {
 		f->last_response_at = now;
 		f->relist = true;
@@ -186,7 +226,10 @@
 
 void ap_follow_relayed(ap_follow_t *f, uint64_t after, const ap_store_read_t *read, ap_usec_t now)
 {
-	if (f->state != STATE_WATCH || f->relist || after > f->as_of || read->as_of <= f->as_of)
+	if (read->era > f->era)
+		enter_era(f, read->era, now + some_of(f, f->config.interval), now);
+	if (read->era != f->era || f->state != STATE_WATCH || f->relist || after > f->as_of ||
+	    read->as_of <= f->as_of)
 		return;
 	deliver_items(f, read, f->as_of);
 	f->as_of = read->as_of;
@@ -200,6 +243,11 @@
 	f->due = now + f->config.interval;
 }
 
+uint64_t ap_follow_era(const ap_follow_t *f)
+{
+	return f->era;
+}
+
 uint64_t ap_follow_revision(const ap_follow_t *f)
 {
 	return f->as_of;
@@ -210,9 +258,12 @@
 	return f->last_change;
 }
 
-void ap_follow_stand_by(ap_follow_t *f, uint64_t announced, ap_usec_t now)
+void ap_follow_stand_by(ap_follow_t *f, uint64_t era, uint64_t announced, ap_usec_t now)
 {
-	if (f->calling || f->relist || f->backoff > 0 || f->state != STATE_WATCH)
+	if (era > f->era)
+		enter_era(f, era, now + some_of(f, f->config.interval), now);
+	/* Instances that still read an earlier era don't watch for this one. */
+	if (f->calling || f->relist || f->backoff > 0 || f->state != STATE_WATCH || era != f->era)
 		return;
 	f->standby_at = now;
 	if (announced > f->last_change && announced > f->as_of) {
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -1,9 +1,10 @@
 /*
  * Follows the platform's store: reads the list of all items once, then watches for changes at an
- * interval that keeps the number of calls low. Lost, refused or late responses and compacted
- * history are ordinary cases. Also keeps an instance's own key registered there under a lease, and
- * keeps a snapshot of what was read. The code here does no I/O and reads no clock: calls go out
- * through callbacks, responses and the time come in.
+ * interval that keeps the number of calls low. Lost, refused or late responses, compacted history
+ * and a store that returned to an older copy of itself are ordinary cases. A revision belongs to an
+ * era of the store and is never compared with one of another era. Also keeps an instance's own key
+ * registered there under a lease, and keeps a snapshot of what was read. The code here does no I/O
+ * and reads no clock: calls go out through callbacks, responses and the time come in.
  */
 #ifndef AP_FOLLOW_H
 #define AP_FOLLOW_H
@@ -94,6 +95,8 @@
 void ap_follow_response(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now);
 /** ap_follow_relist() - reads the complete list next, since the known items may be wrong. */
 void ap_follow_relist(ap_follow_t *f, ap_usec_t now);
+/** ap_follow_era() - returns the store's era to which the revisions belong; 0 if unknown. */
+uint64_t ap_follow_era(const ap_follow_t *f);
 /** ap_follow_revision() - returns the revision up to which this instance knows the store. */
 uint64_t ap_follow_revision(const ap_follow_t *f);
 /** ap_follow_last_change() - returns the revision of the last change that was read. */
@@ -101,13 +104,15 @@
 /**
  * ap_follow_stand_by() - suspends the instance's own watch while other instances watch the store
  * and relay its changes. Call it on each tick while they do.
+ * @era: of the store, as they announced it; the list is read if it is later than the known one
  * @announced: revision of the last change that they announced; if that change isn't relayed
  *	shortly, one watch reads it from the store
  */
-void ap_follow_stand_by(ap_follow_t *f, uint64_t announced, ap_usec_t now);
+void ap_follow_stand_by(ap_follow_t *f, uint64_t era, uint64_t announced, ap_usec_t now);
 /**
  * ap_follow_relayed() - applies changes that another instance read after revision @after. They are
- * ignored if changes between the revision that is known here and @after are missing.
+ * ignored if changes between the revision that is known here and @after are missing, or if they are
+ * of an earlier era; those of a later era make the list be read.
  */
 void ap_follow_relayed(ap_follow_t *f, uint64_t after, const ap_store_read_t *read, ap_usec_t now);
 /**
--- a/test/choice_test.c
+++ b/test/choice_test.c
@@ -266,6 +266,7 @@
 {
 	bool watches[12];
 	uint64_t changed;
+	uint64_t era;
 	unsigned n = 0;
 	net_t net;
 
@@ -275,43 +276,46 @@
 		ap_usec_t now = WORLD_START + (1 + round) * 2 * AP_SEC;
 
 		for (int i = 0; i < 12; i++)
-			ap_fleet_set_store_state(net.fleets[i], true, 40 + (uint64_t)round);
+			ap_fleet_set_store_state(net.fleets[i], true, 1, 40 + (uint64_t)round);
 		net_announce(&net, now);
 		n = 0;
 		for (int i = 0; i < 12; i++) {
-			watches[i] = !ap_fleet_store_watched(net.fleets[i], now, &changed);
+			watches[i] = !ap_fleet_store_watched(net.fleets[i], now, &era, &changed);
 			n += watches[i];
 			assert_int_equal(changed, 40 + round);
+			assert_int_equal(era, 1);
 		}
 		assert_int_equal(n, 3);
 	}
 	for (int i = 0; i < 12; i++)
-		ap_fleet_set_store_state(net.fleets[i], !watches[i], 41);
+		ap_fleet_set_store_state(net.fleets[i], !watches[i], 1, 41);
 	net_announce(&net, WORLD_START + 6 * AP_SEC);
 	n = 0;
 	for (int i = 0; i < 12; i++)
-		n += !watches[i] &&
-		     !ap_fleet_store_watched(net.fleets[i], WORLD_START + 6 * AP_SEC, &changed);
+		n += !watches[i] && !ap_fleet_store_watched(net.fleets[i], WORLD_START + 6 * AP_SEC,
+							    &era, &changed);
 	assert_int_equal(n, 3);
 	/* Without recent announcements every instance watches. */
 	for (int i = 0; i < 12; i++)
-		assert_false(
-			ap_fleet_store_watched(net.fleets[i], WORLD_START + 9 * AP_SEC, &changed));
+		assert_false(ap_fleet_store_watched(net.fleets[i], WORLD_START + 9 * AP_SEC, &era,
+						    &changed));
 	net_end(&net);
 }
 
 static void in_a_small_region_each_instance_watches_the_store(void **state)
 {
 	uint64_t changed;
+	uint64_t era;
 	net_t net;
 
 	(void)state;
 	net_begin(&net, 4, 4);
 	for (int i = 0; i < 8; i++)
-		ap_fleet_set_store_state(net.fleets[i], true, 40);
+		ap_fleet_set_store_state(net.fleets[i], true, 1, 40);
 	net_announce(&net, WORLD_START + AP_SEC);
 	for (int i = 0; i < 8; i++)
-		assert_false(ap_fleet_store_watched(net.fleets[i], WORLD_START + AP_SEC, &changed));
+		assert_false(ap_fleet_store_watched(net.fleets[i], WORLD_START + AP_SEC, &era,
+						    &changed));
 	net_end(&net);
 }
 
@@ -332,6 +336,7 @@
 {
 	ap_wire_out_t out;
 	uint64_t changed;
+	uint64_t era;
 	net_t net;
 
 	(void)state;
@@ -348,7 +353,7 @@
 					     out.buf.size, WORLD_START));
 		ap_wire_out_end(&out);
 	}
-	ap_fleet_store_watched(net.fleets[0], WORLD_START, &changed);
+	ap_fleet_store_watched(net.fleets[0], WORLD_START, &era, &changed);
 	assert_int_equal(changed, 77);
 	net_end(&net);
 }
--- a/test/cold_run_test.c
+++ b/test/cold_run_test.c
@@ -87,6 +87,7 @@
 
 	(void)arg;
 	note(w, "the store returns as a copy", (int)(f->age / AP_MSEC));
+	w->slow = 0;
 	sw_return(w, f->age);
 }
 
@@ -100,6 +101,7 @@
 		return;
 	note(w, "the store is unreachable", 0);
 	w->away = true;
+	w->slow = between(w, 0, 600 * AP_MSEC); /* some responses arrive after the return */
 	f->age = between(w, AP_SEC, 6 * AP_SEC);
 	later(w, between(w, 100 * AP_MSEC, 1500 * AP_MSEC), restore_end, f);
 }
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -1,110 +1,5 @@
 /* Following the store, registering the instance's own key under a lease, and snapshots. */
-#include "follow/follow.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
-#define START (50 * AP_SEC)
-#define INTERVAL (800 * AP_MSEC)
-
-typedef struct seen {
-	int lists;
-	int watches;
-	char after[64];
-	uint64_t revision;
-	int begun;
-	int ended;
-	char items[256];
-	int relayed;
-	uint64_t relayed_after;
-} seen_t;
-
-static void op_list(void *ctx, const char *after)
-{
-	seen_t *s = ctx;
-
-	s->lists++;
-	ap_copy_name(s->after, sizeof(s->after), after);
-}
-
-static void op_watch(void *ctx, uint64_t revision, ap_usec_t wait)
-{
-	seen_t *s = ctx;
-
-	(void)wait;
-	s->watches++;
-	s->revision = revision;
-}
-
-static void op_listing(void *ctx, bool begin)
-{
-	seen_t *s = ctx;
-
-	s->begun += begin;
-	s->ended += !begin;
-}
-
-static void op_item(void *ctx, const ap_store_item_t *item)
-{
-	seen_t *s = ctx;
-	size_t len = strlen(s->items);
-
-	snprintf(s->items + len, sizeof(s->items) - len, "%s%s ", item->removed ? "-" : "",
-		 item->key);
-}
-
-static void op_relay(void *ctx, uint64_t after, const ap_store_read_t *read)
-{
-	seen_t *s = ctx;
-
-	assert_true(read->n > 0);
-	s->relayed++;
-	s->relayed_after = after;
-}
-
-static ap_follow_t *follow(seen_t *s)
-{
-	ap_follow_config_t config = {
-		.interval = INTERVAL,
-		.wait = AP_SEC,
-		.unavailable_after = 2 * AP_SEC,
-		.recovery_time = 2 * AP_SEC,
-		.ctx = s,
-		.list = op_list,
-		.watch = op_watch,
-		.listing = op_listing,
-		.item = op_item,
-		.relay = op_relay,
-	};
-
-	return ap_follow_new(&config, START);
-}
-
-static void respond(ap_follow_t *f, ap_store_end_t end, const char *key, uint64_t as_of, bool more,
-		    ap_usec_t now)
-{
-	ap_store_item_t item = {.key = key, .value = "v", .len = 1, .revision = as_of};
-	ap_store_read_t read = {
-		.end = end, .items = &item, .n = key ? 1 : 0, .as_of = as_of, .more = more};
-
-	ap_follow_response(f, &read, now);
-}
-
-/* A follower that has read the list, one key at revision 10. */
-static ap_follow_t *listed(seen_t *s)
-{
-	ap_follow_t *f = follow(s);
-
-	ap_follow_tick(f, START);
-	respond(f, AP_STORE_OK, "a", 10, false, START);
-	return f;
-}
+#include "follow_rig.h"
 
 static void pages_then_changes_since_the_first_page(void **state)
 {
@@ -200,27 +95,27 @@
 	(void)state;
 	for (int i = 0; i < 100; i++) {
 		now += 100 * AP_MSEC;
-		ap_follow_stand_by(f, 10, now);
+		ap_follow_stand_by(f, 0, 10, now);
 		ap_follow_tick(f, now);
 	}
 	assert_int_equal(s.watches, 0);
 	assert_int_equal(ap_follow_age(f, now), 0);
 	assert_false(ap_follow_watching(f, now));
-	ap_follow_stand_by(f, 12, now);
+	ap_follow_stand_by(f, 0, 12, now);
 	ap_follow_tick(f, now);
 	assert_int_equal(s.watches, 0); /* the change may still be relayed */
 	now += 150 * AP_MSEC;
-	ap_follow_stand_by(f, 12, now);
+	ap_follow_stand_by(f, 0, 12, now);
 	ap_follow_tick(f, now);
 	assert_int_equal(s.watches, 1);
 	respond(f, AP_STORE_OK, "b", 12, false, now);
 	/* The key of the announced change was removed: a later revision of the store is enough. */
-	ap_follow_stand_by(f, 15, now);
+	ap_follow_stand_by(f, 0, 15, now);
 	now += 150 * AP_MSEC;
 	ap_follow_tick(f, now);
 	assert_int_equal(s.watches, 2);
 	respond(f, AP_STORE_OK, NULL, 16, false, now);
-	ap_follow_stand_by(f, 15, now);
+	ap_follow_stand_by(f, 0, 15, now);
 	ap_follow_tick(f, now + INTERVAL / 2);
 	assert_int_equal(s.watches, 2);
 	/* No other instance watches any more, so this one watches again. */
@@ -231,20 +126,6 @@
 	ap_follow_free(f);
 }
 
-/* Relays a change of one key at @revision, which another instance read after @after. */
-static void relay_change(ap_follow_t *f, uint64_t after, const char *key, uint64_t revision,
-			 ap_usec_t now)
-{
-	ap_store_item_t item = {.key = key, .value = "w", .len = 1, .revision = revision};
-	ap_store_read_t read = {.items = &item, .n = 1, .as_of = revision};
-	size_t len;
-	void *bytes = ap_changes_pack(after, &read, &len);
-
-	assert_true(ap_changes_apply(f, bytes, len, now));
-	assert_false(ap_changes_apply(f, bytes, len - 1, now));
-	free(bytes);
-}
-
 static void relayed_changes_need_no_call(void **state)
 {
 	seen_t s = {0};
@@ -255,11 +136,11 @@
 	relay_change(f, 0, "early", 5, now); /* ignored: no list was read yet */
 	ap_follow_tick(f, now);
 	respond(f, AP_STORE_OK, "a", 10, false, now);
-	ap_follow_stand_by(f, 12, now);
+	ap_follow_stand_by(f, 0, 12, now);
 	relay_change(f, 9, "b", 12, now);
 	for (int i = 0; i < 20; i++) {
 		now += 100 * AP_MSEC;
-		ap_follow_stand_by(f, 12, now);
+		ap_follow_stand_by(f, 0, 12, now);
 		ap_follow_tick(f, now);
 	}
 	assert_int_equal(s.watches, 0);
@@ -269,9 +150,9 @@
 	/* A message before this one was lost, so it doesn't continue from the known revision. */
 	relay_change(f, 14, "d", 15, now);
 	assert_string_equal(s.items, "a b ");
-	ap_follow_stand_by(f, 15, now);
+	ap_follow_stand_by(f, 0, 15, now);
 	now += 150 * AP_MSEC;
-	ap_follow_stand_by(f, 15, now);
+	ap_follow_stand_by(f, 0, 15, now);
 	ap_follow_tick(f, now);
 	assert_int_equal(s.watches, 1);
 	assert_int_equal(s.revision, 12);
@@ -315,7 +196,7 @@
 	respond(f, AP_STORE_OK, "c", 13, false, now);
 	assert_int_equal(s.relayed, 1);
 	/* The change was announced by other instances, so they have it already. */
-	ap_follow_stand_by(f, 20, now);
+	ap_follow_stand_by(f, 0, 20, now);
 	ap_follow_tick(f, now + 150 * AP_MSEC);
 	respond(f, AP_STORE_OK, "d", 20, false, now + 150 * AP_MSEC);
 	assert_int_equal(s.relayed, 1);
--- a/test/region_world.h
+++ b/test/region_world.h
@@ -104,11 +104,12 @@
 {
 	ap_usec_t now = n->w->sim.now;
 	uint64_t changed;
+	uint64_t era;
 
-	if (ap_fleet_store_watched(n->fleet, now, &changed))
-		ap_follow_stand_by(n->follow, changed, now);
+	if (ap_fleet_store_watched(n->fleet, now, &era, &changed))
+		ap_follow_stand_by(n->follow, era, changed, now);
 	ap_fleet_set_store_state(n->fleet, ap_follow_watching(n->follow, now),
-				 ap_follow_last_change(n->follow));
+				 ap_follow_era(n->follow), ap_follow_last_change(n->follow));
 	ap_follow_tick(n->follow, now);
 	ap_registration_tick(n->registration, now);
 }
