--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -42,8 +42,8 @@
 static const char *fleet_event_name(ap_fleet_event_kind_t kind)
 {
 	static const char *const names[AP_FLEET_EVENT_KINDS] = {
-		"upstream.ejected", "upstream.back",	  "upstream.moved",
-		"upstream.lapsed",  "instance.suspected",
+		"upstream.ejected",   "upstream.back",	  "upstream.moved",	"upstream.lapsed",
+		"instance.suspected", "upstream.limited", "upstream.unlimited",
 	};
 
 	return names[kind];
@@ -55,9 +55,9 @@
 	const char *field = event->kind == AP_FLEET_EVENT_SUSPECTED ? "other" : "upstream";
 
 	ap_journal_write(gate->journal, AP_RECORD_RARE, fleet_event_name(event->kind), NULL,
-			 "s:s,s:I,s:I,s:i", field, event->id, "entry_age_ms",
+			 "s:s,s:I,s:I,s:i,s:f", field, event->id, "entry_age_ms",
 			 msec(event->entry_age), "lasts_ms", msec(event->lasts), "failures",
-			 (int)event->failures);
+			 (int)event->failures, "limit_per_s", event->limit);
 }
 
 static json_t *steps_of(const gate_call_t *c)
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -75,6 +75,18 @@
 	return allowed;
 }
 
+/* Passes on what the upstream's response says of the upstream itself. */
+static void see_limit(gate_call_t *c, const ap_http_head_t *head, const ap_host_response_t *info)
+{
+	if (c->x.target.remote || head->status == AP_HOST_MISDIRECTED)
+		return;
+	if (info->limit_invalid)
+		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "upstream.limit-invalid", c->id,
+				 "s:s", "upstream", c->x.target.id);
+	else if (info->limit >= 0 || info->from_replica)
+		ap_fleet_limit_seen(c->gate->fleet, c->x.target.id, info->limit, ap_now());
+}
+
 static void on_head(void *ctx, const ap_http_head_t *head)
 {
 	gate_call_t *c = ctx;
@@ -101,6 +113,7 @@
 		gate_call_update(c);
 		return;
 	}
+	see_limit(c, head, &info);
 	if (c->x.target.remote && evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN))
 		response.refused = true;
 	if (c->x.target.remote && wait)
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -132,6 +132,7 @@
 	put(out, "upstreams", "{state=\"draining\"}", (double)fleet.draining);
 	put(out, "upstreams", "{state=\"cold\"}", (double)fleet.cold);
 	put(out, "upstreams", "{state=\"ejected\"}", (double)fleet.ejected);
+	put(out, "upstreams", "{state=\"limited\"}", (double)fleet.limited);
 	put(out, "instances", "", (double)fleet.members);
 	put(out, "work_running", "", (double)fleet.running);
 	put(out, "configuration_version", "", gate->plan ? (double)gate->plan->version : 0);
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -17,13 +17,14 @@
 
 /* Records of an instance's own state and its view of the fleet, not of a request. */
 static const char *const state_events[] = {
-	"configuration.refused", "configuration.taken", "directory.stopgap", "evacuation",
-	"instance.lost",	 "instance.seen",	"log.dropped",	     "peer.unreadable",
-	"process.frozen",	 "process.leaving",	"process.reload",    "process.started",
-	"process.stopped",	 "seed.answered",	"store.away",	     "store.back",
-	"store.listed",		 "upstream.asked",	"store.unreadable",  "upstream.draining",
-	"upstream.removed",	 "upstream.ejected",	"upstream.back",     "upstream.moved",
-	"upstream.lapsed",	 "instance.suspected",	"store.era",
+	"configuration.refused", "configuration.taken",	   "directory.stopgap", "evacuation",
+	"instance.lost",	 "instance.seen",	   "log.dropped",	"peer.unreadable",
+	"process.frozen",	 "process.leaving",	   "process.reload",	"process.started",
+	"process.stopped",	 "seed.answered",	   "store.away",	"store.back",
+	"store.listed",		 "upstream.asked",	   "store.unreadable",	"upstream.draining",
+	"upstream.removed",	 "upstream.ejected",	   "upstream.back",	"upstream.moved",
+	"upstream.lapsed",	 "instance.suspected",	   "store.era",		"upstream.limited",
+	"upstream.unlimited",	 "upstream.limit-invalid",
 };
 
 static const char *const request_events[] = {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -173,6 +173,8 @@
 	AP_FLEET_EVENT_ADDRESS_REUSED, /* another upstream has the address of this one */
 	AP_FLEET_EVENT_EXPIRED,	       /* an entry was still missing after its grace period */
 	AP_FLEET_EVENT_SUSPECTED,      /* no connection to an instance, or a timeout */
+	AP_FLEET_EVENT_LIMITED,	       /* an upstream named a limit, or another one */
+	AP_FLEET_EVENT_UNLIMITED,      /* it responded without naming one */
 	AP_FLEET_EVENT_KINDS,
 } ap_fleet_event_kind_t;
 
@@ -182,6 +184,7 @@
  * @entry_age: age in microseconds of the upstream's entry; 0 for an instance
  * @lasts: minimum duration of the new state in microseconds; 0 if unknown
  * @failures: consecutive failures before the event
+ * @limit: requests per second, for AP_FLEET_EVENT_LIMITED
  */
 typedef struct ap_fleet_event {
 	ap_fleet_event_kind_t kind;
@@ -189,6 +192,7 @@
 	ap_usec_t entry_age;
 	ap_usec_t lasts;
 	unsigned failures;
+	double limit;
 } ap_fleet_event_t;
 
 /**
@@ -268,6 +272,12 @@
  * @cold_left: remaining cold time in microseconds; 0 if the upstream is not cold
  */
 void ap_fleet_health_checked(ap_fleet_t *f, const char *id, ap_usec_t cold_left, ap_usec_t now);
+/**
+ * ap_fleet_limit_seen() - upstream @id responded to a request.
+ * @limit: the requests per second that it takes from all instances together, as the response says;
+ *         negative if it names no limit
+ */
+void ap_fleet_limit_seen(ap_fleet_t *f, const char *id, double limit, ap_usec_t now);
 /** ap_fleet_tick() - removes what has expired; to be called several times a second. */
 void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now);
 /**
@@ -389,6 +399,7 @@
 	size_t draining;
 	size_t cold;
 	size_t ejected;
+	size_t limited;
 	size_t members;
 	size_t running;
 } ap_fleet_stats_t;
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -79,6 +79,7 @@
  * @announce_until: the result of the health check is announced until then
  * @cold_allowance: requests that this instance may send now while the upstream is cold; a token
  *                  bucket, last filled at @cold_filled_at
+ * @limited: the upstream names a limit, of @limit requests per second from all instances together
  * @own: load sent by this instance
  * @others: sum of the load announced by other instances of the region
  * @failure_rate: share of recent requests that failed, as of @failure_rate_at; decays
@@ -110,6 +111,8 @@
 	ap_usec_t announce_until;
 	double cold_allowance;
 	ap_usec_t cold_filled_at;
+	bool limited;
+	double limit;
 	ap_load_t own;
 	ap_load_t others;
 	double failure_rate;
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -35,6 +35,7 @@
 		.entry_age = now - r->received_at,
 		.lasts = lasts,
 		.failures = r->failures,
+		.limit = r->limit,
 	};
 
 	if (f->config.on_event)
@@ -272,6 +273,7 @@
 		stats.draining += r->entry.draining;
 		stats.cold += now < r->cold_until;
 		stats.ejected += now < r->ejected_until;
+		stats.limited += r->limited;
 		for (size_t i = 0; i < AP_PRIORITIES; i++)
 			stats.running += r->own.running[i];
 	}
--- a/test/host_test.c
+++ b/test/host_test.c
@@ -345,10 +345,37 @@
 	fill(&h, good, 2);
 	a = ap_host_parse_response(&h, 503, "abc");
 	assert_true(!a.not_run && a.id_matches && a.from_replica);
+	assert_true(a.limit < 0 && !a.limit_invalid);
 	assert_true(ap_host_parse_response(&h, 421, "abc").not_run);
 	evhttp_clear_headers(&h);
 }
 
+static void test_limit_header(void **state)
+{
+	static const struct {
+		const char *text;
+		double limit;
+		bool invalid;
+	} cases[] = {
+		{"1.4", 1.4, false}, {"0", 0, false},	{"250", 250, false}, {"", -1, true},
+		{"-1", -1, true},    {"nan", -1, true}, {"inf", -1, true},   {"2/s", -1, true},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const char *const pairs[][2] = {{"Server-Stamp", "s"},
+						{"Server-Limit", cases[i].text}};
+		ap_host_response_t a;
+		headers_t h;
+
+		fill(&h, pairs, 2);
+		a = ap_host_parse_response(&h, 200, "abc");
+		assert_true(a.limit == cases[i].limit);
+		assert_int_equal(a.limit_invalid, cases[i].invalid);
+		evhttp_clear_headers(&h);
+	}
+}
+
 static ap_journal_t *journal_on(int fd, unsigned sample, unsigned rate, size_t backlog)
 {
 	ap_journal_config_t config = {
@@ -446,6 +473,7 @@
 		cmocka_unit_test(test_too_many_headers_are_refused),
 		cmocka_unit_test(test_health_response),
 		cmocka_unit_test(test_response_headers),
+		cmocka_unit_test(test_limit_header),
 		cmocka_unit_test(test_record_is_one_line_of_json),
 		cmocka_unit_test(test_stalled_reader_does_not_block),
 		cmocka_unit_test(test_log_rate_is_bounded),
