Test that limits named by upstreams hold, summed over all instances

As the users' record shows a finding 5.04 s after the limit was named, each window that ends 5 s after it or later counts.

--- a/test/region_world.h
+++ b/test/region_world.h
@@ -8,6 +8,8 @@
 #include "store_world.h"
 #include "wire/frame.h"
 
+#include <math.h>
+
 /* What an instance does with what it reads. */
 
 static inline void sw_op_listing(void *ctx, bool begin)
@@ -197,6 +199,8 @@
 	if (!n->up)
 		return;
 	n->up = false;
+	for (int i = 0; i < SW_REPLICAS; i++)
+		n->w->replicas[i].told_at[n->number] = 0;
 	ap_fleet_free(n->fleet);
 	ap_follow_free(n->follow);
 	ap_snapshot_free(n->snapshot);
@@ -303,6 +307,7 @@
 	snprintf(r->id, sizeof(r->id), "e%d.%u", r->number, ++r->life);
 	r->up = true;
 	r->n_arrivals = 0;
+	r->limit = -1;
 	r->cold_until = cold ? w->sim.now + world_engines.warmup : 0;
 	r->written = (ap_replica_entry_t){0};
 	r->heartbeat_at = w->sim.now + (ap_usec_t)ap_rng_below(&w->sim.rng, 300 * AP_MSEC);
@@ -333,6 +338,7 @@
 	unsigned in_second = 0;
 
 	w->sent++;
+	r->all_arrivals++;
 	if (w->sim.now >= r->cold_until)
 		return;
 	w->sent_cold++;
@@ -345,9 +351,40 @@
 	}
 }
 
+/*
+ * Counts an arrival at an upstream that names a limit: in four seconds, the instances that were
+ * told send no more than one and a half times what the limit allows, and five requests.
+ */
+static inline void sw_arrive_limited(sw_t *w, sw_replica_t *r, const sw_instance_t *from)
+{
+	ap_usec_t told = r->told_at[from->number];
+	unsigned in_window = 0;
+
+	if (r->limit < 0 || told == 0 || w->sim.now < told + SW_TOLD_TIME || from->alone)
+		return;
+	w->sent_limited++;
+	r->limited[r->n_limited++ % SW_ARRIVALS] = (sw_limited_t){w->sim.now, from->number};
+	if (w->sim.now < r->limited_at + SW_LIMIT_STABLE)
+		return;
+	for (size_t i = 0; i < SW_ARRIVALS && i < r->n_limited; i++)
+		in_window += r->limited[i].at > w->sim.now - SW_LIMIT_WINDOW;
+	w->worst_limited = fmax(w->worst_limited, in_window / (1.5 * 4 * r->limit + 5));
+}
+
+/* Begins or, with a negative @limit, ends naming a limit. */
+static inline void sw_replica_limit(sw_t *w, sw_replica_t *r, double limit)
+{
+	r->limit = limit;
+	r->limited_at = w->sim.now;
+	r->n_limited = 0;
+	memset(r->told_at, 0, sizeof(r->told_at));
+}
+
 typedef struct sw_sent {
 	sw_instance_t *instance;
 	unsigned life;
+	char id[AP_NAME_MAX];
+	double limit;
 	ap_inflight_t inflight;
 } sw_sent_t;
 
@@ -356,9 +393,15 @@
 	sw_sent_t *sent = data;
 	sw_instance_t *n = sent->instance;
 
+	sw_replica_t *r = sw_replica(n->w, sent->id);
+
 	(void)arg;
-	if (n->up && n->life == sent->life)
-		ap_fleet_done(n->fleet, &sent->inflight, AP_DISPATCH_DONE, n->w->sim.now);
+	if (!n->up || n->life != sent->life)
+		return;
+	ap_fleet_limit_seen(n->fleet, sent->id, sent->limit, n->w->sim.now);
+	if (r && sent->limit >= 0 && r->told_at[n->number] == 0)
+		r->told_at[n->number] = n->w->sim.now;
+	ap_fleet_done(n->fleet, &sent->inflight, AP_DISPATCH_DONE, n->w->sim.now);
 }
 
 static inline void sw_request(sw_instance_t *n)
@@ -384,6 +427,9 @@
 		return;
 	}
 	sw_arrive(w, r);
+	sw_arrive_limited(w, r, n);
+	sent->limit = r->limit;
+	ap_copy_name(sent->id, sizeof(sent->id), r->id);
 	if (w->verbose && now < r->cold_until && !target.cold)
 		print_message("%.3f %s sends to %s, cold for %.3f s, taken for warm\n",
 			      (double)now / 1e6, n->id, r->id, (double)(r->cold_until - now) / 1e6);
--- a/test/store_world.h
+++ b/test/store_world.h
@@ -31,6 +31,9 @@
 #define SW_CALL_TIMEOUT (700 * AP_MSEC)
 #define SW_SEED_DELAY (300 * AP_MSEC)
 #define SW_REQUEST_TIME (200 * AP_MSEC)
+#define SW_LIMIT_WINDOW (4 * AP_SEC)
+#define SW_LIMIT_STABLE (5 * AP_SEC) /* from naming a limit until it binds */
+#define SW_TOLD_TIME (500 * AP_MSEC) /* from the response until it binds an instance */
 
 typedef struct sw sw_t;
 
@@ -61,6 +64,12 @@
 	uint64_t revision;
 } sw_state_t;
 
+/* An arrival at an upstream that names a limit. */
+typedef struct sw_limited {
+	ap_usec_t at;
+	int from;
+} sw_limited_t;
+
 typedef struct sw_replica {
 	char id[AP_NAME_MAX];
 	int number;
@@ -72,6 +81,12 @@
 	ap_replica_entry_t written;
 	ap_usec_t arrivals[SW_ARRIVALS];
 	size_t n_arrivals;
+	unsigned all_arrivals;
+	double limit; /* requests per second that it names; negative for none */
+	ap_usec_t limited_at;
+	ap_usec_t told_at[SW_INSTANCES]; /* first response with the limit; 0 for none */
+	sw_limited_t limited[SW_ARRIVALS];
+	size_t n_limited;
 } sw_replica_t;
 
 typedef struct sw_instance {
@@ -108,6 +123,8 @@
 	unsigned sent_cold;
 	unsigned worst; /* most requests to a cold upstream in one second */
 	ap_usec_t worst_at;
+	double worst_limited; /* highest ratio of requests to the limit's bound */
+	unsigned sent_limited;
 	bool verbose;
 };
 
