--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -328,6 +328,20 @@
 	send_and_end(f, "s1", "south", AP_DISPATCH_TIMED_OUT, now + 1); /* no second event */
 }
 
+static void name_limit(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_fleet_limit_seen(f, "d1", -1, now);
+	ap_fleet_limit_seen(f, "d1", 1.5, now);
+	ap_fleet_limit_seen(f, "d1", 1.5, now);
+}
+
+static void end_limit(ap_fleet_t *f, ap_usec_t now)
+{
+	name_limit(f, now);
+	ap_fleet_limit_seen(f, "d1", -1, now);
+	ap_fleet_limit_seen(f, "d1", -1, now);
+}
+
 static void each_event_is_reported_once(void **state)
 {
 	static const struct {
@@ -339,6 +353,8 @@
 		[AP_FLEET_EVENT_ADDRESS_REUSED] = {reuse_address, "d1"},
 		[AP_FLEET_EVENT_EXPIRED] = {expire_entry, "d1"},
 		[AP_FLEET_EVENT_SUSPECTED] = {suspect_instance, "s1"},
+		[AP_FLEET_EVENT_LIMITED] = {name_limit, "d1"},
+		[AP_FLEET_EVENT_UNLIMITED] = {end_limit, "d1"},
 	};
 
 	(void)state;
