Keep the limits that upstreams name, summed over all instances

What callers saw: requests that went to an upstream in need as to any other and waited there or were refused, while other upstreams had room.

Cause: a response may say how many requests a second its upstream takes from all instances together. The header went through to the caller and nothing read it.

Class: a bound that belongs to all instances, stated in a message that one of them gets. A share for each can't keep it, since a share may be less than one request in the window.

Change: an upstream with a limit has one owner, as a cold one has, at three quarters of the limit, so that two owners by different views of membership stay within one and a half times of it; all others send nothing. What an instance sees in a response it announces to its region with the time since, and only what it saw itself; the latest report counts. The limit ends with a response that names none.

Why this works: what an instance may send depends only on what it has seen, not on what the others have heard. The announcements have one more, optional, field.

--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -5,7 +5,6 @@
  * complete in itself, so that a lost one only makes the receiver's state older.
  */
 #include "fleet/private.h"
-#include "wire/frame.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -193,7 +192,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 10);
+	msgpack_pack_array(&out.pk, 11);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -203,6 +202,7 @@
 	msgpack_pack_uint64(&out.pk, f->store_era);
 	ap_wire_pack_bool(&out.pk, !ap_fleet_uninformed(f, now));
 	n += pack_evacuations(f, &out.pk, now);
+	n += ap_limits_pack(f, &out.pk, now);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -435,11 +435,13 @@
 	uint64_t era = r.left > 0 ? ap_wire_u64(&r) : 0;
 	bool informed = r.left > 0 && ap_wire_bool(&r);
 	ap_wire_reader_t evacuations = optional_array(&r);
+	ap_wire_reader_t limits = optional_array(&r);
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
-	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now))
+	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
+	    !ap_limits_apply(f, &limits, now))
 		return false;
 	f->informed = f->informed || informed;
 	if (!informed)
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -148,7 +148,8 @@
 	       strcmp(r->region, f->config.region) == 0 && ap_replica_usable(f, r, now) &&
 	       !ap_dispatch_avoids(req, r->entry.id) &&
 	       (!ap_replica_cold(f, r, req->pool->warmup, now) || req->pool->warmup_rate <= 0 ||
-		ap_cold_allows(f, r, req->pool, now));
+		ap_cold_allows(f, r, req->pool, now)) &&
+	       (!ap_replica_limited(f, r, now) || ap_limit_allows(f, r, now));
 }
 
 /* Upstreams of the own region that may get the request. */
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -60,7 +60,7 @@
 	       is_unchecked(r, dc, p->warmup, now) &&
 	       now >= dc->evacuation_ended_at + CHECK_DELAY &&
 	       (r->check_sent_at == 0 || now - r->check_sent_at >= CHECK_RETRY) &&
-	       ap_replica_usable(f, r, now) && ap_cold_is_owner(f, r, now);
+	       ap_replica_usable(f, r, now) && ap_owner_is_self(f, r, now);
 }
 
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica)
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -179,10 +179,11 @@
 	double waits[WAITS_MAX];
 	size_t n = 0;
 
-	for (const ap_replica_t *r = f->replicas; r && n < WAITS_MAX; r = r->hh.next) {
+	for (ap_replica_t *r = f->replicas; r && n < WAITS_MAX; r = r->hh.next) {
 		if (strcmp(r->entry.pool, p->name) != 0 ||
 		    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now) ||
-		    !ap_replica_healthy(r, now) || ap_replica_cold(f, r, p->warmup, now))
+		    !ap_replica_healthy(r, now) || ap_replica_cold(f, r, p->warmup, now) ||
+		    ap_replica_limited(f, r, now))
 			continue;
 		waits[n++] = queue_us(r, p, priority);
 	}
@@ -291,7 +292,9 @@
 	inflight->trial = r->ejected_until != 0;
 	r->trial = r->trial || inflight->trial;
 	if (ap_replica_cold(f, r, req->pool->warmup, now))
-		ap_cold_sent(r);
+		r->cold.allowance -= 1;
+	if (ap_replica_limited(f, r, now))
+		r->within_limit.allowance -= 1;
 	r->own.running[inflight->priority]++;
 	r->own.prefill[inflight->priority] += inflight->prefill;
 	r->own.kv += inflight->kv;
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -3,6 +3,7 @@
 #define AP_FLEET_PRIVATE_H
 
 #include "fleet/fleet.h"
+#include "wire/frame.h"
 
 #include <sys/queue.h>
 
@@ -61,6 +62,12 @@
 	uint32_t tag;
 } ap_new_prefix_t;
 
+/* Token bucket. */
+typedef struct ap_bucket {
+	double allowance;    /* requests */
+	ap_usec_t filled_at; /* 0 before the first use */
+} ap_bucket_t;
+
 #define NEW_PREFIXES_MAX 64 /* per announcement; further ones are not announced */
 
 /**
@@ -77,9 +84,12 @@
  * @check_sent_at: time of the last health check; 0 for none
  * @check_answered_at: when the upstream last said whether it is cold
  * @announce_until: the result of the health check is announced until then
- * @cold_allowance: requests that this instance may send now while the upstream is cold; a token
- *                  bucket, last filled at @cold_filled_at
- * @limited: the upstream names a limit, of @limit requests per second from all instances together
+ * @cold: requests that this instance may send while the upstream is cold
+ * @limited: the upstream names a limit, of @limit requests per second from all instances together,
+ * as of @limit_at
+ * @limit_seen_at: when this instance last saw a response that named a limit, or the end of one
+ * @limit_ended_at: when it saw the end
+ * @within_limit: requests that this instance may send while there is a limit
  * @own: load sent by this instance
  * @others: sum of the load announced by other instances of the region
  * @failure_rate: share of recent requests that failed, as of @failure_rate_at; decays
@@ -109,10 +119,13 @@
 	ap_usec_t check_sent_at;
 	ap_usec_t check_answered_at;
 	ap_usec_t announce_until;
-	double cold_allowance;
-	ap_usec_t cold_filled_at;
+	ap_bucket_t cold;
 	bool limited;
 	double limit;
+	ap_usec_t limit_at;
+	ap_usec_t limit_seen_at;
+	ap_usec_t limit_ended_at;
+	ap_bucket_t within_limit;
 	ap_load_t own;
 	ap_load_t others;
 	double failure_rate;
@@ -270,12 +283,27 @@
 /* @r said in response to a health check, of any instance, how much longer it is cold. */
 void ap_replica_set_cold_left(ap_replica_t *r, ap_usec_t cold_left, ap_usec_t now);
 
+/* owner.c */
+#define AP_OWNERS_MAX 2.0 /* instances that may take themselves for the owner during a change */
+/* Returns whether this is the one instance of the region that may send to a restricted upstream. */
+bool ap_owner_is_self(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* Returns whether this instance is the owner and @b, filled at @rate per second, has a request. */
+bool ap_owner_allows(const ap_fleet_t *f, const ap_replica_t *r, ap_bucket_t *b, double rate,
+		     ap_usec_t now);
+
 /* cold.c */
 /* Returns whether this instance may send a request to the cold upstream @r now. */
 bool ap_cold_allows(ap_fleet_t *f, ap_replica_t *r, const ap_plan_pool_t *pool, ap_usec_t now);
-/* Returns whether this is the one instance of the region that may send to @r while @r is cold. */
-bool ap_cold_is_owner(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
-void ap_cold_sent(ap_replica_t *r);
+
+/* limit.c */
+/* Returns whether @r names a limit, as far as this instance has seen or heard. */
+bool ap_replica_limited(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+/* Returns whether this instance may send a request to @r, which names a limit, now. */
+bool ap_limit_allows(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+/* Packs the limits that this instance has seen. Return: how many. */
+size_t ap_limits_pack(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
+/* Applies those of another instance. Return: false if they are malformed. */
+bool ap_limits_apply(ap_fleet_t *f, ap_wire_reader_t *limits, ap_usec_t now);
 
 /* ejection.c */
 /* Returns whether @r is not ejected, or is due for a trial request. */
