Register anew under a new lease when the store has returned to an older copy

Callers would see an instance that the directory doesn't name although it runs, and instances that start later don't hear of it.

Cause: a store that returns as an older copy forgets the last leases and gives out their numbers again. An instance whose lease was lost renewed the lease that another one had got under the same number; it was never told that its own had ended, and if the copy had no record of it, it stayed unregistered.

Change: a new era drops lease and revision of the registration and begins with a new lease; the response to a call of the era before is ignored.

--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -326,6 +326,7 @@
 {
 	share_store_watch(gate, now);
 	ap_follow_tick(gate->follow, now);
+	ap_registration_set_era(gate->registration, ap_follow_era(gate->follow), now);
 	ap_registration_tick(gate->registration, now);
 	record_store_state(gate, now);
 }
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -196,6 +196,11 @@
  */
 void ap_registration_response(ap_registration_t *r, ap_store_end_t end, uint64_t lease_or_revision,
 			      ap_usec_t now);
+/**
+ * ap_registration_set_era() - the store is known to be in @era. When that changes, the key is
+ * written anew under a new lease: the old lease's id may have been given to another instance.
+ */
+void ap_registration_set_era(ap_registration_t *r, uint64_t era, ap_usec_t now);
 /** ap_registration_update() - the key's value has changed: writes it again. */
 void ap_registration_update(ap_registration_t *r, ap_usec_t now);
 /** ap_registration_seen() - the key was read at @revision, or had been removed if that is 0. */
--- a/lib/follow/registration.c
+++ b/lib/follow/registration.c
@@ -17,7 +17,9 @@
 	ap_registration_config_t config;
 	step_t step;
 	bool calling;
-	bool dirty; /* the key must be written again */
+	bool dirty;    /* the key must be written again */
+	bool outdated; /* the call in progress is of an earlier era */
+	uint64_t era;
 	uint64_t lease;
 	uint64_t revision;
 	ap_usec_t due;
@@ -90,6 +92,10 @@
 			      ap_usec_t now)
 {
 	r->calling = false;
+	if (r->outdated) {
+		r->outdated = false;
+		return;
+	}
 	switch (end) {
 	case AP_STORE_OK:
 		succeeded(r, lease_or_revision, now);
@@ -114,6 +120,19 @@
 		next(r, STEP_PUT, now);
 }
 
+void ap_registration_set_era(ap_registration_t *r, uint64_t era, ap_usec_t now)
+{
+	if (era == r->era)
+		return;
+	if (r->era > 0) {
+		r->outdated = r->calling;
+		r->lease = 0;
+		r->revision = 0;
+		next(r, STEP_LEASE, now);
+	}
+	r->era = era;
+}
+
 void ap_registration_update(ap_registration_t *r, ap_usec_t now)
 {
 	r->dirty = true;
--- a/test/cold_run_test.c
+++ b/test/cold_run_test.c
@@ -69,12 +69,44 @@
 	run_seeds(FAULT_EVACUATE | FAULT_CUT | FAULT_RESTART | FAULT_RESTORE | FAULT_REPLACE);
 }
 
+/*
+ * The store forgets the last leases and registrations, and gives out the leases' numbers again.
+ * Guards against instances that renew the lease of another one and stay unregistered.
+ */
+static void instances_register_again_after_the_store_went_back(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		sw_t *w = sw_new(seed);
+
+		fake_run(&w->sim, w->sim.now + WARMUP_TIME);
+		for (int i = 0; i < SW_INSTANCES / 2; i++)
+			sw_stop(&w->instances[i]);
+		fake_run(&w->sim, w->sim.now + 2 * SW_LEASE_TTL);
+		for (int i = 0; i < SW_INSTANCES / 2; i++) {
+			sw_start(&w->instances[i]);
+			fake_run(&w->sim, w->sim.now + 300 * AP_MSEC);
+		}
+		fake_run(&w->sim, w->sim.now + 700 * AP_MSEC);
+		sw_return(w, 4 * AP_SEC);
+		fake_run(&w->sim, w->sim.now + 3 * SW_LEASE_TTL);
+		for (int i = 0; i < SW_INSTANCES; i++) {
+			char key[AP_STORE_KEY_MAX];
+
+			snprintf(key, sizeof(key), "instances/n%d", i);
+			assert_non_null(sw_find(&w->store, key));
+		}
+		sw_free(w);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(cold_upstreams_are_not_flooded_after_the_store_went_back),
 		cmocka_unit_test(cold_upstreams_are_not_flooded_by_restarted_instances),
 		cmocka_unit_test(cold_upstreams_are_not_flooded_by_instances_without_the_store),
+		cmocka_unit_test(instances_register_again_after_the_store_went_back),
 	};
 
 	read_options(argc, argv);
--- a/test/region_world.h
+++ b/test/region_world.h
@@ -113,6 +113,7 @@
 	ap_fleet_set_store_state(n->fleet, ap_follow_watching(n->follow, now),
 				 ap_follow_era(n->follow), ap_follow_last_change(n->follow));
 	ap_follow_tick(n->follow, now);
+	ap_registration_set_era(n->registration, ap_follow_era(n->follow), now);
 	ap_registration_tick(n->registration, now);
 }
 
