Answer an uninformed instance only if there is something to tell

Each message of an instance that has not heard what the others know made the receiver announce at its next tick, 100 ms at most. That included messages of instances of an earlier version, which don't say whether they are informed, and those of instances that have just started themselves: after a restart of a whole region all would have announced ten times a second until 1.2 s were over, for nothing.

--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -433,7 +433,8 @@
 	ap_wire_reader_t health = optional_array(&r);
 	ap_wire_reader_t unnamed = optional_array(&r);
 	uint64_t era = r.left > 0 ? ap_wire_u64(&r) : 0;
-	bool informed = r.left > 0 && ap_wire_bool(&r);
+	bool says_informed = r.left > 0;
+	bool informed = says_informed && ap_wire_bool(&r);
 	ap_wire_reader_t evacuations = optional_array(&r);
 	ap_wire_reader_t limits = optional_array(&r);
 
@@ -444,7 +445,7 @@
 	    !ap_limits_apply(f, &limits, now))
 		return false;
 	f->informed = f->informed || informed;
-	if (!informed)
+	if (says_informed && !informed && !ap_fleet_uninformed(f, now))
 		f->announced_at = 0; /* the sender waits for an announcement */
 	if (!m)
 		return true;
