--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -136,7 +136,7 @@
 
 /*
  * Packs the evacuations that are in progress, or ended so shortly ago that upstreams may be cold:
- * the data centre, whether the evacuation ended, and the milliseconds since.
+ * the data centre, whether the evacuation ended, and the milliseconds since it ended or began.
  */
 static size_t pack_evacuations(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now)
 {
@@ -147,14 +147,14 @@
 		n += dc->evacuated || dc->evacuation_ended_at > since;
 	msgpack_pack_array(pk, n);
 	for (const ap_data_centre_state_t *dc = f->data_centres; dc; dc = dc->hh.next) {
-		if (!dc->evacuated && dc->evacuation_ended_at <= since)
+		ap_usec_t at = dc->evacuated ? dc->evacuation_began_at : dc->evacuation_ended_at;
+
+		if (!dc->evacuated && at <= since)
 			continue;
 		msgpack_pack_array(pk, 3);
 		ap_wire_pack_str(pk, dc->data_centre);
 		ap_wire_pack_bool(pk, !dc->evacuated);
-		msgpack_pack_uint64(pk, dc->evacuated ? 0
-						      : (uint64_t)(now - dc->evacuation_ended_at) /
-								AP_MSEC);
+		msgpack_pack_uint64(pk, (uint64_t)(now - at) / AP_MSEC);
 	}
 	return n;
 }
@@ -390,7 +390,7 @@
 		age_ms = ap_wire_u64(&e);
 		if (!e.ok || age_ms > UINT32_MAX)
 			return false;
-		ap_evacuation_heard(f, data_centre, ended, now - (ap_usec_t)age_ms * AP_MSEC);
+		ap_evacuation_heard(f, data_centre, ended, now - (ap_usec_t)age_ms * AP_MSEC, now);
 	}
 	return evacuations->ok;
 }
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -211,6 +211,7 @@
 	char region[AP_NAME_MAX];
 	bool evacuated;
 	bool listed;
+	ap_usec_t evacuation_began_at; /* when @evacuated was set */
 	ap_usec_t evacuation_ended_at; /* end of the last evacuation; 0 for none */
 	ap_usec_t
 		reported_at; /* another instance knew last of an evacuation that is unknown here */
@@ -259,11 +260,12 @@
 const char *ap_data_centre_region(const ap_fleet_t *f, const char *data_centre);
 
 /*
- * Another instance says that the evacuation of @data_centre ended at @at, or was in progress then.
- * Has no effect if this instance knows of that evacuation, or of a later one; else the data
- * centre's upstreams may be cold.
+ * Another instance says that an evacuation of @data_centre ended at @at, or began then and is in
+ * progress. Has no effect if this instance knows of that evacuation, or of a later one; else the
+ * data centre's upstreams may be cold.
  */
-void ap_evacuation_heard(ap_fleet_t *f, const char *data_centre, bool ended, ap_usec_t at);
+void ap_evacuation_heard(ap_fleet_t *f, const char *data_centre, bool ended, ap_usec_t at,
+			 ap_usec_t now);
 /* Returns the longest warmup time of the pools, as far as requests for them were seen. */
 ap_usec_t ap_longest_warmup(const ap_fleet_t *f);
 
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -7,8 +7,6 @@
 #define SHUTDOWN_MARGIN (300 * AP_MSEC) /* time for a short response before a shutdown */
 /* Announced ends of evacuations that differ by less are the same one, delayed. */
 #define SAME_END (1500 * AP_MSEC)
-/* Others may take an evacuation for still in progress for this long after its end. */
-#define END_READ_DELAY (10 * AP_SEC)
 
 ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag)
 {
@@ -196,18 +194,17 @@
 	}
 }
 
-void ap_evacuation_heard(ap_fleet_t *f, const char *data_centre, bool ended, ap_usec_t at)
+void ap_evacuation_heard(ap_fleet_t *f, const char *data_centre, bool ended, ap_usec_t at,
+			 ap_usec_t now)
 {
 	ap_data_centre_state_t *dc = get_data_centre(f, data_centre);
-	ap_usec_t known = ended ? SAME_END : END_READ_DELAY;
 
-	if (!dc || dc->evacuated ||
-	    (dc->evacuation_ended_at > 0 && dc->evacuation_ended_at + known >= at))
+	if (!dc || dc->evacuated)
 		return;
-	if (ended)
+	if (!ended && at > dc->evacuation_ended_at)
+		dc->reported_at = now;
+	else if (ended && (dc->evacuation_ended_at == 0 || at > dc->evacuation_ended_at + SAME_END))
 		dc->evacuation_ended_at = at;
-	else
-		dc->reported_at = at;
 }
 
 ap_usec_t ap_longest_warmup(const ap_fleet_t *f)
@@ -229,6 +226,8 @@
 		dc->evacuation_ended_at = now;
 		f->announced_at = 0; /* instances that don't know of it may be sending */
 	}
+	if (!dc->evacuated && !off)
+		dc->evacuation_began_at = now;
 	dc->evacuated = !off;
 	dc->listed = true;
 }
