--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -28,7 +28,8 @@
 /* Records that the store returned to an older copy of itself. */
 static void record_era(gateway_t *gate, const ap_store_read_t *read)
 {
-	if (read->era == 0 || read->era == gate->store_era)
+	/* A response of an earlier era came late. */
+	if (read->era <= gate->store_era)
 		return;
 	if (gate->store_era != 0)
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "store.era", NULL, "s:I,s:I,s:I",
