--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -204,8 +204,8 @@
  * @retry_ratio, @retry_slack, @retry_window: in any window of @retry_window microseconds, all
  *                instances together may retry the share @retry_ratio of a pool's requests, plus
  *                @retry_slack requests
- * @learn_time: after its start, this instance waits at most so long for what the other instances
- * know of cold upstreams, in microseconds; 0 if it doesn't wait
+ * @learn_time: longest wait after the start for what other instances know of cold upstreams, in
+ *              microseconds; 0 for none
  * @entry_grace: how long an entry that expired while the store was unreachable stays valid, in
  *               microseconds
  * @on_event: called for each change of state; may be NULL
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -85,8 +85,8 @@
  * @check_answered_at: when the upstream last said whether it is cold
  * @announce_until: the result of the health check is announced until then
  * @cold: requests that this instance may send while the upstream is cold
- * @limited: the upstream names a limit, of @limit requests per second from all instances together,
- * as of @limit_at
+ * @limited: the upstream names a limit, as of @limit_at
+ * @limit: requests per second that it takes from all instances together
  * @limit_seen_at: when this instance last saw a response that named a limit, or the end of one
  * @limit_ended_at: when it saw the end
  * @within_limit: requests that this instance may send while there is a limit
@@ -213,8 +213,7 @@
 	bool listed;
 	ap_usec_t evacuation_began_at; /* when @evacuated was set */
 	ap_usec_t evacuation_ended_at; /* end of the last evacuation; 0 for none */
-	ap_usec_t
-		reported_at; /* another instance knew last of an evacuation that is unknown here */
+	ap_usec_t reported_at;	       /* last report of one that is unknown here */
 } ap_data_centre_state_t;
 
 struct ap_fleet {
