After a freeze wait for what the others know of cold upstreams

The same cause as for an instance that has just started: one that stood still while a data centre was evacuated and taken back reads the store anew, finds no evacuation, and sends to the cold upstreams. Now it takes all for cold until another instance says that it is informed, 1.2 s at most, as after a start. The new test of fleet_cold_test failed without the change and passes with it.

--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -132,7 +132,7 @@
 			gate->journal, AP_RECORD_RARE, "process.frozen", NULL, "s:I,s:I", "boot_ms",
 			(json_int_t)(frozen / AP_MSEC), "steady_ms",
 			(json_int_t)((monotonic - gate->last_tick_monotonic - TICK) / AP_MSEC));
-		ap_fleet_after_freeze(gate->fleet);
+		ap_fleet_after_freeze(gate->fleet, now);
 		ap_follow_relist(gate->follow, now);
 	}
 	gate->last_tick = now;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -282,9 +282,10 @@
 void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now);
 /**
  * ap_fleet_after_freeze() - the process was stopped for a while: discards counted failures and
- * ejections, since the failures may have been its own.
+ * ejections, since the failures may have been its own, and waits for what other instances know of
+ * cold upstreams, as after a start.
  */
-void ap_fleet_after_freeze(ap_fleet_t *f);
+void ap_fleet_after_freeze(ap_fleet_t *f, ap_usec_t now);
 
 /* Other instances: member.c */
 /** ap_fleet_update_member() - adds an instance, possibly this one, or updates its entry. */
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -221,7 +221,7 @@
 	ap_rng_t rng;
 	ap_usec_t members_changed_at; /* time of the last change of the own region's instances; lies
 				       * START_SETTLE_TIME ahead when this instance registers */
-	ap_usec_t started_at;	      /* when this instance registered; 0 before */
+	ap_usec_t started_at;	      /* when this instance registered, or woke up; 0 before */
 	bool listing;		      /* a complete list is being read */
 	bool informed;		      /* another instance said what it knows of cold upstreams */
 	size_t most_members; /* highest number of instances listed at once, with this one */
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -254,12 +254,16 @@
 	ap_load_recount(f, now);
 }
 
-void ap_fleet_after_freeze(ap_fleet_t *f)
+void ap_fleet_after_freeze(ap_fleet_t *f, ap_usec_t now)
 {
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		r->failures = 0;
 		r->ejected_until = 0;
 	}
+	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
+		m->heard_at = 0;
+	f->informed = false;
+	f->started_at = now;
 }
 
 ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now)
--- a/test/fleet_cold_test.c
+++ b/test/fleet_cold_test.c
@@ -220,6 +220,37 @@
 	}
 }
 
+/*
+ * An instance stood still while a data centre was evacuated and taken back. Guards against requests
+ * to the cold upstreams there before it hears of the evacuation.
+ */
+static void after_a_freeze_upstreams_are_cold_until_another_instance_says_otherwise(void **state)
+{
+	ap_fleet_config_t bounds = {
+		.cold_over = 1.5, .cold_slack = 3, .learn_time = 1200 * AP_MSEC};
+	ap_fleet_t *fleets[2] = {world_north(), world_fleet("n2", "north")};
+	ap_usec_t now = WORLD_START + 3 * AP_SEC;
+	ap_peer_port_t peer = {.send = to_other};
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		ap_fleet_set_bounds(fleets[i], &bounds);
+		world_member(fleets[i], "n1", "north", false, WORLD_START - 10 * AP_SEC);
+		world_member(fleets[i], "n2", "north", false, WORLD_START - 10 * AP_SEC);
+		world_replica(fleets[i], "e1", "engines", "north", WORLD_START);
+		assert_true(send_to_cold(&fleets[i], 1, WORLD_START) > 9);
+	}
+	ap_fleet_evacuate(fleets[0], "north-1", false, WORLD_START + AP_SEC);
+	ap_fleet_evacuate(fleets[0], "north-1", true, now);
+	ap_fleet_after_freeze(fleets[1], now);
+	assert_true(send_to_cold(&fleets[1], 1, now) <= 9);
+	other = fleets[1];
+	ap_fleet_announce(fleets[0], &peer, now);
+	assert_true(send_to_cold(&fleets[1], 1, now + 1200 * AP_MSEC) <= 9);
+	for (int i = 0; i < 2; i++)
+		ap_fleet_free(fleets[i]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -228,6 +259,8 @@
 		cmocka_unit_test(cold_rates_hold_when_a_region_starts),
 		cmocka_unit_test(after_an_evacuation_upstreams_are_cold_until_they_say_otherwise),
 		cmocka_unit_test(after_an_evacuation_one_instance_checks_health),
+		cmocka_unit_test(
+			after_a_freeze_upstreams_are_cold_until_another_instance_says_otherwise),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
