--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -2,6 +2,7 @@
 #include "gateway.h"
 
 #include <jansson.h>
+#include <stdio.h>
 
 const ap_usec_t gate_bounds[GATE_BUCKETS] = {
 	5 * AP_MSEC,   10 * AP_MSEC, 25 * AP_MSEC, 50 * AP_MSEC, 100 * AP_MSEC, 250 * AP_MSEC,
@@ -78,6 +79,20 @@
 	return list;
 }
 
+/* The parts of the prompt that other requests may share, as the platform writes their ids. */
+static json_t *parts_of(const ap_dispatch_t *req)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i + 1 < req->n_parts; i++) {
+		char id[20];
+
+		snprintf(id, sizeof(id), "%llx", (unsigned long long)req->parts[i].id);
+		json_array_append_new(list, json_string(id));
+	}
+	return list;
+}
+
 const char *gate_outcome_name(gate_outcome_t outcome)
 {
 	static const char *const names[GATE_OUTCOMES] = {
@@ -116,7 +131,8 @@
 		return;
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
-		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o",
+		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o,"
+		"s:o",
 		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 		"route", x->req.route->name, "pool", x->req.pool ? x->req.pool->name : "", "guest",
 		(int)c->forwarded, "status", c->status, "first_ms", msec(first), "objective_ms",
@@ -124,5 +140,6 @@
 		msec(x->timeout_at - x->arrival), "bytes", (json_int_t)x->bytes, "sends",
 		(int)x->sends, "runs", (int)x->runs, "refusals", (int)x->refusals, "version",
 		(json_int_t)c->plan->version, "expected_ms", msec(x->target.wait), "store_age_ms",
-		msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c));
+		msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c), "parts",
+		parts_of(&x->req));
 }
