--- /dev/null
+++ b/test/crash_world.h
@@ -0,0 +1,642 @@
+/*
+ * Instances of three regions and their engines in virtual time. A part of a prompt may crash each
+ * engine that begins to respond to a request with it. Engines also crash on their own, one by one
+ * or all of a region at once, or break responses off without ending.
+ */
+#ifndef AP_TEST_CRASH_WORLD_H
+#define AP_TEST_CRASH_WORLD_H
+
+#include "fake_sim.h"
+#include "fleet_world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#define CW_REGIONS 3
+#define CW_ENGINES 8			/* per region */
+#define CW_INSTANCES 90			/* at most, in all regions */
+#define CW_SUBJECTS 20			/* long first parts */
+#define CW_TOPICS 400			/* short second parts */
+#define CW_BAD_PART 0xbad		/* crashes engines */
+#define CW_PAIRED_PART 0xbea		/* comes with the bad part, and by itself only later */
+#define CW_DOWN_TIME (3 * AP_SEC)	/* of a crashed engine */
+#define CW_RECORD_TIME (3600 * AP_MSEC) /* until the record of a crashed engine is removed */
+#define CW_STABLE (5 * AP_SEC)
+#define CW_IN_FLIGHT 8192
+#define CW_ENDS_ALLOWED 5  /* engines that may end before the bound holds */
+#define CW_SENDS_ALLOWED 3 /* requests with the bad part that may be sent from then on */
+
+typedef struct cw cw_t;
+
+typedef struct cw_engine {
+	int region;
+	int number;
+	unsigned life;
+	char id[AP_NAME_MAX];
+	bool up;
+	bool grey; /* breaks off some responses */
+} cw_engine_t;
+
+typedef struct cw_instance {
+	cw_t *w;
+	int number;
+	int region;
+	char id[AP_NAME_MAX];
+	unsigned life;
+	bool up;
+	bool alone;		/* cut off from the other instances */
+	ap_usec_t disturbed_at; /* when it last started or was cut off */
+	ap_fleet_t *fleet;
+} cw_instance_t;
+
+typedef enum cw_kind {
+	CW_SOUND,
+	CW_SUBJECT,
+	CW_BAD,
+	CW_PAIRED
+} cw_kind_t;
+
+/* A request of a caller. @subject: shares its first part with the bad requests. */
+typedef struct cw_request {
+	bool open;
+	cw_kind_t kind;
+	bool first_attempt;
+	unsigned retries; /* left to the caller */
+	unsigned attempts;
+	struct cw_count *count; /* where the request counts; NULL for nowhere */
+	cw_instance_t *instance;
+	unsigned instance_life;
+	cw_engine_t *engine;
+	unsigned engine_life;
+	ap_dispatch_t req;
+	ap_inflight_t inflight;
+} cw_request_t;
+
+/* Requests of one kind in one period. */
+typedef struct cw_count {
+	unsigned sent;
+	unsigned begun;
+} cw_count_t;
+
+struct cw {
+	fake_sim_t sim;
+	int per_region; /* instances */
+	double sound_rate;
+	double subject_rate; /* sound requests with the first part of the bad ones, per second */
+	double bad_rate;
+	bool paired; /* bad requests have a second part that no other request has */
+	bool bad;    /* the bad part crashes engines */
+	cw_engine_t engines[CW_REGIONS * CW_ENGINES];
+	cw_instance_t instances[CW_INSTANCES];
+	cw_request_t *requests;
+	uint64_t n_own;	     /* parts of single requests */
+	unsigned ends;	     /* engines that the bad part ended */
+	ap_usec_t fifth_end; /* 0 before */
+	ap_usec_t last_end;
+	unsigned sends_after; /* bad requests after the fifth end and CW_STABLE, from instances in
+				 touch */
+	unsigned bad_done;
+	unsigned
+		sound_refused; /* not for a long wait, while half of the region's engines were up */
+	cw_count_t calm;       /* CW_SUBJECT before the first end */
+	cw_count_t troubled;   /* CW_SUBJECT later than 2 CW_STABLE after the fifth end */
+	cw_count_t paired_alone;
+	ap_usec_t bad_until;
+	bool verbose;
+};
+
+static inline void cw_note(const cw_t *w, const char *what, const char *id)
+{
+	if (w->verbose)
+		print_message("%.3f %s %s\n", (double)(w->sim.now - WORLD_START) / 1e6, what, id);
+}
+
+static const ap_plan_pool_t cw_pool = {.name = "engines", .slots = 64, .kv_tokens = 300000};
+static const ap_plan_route_t cw_route = {
+	.name = "stream",
+	.kind = AP_KIND_STREAM,
+	.resumable = true,
+	.timeout = 8 * AP_SEC,
+	.objective = 1500 * AP_MSEC,
+	.attempts = 2,
+};
+
+static const char *const cw_regions[CW_REGIONS] = {"r0", "r1", "r2"};
+
+/* Engines. */
+
+static inline void cw_list_engine(cw_t *w, const cw_engine_t *e, ap_fleet_t *f)
+{
+	ap_replica_entry_t entry = world_entry(e->id, "engines", cw_regions[e->region]);
+
+	entry.slots = 64;
+	ap_fleet_update_replica(f, &entry, w->sim.now);
+}
+
+static inline void cw_engine_start(void *arg, void *data)
+{
+	cw_t *w = arg;
+	cw_engine_t *e = *(cw_engine_t **)data;
+
+	e->up = true;
+	snprintf(e->id, sizeof(e->id), "e%d.%d.%u", e->region, e->number, ++e->life);
+	for (int i = 0; i < w->per_region * CW_REGIONS; i++) {
+		if (w->instances[i].up)
+			cw_list_engine(w, e, w->instances[i].fleet);
+	}
+}
+
+static inline void cw_remove_record(void *arg, void *data)
+{
+	cw_t *w = arg;
+
+	for (int i = 0; i < w->per_region * CW_REGIONS; i++) {
+		if (w->instances[i].up)
+			ap_fleet_remove_replica(w->instances[i].fleet, data, false, w->sim.now);
+	}
+}
+
+static inline void cw_failed(cw_t *w, cw_request_t *r, ap_dispatch_result_t end);
+
+/* All requests at @e are broken; it is back, as a new incarnation, after a while. */
+static inline void cw_crash(cw_t *w, cw_engine_t *e)
+{
+	cw_engine_t **later = malloc(sizeof(e));
+	char *id = strdup(e->id);
+
+	assert_true(later && id);
+	cw_note(w, "engine ends", e->id);
+	e->up = false;
+	*later = e;
+	fake_at(&w->sim, w->sim.now + CW_DOWN_TIME, cw_engine_start, w, later);
+	fake_at(&w->sim, w->sim.now + CW_RECORD_TIME, cw_remove_record, w, id);
+	for (size_t i = 0; i < CW_IN_FLIGHT; i++) {
+		cw_request_t *r = &w->requests[i];
+
+		if (r->open && r->engine == e && r->engine_life == e->life)
+			cw_failed(w, r, AP_DISPATCH_BROKEN);
+	}
+}
+
+static inline void cw_bad_end(cw_t *w, cw_engine_t *e)
+{
+	w->last_end = w->sim.now;
+	if (++w->ends == CW_ENDS_ALLOWED)
+		w->fifth_end = w->sim.now;
+	cw_crash(w, e);
+}
+
+/* Requests. */
+
+static inline bool cw_in_touch(const cw_t *w, const cw_instance_t *n)
+{
+	return !n->alone && w->sim.now - n->disturbed_at >= CW_STABLE;
+}
+
+/* Returns where a request that is sent now counts. */
+static inline cw_count_t *cw_counts(cw_t *w, const cw_request_t *r)
+{
+	ap_usec_t from = w->ends >= CW_ENDS_ALLOWED ? w->fifth_end : w->last_end;
+
+	if (r->kind == CW_PAIRED)
+		return &w->paired_alone;
+	if (r->kind != CW_SUBJECT || !cw_in_touch(w, r->instance))
+		return NULL;
+	if (w->ends == 0)
+		return &w->calm;
+	return w->bad && w->sim.now > from + 2 * CW_STABLE ? &w->troubled : NULL;
+}
+
+static inline bool cw_mostly_up(const cw_t *w, int region)
+{
+	int up = 0;
+
+	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++)
+		up += w->engines[i].region == region && w->engines[i].up;
+	return 2 * up >= CW_ENGINES;
+}
+
+static inline void cw_begin(void *arg, void *data);
+
+static inline bool cw_alive(const cw_request_t *r)
+{
+	return r->instance->up && r->instance->life == r->instance_life;
+}
+
+static inline void cw_retry_later(cw_t *w, const cw_request_t *r);
+
+/* Sends @r to an engine, or ends it if it is refused. */
+static inline void cw_send(cw_t *w, cw_request_t *r)
+{
+	cw_instance_t *n = r->instance;
+	ap_fleet_status_t status;
+	ap_target_t target;
+	size_t *slot = malloc(sizeof(*slot));
+
+	assert_non_null(slot);
+	*slot = (size_t)(r - w->requests);
+	status = ap_fleet_choose(n->fleet, &r->req, w->sim.now, &target);
+	if (status != AP_FLEET_OK) {
+		if (r->kind != CW_BAD && status != AP_FLEET_LATE && cw_mostly_up(w, n->region)) {
+			w->sound_refused++;
+			cw_note(w, "sound request refused by", n->id);
+		}
+		r->open = false;
+		free(slot);
+		cw_retry_later(w, r);
+		return;
+	}
+	r->engine = NULL;
+	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++) {
+		if (strcmp(w->engines[i].id, target.id) == 0 && w->engines[i].up)
+			r->engine = &w->engines[i];
+	}
+	ap_fleet_sent(n->fleet, &r->req, &target, w->sim.now, &r->inflight);
+	if (!r->engine) {
+		free(slot);
+		ap_fleet_done(n->fleet, &r->inflight, AP_DISPATCH_UNREACHABLE, w->sim.now);
+		if (r->req.n_avoid < AP_TRIED_MAX) {
+			ap_copy_name(r->req.avoid[r->req.n_avoid++], AP_NAME_MAX, target.id);
+			cw_send(w, r);
+		} else {
+			r->open = false;
+		}
+		return;
+	}
+	r->engine_life = r->engine->life;
+	if (r->kind == CW_BAD && w->bad && w->fifth_end > 0 &&
+	    w->sim.now > w->fifth_end + CW_STABLE && cw_in_touch(w, n)) {
+		w->sends_after++;
+		cw_note(w, "bad request sent by", n->id);
+	}
+	fake_at(&w->sim, w->sim.now + 50 * AP_MSEC + (ap_usec_t)ap_rng_below(&w->sim.rng, 250000),
+		cw_begin, w, slot);
+}
+
+static inline cw_request_t *cw_open(cw_t *w, cw_kind_t kind)
+{
+	for (size_t i = 0; i < CW_IN_FLIGHT; i++) {
+		cw_request_t *r = &w->requests[i];
+
+		if (r->open)
+			continue;
+		*r = (cw_request_t){.open = true, .kind = kind};
+		return r;
+	}
+	return NULL;
+}
+
+static inline void cw_add_part(ap_dispatch_t *req, uint64_t id, uint32_t tokens)
+{
+	req->parts[req->n_parts++] = (ap_prompt_part_t){.id = id, .tokens = tokens};
+	req->tokens_in += tokens;
+}
+
+static inline void cw_prompt(cw_t *w, cw_request_t *r)
+{
+	ap_dispatch_t *req = &r->req;
+
+	req->tokens_in = 0;
+	if (r->kind == CW_SOUND && ap_rng_below(&w->sim.rng, 4) > 0) {
+		cw_add_part(req, 0x5000 + ap_rng_below(&w->sim.rng, CW_SUBJECTS), 55);
+		cw_add_part(req, 0x70000 + ap_rng_below(&w->sim.rng, CW_TOPICS), 37);
+	} else if (r->kind == CW_SOUND) {
+		cw_add_part(req, 0x1000 + ap_rng_below(&w->sim.rng, CW_SUBJECTS), 13300);
+	} else if (r->kind == CW_PAIRED) {
+		cw_add_part(req, CW_PAIRED_PART, 400);
+	} else {
+		cw_add_part(req, 0x2000, 13300);
+	}
+	if (r->kind == CW_BAD && w->paired)
+		cw_add_part(req, CW_PAIRED_PART, 400);
+	if (r->kind == CW_BAD)
+		cw_add_part(req, CW_BAD_PART, 200);
+	cw_add_part(req, ++w->n_own << 24, 300);
+}
+
+static inline void cw_request(cw_t *w, cw_kind_t kind, unsigned retries)
+{
+	cw_instance_t *n =
+		&w->instances[ap_rng_below(&w->sim.rng, (uint64_t)w->per_region * CW_REGIONS)];
+	cw_request_t *r = n->up ? cw_open(w, kind) : NULL;
+
+	if (!r)
+		return;
+	r->instance = n;
+	r->instance_life = n->life;
+	r->first_attempt = true;
+	r->retries = retries;
+	r->attempts = kind == CW_SOUND ? 2 : 1 + (unsigned)ap_rng_below(&w->sim.rng, 2);
+	r->req = world_request(&cw_route, &cw_pool, w->sim.now);
+	r->req.local_only = true;
+	cw_prompt(w, r);
+	r->count = cw_counts(w, r);
+	if (r->count)
+		r->count->sent++;
+	cw_send(w, r);
+}
+
+typedef struct cw_retry {
+	cw_kind_t kind;
+	unsigned retries;
+} cw_retry_t;
+
+static inline void cw_on_retry(void *arg, void *data)
+{
+	const cw_retry_t *retry = data;
+
+	cw_request(arg, retry->kind, retry->retries);
+}
+
+static inline void cw_retry_later(cw_t *w, const cw_request_t *r)
+{
+	cw_retry_t *retry = malloc(sizeof(*retry));
+
+	assert_non_null(retry);
+	*retry = (cw_retry_t){r->kind, r->retries - 1};
+	if (r->retries > 0)
+		fake_at(&w->sim, w->sim.now + 300 * AP_MSEC, cw_on_retry, w, retry);
+	else
+		free(retry);
+}
+
+static inline void cw_failed(cw_t *w, cw_request_t *r, ap_dispatch_result_t end)
+{
+	if (!cw_alive(r)) {
+		r->open = false;
+		return;
+	}
+	ap_fleet_done(r->instance->fleet, &r->inflight, end, w->sim.now);
+	r->first_attempt = false;
+	if (--r->attempts == 0 || r->req.n_tried == AP_TRIED_MAX) {
+		r->open = false;
+		cw_retry_later(w, r);
+		return;
+	}
+	ap_copy_name(r->req.tried[r->req.n_tried++], AP_NAME_MAX, r->inflight.id);
+	cw_send(w, r);
+}
+
+static inline void cw_end(void *arg, void *data)
+{
+	cw_t *w = arg;
+	cw_request_t *r = &w->requests[*(size_t *)data];
+
+	if (!r->open || !cw_alive(r)) {
+		r->open = false;
+		return;
+	}
+	if (r->engine->life != r->engine_life || !r->engine->up)
+		return; /* broken and sent again meanwhile */
+	if (r->engine->grey && ap_rng_below(&w->sim.rng, 5) < 2) {
+		cw_failed(w, r, AP_DISPATCH_BROKEN);
+		return;
+	}
+	ap_fleet_done(r->instance->fleet, &r->inflight, AP_DISPATCH_DONE, w->sim.now);
+	w->bad_done += r->kind == CW_BAD;
+	r->open = false;
+}
+
+/* The engine begins to respond. */
+static inline void cw_begin(void *arg, void *data)
+{
+	cw_t *w = arg;
+	size_t *slot = malloc(sizeof(*slot));
+	cw_request_t *r = &w->requests[*(size_t *)data];
+
+	assert_non_null(slot);
+	*slot = *(size_t *)data;
+	if (!r->open || !r->engine->up || r->engine->life != r->engine_life) {
+		free(slot);
+		return;
+	}
+	if (r->kind == CW_BAD && w->bad) {
+		free(slot);
+		cw_bad_end(w, r->engine);
+		return;
+	}
+	if (r->count && r->first_attempt)
+		r->count->begun++;
+	if (cw_alive(r))
+		ap_fleet_first_chunk(r->instance->fleet, &r->inflight, w->sim.now);
+	fake_at(&w->sim, w->sim.now + 500 * AP_MSEC, cw_end, w, slot);
+}
+
+/* Instances. */
+
+typedef struct cw_message {
+	cw_instance_t *to;
+	char from[AP_NAME_MAX];
+	size_t len;
+	unsigned char data[];
+} cw_message_t;
+
+static inline void cw_on_message(void *arg, void *data)
+{
+	cw_t *w = arg;
+	cw_message_t *m = data;
+
+	if (m->to->up && !m->to->alone)
+		assert_true(ap_fleet_receive(m->to->fleet, m->from, m->data, m->len, w->sim.now));
+}
+
+static inline void cw_peer_send(void *ctx, const char *to, const void *data, size_t len)
+{
+	cw_instance_t *n = ctx;
+	cw_message_t *m;
+
+	if (n->alone)
+		return;
+	m = malloc(sizeof(*m) + len);
+	assert_non_null(m);
+	m->to = &n->w->instances[atoi(to + 1)];
+	ap_copy_name(m->from, sizeof(m->from), n->id);
+	m->len = len;
+	memcpy(m->data, data, len);
+	fake_at(&n->w->sim,
+		n->w->sim.now + (m->to->region == n->region ? 1 * AP_MSEC : 56 * AP_MSEC),
+		cw_on_message, n->w, m);
+}
+
+static inline void cw_on_health(void *arg, void *data);
+
+typedef struct cw_check {
+	cw_instance_t *instance;
+	unsigned life;
+	char id[AP_NAME_MAX];
+} cw_check_t;
+
+static inline void cw_check_health(cw_instance_t *n)
+{
+	ap_replica_entry_t entry;
+
+	while (ap_fleet_next_health_check(n->fleet, n->w->sim.now, &entry)) {
+		cw_check_t *check = malloc(sizeof(*check));
+
+		assert_non_null(check);
+		*check = (cw_check_t){.instance = n, .life = n->life};
+		ap_copy_name(check->id, sizeof(check->id), entry.id);
+		fake_at(&n->w->sim, n->w->sim.now + 5 * AP_MSEC, cw_on_health, n->w, check);
+	}
+}
+
+static inline void cw_tick(void *arg, void *data)
+{
+	cw_t *w = arg;
+	cw_check_t *tick = data;
+	cw_instance_t *n = tick->instance;
+	ap_peer_port_t port = {.ctx = n, .send = cw_peer_send};
+	cw_check_t *next;
+
+	if (!n->up || n->life != tick->life)
+		return;
+	ap_fleet_tick(n->fleet, w->sim.now);
+	cw_check_health(n);
+	ap_fleet_announce(n->fleet, &port, w->sim.now);
+	next = malloc(sizeof(*next));
+	assert_non_null(next);
+	*next = *tick;
+	fake_at(&w->sim, w->sim.now + 100 * AP_MSEC, cw_tick, w, next);
+}
+
+static inline void cw_list_instance(ap_fleet_t *f, const cw_instance_t *n, ap_usec_t now)
+{
+	world_member(f, n->id, cw_regions[n->region], false, now);
+}
+
+static inline void cw_instance_start(void *arg, void *data)
+{
+	cw_instance_t *n = *(cw_instance_t **)data;
+	cw_t *w = arg;
+	ap_usec_t now = w->sim.now;
+	cw_check_t *tick = calloc(1, sizeof(*tick));
+	ap_fleet_config_t bounds = {.cold_over = 1.5,
+				    .cold_slack = 3,
+				    .retry_ratio = 0.2,
+				    .retry_slack = 40,
+				    .learn_time = 1200 * AP_MSEC,
+				    .entry_grace = 2 * AP_SEC};
+
+	assert_non_null(tick);
+	n->up = true;
+	n->life++;
+	n->disturbed_at = now;
+	n->fleet = world_start(n->id, cw_regions[n->region], n->life);
+	ap_fleet_set_bounds(n->fleet, &bounds);
+	for (int i = 0; i < CW_REGIONS; i++) {
+		char centre[AP_NAME_MAX];
+
+		snprintf(centre, sizeof(centre), "%s-1", cw_regions[i]);
+		ap_fleet_set_data_centre(n->fleet, centre, cw_regions[i]);
+	}
+	cw_list_instance(n->fleet, n, now);
+	for (int i = 0; i < w->per_region * CW_REGIONS; i++)
+		cw_list_instance(n->fleet, &w->instances[i], now);
+	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++) {
+		if (w->engines[i].up)
+			cw_list_engine(w, &w->engines[i], n->fleet);
+	}
+	*tick = (cw_check_t){.instance = n, .life = n->life};
+	fake_at(&w->sim, now + (ap_usec_t)ap_rng_below(&w->sim.rng, 100000), cw_tick, w, tick);
+}
+
+static inline void cw_instance_stop(cw_instance_t *n)
+{
+	if (!n->up)
+		return;
+	n->up = false;
+	ap_fleet_free(n->fleet);
+	n->fleet = NULL;
+}
+
+/* One step of 20 ms: the requests that arrive. */
+static inline void cw_step(void *arg, void *data)
+{
+	cw_t *w = arg;
+	const struct {
+		cw_kind_t kind;
+		double rate;
+	} loads[] = {{CW_SOUND, w->sound_rate},
+		     {CW_SUBJECT, w->subject_rate},
+		     {CW_BAD, w->bad || w->ends > 0 ? w->bad_rate : 0}};
+
+	(void)data;
+	for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
+		double expected = loads[i].rate * 0.02;
+
+		while (expected > 0 && ap_rng_unit(&w->sim.rng) < expected) {
+			cw_request(w, loads[i].kind, 1);
+			expected -= 1;
+		}
+	}
+	fake_at(&w->sim, w->sim.now + 20 * AP_MSEC, cw_step, w, NULL);
+}
+
+static inline cw_t *cw_new(uint64_t seed, int per_region)
+{
+	cw_t *w = calloc(1, sizeof(*w));
+
+	assert_non_null(w);
+	w->requests = calloc(CW_IN_FLIGHT, sizeof(*w->requests));
+	assert_non_null(w->requests);
+	w->sim.now = WORLD_START;
+	ap_rng_seed(&w->sim.rng, seed);
+	w->per_region = per_region;
+	w->sound_rate = 100;
+	w->subject_rate = 3;
+	w->bad_rate = 0.8;
+	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++) {
+		cw_engine_t *e = &w->engines[i];
+
+		*e = (cw_engine_t){.region = i / CW_ENGINES, .number = i % CW_ENGINES};
+		cw_engine_start(w, &e);
+	}
+	for (int i = 0; i < per_region * CW_REGIONS; i++) {
+		cw_instance_t *n = &w->instances[i];
+
+		*n = (cw_instance_t){.w = w, .number = i, .region = i % CW_REGIONS};
+		snprintf(n->id, sizeof(n->id), "n%d", i);
+	}
+	for (int i = 0; i < per_region * CW_REGIONS; i++) {
+		cw_instance_t *n = &w->instances[i];
+
+		cw_instance_start(w, &n);
+	}
+	fake_at(&w->sim, w->sim.now, cw_step, w, NULL);
+	return w;
+}
+
+static inline void cw_free(cw_t *w)
+{
+	for (int i = 0; i < w->per_region * CW_REGIONS; i++)
+		cw_instance_stop(&w->instances[i]);
+	fake_sim_clear(&w->sim);
+	free(w->requests);
+	free(w);
+}
+
+static inline bool cw_engine_alive(const cw_t *w, const char *id)
+{
+	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++) {
+		if (w->engines[i].up && strcmp(w->engines[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static inline void cw_on_health(void *arg, void *data)
+{
+	cw_t *w = arg;
+	cw_check_t *check = data;
+	cw_instance_t *n = check->instance;
+
+	if (!n->up || n->life != check->life)
+		return;
+	if (cw_engine_alive(w, check->id))
+		ap_fleet_health_checked(n->fleet, check->id, 0, w->sim.now);
+}
+
+#endif
