Hold back requests with a part of a prompt that crashes engines

Cause: each broken response counted against its upstream alone. The upstream was ejected, and the next request with the same part of its prompt, from whichever instance, went to a sound one.

Class: a failure is attributed to the one that reported it, not to what it had been given.

Change: an upstream at which a response breaks off is asked for its health by the instance that saw it; if it refuses the connection, it has ended. Instances tell each other, in all regions, of ends with the shared parts of the requests in flight there, and of complete responses that clear a part. A part is a suspect after three ends in a row, each met by a request sent after the end before, with no complete response since. A request is held back, 503 at once, if it has each part that is about as likely to be the cause. After 30 s, doubled with each trial that fails, instances make one trial at a time, in turn.

Why this works: every instance computes the same from the same sets, which only grow and may be merged in any order, so nobody is asked before a request is held back, and a restarted or healed instance has all of it with the next announcement. Sound parts don't stay suspect, since requests with them complete; ends that come together, and responses that break off without an end, don't count.

The announcements and the waits between regions have two more, optional, fields.

--- a/cmd/arbutuspond/gateway-health.c
+++ b/cmd/arbutuspond/gateway-health.c
@@ -1,6 +1,6 @@
 /*
  * Health checks of upstreams. Each response has a cost and may be wrong, so only upstreams are
- * checked of which no instance knows whether they are cold.
+ * checked of which no instance knows whether they are cold, or whether they have ended.
  */
 #include "gateway.h"
 
@@ -11,6 +11,7 @@
 
 typedef struct health_check {
 	gateway_t *gate;
+	ap_usec_t sent;
 	char id[AP_NAME_MAX];
 } health_check_t;
 
@@ -19,15 +20,20 @@
 	health_check_t *check = arg;
 	gateway_t *gate = check->gate;
 	ap_usec_t cold_left = 0;
+	ap_usec_t now = ap_now();
+	/* Without a connection at the time limit, the network may be the cause. */
+	bool refused = response->end == AP_CALL_NOT_SENT && now - check->sent < HEALTH_TIMEOUT;
 	bool valid = response->end == AP_CALL_RESPONDED && response->code == 200 &&
 		     ap_host_parse_health(response->headers, check->id, &cold_left);
 
-	ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.asked", NULL, "s:s,s:b,s:I",
-			 "upstream", check->id, "told", (int)valid, "cold_ms",
-			 (json_int_t)(cold_left / AP_MSEC));
-	/* After an invalid response or none, the upstream stays unknown and is checked again. */
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.asked", NULL, "s:s,s:b,s:b,s:I",
+			 "upstream", check->id, "told", (int)valid, "refused", (int)refused,
+			 "cold_ms", (json_int_t)(cold_left / AP_MSEC));
+	/* After any other response or none, the upstream stays unknown and is checked again. */
 	if (valid)
-		ap_fleet_health_checked(gate->fleet, check->id, cold_left, ap_now());
+		ap_fleet_health_checked(gate->fleet, check->id, cold_left, now);
+	else if (refused)
+		ap_fleet_health_check_refused(gate->fleet, check->id, now);
 	free(check);
 }
 
@@ -50,6 +56,7 @@
 	if (!check)
 		return;
 	check->gate = gate;
+	check->sent = ap_now();
 	ap_copy_name(check->id, sizeof(check->id), replica->id);
 	ap_copy_name(to.host, sizeof(to.host), replica->host);
 	spec.path = pool->health_path;
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -43,8 +43,9 @@
 static const char *fleet_event_name(ap_fleet_event_kind_t kind)
 {
 	static const char *const names[AP_FLEET_EVENT_KINDS] = {
-		"upstream.ejected",   "upstream.back",	  "upstream.moved",	"upstream.lapsed",
-		"instance.suspected", "upstream.limited", "upstream.unlimited",
+		"upstream.ejected",   "upstream.back",	    "upstream.moved",
+		"upstream.lapsed",    "instance.suspected", "upstream.limited",
+		"upstream.unlimited", "part.suspected",	    "part.cleared",
 	};
 
 	return names[kind];
@@ -53,7 +54,12 @@
 void gate_on_fleet_event(void *ctx, const ap_fleet_event_t *event)
 {
 	gateway_t *gate = ctx;
-	const char *field = event->kind == AP_FLEET_EVENT_SUSPECTED ? "other" : "upstream";
+	static const char *const fields[AP_FLEET_EVENT_KINDS] = {
+		[AP_FLEET_EVENT_SUSPECTED] = "other",
+		[AP_FLEET_EVENT_PART_SUSPECTED] = "part",
+		[AP_FLEET_EVENT_PART_CLEARED] = "part",
+	};
+	const char *field = fields[event->kind] ? fields[event->kind] : "upstream";
 
 	ap_journal_write(gate->journal, AP_RECORD_RARE, fleet_event_name(event->kind), NULL,
 			 "s:s,s:I,s:I,s:i,s:f", field, event->id, "entry_age_ms",
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -25,7 +25,7 @@
 const char *ap_reason_name(ap_reason_t reason)
 {
 	static const char *const names[] = {
-		"none",	  "no-upstream", "too-late", "refused",
+		"none",	  "no-upstream", "too-late", "held",	 "refused",
 		"budget", "broken",	 "timeout",  "unproved",
 	};
 
@@ -67,6 +67,8 @@
 
 	if (x->reason == AP_REASON_TOO_LATE)
 		wait = x->target.wait - x->req.route->objective / 2;
+	else if (x->reason == AP_REASON_HELD)
+		wait = x->target.wait;
 	if (wait > left)
 		wait = left;
 	return wait < RETRY_AFTER_MIN ? RETRY_AFTER_MIN : wait;
@@ -148,6 +150,8 @@
 
 static ap_reason_t reason_for(const ap_exchange_t *x, ap_fleet_status_t status)
 {
+	if (status == AP_FLEET_HELD)
+		return AP_REASON_HELD;
 	if (x->refusals > 0)
 		return AP_REASON_REFUSED;
 	return status == AP_FLEET_LATE ? AP_REASON_TOO_LATE : AP_REASON_NO_UPSTREAM;
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -41,6 +41,7 @@
 	AP_REASON_NONE,
 	AP_REASON_NO_UPSTREAM, /* no allowed target is usable */
 	AP_REASON_TOO_LATE,    /* no allowed target would respond in time */
+	AP_REASON_HELD,	       /* requests like this one may crash upstreams */
 	AP_REASON_REFUSED,     /* every target that got the request refused it */
 	AP_REASON_BUDGET,      /* not retried: this instance's part of the retry budget is spent */
 	/* The connection or the response failed or timed out; the request may have run. */
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -192,7 +192,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 11);
+	msgpack_pack_array(&out.pk, 13);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -203,6 +203,7 @@
 	ap_wire_pack_bool(&out.pk, !ap_fleet_uninformed(f, now));
 	n += pack_evacuations(f, &out.pk, now);
 	n += ap_limits_pack(f, &out.pk, now);
+	n += ap_suspects_pack(f, &out.pk, now);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -260,9 +261,10 @@
 	if (!self || self->member.draining)
 		return;
 	ap_wire_out_begin(&out, AP_WIRE_WAITS, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 2);
+	msgpack_pack_array(&out.pk, 4);
 	ap_wire_pack_str(&out.pk, f->config.region);
 	pack_waits(f, &out.pk, now);
+	ap_suspects_pack_remote(f, &out.pk, now);
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		if (is_live_other(f, m, now) && !in_own_region(f, m) &&
 		    is_waits_sender(f, self, m, now))
@@ -437,16 +439,20 @@
 	bool informed = says_informed && ap_wire_bool(&r);
 	ap_wire_reader_t evacuations = optional_array(&r);
 	ap_wire_reader_t limits = optional_array(&r);
+	ap_wire_reader_t ends = optional_array(&r);
+	ap_wire_reader_t completed = optional_array(&r);
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
 	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
-	    !ap_limits_apply(f, &limits, now))
+	    !ap_limits_apply(f, &limits, now) || !ap_suspects_apply(f, &ends, &completed, now))
 		return false;
 	f->informed = f->informed || informed;
-	if (says_informed && !informed && !ap_fleet_uninformed(f, now))
+	if (says_informed && !informed && !ap_fleet_uninformed(f, now)) {
 		f->announced_at = 0; /* the sender waits for an announcement */
+		f->evidence_wanted = true;
+	}
 	if (!m)
 		return true;
 	apply_draining(f, m, in->head.from, draining, now);
@@ -460,11 +466,15 @@
 {
 	ap_wire_reader_t r = ap_wire_reader(&in->body);
 	ap_wire_reader_t waits;
+	ap_wire_reader_t ends;
+	ap_wire_reader_t completed;
 	char region[AP_NAME_MAX];
 
 	ap_wire_str(&r, region, sizeof(region));
 	waits = ap_wire_array(&r);
-	if (!r.ok)
+	ends = optional_array(&r);
+	completed = optional_array(&r);
+	if (!r.ok || !ap_suspects_apply(f, &ends, &completed, now))
 		return false;
 	while (waits.left > 0) {
 		ap_wire_reader_t e = ap_wire_array(&waits);
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -77,14 +77,17 @@
 {
 	if (!f)
 		return;
-	for (ap_replica_t *r = f->replicas; r; r = r->hh.next)
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		ap_prefix_cache_clear(f, &r->cache);
+		ap_break_forget(r);
+	}
 	for (ap_remote_pool_t *a = f->remote_pools; a; a = a->hh.next)
 		ap_prefix_cache_clear(f, &a->cache);
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
 		free(m->loads);
 
-	void *const first[] = {f->replicas, f->members, f->pools, f->remote_pools, f->data_centres};
+	void *const first[] = {f->replicas,	f->members,	 f->pools,
+			       f->remote_pools, f->data_centres, f->suspects};
 
 	HASH_CLEAR(hh, f->replicas);
 	HASH_CLEAR(by_tag, f->tagged);
@@ -92,6 +95,7 @@
 	HASH_CLEAR(hh, f->pools);
 	HASH_CLEAR(hh, f->remote_pools);
 	HASH_CLEAR(hh, f->data_centres);
+	HASH_CLEAR(hh, f->suspects);
 	for (size_t i = 0; i < sizeof(first) / sizeof(first[0]); i++)
 		free_items(first[i]);
 	free(f);
@@ -384,8 +388,8 @@
 	return local->wait + recompute_cost <= remote->wait + REMOTE_MARGIN_US;
 }
 
-ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
-				  ap_target_t *target)
+static ap_fleet_status_t choose(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
+				ap_usec_t now, ap_target_t *target)
 {
 	double wait_limit = LOCAL_WAIT_SHARE * (double)req->route->objective;
 	candidate_t local = {0};
@@ -393,12 +397,12 @@
 	bool found_local = best_local(f, req, now, &local);
 	bool found_remote = false;
 	ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
-	const char *prefix_region = req->local_only ? NULL : ap_prefix_region(f, req, now);
+	const char *prefix_region = local_only ? NULL : ap_prefix_region(f, req, now);
 
 	if (p)
 		p->warmup = req->pool->warmup;
-	if (!req->local_only && (!found_local || local.wait > wait_limit ||
-				 (prefix_region && local.cached < ap_dispatch_prefix_tokens(req))))
+	if (!local_only && (!found_local || local.wait > wait_limit ||
+			    (prefix_region && local.cached < ap_dispatch_prefix_tokens(req))))
 		found_remote = ap_best_remote(f, req, prefix_region, now, &remote);
 	if (!found_local && !found_remote)
 		return AP_FLEET_NONE;
@@ -408,3 +412,19 @@
 		ap_fill_remote_target(&remote, target);
 	return too_late(req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
 }
+
+ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
+				  ap_target_t *target)
+{
+	ap_hold_t hold = AP_HOLD_NONE;
+	ap_usec_t until;
+
+	if (req->pool->kv_tokens > 0)
+		hold = ap_request_hold(f, req, now, &until);
+	if (hold == AP_HOLD_WAIT) {
+		*target = (ap_target_t){.wait = until - now};
+		return AP_FLEET_HELD;
+	}
+	/* It is this instance's turn to make a trial, so a remote instance would refuse it. */
+	return choose(f, req, req->local_only || hold == AP_HOLD_TRIAL, now, target);
+}
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -120,6 +120,8 @@
 	/* The chosen target would spend too much time on other requests first: more than is left
 	 * until the deadline, or more than a fixed share of the latency objective. */
 	AP_FLEET_LATE,
+	/* Requests like this one may crash upstreams; see suspect.c. */
+	AP_FLEET_HELD,
 } ap_fleet_status_t;
 
 /* How a request ended at its target. */
@@ -144,6 +146,7 @@
  * @prefill: prompt tokens that the upstream has to process
  * @kv: tokens of the prompt and the response
  * @expected: expected time to the first chunk, in microseconds
+ * @parts: parts of the prompt that other requests may share, for an engine
  */
 typedef struct ap_inflight {
 	bool open;
@@ -161,6 +164,8 @@
 	uint32_t kv;
 	ap_usec_t sent;
 	ap_usec_t expected;
+	uint64_t parts[AP_PROMPT_PARTS_MAX];
+	size_t n_parts;
 } ap_inflight_t;
 
 /*
@@ -175,15 +180,18 @@
 	AP_FLEET_EVENT_SUSPECTED,      /* no connection to an instance, or a timeout */
 	AP_FLEET_EVENT_LIMITED,	       /* an upstream named a limit, or another one */
 	AP_FLEET_EVENT_UNLIMITED,      /* it responded without naming one */
+	AP_FLEET_EVENT_PART_SUSPECTED, /* a part of prompts met the ends of several upstreams */
+	AP_FLEET_EVENT_PART_CLEARED,   /* a request with it was completed, or the ends are old */
 	AP_FLEET_EVENT_KINDS,
 } ap_fleet_event_kind_t;
 
 /**
- * struct ap_fleet_event - one change of an upstream's or instance's state, for the log.
- * @id: the upstream or instance
- * @entry_age: age in microseconds of the upstream's entry; 0 for an instance
+ * struct ap_fleet_event - one change of an upstream's, instance's or prompt part's state, for the
+ * log.
+ * @id: the upstream, instance or part
+ * @entry_age: age in microseconds of the upstream's entry; 0 for an instance or part
  * @lasts: minimum duration of the new state in microseconds; 0 if unknown
- * @failures: consecutive failures before the event
+ * @failures: consecutive failures before the event; for a part, ends of upstreams
  * @limit: requests per second, for AP_FLEET_EVENT_LIMITED
  */
 typedef struct ap_fleet_event {
@@ -264,7 +272,8 @@
 void ap_fleet_evacuate(ap_fleet_t *f, const char *data_centre, bool off, ap_usec_t now);
 /**
  * ap_fleet_next_health_check() - returns an upstream that needs a health check, because no
- * instance knows whether the upstream is cold. To be called until it returns false.
+ * instance knows whether the upstream is cold, or because it may have ended. To be called until it
+ * returns false.
  */
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica);
 /**
@@ -278,6 +287,11 @@
  *         negative if it names no limit
  */
 void ap_fleet_limit_seen(ap_fleet_t *f, const char *id, double limit, ap_usec_t now);
+/**
+ * ap_fleet_health_check_refused() - upstream @id refused the connection for a health check, or
+ * another one has its address.
+ */
+void ap_fleet_health_check_refused(ap_fleet_t *f, const char *id, ap_usec_t now);
 /** ap_fleet_tick() - removes what has expired; to be called several times a second. */
 void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now);
 /**
@@ -320,7 +334,9 @@
 			  ap_usec_t now);
 
 /* Requests: choose.c and load.c */
-/** ap_fleet_choose() - chooses a target for @req. @target is set unless AP_FLEET_NONE is returned.
+/**
+ * ap_fleet_choose() - chooses a target for @req.
+ * @target: set unless AP_FLEET_NONE is returned; for AP_FLEET_HELD, only its wait
  */
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 				  ap_target_t *target);
@@ -392,6 +408,7 @@
 
 /**
  * struct ap_fleet_stats - gauges for metrics.
+ * @suspects: parts of prompts that may crash upstreams
  * @running: in-flight requests that this instance sent to upstreams
  */
 typedef struct ap_fleet_stats {
@@ -401,6 +418,7 @@
 	size_t cold;
 	size_t ejected;
 	size_t limited;
+	size_t suspects;
 	size_t members;
 	size_t running;
 } ap_fleet_stats_t;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -280,6 +280,11 @@
 	ap_copy_name(inflight->id, sizeof(inflight->id), target->id);
 	ap_copy_name(inflight->pool, sizeof(inflight->pool), req->pool->name);
 	ap_copy_name(inflight->region, sizeof(inflight->region), target->region);
+	if (req->pool->kv_tokens > 0) {
+		for (size_t i = 0; i + 1 < req->n_parts; i++)
+			inflight->parts[inflight->n_parts++] = req->parts[i].id;
+		ap_suspect_sent(f, req, now);
+	}
 	if (target->remote)
 		sent_remote(f, req, target);
 	if (!r)
@@ -389,8 +394,12 @@
 	r->own.kv -= inflight->kv;
 	if (!inflight->has_first_chunk)
 		r->own.prefill[inflight->priority] -= inflight->prefill;
-	if (end == AP_DISPATCH_DONE)
+	if (end == AP_DISPATCH_DONE) {
 		learn_mean(f, inflight, now);
+		ap_suspect_completed(f, inflight, now);
+	} else if (end == AP_DISPATCH_BROKEN) {
+		ap_break_seen(f, r, inflight, now);
+	}
 	ap_replica_record_result(f, r, end, inflight->trial, now);
 }
 
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -144,6 +144,7 @@
 	HASH_DEL(f->replicas, r);
 	HASH_DELETE(by_tag, f->tagged, r);
 	ap_prefix_cache_clear(f, &r->cache);
+	ap_break_forget(r);
 	free(r);
 }
 
@@ -251,6 +252,7 @@
 			m->n_loads = 0;
 		}
 	}
+	ap_suspects_tick(f, now);
 	ap_load_recount(f, now);
 }
 
@@ -259,6 +261,7 @@
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		r->failures = 0;
 		r->ejected_until = 0;
+		ap_break_forget(r);
 	}
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
 		m->heard_at = 0;
@@ -268,7 +271,10 @@
 
 ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now)
 {
-	ap_fleet_stats_t stats = {.members = ap_fleet_count_members(f, NULL)};
+	ap_fleet_stats_t stats = {
+		.members = ap_fleet_count_members(f, NULL),
+		.suspects = ap_suspects_count(f),
+	};
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		stats.replicas++;
--- a/test/crash_run_test.c
+++ b/test/crash_run_test.c
@@ -2,7 +2,7 @@
  * Prompts that crash engines. Once five engines have ended by requests with one part in their
  * prompts, and five seconds have passed, all instances together send no more than three requests
  * with it. Sound requests with the same first part go on, and so do all others whatever engines
- * suffer. Options: --seed N, --faults F (a sum of the kinds below), --verbose 1.
+ * suffer. Options: --seed N, --faults F (a sum of the kinds below), --seeds N, --verbose 1.
  */
 #include "crash_world.h"
 
@@ -10,7 +10,6 @@
 #define BAD_TIME (22 * AP_SEC)
 #define RUN_TIME (45 * AP_SEC)
 #define RELEASE_TIME (120 * AP_SEC) /* until requests with the part are served again */
-#define SEEDS 12
 
 enum {
 	FAULT_RESTART = 1, /* of one instance, or of about half */
@@ -24,6 +23,7 @@
 static unsigned long one_seed;
 static int one_faults = -1;
 static bool verbose;
+static uint64_t seeds = 12;
 
 typedef struct fault {
 	int target;
@@ -38,10 +38,10 @@
 
 static void restart_one(cw_t *w, cw_instance_t *n)
 {
-	cw_instance_t **later = malloc(sizeof(n));
+	int *later = malloc(sizeof(*later));
 
 	assert_non_null(later);
-	*later = n;
+	*later = n->number;
 	cw_note(w, "instance is killed", n->id);
 	cw_instance_stop(n);
 	fake_at(&w->sim, w->sim.now + AP_SEC, on_start, w, later);
@@ -193,7 +193,7 @@
 				 bad_rate, paired));
 		return;
 	}
-	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+	for (uint64_t seed = 1; seed <= seeds; seed++)
 		failed += !play(seed, faults, per_region, bad_rate, paired);
 	assert_int_equal(failed, 0);
 }
@@ -234,10 +234,12 @@
 
 	(void)state;
 	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
-		for (uint64_t seed = 1; seed <= SEEDS / 2; seed++) {
+		for (uint64_t seed = 1; seed <= seeds / 2; seed++) {
 			cw_t *w = begin(seed, faults[i], 3);
 
 			fake_run(&w->sim, WORLD_START + RUN_TIME);
+			print_message("seed %llu, faults %d: %u refused\n",
+				      (unsigned long long)seed, faults[i], w->sound_refused);
 			assert_int_equal(w->sound_refused, 0);
 			cw_free(w);
 		}
@@ -248,7 +250,7 @@
 static void a_part_that_came_only_with_the_bad_one_is_not_held_back_alone(void **state)
 {
 	(void)state;
-	for (uint64_t seed = 1; seed <= SEEDS / 2; seed++) {
+	for (uint64_t seed = 1; seed <= seeds / 2; seed++) {
 		cw_t *w = begin(seed, 0, 3);
 
 		w->paired = true;
@@ -270,7 +272,7 @@
 static void a_part_is_sent_again_once_it_crashes_nothing(void **state)
 {
 	(void)state;
-	for (uint64_t seed = 1; seed <= SEEDS / 2; seed++) {
+	for (uint64_t seed = 1; seed <= seeds / 2; seed++) {
 		cw_t *w = begin(seed, 0, seed % 2 ? 3 : 25);
 		unsigned before;
 
@@ -293,6 +295,8 @@
 			one_seed = strtoul(argv[i + 1], NULL, 10);
 		else if (strcmp(argv[i], "--faults") == 0)
 			one_faults = (int)strtol(argv[i + 1], NULL, 10);
+		else if (strcmp(argv[i], "--seeds") == 0)
+			seeds = strtoul(argv[i + 1], NULL, 10);
 		else if (strcmp(argv[i], "--verbose") == 0)
 			verbose = atoi(argv[i + 1]) > 0;
 	}
--- a/test/crash_world.h
+++ b/test/crash_world.h
@@ -66,6 +66,7 @@
 	bool first_attempt;
 	unsigned retries; /* left to the caller */
 	unsigned attempts;
+	uint64_t send;		/* number of the latest send */
 	struct cw_count *count; /* where the request counts; NULL for nowhere */
 	cw_instance_t *instance;
 	unsigned instance_life;
@@ -75,6 +76,12 @@
 	ap_inflight_t inflight;
 } cw_request_t;
 
+/* An event of one send; it has no effect if the request was sent again or has ended. */
+typedef struct cw_sent {
+	cw_request_t *request;
+	uint64_t send;
+} cw_sent_t;
+
 /* Requests of one kind in one period. */
 typedef struct cw_count {
 	unsigned sent;
@@ -92,7 +99,8 @@
 	cw_engine_t engines[CW_REGIONS * CW_ENGINES];
 	cw_instance_t instances[CW_INSTANCES];
 	cw_request_t *requests;
-	uint64_t n_own;	     /* parts of single requests */
+	uint64_t n_own; /* parts of single requests */
+	uint64_t n_sends;
 	unsigned ends;	     /* engines that the bad part ended */
 	ap_usec_t fifth_end; /* 0 before */
 	ap_usec_t last_end;
@@ -139,7 +147,7 @@
 static inline void cw_engine_start(void *arg, void *data)
 {
 	cw_t *w = arg;
-	cw_engine_t *e = *(cw_engine_t **)data;
+	cw_engine_t *e = &w->engines[*(int *)data];
 
 	e->up = true;
 	snprintf(e->id, sizeof(e->id), "e%d.%d.%u", e->region, e->number, ++e->life);
@@ -164,13 +172,13 @@
 /* All requests at @e are broken; it is back, as a new incarnation, after a while. */
 static inline void cw_crash(cw_t *w, cw_engine_t *e)
 {
-	cw_engine_t **later = malloc(sizeof(e));
+	int *later = malloc(sizeof(*later));
 	char *id = strdup(e->id);
 
 	assert_true(later && id);
 	cw_note(w, "engine ends", e->id);
 	e->up = false;
-	*later = e;
+	*later = (int)(e - w->engines);
 	fake_at(&w->sim, w->sim.now + CW_DOWN_TIME, cw_engine_start, w, later);
 	fake_at(&w->sim, w->sim.now + CW_RECORD_TIME, cw_remove_record, w, id);
 	for (size_t i = 0; i < CW_IN_FLIGHT; i++) {
@@ -228,24 +236,44 @@
 
 static inline void cw_retry_later(cw_t *w, const cw_request_t *r);
 
+/* Runs an event of the latest send of @r after @delay. */
+static inline void cw_at(cw_t *w, ap_usec_t delay, void (*run)(void *, void *), cw_request_t *r)
+{
+	cw_sent_t *sent = malloc(sizeof(*sent));
+
+	assert_non_null(sent);
+	*sent = (cw_sent_t){r, r->send};
+	fake_at(&w->sim, w->sim.now + delay, run, w, sent);
+}
+
+/* Returns the request behind an event; NULL if the event is out of date. */
+static inline cw_request_t *cw_current(const cw_sent_t *sent)
+{
+	cw_request_t *r = sent->request;
+
+	return r->open && r->send == sent->send && r->engine->up &&
+			       r->engine->life == r->engine_life
+		       ? r
+		       : NULL;
+}
+
 /* Sends @r to an engine, or ends it if it is refused. */
 static inline void cw_send(cw_t *w, cw_request_t *r)
 {
 	cw_instance_t *n = r->instance;
 	ap_fleet_status_t status;
 	ap_target_t target;
-	size_t *slot = malloc(sizeof(*slot));
 
-	assert_non_null(slot);
-	*slot = (size_t)(r - w->requests);
 	status = ap_fleet_choose(n->fleet, &r->req, w->sim.now, &target);
 	if (status != AP_FLEET_OK) {
 		if (r->kind != CW_BAD && status != AP_FLEET_LATE && cw_mostly_up(w, n->region)) {
 			w->sound_refused++;
-			cw_note(w, "sound request refused by", n->id);
+			cw_note(w,
+				status == AP_FLEET_HELD ? "sound request held back by"
+							: "sound request refused by",
+				n->id);
 		}
 		r->open = false;
-		free(slot);
 		cw_retry_later(w, r);
 		return;
 	}
@@ -256,7 +284,6 @@
 	}
 	ap_fleet_sent(n->fleet, &r->req, &target, w->sim.now, &r->inflight);
 	if (!r->engine) {
-		free(slot);
 		ap_fleet_done(n->fleet, &r->inflight, AP_DISPATCH_UNREACHABLE, w->sim.now);
 		if (r->req.n_avoid < AP_TRIED_MAX) {
 			ap_copy_name(r->req.avoid[r->req.n_avoid++], AP_NAME_MAX, target.id);
@@ -272,8 +299,8 @@
 		w->sends_after++;
 		cw_note(w, "bad request sent by", n->id);
 	}
-	fake_at(&w->sim, w->sim.now + 50 * AP_MSEC + (ap_usec_t)ap_rng_below(&w->sim.rng, 250000),
-		cw_begin, w, slot);
+	r->send = ++w->n_sends;
+	cw_at(w, 50 * AP_MSEC + (ap_usec_t)ap_rng_below(&w->sim.rng, 250000), cw_begin, r);
 }
 
 static inline cw_request_t *cw_open(cw_t *w, cw_kind_t kind)
@@ -383,38 +410,29 @@
 static inline void cw_end(void *arg, void *data)
 {
 	cw_t *w = arg;
-	cw_request_t *r = &w->requests[*(size_t *)data];
+	cw_request_t *r = cw_current(data);
 
-	if (!r->open || !cw_alive(r)) {
-		r->open = false;
+	if (!r)
 		return;
-	}
-	if (r->engine->life != r->engine_life || !r->engine->up)
-		return; /* broken and sent again meanwhile */
 	if (r->engine->grey && ap_rng_below(&w->sim.rng, 5) < 2) {
 		cw_failed(w, r, AP_DISPATCH_BROKEN);
 		return;
 	}
-	ap_fleet_done(r->instance->fleet, &r->inflight, AP_DISPATCH_DONE, w->sim.now);
-	w->bad_done += r->kind == CW_BAD;
 	r->open = false;
+	w->bad_done += r->kind == CW_BAD;
+	if (cw_alive(r))
+		ap_fleet_done(r->instance->fleet, &r->inflight, AP_DISPATCH_DONE, w->sim.now);
 }
 
 /* The engine begins to respond. */
 static inline void cw_begin(void *arg, void *data)
 {
 	cw_t *w = arg;
-	size_t *slot = malloc(sizeof(*slot));
-	cw_request_t *r = &w->requests[*(size_t *)data];
+	cw_request_t *r = cw_current(data);
 
-	assert_non_null(slot);
-	*slot = *(size_t *)data;
-	if (!r->open || !r->engine->up || r->engine->life != r->engine_life) {
-		free(slot);
+	if (!r)
 		return;
-	}
 	if (r->kind == CW_BAD && w->bad) {
-		free(slot);
 		cw_bad_end(w, r->engine);
 		return;
 	}
@@ -422,7 +440,7 @@
 		r->count->begun++;
 	if (cw_alive(r))
 		ap_fleet_first_chunk(r->instance->fleet, &r->inflight, w->sim.now);
-	fake_at(&w->sim, w->sim.now + 500 * AP_MSEC, cw_end, w, slot);
+	cw_at(w, 500 * AP_MSEC, cw_end, r);
 }
 
 /* Instances. */
@@ -509,8 +527,8 @@
 
 static inline void cw_instance_start(void *arg, void *data)
 {
-	cw_instance_t *n = *(cw_instance_t **)data;
 	cw_t *w = arg;
+	cw_instance_t *n = &w->instances[*(int *)data];
 	ap_usec_t now = w->sim.now;
 	cw_check_t *tick = calloc(1, sizeof(*tick));
 	ap_fleet_config_t bounds = {.cold_over = 1.5,
@@ -592,7 +610,7 @@
 		cw_engine_t *e = &w->engines[i];
 
 		*e = (cw_engine_t){.region = i / CW_ENGINES, .number = i % CW_ENGINES};
-		cw_engine_start(w, &e);
+		cw_engine_start(w, &i);
 	}
 	for (int i = 0; i < per_region * CW_REGIONS; i++) {
 		cw_instance_t *n = &w->instances[i];
@@ -600,11 +618,8 @@
 		*n = (cw_instance_t){.w = w, .number = i, .region = i % CW_REGIONS};
 		snprintf(n->id, sizeof(n->id), "n%d", i);
 	}
-	for (int i = 0; i < per_region * CW_REGIONS; i++) {
-		cw_instance_t *n = &w->instances[i];
-
-		cw_instance_start(w, &n);
-	}
+	for (int i = 0; i < per_region * CW_REGIONS; i++)
+		cw_instance_start(w, &i);
 	fake_at(&w->sim, w->sim.now, cw_step, w, NULL);
 	return w;
 }
@@ -637,6 +652,8 @@
 		return;
 	if (cw_engine_alive(w, check->id))
 		ap_fleet_health_checked(n->fleet, check->id, 0, w->sim.now);
+	else
+		ap_fleet_health_check_refused(n->fleet, check->id, w->sim.now);
 }
 
 #endif
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -44,6 +44,34 @@
 	finish(&w);
 }
 
+/* It hasn't run, and the caller is told when to come back. */
+static void a_request_that_is_held_back_is_refused_at_once(void **state)
+{
+	world_t w = {.held = 700 * AP_MSEC};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	assert_int_equal(w.n_sent, 0);
+	assert_int_equal(w.status, 503);
+	assert_int_equal(w.reason, AP_REASON_HELD);
+	assert_int_equal(w.retry_after, 700 * AP_MSEC);
+	finish(&w);
+}
+
+/* It ran once, so the response doesn't promise anything. */
+static void a_request_that_broke_is_not_retried_while_it_is_held_back(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	w.held = 700 * AP_MSEC;
+	end(&w, AP_CONNECTION_BROKEN);
+	assert_int_equal(w.n_sent, 1);
+	assert_int_equal(w.status, 502);
+	finish(&w);
+}
+
 static void a_refused_request_goes_to_another_upstream(void **state)
 {
 	world_t w = {0};
@@ -341,6 +369,8 @@
 		cmocka_unit_test(a_complete_response_is_delivered_once),
 		cmocka_unit_test(a_response_without_length_ends_with_a_clean_close),
 		cmocka_unit_test(an_at_most_once_request_is_not_retried_after_a_break),
+		cmocka_unit_test(a_request_that_is_held_back_is_refused_at_once),
+		cmocka_unit_test(a_request_that_broke_is_not_retried_while_it_is_held_back),
 		cmocka_unit_test(a_refused_request_goes_to_another_upstream),
 		cmocka_unit_test(a_truncated_refusal_is_a_refusal),
 		cmocka_unit_test(a_not_run_status_without_proof_is_not_delivered),
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -24,6 +24,7 @@
 	int targets;	   /* upstreams that may be chosen */
 	int unconnectable; /* how many sends fail to connect */
 	int budget;	   /* retries left */
+	ap_usec_t held;	   /* for how long the request is held back; 0 for not at all */
 	char sent[SENDS_MAX][AP_NAME_MAX];
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
 	int n_sent;
@@ -46,6 +47,10 @@
 {
 	world_t *w = ctx;
 
+	if (w->held > 0) {
+		*target = (ap_target_t){.wait = w->held};
+		return AP_FLEET_HELD;
+	}
 	for (int i = 0; i < w->targets; i++) {
 		char id[AP_NAME_MAX];
 		bool avoided = false;
@@ -175,6 +180,7 @@
 {
 	int targets = w->targets ? w->targets : 3;
 	int unconnectable = w->unconnectable;
+	ap_usec_t held = w->held;
 
 	*w = (world_t){
 		.route = {.kind = kind,
@@ -185,6 +191,7 @@
 		.now = START,
 		.targets = targets,
 		.unconnectable = unconnectable,
+		.held = held,
 		.budget = 10,
 	};
 	w->x.ops = &ops;
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -342,6 +342,41 @@
 	ap_fleet_limit_seen(f, "d1", -1, now);
 }
 
+#define PART 0x1f
+
+/* Sends a request with PART to engine @number, which ends with the result @end. */
+static void send_part(ap_fleet_t *f, int number, ap_dispatch_result_t end, ap_usec_t now)
+{
+	ap_dispatch_t req = world_request(&world_stream, &world_engines, now);
+	ap_target_t target = {.remote = false};
+	ap_inflight_t inflight;
+
+	snprintf(target.id, sizeof(target.id), "e%d", number);
+	world_replica(f, target.id, "engines", "north", now);
+	world_prompt(&req, PART, 2000, (uint64_t)number);
+	ap_fleet_sent(f, &req, &target, now, &inflight);
+	ap_fleet_done(f, &inflight, end, now);
+	ap_fleet_health_check_refused(f, target.id, now);
+	ap_fleet_tick(f, now);
+}
+
+static void suspect_part(ap_fleet_t *f, ap_usec_t now)
+{
+	for (int i = 0; i < 4; i++) {
+		assert_int_equal(n_events[AP_FLEET_EVENT_PART_SUSPECTED], i > 2);
+		send_part(f, i, AP_DISPATCH_BROKEN, now + i * AP_SEC);
+	}
+	assert_int_equal(ap_fleet_stats(f, now).suspects, 1);
+}
+
+static void clear_part(ap_fleet_t *f, ap_usec_t now)
+{
+	suspect_part(f, now);
+	send_part(f, 5, AP_DISPATCH_DONE, now + 5 * AP_SEC);
+	send_part(f, 6, AP_DISPATCH_DONE, now + 6 * AP_SEC);
+	assert_int_equal(ap_fleet_stats(f, now).suspects, 0);
+}
+
 static void each_event_is_reported_once(void **state)
 {
 	static const struct {
@@ -355,6 +390,8 @@
 		[AP_FLEET_EVENT_SUSPECTED] = {suspect_instance, "s1"},
 		[AP_FLEET_EVENT_LIMITED] = {name_limit, "d1"},
 		[AP_FLEET_EVENT_UNLIMITED] = {end_limit, "d1"},
+		[AP_FLEET_EVENT_PART_SUSPECTED] = {suspect_part, "1f"},
+		[AP_FLEET_EVENT_PART_CLEARED] = {clear_part, "1f"},
 	};
 
 	(void)state;
@@ -374,8 +411,8 @@
 		cases[b].run(f, WORLD_START + AP_SEC);
 		assert_int_equal(n_events[b], 1);
 		assert_string_equal(event_ids[b], cases[b].id);
-		/* Entries of upstreams have an age; events on instances have none. */
-		if (b != AP_FLEET_EVENT_SUSPECTED)
+		/* Entries of upstreams have an age; events on instances and parts have none. */
+		if (strcmp(cases[b].id, "d1") == 0)
 			assert_true(events[b].entry_age >= AP_SEC);
 		ap_fleet_free(f);
 	}
