--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -70,6 +70,8 @@
 	memcpy(req->parts, r->parts, sizeof(req->parts));
 	if (r->last_event)
 		ap_copy_name(c->x.last_event_id, sizeof(c->x.last_event_id), r->last_event);
+	if (r->resumes)
+		ap_copy_name(c->resumes, sizeof(c->resumes), r->resumes);
 	ap_copy_name(c->id, sizeof(c->id), r->id);
 }
 
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -33,6 +33,7 @@
 	if (!target)
 		return;
 	ap_copy_name(s->target, sizeof(s->target), target->id);
+	ap_copy_name(s->version, sizeof(s->version), target->version);
 	s->wait = target->wait;
 	s->entry_age = target->entry_age;
 	s->cold = target->cold;
@@ -75,12 +76,13 @@
 	for (size_t i = first; i < c->n_steps; i++) {
 		const gate_step_t *s = &c->steps[i % GATE_STEPS_MAX];
 
-		json_array_append_new(
-			list, json_pack("{s:s,s:s,s:I,s:I,s:I,s:b,s:I,s:I}", "step",
-					ap_step_name(s->step), "target", s->target, "at_ms",
-					msec(s->at), "expected_ms", msec(s->wait), "entry_age_ms",
-					msec(s->entry_age), "cold", (int)s->cold, "cached",
-					(json_int_t)s->cached, "running", (json_int_t)s->running));
+		json_array_append_new(list, json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:I,s:I}",
+						      "step", ap_step_name(s->step), "target",
+						      s->target, "version", s->version, "at_ms",
+						      msec(s->at), "expected_ms", msec(s->wait),
+						      "entry_age_ms", msec(s->entry_age), "cold",
+						      (int)s->cold, "cached", (json_int_t)s->cached,
+						      "running", (json_int_t)s->running));
 	}
 	return list;
 }
@@ -138,7 +140,7 @@
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
 		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o,"
-		"s:o",
+		"s:o,s:s",
 		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 		"route", x->req.route->name, "pool", x->req.pool ? x->req.pool->name : "", "guest",
 		(int)c->forwarded, "status", c->status, "first_ms", msec(first), "objective_ms",
@@ -147,5 +149,5 @@
 		(int)x->sends, "runs", (int)x->runs, "refusals", (int)x->refusals, "version",
 		(json_int_t)c->plan->version, "expected_ms", msec(x->target.wait), "store_age_ms",
 		msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c), "parts",
-		parts_of(&x->req));
+		parts_of(&x->req), "resumes", c->resumes);
 }
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -57,6 +57,7 @@
  * @at: time since the request's arrival, in microseconds
  * @wait: expected at the target, in microseconds
  * @entry_age: time since the upstream's record was received, in microseconds; 0 for an instance
+ * @version: of the upstream's software
  * @cold: the upstream was believed to be cold, or may have been
  * @cached: tokens of the prompt that are expected to be cached there
  * @running: requests in flight there
@@ -64,6 +65,7 @@
 typedef struct gate_step {
 	ap_step_t step;
 	char target[AP_NAME_MAX];
+	char version[AP_NAME_MAX];
 	ap_usec_t at;
 	ap_usec_t wait;
 	ap_usec_t entry_age;
@@ -86,6 +88,7 @@
  * @body: of a response that is sent as a whole
  * @status: of the response of the current target, or of this instance
  * @headers: copy of the headers of the current target's response
+ * @resumes: id of the request that began the stream; empty if the request begins it
  * @steps: ring of the latest steps
  * @n_steps: how many steps there were
  */
@@ -105,6 +108,7 @@
 	int status;
 	struct evkeyvalq headers;
 	char id[AP_HOST_REQUEST_ID_MAX];
+	char resumes[AP_HOST_REQUEST_ID_MAX];
 	gate_outcome_t outcome;
 	gate_step_t steps[GATE_STEPS_MAX];
 	size_t n_steps;
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -370,6 +370,7 @@
 	ap_copy_name(target->id, sizeof(target->id), r->entry.id);
 	ap_copy_name(target->host, sizeof(target->host), r->entry.host);
 	ap_copy_name(target->region, sizeof(target->region), r->region);
+	ap_copy_name(target->version, sizeof(target->version), r->entry.version);
 }
 
 /*
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -22,6 +22,7 @@
 /**
  * struct ap_replica_entry - an upstream as the platform lists it.
  * @id: changes with each start of the upstream
+ * @version: of its software; upstreams of one pool may run several
  * @slots: requests processed concurrently; 0 to use the pool's number
  * @cold_left: remaining time in microseconds during which the upstream is cold
  * @shutdown_in: microseconds until the upstream stops, whatever it is processing; AP_NEVER if not
@@ -33,6 +34,7 @@
 	char host[AP_HOST_MAX];
 	uint16_t port;
 	char data_centre[AP_NAME_MAX];
+	char version[AP_NAME_MAX];
 	uint32_t slots;
 	bool draining;
 	ap_usec_t cold_left;
@@ -92,6 +94,7 @@
 /**
  * struct ap_target - where a request is sent.
  * @remote: an instance of a remote region, not an upstream
+ * @version: of the upstream's software; empty for a remote target
  * @wait: expected time to the first chunk of the response, in microseconds; unlike the waits that
  *        regions announce, it includes the processing of the request itself
  * @queue: expected time that is spent on other requests, in microseconds
@@ -106,6 +109,7 @@
 	char host[AP_HOST_MAX];
 	uint16_t port;
 	char region[AP_NAME_MAX];
+	char version[AP_NAME_MAX];
 	ap_usec_t wait;
 	ap_usec_t queue;
 	uint32_t cached;
