Let streams go on only at the software version that began them

What callers saw: streams that ended whole but held events from two software versions of an upstream, which don't fit together; nothing told them so.

A caller that took a stream up named the request that had begun it, and nothing read that.

Class: a continuation that is handed on without the property it depends on.

Change: a build, a pool and a version, is kept with a stream from its first event on; only upstreams of that build are chosen, here and in other regions. A forwarded request and its response name it. Instances tell their region which build began which resumable stream, with each announcement, and other regions while a pool has more than one build. A stream of which nothing was heard goes on if its only pool has had one build for 15 s; else it is refused, 503 at once, and may come again. A route with several pools also goes on in the pool that began it. Class elsewhere: the pool of a forwarded request is picked anew by the remote instance; a stream now follows the pool that it names.

Why this works: what was known when the stream began travels ahead of the failure, and without it nothing goes on.

The announcements and the waits between regions have two more, optional, fields. A remote instance of an earlier version names no build; its streams aren't resumed.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -106,8 +106,35 @@
 	return given ? (unsigned)strtoul(given, NULL, 10) : c->x.req.route->attempts;
 }
 
+/*
+ * Finds the build at which a stream has to go on; 0 if the request begins a stream, or isn't one.
+ *
+ * Return: false if it isn't known.
+ */
+static bool find_build(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+		       const ap_plan_route_t *route, bool forwarded, uint64_t *build)
+{
+	const char *given = forwarded ? ap_http_call_header(call, FORWARD_HEADER_BUILD) : NULL;
+
+	*build = given ? strtoull(given, NULL, 16) : 0;
+	if (*build != 0 || !route->resumable || !r->last_event || !*r->last_event)
+		return true;
+	return ap_fleet_stream_build(gate->fleet, r->resumes, route, ap_now(), build);
+}
+
+/* The pool of a stream that goes on is the one that began it. */
+static const ap_plan_pool_t *pick_pool(gateway_t *gate, const gate_call_t *c)
+{
+	const char *pool =
+		c->x.req.build != 0 ? ap_fleet_build_pool(gate->fleet, c->x.req.build) : NULL;
+
+	if (c->x.req.build != 0)
+		return pool ? ap_plan_find_pool(c->plan, pool) : NULL;
+	return ap_plan_pick_pool(c->plan, c->x.req.route, ap_rng_unit(&gate->rng));
+}
+
 static void begin(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
-		  const ap_plan_route_t *route, bool forwarded)
+		  const ap_plan_route_t *route, uint64_t build, bool forwarded)
 {
 	ap_usec_t now = ap_now();
 	gate_call_t *c = call_new(gate, call, forwarded);
@@ -118,7 +145,8 @@
 	}
 	fill_dispatch(c, r, now);
 	c->x.req.route = route;
-	c->x.req.pool = ap_plan_pick_pool(c->plan, route, ap_rng_unit(&gate->rng));
+	c->x.req.build = build;
+	c->x.req.pool = pick_pool(gate, c);
 	ap_http_call_watch(call, c, on_closed, on_drained);
 	if (!forwarded && c->x.req.pool)
 		ap_fleet_count_request(gate->fleet, c->x.req.pool->name, now);
@@ -130,6 +158,7 @@
 {
 	const ap_plan_route_t *route;
 	ap_host_request_t request;
+	uint64_t build;
 	ap_err_t err;
 
 	gate->counters.requests++;
@@ -159,7 +188,17 @@
 		reply_early(call, forwarded ? 503 : 404, forwarded, "no-route");
 		return;
 	}
-	begin(gate, call, &request, route, forwarded);
+	if (!find_build(gate, call, &request, route, forwarded, &build)) {
+		gate->counters.unknown_streams++;
+		gate->counters.ended[GATE_REFUSED]++;
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "stream.unknown", request.id, "s:s",
+				 "resumes", request.resumes ? request.resumes : "");
+		/* Another instance may still announce it. */
+		reply_early(call, 503, forwarded, "stream-unknown");
+		return;
+	}
+	gate->counters.taken_up += build != 0 && !forwarded;
+	begin(gate, call, &request, route, build, forwarded);
 }
 
 void gate_on_caller(void *ctx, ap_http_call_t *call)
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -15,6 +15,7 @@
 #define LATE_MARGIN (1 * AP_SEC)       /* so that the exchange's own timeouts come first */
 #define RESPONSE_MAX (16 << 20)	       /* bytes of one response */
 #define PENDING_MAX (128 << 10)	       /* bytes waiting for a slow caller; reading pauses above */
+#define BUILD_TEXT_MAX 20	       /* bytes of a build in hexadecimal, with terminator */
 #define PRIORITY_OMITTED 10	       /* above the platform's scale: no priority header is sent */
 
 static void clear_response(gate_call_t *c)
@@ -87,6 +88,24 @@
 		ap_fleet_limit_seen(c->gate->fleet, c->x.target.id, info->limit, ap_now());
 }
 
+/* Returns the build that a remote instance names; 0 for none. */
+static uint64_t build_of(const struct evkeyvalq *headers)
+{
+	const char *build = evhttp_find_header(headers, FORWARD_HEADER_BUILD);
+
+	return build ? strtoull(build, NULL, 16) : 0;
+}
+
+/* A remote instance may have picked another pool of the route than this one. */
+static void follow_pool(gate_call_t *c, uint64_t build)
+{
+	const char *pool = build != 0 ? ap_fleet_build_pool(c->gate->fleet, build) : NULL;
+	const ap_plan_pool_t *found = pool ? ap_plan_find_pool(c->plan, pool) : NULL;
+
+	if (found)
+		c->x.req.pool = found;
+}
+
 static void on_head(void *ctx, const ap_http_head_t *head)
 {
 	gate_call_t *c = ctx;
@@ -97,6 +116,7 @@
 		.refused = info.not_run,
 		.address_reused = head->status == AP_HOST_MISDIRECTED && !c->x.target.remote,
 		.from_replica = info.from_replica,
+		.build = build_of(head->headers),
 	};
 	struct evkeyval *h;
 
@@ -124,6 +144,8 @@
 	c->status = head->status;
 	TAILQ_FOREACH (h, head->headers, next)
 		evhttp_add_header(&c->headers, h->key, h->value);
+	if (c->x.stream && c->x.target.remote)
+		follow_pool(c, response.build);
 	ap_exchange_head(&c->x, &response, ap_now());
 	gate_call_update(c);
 }
@@ -181,8 +203,13 @@
 	headers->n = kept;
 }
 
+static void format_build(uint64_t build, char text[BUILD_TEXT_MAX])
+{
+	snprintf(text, BUILD_TEXT_MAX, "%llx", (unsigned long long)build);
+}
+
 static bool send_headers(gate_call_t *c, const ap_target_t *target, const char *last_event,
-			 ap_host_headers_t *headers)
+			 char build[BUILD_TEXT_MAX], ap_host_headers_t *headers)
 {
 	ap_host_upstream_request_t request = {
 		.caller_headers = ap_http_call_headers(c->call),
@@ -197,8 +224,12 @@
 	drop_forward_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n + 2 > AP_HOST_HEADERS_MAX)
+	if (headers->n + 3 > AP_HOST_HEADERS_MAX)
 		return false;
+	if (c->x.req.build != 0) {
+		format_build(c->x.req.build, build);
+		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, build};
+	}
 	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_PROOF, c->gate->proof};
 	/* The remote instance may run it once; this instance keeps the remaining attempts. */
 	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_ATTEMPTS, "1"};
@@ -211,6 +242,7 @@
 	gateway_t *gate = c->gate;
 	ap_usec_t limit = c->x.timeout_at - ap_now() + LATE_MARGIN;
 	ap_host_headers_t headers;
+	char build[BUILD_TEXT_MAX];
 	ap_http_fetch_config_t config = {
 		.host = target->host,
 		.port = target->port,
@@ -231,7 +263,7 @@
 		.end = on_end,
 	};
 
-	if (!send_headers(c, target, last_event, &headers))
+	if (!send_headers(c, target, last_event, build, &headers))
 		return false;
 	config.headers = headers.v;
 	config.n_headers = headers.n;
@@ -290,6 +322,15 @@
 	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_WAIT, text};
 }
 
+/* Tells the sender of a forwarded request which build serves its stream. */
+static void add_build(const gate_call_t *c, ap_host_headers_t *headers, char text[BUILD_TEXT_MAX])
+{
+	if (!c->forwarded || !c->x.stream || headers->n == AP_HOST_HEADERS_MAX)
+		return;
+	format_build(ap_exchange_build(&c->x), text);
+	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text};
+}
+
 /* While draining, makes callers close their connections. */
 static void add_close(const gate_call_t *c, ap_host_headers_t *headers)
 {
@@ -297,13 +338,15 @@
 		headers->v[headers->n++] = (ap_http_header_t){"Connection", "close"};
 }
 
-static void response_headers(gate_call_t *c, ap_host_headers_t *headers, char text[24])
+static void response_headers(gate_call_t *c, ap_host_headers_t *headers, char text[24],
+			     char build[BUILD_TEXT_MAX])
 {
 	if (!ap_host_response_headers(&c->headers, headers))
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "answer.headers-cut", c->id,
 				 NULL);
 	drop_forward_headers(headers);
 	add_wait(c, headers, text);
+	add_build(c, headers, build);
 	add_close(c, headers);
 }
 
@@ -315,11 +358,15 @@
 {
 	gate_call_t *c = ctx;
 	ap_host_headers_t headers;
+	char build[BUILD_TEXT_MAX];
 	char text[24];
 
+	if (c->x.stream && c->x.req.route->resumable && !c->forwarded)
+		ap_fleet_stream_began(c->gate->fleet, c->resumes[0] ? c->resumes : c->id,
+				      c->x.req.build, ap_now());
 	if (!c->x.stream && !c->fetch)
 		return;
-	response_headers(c, &headers, text);
+	response_headers(c, &headers, text, build);
 	c->started = true;
 	ap_http_reply_start(c->call, c->status, headers.v, headers.n);
 }
@@ -343,6 +390,7 @@
 	gate_call_t *c = ctx;
 	ap_http_call_t *call = c->call;
 	ap_host_headers_t headers;
+	char build[BUILD_TEXT_MAX];
 	char text[24];
 	size_t len = c->body ? evbuffer_get_length(c->body) : 0;
 
@@ -352,7 +400,7 @@
 		ap_http_reply_end(call);
 		return;
 	}
-	response_headers(c, &headers, text);
+	response_headers(c, &headers, text, build);
 	ap_http_reply(call, c->status, headers.v, headers.n,
 		      len > 0 ? evbuffer_pullup(c->body, -1) : NULL, len);
 }
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -29,11 +29,13 @@
  * Headers with this prefix from callers and upstreams are not passed on.
  * ATTEMPTS: how many times the receiver may run the request
  * NOT_RUN: the request did not run
+ * BUILD: of the upstream at which a stream must go on, or that responded; in hexadecimal
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
  */
 #define FORWARD_HEADER_PREFIX "Arbutuspond-"
 #define FORWARD_HEADER_ATTEMPTS FORWARD_HEADER_PREFIX "Attempts"
+#define FORWARD_HEADER_BUILD FORWARD_HEADER_PREFIX "Build"
 #define FORWARD_HEADER_NOT_RUN FORWARD_HEADER_PREFIX "Not-Run"
 #define FORWARD_HEADER_PROOF FORWARD_HEADER_PREFIX "Proof"
 #define FORWARD_HEADER_WAIT FORWARD_HEADER_PREFIX "Wait-Ms"
@@ -124,6 +126,8 @@
  * @sends: requests sent to upstreams and remote regions, with retries
  * @cold_sent: requests sent to upstreams that were believed to be cold
  * @forwarded_sent: requests sent to remote regions
+ * @taken_up: streams that callers took up here
+ * @unknown_streams: of these, refused because the build that began them isn't known
  * @unreadable: records of the store that could not be decoded
  * @first_chunk: histogram of the time until the first chunk of the response
  * @duration: histogram of the time until the end of the response
@@ -138,6 +142,8 @@
 	uint64_t cold_sent;
 	uint64_t forwarded_sent;
 	uint64_t retries;
+	uint64_t taken_up;
+	uint64_t unknown_streams;
 	uint64_t unreadable;
 	uint64_t first_chunk[GATE_BUCKETS + 1];
 	uint64_t duration[GATE_BUCKETS + 1];
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -207,7 +207,7 @@
 
 static bool may_run_again(const ap_exchange_t *x, ap_usec_t now)
 {
-	return x->retryable && x->runs < x->attempts && now < x->timeout_at;
+	return x->retryable && !x->build_unknown && x->runs < x->attempts && now < x->timeout_at;
 }
 
 /* The target refused the request, so it certainly didn't run there. */
@@ -293,6 +293,20 @@
 	x->ops->data(x->ctx, x->buffer + from, to - from);
 }
 
+uint64_t ap_exchange_build(const ap_exchange_t *x)
+{
+	return x->target.remote ? x->head.build : x->target.build;
+}
+
+/* From its first event on, a stream may only be resumed at the same build. */
+static void keep_build(ap_exchange_t *x)
+{
+	if (x->req.build != 0 || x->committed)
+		return;
+	x->req.build = ap_exchange_build(x);
+	x->build_unknown = x->target.remote && x->req.build == 0;
+}
+
 /* Delivers complete events; an incomplete one stays in the buffer. */
 static void deliver_events(ap_exchange_t *x, ap_usec_t now)
 {
@@ -306,6 +320,8 @@
 		from = ap_sse_after(x->buffer, complete, x->last_event_id);
 	x->last_chunk_at = now;
 	x->ops->first_chunk(x->ctx, &x->inflight);
+	if (from < complete)
+		keep_build(x);
 	deliver_range(x, from, complete, now);
 	if (from < complete) {
 		x->resuming = false;
@@ -452,7 +468,7 @@
 {
 	const ap_plan_route_t *route = x->req.route;
 
-	if (!x->retryable || x->runs + 1 >= x->attempts)
+	if (!x->retryable || x->build_unknown || x->runs + 1 >= x->attempts)
 		return AP_NEVER;
 	if (x->inflight.has_first_chunk && x->stream)
 		return route->event_gap > 0 ? route->event_gap : AP_NEVER;
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -28,12 +28,14 @@
  * @refused: the target states that it did not run the request
  * @address_reused: another upstream has the address now
  * @from_replica: a replica made the response, not an instance that forwarded the request
+ * @build: of the upstream behind a remote target; 0 if the target doesn't say
  */
 typedef struct ap_response_head {
 	int status;
 	bool refused;
 	bool address_reused;
 	bool from_replica;
+	uint64_t build;
 } ap_response_head_t;
 
 /* Why this instance generates the final response itself. */
@@ -122,6 +124,8 @@
  * @has_head: @head holds the current target's response head
  * @committed: the head was sent to the caller, so the response can't be replaced any more
  * @resuming: the target may repeat events up to the last one that was delivered
+ * @build_unknown: the stream began at an upstream whose build isn't known, so it can't go on at
+ *another
  * @retry_counted: the next retry was taken from the budget already
  * @finished: the caller has its final response or has disconnected; only
  *	ap_exchange_clear() is left to call
@@ -146,6 +150,7 @@
 	bool has_head;
 	bool committed;
 	bool resuming;
+	bool build_unknown;
 	bool retry_counted;
 	bool finished;
 	ap_reason_t reason;
@@ -171,6 +176,8 @@
 void ap_exchange_start(ap_exchange_t *x, unsigned attempts, ap_usec_t now);
 /** ap_exchange_clear() - frees the buffer and drops a connection that is still open. */
 void ap_exchange_clear(ap_exchange_t *x);
+/** ap_exchange_build() - the build of the upstream that serves the current target's response. */
+uint64_t ap_exchange_build(const ap_exchange_t *x);
 /** ap_exchange_head() - the current target's response head arrived. */
 void ap_exchange_head(ap_exchange_t *x, const ap_response_head_t *head, ap_usec_t now);
 /** ap_exchange_data() - a part of the response's body arrived. */
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -192,7 +192,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 13);
+	msgpack_pack_array(&out.pk, 15);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -204,6 +204,7 @@
 	n += pack_evacuations(f, &out.pk, now);
 	n += ap_limits_pack(f, &out.pk, now);
 	n += ap_suspects_pack(f, &out.pk, now);
+	n += ap_streams_pack(f, &out.pk);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -261,10 +262,11 @@
 	if (!self || self->member.draining)
 		return;
 	ap_wire_out_begin(&out, AP_WIRE_WAITS, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 4);
+	msgpack_pack_array(&out.pk, 6);
 	ap_wire_pack_str(&out.pk, f->config.region);
 	pack_waits(f, &out.pk, now);
 	ap_suspects_pack_remote(f, &out.pk, now);
+	ap_streams_pack_remote(f, &out.pk);
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		if (is_live_other(f, m, now) && !in_own_region(f, m) &&
 		    is_waits_sender(f, self, m, now))
@@ -441,12 +443,15 @@
 	ap_wire_reader_t limits = optional_array(&r);
 	ap_wire_reader_t ends = optional_array(&r);
 	ap_wire_reader_t completed = optional_array(&r);
+	ap_wire_reader_t builds = optional_array(&r);
+	ap_wire_reader_t streams = optional_array(&r);
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
 	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
-	    !ap_limits_apply(f, &limits, now) || !ap_suspects_apply(f, &ends, &completed, now))
+	    !ap_limits_apply(f, &limits, now) || !ap_suspects_apply(f, &ends, &completed, now) ||
+	    !ap_streams_apply(f, &builds, &streams, AP_ORIGIN_REGION, now))
 		return false;
 	f->informed = f->informed || informed;
 	if (says_informed && !informed && !ap_fleet_uninformed(f, now)) {
@@ -468,13 +473,18 @@
 	ap_wire_reader_t waits;
 	ap_wire_reader_t ends;
 	ap_wire_reader_t completed;
+	ap_wire_reader_t builds;
+	ap_wire_reader_t streams;
 	char region[AP_NAME_MAX];
 
 	ap_wire_str(&r, region, sizeof(region));
 	waits = ap_wire_array(&r);
 	ends = optional_array(&r);
 	completed = optional_array(&r);
-	if (!r.ok || !ap_suspects_apply(f, &ends, &completed, now))
+	builds = optional_array(&r);
+	streams = optional_array(&r);
+	if (!r.ok || !ap_suspects_apply(f, &ends, &completed, now) ||
+	    !ap_streams_apply(f, &builds, &streams, AP_ORIGIN_REMOTE, now))
 		return false;
 	while (waits.left > 0) {
 		ap_wire_reader_t e = ap_wire_array(&waits);
--- /dev/null
+++ b/lib/fleet/build.c
@@ -0,0 +1,205 @@
+/*
+ * Builds: a software version of a pool's upstreams. A stream goes on only at the build that began
+ * it. Within one response the exchange knows the build; a caller that takes a stream up may reach
+ * any other instance, so instances tell their region which build began which stream, and remote
+ * regions too while a pool has more than one. A stream of which nothing was heard goes on if its
+ * pools have had one build only for as long as a stream may last.
+ */
+#include "fleet/private.h"
+
+#include <string.h>
+
+#define STREAM_MAX_AGE (15 * AP_SEC) /* from its first event until a caller takes it up */
+#define TOLD_MAX 1024		     /* streams in one message; the rest follows with the next */
+#define BUILDS_MAX 16		     /* in one message */
+
+uint64_t ap_build_of(const char *pool, const char *version)
+{
+	uint64_t build = ap_hash_str(version, ap_hash_str(pool, 8));
+
+	return build ? build : 1;
+}
+
+static ap_stream_t *slot(ap_fleet_t *f, uint64_t number)
+{
+	return &f->streams[number % STREAMS_MAX];
+}
+
+static void add_stream(ap_fleet_t *f, const ap_stream_t *stream)
+{
+	*slot(f, f->n_streams++) = *stream;
+}
+
+void ap_fleet_stream_began(ap_fleet_t *f, const char *id, uint64_t build, ap_usec_t now)
+{
+	ap_stream_t stream = {
+		.id = ap_hash_str(id, 9), .build = build, .at = now, .origin = AP_ORIGIN_SELF};
+
+	if (build != 0)
+		add_stream(f, &stream);
+}
+
+void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
+{
+	f->gone_builds[f->n_gone_builds++ % GONE_BUILDS_MAX] = (ap_gone_build_t){
+		.pool = ap_hash_str(r->entry.pool, 8), .build = r->build, .at = now};
+}
+
+/*
+ * Returns the only build of @pool that was listed lately. 0 if there were several, or none.
+ */
+static uint64_t only_build(const ap_fleet_t *f, const char *pool, ap_usec_t now)
+{
+	uint64_t hash = ap_hash_str(pool, 8);
+	uint64_t build = 0;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (strcmp(r->entry.pool, pool) != 0)
+			continue;
+		if (build != 0 && r->build != build)
+			return 0;
+		build = r->build;
+	}
+	for (size_t i = 0; i < GONE_BUILDS_MAX; i++) {
+		const ap_gone_build_t *gone = &f->gone_builds[i];
+
+		if (gone->pool == hash && now - gone->at < STREAM_MAX_AGE && gone->build != build)
+			return 0;
+	}
+	return build;
+}
+
+bool ap_fleet_stream_build(ap_fleet_t *f, const char *id, const ap_plan_route_t *route,
+			   ap_usec_t now, uint64_t *build)
+{
+	uint64_t hash = id ? ap_hash_str(id, 9) : 0;
+
+	for (uint64_t n = f->n_streams; id && n > 0 && f->n_streams - n < STREAMS_MAX; n--) {
+		const ap_stream_t *stream = slot(f, n - 1);
+
+		if (now - stream->at > STREAM_MAX_AGE)
+			break;
+		if (stream->id != hash)
+			continue;
+		*build = stream->build;
+		return true;
+	}
+	*build = route->n_shares == 1 ? only_build(f, route->shares[0].pool, now) : 0;
+	return *build != 0;
+}
+
+const char *ap_fleet_build_pool(const ap_fleet_t *f, uint64_t build)
+{
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (r->build == build)
+			return r->entry.pool;
+	}
+	return NULL;
+}
+
+/* Returns whether a pool has more than one build. */
+static bool any_mixed(ap_fleet_t *f)
+{
+	for (ap_pool_state_t *p = f->pools; p; p = p->hh.next)
+		p->build = 0;
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		ap_pool_state_t *p = ap_pool_state(f, r->entry.pool);
+
+		if (p && p->build != 0 && p->build != r->build)
+			return true;
+		if (p)
+			p->build = r->build;
+	}
+	return false;
+}
+
+static size_t index_of(uint64_t *builds, size_t *n, uint64_t build)
+{
+	size_t i = 0;
+
+	while (i < *n && builds[i] != build)
+		i++;
+	if (i == *n && *n < BUILDS_MAX)
+		builds[(*n)++] = build;
+	return i;
+}
+
+/*
+ * Packs two arrays, the builds and the streams with their builds' numbers: those from @from on that
+ * came from @origin or nearer. Return: where the next message begins.
+ */
+static uint64_t pack_streams(ap_fleet_t *f, msgpack_packer *pk, uint64_t from, ap_origin_t origin,
+			     size_t *packed)
+{
+	uint64_t builds[BUILDS_MAX];
+	uint64_t end = from;
+	size_t n_builds = 0;
+	size_t n = 0;
+
+	if (f->n_streams > STREAMS_MAX && from < f->n_streams - STREAMS_MAX)
+		from = end = f->n_streams - STREAMS_MAX;
+	for (; end < f->n_streams && n < TOLD_MAX; end++) {
+		const ap_stream_t *s = slot(f, end);
+
+		if (s->origin > origin)
+			continue;
+		if (index_of(builds, &n_builds, s->build) == BUILDS_MAX)
+			break;
+		n++;
+	}
+	msgpack_pack_array(pk, n_builds);
+	for (size_t i = 0; i < n_builds; i++)
+		msgpack_pack_uint64(pk, builds[i]);
+	msgpack_pack_array(pk, 2 * n);
+	for (uint64_t i = from; i < end; i++) {
+		const ap_stream_t *s = slot(f, i);
+
+		if (s->origin > origin)
+			continue;
+		msgpack_pack_uint64(pk, s->id);
+		msgpack_pack_uint64(pk, index_of(builds, &n_builds, s->build));
+	}
+	*packed = n;
+	return end;
+}
+
+size_t ap_streams_pack(ap_fleet_t *f, msgpack_packer *pk)
+{
+	size_t n;
+
+	f->streams_told = pack_streams(f, pk, f->streams_told, AP_ORIGIN_SELF, &n);
+	return n;
+}
+
+void ap_streams_pack_remote(ap_fleet_t *f, msgpack_packer *pk)
+{
+	size_t n;
+
+	if (!any_mixed(f))
+		f->streams_told_remote = f->n_streams;
+	f->streams_told_remote = pack_streams(f, pk, f->streams_told_remote, AP_ORIGIN_REGION, &n);
+}
+
+bool ap_streams_apply(ap_fleet_t *f, ap_wire_reader_t *builds, ap_wire_reader_t *streams,
+		      ap_origin_t origin, ap_usec_t now)
+{
+	uint64_t known[BUILDS_MAX];
+	size_t n = 0;
+
+	if (builds->left > BUILDS_MAX)
+		return false;
+	while (builds->left > 0)
+		known[n++] = ap_wire_u64(builds);
+	while (streams->left >= 2) {
+		ap_stream_t stream = {.at = now, .origin = origin};
+		uint64_t number;
+
+		stream.id = ap_wire_u64(streams);
+		number = ap_wire_u64(streams);
+		if (!streams->ok || number >= n || known[number] == 0)
+			return false;
+		stream.build = known[number];
+		add_stream(f, &stream);
+	}
+	return builds->ok && streams->ok;
+}
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -150,6 +150,7 @@
 {
 	return strcmp(r->entry.pool, req->pool->name) == 0 &&
 	       strcmp(r->region, f->config.region) == 0 && ap_replica_usable(f, r, now) &&
+	       (req->build == 0 || r->build == req->build) &&
 	       !ap_dispatch_avoids(req, r->entry.id) &&
 	       (!ap_replica_cold(f, r, req->pool->warmup, now) || req->pool->warmup_rate <= 0 ||
 		ap_cold_allows(f, r, req->pool, now)) &&
@@ -363,6 +364,7 @@
 		.wait = (ap_usec_t)c->wait,
 		.queue = (ap_usec_t)c->queue,
 		.cached = c->cached,
+		.build = r->build,
 		.entry_age = now - r->received_at,
 		.running = ap_replica_running(r),
 		.cold = ap_replica_cold(f, r, req->pool->warmup, now),
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -72,6 +72,7 @@
  * @deadline: time by which the final response is due, in microseconds
  * @tokens_in: length of the prompt
  * @tokens_out: expected length of the response
+ * @build: the only build of upstreams that may be chosen; 0 for any
  * @parts: of the prompt, in order; the last one belongs to this request or its session alone
  * @tried: targets on which the request failed; chosen only if there is no other
  * @avoid: targets that must not be chosen
@@ -83,6 +84,7 @@
 	ap_usec_t deadline;
 	uint32_t tokens_in;
 	uint32_t tokens_out;
+	uint64_t build;
 	ap_prompt_part_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
 	char tried[AP_TRIED_MAX][AP_NAME_MAX];
@@ -95,6 +97,7 @@
  * struct ap_target - where a request is sent.
  * @remote: an instance of a remote region, not an upstream
  * @version: of the upstream's software; empty for a remote target
+ * @build: hash of the upstream's pool and version; 0 for a remote target
  * @wait: expected time to the first chunk of the response, in microseconds; unlike the waits that
  *        regions announce, it includes the processing of the request itself
  * @queue: expected time that is spent on other requests, in microseconds
@@ -110,6 +113,7 @@
 	uint16_t port;
 	char region[AP_NAME_MAX];
 	char version[AP_NAME_MAX];
+	uint64_t build;
 	ap_usec_t wait;
 	ap_usec_t queue;
 	uint32_t cached;
@@ -305,6 +309,21 @@
  */
 void ap_fleet_after_freeze(ap_fleet_t *f, ap_usec_t now);
 
+/* Builds of streams: build.c */
+/** ap_fleet_stream_began() - a stream's first event, of request @id, came from @build. */
+void ap_fleet_stream_began(ap_fleet_t *f, const char *id, uint64_t build, ap_usec_t now);
+/**
+ * ap_fleet_stream_build() - finds the build that began a stream.
+ * @id: of the request that brought its first event; NULL if the caller doesn't say
+ * @route: of the stream
+ *
+ * Return: false if it isn't known, so that the stream can't go on.
+ */
+bool ap_fleet_stream_build(ap_fleet_t *f, const char *id, const ap_plan_route_t *route,
+			   ap_usec_t now, uint64_t *build);
+/** ap_fleet_build_pool() - returns the pool of @build; NULL if no listed upstream has it. */
+const char *ap_fleet_build_pool(const ap_fleet_t *f, uint64_t build);
+
 /* Other instances: member.c */
 /** ap_fleet_update_member() - adds an instance, possibly this one, or updates its entry. */
 void ap_fleet_update_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -108,9 +108,35 @@
 	bool stale;
 } ap_suspect_t;
 
+#define STREAMS_MAX 16384  /* several seconds of a large region */
+#define GONE_BUILDS_MAX 16 /* the latest ones */
+
+/* Who saw that a stream began, the nearest first. */
+typedef enum ap_origin {
+	AP_ORIGIN_SELF,
+	AP_ORIGIN_REGION,
+	AP_ORIGIN_REMOTE
+} ap_origin_t;
+
+/* A stream that a caller may take up. */
+typedef struct ap_stream {
+	uint64_t id; /* hash of the request's id */
+	uint64_t build;
+	ap_usec_t at;
+	ap_origin_t origin;
+} ap_stream_t;
+
+/* A build of which an upstream is gone. */
+typedef struct ap_gone_build {
+	uint64_t pool; /* hash of its name */
+	uint64_t build;
+	ap_usec_t at;
+} ap_gone_build_t;
+
 /**
  * struct ap_replica - an upstream.
  * @tag: hash of the id, which identifies the upstream in announcements
+ * @build: of its pool and version
  * @received_at: when the entry was last received
  * @changed_at: when a change of the entry was last received, which then was a moment old; a list or
  *              a snapshot may hold an entry of any age
@@ -150,6 +176,7 @@
 	ap_replica_entry_t entry;
 	char region[AP_NAME_MAX];
 	uint32_t tag;
+	uint64_t build;
 	ap_usec_t received_at;
 	ap_usec_t changed_at;
 	ap_usec_t expires_at;
@@ -232,6 +259,7 @@
 	double mean_us;	       /* mean time of a request at an upstream; 0 until one was observed */
 	double wait_scale;     /* ratio of observed to estimated waits for a slot */
 	ap_usec_t warmup;      /* from the configuration; 0 until a request for the pool was seen */
+	uint64_t build;	       /* of one upstream; while builds are counted */
 	ap_budget_t budget;
 } ap_pool_state_t;
 
@@ -294,6 +322,12 @@
 	ap_usec_t evidence_changed_at; /* when it last saw or heard something new */
 	ap_usec_t evidence_told_at;    /* to the own region */
 	ap_usec_t evidence_told_remote_at;
+	ap_stream_t streams[STREAMS_MAX]; /* ring */
+	uint64_t n_streams;		  /* so far */
+	uint64_t streams_told;		  /* number of the first one not told to the region */
+	uint64_t streams_told_remote;
+	ap_gone_build_t gone_builds[GONE_BUILDS_MAX]; /* ring */
+	size_t n_gone_builds;			      /* so far */
 	bool evidence_wanted; /* an instance that has just started needs all of it */
 };
 
@@ -404,6 +438,19 @@
 
 size_t ap_suspects_count(const ap_fleet_t *f);
 
+/* build.c */
+/* Returns the build of upstreams of @pool with this software version; never 0. */
+uint64_t ap_build_of(const char *pool, const char *version);
+/* @r is gone; streams that it began may still be taken up. */
+void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* Packs two arrays: the streams that began here since the last call. Return: how many. */
+size_t ap_streams_pack(ap_fleet_t *f, msgpack_packer *pk);
+/* Likewise for remote regions: those of the whole region, while they may need them. */
+void ap_streams_pack_remote(ap_fleet_t *f, msgpack_packer *pk);
+/* Applies the two arrays of another instance. Return: false if they are malformed. */
+bool ap_streams_apply(ap_fleet_t *f, ap_wire_reader_t *builds, ap_wire_reader_t *streams,
+		      ap_origin_t origin, ap_usec_t now);
+
 /* suspect-wire.c */
 /* Packs two arrays for the own region, the ends and the responses. Return: the number of ends. */
 size_t ap_suspects_pack(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
--- a/lib/fleet/remote.c
+++ b/lib/fleet/remote.c
@@ -10,15 +10,16 @@
 #define ROUND_TRIP_US 115000.0	    /* assumed the same for all pairs of regions */
 #define WAIT_HALF_LIFE (2 * AP_SEC) /* several announcements */
 
-static uint32_t slots_in(const ap_fleet_t *f, const char *region, const ap_plan_pool_t *pool,
+/* Returns the slots of the upstreams in @region that may get @req. */
+static uint32_t slots_in(const ap_fleet_t *f, const char *region, const ap_dispatch_t *req,
 			 ap_usec_t now)
 {
 	uint32_t slots = 0;
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		if (strcmp(r->region, region) == 0 && strcmp(r->entry.pool, pool->name) == 0 &&
-		    ap_replica_usable(f, r, now))
-			slots += ap_replica_slots(r, pool);
+		if (strcmp(r->region, region) == 0 && strcmp(r->entry.pool, req->pool->name) == 0 &&
+		    (req->build == 0 || r->build == req->build) && ap_replica_usable(f, r, now))
+			slots += ap_replica_slots(r, req->pool);
 	}
 	return slots;
 }
@@ -50,7 +51,7 @@
 	    ap_dispatch_prefix_tokens(req) / p->prefill_per_us < ROUND_TRIP_US + REMOTE_MARGIN_US)
 		return NULL;
 	for (const ap_data_centre_state_t *dc = f->data_centres; dc; dc = dc->hh.next) {
-		uint32_t slots = slots_in(f, dc->region, req->pool, now);
+		uint32_t slots = slots_in(f, dc->region, req, now);
 		double score;
 
 		if (slots == 0 || !ap_plan_allows_region(req->route, dc->region))
@@ -77,7 +78,7 @@
 		if (strcmp(dc->region, f->config.region) == 0 ||
 		    !ap_plan_allows_region(req->route, dc->region))
 			continue;
-		slots = slots_in(f, dc->region, req->pool, now);
+		slots = slots_in(f, dc->region, req, now);
 		remote = ap_remote_pool(f, dc->region, req->pool->name);
 		if (slots == 0 || !remote)
 			continue;
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -126,6 +126,7 @@
 	if (!r)
 		return;
 	r->entry = *entry;
+	r->build = ap_build_of(entry->pool, entry->version);
 	r->received_at = now;
 	r->expires_at = AP_NEVER;
 	r->listed = true;
@@ -139,8 +140,9 @@
 		r->shutdown_at = now + entry->shutdown_in;
 }
 
-static void remove_replica(ap_fleet_t *f, ap_replica_t *r)
+static void remove_replica(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
 {
+	ap_build_gone(f, r, now);
 	HASH_DEL(f->replicas, r);
 	HASH_DELETE(by_tag, f->tagged, r);
 	ap_prefix_cache_clear(f, &r->cache);
@@ -159,7 +161,7 @@
 	 * have expired only because the store was unreachable.
 	 */
 	if (!may_return || r->entry.draining)
-		remove_replica(f, r);
+		remove_replica(f, r, now);
 	else if (r->expires_at == AP_NEVER)
 		r->expires_at = now + f->config.entry_grace;
 }
@@ -243,7 +245,7 @@
 		if (now < r->expires_at)
 			continue;
 		ap_report_replica_event(f, AP_FLEET_EVENT_EXPIRED, r, 0, now);
-		remove_replica(f, r);
+		remove_replica(f, r, now);
 	}
 	for (m = f->members; m; m = m->hh.next) {
 		if (m->removed && now >= m->expires_at && m->n_loads > 0) {
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -44,6 +44,34 @@
 	finish(&w);
 }
 
+/* Begins a stream at a remote instance that names @build, and breaks it after an event. */
+static void break_remote_stream(world_t *w, uint64_t build)
+{
+	ap_response_head_t h = {.status = 200, .from_replica = true, .build = build};
+
+	begin(w, AP_KIND_STREAM, true, 3);
+	w->x.target.remote = true;
+	ap_exchange_head(&w->x, &h, w->now);
+	data(w, "id: 1\ndata: a\n\n");
+	end(w, AP_CONNECTION_BROKEN);
+}
+
+/* Guards against a stream that goes on at another software version (incident ORDER). */
+static void a_stream_is_resumed_only_at_the_build_that_began_it(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	break_remote_stream(&w, 7);
+	assert_int_equal(w.n_sent, 2);
+	assert_int_equal(w.x.req.build, 7);
+	finish(&w);
+	break_remote_stream(&w, 0); /* of an earlier version, which names none */
+	assert_int_equal(w.n_sent, 1);
+	assert_true(w.aborted);
+	finish(&w);
+}
+
 /* It hasn't run, and the caller is told when to come back. */
 static void a_request_that_is_held_back_is_refused_at_once(void **state)
 {
@@ -369,6 +397,7 @@
 		cmocka_unit_test(a_complete_response_is_delivered_once),
 		cmocka_unit_test(a_response_without_length_ends_with_a_clean_close),
 		cmocka_unit_test(an_at_most_once_request_is_not_retried_after_a_break),
+		cmocka_unit_test(a_stream_is_resumed_only_at_the_build_that_began_it),
 		cmocka_unit_test(a_request_that_is_held_back_is_refused_at_once),
 		cmocka_unit_test(a_request_that_broke_is_not_retried_while_it_is_held_back),
 		cmocka_unit_test(a_refused_request_goes_to_another_upstream),
--- a/test/host_test.c
+++ b/test/host_test.c
@@ -34,6 +34,7 @@
 	assert_string_equal(e.pool, "p");
 	assert_string_equal(e.host, "10.0.0.9");
 	assert_int_equal(e.port, 8080);
+	assert_string_equal(e.version, "v1");
 	assert_int_equal(e.slots, 64);
 	assert_int_equal(e.cold_left, 1500 * AP_MSEC);
 	assert_int_equal(e.shutdown_in, AP_NEVER);
@@ -191,16 +192,20 @@
 static void test_request_headers(void **state)
 {
 	static const char *const pairs[][2] = {
-		{"Host", "x.example:8080"},	  {"Request-Id", "abc"},
-		{"Deadline-Ms", "1500"},	  {"Token-Count", "1460,80"},
-		{"Prefix-Hash", "5c:800,9f:410"}, {"Last-Event-Id", "7"},
+		{"Host", "x.example:8080"},
+		{"Request-Id", "abc"},
+		{"Deadline-Ms", "1500"},
+		{"Token-Count", "1460,80"},
+		{"Prefix-Hash", "5c:800,9f:410"},
+		{"Last-Event-Id", "7"},
+		{"Resumes", "abb"},
 	};
 	ap_host_request_t r;
 	headers_t h;
 	ap_err_t err;
 
 	(void)state;
-	fill(&h, pairs, 6);
+	fill(&h, pairs, 7);
 	assert_int_equal(ap_host_parse_request(&h, &r, &err), AP_HOST_OK);
 	assert_string_equal(r.host, "x.example");
 	assert_string_equal(r.id, "abc");
@@ -211,6 +216,7 @@
 	assert_int_equal(r.parts[0].id, 0x5c);
 	assert_int_equal(r.parts[1].tokens, 410);
 	assert_string_equal(r.last_event, "7");
+	assert_string_equal(r.resumes, "abb");
 	evhttp_clear_headers(&h);
 }
 
--- a/test/version_run_test.c
+++ b/test/version_run_test.c
@@ -45,8 +45,9 @@
 	version_world_t *w;
 	ap_exchange_t x;
 	size_t instance;
-	int serving; /* version of the engine that serves it; -1 for none */
-	int began;   /* version of the engine that sent the first event; -1 before */
+	int serving;	/* version of the engine that serves it; -1 for none */
+	uint64_t build; /* of that engine, as a remote instance says */
+	int began;	/* version of the engine that sent the first event; -1 before */
 	int events;
 	bool mixed;
 	bool over;
@@ -114,12 +115,14 @@
 	ap_dispatch_t req = s->x.req;
 	ap_target_t there;
 
+	s->build = target->build;
 	if (!target->remote)
 		return find_engine(s->w, target->id);
 	req.local_only = true;
 	if (ap_fleet_choose(s->w->net.fleets[atoi(target->id + 1)], &req, s->w->now, &there) !=
 	    AP_FLEET_OK)
 		return NULL;
+	s->build = there.build;
 	return find_engine(s->w, there.id);
 }
 
@@ -154,11 +157,20 @@
 	ap_fleet_done(s->w->net.fleets[s->instance], inflight, end, s->w->now);
 }
 
-static void op_head(void *ctx)
+static void op_drop_connection(void *ctx)
 {
 	(void)ctx;
 }
 
+static void op_head(void *ctx)
+{
+	stream_t *s = ctx;
+	char id[24];
+
+	snprintf(id, sizeof(id), "%llu", (unsigned long long)s->w->n_streams);
+	ap_fleet_stream_began(s->w->net.fleets[s->instance], id, s->x.req.build, s->w->now);
+}
+
 static void op_data(void *ctx, const void *data, size_t len)
 {
 	stream_t *s = ctx;
@@ -200,7 +212,7 @@
 	.sent = op_sent,
 	.first_chunk = op_first_chunk,
 	.done = op_done,
-	.drop_connection = op_head,
+	.drop_connection = op_drop_connection,
 	.head = op_head,
 	.data = op_data,
 	.end = op_over,
@@ -211,7 +223,7 @@
 
 static void event(stream_t *s)
 {
-	ap_response_head_t head = {.status = 200, .from_replica = true};
+	ap_response_head_t head = {.status = 200, .from_replica = true, .build = s->build};
 	char text[64];
 
 	if (s->over)
@@ -222,6 +234,16 @@
 	ap_exchange_data(&s->x, text, strlen(text), s->w->now);
 }
 
+/* As the gateway does: a stream that goes on keeps the build that began it. */
+static bool find_build(stream_t *s)
+{
+	char id[24];
+
+	snprintf(id, sizeof(id), "%llu", (unsigned long long)s->w->n_streams);
+	return s->events == 0 || ap_fleet_stream_build(s->w->net.fleets[s->instance], id,
+						       &resumable, s->w->now, &s->x.req.build);
+}
+
 static void begin(stream_t *s, size_t instance)
 {
 	s->instance = instance;
@@ -230,7 +252,10 @@
 	s->x.req = world_request(&resumable, &world_engines, s->w->now);
 	if (s->events > 0)
 		snprintf(s->x.last_event_id, sizeof(s->x.last_event_id), "%d", s->events);
-	ap_exchange_start(&s->x, resumable.attempts, s->w->now);
+	if (find_build(s))
+		ap_exchange_start(&s->x, resumable.attempts, s->w->now);
+	else
+		s->over = true;
 }
 
 static void advance(version_world_t *w, ap_usec_t span)
@@ -272,7 +297,7 @@
 	w->n_streams++;
 	begin(&s, ap_rng_below(&w->rng, w->net.n));
 	event(&s);
-	/* The last announcement before a kill may be lost. */
+
 	if (s.events > 0 && ap_rng_below(&w->rng, 2) == 0) {
 		break_stream(&s);
 	} else if (s.events > 0) {
