Take a stream without framing for complete if its connection closes between events

What callers saw: streams that had come whole were resumed at another upstream, or broken off at the end without need, when the upstream sent neither a length nor chunks.

Cause: for a stream a close without framing always counted as a break.

Evidence: a_stream_without_framing_ends_with_its_connection failed before and passes.

--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -395,7 +395,9 @@
 
 static void response_complete(ap_exchange_t *x, bool closed, ap_usec_t now)
 {
-	bool truncated = x->stream && is_success(x) && (x->buffer_len > 0 || closed);
+	/* Without framing, a stream is complete if it ends between two events. */
+	bool truncated = x->stream && is_success(x) &&
+			 (x->buffer_len > 0 || (closed && !x->inflight.has_first_chunk));
 
 	if (x->has_head && x->head.refused) {
 		target_refused(x, now);
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -16,7 +16,7 @@
 /* How the connection to a target ended, as far as the driver can tell. */
 typedef enum ap_connection_end {
 	AP_CONNECTION_COMPLETE,		 /* the response is complete by its framing */
-	AP_CONNECTION_COMPLETE_ON_CLOSE, /* clean close without a length; a stream is truncated */
+	AP_CONNECTION_COMPLETE_ON_CLOSE, /* clean close of a response without framing */
 	AP_CONNECTION_UNSENT,		 /* nothing of the request reached the target */
 	AP_CONNECTION_BROKEN,		 /* the connection failed; the request may have run */
 	AP_CONNECTION_TIMED_OUT,	 /* a time limit passed; the request may have run */
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -32,6 +32,34 @@
 	finish(&w);
 }
 
+/* Plays a stream of @text that ends with its connection. */
+static void close_stream(world_t *w, const char *text)
+{
+	begin(w, AP_KIND_STREAM, false, 1);
+	head(w, 200);
+	data(w, text);
+	end(w, AP_CONNECTION_COMPLETE_ON_CLOSE);
+}
+
+/* Guards against complete streams that are taken for broken because they have no framing. */
+static void a_stream_without_framing_ends_with_its_connection(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	close_stream(&w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	assert_true(w.ended);
+	assert_int_equal(w.ends[0], AP_DISPATCH_DONE);
+	finish(&w);
+	close_stream(&w, "id: 1\ndata: a\n\nid: 2\nda");
+	assert_true(w.aborted);
+	assert_false(w.ended);
+	finish(&w);
+	close_stream(&w, "");
+	assert_int_equal(w.status, 502);
+	finish(&w);
+}
+
 static void an_at_most_once_request_is_not_retried_after_a_break(void **state)
 {
 	world_t w = {0};
@@ -396,6 +424,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_complete_response_is_delivered_once),
 		cmocka_unit_test(a_response_without_length_ends_with_a_clean_close),
+		cmocka_unit_test(a_stream_without_framing_ends_with_its_connection),
 		cmocka_unit_test(an_at_most_once_request_is_not_retried_after_a_break),
 		cmocka_unit_test(a_stream_is_resumed_only_at_the_build_that_began_it),
 		cmocka_unit_test(a_request_that_is_held_back_is_refused_at_once),
