Give up responses whose head, chunk or event does not end

What callers saw: nothing yet. The users announced that an upstream in trouble may send bytes without end until its caller closes.

Cause: the library holds a line, an interim response after the other, or a chunk until it is complete, and the exchange held an event of a stream, or the body of an error, up to the 16 MB of a response. Time limits end each of them, after seconds in which a link fills the memory of an instance.

Class: a buffer that is bounded by what its sender completes.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -17,6 +17,8 @@
 
 #define PROBE_LIMIT (1 * AP_SEC)
 #define RESPONSE_HEADERS_MAX 65536	  /* bytes */
+#define UNPARSED_MAX (1 << 20)		  /* bytes of a response that the library holds */
+#define INTERIM_HEADS_MAX 16		  /* of one response */
 #define VERIFIED_FOR (500 * AP_MSEC)	  /* after a response, a connection is "fresh" this long */
 #define UNACKED_DEFAULT (10 * AP_SEC)	  /* close when bytes stay unacknowledged this long */
 #define KEEPALIVE_PROBES 3		  /* on an idle connection, spread over the unacked time */
@@ -51,6 +53,17 @@
 		conn->fetch->written += info->n_deleted;
 }
 
+/* Gives up a response of which the library holds a line or a chunk that does not end. */
+static void on_input(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	conn_t *conn = arg;
+
+	if (!conn->fetch || info->n_added == 0 || evbuffer_get_length(buf) <= UNPARSED_MAX)
+		return;
+	conn->fetch->flooded = true;
+	event_active(conn->fetch->timer, EV_TIMEOUT, 0);
+}
+
 static void on_idle_close(struct evhttp_connection *evcon, void *arg)
 {
 	conn_t *conn = arg;
@@ -81,6 +94,8 @@
 	evhttp_connection_set_closecb(conn->evcon, on_idle_close, conn);
 	evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(conn->evcon)),
 			on_output, conn);
+	evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(conn->evcon)),
+			on_input, conn);
 	address->client->stats.opened++;
 	address->conns++;
 	return conn;
@@ -195,6 +210,13 @@
 
 	if (!fetch)
 		return 0;
+	/* An interim response is no byte of the response that is waited for. */
+	if (head.status < HTTP_OK) {
+		if (++fetch->interim_heads <= INTERIM_HEADS_MAX)
+			return 0;
+		fetch->library_failure = AP_HTTP_MALFORMED;
+		return -1;
+	}
 	fetch->head_received = true;
 	fetch->last_byte_at = ap_now();
 	fetch->keep_alive = keep_alive_of(head.headers);
@@ -401,6 +423,10 @@
 
 	(void)fd;
 	(void)what;
+	if (fetch->flooded) {
+		finish(fetch, AP_HTTP_MALFORMED, false);
+		return;
+	}
 	if (fetch->paused) {
 		set_timer(fetch, limit / 2);
 		return;
--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -90,9 +90,11 @@
  * @suspect_since: value of @last_byte_at when the probe was started
  * @written: bytes of the request written to the connection
  * @body_bytes: bytes of the response body received
+ * @interim_heads: heads of interim responses received
  * @keep_alive: how long the upstream keeps the connection open while idle
  * @new_conn: the connection was opened for this request
  * @timed_out: a time limit has passed
+ * @flooded: more bytes arrived than the library may hold
  * @library_failure: result to report when the library gives up the request
  */
 struct ap_http_fetch {
@@ -105,12 +107,14 @@
 	ap_usec_t suspect_since;
 	size_t written;
 	size_t body_bytes;
+	unsigned interim_heads;
 	ap_usec_t keep_alive;
 	bool is_probe;
 	bool new_conn;
 	bool head_received;
 	bool paused;
 	bool timed_out;
+	bool flooded;
 	ap_http_end_t library_failure;
 };
 
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -60,6 +60,29 @@
 	finish(&w);
 }
 
+/* Guards against an event, or the body of an error, that fills the memory. */
+static void a_response_whose_event_does_not_end_is_given_up(void **state)
+{
+	static const int statuses[] = {200, 500};
+	static char text[65536];
+
+	(void)state;
+	memset(text, 'x', sizeof(text) - 1);
+	for (size_t i = 0; i < 2; i++) {
+		world_t w = {0};
+		int parts = 0;
+
+		begin(&w, AP_KIND_STREAM, true, 2);
+		head(&w, statuses[i]);
+		while (w.n_sent == 1 && parts++ < 64)
+			data(&w, text);
+		assert_true(parts <= 17); /* 1 MB */
+		assert_int_equal(w.dropped, 1);
+		assert_int_equal(w.ends[0], AP_DISPATCH_BROKEN);
+		finish(&w);
+	}
+}
+
 static void an_at_most_once_request_is_not_retried_after_a_break(void **state)
 {
 	world_t w = {0};
@@ -425,6 +448,7 @@
 		cmocka_unit_test(a_complete_response_is_delivered_once),
 		cmocka_unit_test(a_response_without_length_ends_with_a_clean_close),
 		cmocka_unit_test(a_stream_without_framing_ends_with_its_connection),
+		cmocka_unit_test(a_response_whose_event_does_not_end_is_given_up),
 		cmocka_unit_test(an_at_most_once_request_is_not_retried_after_a_break),
 		cmocka_unit_test(a_stream_is_resumed_only_at_the_build_that_began_it),
 		cmocka_unit_test(a_request_that_is_held_back_is_refused_at_once),
