Tell all regions of an upstream's end with the next tick

Where many requests have the deadly part, upstreams ended at three to four a second, until all instances had heard of three ends in a row: with the next announcement, up to 250 ms, and the next waits between regions, up to 500 ms. What an instance sees new of ends it now tells with the next tick, 100 ms.

--- a/lib/fleet/suspect.c
+++ b/lib/fleet/suspect.c
@@ -305,6 +305,15 @@
 		e.last->tried_at = now;
 }
 
+/* This instance has seen something new: tells all regions with the next tick. */
+static void evidence_seen(ap_fleet_t *f, ap_usec_t now)
+{
+	f->evidence_seen_at = now;
+	f->evidence_changed_at = now;
+	f->announced_at = 0;
+	f->waits_announced_at = 0;
+}
+
 void ap_suspect_completed(ap_fleet_t *f, const ap_inflight_t *inflight, ap_usec_t now)
 {
 	ap_usec_t began = inflight->first_at > 0 ? inflight->first_at : inflight->sent;
@@ -312,7 +321,7 @@
 	for (size_t i = 0; i < inflight->n_parts; i++) {
 		if (find_suspect(f, inflight->parts[i]) &&
 		    ap_part_completed(f, inflight->parts[i], began))
-			f->evidence_seen_at = f->evidence_changed_at = now;
+			evidence_seen(f, now);
 	}
 }
 
@@ -472,7 +481,7 @@
 		const ap_end_part_t *p = &r->broken->parts[i];
 
 		if (ap_end_add_part(f, end, p->part, p->sent))
-			f->evidence_seen_at = f->evidence_changed_at = now;
+			evidence_seen(f, now);
 	}
 	ap_break_forget(r);
 }
