--- a/test/version_run_test.c
+++ b/test/version_run_test.c
@@ -370,10 +370,46 @@
 	assert_int_equal(failed, 0);
 }
 
+static size_t announced_bytes;
+
+static void count_bytes(void *ctx, const char *to, const void *data, size_t len)
+{
+	(void)ctx;
+	(void)to;
+	(void)data;
+	announced_bytes = len;
+}
+
+/* docs/CAPACITY.md counts with it. */
+static void a_stream_is_announced_in_ten_bytes(void **state)
+{
+	ap_peer_port_t port = {.send = count_bytes};
+	ap_fleet_t *f = world_north();
+	ap_usec_t now = WORLD_START;
+	size_t without;
+
+	(void)state;
+	world_member(f, "n2", "north", false, now);
+	ap_fleet_announce(f, &port, now);
+	without = announced_bytes;
+	for (int i = 0; i < 200; i++) {
+		char id[24];
+
+		snprintf(id, sizeof(id), "%d", i);
+		ap_fleet_stream_began(f, id, UINT64_MAX, now);
+	}
+	ap_fleet_announce(f, &port, now + AP_SEC);
+	print_message("%zu bytes without a stream, %zu with 200\n", without, announced_bytes);
+	assert_true(announced_bytes > without);
+	assert_true(announced_bytes - without <= 200 * 10 + 16);
+	ap_fleet_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(streams_go_on_at_the_version_that_began_them),
+		cmocka_unit_test(a_stream_is_announced_in_ten_bytes),
 	};
 
 	for (int i = 1; i + 1 < argc; i += 2) {
