--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -296,8 +296,8 @@
  */
 void ap_fleet_limit_seen(ap_fleet_t *f, const char *id, double limit, ap_usec_t now);
 /**
- * ap_fleet_health_check_refused() - upstream @id refused the connection for a health check, or
- * another one has its address.
+ * ap_fleet_health_check_refused() - upstream @id refused the connection for a health check, so it
+ * has ended.
  */
 void ap_fleet_health_check_refused(ap_fleet_t *f, const char *id, ap_usec_t now);
 /** ap_fleet_tick() - removes what has expired; to be called several times a second. */
