Count a refusal whose body does not end as a refusal

What callers saw: a request that an upstream had refused, with a body above 1 MB, counted as one that may have run, so one that may run once got 502 instead of another upstream. Found when reading the change that bounds what the exchange holds; the break is now handled like that of a connection. The new test failed before.

--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -359,8 +359,8 @@
 		x->last_chunk_at = now;
 	/* An event, or an error's body, that doesn't end. */
 	if (x->buffer_len > BUFFERED_MAX && (x->stream || !is_success(x))) {
-		cancel_attempt(x, AP_DISPATCH_BROKEN);
-		target_failed(x, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+		x->ops->drop_connection(x->ctx);
+		ap_exchange_end(x, AP_CONNECTION_BROKEN, now);
 	}
 }
 
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -83,6 +83,24 @@
 	}
 }
 
+/* Its head proves that the request didn't run, whatever follows. */
+static void a_refusal_whose_body_does_not_end_is_a_refusal(void **state)
+{
+	ap_response_head_t refusal = {.status = 503, .refused = true};
+	static char text[65536];
+	world_t w = {0};
+
+	(void)state;
+	memset(text, 'x', sizeof(text) - 1);
+	begin(&w, AP_KIND_ONCE, false, 1);
+	ap_exchange_head(&w.x, &refusal, w.now);
+	for (int i = 0; i < 64 && w.n_sent == 1; i++)
+		data(&w, text);
+	assert_int_equal(w.n_sent, 2);
+	assert_int_equal(w.ends[0], AP_DISPATCH_REFUSED);
+	finish(&w);
+}
+
 static void an_at_most_once_request_is_not_retried_after_a_break(void **state)
 {
 	world_t w = {0};
@@ -449,6 +467,7 @@
 		cmocka_unit_test(a_response_without_length_ends_with_a_clean_close),
 		cmocka_unit_test(a_stream_without_framing_ends_with_its_connection),
 		cmocka_unit_test(a_response_whose_event_does_not_end_is_given_up),
+		cmocka_unit_test(a_refusal_whose_body_does_not_end_is_a_refusal),
 		cmocka_unit_test(an_at_most_once_request_is_not_retried_after_a_break),
 		cmocka_unit_test(a_stream_is_resumed_only_at_the_build_that_began_it),
 		cmocka_unit_test(a_request_that_is_held_back_is_refused_at_once),
