Ignore data of length 0 in an exchange

The sanitizer build of the whole script stopped at exchange_test: memcpy() to the buffer before its first allocation, with no bytes, in the test of a stream that closes without an event. The driver passes no empty parts; another driver of the library might.

--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -339,7 +339,7 @@
 
 void ap_exchange_data(ap_exchange_t *x, const void *data, size_t len, ap_usec_t now)
 {
-	if (x->finished || !x->in_flight)
+	if (x->finished || !x->in_flight || len == 0)
 		return;
 	if (x->buffer_len + len > BUFFERED_MAX && is_success(x) && !x->stream) {
 		/* The response is too large to be held until it is complete. */
