--- a/test/crash_run_test.c
+++ b/test/crash_run_test.c
@@ -4,7 +4,7 @@
  * with it. Sound requests with the same first part go on, and so do all others whatever engines
  * suffer. Options: --seed N, --faults F (a sum of the kinds below), --seeds N, --verbose 1.
  */
-#include "crash_world.h"
+#include "crash_instances.h"
 
 #define BAD_FROM (8 * AP_SEC)
 #define BAD_TIME (22 * AP_SEC)
