--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -207,7 +207,7 @@
 
 static bool may_run_again(const ap_exchange_t *x, ap_usec_t now)
 {
-	return x->retryable && !x->build_unknown && x->runs < x->attempts && now < x->timeout_at;
+	return x->retryable && x->runs < x->attempts && now < x->timeout_at;
 }
 
 /* The target refused the request, so it certainly didn't run there. */
@@ -304,7 +304,9 @@
 	if (x->req.build != 0 || x->committed)
 		return;
 	x->req.build = ap_exchange_build(x);
-	x->build_unknown = x->target.remote && x->req.build == 0;
+	/* At an upstream whose build isn't known, it can't go on elsewhere. */
+	if (x->target.remote && x->req.build == 0)
+		x->retryable = false;
 }
 
 /* Delivers complete events; an incomplete one stays in the buffer. */
@@ -475,7 +477,7 @@
 {
 	const ap_plan_route_t *route = x->req.route;
 
-	if (!x->retryable || x->build_unknown || x->runs + 1 >= x->attempts)
+	if (!x->retryable || x->runs + 1 >= x->attempts)
 		return AP_NEVER;
 	if (x->inflight.has_first_chunk && x->stream)
 		return route->event_gap > 0 ? route->event_gap : AP_NEVER;
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -124,7 +124,6 @@
  * @has_head: @head holds the current target's response head
  * @committed: the head was sent to the caller, so the response can't be replaced any more
  * @resuming: the target may repeat events up to the last one that was delivered
- * @build_unknown: the build that began the stream isn't known, so it can't go on elsewhere
  * @retry_counted: the next retry was taken from the budget already
  * @finished: the caller has its final response or has disconnected; only
  *	ap_exchange_clear() is left to call
@@ -149,7 +148,6 @@
 	bool has_head;
 	bool committed;
 	bool resuming;
-	bool build_unknown;
 	bool retry_counted;
 	bool finished;
 	ap_reason_t reason;
