--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -122,15 +122,19 @@
 	return ap_fleet_stream_build(gate->fleet, r->resumes, route, ap_now(), build);
 }
 
-/* The pool of a stream that goes on is the one that began it. */
-static const ap_plan_pool_t *pick_pool(gateway_t *gate, const gate_call_t *c)
+const ap_plan_pool_t *gate_build_pool(const gate_call_t *c, uint64_t build)
 {
-	const char *pool =
-		c->x.req.build != 0 ? ap_fleet_build_pool(gate->fleet, c->x.req.build) : NULL;
+	const char *pool = ap_fleet_build_pool(c->gate->fleet, build);
+
+	return pool ? ap_plan_find_pool(c->plan, pool) : NULL;
+}
 
+/* The pool of a stream that goes on is the one that began it. */
+static const ap_plan_pool_t *pick_pool(const gate_call_t *c)
+{
 	if (c->x.req.build != 0)
-		return pool ? ap_plan_find_pool(c->plan, pool) : NULL;
-	return ap_plan_pick_pool(c->plan, c->x.req.route, ap_rng_unit(&gate->rng));
+		return gate_build_pool(c, c->x.req.build);
+	return ap_plan_pick_pool(c->plan, c->x.req.route, ap_rng_unit(&c->gate->rng));
 }
 
 static void begin(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
@@ -146,7 +150,7 @@
 	fill_dispatch(c, r, now);
 	c->x.req.route = route;
 	c->x.req.build = build;
-	c->x.req.pool = pick_pool(gate, c);
+	c->x.req.pool = pick_pool(c);
 	ap_http_call_watch(call, c, on_closed, on_drained);
 	if (!forwarded && c->x.req.pool)
 		ap_fleet_count_request(gate->fleet, c->x.req.pool->name, now);
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -99,11 +99,10 @@
 /* A remote instance may have picked another pool of the route than this one. */
 static void follow_pool(gate_call_t *c, uint64_t build)
 {
-	const char *pool = build != 0 ? ap_fleet_build_pool(c->gate->fleet, build) : NULL;
-	const ap_plan_pool_t *found = pool ? ap_plan_find_pool(c->plan, pool) : NULL;
+	const ap_plan_pool_t *pool = gate_build_pool(c, build);
 
-	if (found)
-		c->x.req.pool = found;
+	if (pool)
+		c->x.req.pool = pool;
 }
 
 static void on_head(void *ctx, const ap_http_head_t *head)
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -208,6 +208,8 @@
 /* gateway-call.c */
 void gate_on_caller(void *ctx, ap_http_call_t *call);
 void gate_on_peer(void *ctx, ap_http_call_t *call);
+/* Returns the pool of @build in the request's plan; NULL if no listed upstream has the build. */
+const ap_plan_pool_t *gate_build_pool(const gate_call_t *c, uint64_t build);
 /* Responds to input that the HTTP server refused. */
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
