Decide in one place which upstreams may serve a request

The choice in the own region and the count of a remote region's slots tested pool, region, build and usability separately. Behaviour unchanged.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -146,11 +146,16 @@
 	double score;
 } candidate_t;
 
+bool ap_replica_serves(const ap_fleet_t *f, const ap_replica_t *r, const char *region,
+		       const ap_dispatch_t *req, ap_usec_t now)
+{
+	return strcmp(r->entry.pool, req->pool->name) == 0 && strcmp(r->region, region) == 0 &&
+	       (req->build == 0 || r->build == req->build) && ap_replica_usable(f, r, now);
+}
+
 static bool eligible(ap_fleet_t *f, ap_replica_t *r, const ap_dispatch_t *req, ap_usec_t now)
 {
-	return strcmp(r->entry.pool, req->pool->name) == 0 &&
-	       strcmp(r->region, f->config.region) == 0 && ap_replica_usable(f, r, now) &&
-	       (req->build == 0 || r->build == req->build) &&
+	return ap_replica_serves(f, r, f->config.region, req, now) &&
 	       !ap_dispatch_avoids(req, r->entry.id) &&
 	       (!ap_replica_cold(f, r, req->pool->warmup, now) || req->pool->warmup_rate <= 0 ||
 		ap_cold_allows(f, r, req->pool, now)) &&
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -528,6 +528,9 @@
 uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool);
 
 /* choose.c */
+/* Returns whether @r is a usable upstream of @region that has the pool and build of @req. */
+bool ap_replica_serves(const ap_fleet_t *f, const ap_replica_t *r, const char *region,
+		       const ap_dispatch_t *req, ap_usec_t now);
 /* Returns a hash of the shared prefix: of all parts but the last, which is the request's own. */
 uint64_t ap_dispatch_prefix_key(const ap_dispatch_t *req);
 uint32_t ap_dispatch_prefix_tokens(const ap_dispatch_t *req);
--- a/lib/fleet/remote.c
+++ b/lib/fleet/remote.c
@@ -17,8 +17,7 @@
 	uint32_t slots = 0;
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		if (strcmp(r->region, region) == 0 && strcmp(r->entry.pool, req->pool->name) == 0 &&
-		    (req->build == 0 || r->build == req->build) && ap_replica_usable(f, r, now))
+		if (ap_replica_serves(f, r, region, req, now))
 			slots += ap_replica_slots(r, req->pool);
 	}
 	return slots;
