--- a/lib/fleet/suspect-wire.c
+++ b/lib/fleet/suspect-wire.c
@@ -30,13 +30,14 @@
 	return n;
 }
 
+/* @n: how many parts are to be told; 0 to tell none */
 static void pack_end(const ap_fleet_t *f, msgpack_packer *pk, const ap_upstream_end_t *end,
-		     bool with_parts, ap_usec_t now)
+		     size_t n, ap_usec_t now)
 {
-	msgpack_pack_array(pk, 2 + (with_parts ? 2 * count_told(f, end, now) : 0));
+	msgpack_pack_array(pk, 2 + 2 * n);
 	msgpack_pack_uint32(pk, end->tag);
 	msgpack_pack_uint64(pk, (uint64_t)(now - end->at) / AP_MSEC);
-	for (size_t i = 0; with_parts && i < end->n_parts; i++) {
+	for (size_t i = 0; n > 0 && i < end->n_parts; i++) {
 		const ap_end_part_t *p = &end->parts[i];
 		ap_usec_t before = end->at > p->sent ? end->at - p->sent : 0;
 
@@ -55,8 +56,10 @@
 
 	msgpack_pack_array(pk, f->n_ends);
 	FOR_EACH_END (f, e) {
-		parts += count_told(f, e, now);
-		pack_end(f, pk, e, parts <= PARTS_MAX, now);
+		size_t told = count_told(f, e, now);
+
+		parts += told;
+		pack_end(f, pk, e, parts <= PARTS_MAX ? told : 0, now);
 	}
 }
 
