Read what both kinds of announcements share in one place

Announcements to the region and waits to others read and applied the same four arrays separately. Behaviour unchanged.

--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -424,6 +424,31 @@
 	return r->left > 0 ? ap_wire_array(r) : (ap_wire_reader_t){.ok = true};
 }
 
+/* What an instance tells its own region and remote ones alike. */
+typedef struct shared {
+	ap_wire_reader_t ends;
+	ap_wire_reader_t completed;
+	ap_wire_reader_t builds;
+	ap_wire_reader_t streams;
+} shared_t;
+
+static shared_t read_shared(ap_wire_reader_t *r)
+{
+	shared_t s;
+
+	s.ends = optional_array(r);
+	s.completed = optional_array(r);
+	s.builds = optional_array(r);
+	s.streams = optional_array(r);
+	return s;
+}
+
+static bool apply_shared(ap_fleet_t *f, shared_t *s, ap_origin_t origin, ap_usec_t now)
+{
+	return ap_suspects_apply(f, &s->ends, &s->completed, now) &&
+	       ap_streams_apply(f, &s->builds, &s->streams, origin, now);
+}
+
 static bool receive_announcement(ap_fleet_t *f, const char *from, const ap_wire_in_t *in,
 				 ap_usec_t now)
 {
@@ -441,17 +466,13 @@
 	bool informed = says_informed && ap_wire_bool(&r);
 	ap_wire_reader_t evacuations = optional_array(&r);
 	ap_wire_reader_t limits = optional_array(&r);
-	ap_wire_reader_t ends = optional_array(&r);
-	ap_wire_reader_t completed = optional_array(&r);
-	ap_wire_reader_t builds = optional_array(&r);
-	ap_wire_reader_t streams = optional_array(&r);
+	shared_t shared = read_shared(&r);
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
 	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
-	    !ap_limits_apply(f, &limits, now) || !ap_suspects_apply(f, &ends, &completed, now) ||
-	    !ap_streams_apply(f, &builds, &streams, AP_ORIGIN_REGION, now))
+	    !ap_limits_apply(f, &limits, now) || !apply_shared(f, &shared, AP_ORIGIN_REGION, now))
 		return false;
 	f->informed = f->informed || informed;
 	if (says_informed && !informed && !ap_fleet_uninformed(f, now)) {
@@ -471,20 +492,13 @@
 {
 	ap_wire_reader_t r = ap_wire_reader(&in->body);
 	ap_wire_reader_t waits;
-	ap_wire_reader_t ends;
-	ap_wire_reader_t completed;
-	ap_wire_reader_t builds;
-	ap_wire_reader_t streams;
+	shared_t shared;
 	char region[AP_NAME_MAX];
 
 	ap_wire_str(&r, region, sizeof(region));
 	waits = ap_wire_array(&r);
-	ends = optional_array(&r);
-	completed = optional_array(&r);
-	builds = optional_array(&r);
-	streams = optional_array(&r);
-	if (!r.ok || !ap_suspects_apply(f, &ends, &completed, now) ||
-	    !ap_streams_apply(f, &builds, &streams, AP_ORIGIN_REMOTE, now))
+	shared = read_shared(&r);
+	if (!r.ok || !apply_shared(f, &shared, AP_ORIGIN_REMOTE, now))
 		return false;
 	while (waits.left > 0) {
 		ap_wire_reader_t e = ap_wire_array(&waits);
