Record that an upstream says in a response that it leaves

No record or metric showed it, so the hypotheses on DRAIN could not be told apart. Server-Leaving is decoded in platform/, kept in lib/fleet beyond the upstream's record, and logged once as upstream.leaving. Choices are unchanged.

--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -46,7 +46,8 @@
 	static const char *const names[AP_FLEET_EVENT_KINDS] = {
 		"upstream.ejected",   "upstream.back",	    "upstream.moved",
 		"upstream.lapsed",    "instance.suspected", "upstream.limited",
-		"upstream.unlimited", "part.suspected",	    "part.cleared",
+		"upstream.unlimited", "upstream.leaving",   "part.suspected",
+		"part.cleared",
 	};
 
 	return names[kind];
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -77,10 +77,12 @@
 }
 
 /* Passes on what the upstream's response says of the upstream itself. */
-static void see_limit(gate_call_t *c, const ap_http_head_t *head, const ap_host_response_t *info)
+static void see_upstream(gate_call_t *c, const ap_http_head_t *head, const ap_host_response_t *info)
 {
 	if (c->x.target.remote || head->status == AP_HOST_MISDIRECTED)
 		return;
+	if (info->leaving)
+		ap_fleet_leaving_seen(c->gate->fleet, c->x.target.id, ap_now());
 	if (info->limit_invalid)
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "upstream.limit-invalid", c->id,
 				 "s:s", "upstream", c->x.target.id);
@@ -132,7 +134,7 @@
 		gate_call_update(c);
 		return;
 	}
-	see_limit(c, head, &info);
+	see_upstream(c, head, &info);
 	if (c->x.target.remote && evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN))
 		response.refused = true;
 	if (c->x.target.remote && wait)
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -86,8 +86,8 @@
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
 		free(m->loads);
 
-	void *const first[] = {f->replicas,	f->members,	 f->pools,
-			       f->remote_pools, f->data_centres, f->suspects};
+	void *const first[] = {f->replicas,	f->members, f->pools,	f->remote_pools,
+			       f->data_centres, f->leaving, f->suspects};
 
 	HASH_CLEAR(hh, f->replicas);
 	HASH_CLEAR(by_tag, f->tagged);
@@ -95,6 +95,7 @@
 	HASH_CLEAR(hh, f->pools);
 	HASH_CLEAR(hh, f->remote_pools);
 	HASH_CLEAR(hh, f->data_centres);
+	HASH_CLEAR(hh, f->leaving);
 	HASH_CLEAR(hh, f->suspects);
 	for (size_t i = 0; i < sizeof(first) / sizeof(first[0]); i++)
 		free_items(first[i]);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -188,6 +188,7 @@
 	AP_FLEET_EVENT_SUSPECTED,      /* no connection to an instance, or a timeout */
 	AP_FLEET_EVENT_LIMITED,	       /* an upstream named a limit, or another one */
 	AP_FLEET_EVENT_UNLIMITED,      /* it responded without naming one */
+	AP_FLEET_EVENT_LEAVING,	       /* an upstream said in a response that it leaves */
 	AP_FLEET_EVENT_PART_SUSPECTED, /* a part of prompts met the ends of several upstreams */
 	AP_FLEET_EVENT_PART_CLEARED,   /* a request with it was completed, or the ends are old */
 	AP_FLEET_EVENT_KINDS,
@@ -295,6 +296,8 @@
  *         negative if it names no limit
  */
 void ap_fleet_limit_seen(ap_fleet_t *f, const char *id, double limit, ap_usec_t now);
+/** ap_fleet_leaving_seen() - upstream @id said in a response that it leaves. */
+void ap_fleet_leaving_seen(ap_fleet_t *f, const char *id, ap_usec_t now);
 /**
  * ap_fleet_health_check_refused() - upstream @id refused the connection for a health check, so it
  * has ended.
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -133,6 +133,13 @@
 	ap_usec_t at;
 } ap_gone_build_t;
 
+/* An upstream that leaves. Outlives its record, which may come back. */
+typedef struct ap_leaving {
+	UT_hash_handle hh;
+	uint32_t tag;
+	ap_usec_t at; /* when it last said so, as far as this instance knows */
+} ap_leaving_t;
+
 /**
  * struct ap_replica - an upstream.
  * @tag: hash of the id, which identifies the upstream in announcements
@@ -302,6 +309,7 @@
 	ap_pool_state_t *pools;
 	ap_remote_pool_t *remote_pools;
 	ap_data_centre_state_t *data_centres;
+	ap_leaving_t *leaving;
 	ap_cached_part_t *parts;
 	bool loads_changed; /* an announcement changed @loads of a member */
 	ap_new_prefix_t new_prefixes[NEW_PREFIXES_MAX];
@@ -391,6 +399,10 @@
 /* Applies those of another instance. Return: false if they are malformed. */
 bool ap_limits_apply(ap_fleet_t *f, ap_wire_reader_t *limits, ap_usec_t now);
 
+/* leaving.c */
+/* Drops what is too old to matter. */
+void ap_leaving_tick(ap_fleet_t *f, ap_usec_t now);
+
 /* ejection.c */
 /* Returns whether @r is not ejected, or is due for a trial request. */
 bool ap_replica_healthy(const ap_replica_t *r, ap_usec_t now);
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -254,6 +254,7 @@
 			m->n_loads = 0;
 		}
 	}
+	ap_leaving_tick(f, now);
 	ap_suspects_tick(f, now);
 	ap_load_recount(f, now);
 }
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -342,6 +342,12 @@
 	ap_fleet_limit_seen(f, "d1", -1, now);
 }
 
+static void say_leaving(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_fleet_leaving_seen(f, "d1", now);
+	ap_fleet_leaving_seen(f, "d1", now + AP_SEC);
+}
+
 #define PART 0x1f
 
 /* Sends a request with PART to engine @number, which ends with the result @end. */
@@ -390,6 +396,7 @@
 		[AP_FLEET_EVENT_SUSPECTED] = {suspect_instance, "s1"},
 		[AP_FLEET_EVENT_LIMITED] = {name_limit, "d1"},
 		[AP_FLEET_EVENT_UNLIMITED] = {end_limit, "d1"},
+		[AP_FLEET_EVENT_LEAVING] = {say_leaving, "d1"},
 		[AP_FLEET_EVENT_PART_SUSPECTED] = {suspect_part, "1f"},
 		[AP_FLEET_EVENT_PART_CLEARED] = {clear_part, "1f"},
 	};
--- a/test/host_test.c
+++ b/test/host_test.c
@@ -356,6 +356,25 @@
 	evhttp_clear_headers(&h);
 }
 
+static void test_leaving_header(void **state)
+{
+	static const struct {
+		const char *text;
+		bool leaving;
+	} cases[] = {{"1", true}, {"0", false}, {"", false}, {"11", false}, {"yes", false}};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const char *const pairs[][2] = {{"Server-Stamp", "s"},
+						{"Server-Leaving", cases[i].text}};
+		headers_t h;
+
+		fill(&h, pairs, 2);
+		assert_int_equal(ap_host_parse_response(&h, 200, "abc").leaving, cases[i].leaving);
+		evhttp_clear_headers(&h);
+	}
+}
+
 static void test_limit_header(void **state)
 {
 	static const struct {
@@ -480,6 +499,7 @@
 		cmocka_unit_test(test_health_response),
 		cmocka_unit_test(test_response_headers),
 		cmocka_unit_test(test_limit_header),
+		cmocka_unit_test(test_leaving_header),
 		cmocka_unit_test(test_record_is_one_line_of_json),
 		cmocka_unit_test(test_stalled_reader_does_not_block),
 		cmocka_unit_test(test_log_rate_is_bounded),
