--- a/test/region_faults.h
+++ b/test/region_faults.h
@@ -16,6 +16,7 @@
 	FAULT_CUT = 8,
 	FAULT_REPLACE = 16,
 	FAULT_ALONE = 32,
+	FAULT_LEAVE = 64,
 };
 
 static unsigned long one_seed;
@@ -189,6 +190,35 @@
 	later(f->w, between(f->w, AP_SEC, 4 * AP_SEC), replace_end, f);
 }
 
+/* The record is removed after the heartbeats have ended, and a new upstream starts. */
+static inline void leave_end(void *arg, void *data)
+{
+	fault_t *f = data;
+	sw_replica_t *r = &f->w->replicas[f->target];
+
+	(void)arg;
+	note(f->w, "upstream has left", f->target);
+	sw_replica_crash(r);
+	later(f->w, AP_SEC, replace_end, f);
+}
+
+/* An upstream leaves; it may report so to the store, too. */
+static inline void leave(void *arg, void *data)
+{
+	fault_t *f = data;
+	sw_t *w = f->w;
+	sw_replica_t *r = &w->replicas[f->target % SW_REPLICAS];
+
+	(void)arg;
+	if (!r->up || r->leaving)
+		return;
+	f->target = r->number;
+	note(w, "upstream says that it leaves", f->target);
+	r->leaving = true;
+	r->silent = ap_rng_below(&w->sim.rng, 2) > 0;
+	later(w, between(w, 6 * AP_SEC, 14 * AP_SEC), leave_end, f);
+}
+
 static inline void schedule(sw_t *w, int faults)
 {
 	static const struct {
@@ -199,6 +229,7 @@
 		{FAULT_EVACUATE, 6 * AP_SEC, evacuate}, {FAULT_RESTORE, 8 * AP_SEC, restore},
 		{FAULT_RESTART, 5 * AP_SEC, restart},	{FAULT_CUT, 4 * AP_SEC, cut},
 		{FAULT_REPLACE, 5 * AP_SEC, replace},	{FAULT_ALONE, 6 * AP_SEC, isolate},
+		{FAULT_LEAVE, 6 * AP_SEC, leave},
 	};
 
 	for (size_t k = 0; k < sizeof(kinds) / sizeof(kinds[0]); k++) {
--- a/test/region_world.h
+++ b/test/region_world.h
@@ -201,7 +201,8 @@
 		return;
 	n->up = false;
 	for (int i = 0; i < SW_REPLICAS; i++)
-		n->w->replicas[i].told_at[n->number] = 0;
+		n->w->replicas[i].told_at[n->number] =
+			n->w->replicas[i].leaving_told_at[n->number] = 0;
 	ap_fleet_free(n->fleet);
 	ap_follow_free(n->follow);
 	ap_snapshot_free(n->snapshot);
@@ -275,6 +276,7 @@
 	snprintf(e.data_centre, sizeof(e.data_centre), "north-%d", r->centre + 1);
 	e.port = (uint16_t)(9000 + r->number);
 	e.cold_left = sw_cold_left(w, r);
+	e.draining = r->leaving && !r->silent;
 	return e;
 }
 
@@ -298,7 +300,8 @@
 		return;
 	r->heartbeat_at = w->sim.now + SW_HEARTBEAT;
 	sw_replica_key(r, key);
-	if (entry.cold_left != r->written.cold_left || !sw_find(&w->store, key))
+	if (entry.cold_left != r->written.cold_left || entry.draining != r->written.draining ||
+	    !sw_find(&w->store, key))
 		sw_replica_write(w, r);
 }
 
@@ -309,6 +312,8 @@
 	r->up = true;
 	r->n_arrivals = 0;
 	r->limit = -1;
+	r->leaving = false;
+	memset(r->leaving_told_at, 0, sizeof(r->leaving_told_at));
 	r->cold_until = cold ? w->sim.now + world_engines.warmup : 0;
 	r->written = (ap_replica_entry_t){0};
 	r->heartbeat_at = w->sim.now + (ap_usec_t)ap_rng_below(&w->sim.rng, 300 * AP_MSEC);
@@ -381,6 +386,18 @@
 	memset(r->told_at, 0, sizeof(r->told_at));
 }
 
+static inline void sw_arrive_leaving(sw_t *w, const sw_replica_t *r, const sw_instance_t *from)
+{
+	ap_usec_t told = r->leaving_told_at[from->number];
+
+	if (told == 0 || w->sim.now <= told + SW_DRAIN_TIME)
+		return;
+	w->sent_leaving++;
+	if (w->verbose)
+		print_message("%.3f %s sends to %s, which leaves\n", (double)w->sim.now / 1e6,
+			      from->id, r->id);
+}
+
 typedef struct sw_sent {
 	sw_instance_t *instance;
 	unsigned life;
@@ -400,6 +417,12 @@
 	if (!n->up || n->life != sent->life)
 		return;
 	ap_fleet_limit_seen(n->fleet, sent->id, sent->limit, n->w->sim.now);
+	if (r && r->leaving) {
+		n->w->told_leaving += r->leaving_told_at[n->number] == 0;
+		if (r->leaving_told_at[n->number] == 0)
+			r->leaving_told_at[n->number] = n->w->sim.now;
+		ap_fleet_leaving_seen(n->fleet, sent->id, n->w->sim.now);
+	}
 	if (r && sent->limit >= 0 && r->told_at[n->number] == 0)
 		r->told_at[n->number] = n->w->sim.now;
 	ap_fleet_done(n->fleet, &sent->inflight, AP_DISPATCH_DONE, n->w->sim.now);
@@ -429,6 +452,7 @@
 	}
 	sw_arrive(w, r);
 	sw_arrive_limited(w, r, n);
+	sw_arrive_leaving(w, r, n);
 	sent->limit = r->limit;
 	ap_copy_name(sent->id, sizeof(sent->id), r->id);
 	if (w->verbose && now < r->cold_until && !target.cold)
--- a/test/store_world.h
+++ b/test/store_world.h
@@ -34,6 +34,7 @@
 #define SW_LIMIT_WINDOW (4 * AP_SEC)
 #define SW_LIMIT_STABLE (5 * AP_SEC) /* from naming a limit until it binds */
 #define SW_TOLD_TIME (500 * AP_MSEC) /* from the response until it binds an instance */
+#define SW_DRAIN_TIME (3 * AP_SEC)   /* likewise for a response that says leaving */
 
 typedef struct sw sw_t;
 
@@ -87,6 +88,9 @@
 	ap_usec_t told_at[SW_INSTANCES]; /* first response with the limit; 0 for none */
 	sw_limited_t limited[SW_ARRIVALS];
 	size_t n_limited;
+	bool leaving;
+	bool silent;				 /* does not report that it is draining */
+	ap_usec_t leaving_told_at[SW_INSTANCES]; /* first response that said so; 0 for none */
 } sw_replica_t;
 
 typedef struct sw_instance {
@@ -125,6 +129,8 @@
 	ap_usec_t worst_at;
 	double worst_limited; /* highest ratio of requests to the limit's bound */
 	unsigned sent_limited;
+	unsigned told_leaving; /* responses that told an instance for the first time */
+	unsigned sent_leaving; /* requests later than SW_DRAIN_TIME after it */
 	bool verbose;
 };
 
