Send nothing to an upstream that says in a response that it leaves

Callers' requests went on to upstreams that had said in their responses that they leave, for as long as the store's record didn't say so: the header was passed on and read by nobody. Class: knowledge that arrives by one way is taken from another one only, which may be late, away or gone back. The same cause elsewhere: an older copy of the store's record replaced one that said draining, and what was known of an upstream went with its record.

lib/fleet keeps what an upstream said beside its record and beyond it, by the id, which is new with each start; a choice asks in one place, ap_replica_usable(). An instance that was told announces it to its region at once, but sends nothing itself, heard or not. After a minute an upstream that is still listed gets a health check, and is used again if it is healthy.

--- a/cmd/arbutuspond/gateway-health.c
+++ b/cmd/arbutuspond/gateway-health.c
@@ -23,14 +23,18 @@
 	ap_usec_t now = ap_now();
 	/* Without a connection at the time limit, the network may be the cause. */
 	bool refused = response->end == AP_CALL_NOT_SENT && now - check->sent < HEALTH_TIMEOUT;
-	bool valid = response->end == AP_CALL_RESPONDED && response->code == 200 &&
-		     ap_host_parse_health(response->headers, check->id, &cold_left);
+	bool own = response->end == AP_CALL_RESPONDED &&
+		   ap_host_parse_health(response->headers, check->id, &cold_left);
+	bool leaving = own && ap_host_is_leaving(response->headers);
+	bool valid = own && !leaving && response->code == 200;
 
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.asked", NULL, "s:s,s:b,s:b,s:I",
 			 "upstream", check->id, "told", (int)valid, "refused", (int)refused,
 			 "cold_ms", (json_int_t)(cold_left / AP_MSEC));
 	/* After any other response or none, the upstream stays unknown and is checked again. */
-	if (valid)
+	if (leaving)
+		ap_fleet_leaving_seen(gate->fleet, check->id, now);
+	else if (valid)
 		ap_fleet_health_checked(gate->fleet, check->id, cold_left, now);
 	else if (refused)
 		ap_fleet_health_check_refused(gate->fleet, check->id, now);
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -46,7 +46,7 @@
 	static const char *const names[AP_FLEET_EVENT_KINDS] = {
 		"upstream.ejected",   "upstream.back",	    "upstream.moved",
 		"upstream.lapsed",    "instance.suspected", "upstream.limited",
-		"upstream.unlimited", "upstream.leaving",   "part.suspected",
+		"upstream.unlimited", "upstream.leaving",   "upstream.not-leaving", "part.suspected",
 		"part.cleared",
 	};
 
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -24,7 +24,7 @@
 	"store.listed",		 "upstream.asked",	   "store.unreadable",	"upstream.draining",
 	"upstream.removed",	 "upstream.ejected",	   "upstream.back",	"upstream.moved",
 	"upstream.lapsed",	 "instance.suspected",	   "store.era",		"upstream.limited",
-	"upstream.unlimited",	 "upstream.limit-invalid", "upstream.leaving",
+	"upstream.unlimited",	 "upstream.limit-invalid", "upstream.leaving",	"upstream.not-leaving",
 };
 
 static const char *const request_events[] = {
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -192,7 +192,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 15);
+	msgpack_pack_array(&out.pk, 16);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -205,6 +205,7 @@
 	n += ap_limits_pack(f, &out.pk, now);
 	n += ap_suspects_pack(f, &out.pk, now);
 	n += ap_streams_pack(f, &out.pk);
+	n += ap_leaving_pack(f, &out.pk, now);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -467,12 +468,14 @@
 	ap_wire_reader_t evacuations = optional_array(&r);
 	ap_wire_reader_t limits = optional_array(&r);
 	shared_t shared = read_shared(&r);
+	ap_wire_reader_t leaving = optional_array(&r);
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
 	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
-	    !ap_limits_apply(f, &limits, now) || !apply_shared(f, &shared, AP_ORIGIN_REGION, now))
+	    !ap_limits_apply(f, &limits, now) || !apply_shared(f, &shared, AP_ORIGIN_REGION, now) ||
+	    !ap_leaving_apply(f, &leaving, now))
 		return false;
 	f->informed = f->informed || informed;
 	if (says_informed && !informed && !ap_fleet_uninformed(f, now)) {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -189,6 +189,7 @@
 	AP_FLEET_EVENT_LIMITED,	       /* an upstream named a limit, or another one */
 	AP_FLEET_EVENT_UNLIMITED,      /* it responded without naming one */
 	AP_FLEET_EVENT_LEAVING,	       /* an upstream said in a response that it leaves */
+	AP_FLEET_EVENT_NOT_LEAVING,    /* it was healthy long after */
 	AP_FLEET_EVENT_PART_SUSPECTED, /* a part of prompts met the ends of several upstreams */
 	AP_FLEET_EVENT_PART_CLEARED,   /* a request with it was completed, or the ends are old */
 	AP_FLEET_EVENT_KINDS,
@@ -281,12 +282,12 @@
 void ap_fleet_evacuate(ap_fleet_t *f, const char *data_centre, bool off, ap_usec_t now);
 /**
  * ap_fleet_next_health_check() - returns an upstream that needs a health check, because no
- * instance knows whether the upstream is cold, or because it may have ended. To be called until it
- * returns false.
+ * instance knows whether the upstream is cold, or because it may have ended, or because it said long
+ * ago that it leaves. To be called until it returns false.
  */
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica);
 /**
- * ap_fleet_health_checked() - upstream @id responded to a health check.
+ * ap_fleet_health_checked() - upstream @id responded to a health check that it is healthy.
  * @cold_left: remaining cold time in microseconds; 0 if the upstream is not cold
  */
 void ap_fleet_health_checked(ap_fleet_t *f, const char *id, ap_usec_t cold_left, ap_usec_t now);
@@ -296,7 +297,10 @@
  *         negative if it names no limit
  */
 void ap_fleet_limit_seen(ap_fleet_t *f, const char *id, double limit, ap_usec_t now);
-/** ap_fleet_leaving_seen() - upstream @id said in a response that it leaves. */
+/**
+ * ap_fleet_leaving_seen() - upstream @id said in a response that it leaves, so it gets no more
+ * requests.
+ */
 void ap_fleet_leaving_seen(ap_fleet_t *f, const char *id, ap_usec_t now);
 /**
  * ap_fleet_health_check_refused() - upstream @id refused the connection for a health check, so it
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -66,7 +66,8 @@
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica)
 {
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		if (!needs_check(f, r, now) && !ap_break_needs_check(r, now))
+		if (!needs_check(f, r, now) && !ap_break_needs_check(r, now) &&
+		    !ap_leaving_needs_check(f, r, now))
 			continue;
 		r->check_sent_at = now;
 		*replica = r->entry;
@@ -89,6 +90,7 @@
 	if (!r)
 		return;
 	ap_break_forget(r);
+	ap_leaving_checked(f, r, now);
 	ap_replica_set_cold_left(r, cold_left, now);
 	r->announce_until = now + (cold_left > ANNOUNCE_TIME ? cold_left : ANNOUNCE_TIME);
 }
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -133,11 +133,20 @@
 	ap_usec_t at;
 } ap_gone_build_t;
 
-/* An upstream that leaves. Outlives its record, which may come back. */
+/**
+ * struct ap_leaving - an upstream that leaves; outlives its record.
+ * @at: when it last said so, as far as this instance knows
+ * @seen_at: when it last said so in a response to this instance; 0 for never
+ * @ended_at: when a health check showed that it doesn't leave; 0 for never
+ * @checked_at: time of the last health check that was to find out; 0 for none
+ */
 typedef struct ap_leaving {
 	UT_hash_handle hh;
 	uint32_t tag;
-	ap_usec_t at; /* when it last said so, as far as this instance knows */
+	ap_usec_t at;
+	ap_usec_t seen_at;
+	ap_usec_t ended_at;
+	ap_usec_t checked_at;
 } ap_leaving_t;
 
 /**
@@ -309,7 +318,7 @@
 	ap_pool_state_t *pools;
 	ap_remote_pool_t *remote_pools;
 	ap_data_centre_state_t *data_centres;
-	ap_leaving_t *leaving;
+	ap_leaving_t *leaving; /* upstreams, listed or not */
 	ap_cached_part_t *parts;
 	bool loads_changed; /* an announcement changed @loads of a member */
 	ap_new_prefix_t new_prefixes[NEW_PREFIXES_MAX];
@@ -400,6 +409,18 @@
 bool ap_limits_apply(ap_fleet_t *f, ap_wire_reader_t *limits, ap_usec_t now);
 
 /* leaving.c */
+/* Returns whether @r leaves, as far as this instance has read, seen or heard. */
+bool ap_replica_leaving(const ap_fleet_t *f, const ap_replica_t *r);
+/* The record of @r says that it is draining. */
+void ap_leaving_recorded(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* Returns whether @r needs a health check now, because it is still listed. */
+bool ap_leaving_needs_check(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* @r said in response to a health check that it is healthy. */
+void ap_leaving_checked(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* Packs what this instance has seen in responses. Return: how many upstreams. */
+size_t ap_leaving_pack(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
+/* Applies what another instance has seen. Return: false if it is malformed. */
+bool ap_leaving_apply(ap_fleet_t *f, ap_wire_reader_t *leaving, ap_usec_t now);
 /* Drops what is too old to matter. */
 void ap_leaving_tick(ap_fleet_t *f, ap_usec_t now);
 
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -93,7 +93,7 @@
 
 bool ap_replica_usable(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
 {
-	return !r->address_reused && !r->entry.draining && now < r->expires_at &&
+	return !r->address_reused && !ap_replica_leaving(f, r) && now < r->expires_at &&
 	       !ap_replica_evacuated(f, r) &&
 	       (r->shutdown_at == AP_NEVER || now + SHUTDOWN_MARGIN < r->shutdown_at);
 }
@@ -130,6 +130,8 @@
 	r->received_at = now;
 	r->expires_at = AP_NEVER;
 	r->listed = true;
+	if (entry->draining)
+		ap_leaving_recorded(f, r, now);
 	if (entry->cold_left > 0 && now + entry->cold_left > r->cold_until)
 		r->cold_until = now + entry->cold_left;
 	/*
@@ -282,7 +284,7 @@
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		stats.replicas++;
 		stats.usable += ap_replica_usable(f, r, now);
-		stats.draining += r->entry.draining;
+		stats.draining += ap_replica_leaving(f, r);
 		stats.cold += now < r->cold_until;
 		stats.ejected += now < r->ejected_until;
 		stats.limited += r->limited;
--- a/lib/fleet/suspect.c
+++ b/lib/fleet/suspect.c
@@ -450,7 +450,7 @@
 void ap_break_seen(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight, ap_usec_t now)
 {
 	/* A leaving upstream ends for a known reason. */
-	if (inflight->n_parts == 0 || r->entry.draining || r->shutdown_at != AP_NEVER)
+	if (inflight->n_parts == 0 || ap_replica_leaving(f, r) || r->shutdown_at != AP_NEVER)
 		return;
 	if (!r->broken)
 		r->broken = calloc(1, sizeof(*r->broken));
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -348,6 +348,13 @@
 	ap_fleet_leaving_seen(f, "d1", now + AP_SEC);
 }
 
+static void stay(ap_fleet_t *f, ap_usec_t now)
+{
+	say_leaving(f, now);
+	ap_fleet_health_checked(f, "d1", 0, now + 100 * AP_SEC);
+	ap_fleet_health_checked(f, "d1", 0, now + 101 * AP_SEC);
+}
+
 #define PART 0x1f
 
 /* Sends a request with PART to engine @number, which ends with the result @end. */
@@ -397,6 +404,7 @@
 		[AP_FLEET_EVENT_LIMITED] = {name_limit, "d1"},
 		[AP_FLEET_EVENT_UNLIMITED] = {end_limit, "d1"},
 		[AP_FLEET_EVENT_LEAVING] = {say_leaving, "d1"},
+		[AP_FLEET_EVENT_NOT_LEAVING] = {stay, "d1"},
 		[AP_FLEET_EVENT_PART_SUSPECTED] = {suspect_part, "1f"},
 		[AP_FLEET_EVENT_PART_CLEARED] = {clear_part, "1f"},
 	};
