Record a fingerprint of what a request is with its end

request.ended told requests apart by an id that each attempt of a caller has anew, so it couldn't be told whether the requests in flight at two ends of upstreams were one and the same. The fingerprint is a hash of the caller, path and body. Choices are unchanged.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -58,6 +58,22 @@
 	gate_call_update(c);
 }
 
+/* A repeated request has the same fingerprint, at any instance. */
+static uint64_t fingerprint_of(ap_http_call_t *call, const ap_host_request_t *r)
+{
+	enum evhttp_cmd_type method = ap_http_call_method(call);
+	size_t len;
+	const void *body = ap_http_call_body(call, &len);
+	uint64_t hash = ap_hash(&method, sizeof(method), 0);
+
+	hash = ap_hash_str(r->host, hash);
+	hash = ap_hash_str(ap_http_call_target(call), hash);
+	if (r->caller)
+		hash = ap_hash_str(r->caller, hash);
+	hash = ap_hash(body, len, hash);
+	return hash ? hash : 1;
+}
+
 static void fill_dispatch(gate_call_t *c, const ap_host_request_t *r, ap_usec_t now)
 {
 	ap_dispatch_t *req = &c->x.req;
@@ -68,6 +84,7 @@
 	req->tokens_out = r->tokens_out;
 	req->n_parts = r->n_parts;
 	memcpy(req->parts, r->parts, sizeof(req->parts));
+	req->fingerprint = fingerprint_of(c->call, r);
 	if (r->last_event)
 		ap_copy_name(c->x.last_event_id, sizeof(c->x.last_event_id), r->last_event);
 	if (r->resumes)
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -46,8 +46,8 @@
 	static const char *const names[AP_FLEET_EVENT_KINDS] = {
 		"upstream.ejected",   "upstream.back",	    "upstream.moved",
 		"upstream.lapsed",    "instance.suspected", "upstream.limited",
-		"upstream.unlimited", "upstream.leaving",   "upstream.not-leaving", "part.suspected",
-		"part.cleared",
+		"upstream.unlimited", "upstream.leaving",   "upstream.not-leaving",
+		"part.suspected",     "part.cleared",
 	};
 
 	return names[kind];
@@ -88,17 +88,21 @@
 	return list;
 }
 
+static json_t *hex(uint64_t number)
+{
+	char text[20];
+
+	snprintf(text, sizeof(text), "%llx", (unsigned long long)number);
+	return json_string(text);
+}
+
 /* The parts of the prompt that other requests may share, as the platform writes their ids. */
 static json_t *parts_of(const ap_dispatch_t *req)
 {
 	json_t *list = json_array();
 
-	for (size_t i = 0; i + 1 < req->n_parts; i++) {
-		char id[20];
-
-		snprintf(id, sizeof(id), "%llx", (unsigned long long)req->parts[i].id);
-		json_array_append_new(list, json_string(id));
-	}
+	for (size_t i = 0; i + 1 < req->n_parts; i++)
+		json_array_append_new(list, hex(req->parts[i].id));
 	return list;
 }
 
@@ -141,7 +145,7 @@
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
 		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o,"
-		"s:o,s:s",
+		"s:o,s:s,s:o",
 		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 		"route", x->req.route->name, "pool", x->req.pool ? x->req.pool->name : "", "guest",
 		(int)c->forwarded, "status", c->status, "first_ms", msec(first), "objective_ms",
@@ -150,5 +154,5 @@
 		(int)x->sends, "runs", (int)x->runs, "refusals", (int)x->refusals, "version",
 		(json_int_t)c->plan->version, "expected_ms", msec(x->target.wait), "store_age_ms",
 		msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c), "parts",
-		parts_of(&x->req), "resumes", c->resumes);
+		parts_of(&x->req), "resumes", c->resumes, "fingerprint", hex(x->req.fingerprint));
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -74,6 +74,8 @@
  * @tokens_out: expected length of the response
  * @build: the only build of upstreams that may be chosen; 0 for any
  * @parts: of the prompt, in order; the last one belongs to this request or its session alone
+ * @fingerprint: hash of the caller, path and body: of what the request is, however often it comes;
+ *               0 if unknown
  * @tried: targets on which the request failed; chosen only if there is no other
  * @avoid: targets that must not be chosen
  */
@@ -87,6 +89,7 @@
 	uint64_t build;
 	ap_prompt_part_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
+	uint64_t fingerprint;
 	char tried[AP_TRIED_MAX][AP_NAME_MAX];
 	size_t n_tried;
 	char avoid[AP_TRIED_MAX][AP_NAME_MAX];
