--- a/test/crash_faults.h
+++ b/test/crash_faults.h
@@ -76,7 +76,7 @@
 
 static inline void crash(cw_t *w, int target)
 {
-	cw_engine_t *e = &w->engines[target % (CW_REGIONS * CW_ENGINES)];
+	cw_engine_t *e = &w->engines[target % CW_ALL_ENGINES];
 
 	if (e->up)
 		cw_crash(w, e);
@@ -90,7 +90,7 @@
 
 static inline void turn_grey(cw_t *w, int target)
 {
-	cw_engine_t *e = &w->engines[target % (CW_REGIONS * CW_ENGINES)];
+	cw_engine_t *e = &w->engines[target % CW_ALL_ENGINES];
 
 	e->grey = !e->grey;
 }
@@ -98,7 +98,7 @@
 static inline void flap(cw_t *w, int target)
 {
 	(void)target;
-	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i += 6)
+	for (int i = 0; i < CW_ALL_ENGINES; i += 6)
 		crash(w, i);
 }
 
@@ -144,7 +144,7 @@
 	(void)data;
 	w->bad = !w->bad;
 	w->bad_until = w->bad ? 0 : w->sim.now;
-	cw_note(w, w->bad ? "the part crashes engines" : "the part crashes nothing", "");
+	cw_note(w, w->bad ? "bad requests crash upstreams" : "bad requests crash nothing", "");
 }
 
 static inline cw_t *begin(uint64_t seed, int faults, int per_region)
--- a/test/crash_instances.h
+++ b/test/crash_instances.h
@@ -46,7 +46,7 @@
 
 static inline bool cw_engine_alive(const cw_t *w, const char *id)
 {
-	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++) {
+	for (int i = 0; i < CW_UPSTREAMS; i++) {
 		if (w->engines[i].up && strcmp(w->engines[i].id, id) == 0)
 			return true;
 	}
@@ -133,7 +133,7 @@
 	cw_list_instance(n->fleet, n, now);
 	for (int i = 0; i < w->per_region * CW_REGIONS; i++)
 		cw_list_instance(n->fleet, &w->instances[i], now);
-	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++) {
+	for (int i = 0; i < CW_UPSTREAMS; i++) {
 		if (w->engines[i].up)
 			cw_list_engine(w, &w->engines[i], n->fleet);
 	}
@@ -159,7 +159,8 @@
 		double rate;
 	} loads[] = {{CW_SOUND, w->sound_rate},
 		     {CW_SUBJECT, w->subject_rate},
-		     {CW_BAD, w->bad || w->ends > 0 ? w->bad_rate : 0}};
+		     {w->bad_kind, w->bad || w->ends > 0 ? w->bad_rate : 0},
+		     {CW_PLAIN, w->plain_rate}};
 
 	(void)data;
 	for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
@@ -186,10 +187,14 @@
 	w->sound_rate = 100;
 	w->subject_rate = 3;
 	w->bad_rate = 0.8;
-	for (int i = 0; i < CW_REGIONS * CW_ENGINES; i++) {
+	w->bad_kind = CW_BAD;
+	w->ends_allowed = CW_ENDS_ALLOWED;
+	for (int i = 0; i < CW_UPSTREAMS; i++) {
 		cw_engine_t *e = &w->engines[i];
 
 		*e = (cw_engine_t){.region = i / CW_ENGINES, .number = i % CW_ENGINES};
+		if (!cw_is_engine(w, e))
+			e->region = (i - CW_ALL_ENGINES) / CW_DESKS;
 		cw_engine_start(w, &i);
 	}
 	for (int i = 0; i < per_region * CW_REGIONS; i++) {
