--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -285,8 +285,8 @@
 void ap_fleet_evacuate(ap_fleet_t *f, const char *data_centre, bool off, ap_usec_t now);
 /**
  * ap_fleet_next_health_check() - returns an upstream that needs a health check, because no
- * instance knows whether the upstream is cold, or because it may have ended, or because it said long
- * ago that it leaves. To be called until it returns false.
+ * instance knows whether the upstream is cold, or because it may have ended, or because it said
+ * long ago that it leaves. To be called until it returns false.
  */
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica);
 /**
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -431,9 +431,33 @@
 void ap_replica_record_result(ap_fleet_t *f, ap_replica_t *r, ap_dispatch_result_t end, bool trial,
 			      ap_usec_t now);
 
-/* suspect.c */
+/* end.c */
 #define FOR_EACH_END(f, end) for ((end) = (f)->ends; (end) < (f)->ends + (f)->n_ends; (end)++)
 
+/* The response to the request behind @inflight broke off at @r, which may have ended. */
+void ap_break_seen(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight, ap_usec_t now);
+/* @r has not ended, or it can't be found out any more. */
+void ap_break_forget(ap_replica_t *r);
+/* @r has ended: requests whose responses broke off there may be the cause. */
+void ap_replica_ended(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+/* Returns whether @r needs a health check now to find out whether it has ended. */
+bool ap_break_needs_check(ap_replica_t *r, ap_usec_t now);
+/* Forgets breaks that no health check explains any more. */
+void ap_breaks_tick(ap_fleet_t *f, ap_usec_t now);
+/* Finds or adds the end of an upstream at @at; valid until another one is added. */
+ap_upstream_end_t *ap_end_get(ap_fleet_t *f, uint32_t tag, ap_usec_t at);
+/* Adds a part of a request that was sent at @sent. Return: whether anything changed. */
+bool ap_end_add_part(ap_fleet_t *f, ap_upstream_end_t *end, uint64_t part, ap_usec_t sent);
+void ap_end_remove(ap_fleet_t *f, ap_upstream_end_t *end);
+/* Returns @part of @end; NULL if no request with it was in flight. */
+const ap_end_part_t *ap_end_find_part(const ap_upstream_end_t *end, uint64_t part);
+/*
+ * Returns whether other upstreams ended together with @end where no request with @part was in
+ * flight. Then they have a cause in common, which is not the part.
+ */
+bool ap_ended_with_others(const ap_fleet_t *f, const ap_upstream_end_t *end, uint64_t part);
+
+/* suspect.c */
 typedef enum ap_hold {
 	AP_HOLD_NONE,
 	AP_HOLD_WAIT,  /* not to be sent before a given time */
@@ -446,14 +470,6 @@
 void ap_suspect_sent(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now);
 /* The response to the request behind @inflight is complete. */
 void ap_suspect_completed(ap_fleet_t *f, const ap_inflight_t *inflight, ap_usec_t now);
-/* The response to the request behind @inflight broke off at @r, which may have ended. */
-void ap_break_seen(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight, ap_usec_t now);
-/* @r has not ended, or it can't be found out any more. */
-void ap_break_forget(ap_replica_t *r);
-/* @r has ended: requests whose responses broke off there may be the cause. */
-void ap_replica_ended(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
-/* Returns whether @r needs a health check now to find out whether it has ended. */
-bool ap_break_needs_check(ap_replica_t *r, ap_usec_t now);
 /* Returns the length of the chain of ends that requests with @part met. */
 unsigned ap_part_chain(const ap_fleet_t *f, uint64_t part);
 /* Returns whether a response that began after @at clears @part. */
@@ -463,13 +479,17 @@
  * became shorter.
  */
 bool ap_part_completed(ap_fleet_t *f, uint64_t part, ap_usec_t began);
-/* Finds or adds the end of an upstream at @at; valid until another one is added. */
-ap_upstream_end_t *ap_end_get(ap_fleet_t *f, uint32_t tag, ap_usec_t at);
-/* Adds a part of a request that was sent at @sent. Return: whether anything changed. */
-bool ap_end_add_part(ap_fleet_t *f, ap_upstream_end_t *end, uint64_t part, ap_usec_t sent);
 void ap_suspects_tick(ap_fleet_t *f, ap_usec_t now);
 
 size_t ap_suspects_count(const ap_fleet_t *f);
+/* Returns what is known of @part; NULL if nothing. */
+ap_suspect_t *ap_suspect_find(const ap_fleet_t *f, uint64_t part);
+/* Finds or adds it; NULL if out of memory. */
+ap_suspect_t *ap_suspect_get(ap_fleet_t *f, uint64_t part);
+/* Returns whether a request with a suspect was in flight at @end. */
+bool ap_end_has_suspect(const ap_fleet_t *f, const ap_upstream_end_t *end);
+/* This instance has seen something new: tells all regions with the next tick. */
+void ap_evidence_seen(ap_fleet_t *f, ap_usec_t now);
 
 /* build.c */
 /* Returns the build of upstreams of @pool with this software version; never 0. */
--- a/lib/fleet/suspect.c
+++ b/lib/fleet/suspect.c
@@ -11,23 +11,18 @@
  * doubles with each trial that fails, one request at a time is sent as a trial; a complete response
  * clears all its parts.
  *
- * The ends are exchanged between all instances, see suspect-wire.c. What is known of an end only
- * grows and does not depend on the order of messages: the earliest time of the end, the latest time
- * at which a request with a part was sent, the latest response to one.
+ * The ends, see end.c, are exchanged between all instances, see suspect-wire.c, and so is the
+ * latest response to a request with a part.
  */
 #include "fleet/private.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define BROKEN_MAX_AGE (3 * AP_SEC) /* within this time a health check tells why it broke */
-#define SAME_END (3 * AP_SEC)	    /* between the times at which instances see one end */
-#define CHECK_RETRY (700 * AP_MSEC) /* if a health check had no conclusive result */
-#define CHAIN_MARGIN 1		    /* chains that differ by this are about as likely */
+#define CHAIN_MARGIN 1 /* chains that differ by this are about as likely */
 /* A sound request completes, and the other instances hear of it, within this time. */
 #define LINK_INTERVAL (300 * AP_MSEC)
-#define TOGETHER (100 * AP_MSEC) /* ends that differ by less may have a cause in common */
-#define HOLD_BASE (30 * AP_SEC)	 /* from the last end of a chain of END_CHAIN_MIN */
+#define HOLD_BASE (30 * AP_SEC) /* from the last end of a chain of END_CHAIN_MIN */
 #define HOLD_DOUBLINGS_MAX 4
 /*
  * Instances may make a trial in turn, this long after each other: longer than a trial takes to end
@@ -38,7 +33,7 @@
 #define SUSPECT_MAX_AGE (60 * 60 * AP_SEC) /* how long an end with a suspect is kept */
 #define END_MAX_AGE (10 * 60 * AP_SEC)	   /* how long any other end, or a response, is kept */
 
-static ap_suspect_t *find_suspect(const ap_fleet_t *f, uint64_t part)
+ap_suspect_t *ap_suspect_find(const ap_fleet_t *f, uint64_t part)
 {
 	ap_suspect_t *s;
 
@@ -46,9 +41,9 @@
 	return s;
 }
 
-static ap_suspect_t *get_suspect(ap_fleet_t *f, uint64_t part)
+ap_suspect_t *ap_suspect_get(ap_fleet_t *f, uint64_t part)
 {
-	ap_suspect_t *s = find_suspect(f, part);
+	ap_suspect_t *s = ap_suspect_find(f, part);
 
 	if (s)
 		return s;
@@ -62,7 +57,7 @@
 
 bool ap_part_cleared(const ap_fleet_t *f, uint64_t part, ap_usec_t at)
 {
-	const ap_suspect_t *s = find_suspect(f, part);
+	const ap_suspect_t *s = ap_suspect_find(f, part);
 
 	return s && s->completed > at;
 }
@@ -108,30 +103,6 @@
 	return chain;
 }
 
-static const ap_end_part_t *part_of_end(const ap_upstream_end_t *end, uint64_t part)
-{
-	for (size_t i = 0; i < end->n_parts; i++) {
-		if (end->parts[i].part == part)
-			return &end->parts[i];
-	}
-	return NULL;
-}
-
-/*
- * Returns whether other upstreams ended together with @end where no request with @part was in
- * flight. Then they have a cause in common, which is not the part.
- */
-static bool ended_with_others(const ap_fleet_t *f, const ap_upstream_end_t *end, uint64_t part)
-{
-	const ap_upstream_end_t *e;
-
-	FOR_EACH_END (f, e) {
-		if (e != end && llabs(e->at - end->at) <= TOGETHER && !part_of_end(e, part))
-			return true;
-	}
-	return false;
-}
-
 static void report(const ap_fleet_t *f, ap_fleet_event_kind_t kind, const ap_suspect_t *s)
 {
 	char id[AP_NAME_MAX];
@@ -158,9 +129,10 @@
 	if (!s->stale)
 		return s->chain;
 	FOR_EACH_END (f, e) {
-		const ap_end_part_t *p = e->at >= s->completed ? part_of_end(e, s->part) : NULL;
+		const ap_end_part_t *p =
+			e->at >= s->completed ? ap_end_find_part(e, s->part) : NULL;
 
-		if (p && !ended_with_others(f, e, s->part))
+		if (p && !ap_ended_with_others(f, e, s->part))
 			links[n++] = (link_t){e->at, p->sent};
 	}
 	s->chain = find_chain(links, n).length;
@@ -174,7 +146,7 @@
 
 unsigned ap_part_chain(const ap_fleet_t *f, uint64_t part)
 {
-	ap_suspect_t *s = find_suspect(f, part);
+	ap_suspect_t *s = ap_suspect_find(f, part);
 
 	return s ? chain_of(f, s) : 0;
 }
@@ -203,7 +175,7 @@
 		uint64_t part = end->parts[i].part;
 		unsigned chain = ap_part_cleared(f, part, end->at) ? 0 : ap_part_chain(f, part);
 
-		if (chain > longest && !ended_with_others(f, end, part))
+		if (chain > longest && !ap_ended_with_others(f, end, part))
 			longest = chain;
 	}
 	return longest;
@@ -226,7 +198,7 @@
 
 		if (ap_part_cleared(f, p->part, end->at) ||
 		    ap_part_chain(f, p->part) + CHAIN_MARGIN < longest ||
-		    ended_with_others(f, end, p->part))
+		    ap_ended_with_others(f, end, p->part))
 			continue;
 		if (!has_part(req, p->part))
 			return false;
@@ -305,8 +277,7 @@
 		e.last->tried_at = now;
 }
 
-/* This instance has seen something new: tells all regions with the next tick. */
-static void evidence_seen(ap_fleet_t *f, ap_usec_t now)
+void ap_evidence_seen(ap_fleet_t *f, ap_usec_t now)
 {
 	f->evidence_seen_at = now;
 	f->evidence_changed_at = now;
@@ -319,15 +290,15 @@
 	ap_usec_t began = inflight->first_at > 0 ? inflight->first_at : inflight->sent;
 
 	for (size_t i = 0; i < inflight->n_parts; i++) {
-		if (find_suspect(f, inflight->parts[i]) &&
+		if (ap_suspect_find(f, inflight->parts[i]) &&
 		    ap_part_completed(f, inflight->parts[i], began))
-			evidence_seen(f, now);
+			ap_evidence_seen(f, now);
 	}
 }
 
 bool ap_part_completed(ap_fleet_t *f, uint64_t part, ap_usec_t began)
 {
-	ap_suspect_t *s = get_suspect(f, part);
+	ap_suspect_t *s = ap_suspect_get(f, part);
 	unsigned before;
 
 	if (!s || began <= s->completed)
@@ -338,162 +309,11 @@
 	return chain_of(f, s) < before;
 }
 
-static bool has_suspect(const ap_fleet_t *f, const ap_upstream_end_t *end)
+bool ap_end_has_suspect(const ap_fleet_t *f, const ap_upstream_end_t *end)
 {
 	return longest_chain(f, end) >= END_CHAIN_MIN;
 }
 
-static void mark_stale(const ap_fleet_t *f, const ap_upstream_end_t *end)
-{
-	for (size_t i = 0; i < end->n_parts; i++) {
-		ap_suspect_t *s = find_suspect(f, end->parts[i].part);
-
-		if (s)
-			s->stale = true;
-	}
-}
-
-/* Marks the parts of all ends that come together with @end, itself included. */
-static void mark_stale_together(const ap_fleet_t *f, const ap_upstream_end_t *end)
-{
-	const ap_upstream_end_t *e;
-
-	FOR_EACH_END (f, e) {
-		if (llabs(e->at - end->at) <= 2 * TOGETHER)
-			mark_stale(f, e);
-	}
-}
-
-static void remove_end(ap_fleet_t *f, ap_upstream_end_t *end)
-{
-	mark_stale(f, end);
-	*end = f->ends[--f->n_ends];
-}
-
-/* Drops the oldest end that has no suspect, or else the oldest. */
-static void make_room(ap_fleet_t *f)
-{
-	ap_upstream_end_t *oldest = NULL;
-	ap_upstream_end_t *unsuspected = NULL;
-	ap_upstream_end_t *e;
-
-	if (f->n_ends < ENDS_MAX)
-		return;
-	FOR_EACH_END (f, e) {
-		if (!oldest || e->at < oldest->at)
-			oldest = e;
-		if ((!unsuspected || e->at < unsuspected->at) && !has_suspect(f, e))
-			unsuspected = e;
-	}
-	remove_end(f, unsuspected ? unsuspected : oldest);
-}
-
-/* An upstream may start again under its id, so the time tells one end from the next. */
-static ap_upstream_end_t *find_end(ap_fleet_t *f, uint32_t tag, ap_usec_t at)
-{
-	ap_upstream_end_t *end;
-
-	FOR_EACH_END (f, end) {
-		if (end->tag == tag && llabs(end->at - at) <= SAME_END)
-			return end;
-	}
-	return NULL;
-}
-
-ap_upstream_end_t *ap_end_get(ap_fleet_t *f, uint32_t tag, ap_usec_t at)
-{
-	ap_upstream_end_t *end = find_end(f, tag, at);
-
-	if (!end) {
-		make_room(f);
-		end = &f->ends[f->n_ends++];
-		*end = (ap_upstream_end_t){.tag = tag, .at = at};
-		mark_stale_together(f, end);
-	}
-	if (at < end->at) {
-		end->at = at;
-		mark_stale_together(f, end);
-	}
-	return end;
-}
-
-/* Adds a part to an end. Return: whether anything changed. */
-static bool add_part(ap_upstream_end_t *end, uint64_t part, ap_usec_t sent)
-{
-	for (size_t i = 0; i < end->n_parts; i++) {
-		ap_end_part_t *p = &end->parts[i];
-
-		if (p->part != part)
-			continue;
-		if (sent <= p->sent)
-			return false;
-		p->sent = sent;
-		return true;
-	}
-	if (end->n_parts == END_PARTS_MAX)
-		return false;
-	end->parts[end->n_parts++] = (ap_end_part_t){part, sent};
-	return true;
-}
-
-bool ap_end_add_part(ap_fleet_t *f, ap_upstream_end_t *end, uint64_t part, ap_usec_t sent)
-{
-	ap_suspect_t *s = get_suspect(f, part);
-
-	if (!s || s->completed > end->at || !add_part(end, part, sent))
-		return false;
-	s->stale = true;
-	return true;
-}
-
-/* Records that a request was in flight at @r when its response broke off. */
-void ap_break_seen(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight, ap_usec_t now)
-{
-	/* A leaving upstream ends for a known reason. */
-	if (inflight->n_parts == 0 || ap_replica_leaving(f, r) || r->shutdown_at != AP_NEVER)
-		return;
-	if (!r->broken)
-		r->broken = calloc(1, sizeof(*r->broken));
-	if (!r->broken)
-		return;
-	if (r->broken->n_parts == 0) {
-		r->broken->at = now;
-		r->broken->tag = r->tag;
-	}
-	for (size_t i = 0; i < inflight->n_parts; i++)
-		add_part(r->broken, inflight->parts[i], inflight->sent);
-	if (find_end(f, r->tag, now))
-		ap_replica_ended(f, r, now);
-}
-
-void ap_break_forget(ap_replica_t *r)
-{
-	free(r->broken);
-	r->broken = NULL;
-	r->broken_checked_at = 0;
-}
-
-void ap_replica_ended(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
-{
-	ap_upstream_end_t *end = r->broken ? ap_end_get(f, r->tag, r->broken->at) : NULL;
-
-	for (size_t i = 0; end && i < r->broken->n_parts; i++) {
-		const ap_end_part_t *p = &r->broken->parts[i];
-
-		if (ap_end_add_part(f, end, p->part, p->sent))
-			evidence_seen(f, now);
-	}
-	ap_break_forget(r);
-}
-
-bool ap_break_needs_check(ap_replica_t *r, ap_usec_t now)
-{
-	if (!r->broken || (r->broken_checked_at > 0 && now - r->broken_checked_at < CHECK_RETRY))
-		return false;
-	r->broken_checked_at = now;
-	return true;
-}
-
 static void remove_suspect(ap_fleet_t *f, ap_suspect_t *s)
 {
 	/* false positive: the analyzer takes a freed item for one of the table */
@@ -507,16 +327,13 @@
 	ap_suspect_t *next;
 	ap_suspect_t *s;
 
-	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		if (r->broken && now - r->broken->at > BROKEN_MAX_AGE)
-			ap_break_forget(r);
-	}
+	ap_breaks_tick(f, now);
 	for (size_t i = f->n_ends; i > 0; i--) {
 		ap_upstream_end_t *end = &f->ends[i - 1];
 		ap_usec_t age = now - end->at;
 
-		if (age > SUSPECT_MAX_AGE || (age > END_MAX_AGE && !has_suspect(f, end)))
-			remove_end(f, end);
+		if (age > SUSPECT_MAX_AGE || (age > END_MAX_AGE && !ap_end_has_suspect(f, end)))
+			ap_end_remove(f, end);
 	}
 	HASH_ITER (hh, f->suspects, s, next) {
 		if (chain_of(f, s) > 0 || now - s->completed < END_MAX_AGE)
