Hold back a request that crashes what runs it

A plain service's ends were not recorded at all, since only shared parts of prompts were taken for possible causes; a request with a prompt was known by parts that sound requests have, too, and whose responses cleared it.

A request has traits now, its fingerprint beside the shared parts of its prompt, and an end of an upstream is evidence against all of them in one place. A fingerprint is a suspect after three ends without a complete response in between; a part still needs ends one after the other. Requests that an upstream had been responding to for a while are no cause of its end.

--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -44,10 +44,11 @@
 static const char *fleet_event_name(ap_fleet_event_kind_t kind)
 {
 	static const char *const names[AP_FLEET_EVENT_KINDS] = {
-		"upstream.ejected",   "upstream.back",	    "upstream.moved",
-		"upstream.lapsed",    "instance.suspected", "upstream.limited",
-		"upstream.unlimited", "upstream.leaving",   "upstream.not-leaving",
-		"part.suspected",     "part.cleared",
+		"upstream.ejected",    "upstream.back",	     "upstream.moved",
+		"upstream.lapsed",     "instance.suspected", "upstream.limited",
+		"upstream.unlimited",  "upstream.leaving",   "upstream.not-leaving",
+		"part.suspected",      "part.cleared",	     "fingerprint.suspected",
+		"fingerprint.cleared",
 	};
 
 	return names[kind];
@@ -60,6 +61,8 @@
 		[AP_FLEET_EVENT_SUSPECTED] = "other",
 		[AP_FLEET_EVENT_PART_SUSPECTED] = "part",
 		[AP_FLEET_EVENT_PART_CLEARED] = "part",
+		[AP_FLEET_EVENT_REQUEST_SUSPECTED] = "fingerprint",
+		[AP_FLEET_EVENT_REQUEST_CLEARED] = "fingerprint",
 	};
 	const char *field = fields[event->kind] ? fields[event->kind] : "upstream";
 
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -133,7 +133,8 @@
 	put(out, "upstreams", "{state=\"cold\"}", (double)fleet.cold);
 	put(out, "upstreams", "{state=\"ejected\"}", (double)fleet.ejected);
 	put(out, "upstreams", "{state=\"limited\"}", (double)fleet.limited);
-	put(out, "prompt_parts", "{state=\"suspect\"}", (double)fleet.suspects);
+	put(out, "prompt_parts", "{state=\"suspect\"}", (double)fleet.suspect_parts);
+	put(out, "fingerprints", "{state=\"suspect\"}", (double)fleet.suspect_requests);
 	put(out, "instances", "", (double)fleet.members);
 	put(out, "work_running", "", (double)fleet.running);
 	put(out, "configuration_version", "", gate->plan ? (double)gate->plan->version : 0);
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -17,14 +17,42 @@
 
 /* Records of an instance's own state and its view of the fleet, not of a request. */
 static const char *const state_events[] = {
-	"configuration.refused", "configuration.taken",	   "directory.stopgap", "evacuation",
-	"instance.lost",	 "instance.seen",	   "log.dropped",	"peer.unreadable",
-	"process.frozen",	 "process.leaving",	   "process.reload",	"process.started",
-	"process.stopped",	 "seed.answered",	   "store.away",	"store.back",
-	"store.listed",		 "upstream.asked",	   "store.unreadable",	"upstream.draining",
-	"upstream.removed",	 "upstream.ejected",	   "upstream.back",	"upstream.moved",
-	"upstream.lapsed",	 "instance.suspected",	   "store.era",		"upstream.limited",
-	"upstream.unlimited",	 "upstream.limit-invalid", "upstream.leaving",	"upstream.not-leaving",
+	"configuration.refused",
+	"configuration.taken",
+	"directory.stopgap",
+	"evacuation",
+	"instance.lost",
+	"instance.seen",
+	"log.dropped",
+	"peer.unreadable",
+	"process.frozen",
+	"process.leaving",
+	"process.reload",
+	"process.started",
+	"process.stopped",
+	"seed.answered",
+	"store.away",
+	"store.back",
+	"store.listed",
+	"upstream.asked",
+	"store.unreadable",
+	"upstream.draining",
+	"upstream.removed",
+	"upstream.ejected",
+	"upstream.back",
+	"upstream.moved",
+	"upstream.lapsed",
+	"instance.suspected",
+	"store.era",
+	"upstream.limited",
+	"upstream.unlimited",
+	"upstream.limit-invalid",
+	"upstream.leaving",
+	"upstream.not-leaving",
+	"part.suspected",
+	"part.cleared",
+	"fingerprint.suspected",
+	"fingerprint.cleared",
 };
 
 static const char *const request_events[] = {
@@ -212,8 +240,8 @@
 static void print_state_event(json_t *record)
 {
 	static const char *const shown[] = {
-		"upstream", "other",  "data_centre", "off",   "leaving",
-		"version",  "unsure", "why",	     "lines",
+		"upstream", "other", "data_centre", "off",  "leaving",	   "version",
+		"unsure",   "why",   "lines",	    "part", "fingerprint",
 	};
 
 	printf("%.3f %s %s", wall_at(record), text_at(record, "instance"),
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -425,11 +425,9 @@
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 				  ap_target_t *target)
 {
-	ap_hold_t hold = AP_HOLD_NONE;
 	ap_usec_t until;
+	ap_hold_t hold = ap_request_hold(f, req, now, &until);
 
-	if (req->pool->kv_tokens > 0)
-		hold = ap_request_hold(f, req, now, &until);
 	if (hold == AP_HOLD_WAIT) {
 		*target = (ap_target_t){.wait = until - now};
 		return AP_FLEET_HELD;
--- a/lib/fleet/end.c
+++ b/lib/fleet/end.c
@@ -1,8 +1,9 @@
 /*
- * Ends of upstreams, with the requests that were in flight there. An upstream at which a response
- * breaks off may have ended; a health check tells. What is known of an end only grows and does not
- * depend on the order of messages: the earliest time of the end, the latest time at which a request
- * with a part was sent.
+ * Ends of upstreams, with the traits of the requests that may have caused them: of those that were
+ * in flight there and to which the upstream had not been responding for a while. An upstream at
+ * which a response breaks off may have ended; a health check tells. What is known of an end only
+ * grows and does not depend on the order of messages: the earliest time of the end, the latest time
+ * at which a request with a trait was sent.
  */
 #include "fleet/private.h"
 
@@ -12,22 +13,24 @@
 #define SAME_END (3 * AP_SEC)	    /* between the times at which instances see one end */
 #define CHECK_RETRY (700 * AP_MSEC) /* if a health check had no conclusive result */
 #define TOGETHER (100 * AP_MSEC)    /* ends that differ by less may have a cause in common */
+/* A request that crashes upstreams does so before, or as, they begin to respond. */
+#define BEGUN_TIME (100 * AP_MSEC)
 
-const ap_end_part_t *ap_end_find_part(const ap_upstream_end_t *end, uint64_t part)
+const ap_end_trait_t *ap_end_find_trait(const ap_upstream_end_t *end, uint64_t trait)
 {
-	for (size_t i = 0; i < end->n_parts; i++) {
-		if (end->parts[i].part == part)
-			return &end->parts[i];
+	for (size_t i = 0; i < end->n_traits; i++) {
+		if (end->traits[i].trait == trait)
+			return &end->traits[i];
 	}
 	return NULL;
 }
 
-bool ap_ended_with_others(const ap_fleet_t *f, const ap_upstream_end_t *end, uint64_t part)
+bool ap_ended_with_others(const ap_fleet_t *f, const ap_upstream_end_t *end, uint64_t trait)
 {
 	const ap_upstream_end_t *e;
 
 	FOR_EACH_END (f, e) {
-		if (e != end && llabs(e->at - end->at) <= TOGETHER && !ap_end_find_part(e, part))
+		if (e != end && llabs(e->at - end->at) <= TOGETHER && !ap_end_find_trait(e, trait))
 			return true;
 	}
 	return false;
@@ -35,15 +38,15 @@
 
 static void mark_stale(const ap_fleet_t *f, const ap_upstream_end_t *end)
 {
-	for (size_t i = 0; i < end->n_parts; i++) {
-		ap_suspect_t *s = ap_suspect_find(f, end->parts[i].part);
+	for (size_t i = 0; i < end->n_traits; i++) {
+		ap_suspect_t *s = ap_suspect_find(f, end->traits[i].trait);
 
 		if (s)
 			s->stale = true;
 	}
 }
 
-/* Marks the parts of all ends that come together with @end, itself included. */
+/* Marks the traits of all ends that come together with @end, itself included. */
 static void mark_stale_together(const ap_fleet_t *f, const ap_upstream_end_t *end)
 {
 	const ap_upstream_end_t *e;
@@ -107,50 +110,64 @@
 	return end;
 }
 
-/* Adds a part to an end. Return: whether anything changed. */
-static bool add_part(ap_upstream_end_t *end, uint64_t part, ap_usec_t sent)
+/* Adds a trait to an end. Return: whether anything changed. */
+static bool add_trait(ap_upstream_end_t *end, const ap_end_trait_t *trait)
 {
-	for (size_t i = 0; i < end->n_parts; i++) {
-		ap_end_part_t *p = &end->parts[i];
+	for (size_t i = 0; i < end->n_traits; i++) {
+		ap_end_trait_t *t = &end->traits[i];
 
-		if (p->part != part)
+		if (t->trait != trait->trait)
 			continue;
-		if (sent <= p->sent)
+		if (trait->sent <= t->sent)
 			return false;
-		p->sent = sent;
+		t->sent = trait->sent;
 		return true;
 	}
-	if (end->n_parts == END_PARTS_MAX)
+	if (end->n_traits == END_TRAITS_MAX)
 		return false;
-	end->parts[end->n_parts++] = (ap_end_part_t){part, sent};
+	end->traits[end->n_traits++] = *trait;
 	return true;
 }
 
-bool ap_end_add_part(ap_fleet_t *f, ap_upstream_end_t *end, uint64_t part, ap_usec_t sent)
+bool ap_end_add_trait(ap_fleet_t *f, ap_upstream_end_t *end, const ap_end_trait_t *trait)
 {
-	ap_suspect_t *s = ap_suspect_get(f, part);
+	ap_suspect_t *s = ap_suspect_get(f, trait->trait);
 
-	if (!s || s->completed > end->at || !add_part(end, part, sent))
+	if (!s || s->completed > end->at || !add_trait(end, trait))
 		return false;
+	s->is_request = trait->is_request;
 	s->stale = true;
 	return true;
 }
 
+static void add_traits(ap_upstream_end_t *end, const ap_inflight_t *inflight)
+{
+	ap_end_trait_t t = {inflight->fingerprint, true, inflight->sent};
+
+	if (t.trait != 0)
+		add_trait(end, &t);
+	t.is_request = false;
+	for (size_t i = 0; i < inflight->n_parts; i++) {
+		t.trait = inflight->parts[i];
+		add_trait(end, &t);
+	}
+}
+
 void ap_break_seen(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight, ap_usec_t now)
 {
 	/* A leaving upstream ends for a known reason. */
-	if (inflight->n_parts == 0 || ap_replica_leaving(f, r) || r->shutdown_at != AP_NEVER)
+	if (ap_replica_leaving(f, r) || r->shutdown_at != AP_NEVER)
 		return;
 	if (!r->broken)
 		r->broken = calloc(1, sizeof(*r->broken));
 	if (!r->broken)
 		return;
-	if (r->broken->n_parts == 0) {
+	if (r->broken->at == 0) {
 		r->broken->at = now;
 		r->broken->tag = r->tag;
 	}
-	for (size_t i = 0; i < inflight->n_parts; i++)
-		add_part(r->broken, inflight->parts[i], inflight->sent);
+	if (!inflight->has_first_chunk || now - inflight->first_at < BEGUN_TIME)
+		add_traits(r->broken, inflight);
 	if (find_end(f, r->tag, now))
 		ap_replica_ended(f, r, now);
 }
@@ -166,10 +183,8 @@
 {
 	ap_upstream_end_t *end = r->broken ? ap_end_get(f, r->tag, r->broken->at) : NULL;
 
-	for (size_t i = 0; end && i < r->broken->n_parts; i++) {
-		const ap_end_part_t *p = &r->broken->parts[i];
-
-		if (ap_end_add_part(f, end, p->part, p->sent))
+	for (size_t i = 0; end && i < r->broken->n_traits; i++) {
+		if (ap_end_add_trait(f, end, &r->broken->traits[i]))
 			ap_evidence_seen(f, now);
 	}
 	ap_break_forget(r);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -158,6 +158,7 @@
  * @kv: tokens of the prompt and the response
  * @expected: expected time to the first chunk, in microseconds
  * @parts: parts of the prompt that other requests may share, for an engine
+ * @fingerprint: of the request; 0 if unknown
  */
 typedef struct ap_inflight {
 	bool open;
@@ -177,6 +178,7 @@
 	ap_usec_t expected;
 	uint64_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
+	uint64_t fingerprint;
 } ap_inflight_t;
 
 /*
@@ -195,16 +197,19 @@
 	AP_FLEET_EVENT_NOT_LEAVING,    /* it was healthy long after */
 	AP_FLEET_EVENT_PART_SUSPECTED, /* a part of prompts met the ends of several upstreams */
 	AP_FLEET_EVENT_PART_CLEARED,   /* a request with it was completed, or the ends are old */
+	/* Likewise a request, however often it came. */
+	AP_FLEET_EVENT_REQUEST_SUSPECTED,
+	AP_FLEET_EVENT_REQUEST_CLEARED,
 	AP_FLEET_EVENT_KINDS,
 } ap_fleet_event_kind_t;
 
 /**
- * struct ap_fleet_event - one change of an upstream's, instance's or prompt part's state, for the
- * log.
- * @id: the upstream, instance or part
- * @entry_age: age in microseconds of the upstream's entry; 0 for an instance or part
+ * struct ap_fleet_event - one change of an upstream's, instance's, prompt part's or request's
+ * state, for the log.
+ * @id: the upstream, instance, part or fingerprint
+ * @entry_age: age in microseconds of the upstream's entry; 0 for others
  * @lasts: minimum duration of the new state in microseconds; 0 if unknown
- * @failures: consecutive failures before the event; for a part, ends of upstreams
+ * @failures: consecutive failures before the event; for a part or request, ends of upstreams
  * @limit: requests per second, for AP_FLEET_EVENT_LIMITED
  */
 typedef struct ap_fleet_event {
@@ -441,7 +446,8 @@
 
 /**
  * struct ap_fleet_stats - gauges for metrics.
- * @suspects: parts of prompts that may crash upstreams
+ * @suspect_parts: parts of prompts that may crash upstreams
+ * @suspect_requests: requests that may, by fingerprint
  * @running: in-flight requests that this instance sent to upstreams
  */
 typedef struct ap_fleet_stats {
@@ -451,7 +457,8 @@
 	size_t cold;
 	size_t ejected;
 	size_t limited;
-	size_t suspects;
+	size_t suspect_parts;
+	size_t suspect_requests;
 	size_t members;
 	size_t running;
 } ap_fleet_stats_t;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -276,15 +276,14 @@
 		.kv = req->tokens_in + req->tokens_out,
 		.sent = now,
 		.expected = target->wait,
+		.fingerprint = req->fingerprint,
 	};
 	ap_copy_name(inflight->id, sizeof(inflight->id), target->id);
 	ap_copy_name(inflight->pool, sizeof(inflight->pool), req->pool->name);
 	ap_copy_name(inflight->region, sizeof(inflight->region), target->region);
-	if (req->pool->kv_tokens > 0) {
-		for (size_t i = 0; i + 1 < req->n_parts; i++)
-			inflight->parts[inflight->n_parts++] = req->parts[i].id;
-		ap_suspect_sent(f, req, now);
-	}
+	for (size_t i = 0; req->pool->kv_tokens > 0 && i + 1 < req->n_parts; i++)
+		inflight->parts[inflight->n_parts++] = req->parts[i].id;
+	ap_suspect_sent(f, req, now);
 	if (target->remote)
 		sent_remote(f, req, target);
 	if (!r)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -2,14 +2,12 @@
 #ifndef AP_FLEET_PRIVATE_H
 #define AP_FLEET_PRIVATE_H
 
+#include "fleet/evidence.h"
 #include "fleet/fleet.h"
 #include "wire/frame.h"
 
 #include <sys/queue.h>
 
-#define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
-#include <uthash.h>
-
 typedef struct ap_prefix_cache ap_prefix_cache_t;
 typedef struct ap_cached_part ap_cached_part_t;
 
@@ -70,44 +68,6 @@
 
 #define NEW_PREFIXES_MAX 64 /* per announcement; further ones are not announced */
 
-#define ENDS_MAX 128	 /* the least useful one is dropped */
-#define END_PARTS_MAX 96 /* parts of one end; further ones are not recorded */
-#define END_CHAIN_MIN 3	 /* ends that make a part a suspect, see suspect.c */
-
-/* A part of the prompts of requests that were in flight when an upstream ended. */
-typedef struct ap_end_part {
-	uint64_t part;
-	ap_usec_t sent; /* the latest of these requests */
-} ap_end_part_t;
-
-/**
- * struct ap_upstream_end - the end of an upstream, and the requests that may have caused it.
- * @tag: of the upstream
- * @at: the earliest time at which an instance saw it
- * @tried_at: when this instance last sent a request that the end speaks against; 0 for never
- */
-typedef struct ap_upstream_end {
-	uint32_t tag;
-	ap_usec_t at;
-	ap_usec_t tried_at;
-	size_t n_parts;
-	ap_end_part_t parts[END_PARTS_MAX];
-} ap_upstream_end_t;
-
-/**
- * struct ap_suspect - a part of prompts that may crash engines.
- * @completed: when the latest complete response to a request with the part began; 0 for none
- * @chain: ends that such requests met since, one after the other
- * @stale: @chain has to be counted again
- */
-typedef struct ap_suspect {
-	UT_hash_handle hh;
-	uint64_t part;
-	ap_usec_t completed;
-	unsigned chain;
-	bool stale;
-} ap_suspect_t;
-
 #define STREAMS_MAX 16384  /* several seconds of a large region */
 #define GONE_BUILDS_MAX 16 /* the latest ones */
 
@@ -334,7 +294,7 @@
 	uint64_t store_revision;
 	ap_upstream_end_t ends[ENDS_MAX]; /* of engines, while their cause matters; in no order */
 	size_t n_ends;
-	ap_suspect_t *suspects;	       /* parts of @ends, and those that were cleared */
+	ap_suspect_t *suspects;	       /* traits of @ends, and those that were cleared */
 	ap_usec_t evidence_seen_at;    /* when this instance last saw something new of them */
 	ap_usec_t evidence_changed_at; /* when it last saw or heard something new */
 	ap_usec_t evidence_told_at;    /* to the own region */
@@ -431,66 +391,6 @@
 void ap_replica_record_result(ap_fleet_t *f, ap_replica_t *r, ap_dispatch_result_t end, bool trial,
 			      ap_usec_t now);
 
-/* end.c */
-#define FOR_EACH_END(f, end) for ((end) = (f)->ends; (end) < (f)->ends + (f)->n_ends; (end)++)
-
-/* The response to the request behind @inflight broke off at @r, which may have ended. */
-void ap_break_seen(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight, ap_usec_t now);
-/* @r has not ended, or it can't be found out any more. */
-void ap_break_forget(ap_replica_t *r);
-/* @r has ended: requests whose responses broke off there may be the cause. */
-void ap_replica_ended(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
-/* Returns whether @r needs a health check now to find out whether it has ended. */
-bool ap_break_needs_check(ap_replica_t *r, ap_usec_t now);
-/* Forgets breaks that no health check explains any more. */
-void ap_breaks_tick(ap_fleet_t *f, ap_usec_t now);
-/* Finds or adds the end of an upstream at @at; valid until another one is added. */
-ap_upstream_end_t *ap_end_get(ap_fleet_t *f, uint32_t tag, ap_usec_t at);
-/* Adds a part of a request that was sent at @sent. Return: whether anything changed. */
-bool ap_end_add_part(ap_fleet_t *f, ap_upstream_end_t *end, uint64_t part, ap_usec_t sent);
-void ap_end_remove(ap_fleet_t *f, ap_upstream_end_t *end);
-/* Returns @part of @end; NULL if no request with it was in flight. */
-const ap_end_part_t *ap_end_find_part(const ap_upstream_end_t *end, uint64_t part);
-/*
- * Returns whether other upstreams ended together with @end where no request with @part was in
- * flight. Then they have a cause in common, which is not the part.
- */
-bool ap_ended_with_others(const ap_fleet_t *f, const ap_upstream_end_t *end, uint64_t part);
-
-/* suspect.c */
-typedef enum ap_hold {
-	AP_HOLD_NONE,
-	AP_HOLD_WAIT,  /* not to be sent before a given time */
-	AP_HOLD_TRIAL, /* to be sent, as the only one: finds out whether the cause has ended */
-} ap_hold_t;
-
-/* Returns whether the ends of upstreams speak against sending @req, and until when. */
-ap_hold_t ap_request_hold(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now, ap_usec_t *until);
-/* @req is being sent. */
-void ap_suspect_sent(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now);
-/* The response to the request behind @inflight is complete. */
-void ap_suspect_completed(ap_fleet_t *f, const ap_inflight_t *inflight, ap_usec_t now);
-/* Returns the length of the chain of ends that requests with @part met. */
-unsigned ap_part_chain(const ap_fleet_t *f, uint64_t part);
-/* Returns whether a response that began after @at clears @part. */
-bool ap_part_cleared(const ap_fleet_t *f, uint64_t part, ap_usec_t at);
-/*
- * A complete response to a request with @part began at @began. Return: whether the part's chain
- * became shorter.
- */
-bool ap_part_completed(ap_fleet_t *f, uint64_t part, ap_usec_t began);
-void ap_suspects_tick(ap_fleet_t *f, ap_usec_t now);
-
-size_t ap_suspects_count(const ap_fleet_t *f);
-/* Returns what is known of @part; NULL if nothing. */
-ap_suspect_t *ap_suspect_find(const ap_fleet_t *f, uint64_t part);
-/* Finds or adds it; NULL if out of memory. */
-ap_suspect_t *ap_suspect_get(ap_fleet_t *f, uint64_t part);
-/* Returns whether a request with a suspect was in flight at @end. */
-bool ap_end_has_suspect(const ap_fleet_t *f, const ap_upstream_end_t *end);
-/* This instance has seen something new: tells all regions with the next tick. */
-void ap_evidence_seen(ap_fleet_t *f, ap_usec_t now);
-
 /* build.c */
 /* Returns the build of upstreams of @pool with this software version; never 0. */
 uint64_t ap_build_of(const char *pool, const char *version);
@@ -504,15 +404,6 @@
 bool ap_streams_apply(ap_fleet_t *f, ap_wire_reader_t *builds, ap_wire_reader_t *streams,
 		      ap_origin_t origin, ap_usec_t now);
 
-/* suspect-wire.c */
-/* Packs two arrays for the own region, the ends and the responses. Return: the number of ends. */
-size_t ap_suspects_pack(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
-/* Likewise for remote regions. */
-void ap_suspects_pack_remote(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
-/* Applies the two arrays of another instance. Return: false if they are malformed. */
-bool ap_suspects_apply(ap_fleet_t *f, ap_wire_reader_t *ends, ap_wire_reader_t *completed,
-		       ap_usec_t now);
-
 /* prefix.c */
 void ap_prefix_cache_init(ap_prefix_cache_t *c);
 void ap_prefix_cache_clear(ap_fleet_t *f, ap_prefix_cache_t *c);
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -278,7 +278,8 @@
 {
 	ap_fleet_stats_t stats = {
 		.members = ap_fleet_count_members(f, NULL),
-		.suspects = ap_suspects_count(f),
+		.suspect_parts = ap_suspects_count(f, false),
+		.suspect_requests = ap_suspects_count(f, true),
 	};
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
--- a/lib/fleet/suspect-wire.c
+++ b/lib/fleet/suspect-wire.c
@@ -1,5 +1,5 @@
 /*
- * The ends of upstreams and the responses that clear parts of prompts, as instances tell them to
+ * The ends of upstreams and the responses that clear traits of requests, as instances tell them to
  * each other. What an instance has seen it tells its region at once, and remote regions with the
  * next waits. All that it knows it tells again at an interval, for instances that were cut off, and
  * to an instance that has just started.
@@ -10,56 +10,76 @@
 #define RECENT_REMOTE (1500 * AP_MSEC) /* several messages with waits */
 #define REPEAT (2 * AP_SEC) /* a region's instances together repeat it REPEAT_SENDERS times */
 #define REPEAT_SENDERS 3
-/* An older end is told for parts only that met more than one. */
+/* An older end is told for traits only that met more than one. */
 #define FRESH (30 * AP_SEC)
-#define PARTS_MAX 1024 /* in one message */
-#define PARTS_OF_END_MAX 4096
+#define TRAITS_MAX 1024 /* in one message */
+#define TRAITS_OF_END_MAX 4096
 
-static bool is_told(const ap_fleet_t *f, const ap_upstream_end_t *end, uint64_t part, ap_usec_t now)
+static bool is_told(const ap_fleet_t *f, const ap_upstream_end_t *end, const ap_end_trait_t *t,
+		    ap_usec_t now)
 {
-	return !ap_part_cleared(f, part, end->at) &&
-	       (now - end->at < FRESH || ap_part_chain(f, part) > 1);
+	return !ap_trait_cleared(f, t->trait, end->at) &&
+	       (now - end->at < FRESH || ap_trait_chain(f, t->trait) > 1);
 }
 
-static size_t count_told(const ap_fleet_t *f, const ap_upstream_end_t *end, ap_usec_t now)
+/* Counts the traits to be told that are requests or, if not @requests, parts of prompts. */
+static size_t count_told(const ap_fleet_t *f, const ap_upstream_end_t *end, bool requests,
+			 ap_usec_t now)
 {
 	size_t n = 0;
 
-	for (size_t i = 0; i < end->n_parts; i++)
-		n += is_told(f, end, end->parts[i].part, now);
+	for (size_t i = 0; i < end->n_traits; i++)
+		n += end->traits[i].is_request == requests && is_told(f, end, &end->traits[i], now);
 	return n;
 }
 
-/* @n: how many parts are to be told; 0 to tell none */
-static void pack_end(const ap_fleet_t *f, msgpack_packer *pk, const ap_upstream_end_t *end,
-		     size_t n, ap_usec_t now)
+/* Packs the traits and, for each, how long before the end a request with it was sent. */
+static void pack_traits(const ap_fleet_t *f, msgpack_packer *pk, const ap_upstream_end_t *end,
+			bool requests, ap_usec_t now)
 {
-	msgpack_pack_array(pk, 2 + 2 * n);
-	msgpack_pack_uint32(pk, end->tag);
-	msgpack_pack_uint64(pk, (uint64_t)(now - end->at) / AP_MSEC);
-	for (size_t i = 0; n > 0 && i < end->n_parts; i++) {
-		const ap_end_part_t *p = &end->parts[i];
-		ap_usec_t before = end->at > p->sent ? end->at - p->sent : 0;
+	for (size_t i = 0; i < end->n_traits; i++) {
+		const ap_end_trait_t *t = &end->traits[i];
+		ap_usec_t before = end->at > t->sent ? end->at - t->sent : 0;
 
-		if (!is_told(f, end, p->part, now))
+		if (t->is_request != requests || !is_told(f, end, t, now))
 			continue;
-		msgpack_pack_uint64(pk, p->part);
+		msgpack_pack_uint64(pk, t->trait);
 		msgpack_pack_uint64(pk, (uint64_t)before / AP_MSEC);
 	}
 }
 
-/* Packs ends without a part to be told, too, since they tell something of ends at the same time. */
+/* Parts of prompts come first, then the requests in an array of their own, if there are any. */
+static void pack_end(const ap_fleet_t *f, msgpack_packer *pk, const ap_upstream_end_t *end,
+		     size_t parts, size_t requests, ap_usec_t now)
+{
+	msgpack_pack_array(pk, 2 + 2 * parts + (requests > 0));
+	msgpack_pack_uint32(pk, end->tag);
+	msgpack_pack_uint64(pk, (uint64_t)(now - end->at) / AP_MSEC);
+	if (parts > 0)
+		pack_traits(f, pk, end, false, now);
+	if (requests == 0)
+		return;
+	msgpack_pack_array(pk, 2 * requests);
+	pack_traits(f, pk, end, true, now);
+}
+
+/* Packs ends without a trait to be told, too, since they tell something of ends at the same time.
+ */
 static void pack_ends(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now)
 {
 	const ap_upstream_end_t *e;
-	size_t parts = 0;
+	size_t traits = 0;
 
 	msgpack_pack_array(pk, f->n_ends);
 	FOR_EACH_END (f, e) {
-		size_t told = count_told(f, e, now);
-
-		parts += told;
-		pack_end(f, pk, e, parts <= PARTS_MAX ? told : 0, now);
+		size_t parts = count_told(f, e, false, now);
+		size_t requests = count_told(f, e, true, now);
+
+		traits += parts + requests;
+		if (traits <= TRAITS_MAX)
+			pack_end(f, pk, e, parts, requests, now);
+		else
+			pack_end(f, pk, e, 0, 0, now);
 	}
 }
 
@@ -73,7 +93,7 @@
 	for (const ap_suspect_t *s = f->suspects; s; s = s->hh.next) {
 		if (s->completed <= now - FRESH)
 			continue;
-		msgpack_pack_uint64(pk, s->part);
+		msgpack_pack_uint64(pk, s->trait);
 		msgpack_pack_uint64(pk, (uint64_t)(now - s->completed) / AP_MSEC);
 	}
 }
@@ -116,39 +136,53 @@
 	pack(f, pk, due, now);
 }
 
+static bool apply_traits(ap_fleet_t *f, ap_upstream_end_t *end, ap_wire_reader_t *r, bool requests,
+			 ap_usec_t at, ap_usec_t now)
+{
+	while (r->left >= 2) {
+		ap_end_trait_t t = {.trait = ap_wire_u64(r), .is_request = requests};
+		uint64_t before_ms = ap_wire_u64(r);
+
+		if (!r->ok || before_ms > UINT32_MAX)
+			return false;
+		t.sent = at - (ap_usec_t)before_ms * AP_MSEC;
+		if (ap_end_add_trait(f, end, &t))
+			f->evidence_changed_at = now;
+	}
+	return r->ok;
+}
+
 static bool apply_end(ap_fleet_t *f, ap_wire_reader_t *e, ap_usec_t now)
 {
 	uint32_t tag = (uint32_t)ap_wire_u64(e);
 	uint64_t age_ms = ap_wire_u64(e);
+	ap_wire_reader_t requests;
 	ap_upstream_end_t *end;
 	ap_usec_t at;
 
-	if (!e->ok || age_ms > UINT32_MAX || e->left > PARTS_OF_END_MAX)
+	if (!e->ok || age_ms > UINT32_MAX || e->left > TRAITS_OF_END_MAX)
 		return false;
 	at = now - (ap_usec_t)age_ms * AP_MSEC;
 	end = ap_end_get(f, tag, at);
-	while (e->left >= 2) {
-		uint64_t part = ap_wire_u64(e);
-		uint64_t before_ms = ap_wire_u64(e);
-
-		if (!e->ok || before_ms > UINT32_MAX)
-			return false;
-		if (ap_end_add_part(f, end, part, at - (ap_usec_t)before_ms * AP_MSEC))
-			f->evidence_changed_at = now;
-	}
-	return e->ok;
+	if (!apply_traits(f, end, e, false, at, now))
+		return false;
+	if (e->left == 0)
+		return true;
+	requests = ap_wire_array(e);
+	return requests.ok && requests.left <= TRAITS_OF_END_MAX &&
+	       apply_traits(f, end, &requests, true, at, now);
 }
 
 bool ap_suspects_apply(ap_fleet_t *f, ap_wire_reader_t *ends, ap_wire_reader_t *completed,
 		       ap_usec_t now)
 {
 	while (completed->left >= 2) {
-		uint64_t part = ap_wire_u64(completed);
+		uint64_t trait = ap_wire_u64(completed);
 		uint64_t age_ms = ap_wire_u64(completed);
 
 		if (!completed->ok || age_ms > UINT32_MAX)
 			return false;
-		if (ap_part_completed(f, part, now - (ap_usec_t)age_ms * AP_MSEC))
+		if (ap_trait_completed(f, trait, now - (ap_usec_t)age_ms * AP_MSEC))
 			f->evidence_changed_at = now;
 	}
 	while (ends->left > 0) {
--- a/test/crash_world.h
+++ b/test/crash_world.h
@@ -377,7 +377,10 @@
 {
 	ap_dispatch_t *req = &r->req;
 
-	req->fingerprint = cw_is_bad(r->kind) && r->kind != CW_BAD ? CW_DEADLY : ++w->n_own;
+	w->n_own++;
+	req->fingerprint = cw_is_bad(r->kind) && r->kind != CW_BAD
+				   ? CW_DEADLY
+				   : ap_hash(&w->n_own, sizeof(w->n_own), 0);
 	req->tokens_in = 0;
 	if (cw_is_plain(r->kind))
 		return;
@@ -395,7 +398,7 @@
 		cw_add_part(req, CW_PAIRED_PART, 400);
 	if (r->kind == CW_BAD)
 		cw_add_part(req, CW_BAD_PART, 200);
-	cw_add_part(req, req->fingerprint << 24, 300);
+	cw_add_part(req, req->fingerprint + 1, 300);
 }
 
 /* What a caller sends again. */
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -379,7 +379,7 @@
 		assert_int_equal(n_events[AP_FLEET_EVENT_PART_SUSPECTED], i > 2);
 		send_part(f, i, AP_DISPATCH_BROKEN, now + i * AP_SEC);
 	}
-	assert_int_equal(ap_fleet_stats(f, now).suspects, 1);
+	assert_int_equal(ap_fleet_stats(f, now).suspect_parts, 1);
 }
 
 static void clear_part(ap_fleet_t *f, ap_usec_t now)
@@ -387,7 +387,41 @@
 	suspect_part(f, now);
 	send_part(f, 5, AP_DISPATCH_DONE, now + 5 * AP_SEC);
 	send_part(f, 6, AP_DISPATCH_DONE, now + 6 * AP_SEC);
-	assert_int_equal(ap_fleet_stats(f, now).suspects, 0);
+	assert_int_equal(ap_fleet_stats(f, now).suspect_parts, 0);
+}
+
+#define FINGERPRINT 0x2f
+
+/* Sends the request FINGERPRINT to the plain service's upstream @number. */
+static void send_again(ap_fleet_t *f, int number, ap_dispatch_result_t end, ap_usec_t now)
+{
+	ap_dispatch_t req = world_request(&world_call, &world_desk, now);
+	ap_target_t target = {.remote = false};
+	ap_inflight_t inflight;
+
+	req.fingerprint = FINGERPRINT;
+	snprintf(target.id, sizeof(target.id), "d%d", number);
+	world_replica(f, target.id, "desk", "north", now);
+	ap_fleet_sent(f, &req, &target, now, &inflight);
+	ap_fleet_done(f, &inflight, end, now + 30 * AP_MSEC);
+	ap_fleet_health_check_refused(f, target.id, now + 31 * AP_MSEC);
+	ap_fleet_tick(f, now + 31 * AP_MSEC);
+}
+
+static void suspect_request(ap_fleet_t *f, ap_usec_t now)
+{
+	for (int i = 0; i < 4; i++) {
+		assert_int_equal(n_events[AP_FLEET_EVENT_REQUEST_SUSPECTED], i > 2);
+		send_again(f, 2 + i, AP_DISPATCH_BROKEN, now + i * 40 * AP_MSEC);
+	}
+	assert_int_equal(ap_fleet_stats(f, now).suspect_requests, 1);
+}
+
+static void clear_request(ap_fleet_t *f, ap_usec_t now)
+{
+	suspect_request(f, now);
+	send_again(f, 7, AP_DISPATCH_DONE, now + 5 * AP_SEC);
+	assert_int_equal(ap_fleet_stats(f, now).suspect_requests, 0);
 }
 
 static void each_event_is_reported_once(void **state)
@@ -407,6 +441,8 @@
 		[AP_FLEET_EVENT_NOT_LEAVING] = {stay, "d1"},
 		[AP_FLEET_EVENT_PART_SUSPECTED] = {suspect_part, "1f"},
 		[AP_FLEET_EVENT_PART_CLEARED] = {clear_part, "1f"},
+		[AP_FLEET_EVENT_REQUEST_SUSPECTED] = {suspect_request, "2f"},
+		[AP_FLEET_EVENT_REQUEST_CLEARED] = {clear_request, "2f"},
 	};
 
 	(void)state;
