Let the soak's upstreams say that they leave, and check who sends on

An upstream of the soak that drains says so in its responses; every second one never reports it to the store. A request that reaches it more than three seconds after it first said so is a finding, if nothing happened to its region's instances since.

--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -54,33 +54,64 @@
 	return true;
 }
 
-static void check_arrival(replica_t *r, const request_t *q)
+/* Returns whether nothing happened to the instances of @region since @since. */
+static bool region_undisturbed(const soak_t *s, unsigned region, ap_usec_t since)
 {
-	ap_usec_t now = ap_now();
+	for (size_t i = 0; i < s->n_instances; i++) {
+		if (s->instances[i].region == region && s->instances[i].last_disturbed >= since)
+			return false;
+	}
+	return true;
+}
 
+static void check_drain(const replica_t *r, const request_t *q, ap_usec_t now)
+{
+	if (!r->silent && now - r->draining_since > DRAIN_BOUND && all_undisturbed(r->soak, now))
+		soak_finding(r->soak, "drain: %s reached %s after its drain bound", q->id, r->id);
+	if (r->said_leaving_at > 0 && now - r->said_leaving_at > DRAIN_BOUND &&
+	    region_undisturbed(r->soak, r->region, r->said_leaving_at))
+		soak_finding(r->soak, "drain: %s reached %s, which had said that it leaves", q->id,
+			     r->id);
+}
+
+static void check_arrival(replica_t *r, const request_t *q)
+{
 	if (q->kind == SOAK_RESUMABLE && r->region != 0)
 		soak_finding(r->soak, "home: home-bound request %s reached %s in another region",
 			     q->id, r->id);
-	if (r->draining && now - r->draining_since > DRAIN_BOUND && all_undisturbed(r->soak, now))
-		soak_finding(r->soak, "drain: %s reached %s after its drain bound", q->id, r->id);
+	if (r->draining)
+		check_drain(r, q, ap_now());
+}
+
+/* Adds the header that says that the replica leaves. Return: the number of headers. */
+static size_t add_leaving(replica_t *r, ap_http_header_t *headers, size_t n)
+{
+	if (!r->draining)
+		return n;
+	if (r->said_leaving_at == 0)
+		r->said_leaving_at = ap_now();
+	headers[n++] = (ap_http_header_t){"Server-Leaving", "1"};
+	return n;
 }
 
-static void reply_refused(ap_http_call_t *call, int status)
+static void reply_refused(replica_t *r, ap_http_call_t *call, int status)
 {
-	static const ap_http_header_t headers[] = {{"Not-Run", "1"}};
+	ap_http_header_t headers[2] = {{"Not-Run", "1"}};
+	size_t n = add_leaving(r, headers, 1);
 
-	ap_http_reply(call, status, headers, 1, NULL, 0);
+	ap_http_reply(call, status, headers, n, NULL, 0);
 }
 
 static void reply_complete(job_t *j, int status)
 {
-	ap_http_header_t headers[] = {{"Request-Id", j->id}, {"Server-Stamp", j->replica->id}};
+	ap_http_header_t headers[3] = {{"Request-Id", j->id}, {"Server-Stamp", j->replica->id}};
+	size_t n = add_leaving(j->replica, headers, 2);
 	ap_http_call_t *call = j->call;
 	char body[96];
 	int len = snprintf(body, sizeof(body), "%s by %s\n", j->id, j->replica->id);
 
 	ap_http_call_watch(call, NULL, NULL, NULL);
-	ap_http_reply(call, status, headers, 2, body, (size_t)len);
+	ap_http_reply(call, status, headers, n, body, (size_t)len);
 	job_free(j);
 }
 
@@ -106,14 +137,14 @@
 /* Sends one event, or half of it where the response is to be cut off. */
 static void send_next_event(job_t *j)
 {
-	ap_http_header_t headers[] = {{"Request-Id", j->id},
-				      {"Server-Stamp", j->replica->id},
-				      {"Content-Type", "text/event-stream"}};
+	ap_http_header_t headers[4] = {{"Request-Id", j->id},
+				       {"Server-Stamp", j->replica->id},
+				       {"Content-Type", "text/event-stream"}};
 	char event[96];
 	int len = snprintf(event, sizeof(event), "id: %u\ndata: %s\n\n", j->next, j->id);
 
 	if (!j->started)
-		ap_http_reply_start(j->call, 200, headers, 3);
+		ap_http_reply_start(j->call, 200, headers, add_leaving(j->replica, headers, 3));
 	j->started = true;
 	if (j->cut_short && j->next == EVENTS / 2) {
 		ap_http_reply_write(j->call, event, (size_t)len / 2);
@@ -181,19 +212,19 @@
 	if (!q) {
 		soak_finding(r->soak, "unasked: %s at %s, sent by no caller", id ? id : "no id",
 			     r->id);
-		reply_refused(call, 400);
+		reply_refused(r, call, 400);
 		return;
 	}
 	r->soak->arrivals++;
 	r->soak->retries += q->arrivals++ > 0;
 	if (expected && strcmp(expected, r->id) != 0) {
-		reply_refused(call, 421);
+		reply_refused(r, call, 421);
 		return;
 	}
 	check_arrival(r, q);
 	if (r->running >= SLOTS ||
 	    (r->mode == REPLICA_SHEDS && ap_rng_unit(&r->soak->rng) < FAULT_SHARE)) {
-		reply_refused(call, 503);
+		reply_refused(r, call, 503);
 		return;
 	}
 	run(r, call, q);
@@ -214,8 +245,8 @@
 	snprintf(addr, sizeof(addr), "127.0.0.1:%u", link_port(r->link));
 	snprintf(dc, sizeof(dc), "%s-1", soak_regions[r->region]);
 	o = json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:I}", "service", r->pool, "addr", addr, "zone", dc,
-		      "slots", SLOTS, "state", r->draining ? "draining" : "ready", "coldLeftMs", 0,
-		      "seq", (json_int_t)(ap_now() / AP_MSEC));
+		      "slots", SLOTS, "state", r->draining && !r->silent ? "draining" : "ready",
+		      "coldLeftMs", 0, "seq", (json_int_t)(ap_now() / AP_MSEC));
 	text = json_dumps(o, JSON_COMPACT);
 	store_put(s->store, key, text, 0);
 	free(text);
@@ -236,7 +267,10 @@
 	};
 	unsigned incarnation = r->incarnation + 1;
 
-	*r = (replica_t){.soak = s, .region = region, .incarnation = incarnation};
+	*r = (replica_t){.soak = s,
+			 .region = region,
+			 .incarnation = incarnation,
+			 .silent = incarnation % 2 == 0};
 	ap_copy_name(r->pool, sizeof(r->pool), pool);
 	snprintf(r->id, sizeof(r->id), "i%d-%zu-%u", (int)getpid(), i, incarnation);
 	if (ap_http_server_new(&config, &r->server, NULL) != AP_HTTP_STATUS_OK)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -108,6 +108,8 @@
 	replica_mode_t mode;
 	bool draining;
 	ap_usec_t draining_since;
+	bool silent;		   /* does not report to the store that it is draining */
+	ap_usec_t said_leaving_at; /* in a response; 0 for never */
 	unsigned running;
 } replica_t;
 
