Leave no load at an upstream whose record was lost and written again

An upstream got no more requests from any instance of its region after its record had been gone for a moment: its state was made anew, and requests that had been sent before took the new state's load below 0,  in progress, which is announced to all.

An in-flight request remembers which state of the upstream it counts in.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -150,6 +150,7 @@
 /**
  * struct ap_inflight - an in-flight request; initialized by ap_fleet_sent().
  * @open: the request has not ended
+ * @serial: of the upstream's state, which is made anew when its entry was gone
  * @trial: the request decides whether an ejected upstream has recovered
  * @has_first_chunk: the first chunk of the response has arrived, at @first_at
  * @alone: the upstream had no other request when this one was sent
@@ -164,6 +165,7 @@
 	bool open;
 	bool remote;
 	bool trial;
+	uint64_t serial;
 	char id[AP_NAME_MAX];
 	char pool[AP_NAME_MAX];
 	char region[AP_NAME_MAX];
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -288,6 +288,7 @@
 		sent_remote(f, req, target);
 	if (!r)
 		return;
+	inflight->serial = r->serial;
 	inflight->alone = ap_replica_running(r) == 0;
 	inflight->slot_wait =
 		slot_wait_us(running_before(r, req->pool->kv_tokens > 0, inflight->priority),
@@ -364,7 +365,8 @@
 	r = inflight->remote ? NULL : ap_replica_find(f, inflight->id);
 	if (!r)
 		return;
-	r->own.prefill[inflight->priority] -= inflight->prefill;
+	if (r->serial == inflight->serial)
+		r->own.prefill[inflight->priority] -= inflight->prefill;
 	learn_prefill(f, inflight, now);
 	learn_wait(f, inflight, now);
 	learn_slowdown(r, inflight, now);
@@ -386,13 +388,21 @@
 	p->mean_us = p->mean_us > 0 ? p->mean_us + RATE_GAIN * (took - p->mean_us) : took;
 }
 
-static void done_local(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight,
-		       ap_dispatch_result_t end, ap_usec_t now)
+/* The load of a request that was sent before the upstream's entry was gone went with it. */
+static void remove_load(ap_replica_t *r, const ap_inflight_t *inflight)
 {
+	if (r->serial != inflight->serial)
+		return;
 	r->own.running[inflight->priority]--;
 	r->own.kv -= inflight->kv;
 	if (!inflight->has_first_chunk)
 		r->own.prefill[inflight->priority] -= inflight->prefill;
+}
+
+static void done_local(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight,
+		       ap_dispatch_result_t end, ap_usec_t now)
+{
+	remove_load(r, inflight);
 	if (end == AP_DISPATCH_DONE) {
 		learn_mean(f, inflight, now);
 		ap_suspect_completed(f, inflight, now);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -113,6 +113,7 @@
  * struct ap_replica - an upstream.
  * @tag: hash of the id, which identifies the upstream in announcements
  * @build: of its pool and version
+ * @serial: number of this state; that of an upstream whose entry was gone for a while is a new one
  * @received_at: when the entry was last received
  * @changed_at: when a change of the entry was last received, which then was a moment old; a list or
  *              a snapshot may hold an entry of any age
@@ -153,6 +154,7 @@
 	char region[AP_NAME_MAX];
 	uint32_t tag;
 	uint64_t build;
+	uint64_t serial;
 	ap_usec_t received_at;
 	ap_usec_t changed_at;
 	ap_usec_t expires_at;
@@ -271,7 +273,8 @@
 	ap_usec_t started_at;	      /* when this instance registered, or woke up; 0 before */
 	bool listing;		      /* a complete list is being read */
 	bool informed;		      /* another instance said what it knows of cold upstreams */
-	size_t most_members; /* highest number of instances listed at once, with this one */
+	size_t most_members;	 /* highest number of instances listed at once, with this one */
+	uint64_t replicas_added; /* so far */
 	ap_replica_t *replicas;
 	ap_replica_t *tagged; /* the same upstreams, by tag */
 	ap_member_state_t *members;
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -106,6 +106,7 @@
 		return NULL;
 	r->entry = *entry;
 	r->slowdown = 1;
+	r->serial = ++f->replicas_added;
 	r->tag = (uint32_t)ap_hash_str(entry->id, 0);
 	r->shutdown_at = AP_NEVER;
 	ap_prefix_cache_init(&r->cache);
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -49,6 +49,31 @@
 
 /* An entry that expired while the store was unreachable stays for two seconds, then it is dropped.
  */
+/*
+ * Guards against a request that was sent before the record was lost and written again, and takes
+ * the load of the upstream below 0: no instance of the region chose it any more.
+ */
+static void a_request_from_before_a_lost_record_leaves_no_load(void **state)
+{
+	ap_fleet_t *f = world_north();
+	ap_dispatch_t req = world_request(&world_stream, &world_engines, WORLD_START);
+	ap_inflight_t inflight;
+	ap_target_t target;
+
+	(void)state;
+	world_replica(f, "e1", "engines", "north", WORLD_START);
+	assert_int_equal(ap_fleet_choose(f, &req, WORLD_START, &target), AP_FLEET_OK);
+	ap_fleet_sent(f, &req, &target, WORLD_START, &inflight);
+	ap_fleet_remove_replica(f, "e1", false, WORLD_START);
+	world_replica(f, "e1", "engines", "north", WORLD_START);
+	ap_fleet_first_chunk(f, &inflight, WORLD_START + AP_MSEC);
+	ap_fleet_done(f, &inflight, AP_DISPATCH_DONE, WORLD_START + AP_MSEC);
+	assert_int_equal(ap_fleet_stats(f, WORLD_START + AP_MSEC).running, 0);
+	assert_int_equal(ap_fleet_choose(f, &req, WORLD_START + AP_MSEC, &target), AP_FLEET_OK);
+	assert_int_equal(target.running, 0);
+	ap_fleet_free(f);
+}
+
 static void an_expired_upstream_stays_for_the_grace_time(void **state)
 {
 	ap_fleet_t *f = world_north();
@@ -474,6 +499,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_draining_upstream_gets_no_requests),
 		cmocka_unit_test(a_removed_upstream_is_gone_at_once),
+		cmocka_unit_test(a_request_from_before_a_lost_record_leaves_no_load),
 		cmocka_unit_test(an_expired_upstream_stays_for_the_grace_time),
 		cmocka_unit_test(a_complete_list_removes_what_is_missing),
 		cmocka_unit_test(an_upstream_gets_no_requests_before_its_shutdown),
