Notice a freeze before the next choice, not with the next tick

An instance that wakes reads the requests that arrived meanwhile before its timers fire, so it sent them on what it knew before it was frozen: to upstreams that had become cold with the end of an evacuation, without a bound. Class: an invalidation that is applied later than the decisions which it concerns. A choice looks for missed ticks first now.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -426,8 +426,10 @@
 				  ap_target_t *target)
 {
 	ap_usec_t until;
-	ap_hold_t hold = ap_request_hold(f, req, now, &until);
+	ap_hold_t hold;
 
+	ap_notice_freeze(f, now);
+	hold = ap_request_hold(f, req, now, &until);
 	if (hold == AP_HOLD_WAIT) {
 		*target = (ap_target_t){.wait = until - now};
 		return AP_FLEET_HELD;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -317,7 +317,10 @@
  * has ended.
  */
 void ap_fleet_health_check_refused(ap_fleet_t *f, const char *id, ap_usec_t now);
-/** ap_fleet_tick() - removes what has expired; to be called several times a second. */
+/**
+ * ap_fleet_tick() - removes what has expired; to be called several times a second. If it wasn't
+ * called for longer, the next choice of an upstream takes the process to have been stopped.
+ */
 void ap_fleet_tick(ap_fleet_t *f, ap_usec_t now);
 /**
  * ap_fleet_after_freeze() - the process was stopped for a while: discards counted failures and
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -271,6 +271,7 @@
 	ap_usec_t members_changed_at; /* time of the last change of the own region's instances; lies
 				       * START_SETTLE_TIME ahead when this instance registers */
 	ap_usec_t started_at;	      /* when this instance registered, or woke up; 0 before */
+	ap_usec_t ticked_at;	      /* last tick; 0 for none */
 	bool listing;		      /* a complete list is being read */
 	bool informed;		      /* another instance said what it knows of cold upstreams */
 	size_t most_members;	 /* highest number of instances listed at once, with this one */
@@ -312,6 +313,11 @@
 };
 
 /* replica.c */
+/*
+ * Notices that the process was stopped, before its next tick: requests that arrived meanwhile are
+ * handled first.
+ */
+void ap_notice_freeze(ap_fleet_t *f, ap_usec_t now);
 void ap_report_replica_event(const ap_fleet_t *f, ap_fleet_event_kind_t kind, const ap_replica_t *r,
 			     ap_usec_t lasts, ap_usec_t now);
 ap_replica_t *ap_replica_find(const ap_fleet_t *f, const char *id);
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define SHUTDOWN_MARGIN (300 * AP_MSEC) /* time for a short response before a shutdown */
+/* Time between two ticks that counts as a freeze. */
+#define FREEZE_MIN (800 * AP_MSEC)
 /* Announced ends of evacuations that differ by less are the same one, delayed. */
 #define SAME_END (1500 * AP_MSEC)
 
@@ -244,6 +246,7 @@
 	ap_replica_t *r;
 	ap_member_state_t *m;
 
+	f->ticked_at = now;
 	HASH_ITER (hh, f->replicas, r, next) {
 		if (now < r->expires_at)
 			continue;
@@ -275,6 +278,14 @@
 	f->started_at = now;
 }
 
+void ap_notice_freeze(ap_fleet_t *f, ap_usec_t now)
+{
+	if (f->ticked_at == 0 || now - f->ticked_at <= FREEZE_MIN)
+		return;
+	f->ticked_at = now;
+	ap_fleet_after_freeze(f, now);
+}
+
 ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now)
 {
 	ap_fleet_stats_t stats = {
--- a/test/cold_run_test.c
+++ b/test/cold_run_test.c
@@ -69,6 +69,17 @@
 	run_seeds(FAULT_EVACUATE | FAULT_CUT | FAULT_RESTART | FAULT_RESTORE | FAULT_REPLACE);
 }
 
+/*
+ * Guards against an instance that wakes and, before it knows that it was frozen, sends the requests
+ * that waited to upstreams that have become cold meanwhile.
+ */
+static void cold_upstreams_are_not_flooded_by_instances_that_wake(void **state)
+{
+	(void)state;
+	run_seeds(FAULT_EVACUATE | FAULT_FREEZE | FAULT_REPLACE);
+	run_seeds(FAULT_EVACUATE | FAULT_FREEZE | FAULT_REPLACE | FAULT_RESTORE | FAULT_RESTART);
+}
+
 /*
  * The store forgets the last leases and registrations, and gives out the leases' numbers again.
  * Guards against instances that renew the lease of another one and stay unregistered.
@@ -106,6 +117,7 @@
 		cmocka_unit_test(cold_upstreams_are_not_flooded_after_the_store_went_back),
 		cmocka_unit_test(cold_upstreams_are_not_flooded_by_restarted_instances),
 		cmocka_unit_test(cold_upstreams_are_not_flooded_by_instances_without_the_store),
+		cmocka_unit_test(cold_upstreams_are_not_flooded_by_instances_that_wake),
 		cmocka_unit_test(instances_register_again_after_the_store_went_back),
 	};
 
--- a/test/fleet_cold_test.c
+++ b/test/fleet_cold_test.c
@@ -242,7 +242,7 @@
 	}
 	ap_fleet_evacuate(fleets[0], "north-1", false, WORLD_START + AP_SEC);
 	ap_fleet_evacuate(fleets[0], "north-1", true, now);
-	ap_fleet_after_freeze(fleets[1], now);
+	ap_fleet_tick(fleets[1], WORLD_START + AP_SEC); /* the last one before the freeze */
 	assert_true(send_to_cold(&fleets[1], 1, now) <= 9);
 	other = fleets[1];
 	ap_fleet_announce(fleets[0], &peer, now);
--- a/test/region_faults.h
+++ b/test/region_faults.h
@@ -7,6 +7,7 @@
 #define WARMUP_TIME (8 * AP_SEC)
 #define RUN_TIME (40 * AP_SEC)
 #define SEEDS 12
+#define WAITING_REQUESTS 20 /* of one second, for an instance that wakes */
 
 /* Kinds of faults. */
 enum {
@@ -17,6 +18,7 @@
 	FAULT_REPLACE = 16,
 	FAULT_ALONE = 32,
 	FAULT_LEAVE = 64,
+	FAULT_FREEZE = 128,
 };
 
 static unsigned long one_seed;
@@ -190,6 +192,42 @@
 	later(f->w, between(f->w, AP_SEC, 4 * AP_SEC), replace_end, f);
 }
 
+/* An instance that wakes reads the requests that wait before its timers fire. */
+static inline void freeze_end(void *arg, void *data)
+{
+	fault_t *f = data;
+	sw_instance_t *n = &f->w->instances[f->target];
+
+	(void)arg;
+	note(f->w, "wakes", f->target);
+	n->frozen = false;
+	n->cut = false;
+	n->alone = false;
+	for (int i = 0; n->up && i < WAITING_REQUESTS; i++)
+		sw_request(n);
+}
+
+/* Freezes about a third of the instances; what is sent to them meanwhile is lost. */
+static inline void freeze(void *arg, void *data)
+{
+	fault_t *f = data;
+	sw_t *w = f->w;
+	ap_usec_t span = between(w, 2 * AP_SEC, 8 * AP_SEC);
+
+	(void)arg;
+	for (int i = 0; i < SW_INSTANCES; i++) {
+		sw_instance_t *n = &w->instances[i];
+
+		if (!n->up || n->frozen || n->cut || ap_rng_below(&w->sim.rng, 3) > 0)
+			continue;
+		note(w, "freezes", i);
+		n->frozen = true;
+		n->cut = true;
+		n->alone = true;
+		later(w, span, freeze_end, &(fault_t){.w = w, .target = i});
+	}
+}
+
 /* The record is removed after the heartbeats have ended, and a new upstream starts. */
 static inline void leave_end(void *arg, void *data)
 {
@@ -229,7 +267,7 @@
 		{FAULT_EVACUATE, 6 * AP_SEC, evacuate}, {FAULT_RESTORE, 8 * AP_SEC, restore},
 		{FAULT_RESTART, 5 * AP_SEC, restart},	{FAULT_CUT, 4 * AP_SEC, cut},
 		{FAULT_REPLACE, 5 * AP_SEC, replace},	{FAULT_ALONE, 6 * AP_SEC, isolate},
-		{FAULT_LEAVE, 6 * AP_SEC, leave},
+		{FAULT_LEAVE, 6 * AP_SEC, leave},	{FAULT_FREEZE, 6 * AP_SEC, freeze},
 	};
 
 	for (size_t k = 0; k < sizeof(kinds) / sizeof(kinds[0]); k++) {
--- a/test/region_world.h
+++ b/test/region_world.h
@@ -177,6 +177,17 @@
 	(void)arg;
 	if (!n->up || n->life != tick->life)
 		return;
+	next = calloc(1, sizeof(*next));
+	assert_non_null(next);
+	*next = *tick;
+	fake_at(&n->w->sim, now + 100 * AP_MSEC, sw_on_tick, NULL, next);
+	if (n->frozen)
+		return;
+	if (now - n->ticked_at > SW_FREEZE_MIN) {
+		ap_fleet_after_freeze(n->fleet, now);
+		ap_follow_relist(n->follow, now);
+	}
+	n->ticked_at = now;
 	ap_fleet_tick(n->fleet, now);
 	sw_tick_store(n);
 	sw_seed(n);
@@ -189,10 +200,6 @@
 		fake_at(&n->w->sim, now + 5 * AP_MSEC, sw_on_health, NULL, check);
 	}
 	ap_fleet_announce(n->fleet, &port, now);
-	next = calloc(1, sizeof(*next));
-	assert_non_null(next);
-	*next = *tick;
-	fake_at(&n->w->sim, now + 100 * AP_MSEC, sw_on_tick, NULL, next);
 }
 
 static inline void sw_stop(sw_instance_t *n)
@@ -249,6 +256,7 @@
 	n->life++;
 	n->up = true;
 	n->started = now;
+	n->ticked_at = now;
 	n->seeded = false;
 	n->fleet = world_start(n->id, "north", n->life);
 	ap_fleet_set_bounds(n->fleet, &bounds);
@@ -509,7 +517,8 @@
 	if (w->sim.now % SW_COPY_INTERVAL == 0 && !w->away)
 		sw_copy_store(w);
 	for (int i = 0; i < SW_INSTANCES; i++) {
-		if (w->instances[i].up && (w->sim.now / (10 * AP_MSEC) + i) % 2 == 0)
+		if (w->instances[i].up && !w->instances[i].frozen &&
+		    (w->sim.now / (10 * AP_MSEC) + i) % 2 == 0)
 			sw_request(&w->instances[i]);
 	}
 	fake_at(&w->sim, w->sim.now + 10 * AP_MSEC, sw_step, w, NULL);
--- a/test/store_world.h
+++ b/test/store_world.h
@@ -30,6 +30,7 @@
 #define SW_REWRITE_TIME (2 * AP_SEC) /* upstreams write lost records again within this time */
 #define SW_CALL_TIMEOUT (700 * AP_MSEC)
 #define SW_SEED_DELAY (300 * AP_MSEC)
+#define SW_FREEZE_MIN (800 * AP_MSEC) /* between ticks of an instance that was frozen */
 #define SW_REQUEST_TIME (200 * AP_MSEC)
 #define SW_LIMIT_WINDOW (4 * AP_SEC)
 #define SW_LIMIT_STABLE (5 * AP_SEC) /* from naming a limit until it binds */
@@ -108,6 +109,8 @@
 	ap_member_t self;
 	ap_usec_t started;
 	bool seeded;
+	bool frozen;
+	ap_usec_t ticked_at;
 } sw_instance_t;
 
 struct sw {
