--- a/test/crash_faults.h
+++ b/test/crash_faults.h
@@ -156,6 +156,28 @@
 	return w;
 }
 
+/* Plays a day with bad requests, and frees the world. Return: whether all bounds held. */
+static inline bool play_day(cw_t *w, uint64_t seed, int faults)
+{
+	double calm;
+	double troubled;
+	bool ok;
+
+	fake_at(&w->sim, w->sim.now + BAD_FROM, on_bad, w, NULL);
+	fake_at(&w->sim, w->sim.now + BAD_FROM + BAD_TIME, on_bad, w, NULL);
+	fake_run(&w->sim, WORLD_START + RUN_TIME);
+	calm = (double)w->calm.begun / (w->calm.sent ? w->calm.sent : 1);
+	troubled = (double)w->troubled.begun / (w->troubled.sent ? w->troubled.sent : 1);
+	print_message("seed %llu, faults %d: %u ends, %u sends after the bound; sound ones begun "
+		      "%.2f of %u, before %.2f; %u refused\n",
+		      (unsigned long long)seed, faults, w->ends, w->sends_after, troubled,
+		      w->troubled.sent, calm, w->sound_refused);
+	ok = w->ends > 0 && w->sends_after <= CW_SENDS_ALLOWED && w->sound_refused == 0 &&
+	     (faults != 0 || w->troubled.sent < 20 || 2 * troubled >= calm);
+	cw_free(w);
+	return ok;
+}
+
 static inline void read_options(int argc, char **argv)
 {
 	for (int i = 1; i + 1 < argc; i += 2) {
--- a/test/deadly_run_test.c
+++ b/test/deadly_run_test.c
@@ -10,26 +10,11 @@
 static bool play(uint64_t seed, int faults, int per_region, cw_kind_t kind)
 {
 	cw_t *w = begin(seed, faults, per_region);
-	double calm;
-	double troubled;
-	bool ok;
 
 	w->bad_kind = kind;
 	w->ends_allowed = CW_DEADLY_ENDS_ALLOWED;
 	w->plain_rate = 20;
-	fake_at(&w->sim, w->sim.now + BAD_FROM, on_bad, w, NULL);
-	fake_at(&w->sim, w->sim.now + BAD_FROM + BAD_TIME, on_bad, w, NULL);
-	fake_run(&w->sim, WORLD_START + RUN_TIME);
-	calm = (double)w->calm.begun / (w->calm.sent ? w->calm.sent : 1);
-	troubled = (double)w->troubled.begun / (w->troubled.sent ? w->troubled.sent : 1);
-	print_message("seed %llu, faults %d: %u ends, %u sends after the third; sound ones begun "
-		      "%.2f of %u, before %.2f; %u refused\n",
-		      (unsigned long long)seed, faults, w->ends, w->sends_after, troubled,
-		      w->troubled.sent, calm, w->sound_refused);
-	ok = w->ends > 0 && w->sends_after <= CW_SENDS_ALLOWED && w->sound_refused == 0 &&
-	     (faults != 0 || w->troubled.sent < 20 || 2 * troubled >= calm);
-	cw_free(w);
-	return ok;
+	return play_day(w, seed, faults);
 }
 
 static void play_seeds(int faults, int per_region, cw_kind_t kind)
