Close the connections of a stopped server as their responses end

Connections with a response in progress stayed open after ap_http_server_stop(); a response whose head was sent before SIGTERM doesn't say "Connection: close", so its connection took the caller's next request at any time. Class: what is to end is told to those that are idle now, not to those that become idle later.

The library closes such a connection now once the response is sent. The test failed before: the connection stayed open until it had been idle for 5 s.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -93,7 +93,8 @@
 void ap_http_server_free(ap_http_server_t *server);
 /**
  * ap_http_server_stop() - stops accepting connections and closes the idle ones. In-flight requests
- * continue; their responses should carry "Connection: close".
+ * continue; their responses should carry "Connection: close". Each connection closes as its
+ * response ends.
  */
 void ap_http_server_stop(ap_http_server_t *server);
 /** ap_http_server_flushing() - number of ended responses that are not yet fully sent. */
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -40,13 +40,23 @@
 		server->config.flushed(server->config.ctx);
 }
 
+/* Makes the library close the connection after this response, whatever its head said. */
+static void close_after(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+
+	evhttp_remove_header(headers, "Connection");
+	evhttp_add_header(headers, "Connection", "close");
+}
+
 /* The response is fully sent: restores the idle timeouts and removes the read limit. */
 static void on_complete(struct evhttp_request *req, void *arg)
 {
 	ap_http_call_t *call = arg;
 	struct bufferevent *bev = call_bev(call);
 
-	(void)req;
+	if (!call->server->listener)
+		close_after(req);
 	bufferevent_set_timeouts(bev, &call->server->idle, &call->server->idle);
 	bufferevent_setwatermark(bev, EV_READ, 0, 0);
 	conn_response_sent(call->conn);
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -7,6 +7,7 @@
 
 #include "fake_upstream.h"
 #include "http/http.h"
+#include "log/log.h"
 
 #include <signal.h>
 #include <unistd.h>
@@ -389,6 +390,41 @@
 	event_base_free(seen.base);
 }
 
+/*
+ * Guards against a connection whose response began before the stop, without "Connection: close":
+ * its caller's next request was taken long after, and cut off when the process ended.
+ */
+static void test_a_stopped_server_closes_connections_as_their_responses_end(void **state)
+{
+	server_seen_t seen = {.base = event_base_new()};
+	ap_http_server_t *server = serve(&seen);
+	struct bufferevent *busy =
+		connect_and_run(seen.base, ap_http_server_port(server), "GET /x HTTP/1.1\r\n\r\n");
+	short ended = 0;
+	char got[256] = "";
+	ap_usec_t from;
+
+	(void)state;
+	RUN_UNTIL(seen.base, seen.requests == 1);
+	bufferevent_setcb(busy, NULL, NULL, on_end_of, &ended);
+	ap_http_reply_start(seen.call, 200, NULL, 0);
+	ap_http_reply_write(seen.call, "part", 4);
+	run_briefly(seen.base);
+	ap_http_server_stop(server);
+	run_briefly(seen.base);
+	assert_int_equal(ended, 0);
+	ap_http_reply_write(seen.call, "rest", 4);
+	ap_http_reply_end(seen.call);
+	from = ap_now();
+	RUN_UNTIL(seen.base, ended & BEV_EVENT_EOF);
+	assert_true(ap_now() - from < 2 * AP_SEC); /* not for being idle */
+	bufferevent_read(busy, got, sizeof(got) - 1);
+	assert_non_null(strstr(got, "rest\r\n0\r\n\r\n"));
+	bufferevent_free(busy);
+	ap_http_server_free(server);
+	event_base_free(seen.base);
+}
+
 static void test_an_aborted_response_is_not_complete(void **state)
 {
 	server_seen_t seen = {.base = event_base_new()};
@@ -536,6 +572,7 @@
 		cmocka_unit_test(test_cancel_closes_the_connection),
 		cmocka_unit_test(test_hang_up_is_seen_at_each_point),
 		cmocka_unit_test(test_a_stopped_server_finishes_in_flight_requests),
+		cmocka_unit_test(test_a_stopped_server_closes_connections_as_their_responses_end),
 		cmocka_unit_test(test_an_aborted_response_is_not_complete),
 		cmocka_unit_test(test_connections_are_bounded),
 		cmocka_unit_test(test_server_freed_with_open_calls),
