Record that an upstream taken for warm is cold, and how that was learned

The records couldn't tell whether the instances that sent to a cold upstream knew of it: only the results of an instance's own health checks were written. upstream.cold names the record, the health check or the other instance from which it was learned, and for how long the upstream is cold. The one place that sets the cold time serves all three sources.

--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -44,11 +44,11 @@
 static const char *fleet_event_name(ap_fleet_event_kind_t kind)
 {
 	static const char *const names[AP_FLEET_EVENT_KINDS] = {
-		"upstream.ejected",    "upstream.back",	     "upstream.moved",
-		"upstream.lapsed",     "instance.suspected", "upstream.limited",
-		"upstream.unlimited",  "upstream.leaving",   "upstream.not-leaving",
-		"part.suspected",      "part.cleared",	     "fingerprint.suspected",
-		"fingerprint.cleared",
+		"upstream.ejected",	 "upstream.back",	"upstream.moved",
+		"upstream.lapsed",	 "instance.suspected",	"upstream.limited",
+		"upstream.unlimited",	 "upstream.leaving",	"upstream.not-leaving",
+		"upstream.cold",	 "part.suspected",	"part.cleared",
+		"fingerprint.suspected", "fingerprint.cleared",
 	};
 
 	return names[kind];
@@ -67,9 +67,10 @@
 	const char *field = fields[event->kind] ? fields[event->kind] : "upstream";
 
 	ap_journal_write(gate->journal, AP_RECORD_RARE, fleet_event_name(event->kind), NULL,
-			 "s:s,s:I,s:I,s:i,s:f", field, event->id, "entry_age_ms",
+			 "s:s,s:I,s:I,s:i,s:f,s:s*", field, event->id, "entry_age_ms",
 			 msec(event->entry_age), "lasts_ms", msec(event->lasts), "failures",
-			 (int)event->failures, "limit_per_s", event->limit);
+			 (int)event->failures, "limit_per_s", event->limit, "source",
+			 event->source);
 }
 
 static json_t *steps_of(const gate_call_t *c)
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -49,6 +49,7 @@
 	"upstream.limit-invalid",
 	"upstream.leaving",
 	"upstream.not-leaving",
+	"upstream.cold",
 	"part.suspected",
 	"part.cleared",
 	"fingerprint.suspected",
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -361,8 +361,10 @@
 
 		if (!e.ok || cold_ms > UINT32_MAX)
 			return false;
-		if (r)
-			ap_replica_set_cold_left(r, (ap_usec_t)cold_ms * AP_MSEC, now);
+		if (!r)
+			continue;
+		r->check_answered_at = now;
+		ap_replica_set_cold_left(f, r, (ap_usec_t)cold_ms * AP_MSEC, "instance", now);
 	}
 	return true;
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -197,6 +197,7 @@
 	AP_FLEET_EVENT_UNLIMITED,      /* it responded without naming one */
 	AP_FLEET_EVENT_LEAVING,	       /* an upstream said in a response that it leaves */
 	AP_FLEET_EVENT_NOT_LEAVING,    /* it was healthy long after */
+	AP_FLEET_EVENT_COLD,	       /* an upstream taken for warm is cold */
 	AP_FLEET_EVENT_PART_SUSPECTED, /* a part of prompts met the ends of several upstreams */
 	AP_FLEET_EVENT_PART_CLEARED,   /* a request with it was completed, or the ends are old */
 	/* Likewise a request, however often it came. */
@@ -213,6 +214,7 @@
  * @lasts: minimum duration of the new state in microseconds; 0 if unknown
  * @failures: consecutive failures before the event; for a part or request, ends of upstreams
  * @limit: requests per second, for AP_FLEET_EVENT_LIMITED
+ * @source: for AP_FLEET_EVENT_COLD: "record", "health-check" or "instance"; else NULL
  */
 typedef struct ap_fleet_event {
 	ap_fleet_event_kind_t kind;
@@ -221,6 +223,7 @@
 	ap_usec_t lasts;
 	unsigned failures;
 	double limit;
+	const char *source;
 } ap_fleet_event_t;
 
 /**
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -76,13 +76,6 @@
 	return false;
 }
 
-void ap_replica_set_cold_left(ap_replica_t *r, ap_usec_t cold_left, ap_usec_t now)
-{
-	r->check_answered_at = now;
-	if (cold_left > 0 && now + cold_left > r->cold_until)
-		r->cold_until = now + cold_left;
-}
-
 void ap_fleet_health_checked(ap_fleet_t *f, const char *id, ap_usec_t cold_left, ap_usec_t now)
 {
 	ap_replica_t *r = ap_replica_find(f, id);
@@ -91,7 +84,8 @@
 		return;
 	ap_break_forget(r);
 	ap_leaving_checked(f, r, now);
-	ap_replica_set_cold_left(r, cold_left, now);
+	r->check_answered_at = now;
+	ap_replica_set_cold_left(f, r, cold_left, "health-check", now);
 	r->announce_until = now + (cold_left > ANNOUNCE_TIME ? cold_left : ANNOUNCE_TIME);
 }
 
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -352,8 +352,6 @@
  * entries in the store may say nothing of upstreams that became cold a moment ago.
  */
 bool ap_fleet_uninformed(const ap_fleet_t *f, ap_usec_t now);
-/* @r said in response to a health check, of any instance, how much longer it is cold. */
-void ap_replica_set_cold_left(ap_replica_t *r, ap_usec_t cold_left, ap_usec_t now);
 
 /* owner.c */
 #define AP_OWNERS_MAX 2.0 /* instances that may take themselves for the owner during a change */
@@ -364,6 +362,12 @@
 		     ap_usec_t now);
 
 /* cold.c */
+/*
+ * @r is cold for @cold_left more, 0 if it is not. Only a later end of the cold time counts: entries
+ * arrive late. @source: see struct ap_fleet_event.
+ */
+void ap_replica_set_cold_left(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t cold_left,
+			      const char *source, ap_usec_t now);
 /* Returns whether this instance may send a request to the cold upstream @r now. */
 bool ap_cold_allows(ap_fleet_t *f, ap_replica_t *r, const ap_plan_pool_t *pool, ap_usec_t now);
 
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -135,8 +135,7 @@
 	r->listed = true;
 	if (entry->draining)
 		ap_leaving_recorded(f, r, now);
-	if (entry->cold_left > 0 && now + entry->cold_left > r->cold_until)
-		r->cold_until = now + entry->cold_left;
+	ap_replica_set_cold_left(f, r, entry->cold_left, "record", now);
 	/*
 	 * Entries arrive with a delay, and later ones repeat the remaining time of the first one,
 	 * so the first is the most exact and only it counts.
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -373,6 +373,14 @@
 	ap_fleet_leaving_seen(f, "d1", now + AP_SEC);
 }
 
+static void turn_cold(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_fleet_health_checked(f, "d1", 0, now);
+	ap_fleet_health_checked(f, "d1", 3 * AP_SEC, now);
+	ap_fleet_health_checked(f, "d1", 4 * AP_SEC, now + AP_SEC);
+	assert_string_equal(events[AP_FLEET_EVENT_COLD].source, "health-check");
+}
+
 static void stay(ap_fleet_t *f, ap_usec_t now)
 {
 	say_leaving(f, now);
@@ -464,6 +472,7 @@
 		[AP_FLEET_EVENT_UNLIMITED] = {end_limit, "d1"},
 		[AP_FLEET_EVENT_LEAVING] = {say_leaving, "d1"},
 		[AP_FLEET_EVENT_NOT_LEAVING] = {stay, "d1"},
+		[AP_FLEET_EVENT_COLD] = {turn_cold, "d1"},
 		[AP_FLEET_EVENT_PART_SUSPECTED] = {suspect_part, "1f"},
 		[AP_FLEET_EVENT_PART_CLEARED] = {clear_part, "1f"},
 		[AP_FLEET_EVENT_REQUEST_SUSPECTED] = {suspect_request, "2f"},
