Ask upstreams whether they are cold while the store is silent

Cause: that an upstream is cold was learned from its record, or from a health check after an evacuation that the store told of; while the store was away, all instances went on as before (the logs show sends of all four, each taking the upstream for warm).

Now one instance of a region asks each upstream while its call to the store has failed or is overdue, and announces what it hears; another begins if nothing is announced. A response to such a check doesn't count as one after an evacuation, which may have been sent too early.

--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -321,6 +321,7 @@
 		ap_follow_stand_by(gate->follow, era, changed, now);
 	ap_fleet_set_store_state(gate->fleet, ap_follow_watching(gate->follow, now),
 				 ap_follow_era(gate->follow), ap_follow_last_change(gate->follow));
+	ap_fleet_set_store_silent(gate->fleet, ap_follow_silent(gate->follow, now));
 }
 
 void gate_store_tick(gateway_t *gate, ap_usec_t now)
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -192,7 +192,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 16);
+	msgpack_pack_array(&out.pk, 17);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -206,6 +206,7 @@
 	n += ap_suspects_pack(f, &out.pk, now);
 	n += ap_streams_pack(f, &out.pk);
 	n += ap_leaving_pack(f, &out.pk, now);
+	n += ap_cold_pack(f, &out.pk, now);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -276,11 +277,7 @@
 	ap_wire_out_end(&out);
 }
 
-/*
- * Returns the time between announcements, which grows with the number of instances in the region so
- * that this instance sends at most MESSAGES_PER_SECOND.
- */
-static ap_usec_t announce_interval(const ap_fleet_t *f)
+ap_usec_t ap_announce_interval(const ap_fleet_t *f)
 {
 	ap_usec_t every = (ap_usec_t)ap_fleet_count_members(f, f->config.region) * AP_SEC /
 			  MESSAGES_PER_SECOND;
@@ -293,7 +290,7 @@
 	if (now - f->waits_announced_at >= WAITS_INTERVAL)
 		announce_waits(f, peer, now);
 	if (now - f->announced_at <
-	    (f->sent_long_prompt ? LONG_PROMPT_INTERVAL : announce_interval(f)))
+	    (f->sent_long_prompt ? LONG_PROMPT_INTERVAL : ap_announce_interval(f)))
 		return;
 	announce_to_region(f, peer, now);
 }
@@ -471,13 +468,14 @@
 	ap_wire_reader_t limits = optional_array(&r);
 	shared_t shared = read_shared(&r);
 	ap_wire_reader_t leaving = optional_array(&r);
+	ap_wire_reader_t colds = optional_array(&r);
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
 	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
 	    !ap_limits_apply(f, &limits, now) || !apply_shared(f, &shared, AP_ORIGIN_REGION, now) ||
-	    !ap_leaving_apply(f, &leaving, now))
+	    !ap_leaving_apply(f, &leaving, now) || !ap_cold_apply(f, from, &colds, now))
 		return false;
 	f->informed = f->informed || informed;
 	if (says_informed && !informed && !ap_fleet_uninformed(f, now)) {
@@ -550,6 +548,11 @@
 	f->store_revision = revision;
 }
 
+void ap_fleet_set_store_silent(ap_fleet_t *f, bool silent)
+{
+	f->store_silent = silent;
+}
+
 static bool shares_store_watch(const ap_fleet_t *f, ap_usec_t now)
 {
 	size_t instances = 0;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -296,7 +296,7 @@
 /**
  * ap_fleet_next_health_check() - returns an upstream that needs a health check, because no
  * instance knows whether the upstream is cold, or because it may have ended, or because it said
- * long ago that it leaves. To be called until it returns false.
+ * long ago that it leaves, or because the store is silent. To be called until it returns false.
  */
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica);
 /**
@@ -431,6 +431,11 @@
  * @revision: revision of the last change that it read
  */
 void ap_fleet_set_store_state(ap_fleet_t *f, bool watching, uint64_t era, uint64_t revision);
+/**
+ * ap_fleet_set_store_silent() - sets whether the store is silent, so that what upstreams write
+ * there may not arrive.
+ */
+void ap_fleet_set_store_silent(ap_fleet_t *f, bool silent);
 /**
  * ap_fleet_store_watched() - returns whether enough other instances of the region watch the store,
  * so that this one need not. In a large region some instances watch for all; in a small one each
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -66,10 +66,11 @@
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica)
 {
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		if (!needs_check(f, r, now) && !ap_break_needs_check(r, now) &&
-		    !ap_leaving_needs_check(f, r, now))
+		if (needs_check(f, r, now))
+			r->check_sent_at = now;
+		else if (!ap_break_needs_check(r, now) && !ap_leaving_needs_check(f, r, now) &&
+			 !ap_cold_needs_check(f, r, now))
 			continue;
-		r->check_sent_at = now;
 		*replica = r->entry;
 		return true;
 	}
@@ -84,8 +85,9 @@
 		return;
 	ap_break_forget(r);
 	ap_leaving_checked(f, r, now);
+	if (ap_cold_checked(f, r, cold_left, now))
+		return;
 	r->check_answered_at = now;
-	ap_replica_set_cold_left(f, r, cold_left, "health-check", now);
 	r->announce_until = now + (cold_left > ANNOUNCE_TIME ? cold_left : ANNOUNCE_TIME);
 }
 
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -125,6 +125,11 @@
  * @check_sent_at: time of the last health check; 0 for none
  * @check_answered_at: when the upstream last said whether it is cold
  * @announce_until: the result of the health check is announced until then
+ * @watched: this instance sends health checks because the store is silent
+ * @watch_sent_at: time of the last such check
+ * @watch_pending: it has had no response yet
+ * @watch_seen_at: time of the last response; 0 for none
+ * @watch_from: when this instance begins; 0 while the store isn't silent
  * @cold: requests that this instance may send while the upstream is cold
  * @limited: the upstream names a limit, as of @limit_at
  * @limit: requests per second that it takes from all instances together
@@ -165,6 +170,11 @@
 	ap_usec_t check_sent_at;
 	ap_usec_t check_answered_at;
 	ap_usec_t announce_until;
+	bool watched;
+	ap_usec_t watch_sent_at;
+	bool watch_pending;
+	ap_usec_t watch_seen_at;
+	ap_usec_t watch_from;
 	ap_bucket_t cold;
 	bool limited;
 	double limit;
@@ -296,6 +306,7 @@
 	bool watches_store;
 	uint64_t store_era;
 	uint64_t store_revision;
+	bool store_silent;
 	ap_upstream_end_t ends[ENDS_MAX]; /* of engines, while their cause matters; in no order */
 	size_t n_ends;
 	ap_suspect_t *suspects;	       /* traits of @ends, and those that were cleared */
@@ -368,6 +379,18 @@
  */
 void ap_replica_set_cold_left(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t cold_left,
 			      const char *source, ap_usec_t now);
+/* Returns whether @r needs a health check now, because the store is silent. */
+bool ap_cold_needs_check(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+/*
+ * @r said in response to a health check how much longer it is cold.
+ *
+ * Return: whether the check had been sent because the store is silent.
+ */
+bool ap_cold_checked(ap_fleet_t *f, ap_replica_t *r, ap_usec_t cold_left, ap_usec_t now);
+/* Packs what upstreams said in response to such checks. Return: how many. */
+size_t ap_cold_pack(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
+/* Applies what they said to instance @from. Return: false if it is malformed. */
+bool ap_cold_apply(ap_fleet_t *f, const char *from, ap_wire_reader_t *colds, ap_usec_t now);
 /* Returns whether this instance may send a request to the cold upstream @r now. */
 bool ap_cold_allows(ap_fleet_t *f, ap_replica_t *r, const ap_plan_pool_t *pool, ap_usec_t now);
 
@@ -417,6 +440,13 @@
 bool ap_streams_apply(ap_fleet_t *f, ap_wire_reader_t *builds, ap_wire_reader_t *streams,
 		      ap_origin_t origin, ap_usec_t now);
 
+/* announce.c */
+/*
+ * Returns the time between announcements, which grows with the number of instances in the region so
+ * that this instance sends at most MESSAGES_PER_SECOND.
+ */
+ap_usec_t ap_announce_interval(const ap_fleet_t *f);
+
 /* prefix.c */
 void ap_prefix_cache_init(ap_prefix_cache_t *c);
 void ap_prefix_cache_clear(ap_fleet_t *f, ap_prefix_cache_t *c);
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -7,6 +7,7 @@
 #define BACKOFF_INITIAL (150 * AP_MSEC)
 #define BACKOFF_MAX (800 * AP_MSEC)
 #define ANNOUNCED_WAIT (150 * AP_MSEC) /* an announced change should have been relayed by then */
+#define OVERDUE (300 * AP_MSEC)	       /* a few round trips between regions */
 #define JITTER 0.2 /* random part of a pause, so that instances don't call at the same time */
 
 typedef enum state {
@@ -19,6 +20,7 @@
 	ap_rng_t rng;
 	state_t state;
 	bool calling;
+	ap_usec_t response_by; /* when the response to the call in progress is overdue */
 	bool relist;
 	bool listed; /* a list has been read to its end */
 	char after[AP_STORE_KEY_MAX];
@@ -74,8 +76,11 @@
 
 static void watch(ap_follow_t *f)
 {
+	ap_usec_t wait = f->announced ? 0 : f->config.wait;
+
 	f->watched_from = f->as_of;
-	f->config.watch(f->config.ctx, f->as_of, f->announced ? 0 : f->config.wait);
+	f->response_by += wait;
+	f->config.watch(f->config.ctx, f->as_of, wait);
 }
 
 void ap_follow_tick(ap_follow_t *f, ap_usec_t now)
@@ -85,6 +90,7 @@
 	if (f->relist)
 		begin_list(f);
 	f->calling = true;
+	f->response_by = now + OVERDUE;
 	if (f->state == STATE_LIST)
 		f->config.list(f->config.ctx, f->after);
 	else
@@ -287,6 +293,11 @@
 	return f->listed ? now - f->last_response_at : AP_NEVER;
 }
 
+bool ap_follow_silent(const ap_follow_t *f, ap_usec_t now)
+{
+	return !f->listed || f->backoff > 0 || (f->calling && now > f->response_by);
+}
+
 bool ap_follow_failed(const ap_follow_t *f)
 {
 	return f->backoff > 0;
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -130,6 +130,11 @@
  * outstanding change; AP_NEVER before the first complete list.
  */
 ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now);
+/**
+ * ap_follow_silent() - returns whether the store is silent: the last call failed, the response to
+ * the one in progress is overdue, or no list has been read.
+ */
+bool ap_follow_silent(const ap_follow_t *f, ap_usec_t now);
 /** ap_follow_failed() - returns whether the last call failed. */
 bool ap_follow_failed(const ap_follow_t *f);
 /**
--- a/test/cold_run_test.c
+++ b/test/cold_run_test.c
@@ -7,7 +7,7 @@
 #include "region_faults.h"
 
 /* Requests of one instance, at which an upstream gets two to three times its bound when cold. */
-#define PEAK_REQUEST_EVERY (60 * AP_MSEC)
+#define PEAK_REQUEST_EVERY (80 * AP_MSEC)
 
 static unsigned run(uint64_t seed, int faults)
 {
--- a/test/fleet_cold_test.c
+++ b/test/fleet_cold_test.c
@@ -220,6 +220,49 @@
 	}
 }
 
+/*
+ * The store is silent. Guards against upstreams that turn cold and are flooded until it is back,
+ * and against health checks by all instances.
+ */
+static void while_the_store_is_silent_one_instance_asks_whether_upstreams_are_cold(void **state)
+{
+	ap_fleet_t *fleets[2] = {world_north(), world_fleet("n2", "north")};
+	ap_usec_t now = WORLD_START + 3 * AP_SEC;
+	ap_peer_port_t peer = {.send = to_other};
+	ap_replica_entry_t replica;
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		world_member(fleets[i], "n1", "north", false, WORLD_START - 10 * AP_SEC);
+		world_member(fleets[i], "n2", "north", false, WORLD_START - 10 * AP_SEC);
+		world_replica(fleets[i], "e1", "engines", "north", WORLD_START);
+		world_replica(fleets[i], "d1", "desk", "north", WORLD_START);
+		send_to_cold(&fleets[i], 1, WORLD_START); /* makes the pool known */
+		assert_false(ap_fleet_next_health_check(fleets[i], now, &replica));
+	}
+	ap_fleet_set_store_silent(fleets[0], true);
+	assert_false(ap_fleet_next_health_check(fleets[0], now - AP_SEC, &replica));
+	assert_true(ap_fleet_next_health_check(fleets[0], now, &replica));
+	assert_string_equal(replica.id, "e1"); /* a plain service is never cold */
+	assert_false(ap_fleet_next_health_check(fleets[0], now, &replica));
+	other = fleets[1];
+	ap_fleet_health_checked(fleets[0], "e1", 0, now);
+	ap_fleet_announce(fleets[0], &peer, now);
+	ap_fleet_set_store_silent(fleets[1], true);
+	assert_false(ap_fleet_next_health_check(fleets[1], now + 200 * AP_MSEC, &replica));
+	assert_true(ap_fleet_next_health_check(fleets[0], now + 100 * AP_MSEC, &replica));
+	ap_fleet_health_checked(fleets[0], "e1", 20 * AP_SEC, now + 100 * AP_MSEC);
+	ap_fleet_announce(fleets[0], &peer, now + 100 * AP_MSEC);
+	assert_int_equal(ap_fleet_stats(fleets[1], now + 100 * AP_MSEC).cold, 1);
+	assert_false(ap_fleet_next_health_check(fleets[1], now + 10 * AP_SEC, &replica));
+	/* Nothing is heard any more. */
+	assert_true(ap_fleet_next_health_check(fleets[1], now + 21 * AP_SEC, &replica));
+	ap_fleet_set_store_silent(fleets[1], false);
+	assert_false(ap_fleet_next_health_check(fleets[1], now + 22 * AP_SEC, &replica));
+	for (int i = 0; i < 2; i++)
+		ap_fleet_free(fleets[i]);
+}
+
 /*
  * An instance stood still while a data centre was evacuated and taken back. Guards against requests
  * to the cold upstreams there before it hears of the evacuation.
@@ -259,6 +302,8 @@
 		cmocka_unit_test(cold_rates_hold_when_a_region_starts),
 		cmocka_unit_test(after_an_evacuation_upstreams_are_cold_until_they_say_otherwise),
 		cmocka_unit_test(after_an_evacuation_one_instance_checks_health),
+		cmocka_unit_test(
+			while_the_store_is_silent_one_instance_asks_whether_upstreams_are_cold),
 		cmocka_unit_test(
 			after_a_freeze_upstreams_are_cold_until_another_instance_says_otherwise),
 	};
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -70,6 +70,27 @@
 	ap_follow_free(f);
 }
 
+static void the_store_is_silent_when_a_call_failed_or_is_overdue(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = listed(&s);
+	ap_usec_t now = ap_follow_due(f);
+
+	(void)state;
+	assert_false(ap_follow_silent(f, now + 60 * AP_SEC)); /* between two calls */
+	ap_follow_tick(f, now);
+	assert_false(ap_follow_silent(f, now + WAIT + 200 * AP_MSEC));
+	assert_true(ap_follow_silent(f, now + WAIT + AP_SEC));
+	respond(f, AP_STORE_UNSURE, NULL, 0, false, now);
+	assert_true(ap_follow_silent(f, now));
+	now = ap_follow_due(f);
+	ap_follow_tick(f, now);
+	assert_true(ap_follow_silent(f, now));
+	respond(f, AP_STORE_OK, "b", 20, false, now);
+	assert_false(ap_follow_silent(f, now));
+	ap_follow_free(f);
+}
+
 static void relist_reads_the_complete_list(void **state)
 {
 	seen_t s = {0};
@@ -431,6 +452,7 @@
 		cmocka_unit_test(pages_then_changes_since_the_first_page),
 		cmocka_unit_test(compacted_history_causes_a_new_list),
 		cmocka_unit_test(failures_back_off_and_start_a_recovery_period),
+		cmocka_unit_test(the_store_is_silent_when_a_call_failed_or_is_overdue),
 		cmocka_unit_test(relist_reads_the_complete_list),
 		cmocka_unit_test(standby_watches_only_for_announced_changes),
 		cmocka_unit_test(relayed_changes_need_no_call),
