Record when the path to an upstream is lost, and when it is back

An ejection didn't say whether the upstream failed or couldn't be reached, so that an instance that is cut off looked like one with failing upstreams. path.lost and path.back and the gauge upstreams{state="unreachable"} tell them apart; no choice depends on them yet.

--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -132,6 +132,7 @@
 	put(out, "upstreams", "{state=\"draining\"}", (double)fleet.draining);
 	put(out, "upstreams", "{state=\"cold\"}", (double)fleet.cold);
 	put(out, "upstreams", "{state=\"ejected\"}", (double)fleet.ejected);
+	put(out, "upstreams", "{state=\"unreachable\"}", (double)fleet.unreachable);
 	put(out, "upstreams", "{state=\"limited\"}", (double)fleet.limited);
 	put(out, "prompt_parts", "{state=\"suspect\"}", (double)fleet.suspect_parts);
 	put(out, "fingerprints", "{state=\"suspect\"}", (double)fleet.suspect_requests);
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -50,6 +50,8 @@
 	"upstream.leaving",
 	"upstream.not-leaving",
 	"upstream.cold",
+	"path.lost",
+	"path.back",
 	"part.suspected",
 	"part.cleared",
 	"fingerprint.suspected",
--- a/lib/fleet/ejection.c
+++ b/lib/fleet/ejection.c
@@ -71,6 +71,8 @@
 {
 	if (trial)
 		r->trial = false;
+	if (end == AP_DISPATCH_DONE || end == AP_DISPATCH_ERROR || end == AP_DISPATCH_REFUSED)
+		ap_path_seen(f, r, now);
 	switch (end) {
 	case AP_DISPATCH_DONE:
 		record_sample(r, 0, now);
@@ -83,6 +85,7 @@
 		r->address_reused = true;
 		break;
 	case AP_DISPATCH_UNREACHABLE:
+		ap_path_lost(f, r, now);
 		record_failure(f, r, true, now);
 		break;
 	case AP_DISPATCH_ERROR:
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -198,6 +198,8 @@
 	AP_FLEET_EVENT_LEAVING,	       /* an upstream said in a response that it leaves */
 	AP_FLEET_EVENT_NOT_LEAVING,    /* it was healthy long after */
 	AP_FLEET_EVENT_COLD,	       /* an upstream taken for warm is cold */
+	AP_FLEET_EVENT_PATH_LOST,      /* no connection to an upstream */
+	AP_FLEET_EVENT_PATH_BACK,      /* it responded again */
 	AP_FLEET_EVENT_PART_SUSPECTED, /* a part of prompts met the ends of several upstreams */
 	AP_FLEET_EVENT_PART_CLEARED,   /* a request with it was completed, or the ends are old */
 	/* Likewise a request, however often it came. */
@@ -459,6 +461,7 @@
 
 /**
  * struct ap_fleet_stats - gauges for metrics.
+ * @unreachable: upstreams to which this instance has lost the path
  * @suspect_parts: parts of prompts that may crash upstreams
  * @suspect_requests: requests that may, by fingerprint
  * @running: in-flight requests that this instance sent to upstreams
@@ -469,6 +472,7 @@
 	size_t draining;
 	size_t cold;
 	size_t ejected;
+	size_t unreachable;
 	size_t limited;
 	size_t suspect_parts;
 	size_t suspect_requests;
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -83,6 +83,7 @@
 
 	if (!r)
 		return;
+	ap_path_seen(f, r, now);
 	ap_break_forget(r);
 	ap_leaving_checked(f, r, now);
 	if (ap_cold_checked(f, r, cold_left, now))
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -365,6 +365,7 @@
 	r = inflight->remote ? NULL : ap_replica_find(f, inflight->id);
 	if (!r)
 		return;
+	ap_path_seen(f, r, now);
 	if (r->serial == inflight->serial)
 		r->own.prefill[inflight->priority] -= inflight->prefill;
 	learn_prefill(f, inflight, now);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -144,6 +144,7 @@
  * @ejected_until: end of the ejection; 0 when not ejected. The upstream is fully back after one
  *                 successful request that ended after this time
  * @trial: a request that decides on the end of the ejection is in flight
+ * @path_lost_at: when a connection to the upstream failed; 0 if it has responded since
  * @slowdown: ratio of observed to expected waits, as of @slowdown_at; decays towards 1
  * @broken: requests whose responses broke off, until it is known whether the upstream ended; NULL
  *          for none
@@ -190,6 +191,7 @@
 	unsigned ejections;
 	ap_usec_t ejected_until;
 	bool trial;
+	ap_usec_t path_lost_at;
 	double slowdown;
 	ap_usec_t slowdown_at;
 	ap_upstream_end_t *broken;
@@ -427,6 +429,12 @@
 void ap_replica_record_result(ap_fleet_t *f, ap_replica_t *r, ap_dispatch_result_t end, bool trial,
 			      ap_usec_t now);
 
+/* path.c */
+/* A connection to @r failed. */
+void ap_path_lost(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+/* @r responded, so there is a path to it. */
+void ap_path_seen(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+
 /* build.c */
 /* Returns the build of upstreams of @pool with this software version; never 0. */
 uint64_t ap_build_of(const char *pool, const char *version);
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -299,6 +299,7 @@
 		stats.draining += ap_replica_leaving(f, r);
 		stats.cold += now < r->cold_until;
 		stats.ejected += now < r->ejected_until;
+		stats.unreachable += r->path_lost_at != 0;
 		stats.limited += r->limited;
 		for (size_t i = 0; i < AP_PRIORITIES; i++)
 			stats.running += r->own.running[i];
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -381,6 +381,24 @@
 	assert_string_equal(events[AP_FLEET_EVENT_COLD].source, "health-check");
 }
 
+static void lose_path(ap_fleet_t *f, ap_usec_t now)
+{
+	send_and_end(f, "d1", "north", AP_DISPATCH_UNREACHABLE, now);
+	send_and_end(f, "d1", "north", AP_DISPATCH_UNREACHABLE, now + AP_SEC);
+	assert_int_equal(ap_fleet_stats(f, now).unreachable, 1);
+}
+
+static void find_path(ap_fleet_t *f, ap_usec_t now)
+{
+	lose_path(f, now);
+	send_and_end(f, "d1", "north", AP_DISPATCH_TIMED_OUT, now + 2 * AP_SEC);
+	assert_int_equal(n_events[AP_FLEET_EVENT_PATH_BACK], 0);
+	send_and_end(f, "d1", "north", AP_DISPATCH_REFUSED, now + 3 * AP_SEC);
+	send_and_end(f, "d1", "north", AP_DISPATCH_DONE, now + 4 * AP_SEC);
+	assert_true(events[AP_FLEET_EVENT_PATH_BACK].lasts == 3 * AP_SEC);
+	assert_int_equal(ap_fleet_stats(f, now).unreachable, 0);
+}
+
 static void stay(ap_fleet_t *f, ap_usec_t now)
 {
 	say_leaving(f, now);
@@ -473,6 +491,8 @@
 		[AP_FLEET_EVENT_LEAVING] = {say_leaving, "d1"},
 		[AP_FLEET_EVENT_NOT_LEAVING] = {stay, "d1"},
 		[AP_FLEET_EVENT_COLD] = {turn_cold, "d1"},
+		[AP_FLEET_EVENT_PATH_LOST] = {lose_path, "d1"},
+		[AP_FLEET_EVENT_PATH_BACK] = {find_path, "d1"},
 		[AP_FLEET_EVENT_PART_SUSPECTED] = {suspect_part, "1f"},
 		[AP_FLEET_EVENT_PART_CLEARED] = {clear_part, "1f"},
 		[AP_FLEET_EVENT_REQUEST_SUSPECTED] = {suspect_request, "2f"},
