--- a/test/crash_instances.h
+++ b/test/crash_instances.h
@@ -59,9 +59,9 @@
 	cw_check_t *check = data;
 	cw_instance_t *n = check->instance;
 
-	if (!n->up || n->life != check->life)
+	if (!n->up || n->life != check->life || n->cut == CW_CUT_HANG)
 		return;
-	if (cw_engine_alive(w, check->id))
+	if (n->cut == CW_CUT_NONE && cw_engine_alive(w, check->id))
 		ap_fleet_health_checked(n->fleet, check->id, 0, w->sim.now);
 	else
 		ap_fleet_health_check_refused(n->fleet, check->id, w->sim.now);
--- a/test/crash_world.h
+++ b/test/crash_world.h
@@ -47,6 +47,15 @@
 	bool grey; /* breaks off some responses */
 } cw_engine_t;
 
+/* How an instance is cut off from all upstreams. */
+typedef enum cw_cut {
+	CW_CUT_NONE,
+	CW_CUT_HANG,   /* connections, new ones too, hang */
+	CW_CUT_RESET,  /* connections are reset, new ones are refused */
+	CW_CUT_REFUSE, /* connections live on, new ones are refused */
+	CW_CUTS,
+} cw_cut_t;
+
 typedef struct cw_instance {
 	cw_t *w;
 	int number;
@@ -54,7 +63,8 @@
 	char id[AP_NAME_MAX];
 	unsigned life;
 	bool up;
-	bool alone;		/* cut off from the other instances */
+	bool alone; /* cut off from the other instances */
+	cw_cut_t cut;
 	ap_usec_t disturbed_at; /* when it last started or was cut off */
 	ap_fleet_t *fleet;
 } cw_instance_t;
