--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -43,9 +43,7 @@
 	if (f->informed || f->started_at == 0 || now - f->started_at >= f->config.learn_time)
 		return false;
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (ap_member_live(m, now) && m->heard_at == 0 &&
-		    strcmp(m->member.region, f->config.region) == 0 &&
-		    strcmp(m->member.id, f->config.id) != 0)
+		if (ap_is_live_other(f, m, now) && ap_in_own_region(f, m) && m->heard_at == 0)
 			return true;
 	}
 	return false; /* all others have started, too */
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -26,6 +26,16 @@
 	       (m->heard_at > 0 && now - m->heard_at < HEARD_MAX_AGE);
 }
 
+bool ap_is_live_other(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
+{
+	return ap_member_live(m, now) && strcmp(m->member.id, f->config.id) != 0;
+}
+
+bool ap_in_own_region(const ap_fleet_t *f, const ap_member_state_t *m)
+{
+	return strcmp(m->member.region, f->config.region) == 0;
+}
+
 void ap_member_changed(ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
 {
 	bool self = strcmp(m->member.id, f->config.id) == 0;
@@ -106,9 +116,7 @@
 	size_t n = 0;
 
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		n += ap_member_live(m, now) && !m->member.draining &&
-		     strcmp(m->member.region, f->config.region) == 0 &&
-		     strcmp(m->member.id, f->config.id) != 0;
+		n += ap_is_live_other(f, m, now) && ap_in_own_region(f, m) && !m->member.draining;
 	}
 	return n;
 }
--- a/lib/fleet/owner.c
+++ b/lib/fleet/owner.c
@@ -22,9 +22,7 @@
 	if (self && self->member.draining)
 		return false;
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (ap_member_live(m, now) && !m->member.draining &&
-		    strcmp(m->member.region, f->config.region) == 0 &&
-		    strcmp(m->member.id, f->config.id) != 0 &&
+		if (ap_is_live_other(f, m, now) && ap_in_own_region(f, m) && !m->member.draining &&
 		    ap_rendezvous(key, ap_hash_str(m->member.id, 1), 1) > own)
 			return false;
 	}
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -454,6 +454,8 @@
  * that this instance sends at most MESSAGES_PER_SECOND.
  */
 ap_usec_t ap_announce_interval(const ap_fleet_t *f);
+void ap_send_to_region(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data,
+		       size_t len, ap_usec_t now);
 
 /* prefix.c */
 void ap_prefix_cache_init(ap_prefix_cache_t *c);
@@ -475,6 +477,8 @@
 /* Suspects @m after a timeout or a failed connection: other instances are preferred for a while. */
 void ap_member_suspect(const ap_fleet_t *f, ap_member_state_t *m, ap_usec_t now);
 bool ap_member_live(const ap_member_state_t *m, ap_usec_t now);
+bool ap_is_live_other(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now);
+bool ap_in_own_region(const ap_fleet_t *f, const ap_member_state_t *m);
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id);
 /*
  * Returns a random live instance of @region that @req does not avoid; a suspected one only if there
--- /dev/null
+++ b/lib/fleet/store-watch.c
@@ -0,0 +1,73 @@
+/*
+ * Which instances watch the store: in a large region some do for all, and relay its changes.
+ */
+#include "fleet/private.h"
+
+#include <string.h>
+
+#define WATCHER_KEY 11
+#define WATCHERS 3	   /* per region: two may lose the store without noticing */
+#define SHARED_WATCH_MIN 7 /* instances; in a smaller region each watches for itself */
+#define WATCHER_MAX_AGE (1600 * AP_MSEC) /* announcements come at least once a second */
+
+void ap_fleet_set_store_state(ap_fleet_t *f, bool watching, uint64_t era, uint64_t revision)
+{
+	/* Announces a change at once, so that the other instances need not query the store for it.
+	 */
+	if (watching && (era != f->store_era || revision != f->store_revision))
+		f->announced_at = 0;
+	f->watches_store = watching;
+	f->store_era = era;
+	f->store_revision = revision;
+}
+
+void ap_fleet_set_store_silent(ap_fleet_t *f, bool silent)
+{
+	f->store_silent = silent;
+}
+
+static bool shares_store_watch(const ap_fleet_t *f, ap_usec_t now)
+{
+	size_t instances = 0;
+
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next)
+		instances += ap_member_live(m, now) && ap_in_own_region(f, m);
+	return instances >= SHARED_WATCH_MIN;
+}
+
+void ap_fleet_relay(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
+		    ap_usec_t now)
+{
+	if (shares_store_watch(f, now))
+		ap_send_to_region(f, peer, data, len, now);
+}
+
+/* Watchers are chosen by hash, so that all instances agree without communication. */
+static double watcher_score(const char *id)
+{
+	return ap_rendezvous(WATCHER_KEY, ap_hash_str(id, 7), 1);
+}
+
+bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *era, uint64_t *revision)
+{
+	double own = watcher_score(f->config.id);
+	size_t watching = 0;
+
+	*era = 0;
+	*revision = 0;
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (!ap_member_live(m, now) || !ap_in_own_region(f, m))
+			continue;
+		if (!ap_is_live_other(f, m, now) || !m->watches_store ||
+		    now - m->heard_at > WATCHER_MAX_AGE)
+			continue;
+		if (m->store_era > *era) {
+			*era = m->store_era;
+			*revision = 0;
+		}
+		if (m->store_era == *era && m->store_revision > *revision)
+			*revision = m->store_revision;
+		watching += watcher_score(m->member.id) > own;
+	}
+	return watching >= WATCHERS && shares_store_watch(f, now);
+}
