Forward requests to an instance that reaches the upstreams when own paths are lost

Cause: an instance ejected upstreams that it couldn't reach one by one and, with all ejected, fell back to them, 0.3 s a connection attempt; it never asked an instance of its own region, told nobody, and went on being named by directories and used by other regions.

An instance announces the pools to which it has lost all paths, to its region at once and for all of its region to the others. Its requests go to an instance of the region that has not lost the pool, and if there is none to another region; a forwarded one is refused at once, and only what nobody else can serve is tried once on a lost path. Other regions and directories pass it over.

--- a/cmd/arbutuspond/gateway-health.c
+++ b/cmd/arbutuspond/gateway-health.c
@@ -38,6 +38,10 @@
 		ap_fleet_health_checked(gate->fleet, check->id, cold_left, now);
 	else if (refused)
 		ap_fleet_health_check_refused(gate->fleet, check->id, now);
+	if (own)
+		ap_fleet_path_seen(gate->fleet, check->id, now);
+	else if (response->end == AP_CALL_NOT_SENT)
+		ap_fleet_path_lost(gate->fleet, check->id, now);
 	gate_peer_tick(gate, now);
 	free(check);
 }
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -137,7 +137,7 @@
 	see_upstream(c, head, &info);
 	if (c->x.target.remote && evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN))
 		response.refused = true;
-	if (c->x.target.remote && wait)
+	if (c->x.target.remote && wait && strcmp(c->x.target.region, c->gate->self.region) != 0)
 		ap_fleet_set_remote_wait(c->gate->fleet, c->x.target.region, c->x.req.pool->name,
 					 c->x.req.route->priority, strtol(wait, NULL, 10) * AP_MSEC,
 					 ap_now());
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -433,6 +433,7 @@
 	case AP_CONNECTION_UNSENT:
 		finish_attempt(x, AP_DISPATCH_UNREACHABLE);
 		x->sends--;
+		x->req.unreachable += !x->target.remote;
 		avoid_target(x);
 		x->ops->log_step(x->ctx, AP_STEP_UNREACHABLE, &x->target);
 		if (++x->connect_failures < CONNECT_FAILURES_MAX)
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -177,7 +177,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 17);
+	msgpack_pack_array(&out.pk, 18);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -192,6 +192,7 @@
 	n += ap_streams_pack(f, &out.pk);
 	n += ap_leaving_pack(f, &out.pk, now);
 	n += ap_cold_pack(f, &out.pk, now);
+	n += ap_paths_pack(f, &out.pk);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		ap_send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -225,10 +226,23 @@
 	return better < WAITS_SENDERS;
 }
 
-static void pack_waits(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now)
+/* Returns whether this instance can tell how long requests for @p wait here. */
+static bool knows_wait(const ap_member_state_t *self, const ap_pool_state_t *p, ap_usec_t now)
 {
-	msgpack_pack_array(pk, HASH_COUNT(f->pools));
+	return ap_member_reaches(self, p->name, now);
+}
+
+static void pack_waits(ap_fleet_t *f, const ap_member_state_t *self, msgpack_packer *pk,
+		       ap_usec_t now)
+{
+	size_t n = 0;
+
+	for (const ap_pool_state_t *p = f->pools; p; p = p->hh.next)
+		n += knows_wait(self, p, now);
+	msgpack_pack_array(pk, n);
 	for (const ap_pool_state_t *p = f->pools; p; p = p->hh.next) {
+		if (!knows_wait(self, p, now))
+			continue;
 		msgpack_pack_array(pk, 3);
 		ap_wire_pack_str(pk, p->name);
 		for (unsigned i = 0; i < ANNOUNCED_WAITS; i++) {
@@ -249,11 +263,12 @@
 	if (!self || self->member.draining)
 		return;
 	ap_wire_out_begin(&out, AP_WIRE_WAITS, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 6);
+	msgpack_pack_array(&out.pk, 7);
 	ap_wire_pack_str(&out.pk, f->config.region);
-	pack_waits(f, &out.pk, now);
+	pack_waits(f, self, &out.pk, now);
 	ap_suspects_pack_remote(f, &out.pk, now);
 	ap_streams_pack_remote(f, &out.pk);
+	ap_paths_pack_remote(f, &out.pk, now);
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		if (ap_is_live_other(f, m, now) && !ap_in_own_region(f, m) &&
 		    is_waits_sender(f, self, m, now))
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -257,17 +257,41 @@
 		c->score += LATE_COST_US;
 }
 
+/* Who sends the request to an upstream of the own region. */
+typedef enum sender {
+	SENDER_SELF,
+	SENDER_PEER,	    /* another instance of the region, over its own paths */
+	SENDER_LAST_CHOICE, /* this instance, over a lost path */
+} sender_t;
+
+static bool eligible_for(ap_fleet_t *f, ap_replica_t *r, const ap_dispatch_t *req, sender_t sender,
+			 ap_usec_t now)
+{
+	switch (sender) {
+	case SENDER_SELF:
+		return r->path_lost_at == 0 && eligible(f, r, req, now);
+	case SENDER_PEER:
+		return ap_replica_serves(f, r, f->config.region, req, now) &&
+		       !ap_replica_cold(f, r, req->pool->warmup, now) &&
+		       !ap_replica_limited(f, r, now);
+	case SENDER_LAST_CHOICE:
+		break;
+	}
+	return eligible(f, r, req, now);
+}
+
 /*
  * Collects the eligible upstreams; ejected ones only if there are no others. Also stores the pool's
  * KV cache size in each of them.
  */
-static void collect(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now, candidates_t *all)
+static void collect(ap_fleet_t *f, const ap_dispatch_t *req, sender_t sender, ap_usec_t now,
+		    candidates_t *all)
 {
 	bool healthy = false;
 
 	all->n = 0;
 	for (ap_replica_t *r = f->replicas; r && all->n < CANDIDATES_MAX; r = r->hh.next) {
-		if (!eligible(f, r, req, now))
+		if (!eligible_for(f, r, req, sender, now))
 			continue;
 		r->kv_tokens = req->pool->kv_tokens;
 		if (ap_replica_healthy(r, now) && !healthy) {
@@ -341,14 +365,15 @@
 	return n;
 }
 
-static bool best_local(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now, candidate_t *best)
+static bool best_local(ap_fleet_t *f, const ap_dispatch_t *req, sender_t sender, ap_usec_t now,
+		       candidate_t *best)
 {
 	uint32_t shared = ap_dispatch_prefix_tokens(req);
 	candidates_t all = {0};
 
 	if (!ap_plan_allows_region(req->route, f->config.region))
 		return false;
-	collect(f, req, now, &all);
+	collect(f, req, sender, now, &all);
 	if (shared >= SHARED_TOKENS_MIN && req->pool->kv_tokens) {
 		size_t holders = consider_holders(f, req, &all, now, best);
 
@@ -397,13 +422,52 @@
 	return local->wait + recompute_cost <= remote->wait + REMOTE_MARGIN_US;
 }
 
+/* The request goes to instance @peer, which is to send it to the upstream of @target. */
+static void send_by_peer(const ap_member_t *peer, ap_target_t *target)
+{
+	const ap_remote_candidate_t c = {
+		.member = peer,
+		.wait = (double)target->wait,
+		.queue = (double)target->queue,
+		.cached = target->cached,
+	};
+
+	ap_fill_remote_target(&c, target);
+}
+
+/*
+ * Finds out who may send @req to an upstream of this region. Without a path of its own, this
+ * instance tries one only if nobody else can serve the request.
+ */
+static const ap_member_t *find_peer(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
+				    sender_t *sender, ap_usec_t now)
+{
+	const ap_member_t *peer = NULL;
+
+	*sender = SENDER_SELF;
+	if (!ap_paths_lost(f, req, now))
+		return NULL;
+	if (!local_only)
+		peer = ap_pick_member(f, f->config.region, req, now);
+	if (peer)
+		*sender = SENDER_PEER;
+	return peer;
+}
+
+static bool is_late(const ap_dispatch_t *req, const ap_target_t *target, ap_usec_t now)
+{
+	return too_late(req, (double)target->queue, now);
+}
+
 static ap_fleet_status_t choose(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
 				ap_usec_t now, ap_target_t *target)
 {
 	double wait_limit = LOCAL_WAIT_SHARE * (double)req->route->objective;
 	candidate_t local = {0};
 	ap_remote_candidate_t remote = {0};
-	bool found_local = best_local(f, req, now, &local);
+	sender_t sender;
+	const ap_member_t *peer = find_peer(f, req, local_only, &sender, now);
+	bool found_local = best_local(f, req, sender, now, &local);
 	bool found_remote = false;
 	ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
 	const char *prefix_region = local_only ? NULL : ap_prefix_region(f, req, now);
@@ -413,13 +477,18 @@
 	if (!local_only && (!found_local || local.wait > wait_limit ||
 			    (prefix_region && local.cached < ap_dispatch_prefix_tokens(req))))
 		found_remote = ap_best_remote(f, req, prefix_region, now, &remote);
+	if (!found_local && !found_remote && !req->local_only && req->unreachable == 0)
+		found_local = best_local(f, req, SENDER_LAST_CHOICE, now, &local);
 	if (!found_local && !found_remote)
 		return AP_FLEET_NONE;
-	if (found_local && (!found_remote || prefer_local(f, req, wait_limit, &local, &remote)))
-		fill_local_target(f, req, &local, now, target);
-	else
+	if (!found_local || (found_remote && !prefer_local(f, req, wait_limit, &local, &remote))) {
 		ap_fill_remote_target(&remote, target);
-	return too_late(req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
+		return is_late(req, target, now) ? AP_FLEET_LATE : AP_FLEET_OK;
+	}
+	fill_local_target(f, req, &local, now, target);
+	if (sender == SENDER_PEER)
+		send_by_peer(peer, target);
+	return is_late(req, target, now) ? AP_FLEET_LATE : AP_FLEET_OK;
 }
 
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
--- a/lib/fleet/ejection.c
+++ b/lib/fleet/ejection.c
@@ -57,15 +57,22 @@
 		eject(f, r, now);
 }
 
-static void record_recovery(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
+void ap_replica_readmit(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
 {
-	if (r->ejected_until == 0 || now < r->ejected_until)
+	if (r->ejected_until == 0)
 		return;
+	r->failures = 0;
 	r->ejected_until = 0;
 	r->ejections = 0;
 	ap_report_replica_event(f, AP_FLEET_EVENT_RECOVERED, r, 0, now);
 }
 
+static void record_recovery(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
+{
+	if (now >= r->ejected_until)
+		ap_replica_readmit(f, r, now);
+}
+
 void ap_replica_record_result(ap_fleet_t *f, ap_replica_t *r, ap_dispatch_result_t end, bool trial,
 			      ap_usec_t now)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -68,7 +68,7 @@
 
 /**
  * struct ap_dispatch - what is known of a request that needs a target.
- * @local_only: was forwarded from a remote region, so it is served or refused here
+ * @local_only: was forwarded by another instance, so it is served or refused here
  * @deadline: time by which the final response is due, in microseconds
  * @tokens_in: length of the prompt
  * @tokens_out: expected length of the response
@@ -78,6 +78,7 @@
  *               0 if unknown
  * @tried: targets on which the request failed; chosen only if there is no other
  * @avoid: targets that must not be chosen
+ * @unreachable: upstreams of this region to which no connection could be made
  */
 typedef struct ap_dispatch {
 	const ap_plan_route_t *route;
@@ -94,11 +95,12 @@
 	size_t n_tried;
 	char avoid[AP_TRIED_MAX][AP_NAME_MAX];
 	size_t n_avoid;
+	unsigned unreachable;
 } ap_dispatch_t;
 
 /**
  * struct ap_target - where a request is sent.
- * @remote: an instance of a remote region, not an upstream
+ * @remote: an instance, usually of a remote region, not an upstream
  * @version: of the upstream's software; empty for a remote target
  * @build: hash of the upstream's pool and version; 0 for a remote target
  * @wait: expected time to the first chunk of the response, in microseconds; unlike the waits that
@@ -298,7 +300,8 @@
 /**
  * ap_fleet_next_health_check() - returns an upstream that needs a health check, because no
  * instance knows whether the upstream is cold, or because it may have ended, or because it said
- * long ago that it leaves, or because the store is silent. To be called until it returns false.
+ * long ago that it leaves, or because the path to it was lost or the store is silent. To be called
+ * until it returns false.
  */
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica);
 /**
@@ -317,6 +320,13 @@
  * requests.
  */
 void ap_fleet_leaving_seen(ap_fleet_t *f, const char *id, ap_usec_t now);
+/**
+ * ap_fleet_path_seen() - upstream @id responded to a health check, healthy or not, so there is a
+ * path to it.
+ */
+void ap_fleet_path_seen(ap_fleet_t *f, const char *id, ap_usec_t now);
+/** ap_fleet_path_lost() - no connection to upstream @id could be made for a health check. */
+void ap_fleet_path_lost(ap_fleet_t *f, const char *id, ap_usec_t now);
 /**
  * ap_fleet_health_check_refused() - upstream @id refused the connection for a health check, so it
  * has ended.
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -66,8 +66,8 @@
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		if (needs_check(f, r, now))
 			r->check_sent_at = now;
-		else if (!ap_break_needs_check(r, now) && !ap_leaving_needs_check(f, r, now) &&
-			 !ap_cold_needs_check(f, r, now))
+		else if (!ap_break_needs_check(r, now) && !ap_path_needs_check(f, r, now) &&
+			 !ap_leaving_needs_check(f, r, now) && !ap_cold_needs_check(f, r, now))
 			continue;
 		*replica = r->entry;
 		return true;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -284,7 +284,7 @@
 	for (size_t i = 0; req->pool->kv_tokens > 0 && i + 1 < req->n_parts; i++)
 		inflight->parts[inflight->n_parts++] = req->parts[i].id;
 	ap_suspect_sent(f, req, now);
-	if (target->remote)
+	if (target->remote && strcmp(target->region, f->config.region) != 0)
 		sent_remote(f, req, target);
 	if (!r)
 		return;
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -139,6 +139,7 @@
 
 /* Which instances the directory lists; a kind is listed only if all earlier kinds are empty. */
 typedef enum listing {
+	LIST_REACHING,	   /* of the caller's region, unless they have lost paths */
 	LIST_ACTIVE,	   /* of the caller's region */
 	LIST_DRAINING,	   /* of the caller's region, while they still accept connections */
 	LIST_HOME_REGIONS, /* of the regions that may serve most routes of the requested host */
@@ -175,6 +176,8 @@
 	if (!ap_member_live(m, q->now))
 		return false;
 	switch (listing) {
+	case LIST_REACHING:
+		return same_region && !member->draining && !ap_member_cut_off(m, q->now);
 	case LIST_ACTIVE:
 		return same_region && !member->draining;
 	case LIST_DRAINING:
@@ -194,8 +197,8 @@
 	directory_query_t query = {.plan = plan, .host = host, .region = region, .now = now};
 	size_t n = 0;
 
-	for (listing_t listing = LIST_ACTIVE; listing < LISTINGS && n == 0; listing++) {
-		*fallback = listing != LIST_ACTIVE;
+	for (listing_t listing = 0; listing < LISTINGS && n == 0; listing++) {
+		*fallback = listing > LIST_ACTIVE;
 		if (listing == LIST_HOME_REGIONS)
 			find_most_routes(f, &query);
 		for (const ap_member_state_t *m = f->members; m && n < max; m = m->hh.next) {
@@ -206,8 +209,8 @@
 	return n;
 }
 
-const ap_member_t *ap_pick_remote_member(ap_fleet_t *f, const char *region,
-					 const ap_dispatch_t *req, ap_usec_t now)
+const ap_member_t *ap_pick_member(ap_fleet_t *f, const char *region, const ap_dispatch_t *req,
+				  ap_usec_t now)
 {
 	const ap_member_t *chosen = NULL;
 	bool trusted = false;
@@ -216,8 +219,10 @@
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		bool suspected = now < m->suspect_until;
 
-		if (!ap_member_live(m, now) || m->member.draining || (trusted && suspected) ||
-		    strcmp(m->member.region, region) != 0 || ap_dispatch_avoids(req, m->member.id))
+		if (!ap_is_live_other(f, m, now) || m->member.draining || (trusted && suspected) ||
+		    strcmp(m->member.region, region) != 0 ||
+		    ap_dispatch_avoids(req, m->member.id) ||
+		    !ap_member_reaches(m, req->pool->name, now))
 			continue;
 		if (!trusted && !suspected) {
 			trusted = true;
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -145,6 +145,7 @@
  *                 successful request that ended after this time
  * @trial: a request that decides on the end of the ejection is in flight
  * @path_lost_at: when a connection to the upstream failed; 0 if it has responded since
+ * @path_checked_at: time of the last health check for it; 0 for none yet
  * @slowdown: ratio of observed to expected waits, as of @slowdown_at; decays towards 1
  * @broken: requests whose responses broke off, until it is known whether the upstream ended; NULL
  *          for none
@@ -192,6 +193,7 @@
 	ap_usec_t ejected_until;
 	bool trial;
 	ap_usec_t path_lost_at;
+	ap_usec_t path_checked_at;
 	double slowdown;
 	ap_usec_t slowdown_at;
 	ap_upstream_end_t *broken;
@@ -201,6 +203,9 @@
 	ap_prefix_cache_t cache;
 } ap_replica_t;
 
+#define LOST_POOLS_MAX 16	  /* of an instance; further ones count as reached */
+#define CUT_OFF_TIME (1 * AP_SEC) /* without paths until the directory leaves an instance out */
+
 /**
  * struct ap_member_state - another instance, or this one.
  * @removed: the entry is gone; the instance counts as live until @expires_at, and longer while it
@@ -213,6 +218,8 @@
  * @watches_store: the instance watches the store
  * @store_era, @store_revision: of the last change of the store that the instance read
  * @loads: its load at upstreams, as announced at @loads_at
+ * @lost_pools: hashes of the pools that it has lost all paths to, as known until @lost_until
+ * @lost_at: since when it has lost any; 0 for none
  */
 typedef struct ap_member_state {
 	UT_hash_handle hh;
@@ -230,6 +237,10 @@
 	ap_announced_load_t *loads;
 	size_t n_loads;
 	ap_usec_t loads_at;
+	uint64_t lost_pools[LOST_POOLS_MAX];
+	size_t n_lost_pools;
+	ap_usec_t lost_until;
+	ap_usec_t lost_at;
 } ap_member_state_t;
 
 #define BUDGET_STEPS 10 /* steps of a retry window */
@@ -426,6 +437,8 @@
 /* Returns whether @r is not ejected, or is due for a trial request. */
 bool ap_replica_healthy(const ap_replica_t *r, ap_usec_t now);
 double ap_replica_failure_rate(const ap_replica_t *r, ap_usec_t now);
+/* Ends the ejection of @r. */
+void ap_replica_readmit(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
 void ap_replica_record_result(ap_fleet_t *f, ap_replica_t *r, ap_dispatch_result_t end, bool trial,
 			      ap_usec_t now);
 
@@ -434,6 +447,27 @@
 void ap_path_lost(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
 /* @r responded, so there is a path to it. */
 void ap_path_seen(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+/* Returns whether @r needs a health check now, to find out whether the path is back. */
+bool ap_path_needs_check(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+/*
+ * Returns whether the paths to all upstreams of this region that could serve @req are lost, or @req
+ * failed to connect to several of them.
+ */
+bool ap_paths_lost(const ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now);
+/* Returns whether @m has a path to an upstream of @pool in its region, as far as is known. */
+bool ap_member_reaches(const ap_member_state_t *m, const char *pool, ap_usec_t now);
+/* Returns whether @m has had no path to some pool for a while. */
+bool ap_member_cut_off(const ap_member_state_t *m, ap_usec_t now);
+/* Notices what this instance has lost or found, to be announced at once. */
+void ap_paths_tick(ap_fleet_t *f, ap_usec_t now);
+/* Packs the pools that this instance has lost. Return: how many. */
+size_t ap_paths_pack(const ap_fleet_t *f, msgpack_packer *pk);
+/* Applies those of @m. Return: false if they are malformed. */
+bool ap_paths_apply(ap_member_state_t *m, ap_wire_reader_t *lost, ap_usec_t now);
+/* Likewise for remote regions: of all instances of the region. */
+void ap_paths_pack_remote(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
+bool ap_paths_apply_remote(ap_fleet_t *f, const char *region, ap_wire_reader_t *lost,
+			   ap_usec_t now);
 
 /* build.c */
 /* Returns the build of upstreams of @pool with this software version; never 0. */
@@ -481,11 +515,11 @@
 bool ap_in_own_region(const ap_fleet_t *f, const ap_member_state_t *m);
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id);
 /*
- * Returns a random live instance of @region that @req does not avoid; a suspected one only if there
- * are no others. NULL if there is none.
+ * Returns a random live instance of @region, other than this one, that @req does not avoid and that
+ * has a path to the pool; a suspected one only if there are no others. NULL if there is none.
  */
-const ap_member_t *ap_pick_remote_member(ap_fleet_t *f, const char *region,
-					 const ap_dispatch_t *req, ap_usec_t now);
+const ap_member_t *ap_pick_member(ap_fleet_t *f, const char *region, const ap_dispatch_t *req,
+				  ap_usec_t now);
 
 /* load.c */
 ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool);
--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -180,13 +180,15 @@
 	shared_t shared = read_shared(&r);
 	ap_wire_reader_t leaving = optional_array(&r);
 	ap_wire_reader_t colds = optional_array(&r);
+	ap_wire_reader_t lost = optional_array(&r);
 
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
 	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
 	    !ap_limits_apply(f, &limits, now) || !apply_shared(f, &shared, AP_ORIGIN_REGION, now) ||
-	    !ap_leaving_apply(f, &leaving, now) || !ap_cold_apply(f, from, &colds, now))
+	    !ap_leaving_apply(f, &leaving, now) || !ap_cold_apply(f, from, &colds, now) ||
+	    (m && !ap_paths_apply(m, &lost, now)))
 		return false;
 	f->informed = f->informed || informed;
 	if (says_informed && !informed && !ap_fleet_uninformed(f, now)) {
@@ -206,13 +208,16 @@
 {
 	ap_wire_reader_t r = ap_wire_reader(&in->body);
 	ap_wire_reader_t waits;
+	ap_wire_reader_t lost;
 	shared_t shared;
 	char region[AP_NAME_MAX];
 
 	ap_wire_str(&r, region, sizeof(region));
 	waits = ap_wire_array(&r);
 	shared = read_shared(&r);
-	if (!r.ok || !apply_shared(f, &shared, AP_ORIGIN_REMOTE, now))
+	lost = optional_array(&r);
+	if (!r.ok || !apply_shared(f, &shared, AP_ORIGIN_REMOTE, now) ||
+	    !ap_paths_apply_remote(f, region, &lost, now))
 		return false;
 	while (waits.left > 0) {
 		ap_wire_reader_t e = ap_wire_array(&waits);
--- a/lib/fleet/remote.c
+++ b/lib/fleet/remote.c
@@ -81,7 +81,7 @@
 		remote = ap_remote_pool(f, dc->region, req->pool->name);
 		if (slots == 0 || !remote)
 			continue;
-		c.member = ap_pick_remote_member(f, dc->region, req, now);
+		c.member = ap_pick_member(f, dc->region, req, now);
 		if (!c.member)
 			continue;
 		c.cached = ap_prefix_cache_match(f, &remote->cache, req);
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -261,6 +261,7 @@
 	}
 	ap_leaving_tick(f, now);
 	ap_suspects_tick(f, now);
+	ap_paths_tick(f, now);
 	ap_load_recount(f, now);
 }
 
