Let no connection end because its peer is silent for less than the unacked time

With TCP_USER_TIMEOUT set, Linux ends an idle connection at the first unanswered keep-alive probe after that time since the last byte, whatever the count of probes. With 1.5 s and probes each second a silence of one second before the second probe was enough, so that requests in progress at a sound upstream that is silent for a second or so ended as broken. The timeout now includes the idle time before the first probe: 2 s of silence are borne, 2.5 s with unacknowledged data.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -452,15 +452,23 @@
 	set_timer(fetch, silent < limit / 2 ? limit / 2 - silent : limit - silent);
 }
 
-/* Detects a peer that disappeared without closing: it acknowledges no keepalive probe. */
-static void set_keepalive(int fd, ap_usec_t unacked)
+/*
+ * Detects a peer that disappeared without closing: it acknowledges neither data nor keep-alive
+ * probes. A silence shorter than @unacked ends no connection. With TCP_USER_TIMEOUT set, a
+ * connection ends at the first unanswered probe after that time since the last byte, whatever the
+ * number of probes, and the silence may have begun just before the first one.
+ */
+static void set_timeouts(int fd, ap_usec_t unacked)
 {
-	int one = 1;
 	int probes = KEEPALIVE_PROBES;
 	int every = (int)(unacked / KEEPALIVE_PROBES / AP_SEC);
+	unsigned timeout;
+	int one = 1;
 
 	if (every < 1)
 		every = 1;
+	timeout = (unsigned)(unacked / AP_MSEC) + (unsigned)every * 1000;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &every, sizeof(every));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every));
@@ -470,15 +478,16 @@
 static void set_socket(conn_t *conn, ap_usec_t unacked)
 {
 	int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn->evcon));
-	unsigned timeout = (unsigned)((unacked ? unacked : UNACKED_DEFAULT) / AP_MSEC);
+	unsigned timeout = UNACKED_DEFAULT / AP_MSEC;
 	int one = 1;
 
 	if (fd < 0)
 		return;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 	if (unacked)
-		set_keepalive(fd, unacked);
+		set_timeouts(fd, unacked);
+	else
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
 static struct evhttp_request *make_request(conn_t *conn, const ap_http_fetch_config_t *config)
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -186,8 +186,8 @@
  *           which are dropped with the connection; otherwise both are AP_HTTP_MALFORMED
  * @no_probe: a time limit that passes ends the request as AP_HTTP_TIMEOUT, without a probe
  * @connect: time limit for a new connection to take the first byte of the request; 0 for none
- * @unacked: the connection is closed when sent bytes stay unacknowledged for this long; 0 for the
- *           default
+ * @unacked: the connection is closed when the peer acknowledges nothing for some time longer than
+ *           this; 0 for the default, which ignores an idle connection
  * @first_byte: time limit from the start of the request to the head of the response
  * @between_chunks: time limit between two chunks of the response
  * @idle: how long the connection may stay idle afterwards, unless the upstream's limit is lower
