--- a/lib/fleet/owner.c
+++ b/lib/fleet/owner.c
@@ -13,16 +13,24 @@
 #define SETTLE_TIME (1 * AP_SEC) /* pause after a change of membership */
 #define BURST 1.0		 /* requests */
 
+static double score(const ap_replica_t *r, const char *id)
+{
+	return ap_rendezvous(ap_hash_str(r->entry.id, 0), ap_hash_str(id, 1), 1);
+}
+
+static bool takes_part(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
+{
+	return ap_member_live(m, now) && ap_in_own_region(f, m) && !m->member.draining;
+}
+
 size_t ap_owner_rank(const ap_fleet_t *f, const ap_replica_t *r, const char *id, ap_usec_t now)
 {
-	uint64_t key = ap_hash_str(r->entry.id, 0);
-	double own = ap_rendezvous(key, ap_hash_str(id, 1), 1);
+	double own = score(r, id);
 	size_t rank = 0;
 
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (ap_member_live(m, now) && ap_in_own_region(f, m) && !m->member.draining &&
-		    strcmp(m->member.id, id) != 0)
-			rank += ap_rendezvous(key, ap_hash_str(m->member.id, 1), 1) > own;
+		if (takes_part(f, m, now) && strcmp(m->member.id, id) != 0)
+			rank += score(r, m->member.id) > own;
 	}
 	return rank;
 }
@@ -30,8 +38,15 @@
 bool ap_owner_is_self(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
 {
 	const ap_member_state_t *self = ap_member_find(f, f->config.id);
+	double own = score(r, f->config.id);
 
-	return !(self && self->member.draining) && ap_owner_rank(f, r, f->config.id, now) == 0;
+	if (self && self->member.draining)
+		return false;
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (takes_part(f, m, now) && m != self && score(r, m->member.id) > own)
+			return false;
+	}
+	return true;
 }
 
 bool ap_owner_allows(const ap_fleet_t *f, const ap_replica_t *r, ap_bucket_t *b, double rate,
