Count requests that are forwarded within the region by themselves

sends_away_total is what goes to other regions; sends_peer_total is what goes to an instance of the region. The latter have the limits of connections within a region.

--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -112,6 +112,12 @@
 		c->x.req.pool = pool;
 }
 
+/* Returns whether @target is in a remote region. */
+static bool is_far(const gateway_t *gate, const ap_target_t *target)
+{
+	return target->remote && strcmp(target->region, gate->self.region) != 0;
+}
+
 static void on_head(void *ctx, const ap_http_head_t *head)
 {
 	gate_call_t *c = ctx;
@@ -142,7 +148,7 @@
 	see_upstream(c, head, &info);
 	if (c->x.target.remote && evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN))
 		response.refused = true;
-	if (c->x.target.remote && wait && strcmp(c->x.target.region, c->gate->self.region) != 0)
+	if (is_far(c->gate, &c->x.target) && wait)
 		ap_fleet_set_remote_wait(c->gate->fleet, c->x.target.region, c->x.req.pool->name,
 					 c->x.req.route->priority, strtol(wait, NULL, 10) * AP_MSEC,
 					 ap_now());
@@ -257,8 +263,8 @@
 		.fresh = !c->x.retryable,
 		.lenient = true,
 		.no_probe = true,
-		.connect = target->remote ? CONNECT_REMOTE : CONNECT_LOCAL,
-		.unacked = target->remote ? UNACKED_REMOTE : UNACKED_LOCAL,
+		.connect = is_far(gate, target) ? CONNECT_REMOTE : CONNECT_LOCAL,
+		.unacked = is_far(gate, target) ? UNACKED_REMOTE : UNACKED_LOCAL,
 		.first_byte = limit,
 		.between_chunks = limit,
 		.idle = KEEP_IDLE,
@@ -279,7 +285,8 @@
 	c->fetch = ap_http_fetch(gate->client, &config);
 	gate->counters.sends += c->fetch != NULL;
 	gate->counters.cold_sent += c->fetch && target->cold;
-	gate->counters.forwarded_sent += c->fetch && target->remote;
+	gate->counters.forwarded_sent += c->fetch && is_far(gate, target);
+	gate->counters.peer_sent += c->fetch && target->remote && !is_far(gate, target);
 	return c->fetch != NULL;
 }
 
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -169,6 +169,7 @@
 	put(out, "guests_total", "", (double)n->forwarded_received);
 	put(out, "sends_total", "", (double)n->sends);
 	put(out, "sends_away_total", "", (double)n->forwarded_sent);
+	put(out, "sends_peer_total", "", (double)n->peer_sent);
 	put(out, "sends_cold_total", "", (double)n->cold_sent);
 	put(out, "repeats_total", "", (double)n->retries);
 	put(out, "upstream_connections_total", "{how=\"opened\"}", (double)client.opened);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -126,6 +126,7 @@
  * @sends: requests sent to upstreams and remote regions, with retries
  * @cold_sent: requests sent to upstreams that were believed to be cold
  * @forwarded_sent: requests sent to remote regions
+ * @peer_sent: requests sent to other instances of the own region
  * @taken_up: streams that callers took up here
  * @unknown_streams: of these, refused because the build that began them isn't known
  * @unreadable: records of the store that could not be decoded
@@ -141,6 +142,7 @@
 	uint64_t sends;
 	uint64_t cold_sent;
 	uint64_t forwarded_sent;
+	uint64_t peer_sent;
 	uint64_t retries;
 	uint64_t taken_up;
 	uint64_t unknown_streams;
