Refuse a forwarded request that fails to connect here, too

An instance whose paths have just been lost tried a forwarded request at up to eight upstreams, 0.3 s each, while its sender could go elsewhere. Finding an upstream of the region, and who sends there, is a function of its own.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -437,27 +437,27 @@
 }
 
 /*
- * Finds out who may send @req to an upstream of this region. Without a path of its own, this
- * instance tries one only if nobody else can serve the request.
+ * Finds an upstream of this region. @peer receives the instance that is to send the request there,
+ * NULL for this one.
  */
-static const ap_member_t *find_peer(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
-				    sender_t *sender, ap_usec_t now)
+static bool find_local(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only, ap_usec_t now,
+		       candidate_t *local, const ap_member_t **peer)
 {
-	const ap_member_t *peer = NULL;
+	bool lost = ap_paths_lost(f, req, now);
 
-	*sender = SENDER_SELF;
-	if (!ap_paths_lost(f, req, now))
-		return NULL;
+	*peer = NULL;
+	/* The instance that forwarded it can go elsewhere. */
+	if (lost && req->local_only)
+		return false;
+	if (!lost && best_local(f, req, SENDER_SELF, now, local))
+		return true;
 	if (!local_only)
-		peer = ap_pick_member(f, f->config.region, req, now);
-	if (peer)
-		*sender = SENDER_PEER;
-	return peer;
-}
-
-static bool is_late(const ap_dispatch_t *req, const ap_target_t *target, ap_usec_t now)
-{
-	return too_late(req, (double)target->queue, now);
+		*peer = lost ? ap_pick_member(f, f->config.region, req, now)
+			     : ap_brittle_peer(f, req, now);
+	if (*peer && best_local(f, req, SENDER_PEER, now, local))
+		return true;
+	*peer = NULL;
+	return lost && best_local(f, req, SENDER_SELF, now, local);
 }
 
 static ap_fleet_status_t choose(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
@@ -466,35 +466,29 @@
 	double wait_limit = LOCAL_WAIT_SHARE * (double)req->route->objective;
 	candidate_t local = {0};
 	ap_remote_candidate_t remote = {0};
-	sender_t sender;
-	const ap_member_t *peer = find_peer(f, req, local_only, &sender, now);
-	bool found_local = best_local(f, req, sender, now, &local);
+	const ap_member_t *peer;
+	bool found_local = find_local(f, req, local_only, now, &local, &peer);
 	bool found_remote = false;
 	ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
 	const char *prefix_region = local_only ? NULL : ap_prefix_region(f, req, now);
 
 	if (p)
 		p->warmup = req->pool->warmup;
-	if (!found_local && !local_only && !peer) {
-		peer = ap_brittle_peer(f, req, now);
-		sender = peer ? SENDER_PEER : sender;
-		found_local = peer && best_local(f, req, sender, now, &local);
-	}
 	if (!local_only && (!found_local || local.wait > wait_limit ||
 			    (prefix_region && local.cached < ap_dispatch_prefix_tokens(req))))
 		found_remote = ap_best_remote(f, req, prefix_region, now, &remote);
+	/* A path that is lost is tried once if nobody else can serve the request. */
 	if (!found_local && !found_remote && !req->local_only && req->unreachable == 0)
 		found_local = best_local(f, req, SENDER_LAST_CHOICE, now, &local);
 	if (!found_local && !found_remote)
 		return AP_FLEET_NONE;
-	if (!found_local || (found_remote && !prefer_local(f, req, wait_limit, &local, &remote))) {
+	if (found_local && (!found_remote || prefer_local(f, req, wait_limit, &local, &remote)))
+		fill_local_target(f, req, &local, now, target);
+	else
 		ap_fill_remote_target(&remote, target);
-		return is_late(req, target, now) ? AP_FLEET_LATE : AP_FLEET_OK;
-	}
-	fill_local_target(f, req, &local, now, target);
-	if (sender == SENDER_PEER)
+	if (!target->remote && peer)
 		send_by_peer(peer, target);
-	return is_late(req, target, now) ? AP_FLEET_LATE : AP_FLEET_OK;
+	return too_late(req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
 }
 
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
