Take no retry for a forwarded request that reached no upstream

An instance that refuses a forwarded request without having sent it anywhere made its sender spend the retry budget, though no upstream had got the request. The refusal says that it is unsent, and as many as failed connections end the request. The case of exchange_test fails without it.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -23,7 +23,7 @@
 		headers[n++] = (ap_http_header_t){ap_host_retry_after_name(), wait};
 	}
 	if (forwarded)
-		headers[n++] = (ap_http_header_t){FORWARD_HEADER_NOT_RUN, "1"};
+		headers[n++] = (ap_http_header_t){FORWARD_HEADER_NOT_RUN, FORWARD_NOT_RUN_UNSENT};
 	ap_http_reply(call, status, headers, n, body, len);
 }
 
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -123,6 +123,7 @@
 	gate_call_t *c = ctx;
 	ap_host_response_t info = ap_host_parse_response(head->headers, head->status, c->id);
 	const char *wait = evhttp_find_header(head->headers, FORWARD_HEADER_WAIT);
+	const char *not_run = evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN);
 	ap_response_head_t response = {
 		.status = head->status,
 		.refused = info.not_run,
@@ -146,8 +147,10 @@
 		return;
 	}
 	see_upstream(c, head, &info);
-	if (c->x.target.remote && evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN))
+	if (c->x.target.remote && not_run) {
 		response.refused = true;
+		response.unsent = strcmp(not_run, FORWARD_NOT_RUN_UNSENT) == 0;
+	}
 	if (is_far(c->gate, &c->x.target) && wait)
 		ap_fleet_set_remote_wait(c->gate->fleet, c->x.target.region, c->x.req.pool->name,
 					 c->x.req.route->priority, strtol(wait, NULL, 10) * AP_MSEC,
@@ -448,7 +451,9 @@
 		ap_host_format_retry_after(retry_after, after);
 		headers.v[headers.n++] = (ap_http_header_t){ap_host_retry_after_name(), after};
 		if (c->forwarded)
-			headers.v[headers.n++] = (ap_http_header_t){FORWARD_HEADER_NOT_RUN, "1"};
+			headers.v[headers.n++] =
+				(ap_http_header_t){FORWARD_HEADER_NOT_RUN,
+						   c->x.sends == 0 ? FORWARD_NOT_RUN_UNSENT : "1"};
 	}
 	add_wait(c, &headers, wait);
 	add_close(c, &headers);
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -210,6 +210,16 @@
 	return x->retryable && x->runs < x->attempts && now < x->timeout_at;
 }
 
+/* The request reached no upstream, so the next send is no retry. */
+static void dispatch_after_unsent(ap_exchange_t *x, ap_usec_t now)
+{
+	x->sends--;
+	if (++x->connect_failures < CONNECT_FAILURES_MAX)
+		dispatch_or_reply(x, now);
+	else
+		reply_error(x, AP_REASON_NO_UPSTREAM, now);
+}
+
 /* The target refused the request, so it certainly didn't run there. */
 static void target_refused(ap_exchange_t *x, ap_usec_t now)
 {
@@ -218,7 +228,10 @@
 	x->refusals++;
 	avoid_target(x);
 	x->ops->log_step(x->ctx, AP_STEP_REFUSED_BY, &x->target);
-	dispatch_or_reply(x, now);
+	if (x->head.unsent)
+		dispatch_after_unsent(x, now);
+	else
+		dispatch_or_reply(x, now);
 }
 
 /*
@@ -432,14 +445,10 @@
 		break;
 	case AP_CONNECTION_UNSENT:
 		finish_attempt(x, AP_DISPATCH_UNREACHABLE);
-		x->sends--;
 		x->req.unreachable += !x->target.remote;
 		avoid_target(x);
 		x->ops->log_step(x->ctx, AP_STEP_UNREACHABLE, &x->target);
-		if (++x->connect_failures < CONNECT_FAILURES_MAX)
-			dispatch_or_reply(x, now);
-		else
-			reply_error(x, AP_REASON_NO_UPSTREAM, now);
+		dispatch_after_unsent(x, now);
 		break;
 	case AP_CONNECTION_BROKEN:
 		/* A refusal counts even if its body was cut short. */
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -26,6 +26,7 @@
  * struct ap_response_head - what the head of a target's response tells.
  * @status: HTTP status
  * @refused: the target states that it did not run the request
+ * @unsent: the target, an instance, states that the request reached no upstream
  * @address_reused: another upstream has the address now
  * @from_replica: a replica made the response, not an instance that forwarded the request
  * @build: of the upstream behind a remote target; 0 if the target doesn't say
@@ -33,6 +34,7 @@
 typedef struct ap_response_head {
 	int status;
 	bool refused;
+	bool unsent;
 	bool address_reused;
 	bool from_replica;
 	uint64_t build;
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -187,6 +187,41 @@
 	finish(&w);
 }
 
+/*
+ * An instance refuses a forwarded request that reached no upstream. Guards against a retry budget
+ * that is spent on requests that upstreams never got, and against asking instances without end.
+ */
+static void a_refusal_that_reached_no_upstream_is_no_retry(void **state)
+{
+	ap_response_head_t unsent = {.status = 503, .refused = true, .unsent = true};
+	world_t w = {.targets = SENDS_MAX};
+
+	(void)state;
+	begin(&w, AP_KIND_ONCE, false, 1);
+	w.budget = 0;
+	for (int sends = 1; sends <= 4; sends++) {
+		assert_int_equal(w.n_sent, sends);
+		ap_exchange_head(&w.x, &unsent, w.now);
+		end(&w, AP_CONNECTION_COMPLETE);
+	}
+	assert_int_equal(w.n_sent, 5);
+	assert_int_equal(w.x.sends, 1);
+	refuse(&w, 503);
+	assert_int_equal(w.n_sent, 5);
+	assert_int_equal(w.reason, AP_REASON_BUDGET);
+	finish(&w);
+
+	w = (world_t){.targets = SENDS_MAX};
+	begin(&w, AP_KIND_ONCE, false, 1);
+	while (!w.x.finished) {
+		ap_exchange_head(&w.x, &unsent, w.now);
+		end(&w, AP_CONNECTION_COMPLETE);
+	}
+	assert_in_range(w.n_sent, 2, SENDS_MAX - 1);
+	assert_int_equal(w.status, 503);
+	finish(&w);
+}
+
 static void a_truncated_refusal_is_a_refusal(void **state)
 {
 	world_t w = {.targets = 1};
@@ -473,6 +508,7 @@
 		cmocka_unit_test(a_request_that_is_held_back_is_refused_at_once),
 		cmocka_unit_test(a_request_that_broke_is_not_retried_while_it_is_held_back),
 		cmocka_unit_test(a_refused_request_goes_to_another_upstream),
+		cmocka_unit_test(a_refusal_that_reached_no_upstream_is_no_retry),
 		cmocka_unit_test(a_truncated_refusal_is_a_refusal),
 		cmocka_unit_test(a_not_run_status_without_proof_is_not_delivered),
 		cmocka_unit_test(an_error_is_delivered_after_the_last_attempt),
--- a/test/path_world.h
+++ b/test/path_world.h
@@ -127,10 +127,13 @@
 	pw_finished(c);
 }
 
-static inline void pw_respond(pw_call_t *c, int status, bool refused)
+static inline void pw_respond(pw_call_t *c, int status, bool refused, bool unsent)
 {
-	ap_response_head_t head = {
-		.status = status, .refused = refused, .from_replica = !refused, .build = 1};
+	ap_response_head_t head = {.status = status,
+				   .refused = refused,
+				   .unsent = unsent,
+				   .from_replica = !refused,
+				   .build = 1};
 
 	c->send++;
 	ap_exchange_head(&c->x, &head, pw_now(c));
@@ -155,7 +158,7 @@
 	} else if (c->n->cut == CW_CUT_HANG) {
 		pw_at(c, PW_UNACKED_TIME, pw_on_silent);
 	} else {
-		pw_respond(c, 200, false);
+		pw_respond(c, 200, false, false);
 	}
 }
 
@@ -173,11 +176,11 @@
 	if (!c || !c->forwarded)
 		return;
 	if (c->forwarded->served) {
-		pw_respond(c, 200, false);
+		pw_respond(c, 200, false, false);
 	} else if (c->forwarded->x.runs == 0) {
-		pw_respond(c, 503, true);
+		pw_respond(c, 503, true, c->forwarded->x.sends == 0);
 	} else {
-		pw_respond(c, 502, false);
+		pw_respond(c, 502, false, false);
 	}
 }
 
