--- a/cmd/arbutuspond/gateway-health.c
+++ b/cmd/arbutuspond/gateway-health.c
@@ -1,6 +1,7 @@
 /*
  * Health checks of upstreams. Each response has a cost and may be wrong, so only upstreams are
- * checked of which no instance knows whether they are cold, or whether they have ended.
+ * checked of which no instance knows whether they are cold, or whether they have ended, and those
+ * that this instance has not reached.
  */
 #include "gateway.h"
 
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -227,22 +227,17 @@
 	return better < WAITS_SENDERS;
 }
 
-/* Returns whether this instance can tell how long requests for @p wait here. */
-static bool knows_wait(const ap_member_state_t *self, const ap_pool_state_t *p, ap_usec_t now)
-{
-	return ap_member_reaches(self, p->name, now);
-}
-
+/* Without paths to a pool, this instance can't tell how long requests for it wait. */
 static void pack_waits(ap_fleet_t *f, const ap_member_state_t *self, msgpack_packer *pk,
 		       ap_usec_t now)
 {
 	size_t n = 0;
 
 	for (const ap_pool_state_t *p = f->pools; p; p = p->hh.next)
-		n += knows_wait(self, p, now);
+		n += ap_member_reaches(self, p->name, now);
 	msgpack_pack_array(pk, n);
 	for (const ap_pool_state_t *p = f->pools; p; p = p->hh.next) {
-		if (!knows_wait(self, p, now))
+		if (!ap_member_reaches(self, p->name, now))
 			continue;
 		msgpack_pack_array(pk, 3);
 		ap_wire_pack_str(pk, p->name);
