--- a/test/crash_instances.h
+++ b/test/crash_instances.h
@@ -91,6 +91,7 @@
 
 	if (!n->up || n->life != tick->life)
 		return;
+	ap_fleet_set_store_silent(n->fleet, w->store_silent);
 	ap_fleet_tick(n->fleet, w->sim.now);
 	cw_check_health(n);
 	ap_fleet_announce(n->fleet, &port, w->sim.now);
--- a/test/crash_world.h
+++ b/test/crash_world.h
@@ -117,6 +117,7 @@
 	double plain_rate;
 	cw_kind_t bad_kind;
 	unsigned ends_allowed;
+	bool store_silent;
 	bool paired; /* bad requests have a second part that no other request has */
 	bool bad;    /* the bad requests crash upstreams */
 	cw_engine_t engines[CW_UPSTREAMS];
--- a/test/path_run_test.c
+++ b/test/path_run_test.c
@@ -21,10 +21,15 @@
 	SCOPE_MOST,   /* all of one region, and most of another */
 } scope_t;
 
+/* What else happens on a day. */
+enum {
+	ALSO_RESTARTS = 1,
+	ALSO_STORE_SILENT = 2,
+};
+
 typedef struct day {
 	pw_t *pw;
 	scope_t scope;
-	bool restarts;
 	unsigned broken; /* cuts during which the rule was broken */
 	unsigned cuts;
 } day_t;
@@ -128,15 +133,16 @@
 }
 
 /* Plays a day. Return: during how many of its cuts the rule was broken. */
-static unsigned play(uint64_t seed, int per_region, scope_t scope, bool restarts)
+static unsigned play(uint64_t seed, int per_region, scope_t scope, int also)
 {
 	day_t d = {.pw = pw_new(seed, per_region), .scope = scope};
 	unsigned suspects = 0;
 
 	d.pw->cw->verbose = verbose;
+	d.pw->cw->store_silent = also & ALSO_STORE_SILENT;
 	print_message("seed %llu, %d instances a region\n", (unsigned long long)seed, per_region);
 	at(&d, 6 * AP_SEC, cut);
-	if (restarts)
+	if (also & ALSO_RESTARTS)
 		at(&d, 3 * AP_SEC, restart);
 	fake_run(&d.pw->cw->sim, d.pw->cw->sim.now + RUN_TIME);
 	assert_true(d.cuts >= 2);
@@ -150,14 +156,14 @@
 	return d.broken;
 }
 
-static void play_seeds(scope_t scope, bool restarts)
+static void play_seeds(scope_t scope, int also)
 {
 	unsigned broken = 0;
 
 	for (uint64_t seed = 1; !one_seed && seed <= seeds; seed++)
-		broken += play(seed, seed % 3 == 0 ? 7 : 3, scope, restarts);
+		broken += play(seed, seed % 3 == 0 ? 7 : 3, scope, also);
 	if (one_seed)
-		broken = play(one_seed, one_seed % 3 == 0 ? 7 : 3, scope, restarts);
+		broken = play(one_seed, one_seed % 3 == 0 ? 7 : 3, scope, also);
 	assert_int_equal(broken, 0);
 }
 
@@ -169,23 +175,31 @@
 static void callers_of_instances_without_paths_are_served(void **state)
 {
 	(void)state;
-	play_seeds(SCOPE_SOME, false);
+	play_seeds(SCOPE_SOME, 0);
 }
 
 /* Likewise if all instances of a region are cut off: 46 of 166 first attempts. */
 static void callers_of_a_region_without_paths_are_served(void **state)
 {
 	(void)state;
-	play_seeds(SCOPE_REGION, false);
-	play_seeds(SCOPE_MOST, false);
+	play_seeds(SCOPE_REGION, 0);
+	play_seeds(SCOPE_MOST, 0);
 }
 
 /* Likewise with restarts, after which an instance knows nothing of paths. */
 static void callers_of_instances_without_paths_are_served_over_restarts(void **state)
 {
 	(void)state;
-	play_seeds(SCOPE_SOME, true);
-	play_seeds(SCOPE_REGION, true);
+	play_seeds(SCOPE_SOME, ALSO_RESTARTS);
+	play_seeds(SCOPE_REGION, ALSO_RESTARTS);
+}
+
+/* Likewise while the store is silent, so that upstreams are asked whether they are cold. */
+static void callers_of_instances_without_paths_are_served_without_the_store(void **state)
+{
+	(void)state;
+	play_seeds(SCOPE_SOME, ALSO_STORE_SILENT | ALSO_RESTARTS);
+	play_seeds(SCOPE_REGION, ALSO_STORE_SILENT);
 }
 
 int main(int argc, char **argv)
@@ -194,6 +208,7 @@
 		cmocka_unit_test(callers_of_instances_without_paths_are_served),
 		cmocka_unit_test(callers_of_a_region_without_paths_are_served),
 		cmocka_unit_test(callers_of_instances_without_paths_are_served_over_restarts),
+		cmocka_unit_test(callers_of_instances_without_paths_are_served_without_the_store),
 	};
 
 	for (int i = 1; i + 1 < argc; i += 2) {
--- a/test/path_world.h
+++ b/test/path_world.h
@@ -40,7 +40,9 @@
  * @origin: the request that was forwarded; NULL for one of a caller
  * @forwarded: this request at the instance to which it was forwarded
  * @send: number of the latest send; events of earlier ones have no effect
- * @done: what the response did to @origin is still to come
+ * @engine: upstream of the latest send; NULL for an instance
+ * @count: where the attempt counts; NULL for nowhere
+ * @over: the end was counted, and told to @origin
  */
 struct pw_call {
 	LIST_ENTRY(pw_call) link;
@@ -63,6 +65,15 @@
 	unsigned send;
 } pw_event_t;
 
+/* Upstreams may turn cold, so that they are asked while the store is silent. */
+static const ap_plan_pool_t pw_pool = {
+	.name = "engines",
+	.slots = 64,
+	.kv_tokens = 300000,
+	.warmup = 3 * AP_SEC,
+	.warmup_rate = 4,
+};
+
 static const ap_plan_route_t pw_reserve = {
 	.name = "reserve",
 	.kind = AP_KIND_ONCE,
@@ -405,7 +416,7 @@
 	size_t i = ap_rng_below(&w->sim.rng, 10);
 	const ap_plan_route_t *route = routes[i < 7 ? 0 : i < 8 ? 1 : 2];
 	ap_dispatch_t req =
-		world_request(route, route == &cw_route ? &cw_pool : &cw_desks, w->sim.now);
+		world_request(route, route == &cw_route ? &pw_pool : &cw_desks, w->sim.now);
 	bool counts = pw->cut_at != 0 && w->sim.now > pw->cut_at + CW_STABLE;
 	pw_count_t *count = n->cut == CW_CUT_NONE ? &pw->others : &pw->cut;
 
