--- a/lib/fleet/brittle.c
+++ b/lib/fleet/brittle.c
@@ -68,7 +68,7 @@
 	return share_of(f, r, id, ap_replica_slots(r, pool), now);
 }
 
-/* Returns whether instance @id may serve some requests like @req without being lucky. */
+/* Returns whether instance @id has a slot of some upstream that could serve @req. */
 static bool has_share(const ap_fleet_t *f, const char *id, const ap_dispatch_t *req, ap_usec_t now)
 {
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
@@ -110,7 +110,7 @@
 
 	if (!all_brittle(f, req, now) || has_share(f, f->config.id, req, now))
 		return NULL;
-	/* The first one from a random place on: each takes a while to find out. */
+	/* Stops at the first one from a random place on, since each test ranks the whole region. */
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next, i++) {
 		if ((i < first && before) || !may_help(f, m, req, now))
 			continue;
--- a/lib/fleet/path.c
+++ b/lib/fleet/path.c
@@ -31,7 +31,7 @@
 		return;
 	ap_report_replica_event(f, AP_FLEET_EVENT_PATH_BACK, r, now - r->path_lost_at, now);
 	r->path_lost_at = 0;
-	/* It was ejected for what is no failure of its own. */
+	/* The ejection came from the failed connections. */
 	ap_replica_readmit(f, r, now);
 }
 
