Pass announcements on by way of relays in large regions

Cause: each instance of a region sent each announcement to every other one: at 295 instances some 100 messages a second out and in, a handshake for each pair, and a turn over all instances with string compares for each message.

Change: relays (docs/design/platform.md), two a data centre, by cores and rendezvous hash. Instances say in their record which messages they understand; builds before this one are told directly. Regions are compared once, when a record is read.

--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -16,19 +16,36 @@
 #define ZMQ_PORT_OFFSET 1
 #define SECRET_LEN (2 * (AP_CURVE_KEY_MAX - 1)) /* bytes: public and secret key */
 
-static void on_message(void *ctx, const char *from, const void *data, size_t len)
+static bool apply(gateway_t *gate, const char *origin, const void *data, size_t len, ap_usec_t now)
 {
-	gateway_t *gate = ctx;
-	ap_usec_t now = ap_now();
 	bool ok = ap_wire_peek(data, len) == AP_WIRE_CHANGES
 			  ? ap_changes_apply(gate->follow, data, len, now)
-			  : ap_fleet_receive(gate->fleet, from, data, len, now);
+			  : ap_fleet_receive(gate->fleet, origin, data, len, now);
 
 	if (!ok)
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL, "s:s",
-				 "from", from);
-	else
-		gate_store_tick(gate, now);
+				 "from", origin);
+	return ok;
+}
+
+static void on_passed_on(void *ctx, const char *origin, const void *data, size_t len)
+{
+	apply(ctx, origin, data, len, ap_now());
+}
+
+static void on_message(void *ctx, const char *from, const void *data, size_t len)
+{
+	gateway_t *gate = ctx;
+	ap_usec_t now = ap_now();
+
+	if (ap_wire_peek(data, len) == AP_WIRE_BATCH) {
+		if (!ap_fleet_open_batch(gate->fleet, from, data, len, now, gate, on_passed_on))
+			ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL,
+					 "s:s", "from", from);
+	} else if (apply(gate, from, data, len, now)) {
+		ap_fleet_pass_on(gate->fleet, from, data, len, now);
+	}
+	gate_store_tick(gate, now);
 }
 
 /* Returns false if the secret is not a valid key pair. */
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -138,6 +138,8 @@
 	put(out, "prompt_parts", "{state=\"suspect\"}", (double)fleet.suspect_parts);
 	put(out, "fingerprints", "{state=\"suspect\"}", (double)fleet.suspect_requests);
 	put(out, "instances", "", (double)fleet.members);
+	put(out, "relay_served", "", (double)fleet.relay_served);
+	put(out, "batch_dropped_total", "", (double)fleet.batch_dropped);
 	put(out, "work_running", "", (double)fleet.running);
 	put(out, "configuration_version", "", gate->plan ? (double)gate->plan->version : 0);
 	put(out, "store_age_seconds", "", age == AP_NEVER ? -1 : (double)age / (double)AP_SEC);
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -255,6 +255,7 @@
 		.caller_port = gate->conf->callers.port,
 		.peer_port = gate->conf->peer_port,
 		.cores = gate->conf->cores,
+		.speaks = AP_FLEET_SPEAKS,
 	};
 	ap_copy_name(gate->self.id, sizeof(gate->self.id), s->id);
 	ap_copy_name(gate->self.region, sizeof(gate->self.region), s->region);
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -160,15 +160,6 @@
 	msgpack_pack_uint64(pk, f->store_revision);
 }
 
-void ap_send_to_region(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data,
-		       size_t len, ap_usec_t now)
-{
-	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (ap_is_live_other(f, m, now) && ap_in_own_region(f, m))
-			peer->send(peer->ctx, m->member.id, data, len);
-	}
-}
-
 static void announce_to_region(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
 {
 	const ap_member_state_t *self = ap_member_find(f, f->config.id);
@@ -177,7 +168,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 19);
+	msgpack_pack_array(&out.pk, 21);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -194,9 +185,11 @@
 	n += ap_cold_pack(f, &out.pk, now);
 	n += ap_paths_pack(f, &out.pk);
 	n += ap_brittle_pack(f, &out.pk, now);
+	msgpack_pack_uint32(&out.pk, f->relay_tag);
+	ap_wire_pack_bool(&out.pk, ap_relay_served(f, now) > 0);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
-		ap_send_to_region(f, peer, out.buf.data, out.buf.size, now);
+		ap_relay_send_to_region(f, peer, out.buf.data, out.buf.size, now);
 		f->announced_at = now;
 		f->announced_load = n > 0;
 	}
@@ -265,8 +258,9 @@
 	ap_suspects_pack_remote(f, &out.pk, now);
 	ap_streams_pack_remote(f, &out.pk);
 	ap_paths_pack_remote(f, &out.pk, now);
+	ap_relay_mark(f, now);
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (ap_is_live_other(f, m, now) && !ap_in_own_region(f, m) &&
+		if (m->direct && ap_is_live_other(f, m, now) && !ap_in_own_region(f, m) &&
 		    is_waits_sender(f, self, m, now))
 			ap_wire_out_send(&out, peer, m->member.id);
 	}
@@ -285,6 +279,7 @@
 {
 	if (now - f->waits_announced_at >= WAITS_INTERVAL)
 		announce_waits(f, peer, now);
+	ap_relay_tick(f, peer, now);
 	if (now - f->announced_at <
 	    (f->sent_long_prompt ? LONG_PROMPT_INTERVAL : ap_announce_interval(f)))
 		return;
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -48,6 +48,8 @@
 		return NULL;
 	f->config = *config;
 	ap_rng_seed(&f->rng, config->seed);
+	msgpack_sbuffer_init(&f->batch);
+	msgpack_packer_init(&f->batch_pk, &f->batch, msgpack_sbuffer_write);
 	ap_fleet_set_data_centre(f, config->data_centre, config->region);
 	return f;
 }
@@ -92,6 +94,7 @@
 	HASH_CLEAR(hh, f->replicas);
 	HASH_CLEAR(by_tag, f->tagged);
 	HASH_CLEAR(hh, f->members);
+	HASH_CLEAR(by_tag, f->member_tags);
 	HASH_CLEAR(hh, f->pools);
 	HASH_CLEAR(hh, f->remote_pools);
 	HASH_CLEAR(hh, f->data_centres);
@@ -99,6 +102,7 @@
 	HASH_CLEAR(hh, f->suspects);
 	for (size_t i = 0; i < sizeof(first) / sizeof(first[0]); i++)
 		free_items(first[i]);
+	msgpack_sbuffer_destroy(&f->batch);
 	free(f);
 }
 
@@ -150,7 +154,9 @@
 bool ap_replica_serves(const ap_fleet_t *f, const ap_replica_t *r, const char *region,
 		       const ap_dispatch_t *req, ap_usec_t now)
 {
-	return strcmp(r->entry.pool, req->pool->name) == 0 && strcmp(r->region, region) == 0 &&
+	bool there = region == f->config.region ? r->own_region : strcmp(r->region, region) == 0;
+
+	return there && strcmp(r->entry.pool, req->pool->name) == 0 &&
 	       (req->build == 0 || r->build == req->build) && ap_replica_usable(f, r, now);
 }
 
--- a/lib/fleet/cold.c
+++ b/lib/fleet/cold.c
@@ -63,9 +63,8 @@
 		r->watch_from = 0;
 		return false;
 	}
-	if (!p || p->warmup <= 0 || now < r->cold_until ||
-	    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now) ||
-	    ap_replica_maybe_cold(f, r, p->warmup, now))
+	if (!p || p->warmup <= 0 || now < r->cold_until || !r->own_region ||
+	    !ap_replica_usable(f, r, now) || ap_replica_maybe_cold(f, r, p->warmup, now))
 		return false;
 	if (r->watch_from == 0)
 		r->watch_from = now + random_delay(f);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -47,6 +47,8 @@
  * @peer_port: port for requests forwarded from remote regions
  * @cores: CPU cores of the instance; may be a fraction
  * @draining: accepts no new callers
+ * @speaks: what it understands of messages between instances, see AP_FLEET_SPEAKS; 0 if its record
+ *          doesn't say
  */
 typedef struct ap_member {
 	char id[AP_NAME_MAX];
@@ -57,8 +59,12 @@
 	uint16_t peer_port;
 	double cores;
 	bool draining;
+	uint32_t speaks;
 } ap_member_t;
 
+#define AP_FLEET_SPEAKS_BATCHES 1
+#define AP_FLEET_SPEAKS AP_FLEET_SPEAKS_BATCHES /* all that this version understands */
+
 /* One part of a prompt. Requests whose leading parts are equal share the KV cache of these parts.
  */
 typedef struct ap_prompt_part {
@@ -468,8 +474,23 @@
  * ap_fleet_relay() - sends a message with changes of the store to the other instances of the
  * region, if some instances watch the store for all there.
  */
-void ap_fleet_relay(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
+void ap_fleet_relay(ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
 		    ap_usec_t now);
+/**
+ * ap_fleet_pass_on() - instance @from sent a message here, not in a batch. It is kept for the next
+ * batch, if this instance is a relay.
+ */
+void ap_fleet_pass_on(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
+/* Called for a message of instance @origin; @data is valid during the call. */
+typedef void (*ap_fleet_visit_t)(void *ctx, const char *origin, const void *data, size_t len);
+/**
+ * ap_fleet_open_batch() - reads a batch of messages that instance @from passed on.
+ * @visit: called for each of them that is of another instance
+ *
+ * Return: false when the batch is invalid.
+ */
+bool ap_fleet_open_batch(ap_fleet_t *f, const char *from, const void *data, size_t len,
+			 ap_usec_t now, void *ctx, ap_fleet_visit_t visit);
 /**
  * ap_fleet_receive() - processes an announcement of instance @from.
  *
@@ -483,6 +504,8 @@
  * @suspect_parts: parts of prompts that may crash upstreams
  * @suspect_requests: requests that may, by fingerprint
  * @running: in-flight requests that this instance sent to upstreams
+ * @relay_served: instances that this one passes on announcements to
+ * @batch_dropped: messages that weren't passed on, since the batch was full
  */
 typedef struct ap_fleet_stats {
 	size_t replicas;
@@ -497,6 +520,8 @@
 	size_t suspect_requests;
 	size_t members;
 	size_t running;
+	size_t relay_served;
+	uint64_t batch_dropped;
 } ap_fleet_stats_t;
 
 ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now);
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -54,8 +54,7 @@
 	const ap_pool_state_t *p = ap_pool_state(f, r->entry.pool);
 	const ap_data_centre_state_t *dc = ap_data_centre_find(f, r->entry.data_centre);
 
-	return p && dc && strcmp(r->region, f->config.region) == 0 &&
-	       is_unchecked(r, dc, p->warmup, now) &&
+	return p && dc && r->own_region && is_unchecked(r, dc, p->warmup, now) &&
 	       now >= dc->evacuation_ended_at + CHECK_DELAY &&
 	       (r->check_sent_at == 0 || now - r->check_sent_at >= CHECK_RETRY) &&
 	       ap_replica_usable(f, r, now) && ap_owner_is_self(f, r, now);
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -180,10 +180,9 @@
 	size_t n = 0;
 
 	for (ap_replica_t *r = f->replicas; r && n < WAITS_MAX; r = r->hh.next) {
-		if (strcmp(r->entry.pool, p->name) != 0 ||
-		    strcmp(r->region, f->config.region) != 0 || !ap_replica_usable(f, r, now) ||
-		    !ap_replica_healthy(r, now) || ap_replica_cold(f, r, p->warmup, now) ||
-		    ap_replica_limited(f, r, now))
+		if (!r->own_region || strcmp(r->entry.pool, p->name) != 0 ||
+		    !ap_replica_usable(f, r, now) || !ap_replica_healthy(r, now) ||
+		    ap_replica_cold(f, r, p->warmup, now) || ap_replica_limited(f, r, now))
 			continue;
 		waits[n++] = queue_us(r, p, priority);
 	}
@@ -231,8 +230,7 @@
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next)
 		r->others = (ap_load_t){0};
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (!ap_member_live(m, now) || strcmp(m->member.region, f->config.region) != 0 ||
-		    strcmp(m->member.id, f->config.id) == 0)
+		if (!ap_in_own_region(f, m) || !ap_is_live_other(f, m, now))
 			continue;
 		if (m->loads_at > 0 && now - m->loads_at < LOADS_MAX_AGE)
 			add_announced(f, m);
--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -28,12 +28,14 @@
 
 bool ap_is_live_other(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
 {
-	return ap_member_live(m, now) && strcmp(m->member.id, f->config.id) != 0;
+	(void)f;
+	return !m->self && ap_member_live(m, now);
 }
 
 bool ap_in_own_region(const ap_fleet_t *f, const ap_member_state_t *m)
 {
-	return strcmp(m->member.region, f->config.region) == 0;
+	(void)f;
+	return m->own_region;
 }
 
 void ap_member_changed(ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
@@ -67,6 +69,7 @@
 void ap_fleet_update_member(ap_fleet_t *f, const ap_member_t *member, ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, member->id);
+	size_t count;
 	bool changed;
 
 	if (!m) {
@@ -74,19 +77,28 @@
 		if (!m)
 			return;
 		ap_copy_name(m->member.id, sizeof(m->member.id), member->id);
+		m->tag = ap_member_tag(member->id);
 		HASH_ADD(hh, f->members, member.id, strlen(m->member.id), m);
+		HASH_ADD(by_tag, f->member_tags, tag, sizeof(m->tag), m);
 	}
 	if (member->draining && !m->member.draining)
 		m->draining_from = now;
 	changed = m->removed || !m->listed || member->draining != m->member.draining;
 	m->member = *member;
+	m->self = strcmp(member->id, f->config.id) == 0;
+	m->own_region = strcmp(member->region, f->config.region) == 0;
+	m->watcher_score = ap_watcher_score(member->id);
+	ap_relay_member_init(m);
 	if (changed)
 		ap_member_changed(f, m, now);
 	m->removed = false;
 	m->listed = true;
 	m->suspect_until = 0;
-	if (ap_fleet_count_members(f, NULL) > f->most_members)
-		f->most_members = ap_fleet_count_members(f, NULL);
+	if (changed) {
+		count = ap_fleet_count_members(f, NULL);
+		if (count > f->most_members)
+			f->most_members = count;
+	}
 }
 
 void ap_fleet_remove_member(ap_fleet_t *f, const char *id, ap_usec_t now)
@@ -102,10 +114,12 @@
 
 size_t ap_fleet_count_members(const ap_fleet_t *f, const char *region)
 {
+	bool own = region && strcmp(region, f->config.region) == 0;
 	size_t n = 0;
 
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (!m->removed && (!region || strcmp(m->member.region, region) == 0))
+		if (!m->removed &&
+		    (!region || (own ? m->own_region : strcmp(m->member.region, region) == 0)))
 			n++;
 	}
 	return n;
@@ -213,15 +227,15 @@
 				  ap_usec_t now)
 {
 	const ap_member_t *chosen = NULL;
+	uint32_t key = ap_region_tag(region);
 	bool trusted = false;
 	uint64_t n = 0;
 
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		bool suspected = now < m->suspect_until;
 
-		if (!ap_is_live_other(f, m, now) || m->member.draining || (trusted && suspected) ||
-		    strcmp(m->member.region, region) != 0 ||
-		    ap_dispatch_avoids(req, m->member.id) ||
+		if (m->region != key || m->member.draining || (trusted && suspected) ||
+		    !ap_is_live_other(f, m, now) || ap_dispatch_avoids(req, m->member.id) ||
 		    !ap_member_reaches(m, req->pool->name, now))
 			continue;
 		if (!trusted && !suspected) {
--- a/lib/fleet/path.c
+++ b/lib/fleet/path.c
@@ -53,8 +53,7 @@
 
 bool ap_path_needs_check(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
 {
-	if (r->path_lost_at == 0 || strcmp(r->region, f->config.region) != 0 ||
-	    !ap_replica_usable(f, r, now) ||
+	if (r->path_lost_at == 0 || !r->own_region || !ap_replica_usable(f, r, now) ||
 	    (r->path_checked_at != 0 && now - r->path_checked_at < CHECK_INTERVAL))
 		return false;
 	r->path_checked_at = now;
@@ -72,7 +71,7 @@
 	bool lost = false;
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		if (strcmp(r->entry.pool, pool) != 0 || strcmp(r->region, f->config.region) != 0 ||
+		if (!r->own_region || strcmp(r->entry.pool, pool) != 0 ||
 		    !ap_replica_usable(f, r, now))
 			continue;
 		if (r->path_lost_at == 0)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -111,6 +111,7 @@
 
 /**
  * struct ap_replica - an upstream.
+ * @own_region: it is in this instance's region
  * @tag: hash of the id, which identifies the upstream in announcements
  * @build: of its pool and version
  * @serial: number of this state; that of an upstream whose entry was gone for a while is a new one
@@ -164,6 +165,7 @@
 	UT_hash_handle by_tag;
 	ap_replica_entry_t entry;
 	char region[AP_NAME_MAX];
+	bool own_region;
 	uint32_t tag;
 	uint64_t build;
 	uint64_t serial;
@@ -229,11 +231,21 @@
  * @watches_store: the instance watches the store
  * @store_era, @store_revision: of the last change of the store that the instance read
  * @loads: its load at upstreams, as announced at @loads_at
+ * @self: this instance
+ * @own_region: of this instance's region
+ * @tag, @data_centre, @region: hashes of these names
+ * @relay_score, @watcher_score: rank among instances, by hash
+ * @heard_inc, @heard_seq: incarnation and number of the last announcement
+ * @named_relay: tag of the relay that it wants batches from; 0 for none
+ * @serves: it passes on what others announce, as its last announcement says
+ * @direct: messages for its region are sent to it, not to a relay
+ * @relay_silent_until: it isn't wanted as a relay until then
  * @lost_pools: hashes of the pools that it has lost all paths to, as known until @lost_until
  * @lost_at: since when it has lost any; 0 for none
  */
 typedef struct ap_member_state {
 	UT_hash_handle hh;
+	UT_hash_handle by_tag;
 	ap_member_t member;
 	bool removed;
 	bool listed;
@@ -248,6 +260,19 @@
 	ap_announced_load_t *loads;
 	size_t n_loads;
 	ap_usec_t loads_at;
+	bool self;
+	bool own_region;
+	uint32_t tag;
+	uint32_t data_centre;
+	uint32_t region;
+	double relay_score;
+	double watcher_score;
+	ap_id_t heard_inc;
+	uint64_t heard_seq;
+	uint32_t named_relay;
+	bool serves;
+	bool direct;
+	ap_usec_t relay_silent_until;
 	uint64_t lost_pools[LOST_POOLS_MAX];
 	size_t n_lost_pools;
 	ap_usec_t lost_until;
@@ -313,6 +338,7 @@
 	ap_replica_t *replicas;
 	ap_replica_t *tagged; /* the same upstreams, by tag */
 	ap_member_state_t *members;
+	ap_member_state_t *member_tags; /* the same instances, by tag */
 	ap_pool_state_t *pools;
 	ap_remote_pool_t *remote_pools;
 	ap_data_centre_state_t *data_centres;
@@ -344,6 +370,15 @@
 	uint64_t streams_told_remote;
 	ap_gone_build_t gone_builds[GONE_BUILDS_MAX]; /* ring */
 	size_t n_gone_builds;			      /* so far */
+	bool relayed;	    /* relays pass on what is announced in this region */
+	uint32_t relay_tag; /* of the relay that this instance wants batches from; 0 for none */
+	ap_usec_t relay_heard_at; /* its last batch, or when it was named */
+	bool served;		  /* it served as a relay at the last tick */
+	msgpack_sbuffer batch;	  /* messages to be passed on */
+	msgpack_packer batch_pk;  /* writes to @batch */
+	size_t n_batched;
+	ap_usec_t batch_sent_at;
+	uint64_t batch_dropped;
 	bool evidence_wanted; /* an instance that has just started needs all of it */
 };
 
@@ -426,8 +461,24 @@
  * that this instance sends at most MESSAGES_PER_SECOND.
  */
 ap_usec_t ap_announce_interval(const ap_fleet_t *f);
-void ap_send_to_region(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data,
-		       size_t len, ap_usec_t now);
+
+/* relay.c */
+#define AP_RELAYS 2 /* of a data centre */
+/* Returns the hash that stands for instance @id in messages. */
+uint32_t ap_member_tag(const char *id);
+/* Likewise of a region, to compare instances with. */
+uint32_t ap_region_tag(const char *region);
+/* Sets what relays and their choice need of an instance whose record was read. */
+void ap_relay_member_init(ap_member_state_t *m);
+/* Sets @direct of all instances, and whether there are relays in the own region. */
+void ap_relay_mark(ap_fleet_t *f, ap_usec_t now);
+/* Returns how many instances this one passes on to what others announce. */
+size_t ap_relay_served(const ap_fleet_t *f, ap_usec_t now);
+/* Names a relay, and sends the batch that is due. To be called several times a second. */
+void ap_relay_tick(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now);
+/* Sends a message to the other instances of the region, by way of relays if there are any. */
+void ap_relay_send_to_region(ap_fleet_t *f, const ap_peer_port_t *peer, const void *data,
+			     size_t len, ap_usec_t now);
 
 /* prefix.c */
 void ap_prefix_cache_init(ap_prefix_cache_t *c);
@@ -449,6 +500,8 @@
 /* Suspects @m after a timeout or a failed connection: other instances are preferred for a while. */
 void ap_member_suspect(const ap_fleet_t *f, ap_member_state_t *m, ap_usec_t now);
 bool ap_member_live(const ap_member_state_t *m, ap_usec_t now);
+/* store-watch.c: rank of an instance among those that may watch the store for all. */
+double ap_watcher_score(const char *id);
 bool ap_is_live_other(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now);
 bool ap_in_own_region(const ap_fleet_t *f, const ap_member_state_t *m);
 ap_member_state_t *ap_member_find(const ap_fleet_t *f, const char *id);
--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -160,6 +160,26 @@
 	       ap_streams_apply(f, &s->builds, &s->streams, origin, now);
 }
 
+/* A message may come twice, by way of two relays, or late, from a relay that was frozen. */
+static bool is_old(ap_member_state_t *m, const ap_wire_in_t *in)
+{
+	bool old = ap_id_eq(m->heard_inc, in->head.from) && in->head.seq <= m->heard_seq;
+
+	if (!old) {
+		m->heard_inc = in->head.from;
+		m->heard_seq = in->head.seq;
+	}
+	return old;
+}
+
+/* An instance that has just started is told by its relay, or by all where there is none. */
+static bool must_inform(const ap_fleet_t *f, uint32_t named_relay)
+{
+	const ap_member_state_t *self = ap_member_find(f, f->config.id);
+
+	return named_relay == 0 || (self && self->tag == named_relay);
+}
+
 static bool receive_announcement(ap_fleet_t *f, const char *from, const ap_wire_in_t *in,
 				 ap_usec_t now)
 {
@@ -182,7 +202,11 @@
 	ap_wire_reader_t colds = optional_array(&r);
 	ap_wire_reader_t lost = optional_array(&r);
 	ap_wire_reader_t brittle = optional_array(&r);
+	uint32_t named_relay = r.left > 0 ? (uint32_t)ap_wire_u64(&r) : 0;
+	bool serves = r.left > 0 && ap_wire_bool(&r);
 
+	if (m && is_old(m, in))
+		return true;
 	/* The load of an unknown instance is ignored; the next announcement follows soon. */
 	if (!r.ok || !health.ok || !unnamed.ok || (m && !apply_loads(f, m, &loads, now)) ||
 	    !apply_new_prefixes(f, &prefixes) || !apply_health(f, &health, now) ||
@@ -192,27 +216,33 @@
 	    (m && !ap_paths_apply(m, &lost, now)) || !ap_brittle_apply(f, &brittle, now))
 		return false;
 	f->informed = f->informed || informed;
-	if (says_informed && !informed && !ap_fleet_uninformed(f, now)) {
+	if (says_informed && !informed && !ap_fleet_uninformed(f, now) &&
+	    must_inform(f, named_relay)) {
 		f->announced_at = 0; /* the sender waits for an announcement */
 		f->evidence_wanted = true;
 	}
 	if (!m)
 		return true;
 	apply_draining(f, m, in->head.from, draining, now);
+	m->named_relay = named_relay;
+	m->serves = serves;
 	m->watches_store = watching;
 	m->store_era = era;
 	m->store_revision = revision;
 	return true;
 }
 
-static bool receive_waits(ap_fleet_t *f, const ap_wire_in_t *in, ap_usec_t now)
+static bool receive_waits(ap_fleet_t *f, const char *from, const ap_wire_in_t *in, ap_usec_t now)
 {
+	ap_member_state_t *m = ap_member_find(f, from);
 	ap_wire_reader_t r = ap_wire_reader(&in->body);
 	ap_wire_reader_t waits;
 	ap_wire_reader_t lost;
 	shared_t shared;
 	char region[AP_NAME_MAX];
 
+	if (m && is_old(m, in))
+		return true;
 	ap_wire_str(&r, region, sizeof(region));
 	waits = ap_wire_array(&r);
 	shared = read_shared(&r);
@@ -249,7 +279,7 @@
 	if (!ap_wire_in_open(&in, (ap_wire_kind_t)kind, data, len, NULL))
 		return false;
 	ok = kind == AP_WIRE_FLEET ? receive_announcement(f, from, &in, now)
-				   : receive_waits(f, &in, now);
+				   : receive_waits(f, from, &in, now);
 	ap_wire_in_close(&in);
 	return ok;
 }
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -113,6 +113,7 @@
 	r->shutdown_at = AP_NEVER;
 	ap_prefix_cache_init(&r->cache);
 	ap_copy_name(r->region, sizeof(r->region), ap_data_centre_region(f, entry->data_centre));
+	r->own_region = strcmp(r->region, f->config.region) == 0;
 	HASH_ADD(hh, f->replicas, entry.id, strlen(r->entry.id), r);
 	HASH_ADD(by_tag, f->tagged, tag, sizeof(r->tag), r);
 	return r;
@@ -293,6 +294,8 @@
 		.members = ap_fleet_count_members(f, NULL),
 		.suspect_parts = ap_suspects_count(f, false),
 		.suspect_requests = ap_suspects_count(f, true),
+		.relay_served = ap_relay_served(f, now),
+		.batch_dropped = f->batch_dropped,
 	};
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
--- a/lib/fleet/store-watch.c
+++ b/lib/fleet/store-watch.c
@@ -35,31 +35,29 @@
 	return instances >= SHARED_WATCH_MIN;
 }
 
-void ap_fleet_relay(const ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
+void ap_fleet_relay(ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
 		    ap_usec_t now)
 {
 	if (shares_store_watch(f, now))
-		ap_send_to_region(f, peer, data, len, now);
+		ap_relay_send_to_region(f, peer, data, len, now);
 }
 
 /* Watchers are chosen by hash, so that all instances agree without communication. */
-static double watcher_score(const char *id)
+double ap_watcher_score(const char *id)
 {
 	return ap_rendezvous(WATCHER_KEY, ap_hash_str(id, 7), 1);
 }
 
 bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *era, uint64_t *revision)
 {
-	double own = watcher_score(f->config.id);
+	double own = ap_watcher_score(f->config.id);
 	size_t watching = 0;
 
 	*era = 0;
 	*revision = 0;
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (!ap_member_live(m, now) || !ap_in_own_region(f, m))
-			continue;
-		if (!ap_is_live_other(f, m, now) || !m->watches_store ||
-		    now - m->heard_at > WATCHER_MAX_AGE)
+		if (!m->watches_store || !m->own_region || now - m->heard_at > WATCHER_MAX_AGE ||
+		    !ap_is_live_other(f, m, now))
 			continue;
 		if (m->store_era > *era) {
 			*era = m->store_era;
@@ -67,7 +65,7 @@
 		}
 		if (m->store_era == *era && m->store_revision > *revision)
 			*revision = m->store_revision;
-		watching += watcher_score(m->member.id) > own;
+		watching += m->watcher_score > own;
 	}
 	return watching >= WATCHERS && shares_store_watch(f, now);
 }
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -47,6 +47,7 @@
 	AP_WIRE_SNAPSHOT,   /* items read from the store, for an instance that starts */
 	AP_WIRE_WAITS,	    /* expected waits, to remote regions */
 	AP_WIRE_CHANGES,    /* changes read from the store */
+	AP_WIRE_BATCH,	    /* messages of other instances, passed on */
 } ap_wire_kind_t;
 
 /**
