Pass the operator's document on by way of relays

Cause: a change over 8 KB, a new configuration, was read from the store by each instance, 295 calls for each version, and by all at the same moment over the links that carry requests; a read that takes more than 700 ms is begun again.

Change: with relays, watchers tell changes of up to 256 KB, and a relay passes on one copy of what several of them tell (follow_test: changes_that_were_passed_on_are_not_again).

--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -42,7 +42,9 @@
 		if (!ap_fleet_open_batch(gate->fleet, from, data, len, now, gate, on_passed_on))
 			ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL,
 					 "s:s", "from", from);
-	} else if (apply(gate, from, data, len, now)) {
+	} else if (apply(gate, from, data, len, now) &&
+		   (ap_wire_peek(data, len) != AP_WIRE_CHANGES ||
+		    ap_changes_pass_on(gate->follow, data, len))) {
 		ap_fleet_pass_on(gate->fleet, from, data, len, now);
 	}
 	gate_store_tick(gate, now);
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -22,8 +22,6 @@
  */
 #define RECOVERY_TIME (2500 * AP_MSEC)
 #define LEASE_TTL (3 * AP_SEC)
-/* Larger changes are not relayed; relays by several instances would cost more than reads. */
-#define RELAY_BYTES_MAX (8 << 10)
 
 /* Records that the store returned to an older copy of itself. */
 static void record_era(gateway_t *gate, const ap_store_read_t *read)
@@ -230,7 +228,7 @@
 		return;
 	port = ap_peer_as_port(gate->peer);
 	bytes = ap_changes_pack(after, read, &len);
-	if (bytes && len <= RELAY_BYTES_MAX)
+	if (bytes)
 		ap_fleet_relay(gate->fleet, &port, bytes, len, ap_now());
 	free(bytes);
 }
--- a/lib/fleet/store-watch.c
+++ b/lib/fleet/store-watch.c
@@ -8,6 +8,12 @@
 #define WATCHER_KEY 11
 #define WATCHERS 3	   /* per region: two may lose the store without noticing */
 #define SHARED_WATCH_MIN 7 /* instances; in a smaller region each watches for itself */
+/*
+ * Longer messages are not sent: each instance then reads the store itself. Relays pass on one copy
+ * of what several watchers tell; without relays each watcher sends to all.
+ */
+#define CHANGES_BYTES_MAX (8 << 10)
+#define CHANGES_BYTES_MAX_RELAYED (256 << 10)
 #define WATCHER_MAX_AGE (1600 * AP_MSEC) /* announcements come at least once a second */
 
 void ap_fleet_set_store_state(ap_fleet_t *f, bool watching, uint64_t era, uint64_t revision)
@@ -38,7 +44,8 @@
 void ap_fleet_relay(ap_fleet_t *f, const ap_peer_port_t *peer, const void *data, size_t len,
 		    ap_usec_t now)
 {
-	if (shares_store_watch(f, now))
+	if (len <= (f->relayed ? CHANGES_BYTES_MAX_RELAYED : CHANGES_BYTES_MAX) &&
+	    shares_store_watch(f, now))
 		ap_relay_send_to_region(f, peer, data, len, now);
 }
 
--- a/lib/follow/changes.c
+++ b/lib/follow/changes.c
@@ -86,3 +86,22 @@
 	ap_wire_in_close(&in);
 	return ok;
 }
+
+bool ap_changes_pass_on(ap_follow_t *f, const void *data, size_t len)
+{
+	ap_span_t span;
+	ap_wire_reader_t r;
+	ap_wire_in_t in;
+	bool ok;
+
+	if (!ap_wire_in_open(&in, AP_WIRE_CHANGES, data, len, NULL))
+		return false;
+	r = ap_wire_reader(&in.body);
+	span.after = ap_wire_u64(&r);
+	span.as_of = ap_wire_u64(&r);
+	ap_wire_array(&r);
+	span.era = r.left > 0 ? ap_wire_u64(&r) : 0;
+	ok = r.ok && ap_follow_pass_on(f, &span);
+	ap_wire_in_close(&in);
+	return ok;
+}
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -10,6 +10,8 @@
 #define OVERDUE (300 * AP_MSEC)	       /* a few round trips between regions */
 #define JITTER 0.2 /* random part of a pause, so that instances don't call at the same time */
 
+#define SPANS_MAX 16 /* of changes that are remembered as passed on */
+
 typedef enum state {
 	STATE_LIST,
 	STATE_WATCH,
@@ -35,6 +37,8 @@
 	ap_usec_t last_response_at;
 	ap_usec_t available_again_at; /* when the store last became available again */
 	ap_usec_t backoff;
+	ap_span_t passed_on[SPANS_MAX]; /* ring */
+	size_t n_passed_on;		/* so far */
 };
 
 ap_follow_t *ap_follow_new(const ap_follow_config_t *config, ap_usec_t now)
@@ -307,3 +311,16 @@
 {
 	return now - f->available_again_at < f->config.recovery_time;
 }
+
+bool ap_follow_pass_on(ap_follow_t *f, const ap_span_t *span)
+{
+	for (size_t i = 0; i < f->n_passed_on && i < SPANS_MAX; i++) {
+		const ap_span_t *known = &f->passed_on[i];
+
+		if (known->era == span->era && known->after <= span->after &&
+		    known->as_of >= span->as_of)
+			return false;
+	}
+	f->passed_on[f->n_passed_on++ % SPANS_MAX] = *span;
+	return true;
+}
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -115,6 +115,20 @@
  * of an earlier era; those of a later era make the list be read.
  */
 void ap_follow_relayed(ap_follow_t *f, uint64_t after, const ap_store_read_t *read, ap_usec_t now);
+/* Changes of the store after revision @after, up to @as_of. */
+typedef struct ap_span {
+	uint64_t era;
+	uint64_t after;
+	uint64_t as_of;
+} ap_span_t;
+
+/**
+ * ap_follow_pass_on() - returns whether these changes are to be passed on: several instances read
+ * and tell the same, and one copy is enough.
+ */
+bool ap_follow_pass_on(ap_follow_t *f, const ap_span_t *span);
+/** ap_changes_pass_on() - likewise for a message of ap_changes_pack(); false if it is malformed. */
+bool ap_changes_pass_on(ap_follow_t *f, const void *data, size_t len);
 /**
  * ap_changes_pack() - packs the arguments of ap_follow_relayed() into a message.
  *
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -446,6 +446,26 @@
 	ap_snapshot_free(items);
 }
 
+/* Three instances read the same changes; a relay passes on one copy, and what only one has. */
+static void changes_that_were_passed_on_are_not_again(void **state)
+{
+	static const struct {
+		ap_span_t span;
+		bool passed;
+	} steps[] = {
+		{{1, 10, 12}, true}, {{1, 10, 12}, false}, {{1, 11, 12}, false},
+		{{1, 9, 12}, true},  {{1, 12, 14}, true},  {{1, 11, 14}, true},
+		{{2, 11, 12}, true}, {{2, 12, 12}, false}, {{1, 12, 13}, false},
+	};
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++)
+		assert_int_equal(ap_follow_pass_on(f, &steps[i].span), steps[i].passed);
+	ap_follow_free(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -458,6 +478,7 @@
 		cmocka_unit_test(relayed_changes_need_no_call),
 		cmocka_unit_test(a_late_response_does_not_undo_relayed_changes),
 		cmocka_unit_test(only_new_watched_changes_are_relayed),
+		cmocka_unit_test(changes_that_were_passed_on_are_not_again),
 		cmocka_unit_test(a_lease_is_renewed_well_before_it_expires),
 		cmocka_unit_test(an_expired_lease_is_replaced),
 		cmocka_unit_test(a_new_era_ends_the_lease),
