Count refusals as time lost when a region is chosen

Cause: a plain service that refuses what it has no room for never has a queue that announcements could tell of, so a region's instances went on sending there while other regions had room.

Change: the share of recent requests refused, by pool and region, counts with three objectives a refusal; not for requests with a large prefix.

--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -37,6 +37,8 @@
 #define JITTER_US 2000.0  /* waits that differ by less are treated as equal */
 #define KV_FULL_SHARE 0.9 /* share of the KV cache above which engines preempt requests */
 #define KV_FULL_COST_US 1500000.0
+/* Time lost by refusals from which on remote regions are considered: what forwarding takes. */
+#define REFUSALS_MAX_US 150000.0
 #define LOCAL_WAIT_SHARE 0.7 /* of the objective; for shorter waits, forwarding is not worth it */
 #define QUEUE_SHARE 0.7	     /* of the objective, for other requests; the rest is for this one */
 
@@ -415,10 +417,11 @@
 
 /*
  * Returns whether the local upstream is the better choice. Processing a large prefix again delays
- * other requests too and is weighted, unless the wait in the remote region would be too long.
+ * other requests too and is weighted, unless the wait in the remote region would be too long. @lost
+ * is the time lost by refusals here.
  */
 static bool prefer_local(ap_fleet_t *f, const ap_dispatch_t *req, double wait_limit,
-			 const candidate_t *local, const ap_remote_candidate_t *remote)
+			 const candidate_t *local, double lost, const ap_remote_candidate_t *remote)
 {
 	uint32_t shared = ap_dispatch_prefix_tokens(req);
 	double recompute_cost = 0;
@@ -426,7 +429,7 @@
 	if (local->cached < shared && remote->cached >= shared && remote->wait < wait_limit)
 		recompute_cost = RECOMPUTE_WEIGHT * (ap_prefill_us(f, req, local->cached) -
 						     ap_prefill_us(f, req, remote->cached));
-	return local->wait + recompute_cost <= remote->wait + REMOTE_MARGIN_US;
+	return local->wait + lost + recompute_cost <= remote->wait + REMOTE_MARGIN_US;
 }
 
 /* The request goes to instance @peer, which is to send it to the upstream of @target. */
@@ -473,6 +476,7 @@
 	candidate_t local = {0};
 	ap_remote_candidate_t remote = {0};
 	const ap_member_t *peer;
+	double lost = 0; /* by refusals */
 	bool found_local = find_local(f, req, local_only, now, &local, &peer);
 	bool found_remote = false;
 	ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
@@ -480,7 +484,10 @@
 
 	if (p)
 		p->warmup = req->pool->warmup;
-	if (!local_only && (!found_local || local.wait > wait_limit ||
+	/* A large prefix isn't processed again elsewhere for a refusal. */
+	if (p && found_local && ap_dispatch_prefix_tokens(req) < SHARED_TOKENS_MIN)
+		lost = ap_refusals_us(&p->refusals, req, now);
+	if (!local_only && (!found_local || local.wait > wait_limit || lost > REFUSALS_MAX_US ||
 			    (prefix_region && local.cached < ap_dispatch_prefix_tokens(req))))
 		found_remote = ap_best_remote(f, req, prefix_region, now, &remote);
 	/* A path that is lost is tried once if nobody else can serve the request. */
@@ -488,7 +495,8 @@
 		found_local = best_local(f, req, SENDER_LAST_CHOICE, now, &local);
 	if (!found_local && !found_remote)
 		return AP_FLEET_NONE;
-	if (found_local && (!found_remote || prefer_local(f, req, wait_limit, &local, &remote)))
+	if (found_local &&
+	    (!found_remote || prefer_local(f, req, wait_limit, &local, lost, &remote)))
 		fill_local_target(f, req, &local, now, target);
 	else
 		ap_fill_remote_target(&remote, target);
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -26,7 +26,11 @@
 #define SLOWDOWN_MIN 0.5 /* limits of the estimated ratio */
 #define SLOWDOWN_MAX 8.0
 #define SLOWDOWN_BASE_US 30000.0 /* added to both waits, so that short ones have little effect */
-#define WAITS_MAX 1024		 /* upstreams of a pool */
+#define REFUSALS_GAIN 0.1	 /* weight of one request */
+/* Objectives that a refusal costs: its caller comes again later, and may be refused again. */
+#define REFUSAL_COST 3.0
+#define REFUSALS_HALF_LIFE (2 * AP_SEC)
+#define WAITS_MAX 1024		       /* upstreams of a pool */
 #define LOADS_MAX_AGE (1500 * AP_MSEC) /* above the IDLE_INTERVAL of announce.c */
 
 ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool)
@@ -196,6 +200,29 @@
 	return p ? ap_pool_wait(f, p, ap_announced_priority(req->route->priority), now) : AP_NEVER;
 }
 
+static double refused_share(const ap_refusals_t *refusals, ap_usec_t now)
+{
+	double halves = (double)(now - refusals->at) / (double)REFUSALS_HALF_LIFE;
+
+	return refusals->share * exp2(-fmax(halves, 0));
+}
+
+double ap_refusals_us(const ap_refusals_t *refusals, const ap_dispatch_t *req, ap_usec_t now)
+{
+	return refused_share(refusals, now) * REFUSAL_COST * (double)req->route->objective;
+}
+
+static void learn_refusals(ap_refusals_t *refusals, ap_dispatch_result_t end, ap_usec_t now)
+{
+	bool refused = end == AP_DISPATCH_REFUSED;
+
+	if (!refused && end != AP_DISPATCH_DONE && end != AP_DISPATCH_ERROR)
+		return;
+	refusals->share = refused_share(refusals, now);
+	refusals->share += REFUSALS_GAIN * (refused - refusals->share);
+	refusals->at = now;
+}
+
 static void add_load(ap_load_t *sum, const ap_load_t *load, uint32_t times)
 {
 	for (unsigned i = 0; i < AP_PRIORITIES; i++) {
@@ -402,7 +429,11 @@
 static void done_local(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight,
 		       ap_dispatch_result_t end, ap_usec_t now)
 {
+	ap_pool_state_t *p = ap_pool_state(f, inflight->pool);
+
 	remove_load(r, inflight);
+	if (p)
+		learn_refusals(&p->refusals, end, now);
 	if (end == AP_DISPATCH_DONE) {
 		learn_mean(f, inflight, now);
 		ap_suspect_completed(f, inflight, now);
@@ -420,7 +451,12 @@
 			ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, inflight->id);
+	ap_remote_pool_t *remote = NULL;
 
+	if (strcmp(inflight->region, f->config.region) != 0)
+		remote = ap_remote_pool(f, inflight->region, inflight->pool);
+	if (remote)
+		learn_refusals(&remote->refusals, end, now);
 	if (m && (end == AP_DISPATCH_UNREACHABLE || end == AP_DISPATCH_TIMED_OUT))
 		ap_member_suspect(f, m, now);
 }
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -288,6 +288,12 @@
 	int64_t step; /* current step, counted since time 0 */
 } ap_budget_t;
 
+/* Share of recent requests that were refused at a pool, as of @at; decays. */
+typedef struct ap_refusals {
+	double share;
+	ap_usec_t at;
+} ap_refusals_t;
+
 /* Learned rates and the retry budget of a pool. */
 typedef struct ap_pool_state {
 	UT_hash_handle hh;
@@ -297,6 +303,7 @@
 	double wait_scale;     /* ratio of observed to estimated waits for a slot */
 	ap_usec_t warmup;      /* from the configuration; 0 until a request for the pool was seen */
 	uint64_t build;	       /* of one upstream; while builds are counted */
+	ap_refusals_t refusals; /* at the upstreams of the own region */
 	ap_budget_t budget;
 } ap_pool_state_t;
 
@@ -309,6 +316,7 @@
 	ap_usec_t wait[ANNOUNCED_WAITS]; /* for priority 0, and for all requests */
 	ap_usec_t announced_at;
 	uint32_t sent_since; /* requests sent there since @announced_at */
+	ap_refusals_t refusals;
 	ap_prefix_cache_t cache;
 } ap_remote_pool_t;
 
@@ -536,6 +544,11 @@
  */
 ap_usec_t ap_pool_wait(ap_fleet_t *f, const ap_pool_state_t *p, unsigned priority, ap_usec_t now);
 ap_remote_pool_t *ap_remote_pool(ap_fleet_t *f, const char *region, const char *pool);
+/*
+ * Returns the time that is lost on average where a share of the requests is refused: an upstream
+ * that refuses what it has no room for never has a long queue, however little it can take.
+ */
+double ap_refusals_us(const ap_refusals_t *refusals, const ap_dispatch_t *req, ap_usec_t now);
 /* Sums up what the other instances announced, for each upstream. */
 void ap_load_recount(ap_fleet_t *f, ap_usec_t now);
 /* Returns the expected time to the first chunk at @r, which has to process @uncached tokens. */
--- a/lib/fleet/remote.c
+++ b/lib/fleet/remote.c
@@ -89,7 +89,8 @@
 		    c.cached < ap_dispatch_prefix_tokens(req))
 			c.cached = ap_dispatch_prefix_tokens(req);
 		c.queue = remote_queue_us(f, remote, req, slots, now);
-		c.wait = ROUND_TRIP_US + c.queue + ap_prefill_us(f, req, c.cached);
+		c.wait = ROUND_TRIP_US + c.queue + ap_prefill_us(f, req, c.cached) +
+			 ap_refusals_us(&remote->refusals, req, now);
 		if (!found || c.wait < best->wait)
 			*best = c;
 		found = true;
