Read announcements that tell what was seen a moment after they began

Cause: an item of the store is applied with the time of its own, and the announcement that is sent for it at once is packed with the time at which the response came, some microseconds earlier. The age of an evacuation that had just been read was then below 0, packed as a number that every receiver refuses, and with it all else that the announcement said: the announcement that matters most, the first one after an evacuation, was lost. Ages of limits, leaving and brittle upstreams and of ends had the same way.

Change: an age is at least 0.

fleet_leaving_test, what_is_a_moment_younger_than_its_announcement_is_heard: failed before, passes.

--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -149,7 +149,7 @@
 		msgpack_pack_array(pk, 3);
 		ap_wire_pack_str(pk, dc->data_centre);
 		ap_wire_pack_bool(pk, !dc->evacuated);
-		msgpack_pack_uint64(pk, (uint64_t)(now - at) / AP_MSEC);
+		msgpack_pack_uint64(pk, ap_age_ms(now, at));
 	}
 	return n;
 }
--- a/lib/fleet/brittle.c
+++ b/lib/fleet/brittle.c
@@ -196,7 +196,7 @@
 			continue;
 		msgpack_pack_uint32(pk, r->tag);
 		msgpack_pack_uint64(pk, (uint64_t)fmin(r->refusals_max * MILLI, UINT32_MAX));
-		msgpack_pack_uint64(pk, (uint64_t)(now - r->brittle_seen_at) / AP_MSEC);
+		msgpack_pack_uint64(pk, ap_age_ms(now, r->brittle_seen_at));
 	}
 	return n;
 }
--- a/lib/fleet/leaving.c
+++ b/lib/fleet/leaving.c
@@ -116,7 +116,7 @@
 		if (!is_announced(l, now))
 			continue;
 		msgpack_pack_uint32(pk, l->tag);
-		msgpack_pack_uint64(pk, (uint64_t)(now - l->seen_at) / AP_MSEC);
+		msgpack_pack_uint64(pk, ap_age_ms(now, l->seen_at));
 	}
 	return n;
 }
--- a/lib/fleet/limit.c
+++ b/lib/fleet/limit.c
@@ -88,7 +88,7 @@
 		msgpack_pack_uint32(pk, r->tag);
 		ap_wire_pack_bool(pk, r->limited);
 		msgpack_pack_uint64(pk, (uint64_t)fmin(r->limit * MILLI, UINT32_MAX));
-		msgpack_pack_uint64(pk, (uint64_t)(now - r->limit_seen_at) / AP_MSEC);
+		msgpack_pack_uint64(pk, ap_age_ms(now, r->limit_seen_at));
 	}
 	return n;
 }
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -390,6 +390,12 @@
 	bool evidence_wanted; /* an instance that has just started needs all of it */
 };
 
+/* Returns an age for a message; @at may be a moment after @now, if it was seen meanwhile. */
+static inline uint64_t ap_age_ms(ap_usec_t now, ap_usec_t at)
+{
+	return at < now ? (uint64_t)(now - at) / AP_MSEC : 0;
+}
+
 /* replica.c */
 /*
  * Notices that the process was stopped, before its next tick: requests that arrived meanwhile are
@@ -470,24 +476,6 @@
  */
 ap_usec_t ap_announce_interval(const ap_fleet_t *f);
 
-/* relay.c */
-#define AP_RELAYS 2 /* of a data centre */
-/* Returns the hash that stands for instance @id in messages. */
-uint32_t ap_member_tag(const char *id);
-/* Likewise of a region, to compare instances with. */
-uint32_t ap_region_tag(const char *region);
-/* Sets what relays and their choice need of an instance whose record was read. */
-void ap_relay_member_init(ap_member_state_t *m);
-/* Sets @direct of all instances, and whether there are relays in the own region. */
-void ap_relay_mark(ap_fleet_t *f, ap_usec_t now);
-/* Returns how many instances this one passes on to what others announce. */
-size_t ap_relay_served(const ap_fleet_t *f, ap_usec_t now);
-/* Names a relay, and sends the batch that is due. To be called several times a second. */
-void ap_relay_tick(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now);
-/* Sends a message to the other instances of the region, by way of relays if there are any. */
-void ap_relay_send_to_region(ap_fleet_t *f, const ap_peer_port_t *peer, const void *data,
-			     size_t len, ap_usec_t now);
-
 /* prefix.c */
 void ap_prefix_cache_init(ap_prefix_cache_t *c);
 void ap_prefix_cache_clear(ap_fleet_t *f, ap_prefix_cache_t *c);
@@ -601,5 +589,6 @@
 bool ap_dispatch_avoids(const ap_dispatch_t *req, const char *id);
 
 #include "fleet/condition.h"
+#include "fleet/relay.h"
 
 #endif
--- a/lib/fleet/suspect-wire.c
+++ b/lib/fleet/suspect-wire.c
@@ -54,7 +54,7 @@
 {
 	msgpack_pack_array(pk, 2 + 2 * parts + (requests > 0));
 	msgpack_pack_uint32(pk, end->tag);
-	msgpack_pack_uint64(pk, (uint64_t)(now - end->at) / AP_MSEC);
+	msgpack_pack_uint64(pk, ap_age_ms(now, end->at));
 	if (parts > 0)
 		pack_traits(f, pk, end, false, now);
 	if (requests == 0)
@@ -94,7 +94,7 @@
 		if (s->completed <= now - FRESH)
 			continue;
 		msgpack_pack_uint64(pk, s->trait);
-		msgpack_pack_uint64(pk, (uint64_t)(now - s->completed) / AP_MSEC);
+		msgpack_pack_uint64(pk, ap_age_ms(now, s->completed));
 	}
 }
 
--- a/test/fleet_leaving_test.c
+++ b/test/fleet_leaving_test.c
@@ -168,9 +168,39 @@
 	}
 }
 
+/*
+ * What the store tells is applied with a time of its own, a moment after that of the announcement
+ * which is sent for it at once. Guards against an age below 0, which makes others discard the
+ * announcement.
+ */
+static void what_is_a_moment_younger_than_its_announcement_is_heard(void **state)
+{
+	const ap_usec_t now = WORLD_START + 10 * AP_SEC;
+	const ap_usec_t later = now + 50;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 3, 1);
+	net_replicas(&net, "desk", "north", 2);
+	ap_fleet_evacuate(net.fleets[0], "north-1", false, later);
+	ap_fleet_leaving_seen(net.fleets[0], "desk-north-0", later);
+	ap_fleet_limit_seen(net.fleets[0], "desk-north-1", 2, later);
+	ap_fleet_brittle_seen(net.fleets[0], "desk-north-1", 2, later);
+	net_announce(&net, now); /* asserts that each message is read */
+	for (size_t i = 1; i < 3; i++) {
+		ap_fleet_stats_t stats = ap_fleet_stats(net.fleets[i], now);
+
+		assert_int_equal(stats.draining, 1);
+		assert_int_equal(stats.limited, 1);
+		assert_int_equal(stats.brittle, 1);
+	}
+	net_end(&net);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(what_is_a_moment_younger_than_its_announcement_is_heard),
 		cmocka_unit_test(an_upstream_that_leaves_gets_nothing_and_its_successor_does),
 		cmocka_unit_test(an_older_record_does_not_hide_that_an_upstream_is_draining),
 		cmocka_unit_test(others_of_the_region_are_told),
