Keep the relay after a freeze, and take no third one for a relay itself

Cause: an instance that wakes has had no batch for as long as it was frozen, and blamed its relay; when many wake together, others became relays for three seconds. And a relay chose among the first two others, so that a third instance served it alone.

Change: a freeze starts the relay's time anew; a relay wants batches from the other of the first two.

--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -143,14 +143,14 @@
 	double most = 0;
 
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (m != self && m->region == self->region && may_relay(m, now) &&
+		if (m->region == self->region && may_relay(m, now) &&
 		    (!own_data_centre || m->data_centre == self->data_centre))
 			rank(&first, m);
 	}
 	for (size_t i = 0; i < AP_RELAYS && first.best[i]; i++) {
 		double score = ap_rendezvous(self->tag, first.best[i]->tag, 1);
 
-		if (!wanted || score > most) {
+		if (first.best[i] != self && (!wanted || score > most)) {
 			wanted = first.best[i];
 			most = score;
 		}
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -277,6 +277,7 @@
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
 		m->heard_at = 0;
 	f->informed = false;
+	f->relay_heard_at = now;
 	f->started_at = now;
 }
 
--- a/test/relay_run_test.c
+++ b/test/relay_run_test.c
@@ -21,6 +21,7 @@
 #define UPSTREAMS 210
 #define LARGE 120 /* instances */
 #define TICK (100 * AP_MSEC)
+#define FREEZE_MIN (800 * AP_MSEC)    /* between ticks of an instance that was frozen */
 #define PROMPT_EVERY (1600 * AP_MSEC) /* of one instance */
 #define REQUEST_EVERY (400 * AP_MSEC)
 #define REQUEST_TIME (2 * AP_SEC)
@@ -38,6 +39,7 @@
 	uint64_t life;
 	ap_fleet_t *fleet; /* NULL while it is down */
 	bool frozen;
+	ap_usec_t ticked_at;
 	bool cut; /* from all other instances */
 	uint32_t speaks;
 	unsigned sent;
@@ -185,6 +187,9 @@
 	fake_at(&n->w->sim, now + TICK, on_tick, n, next);
 	if (n->frozen)
 		return;
+	if (now - n->ticked_at > FREEZE_MIN)
+		ap_fleet_after_freeze(n->fleet, now);
+	n->ticked_at = now;
 	ap_fleet_tick(n->fleet, now);
 	if ((now / TICK + (ap_usec_t)n->number) % (REQUEST_EVERY / TICK) == 0)
 		send_request(n, (now / TICK + (ap_usec_t)n->number) % (PROMPT_EVERY / TICK) == 0);
@@ -206,6 +211,7 @@
 	uint64_t *life = calloc(1, sizeof(*life));
 
 	*life = n->life;
+	n->ticked_at = now;
 	ap_copy_name(config.id, sizeof(config.id), n->id);
 	ap_copy_name(config.region, sizeof(config.region), self.region);
 	ap_copy_name(config.data_centre, sizeof(config.data_centre), self.data_centre);
@@ -487,6 +493,36 @@
 	world_free(w);
 }
 
+static size_t count_serving(world_t *w)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < w->n; i++)
+		n += ap_fleet_stats(w->nodes[i].fleet, w->sim.now).relay_served > 0;
+	return n;
+}
+
+/* An instance that wakes has heard nothing, which says nothing of its relay. */
+static void instances_that_wake_keep_their_relays(void **state)
+{
+	world_t *w = world_new(LARGE, 0);
+	size_t serving;
+
+	(void)state;
+	run(w, 4 * AP_SEC);
+	serving = count_serving(w);
+	for (size_t i = 0; i < LARGE; i++)
+		w->nodes[i].frozen =
+			i >= LARGE / 2 &&
+			ap_fleet_stats(w->nodes[i].fleet, w->sim.now).relay_served == 0;
+	run(w, 2 * AP_SEC);
+	for (size_t i = 0; i < LARGE; i++)
+		w->nodes[i].frozen = false;
+	run(w, AP_SEC);
+	assert_int_equal(count_serving(w), serving);
+	world_free(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -498,6 +534,7 @@
 		cmocka_unit_test(the_loss_of_all_relays_of_a_data_centre_heals),
 		cmocka_unit_test(old_and_new_builds_hear_each_other),
 		cmocka_unit_test(instances_that_start_together_hear_the_others),
+		cmocka_unit_test(instances_that_wake_keep_their_relays),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
