--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -133,7 +133,7 @@
 	}
 }
 
-/* Returns the instance of @region, or of one data centre of it, that this one wants batches from.
+/* Returns the relay that this instance wants batches from, of its data centre or of all its region.
  */
 static ap_member_state_t *wanted_relay(ap_fleet_t *f, const ap_member_state_t *self,
 				       bool own_data_centre, ap_usec_t now)
