Show that a silent upstream is given up before another one has accepted the request

Callers saw streams cut in the middle with half of their time left, while their upstreams were sound and went on a moment later.

--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -234,4 +234,28 @@
 	ap_exchange_end(&w->x, how, w->now);
 }
 
+/* What the upstream of send @i does; nothing once its connection was dropped. */
+static inline bool is_open(const world_t *w, int i)
+{
+	return i == w->n_sent - 1;
+}
+
+static inline void head_of(world_t *w, int i, int status)
+{
+	if (is_open(w, i))
+		head(w, status);
+}
+
+static inline void data_of(world_t *w, int i, const char *text)
+{
+	if (is_open(w, i))
+		data(w, text);
+}
+
+static inline void end_of(world_t *w, int i, ap_connection_end_t how)
+{
+	if (is_open(w, i))
+		end(w, how);
+}
+
 #endif
