Record why a request was not sent to another target, and how its connection ended

The steps of a request didn't tell a refusal from a spent retry budget or from the lack of a target, nor a stream that ended by its framing from one that ended with its connection: what the hypotheses of the incident of silent upstreams differ in.

--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -162,7 +162,7 @@
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
 		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o,"
-		"s:o,s:s,s:o",
+		"s:o,s:s,s:o,s:s,s:s",
 		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 		"route", x->req.route->name, "pool", x->req.pool ? x->req.pool->name : "", "guest",
 		(int)c->forwarded, "status", c->status, "first_ms", msec(first), "objective_ms",
@@ -171,5 +171,7 @@
 		(int)x->sends, "runs", (int)x->runs, "refusals", (int)x->refusals, "version",
 		(json_int_t)c->plan->version, "expected_ms", msec(x->target.wait), "store_age_ms",
 		msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c), "parts",
-		parts_of(&x->req), "resumes", c->resumes, "fingerprint", hex(x->req.fingerprint));
+		parts_of(&x->req), "resumes", c->resumes, "fingerprint", hex(x->req.fingerprint),
+		"no_other", ap_reason_name(x->no_other), "connection_end",
+		ap_connection_end_name(x->connection_end));
 }
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -42,6 +42,15 @@
 	return names[step];
 }
 
+const char *ap_connection_end_name(ap_connection_end_t end)
+{
+	static const char *const names[] = {
+		"open", "framing", "close", "unsent", "broken", "timeout",
+	};
+
+	return names[end];
+}
+
 static void finish_attempt(ap_exchange_t *x, ap_dispatch_result_t end)
 {
 	x->in_flight = false;
@@ -182,12 +191,15 @@
 	return false;
 }
 
-static void dispatch_or_reply(ap_exchange_t *x, ap_usec_t now)
+static bool dispatch_other(ap_exchange_t *x, ap_usec_t now)
 {
-	ap_reason_t why;
+	return dispatch(x, &x->no_other, now);
+}
 
-	if (!dispatch(x, &why, now))
-		reply_error(x, why, now);
+static void dispatch_or_reply(ap_exchange_t *x, ap_usec_t now)
+{
+	if (!dispatch_other(x, now))
+		reply_error(x, x->no_other, now);
 }
 
 void ap_exchange_start(ap_exchange_t *x, unsigned attempts, ap_usec_t now)
@@ -241,14 +253,12 @@
 static void retry_or_reply(ap_exchange_t *x, ap_dispatch_result_t end, ap_reason_t reason,
 			   ap_usec_t now)
 {
-	ap_reason_t why;
-
 	if (end == AP_DISPATCH_TIMED_OUT)
 		avoid_target(x);
 	else
 		add_name(x->req.tried, &x->req.n_tried, x->target.id);
 	x->ops->log_step(x->ctx, AP_STEP_FAILED_AT, &x->target);
-	if (!may_run_again(x, now) || !dispatch(x, &why, now))
+	if (!may_run_again(x, now) || !dispatch_other(x, now))
 		reply_error(x, reason, now);
 }
 
@@ -438,7 +448,10 @@
 {
 	if (x->finished || !x->in_flight)
 		return;
+	x->connection_end = end;
 	switch (end) {
+	case AP_CONNECTION_OPEN:
+		break;
 	case AP_CONNECTION_COMPLETE:
 	case AP_CONNECTION_COMPLETE_ON_CLOSE:
 		response_complete(x, end == AP_CONNECTION_COMPLETE_ON_CLOSE, now);
@@ -514,6 +527,7 @@
 void ap_exchange_tick(ap_exchange_t *x, ap_usec_t now)
 {
 	ap_usec_t limit = no_data_limit(x);
+	ap_fleet_status_t status;
 	ap_target_t other;
 
 	if (x->finished)
@@ -531,7 +545,9 @@
 	 * wait as long again.
 	 */
 	avoid_target(x);
-	if (x->ops->choose(x->ctx, &x->req, &other) != AP_FLEET_OK || !x->ops->may_retry(x->ctx)) {
+	status = x->ops->choose(x->ctx, &x->req, &other);
+	if (status != AP_FLEET_OK || !x->ops->may_retry(x->ctx)) {
+		x->no_other = status == AP_FLEET_OK ? AP_REASON_BUDGET : reason_for(x, status);
 		x->last_chunk_at = now;
 		return;
 	}
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -15,6 +15,7 @@
 
 /* How the connection to a target ended, as far as the driver can tell. */
 typedef enum ap_connection_end {
+	AP_CONNECTION_OPEN,		 /* it has not ended */
 	AP_CONNECTION_COMPLETE,		 /* the response is complete by its framing */
 	AP_CONNECTION_COMPLETE_ON_CLOSE, /* clean close of a response without framing */
 	AP_CONNECTION_UNSENT,		 /* nothing of the request reached the target */
@@ -22,6 +23,9 @@
 	AP_CONNECTION_TIMED_OUT,	 /* a time limit passed; the request may have run */
 } ap_connection_end_t;
 
+/** ap_connection_end_name() - the end's name in logs. */
+const char *ap_connection_end_name(ap_connection_end_t end);
+
 /**
  * struct ap_response_head - what the head of a target's response tells.
  * @status: HTTP status
@@ -129,6 +133,8 @@
  * @retry_counted: the next retry was taken from the budget already
  * @finished: the caller has its final response or has disconnected; only
  *	ap_exchange_clear() is left to call
+ * @no_other: why the request was not sent to another target, the last time that this was considered
+ * @connection_end: of the latest connection that ended by itself
  * @last_event_id: id of the last event that the caller has, or empty
  * @buffer: data of the response that was not delivered yet
  * @scanned: bytes of @buffer that were searched for the end of an event
@@ -153,6 +159,8 @@
 	bool retry_counted;
 	bool finished;
 	ap_reason_t reason;
+	ap_reason_t no_other;
+	ap_connection_end_t connection_end;
 	ap_target_t target;
 	ap_inflight_t inflight;
 	ap_response_head_t head;
