--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -41,10 +41,8 @@
 {
 	gate_call_t *c = ctx;
 
-	if (!c->paused || !c->fetch)
-		return;
-	c->paused = false;
-	ap_http_fetch_pause(c->fetch, false);
+	gate_call_pause(c, false);
+	gate_call_update(c);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -106,7 +104,10 @@
 		free(c);
 		return NULL;
 	}
-	TAILQ_INIT(&c->headers);
+	for (unsigned i = 0; i < AP_SLOTS; i++) {
+		c->attempts[i].call = c;
+		TAILQ_INIT(&c->attempts[i].headers);
+	}
 	c->plan = ap_plan_ref(gate->plan);
 	c->x.ops = &gate_ops;
 	c->x.ctx = c;
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -18,10 +18,10 @@
 #define BUILD_TEXT_MAX 20	       /* bytes of a build in hexadecimal, with terminator */
 #define PRIORITY_OMITTED 10	       /* above the platform's scale: no priority header is sent */
 
-static void clear_response(gate_call_t *c)
+static void clear_response(gate_attempt_t *a)
 {
-	evhttp_clear_headers(&c->headers);
-	c->status = 0;
+	evhttp_clear_headers(&a->headers);
+	a->status = 0;
 }
 
 static void call_free(gate_call_t *c)
@@ -29,7 +29,8 @@
 	LIST_REMOVE(c, link);
 	event_free(c->timer);
 	ap_exchange_clear(&c->x);
-	clear_response(c);
+	for (unsigned i = 0; i < AP_SLOTS; i++)
+		clear_response(&c->attempts[i]);
 	if (c->body)
 		evbuffer_free(c->body);
 	ap_plan_unref(c->plan);
@@ -58,6 +59,27 @@
 	event_add(c->timer, &tv);
 }
 
+void gate_call_pause(gate_call_t *c, bool paused)
+{
+	if (c->paused == paused)
+		return;
+	c->paused = paused;
+	for (unsigned i = 0; i < AP_SLOTS; i++) {
+		if (c->attempts[i].fetch)
+			ap_http_fetch_pause(c->attempts[i].fetch, paused);
+	}
+}
+
+static unsigned slot_of(const gate_attempt_t *a)
+{
+	return (unsigned)(a - a->call->attempts);
+}
+
+static const ap_target_t *target_of(const gate_attempt_t *a)
+{
+	return &a->call->x.slot[slot_of(a)].target;
+}
+
 static ap_fleet_status_t op_choose(void *ctx, const ap_dispatch_t *work, ap_target_t *target)
 {
 	gate_call_t *c = ctx;
@@ -77,22 +99,26 @@
 }
 
 /* Passes on what the upstream's response says of the upstream itself. */
-static void see_upstream(gate_call_t *c, const ap_http_head_t *head, const ap_host_response_t *info)
+static void see_upstream(gate_attempt_t *a, const ap_http_head_t *head,
+			 const ap_host_response_t *info)
 {
-	if (c->x.target.remote || head->status == AP_HOST_MISDIRECTED)
+	gate_call_t *c = a->call;
+	const ap_target_t *target = target_of(a);
+
+	if (target->remote || head->status == AP_HOST_MISDIRECTED)
 		return;
 	if (info->leaving)
-		ap_fleet_leaving_seen(c->gate->fleet, c->x.target.id, ap_now());
+		ap_fleet_leaving_seen(c->gate->fleet, target->id, ap_now());
 	if (info->limit_invalid)
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "upstream.limit-invalid", c->id,
-				 "s:s", "upstream", c->x.target.id);
+				 "s:s", "upstream", target->id);
 	else if (info->limit >= 0 || info->from_replica)
-		ap_fleet_limit_seen(c->gate->fleet, c->x.target.id, info->limit, ap_now());
+		ap_fleet_limit_seen(c->gate->fleet, target->id, info->limit, ap_now());
 	if (info->refusals_invalid)
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "upstream.brittle-invalid",
-				 c->id, "s:s", "upstream", c->x.target.id);
+				 c->id, "s:s", "upstream", target->id);
 	else if (info->refusals >= 0 || info->from_replica)
-		ap_fleet_brittle_seen(c->gate->fleet, c->x.target.id, info->refusals, ap_now());
+		ap_fleet_brittle_seen(c->gate->fleet, target->id, info->refusals, ap_now());
 }
 
 /* Returns the build that a remote instance names; 0 for none. */
@@ -103,7 +129,7 @@
 	return build ? strtoull(build, NULL, 16) : 0;
 }
 
-/* A remote instance may have picked another pool of the route than this one. */
+/* Makes the pool of @build the one of the request. */
 static void follow_pool(gate_call_t *c, uint64_t build)
 {
 	const ap_plan_pool_t *pool = gate_build_pool(c, build);
@@ -120,14 +146,16 @@
 
 static void on_head(void *ctx, const ap_http_head_t *head)
 {
-	gate_call_t *c = ctx;
+	gate_attempt_t *a = ctx;
+	gate_call_t *c = a->call;
+	const ap_target_t *target = target_of(a);
 	ap_host_response_t info = ap_host_parse_response(head->headers, head->status, c->id);
 	const char *wait = evhttp_find_header(head->headers, FORWARD_HEADER_WAIT);
 	const char *not_run = evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN);
 	ap_response_head_t response = {
 		.status = head->status,
 		.refused = info.not_run,
-		.address_reused = head->status == AP_HOST_MISDIRECTED && !c->x.target.remote,
+		.address_reused = head->status == AP_HOST_MISDIRECTED && !target->remote,
 		.from_replica = info.from_replica,
 		.build = build_of(head->headers),
 	};
@@ -138,43 +166,39 @@
 		 * The response to another request. The one to this request may still arrive, but
 		 * the connection cannot be trusted.
 		 */
-		ap_http_fetch_t *fetch = c->fetch;
+		ap_http_fetch_t *fetch = a->fetch;
 
-		c->fetch = NULL;
+		a->fetch = NULL;
 		ap_http_fetch_cancel(fetch);
-		ap_exchange_end(&c->x, AP_CONNECTION_BROKEN, ap_now());
+		ap_exchange_end(&c->x, slot_of(a), AP_CONNECTION_BROKEN, ap_now());
 		gate_call_update(c);
 		return;
 	}
-	see_upstream(c, head, &info);
-	if (c->x.target.remote && not_run) {
+	see_upstream(a, head, &info);
+	if (target->remote && not_run) {
 		response.refused = true;
 		response.unsent = strcmp(not_run, FORWARD_NOT_RUN_UNSENT) == 0;
 	}
-	if (is_far(c->gate, &c->x.target) && wait)
-		ap_fleet_set_remote_wait(c->gate->fleet, c->x.target.region, c->x.req.pool->name,
+	if (is_far(c->gate, target) && wait)
+		ap_fleet_set_remote_wait(c->gate->fleet, target->region, c->x.req.pool->name,
 					 c->x.req.route->priority, strtol(wait, NULL, 10) * AP_MSEC,
 					 ap_now());
-	clear_response(c);
-	c->status = head->status;
+	clear_response(a);
+	a->status = head->status;
 	TAILQ_FOREACH (h, head->headers, next)
-		evhttp_add_header(&c->headers, h->key, h->value);
-	if (c->x.stream && c->x.target.remote)
-		follow_pool(c, response.build);
-	ap_exchange_head(&c->x, &response, ap_now());
+		evhttp_add_header(&a->headers, h->key, h->value);
+	ap_exchange_head(&c->x, slot_of(a), &response, ap_now());
 	gate_call_update(c);
 }
 
 static void on_data(void *ctx, const void *data, size_t len)
 {
-	gate_call_t *c = ctx;
+	gate_attempt_t *a = ctx;
+	gate_call_t *c = a->call;
 
-	ap_exchange_data(&c->x, data, len, ap_now());
-	if (c->call && c->fetch && c->started && !c->paused &&
-	    ap_http_reply_pending(c->call) > PENDING_MAX) {
-		c->paused = true;
-		ap_http_fetch_pause(c->fetch, true);
-	}
+	ap_exchange_data(&c->x, slot_of(a), data, len, ap_now());
+	if (c->call && c->started && ap_http_reply_pending(c->call) > PENDING_MAX)
+		gate_call_pause(c, true);
 	gate_call_update(c);
 }
 
@@ -198,10 +222,11 @@
 
 static void on_end(void *ctx, ap_http_end_t end, bool written)
 {
-	gate_call_t *c = ctx;
+	gate_attempt_t *a = ctx;
+	gate_call_t *c = a->call;
 
-	c->fetch = NULL;
-	ap_exchange_end(&c->x, connection_end(end, written), ap_now());
+	a->fetch = NULL;
+	ap_exchange_end(&c->x, slot_of(a), connection_end(end, written), ap_now());
 	gate_call_update(c);
 }
 
@@ -251,9 +276,10 @@
 	return true;
 }
 
-static bool op_send(void *ctx, const ap_target_t *target, const char *last_event)
+static bool op_send(void *ctx, unsigned slot, const ap_target_t *target, const char *last_event)
 {
 	gate_call_t *c = ctx;
+	gate_attempt_t *a = &c->attempts[slot];
 	gateway_t *gate = c->gate;
 	ap_usec_t limit = c->x.timeout_at - ap_now() + LATE_MARGIN;
 	ap_host_headers_t headers;
@@ -272,7 +298,7 @@
 		.between_chunks = limit,
 		.idle = KEEP_IDLE,
 		.response_max = RESPONSE_MAX,
-		.ctx = c,
+		.ctx = a,
 		.head = on_head,
 		.data = on_data,
 		.end = on_end,
@@ -283,14 +309,15 @@
 	config.headers = headers.v;
 	config.n_headers = headers.n;
 	config.body = ap_http_call_body(c->call, &config.len);
-	clear_response(c);
-	c->paused = false;
-	c->fetch = ap_http_fetch(gate->client, &config);
-	gate->counters.sends += c->fetch != NULL;
-	gate->counters.cold_sent += c->fetch && target->cold;
-	gate->counters.forwarded_sent += c->fetch && is_far(gate, target);
-	gate->counters.peer_sent += c->fetch && target->remote && !is_far(gate, target);
-	return c->fetch != NULL;
+	clear_response(a);
+	a->fetch = ap_http_fetch(gate->client, &config);
+	if (a->fetch && c->paused)
+		ap_http_fetch_pause(a->fetch, true);
+	gate->counters.sends += a->fetch != NULL;
+	gate->counters.cold_sent += a->fetch && target->cold;
+	gate->counters.forwarded_sent += a->fetch && is_far(gate, target);
+	gate->counters.peer_sent += a->fetch && target->remote && !is_far(gate, target);
+	return a->fetch != NULL;
 }
 
 static void op_sent(void *ctx, const ap_target_t *target, ap_inflight_t *inflight)
@@ -314,12 +341,12 @@
 	ap_fleet_done(c->gate->fleet, inflight, end, ap_now());
 }
 
-static void op_drop_connection(void *ctx)
+static void op_drop_connection(void *ctx, unsigned slot)
 {
 	gate_call_t *c = ctx;
-	ap_http_fetch_t *fetch = c->fetch;
+	ap_http_fetch_t *fetch = c->attempts[slot].fetch;
 
-	c->fetch = NULL;
+	c->attempts[slot].fetch = NULL;
 	if (fetch)
 		ap_http_fetch_cancel(fetch);
 }
@@ -357,7 +384,7 @@
 static void response_headers(gate_call_t *c, ap_host_headers_t *headers, char text[24],
 			     char build[BUILD_TEXT_MAX])
 {
-	if (!ap_host_response_headers(&c->headers, headers))
+	if (!ap_host_response_headers(&c->attempts[c->x.current].headers, headers))
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "answer.headers-cut", c->id,
 				 NULL);
 	drop_forward_headers(headers);
@@ -370,19 +397,24 @@
  * Starts a response in chunks. One that is no stream and has arrived completely is sent by
  * op_end() with its length instead.
  */
-static void op_head(void *ctx)
+static void op_head(void *ctx, unsigned slot)
 {
 	gate_call_t *c = ctx;
+	gate_attempt_t *a = &c->attempts[slot];
 	ap_host_headers_t headers;
 	char build[BUILD_TEXT_MAX];
 	char text[24];
 
+	/* A remote instance may have picked another pool of the route than this one. */
+	if (c->x.stream && target_of(a)->remote)
+		follow_pool(c, c->x.slot[slot].head.build);
 	if (c->x.stream && c->x.req.route->resumable && !c->forwarded)
 		ap_fleet_stream_began(c->gate->fleet, c->resumes[0] ? c->resumes : c->id,
 				      c->x.req.build, ap_now());
-	if (!c->x.stream && !c->fetch)
+	if (!c->x.stream && !a->fetch)
 		return;
 	response_headers(c, &headers, text, build);
+	c->status = a->status;
 	c->started = true;
 	ap_http_reply_start(c->call, c->status, headers.v, headers.n);
 }
@@ -411,6 +443,8 @@
 	size_t len = c->body ? evbuffer_get_length(c->body) : 0;
 
 	c->call = NULL;
+	if (!c->started)
+		c->status = c->attempts[c->x.current].status;
 	c->outcome = c->status < 300 ? GATE_DONE : GATE_FAILED;
 	if (c->started) {
 		ap_http_reply_end(call);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -79,18 +79,30 @@
 
 typedef struct gateway gateway_t;
 
+/**
+ * struct gate_attempt - an attempt of the exchange, in flight or that has responded.
+ * @fetch: request to the target; NULL if none is in flight
+ * @status: of its response
+ * @headers: copy of the response's headers
+ */
+typedef struct gate_attempt {
+	struct gate_call *call;
+	ap_http_fetch_t *fetch;
+	int status;
+	struct evkeyvalq headers;
+} gate_attempt_t;
+
 /**
  * struct gate_call - one request of a caller, or forwarded from a remote region.
  * @call: NULL once the response was given or the caller has disconnected
- * @fetch: request to the current target; NULL if none is in flight
  * @timer_at: when @timer fires; 0 if it is not set
  * @plan: the version that was active when the request started
  * @forwarded: sent by an instance of a remote region
  * @started: the head of the response was sent, and the body is sent in chunks
- * @paused: reading from the target is paused until the caller has read more
+ * @paused: reading from targets is paused until the caller has read more
  * @body: of a response that is sent as a whole
- * @status: of the response of the current target, or of this instance
- * @headers: copy of the headers of the current target's response
+ * @status: of the response to the caller
+ * @attempts: by slot of the exchange
  * @resumes: id of the request that began the stream; empty if the request begins it
  * @steps: ring of the latest steps
  * @n_steps: how many steps there were
@@ -100,7 +112,7 @@
 	gateway_t *gate;
 	ap_exchange_t x;
 	ap_http_call_t *call;
-	ap_http_fetch_t *fetch;
+	gate_attempt_t attempts[AP_SLOTS];
 	struct event *timer;
 	ap_usec_t timer_at;
 	ap_plan_t *plan;
@@ -109,7 +121,6 @@
 	bool paused;
 	struct evbuffer *body;
 	int status;
-	struct evkeyvalq headers;
 	char id[AP_HOST_REQUEST_ID_MAX];
 	char resumes[AP_HOST_REQUEST_ID_MAX];
 	gate_outcome_t outcome;
@@ -218,6 +229,8 @@
 
 /* gateway-send.c */
 extern const ap_exchange_ops_t gate_ops;
+/** gate_call_pause() - stops reading from the targets, or goes on. */
+void gate_call_pause(gate_call_t *c, bool paused);
 /* Records and frees @c if its exchange has finished, else sets its timer. */
 void gate_call_update(gate_call_t *c);
 
--- /dev/null
+++ b/lib/exchange/deliver.c
@@ -0,0 +1,153 @@
+/* Delivery of a response: of a stream its complete events, of others the whole body. */
+#include "exchange/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void ap_attempt_reset(const ap_exchange_t *x, ap_attempt_t *a)
+{
+	a->has_head = false;
+	a->resuming = x->committed;
+	a->buffer_len = 0;
+	a->scanned = 0;
+	a->head = (ap_response_head_t){0};
+}
+
+static bool buffer_data(ap_attempt_t *a, const void *data, size_t len)
+{
+	if (a->buffer_len + len > a->buffer_size) {
+		size_t size = a->buffer_size ? a->buffer_size : 1024;
+		char *bigger;
+
+		while (size < a->buffer_len + len)
+			size *= 2;
+		bigger = realloc(a->buffer, size);
+		if (!bigger)
+			return false;
+		a->buffer = bigger;
+		a->buffer_size = size;
+	}
+	memcpy(a->buffer + a->buffer_len, data, len);
+	a->buffer_len += len;
+	return true;
+}
+
+static void commit(ap_exchange_t *x, const ap_attempt_t *a)
+{
+	if (x->committed)
+		return;
+	x->committed = true;
+	x->ops->head(x->ctx, slot_of(x, a));
+}
+
+static void deliver_range(ap_exchange_t *x, const ap_attempt_t *a, size_t from, size_t to,
+			  ap_usec_t now)
+{
+	if (to <= from)
+		return;
+	if (x->first_chunk_at == 0)
+		x->first_chunk_at = now;
+	commit(x, a);
+	x->bytes += to - from;
+	x->ops->data(x->ctx, a->buffer + from, to - from);
+}
+
+uint64_t ap_exchange_build(const ap_exchange_t *x)
+{
+	const ap_attempt_t *a = &x->slot[x->current];
+
+	return a->target.remote ? a->head.build : a->target.build;
+}
+
+/* From its first event on, a stream may only be resumed at the same build. */
+static void keep_build(ap_exchange_t *x)
+{
+	if (x->req.build != 0 || x->committed)
+		return;
+	x->req.build = ap_exchange_build(x);
+	/* At an upstream whose build isn't known, it can't go on elsewhere. */
+	if (current(x)->target.remote && x->req.build == 0)
+		x->retryable = false;
+}
+
+/* Delivers complete events; an incomplete one stays in the buffer. */
+static void deliver_events(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	size_t complete = ap_sse_complete_len(a->buffer, a->buffer_len, a->scanned);
+	size_t from = 0;
+
+	a->scanned = a->buffer_len;
+	if (complete == 0)
+		return;
+	if (a->resuming)
+		from = ap_sse_after(a->buffer, complete, x->last_event_id);
+	a->last_chunk_at = now;
+	x->ops->first_chunk(x->ctx, &a->inflight);
+	if (from < complete) {
+		ap_attempt_take_over(x, a);
+		keep_build(x);
+		deliver_range(x, a, from, complete, now);
+		a->resuming = false;
+		ap_sse_last_id(a->buffer, complete, x->last_event_id);
+	}
+	memmove(a->buffer, a->buffer + complete, a->buffer_len - complete);
+	a->buffer_len -= complete;
+	a->scanned = a->buffer_len;
+}
+
+void ap_attempt_deliver(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	ap_attempt_take_over(x, a);
+	deliver_range(x, a, 0, a->buffer_len, now);
+	commit(x, a);
+	x->finished = true;
+	x->ops->end(x->ctx);
+}
+
+bool ap_attempt_truncated(const ap_exchange_t *x, const ap_attempt_t *a, bool closed)
+{
+	/* Without framing, a stream is complete if it ends between two events. */
+	return x->stream && is_success(a) &&
+	       (a->buffer_len > 0 || (closed && !a->inflight.has_first_chunk));
+}
+
+void ap_exchange_head(ap_exchange_t *x, unsigned slot, const ap_response_head_t *head,
+		      ap_usec_t now)
+{
+	ap_attempt_t *a = &x->slot[slot];
+
+	a->has_head = true;
+	a->head = *head;
+	/* In a stream only complete events count as data, so its head doesn't. */
+	if (!x->stream || head->refused)
+		a->last_chunk_at = now;
+}
+
+void ap_exchange_data(ap_exchange_t *x, unsigned slot, const void *data, size_t len, ap_usec_t now)
+{
+	ap_attempt_t *a = &x->slot[slot];
+
+	if (x->finished || !a->in_flight || len == 0)
+		return;
+	if (a->buffer_len + len > BUFFERED_MAX && is_success(a) && !x->stream) {
+		/* The response is too large to be held until it is complete. */
+		ap_attempt_take_over(x, a);
+		deliver_range(x, a, 0, a->buffer_len, now);
+		a->buffer_len = 0;
+	}
+	if (!buffer_data(a, data, len)) {
+		/* Out of memory: nothing that follows can be delivered. */
+		x->ops->drop_connection(x->ctx, slot);
+		ap_attempt_failed(x, a, AP_DISPATCH_CANCELLED, AP_REASON_BROKEN, now);
+		return;
+	}
+	if (x->stream && is_success(a))
+		deliver_events(x, a, now);
+	else
+		a->last_chunk_at = now;
+	/* An event, or an error's body, that doesn't end. */
+	if (a->buffer_len > BUFFERED_MAX && (x->stream || !is_success(a))) {
+		x->ops->drop_connection(x->ctx, slot);
+		ap_exchange_end(x, slot, AP_CONNECTION_BROKEN, now);
+	}
+}
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -1,11 +1,9 @@
-/* Dispatch, retries and response delivery of one request. */
-#include "exchange/exchange.h"
+/* Dispatch and retries of one request. */
+#include "exchange/private.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* Bytes of a response that are held until it is complete. */
-#define BUFFERED_MAX (1 << 20)
 /*
  * A response that has begun is aborted this long after the timeout, since an upstream ends its
  * response by itself at the timeout.
@@ -35,8 +33,8 @@
 const char *ap_step_name(ap_step_t step)
 {
 	static const char *const names[AP_STEPS] = {
-		"sent",	     "sent-again", "resumed",	  "refused-by", "unreachable",
-		"failed-at", "silent",	   "caller-left", "given-up",
+		"sent",	     "sent-again", "resumed",	"refused-by",  "unreachable",
+		"failed-at", "silent",	   "cancelled", "caller-left", "given-up",
 	};
 
 	return names[step];
@@ -51,18 +49,36 @@
 	return names[end];
 }
 
-static void finish_attempt(ap_exchange_t *x, ap_dispatch_result_t end)
+static ap_attempt_t *other_than(ap_exchange_t *x, const ap_attempt_t *a)
 {
-	x->in_flight = false;
-	x->ops->done(x->ctx, &x->inflight, end);
+	return &x->slot[a == &x->slot[0]];
 }
 
-static void cancel_attempt(ap_exchange_t *x, ap_dispatch_result_t end)
+static unsigned in_flight(const ap_exchange_t *x)
 {
-	if (!x->in_flight)
+	return x->slot[0].in_flight + x->slot[1].in_flight;
+}
+
+static void finish_attempt(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end)
+{
+	a->in_flight = false;
+	x->ops->done(x->ctx, &a->inflight, end);
+}
+
+static void cancel_attempt(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end)
+{
+	if (!a->in_flight)
 		return;
-	x->ops->drop_connection(x->ctx);
-	finish_attempt(x, end);
+	x->ops->drop_connection(x->ctx, slot_of(x, a));
+	finish_attempt(x, a, end);
+}
+
+/* Cancels all attempts, which may have run. */
+static void cancel_all(ap_exchange_t *x, ap_dispatch_result_t end)
+{
+	x->runs += in_flight(x);
+	for (unsigned i = 0; i < AP_SLOTS; i++)
+		cancel_attempt(x, &x->slot[i], end);
 }
 
 /*
@@ -120,40 +136,32 @@
 	(*n)++;
 }
 
-static void avoid_target(ap_exchange_t *x)
-{
-	add_name(x->req.avoid, &x->req.n_avoid, x->target.id);
-}
-
-static void reset_response(ap_exchange_t *x)
+static void avoid(ap_exchange_t *x, const char *id)
 {
-	x->has_head = false;
-	x->resuming = x->committed;
-	x->buffer_len = 0;
-	x->scanned = 0;
-	x->head = (ap_response_head_t){0};
+	add_name(x->req.avoid, &x->req.n_avoid, id);
 }
 
-static ap_step_t step_for_send(const ap_exchange_t *x)
+static ap_step_t step_for_send(const ap_exchange_t *x, const ap_attempt_t *a)
 {
 	if (x->sends == 1)
 		return AP_STEP_SENT;
-	return x->resuming ? AP_STEP_RESUMED : AP_STEP_RETRIED;
+	return a->resuming ? AP_STEP_RESUMED : AP_STEP_RETRIED;
 }
 
-static bool send_to_target(ap_exchange_t *x, ap_usec_t now)
+static bool send_to_target(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	reset_response(x);
-	x->sent_at = now;
-	x->last_chunk_at = now;
-	if (!x->ops->send(x->ctx, &x->target, x->last_event_id[0] ? x->last_event_id : NULL)) {
-		avoid_target(x);
+	ap_attempt_reset(x, a);
+	a->target = x->target;
+	a->last_chunk_at = now;
+	if (!x->ops->send(x->ctx, slot_of(x, a), &a->target,
+			  x->last_event_id[0] ? x->last_event_id : NULL)) {
+		avoid(x, a->target.id);
 		return false;
 	}
-	x->in_flight = true;
+	a->in_flight = true;
 	x->sends++;
-	x->ops->sent(x->ctx, &x->target, &x->inflight);
-	x->ops->log_step(x->ctx, step_for_send(x), &x->target);
+	x->ops->sent(x->ctx, &a->target, &a->inflight);
+	x->ops->log_step(x->ctx, step_for_send(x, a), &a->target);
 	return true;
 }
 
@@ -166,8 +174,11 @@
 	return status == AP_FLEET_LATE ? AP_REASON_TOO_LATE : AP_REASON_NO_UPSTREAM;
 }
 
-/* Sends the request to the best remaining target, or sets @why to the reason why it can't. */
-static bool dispatch(ap_exchange_t *x, ap_reason_t *why, ap_usec_t now)
+/*
+ * Sends the request to the best remaining target, in the slot of @a, or sets @no_other to the
+ * reason why it can't.
+ */
+static bool dispatch(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
 	/* Each failed attempt adds its target to the list to avoid, which holds AP_TRIED_MAX names.
 	 */
@@ -175,30 +186,24 @@
 		ap_fleet_status_t status = x->ops->choose(x->ctx, &x->req, &x->target);
 
 		if (status != AP_FLEET_OK) {
-			*why = reason_for(x, status);
+			x->no_other = reason_for(x, status);
 			return false;
 		}
-		if (x->sends > 0 && !x->retry_counted && !x->ops->may_retry(x->ctx)) {
-			*why = AP_REASON_BUDGET;
+		if (x->sends > 0 && !x->ops->may_retry(x->ctx)) {
+			x->no_other = AP_REASON_BUDGET;
 			return false;
 		}
-		if (send_to_target(x, now)) {
-			x->retry_counted = false;
+		if (send_to_target(x, a, now))
 			return true;
-		}
 	}
-	*why = AP_REASON_NO_UPSTREAM;
+	x->no_other = AP_REASON_NO_UPSTREAM;
 	return false;
 }
 
-static bool dispatch_other(ap_exchange_t *x, ap_usec_t now)
-{
-	return dispatch(x, &x->no_other, now);
-}
-
 static void dispatch_or_reply(ap_exchange_t *x, ap_usec_t now)
 {
-	if (!dispatch_other(x, now))
+	x->waits_since = now;
+	if (!dispatch(x, current(x), now))
 		reply_error(x, x->no_other, now);
 }
 
@@ -217,176 +222,122 @@
 	dispatch_or_reply(x, now);
 }
 
+/* Returns whether the request may be sent once more, beside what is in flight. */
 static bool may_run_again(const ap_exchange_t *x, ap_usec_t now)
 {
-	return x->retryable && x->runs < x->attempts && now < x->timeout_at;
-}
-
-/* The request reached no upstream, so the next send is no retry. */
-static void dispatch_after_unsent(ap_exchange_t *x, ap_usec_t now)
-{
-	x->sends--;
-	if (++x->connect_failures < CONNECT_FAILURES_MAX)
-		dispatch_or_reply(x, now);
-	else
-		reply_error(x, AP_REASON_NO_UPSTREAM, now);
-}
-
-/* The target refused the request, so it certainly didn't run there. */
-static void target_refused(ap_exchange_t *x, ap_usec_t now)
-{
-	finish_attempt(x,
-		       x->head.address_reused ? AP_DISPATCH_ADDRESS_REUSED : AP_DISPATCH_REFUSED);
-	x->refusals++;
-	avoid_target(x);
-	x->ops->log_step(x->ctx, AP_STEP_REFUSED_BY, &x->target);
-	if (x->head.unsent)
-		dispatch_after_unsent(x, now);
-	else
-		dispatch_or_reply(x, now);
+	return x->retryable && x->runs + in_flight(x) < x->attempts && now < x->timeout_at;
 }
 
 /*
- * The target failed. @x->runs already includes the run that may have taken place. Without a retry,
- * the response names @reason, the failure, and not why there was no retry.
+ * The current attempt is silent: sends the request to another target too. The silent one may still
+ * go on, so it is kept until the other one responds.
  */
-static void retry_or_reply(ap_exchange_t *x, ap_dispatch_result_t end, ap_reason_t reason,
-			   ap_usec_t now)
-{
-	if (end == AP_DISPATCH_TIMED_OUT)
-		avoid_target(x);
-	else
-		add_name(x->req.tried, &x->req.n_tried, x->target.id);
-	x->ops->log_step(x->ctx, AP_STEP_FAILED_AT, &x->target);
-	if (!may_run_again(x, now) || !dispatch_other(x, now))
-		reply_error(x, reason, now);
-}
-
-static void target_failed(ap_exchange_t *x, ap_dispatch_result_t end, ap_reason_t reason,
-			  ap_usec_t now)
+static void send_to_other(ap_exchange_t *x, ap_usec_t now)
 {
-	x->runs++;
-	retry_or_reply(x, end, reason, now);
-}
+	ap_attempt_t *a = current(x);
 
-void ap_exchange_head(ap_exchange_t *x, const ap_response_head_t *head, ap_usec_t now)
-{
-	x->has_head = true;
-	x->head = *head;
-	/* In a stream only complete events count as data, so its head doesn't. */
-	if (!x->stream || head->refused)
-		x->last_chunk_at = now;
+	x->ops->log_step(x->ctx, AP_STEP_TIMED_OUT, &a->target);
+	avoid(x, a->target.id);
+	x->waits_since = now;
+	dispatch(x, other_than(x, a), now);
 }
 
-static bool buffer_data(ap_exchange_t *x, const void *data, size_t len)
+/* After the end of @a: another attempt in flight serves the request. Return: false if none is. */
+static bool other_goes_on(ap_exchange_t *x, const ap_attempt_t *a, ap_usec_t now)
 {
-	if (x->buffer_len + len > x->buffer_size) {
-		size_t size = x->buffer_size ? x->buffer_size : 1024;
-		char *bigger;
+	const ap_attempt_t *other = other_than(x, a);
 
-		while (size < x->buffer_len + len)
-			size *= 2;
-		bigger = realloc(x->buffer, size);
-		if (!bigger)
-			return false;
-		x->buffer = bigger;
-		x->buffer_size = size;
-	}
-	memcpy(x->buffer + x->buffer_len, data, len);
-	x->buffer_len += len;
+	if (!other->in_flight)
+		return false;
+	if (x->current == slot_of(x, a))
+		x->waits_since = now;
+	x->current = slot_of(x, other);
 	return true;
 }
 
-static void commit(ap_exchange_t *x)
+/* The target of @a certainly did not run the request; @unsent: nor did it reach an upstream. */
+static void attempt_refused(ap_exchange_t *x, ap_attempt_t *a, bool unsent, ap_usec_t now)
 {
-	if (x->committed)
-		return;
-	x->committed = true;
-	x->ops->head(x->ctx);
-}
+	bool was_current = a == current(x);
 
-static void deliver_range(ap_exchange_t *x, size_t from, size_t to, ap_usec_t now)
-{
-	if (to <= from)
+	avoid(x, a->target.id);
+	if (unsent) {
+		/* The next send is no retry. */
+		x->sends--;
+		x->connect_failures++;
+	}
+	if (other_goes_on(x, a, now)) {
+		if (!was_current && x->connect_failures < CONNECT_FAILURES_MAX &&
+		    may_run_again(x, now))
+			send_to_other(x, now);
 		return;
-	if (x->first_chunk_at == 0)
-		x->first_chunk_at = now;
-	commit(x);
-	x->bytes += to - from;
-	x->ops->data(x->ctx, x->buffer + from, to - from);
+	}
+	if (x->connect_failures < CONNECT_FAILURES_MAX)
+		dispatch_or_reply(x, now);
+	else
+		reply_error(x, AP_REASON_NO_UPSTREAM, now);
 }
 
-uint64_t ap_exchange_build(const ap_exchange_t *x)
+static void target_refused(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	return x->target.remote ? x->head.build : x->target.build;
+	finish_attempt(x, a,
+		       a->head.address_reused ? AP_DISPATCH_ADDRESS_REUSED : AP_DISPATCH_REFUSED);
+	x->refusals++;
+	x->ops->log_step(x->ctx, AP_STEP_REFUSED_BY, &a->target);
+	attempt_refused(x, a, a->head.unsent, now);
 }
 
-/* From its first event on, a stream may only be resumed at the same build. */
-static void keep_build(ap_exchange_t *x)
+static void target_unreachable(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	if (x->req.build != 0 || x->committed)
-		return;
-	x->req.build = ap_exchange_build(x);
-	/* At an upstream whose build isn't known, it can't go on elsewhere. */
-	if (x->target.remote && x->req.build == 0)
-		x->retryable = false;
+	finish_attempt(x, a, AP_DISPATCH_UNREACHABLE);
+	x->req.unreachable += !a->target.remote;
+	x->ops->log_step(x->ctx, AP_STEP_UNREACHABLE, &a->target);
+	attempt_refused(x, a, true, now);
 }
 
-/* Delivers complete events; an incomplete one stays in the buffer. */
-static void deliver_events(ap_exchange_t *x, ap_usec_t now)
+/*
+ * After the failure of @a: another attempt, in flight or new, serves the request. Return: false if
+ * there is none.
+ */
+static bool go_on_elsewhere(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	size_t complete = ap_sse_complete_len(x->buffer, x->buffer_len, x->scanned);
-	size_t from = 0;
+	ap_attempt_t *other = other_than(x, a);
 
-	x->scanned = x->buffer_len;
-	if (complete == 0)
-		return;
-	if (x->resuming)
-		from = ap_sse_after(x->buffer, complete, x->last_event_id);
-	x->last_chunk_at = now;
-	x->ops->first_chunk(x->ctx, &x->inflight);
-	if (from < complete)
-		keep_build(x);
-	deliver_range(x, from, complete, now);
-	if (from < complete) {
-		x->resuming = false;
-		ap_sse_last_id(x->buffer, complete, x->last_event_id);
-	}
-	memmove(x->buffer, x->buffer + complete, x->buffer_len - complete);
-	x->buffer_len -= complete;
-	x->scanned = x->buffer_len;
+	x->ops->log_step(x->ctx, AP_STEP_FAILED_AT, &a->target);
+	if (other_goes_on(x, a, now))
+		return true;
+	if (!may_run_again(x, now) || !dispatch(x, other, now))
+		return false;
+	x->waits_since = now;
+	x->current = slot_of(x, other);
+	return true;
 }
 
-static bool is_success(const ap_exchange_t *x)
+/* Without a retry, the response names @reason, the failure, and not why there was no retry. */
+void ap_attempt_failed(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end,
+		       ap_reason_t reason, ap_usec_t now)
 {
-	return x->head.status >= 200 && x->head.status < 300 && !x->head.refused;
+	finish_attempt(x, a, end);
+	x->runs++;
+	if (end == AP_DISPATCH_TIMED_OUT)
+		avoid(x, a->target.id);
+	else
+		add_name(x->req.tried, &x->req.n_tried, a->target.id);
+	if (!go_on_elsewhere(x, a, now))
+		reply_error(x, reason, now);
 }
 
-void ap_exchange_data(ap_exchange_t *x, const void *data, size_t len, ap_usec_t now)
+void ap_attempt_take_over(ap_exchange_t *x, ap_attempt_t *a)
 {
-	if (x->finished || !x->in_flight || len == 0)
-		return;
-	if (x->buffer_len + len > BUFFERED_MAX && is_success(x) && !x->stream) {
-		/* The response is too large to be held until it is complete. */
-		deliver_range(x, 0, x->buffer_len, now);
-		x->buffer_len = 0;
-	}
-	if (!buffer_data(x, data, len)) {
-		/* Out of memory: cancels the attempt, which may have run, and reports a failure. */
-		cancel_attempt(x, AP_DISPATCH_CANCELLED);
-		x->runs++;
-		reply_error(x, AP_REASON_BROKEN, now);
+	ap_attempt_t *other = other_than(x, a);
+	bool replaces = a != current(x);
+
+	x->current = slot_of(x, a);
+	if (!other->in_flight)
 		return;
-	}
-	if (x->stream && is_success(x))
-		deliver_events(x, now);
-	else
-		x->last_chunk_at = now;
-	/* An event, or an error's body, that doesn't end. */
-	if (x->buffer_len > BUFFERED_MAX && (x->stream || !is_success(x))) {
-		x->ops->drop_connection(x->ctx);
-		ap_exchange_end(x, AP_CONNECTION_BROKEN, now);
-	}
+	x->runs++;
+	cancel_attempt(x, other, replaces ? AP_DISPATCH_TIMED_OUT : AP_DISPATCH_CANCELLED);
+	x->ops->log_step(x->ctx, AP_STEP_CANCELLED, &other->target);
 }
 
 /*
@@ -398,55 +349,48 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-static void deliver_response(ap_exchange_t *x, ap_usec_t now)
-{
-	deliver_range(x, 0, x->buffer_len, now);
-	commit(x);
-	x->finished = true;
-	x->ops->end(x->ctx);
-}
-
 /* A complete response, not a refusal, with a status other than 2xx. */
-static void handle_error_response(ap_exchange_t *x, ap_usec_t now)
+static void error_response(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	bool error = x->head.status >= 500;
+	bool error = a->head.status >= 500;
 
-	finish_attempt(x, error ? AP_DISPATCH_ERROR : AP_DISPATCH_DONE);
+	finish_attempt(x, a, error ? AP_DISPATCH_ERROR : AP_DISPATCH_DONE);
 	x->runs++;
-	if (error && x->committed)
+	add_name(x->req.tried, &x->req.n_tried, a->target.id);
+	if (error && (in_flight(x) > 0 || (!x->committed && may_run_again(x, now)))) {
+		if (!go_on_elsewhere(x, a, now))
+			reply_error(x, AP_REASON_BROKEN, now);
+	} else if (error && x->committed) {
 		reply_error(x, AP_REASON_BROKEN, now);
-	else if (error && may_run_again(x, now))
-		retry_or_reply(x, AP_DISPATCH_ERROR, AP_REASON_BROKEN, now);
-	else if (!x->head.from_replica || implies_not_run(x->head.status))
+	} else if (!a->head.from_replica || implies_not_run(a->head.status)) {
 		reply_error(x, AP_REASON_UNPROVED, now);
-	else
-		deliver_response(x, now);
+	} else {
+		ap_attempt_deliver(x, a, now);
+	}
 }
 
-static void response_complete(ap_exchange_t *x, bool closed, ap_usec_t now)
+static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
 {
-	/* Without framing, a stream is complete if it ends between two events. */
-	bool truncated = x->stream && is_success(x) &&
-			 (x->buffer_len > 0 || (closed && !x->inflight.has_first_chunk));
-
-	if (x->has_head && x->head.refused) {
-		target_refused(x, now);
-	} else if (x->has_head && !is_success(x)) {
-		handle_error_response(x, now);
-	} else if (!x->has_head || truncated) {
-		finish_attempt(x, AP_DISPATCH_BROKEN);
-		target_failed(x, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+	if (a->has_head && a->head.refused) {
+		target_refused(x, a, now);
+	} else if (a->has_head && !is_success(a)) {
+		error_response(x, a, now);
+	} else if (!a->has_head || ap_attempt_truncated(x, a, closed)) {
+		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 	} else {
-		x->ops->first_chunk(x->ctx, &x->inflight);
-		finish_attempt(x, AP_DISPATCH_DONE);
+		ap_attempt_take_over(x, a);
+		x->ops->first_chunk(x->ctx, &a->inflight);
+		finish_attempt(x, a, AP_DISPATCH_DONE);
 		x->runs++;
-		deliver_response(x, now);
+		ap_attempt_deliver(x, a, now);
 	}
 }
 
-void ap_exchange_end(ap_exchange_t *x, ap_connection_end_t end, ap_usec_t now)
+void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now)
 {
-	if (x->finished || !x->in_flight)
+	ap_attempt_t *a = &x->slot[slot];
+
+	if (x->finished || !a->in_flight)
 		return;
 	x->connection_end = end;
 	switch (end) {
@@ -454,57 +398,57 @@
 		break;
 	case AP_CONNECTION_COMPLETE:
 	case AP_CONNECTION_COMPLETE_ON_CLOSE:
-		response_complete(x, end == AP_CONNECTION_COMPLETE_ON_CLOSE, now);
+		response_complete(x, a, end == AP_CONNECTION_COMPLETE_ON_CLOSE, now);
 		break;
 	case AP_CONNECTION_UNSENT:
-		finish_attempt(x, AP_DISPATCH_UNREACHABLE);
-		x->req.unreachable += !x->target.remote;
-		avoid_target(x);
-		x->ops->log_step(x->ctx, AP_STEP_UNREACHABLE, &x->target);
-		dispatch_after_unsent(x, now);
+		target_unreachable(x, a, now);
 		break;
 	case AP_CONNECTION_BROKEN:
 		/* A refusal counts even if its body was cut short. */
-		if (x->has_head && x->head.refused) {
-			target_refused(x, now);
-			break;
-		}
-		finish_attempt(x, AP_DISPATCH_BROKEN);
-		target_failed(x, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+		if (a->has_head && a->head.refused)
+			target_refused(x, a, now);
+		else
+			ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 		break;
 	case AP_CONNECTION_TIMED_OUT:
-		finish_attempt(x, AP_DISPATCH_TIMED_OUT);
-		target_failed(x, AP_DISPATCH_TIMED_OUT, AP_REASON_BROKEN, now);
+		ap_attempt_failed(x, a, AP_DISPATCH_TIMED_OUT, AP_REASON_BROKEN, now);
 		break;
 	}
 }
 
 void ap_exchange_caller_disconnected(ap_exchange_t *x)
 {
+	ap_attempt_t *a = current(x);
+
 	if (!x->finished)
 		x->ops->log_step(x->ctx, AP_STEP_CALLER_DISCONNECTED,
-				 x->in_flight ? &x->target : NULL);
-	cancel_attempt(x, AP_DISPATCH_CANCELLED);
+				 a->in_flight ? &a->target : NULL);
+	cancel_all(x, AP_DISPATCH_CANCELLED);
 	x->finished = true;
 }
 
 void ap_exchange_clear(ap_exchange_t *x)
 {
 	ap_exchange_caller_disconnected(x);
-	free(x->buffer);
-	x->buffer = NULL;
+	for (unsigned i = 0; i < AP_SLOTS; i++) {
+		free(x->slot[i].buffer);
+		x->slot[i].buffer = NULL;
+	}
 }
 
-/* How long a target may send no data before another one is tried. */
-static ap_usec_t no_data_limit(const ap_exchange_t *x)
+/* Until when the current attempt may send no data before another target is tried. */
+static ap_usec_t silent_until(const ap_exchange_t *x)
 {
 	const ap_plan_route_t *route = x->req.route;
+	const ap_attempt_t *a = &x->slot[x->current];
+	ap_usec_t since = a->last_chunk_at > x->waits_since ? a->last_chunk_at : x->waits_since;
 
-	if (!x->retryable || x->runs + 1 >= x->attempts)
+	if (in_flight(x) != 1 || !x->retryable || x->runs + 1 >= x->attempts)
 		return AP_NEVER;
-	if (x->inflight.has_first_chunk && x->stream)
-		return route->event_gap > 0 ? route->event_gap : AP_NEVER;
-	return NO_DATA_WAITS * x->target.wait + route->objective / NO_DATA_OBJECTIVE_DIVISOR;
+	if (a->inflight.has_first_chunk && x->stream)
+		return route->event_gap > 0 ? since + route->event_gap : AP_NEVER;
+	return since + NO_DATA_WAITS * a->target.wait +
+	       route->objective / NO_DATA_OBJECTIVE_DIVISOR;
 }
 
 static ap_usec_t abort_at(const ap_exchange_t *x)
@@ -514,45 +458,22 @@
 
 ap_usec_t ap_exchange_due(const ap_exchange_t *x)
 {
-	ap_usec_t limit = no_data_limit(x);
-	ap_usec_t due = abort_at(x);
+	ap_usec_t silent = silent_until(x);
+	ap_usec_t abort = abort_at(x);
 
 	if (x->finished)
 		return AP_NEVER;
-	if (x->in_flight && limit != AP_NEVER && x->last_chunk_at + limit < due)
-		due = x->last_chunk_at + limit;
-	return due;
+	return silent < abort ? silent : abort;
 }
 
 void ap_exchange_tick(ap_exchange_t *x, ap_usec_t now)
 {
-	ap_usec_t limit = no_data_limit(x);
-	ap_fleet_status_t status;
-	ap_target_t other;
-
 	if (x->finished)
 		return;
 	if (now >= abort_at(x)) {
-		x->runs += x->in_flight;
-		cancel_attempt(x, AP_DISPATCH_TIMED_OUT);
+		cancel_all(x, AP_DISPATCH_TIMED_OUT);
 		reply_error(x, AP_REASON_TIMEOUT, now);
-		return;
-	}
-	if (!x->in_flight || limit == AP_NEVER || now < x->last_chunk_at + limit)
-		return;
-	/*
-	 * Switch only if another target is available: the current one may still respond. Otherwise
-	 * wait as long again.
-	 */
-	avoid_target(x);
-	status = x->ops->choose(x->ctx, &x->req, &other);
-	if (status != AP_FLEET_OK || !x->ops->may_retry(x->ctx)) {
-		x->no_other = status == AP_FLEET_OK ? AP_REASON_BUDGET : reason_for(x, status);
-		x->last_chunk_at = now;
-		return;
+	} else if (now >= silent_until(x)) {
+		send_to_other(x, now);
 	}
-	x->retry_counted = true;
-	cancel_attempt(x, AP_DISPATCH_TIMED_OUT);
-	x->ops->log_step(x->ctx, AP_STEP_TIMED_OUT, &x->target);
-	target_failed(x, AP_DISPATCH_TIMED_OUT, AP_REASON_TIMEOUT, now);
 }
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -12,6 +12,7 @@
 #include "fleet/fleet.h"
 
 #define AP_SSE_ID_MAX 64 /* bytes of a server-sent event's id, with terminator */
+#define AP_SLOTS 2	 /* attempts of one request that may be in flight at the same time */
 
 /* How the connection to a target ended, as far as the driver can tell. */
 typedef enum ap_connection_end {
@@ -71,7 +72,8 @@
 	AP_STEP_REFUSED_BY,
 	AP_STEP_UNREACHABLE,
 	AP_STEP_FAILED_AT,
-	AP_STEP_TIMED_OUT, /* cancelled in favour of another target, because no data came */
+	AP_STEP_TIMED_OUT, /* no data came for too long, so another target is tried beside it */
+	AP_STEP_CANCELLED, /* of two targets, the other one has responded */
 	AP_STEP_CALLER_DISCONNECTED,
 	AP_STEP_GIVEN_UP, /* this instance generates the final response, or aborts it */
 	AP_STEPS,
@@ -84,18 +86,19 @@
 
 /**
  * struct ap_exchange_ops - what the driver does for an exchange. No callback may call into the
- * exchange before it returns.
+ * exchange before it returns. An attempt is named by its slot, below AP_SLOTS, from @send until its
+ * end or @drop_connection.
  * @choose: chooses the target for @req; with AP_FLEET_LATE @target holds the best one nevertheless
  * @may_retry: takes one retry from this instance's part of the retry budget. Return: false when it
  *	is spent
- * @send: opens a connection to @target and sends the request; @last_event_id is NULL unless a
- *	stream is resumed. Return: false when nothing was sent
+ * @send: opens a connection to @target for @slot and sends the request; @last_event_id is NULL
+ *	unless a stream is resumed. Return: false when nothing was sent
  * @sent: records the request as in flight at @target and fills @inflight
  * @first_chunk: complete events of a stream have arrived, or the complete response if it isn't a
  *	stream; may be called more than once for an @inflight
  * @done: the in-flight request behind @inflight ended
- * @drop_connection: closes the connection to the target; its response isn't needed any more
- * @head: sends the head of the current target's response to the caller
+ * @drop_connection: closes the connection of @slot; its response isn't needed any more
+ * @head: sends the head of the response of @slot to the caller
  * @data: sends a part of the response's body to the caller
  * @end: the response is complete
  * @abort_response: closes the caller's connection, so that the response doesn't look complete
@@ -106,12 +109,13 @@
 typedef struct ap_exchange_ops {
 	ap_fleet_status_t (*choose)(void *ctx, const ap_dispatch_t *req, ap_target_t *target);
 	bool (*may_retry)(void *ctx);
-	bool (*send)(void *ctx, const ap_target_t *target, const char *last_event_id);
+	bool (*send)(void *ctx, unsigned slot, const ap_target_t *target,
+		     const char *last_event_id);
 	void (*sent)(void *ctx, const ap_target_t *target, ap_inflight_t *inflight);
 	void (*first_chunk)(void *ctx, ap_inflight_t *inflight);
 	void (*done)(void *ctx, ap_inflight_t *inflight, ap_dispatch_result_t end);
-	void (*drop_connection)(void *ctx);
-	void (*head)(void *ctx);
+	void (*drop_connection)(void *ctx, unsigned slot);
+	void (*head)(void *ctx, unsigned slot);
 	void (*data)(void *ctx, const void *data, size_t len);
 	void (*end)(void *ctx);
 	void (*abort_response)(void *ctx);
@@ -119,25 +123,46 @@
 	void (*log_step)(void *ctx, ap_step_t step, const ap_target_t *target);
 } ap_exchange_ops_t;
 
+/**
+ * struct ap_attempt - one send of a request. Times are absolute.
+ * @in_flight: its connection is open
+ * @has_head: @head holds the target's response head
+ * @resuming: the target may repeat events up to the last one that was delivered
+ * @last_chunk_at: of the response; at first when the request was sent
+ * @buffer: data of the response that was not delivered yet
+ * @scanned: bytes of @buffer that were searched for the end of an event
+ */
+typedef struct ap_attempt {
+	bool in_flight;
+	bool has_head;
+	bool resuming;
+	ap_target_t target;
+	ap_inflight_t inflight;
+	ap_response_head_t head;
+	ap_usec_t last_chunk_at;
+	char *buffer;
+	size_t buffer_len;
+	size_t buffer_size;
+	size_t scanned;
+} ap_attempt_t;
+
 /**
  * struct ap_exchange - one request. Times are absolute.
  * @timeout_at: the earlier of the caller's deadline and the route's timeout
  * @attempts: how many times the request may run
- * @runs: how many times it may have run so far
+ * @runs: how many times it may have run so far, without what is in flight
  * @sends: how many times it reached a target, whether refused or not
  * @connect_failures: how many targets could not be reached
- * @in_flight: a connection to @target is open
- * @has_head: @head holds the current target's response head
  * @committed: the head was sent to the caller, so the response can't be replaced any more
- * @resuming: the target may repeat events up to the last one that was delivered
- * @retry_counted: the next retry was taken from the budget already
  * @finished: the caller has its final response or has disconnected; only
  *	ap_exchange_clear() is left to call
  * @no_other: why the request was not sent to another target, the last time that this was considered
  * @connection_end: of the latest connection that ended by itself
+ * @target: that was chosen last, whether the request was sent there or not
+ * @waits_since: since when the attempt in @current has had its time, at least
+ * @current: slot of the attempt that has the response, or is to have it; another one in flight has
+ *	been sent because that one is silent, and replaces it if it responds first
  * @last_event_id: id of the last event that the caller has, or empty
- * @buffer: data of the response that was not delivered yet
- * @scanned: bytes of @buffer that were searched for the end of an event
  */
 struct ap_exchange {
 	const ap_exchange_ops_t *ops;
@@ -152,27 +177,18 @@
 	unsigned connect_failures;
 	bool stream;
 	bool retryable;
-	bool in_flight;
-	bool has_head;
 	bool committed;
-	bool resuming;
-	bool retry_counted;
 	bool finished;
 	ap_reason_t reason;
 	ap_reason_t no_other;
 	ap_connection_end_t connection_end;
 	ap_target_t target;
-	ap_inflight_t inflight;
-	ap_response_head_t head;
-	ap_usec_t sent_at;
-	ap_usec_t last_chunk_at; /* of the response; at first when the request was sent */
 	ap_usec_t first_chunk_at;
+	ap_usec_t waits_since;
 	uint64_t bytes;
 	char last_event_id[AP_SSE_ID_MAX];
-	char *buffer;
-	size_t buffer_len;
-	size_t buffer_size;
-	size_t scanned;
+	unsigned current;
+	ap_attempt_t slot[AP_SLOTS];
 };
 
 /**
@@ -181,19 +197,20 @@
  * @attempts: how many times the request may run, if its route allows retries at all
  */
 void ap_exchange_start(ap_exchange_t *x, unsigned attempts, ap_usec_t now);
-/** ap_exchange_clear() - frees the buffer and drops a connection that is still open. */
+/** ap_exchange_clear() - frees the buffers and drops connections that are still open. */
 void ap_exchange_clear(ap_exchange_t *x);
-/** ap_exchange_build() - the build of the upstream that serves the current target's response. */
+/** ap_exchange_build() - the build of the upstream that serves the current response. */
 uint64_t ap_exchange_build(const ap_exchange_t *x);
-/** ap_exchange_head() - the current target's response head arrived. */
-void ap_exchange_head(ap_exchange_t *x, const ap_response_head_t *head, ap_usec_t now);
-/** ap_exchange_data() - a part of the response's body arrived. */
-void ap_exchange_data(ap_exchange_t *x, const void *data, size_t len, ap_usec_t now);
-/** ap_exchange_end() - the connection to the current target ended. */
-void ap_exchange_end(ap_exchange_t *x, ap_connection_end_t end, ap_usec_t now);
+/** ap_exchange_head() - the response head of the attempt in @slot arrived. */
+void ap_exchange_head(ap_exchange_t *x, unsigned slot, const ap_response_head_t *head,
+		      ap_usec_t now);
+/** ap_exchange_data() - a part of the body of its response arrived. */
+void ap_exchange_data(ap_exchange_t *x, unsigned slot, const void *data, size_t len, ap_usec_t now);
+/** ap_exchange_end() - its connection ended. */
+void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now);
 /** ap_exchange_caller_disconnected() - cancels the request; nobody waits for its response. */
 void ap_exchange_caller_disconnected(ap_exchange_t *x);
-/** ap_exchange_tick() - acts on timeouts: retries elsewhere or gives up. */
+/** ap_exchange_tick() - acts on timeouts: tries another target or gives up. */
 void ap_exchange_tick(ap_exchange_t *x, ap_usec_t now);
 /** ap_exchange_due() - when to call ap_exchange_tick() next; AP_NEVER once finished. */
 ap_usec_t ap_exchange_due(const ap_exchange_t *x);
--- /dev/null
+++ b/lib/exchange/private.h
@@ -0,0 +1,42 @@
+/* Shared by the dispatch of a request and the delivery of its response. */
+#ifndef AP_EXCHANGE_PRIVATE_H
+#define AP_EXCHANGE_PRIVATE_H
+
+#include "exchange/exchange.h"
+
+/* Bytes of a response that are held until it is complete. */
+#define BUFFERED_MAX (1 << 20)
+
+static inline unsigned slot_of(const ap_exchange_t *x, const ap_attempt_t *a)
+{
+	return (unsigned)(a - x->slot);
+}
+
+static inline ap_attempt_t *current(ap_exchange_t *x)
+{
+	return &x->slot[x->current];
+}
+
+static inline bool is_success(const ap_attempt_t *a)
+{
+	return a->head.status >= 200 && a->head.status < 300 && !a->head.refused;
+}
+
+/* deliver.c */
+
+/* Forgets an earlier response in the slot of @a. */
+void ap_attempt_reset(const ap_exchange_t *x, ap_attempt_t *a);
+/* Delivers what is held of the response of @a, which is complete. */
+void ap_attempt_deliver(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now);
+/* Returns whether the complete response of @a, by its framing, ends within an event. */
+bool ap_attempt_truncated(const ap_exchange_t *x, const ap_attempt_t *a, bool closed);
+
+/* exchange.c */
+
+/* The attempt @a has the response; the other one, if any, isn't needed any more. */
+void ap_attempt_take_over(ap_exchange_t *x, ap_attempt_t *a);
+/* Gives the attempt @a up, which may have run, and replies if no other one is left. */
+void ap_attempt_failed(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end,
+		       ap_reason_t reason, ap_usec_t now);
+
+#endif
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -93,7 +93,7 @@
 	(void)state;
 	memset(text, 'x', sizeof(text) - 1);
 	begin(&w, AP_KIND_ONCE, false, 1);
-	ap_exchange_head(&w.x, &refusal, w.now);
+	ap_exchange_head(&w.x, w.slot[0], &refusal, w.now);
 	for (int i = 0; i < 64 && w.n_sent == 1; i++)
 		data(&w, text);
 	assert_int_equal(w.n_sent, 2);
@@ -119,8 +119,8 @@
 	ap_response_head_t h = {.status = 200, .from_replica = true, .build = build};
 
 	begin(w, AP_KIND_STREAM, true, 3);
-	w->x.target.remote = true;
-	ap_exchange_head(&w->x, &h, w->now);
+	w->x.slot[0].target.remote = true;
+	ap_exchange_head(&w->x, w->slot[w->n_sent - 1], &h, w->now);
 	data(w, "id: 1\ndata: a\n\n");
 	end(w, AP_CONNECTION_BROKEN);
 }
@@ -201,7 +201,7 @@
 	w.budget = 0;
 	for (int sends = 1; sends <= 4; sends++) {
 		assert_int_equal(w.n_sent, sends);
-		ap_exchange_head(&w.x, &unsent, w.now);
+		ap_exchange_head(&w.x, w.slot[w.n_sent - 1], &unsent, w.now);
 		end(&w, AP_CONNECTION_COMPLETE);
 	}
 	assert_int_equal(w.n_sent, 5);
@@ -214,7 +214,7 @@
 	w = (world_t){.targets = SENDS_MAX};
 	begin(&w, AP_KIND_ONCE, false, 1);
 	while (!w.x.finished) {
-		ap_exchange_head(&w.x, &unsent, w.now);
+		ap_exchange_head(&w.x, w.slot[w.n_sent - 1], &unsent, w.now);
 		end(&w, AP_CONNECTION_COMPLETE);
 	}
 	assert_in_range(w.n_sent, 2, SENDS_MAX - 1);
@@ -229,7 +229,7 @@
 
 	(void)state;
 	begin(&w, AP_KIND_ONCE, false, 1);
-	ap_exchange_head(&w.x, &h, w.now);
+	ap_exchange_head(&w.x, w.slot[w.n_sent - 1], &h, w.now);
 	end(&w, AP_CONNECTION_BROKEN);
 	assert_int_equal(w.status, 503);
 	finish(&w);
@@ -424,10 +424,12 @@
 	assert_true(w.now < START + 400 * AP_MSEC);
 	ap_exchange_tick(&w.x, w.now);
 	assert_int_equal(w.n_sent, 2);
-	assert_int_equal(w.ends[0], AP_DISPATCH_TIMED_OUT);
+	assert_int_equal(w.n_ends, 0); /* the silent one may still respond */
 	assert_int_equal(w.budget, 9); /* one retry was taken */
 	head(&w, 200);
 	end(&w, AP_CONNECTION_COMPLETE);
+	assert_int_equal(w.ends[0], AP_DISPATCH_TIMED_OUT);
+	assert_int_equal(w.dropped, 1);
 	assert_true(w.ended);
 	finish(&w);
 }
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -26,6 +26,7 @@
 	int budget;	   /* retries left */
 	ap_usec_t held;	   /* for how long the request is held back; 0 for not at all */
 	char sent[SENDS_MAX][AP_NAME_MAX];
+	unsigned slot[SENDS_MAX]; /* of each send */
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
 	int n_sent;
 	int dropped;
@@ -77,13 +78,15 @@
 	return w->budget-- > 0;
 }
 
-static inline bool op_send(void *ctx, const ap_target_t *target, const char *last_event)
+static inline bool op_send(void *ctx, unsigned slot, const ap_target_t *target,
+			   const char *last_event)
 {
 	world_t *w = ctx;
 
 	if (w->unconnectable-- > 0)
 		return false;
 	assert_true(w->n_sent < SENDS_MAX);
+	w->slot[w->n_sent] = slot;
 	ap_copy_name(w->last_event[w->n_sent], AP_SSE_ID_MAX, last_event ? last_event : "");
 	ap_copy_name(w->sent[w->n_sent++], AP_NAME_MAX, target->id);
 	return true;
@@ -111,13 +114,15 @@
 	w->ends[w->n_ends++] = end;
 }
 
-static inline void op_drop_connection(void *ctx)
+static inline void op_drop_connection(void *ctx, unsigned slot)
 {
+	(void)slot;
 	((world_t *)ctx)->dropped++;
 }
 
-static inline void op_head(void *ctx)
+static inline void op_head(void *ctx, unsigned slot)
 {
+	(void)slot;
 	((world_t *)ctx)->heads++;
 }
 
@@ -209,53 +214,47 @@
 	assert_int_equal(w->n_ends, w->n_sent);
 }
 
-static inline void head(world_t *w, int status)
+/* What the upstream of send @i does; nothing once its connection was dropped. */
+static inline void head_of(world_t *w, int i, int status)
 {
 	ap_response_head_t h = {.status = status, .from_replica = true};
 
-	ap_exchange_head(&w->x, &h, w->now);
+	ap_exchange_head(&w->x, w->slot[i], &h, w->now);
 }
 
-static inline void refuse(world_t *w, int status)
+static inline void data_of(world_t *w, int i, const char *text)
 {
-	ap_response_head_t h = {.status = status, .refused = true, .address_reused = status == 421};
-
-	ap_exchange_head(&w->x, &h, w->now);
-	ap_exchange_end(&w->x, AP_CONNECTION_COMPLETE, w->now);
+	ap_exchange_data(&w->x, w->slot[i], text, strlen(text), w->now);
 }
 
-static inline void data(world_t *w, const char *text)
+static inline void end_of(world_t *w, int i, ap_connection_end_t how)
 {
-	ap_exchange_data(&w->x, text, strlen(text), w->now);
+	ap_exchange_end(&w->x, w->slot[i], how, w->now);
 }
 
-static inline void end(world_t *w, ap_connection_end_t how)
+/* Likewise the upstream of the latest send. */
+static inline void head(world_t *w, int status)
 {
-	ap_exchange_end(&w->x, how, w->now);
+	head_of(w, w->n_sent - 1, status);
 }
 
-/* What the upstream of send @i does; nothing once its connection was dropped. */
-static inline bool is_open(const world_t *w, int i)
+static inline void refuse(world_t *w, int status)
 {
-	return i == w->n_sent - 1;
-}
+	ap_response_head_t h = {.status = status, .refused = true, .address_reused = status == 421};
+	unsigned slot = w->slot[w->n_sent - 1];
 
-static inline void head_of(world_t *w, int i, int status)
-{
-	if (is_open(w, i))
-		head(w, status);
+	ap_exchange_head(&w->x, slot, &h, w->now);
+	ap_exchange_end(&w->x, slot, AP_CONNECTION_COMPLETE, w->now);
 }
 
-static inline void data_of(world_t *w, int i, const char *text)
+static inline void data(world_t *w, const char *text)
 {
-	if (is_open(w, i))
-		data(w, text);
+	data_of(w, w->n_sent - 1, text);
 }
 
-static inline void end_of(world_t *w, int i, ap_connection_end_t how)
+static inline void end(world_t *w, ap_connection_end_t how)
 {
-	if (is_open(w, i))
-		end(w, how);
+	end_of(w, w->n_sent - 1, how);
 }
 
 #endif
--- a/test/path_world.h
+++ b/test/path_world.h
@@ -36,11 +36,22 @@
 } pw_t;
 
 /**
- * struct pw_call - a request at an instance.
- * @origin: the request that was forwarded; NULL for one of a caller
+ * struct pw_attempt - an attempt of a request, by slot of its exchange.
  * @forwarded: this request at the instance to which it was forwarded
- * @send: number of the latest send; events of earlier ones have no effect
+ * @send: number of the slot's latest send; events of earlier ones have no effect
  * @engine: upstream of the latest send; NULL for an instance
+ */
+typedef struct pw_attempt {
+	pw_call_t *call;
+	pw_call_t *forwarded;
+	unsigned send;
+	cw_engine_t *engine;
+	unsigned engine_life;
+} pw_attempt_t;
+
+/**
+ * struct pw_call - a request at an instance.
+ * @origin: the attempt that was forwarded; NULL for a request of a caller
  * @count: where the attempt counts; NULL for nowhere
  * @over: the end was counted, and told to @origin
  */
@@ -49,11 +60,8 @@
 	pw_t *pw;
 	cw_instance_t *n;
 	unsigned life;
-	pw_call_t *origin;
-	pw_call_t *forwarded;
-	unsigned send;
-	cw_engine_t *engine;
-	unsigned engine_life;
+	pw_attempt_t *origin;
+	pw_attempt_t attempts[AP_SLOTS];
 	pw_count_t *count;
 	bool served;
 	bool over;
@@ -61,7 +69,7 @@
 };
 
 typedef struct pw_event {
-	pw_call_t *call;
+	pw_attempt_t *attempt;
 	unsigned send;
 } pw_event_t;
 
@@ -95,81 +103,89 @@
 }
 
 /* Runs an event of the latest send after @delay. Calls are freed with the world only. */
-static inline void pw_at(pw_call_t *c, ap_usec_t delay, void (*run)(void *, void *))
+static inline void pw_at(pw_attempt_t *a, ap_usec_t delay, void (*run)(void *, void *))
 {
 	pw_event_t *event = malloc(sizeof(*event));
 
 	assert_non_null(event);
-	*event = (pw_event_t){c, c->send};
-	fake_at(&c->pw->cw->sim, pw_now(c) + delay, run, NULL, event);
+	*event = (pw_event_t){a, a->send};
+	fake_at(&a->call->pw->cw->sim, pw_now(a->call) + delay, run, NULL, event);
 }
 
-/* Returns the call of an event; NULL if the event is out of date. */
-static inline pw_call_t *pw_current(const pw_event_t *event)
+static inline unsigned pw_slot(const pw_attempt_t *a)
 {
-	pw_call_t *c = event->call;
+	return (unsigned)(a - a->call->attempts);
+}
 
-	return pw_alive(c) && !c->x.finished && c->send == event->send ? c : NULL;
+/* Returns the attempt of an event; NULL if the event is out of date. */
+static inline pw_attempt_t *pw_current(const pw_event_t *event)
+{
+	pw_attempt_t *a = event->attempt;
+
+	return pw_alive(a->call) && !a->call->x.finished && a->send == event->send ? a : NULL;
 }
 
 static inline void pw_finished(pw_call_t *c);
 
 static inline void pw_on_unsent(void *arg, void *data)
 {
-	pw_call_t *c = pw_current(data);
+	pw_attempt_t *a = pw_current(data);
 
 	(void)arg;
-	if (!c)
+	if (!a)
 		return;
-	c->send++;
-	ap_exchange_end(&c->x, AP_CONNECTION_UNSENT, pw_now(c));
-	pw_finished(c);
+	a->send++;
+	ap_exchange_end(&a->call->x, pw_slot(a), AP_CONNECTION_UNSENT, pw_now(a->call));
+	pw_finished(a->call);
 }
 
 static inline void pw_on_silent(void *arg, void *data)
 {
-	pw_call_t *c = pw_current(data);
+	pw_attempt_t *a = pw_current(data);
 
 	(void)arg;
-	if (!c)
+	if (!a)
 		return;
-	c->send++;
-	ap_exchange_end(&c->x, AP_CONNECTION_TIMED_OUT, pw_now(c));
-	pw_finished(c);
+	a->send++;
+	ap_exchange_end(&a->call->x, pw_slot(a), AP_CONNECTION_TIMED_OUT, pw_now(a->call));
+	pw_finished(a->call);
 }
 
-static inline void pw_respond(pw_call_t *c, int status, bool refused, bool unsent)
+static inline void pw_respond(pw_attempt_t *a, int status, bool refused, bool unsent)
 {
 	ap_response_head_t head = {.status = status,
 				   .refused = refused,
 				   .unsent = unsent,
 				   .from_replica = !refused,
 				   .build = 1};
+	pw_call_t *c = a->call;
 
-	c->send++;
-	ap_exchange_head(&c->x, &head, pw_now(c));
+	a->send++;
+	ap_exchange_head(&c->x, pw_slot(a), &head, pw_now(c));
 	if (!refused)
-		ap_exchange_data(&c->x, pw_event_text, sizeof(pw_event_text) - 1, pw_now(c));
-	ap_exchange_end(&c->x, AP_CONNECTION_COMPLETE, pw_now(c));
+		ap_exchange_data(&c->x, pw_slot(a), pw_event_text, sizeof(pw_event_text) - 1,
+				 pw_now(c));
+	ap_exchange_end(&c->x, pw_slot(a), AP_CONNECTION_COMPLETE, pw_now(c));
 	pw_finished(c);
 }
 
 /* The upstream's response reaches the instance, if its connection still works. */
 static inline void pw_on_response(void *arg, void *data)
 {
-	pw_call_t *c = pw_current(data);
+	pw_attempt_t *a = pw_current(data);
 
 	(void)arg;
-	if (!c)
+	if (!a)
 		return;
-	if (!c->engine->up || c->engine->life != c->engine_life || c->n->cut == CW_CUT_RESET) {
-		c->send++;
-		ap_exchange_end(&c->x, AP_CONNECTION_BROKEN, pw_now(c));
-		pw_finished(c);
-	} else if (c->n->cut == CW_CUT_HANG) {
-		pw_at(c, PW_UNACKED_TIME, pw_on_silent);
+	if (!a->engine->up || a->engine->life != a->engine_life ||
+	    a->call->n->cut == CW_CUT_RESET) {
+		a->send++;
+		ap_exchange_end(&a->call->x, pw_slot(a), AP_CONNECTION_BROKEN, pw_now(a->call));
+		pw_finished(a->call);
+	} else if (a->call->n->cut == CW_CUT_HANG) {
+		pw_at(a, PW_UNACKED_TIME, pw_on_silent);
 	} else {
-		pw_respond(c, 200, false, false);
+		pw_respond(a, 200, false, false);
 	}
 }
 
@@ -181,17 +197,17 @@
 /* The response of the instance to which the request was forwarded. */
 static inline void pw_on_forwarded(void *arg, void *data)
 {
-	pw_call_t *c = pw_current(data);
+	pw_attempt_t *a = pw_current(data);
 
 	(void)arg;
-	if (!c || !c->forwarded)
+	if (!a || !a->forwarded)
 		return;
-	if (c->forwarded->served) {
-		pw_respond(c, 200, false, false);
-	} else if (c->forwarded->x.runs == 0) {
-		pw_respond(c, 503, true, c->forwarded->x.sends == 0);
+	if (a->forwarded->served) {
+		pw_respond(a, 200, false, false);
+	} else if (a->forwarded->x.runs == 0) {
+		pw_respond(a, 503, true, a->forwarded->x.sends == 0);
 	} else {
-		pw_respond(c, 502, false, false);
+		pw_respond(a, 502, false, false);
 	}
 }
 
@@ -210,11 +226,11 @@
 	return ap_fleet_may_retry(c->n->fleet, c->x.req.pool->name, pw_now(c));
 }
 
-static inline void pw_start(pw_t *pw, cw_instance_t *n, const ap_dispatch_t *req, pw_call_t *origin,
-			    pw_count_t *count);
+static inline void pw_start(pw_t *pw, cw_instance_t *n, const ap_dispatch_t *req,
+			    pw_attempt_t *origin, pw_count_t *count);
 
 typedef struct pw_forward {
-	pw_call_t *origin;
+	pw_attempt_t *origin;
 	unsigned send;
 	cw_instance_t *to;
 	unsigned life;
@@ -223,11 +239,11 @@
 static inline void pw_on_forward(void *arg, void *data)
 {
 	pw_forward_t *f = data;
-	pw_call_t *c = f->origin;
+	pw_call_t *c = f->origin->call;
 	ap_dispatch_t req = {0};
 
 	(void)arg;
-	if (!pw_alive(c) || c->x.finished || c->send != f->send || !f->to->up)
+	if (!pw_alive(c) || c->x.finished || f->origin->send != f->send || !f->to->up)
 		return;
 	req.route = c->x.req.route;
 	req.pool = c->x.req.pool;
@@ -238,48 +254,52 @@
 	memcpy(req.parts, c->x.req.parts, sizeof(req.parts));
 	req.fingerprint = c->x.req.fingerprint;
 	req.local_only = true;
-	pw_start(c->pw, f->to, &req, c, NULL);
+	pw_start(c->pw, f->to, &req, f->origin, NULL);
 }
 
-static inline void pw_forward(pw_call_t *c, const ap_target_t *target)
+static inline void pw_forward(pw_attempt_t *a, const ap_target_t *target)
 {
+	pw_call_t *c = a->call;
 	cw_instance_t *to = &c->pw->cw->instances[atoi(target->id + 1)];
 	pw_forward_t *f = malloc(sizeof(*f));
 	pw_t *pw = c->pw;
 
 	assert_non_null(f);
-	*f = (pw_forward_t){c, c->send, to, to->life};
+	*f = (pw_forward_t){a, a->send, to, to->life};
 	if (to->region == c->n->region && pw->cut_at == 0 && pw_now(c) > pw->healed_at + CW_STABLE)
 		pw->late_relays++;
 	fake_at(&pw->cw->sim, pw_now(c) + pw_hop(c, to), pw_on_forward, NULL, f);
 	if (!to->up)
-		pw_at(c, pw_hop(c, to), pw_on_unsent);
+		pw_at(a, pw_hop(c, to), pw_on_unsent);
 }
 
-static inline bool pw_op_send(void *ctx, const ap_target_t *target, const char *last_event)
+static inline bool pw_op_send(void *ctx, unsigned slot, const ap_target_t *target,
+			      const char *last_event)
 {
 	pw_call_t *c = ctx;
+	pw_attempt_t *a = &c->attempts[slot];
 	cw_t *w = c->pw->cw;
 
 	(void)last_event;
-	c->send++;
-	c->forwarded = NULL;
-	c->engine = NULL;
+	a->call = c;
+	a->send++;
+	a->forwarded = NULL;
+	a->engine = NULL;
 	if (target->remote) {
-		pw_forward(c, target);
+		pw_forward(a, target);
 		return true;
 	}
 	for (int i = 0; i < CW_UPSTREAMS; i++) {
 		if (strcmp(w->engines[i].id, target->id) == 0 && w->engines[i].up)
-			c->engine = &w->engines[i];
+			a->engine = &w->engines[i];
 	}
 	if (c->n->cut == CW_CUT_HANG) {
-		pw_at(c, PW_CONNECT_TIME, pw_on_unsent);
-	} else if (c->n->cut != CW_CUT_NONE || !c->engine) {
-		pw_at(c, PW_NEAR, pw_on_unsent);
+		pw_at(a, PW_CONNECT_TIME, pw_on_unsent);
+	} else if (c->n->cut != CW_CUT_NONE || !a->engine) {
+		pw_at(a, PW_NEAR, pw_on_unsent);
 	} else {
-		c->engine_life = c->engine->life;
-		pw_at(c, 20 * AP_MSEC + (ap_usec_t)ap_rng_below(&w->sim.rng, 100 * AP_MSEC),
+		a->engine_life = a->engine->life;
+		pw_at(a, 20 * AP_MSEC + (ap_usec_t)ap_rng_below(&w->sim.rng, 100 * AP_MSEC),
 		      pw_on_response);
 	}
 	return true;
@@ -306,19 +326,20 @@
 	ap_fleet_done(c->n->fleet, inflight, end, pw_now(c));
 }
 
-static inline void pw_op_drop(void *ctx)
+static inline void pw_op_drop(void *ctx, unsigned slot)
 {
-	pw_call_t *c = ctx;
+	pw_attempt_t *a = &((pw_call_t *)ctx)->attempts[slot];
 
-	c->send++;
-	if (c->forwarded)
-		c->forwarded->origin = NULL;
-	c->forwarded = NULL;
+	a->send++;
+	if (a->forwarded)
+		a->forwarded->origin = NULL;
+	a->forwarded = NULL;
 }
 
-static inline void pw_op_head(void *ctx)
+static inline void pw_op_head(void *ctx, unsigned slot)
 {
 	(void)ctx;
+	(void)slot;
 }
 
 static inline void pw_op_data(void *ctx, const void *data, size_t len)
@@ -332,7 +353,7 @@
 {
 	pw_call_t *c = ctx;
 
-	c->served = c->x.head.status == 200;
+	c->served = c->x.slot[c->x.current].head.status == 200;
 }
 
 static inline void pw_op_abort(void *ctx)
@@ -376,19 +397,19 @@
 
 static inline void pw_finished(pw_call_t *c)
 {
-	pw_call_t *origin = c->origin;
+	pw_attempt_t *origin = c->origin;
 
 	if (!c->x.finished || c->over)
 		return;
 	c->over = true;
 	if (c->count)
 		c->count->served += c->served;
-	if (origin && pw_alive(origin) && origin->forwarded == c)
-		pw_at(origin, pw_hop(origin, c->n), pw_on_forwarded);
+	if (origin && pw_alive(origin->call) && origin->forwarded == c)
+		pw_at(origin, pw_hop(origin->call, c->n), pw_on_forwarded);
 }
 
-static inline void pw_start(pw_t *pw, cw_instance_t *n, const ap_dispatch_t *req, pw_call_t *origin,
-			    pw_count_t *count)
+static inline void pw_start(pw_t *pw, cw_instance_t *n, const ap_dispatch_t *req,
+			    pw_attempt_t *origin, pw_count_t *count)
 {
 	pw_call_t *c = calloc(1, sizeof(*c));
 
@@ -478,7 +499,8 @@
 
 	while ((c = LIST_FIRST(&pw->calls))) {
 		LIST_REMOVE(c, link);
-		free(c->x.buffer);
+		for (unsigned i = 0; i < AP_SLOTS; i++)
+			free(c->x.slot[i].buffer);
 		free(c);
 	}
 	cw_free(pw->cw);
--- a/test/version_run_test.c
+++ b/test/version_run_test.c
@@ -126,11 +126,12 @@
 	return find_engine(s->w, there.id);
 }
 
-static bool op_send(void *ctx, const ap_target_t *target, const char *last_event_id)
+static bool op_send(void *ctx, unsigned slot, const ap_target_t *target, const char *last_event_id)
 {
 	stream_t *s = ctx;
 	const engine_t *e = serving_engine(s, target);
 
+	(void)slot;
 	(void)last_event_id;
 	s->serving = e ? e->version : -1;
 	return e != NULL;
@@ -157,16 +158,18 @@
 	ap_fleet_done(s->w->net.fleets[s->instance], inflight, end, s->w->now);
 }
 
-static void op_drop_connection(void *ctx)
+static void op_drop_connection(void *ctx, unsigned slot)
 {
 	(void)ctx;
+	(void)slot;
 }
 
-static void op_head(void *ctx)
+static void op_head(void *ctx, unsigned slot)
 {
 	stream_t *s = ctx;
 	char id[24];
 
+	(void)slot;
 	snprintf(id, sizeof(id), "%llu", (unsigned long long)s->w->n_streams);
 	ap_fleet_stream_began(s->w->net.fleets[s->instance], id, s->x.req.build, s->w->now);
 }
@@ -228,10 +231,10 @@
 
 	if (s->over)
 		return;
-	if (!s->x.has_head)
-		ap_exchange_head(&s->x, &head, s->w->now);
+	if (!s->x.slot[s->x.current].has_head)
+		ap_exchange_head(&s->x, s->x.current, &head, s->w->now);
 	snprintf(text, sizeof(text), "id: %d\ndata: x\n\n", s->events + 1);
-	ap_exchange_data(&s->x, text, strlen(text), s->w->now);
+	ap_exchange_data(&s->x, s->x.current, text, strlen(text), s->w->now);
 }
 
 /* As the gateway does: a stream that goes on keeps the build that began it. */
@@ -271,7 +274,7 @@
 	int events = s->events;
 
 	w->broken++;
-	ap_exchange_end(&s->x, AP_CONNECTION_BROKEN, w->now);
+	ap_exchange_end(&s->x, s->x.current, AP_CONNECTION_BROKEN, w->now);
 	event(s);
 	w->resumed += s->events > events;
 }
