Append no error to a stream that has begun, and deliver an error that can't be mended

A stream that broke off was resumed at another upstream; if that one answered with a status of the 3xx or 4xx kind, its body was appended to the stream and the stream ended as if it were complete, as other operators had reported. Cause: only statuses of 500 and above were kept out of a response that had begun. Now no complete response but a success goes into one.

Beside it, from the same decision: an upstream's 500 became a 502 of this instance when there was no other target for the retry. It is delivered now, since it says more.

exchange_test: an_error_is_no_part_of_a_stream_that_has_begun (the text of the error stood in the caller's body) and an_error_without_another_upstream_is_delivered failed on the code before.

--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -353,20 +353,20 @@
 static void error_response(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
 	bool error = a->head.status >= 500;
+	/* It is no part of a response that has begun. */
+	bool deliverable =
+		!x->committed && a->head.from_replica && !implies_not_run(a->head.status);
 
 	finish_attempt(x, a, error ? AP_DISPATCH_ERROR : AP_DISPATCH_DONE);
 	x->runs++;
 	add_name(x->req.tried, &x->req.n_tried, a->target.id);
-	if (error && (in_flight(x) > 0 || (!x->committed && may_run_again(x, now)))) {
-		if (!go_on_elsewhere(x, a, now))
-			reply_error(x, AP_REASON_BROKEN, now);
-	} else if (error && x->committed) {
-		reply_error(x, AP_REASON_BROKEN, now);
-	} else if (!a->head.from_replica || implies_not_run(a->head.status)) {
-		reply_error(x, AP_REASON_UNPROVED, now);
-	} else {
+	if ((error || x->committed || (in_flight(x) > 0 && !deliverable)) &&
+	    go_on_elsewhere(x, a, now))
+		return;
+	if (deliverable)
 		ap_attempt_deliver(x, a, now);
-	}
+	else
+		reply_error(x, x->committed ? AP_REASON_BROKEN : AP_REASON_UNPROVED, now);
 }
 
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -497,9 +497,55 @@
 	assert_false(ap_sse_last_id("data: z\n\n", 9, id));
 }
 
+/*
+ * Guards against the body of an error in the middle of a stream, which then ended as if it were
+ * complete: the upstream at which the stream was resumed answered with an error.
+ */
+static void an_error_is_no_part_of_a_stream_that_has_begun(void **state)
+{
+	static const int statuses[] = {301, 400, 404, 409, 429, 500, 503};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		world_t w = {0};
+
+		begin(&w, AP_KIND_STREAM, true, 2);
+		head(&w, 200);
+		data(&w, "id: 1\ndata: a\n\n");
+		end(&w, AP_CONNECTION_BROKEN);
+		assert_int_equal(w.n_sent, 2);
+		head(&w, statuses[i]);
+		data(&w, "{\"error\":\"x\"}");
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_string_equal(w.body, "id: 1\ndata: a\n\n");
+		assert_false(w.ended);
+		assert_true(w.aborted);
+		finish(&w);
+	}
+}
+
+/* Guards against an upstream's error that is replaced by one of this instance. */
+static void an_error_without_another_upstream_is_delivered(void **state)
+{
+	world_t w = {.targets = 1};
+
+	(void)state;
+	begin(&w, AP_KIND_IDEMPOTENT, false, 2);
+	head(&w, 500);
+	data(&w, "oops");
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_int_equal(w.n_sent, 1);
+	assert_true(w.ended);
+	assert_string_equal(w.body, "oops");
+	assert_int_equal(w.status, 0);
+	finish(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_error_is_no_part_of_a_stream_that_has_begun),
+		cmocka_unit_test(an_error_without_another_upstream_is_delivered),
 		cmocka_unit_test(a_complete_response_is_delivered_once),
 		cmocka_unit_test(a_response_without_length_ends_with_a_clean_close),
 		cmocka_unit_test(a_stream_without_framing_ends_with_its_connection),
