Don't measure a stream that has begun by the time to its first event

A resumable stream whose upstream broke off or fell silent was refused as too late by other instances, with seconds left: they compared the expected wait with a share of the route's objective, which is the time to the first event, and the caller had had that.

fleet_silence_test fails without the change in choose.c.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -37,6 +37,8 @@
 	if (x->committed)
 		return;
 	x->committed = true;
+	/* The objective is the time to the first chunk, so it doesn't bind any more. */
+	x->req.begun = true;
 	x->ops->head(x->ctx, slot_of(x, a));
 }
 
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -219,6 +219,7 @@
 	if (route->timeout > 0 && now + route->timeout < x->timeout_at)
 		x->timeout_at = now + route->timeout;
 	x->req.deadline = x->timeout_at;
+	x->req.begun = x->last_event_id[0] != '\0';
 	dispatch_or_reply(x, now);
 }
 
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -217,7 +217,7 @@
 static bool too_late(const ap_dispatch_t *req, double queue, ap_usec_t now)
 {
 	return queue > (double)(req->deadline - now) ||
-	       queue > QUEUE_SHARE * (double)req->route->objective;
+	       (!req->begun && queue > QUEUE_SHARE * (double)req->route->objective);
 }
 
 /* Cost of processing a large prefix again, or of relying on an upstream that has it but fails. */
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -79,6 +79,7 @@
  * @tokens_in: length of the prompt
  * @tokens_out: expected length of the response
  * @build: the only build of upstreams that may be chosen; 0 for any
+ * @begun: the caller has a part of the response, so that only the deadline limits the wait
  * @parts: of the prompt, in order; the last one belongs to this request or its session alone
  * @fingerprint: hash of the caller, path and body: of what the request is, however often it comes;
  *               0 if unknown
@@ -94,6 +95,7 @@
 	uint32_t tokens_in;
 	uint32_t tokens_out;
 	uint64_t build;
+	bool begun;
 	ap_prompt_part_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
 	uint64_t fingerprint;
