Try no other upstream that is as silent as the one that has the request

When all upstreams of a pool fall silent, or those of another region, requests were sent to a second one that was silent as well: a process that is stopped reads both attempts when it goes on, late, and the retry budget is spent for nothing. An instance now notes when it last heard from each upstream, and from each pool of another region, that has requests of its own; a silent request goes to another target only if that one has responded since the silence began, or has nothing of this instance. The declarations on remote regions moved to remote.h.

--- a/lib/fleet/brittle.c
+++ b/lib/fleet/brittle.c
@@ -121,21 +121,12 @@
 	return before;
 }
 
-static uint32_t own_running(const ap_replica_t *r)
-{
-	uint32_t running = 0;
-
-	for (unsigned i = 0; i < AP_PRIORITIES; i++)
-		running += r->own.running[i];
-	return running;
-}
-
 /* Returns whether @req is within this instance's share of the upstream. */
 static bool within_share(const ap_fleet_t *f, const ap_replica_t *r, const ap_dispatch_t *req,
 			 ap_usec_t now)
 {
 	uint32_t n = (uint32_t)ap_fleet_active_peers(f, now) + 1;
-	uint32_t running = own_running(r);
+	uint32_t running = ap_replica_own_running(r);
 
 	if (running >= share_of_slots(f, r, f->config.id, req->pool, now))
 		return false;
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -166,6 +166,7 @@
 {
 	return ap_replica_serves(f, r, f->config.region, req, now) &&
 	       !ap_dispatch_avoids(req, r->entry.id) &&
+	       !ap_is_silent(ap_replica_own_running(r), r->heard_at, req) &&
 	       (!ap_replica_cold(f, r, req->pool->warmup, now) || req->pool->warmup_rate <= 0 ||
 		ap_cold_allows(f, r, req->pool, now)) &&
 	       (!ap_replica_limited(f, r, now) || ap_limit_allows(f, r, now)) &&
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -80,6 +80,8 @@
  * @tokens_out: expected length of the response
  * @build: the only build of upstreams that may be chosen; 0 for any
  * @begun: the caller has a part of the response, so that only the deadline limits the wait
+ * @heard_since: a target that has requests of this instance must have responded to one of them
+ *               since this time; 0 for any target
  * @parts: of the prompt, in order; the last one belongs to this request or its session alone
  * @fingerprint: hash of the caller, path and body: of what the request is, however often it comes;
  *               0 if unknown
@@ -96,6 +98,7 @@
 	uint32_t tokens_out;
 	uint64_t build;
 	bool begun;
+	ap_usec_t heard_since;
 	ap_prompt_part_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
 	uint64_t fingerprint;
@@ -417,7 +420,7 @@
 /** ap_fleet_sent() - @req is being sent to @target; initializes @inflight. */
 void ap_fleet_sent(ap_fleet_t *f, const ap_dispatch_t *req, const ap_target_t *target,
 		   ap_usec_t now, ap_inflight_t *inflight);
-/** ap_fleet_first_chunk() - the first chunk of the response arrived. */
+/** ap_fleet_first_chunk() - the first chunk of the response arrived, or a further one. */
 void ap_fleet_first_chunk(ap_fleet_t *f, ap_inflight_t *inflight, ap_usec_t now);
 /** ap_fleet_done() - the request ended; has no effect if it had ended before. */
 void ap_fleet_done(ap_fleet_t *f, ap_inflight_t *inflight, ap_dispatch_result_t end, ap_usec_t now);
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -77,6 +77,20 @@
 	return running;
 }
 
+uint32_t ap_replica_own_running(const ap_replica_t *r)
+{
+	uint32_t running = 0;
+
+	for (unsigned i = 0; i < AP_PRIORITIES; i++)
+		running += r->own.running[i];
+	return running;
+}
+
+bool ap_is_silent(uint32_t running, ap_usec_t heard_at, const ap_dispatch_t *req)
+{
+	return running > 0 && heard_at < req->heard_since;
+}
+
 uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool)
 {
 	uint32_t slots = r->entry.slots ? r->entry.slots : pool->slots;
@@ -275,6 +289,7 @@
 	if (!remote)
 		return;
 	remote->sent_since++;
+	remote->running++;
 	/* The size of one upstream's cache is enough to find recently forwarded prefixes. */
 	ap_prefix_cache_add(f, &remote->cache, req, req->pool->kv_tokens);
 }
@@ -380,15 +395,29 @@
 	r->slowdown_at = now;
 }
 
+/* Returns the pool of the remote region that has the request; NULL for the own region. */
+static ap_remote_pool_t *remote_of(ap_fleet_t *f, const ap_inflight_t *inflight)
+{
+	if (!inflight->remote || strcmp(inflight->region, f->config.region) == 0)
+		return NULL;
+	return ap_remote_pool(f, inflight->region, inflight->pool);
+}
+
 void ap_fleet_first_chunk(ap_fleet_t *f, ap_inflight_t *inflight, ap_usec_t now)
 {
-	ap_replica_t *r;
+	ap_remote_pool_t *remote = remote_of(f, inflight);
+	ap_replica_t *r = inflight->remote ? NULL : ap_replica_find(f, inflight->id);
 
-	if (!inflight->open || inflight->has_first_chunk)
+	if (!inflight->open)
+		return;
+	if (remote)
+		remote->heard_at = now;
+	if (r)
+		r->heard_at = now;
+	if (inflight->has_first_chunk)
 		return;
 	inflight->has_first_chunk = true;
 	inflight->first_at = now;
-	r = inflight->remote ? NULL : ap_replica_find(f, inflight->id);
 	if (!r)
 		return;
 	ap_path_seen(f, r, now);
@@ -426,12 +455,19 @@
 		r->own.prefill[inflight->priority] -= inflight->prefill;
 }
 
+static bool has_responded(ap_dispatch_result_t end)
+{
+	return end == AP_DISPATCH_DONE || end == AP_DISPATCH_ERROR || end == AP_DISPATCH_REFUSED;
+}
+
 static void done_local(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight,
 		       ap_dispatch_result_t end, ap_usec_t now)
 {
 	ap_pool_state_t *p = ap_pool_state(f, inflight->pool);
 
 	remove_load(r, inflight);
+	if (has_responded(end))
+		r->heard_at = now;
 	if (p)
 		learn_refusals(&p->refusals, end, now);
 	if (end == AP_DISPATCH_DONE) {
@@ -451,12 +487,14 @@
 			ap_usec_t now)
 {
 	ap_member_state_t *m = ap_member_find(f, inflight->id);
-	ap_remote_pool_t *remote = NULL;
+	ap_remote_pool_t *remote = remote_of(f, inflight);
 
-	if (strcmp(inflight->region, f->config.region) != 0)
-		remote = ap_remote_pool(f, inflight->region, inflight->pool);
-	if (remote)
+	if (remote) {
 		learn_refusals(&remote->refusals, end, now);
+		remote->running--;
+		if (has_responded(end))
+			remote->heard_at = now;
+	}
 	if (m && (end == AP_DISPATCH_UNREACHABLE || end == AP_DISPATCH_TIMED_OUT))
 		ap_member_suspect(f, m, now);
 }
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -122,6 +122,7 @@
  * @shutdown_at: when the upstream stops, whatever it is processing; AP_NEVER if not announced
  * @listed: received since ap_fleet_list_begin()
  * @address_reused: another upstream has the address
+ * @heard_at: when this instance last had a chunk or the end of a response; 0 for never
  * @cold_until: end of the cold time, from the entry or a health check; 0 for none
  * @check_sent_at: time of the last health check; 0 for none
  * @check_answered_at: when the upstream last said whether it is cold
@@ -175,6 +176,7 @@
 	ap_usec_t shutdown_at;
 	bool listed;
 	bool address_reused;
+	ap_usec_t heard_at;
 	ap_usec_t cold_until;
 	ap_usec_t check_sent_at;
 	ap_usec_t check_answered_at;
@@ -307,18 +309,7 @@
 	ap_budget_t budget;
 } ap_pool_state_t;
 
-#define ANNOUNCED_WAITS 2 /* of priority 0, and of all requests */
-
-/* A pool in a remote region. @key is "region pool". */
-typedef struct ap_remote_pool {
-	UT_hash_handle hh;
-	char key[2 * AP_NAME_MAX];
-	ap_usec_t wait[ANNOUNCED_WAITS]; /* for priority 0, and for all requests */
-	ap_usec_t announced_at;
-	uint32_t sent_since; /* requests sent there since @announced_at */
-	ap_refusals_t refusals;
-	ap_prefix_cache_t cache;
-} ap_remote_pool_t;
+typedef struct ap_remote_pool ap_remote_pool_t;
 
 /* A data centre of the deployment. */
 typedef struct ap_data_centre_state {
@@ -517,21 +508,11 @@
 	return priority < AP_PRIORITIES ? priority : AP_PRIORITIES - 1;
 }
 
-/*
- * Regions announce two waits: of requests of priority 0, and of the lowest priority, which wait for
- * all requests. Returns the one to announce and to use for @priority.
- */
-static inline unsigned ap_announced_priority(unsigned priority)
-{
-	return priority == 0 ? 0 : AP_PRIORITIES - 1;
-}
-
 /*
  * Returns the wait of requests of @priority for a slot at the pool's upstreams of this region;
  * AP_NEVER if none is usable.
  */
 ap_usec_t ap_pool_wait(ap_fleet_t *f, const ap_pool_state_t *p, unsigned priority, ap_usec_t now);
-ap_remote_pool_t *ap_remote_pool(ap_fleet_t *f, const char *region, const char *pool);
 /*
  * Returns the time that is lost on average where a share of the requests is refused: an upstream
  * that refuses what it has no room for never has a long queue, however little it can take.
@@ -546,6 +527,10 @@
 /* Returns the expected time to the first chunk at an upstream that is idle. */
 double ap_dispatch_service_us(ap_fleet_t *f, const ap_dispatch_t *req, uint32_t cached);
 uint32_t ap_replica_running(const ap_replica_t *r);
+/* Returns how many of them are requests of this instance. */
+uint32_t ap_replica_own_running(const ap_replica_t *r);
+/* Returns whether a target with @running own requests is as silent as the one that has @req. */
+bool ap_is_silent(uint32_t running, ap_usec_t heard_at, const ap_dispatch_t *req);
 ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag);
 /* Queues for the next announcement that @req's prefix was sent to @r, which has @cached tokens. */
 void ap_announce_prefixes_later(ap_fleet_t *f, const ap_replica_t *r, const ap_dispatch_t *req,
@@ -562,33 +547,11 @@
 /* Returns the time to process the prompt without its @cached tokens. */
 double ap_prefill_us(ap_fleet_t *f, const ap_dispatch_t *req, uint32_t cached);
 
-/* remote.c */
-/* A request for which a local upstream was found is forwarded only for a gain above this. */
-#define REMOTE_MARGIN_US 60000.0
-
-/* An instance of a remote region to which a request may be forwarded. */
-typedef struct ap_remote_candidate {
-	const ap_member_t *member;
-	double wait;
-	double queue;
-	uint32_t cached;
-} ap_remote_candidate_t;
-
-/*
- * Returns the region whose upstreams keep this prefix, by weighted rendezvous hash. NULL if
- * processing the prefix takes less time than forwarding the request.
- */
-const char *ap_prefix_region(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now);
-/* Finds the best remote region. @prefix_region is assumed to have the prefix cached; may be NULL.
- */
-bool ap_best_remote(ap_fleet_t *f, const ap_dispatch_t *req, const char *prefix_region,
-		    ap_usec_t now, ap_remote_candidate_t *best);
-void ap_fill_remote_target(const ap_remote_candidate_t *c, ap_target_t *target);
-
 bool ap_dispatch_tried(const ap_dispatch_t *req, const char *id);
 bool ap_dispatch_avoids(const ap_dispatch_t *req, const char *id);
 
 #include "fleet/condition.h"
 #include "fleet/relay.h"
+#include "fleet/remote.h"
 
 #endif
--- a/test/fleet_silence_test.c
+++ b/test/fleet_silence_test.c
@@ -7,6 +7,8 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#define SILENT_FOR (600 * AP_MSEC)
+
 /* Sends a request to the upstream that is chosen, and returns its id. */
 static const char *send_one(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 			    ap_target_t *target, ap_inflight_t *inflight)
@@ -16,6 +18,67 @@
 	return target->id;
 }
 
+/* Guards against requests that are moved from one silent upstream to another. */
+static void another_silent_upstream_is_no_alternative(void **state)
+{
+	ap_usec_t now = WORLD_START;
+	ap_fleet_t *f = world_north();
+	ap_dispatch_t req = world_request(&world_stream, &world_engines, now);
+	ap_inflight_t inflight[2];
+	ap_target_t target[2];
+
+	(void)state;
+	world_replica(f, "e1", "engines", "north", now);
+	world_replica(f, "e2", "engines", "north", now);
+	for (size_t i = 0; i < 2; i++) {
+		send_one(f, &req, now, &target[i], &inflight[i]);
+		ap_fleet_first_chunk(f, &inflight[i], now);
+		ap_copy_name(req.avoid[0], AP_NAME_MAX, target[i].id);
+		req.n_avoid = 1;
+	}
+	assert_string_not_equal(target[0].id, target[1].id);
+
+	/* Both are silent: the stream at the second one stays there. */
+	req.heard_since = now + 1;
+	now += SILENT_FOR;
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target[0]), AP_FLEET_NONE);
+	/* One of them goes on. */
+	ap_fleet_first_chunk(f, &inflight[0], now);
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target[0]), AP_FLEET_OK);
+	/* An upstream without requests of this instance isn't silent. */
+	req.heard_since = now + 1;
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target[0]), AP_FLEET_NONE);
+	ap_fleet_done(f, &inflight[0], AP_DISPATCH_CANCELLED, now);
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target[0]), AP_FLEET_OK);
+	ap_fleet_free(f);
+}
+
+/* Guards against requests that are forwarded to a region whose upstreams are silent, too. */
+static void a_silent_region_is_no_alternative(void **state)
+{
+	ap_usec_t now = WORLD_START;
+	ap_fleet_t *f = world_north();
+	ap_dispatch_t req = world_request(&world_stream, &world_engines, now);
+	ap_inflight_t inflight;
+	ap_target_t target;
+
+	(void)state;
+	world_member(f, "s1", "south", false, now);
+	world_replica(f, "e1", "engines", "south", now);
+	send_one(f, &req, now, &target, &inflight);
+	assert_true(target.remote);
+	ap_fleet_first_chunk(f, &inflight, now);
+	req.heard_since = now + 1;
+	now += SILENT_FOR;
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_NONE);
+	ap_fleet_first_chunk(f, &inflight, now);
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_OK);
+	ap_fleet_done(f, &inflight, AP_DISPATCH_DONE, now);
+	req.heard_since = now + 1;
+	assert_int_equal(ap_fleet_choose(f, &req, now + SILENT_FOR, &target), AP_FLEET_OK);
+	ap_fleet_free(f);
+}
+
 /* Guards against streams that are refused as too late for an objective that they met long ago. */
 static void a_stream_that_has_begun_is_late_only_at_its_deadline(void **state)
 {
@@ -44,6 +107,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(another_silent_upstream_is_no_alternative),
+		cmocka_unit_test(a_silent_region_is_no_alternative),
 		cmocka_unit_test(a_stream_that_has_begun_is_late_only_at_its_deadline),
 	};
 
