Don't take a stream for silent while its caller reads slowly

While the response waits for a slow caller, nothing is read from the upstream, and no event counts as silence: the stream was moved to another upstream after the route's event gap although the first one was sound. The exchange is now told of the pause, and the limit runs from its end. a_paused_stream_is_not_silent: without the check in silent_until() it fails.

--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -64,6 +64,7 @@
 	if (c->paused == paused)
 		return;
 	c->paused = paused;
+	ap_exchange_pause(&c->x, paused, ap_now());
 	for (unsigned i = 0; i < AP_SLOTS; i++) {
 		if (c->attempts[i].fetch)
 			ap_http_fetch_pause(c->attempts[i].fetch, paused);
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -440,6 +440,12 @@
 	}
 }
 
+void ap_exchange_pause(ap_exchange_t *x, bool paused, ap_usec_t now)
+{
+	x->paused = paused;
+	x->waits_since = now;
+}
+
 /* Until when the current attempt may send no data before another target is tried. */
 static ap_usec_t silent_until(const ap_exchange_t *x)
 {
@@ -447,7 +453,7 @@
 	const ap_attempt_t *a = &x->slot[x->current];
 	ap_usec_t since = a->last_chunk_at > x->waits_since ? a->last_chunk_at : x->waits_since;
 
-	if (in_flight(x) != 1 || !x->retryable || x->runs + 1 >= x->attempts)
+	if (x->paused || in_flight(x) != 1 || !x->retryable || x->runs + 1 >= x->attempts)
 		return AP_NEVER;
 	if (a->inflight.has_first_chunk && x->stream)
 		return route->event_gap > 0 ? since + route->event_gap : AP_NEVER;
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -154,6 +154,7 @@
  * @sends: how many times it reached a target, whether refused or not
  * @connect_failures: how many targets could not be reached
  * @committed: the head was sent to the caller, so the response can't be replaced any more
+ * @paused: the caller reads too slowly, so targets aren't read from
  * @finished: the caller has its final response or has disconnected; only
  *	ap_exchange_clear() is left to call
  * @no_other: why the request was not sent to another target, the last time that this was considered
@@ -178,6 +179,7 @@
 	bool stream;
 	bool retryable;
 	bool committed;
+	bool paused;
 	bool finished;
 	ap_reason_t reason;
 	ap_reason_t no_other;
@@ -208,6 +210,11 @@
 void ap_exchange_data(ap_exchange_t *x, unsigned slot, const void *data, size_t len, ap_usec_t now);
 /** ap_exchange_end() - its connection ended. */
 void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now);
+/**
+ * ap_exchange_pause() - the driver stops reading from targets, or goes on, because of the caller.
+ * That they send nothing meanwhile says nothing about them.
+ */
+void ap_exchange_pause(ap_exchange_t *x, bool paused, ap_usec_t now);
 /** ap_exchange_caller_disconnected() - cancels the request; nobody waits for its response. */
 void ap_exchange_caller_disconnected(ap_exchange_t *x);
 /** ap_exchange_tick() - acts on timeouts: tries another target or gives up. */
--- a/test/exchange_silence_test.c
+++ b/test/exchange_silence_test.c
@@ -128,6 +128,29 @@
 	finish(&w);
 }
 
+/* Guards against sound streams that are moved because their callers read slowly. */
+static void a_paused_stream_is_not_silent(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	data(&w, FIRST);
+	ap_exchange_pause(&w.x, true, w.now);
+	w.now += 2 * w.route.event_gap;
+	ap_exchange_tick(&w.x, w.now);
+	assert_int_equal(w.n_sent, 1);
+	ap_exchange_pause(&w.x, false, w.now);
+	w.now += w.route.event_gap - 1;
+	ap_exchange_tick(&w.x, w.now);
+	assert_int_equal(w.n_sent, 1);
+	w.now += 1;
+	ap_exchange_tick(&w.x, w.now);
+	assert_int_equal(w.n_sent, 2);
+	finish(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -136,6 +159,7 @@
 		cmocka_unit_test(the_upstream_that_goes_on_first_serves_the_stream),
 		cmocka_unit_test(two_upstreams_at_once_count_as_two_attempts),
 		cmocka_unit_test(a_silent_plain_request_outlives_the_refusal_of_another_upstream),
+		cmocka_unit_test(a_paused_stream_is_not_silent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
