Check that an upstream still listens when its response ends with the connection

An upstream that stops its work at the deadline closes in the same way.

If nobody listens any more, or the close comes at the request's deadline, the response is broken: it goes on elsewhere or ends in an error. Events are delivered as before; only the end waits. Instances frame their responses, so a close of theirs is a break. Counter arbutuspond_closed_responses_total.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -238,6 +238,33 @@
 /** ap_http_fetch_pause() - pauses or resumes reading the response; time limits pause with it. */
 void ap_http_fetch_pause(ap_http_fetch_t *fetch, bool paused);
 
+typedef struct ap_http_reach ap_http_reach_t;
+
+/**
+ * struct ap_http_reach_config - a check whether a process listens, be it stopped.
+ * @host: IP address
+ * @limit: time for the connection, in microseconds
+ * @done: called once, after ap_http_reach() has returned
+ */
+typedef struct ap_http_reach_config {
+	const char *host;
+	uint16_t port;
+	ap_usec_t limit;
+	void *ctx;
+	void (*done)(void *ctx, bool reached);
+} ap_http_reach_config_t;
+
+/**
+ * ap_http_reach() - opens a connection and closes it again, without sending anything, once a
+ * process that is ending would have closed its listener.
+ *
+ * Return: a handle valid until the callback or ap_http_reach_cancel(), or NULL if nothing could be
+ * tried.
+ */
+ap_http_reach_t *ap_http_reach(struct event_base *base, const ap_http_reach_config_t *config);
+/** ap_http_reach_cancel() - closes the connection; no callback follows. */
+void ap_http_reach_cancel(ap_http_reach_t *reach);
+
 /**
  * struct ap_http_client_stats - counters of connections to upstreams.
  * @opened: connections opened
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -350,6 +350,38 @@
 	c->attempts[slot].fetch = NULL;
 	if (fetch)
 		ap_http_fetch_cancel(fetch);
+	if (c->attempts[slot].reach)
+		ap_http_reach_cancel(c->attempts[slot].reach);
+	c->attempts[slot].reach = NULL;
+}
+
+static void on_reached(void *ctx, bool reached)
+{
+	gate_attempt_t *a = ctx;
+	gate_call_t *c = a->call;
+
+	a->reach = NULL;
+	c->gate->counters.checks_failed += !reached;
+	ap_exchange_checked(&c->x, slot_of(a), reached, ap_now());
+	gate_call_update(c);
+}
+
+static bool op_check(void *ctx, unsigned slot)
+{
+	gate_call_t *c = ctx;
+	gate_attempt_t *a = &c->attempts[slot];
+	const ap_target_t *target = target_of(a);
+	ap_http_reach_config_t config = {
+		.host = target->host,
+		.port = target->port,
+		.limit = CONNECT_LOCAL,
+		.ctx = a,
+		.done = on_reached,
+	};
+
+	a->reach = ap_http_reach(c->gate->base, &config);
+	c->gate->counters.checks += a->reach != NULL;
+	return a->reach != NULL;
 }
 
 /* Tells the sender of a forwarded request how long the next one would wait. */
@@ -508,6 +540,7 @@
 	.first_chunk = op_first_chunk,
 	.done = op_done,
 	.drop_connection = op_drop_connection,
+	.check = op_check,
 	.head = op_head,
 	.data = op_data,
 	.end = op_end,
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -150,6 +150,10 @@
 	put(out, "store_calls_total", "{result=\"unsure\"}", (double)store.unsure);
 	put(out, "streams_taken_up_total", "", (double)gate->counters.taken_up);
 	put(out, "streams_unknown_total", "", (double)gate->counters.unknown_streams);
+	put(out, "closed_responses_total", "{upstream=\"alive\"}",
+	    (double)(gate->counters.checks - gate->counters.checks_failed));
+	put(out, "closed_responses_total", "{upstream=\"gone\"}",
+	    (double)gate->counters.checks_failed);
 	put(out, "store_unreadable_total", "", (double)gate->counters.unreadable);
 	put(out, "log_lines_total", "{result=\"written\"}", (double)journal.written);
 	put(out, "log_lines_total", "{result=\"dropped\"}", (double)journal.dropped);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -82,12 +82,14 @@
 /**
  * struct gate_attempt - an attempt of the exchange, in flight or that has responded.
  * @fetch: request to the target; NULL if none is in flight
+ * @reach: check whether the target still listens; NULL if none is under way
  * @status: of its response
  * @headers: copy of the response's headers
  */
 typedef struct gate_attempt {
 	struct gate_call *call;
 	ap_http_fetch_t *fetch;
+	ap_http_reach_t *reach;
 	int status;
 	struct evkeyvalq headers;
 } gate_attempt_t;
@@ -141,6 +143,8 @@
  * @peer_sent: requests sent to other instances of the own region
  * @taken_up: streams that callers took up here
  * @unknown_streams: of these, refused because the build that began them isn't known
+ * @checks: of upstreams whose response ended with its connection
+ * @checks_failed: of these, because nobody listened any more
  * @unreadable: records of the store that could not be decoded
  * @first_chunk: histogram of the time until the first chunk of the response
  * @duration: histogram of the time until the end of the response
@@ -158,6 +162,8 @@
 	uint64_t retries;
 	uint64_t taken_up;
 	uint64_t unknown_streams;
+	uint64_t checks;
+	uint64_t checks_failed;
 	uint64_t unreadable;
 	uint64_t first_chunk[GATE_BUCKETS + 1];
 	uint64_t duration[GATE_BUCKETS + 1];
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -7,6 +7,7 @@
 void ap_attempt_reset(const ap_exchange_t *x, ap_attempt_t *a)
 {
 	a->has_head = false;
+	a->checking = false;
 	a->resuming = x->committed;
 	a->buffer_len = 0;
 	a->scanned = 0;
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -9,6 +9,11 @@
  * response by itself at the timeout.
  */
 #define ABORT_MARGIN (150 * AP_MSEC)
+/*
+ * An upstream that stops its work at the deadline may close the connection, which is no end of a
+ * response without framing. It may see the deadline this much earlier.
+ */
+#define DEADLINE_MARGIN (10 * AP_MSEC)
 /*
  * Another target is tried after this many expected waits without data, plus the latency objective
  * divided by NO_DATA_OBJECTIVE_DIVISOR.
@@ -373,21 +378,48 @@
 		reply_error(x, x->committed ? AP_REASON_BROKEN : AP_REASON_UNPROVED, now);
 }
 
+static void deliver_success(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	ap_attempt_take_over(x, a);
+	x->ops->first_chunk(x->ctx, &a->inflight);
+	finish_attempt(x, a, AP_DISPATCH_DONE);
+	x->runs++;
+	ap_attempt_deliver(x, a, now);
+}
+
+/* The connection may have closed because the upstream's process ended. */
+static bool start_check(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	a->checking = now < x->timeout_at - DEADLINE_MARGIN && !a->target.remote &&
+		      x->ops->check(x->ctx, slot_of(x, a));
+	return a->checking;
+}
+
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
 {
-	if (a->has_head && a->head.refused) {
+	bool whole = a->has_head && !ap_attempt_truncated(x, a, closed);
+
+	if (a->has_head && a->head.refused)
 		target_refused(x, a, now);
-	} else if (a->has_head && !is_success(a)) {
+	else if (a->has_head && !is_success(a))
 		error_response(x, a, now);
-	} else if (!a->has_head || ap_attempt_truncated(x, a, closed)) {
+	else if (whole && !closed)
+		deliver_success(x, a, now);
+	else if (!whole || !start_check(x, a, now))
+		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+}
+
+void ap_exchange_checked(ap_exchange_t *x, unsigned slot, bool alive, ap_usec_t now)
+{
+	ap_attempt_t *a = &x->slot[slot];
+
+	if (x->finished || !a->in_flight || !a->checking)
+		return;
+	a->checking = false;
+	if (alive)
+		deliver_success(x, a, now);
+	else
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
-	} else {
-		ap_attempt_take_over(x, a);
-		x->ops->first_chunk(x->ctx, &a->inflight);
-		finish_attempt(x, a, AP_DISPATCH_DONE);
-		x->runs++;
-		ap_attempt_deliver(x, a, now);
-	}
 }
 
 void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now)
@@ -453,7 +485,8 @@
 	const ap_attempt_t *a = &x->slot[x->current];
 	ap_usec_t since = a->last_chunk_at > x->waits_since ? a->last_chunk_at : x->waits_since;
 
-	if (x->paused || in_flight(x) != 1 || !x->retryable || x->runs + 1 >= x->attempts)
+	if (x->paused || a->checking || in_flight(x) != 1 || !x->retryable ||
+	    x->runs + 1 >= x->attempts)
 		return AP_NEVER;
 	if (a->inflight.has_first_chunk && x->stream)
 		return route->event_gap > 0 ? since + route->event_gap : AP_NEVER;
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -18,7 +18,8 @@
 typedef enum ap_connection_end {
 	AP_CONNECTION_OPEN,		 /* it has not ended */
 	AP_CONNECTION_COMPLETE,		 /* the response is complete by its framing */
-	AP_CONNECTION_COMPLETE_ON_CLOSE, /* clean close of a response without framing */
+	AP_CONNECTION_COMPLETE_ON_CLOSE, /* clean close of a response without framing: its end, or
+					    that of the upstream's process */
 	AP_CONNECTION_UNSENT,		 /* nothing of the request reached the target */
 	AP_CONNECTION_BROKEN,		 /* the connection failed; the request may have run */
 	AP_CONNECTION_TIMED_OUT,	 /* a time limit passed; the request may have run */
@@ -98,6 +99,8 @@
  *	stream; may be called more than once for an @inflight
  * @done: the in-flight request behind @inflight ended
  * @drop_connection: closes the connection of @slot; its response isn't needed any more
+ * @check: finds out whether anybody still listens at the target of @slot, whose connection has
+ *	closed; the result is told by ap_exchange_checked(). Return: false if it can't be tried
  * @head: sends the head of the response of @slot to the caller
  * @data: sends a part of the response's body to the caller
  * @end: the response is complete
@@ -115,6 +118,7 @@
 	void (*first_chunk)(void *ctx, ap_inflight_t *inflight);
 	void (*done)(void *ctx, ap_inflight_t *inflight, ap_dispatch_result_t end);
 	void (*drop_connection)(void *ctx, unsigned slot);
+	bool (*check)(void *ctx, unsigned slot);
 	void (*head)(void *ctx, unsigned slot);
 	void (*data)(void *ctx, const void *data, size_t len);
 	void (*end)(void *ctx);
@@ -125,8 +129,9 @@
 
 /**
  * struct ap_attempt - one send of a request. Times are absolute.
- * @in_flight: its connection is open
+ * @in_flight: its connection is open, or @checking
  * @has_head: @head holds the target's response head
+ * @checking: the response ended with its connection, and the driver checks the target
  * @resuming: the target may repeat events up to the last one that was delivered
  * @last_chunk_at: of the response; at first when the request was sent
  * @buffer: data of the response that was not delivered yet
@@ -135,6 +140,7 @@
 typedef struct ap_attempt {
 	bool in_flight;
 	bool has_head;
+	bool checking;
 	bool resuming;
 	ap_target_t target;
 	ap_inflight_t inflight;
@@ -210,6 +216,8 @@
 void ap_exchange_data(ap_exchange_t *x, unsigned slot, const void *data, size_t len, ap_usec_t now);
 /** ap_exchange_end() - its connection ended. */
 void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now);
+/** ap_exchange_checked() - the result of the check of the target of @slot. */
+void ap_exchange_checked(ap_exchange_t *x, unsigned slot, bool alive, ap_usec_t now);
 /**
  * ap_exchange_pause() - the driver stops reading from targets, or goes on, because of the caller.
  * That they send nothing meanwhile says nothing about them.
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -30,6 +30,7 @@
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
 	int n_sent;
 	int dropped;
+	int checks; /* of targets, asked for */
 	int heads;
 	char body[4096];
 	size_t body_len;
@@ -120,6 +121,13 @@
 	((world_t *)ctx)->dropped++;
 }
 
+static inline bool op_check(void *ctx, unsigned slot)
+{
+	(void)slot;
+	((world_t *)ctx)->checks++;
+	return true;
+}
+
 static inline void op_head(void *ctx, unsigned slot)
 {
 	(void)slot;
@@ -173,6 +181,7 @@
 	.first_chunk = op_first_chunk,
 	.done = op_done,
 	.drop_connection = op_drop_connection,
+	.check = op_check,
 	.head = op_head,
 	.data = op_data,
 	.end = op_end,
