pauses: upstreams as processes that are stopped and killed, beside changes of the configuration

The soak's upstreams live in its own process, so that no test could show what callers see when the process of a sound upstream is stopped for a second, or is killed and the kernel closes its connections.

The soak's instances inherited its connections: one that was restarted kept links between other instances open that the soak had closed, so that these never saw their callers go. They are closed before the program starts.

--- /dev/null
+++ b/test/pauses/caller.c
@@ -0,0 +1,129 @@
+/* Callers: send requests on kept connections and keep the responses. */
+#include "pauses.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LATE (3 * AP_SEC)  /* how long after its time a response is still waited for */
+#define LOG_SAMPLE_SEED 77 /* of the journal: one request in LOG_SAMPLE has all of its records */
+#define LOG_SAMPLE 16
+
+const char *const route_paths[KINDS] = {"/resume/", "/slow/", "/stream/", "/idem/", "/once/"};
+
+static void on_head(void *ctx, const ap_http_head_t *head)
+{
+	call_t *q = ctx;
+
+	q->status = head->status;
+}
+
+static void on_data(void *ctx, const void *data, size_t len)
+{
+	call_t *q = ctx;
+
+	q->body = realloc(q->body, q->len + len + 1);
+	if (!q->body)
+		abort();
+	memcpy(q->body + q->len, data, len);
+	q->len += len;
+	q->body[q->len] = '\0';
+}
+
+static void on_end(void *ctx, ap_http_end_t end, bool written)
+{
+	call_t *q = ctx;
+
+	q->ended = ap_now();
+	q->end = end;
+	q->written = written;
+}
+
+static instance_t *pick_instance(soak_t *s)
+{
+	for (int i = 0; i < 16; i++) {
+		instance_t *inst = &s->instances[ap_rng_below(&s->rng, s->n_instances)];
+
+		if (inst->pid > 0 && !inst->leaving &&
+		    ap_now() - inst->last_disturbed > 1500 * AP_MSEC)
+			return inst;
+	}
+	return NULL;
+}
+
+static call_t *new_call(pauses_t *p)
+{
+	soak_t *s = &p->soak;
+	call_t *q = calloc(1, sizeof(*q));
+
+	if (!q)
+		abort();
+	q->p = p;
+	/* Only such ids as instances log all records of. */
+	do
+		snprintf(q->id, sizeof(q->id), "%016llx", (unsigned long long)ap_rng_u64(&s->rng));
+	while (ap_hash_str(q->id, LOG_SAMPLE_SEED) % LOG_SAMPLE != 0);
+	q->kind = (kind_t)ap_rng_below(&s->rng, KINDS);
+	q->framing = (framing_t)ap_rng_below(&s->rng, FRAMINGS - !p->close_framing);
+	q->sent = ap_now();
+	HASH_ADD_STR(p->calls, id, q);
+	return q;
+}
+
+void call_send(pauses_t *p)
+{
+	soak_t *s = &p->soak;
+	call_t *q = new_call(p);
+	bool stream = q->kind < KINDS_STREAM;
+	unsigned step = 30 + (unsigned)ap_rng_below(&s->rng, 71);
+	unsigned total = 1000 + (unsigned)ap_rng_below(&s->rng, 1000);
+	char shape[64];
+	ap_http_header_t headers[] = {{"Host", "pauses.example"},
+				      {"Request-Id", q->id},
+				      {"Deadline-Ms", "4000"},
+				      {"Shape", shape}};
+	ap_http_fetch_config_t config = {
+		.host = "127.0.0.1",
+		.method = q->kind == KIND_IDEMPOTENT ? EVHTTP_REQ_GET : EVHTTP_REQ_POST,
+		.target = route_paths[q->kind],
+		.headers = headers,
+		.n_headers = sizeof(headers) / sizeof(headers[0]),
+		.body = "body",
+		.len = q->kind == KIND_IDEMPOTENT ? 0 : 4,
+		.lenient = true,
+		.no_probe = true,
+		.connect = AP_SEC,
+		.first_byte = TIME_LEFT + LATE,
+		.between_chunks = TIME_LEFT + LATE,
+		.idle = p->idle_ms * AP_MSEC * 4 / 5,
+		.response_max = 1 << 20,
+		.ctx = q,
+		.head = on_head,
+		.data = on_data,
+		.end = on_end,
+	};
+
+	q->events = stream ? total / step : 1;
+	snprintf(shape, sizeof(shape), "%u %u %u %u", stream, (unsigned)q->framing, step,
+		 q->events);
+	q->instance = pick_instance(s);
+	config.port = q->instance ? q->instance->port : 0;
+	if (q->instance && ap_http_fetch(s->client, &config)) {
+		s->sent++;
+		return;
+	}
+	HASH_DEL(p->calls, q);
+	free(q);
+}
+
+void calls_free(pauses_t *p)
+{
+	call_t *q;
+	call_t *next;
+
+	HASH_ITER (hh, p->calls, q, next) {
+		HASH_DEL(p->calls, q);
+		free(q->body);
+		free(q);
+	}
+}
--- /dev/null
+++ b/test/pauses/main.c
@@ -0,0 +1,401 @@
+/* The schedule of pauses and changes, drawn from one seed, and the main program. */
+#include "pauses.h"
+
+#include <argp.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define RATE 45 /* requests a second */
+#define TICK_MS 10
+#define HEARTBEAT_INTERVAL (500 * AP_MSEC)
+#define WARM_UP (3 * AP_SEC)
+#define CYCLE (4 * AP_SEC)
+#define RESTART_INTERVAL (5 * AP_SEC)
+#define QUIET (TIME_LEFT + 4 * AP_SEC) /* at the end, until each response has ended */
+
+const char *const soak_regions[REGIONS] = {"north", "south"};
+
+typedef struct deferred {
+	pauses_t *p;
+	size_t i;
+	void (*action)(pauses_t *p, size_t i);
+} deferred_t;
+
+void soak_finding(soak_t *s, const char *fmt, ...)
+{
+	va_list args;
+
+	s->findings++;
+	printf("finding: ");
+	va_start(args, fmt);
+	vprintf(fmt, args);
+	va_end(args);
+	putchar('\n');
+	fflush(stdout);
+}
+
+static void on_deferred(evutil_socket_t fd, short what, void *arg)
+{
+	deferred_t *d = arg;
+
+	(void)fd;
+	(void)what;
+	d->action(d->p, d->i);
+	free(d);
+}
+
+static void defer(pauses_t *p, ap_usec_t delay, void (*action)(pauses_t *p, size_t i), size_t i)
+{
+	struct timeval tv = ap_timeval(delay);
+	deferred_t *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		abort();
+	*d = (deferred_t){.p = p, .i = i, .action = action};
+	event_base_once(p->soak.base, -1, EV_TIMEOUT, on_deferred, d, &tv);
+}
+
+static ap_usec_t random_duration(pauses_t *p, int from_ms, int to_ms)
+{
+	return (from_ms +
+		(ap_usec_t)ap_rng_below(&p->soak.schedule, (uint64_t)(to_ms - from_ms))) *
+	       AP_MSEC;
+}
+
+static void note(const pauses_t *p, const char *what, size_t i)
+{
+	if (p->soak.verbose)
+		fprintf(stderr, "%.3f s: %s %zu\n",
+			(double)(ap_now() - p->soak.start) / (double)AP_SEC, what, i);
+}
+
+static json_t *route(const pauses_t *p, const char *path, kind_t kind)
+{
+	static const char *const kinds[KINDS] = {"stream", "stream", "stream", "idempotent",
+						 "non_idempotent"};
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name", path, "host",
+			 "pauses.example", "prefix", path, "kind", kinds[kind], "timeoutMs",
+			 (int)p->timeout_ms, "goalMs", kind < KINDS_STREAM ? 800 : 400, "priority",
+			 (int)kind, "service", pool_names[kind < KINDS_STREAM ? 0 : 1], "attempts",
+			 ATTEMPTS, "resumable", kind == KIND_RESUMABLE || kind == KIND_RESUMABLE_SLOW,
+			 "gapAimMs", kind == KIND_RESUMABLE_SLOW ? 1200 : 600, "homeRegions");
+}
+
+static void publish(pauses_t *p)
+{
+	json_t *routes = json_array();
+	json_t *root;
+	char *text;
+
+	p->soak.version += 1 + ap_rng_below(&p->soak.schedule, 3);
+	for (kind_t k = 0; k < KINDS; k++)
+		json_array_append_new(routes, route(p, route_paths[k], k));
+	for (unsigned i = 0; i < p->extra_routes; i++) {
+		char path[32];
+
+		snprintf(path, sizeof(path), "/extra-%u/", i);
+		json_array_append_new(routes, route(p, path, KIND_RESUMABLE));
+	}
+	root = json_pack("{s:I,s:o,s:[{s:s,s:s},{s:s,s:s}],s:{s:i}}", "version",
+			 (json_int_t)p->soak.version, "routes", routes, "services", "name",
+			 pool_names[0], "healthPath", "/health", "name", pool_names[1],
+			 "healthPath", "/health", "limits", "idleTimeoutMs", (int)p->idle_ms);
+	text = json_dumps(root, JSON_COMPACT);
+	store_put(p->soak.store, "op/config", text, 0);
+	free(text);
+	json_decref(root);
+	p->n_configs++;
+}
+
+static void change_configuration(pauses_t *p)
+{
+	switch (ap_rng_below(&p->soak.schedule, 3)) {
+	case 0:
+		p->idle_ms = p->idle_ms == 4000 ? 2500 : 4000;
+		break;
+	case 1:
+		p->timeout_ms = p->timeout_ms == 4000 ? 3600 : 4000;
+		break;
+	default:
+		p->extra_routes = (p->extra_routes + 1) % 4;
+		break;
+	}
+	note(p, "configuration", p->soak.version);
+	publish(p);
+}
+
+static void continue_upstream(pauses_t *p, size_t i)
+{
+	upstream_pause(&p->upstreams[i], false);
+}
+
+/* Stops all upstreams of a pool, or six tenths of them. */
+static void pause_pool(pauses_t *p, size_t unused)
+{
+	size_t pool = ap_rng_unit(&p->soak.schedule) < 0.75 ? 0 : 1;
+	bool all = ap_rng_unit(&p->soak.schedule) < 0.5;
+	ap_usec_t length = random_duration(p, 900, 1800);
+
+	(void)unused;
+	note(p, all ? "pause all of pool" : "pause most of pool", pool);
+	for (size_t i = pool; i < UPSTREAMS; i += POOLS) {
+		if (!all && ap_rng_unit(&p->soak.schedule) >= 0.6)
+			continue;
+		upstream_pause(&p->upstreams[i], true);
+		defer(p, length, continue_upstream, i);
+	}
+}
+
+static void replace_upstream(pauses_t *p, size_t i)
+{
+	upstream_remove(&p->upstreams[i]);
+	upstream_start(p, i);
+}
+
+static void kill_upstream(pauses_t *p, size_t i)
+{
+	if (p->upstreams[i].pid <= 0)
+		return;
+	note(p, "kill upstream", i);
+	upstream_kill(&p->upstreams[i]);
+	p->n_kills++;
+	defer(p, random_duration(p, 800, 2000), replace_upstream, i);
+}
+
+static void begin_cycle(pauses_t *p)
+{
+	change_configuration(p);
+	defer(p, random_duration(p, 400, 600), pause_pool, 0);
+	if (p->kills)
+		defer(p, random_duration(p, 0, 3500), kill_upstream,
+		      ap_rng_below(&p->soak.schedule, UPSTREAMS));
+}
+
+static void start_instance(pauses_t *p, size_t i)
+{
+	if (p->soak.instances[i].pid == 0)
+		instance_start(&p->soak.instances[i]);
+}
+
+static void restart_next(pauses_t *p)
+{
+	soak_t *s = &p->soak;
+	size_t other = ap_rng_below(&s->schedule, s->n_instances);
+
+	note(p, "restart instance", p->next_instance);
+	if (s->instances[p->next_instance].pid > 0)
+		kill(s->instances[p->next_instance].pid, SIGTERM);
+	s->instances[p->next_instance].leaving = true;
+	p->next_instance = (p->next_instance + 1) % s->n_instances;
+	if (s->instances[other].pid > 0 && !s->instances[other].leaving)
+		kill(s->instances[other].pid, SIGHUP);
+}
+
+static void reap(pauses_t *p)
+{
+	soak_t *s = &p->soak;
+
+	for (size_t i = 0; i < s->n_instances; i++) {
+		int status;
+
+		if (s->instances[i].pid <= 0 ||
+		    waitpid(s->instances[i].pid, &status, WNOHANG) != s->instances[i].pid)
+			continue;
+		instance_ended(&s->instances[i], status);
+		defer(p, 300 * AP_MSEC, start_instance, i);
+	}
+}
+
+static void run_for(pauses_t *p, ap_usec_t duration, bool sending, bool faulty)
+{
+	ap_usec_t now = ap_now();
+	ap_usec_t until = now + duration;
+	ap_usec_t next_send = now;
+	ap_usec_t next_heartbeat = now;
+	ap_usec_t next_cycle = now + AP_SEC;
+	ap_usec_t next_restart = now + AP_SEC;
+
+	for (; now < until; now = ap_now()) {
+		struct timeval tick = {.tv_usec = TICK_MS * 1000};
+
+		for (; sending && next_send <= now; next_send += AP_SEC / RATE)
+			call_send(p);
+		for (; next_heartbeat <= now; next_heartbeat = now + HEARTBEAT_INTERVAL) {
+			for (size_t i = 0; i < UPSTREAMS; i++)
+				upstream_heartbeat(&p->upstreams[i]);
+		}
+		for (; faulty && next_cycle <= now; next_cycle += CYCLE)
+			begin_cycle(p);
+		for (; faulty && p->restarts && next_restart <= now;
+		     next_restart += RESTART_INTERVAL)
+			restart_next(p);
+		reap(p);
+		event_base_loopexit(p->soak.base, &tick);
+		event_base_dispatch(p->soak.base);
+	}
+}
+
+static void set_up(pauses_t *p, size_t n_instances)
+{
+	soak_t *s = &p->soak;
+
+	snprintf(s->dir, sizeof(s->dir), "/tmp/pauses-XXXXXX");
+	if (!mkdtemp(s->dir))
+		abort();
+	s->base = ap_http_base_new();
+	s->client = ap_http_client_new(s->base);
+	s->store = store_new(s);
+	for (size_t i = 0; i < UPSTREAMS; i++)
+		upstream_start(p, i);
+	p->timeout_ms = 4000;
+	p->idle_ms = 4000;
+	publish(p);
+	s->n_instances = n_instances;
+	for (size_t i = 0; i < n_instances; i++) {
+		s->instances[i].soak = s;
+		s->instances[i].region = (unsigned)(i % REGIONS);
+		snprintf(s->instances[i].id, sizeof(s->instances[i].id), "g%zu", i);
+	}
+	for (size_t i = 0; i < n_instances; i++)
+		instance_start(&s->instances[i]);
+}
+
+static void tear_down(pauses_t *p)
+{
+	soak_t *s = &p->soak;
+
+	for (size_t i = 0; i < s->n_instances; i++) {
+		if (s->instances[i].pid > 0) {
+			kill(s->instances[i].pid, SIGKILL);
+			waitpid(s->instances[i].pid, NULL, 0);
+		}
+		link_free(s->instances[i].store_link);
+		for (size_t k = 0; k < 2; k++)
+			link_free(s->instances[i].peer_links[k]);
+	}
+	for (size_t i = 0; i < UPSTREAMS; i++)
+		upstream_kill(&p->upstreams[i]);
+	ap_http_client_free(s->client);
+	store_free(s->store);
+	event_base_free(s->base);
+}
+
+static void remove_logs(const soak_t *s)
+{
+	static const char *const ends[] = {"log", "toml"};
+
+	for (size_t i = 0; i < s->n_instances; i++) {
+		for (size_t k = 0; k < 2; k++) {
+			char path[192];
+
+			snprintf(path, sizeof(path), "%s/%s.%s", s->dir, s->instances[i].id,
+				 ends[k]);
+			unlink(path);
+		}
+	}
+	rmdir(s->dir);
+}
+
+typedef struct options {
+	pauses_t *p;
+	int seconds;
+	size_t instances;
+} options_t;
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	options_t *o = state->input;
+	pauses_t *p = o->p;
+
+	switch (key) {
+	case 'p':
+		p->soak.program = arg;
+		return 0;
+	case 's':
+		p->seed = strtoull(arg, NULL, 10);
+		return 0;
+	case 't':
+		o->seconds = atoi(arg);
+		return 0;
+	case 'g':
+		o->instances = strtoul(arg, NULL, 10);
+		return 0;
+	case 'c':
+		p->close_framing = true;
+		return 0;
+	case 'e':
+		p->errors = strtod(arg, NULL);
+		return 0;
+	case 'x':
+		p->kills = true;
+		return 0;
+	case 'r':
+		p->restarts = true;
+		return 0;
+	case 'v':
+		p->soak.verbose = true;
+		return 0;
+	case 'k':
+		p->soak.keep = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (!p->soak.program || o->instances < 2 || o->instances > SOAK_INSTANCES_MAX)
+			argp_error(state, "--program is required, and --instances must be 2 to %d",
+				   SOAK_INSTANCES_MAX);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{"program", 'p', "FILE", 0, "path of the daemon", 0},
+		{"seed", 's', "N", 0, "seed of the schedule", 0},
+		{"seconds", 't', "N", 0, "duration of the pauses", 0},
+		{"instances", 'g', "N", 0, "number of instances", 0},
+		{"close-framing", 'c', NULL, 0, "some streams end with their connection", 0},
+		{"errors", 'e', "SHARE", 0, "share of resumed streams that meet an error", 0},
+		{"kills", 'x', NULL, 0, "kill upstreams, too", 0},
+		{"restarts", 'r', NULL, 0, "restart and reload instances in turn", 0},
+		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
+		{"verbose", 'v', NULL, 0, "print the schedule", 0},
+		{0},
+	};
+	static const struct argp parser = {options, parse_option, NULL,
+					   "Upstreams that are stopped for a while.",
+					   NULL,    NULL,	  NULL};
+	static pauses_t p = {.seed = 1};
+	options_t o = {.p = &p, .seconds = 20, .instances = 6};
+	soak_t *s = &p.soak;
+
+	argp_parse(&parser, argc, argv, 0, NULL, &o);
+	signal(SIGPIPE, SIG_IGN);
+	ap_rng_seed(&s->rng, p.seed);
+	ap_rng_seed(&s->schedule, p.seed);
+	s->start = ap_now();
+	set_up(&p, o.instances);
+	run_for(&p, WARM_UP, false, false);
+	s->start = ap_now();
+	run_for(&p, o.seconds * AP_SEC, true, true);
+	run_for(&p, QUIET, false, false);
+	check_all(&p);
+	tear_down(&p);
+	printf("seed %llu: %u requests, %zu pauses, %u kills, %u configurations; %u findings\n",
+	       (unsigned long long)p.seed, s->sent, p.n_pauses, p.n_kills, p.n_configs,
+	       s->findings);
+	if (s->findings > 0 || s->keep)
+		printf("logs are in %s\n", s->dir);
+	else
+		remove_logs(s);
+	calls_free(&p);
+	return s->findings > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/pauses/pauses.h
@@ -0,0 +1,167 @@
+/*
+ * Streams and plain requests through real instances to upstreams that are processes of their own,
+ * which are stopped for a while, and killed, beside changes of the configuration. The store, the
+ * links and the instances are those of the soak. Guarantees are checked as callers and upstreams
+ * see them: upstreams tell this process through a pipe what they read and what they ran.
+ */
+#ifndef PAUSES_H
+#define PAUSES_H
+
+#include "../soak/soak.h"
+
+#define POOLS 2
+#define UPSTREAMS_A_POOL 3 /* in each region */
+#define UPSTREAMS (POOLS * REGIONS * UPSTREAMS_A_POOL)
+#define ID_LEN 16
+#define EVENT_FIRST 101 /* ids of events have three digits, so that all events have one length */
+#define EVENT_LEN 48
+#define RUNS_MAX 12 /* arrivals of one request that are kept */
+
+#define ATTEMPTS 2
+#define TIME_LEFT (4 * AP_SEC) /* of each request, and the timeout of the first routes */
+#define BUDGET_RATIO 0.2
+#define BUDGET_SLACK 54
+#define BUDGET_WINDOW (10 * AP_SEC)
+
+typedef struct pauses pauses_t;
+
+/* How a response shows its end. */
+typedef enum framing {
+	FRAMING_CHUNKS,
+	FRAMING_LENGTH,
+	FRAMING_CLOSE,
+	FRAMINGS,
+} framing_t;
+
+/* Requests by route: the first KINDS_STREAM are streams. */
+typedef enum kind {
+	KIND_RESUMABLE,	     /* event gap 600 ms */
+	KIND_RESUMABLE_SLOW, /* event gap 1200 ms */
+	KIND_STREAM,	     /* can't be resumed */
+	KINDS_STREAM,
+	KIND_IDEMPOTENT = KINDS_STREAM,
+	KIND_ONCE,
+	KINDS,
+} kind_t;
+
+/* What an upstream tells the harness of a request. */
+typedef enum told {
+	TOLD_READ, /* the request is read */
+	TOLD_REFUSED,
+	TOLD_ERROR, /* answered with an error, or cut off, by intention */
+	TOLD_RUNS,
+	TOLD_DONE,
+	TOLD_GONE, /* its caller has closed the connection, or its time is over */
+} told_t;
+
+typedef struct record {
+	told_t told;
+	ap_usec_t at;
+	int64_t deadline_ms;  /* as read; -1 for none */
+	unsigned after;	      /* number of the last event that the caller has */
+	unsigned connection;  /* tells runs of one request at one upstream apart */
+	char id[ID_LEN + 1];
+} record_t;
+
+/* A request's stay at an upstream. */
+typedef struct run {
+	size_t upstream;
+	unsigned incarnation;
+	unsigned connection;
+	pid_t pid;
+	ap_usec_t read_at;
+	ap_usec_t began; /* 0: it did not run */
+	ap_usec_t ended; /* 0: at work */
+	int64_t deadline_ms;
+	unsigned after;
+	told_t end;
+	bool killed;
+} run_t;
+
+typedef struct call {
+	UT_hash_handle hh;
+	pauses_t *p;
+	char id[ID_LEN + 1];
+	kind_t kind;
+	framing_t framing;
+	unsigned events;
+	instance_t *instance;
+	ap_usec_t sent;
+	ap_usec_t ended; /* at the caller; 0: open */
+	int status;
+	ap_http_end_t end;
+	bool written;
+	char *body;
+	size_t len;
+	run_t runs[RUNS_MAX];
+	unsigned n_runs;
+} call_t;
+
+typedef struct upstream {
+	pauses_t *p;
+	size_t index;
+	char id[AP_NAME_MAX];
+	size_t pool;
+	unsigned region;
+	unsigned incarnation;
+	uint16_t port;
+	pid_t pid;
+	int pipe;
+	struct event *readable;
+	bool paused;
+	char partial[sizeof(record_t)];
+	size_t partial_len;
+} upstream_t;
+
+/* A time in which an upstream was stopped. */
+typedef struct pause {
+	size_t upstream;
+	unsigned incarnation;
+	ap_usec_t from;
+	ap_usec_t to; /* 0: it still is */
+} pause_t;
+
+#define PAUSES_MAX 1024
+
+struct pauses {
+	soak_t soak;
+	upstream_t upstreams[UPSTREAMS];
+	call_t *calls;
+	uint64_t seed;
+	double errors;	     /* share of resumed streams that an upstream answers with an error */
+	bool restarts;	     /* instances are restarted in turn */
+	bool kills;	     /* upstreams are killed */
+	bool close_framing;  /* some streams end with their connection */
+	unsigned timeout_ms; /* of the routes, as configured now */
+	unsigned idle_ms;
+	unsigned extra_routes;
+	size_t next_instance;
+	pause_t pauses[PAUSES_MAX];
+	size_t n_pauses;
+	unsigned n_kills;
+	unsigned n_configs;
+};
+
+/* worker.c: the process of an upstream. Never returns. */
+void worker_run(int listener, int out, const char *id, double errors, uint64_t seed)
+	__attribute__((noreturn));
+
+/* upstream.c */
+extern const char *const pool_names[POOLS];
+void upstream_start(pauses_t *p, size_t i);
+/* Writes the upstream's entry to the store, unless it is stopped or was killed. */
+void upstream_heartbeat(upstream_t *u);
+void upstream_pause(upstream_t *u, bool pause);
+void upstream_kill(upstream_t *u);
+/* Ends the upstream, if it runs, and removes its entry. */
+void upstream_remove(upstream_t *u);
+
+/* caller.c */
+extern const char *const route_paths[KINDS];
+void call_send(pauses_t *p);
+void calls_free(pauses_t *p);
+
+/* check.c: all findings, after the run */
+void check_all(pauses_t *p);
+
+#endif
--- /dev/null
+++ b/test/pauses/worker.c
@@ -0,0 +1,336 @@
+/* The process of an upstream: a small HTTP server on blocking records and non-blocking sockets. */
+#include "pauses.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#define SLOTS 24
+#define HEADER_MAX 128
+
+typedef struct worker {
+	struct event_base *base;
+	ap_rng_t rng;
+	const char *id;
+	double errors;
+	int out;
+	unsigned running;
+	unsigned connections;
+} worker_t;
+
+typedef struct conn {
+	worker_t *w;
+	struct bufferevent *bev;
+	struct event *timer;
+	unsigned number;
+	bool busy; /* a request is at work */
+	bool has_slot;
+	bool closing; /* closed once its output is written */
+	char id[ID_LEN + 1];
+	bool stream;
+	framing_t framing;
+	unsigned step_ms;
+	unsigned next;
+	unsigned last;
+	unsigned after;
+	int64_t deadline_ms;
+	ap_usec_t until;
+} conn_t;
+
+static void tell(conn_t *c, told_t told)
+{
+	record_t r = {.told = told,
+		      .at = ap_now(),
+		      .deadline_ms = c->deadline_ms,
+		      .after = c->after,
+		      .connection = c->number};
+
+	ap_copy_name(r.id, sizeof(r.id), c->id);
+	if (write(c->w->out, &r, sizeof(r)) != (ssize_t)sizeof(r))
+		_exit(EXIT_FAILURE); /* the harness is gone */
+}
+
+static void finish(conn_t *c, told_t told)
+{
+	tell(c, told);
+	c->w->running -= c->has_slot;
+	c->has_slot = false;
+	c->busy = false;
+	event_del(c->timer);
+}
+
+static void conn_free(conn_t *c)
+{
+	if (c->busy)
+		finish(c, TOLD_GONE);
+	bufferevent_free(c->bev);
+	event_free(c->timer);
+	free(c);
+}
+
+static void close_when_written(conn_t *c)
+{
+	c->closing = true;
+	if (evbuffer_get_length(bufferevent_get_output(c->bev)) == 0)
+		conn_free(c);
+}
+
+static void add(conn_t *c, const char *text)
+{
+	evbuffer_add(bufferevent_get_output(c->bev), text, strlen(text));
+}
+
+static void reply(conn_t *c, const char *status, const char *headers, const char *body)
+{
+	evbuffer_add_printf(bufferevent_get_output(c->bev),
+			    "HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: %zu\r\n%s\r\n%s",
+			    status, c->id, strlen(body), headers, body);
+}
+
+static void start_timer(conn_t *c, unsigned ms)
+{
+	struct timeval tv = ap_timeval(ms * AP_MSEC);
+
+	event_add(c->timer, &tv);
+}
+
+static void write_head(conn_t *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	evbuffer_add_printf(out,
+			    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n"
+			    "Content-Type: text/event-stream\r\n",
+			    c->id, c->w->id);
+	if (c->framing == FRAMING_CHUNKS)
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
+	else if (c->framing == FRAMING_LENGTH)
+		evbuffer_add_printf(out, "Content-Length: %u\r\n\r\n",
+				    (c->last + 1 - c->next) * EVENT_LEN);
+	else
+		evbuffer_add_printf(out, "Connection: close\r\n\r\n");
+}
+
+/* The writer of an event is told by the last digits of the process id and the run. */
+static void write_event(conn_t *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	char event[96];
+	int len = snprintf(event, sizeof(event), "id: %03u\ndata: %s %04u.%03u of %03u\n\n",
+			   c->next, c->id, (unsigned)getpid() % 10000, c->number % 1000, c->last);
+
+	if (len != EVENT_LEN)
+		abort();
+	if (c->framing == FRAMING_CHUNKS)
+		evbuffer_add_printf(out, "%x\r\n%s\r\n", EVENT_LEN, event);
+	else
+		evbuffer_add(out, event, (size_t)len);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	conn_t *c = arg;
+	char headers[160];
+
+	(void)fd;
+	(void)what;
+	if (ap_now() >= c->until) {
+		conn_free(c); /* as at its deadline: the response isn't complete */
+		return;
+	}
+	if (!c->stream) {
+		snprintf(headers, sizeof(headers), "Server-Stamp: %s\r\n", c->w->id);
+		finish(c, TOLD_DONE);
+		reply(c, "200 OK", headers, c->id);
+		return;
+	}
+	if (c->next <= c->last)
+		write_event(c);
+	if (c->next++ < c->last) {
+		start_timer(c, c->step_ms);
+		return;
+	}
+	finish(c, TOLD_DONE);
+	if (c->framing == FRAMING_CHUNKS)
+		add(c, "0\r\n\r\n");
+	if (c->framing == FRAMING_CLOSE)
+		close_when_written(c);
+}
+
+/* Answers with one of the errors that a stream which goes on elsewhere may meet. */
+static void reply_error(conn_t *c)
+{
+	char headers[160];
+
+	finish(c, TOLD_ERROR);
+	snprintf(headers, sizeof(headers), "Server-Stamp: %s\r\n", c->w->id);
+	switch (ap_rng_below(&c->w->rng, 5)) {
+	case 0:
+		reply(c, "500 Internal Server Error", headers, "id: 900\ndata: error\n\n");
+		return;
+	case 1:
+		reply(c, "404 Not Found", headers, "data: not found\n\n");
+		return;
+	case 2:
+		reply(c, "503 Service Unavailable", "Not-Run: 1\r\n", "full\n\n");
+		return;
+	case 3:
+		add(c, "HTTP/1.1 200 OK\r\nRequest-Id: ");
+		break;
+	default:
+		add(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+		break;
+	}
+	close_when_written(c);
+}
+
+static bool header(const char *head, const char *name, char value[HEADER_MAX])
+{
+	char wanted[64];
+	const char *at;
+	size_t len;
+
+	snprintf(wanted, sizeof(wanted), "\r\n%s: ", name);
+	at = strcasestr(head, wanted);
+	value[0] = '\0';
+	if (!at)
+		return false;
+	at += strlen(wanted);
+	len = strcspn(at, "\r");
+	if (len >= HEADER_MAX)
+		len = HEADER_MAX - 1;
+	memcpy(value, at, len);
+	value[len] = '\0';
+	return true;
+}
+
+static void begin(conn_t *c, const char *head)
+{
+	char value[HEADER_MAX];
+	unsigned events = 1;
+	unsigned framing = 0;
+
+	c->busy = true;
+	header(head, "Request-Id", value);
+	ap_copy_name(c->id, sizeof(c->id), value);
+	c->deadline_ms = header(head, "Deadline-Ms", value) ? strtol(value, NULL, 10) : -1;
+	c->until = c->deadline_ms < 0 ? AP_NEVER : ap_now() + c->deadline_ms * AP_MSEC;
+	c->after = header(head, "Last-Event-Id", value) ? (unsigned)strtoul(value, NULL, 10) : 0;
+	/* Responses are shaped as the caller wishes: "stream framing step events". */
+	header(head, "Shape", value);
+	unsigned stream = 0;
+
+	if (sscanf(value, "%u %u %u %u", &stream, &framing, &c->step_ms, &events) != 4)
+		c->step_ms = 10;
+	c->stream = stream;
+	c->framing = (framing_t)framing;
+	c->next = c->after > 0 ? c->after + 1 : EVENT_FIRST;
+	c->last = EVENT_FIRST + events - 1;
+	tell(c, TOLD_READ);
+	if (header(head, "Expect-Instance", value) && strcmp(value, c->w->id) != 0) {
+		finish(c, TOLD_REFUSED);
+		reply(c, "421 Misdirected Request", "Not-Run: 1\r\n", "");
+		return;
+	}
+	if (c->w->running >= SLOTS || c->deadline_ms == 0) {
+		finish(c, TOLD_REFUSED);
+		reply(c, "503 Service Unavailable", "Not-Run: 1\r\n", "");
+		return;
+	}
+	if (c->after > 0 && ap_rng_unit(&c->w->rng) < c->w->errors) {
+		reply_error(c);
+		return;
+	}
+	tell(c, TOLD_RUNS);
+	c->w->running++;
+	c->has_slot = true;
+	if (c->stream)
+		write_head(c);
+	start_timer(c, c->step_ms);
+}
+
+/* Takes a whole request from the input, if there is one. */
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	conn_t *c = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	char value[HEADER_MAX];
+	char head[4096];
+	struct evbuffer_ptr end;
+	size_t body;
+
+	if (c->busy || c->closing)
+		return;
+	end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	if (end.pos < 0)
+		return;
+	if ((size_t)end.pos + 4 >= sizeof(head))
+		abort();
+	evbuffer_copyout(in, head, (size_t)end.pos + 2);
+	head[end.pos + 2] = '\0';
+	body = header(head, "Content-Length", value) ? strtoul(value, NULL, 10) : 0;
+	if (evbuffer_get_length(in) < (size_t)end.pos + 4 + body)
+		return;
+	evbuffer_drain(in, (size_t)end.pos + 4 + body);
+	if (strncmp(head, "GET /health ", 12) == 0) {
+		evbuffer_add_printf(bufferevent_get_output(bev),
+				    "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: "
+				    "0\r\n\r\n",
+				    c->w->id);
+		return;
+	}
+	begin(c, head);
+}
+
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	conn_t *c = arg;
+
+	if (c->closing)
+		conn_free(c);
+	else if (!c->busy)
+		on_read(bev, c);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		conn_free(arg);
+}
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *addr, int len,
+		      void *arg)
+{
+	worker_t *w = arg;
+	conn_t *c = calloc(1, sizeof(*c));
+
+	(void)l;
+	(void)addr;
+	(void)len;
+	if (!c)
+		abort();
+	c->w = w;
+	c->number = ++w->connections;
+	c->timer = evtimer_new(w->base, on_timer, c);
+	c->bev = bufferevent_socket_new(w->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+void worker_run(int listener, int out, const char *id, double errors, uint64_t seed)
+{
+	worker_t w = {.base = event_base_new(), .id = id, .errors = errors, .out = out};
+
+	ap_rng_seed(&w.rng, seed);
+	if (!w.base || !evconnlistener_new(w.base, on_accept, &w, LEV_OPT_CLOSE_ON_FREE, 0,
+					   listener))
+		_exit(EXIT_FAILURE);
+	event_base_dispatch(w.base);
+	_exit(EXIT_SUCCESS);
+}
--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -125,6 +125,8 @@
 			_exit(EXIT_FAILURE);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
+		/* A connection that the soak closes must not stay open here. */
+		close_range(STDERR_FILENO + 1, ~0U, 0);
 		execl(inst->soak->program, inst->soak->program, "--settings", settings,
 		      (char *)NULL);
 		_exit(127);
