--- a/test/pauses/caller.c
+++ b/test/pauses/caller.c
@@ -116,6 +116,19 @@
 	free(q);
 }
 
+bool calls_open(const pauses_t *p)
+{
+	for (const call_t *q = p->calls; q; q = q->hh.next) {
+		if (q->ended == 0)
+			return true;
+		for (unsigned i = 0; i < q->n_runs; i++) {
+			if (q->runs[i].ended == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
 void calls_free(pauses_t *p)
 {
 	call_t *q;
