--- a/test/pauses/caller.c
+++ b/test/pauses/caller.c
@@ -131,11 +131,12 @@
 
 void calls_free(pauses_t *p)
 {
-	call_t *q;
+	call_t *q = p->calls;
 	call_t *next;
 
-	HASH_ITER (hh, p->calls, q, next) {
-		HASH_DEL(p->calls, q);
+	HASH_CLEAR(hh, p->calls); /* frees the table; the items stay linked */
+	for (; q; q = next) {
+		next = q->hh.next;
 		free(q->body);
 		free(q);
 	}
--- a/test/pauses/check.c
+++ b/test/pauses/check.c
@@ -46,11 +46,10 @@
 	return 0;
 }
 
-static void found(const call_t *q, const char *rule, const char *what)
+static void describe(const call_t *q)
 {
 	static const char *const framings[FRAMINGS] = {"chunks", "length", "close"};
 
-	soak_finding(&q->p->soak, "%s: %s", rule, what);
 	printf("  %s %s at %s, %u events, %s, sent at %.3f s, ended after %lld ms, status %d end "
 	       "%d, "
 	       "%zu bytes\n",
@@ -72,6 +71,12 @@
 	}
 }
 
+static void found(const call_t *q, const char *rule, const char *what)
+{
+	soak_finding(&q->p->soak, "%s: %s", rule, what);
+	describe(q);
+}
+
 static const run_t *writer(const call_t *q, unsigned pid, unsigned connection)
 {
 	for (unsigned i = 0; i < q->n_runs; i++) {
@@ -203,6 +208,7 @@
 	unsigned repeats_woken; /* repeats that waited for a stopped upstream */
 	unsigned repeats_awake; /* repeats though no upstream before had stopped or failed */
 	unsigned repeats_same;	/* repeats at an upstream that has read the request before */
+	unsigned first_late;	/* of repeats_late, those that were sent first but read later */
 	unsigned plain_late;	/* of repeats_late, those of requests without a stream */
 	unsigned beyond; /* end after the caller's time, read while the upstream ran all the time */
 	unsigned beyond_paused;
@@ -217,17 +223,35 @@
 	return false;
 }
 
-/* Returns whether all upstreams before run @n were at work all the time until then. */
+/*
+ * Returns whether run @n was sent though all upstreams before ran all the time. What was sent later
+ * has less time left, whenever it is read.
+ */
 static bool were_awake(const call_t *q, unsigned n)
 {
-	for (unsigned i = 0; i < n; i++) {
+	const run_t *repeat = &q->runs[n];
+	bool awake = false;
+
+	for (unsigned i = 0; i < q->n_runs; i++) {
 		const run_t *r = &q->runs[i];
 
+		if (r->deadline_ms <= repeat->deadline_ms)
+			continue;
 		if (r->killed || r->began == 0 || r->end == TOLD_ERROR ||
-		    paused_until(q->p, r, q->sent, q->runs[n].read_at) > 0)
+		    paused_until(q->p, r, q->sent, repeat->read_at) > 0)
 			return false;
+		awake = true;
 	}
-	return n > 0;
+	return awake;
+}
+
+static bool sent_first(const call_t *q, unsigned n)
+{
+	for (unsigned i = 0; i < q->n_runs; i++) {
+		if (q->runs[i].deadline_ms > q->runs[n].deadline_ms)
+			return false;
+	}
+	return true;
 }
 
 static void check_deadlines(const call_t *q, deadlines_t *d)
@@ -248,7 +272,13 @@
 			d->beyond++;
 			found(q, "deadline", "an upstream was given more time than the caller has");
 		}
-		d->repeats_awake += were_awake(q, i);
+		if (were_awake(q, i)) {
+			d->repeats_awake++;
+			if (q->p->soak.verbose) {
+				puts("sent again though no upstream had stopped:");
+				describe(q);
+			}
+		}
 		d->repeats_same += was_there(q, i);
 		if (i > 0)
 			d->repeats_woken +=
@@ -259,6 +289,7 @@
 		late = end > callers &&
 		       end > first->read_at + first->deadline_ms * AP_MSEC + DEADLINE_SLACK;
 		d->repeats_late += late;
+		d->first_late += late && sent_first(q, i);
 		d->plain_late += late && q->kind >= KINDS_STREAM;
 	}
 }
@@ -387,10 +418,11 @@
 	       served, HASH_COUNT(p->calls), cut, crossed, resumed, over);
 	printf("repeats: %u read after a pause, %u at the same upstream as before, %u while those "
 	       "before were awake; deadlines: %u "
-	       "too long, %u (%u not of streams) of %u late repeats end late, %u beyond the "
+	       "too long, %u (%u not of streams, %u sent first but read later) of %u late repeats "
+	       "end late, %u beyond the "
 	       "caller's time, %u at upstreams that had been stopped\n",
 	       d.repeats_woken, d.repeats_same, d.repeats_awake, d.too_long, d.repeats_late,
-	       d.plain_late, d.repeats, d.beyond, d.beyond_paused);
+	       d.plain_late, d.first_late, d.repeats, d.beyond, d.beyond_paused);
 	if (over > MANY_RUNS_FREE)
 		soak_finding(&p->soak, "budget: %u requests ran on more upstreams than allowed",
 			     over);
