Move a silent request only to an upstream that has responded lately

Three causes:

- Upstreams that fall silent together have not sent their last data at the same time, so that one 20 ms ahead counted as heard from since.
Another target must have responded in the latter half of the silence.
- An upstream without requests of this instance counted as sound.
One that has responded goes before it, and if two upstreams of the pool are silent and none has responded, there is none.
- An instance to which a request was forwarded knew nothing of the silence.
The forwarded request says within what time a target must have responded (Arbutuspond-Heard-Ms; earlier builds ignore it).

--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -249,13 +249,20 @@
 	snprintf(text, BUILD_TEXT_MAX, "%llx", (unsigned long long)build);
 }
 
+/* Values of headers of a forwarded request. */
+typedef struct forward_text {
+	char build[BUILD_TEXT_MAX];
+	char heard[24];
+} forward_text_t;
+
 static bool send_headers(gate_call_t *c, const ap_target_t *target, const char *last_event,
-			 char build[BUILD_TEXT_MAX], ap_host_headers_t *headers)
+			 forward_text_t *text, ap_host_headers_t *headers)
 {
+	ap_usec_t now = ap_now();
 	ap_host_upstream_request_t request = {
 		.caller_headers = ap_http_call_headers(c->call),
 		.upstream = target->remote ? NULL : target->id,
-		.time_left = c->x.timeout_at - ap_now(),
+		.time_left = c->x.timeout_at - now,
 		.priority = target->remote ? PRIORITY_OMITTED : c->x.req.route->priority,
 		.last_event = last_event,
 	};
@@ -265,11 +272,16 @@
 	drop_forward_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n + 3 > AP_HOST_HEADERS_MAX)
+	if (headers->n + 4 > AP_HOST_HEADERS_MAX)
 		return false;
 	if (c->x.req.build != 0) {
-		format_build(c->x.req.build, build);
-		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, build};
+		format_build(c->x.req.build, text->build);
+		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
+	}
+	if (c->x.req.heard_since != 0) {
+		snprintf(text->heard, sizeof(text->heard), "%lld",
+			 (long long)((now - c->x.req.heard_since) / AP_MSEC));
+		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_HEARD, text->heard};
 	}
 	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_PROOF, c->gate->proof};
 	/* The remote instance may run it once; this instance keeps the remaining attempts. */
@@ -284,7 +296,7 @@
 	gateway_t *gate = c->gate;
 	ap_usec_t limit = c->x.timeout_at - ap_now() + LATE_MARGIN;
 	ap_host_headers_t headers;
-	char build[BUILD_TEXT_MAX];
+	forward_text_t text;
 	ap_http_fetch_config_t config = {
 		.host = target->host,
 		.port = target->port,
@@ -305,7 +317,7 @@
 		.end = on_end,
 	};
 
-	if (!send_headers(c, target, last_event, build, &headers))
+	if (!send_headers(c, target, last_event, &text, &headers))
 		return false;
 	config.headers = headers.v;
 	config.n_headers = headers.n;
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -30,6 +30,7 @@
  * ATTEMPTS: how many times the receiver may run the request
  * NOT_RUN: the request did not run
  * BUILD: of the upstream at which a stream must go on, or that responded; in hexadecimal
+ * HEARD: another target is silent; within how many milliseconds the receiver's must have responded
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
  */
@@ -38,6 +39,7 @@
 #define FORWARD_HEADER_BUILD FORWARD_HEADER_PREFIX "Build"
 #define FORWARD_HEADER_NOT_RUN FORWARD_HEADER_PREFIX "Not-Run"
 #define FORWARD_NOT_RUN_UNSENT "unsent" /* its value if the request reached no upstream */
+#define FORWARD_HEADER_HEARD FORWARD_HEADER_PREFIX "Heard-Ms"
 #define FORWARD_HEADER_PROOF FORWARD_HEADER_PREFIX "Proof"
 #define FORWARD_HEADER_WAIT FORWARD_HEADER_PREFIX "Wait-Ms"
 
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -236,7 +236,8 @@
 
 /*
  * The current attempt is silent: sends the request to another target too, which has responded to
- * this instance since the silence began. The silent one may still go on, so it is kept until the
+ * this instance in the latter half of the silence: targets that fall silent together have not
+ * sent their last data at the same time. The silent one may still go on, so it is kept until the
  * other one responds.
  */
 static void send_to_other(ap_exchange_t *x, ap_usec_t now)
@@ -246,7 +247,7 @@
 	x->ops->log_step(x->ctx, AP_STEP_TIMED_OUT, &a->target);
 	avoid(x, a->target.id);
 	x->waits_since = now;
-	x->req.heard_since = a->last_chunk_at;
+	x->req.heard_since = a->last_chunk_at + (now - a->last_chunk_at) / 2;
 	dispatch(x, other_than(x, a), now);
 	x->req.heard_since = 0;
 }
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -32,6 +32,7 @@
 #define SHARED_TOKENS_MIN 256 /* shorter prefixes do not influence the choice */
 #define ASSIGNED_MAX 2	      /* upstreams to which a prefix is assigned by hash */
 #define HOLDERS_MAX 2	      /* upstreams compared of those that have the prefix cached */
+#define SILENT_MIN 2	      /* upstreams, so that it is not one of them that has failed */
 #define SAMPLE_MIN 2	      /* others compared, at least; see consider_sample() */
 #define CANDIDATES_MAX 1024
 #define JITTER_US 2000.0  /* waits that differ by less are treated as equal */
@@ -506,6 +507,38 @@
 	return too_late(req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
 }
 
+/* Returns whether the pool's upstreams in this region are silent, as far as they have requests. */
+static bool pool_is_silent(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now)
+{
+	unsigned silent = 0;
+
+	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (!ap_replica_serves(f, r, f->config.region, req, now))
+			continue;
+		if (r->heard_at >= req->heard_since)
+			return false;
+		silent += ap_replica_own_running(r) > 0;
+	}
+	return silent >= SILENT_MIN;
+}
+
+/*
+ * Chooses another target for a request whose target is silent: one that has responded since, or
+ * else one of which nothing is known, unless it is the pool that seems to be silent.
+ */
+static ap_fleet_status_t choose_other(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
+				      ap_usec_t now, ap_target_t *target)
+{
+	ap_dispatch_t heard = *req;
+	ap_fleet_status_t status;
+
+	heard.heard_only = true;
+	status = choose(f, &heard, local_only, now, target);
+	if (status == AP_FLEET_OK || pool_is_silent(f, req, now))
+		return status;
+	return choose(f, req, local_only, now, target);
+}
+
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 				  ap_target_t *target)
 {
@@ -519,5 +552,7 @@
 		return AP_FLEET_HELD;
 	}
 	/* It is this instance's turn to make a trial, so a remote instance would refuse it. */
+	if (req->heard_since > 0)
+		return choose_other(f, req, req->local_only || hold == AP_HOLD_TRIAL, now, target);
 	return choose(f, req, req->local_only || hold == AP_HOLD_TRIAL, now, target);
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -80,8 +80,9 @@
  * @tokens_out: expected length of the response
  * @build: the only build of upstreams that may be chosen; 0 for any
  * @begun: the caller has a part of the response, so that only the deadline limits the wait
- * @heard_since: a target that has requests of this instance must have responded to one of them
- *               since this time; 0 for any target
+ * @heard_since: the target that has the request is silent; another one must have responded to
+ *               this instance since this time, or have none of its requests; 0 for any
+ * @heard_only: another one must have responded; set by ap_fleet_choose()
  * @parts: of the prompt, in order; the last one belongs to this request or its session alone
  * @fingerprint: hash of the caller, path and body: of what the request is, however often it comes;
  *               0 if unknown
@@ -99,6 +100,7 @@
 	uint64_t build;
 	bool begun;
 	ap_usec_t heard_since;
+	bool heard_only;
 	ap_prompt_part_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
 	uint64_t fingerprint;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -88,7 +88,7 @@
 
 bool ap_is_silent(uint32_t running, ap_usec_t heard_at, const ap_dispatch_t *req)
 {
-	return running > 0 && heard_at < req->heard_since;
+	return (running > 0 || req->heard_only) && heard_at < req->heard_since;
 }
 
 uint32_t ap_replica_slots(const ap_replica_t *r, const ap_plan_pool_t *pool)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -529,7 +529,7 @@
 uint32_t ap_replica_running(const ap_replica_t *r);
 /* Returns how many of them are requests of this instance. */
 uint32_t ap_replica_own_running(const ap_replica_t *r);
-/* Returns whether a target with @running own requests is as silent as the one that has @req. */
+/* Returns whether a target with @running own requests may be as silent as the one that has @req. */
 bool ap_is_silent(uint32_t running, ap_usec_t heard_at, const ap_dispatch_t *req);
 ap_replica_t *ap_replica_by_tag(const ap_fleet_t *f, uint32_t tag);
 /* Queues for the next announcement that @req's prefix was sent to @r, which has @cached tokens. */
--- a/test/exchange_silence_test.c
+++ b/test/exchange_silence_test.c
@@ -128,6 +128,24 @@
 	finish(&w);
 }
 
+/*
+ * Guards against moves to an upstream that fell silent together with the first one, a moment after
+ * its last event.
+ */
+static void another_upstream_must_have_responded_lately(void **state)
+{
+	world_t w = {.targets = 2};
+
+	(void)state;
+	fall_silent(&w, 2);
+	assert_int_equal(w.heard_since, START + w.route.event_gap / 2);
+	refuse(&w, 503);
+	assert_int_equal(w.heard_since, START + w.route.event_gap / 2);
+	end_of(&w, 0, AP_CONNECTION_BROKEN);
+	assert_int_equal(w.heard_since, 0); /* it isn't silent but gone */
+	finish(&w);
+}
+
 /* Guards against sound streams that are moved because their callers read slowly. */
 static void a_paused_stream_is_not_silent(void **state)
 {
@@ -159,6 +177,7 @@
 		cmocka_unit_test(the_upstream_that_goes_on_first_serves_the_stream),
 		cmocka_unit_test(two_upstreams_at_once_count_as_two_attempts),
 		cmocka_unit_test(a_silent_plain_request_outlives_the_refusal_of_another_upstream),
+		cmocka_unit_test(another_upstream_must_have_responded_lately),
 		cmocka_unit_test(a_paused_stream_is_not_silent),
 	};
 
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -30,7 +30,8 @@
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
 	int n_sent;
 	int dropped;
-	int checks; /* of targets, asked for */
+	int checks;	       /* of targets, asked for */
+	ap_usec_t heard_since; /* of the latest choice */
 	int heads;
 	char body[4096];
 	size_t body_len;
@@ -49,6 +50,7 @@
 {
 	world_t *w = ctx;
 
+	w->heard_since = req->heard_since;
 	if (w->held > 0) {
 		*target = (ap_target_t){.wait = w->held};
 		return AP_FLEET_HELD;
--- a/test/fleet_silence_test.c
+++ b/test/fleet_silence_test.c
@@ -53,6 +53,39 @@
 	ap_fleet_free(f);
 }
 
+/* Guards against moves to an upstream of which nothing is known while its whole pool is silent. */
+static void an_idle_upstream_of_a_silent_pool_is_no_alternative(void **state)
+{
+	ap_usec_t now = WORLD_START;
+	ap_fleet_t *f = world_north();
+	ap_dispatch_t req = world_request(&world_stream, &world_engines, now);
+	ap_inflight_t inflight[2];
+	ap_target_t target;
+
+	(void)state;
+	world_replica(f, "e1", "engines", "north", now);
+	world_replica(f, "e2", "engines", "north", now);
+	for (size_t i = 0; i < 2; i++) {
+		send_one(f, &req, now, &target, &inflight[i]);
+		ap_copy_name(req.avoid[0], AP_NAME_MAX, target.id);
+		req.n_avoid = 1;
+	}
+	world_replica(f, "e3", "engines", "north", now);
+	now += SILENT_FOR;
+	req.heard_since = now - SILENT_FOR / 2;
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_NONE);
+	/* The one that responds goes before the one of which nothing is known. */
+	ap_fleet_first_chunk(f, &inflight[0], now);
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_OK);
+	assert_string_equal(target.id, inflight[0].id);
+	ap_fleet_done(f, &inflight[0], AP_DISPATCH_CANCELLED, now);
+	/* One silent upstream may have failed by itself. */
+	now += SILENT_FOR;
+	req.heard_since = now - SILENT_FOR / 2;
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_OK);
+	ap_fleet_free(f);
+}
+
 /* Guards against requests that are forwarded to a region whose upstreams are silent, too. */
 static void a_silent_region_is_no_alternative(void **state)
 {
@@ -108,6 +141,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(another_silent_upstream_is_no_alternative),
+		cmocka_unit_test(an_idle_upstream_of_a_silent_pool_is_no_alternative),
 		cmocka_unit_test(a_silent_region_is_no_alternative),
 		cmocka_unit_test(a_stream_that_has_begun_is_late_only_at_its_deadline),
 	};
