Suspect no instance for the silence of the upstreams behind it

Instances suspected sound instances of other regions, and avoided them for a second each time, when a forwarded request timed out because the upstream there was silent (as in the users' record). A timeout now counts against an instance only if it has sent nothing, on any request, since this one was sent; failed connections count as before.

--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -407,9 +407,12 @@
 {
 	ap_remote_pool_t *remote = remote_of(f, inflight);
 	ap_replica_t *r = inflight->remote ? NULL : ap_replica_find(f, inflight->id);
+	ap_member_state_t *m = inflight->remote ? ap_member_find(f, inflight->id) : NULL;
 
 	if (!inflight->open)
 		return;
+	if (m)
+		m->responded_at = now;
 	if (remote)
 		remote->heard_at = now;
 	if (r)
@@ -480,8 +483,8 @@
 }
 
 /*
- * Suspects a remote instance only after a timeout or a failed connection. Other failures are those
- * of the upstreams there.
+ * Suspects a remote instance only after a failed connection, or a timeout if it has sent nothing
+ * since the request was sent. Other failures, and silence, are those of the upstreams there.
  */
 static void done_remote(ap_fleet_t *f, const ap_inflight_t *inflight, ap_dispatch_result_t end,
 			ap_usec_t now)
@@ -495,7 +498,10 @@
 		if (has_responded(end))
 			remote->heard_at = now;
 	}
-	if (m && (end == AP_DISPATCH_UNREACHABLE || end == AP_DISPATCH_TIMED_OUT))
+	if (m && has_responded(end))
+		m->responded_at = now;
+	if (m && (end == AP_DISPATCH_UNREACHABLE ||
+		  (end == AP_DISPATCH_TIMED_OUT && m->responded_at < inflight->sent)))
 		ap_member_suspect(f, m, now);
 }
 
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -226,6 +226,7 @@
  * @removed: the entry is gone; the instance counts as live until @expires_at, and longer while it
  *           sends announcements
  * @listed: received since ap_fleet_list_begin()
+ * @responded_at: when it last sent this instance a chunk or the end of a response; 0 for never
  * @suspect_until: end of the suspicion after a timeout or a failed connection
  * @draining_from: when the instance was first known to be draining
  * @draining_inc: the incarnation that announced that it is draining
@@ -252,6 +253,7 @@
 	bool removed;
 	bool listed;
 	ap_usec_t expires_at;
+	ap_usec_t responded_at;
 	ap_usec_t suspect_until;
 	ap_usec_t draining_from;
 	ap_id_t draining_inc;
--- a/test/fleet_silence_test.c
+++ b/test/fleet_silence_test.c
@@ -112,6 +112,40 @@
 	ap_fleet_free(f);
 }
 
+static void count_suspected(void *ctx, const ap_fleet_event_t *event)
+{
+	*(int *)ctx += event->kind == AP_FLEET_EVENT_SUSPECTED;
+}
+
+/* Guards against sound instances that are avoided because upstreams behind them are silent. */
+static void a_silent_upstream_does_not_make_its_instance_suspect(void **state)
+{
+	ap_usec_t now = WORLD_START;
+	int suspected = 0;
+	ap_fleet_t *f = world_start_watched("n1", "north", 1, count_suspected, &suspected);
+	ap_dispatch_t req = world_request(&world_stream, &world_engines, now);
+	ap_inflight_t inflight[2];
+	ap_target_t target;
+
+	(void)state;
+	world_member(f, "n1", "north", false, now);
+	world_member(f, "s1", "south", false, now);
+	world_replica(f, "e1", "engines", "south", now);
+	for (size_t i = 0; i < 2; i++)
+		send_one(f, &req, now, &target, &inflight[i]);
+	now += SILENT_FOR;
+	ap_fleet_first_chunk(f, &inflight[0], now);
+	now += SILENT_FOR;
+	for (size_t i = 0; i < 2; i++)
+		ap_fleet_done(f, &inflight[i], AP_DISPATCH_TIMED_OUT, now);
+	assert_int_equal(suspected, 0);
+	/* It has sent nothing since this request. */
+	send_one(f, &req, now, &target, &inflight[0]);
+	ap_fleet_done(f, &inflight[0], AP_DISPATCH_TIMED_OUT, now + SILENT_FOR);
+	assert_int_equal(suspected, 1);
+	ap_fleet_free(f);
+}
+
 /* Guards against streams that are refused as too late for an objective that they met long ago. */
 static void a_stream_that_has_begun_is_late_only_at_its_deadline(void **state)
 {
@@ -143,6 +177,7 @@
 		cmocka_unit_test(another_silent_upstream_is_no_alternative),
 		cmocka_unit_test(an_idle_upstream_of_a_silent_pool_is_no_alternative),
 		cmocka_unit_test(a_silent_region_is_no_alternative),
+		cmocka_unit_test(a_silent_upstream_does_not_make_its_instance_suspect),
 		cmocka_unit_test(a_stream_that_has_begun_is_late_only_at_its_deadline),
 	};
 
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -10,10 +10,15 @@
 
 #define WORLD_START (1000 * AP_SEC)
 
-/* Creates the state of instance @id; @inc is its incarnation. */
-static inline ap_fleet_t *world_start(const char *id, const char *region, uint64_t inc)
+typedef void (*world_watch_t)(void *ctx, const ap_fleet_event_t *event);
+
+/* Creates the state of instance @id; @inc is its incarnation. @watch may be NULL. */
+static inline ap_fleet_t *world_start_watched(const char *id, const char *region, uint64_t inc,
+					      world_watch_t watch, void *ctx)
 {
 	ap_fleet_config_t config = {
+		.ctx = ctx,
+		.on_event = watch,
 		.cold_over = 1.5,
 		.cold_slack = 3,
 		.retry_ratio = 0.2,
@@ -34,6 +39,11 @@
 	return f;
 }
 
+static inline ap_fleet_t *world_start(const char *id, const char *region, uint64_t inc)
+{
+	return world_start_watched(id, region, inc, NULL, NULL);
+}
+
 static inline ap_fleet_t *world_fleet(const char *id, const char *region)
 {
 	return world_start(id, region, 1);
