Take no response for complete whose only heads are interim ones

What callers could see, on the /v1 dialect: a whole response with an empty body, from an upstream that had sent a status line cut to a number below 200, or an interim response and nothing else.

Cause: the library reports any response with a status from 101 to 199 as final and without a body, and the client took its word. The head callback has not run then, so the status is that of an earlier attempt, or 0.

The table of responses cut at each byte, by a close and by a reset, found no other cut that is taken to be complete: the library reports an end within a status line, a header, a chunk's size or the trailers as an error.

A response is complete only once its final head has arrived; else it is malformed. keep_alive_of() moves to headers.c.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -16,14 +16,13 @@
 #include <sys/socket.h>
 
 #define PROBE_LIMIT (1 * AP_SEC)
-#define RESPONSE_HEADERS_MAX 65536	  /* bytes */
-#define UNPARSED_MAX (1 << 20)		  /* bytes of a response that the library holds */
-#define INTERIM_HEADS_MAX 16		  /* of one response */
-#define VERIFIED_FOR (500 * AP_MSEC)	  /* after a response, a connection is "fresh" this long */
-#define UNACKED_DEFAULT (10 * AP_SEC)	  /* close when bytes stay unacknowledged this long */
-#define KEEPALIVE_PROBES 3		  /* on an idle connection, spread over the unacked time */
-#define KEEP_ALIVE_MARGIN (300 * AP_MSEC) /* close this long before the upstream would */
-#define LIBRARY_TIMEOUT_S (24 * 3600)	  /* longer than any limit of this client */
+#define RESPONSE_HEADERS_MAX 65536    /* bytes */
+#define UNPARSED_MAX (1 << 20)	      /* bytes of a response that the library holds */
+#define INTERIM_HEADS_MAX 16	      /* of one response */
+#define VERIFIED_FOR (500 * AP_MSEC)  /* after a response, a connection is "fresh" this long */
+#define UNACKED_DEFAULT (10 * AP_SEC) /* close when bytes stay unacknowledged this long */
+#define KEEPALIVE_PROBES 3	      /* on an idle connection, spread over the unacked time */
+#define LIBRARY_TIMEOUT_S (24 * 3600) /* longer than any limit of this client */
 
 void conn_discard(conn_t *conn)
 {
@@ -186,19 +185,6 @@
 	fetch_free(fetch);
 }
 
-/* Returns the upstream's idle limit, from "Keep-Alive: timeout=SECONDS", less a margin. */
-static ap_usec_t keep_alive_of(const struct evkeyvalq *headers)
-{
-	const char *value = evhttp_find_header(headers, "Keep-Alive");
-	const char *timeout = value ? strstr(value, "timeout=") : NULL;
-	ap_usec_t keep;
-
-	if (!timeout)
-		return AP_NEVER;
-	keep = strtol(timeout + strlen("timeout="), NULL, 10) * AP_SEC - KEEP_ALIVE_MARGIN;
-	return keep > 0 ? keep : 0;
-}
-
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	conn_t *conn = arg;
@@ -286,6 +272,8 @@
 		finish(fetch, fetch->library_failure, false);
 	else if (req->response_code == 0)
 		finish(fetch, fetch->written ? AP_HTTP_RESET : AP_HTTP_UNREACHABLE, false);
+	else if (!fetch->head_received) /* an interim response that the library takes to be final */
+		finish(fetch, AP_HTTP_MALFORMED, false);
 	else if (!is_complete(req, bev))
 		finish(fetch, fetch->config.lenient ? lenient_result(req) : AP_HTTP_MALFORMED,
 		       false);
--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -118,6 +118,8 @@
 	ap_http_end_t library_failure;
 };
 
+/* keep_alive_of() - idle limit that "Keep-Alive: timeout=SECONDS" states, less a margin. */
+ap_usec_t keep_alive_of(const struct evkeyvalq *headers);
 /* conn_discard() - takes a connection out of use; the event loop frees it later. */
 void conn_discard(conn_t *conn);
 /* fetch_time_out() - a time limit passed: ends the request once the probe's result is known. */
--- a/adapters/http/headers.c
+++ b/adapters/http/headers.c
@@ -1,10 +1,12 @@
 /* Parsing of header values. */
-#include "http/http.h"
+#include "http/client.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #define SEPARATORS ", \t"
+#define KEEP_ALIVE_MARGIN (300 * AP_MSEC) /* close this long before the upstream would */
 
 bool ap_http_list_contains(const char *list, const char *word)
 {
@@ -17,3 +19,15 @@
 	}
 	return false;
 }
+
+ap_usec_t keep_alive_of(const struct evkeyvalq *headers)
+{
+	const char *value = evhttp_find_header(headers, "Keep-Alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+	ap_usec_t keep;
+
+	if (!timeout)
+		return AP_NEVER;
+	keep = strtol(timeout + strlen("timeout="), NULL, 10) * AP_SEC - KEEP_ALIVE_MARGIN;
+	return keep > 0 ? keep : 0;
+}
