Keep headers of an interim response out of the final head

What callers could see: a body cut to the length that a 100 response states, framed as whole; or 'not run' for a request whose upstream had sent Not-Run with a 100 response and then run it.

Cause: the library reads the next head into the same list of headers, and looks up the first of a name.

Evidence: headers_of_an_interim_response_are_not_the_final_ones failed before (the final head had Not-Run). The list is cleared after each interim head.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -198,6 +198,8 @@
 		return 0;
 	/* An interim response is no byte of the response that is waited for. */
 	if (head.status < HTTP_OK) {
+		/* The library adds the headers of the next response to these. */
+		evhttp_clear_headers(head.headers);
 		if (++fetch->interim_heads <= INTERIM_HEADS_MAX)
 			return 0;
 		fetch->library_failure = AP_HTTP_MALFORMED;
--- a/test/http_head_test.c
+++ b/test/http_head_test.c
@@ -361,6 +361,27 @@
 	rig_clear(&rig);
 }
 
+/*
+ * Guards against headers of an interim response that are taken to be the final one's: its length
+ * cuts the body, and its refusal denies that the request ran.
+ */
+static void headers_of_an_interim_response_are_not_the_final_ones(void **state)
+{
+	static const char text[] = "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\nNot-Run: 1\r\n"
+				   "\r\n" OK ID "Content-Length: 5\r\n" END "whole";
+	result_t got;
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	got = fetch(&rig, text, strlen(text), true, KEEP);
+	assert_int_equal(got.end, AP_HTTP_COMPLETE);
+	assert_int_equal(got.status, 200);
+	assert_false(got.not_run);
+	assert_string_equal(got.body, "whole");
+	rig_clear(&rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -368,6 +389,7 @@
 		cmocka_unit_test(a_strict_request_takes_no_cut_response),
 		cmocka_unit_test(a_response_cut_by_a_reset_is_not_complete),
 		cmocka_unit_test(an_interim_response_is_not_complete),
+		cmocka_unit_test(headers_of_an_interim_response_are_not_the_final_ones),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
