Take a body with an unknown transfer coding for malformed

What callers could see: a short body, framed as whole, of an upstream that names a transfer coding other than chunked and closes early.

Cause: such a body is read until the connection closes, but any Transfer-Encoding counted as framing. With 'gzip, chunked' the body was passed on still coded, without the header that says so.

Evidence: an_unknown_transfer_coding_is_malformed failed before: 'Transfer-Encoding: identity' and half a body ended as AP_HTTP_COMPLETE. The client decodes chunks only, so it gives up such a response at its head.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -205,6 +205,10 @@
 		fetch->library_failure = AP_HTTP_MALFORMED;
 		return -1;
 	}
+	if (has_unknown_coding(head.headers)) {
+		fetch->library_failure = AP_HTTP_MALFORMED;
+		return -1;
+	}
 	fetch->head_received = true;
 	fetch->last_byte_at = ap_now();
 	fetch->keep_alive = keep_alive_of(head.headers);
--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -120,6 +120,11 @@
 
 /* keep_alive_of() - idle limit that "Keep-Alive: timeout=SECONDS" states, less a margin. */
 ap_usec_t keep_alive_of(const struct evkeyvalq *headers);
+/*
+ * has_unknown_coding() - whether the body has a transfer coding other than chunks, which the
+ * library leaves in it. Such a body may end with the connection, which is no framing.
+ */
+bool has_unknown_coding(const struct evkeyvalq *headers);
 /* conn_discard() - takes a connection out of use; the event loop frees it later. */
 void conn_discard(conn_t *conn);
 /* fetch_time_out() - a time limit passed: ends the request once the probe's result is known. */
--- a/adapters/http/headers.c
+++ b/adapters/http/headers.c
@@ -31,3 +31,10 @@
 	keep = strtol(timeout + strlen("timeout="), NULL, 10) * AP_SEC - KEEP_ALIVE_MARGIN;
 	return keep > 0 ? keep : 0;
 }
+
+bool has_unknown_coding(const struct evkeyvalq *headers)
+{
+	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+
+	return coding && strcasecmp(coding, "chunked") != 0;
+}
--- a/test/http_head_test.c
+++ b/test/http_head_test.c
@@ -382,6 +382,32 @@
 	rig_clear(&rig);
 }
 
+/*
+ * Guards against a transfer coding that the library doesn't decode: it reads to the connection's
+ * end, which is no framing, and passes on what the coding adds.
+ */
+static void an_unknown_transfer_coding_is_malformed(void **state)
+{
+	static const char *const texts[] = {
+		OK "Transfer-Encoding: gzip, chunked\r\n" END "3\r\nwho",
+		OK "Transfer-Encoding: identity\r\n" END "who",
+		OK "Transfer-Encoding: chunked, chunked\r\n" END "5\r\nwhole\r\n0\r\n\r\n",
+		OK "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n" END "who",
+	};
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	for (size_t i = 0; i < 2 * COUNT(texts); i++) {
+		const char *text = texts[i / 2];
+		result_t got = fetch(&rig, text, strlen(text), i % 2 == 0, CLOSE);
+
+		if (got.end != AP_HTTP_MALFORMED || got.heads > 0)
+			fail_msg("'%s' ended as %d", text, (int)got.end);
+	}
+	rig_clear(&rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -390,6 +416,7 @@
 		cmocka_unit_test(a_response_cut_by_a_reset_is_not_complete),
 		cmocka_unit_test(an_interim_response_is_not_complete),
 		cmocka_unit_test(headers_of_an_interim_response_are_not_the_final_ones),
+		cmocka_unit_test(an_unknown_transfer_coding_is_malformed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
