Use no idle connection on which bytes or a close have arrived

What callers saw: 'not run, try again' for a request that an upstream had run, or the request ran at a second upstream.

Cause: a faulty upstream writes an earlier refusal once more on a kept connection. The event loop closes an idle connection that becomes readable, but bytes that arrive while it is busy are still in the socket when the next request takes the connection; the library reads them as the response to it. In the same way a request was sent on a connection that the upstream had closed, and may then have run, as far as the client knows.

Before a connection is used again, the socket is looked at: only a silent one is taken. Bytes that arrive after the request was written can only be told by their id; the head of a response now says whether the connection had carried one before.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -100,27 +100,6 @@
 	return conn;
 }
 
-/* Returns the most recently used connection, so that the others reach their idle limit. */
-static conn_t *conn_reuse(address_t *address, bool fresh, ap_usec_t now)
-{
-	conn_t *conn;
-
-	while ((conn = TAILQ_FIRST(&address->idle)) != NULL) {
-		if (now - conn->verified_at > conn->idle_limit) {
-			address->client->stats.idle_closed++;
-			conn_discard(conn);
-			continue;
-		}
-		if (fresh && now - conn->verified_at > VERIFIED_FOR)
-			return NULL;
-		TAILQ_REMOVE(&address->idle, conn, link);
-		conn->state = CONN_UNLISTED;
-		address->client->stats.reused++;
-		return conn;
-	}
-	return NULL;
-}
-
 static address_t *address_new(ap_http_client_t *client, const char *key, const char *host,
 			      uint16_t port)
 {
@@ -196,6 +175,7 @@
 
 	if (!fetch)
 		return 0;
+	head.reused = !fetch->new_conn;
 	/* An interim response is no byte of the response that is waited for. */
 	if (head.status < HTTP_OK) {
 		/* The library adds the headers of the next response to these. */
--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -127,6 +127,11 @@
 bool has_unknown_coding(const struct evkeyvalq *headers);
 /* conn_discard() - takes a connection out of use; the event loop frees it later. */
 void conn_discard(conn_t *conn);
+/*
+ * conn_reuse() - takes the most recently used connection, so that the others reach their idle
+ * limit. With @fresh, only one that has just carried a response; NULL if there is none.
+ */
+conn_t *conn_reuse(address_t *address, bool fresh, ap_usec_t now);
 /* fetch_time_out() - a time limit passed: ends the request once the probe's result is known. */
 void fetch_time_out(ap_http_fetch_t *fetch);
 /* fetch_start() - sends a request on @conn, which may be NULL; NULL if nothing was sent. */
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -173,10 +173,12 @@
 
 /**
  * struct ap_http_head - status and headers of an upstream's response; valid during the callback.
+ * @reused: the connection has carried an earlier response, so that this one may be a copy of it
  */
 typedef struct ap_http_head {
 	int status;
 	struct evkeyvalq *headers;
+	bool reused;
 } ap_http_head_t;
 
 /**
@@ -245,6 +247,7 @@
  * @probes: probes started
  * @retired: connections closed as dead because the upstream responded on a new one
  * @idle_closed: connections closed at their idle limit
+ * @stray: idle connections not used again, since bytes or a close had arrived on them
  */
 typedef struct ap_http_client_stats {
 	uint64_t opened;
@@ -252,6 +255,7 @@
 	uint64_t probes;
 	uint64_t retired;
 	uint64_t idle_closed;
+	uint64_t stray;
 } ap_http_client_stats_t;
 
 ap_http_client_stats_t ap_http_client_stats(const ap_http_client_t *client);
--- a/adapters/http/pool.c
+++ b/adapters/http/pool.c
@@ -1,10 +1,13 @@
 /* The client's connection pool: connections are kept, expired and freed from the event loop. */
 #include "http/client.h"
 
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
-#define SWEEP_S 1 /* seconds between checks for expired idle connections */
+#define VERIFIED_FOR (500 * AP_MSEC) /* after a response, a connection is "fresh" this long */
+#define SWEEP_S 1		     /* seconds between checks for expired idle connections */
 
 struct event_base *ap_http_base_new(void)
 {
@@ -20,6 +23,44 @@
 	return base;
 }
 
+/*
+ * Whether nothing has arrived since the last response. Bytes that are here before a request is
+ * written would be read as its response.
+ */
+static bool is_silent(const conn_t *conn)
+{
+	int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn->evcon));
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+conn_t *conn_reuse(address_t *address, bool fresh, ap_usec_t now)
+{
+	conn_t *conn;
+
+	while ((conn = TAILQ_FIRST(&address->idle)) != NULL) {
+		if (now - conn->verified_at > conn->idle_limit) {
+			address->client->stats.idle_closed++;
+			conn_discard(conn);
+			continue;
+		}
+		if (fresh && now - conn->verified_at > VERIFIED_FOR)
+			return NULL;
+		if (!is_silent(conn)) {
+			address->client->stats.stray++;
+			conn_discard(conn);
+			continue;
+		}
+		TAILQ_REMOVE(&address->idle, conn, link);
+		conn->state = CONN_UNLISTED;
+		address->client->stats.reused++;
+		return conn;
+	}
+	return NULL;
+}
+
 static void free_discarded(ap_http_client_t *client)
 {
 	conn_t *conn = TAILQ_FIRST(&client->discarded);
--- a/cmd/arbutuspond/entry-counters.c
+++ b/cmd/arbutuspond/entry-counters.c
@@ -90,6 +90,7 @@
 	add_count(out, "upstream_reuses", client.reused);
 	add_count(out, "upstream_probes", client.probes);
 	add_count(out, "upstream_retired", client.retired);
+	add_count(out, "upstream_stray", client.stray);
 	evbuffer_add_printf(out, "# TYPE arbutuspond_errors_total counter\n");
 	for (int i = 0; i < ENTRY_ERROR_COUNT; i++)
 		evbuffer_add_printf(out, "arbutuspond_errors_total{code=\"%s\"} %llu\n",
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -176,6 +176,7 @@
 	put(out, "repeats_total", "", (double)n->retries);
 	put(out, "upstream_connections_total", "{how=\"opened\"}", (double)client.opened);
 	put(out, "upstream_connections_total", "{how=\"reused\"}", (double)client.reused);
+	put(out, "upstream_connections_total", "{how=\"stray\"}", (double)client.stray);
 	put_outcomes(out, n);
 	put_histogram(out, "first_piece_seconds", n->first_chunk, n->first_chunk_sum);
 	put_histogram(out, "request_seconds", n->duration, n->duration_sum);
