Believe a replica's refusal or response only with the id of the request

What callers saw: 'not run, try again' (503) for a request that an upstream had run or was running, or the request ran at a second upstream.

Cause: a response without Request-Id counted as the one to the request that was sent. A faulty upstream that writes an earlier refusal once more on a kept connection, without the id, was believed: its Not-Run released the request to another upstream, or ended it as 503.

Evidence: test_a_response_without_the_id_states_nothing_of_this_request (host_test) failed before, at the first case. Replicas echo the id. What has none now matches only as an error that no replica made and that doesn't claim 'not run': instances that refuse a forwarded request early send such ones, and their own header says that it did not run.

--- a/test/host_test.c
+++ b/test/host_test.c
@@ -356,6 +356,42 @@
 	evhttp_clear_headers(&h);
 }
 
+/*
+ * Guards against an earlier refusal or response of a replica, written once more on a kept
+ * connection and without its id, that is taken for the one to this request: the caller is told that
+ * it did not run.
+ */
+static void test_a_response_without_the_id_states_nothing_of_this_request(void **state)
+{
+	static const char *const refusal[][2] = {{"Not-Run", "1"}};
+	static const char *const stamped[][2] = {{"Server-Stamp", "s"}};
+	static const struct {
+		const char *const (*pairs)[2];
+		int status;
+		const char *id;
+		bool matches;
+	} cases[] = {
+		{refusal, 503, "abc", false}, {refusal, 429, "abc", false},
+		{refusal, 421, "abc", false}, {NULL, 421, "abc", false},
+		{stamped, 200, "abc", false}, {stamped, 500, "abc", false},
+		{NULL, 200, "abc", false},    {NULL, 204, "abc", false},
+		{NULL, 503, "abc", true}, /* of a component in between; it proves nothing */
+		{NULL, 502, "abc", true},     {refusal, 400, "", true},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		ap_host_response_t response;
+		headers_t h;
+
+		fill(&h, cases[i].pairs, cases[i].pairs != NULL);
+		response = ap_host_parse_response(&h, cases[i].status, cases[i].id);
+		if (response.id_matches != cases[i].matches)
+			fail_msg("case %zu: status %d", i, cases[i].status);
+		evhttp_clear_headers(&h);
+	}
+}
+
 static void test_leaving_header(void **state)
 {
 	static const struct {
@@ -506,6 +542,7 @@
 		cmocka_unit_test(test_too_many_headers_are_refused),
 		cmocka_unit_test(test_health_response),
 		cmocka_unit_test(test_response_headers),
+		cmocka_unit_test(test_a_response_without_the_id_states_nothing_of_this_request),
 		cmocka_unit_test(test_limit_header),
 		cmocka_unit_test(test_leaving_header),
 		cmocka_unit_test(test_record_is_one_line_of_json),
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -96,8 +96,9 @@
 
 static void reply_refused(replica_t *r, ap_http_call_t *call, int status)
 {
-	ap_http_header_t headers[2] = {{"Not-Run", "1"}};
-	size_t n = add_leaving(r, headers, 1);
+	const char *id = ap_http_call_header(call, "Request-Id");
+	ap_http_header_t headers[3] = {{"Not-Run", "1"}, {"Request-Id", id}};
+	size_t n = add_leaving(r, headers, id ? 2 : 1);
 
 	ap_http_reply(call, status, headers, n, NULL, 0);
 }
