Take a refusal without an id on a kept connection for no refusal of this request

What callers saw, on the /v1 dialect: 'not run' (503) for a request that an upstream had run, or a request that must not run twice ran at a second upstream.

Cause: refusals may omit X-Request-Id, so a faulty upstream's earlier refusal, written once more on a kept connection, was believed for the next request.

Evidence: a_copied_refusal_without_id_does_not_deny_a_run (entry_copy_test) failed before: two runs of a request of a service that isn't repeatable, and 503 not_run. A refusal without the id is now believed only on a connection that carried no response before; elsewhere the attempt has failed and may have run: one run, 504 unknown.

The fake upstream's refusals carry the id, as docs/design/interfaces.md says.

--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -187,8 +187,11 @@
 	x->refused = is_refusal(x, head->status, refused && strcasecmp(refused, "true") == 0);
 	if (x->refused && head->status == HTTP_NOTFOUND && !x->req.service->plain)
 		x->entry->counts[COUNT_MISSING_MODELS]++;
-	/* Plain services and refusals may omit X-Request-Id, but a wrong one is never accepted. */
-	x->matched = own || (!id && (x->req.service->plain || x->refused));
+	/*
+	 * Plain services and refusals may omit X-Request-Id, but a wrong one is never accepted. On a
+	 * connection that was used before, a refusal without it may be a copy of an earlier one.
+	 */
+	x->matched = own || (!id && (x->refused ? !head->reused : x->req.service->plain));
 	if (!x->matched) {
 		x->entry->counts[COUNT_MISMATCHED_RESPONSES]++;
 		drop_fetch(x, AP_ATTEMPT_FAILED, "the response belongs to another request");
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -38,6 +38,8 @@
 	FAKE_LARGE,	   /* a complete response larger than the socket buffers */
 	FAKE_SLOW_READER,  /* a long stream of many chunks */
 	FAKE_FLOOD,	   /* a stream larger than the socket buffers */
+	FAKE_RAW,	   /* @raw, then a close; the request runs */
+	FAKE_COPY,	   /* on a connection that has served a request, @raw; the request runs */
 } fake_mode_t;
 
 #define FAKE_LONG_TOKENS 20000
@@ -60,6 +62,8 @@
 	int responses;
 	int hangups;		  /* closed by the client before the response was complete */
 	char last_request[65536]; /* last request, as received */
+	fake_mode_t then;	  /* shown by the last of @faults, unless it is FAKE_NONE */
+	const char *raw;	  /* a response with the request's id for each "%s" */
 	const char *usage; /* JSON members of "usage" in its responses; NULL for the default */
 	const char *extra_headers; /* further header lines of a complete response; may be NULL */
 	double fault_share;	   /* above 0: probability of a random fault in a response */
@@ -238,13 +242,26 @@
 	free(text);
 }
 
+static inline void fake_raw(fake_conn_t *conn, const char *id)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	const char *from = conn->fake->raw;
+	const char *at;
+
+	for (; (at = strstr(from, "%s")) != NULL; from = at + 2) {
+		evbuffer_add(out, from, (size_t)(at - from));
+		evbuffer_add(out, id, strlen(id));
+	}
+	evbuffer_add(out, from, strlen(from));
+}
+
 static inline bool fake_closes_after(fake_mode_t mode)
 {
-	return mode == FAKE_RESET_AFTER || mode == FAKE_TRUNCATED || mode == FAKE_SHORT_LENGTH ||
-	       mode == FAKE_NO_FRAMING;
+	return mode == FAKE_RAW || mode == FAKE_RESET_AFTER || mode == FAKE_TRUNCATED ||
+	       mode == FAKE_SHORT_LENGTH || mode == FAKE_NO_FRAMING;
 }
 
-static inline void fake_refuse(fake_conn_t *conn, fake_mode_t mode)
+static inline void fake_refuse(fake_conn_t *conn, const char *id, fake_mode_t mode)
 {
 	const char *line = "503 Unavailable\r\nX-Not-Started: true";
 
@@ -253,8 +270,8 @@
 	else if (mode == FAKE_NO_MODEL)
 		line = "404 Not Found";
 	evbuffer_add_printf(bufferevent_get_output(conn->bev),
-			    "HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n", line,
-			    mode == FAKE_DRAIN ? "X-Draining: true\r\n" : "");
+			    "HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n", line,
+			    id, mode == FAKE_DRAIN ? "X-Draining: true\r\n" : "");
 }
 
 static inline void fake_respond(fake_conn_t *conn, const char *request)
@@ -270,7 +287,9 @@
 	if (mode != FAKE_REFUSE && mode != FAKE_DRAIN && mode != FAKE_NO_MODEL)
 		fake->runs[mark]++;
 
-	if (mode == FAKE_STALL_REUSED && conn->served == 0)
+	if (mode != FAKE_NONE && fake->then != FAKE_NONE && *faults == 1)
+		mode = fake->then;
+	if ((mode == FAKE_STALL_REUSED || mode == FAKE_COPY) && conn->served == 0)
 		mode = FAKE_NONE;
 	if (mode != FAKE_NONE && *faults > 0)
 		(*faults)--;
@@ -287,7 +306,9 @@
 		snprintf(id, sizeof(id), "another");
 	if (mode == FAKE_REFUSE || mode == FAKE_DRAIN || mode == FAKE_ERROR ||
 	    mode == FAKE_NO_MODEL)
-		fake_refuse(conn, mode);
+		fake_refuse(conn, id, mode);
+	else if (mode == FAKE_RAW || mode == FAKE_COPY)
+		fake_raw(conn, id);
 	else if (mode == FAKE_LARGE)
 		fake_large(conn, id);
 	else if (strstr(request, "\"stream\": true") || strstr(request, "\"stream\":true"))
