Tell the other region which tokens of a stream the caller has

What callers saw, on the /v1 dialect: a stream that began anew in the middle, with its first tokens twice, and ended as complete.

Cause: a stream that breaks off is resumed by the next upstream, which is told the tokens sent so far; but where the next one is in another region, the forwarded request was the caller's own, without them. Where such a stream broke off in that region, too, the resume would have counted only the tokens sent from there.

The forwarded request now says what the caller has, in the field that engines read, and an entry adds to what the request says.

--- a/cmd/arbutuspond/entry-body.c
+++ b/cmd/arbutuspond/entry-body.c
@@ -99,29 +99,49 @@
 	return false;
 }
 
+/* Adds the tokens that the caller has from here to those that @doc says it had before. */
 static void add_resume(const exchange_t *x, json_t *doc)
 {
 	const stream_t *s = &x->stream;
 	size_t len = s->text ? evbuffer_get_length(s->text) : 0;
 	const char *text = len ? (const char *)evbuffer_pullup(s->text, -1) : "";
-	json_t *resume = json_object();
-
-	json_object_set_new(resume, "tokens", json_integer(s->tokens));
-	json_object_set_new(resume, "text", json_stringn(text, len));
+	json_t *earlier = json_object_get(doc, "resume");
+	json_int_t tokens = json_integer_value(json_object_get(earlier, "tokens"));
+	const char *start = json_string_value(json_object_get(earlier, "text"));
+	json_t *resume;
+
+	if (s->tokens == 0)
+		return;
+	resume = json_object();
+	json_object_set_new(resume, "tokens", json_integer(tokens + s->tokens));
+	json_object_set_new(resume, "text",
+			    json_sprintf("%s%.*s", start ? start : "", (int)len, text));
 	json_object_set_new(doc, "resume", resume);
 }
 
+static char *dump_and_free(json_t *doc)
+{
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+char *body_for_entry(const exchange_t *x)
+{
+	json_t *doc = json_copy(x->doc);
+
+	add_resume(x, doc);
+	return dump_and_free(doc);
+}
+
 char *body_for_upstream(const exchange_t *x)
 {
 	json_t *doc = json_copy(x->doc);
 	const char *model = x->adapter[0] ? x->adapter : x->choice.model;
-	char *text;
 
 	json_object_set_new(doc, "model", json_string(model));
 	json_object_set_new(doc, "priority", json_integer(x->choice.priority));
-	if (x->stream.tokens > 0)
-		add_resume(x, doc);
-	text = json_dumps(doc, JSON_COMPACT);
-	json_decref(doc);
-	return text;
+	add_resume(x, doc);
+	return dump_and_free(doc);
 }
--- a/cmd/arbutuspond/entry-forward.c
+++ b/cmd/arbutuspond/entry-forward.c
@@ -114,7 +114,7 @@
 {
 	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD, .exchange = x->forward.exchange};
 	ap_forward_request_t *request = &msg.u.request;
-	char *text = x->doc ? json_dumps(x->doc, JSON_COMPACT) : NULL;
+	char *text = x->doc ? body_for_entry(x) : NULL;
 	bool sent = false;
 
 	fill_request(x, hops, request);
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -457,6 +457,8 @@
 bool body_model(const char *text, char *service, char *model, char *adapter);
 /* body_for_upstream() - text of the request for the chosen engine; the caller frees it. */
 char *body_for_upstream(const exchange_t *x);
+/* body_for_entry() - text of the request for another entry, which chooses the engine; likewise. */
+char *body_for_entry(const exchange_t *x);
 
 /* entry-exchange.c */
 exchange_t *exchange_new(entry_t *entry, const ap_caller_t *caller, const ap_service_t *service);
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -63,6 +63,7 @@
 	int hangups;		  /* closed by the client before the response was complete */
 	char last_request[65536]; /* last request, as received */
 	fake_mode_t then;	  /* shown by the last of @faults, unless it is FAKE_NONE */
+	int half;		  /* tokens of a stream before it breaks off; 0 for half of them */
 	const char *raw;	  /* a response with the request's id for each "%s" */
 	const char *usage; /* JSON members of "usage" in its responses; NULL for the default */
 	const char *extra_headers; /* further header lines of a complete response; may be NULL */
@@ -171,6 +172,7 @@
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 	int pad = mode == FAKE_FLOOD ? FAKE_FLOOD_PAD : 0;
 	int tokens = fake_tokens(mode);
+	int half = conn->fake->half ? conn->fake->half : FAKE_TOKENS / 2;
 	char event[FAKE_FLOOD_PAD + 512];
 
 	evbuffer_add_printf(out,
@@ -178,9 +180,9 @@
 			    "X-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
 			    id);
 	for (int i = from; i < tokens; i++) {
-		if (i == FAKE_TOKENS / 2 && (mode == FAKE_RESET_AFTER || mode == FAKE_STALL_MIDDLE))
+		if (i == half && (mode == FAKE_RESET_AFTER || mode == FAKE_STALL_MIDDLE))
 			return;
-		if (i == FAKE_TOKENS / 2 && mode == FAKE_TRUNCATED) {
+		if (i == half && mode == FAKE_TRUNCATED) {
 			fake_chunk(out, "data: {\"choices\":[{\"del");
 			evbuffer_add_printf(out, "0\r\n\r\n");
 			return;
