Serve requests that have arrived when a server stops

What callers saw: a planned stop under load closed, without an answer, connections on which a request had just been sent: kept ones, and ones that the process had not accepted yet.

Cause: the stop closed the listener, which resets the connections that wait in its queue, and every idle connection, without a look at what has arrived on them; and an instance without a request in flight exited in the same turn of its event loop. The tests named in docs/promises.md stop a server whose requests are all read.

The listener now closes after the loop has accepted what waits, connections with unread bytes stay, and the gateway exits when nothing is arriving or to be read, in the same bounds as before.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -92,11 +92,17 @@
 /** ap_http_server_free() - closes all connections; open calls get their closed callback. */
 void ap_http_server_free(ap_http_server_t *server);
 /**
- * ap_http_server_stop() - stops accepting connections and closes the idle ones. In-flight requests
- * continue; their responses should carry "Connection: close". Each connection closes as its
+ * ap_http_server_stop() - stops accepting connections and closes the idle ones, from the event
+ * loop. Requests in flight continue, as do those that have arrived by then, on established
+ * connections; their responses should carry "Connection: close". Each connection closes as its
  * response ends.
  */
 void ap_http_server_stop(ap_http_server_t *server);
+/**
+ * ap_http_server_drained() - whether the server has stopped, and no request is in flight, arriving
+ * or waiting to be read, and no response is being sent.
+ */
+bool ap_http_server_drained(const ap_http_server_t *server);
 /** ap_http_server_flushing() - number of ended responses that are not yet fully sent. */
 size_t ap_http_server_flushing(const ap_http_server_t *server);
 
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -348,13 +348,31 @@
 	free(conn);
 }
 
+static bool has_unread(const server_conn_t *conn)
+{
+	char byte;
+
+	return recv(bufferevent_getfd(conn->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool conn_any_request(const ap_http_server_t *server)
+{
+	const server_conn_t *conn;
+
+	for (conn = server->conns; conn; conn = conn->hh.next) {
+		if (!conn->refused && (conn->call || conn->arriving || has_unread(conn)))
+			return true;
+	}
+	return false;
+}
+
 void conn_drop_idle(ap_http_server_t *server)
 {
 	server_conn_t *conn;
 	server_conn_t *next;
 
 	HASH_ITER (hh, server->conns, conn, next) {
-		if (conn->evcon && !conn->call && !conn->arriving)
+		if (conn->evcon && !conn->call && !conn->arriving && !has_unread(conn))
 			drop(conn);
 	}
 }
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -168,6 +168,19 @@
 	event_add(server->accept_retry, &pause);
 }
 
+static void on_close_listener(evutil_socket_t fd, short what, void *arg)
+{
+	ap_http_server_t *server = arg;
+
+	(void)fd;
+	(void)what;
+	event_del(server->accept_retry);
+	server->listener = NULL;
+	if (server->bound)
+		evhttp_del_accept_socket(server->http, server->bound);
+	conn_drop_idle(server);
+}
+
 static struct bufferevent *on_new_connection(struct event_base *base, void *arg)
 {
 	(void)base;
@@ -225,7 +238,8 @@
 	LIST_INIT(&server->lingering);
 	server->http = evhttp_new(config->base);
 	server->accept_retry = evtimer_new(config->base, on_accept_retry, server);
-	if (!server->http || !server->accept_retry) {
+	server->close_listener = evtimer_new(config->base, on_close_listener, server);
+	if (!server->http || !server->accept_retry || !server->close_listener) {
 		ap_http_server_free(server);
 		return AP_HTTP_STATUS_NO_MEMORY;
 	}
@@ -257,18 +271,23 @@
 	conn_free_all(server);
 	if (server->accept_retry)
 		event_free(server->accept_retry);
+	if (server->close_listener)
+		event_free(server->close_listener);
 	free(server);
 }
 
+/* The loop accepts the connections that wait for it before it runs the timer. */
 void ap_http_server_stop(ap_http_server_t *server)
 {
-	if (!server->listener)
-		return;
-	event_del(server->accept_retry);
-	server->listener = NULL;
-	if (server->bound)
-		evhttp_del_accept_socket(server->http, server->bound);
-	conn_drop_idle(server);
+	static const struct timeval now = {0};
+
+	if (server->listener && !event_pending(server->close_listener, EV_TIMEOUT, NULL))
+		event_add(server->close_listener, &now);
+}
+
+bool ap_http_server_drained(const ap_http_server_t *server)
+{
+	return !server->listener && server->flushing == 0 && !conn_any_request(server);
 }
 
 size_t ap_http_server_flushing(const ap_http_server_t *server)
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -70,6 +70,7 @@
 	struct evconnlistener *listener; /* NULL once the server has stopped accepting */
 	struct evhttp_bound_socket *bound;
 	struct event *accept_retry;
+	struct event *close_listener;
 	struct timeval idle;
 	uint16_t port;
 	size_t flushing;
@@ -94,8 +95,10 @@
 bool conn_over_limit(server_conn_t *conn);
 /* conn_send_last() - sends @out without the library and closes the connection. */
 void conn_send_last(server_conn_t *conn, struct evbuffer *out);
-/* conn_drop_idle() - closes connections without a request in flight. */
+/* conn_drop_idle() - closes connections without a request in flight or bytes to read. */
 void conn_drop_idle(ap_http_server_t *server);
+/* conn_any_request() - whether a connection has a request in flight, arriving or to be read. */
+bool conn_any_request(const ap_http_server_t *server);
 /* conn_free_all() - frees what remains after the library has closed its connections. */
 void conn_free_all(ap_http_server_t *server);
 
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -85,8 +85,8 @@
 
 static bool is_drained(const gateway_t *gate)
 {
-	return LIST_EMPTY(&gate->calls) && ap_http_server_flushing(gate->callers) == 0 &&
-	       ap_http_server_flushing(gate->peers) == 0;
+	return LIST_EMPTY(&gate->calls) && ap_http_server_drained(gate->callers) &&
+	       ap_http_server_drained(gate->peers);
 }
 
 /*
