Show that bytes now and then don't extend the HTTP client's time limits

The table in docs/promises.md named endless_test for stalled upstreams that send a byte now and then, but it only sends bytes as fast as it can. The new test sends one each 20 ms within a status line, headers, interim responses, a chunk, a chunk's size and trailers: each ends at the limit of 200 ms.

--- a/test/endless_test.c
+++ b/test/endless_test.c
@@ -210,10 +210,120 @@
 	}
 }
 
+#define DRIP_EVERY (20 * AP_MSEC)
+#define DRIP_LIMIT (200 * AP_MSEC)
+
+typedef struct drip {
+	upstream_t upstream;
+	struct event *timer;
+} drip_t;
+
+static void on_drip(evutil_socket_t fd, short what, void *arg)
+{
+	drip_t *d = arg;
+	struct timeval every = ap_timeval(DRIP_EVERY);
+	upstream_t *u = &d->upstream;
+	size_t n = u->sent++ % strlen(u->flood->repeat);
+
+	(void)fd;
+	(void)what;
+	if (u->bev && u->started)
+		bufferevent_write(u->bev, u->flood->repeat + n, 1);
+	event_add(d->timer, &every);
+}
+
+static void on_drip_readable(struct bufferevent *bev, void *arg)
+{
+	upstream_t *u = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	evbuffer_drain(in, evbuffer_get_length(in));
+	if (!u->started)
+		bufferevent_write(bev, u->flood->start, strlen(u->flood->start));
+	u->started = true;
+}
+
+static void on_drip_accept(struct evconnlistener *listener, evutil_socket_t fd,
+			   struct sockaddr *from, int len, void *arg)
+{
+	upstream_t *u = arg;
+
+	on_accept(listener, fd, from, len, u);
+	bufferevent_setcb(u->bev, on_drip_readable, NULL, on_event, u);
+}
+
+/* Returns how a request to an upstream that sends a byte now and then ended, and after what time.
+ */
+static ap_http_end_t fetch_drip(const flood_t *flood, ap_usec_t *took)
+{
+	struct event_base *base = event_base_new();
+	ap_http_client_t *client = ap_http_client_new(base);
+	result_t result = {.base = base};
+	ap_http_fetch_config_t config = {
+		.host = "127.0.0.1",
+		.method = EVHTTP_REQ_POST,
+		.target = "/",
+		.body = "x",
+		.len = 1,
+		.lenient = true,
+		.no_probe = true,
+		.first_byte = DRIP_LIMIT,
+		.between_chunks = DRIP_LIMIT,
+		.response_max = RESPONSE_MAX,
+		.ctx = &result,
+		.end = on_end,
+	};
+	drip_t drip;
+	ap_usec_t start = ap_now();
+
+	upstream_start(&drip.upstream, base, flood);
+	evconnlistener_set_cb(drip.upstream.listener, on_drip_accept, &drip.upstream);
+	drip.timer = evtimer_new(base, on_drip, &drip);
+	on_drip(-1, 0, &drip);
+	config.port = drip.upstream.port;
+	assert_non_null(ap_http_fetch(client, &config));
+	while (!result.ended && ap_now() - start < 20 * DRIP_LIMIT)
+		event_base_loop(base, EVLOOP_ONCE);
+	*took = ap_now() - start;
+	ap_http_client_free(client);
+	event_free(drip.timer);
+	upstream_stop(&drip.upstream);
+	event_base_free(base);
+	return result.ended ? result.end : AP_HTTP_COMPLETE;
+}
+
+/*
+ * Guards against a stalled upstream whose response never ends, since it sends a byte now and then:
+ * only a response's head and parts of its body count against the time limits.
+ */
+static void bytes_now_and_then_do_not_extend_the_time_limits(void **state)
+{
+	static const flood_t drips[] = {
+		{.name = "a status line", .start = "", .repeat = "HTTP/1.1"},
+		{.name = "header lines", .start = OK, .repeat = "X:y\r\n"},
+		{.name = "interim responses", .start = "", .repeat = "HTTP/1.1 100 C\r\n\r\n"},
+		{.name = "one chunk", .start = OK CHUNKED "ffff\r\n", .repeat = "padding"},
+		{.name = "the size of a chunk", .start = OK CHUNKED, .repeat = "0"},
+		{.name = "trailers", .start = OK CHUNKED "0\r\n", .repeat = "X:y\r\n"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(drips) / sizeof(drips[0]); i++) {
+		ap_usec_t took;
+		ap_http_end_t end = fetch_drip(&drips[i], &took);
+
+		print_message("%s: end %d after %lld ms\n", drips[i].name, (int)end,
+			      (long long)(took / AP_MSEC));
+		assert_int_equal(end, AP_HTTP_TIMEOUT);
+		assert_true(took < 4 * DRIP_LIMIT);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(bytes_without_end_are_given_up),
+		cmocka_unit_test(bytes_now_and_then_do_not_extend_the_time_limits),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
