--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -30,6 +30,7 @@
  * ATTEMPTS: how many times the receiver may run the request
  * NOT_RUN: the request did not run
  * BUILD: of the upstream at which a stream must go on, or that responded; in hexadecimal
+ * HEARD: another target is silent; within how many milliseconds the receiver's must have responded
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
  */
@@ -38,6 +39,7 @@
 #define FORWARD_HEADER_BUILD FORWARD_HEADER_PREFIX "Build"
 #define FORWARD_HEADER_NOT_RUN FORWARD_HEADER_PREFIX "Not-Run"
 #define FORWARD_NOT_RUN_UNSENT "unsent" /* its value if the request reached no upstream */
+#define FORWARD_HEADER_HEARD FORWARD_HEADER_PREFIX "Heard-Ms"
 #define FORWARD_HEADER_PROOF FORWARD_HEADER_PREFIX "Proof"
 #define FORWARD_HEADER_WAIT FORWARD_HEADER_PREFIX "Wait-Ms"
 
@@ -79,18 +81,32 @@
 
 typedef struct gateway gateway_t;
 
+/**
+ * struct gate_attempt - an attempt of the exchange, in flight or that has responded.
+ * @fetch: request to the target; NULL if none is in flight
+ * @reach: check whether the target still listens; NULL if none is under way
+ * @status: of its response
+ * @headers: copy of the response's headers
+ */
+typedef struct gate_attempt {
+	struct gate_call *call;
+	ap_http_fetch_t *fetch;
+	ap_http_reach_t *reach;
+	int status;
+	struct evkeyvalq headers;
+} gate_attempt_t;
+
 /**
  * struct gate_call - one request of a caller, or forwarded from a remote region.
  * @call: NULL once the response was given or the caller has disconnected
- * @fetch: request to the current target; NULL if none is in flight
  * @timer_at: when @timer fires; 0 if it is not set
  * @plan: the version that was active when the request started
  * @forwarded: sent by an instance of a remote region
  * @started: the head of the response was sent, and the body is sent in chunks
- * @paused: reading from the target is paused until the caller has read more
+ * @paused: reading from targets is paused until the caller has read more
  * @body: of a response that is sent as a whole
- * @status: of the response of the current target, or of this instance
- * @headers: copy of the headers of the current target's response
+ * @status: of the response to the caller
+ * @attempts: by slot of the exchange
  * @resumes: id of the request that began the stream; empty if the request begins it
  * @steps: ring of the latest steps
  * @n_steps: how many steps there were
@@ -100,7 +116,7 @@
 	gateway_t *gate;
 	ap_exchange_t x;
 	ap_http_call_t *call;
-	ap_http_fetch_t *fetch;
+	gate_attempt_t attempts[AP_SLOTS];
 	struct event *timer;
 	ap_usec_t timer_at;
 	ap_plan_t *plan;
@@ -109,7 +125,6 @@
 	bool paused;
 	struct evbuffer *body;
 	int status;
-	struct evkeyvalq headers;
 	char id[AP_HOST_REQUEST_ID_MAX];
 	char resumes[AP_HOST_REQUEST_ID_MAX];
 	gate_outcome_t outcome;
@@ -130,6 +145,8 @@
  * @peer_sent: requests sent to other instances of the own region
  * @taken_up: streams that callers took up here
  * @unknown_streams: of these, refused because the build that began them isn't known
+ * @checks: of upstreams whose response ended with its connection
+ * @checks_failed: of these, because nobody listened any more
  * @unreadable: records of the store that could not be decoded
  * @first_chunk: histogram of the time until the first chunk of the response
  * @duration: histogram of the time until the end of the response
@@ -147,6 +164,8 @@
 	uint64_t retries;
 	uint64_t taken_up;
 	uint64_t unknown_streams;
+	uint64_t checks;
+	uint64_t checks_failed;
 	uint64_t unreadable;
 	uint64_t first_chunk[GATE_BUCKETS + 1];
 	uint64_t duration[GATE_BUCKETS + 1];
@@ -218,6 +237,8 @@
 
 /* gateway-send.c */
 extern const ap_exchange_ops_t gate_ops;
+/** gate_call_pause() - stops reading from the targets, or goes on. */
+void gate_call_pause(gate_call_t *c, bool paused);
 /* Records and frees @c if its exchange has finished, else sets its timer. */
 void gate_call_update(gate_call_t *c);
 
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -79,6 +79,10 @@
  * @tokens_in: length of the prompt
  * @tokens_out: expected length of the response
  * @build: the only build of upstreams that may be chosen; 0 for any
+ * @begun: the caller has a part of the response, so that only the deadline limits the wait
+ * @heard_since: the target that has the request is silent; another one must have responded to
+ *               this instance since this time, or have none of its requests; 0 for any
+ * @heard_only: another one must have responded; set by ap_fleet_choose()
  * @parts: of the prompt, in order; the last one belongs to this request or its session alone
  * @fingerprint: hash of the caller, path and body: of what the request is, however often it comes;
  *               0 if unknown
@@ -94,6 +98,9 @@
 	uint32_t tokens_in;
 	uint32_t tokens_out;
 	uint64_t build;
+	bool begun;
+	ap_usec_t heard_since;
+	bool heard_only;
 	ap_prompt_part_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
 	uint64_t fingerprint;
@@ -415,7 +422,7 @@
 /** ap_fleet_sent() - @req is being sent to @target; initializes @inflight. */
 void ap_fleet_sent(ap_fleet_t *f, const ap_dispatch_t *req, const ap_target_t *target,
 		   ap_usec_t now, ap_inflight_t *inflight);
-/** ap_fleet_first_chunk() - the first chunk of the response arrived. */
+/** ap_fleet_first_chunk() - the first chunk of the response arrived, or a further one. */
 void ap_fleet_first_chunk(ap_fleet_t *f, ap_inflight_t *inflight, ap_usec_t now);
 /** ap_fleet_done() - the request ended; has no effect if it had ended before. */
 void ap_fleet_done(ap_fleet_t *f, ap_inflight_t *inflight, ap_dispatch_result_t end, ap_usec_t now);
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -28,6 +28,8 @@
 	head(&w, 200);
 	data(&w, "body");
 	end(&w, AP_CONNECTION_COMPLETE_ON_CLOSE);
+	assert_false(w.ended);
+	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
 	assert_true(w.ended);
 	finish(&w);
 }
@@ -48,6 +50,9 @@
 
 	(void)state;
 	close_stream(&w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	assert_int_equal(w.checks, 1);
+	assert_false(w.ended);
+	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
 	assert_true(w.ended);
 	assert_int_equal(w.ends[0], AP_DISPATCH_DONE);
 	finish(&w);
@@ -93,7 +98,7 @@
 	(void)state;
 	memset(text, 'x', sizeof(text) - 1);
 	begin(&w, AP_KIND_ONCE, false, 1);
-	ap_exchange_head(&w.x, &refusal, w.now);
+	ap_exchange_head(&w.x, w.slot[0], &refusal, w.now);
 	for (int i = 0; i < 64 && w.n_sent == 1; i++)
 		data(&w, text);
 	assert_int_equal(w.n_sent, 2);
@@ -119,8 +124,8 @@
 	ap_response_head_t h = {.status = 200, .from_replica = true, .build = build};
 
 	begin(w, AP_KIND_STREAM, true, 3);
-	w->x.target.remote = true;
-	ap_exchange_head(&w->x, &h, w->now);
+	w->x.slot[0].target.remote = true;
+	ap_exchange_head(&w->x, w->slot[w->n_sent - 1], &h, w->now);
 	data(w, "id: 1\ndata: a\n\n");
 	end(w, AP_CONNECTION_BROKEN);
 }
@@ -201,7 +206,7 @@
 	w.budget = 0;
 	for (int sends = 1; sends <= 4; sends++) {
 		assert_int_equal(w.n_sent, sends);
-		ap_exchange_head(&w.x, &unsent, w.now);
+		ap_exchange_head(&w.x, w.slot[w.n_sent - 1], &unsent, w.now);
 		end(&w, AP_CONNECTION_COMPLETE);
 	}
 	assert_int_equal(w.n_sent, 5);
@@ -214,7 +219,7 @@
 	w = (world_t){.targets = SENDS_MAX};
 	begin(&w, AP_KIND_ONCE, false, 1);
 	while (!w.x.finished) {
-		ap_exchange_head(&w.x, &unsent, w.now);
+		ap_exchange_head(&w.x, w.slot[w.n_sent - 1], &unsent, w.now);
 		end(&w, AP_CONNECTION_COMPLETE);
 	}
 	assert_in_range(w.n_sent, 2, SENDS_MAX - 1);
@@ -229,7 +234,7 @@
 
 	(void)state;
 	begin(&w, AP_KIND_ONCE, false, 1);
-	ap_exchange_head(&w.x, &h, w.now);
+	ap_exchange_head(&w.x, w.slot[w.n_sent - 1], &h, w.now);
 	end(&w, AP_CONNECTION_BROKEN);
 	assert_int_equal(w.status, 503);
 	finish(&w);
@@ -424,10 +429,12 @@
 	assert_true(w.now < START + 400 * AP_MSEC);
 	ap_exchange_tick(&w.x, w.now);
 	assert_int_equal(w.n_sent, 2);
-	assert_int_equal(w.ends[0], AP_DISPATCH_TIMED_OUT);
+	assert_int_equal(w.n_ends, 0); /* the silent one may still respond */
 	assert_int_equal(w.budget, 9); /* one retry was taken */
 	head(&w, 200);
 	end(&w, AP_CONNECTION_COMPLETE);
+	assert_int_equal(w.ends[0], AP_DISPATCH_TIMED_OUT);
+	assert_int_equal(w.dropped, 1);
 	assert_true(w.ended);
 	finish(&w);
 }
@@ -495,9 +502,55 @@
 	assert_false(ap_sse_last_id("data: z\n\n", 9, id));
 }
 
+/*
+ * Guards against the body of an error in the middle of a stream, which then ended as if it were
+ * complete: the upstream at which the stream was resumed answered with an error.
+ */
+static void an_error_is_no_part_of_a_stream_that_has_begun(void **state)
+{
+	static const int statuses[] = {301, 400, 404, 409, 429, 500, 503};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		world_t w = {0};
+
+		begin(&w, AP_KIND_STREAM, true, 2);
+		head(&w, 200);
+		data(&w, "id: 1\ndata: a\n\n");
+		end(&w, AP_CONNECTION_BROKEN);
+		assert_int_equal(w.n_sent, 2);
+		head(&w, statuses[i]);
+		data(&w, "{\"error\":\"x\"}");
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_string_equal(w.body, "id: 1\ndata: a\n\n");
+		assert_false(w.ended);
+		assert_true(w.aborted);
+		finish(&w);
+	}
+}
+
+/* Guards against an upstream's error that is replaced by one of this instance. */
+static void an_error_without_another_upstream_is_delivered(void **state)
+{
+	world_t w = {.targets = 1};
+
+	(void)state;
+	begin(&w, AP_KIND_IDEMPOTENT, false, 2);
+	head(&w, 500);
+	data(&w, "oops");
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_int_equal(w.n_sent, 1);
+	assert_true(w.ended);
+	assert_string_equal(w.body, "oops");
+	assert_int_equal(w.status, 0);
+	finish(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_error_is_no_part_of_a_stream_that_has_begun),
+		cmocka_unit_test(an_error_without_another_upstream_is_delivered),
 		cmocka_unit_test(a_complete_response_is_delivered_once),
 		cmocka_unit_test(a_response_without_length_ends_with_a_clean_close),
 		cmocka_unit_test(a_stream_without_framing_ends_with_its_connection),
