--- a/test/pauses/main.c
+++ b/test/pauses/main.c
@@ -356,6 +356,9 @@
 	case 'e':
 		p->errors = strtod(arg, NULL);
 		return 0;
+	case 'o':
+		p->copies = strtod(arg, NULL);
+		return 0;
 	case 'x':
 		p->kills = true;
 		return 0;
@@ -393,6 +396,8 @@
 		{"cycle", 'y', "MS", 0, "time from one change and pause to the next", 0},
 		{"close-framing", 'c', NULL, 0, "some streams end with their connection", 0},
 		{"errors", 'e', "SHARE", 0, "share of resumed streams that meet an error", 0},
+		{"copies", 'o', "SHARE", 0,
+		 "share of requests on kept connections that meet a copied refusal", 0},
 		{"kills", 'x', NULL, 0, "kill upstreams, too", 0},
 		{"restarts", 'r', NULL, 0, "restart and reload instances in turn", 0},
 		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
--- a/test/pauses/pauses.h
+++ b/test/pauses/pauses.h
@@ -132,6 +132,7 @@
 	unsigned rate;	     /* requests a second */
 	ap_usec_t cycle;     /* from one change of the configuration and pause to the next */
 	double errors;	     /* share of resumed streams that an upstream answers with an error */
+	double copies;	     /* share of requests on kept connections that meet a copied refusal */
 	bool restarts;	     /* instances are restarted in turn */
 	bool kills;	     /* upstreams are killed */
 	bool close_framing;  /* some streams end with their connection */
@@ -146,7 +147,7 @@
 };
 
 /* worker.c: the process of an upstream. Never returns. */
-void worker_run(int listener, int out, const char *id, double errors, uint64_t seed)
+void worker_run(int listener, int out, const char *id, const pauses_t *p, uint64_t seed)
 	__attribute__((noreturn));
 
 /* upstream.c */
--- a/test/pauses/upstream.c
+++ b/test/pauses/upstream.c
@@ -119,7 +119,7 @@
 	dup2(copies[1], PIPE_FD);
 	/* The harness's own connections must not stay open here. */
 	close_range(PIPE_FD + 1, ~0U, 0);
-	worker_run(LISTENER_FD, PIPE_FD, u->id, u->p->errors,
+	worker_run(LISTENER_FD, PIPE_FD, u->id, u->p,
 		   u->p->seed * 1000 + u->index * 50 + u->incarnation);
 }
 
--- a/test/pauses/worker.c
+++ b/test/pauses/worker.c
@@ -18,6 +18,7 @@
 	ap_rng_t rng;
 	const char *id;
 	double errors;
+	double copies;
 	int out;
 	unsigned running;
 	unsigned connections;
@@ -28,6 +29,7 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	unsigned number;
+	unsigned served;
 	bool busy; /* a request is at work */
 	bool has_slot;
 	bool closing; /* closed once its output is written */
@@ -189,6 +191,15 @@
 	close_when_written(c);
 }
 
+/* Writes an earlier refusal once more: with the id of its request, or without an id. */
+static void write_copy(conn_t *c)
+{
+	bool named = ap_rng_below(&c->w->rng, 2);
+
+	add(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n");
+	add(c, named ? "Request-Id: 0000000000000000\r\n\r\n" : "\r\n");
+}
+
 static bool header(const char *head, const char *name, char value[HEADER_MAX])
 {
 	char wanted[64];
@@ -246,6 +257,8 @@
 		reply_error(c);
 		return;
 	}
+	if (c->served++ > 0 && ap_rng_unit(&c->w->rng) < c->w->copies)
+		write_copy(c);
 	tell(c, TOLD_RUNS);
 	c->w->running++;
 	c->has_slot = true;
@@ -323,9 +336,15 @@
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
-void worker_run(int listener, int out, const char *id, double errors, uint64_t seed)
+void worker_run(int listener, int out, const char *id, const pauses_t *p, uint64_t seed)
 {
-	worker_t w = {.base = event_base_new(), .id = id, .errors = errors, .out = out};
+	worker_t w = {
+		.base = event_base_new(),
+		.id = id,
+		.errors = p->errors,
+		.copies = p->copies,
+		.out = out,
+	};
 
 	ap_rng_seed(&w.rng, seed);
 	if (!w.base ||
