--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -118,8 +118,20 @@
 	ap_http_end_t library_failure;
 };
 
+/* keep_alive_of() - idle limit that "Keep-Alive: timeout=SECONDS" states, less a margin. */
+ap_usec_t keep_alive_of(const struct evkeyvalq *headers);
+/*
+ * has_unknown_coding() - whether the body has a transfer coding other than chunks, which the
+ * library leaves in it. Such a body may end with the connection, which is no framing.
+ */
+bool has_unknown_coding(const struct evkeyvalq *headers);
 /* conn_discard() - takes a connection out of use; the event loop frees it later. */
 void conn_discard(conn_t *conn);
+/*
+ * conn_reuse() - takes the most recently used connection, so that the others reach their idle
+ * limit. With @fresh, only one that has just carried a response; NULL if there is none.
+ */
+conn_t *conn_reuse(address_t *address, bool fresh, ap_usec_t now);
 /* fetch_time_out() - a time limit passed: ends the request once the probe's result is known. */
 void fetch_time_out(ap_http_fetch_t *fetch);
 /* fetch_start() - sends a request on @conn, which may be NULL; NULL if nothing was sent. */
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -92,11 +92,17 @@
 /** ap_http_server_free() - closes all connections; open calls get their closed callback. */
 void ap_http_server_free(ap_http_server_t *server);
 /**
- * ap_http_server_stop() - stops accepting connections and closes the idle ones. In-flight requests
- * continue; their responses should carry "Connection: close". Each connection closes as its
+ * ap_http_server_stop() - stops accepting connections and closes the idle ones, from the event
+ * loop. Requests in flight continue, as do those that have arrived by then, on established
+ * connections; their responses should carry "Connection: close". Each connection closes as its
  * response ends.
  */
 void ap_http_server_stop(ap_http_server_t *server);
+/**
+ * ap_http_server_drained() - whether the server has stopped, and no request is in flight, arriving
+ * or waiting to be read, and no response is being sent.
+ */
+bool ap_http_server_drained(const ap_http_server_t *server);
 /** ap_http_server_flushing() - number of ended responses that are not yet fully sent. */
 size_t ap_http_server_flushing(const ap_http_server_t *server);
 
@@ -173,10 +179,12 @@
 
 /**
  * struct ap_http_head - status and headers of an upstream's response; valid during the callback.
+ * @reused: the connection has carried an earlier response, so that this one may be a copy of it
  */
 typedef struct ap_http_head {
 	int status;
 	struct evkeyvalq *headers;
+	bool reused;
 } ap_http_head_t;
 
 /**
@@ -272,6 +280,7 @@
  * @probes: probes started
  * @retired: connections closed as dead because the upstream responded on a new one
  * @idle_closed: connections closed at their idle limit
+ * @stray: idle connections not used again, since bytes or a close had arrived on them
  */
 typedef struct ap_http_client_stats {
 	uint64_t opened;
@@ -279,6 +288,7 @@
 	uint64_t probes;
 	uint64_t retired;
 	uint64_t idle_closed;
+	uint64_t stray;
 } ap_http_client_stats_t;
 
 ap_http_client_stats_t ap_http_client_stats(const ap_http_client_t *client);
