Join no second body with the part of a large response that the caller has

A plain response above 1 MiB is delivered as it arrives. If its upstream broke off or fell silent then, the request was sent to another upstream and that body was appended to the part that the caller had: a success with pieces of two runs that looks complete. Cause: a request was retryable whether or not its response had begun, and only a stream tells where to go on. Such a response is aborted now, or stays where it is.

exchange_large_test: both cases failed before (the response ended as complete; two sends).

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -40,6 +40,9 @@
 	x->committed = true;
 	/* The objective is the time to the first chunk, so it doesn't bind any more. */
 	x->req.begun = true;
+	/* Only a stream tells where another run has to go on. */
+	if (!x->stream)
+		x->retryable = false;
 	x->ops->head(x->ctx, slot_of(x, a));
 }
 
--- /dev/null
+++ b/test/exchange_large_test.c
@@ -0,0 +1,78 @@
+/* Responses that are too large to be held until they are complete. */
+#include "exchange_world.h"
+
+#include <stdlib.h>
+
+#define PART ((size_t)700 << 10)
+
+static size_t delivered;
+
+static void count_data(void *ctx, const void *data, size_t len)
+{
+	(void)ctx;
+	(void)data;
+	delivered += len;
+}
+
+/* Has the caller get the first part of a plain response. */
+static void deliver_part(world_t *w, ap_exchange_ops_t *counting)
+{
+	char *part = calloc(1, PART);
+
+	assert_non_null(part);
+	delivered = 0;
+	*counting = ops;
+	counting->data = count_data;
+	begin(w, AP_KIND_IDEMPOTENT, false, 2);
+	w->x.ops = counting;
+	head(w, 200);
+	ap_exchange_data(&w->x, w->slot[0], part, PART, w->now);
+	ap_exchange_data(&w->x, w->slot[0], part, PART, w->now);
+	free(part);
+	assert_true(w->x.committed);
+	assert_int_equal(delivered, PART);
+}
+
+/* Guards against a body that is appended to the part of another one that the caller has. */
+static void a_large_response_that_breaks_off_is_not_joined_with_another(void **state)
+{
+	ap_exchange_ops_t counting;
+	world_t w = {0};
+
+	(void)state;
+	deliver_part(&w, &counting);
+	end(&w, AP_CONNECTION_BROKEN);
+	if (!w.x.finished) {
+		head(&w, 200);
+		data(&w, "whole");
+		end(&w, AP_CONNECTION_COMPLETE);
+	}
+	assert_false(w.ended);
+	assert_true(w.aborted);
+	assert_int_equal(delivered, PART);
+	finish(&w);
+}
+
+/* Guards against a second body in a response whose upstream falls silent in the middle. */
+static void a_large_response_that_falls_silent_stays_where_it_is(void **state)
+{
+	ap_exchange_ops_t counting;
+	world_t w = {0};
+
+	(void)state;
+	deliver_part(&w, &counting);
+	w.now = ap_exchange_due(&w.x);
+	ap_exchange_tick(&w.x, w.now);
+	assert_int_equal(w.n_sent, 1);
+	finish(&w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_large_response_that_breaks_off_is_not_joined_with_another),
+		cmocka_unit_test(a_large_response_that_falls_silent_stays_where_it_is),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
