Send to no other target after the timeout, during a check or while the caller is slow

With two attempts in flight, a silence that ended within the 150 ms after the timeout, in which a response that has begun may still end, sent the request once more; so did the refusal of the second target while the response of the first one was complete and only checked, or was not read from because the caller is slow. Each such send was a repeat for nothing. The limits before the two attempts asked whether the time was over; now send_to_other() does, and about the other two.

exchange_silence_test: a_silence_after_the_timeout_sends_nothing, a_refusal_during_a_check_sends_nothing and a_refusal_during_a_pause_sends_nothing failed before.

--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -243,9 +243,12 @@
 {
 	ap_attempt_t *a = current(x);
 
+	x->waits_since = now;
+	/* What is being checked or not read from isn't silent. */
+	if (x->paused || a->checking || !may_run_again(x, now))
+		return;
 	x->ops->log_step(x->ctx, AP_STEP_TIMED_OUT, &a->target);
 	avoid(x, a->target.id);
-	x->waits_since = now;
 	x->req.heard_since = a->last_chunk_at;
 	dispatch(x, other_than(x, a), now);
 	x->req.heard_since = 0;
@@ -276,8 +279,7 @@
 		x->connect_failures++;
 	}
 	if (other_goes_on(x, a, now)) {
-		if (!was_current && x->connect_failures < CONNECT_FAILURES_MAX &&
-		    may_run_again(x, now))
+		if (!was_current && x->connect_failures < CONNECT_FAILURES_MAX)
 			send_to_other(x, now);
 		return;
 	}
@@ -488,10 +490,14 @@
 	if (x->paused || a->checking || in_flight(x) != 1 || !x->retryable ||
 	    x->runs + 1 >= x->attempts)
 		return AP_NEVER;
-	if (a->inflight.has_first_chunk && x->stream)
-		return route->event_gap > 0 ? since + route->event_gap : AP_NEVER;
-	return since + NO_DATA_WAITS * a->target.wait +
-	       route->objective / NO_DATA_OBJECTIVE_DIVISOR;
+	if (!a->inflight.has_first_chunk || !x->stream)
+		since += NO_DATA_WAITS * a->target.wait +
+			 route->objective / NO_DATA_OBJECTIVE_DIVISOR;
+	else if (route->event_gap > 0)
+		since += route->event_gap;
+	else
+		return AP_NEVER;
+	return since < x->timeout_at ? since : AP_NEVER;
 }
 
 static ap_usec_t abort_at(const ap_exchange_t *x)
--- a/test/exchange_silence_test.c
+++ b/test/exchange_silence_test.c
@@ -151,9 +151,58 @@
 	finish(&w);
 }
 
+/* Guards against requests that are sent elsewhere when their time is over. */
+static void a_silence_after_the_timeout_sends_nothing(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	w.now = w.x.timeout_at + AP_MSEC - w.route.event_gap;
+	data(&w, FIRST);
+	w.now += w.route.event_gap;
+	ap_exchange_tick(&w.x, w.now);
+	assert_int_equal(w.n_sent, 1);
+	assert_true(ap_exchange_due(&w.x) > w.now);
+	finish(&w);
+}
+
+/* Guards against a request that is sent to one more upstream while its response is complete. */
+static void a_refusal_during_a_check_sends_nothing(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	fall_silent(&w, 2);
+	end_of(&w, 0, AP_CONNECTION_COMPLETE_ON_CLOSE);
+	assert_int_equal(w.checks, 1);
+	refuse(&w, 503);
+	assert_int_equal(w.n_sent, 2);
+	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
+	assert_true(w.ended);
+	finish(&w);
+}
+
+/* Guards against sends for a caller that reads slowly, whose upstreams aren't read from. */
+static void a_refusal_during_a_pause_sends_nothing(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	fall_silent(&w, 2);
+	ap_exchange_pause(&w.x, true, w.now);
+	refuse(&w, 503);
+	assert_int_equal(w.n_sent, 2);
+	finish(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_silence_after_the_timeout_sends_nothing),
+		cmocka_unit_test(a_refusal_during_a_check_sends_nothing),
+		cmocka_unit_test(a_refusal_during_a_pause_sends_nothing),
 		cmocka_unit_test(a_silent_stream_outlives_the_refusal_of_another_upstream),
 		cmocka_unit_test(a_silent_stream_outlives_the_failure_of_another_upstream),
 		cmocka_unit_test(the_upstream_that_goes_on_first_serves_the_stream),
