Check upstreams at IPv6 addresses

A response that ends with its connection was broken at each upstream with an IPv6 address: the address was not put into brackets before its port, so the check could not be made. http_reach_test: a_process_at_an_ipv6_address_is_reached failed before.

--- a/adapters/http/reach.c
+++ b/adapters/http/reach.c
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define ADDRESS_TEXT_MAX 64
 /* The kernel may close the listener of a process that ends after its connections. */
@@ -70,7 +71,7 @@
 	char text[ADDRESS_TEXT_MAX];
 
 	*len = sizeof(*to);
-	snprintf(text, sizeof(text), "%s:%u", host, port);
+	snprintf(text, sizeof(text), strchr(host, ':') ? "[%s]:%u" : "%s:%u", host, port);
 	return evutil_parse_sockaddr_port(text, (struct sockaddr *)to, len) == 0;
 }
 
--- a/test/http_reach_test.c
+++ b/test/http_reach_test.c
@@ -148,6 +148,29 @@
 	close(fd);
 }
 
+/* Guards against sound upstreams at IPv6 addresses that count as ended. */
+static void a_process_at_an_ipv6_address_is_reached(void **state)
+{
+	struct sockaddr_in6 addr = {.sin6_family = AF_INET6, .sin6_addr = IN6ADDR_LOOPBACK_INIT};
+	result_t result = {.base = event_base_new()};
+	ap_http_reach_config_t config;
+	socklen_t len = sizeof(addr);
+	int fd = socket(AF_INET6, SOCK_STREAM, 0);
+
+	(void)state;
+	if (fd < 0 || bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0)
+		skip();
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&addr, &len), 0);
+	assert_int_equal(listen(fd, 8), 0);
+	config = config_for(&result, ntohs(addr.sin6_port));
+	config.host = "::1";
+	assert_non_null(ap_http_reach(result.base, &config));
+	event_base_dispatch(result.base);
+	assert_true(result.reached);
+	event_base_free(result.base);
+	close(fd);
+}
+
 static void a_cancelled_check_calls_nobody(void **state)
 {
 	result_t result = {.base = event_base_new()};
@@ -172,6 +195,7 @@
 		cmocka_unit_test(a_process_that_accepts_nothing_is_reached),
 		cmocka_unit_test(a_process_that_was_killed_is_not_reached),
 		cmocka_unit_test(an_address_that_does_not_respond_is_not_reached),
+		cmocka_unit_test(a_process_at_an_ipv6_address_is_reached),
 		cmocka_unit_test(a_cancelled_check_calls_nobody),
 	};
 
