Take no refusal of a remote instance for a sign of its upstreams

An instance that refuses a forwarded request (too late, no upstream) or ends it with an error answers by itself, even while all upstreams of its region are silent. The region counted as heard of then, and requests that were silent there or elsewhere were sent to it. fleet_silence_test: a_refusal_by_a_remote_instance_says_nothing_of_its_upstreams failed before.

--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -492,7 +492,8 @@
 	if (remote) {
 		learn_refusals(&remote->refusals, end, now);
 		remote->running--;
-		if (has_responded(end))
+		/* An instance may refuse or fail a request although no upstream there responds. */
+		if (end == AP_DISPATCH_DONE)
 			remote->heard_at = now;
 	}
 	if (m && (end == AP_DISPATCH_UNREACHABLE || end == AP_DISPATCH_TIMED_OUT))
--- a/test/fleet_silence_test.c
+++ b/test/fleet_silence_test.c
@@ -79,6 +79,28 @@
 	ap_fleet_free(f);
 }
 
+/* Guards against a refusal of an instance that is taken for a sign of life of its upstreams. */
+static void a_refusal_by_a_remote_instance_says_nothing_of_its_upstreams(void **state)
+{
+	ap_usec_t now = WORLD_START;
+	ap_fleet_t *f = world_north();
+	ap_dispatch_t req = world_request(&world_stream, &world_engines, now);
+	ap_inflight_t inflight[2];
+	ap_target_t target;
+
+	(void)state;
+	world_member(f, "s1", "south", false, now);
+	world_replica(f, "e1", "engines", "south", now);
+	send_one(f, &req, now, &target, &inflight[0]);
+	send_one(f, &req, now, &target, &inflight[1]);
+	req.heard_since = now + 1;
+	now += SILENT_FOR;
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_NONE);
+	ap_fleet_done(f, &inflight[1], AP_DISPATCH_REFUSED, now);
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_NONE);
+	ap_fleet_free(f);
+}
+
 /* Guards against streams that are refused as too late for an objective that they met long ago. */
 static void a_stream_that_has_begun_is_late_only_at_its_deadline(void **state)
 {
@@ -109,6 +131,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(another_silent_upstream_is_no_alternative),
 		cmocka_unit_test(a_silent_region_is_no_alternative),
+		cmocka_unit_test(a_refusal_by_a_remote_instance_says_nothing_of_its_upstreams),
 		cmocka_unit_test(a_stream_that_has_begun_is_late_only_at_its_deadline),
 	};
 
