--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -21,17 +21,17 @@
 	ap_plan_route_t route;
 	ap_plan_pool_t pool;
 	ap_usec_t now;
-	int targets;	   /* upstreams that may be chosen */
-	int unconnectable; /* how many sends fail to connect */
-	int budget;	   /* retries left */
-	ap_usec_t held;	   /* for how long the request is held back; 0 for not at all */
+	int targets;	       /* upstreams that may be chosen */
+	int unconnectable;     /* how many sends fail to connect */
+	int budget;	       /* retries left */
+	ap_usec_t heard_since; /* of the latest choice */
+	ap_usec_t held;	       /* for how long the request is held back; 0 for not at all */
 	char sent[SENDS_MAX][AP_NAME_MAX];
 	unsigned slot[SENDS_MAX]; /* of each send */
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
 	int n_sent;
 	int dropped;
-	int checks;	       /* of targets, asked for */
-	ap_usec_t heard_since; /* of the latest choice */
+	int checks; /* of targets, asked for */
 	int heads;
 	char body[4096];
 	size_t body_len;
