Read what changed between two pages of the list while on standby

An instance on standby lets others watch the store and reads it itself only for an announced change that isn't relayed. It took a change for known if its revision wasn't above that of the last item read. The instance believed to be up to date at the first page's revision and kept the removed upstream until the store's next change; it ignored what was relayed meanwhile, since that continues from a later revision.

The revision up to which the store is known is what counts. The test failed before: no watch was made.

--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -276,7 +276,7 @@
 	if (f->calling || f->relist || f->backoff > 0 || f->state != STATE_WATCH || era != f->era)
 		return;
 	f->standby_at = now;
-	if (announced > f->last_change && announced > f->as_of) {
+	if (announced > f->as_of) {
 		if (!f->announced)
 			f->due = now + ANNOUNCED_WAIT;
 		f->announced = announced;
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -147,6 +147,33 @@
 	ap_follow_free(f);
 }
 
+/*
+ * Guards against a removal between two pages of the list that an instance on standby never read,
+ * since the second page held a later change: it went on sending to an upstream that had left.
+ */
+static void standby_reads_what_changed_between_two_pages(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+	ap_usec_t now = START;
+
+	(void)state;
+	ap_follow_tick(f, now);
+	respond(f, AP_STORE_OK, "a", 10, true, now);
+	/* "a" is removed at 11. */
+	ap_follow_tick(f, now);
+	respond(f, AP_STORE_OK, "b", 12, false, now);
+	for (int i = 0; i < 3; i++) {
+		ap_follow_stand_by(f, 0, 12, now);
+		ap_follow_tick(f, now);
+		now += 100 * AP_MSEC;
+	}
+	assert_int_equal(s.watches, 1);
+	assert_int_equal(s.revision, 10);
+	assert_true(ap_follow_age(f, now) > 0);
+	ap_follow_free(f);
+}
+
 static void relayed_changes_need_no_call(void **state)
 {
 	seen_t s = {0};
@@ -475,6 +502,7 @@
 		cmocka_unit_test(the_store_is_silent_when_a_call_failed_or_is_overdue),
 		cmocka_unit_test(relist_reads_the_complete_list),
 		cmocka_unit_test(standby_watches_only_for_announced_changes),
+		cmocka_unit_test(standby_reads_what_changed_between_two_pages),
 		cmocka_unit_test(relayed_changes_need_no_call),
 		cmocka_unit_test(a_late_response_does_not_undo_relayed_changes),
 		cmocka_unit_test(only_new_watched_changes_are_relayed),
