Announce a list up to its own revision

The instances that watch the store for a region announce the last change they read.

The revision of the list itself is announced if that is later. An instance that knows the store up to there, as nearly all do, makes no call for it. The test failed before (10 for 12).

--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -157,6 +157,9 @@
 	}
 	f->config.listing(f->config.ctx, false);
 	f->as_of = f->list_as_of;
+	/* The last change may be a removal, which no item shows. */
+	if (f->last_change < f->as_of)
+		f->last_change = f->as_of;
 	f->state = STATE_WATCH;
 	f->listed = true;
 	f->due = now + add_jitter(f, f->config.interval);
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -99,7 +99,10 @@
 uint64_t ap_follow_era(const ap_follow_t *f);
 /** ap_follow_revision() - returns the revision up to which this instance knows the store. */
 uint64_t ap_follow_revision(const ap_follow_t *f);
-/** ap_follow_last_change() - returns the revision of the last change that was read. */
+/**
+ * ap_follow_last_change() - returns the revision of the last change that was read, or of the list
+ * if that is later.
+ */
 uint64_t ap_follow_last_change(const ap_follow_t *f);
 /**
  * ap_follow_stand_by() - suspends the instance's own watch while other instances watch the store
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -174,6 +174,25 @@
 	ap_follow_free(f);
 }
 
+/*
+ * Guards against a removal that only the lists of the watching instances reflect, as after the
+ * store has lost its history: they announced the last key that is left, an earlier change, and the
+ * instances on standby kept the removed upstream.
+ */
+static void a_list_is_announced_up_to_its_own_revision(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+	ap_store_item_t item = {.key = "a", .value = "v", .len = 1, .revision = 10};
+	ap_store_read_t read = {.end = AP_STORE_OK, .items = &item, .n = 1, .as_of = 12};
+
+	(void)state;
+	ap_follow_tick(f, START);
+	ap_follow_response(f, &read, START);
+	assert_int_equal(ap_follow_last_change(f), 12);
+	ap_follow_free(f);
+}
+
 static void relayed_changes_need_no_call(void **state)
 {
 	seen_t s = {0};
@@ -503,6 +522,7 @@
 		cmocka_unit_test(relist_reads_the_complete_list),
 		cmocka_unit_test(standby_watches_only_for_announced_changes),
 		cmocka_unit_test(standby_reads_what_changed_between_two_pages),
+		cmocka_unit_test(a_list_is_announced_up_to_its_own_revision),
 		cmocka_unit_test(relayed_changes_need_no_call),
 		cmocka_unit_test(a_late_response_does_not_undo_relayed_changes),
 		cmocka_unit_test(only_new_watched_changes_are_relayed),
