--- a/cmd/arbutuspond/gateway-seed.c
+++ b/cmd/arbutuspond/gateway-seed.c
@@ -49,7 +49,7 @@
 	free(arg);
 	gate->seed_pending = false;
 	/* If the store has responded meanwhile, its items are newer. */
-	if (ap_follow_age(gate->follow, ap_now()) != AP_NEVER)
+	if (ap_follow_begun(gate->follow))
 		return;
 	ok = ok && ap_snapshot_unpack(response->body, response->len, gate, gate_store_item);
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "seed.answered", NULL, "s:b,s:I", "taken",
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -190,7 +190,7 @@
 /* Returns whether a response of @era describes the history that is known here. */
 static bool is_known_era(ap_follow_t *f, uint64_t era, ap_usec_t now)
 {
-	if (f->era == 0 && !f->listed && f->after[0] == '\0')
+	if (f->era == 0 && !ap_follow_begun(f))
 		f->era = era;
 	if (era > f->era)
 		enter_era(f, era, now, now);
@@ -300,6 +300,11 @@
 	return f->listed ? now - f->last_response_at : AP_NEVER;
 }
 
+bool ap_follow_begun(const ap_follow_t *f)
+{
+	return f->listed || f->after[0] != '\0';
+}
+
 bool ap_follow_silent(const ap_follow_t *f, ap_usec_t now)
 {
 	return !f->listed || f->backoff > 0 || (f->calling && now > f->response_by);
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -147,6 +147,11 @@
  * outstanding change; AP_NEVER before the first complete list.
  */
 ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now);
+/**
+ * ap_follow_begun() - returns whether items were read that a snapshot of another instance would
+ * replace by older ones: the list has been read, or its first page.
+ */
+bool ap_follow_begun(const ap_follow_t *f);
 /**
  * ap_follow_silent() - returns whether the store is silent: the last call failed, the response to
  * the one in progress is overdue, or no list has been read.
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -11,7 +11,9 @@
 	assert_int_equal(s.lists, 1);
 	assert_int_equal(ap_follow_due(f), AP_NEVER);
 	assert_int_equal(ap_follow_age(f, START), AP_NEVER);
+	assert_false(ap_follow_begun(f));
 	respond(f, AP_STORE_OK, "a", 10, true, START);
+	assert_true(ap_follow_begun(f));
 	ap_follow_tick(f, START);
 	assert_string_equal(s.after, "a");
 	respond(f, AP_STORE_OK, "b", 12, false, START);
--- a/test/region_world.h
+++ b/test/region_world.h
@@ -5,52 +5,11 @@
 #ifndef AP_TEST_REGION_WORLD_H
 #define AP_TEST_REGION_WORLD_H
 
-#include "store_world.h"
+#include "items_world.h"
 #include "wire/frame.h"
 
 #include <math.h>
 
-/* What an instance does with what it reads. */
-
-static inline void sw_op_listing(void *ctx, bool begin)
-{
-	sw_instance_t *n = ctx;
-	ap_usec_t now = n->w->sim.now;
-
-	ap_snapshot_listing(n->snapshot, begin);
-	if (begin)
-		ap_fleet_list_begin(n->fleet);
-	else
-		ap_fleet_list_end(n->fleet, ap_follow_recovering(n->follow, now), now);
-}
-
-static inline void sw_op_item(void *ctx, const ap_store_item_t *item)
-{
-	sw_instance_t *n = ctx;
-	ap_usec_t now = n->w->sim.now;
-	const char *name = strchr(item->key, '/') + 1;
-	sw_value_t value = {0};
-
-	ap_snapshot_put(n->snapshot, item);
-	if (!item->removed)
-		memcpy(&value, item->value, sizeof(value));
-	if (strncmp(item->key, "evacuate/", 9) == 0) {
-		ap_fleet_evacuate(n->fleet, name, item->removed, now);
-	} else if (strncmp(item->key, "servers/", 8) == 0) {
-		if (item->removed)
-			ap_fleet_remove_replica(n->fleet, name,
-						ap_follow_recovering(n->follow, now), now);
-		else
-			ap_fleet_update_replica(n->fleet, &value.replica, now);
-	} else if (strcmp(name, n->id) == 0) {
-		ap_registration_seen(n->registration, item->removed ? 0 : item->revision, now);
-	} else if (item->removed) {
-		ap_fleet_remove_member(n->fleet, name, now);
-	} else {
-		ap_fleet_update_member(n->fleet, &value.member, now);
-	}
-}
-
 typedef struct sw_message {
 	sw_instance_t *to;
 	char from[AP_NAME_MAX];
@@ -153,23 +112,6 @@
 	ap_fleet_announce(n->fleet, &port, n->w->sim.now);
 }
 
-/* Takes the items from another instance, as one does that starts while the store is unreachable. */
-static inline void sw_seed(sw_instance_t *n)
-{
-	const sw_instance_t *other = &n->w->instances[ap_rng_below(&n->w->sim.rng, SW_INSTANCES)];
-	size_t len;
-	void *bytes;
-
-	if (n->seeded || ap_follow_age(n->follow, n->w->sim.now) != AP_NEVER ||
-	    n->w->sim.now - n->started < SW_SEED_DELAY || other == n || !other->up || n->alone ||
-	    other->alone || ap_follow_age(other->follow, n->w->sim.now) == AP_NEVER)
-		return;
-	bytes = ap_snapshot_pack(other->snapshot, NULL, &len);
-	assert_true(ap_snapshot_unpack(bytes, len, n, sw_op_item));
-	free(bytes);
-	n->seeded = true;
-}
-
 static inline void sw_on_tick(void *arg, void *data)
 {
 	sw_check_t *tick = data;
@@ -309,7 +251,7 @@
 	ap_replica_entry_t entry = sw_replica_entry(w, r);
 	char key[AP_STORE_KEY_MAX];
 
-	if (!r->up || w->away || w->sim.now < r->heartbeat_at)
+	if (!r->up || r->withdrawn_at > 0 || w->away || w->sim.now < r->heartbeat_at)
 		return;
 	r->heartbeat_at = w->sim.now + SW_HEARTBEAT;
 	sw_replica_key(r, key);
@@ -326,6 +268,7 @@
 	r->n_arrivals = 0;
 	r->limit = -1;
 	r->leaving = false;
+	r->withdrawn_at = 0;
 	memset(r->leaving_told_at, 0, sizeof(r->leaving_told_at));
 	r->cold_until = cold ? w->sim.now + world_engines.warmup : 0;
 	r->written = (ap_replica_entry_t){0};
@@ -411,6 +354,31 @@
 			      from->id, r->id);
 }
 
+/* Removes the record of an upstream that goes on serving. */
+static inline void sw_replica_withdraw(sw_t *w, sw_replica_t *r)
+{
+	char key[AP_STORE_KEY_MAX];
+
+	sw_replica_key(r, key);
+	sw_remove(w, key);
+	r->withdrawn_at = w->sim.now;
+	w->withdrawn++;
+}
+
+static inline void sw_arrive_withdrawn(sw_t *w, const sw_replica_t *r, const sw_instance_t *from)
+{
+	ap_usec_t since = r->withdrawn_at > w->stable_at ? r->withdrawn_at : w->stable_at;
+
+	if (r->withdrawn_at == 0 || w->sim.now <= since + SW_DRAIN_TIME)
+		return;
+	w->sent_withdrawn++;
+	if (w->verbose)
+		print_message("%.3f %s, up for %.3f s, sends to %s, withdrawn %.3f s before\n",
+			      (double)w->sim.now / 1e6, from->id,
+			      (double)(w->sim.now - from->started) / 1e6, r->id,
+			      (double)(w->sim.now - r->withdrawn_at) / 1e6);
+}
+
 typedef struct sw_sent {
 	sw_instance_t *instance;
 	unsigned life;
@@ -466,6 +434,7 @@
 	sw_arrive(w, r);
 	sw_arrive_limited(w, r, n);
 	sw_arrive_leaving(w, r, n);
+	sw_arrive_withdrawn(w, r, n);
 	sent->limit = r->limit;
 	ap_copy_name(sent->id, sizeof(sent->id), r->id);
 	if (w->verbose && now < r->cold_until && !target.cold)
--- a/test/store_world.h
+++ b/test/store_world.h
@@ -16,11 +16,13 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#ifndef SW_INSTANCES
 #define SW_INSTANCES 10 /* enough that some watch the store for all */
+#endif
 #define SW_REPLICAS 8
 #define SW_CENTRES 2
-#define SW_ITEMS 160
-#define SW_LEASES 1024
+#define SW_ITEMS (SW_INSTANCES + 150)
+#define SW_LEASES (SW_INSTANCES * 100)
 #define SW_HISTORY 8192
 #define SW_COPIES 16
 #define SW_ARRIVALS 512 /* latest arrivals at an upstream while it is cold */
@@ -92,6 +94,7 @@
 	size_t n_limited;
 	bool leaving;
 	bool silent;				 /* does not report that it is draining */
+	ap_usec_t withdrawn_at;			 /* its record was removed; 0 for not */
 	ap_usec_t leaving_told_at[SW_INSTANCES]; /* first response that said so; 0 for none */
 } sw_replica_t;
 
@@ -119,7 +122,10 @@
 	sw_state_t store;
 	uint64_t era;
 	bool away;
-	ap_usec_t slow; /* added to the time of each response */
+	ap_usec_t slow;	     /* added to the time of each response */
+	ap_usec_t stable_at; /* what it acknowledged before binds nobody until then */
+	size_t page;	     /* most items of a list in one response; 0 for no limit */
+	ap_usec_t seed_time; /* until a snapshot that was taken at another instance arrives */
 	sw_item_t history[SW_HISTORY];
 	size_t n_history;
 	sw_state_t copies[SW_COPIES];
@@ -134,8 +140,10 @@
 	ap_usec_t worst_at;
 	double worst_limited; /* highest ratio of requests to the limit's bound */
 	unsigned sent_limited;
-	unsigned told_leaving; /* responses that told an instance for the first time */
-	unsigned sent_leaving; /* requests later than SW_DRAIN_TIME after it */
+	unsigned told_leaving;	 /* responses that told an instance for the first time */
+	unsigned sent_leaving;	 /* requests later than SW_DRAIN_TIME after it */
+	unsigned withdrawn;	 /* upstreams whose record was removed while they served */
+	unsigned sent_withdrawn; /* requests later than SW_DRAIN_TIME after it */
 	bool verbose;
 };
 
@@ -151,6 +159,7 @@
 	uint64_t as_of;
 	ap_store_end_t end;
 	uint64_t number;
+	bool more;
 	size_t n;
 	sw_item_t items[];
 } sw_call_t;
@@ -273,7 +282,8 @@
 				.items = items,
 				.n = call->n,
 				.era = call->era,
-				.as_of = call->as_of};
+				.as_of = call->as_of,
+				.more = call->more};
 
 	(void)arg;
 	if (!n->up || n->life != call->life)
@@ -290,8 +300,8 @@
 	sw_tick_store(n);
 }
 
-static inline void sw_respond(sw_call_t *request, ap_store_end_t end, const sw_item_t *items,
-			      size_t n)
+static inline sw_call_t *sw_respond(sw_call_t *request, ap_store_end_t end, const sw_item_t *items,
+				    size_t n)
 {
 	sw_t *w = request->instance->w;
 	sw_call_t *response = sw_call(request->instance, n);
@@ -307,6 +317,31 @@
 	if (end == AP_STORE_UNSURE)
 		delay = SW_CALL_TIMEOUT;
 	fake_at(&w->sim, w->sim.now + delay, sw_on_read, NULL, response);
+	return response;
+}
+
+static inline int sw_by_key(const void *a, const void *b)
+{
+	return strcmp(((const sw_item_t *)a)->key, ((const sw_item_t *)b)->key);
+}
+
+/* Responds to a list with the page after the call's key. */
+static inline void sw_list(sw_call_t *call)
+{
+	sw_state_t *s = &call->instance->w->store;
+	size_t page = call->instance->w->page;
+	size_t first = 0;
+	size_t n;
+
+	if (page == 0) {
+		sw_respond(call, AP_STORE_OK, s->items, s->n);
+		return;
+	}
+	qsort(s->items, s->n, sizeof(s->items[0]), sw_by_key);
+	while (first < s->n && strcmp(s->items[first].key, call->after) <= 0)
+		first++;
+	n = s->n - first < page ? s->n - first : page;
+	sw_respond(call, AP_STORE_OK, &s->items[first], n)->more = first + n < s->n;
 }
 
 /* Handles a list or a watch; a watch without changes is handled again until its time is over. */
@@ -323,7 +358,7 @@
 		return;
 	}
 	if (!call->watch) {
-		sw_respond(call, AP_STORE_OK, w->store.items, w->store.n);
+		sw_list(call);
 		return;
 	}
 	if (call->from > w->store.revision) {
@@ -346,7 +381,7 @@
 	sw_instance_t *n = ctx;
 	sw_call_t *call = sw_call(n, 0);
 
-	(void)after;
+	ap_copy_name(call->after, sizeof(call->after), after);
 	fake_at(&n->w->sim, n->w->sim.now + 4 * AP_MSEC, sw_handle_read, NULL, call);
 }
 
