Refuse a request that is complete only long after the server was stopped

An instance stops its servers at most 2.8 s after SIGTERM: idle connections close, and the others as their responses end. A connection on which a request had begun to arrive was neither: the request was taken whenever it was complete, up to 10 s later, and cut off when the process ended (LOST, with a body that comes slowly over a lossy link). The same holds for a connection that was accepted in the turn of the event loop in which the server was stopped.

A refusal on the listener for forwarded requests states that it reached no upstream, so that the sender may try elsewhere what may run once only.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -53,6 +53,7 @@
 	AP_HTTP_REFUSED_TRUNCATED,	/* the caller closed before the request was complete */
 	AP_HTTP_REFUSED_CONNECTIONS,	/* too many connections are open */
 	AP_HTTP_REFUSED_NO_MEMORY,	/* out of memory */
+	AP_HTTP_REFUSED_STOPPED,	/* complete only after ap_http_server_stop() */
 } ap_http_refusal_t;
 
 /**
@@ -68,7 +69,7 @@
  * @request: called for each complete request
  * @refused: called for a request that is refused; must call ap_http_reply() before it returns,
  *           and no other function on @call. When NULL, the library sends its own responses and no
- *           request is refused for @connections
+ *           request is refused for @connections or because the server was stopped
  * @flushed: called when no response is left to flush, since the last one was sent or its caller
  *           disconnected; may be NULL
  */
@@ -95,7 +96,7 @@
  * ap_http_server_stop() - stops accepting connections and closes the idle ones, from the event
  * loop. Requests in flight continue, as do those that have arrived by then, on established
  * connections; their responses should carry "Connection: close". Each connection closes as its
- * response ends.
+ * response ends. A request that is complete only later is refused.
  */
 void ap_http_server_stop(ap_http_server_t *server);
 /**
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define ARRIVED_TIME (500 * AP_MSEC) /* to read what had arrived when the server stopped */
 #define BACKLOG 1024
 #define PIPELINED_MAX 65536 /* bytes that a caller may send while its request is in progress */
 #define ACCEPT_PAUSE_MS 20  /* pause after a failed accept, as when no descriptor is free */
@@ -116,6 +117,17 @@
 	return uri ? strndup(uri, strcspn(uri, "?#")) : NULL;
 }
 
+static void refuse(ap_http_call_t *call, ap_http_refusal_t why)
+{
+	ap_http_call_drop_body(call);
+	call->server->config.refused(call->server->config.ctx, call, why);
+}
+
+static bool stopped_long_ago(const ap_http_server_t *server)
+{
+	return !server->listener && ap_now() - server->stopped_at > ARRIVED_TIME;
+}
+
 static void on_request(struct evhttp_request *req, void *arg)
 {
 	ap_http_server_t *server = arg;
@@ -142,12 +154,12 @@
 		event_new(server->config.base, bufferevent_getfd(bev), EV_CLOSED, on_hangup, call);
 	if (call->hangup)
 		event_add(call->hangup, NULL);
-	if (!conn_over_limit(conn) || !server->config.refused) {
+	if (server->config.refused && stopped_long_ago(server))
+		refuse(call, AP_HTTP_REFUSED_STOPPED);
+	else if (server->config.refused && conn_over_limit(conn))
+		refuse(call, AP_HTTP_REFUSED_CONNECTIONS);
+	else
 		server->config.request(server->config.ctx, call);
-		return;
-	}
-	ap_http_call_drop_body(call);
-	server->config.refused(server->config.ctx, call, AP_HTTP_REFUSED_CONNECTIONS);
 }
 
 static void on_accept_retry(evutil_socket_t fd, short what, void *arg)
@@ -176,6 +188,7 @@
 	(void)what;
 	event_del(server->accept_retry);
 	server->listener = NULL;
+	server->stopped_at = ap_now();
 	if (server->bound)
 		evhttp_del_accept_socket(server->http, server->bound);
 	conn_drop_idle(server);
@@ -408,7 +421,7 @@
 		reply_to_refused(call, status, headers, n, body, len);
 		return;
 	}
-	if (call->conn->over_limit)
+	if (call->conn->over_limit || !call->server->listener)
 		evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
 	add_headers(req, headers, n);
 	evbuffer_add(evhttp_request_get_output_buffer(req), body, len);
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -71,6 +71,7 @@
 	struct evhttp_bound_socket *bound;
 	struct event *accept_retry;
 	struct event *close_listener;
+	ap_usec_t stopped_at; /* when the listener closed */
 	struct timeval idle;
 	uint16_t port;
 	size_t flushing;
--- a/cmd/arbutuspond/entry-caller.c
+++ b/cmd/arbutuspond/entry-caller.c
@@ -437,11 +437,12 @@
 		[AP_HTTP_REFUSED_CONNECTIONS] = {ENTRY_OVERLOADED,
 						 "too many connections are open here"},
 		[AP_HTTP_REFUSED_NO_MEMORY] = {ENTRY_OVERLOADED, "out of memory"},
+		[AP_HTTP_REFUSED_STOPPED] = {ENTRY_DRAINING, "this entry is draining"},
 	};
 	entry_fault_t fault = {.error = refusals[why].error};
 	entry_t *entry = ctx;
 
-	if (fault.error == ENTRY_OVERLOADED)
+	if (fault.error == ENTRY_OVERLOADED || fault.error == ENTRY_DRAINING)
 		fault.retry_after = AP_SEC;
 	else
 		entry->counts[COUNT_WRONG_INPUT]++;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -251,7 +251,8 @@
 	reply_early(call, 503, true, "not-an-instance");
 }
 
-void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
+static void reply_refused(gateway_t *gate, ap_http_call_t *call, ap_http_refusal_t why,
+			  bool forwarded)
 {
 	static const struct {
 		int status;
@@ -266,11 +267,21 @@
 		[AP_HTTP_REFUSED_TRUNCATED] = {400, "truncated"},
 		[AP_HTTP_REFUSED_CONNECTIONS] = {503, "too-many-connections"},
 		[AP_HTTP_REFUSED_NO_MEMORY] = {503, "out-of-memory"},
+		[AP_HTTP_REFUSED_STOPPED] = {503, "leaving"},
 	};
-	gateway_t *gate = ctx;
 
-	gate->counters.ended[GATE_INVALID]++;
+	gate->counters.ended[responses[why].status == 503 ? GATE_REFUSED : GATE_INVALID]++;
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "request.unreadable", NULL, "s:s", "why",
 			 responses[why].error);
-	reply_early(call, responses[why].status, false, responses[why].error);
+	reply_early(call, responses[why].status, forwarded, responses[why].error);
+}
+
+void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
+{
+	reply_refused(ctx, call, why, false);
+}
+
+void gate_on_peer_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
+{
+	reply_refused(ctx, call, why, true);
 }
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -59,7 +59,7 @@
 		.arrival = CALLER_ARRIVAL_TIMEOUT,
 		.ctx = gate,
 		.request = request,
-		.refused = gate_on_refused,
+		.refused = request == gate_on_peer ? gate_on_peer_refused : gate_on_refused,
 	};
 	ap_err_t err;
 
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -234,6 +234,7 @@
 const ap_plan_pool_t *gate_build_pool(const gate_call_t *c, uint64_t build);
 /* Responds to input that the HTTP server refused. */
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
+void gate_on_peer_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
 /* gateway-send.c */
 extern const ap_exchange_ops_t gate_ops;
