--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -188,8 +188,8 @@
 	if (x->refused && head->status == HTTP_NOTFOUND && !x->req.service->plain)
 		x->entry->counts[COUNT_MISSING_MODELS]++;
 	/*
-	 * Plain services and refusals may omit X-Request-Id, but a wrong one is never accepted. On a
-	 * connection that was used before, a refusal without it may be a copy of an earlier one.
+	 * Plain services and refusals may omit X-Request-Id, but a wrong one is never accepted. On
+	 * a connection that was used before, a refusal without it may be a copy of an earlier one.
 	 */
 	x->matched = own || (!id && (x->refused ? !head->reused : x->req.service->plain));
 	if (!x->matched) {
