Believe a response without an id on a connection that carried none before

Only on a connection that has carried another response may it be a copy of that one. host_test; pauses_copy_test still finds nothing.

--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -150,7 +150,8 @@
 	gate_attempt_t *a = ctx;
 	gate_call_t *c = a->call;
 	const ap_target_t *target = target_of(a);
-	ap_host_response_t info = ap_host_parse_response(head->headers, head->status, c->id);
+	ap_host_response_t info =
+		ap_host_parse_response(head->headers, head->status, c->id, head->reused);
 	const char *wait = evhttp_find_header(head->headers, FORWARD_HEADER_WAIT);
 	const char *not_run = evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN);
 	ap_response_head_t response = {
