--- /dev/null
+++ b/test/builds/old-names.h
@@ -0,0 +1,22 @@
+/* Names of the builds before 4 December, 04:30, for record.c. */
+#define ap_fleet_update_replica ap_fleet_entry
+#define ap_fleet_update_member ap_fleet_member
+#define ap_fleet_set_data_centre ap_fleet_data_centre
+#define ap_fleet_announce ap_fleet_tell
+#define ap_fleet_receive ap_fleet_heard
+#define ap_fleet_set_store_state ap_fleet_tell_store
+#define ap_dispatch_t ap_work_t
+#define ap_inflight_t ap_ticket_t
+#define AP_DISPATCH_DONE AP_WORK_DONE
+#define AP_DISPATCH_BROKEN AP_WORK_BROKEN
+#define MEMBER_DRAINING leaving
+#define shutdown_in leaves_in
+#define retry_ratio repeat_ratio
+#define retry_slack repeat_slack
+#define retry_window repeat_window
+#define ap_snapshot_t ap_items_t
+#define ap_snapshot_new ap_items_new
+#define ap_snapshot_free ap_items_free
+#define ap_snapshot_put ap_items_put
+#define ap_snapshot_pack ap_items_pack
+#define ap_host_format_member ap_host_member_write
