Keep what a region told of lost paths when a sender of an older build says nothing of it

Three instances of a region tell a remote one what all of its region have lost. One whose build knows no paths was taken to say that nothing is lost, so that requests went on to instances without a path, and the directory listed them again, until the next message of a newer one.

An absent list now changes nothing; an empty one does.

The recorded requests have a fingerprint now, in builds that know it.

--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -239,6 +239,7 @@
 	ap_wire_reader_t waits;
 	ap_wire_reader_t lost;
 	shared_t shared;
+	bool says_lost;
 	char region[AP_NAME_MAX];
 
 	if (m && is_old(m, in))
@@ -246,9 +247,11 @@
 	ap_wire_str(&r, region, sizeof(region));
 	waits = ap_wire_array(&r);
 	shared = read_shared(&r);
+	/* A build that knows no paths must not hide what other senders of its region told. */
+	says_lost = r.left > 0;
 	lost = optional_array(&r);
 	if (!r.ok || !apply_shared(f, &shared, AP_ORIGIN_REMOTE, now) ||
-	    !ap_paths_apply_remote(f, region, &lost, now))
+	    (says_lost && !ap_paths_apply_remote(f, region, &lost, now)))
 		return false;
 	while (waits.left > 0) {
 		ap_wire_reader_t e = ap_wire_array(&waits);
--- a/test/builds/record.c
+++ b/test/builds/record.c
@@ -172,6 +172,9 @@
 	req.parts[0].tokens = 1500;
 	req.parts[1].id = 1000 + subject;
 	req.parts[1].tokens = 100;
+#ifndef LACKS_fingerprint
+	req.fingerprint = 1 + subject;
+#endif
 	return req;
 }
 
--- a/test/builds/record.sh
+++ b/test/builds/record.sh
@@ -26,6 +26,7 @@
 		set_store_silent open_batch; do
 		grep -q "ap_fleet_$name(" <<<"$names" || flags+=("-DLACKS_$name")
 	done
+	grep -q 'uint64_t fingerprint;' <<<"$names" || flags+=(-DLACKS_fingerprint)
 	grep -q 'ap_fleet_entry(' <<<"$names" && flags+=(-DOLD_NAMES)
 	grep -q 'ap_changes_pack(' "$tree/lib/follow/follow.h" || flags+=(-DLACKS_changes)
 	grep -q 'uint64_t era;' "$tree/lib/follow/follow.h" || flags+=(-DLACKS_era)
