Tell an instance directly that names no relay

An instance that is taken back to a build without relays under its old id names none, but until its new record was read the others counted on a relay to tell it: it heard nothing of its region, for as long as the store was away. Likewise one that sees fewer instances and takes the region for a small one.

--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -52,6 +52,15 @@
 	return m->member.speaks >= AP_FLEET_SPEAKS_BATCHES;
 }
 
+/*
+ * Returns whether @m said a moment ago that it serves as a relay, or that it wants no batches from
+ * one: its build may take none, whatever its record still says, or it may see fewer instances.
+ */
+static bool wants_messages(const ap_member_state_t *m, ap_usec_t now)
+{
+	return (m->serves || m->named_relay == 0) && now - m->heard_at < NAMED_MAX_AGE;
+}
+
 /* Instances that have not been heard for a while are passed over before their records expire. */
 static bool may_relay(const ap_member_state_t *m, ap_usec_t now)
 {
@@ -125,8 +134,7 @@
 	f->relayed = self && takes_batches(self) && is_relayed(list, n, self->region);
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
 		m->direct = !takes_batches(m) || !self || !takes_batches(self) ||
-			    !is_relayed(list, n, m->region) ||
-			    (m->serves && now - m->heard_at < NAMED_MAX_AGE);
+			    !is_relayed(list, n, m->region) || wants_messages(m, now);
 	for (size_t i = 0; i < n; i++) {
 		for (size_t k = 0; k < AP_RELAYS && list[i].best[k]; k++)
 			list[i].best[k]->direct = true;
