Skip and count what a later build tells; say which versions of messages an instance reads

A message of a kind that only a later build knows was logged as peer.unreadable, and a relay kept it to itself, so that two later instances could not hear each other through an earlier one. Kinds 101 to 127 are now skipped and counted, those up to 111 passed on by relays. Fields after the last known one were skipped silently, other versions refused as damage; both are counted now (arbutuspond_fields_skipped_total, arbutuspond_messages_skipped_total). An envelope may have further fields, too.

An instance's record names the oldest and the newest version that it reads; one without is taken for version 2, which all landings speak. Instances that can't read ours are counted (arbutuspond_instances_other_wire).

test_kinds_of_a_later_build_are_skipped_and_counted and the tests of versions and relays need the new counters, so they don't build on the code before; there ap_fleet_receive() returned false for each of these kinds.

--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -138,6 +138,10 @@
 	put(out, "prompt_parts", "{state=\"suspect\"}", (double)fleet.suspect_parts);
 	put(out, "fingerprints", "{state=\"suspect\"}", (double)fleet.suspect_requests);
 	put(out, "instances", "", (double)fleet.members);
+	put(out, "instances_other_wire", "", (double)fleet.other_wire);
+	put(out, "messages_skipped_total", "{what=\"kind\"}", (double)fleet.skipped.kinds);
+	put(out, "messages_skipped_total", "{what=\"version\"}", (double)fleet.skipped.versions);
+	put(out, "fields_skipped_total", "", (double)fleet.skipped.fields);
 	put(out, "relay_served", "", (double)fleet.relay_served);
 	put(out, "batch_dropped_total", "", (double)fleet.batch_dropped);
 	put(out, "work_running", "", (double)fleet.running);
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -1,6 +1,8 @@
 /* The gateway task: set-up, listeners, signals, the periodic tick and the drain. */
 #include "gateway.h"
 
+#include "wire/wire.h"
+
 #include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -256,6 +258,8 @@
 		.peer_port = gate->conf->peer_port,
 		.cores = gate->conf->cores,
 		.speaks = AP_FLEET_SPEAKS,
+		.wire_oldest = AP_WIRE_VERSION_OLDEST,
+		.wire_newest = AP_WIRE_VERSION,
 	};
 	ap_copy_name(gate->self.id, sizeof(gate->self.id), s->id);
 	ap_copy_name(gate->self.region, sizeof(gate->self.region), s->region);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -49,6 +49,7 @@
  * @draining: accepts no new callers
  * @speaks: what it understands of messages between instances, see AP_FLEET_SPEAKS; 0 if its record
  *          doesn't say
+ * @wire_oldest, @wire_newest: versions of messages that it reads
  */
 typedef struct ap_member {
 	char id[AP_NAME_MAX];
@@ -60,6 +61,8 @@
 	double cores;
 	bool draining;
 	uint32_t speaks;
+	uint32_t wire_oldest;
+	uint32_t wire_newest;
 } ap_member_t;
 
 #define AP_FLEET_SPEAKS_BATCHES 1
@@ -478,7 +481,7 @@
 		    ap_usec_t now);
 /**
  * ap_fleet_pass_on() - instance @from sent a message here, not in a batch. It is kept for the next
- * batch, if this instance is a relay.
+ * batch, if this instance is a relay and the kind is one that relays pass on.
  */
 void ap_fleet_pass_on(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
 /* Called for a message of instance @origin; @data is valid during the call. */
@@ -492,12 +495,25 @@
 bool ap_fleet_open_batch(ap_fleet_t *f, const char *from, const void *data, size_t len,
 			 ap_usec_t now, void *ctx, ap_fleet_visit_t visit);
 /**
- * ap_fleet_receive() - processes an announcement of instance @from.
+ * ap_fleet_receive() - processes an announcement of instance @from. One of a kind that only later
+ * builds know is counted and has no effect.
  *
  * Return: false when the message is invalid.
  */
 bool ap_fleet_receive(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
 
+/**
+ * struct ap_skipped - what instances of other builds sent and this one doesn't know.
+ * @fields: of messages; the rest of the message was read
+ * @kinds: whole messages of an unknown kind
+ * @versions: whole messages of a version that isn't spoken
+ */
+typedef struct ap_skipped {
+	uint64_t fields;
+	uint64_t kinds;
+	uint64_t versions;
+} ap_skipped_t;
+
 /**
  * struct ap_fleet_stats - gauges for metrics.
  * @unreachable: upstreams to which this instance has lost the path
@@ -506,6 +522,7 @@
  * @running: in-flight requests that this instance sent to upstreams
  * @relay_served: instances that this one passes on announcements to
  * @batch_dropped: messages that weren't passed on, since the batch was full
+ * @other_wire: listed instances that don't read messages of this one
  */
 typedef struct ap_fleet_stats {
 	size_t replicas;
@@ -522,6 +539,8 @@
 	size_t running;
 	size_t relay_served;
 	uint64_t batch_dropped;
+	size_t other_wire;
+	ap_skipped_t skipped;
 } ap_fleet_stats_t;
 
 ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now);
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -387,6 +387,7 @@
 	size_t n_batched;
 	ap_usec_t batch_sent_at;
 	uint64_t batch_dropped;
+	ap_skipped_t skipped;
 	bool evidence_wanted; /* an instance that has just started needs all of it */
 };
 
--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -221,6 +221,7 @@
 		f->announced_at = 0; /* the sender waits for an announcement */
 		f->evidence_wanted = true;
 	}
+	f->skipped.fields += r.left;
 	if (!m)
 		return true;
 	apply_draining(f, m, in->head.from, draining, now);
@@ -253,6 +254,7 @@
 	if (!r.ok || !apply_shared(f, &shared, AP_ORIGIN_REMOTE, now) ||
 	    (says_lost && !ap_paths_apply_remote(f, region, &lost, now)))
 		return false;
+	f->skipped.fields += r.left;
 	while (waits.left > 0) {
 		ap_wire_reader_t e = ap_wire_array(&waits);
 		char pool[AP_NAME_MAX];
@@ -277,12 +279,19 @@
 	ap_wire_in_t in;
 	bool ok;
 
-	if (kind != AP_WIRE_FLEET && kind != AP_WIRE_WAITS)
+	if (kind == 0 && ap_wire_peek_version(data, len) != 0)
+		f->skipped.versions++;
+	if (kind != AP_WIRE_FLEET && kind != AP_WIRE_WAITS && kind <= AP_WIRE_BATCH)
 		return false;
 	if (!ap_wire_in_open(&in, (ap_wire_kind_t)kind, data, len, NULL))
 		return false;
-	ok = kind == AP_WIRE_FLEET ? receive_announcement(f, from, &in, now)
-				   : receive_waits(f, from, &in, now);
+	ok = true;
+	if (kind == AP_WIRE_FLEET)
+		ok = receive_announcement(f, from, &in, now);
+	else if (kind == AP_WIRE_WAITS)
+		ok = receive_waits(f, from, &in, now);
+	else
+		f->skipped.kinds++;
 	ap_wire_in_close(&in);
 	return ok;
 }
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -210,7 +210,9 @@
 
 void ap_fleet_pass_on(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now)
 {
-	if (ap_relay_served(f, now) == 0)
+	uint32_t kind = ap_wire_peek(data, len);
+
+	if (kind < AP_WIRE_FLEET || kind > AP_WIRE_FLEET_LAST || ap_relay_served(f, now) == 0)
 		return;
 	if (f->batch.size + len > BATCH_BYTES_MAX) {
 		f->batch_dropped++;
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -297,6 +297,7 @@
 		.suspect_requests = ap_suspects_count(f, true),
 		.relay_served = ap_relay_served(f, now),
 		.batch_dropped = f->batch_dropped,
+		.skipped = f->skipped,
 	};
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
@@ -311,5 +312,8 @@
 		for (size_t i = 0; i < AP_PRIORITIES; i++)
 			stats.running += r->own.running[i];
 	}
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next)
+		stats.other_wire += !m->removed && (m->member.wire_oldest > AP_WIRE_VERSION ||
+						    m->member.wire_newest < AP_WIRE_VERSION);
 	return stats;
 }
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -40,9 +40,9 @@
 	}
 	r = ap_wire_reader(&root);
 	version = ap_wire_u64(&r);
-	if (r.ok && version != AP_WIRE_VERSION) {
-		ap_err_set(err, "message has version %llu, expected version %d",
-			   (unsigned long long)version, AP_WIRE_VERSION);
+	if (r.ok && (version < AP_WIRE_VERSION_OLDEST || version > AP_WIRE_VERSION)) {
+		ap_err_set(err, "message has version %llu, expected versions %d to %d",
+			   (unsigned long long)version, AP_WIRE_VERSION_OLDEST, AP_WIRE_VERSION);
 		return AP_WIRE_VERSION_UNKNOWN;
 	}
 	head->kind = (uint32_t)ap_wire_u64(&r);
@@ -58,14 +58,23 @@
 	return AP_WIRE_OK;
 }
 
-uint32_t ap_wire_peek(const void *data, size_t len)
+uint32_t ap_wire_peek_version(const void *data, size_t len)
 {
 	const unsigned char *bytes = data;
 
-	/* 0x95 starts an array of 5; version and kind are one byte each when below 0x80 */
-	if (len < 3 || bytes[0] != 0x95 || bytes[1] != AP_WIRE_VERSION || bytes[2] >= 0x80)
+	/* 0x95 to 0x9f start an array of 5 to 15; version and kind are one byte each below 0x80 */
+	if (len < 3 || bytes[0] < 0x95 || bytes[0] > 0x9f || bytes[1] >= 0x80 || bytes[2] >= 0x80)
+		return 0;
+	return bytes[1];
+}
+
+uint32_t ap_wire_peek(const void *data, size_t len)
+{
+	uint32_t version = ap_wire_peek_version(data, len);
+
+	if (version < AP_WIRE_VERSION_OLDEST || version > AP_WIRE_VERSION)
 		return 0;
-	return bytes[2];
+	return ((const unsigned char *)data)[2];
 }
 
 void ap_wire_pack_str(msgpack_packer *pk, const char *text)
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -1,7 +1,7 @@
 /*
  * Codec of all messages between instances. A message is a msgpack array: an envelope of version,
- * kind, sender and number, then a body that depends on the kind. Readers ignore unknown trailing
- * fields of a body, so that instances of different versions can talk to each other.
+ * kind, sender and number, then a body that depends on the kind. How messages may change, so that
+ * instances of different builds understand each other: docs/design/builds.md.
  */
 #ifndef AP_WIRE_H
 #define AP_WIRE_H
@@ -11,8 +11,9 @@
 
 #include <msgpack.h>
 
-#define AP_WIRE_VERSION 2
-#define AP_WIRE_MAX (4u << 20) /* bytes of one message */
+#define AP_WIRE_VERSION 2	 /* the latest that is read, and the one that is sent */
+#define AP_WIRE_VERSION_OLDEST 2 /* that is read */
+#define AP_WIRE_MAX (4u << 20)	 /* bytes of one message */
 
 typedef enum ap_wire_status {
 	AP_WIRE_OK,
@@ -42,12 +43,15 @@
 	AP_WIRE_SPREAD = 64,
 	/* 80 to 95: load, caches, capacity offers, draining upstreams (control task) */
 	AP_WIRE_REPORT = 80,
-	/* 96 to 111: state of the fleet (gateway task) */
+	/* 96 to 111: state of the fleet (gateway task); relays pass on those that they don't know
+	 */
 	AP_WIRE_FLEET = 96, /* in-flight requests, to instances of the own region */
 	AP_WIRE_SNAPSHOT,   /* items read from the store, for an instance that starts */
 	AP_WIRE_WAITS,	    /* expected waits, to remote regions */
 	AP_WIRE_CHANGES,    /* changes read from the store */
 	AP_WIRE_BATCH,	    /* messages of other instances, passed on */
+	AP_WIRE_FLEET_LAST = 111,
+	AP_WIRE_LAST = 127, /* after AP_WIRE_FLEET_LAST: likewise, for the receiver alone */
 } ap_wire_kind_t;
 
 /**
@@ -76,6 +80,8 @@
 
 /** ap_wire_peek() - Return: kind of a message, from its first bytes; 0 without a known envelope. */
 uint32_t ap_wire_peek(const void *data, size_t len);
+/** ap_wire_peek_version() - Return: its version, whether or not it can be read; 0 without one. */
+uint32_t ap_wire_peek_version(const void *data, size_t len);
 
 /**
  * ap_wire_unpack() - unpacks one msgpack object after a check of the lengths that it declares.
--- a/test/mixed_builds_test.c
+++ b/test/mixed_builds_test.c
@@ -94,11 +94,110 @@
 	ap_fleet_free(f);
 }
 
+static void set_head(bytes_t *message, unsigned char kind, unsigned char version)
+{
+	message->data[1] = version;
+	message->data[2] = kind;
+}
+
+/* What a later build tells in a message of its own was logged as damage. */
+static void test_kinds_of_a_later_build_are_skipped_and_counted(void **state)
+{
+	ap_fleet_t *f = receiver("north");
+	char from[AP_NAME_MAX];
+	uint64_t skipped = 0;
+	bytes_t message;
+
+	(void)state;
+	load_build(NEWEST, &newest);
+	assert_true(find(&newest, "fleet", from, &message));
+	for (unsigned kind = 1; kind < 128; kind++) {
+		bool later = kind > AP_WIRE_BATCH;
+
+		if (kind == AP_WIRE_FLEET || kind == AP_WIRE_WAITS)
+			continue;
+		set_head(&message, (unsigned char)kind, AP_WIRE_VERSION);
+		assert_int_equal(ap_fleet_receive(f, from, message.data, message.len, NOW), later);
+		skipped += later;
+	}
+	assert_int_equal(ap_fleet_stats(f, NOW).skipped.kinds, skipped);
+	assert_int_equal(ap_member_find(f, from)->heard_at, 0);
+	message.len--;
+	assert_false(ap_fleet_receive(f, from, message.data, message.len, NOW));
+	assert_int_equal(ap_fleet_stats(f, NOW).skipped.kinds, skipped);
+	ap_fleet_free(f);
+}
+
+/* Versions that can't be read weren't told apart from damage. */
+static void test_other_versions_are_refused_and_counted(void **state)
+{
+	ap_fleet_t *f = receiver("north");
+	char from[AP_NAME_MAX];
+	bytes_t message;
+
+	(void)state;
+	load_build(NEWEST, &newest);
+	assert_true(find(&newest, "fleet", from, &message));
+	for (unsigned char version = 1; version < 9; version++) {
+		set_head(&message, AP_WIRE_FLEET, version);
+		assert_int_equal(ap_fleet_receive(f, from, message.data, message.len, NOW),
+				 version == AP_WIRE_VERSION);
+	}
+	assert_int_equal(ap_fleet_stats(f, NOW).skipped.versions, 7);
+	ap_fleet_free(f);
+}
+
+static void on_batch(void *ctx, const char *to, const void *data, size_t len)
+{
+	size_t *bytes = ctx;
+
+	(void)to;
+	if (ap_wire_peek(data, len) == AP_WIRE_BATCH)
+		*bytes = len;
+}
+
+/* Returns how long a relay's next batch is after it got a message of @kind; 0 for none. */
+static size_t batch_after(ap_fleet_t *f, bytes_t *message, unsigned char kind, ap_usec_t now)
+{
+	size_t bytes = 0;
+	ap_peer_port_t port = {.ctx = &bytes, .send = on_batch};
+
+	set_head(message, kind, AP_WIRE_VERSION);
+	ap_fleet_pass_on(f, "n3", message->data, message->len, now);
+	ap_fleet_announce(f, &port, now);
+	return bytes;
+}
+
+/* Two instances of a later build have a relay of this one, which doesn't know what they tell. */
+static void test_a_relay_passes_on_kinds_of_a_later_build(void **state)
+{
+	ap_fleet_t *f = instance("north", 1, LARGE, 0);
+	char from[AP_NAME_MAX];
+	bytes_t message;
+
+	(void)state;
+	load_build(NEWEST, &newest);
+	assert_true(find(&newest, "fleet", from, &message));
+	for (ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		m->member.speaks = AP_FLEET_SPEAKS_BATCHES;
+		ap_relay_member_init(m);
+	}
+	ap_member_find(f, "n2")->named_relay = ap_member_tag("n1");
+	ap_member_find(f, "n2")->heard_at = NOW;
+	assert_in_range(batch_after(f, &message, AP_WIRE_FLEET_LAST, NOW), message.len, LINE_LEN);
+	assert_in_range(batch_after(f, &message, AP_WIRE_FLEET_LAST + 1, NOW + 10 * AP_MSEC), 0,
+			message.len - 1);
+	ap_fleet_free(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_build_that_knows_no_paths_does_not_hide_lost_ones),
 		cmocka_unit_test(test_one_that_names_no_relay_is_told_directly),
+		cmocka_unit_test(test_kinds_of_a_later_build_are_skipped_and_counted),
+		cmocka_unit_test(test_other_versions_are_refused_and_counted),
+		cmocka_unit_test(test_a_relay_passes_on_kinds_of_a_later_build),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/wire_builds_test.c
+++ b/test/wire_builds_test.c
@@ -69,6 +69,7 @@
 	assert_true(find(b, "fleet", from, &m));
 	assert_true(receive(f, from, &m));
 	check_fleet(b, f, from);
+	assert_int_equal(ap_fleet_stats(f, NOW).skipped.fields, 0);
 	ap_fleet_free(f);
 }
 
@@ -240,6 +241,8 @@
 	assert_int_equal(m.peer_port, 81);
 	assert_float_equal(m.cores, 0.25, 0.001);
 	assert_true(m.draining);
+	assert_int_equal(m.wire_oldest, 2);
+	assert_int_equal(m.wire_newest, 2);
 	assert_int_equal(m.speaks, strstr(text, "speaks") ? AP_FLEET_SPEAKS_BATCHES : 0);
 }
 
@@ -304,10 +307,12 @@
 		rebuild(&m, SIZE_MAX, extra, &later);
 		assert_true(receive(north, from, &later));
 		check_fleet(b, north, from);
+		assert_int_equal(ap_fleet_stats(north, NOW).skipped.fields, extra);
 		assert_true(find(b, "waits", from, &m));
 		rebuild(&m, SIZE_MAX, extra, &later);
 		assert_true(receive(south, from, &later));
 		assert_int_equal(ap_remote_pool(south, "north", "engines")->wait[0], 426 * AP_MSEC);
+		assert_int_equal(ap_fleet_stats(south, NOW).skipped.fields, extra);
 		ap_fleet_free(north);
 		ap_fleet_free(south);
 	}
