Count only watchers of the store that name an era where others name one

An instance stands by while three others watch the store for it. Those of a build that names no era were counted, though an instance that reads in an era takes nothing from them: with three such watchers and one that names the era, it heard of changes from that one alone, which may have lost the store.

Where nobody names an era all count, as before.

--- a/lib/fleet/store-watch.c
+++ b/lib/fleet/store-watch.c
@@ -58,6 +58,7 @@
 bool ap_fleet_store_watched(const ap_fleet_t *f, ap_usec_t now, uint64_t *era, uint64_t *revision)
 {
 	double own = ap_watcher_score(f->config.id);
+	size_t without_era = 0; /* these can't tell of changes in an era that others read */
 	size_t watching = 0;
 
 	*era = 0;
@@ -72,7 +73,12 @@
 		}
 		if (m->store_era == *era && m->store_revision > *revision)
 			*revision = m->store_revision;
-		watching += m->watcher_score > own;
+		if (m->store_era == 0)
+			without_era += m->watcher_score > own;
+		else
+			watching += m->watcher_score > own;
 	}
+	if (*era == 0)
+		watching += without_era;
 	return watching >= WATCHERS && shares_store_watch(f, now);
 }
--- a/test/mixed_builds_test.c
+++ b/test/mixed_builds_test.c
@@ -8,6 +8,7 @@
 #define NEWEST "0f2d23b"
 #define LACKS_PATHS "37870d4"	/* says nothing of lost paths */
 #define LACKS_BATCHES "903d236" /* takes no batches */
+#define LACKS_ERA "5fe64a3"	/* of the store */
 #define LARGE 20		/* instances; relays pass on what they announce */
 
 static build_t newest;
@@ -94,6 +95,64 @@
 	ap_fleet_free(f);
 }
 
+/* Returns the number of an instance of eight that watches for the others, the @nth best one. */
+static int watcher(int nth)
+{
+	for (int i = 0; i < REGION; i++) {
+		char id[AP_NAME_MAX];
+		int better = 0;
+
+		for (int k = 0; k < REGION; k++) {
+			char other[AP_NAME_MAX];
+
+			snprintf(id, sizeof(id), "n%d", i);
+			snprintf(other, sizeof(other), "n%d", k);
+			better += ap_watcher_score(other) > ap_watcher_score(id);
+		}
+		if (better == nth)
+			return i;
+	}
+	return -1;
+}
+
+static void hear(ap_fleet_t *f, const build_t *b, int number)
+{
+	char from[AP_NAME_MAX];
+	char id[AP_NAME_MAX];
+	bytes_t message;
+
+	assert_true(find(b, "fleet", from, &message));
+	snprintf(id, sizeof(id), "n%d", number);
+	assert_true(ap_fleet_receive(f, id, message.data, message.len, NOW));
+}
+
+/*
+ * Three instances watch the store for all. Those of a build that names no era can't tell others of
+ * a change in the era that these read: one that stood by heard of it from a single watcher.
+ */
+static void test_watchers_that_name_no_era_do_not_count_for_those_that_do(void **state)
+{
+	ap_fleet_t *f = instance("north", watcher(REGION - 1), REGION, 0);
+	uint64_t revision;
+	uint64_t era;
+
+	(void)state;
+	load_build(NEWEST, &newest);
+	load_build(LACKS_ERA, &older);
+	for (int i = 0; i < 3; i++)
+		hear(f, &older, watcher(i));
+	assert_true(ap_fleet_store_watched(f, NOW, &era, &revision));
+	assert_int_equal(era, 0);
+	hear(f, &newest, watcher(3));
+	assert_false(ap_fleet_store_watched(f, NOW, &era, &revision));
+	assert_int_equal(era, 3);
+	hear(f, &newest, watcher(4));
+	hear(f, &newest, watcher(5));
+	assert_true(ap_fleet_store_watched(f, NOW, &era, &revision));
+	assert_int_equal(revision, 4711);
+	ap_fleet_free(f);
+}
+
 static void set_head(bytes_t *message, unsigned char kind, unsigned char version)
 {
 	message->data[1] = version;
@@ -195,6 +254,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_build_that_knows_no_paths_does_not_hide_lost_ones),
 		cmocka_unit_test(test_one_that_names_no_relay_is_told_directly),
+		cmocka_unit_test(test_watchers_that_name_no_era_do_not_count_for_those_that_do),
 		cmocka_unit_test(test_kinds_of_a_later_build_are_skipped_and_counted),
 		cmocka_unit_test(test_other_versions_are_refused_and_counted),
 		cmocka_unit_test(test_a_relay_passes_on_kinds_of_a_later_build),
