--- a/test/pages_test.sh
+++ b/test/pages_test.sh
@@ -27,6 +27,19 @@
 for name in $(grep -oE 'put(_histogram)?\(out, "[a-z_]+"' cmd/arbutuspond/gateway-serve.c | grep -o '[a-z_]*"$' | tr -d '"' | sort -u); do
 	grep -q "arbutuspond_$name" docs/OPERATIONS.md || lack "not on the page of metrics: $name"
 done
+# Each field of an announcement has its row, with what a build that lacks it means.
+fields() {
+	rows=$(sed -n "/^## Announcements to $1/,/^## W/p" docs/design/builds.md |
+		sed '/^## Announcements to [^'"${1%% *}"']/,$d' | grep -c '^| [0-9]')
+	packed=$(grep -A1 "AP_WIRE_$2," lib/fleet/announce.c | grep -o '[0-9]*);' | grep -o '[0-9]*')
+	[ "$rows" = "$packed" ] ||
+		lack "docs/design/builds.md: $rows fields to $1, lib/fleet/announce.c packs $packed"
+}
+fields "the own region" FLEET
+fields "remote regions" WAITS
+while read -r commit; do
+	[ -e "test/data/builds/$commit.txt" ] || lack "no recorded messages of $commit"
+done <test/builds/landings
 "$1/cmd/arbutuspondctl" --help >/tmp/help.$$
 for page in docs/man/arbutuspondctl.1 $(find docs/operators -name '*.md'); do
 	for option in $(sed 's/\\-/-/g' "$page" | grep -o 'arbutuspondctl.*' | grep -o -- '--[a-z-]*[a-z]'); do
--- a/test/wire_builds_test.c
+++ b/test/wire_builds_test.c
@@ -7,7 +7,11 @@
 #include "follow/follow.h"
 #include "platform/host.h"
 
-#define ENVELOPE 4  /* fields before the body */
+#define ENVELOPE 4 /* fields before the body */
+/* Lists whose elements may get wider, see docs/design/builds.md: prefixes, and later ones. */
+#define FLEET_OPEN_FIRST (1u << 1)
+#define FLEET_OPEN (1u << 1 | 1u << 5 | 1u << 6 | 1u << 9 | 1u << 10)
+#define WAITS_OPEN (1u << 1)
 #define FLEET_MIN 5 /* fields of the oldest announcement to the region */
 #define WAITS_MIN 2 /* of the oldest one to remote regions */
 #define EXTRA_MAX 4 /* fields that a later build adds */
@@ -324,6 +328,83 @@
 	each_build(later_announcement_is_read);
 }
 
+/* Packs @list again, each element with one more field. */
+static void pack_wider(msgpack_packer *pk, const msgpack_object *list)
+{
+	msgpack_pack_array(pk, list->via.array.size);
+	for (size_t i = 0; i < list->via.array.size; i++) {
+		const msgpack_object *element = &list->via.array.ptr[i];
+
+		msgpack_pack_array(pk, element->via.array.size + 1);
+		for (size_t k = 0; k < element->via.array.size; k++)
+			msgpack_pack_object(pk, element->via.array.ptr[k]);
+		ap_wire_pack_str(pk, "a later field");
+	}
+}
+
+/* Packs @in again, with wider elements in the lists of its body whose bits are set in @lists. */
+static void widen(const bytes_t *in, unsigned lists, bytes_t *out)
+{
+	msgpack_unpacked message;
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	const msgpack_object *envelope;
+	const msgpack_object *body;
+
+	msgpack_unpacked_init(&message);
+	assert_int_equal(msgpack_unpack_next(&message, (const char *)in->data, in->len, NULL),
+			 MSGPACK_UNPACK_SUCCESS);
+	envelope = message.data.via.array.ptr;
+	body = &envelope[ENVELOPE];
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, ENVELOPE + 2); /* the envelope is wider, too */
+	for (size_t i = 0; i < ENVELOPE; i++)
+		msgpack_pack_object(&pk, envelope[i]);
+	msgpack_pack_array(&pk, body->via.array.size);
+	for (size_t i = 0; i < body->via.array.size; i++) {
+		if (lists & 1u << i)
+			pack_wider(&pk, &body->via.array.ptr[i]);
+		else
+			msgpack_pack_object(&pk, body->via.array.ptr[i]);
+	}
+	ap_wire_pack_str(&pk, "a later field");
+	assert_true(buf.size <= sizeof(out->data));
+	memcpy(out->data, buf.data, buf.size);
+	out->len = buf.size;
+	msgpack_sbuffer_destroy(&buf);
+	msgpack_unpacked_destroy(&message);
+}
+
+static void wider_elements_are_read(const build_t *b)
+{
+	ap_fleet_t *north = receiver("north");
+	ap_fleet_t *south = receiver("south");
+	unsigned open = FLEET_OPEN;
+	char from[AP_NAME_MAX];
+	bytes_t wider;
+	bytes_t m;
+
+	assert_true(find(b, "fleet", from, &m));
+	if (!knows(b, "era")) /* has none of the later lists */
+		open &= FLEET_OPEN_FIRST;
+	widen(&m, open, &wider);
+	assert_true(receive(north, from, &wider));
+	check_fleet(b, north, from);
+	assert_true(find(b, "waits", from, &m));
+	widen(&m, WAITS_OPEN, &wider);
+	assert_true(receive(south, from, &wider));
+	assert_int_equal(ap_remote_pool(south, "north", "engines")->announced_at, NOW);
+	ap_fleet_free(north);
+	ap_fleet_free(south);
+}
+
+static void test_open_lists_may_get_wider_elements(void **state)
+{
+	(void)state;
+	each_build(wider_elements_are_read);
+}
+
 static void shorter_announcement_is_read(const build_t *b)
 {
 	char from[AP_NAME_MAX];
@@ -475,6 +556,7 @@
 		cmocka_unit_test(test_items_of_the_store_from_earlier_builds_are_read),
 		cmocka_unit_test(test_records_of_earlier_builds_are_read),
 		cmocka_unit_test(test_fields_of_a_later_build_are_skipped),
+		cmocka_unit_test(test_open_lists_may_get_wider_elements),
 		cmocka_unit_test(test_any_number_of_fields_is_read_and_no_cut_message),
 		cmocka_unit_test(test_all_builds_choose_the_same_instances_by_hash),
 	};
