--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -1,6 +1,9 @@
 /* Readiness check, the directory of instances for callers, and metrics. */
 #include "gateway.h"
 
+#include "build.h"
+#include "wire/wire.h"
+
 #include <event2/buffer.h>
 #include <inttypes.h>
 #include <jansson.h>
@@ -10,6 +13,7 @@
 /* If all active instances of the region are gone, the TTL is shorter: callers query again soon. */
 #define FALLBACK_TTL_DIVISOR 4
 #define DIRECTORY_MAX 64 /* addresses in a response, as many as callers use */
+#define BUILD_LABELS 96	 /* bytes */
 
 const ap_http_header_t gate_json = {"Content-Type", "application/json"};
 static const ap_http_header_t type_text = {"Content-Type", "text/plain; version=0.0.4"};
@@ -126,7 +130,10 @@
 	ap_host_store_stats_t store = ap_host_store_stats(gate->store);
 	ap_journal_stats_t journal = ap_journal_stats(gate->journal);
 	ap_usec_t age = ap_follow_age(gate->follow, now);
+	char labels[BUILD_LABELS];
 
+	snprintf(labels, sizeof(labels), "{build=\"%s\",wire=\"%d\"}", ap_build_name,
+		 AP_WIRE_VERSION);
 	put(out, "upstreams", "{state=\"listed\"}", (double)fleet.replicas);
 	put(out, "upstreams", "{state=\"usable\"}", (double)fleet.usable);
 	put(out, "upstreams", "{state=\"draining\"}", (double)fleet.draining);
@@ -137,6 +144,7 @@
 	put(out, "upstreams", "{state=\"brittle\"}", (double)fleet.brittle);
 	put(out, "prompt_parts", "{state=\"suspect\"}", (double)fleet.suspect_parts);
 	put(out, "fingerprints", "{state=\"suspect\"}", (double)fleet.suspect_requests);
+	put(out, "build_info", labels, 1);
 	put(out, "instances", "", (double)fleet.members);
 	put(out, "instances_other_wire", "", (double)fleet.other_wire);
 	put(out, "messages_skipped_total", "{what=\"kind\"}", (double)fleet.skipped.kinds);
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -1,6 +1,7 @@
 /* The gateway task: set-up, listeners, signals, the periodic tick and the drain. */
 #include "gateway.h"
 
+#include "build.h"
 #include "wire/wire.h"
 
 #include <jansson.h>
@@ -329,8 +330,8 @@
 	ap_rng_seed(&gate.rng, gate.inc.hi ^ gate.inc.lo);
 	ok = start(&gate);
 	if (ok) {
-		ap_journal_write(gate.journal, AP_RECORD_RARE, "process.started", NULL, "s:s",
-				 "version", AP_VERSION);
+		ap_journal_write(gate.journal, AP_RECORD_RARE, "process.started", NULL, "s:s,s:s",
+				 "version", AP_VERSION, "build", ap_build_name);
 		ap_journal_flush(gate.journal);
 		event_base_dispatch(gate.base);
 		ap_journal_write(gate.journal, AP_RECORD_RARE, "process.stopped", NULL, "s:b",
--- a/cmd/arbutuspondctl/ctl.h
+++ b/cmd/arbutuspondctl/ctl.h
@@ -28,7 +28,7 @@
  * @token: admin token
  * @key: a caller's API key
  * @argument: first argument of the command
- * @files: log files to read; standard input if there are none
+ * @files: log files to read; standard input if there are none. For builds, @argument is the first
  * @permit: permit to use, empty to request one first, or NULL
  * @after: only events with a greater number
  * @base: generation that the file was edited from
@@ -67,6 +67,7 @@
 ctl_exit_t ctl_events(const ctl_options_t *o);
 ctl_exit_t ctl_timeline(const ctl_options_t *o);
 ctl_exit_t ctl_explain(const ctl_options_t *o);
+ctl_exit_t ctl_builds(const ctl_options_t *o);
 ctl_exit_t ctl_ask(const ctl_options_t *o);
 ctl_exit_t ctl_keygen(const ctl_options_t *o);
 ctl_exit_t ctl_key_hash(const ctl_options_t *o);
--- a/cmd/arbutuspondctl/main.c
+++ b/cmd/arbutuspondctl/main.c
@@ -61,6 +61,7 @@
 	"  events         print the events of the first --admin\n"
 	"  timeline       print the events of all --admin, merged in order\n"
 	"  explain ID [LOG...]  find in logs why a request failed\n"
+	"  builds [LOG...]  print which build each instance runs, from logs\n"
 	"  ask [TEXT]     send a request as a caller does\n"
 	"  keygen         generate a CURVE key pair for [keys] in settings\n"
 	"  key-hash       print the hash of an API key for a caller's key_hash\n\n"
@@ -81,7 +82,7 @@
 	{"drain", ctl_drain, true, false},	  {"events", ctl_events, true, false},
 	{"timeline", ctl_timeline, true, false},  {"ask", ctl_ask, false, false},
 	{"explain", ctl_explain, false, false},	  {"keygen", ctl_keygen, false, false},
-	{"key-hash", ctl_key_hash, false, false},
+	{"key-hash", ctl_key_hash, false, false}, {"builds", ctl_builds, false, false},
 };
 
 ctl_exit_t ctl_fail(ctl_exit_t status, const char *fmt, ...)
@@ -125,7 +126,8 @@
 		o->command = text;
 	else if (!o->argument)
 		o->argument = text;
-	else if (strcmp(o->command, "explain") == 0 && o->n_files < FILES_MAX)
+	else if ((strcmp(o->command, "explain") == 0 || strcmp(o->command, "builds") == 0) &&
+		 o->n_files < FILES_MAX)
 		o->files[o->n_files++] = text;
 	else
 		argp_error(state, "%s: unexpected argument", text);
