--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -221,6 +221,7 @@
 		f->announced_at = 0; /* the sender waits for an announcement */
 		f->evidence_wanted = true;
 	}
+	f->skipped.fields += r.left;
 	if (!m)
 		return true;
 	apply_draining(f, m, in->head.from, draining, now);
@@ -239,6 +240,7 @@
 	ap_wire_reader_t waits;
 	ap_wire_reader_t lost;
 	shared_t shared;
+	bool says_lost;
 	char region[AP_NAME_MAX];
 
 	if (m && is_old(m, in))
@@ -246,10 +248,13 @@
 	ap_wire_str(&r, region, sizeof(region));
 	waits = ap_wire_array(&r);
 	shared = read_shared(&r);
+	/* A build that knows no paths must not hide what other senders of its region told. */
+	says_lost = r.left > 0;
 	lost = optional_array(&r);
 	if (!r.ok || !apply_shared(f, &shared, AP_ORIGIN_REMOTE, now) ||
-	    !ap_paths_apply_remote(f, region, &lost, now))
+	    (says_lost && !ap_paths_apply_remote(f, region, &lost, now)))
 		return false;
+	f->skipped.fields += r.left;
 	while (waits.left > 0) {
 		ap_wire_reader_t e = ap_wire_array(&waits);
 		char pool[AP_NAME_MAX];
@@ -274,12 +279,19 @@
 	ap_wire_in_t in;
 	bool ok;
 
-	if (kind != AP_WIRE_FLEET && kind != AP_WIRE_WAITS)
+	if (kind == 0 && ap_wire_peek_version(data, len) != 0)
+		f->skipped.versions++;
+	if (kind != AP_WIRE_FLEET && kind != AP_WIRE_WAITS && kind <= AP_WIRE_BATCH)
 		return false;
 	if (!ap_wire_in_open(&in, (ap_wire_kind_t)kind, data, len, NULL))
 		return false;
-	ok = kind == AP_WIRE_FLEET ? receive_announcement(f, from, &in, now)
-				   : receive_waits(f, from, &in, now);
+	ok = true;
+	if (kind == AP_WIRE_FLEET)
+		ok = receive_announcement(f, from, &in, now);
+	else if (kind == AP_WIRE_WAITS)
+		ok = receive_waits(f, from, &in, now);
+	else
+		f->skipped.kinds++;
 	ap_wire_in_close(&in);
 	return ok;
 }
