--- a/test/host_test.c
+++ b/test/host_test.c
@@ -361,7 +361,7 @@
  * connection and without its id, that is taken for the one to this request: the caller is told that
  * it did not run.
  */
-static void test_a_later_response_without_the_id_states_nothing_of_this_request(void **state)
+static void test_a_later_response_without_the_id_states_nothing(void **state)
 {
 	static const char *const refusal[][2] = {{"Not-Run", "1"}};
 	static const char *const stamped[][2] = {{"Server-Stamp", "s"}};
@@ -546,8 +546,7 @@
 		cmocka_unit_test(test_too_many_headers_are_refused),
 		cmocka_unit_test(test_health_response),
 		cmocka_unit_test(test_response_headers),
-		cmocka_unit_test(
-			test_a_later_response_without_the_id_states_nothing_of_this_request),
+		cmocka_unit_test(test_a_later_response_without_the_id_states_nothing),
 		cmocka_unit_test(test_limit_header),
 		cmocka_unit_test(test_leaving_header),
 		cmocka_unit_test(test_record_is_one_line_of_json),
