--- a/test/exchange_large_test.c
+++ b/test/exchange_large_test.c
@@ -67,11 +67,37 @@
 	finish(&w);
 }
 
+/* Guards against an attempt that works on beside the one whose large response is delivered. */
+static void a_large_response_replaces_the_silent_attempt(void **state)
+{
+	char *part = calloc(1, PART);
+	ap_exchange_ops_t counting = ops;
+	world_t w = {0};
+
+	(void)state;
+	assert_non_null(part);
+	counting.data = count_data;
+	begin(&w, AP_KIND_IDEMPOTENT, false, 2);
+	w.x.ops = &counting;
+	w.now = ap_exchange_due(&w.x);
+	ap_exchange_tick(&w.x, w.now);
+	assert_int_equal(w.n_sent, 2);
+	head(&w, 200);
+	ap_exchange_data(&w.x, w.slot[1], part, PART, w.now);
+	assert_int_equal(w.dropped, 0);
+	ap_exchange_data(&w.x, w.slot[1], part, PART, w.now);
+	assert_int_equal(w.dropped, 1);
+	assert_false(w.x.slot[w.slot[0]].in_flight);
+	free(part);
+	finish(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_large_response_that_breaks_off_is_not_joined_with_another),
 		cmocka_unit_test(a_large_response_that_falls_silent_stays_where_it_is),
+		cmocka_unit_test(a_large_response_replaces_the_silent_attempt),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -21,10 +21,11 @@
 	ap_plan_route_t route;
 	ap_plan_pool_t pool;
 	ap_usec_t now;
-	int targets;	   /* upstreams that may be chosen */
-	int unconnectable; /* how many sends fail to connect */
-	int budget;	   /* retries left */
-	ap_usec_t held;	   /* for how long the request is held back; 0 for not at all */
+	int targets;	       /* upstreams that may be chosen */
+	int unconnectable;     /* how many sends fail to connect */
+	int budget;	       /* retries left */
+	ap_usec_t heard_since; /* of the latest choice */
+	ap_usec_t held;	       /* for how long the request is held back; 0 for not at all */
 	char sent[SENDS_MAX][AP_NAME_MAX];
 	unsigned slot[SENDS_MAX]; /* of each send */
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
@@ -49,6 +50,7 @@
 {
 	world_t *w = ctx;
 
+	w->heard_since = req->heard_since;
 	if (w->held > 0) {
 		*target = (ap_target_t){.wait = w->held};
 		return AP_FLEET_HELD;
--- a/test/fleet_silence_test.c
+++ b/test/fleet_silence_test.c
@@ -79,6 +79,33 @@
 	ap_fleet_free(f);
 }
 
+/* Guards against upstreams that count as silent although they have responded or refused. */
+static void the_end_of_a_response_ends_a_silence(void **state)
+{
+	const ap_dispatch_result_t ends[] = {AP_DISPATCH_DONE, AP_DISPATCH_ERROR,
+					     AP_DISPATCH_REFUSED, AP_DISPATCH_CANCELLED};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(ends) / sizeof(ends[0]); i++) {
+		ap_usec_t now = WORLD_START;
+		ap_fleet_t *f = world_north();
+		ap_dispatch_t req = world_request(&world_stream, &world_engines, now);
+		ap_fleet_status_t expected =
+			ends[i] == AP_DISPATCH_CANCELLED ? AP_FLEET_NONE : AP_FLEET_OK;
+		ap_inflight_t inflight[2];
+		ap_target_t target;
+
+		world_replica(f, "e1", "engines", "north", now);
+		send_one(f, &req, now, &target, &inflight[0]);
+		send_one(f, &req, now, &target, &inflight[1]);
+		req.heard_since = now + 1;
+		now += SILENT_FOR;
+		ap_fleet_done(f, &inflight[0], ends[i], now);
+		assert_int_equal(ap_fleet_choose(f, &req, now, &target), expected);
+		ap_fleet_free(f);
+	}
+}
+
 /* Guards against a refusal of an instance that is taken for a sign of life of its upstreams. */
 static void a_refusal_by_a_remote_instance_says_nothing_of_its_upstreams(void **state)
 {
@@ -98,6 +125,11 @@
 	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_NONE);
 	ap_fleet_done(f, &inflight[1], AP_DISPATCH_REFUSED, now);
 	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_NONE);
+	req.heard_since = 0;
+	send_one(f, &req, now, &target, &inflight[1]);
+	ap_fleet_done(f, &inflight[1], AP_DISPATCH_DONE, now);
+	req.heard_since = WORLD_START + 1;
+	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_OK);
 	ap_fleet_free(f);
 }
 
@@ -131,6 +163,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(another_silent_upstream_is_no_alternative),
 		cmocka_unit_test(a_silent_region_is_no_alternative),
+		cmocka_unit_test(the_end_of_a_response_ends_a_silence),
 		cmocka_unit_test(a_refusal_by_a_remote_instance_says_nothing_of_its_upstreams),
 		cmocka_unit_test(a_stream_that_has_begun_is_late_only_at_its_deadline),
 	};
