--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -490,14 +490,10 @@
 	if (x->paused || a->checking || in_flight(x) != 1 || !x->retryable ||
 	    x->runs + 1 >= x->attempts)
 		return AP_NEVER;
-	if (!a->inflight.has_first_chunk || !x->stream)
-		since += NO_DATA_WAITS * a->target.wait +
-			 route->objective / NO_DATA_OBJECTIVE_DIVISOR;
-	else if (route->event_gap > 0)
-		since += route->event_gap;
-	else
-		return AP_NEVER;
-	return since < x->timeout_at ? since : AP_NEVER;
+	if (a->inflight.has_first_chunk && x->stream)
+		return route->event_gap > 0 ? since + route->event_gap : AP_NEVER;
+	return since + NO_DATA_WAITS * a->target.wait +
+	       route->objective / NO_DATA_OBJECTIVE_DIVISOR;
 }
 
 static ap_usec_t abort_at(const ap_exchange_t *x)
