--- a/test/exchange_pair_test.c
+++ b/test/exchange_pair_test.c
@@ -78,11 +78,7 @@
 
 	(void)state;
 	fall_silent(&w, 3);
-<<<<<<< HEAD
 	assert_int_equal(w.heard_since, START + w.route.event_gap / 2);
-=======
-	assert_int_equal(w.heard_since, START);
->>>>>>> cd0fe4c5531a041ca910212f7f282546d8850622
 	end_of(&w, 0, AP_CONNECTION_BROKEN);
 	end(&w, AP_CONNECTION_BROKEN);
 	assert_int_equal(w.n_sent, 3);
--- a/test/fleet_silence_test.c
+++ b/test/fleet_silence_test.c
@@ -163,7 +163,6 @@
 	ap_fleet_done(f, &inflight[1], AP_DISPATCH_DONE, now);
 	req.heard_since = WORLD_START + 1;
 	assert_int_equal(ap_fleet_choose(f, &req, now, &target), AP_FLEET_OK);
-<<<<<<< HEAD
 	ap_fleet_free(f);
 }
 
@@ -198,8 +197,6 @@
 	send_one(f, &req, now, &target, &inflight[0]);
 	ap_fleet_done(f, &inflight[0], AP_DISPATCH_TIMED_OUT, now + SILENT_FOR);
 	assert_int_equal(suspected, 1);
-=======
->>>>>>> cd0fe4c5531a041ca910212f7f282546d8850622
 	ap_fleet_free(f);
 }
 
