Take a close for the end of a process only if a connection is refused and that shows it

Now only a refused connection counts, and not from an upstream that leaves or to which the path has been lost for a second; else the close is the end of the response.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -249,8 +249,15 @@
 
 typedef struct ap_http_reach ap_http_reach_t;
 
+/* What a check of an address found. */
+typedef enum ap_http_reached {
+	AP_HTTP_REACHED_LISTENER, /* a process listens, be it stopped */
+	AP_HTTP_REACHED_NOBODY,	  /* the connection was refused */
+	AP_HTTP_REACHED_UNKNOWN,  /* no response, or no connection could be tried */
+} ap_http_reached_t;
+
 /**
- * struct ap_http_reach_config - a check whether a process listens, be it stopped.
+ * struct ap_http_reach_config - a check whether a process listens.
  * @host: IP address
  * @limit: time for the connection, in microseconds
  * @done: called once, after ap_http_reach() has returned
@@ -260,7 +267,7 @@
 	uint16_t port;
 	ap_usec_t limit;
 	void *ctx;
-	void (*done)(void *ctx, bool reached);
+	void (*done)(void *ctx, ap_http_reached_t reached);
 } ap_http_reach_config_t;
 
 /**
--- a/adapters/http/reach.c
+++ b/adapters/http/reach.c
@@ -4,9 +4,11 @@
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <string.h>
 
 #define ADDRESS_TEXT_MAX 64
 /* The kernel may close the listener of a process that ends after its connections. */
@@ -20,7 +22,7 @@
 	int len;
 	ap_usec_t limit;
 	void *ctx;
-	void (*done)(void *ctx, bool reached);
+	void (*done)(void *ctx, ap_http_reached_t reached);
 };
 
 void ap_http_reach_cancel(ap_http_reach_t *reach)
@@ -31,9 +33,9 @@
 	free(reach);
 }
 
-static void finish(ap_http_reach_t *reach, bool reached)
+static void finish(ap_http_reach_t *reach, ap_http_reached_t reached)
 {
-	void (*done)(void *, bool) = reach->done;
+	void (*done)(void *, ap_http_reached_t) = reach->done;
 	void *ctx = reach->ctx;
 
 	ap_http_reach_cancel(reach);
@@ -42,8 +44,14 @@
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
+	ap_http_reached_t reached = AP_HTTP_REACHED_UNKNOWN;
+
 	(void)bev;
-	finish(arg, (what & BEV_EVENT_CONNECTED) != 0);
+	if (what & BEV_EVENT_CONNECTED)
+		reached = AP_HTTP_REACHED_LISTENER;
+	else if ((what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED)
+		reached = AP_HTTP_REACHED_NOBODY;
+	finish(arg, reached);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -57,13 +65,15 @@
 					    BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	if (!reach->bev) {
 		ap_log(LOG_ERR, "no memory to check whether an upstream listens");
-		finish(reach, false);
+		finish(reach, AP_HTTP_REACHED_UNKNOWN);
 		return;
 	}
 	bufferevent_setcb(reach->bev, NULL, NULL, on_event, reach);
 	bufferevent_set_timeouts(reach->bev, NULL, &tv);
-	if (bufferevent_socket_connect(reach->bev, (struct sockaddr *)&reach->to, reach->len) < 0)
-		finish(reach, false);
+	if (bufferevent_socket_connect(reach->bev, (struct sockaddr *)&reach->to, reach->len) < 0) {
+		ap_log(LOG_ERR, "can't check whether an upstream listens: %s", strerror(errno));
+		finish(reach, AP_HTTP_REACHED_UNKNOWN);
+	}
 }
 
 static bool parse_address(const char *host, uint16_t port, struct sockaddr_storage *to, int *len)
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -368,14 +368,15 @@
 	c->attempts[slot].reach = NULL;
 }
 
-static void on_reached(void *ctx, bool reached)
+static void on_reached(void *ctx, ap_http_reached_t reached)
 {
 	gate_attempt_t *a = ctx;
 	gate_call_t *c = a->call;
+	bool ended = reached == AP_HTTP_REACHED_NOBODY;
 
 	a->reach = NULL;
-	c->gate->counters.checks_failed += !reached;
-	ap_exchange_checked(&c->x, slot_of(a), reached, ap_now());
+	c->gate->counters.checks_failed += ended;
+	ap_exchange_checked(&c->x, slot_of(a), ended, ap_now());
 	gate_call_update(c);
 }
 
@@ -392,6 +393,8 @@
 		.done = on_reached,
 	};
 
+	if (!ap_fleet_end_shows(c->gate->fleet, target->id, ap_now()))
+		return false;
 	a->reach = ap_http_reach(c->gate->base, &config);
 	c->gate->counters.checks += a->reach != NULL;
 	return a->reach != NULL;
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -390,39 +390,46 @@
 	ap_attempt_deliver(x, a, now);
 }
 
-/* The connection may have closed because the upstream's process ended. */
-static bool start_check(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+/*
+ * A whole response, as it seems, that ended with its connection: the upstream's process may have
+ * ended, too.
+ */
+static void response_closed(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	a->checking = now < x->timeout_at - DEADLINE_MARGIN && !a->target.remote &&
-		      x->ops->check(x->ctx, slot_of(x, a));
-	return a->checking;
+	/* Instances frame their responses. */
+	if (now >= x->timeout_at - DEADLINE_MARGIN || a->target.remote)
+		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+	else if (x->ops->check(x->ctx, slot_of(x, a)))
+		a->checking = true;
+	else
+		deliver_success(x, a, now);
 }
 
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
 {
-	bool whole = a->has_head && !ap_attempt_truncated(x, a, closed);
-
 	if (a->has_head && a->head.refused)
 		target_refused(x, a, now);
 	else if (a->has_head && !is_success(a))
 		error_response(x, a, now);
-	else if (whole && !closed)
-		deliver_success(x, a, now);
-	else if (!whole || !start_check(x, a, now))
+	else if (!a->has_head || ap_attempt_truncated(x, a, closed))
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+	else if (closed)
+		response_closed(x, a, now);
+	else
+		deliver_success(x, a, now);
 }
 
-void ap_exchange_checked(ap_exchange_t *x, unsigned slot, bool alive, ap_usec_t now)
+void ap_exchange_checked(ap_exchange_t *x, unsigned slot, bool ended, ap_usec_t now)
 {
 	ap_attempt_t *a = &x->slot[slot];
 
 	if (x->finished || !a->in_flight || !a->checking)
 		return;
 	a->checking = false;
-	if (alive)
-		deliver_success(x, a, now);
-	else
+	if (ended)
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+	else
+		deliver_success(x, a, now);
 }
 
 void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now)
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -99,8 +99,8 @@
  *	stream; may be called more than once for an @inflight
  * @done: the in-flight request behind @inflight ended
  * @drop_connection: closes the connection of @slot; its response isn't needed any more
- * @check: finds out whether anybody still listens at the target of @slot, whose connection has
- *	closed; the result is told by ap_exchange_checked(). Return: false if it can't be tried
+ * @check: finds out whether the target of @slot, whose connection has closed, has ended; the
+ *	result is told by ap_exchange_checked(). Return: false if that can't be found out
  * @head: sends the head of the response of @slot to the caller
  * @data: sends a part of the response's body to the caller
  * @end: the response is complete
@@ -216,8 +216,11 @@
 void ap_exchange_data(ap_exchange_t *x, unsigned slot, const void *data, size_t len, ap_usec_t now);
 /** ap_exchange_end() - its connection ended. */
 void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now);
-/** ap_exchange_checked() - the result of the check of the target of @slot. */
-void ap_exchange_checked(ap_exchange_t *x, unsigned slot, bool alive, ap_usec_t now);
+/**
+ * ap_exchange_checked() - the result of the check of the target of @slot.
+ * @ended: the target's process has ended; false if it listens, or if that isn't known
+ */
+void ap_exchange_checked(ap_exchange_t *x, unsigned slot, bool ended, ap_usec_t now);
 /**
  * ap_exchange_pause() - the driver stops reading from targets, or goes on, because of the caller.
  * That they send nothing meanwhile says nothing about them.
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -494,7 +494,7 @@
 
 	if (remote) {
 		learn_refusals(&remote->refusals, end, now);
-		remote->running--;
+		remote->running -= remote->running > 0; /* it may have had no memory at the send */
 		/* An instance may refuse or fail a request although no upstream there responds. */
 		if (end == AP_DISPATCH_DONE)
 			remote->heard_at = now;
--- a/lib/fleet/path.c
+++ b/lib/fleet/path.c
@@ -11,6 +11,7 @@
 
 #include <string.h>
 
+#define ENDING_TIME (1 * AP_SEC) /* a path lost for no longer may be lost because of an end */
 #define CHECK_INTERVAL (400 * AP_MSEC)
 /* An instance that has lost its paths says so at least this often. */
 #define LOST_MAX_AGE (2500 * AP_MSEC)
@@ -35,6 +36,15 @@
 	ap_replica_readmit(f, r, now);
 }
 
+bool ap_fleet_end_shows(const ap_fleet_t *f, const char *id, ap_usec_t now)
+{
+	const ap_replica_t *r = ap_replica_find(f, id);
+
+	if (!r || ap_replica_leaving(f, r) || r->shutdown_at != AP_NEVER)
+		return false;
+	return r->path_lost_at == 0 || now - r->path_lost_at < ENDING_TIME;
+}
+
 void ap_fleet_path_lost(ap_fleet_t *f, const char *id, ap_usec_t now)
 {
 	ap_replica_t *r = ap_replica_find(f, id);
--- a/test/exchange_close_test.c
+++ b/test/exchange_close_test.c
@@ -24,7 +24,7 @@
 
 	(void)state;
 	close_after(&w, AP_KIND_STREAM, 2, FIRST);
-	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
+	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
 	assert_false(w.ended);
 	assert_int_equal(w.n_sent, 2);
 	assert_string_equal(w.last_event[1], "1");
@@ -43,18 +43,34 @@
 
 	(void)state;
 	close_after(&w, AP_KIND_STREAM, 1, FIRST);
-	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
+	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
 	assert_true(w.aborted);
 	assert_false(w.ended);
 	finish(&w);
 
 	w = (world_t){0};
 	close_after(&w, AP_KIND_ONCE, 1, "half");
-	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
+	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
 	assert_int_equal(w.status, 502);
 	finish(&w);
 }
 
+/* Guards against whole responses that count as cut because their upstream can't be checked. */
+static void a_close_is_an_end_where_nothing_can_be_found_out(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, false, 1);
+	w.uncheckable = true;
+	head(&w, 200);
+	data(&w, FIRST);
+	end(&w, AP_CONNECTION_COMPLETE_ON_CLOSE);
+	assert_true(w.ended);
+	assert_false(w.aborted);
+	finish(&w);
+}
+
 /* Guards against streams that end as complete where the upstream stopped at the deadline. */
 static void a_close_at_the_deadline_is_no_end(void **state)
 {
@@ -81,7 +97,7 @@
 	close_after(&w, AP_KIND_STREAM, 2, FIRST);
 	ap_exchange_caller_disconnected(&w.x);
 	assert_int_equal(w.dropped, 1);
-	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
+	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
 	assert_false(w.ended);
 	finish(&w);
 
@@ -98,6 +114,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_stream_whose_upstream_was_killed_goes_on_elsewhere),
 		cmocka_unit_test(a_response_whose_upstream_was_killed_is_broken),
+		cmocka_unit_test(a_close_is_an_end_where_nothing_can_be_found_out),
 		cmocka_unit_test(a_close_at_the_deadline_is_no_end),
 		cmocka_unit_test(a_check_ends_with_its_request),
 	};
--- a/test/exchange_silence_test.c
+++ b/test/exchange_silence_test.c
@@ -197,7 +197,7 @@
 	assert_int_equal(w.checks, 1);
 	refuse(&w, 503);
 	assert_int_equal(w.n_sent, 2);
-	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
+	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
 	assert_true(w.ended);
 	finish(&w);
 }
--- a/test/exchange_test.c
+++ b/test/exchange_test.c
@@ -29,7 +29,7 @@
 	data(&w, "body");
 	end(&w, AP_CONNECTION_COMPLETE_ON_CLOSE);
 	assert_false(w.ended);
-	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
+	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
 	assert_true(w.ended);
 	finish(&w);
 }
@@ -52,7 +52,7 @@
 	close_stream(&w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 	assert_int_equal(w.checks, 1);
 	assert_false(w.ended);
-	ap_exchange_checked(&w.x, w.slot[0], true, w.now);
+	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
 	assert_true(w.ended);
 	assert_int_equal(w.ends[0], AP_DISPATCH_DONE);
 	finish(&w);
