Record requests whose callers left unanswered after the objective

Seen: of the failed requests that users named, two of three had no record, and 'explain' found nothing. Their callers had waited until their deadline and left.

Cause: gate_record_end() took every request that its caller left for an ordinary one, and so a request that failed after its retry; the records of 15 in 16 of them were sampled out.

A record is now rare, so never sampled out, if nothing of the response came until the caller left at or after the route's objective, and if the request ran more than once and failed. 'explain' names the target that gave no response and, if it was silent, why there was no other (no_other); for an error response, the upstream that sent it. gate_record_class() decides, so that it can be tested without a request.

--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -146,15 +146,33 @@
 	n->first_chunk_sum += (double)first;
 }
 
+ap_record_class_t gate_record_class(const gate_end_t *end, ap_usec_t objective)
+{
+	bool answered = end->first > 0;
+
+	if (end->first > objective)
+		return AP_RECORD_RARE;
+	if (end->outcome == GATE_DONE)
+		return AP_RECORD_ORDINARY;
+	if (end->outcome == GATE_FAILED)
+		return end->runs > 1 ? AP_RECORD_RARE : AP_RECORD_ORDINARY;
+	if (end->outcome == GATE_DISCONNECTED)
+		return answered || end->took < objective ? AP_RECORD_ORDINARY : AP_RECORD_RARE;
+	return AP_RECORD_RARE;
+}
+
 void gate_record_end(gate_call_t *c)
 {
 	const ap_exchange_t *x = &c->x;
 	ap_usec_t now = ap_now();
 	ap_usec_t first = x->first_chunk_at > 0 ? x->first_chunk_at - x->arrival : 0;
-	bool late = first > x->req.route->objective;
-	bool ordinary = !late && (c->outcome == GATE_DONE || c->outcome == GATE_FAILED ||
-				  c->outcome == GATE_DISCONNECTED);
-	ap_record_class_t cls = ordinary ? AP_RECORD_ORDINARY : AP_RECORD_RARE;
+	const gate_end_t end = {
+		.outcome = c->outcome,
+		.first = first,
+		.took = now - x->arrival,
+		.runs = x->runs,
+	};
+	ap_record_class_t cls = gate_record_class(&end, x->req.route->objective);
 
 	count(c, now - x->arrival, first);
 	if (!ap_journal_accepts(c->gate->journal, cls, c->id))
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -79,6 +79,20 @@
 	uint32_t running;
 } gate_step_t;
 
+/**
+ * struct gate_end - how a request ended, as far as it decides whether its record may be sampled
+ * out.
+ * @first: time from the arrival to the first chunk of the response, in microseconds; 0 if none came
+ * @took: time from the arrival to the end, in microseconds
+ * @runs: how many times the request may have run
+ */
+typedef struct gate_end {
+	gate_outcome_t outcome;
+	ap_usec_t first;
+	ap_usec_t took;
+	unsigned runs;
+} gate_end_t;
+
 typedef struct gateway gateway_t;
 
 /**
@@ -251,6 +265,12 @@
 void gate_on_fleet_event(void *ctx, const ap_fleet_event_t *event);
 /* Keeps a step for the record of the request's end; @target may be NULL. */
 void gate_record_step(gate_call_t *c, ap_step_t step, const ap_target_t *target);
+/*
+ * Returns the class of a request's record. Ordinary: answered in time, failed by the one answer of
+ * an upstream, or left by a caller who had the beginning of the answer or has not waited for as
+ * long as the route's @objective.
+ */
+ap_record_class_t gate_record_class(const gate_end_t *end, ap_usec_t objective);
 /* Counts a finished request, and records it if the log accepts its class, ordinary or rare. */
 void gate_record_end(gate_call_t *c);
 
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -328,6 +328,14 @@
 	return strcmp(name, "sent") == 0 ? last_send(record) : last_step(record, name);
 }
 
+static void print_target(json_t *step)
+{
+	if (step && *text_at(step, "target"))
+		printf(" %s (expected %" PRId64 " ms, %" PRId64 " running)",
+		       text_at(step, "target"), int_at(step, "expected_ms"),
+		       int_at(step, "running"));
+}
+
 static bool print_failure(json_t *record)
 {
 	const char *reason = text_at(record, "reason");
@@ -339,10 +347,7 @@
 			continue;
 		step = causes[i].step ? step_of(record, causes[i].step) : NULL;
 		printf("cause: %s", causes[i].text);
-		if (step && *text_at(step, "target"))
-			printf(" %s (expected %" PRId64 " ms, %" PRId64 " running)",
-			       text_at(step, "target"), int_at(step, "expected_ms"),
-			       int_at(step, "running"));
+		print_target(step);
 		putchar('\n');
 		return true;
 	}
@@ -364,6 +369,77 @@
 	return true;
 }
 
+/* Why a request whose target was silent was not sent to another one. */
+static const cause_t no_others[] = {
+	{"no-upstream", "no other upstream that the route allows was usable and not silent", NULL},
+	{"too-late", "every other upstream that the route allows was too busy", NULL},
+	{"held", "requests like this one may crash upstreams", NULL},
+	{"refused", "every other upstream that was tried refused the request", NULL},
+	{"budget", "the retry budget was spent", NULL},
+	{"none", "the request could not be sent again", NULL},
+};
+
+static void print_no_other(json_t *record)
+{
+	json_t *silent = last_step(record, "silent");
+	const char *reason = text_at(record, "no_other");
+
+	if (!silent) {
+		printf("; no other target was tried before");
+		return;
+	}
+	printf("; silent at %" PRId64 " ms", int_at(silent, "at_ms"));
+	for (size_t i = 0; i < COUNT(no_others); i++) {
+		if (strcmp(no_others[i].reason, reason) == 0)
+			printf(", no other target: %s", no_others[i].text);
+	}
+}
+
+/* The caller disconnected. */
+static bool print_left(json_t *record)
+{
+	json_t *step = last_send(record);
+	json_t *silent = last_step(record, "silent");
+	int64_t took = int_at(record, "took_ms");
+
+	if (strcmp(text_at(record, "outcome"), "left") != 0)
+		return false;
+	if (int_at(record, "first_ms") > 0 || int_at(record, "objective_ms") == 0 ||
+	    took < int_at(record, "objective_ms")) {
+		puts("cause: the caller disconnected before the end of the response");
+		return true;
+	}
+	printf("cause: the caller left after %" PRId64 " ms of %" PRId64 " without a response",
+	       took, int_at(record, "objective_ms"));
+	if (step)
+		printf(" from");
+	print_target(step);
+	/* The request was sent on from the silent target, so @step is the other one. */
+	if (step && silent && int_at(step, "at_ms") >= int_at(silent, "at_ms") &&
+	    strcmp(text_at(step, "target"), text_at(silent, "target")) != 0)
+		printf(", tried after %s, silent at %" PRId64 " ms", text_at(silent, "target"),
+		       int_at(silent, "at_ms"));
+	else if (step)
+		print_no_other(record);
+	putchar('\n');
+	return true;
+}
+
+/* The caller got the complete response of an upstream with an error. */
+static bool print_error_response(json_t *record)
+{
+	json_t *failed = last_step(record, "failed-at");
+
+	if (strcmp(text_at(record, "outcome"), "failed") != 0 || int_at(record, "status") < 500)
+		return false;
+	printf("cause: the answer was status %" PRId64 " from", int_at(record, "status"));
+	print_target(last_send(record));
+	if (int_at(record, "runs") > 1 && failed)
+		printf(", after a failure at %s", text_at(failed, "target"));
+	putchar('\n');
+	return true;
+}
+
 /*
  * Prefers the records of the instance that the caller sent the request to over those of a remote
  * region that it was forwarded to.
@@ -377,13 +453,9 @@
 			if (!is_of(record, id) ||
 			    json_is_true(json_object_get(record, "guest")) != (forwarded == 1))
 				continue;
-			if (print_failure(record) || print_slow_response(record))
-				return true;
-			if (strcmp(text_at(record, "outcome"), "left") == 0) {
-				puts("cause: the caller disconnected before the end of the "
-				     "response");
+			if (print_failure(record) || print_slow_response(record) ||
+			    print_left(record) || print_error_response(record))
 				return true;
-			}
 			if (strcmp(text_at(record, "event"), "request.no-route") == 0) {
 				puts("cause: no route of the active configuration matches");
 				return true;
--- a/test/explain_test.sh
+++ b/test/explain_test.sh
@@ -23,6 +23,12 @@
 {"wall":1003.0,"steady":8.0,"instance":"n1","event":"request.ended","request":"busy","outcome":"refused","reason":"too-late","status":503,"took_ms":0,"steps":[{"step":"given-up","target":"u2","at_ms":0,"expected_ms":2100,"running":64}]}
 {"wall":1004.0,"steady":9.0,"instance":"n1","event":"request.ended","request":"far","outcome":"unknown","reason":"broken","status":502,"took_ms":300,"steps":[{"step":"sent","target":"n2","at_ms":0},{"step":"failed-at","target":"n2","at_ms":300,"expected_ms":115}]}
 {"wall":1005.0,"steady":10.0,"instance":"n1","event":"request.ended","request":"fine","outcome":"done","reason":"none","status":200,"first_ms":30,"objective_ms":400,"took_ms":31}
+{"wall":1010.0,"steady":15.0,"instance":"n1","event":"request.ended","request":"hushed","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":2500,"time_ms":2500,"runs":1,"no_other":"no-upstream","steps":[{"step":"sent","target":"u3","at_ms":0,"expected_ms":30,"running":5},{"step":"silent","target":"u3","at_ms":190},{"step":"caller-left","target":"u3","at_ms":2500}]}
+{"wall":1011.0,"steady":16.0,"instance":"n1","event":"request.ended","request":"spent","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":2500,"time_ms":2500,"runs":1,"no_other":"budget","steps":[{"step":"sent","target":"u3","at_ms":0,"expected_ms":30,"running":5},{"step":"silent","target":"u3","at_ms":190},{"step":"caller-left","target":"u3","at_ms":2500}]}
+{"wall":1012.0,"steady":17.0,"instance":"n1","event":"request.ended","request":"once","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":900,"time_ms":2500,"runs":1,"no_other":"none","steps":[{"step":"sent","target":"u3","at_ms":0,"expected_ms":30,"running":5},{"step":"caller-left","target":"u3","at_ms":900}]}
+{"wall":1013.0,"steady":18.0,"instance":"n1","event":"request.ended","request":"both","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":2500,"time_ms":2500,"runs":2,"no_other":"none","steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"silent","target":"u3","at_ms":190},{"step":"sent-again","target":"u4","at_ms":190,"expected_ms":40,"running":6},{"step":"caller-left","target":"u3","at_ms":2500}]}
+{"wall":1014.0,"steady":19.0,"instance":"n1","event":"request.ended","request":"hasty","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":20,"time_ms":2500,"runs":1,"steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"caller-left","target":"u3","at_ms":20}]}
+{"wall":1015.0,"steady":20.0,"instance":"n1","event":"request.ended","request":"twice","outcome":"failed","reason":"none","status":500,"first_ms":60,"objective_ms":400,"took_ms":60,"time_ms":2500,"runs":2,"steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"failed-at","target":"u3","at_ms":30},{"step":"sent-again","target":"u4","at_ms":30,"expected_ms":40,"running":6}]}
 {"wall":1006.0,"instance":"n1","event":"some.later-version","request":"fine"}
 {"wall":1006.0,"instance":"n1","event":"request.ended","request":"trunc
 not a record at all
@@ -37,6 +43,12 @@
 check "a response cut off over two regions" 0 "cause: the response was cut off at n2" far
 check "the records of both regions are printed" 0 "(from another region)" far
 check "a response in time has no cause" 1 "none found" fine
+check "a caller who waited for a silent upstream in vain" 0 "cause: the caller left after 2500 ms of 400 without a response from u3 (expected 30 ms, 5 running); silent at 190 ms, no other target: no other upstream that the route allows was usable and not silent" hushed
+check "why it was not sent again" 0 "no other target: the retry budget was spent" spent
+check "a caller who waited in vain, and nothing else was tried" 0 "without a response from u3 (expected 30 ms, 5 running); no other target was tried before" once
+check "two silent upstreams" 0 "without a response from u4 (expected 40 ms, 6 running), tried after u3, silent at 190 ms" both
+check "a caller who left at once" 0 "cause: the caller disconnected before the end of the response" hasty
+check "two failures in a row" 0 "cause: the answer was status 500 from u4 (expected 40 ms, 6 running), after a failure at u3" twice
 check "a request without records" 4 "" nowhere
 grep -q "lines without a record: 2, records of unknown events: 1" "$DIR/err" || {
 	echo "not ok: unreadable lines and unknown events are counted: $(cat "$DIR/err")"
