--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -83,9 +83,8 @@
 			 gate->plan ? (json_int_t)gate->plan->version : 0);
 }
 
-static void op_listing(void *ctx, bool begin)
+void gate_store_listing(gateway_t *gate, bool begin)
 {
-	gateway_t *gate = ctx;
 	ap_usec_t now = ap_now();
 
 	gate->listing = begin;
@@ -95,8 +94,15 @@
 		return;
 	}
 	ap_fleet_list_end(gate->fleet, ap_follow_recovering(gate->follow, now), now);
-	record_listed(gate, now);
-	gate_peer_create_secret(gate);
+}
+
+static void op_listing(void *ctx, bool begin)
+{
+	gate_store_listing(ctx, begin);
+	if (begin)
+		return;
+	record_listed(ctx, ap_now());
+	gate_peer_create_secret(ctx);
 }
 
 static void record_unreadable(gateway_t *gate, const char *key, const ap_err_t *err)
@@ -315,7 +321,10 @@
 	uint64_t changed;
 	uint64_t era;
 
-	if (gate->peer && ap_fleet_store_watched(gate->fleet, now, &era, &changed))
+	bool watched = ap_fleet_store_watched(gate->fleet, now, &era, &changed);
+
+	ap_follow_announced(gate->follow, era, changed, now);
+	if (gate->peer && watched)
 		ap_follow_stand_by(gate->follow, era, changed, now);
 	ap_fleet_set_store_state(gate->fleet, ap_follow_watching(gate->follow, now),
 				 ap_follow_era(gate->follow), ap_follow_last_change(gate->follow));
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -210,6 +210,7 @@
 	ap_calls_t *http_calls;	   /* health checks of upstreams, snapshots of instances */
 	bool seed_pending;	   /* a call to a seed is in progress */
 	size_t next_seed;
+	ap_usec_t seed_at; /* not to be asked before */
 	ap_usec_t started;
 	ap_settings_t peer_settings; /* own id and host, and the shared key pair */
 	ap_peer_t *peer;	     /* NULL until the secret is known */
@@ -280,6 +281,8 @@
 void gate_store_stop(gateway_t *gate);
 /* Applies an item of the store that this or another instance read; @ctx is the gateway. */
 void gate_store_item(void *ctx, const ap_store_item_t *item);
+/* A complete list of items, or a snapshot, begins (@begin) or has ended. */
+void gate_store_listing(gateway_t *gate, bool begin);
 
 /* gateway-seed.c: snapshots of the store for instances that start while it is unreachable */
 void gate_on_control(void *ctx, ap_http_call_t *call);
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -25,6 +25,13 @@
 	ap_usec_t response_by; /* when the response to the call in progress is overdue */
 	bool relist;
 	bool listed; /* a list has been read to its end */
+	/*
+	 * Until the first page: a snapshot of another instance was taken, and whether the changes
+	 * relayed since continue from it, so that it is known up to @as_of.
+	 */
+	bool has_snapshot;
+	bool seeded;
+	ap_usec_t behind_since; /* the snapshot lacks an announced change; 0 for not */
 	char after[AP_STORE_KEY_MAX];
 	uint64_t era; /* that all revisions below belong to; 0 until a response stated one */
 	uint64_t as_of;
@@ -60,6 +67,12 @@
 	free(f);
 }
 
+/* Returns whether the list has been read, or its first page. */
+static bool has_begun(const ap_follow_t *f)
+{
+	return f->listed || f->after[0] != '\0';
+}
+
 static ap_usec_t add_jitter(ap_follow_t *f, ap_usec_t pause)
 {
 	return pause + (ap_usec_t)((ap_rng_unit(&f->rng) - 0.5) * JITTER * (double)pause);
@@ -147,6 +160,7 @@
 {
 	if (f->after[0] == '\0') {
 		f->list_as_of = read->as_of;
+		f->seeded = false;
 		f->config.listing(f->config.ctx, true);
 	}
 	deliver_items(f, read, 0);
@@ -180,6 +194,9 @@
 static void enter_era(ap_follow_t *f, uint64_t era, ap_usec_t due, ap_usec_t now)
 {
 	f->era = era;
+	f->seeded = false;
+	if (!has_begun(f))
+		f->as_of = 0;
 	f->last_change = 0;
 	f->announced = 0;
 	f->available_again_at = now;
@@ -190,7 +207,7 @@
 /* Returns whether a response of @era describes the history that is known here. */
 static bool is_known_era(ap_follow_t *f, uint64_t era, ap_usec_t now)
 {
-	if (f->era == 0 && !ap_follow_begun(f))
+	if (f->era == 0 && !has_begun(f))
 		f->era = era;
 	if (era > f->era)
 		enter_era(f, era, now, now);
@@ -231,6 +248,41 @@
 	f->due = now + add_jitter(f, f->config.interval);
 }
 
+bool ap_follow_wants_snapshot(const ap_follow_t *f)
+{
+	return !has_begun(f) && !f->seeded;
+}
+
+bool ap_follow_take_snapshot(ap_follow_t *f, uint64_t era, uint64_t revision)
+{
+	bool newer = era > f->era || (era == f->era && revision > f->as_of);
+
+	if (has_begun(f) || (f->has_snapshot && !newer))
+		return false;
+	f->has_snapshot = true;
+	f->seeded = revision > 0;
+	f->behind_since = 0;
+	f->era = era;
+	f->as_of = revision;
+	return true;
+}
+
+void ap_follow_announced(ap_follow_t *f, uint64_t era, uint64_t revision, ap_usec_t now)
+{
+	if (!f->seeded || era < f->era || (era == f->era && revision <= f->as_of))
+		f->behind_since = 0;
+	else if (f->behind_since == 0)
+		f->behind_since = now;
+	else if (now - f->behind_since >= ANNOUNCED_WAIT)
+		f->seeded = false;
+}
+
+/* Returns whether what is known here describes revision as_of, so that changes can be applied. */
+static bool has_revision(const ap_follow_t *f)
+{
+	return (f->state == STATE_WATCH && !f->relist) || f->seeded;
+}
+
 void ap_follow_relist(ap_follow_t *f, ap_usec_t now)
 {
 	f->relist = true;
@@ -241,9 +293,12 @@
 {
 	if (read->era > f->era)
 		enter_era(f, read->era, now + some_of(f, f->config.interval), now);
-	if (read->era != f->era || f->state != STATE_WATCH || f->relist || after > f->as_of ||
-	    read->as_of <= f->as_of)
+	if (read->era != f->era || !has_revision(f) || read->as_of <= f->as_of)
 		return;
+	if (after > f->as_of) {
+		f->seeded = false;
+		return;
+	}
 	deliver_items(f, read, f->as_of);
 	f->as_of = read->as_of;
 	/*
@@ -300,11 +355,6 @@
 	return f->listed ? now - f->last_response_at : AP_NEVER;
 }
 
-bool ap_follow_begun(const ap_follow_t *f)
-{
-	return f->listed || f->after[0] != '\0';
-}
-
 bool ap_follow_silent(const ap_follow_t *f, ap_usec_t now)
 {
 	return !f->listed || f->backoff > 0 || (f->calling && now > f->response_by);
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -148,10 +148,22 @@
  */
 ap_usec_t ap_follow_age(const ap_follow_t *f, ap_usec_t now);
 /**
- * ap_follow_begun() - returns whether items were read that a snapshot of another instance would
- * replace by older ones: the list has been read, or its first page.
+ * ap_follow_wants_snapshot() - returns whether a snapshot of another instance is needed: nothing of
+ * the list was read, and there is no snapshot from which the relayed changes continue.
  */
-bool ap_follow_begun(const ap_follow_t *f);
+bool ap_follow_wants_snapshot(const ap_follow_t *f);
+/**
+ * ap_follow_take_snapshot() - returns whether to apply a snapshot, like a complete list, that
+ * describes the store at @revision of @era (0 and 0 if unknown). It isn't applied if it is older
+ * than what was read or than an earlier one. Until the list can be read, relayed changes are
+ * applied to it.
+ */
+bool ap_follow_take_snapshot(ap_follow_t *f, uint64_t era, uint64_t revision);
+/**
+ * ap_follow_announced() - other instances know the store up to @revision of @era. A snapshot that
+ * was taken is replaced if that change isn't relayed shortly.
+ */
+void ap_follow_announced(ap_follow_t *f, uint64_t era, uint64_t revision, ap_usec_t now);
 /**
  * ap_follow_silent() - returns whether the store is silent: the last call failed, the response to
  * the one in progress is overdue, or no list has been read.
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -11,9 +11,9 @@
 	assert_int_equal(s.lists, 1);
 	assert_int_equal(ap_follow_due(f), AP_NEVER);
 	assert_int_equal(ap_follow_age(f, START), AP_NEVER);
-	assert_false(ap_follow_begun(f));
+	assert_true(ap_follow_wants_snapshot(f));
 	respond(f, AP_STORE_OK, "a", 10, true, START);
-	assert_true(ap_follow_begun(f));
+	assert_false(ap_follow_wants_snapshot(f));
 	ap_follow_tick(f, START);
 	assert_string_equal(s.after, "a");
 	respond(f, AP_STORE_OK, "b", 12, false, START);
@@ -494,6 +494,43 @@
 	ap_snapshot_free(items);
 }
 
+/* While the store can't be read, a snapshot is brought up to date by what others relay. */
+static void relayed_changes_continue_from_a_snapshot(void **state)
+{
+	seen_t s = {0};
+	ap_follow_t *f = follow(&s);
+	ap_usec_t now = START;
+
+	(void)state;
+	assert_true(ap_follow_wants_snapshot(f));
+	assert_true(ap_follow_take_snapshot(f, 2, 10));
+	assert_false(ap_follow_wants_snapshot(f));
+	relay_in_era(f, 2, 8, "a", 12, now);
+	assert_string_equal(s.items, "a ");
+	/* A message was lost: only a later snapshot helps. */
+	relay_in_era(f, 2, 14, "c", 15, now);
+	assert_string_equal(s.items, "a ");
+	assert_true(ap_follow_wants_snapshot(f));
+	assert_false(ap_follow_take_snapshot(f, 2, 12));
+	assert_false(ap_follow_take_snapshot(f, 1, 40));
+	assert_true(ap_follow_take_snapshot(f, 2, 15));
+	/* Others have read a change that isn't relayed. */
+	ap_follow_announced(f, 2, 15, now);
+	now += AP_SEC;
+	ap_follow_announced(f, 2, 16, now);
+	assert_false(ap_follow_wants_snapshot(f)); /* it may be on its way */
+	now += 150 * AP_MSEC;
+	ap_follow_announced(f, 2, 16, now);
+	assert_true(ap_follow_wants_snapshot(f));
+	/* The list is read after all. */
+	ap_follow_tick(f, now);
+	respond_in_era(f, 2, AP_STORE_OK, "d", 16, false, now);
+	assert_false(ap_follow_wants_snapshot(f));
+	assert_false(ap_follow_take_snapshot(f, 2, 20));
+	assert_int_equal(ap_follow_revision(f), 16);
+	ap_follow_free(f);
+}
+
 /* Three instances read the same changes; a relay passes on one copy, and what only one has. */
 static void changes_that_were_passed_on_are_not_again(void **state)
 {
@@ -528,6 +565,7 @@
 		cmocka_unit_test(relayed_changes_need_no_call),
 		cmocka_unit_test(a_late_response_does_not_undo_relayed_changes),
 		cmocka_unit_test(only_new_watched_changes_are_relayed),
+		cmocka_unit_test(relayed_changes_continue_from_a_snapshot),
 		cmocka_unit_test(changes_that_were_passed_on_are_not_again),
 		cmocka_unit_test(a_lease_is_renewed_well_before_it_expires),
 		cmocka_unit_test(an_expired_lease_is_replaced),
--- a/test/items_world.h
+++ b/test/items_world.h
@@ -14,6 +14,7 @@
 		ap_fleet_list_begin(n->fleet);
 	else
 		ap_fleet_list_end(n->fleet, ap_follow_recovering(n->follow, now), now);
+	n->informed = n->informed || !begin;
 }
 
 static inline void sw_op_item(void *ctx, const ap_store_item_t *item)
@@ -46,6 +47,8 @@
 typedef struct sw_snapshot {
 	sw_instance_t *to;
 	unsigned life;
+	uint64_t era;
+	uint64_t revision;
 	size_t len;
 	unsigned char data[];
 } sw_snapshot_t;
@@ -57,9 +60,12 @@
 
 	(void)arg;
 	/* If the store has responded meanwhile, its items are newer. */
-	if (!n->up || n->life != s->life || ap_follow_begun(n->follow))
+	if (!n->up || n->life != s->life ||
+	    !ap_follow_take_snapshot(n->follow, s->era, s->revision))
 		return;
+	sw_op_listing(n, true);
 	assert_true(ap_snapshot_unpack(s->data, s->len, n, sw_op_item));
+	sw_op_listing(n, false);
 }
 
 /* Takes the items from another instance, as one does that starts while the store is unreachable. */
@@ -71,20 +77,22 @@
 	size_t len;
 	void *bytes;
 
-	if (n->seeded || ap_follow_age(n->follow, w->sim.now) != AP_NEVER ||
-	    w->sim.now - n->started < SW_SEED_DELAY || other == n || !other->up || n->alone ||
-	    other->alone || ap_follow_age(other->follow, w->sim.now) == AP_NEVER)
+	if (!ap_follow_wants_snapshot(n->follow) || w->sim.now < n->seed_at || other == n ||
+	    !other->up || n->alone || other->alone ||
+	    ap_follow_age(other->follow, w->sim.now) == AP_NEVER)
 		return;
 	bytes = ap_snapshot_pack(other->snapshot, NULL, &len);
 	s = calloc(1, sizeof(*s) + len);
 	assert_non_null(s);
 	s->to = n;
 	s->life = n->life;
+	s->era = ap_follow_era(other->follow);
+	s->revision = ap_follow_revision(other->follow);
 	s->len = len;
 	memcpy(s->data, bytes, len);
 	free(bytes);
 	fake_at(&w->sim, w->sim.now + w->seed_time, sw_on_snapshot, NULL, s);
-	n->seeded = true;
+	n->seed_at = w->sim.now + SW_SEED_AGAIN;
 }
 
 #endif
--- a/test/region_world.h
+++ b/test/region_world.h
@@ -67,7 +67,10 @@
 	uint64_t changed;
 	uint64_t era;
 
-	if (ap_fleet_store_watched(n->fleet, now, &era, &changed))
+	bool watched = ap_fleet_store_watched(n->fleet, now, &era, &changed);
+
+	ap_follow_announced(n->follow, era, changed, now);
+	if (watched)
 		ap_follow_stand_by(n->follow, era, changed, now);
 	ap_fleet_set_store_state(n->fleet, ap_follow_watching(n->follow, now),
 				 ap_follow_era(n->follow), ap_follow_last_change(n->follow));
@@ -204,7 +207,8 @@
 	n->up = true;
 	n->started = now;
 	n->ticked_at = now;
-	n->seeded = false;
+	n->seed_at = now + SW_SEED_DELAY;
+	n->informed = false;
 	n->fleet = world_start(n->id, "north", n->life);
 	ap_fleet_set_bounds(n->fleet, &bounds);
 	ap_fleet_set_data_centre(n->fleet, "north-2", "north");
--- a/test/start_run_test.c
+++ b/test/start_run_test.c
@@ -37,13 +37,18 @@
 	f->w->slow = 0;
 }
 
-static void start_most(sw_t *w)
+/* Restarts all but a few, @down or a little more after they ended. */
+static void restart_most(sw_t *w, ap_usec_t down)
 {
 	for (int i = KEPT; i < SW_INSTANCES; i++) {
 		sw_stop(&w->instances[i]);
-		later(w, between(w, 500 * AP_MSEC, 800 * AP_MSEC), restart_end,
+		later(w, between(w, down, down + 300 * AP_MSEC), restart_end,
 		      &(fault_t){.w = w, .target = i});
 	}
+}
+
+static void withdraw_some(sw_t *w)
+{
 	for (int i = 0; i < WITHDRAWN; i++)
 		later(w, between(w, 500 * AP_MSEC, 2500 * AP_MSEC), withdraw,
 		      &(fault_t){.w = w, .target = 2 * i});
@@ -74,7 +79,8 @@
 		w->stable_at = w->sim.now + away + STABLE_TIME;
 		later(w, away, away_end, &(fault_t){.w = w});
 	}
-	start_most(w);
+	restart_most(w, 500 * AP_MSEC);
+	withdraw_some(w);
 	fake_run(&w->sim, w->sim.now + AFTER);
 	if (w->stable_at > 0)
 		fake_run(&w->sim, w->stable_at + SW_DRAIN_TIME + AP_SEC);
@@ -122,12 +128,37 @@
 	play_seeds(300 * AP_MSEC, 2 * AP_SEC);
 }
 
+/*
+ * Guards against instances that start cut off from the store and stay with the snapshot that they
+ * took: they ignored what others relayed, since they had read no list themselves.
+ */
+static void those_cut_off_from_the_store_learn_it_from_others(void **state)
+{
+	sw_t *w = region(one_seed ? one_seed : 1);
+
+	(void)state;
+	for (int i = SW_INSTANCES / 2; i < SW_INSTANCES; i++)
+		w->instances[i].cut = true;
+	restart_most(w, 500 * AP_MSEC);
+	fake_run(&w->sim, w->sim.now + 2 * AP_SEC); /* by now each has its snapshot */
+	withdraw_some(w);
+	fake_run(&w->sim, w->sim.now + AFTER);
+	for (int i = 0; i < SW_INSTANCES; i++)
+		assert_true(w->instances[i].informed);
+	print_message("%u requests, %u upstreams withdrawn, %u requests later than %d s after it\n",
+		      w->sent, w->withdrawn, w->sent_withdrawn, (int)(SW_DRAIN_TIME / AP_SEC));
+	assert_int_equal(w->withdrawn, WITHDRAWN);
+	assert_int_equal(w->sent_withdrawn, 0);
+	sw_free(w);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(instances_that_start_learn_what_left),
 		cmocka_unit_test(they_learn_it_from_a_slow_store),
 		cmocka_unit_test(they_learn_it_from_a_store_that_was_away),
+		cmocka_unit_test(those_cut_off_from_the_store_learn_it_from_others),
 	};
 
 	read_options(argc, argv);
--- a/test/store_world.h
+++ b/test/store_world.h
@@ -32,6 +32,7 @@
 #define SW_REWRITE_TIME (2 * AP_SEC) /* upstreams write lost records again within this time */
 #define SW_CALL_TIMEOUT (700 * AP_MSEC)
 #define SW_SEED_DELAY (300 * AP_MSEC)
+#define SW_SEED_AGAIN (1 * AP_SEC)
 #define SW_FREEZE_MIN (800 * AP_MSEC) /* between ticks of an instance that was frozen */
 #define SW_REQUEST_TIME (200 * AP_MSEC)
 #define SW_REQUEST_EVERY (20 * AP_MSEC) /* of one instance */
@@ -112,7 +113,8 @@
 	ap_registration_t *registration;
 	ap_member_t self;
 	ap_usec_t started;
-	bool seeded;
+	ap_usec_t seed_at; /* when to ask for a snapshot next */
+	bool informed;	   /* has read the list, or a snapshot of another instance */
 	bool frozen;
 	ap_usec_t ticked_at;
 } sw_instance_t;
