--- a/test/start_run_test.c
+++ b/test/start_run_test.c
@@ -152,6 +152,60 @@
 	sw_free(w);
 }
 
+typedef struct named {
+	unsigned answers;
+	unsigned uninformed; /* instances named in them that had nothing to decide by */
+} named_t;
+
+/* Reads the directory at an instance, as callers do. */
+static void read_directory(void *arg, void *data)
+{
+	named_t *named = arg;
+	fault_t *f = data;
+	sw_t *w = f->w;
+	const sw_instance_t *n = &w->instances[ap_rng_below(&w->sim.rng, SW_INSTANCES)];
+	const ap_member_t *members[SW_INSTANCES];
+	bool fallback;
+	size_t count = 0;
+
+	if (n->up && n->informed)
+		count = ap_fleet_directory(n->fleet, NULL, "", "north", members, SW_INSTANCES,
+					   &fallback, w->sim.now);
+	named->answers += count > 0;
+	for (size_t i = 0; i < count; i++) {
+		const sw_instance_t *m = &w->instances[atoi(members[i]->id + 1)];
+
+		named->uninformed += m->up && !m->informed;
+	}
+	f = memcpy(malloc(sizeof(*f)), f, sizeof(*f));
+	fake_at(&w->sim, w->sim.now + 10 * AP_MSEC, read_directory, named, f);
+}
+
+/*
+ * An instance whose record is gone is named to callers once it has something to decide by. One that
+ * restarts before its record expires is named all the while.
+ */
+static void the_directory_names_them_once_they_are_informed(void **state)
+{
+	sw_t *w = region(one_seed ? one_seed : 1);
+	named_t named = {0};
+
+	(void)state;
+	restart_most(w, 5 * AP_SEC); /* their records are gone by then */
+	fake_run(&w->sim, w->sim.now + 4900 * AP_MSEC);
+	w->slow = 600 * AP_MSEC;
+	fake_at(&w->sim, w->sim.now, read_directory, &named,
+		memcpy(malloc(sizeof(fault_t)), &(fault_t){.w = w}, sizeof(fault_t)));
+	fake_run(&w->sim, w->sim.now + 6 * AP_SEC);
+	print_message("%u answers, %u instances named too early\n", named.answers,
+		      named.uninformed);
+	for (int i = 0; i < SW_INSTANCES; i++)
+		assert_true(w->instances[i].informed);
+	assert_true(named.answers > 300);
+	assert_int_equal(named.uninformed, 0);
+	sw_free(w);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -159,6 +213,7 @@
 		cmocka_unit_test(they_learn_it_from_a_slow_store),
 		cmocka_unit_test(they_learn_it_from_a_store_that_was_away),
 		cmocka_unit_test(those_cut_off_from_the_store_learn_it_from_others),
+		cmocka_unit_test(the_directory_names_them_once_they_are_informed),
 	};
 
 	read_options(argc, argv);
