--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -16,6 +16,12 @@
 #define ZMQ_PORT_OFFSET 1
 #define SECRET_LEN (2 * (AP_CURVE_KEY_MAX - 1)) /* bytes: public and secret key */
 
+static void log_unreadable(gateway_t *gate, const char *from)
+{
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL, "s:s", "from",
+			 from);
+}
+
 static bool apply(gateway_t *gate, const char *origin, const void *data, size_t len, ap_usec_t now)
 {
 	bool ok = ap_wire_peek(data, len) == AP_WIRE_CHANGES
@@ -23,8 +29,7 @@
 			  : ap_fleet_receive(gate->fleet, origin, data, len, now);
 
 	if (!ok)
-		ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL, "s:s",
-				 "from", origin);
+		log_unreadable(gate, origin);
 	return ok;
 }
 
@@ -37,14 +42,13 @@
 {
 	gateway_t *gate = ctx;
 	ap_usec_t now = ap_now();
+	uint32_t kind = ap_wire_peek(data, len);
 
-	if (ap_wire_peek(data, len) == AP_WIRE_BATCH) {
+	if (kind == AP_WIRE_BATCH) {
 		if (!ap_fleet_open_batch(gate->fleet, from, data, len, now, gate, on_passed_on))
-			ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.unreadable", NULL,
-					 "s:s", "from", from);
+			log_unreadable(gate, from);
 	} else if (apply(gate, from, data, len, now) &&
-		   (ap_wire_peek(data, len) != AP_WIRE_CHANGES ||
-		    ap_changes_pass_on(gate->follow, data, len))) {
+		   (kind != AP_WIRE_CHANGES || ap_changes_pass_on(gate->follow, data, len))) {
 		ap_fleet_pass_on(gate->fleet, from, data, len, now);
 	}
 	gate_store_tick(gate, now);
