--- a/test/pages_test.sh
+++ b/test/pages_test.sh
@@ -40,6 +40,8 @@
 while read -r commit; do
 	[ -e "test/data/builds/$commit.txt" ] || lack "no recorded messages of $commit"
 done <test/builds/landings
+grep -q "^production = \"$(head -n 1 test/builds/landings)" deploy/system.toml ||
+	lack "deploy/system.toml: production isn't the first commit of test/builds/landings"
 "$1/cmd/arbutuspondctl" --help >/tmp/help.$$
 for page in docs/man/arbutuspondctl.1 $(find docs/operators -name '*.md'); do
 	for option in $(sed 's/\\-/-/g' "$page" | grep -o 'arbutuspondctl.*' | grep -o -- '--[a-z-]*[a-z]'); do
