Record streams whose callers left at their deadline

Cause: a request that its caller left was ordinary if the response had begun, so its record was sampled out.

A caller who leaves when its time is over, or up to 50 ms earlier by its own clock, has not got what it waited for: the record is rare. 'explain' names the upstream. The new cases of record_test fail without the condition and without its margin.

--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -4,6 +4,8 @@
 #include <jansson.h>
 #include <stdio.h>
 
+#define LEFT_MARGIN (50 * AP_MSEC) /* a caller may see its deadline this much earlier */
+
 const ap_usec_t gate_bounds[GATE_BUCKETS] = {
 	5 * AP_MSEC,   10 * AP_MSEC, 25 * AP_MSEC, 50 * AP_MSEC, 100 * AP_MSEC, 250 * AP_MSEC,
 	500 * AP_MSEC, 1 * AP_SEC,   2 * AP_SEC,   4 * AP_SEC,	 8 * AP_SEC,	16 * AP_SEC,
@@ -148,7 +150,7 @@
 
 ap_record_class_t gate_record_class(const gate_end_t *end, ap_usec_t objective)
 {
-	bool answered = end->first > 0;
+	bool gave_up = end->took + LEFT_MARGIN >= end->time;
 
 	if (end->first > objective)
 		return AP_RECORD_RARE;
@@ -157,7 +159,8 @@
 	if (end->outcome == GATE_FAILED)
 		return end->runs > 1 ? AP_RECORD_RARE : AP_RECORD_ORDINARY;
 	if (end->outcome == GATE_DISCONNECTED)
-		return answered || end->took < objective ? AP_RECORD_ORDINARY : AP_RECORD_RARE;
+		return !gave_up && (end->first > 0 || end->took < objective) ? AP_RECORD_ORDINARY
+									     : AP_RECORD_RARE;
 	return AP_RECORD_RARE;
 }
 
@@ -170,6 +173,7 @@
 		.outcome = c->outcome,
 		.first = first,
 		.took = now - x->arrival,
+		.time = x->timeout_at - x->arrival,
 		.runs = x->runs,
 	};
 	ap_record_class_t cls = gate_record_class(&end, x->req.route->objective);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -84,12 +84,14 @@
  * out.
  * @first: time from the arrival to the first chunk of the response, in microseconds; 0 if none came
  * @took: time from the arrival to the end, in microseconds
+ * @time: time from the arrival to the timeout, in microseconds
  * @runs: how many times the request may have run
  */
 typedef struct gate_end {
 	gate_outcome_t outcome;
 	ap_usec_t first;
 	ap_usec_t took;
+	ap_usec_t time;
 	unsigned runs;
 } gate_end_t;
 
@@ -268,8 +270,8 @@
 void gate_record_step(gate_call_t *c, ap_step_t step, const ap_target_t *target);
 /*
  * Returns the class of a request's record. Ordinary: answered in time, failed by the one answer of
- * an upstream, or left by a caller who had the beginning of the answer or has not waited for as
- * long as the route's @objective.
+ * an upstream, or left by a caller before its time was over, who had the beginning of the answer or
+ * has not waited for as long as the route's @objective.
  */
 ap_record_class_t gate_record_class(const gate_end_t *end, ap_usec_t objective);
 /* Counts a finished request, and records it if the log accepts its class, ordinary or rare. */
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define STATE_BEFORE_S 3.0 /* seconds before the arrival from which state records are shown */
+#define LEFT_MARGIN_MS 50  /* a caller may see its deadline this much earlier */
 #define STATE_AFTER_S 0.5  /* seconds after the end of the request until which they are shown */
 
 /* Records of an instance's own state and its view of the fleet, not of a request. */
@@ -404,6 +405,14 @@
 
 	if (strcmp(text_at(record, "outcome"), "left") != 0)
 		return false;
+	if (int_at(record, "first_ms") > 0 && took + LEFT_MARGIN_MS >= int_at(record, "time_ms")) {
+		printf("cause: the caller's time was over after %" PRId64
+		       " ms, before the end of the response from",
+		       took);
+		print_target(step);
+		putchar('\n');
+		return true;
+	}
 	if (int_at(record, "first_ms") > 0 || int_at(record, "objective_ms") == 0 ||
 	    took < int_at(record, "objective_ms")) {
 		puts("cause: the caller disconnected before the end of the response");
--- a/test/explain_test.sh
+++ b/test/explain_test.sh
@@ -28,6 +28,7 @@
 {"wall":1012.0,"steady":17.0,"instance":"n1","event":"request.ended","request":"once","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":900,"time_ms":2500,"runs":1,"no_other":"none","steps":[{"step":"sent","target":"u3","at_ms":0,"expected_ms":30,"running":5},{"step":"caller-left","target":"u3","at_ms":900}]}
 {"wall":1013.0,"steady":18.0,"instance":"n1","event":"request.ended","request":"both","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":2500,"time_ms":2500,"runs":2,"no_other":"none","steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"silent","target":"u3","at_ms":190},{"step":"sent-again","target":"u4","at_ms":190,"expected_ms":40,"running":6},{"step":"caller-left","target":"u3","at_ms":2500}]}
 {"wall":1014.0,"steady":19.0,"instance":"n1","event":"request.ended","request":"hasty","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":20,"time_ms":2500,"runs":1,"steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"caller-left","target":"u3","at_ms":20}]}
+{"wall":1014.5,"steady":19.5,"instance":"n1","event":"request.ended","request":"slow","outcome":"left","reason":"none","status":200,"first_ms":45,"objective_ms":400,"took_ms":9995,"time_ms":10000,"runs":1,"no_other":"none","steps":[{"step":"sent","target":"u5","at_ms":0,"expected_ms":40,"running":30},{"step":"caller-left","target":"u5","at_ms":9995}]}
 {"wall":1015.0,"steady":20.0,"instance":"n1","event":"request.ended","request":"twice","outcome":"failed","reason":"none","status":500,"first_ms":60,"objective_ms":400,"took_ms":60,"time_ms":2500,"runs":2,"steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"failed-at","target":"u3","at_ms":30},{"step":"sent-again","target":"u4","at_ms":30,"expected_ms":40,"running":6}]}
 {"wall":1006.0,"instance":"n1","event":"some.later-version","request":"fine"}
 {"wall":1006.0,"instance":"n1","event":"request.ended","request":"trunc
@@ -48,6 +49,7 @@
 check "a caller who waited in vain, and nothing else was tried" 0 "without a response from u3 (expected 30 ms, 5 running); no other target was tried before" once
 check "two silent upstreams" 0 "without a response from u4 (expected 40 ms, 6 running), tried after u3, silent at 190 ms" both
 check "a caller who left at once" 0 "cause: the caller disconnected before the end of the response" hasty
+check "a stream that was too slow for its caller" 0 "cause: the caller's time was over after 9995 ms, before the end of the response from u5 (expected 40 ms, 30 running)" slow
 check "two failures in a row" 0 "cause: the answer was status 500 from u4 (expected 40 ms, 6 running), after a failure at u3" twice
 check "a request without records" 4 "" nowhere
 grep -q "lines without a record: 2, records of unknown events: 1" "$DIR/err" || {
--- a/test/record_test.c
+++ b/test/record_test.c
@@ -18,7 +18,11 @@
 static ap_record_class_t class_of(gate_outcome_t outcome, ap_usec_t first, ap_usec_t took,
 				  unsigned runs)
 {
-	const gate_end_t end = {.outcome = outcome, .first = first, .took = took, .runs = runs};
+	const gate_end_t end = {.outcome = outcome,
+				.first = first,
+				.took = took,
+				.time = 20 * OBJECTIVE,
+				.runs = runs};
 
 	return gate_record_class(&end, OBJECTIVE);
 }
@@ -38,6 +42,10 @@
 		{OBJECTIVE / 2, 10 * OBJECTIVE, AP_RECORD_ORDINARY},
 		{OBJECTIVE, 10 * OBJECTIVE, AP_RECORD_ORDINARY},
 		{OBJECTIVE + 1, 10 * OBJECTIVE, AP_RECORD_RARE},
+		/* Streams that began in time, and were not complete at the deadline. */
+		{OBJECTIVE / 2, 20 * OBJECTIVE, AP_RECORD_RARE},
+		{OBJECTIVE / 2, 20 * OBJECTIVE - 5 * AP_MSEC, AP_RECORD_RARE},
+		{OBJECTIVE / 2, 20 * OBJECTIVE - OBJECTIVE, AP_RECORD_ORDINARY},
 	};
 
 	(void)state;
