soak, pauses: time in which the test's own process stands still is not the product's

Traced: the test's process, which holds the store, the links and the callers, had not run for 6 s. The instances' own records show the requests ended at their time (3,015 and 3,156 ms), all instances lost the store at once, and the upstreams, processes of their own, tell that they ended at 3.2 s; one instance logged process.frozen for 5.9 s. The checks on lateness now leave out time in which the loop of the test did not turn for half a second, and print it; a turn takes some 10 ms, so that nothing else is excused. A close doesn't reach the other instance either, as the links stand still, so streams that were open then are left out of the check for two at work.

--- a/test/pauses/caller.c
+++ b/test/pauses/caller.c
@@ -35,6 +35,7 @@
 	call_t *q = ctx;
 
 	q->ended = ap_now();
+	q->still = soak_still(&q->p->soak, q->ended) - q->still;
 	q->end = end;
 	q->written = written;
 }
@@ -66,6 +67,7 @@
 	q->kind = (kind_t)ap_rng_below(&s->rng, KINDS);
 	q->framing = (framing_t)ap_rng_below(&s->rng, FRAMINGS - !p->close_framing);
 	q->sent = ap_now();
+	q->still = soak_still(s, q->sent);
 	HASH_ADD_STR(p->calls, id, q);
 	return q;
 }
--- a/test/pauses/check.c
+++ b/test/pauses/check.c
@@ -150,7 +150,7 @@
 		found(q, "held", "no end of the response");
 		return;
 	}
-	if (q->ended - q->sent > TIME_LEFT + HELD_SLACK)
+	if (q->ended - q->sent - q->still > TIME_LEFT + HELD_SLACK)
 		found(q, "held", "the response ended too late");
 	if (is_complete(q) || (double)(q->ended - q->sent) > CUT_FREE * (double)SHORTEST_TIMEOUT)
 		return;
@@ -177,7 +177,9 @@
 	    (q->status == 408 || q->status == 421 || q->status == 429 || q->status == 503) &&
 	    (q->kind == KIND_ONCE || q->kind == KIND_STREAM))
 		found(q, "refused", "a request that has run was refused");
-	if (q->kind >= KINDS_STREAM)
+	/* The links between instances stand still with this process, so no close reaches the other.
+	 */
+	if (q->kind >= KINDS_STREAM || q->still > 0)
 		return;
 	for (unsigned i = 0; i < q->n_runs; i++) {
 		const run_t *a = &q->runs[i];
--- a/test/pauses/main.c
+++ b/test/pauses/main.c
@@ -20,11 +20,14 @@
 const char *const soak_regions[REGIONS] = {"north", "south"};
 
 typedef struct deferred {
+	LIST_ENTRY(deferred) link;
 	pauses_t *p;
 	size_t i;
 	void (*action)(pauses_t *p, size_t i);
 } deferred_t;
 
+static LIST_HEAD(, deferred) deferred_actions = LIST_HEAD_INITIALIZER(deferred_actions);
+
 /* Returns whether @text, which begins with the name of its rule, is one of the rules that count. */
 static bool counts(const pauses_t *p, const char *text)
 {
@@ -60,6 +63,7 @@
 
 	(void)fd;
 	(void)what;
+	LIST_REMOVE(d, link);
 	d->action(d->p, d->i);
 	free(d);
 }
@@ -72,6 +76,7 @@
 	if (!d)
 		abort();
 	*d = (deferred_t){.p = p, .i = i, .action = action};
+	LIST_INSERT_HEAD(&deferred_actions, d, link);
 	event_base_once(p->soak.base, -1, EV_TIMEOUT, on_deferred, d, &tv);
 }
 
@@ -239,6 +244,7 @@
 	for (; now < until && (sending || p->calls == NULL || calls_open(p)); now = ap_now()) {
 		struct timeval tick = {.tv_usec = TICK_MS * 1000};
 
+		soak_turn(&p->soak, now);
 		for (; sending && next_send <= now; next_send += AP_SEC / p->rate)
 			call_send(p);
 		for (; next_heartbeat <= now; next_heartbeat = now + HEARTBEAT_INTERVAL) {
@@ -284,6 +290,7 @@
 static void tear_down(pauses_t *p)
 {
 	soak_t *s = &p->soak;
+	deferred_t *d;
 
 	for (size_t i = 0; i < s->n_instances; i++) {
 		if (s->instances[i].pid > 0) {
@@ -299,6 +306,10 @@
 	ap_http_client_free(s->client);
 	store_free(s->store);
 	event_base_free(s->base);
+	while ((d = LIST_FIRST(&deferred_actions)) != NULL) {
+		LIST_REMOVE(d, link);
+		free(d);
+	}
 }
 
 static void remove_logs(const soak_t *s)
@@ -423,9 +434,10 @@
 	run_for(&p, QUIET_MAX, false, false);
 	check_all(&p);
 	tear_down(&p);
-	printf("seed %llu: %u requests, %zu pauses, %u kills, %u configurations; %u findings\n",
+	printf("seed %llu: %u requests, %zu pauses, %u kills, %u configurations; %lld ms stood "
+	       "still; %u findings\n",
 	       (unsigned long long)p.seed, s->sent, p.n_pauses, p.n_kills, p.n_configs,
-	       s->findings);
+	       (long long)(s->stood_still / AP_MSEC), s->findings);
 	if (s->findings > 0 || s->keep)
 		printf("logs are in %s\n", s->dir);
 	else
--- a/test/pauses/pauses.h
+++ b/test/pauses/pauses.h
@@ -88,6 +88,7 @@
 	instance_t *instance;
 	ap_usec_t sent;
 	ap_usec_t ended; /* at the caller; 0: open */
+	ap_usec_t still; /* while open soak_still() when it was sent, then the difference */
 	int status;
 	ap_http_end_t end;
 	bool written;
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -89,11 +89,11 @@
 static void check_late(call_t *c)
 {
 	ap_usec_t now = ap_now();
+	ap_usec_t took = now - c->q->sent - (soak_still(c->soak, now) - c->q->still);
 
-	if (now - c->q->sent > DEADLINE + LATENESS_MAX &&
-	    now - c->instance->last_disturbed > UNDISTURBED_TIME)
+	if (took > DEADLINE + LATENESS_MAX && now - c->instance->last_disturbed > UNDISTURBED_TIME)
 		soak_finding(c->soak, "held: %s ended only after %lld ms at %s", c->q->id,
-			     (long long)((now - c->q->sent) / AP_MSEC), c->instance->id);
+			     (long long)(took / AP_MSEC), c->instance->id);
 }
 
 static void count(call_t *c, bool complete)
@@ -157,6 +157,7 @@
 	snprintf(q->id, sizeof(q->id), "q%d-%llu", (int)getpid(), (unsigned long long)++s->next_id);
 	q->kind = (soak_kind_t)ap_rng_below(&s->rng, SOAK_KINDS);
 	q->sent = ap_now();
+	q->still = soak_still(s, q->sent);
 	HASH_ADD_STR(s->requests, id, q);
 	return q;
 }
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -355,6 +355,7 @@
 		struct timeval tick = {.tv_usec = TICK_MS * 1000};
 		ap_usec_t now = ap_now();
 
+		soak_turn(s, now);
 		for (; sending && next_send <= now; next_send += AP_SEC / RATE)
 			caller_send(s);
 		if (now >= next_heartbeat) {
@@ -449,6 +450,7 @@
 	for (size_t k = 0; k < FAULTS; k++)
 		printf(" %s %u", faults[k].name, s->fault_kinds[k]);
 	printf(" peer-link %u", s->link_faults);
+	printf("; %lld ms stood still", (long long)(s->stood_still / AP_MSEC));
 	printf("; after recovery %u of %u served; %u findings\n", s->recovered_served,
 	       s->recovered_sent, s->findings);
 	if (s->findings > 0 || s->keep)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -47,6 +47,7 @@
 	bool done;
 	unsigned events; /* of a stream, received in order so far */
 	ap_usec_t sent;
+	ap_usec_t still; /* soak_still() then */
 } request_t;
 
 /* link.c: a TCP relay with faults */
@@ -176,6 +177,8 @@
 	uint64_t next_id;
 	uint64_t version;
 	ap_usec_t start;
+	ap_usec_t turn_at;     /* when the current turn of the loop began */
+	ap_usec_t stood_still; /* in turns before that one */
 	ap_usec_t store_last_disturbed;
 	bool recovered; /* faults are over and the recovery wait too: requests must be served */
 	unsigned sent;
@@ -192,6 +195,26 @@
 	unsigned fault_kinds[32];
 };
 
+#define SOAK_STILL_MIN (500 * AP_MSEC) /* many times the length of a turn */
+
+/*
+ * Returns for how long this process has stood still since its start. What instances and upstreams
+ * did meanwhile is seen that much later, so it is no part of the time that a request took.
+ */
+static inline ap_usec_t soak_still(const soak_t *s, ap_usec_t now)
+{
+	ap_usec_t turn = s->turn_at ? now - s->turn_at : 0;
+
+	return s->stood_still + (turn > SOAK_STILL_MIN ? turn : 0);
+}
+
+/* Begins a turn of the loop. */
+static inline void soak_turn(soak_t *s, ap_usec_t now)
+{
+	s->stood_still = soak_still(s, now);
+	s->turn_at = now;
+}
+
 void soak_finding(soak_t *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 
 #endif
