Notice callers that reset, and don't serve those who left before they were read

What callers saw: an instance with a few callers that reset their connections before a response began spun at a full core until the requests ended, and worked on for them: with a silent upstream it even sent second attempts (GONE).

Class: one event of several is awaited alone. Beside it, a request whose caller had left before it was read was dispatched, and its close handled a turn of the loop later; and in a response a caller whose unread bytes fill the buffer wasn't read any more, so that its reset was noticed with the next write only.

Change: the handler waits for EV_READ too, edge-triggered since bytes of the next request stay unread, and asks the socket whether the peer has left.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -66,7 +66,8 @@
  *               above the limit are refused, connections beyond those are closed at once
  * @idle: timeout of a connection without a request, and of a response that the caller does not read
  * @arrival: maximum time from the first to the last byte of a request, 0 for no limit
- * @request: called for each complete request
+ * @request: called for each complete request, unless the caller has left; one that has closed its
+ *           own direction only counts as having left
  * @refused: called for a request that is refused; must call ap_http_reply() before it returns,
  *           and no other function on @call. When NULL, the library sends its own responses and no
  *           request is refused for @connections or because the server was stopped
@@ -113,12 +114,14 @@
  * @timed_out: requests that did not arrive within the arrival limit
  * @refused: requests refused because too many connections were open
  * @closed: connections closed at once because too many connections were open
+ * @left: complete requests not served, since the caller had left before they were read
  */
 typedef struct ap_http_server_stats {
 	size_t open;
 	uint64_t timed_out;
 	uint64_t refused;
 	uint64_t closed;
+	uint64_t left;
 } ap_http_server_stats_t;
 
 ap_http_server_stats_t ap_http_server_stats(const ap_http_server_t *server);
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -7,6 +7,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -20,6 +21,7 @@
 #define STATUS_LINE_MIN 12  /* bytes up to the end of the status code */
 #define STATUS_AT 9	    /* offset of the status code in a status line */
 #define STATUS_CONTINUE 100
+#define UNREAD_CHECK (100 * AP_MSEC) /* between checks of a caller whose bytes aren't read */
 
 /**
  * struct lingering_conn - a connection that got its last response and is read until the caller
@@ -167,6 +169,29 @@
 	}
 }
 
+bool conn_peer_left(const server_conn_t *conn)
+{
+	struct pollfd peer = {.fd = bufferevent_getfd(conn->bev), .events = POLLRDHUP};
+
+	return poll(&peer, 1, 0) > 0;
+}
+
+/* A full input buffer stops reading, and with it the notice of a caller that leaves. */
+static void check_later(server_conn_t *conn)
+{
+	struct timeval soon = ap_timeval(UNREAD_CHECK);
+
+	event_add(conn->timer, &soon);
+}
+
+static void check_unread(server_conn_t *conn)
+{
+	if (conn_peer_left(conn))
+		drop(conn);
+	else
+		check_later(conn);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	server_conn_t *conn = arg;
@@ -177,6 +202,10 @@
 		adopt(conn);
 		return;
 	}
+	if (conn->call) {
+		check_unread(conn);
+		return;
+	}
 	conn->server->stats.timed_out++;
 	refuse(conn, AP_HTTP_REFUSED_TIMEOUT);
 	drop(conn);
@@ -231,8 +260,13 @@
 {
 	server_conn_t *conn = arg;
 
-	if (info->n_added == 0 || conn->call || conn->refused)
+	if (info->n_added == 0 || conn->refused)
+		return;
+	if (conn->call) {
+		if (evbuffer_get_length(in) >= PIPELINED_MAX)
+			check_later(conn);
 		return;
+	}
 	if (!conn->arriving)
 		begin_arrival(conn);
 	count_head(conn, in, info->n_added);
@@ -406,6 +440,7 @@
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
 
 	conn->call = NULL;
+	event_del(conn->timer);
 	if (evbuffer_get_length(in) == 0)
 		return;
 	begin_arrival(conn);
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -14,8 +14,7 @@
 
 #define ARRIVED_TIME (500 * AP_MSEC) /* to read what had arrived when the server stopped */
 #define BACKLOG 1024
-#define PIPELINED_MAX 65536 /* bytes that a caller may send while its request is in progress */
-#define ACCEPT_PAUSE_MS 20  /* pause after a failed accept, as when no descriptor is free */
+#define ACCEPT_PAUSE_MS 20 /* pause after a failed accept, as when no descriptor is free */
 
 static struct bufferevent *call_bev(const ap_http_call_t *call)
 {
@@ -104,6 +103,8 @@
 
 	(void)fd;
 	(void)what;
+	if (!conn_peer_left(conn))
+		return;
 	conn->call = NULL;
 	notify_closed(call);
 	call_free(call);
@@ -128,6 +129,18 @@
 	return !server->listener && ap_now() - server->stopped_at > ARRIVED_TIME;
 }
 
+/*
+ * Waits for the caller to close or reset its connection. Of a reset the event loop reports only
+ * that the socket is readable and writable. It is edge-triggered, since bytes of the caller's next
+ * request stay unread until the response starts.
+ */
+static bool watch_hangup(ap_http_call_t *call)
+{
+	call->hangup = event_new(call->server->config.base, bufferevent_getfd(call_bev(call)),
+				 EV_READ | EV_CLOSED | EV_ET | EV_PERSIST, on_hangup, call);
+	return call->hangup && event_add(call->hangup, NULL) == 0;
+}
+
 static void on_request(struct evhttp_request *req, void *arg)
 {
 	ap_http_server_t *server = arg;
@@ -150,16 +163,18 @@
 	bev = call_bev(call);
 	bufferevent_set_timeouts(bev, NULL, &server->idle);
 	bufferevent_setwatermark(bev, EV_READ, 0, PIPELINED_MAX);
-	call->hangup =
-		event_new(server->config.base, bufferevent_getfd(bev), EV_CLOSED, on_hangup, call);
-	if (call->hangup)
-		event_add(call->hangup, NULL);
-	if (server->config.refused && stopped_long_ago(server))
+	if (!watch_hangup(call))
+		ap_log(LOG_ERR, "no memory to notice that a caller closes its connection");
+	if (call->hangup && conn_peer_left(conn)) {
+		server->stats.left++;
+		event_active(call->hangup, EV_CLOSED, 0);
+	} else if (server->config.refused && stopped_long_ago(server)) {
 		refuse(call, AP_HTTP_REFUSED_STOPPED);
-	else if (server->config.refused && conn_over_limit(conn))
+	} else if (server->config.refused && conn_over_limit(conn)) {
 		refuse(call, AP_HTTP_REFUSED_CONNECTIONS);
-	else
+	} else {
 		server->config.request(server->config.ctx, call);
+	}
 }
 
 static void on_accept_retry(evutil_socket_t fd, short what, void *arg)
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -11,6 +11,8 @@
 #define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
 #include <uthash.h>
 
+#define PIPELINED_MAX 65536 /* bytes that a caller may send while its request is in progress */
+
 typedef struct server_conn server_conn_t;
 typedef struct lingering_conn lingering_conn_t;
 
@@ -18,7 +20,7 @@
  * struct ap_http_call - one request.
  * @req: NULL for a request that the library rejected; the response is written to the socket
  *       directly
- * @hangup: fires when the caller closes the connection before the response starts
+ * @hangup: fires when the caller leaves before the response starts, or sends more
  * @path: path of the target, without the query
  * @ended: the response was ended, but is not fully sent
  */
@@ -38,7 +40,8 @@
 /**
  * struct server_conn - one open connection of a caller.
  * @evcon: the library's connection; NULL until the library has attached it to @bev
- * @timer: time limit on the arrival of a request; also runs once to attach @evcon
+ * @timer: time limit on the arrival of a request; runs once to attach @evcon; checks during a
+ *         response whether the caller has left, while its bytes aren't read
  * @call: the request being served; NULL between requests
  * @arriving: part of a request has arrived
  * @head_bytes: bytes of its request line and headers so far, counted to just above their limit
@@ -94,6 +97,8 @@
 void conn_response_sent(server_conn_t *conn);
 /* conn_over_limit() - whether the request on @conn is refused because of the connection limit. */
 bool conn_over_limit(server_conn_t *conn);
+/* conn_peer_left() - whether the caller has closed or reset the connection, bytes unread or not. */
+bool conn_peer_left(const server_conn_t *conn);
 /* conn_send_last() - sends @out without the library and closes the connection. */
 void conn_send_last(server_conn_t *conn, struct evbuffer *out);
 /* conn_drop_idle() - closes connections without a request in flight or bytes to read. */
