Bound numbers from outside where they are decoded

What could happen: another writer's record with a number too large made the conversion to 64 bits undefined (x86-64 and arm64 differ); a cold time of more than 49 days, in a record or a health check, made all other instances refuse everything that the instance announced that had read it.

Cause: decoders multiplied and cast before they checked. Class: unchecked conversion at a trust boundary.

Durations are at most INT32_MAX ms, which messages between instances hold.

--- a/adapters/http/headers.c
+++ b/adapters/http/headers.c
@@ -28,7 +28,7 @@
 
 	if (!timeout)
 		return AP_NEVER;
-	keep = strtol(timeout + strlen("timeout="), NULL, 10) * AP_SEC - KEEP_ALIVE_MARGIN;
+	keep = ap_duration(strtod(timeout + strlen("timeout="), NULL), AP_SEC) - KEEP_ALIVE_MARGIN;
 	return keep > 0 ? keep : 0;
 }
 
--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -63,7 +63,7 @@
 	return AP_SETTINGS_OK;
 }
 
-static bool is_ip(const char *text)
+bool ap_is_ip(const char *text)
 {
 	unsigned char buf[16];
 
@@ -74,7 +74,7 @@
 {
 	const char *text = json_string_value(value);
 
-	if (!text || !is_ip(text) || !ap_copy_name(at, AP_HOST_MAX, text))
+	if (!text || !ap_is_ip(text) || !ap_copy_name(at, AP_HOST_MAX, text))
 		return invalid(l, key, "must be a numeric IP address");
 	return AP_SETTINGS_OK;
 }
@@ -110,7 +110,7 @@
 	if (end == colon + 1 || *end || port < 1 || port > UINT16_MAX)
 		return false;
 	out->port = (uint16_t)port;
-	return is_ip(host) && ap_copy_name(out->host, sizeof(out->host), host);
+	return ap_is_ip(host) && ap_copy_name(out->host, sizeof(out->host), host);
 }
 
 static ap_settings_status_t read_address(loader_t *l, const char *key, json_t *value, void *at)
--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -166,7 +166,7 @@
 {
 	const char *line = strstr(text, name);
 
-	return line ? strtod(line + strlen(name), NULL) : 0;
+	return line ? ap_bounded(strtod(line + strlen(name), NULL), UINT32_MAX) : 0;
 }
 
 static void check_drain_header(const query_t *query, const ap_call_response_t *a)
--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -75,7 +75,7 @@
 	if (!doc)
 		return false;
 	tokens = json_object_get(json_object_get(doc, "usage"), "completion_tokens");
-	x->stream.tokens = (uint32_t)json_integer_value(tokens);
+	x->stream.tokens = (uint32_t)ap_bounded(json_number_value(tokens), UINT32_MAX);
 	usage_read(doc, &x->stream.usage);
 	json_decref(doc);
 	return true;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define DEFAULT_TIME_LEFT (30 * AP_SEC)	  /* for requests without a deadline */
-#define HEARD_MAX_MS 600000		  /* above any timeout of a route */
+#define HEARD_MAX (600 * AP_SEC)	  /* above any timeout of a route */
 #define EARLY_RETRY_AFTER (300 * AP_MSEC) /* in every 503 of reply_early() */
 
 /* Responds to a request that has no exchange; nothing was sent, so it certainly did not run. */
@@ -77,9 +77,9 @@
 static ap_usec_t heard_since(ap_http_call_t *call, ap_usec_t now)
 {
 	const char *within = ap_http_call_header(call, FORWARD_HEADER_HEARD);
-	long ms = within ? strtol(within, NULL, 10) : 0;
+	ap_usec_t silent = within ? ap_duration(strtod(within, NULL), AP_MSEC) : 0;
 
-	return ms > 0 && ms < HEARD_MAX_MS ? now - ms * AP_MSEC : 0;
+	return silent > 0 && silent < HEARD_MAX ? now - silent : 0;
 }
 
 static void fill_dispatch(gate_call_t *c, const ap_host_request_t *r, ap_usec_t now)
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -183,8 +183,8 @@
 	}
 	if (is_far(c->gate, target) && wait)
 		ap_fleet_set_remote_wait(c->gate->fleet, target->region, c->x.req.pool->name,
-					 c->x.req.route->priority, strtol(wait, NULL, 10) * AP_MSEC,
-					 ap_now());
+					 c->x.req.route->priority,
+					 ap_duration(strtod(wait, NULL), AP_MSEC), ap_now());
 	clear_response(a);
 	a->status = head->status;
 	TAILQ_FOREACH (h, head->headers, next)
--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -136,6 +136,18 @@
 	va_end(args);
 }
 
+double ap_bounded(double number, double max)
+{
+	if (!(number > 0))
+		return 0;
+	return number < max ? number : max;
+}
+
+ap_usec_t ap_duration(double number, ap_usec_t units)
+{
+	return (ap_usec_t)ap_bounded(number * (double)units, (double)AP_DURATION_MAX);
+}
+
 bool ap_copy_name(char *dst, size_t size, const char *src)
 {
 	size_t len = strlen(src);
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -24,6 +24,8 @@
 #define AP_MSEC ((ap_usec_t)1000)
 #define AP_SEC ((ap_usec_t)1000000)
 #define AP_NEVER INT64_MAX
+/* Longest duration that is taken from outside. In milliseconds it fits into 32 bits. */
+#define AP_DURATION_MAX ((ap_usec_t)INT32_MAX * AP_MSEC)
 
 /**
  * struct ap_id - 128 random bits, new at each start of a process (its incarnation).
@@ -90,6 +92,14 @@
 /** ap_err_set() - formats the message, truncated to its size; @err may be NULL. */
 void ap_err_set(ap_err_t *err, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 
+/** ap_bounded() - @number within 0 and @max; 0 for what is no number. */
+double ap_bounded(double number, double max);
+/**
+ * ap_duration() - converts a number from outside, in @units of microseconds, to a duration of at
+ * least 0 and at most AP_DURATION_MAX, so that sums with times don't overflow.
+ */
+ap_usec_t ap_duration(double number, ap_usec_t units);
+
 /** ap_copy_name() - copies @src, truncated to @size bytes. Return: false when it was truncated. */
 bool ap_copy_name(char *dst, size_t size, const char *src);
 
