Read durations of other instances within bounds, instead of refusing all they tell

An instance of an earlier build announces the cold time of an odd record as it is; one number over 32 bits made a receiver refuse the whole announcement: loads, drains, ends. In one place the sum was made before the check.

ap_wire_msec() bounds a duration as it is decoded; all kinds of knowledge use it. odd_record_test announces such a time: not understood before, understood now.

--- a/lib/fleet/brittle.c
+++ b/lib/fleet/brittle.c
@@ -197,10 +197,9 @@
 	while (brittle->left >= 3) {
 		ap_replica_t *r = ap_replica_by_tag(f, (uint32_t)ap_wire_u64(brittle));
 		double refusals = (double)ap_wire_u64(brittle) / MILLI;
-		uint64_t age_ms = ap_wire_u64(brittle);
-		ap_usec_t at = now - (ap_usec_t)age_ms * AP_MSEC;
+		ap_usec_t at = now - ap_wire_msec(brittle);
 
-		if (!brittle->ok || age_ms > UINT32_MAX)
+		if (!brittle->ok)
 			return false;
 		if (r && at > r->brittle_at)
 			set_brittle(f, r, refusals, at, now);
--- a/lib/fleet/cold.c
+++ b/lib/fleet/cold.c
@@ -124,13 +124,13 @@
 {
 	while (colds->left >= 2) {
 		ap_replica_t *r = ap_replica_by_tag(f, (uint32_t)ap_wire_u64(colds));
-		uint64_t cold_ms = ap_wire_u64(colds);
+		ap_usec_t cold_left = ap_wire_msec(colds);
 
-		if (!colds->ok || cold_ms > UINT32_MAX)
+		if (!colds->ok)
 			return false;
 		if (!r)
 			continue;
-		ap_replica_set_cold_left(f, r, (ap_usec_t)cold_ms * AP_MSEC, "instance", now);
+		ap_replica_set_cold_left(f, r, cold_left, "instance", now);
 		if (r->watched && watcher_score(r, from) < watcher_score(r, f->config.id))
 			continue;
 		r->watched = false;
--- a/lib/fleet/leaving.c
+++ b/lib/fleet/leaving.c
@@ -125,11 +125,10 @@
 {
 	while (leaving->left >= 2) {
 		uint32_t tag = (uint32_t)ap_wire_u64(leaving);
-		uint64_t age_ms = ap_wire_u64(leaving);
-		ap_usec_t at = now - (ap_usec_t)age_ms * AP_MSEC;
+		ap_usec_t at = now - ap_wire_msec(leaving);
 		ap_leaving_t *l;
 
-		if (!leaving->ok || age_ms > UINT32_MAX)
+		if (!leaving->ok)
 			return false;
 		l = get(f, tag);
 		if (l && at > l->at)
--- a/lib/fleet/limit.c
+++ b/lib/fleet/limit.c
@@ -100,13 +100,12 @@
 		ap_replica_t *r = ap_replica_by_tag(f, (uint32_t)ap_wire_u64(&e));
 		bool limited = ap_wire_bool(&e);
 		double limit = (double)ap_wire_u64(&e) / MILLI;
-		uint64_t age_ms = ap_wire_u64(&e);
+		ap_usec_t age = ap_wire_msec(&e);
 
-		if (!e.ok || age_ms > UINT32_MAX)
+		if (!e.ok)
 			return false;
 		if (r)
-			limit_heard(f, r, limited ? limit : -1, now - (ap_usec_t)age_ms * AP_MSEC,
-				    now);
+			limit_heard(f, r, limited ? limit : -1, now - age, now);
 	}
 	return limits->ok;
 }
--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -65,14 +65,14 @@
 	while (health->left > 0) {
 		ap_wire_reader_t e = ap_wire_array(health);
 		ap_replica_t *r = ap_replica_by_tag(f, (uint32_t)ap_wire_u64(&e));
-		uint64_t cold_ms = ap_wire_u64(&e);
+		ap_usec_t cold_left = ap_wire_msec(&e);
 
-		if (!e.ok || cold_ms > UINT32_MAX)
+		if (!e.ok)
 			return false;
 		if (!r)
 			continue;
 		r->check_answered_at = now;
-		ap_replica_set_cold_left(f, r, (ap_usec_t)cold_ms * AP_MSEC, "instance", now);
+		ap_replica_set_cold_left(f, r, cold_left, "instance", now);
 	}
 	return true;
 }
@@ -97,15 +97,15 @@
 	while (evacuations->left > 0) {
 		ap_wire_reader_t e = ap_wire_array(evacuations);
 		char data_centre[AP_NAME_MAX];
-		uint64_t age_ms;
+		ap_usec_t age;
 		bool ended;
 
 		ap_wire_str(&e, data_centre, sizeof(data_centre));
 		ended = ap_wire_bool(&e);
-		age_ms = ap_wire_u64(&e);
-		if (!e.ok || age_ms > UINT32_MAX)
+		age = ap_wire_msec(&e);
+		if (!e.ok)
 			return false;
-		ap_evacuation_heard(f, data_centre, ended, now - (ap_usec_t)age_ms * AP_MSEC, now);
+		ap_evacuation_heard(f, data_centre, ended, now - age, now);
 	}
 	return evacuations->ok;
 }
@@ -261,13 +261,12 @@
 
 		ap_wire_str(&e, pool, sizeof(pool));
 		for (unsigned i = 0; i < ANNOUNCED_WAITS; i++) {
-			/* UINT32_MAX stands for AP_NEVER and becomes a wait of 49 days. */
-			uint64_t wait = ap_wire_u64(&e);
+			/* UINT32_MAX stands for AP_NEVER and becomes AP_DURATION_MAX. */
+			ap_usec_t wait = ap_wire_msec(&e);
 
-			if (!e.ok || wait > UINT32_MAX)
+			if (!e.ok)
 				return false;
-			ap_fleet_set_remote_wait(f, region, pool, i, (ap_usec_t)wait * AP_MSEC,
-						 now);
+			ap_fleet_set_remote_wait(f, region, pool, i, wait, now);
 		}
 	}
 	return true;
--- a/lib/fleet/suspect-wire.c
+++ b/lib/fleet/suspect-wire.c
@@ -141,11 +141,10 @@
 {
 	while (r->left >= 2) {
 		ap_end_trait_t t = {.trait = ap_wire_u64(r), .is_request = requests};
-		uint64_t before_ms = ap_wire_u64(r);
 
-		if (!r->ok || before_ms > UINT32_MAX)
+		t.sent = at - ap_wire_msec(r);
+		if (!r->ok)
 			return false;
-		t.sent = at - (ap_usec_t)before_ms * AP_MSEC;
 		if (ap_end_add_trait(f, end, &t))
 			f->evidence_changed_at = now;
 	}
@@ -155,14 +154,12 @@
 static bool apply_end(ap_fleet_t *f, ap_wire_reader_t *e, ap_usec_t now)
 {
 	uint32_t tag = (uint32_t)ap_wire_u64(e);
-	uint64_t age_ms = ap_wire_u64(e);
+	ap_usec_t at = now - ap_wire_msec(e);
 	ap_wire_reader_t requests;
 	ap_upstream_end_t *end;
-	ap_usec_t at;
 
-	if (!e->ok || age_ms > UINT32_MAX || e->left > TRAITS_OF_END_MAX)
+	if (!e->ok || e->left > TRAITS_OF_END_MAX)
 		return false;
-	at = now - (ap_usec_t)age_ms * AP_MSEC;
 	end = ap_end_get(f, tag, at);
 	if (!apply_traits(f, end, e, false, at, now))
 		return false;
@@ -178,11 +175,11 @@
 {
 	while (completed->left >= 2) {
 		uint64_t trait = ap_wire_u64(completed);
-		uint64_t age_ms = ap_wire_u64(completed);
+		ap_usec_t age = ap_wire_msec(completed);
 
-		if (!completed->ok || age_ms > UINT32_MAX)
+		if (!completed->ok)
 			return false;
-		if (ap_trait_completed(f, trait, now - (ap_usec_t)age_ms * AP_MSEC))
+		if (ap_trait_completed(f, trait, now - age))
 			f->evidence_changed_at = now;
 	}
 	while (ends->left > 0) {
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -139,6 +139,13 @@
 	return 0;
 }
 
+ap_usec_t ap_wire_msec(ap_wire_reader_t *r)
+{
+	uint64_t ms = ap_wire_u64(r);
+
+	return ms < INT32_MAX ? (ap_usec_t)ms * AP_MSEC : AP_DURATION_MAX;
+}
+
 int64_t ap_wire_i64(ap_wire_reader_t *r)
 {
 	const msgpack_object *o = next_element(r);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -110,6 +110,8 @@
 
 ap_wire_reader_t ap_wire_reader(const msgpack_object *array);
 uint64_t ap_wire_u64(ap_wire_reader_t *r);
+/** ap_wire_msec() - reads milliseconds as a duration, at most AP_DURATION_MAX. */
+ap_usec_t ap_wire_msec(ap_wire_reader_t *r);
 int64_t ap_wire_i64(ap_wire_reader_t *r);
 double ap_wire_f64(ap_wire_reader_t *r);
 bool ap_wire_bool(ap_wire_reader_t *r);
--- a/test/odd_record_test.c
+++ b/test/odd_record_test.c
@@ -256,6 +256,8 @@
 	for (size_t i = 0; i < net.n; i++)
 		ap_fleet_update_replica(net.fleets[i], &e, now);
 	ap_fleet_health_checked(net.fleets[0], e.id, e.cold_left, now);
+	/* As an instance of an earlier build would. */
+	ap_fleet_health_checked(net.fleets[1], e.id, 100 * 24 * 3600 * AP_SEC, now);
 	for (int i = 0; i < 20; i++) {
 		now += 100 * AP_MSEC;
 		net_announce(&net, now); /* asserts that each message is understood */
