Read the store's other items when one is odd

What could happen: another writer's key with a null byte in it, or an item without a usable key or value, made the whole page or change unreadable. The instance asked again and again and followed the store no more: no new configuration, no drains.

Cause: the response was decoded as a whole or not at all. Class: one bad element rejects a batch.

A page of which no item is usable is asked for again, it doesn't end the list.

--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -155,6 +155,14 @@
 	f->announced = 0;
 }
 
+static void back_off(ap_follow_t *f, ap_usec_t now)
+{
+	f->backoff = f->backoff ? f->backoff * 2 : BACKOFF_INITIAL;
+	if (f->backoff > BACKOFF_MAX)
+		f->backoff = BACKOFF_MAX;
+	f->due = now + add_jitter(f, f->backoff);
+}
+
 /* The pages are no consistent snapshot, so the watch starts at the first page's revision. */
 static void apply_page(ap_follow_t *f, const ap_store_read_t *read, ap_usec_t now)
 {
@@ -164,7 +172,12 @@
 		f->config.listing(f->config.ctx, true);
 	}
 	deliver_items(f, read, 0);
-	if (read->more && read->n > 0) {
+	/* Of a page without usable items it isn't known where the next one begins. */
+	if (read->more && read->n == 0) {
+		back_off(f, now);
+		return;
+	}
+	if (read->more) {
 		ap_copy_name(f->after, sizeof(f->after), read->items[read->n - 1].key);
 		f->due = now;
 		return;
@@ -179,14 +192,6 @@
 	f->due = now + add_jitter(f, f->config.interval);
 }
 
-static void back_off(ap_follow_t *f, ap_usec_t now)
-{
-	f->backoff = f->backoff ? f->backoff * 2 : BACKOFF_INITIAL;
-	if (f->backoff > BACKOFF_MAX)
-		f->backoff = BACKOFF_MAX;
-	f->due = now + add_jitter(f, f->backoff);
-}
-
 /*
  * The store returned to an older copy of itself and gives out again the revisions after that
  * copy's. The list is read anew at @due. Keys whose last write was lost may be written again.
--- a/test/store_client_test.c
+++ b/test/store_client_test.c
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <stdio.h>
 #include <string.h>
 
 typedef struct rig {
@@ -16,6 +17,8 @@
 	const char *era; /* header of the response; NULL for none */
 	const char *body;
 	ap_store_read_t read;
+	char last_key[AP_STORE_KEY_MAX]; /* of its last item */
+	size_t last_len;		 /* bytes of that item's value */
 } rig_t;
 
 static void on_request(void *ctx, ap_http_call_t *call)
@@ -31,6 +34,11 @@
 	rig_t *rig = ctx;
 
 	rig->read = *read;
+	rig->last_key[0] = '\0';
+	if (read->n > 0) {
+		ap_copy_name(rig->last_key, sizeof(rig->last_key), read->items[read->n - 1].key);
+		rig->last_len = read->items[read->n - 1].len;
+	}
 	event_base_loopbreak(rig->base);
 }
 
@@ -48,27 +56,39 @@
 	ap_host_store_free(store);
 }
 
-/* Guards against revisions of different eras that are taken for those of one history. */
-static void each_response_states_the_era(void **state)
+static void rig_serve(rig_t *rig)
 {
-	static const char changes[] = "{\"events\":[{\"key\":\"k\",\"rev\":9,\"deleted\":true}],"
-				      "\"asOf\":9}";
-	rig_t rig = {.base = ap_http_base_new()};
 	ap_http_server_config_t config = {
-		.base = rig.base,
+		.base = rig->base,
 		.host = "127.0.0.1",
 		.header_bytes = 4096,
 		.body_bytes = 4096,
 		.connections = 8,
 		.idle = AP_SEC,
 		.arrival = AP_SEC,
-		.ctx = &rig,
+		.ctx = rig,
 		.request = on_request,
 	};
 	ap_err_t err;
 
+	assert_int_equal(ap_http_server_new(&config, &rig->server, &err), AP_HTTP_STATUS_OK);
+}
+
+static void rig_stop(rig_t *rig)
+{
+	ap_http_server_free(rig->server);
+	event_base_free(rig->base);
+}
+
+/* Guards against revisions of different eras that are taken for those of one history. */
+static void each_response_states_the_era(void **state)
+{
+	static const char changes[] = "{\"events\":[{\"key\":\"k\",\"rev\":9,\"deleted\":true}],"
+				      "\"asOf\":9}";
+	rig_t rig = {.base = ap_http_base_new()};
+
 	(void)state;
-	assert_int_equal(ap_http_server_new(&config, &rig.server, &err), AP_HTTP_STATUS_OK);
+	rig_serve(&rig);
 	watch(&rig, 200, "3", changes);
 	assert_int_equal(rig.read.end, AP_STORE_OK);
 	assert_int_equal(rig.read.n, 1);
@@ -80,14 +100,82 @@
 	watch(&rig, 200, NULL, changes);
 	assert_int_equal(rig.read.end, AP_STORE_OK);
 	assert_int_equal(rig.read.era, 0);
-	ap_http_server_free(rig.server);
-	event_base_free(rig.base);
+	rig_stop(&rig);
+}
+
+/*
+ * Guards against one odd item in a page or a change that kept an instance from reading all others:
+ * it stopped following the store.
+ */
+static void an_odd_item_hides_no_other(void **state)
+{
+	static const char *const items[] = {
+		"{\"key\":\"servers/\\u0000\",\"value\":\"eA==\",\"rev\":8}",
+		"{\"key\":\"servers/a\\u0000b\",\"value\":\"eA==\",\"rev\":8}",
+		"{\"key\":\"servers/a\",\"value\":\"no base64!\",\"rev\":8}",
+		"{\"key\":\"servers/a\",\"value\":\"eA\",\"rev\":8}",
+		"{\"key\":\"servers/a\",\"value\":7,\"rev\":8}",
+		"{\"key\":7,\"rev\":8}",
+		"{\"rev\":8}",
+		"{\"key\":\"\",\"value\":\"eA==\",\"rev\":8}",
+		"[]",
+		"null",
+		"7",
+	};
+	rig_t rig = {.base = ap_http_base_new()};
+
+	(void)state;
+	rig_serve(&rig);
+	for (size_t i = 0; i < sizeof(items) / sizeof(items[0]); i++) {
+		char body[512];
+		bool known = false;
+
+		snprintf(
+			body, sizeof(body),
+			"{\"events\":[%s,{\"key\":\"k\",\"value\":\"eA==\",\"rev\":9}],\"asOf\":9}",
+			items[i]);
+		watch(&rig, 200, NULL, body);
+		assert_int_equal(rig.read.end, AP_STORE_OK);
+		assert_int_equal(rig.read.as_of, 9);
+		assert_string_equal(rig.last_key, "k");
+		assert_int_equal(rig.last_len, 1);
+		/* An item whose value can't be read is delivered without it, if its key is known.
+		 */
+		known = strstr(items[i], "\"servers/a\"") != NULL;
+		assert_int_equal(rig.read.n, known ? 2 : 1);
+	}
+	rig_stop(&rig);
+}
+
+/* The same for a key that is longer than an instance holds. */
+static void a_long_key_hides_no_other(void **state)
+{
+	rig_t rig = {.base = ap_http_base_new()};
+	char key[AP_STORE_KEY_MAX + 1];
+	char body[1024];
+
+	(void)state;
+	memset(key, 'k', sizeof(key));
+	key[AP_STORE_KEY_MAX] = '\0';
+	rig_serve(&rig);
+	snprintf(body, sizeof(body),
+		 "{\"events\":[{\"key\":\"%s\",\"rev\":8},{\"key\":\"k\",\"value\":\"eA==\","
+		 "\"rev\":9}],"
+		 "\"asOf\":9}",
+		 key);
+	watch(&rig, 200, NULL, body);
+	assert_int_equal(rig.read.end, AP_STORE_OK);
+	assert_int_equal(rig.read.n, 1);
+	assert_string_equal(rig.last_key, "k");
+	rig_stop(&rig);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(each_response_states_the_era),
+		cmocka_unit_test(an_odd_item_hides_no_other),
+		cmocka_unit_test(a_long_key_hides_no_other),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
