Wait for a caller's hang-up without edge triggering

Now the handler waits level-triggered, once. If it is woken by bytes of a next request, the socket is asked every 100 ms whether the caller has left, as for a full input buffer.

Evidence: test_a_large_response_is_sent_whole (1 MB at once, 2 MB in chunks): stopped before, whole after; the table of http_leave_test passes.

--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -176,8 +176,8 @@
 	return poll(&peer, 1, 0) > 0;
 }
 
-/* A full input buffer stops reading, and with it the notice of a caller that leaves. */
-static void check_later(server_conn_t *conn)
+/* While bytes are left unread, the event loop can't wait for the caller to leave. */
+void conn_check_later(server_conn_t *conn)
 {
 	struct timeval soon = ap_timeval(UNREAD_CHECK);
 
@@ -186,10 +186,12 @@
 
 static void check_unread(server_conn_t *conn)
 {
-	if (conn_peer_left(conn))
+	if (!conn_peer_left(conn))
+		conn_check_later(conn);
+	else if (conn->call->ended)
 		drop(conn);
 	else
-		check_later(conn);
+		call_hung_up(conn->call);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -264,7 +266,7 @@
 		return;
 	if (conn->call) {
 		if (evbuffer_get_length(in) >= PIPELINED_MAX)
-			check_later(conn);
+			conn_check_later(conn);
 		return;
 	}
 	if (!conn->arriving)
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -95,22 +95,32 @@
 		evhttp_request_free(req);
 }
 
-/* The library doesn't read before a response starts, so it would miss a hang-up. */
-static void on_hangup(evutil_socket_t fd, short what, void *arg)
+void call_hung_up(ap_http_call_t *call)
 {
-	ap_http_call_t *call = arg;
 	server_conn_t *conn = call->conn;
 
-	(void)fd;
-	(void)what;
-	if (!conn_peer_left(conn))
-		return;
 	conn->call = NULL;
 	notify_closed(call);
 	call_free(call);
 	evhttp_connection_free(conn->evcon);
 }
 
+/*
+ * The library doesn't read before a response starts, so it would miss a hang-up. Bytes of the
+ * caller's next request stay unread.
+ */
+static void on_hangup(evutil_socket_t fd, short what, void *arg)
+{
+	ap_http_call_t *call = arg;
+
+	(void)fd;
+	(void)what;
+	if (conn_peer_left(call->conn))
+		call_hung_up(call);
+	else
+		conn_check_later(call->conn);
+}
+
 static char *path_of(const struct evhttp_request *req)
 {
 	const char *uri = evhttp_request_get_uri(req);
@@ -131,13 +141,12 @@
 
 /*
  * Waits for the caller to close or reset its connection. Of a reset the event loop reports only
- * that the socket is readable and writable. It is edge-triggered, since bytes of the caller's next
- * request stay unread until the response starts.
+ * that the socket is readable and writable.
  */
 static bool watch_hangup(ap_http_call_t *call)
 {
 	call->hangup = event_new(call->server->config.base, bufferevent_getfd(call_bev(call)),
-				 EV_READ | EV_CLOSED | EV_ET | EV_PERSIST, on_hangup, call);
+				 EV_READ | EV_CLOSED, on_hangup, call);
 	return call->hangup && event_add(call->hangup, NULL) == 0;
 }
 
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -20,7 +20,7 @@
  * struct ap_http_call - one request.
  * @req: NULL for a request that the library rejected; the response is written to the socket
  *       directly
- * @hangup: fires when the caller leaves before the response starts, or sends more
+ * @hangup: fires once when the caller leaves before the response starts, or sends more
  * @path: path of the target, without the query
  * @ended: the response was ended, but is not fully sent
  */
@@ -40,8 +40,8 @@
 /**
  * struct server_conn - one open connection of a caller.
  * @evcon: the library's connection; NULL until the library has attached it to @bev
- * @timer: time limit on the arrival of a request; runs once to attach @evcon; checks during a
- *         response whether the caller has left, while its bytes aren't read
+ * @timer: time limit on the arrival of a request; runs once to attach @evcon; checks whether the
+ *         caller has left while its bytes aren't read
  * @call: the request being served; NULL between requests
  * @arriving: part of a request has arrived
  * @head_bytes: bytes of its request line and headers so far, counted to just above their limit
@@ -108,7 +108,12 @@
 /* conn_free_all() - frees what remains after the library has closed its connections. */
 void conn_free_all(ap_http_server_t *server);
 
+/* conn_check_later() - checks while a request is served whether the caller has left. */
+void conn_check_later(server_conn_t *conn);
+
 /* server.c */
+/* call_hung_up() - the caller has left before the end of the response. */
+void call_hung_up(ap_http_call_t *call);
 /* call_closed() - the connection of @call has ended. */
 void call_closed(ap_http_call_t *call);
 
--- a/test/http_leave_test.c
+++ b/test/http_leave_test.c
@@ -220,6 +220,58 @@
 	event_base_free(seen.base);
 }
 
+/*
+ * Reads what is sent to @fd while the loop runs. Return: bytes read until nothing came for a while.
+ */
+static size_t read_all(struct event_base *base, int fd)
+{
+	static char part[1 << 16];
+	size_t total = 0;
+
+	for (int quiet = 0; quiet < 10; quiet++) {
+		ssize_t got;
+
+		act_run(base, 10 * AP_MSEC);
+		while ((got = recv(fd, part, sizeof(part), MSG_DONTWAIT)) > 0) {
+			total += (size_t)got;
+			quiet = 0;
+		}
+	}
+	return total;
+}
+
+/*
+ * Guards against a response that stops after what one write takes: waiting for the caller to leave
+ * must not change how the library waits for the socket.
+ */
+static void test_a_large_response_is_sent_whole(void **state)
+{
+	static char body[1 << 20];
+
+	(void)state;
+	for (int chunked = 0; chunked < 2; chunked++) {
+		server_seen_t seen = {.base = ap_http_base_new()};
+		ap_http_server_t *server = serve(&seen);
+		int fd = act_connect(ap_http_server_port(server));
+
+		act_send(fd, REQUEST);
+		act_run(seen.base, SOON);
+		assert_int_equal(seen.requests, 1);
+		if (chunked) {
+			ap_http_reply_start(seen.call, 200, NULL, 0);
+			ap_http_reply_write(seen.call, body, sizeof(body));
+			ap_http_reply_write(seen.call, body, sizeof(body));
+			ap_http_reply_end(seen.call);
+		} else {
+			ap_http_reply(seen.call, 200, NULL, 0, body, sizeof(body));
+		}
+		assert_true(read_all(seen.base, fd) > sizeof(body) * (chunked ? 2 : 1));
+		close(fd);
+		ap_http_server_free(server);
+		event_base_free(seen.base);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -227,6 +279,7 @@
 		cmocka_unit_test(test_a_backlog_of_callers_that_left_is_not_served),
 		cmocka_unit_test(test_a_hundred_resets_at_once_are_noticed),
 		cmocka_unit_test(test_a_pipelined_request_is_served_next),
+		cmocka_unit_test(test_a_large_response_is_sent_whole),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
