Real instances: callers that leave, odd items of the store, a planned stop

callers_test starts four instances with the store and upstreams of the soak, in calm, and lets 24 callers leave by reset, close, half-close and with a pipelined request while their upstreams are silent; lets half of a backlog leave while an instance is stopped; leaves odd items among those of upstreams, instances and data centres, watched, relayed and listed; and stops an instance while callers send requests that may not be repeated on kept connections until it is gone.

test/soak's set-up and configuration are in world.c, so that both programs use them.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -144,7 +144,7 @@
 	return NULL;
 }
 
-static request_t *new_request(soak_t *s)
+request_t *caller_request(soak_t *s, soak_kind_t kind)
 {
 	request_t *q = calloc(1, sizeof(*q));
 
@@ -155,7 +155,7 @@
 	 * the other still sends to.
 	 */
 	snprintf(q->id, sizeof(q->id), "q%d-%llu", (int)getpid(), (unsigned long long)++s->next_id);
-	q->kind = (soak_kind_t)ap_rng_below(&s->rng, SOAK_KINDS);
+	q->kind = kind;
 	q->sent = ap_now();
 	q->still = soak_still(s, q->sent);
 	HASH_ADD_STR(s->requests, id, q);
@@ -165,7 +165,7 @@
 void caller_send(soak_t *s)
 {
 	instance_t *inst = pick_instance(s);
-	request_t *q = new_request(s);
+	request_t *q = caller_request(s, (soak_kind_t)ap_rng_below(&s->rng, SOAK_KINDS));
 	call_t *c = calloc(1, sizeof(*c));
 	ap_http_header_t headers[] = {
 		{"Host", "soak.example"}, {"Request-Id", q->id}, {"Deadline-Ms", "3000"}};
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -2,13 +2,11 @@
 #include "soak.h"
 
 #include <argp.h>
-#include <jansson.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,16 +16,11 @@
 #define WARM_UP (3 * AP_SEC)
 #define RECOVERY_WAIT (12 * AP_SEC) /* recoverS of the platform's bounds */
 #define RECOVERED_TIME (3 * AP_SEC) /* after RECOVERY_WAIT; its requests must be served */
-#define REPLICAS_A_POOL 2	    /* in each region */
 #define RETRY_BUDGET_RATIO 0.2
 #define RETRY_BUDGET_SLACK 54
 #define RETRY_BUDGET_WINDOW (10 * AP_SEC)
 #define RECOVERED_SERVED_MIN 0.98 /* least share of requests served after recovery */
 
-const char *const soak_regions[REGIONS] = {"north", "south"};
-const char *const soak_paths[SOAK_KINDS] = {"/once/", "/idem/", "/stream/", "/resume/"};
-static const char *const pools[] = {"desk", "engines"};
-
 /* An action that is due later, often the end of a fault. */
 typedef struct deferred {
 	TAILQ_ENTRY(deferred) entry;
@@ -79,36 +72,6 @@
 	}
 }
 
-void publish_config(soak_t *s)
-{
-	static const char *const kinds[] = {"non_idempotent", "idempotent", "stream", "stream"};
-	json_t *routes = json_array();
-	json_t *root;
-	char *text;
-
-	s->version += 1 + ap_rng_below(&s->schedule, 3);
-	for (int k = 0; k < SOAK_KINDS; k++) {
-		json_t *r = json_pack(
-			"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name", soak_paths[k],
-			"host", "soak.example", "prefix", soak_paths[k], "kind", kinds[k],
-			"timeoutMs", 3000, "goalMs", 500, "priority", k, "service", pools[k / 2],
-			"attempts", k == SOAK_IDEMPOTENT || k == SOAK_RESUMABLE ? 2 : 1,
-			"resumable", k == SOAK_RESUMABLE, "gapAimMs", 800, "homeRegions");
-
-		if (k == SOAK_RESUMABLE)
-			json_array_append_new(json_object_get(r, "homeRegions"),
-					      json_string(soak_regions[0]));
-		json_array_append_new(routes, r);
-	}
-	root = json_pack("{s:I,s:o,s:[{s:s},{s:s}],s:{}}", "version", (json_int_t)s->version,
-			 "routes", routes, "services", "name", pools[0], "name", pools[1],
-			 "limits");
-	text = json_dumps(root, JSON_COMPACT);
-	store_put(s->store, "op/config", text, 0);
-	free(text);
-	json_decref(root);
-}
-
 static ap_usec_t random_duration(soak_t *s, int from_ms, int to_ms)
 {
 	return (from_ms + (ap_usec_t)ap_rng_below(&s->schedule, (uint64_t)(to_ms - from_ms))) *
@@ -395,51 +358,12 @@
 			     s->retries, s->sent);
 }
 
-static void set_up(soak_t *s, size_t n_instances)
+static void drop_deferred(void)
 {
-	snprintf(s->dir, sizeof(s->dir), "/tmp/soak-XXXXXX");
-	if (!mkdtemp(s->dir))
-		abort();
-	s->base = ap_http_base_new();
-	s->client = ap_http_client_new(s->base);
-	s->store = store_new(s);
-	for (unsigned region = 0; region < REGIONS; region++) {
-		for (size_t p = 0; p < 2; p++) {
-			for (int k = 0; k < REPLICAS_A_POOL; k++)
-				replica_start(s, s->n_replicas++, pools[p], region);
-		}
-	}
-	publish_config(s);
-	s->n_instances = n_instances;
-	for (size_t i = 0; i < n_instances; i++) {
-		s->instances[i].soak = s;
-		s->instances[i].region = (unsigned)(i % REGIONS);
-		snprintf(s->instances[i].id, sizeof(s->instances[i].id), "g%zu", i);
-	}
-	for (size_t i = 0; i < n_instances; i++)
-		instance_start(&s->instances[i]);
-}
-
-static void tear_down(soak_t *s)
-{
-	for (size_t i = 0; i < s->n_instances; i++) {
-		if (s->instances[i].pid > 0) {
-			kill(s->instances[i].pid, SIGKILL);
-			waitpid(s->instances[i].pid, NULL, 0);
-		}
-		link_free(s->instances[i].store_link);
-		for (size_t k = 0; k < 2; k++)
-			link_free(s->instances[i].peer_links[k]);
-	}
-	for (size_t i = 0; i < s->n_replicas; i++)
-		replica_stop(&s->replicas[i]);
-	ap_http_client_free(s->client);
-	store_free(s->store);
 	for (deferred_t *l = TAILQ_FIRST(&deferred_actions), *next; l; l = next) {
 		next = TAILQ_NEXT(l, entry);
 		free(l);
 	}
-	event_base_free(s->base);
 }
 
 static void report(const soak_t *s, uint64_t seed)
@@ -457,22 +381,6 @@
 		printf("logs are in %s\n", s->dir);
 }
 
-static void remove_logs(const soak_t *s)
-{
-	static const char *const ends[] = {"log", "toml"};
-
-	for (size_t i = 0; i < s->n_instances; i++) {
-		for (size_t k = 0; k < 2; k++) {
-			char path[192];
-
-			snprintf(path, sizeof(path), "%s/%s.%s", s->dir, s->instances[i].id,
-				 ends[k]);
-			unlink(path);
-		}
-	}
-	rmdir(s->dir);
-}
-
 typedef struct options {
 	const char *program;
 	uint64_t seed;
@@ -540,7 +448,7 @@
 	ap_rng_seed(&s.schedule, o.seed);
 	ap_rng_seed(&s.links, o.seed + 1);
 	s.start = ap_now();
-	set_up(&s, o.instances);
+	soak_set_up(&s, o.instances);
 	run_for(&s, WARM_UP, false, false);
 	s.start = ap_now();
 	run_for(&s, o.seconds * AP_SEC, true, true);
@@ -554,10 +462,11 @@
 		soak_finding(&s, "recovery: only %u of %u requests served after the faults",
 			     s.recovered_served, s.recovered_sent);
 	check_budget(&s, (o.seconds + 20) * AP_SEC);
-	tear_down(&s);
+	soak_tear_down(&s);
+	drop_deferred();
 	caller_finish(&s);
 	report(&s, o.seed);
 	if (s.findings == 0 && !s.keep)
-		remove_logs(&s);
+		soak_remove_logs(&s);
 	return s.findings > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -129,6 +129,8 @@
 {
 	struct timeval tv;
 
+	if (j->replica->holds)
+		return;
 	if (j->replica->mode == REPLICA_SLOW)
 		ms *= SLOW_FACTOR;
 	tv = ap_timeval(ms * AP_MSEC);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -109,6 +109,7 @@
 	replica_mode_t mode;
 	bool draining;
 	ap_usec_t draining_since;
+	bool holds;		   /* takes requests and responds to none */
 	bool silent;		   /* does not report to the store that it is draining */
 	ap_usec_t said_leaving_at; /* in a response; 0 for never */
 	unsigned running;
@@ -151,12 +152,20 @@
 char *instance_entry_via_links(soak_t *s, const char *id, const char *entry);
 
 /* caller.c */
+/* Adds a request, which upstreams know by its id. */
+request_t *caller_request(soak_t *s, soak_kind_t kind);
 void caller_send(soak_t *s);
 /* Drops the open calls and frees the requests; a refused request that ran later is a finding. */
 void caller_finish(soak_t *s);
 
-/* main.c */
+/* world.c */
 void publish_config(soak_t *s);
+/* Starts the store, the upstreams and @n_instances instances, by turns in each region. */
+void soak_set_up(soak_t *s, size_t n_instances);
+/* Ends the instances and frees the rest. */
+void soak_tear_down(soak_t *s);
+/* Deletes the instances' logs and settings. */
+void soak_remove_logs(const soak_t *s);
 
 struct soak {
 	struct event_base *base;
