Check many lost paths in turn

Cause: each lost path was checked every 400 ms by itself, so that the checks of an instance grew with the number of upstreams: 2.5 n a second. Class: work of an instance that grows with the deployment.

Change: above eight lost paths they are checked in turn, one each 50 ms, spread by the upstreams' tags; once one is back, the others are checked within 400 ms for a second.

--- a/lib/fleet/condition.h
+++ b/lib/fleet/condition.h
@@ -77,7 +77,7 @@
 /* A connection to @r failed. */
 void ap_path_lost(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
 /* @r responded, so there is a path to it. */
-void ap_path_seen(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
+void ap_path_seen(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
 /* Returns whether @r needs a health check now, to find out whether the path is back. */
 bool ap_path_needs_check(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
 /*
--- a/lib/fleet/path.c
+++ b/lib/fleet/path.c
@@ -13,6 +13,8 @@
 
 #define ENDING_TIME (1 * AP_SEC) /* a path lost for no longer may be lost because of an end */
 #define CHECK_INTERVAL (400 * AP_MSEC)
+#define CHECK_SPACING (50 * AP_MSEC) /* between checks of lost paths, where there are many */
+#define BACK_TIME (1 * AP_SEC) /* after a path is back, in which the others are checked at once */
 /* An instance that has lost its paths says so at least this often. */
 #define LOST_MAX_AGE (2500 * AP_MSEC)
 #define UNREACHABLE_MAX 2 /* failed connections of a request before it is forwarded */
@@ -26,10 +28,11 @@
 	ap_report_replica_event(f, AP_FLEET_EVENT_PATH_LOST, r, 0, now);
 }
 
-void ap_path_seen(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
+void ap_path_seen(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
 {
 	if (r->path_lost_at == 0)
 		return;
+	f->path_back_at = now;
 	ap_report_replica_event(f, AP_FLEET_EVENT_PATH_BACK, r, now - r->path_lost_at, now);
 	r->path_lost_at = 0;
 	/* The ejection came from the failed connections. */
@@ -61,15 +64,48 @@
 		ap_path_seen(f, r, now);
 }
 
+/*
+ * Time between two checks of one lost path. Many are checked in turn: the first one that is back
+ * shows that the others may be, too.
+ */
+static ap_usec_t check_interval(const ap_fleet_t *f, ap_usec_t now)
+{
+	ap_usec_t turn = (ap_usec_t)f->n_lost_paths * CHECK_SPACING;
+	bool back = f->path_back_at != 0 && now - f->path_back_at < BACK_TIME;
+
+	return back || turn < CHECK_INTERVAL ? CHECK_INTERVAL : turn;
+}
+
+/* The upstreams' tags spread their checks over the interval. */
+static bool is_due(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
+{
+	ap_usec_t interval = check_interval(f, now);
+	ap_usec_t last = r->path_checked_at ? r->path_checked_at : r->path_lost_at;
+	ap_usec_t phase = r->tag % interval;
+
+	if (interval == CHECK_INTERVAL)
+		return r->path_checked_at == 0 || now - last >= interval;
+	return (now + phase) / interval > (last + phase) / interval;
+}
+
 bool ap_path_needs_check(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
 {
 	if (r->path_lost_at == 0 || !r->own_region || !ap_replica_usable(f, r, now) ||
-	    (r->path_checked_at != 0 && now - r->path_checked_at < CHECK_INTERVAL))
+	    !is_due(f, r, now))
 		return false;
 	r->path_checked_at = now;
 	return true;
 }
 
+static size_t count_lost(const ap_fleet_t *f, ap_usec_t now)
+{
+	size_t n = 0;
+
+	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next)
+		n += r->path_lost_at != 0 && r->own_region && ap_replica_usable(f, r, now);
+	return n;
+}
+
 static uint64_t pool_key(const char *pool)
 {
 	return ap_hash_str(pool, 0);
@@ -150,6 +186,7 @@
 	ap_member_state_t *self = ap_member_find(f, f->config.id);
 	uint64_t before[LOST_POOLS_MAX] = {0};
 
+	f->n_lost_paths = count_lost(f, now);
 	if (!self)
 		return;
 	memcpy(before, self->lost_pools, self->n_lost_pools * sizeof(*before));
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -333,6 +333,8 @@
 	ap_usec_t started_at;	      /* when this instance registered, or woke up; 0 before */
 	ap_usec_t ticked_at;	      /* last tick; 0 for none */
 	bool listing;		      /* a complete list is being read */
+	size_t n_lost_paths;	      /* to upstreams of the own region, as of the last tick */
+	ap_usec_t path_back_at;	      /* when one of them was last found back */
 	bool informed;		      /* another instance said what it knows of cold upstreams */
 	size_t most_members;	 /* highest number of instances listed at once, with this one */
 	uint64_t replicas_added; /* so far */
--- a/test/fleet_path_test.c
+++ b/test/fleet_path_test.c
@@ -115,6 +115,69 @@
 	net_end(&net);
 }
 
+/* Checks of lost paths in a second, by an instance that has lost those to @n upstreams. */
+static unsigned checks_in_a_second(net_t *net, ap_usec_t from)
+{
+	ap_replica_entry_t e;
+	unsigned checks = 0;
+
+	for (ap_usec_t now = from; now < from + AP_SEC; now += 100 * AP_MSEC) {
+		ap_fleet_tick(net->fleets[0], now);
+		while (ap_fleet_next_health_check(net->fleets[0], now, &e))
+			checks++;
+	}
+	return checks;
+}
+
+/*
+ * Guards against the checks of many lost paths, each one a new connection, that take an instance's
+ * processor time from its callers: 250 to 700 a second in a region with eleven small instances.
+ */
+static void checks_of_lost_paths_are_few_whatever_their_number(void **state)
+{
+	static const int sizes[] = {2, 8, 30, 92, 300};
+
+	(void)state;
+	for (size_t k = 0; k < sizeof(sizes) / sizeof(sizes[0]); k++) {
+		ap_usec_t now = WORLD_START + 2 * AP_SEC;
+		char id[AP_NAME_MAX];
+		ap_usec_t waited = 0;
+		unsigned checked;
+		unsigned soon;
+		net_t net;
+		ap_replica_entry_t e;
+
+		net_begin(&net, 1, 0);
+		net_replicas(&net, "desk", "north", sizes[k]);
+		for (int i = 0; i < sizes[k]; i++) {
+			snprintf(id, sizeof(id), "desk-north-%d", i);
+			ap_fleet_path_lost(net.fleets[0], id, now);
+		}
+		checks_in_a_second(&net, now);
+		now += AP_SEC;
+		checked = checks_in_a_second(&net, now);
+		assert_in_range(checked, 1, 26);
+		/* Some path is checked soon after they are back, and then all others are. */
+		now += AP_SEC;
+		while (!ap_fleet_next_health_check(net.fleets[0], now + waited, &e))
+			waited += 100 * AP_MSEC;
+		assert_true(waited <= 400 * AP_MSEC);
+		now += waited;
+		ap_fleet_path_seen(net.fleets[0], e.id, now);
+		for (soon = 1; soon < (unsigned)sizes[k] && now < WORLD_START + 60 * AP_SEC;
+		     now += 100 * AP_MSEC) {
+			ap_fleet_tick(net.fleets[0], now);
+			while (ap_fleet_next_health_check(net.fleets[0], now, &e)) {
+				ap_fleet_path_seen(net.fleets[0], e.id, now);
+				soon++;
+			}
+		}
+		assert_int_equal(ap_fleet_stats(net.fleets[0], now).unreachable, 0);
+		assert_true(now - (WORLD_START + 4 * AP_SEC + waited) <= 600 * AP_MSEC);
+		net_end(&net);
+	}
+}
+
 static void other_regions_pass_over_an_instance_without_paths(void **state)
 {
 	ap_usec_t now;
@@ -205,6 +268,7 @@
 		cmocka_unit_test(a_request_without_paths_goes_to_an_instance_that_has_them),
 		cmocka_unit_test(a_request_that_fails_to_connect_twice_is_forwarded),
 		cmocka_unit_test(a_path_is_used_again_once_it_is_back),
+		cmocka_unit_test(checks_of_lost_paths_are_few_whatever_their_number),
 		cmocka_unit_test(other_regions_pass_over_an_instance_without_paths),
 		cmocka_unit_test(the_directory_leaves_out_an_instance_without_paths),
 		cmocka_unit_test(
