Soak: callers that leave, by a close, a reset, a half-close, and a hundred at once

Callers of the soak waited to the end. Now one in ten leaves within 400 ms, half of them by a reset, and now and then a hundred send a request each and leave at once. At the end no upstream may be at work, and no more than three requests may have been sent once more over 0.1 s after their callers left.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -1,9 +1,11 @@
 /* Callers: send requests on kept connections and check the responses. */
 #include "soak.h"
 
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define DEADLINE (3 * AP_SEC)
@@ -11,12 +13,18 @@
 #define UNDISTURBED_TIME (6 * AP_SEC)
 #define EVENTS 6
 #define ANSWER_MAX 4096
+#define LEAVE_SHARE 0.1 /* of callers, within LEAVE_MAX */
+#define LEAVE_MAX (400 * AP_MSEC)
+#define CROWD 100 /* callers that leave at once */
+#define CROWD_SHARE 0.002
 
 typedef struct call {
 	LIST_ENTRY(call) entry;
 	soak_t *soak;
 	instance_t *instance;
 	request_t *q;
+	ap_http_fetch_t *fetch;
+	ap_usec_t leaves_at; /* AP_NEVER: waits for the response */
 	int status;
 	bool has_request_id;
 	bool has_stamp;
@@ -193,9 +201,14 @@
 
 	if (!c)
 		abort();
-	*c = (call_t){.soak = s, .instance = inst, .q = q};
+	*c = (call_t){.soak = s, .instance = inst, .q = q, .leaves_at = AP_NEVER};
 	LIST_INSERT_HEAD(&calls, c, entry);
-	if (!inst || !ap_http_fetch(s->client, &config)) {
+	if (!s->recovered && ap_rng_unit(&s->leaves) < LEAVE_SHARE) {
+		c->leaves_at = q->sent + (ap_usec_t)ap_rng_below(&s->leaves, LEAVE_MAX);
+		config.reset = ap_rng_unit(&s->leaves) < 0.5;
+	}
+	c->fetch = inst ? ap_http_fetch(s->client, &config) : NULL;
+	if (!c->fetch) {
 		q->done = true;
 		call_free(c);
 		return;
@@ -204,6 +217,58 @@
 	s->recovered_sent += s->recovered;
 }
 
+/* A hundred callers send a request to one instance each, and reset or half-close at once. */
+static void send_crowd(soak_t *s)
+{
+	const instance_t *inst = pick_instance(s);
+	int fds[CROWD];
+	size_t n = 0;
+
+	for (; inst && n < CROWD; n++) {
+		request_t *q = caller_request(s, SOAK_IDEMPOTENT);
+		struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(inst->port)};
+		char text[192];
+		int len = snprintf(text, sizeof(text),
+				   "GET %s HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: %s\r\n"
+				   "Deadline-Ms: 3000\r\n\r\n",
+				   soak_paths[q->kind], q->id);
+
+		q->done = true;
+		q->left_at = q->sent;
+		to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		fds[n] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		if (connect(fds[n], (struct sockaddr *)&to, sizeof(to)) == 0)
+			s->sent += send(fds[n], text, (size_t)len, MSG_NOSIGNAL) == len;
+	}
+	for (size_t i = 0; i < n; i++) {
+		struct linger discard = {.l_onoff = 1};
+
+		if (i % 3 == 0)
+			shutdown(fds[i], SHUT_WR);
+		else
+			setsockopt(fds[i], SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+		close(fds[i]);
+	}
+}
+
+void caller_tick(soak_t *s, ap_usec_t now)
+{
+	call_t *next;
+
+	for (call_t *c = LIST_FIRST(&calls); c; c = next) {
+		next = LIST_NEXT(c, entry);
+		if (now < c->leaves_at)
+			continue;
+		ap_http_fetch_cancel(c->fetch);
+		c->q->done = true;
+		c->q->left_at = now;
+		s->left++;
+		call_free(c);
+	}
+	if (!s->recovered && ap_rng_unit(&s->leaves) < CROWD_SHARE)
+		send_crowd(s);
+}
+
 /* A refused request must not run after its response either, so the requests are checked again. */
 void caller_finish(soak_t *s)
 {
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -19,6 +19,7 @@
 #define RETRY_BUDGET_RATIO 0.2
 #define RETRY_BUDGET_SLACK 54
 #define RETRY_BUDGET_WINDOW (10 * AP_SEC)
+#define GONE_MAX 3		  /* as the platform's rule allows */
 #define RECOVERED_SERVED_MIN 0.98 /* least share of requests served after recovery */
 
 /* An action that is due later, often the end of a fault. */
@@ -321,6 +322,8 @@
 		soak_turn(s, now);
 		for (; sending && next_send <= now; next_send += AP_SEC / RATE)
 			caller_send(s);
+		if (sending)
+			caller_tick(s, now);
 		if (now >= next_heartbeat) {
 			for (size_t i = 0; i < s->n_replicas; i++)
 				replica_heartbeat(s, i);
@@ -358,6 +361,20 @@
 			     s->retries, s->sent);
 }
 
+/* After all responses: upstreams are at work for nobody, and few requests were sent on in vain. */
+static void check_left(soak_t *s)
+{
+	if (s->gone > GONE_MAX)
+		soak_finding(s,
+			     "gone: %u requests were sent once more after their callers had left",
+			     s->gone);
+	for (size_t i = 0; i < s->n_replicas; i++) {
+		if (s->replicas[i].running > 0)
+			soak_finding(s, "gone: %s is still at work on %u requests",
+				     s->replicas[i].id, s->replicas[i].running);
+	}
+}
+
 static void drop_deferred(void)
 {
 	for (deferred_t *l = TAILQ_FIRST(&deferred_actions), *next; l; l = next) {
@@ -368,12 +385,14 @@
 
 static void report(const soak_t *s, uint64_t seed)
 {
-	printf("seed %llu: %u requests, %u served, %u refused, %u failed, %u repeated; %u faults:",
-	       (unsigned long long)seed, s->sent, s->served, s->refused, s->failed, s->retries,
-	       s->faults);
+	printf("seed %llu: %u requests, %u served, %u refused, %u failed, %u left, %u repeated; "
+	       "%u faults:",
+	       (unsigned long long)seed, s->sent, s->served, s->refused, s->failed, s->left,
+	       s->retries, s->faults);
 	for (size_t k = 0; k < FAULTS; k++)
 		printf(" %s %u", faults[k].name, s->fault_kinds[k]);
 	printf(" peer-link %u", s->link_faults);
+	printf(" gone %u", s->gone);
 	printf("; %lld ms stood still", (long long)(s->stood_still / AP_MSEC));
 	printf("; after recovery %u of %u served; %u findings\n", s->recovered_served,
 	       s->recovered_sent, s->findings);
@@ -447,6 +466,7 @@
 	ap_rng_seed(&s.rng, o.seed);
 	ap_rng_seed(&s.schedule, o.seed);
 	ap_rng_seed(&s.links, o.seed + 1);
+	ap_rng_seed(&s.leaves, o.seed + 2);
 	s.start = ap_now();
 	soak_set_up(&s, o.instances);
 	run_for(&s, WARM_UP, false, false);
@@ -461,6 +481,7 @@
 	if (s.recovered_served < RECOVERED_SERVED_MIN * s.recovered_sent)
 		soak_finding(&s, "recovery: only %u of %u requests served after the faults",
 			     s.recovered_served, s.recovered_sent);
+	check_left(&s);
 	check_budget(&s, (o.seconds + 20) * AP_SEC);
 	soak_tear_down(&s);
 	drop_deferred();
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -14,6 +14,7 @@
 #define FAULT_SHARE 0.3
 #define SLOTS 16
 #define DRAIN_BOUND (3 * AP_SEC)      /* drain_ms of the settings */
+#define GONE_TIME (100 * AP_MSEC)     /* in which an instance notices that a caller left */
 #define UNDISTURBED_TIME (6 * AP_SEC) /* time without faults after which bounds hold */
 
 typedef struct job {
@@ -220,6 +221,7 @@
 	}
 	r->soak->arrivals++;
 	r->soak->retries += q->arrivals++ > 0;
+	r->soak->gone += q->arrivals > 1 && q->left_at > 0 && ap_now() - q->left_at > GONE_TIME;
 	if (expected && strcmp(expected, r->id) != 0) {
 		reply_refused(r, call, 421);
 		return;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -47,7 +47,8 @@
 	bool done;
 	unsigned events; /* of a stream, received in order so far */
 	ap_usec_t sent;
-	ap_usec_t still; /* soak_still() then */
+	ap_usec_t left_at; /* when its caller left; 0 if it waits */
+	ap_usec_t still;   /* soak_still() when it was sent */
 } request_t;
 
 /* link.c: a TCP relay with faults */
@@ -155,6 +156,8 @@
 /* Adds a request, which upstreams know by its id. */
 request_t *caller_request(soak_t *s, soak_kind_t kind);
 void caller_send(soak_t *s);
+/* Callers leave that are due to, by a close or a reset, and now and then a hundred at once. */
+void caller_tick(soak_t *s, ap_usec_t now);
 /* Drops the open calls and frees the requests; a refused request that ran later is a finding. */
 void caller_finish(soak_t *s);
 
@@ -172,6 +175,7 @@
 	ap_rng_t rng;	   /* of requests and of faults of single requests */
 	ap_rng_t schedule; /* of faults, so that one seed gives one schedule */
 	ap_rng_t links;	   /* of faults of links between instances; a separate schedule */
+	ap_rng_t leaves;   /* of callers that leave */
 	const char *program;
 	char dir[64];
 	bool verbose;
@@ -194,6 +198,8 @@
 	unsigned served;
 	unsigned refused;
 	unsigned failed;
+	unsigned left; /* callers */
+	unsigned gone; /* requests sent once more after their callers had left */
 	unsigned recovered_sent;
 	unsigned recovered_served;
 	unsigned arrivals;
