--- a/test/http_upstream_leave_test.c
+++ b/test/http_upstream_leave_test.c
@@ -1,6 +1,5 @@
 /* Upstreams that leave the HTTP client at each point of a request, in each way. */
-#include "act.h"
-#include "http/http.h"
+#include "raw_upstream.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -28,75 +27,20 @@
 	[KEPT] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
 };
 
-typedef struct rig {
-	struct event_base *base;
-	ap_http_client_t *client;
-	int listener;
-	uint16_t port;
-	int ended;
-	ap_http_end_t end;
-} rig_t;
-
-static void rig_init(rig_t *r)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(addr);
-
-	*r = (rig_t){.base = ap_http_base_new()};
-	r->client = ap_http_client_new(r->base);
-	r->listener = socket(AF_INET, SOCK_STREAM, 0);
-	assert_int_equal(bind(r->listener, (struct sockaddr *)&addr, sizeof(addr)), 0);
-	assert_int_equal(listen(r->listener, 8), 0);
-	getsockname(r->listener, (struct sockaddr *)&addr, &len);
-	r->port = ntohs(addr.sin_port);
-}
-
-static void rig_clear(rig_t *r)
-{
-	ap_http_client_free(r->client);
-	close(r->listener);
-	event_base_free(r->base);
-}
-
-static void on_end(void *ctx, ap_http_end_t end, bool written)
+static ap_http_fetch_t *fetch(raw_upstream_t *r)
 {
-	rig_t *r = ctx;
-
-	(void)written;
-	r->ended++;
-	r->end = end;
-}
-
-static ap_http_fetch_t *fetch(rig_t *r)
-{
-	ap_http_fetch_config_t config = {
-		.host = "127.0.0.1",
-		.port = r->port,
-		.method = EVHTTP_REQ_GET,
-		.target = "/",
-		.no_probe = true,
-		.reset = true,
-		.first_byte = LIMIT,
-		.between_chunks = LIMIT,
-		.idle = LIMIT,
-		.response_max = 4096,
-		.ctx = r,
-		.end = on_end,
-	};
-
-	return ap_http_fetch(r->client, &config);
+	return raw_upstream_fetch(r, "", 0, true, LIMIT);
 }
 
 /* The next request gets a response on a connection of its own. */
-static bool next_is_served(rig_t *r)
+static bool next_is_served(raw_upstream_t *r)
 {
 	int fd;
 
 	r->ended = 0;
 	fetch(r);
 	act_run(r->base, SOON);
-	fd = accept(r->listener, NULL, NULL);
+	fd = raw_upstream_accept(r);
 	act_send(fd, responses[KEPT]);
 	act_run(r->base, SOON);
 	close(fd);
@@ -104,7 +48,7 @@
 }
 
 /* How often the request has ended once the upstream has left, and how. */
-static bool ended_right(const rig_t *r, point_t point, act_t act)
+static bool ended_right(const raw_upstream_t *r, point_t point, act_t act)
 {
 	if (point == KEPT)
 		return r->ended == 1 && r->end == AP_HTTP_COMPLETE;
@@ -117,14 +61,14 @@
 {
 	ap_http_fetch_t *f;
 	double idle_share;
-	rig_t r;
+	raw_upstream_t r;
 	bool ok;
 	int fd;
 
-	rig_init(&r);
+	raw_upstream_init(&r, 0);
 	f = fetch(&r);
 	act_run(r.base, SOON);
-	fd = accept(r.listener, NULL, NULL);
+	fd = raw_upstream_accept(&r);
 	act_send(fd, responses[point]);
 	act_run(r.base, SOON);
 	if (point == PAUSED)
@@ -148,7 +92,7 @@
 		ok = ok && next_is_served(&r);
 	if (fd >= 0)
 		close(fd);
-	rig_clear(&r);
+	raw_upstream_clear(&r);
 	return ok;
 }
 
