--- /dev/null
+++ b/test/message_fuzz_test.c
@@ -0,0 +1,208 @@
+/*
+ * Messages between instances and records of the store with random changes from fixed seeds: nothing
+ * crashes, no conversion or sum overflows, and an instance goes on to understand what is sound.
+ */
+#include "builds_world.h"
+#include "platform/host.h"
+
+#include "follow/follow.h"
+
+#define ROUNDS 20000
+#define CHANGES_MAX 4
+
+static const char *const records[] = {
+	"{\"service\":\"p\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"z1\",\"version\":\"v1\","
+	"\"slots\":64,\"state\":\"ready\",\"coldLeftMs\":1500,\"drainLeftMs\":200,\"seq\":4}",
+	"{\"region\":\"r\",\"data_centre\":\"d\",\"host\":\"10.0.0.1\",\"caller_port\":80,"
+	"\"peer_port\":81,\"cores\":0.25,\"leaving\":false,\"speaks\":1,\"wire\":[2,2]}",
+	"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"x\",\"prefix\":\"/a/\",\"kind\":"
+	"\"stream\",\"timeoutMs\":5000,\"goalMs\":1000,\"priority\":1,\"split\":[{\"service\":"
+	"\"p\",\"weight\":90}],\"attempts\":2,\"gapAimMs\":1200,\"homeRegions\":[\"n\"]}],"
+	"\"services\":[{\"name\":\"p\",\"maxConns\":360,\"warmupS\":3.0,\"warmupPerS\":4.5,"
+	"\"engine\":{\"slots\":64,\"kvTokens\":1000}}]}",
+};
+
+/* Changes, cuts or doubles some bytes; numbers of messages often become large ones. */
+static void change(ap_rng_t *rng, bytes_t *m)
+{
+	static const unsigned char marks[] = {0xcf, 0xce, 0xdc, 0xdd, 0xff, 0x80, 0x90, 0x00,
+					      '9',  'e',  '-',	'[',  '"',  '}',  '.',	'0'};
+	size_t changes = 1 + ap_rng_below(rng, CHANGES_MAX);
+
+	for (size_t i = 0; i < changes && m->len > 1; i++) {
+		size_t at = ap_rng_below(rng, m->len);
+
+		switch (ap_rng_below(rng, 4)) {
+		case 0:
+			m->data[at] = (unsigned char)ap_rng_u64(rng);
+			break;
+		case 1:
+			m->data[at] = marks[ap_rng_below(rng, sizeof(marks))];
+			break;
+		case 2:
+			m->len = at > 0 ? at : 1;
+			break;
+		default:
+			memmove(m->data + at, m->data + at / 2, m->len - at);
+			break;
+		}
+	}
+}
+
+static void on_passed_on(void *ctx, const char *origin, const void *data, size_t len)
+{
+	ap_fleet_receive(ctx, origin, data, len, NOW);
+}
+
+static void receive_kind(ap_fleet_t *f, const char *kind, const char *from, const bytes_t *m,
+			 ap_usec_t now)
+{
+	if (strcmp(kind, "batch") == 0)
+		ap_fleet_open_batch(f, from, m->data, m->len, now, f, on_passed_on);
+	else
+		ap_fleet_receive(f, from, m->data, m->len, now);
+	ap_fleet_tick(f, now);
+	/* The next message isn't taken for an old one. */
+	if (ap_member_find(f, from))
+		ap_member_find(f, from)->heard_seq = 0;
+}
+
+static void drop_message(void *ctx, const char *to, const void *data, size_t len)
+{
+	(void)to;
+	(void)data;
+	*(size_t *)ctx += len;
+}
+
+static void test_changed_messages_of_instances(void **state)
+{
+	static const char *const kinds[] = {"fleet", "waits", "batch"};
+	ap_fleet_t *f = instance("north", 1, REGION, REMOTE);
+	size_t sent = 0;
+	ap_peer_port_t port = {.ctx = &sent, .send = drop_message};
+	static build_t b;
+	ap_rng_t rng;
+
+	(void)state;
+	load_build("fea0ac8", &b);
+	add_replica(f, "e1", "engines", 0);
+	ap_rng_seed(&rng, 7);
+	for (int i = 0; i < ROUNDS; i++) {
+		const char *kind = kinds[ap_rng_below(&rng, 3)];
+		ap_usec_t now = NOW + i * 10 * AP_MSEC;
+		char from[AP_NAME_MAX];
+		bytes_t m;
+
+		assert_true(find(&b, kind, from, &m));
+		change(&rng, &m);
+		receive_kind(f, kind, from, &m, now);
+		ap_fleet_announce(f, &port, now);
+	}
+	assert_true(sent > 0);
+	ap_fleet_free(f);
+}
+
+static void op_list(void *ctx, const char *after)
+{
+	(void)ctx;
+	(void)after;
+}
+
+static void op_watch(void *ctx, uint64_t revision, ap_usec_t wait)
+{
+	(void)ctx;
+	(void)revision;
+	(void)wait;
+}
+
+static void op_listing(void *ctx, bool begin)
+{
+	(void)ctx;
+	(void)begin;
+}
+
+static void op_item(void *ctx, const ap_store_item_t *item)
+{
+	*(size_t *)ctx += item->len + strlen(item->key);
+}
+
+static void test_changed_relays_of_the_store(void **state)
+{
+	size_t seen = 0;
+	ap_follow_config_t config = {
+		.interval = AP_SEC,
+		.wait = AP_SEC,
+		.unavailable_after = 2 * AP_SEC,
+		.recovery_time = 2 * AP_SEC,
+		.ctx = &seen,
+		.list = op_list,
+		.watch = op_watch,
+		.listing = op_listing,
+		.item = op_item,
+	};
+	ap_follow_t *follow = ap_follow_new(&config, NOW);
+	ap_store_read_t listed = {.end = AP_STORE_OK, .as_of = 1};
+	static build_t b;
+	ap_rng_t rng;
+
+	(void)state;
+	load_build("fea0ac8", &b);
+	ap_follow_tick(follow, NOW);
+	ap_follow_response(follow, &listed, NOW);
+	ap_rng_seed(&rng, 8);
+	for (int i = 0; i < ROUNDS; i++) {
+		char from[AP_NAME_MAX];
+		bytes_t m;
+
+		assert_true(find(&b, "changes", from, &m));
+		change(&rng, &m);
+		ap_changes_apply(follow, m.data, m.len, NOW + i);
+		ap_changes_pass_on(follow, m.data, m.len);
+	}
+	ap_follow_free(follow);
+}
+
+static void decode(size_t kind, const bytes_t *m, ap_fleet_t *f, ap_usec_t now)
+{
+	ap_replica_entry_t entry;
+	ap_plan_t *plan = NULL;
+	ap_member_t member;
+	ap_err_t err;
+
+	if (kind == 0 && ap_host_parse_replica("i", m->data, m->len, &entry, &err) == AP_HOST_OK)
+		ap_fleet_update_replica(f, &entry, now);
+	if (kind == 1 && ap_host_parse_member("n", m->data, m->len, &member, &err) == AP_HOST_OK)
+		ap_fleet_update_member(f, &member, now);
+	if (kind == 2 && ap_host_parse_plan(m->data, m->len, &plan, &err) == AP_HOST_OK)
+		ap_plan_unref(plan);
+	ap_fleet_tick(f, now);
+}
+
+static void test_changed_records_of_the_store(void **state)
+{
+	ap_fleet_t *f = instance("north", 1, REGION, REMOTE);
+	ap_rng_t rng;
+
+	(void)state;
+	ap_rng_seed(&rng, 9);
+	for (int i = 0; i < ROUNDS; i++) {
+		size_t kind = ap_rng_below(&rng, sizeof(records) / sizeof(records[0]));
+		bytes_t m = {.len = strlen(records[kind])};
+
+		memcpy(m.data, records[kind], m.len);
+		change(&rng, &m);
+		decode(kind, &m, f, NOW + i * AP_MSEC);
+	}
+	ap_fleet_free(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_changed_messages_of_instances),
+		cmocka_unit_test(test_changed_relays_of_the_store),
+		cmocka_unit_test(test_changed_records_of_the_store),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
