--- a/test/callers/main.c
+++ b/test/callers/main.c
@@ -3,95 +3,19 @@
  * against real instances with the store and the upstreams of the soak. Nothing else goes wrong.
  */
 #include "../act.h"
-#include "../soak/soak.h"
+#include "../soak/scenario.h"
 
-#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/wait.h>
 
-#define INSTANCES 4 /* in two regions by turns */
-#define CALLERS 24  /* fewer than the upstreams of a region take at once */
-#define WARM_UP (3 * AP_SEC)
+#define CALLERS 24		/* fewer than the upstreams of a region take at once */
 #define NOTICED (300 * AP_MSEC) /* by an instance and its upstreams */
 #define CPU_MAX (10 * AP_MSEC)	/* of an idle second, beyond an instance without callers */
-#define TURN (20 * AP_MSEC)
-#define HEARTBEAT AP_SEC
-#define STOP_MAX (8 * AP_SEC) /* the grace period of the settings */
+#define STOP_MAX (8 * AP_SEC)	/* the grace period of the settings */
 #define LOST_TIME (200 * AP_MSEC)
 #define NESTED 100000
 
-static const char *program;
-
-void soak_finding(soak_t *s, const char *fmt, ...)
-{
-	va_list args;
-
-	s->findings++;
-	va_start(args, fmt);
-	vprint_error(fmt, args);
-	va_end(args);
-	print_error("\n");
-}
-
-static void reap(soak_t *s)
-{
-	for (size_t i = 0; i < s->n_instances; i++) {
-		instance_t *inst = &s->instances[i];
-		int status;
-
-		if (inst->pid > 0 && waitpid(inst->pid, &status, WNOHANG) == inst->pid)
-			instance_ended(inst, status);
-	}
-}
-
-static void run(soak_t *s, ap_usec_t how_long)
-{
-	ap_usec_t until = ap_now() + how_long;
-	ap_usec_t heartbeat = ap_now();
-
-	while (ap_now() < until) {
-		soak_turn(s, ap_now());
-		if (ap_now() >= heartbeat) {
-			for (size_t i = 0; i < s->n_replicas; i++)
-				replica_heartbeat(s, i);
-			for (size_t i = 0; i < s->n_instances; i++)
-				instance_check_version(&s->instances[i]);
-			heartbeat = ap_now() + HEARTBEAT;
-		}
-		reap(s);
-		act_run(s->base, TURN);
-	}
-}
-
-static int set_up(void **state)
-{
-	soak_t *s = calloc(1, sizeof(*s));
-
-	signal(SIGPIPE, SIG_IGN);
-	s->program = program;
-	ap_rng_seed(&s->rng, 1);
-	ap_rng_seed(&s->schedule, 1);
-	s->start = ap_now();
-	soak_set_up(s, INSTANCES);
-	run(s, WARM_UP);
-	*state = s;
-	return 0;
-}
-
-static int tear_down(void **state)
-{
-	soak_t *s = *state;
-
-	soak_tear_down(s);
-	caller_finish(s);
-	if (s->findings == 0)
-		soak_remove_logs(s);
-	free(s);
-	return 0;
-}
-
 static void hold_all(soak_t *s, bool holds)
 {
 	for (size_t i = 0; i < s->n_replicas; i++)
@@ -116,7 +40,7 @@
 
 	assert_int_equal(clock_getcpuclockid(inst->pid, &clock), 0);
 	clock_gettime(clock, &from);
-	run(s, AP_SEC);
+	scenario_run(s, AP_SEC);
 	clock_gettime(clock, &to);
 	return (to.tv_sec - from.tv_sec) * AP_SEC + (to.tv_nsec - from.tv_nsec) / 1000;
 }
@@ -167,12 +91,12 @@
 	hold_all(s, true);
 	for (size_t i = 0; i < CALLERS; i++)
 		callers[i] = send_raw(s, inst);
-	run(s, NOTICED);
+	scenario_run(s, NOTICED);
 	assert_true(running(s) >= CALLERS);
 	sent = s->arrivals;
 	for (size_t i = 0; i < CALLERS; i++)
 		leave(&callers[i], i);
-	run(s, NOTICED);
+	scenario_run(s, NOTICED);
 	assert_int_equal(running(s), 0);
 	assert_int_equal(s->arrivals, sent);
 	used = cpu_of_a_second(s, inst);
@@ -198,9 +122,9 @@
 		callers[i] = send_raw(s, inst);
 	for (size_t i = 0; i < CALLERS; i += 2)
 		leave(&callers[i], i / 2);
-	run(s, NOTICED);
+	scenario_run(s, NOTICED);
 	instance_signal(inst, SIGCONT);
-	run(s, AP_SEC);
+	scenario_run(s, AP_SEC);
 	for (size_t i = 0; i < CALLERS; i++) {
 		if ((callers[i].q->arrivals > 0) != (i % 2 == 1))
 			soak_finding(s, "gone: %s reached upstreams %u times", callers[i].q->id,
@@ -249,7 +173,7 @@
 static void check_all_follow(soak_t *s, const char *when)
 {
 	publish_config(s);
-	run(s, 3 * AP_SEC); /* apply_ms of the settings */
+	scenario_run(s, 3 * AP_SEC); /* apply_ms of the settings */
 	for (size_t i = 0; i < s->n_instances; i++) {
 		if (s->instances[i].pid <= 0 || s->instances[i].version != s->version)
 			soak_finding(s, "odd: %s, %s has version %llu of %llu", when,
@@ -273,19 +197,19 @@
 	check_all_follow(s, "watched");
 	/* In the list. */
 	instance_signal(restarted, SIGKILL);
-	run(s, AP_SEC);
+	scenario_run(s, AP_SEC);
 	assert_int_equal(restarted->pid, 0);
 	instance_start(restarted);
-	run(s, WARM_UP);
+	scenario_run(s, SCENARIO_WARM_UP);
 	put_odd_items(s, 2);
 	check_all_follow(s, "listed");
 	s->served = 0;
 	s->sent = 0;
 	for (int i = 0; i < 100; i++) {
 		caller_send(s);
-		run(s, TURN);
+		scenario_run(s, SCENARIO_TURN);
 	}
-	run(s, 3 * AP_SEC);
+	scenario_run(s, 3 * AP_SEC);
 	if (s->served < s->sent)
 		soak_finding(s, "odd: %u of %u requests served", s->served, s->sent);
 	assert_int_equal(s->findings, 0);
@@ -391,13 +315,13 @@
 		callers[i] = (stayer_t){.soak = s, .inst = inst};
 		send_next(&callers[i]);
 	}
-	run(s, AP_SEC);
+	scenario_run(s, AP_SEC);
 	stopped = ap_now();
 	instance_signal(inst, SIGTERM);
 	while (inst->pid > 0 && ap_now() - stopped < STOP_MAX)
-		run(s, TURN);
+		scenario_run(s, SCENARIO_TURN);
 	assert_int_equal(inst->pid, 0);
-	run(s, AP_SEC);
+	scenario_run(s, AP_SEC);
 	for (size_t i = 0; i < CALLERS; i++) {
 		assert_true(callers[i].stopped);
 		assert_true(callers[i].last_sent > stopped);
@@ -412,8 +336,6 @@
 	assert_int_equal(s->findings, 0);
 }
 
-#define SCENARIO(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
-
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -423,6 +345,6 @@
 		SCENARIO(test_a_planned_stop_cuts_nothing_off),
 	};
 
-	program = argc > 1 ? argv[1] : "";
+	scenario_program = argc > 1 ? argv[1] : "";
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -98,12 +98,25 @@
 static void reply_refused(replica_t *r, ap_http_call_t *call, int status)
 {
 	const char *id = ap_http_call_header(call, "Request-Id");
-	ap_http_header_t headers[3] = {{"Not-Run", "1"}, {"Request-Id", id}};
+	ap_http_header_t headers[4] = {{"Not-Run", "1"}, {"Request-Id", id}};
 	size_t n = add_leaving(r, headers, id ? 2 : 1);
+	ap_usec_t left = r->pause_until - ap_now();
+	char seconds[24];
 
+	if (status == 503 && left > 0) {
+		snprintf(seconds, sizeof(seconds), "%.3f", (double)left / (double)AP_SEC);
+		headers[n++] = (ap_http_header_t){"Retry-After", seconds};
+	}
 	ap_http_reply(call, status, headers, n, NULL, 0);
 }
 
+static void count_in_pause(replica_t *r, ap_usec_t now)
+{
+	if (r->pause_from == 0)
+		r->pause_from = now;
+	r->in_pause += now - r->pause_from > PAUSE_GRACE;
+}
+
 static void reply_complete(job_t *j, int status)
 {
 	ap_http_header_t headers[3] = {{"Request-Id", j->id}, {"Server-Stamp", j->replica->id}};
@@ -227,6 +240,11 @@
 		return;
 	}
 	check_arrival(r, q);
+	if (ap_now() < r->pause_until) {
+		count_in_pause(r, ap_now());
+		reply_refused(r, call, 503);
+		return;
+	}
 	if (r->running >= SLOTS ||
 	    (r->mode == REPLICA_SHEDS && ap_rng_unit(&r->soak->rng) < FAULT_SHARE)) {
 		reply_refused(r, call, 503);
@@ -294,6 +312,13 @@
 	r->link = NULL;
 }
 
+void replica_pause(soak_t *s, size_t i, ap_usec_t until)
+{
+	s->replicas[i].pause_until = until;
+	s->replicas[i].pause_from = 0;
+	s->replicas[i].in_pause = 0;
+}
+
 void replica_crash(soak_t *s, size_t i)
 {
 	replica_stop(&s->replicas[i]);
--- /dev/null
+++ b/test/soak/scenario.h
@@ -0,0 +1,22 @@
+/* Tests of a few real instances in which one thing goes wrong at a time. */
+#ifndef SOAK_SCENARIO_H
+#define SOAK_SCENARIO_H
+
+#include "../act.h"
+#include "soak.h"
+
+#define SCENARIO_INSTANCES 4 /* in two regions by turns */
+#define SCENARIO_WARM_UP (3 * AP_SEC)
+#define SCENARIO_TURN (20 * AP_MSEC)
+
+/* Path of the daemon; set by main(). */
+extern const char *scenario_program;
+
+/* Starts the deployment; the state is a soak_t. */
+int scenario_set_up(void **state);
+int scenario_tear_down(void **state);
+void scenario_run(soak_t *s, ap_usec_t how_long);
+
+#define SCENARIO(test) cmocka_unit_test_setup_teardown(test, scenario_set_up, scenario_tear_down)
+
+#endif
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -21,6 +21,7 @@
 #define SOAK_INSTANCES_MAX 64
 #define REPLICAS_MAX 32
 #define REGIONS 2
+#define PAUSE_GRACE (500 * AP_MSEC) /* as the platform's rule allows */
 
 typedef struct soak soak_t;
 
@@ -113,6 +114,9 @@
 	bool holds;		   /* takes requests and responds to none */
 	bool silent;		   /* does not report to the store that it is draining */
 	ap_usec_t said_leaving_at; /* in a response; 0 for never */
+	ap_usec_t pause_until;	   /* refuses requests and asks for none until then */
+	ap_usec_t pause_from;	   /* when it first did; 0 for not yet */
+	unsigned in_pause;	   /* requests later than PAUSE_GRACE after that */
 	unsigned running;
 } replica_t;
 
@@ -120,6 +124,11 @@
 /* Stops the upstream without draining; its store entry stays until it is started again. */
 void replica_crash(soak_t *s, size_t i);
 void replica_drain(soak_t *s, size_t i);
+/*
+ * The upstream refuses requests until @until, with the time until then as Retry-After. It counts
+ * those that come later than PAUSE_GRACE after the first refusal.
+ */
+void replica_pause(soak_t *s, size_t i, ap_usec_t until);
 /* Writes the upstream's entry to the store, as its heartbeat. */
 void replica_heartbeat(soak_t *s, size_t i);
 void replica_stop(replica_t *r);
@@ -190,8 +199,9 @@
 	uint64_t next_id;
 	uint64_t version;
 	ap_usec_t start;
-	ap_usec_t turn_at;     /* when the current turn of the loop began */
-	ap_usec_t stood_still; /* in turns before that one */
+	ap_usec_t heartbeat_at; /* of the upstreams, next */
+	ap_usec_t turn_at;	/* when the current turn of the loop began */
+	ap_usec_t stood_still;	/* in turns before that one */
 	ap_usec_t store_last_disturbed;
 	bool recovered; /* faults are over and the recovery wait too: requests must be served */
 	unsigned sent;
