Keep to the pauses that upstreams ask for with Retry-After

Callers saw: refused at once and told to come back in half a second, whatever was left, into the same refusal. Upstreams saw requests at the callers' rate in the time in which they had asked for none (BUDGET). Cause: nothing read Retry-After of an upstream's refusal; where no other upstream had room, one refusal only raised the cost of the one that was left. Class: a sentence of the protocol that no type holds, so that no decision can miss it.

- lib/fleet/backoff.c holds the pauses, by the upstream's id.
The choice of a target and of health checks ask it, so every send passes it: first tries, retries, second attempts, resumed and forwarded requests, trials.
- An instance that refuses a forwarded request because its upstreams pause says for how long (Pause-Ms), and its region isn't asked until then.
What another instance's Retry-After says reaches the caller; nobody read it either.
- Callers are told the first end, spread over as long again; instances go on at the rate that the upstream can process, each step by step.

--- a/cmd/arbutuspond/gateway-health.c
+++ b/cmd/arbutuspond/gateway-health.c
@@ -21,6 +21,7 @@
 	health_check_t *check = arg;
 	gateway_t *gate = check->gate;
 	ap_usec_t cold_left = 0;
+	ap_usec_t pause = 0;
 	ap_usec_t now = ap_now();
 	/* Without a connection at the time limit, the network may be the cause. */
 	bool refused = response->end == AP_CALL_NOT_SENT && now - check->sent < HEALTH_TIMEOUT;
@@ -28,10 +29,18 @@
 		   ap_host_parse_health(response->headers, check->id, &cold_left);
 	bool leaving = own && ap_host_is_leaving(response->headers);
 	bool valid = own && !leaving && response->code == 200;
+	bool readable = response->end != AP_CALL_RESPONDED ||
+			ap_host_retry_after(response->headers, response->code, &pause);
 
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.asked", NULL, "s:s,s:b,s:b,s:I",
 			 "upstream", check->id, "told", (int)valid, "refused", (int)refused,
 			 "cold_ms", (json_int_t)(cold_left / AP_MSEC));
+	if (!readable)
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.backoff-invalid", NULL,
+				 "s:s", "upstream", check->id);
+	/* Another upstream at the address speaks for itself only. */
+	if (pause > 0 && !ap_host_names_other(response->headers, check->id))
+		ap_fleet_backoff_seen(gate->fleet, check->id, pause, now);
 	/* After any other response or none, the upstream stays unknown and is checked again. */
 	if (leaving)
 		ap_fleet_leaving_seen(gate->fleet, check->id, now);
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -57,6 +57,7 @@
 		"upstream.not-leaving",
 		"upstream.brittle",
 		"upstream.not-brittle",
+		"upstream.backoff",
 		"upstream.cold",
 		"path.lost",
 		"path.back",
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -120,6 +120,11 @@
 				 c->id, "s:s", "upstream", target->id);
 	else if (info->refusals >= 0 || info->from_replica)
 		ap_fleet_brittle_seen(c->gate->fleet, target->id, info->refusals, ap_now());
+	if (info->retry_after_invalid)
+		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "upstream.backoff-invalid",
+				 c->id, "s:s", "upstream", target->id);
+	else if (info->retry_after > 0)
+		ap_fleet_backoff_seen(c->gate->fleet, target->id, info->retry_after, ap_now());
 }
 
 /* Returns the build that a remote instance names; 0 for none. */
@@ -153,6 +158,7 @@
 	ap_host_response_t info =
 		ap_host_parse_response(head->headers, head->status, c->id, head->reused);
 	const char *wait = evhttp_find_header(head->headers, FORWARD_HEADER_WAIT);
+	const char *pause = evhttp_find_header(head->headers, FORWARD_HEADER_PAUSE);
 	const char *not_run = evhttp_find_header(head->headers, FORWARD_HEADER_NOT_RUN);
 	ap_response_head_t response = {
 		.status = head->status,
@@ -160,6 +166,7 @@
 		.address_reused = head->status == AP_HOST_MISDIRECTED && !target->remote,
 		.from_replica = info.from_replica,
 		.build = build_of(head->headers),
+		.retry_after = target->remote ? info.retry_after : 0,
 	};
 	struct evkeyval *h;
 
@@ -181,6 +188,9 @@
 		response.refused = true;
 		response.unsent = strcmp(not_run, FORWARD_NOT_RUN_UNSENT) == 0;
 	}
+	if (target->remote && pause)
+		ap_fleet_remote_pause(c->gate->fleet, target->region, c->x.req.pool->name,
+				      ap_duration(strtod(pause, NULL), AP_MSEC), ap_now());
 	if (is_far(c->gate, target) && wait)
 		ap_fleet_set_remote_wait(c->gate->fleet, target->region, c->x.req.pool->name,
 					 c->x.req.route->priority,
@@ -250,12 +260,19 @@
 	snprintf(text, BUILD_TEXT_MAX, "%llx", (unsigned long long)build);
 }
 
-/* Values of headers of a forwarded request. */
+/* Values of headers between instances. */
 typedef struct forward_text {
 	char build[BUILD_TEXT_MAX];
 	char heard[24];
+	char wait[24];
+	char pause[24];
 } forward_text_t;
 
+static void format_msec(ap_usec_t span, char text[24])
+{
+	snprintf(text, 24, "%lld", (long long)(span / AP_MSEC));
+}
+
 static bool send_headers(gate_call_t *c, const ap_target_t *target, const char *last_event,
 			 forward_text_t *text, ap_host_headers_t *headers)
 {
@@ -280,8 +297,7 @@
 		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
 	}
 	if (c->x.req.heard_since != 0) {
-		snprintf(text->heard, sizeof(text->heard), "%lld",
-			 (long long)((now - c->x.req.heard_since) / AP_MSEC));
+		format_msec(now - c->x.req.heard_since, text->heard);
 		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_HEARD, text->heard};
 	}
 	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_PROOF, c->gate->proof};
@@ -403,26 +419,32 @@
 }
 
 /* Tells the sender of a forwarded request how long the next one would wait. */
-static void add_wait(gate_call_t *c, ap_host_headers_t *headers, char text[24])
+static void add_wait(gate_call_t *c, ap_host_headers_t *headers, forward_text_t *text)
 {
 	ap_usec_t wait;
+	ap_usec_t pause;
 
-	if (!c->forwarded || !c->x.req.pool || headers->n == AP_HOST_HEADERS_MAX)
+	if (!c->forwarded || !c->x.req.pool || headers->n + 2 > AP_HOST_HEADERS_MAX)
 		return;
+	pause = ap_fleet_local_pause(c->gate->fleet, &c->x.req, ap_now());
+	if (pause > 0) {
+		format_msec(pause + AP_MSEC, text->pause);
+		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_PAUSE, text->pause};
+	}
 	wait = ap_fleet_local_wait(c->gate->fleet, &c->x.req, ap_now());
 	if (wait == AP_NEVER)
 		return;
-	snprintf(text, 24, "%lld", (long long)(wait / AP_MSEC));
-	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_WAIT, text};
+	format_msec(wait, text->wait);
+	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_WAIT, text->wait};
 }
 
 /* Tells the sender of a forwarded request which build serves its stream. */
-static void add_build(const gate_call_t *c, ap_host_headers_t *headers, char text[BUILD_TEXT_MAX])
+static void add_build(const gate_call_t *c, ap_host_headers_t *headers, forward_text_t *text)
 {
 	if (!c->forwarded || !c->x.stream || headers->n == AP_HOST_HEADERS_MAX)
 		return;
-	format_build(ap_exchange_build(&c->x), text);
-	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text};
+	format_build(ap_exchange_build(&c->x), text->build);
+	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
 }
 
 /* While draining, makes callers close their connections. */
@@ -432,15 +454,14 @@
 		headers->v[headers->n++] = (ap_http_header_t){"Connection", "close"};
 }
 
-static void response_headers(gate_call_t *c, ap_host_headers_t *headers, char text[24],
-			     char build[BUILD_TEXT_MAX])
+static void response_headers(gate_call_t *c, ap_host_headers_t *headers, forward_text_t *text)
 {
 	if (!ap_host_response_headers(&c->attempts[c->x.current].headers, headers))
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "answer.headers-cut", c->id,
 				 NULL);
 	drop_forward_headers(headers);
 	add_wait(c, headers, text);
-	add_build(c, headers, build);
+	add_build(c, headers, text);
 	add_close(c, headers);
 }
 
@@ -453,8 +474,7 @@
 	gate_call_t *c = ctx;
 	gate_attempt_t *a = &c->attempts[slot];
 	ap_host_headers_t headers;
-	char build[BUILD_TEXT_MAX];
-	char text[24];
+	forward_text_t text;
 
 	/* A remote instance may have picked another pool of the route than this one. */
 	if (c->x.stream && target_of(a)->remote)
@@ -464,7 +484,7 @@
 				      c->x.req.build, ap_now());
 	if (!c->x.stream && !a->fetch)
 		return;
-	response_headers(c, &headers, text, build);
+	response_headers(c, &headers, &text);
 	c->status = a->status;
 	c->started = true;
 	ap_http_reply_start(c->call, c->status, headers.v, headers.n);
@@ -489,8 +509,7 @@
 	gate_call_t *c = ctx;
 	ap_http_call_t *call = c->call;
 	ap_host_headers_t headers;
-	char build[BUILD_TEXT_MAX];
-	char text[24];
+	forward_text_t text;
 	size_t len = c->body ? evbuffer_get_length(c->body) : 0;
 
 	c->call = NULL;
@@ -501,7 +520,7 @@
 		ap_http_reply_end(call);
 		return;
 	}
-	response_headers(c, &headers, text, build);
+	response_headers(c, &headers, &text);
 	ap_http_reply(call, c->status, headers.v, headers.n,
 		      len > 0 ? evbuffer_pullup(c->body, -1) : NULL, len);
 }
@@ -522,7 +541,7 @@
 	ap_http_call_t *call = c->call;
 	ap_host_headers_t headers = {.v[0] = gate_json, .n = 1};
 	char body[GATE_ERROR_MAX];
-	char wait[24];
+	forward_text_t text;
 	char after[24];
 	size_t len = gate_error_body(ap_reason_name(reason), body);
 
@@ -540,7 +559,7 @@
 				(ap_http_header_t){FORWARD_HEADER_NOT_RUN,
 						   c->x.sends == 0 ? FORWARD_NOT_RUN_UNSENT : "1"};
 	}
-	add_wait(c, &headers, wait);
+	add_wait(c, &headers, &text);
 	add_close(c, &headers);
 	ap_http_reply(call, status, headers.v, headers.n, body, len);
 }
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -142,6 +142,7 @@
 	put(out, "upstreams", "{state=\"unreachable\"}", (double)fleet.unreachable);
 	put(out, "upstreams", "{state=\"limited\"}", (double)fleet.limited);
 	put(out, "upstreams", "{state=\"brittle\"}", (double)fleet.brittle);
+	put(out, "upstreams", "{state=\"backoff\"}", (double)fleet.backoff);
 	put(out, "prompt_parts", "{state=\"suspect\"}", (double)fleet.suspect_parts);
 	put(out, "fingerprints", "{state=\"suspect\"}", (double)fleet.suspect_requests);
 	put(out, "build_info", labels, 1);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -33,6 +33,7 @@
  * HEARD: another target is silent; within how many milliseconds the receiver's must have responded
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
+ * PAUSE: how long the upstreams want no requests from this instance, in milliseconds
  */
 #define FORWARD_HEADER_PREFIX "Arbutuspond-"
 #define FORWARD_HEADER_ATTEMPTS FORWARD_HEADER_PREFIX "Attempts"
@@ -42,6 +43,7 @@
 #define FORWARD_HEADER_HEARD FORWARD_HEADER_PREFIX "Heard-Ms"
 #define FORWARD_HEADER_PROOF FORWARD_HEADER_PREFIX "Proof"
 #define FORWARD_HEADER_WAIT FORWARD_HEADER_PREFIX "Wait-Ms"
+#define FORWARD_HEADER_PAUSE FORWARD_HEADER_PREFIX "Pause-Ms"
 
 /* How a request ended, for counters and records. */
 typedef enum gate_outcome {
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -53,6 +53,8 @@
 	"upstream.brittle",
 	"upstream.not-brittle",
 	"upstream.brittle-invalid",
+	"upstream.backoff",
+	"upstream.backoff-invalid",
 	"upstream.cold",
 	"path.lost",
 	"path.back",
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -28,8 +28,8 @@
 const char *ap_reason_name(ap_reason_t reason)
 {
 	static const char *const names[] = {
-		"none",	  "no-upstream", "too-late", "held",	 "refused",
-		"budget", "broken",	 "timeout",  "unproved",
+		"none",	   "no-upstream", "too-late", "held",	 "backoff",
+		"refused", "budget",	  "broken",   "timeout", "unproved",
 	};
 
 	return names[reason];
@@ -95,6 +95,9 @@
 	ap_usec_t left = (x->req.deadline - now) / RETRY_AFTER_DIVISOR;
 	ap_usec_t wait = RETRY_AFTER_DEFAULT;
 
+	/* Earlier, it would be refused again. */
+	if (x->pause > 0)
+		return x->pause < RETRY_AFTER_MIN ? RETRY_AFTER_MIN : x->pause;
 	if (x->reason == AP_REASON_TOO_LATE)
 		wait = x->target.wait - x->req.route->objective / 2;
 	else if (x->reason == AP_REASON_HELD)
@@ -176,9 +179,19 @@
 		return AP_REASON_HELD;
 	if (x->refusals > 0)
 		return AP_REASON_REFUSED;
+	if (status == AP_FLEET_BACKOFF)
+		return AP_REASON_BACKOFF;
 	return status == AP_FLEET_LATE ? AP_REASON_TOO_LATE : AP_REASON_NO_UPSTREAM;
 }
 
+/* Returns how long the request can't be sent, as far as all targets said so; 0 for unknown. */
+static ap_usec_t pause_for(const ap_exchange_t *x, ap_fleet_status_t status)
+{
+	if (status == AP_FLEET_BACKOFF)
+		return x->target.wait;
+	return status == AP_FLEET_NONE && x->untold == 0 ? x->told : 0;
+}
+
 /*
  * Sends the request to the best remaining target, in the slot of @a, or sets @no_other to the
  * reason why it can't.
@@ -192,8 +205,10 @@
 
 		if (status != AP_FLEET_OK) {
 			x->no_other = reason_for(x, status);
+			x->pause = pause_for(x, status);
 			return false;
 		}
+		x->pause = 0;
 		if (x->sends > 0 && !x->ops->may_retry(x->ctx)) {
 			x->no_other = AP_REASON_BUDGET;
 			return false;
@@ -290,11 +305,20 @@
 		reply_error(x, AP_REASON_NO_UPSTREAM, now);
 }
 
+static void count_refusal(ap_exchange_t *x, ap_usec_t retry_after)
+{
+	x->refusals++;
+	if (retry_after <= 0)
+		x->untold++;
+	else if (x->told == 0 || retry_after < x->told)
+		x->told = retry_after;
+}
+
 static void target_refused(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
 	finish_attempt(x, a,
 		       a->head.address_reused ? AP_DISPATCH_ADDRESS_REUSED : AP_DISPATCH_REFUSED);
-	x->refusals++;
+	count_refusal(x, a->head.retry_after);
 	x->ops->log_step(x->ctx, AP_STEP_REFUSED_BY, &a->target);
 	attempt_refused(x, a, a->head.unsent, now);
 }
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -36,6 +36,8 @@
  * @address_reused: another upstream has the address now
  * @from_replica: a replica made the response, not an instance that forwarded the request
  * @build: of the upstream behind a remote target; 0 if the target doesn't say
+ * @retry_after: of a refusal by an instance: after how long the request may be sent again, in
+ *	microseconds; 0 if it doesn't say
  */
 typedef struct ap_response_head {
 	int status;
@@ -44,6 +46,7 @@
 	bool address_reused;
 	bool from_replica;
 	uint64_t build;
+	ap_usec_t retry_after;
 } ap_response_head_t;
 
 /* Why this instance generates the final response itself. */
@@ -52,6 +55,7 @@
 	AP_REASON_NO_UPSTREAM, /* no allowed target is usable */
 	AP_REASON_TOO_LATE,    /* no allowed target would respond in time */
 	AP_REASON_HELD,	       /* requests like this one may crash upstreams */
+	AP_REASON_BACKOFF,     /* every allowed target asked for a pause */
 	AP_REASON_REFUSED,     /* every target that got the request refused it */
 	AP_REASON_BUDGET,      /* not retried: this instance's part of the retry budget is spent */
 	/* The connection or the response failed or timed out; the request may have run. */
@@ -163,6 +167,9 @@
  * @paused: the caller reads too slowly, so targets aren't read from
  * @finished: the caller has its final response or has disconnected; only
  *	ap_exchange_clear() is left to call
+ * @untold: refusals that didn't say after how long the request may be sent again
+ * @told: the shortest time that others said, in microseconds
+ * @pause: known time until the request may be sent again, in microseconds; 0 for unknown
  * @no_other: why the request was not sent to another target, the last time that this was considered
  * @connection_end: of the latest connection that ended by itself
  * @target: that was chosen last, whether the request was sent there or not
@@ -181,6 +188,9 @@
 	unsigned runs;
 	unsigned sends;
 	unsigned refusals;
+	unsigned untold;
+	ap_usec_t told;
+	ap_usec_t pause;
 	unsigned connect_failures;
 	bool stream;
 	bool retryable;
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -220,17 +220,38 @@
 	return better < WAITS_SENDERS;
 }
 
-/* Without paths to a pool, this instance can't tell how long requests for it wait. */
+/*
+ * Without paths to a pool, or while all of its upstreams pause, this instance can't tell how long
+ * requests for it wait.
+ */
+static bool knows_wait(const ap_fleet_t *f, const ap_member_state_t *self, const ap_pool_state_t *p,
+		       ap_usec_t now)
+{
+	bool pausing = false;
+
+	if (!ap_member_reaches(self, p->name, now))
+		return false;
+	for (const ap_replica_t *r = f->replicas; r && f->backoffs; r = r->hh.next) {
+		if (!r->own_region || strcmp(r->entry.pool, p->name) != 0 ||
+		    !ap_replica_usable(f, r, now))
+			continue;
+		if (!ap_backoff_pausing(f, r, now))
+			return true;
+		pausing = true;
+	}
+	return !pausing;
+}
+
 static void pack_waits(ap_fleet_t *f, const ap_member_state_t *self, msgpack_packer *pk,
 		       ap_usec_t now)
 {
 	size_t n = 0;
 
 	for (const ap_pool_state_t *p = f->pools; p; p = p->hh.next)
-		n += ap_member_reaches(self, p->name, now);
+		n += knows_wait(f, self, p, now);
 	msgpack_pack_array(pk, n);
 	for (const ap_pool_state_t *p = f->pools; p; p = p->hh.next) {
-		if (!ap_member_reaches(self, p->name, now))
+		if (!knows_wait(f, self, p, now))
 			continue;
 		msgpack_pack_array(pk, 3);
 		ap_wire_pack_str(pk, p->name);
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -90,6 +90,7 @@
 		ap_prefix_cache_clear(f, &a->cache);
 	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
 		free(m->loads);
+	ap_backoff_forget_all(f);
 
 	void *const first[] = {f->replicas,	f->members, f->pools,	f->remote_pools,
 			       f->data_centres, f->leaving, f->suspects};
@@ -171,7 +172,7 @@
 	       (!ap_replica_cold(f, r, req->pool->warmup, now) || req->pool->warmup_rate <= 0 ||
 		ap_cold_allows(f, r, req->pool, now)) &&
 	       (!ap_replica_limited(f, r, now) || ap_limit_allows(f, r, now)) &&
-	       ap_brittle_allows(f, r, req, now);
+	       ap_brittle_allows(f, r, req, now) && ap_backoff_allows(f, r, now);
 }
 
 /* Upstreams of the own region that may get the request. */
@@ -462,7 +463,7 @@
 		return false;
 	if (!lost && best_local(f, req, SENDER_SELF, now, local))
 		return true;
-	if (!local_only)
+	if (!local_only && !ap_backoff_region(f, f->config.region, req->pool->name, now))
 		*peer = lost ? ap_pick_member(f, f->config.region, req, now)
 			     : ap_brittle_peer(f, req, now);
 	if (*peer && best_local(f, req, SENDER_PEER, now, local))
@@ -542,6 +543,9 @@
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 				  ap_target_t *target)
 {
+	ap_fleet_status_t status;
+	bool local_only;
+	ap_usec_t wait;
 	ap_usec_t until;
 	ap_hold_t hold;
 
@@ -552,7 +556,12 @@
 		return AP_FLEET_HELD;
 	}
 	/* It is this instance's turn to make a trial, so a remote instance would refuse it. */
-	if (req->heard_since > 0)
-		return choose_other(f, req, req->local_only || hold == AP_HOLD_TRIAL, now, target);
-	return choose(f, req, req->local_only || hold == AP_HOLD_TRIAL, now, target);
+	local_only = req->local_only || hold == AP_HOLD_TRIAL;
+	status = req->heard_since > 0 ? choose_other(f, req, local_only, now, target)
+				      : choose(f, req, local_only, now, target);
+	if (status == AP_FLEET_OK || !ap_backoff_all(f, req, now, &wait) ||
+	    (status == AP_FLEET_LATE && target->wait < wait))
+		return status;
+	*target = (ap_target_t){.wait = wait};
+	return AP_FLEET_BACKOFF;
 }
--- a/lib/fleet/condition.h
+++ b/lib/fleet/condition.h
@@ -1,6 +1,6 @@
 /*
  * What is known of the condition of upstreams, beside their records: cold, limited, brittle,
- * leaving, reachable. Included by private.h.
+ * leaving, pausing, reachable. Included by private.h.
  */
 #ifndef AP_FLEET_CONDITION_H
 #define AP_FLEET_CONDITION_H
@@ -73,6 +73,31 @@
 /* Drops what is too old to matter. */
 void ap_leaving_tick(ap_fleet_t *f, ap_usec_t now);
 
+/* backoff.c */
+/* Returns whether @r asked this instance for a pause, which isn't over. */
+bool ap_backoff_pausing(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* Returns whether this instance may send a request to @r now, which may be in a pause. */
+bool ap_backoff_allows(const ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* A request is about to be sent to @r. Return: whether it counts as one after a pause. */
+bool ap_backoff_sent(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* @r responded to such a request, not with a refusal. */
+void ap_backoff_responded(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
+/* Such a request ended. */
+void ap_backoff_ended(ap_fleet_t *f, const ap_replica_t *r);
+/* Returns whether an instance of @region said that the upstreams of @pool there pause. */
+bool ap_backoff_region(ap_fleet_t *f, const char *region, const char *pool, ap_usec_t now);
+/*
+ * Returns whether the upstreams that could serve @req pause: all of this region, and others as far
+ * as they are known to. @wait then receives after how long its caller should come again.
+ */
+bool ap_backoff_all(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now, ap_usec_t *wait);
+/* Returns how many upstreams pause. */
+size_t ap_backoff_count(const ap_fleet_t *f, ap_usec_t now);
+/* Frees all that is known of pauses. */
+void ap_backoff_forget_all(ap_fleet_t *f);
+/* Forgets pauses that are long over. */
+void ap_backoff_tick(ap_fleet_t *f, ap_usec_t now);
+
 /* path.c */
 /* A connection to @r failed. */
 void ap_path_lost(const ap_fleet_t *f, ap_replica_t *r, ap_usec_t now);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -151,6 +151,7 @@
 	AP_FLEET_LATE,
 	/* Requests like this one may crash upstreams; see suspect.c. */
 	AP_FLEET_HELD,
+	AP_FLEET_BACKOFF, /* all allowed targets asked for a pause */
 } ap_fleet_status_t;
 
 /* How a request ended at its target. */
@@ -170,6 +171,7 @@
  * @open: the request has not ended
  * @serial: of the upstream's state, which is made anew when its entry was gone
  * @trial: the request decides whether an ejected upstream has recovered
+ * @after_pause: the upstream had asked for a pause; see backoff.c
  * @has_first_chunk: the first chunk of the response has arrived, at @first_at
  * @alone: the upstream had no other request when this one was sent
  * @slot_wait: estimated wait for a free slot in microseconds, before scaling
@@ -183,6 +185,7 @@
 	bool open;
 	bool remote;
 	bool trial;
+	bool after_pause;
 	uint64_t serial;
 	char id[AP_NAME_MAX];
 	char pool[AP_NAME_MAX];
@@ -217,6 +220,7 @@
 	AP_FLEET_EVENT_NOT_LEAVING,    /* it was healthy long after */
 	AP_FLEET_EVENT_BRITTLE,	       /* an upstream said in a response that it is brittle */
 	AP_FLEET_EVENT_NOT_BRITTLE,    /* it responded without saying so, or nobody confirms it */
+	AP_FLEET_EVENT_BACKOFF,	       /* it refused a request and asked for a pause */
 	AP_FLEET_EVENT_COLD,	       /* an upstream taken for warm is cold */
 	AP_FLEET_EVENT_PATH_LOST,      /* no connection to an upstream */
 	AP_FLEET_EVENT_PATH_BACK,      /* it responded again */
@@ -344,6 +348,11 @@
  * requests.
  */
 void ap_fleet_leaving_seen(ap_fleet_t *f, const char *id, ap_usec_t now);
+/**
+ * ap_fleet_backoff_seen() - upstream @id refused a request or a health check, and wants no other
+ * from this instance for @wait microseconds.
+ */
+void ap_fleet_backoff_seen(ap_fleet_t *f, const char *id, ap_usec_t wait, ap_usec_t now);
 /**
  * ap_fleet_path_seen() - upstream @id responded to a health check, healthy or not, so there is a
  * path to it.
@@ -423,7 +432,8 @@
 /* Requests: choose.c and load.c */
 /**
  * ap_fleet_choose() - chooses a target for @req.
- * @target: set unless AP_FLEET_NONE is returned; for AP_FLEET_HELD, only its wait
+ * @target: set unless AP_FLEET_NONE is returned; for AP_FLEET_HELD and AP_FLEET_BACKOFF, only its
+ *          wait: after how long the caller should come again
  */
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 				  ap_target_t *target);
@@ -448,6 +458,18 @@
  */
 ap_usec_t ap_fleet_local_wait(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now);
 
+/**
+ * ap_fleet_local_pause() - returns how long all upstreams of this region that could serve @req
+ * want no requests from this instance, in microseconds; 0 if one of them takes some.
+ */
+ap_usec_t ap_fleet_local_pause(const ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now);
+/**
+ * ap_fleet_remote_pause() - an instance of @region, which may be this one, refused a request
+ * because the upstreams of @pool there want none from it for @wait microseconds.
+ */
+void ap_fleet_remote_pause(ap_fleet_t *f, const char *region, const char *pool, ap_usec_t wait,
+			   ap_usec_t now);
+
 /* Retry budget: retry-budget.c */
 /** ap_fleet_count_request() - a caller's request for @pool arrived at this instance. */
 void ap_fleet_count_request(ap_fleet_t *f, const char *pool, ap_usec_t now);
@@ -529,6 +551,7 @@
 /**
  * struct ap_fleet_stats - gauges for metrics.
  * @unreachable: upstreams to which this instance has lost the path
+ * @backoff: upstreams that asked this instance for a pause
  * @suspect_parts: parts of prompts that may crash upstreams
  * @suspect_requests: requests that may, by fingerprint
  * @running: in-flight requests that this instance sent to upstreams
@@ -545,6 +568,7 @@
 	size_t unreachable;
 	size_t limited;
 	size_t brittle;
+	size_t backoff;
 	size_t suspect_parts;
 	size_t suspect_requests;
 	size_t members;
--- a/lib/fleet/health-check.c
+++ b/lib/fleet/health-check.c
@@ -63,6 +63,8 @@
 bool ap_fleet_next_health_check(ap_fleet_t *f, ap_usec_t now, ap_replica_entry_t *replica)
 {
 	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
+		if (ap_backoff_pausing(f, r, now))
+			continue;
 		if (needs_check(f, r, now))
 			r->check_sent_at = now;
 		else if (!ap_break_needs_check(r, now) && !ap_path_needs_check(f, r, now) &&
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -200,7 +200,8 @@
 	for (ap_replica_t *r = f->replicas; r && n < WAITS_MAX; r = r->hh.next) {
 		if (!r->own_region || strcmp(r->entry.pool, p->name) != 0 ||
 		    !ap_replica_usable(f, r, now) || !ap_replica_healthy(r, now) ||
-		    ap_replica_cold(f, r, p->warmup, now) || ap_replica_limited(f, r, now))
+		    ap_replica_cold(f, r, p->warmup, now) || ap_replica_limited(f, r, now) ||
+		    ap_backoff_pausing(f, r, now))
 			continue;
 		waits[n++] = queue_us(r, p, priority);
 	}
@@ -341,6 +342,7 @@
 	if (ap_replica_limited(f, r, now))
 		r->within_limit.allowance -= 1;
 	ap_brittle_sent(f, r, req, now);
+	inflight->after_pause = ap_backoff_sent(f, r, now);
 	r->own.running[inflight->priority]++;
 	r->own.prefill[inflight->priority] += inflight->prefill;
 	r->own.kv += inflight->kv;
@@ -424,6 +426,8 @@
 	if (!r)
 		return;
 	ap_path_seen(f, r, now);
+	if (inflight->after_pause)
+		ap_backoff_responded(f, r, now);
 	if (r->serial == inflight->serial)
 		r->own.prefill[inflight->priority] -= inflight->prefill;
 	learn_prefill(f, inflight, now);
@@ -469,6 +473,10 @@
 	ap_pool_state_t *p = ap_pool_state(f, inflight->pool);
 
 	remove_load(r, inflight);
+	if (inflight->after_pause && end == AP_DISPATCH_ERROR)
+		ap_backoff_responded(f, r, now);
+	if (inflight->after_pause)
+		ap_backoff_ended(f, r);
 	if (has_responded(end))
 		r->heard_at = now;
 	if (p)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -312,6 +312,7 @@
 } ap_pool_state_t;
 
 typedef struct ap_remote_pool ap_remote_pool_t;
+typedef struct ap_backoff ap_backoff_t;
 
 /* A data centre of the deployment. */
 typedef struct ap_data_centre_state {
@@ -345,7 +346,8 @@
 	ap_pool_state_t *pools;
 	ap_remote_pool_t *remote_pools;
 	ap_data_centre_state_t *data_centres;
-	ap_leaving_t *leaving; /* upstreams, listed or not */
+	ap_leaving_t *leaving;	/* upstreams, listed or not */
+	ap_backoff_t *backoffs; /* likewise */
 	ap_cached_part_t *parts;
 	bool loads_changed; /* an announcement changed @loads of a member */
 	ap_new_prefix_t new_prefixes[NEW_PREFIXES_MAX];
--- a/lib/fleet/remote.c
+++ b/lib/fleet/remote.c
@@ -79,7 +79,8 @@
 			continue;
 		slots = slots_in(f, dc->region, req, now);
 		remote = ap_remote_pool(f, dc->region, req->pool->name);
-		if (slots == 0 || !remote || ap_is_silent(remote->running, remote->heard_at, req))
+		if (slots == 0 || !remote || ap_is_silent(remote->running, remote->heard_at, req) ||
+		    now < remote->pause_until)
 			continue;
 		c.member = ap_pick_member(f, dc->region, req, now);
 		if (!c.member)
--- a/lib/fleet/remote.h
+++ b/lib/fleet/remote.h
@@ -14,6 +14,8 @@
 	uint32_t running;    /* requests of this instance */
 	ap_usec_t heard_at;  /* as of an upstream */
 	ap_refusals_t refusals;
+	ap_usec_t pause; /* that its upstreams asked of an instance there */
+	ap_usec_t pause_until;
 	ap_prefix_cache_t cache;
 };
 
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -261,6 +261,7 @@
 		}
 	}
 	ap_leaving_tick(f, now);
+	ap_backoff_tick(f, now);
 	ap_suspects_tick(f, now);
 	ap_paths_tick(f, now);
 	ap_brittle_tick(f, now);
@@ -295,6 +296,7 @@
 		.members = ap_fleet_count_members(f, NULL),
 		.suspect_parts = ap_suspects_count(f, false),
 		.suspect_requests = ap_suspects_count(f, true),
+		.backoff = ap_backoff_count(f, now),
 		.relay_served = ap_relay_served(f, now),
 		.batch_dropped = f->batch_dropped,
 		.skipped = f->skipped,
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -26,6 +26,7 @@
 	int budget;	       /* retries left */
 	ap_usec_t heard_since; /* of the latest choice */
 	ap_usec_t held;	       /* for how long the request is held back; 0 for not at all */
+	ap_usec_t pause;       /* for how long no target wants requests; 0 for not at all */
 	char sent[SENDS_MAX][AP_NAME_MAX];
 	unsigned slot[SENDS_MAX]; /* of each send */
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
@@ -56,6 +57,10 @@
 		*target = (ap_target_t){.wait = w->held};
 		return AP_FLEET_HELD;
 	}
+	if (w->pause > 0) {
+		*target = (ap_target_t){.wait = w->pause};
+		return AP_FLEET_BACKOFF;
+	}
 	for (int i = 0; i < w->targets; i++) {
 		char id[AP_NAME_MAX];
 		bool avoided = false;
@@ -200,6 +205,7 @@
 	int targets = w->targets ? w->targets : 3;
 	int unconnectable = w->unconnectable;
 	ap_usec_t held = w->held;
+	ap_usec_t pause = w->pause;
 
 	*w = (world_t){
 		.route = {.kind = kind,
@@ -211,6 +217,7 @@
 		.targets = targets,
 		.unconnectable = unconnectable,
 		.held = held,
+		.pause = pause,
 		.budget = 10,
 	};
 	w->x.ops = &ops;
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -413,6 +413,14 @@
 	ap_fleet_brittle_seen(f, "d1", -1, now + 2 * AP_SEC);
 }
 
+static void ask_for_pause(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_fleet_backoff_seen(f, "d1", 0, now);
+	ap_fleet_backoff_seen(f, "d1", 2 * AP_SEC, now);
+	ap_fleet_backoff_seen(f, "d1", 5 * AP_SEC, now + AP_SEC);
+	assert_true(events[AP_FLEET_EVENT_BACKOFF].lasts == 2 * AP_SEC);
+}
+
 static void stay(ap_fleet_t *f, ap_usec_t now)
 {
 	say_leaving(f, now);
@@ -506,6 +514,7 @@
 		[AP_FLEET_EVENT_NOT_LEAVING] = {stay, "d1"},
 		[AP_FLEET_EVENT_BRITTLE] = {say_brittle, "d1"},
 		[AP_FLEET_EVENT_NOT_BRITTLE] = {end_brittle, "d1"},
+		[AP_FLEET_EVENT_BACKOFF] = {ask_for_pause, "d1"},
 		[AP_FLEET_EVENT_COLD] = {turn_cold, "d1"},
 		[AP_FLEET_EVENT_PATH_LOST] = {lose_path, "d1"},
 		[AP_FLEET_EVENT_PATH_BACK] = {find_path, "d1"},
