The /v1 interface keeps to the pauses that upstreams ask for

entry_pause_test fails on the code before: an upstream that asked for 30 s got each of 20 requests first; with the header read 1, and none while no other upstream is left. What was told by another entry in a forwarded refusal was passed on before.

--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -1,11 +1,13 @@
 /* One attempt at an upstream, and the handling of its response. */
 #include "entry.h"
+#include "log/log.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#define STATUS_TOO_MANY 429
 #define CHOICES_MAX 2 /* a second choice if the chosen remote region can't be reached */
 #define UPSTREAM_HEADERS_MAX (3 + PASSED_HEADERS_MAX)
 
@@ -174,6 +176,19 @@
 	return status == HTTP_SERVUNAVAIL && not_started;
 }
 
+/* What a refusal says of the upstream itself. */
+static void read_pause(const exchange_t *x, const ap_http_head_t *head)
+{
+	ap_usec_t wait;
+
+	if (head->status != HTTP_SERVUNAVAIL && head->status != STATUS_TOO_MANY)
+		return;
+	if (ap_http_retry_after(head->headers, &wait) == AP_HTTP_RETRY_INVALID)
+		ap_log(LOG_WARNING, "can't read the Retry-After of upstream %s, expected seconds",
+		       x->choice.upstream_id);
+	ap_route_pause(x->entry->route, x->choice.upstream_id, wait, ap_now());
+}
+
 static void on_head(void *ctx, const ap_http_head_t *head)
 {
 	exchange_t *x = ctx;
@@ -197,6 +212,7 @@
 		drop_fetch(x, AP_ATTEMPT_FAILED, "the response belongs to another request");
 		return;
 	}
+	read_pause(x, head);
 	if (x->req.service->plain)
 		headers_copy(&x->response_headers, HEADERS_RESPONSE, head->headers);
 	attempt_head(x, head->status, evhttp_find_header(head->headers, "Content-Type"));
--- a/cmd/arbutuspond/entry-exchange.c
+++ b/cmd/arbutuspond/entry-exchange.c
@@ -162,12 +162,17 @@
 
 void exchange_give_up(exchange_t *x, const char *why)
 {
-	if (!x->maybe_ran)
-		exchange_fail(x, ENTRY_NOT_RUN, why);
-	else if (x->req.service->repeatable)
+	entry_fault_t not_run = {.error = ENTRY_NOT_RUN};
+
+	if (!x->maybe_ran) {
+		not_run.retry_after = ap_route_retry_after(x->entry->route, &x->req, ap_now());
+		ap_copy_name(not_run.text, sizeof(not_run.text), why);
+		fail(x, &not_run);
+	} else if (x->req.service->repeatable) {
 		exchange_fail(x, ENTRY_UPSTREAM_FAILED, why);
-	else
+	} else {
 		exchange_fail(x, ENTRY_UNKNOWN, why);
+	}
 }
 
 static void on_limit(evutil_socket_t fd, short what, void *arg)
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -319,6 +319,7 @@
 static const cause_t causes[] = {
 	{"no-upstream", "no upstream that the route allows was usable", NULL},
 	{"too-late", "every upstream that the route allows was too busy", "given-up"},
+	{"backoff", "every upstream that the route allows had asked for a pause", NULL},
 	{"refused", "every upstream that was tried refused the request, last", "refused-by"},
 	{"budget", "the retry budget was spent after a failure at", "failed-at"},
 	{"broken", "the response was cut off at", "failed-at"},
@@ -377,6 +378,7 @@
 	{"no-upstream", "no other upstream that the route allows was usable and not silent", NULL},
 	{"too-late", "every other upstream that the route allows was too busy", NULL},
 	{"held", "requests like this one may crash upstreams", NULL},
+	{"backoff", "every other upstream that the route allows had asked for a pause", NULL},
 	{"refused", "every other upstream that was tried refused the request", NULL},
 	{"budget", "the retry budget was spent", NULL},
 	{"none", "the request could not be sent again", NULL},
--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -25,7 +25,8 @@
 
 bool ap_route_allowed(const ap_node_t *node, const ap_request_t *req, ap_usec_t now)
 {
-	if (ap_node_draining(node, now) || node->index == AP_NODE_ABSENT)
+	if (ap_node_draining(node, now) || node->index == AP_NODE_ABSENT ||
+	    now < node->paused_until)
 		return false;
 	for (size_t i = 0; i < req->n_tried; i++)
 		if (req->tried[i] && strcmp(req->tried[i], node->id) == 0)
--- a/lib/route/forward.c
+++ b/lib/route/forward.c
@@ -225,7 +225,8 @@
 	for (size_t i = 0; i < set->n; i++) {
 		const ap_node_t *node = set->nodes[i];
 
-		if (ap_node_draining(node, now) || node->health == AP_HEALTH_EJECTED)
+		if (ap_node_draining(node, now) || node->health == AP_HEALTH_EJECTED ||
+		    now < node->paused_until)
 			continue;
 		load += fmin(ap_node_load(node, service_us, now).mean, 2 * node->batch);
 		batch += node->batch;
--- a/lib/route/node.h
+++ b/lib/route/node.h
@@ -63,6 +63,8 @@
  * @mean_load: running mean of the load; higher at upstreams with prefixes that many requests share
  * @running: own requests in progress
  * @steps: ring of the last own dispatches and ends
+ * @pause: the time without requests that the upstream asked for; 0 for none so far
+ * @paused_until: end of that time
  * @until: end of the ejection or of the ramp
  * @failures: failed attempts since the last success or ejection
  * @failure_rate: running share of attempts that failed, as of @failure_rate_at
@@ -105,6 +107,8 @@
 	ap_load_step_t steps[AP_NODE_STEPS];
 	unsigned next_step;
 
+	ap_usec_t pause;
+	ap_usec_t paused_until;
 	ap_health_t health;
 	ap_usec_t until;
 	unsigned failures;
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -5,8 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SERVICE_GAIN 0.05   /* weight of a new observation in the time in a slot */
-#define CLASS_GAIN 0.01	    /* weight of a new request in the class shares */
+#define SERVICE_GAIN 0.05	     /* weight of a new observation in the time in a slot */
+#define CLASS_GAIN 0.01		     /* weight of a new request in the class shares */
+#define PAUSE_MAX (10 * 60 * AP_SEC) /* of one refusal, which may be a mistake */
 #define TOO_LATE_FACTOR 2.0 /* expected wait over time left above which a request is refused */
 #define TRUST_AFTER_GAP 0.9 /* factor on the cache trust when events were lost */
 #define TRUST_GAIN 0.1	    /* weight of a new observation in the cache trust */
@@ -395,6 +396,44 @@
 	ap_emit(&r->config.env, now, "route.leaving", (ap_xid_t){0}, "upstream=%s", upstream);
 }
 
+void ap_route_pause(ap_route_t *r, const char *upstream, ap_usec_t wait, ap_usec_t now)
+{
+	ap_node_t *node = ap_route_node(r, upstream);
+
+	if (!node || wait <= 0)
+		return;
+	if (wait > PAUSE_MAX)
+		wait = PAUSE_MAX;
+	if (now >= node->paused_until)
+		ap_emit(&r->config.env, now, "route.pause", (ap_xid_t){0}, "upstream=%s ms=%lld",
+			upstream, (long long)(wait / AP_MSEC));
+	/* Responses arrive in any order; none takes back what another one said. */
+	if (now + wait <= node->paused_until)
+		return;
+	node->paused_until = now + wait;
+	node->pause = wait;
+}
+
+ap_usec_t ap_route_retry_after(ap_route_t *r, const ap_request_t *req, ap_usec_t now)
+{
+	const ap_candidate_set_t *set = ap_route_candidates(r, req);
+	const ap_node_t *first = NULL;
+
+	for (size_t i = 0; set && i < set->n; i++) {
+		const ap_node_t *node = set->nodes[i];
+
+		if (ap_node_draining(node, now) || node->index == AP_NODE_ABSENT)
+			continue;
+		if (now >= node->paused_until)
+			return 0;
+		if (!first || node->paused_until < first->paused_until)
+			first = node;
+	}
+	if (!first)
+		return 0;
+	return first->paused_until - now + (ap_usec_t)(ap_rng_unit(&r->rng) * (double)first->pause);
+}
+
 /* Sums the slots of the region's usable upstreams and their last known load. */
 static void sum_slots(const ap_route_t *r, ap_usec_t now, double *slots, double *load)
 {
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -218,6 +218,18 @@
 /** ap_route_drain() - stops sending new work to @upstream. */
 void ap_route_drain(ap_route_t *r, const char *upstream, ap_usec_t now);
 
+/**
+ * ap_route_pause() - @upstream refused a request and wants no other for @wait microseconds, of
+ * which ten minutes count at most.
+ */
+void ap_route_pause(ap_route_t *r, const char *upstream, ap_usec_t wait, ap_usec_t now);
+/**
+ * ap_route_retry_after() - returns after how many microseconds a request like @req should come
+ * again, if all of the region's upstreams that could serve it asked for a pause; else 0. Callers
+ * return spread over as long again.
+ */
+ap_usec_t ap_route_retry_after(ap_route_t *r, const ap_request_t *req, ap_usec_t now);
+
 /**
  * ap_price() - price in micro-units of one finished request on @pool.
  * @cached: prompt tokens that were cached; they cost nothing
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -66,7 +66,7 @@
 	int half;		  /* tokens of a stream before it breaks off; 0 for half of them */
 	const char *raw;	  /* a response with the request's id for each "%s" */
 	const char *usage; /* JSON members of "usage" in its responses; NULL for the default */
-	const char *extra_headers; /* further header lines of a complete response; may be NULL */
+	const char *extra_headers; /* further lines of a complete response or a refusal, or NULL */
 	double fault_share;	   /* above 0: probability of a random fault in a response */
 	unsigned short rng[3];
 	unsigned char runs[FAKE_MARKS]; /* how often the request with each mark was started */
@@ -272,8 +272,9 @@
 	else if (mode == FAKE_NO_MODEL)
 		line = "404 Not Found";
 	evbuffer_add_printf(bufferevent_get_output(conn->bev),
-			    "HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n", line,
-			    id, mode == FAKE_DRAIN ? "X-Draining: true\r\n" : "");
+			    "HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s%sContent-Length: 0\r\n\r\n",
+			    line, id, mode == FAKE_DRAIN ? "X-Draining: true\r\n" : "",
+			    conn->fake->extra_headers ? conn->fake->extra_headers : "");
 }
 
 static inline void fake_respond(fake_conn_t *conn, const char *request)
