Follow the store at the pace that its refusals ask for

Looked for beside the upstreams' Retry-After: the store's 429 and 503 may say when to call again, too, and nothing read it. Reads wait as long before they back off as usual, at most two seconds, so that changes aren't in force late if the store is back sooner. Lease renewals keep their pace: two calls a second of an instance at most, and a lease that lapses costs more.

store_client_test and follow_test (neither builds on the code before). fleet_backoff_test: the wait that is told of a pool whose upstreams all pause is none; a mutation showed that nothing tested it.

--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -6,6 +6,7 @@
 
 #define BACKOFF_INITIAL (150 * AP_MSEC)
 #define BACKOFF_MAX (800 * AP_MSEC)
+#define RETRY_AFTER_MAX (2 * AP_SEC)   /* longer, changes would be in force too late */
 #define ANNOUNCED_WAIT (150 * AP_MSEC) /* an announced change should have been relayed by then */
 #define OVERDUE (300 * AP_MSEC)	       /* a few round trips between regions */
 #define JITTER 0.2 /* random part of a pause, so that instances don't call at the same time */
@@ -155,12 +156,16 @@
 	f->announced = 0;
 }
 
-static void back_off(ap_follow_t *f, ap_usec_t now)
+/* @asked: how long the store wants no more calls; 0 if it doesn't ask. */
+static void back_off(ap_follow_t *f, ap_usec_t asked, ap_usec_t now)
 {
+	ap_usec_t wait;
+
 	f->backoff = f->backoff ? f->backoff * 2 : BACKOFF_INITIAL;
 	if (f->backoff > BACKOFF_MAX)
 		f->backoff = BACKOFF_MAX;
-	f->due = now + add_jitter(f, f->backoff);
+	wait = asked < RETRY_AFTER_MAX ? asked : RETRY_AFTER_MAX;
+	f->due = now + (wait > 0 ? wait : 0) + add_jitter(f, f->backoff);
 }
 
 /* The pages are no consistent snapshot, so the watch starts at the first page's revision. */
@@ -174,7 +179,7 @@
 	deliver_items(f, read, 0);
 	/* Of a page without usable items it isn't known where the next one begins. */
 	if (read->more && read->n == 0) {
-		back_off(f, now);
+		back_off(f, 0, now);
 		return;
 	}
 	if (read->more) {
@@ -217,7 +222,7 @@
 	if (era > f->era)
 		enter_era(f, era, now, now);
 	else if (era < f->era)
-		back_off(f, now);
+		back_off(f, 0, now);
 	else
 		return true;
 	return false;
@@ -238,7 +243,7 @@
 		return;
 	}
 	if (read->end != AP_STORE_OK) {
-		back_off(f, now);
+		back_off(f, read->retry_after, now);
 		return;
 	}
 	if (now - f->last_response_at > f->config.unavailable_after)
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -45,6 +45,8 @@
  * @era: rises when the store has returned to an older copy of itself; 0 if unknown
  * @as_of: revision of the store that the response describes
  * @more: another page follows the last item
+ * @retry_after: of a refusal: how long the store wants no more calls, in microseconds; 0 if it
+ *               doesn't ask
  */
 typedef struct ap_store_read {
 	ap_store_end_t end;
@@ -53,6 +55,7 @@
 	uint64_t era;
 	uint64_t as_of;
 	bool more;
+	ap_usec_t retry_after;
 } ap_store_read_t;
 
 typedef struct ap_follow ap_follow_t;
--- a/test/fleet_backoff_test.c
+++ b/test/fleet_backoff_test.c
@@ -406,10 +406,12 @@
 		assert_true(now + target.wait >= AT + PAUSE);
 		assert_in_range(ap_fleet_local_pause(f, &req, now), AT + PAUSE - now,
 				AT + PAUSE + DELAY - now);
+		assert_true(ap_fleet_local_wait(f, &req, now) == AP_NEVER);
 	}
 	req = call_at(AT + 2 * AP_SEC);
 	assert_int_equal(choose_at(f, req, AT + 2 * AP_SEC, &target), AP_FLEET_OK);
 	assert_string_equal(target.id, "s1");
+	assert_false(ap_fleet_local_wait(f, &req, AT + PAUSE + DELAY) == AP_NEVER);
 	ap_fleet_free(f);
 }
 
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -72,6 +72,36 @@
 	ap_follow_free(f);
 }
 
+/* At most two seconds: the store may be back before the end of what it asked for. */
+static void a_store_that_asks_for_fewer_calls_gets_fewer(void **state)
+{
+	static const struct {
+		ap_usec_t asked;
+		ap_usec_t wait;
+	} cases[] = {
+		{0, 0},
+		{-AP_SEC, 0},
+		{AP_SEC, AP_SEC},
+		{1500 * AP_MSEC, 1500 * AP_MSEC},
+		{60 * AP_SEC, 2 * AP_SEC},
+		{AP_NEVER, 2 * AP_SEC},
+	};
+	seen_t s = {0};
+	ap_follow_t *f = listed(&s);
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		ap_usec_t now = ap_follow_due(f);
+		ap_store_read_t read = {.end = AP_STORE_REFUSED, .retry_after = cases[i].asked};
+
+		ap_follow_tick(f, now);
+		ap_follow_response(f, &read, now);
+		assert_in_range(ap_follow_due(f), now + cases[i].wait + 1,
+				now + cases[i].wait + AP_SEC);
+	}
+	ap_follow_free(f);
+}
+
 static void the_store_is_silent_when_a_call_failed_or_is_overdue(void **state)
 {
 	seen_t s = {0};
@@ -410,6 +440,7 @@
 		cmocka_unit_test(pages_then_changes_since_the_first_page),
 		cmocka_unit_test(compacted_history_causes_a_new_list),
 		cmocka_unit_test(failures_back_off_and_start_a_recovery_period),
+		cmocka_unit_test(a_store_that_asks_for_fewer_calls_gets_fewer),
 		cmocka_unit_test(the_store_is_silent_when_a_call_failed_or_is_overdue),
 		cmocka_unit_test(relist_reads_the_complete_list),
 		cmocka_unit_test(standby_watches_only_for_announced_changes),
--- a/test/store_client_test.c
+++ b/test/store_client_test.c
@@ -14,7 +14,8 @@
 	struct event_base *base;
 	ap_http_server_t *server;
 	int status;
-	const char *era; /* header of the response; NULL for none */
+	const char *era;	 /* header of the response; NULL for none */
+	const char *retry_after; /* likewise */
 	const char *body;
 	ap_store_read_t read;
 	char last_key[AP_STORE_KEY_MAX]; /* of its last item */
@@ -24,9 +25,14 @@
 static void on_request(void *ctx, ap_http_call_t *call)
 {
 	const rig_t *rig = ctx;
-	ap_http_header_t era = {"Store-Era", rig->era};
-
-	ap_http_reply(call, rig->status, &era, rig->era ? 1 : 0, rig->body, strlen(rig->body));
+	ap_http_header_t headers[2];
+	size_t n = 0;
+
+	if (rig->era)
+		headers[n++] = (ap_http_header_t){"Store-Era", rig->era};
+	if (rig->retry_after)
+		headers[n++] = (ap_http_header_t){"Retry-After", rig->retry_after};
+	ap_http_reply(call, rig->status, headers, n, rig->body, strlen(rig->body));
 }
 
 static void on_read(void *ctx, const ap_store_read_t *read)
@@ -80,6 +86,34 @@
 	event_base_free(rig->base);
 }
 
+/* Guards against calls that go on at the usual rate to a store that asked for fewer. */
+static void a_refusal_states_when_to_call_again(void **state)
+{
+	static const struct {
+		int status;
+		const char *text;
+		ap_usec_t wait;
+	} cases[] = {
+		{503, "1.5", 1500 * AP_MSEC},
+		{429, "2", 2 * AP_SEC},
+		{503, "0", 0},
+		{503, "soon", 0},
+		{503, NULL, 0},
+		{500, "2", 0},
+		{410, "2", 0},
+	};
+	rig_t rig = {.base = ap_http_base_new()};
+
+	(void)state;
+	rig_serve(&rig);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig.retry_after = cases[i].text;
+		watch(&rig, cases[i].status, NULL, "{}");
+		assert_int_equal(rig.read.retry_after, cases[i].wait);
+	}
+	rig_stop(&rig);
+}
+
 /* Guards against revisions of different eras that are taken for those of one history. */
 static void each_response_states_the_era(void **state)
 {
@@ -173,6 +207,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_refusal_states_when_to_call_again),
 		cmocka_unit_test(each_response_states_the_era),
 		cmocka_unit_test(an_odd_item_hides_no_other),
 		cmocka_unit_test(a_long_key_hides_no_other),
