--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -12,6 +12,7 @@
 
 #define RATE 60 /* requests a second */
 #define TICK_MS 20
+#define PAUSE_EVERY (6 * AP_SEC)
 #define HEARTBEAT_INTERVAL (1000 * AP_MSEC)
 #define WARM_UP (3 * AP_SEC)
 #define RECOVERY_WAIT (12 * AP_SEC) /* recoverS of the platform's bounds */
@@ -293,6 +294,22 @@
 	s->link_faults++;
 }
 
+/* All upstreams of one pool refuse requests until the same moment. */
+static void pause_pool(soak_t *s)
+{
+	const char *pool = s->replicas[ap_rng_below(&s->pauses, s->n_replicas)].pool;
+	ap_usec_t until = ap_now() + (ap_usec_t)(1000 + ap_rng_below(&s->pauses, 3000)) * AP_MSEC;
+
+	for (size_t i = 0; i < s->n_replicas; i++) {
+		if (strcmp(s->replicas[i].pool, pool) == 0)
+			replica_pause(s, i, until);
+	}
+	if (s->verbose)
+		fprintf(stderr, "%.3f s: pause %s\n",
+			(double)(ap_now() - s->start) / (double)AP_SEC, pool);
+	s->pools_paused++;
+}
+
 static void reap(soak_t *s)
 {
 	for (size_t i = 0; i < s->n_instances; i++) {
@@ -314,6 +331,7 @@
 	ap_usec_t next_heartbeat = ap_now();
 	ap_usec_t next_fault = ap_now() + AP_SEC;
 	ap_usec_t next_link_fault = ap_now() + AP_SEC;
+	ap_usec_t next_pause = ap_now() + PAUSE_EVERY / 2;
 
 	while (ap_now() < until) {
 		struct timeval tick = {.tv_usec = TICK_MS * 1000};
@@ -340,6 +358,10 @@
 			next_link_fault =
 				now + (ap_usec_t)(500 + ap_rng_below(&s->links, 2500)) * AP_MSEC;
 		}
+		if (faulty && now >= next_pause) {
+			pause_pool(s);
+			next_pause = now + PAUSE_EVERY;
+		}
 		run_deferred(s, false);
 		reap(s);
 		event_base_loopexit(s->base, &tick);
@@ -392,6 +414,7 @@
 	for (size_t k = 0; k < FAULTS; k++)
 		printf(" %s %u", faults[k].name, s->fault_kinds[k]);
 	printf(" peer-link %u", s->link_faults);
+	printf(" pause %u", s->pools_paused);
 	printf(" gone %u", s->gone);
 	printf("; %lld ms stood still", (long long)(s->stood_still / AP_MSEC));
 	printf("; after recovery %u of %u served; %u findings\n", s->recovered_served,
@@ -467,6 +490,7 @@
 	ap_rng_seed(&s.schedule, o.seed);
 	ap_rng_seed(&s.links, o.seed + 1);
 	ap_rng_seed(&s.leaves, o.seed + 2);
+	ap_rng_seed(&s.pauses, o.seed + 3);
 	s.start = ap_now();
 	soak_set_up(&s, o.instances);
 	run_for(&s, WARM_UP, false, false);
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -13,6 +13,8 @@
 #define SLOW_FACTOR 8
 #define FAULT_SHARE 0.3
 #define SLOTS 16
+#define IN_GRACE_MAX 2		      /* at the soak's rate */
+#define IN_PAUSE_MAX 2		      /* the platform's bound for an instance */
 #define DRAIN_BOUND (3 * AP_SEC)      /* drain_ms of the settings */
 #define GONE_TIME (100 * AP_MSEC)     /* in which an instance notices that a caller left */
 #define UNDISTURBED_TIME (6 * AP_SEC) /* time without faults after which bounds hold */
@@ -253,6 +255,24 @@
 	run(r, call, q);
 }
 
+/*
+ * Checks a pause that is over. Which instance sent a request isn't known here: each of the region
+ * may have sent one to be told, IN_GRACE_MAX before PAUSE_GRACE was over for it, and those that the
+ * rule allows.
+ */
+static void check_pause(replica_t *r, ap_usec_t now)
+{
+	unsigned instances = (unsigned)(r->soak->n_instances + REGIONS - 1) / REGIONS;
+	unsigned allowed = instances * (1 + IN_GRACE_MAX + IN_PAUSE_MAX);
+
+	if (r->pause_from == 0 || now < r->pause_until)
+		return;
+	if (r->in_pause > allowed && region_undisturbed(r->soak, r->region, r->pause_from))
+		soak_finding(r->soak, "budget: %u requests reached %s in its pause, allowed %u",
+			     r->in_pause, r->id, allowed);
+	r->pause_from = 0;
+}
+
 void replica_heartbeat(soak_t *s, size_t i)
 {
 	replica_t *r = &s->replicas[i];
@@ -262,6 +282,7 @@
 	char addr[32];
 	char dc[32];
 
+	check_pause(r, ap_now());
 	if (!r->server)
 		return;
 	snprintf(key, sizeof(key), "servers/%s", r->id);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -185,6 +185,7 @@
 	ap_rng_t schedule; /* of faults, so that one seed gives one schedule */
 	ap_rng_t links;	   /* of faults of links between instances; a separate schedule */
 	ap_rng_t leaves;   /* of callers that leave */
+	ap_rng_t pauses;   /* of pools whose upstreams ask for a pause; a separate schedule */
 	const char *program;
 	char dir[64];
 	bool verbose;
@@ -216,6 +217,7 @@
 	unsigned retries;
 	unsigned faults;
 	unsigned link_faults;
+	unsigned pools_paused;
 	unsigned findings;
 	unsigned fault_kinds[32];
 };
