--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -189,6 +189,7 @@
 	const char *program;
 	char dir[64];
 	bool verbose;
+	bool no_pauses;
 	bool keep; /* keep the logs also of a run without findings */
 	store_t *store;
 	ap_http_client_t *client;
--- a/test/upgrade_test.sh
+++ b/test/upgrade_test.sh
@@ -23,6 +23,9 @@
 		exit 1
 	}
 fi
+# Builds up to b2beda5 don't read Retry-After.
+PAUSES=
+[ -e "$OLD/source/lib/fleet/backoff.c" ] || PAUSES=--no-pauses
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 cat >"$DIR/either" <<PROGRAM
@@ -41,6 +44,7 @@
 for seed in ${*:-4}; do
 	rm -f "$DIR/starts" "$DIR/builds"
 	"$BUILD/test/soak" --program "$DIR/either" --seed "$seed" --seconds 10 --gates $GATES --keep \
+		$PAUSES \
 		>"$DIR/out" 2>&1
 	status=$?
 	cat "$DIR/out"
