callers_test: callers leave while another instance has sent their requests on

Closes a gap of docs/acts.md: the upstreams of the caller's region pause, so that all requests are at silent upstreams of the other one; 24 callers leave by reset, close and half-close.

--- a/test/callers/main.c
+++ b/test/callers/main.c
@@ -108,6 +108,45 @@
 	assert_int_equal(s->findings, 0);
 }
 
+static unsigned running_in(const soak_t *s, unsigned region)
+{
+	unsigned n = 0;
+
+	for (size_t i = 0; i < s->n_replicas; i++)
+		n += s->replicas[i].region == region ? s->replicas[i].running : 0;
+	return n;
+}
+
+/* Guards against GONE: likewise, where another instance has sent the requests on, in its region. */
+static void test_what_callers_leave_ends_behind_another_instance(void **state)
+{
+	soak_t *s = *state;
+	instance_t *inst = &s->instances[0];
+	raw_caller_t callers[CALLERS];
+	unsigned sent;
+
+	for (size_t i = 0; i < s->n_replicas; i++) {
+		if (s->replicas[i].region == inst->region)
+			replica_pause(s, i, ap_now() + 10 * AP_SEC);
+	}
+	hold_all(s, true);
+	for (size_t i = 0; i < CALLERS; i++) {
+		callers[i] = send_raw(s, inst);
+		scenario_run(s, SCENARIO_TURN);
+	}
+	assert_int_equal(running_in(s, inst->region), 0);
+	assert_true(running_in(s, !inst->region) >= CALLERS);
+	sent = s->arrivals;
+	for (size_t i = 0; i < CALLERS; i++)
+		leave(&callers[i], i);
+	scenario_run(s, NOTICED);
+	assert_int_equal(running(s), 0);
+	scenario_run(s, AP_SEC);
+	assert_int_equal(running(s), 0);
+	assert_int_equal(s->arrivals, sent);
+	assert_int_equal(s->findings, 0);
+}
+
 /*
  * Guards against GONE: an instance that had stood still sent on the requests of callers that had
  * left meanwhile.
@@ -360,6 +399,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		SCENARIO(test_what_callers_leave_ends_at_the_upstreams),
+		SCENARIO(test_what_callers_leave_ends_behind_another_instance),
 		SCENARIO(test_a_backlog_is_sent_on_only_for_callers_that_wait),
 		SCENARIO(test_odd_items_of_the_store_end_and_hide_nothing),
 		SCENARIO(test_a_planned_stop_cuts_nothing_off),
