Count a request after a pause as ended also while its upstream's record is gone

Found in reading: the count of requests in flight after a pause went down only with the record at hand, so that an upstream whose record lapsed and came back stayed held back for five seconds after its next pause. an_upstream_is_taken_up_again_step_by_step fails without the count.

--- a/lib/fleet/backoff.c
+++ b/lib/fleet/backoff.c
@@ -150,9 +150,9 @@
 		remove_backoff(f, b);
 }
 
-void ap_backoff_ended(ap_fleet_t *f, const ap_replica_t *r)
+void ap_backoff_ended(const ap_fleet_t *f, const char *id)
 {
-	ap_backoff_t *b = find(f, r->tag);
+	ap_backoff_t *b = find(f, (uint32_t)ap_hash_str(id, 0));
 
 	if (b && b->in_flight > 0)
 		b->in_flight--;
--- a/lib/fleet/condition.h
+++ b/lib/fleet/condition.h
@@ -82,8 +82,8 @@
 bool ap_backoff_sent(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
 /* @r responded to such a request, not with a refusal. */
 void ap_backoff_responded(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now);
-/* Such a request ended. */
-void ap_backoff_ended(ap_fleet_t *f, const ap_replica_t *r);
+/* Such a request to upstream @id ended, whose record may be gone. */
+void ap_backoff_ended(const ap_fleet_t *f, const char *id);
 /* Returns whether an instance of @region said that the upstreams of @pool there pause. */
 bool ap_backoff_region(ap_fleet_t *f, const char *region, const char *pool, ap_usec_t now);
 /*
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -475,8 +475,6 @@
 	remove_load(r, inflight);
 	if (inflight->after_pause && end == AP_DISPATCH_ERROR)
 		ap_backoff_responded(f, r, now);
-	if (inflight->after_pause)
-		ap_backoff_ended(f, r);
 	if (has_responded(end))
 		r->heard_at = now;
 	if (p)
@@ -521,6 +519,8 @@
 	if (!inflight->open)
 		return;
 	inflight->open = false;
+	if (inflight->after_pause)
+		ap_backoff_ended(f, inflight->id);
 	r = inflight->remote ? NULL : ap_replica_find(f, inflight->id);
 	if (inflight->remote)
 		done_remote(f, inflight, end, now);
--- a/test/fleet_backoff_test.c
+++ b/test/fleet_backoff_test.c
@@ -324,6 +324,20 @@
 		now += 30 * AP_MSEC;
 	}
 	assert_true(sends_at(f, call_at(now), now));
+	/* A request that ends while the record is gone makes room, too. */
+	ap_fleet_backoff_seen(f, "d1", AP_SEC, now);
+	now += AP_SEC + DELAY;
+	for (n = 0; n < 2; n++) {
+		ap_dispatch_t req = call_at(now);
+		ap_target_t target;
+
+		assert_int_equal(choose_at(f, req, now, &target), AP_FLEET_OK);
+		ap_fleet_sent(f, &req, &target, now, &inflight[n]);
+		assert_false(sends_at(f, call_at(now), now));
+		ap_fleet_remove_replica(f, "d1", false, now);
+		ap_fleet_done(f, &inflight[n], AP_DISPATCH_CANCELLED, now);
+		world_replica(f, "d1", "desk", "north", now);
+	}
 	/* One that doesn't respond after its pause has no pause any more. */
 	ap_fleet_backoff_seen(f, "d1", PAUSE, now);
 	now += PAUSE + DELAY;
