--- a/adapters/http/headers.c
+++ b/adapters/http/headers.c
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #define SEPARATORS ", \t"
+#define STATUS_TOO_MANY 429
 #define HTTP_DATE "%a, %d %b %Y %H:%M:%S GMT"
 #define KEEP_ALIVE_MARGIN (300 * AP_MSEC) /* close this long before the upstream would */
 
@@ -88,12 +89,14 @@
 	return true;
 }
 
-ap_http_retry_t ap_http_retry_after(const struct evkeyvalq *headers, ap_usec_t *wait)
+ap_http_retry_t ap_http_retry_after(const struct evkeyvalq *headers, int status, ap_usec_t *wait)
 {
 	ap_http_retry_t result = AP_HTTP_RETRY_NONE;
 	const struct evkeyval *h;
 
 	*wait = 0;
+	if (status != HTTP_SERVUNAVAIL && status != STATUS_TOO_MANY)
+		return result;
 	TAILQ_FOREACH (h, headers, next) {
 		ap_usec_t one;
 
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -26,17 +26,18 @@
 bool ap_http_list_contains(const char *list, const char *word);
 
 typedef enum ap_http_retry {
-	AP_HTTP_RETRY_NONE, /* no Retry-After */
+	AP_HTTP_RETRY_NONE, /* no refusal, or without Retry-After */
 	AP_HTTP_RETRY_VALID,
 	AP_HTTP_RETRY_INVALID, /* none that can be read */
 } ap_http_retry_t;
 
 /**
- * ap_http_retry_after() - reads Retry-After: seconds, which may include a fraction, or a date,
- * which counts from that of the response. Of several, the longest time counts.
+ * ap_http_retry_after() - reads Retry-After of a refusal, which has the status 429 or 503: seconds,
+ * which may include a fraction, or a date, which counts from that of the response. Of several, the
+ * longest time counts.
  * @wait: receives the time in microseconds, at most AP_DURATION_MAX; 0 unless valid
  */
-ap_http_retry_t ap_http_retry_after(const struct evkeyvalq *headers, ap_usec_t *wait);
+ap_http_retry_t ap_http_retry_after(const struct evkeyvalq *headers, int status, ap_usec_t *wait);
 
 /** ap_http_base_new() - an event loop configured for many short writes; NULL on failure. */
 struct event_base *ap_http_base_new(void);
--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <strings.h>
 
-#define STATUS_TOO_MANY 429
 #define CHOICES_MAX 2 /* a second choice if the chosen remote region can't be reached */
 #define UPSTREAM_HEADERS_MAX (3 + PASSED_HEADERS_MAX)
 
@@ -181,9 +180,7 @@
 {
 	ap_usec_t wait;
 
-	if (head->status != HTTP_SERVUNAVAIL && head->status != STATUS_TOO_MANY)
-		return;
-	if (ap_http_retry_after(head->headers, &wait) == AP_HTTP_RETRY_INVALID)
+	if (ap_http_retry_after(head->headers, head->status, &wait) == AP_HTTP_RETRY_INVALID)
 		ap_log(LOG_WARNING, "can't read the Retry-After of upstream %s, expected seconds",
 		       x->choice.upstream_id);
 	ap_route_pause(x->entry->route, x->choice.upstream_id, wait, ap_now());
--- a/cmd/arbutuspond/gateway-health.c
+++ b/cmd/arbutuspond/gateway-health.c
@@ -30,7 +30,8 @@
 	bool leaving = own && ap_host_is_leaving(response->headers);
 	bool valid = own && !leaving && response->code == 200;
 	bool readable = response->end != AP_CALL_RESPONDED ||
-			ap_host_retry_after(response->headers, response->code, &pause);
+			ap_http_retry_after(response->headers, response->code, &pause) !=
+				AP_HTTP_RETRY_INVALID;
 
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "upstream.asked", NULL, "s:s,s:b,s:b,s:I",
 			 "upstream", check->id, "told", (int)valid, "refused", (int)refused,
--- a/test/retry_after_test.c
+++ b/test/retry_after_test.c
@@ -79,7 +79,7 @@
 		ap_http_retry_t result;
 
 		fill(&headers, cases[i].lines);
-		result = ap_http_retry_after(&headers, &wait);
+		result = ap_http_retry_after(&headers, 503, &wait);
 		if (result != cases[i].result || wait != cases[i].wait)
 			fail_msg("case %zu, %s: %d, %lld us", i, cases[i].lines[0], (int)result,
 				 (long long)wait);
@@ -130,7 +130,7 @@
 	fill(&headers, lines);
 	assert_true(ap_host_parse_response(&headers, 503, "", false).retry_after_invalid);
 	assert_false(ap_host_parse_response(&headers, 500, "", false).retry_after_invalid);
-	assert_false(ap_host_retry_after(&headers, 503, &wait));
+	assert_int_equal(ap_http_retry_after(&headers, 500, &wait), AP_HTTP_RETRY_NONE);
 	assert_int_equal(wait, 0);
 	assert_false(ap_host_names_other(&headers, "i-1"));
 	assert_true(ap_host_names_other(&headers, "i-2"));
