--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -714,8 +714,12 @@
 typedef struct entry {
 	char key[128];
 	char json[1024];
+	char state[128]; /* fields after @json */
 } entry_t;
 
+static entry_t *entries[256];
+static size_t n_entries;
+
 static void *heartbeat(void *arg)
 {
 	entry_t *e = arg;
@@ -729,11 +733,10 @@
 		pthread_mutex_unlock(&store_lock);
 		if (gone)
 			break;
-		snprintf(json, sizeof(json), "%s,\"seq\":%u}", e->json, seq);
+		snprintf(json, sizeof(json), "%s,%s,\"seq\":%u}", e->json, e->state, seq);
 		store_put(e->key, json);
 		sleep_s(1.2);
 	}
-	free(e);
 	return NULL;
 }
 
@@ -745,14 +748,70 @@
 	snprintf(e->key, sizeof(e->key), "servers/%s", id);
 	snprintf(e->json, sizeof(e->json),
 		 "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"%s\","
-		 "\"slots\":%d,\"state\":\"ready\",\"coldLeftMs\":0",
+		 "\"slots\":%d,\"coldLeftMs\":0",
 		 service, port, zone, version, slots);
+	snprintf(e->state, sizeof(e->state), "\"state\":\"ready\"");
+	if (n_entries < 256)
+		entries[n_entries++] = e;
 	start_thread(heartbeat, e);
 	record("replica %s of %s at port %d in %s", id, service, port, zone);
 }
 
+void replica_leaves(const char *id, int left_ms)
+{
+	char key[128];
+	char json[1200];
+
+	snprintf(key, sizeof(key), "servers/%s", id);
+	for (size_t i = 0; i < n_entries; i++) {
+		if (strcmp(entries[i]->key, key) != 0)
+			continue;
+		if (left_ms > 0)
+			snprintf(entries[i]->state, sizeof(entries[i]->state),
+				 "\"state\":\"draining\",\"drainLeftMs\":%d", left_ms);
+		else
+			snprintf(entries[i]->state, sizeof(entries[i]->state),
+				 "\"state\":\"draining\"");
+		snprintf(json, sizeof(json), "%s,%s,\"seq\":9999}", entries[i]->json,
+			 entries[i]->state);
+		store_put(key, json);
+	}
+}
+
 /* ---- gateways ---- */
 
+pid_t fork_stand_in(void (*run)(void *ctx), void *ctx)
+{
+	pid_t parent = getpid();
+	pid_t pid;
+
+	fflush(record_file);
+	pid = fork();
+	if (pid == 0) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		if (getppid() != parent)
+			_exit(1);
+		n_started = 0;
+		run(ctx);
+		for (;;)
+			pause();
+	}
+	if (pid < 0 || n_started == STARTED_MAX)
+		cannot("no process");
+	started[n_started++] = pid;
+	return pid;
+}
+
+void kill_stand_in(pid_t pid)
+{
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+	for (int i = 0; i < n_started; i++) {
+		if (started[i] == pid)
+			started[i] = 0;
+	}
+}
+
 void gateway_prepare(gateway_t *g, const char *id, const char *region, int store_port)
 {
 	FILE *out;
@@ -868,6 +927,9 @@
 	"{\"name\":\"r-consulta\",\"host\":\"ferias.example\",\"prefix\":\"/consulta/\",\"kind\":"
 	"\"stream\",\"timeoutMs\":4000,\"goalMs\":1000,\"priority\":0,\"service\":\"asistente\","
 	"\"attempts\":2,\"sticky\":true,\"resumable\":true,\"gapAimMs\":1200,\"homeRegions\":[]},"
+	"{\"name\":\"r-dictamen\",\"host\":\"ferias.example\",\"prefix\":\"/dictamen/\",\"kind\":"
+	"\"stream\",\"timeoutMs\":6000,\"goalMs\":1200,\"priority\":1,\"service\":\"asistente\","
+	"\"attempts\":1,\"sticky\":true,\"resumable\":false,\"gapAimMs\":1200,\"homeRegions\":[]},"
 	"{\"name\":\"r-reserva\",\"host\":\"ferias.example\",\"prefix\":\"/reserva/\",\"kind\":"
 	"\"non_idempotent\",\"timeoutMs\":2000,\"goalMs\":400,\"priority\":2,\"service\":\"mesa\","
 	"\"attempts\":1,\"sticky\":false,\"resumable\":false,\"homeRegions\":[]},"
--- a/review/stand/world.h
+++ b/review/stand/world.h
@@ -12,7 +12,7 @@
 
 #define TEXT_MAX 65536
 
-/* A configuration with two services and three routes, like those of ferias-stands. */
+/* A configuration with two services and four routes, like those of ferias-stands. */
 extern const char world_config[];
 
 /* One HTTP message that was read. @head holds the request or status line and the headers. */
@@ -78,5 +78,11 @@
 /* Replicas: an entry in the store, written again at each heartbeat. */
 void replica_register(const char *id, const char *service, const char *zone, int port, int slots,
 		      const char *version);
+/* The replica reports that it is draining; with @left_ms above 0 it is gone after that time. */
+void replica_leaves(const char *id, int left_ms);
+
+/* A stand-in in a process of its own. To be called before threads are started. */
+pid_t fork_stand_in(void (*run)(void *ctx), void *ctx);
+void kill_stand_in(pid_t pid);
 
 #endif
