--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -600,12 +600,12 @@
 			 (json_int_t)revision);
 }
 
-static json_t *do_watch(const char *target)
+static json_t *do_watch(const char *target, const volatile bool *rejects)
 {
 	uint64_t after = query_number(target, "after=");
 	double until = now_s() + (double)query_number(target, "waitMs=") / 1000;
 
-	while (revision <= after && now_s() < until) {
+	while (revision <= after && now_s() < until && !(rejects && *rejects)) {
 		pthread_mutex_unlock(&store_lock);
 		sleep_s(0.01);
 		pthread_mutex_lock(&store_lock);
@@ -617,13 +617,18 @@
 static bool on_store(void *ctx, int fd, const msg_t *req)
 {
 	json_t *root = req->len ? json_loadb(req->body, req->len, 0, NULL) : NULL;
+	const volatile bool *rejects = ctx;
 	json_t *body = NULL;
 	char *text;
 	int status = 404;
 	lease_t *l;
 	bool ok;
 
-	(void)ctx;
+	if (rejects && *rejects) {
+		json_decref(root);
+		return send_text(fd, "HTTP/1.1 503 X\r\nContent-Type: application/json\r\nStore-Era: "
+				     "1\r\nContent-Length: 2\r\n\r\n{}");
+	}
 	pthread_mutex_lock(&store_lock);
 	expire_leases();
 	if (strncmp(req->target, "/api/kv-range", 13) == 0) {
@@ -631,7 +636,12 @@
 		body = list_json("items", 0, false);
 	} else if (strncmp(req->target, "/api/kv-watch", 13) == 0) {
 		status = 200;
-		body = do_watch(req->target);
+		body = do_watch(req->target, rejects);
+		if (rejects && *rejects) {
+			json_decref(body);
+			body = NULL;
+			status = 503;
+		}
 	} else if (strcmp(req->target, "/api/kv-txn") == 0) {
 		status = do_txn(root, &body);
 	} else if (strcmp(req->target, "/api/kv-lease") == 0) {
@@ -676,6 +686,14 @@
 	return port;
 }
 
+int store_start_for(volatile bool *rejects)
+{
+	int port = free_port_block(1);
+
+	serve(port, on_store, (void *)rejects);
+	return port;
+}
+
 void store_put(const char *key, const char *json)
 {
 	pthread_mutex_lock(&store_lock);
--- a/review/stand/world.h
+++ b/review/stand/world.h
@@ -55,6 +55,8 @@
 
 /* Store */
 int store_start(void); /* its port */
+/* Another port of the same store, which rejects all calls with 503 while @rejects is set. */
+int store_start_for(volatile bool *rejects);
 void store_put(const char *key, const char *json);
 void store_remove(const char *key);
 /* Waits until @n instances have registered. */
