--- a/review/1/case.c
+++ b/review/1/case.c
@@ -4,7 +4,7 @@
  * Without the trouble the same bodies are sent with POST.
  */
 #define _GNU_SOURCE
-#include "world.h"
+#include "../stand/world.h"
 
 #include <pthread.h>
 #include <stdio.h>
@@ -41,7 +41,8 @@
 		smuggled++;
 		record("BROKEN: no client sent a request with id %s", id);
 	} else if (strcmp(s->method, req->method) != 0 || strcmp(s->target, req->target) != 0 ||
-		   strlen(s->body) != req->len || (req->len && memcmp(s->body, req->body, req->len))) {
+		   strlen(s->body) != req->len ||
+		   (req->len && memcmp(s->body, req->body, req->len) != 0)) {
 		changed++;
 		record("BROKEN: %s was sent with a body of %zu bytes and runs with %zu", id,
 		       strlen(s->body), req->len);
@@ -92,8 +93,9 @@
 	       strlen(s->body), chunks ? "in chunks" : "with its length", g->id);
 	if (fd < 0)
 		cannot("%s doesn't accept", g->id);
-	send_text(fd, "%s %s HTTP/1.1\r\nHost: ferias.example\r\nRequest-Id: %s\r\nDeadline-Ms: "
-		      "4000\r\n%s\r\n\r\n",
+	send_text(fd,
+		  "%s %s HTTP/1.1\r\nHost: ferias.example\r\nRequest-Id: %s\r\nDeadline-Ms: "
+		  "4000\r\n%s\r\n\r\n",
 		  method, s->target, s->id, chunks ? "Transfer-Encoding: chunked" : framing);
 	if (chunks)
 		send_text(fd, "%zx\r\n%s\r\n0\r\n\r\n", strlen(s->body), s->body);
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -5,7 +5,7 @@
  * kills a process whose memory is above its limit.
  */
 #define _GNU_SOURCE
-#include "world.h"
+#include "../stand/world.h"
 
 #include <pthread.h>
 #include <signal.h>
@@ -35,22 +35,21 @@
 
 static void endless(int fd, const char *what)
 {
-	static char line[8192];
+	static char line[8192 + 1];
 	double from = now_s();
 	double sent = 0;
 
-	memset(line, 'x', sizeof(line));
-	memcpy(line, "X-Pad: ", 7);
-	memcpy(line + sizeof(line) - 2, "\r\n", 2);
+	snprintf(line, sizeof(line), "X-Pad: %0*d\r\n", 8192 - 9, 0);
 	record("replica i-trouble answers %s with a head without end", what);
 	send_text(fd, "HTTP/1.1 200 OK\r\n");
-	while (send_all(fd, line, sizeof(line))) {
-		double due = from + (sent += sizeof(line)) / BYTES_PER_S;
+	while (send_all(fd, line, 8192)) {
+		double due = from + (sent += 8192) / BYTES_PER_S;
 
 		if (due > now_s())
 			sleep_s(due - now_s());
 	}
-	record("the channel of %s ended after %.1f s and %.1f MB", what, now_s() - from, sent / 1e6);
+	record("the channel of %s ended after %.1f s and %.1f MB", what, now_s() - from,
+	       sent / 1e6);
 }
 
 static bool on_replica(void *ctx, int fd, const msg_t *req)
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,10 +1,10 @@
 /*
  * One replica of three is faulty for some seconds: in one of twenty answers it sends bytes that are
- * no answer in the protocol: HTTP with status 200 and the request's id, but without Server-Stamp and
- * with another body. No client may get them as a success.
+ * no answer in the protocol: HTTP with status 200 and the request's id, but without Server-Stamp
+ * and with another body. No client may get them as a success.
  */
 #define _GNU_SOURCE
-#include "world.h"
+#include "../stand/world.h"
 
 #include <pthread.h>
 #include <stdio.h>
@@ -46,8 +46,10 @@
 	}
 	if (bad) {
 		record("replica %s answers %s with bytes that are no answer", name, id);
-		return send_text(fd, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 7\r\n"
-				     "\r\nspoiled", id);
+		return send_text(fd,
+				 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 7\r\n"
+				 "\r\nspoiled",
+				 id);
 	}
 	return send_text(fd,
 			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\n"
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 for source in [1-5]/case.c; do
 	[ -f "$source" ] || continue
 	n=$(dirname "$source")
-	cc -O2 -g -Wall -Wextra -Istand "$source" stand/world.c -o "build/case$n" -ljansson -lpthread
+	cc -O2 -g -Wall -Wextra "$source" stand/world.c -o "build/case$n" -ljansson -lpthread
 done
--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -75,7 +75,9 @@
 		}
 	}
 	record("exit %d: %s", status,
-	       status == 0 ? "the rule held" : status == 1 ? "the rule was broken" : "could not run");
+	       status == 0   ? "the rule held"
+	       : status == 1 ? "the rule was broken"
+			     : "could not run");
 	_exit(status);
 }
 
@@ -463,7 +465,8 @@
 
 static char *base64(const char *text)
 {
-	static const char set[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+	static const char set[] =
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 	size_t len = strlen(text);
 	char *out = malloc(len * 4 / 3 + 8);
 	size_t n = 0;
@@ -559,7 +562,8 @@
 		json_t *list = json_array();
 
 		json_array_foreach (json_object_get(root, "expectRev"), i, row) {
-			const item_t *it = find_item(json_string_value(json_object_get(row, "key")));
+			const item_t *it =
+				find_item(json_string_value(json_object_get(row, "key")));
 
 			if (it->value)
 				json_array_append_new(list, item_json(it));
@@ -626,8 +630,9 @@
 
 	if (rejects && *rejects) {
 		json_decref(root);
-		return send_text(fd, "HTTP/1.1 503 X\r\nContent-Type: application/json\r\nStore-Era: "
-				     "1\r\nContent-Length: 2\r\n\r\n{}");
+		return send_text(fd,
+				 "HTTP/1.1 503 X\r\nContent-Type: application/json\r\nStore-Era: "
+				 "1\r\nContent-Length: 2\r\n\r\n{}");
 	}
 	pthread_mutex_lock(&store_lock);
 	expire_leases();
@@ -895,7 +900,9 @@
 		bool ok;
 
 		if (fd >= 0) {
-			send_text(fd, "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+			send_text(
+				fd,
+				"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
 			ok = read_msg(fd, &m, true, 1) && m.status == 200;
 			msg_free(&m);
 			close(fd);
@@ -955,7 +962,8 @@
 	"\"idempotent\",\"timeoutMs\":2000,\"goalMs\":400,\"priority\":2,\"service\":\"mesa\","
 	"\"attempts\":2,\"sticky\":false,\"resumable\":false,\"homeRegions\":[]}],"
 	"\"services\":[{\"name\":\"asistente\",\"healthPath\":\"/health\",\"maxConns\":370,"
-	"\"proto\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":6.6,\"engine\":{\"slots\":64,"
+	"\"proto\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":6.6,\"engine\":{\"slots\":"
+	"64,"
 	"\"kvTokens\":313764,\"stride\":9}},"
 	"{\"name\":\"mesa\",\"healthPath\":\"/health\",\"maxConns\":110,\"proto\":\"h1\",\"tls\":"
 	"false,\"warmupS\":0.0,\"warmupPerS\":0.0}],"
