Bound each small call in time and bytes, not each of its reads

The store, seeds, polls and orders use the same calls.

Cause: the limit of a call was the library's timeout, which each byte renews; the head had no limit at all; the size of a chunk was held until it ended and searched again with each read.

Change: one limit from the start of a call to its end, extended only by body bytes at 64 KiB a second; head, body and a line between chunks are bounded; interim heads are counted and dropped, and one that the library takes to be final (103) is no response. A health check holds 4 KiB of body. The client of requests gets the same bound on the line between chunks (1 MB before).

Evidence: call_endless_test, on the code before: a status line without end was read for 10 s of processor time in 10 s and not given up (36.8 MB); a drip of a byte every 20 ms kept a call of 200 ms open for 1.6 s, when the test ended.

--- a/adapters/call/call.c
+++ b/adapters/call/call.c
@@ -1,5 +1,6 @@
 /* Small HTTP calls, each on a connection of its own. */
 #include "call/call.h"
+#include "http/http.h"
 #include "log/log.h"
 
 #include <event2/buffer.h>
@@ -10,6 +11,9 @@
 #include <sys/queue.h>
 
 #define RESPONSE_MAX_BYTES (8 << 20)
+#define HEAD_MAX_BYTES (64 << 10)
+#define INTERIM_HEADS_MAX 16 /* of one response */
+#define BODY_RATE (64 << 10) /* bytes per second that a body has to arrive with at least */
 
 typedef struct ap_call ap_call_t;
 LIST_HEAD(ap_call_list, ap_call);
@@ -24,18 +28,25 @@
 	LIST_ENTRY(ap_call) link;
 	ap_calls_t *owner;
 	struct evhttp_connection *conn;
-	struct event *end_event; /* ends the call outside the library's callback */
+	struct event *end_event;    /* ends the call, at its time limit or on request */
+	struct evhttp_request *req; /* NULL once the library is done with it */
 	ap_call_done_t done;
 	void *arg;
+	ap_usec_t started;
+	ap_usec_t limit;
+	size_t response_max;
+	size_t body_bytes; /* received after the head */
+	unsigned interim_heads;
+	bool head_received;
 	bool written;
+	bool ended; /* no response is waited for any more */
 	bool reported;
 };
 
 static void call_free(ap_call_t *call)
 {
 	LIST_REMOVE(call, link);
-	if (call->end_event)
-		event_free(call->end_event);
+	event_free(call->end_event);
 	if (call->conn)
 		evhttp_connection_free(call->conn);
 	free(call);
@@ -49,12 +60,30 @@
 	call->done(call->arg, response);
 }
 
+/*
+ * What has arrived of a body extends the limit by the time that it takes at BODY_RATE, so that a
+ * large response may cross a narrow link. Bytes of a head, and silence, extend nothing.
+ */
+static ap_usec_t time_left(const ap_call_t *call)
+{
+	ap_usec_t body_time = (ap_usec_t)call->body_bytes * AP_SEC / BODY_RATE;
+
+	return call->started + call->limit + body_time - ap_now();
+}
+
 static void on_end(evutil_socket_t fd, short what, void *arg)
 {
 	ap_call_t *call = arg;
+	ap_usec_t left = time_left(call);
+	struct timeval tv;
 
 	(void)fd;
 	(void)what;
+	if (!call->ended && left > 0) {
+		tv = ap_timeval(left);
+		event_add(call->end_event, &tv);
+		return;
+	}
 	if (!call->reported) {
 		ap_call_response_t none = {.end = call->written ? AP_CALL_NO_RESPONSE
 								: AP_CALL_NOT_SENT};
@@ -64,8 +93,10 @@
 	call_free(call);
 }
 
+/* Ends the call outside the library's callback. */
 static void schedule_end(ap_call_t *call)
 {
+	call->ended = true;
 	event_active(call->end_event, EV_TIMEOUT, 0);
 }
 
@@ -78,15 +109,45 @@
 		call->written = true;
 }
 
+/* Gives up a response of which the library holds more than a call may receive. */
+static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
+{
+	ap_call_t *call = arg;
+
+	if (info->n_added == 0 || !call->req)
+		return;
+	if (call->head_received)
+		call->body_bytes += info->n_added;
+	if (evbuffer_get_length(in) > HEAD_MAX_BYTES + call->response_max ||
+	    ap_http_line_too_long(call->req, in))
+		schedule_end(call);
+}
+
+static int on_head(struct evhttp_request *req, void *arg)
+{
+	ap_call_t *call = arg;
+
+	if (evhttp_request_get_response_code(req) >= HTTP_OK) {
+		call->head_received = true;
+		return 0;
+	}
+	/* The library adds the headers of the next response to these. */
+	evhttp_clear_headers(evhttp_request_get_input_headers(req));
+	return ++call->interim_heads <= INTERIM_HEADS_MAX ? 0 : -1;
+}
+
 static void on_response(struct evhttp_request *req, void *arg)
 {
 	ap_call_t *call = arg;
 	ap_call_response_t response = {.end = AP_CALL_RESPONDED};
 	struct evbuffer *body;
 
+	call->req = NULL;
 	if (call->reported)
 		return;
-	if (!req || evhttp_request_get_response_code(req) == 0) {
+	/* Without a final head: no response, or an interim one that the library takes to be final.
+	 */
+	if (!req || !call->head_received) {
 		schedule_end(call);
 		return;
 	}
@@ -117,9 +178,12 @@
 	}
 	evhttp_connection_set_timeout_tv(call->conn, &limit);
 	evhttp_connection_set_retries(call->conn, 0);
-	evhttp_connection_set_max_body_size(call->conn, RESPONSE_MAX_BYTES);
+	evhttp_connection_set_max_headers_size(call->conn, HEAD_MAX_BYTES);
+	evhttp_connection_set_max_body_size(call->conn, (ev_ssize_t)call->response_max);
 	bev = evhttp_connection_get_bufferevent(call->conn);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output, call);
+	evbuffer_add_cb(bufferevent_get_input(bev), on_input, call);
+	evhttp_request_set_header_cb(req, on_head);
 	snprintf(host, sizeof(host), "%s:%u", spec->to->host, spec->to->port);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", host);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
@@ -131,7 +195,11 @@
 				  spec->if_none_match);
 	if (spec->len > 0)
 		evbuffer_add(evhttp_request_get_output_buffer(req), spec->body, spec->len);
-	return evhttp_make_request(call->conn, req, spec->method, spec->path) == 0;
+	call->req = req;
+	if (evhttp_make_request(call->conn, req, spec->method, spec->path) == 0)
+		return true;
+	call->req = NULL;
+	return false;
 }
 
 ap_calls_t *ap_calls_new(struct event_base *base)
@@ -165,6 +233,7 @@
 
 void ap_call(ap_calls_t *calls, const ap_call_spec_t *spec)
 {
+	struct timeval limit = ap_timeval(spec->limit);
 	ap_call_t *call = calloc(1, sizeof(*call));
 
 	if (!call)
@@ -172,8 +241,14 @@
 	call->owner = calls;
 	call->done = spec->done;
 	call->arg = spec->arg;
+	call->started = ap_now();
+	call->limit = spec->limit;
+	call->response_max = spec->response_max ? spec->response_max : RESPONSE_MAX_BYTES;
 	call->end_event = event_new(calls->base, -1, 0, on_end, call);
+	if (!call->end_event)
+		abort();
 	LIST_INSERT_HEAD(&calls->list, call, link);
+	event_add(call->end_event, &limit);
 	if (!start(call, spec))
 		schedule_end(call);
 }
--- a/adapters/call/call.h
+++ b/adapters/call/call.h
@@ -40,8 +40,10 @@
  * @content_type: of @body; NULL for none
  * @if_none_match: ETag of a known response; the server responds 304 if it still matches; NULL for
  *                 none
- * @limit: time limit in microseconds on connecting and on each read or write, not on the whole
- *         call; when it passes, the call ends without a response
+ * @limit: time limit in microseconds on the whole call, and on each silence; when it passes, the
+ *         call ends without a response. A body that arrives at 64 KiB per second or more may take
+ *         longer
+ * @response_max: maximum body of the response in bytes; 0 for 8 MiB
  * @done: called once, with the result
  * @arg: allocated by malloc(); passed to @done, or freed if ap_calls_free() drops the call
  */
@@ -54,6 +56,7 @@
 	const char *content_type;
 	const char *if_none_match;
 	ap_usec_t limit;
+	size_t response_max;
 	ap_call_done_t done;
 	void *arg;
 } ap_call_spec_t;
--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -58,7 +58,9 @@
 {
 	conn_t *conn = arg;
 
-	if (!conn->fetch || info->n_added == 0 || evbuffer_get_length(buf) <= UNPARSED_MAX)
+	if (!conn->fetch || info->n_added == 0 ||
+	    (evbuffer_get_length(buf) <= UNPARSED_MAX &&
+	     !ap_http_line_too_long(conn->fetch->req, buf)))
 		return;
 	conn->fetch->flooded = true;
 	event_active(conn->fetch->timer, EV_TIMEOUT, 0);
@@ -524,6 +526,7 @@
 	}
 	fetch->config = *config;
 	fetch->conn = conn;
+	fetch->req = req;
 	fetch->is_probe = is_probe;
 	fetch->new_conn = conn->verified_at == 0;
 	fetch->library_failure = AP_HTTP_RESET;
--- a/adapters/http/client.h
+++ b/adapters/http/client.h
@@ -85,6 +85,7 @@
 
 /**
  * struct ap_http_fetch - one request to an upstream.
+ * @req: the library's request, valid as long as the fetch
  * @timer: checks the time limits
  * @last_byte_at: when the last byte arrived, the request was sent or reading was paused or resumed
  * @suspect_since: value of @last_byte_at when the probe was started
@@ -100,6 +101,7 @@
 struct ap_http_fetch {
 	ap_http_fetch_config_t config;
 	conn_t *conn;
+	struct evhttp_request *req;
 	struct event *timer;
 	ap_http_fetch_t *probe;
 	probe_state_t probe_state;
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -39,6 +39,14 @@
  */
 ap_http_retry_t ap_http_retry_after(const struct evkeyvalq *headers, int status, ap_usec_t *wait);
 
+/**
+ * ap_http_line_too_long() - whether the size of a chunk, with its extensions, does not end. The
+ * library searches such a line again from its start with each read.
+ * @req: message whose body is being received
+ * @in: what the library has not parsed of it
+ */
+bool ap_http_line_too_long(const struct evhttp_request *req, const struct evbuffer *in);
+
 /** ap_http_base_new() - an event loop configured for many short writes; NULL on failure. */
 struct event_base *ap_http_base_new(void);
 
--- a/cmd/arbutuspond/gateway-health.c
+++ b/cmd/arbutuspond/gateway-health.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 
 #define HEALTH_TIMEOUT (500 * AP_MSEC) /* a few times the response time of an idle upstream */
+#define HEALTH_RESPONSE_MAX 4096       /* bytes of a body, which isn't read */
 
 typedef struct health_check {
 	gateway_t *gate;
@@ -66,6 +67,7 @@
 		.to = &to,
 		.method = EVHTTP_REQ_GET,
 		.limit = HEALTH_TIMEOUT,
+		.response_max = HEALTH_RESPONSE_MAX,
 		.done = on_response,
 	};
 	health_check_t *check;
