State the length of every body, and refuse requests whose body can't be told from the next

Cause: the framing of a request was left to the HTTP library, which states a length for its own list of methods only. On the way in it leaves bodies unread by a list of its own, too: that of a HEAD and of any request with an unknown transfer coding was served as the next request, and 'gzip, chunked' was passed on without its coding.

Change: ap_http_set_body() frames every request that is sent, in the client, in small calls and in the operators' tool, and drops framing that the request was given. ap_http_framing_valid() checks every request that arrives: one length or 'chunked', and a body as long as stated; others get 400 and their connection is closed.

--- a/adapters/call/call.c
+++ b/adapters/call/call.c
@@ -193,8 +193,10 @@
 	if (spec->if_none_match)
 		evhttp_add_header(evhttp_request_get_output_headers(req), "If-None-Match",
 				  spec->if_none_match);
-	if (spec->len > 0)
-		evbuffer_add(evhttp_request_get_output_buffer(req), spec->body, spec->len);
+	if (!ap_http_set_body(req, spec->method, spec->body, spec->len)) {
+		evhttp_request_free(req);
+		return false;
+	}
 	call->req = req;
 	if (evhttp_make_request(call->conn, req, spec->method, spec->path) == 0)
 		return true;
--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -492,7 +492,10 @@
 		evhttp_add_header(headers, config->headers[i].name, config->headers[i].value);
 	if (!evhttp_find_header(headers, "Host"))
 		evhttp_add_header(headers, "Host", conn->address->host);
-	evbuffer_add(evhttp_request_get_output_buffer(req), config->body, config->len);
+	if (!ap_http_set_body(req, config->method, config->body, config->len)) {
+		evhttp_request_free(req);
+		return NULL;
+	}
 	evhttp_request_set_header_cb(req, on_head);
 	evhttp_request_set_chunked_cb(req, on_chunk);
 	evhttp_request_set_error_cb(req, on_error);
--- a/adapters/http/framing.c
+++ b/adapters/http/framing.c
@@ -1,12 +1,74 @@
 /* Framing of requests and responses where the library leaves it to its user. */
 #include "http/http.h"
 
+#include <ctype.h>
 #include <event2/buffer.h>
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
 
 #define LINE_MAX 65536 /* bytes */
+#define LENGTH "Content-Length"
+#define CODING "Transfer-Encoding"
+#define NUMBER_MAX 24 /* bytes of a number as text, with terminator */
 
 bool ap_http_line_too_long(const struct evhttp_request *req, const struct evbuffer *in)
 {
 	return req->chunked && req->ntoread < 0 && evbuffer_get_length(in) > LINE_MAX;
 }
+
+static size_t count_headers(const struct evkeyvalq *headers, const char *name)
+{
+	const struct evkeyval *h;
+	size_t n = 0;
+
+	TAILQ_FOREACH (h, headers, next)
+		n += strcasecmp(h->key, name) == 0;
+	return n;
+}
+
+static bool states_length(const char *text, size_t len)
+{
+	char *end;
+
+	return isdigit((unsigned char)text[0]) && strtoull(text, &end, 10) == len && *end == '\0';
+}
+
+bool ap_http_framing_valid(const struct evhttp_request *req)
+{
+	const struct evkeyvalq *headers = req->input_headers;
+	const char *coding = evhttp_find_header(headers, CODING);
+	const char *length = evhttp_find_header(headers, LENGTH);
+
+	if (count_headers(headers, CODING) + count_headers(headers, LENGTH) > 1)
+		return false;
+	/* The library doesn't read the body of HEAD. */
+	if (coding)
+		return req->type != EVHTTP_REQ_HEAD && strcasecmp(coding, "chunked") == 0;
+	return !length || states_length(length, evbuffer_get_length(req->input_buffer));
+}
+
+static bool expects_body(enum evhttp_cmd_type method)
+{
+	return method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT || method == EVHTTP_REQ_PATCH;
+}
+
+bool ap_http_set_body(struct evhttp_request *req, enum evhttp_cmd_type method, const void *body,
+		      size_t len)
+{
+	char text[NUMBER_MAX];
+
+	while (evhttp_remove_header(req->output_headers, LENGTH) == 0)
+		;
+	while (evhttp_remove_header(req->output_headers, CODING) == 0)
+		;
+	if (len == 0 && !expects_body(method))
+		return true;
+	snprintf(text, sizeof(text), "%zu", len);
+	return evhttp_add_header(req->output_headers, LENGTH, text) == 0 &&
+	       evbuffer_add(req->output_buffer, body, len) == 0;
+}
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -47,6 +47,20 @@
  */
 bool ap_http_line_too_long(const struct evhttp_request *req, const struct evbuffer *in);
 
+/**
+ * ap_http_framing_valid() - whether the body of a received request ends where its head says. The
+ * library leaves the body of some methods and codings unread, and would take it for a request.
+ */
+bool ap_http_framing_valid(const struct evhttp_request *req);
+/**
+ * ap_http_set_body() - copies the body of a request to be sent and states its length, instead of
+ * any framing among the request's headers. The library states it for some methods only.
+ *
+ * Return: false when out of memory.
+ */
+bool ap_http_set_body(struct evhttp_request *req, enum evhttp_cmd_type method, const void *body,
+		      size_t len);
+
 /** ap_http_base_new() - an event loop configured for many short writes; NULL on failure. */
 struct event_base *ap_http_base_new(void);
 
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -134,6 +134,16 @@
 	call->server->config.refused(call->server->config.ctx, call, why);
 }
 
+/* Bytes that follow on the connection may be a part of the body, so it is closed. */
+static void refuse_framing(ap_http_call_t *call)
+{
+	call->conn->refused = true;
+	if (call->server->config.refused)
+		refuse(call, AP_HTTP_REFUSED_MALFORMED);
+	else
+		ap_http_reply(call, HTTP_BADREQUEST, NULL, 0, NULL, 0);
+}
+
 static bool stopped_long_ago(const ap_http_server_t *server)
 {
 	return !server->listener && ap_now() - server->stopped_at > ARRIVED_TIME;
@@ -177,6 +187,8 @@
 	if (call->hangup && conn_peer_left(conn)) {
 		server->stats.left++;
 		event_active(call->hangup, EV_CLOSED, 0);
+	} else if (!ap_http_framing_valid(req)) {
+		refuse_framing(call);
 	} else if (server->config.refused && stopped_long_ago(server)) {
 		refuse(call, AP_HTTP_REFUSED_STOPPED);
 	} else if (server->config.refused && conn_over_limit(conn)) {
@@ -445,7 +457,7 @@
 		reply_to_refused(call, status, headers, n, body, len);
 		return;
 	}
-	if (call->conn->over_limit || !call->server->listener)
+	if (call->conn->over_limit || call->conn->refused || !call->server->listener)
 		evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
 	add_headers(req, headers, n);
 	evbuffer_add(evhttp_request_get_output_buffer(req), body, len);
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -49,7 +49,7 @@
  * @head_complete: the empty line after the headers has arrived
  * @over_limit: the connection limit was exceeded when the connection was opened
  * @far_over_limit: the limit was exceeded so far that the connection is closed at once
- * @refused: its last response was sent without the library
+ * @refused: no request follows: its last response was sent without the library, or closes it
  */
 struct server_conn {
 	UT_hash_handle hh;
--- a/cmd/arbutuspondctl/http.c
+++ b/cmd/arbutuspondctl/http.c
@@ -1,5 +1,6 @@
 /* HTTP client that runs an event loop for each call. */
 #include "http.h"
+#include "http/http.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -77,9 +78,9 @@
 		if (h[1] && *h[1])
 			evhttp_add_header(out, h[0], h[1]);
 	}
-	if (request->body)
-		evbuffer_add(evhttp_request_get_output_buffer(req), request->body,
-			     strlen(request->body));
+	if (!ap_http_set_body(req, request->method, request->body,
+			      request->body ? strlen(request->body) : 0))
+		abort();
 }
 
 static bool start(call_t *call, struct evhttp_connection *conn)
