Take no 2xx for a response unless its upstream stands for it, and pass on no event again

Cause: a success was judged by its status alone; the digest was asked for in errors only. Likewise a Content-Encoding was passed on, and an event of a stream that came twice or after a later one.

The exchange drops the connection at the head of any other 2xx: it is sent elsewhere if it may be repeated, and fails with 502 if not, since it may have run. So does a 4xx that no replica stands for. Events are passed on while their ids rise; one that comes again breaks the stream, which goes on elsewhere or is aborted. A caller that resumes gets nothing again that it has.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -8,7 +8,8 @@
 {
 	a->has_head = false;
 	a->checking = false;
-	a->resuming = x->committed;
+	/* What the caller has may come again. */
+	a->resuming = x->committed || x->last_event_id[0] != '\0';
 	a->buffer_len = 0;
 	a->scanned = 0;
 	a->head = (ap_response_head_t){0};
@@ -76,11 +77,22 @@
 		x->retryable = false;
 }
 
-/* Delivers complete events; an incomplete one stays in the buffer. */
+/* Nothing that follows on the connection of @a belongs to the response. */
+static void fail_broken(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	x->ops->drop_connection(x->ctx, slot_of(x, a));
+	ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+}
+
+/*
+ * Delivers complete events; an incomplete one stays in the buffer. An event that comes again, or
+ * after a later one, breaks the stream.
+ */
 static void deliver_events(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
 	size_t complete = ap_sse_complete_len(a->buffer, a->buffer_len, a->scanned);
 	size_t from = 0;
+	size_t ordered;
 
 	a->scanned = a->buffer_len;
 	if (complete == 0)
@@ -89,12 +101,17 @@
 		from = ap_sse_after(a->buffer, complete, x->last_event_id);
 	a->last_chunk_at = now;
 	x->ops->first_chunk(x->ctx, &a->inflight);
-	if (from < complete) {
+	ordered = ap_sse_ordered_len(a->buffer + from, complete - from, x->last_event_id);
+	if (ordered > 0) {
 		ap_attempt_take_over(x, a);
 		keep_build(x);
-		deliver_range(x, a, from, complete, now);
+		deliver_range(x, a, from, from + ordered, now);
 		a->resuming = false;
-		ap_sse_last_id(a->buffer, complete, x->last_event_id);
+		ap_sse_last_id(a->buffer + from, ordered, x->last_event_id);
+	}
+	if (from + ordered < complete) {
+		fail_broken(x, a, now);
+		return;
 	}
 	memmove(a->buffer, a->buffer + complete, a->buffer_len - complete);
 	a->buffer_len -= complete;
@@ -122,8 +139,14 @@
 {
 	ap_attempt_t *a = &x->slot[slot];
 
+	if (x->finished || !a->in_flight)
+		return;
 	a->has_head = true;
 	a->head = *head;
+	if (is_unproved_success(a)) {
+		fail_broken(x, a, now);
+		return;
+	}
 	/* In a stream only complete events count as data, so its head doesn't. */
 	if (!x->stream || head->refused)
 		a->last_chunk_at = now;
@@ -152,7 +175,7 @@
 	else
 		a->last_chunk_at = now;
 	/* An event, or an error's body, that doesn't end. */
-	if (a->buffer_len > BUFFERED_MAX && (x->stream || !is_success(a))) {
+	if (a->in_flight && a->buffer_len > BUFFERED_MAX && (x->stream || !is_success(a))) {
 		x->ops->drop_connection(x->ctx, slot);
 		ap_exchange_end(x, slot, AP_CONNECTION_BROKEN, now);
 	}
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -388,7 +388,7 @@
 /* A complete response, not a refusal, with a status other than 2xx. */
 static void error_response(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	bool error = a->head.status >= 500;
+	bool error = a->head.status >= 500 || !a->head.from_replica;
 	/* It is no part of a response that has begun. */
 	bool deliverable =
 		!x->committed && a->head.from_replica && !implies_not_run(a->head.status);
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -34,7 +34,8 @@
  * @refused: the target states that it did not run the request
  * @unsent: the target, an instance, states that the request reached no upstream
  * @address_reused: another upstream has the address now
- * @from_replica: a replica made the response, not an instance that forwarded the request
+ * @from_replica: the head shows that a replica made the response and its body; only then is a
+ *	success, or an error, the response to the request
  * @build: of the upstream behind a remote target; 0 if the target doesn't say
  * @retry_after: of a refusal by an instance: after how long the request may be sent again, in
  *	microseconds; 0 if it doesn't say
@@ -255,5 +256,11 @@
  * An event without an id counts as above @id, and so does each event if either id is no number.
  */
 size_t ap_sse_after(const char *data, size_t len, const char *id);
+/**
+ * ap_sse_ordered_len() - returns how many bytes at the start of @data, which holds complete events,
+ * are events whose ids rise, from above @id if that isn't empty. Ids that are no numbers, and
+ * events without one, break no order.
+ */
+size_t ap_sse_ordered_len(const char *data, size_t len, const char *id);
 
 #endif
--- a/lib/exchange/private.h
+++ b/lib/exchange/private.h
@@ -22,6 +22,12 @@
 	return a->head.status >= 200 && a->head.status < 300 && !a->head.refused;
 }
 
+/* A success that no upstream stands for: bytes that are no response to the request. */
+static inline bool is_unproved_success(const ap_attempt_t *a)
+{
+	return is_success(a) && !a->head.from_replica;
+}
+
 /* deliver.c */
 
 /* Forgets an earlier response in the slot of @a. */
--- a/lib/exchange/sse.c
+++ b/lib/exchange/sse.c
@@ -99,3 +99,22 @@
 	}
 	return len;
 }
+
+size_t ap_sse_ordered_len(const char *data, size_t len, const char *id)
+{
+	char previous[AP_SSE_ID_MAX];
+	char current[AP_SSE_ID_MAX];
+	size_t from = 0;
+	size_t end;
+
+	ap_copy_name(previous, sizeof(previous), id);
+	while ((end = next_event_end(data, len, from)) != 0) {
+		if (event_id(data + from, end - from, current)) {
+			if (previous[0] && !id_is_after(current, previous))
+				break;
+			ap_copy_name(previous, sizeof(previous), current);
+		}
+		from = end;
+	}
+	return from;
+}
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -21,12 +21,13 @@
 	ap_plan_route_t route;
 	ap_plan_pool_t pool;
 	ap_usec_t now;
-	int targets;	       /* upstreams that may be chosen */
-	int unconnectable;     /* how many sends fail to connect */
-	int budget;	       /* retries left */
-	ap_usec_t heard_since; /* of the latest choice */
-	ap_usec_t held;	       /* for how long the request is held back; 0 for not at all */
-	ap_usec_t pause;       /* for how long no target wants requests; 0 for not at all */
+	int targets;		     /* upstreams that may be chosen */
+	int unconnectable;	     /* how many sends fail to connect */
+	int budget;		     /* retries left */
+	ap_usec_t heard_since;	     /* of the latest choice */
+	ap_usec_t held;		     /* for how long the request is held back; 0 for not at all */
+	ap_usec_t pause;	     /* for how long no target wants requests; 0 for not at all */
+	char resumes[AP_SSE_ID_MAX]; /* the last event that the caller has; empty for none */
 	char sent[SENDS_MAX][AP_NAME_MAX];
 	unsigned slot[SENDS_MAX]; /* of each send */
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
@@ -206,7 +207,9 @@
 	int unconnectable = w->unconnectable;
 	ap_usec_t held = w->held;
 	ap_usec_t pause = w->pause;
+	char resumes[AP_SSE_ID_MAX];
 
+	ap_copy_name(resumes, sizeof(resumes), w->resumes);
 	*w = (world_t){
 		.route = {.kind = kind,
 			  .resumable = resumable,
@@ -225,6 +228,7 @@
 	w->x.req.route = &w->route;
 	w->x.req.pool = &w->pool;
 	w->x.req.deadline = START + 5 * AP_SEC;
+	ap_copy_name(w->x.last_event_id, sizeof(w->x.last_event_id), resumes);
 	ap_exchange_start(&w->x, attempts, w->now);
 }
 
--- a/test/host_test.c
+++ b/test/host_test.c
@@ -356,6 +356,36 @@
 	evhttp_clear_headers(&h);
 }
 
+/* Guards against bytes that are no replica's response, taken for one because of their status. */
+static void test_a_replicas_response_has_its_digest_and_no_encoding(void **state)
+{
+	static const struct {
+		const char *pairs[3][2];
+		size_t n;
+		bool from_replica;
+	} cases[] = {
+		{{{"Request-Id", "abc"}}, 1, false},
+		{{{"Request-Id", "abc"}, {"Server-Stamp", "s"}}, 2, true},
+		{{{"server-stamp", "s"}}, 1, true},
+		{{{"Server-Stamp", ""}}, 1, false},
+		{{{"Server-Stamp", "s"}, {"Server-Stamp", "t"}}, 2, false},
+		{{{"Server-Stamp", "s"}, {"Content-Encoding", "gzip"}}, 2, false},
+		{{{"content-encoding", "identity"}, {"Server-Stamp", "s"}}, 2, false},
+		{{{"Trailer", "Server-Stamp"}, {"Request-Id", "abc"}}, 2, false},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		headers_t h;
+
+		fill(&h, cases[i].pairs, cases[i].n);
+		if (ap_host_parse_response(&h, 200, "abc", false).from_replica !=
+		    cases[i].from_replica)
+			fail_msg("case %zu", i);
+		evhttp_clear_headers(&h);
+	}
+}
+
 /*
  * Guards against an earlier refusal or response of a replica, written once more on a kept
  * connection and without its id, that is taken for the one to this request: the caller is told that
@@ -546,6 +576,7 @@
 		cmocka_unit_test(test_too_many_headers_are_refused),
 		cmocka_unit_test(test_health_response),
 		cmocka_unit_test(test_response_headers),
+		cmocka_unit_test(test_a_replicas_response_has_its_digest_and_no_encoding),
 		cmocka_unit_test(test_a_later_response_without_the_id_states_nothing),
 		cmocka_unit_test(test_limit_header),
 		cmocka_unit_test(test_leaving_header),
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -52,7 +52,8 @@
 
 	c->status = head->status;
 	c->has_request_id = id && strcmp(id, c->q->id) == 0;
-	c->has_stamp = evhttp_find_header(head->headers, "Server-Stamp") != NULL;
+	c->has_stamp = evhttp_find_header(head->headers, "Server-Stamp") &&
+		       !evhttp_find_header(head->headers, "Content-Encoding");
 }
 
 static void on_data(void *ctx, const void *data, size_t len)
@@ -84,7 +85,8 @@
 
 	if (!c->has_request_id || !c->has_stamp)
 		soak_finding(c->soak,
-			     "mixed: response to %s lacks its Request-Id or a Server-Stamp",
+			     "mixed: response to %s lacks its Request-Id or a Server-Stamp, or is "
+			     "encoded",
 			     c->q->id);
 	else if (stream && !stream_is_complete(c))
 		soak_finding(c->soak, "order: stream of %s is incomplete or out of order",
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -496,6 +496,7 @@
 	ap_rng_seed(&s.schedule, o.seed);
 	ap_rng_seed(&s.links, o.seed + 1);
 	ap_rng_seed(&s.leaves, o.seed + 2);
+	ap_rng_seed(&s.spoils, o.seed + 3);
 	ap_rng_seed(&s.pauses, o.seed + 3);
 	s.start = ap_now();
 	soak_set_up(&s, o.instances);
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -13,12 +13,22 @@
 #define SLOW_FACTOR 8
 #define FAULT_SHARE 0.3
 #define SLOTS 16
+#define HEADERS_MAX 6		      /* of a response */
 #define IN_GRACE_MAX 2		      /* at the soak's rate */
 #define IN_PAUSE_MAX 2		      /* the platform's bound for an instance */
 #define DRAIN_BOUND (3 * AP_SEC)      /* drain_ms of the settings */
 #define GONE_TIME (100 * AP_MSEC)     /* in which an instance notices that a caller left */
 #define UNDISTURBED_TIME (6 * AP_SEC) /* time without faults after which bounds hold */
 
+/* How a response is made one that isn't the upstream's. */
+typedef enum spoil {
+	SPOIL_NONE,
+	SPOIL_NO_STAMP,
+	SPOIL_ENCODING,
+	SPOIL_REPEAT, /* an event of a stream comes twice */
+	SPOILS,
+} spoil_t;
+
 typedef struct job {
 	LIST_ENTRY(job) entry;
 	replica_t *replica;
@@ -28,6 +38,7 @@
 	char id[24];
 	unsigned next; /* event number of a stream */
 	bool cut_short;
+	spoil_t spoil;
 	bool started;
 } job_t;
 
@@ -119,10 +130,23 @@
 	r->in_pause += now - r->pause_from > PAUSE_GRACE;
 }
 
+/* Adds the headers of the upstream's own response. Return: the number of headers. */
+static size_t add_own(const job_t *j, ap_http_header_t *headers)
+{
+	size_t n = 0;
+
+	headers[n++] = (ap_http_header_t){"Request-Id", j->id};
+	if (j->spoil != SPOIL_NO_STAMP)
+		headers[n++] = (ap_http_header_t){"Server-Stamp", j->replica->id};
+	if (j->spoil == SPOIL_ENCODING)
+		headers[n++] = (ap_http_header_t){"Content-Encoding", "gzip"};
+	return add_leaving(j->replica, headers, n);
+}
+
 static void reply_complete(job_t *j, int status)
 {
-	ap_http_header_t headers[3] = {{"Request-Id", j->id}, {"Server-Stamp", j->replica->id}};
-	size_t n = add_leaving(j->replica, headers, 2);
+	ap_http_header_t headers[HEADERS_MAX];
+	size_t n = add_own(j, headers);
 	ap_http_call_t *call = j->call;
 	char body[96];
 	int len = snprintf(body, sizeof(body), "%s by %s\n", j->id, j->replica->id);
@@ -156,15 +180,19 @@
 /* Sends one event, or half of it where the response is to be cut off. */
 static void send_next_event(job_t *j)
 {
-	ap_http_header_t headers[4] = {{"Request-Id", j->id},
-				       {"Server-Stamp", j->replica->id},
-				       {"Content-Type", "text/event-stream"}};
+	ap_http_header_t headers[HEADERS_MAX];
 	char event[96];
 	int len = snprintf(event, sizeof(event), "id: %u\ndata: %s\n\n", j->next, j->id);
+	size_t n;
 
-	if (!j->started)
-		ap_http_reply_start(j->call, 200, headers, add_leaving(j->replica, headers, 3));
+	if (!j->started) {
+		n = add_own(j, headers);
+		headers[n++] = (ap_http_header_t){"Content-Type", "text/event-stream"};
+		ap_http_reply_start(j->call, 200, headers, n);
+	}
 	j->started = true;
+	if (j->spoil == SPOIL_REPEAT && j->next == EVENTS / 2)
+		ap_http_reply_write(j->call, event, (size_t)len);
 	if (j->cut_short && j->next == EVENTS / 2) {
 		ap_http_reply_write(j->call, event, (size_t)len / 2);
 		cut_off(j);
@@ -211,6 +239,8 @@
 	j->kind = q->kind;
 	j->next = after ? (unsigned)strtoul(after, NULL, 10) + 1 : 1;
 	j->cut_short = r->mode == REPLICA_BREAKS && ap_rng_unit(&r->soak->rng) < FAULT_SHARE;
+	if (r->mode == REPLICA_BREAKS && !j->cut_short)
+		j->spoil = (spoil_t)ap_rng_below(&r->soak->spoils, SPOILS);
 	ap_copy_name(j->id, sizeof(j->id), q->id);
 	j->timer = evtimer_new(r->soak->base, on_timer, j);
 	LIST_INSERT_HEAD(&jobs, j, entry);
--- a/test/soak/scenario.c
+++ b/test/soak/scenario.c
@@ -57,6 +57,7 @@
 	s->program = scenario_program;
 	ap_rng_seed(&s->rng, 1);
 	ap_rng_seed(&s->schedule, 1);
+	ap_rng_seed(&s->spoils, 1);
 	s->start = ap_now();
 	soak_set_up(s, SCENARIO_INSTANCES);
 	scenario_run(s, SCENARIO_WARM_UP);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -95,7 +95,7 @@
 	REPLICA_GOOD,
 	REPLICA_SHEDS,	/* refuses some requests without running them */
 	REPLICA_ERRS,	/* runs requests that have no stream, responds 500 */
-	REPLICA_BREAKS, /* runs requests, cuts off some responses in the middle or at the start */
+	REPLICA_BREAKS, /* runs requests, cuts off some responses, makes others none of its own */
 	REPLICA_SLOW,
 	REPLICA_MODES,
 } replica_mode_t;
@@ -186,6 +186,7 @@
 	ap_rng_t schedule; /* of faults, so that one seed gives one schedule */
 	ap_rng_t links;	   /* of faults of links between instances; a separate schedule */
 	ap_rng_t leaves;   /* of callers that leave */
+	ap_rng_t spoils;   /* of responses that are no upstream's own */
 	ap_rng_t pauses;   /* of pools whose upstreams ask for a pause; a separate schedule */
 	const char *program;
 	char dir[64];
