--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -208,8 +208,12 @@
 		check_unread(conn);
 		return;
 	}
-	conn->server->stats.timed_out++;
-	refuse(conn, AP_HTTP_REFUSED_TIMEOUT);
+	if (conn->overfull) {
+		refuse(conn, AP_HTTP_REFUSED_BODY_TOO_LARGE);
+	} else {
+		conn->server->stats.timed_out++;
+		refuse(conn, AP_HTTP_REFUSED_TIMEOUT);
+	}
 	drop(conn);
 }
 
@@ -258,6 +262,12 @@
 		event_add(conn->timer, &limit);
 }
 
+/* Bytes of a request that the library may hold at a time: a body of a stated length, or a chunk. */
+static size_t unparsed_max(const ap_http_server_t *server)
+{
+	return server->config.header_bytes + server->config.body_bytes + PIPELINED_MAX;
+}
+
 static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
 {
 	server_conn_t *conn = arg;
@@ -272,6 +282,10 @@
 	if (!conn->arriving)
 		begin_arrival(conn);
 	count_head(conn, in, info->n_added);
+	if (evbuffer_get_length(in) > unparsed_max(conn->server)) {
+		conn->overfull = true;
+		event_active(conn->timer, EV_TIMEOUT, 0);
+	}
 }
 
 static ap_http_refusal_t refusal_of(const server_conn_t *conn, int status)
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -47,6 +47,8 @@
  * @head_bytes: bytes of its request line and headers so far, counted to just above their limit
  * @line_bytes: bytes of the current line
  * @head_complete: the empty line after the headers has arrived
+ * @overfull: the library holds more of its request than one may have, such as a line between the
+ *            chunks of its body that doesn't end
  * @over_limit: the connection limit was exceeded when the connection was opened
  * @far_over_limit: the limit was exceeded so far that the connection is closed at once
  * @refused: no request follows: its last response was sent without the library, or closes it
@@ -62,6 +64,7 @@
 	size_t head_bytes;
 	size_t line_bytes;
 	bool head_complete;
+	bool overfull;
 	bool over_limit;
 	bool far_over_limit;
 	bool refused;
--- a/test/endless_test.c
+++ b/test/endless_test.c
@@ -139,11 +139,126 @@
 	}
 }
 
+#define HEAD_MAX 4096
+#define BODY_MAX 65536
+#define CALLER_SENT_MAX (12 << 20) /* what the server holds, and socket buffers */
+
+typedef struct caller {
+	const flood_t *flood;
+	struct bufferevent *bev;
+	uint64_t sent;
+	int requests;
+	int refused;
+	bool closed;
+} caller_t;
+
+static void on_caller_writable(struct bufferevent *bev, void *arg)
+{
+	caller_t *c = arg;
+	struct evbuffer *out = bufferevent_get_output(bev);
+
+	if (c->sent == 0)
+		evbuffer_add(out, c->flood->start, strlen(c->flood->start));
+	while (evbuffer_get_length(out) < FILL_BYTES) {
+		evbuffer_add(out, c->flood->repeat, strlen(c->flood->repeat));
+		c->sent += strlen(c->flood->repeat);
+	}
+}
+
+static void on_caller_event(struct bufferevent *bev, short what, void *arg)
+{
+	if (what & BEV_EVENT_CONNECTED)
+		on_caller_writable(bev, arg);
+	else
+		((caller_t *)arg)->closed = true;
+}
+
+static void on_caller_request(void *ctx, ap_http_call_t *call)
+{
+	((caller_t *)ctx)->requests++;
+	ap_http_reply(call, 200, NULL, 0, NULL, 0);
+}
+
+static void on_caller_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
+{
+	(void)why;
+	((caller_t *)ctx)->refused++;
+	ap_http_reply(call, 400, NULL, 0, NULL, 0);
+}
+
+static caller_t flood_server(const flood_t *flood)
+{
+	struct event_base *base = ap_http_base_new();
+	caller_t caller = {.flood = flood};
+	ap_http_server_config_t config = {
+		.base = base,
+		.host = "127.0.0.1",
+		.header_bytes = HEAD_MAX,
+		.body_bytes = BODY_MAX,
+		.idle = TIME_LIMIT,
+		.arrival = TIME_LIMIT,
+		.ctx = &caller,
+		.request = on_caller_request,
+		.refused = on_caller_refused,
+	};
+	struct sockaddr_in to = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	ap_http_server_t *server = NULL;
+	ap_usec_t start = ap_now();
+
+	assert_int_equal(ap_http_server_new(&config, &server, NULL), AP_HTTP_STATUS_OK);
+	to.sin_port = htons(ap_http_server_port(server));
+	caller.bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(caller.bev, NULL, on_caller_writable, on_caller_event, &caller);
+	bufferevent_enable(caller.bev, EV_READ | EV_WRITE);
+	bufferevent_socket_connect(caller.bev, (struct sockaddr *)&to, sizeof(to));
+	while (!caller.refused && !caller.closed && caller.sent <= 4 * (uint64_t)CALLER_SENT_MAX &&
+	       ap_now() - start < TIME_LIMIT / 2)
+		event_base_loop(base, EVLOOP_ONCE);
+	bufferevent_free(caller.bev);
+	ap_http_server_free(server);
+	event_base_free(base);
+	return caller;
+}
+
+#define POST "POST / HTTP/1.1\r\nHost: h\r\n"
+
+/* Guards against a caller that fills the memory, until the time for its request is over. */
+static void callers_that_send_without_end_are_refused(void **state)
+{
+	static const flood_t callers[] = {
+		{.name = "a request line", .start = "", .repeat = "POST"},
+		{.name = "header lines", .start = POST, .repeat = PAD_LINE},
+		{.name = "one header", .start = POST "X-Pad: ", .repeat = "padding"},
+		{.name = "a body of a stated length",
+		 .start = POST "Content-Length: 99999999999\r\n\r\n",
+		 .repeat = "padding"},
+		{.name = "chunks", .start = POST CHUNKED, .repeat = "7\r\npadding\r\n"},
+		{.name = "one chunk", .start = POST CHUNKED "fffffff\r\n", .repeat = "padding"},
+		{.name = "the size of a chunk", .start = POST CHUNKED, .repeat = "0000000"},
+		{.name = "the extension of a chunk",
+		 .start = POST CHUNKED "7;",
+		 .repeat = "padding"},
+		{.name = "trailers", .start = POST CHUNKED "0\r\n", .repeat = PAD_LINE},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(callers) / sizeof(callers[0]); i++) {
+		caller_t c = flood_server(&callers[i]);
+
+		print_message("%s: %.1f MB, %d requests, %d refused\n", callers[i].name,
+			      (double)c.sent / (1 << 20), c.requests, c.refused);
+		assert_int_equal(c.requests, 0);
+		assert_int_equal(c.refused, 1);
+		assert_true(c.sent <= CALLER_SENT_MAX);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(bytes_without_end_are_given_up),
 		cmocka_unit_test(bytes_now_and_then_do_not_extend_the_time_limits),
+		cmocka_unit_test(callers_that_send_without_end_are_refused),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
