An error that ends with its connection is complete only if its upstream lives on

The same cause as in streams: an upstream that is killed within an error without a length had the part delivered as its whole response. Errors with an upstream's digest are checked like successes; at the deadline too, where an upstream says so in an error.

Evidence: an_error_whose_upstream_was_killed_is_broken; before, no check was asked for (w.checks 0).

--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -420,26 +420,35 @@
  */
 static void response_closed(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
+	/* An upstream that gives up at the deadline says so in an error, or closes within a
+	 * success. */
+	bool given_up = is_success(a) && now >= x->timeout_at - DEADLINE_MARGIN;
+
 	/* Instances frame their responses. */
-	if (now < x->timeout_at - DEADLINE_MARGIN && !a->target.remote &&
-	    x->ops->check(x->ctx, slot_of(x, a)))
+	if (!given_up && !a->target.remote && x->ops->check(x->ctx, slot_of(x, a)))
 		a->checking = true;
 	else
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 }
 
+static void response_whole(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	if (is_success(a))
+		deliver_success(x, a, now);
+	else
+		error_response(x, a, now);
+}
+
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
 {
 	if (a->has_head && a->head.refused)
 		target_refused(x, a, now);
-	else if (a->has_head && !is_success(a))
-		error_response(x, a, now);
 	else if (!a->has_head || ap_attempt_truncated(x, a, closed))
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
-	else if (closed)
+	else if (closed && a->head.from_replica)
 		response_closed(x, a, now);
 	else
-		deliver_success(x, a, now);
+		response_whole(x, a, now);
 }
 
 void ap_exchange_checked(ap_exchange_t *x, unsigned slot, bool ended, ap_usec_t now)
@@ -452,7 +461,7 @@
 	if (ended)
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 	else
-		deliver_success(x, a, now);
+		response_whole(x, a, now);
 }
 
 void ap_exchange_end(ap_exchange_t *x, unsigned slot, ap_connection_end_t end, ap_usec_t now)
--- a/test/exchange_close_test.c
+++ b/test/exchange_close_test.c
@@ -72,6 +72,35 @@
 	finish(&w);
 }
 
+/* Guards against a part of an error that is delivered as the whole. */
+static void an_error_whose_upstream_was_killed_is_broken(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	for (int lives = 0; lives < 2; lives++) {
+		w = (world_t){0};
+		begin(&w, AP_KIND_ONCE, false, 1);
+		head(&w, 404);
+		data(&w, "not fo");
+		end(&w, AP_CONNECTION_COMPLETE_ON_CLOSE);
+		assert_int_equal(w.checks, 1);
+		ap_exchange_checked(&w.x, w.slot[0], !lives, w.now);
+		assert_int_equal(w.ended, lives);
+		assert_int_equal(w.status, lives ? 0 : 502);
+		finish(&w);
+	}
+	/* What an upstream says at the deadline. */
+	w = (world_t){0};
+	begin(&w, AP_KIND_ONCE, false, 1);
+	head(&w, 504);
+	w.now = w.x.timeout_at - AP_MSEC;
+	end(&w, AP_CONNECTION_COMPLETE_ON_CLOSE);
+	ap_exchange_checked(&w.x, w.slot[0], false, w.now);
+	assert_true(w.ended);
+	finish(&w);
+}
+
 /* Guards against streams that end as complete where the upstream stopped at the deadline. */
 static void a_close_at_the_deadline_is_no_end(void **state)
 {
@@ -116,6 +145,7 @@
 		cmocka_unit_test(a_stream_whose_upstream_was_killed_goes_on_elsewhere),
 		cmocka_unit_test(a_response_whose_upstream_was_killed_is_broken),
 		cmocka_unit_test(a_close_is_no_end_where_nothing_can_be_found_out),
+		cmocka_unit_test(an_error_whose_upstream_was_killed_is_broken),
 		cmocka_unit_test(a_close_at_the_deadline_is_no_end),
 		cmocka_unit_test(a_check_ends_with_its_request),
 	};
