--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -431,6 +431,7 @@
 	bool verbose;
 	bool keep;
 	bool no_pauses;
+	bool no_spoils;
 } options_t;
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
@@ -456,6 +457,9 @@
 	case 'n':
 		o->no_pauses = true;
 		return 0;
+	case 'o':
+		o->no_spoils = true;
+		return 0;
 	case 'k':
 		o->keep = true;
 		return 0;
@@ -478,6 +482,7 @@
 		{"gates", 'g', "N", 0, "number of instances", 0},
 		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
 		{"no-pauses", 'n', NULL, 0, "no upstreams that ask for a pause", 0},
+		{"no-spoils", 'o', NULL, 0, "no responses that aren't the upstream's own", 0},
 		{"verbose", 'v', NULL, 0, "print each fault", 0},
 		{0},
 	};
@@ -492,6 +497,7 @@
 	s.verbose = o.verbose;
 	s.keep = o.keep;
 	s.no_pauses = o.no_pauses;
+	s.no_spoils = o.no_spoils;
 	ap_rng_seed(&s.rng, o.seed);
 	ap_rng_seed(&s.schedule, o.seed);
 	ap_rng_seed(&s.links, o.seed + 1);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -192,6 +192,7 @@
 	char dir[64];
 	bool verbose;
 	bool no_pauses;
+	bool no_spoils;
 	bool keep; /* keep the logs also of a run without findings */
 	store_t *store;
 	ap_http_client_t *client;
