--- a/adapters/peer/peer.c
+++ b/adapters/peer/peer.c
@@ -61,6 +61,9 @@
 
 static void set_common(void *socket)
 {
+	int64_t max = MESSAGE_MAX;
+
+	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 	set_int(socket, ZMQ_LINGER, 0);
 	set_int(socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
 	set_int(socket, ZMQ_RCVHWM, QUEUE_MESSAGES);
@@ -278,9 +281,6 @@
 		ap_err_set(err, "keys.secret is not a CURVE key of 40 characters");
 		return AP_PEER_KEY;
 	}
-	int64_t max = MESSAGE_MAX;
-
-	zmq_setsockopt(p->router, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s:%u", s->host, p->config.port);
 	if (zmq_bind(p->router, endpoint) != 0) {
 		ap_err_set(err, "cannot listen on %s: %s", endpoint, zmq_strerror(errno));
