Reproduce ORDER with real processes: upstreams of two versions of the weights

Callers get the head of a response that names one version, and, after the upstream was killed or silent, events of another one. Upstreams of test/pauses name a version, and may change it in a stream; the checker compares the version of each event with what the caller was told.

--- a/test/pauses/caller.c
+++ b/test/pauses/caller.c
@@ -15,7 +15,10 @@
 {
 	call_t *q = ctx;
 
+	const char *weights = evhttp_find_header(head->headers, "Weight-Versions");
+
 	q->status = head->status;
+	q->weights = weights ? (unsigned)strtoul(weights, NULL, 10) : 0;
 }
 
 static void on_data(void *ctx, const void *data, size_t len)
@@ -83,6 +86,7 @@
 	ap_http_header_t headers[] = {{"Host", "pauses.example"},
 				      {"Request-Id", q->id},
 				      {"Deadline-Ms", "4000"},
+				      {"Model", MODEL},
 				      {"Shape", shape}};
 	ap_http_fetch_config_t config = {
 		.host = "127.0.0.1",
--- a/test/pauses/check.c
+++ b/test/pauses/check.c
@@ -92,6 +92,7 @@
 {
 	const run_t *before = NULL;
 	unsigned number = EVENT_FIRST;
+	unsigned told = q->weights;
 	size_t at = 0;
 
 	for (; at + EVENT_LEN <= q->len; at += EVENT_LEN, number++) {
@@ -99,19 +100,29 @@
 		unsigned pid;
 		unsigned connection;
 		unsigned last;
+		unsigned weights;
 		const run_t *run;
+		int n = 0;
 
-		int n = snprintf(expected, sizeof(expected), "id: %03u\ndata: %s", number, q->id);
+		if (sscanf(q->body + at, "weight-versions: %u\n%n", &told, &n) == 1)
+			at += (size_t)n;
+		if (at + EVENT_LEN > q->len)
+			break;
+		n = snprintf(expected, sizeof(expected), "id: %03u\ndata: %s", number, q->id);
 
 		if (memcmp(q->body + at, expected, (size_t)n) != 0)
 			return "an event is missing, comes twice, or something else is in its "
 			       "place";
-		if (sscanf(q->body + at + n, " %u.%u of %u\n\n", &pid, &connection, &last) != 3 ||
+		if (sscanf(q->body + at + n, " %u.%u of %u v%u\n\n", &pid, &connection, &last,
+			   &weights) != 4 ||
 		    last != EVENT_FIRST + q->events - 1)
 			return "an event isn't as it was written";
 		run = writer(q, pid, connection);
 		if (before && run != before && (q->kind == KIND_STREAM || !run || run->after == 0))
 			return "events of two runs are joined";
+		if (weights != told)
+			return "an event is of another version of the weights than the caller was "
+			       "told";
 		before = run;
 	}
 	if (is_complete(q) && (at < q->len || number != EVENT_FIRST + q->events))
--- a/test/pauses/main.c
+++ b/test/pauses/main.c
@@ -397,6 +397,14 @@
 			   : arg && strcmp(arg, "notice") == 0 ? KILL_NOTICE
 							       : KILL_REPLACE;
 		return 0;
+	case 'w':
+		p->weights = strcmp(arg, "change") == 0	  ? WEIGHTS_CHANGE
+			     : strcmp(arg, "listed") == 0 ? WEIGHTS_LISTED
+							  : WEIGHTS_TWO;
+		return 0;
+	case 'l':
+		p->lone_region = true;
+		return 0;
 	case 'r':
 		p->restarts = true;
 		return 0;
@@ -435,6 +443,8 @@
 		 "share of requests on kept connections that meet a copied refusal", 0},
 		{"kills", 'x', "restart|notice", OPTION_ARG_OPTIONAL,
 		 "kill upstreams, too: and start them again at once, or at short notice", 0},
+		{"weights", 'w', "two|listed|change", 0, "versions of the weights of upstreams", 0},
+		{"lone-region", 'l', NULL, 0, "all upstreams are in the first region", 0},
 		{"restarts", 'r', NULL, 0, "restart and reload instances in turn", 0},
 		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
 		{"verbose", 'v', NULL, 0, "print the schedule", 0},
--- a/test/pauses/pauses.h
+++ b/test/pauses/pauses.h
@@ -14,7 +14,8 @@
 #define UPSTREAMS (POOLS * REGIONS * UPSTREAMS_A_POOL)
 #define ID_LEN 16
 #define EVENT_FIRST 101 /* ids of events have three digits, so that all events have one length */
-#define EVENT_LEN 48
+#define EVENT_LEN 51	/* without the line that names another version */
+#define MODEL "m"
 #define RUNS_MAX 12 /* arrivals of one request that are kept */
 
 #define ATTEMPTS 2
@@ -85,6 +86,7 @@
 	kind_t kind;
 	framing_t framing;
 	unsigned events;
+	unsigned weights; /* version that the head names; 0 for none */
 	instance_t *instance;
 	ap_usec_t sent;
 	ap_usec_t ended; /* at the caller; 0: open */
@@ -133,19 +135,29 @@
 	KILL_NOTICE,  /* removed at short notice */
 } kill_how_t;
 
+/* Which versions of the weights upstreams serve. */
+typedef enum weights {
+	WEIGHTS_UNNAMED, /* responses name none */
+	WEIGHTS_TWO,	 /* two, which only responses name */
+	WEIGHTS_LISTED,	 /* two, which entries name too */
+	WEIGHTS_CHANGE,	 /* likewise, and each upstream changes its own every few seconds */
+} weights_t;
+
 struct pauses {
 	soak_t soak; /* the first member: findings are told of it */
 	upstream_t upstreams[UPSTREAMS];
 	call_t *calls;
 	uint64_t seed;
-	const char *rules;   /* whose findings count, in a list; NULL for all */
-	unsigned rate;	     /* requests a second */
-	ap_usec_t cycle;     /* from one change of the configuration and pause to the next */
-	double errors;	     /* share of resumed streams that an upstream answers with an error */
-	double copies;	     /* share of requests on kept connections that meet a copied refusal */
-	bool restarts;	     /* instances are restarted in turn */
-	kill_how_t kills;    /* upstreams are killed */
-	bool close_framing;  /* some streams end with their connection */
+	const char *rules;  /* whose findings count, in a list; NULL for all */
+	unsigned rate;	    /* requests a second */
+	ap_usec_t cycle;    /* from one change of the configuration and pause to the next */
+	double errors;	    /* share of resumed streams that an upstream answers with an error */
+	double copies;	    /* share of requests on kept connections that meet a copied refusal */
+	bool restarts;	    /* instances are restarted in turn */
+	kill_how_t kills;   /* upstreams are killed */
+	bool close_framing; /* some streams end with their connection */
+	bool lone_region;   /* all upstreams are in the first region */
+	weights_t weights;
 	unsigned timeout_ms; /* of the routes, as configured now */
 	unsigned idle_ms;
 	unsigned extra_routes;
@@ -157,8 +169,10 @@
 };
 
 /* worker.c: the process of an upstream. Never returns. */
-void worker_run(int listener, int out, const char *id, const pauses_t *p, uint64_t seed)
+void worker_run(int listener, int out, const upstream_t *u, uint64_t seed)
 	__attribute__((noreturn));
+/* Returns the version of the weights that @u serves now; 0 if it names none. */
+unsigned worker_weights(const upstream_t *u);
 
 /* upstream.c */
 extern const char *const pool_names[POOLS];
--- a/test/pauses/upstream.c
+++ b/test/pauses/upstream.c
@@ -122,8 +122,7 @@
 	dup2(copies[1], PIPE_FD);
 	/* The harness's own connections must not stay open here. */
 	close_range(PIPE_FD + 1, ~0U, 0);
-	worker_run(LISTENER_FD, PIPE_FD, u->id, u->p,
-		   u->p->seed * 1000 + u->index * 50 + u->incarnation);
+	worker_run(LISTENER_FD, PIPE_FD, u, u->p->seed * 1000 + u->index * 50 + u->incarnation);
 }
 
 /* Starts a process that has the id and the address of @u. */
@@ -156,7 +155,7 @@
 	*u = (upstream_t){.p = p,
 			  .index = i,
 			  .pool = i % POOLS,
-			  .region = (unsigned)(i / POOLS % REGIONS),
+			  .region = p->lone_region ? 0 : (unsigned)(i / POOLS % REGIONS),
 			  .incarnation = incarnation};
 	snprintf(u->id, sizeof(u->id), "u%d-%zu-%u", (int)getpid(), i, incarnation);
 	start_process(u);
@@ -195,6 +194,10 @@
 	if (u->gone_at > ap_now())
 		json_object_set_new(o, "drainLeftMs",
 				    json_integer((u->gone_at - ap_now()) / AP_MSEC));
+	if (u->p->weights >= WEIGHTS_LISTED)
+		json_object_set_new(
+			o, "models",
+			json_pack("[{s:s,s:i}]", "name", MODEL, "version", (int)worker_weights(u)));
 	text = json_dumps(o, JSON_COMPACT);
 	store_put(u->p->soak.store, key, text, 0);
 	free(text);
--- a/test/pauses/worker.c
+++ b/test/pauses/worker.c
@@ -12,10 +12,12 @@
 
 #define SLOTS 24
 #define HEADER_MAX 128
+#define WEIGHTS_TIME (5 * AP_SEC) /* until an upstream changes its version of the weights */
 
 typedef struct worker {
 	struct event_base *base;
 	ap_rng_t rng;
+	const upstream_t *upstream;
 	const char *id;
 	double errors;
 	double copies;
@@ -40,10 +42,22 @@
 	unsigned next;
 	unsigned last;
 	unsigned after;
+	unsigned weights; /* version that the caller was told */
 	int64_t deadline_ms;
 	ap_usec_t until;
 } conn_t;
 
+unsigned worker_weights(const upstream_t *u)
+{
+	size_t n = u->index / (POOLS * REGIONS);
+
+	if (u->p->weights == WEIGHTS_UNNAMED)
+		return 0;
+	if (u->p->weights == WEIGHTS_CHANGE)
+		n += (size_t)(ap_now() / WEIGHTS_TIME);
+	return 1 + n % 2;
+}
+
 static void tell(conn_t *c, told_t told)
 {
 	record_t r = {.told = told,
@@ -109,6 +123,8 @@
 			    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n"
 			    "Content-Type: text/event-stream\r\n",
 			    c->id, c->w->id);
+	if (c->weights > 0)
+		evbuffer_add_printf(out, "Weight-Versions: %u\r\n", c->weights);
 	if (c->framing == FRAMING_CHUNKS)
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
 	else if (c->framing == FRAMING_LENGTH)
@@ -122,14 +138,21 @@
 static void write_event(conn_t *c)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
+	unsigned weights = worker_weights(c->w->upstream);
 	char event[96];
-	int len = snprintf(event, sizeof(event), "id: %03u\ndata: %s %04u.%03u of %03u\n\n",
-			   c->next, c->id, (unsigned)getpid() % 10000, c->number % 1000, c->last);
-
-	if (len != EVENT_LEN)
+	int start = 0;
+	int len;
+
+	if (weights != c->weights)
+		start = snprintf(event, sizeof(event), "weight-versions: %u\n", weights);
+	c->weights = weights;
+	len = start + snprintf(event + start, sizeof(event) - (size_t)start,
+			       "id: %03u\ndata: %s %04u.%03u of %03u v%u\n\n", c->next, c->id,
+			       (unsigned)getpid() % 10000, c->number % 1000, c->last, weights);
+	if (len != start + EVENT_LEN)
 		abort();
 	if (c->framing == FRAMING_CHUNKS)
-		evbuffer_add_printf(out, "%x\r\n%s\r\n", EVENT_LEN, event);
+		evbuffer_add_printf(out, "%x\r\n%s\r\n", (unsigned)len, event);
 	else
 		evbuffer_add(out, event, (size_t)len);
 }
@@ -220,6 +243,17 @@
 	return true;
 }
 
+/* Some such refusals name the version that the upstream has. */
+static void refuse_version(conn_t *c)
+{
+	char headers[64] = "";
+
+	if (c->number % 2 == 0)
+		snprintf(headers, sizeof(headers), "Weight-Versions: %u\r\n", c->weights);
+	finish(c, TOLD_REFUSED);
+	reply(c, "421 Misdirected Request", headers, "");
+}
+
 static void begin(conn_t *c, const char *head)
 {
 	char value[HEADER_MAX];
@@ -240,6 +274,10 @@
 		c->step_ms = 10;
 	c->stream = stream;
 	c->framing = (framing_t)framing;
+	/* The length isn't known if a version may change. */
+	if (c->w->upstream->p->weights == WEIGHTS_CHANGE && c->framing == FRAMING_LENGTH)
+		c->framing = FRAMING_CHUNKS;
+	c->weights = worker_weights(c->w->upstream);
 	c->next = c->after > 0 ? c->after + 1 : EVENT_FIRST;
 	c->last = EVENT_FIRST + events - 1;
 	tell(c, TOLD_READ);
@@ -248,6 +286,10 @@
 		reply(c, "421 Misdirected Request", "Not-Run: 1\r\n", "");
 		return;
 	}
+	if (header(head, "Expect-Version", value) && strtoul(value, NULL, 10) != c->weights) {
+		refuse_version(c);
+		return;
+	}
 	if (c->w->running >= SLOTS || c->deadline_ms == 0) {
 		finish(c, TOLD_REFUSED);
 		reply(c, "503 Service Unavailable", "Not-Run: 1\r\n", "");
@@ -336,13 +378,14 @@
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
-void worker_run(int listener, int out, const char *id, const pauses_t *p, uint64_t seed)
+void worker_run(int listener, int out, const upstream_t *u, uint64_t seed)
 {
 	worker_t w = {
 		.base = event_base_new(),
-		.id = id,
-		.errors = p->errors,
-		.copies = p->copies,
+		.upstream = u,
+		.id = u->id,
+		.errors = u->p->errors,
+		.copies = u->p->copies,
 		.out = out,
 	};
 
