An upstream whose responses name no version of the weights has that of its entry

An error or a response without the header was taken for one of a version of its own, so that its upstream was left out for streams of the version that its entry names. What isn't known now neither excludes an upstream nor a response that goes on: an upstream that is asked for a version and has another one refuses.

--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -33,13 +33,6 @@
 	snprintf(text, 24, "%lld", (long long)(span / AP_MSEC));
 }
 
-ap_weights_t gate_expected_weights(const gate_call_t *c)
-{
-	ap_weights_t weights = c->x.req.weights;
-
-	return weights >= AP_WEIGHTS_FIRST ? weights : AP_WEIGHTS_ANY;
-}
-
 bool gate_send_headers(gate_call_t *c, const ap_target_t *target, const char *last_event,
 		       gate_text_t *text, ap_host_headers_t *headers)
 {
@@ -50,7 +43,7 @@
 		.time_left = c->x.timeout_at - now,
 		.priority = target->remote ? PRIORITY_OMITTED : c->x.req.route->priority,
 		.last_event = last_event,
-		.weights = target->remote ? AP_WEIGHTS_ANY : gate_expected_weights(c),
+		.weights = target->remote ? AP_WEIGHTS_ANY : c->x.req.weights,
 	};
 
 	if (!ap_host_request_headers(&request, headers))
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -90,12 +90,6 @@
 			 event->source);
 }
 
-/* As upstreams name it; -1 if none is known, or the upstream names none. */
-static json_int_t weights_of(ap_weights_t weights)
-{
-	return weights >= AP_WEIGHTS_FIRST ? (json_int_t)(weights - AP_WEIGHTS_FIRST) : -1;
-}
-
 static json_t *steps_of(const gate_call_t *c)
 {
 	size_t first = c->n_steps > GATE_STEPS_MAX ? c->n_steps - GATE_STEPS_MAX : 0;
@@ -105,12 +99,13 @@
 		const gate_step_t *s = &c->steps[i % GATE_STEPS_MAX];
 
 		json_array_append_new(
-			list, json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:I,s:I}", "step",
-					ap_step_name(s->step), "target", s->target, "version",
-					s->version, "weights", weights_of(s->weights), "at_ms",
-					msec(s->at), "expected_ms", msec(s->wait), "entry_age_ms",
-					msec(s->entry_age), "cold", (int)s->cold, "cached",
-					(json_int_t)s->cached, "running", (json_int_t)s->running));
+			list,
+			json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:I,s:I}", "step",
+				  ap_step_name(s->step), "target", s->target, "version", s->version,
+				  "weights", (json_int_t)ap_weights_number(s->weights), "at_ms",
+				  msec(s->at), "expected_ms", msec(s->wait), "entry_age_ms",
+				  msec(s->entry_age), "cold", (int)s->cold, "cached",
+				  (json_int_t)s->cached, "running", (json_int_t)s->running));
 	}
 	return list;
 }
@@ -204,6 +199,7 @@
 		msec(ap_follow_age(c->gate->follow, now)), "steps", steps_of(c), "parts",
 		parts_of(&x->req), "resumes", c->resumes, "fingerprint", hex(x->req.fingerprint),
 		"no_other", ap_reason_name(x->no_other), "connection_end",
-		ap_connection_end_name(x->connection_end), "weights", weights_of(x->req.weights),
-		"weights_differ", (int)x->weights_differ);
+		ap_connection_end_name(x->connection_end), "weights",
+		(json_int_t)ap_weights_number(x->req.weights), "weights_differ",
+		(int)x->weights_differ);
 }
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -69,7 +69,7 @@
 	if (info->weights_invalid)
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "upstream.weights-invalid",
 				 c->id, "s:s", "upstream", target->id);
-	if (info->from_replica)
+	if (info->from_replica && info->weights != AP_WEIGHTS_ANY)
 		ap_fleet_weights_seen(c->gate->fleet, target->id, c->x.req.model, info->weights,
 				      ap_now());
 	if (info->leaving)
@@ -107,11 +107,21 @@
 		return false;
 	c->gate->counters.weights_refused++;
 	ap_fleet_weights_refused(c->gate->fleet, id, c->x.req.model, a->expected, ap_now());
-	if (info->weights != AP_WEIGHTS_UNNAMED)
+	if (info->weights != AP_WEIGHTS_ANY)
 		ap_fleet_weights_seen(c->gate->fleet, id, c->x.req.model, info->weights, ap_now());
 	return true;
 }
 
+/* Returns the version of the weights that made the response: as it says, or else the entry. */
+static ap_weights_t weights_of(const gate_attempt_t *a, const ap_host_response_t *info)
+{
+	const ap_target_t *target = target_of(a);
+
+	if (info->weights != AP_WEIGHTS_ANY || target->remote)
+		return info->weights;
+	return ap_fleet_weights(a->call->gate->fleet, target->id, a->call->x.req.model);
+}
+
 /* Returns the build that a remote instance names; 0 for none. */
 static uint64_t build_of(const struct evkeyvalq *headers)
 {
@@ -152,7 +162,7 @@
 				  !weights_refused(a, head, &info),
 		.from_replica = info.from_replica,
 		.build = build_of(head->headers),
-		.weights = info.weights,
+		.weights = weights_of(a, &info),
 		.retry_after = target->remote ? info.retry_after : 0,
 	};
 	struct evkeyval *h;
@@ -269,7 +279,7 @@
 	config.n_headers = headers.n;
 	config.body = ap_http_call_body(c->call, &config.len);
 	gate_clear_response(a);
-	a->expected = target->remote ? AP_WEIGHTS_ANY : gate_expected_weights(c);
+	a->expected = target->remote ? AP_WEIGHTS_ANY : c->x.req.weights;
 	a->fetch = ap_http_fetch(gate->client, &config);
 	if (a->fetch && c->paused)
 		ap_http_fetch_pause(a->fetch, true);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -289,8 +289,6 @@
 	char pause[24];
 } gate_text_t;
 
-/* Returns the version of the weights that an upstream is to have; AP_WEIGHTS_ANY for any. */
-ap_weights_t gate_expected_weights(const gate_call_t *c);
 /*
  * Fills the headers of a request to @target, which point into @text.
  *
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -93,10 +93,14 @@
 	ap_attempt_failed(x, a, AP_DISPATCH_CANCELLED, AP_REASON_BROKEN, now);
 }
 
-/* Returns whether what the caller has, and @a goes on with, was made by the same weights. */
+/*
+ * Returns whether what the caller has, and @a goes on with, was made by the same weights, as far as
+ * both are known.
+ */
 static bool goes_on_at_weights(const ap_exchange_t *x, const ap_attempt_t *a)
 {
-	return !a->resuming || x->req.weights == AP_WEIGHTS_ANY || x->req.weights == a->weights;
+	return !a->resuming || x->req.weights == AP_WEIGHTS_ANY || a->weights == AP_WEIGHTS_ANY ||
+	       x->req.weights == a->weights;
 }
 
 /* The events that begin at @data are of the version that the first one names, if it does. */
@@ -133,7 +137,8 @@
 		bool named = read_weights(x, a, data, len);
 		uint64_t number = 0;
 
-		x->req.weights = a->weights;
+		if (a->weights != AP_WEIGHTS_ANY)
+			x->req.weights = a->weights;
 		if (named && x->committed && x->ops->weights) {
 			ap_sse_number(data, len, AP_SSE_ID, &number);
 			x->ops->weights(x->ctx, a->weights, number);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -20,17 +20,20 @@
 #define AP_PRIORITIES 10       /* priorities that engines know; 0 is the most urgent */
 #define AP_MODELS_MAX 8	       /* models of an upstream whose versions are kept */
 
-/* A version of a model's weights: AP_WEIGHTS_FIRST plus the number that upstreams name. */
+/* A version of a model's weights, which upstreams name by numbers; see ap_weights_of(). */
 typedef uint32_t ap_weights_t;
-#define AP_WEIGHTS_ANY 0     /* not known, or not asked for */
-#define AP_WEIGHTS_UNNAMED 1 /* the upstream names none */
-#define AP_WEIGHTS_FIRST 2
+#define AP_WEIGHTS_ANY 0 /* not known, or not asked for */
 
-/* Returns the version with this number; numbers that don't fit are one version. */
+/* Returns the version with this number; all numbers that don't fit are one version. */
 static inline ap_weights_t ap_weights_of(uint64_t number)
 {
-	return number < UINT32_MAX - AP_WEIGHTS_FIRST ? AP_WEIGHTS_FIRST + (ap_weights_t)number
-						      : UINT32_MAX;
+	return number < UINT32_MAX ? (ap_weights_t)number + 1 : UINT32_MAX;
+}
+
+/* Returns its number; -1 if it isn't known. */
+static inline int64_t ap_weights_number(ap_weights_t weights)
+{
+	return (int64_t)weights - 1;
 }
 
 typedef struct ap_loaded_model {
--- a/lib/fleet/stream.h
+++ b/lib/fleet/stream.h
@@ -34,6 +34,8 @@
 bool ap_fleet_stream_source(ap_fleet_t *f, const char *id, const ap_plan_route_t *route,
 			    uint64_t model, const char *last_event, ap_usec_t now,
 			    ap_stream_source_t *source);
+/** ap_fleet_weights() - what the upstream @id is believed to have; AP_WEIGHTS_ANY for unknown. */
+ap_weights_t ap_fleet_weights(ap_fleet_t *f, const char *id, uint64_t model);
 /** ap_fleet_weights_seen() - the upstream @id named the version of a model's weights. */
 void ap_fleet_weights_seen(ap_fleet_t *f, const char *id, uint64_t model, ap_weights_t weights,
 			   ap_usec_t now);
--- a/lib/fleet/weights.c
+++ b/lib/fleet/weights.c
@@ -33,6 +33,13 @@
 	return i < r->n_models ? r->models[i].weights : AP_WEIGHTS_ANY;
 }
 
+ap_weights_t ap_fleet_weights(ap_fleet_t *f, const char *id, uint64_t model)
+{
+	const ap_replica_t *r = ap_replica_find(f, id);
+
+	return r ? ap_replica_weights(r, model) : AP_WEIGHTS_ANY;
+}
+
 bool ap_weights_allow(const ap_replica_t *r, const ap_dispatch_t *req)
 {
 	size_t i = index_of_model(r->models, r->n_models, req->model);
