--- a/test/pauses/caller.c
+++ b/test/pauses/caller.c
@@ -5,7 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LATE (3 * AP_SEC)  /* how long after its time a response is still waited for */
+#define TAKE_UP_UNTIL (3 * AP_SEC) /* after a stream was requested */
+#define LATE (3 * AP_SEC)	   /* how long after its time a response is still waited for */
 #define LOG_SAMPLE_SEED 77 /* of the journal: one request in LOG_SAMPLE has all of its records */
 #define LOG_SAMPLE 16
 
@@ -33,6 +34,8 @@
 	q->body[q->len] = '\0';
 }
 
+static void take_up(const call_t *before);
+
 static void on_end(void *ctx, ap_http_end_t end, bool written)
 {
 	call_t *q = ctx;
@@ -41,6 +44,17 @@
 	q->still = soak_still(&q->p->soak, q->ended) - q->still;
 	q->end = end;
 	q->written = written;
+	if (q->p->take_up && q->kind < KIND_STREAM && q->status == 200 &&
+	    q->ended - q->sent < TAKE_UP_UNTIL && end != AP_HTTP_COMPLETE && end != AP_HTTP_CLOSED)
+		take_up(q);
+}
+
+/* Returns the request that began the stream. */
+static const call_t *root_of(const call_t *q)
+{
+	while (q->before)
+		q = q->before;
+	return q;
 }
 
 static instance_t *pick_instance(soak_t *s)
@@ -67,6 +81,7 @@
 	do
 		snprintf(q->id, sizeof(q->id), "%016llx", (unsigned long long)ap_rng_u64(&s->rng));
 	while (ap_hash_str(q->id, LOG_SAMPLE_SEED) % LOG_SAMPLE != 0);
+	q->first = EVENT_FIRST;
 	q->kind = (kind_t)ap_rng_below(&s->rng, KINDS);
 	q->framing = (framing_t)ap_rng_below(&s->rng, FRAMINGS - !p->close_framing);
 	q->sent = ap_now();
@@ -75,25 +90,27 @@
 	return q;
 }
 
-void call_send(pauses_t *p)
+/* Sends @q, which is freed if there is no instance. */
+static void send_call(call_t *q, unsigned step)
 {
+	pauses_t *p = q->p;
 	soak_t *s = &p->soak;
-	call_t *q = new_call(p);
 	bool stream = q->kind < KINDS_STREAM;
-	unsigned step = 30 + (unsigned)ap_rng_below(&s->rng, 71);
-	unsigned total = 1000 + (unsigned)ap_rng_below(&s->rng, 1000);
 	char shape[64];
+	char after[16];
 	ap_http_header_t headers[] = {{"Host", "pauses.example"},
 				      {"Request-Id", q->id},
 				      {"Deadline-Ms", "4000"},
 				      {"Model", MODEL},
-				      {"Shape", shape}};
+				      {"Shape", shape},
+				      {"Last-Event-Id", after},
+				      {"Resumes", q->before ? root_of(q)->id : ""}};
 	ap_http_fetch_config_t config = {
 		.host = "127.0.0.1",
 		.method = q->kind == KIND_IDEMPOTENT ? EVHTTP_REQ_GET : EVHTTP_REQ_POST,
 		.target = route_paths[q->kind],
 		.headers = headers,
-		.n_headers = sizeof(headers) / sizeof(headers[0]),
+		.n_headers = sizeof(headers) / sizeof(headers[0]) - (q->before ? 0 : 2),
 		.body = "body",
 		.len = q->kind == KIND_IDEMPOTENT ? 0 : 4,
 		.lenient = true,
@@ -109,7 +126,7 @@
 		.end = on_end,
 	};
 
-	q->events = stream ? total / step : 1;
+	snprintf(after, sizeof(after), "%u", q->first - 1);
 	snprintf(shape, sizeof(shape), "%u %u %u %u", stream, (unsigned)q->framing, step,
 		 q->events);
 	q->instance = pick_instance(s);
@@ -122,6 +139,34 @@
 	free(q);
 }
 
+void call_send(pauses_t *p)
+{
+	soak_t *s = &p->soak;
+	call_t *q = new_call(p);
+	unsigned step = 30 + (unsigned)ap_rng_below(&s->rng, 71);
+	unsigned total = 1000 + (unsigned)ap_rng_below(&s->rng, 1000);
+
+	q->events = q->kind < KINDS_STREAM ? total / step : 1;
+	send_call(q, step);
+}
+
+/* The caller of @before goes on with its stream, at any instance. */
+static void take_up(const call_t *before)
+{
+	unsigned weights;
+	unsigned next = check_next(before, &weights);
+	call_t *q;
+
+	if (next == before->first || next == EVENT_FIRST + before->events)
+		return;
+	q = new_call(before->p);
+	q->kind = before->kind;
+	q->events = before->events;
+	q->first = next;
+	q->before = before;
+	send_call(q, 50);
+}
+
 bool calls_open(const pauses_t *p)
 {
 	for (const call_t *q = p->calls; q; q = q->hh.next) {
--- a/test/pauses/check.c
+++ b/test/pauses/check.c
@@ -87,14 +87,32 @@
 	return NULL;
 }
 
-/* Returns what is wrong with the events of a stream; NULL for nothing. */
-static const char *check_events(const call_t *q)
+unsigned check_next(const call_t *q, unsigned *weights)
+{
+	unsigned number = q->first;
+	size_t at = 0;
+
+	*weights = q->weights;
+	for (;; at += EVENT_LEN, number++) {
+		int n = 0;
+
+		if (q->body && sscanf(q->body + at, "weight-versions: %u\n%n", weights, &n) == 1)
+			at += (size_t)n;
+		if (at + EVENT_LEN > q->len)
+			return number;
+	}
+}
+
+const char *check_events(const call_t *q)
 {
 	const run_t *before = NULL;
-	unsigned number = EVENT_FIRST;
+	unsigned number = q->first;
 	unsigned told = q->weights;
+	unsigned before_told;
 	size_t at = 0;
 
+	if (q->before && check_next(q->before, &before_told) == q->first && before_told != told)
+		return "a stream that its caller took up goes on at another version of the weights";
 	for (; at + EVENT_LEN <= q->len; at += EVENT_LEN, number++) {
 		char expected[32];
 		unsigned pid;
--- a/test/pauses/main.c
+++ b/test/pauses/main.c
@@ -402,6 +402,9 @@
 			     : strcmp(arg, "listed") == 0 ? WEIGHTS_LISTED
 							  : WEIGHTS_TWO;
 		return 0;
+	case 'a':
+		p->take_up = true;
+		return 0;
 	case 'l':
 		p->lone_region = true;
 		return 0;
@@ -444,6 +447,7 @@
 		{"kills", 'x', "restart|notice", OPTION_ARG_OPTIONAL,
 		 "kill upstreams, too: and start them again at once, or at short notice", 0},
 		{"weights", 'w', "two|listed|change", 0, "versions of the weights of upstreams", 0},
+		{"take-up", 'a', NULL, 0, "callers take up streams that break off", 0},
 		{"lone-region", 'l', NULL, 0, "all upstreams are in the first region", 0},
 		{"restarts", 'r', NULL, 0, "restart and reload instances in turn", 0},
 		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
--- a/test/pauses/pauses.h
+++ b/test/pauses/pauses.h
@@ -86,7 +86,9 @@
 	kind_t kind;
 	framing_t framing;
 	unsigned events;
-	unsigned weights; /* version that the head names; 0 for none */
+	unsigned weights;	   /* version that the head names; 0 for none */
+	const struct call *before; /* whose stream the caller takes up; NULL for none */
+	unsigned first;		   /* number of the first event that is due */
 	instance_t *instance;
 	ap_usec_t sent;
 	ap_usec_t ended; /* at the caller; 0: open */
@@ -156,6 +158,7 @@
 	bool restarts;	    /* instances are restarted in turn */
 	kill_how_t kills;   /* upstreams are killed */
 	bool close_framing; /* some streams end with their connection */
+	bool take_up;	    /* callers take up streams that break off */
 	bool lone_region;   /* all upstreams are in the first region */
 	weights_t weights;
 	unsigned timeout_ms; /* of the routes, as configured now */
@@ -195,7 +198,15 @@
 bool calls_open(const pauses_t *p);
 void calls_free(pauses_t *p);
 
-/* check.c: all findings, after the run */
+/* check.c */
+/* Returns what is wrong with the events of a stream; NULL for nothing. */
+const char *check_events(const call_t *q);
+/*
+ * Returns the number of the event after the last one that the caller has; @weights: the version
+ * that it was told last.
+ */
+unsigned check_next(const call_t *q, unsigned *weights);
+/* All findings, after the run. */
 void check_all(pauses_t *p);
 
 #endif
