Versions of the weights: what isn't known isn't equal, and a refusal for one isn't a failure

Versions that are gone are kept as long as a stream lasts, and regions tell each other their streams while a version isn't known. - A change at the first event after the head counted from the beginning of the stream, and one that was named again was told again.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -199,7 +199,7 @@
 
 	*source = (ap_stream_source_t){
 		.build = build ? strtoull(build, NULL, 16) : 0,
-		.weights = weights ? (ap_weights_t)strtoul(weights, NULL, 10) : AP_WEIGHTS_ANY,
+		.weights = weights ? strtoull(weights, NULL, 10) : AP_WEIGHTS_ANY,
 	};
 	if (!route->resumable || !r->last_event || !*r->last_event)
 		return true;
--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -58,7 +58,8 @@
 		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
 	}
 	if (c->x.req.weights != AP_WEIGHTS_ANY) {
-		snprintf(text->weights, sizeof(text->weights), "%u", c->x.req.weights);
+		snprintf(text->weights, sizeof(text->weights), "%llu",
+			 (unsigned long long)c->x.req.weights);
 		headers->v[headers->n++] =
 			(ap_http_header_t){FORWARD_HEADER_WEIGHTS, text->weights};
 	}
@@ -75,17 +76,20 @@
 /* Tells the sender of a forwarded request how long the next one would wait. */
 void gate_add_wait(gate_call_t *c, ap_host_headers_t *headers, gate_text_t *text)
 {
+	ap_dispatch_t next = c->x.req; /* which may go to any upstream */
 	ap_usec_t wait;
 	ap_usec_t pause;
 
 	if (!c->forwarded || !c->x.req.pool || headers->n + 2 > AP_HOST_HEADERS_MAX)
 		return;
-	pause = ap_fleet_local_pause(c->gate->fleet, &c->x.req, ap_now());
+	next.build = 0;
+	next.weights = AP_WEIGHTS_ANY;
+	pause = ap_fleet_local_pause(c->gate->fleet, &next, ap_now());
 	if (pause > 0) {
 		format_msec(pause + AP_MSEC, text->pause);
 		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_PAUSE, text->pause};
 	}
-	wait = ap_fleet_local_wait(c->gate->fleet, &c->x.req, ap_now());
+	wait = ap_fleet_local_wait(c->gate->fleet, &next, ap_now());
 	if (wait == AP_NEVER)
 		return;
 	format_msec(wait, text->wait);
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -69,7 +69,8 @@
 	if (info->weights_invalid)
 		ap_journal_write(c->gate->journal, AP_RECORD_RARE, "upstream.weights-invalid",
 				 c->id, "s:s", "upstream", target->id);
-	if (info->from_replica && info->weights != AP_WEIGHTS_ANY)
+	/* Only one that has run the request shows that the upstream has the model. */
+	if (info->from_replica && info->weights != AP_WEIGHTS_ANY && head->status < 300)
 		ap_fleet_weights_seen(c->gate->fleet, target->id, c->x.req.model, info->weights,
 				      ap_now());
 	if (info->leaving)
@@ -158,8 +159,6 @@
 	ap_response_head_t response = {
 		.status = head->status,
 		.refused = info.not_run,
-		.address_reused = head->status == AP_HOST_MISDIRECTED && !target->remote &&
-				  !weights_refused(a, head, &info),
 		.from_replica = info.from_replica,
 		.build = build_of(head->headers),
 		.weights = weights_of(a, &info),
@@ -180,6 +179,10 @@
 		gate_call_update(c);
 		return;
 	}
+	if (head->status == AP_HOST_MISDIRECTED && !target->remote) {
+		response.weights_refused = weights_refused(a, head, &info);
+		response.address_reused = !response.weights_refused;
+	}
 	see_upstream(a, head, &info);
 	if (target->remote && not_run) {
 		response.refused = true;
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -85,12 +85,11 @@
 	ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 }
 
-/* It isn't the upstream's fault, and says nothing about it otherwise. */
 static void fail_weights(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
 	x->weights_differ++;
 	x->ops->drop_connection(x->ctx, slot_of(x, a));
-	ap_attempt_failed(x, a, AP_DISPATCH_CANCELLED, AP_REASON_BROKEN, now);
+	ap_attempt_failed(x, a, AP_DISPATCH_WEIGHTS, AP_REASON_BROKEN, now);
 }
 
 /*
@@ -104,14 +103,12 @@
 }
 
 /* The events that begin at @data are of the version that the first one names, if it does. */
-static bool read_weights(const ap_exchange_t *x, ap_attempt_t *a, const char *data, size_t len)
+static void read_weights(const ap_exchange_t *x, ap_attempt_t *a, const char *data, size_t len)
 {
 	uint64_t number;
 
-	if (!x->weights_field || !ap_sse_number(data, len, x->weights_field, &number))
-		return false;
-	a->weights = ap_weights_of(number);
-	return true;
+	if (x->weights_field && ap_sse_number(data, len, x->weights_field, &number))
+		a->weights = ap_weights_of(number);
 }
 
 /* Returns where the events of @data end that are of the version of the first one. */
@@ -127,23 +124,38 @@
 		read_weights(x, a, a->buffer + at, len - at);
 }
 
-/* Delivers events, and keeps the version that made the last of them. */
+/*
+ * Delivers events of one version of the weights. The head is told of the version before it, so that
+ * a caller that doesn't get the first event doesn't count as one that has events of the new one.
+ */
+static void deliver_version(ap_exchange_t *x, ap_attempt_t *a, size_t from, size_t to,
+			    ap_usec_t now)
+{
+	const char *data = a->buffer + from;
+	ap_weights_t before = a->weights;
+	uint64_t since;
+
+	read_weights(x, a, data, to - from);
+	if (!x->committed && before != AP_WEIGHTS_ANY)
+		x->req.weights = before;
+	deliver_range(x, a, from, to, now);
+	if (!ap_sse_number(data, to - from, AP_SSE_ID, &since))
+		since = strtoull(x->last_event_id, NULL, 10) + 1;
+	ap_sse_last_id(data, to - from, x->last_event_id);
+	if (a->weights == AP_WEIGHTS_ANY || a->weights == x->req.weights)
+		return;
+	x->req.weights = a->weights;
+	if (x->ops->weights)
+		x->ops->weights(x->ctx, a->weights, since);
+}
+
 static void deliver_ordered(ap_exchange_t *x, ap_attempt_t *a, size_t from, size_t to,
 			    ap_usec_t now)
 {
 	while (from < to) {
-		const char *data = a->buffer + from;
-		size_t len = same_weights_len(x, data, to - from);
-		bool named = read_weights(x, a, data, len);
-		uint64_t number = 0;
+		size_t len = same_weights_len(x, a->buffer + from, to - from);
 
-		if (a->weights != AP_WEIGHTS_ANY)
-			x->req.weights = a->weights;
-		if (named && x->committed && x->ops->weights) {
-			ap_sse_number(data, len, AP_SSE_ID, &number);
-			x->ops->weights(x->ctx, a->weights, number);
-		}
-		deliver_range(x, a, from, from + len, now);
+		deliver_version(x, a, from, from + len, now);
 		from += len;
 	}
 }
@@ -176,7 +188,6 @@
 		keep_build(x);
 		deliver_ordered(x, a, from, from + ordered, now);
 		a->resuming = false;
-		ap_sse_last_id(a->buffer + from, ordered, x->last_event_id);
 	}
 	if (from + ordered < complete) {
 		fail_broken(x, a, now);
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -24,6 +24,7 @@
 #define RETRY_AFTER_DEFAULT (500 * AP_MSEC) /* when no wait is known */
 #define RETRY_AFTER_DIVISOR 3  /* Retry-After is at most the remaining time divided by this */
 #define CONNECT_FAILURES_MAX 8 /* failed connections before a request is given up */
+#define WEIGHTS_REFUSALS_MAX 4 /* upstreams that are asked in vain for a version of the weights */
 
 const char *ap_reason_name(ap_reason_t reason)
 {
@@ -295,11 +296,13 @@
 		x->connect_failures++;
 	}
 	if (other_goes_on(x, a, now)) {
-		if (!was_current && x->connect_failures < CONNECT_FAILURES_MAX)
+		if (!was_current && x->connect_failures < CONNECT_FAILURES_MAX &&
+		    x->weights_refusals < WEIGHTS_REFUSALS_MAX)
 			send_to_other(x, now);
 		return;
 	}
-	if (x->connect_failures < CONNECT_FAILURES_MAX)
+	if (x->connect_failures < CONNECT_FAILURES_MAX &&
+	    x->weights_refusals < WEIGHTS_REFUSALS_MAX)
 		dispatch_or_reply(x, now);
 	else
 		reply_error(x, AP_REASON_NO_UPSTREAM, now);
@@ -314,10 +317,17 @@
 		x->told = retry_after;
 }
 
+static ap_dispatch_result_t refusal_of(const ap_attempt_t *a)
+{
+	if (a->head.weights_refused)
+		return AP_DISPATCH_WEIGHTS;
+	return a->head.address_reused ? AP_DISPATCH_ADDRESS_REUSED : AP_DISPATCH_REFUSED;
+}
+
 static void target_refused(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	finish_attempt(x, a,
-		       a->head.address_reused ? AP_DISPATCH_ADDRESS_REUSED : AP_DISPATCH_REFUSED);
+	finish_attempt(x, a, refusal_of(a));
+	x->weights_refusals += a->head.weights_refused;
 	count_refusal(x, a->head.retry_after);
 	x->ops->log_step(x->ctx, AP_STEP_REFUSED_BY, &a->target);
 	attempt_refused(x, a, a->head.unsent, now);
@@ -355,7 +365,7 @@
 {
 	finish_attempt(x, a, end);
 	x->runs++;
-	if (end == AP_DISPATCH_TIMED_OUT)
+	if (end == AP_DISPATCH_TIMED_OUT || end == AP_DISPATCH_WEIGHTS)
 		avoid(x, a->target.id);
 	else
 		add_name(x->req.tried, &x->req.n_tried, a->target.id);
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -35,6 +35,7 @@
  * @refused: the target states that it did not run the request
  * @unsent: the target, an instance, states that the request reached no upstream
  * @address_reused: another upstream has the address now
+ * @weights_refused: the target has another version of the weights than it was asked for
  * @from_replica: the head shows that a replica made the response and its body; only then is a
  *	success, or an error, the response to the request
  * @build: of the upstream behind a remote target; 0 if the target doesn't say
@@ -47,6 +48,7 @@
 	bool refused;
 	bool unsent;
 	bool address_reused;
+	bool weights_refused;
 	bool from_replica;
 	uint64_t build;
 	ap_weights_t weights;
@@ -172,6 +174,7 @@
  * @runs: how many times it may have run so far, without what is in flight
  * @sends: how many times it reached a target, whether refused or not
  * @connect_failures: how many targets could not be reached
+ * @weights_refusals: refusals by targets that have another version of the weights
  * @weights_differ: responses that would have gone on at another version of the weights
  * @committed: the head was sent to the caller, so the response can't be replaced any more
  * @paused: the caller reads too slowly, so targets aren't read from
@@ -205,6 +208,7 @@
 	ap_usec_t told;
 	ap_usec_t pause;
 	unsigned connect_failures;
+	unsigned weights_refusals;
 	unsigned weights_differ;
 	bool stream;
 	bool retryable;
--- a/lib/exchange/sse.c
+++ b/lib/exchange/sse.c
@@ -75,12 +75,16 @@
 {
 	size_t end = next_event_end(data, len, 0);
 	char text[NUMBER_MAX];
+	uint64_t value;
 	char *stop;
 
 	if (end == 0 || !event_field(data, end, name, text, sizeof(text)))
 		return false;
-	*number = strtoull(text, &stop, 10);
-	return stop != text && *stop == '\0' && text[0] != '-';
+	value = strtoull(text, &stop, 10);
+	if (stop == text || stop[strspn(stop, " ")] != '\0' || strchr(text, '-'))
+		return false;
+	*number = value;
+	return true;
 }
 
 size_t ap_sse_next_with(const char *data, size_t len, const char *name)
--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -207,7 +207,8 @@
 	return slot(f, i)->origin <= f->packed.origin;
 }
 
-/* The version of most streams, then number, version and since of each that has another one. */
+/* The version of the first of them, and of most, then number, version and since of each that has
+ * another one. */
 void ap_stream_weights_pack(ap_fleet_t *f, msgpack_packer *pk)
 {
 	ap_weights_t most = AP_WEIGHTS_ANY;
@@ -221,7 +222,7 @@
 	for (uint64_t i = f->packed.from; i < f->packed.end; i++)
 		others += was_packed(f, i) && !is_plain(slot(f, i), most);
 	msgpack_pack_array(pk, 1 + 3 * others);
-	msgpack_pack_uint32(pk, most);
+	msgpack_pack_uint64(pk, most);
 	for (uint64_t i = f->packed.from; i < f->packed.end; i++) {
 		const ap_stream_t *s = slot(f, i);
 
@@ -229,7 +230,7 @@
 			continue;
 		if (!is_plain(s, most)) {
 			msgpack_pack_uint64(pk, number);
-			msgpack_pack_uint32(pk, s->source.weights);
+			msgpack_pack_uint64(pk, s->source.weights);
 			msgpack_pack_uint64(pk, s->source.since);
 		}
 		number++;
@@ -248,7 +249,7 @@
 		return false;
 	while (builds->left > 0)
 		known[n++] = ap_wire_u64(builds);
-	most = weights->left > 0 ? (ap_weights_t)ap_wire_u64(weights) : AP_WEIGHTS_ANY;
+	most = weights->left > 0 ? ap_wire_u64(weights) : AP_WEIGHTS_ANY;
 	other = weights->left > 0 ? ap_wire_u64(weights) : UINT64_MAX;
 	for (uint64_t i = 0; streams->left >= 2; i++) {
 		ap_stream_t stream = {.source = {.weights = most}, .at = now, .origin = origin};
@@ -260,7 +261,7 @@
 			return false;
 		stream.source.build = known[number];
 		if (i == other) {
-			stream.source.weights = (ap_weights_t)ap_wire_u64(weights);
+			stream.source.weights = ap_wire_u64(weights);
 			stream.source.since = ap_wire_u64(weights);
 			other = weights->left > 0 ? ap_wire_u64(weights) : UINT64_MAX;
 		}
--- a/lib/fleet/ejection.c
+++ b/lib/fleet/ejection.c
@@ -78,7 +78,8 @@
 {
 	if (trial)
 		r->trial = false;
-	if (end == AP_DISPATCH_DONE || end == AP_DISPATCH_ERROR || end == AP_DISPATCH_REFUSED)
+	if (end == AP_DISPATCH_DONE || end == AP_DISPATCH_ERROR || end == AP_DISPATCH_REFUSED ||
+	    end == AP_DISPATCH_WEIGHTS)
 		ap_path_seen(f, r, now);
 	switch (end) {
 	case AP_DISPATCH_DONE:
@@ -106,6 +107,7 @@
 		ap_brittle_refused(f, r, now);
 		record_sample(r, 1, now);
 		break;
+	case AP_DISPATCH_WEIGHTS:
 	case AP_DISPATCH_CANCELLED:
 		break;
 	}
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -21,13 +21,13 @@
 #define AP_MODELS_MAX 8	       /* models of an upstream whose versions are kept */
 
 /* A version of a model's weights, which upstreams name by numbers; see ap_weights_of(). */
-typedef uint32_t ap_weights_t;
+typedef uint64_t ap_weights_t;
 #define AP_WEIGHTS_ANY 0 /* not known, or not asked for */
 
-/* Returns the version with this number; all numbers that don't fit are one version. */
+/* Returns the version with this number. */
 static inline ap_weights_t ap_weights_of(uint64_t number)
 {
-	return number < UINT32_MAX ? (ap_weights_t)number + 1 : UINT32_MAX;
+	return number < UINT64_MAX ? number + 1 : AP_WEIGHTS_ANY;
 }
 
 /* Returns its number; -1 if it isn't known. */
@@ -188,6 +188,7 @@
 	AP_DISPATCH_DONE,	    /* complete response */
 	AP_DISPATCH_ERROR,	    /* complete response that reports a failure */
 	AP_DISPATCH_REFUSED,	    /* the target said that the request did not run */
+	AP_DISPATCH_WEIGHTS,	    /* it has another version of the weights than it has to */
 	AP_DISPATCH_ADDRESS_REUSED, /* another upstream has the address now */
 	AP_DISPATCH_UNREACHABLE,    /* no connection */
 	AP_DISPATCH_BROKEN,	    /* truncated or invalid response, or connection reset */
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -464,7 +464,8 @@
 
 static bool has_responded(ap_dispatch_result_t end)
 {
-	return end == AP_DISPATCH_DONE || end == AP_DISPATCH_ERROR || end == AP_DISPATCH_REFUSED;
+	return end == AP_DISPATCH_DONE || end == AP_DISPATCH_ERROR || end == AP_DISPATCH_REFUSED ||
+	       end == AP_DISPATCH_WEIGHTS;
 }
 
 static void done_local(ap_fleet_t *f, ap_replica_t *r, const ap_inflight_t *inflight,
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -290,7 +290,7 @@
 	uint64_t build;	       /* of one upstream; while builds are counted */
 	ap_loaded_model_t models[AP_MODELS_MAX]; /* likewise */
 	size_t n_models;
-	ap_usec_t mixed_until;	/* streams may have begun at several versions of weights; 0: no */
+	bool unknown;		/* of an upstream, no model is known */
 	ap_refusals_t refusals; /* at the upstreams of the own region */
 	ap_budget_t budget;
 } ap_pool_state_t;
@@ -360,7 +360,9 @@
 	ap_packed_streams_t packed;
 	ap_gone_build_t gone_builds[GONE_BUILDS_MAX]; /* ring */
 	size_t n_gone_builds;			      /* so far */
-	bool relayed;	    /* relays pass on what is announced in this region */
+	ap_gone_model_t gone_models[GONE_MODELS_MAX];
+	ap_usec_t gone_dropped_at; /* time of the latest one that had to make room; 0 for none */
+	bool relayed;		   /* relays pass on what is announced in this region */
 	uint32_t relay_tag; /* of the relay that this instance wants batches from; 0 for none */
 	ap_usec_t relay_heard_at; /* its last batch, or when it was named */
 	bool served;		  /* it served as a relay at the last tick */
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -6,8 +6,9 @@
 #include "fleet/fleet.h"
 #include "wire/frame.h"
 
-#define STREAMS_MAX 16384	     /* several seconds of a large region */
-#define GONE_BUILDS_MAX 16	     /* the latest ones */
+#define STREAMS_MAX 16384  /* several seconds of a large region */
+#define GONE_BUILDS_MAX 16 /* the latest ones */
+#define GONE_MODELS_MAX 32
 #define STREAM_MAX_AGE (15 * AP_SEC) /* from its first event until a caller takes it up */
 
 /* Who saw that a stream began, the nearest first. */
@@ -25,6 +26,13 @@
 	ap_origin_t origin;
 } ap_stream_t;
 
+/* A version of a model that an upstream had and has no longer. */
+typedef struct ap_gone_model {
+	uint64_t pool; /* hash of its name */
+	ap_loaded_model_t model;
+	ap_usec_t at;
+} ap_gone_model_t;
+
 /* The streams that were packed last: those of the ring in this range and from this origin. */
 typedef struct ap_packed_streams {
 	uint64_t from;
@@ -49,7 +57,7 @@
 size_t ap_streams_pack(ap_fleet_t *f, msgpack_packer *pk);
 /* Likewise for remote regions: those of the whole region, while they may need them. */
 void ap_streams_pack_remote(ap_fleet_t *f, msgpack_packer *pk);
-/* Applies the two arrays of another instance. Return: false if they are malformed. */
+/* Applies the arrays of another instance. Return: false if they are malformed. */
 bool ap_streams_apply(ap_fleet_t *f, ap_wire_reader_t *builds, ap_wire_reader_t *streams,
 		      ap_wire_reader_t *weights, ap_origin_t origin, ap_usec_t now);
 /* Packs what is known of the weights of the streams that were packed last, in the same order. */
@@ -65,7 +73,7 @@
 ap_weights_t ap_replica_weights(const ap_replica_t *r, uint64_t model);
 /* Returns whether @r may have the version that @req needs. */
 bool ap_weights_allow(const ap_replica_t *r, const ap_dispatch_t *req);
-/* Returns whether a pool has several versions of a model's weights. */
+/* Returns whether a pool may have several versions of a model's weights. */
 bool ap_weights_mixed(ap_fleet_t *f);
 /*
  * Finds the only version of a model's weights that @pool has had lately; AP_WEIGHTS_ANY if none is
--- a/lib/fleet/weights.c
+++ b/lib/fleet/weights.c
@@ -51,27 +51,35 @@
 	return r->models[i].weights == req->weights;
 }
 
-/* Returns whether another upstream of the pool has another version of the model. */
-static bool others_differ(const ap_fleet_t *f, const ap_replica_t *r,
-			  const ap_loaded_model_t *model)
+/* Returns whether @r may have any version of a model: nothing says which one it has. */
+static bool is_unknown(const ap_replica_t *r, uint64_t model)
 {
-	for (const ap_replica_t *o = f->replicas; o; o = o->hh.next) {
-		ap_weights_t weights = ap_replica_weights(o, model->name);
-
-		if (o != r && weights != AP_WEIGHTS_ANY && weights != model->weights &&
-		    strcmp(o->entry.pool, r->entry.pool) == 0)
-			return true;
-	}
-	return false;
+	return ap_replica_weights(r, model) == AP_WEIGHTS_ANY &&
+	       (r->entry.n_models == 0 || r->n_models == AP_MODELS_MAX);
 }
 
 /* Streams began at @model at @r, which has it no longer. */
-static void note_mixed(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
+static void keep_gone(ap_fleet_t *f, const ap_replica_t *r, const ap_loaded_model_t *model,
+		      ap_usec_t now)
 {
-	ap_pool_state_t *p = ap_pool_state(f, r->entry.pool);
-
-	if (p)
-		p->mixed_until = now + STREAM_MAX_AGE;
+	const ap_gone_model_t gone = {
+		.pool = ap_hash_str(r->entry.pool, 8), .model = *model, .at = now};
+	size_t oldest = 0;
+
+	for (size_t i = 0; i < GONE_MODELS_MAX; i++) {
+		ap_gone_model_t *g = &f->gone_models[i];
+
+		if (g->pool == gone.pool && g->model.name == model->name &&
+		    g->model.weights == model->weights) {
+			g->at = now;
+			return;
+		}
+		if (g->at < f->gone_models[oldest].at)
+			oldest = i;
+	}
+	if (f->gone_models[oldest].at > 0)
+		f->gone_dropped_at = f->gone_models[oldest].at;
+	f->gone_models[oldest] = gone;
 }
 
 static void set_weights(ap_fleet_t *f, ap_replica_t *r, uint64_t name, ap_weights_t weights,
@@ -82,7 +90,7 @@
 	if (i == AP_MODELS_MAX || r->models[i].weights == weights)
 		return;
 	if (r->models[i].weights != AP_WEIGHTS_ANY)
-		note_mixed(f, r, now);
+		keep_gone(f, r, &r->models[i], now);
 	r->models[i].weights = weights;
 	r->refused[i] = AP_WEIGHTS_ANY;
 }
@@ -127,14 +135,18 @@
 void ap_weights_gone(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
 {
 	for (size_t i = 0; i < r->n_models; i++) {
-		if (r->models[i].weights != AP_WEIGHTS_ANY && others_differ(f, r, &r->models[i]))
-			note_mixed(f, r, now);
+		if (r->models[i].weights != AP_WEIGHTS_ANY)
+			keep_gone(f, r, &r->models[i], now);
 	}
 }
 
-/* Returns whether @r has another version of a model than those of its pool before. */
+/*
+ * Returns whether @r has another version of a model than those of its pool before, or may have
+ * while one is known of others.
+ */
 static bool differs(ap_pool_state_t *p, const ap_replica_t *r)
 {
+	p->unknown = p->unknown || (r->entry.n_models == 0 && r->n_models == 0);
 	for (size_t i = 0; i < r->n_models; i++) {
 		ap_weights_t weights = r->models[i].weights;
 		size_t k;
@@ -142,19 +154,20 @@
 		if (weights == AP_WEIGHTS_ANY)
 			continue;
 		k = get_model(p->models, &p->n_models, r->models[i].name);
-		if (k == AP_MODELS_MAX)
-			continue;
-		if (p->models[k].weights != AP_WEIGHTS_ANY && p->models[k].weights != weights)
+		if (k == AP_MODELS_MAX ||
+		    (p->models[k].weights != AP_WEIGHTS_ANY && p->models[k].weights != weights))
 			return true;
 		p->models[k].weights = weights;
 	}
-	return false;
+	return p->unknown && p->n_models > 0;
 }
 
 bool ap_weights_mixed(ap_fleet_t *f)
 {
-	for (ap_pool_state_t *p = f->pools; p; p = p->hh.next)
+	for (ap_pool_state_t *p = f->pools; p; p = p->hh.next) {
 		p->n_models = 0;
+		p->unknown = false;
+	}
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		ap_pool_state_t *p = ap_pool_state(f, r->entry.pool);
 
@@ -164,22 +177,40 @@
 	return false;
 }
 
+/* Returns whether streams of the pool may have begun lately at another version than @weights. */
+static bool was_other(const ap_fleet_t *f, const char *pool, uint64_t model, ap_weights_t weights,
+		      ap_usec_t now)
+{
+	uint64_t hash = ap_hash_str(pool, 8);
+
+	for (size_t i = 0; i < GONE_MODELS_MAX; i++) {
+		const ap_gone_model_t *g = &f->gone_models[i];
+
+		if (g->at > 0 && now - g->at < STREAM_MAX_AGE && g->pool == hash &&
+		    g->model.name == model && g->model.weights != weights)
+			return true;
+	}
+	return f->gone_dropped_at > 0 && now - f->gone_dropped_at < STREAM_MAX_AGE;
+}
+
 bool ap_only_weights(ap_fleet_t *f, const char *pool, uint64_t model, ap_usec_t now,
 		     ap_weights_t *weights)
 {
-	const ap_pool_state_t *p = ap_pool_state(f, pool);
+	bool unknown = false;
 
 	*weights = AP_WEIGHTS_ANY;
-	if (p && now < p->mixed_until)
-		return false;
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
 		ap_weights_t has = ap_replica_weights(r, model);
 
-		if (has == AP_WEIGHTS_ANY || strcmp(r->entry.pool, pool) != 0)
+		if (strcmp(r->entry.pool, pool) != 0)
+			continue;
+		unknown = unknown || is_unknown(r, model);
+		if (has == AP_WEIGHTS_ANY)
 			continue;
 		if (*weights != AP_WEIGHTS_ANY && *weights != has)
 			return false;
 		*weights = has;
 	}
-	return true;
+	return (!unknown || *weights == AP_WEIGHTS_ANY) &&
+	       !was_other(f, pool, model, *weights, now);
 }
