--- /dev/null
+++ b/test/fleet_weights_test.c
@@ -0,0 +1,454 @@
+/* Versions of the weights: which upstreams a stream may go on at, and what instances tell others.
+ */
+#include "fleet/private.h"
+#include "fleet_net.h"
+
+#define V(n) (AP_WEIGHTS_FIRST + (n))
+#define MODEL 77
+#define NOW WORLD_START
+#define AGE (15 * AP_SEC) /* as long as a stream may be taken up */
+#define OPERATIONS 100000
+#define UPSTREAMS 8
+#define MODELS 12 /* more than an upstream's that are kept */
+
+static const ap_plan_share_t share = {.pool = "engines", .weight = 1};
+static const ap_plan_route_t streams = {
+	.name = "resumable",
+	.kind = AP_KIND_STREAM,
+	.resumable = true,
+	.timeout = 8 * AP_SEC,
+	.objective = AP_SEC,
+	.attempts = 2,
+	.shares = (ap_plan_share_t *)&share,
+	.n_shares = 1,
+};
+
+static void list_in(ap_fleet_t *f, const char *id, const char *region, ap_weights_t weights,
+		    ap_usec_t now)
+{
+	ap_replica_entry_t e = world_entry(id, "engines", region);
+
+	if (weights != AP_WEIGHTS_ANY) {
+		e.n_models = 1;
+		e.models[0] = (ap_loaded_model_t){.name = MODEL, .weights = weights};
+	}
+	ap_fleet_update_replica(f, &e, now);
+}
+
+static void list(ap_fleet_t *f, const char *id, ap_weights_t weights, ap_usec_t now)
+{
+	list_in(f, id, "north", weights, now);
+}
+
+static ap_dispatch_t request(uint64_t model, ap_weights_t weights, ap_usec_t now)
+{
+	ap_dispatch_t req = world_request(&streams, &world_engines, now);
+
+	req.model = model;
+	req.weights = weights;
+	req.begun = weights != AP_WEIGHTS_ANY;
+	return req;
+}
+
+/* Asserts that @id, or none if it is NULL, is the only target of the next requests. */
+static void goes_to(ap_fleet_t *f, const char *id, uint64_t model, ap_weights_t weights,
+		    ap_usec_t now)
+{
+	for (int i = 0; i < 20; i++) {
+		ap_dispatch_t req = request(model, weights, now);
+		ap_target_t target;
+		ap_fleet_status_t status = ap_fleet_choose(f, &req, now, &target);
+
+		if (!id) {
+			assert_int_not_equal(status, AP_FLEET_OK);
+			continue;
+		}
+		assert_int_equal(status, AP_FLEET_OK);
+		assert_string_equal(target.id, id);
+	}
+}
+
+/* Guards against a stream that goes on at an upstream that is known to have another version. */
+static void a_known_other_version_is_never_chosen(void **state)
+{
+	ap_fleet_t *f = world_north();
+
+	(void)state;
+	list(f, "e1", V(1), NOW);
+	list(f, "e2", V(2), NOW);
+	goes_to(f, "e1", MODEL, V(1), NOW);
+	goes_to(f, "e2", MODEL, V(2), NOW);
+	goes_to(f, NULL, MODEL, V(3), NOW);
+	goes_to(f, NULL, MODEL, AP_WEIGHTS_UNNAMED, NOW);
+	ap_fleet_free(f);
+}
+
+/* Guards against attempts that are spent on upstreams that may refuse. */
+static void a_known_same_version_goes_before_an_unknown_one(void **state)
+{
+	ap_fleet_t *f = world_north();
+
+	(void)state;
+	list(f, "e1", AP_WEIGHTS_ANY, NOW);
+	list(f, "e2", V(2), NOW);
+	goes_to(f, "e2", MODEL, V(2), NOW);
+	goes_to(f, "e1", MODEL, V(1), NOW); /* is asked */
+	ap_fleet_weights_refused(f, "e1", MODEL, V(1), NOW);
+	goes_to(f, NULL, MODEL, V(1), NOW); /* not again */
+	goes_to(f, "e1", MODEL, V(3), NOW);
+	ap_fleet_weights_seen(f, "e1", MODEL, V(1), NOW); /* it loaded others since */
+	goes_to(f, "e1", MODEL, V(1), NOW);
+	ap_fleet_weights_refused(f, "e1", MODEL, V(2), NOW); /* says nothing new */
+	goes_to(f, "e1", MODEL, V(1), NOW);
+	ap_fleet_weights_refused(f, "e1", MODEL, V(1), NOW);
+	goes_to(f, NULL, MODEL, V(1), NOW);
+	ap_fleet_weights_refused(f, "gone", MODEL, V(1), NOW);
+	ap_fleet_weights_seen(f, "gone", MODEL, V(1), NOW);
+	ap_fleet_free(f);
+}
+
+/* Guards against an entry that is older than a response, and against a response that outlasts. */
+static void only_an_entry_that_changed_undoes_a_response(void **state)
+{
+	ap_fleet_t *f = world_north();
+
+	(void)state;
+	list(f, "e1", V(1), NOW);
+	ap_fleet_weights_seen(f, "e1", MODEL, V(2), NOW);
+	list(f, "e1", V(1), NOW + AP_SEC); /* as before */
+	goes_to(f, "e1", MODEL, V(2), NOW + AP_SEC);
+	goes_to(f, NULL, MODEL, V(1), NOW + AP_SEC);
+	list(f, "e1", V(3), NOW + AP_SEC);
+	goes_to(f, "e1", MODEL, V(3), NOW + AP_SEC);
+	goes_to(f, NULL, MODEL, V(2), NOW + AP_SEC);
+	ap_fleet_weights_refused(f, "e1", MODEL, V(3), NOW + AP_SEC);
+	list(f, "e1", V(3), NOW + 2 * AP_SEC);
+	goes_to(f, NULL, MODEL, V(3), NOW + 2 * AP_SEC);
+	ap_fleet_free(f);
+}
+
+/* Guards against one model's version that is taken for another model's, also beyond those kept. */
+static void models_are_apart(void **state)
+{
+	ap_fleet_t *f = world_north();
+
+	(void)state;
+	list(f, "e1", AP_WEIGHTS_ANY, NOW);
+	for (uint64_t m = 0; m < MODELS; m++)
+		ap_fleet_weights_seen(f, "e1", m, V((uint32_t)m), NOW);
+	for (uint64_t m = 0; m < MODELS; m++) {
+		goes_to(f, "e1", m, V((uint32_t)m), NOW);
+		goes_to(f, m < AP_MODELS_MAX ? NULL : "e1", m, V((uint32_t)m + 1), NOW);
+		ap_fleet_weights_refused(f, "e1", m, V((uint32_t)m), NOW);
+		goes_to(f, m < AP_MODELS_MAX ? NULL : "e1", m, V((uint32_t)m), NOW);
+	}
+	ap_fleet_free(f);
+}
+
+/* Guards against an unhealthy upstream of another version, chosen since no other one is left. */
+static void an_unhealthy_upstream_of_another_version_is_no_resort(void **state)
+{
+	ap_fleet_t *f = world_north();
+
+	(void)state;
+	list(f, "e1", V(1), NOW);
+	list(f, "e2", V(2), NOW);
+	for (int i = 0; i < 5; i++) {
+		ap_dispatch_t req = request(MODEL, V(1), NOW);
+		ap_target_t target = {.port = 9000};
+		ap_inflight_t inflight;
+
+		ap_copy_name(target.id, sizeof(target.id), "e1");
+		ap_fleet_sent(f, &req, &target, NOW, &inflight);
+		ap_fleet_done(f, &inflight, AP_DISPATCH_BROKEN, NOW);
+	}
+	for (int i = 0; i < 20; i++) {
+		ap_dispatch_t req = request(MODEL, V(1), NOW);
+		ap_target_t target;
+
+		if (ap_fleet_choose(f, &req, NOW, &target) == AP_FLEET_OK)
+			assert_string_equal(target.id, "e1");
+	}
+	ap_fleet_free(f);
+}
+
+static bool source_at(ap_fleet_t *f, const char *id, const char *last, ap_usec_t now,
+		      ap_weights_t *weights)
+{
+	ap_stream_source_t source = {0};
+	bool found = ap_fleet_stream_source(f, id, &streams, MODEL, last, now, &source);
+
+	*weights = source.weights;
+	return found;
+}
+
+static void serve(ap_fleet_t *f, const char *id, ap_weights_t weights, uint64_t since,
+		  ap_usec_t now)
+{
+	ap_stream_source_t source = {
+		.build = ap_build_of("engines", ""), .weights = weights, .since = since};
+
+	ap_fleet_stream_served(f, id, &source, now);
+}
+
+/* Guards against a caller that takes a stream up elsewhere and gets events of another version. */
+static void a_stream_is_taken_up_at_its_version_everywhere(void **state)
+{
+	net_t net;
+	ap_usec_t now = NOW + 2 * AP_SEC;
+	ap_weights_t weights;
+
+	(void)state;
+	net_begin(&net, 3, 3);
+	for (size_t i = 0; i < net.n; i++) {
+		list_in(net.fleets[i], "e1", "north", V(1), NOW);
+		list_in(net.fleets[i], "e2", "north", V(2), NOW);
+		list_in(net.fleets[i], "e3", "south", V(1), NOW);
+	}
+	net_announce(&net, NOW);
+	net_announce(&net, now - AP_SEC);
+	serve(net.fleets[1], "other", V(1), 0, now);
+	serve(net.fleets[1], "a", V(1), 0, now);
+	serve(net.fleets[1], "a", V(2), 5, now);
+	serve(net.fleets[1], "a", V(3), 9, now);
+	serve(net.fleets[1], "unnamed", AP_WEIGHTS_UNNAMED, 0, now);
+	for (int i = 0; i < 20; i++, now += 100 * AP_MSEC)
+		net_announce(&net, now);
+	for (size_t i = 0; i < net.n; i++) {
+		static const struct {
+			const char *last;
+			ap_weights_t weights;
+		} cases[] = {{"1", V(1)}, {"4", V(1)}, {"5", V(2)},
+			     {"8", V(2)}, {"9", V(3)}, {"99", V(3)}};
+
+		for (size_t k = 0; k < sizeof(cases) / sizeof(cases[0]); k++) {
+			assert_true(source_at(net.fleets[i], "a", cases[k].last, now, &weights));
+			assert_int_equal(weights, cases[k].weights);
+		}
+		assert_true(source_at(net.fleets[i], "other", "3", now, &weights));
+		assert_int_equal(weights, V(1));
+		assert_true(source_at(net.fleets[i], "unnamed", "3", now, &weights));
+		assert_int_equal(weights, AP_WEIGHTS_UNNAMED);
+		/* Nothing was heard of it, and there are two versions. */
+		assert_false(source_at(net.fleets[i], "b", "3", now, &weights));
+	}
+	net_end(&net);
+}
+
+/* Guards against a stream told by an earlier build that goes on at any version. */
+static void of_a_stream_without_a_version_the_pool_decides(void **state)
+{
+	ap_fleet_t *f = world_north();
+	ap_usec_t now = NOW;
+	ap_weights_t weights;
+
+	(void)state;
+	list(f, "e1", V(1), now);
+	list(f, "e2", AP_WEIGHTS_ANY, now);
+	serve(f, "old", AP_WEIGHTS_ANY, 0, now);
+	assert_true(source_at(f, "old", "1", now, &weights));
+	assert_int_equal(weights, V(1));
+	ap_fleet_weights_seen(f, "e2", MODEL, V(2), now);
+	assert_false(source_at(f, "old", "1", now, &weights));
+	ap_fleet_remove_replica(f, "e1", false, now);
+	assert_false(source_at(f, "old", "1", now, &weights));
+	now += AGE - 1;
+	serve(f, "old", AP_WEIGHTS_ANY, 0, now);
+	assert_false(source_at(f, "old", "1", now, &weights));
+	now += 1;
+	assert_true(source_at(f, "old", "1", now, &weights));
+	assert_int_equal(weights, V(2));
+	ap_fleet_weights_seen(f, "e2", MODEL, V(4), now); /* loaded anew */
+	assert_false(source_at(f, "old", "1", now, &weights));
+	ap_fleet_free(f);
+}
+
+/* Guards against a pool that was replaced at once and counts as one that never had another. */
+static void a_pool_that_was_replaced_had_several_versions(void **state)
+{
+	ap_fleet_t *f = world_north();
+	ap_usec_t now = NOW;
+	ap_weights_t weights;
+
+	(void)state;
+	list(f, "e1", V(1), now);
+	serve(f, "old", AP_WEIGHTS_ANY, 0, now);
+	ap_fleet_remove_replica(f, "e1", false, now);
+	now += AP_SEC;
+	list(f, "e2", V(2), now);
+	/* It began at version 1. */
+	if (source_at(f, "old", "1", now, &weights))
+		assert_int_equal(weights, V(1));
+	ap_fleet_free(f);
+}
+
+/*
+ * Guards against a stream that isn't told to remote regions, since the instance that tells them has
+ * seen no response and entries name no versions.
+ */
+static void remote_regions_hear_of_versions_that_only_others_saw(void **state)
+{
+	net_t net;
+	ap_usec_t now = NOW + 2 * AP_SEC;
+	ap_weights_t weights;
+
+	(void)state;
+	net_begin(&net, 3, 3);
+	for (size_t i = 0; i < net.n; i++) {
+		list_in(net.fleets[i], "e1", "north", AP_WEIGHTS_ANY, NOW);
+		list_in(net.fleets[i], "e2", "north", AP_WEIGHTS_ANY, NOW);
+	}
+	net_announce(&net, NOW);
+	for (size_t k = 0; k < 3; k++) {
+		ap_weights_t has = V((uint32_t)k);
+		char id[24];
+
+		snprintf(id, sizeof(id), "stream-%zu", k);
+		ap_fleet_weights_seen(net.fleets[k], k % 2 ? "e1" : "e2", MODEL, has, now);
+		serve(net.fleets[k], id, has, 0, now);
+	}
+	for (int i = 0; i < 20; i++, now += 100 * AP_MSEC)
+		net_announce(&net, now);
+	for (size_t i = 0; i < net.n; i++) {
+		for (size_t k = 0; k < 3; k++) {
+			char id[24];
+
+			snprintf(id, sizeof(id), "stream-%zu", k);
+			/* It goes on at its version, or not at all. */
+			if (source_at(net.fleets[i], id, "1", now, &weights))
+				assert_int_equal(weights, V((uint32_t)k));
+		}
+	}
+	net_end(&net);
+}
+
+/* What a test knows of an upstream: @weights since it was said last, of each model. */
+typedef struct belief {
+	char id[AP_NAME_MAX];
+	unsigned life;
+	ap_weights_t weights[3];
+	ap_weights_t refused[3];
+	ap_replica_entry_t entry;
+} belief_t;
+
+static void start(ap_fleet_t *f, belief_t *b, int number, ap_rng_t *rng, ap_usec_t now)
+{
+	unsigned life = b->life + 1;
+
+	*b = (belief_t){.life = life};
+	snprintf(b->id, sizeof(b->id), "e%d.%u", number, life);
+	b->entry = world_entry(b->id, "engines", "north");
+	for (uint64_t m = 0; m < 3; m++) {
+		if (ap_rng_below(rng, 2) == 0)
+			continue;
+		b->weights[m] = V(ap_rng_below(rng, 3));
+		b->entry.models[b->entry.n_models++] =
+			(ap_loaded_model_t){.name = m, .weights = b->weights[m]};
+	}
+	ap_fleet_update_replica(f, &b->entry, now);
+}
+
+static void operate(ap_fleet_t *f, belief_t *all, ap_rng_t *rng, ap_usec_t now)
+{
+	int number = (int)ap_rng_below(rng, UPSTREAMS);
+	belief_t *b = &all[number];
+	uint64_t m = ap_rng_below(rng, 3);
+	ap_weights_t weights = V(ap_rng_below(rng, 3));
+
+	switch (ap_rng_below(rng, 5)) {
+	case 0:
+		ap_fleet_weights_seen(f, b->id, m, weights, now);
+		if (b->weights[m] != weights)
+			b->refused[m] = AP_WEIGHTS_ANY;
+		b->weights[m] = weights;
+		break;
+	case 1:
+		ap_fleet_weights_refused(f, b->id, m, weights, now);
+		if (b->weights[m] == weights)
+			b->weights[m] = AP_WEIGHTS_ANY;
+		b->refused[m] = weights;
+		break;
+	case 2:
+		ap_fleet_update_replica(f, &b->entry, now); /* the same again */
+		break;
+	case 3:
+		for (size_t i = 0; i < b->entry.n_models; i++) {
+			if (b->entry.models[i].name != m || b->entry.models[i].weights == weights)
+				continue;
+			b->entry.models[i].weights = weights;
+			if (b->weights[m] != weights)
+				b->refused[m] = AP_WEIGHTS_ANY;
+			b->weights[m] = weights;
+		}
+		ap_fleet_update_replica(f, &b->entry, now);
+		break;
+	default:
+		if (ap_rng_below(rng, 20) == 0) {
+			ap_fleet_remove_replica(f, b->id, false, now);
+			start(f, b, number, rng, now);
+		}
+	}
+}
+
+/* Guards against any order of entries, responses and refusals after which a choice is wrong. */
+static void no_order_of_events_lets_a_stream_go_on_at_another_version(void **state)
+{
+	ap_fleet_t *f = world_north();
+	belief_t all[UPSTREAMS] = {0};
+	unsigned chosen = 0;
+	unsigned known = 0;
+	ap_rng_t rng;
+
+	(void)state;
+	ap_rng_seed(&rng, 55);
+	for (int i = 0; i < UPSTREAMS; i++)
+		start(f, &all[i], i, &rng, NOW);
+	for (int i = 0; i < OPERATIONS; i++) {
+		ap_usec_t now = NOW + i * AP_MSEC;
+		uint64_t m = ap_rng_below(&rng, 3);
+		ap_dispatch_t req = request(m, V(ap_rng_below(&rng, 3)), now);
+		bool any_same = false;
+		ap_target_t target;
+
+		operate(f, all, &rng, now);
+		ap_fleet_tick(f, now);
+		for (int k = 0; k < UPSTREAMS; k++)
+			any_same = any_same || all[k].weights[m] == req.weights;
+		known += any_same;
+		if (ap_fleet_choose(f, &req, now, &target) != AP_FLEET_OK) {
+			assert_false(any_same);
+			continue;
+		}
+		chosen++;
+		for (int k = 0; k < UPSTREAMS; k++) {
+			const belief_t *b = &all[k];
+
+			if (strcmp(b->id, target.id) != 0)
+				continue;
+			assert_true(b->weights[m] == req.weights ||
+				    (b->weights[m] == AP_WEIGHTS_ANY && !any_same &&
+				     b->refused[m] != req.weights));
+		}
+	}
+	print_message("%d operations: %u chosen, %u with a known upstream\n", OPERATIONS, chosen,
+		      known);
+	ap_fleet_free(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_known_other_version_is_never_chosen),
+		cmocka_unit_test(a_known_same_version_goes_before_an_unknown_one),
+		cmocka_unit_test(only_an_entry_that_changed_undoes_a_response),
+		cmocka_unit_test(models_are_apart),
+		cmocka_unit_test(an_unhealthy_upstream_of_another_version_is_no_resort),
+		cmocka_unit_test(a_stream_is_taken_up_at_its_version_everywhere),
+		cmocka_unit_test(of_a_stream_without_a_version_the_pool_decides),
+		cmocka_unit_test(a_pool_that_was_replaced_had_several_versions),
+		cmocka_unit_test(remote_regions_hear_of_versions_that_only_others_saw),
+		cmocka_unit_test(no_order_of_events_lets_a_stream_go_on_at_another_version),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
