Versions of the weights of upstreams that are gone count as long as a stream lasts

A caller that takes a stream up where nothing was heard of it went on at another version: the pool's only upstream, of version 1, had gone, and one of version 2 had come a second later. The two were never listed at the same time, and a version that went was kept in mind only while another one was listed.

Now each version that goes is kept for as long as a stream may be taken up, once for each pool and model, as builds are. If no upstream is known to have one, the stream goes on at the version that went.

--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -358,8 +358,10 @@
 	uint64_t streams_told;		  /* number of the first one not told to the region */
 	uint64_t streams_told_remote;
 	ap_packed_streams_t packed;
-	ap_gone_build_t gone_builds[GONE_BUILDS_MAX]; /* ring */
-	size_t n_gone_builds;			      /* so far */
+	ap_gone_build_t gone_builds[GONE_BUILDS_MAX];	  /* ring */
+	size_t n_gone_builds;				  /* so far */
+	ap_gone_weights_t gone_weights[GONE_WEIGHTS_MAX]; /* ring */
+	size_t n_gone_weights;				  /* so far */
 	bool relayed;	    /* relays pass on what is announced in this region */
 	uint32_t relay_tag; /* of the relay that this instance wants batches from; 0 for none */
 	ap_usec_t relay_heard_at; /* its last batch, or when it was named */
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -8,6 +8,7 @@
 
 #define STREAMS_MAX 16384	     /* several seconds of a large region */
 #define GONE_BUILDS_MAX 16	     /* the latest ones */
+#define GONE_WEIGHTS_MAX 64	     /* likewise, each once */
 #define STREAM_MAX_AGE (15 * AP_SEC) /* from its first event until a caller takes it up */
 
 /* Who saw that a stream began, the nearest first. */
@@ -40,6 +41,13 @@
 	ap_usec_t at;
 } ap_gone_build_t;
 
+/* A version of a model's weights that an upstream had which is gone. */
+typedef struct ap_gone_weights {
+	uint64_t pool; /* hash of its name */
+	ap_loaded_model_t model;
+	ap_usec_t at;
+} ap_gone_weights_t;
+
 /* build.c */
 /* Returns the build of upstreams of @pool with this software version; never 0. */
 uint64_t ap_build_of(const char *pool, const char *version);
--- a/lib/fleet/weights.c
+++ b/lib/fleet/weights.c
@@ -44,20 +44,6 @@
 	return r->models[i].weights == req->weights;
 }
 
-/* Returns whether another upstream of the pool has another version of the model. */
-static bool others_differ(const ap_fleet_t *f, const ap_replica_t *r,
-			  const ap_loaded_model_t *model)
-{
-	for (const ap_replica_t *o = f->replicas; o; o = o->hh.next) {
-		ap_weights_t weights = ap_replica_weights(o, model->name);
-
-		if (o != r && weights != AP_WEIGHTS_ANY && weights != model->weights &&
-		    strcmp(o->entry.pool, r->entry.pool) == 0)
-			return true;
-	}
-	return false;
-}
-
 /* Streams began at @model at @r, which has it no longer. */
 static void note_mixed(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
 {
@@ -117,11 +103,30 @@
 		r->refused[i] = weights;
 }
 
+/* Keeps each version once, so that many upstreams of one version displace no other. */
+static void add_gone(ap_fleet_t *f, uint64_t pool, const ap_loaded_model_t *model, ap_usec_t now)
+{
+	ap_gone_weights_t gone = {.pool = pool, .model = *model, .at = now};
+
+	for (size_t i = 0; i < GONE_WEIGHTS_MAX; i++) {
+		ap_gone_weights_t *g = &f->gone_weights[i];
+
+		if (g->pool == pool && g->model.name == model->name &&
+		    g->model.weights == model->weights) {
+			*g = gone;
+			return;
+		}
+	}
+	f->gone_weights[f->n_gone_weights++ % GONE_WEIGHTS_MAX] = gone;
+}
+
 void ap_weights_gone(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
 {
+	uint64_t pool = ap_hash_str(r->entry.pool, 8);
+
 	for (size_t i = 0; i < r->n_models; i++) {
-		if (r->models[i].weights != AP_WEIGHTS_ANY && others_differ(f, r, &r->models[i]))
-			note_mixed(f, r, now);
+		if (r->models[i].weights != AP_WEIGHTS_ANY)
+			add_gone(f, pool, &r->models[i], now);
 	}
 }
 
@@ -157,22 +162,37 @@
 	return false;
 }
 
+/* Takes @has into account. Return: false if it is another version than @weights. */
+static bool is_only(ap_weights_t has, ap_weights_t *weights)
+{
+	if (has == AP_WEIGHTS_ANY)
+		return true;
+	if (*weights != AP_WEIGHTS_ANY && *weights != has)
+		return false;
+	*weights = has;
+	return true;
+}
+
 bool ap_only_weights(ap_fleet_t *f, const char *pool, uint64_t model, ap_usec_t now,
 		     ap_weights_t *weights)
 {
 	const ap_pool_state_t *p = ap_pool_state(f, pool);
+	uint64_t hash = ap_hash_str(pool, 8);
 
 	*weights = AP_WEIGHTS_ANY;
 	if (p && now < p->mixed_until)
 		return false;
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		ap_weights_t has = ap_replica_weights(r, model);
+		if (strcmp(r->entry.pool, pool) == 0 &&
+		    !is_only(ap_replica_weights(r, model), weights))
+			return false;
+	}
+	for (size_t i = 0; i < GONE_WEIGHTS_MAX; i++) {
+		const ap_gone_weights_t *gone = &f->gone_weights[i];
 
-		if (has == AP_WEIGHTS_ANY || strcmp(r->entry.pool, pool) != 0)
-			continue;
-		if (*weights != AP_WEIGHTS_ANY && *weights != has)
+		if (gone->pool == hash && gone->model.name == model &&
+		    now - gone->at < STREAM_MAX_AGE && !is_only(gone->model.weights, weights))
 			return false;
-		*weights = has;
 	}
 	return true;
 }
