--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -351,10 +351,10 @@
 }
 
 /* Keeps what another instance has to know if the caller takes the stream up there. */
-static void tell_source(const gate_call_t *c, uint64_t since)
+static void tell_source(const gate_call_t *c, ap_weights_t weights, uint64_t since)
 {
 	const ap_stream_source_t source = {
-		.build = c->x.req.build, .weights = c->x.req.weights, .since = since};
+		.build = c->x.req.build, .weights = weights, .since = since};
 
 	if (c->x.req.route->resumable && !c->forwarded)
 		ap_fleet_stream_served(c->gate->fleet, c->resumes[0] ? c->resumes : c->id, &source,
@@ -376,7 +376,7 @@
 	if (c->x.stream && target_of(a)->remote)
 		follow_pool(c, c->x.slot[slot].head.build);
 	if (c->x.stream)
-		tell_source(c, 0);
+		tell_source(c, c->x.req.weights, 0);
 	if (!c->x.stream && !a->fetch)
 		return;
 	gate_response_headers(c, &headers, &text);
@@ -392,9 +392,9 @@
 	const gate_attempt_t *a = &c->attempts[c->x.current];
 
 	if (!target_of(a)->remote)
-		ap_fleet_weights_seen(c->gate->fleet, target_of(a)->id, c->x.req.model, weights,
-				      ap_now());
-	tell_source(c, since);
+		ap_fleet_weights_seen(c->gate->fleet, target_of(a)->id, c->x.req.model,
+				      c->x.req.weights, ap_now());
+	tell_source(c, weights, since);
 }
 
 static void op_data(void *ctx, const void *data, size_t len)
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -133,20 +133,21 @@
 {
 	const char *data = a->buffer + from;
 	ap_weights_t before = a->weights;
-	uint64_t since;
+	uint64_t since = 0;
+	bool numbered;
 
 	read_weights(x, a, data, to - from);
 	if (!x->committed && before != AP_WEIGHTS_ANY)
 		x->req.weights = before;
 	deliver_range(x, a, from, to, now);
-	if (!ap_sse_number(data, to - from, AP_SSE_ID, &since))
-		since = strtoull(x->last_event_id, NULL, 10) + 1;
 	ap_sse_last_id(data, to - from, x->last_event_id);
 	if (a->weights == AP_WEIGHTS_ANY || a->weights == x->req.weights)
 		return;
 	x->req.weights = a->weights;
+	/* Without a number, it isn't known which events a caller that goes on has. */
+	numbered = ap_sse_number(data, to - from, AP_SSE_ID, &since);
 	if (x->ops->weights)
-		x->ops->weights(x->ctx, a->weights, since);
+		x->ops->weights(x->ctx, numbered ? a->weights : AP_WEIGHTS_ANY, since);
 }
 
 static void deliver_ordered(ap_exchange_t *x, ap_attempt_t *a, size_t from, size_t to,
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -111,8 +111,8 @@
  * @drop_connection: closes the connection of @slot; its response isn't needed any more
  * @check: finds out whether the target of @slot, whose connection has closed, lives on; the result
  *	is told by ap_exchange_checked(). Return: false if that can't be found out
- * @weights: the events of a stream are of the version @weights from number @since on; NULL if the
- *	driver doesn't want to know
+ * @weights: the events of a stream are of the version @weights from number @since on, of one that
+ *	isn't known if @weights is AP_WEIGHTS_ANY; NULL if the driver doesn't want to know
  * @head: sends the head of the response of @slot to the caller
  * @data: sends a part of the response's body to the caller
  * @end: the response is complete
--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -26,8 +26,24 @@
 	return &f->streams[number % STREAMS_MAX];
 }
 
+/* Upstreams of the stream's pool name versions, whether their responses came here or not. */
+static void note_versions(ap_fleet_t *f, const ap_stream_source_t *source)
+{
+	const char *pool;
+	ap_pool_state_t *p;
+
+	if (source->weights == AP_WEIGHTS_ANY || source->build == f->told_build)
+		return;
+	f->told_build = source->build;
+	pool = ap_fleet_build_pool(f, source->build);
+	p = pool ? ap_pool_state(f, pool) : NULL;
+	if (p)
+		p->versions_told = true;
+}
+
 static void add_stream(ap_fleet_t *f, const ap_stream_t *stream)
 {
+	note_versions(f, &stream->source);
 	*slot(f, f->n_streams++) = *stream;
 }
 
@@ -89,6 +105,22 @@
 	return NULL;
 }
 
+/* Returns whether a stream of the build was heard of at another version than @source names. */
+static bool heard_of_other(ap_fleet_t *f, const ap_stream_source_t *source, ap_usec_t now)
+{
+	for (uint64_t n = f->n_streams; n > 0 && f->n_streams - n < STREAMS_MAX; n--) {
+		const ap_stream_t *stream = slot(f, n - 1);
+
+		if (now - stream->at > STREAM_MAX_AGE)
+			break;
+		if (stream->source.build == source->build &&
+		    stream->source.weights != AP_WEIGHTS_ANY &&
+		    stream->source.weights != source->weights)
+			return true;
+	}
+	return false;
+}
+
 bool ap_fleet_stream_source(ap_fleet_t *f, const char *id, const ap_plan_route_t *route,
 			    uint64_t model, const char *last_event, ap_usec_t now,
 			    ap_stream_source_t *source)
@@ -105,7 +137,8 @@
 	if (source->build == 0 || source->weights != AP_WEIGHTS_ANY)
 		return source->build != 0;
 	pool = ap_fleet_build_pool(f, source->build);
-	return !pool || ap_only_weights(f, pool, model, now, &source->weights);
+	return !pool || (ap_only_weights(f, pool, model, now, &source->weights) &&
+			 !heard_of_other(f, source, now));
 }
 
 const char *ap_fleet_build_pool(const ap_fleet_t *f, uint64_t build)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -291,6 +291,7 @@
 	ap_loaded_model_t models[AP_MODELS_MAX]; /* likewise */
 	size_t n_models;
 	bool unknown;		/* of an upstream, no model is known */
+	bool versions_told;	/* of the weights, by those that have served its streams */
 	ap_refusals_t refusals; /* at the upstreams of the own region */
 	ap_budget_t budget;
 } ap_pool_state_t;
@@ -361,6 +362,7 @@
 	ap_gone_build_t gone_builds[GONE_BUILDS_MAX]; /* ring */
 	size_t n_gone_builds;			      /* so far */
 	ap_gone_model_t gone_models[GONE_MODELS_MAX];
+	uint64_t told_build;	   /* of the last stream whose version was told */
 	ap_usec_t gone_dropped_at; /* time of the latest one that had to make room; 0 for none */
 	bool relayed;		   /* relays pass on what is announced in this region */
 	uint32_t relay_tag; /* of the relay that this instance wants batches from; 0 for none */
--- a/lib/fleet/weights.c
+++ b/lib/fleet/weights.c
@@ -159,7 +159,7 @@
 			return true;
 		p->models[k].weights = weights;
 	}
-	return p->unknown && p->n_models > 0;
+	return p->unknown && (p->n_models > 0 || p->versions_told);
 }
 
 bool ap_weights_mixed(ap_fleet_t *f)
