A list of builds that isn't one of numbers no longer overflows the stack

What was seen: an instance that receives an announcement in which the list of builds has an element that is no number writes past 16 builds on its stack, without end, and crashes (the address sanitizer: build.c:250, stack-buffer-overflow in ap_streams_apply).

Cause: a reader that has met an element of another type takes no further ones, so its count doesn't fall.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -246,7 +246,7 @@
 
 	if (builds->left > BUILDS_MAX)
 		return false;
-	while (builds->left > 0)
+	while (builds->ok && builds->left > 0)
 		known[n++] = ap_wire_u64(builds);
 	most = weights->left > 0 ? (ap_weights_t)ap_wire_u64(weights) : AP_WEIGHTS_ANY;
 	other = weights->left > 0 ? ap_wire_u64(weights) : UINT64_MAX;
--- a/test/message_fuzz_test.c
+++ b/test/message_fuzz_test.c
@@ -102,6 +102,96 @@
 	ap_fleet_free(f);
 }
 
+/* The announcements of today, which end with the versions of the streams' weights. */
+typedef struct today {
+	bytes_t fleet;
+	bytes_t waits;
+} today_t;
+
+static void keep_message(void *ctx, const char *to, const void *data, size_t len)
+{
+	today_t *today = ctx;
+	bytes_t *m = ap_wire_peek(data, len) == AP_WIRE_WAITS ? &today->waits : &today->fleet;
+
+	(void)to;
+	assert_true(len <= sizeof(m->data));
+	memcpy(m->data, data, len);
+	m->len = len;
+}
+
+/* Returns the number of the instance of north that made both messages. */
+static int make_messages(today_t *today)
+{
+	for (int number = 0; number < REGION; number++) {
+		ap_fleet_t *f = instance("north", number, REGION, REMOTE);
+		ap_peer_port_t port = {.ctx = today, .send = keep_message};
+
+		*today = (today_t){0};
+		add_replica(f, "e1", "engines", 0);
+		add_replica(f, "e2", "engines", 0);
+		ap_fleet_weights_seen(f, "e1", 0, AP_WEIGHTS_FIRST, START);
+		ap_fleet_weights_seen(f, "e2", 0, UINT32_MAX, START);
+		for (unsigned i = 0; i < 12; i++) {
+			ap_stream_source_t source = {.build = 1 + i % 2,
+						     .weights = i % 3 ? UINT32_MAX : i,
+						     .since = i % 4 ? 0 : 100000 * i};
+			char id[24];
+
+			snprintf(id, sizeof(id), "stream-%u", i);
+			ap_fleet_stream_served(f, id, &source, START);
+		}
+		ap_fleet_announce(f, &port, NOW);
+		ap_fleet_free(f);
+		if (today->waits.len > 0)
+			return number;
+	}
+	fail();
+	return 0;
+}
+
+/* Guards against a field of versions that crashes an instance, or lets it take in half of it. */
+static void test_changed_versions_of_streams(void **state)
+{
+	ap_fleet_t *fleets[] = {instance("north", REGION, REGION + 1, REMOTE),
+				instance("south", 1, REGION, REMOTE)};
+	static today_t today;
+	int sender = make_messages(&today);
+	size_t taken = 0;
+	ap_rng_t rng;
+
+	(void)state;
+	ap_rng_seed(&rng, 10);
+	for (int i = 0; i < ROUNDS; i++) {
+		bool waits = ap_rng_below(&rng, 2) == 0;
+		bytes_t m = waits ? today.waits : today.fleet;
+		ap_fleet_t *f = fleets[waits];
+		char from[AP_NAME_MAX];
+		uint64_t before = f->n_streams;
+
+		snprintf(from, sizeof(from), "n%d", sender);
+		/* Half of the changes are in the last bytes, where the versions are. */
+		if (i % 2 == 0) {
+			bytes_t end = {.len = m.len < 60 ? m.len : 60};
+
+			memcpy(end.data, m.data + m.len - end.len, end.len);
+			m.len -= end.len;
+			change(&rng, &end);
+			memcpy(m.data + m.len, end.data, end.len);
+			m.len += end.len;
+		} else if (i % 100 != 1) {
+			change(&rng, &m);
+		}
+		receive_kind(f, waits ? "waits" : "fleet", from, &m, NOW + i * 10 * AP_MSEC);
+		taken += f->n_streams > before;
+		/* A sound one is understood. */
+		if (i % 100 == 1)
+			assert_int_equal(f->n_streams - before, 12);
+	}
+	assert_true(taken > ROUNDS / 100);
+	for (size_t i = 0; i < 2; i++)
+		ap_fleet_free(fleets[i]);
+}
+
 static void op_list(void *ctx, const char *after)
 {
 	(void)ctx;
@@ -200,6 +290,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_changed_messages_of_instances),
+		cmocka_unit_test(test_changed_versions_of_streams),
 		cmocka_unit_test(test_changed_relays_of_the_store),
 		cmocka_unit_test(test_changed_records_of_the_store),
 	};
