Tests that mutations of versions of the weights survived

22 mutations of deliver.c, weights.c, build.c and choose.c: four survived; three no longer do (a version told before the head, models that are gone, a version that comes back in a stream). The fourth changes nothing: a refusal is only looked at while no version is known, and that begins with a refusal. Also: many upstreams of one version that go.

--- a/test/exchange_weights_test.c
+++ b/test/exchange_weights_test.c
@@ -282,6 +282,24 @@
 	}
 }
 
+/* Guards against a version that is told before the head is, as of a later event than the first. */
+static void what_the_first_event_names_is_told_with_the_head(void **state)
+{
+	world_t w;
+
+	(void)state;
+	begin_stream(&w, 3);
+	named_head(&w, 0, V(1));
+	data_of(&w, 0, "id: 4\n" FIELD " 2\ndata: a\n\n");
+	assert_int_equal(w.x.req.weights, V(2));
+	assert_int_equal(w.heads, 1);
+	assert_int_equal(n_told, 0);
+	data_of(&w, 0, "id: 6\n" FIELD " 3\ndata: b\n\n");
+	assert_int_equal(n_told, 1);
+	assert_int_equal(told_since[0], 6);
+	finish(&w);
+}
+
 /* Guards against a change in an event without a number that is told as of a later one. */
 static void ids_that_are_no_numbers_are_told_from_the_start(void **state)
 {
@@ -359,6 +377,7 @@
 		cmocka_unit_test(a_silent_stream_is_not_taken_over_by_another_version),
 		cmocka_unit_test(none_named_is_a_version_of_its_own),
 		cmocka_unit_test(a_field_may_come_in_two_pieces),
+		cmocka_unit_test(what_the_first_event_names_is_told_with_the_head),
 		cmocka_unit_test(ids_that_are_no_numbers_are_told_from_the_start),
 		cmocka_unit_test(without_names_a_stream_goes_on_as_before),
 		cmocka_unit_test(a_caller_that_resumes_gets_its_version_only),
--- a/test/fleet_weights_test.c
+++ b/test/fleet_weights_test.c
@@ -211,6 +211,7 @@
 	serve(net.fleets[1], "a", V(1), 0, now);
 	serve(net.fleets[1], "a", V(2), 5, now);
 	serve(net.fleets[1], "a", V(3), 9, now);
+	serve(net.fleets[1], "a", V(1), 12, now); /* as most are */
 	serve(net.fleets[1], "unnamed", AP_WEIGHTS_UNNAMED, 0, now);
 	for (int i = 0; i < 20; i++, now += 100 * AP_MSEC)
 		net_announce(&net, now);
@@ -218,8 +219,8 @@
 		static const struct {
 			const char *last;
 			ap_weights_t weights;
-		} cases[] = {{"1", V(1)}, {"4", V(1)}, {"5", V(2)},
-			     {"8", V(2)}, {"9", V(3)}, {"99", V(3)}};
+		} cases[] = {{"1", V(1)}, {"4", V(1)},	{"5", V(2)},  {"8", V(2)},
+			     {"9", V(3)}, {"11", V(3)}, {"12", V(1)}, {"99", V(1)}};
 
 		for (size_t k = 0; k < sizeof(cases) / sizeof(cases[0]); k++) {
 			assert_true(source_at(net.fleets[i], "a", cases[k].last, now, &weights));
@@ -282,6 +283,55 @@
 	ap_fleet_free(f);
 }
 
+/* Guards against streams refused for another model, or another pool, that had several versions. */
+static void models_and_pools_that_are_gone_are_apart(void **state)
+{
+	ap_fleet_t *f = world_north();
+	ap_usec_t now = NOW;
+	ap_weights_t weights;
+
+	(void)state;
+	list(f, "e1", AP_WEIGHTS_ANY, now);
+	list(f, "e2", V(2), now);
+	ap_fleet_weights_seen(f, "e1", MODEL + 1, V(1), now);
+	world_replica(f, "d1", "desk", "north", now);
+	ap_fleet_weights_seen(f, "d1", MODEL, V(1), now);
+	ap_fleet_remove_replica(f, "e1", false, now);
+	ap_fleet_remove_replica(f, "d1", false, now);
+	assert_true(source_at(f, "old", "1", now, &weights));
+	assert_int_equal(weights, V(2));
+	/* Without an upstream that names one, it goes on at the version that went. */
+	list(f, "e3", AP_WEIGHTS_ANY, now);
+	ap_fleet_remove_replica(f, "e2", false, now);
+	assert_true(source_at(f, "old", "1", now + AGE - 1, &weights));
+	assert_int_equal(weights, V(2));
+	assert_true(source_at(f, "old", "1", now + AGE, &weights));
+	assert_int_equal(weights, AP_WEIGHTS_ANY);
+	ap_fleet_free(f);
+}
+
+/* Guards against a version that many upstreams of another one displace as they go. */
+static void many_that_go_displace_no_other_version(void **state)
+{
+	ap_fleet_t *f = world_north();
+	ap_usec_t now = NOW;
+	ap_weights_t weights;
+
+	(void)state;
+	list(f, "first", V(1), now);
+	ap_fleet_remove_replica(f, "first", false, now);
+	for (int i = 0; i < 200; i++) {
+		char id[24];
+
+		snprintf(id, sizeof(id), "e%d", i);
+		list(f, id, V(2), now);
+		if (i < 199)
+			ap_fleet_remove_replica(f, id, false, now);
+	}
+	assert_false(source_at(f, "old", "1", now, &weights));
+	ap_fleet_free(f);
+}
+
 /*
  * Guards against a stream that isn't told to remote regions, since the instance that tells them has
  * seen no response and entries name no versions.
@@ -446,6 +496,8 @@
 		cmocka_unit_test(a_stream_is_taken_up_at_its_version_everywhere),
 		cmocka_unit_test(of_a_stream_without_a_version_the_pool_decides),
 		cmocka_unit_test(a_pool_that_was_replaced_had_several_versions),
+		cmocka_unit_test(models_and_pools_that_are_gone_are_apart),
+		cmocka_unit_test(many_that_go_displace_no_other_version),
 		cmocka_unit_test(remote_regions_hear_of_versions_that_only_others_saw),
 		cmocka_unit_test(no_order_of_events_lets_a_stream_go_on_at_another_version),
 	};
