--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -251,6 +251,7 @@
  * @labels: includes "region" and "data_centre"
  * @draining: takes no new work
  * @models: names of loaded models and adapters, as last observed
+ * @versions: their versions by ap_version_hash(), 0 for one that isn't known; NULL when none is
  */
 typedef struct ap_upstream {
 	char id[AP_NAME_MAX];
@@ -261,9 +262,13 @@
 	ap_labels_t labels;
 	bool draining;
 	char **models;
+	uint32_t *versions;
 	size_t n_models;
 } ap_upstream_t;
 
+/** ap_version_hash() - a version of a model or adapter for comparing; 0 only for an empty one. */
+uint32_t ap_version_hash(const char *version);
+
 /**
  * struct ap_entry - an entry instance that is a live member.
  * @inc: incarnation
--- a/lib/conf/view.c
+++ b/lib/conf/view.c
@@ -4,18 +4,39 @@
 #include <stdlib.h>
 #include <string.h>
 
+uint32_t ap_version_hash(const char *version)
+{
+	uint32_t hash = (uint32_t)ap_hash_str(version, 0);
+
+	if (!version[0])
+		return 0;
+	return hash ? hash : 1;
+}
+
+static bool copy_versions(ap_upstream_t *to, const ap_upstream_t *from)
+{
+	if (!from->versions)
+		return true;
+	to->versions = calloc(from->n_models, sizeof(*to->versions));
+	if (!to->versions)
+		return false;
+	memcpy(to->versions, from->versions, from->n_models * sizeof(*to->versions));
+	return true;
+}
+
 static bool copy_upstream(ap_upstream_t *to, const ap_upstream_t *from)
 {
 	*to = *from;
 	to->labels = ap_labels_copy(&from->labels);
 	to->models = NULL;
+	to->versions = NULL;
 	to->n_models = 0;
 	if (to->labels.n != from->labels.n)
 		return false;
 	if (from->n_models == 0)
 		return true;
 	to->models = calloc(from->n_models, sizeof(*to->models));
-	if (!to->models)
+	if (!to->models || !copy_versions(to, from))
 		return false;
 	for (size_t i = 0; i < from->n_models; i++) {
 		to->models[i] = strdup(from->models[i]);
@@ -32,6 +53,7 @@
 	for (size_t i = 0; i < u->n_models; i++)
 		free(u->models[i]);
 	free(u->models);
+	free(u->versions);
 }
 
 static bool fill(ap_view_t *view, const ap_upstream_t *upstreams, size_t n_upstreams,
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -77,6 +77,8 @@
 	const char *fake_kind[RIG_UPSTREAMS];
 	const char *fake_region[RIG_UPSTREAMS];
 	bool fake_draining[RIG_UPSTREAMS];
+	const char *fake_version[RIG_UPSTREAMS]; /* of the model as polled; NULL: not known */
+	uint32_t versions[RIG_UPSTREAMS];
 	int n_fakes;
 	TAILQ_HEAD(, rig_message) messages;
 	bool fast;   /* short time limits; set before entries are added */
@@ -224,6 +226,10 @@
 			.models = models,
 			.n_models = 1,
 		};
+		if (rig->fake_version[i]) {
+			rig->versions[i] = ap_version_hash(rig->fake_version[i]);
+			ups[i].versions = &rig->versions[i];
+		}
 		snprintf(ups[i].id, sizeof(ups[i].id), "up%d", i);
 		ap_copy_name(ups[i].region, sizeof(ups[i].region), rig->fake_region[i]);
 		ap_copy_name(ups[i].data_centre, sizeof(ups[i].data_centre), "dc1");
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -67,6 +67,7 @@
 	const char *raw;	  /* a response with the request's id for each "%s" */
 	const char *usage; /* JSON members of "usage" in its responses; NULL for the default */
 	const char *extra_headers; /* further lines of a complete response or a refusal, or NULL */
+	const char *made_by;	   /* version that makes the events of its streams, or NULL */
 	double fault_share;	   /* above 0: probability of a random fault in a response */
 	unsigned short rng[3];
 	unsigned char runs[FAKE_MARKS]; /* how often the request with each mark was started */
@@ -173,6 +174,7 @@
 	int pad = mode == FAKE_FLOOD ? FAKE_FLOOD_PAD : 0;
 	int tokens = fake_tokens(mode);
 	int half = conn->fake->half ? conn->fake->half : FAKE_TOKENS / 2;
+	const char *by = conn->fake->made_by;
 	char event[FAKE_FLOOD_PAD + 512];
 
 	evbuffer_add_printf(out,
@@ -188,8 +190,10 @@
 			return;
 		}
 		snprintf(event, sizeof(event),
-			 "data: {\"choices\":[{\"delta\":{\"content\":\"t%d mark-%d.%*s\"}}]}\n\n",
-			 i, mark, pad, "");
+			 "data: {\"choices\":[{\"delta\":{\"content\":\"t%d "
+			 "mark-%d.%*s\"}}]%s%s%s}\n\n",
+			 i, mark, pad, "", by ? ",\"system_fingerprint\":\"" : "", by ? by : "",
+			 by ? "\"" : "");
 		fake_chunk(out, event);
 	}
 	if (conn->fake->usage) {
