Let a stream of /v1 go on only at the version of the model that began it

Callers of resumable services got half an answer of one version of a model and half of another, with the end mark and outcome=completed, when an upstream broke off a stream while another version was loaded elsewhere: at another upstream of the region, in another region, and back from there.

Cause: a broken stream was handed on with its text and the model's name, and the router knew names alone. Engines tell their versions (/admin/models); these went to the reconciler only, and neither reports, views, nor the messages between instances carried them.

Why it works: the version is kept when the first event is passed on: what the response names (X-Model-Version, new and optional), or else what was last polled. The next attempt chooses among upstreams known to have it; another region is told it and names its own in the head; a head that names another version, or none, as an older build's, isn't passed on. None left: the error event, as for any stream that can't go on. Where the first engine's version isn't known, streams go on as before. A refusal that may be due to the version doesn't stop other requests to that region.

header_test: the version is now the last element of a head, so that a message of an instance without headers lacks two. The check is the same for that, and new for messages that lack the version alone.

--- a/bench/control/fleet.c
+++ b/bench/control/fleet.c
@@ -143,14 +143,16 @@
 static void read_models(node_t *node, int upstream)
 {
 	uint32_t names[MODELS_LOADED];
+	uint32_t versions[MODELS_LOADED];
 
 	for (int i = 0; i < MODELS_LOADED; i++) {
 		char name[AP_NAME_MAX];
 
 		snprintf(name, sizeof(name), "model-%d", (upstream + i) % MODELS);
 		names[i] = ap_report_name_hash(name);
+		versions[i] = ap_version_hash("1");
 	}
-	ap_report_models_read(node->report, node->f->upstream_list[upstream].id, names,
+	ap_report_models_read(node->report, node->f->upstream_list[upstream].id, names, versions,
 			      MODELS_LOADED, node->f->sim.now);
 }
 
--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -229,12 +229,15 @@
 			    size_t n)
 {
 	uint32_t names[AP_REPORT_MODELS_MAX];
+	uint32_t versions[AP_REPORT_MODELS_MAX];
 
 	if (n > AP_REPORT_MODELS_MAX)
 		n = AP_REPORT_MODELS_MAX;
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; i < n; i++) {
 		names[i] = ap_report_name_hash(models[i].name);
-	ap_report_models_read(c->report, upstream, names, n, ap_now());
+		versions[i] = ap_version_hash(models[i].version);
+	}
+	ap_report_models_read(c->report, upstream, names, versions, n, ap_now());
 }
 
 static void on_models(void *arg, const ap_call_response_t *a)
--- a/cmd/arbutuspond/control-view.c
+++ b/cmd/arbutuspond/control-view.c
@@ -217,9 +217,14 @@
 	return kept;
 }
 
-/* Shallow copies, of which ap_view_new() makes deep ones; @names holds their model names. */
-static ap_upstream_t *view_upstreams(ap_control_t *c, const ap_conf_t *conf,
-				     char *(*names)[AP_MODELS_MAX])
+/* Models and adapters of one upstream in a view. */
+typedef struct loaded {
+	char *names[AP_MODELS_MAX];
+	uint32_t versions[AP_MODELS_MAX];
+} loaded_t;
+
+/* Shallow copies, of which ap_view_new() makes deep ones; @loaded holds their models. */
+static ap_upstream_t *view_upstreams(ap_control_t *c, const ap_conf_t *conf, loaded_t *loaded)
 {
 	size_t n = c->listing->n_upstreams;
 	ap_upstream_t *out = calloc(n + 1, sizeof(*out));
@@ -229,8 +234,12 @@
 	for (size_t i = 0; i < n; i++) {
 		out[i] = c->listing->upstreams[i];
 		out[i].draining = out[i].draining || ap_report_is_draining(c->report, out[i].id);
-		out[i].n_models = ap_control_models(c, conf, &out[i], names[i]);
-		out[i].models = names[i];
+		out[i].n_models = ap_control_models(c, conf, &out[i], loaded[i].names);
+		out[i].models = loaded[i].names;
+		out[i].versions = loaded[i].versions;
+		for (size_t m = 0; m < out[i].n_models; m++)
+			loaded[i].versions[m] =
+				ap_report_version(c->report, out[i].id, loaded[i].names[m]);
 	}
 	return out;
 }
@@ -251,18 +260,18 @@
 {
 	const ap_conf_t *conf = ap_spread_current(c->spread);
 	ap_note_t note = {.kind = AP_NOTE_VIEW};
-	char *(*names)[AP_MODELS_MAX];
+	loaded_t *loaded;
 	ap_upstream_t *upstreams;
 	ap_entry_t *entries;
 	size_t n_entries;
 
 	if (!c->view_stale || !c->listing)
 		return;
-	names = calloc(c->listing->n_upstreams + 1, sizeof(*names));
-	if (!names)
+	loaded = calloc(c->listing->n_upstreams + 1, sizeof(*loaded));
+	if (!loaded)
 		abort();
 	n_entries = live_entries(c, &entries);
-	upstreams = view_upstreams(c, conf, names);
+	upstreams = view_upstreams(c, conf, loaded);
 	note.u.view = ap_view_new(c->view_number + 1, conf, upstreams, c->listing->n_upstreams,
 				  entries, n_entries);
 	note.u.view->others_listed = others_listed(c);
@@ -274,7 +283,7 @@
 	}
 	free(upstreams);
 	free(entries);
-	free(names);
+	free(loaded);
 }
 
 static void on_published(void *ctx, bool ok)
--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -125,6 +125,15 @@
 	x->sse = status == 200 && strncasecmp(x->response_type, "text/event-stream", 17) == 0;
 }
 
+bool attempt_continues(const exchange_t *x, const char **why)
+{
+	*why = "a stream was not resumed as a stream";
+	if (x->reply_started && !x->sse)
+		return false;
+	*why = "a stream was resumed at another version of the model";
+	return !x->sse || x->req.version == 0 || x->version == x->req.version;
+}
+
 static void on_events(void *ctx, const void *data, size_t len)
 {
 	exchange_t *x = ctx;
@@ -186,6 +195,19 @@
 	ap_route_pause(x->entry->route, x->choice.upstream_id, wait, ap_now());
 }
 
+/* What a response says of its version is newer than what was polled, so it counts. */
+static void read_version(exchange_t *x, const ap_http_head_t *head)
+{
+	const char *model = evhttp_find_header(head->headers, "X-Model-Version");
+	const char *adapter = evhttp_find_header(head->headers, "X-Adapter-Version");
+
+	if (x->req.service->plain || !model || (x->adapter[0] && !adapter))
+		return;
+	x->version = ap_version_hash(model);
+	if (x->adapter[0])
+		x->version = ap_version_both(x->version, ap_version_hash(adapter));
+}
+
 static void on_head(void *ctx, const ap_http_head_t *head)
 {
 	exchange_t *x = ctx;
@@ -193,6 +215,7 @@
 	const char *draining = evhttp_find_header(head->headers, "X-Draining");
 	const char *refused = evhttp_find_header(head->headers, "X-Not-Started");
 	bool own = id && strcmp(id, x->attempt_name) == 0;
+	const char *why;
 
 	if (draining && strcasecmp(draining, "true") == 0)
 		entry_upstream_draining(x->entry, x->choice.upstream_id, true);
@@ -213,8 +236,9 @@
 	if (x->req.service->plain)
 		headers_copy(&x->response_headers, HEADERS_RESPONSE, head->headers);
 	attempt_head(x, head->status, evhttp_find_header(head->headers, "Content-Type"));
-	if (x->reply_started && !x->sse)
-		drop_fetch(x, AP_ATTEMPT_FAILED, "a stream was not resumed as a stream");
+	read_version(x, head);
+	if (!attempt_continues(x, &why))
+		drop_fetch(x, x->sse ? AP_ATTEMPT_CANCELLED : AP_ATTEMPT_FAILED, why);
 }
 
 static void on_data(void *ctx, const void *data, size_t len)
@@ -412,6 +436,7 @@
 	snprintf(x->attempt_name, sizeof(x->attempt_name), "%s.%u", x->name, x->attempts);
 	ap_route_started(entry->route, &x->req, &x->choice, ap_now());
 	x->attempt_open = true;
+	x->version = ap_route_version(entry->route, up->id, &x->req, x->choice.model);
 	ap_emit(&entry->env, ap_now(), "attempt.start", x->req.id, "upstream=%s attempt=%u", up->id,
 		x->attempts);
 	if (send_to(x, up))
@@ -440,6 +465,7 @@
 	stream_drop_partial(&x->stream);
 	headers_clear(&x->response_headers);
 	x->matched = false;
+	x->version = 0;
 	x->refused = false;
 	x->first_byte_seen = false;
 	x->sse = false;
--- a/cmd/arbutuspond/entry-forward.c
+++ b/cmd/arbutuspond/entry-forward.c
@@ -107,6 +107,7 @@
 	request->method = x->method;
 	request->first_byte = x->req.deadline - ap_now();
 	request->credit = x->forward.granted;
+	request->version = x->req.version;
 	headers_pack(&x->request_headers, HEADERS_REQUEST, &request->headers);
 }
 
@@ -224,7 +225,8 @@
 		exchange_refuse(x, &fault);
 		return;
 	}
-	if (end->outcome == AP_OUTCOME_NOT_RUN && x->choice.region[0])
+	/* Refused for its version, perhaps, which says nothing of other requests. */
+	if (end->outcome == AP_OUTCOME_NOT_RUN && x->choice.region[0] && x->req.version == 0)
 		ap_route_forward_refused(x->entry->route, x->choice.region, x->choice.model,
 					 ap_now());
 	exchange_retry(x, end->outcome == AP_OUTCOME_NOT_RUN,
@@ -257,11 +259,14 @@
 
 static void take_head(exchange_t *x, const ap_forward_head_t *head)
 {
+	const char *why;
+
 	x->forward.head_received = true;
 	headers_unpack(&x->response_headers, HEADERS_RESPONSE, &head->headers);
 	attempt_head(x, (int)head->status, head->content_type);
-	if (x->reply_started && !x->sse)
-		fail_forward(x, "a stream was not resumed as a stream");
+	x->version = head->version;
+	if (!attempt_continues(x, &why))
+		fail_forward(x, why);
 }
 
 void forward_receive(entry_t *entry, const char *from, const ap_forward_msg_t *msg)
--- a/cmd/arbutuspond/entry-forwarded.c
+++ b/cmd/arbutuspond/entry-forwarded.c
@@ -173,6 +173,7 @@
 	x->req.id = request->request;
 	x->req.forwarded = request->hops > 0;
 	x->req.local_only = true;
+	x->req.version = request->version;
 	/* The request's first_byte is the time left until the first byte is due at the sender. */
 	if (request->first_byte < x->req.service->deadline)
 		x->req.deadline = x->req.arrival + request->first_byte;
--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -260,6 +260,7 @@
 	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_HEAD, .exchange = x->forwarded.exchange};
 
 	msg.u.head.status = (uint32_t)x->status;
+	msg.u.head.version = x->version;
 	ap_copy_name(msg.u.head.content_type, sizeof(msg.u.head.content_type), x->response_type);
 	headers_pack(&x->response_headers, HEADERS_RESPONSE, &msg.u.head.headers);
 	entry_send(x->entry, x->forwarded.from, &msg);
@@ -292,6 +293,8 @@
 void sink_start(exchange_t *x)
 {
 	x->reply_started = true;
+	if (x->req.version == 0)
+		x->req.version = x->version;
 	count_first_byte(x);
 	if (x->is_forwarded)
 		forwarded_head(x);
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -317,6 +317,7 @@
  * @resolving: exchange_resolve_permit() asked whether its permit ran
  * @deferred_fault: error to report if its permit never ran
  * @matched: the current response carries the id of the current attempt
+ * @version: of the model that serves the current attempt; 0 when it isn't known
  */
 struct exchange {
 	entry_t *entry;
@@ -363,6 +364,7 @@
 	bool fresh_only;
 	bool first_byte_seen;
 	bool matched;
+	uint32_t version;
 	bool refused;
 	int status;
 	bool sse;
@@ -509,6 +511,8 @@
 void attempt_cancel(exchange_t *x);
 /* Head and chunks of a response, from an upstream or from another entry: */
 void attempt_head(exchange_t *x, int status, const char *content_type);
+/* attempt_continues() - may the response that begins now go on with what was passed on before? */
+bool attempt_continues(const exchange_t *x, const char **why);
 /* attempt_data() - false when the response is too long. */
 bool attempt_data(exchange_t *x, const void *data, size_t len);
 /* attempt_complete() - true if the collected response is complete. */
--- a/lib/report/private.h
+++ b/lib/report/private.h
@@ -63,11 +63,13 @@
  * struct ap_models_item - the models that one upstream has loaded, in a message.
  * @upstream: hash of its id
  * @age: milliseconds since they were read
+ * @versions: by ap_version_hash(), 0 where not known; instances of an older build send none
  */
 typedef struct ap_models_item {
 	uint32_t upstream;
 	uint64_t age;
 	uint32_t names[AP_REPORT_MODELS_MAX];
+	uint32_t versions[AP_REPORT_MODELS_MAX];
 	size_t n;
 } ap_models_item_t;
 
@@ -101,6 +103,7 @@
 /* The models that an upstream is known to have loaded, and to whom they are still to be sent. */
 typedef struct ap_models_known {
 	uint32_t names[AP_REPORT_MODELS_MAX];
+	uint32_t versions[AP_REPORT_MODELS_MAX];
 	size_t n;
 	ap_usec_t at;  /* when they were read; 0: never */
 	bool announce; /* to the whole region */
@@ -131,6 +134,8 @@
 	uint32_t digest;
 	ap_withdrawal_item_t *withdrawals;
 	size_t n_withdrawals;
+	bool has_versions_digest; /* not from an instance of an older build */
+	uint32_t versions_digest;
 } ap_report_message_t;
 
 /**
@@ -240,7 +245,7 @@
 /* report_collect_models() - adds the models to announce (@own) or to pass on (else) to @msg. */
 void report_collect_models(ap_report_t *r, ap_report_message_t *msg, bool own);
 void report_send_models_digest(ap_report_t *r);
-void report_respond_to_digest(ap_report_t *r, const char *to, uint32_t digest);
+void report_respond_to_digest(ap_report_t *r, const char *to, const ap_report_message_t *digest);
 void report_receive_models(ap_report_t *r, const ap_models_item_t *item, bool relay);
 
 /* withdraw.c */
--- a/lib/report/report.c
+++ b/lib/report/report.c
@@ -509,7 +509,7 @@
 		ap_err_set(err,
 			   "report from %s has a missing or wrong field, expected type, loads, "
 			   "offers, cache events, draining upstreams, models, digest and "
-			   "(optional) withdrawals",
+			   "(optional) withdrawals, versions and their digest",
 			   from);
 		ap_wire_in_close(&in);
 		return AP_REPORT_MALFORMED;
@@ -518,7 +518,7 @@
 	if (msg.type == AP_REPORT_REQUEST)
 		report_respond(r, from, &msg);
 	if (msg.type == AP_REPORT_DIGEST)
-		report_respond_to_digest(r, from, msg.digest);
+		report_respond_to_digest(r, from, &msg);
 	for (size_t i = 0; i < msg.n_loads && msg.type != AP_REPORT_REQUEST; i++)
 		receive_load(r, &msg.loads[i], relay);
 	for (size_t i = 0; i < msg.n_offers; i++)
--- a/lib/report/report.h
+++ b/lib/report/report.h
@@ -83,9 +83,10 @@
 /**
  * ap_report_models_read() - takes the loaded models of an upstream that this instance read itself.
  * @names: hashes of names by ap_report_name_hash(); at most AP_REPORT_MODELS_MAX are kept
+ * @versions: their versions by ap_version_hash(); NULL when none is known
  */
-void ap_report_models_read(ap_report_t *r, const char *upstream, const uint32_t *names, size_t n,
-			   ap_usec_t now);
+void ap_report_models_read(ap_report_t *r, const char *upstream, const uint32_t *names,
+			   const uint32_t *versions, size_t n, ap_usec_t now);
 /**
  * ap_report_models() - hashes of the models that @upstream has loaded, as last read or reported.
  * @n: set to their number; unchanged when NULL is returned
@@ -93,6 +94,11 @@
  * Return: valid until the next call that changes @r; NULL when nothing is known yet.
  */
 const uint32_t *ap_report_models(const ap_report_t *r, const char *upstream, size_t *n);
+/**
+ * ap_report_version() - version of the model or adapter @name that @upstream has loaded, by
+ * ap_version_hash(); 0 when it isn't known.
+ */
+uint32_t ap_report_version(const ap_report_t *r, const char *upstream, const char *name);
 /** ap_report_set_own_offer() - sets the capacity offer of the own region for one model. */
 void ap_report_set_own_offer(ap_report_t *r, const ap_capacity_offer_t *offer, ap_usec_t now);
 /**
--- a/lib/route/choose.c
+++ b/lib/route/choose.c
@@ -237,6 +237,14 @@
 	}
 }
 
+/* A response that has begun goes on only at an upstream known to have the same version. */
+static bool same_version(const ap_route_t *r, const ap_request_t *req,
+			 const ap_candidate_set_t *set, const ap_node_t *node)
+{
+	return req->version == 0 || !set->model ||
+	       ap_route_node_version(r, node, req, set->model->name) == req->version;
+}
+
 /* Finds the best upstream of the shortlist. @strict: only those that their health allows. */
 static bool best_of(ap_route_t *r, const ap_request_t *req, const ap_candidate_set_t *set,
 		    const ap_shortlist_t *list, bool strict, ap_usec_t now, ap_score_t *best)
@@ -247,7 +255,7 @@
 		ap_node_t *node = list->nodes[i];
 		ap_score_t score;
 
-		if (!ap_route_allowed(node, req, now))
+		if (!ap_route_allowed(node, req, now) || !same_version(r, req, set, node))
 			continue;
 		if (strict && !ap_health_allows(node, req->cls, ap_rng_unit(&r->rng), now))
 			continue;
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -34,6 +34,8 @@
  * @tokens_out: estimated number or upper limit of generated tokens
  * @blocks: chained hashes of the prompt's prefix blocks
  * @tried: ids of upstreams at which this request already failed
+ * @version: goes only to upstreams with this version by ap_route_version(), unless 0: that of the
+ *           model that began the response
  */
 typedef struct ap_request {
 	ap_xid_t id;
@@ -53,6 +55,7 @@
 	size_t n_blocks;
 	const char *tried[AP_ROUTE_TRIED_MAX];
 	size_t n_tried;
+	uint32_t version;
 } ap_request_t;
 
 /**
@@ -215,6 +218,14 @@
  * and from the number of its entries.
  */
 size_t ap_route_capacity(ap_route_t *r, ap_usec_t now);
+/**
+ * ap_route_version() - version of what @upstream serves to @req, of model and adapter together; 0
+ * when it isn't known.
+ */
+uint32_t ap_route_version(const ap_route_t *r, const char *upstream, const ap_request_t *req,
+			  const char *model);
+/** ap_version_both() - version of a model and an adapter together; 0 when one isn't known. */
+uint32_t ap_version_both(uint32_t model, uint32_t adapter);
 /** ap_route_drain() - stops sending new work to @upstream. */
 void ap_route_drain(ap_route_t *r, const char *upstream, ap_usec_t now);
 
--- a/lib/route/state.h
+++ b/lib/route/state.h
@@ -148,6 +148,9 @@
 
 /** ap_route_node() - the upstream with this id, or NULL. */
 ap_node_t *ap_route_node(const ap_route_t *r, const char *id);
+/** ap_route_node_version() - version of what @node serves to @req; 0 when it isn't known. */
+uint32_t ap_route_node_version(const ap_route_t *r, const ap_node_t *node, const ap_request_t *req,
+			       const char *model);
 /** ap_route_drop_candidates() - frees all candidate sets. */
 void ap_route_drop_candidates(ap_route_t *r);
 /** ap_route_candidates() - finds or makes the candidate set of @req; NULL if there is none. */
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -212,6 +212,47 @@
 	return text && *text;
 }
 
+static uint32_t version_of(const ap_upstream_t *up, const char *name)
+{
+	for (size_t i = 0; up->versions && i < up->n_models; i++) {
+		if (strcmp(up->models[i], name) == 0)
+			return up->versions[i];
+	}
+	return 0;
+}
+
+uint32_t ap_version_both(uint32_t model, uint32_t adapter)
+{
+	const uint32_t both[] = {model, adapter};
+	uint32_t hash = (uint32_t)ap_hash(both, sizeof(both), 0);
+
+	if (model == 0 || adapter == 0)
+		return 0;
+	return hash ? hash : 1;
+}
+
+uint32_t ap_route_node_version(const ap_route_t *r, const ap_node_t *node, const ap_request_t *req,
+			       const char *model)
+{
+	const ap_upstream_t *up;
+	uint32_t version;
+
+	if (!r->view || node->index >= r->view->n_upstreams)
+		return 0;
+	up = &r->view->upstreams[node->index];
+	version = version_of(up, model);
+	return given(req->adapter) ? ap_version_both(version, version_of(up, req->adapter))
+				   : version;
+}
+
+uint32_t ap_route_version(const ap_route_t *r, const char *upstream, const ap_request_t *req,
+			  const char *model)
+{
+	const ap_node_t *node = ap_route_node(r, upstream);
+
+	return node ? ap_route_node_version(r, node, req, model) : 0;
+}
+
 static bool serves(const ap_upstream_t *up, const ap_pool_t *pool, const ap_service_t *service,
 		   const ap_model_t *model, const char *adapter)
 {
--- a/lib/wire/forward.c
+++ b/lib/wire/forward.c
@@ -12,7 +12,13 @@
 	}
 }
 
-/* Reads the headers, which are the last element; older versions leave them out. */
+/* Reads the version, which is the last element; older builds leave it out. */
+static uint32_t read_version(ap_wire_reader_t *r)
+{
+	return r->ok && r->left > 0 ? (uint32_t)ap_wire_u64(r) : 0;
+}
+
+/* Reads the headers; older versions leave them out. */
 static void read_headers(ap_wire_reader_t *r, ap_forward_headers_t *out)
 {
 	ap_wire_reader_t list;
@@ -47,6 +53,7 @@
 	msgpack_pack_uint64(pk, r->credit);
 	ap_wire_pack_bin(pk, r->body, r->len);
 	pack_headers(pk, &r->headers);
+	msgpack_pack_uint32(pk, r->version);
 }
 
 static void read_request(ap_wire_reader_t *r, ap_forward_request_t *out)
@@ -67,6 +74,7 @@
 	out->credit = ap_wire_u64(r);
 	out->body = ap_wire_bin(r, &out->len);
 	read_headers(r, &out->headers);
+	out->version = read_version(r);
 }
 
 static void pack_end(msgpack_packer *pk, const ap_forward_end_t *e)
@@ -102,9 +110,9 @@
 {
 	switch (kind) {
 	case AP_WIRE_FORWARD:
-		return 19;
+		return 20;
 	case AP_WIRE_FORWARD_HEAD:
-		return 5;
+		return 6;
 	case AP_WIRE_FORWARD_DATA:
 		return 4;
 	case AP_WIRE_FORWARD_END:
@@ -133,6 +141,7 @@
 		msgpack_pack_uint32(&pk, msg->u.head.status);
 		ap_wire_pack_str(&pk, msg->u.head.content_type);
 		pack_headers(&pk, &msg->u.head.headers);
+		msgpack_pack_uint32(&pk, msg->u.head.version);
 		break;
 	case AP_WIRE_FORWARD_DATA:
 		msgpack_pack_uint64(&pk, msg->u.data.offset);
@@ -164,6 +173,7 @@
 		msg->u.head.status = (uint32_t)ap_wire_u64(&r);
 		ap_wire_str(&r, msg->u.head.content_type, sizeof(msg->u.head.content_type));
 		read_headers(&r, &msg->u.head.headers);
+		msg->u.head.version = read_version(&r);
 		break;
 	case AP_WIRE_FORWARD_DATA:
 		msg->u.data.offset = ap_wire_u64(&r);
--- a/lib/wire/report.c
+++ b/lib/wire/report.c
@@ -91,9 +91,33 @@
 	}
 }
 
+/* Both are left out of messages that don't need them, which are most. */
+static void pack_versions(msgpack_packer *pk, const ap_report_message_t *msg)
+{
+	if (msg->n_models == 0 && !msg->has_versions_digest)
+		return;
+	msgpack_pack_array(pk, msg->n_models);
+	for (size_t i = 0; i < msg->n_models; i++) {
+		const ap_models_item_t *item = &msg->models[i];
+
+		msgpack_pack_array(pk, item->n);
+		for (size_t k = 0; k < item->n; k++)
+			msgpack_pack_uint32(pk, item->versions[k]);
+	}
+	if (msg->has_versions_digest)
+		msgpack_pack_uint32(pk, msg->versions_digest);
+}
+
+static size_t count_fields(const ap_report_message_t *msg)
+{
+	if (msg->has_versions_digest)
+		return 10;
+	return msg->n_models ? 9 : 8;
+}
+
 void ap_wire_pack_report(msgpack_packer *pk, const ap_report_message_t *msg)
 {
-	msgpack_pack_array(pk, 8);
+	msgpack_pack_array(pk, count_fields(msg));
 	msgpack_pack_uint32(pk, (uint32_t)msg->type);
 	msgpack_pack_array(pk, msg->n_loads * LOAD_FIELDS);
 	for (size_t i = 0; i < msg->n_loads; i++) {
@@ -113,6 +137,7 @@
 	pack_models(pk, msg);
 	msgpack_pack_uint32(pk, msg->digest);
 	pack_withdrawals(pk, msg);
+	pack_versions(pk, msg);
 }
 
 static void *alloc_list(size_t n, size_t max, size_t size, bool *ok)
@@ -222,6 +247,21 @@
 	}
 }
 
+static void read_versions(ap_wire_reader_t *r, ap_report_message_t *msg, bool *ok)
+{
+	ap_wire_reader_t list = ap_wire_array(r);
+
+	for (size_t i = 0; *ok && list.left > 0 && i < msg->n_models; i++) {
+		ap_models_item_t *item = &msg->models[i];
+		ap_wire_reader_t e = ap_wire_array(&list);
+
+		for (size_t k = 0; e.ok && e.left > 0 && k < item->n; k++)
+			item->versions[k] = (uint32_t)ap_wire_u64(&e);
+		*ok = e.ok;
+	}
+	*ok = *ok && list.ok;
+}
+
 static void read_withdrawals(ap_wire_reader_t *r, ap_report_message_t *msg, bool *ok)
 {
 	ap_wire_reader_t list = ap_wire_array(r);
@@ -254,9 +294,15 @@
 	read_draining(&r, msg, &ok);
 	read_models(&r, msg, &ok);
 	msg->digest = (uint32_t)ap_wire_u64(&r);
-	/* Messages from an earlier version end here. */
+	/* Messages from earlier versions end here, or after the withdrawals. */
 	if (r.left > 0)
 		read_withdrawals(&r, msg, &ok);
+	if (ok && r.left > 0)
+		read_versions(&r, msg, &ok);
+	if (ok && r.left > 0) {
+		msg->has_versions_digest = true;
+		msg->versions_digest = (uint32_t)ap_wire_u64(&r);
+	}
 	if (ok && r.ok)
 		return true;
 	ap_wire_report_clear(msg);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -164,6 +164,8 @@
  * @method: HTTP method as enum evhttp_cmd_type of libevent
  * @first_byte: microseconds left until the first byte is due
  * @credit: bytes of the response that may be sent before more credit arrives
+ * @version: only an upstream with this version of the model may serve it; 0 for any, as from an
+ *           instance of an older build
  */
 typedef struct ap_forward_request {
 	ap_xid_t request;
@@ -183,12 +185,19 @@
 	const void *body;
 	size_t len;
 	ap_forward_headers_t headers;
+	uint32_t version;
 } ap_forward_request_t;
 
+/**
+ * struct ap_forward_head - status and headers of the response.
+ * @version: of the model that makes it; 0 when it isn't known, as from an instance of an older
+ * build
+ */
 typedef struct ap_forward_head {
 	uint32_t status;
 	char content_type[AP_FORWARD_CONTENT_TYPE_MAX];
 	ap_forward_headers_t headers;
+	uint32_t version;
 } ap_forward_head_t;
 
 /**
--- a/test/entry_rig.h
+++ b/test/entry_rig.h
@@ -88,6 +88,7 @@
 	size_t connections; /* callers' connections open at an entry; 0 for no limit */
 	ap_usec_t arrival;  /* time limit on a request's arrival; 0 for none */
 	uint32_t drop_kind; /* kind of message that is lost */
+	bool older;	    /* messages say no version, as those of older builds */
 	uint64_t seen[128]; /* number of messages sent, by kind */
 	char head[4096];    /* the last response head sent between entries */
 	size_t head_len;
@@ -106,20 +107,51 @@
 	e->drain_notes += note->kind == AP_NOTE_UPSTREAM_DRAINING;
 }
 
+/* The message as an older build packs it, which is without its last element. */
+RIG_FN rig_message_t *rig_older(const void *data, size_t len)
+{
+	msgpack_packer pk;
+	msgpack_sbuffer buf;
+	msgpack_zone zone;
+	msgpack_object body;
+	ap_wire_head_t head;
+	rig_message_t *m;
+
+	msgpack_zone_init(&zone, 1024);
+	assert_int_equal(ap_wire_open(data, len, &zone, &head, &body, NULL), AP_WIRE_OK);
+	body.via.array.size--;
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	ap_wire_begin(&pk, &head);
+	msgpack_pack_object(&pk, body);
+	m = malloc(sizeof(*m) + buf.size);
+	m->len = buf.size;
+	memcpy(m->data, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	msgpack_zone_destroy(&zone);
+	return m;
+}
+
 RIG_FN bool rig_send(void *ctx, const char *to, const void *data, size_t len)
 {
 	rig_entry_t *e = ctx;
-	rig_message_t *m = malloc(sizeof(*m) + len);
+	uint32_t kind = ap_wire_peek(data, len);
 	struct timeval soon = {.tv_usec = 500};
+	rig_message_t *m;
 
+	if (e->rig->older && (kind == AP_WIRE_FORWARD || kind == AP_WIRE_FORWARD_HEAD)) {
+		m = rig_older(data, len);
+	} else {
+		m = malloc(sizeof(*m) + len);
+		m->len = len;
+		memcpy(m->data, data, len);
+	}
 	m->to = -1;
 	for (int i = 0; i < e->rig->n_entries; i++) {
 		if (strcmp(e->rig->entries[i].settings.id, to) == 0)
 			m->to = i;
 	}
-	m->kind = ap_wire_peek(data, len);
-	m->len = len;
-	memcpy(m->data, data, len);
+	m->kind = kind;
 	ap_copy_name(m->from, sizeof(m->from), e->settings.id);
 	e->rig->seen[m->kind % 128]++;
 	if (m->kind == AP_WIRE_FORWARD_HEAD && len <= sizeof(e->rig->head)) {
--- a/test/entry_version_test.c
+++ b/test/entry_version_test.c
@@ -7,12 +7,15 @@
 
 /*
  * Upstream 0 begins the stream, in the region @first; the others, in the region @others, are live
- * after that. NULL for a version that isn't known.
+ * after that. NULL for a version that isn't known. @polled are the versions that polls found, if
+ * others than those that make the events and stand in the heads of responses.
  */
 typedef struct plan {
 	const char *first;
 	const char *others;
 	const char *versions[3];
+	const char *const *polled;
+	bool older; /* instances tell each other no versions */
 } plan_t;
 
 typedef struct outcome {
@@ -75,10 +78,12 @@
 
 	rig_init(&rig);
 	rig_add_entry(&rig, "cuyo");
+	rig.older = plan->older;
 	for (int i = 0; i < 3; i++) {
 		rig_add_fake(&rig, i == 0 ? plan->first : plan->others, "gpu");
 		rig.fakes[i].made_by = plan->versions[i];
-		rig.fake_version[i] = plan->versions[i];
+		rig.fakes[i].tells_version = plan->polled;
+		rig.fake_version[i] = plan->polled ? plan->polled[i] : plan->versions[i];
 	}
 	rig_publish_view(&rig);
 	if (strcmp(plan->first, plan->others) != 0)
@@ -193,6 +198,52 @@
 	expect_whole(&back, true, true);
 }
 
+/*
+ * Guards against an older instance that doesn't know the version it should keep to: what it sends
+ * from another version, or doesn't name, isn't passed on.
+ */
+static void a_stream_does_not_go_on_at_an_older_instance(void **state)
+{
+	const plan_t away = {
+		.first = "recife", .others = "cuyo", .versions = {"1", "1", "1"}, .older = true};
+
+	(void)state;
+	expect_cut(&away);
+}
+
+/* An older instance began it: its version isn't known, so it goes on as before. */
+static void a_stream_from_an_older_instance_goes_on(void **state)
+{
+	const plan_t back = {
+		.first = "cuyo", .others = "recife", .versions = {"1", "1", "1"}, .older = true};
+
+	(void)state;
+	expect_whole(&back, true, true);
+}
+
+/* Guards against a poll from before a model was replaced: the engine's own word counts. */
+static void the_version_in_a_response_counts_more_than_the_polled_one(void **state)
+{
+	static const char *const old[] = {"1", "1", "1"};
+	static const char *const first_is_old[] = {"1", "2", "1"};
+	const plan_t cut = {
+		.first = "recife", .others = "recife", .versions = {"1", "2", "2"}, .polled = old};
+	const plan_t away = {
+		.first = "recife", .others = "cuyo", .versions = {"1", "2", "2"}, .polled = old};
+	const plan_t whole = {
+		.first = "recife", .others = "recife", .versions = {"1", "2", "1"}, .polled = old};
+	const plan_t begun = {.first = "recife",
+			      .others = "recife",
+			      .versions = {"2", "2", "1"},
+			      .polled = first_is_old};
+
+	(void)state;
+	expect_cut(&cut);
+	expect_cut(&away);
+	expect_whole(&whole, true, true);
+	expect_whole(&begun, true, false);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -202,6 +253,9 @@
 		cmocka_unit_test(a_stream_from_elsewhere_does_not_go_on_at_another_version),
 		cmocka_unit_test(a_stream_does_not_go_on_at_an_unknown_version),
 		cmocka_unit_test(a_stream_of_an_unknown_version_goes_on),
+		cmocka_unit_test(a_stream_does_not_go_on_at_an_older_instance),
+		cmocka_unit_test(a_stream_from_an_older_instance_goes_on),
+		cmocka_unit_test(the_version_in_a_response_counts_more_than_the_polled_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -68,6 +68,7 @@
 	const char *usage; /* JSON members of "usage" in its responses; NULL for the default */
 	const char *extra_headers; /* further lines of a complete response or a refusal, or NULL */
 	const char *made_by;	   /* version that makes the events of its streams, or NULL */
+	bool tells_version;	   /* @made_by stands in the head, too */
 	double fault_share;	   /* above 0: probability of a random fault in a response */
 	unsigned short rng[3];
 	unsigned char runs[FAKE_MARKS]; /* how often the request with each mark was started */
@@ -179,8 +180,11 @@
 
 	evbuffer_add_printf(out,
 			    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-			    "X-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+			    "X-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n",
 			    id);
+	if (conn->fake->tells_version)
+		evbuffer_add_printf(out, "X-Model-Version: %s\r\n", by);
+	evbuffer_add_printf(out, "\r\n");
 	for (int i = from; i < tokens; i++) {
 		if (i == half && (mode == FAKE_RESET_AFTER || mode == FAKE_STALL_MIDDLE))
 			return;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -31,6 +31,7 @@
 	"\"plain\":true,\"slots\":8,\"price_call\":5}},"
 	"\"model\":{\"m\":{\"labels\":{\"size\":\"small\"},\"version\":\"1\",\"weight_bytes\":1,"
 	"\"prefill_us\":100,\"decode_us\":10000}},"
+	"\"adapter\":{\"a\":{\"model\":\"m\",\"version\":\"1\",\"weight_bytes\":1}},"
 	"\"caller\":{\"crew\":{\"home\":\"recife\",\"key_hash\":"
 	"\"00000000000000000000000000000000000000000000000000000000000000aa\","
 	"\"rate\":100}}}";
--- a/test/header_test.c
+++ b/test/header_test.c
@@ -178,13 +178,14 @@
 }
 
 /*
- * Entries of other versions: a head without the headers element is read, and so is one with an
- * element added by a later version.
+ * Entries of other versions: a head without the version's element is read, without the headers'
+ * one too, and with an element added by a later version.
  */
 static void test_messages_of_other_versions_are_read(void **state)
 {
-	static const int changes[] = {-1, 0, 1};
-	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_HEAD, .u.head = {.status = 200}};
+	static const int changes[] = {-2, -1, 0, 1};
+	ap_forward_msg_t msg = {.kind = AP_WIRE_FORWARD_HEAD,
+				.u.head = {.status = 200, .version = 7}};
 	ap_forward_msg_t got;
 
 	(void)state;
@@ -209,7 +210,8 @@
 		body.via.array.size += (uint32_t)changes[i];
 		assert_int_equal(ap_forward_read(head.kind, &body, &got), AP_WIRE_OK);
 		assert_int_equal(got.u.head.status, 200);
-		assert_int_equal(got.u.head.headers.n, changes[i] < 0 ? 0 : 1);
+		assert_int_equal(got.u.head.headers.n, changes[i] < -1 ? 0 : 1);
+		assert_int_equal(got.u.head.version, changes[i] < 0 ? 0 : 7);
 		msgpack_zone_destroy(&zone);
 		msgpack_sbuffer_destroy(&buf);
 	}
--- a/test/order_world.h
+++ b/test/order_world.h
@@ -517,7 +517,7 @@
 			continue;
 		for (size_t k = 0; k < e->n; k++)
 			names[k] = ap_report_name_hash(e->loaded[k].name);
-		ap_report_models_read(entry->r, e->up.id, names, e->n, w->sim.now);
+		ap_report_models_read(entry->r, e->up.id, names, NULL, e->n, w->sim.now);
 	}
 }
 
--- a/test/report_test.c
+++ b/test/report_test.c
@@ -39,8 +39,9 @@
 	int upstreams;
 	ap_entry_t entries[NODES_MAX];
 	ap_upstream_t list[UPSTREAMS];
-	bool busy;	 /* each load read is a new random one */
-	uint32_t loaded; /* hash of the model that every upstream has loaded */
+	bool busy;	  /* each load read is a new random one */
+	uint32_t loaded;  /* hash of the model that every upstream has loaded */
+	uint32_t version; /* of it */
 } fleet_t;
 
 static void on_load(void *ctx, const ap_load_report_t *report)
@@ -144,7 +145,7 @@
 	node->load_at[up] = load.at;
 	node->running[up] = load.running;
 	ap_report_load_read(node->r, &load, f->sim.now);
-	ap_report_models_read(node->r, f->list[up].id, &f->loaded, 1, f->sim.now);
+	ap_report_models_read(node->r, f->list[up].id, &f->loaded, &f->version, 1, f->sim.now);
 }
 
 static void run(fleet_t *f, int seconds)
@@ -234,6 +235,24 @@
 	fleet_free(f);
 }
 
+/* Guards against a version that was lost on the way: the name stays the same as it changes. */
+static void test_versions_are_known_to_the_whole_region(void **state)
+{
+	fleet_t *f = fleet_new(60, 1, 20);
+
+	(void)state;
+	f->loaded = ap_report_name_hash("model");
+	for (f->version = 1; f->version < 4; f->version++) {
+		run(f, 100);
+		for (int i = 0; i < f->n * f->upstreams; i++)
+			assert_int_equal(ap_report_version(f->nodes[i % f->n].r,
+							   f->list[i / f->n].id, "model"),
+					 f->version);
+	}
+	assert_int_equal(ap_report_version(f->nodes[0].r, f->list[0].id, "another"), 0);
+	fleet_free(f);
+}
+
 static void test_lost_poller_is_replaced(void **state)
 {
 	fleet_t *f = fleet_new(30, 1, 40);
@@ -467,6 +486,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_two_pollers_and_all_know_every_load),
 		cmocka_unit_test(test_loaded_models_are_known_to_the_whole_region_only),
+		cmocka_unit_test(test_versions_are_known_to_the_whole_region),
 		cmocka_unit_test(test_lost_poller_is_replaced),
 		cmocka_unit_test(test_second_poller_reads_only_while_the_first_is_silent),
 		cmocka_unit_test(test_leaving_is_known_to_the_region_within_three_seconds),
--- a/test/route_test.c
+++ b/test/route_test.c
@@ -457,6 +457,51 @@
 	ap_view_unref(after);
 }
 
+/*
+ * Guards against a stream that goes on at an upstream with another version of its model, or with
+ * that of the model but another one of its adapter.
+ */
+static void test_a_begun_response_keeps_to_its_versions(void **state)
+{
+	static char model[] = "m";
+	static char adapter[] = "a";
+	static char *loaded[] = {model, adapter};
+	uint32_t versions[4][2] = {{1, 1}, {1, 2}, {2, 1}, {1, 0}};
+	world_t *w = *state;
+	ap_upstream_t *ups = &w->fleet.upstreams[w->fleet.n_upstreams];
+	ap_route_t *r = new_route(w, "litoral");
+	ap_request_t req = fleet_request(&w->fleet, "ask", 1, AP_SEC);
+	ap_choice_t choice;
+
+	fleet_add_upstreams(&w->fleet, "litoral", "gpu", 4);
+	for (int i = 0; i < 4; i++) {
+		ups[i].models = loaded;
+		ups[i].versions = versions[i];
+		ups[i].n_models = 2;
+	}
+	fleet_set_view(&w->fleet, r, AP_SEC);
+	req.local_only = true;
+	req.version = 1;
+	for (int i = 0; i < 100; i++) {
+		assert_int_equal(ap_route_choose(r, &req, AP_SEC, &choice), AP_ROUTE_OK);
+		assert_string_not_equal(choice.upstream_id, ups[2].id);
+		assert_int_equal(ap_route_version(r, choice.upstream_id, &req, "m"), 1);
+	}
+	req.adapter = "a";
+	req.version = ap_version_both(1, 1);
+	for (int i = 0; i < 100; i++) {
+		assert_int_equal(ap_route_choose(r, &req, AP_SEC, &choice), AP_ROUTE_OK);
+		assert_string_equal(choice.upstream_id, ups[0].id);
+	}
+	assert_int_equal(ap_route_version(r, ups[0].id, &req, "m"), req.version);
+	assert_int_equal(ap_route_version(r, ups[3].id, &req, "m"), 0);
+	req.version = ap_version_both(2, 2);
+	assert_int_equal(ap_route_choose(r, &req, AP_SEC, &choice), AP_ROUTE_NO_UPSTREAM);
+	req.version = 0;
+	assert_int_equal(ap_route_choose(r, &req, AP_SEC, &choice), AP_ROUTE_OK);
+	ap_route_free(r);
+}
+
 static void test_price(void **state)
 {
 	ap_pool_t pool = {.price_in = 100, .price_out = 300, .price_call = 5};
@@ -474,6 +519,7 @@
 	const struct CMUnitTest tests[] = {
 		WORLD_TEST(test_candidates_by_service),
 		WORLD_TEST(test_draining_and_tried_get_no_work),
+		WORLD_TEST(test_a_begun_response_keeps_to_its_versions),
 		WORLD_TEST(test_less_loaded_is_chosen),
 		WORLD_TEST(test_prefix_goes_where_it_is_cached),
 		WORLD_TEST(test_cache_events_override_own_records),
--- a/test/standin/batch.c
+++ b/test/standin/batch.c
@@ -76,9 +76,9 @@
 
 static json_t *chunk(const job_t *job, json_t *choice)
 {
-	return json_pack("{s:s, s:s, s:s, s:[o]}", "id", "answer", "object",
+	return json_pack("{s:s, s:s, s:s, s:s, s:[o]}", "id", "answer", "object",
 			 job->chat ? "chat.completion.chunk" : "text_completion", "model",
-			 job->model, "choices", choice);
+			 job->model, "system_fingerprint", job->version, "choices", choice);
 }
 
 static void send_token(job_t *job, const char *text)
--- a/test/standin/batch.h
+++ b/test/standin/batch.h
@@ -23,6 +23,7 @@
 	struct event *timer;
 	fault_t fault;
 	char model[AP_NAME_MAX];
+	char version[AP_NAME_MAX]; /* of the model, named in each event */
 	bool chat;
 	bool stream;
 	bool running;
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -119,6 +119,7 @@
 	if (!prompt)
 		return "no prompt";
 	ap_copy_name(job->model, sizeof(job->model), model);
+	ap_copy_name(job->version, sizeof(job->version), find_model(e, model)->version);
 	job->stream = json_is_true(json_object_get(body, "stream"));
 	job->priority = (int)int_at(body, "priority", 0);
 	job->next = (unsigned)begin;
