--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -28,6 +28,7 @@
 	int status;
 	bool has_request_id;
 	bool has_stamp;
+	unsigned weights; /* version that the head names; 0 for none */
 	char body[ANSWER_MAX];
 	size_t len;
 } call_t;
@@ -50,6 +51,9 @@
 	call_t *c = ctx;
 	const char *id = evhttp_find_header(head->headers, "Request-Id");
 
+	const char *weights = evhttp_find_header(head->headers, "Weight-Versions");
+
+	c->weights = weights ? (unsigned)strtoul(weights, NULL, 10) : 0;
 	c->status = head->status;
 	c->has_request_id = id && strcmp(id, c->q->id) == 0;
 	c->has_stamp = evhttp_find_header(head->headers, "Server-Stamp") &&
@@ -67,7 +71,10 @@
 	c->body[c->len] = '\0';
 }
 
-/* Returns whether the body is all events in order, each once and with the request's id. */
+/*
+ * Returns whether the body is all events in order, each once, with the request's id and of the
+ * version that the head names.
+ */
 static bool stream_is_complete(const call_t *c)
 {
 	char expected[ANSWER_MAX] = "";
@@ -75,7 +82,7 @@
 
 	for (unsigned i = 1; i <= EVENTS; i++)
 		len += (size_t)snprintf(expected + len, sizeof(expected) - len,
-					"id: %u\ndata: %s\n\n", i, c->q->id);
+					"id: %u\ndata: %s v%u\n\n", i, c->q->id, c->weights);
 	return strcmp(expected, c->body) == 0;
 }
 
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -13,7 +13,7 @@
 #define SLOW_FACTOR 8
 #define FAULT_SHARE 0.3
 #define SLOTS 16
-#define HEADERS_MAX 6		      /* of a response */
+#define HEADERS_MAX 7		      /* of a response */
 #define IN_GRACE_MAX 2		      /* at the soak's rate */
 #define IN_PAUSE_MAX 2		      /* the platform's bound for an instance */
 #define DRAIN_BOUND (3 * AP_SEC)      /* drain_ms of the settings */
@@ -136,6 +136,9 @@
 	size_t n = 0;
 
 	headers[n++] = (ap_http_header_t){"Request-Id", j->id};
+	if (j->replica->weights > 0)
+		headers[n++] =
+			(ap_http_header_t){"Weight-Versions", j->replica->weights == 1 ? "1" : "2"};
 	if (j->spoil != SPOIL_NO_STAMP)
 		headers[n++] = (ap_http_header_t){"Server-Stamp", j->replica->id};
 	if (j->spoil == SPOIL_ENCODING)
@@ -182,7 +185,8 @@
 {
 	ap_http_header_t headers[HEADERS_MAX];
 	char event[96];
-	int len = snprintf(event, sizeof(event), "id: %u\ndata: %s\n\n", j->next, j->id);
+	int len = snprintf(event, sizeof(event), "id: %u\ndata: %s v%u\n\n", j->next, j->id,
+			   j->replica->weights);
 	size_t n;
 
 	if (!j->started) {
@@ -255,6 +259,7 @@
 	replica_t *r = ctx;
 	const char *id = ap_http_call_header(call, "Request-Id");
 	const char *expected = ap_http_call_header(call, "Expect-Instance");
+	const char *weights = ap_http_call_header(call, "Expect-Version");
 	request_t *q = NULL;
 
 	if (id)
@@ -268,7 +273,8 @@
 	r->soak->arrivals++;
 	r->soak->retries += q->arrivals++ > 0;
 	r->soak->gone += q->arrivals > 1 && q->left_at > 0 && ap_now() - q->left_at > GONE_TIME;
-	if (expected && strcmp(expected, r->id) != 0) {
+	if ((expected && strcmp(expected, r->id) != 0) ||
+	    (weights && strtoul(weights, NULL, 10) != r->weights)) {
 		reply_refused(r, call, 421);
 		return;
 	}
@@ -345,6 +351,7 @@
 	*r = (replica_t){.soak = s,
 			 .region = region,
 			 .incarnation = incarnation,
+			 .weights = s->no_weights ? 0 : 1 + (i / 2 + incarnation) % 2,
 			 .silent = incarnation % 2 == 0};
 	ap_copy_name(r->pool, sizeof(r->pool), pool);
 	snprintf(r->id, sizeof(r->id), "i%d-%zu-%u", (int)getpid(), i, incarnation);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -113,6 +113,7 @@
 	ap_usec_t draining_since;
 	bool holds;		   /* takes requests and responds to none */
 	unsigned work_ms;	   /* of each request; 0: at random */
+	unsigned weights;	   /* version; 0 for none */
 	bool silent;		   /* does not report to the store that it is draining */
 	ap_usec_t said_leaving_at; /* in a response; 0 for never */
 	ap_usec_t pause_until;	   /* refuses requests and asks for none until then */
@@ -193,7 +194,8 @@
 	bool verbose;
 	bool no_pauses;
 	bool no_spoils;
-	bool keep; /* keep the logs also of a run without findings */
+	bool no_weights; /* upstreams name no versions of the weights */
+	bool keep;	 /* keep the logs also of a run without findings */
 	store_t *store;
 	ap_http_client_t *client;
 	instance_t instances[SOAK_INSTANCES_MAX];
