A list of ids that isn't one of ids is refused, not read without end

What was seen: ap_wire_read_spread() doesn't return if the list of a message's ids has an element of another type; it writes past the 64 ids that it has room for (wire_test, stopped after 8 s).

wire_test, test_a_list_of_ids_with_another_element_is_refused: not ended before, passes.

--- a/lib/wire/spread.c
+++ b/lib/wire/spread.c
@@ -26,7 +26,7 @@
 	ids = ap_wire_array(&r);
 	if (ids.left > SEGMENT_REQUEST_MAX)
 		return false;
-	while (ids.left > 0)
+	while (ids.ok && ids.left > 0)
 		msg->ids[msg->n_ids++] = ap_wire_id(&ids);
 	msg->data = ap_wire_bin(&r, &msg->len);
 	return r.ok && ids.ok && type >= AP_SPREAD_DIGEST && type <= AP_SPREAD_SEGMENT;
--- a/test/wire_test.c
+++ b/test/wire_test.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include "spread/private.h"
 #include "wire/wire.h"
 
 static void pack_sample(msgpack_sbuffer *buf)
@@ -72,11 +73,44 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+/* Guards against a list with an element of another type that is read without end. */
+static void test_a_list_of_ids_with_another_element_is_refused(void **state)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	msgpack_unpacked body;
+	ap_spread_message_t msg;
+
+	(void)state;
+	for (int i = 0; i < 3; i++) {
+		msgpack_sbuffer_init(&buf);
+		msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+		msgpack_pack_array(&pk, 5);
+		msgpack_pack_uint32(&pk, AP_SPREAD_DIGEST);
+		msgpack_pack_uint64(&pk, 7);
+		ap_wire_pack_id(&pk, (ap_id_t){1, 2});
+		msgpack_pack_array(&pk, 3);
+		for (int k = 0; k < 3; k++) {
+			if (k == i)
+				msgpack_pack_array(&pk, 0);
+			else
+				ap_wire_pack_id(&pk, (ap_id_t){1, 2});
+		}
+		ap_wire_pack_bin(&pk, "", 0);
+		msgpack_unpacked_init(&body);
+		assert_true(msgpack_unpack_next(&body, buf.data, buf.size, NULL));
+		assert_false(ap_wire_read_spread(&body.data, &msg));
+		msgpack_unpacked_destroy(&body);
+		msgpack_sbuffer_destroy(&buf);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_round_trip),
 		cmocka_unit_test(test_cut_and_changed_bytes_are_refused_cleanly),
+		cmocka_unit_test(test_a_list_of_ids_with_another_element_is_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
