End the silent attempt once another upstream has accepted the stream

What callers saw: nothing; the users' rule TWICE was broken.

Cause: of two attempts in flight the exchange kept both until one of them had delivered a whole event. An event may hold several tokens, so the second upstream works for its whole length before it is known to. An instance that forwarded the second attempt held its head back until the first event.

Now the silent attempt is cancelled 100 ms after the head of a success of the other one, unless either has responded by then. An instance passes the head on before the first event if the request says Arbutuspond-Heard-Ms, as only second attempts do; it has one attempt, so it gives up nothing by that. The next event of a stream that has gone on is due after the route's gap. The 100 ms are a quarter of the bound; the rest is for the head's way here and the cancel's way back, each perhaps to another region.

A price: the two attempts race no longer.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -88,6 +88,7 @@
 
 	req->local_only = c->forwarded;
 	req->heard_since = c->forwarded ? heard_since(c->call, now) : 0;
+	c->x.early_head = req->heard_since != 0;
 	req->deadline = now + (r->time_left == AP_NEVER ? DEFAULT_TIME_LEFT : r->time_left);
 	req->tokens_in = r->tokens_in;
 	req->tokens_out = r->tokens_out;
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -13,6 +13,7 @@
 	a->buffer_len = 0;
 	a->scanned = 0;
 	a->head = (ap_response_head_t){0};
+	a->accepted_at = 0;
 }
 
 static bool buffer_data(ap_attempt_t *a, const void *data, size_t len)
@@ -134,6 +135,15 @@
 	       (a->buffer_len > 0 || (closed && !a->inflight.has_first_chunk));
 }
 
+/* Tells a caller that has another attempt in flight that this one has been accepted. */
+static void pass_head(ap_exchange_t *x, const ap_attempt_t *a)
+{
+	if (!x->early_head || !x->stream || x->attempts > 1)
+		return;
+	keep_build(x);
+	commit(x, a);
+}
+
 void ap_exchange_head(ap_exchange_t *x, unsigned slot, const ap_response_head_t *head,
 		      ap_usec_t now)
 {
@@ -147,6 +157,10 @@
 		fail_broken(x, a, now);
 		return;
 	}
+	if (is_success(a)) {
+		a->accepted_at = now;
+		pass_head(x, a);
+	}
 	/* In a stream only complete events count as data, so its head doesn't. */
 	if (!x->stream || head->refused)
 		a->last_chunk_at = now;
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -20,6 +20,11 @@
  */
 #define NO_DATA_WAITS 3
 #define NO_DATA_OBJECTIVE_DIVISOR 4
+/*
+ * For how long two upstreams that have accepted a stream may work on it, as this instance sees it.
+ * The rule allows 400 ms; the head's way here and the cancel's way back take a part of them.
+ */
+#define BESIDE_MAX (100 * AP_MSEC)
 #define RETRY_AFTER_MIN (100 * AP_MSEC)
 #define RETRY_AFTER_DEFAULT (500 * AP_MSEC) /* when no wait is known */
 #define RETRY_AFTER_DIVISOR 3  /* Retry-After is at most the remaining time divided by this */
@@ -253,7 +258,7 @@
  * The current attempt is silent: sends the request to another target too, which has responded to
  * this instance in the latter half of the silence: targets that fall silent together have not
  * sent their last data at the same time. The silent one may still go on, so it is kept until the
- * other one responds.
+ * other one has accepted the request or responds.
  */
 static void send_to_other(ap_exchange_t *x, ap_usec_t now)
 {
@@ -530,12 +535,28 @@
 	if (x->paused || a->checking || in_flight(x) != 1 || !x->retryable ||
 	    x->runs + 1 >= x->attempts)
 		return AP_NEVER;
-	if (a->inflight.has_first_chunk && x->stream)
+	/* A stream that goes on has begun, so its objective says nothing of its next event. */
+	if (x->stream && (a->inflight.has_first_chunk || (x->committed && a->accepted_at != 0)))
 		return route->event_gap > 0 ? since + route->event_gap : AP_NEVER;
 	return since + NO_DATA_WAITS * a->target.wait +
 	       route->objective / NO_DATA_OBJECTIVE_DIVISOR;
 }
 
+/*
+ * Until when the current attempt, which is silent, is kept beside one that has accepted the
+ * stream. A closed connection in a check keeps no upstream at work.
+ */
+static ap_usec_t beside_until(const ap_exchange_t *x)
+{
+	const ap_attempt_t *a = &x->slot[x->current];
+	const ap_attempt_t *other = &x->slot[!x->current];
+
+	if (!x->stream || in_flight(x) != AP_SLOTS || a->checking || other->checking ||
+	    other->accepted_at == 0)
+		return AP_NEVER;
+	return other->accepted_at + BESIDE_MAX;
+}
+
 static ap_usec_t abort_at(const ap_exchange_t *x)
 {
 	return x->committed ? x->timeout_at + ABORT_MARGIN : x->timeout_at;
@@ -544,10 +565,13 @@
 ap_usec_t ap_exchange_due(const ap_exchange_t *x)
 {
 	ap_usec_t silent = silent_until(x);
+	ap_usec_t beside = beside_until(x);
 	ap_usec_t abort = abort_at(x);
 
 	if (x->finished)
 		return AP_NEVER;
+	if (beside < abort)
+		return beside;
 	return silent < abort ? silent : abort;
 }
 
@@ -558,6 +582,9 @@
 	if (now >= abort_at(x)) {
 		cancel_all(x, AP_DISPATCH_TIMED_OUT);
 		reply_error(x, AP_REASON_TIMEOUT, now);
+	} else if (now >= beside_until(x)) {
+		x->waits_since = now;
+		ap_attempt_take_over(x, &x->slot[!x->current]);
 	} else if (now >= silent_until(x)) {
 		send_to_other(x, now);
 	}
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -79,7 +79,7 @@
 	AP_STEP_UNREACHABLE,
 	AP_STEP_FAILED_AT,
 	AP_STEP_TIMED_OUT, /* no data came for too long, so another target is tried beside it */
-	AP_STEP_CANCELLED, /* of two targets, the other one has responded */
+	AP_STEP_CANCELLED, /* of two targets, the other one has accepted the stream, or responded */
 	AP_STEP_CALLER_DISCONNECTED,
 	AP_STEP_GIVEN_UP, /* this instance generates the final response, or aborts it */
 	AP_STEPS,
@@ -138,6 +138,7 @@
  * @has_head: @head holds the target's response head
  * @checking: the response ended with its connection, and the driver checks the target
  * @resuming: the target may repeat events up to the last one that was delivered
+ * @accepted_at: when the head of a success arrived; 0 before
  * @last_chunk_at: of the response; at first when the request was sent
  * @buffer: data of the response that was not delivered yet
  * @scanned: bytes of @buffer that were searched for the end of an event
@@ -150,6 +151,7 @@
 	ap_target_t target;
 	ap_inflight_t inflight;
 	ap_response_head_t head;
+	ap_usec_t accepted_at;
 	ap_usec_t last_chunk_at;
 	char *buffer;
 	size_t buffer_len;
@@ -159,6 +161,9 @@
 
 /**
  * struct ap_exchange - one request. Times are absolute.
+ * @early_head: set if the caller, an instance, has another attempt in flight: a stream's head is
+ *	passed on before its first event, so that the caller ends the other one; only with one of
+ *	@attempts
  * @timeout_at: the earlier of the caller's deadline and the route's timeout
  * @attempts: how many times the request may run
  * @runs: how many times it may have run so far, without what is in flight
@@ -176,13 +181,15 @@
  * @target: that was chosen last, whether the request was sent there or not
  * @waits_since: since when the attempt in @current has had its time, at least
  * @current: slot of the attempt that has the response, or is to have it; another one in flight has
- *	been sent because that one is silent, and replaces it if it responds first
+ *	been sent because that one is silent, and replaces it if it responds first, or soon after
+ *	it has accepted a stream
  * @last_event_id: id of the last event that the caller has, or empty
  */
 struct ap_exchange {
 	const ap_exchange_ops_t *ops;
 	void *ctx;
 	ap_dispatch_t req;
+	bool early_head;
 	ap_usec_t arrival;
 	ap_usec_t timeout_at;
 	unsigned attempts;
--- a/test/pauses/caller.c
+++ b/test/pauses/caller.c
@@ -80,7 +80,8 @@
 	soak_t *s = &p->soak;
 	call_t *q = new_call(p);
 	bool stream = q->kind < KINDS_STREAM;
-	unsigned step = 30 + (unsigned)ap_rng_below(&s->rng, 71);
+	/* A long event takes longer than two upstreams may work on one stream. */
+	unsigned step = (p->slow ? 450 : 30) + (unsigned)ap_rng_below(&s->rng, 71);
 	unsigned total = 1000 + (unsigned)ap_rng_below(&s->rng, 1000);
 	char shape[64];
 	ap_http_header_t headers[] = {{"Host", "pauses.example"},
--- a/test/pauses/main.c
+++ b/test/pauses/main.c
@@ -16,6 +16,7 @@
 #define WARM_UP (3 * AP_SEC)
 #define RESTART_INTERVAL (5 * AP_SEC)
 #define NOTICE (1500 * AP_MSEC)
+#define SLOW_SHARE 0.4
 #define ENTRY_STAYS (100 * AP_MSEC)
 #define QUIET_MAX (TIME_LEFT + 4 * AP_SEC) /* at the end, for responses to end */
 
@@ -157,6 +158,26 @@
 	upstream_pause(&p->upstreams[i], false);
 }
 
+static void speed_upstream_up(pauses_t *p, size_t i)
+{
+	upstream_slow(&p->upstreams[i], false);
+}
+
+/* Some upstreams of the pool of streams work slowly for a while. */
+static void slow_pool(pauses_t *p, size_t unused)
+{
+	ap_usec_t length = random_duration(p, 900, 1800);
+
+	(void)unused;
+	for (size_t i = 0; i < UPSTREAMS; i += POOLS) {
+		if (ap_rng_unit(&p->soak.schedule) >= SLOW_SHARE)
+			continue;
+		note(p, "slow upstream", i);
+		upstream_slow(&p->upstreams[i], true);
+		defer(p, length, speed_upstream_up, i);
+	}
+}
+
 /* Stops all upstreams of a pool, or six tenths of them. */
 static void pause_pool(pauses_t *p, size_t unused)
 {
@@ -213,7 +234,7 @@
 static void begin_cycle(pauses_t *p)
 {
 	change_configuration(p);
-	defer(p, random_duration(p, 400, 600), pause_pool, 0);
+	defer(p, random_duration(p, 400, 600), p->slow ? slow_pool : pause_pool, 0);
 	if (p->kills)
 		defer(p, random_duration(p, 0, 3500), kill_upstream,
 		      ap_rng_below(&p->soak.schedule, UPSTREAMS));
@@ -405,6 +426,9 @@
 	case 'l':
 		p->lone_region = true;
 		return 0;
+	case 'z':
+		p->slow = true;
+		return 0;
 	case 'r':
 		p->restarts = true;
 		return 0;
@@ -445,6 +469,8 @@
 		 "kill upstreams, too: and start them again at once, or at short notice", 0},
 		{"weights", 'w', "two|listed|change", 0, "versions of the weights of upstreams", 0},
 		{"lone-region", 'l', NULL, 0, "all upstreams are in the first region", 0},
+		{"slow", 'z', NULL, 0, "upstreams work slowly for a while instead of being stopped",
+		 0},
 		{"restarts", 'r', NULL, 0, "restart and reload instances in turn", 0},
 		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
 		{"verbose", 'v', NULL, 0, "print the schedule", 0},
--- a/test/pauses/pauses.h
+++ b/test/pauses/pauses.h
@@ -157,6 +157,7 @@
 	kill_how_t kills;   /* upstreams are killed */
 	bool close_framing; /* some streams end with their connection */
 	bool lone_region;   /* all upstreams are in the first region */
+	bool slow;	    /* upstreams aren't stopped but work slowly; events are long */
 	weights_t weights;
 	unsigned timeout_ms; /* of the routes, as configured now */
 	unsigned idle_ms;
@@ -180,6 +181,8 @@
 /* Writes the upstream's entry to the store, unless it is stopped or was killed. */
 void upstream_heartbeat(upstream_t *u);
 void upstream_pause(upstream_t *u, bool pause);
+/* The upstream takes several times as long for each event, or works as before again. */
+void upstream_slow(upstream_t *u, bool slow);
 void upstream_kill(upstream_t *u);
 /* Kills the upstream and starts it again at once, with the same id and address. */
 void upstream_restart(upstream_t *u);
--- a/test/pauses/upstream.c
+++ b/test/pauses/upstream.c
@@ -228,6 +228,12 @@
 			.upstream = u->index, .incarnation = u->incarnation, .from = ap_now()};
 }
 
+void upstream_slow(upstream_t *u, bool slow)
+{
+	if (u->pid > 0)
+		kill(u->pid, slow ? SIGUSR1 : SIGUSR2);
+}
+
 /* What ran there has ended; the kernel closes the connections. */
 static void end_runs(const upstream_t *u)
 {
--- a/test/pauses/worker.c
+++ b/test/pauses/worker.c
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,8 @@
 
 #define SLOTS 24
 #define HEADER_MAX 128
+#define FIRST_EVENT_MS 30 /* of a stream that begins, where events are long */
+#define SLOWER 4
 #define WEIGHTS_TIME (5 * AP_SEC) /* until an upstream changes its version of the weights */
 
 typedef struct worker {
@@ -22,6 +25,7 @@
 	double errors;
 	double copies;
 	int out;
+	bool slow;
 	unsigned running;
 	unsigned connections;
 } worker_t;
@@ -177,7 +181,7 @@
 	if (c->next <= c->last)
 		write_event(c);
 	if (c->next++ < c->last) {
-		start_timer(c, c->step_ms);
+		start_timer(c, c->w->slow ? SLOWER * c->step_ms : c->step_ms);
 		return;
 	}
 	finish(c, TOLD_DONE);
@@ -306,7 +310,10 @@
 	c->has_slot = true;
 	if (c->stream)
 		write_head(c);
-	start_timer(c, c->step_ms);
+	if (c->stream && c->w->upstream->p->slow && c->after == 0)
+		start_timer(c, FIRST_EVENT_MS);
+	else
+		start_timer(c, c->w->slow ? SLOWER * c->step_ms : c->step_ms);
 }
 
 /* Takes a whole request from the input, if there is one. */
@@ -378,6 +385,12 @@
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
+static void on_slow(evutil_socket_t number, short what, void *arg)
+{
+	(void)what;
+	((worker_t *)arg)->slow = number == SIGUSR1;
+}
+
 void worker_run(int listener, int out, const upstream_t *u, uint64_t seed)
 {
 	worker_t w = {
@@ -390,7 +403,8 @@
 	};
 
 	ap_rng_seed(&w.rng, seed);
-	if (!w.base ||
+	if (!w.base || event_add(evsignal_new(w.base, SIGUSR1, on_slow, &w), NULL) < 0 ||
+	    event_add(evsignal_new(w.base, SIGUSR2, on_slow, &w), NULL) < 0 ||
 	    !evconnlistener_new(w.base, on_accept, &w, LEV_OPT_CLOSE_ON_FREE, 0, listener))
 		_exit(EXIT_FAILURE);
 	event_base_dispatch(w.base);
