Name the versions that may handle a forwarded request

Cause: a request keeps the version that it began with, but only in its own process. What is forwarded said nothing of it.

Now the sender names the versions that may handle the request and a hash of what its route means: which pools may serve it, and whether it may be repeated. A receiver with another version, whose route means something else, refuses it as not run and names its version. The sender then tells the receiver its version, or asks for the newer one, by one message, at most every 0.2 s: the region is used again a round trip later, while the store goes on turning it away. One path for all kinds, streams, other regions and the own one. A stream that goes on at a build keeps that build's pool in any version, so it isn't refused. Earlier builds send no such header, which means any version, and skip the message.

The refusals between versions were not counted by themselves.

The soak's configuration can swap the pools of its routes, for the test; the soak itself doesn't yet.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -1,6 +1,7 @@
 /* Requests from callers and, forwarded, from instances of remote regions. */
 #include "gateway.h"
 
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,10 +11,14 @@
 #define HEARD_MAX (600 * AP_SEC)	  /* above any timeout of a route */
 #define EARLY_RETRY_AFTER (300 * AP_MSEC) /* in every 503 of reply_early() */
 
-/* Responds to a request that has no exchange; nothing was sent, so it certainly did not run. */
-static void reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error)
+/*
+ * Responds to a request that has no exchange; nothing was sent, so it certainly did not run.
+ * @version: of the configuration, if it is the reason; else NULL
+ */
+static void reply_early_with(ap_http_call_t *call, int status, bool forwarded, const char *error,
+			     const char *version)
 {
-	ap_http_header_t headers[3] = {gate_json};
+	ap_http_header_t headers[4] = {gate_json};
 	char body[GATE_ERROR_MAX];
 	char wait[24];
 	size_t n = 1;
@@ -25,9 +30,28 @@
 	}
 	if (forwarded)
 		headers[n++] = (ap_http_header_t){FORWARD_HEADER_NOT_RUN, FORWARD_NOT_RUN_UNSENT};
+	if (version)
+		headers[n++] = (ap_http_header_t){FORWARD_HEADER_CONFIGURATION, version};
 	ap_http_reply(call, status, headers, n, body, len);
 }
 
+static void reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error)
+{
+	reply_early_with(call, status, forwarded, error, NULL);
+}
+
+/* Refuses a forwarded request that another version of the configuration would handle otherwise. */
+static void refuse_version(gateway_t *gate, ap_http_call_t *call, const char *id)
+{
+	char version[24];
+
+	gate->counters.ended[GATE_REFUSED]++;
+	snprintf(version, sizeof(version), "%" PRIu64, gate->plan->version);
+	ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.other-version", id, "s:I",
+			 "version", (json_int_t)gate->plan->version);
+	reply_early_with(call, 503, true, "other-version", version);
+}
+
 static void on_closed(void *ctx)
 {
 	gate_call_t *c = ctx;
@@ -209,6 +233,10 @@
 		return;
 	}
 	route = ap_plan_match(gate->plan, request.host, ap_http_call_path(call));
+	if (forwarded && !gate_version_agrees(gate, call, route)) {
+		refuse_version(gate, call, request.id);
+		return;
+	}
 	if (!route) {
 		gate->counters.ended[GATE_NO_ROUTE]++;
 		ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.no-route", request.id,
--- a/cmd/arbutuspond/gateway-peer.c
+++ b/cmd/arbutuspond/gateway-peer.c
@@ -44,7 +44,10 @@
 	ap_usec_t now = ap_now();
 	uint32_t kind = ap_wire_peek(data, len);
 
-	if (kind == AP_WIRE_BATCH) {
+	if (kind == AP_WIRE_CONFIGURATION) {
+		if (!gate_version_told(gate, from, data, len))
+			log_unreadable(gate, from);
+	} else if (kind == AP_WIRE_BATCH) {
 		if (!ap_fleet_open_batch(gate->fleet, from, data, len, now, gate, on_passed_on))
 			log_unreadable(gate, from);
 	} else if (apply(gate, from, data, len, now) &&
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -195,6 +195,7 @@
 	if (target->remote && not_run) {
 		response.refused = true;
 		response.unsent = strcmp(not_run, FORWARD_NOT_RUN_UNSENT) == 0;
+		gate_version_refused(c->gate, target->id, head->headers);
 	}
 	if (target->remote && pause)
 		ap_fleet_remote_pause(c->gate->fleet, target->region, c->x.req.pool->name,
@@ -275,6 +276,7 @@
 /* Values of headers between instances. */
 typedef struct forward_text {
 	char build[BUILD_TEXT_MAX];
+	char configuration[GATE_VERSION_TEXT_MAX];
 	char heard[24];
 	char wait[24];
 	char pause[24];
@@ -302,8 +304,9 @@
 	drop_forward_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n + 4 > AP_HOST_HEADERS_MAX)
+	if (headers->n + 5 > AP_HOST_HEADERS_MAX)
 		return false;
+	headers->v[headers->n++] = gate_version_header(c, text->configuration);
 	if (c->x.req.build != 0) {
 		format_build(c->x.req.build, text->build);
 		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -30,6 +30,8 @@
  * ATTEMPTS: how many times the receiver may run the request
  * NOT_RUN: the request did not run
  * BUILD: of the upstream at which a stream must go on, or that responded; in hexadecimal
+ * CONFIGURATION: request: FIRST-LAST HASH, the versions that may handle it, and what its route
+ *	means (ap_plan_route_hash()), in hexadecimal; of a refusal for another version: that one
  * HEARD: another target is silent; within how many milliseconds the receiver's must have responded
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
@@ -38,6 +40,7 @@
 #define FORWARD_HEADER_PREFIX "Arbutuspond-"
 #define FORWARD_HEADER_ATTEMPTS FORWARD_HEADER_PREFIX "Attempts"
 #define FORWARD_HEADER_BUILD FORWARD_HEADER_PREFIX "Build"
+#define FORWARD_HEADER_CONFIGURATION FORWARD_HEADER_PREFIX "Configuration"
 #define FORWARD_HEADER_NOT_RUN FORWARD_HEADER_PREFIX "Not-Run"
 #define FORWARD_NOT_RUN_UNSENT "unsent" /* its value if the request reached no upstream */
 #define FORWARD_HEADER_HEARD FORWARD_HEADER_PREFIX "Heard-Ms"
@@ -193,6 +196,14 @@
 	double duration_sum;
 } gate_counters_t;
 
+/* When an instance was told this one's version last. */
+typedef struct gate_told {
+	char id[AP_NAME_MAX];
+	ap_usec_t at;
+} gate_told_t;
+
+#define GATE_TOLD_MAX 16
+
 struct gateway {
 	ap_settings_t *settings;
 	const ap_gateway_settings_t *conf;
@@ -228,13 +239,15 @@
 	LIST_HEAD(, gate_call) calls;
 	struct event *tick;
 	struct event *signals[3];
-	ap_usec_t last_tick_monotonic; /* CLOCK_MONOTONIC, which stops while suspended */
-	ap_usec_t last_tick;	       /* ap_now(), which counts suspension */
-	ap_usec_t drain_started;       /* when SIGTERM or SIGINT arrived; 0 before */
-	bool listeners_closed;	       /* accepts no more connections */
-	bool store_unavailable;	       /* the state that was logged last */
-	uint64_t store_era;	       /* of the last response; 0 if none stated it */
-	bool listing;		       /* a complete list of the store is being read */
+	ap_usec_t last_tick_monotonic;	 /* CLOCK_MONOTONIC, which stops while suspended */
+	ap_usec_t last_tick;		 /* ap_now(), which counts suspension */
+	ap_usec_t drain_started;	 /* when SIGTERM or SIGINT arrived; 0 before */
+	bool listeners_closed;		 /* accepts no more connections */
+	bool store_unavailable;		 /* the state that was logged last */
+	uint64_t store_era;		 /* of the last response; 0 if none stated it */
+	bool listing;			 /* a complete list of the store is being read */
+	gate_told_t told[GATE_TOLD_MAX]; /* ring */
+	size_t n_told;			 /* so far */
 	gate_counters_t counters;
 };
 
@@ -308,6 +321,17 @@
 /* Returns whether a request comes from another instance of the gateway. */
 bool gate_peer_trusts(const gateway_t *gate, ap_http_call_t *call);
 
+/* gateway-version.c: versions of the configuration at both ends of a forwarded request */
+#define GATE_VERSION_TEXT_MAX 64
+/* Returns the request's FORWARD_HEADER_CONFIGURATION; its value is formatted in @text. */
+ap_http_header_t gate_version_header(const gate_call_t *c, char text[GATE_VERSION_TEXT_MAX]);
+/* Returns whether a forwarded request, of @route here (NULL for none), may be handled here. */
+bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route);
+/* The instance @by refused a request, maybe since its version is another one. */
+void gate_version_refused(gateway_t *gate, const char *by, const struct evkeyvalq *headers);
+/* Another instance tells its version. Return: false if the message is malformed. */
+bool gate_version_told(gateway_t *gate, const char *from, const void *data, size_t len);
+
 /* gateway-serve.c: readiness, directory, metrics */
 #define GATE_ERROR_MAX 128 /* bytes of the body of an error, with terminator */
 extern const ap_http_header_t gate_json;
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -209,6 +209,36 @@
 bool ap_snapshot_unpack(const void *data, size_t len, void *ctx,
 			void (*item)(void *ctx, const ap_store_item_t *item));
 
+/**
+ * ap_snapshot_find() - finds the item of @key.
+ * @item: set to it; its value is valid until the snapshot is changed
+ */
+bool ap_snapshot_find(const ap_snapshot_t *snapshot, const char *key, ap_store_item_t *item);
+
+/**
+ * struct ap_told_version - what an instance tells another one of its configuration.
+ * @revision: of the store, at which the configuration was written
+ * @value: the configuration as it is in the store
+ * @len: bytes of @value; 0 to be told a newer version, if there is one
+ */
+typedef struct ap_told_version {
+	uint64_t version;
+	uint64_t revision;
+	const void *value;
+	size_t len;
+} ap_told_version_t;
+
+/** ap_version_pack() - Return: the message, to be freed with free(). */
+void *ap_version_pack(const ap_told_version_t *told, size_t *len);
+/**
+ * ap_version_unpack() - calls @told with what such a message says; its value is valid during the
+ * call.
+ *
+ * Return: false, without a call, when the message is malformed.
+ */
+bool ap_version_unpack(const void *data, size_t len, void *ctx,
+		       void (*told)(void *ctx, const ap_told_version_t *told));
+
 typedef struct ap_registration ap_registration_t;
 
 /**
--- a/lib/follow/snapshot.c
+++ b/lib/follow/snapshot.c
@@ -109,6 +109,22 @@
 	}
 }
 
+bool ap_snapshot_find(const ap_snapshot_t *snapshot, const char *key, ap_store_item_t *item)
+{
+	const stored_item_t *it;
+
+	HASH_FIND_STR(snapshot->table, key, it);
+	if (!it)
+		return false;
+	*item = (ap_store_item_t){
+		.key = it->key,
+		.value = it->value,
+		.len = it->len,
+		.revision = it->revision,
+	};
+	return true;
+}
+
 void *ap_snapshot_pack(const ap_snapshot_t *snapshot, const char *without, size_t *len)
 {
 	stored_item_t *excluded = NULL;
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -149,6 +149,21 @@
 	       (route->kind == AP_KIND_STREAM && route->resumable);
 }
 
+uint64_t ap_plan_route_hash(const ap_plan_route_t *route)
+{
+	uint64_t pools = 0; /* in any order */
+	uint64_t hash;
+
+	if (!route)
+		return 0;
+	for (size_t i = 0; i < route->n_shares; i++) {
+		if (route->shares[i].weight > 0)
+			pools += ap_hash_str(route->shares[i].pool, 0);
+	}
+	hash = pools + (route->kind == AP_KIND_STREAM) + 2 * ap_plan_retryable(route);
+	return hash ? hash : 1;
+}
+
 bool ap_plan_supersedes(const ap_plan_t *next, const ap_plan_t *plan)
 {
 	return !plan || next->version > plan->version;
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -113,6 +113,11 @@
 size_t ap_plan_count_routes(const ap_plan_t *plan, const char *host, const char *region);
 /** ap_plan_retryable() - returns whether a request of @route may run more than once. */
 bool ap_plan_retryable(const ap_plan_route_t *route);
+/**
+ * ap_plan_route_hash() - returns a hash of what a request of @route may do: which pools may serve
+ * it, and whether it may be repeated. The same in all builds and at all instances; 0 for no route.
+ */
+uint64_t ap_plan_route_hash(const ap_plan_route_t *route);
 /** ap_plan_supersedes() - returns whether @next is newer than @plan, or @plan is NULL. */
 bool ap_plan_supersedes(const ap_plan_t *next, const ap_plan_t *plan);
 
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -51,7 +51,9 @@
 	AP_WIRE_CHANGES,    /* changes read from the store */
 	AP_WIRE_BATCH,	    /* messages of other instances, passed on */
 	AP_WIRE_FLEET_LAST = 111,
-	AP_WIRE_LAST = 127, /* after AP_WIRE_FLEET_LAST: likewise, for the receiver alone */
+	/* 112 to 127: likewise, for the receiver alone */
+	AP_WIRE_CONFIGURATION, /* the sender's version of the configuration */
+	AP_WIRE_LAST = 127,
 } ap_wire_kind_t;
 
 /**
--- a/test/follow_test.c
+++ b/test/follow_test.c
@@ -434,6 +434,54 @@
 	ap_follow_free(f);
 }
 
+static void collect_version(void *ctx, const ap_told_version_t *told)
+{
+	ap_told_version_t *got = ctx;
+
+	*got = *told;
+	if (told->len > 0)
+		assert_memory_equal(told->value, "{}", 2);
+	got->value = NULL;
+}
+
+/* Guards against CONFIG: an instance that the store turns away is told of a version by another. */
+static void a_version_is_told_whole_or_not_at_all(void **state)
+{
+	const ap_store_item_t item = {"op/config", "{}", 2, 9, false};
+	ap_snapshot_t *items = ap_snapshot_new();
+	ap_told_version_t told = {.version = 8};
+	ap_told_version_t got = {0};
+	ap_store_item_t found;
+	size_t len;
+	char *bytes;
+
+	(void)state;
+	assert_false(ap_snapshot_find(items, "op/config", &found));
+	ap_snapshot_put(items, &item);
+	assert_true(ap_snapshot_find(items, "op/config", &found));
+	told.revision = found.revision;
+	told.value = found.value;
+	told.len = found.len;
+	bytes = ap_version_pack(&told, &len);
+	assert_true(ap_version_unpack(bytes, len, &got, collect_version));
+	assert_int_equal(got.version, 8);
+	assert_int_equal(got.revision, 9);
+	assert_int_equal(got.len, 2);
+	got = (ap_told_version_t){0};
+	for (size_t cut = 0; cut < len; cut++)
+		assert_false(ap_version_unpack(bytes, cut, &got, collect_version));
+	assert_int_equal(got.version, 0);
+	free(bytes);
+	/* Asks for a newer one. */
+	told = (ap_told_version_t){.version = 7};
+	bytes = ap_version_pack(&told, &len);
+	assert_true(ap_version_unpack(bytes, len, &got, collect_version));
+	assert_int_equal(got.version, 7);
+	assert_int_equal(got.len, 0);
+	free(bytes);
+	ap_snapshot_free(items);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -453,6 +501,7 @@
 		cmocka_unit_test(changes_that_were_passed_on_are_not_again),
 		cmocka_unit_test(a_snapshot_reaches_a_starting_instance),
 		cmocka_unit_test(a_page_without_items_ends_no_list),
+		cmocka_unit_test(a_version_is_told_whole_or_not_at_all),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -102,6 +102,42 @@
 	ap_plan_unref(newer);
 }
 
+/* Guards against CONFIG: versions that move a route, or let it be repeated, tell it apart. */
+static void what_a_route_means_is_told_apart(void **state)
+{
+	ap_plan_share_t a = {.pool = "a", .weight = 1};
+	ap_plan_share_t both[] = {{.pool = "a", .weight = 9}, {.pool = "b", .weight = 1}};
+	ap_plan_share_t turned[] = {{.pool = "b", .weight = 5}, {.pool = "a", .weight = 5}};
+	ap_plan_share_t over[] = {{.pool = "a", .weight = 10}, {.pool = "b", .weight = 0}};
+	ap_plan_route_t one = {.prefix = "/x/", .kind = AP_KIND_ONCE, .shares = &a, .n_shares = 1};
+	ap_plan_route_t other = one;
+
+	(void)state;
+	ap_copy_name(other.prefix, sizeof(other.prefix), "/");
+	other.timeout = AP_SEC;
+	assert_int_equal(ap_plan_route_hash(&one), ap_plan_route_hash(&other));
+	other.shares = over;
+	other.n_shares = 2;
+	assert_int_equal(ap_plan_route_hash(&one), ap_plan_route_hash(&other));
+	other.shares = both;
+	assert_int_not_equal(ap_plan_route_hash(&one), ap_plan_route_hash(&other));
+	one = other;
+	one.shares = turned;
+	assert_int_equal(ap_plan_route_hash(&one), ap_plan_route_hash(&other));
+	one.kind = AP_KIND_IDEMPOTENT;
+	assert_int_not_equal(ap_plan_route_hash(&one), ap_plan_route_hash(&other));
+	other.kind = AP_KIND_STREAM;
+	assert_int_not_equal(ap_plan_route_hash(&one), ap_plan_route_hash(&other));
+	one = other;
+	one.resumable = true;
+	assert_int_not_equal(ap_plan_route_hash(&one), ap_plan_route_hash(&other));
+	assert_int_equal(ap_plan_route_hash(NULL), 0);
+	assert_int_not_equal(ap_plan_route_hash(&one), 0);
+	/* Instances of other builds have the same. */
+	one = (ap_plan_route_t){.kind = AP_KIND_ONCE, .shares = &a, .n_shares = 1};
+	assert_int_equal(ap_plan_route_hash(&one), 0xe6c632b61e964e1fULL);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -109,6 +145,7 @@
 		cmocka_unit_test(homes_of_a_host_are_counted_by_route),
 		cmocka_unit_test(a_split_follows_its_weights),
 		cmocka_unit_test(a_version_never_falls),
+		cmocka_unit_test(what_a_route_means_is_told_apart),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -232,6 +232,8 @@
 	if (!j)
 		abort();
 	q->runs++;
+	q->pool = r->pool;
+	q->ran = ap_now();
 	if (q->runs > 1 && (q->kind == SOAK_ONCE || q->kind == SOAK_STREAM))
 		soak_finding(r->soak, "once: %s ran %u times, expected at most 1", q->id, q->runs);
 	j->replica = r;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -44,6 +44,8 @@
 	soak_kind_t kind;
 	unsigned arrivals; /* at upstreams, refused ones included */
 	unsigned runs;	   /* at upstreams */
+	const char *pool;  /* of the upstream that ran it last */
+	ap_usec_t ran;	   /* when it did */
 	bool refused;	   /* its response said that it did not run */
 	bool done;
 	unsigned events; /* of a stream, received in order so far */
@@ -203,6 +205,7 @@
 	request_t *requests;
 	uint64_t next_id;
 	uint64_t version;
+	bool swapped; /* the next version of the configuration swaps the pools of all routes */
 	ap_usec_t start;
 	ap_usec_t heartbeat_at; /* of the upstreams, next */
 	ap_usec_t turn_at;	/* when the current turn of the loop began */
--- a/test/soak/world.c
+++ b/test/soak/world.c
@@ -23,12 +23,13 @@
 
 	s->version += 1 + ap_rng_below(&s->schedule, 3);
 	for (int k = 0; k < SOAK_KINDS; k++) {
-		json_t *r = json_pack(
-			"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name", soak_paths[k],
-			"host", "soak.example", "prefix", soak_paths[k], "kind", kinds[k],
-			"timeoutMs", 3000, "goalMs", 500, "priority", k, "service", pools[k / 2],
-			"attempts", k == SOAK_IDEMPOTENT || k == SOAK_RESUMABLE ? 2 : 1,
-			"resumable", k == SOAK_RESUMABLE, "gapAimMs", 800, "homeRegions");
+		json_t *r =
+			json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name",
+				  soak_paths[k], "host", "soak.example", "prefix", soak_paths[k],
+				  "kind", kinds[k], "timeoutMs", 3000, "goalMs", 500, "priority", k,
+				  "service", pools[(k / 2) ^ s->swapped], "attempts",
+				  k == SOAK_IDEMPOTENT || k == SOAK_RESUMABLE ? 2 : 1, "resumable",
+				  k == SOAK_RESUMABLE, "gapAimMs", 800, "homeRegions");
 
 		if (k == SOAK_RESUMABLE)
 			json_array_append_new(json_object_get(r, "homeRegions"),
