Soak: versions move routes to other pools

Each version swaps the pools now, and a request that runs at an upstream must not be handled as only a version before the one that its instance has had for 250 ms.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -203,6 +203,8 @@
 
 	if (!c)
 		abort();
+	if (inst && q->sent - inst->version_at > REVERT_GRACE)
+		q->version = inst->version;
 	*c = (call_t){.soak = s, .instance = inst, .q = q, .leaves_at = AP_NEVER};
 	LIST_INSERT_HEAD(&calls, c, entry);
 	if (!s->recovered && ap_rng_unit(&s->leaves) < LEAVE_SHARE) {
--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -174,6 +174,8 @@
 		soak_finding(inst->soak, "configuration: %s went back from version %llu to %llu",
 			     inst->id, (unsigned long long)inst->version,
 			     (unsigned long long)version);
+	if (version > inst->version)
+		inst->version_at = ap_now();
 	inst->version = version;
 }
 
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -223,6 +223,7 @@
 static void fault_config(soak_t *s, size_t i)
 {
 	(void)i;
+	s->swapped ^= !s->no_moves;
 	publish_config(s);
 }
 
@@ -432,6 +433,7 @@
 	bool keep;
 	bool no_pauses;
 	bool no_spoils;
+	bool no_moves;
 } options_t;
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
@@ -460,6 +462,9 @@
 	case 'o':
 		o->no_spoils = true;
 		return 0;
+	case 'm':
+		o->no_moves = true;
+		return 0;
 	case 'k':
 		o->keep = true;
 		return 0;
@@ -483,6 +488,7 @@
 		{"keep", 'k', NULL, 0, "keep the logs of a run without findings", 0},
 		{"no-pauses", 'n', NULL, 0, "no upstreams that ask for a pause", 0},
 		{"no-spoils", 'o', NULL, 0, "no responses that aren't the upstream's own", 0},
+		{"no-moves", 'm', NULL, 0, "no versions that move routes to other pools", 0},
 		{"verbose", 'v', NULL, 0, "print each fault", 0},
 		{0},
 	};
@@ -498,6 +504,7 @@
 	s.keep = o.keep;
 	s.no_pauses = o.no_pauses;
 	s.no_spoils = o.no_spoils;
+	s.no_moves = o.no_moves;
 	ap_rng_seed(&s.rng, o.seed);
 	ap_rng_seed(&s.schedule, o.seed);
 	ap_rng_seed(&s.links, o.seed + 1);
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -224,6 +224,20 @@
 		reply_complete(j, j->replica->mode == REPLICA_ERRS ? 500 : 200);
 }
 
+/* A request is handled by the version that its instance had before, or a later one. */
+static void check_version(const replica_t *r, const request_t *q)
+{
+	const soak_t *s = r->soak;
+
+	for (size_t i = 0; i < s->n_published; i++) {
+		if (s->published[i].version >= q->version &&
+		    strcmp(soak_pool(q->kind, s->published[i].swapped), r->pool) == 0)
+			return;
+	}
+	soak_finding(r->soak, "configuration: %s ran at %s, as only a version before %llu says",
+		     q->id, r->id, (unsigned long long)q->version);
+}
+
 static void run(replica_t *r, ap_http_call_t *call, request_t *q)
 {
 	const char *after = ap_http_call_header(call, "Last-Event-Id");
@@ -232,6 +246,9 @@
 	if (!j)
 		abort();
 	q->runs++;
+	/* A stream goes on where it began. */
+	if (q->version != 0 && !after)
+		check_version(r, q);
 	q->pool = r->pool;
 	q->ran = ap_now();
 	if (q->runs > 1 && (q->kind == SOAK_ONCE || q->kind == SOAK_STREAM))
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -21,7 +21,9 @@
 #define SOAK_INSTANCES_MAX 64
 #define REPLICAS_MAX 32
 #define REGIONS 2
-#define PAUSE_GRACE (500 * AP_MSEC) /* as the platform's rule allows */
+#define PUBLISHED_MAX 256	     /* versions of a run */
+#define REVERT_GRACE (250 * AP_MSEC) /* as the platform's rule allows */
+#define PAUSE_GRACE (500 * AP_MSEC)  /* as the platform's rule allows */
 
 typedef struct soak soak_t;
 
@@ -46,6 +48,7 @@
 	unsigned runs;	   /* at upstreams */
 	const char *pool;  /* of the upstream that ran it last */
 	ap_usec_t ran;	   /* when it did */
+	uint64_t version;  /* of the configuration, that its instance had for long; 0: unknown */
 	bool refused;	   /* its response said that it did not run */
 	bool done;
 	unsigned events; /* of a stream, received in order so far */
@@ -149,6 +152,7 @@
 	bool leaving;
 	ap_usec_t last_disturbed; /* time of the last fault, start or exit */
 	uint64_t version;	  /* configuration version last seen of this process */
+	ap_usec_t version_at;	  /* when it was seen first */
 	bool fetching;
 } instance_t;
 
@@ -173,7 +177,15 @@
 /* Drops the open calls and frees the requests; a refused request that ran later is a finding. */
 void caller_finish(soak_t *s);
 
+/* A version of the configuration, and whether it has the pools of all routes swapped. */
+typedef struct published {
+	uint64_t version;
+	bool swapped;
+} published_t;
+
 /* world.c */
+/* Returns the pool that routes of @kind have in a version. */
+const char *soak_pool(soak_kind_t kind, bool swapped);
 void publish_config(soak_t *s);
 /* Starts the store, the upstreams and @n_instances instances, by turns in each region. */
 void soak_set_up(soak_t *s, size_t n_instances);
@@ -195,6 +207,7 @@
 	bool verbose;
 	bool no_pauses;
 	bool no_spoils;
+	bool no_moves;
 	bool keep; /* keep the logs also of a run without findings */
 	store_t *store;
 	ap_http_client_t *client;
@@ -205,6 +218,8 @@
 	request_t *requests;
 	uint64_t next_id;
 	uint64_t version;
+	published_t published[PUBLISHED_MAX];
+	size_t n_published;
 	bool swapped; /* the next version of the configuration swaps the pools of all routes */
 	ap_usec_t start;
 	ap_usec_t heartbeat_at; /* of the upstreams, next */
--- a/test/soak/world.c
+++ b/test/soak/world.c
@@ -14,6 +14,11 @@
 const char *const soak_paths[SOAK_KINDS] = {"/once/", "/idem/", "/stream/", "/resume/"};
 static const char *const pools[] = {"desk", "engines"};
 
+const char *soak_pool(soak_kind_t kind, bool swapped)
+{
+	return pools[(kind / 2) ^ swapped];
+}
+
 void publish_config(soak_t *s)
 {
 	static const char *const kinds[] = {"non_idempotent", "idempotent", "stream", "stream"};
@@ -22,12 +27,15 @@
 	char *text;
 
 	s->version += 1 + ap_rng_below(&s->schedule, 3);
+	if (s->n_published == PUBLISHED_MAX)
+		abort();
+	s->published[s->n_published++] = (published_t){s->version, s->swapped};
 	for (int k = 0; k < SOAK_KINDS; k++) {
 		json_t *r =
 			json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:i,s:[]}", "name",
 				  soak_paths[k], "host", "soak.example", "prefix", soak_paths[k],
 				  "kind", kinds[k], "timeoutMs", 3000, "goalMs", 500, "priority", k,
-				  "service", pools[(k / 2) ^ s->swapped], "attempts",
+				  "service", soak_pool((soak_kind_t)k, s->swapped), "attempts",
 				  k == SOAK_IDEMPOTENT || k == SOAK_RESUMABLE ? 2 : 1, "resumable",
 				  k == SOAK_RESUMABLE, "gapAimMs", 800, "homeRegions");
 
--- a/test/upgrade_test.sh
+++ b/test/upgrade_test.sh
@@ -29,6 +29,9 @@
 # Builds up to 532cc88 take a success without the upstream's digest.
 SPOILS=
 [ -e "$OLD/source/adapters/http/framing.c" ] || SPOILS=--no-spoils
+# Builds up to 532cc88 handle what is forwarded by their own version of the configuration.
+MOVES=
+[ -e "$OLD/source/cmd/arbutuspond/gateway-version.c" ] || MOVES=--no-moves
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 cat >"$DIR/either" <<PROGRAM
@@ -47,7 +50,7 @@
 for seed in ${*:-4}; do
 	rm -f "$DIR/starts" "$DIR/builds"
 	"$BUILD/test/soak" --program "$DIR/either" --seed "$seed" --seconds 10 --gates $GATES --keep \
-		$PAUSES $SPOILS \
+		$PAUSES $SPOILS $MOVES \
 		>"$DIR/out" 2>&1
 	status=$?
 	cat "$DIR/out"
