--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -51,8 +51,9 @@
 	drop_forward_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n + 5 > AP_HOST_HEADERS_MAX)
+	if (headers->n + 6 > AP_HOST_HEADERS_MAX)
 		return false;
+	headers->v[headers->n++] = gate_version_header(c, text->configuration);
 	if (c->x.req.build != 0) {
 		format_build(c->x.req.build, text->build);
 		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -187,6 +187,7 @@
 	if (target->remote && not_run) {
 		response.refused = true;
 		response.unsent = strcmp(not_run, FORWARD_NOT_RUN_UNSENT) == 0;
+		gate_version_refused(c->gate, target->id, head->headers);
 	}
 	if (target->remote && pause)
 		ap_fleet_remote_pause(c->gate->fleet, target->region, c->x.req.pool->name,
