--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -47,14 +47,26 @@
 	*slot(f, f->n_streams++) = *stream;
 }
 
+/* Until others hear of a change in a stream, they take it up at the version before. */
+static void tell_change(ap_fleet_t *f, const ap_stream_t *stream)
+{
+	if (stream->source.since == 0)
+		return;
+	if (stream->origin == AP_ORIGIN_SELF)
+		f->announced_at = 0;
+	f->waits_announced_at = 0;
+}
+
 void ap_fleet_stream_served(ap_fleet_t *f, const char *id, const ap_stream_source_t *source,
 			    ap_usec_t now)
 {
 	ap_stream_t stream = {
 		.id = ap_hash_str(id, 9), .source = *source, .at = now, .origin = AP_ORIGIN_SELF};
 
-	if (source->build != 0)
-		add_stream(f, &stream);
+	if (source->build == 0)
+		return;
+	add_stream(f, &stream);
+	tell_change(f, &stream);
 }
 
 void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, ap_usec_t now)
@@ -301,6 +313,8 @@
 		if (!weights->ok)
 			return false;
 		add_stream(f, &stream);
+		if (origin == AP_ORIGIN_REGION)
+			tell_change(f, &stream);
 	}
 	return builds->ok && streams->ok && weights->ok;
 }
--- a/test/fleet_weights_test.c
+++ b/test/fleet_weights_test.c
@@ -234,6 +234,35 @@
 	net_end(&net);
 }
 
+/* Guards against a stream that is taken up at the version before a change that wasn't told yet. */
+static void a_change_in_a_stream_is_told_at_once(void **state)
+{
+	net_t net;
+	ap_usec_t now = NOW + 2 * AP_SEC;
+	ap_weights_t weights;
+
+	(void)state;
+	net_begin(&net, 3, 3);
+	for (size_t i = 0; i < net.n; i++) {
+		list_in(net.fleets[i], "e1", "north", V(1), NOW);
+		list_in(net.fleets[i], "e2", "north", V(2), NOW);
+	}
+	serve(net.fleets[1], "a", V(1), 0, now);
+	for (int i = 0; i < 20; i++, now += 100 * AP_MSEC)
+		net_announce(&net, now);
+	net_announce(&net, now + AP_SEC); /* nothing is due for a while */
+	now += AP_SEC + 10 * AP_MSEC;
+	serve(net.fleets[1], "a", V(2), 5, now);
+	/* One turn to the own region, one from there to the other. */
+	net_announce(&net, now);
+	net_announce(&net, now + 10 * AP_MSEC);
+	for (size_t i = 0; i < net.n; i++) {
+		assert_true(source_at(net.fleets[i], "a", "6", now, &weights));
+		assert_int_equal(weights, V(2));
+	}
+	net_end(&net);
+}
+
 /* Guards against a stream told by an earlier build that goes on at any version. */
 static void of_a_stream_without_a_version_the_pool_decides(void **state)
 {
@@ -493,6 +522,7 @@
 		cmocka_unit_test(models_are_apart),
 		cmocka_unit_test(an_unhealthy_upstream_of_another_version_is_no_resort),
 		cmocka_unit_test(a_stream_is_taken_up_at_its_version_everywhere),
+		cmocka_unit_test(a_change_in_a_stream_is_told_at_once),
 		cmocka_unit_test(of_a_stream_without_a_version_the_pool_decides),
 		cmocka_unit_test(a_pool_that_was_replaced_had_several_versions),
 		cmocka_unit_test(models_and_pools_that_are_gone_are_apart),
