--- a/test/host_weights_test.c
+++ b/test/host_weights_test.c
@@ -76,11 +76,11 @@
 
 static const char *expected(ap_weights_t weights, ap_host_headers_t *out, size_t *n)
 {
-	static headers_t h;
+	static headers_t h = TAILQ_HEAD_INITIALIZER(h);
 	ap_host_upstream_request_t request = {.caller_headers = &h, .weights = weights};
 	const char *value = NULL;
 
-	TAILQ_INIT(&h);
+	evhttp_clear_headers(&h);
 	evhttp_add_header(&h, "Expect-Version", "5");
 	evhttp_add_header(&h, "Model", "m");
 	assert_true(ap_host_request_headers(&request, out));
