Fleet: versions of the weights that are told before their pool is listed count

Callers who took a stream up in another region could go on at another version of the weights: an instance that had heard of versions before its list named an upstream of their build noted the build and never looked again, so that streams of a pool whose entries name no versions weren't told to remote regions. The build is noted once its pool is known.

versions_told_before_the_list_count fails on the code before.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -34,11 +34,12 @@
 
 	if (source->weights == AP_WEIGHTS_ANY || source->build == f->told_build)
 		return;
-	f->told_build = source->build;
 	pool = ap_fleet_build_pool(f, source->build);
 	p = pool ? ap_pool_state(f, pool) : NULL;
-	if (p)
-		p->versions_told = true;
+	if (!p)
+		return; /* not listed yet */
+	p->versions_told = true;
+	f->told_build = source->build;
 }
 
 static void add_stream(ap_fleet_t *f, const ap_stream_t *stream)
--- a/test/fleet_weights_test.c
+++ b/test/fleet_weights_test.c
@@ -400,6 +400,22 @@
 	net_end(&net);
 }
 
+/*
+ * Guards against streams that remote regions never hear of, since their versions were told before
+ * the list had an upstream of their pool, whose entries name none.
+ */
+static void versions_told_before_the_list_count(void **state)
+{
+	ap_fleet_t *f = world_north();
+
+	(void)state;
+	serve(f, "a", V(1), 0, NOW);
+	list(f, "e1", AP_WEIGHTS_ANY, NOW);
+	serve(f, "b", V(2), 0, NOW);
+	assert_true(ap_weights_mixed(f));
+	ap_fleet_free(f);
+}
+
 /* What a test knows of an upstream: @weights since it was said last, of each model. */
 typedef struct belief {
 	char id[AP_NAME_MAX];
@@ -528,6 +544,7 @@
 		cmocka_unit_test(models_and_pools_that_are_gone_are_apart),
 		cmocka_unit_test(many_that_go_displace_no_other_version),
 		cmocka_unit_test(remote_regions_hear_of_versions_that_only_others_saw),
+		cmocka_unit_test(versions_told_before_the_list_count),
 		cmocka_unit_test(no_order_of_events_lets_a_stream_go_on_at_another_version),
 	};
 
