--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -260,6 +260,13 @@
 	return true;
 }
 
+/* Returns whether targets that did not run the request leave room for another one. */
+static bool may_try_another(const ap_exchange_t *x)
+{
+	return x->connect_failures < CONNECT_FAILURES_MAX &&
+	       x->weights_refusals < WEIGHTS_REFUSALS_MAX;
+}
+
 /* The target of @a certainly did not run the request; @unsent: nor did it reach an upstream. */
 static void attempt_refused(ap_exchange_t *x, ap_attempt_t *a, bool unsent, ap_usec_t now)
 {
@@ -272,13 +279,11 @@
 		x->connect_failures++;
 	}
 	if (other_goes_on(x, a, now)) {
-		if (!was_current && x->connect_failures < CONNECT_FAILURES_MAX &&
-		    x->weights_refusals < WEIGHTS_REFUSALS_MAX)
+		if (!was_current && may_try_another(x))
 			send_to_other(x, now);
 		return;
 	}
-	if (x->connect_failures < CONNECT_FAILURES_MAX &&
-	    x->weights_refusals < WEIGHTS_REFUSALS_MAX)
+	if (may_try_another(x))
 		dispatch_or_reply(x, now);
 	else
 		reply_error(x, AP_REASON_NO_UPSTREAM, now);
