pauses: an event isn't the refused request's that its connection carried before; test of the checker

Cause, in the test: an event names its process and connection, and the checker took the first request of the stream there. That upstream had refused the stream at first and was stopped at once, so that its connection was the last one used, and took the resumption on it 1.4 s later. That the checker compared with the refusal follows from what it printed: of the runs listed only these two are of that process, and only one that isn't a resumption can make the finding.

Change: only requests that ran are writers. No case is let through by that: an event of a request that was refused has no writer, which is a finding; before, it passed.

--- a/test/pauses/check.c
+++ b/test/pauses/check.c
@@ -77,12 +77,15 @@
 	describe(q);
 }
 
+/* A request that was refused leaves its connection to the next, and writes no event. */
 static const run_t *writer(const call_t *q, unsigned pid, unsigned connection)
 {
 	for (unsigned i = 0; i < q->n_runs; i++) {
-		if ((unsigned)q->runs[i].pid % 10000 == pid &&
-		    q->runs[i].connection % 1000 == connection)
-			return &q->runs[i];
+		const run_t *r = &q->runs[i];
+
+		if ((unsigned)r->pid % 10000 == pid && r->connection % 1000 == connection &&
+		    r->began > 0)
+			return r;
 	}
 	return NULL;
 }
