soak: streams are checked event by event, whole or not, also for which run wrote them

The soak compared only the text of streams that had ended as whole, which didn't tell runs apart: a stream begun anew elsewhere and joined passed, and so did whatever a stream that broke off had shown before.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -1,5 +1,6 @@
 /* Callers: send requests on kept connections and check the responses. */
 #include "soak.h"
+#include "stream.h"
 
 #include <netinet/in.h>
 #include <stdio.h>
@@ -11,7 +12,6 @@
 #define DEADLINE (3 * AP_SEC)
 #define LATENESS_MAX (1500 * AP_MSEC) /* past the deadline, on an otherwise idle machine */
 #define UNDISTURBED_TIME (6 * AP_SEC)
-#define EVENTS 6
 #define ANSWER_MAX 4096
 #define LEAVE_SHARE 0.1 /* of callers, within LEAVE_MAX */
 #define LEAVE_MAX (400 * AP_MSEC)
@@ -71,34 +71,28 @@
 	c->body[c->len] = '\0';
 }
 
-/*
- * Returns whether the body is all events in order, each once, with the request's id and of the
- * version that the head names.
- */
-static bool stream_is_complete(const call_t *c)
+static bool is_stream(const call_t *c)
 {
-	char expected[ANSWER_MAX] = "";
-	size_t len = 0;
+	return c->q->kind == SOAK_STREAM || c->q->kind == SOAK_RESUMABLE;
+}
+
+/* What has arrived of a stream, whether it is complete or not. */
+static void check_stream(const call_t *c, bool complete)
+{
+	const char *wrong = stream_check(c->body, c->q->id, c->weights, complete);
 
-	for (unsigned i = 1; i <= EVENTS; i++)
-		len += (size_t)snprintf(expected + len, sizeof(expected) - len,
-					"id: %u\ndata: %s v%u\n\n", i, c->q->id, c->weights);
-	return strcmp(expected, c->body) == 0;
+	if (wrong)
+		soak_finding(c->soak, "order: stream of %s: %s:\n%s", c->q->id, wrong, c->body);
 }
 
 static void check_success(call_t *c)
 {
-	bool stream = c->q->kind == SOAK_STREAM || c->q->kind == SOAK_RESUMABLE;
-
 	if (!c->has_request_id || !c->has_stamp)
 		soak_finding(c->soak,
 			     "mixed: response to %s lacks its Request-Id or a Server-Stamp, or is "
 			     "encoded",
 			     c->q->id);
-	else if (stream && !stream_is_complete(c))
-		soak_finding(c->soak, "order: stream of %s is incomplete or out of order",
-			     c->q->id);
-	else if (!stream && strncmp(c->body, c->q->id, strlen(c->q->id)) != 0)
+	else if (!is_stream(c) && strncmp(c->body, c->q->id, strlen(c->q->id)) != 0)
 		soak_finding(c->soak, "mixed: response to %s has the body of another request",
 			     c->q->id);
 }
@@ -138,6 +132,8 @@
 	(void)written;
 	c->q->done = true;
 	check_late(c);
+	if (c->status == 200 && is_stream(c))
+		check_stream(c, complete || end == AP_HTTP_CLOSED);
 	if (complete && c->status >= 200 && c->status < 300)
 		check_success(c);
 	if (complete && is_refusal_status(c->status)) {
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -1,5 +1,6 @@
 /* An upstream: runs each request that arrives, counts the runs and injects faults. */
 #include "soak.h"
+#include "stream.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -7,7 +8,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#define EVENTS 6
 #define STEP_MS 15
 #define WORK_MAX_MS 60
 #define SLOW_FACTOR 8
@@ -36,7 +36,9 @@
 	struct event *timer;
 	soak_kind_t kind;
 	char id[24];
-	unsigned next; /* event number of a stream */
+	unsigned run;	/* of its request */
+	unsigned after; /* last event that the caller has */
+	unsigned next;	/* event number of a stream */
 	bool cut_short;
 	spoil_t spoil;
 	bool started;
@@ -184,9 +186,8 @@
 static void send_next_event(job_t *j)
 {
 	ap_http_header_t headers[HEADERS_MAX];
-	char event[96];
-	int len = snprintf(event, sizeof(event), "id: %u\ndata: %s v%u\n\n", j->next, j->id,
-			   j->replica->weights);
+	char event[STREAM_EVENT_MAX];
+	size_t len = stream_event(event, j->next, j->id, j->run, j->after, j->replica->weights);
 	size_t n;
 
 	if (!j->started) {
@@ -195,15 +196,15 @@
 		ap_http_reply_start(j->call, 200, headers, n);
 	}
 	j->started = true;
-	if (j->spoil == SPOIL_REPEAT && j->next == EVENTS / 2)
-		ap_http_reply_write(j->call, event, (size_t)len);
-	if (j->cut_short && j->next == EVENTS / 2) {
-		ap_http_reply_write(j->call, event, (size_t)len / 2);
+	if (j->spoil == SPOIL_REPEAT && j->next == STREAM_EVENTS / 2)
+		ap_http_reply_write(j->call, event, len);
+	if (j->cut_short && j->next == STREAM_EVENTS / 2) {
+		ap_http_reply_write(j->call, event, len / 2);
 		cut_off(j);
 		return;
 	}
-	ap_http_reply_write(j->call, event, (size_t)len);
-	if (j->next++ < EVENTS) {
+	ap_http_reply_write(j->call, event, len);
+	if (j->next++ < STREAM_EVENTS) {
 		start_timer(j, STEP_MS);
 		return;
 	}
@@ -260,7 +261,9 @@
 	j->replica = r;
 	j->call = call;
 	j->kind = q->kind;
-	j->next = after ? (unsigned)strtoul(after, NULL, 10) + 1 : 1;
+	j->run = q->runs;
+	j->after = after ? (unsigned)strtoul(after, NULL, 10) : 0;
+	j->next = j->after + 1;
 	j->cut_short = r->mode == REPLICA_BREAKS && ap_rng_unit(&r->soak->rng) < FAULT_SHARE;
 	if (r->mode == REPLICA_BREAKS && !j->cut_short && !r->soak->no_spoils)
 		j->spoil = (spoil_t)ap_rng_below(&r->soak->spoils, SPOILS);
--- /dev/null
+++ b/test/soak/stream.c
@@ -0,0 +1,39 @@
+/* Events of streams: written by upstreams, checked as their caller has them. */
+#include "stream.h"
+
+#include <stdio.h>
+#include <string.h>
+
+size_t stream_event(char event[STREAM_EVENT_MAX], unsigned number, const char *id, unsigned run,
+		    unsigned after, unsigned weights)
+{
+	return (size_t)snprintf(event, STREAM_EVENT_MAX, "id: %u\ndata: %s run %u after %u v%u\n\n",
+				number, id, run, after, weights);
+}
+
+const char *stream_check(const char *body, const char *id, unsigned weights, bool complete)
+{
+	unsigned before = 0; /* run of the event before */
+	unsigned number = 1;
+
+	for (; *body; number++) {
+		char expected[STREAM_EVENT_MAX];
+		unsigned run;
+		unsigned after;
+		size_t len;
+
+		if (!strstr(body, "\n\n"))
+			return complete ? "it ends within an event" : NULL;
+		if (sscanf(body, "id: %*u\ndata: %*s run %u after %u", &run, &after) != 2)
+			return "an event isn't as it was written";
+		len = stream_event(expected, number, id, run, after, weights);
+		if (strncmp(body, expected, len) != 0)
+			return "an event is missing, comes twice, is another stream's, or of "
+			       "another version of the weights";
+		if (run != before && after != number - 1)
+			return "events of two runs are joined";
+		before = run;
+		body += len;
+	}
+	return complete && number != STREAM_EVENTS + 1 ? "it ends before its last event" : NULL;
+}
--- /dev/null
+++ b/test/soak/stream.h
@@ -0,0 +1,23 @@
+/* Events of the soak's streams. */
+#ifndef STREAM_H
+#define STREAM_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#define STREAM_EVENTS 6 /* of each stream */
+#define STREAM_EVENT_MAX 128
+
+/*
+ * Writes an event of the stream that request @id asked for, by its @run-th run, which goes on after
+ * event @after; 0 if it began the stream. Returns the length.
+ */
+size_t stream_event(char event[STREAM_EVENT_MAX], unsigned number, const char *id, unsigned run,
+		    unsigned after, unsigned weights);
+/*
+ * Returns what is wrong with @body, the events that arrived of a stream whose head named version
+ * @weights; NULL for nothing. @complete: the response ended as whole.
+ */
+const char *stream_check(const char *body, const char *id, unsigned weights, bool complete);
+
+#endif
