--- a/test/pauses/check.c
+++ b/test/pauses/check.c
@@ -416,6 +416,58 @@
 	return compare_times(&((const run_t *)a)->read_at, &((const run_t *)b)->read_at);
 }
 
+/* Times that two upstreams worked on one stream, the first of them not stopped. */
+typedef struct overlaps {
+	ap_usec_t *times;
+	size_t n;
+	unsigned stopped; /* beside one that was stopped */
+	unsigned again;	  /* runs of streams beyond the first */
+} overlaps_t;
+
+static void add_overlap(const call_t *q, const run_t *a, const run_t *b, overlaps_t *o)
+{
+	ap_usec_t until = end_of(a) < end_of(b) ? end_of(a) : end_of(b);
+
+	if (a->began == 0 || b->began <= a->began || b->upstream == a->upstream ||
+	    until <= b->began)
+		return;
+	if (paused_until(q->p, a, b->began, until) > 0)
+		o->stopped++;
+	else
+		o->times[o->n++] = until - b->began;
+}
+
+static void add_overlaps(const call_t *q, overlaps_t *o)
+{
+	unsigned ran = 0;
+
+	for (unsigned i = 0; i < q->n_runs; i++) {
+		ran += q->runs[i].began > 0;
+		for (unsigned k = 0; k < q->n_runs; k++)
+			add_overlap(q, &q->runs[i], &q->runs[k], o);
+	}
+	o->again += ran > 0 ? ran - 1 : 0;
+}
+
+static void print_overlaps(pauses_t *p)
+{
+	overlaps_t o = {0};
+
+	o.times = calloc((size_t)HASH_COUNT(p->calls) * RUNS_MAX * RUNS_MAX + 1, sizeof(*o.times));
+	if (!o.times)
+		abort();
+	for (call_t *q = p->calls; q; q = q->hh.next) {
+		if (q->kind < KINDS_STREAM)
+			add_overlaps(q, &o);
+	}
+	qsort(o.times, o.n, sizeof(*o.times), compare_times);
+	printf("two upstreams at work on one stream: %zu times, median %lld ms, 95 %% %lld ms, at "
+	       "most %lld ms; %u times beside a stopped one; streams ran %u times again\n",
+	       o.n, o.n ? ms(o.times[o.n / 2]) : 0, o.n ? ms(o.times[o.n * 95 / 100]) : 0,
+	       o.n ? ms(o.times[o.n - 1]) : 0, o.stopped, o.again);
+	free(o.times);
+}
+
 static bool went_on(const call_t *q)
 {
 	for (unsigned i = 0; i < q->n_runs; i++) {
@@ -447,6 +499,7 @@
 	}
 	for (size_t i = 0; i < POOLS; i++)
 		check_budget(p, i);
+	print_overlaps(p);
 	printf("%u of %u requests served, %u cut, %u of them not passed on; %u streams resumed; %u "
 	       "ran on too many upstreams\n",
 	       served, HASH_COUNT(p->calls), cut, crossed, resumed, over);
