--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -94,6 +94,15 @@
 void store_set_mode(store_t *st, store_mode_t mode);
 /* Drops the history of changes so far; a watch that asks for it gets 410. */
 void store_compact(store_t *st);
+/* Makes the copy that store_restore() goes back to. */
+void store_save(store_t *st);
+/*
+ * The store goes back to its copy, in a new era, and gives out revisions and leases again. What the
+ * operator has written since is written again.
+ */
+void store_restore(store_t *st);
+/* Returns whether @key has a value. */
+bool store_has(const store_t *st, const char *key);
 
 /* replica.c: an upstream */
 typedef enum replica_mode {
