--- a/test/pauses/caller.c
+++ b/test/pauses/caller.c
@@ -96,6 +96,9 @@
 		q->http10 = ap_rng_unit(&s->rng) < p->http10;
 		q->keeps = ap_rng_below(&s->rng, 2);
 	}
+	q->time = TIME_LEFT;
+	if (p->impatient)
+		q->time = (500 + (ap_usec_t)ap_rng_below(&s->rng, 1001)) * AP_MSEC;
 	q->sent = ap_now();
 	q->still = soak_still(s, q->sent);
 	HASH_ADD_STR(p->calls, id, q);
@@ -109,10 +112,11 @@
 	soak_t *s = &p->soak;
 	bool stream = q->kind < KINDS_STREAM;
 	char shape[64];
+	char time[24];
 	char after[16];
 	ap_http_header_t headers[] = {{"Host", "pauses.example"},
 				      {"Request-Id", q->id},
-				      {"Deadline-Ms", "4000"},
+				      {"Deadline-Ms", time},
 				      {"Model", MODEL},
 				      {"Shape", shape},
 				      {"Last-Event-Id", after},
@@ -128,8 +132,8 @@
 		.lenient = true,
 		.no_probe = true,
 		.connect = AP_SEC,
-		.first_byte = TIME_LEFT + LATE,
-		.between_chunks = TIME_LEFT + LATE,
+		.first_byte = q->time + LATE,
+		.between_chunks = q->time + LATE,
 		.idle = p->idle_ms * AP_MSEC * 4 / 5,
 		.response_max = 1 << 20,
 		.ctx = q,
@@ -138,6 +142,7 @@
 		.end = on_end,
 	};
 
+	snprintf(time, sizeof(time), "%lld", (long long)(q->time / AP_MSEC));
 	snprintf(after, sizeof(after), "%u", q->first - 1);
 	snprintf(shape, sizeof(shape), "%u %u %u %u", stream, (unsigned)q->framing, step,
 		 q->events);
@@ -161,6 +166,9 @@
 	unsigned total = 1000 + (unsigned)ap_rng_below(&s->rng, 1000);
 
 	q->events = q->kind < KINDS_STREAM ? total / step : 1;
+	/* A body in two parts, so that some are at work at the deadline. */
+	if (p->early == EARLY_DEADLINE && p->impatient && q->kind >= KINDS_STREAM)
+		step = total / 2;
 	send_call(q, step);
 }
 
--- a/test/pauses/check.c
+++ b/test/pauses/check.c
@@ -22,7 +22,8 @@
 
 static const char *told_name(const run_t *r)
 {
-	static const char *const names[] = {"read", "refused", "error", "runs", "done", "gone"};
+	static const char *const names[] = {"read", "refused", "error", "runs",
+					    "done", "gone",    "early"};
 
 	if (r->killed)
 		return "killed";
@@ -60,7 +61,7 @@
 	       q->ended ? ms(q->ended - q->sent) : -1, q->status, (int)q->end, q->len);
 	for (unsigned i = 0; i < q->n_runs; i++) {
 		const run_t *r = &q->runs[i];
-		ap_usec_t until = paused_until(q->p, r, q->sent, q->sent + TIME_LEFT);
+		ap_usec_t until = paused_until(q->p, r, q->sent, q->sent + q->time);
 
 		printf("    u%zu-%u read at %lld, deadline %lld, after %u, began %lld, %s at "
 		       "%lld%s",
@@ -172,7 +173,8 @@
 static bool broken_by_upstream(const call_t *q)
 {
 	for (unsigned i = 0; i < q->n_runs; i++) {
-		if (q->runs[i].killed || q->runs[i].end == TOLD_ERROR)
+		if (q->runs[i].killed || q->runs[i].end == TOLD_ERROR ||
+		    q->runs[i].end == TOLD_EARLY)
 			return true;
 	}
 	return false;
@@ -184,7 +186,7 @@
 		found(q, "held", "no end of the response");
 		return;
 	}
-	if (q->ended - q->sent - q->still > TIME_LEFT + HELD_SLACK)
+	if (q->ended - q->sent - q->still > q->time + HELD_SLACK)
 		found(q, "held", "the response ended too late");
 	if (is_complete(q) || (double)(q->ended - q->sent) > CUT_FREE * (double)SHORTEST_TIMEOUT)
 		return;
@@ -292,7 +294,7 @@
 
 static void check_deadlines(const call_t *q, deadlines_t *d)
 {
-	ap_usec_t callers = q->sent + TIME_LEFT + DEADLINE_SLACK;
+	ap_usec_t callers = q->sent + q->time + DEADLINE_SLACK;
 
 	for (unsigned i = 0; i < q->n_runs; i++) {
 		const run_t *first = &q->runs[0];
@@ -300,7 +302,7 @@
 		ap_usec_t end = r->read_at + r->deadline_ms * AP_MSEC;
 		bool late;
 
-		if (r->deadline_ms < 0 || r->deadline_ms * AP_MSEC > TIME_LEFT + DEADLINE_SLACK)
+		if (r->deadline_ms < 0 || r->deadline_ms * AP_MSEC > q->time + DEADLINE_SLACK)
 			d->too_long++;
 		if (end > callers && paused_until(q->p, r, q->sent, r->read_at) > 0) {
 			d->beyond_paused++;
--- a/test/pauses/main.c
+++ b/test/pauses/main.c
@@ -16,6 +16,7 @@
 #define WARM_UP (3 * AP_SEC)
 #define RESTART_INTERVAL (5 * AP_SEC)
 #define CRASH_INTERVAL (2 * AP_SEC)
+#define STOPPED (400 * AP_MSEC) /* after which a process that was asked to stop has ended */
 #define NOTICE (1500 * AP_MSEC)
 #define SLOW_SHARE 0.4
 #define ENTRY_STAYS (100 * AP_MSEC)
@@ -144,7 +145,9 @@
 		p->idle_ms = p->idle_ms == 4000 ? 2500 : 4000;
 		break;
 	case 1:
-		p->timeout_ms = p->timeout_ms == 4000 ? 3600 : 4000;
+		p->timeout_ms = p->timeout_ms != 4000 ? 4000
+				: p->route_time_ms    ? p->route_time_ms
+						      : 3600;
 		break;
 	default:
 		p->extra_routes = (p->extra_routes + 1) % 4;
@@ -209,6 +212,13 @@
 	defer(p, ENTRY_STAYS, replace_upstream, i);
 }
 
+/* Its time is over: the process ends by itself, and its entry is removed a moment later. */
+static void stop_upstream(pauses_t *p, size_t i)
+{
+	upstream_stop(&p->upstreams[i]);
+	defer(p, STOPPED, remove_upstream, i);
+}
+
 static void kill_upstream(pauses_t *p, size_t i)
 {
 	if (p->upstreams[i].pid <= 0 || p->upstreams[i].gone_at)
@@ -227,7 +237,10 @@
 		break;
 	case KILL_NOTICE:
 		upstream_notice(&p->upstreams[i], NOTICE);
-		defer(p, NOTICE, remove_upstream, i);
+		defer(p, NOTICE, p->early == EARLY_LEAVING ? stop_upstream : remove_upstream, i);
+		break;
+	case KILL_STOP:
+		stop_upstream(p, i);
 		break;
 	}
 }
@@ -429,6 +442,7 @@
 	case 'x':
 		p->kills = arg && strcmp(arg, "restart") == 0  ? KILL_RESTART
 			   : arg && strcmp(arg, "notice") == 0 ? KILL_NOTICE
+			   : arg && strcmp(arg, "stop") == 0   ? KILL_STOP
 							       : KILL_REPLACE;
 		return 0;
 	case 'w':
@@ -436,6 +450,18 @@
 			     : strcmp(arg, "listed") == 0 ? WEIGHTS_LISTED
 							  : WEIGHTS_TWO;
 		return 0;
+	case 'f':
+		p->early = strcmp(arg, "deadline") == 0	 ? EARLY_DEADLINE
+			   : strcmp(arg, "leaving") == 0 ? EARLY_LEAVING
+			   : strcmp(arg, "empty") == 0	 ? EARLY_EMPTY
+							 : EARLY_RANDOM;
+		return 0;
+	case 'm':
+		p->impatient = true;
+		return 0;
+	case 'd':
+		p->route_time_ms = (unsigned)strtoul(arg, NULL, 10);
+		return 0;
 	case 'a':
 		p->take_up = true;
 		return 0;
@@ -487,8 +513,15 @@
 		{"errors", 'e', "SHARE", 0, "share of resumed streams that meet an error", 0},
 		{"copies", 'o', "SHARE", 0,
 		 "share of requests on kept connections that meet a copied refusal", 0},
-		{"kills", 'x', "restart|notice", OPTION_ARG_OPTIONAL,
-		 "kill upstreams, too: and start them again at once, or at short notice", 0},
+		{"kills", 'x', "restart|notice|stop", OPTION_ARG_OPTIONAL,
+		 "kill upstreams, too: and start them again at once, or at short notice, or ask "
+		 "them "
+		 "to stop",
+		 0},
+		{"early-ends", 'f', "deadline|leaving|empty|random", 0,
+		 "upstreams end responses in order though work is left", 0},
+		{"impatient", 'm', NULL, 0, "callers wait 0.5 to 1.5 s", 0},
+		{"route-time", 'd', "MS", 0, "a timeout that routes have now and then", 0},
 		{"weights", 'w', "two|listed|change", 0, "versions of the weights of upstreams", 0},
 		{"take-up", 'a', NULL, 0, "callers take up streams that break off", 0},
 		{"lone-region", 'l', NULL, 0, "all upstreams are in the first region", 0},
--- a/test/pauses/pauses.h
+++ b/test/pauses/pauses.h
@@ -52,7 +52,8 @@
 	TOLD_ERROR, /* answered with an error, or cut off, by intention */
 	TOLD_RUNS,
 	TOLD_DONE,
-	TOLD_GONE, /* its caller has closed the connection, or its time is over */
+	TOLD_GONE,  /* its caller has closed the connection, or its time is over */
+	TOLD_EARLY, /* the response ends in order, though work is left */
 } told_t;
 
 typedef struct record {
@@ -92,6 +93,7 @@
 	const struct call *before; /* whose stream the caller takes up; NULL for none */
 	unsigned first;		   /* number of the first event that is due */
 	instance_t *instance;
+	ap_usec_t time; /* that the caller waits at most */
 	ap_usec_t sent;
 	ap_usec_t first_at; /* the first byte of the body at the caller; 0: none */
 	ap_usec_t ended;    /* at the caller; 0: open */
@@ -138,6 +140,7 @@
 	KILL_REPLACE, /* the entry stays for a while */
 	KILL_RESTART, /* started again at once, with the same id and address */
 	KILL_NOTICE,  /* removed at short notice */
+	KILL_STOP,    /* asked to stop without notice; it ends its responses in order */
 } kill_how_t;
 
 /* Which versions of the weights upstreams serve. */
@@ -148,6 +151,15 @@
 	WEIGHTS_CHANGE,	 /* likewise, and each upstream changes its own every few seconds */
 } weights_t;
 
+/* When upstreams end responses in order though work is left. */
+typedef enum early_end {
+	EARLY_NONE,
+	EARLY_DEADLINE, /* at the deadline that they were told */
+	EARLY_LEAVING,	/* as they are stopped, whose end was told to the store or wasn't */
+	EARLY_EMPTY,	/* some streams end before their first event */
+	EARLY_RANDOM,	/* some streams end before their last event, at any number */
+} early_end_t;
+
 struct pauses {
 	soak_t soak; /* the first member: findings are told of it */
 	upstream_t upstreams[UPSTREAMS];
@@ -167,7 +179,10 @@
 	bool lone_region;   /* all upstreams are in the first region */
 	bool slow;	    /* upstreams aren't stopped but work slowly; events are long */
 	weights_t weights;
-	unsigned timeout_ms; /* of the routes, as configured now */
+	early_end_t early;
+	bool impatient;		/* callers wait for less time than most streams take */
+	unsigned route_time_ms; /* a timeout that routes have now and then; 0 for none */
+	unsigned timeout_ms;	/* of the routes, as configured now */
 	unsigned idle_ms;
 	unsigned extra_routes;
 	size_t next_instance;
@@ -192,6 +207,8 @@
 /* The upstream takes several times as long for each event, or works as before again. */
 void upstream_slow(upstream_t *u, bool slow);
 void upstream_kill(upstream_t *u);
+/* Asks the upstream to end. */
+void upstream_stop(upstream_t *u);
 /* Kills the upstream and starts it again at once, with the same id and address. */
 void upstream_restart(upstream_t *u);
 /* The upstream reports that it will be gone in @left. */
--- a/test/pauses/upstream.c
+++ b/test/pauses/upstream.c
@@ -228,6 +228,12 @@
 			.upstream = u->index, .incarnation = u->incarnation, .from = ap_now()};
 }
 
+void upstream_stop(upstream_t *u)
+{
+	if (u->pid > 0)
+		kill(u->pid, SIGTERM);
+}
+
 void upstream_slow(upstream_t *u, bool slow)
 {
 	if (u->pid > 0)
--- a/test/pauses/worker.c
+++ b/test/pauses/worker.c
@@ -15,6 +15,9 @@
 #define HEADER_MAX 128
 #define FIRST_EVENT_MS 30 /* of a stream that begins, where events are long */
 #define SLOWER 4
+#define EMPTY_SHARE 0.1		  /* of streams, where some end before their first event */
+#define RANDOM_SHARE 0.125	  /* likewise, before their last one */
+#define STOP_TIME (300 * AP_MSEC) /* from the last responses to the end of the process */
 #define WEIGHTS_TIME (5 * AP_SEC) /* until an upstream changes its version of the weights */
 
 typedef struct worker {
@@ -24,6 +27,8 @@
 	const char *id;
 	double errors;
 	double copies;
+	LIST_HEAD(, conn) conns;
+	early_end_t early;
 	int out;
 	bool slow;
 	unsigned running;
@@ -31,6 +36,7 @@
 } worker_t;
 
 typedef struct conn {
+	LIST_ENTRY(conn) link;
 	worker_t *w;
 	struct bufferevent *bev;
 	struct event *timer;
@@ -41,6 +47,8 @@
 	bool closing; /* closed once its output is written */
 	char id[ID_LEN + 1];
 	bool stream;
+	bool in_parts;	   /* no stream, but written in chunks */
+	unsigned early_at; /* ends in order before this event; 0 for not at all */
 	framing_t framing;
 	unsigned step_ms;
 	unsigned next;
@@ -88,6 +96,7 @@
 {
 	if (c->busy)
 		finish(c, TOLD_GONE);
+	LIST_REMOVE(c, link);
 	bufferevent_free(c->bev);
 	event_free(c->timer);
 	free(c);
@@ -114,7 +123,13 @@
 
 static void start_timer(conn_t *c, unsigned ms)
 {
-	struct timeval tv = ap_timeval(ms * AP_MSEC);
+	ap_usec_t delay = ms * AP_MSEC;
+	struct timeval tv;
+
+	/* Work stops at the deadline. */
+	if (c->w->early == EARLY_DEADLINE && ap_now() + delay > c->until)
+		delay = c->until > ap_now() ? c->until - ap_now() : 0;
+	tv = ap_timeval(delay);
 
 	event_add(c->timer, &tv);
 }
@@ -129,7 +144,7 @@
 			    c->id, c->w->id);
 	if (c->weights > 0)
 		evbuffer_add_printf(out, "Weight-Versions: %u\r\n", c->weights);
-	if (c->framing == FRAMING_CHUNKS)
+	if (c->framing == FRAMING_CHUNKS || c->in_parts)
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
 	else if (c->framing == FRAMING_LENGTH)
 		evbuffer_add_printf(out, "Content-Length: %u\r\n\r\n",
@@ -161,6 +176,35 @@
 		evbuffer_add(out, event, (size_t)len);
 }
 
+/* Ends the response in order, as a server does whose handler returns. */
+static void end_in_order(conn_t *c, told_t told)
+{
+	finish(c, told);
+	if (c->framing == FRAMING_CHUNKS)
+		add(c, "0\r\n\r\n");
+	if (c->framing == FRAMING_CLOSE)
+		close_when_written(c);
+}
+
+/* A response that states its length can't end in order before. */
+static bool may_end_early(const conn_t *c)
+{
+	return c->busy && c->framing != FRAMING_LENGTH && (c->stream || c->in_parts);
+}
+
+/* The body is half of the id, and then the other half. */
+static void write_part(conn_t *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	evbuffer_add_printf(out, "%x\r\n%.*s\r\n", ID_LEN / 2, ID_LEN / 2,
+			    c->id + (c->next > EVENT_FIRST ? ID_LEN / 2 : 0));
+	if (c->next++ > EVENT_FIRST)
+		end_in_order(c, TOLD_DONE);
+	else
+		start_timer(c, c->step_ms);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	conn_t *c = arg;
@@ -169,7 +213,18 @@
 	(void)fd;
 	(void)what;
 	if (ap_now() >= c->until) {
-		conn_free(c); /* as at its deadline: the response isn't complete */
+		if (c->w->early == EARLY_DEADLINE && may_end_early(c))
+			end_in_order(c, TOLD_EARLY);
+		else
+			conn_free(c); /* as at its deadline: the response isn't complete */
+		return;
+	}
+	if (c->early_at != 0 && c->next >= c->early_at) {
+		end_in_order(c, TOLD_EARLY);
+		return;
+	}
+	if (c->in_parts) {
+		write_part(c);
 		return;
 	}
 	if (!c->stream) {
@@ -180,15 +235,10 @@
 	}
 	if (c->next <= c->last)
 		write_event(c);
-	if (c->next++ < c->last) {
+	if (c->next++ < c->last)
 		start_timer(c, c->w->slow ? SLOWER * c->step_ms : c->step_ms);
-		return;
-	}
-	finish(c, TOLD_DONE);
-	if (c->framing == FRAMING_CHUNKS)
-		add(c, "0\r\n\r\n");
-	if (c->framing == FRAMING_CLOSE)
-		close_when_written(c);
+	else
+		end_in_order(c, TOLD_DONE);
 }
 
 /* Answers with one of the errors that a stream which goes on elsewhere may meet. */
@@ -278,12 +328,22 @@
 		c->step_ms = 10;
 	c->stream = stream;
 	c->framing = (framing_t)framing;
+	c->in_parts = !c->stream && c->w->early == EARLY_DEADLINE;
+	if (c->in_parts)
+		c->framing = FRAMING_CHUNKS;
 	/* The length isn't known if a version may change. */
 	if (c->w->upstream->p->weights == WEIGHTS_CHANGE && c->framing == FRAMING_LENGTH)
 		c->framing = FRAMING_CHUNKS;
 	c->weights = worker_weights(c->w->upstream);
 	c->next = c->after > 0 ? c->after + 1 : EVENT_FIRST;
 	c->last = EVENT_FIRST + events - 1;
+	c->early_at = 0;
+	if (may_end_early(c) && c->w->early == EARLY_EMPTY && c->after == 0 &&
+	    ap_rng_unit(&c->w->rng) < EMPTY_SHARE)
+		c->early_at = c->next;
+	if (may_end_early(c) && c->w->early == EARLY_RANDOM && c->next < c->last &&
+	    ap_rng_unit(&c->w->rng) < RANDOM_SHARE)
+		c->early_at = c->next + 1 + (unsigned)ap_rng_below(&c->w->rng, c->last - c->next);
 	tell(c, TOLD_READ);
 	if (header(head, "Expect-Instance", value) && strcmp(value, c->w->id) != 0) {
 		finish(c, TOLD_REFUSED);
@@ -308,7 +368,7 @@
 	tell(c, TOLD_RUNS);
 	c->w->running++;
 	c->has_slot = true;
-	if (c->stream)
+	if (c->stream || c->in_parts)
 		write_head(c);
 	if (c->stream && c->w->upstream->p->slow && c->after == 0)
 		start_timer(c, FIRST_EVENT_MS);
@@ -378,6 +438,7 @@
 	if (!c)
 		abort();
 	c->w = w;
+	LIST_INSERT_HEAD(&w->conns, c, link);
 	c->number = ++w->connections;
 	c->timer = evtimer_new(w->base, on_timer, c);
 	c->bev = bufferevent_socket_new(w->base, fd, BEV_OPT_CLOSE_ON_FREE);
@@ -391,6 +452,23 @@
 	((worker_t *)arg)->slow = number == SIGUSR1;
 }
 
+/* Stops as many servers do: responses end in order, and the process ends a moment later. */
+static void on_stop(evutil_socket_t number, short what, void *arg)
+{
+	worker_t *w = arg;
+	struct timeval tv = ap_timeval(STOP_TIME);
+	conn_t *next;
+
+	(void)number;
+	(void)what;
+	for (conn_t *c = LIST_FIRST(&w->conns); c; c = next) {
+		next = LIST_NEXT(c, link);
+		if (may_end_early(c))
+			end_in_order(c, TOLD_EARLY);
+	}
+	event_base_loopexit(w->base, &tv);
+}
+
 void worker_run(int listener, int out, const upstream_t *u, uint64_t seed)
 {
 	worker_t w = {
@@ -399,12 +477,15 @@
 		.id = u->id,
 		.errors = u->p->errors,
 		.copies = u->p->copies,
+		.early = u->p->early,
+		.conns = LIST_HEAD_INITIALIZER(w.conns),
 		.out = out,
 	};
 
 	ap_rng_seed(&w.rng, seed);
 	if (!w.base || event_add(evsignal_new(w.base, SIGUSR1, on_slow, &w), NULL) < 0 ||
 	    event_add(evsignal_new(w.base, SIGUSR2, on_slow, &w), NULL) < 0 ||
+	    event_add(evsignal_new(w.base, SIGTERM, on_stop, &w), NULL) < 0 ||
 	    !evconnlistener_new(w.base, on_accept, &w, LEV_OPT_CLOSE_ON_FREE, 0, listener))
 		_exit(EXIT_FAILURE);
 	event_base_dispatch(w.base);
