--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -168,6 +168,15 @@
 	return AP_RECORD_RARE;
 }
 
+/* Time until the announced stop of the upstream that the response came from, or null. */
+static json_t *shutdown_left(const gate_call_t *c, ap_usec_t now)
+{
+	const ap_target_t *target = &c->x.slot[c->x.current].target;
+	ap_usec_t at = ap_fleet_shutdown_at(c->gate->fleet, target->id);
+
+	return at == AP_NEVER ? json_null() : json_integer(msec(at - now));
+}
+
 void gate_record_end(gate_call_t *c)
 {
 	const ap_exchange_t *x = &c->x;
@@ -188,7 +197,7 @@
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
 		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o,"
-		"s:o,s:s,s:o,s:s,s:s,s:I,s:i,s:b",
+		"s:o,s:s,s:o,s:s,s:s,s:I,s:i,s:b,s:I,s:I,s:o",
 		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 		"route", x->req.route->name, "pool", x->req.pool ? x->req.pool->name : "", "guest",
 		(int)c->forwarded, "status", c->status, "first_ms", msec(first), "objective_ms",
@@ -201,5 +210,6 @@
 		"no_other", ap_reason_name(x->no_other), "connection_end",
 		ap_connection_end_name(x->connection_end), "weights",
 		(json_int_t)ap_weights_number(x->req.weights), "weights_differ",
-		(int)x->weights_differ, "chunks", (int)c->chunks);
+		(int)x->weights_differ, "chunks", (int)c->chunks, "events", (json_int_t)x->events,
+		"end_left_ms", msec(x->end_left), "shutdown_ms", shutdown_left(c, now));
 }
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -141,6 +141,7 @@
 	if (!x->committed && before != AP_WEIGHTS_ANY)
 		x->req.weights = before;
 	deliver_range(x, a, from, to, now);
+	x->events += ap_sse_count(data, to - from);
 	ap_sse_last_id(data, to - from, x->last_event_id);
 	if (a->weights == AP_WEIGHTS_ANY || a->weights == x->req.weights)
 		return;
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -462,6 +462,7 @@
 	if (x->finished || !a->in_flight)
 		return;
 	x->connection_end = end;
+	x->end_left = x->timeout_at - now;
 	switch (end) {
 	case AP_CONNECTION_OPEN:
 		break;
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -191,11 +191,13 @@
  * @pause: known time until the request may be sent again, in microseconds; 0 for unknown
  * @no_other: why the request was not sent to another target, the last time that this was considered
  * @connection_end: of the latest connection that ended by itself
+ * @end_left: time until @timeout_at when it did, in microseconds; negative after that
  * @target: that was chosen last, whether the request was sent there or not
  * @waits_since: since when the attempt in @current has had its time, at least
  * @current: slot of the attempt that has the response, or is to have it; another one in flight has
  *	been sent because that one is silent, and replaces it if it responds first, or soon after
  *	it has accepted a stream
+ * @events: of a stream, that were delivered
  * @last_event_id: id of the last event that the caller has, or empty
  * @weights_field: name of the field of an event from which on the upstream has another version of
  *	the weights, with its colon; NULL for none. @req.weights is the version that made the last
@@ -226,10 +228,12 @@
 	ap_reason_t reason;
 	ap_reason_t no_other;
 	ap_connection_end_t connection_end;
+	ap_usec_t end_left;
 	ap_target_t target;
 	ap_usec_t first_chunk_at;
 	ap_usec_t waits_since;
 	uint64_t bytes;
+	uint64_t events;
 	char last_event_id[AP_SSE_ID_MAX];
 	const char *weights_field;
 	unsigned current;
@@ -275,6 +279,8 @@
  * @scanned: bytes that an earlier call searched already
  */
 size_t ap_sse_complete_len(const char *data, size_t len, size_t scanned);
+/** ap_sse_count() - returns the number of complete events in @data. */
+size_t ap_sse_count(const char *data, size_t len);
 /** ap_sse_last_id() - copies the id of the last event that has one. Return: false for none. */
 bool ap_sse_last_id(const char *data, size_t len, char id[AP_SSE_ID_MAX]);
 /**
--- a/lib/exchange/sse.c
+++ b/lib/exchange/sse.c
@@ -101,6 +101,16 @@
 	return len;
 }
 
+size_t ap_sse_count(const char *data, size_t len)
+{
+	size_t count = 0;
+	size_t from = 0;
+
+	while ((from = next_event_end(data, len, from)) != 0)
+		count++;
+	return count;
+}
+
 bool ap_sse_last_id(const char *data, size_t len, char id[AP_SSE_ID_MAX])
 {
 	size_t from = 0;
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -149,6 +149,13 @@
 		r->shutdown_at = now + entry->shutdown_in;
 }
 
+ap_usec_t ap_fleet_shutdown_at(const ap_fleet_t *f, const char *id)
+{
+	const ap_replica_t *r = ap_replica_find(f, id);
+
+	return r ? r->shutdown_at : AP_NEVER;
+}
+
 static void remove_replica(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
 {
 	ap_build_gone(f, r, now);
