--- /dev/null
+++ b/test/exchange_end_test.c
@@ -0,0 +1,166 @@
+/* Ends in order, by the last chunk or a stated length, that aren't the end of the work. */
+#include "exchange_world.h"
+
+#define FIRST "id: 1\ndata: a\n\n"
+#define REST "id: 2\ndata: b\n\n"
+
+/* Begins a request whose upstream ends its response in order @before its time is up. */
+static void end_before(world_t *w, ap_kind_t kind, ap_usec_t before)
+{
+	begin(w, kind, kind == AP_KIND_STREAM, 2);
+	head(w, 200);
+	data(w, FIRST);
+	w->now = w->x.timeout_at - before;
+	end(w, AP_CONNECTION_COMPLETE);
+}
+
+/* Guards against responses that look complete where the upstream stopped at its deadline. */
+static void an_end_in_order_at_the_deadline_is_no_end(void **state)
+{
+	static const ap_kind_t kinds[] = {AP_KIND_STREAM, AP_KIND_IDEMPOTENT, AP_KIND_ONCE};
+	static const ap_usec_t late[] = {2 * AP_MSEC, 0, -100 * AP_MSEC};
+
+	(void)state;
+	for (size_t k = 0; k < 3; k++) {
+		for (size_t i = 0; i < 3; i++) {
+			world_t w = {0};
+
+			end_before(&w, kinds[k], late[i]);
+			assert_false(w.ended);
+			assert_int_equal(w.n_sent, 1);
+			assert_int_equal(w.aborted, kinds[k] == AP_KIND_STREAM);
+			assert_int_equal(w.status, kinds[k] == AP_KIND_STREAM ? 0 : 504);
+			finish(&w);
+		}
+	}
+}
+
+/* Guards against whole responses that are lost because they end late, but in time. */
+static void an_end_before_the_deadline_is_believed(void **state)
+{
+	static const ap_kind_t kinds[] = {AP_KIND_STREAM, AP_KIND_IDEMPOTENT, AP_KIND_ONCE};
+
+	(void)state;
+	for (size_t k = 0; k < 3; k++) {
+		world_t w = {0};
+
+		end_before(&w, kinds[k], 20 * AP_MSEC);
+		assert_true(w.ended);
+		assert_string_equal(w.body, FIRST);
+		finish(&w);
+	}
+}
+
+/* Guards against a second attempt that looks complete where it stopped at the deadline. */
+static void a_second_attempt_ends_no_later(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	data(&w, FIRST);
+	w.now += AP_SEC;
+	end(&w, AP_CONNECTION_BROKEN);
+	assert_int_equal(w.n_sent, 2);
+	head(&w, 200);
+	data(&w, REST);
+	w.now = w.x.timeout_at;
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_false(w.ended);
+	assert_true(w.aborted);
+	assert_string_equal(w.body, FIRST REST);
+	finish(&w);
+}
+
+/* Guards against a stream that looks complete without any event. */
+static void a_stream_without_events_is_not_whole(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_false(w.ended);
+	assert_int_equal(w.n_sent, 2);
+	head(&w, 200);
+	data(&w, FIRST);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_true(w.ended);
+	assert_string_equal(w.body, FIRST);
+	finish(&w);
+
+	w = (world_t){0};
+	begin(&w, AP_KIND_STREAM, false, 2);
+	head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_false(w.ended);
+	assert_int_equal(w.n_sent, 1);
+	assert_int_equal(w.status, 502);
+	finish(&w);
+}
+
+/* Breaks a stream off after its first event, and ends its resumption without another one. */
+static void resume_with_nothing(world_t *w, unsigned attempts)
+{
+	begin(w, AP_KIND_STREAM, true, attempts);
+	head(w, 200);
+	data(w, FIRST);
+	end(w, AP_CONNECTION_BROKEN);
+	assert_string_equal(w->last_event[1], "1");
+	head(w, 200);
+	end(w, AP_CONNECTION_COMPLETE);
+}
+
+/*
+ * Guards against a stream that looks complete where it broke off, since the upstream that should
+ * have gone on with it ended without an event.
+ */
+static void an_empty_continuation_needs_a_second_one(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	resume_with_nothing(&w, 3);
+	assert_false(w.ended);
+	assert_int_equal(w.n_sent, 3);
+	head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_true(w.ended);
+	assert_string_equal(w.body, FIRST);
+	finish(&w);
+
+	w = (world_t){0};
+	resume_with_nothing(&w, 2);
+	assert_false(w.ended);
+	assert_true(w.aborted);
+	finish(&w);
+
+	/* Events that come after the first empty one make it wrong. */
+	w = (world_t){0};
+	w.targets = 4;
+	resume_with_nothing(&w, 4);
+	head(&w, 200);
+	data(&w, REST);
+	end(&w, AP_CONNECTION_BROKEN);
+	assert_int_equal(w.n_sent, 4);
+	head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_false(w.ended);
+	assert_true(w.aborted);
+	finish(&w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_end_in_order_at_the_deadline_is_no_end),
+		cmocka_unit_test(an_end_before_the_deadline_is_believed),
+		cmocka_unit_test(a_second_attempt_ends_no_later),
+		cmocka_unit_test(a_stream_without_events_is_not_whole),
+		cmocka_unit_test(an_empty_continuation_needs_a_second_one),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/pauses/main.c
+++ b/test/pauses/main.c
@@ -17,6 +17,7 @@
 #define RESTART_INTERVAL (5 * AP_SEC)
 #define CRASH_INTERVAL (2 * AP_SEC)
 #define STOPPED (400 * AP_MSEC) /* after which a process that was asked to stop has ended */
+#define NOTICE_RETRY (100 * AP_MSEC)
 #define NOTICE (1500 * AP_MSEC)
 #define SLOW_SHARE 0.4
 #define ENTRY_STAYS (100 * AP_MSEC)
@@ -223,6 +224,11 @@
 {
 	if (p->upstreams[i].pid <= 0 || p->upstreams[i].gone_at)
 		return;
+	/* One that is stopped can't tell the store that it will end. */
+	if (p->kills == KILL_NOTICE && p->upstreams[i].paused) {
+		defer(p, NOTICE_RETRY, kill_upstream, i);
+		return;
+	}
 	note(p, "kill upstream", i);
 	p->n_kills++;
 	switch (p->kills) {
