exchange: an end in order at the upstream's deadline isn't the end of the work

Callers got streams and bodies in chunks that ended as complete before their last event or byte. Cause: an upstream stops at the deadline that it was told, and its HTTP server writes the last chunk as the handler returns; only an end by a close was doubted at that moment. Now there is one rule for all ends of a success: where the response ends must have been stated before the deadline (the last chunk, the close, or the head where it states a length), else it is given up as at the timeout. The margin of 10 ms stands as it was. What arrived in time and is read late counts as in time; the kernel tells when it arrived.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -271,12 +271,14 @@
  * struct ap_http_head - status and headers of an upstream's response; valid during the callback.
  * @reused: the connection has carried an earlier response, so that this one may be a copy of it
  * @framed: the response states where it ends; otherwise it ends with the connection
+ * @sized: the head states the length of the body
  */
 typedef struct ap_http_head {
 	int status;
 	struct evkeyvalq *headers;
 	bool reused;
 	bool framed;
+	bool sized;
 } ap_http_head_t;
 
 /**
@@ -338,6 +340,12 @@
 void ap_http_fetch_cancel(ap_http_fetch_t *fetch);
 /** ap_http_fetch_written() - whether any byte of the request was written to the connection. */
 bool ap_http_fetch_written(const ap_http_fetch_t *fetch);
+/**
+ * ap_http_fetch_arrived() - returns when the latest bytes of the response arrived at this machine,
+ * which may be long before they are read; 0 if the system doesn't tell. To be called until the end
+ * callback returns.
+ */
+ap_usec_t ap_http_fetch_arrived(const ap_http_fetch_t *fetch);
 /** ap_http_fetch_pause() - pauses or resumes reading the response; time limits pause with it. */
 void ap_http_fetch_pause(ap_http_fetch_t *fetch, bool paused);
 
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -159,6 +159,7 @@
 	ap_response_head_t response = {
 		.status = head->status,
 		.refused = info.not_run,
+		.sized = head->sized,
 		.from_replica = info.from_replica,
 		.build = build_of(head->headers),
 		.weights = weights_of(a, &info),
@@ -240,8 +241,10 @@
 	gate_attempt_t *a = ctx;
 	gate_call_t *c = a->call;
 
+	a->ending = a->fetch;
 	a->fetch = NULL;
 	ap_exchange_end(&c->x, slot_of(a), connection_end(end, written), ap_now());
+	a->ending = NULL;
 	if (!a->checking)
 		drop_witness(a);
 	gate_call_update(c);
@@ -351,6 +354,14 @@
 	return true;
 }
 
+static ap_usec_t op_arrived(void *ctx, unsigned slot)
+{
+	const gate_attempt_t *a = &((const gate_call_t *)ctx)->attempts[slot];
+	const ap_http_fetch_t *fetch = a->fetch ? a->fetch : a->ending;
+
+	return fetch ? ap_http_fetch_arrived(fetch) : 0;
+}
+
 /* Keeps what another instance has to know if the caller takes the stream up there. */
 static void tell_source(const gate_call_t *c, ap_weights_t weights, uint64_t since)
 {
@@ -504,6 +515,7 @@
 	.done = op_done,
 	.drop_connection = op_drop_connection,
 	.check = op_check,
+	.arrived = op_arrived,
 	.weights = op_weights,
 	.head = op_head,
 	.data = op_data,
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -171,6 +171,10 @@
 	    (double)(gate->counters.checks - gate->counters.checks_failed));
 	put(out, "closed_responses_total", "{upstream=\"gone\"}",
 	    (double)gate->counters.checks_failed);
+	for (size_t i = 1; i < AP_DOUBTS; i++) {
+		snprintf(labels, sizeof(labels), "{why=\"%s\"}", ap_doubt_name((ap_doubt_t)i));
+		put(out, "ends_doubted_total", labels, (double)gate->counters.doubts[i]);
+	}
 	put(out, "store_unreadable_total", "", (double)gate->counters.unreadable);
 	put(out, "log_lines_total", "{result=\"written\"}", (double)journal.written);
 	put(out, "log_lines_total", "{result=\"dropped\"}", (double)journal.dropped);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -109,6 +109,7 @@
 /**
  * struct gate_attempt - an attempt of the exchange, in flight or that has responded.
  * @fetch: request to the target; NULL if none is in flight
+ * @ending: likewise, while its end is being handled
  * @witness: connection beside a response without framing; NULL for none
  * @checking: the response has ended, and @witness was asked whether the target lives on
  * @expected: version of the weights that the upstream was asked for; AP_WEIGHTS_ANY for none
@@ -118,6 +119,7 @@
 typedef struct gate_attempt {
 	struct gate_call *call;
 	ap_http_fetch_t *fetch;
+	ap_http_fetch_t *ending;
 	ap_http_witness_t *witness;
 	bool checking;
 	ap_weights_t expected;
@@ -183,6 +185,7 @@
  * @weights_differed: responses dropped since they would have gone on at another version
  * @checks: of upstreams whose response ended with its connection
  * @checks_failed: of these, where nothing showed that the upstream lives on
+ * @doubts: requests by the latest doubt whether a success was whole
  * @unreadable: records of the store that could not be decoded
  * @first_chunk: histogram of the time until the first chunk of the response
  * @duration: histogram of the time until the end of the response
@@ -204,6 +207,7 @@
 	uint64_t weights_differed;
 	uint64_t checks;
 	uint64_t checks_failed;
+	uint64_t doubts[AP_DOUBTS];
 	uint64_t unreadable;
 	uint64_t first_chunk[GATE_BUCKETS + 1];
 	uint64_t duration[GATE_BUCKETS + 1];
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -210,13 +210,6 @@
 	x->ops->end(x->ctx);
 }
 
-bool ap_attempt_truncated(const ap_exchange_t *x, const ap_attempt_t *a, bool closed)
-{
-	/* Without framing, a stream is complete if it ends between two events. */
-	return x->stream && is_success(a) &&
-	       (a->buffer_len > 0 || (closed && !a->inflight.has_first_chunk));
-}
-
 /* Tells a caller that has another attempt in flight that this one has been accepted. */
 static void pass_head(ap_exchange_t *x, const ap_attempt_t *a)
 {
@@ -235,6 +228,7 @@
 		return;
 	a->has_head = true;
 	a->head = *head;
+	a->head_in_time = ap_exchange_in_time(x, a, now);
 	a->weights = head->weights;
 	if (is_unproved_success(a)) {
 		fail_broken(x, a, now);
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -9,11 +9,6 @@
  * response by itself at the timeout.
  */
 #define ABORT_MARGIN (150 * AP_MSEC)
-/*
- * An upstream that stops its work at the deadline may close the connection, which is no end of a
- * response without framing. It may see the deadline this much earlier.
- */
-#define DEADLINE_MARGIN (10 * AP_MSEC)
 /*
  * Another target is tried after this many expected waits without data, plus the latency objective
  * divided by NO_DATA_OBJECTIVE_DIVISOR.
@@ -223,7 +218,8 @@
 /* Returns whether the request may be sent once more, beside what is in flight. */
 static bool may_run_again(const ap_exchange_t *x, ap_usec_t now)
 {
-	return x->retryable && x->runs + in_flight(x) < x->attempts && now < x->timeout_at;
+	return x->retryable && x->runs + in_flight(x) < x->attempts &&
+	       !ap_exchange_time_is_up(x, now);
 }
 
 /*
@@ -411,12 +407,8 @@
  */
 static void response_closed(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	/* An upstream that gives up at the deadline says so in an error, or closes within a
-	 * success. */
-	bool given_up = is_success(a) && now >= x->timeout_at - DEADLINE_MARGIN;
-
 	/* Instances frame their responses. */
-	if (!given_up && !a->target.remote && x->ops->check(x->ctx, slot_of(x, a)))
+	if (!a->target.remote && x->ops->check(x->ctx, slot_of(x, a)))
 		a->checking = true;
 	else
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
@@ -430,12 +422,27 @@
 		error_response(x, a, now);
 }
 
+/* A success that has ended may not be whole. */
+static void success_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	if (x->doubt == AP_DOUBT_DEADLINE)
+		ap_attempt_failed(x, a, AP_DISPATCH_TIMED_OUT, AP_REASON_TIMEOUT, now);
+	else
+		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+}
+
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
 {
+	ap_doubt_t doubt = is_success(a) ? ap_attempt_doubt(x, a, closed, now) : AP_DOUBT_NONE;
+
+	if (doubt != AP_DOUBT_NONE)
+		x->doubt = doubt;
 	if (a->has_head && a->head.refused)
 		target_refused(x, a, now);
-	else if (!a->has_head || ap_attempt_truncated(x, a, closed))
+	else if (!a->has_head)
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+	else if (doubt != AP_DOUBT_NONE)
+		success_doubted(x, a, now);
 	else if (closed && a->head.from_replica)
 		response_closed(x, a, now);
 	else
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -36,6 +36,7 @@
  * @unsent: the target, an instance, states that the request reached no upstream
  * @address_reused: another upstream has the address now
  * @weights_refused: the target has another version of the weights than it was asked for
+ * @sized: the head states the length of the body
  * @from_replica: the head shows that a replica made the response and its body; only then is a
  *	success, or an error, the response to the request
  * @build: of the upstream behind a remote target; 0 if the target doesn't say
@@ -49,6 +50,7 @@
 	bool unsent;
 	bool address_reused;
 	bool weights_refused;
+	bool sized;
 	bool from_replica;
 	uint64_t build;
 	ap_weights_t weights;
@@ -75,6 +77,17 @@
 /** ap_reason_name() - the reason's name in logs and error bodies. */
 const char *ap_reason_name(ap_reason_t reason);
 
+/* Why a success that has ended may not be whole. */
+typedef enum ap_doubt {
+	AP_DOUBT_NONE,
+	AP_DOUBT_TRUNCATED, /* a stream ends within an event, or a close is all that there is */
+	AP_DOUBT_DEADLINE,  /* the upstream may have stopped at the deadline that it was told */
+	AP_DOUBTS,
+} ap_doubt_t;
+
+/** ap_doubt_name() - the doubt's name in logs and metrics. */
+const char *ap_doubt_name(ap_doubt_t doubt);
+
 /* Decisions about a request; the driver logs each of them with its target. */
 typedef enum ap_step {
 	AP_STEP_SENT,
@@ -111,6 +124,8 @@
  * @drop_connection: closes the connection of @slot; its response isn't needed any more
  * @check: finds out whether the target of @slot, whose connection has closed, lives on; the result
  *	is told by ap_exchange_checked(). Return: false if that can't be found out
+ * @arrived: returns when the latest bytes of the response of @slot arrived at this machine, or 0 if
+ *	that isn't known; NULL if it never is
  * @weights: the events of a stream are of the version @weights from number @since on, of one that
  *	isn't known if @weights is AP_WEIGHTS_ANY; NULL if the driver doesn't want to know
  * @head: sends the head of the response of @slot to the caller
@@ -132,6 +147,7 @@
 	void (*done)(void *ctx, ap_inflight_t *inflight, ap_dispatch_result_t end);
 	void (*drop_connection)(void *ctx, unsigned slot);
 	bool (*check)(void *ctx, unsigned slot);
+	ap_usec_t (*arrived)(void *ctx, unsigned slot);
 	void (*weights)(void *ctx, ap_weights_t weights, uint64_t since);
 	void (*head)(void *ctx, unsigned slot);
 	void (*data)(void *ctx, const void *data, size_t len);
@@ -145,6 +161,7 @@
  * struct ap_attempt - one send of a request. Times are absolute.
  * @in_flight: its connection is open, or @checking
  * @has_head: @head holds the target's response head
+ * @head_in_time: it arrived before the deadline that the target was told
  * @checking: the response ended with its connection, and the driver checks the target
  * @resuming: the target may repeat events up to the last one that was delivered
  * @accepted_at: when the head of a success arrived; 0 before
@@ -156,6 +173,7 @@
 typedef struct ap_attempt {
 	bool in_flight;
 	bool has_head;
+	bool head_in_time;
 	bool checking;
 	bool resuming;
 	ap_target_t target;
@@ -190,6 +208,7 @@
  * @told: the shortest time that others said, in microseconds
  * @pause: known time until the request may be sent again, in microseconds; 0 for unknown
  * @no_other: why the request was not sent to another target, the last time that this was considered
+ * @doubt: of the latest success that may not have been whole
  * @connection_end: of the latest connection that ended by itself
  * @end_left: time until @timeout_at when it did, in microseconds; negative after that
  * @target: that was chosen last, whether the request was sent there or not
@@ -227,6 +246,7 @@
 	bool finished;
 	ap_reason_t reason;
 	ap_reason_t no_other;
+	ap_doubt_t doubt;
 	ap_connection_end_t connection_end;
 	ap_usec_t end_left;
 	ap_target_t target;
--- a/lib/exchange/names.c
+++ b/lib/exchange/names.c
@@ -11,6 +11,13 @@
 	return names[reason];
 }
 
+const char *ap_doubt_name(ap_doubt_t doubt)
+{
+	static const char *const names[AP_DOUBTS] = {"none", "truncated", "deadline"};
+
+	return names[doubt];
+}
+
 const char *ap_step_name(ap_step_t step)
 {
 	static const char *const names[AP_STEPS] = {
--- a/lib/exchange/private.h
+++ b/lib/exchange/private.h
@@ -34,8 +34,16 @@
 void ap_attempt_reset(const ap_exchange_t *x, ap_attempt_t *a);
 /* Delivers what is held of the response of @a, which is complete. */
 void ap_attempt_deliver(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now);
-/* Returns whether the complete response of @a, by its framing, ends within an event. */
-bool ap_attempt_truncated(const ap_exchange_t *x, const ap_attempt_t *a, bool closed);
+
+/* proof.c */
+
+/* Returns whether an upstream may have stopped, as the time that it was told is up. */
+bool ap_exchange_time_is_up(const ap_exchange_t *x, ap_usec_t now);
+/* Returns whether what is read of the response of @a at @now arrived before that. */
+bool ap_exchange_in_time(const ap_exchange_t *x, const ap_attempt_t *a, ap_usec_t now);
+/* Returns why the success of @a, which has ended, may not be whole. */
+ap_doubt_t ap_attempt_doubt(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
+			    ap_usec_t now);
 
 /* exchange.c */
 
--- /dev/null
+++ b/lib/exchange/proof.c
@@ -0,0 +1,55 @@
+/*
+ * Whether the end of a success is that of the work. An upstream that stops early may end its
+ * response in order, as HTTP servers do when a handler returns.
+ */
+#include "exchange/private.h"
+
+/*
+ * The upstream may see its deadline this much earlier: it is told whole milliseconds, and timers
+ * may be as coarse as a tick.
+ */
+#define DEADLINE_MARGIN (10 * AP_MSEC)
+
+bool ap_exchange_time_is_up(const ap_exchange_t *x, ap_usec_t now)
+{
+	return now >= x->timeout_at - DEADLINE_MARGIN;
+}
+
+/* Returns when the bytes of @a that are read at @now had arrived at this machine. */
+static ap_usec_t arrival(const ap_exchange_t *x, const ap_attempt_t *a, ap_usec_t now)
+{
+	ap_usec_t at = x->ops->arrived ? x->ops->arrived(x->ctx, slot_of(x, a)) : 0;
+
+	return at > 0 && at < now ? at : now;
+}
+
+bool ap_exchange_in_time(const ap_exchange_t *x, const ap_attempt_t *a, ap_usec_t now)
+{
+	return !ap_exchange_time_is_up(x, now) || !ap_exchange_time_is_up(x, arrival(x, a, now));
+}
+
+/* Returns whether the upstream said before its deadline where its response ends. */
+static bool stated_in_time(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
+			   ap_usec_t now)
+{
+	if (a->head.sized)
+		return a->head_in_time;
+	/* It isn't known when a close arrived. */
+	return closed ? !ap_exchange_time_is_up(x, now) : ap_exchange_in_time(x, a, now);
+}
+
+/* Without framing, a stream is complete if it ends between two events. */
+static bool ends_within_event(const ap_exchange_t *x, const ap_attempt_t *a, bool closed)
+{
+	return x->stream && (a->buffer_len > 0 || (closed && !a->inflight.has_first_chunk));
+}
+
+ap_doubt_t ap_attempt_doubt(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
+			    ap_usec_t now)
+{
+	if (ends_within_event(x, a, closed))
+		return AP_DOUBT_TRUNCATED;
+	if (!stated_in_time(x, a, closed, now))
+		return AP_DOUBT_DEADLINE;
+	return AP_DOUBT_NONE;
+}
--- a/test/exchange_end_test.c
+++ b/test/exchange_end_test.c
@@ -51,6 +51,54 @@
 	}
 }
 
+/*
+ * Guards against a part of a body whose length the upstream stated as it stopped, and against whole
+ * bodies that are lost though their length was stated before.
+ */
+static void a_length_is_believed_if_it_was_stated_in_time(void **state)
+{
+	static const ap_kind_t kinds[] = {AP_KIND_STREAM, AP_KIND_IDEMPOTENT, AP_KIND_ONCE};
+
+	(void)state;
+	for (size_t k = 0; k < 3; k++) {
+		for (int in_time = 0; in_time < 2; in_time++) {
+			world_t w = {0};
+
+			begin(&w, kinds[k], false, 1);
+			w.now = w.x.timeout_at - (in_time ? AP_SEC : 0);
+			sized_head(&w, 200);
+			w.now = w.x.timeout_at;
+			data(&w, FIRST);
+			end(&w, AP_CONNECTION_COMPLETE);
+			assert_int_equal(w.ended, in_time);
+			finish(&w);
+		}
+	}
+}
+
+/* Guards against whole responses that are lost because the instance read them late. */
+static void what_arrived_in_time_is_believed(void **state)
+{
+	(void)state;
+	for (int sized = 0; sized < 2; sized++) {
+		for (int in_time = 0; in_time < 2; in_time++) {
+			world_t w = {0};
+
+			begin(&w, AP_KIND_ONCE, false, 1);
+			w.now = w.x.timeout_at + 50 * AP_MSEC;
+			w.arrived = w.x.timeout_at - (in_time ? 100 * AP_MSEC : 0);
+			if (sized)
+				sized_head(&w, 200);
+			else
+				head(&w, 200);
+			data(&w, FIRST);
+			end(&w, AP_CONNECTION_COMPLETE);
+			assert_int_equal(w.ended, in_time);
+			finish(&w);
+		}
+	}
+}
+
 /* Guards against a second attempt that looks complete where it stopped at the deadline. */
 static void a_second_attempt_ends_no_later(void **state)
 {
@@ -157,6 +205,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(an_end_in_order_at_the_deadline_is_no_end),
 		cmocka_unit_test(an_end_before_the_deadline_is_believed),
+		cmocka_unit_test(a_length_is_believed_if_it_was_stated_in_time),
+		cmocka_unit_test(what_arrived_in_time_is_believed),
 		cmocka_unit_test(a_second_attempt_ends_no_later),
 		cmocka_unit_test(a_stream_without_events_is_not_whole),
 		cmocka_unit_test(an_empty_continuation_needs_a_second_one),
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -33,8 +33,9 @@
 	char last_event[SENDS_MAX][AP_SSE_ID_MAX];
 	int n_sent;
 	int dropped;
-	bool uncheckable; /* whether an upstream has ended can't be found out */
-	int checks;	  /* of targets, asked for */
+	bool uncheckable;  /* whether an upstream has ended can't be found out */
+	int checks;	   /* of targets, asked for */
+	ap_usec_t arrived; /* when the latest bytes arrived; 0: not known */
 	int heads;
 	char body[4096];
 	size_t body_len;
@@ -139,6 +140,12 @@
 	return !w->uncheckable;
 }
 
+static inline ap_usec_t op_arrived(void *ctx, unsigned slot)
+{
+	(void)slot;
+	return ((world_t *)ctx)->arrived;
+}
+
 static inline void op_head(void *ctx, unsigned slot)
 {
 	(void)slot;
@@ -193,6 +200,7 @@
 	.done = op_done,
 	.drop_connection = op_drop_connection,
 	.check = op_check,
+	.arrived = op_arrived,
 	.head = op_head,
 	.data = op_data,
 	.end = op_end,
@@ -247,6 +255,14 @@
 	ap_exchange_head(&w->x, w->slot[i], &h, w->now);
 }
 
+/* The head states the length of the body. */
+static inline void sized_head(world_t *w, int status)
+{
+	ap_response_head_t h = {.status = status, .from_replica = true, .sized = true};
+
+	ap_exchange_head(&w->x, w->slot[w->n_sent - 1], &h, w->now);
+}
+
 static inline void data_of(world_t *w, int i, const char *text)
 {
 	ap_exchange_data(&w->x, w->slot[i], text, strlen(text), w->now);
