exchange: a stream isn't whole without an event that shows the work

Callers got streams that ended as complete without any event, or with those of an upstream that broke off before. Cause: an upstream that fails before its first event ends its response in order, as its handler returns; only a close without events was doubted. Now a stream that ends without an event goes on at another upstream, or ends in an error. A stream that goes on may have no event left: that is believed once a second upstream has said the same, or the sender decides, for a request that was forwarded.

--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -425,9 +425,15 @@
 /* A success that has ended may not be whole. */
 static void success_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	if (x->doubt == AP_DOUBT_DEADLINE)
+	bool goes_on = x->last_event_id[0] != '\0';
+
+	if (x->doubt == AP_DOUBT_DEADLINE) {
 		ap_attempt_failed(x, a, AP_DISPATCH_TIMED_OUT, AP_REASON_TIMEOUT, now);
-	else
+	} else if (x->doubt == AP_DOUBT_NO_EVENT && goes_on) {
+		/* This may be right, so it isn't held against the upstream. */
+		x->end_stated = true;
+		ap_attempt_failed(x, a, AP_DISPATCH_CANCELLED, AP_REASON_BROKEN, now);
+	} else
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 }
 
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -80,8 +80,9 @@
 /* Why a success that has ended may not be whole. */
 typedef enum ap_doubt {
 	AP_DOUBT_NONE,
-	AP_DOUBT_TRUNCATED, /* a stream ends within an event, or a close is all that there is */
+	AP_DOUBT_TRUNCATED, /* a stream ends within an event */
 	AP_DOUBT_DEADLINE,  /* the upstream may have stopped at the deadline that it was told */
+	AP_DOUBT_NO_EVENT,  /* a stream ends without an event, or goes on with none */
 	AP_DOUBTS,
 } ap_doubt_t;
 
@@ -208,6 +209,7 @@
  * @told: the shortest time that others said, in microseconds
  * @pause: known time until the request may be sent again, in microseconds; 0 for unknown
  * @no_other: why the request was not sent to another target, the last time that this was considered
+ * @end_stated: an upstream has ended the stream in order after @last_event_id, which was doubted
  * @doubt: of the latest success that may not have been whole
  * @connection_end: of the latest connection that ended by itself
  * @end_left: time until @timeout_at when it did, in microseconds; negative after that
@@ -246,6 +248,7 @@
 	bool finished;
 	ap_reason_t reason;
 	ap_reason_t no_other;
+	bool end_stated;
 	ap_doubt_t doubt;
 	ap_connection_end_t connection_end;
 	ap_usec_t end_left;
--- a/lib/exchange/proof.c
+++ b/lib/exchange/proof.c
@@ -38,18 +38,31 @@
 	return closed ? !ap_exchange_time_is_up(x, now) : ap_exchange_in_time(x, a, now);
 }
 
-/* Without framing, a stream is complete if it ends between two events. */
-static bool ends_within_event(const ap_exchange_t *x, const ap_attempt_t *a, bool closed)
+static bool caller_has_events(const ap_exchange_t *x)
 {
-	return x->stream && (a->buffer_len > 0 || (closed && !a->inflight.has_first_chunk));
+	return x->events > 0 || x->last_event_id[0] != '\0';
+}
+
+/*
+ * Returns whether the stream, which has ended, has no event that shows that the upstream was at
+ * work on it. One that goes on may have none left; a second upstream then says the same. A request
+ * that was forwarded is passed on as it is: its sender decides.
+ */
+static bool lacks_events(const ap_exchange_t *x, const ap_attempt_t *a, bool closed)
+{
+	if (!a->inflight.has_first_chunk && (closed || !caller_has_events(x)))
+		return true;
+	return caller_has_events(x) && a->resuming && !x->end_stated && !x->req.local_only;
 }
 
 ap_doubt_t ap_attempt_doubt(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
 			    ap_usec_t now)
 {
-	if (ends_within_event(x, a, closed))
+	if (x->stream && a->buffer_len > 0)
 		return AP_DOUBT_TRUNCATED;
 	if (!stated_in_time(x, a, closed, now))
 		return AP_DOUBT_DEADLINE;
+	if (x->stream && lacks_events(x, a, closed))
+		return AP_DOUBT_NO_EVENT;
 	return AP_DOUBT_NONE;
 }
--- a/test/exchange_end_test.c
+++ b/test/exchange_end_test.c
@@ -200,6 +200,20 @@
 	finish(&w);
 }
 
+/* Guards against a forwarded stream that its sender can't take for whole, though it is. */
+static void a_forwarded_empty_continuation_is_passed_on(void **state)
+{
+	world_t w = {.resumes = "1"};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 1);
+	w.x.req.local_only = true;
+	head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_true(w.ended);
+	finish(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -210,6 +224,7 @@
 		cmocka_unit_test(a_second_attempt_ends_no_later),
 		cmocka_unit_test(a_stream_without_events_is_not_whole),
 		cmocka_unit_test(an_empty_continuation_needs_a_second_one),
+		cmocka_unit_test(a_forwarded_empty_continuation_is_passed_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
