exchange: an end as the upstream stops needs to be confirmed

Callers got streams that ended as complete before their last event as their upstream, removed at short notice, stopped: it ends its responses in order and exits. A response that ends in order from then on goes on at another upstream, where an empty continuation confirms its end; it is broken where it can't go on. A length that the head stated stands.

--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -362,6 +362,13 @@
 	return fetch ? ap_http_fetch_arrived(fetch) : 0;
 }
 
+static bool op_stopped(void *ctx, const ap_target_t *target)
+{
+	const gate_call_t *c = ctx;
+
+	return ap_fleet_may_have_stopped(c->gate->fleet, target->id, ap_now());
+}
+
 /* Keeps what another instance has to know if the caller takes the stream up there. */
 static void tell_source(const gate_call_t *c, ap_weights_t weights, uint64_t since)
 {
@@ -516,6 +523,7 @@
 	.drop_connection = op_drop_connection,
 	.check = op_check,
 	.arrived = op_arrived,
+	.stopped = op_stopped,
 	.weights = op_weights,
 	.head = op_head,
 	.data = op_data,
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -425,16 +425,18 @@
 /* A success that has ended may not be whole. */
 static void success_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	bool goes_on = x->last_event_id[0] != '\0';
+	ap_dispatch_result_t end = AP_DISPATCH_BROKEN;
+	ap_reason_t reason = AP_REASON_BROKEN;
 
 	if (x->doubt == AP_DOUBT_DEADLINE) {
-		ap_attempt_failed(x, a, AP_DISPATCH_TIMED_OUT, AP_REASON_TIMEOUT, now);
-	} else if (x->doubt == AP_DOUBT_NO_EVENT && goes_on) {
-		/* This may be right, so it isn't held against the upstream. */
+		end = AP_DISPATCH_TIMED_OUT;
+		reason = AP_REASON_TIMEOUT;
+	} else if (x->doubt != AP_DOUBT_TRUNCATED && x->last_event_id[0] != '\0') {
+		/* It may be right, so it isn't held against the upstream. */
+		end = AP_DISPATCH_CANCELLED;
 		x->end_stated = true;
-		ap_attempt_failed(x, a, AP_DISPATCH_CANCELLED, AP_REASON_BROKEN, now);
-	} else
-		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+	}
+	ap_attempt_failed(x, a, end, reason, now);
 }
 
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -83,6 +83,7 @@
 	AP_DOUBT_TRUNCATED, /* a stream ends within an event */
 	AP_DOUBT_DEADLINE,  /* the upstream may have stopped at the deadline that it was told */
 	AP_DOUBT_NO_EVENT,  /* a stream ends without an event, or goes on with none */
+	AP_DOUBT_STOPPED,   /* the upstream may have stopped, as it had announced */
 	AP_DOUBTS,
 } ap_doubt_t;
 
@@ -127,6 +128,8 @@
  *	is told by ap_exchange_checked(). Return: false if that can't be found out
  * @arrived: returns when the latest bytes of the response of @slot arrived at this machine, or 0 if
  *	that isn't known; NULL if it never is
+ * @stopped: returns whether the process at @target may have stopped by now, as it had announced;
+ *	NULL if none announces it
  * @weights: the events of a stream are of the version @weights from number @since on, of one that
  *	isn't known if @weights is AP_WEIGHTS_ANY; NULL if the driver doesn't want to know
  * @head: sends the head of the response of @slot to the caller
@@ -149,6 +152,7 @@
 	void (*drop_connection)(void *ctx, unsigned slot);
 	bool (*check)(void *ctx, unsigned slot);
 	ap_usec_t (*arrived)(void *ctx, unsigned slot);
+	bool (*stopped)(void *ctx, const ap_target_t *target);
 	void (*weights)(void *ctx, ap_weights_t weights, uint64_t since);
 	void (*head)(void *ctx, unsigned slot);
 	void (*data)(void *ctx, const void *data, size_t len);
--- a/lib/exchange/proof.c
+++ b/lib/exchange/proof.c
@@ -55,6 +55,16 @@
 	return caller_has_events(x) && a->resuming && !x->end_stated && !x->req.local_only;
 }
 
+/*
+ * Returns whether the upstream may have ended the response as its process stopped. A length that it
+ * stated stands; so does what a second upstream confirms.
+ */
+static bool may_have_stopped(const ap_exchange_t *x, const ap_attempt_t *a)
+{
+	return !a->target.remote && !a->head.sized && !x->end_stated && x->ops->stopped &&
+	       x->ops->stopped(x->ctx, &a->target);
+}
+
 ap_doubt_t ap_attempt_doubt(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
 			    ap_usec_t now)
 {
@@ -64,5 +74,7 @@
 		return AP_DOUBT_DEADLINE;
 	if (x->stream && lacks_events(x, a, closed))
 		return AP_DOUBT_NO_EVENT;
+	if (may_have_stopped(x, a))
+		return AP_DOUBT_STOPPED;
 	return AP_DOUBT_NONE;
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -295,6 +295,8 @@
  *              microseconds; 0 for none
  * @entry_grace: how long an entry that expired while the store was unreachable stays valid, in
  *               microseconds
+ * @entry_delay: how long a change of an entry may take to arrive while the store is reachable, in
+ *               microseconds
  * @on_event: called for each change of state; may be NULL
  */
 typedef struct ap_fleet_config {
@@ -309,6 +311,7 @@
 	ap_usec_t retry_window;
 	ap_usec_t learn_time;
 	ap_usec_t entry_grace;
+	ap_usec_t entry_delay;
 	uint64_t seed;
 	void *ctx;
 	void (*on_event)(void *ctx, const ap_fleet_event_t *event);
@@ -342,6 +345,11 @@
  * announced; AP_NEVER if it didn't, or if no such upstream is known.
  */
 ap_usec_t ap_fleet_shutdown_at(const ap_fleet_t *f, const char *id);
+/**
+ * ap_fleet_may_have_stopped() - returns whether upstream @id may have reached the stop that it
+ * announced, considering that its announcement may have taken some time to arrive.
+ */
+bool ap_fleet_may_have_stopped(const ap_fleet_t *f, const char *id, ap_usec_t now);
 /**
  * ap_fleet_list_begin() - starts a complete list from the store. ap_fleet_list_end() removes the
  * upstreams, evacuations and instances that were not updated in between.
--- a/test/exchange_end_test.c
+++ b/test/exchange_end_test.c
@@ -200,6 +200,55 @@
 	finish(&w);
 }
 
+/* Guards against streams that look complete where their upstream stopped as it had announced. */
+static void an_end_as_the_upstream_stops_is_confirmed_elsewhere(void **state)
+{
+	(void)state;
+	for (int rest = 0; rest < 2; rest++) {
+		world_t w = {0};
+
+		begin(&w, AP_KIND_STREAM, true, 2);
+		head(&w, 200);
+		data(&w, FIRST);
+		w.stopped = true;
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_false(w.ended);
+		assert_int_equal(w.n_sent, 2);
+		assert_string_equal(w.last_event[1], "1");
+		head(&w, 200);
+		if (rest)
+			data(&w, REST);
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_true(w.ended);
+		assert_string_equal(w.body, rest ? FIRST REST : FIRST);
+		finish(&w);
+	}
+}
+
+/* Guards against a response that can't be confirmed, and against loss of what states its length. */
+static void an_end_as_the_upstream_stops_is_no_end_alone(void **state)
+{
+	static const ap_kind_t kinds[] = {AP_KIND_STREAM, AP_KIND_ONCE};
+
+	(void)state;
+	for (size_t k = 0; k < 2; k++) {
+		for (int sized = 0; sized < 2; sized++) {
+			world_t w = {0};
+
+			begin(&w, kinds[k], false, 1);
+			w.stopped = true;
+			if (sized)
+				sized_head(&w, 200);
+			else
+				head(&w, 200);
+			data(&w, FIRST);
+			end(&w, AP_CONNECTION_COMPLETE);
+			assert_int_equal(w.ended, sized);
+			finish(&w);
+		}
+	}
+}
+
 /* Guards against a forwarded stream that its sender can't take for whole, though it is. */
 static void a_forwarded_empty_continuation_is_passed_on(void **state)
 {
@@ -225,6 +274,8 @@
 		cmocka_unit_test(a_stream_without_events_is_not_whole),
 		cmocka_unit_test(an_empty_continuation_needs_a_second_one),
 		cmocka_unit_test(a_forwarded_empty_continuation_is_passed_on),
+		cmocka_unit_test(an_end_as_the_upstream_stops_is_confirmed_elsewhere),
+		cmocka_unit_test(an_end_as_the_upstream_stops_is_no_end_alone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -35,6 +35,7 @@
 	int dropped;
 	bool uncheckable;  /* whether an upstream has ended can't be found out */
 	int checks;	   /* of targets, asked for */
+	bool stopped;	   /* upstreams may have stopped */
 	ap_usec_t arrived; /* when the latest bytes arrived; 0: not known */
 	int heads;
 	char body[4096];
@@ -146,6 +147,12 @@
 	return ((world_t *)ctx)->arrived;
 }
 
+static inline bool op_stopped(void *ctx, const ap_target_t *target)
+{
+	/* The others have announced nothing. */
+	return ((world_t *)ctx)->stopped && strcmp(target->id, "u0") == 0;
+}
+
 static inline void op_head(void *ctx, unsigned slot)
 {
 	(void)slot;
@@ -201,6 +208,7 @@
 	.drop_connection = op_drop_connection,
 	.check = op_check,
 	.arrived = op_arrived,
+	.stopped = op_stopped,
 	.head = op_head,
 	.data = op_data,
 	.end = op_end,
