exchange: a stream without ids isn't begun anew, and a comment is no event

A stream whose events have no ids was begun anew at another upstream as it broke off, so that its events came twice; it breaks off now. A stream that begins anew after comments lost a first event whose id is 0. A comment counted as an event, so that a stream of comments ended as complete.

The confirmation of an end is asked for after the check of a close, and a close without any event confirms nothing.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -179,7 +179,8 @@
 	if (a->resuming)
 		from = ap_sse_after(a->buffer, complete, x->last_event_id);
 	a->last_chunk_at = now;
-	x->ops->first_chunk(x->ctx, &a->inflight);
+	if (ap_sse_count(a->buffer, complete) > 0)
+		x->ops->first_chunk(x->ctx, &a->inflight);
 	ordered = ap_sse_ordered_len(a->buffer + from, complete - from, x->last_event_id);
 	skip_events(x, a, from);
 	if (ordered > 0 && !goes_on_at_weights(x, a)) {
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -218,8 +218,8 @@
 /* Returns whether the request may be sent once more, beside what is in flight. */
 static bool may_run_again(const ap_exchange_t *x, ap_usec_t now)
 {
-	return x->retryable && x->runs + in_flight(x) < x->attempts &&
-	       !ap_exchange_time_is_up(x, now);
+	return x->retryable && (x->events == 0 || x->last_event_id[0] != '\0') &&
+	       x->runs + in_flight(x) < x->attempts && !ap_exchange_time_is_up(x, now);
 }
 
 /*
@@ -416,41 +416,26 @@
 
 static void response_whole(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	if (is_success(a))
+	ap_doubt_t doubt = is_success(a) ? ap_attempt_unconfirmed(x, a) : AP_DOUBT_NONE;
+
+	if (doubt != AP_DOUBT_NONE)
+		ap_attempt_confirm(x, a, doubt, now);
+	else if (is_success(a))
 		deliver_success(x, a, now);
 	else
 		error_response(x, a, now);
 }
 
-/* A success that has ended may not be whole. */
-static void success_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
-{
-	ap_dispatch_result_t end = AP_DISPATCH_BROKEN;
-	ap_reason_t reason = AP_REASON_BROKEN;
-
-	if (x->doubt == AP_DOUBT_DEADLINE) {
-		end = AP_DISPATCH_TIMED_OUT;
-		reason = AP_REASON_TIMEOUT;
-	} else if (x->doubt != AP_DOUBT_TRUNCATED && x->last_event_id[0] != '\0') {
-		/* It may be right, so it isn't held against the upstream. */
-		end = AP_DISPATCH_CANCELLED;
-		x->end_stated = true;
-	}
-	ap_attempt_failed(x, a, end, reason, now);
-}
-
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
 {
 	ap_doubt_t doubt = is_success(a) ? ap_attempt_doubt(x, a, closed, now) : AP_DOUBT_NONE;
 
-	if (doubt != AP_DOUBT_NONE)
-		x->doubt = doubt;
 	if (a->has_head && a->head.refused)
 		target_refused(x, a, now);
 	else if (!a->has_head)
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 	else if (doubt != AP_DOUBT_NONE)
-		success_doubted(x, a, now);
+		ap_attempt_doubted(x, a, doubt, now);
 	else if (closed && a->head.from_replica)
 		response_closed(x, a, now);
 	else
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -12,6 +12,7 @@
 #include "fleet/fleet.h"
 
 #define AP_SSE_ID "id:"
+#define AP_SSE_DATA "data:"
 #define AP_SSE_ID_MAX 64 /* bytes of a server-sent event's id, with terminator */
 #define AP_SLOTS 2	 /* attempts of one request that may be in flight at the same time */
 
@@ -306,12 +307,13 @@
  * @scanned: bytes that an earlier call searched already
  */
 size_t ap_sse_complete_len(const char *data, size_t len, size_t scanned);
-/** ap_sse_count() - returns the number of complete events in @data. */
+/** ap_sse_count() - returns the number of complete events in @data; comments are none. */
 size_t ap_sse_count(const char *data, size_t len);
 /** ap_sse_last_id() - copies the id of the last event that has one. Return: false for none. */
 bool ap_sse_last_id(const char *data, size_t len, char id[AP_SSE_ID_MAX]);
 /**
- * ap_sse_after() - returns the offset of the first event whose id is a number above @id, or @len.
+ * ap_sse_after() - returns the offset of the first event whose id is a number above @id, or @len;
+ * 0 if @id is empty.
  * An event without an id counts as above @id, and so does each event if either id is no number.
  */
 size_t ap_sse_after(const char *data, size_t len, const char *id);
--- a/lib/exchange/private.h
+++ b/lib/exchange/private.h
@@ -44,6 +44,15 @@
 /* Returns why the success of @a, which has ended, may not be whole. */
 ap_doubt_t ap_attempt_doubt(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
 			    ap_usec_t now);
+/*
+ * Returns why a second upstream has to confirm the end of the success of @a, which is complete: the
+ * stream goes on with no event, or the upstream may have stopped.
+ */
+ap_doubt_t ap_attempt_unconfirmed(const ap_exchange_t *x, const ap_attempt_t *a);
+/* Gives up the success of @a, which may not be whole: it goes on elsewhere, or is broken. */
+void ap_attempt_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now);
+/* Likewise, but a second upstream that has no further event confirms the end. */
+void ap_attempt_confirm(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now);
 
 /* exchange.c */
 
--- a/lib/exchange/proof.c
+++ b/lib/exchange/proof.c
@@ -43,26 +43,10 @@
 	return x->events > 0 || x->last_event_id[0] != '\0';
 }
 
-/*
- * Returns whether the stream, which has ended, has no event that shows that the upstream was at
- * work on it. One that goes on may have none left; a second upstream then says the same. A request
- * that was forwarded is passed on as it is: its sender decides.
- */
+/* Returns whether nothing shows that the upstream was at work on the stream, which has ended. */
 static bool lacks_events(const ap_exchange_t *x, const ap_attempt_t *a, bool closed)
 {
-	if (!a->inflight.has_first_chunk && (closed || !caller_has_events(x)))
-		return true;
-	return caller_has_events(x) && a->resuming && !x->end_stated && !x->req.local_only;
-}
-
-/*
- * Returns whether the upstream may have ended the response as its process stopped. A length that it
- * stated stands; so does what a second upstream confirms.
- */
-static bool may_have_stopped(const ap_exchange_t *x, const ap_attempt_t *a)
-{
-	return !a->target.remote && !a->head.sized && !x->end_stated && x->ops->stopped &&
-	       x->ops->stopped(x->ctx, &a->target);
+	return x->stream && !a->inflight.has_first_chunk && (closed || !caller_has_events(x));
 }
 
 ap_doubt_t ap_attempt_doubt(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
@@ -72,9 +56,39 @@
 		return AP_DOUBT_TRUNCATED;
 	if (!stated_in_time(x, a, closed, now))
 		return AP_DOUBT_DEADLINE;
-	if (x->stream && lacks_events(x, a, closed))
+	return lacks_events(x, a, closed) ? AP_DOUBT_NO_EVENT : AP_DOUBT_NONE;
+}
+
+/* Returns whether the upstream may have ended the response as its process stopped. */
+static bool may_have_stopped(const ap_exchange_t *x, const ap_attempt_t *a)
+{
+	return !a->target.remote && !a->head.sized && x->ops->stopped &&
+	       x->ops->stopped(x->ctx, &a->target);
+}
+
+ap_doubt_t ap_attempt_unconfirmed(const ap_exchange_t *x, const ap_attempt_t *a)
+{
+	if (x->end_stated)
+		return AP_DOUBT_NONE;
+	/* The sender of a forwarded request decides. */
+	if (x->stream && a->resuming && caller_has_events(x) && !x->req.local_only)
 		return AP_DOUBT_NO_EVENT;
-	if (may_have_stopped(x, a))
-		return AP_DOUBT_STOPPED;
-	return AP_DOUBT_NONE;
+	return may_have_stopped(x, a) ? AP_DOUBT_STOPPED : AP_DOUBT_NONE;
+}
+
+void ap_attempt_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now)
+{
+	x->doubt = doubt;
+	if (doubt == AP_DOUBT_DEADLINE)
+		ap_attempt_failed(x, a, AP_DISPATCH_TIMED_OUT, AP_REASON_TIMEOUT, now);
+	else
+		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
+}
+
+void ap_attempt_confirm(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now)
+{
+	x->doubt = doubt;
+	x->end_stated = x->last_event_id[0] != '\0';
+	/* The end may be right, so it isn't held against the upstream. */
+	ap_attempt_failed(x, a, AP_DISPATCH_CANCELLED, AP_REASON_BROKEN, now);
 }
--- a/lib/exchange/sse.c
+++ b/lib/exchange/sse.c
@@ -36,34 +36,53 @@
 }
 
 /*
- * Copies the value of the field @name, with its colon, of the single event in @data. Return: false
- * if there is none, or it is too long.
+ * Finds the line of the field @name, with its colon, of the single event in @data. Return: its
+ * value, of @n bytes, or NULL.
  */
-static bool event_field(const char *data, size_t len, const char *name, char *value, size_t size)
+static const char *find_field(const char *data, size_t len, const char *name, size_t *n)
 {
+	size_t skip = strlen(name);
 	size_t at = 0;
 
 	while (at < len) {
 		const char *line = data + at;
 		const char *stop = memchr(line, '\n', len - at);
-		size_t n = stop ? (size_t)(stop - line) : len - at;
-		size_t skip = strlen(name);
 
-		at += n + 1;
-		if (n < skip || memcmp(line, name, skip) != 0)
+		*n = stop ? (size_t)(stop - line) : len - at;
+		at += *n + 1;
+		if (*n < skip || memcmp(line, name, skip) != 0)
 			continue;
-		if (n > skip && line[skip] == ' ')
+		if (*n > skip && line[skip] == ' ')
 			skip++;
-		n -= skip;
-		if (n > 0 && line[skip + n - 1] == '\r')
-			n--;
-		if (n >= size)
-			return false;
-		memcpy(value, line + skip, n);
-		value[n] = '\0';
-		return true;
+		*n -= skip;
+		if (*n > 0 && line[skip + *n - 1] == '\r')
+			(*n)--;
+		return line + skip;
 	}
-	return false;
+	return NULL;
+}
+
+static bool has_field(const char *data, size_t len, const char *name)
+{
+	size_t n;
+
+	return find_field(data, len, name, &n) != NULL;
+}
+
+/*
+ * Copies the value of the field @name, with its colon, of the single event in @data. Return: false
+ * if there is none, or it is too long.
+ */
+static bool event_field(const char *data, size_t len, const char *name, char *value, size_t size)
+{
+	size_t n;
+	const char *found = find_field(data, len, name, &n);
+
+	if (!found || n >= size)
+		return false;
+	memcpy(value, found, n);
+	value[n] = '\0';
+	return true;
 }
 
 static bool event_id(const char *data, size_t len, char id[AP_SSE_ID_MAX])
@@ -105,9 +124,14 @@
 {
 	size_t count = 0;
 	size_t from = 0;
+	size_t end;
 
-	while ((from = next_event_end(data, len, from)) != 0)
-		count++;
+	while ((end = next_event_end(data, len, from)) != 0) {
+		/* Comments, and other blocks without data or an id, are no events. */
+		count += has_field(data + from, end - from, AP_SSE_DATA) ||
+			 has_field(data + from, end - from, AP_SSE_ID);
+		from = end;
+	}
 	return count;
 }
 
@@ -140,6 +164,8 @@
 	size_t from = 0;
 	size_t end;
 
+	if (!id[0])
+		return 0;
 	while ((end = next_event_end(data, len, from)) != 0) {
 		if (!event_id(data + from, end - from, current) || id_is_after(current, id))
 			return from;
--- a/test/exchange_end_test.c
+++ b/test/exchange_end_test.c
@@ -185,6 +185,21 @@
 	assert_true(w.aborted);
 	finish(&w);
 
+	/* A close without any event says nothing. */
+	w = (world_t){0};
+	begin(&w, AP_KIND_STREAM, true, 3);
+	head(&w, 200);
+	data(&w, FIRST);
+	end(&w, AP_CONNECTION_BROKEN);
+	head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE_ON_CLOSE);
+	assert_int_equal(w.n_sent, 3);
+	head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_false(w.ended);
+	assert_true(w.aborted);
+	finish(&w);
+
 	/* Events that come after the first empty one make it wrong. */
 	w = (world_t){0};
 	w.targets = 4;
--- /dev/null
+++ b/test/exchange_ids_test.c
@@ -0,0 +1,89 @@
+/* Streams whose events can't be told apart by their ids. */
+#include "exchange_world.h"
+
+#define PLAIN "data: a\n\n"
+#define COMMENT ": still here\n\n"
+#define FIRST "id: 1\ndata: a\n\n"
+#define REST "id: 2\ndata: b\n\n"
+
+/* Guards against events that come twice as a stream without ids begins anew. */
+static void a_stream_without_ids_is_not_resumed(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	data(&w, PLAIN);
+	end(&w, AP_CONNECTION_BROKEN);
+	assert_int_equal(w.n_sent, 1);
+	assert_true(w.aborted);
+	assert_string_equal(w.body, PLAIN);
+	finish(&w);
+}
+
+/* Guards against a first event that is lost, as its id isn't above that of no event. */
+static void a_stream_that_begins_anew_has_its_first_event(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	data(&w, COMMENT);
+	end(&w, AP_CONNECTION_BROKEN);
+	assert_int_equal(w.n_sent, 2);
+	head(&w, 200);
+	data(&w, "id: 0\ndata: z\n\n" FIRST);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_true(w.ended);
+	assert_string_equal(w.body, COMMENT "id: 0\ndata: z\n\n" FIRST);
+	finish(&w);
+}
+
+/* Guards against streams that break off though comments are all that has no id. */
+static void comments_need_no_id(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	data(&w, COMMENT FIRST COMMENT);
+	end(&w, AP_CONNECTION_BROKEN);
+	assert_int_equal(w.n_sent, 2);
+	assert_string_equal(w.last_event[1], "1");
+	head(&w, 200);
+	data(&w, REST);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_true(w.ended);
+	assert_string_equal(w.body, COMMENT FIRST COMMENT REST);
+	finish(&w);
+}
+
+/* Guards against a stream with no event but a comment that looks complete. */
+static void a_comment_is_no_event(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	data(&w, COMMENT);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_false(w.ended);
+	assert_int_equal(w.n_sent, 2);
+	finish(&w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_stream_without_ids_is_not_resumed),
+		cmocka_unit_test(a_stream_that_begins_anew_has_its_first_event),
+		cmocka_unit_test(comments_need_no_id),
+		cmocka_unit_test(a_comment_is_no_event),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
