exchange: lines of events may end with CR alone

Every request to an upstream whose lines end with a lone CR ended with 502, as no event of it was ever complete; the event stream format allows it.

--- a/lib/exchange/sse.c
+++ b/lib/exchange/sse.c
@@ -1,4 +1,7 @@
-/* Server-sent events: finds their ends and their ids. An event ends with an empty line. */
+/*
+ * Server-sent events: finds their ends and their ids. An event ends with an empty line. Lines end
+ * with LF, CR LF or CR.
+ */
 #include "exchange/exchange.h"
 
 #include <stdlib.h>
@@ -11,6 +14,8 @@
 static size_t next_event_end(const char *data, size_t len, size_t from)
 {
 	for (size_t i = from; i + 1 < len; i++) {
+		if (data[i] == '\r' && data[i + 1] == '\r')
+			return i + 2;
 		if (data[i] != '\n')
 			continue;
 		if (data[i + 1] == '\n')
@@ -35,6 +40,16 @@
 	return complete;
 }
 
+/* Returns the number of bytes before the end of the first line in @data. */
+static size_t line_len(const char *data, size_t len)
+{
+	size_t n = 0;
+
+	while (n < len && data[n] != '\n' && data[n] != '\r')
+		n++;
+	return n;
+}
+
 /*
  * Finds the line of the field @name, with its colon, of the single event in @data. Return: its
  * value, of @n bytes, or NULL.
@@ -46,17 +61,14 @@
 
 	while (at < len) {
 		const char *line = data + at;
-		const char *stop = memchr(line, '\n', len - at);
 
-		*n = stop ? (size_t)(stop - line) : len - at;
+		*n = line_len(line, len - at);
 		at += *n + 1;
 		if (*n < skip || memcmp(line, name, skip) != 0)
 			continue;
 		if (*n > skip && line[skip] == ' ')
 			skip++;
 		*n -= skip;
-		if (*n > 0 && line[skip + *n - 1] == '\r')
-			(*n)--;
 		return line + skip;
 	}
 	return NULL;
--- a/test/exchange_ids_test.c
+++ b/test/exchange_ids_test.c
@@ -76,6 +76,38 @@
 	finish(&w);
 }
 
+/* Guards against streams that are never complete, as their lines end with a CR. */
+static void lines_may_end_with_cr(void **state)
+{
+	static const char *const ends[] = {"\r", "\n", "\r\n"};
+
+	(void)state;
+	for (size_t i = 0; i < 3; i++) {
+		world_t w = {0};
+		char text[128];
+		size_t len;
+
+		snprintf(text, sizeof(text), ": c%s%sid: 1%sdata: a%s%sdata: b%sid: 2%s%s", ends[i],
+			 ends[i], ends[i], ends[i], ends[i], ends[i], ends[i], ends[i]);
+		len = strlen(text);
+		for (size_t cut = 1; cut < len; cut++) {
+			char first[128];
+
+			begin(&w, AP_KIND_STREAM, true, 2);
+			head(&w, 200);
+			snprintf(first, sizeof(first), "%.*s", (int)cut, text);
+			data(&w, first);
+			data(&w, text + cut);
+			assert_int_equal(w.x.events, 2);
+			assert_string_equal(w.x.last_event_id, "2");
+			end(&w, AP_CONNECTION_COMPLETE);
+			assert_true(w.ended);
+			assert_string_equal(w.body, text);
+			finish(&w);
+		}
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -83,6 +115,7 @@
 		cmocka_unit_test(a_stream_that_begins_anew_has_its_first_event),
 		cmocka_unit_test(comments_need_no_id),
 		cmocka_unit_test(a_comment_is_no_event),
+		cmocka_unit_test(lines_may_end_with_cr),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
