--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -15,7 +15,9 @@
 #define ANSWER_MAX 4096
 #define LEAVE_SHARE 0.1 /* of callers, within LEAVE_MAX */
 #define LEAVE_MAX (400 * AP_MSEC)
-#define CROWD 100 /* callers that leave at once */
+#define LONG_SHARE 0.2	 /* of requests whose work takes long, while there are faults */
+#define SHORT_SHARE 0.75 /* of these, with a deadline that most of their work outlasts */
+#define CROWD 100	 /* callers that leave at once */
 #define CROWD_SHARE 0.002
 
 typedef struct call {
@@ -28,7 +30,8 @@
 	int status;
 	bool has_request_id;
 	bool has_stamp;
-	unsigned weights; /* version that the head names; 0 for none */
+	unsigned weights;     /* version that the head names; 0 for none */
+	char by[AP_NAME_MAX]; /* upstream that the head names */
 	char body[ANSWER_MAX];
 	size_t len;
 } call_t;
@@ -52,12 +55,13 @@
 	const char *id = evhttp_find_header(head->headers, "Request-Id");
 
 	const char *weights = evhttp_find_header(head->headers, "Weight-Versions");
+	const char *by = evhttp_find_header(head->headers, "Server-Stamp");
 
 	c->weights = weights ? (unsigned)strtoul(weights, NULL, 10) : 0;
 	c->status = head->status;
 	c->has_request_id = id && strcmp(id, c->q->id) == 0;
-	c->has_stamp = evhttp_find_header(head->headers, "Server-Stamp") &&
-		       !evhttp_find_header(head->headers, "Content-Encoding");
+	c->has_stamp = by && !evhttp_find_header(head->headers, "Content-Encoding");
+	ap_copy_name(c->by, sizeof(c->by), by ? by : "");
 }
 
 static void on_data(void *ctx, const void *data, size_t len)
@@ -76,13 +80,35 @@
 	return c->q->kind == SOAK_STREAM || c->q->kind == SOAK_RESUMABLE;
 }
 
+/* When an upstream ended @q in order before its end, for a finding. */
+static const char *early(const request_t *q)
+{
+	static char text[64];
+
+	if (!q->early)
+		return "";
+	snprintf(text, sizeof(text), ", ended in order %s", q->early);
+	return text;
+}
+
 /* What has arrived of a stream, whether it is complete or not. */
 static void check_stream(const call_t *c, bool complete)
 {
 	const char *wrong = stream_check(c->body, c->q->id, c->weights, complete);
 
 	if (wrong)
-		soak_finding(c->soak, "order: stream of %s: %s:\n%s", c->q->id, wrong, c->body);
+		soak_finding(c->soak, "order: stream of %s: %s%s:\n%s", c->q->id, wrong,
+			     early(c->q), c->body);
+}
+
+/* A body that its caller is told is whole. */
+static void check_body(const call_t *c)
+{
+	const char *wrong = body_check(c->body, c->q->id, c->by);
+
+	if (wrong)
+		soak_finding(c->soak, "mixed: response to %s: %s%s:\n%s", c->q->id, wrong,
+			     early(c->q), c->body);
 }
 
 static void check_success(call_t *c)
@@ -92,9 +118,6 @@
 			     "mixed: response to %s lacks its Request-Id or a Server-Stamp, or is "
 			     "encoded",
 			     c->q->id);
-	else if (!is_stream(c) && strncmp(c->body, c->q->id, strlen(c->q->id)) != 0)
-		soak_finding(c->soak, "mixed: response to %s has the body of another request",
-			     c->q->id);
 }
 
 static void check_late(call_t *c)
@@ -102,7 +125,8 @@
 	ap_usec_t now = ap_now();
 	ap_usec_t took = now - c->q->sent - (soak_still(c->soak, now) - c->q->still);
 
-	if (took > DEADLINE + LATENESS_MAX && now - c->instance->last_disturbed > UNDISTURBED_TIME)
+	if (took > c->q->deadline + LATENESS_MAX &&
+	    now - c->instance->last_disturbed > UNDISTURBED_TIME)
 		soak_finding(c->soak, "held: %s ended only after %lld ms at %s", c->q->id,
 			     (long long)(took / AP_MSEC), c->instance->id);
 }
@@ -134,6 +158,9 @@
 	check_late(c);
 	if (c->status == 200 && is_stream(c))
 		check_stream(c, complete || end == AP_HTTP_CLOSED);
+	if (c->status >= 200 && c->status < 300 && !is_stream(c) &&
+	    (complete || end == AP_HTTP_CLOSED))
+		check_body(c);
 	if (complete && c->status >= 200 && c->status < 300)
 		check_success(c);
 	if (complete && is_refusal_status(c->status)) {
@@ -171,17 +198,29 @@
 	q->kind = kind;
 	q->sent = ap_now();
 	q->still = soak_still(s, q->sent);
+	q->deadline = DEADLINE;
 	HASH_ADD_STR(s->requests, id, q);
 	return q;
 }
 
+/* Some work takes longer, and for most of it longer than its caller waits. */
+static void make_long(soak_t *s, request_t *q)
+{
+	if (!s->faulty || ap_rng_unit(&s->ends) >= LONG_SHARE)
+		return;
+	q->step_ms = 40 + (unsigned)ap_rng_below(&s->ends, 160);
+	if (ap_rng_unit(&s->ends) < SHORT_SHARE)
+		q->deadline = (ap_usec_t)(300 + ap_rng_below(&s->ends, 500)) * AP_MSEC;
+}
+
 void caller_send(soak_t *s)
 {
+	char deadline[24];
 	instance_t *inst = pick_instance(s);
 	request_t *q = caller_request(s, (soak_kind_t)ap_rng_below(&s->rng, SOAK_KINDS));
 	call_t *c = calloc(1, sizeof(*c));
 	ap_http_header_t headers[] = {
-		{"Host", "soak.example"}, {"Request-Id", q->id}, {"Deadline-Ms", "3000"}};
+		{"Host", "soak.example"}, {"Request-Id", q->id}, {"Deadline-Ms", deadline}};
 	ap_http_fetch_config_t config = {
 		.host = "127.0.0.1",
 		.port = inst ? inst->port : 0,
@@ -206,6 +245,8 @@
 
 	if (!c)
 		abort();
+	make_long(s, q);
+	snprintf(deadline, sizeof(deadline), "%lld", (long long)(q->deadline / AP_MSEC));
 	if (inst && q->sent - inst->version_at > REVERT_GRACE)
 		q->version = inst->version;
 	*c = (call_t){.soak = s, .instance = inst, .q = q, .leaves_at = AP_NEVER};
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -20,8 +20,9 @@
 #define RETRY_BUDGET_RATIO 0.2
 #define RETRY_BUDGET_SLACK 54
 #define RETRY_BUDGET_WINDOW (10 * AP_SEC)
-#define GONE_MAX 3		  /* as the platform's rule allows */
-#define RECOVERED_SERVED_MIN 0.98 /* least share of requests served after recovery */
+#define GONE_MAX 3		   /* as the platform's rule allows */
+#define FLUSH_TIME (100 * AP_MSEC) /* for the ends of an upstream's responses */
+#define RECOVERED_SERVED_MIN 0.98  /* least share of requests served after recovery */
 
 /* An action that is due later, often the end of a fault. */
 typedef struct deferred {
@@ -211,13 +212,36 @@
 	defer_action(s, random_duration(s, 500, 3000), restart_replica, i);
 }
 
+static void stop_drained(soak_t *s, size_t i)
+{
+	if (s->replicas[i].draining)
+		replica_crash(s, i);
+}
+
+static void end_drain(soak_t *s, size_t i)
+{
+	if (!s->replicas[i].draining || !s->replicas[i].server)
+		return;
+	replica_end_work(s, i);
+	defer_action(s, FLUSH_TIME, stop_drained, i);
+}
+
 static void fault_drain(soak_t *s, size_t i)
 {
+	ap_usec_t left = AP_NEVER;
+	ap_usec_t lasts;
+
 	i %= s->n_replicas;
 	if (!s->replicas[i].server || s->replicas[i].draining)
 		return;
-	replica_drain(s, i);
-	defer_action(s, random_duration(s, 4000, 6000), restart_replica, i);
+	lasts = random_duration(s, 4000, 6000);
+	/* Some say when they end, while work of theirs may still run. */
+	if (!s->replicas[i].silent && lasts / AP_MSEC % 2 == 0)
+		left = (lasts - 4000 * AP_MSEC) / 4;
+	replica_drain(s, i, left == AP_NEVER ? AP_NEVER : ap_now() + left);
+	if (left != AP_NEVER)
+		defer_action(s, left, end_drain, i);
+	defer_action(s, lasts, restart_replica, i);
 }
 
 static void fault_config(soak_t *s, size_t i)
@@ -334,6 +358,7 @@
 	ap_usec_t next_link_fault = ap_now() + AP_SEC;
 	ap_usec_t next_pause = ap_now() + PAUSE_EVERY / 2;
 
+	s->faulty = faulty;
 	while (ap_now() < until) {
 		struct timeval tick = {.tv_usec = TICK_MS * 1000};
 		ap_usec_t now = ap_now();
@@ -435,6 +460,7 @@
 	bool no_spoils;
 	bool no_weights;
 	bool no_moves;
+	bool no_ends;
 } options_t;
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
@@ -469,6 +495,9 @@
 	case 'm':
 		o->no_moves = true;
 		return 0;
+	case 'e':
+		o->no_ends = true;
+		return 0;
 	case 'k':
 		o->keep = true;
 		return 0;
@@ -494,6 +523,7 @@
 		{"no-spoils", 'o', NULL, 0, "no responses that aren't the upstream's own", 0},
 		{"no-weights", 'w', NULL, 0, "upstreams name no versions of the weights", 0},
 		{"no-moves", 'm', NULL, 0, "no versions that move routes to other pools", 0},
+		{"no-ends", 'e', NULL, 0, "no response ended in order before its end", 0},
 		{"verbose", 'v', NULL, 0, "print each fault", 0},
 		{0},
 	};
@@ -511,12 +541,14 @@
 	s.no_spoils = o.no_spoils;
 	s.no_weights = o.no_weights;
 	s.no_moves = o.no_moves;
+	s.no_ends = o.no_ends;
 	ap_rng_seed(&s.rng, o.seed);
 	ap_rng_seed(&s.schedule, o.seed);
 	ap_rng_seed(&s.links, o.seed + 1);
 	ap_rng_seed(&s.leaves, o.seed + 2);
 	ap_rng_seed(&s.spoils, o.seed + 3);
 	ap_rng_seed(&s.pauses, o.seed + 3);
+	ap_rng_seed(&s.ends, o.seed + 4);
 	s.start = ap_now();
 	soak_set_up(&s, o.instances);
 	run_for(&s, WARM_UP, false, false);
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -12,6 +12,7 @@
 #define WORK_MAX_MS 60
 #define SLOW_FACTOR 8
 #define FAULT_SHARE 0.3
+#define EMPTY_SHARE 0.1 /* of the streams of upstreams that end them in order */
 #define SLOTS 16
 #define HEADERS_MAX 7		      /* of a response */
 #define IN_GRACE_MAX 2		      /* at the soak's rate */
@@ -34,12 +35,16 @@
 	replica_t *replica;
 	ap_http_call_t *call;
 	struct event *timer;
+	struct event *deadline;
+	request_t *q;
 	soak_kind_t kind;
 	char id[24];
 	unsigned run;	/* of its request */
 	unsigned after; /* last event that the caller has */
-	unsigned next;	/* event number of a stream */
+	unsigned next;	/* number of an event, or of a part of a body in chunks */
+	unsigned step_ms;
 	bool cut_short;
+	bool empty; /* its stream ends before the first event */
 	spoil_t spoil;
 	bool started;
 } job_t;
@@ -51,6 +56,7 @@
 	j->replica->running--;
 	LIST_REMOVE(j, entry);
 	event_free(j->timer);
+	event_free(j->deadline);
 	free(j);
 }
 
@@ -153,11 +159,13 @@
 	ap_http_header_t headers[HEADERS_MAX];
 	size_t n = add_own(j, headers);
 	ap_http_call_t *call = j->call;
-	char body[96];
-	int len = snprintf(body, sizeof(body), "%s by %s\n", j->id, j->replica->id);
+	char body[BODY_PARTS * BODY_PART_MAX];
+	size_t len = 0;
 
+	for (unsigned i = 1; i <= BODY_PARTS; i++)
+		len += body_part(body + len, i, j->id, j->replica->id);
 	ap_http_call_watch(call, NULL, NULL, NULL);
-	ap_http_reply(call, status, headers, n, body, (size_t)len);
+	ap_http_reply(call, status, headers, n, body, len);
 	job_free(j);
 }
 
@@ -182,20 +190,91 @@
 	event_add(j->timer, &tv);
 }
 
+static bool is_stream(const job_t *j)
+{
+	return j->kind == SOAK_STREAM || j->kind == SOAK_RESUMABLE;
+}
+
+static void start_response(job_t *j)
+{
+	ap_http_header_t headers[HEADERS_MAX];
+	size_t n;
+
+	if (j->started)
+		return;
+	n = add_own(j, headers);
+	if (is_stream(j))
+		headers[n++] = (ap_http_header_t){"Content-Type", "text/event-stream"};
+	ap_http_reply_start(j->call, 200, headers, n);
+	j->started = true;
+}
+
+static void end_in_order(job_t *j)
+{
+	ap_http_call_t *call = j->call;
+
+	ap_http_call_watch(call, NULL, NULL, NULL);
+	job_free(j);
+	ap_http_reply_end(call);
+}
+
+/* Ends a response as a server does whose handler returns early. */
+static void end_early(job_t *j, const char *when)
+{
+	ap_http_header_t headers[HEADERS_MAX];
+	ap_http_call_t *call = j->call;
+	size_t n;
+
+	j->q->early = when;
+	if (j->started || is_stream(j)) {
+		start_response(j);
+		end_in_order(j);
+		return;
+	}
+	n = add_own(j, headers);
+	ap_http_call_watch(call, NULL, NULL, NULL);
+	job_free(j);
+	ap_http_reply(call, 200, headers, n, NULL, 0);
+}
+
+static void on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	job_t *j = arg;
+
+	(void)fd;
+	(void)what;
+	if (j->replica->finishes)
+		end_early(j, "at its deadline");
+	else
+		cut_off(j);
+}
+
+/* Sends one part of a body in chunks. */
+static void send_next_part(job_t *j)
+{
+	char part[BODY_PART_MAX];
+	size_t len = body_part(part, j->next, j->id, j->replica->id);
+
+	start_response(j);
+	ap_http_reply_write(j->call, part, len);
+	if (j->next++ < BODY_PARTS)
+		start_timer(j, j->step_ms);
+	else
+		end_in_order(j);
+}
+
 /* Sends one event, or half of it where the response is to be cut off. */
 static void send_next_event(job_t *j)
 {
-	ap_http_header_t headers[HEADERS_MAX];
 	char event[STREAM_EVENT_MAX];
 	size_t len = stream_event(event, j->next, j->id, j->run, j->after, j->replica->weights);
-	size_t n;
 
-	if (!j->started) {
-		n = add_own(j, headers);
-		headers[n++] = (ap_http_header_t){"Content-Type", "text/event-stream"};
-		ap_http_reply_start(j->call, 200, headers, n);
+	start_response(j);
+	/* The caller has all of it. */
+	if (j->next > STREAM_EVENTS) {
+		end_in_order(j);
+		return;
 	}
-	j->started = true;
 	if (j->spoil == SPOIL_REPEAT && j->next == STREAM_EVENTS / 2)
 		ap_http_reply_write(j->call, event, len);
 	if (j->cut_short && j->next == STREAM_EVENTS / 2) {
@@ -204,15 +283,10 @@
 		return;
 	}
 	ap_http_reply_write(j->call, event, len);
-	if (j->next++ < STREAM_EVENTS) {
-		start_timer(j, STEP_MS);
-		return;
-	}
-	ap_http_call_t *call = j->call;
-
-	ap_http_call_watch(call, NULL, NULL, NULL);
-	job_free(j);
-	ap_http_reply_end(call);
+	if (j->next++ < STREAM_EVENTS)
+		start_timer(j, j->step_ms ? j->step_ms : STEP_MS);
+	else
+		end_in_order(j);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -221,10 +295,14 @@
 
 	(void)fd;
 	(void)what;
-	if (j->kind == SOAK_STREAM || j->kind == SOAK_RESUMABLE)
+	if (j->empty)
+		end_early(j, "before its first event");
+	else if (is_stream(j))
 		send_next_event(j);
 	else if (j->cut_short)
 		cut_off(j);
+	else if (j->step_ms > 0 && j->replica->mode != REPLICA_ERRS)
+		send_next_part(j);
 	else
 		reply_complete(j, j->replica->mode == REPLICA_ERRS ? 500 : 200);
 }
@@ -243,6 +321,19 @@
 		     q->id, r->id, (unsigned long long)q->version);
 }
 
+/* A replica stops work at the deadline that it receives. */
+static void start_deadline(job_t *j)
+{
+	const char *ms = ap_http_call_header(j->call, "Deadline-Ms");
+	struct timeval tv;
+
+	j->deadline = evtimer_new(j->replica->soak->base, on_deadline, j);
+	if (!ms || j->replica->holds)
+		return;
+	tv = ap_timeval((ap_usec_t)(strtod(ms, NULL) * (double)AP_MSEC));
+	event_add(j->deadline, &tv);
+}
+
 static void run(replica_t *r, ap_http_call_t *call, request_t *q)
 {
 	const char *after = ap_http_call_header(call, "Last-Event-Id");
@@ -260,18 +351,23 @@
 		soak_finding(r->soak, "once: %s ran %u times, expected at most 1", q->id, q->runs);
 	j->replica = r;
 	j->call = call;
+	j->q = q;
 	j->kind = q->kind;
+	j->step_ms = q->step_ms;
 	j->run = q->runs;
 	j->after = after ? (unsigned)strtoul(after, NULL, 10) : 0;
 	j->next = j->after + 1;
 	j->cut_short = r->mode == REPLICA_BREAKS && ap_rng_unit(&r->soak->rng) < FAULT_SHARE;
 	if (r->mode == REPLICA_BREAKS && !j->cut_short && !r->soak->no_spoils)
 		j->spoil = (spoil_t)ap_rng_below(&r->soak->spoils, SPOILS);
+	if (is_stream(j) && !after && r->finishes && r->soak->faulty)
+		j->empty = ap_rng_unit(&r->soak->ends) < EMPTY_SHARE;
 	ap_copy_name(j->id, sizeof(j->id), q->id);
 	j->timer = evtimer_new(r->soak->base, on_timer, j);
 	LIST_INSERT_HEAD(&jobs, j, entry);
 	r->running++;
 	ap_http_call_watch(call, j, on_closed, NULL);
+	start_deadline(j);
 	start_timer(j, r->work_ms ? r->work_ms
 				  : 5 + (unsigned)ap_rng_below(&r->soak->rng, WORK_MAX_MS));
 }
@@ -350,6 +446,11 @@
 	o = json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:I}", "service", r->pool, "addr", addr, "zone", dc,
 		      "slots", SLOTS, "state", r->draining && !r->silent ? "draining" : "ready",
 		      "coldLeftMs", 0, "seq", (json_int_t)(ap_now() / AP_MSEC));
+	if (r->draining && !r->silent && r->ends_at != AP_NEVER) {
+		ap_usec_t left = r->ends_at - ap_now();
+
+		json_object_set_new(o, "drainLeftMs", json_integer(left > 0 ? left / AP_MSEC : 0));
+	}
 	text = json_dumps(o, JSON_COMPACT);
 	store_put(s->store, key, text, 0);
 	free(text);
@@ -373,6 +474,8 @@
 	*r = (replica_t){.soak = s,
 			 .region = region,
 			 .incarnation = incarnation,
+			 .ends_at = AP_NEVER,
+			 .finishes = !s->no_ends && (i + incarnation) % 2 == 0,
 			 .weights = s->no_weights ? 0 : 1 + (i / 2 + incarnation) % 2,
 			 .silent = incarnation % 2 == 0};
 	ap_copy_name(r->pool, sizeof(r->pool), pool);
@@ -405,9 +508,27 @@
 	replica_stop(&s->replicas[i]);
 }
 
-void replica_drain(soak_t *s, size_t i)
+void replica_drain(soak_t *s, size_t i, ap_usec_t until)
 {
+	s->replicas[i].ends_at = until;
 	s->replicas[i].draining = true;
 	s->replicas[i].draining_since = ap_now();
 	replica_heartbeat(s, i);
 }
+
+void replica_end_work(soak_t *s, size_t i)
+{
+	replica_t *r = &s->replicas[i];
+	job_t *next;
+
+	for (job_t *j = LIST_FIRST(&jobs); j; j = next) {
+		next = LIST_NEXT(j, entry);
+		if (j->replica != r)
+			continue;
+		if (s->no_ends)
+			cut_off(j);
+		else
+			end_early(j, "as its upstream ended");
+	}
+	ap_http_server_stop(r->server);
+}
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -53,8 +53,11 @@
 	bool done;
 	unsigned events; /* of a stream, received in order so far */
 	ap_usec_t sent;
-	ap_usec_t left_at; /* when its caller left; 0 if it waits */
-	ap_usec_t still;   /* soak_still() when it was sent */
+	ap_usec_t deadline; /* from then on */
+	unsigned step_ms;   /* between its events, or parts of its body; 0: the usual */
+	const char *early;  /* when an upstream ended it in order before its end; NULL: never */
+	ap_usec_t left_at;  /* when its caller left; 0 if it waits */
+	ap_usec_t still;    /* soak_still() when it was sent */
 } request_t;
 
 /* link.c: a TCP relay with faults */
@@ -125,7 +128,9 @@
 	replica_mode_t mode;
 	bool draining;
 	ap_usec_t draining_since;
+	ap_usec_t ends_at;	   /* as it said; AP_NEVER: it didn't */
 	bool holds;		   /* takes requests and responds to none */
+	bool finishes;		   /* ends responses in order as it stops work on them */
 	unsigned work_ms;	   /* of each request; 0: at random */
 	unsigned weights;	   /* version; 0 for none */
 	bool silent;		   /* does not report to the store that it is draining */
@@ -139,7 +144,10 @@
 void replica_start(soak_t *s, size_t i, const char *pool, unsigned region);
 /* Stops the upstream without draining; its store entry stays until it is started again. */
 void replica_crash(soak_t *s, size_t i);
-void replica_drain(soak_t *s, size_t i);
+/* The upstream drains, and says that it ends at @until; AP_NEVER: it doesn't say when. */
+void replica_drain(soak_t *s, size_t i, ap_usec_t until);
+/* An upstream stops its work; its responses end in order, cut short, unless @s has no such ends. */
+void replica_end_work(soak_t *s, size_t i);
 /*
  * The upstream refuses requests until @until, with the time until then as Retry-After. It counts
  * those that come later than PAUSE_GRACE after the first refusal.
@@ -212,6 +220,7 @@
 	ap_rng_t leaves;   /* of callers that leave */
 	ap_rng_t spoils;   /* of responses that are no upstream's own */
 	ap_rng_t pauses;   /* of pools whose upstreams ask for a pause; a separate schedule */
+	ap_rng_t ends;	   /* of work that outlasts its deadline and of empty streams */
 	const char *program;
 	char dir[64];
 	bool verbose;
@@ -220,6 +229,8 @@
 	bool no_weights; /* upstreams name no versions of the weights */
 	bool keep;	 /* keep the logs also of a run without findings */
 	bool no_moves;
+	bool no_ends; /* upstreams break off what they end early */
+	bool faulty;  /* faults are being injected */
 	store_t *store;
 	ap_http_client_t *client;
 	instance_t instances[SOAK_INSTANCES_MAX];
--- a/test/soak/stream.c
+++ b/test/soak/stream.c
@@ -1,4 +1,4 @@
-/* Events of streams: written by upstreams, checked as their caller has them. */
+/* Events and bodies: written by upstreams, checked as their caller has them. */
 #include "stream.h"
 
 #include <stdio.h>
@@ -37,3 +37,26 @@
 	}
 	return complete && number != STREAM_EVENTS + 1 ? "it ends before its last event" : NULL;
 }
+
+size_t body_part(char part[BODY_PART_MAX], unsigned number, const char *id, const char *by)
+{
+	return (size_t)snprintf(part, BODY_PART_MAX, "%s by %s, %u of %d\n", id, by, number,
+				BODY_PARTS);
+}
+
+const char *body_check(const char *body, const char *id, const char *by)
+{
+	for (unsigned number = 1; number <= BODY_PARTS; number++) {
+		char expected[BODY_PART_MAX];
+		size_t len = body_part(expected, number, id, by);
+
+		if (!*body)
+			return "it ends before its last part";
+		if (strncmp(body, expected, len) != 0)
+			return strncmp(body, expected, strlen(body)) == 0
+				       ? "it ends within a part"
+				       : "a part is missing, or another response's";
+		body += len;
+	}
+	return *body ? "more follows its last part" : NULL;
+}
--- a/test/soak/stream.h
+++ b/test/soak/stream.h
@@ -1,4 +1,4 @@
-/* Events of the soak's streams. */
+/* Events of the soak's streams, and its other bodies. */
 #ifndef STREAM_H
 #define STREAM_H
 
@@ -7,6 +7,8 @@
 
 #define STREAM_EVENTS 6 /* of each stream */
 #define STREAM_EVENT_MAX 128
+#define BODY_PARTS 4 /* of each body that is no stream's */
+#define BODY_PART_MAX 128
 
 /*
  * Writes an event of the stream that request @id asked for, by its @run-th run, which goes on after
@@ -20,4 +22,10 @@
  */
 const char *stream_check(const char *body, const char *id, unsigned weights, bool complete);
 
+/* Writes a part of the body that @by responds to request @id with. Returns the length. */
+size_t body_part(char part[BODY_PART_MAX], unsigned number, const char *id, const char *by);
+/* Returns what is wrong with @body, which its response says is whole and @by's; NULL for nothing.
+ */
+const char *body_check(const char *body, const char *id, const char *by);
+
 #endif
--- a/test/soak_stream_test.c
+++ b/test/soak_stream_test.c
@@ -145,6 +145,79 @@
 	assert_found(&b);
 }
 
+static void an_empty_stream_is_found(void **state)
+{
+	body_t b = {0};
+
+	(void)state;
+	assert_non_null(check(&b, true));
+	assert_null(check(&b, false));
+}
+
+/* The continuation ends in order too early, at once or after some events. */
+static void an_early_end_of_a_later_run_is_found(void **state)
+{
+	(void)state;
+	for (unsigned end = AT; end <= STREAM_EVENTS; end++) {
+		body_t b = {0};
+
+		add_events(&b, 1, AT, 1, 0);
+		add_events(&b, AT, end, 2, AT - 1);
+		assert_non_null(check(&b, true));
+		assert_null(check(&b, false));
+	}
+}
+
+static void add_parts(body_t *b, unsigned from, unsigned to, const char *id, const char *by)
+{
+	for (unsigned i = from; i < to; i++)
+		b->len += body_part(b->text + b->len, i, id, by);
+}
+
+static void a_whole_body_passes(void **state)
+{
+	body_t b = {0};
+
+	(void)state;
+	add_parts(&b, 1, BODY_PARTS + 1, ID, "a");
+	assert_null(body_check(b.text, ID, "a"));
+	assert_non_null(body_check(b.text, ID, "b"));
+	assert_non_null(body_check(b.text, "q1-3", "a"));
+}
+
+static void an_early_end_of_a_body_is_found(void **state)
+{
+	body_t b = {0};
+
+	(void)state;
+	add_parts(&b, 1, BODY_PARTS + 1, ID, "a");
+	for (size_t len = 1; len <= b.len; len++) {
+		b.text[b.len - len] = '\0';
+		assert_non_null(body_check(b.text, ID, "a"));
+	}
+}
+
+static void a_wrong_part_of_a_body_is_found(void **state)
+{
+	(void)state;
+	for (unsigned at = 1; at <= BODY_PARTS; at++) {
+		body_t missing = {0};
+		body_t again = {0};
+		body_t other = {0};
+
+		add_parts(&missing, 1, at, ID, "a");
+		add_parts(&missing, at + 1, BODY_PARTS + 1, ID, "a");
+		add_parts(&again, 1, at + 1, ID, "a");
+		add_parts(&again, at, BODY_PARTS + 1, ID, "a");
+		add_parts(&other, 1, at, ID, "a");
+		add_parts(&other, at, at + 1, ID, "b");
+		add_parts(&other, at + 1, BODY_PARTS + 1, ID, "a");
+		assert_non_null(body_check(missing.text, ID, "a"));
+		assert_non_null(body_check(again.text, ID, "a"));
+		assert_non_null(body_check(other.text, ID, "a"));
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -156,6 +229,11 @@
 		cmocka_unit_test(a_run_that_comes_back_is_found),
 		cmocka_unit_test(an_event_of_another_stream_or_version_is_found),
 		cmocka_unit_test(other_text_is_found),
+		cmocka_unit_test(an_empty_stream_is_found),
+		cmocka_unit_test(an_early_end_of_a_later_run_is_found),
+		cmocka_unit_test(a_whole_body_passes),
+		cmocka_unit_test(an_early_end_of_a_body_is_found),
+		cmocka_unit_test(a_wrong_part_of_a_body_is_found),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/upgrade_test.sh
+++ b/test/upgrade_test.sh
@@ -35,6 +35,9 @@
 # Builds up to f596765 handle what is forwarded by their own version of the configuration.
 MOVES=
 [ -e "$OLD/source/cmd/arbutuspond/gateway-version.c" ] || MOVES=--no-moves
+# Builds up to d98e80d take an end in order for the end of the work.
+ENDS=
+git merge-base --is-ancestor "$COMMIT" d98e80d && ENDS=--no-ends
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 cat >"$DIR/either" <<PROGRAM
@@ -53,7 +56,7 @@
 for seed in ${*:-4}; do
 	rm -f "$DIR/starts" "$DIR/builds"
 	"$BUILD/test/soak" --program "$DIR/either" --seed "$seed" --seconds 10 --gates $GATES --keep \
-		$PAUSES $SPOILS $WEIGHTS $MOVES \
+		$PAUSES $SPOILS $WEIGHTS $MOVES $ENDS \
 		>"$DIR/out" 2>&1
 	status=$?
 	cat "$DIR/out"
