Test: upstreams of /v1 that end in order after half, or with nothing (red)

FAKE_EARLY_END ends a stream after whole events, or a body in chunks after half of it, in order; FAKE_EMPTY ends after the head. Streams without their end mark are doubted already, as is half a JSON body. An empty body that says it is JSON is taken for complete (attempt_complete(): len == 0): a repeatable request isn't repeated, and the caller gets 200 "Arbutuspond-Outcome: completed". entry_test (test_each_fault_has_its_outcome, case 7) and forward_test (test_each_fault_between_regions, case 11) fail for it. The fix isn't part of this commit.

--- a/test/fake_upstream.h
+++ b/test/fake_upstream.h
@@ -39,6 +39,8 @@
 	FAKE_SLOW_READER,  /* a long stream of many chunks */
 	FAKE_FLOOD,	   /* a stream larger than the socket buffers */
 	FAKE_RAW,	   /* @raw, then a close; the request runs */
+	FAKE_EARLY_END,	   /* half a response, whole events of a stream, ended in order */
+	FAKE_EMPTY,	   /* a head, and an end in order */
 	FAKE_COPY,	   /* on a connection that has served a request, @raw; the request runs */
 } fake_mode_t;
 
@@ -188,6 +190,10 @@
 	for (int i = from; i < tokens; i++) {
 		if (i == half && (mode == FAKE_RESET_AFTER || mode == FAKE_STALL_MIDDLE))
 			return;
+		if (mode == FAKE_EMPTY || (i == half && mode == FAKE_EARLY_END)) {
+			evbuffer_add_printf(out, "0\r\n\r\n");
+			return;
+		}
 		if (i == half && mode == FAKE_TRUNCATED) {
 			fake_chunk(out, "data: {\"choices\":[{\"del");
 			evbuffer_add_printf(out, "0\r\n\r\n");
@@ -230,6 +236,15 @@
 	evbuffer_add_printf(out, "X-Request-Id: %s\r\n", id);
 	if (conn->fake->extra_headers)
 		evbuffer_add_printf(out, "%s", conn->fake->extra_headers);
+	if (mode == FAKE_EARLY_END) {
+		body[len / 2] = '\0';
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
+		fake_chunk(out, body);
+		evbuffer_add_printf(out, "0\r\n\r\n");
+		return;
+	}
+	if (mode == FAKE_EMPTY)
+		claimed = sent = 0;
 	if (mode != FAKE_NO_FRAMING)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", claimed);
 	evbuffer_add_printf(out, "\r\n");
