entry: a success of an engine is a JSON document or a stream with its end mark

A handler of an engine that returns early, before it has written anything, ends its response in order: 200 with Content-Length: 0, or the last chunk alone. On /v1 the caller got it as completed, with a cost, also where it had asked for a stream; a body in parts of another type than JSON likewise. A call that runs at most once got the outcome "completed".

entry_early_end_test, before: case 0 expected 200 with 'Arbutuspond-Outcome: completed' and '"whole"', got: HTTP/1.1 200 OK ... Arbutuspond-Outcome: completed, Content-Length: 0 expected 504 with 'Arbutuspond-Outcome: unknown' and '"unknown"', got: HTTP/1.1 200 OK ... Arbutuspond-Outcome: completed, Content-Length: 0 2 of 4 tests failed

Cause: attempt_complete() took an empty body, and each body whose type isn't JSON, for whole. Change: on an inference service, a 2xx that is no stream has to parse as JSON. Plain services stay as they are: their empty 200 is legitimate, and nothing but their framing says more. Refusals need no body either. The other end of a hop between instances uses the same function.

--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -8,6 +8,7 @@
 #include <strings.h>
 
 #define CHOICES_MAX 2 /* a second choice if the chosen remote region can't be reached */
+#define HTTP_MULTIPLE 300
 #define UPSTREAM_HEADERS_MAX (3 + PASSED_HEADERS_MAX)
 
 static const ap_upstream_t *upstream_by_id(const ap_view_t *view, const char *id)
@@ -60,7 +61,20 @@
 	return strncasecmp(x->response_type, "application/json", 16) == 0;
 }
 
-/* A body cut short by a wrong Content-Length is framed correctly, but does not parse as JSON. */
+/* Whether the body must be a JSON document: any success of an engine that isn't a stream is one. */
+static bool needs_json(const exchange_t *x)
+{
+	bool success = x->status >= HTTP_OK && x->status < HTTP_MULTIPLE;
+
+	if (!x->req.service->plain && success)
+		return true;
+	return is_json(x) && evbuffer_get_length(x->response) > 0;
+}
+
+/*
+ * A body that a wrong Content-Length or a handler that returned early cut short is framed
+ * correctly, but does not parse as JSON.
+ */
 bool attempt_complete(exchange_t *x)
 {
 	size_t len = evbuffer_get_length(x->response);
@@ -69,7 +83,7 @@
 
 	if (x->sse)
 		return x->stream.done;
-	if (!is_json(x) || len == 0)
+	if (!needs_json(x))
 		return true;
 	doc = json_loadb((const char *)evbuffer_pullup(x->response, -1), len, JSON_DECODE_ANY,
 			 NULL);
