platform: a success of the store that says nothing decides nothing

A handler of the store, or of a relay before it, that returns early ends its response in order: 200 with an empty body. A write then counted as a conflict, of which the port says that nothing changed, though it may have been carried out. A renewal counted as made, so that a lease lasted a TTL longer here than in the store, in which another instance may take it. A session counted as created with an empty id; after a lost response to "acquire", a key that nobody holds reads as one held by that id.

platform_test, a_success_that_ends_early_decides_nothing, before: 11 of 11 cases wrong, among them case 0, '': status 1 instead of 4 (cas: conflict, not unsure) case 5, '': status 0 instead of 4 (session created: done) case 8, '': status 0 instead of 4 (session renewed: done) That two instances held the lease at once was read from lib/order/lease.c and not played.

Cause: only the status was looked at. Change: "true" and "false" are read as such, a session's id has to be there; anything else is unsure, as without a response.

Result: platform_test 7 of 7; lease, order, permit, ctl and operators_test pass.

--- a/adapters/platform/kv.c
+++ b/adapters/platform/kv.c
@@ -136,13 +136,21 @@
 	free(value);
 }
 
+static bool succeeded(const ap_call_response_t *resp)
+{
+	return resp->end == AP_CALL_RESPONDED && resp->code == 200;
+}
+
+/* A success that says neither comes from a handler that returned early: failure_status(). */
 static void on_put(void *arg, const ap_call_response_t *resp)
 {
 	pending_t *p = arg;
 	ap_kv_result_t result = {.status = AP_KV_OK};
 
-	if (resp->end == AP_CALL_RESPONDED && resp->code == 200)
-		result.status = strncmp(resp->body, "true", 4) == 0 ? AP_KV_OK : AP_KV_CONFLICT;
+	if (succeeded(resp) && strncmp(resp->body, "true", strlen("true")) == 0)
+		result.status = AP_KV_OK;
+	else if (succeeded(resp) && strncmp(resp->body, "false", strlen("false")) == 0)
+		result.status = AP_KV_CONFLICT;
 	else if (resp->end == AP_CALL_RESPONDED && strstr(resp->body, "invalid session"))
 		result.status = AP_KV_ABSENT;
 	else
@@ -150,22 +158,27 @@
 	finish(p, &result);
 }
 
+/* Creating a session responds with an object, renewing one with a list of it. */
+static bool read_session(const ap_call_response_t *resp, char id[AP_SESSION_MAX])
+{
+	json_t *root = json_loads(resp->body, 0, NULL);
+	json_t *item = json_is_array(root) ? json_array_get(root, 0) : root;
+	const char *text = json_string_value(json_object_get(item, "ID"));
+	bool ok = text && text[0] && ap_copy_name(id, AP_SESSION_MAX, text);
+
+	json_decref(root);
+	return ok;
+}
+
 static void on_session(void *arg, const ap_call_response_t *resp)
 {
 	pending_t *p = arg;
 	ap_kv_result_t result = {.status = AP_KV_OK};
 
-	if (resp->end == AP_CALL_RESPONDED && resp->code == 404) {
+	if (resp->end == AP_CALL_RESPONDED && resp->code == 404)
 		result.status = AP_KV_ABSENT;
-	} else if (resp->end != AP_CALL_RESPONDED || resp->code != 200) {
+	else if (!succeeded(resp) || !read_session(resp, result.session))
 		result.status = failure_status(p, resp, &result.err);
-	} else {
-		json_t *root = json_loads(resp->body, 0, NULL);
-		const char *id = json_string_value(json_object_get(root, "ID"));
-
-		ap_copy_name(result.session, sizeof(result.session), id ? id : "");
-		json_decref(root);
-	}
 	finish(p, &result);
 }
 
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -194,6 +194,44 @@
 	}
 }
 
+/* Guards against a write or renewal that counts as decided though its response doesn't say so. */
+static void a_success_that_ends_early_decides_nothing(void **state)
+{
+	static const struct {
+		operation_t op;
+		const char *body;
+	} cases[] = {
+		{OP_CAS, ""},
+		{OP_CAS, "tr"},
+		{OP_DELETE, ""},
+		{OP_ACQUIRE, ""},
+		{OP_RELEASE, ""},
+		{OP_SESSION, ""},
+		{OP_SESSION, "{}"},
+		{OP_SESSION, "{\"ID\":\"\"}"},
+		{OP_RENEW, ""},
+		{OP_RENEW, "[]"},
+		{OP_RENEW, "[{\"ID\":\"S\"}"},
+	};
+
+	size_t wrong = 0;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		ap_settings_t settings;
+		got_t got;
+
+		start(FAULT_NONE, 200, cases[i].body, &settings);
+		got = perform(cases[i].op, &settings);
+		if (got.calls == 1 && got.status == AP_KV_UNSURE)
+			continue;
+		print_error("case %zu, '%s': status %d instead of %d\n", i, cases[i].body,
+			    got.status, AP_KV_UNSURE);
+		wrong++;
+	}
+	assert_int_equal(wrong, 0);
+}
+
 static void test_values_are_decoded(void **state)
 {
 	ap_settings_t settings;
@@ -361,6 +399,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_each_response_and_fault),
+		cmocka_unit_test(a_success_that_ends_early_decides_nothing),
 		cmocka_unit_test(test_values_are_decoded),
 		cmocka_unit_test(test_instance_list),
 		cmocka_unit_test(test_unchanged_list),
