control: an engine's load is read from whole lines, and needs all gauges

Metrics that end in order but early were taken for whole as soon as "engine_running " was among them: gauges that hadn't come counted as 0, and a number could be cut, so that a busy engine looked idle. Besides, "# HELP engine_running ..." was read as the gauge, with the value 0.

Cause: gauges were searched for anywhere in the text. Reading is a function of its own for the test.

--- a/cmd/arbutuspond/control-poll.c
+++ b/cmd/arbutuspond/control-poll.c
@@ -1,6 +1,7 @@
 /* Requests of the control task to upstreams: load, loaded models, and orders. */
 #include "control.h"
 
+#include <ctype.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -162,11 +163,34 @@
 	return query;
 }
 
-static double read_gauge(const char *text, const char *name)
+/* Reads the gauge @name; its line has to have an end, since metrics may be cut short. */
+static bool read_gauge(const char *text, const char *name, double *value)
 {
-	const char *line = strstr(text, name);
+	size_t len = strlen(name);
+	const char *end;
+	char *rest;
 
-	return line ? ap_bounded(strtod(line + strlen(name), NULL), UINT32_MAX) : 0;
+	for (; (end = strchr(text, '\n')) != NULL; text = end + 1) {
+		if (strncmp(text, name, len) != 0 || text[len] != ' ')
+			continue;
+		*value = ap_bounded(strtod(text + len, &rest), UINT32_MAX);
+		return rest > text + len && rest <= end && isspace((unsigned char)*rest);
+	}
+	return false;
+}
+
+bool ap_poll_read_load(const char *text, ap_load_report_t *load)
+{
+	double running;
+	double waiting;
+
+	if (!read_gauge(text, "engine_running", &running) ||
+	    !read_gauge(text, "engine_waiting", &waiting) ||
+	    !read_gauge(text, "engine_kv_used", &load->kv_used))
+		return false;
+	load->running = (uint32_t)running;
+	load->waiting = (uint32_t)waiting;
+	return true;
 }
 
 static void check_drain_header(const query_t *query, const ap_call_response_t *a)
@@ -185,12 +209,10 @@
 	if (t)
 		t->load_requested = false;
 	check_drain_header(query, a);
-	if (a->end == AP_CALL_RESPONDED && a->code == 200 && strstr(a->body, "engine_running ")) {
+	if (a->end == AP_CALL_RESPONDED && a->code == 200 &&
+	    ap_poll_read_load(a->body, &note.u.load)) {
 		ap_copy_name(note.u.load.upstream, sizeof(note.u.load.upstream), query->upstream);
 		note.u.load.at = ap_now();
-		note.u.load.running = (uint32_t)read_gauge(a->body, "engine_running ");
-		note.u.load.waiting = (uint32_t)read_gauge(a->body, "engine_waiting ");
-		note.u.load.kv_used = read_gauge(a->body, "engine_kv_used ");
 		ap_report_load_read(c->report, &note.u.load, note.u.load.at);
 		ap_task_link_send(c->link, &note);
 	}
--- a/cmd/arbutuspond/control.h
+++ b/cmd/arbutuspond/control.h
@@ -96,6 +96,12 @@
  */
 void ap_poll_set_upstreams(ap_poll_t *p, const ap_upstream_t *upstreams, size_t n);
 void ap_poll_tick(ap_poll_t *p, ap_usec_t now);
+/**
+ * ap_poll_read_load() - reads an engine's load from its metrics.
+ *
+ * Return: false, and @load isn't complete, if a gauge is missing or cut short.
+ */
+bool ap_poll_read_load(const char *text, ap_load_report_t *load);
 /** ap_poll_observe() - reads the models of an upstream now. */
 void ap_poll_observe(ap_poll_t *p, const char *upstream);
 /** ap_poll_orders() - the port that sends orders to upstreams. */
