entry: a list of entries that can't be written is no empty success

Without memory for the text of /v1/entries, its caller got 200 and Content-Length: 0: an end in order of ours though the work wasn't done.

entry_reply_test, before: expected 503, got: HTTP/1.1 200 OK, Content-Type: application/json, Content-Length: 0

Cause: reply_json() sent the status for a body that couldn't be made. Change: 503 then, as the admin listener does.

Result: entry_reply_test passes. ctest -R '^(entry|forward|caller|http_end| http_test|ctl|platform|load_poll|lease|permit|region|retry_after|two)' -E callers_test: 21 of 21.

--- a/cmd/arbutuspond/entry-reply.c
+++ b/cmd/arbutuspond/entry-reply.c
@@ -101,7 +101,8 @@
 	static const ap_http_header_t type[] = {{"Content-Type", "application/json"}};
 	char *text = json_dumps(json, JSON_COMPACT);
 
-	ap_http_reply(call, status, type, 1, text ? text : "", text ? strlen(text) : 0);
+	ap_http_reply(call, text ? status : HTTP_SERVUNAVAIL, type, 1, text ? text : "",
+		      text ? strlen(text) : 0);
 	free(text);
 	json_decref(json);
 }
