entry: a null character in a text doesn't make a whole response incomplete

Found on the way: the proof that a body is whole is that it parses, and the library refuses the escape \u0000 unless it is asked to take it. Such a success ended as 502, "the response is incomplete", at each attempt.

entry_early_end_test, a_whole_success_may_contain_a_null_character, before: expected 200 with 'Arbutuspond-Outcome: completed' and 'a\u0000', got: HTTP/1.1 502 Bad Gateway ... "the response is incomplete"

Change: the escape is taken. Numbers beyond 64 bits are refused as before.

--- a/cmd/arbutuspond/entry-attempt.c
+++ b/cmd/arbutuspond/entry-attempt.c
@@ -85,8 +85,8 @@
 		return x->stream.done;
 	if (!needs_json(x))
 		return true;
-	doc = json_loadb((const char *)evbuffer_pullup(x->response, -1), len, JSON_DECODE_ANY,
-			 NULL);
+	doc = json_loadb((const char *)evbuffer_pullup(x->response, -1), len,
+			 JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
 	if (!doc)
 		return false;
 	tokens = json_object_get(json_object_get(doc, "usage"), "completion_tokens");
--- a/test/entry_early_end_test.c
+++ b/test/entry_early_end_test.c
@@ -85,6 +85,21 @@
 	}
 }
 
+/* Guards against a whole success that is taken for cut short for a null character in a text. */
+static void a_whole_success_may_contain_a_null_character(void **state)
+{
+	static const char whole[] =
+		HEAD JSON_TYPE "Content-Length: 48\r\n\r\n"
+			       "{\"choices\":[{\"message\":{\"content\":\"a\\u0000b\"}}]}";
+	int requests;
+	char *response = ask(whole, BODY("ask", "false"), -1, &requests);
+
+	(void)state;
+	rig_check(response, 200, COMPLETED, "a\\u0000");
+	assert_int_equal(requests, 1);
+	free(response);
+}
+
 /* Guards against a refusal by an engine that becomes an error of ours since it has no JSON. */
 static void an_engines_refusal_needs_no_body(void **state)
 {
@@ -132,6 +147,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(an_engines_early_end_is_tried_again),
 		cmocka_unit_test(an_early_end_of_a_call_that_runs_once_is_unknown),
+		cmocka_unit_test(a_whole_success_may_contain_a_null_character),
 		cmocka_unit_test(an_engines_refusal_needs_no_body),
 		cmocka_unit_test(a_plain_service_may_respond_without_a_body),
 	};
