exchange: a comment in a continuation is no progress

Found by a review of the fix: a stream that broke off passed for whole when the upstream that should have gone on with it sent a comment and ended, and one whose continuation began with a comment and repeated earlier events was broken. Both since the search for the first new event stopped at a comment. Two tests of exchange_ids_test failed before.

--- a/lib/exchange/sse.c
+++ b/lib/exchange/sse.c
@@ -132,6 +132,12 @@
 	return len;
 }
 
+/* Comments, and other blocks without data or an id, are no events. */
+static bool is_event(const char *data, size_t len)
+{
+	return has_field(data, len, AP_SSE_DATA) || has_field(data, len, AP_SSE_ID);
+}
+
 size_t ap_sse_count(const char *data, size_t len)
 {
 	size_t count = 0;
@@ -139,9 +145,7 @@
 	size_t end;
 
 	while ((end = next_event_end(data, len, from)) != 0) {
-		/* Comments, and other blocks without data or an id, are no events. */
-		count += has_field(data + from, end - from, AP_SSE_DATA) ||
-			 has_field(data + from, end - from, AP_SSE_ID);
+		count += is_event(data + from, end - from);
 		from = end;
 	}
 	return count;
@@ -179,7 +183,8 @@
 	if (!id[0])
 		return 0;
 	while ((end = next_event_end(data, len, from)) != 0) {
-		if (!event_id(data + from, end - from, current) || id_is_after(current, id))
+		if (is_event(data + from, end - from) &&
+		    (!event_id(data + from, end - from, current) || id_is_after(current, id)))
 			return from;
 		from = end;
 	}
--- a/test/exchange_ids_test.c
+++ b/test/exchange_ids_test.c
@@ -76,6 +76,45 @@
 	finish(&w);
 }
 
+/* Guards against a stream that looks complete where it broke off, as a comment followed. */
+static void a_comment_is_no_continuation(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 2);
+	head(&w, 200);
+	data(&w, FIRST);
+	end(&w, AP_CONNECTION_BROKEN);
+	head(&w, 200);
+	data(&w, COMMENT);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_false(w.ended);
+	finish(&w);
+}
+
+/* Guards against events that come twice, or break a stream, behind a comment. */
+static void events_are_skipped_behind_a_comment(void **state)
+{
+	(void)state;
+	for (int apart = 0; apart < 2; apart++) {
+		world_t w = {0};
+
+		begin(&w, AP_KIND_STREAM, true, 2);
+		head(&w, 200);
+		data(&w, FIRST);
+		end(&w, AP_CONNECTION_BROKEN);
+		head(&w, 200);
+		if (apart)
+			data(&w, COMMENT);
+		data(&w, apart ? FIRST REST : COMMENT FIRST REST);
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_true(w.ended);
+		assert_string_equal(w.body, FIRST REST);
+		finish(&w);
+	}
+}
+
 /* Guards against streams that are never complete, as their lines end with a CR. */
 static void lines_may_end_with_cr(void **state)
 {
@@ -115,6 +154,8 @@
 		cmocka_unit_test(a_stream_that_begins_anew_has_its_first_event),
 		cmocka_unit_test(comments_need_no_id),
 		cmocka_unit_test(a_comment_is_no_event),
+		cmocka_unit_test(a_comment_is_no_continuation),
+		cmocka_unit_test(events_are_skipped_behind_a_comment),
 		cmocka_unit_test(lines_may_end_with_cr),
 	};
 
