--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -215,6 +215,7 @@
 		return -1;
 	}
 	head.framed = ap_http_response_framed(req);
+	head.bodiless = ap_http_response_bodiless(req);
 	head.sized = head.framed && !evhttp_find_header(head.headers, "Transfer-Encoding");
 	fetch->head_received = true;
 	fetch->last_byte_at = ap_now();
--- a/adapters/http/framing.c
+++ b/adapters/http/framing.c
@@ -138,7 +138,7 @@
 	       evbuffer_add(req->output_buffer, body, len) == 0;
 }
 
-static bool has_no_body(const struct evhttp_request *req)
+bool ap_http_response_bodiless(const struct evhttp_request *req)
 {
 	int status = req->response_code;
 
@@ -148,6 +148,7 @@
 
 bool ap_http_response_framed(const struct evhttp_request *req)
 {
-	return has_no_body(req) || evhttp_find_header(req->input_headers, "Content-Length") ||
+	return ap_http_response_bodiless(req) ||
+	       evhttp_find_header(req->input_headers, "Content-Length") ||
 	       evhttp_find_header(req->input_headers, "Transfer-Encoding");
 }
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -59,6 +59,8 @@
  */
 bool ap_http_response_framing_valid(struct evhttp_request *req);
 
+/** ap_http_response_bodiless() - whether a received response has no body, whatever it states. */
+bool ap_http_response_bodiless(const struct evhttp_request *req);
 /**
  * ap_http_response_framed() - whether a received response states where its body ends, or has none.
  * Otherwise the body ends with the connection, as one that breaks off does.
@@ -272,6 +274,7 @@
  * @reused: the connection has carried an earlier response, so that this one may be a copy of it
  * @framed: the response states where it ends; otherwise it ends with the connection
  * @sized: the head states the length of the body
+ * @bodiless: the response has no body, as its status or the method of the request says
  */
 typedef struct ap_http_head {
 	int status;
@@ -279,6 +282,7 @@
 	bool reused;
 	bool framed;
 	bool sized;
+	bool bodiless;
 } ap_http_head_t;
 
 /**
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -160,6 +160,7 @@
 		.status = head->status,
 		.refused = info.not_run,
 		.sized = head->sized,
+		.bodiless = head->bodiless,
 		.from_replica = info.from_replica,
 		.build = build_of(head->headers),
 		.weights = weights_of(a, &info),
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -428,7 +428,7 @@
 
 static void response_complete(ap_exchange_t *x, ap_attempt_t *a, bool closed, ap_usec_t now)
 {
-	ap_doubt_t doubt = is_success(a) ? ap_attempt_doubt(x, a, closed, now) : AP_DOUBT_NONE;
+	ap_doubt_t doubt = ap_attempt_doubt(x, a, closed, now);
 
 	if (a->has_head && a->head.refused)
 		target_refused(x, a, now);
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -38,6 +38,7 @@
  * @address_reused: another upstream has the address now
  * @weights_refused: the target has another version of the weights than it was asked for
  * @sized: the head states the length of the body
+ * @bodiless: the response has no body, as its status or the method of the request says
  * @from_replica: the head shows that a replica made the response and its body; only then is a
  *	success, or an error, the response to the request
  * @build: of the upstream behind a remote target; 0 if the target doesn't say
@@ -52,6 +53,7 @@
 	bool address_reused;
 	bool weights_refused;
 	bool sized;
+	bool bodiless;
 	bool from_replica;
 	uint64_t build;
 	ap_weights_t weights;
@@ -313,7 +315,7 @@
 bool ap_sse_last_id(const char *data, size_t len, char id[AP_SSE_ID_MAX]);
 /**
  * ap_sse_after() - returns the offset of the first event whose id is a number above @id, or @len;
- * 0 if @id is empty.
+ * 0 if @id is empty. Comments before it are passed over.
  * An event without an id counts as above @id, and so does each event if either id is no number.
  */
 size_t ap_sse_after(const char *data, size_t len, const char *id);
--- a/lib/exchange/proof.c
+++ b/lib/exchange/proof.c
@@ -46,17 +46,23 @@
 /* Returns whether nothing shows that the upstream was at work on the stream, which has ended. */
 static bool lacks_events(const ap_exchange_t *x, const ap_attempt_t *a, bool closed)
 {
-	return x->stream && !a->inflight.has_first_chunk && (closed || !caller_has_events(x));
+	return x->stream && !a->head.bodiless && !a->inflight.has_first_chunk &&
+	       (closed || !caller_has_events(x));
 }
 
 ap_doubt_t ap_attempt_doubt(const ap_exchange_t *x, const ap_attempt_t *a, bool closed,
 			    ap_usec_t now)
 {
-	if (x->stream && a->buffer_len > 0)
+	/* At its deadline, an upstream responds with an error of its own. */
+	if (a->head.status >= 500)
+		return AP_DOUBT_NONE;
+	if (x->stream && is_success(a) && a->buffer_len > 0)
 		return AP_DOUBT_TRUNCATED;
 	if (!stated_in_time(x, a, closed, now))
 		return AP_DOUBT_DEADLINE;
-	return lacks_events(x, a, closed) ? AP_DOUBT_NO_EVENT : AP_DOUBT_NONE;
+	return !is_success(a)		    ? AP_DOUBT_NONE
+	       : lacks_events(x, a, closed) ? AP_DOUBT_NO_EVENT
+					    : AP_DOUBT_NONE;
 }
 
 /* Returns whether the upstream may have ended the response as its process stopped. */
@@ -68,12 +74,13 @@
 
 ap_doubt_t ap_attempt_unconfirmed(const ap_exchange_t *x, const ap_attempt_t *a)
 {
-	if (x->end_stated)
-		return AP_DOUBT_NONE;
+	if (may_have_stopped(x, a))
+		return AP_DOUBT_STOPPED;
 	/* The sender of a forwarded request decides. */
-	if (x->stream && a->resuming && caller_has_events(x) && !x->req.local_only)
+	if (x->stream && !a->head.bodiless && a->resuming && caller_has_events(x) &&
+	    !x->end_stated && !x->req.local_only)
 		return AP_DOUBT_NO_EVENT;
-	return may_have_stopped(x, a) ? AP_DOUBT_STOPPED : AP_DOUBT_NONE;
+	return AP_DOUBT_NONE;
 }
 
 void ap_attempt_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now)
@@ -88,7 +95,7 @@
 void ap_attempt_confirm(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now)
 {
 	x->doubt = doubt;
-	x->end_stated = x->last_event_id[0] != '\0';
+	x->end_stated = x->stream && caller_has_events(x);
 	/* The end may be right, so it isn't held against the upstream. */
 	ap_attempt_failed(x, a, AP_DISPATCH_CANCELLED, AP_REASON_BROKEN, now);
 }
--- a/test/exchange_end_test.c
+++ b/test/exchange_end_test.c
@@ -264,6 +264,65 @@
 	}
 }
 
+/* Guards against a stream whose end is confirmed by an upstream that stops, too. */
+static void a_stop_confirms_no_end(void **state)
+{
+	static const ap_kind_t kinds[] = {AP_KIND_STREAM, AP_KIND_IDEMPOTENT};
+
+	(void)state;
+	for (size_t k = 0; k < 2; k++) {
+		world_t w = {.resumes = "1"};
+
+		begin(&w, kinds[k], true, 2);
+		head(&w, 200);
+		data(&w, REST);
+		w.all_stopped = true;
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_int_equal(w.n_sent, 2);
+		head(&w, 200);
+		if (kinds[k] != AP_KIND_STREAM)
+			data(&w, REST);
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_false(w.ended);
+		finish(&w);
+	}
+}
+
+/* Guards against a response without a body that is lost on the route of a stream. */
+static void a_response_without_body_needs_no_event(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, false, 1);
+	bodiless_head(&w, 200);
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_true(w.ended);
+	finish(&w);
+}
+
+/*
+ * Guards against a part of an error that looks whole as the upstream stopped at its deadline, and
+ * against the loss of what it says then.
+ */
+static void an_error_at_the_deadline_is_believed_if_it_says_so(void **state)
+{
+	static const int statuses[] = {404, 504};
+
+	(void)state;
+	for (size_t i = 0; i < 2; i++) {
+		world_t w = {0};
+
+		begin(&w, AP_KIND_ONCE, false, 1);
+		head(&w, statuses[i]);
+		data(&w, "half");
+		w.now = w.x.timeout_at - 2 * AP_MSEC;
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_int_equal(w.ended, statuses[i] == 504);
+		finish(&w);
+	}
+}
+
 /* Guards against a forwarded stream that its sender can't take for whole, though it is. */
 static void a_forwarded_empty_continuation_is_passed_on(void **state)
 {
@@ -289,6 +348,9 @@
 		cmocka_unit_test(a_stream_without_events_is_not_whole),
 		cmocka_unit_test(an_empty_continuation_needs_a_second_one),
 		cmocka_unit_test(a_forwarded_empty_continuation_is_passed_on),
+		cmocka_unit_test(a_stop_confirms_no_end),
+		cmocka_unit_test(a_response_without_body_needs_no_event),
+		cmocka_unit_test(an_error_at_the_deadline_is_believed_if_it_says_so),
 		cmocka_unit_test(an_end_as_the_upstream_stops_is_confirmed_elsewhere),
 		cmocka_unit_test(an_end_as_the_upstream_stops_is_no_end_alone),
 	};
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -35,7 +35,8 @@
 	int dropped;
 	bool uncheckable;  /* whether an upstream has ended can't be found out */
 	int checks;	   /* of targets, asked for */
-	bool stopped;	   /* upstreams may have stopped */
+	bool stopped;	   /* the first upstream may have stopped */
+	bool all_stopped;  /* all of them */
 	ap_usec_t arrived; /* when the latest bytes arrived; 0: not known */
 	int heads;
 	char body[4096];
@@ -149,8 +150,9 @@
 
 static inline bool op_stopped(void *ctx, const ap_target_t *target)
 {
-	/* The others have announced nothing. */
-	return ((world_t *)ctx)->stopped && strcmp(target->id, "u0") == 0;
+	const world_t *w = ctx;
+
+	return w->all_stopped || (w->stopped && strcmp(target->id, "u0") == 0);
 }
 
 static inline void op_head(void *ctx, unsigned slot)
@@ -271,6 +273,14 @@
 	ap_exchange_head(&w->x, w->slot[w->n_sent - 1], &h, w->now);
 }
 
+static inline void bodiless_head(world_t *w, int status)
+{
+	ap_response_head_t h = {
+		.status = status, .from_replica = true, .sized = true, .bodiless = true};
+
+	ap_exchange_head(&w->x, w->slot[w->n_sent - 1], &h, w->now);
+}
+
 static inline void data_of(world_t *w, int i, const char *text)
 {
 	ap_exchange_data(&w->x, w->slot[i], text, strlen(text), w->now);
