exchange: the sender of a forwarded stream has its end confirmed

Whole streams were cut as their upstream was about to stop, where they were forwarded: the instance that knows of the stop may run the request once only, so it broke the response off, and the sender didn't know that it had ended in order. It ends it with a mark now, a comment, which the sender takes out, and asks another upstream for what follows the last event.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -13,6 +13,7 @@
 	a->buffer_len = 0;
 	a->scanned = 0;
 	a->head = (ap_response_head_t){0};
+	a->marked = false;
 	a->weights = AP_WEIGHTS_ANY;
 	a->accepted_at = 0;
 }
@@ -163,6 +164,24 @@
 	}
 }
 
+/*
+ * Takes out the mark that another instance puts behind an end which the sender has to confirm.
+ * Return: how many bytes of complete events are left.
+ */
+static size_t take_mark(ap_attempt_t *a, size_t complete)
+{
+	static const char mark[] = AP_EXCHANGE_UNCONFIRMED;
+	const size_t len = sizeof(mark) - 1;
+	size_t before = complete - len;
+
+	if (!a->target.remote || complete < len || memcmp(a->buffer + before, mark, len) != 0)
+		return complete;
+	a->marked = true;
+	memmove(a->buffer + before, a->buffer + complete, a->buffer_len - complete);
+	a->buffer_len -= len;
+	return before;
+}
+
 /*
  * Delivers complete events; an incomplete one stays in the buffer. An event that comes again, or
  * after a later one, breaks the stream.
@@ -173,6 +192,7 @@
 	size_t from = 0;
 	size_t ordered;
 
+	complete = take_mark(a, complete);
 	a->scanned = a->buffer_len;
 	if (complete == 0)
 		return;
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -418,7 +418,7 @@
 {
 	ap_doubt_t doubt = is_success(a) ? ap_attempt_unconfirmed(x, a) : AP_DOUBT_NONE;
 
-	if (doubt != AP_DOUBT_NONE)
+	if (doubt != AP_DOUBT_NONE && !ap_attempt_sender_confirms(x, doubt))
 		ap_attempt_confirm(x, a, doubt, now);
 	else if (is_success(a))
 		deliver_success(x, a, now);
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -14,7 +14,9 @@
 #define AP_SSE_ID "id:"
 #define AP_SSE_DATA "data:"
 #define AP_SSE_ID_MAX 64 /* bytes of a server-sent event's id, with terminator */
-#define AP_SLOTS 2	 /* attempts of one request that may be in flight at the same time */
+/* What an instance puts behind the events of a forwarded stream whose end is in doubt. */
+#define AP_EXCHANGE_UNCONFIRMED ": end unconfirmed\n\n"
+#define AP_SLOTS 2 /* attempts of one request that may be in flight at the same time */
 
 /* How the connection to a target ended, as far as the driver can tell. */
 typedef enum ap_connection_end {
@@ -171,6 +173,7 @@
  * @has_head: @head holds the target's response head
  * @head_in_time: it arrived before the deadline that the target was told
  * @checking: the response ended with its connection, and the driver checks the target
+ * @marked: a remote target says that the end of the stream is in doubt
  * @resuming: the target may repeat events up to the last one that was delivered
  * @accepted_at: when the head of a success arrived; 0 before
  * @last_chunk_at: of the response; at first when the request was sent
@@ -183,6 +186,7 @@
 	bool has_head;
 	bool head_in_time;
 	bool checking;
+	bool marked;
 	bool resuming;
 	ap_target_t target;
 	ap_inflight_t inflight;
--- a/lib/exchange/private.h
+++ b/lib/exchange/private.h
@@ -51,6 +51,11 @@
 ap_doubt_t ap_attempt_unconfirmed(const ap_exchange_t *x, const ap_attempt_t *a);
 /* Gives up the success of @a, which may not be whole: it goes on elsewhere, or is broken. */
 void ap_attempt_doubted(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now);
+/*
+ * Tells the sender of a forwarded stream that its end has to be confirmed. Return: false for a
+ * request that wasn't forwarded.
+ */
+bool ap_attempt_sender_confirms(ap_exchange_t *x, ap_doubt_t doubt);
 /* Likewise, but a second upstream that has no further event confirms the end. */
 void ap_attempt_confirm(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now);
 
--- a/lib/exchange/proof.c
+++ b/lib/exchange/proof.c
@@ -4,6 +4,8 @@
  */
 #include "exchange/private.h"
 
+#include <string.h>
+
 /*
  * The upstream may see its deadline this much earlier: it is told whole milliseconds, and timers
  * may be as coarse as a tick.
@@ -74,7 +76,7 @@
 
 ap_doubt_t ap_attempt_unconfirmed(const ap_exchange_t *x, const ap_attempt_t *a)
 {
-	if (may_have_stopped(x, a))
+	if (a->marked || may_have_stopped(x, a))
 		return AP_DOUBT_STOPPED;
 	/* The sender of a forwarded request decides. */
 	if (x->stream && !a->head.bodiless && a->resuming && caller_has_events(x) &&
@@ -92,6 +94,15 @@
 		ap_attempt_failed(x, a, AP_DISPATCH_BROKEN, AP_REASON_BROKEN, now);
 }
 
+bool ap_attempt_sender_confirms(ap_exchange_t *x, ap_doubt_t doubt)
+{
+	if (!x->req.local_only || !x->stream || !x->committed)
+		return false;
+	x->doubt = doubt;
+	x->ops->data(x->ctx, AP_EXCHANGE_UNCONFIRMED, strlen(AP_EXCHANGE_UNCONFIRMED));
+	return true;
+}
+
 void ap_attempt_confirm(ap_exchange_t *x, ap_attempt_t *a, ap_doubt_t doubt, ap_usec_t now)
 {
 	x->doubt = doubt;
--- a/test/exchange_end_test.c
+++ b/test/exchange_end_test.c
@@ -264,6 +264,50 @@
 	}
 }
 
+/*
+ * Guards against whole streams that are cut, as the instance that knows of an upstream's stop can't
+ * have their end confirmed.
+ */
+static void the_sender_of_a_forwarded_stream_confirms_its_end(void **state)
+{
+	static const char told[] = FIRST AP_EXCHANGE_UNCONFIRMED;
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_STREAM, true, 1);
+	w.x.req.local_only = true;
+	head(&w, 200);
+	data(&w, FIRST);
+	w.stopped = true;
+	end(&w, AP_CONNECTION_COMPLETE);
+	assert_true(w.ended);
+	assert_string_equal(w.body, told);
+	finish(&w);
+
+	for (size_t cut = 0; cut < strlen(told); cut++) {
+		char first[sizeof(told)];
+
+		w = (world_t){0};
+		begin(&w, AP_KIND_STREAM, true, 2);
+		w.x.slot[w.slot[0]].target.remote = true;
+		w.x.slot[w.slot[0]].head.build = 1;
+		w.x.req.build = 1;
+		snprintf(first, sizeof(first), "%.*s", (int)cut, told);
+		head(&w, 200);
+		data(&w, first);
+		data(&w, told + cut);
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_false(w.ended);
+		assert_int_equal(w.n_sent, 2);
+		assert_string_equal(w.last_event[1], "1");
+		head(&w, 200);
+		end(&w, AP_CONNECTION_COMPLETE);
+		assert_true(w.ended);
+		assert_string_equal(w.body, FIRST);
+		finish(&w);
+	}
+}
+
 /* Guards against a stream whose end is confirmed by an upstream that stops, too. */
 static void a_stop_confirms_no_end(void **state)
 {
@@ -348,6 +392,7 @@
 		cmocka_unit_test(a_stream_without_events_is_not_whole),
 		cmocka_unit_test(an_empty_continuation_needs_a_second_one),
 		cmocka_unit_test(a_forwarded_empty_continuation_is_passed_on),
+		cmocka_unit_test(the_sender_of_a_forwarded_stream_confirms_its_end),
 		cmocka_unit_test(a_stop_confirms_no_end),
 		cmocka_unit_test(a_response_without_body_needs_no_event),
 		cmocka_unit_test(an_error_at_the_deadline_is_believed_if_it_says_so),
