HTTP client: a response behind an interim one is read though its peer closes

A whole response was lost (no response to a small call, AP_HTTP_RESET for a request to an upstream) if it, an interim one before it and the close arrived in one moment. Cause: after an interim response the library waits for the socket to become writable before it parses what it has read already. It goes on reading meanwhile, meets the close and discards those bytes (strace: the head of 103 and the final response in one readv(), EPOLLIN|EPOLLOUT, readv() of 0, shutdown()).

ap_http_take_interim() now disables reading until the library goes on, which enables it again. The library enables it also as the head's callback returns, so it is disabled behind that, by an event that runs in the same turn. The bufferevent has a reference for that time. Small calls and requests to upstreams share it.

--- a/adapters/http/framing.c
+++ b/adapters/http/framing.c
@@ -3,6 +3,7 @@
 
 #include <ctype.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
@@ -24,6 +25,30 @@
 	return req->chunked && req->ntoread < 0 && evbuffer_get_length(in) > LINE_MAX;
 }
 
+static void on_interim_parsed(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	bufferevent_disable(arg, EV_READ);
+	bufferevent_decref(arg);
+}
+
+/*
+ * The library parses what it holds behind an interim response only once the socket was writable,
+ * and discards it if a close is read before. It enables reading when it goes on; before that, it
+ * does so as the head's callback returns.
+ */
+static void hold_reading(struct evhttp_request *req)
+{
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(evhttp_request_get_connection(req));
+
+	bufferevent_incref(bev);
+	if (event_base_once(bufferevent_get_base(bev), -1, EV_TIMEOUT, on_interim_parsed, bev,
+			    NULL) != 0)
+		bufferevent_decref(bev);
+}
+
 bool ap_http_take_interim(struct evhttp_request *req, unsigned *heads)
 {
 	int status = req->response_code;
@@ -32,8 +57,10 @@
 	evhttp_clear_headers(req->input_headers);
 	/* The library reads on after 100 only, and takes the others to be final. */
 	req->response_code = STATUS_CONTINUE;
-	return status >= STATUS_CONTINUE && status != STATUS_SWITCHING &&
-	       ++*heads <= INTERIM_HEADS_MAX;
+	if (status < STATUS_CONTINUE || status == STATUS_SWITCHING || ++*heads > INTERIM_HEADS_MAX)
+		return false;
+	hold_reading(req);
+	return true;
 }
 
 static size_t count_headers(const struct evkeyvalq *headers, const char *name)
--- a/test/call_rig.h
+++ b/test/call_rig.h
@@ -55,8 +55,18 @@
 	return fd;
 }
 
-/* Returns the result of a call to a peer that writes @text, and then closes with @closes. */
-static inline result_t call(const char *text, bool status_only, bool closes)
+/* Runs what is due, without waiting. */
+static inline void run_due(struct event_base *base)
+{
+	for (int i = 0; i < 20; i++)
+		event_base_loop(base, EVLOOP_NONBLOCK);
+}
+
+/*
+ * Returns the result of a call to a peer that writes @text in pieces of @piece bytes, each once the
+ * one before has been read, and then closes with @closes.
+ */
+static inline result_t call_in_pieces(const char *text, size_t piece, bool status_only, bool closes)
 {
 	struct event_base *base = event_base_new();
 	ap_calls_t *calls = ap_calls_new(base);
@@ -81,10 +91,14 @@
 	ap_call(calls, &spec);
 	event_base_loop(base, EVLOOP_NONBLOCK);
 	fd = accept(listener, NULL, NULL);
-	for (int i = 0; i < 20; i++)
-		event_base_loop(base, EVLOOP_NONBLOCK);
+	run_due(base);
 	assert_true(recv(fd, request, sizeof(request), 0) > 0);
-	assert_int_equal(send(fd, text, strlen(text), 0), strlen(text));
+	for (size_t at = 0, len = strlen(text), n; at < len; at += n) {
+		n = len - at < piece ? len - at : piece;
+		if (at > 0)
+			run_due(base);
+		assert_int_equal(send(fd, text + at, n, 0), n);
+	}
 	if (closes)
 		close(fd);
 	event_base_dispatch(base);
@@ -96,4 +110,10 @@
 	return result;
 }
 
+/* The same with @text in one piece. */
+static inline result_t call(const char *text, bool status_only, bool closes)
+{
+	return call_in_pieces(text, strlen(text), status_only, closes);
+}
+
 #endif
--- a/test/http_head_test.c
+++ b/test/http_head_test.c
@@ -395,6 +395,35 @@
 	rig_clear(&rig);
 }
 
+/*
+ * Guards against a whole response that is lost, as its upstream closes in the moment in which
+ * interim responses and it arrive.
+ */
+static void a_response_behind_interim_ones_is_whole_though_its_upstream_closes(void **state)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 100 Continue\r\n\r\n" OK ID "Content-Length: 5\r\n" END "whole",
+		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" OK ID CHUNKED END
+		"5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+		"HTTP/1.1 103 Early Hints\r\n\r\n" OK "Content-Length: 5\r\n" END "whole",
+	};
+	rig_t rig;
+
+	(void)state;
+	rig_init(&rig);
+	for (size_t i = 0; i < 2 * COUNT(texts); i++) {
+		const char *text = texts[i / 2];
+		result_t got = fetch(&rig, text, strlen(text), i % 2 == 0, CLOSE);
+
+		if (got.end != AP_HTTP_COMPLETE || got.status != 200 ||
+		    strcmp(got.body, "whole") != 0)
+			fail_msg("'%s' ended as %d, status %d, body '%s'", text, (int)got.end,
+				 got.status, got.body);
+	}
+	rig_clear(&rig);
+}
+
 /*
  * Guards against a transfer coding that the library doesn't decode: it reads to the connection's
  * end, which is no framing, and passes on what the coding adds.
@@ -518,6 +547,8 @@
 		cmocka_unit_test(a_response_cut_by_a_reset_is_not_complete),
 		cmocka_unit_test(an_interim_response_is_not_complete),
 		cmocka_unit_test(headers_of_an_interim_response_are_not_the_final_ones),
+		cmocka_unit_test(
+			a_response_behind_interim_ones_is_whole_though_its_upstream_closes),
 		cmocka_unit_test(an_unknown_transfer_coding_is_malformed),
 		cmocka_unit_test(no_form_of_a_response_is_read_in_two_ways),
 		cmocka_unit_test(a_blank_behind_a_name_hides_no_header),
