--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -340,16 +340,6 @@
  * @may_return: the entry expired while the store was unreachable, and may come back
  */
 void ap_fleet_remove_replica(ap_fleet_t *f, const char *id, bool may_return, ap_usec_t now);
-/**
- * ap_fleet_shutdown_at() - when upstream @id stops, whatever it is processing, as its entry
- * announced; AP_NEVER if it didn't, or if no such upstream is known.
- */
-ap_usec_t ap_fleet_shutdown_at(const ap_fleet_t *f, const char *id);
-/**
- * ap_fleet_may_have_stopped() - returns whether upstream @id may have reached the stop that it
- * announced, considering that its announcement may have taken some time to arrive.
- */
-bool ap_fleet_may_have_stopped(const ap_fleet_t *f, const char *id, ap_usec_t now);
 /**
  * ap_fleet_list_begin() - starts a complete list from the store. ap_fleet_list_end() removes the
  * upstreams, evacuations and instances that were not updated in between.
--- a/lib/fleet/stream.h
+++ b/lib/fleet/stream.h
@@ -45,4 +45,16 @@
 /** ap_fleet_build_pool() - returns the pool of @build; NULL if no listed upstream has it. */
 const char *ap_fleet_build_pool(const ap_fleet_t *f, uint64_t build);
 
+/* Announced stops of upstreams: replica.c */
+/**
+ * ap_fleet_shutdown_at() - when upstream @id stops, whatever it is processing, as its entry
+ * announced; AP_NEVER if it didn't, or if no such upstream is known.
+ */
+ap_usec_t ap_fleet_shutdown_at(const ap_fleet_t *f, const char *id);
+/**
+ * ap_fleet_may_have_stopped() - returns whether upstream @id may have reached the stop that it
+ * announced, considering that its announcement may have taken some time to arrive.
+ */
+bool ap_fleet_may_have_stopped(const ap_fleet_t *f, const char *id, ap_usec_t now);
+
 #endif
