--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -102,6 +102,7 @@
 
 /**
  * struct ap_dispatch - what is known of a request that needs a target.
+ * @customer: who sends it; NULL if the plan has no customers or the request names none
  * @local_only: was forwarded by another instance, so it is served or refused here
  * @deadline: time by which the final response is due, in microseconds
  * @tokens_in: length of the prompt
@@ -123,6 +124,7 @@
 typedef struct ap_dispatch {
 	const ap_plan_route_t *route;
 	const ap_plan_pool_t *pool;
+	const ap_customer_t *customer;
 	bool local_only;
 	ap_usec_t deadline;
 	uint32_t tokens_in;
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -48,6 +48,22 @@
 	return plan;
 }
 
+void ap_plan_set_customers(ap_plan_t *plan, ap_customer_t *customers, size_t n)
+{
+	free(plan->customers);
+	plan->customers = customers;
+	plan->n_customers = n;
+}
+
+const ap_customer_t *ap_plan_find_customer(const ap_plan_t *plan, const char *name)
+{
+	for (size_t i = 0; i < plan->n_customers; i++) {
+		if (strcmp(plan->customers[i].name, name) == 0)
+			return &plan->customers[i];
+	}
+	return NULL;
+}
+
 ap_plan_t *ap_plan_ref(ap_plan_t *plan)
 {
 	if (plan)
@@ -61,6 +77,7 @@
 		return;
 	free_routes(plan->routes, plan->n_routes);
 	free(plan->pools);
+	free(plan->customers);
 	free(plan);
 }
 
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -7,6 +7,7 @@
 #define AP_PLAN_H
 
 #include "base/base.h"
+#include "plan/customer.h"
 
 /* Size in bytes of a host, path prefix or health check path, including the terminator. */
 #define AP_PLAN_PATH_MAX 256
@@ -83,6 +84,7 @@
  * struct ap_plan - one version of the routes and pools.
  * @version: increases with each change of the configuration
  * @routes: sorted by ap_plan_new() by host, then by length of the prefix, the longest first
+ * @customers: none if requests need no key
  */
 typedef struct ap_plan {
 	int refs;
@@ -91,6 +93,8 @@
 	size_t n_routes;
 	ap_plan_pool_t *pools;
 	size_t n_pools;
+	ap_customer_t *customers;
+	size_t n_customers;
 } ap_plan_t;
 
 /**
@@ -102,6 +106,10 @@
  */
 ap_plan_t *ap_plan_new(uint64_t version, ap_plan_route_t *routes, size_t n_routes,
 		       ap_plan_pool_t *pools, size_t n_pools);
+/** ap_plan_set_customers() - takes ownership of @customers, which must come from malloc(). */
+void ap_plan_set_customers(ap_plan_t *plan, ap_customer_t *customers, size_t n);
+/** ap_plan_find_customer() - returns the customer with this name, or NULL. */
+const ap_customer_t *ap_plan_find_customer(const ap_plan_t *plan, const char *name);
 ap_plan_t *ap_plan_ref(ap_plan_t *plan);
 void ap_plan_unref(ap_plan_t *plan);
 /** ap_plan_match() - returns the route of @host with the longest matching prefix, or NULL. */
