Customers: keys, Tenant, priority and regions

The plan holds customers and keyed hashes of their keys; a request without a valid key gets 401, upstreams get the customer's name from the gateway alone, and a forwarded request names the customer with a hash, so that two versions are noticed. Without customers nothing changes.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -10,7 +10,7 @@
 
 #define DEFAULT_TIME_LEFT (30 * AP_SEC)	  /* for requests without a deadline */
 #define HEARD_MAX (600 * AP_SEC)	  /* above any timeout of a route */
-#define EARLY_RETRY_AFTER (300 * AP_MSEC) /* in every 503 of reply_early() */
+#define EARLY_RETRY_AFTER (300 * AP_MSEC) /* in every 503 of gate_reply_early() */
 
 /*
  * Responds to a request that has no exchange; nothing was sent, so it certainly did not run.
@@ -19,7 +19,7 @@
 static void reply_early_with(ap_http_call_t *call, int status, bool forwarded, const char *error,
 			     const char *version)
 {
-	ap_http_header_t headers[4] = {gate_json};
+	ap_http_header_t headers[5] = {gate_json};
 	char body[GATE_ERROR_MAX];
 	char wait[24];
 	size_t n = 1;
@@ -29,6 +29,8 @@
 		ap_host_format_retry_after(EARLY_RETRY_AFTER, wait);
 		headers[n++] = (ap_http_header_t){ap_host_retry_after_name(), wait};
 	}
+	if (status == 401)
+		headers[n++] = (ap_http_header_t){"WWW-Authenticate", "Bearer"};
 	if (forwarded)
 		headers[n++] = (ap_http_header_t){FORWARD_HEADER_NOT_RUN, FORWARD_NOT_RUN_UNSENT};
 	if (version)
@@ -36,7 +38,7 @@
 	ap_http_reply(call, status, headers, n, body, len);
 }
 
-static void reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error)
+void gate_reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error)
 {
 	reply_early_with(call, status, forwarded, error, NULL);
 }
@@ -130,8 +132,10 @@
 }
 
 /* A repeated request has the same fingerprint, at any instance. */
-static uint64_t fingerprint_of(ap_http_call_t *call, const ap_host_request_t *r)
+static uint64_t fingerprint_of(ap_http_call_t *call, const ap_host_request_t *r,
+			       const ap_customer_t *customer)
 {
+	const char *caller = customer ? customer->name : r->caller;
 	enum evhttp_cmd_type method = ap_http_call_method(call);
 	size_t len;
 	const void *body = ap_http_call_body(call, &len);
@@ -139,8 +143,8 @@
 
 	hash = ap_hash_str(r->host, hash);
 	hash = ap_hash_str(ap_http_call_target(call), hash);
-	if (r->caller)
-		hash = ap_hash_str(r->caller, hash);
+	if (caller)
+		hash = ap_hash_str(caller, hash);
 	hash = ap_hash(body, len, hash);
 	return hash ? hash : 1;
 }
@@ -167,7 +171,7 @@
 	req->model = r->model;
 	req->n_parts = r->n_parts;
 	memcpy(req->parts, r->parts, sizeof(req->parts));
-	req->fingerprint = fingerprint_of(c->call, r);
+	req->fingerprint = fingerprint_of(c->call, r, req->customer);
 	if (r->last_event)
 		ap_copy_name(c->x.last_event_id, sizeof(c->x.last_event_id), r->last_event);
 	if (r->resumes)
@@ -249,15 +253,17 @@
 }
 
 static void begin(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
-		  const ap_plan_route_t *route, const ap_stream_source_t *source, bool forwarded)
+		  const ap_plan_route_t *route, const ap_customer_t *customer,
+		  const ap_stream_source_t *source, bool forwarded)
 {
 	ap_usec_t now = ap_now();
 	gate_call_t *c = call_new(gate, call, forwarded);
 
 	if (!c) {
-		reply_early(call, 503, forwarded, "out-of-memory");
+		gate_reply_early(call, 503, forwarded, "out-of-memory");
 		return;
 	}
+	c->x.req.customer = customer;
 	fill_dispatch(c, r, now);
 	c->x.req.route = route;
 	c->x.req.build = source->build;
@@ -273,6 +279,7 @@
 static void receive(gateway_t *gate, ap_http_call_t *call, bool forwarded)
 {
 	const ap_plan_route_t *route;
+	const ap_customer_t *customer = NULL;
 	ap_host_request_t request;
 	ap_stream_source_t source;
 	ap_err_t err;
@@ -281,18 +288,19 @@
 	gate->counters.forwarded_received += forwarded;
 	if (!gate->plan) {
 		gate->counters.ended[GATE_REFUSED]++;
-		reply_early(call, 503, forwarded, "no-configuration");
+		gate_reply_early(call, 503, forwarded, "no-configuration");
 		return;
 	}
 	if (ap_host_parse_request(ap_http_call_headers(call), &request, &err) != AP_HOST_OK) {
 		gate->counters.ended[GATE_INVALID]++;
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "request.invalid", NULL, "s:s",
 				 "why", err.text);
-		reply_early(call, 400, forwarded, "invalid-request");
+		gate_reply_early(call, 400, forwarded, "invalid-request");
 		return;
 	}
 	route = ap_plan_match(gate->plan, request.host, ap_http_call_path(call));
-	if (forwarded && !gate_version_agrees(gate, call, route)) {
+	if (forwarded && (!gate_version_agrees(gate, call, route) ||
+			  !gate_customer_agrees(gate, call, route, &customer))) {
 		refuse_version(gate, call, request.id);
 		return;
 	}
@@ -305,20 +313,22 @@
 		 * The sender of a forwarded request may have a newer or older configuration, so the
 		 * lack of a route is not final.
 		 */
-		reply_early(call, forwarded ? 503 : 404, forwarded, "no-route");
+		gate_reply_early(call, forwarded ? 503 : 404, forwarded, "no-route");
 		return;
 	}
+	if (!forwarded && !gate_customer_find(gate, call, &request, route, &customer))
+		return;
 	if (!find_source(gate, call, &request, route, forwarded, &source)) {
 		gate->counters.unknown_streams++;
 		gate->counters.ended[GATE_REFUSED]++;
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "stream.unknown", request.id, "s:s",
 				 "resumes", request.resumes ? request.resumes : "");
 		/* Another instance may still announce it. */
-		reply_early(call, 503, forwarded, "stream-unknown");
+		gate_reply_early(call, 503, forwarded, "stream-unknown");
 		return;
 	}
 	gate->counters.taken_up += source.build != 0 && !forwarded;
-	begin(gate, call, &request, route, &source, forwarded);
+	begin(gate, call, &request, route, customer, &source, forwarded);
 }
 
 void gate_on_caller(void *ctx, ap_http_call_t *call)
@@ -335,7 +345,7 @@
 		return;
 	}
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.untrusted", NULL, NULL);
-	reply_early(call, 503, true, "not-an-instance");
+	gate_reply_early(call, 503, true, "not-an-instance");
 }
 
 static void reply_refused(gateway_t *gate, ap_http_call_t *call, ap_http_refusal_t why,
@@ -360,7 +370,7 @@
 	gate->counters.ended[responses[why].status == 503 ? GATE_REFUSED : GATE_INVALID]++;
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "request.unreadable", NULL, "s:s", "why",
 			 responses[why].error);
-	reply_early(call, responses[why].status, forwarded, responses[why].error);
+	gate_reply_early(call, responses[why].status, forwarded, responses[why].error);
 }
 
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -36,14 +36,17 @@
 bool gate_send_headers(gate_call_t *c, const ap_target_t *target, const char *last_event,
 		       gate_text_t *text, ap_host_headers_t *headers)
 {
+	const ap_customer_t *customer = c->x.req.customer;
 	ap_usec_t now = ap_now();
 	ap_host_upstream_request_t request = {
 		.caller_headers = ap_http_call_headers(c->call),
 		.upstream = target->remote ? NULL : target->id,
 		.time_left = c->x.timeout_at - now,
-		.priority = target->remote ? PRIORITY_OMITTED : c->x.req.route->priority,
+		.priority = target->remote ? PRIORITY_OMITTED : ap_dispatch_rank(&c->x.req),
 		.last_event = last_event,
 		.weights = target->remote ? AP_WEIGHTS_ANY : c->x.req.weights,
+		.keyed = c->plan->n_customers > 0,
+		.customer = !target->remote && customer ? customer->name : NULL,
 	};
 
 	if (!ap_host_request_headers(&request, headers))
@@ -51,8 +54,10 @@
 	drop_forward_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n + 6 > AP_HOST_HEADERS_MAX)
+	if (headers->n + 7 > AP_HOST_HEADERS_MAX)
 		return false;
+	if (customer)
+		headers->v[headers->n++] = gate_customer_header(customer, text->customer);
 	headers->v[headers->n++] = gate_version_header(c, text->configuration);
 	if (c->x.req.build != 0) {
 		format_build(c->x.req.build, text->build);
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -131,7 +131,8 @@
 const char *gate_outcome_name(gate_outcome_t outcome)
 {
 	static const char *const names[GATE_OUTCOMES] = {
-		"done", "failed", "refused", "unknown", "cut", "left", "no-route", "invalid",
+		"done", "failed",   "refused", "unknown",      "cut",
+		"left", "no-route", "invalid", "unauthorized",
 	};
 
 	return names[outcome];
@@ -143,6 +144,7 @@
 
 	n->ended[c->outcome]++;
 	n->own_errors[c->x.reason]++;
+	gate_customer_count(c->gate, c->x.req.customer, c->outcome);
 	n->weights_differed += c->x.weights_differ;
 	n->doubts[c->x.doubt]++;
 	n->duration[bucket_of(took)]++;
@@ -212,7 +214,7 @@
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
 		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o,"
-		"s:o,s:s,s:o,s:s,s:s,s:I,s:i,s:b,s:I,s:I,s:I,s:I,s:o,s:o,s:s",
+		"s:o,s:s,s:o,s:s,s:s,s:I,s:i,s:b,s:I,s:I,s:I,s:I,s:o,s:o,s:s,s:s",
 		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 		"route", x->req.route->name, "pool", x->req.pool ? x->req.pool->name : "", "guest",
 		(int)c->forwarded, "status", c->status, "first_ms", msec(first), "objective_ms",
@@ -229,5 +231,5 @@
 		"events_max", (json_int_t)ap_exchange_events_max(x), "pace_ms",
 		msec(ap_exchange_pace(x)), "end_left_ms", msec(x->end_left), "shutdown_ms",
 		shutdown_left(c, now), "shutdown_spread_ms", shutdown_spread(c), "doubt",
-		ap_doubt_name(x->doubt));
+		ap_doubt_name(x->doubt), "customer", x->req.customer ? x->req.customer->name : "");
 }
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -196,7 +196,7 @@
 				      ap_duration(strtod(pause, NULL), AP_MSEC), ap_now());
 	if (is_far(c->gate, target) && wait)
 		ap_fleet_set_remote_wait(c->gate->fleet, target->region, c->x.req.pool->name,
-					 c->x.req.route->priority,
+					 ap_dispatch_rank(&c->x.req),
 					 ap_duration(strtod(wait, NULL), AP_MSEC), ap_now());
 	gate_clear_response(a);
 	if (!head->framed && !target->remote)
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -36,6 +36,7 @@
  * WEIGHTS: of a stream that goes on: the only version of the weights, as an ap_weights_t
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
+ * CUSTOMER: who sends the request, as "HASH NAME"; the sender has checked the key
  * PAUSE: how long the upstreams want no requests from this instance, in milliseconds
  */
 #define FORWARD_HEADER_PREFIX "Arbutuspond-"
@@ -47,6 +48,7 @@
 #define FORWARD_NOT_RUN_UNSENT "unsent" /* its value if the request reached no upstream */
 #define FORWARD_HEADER_HEARD FORWARD_HEADER_PREFIX "Heard-Ms"
 #define FORWARD_HEADER_PROOF FORWARD_HEADER_PREFIX "Proof"
+#define FORWARD_HEADER_CUSTOMER FORWARD_HEADER_PREFIX "Customer"
 #define FORWARD_HEADER_WAIT FORWARD_HEADER_PREFIX "Wait-Ms"
 #define FORWARD_HEADER_PAUSE FORWARD_HEADER_PREFIX "Pause-Ms"
 
@@ -59,8 +61,9 @@
 	GATE_ABORTED,	   /* the response was aborted after its head had been sent */
 	GATE_DISCONNECTED, /* the caller disconnected */
 	GATE_NO_ROUTE,
-	GATE_INVALID,  /* malformed or refused by the HTTP server */
-	GATE_OUTCOMES, /* number of outcomes */
+	GATE_INVALID,	   /* malformed or refused by the HTTP server */
+	GATE_UNAUTHORIZED, /* without the key of a customer */
+	GATE_OUTCOMES,	   /* number of outcomes */
 } gate_outcome_t;
 
 /**
@@ -215,6 +218,26 @@
 	double duration_sum;
 } gate_counters_t;
 
+#define GATE_CUSTOMERS_MAX 64 /* customers with counters of their own */
+
+/* Requests of one customer since start, by outcome. */
+typedef struct gate_customer {
+	char name[AP_NAME_MAX];
+	uint64_t ended[GATE_OUTCOMES];
+} gate_customer_t;
+
+/**
+ * struct gate_customers - counters by customer.
+ * @others: those of all customers beyond the first GATE_CUSTOMERS_MAX
+ * @refused: requests without a valid key, by ap_host_credentials_t
+ */
+typedef struct gate_customers {
+	gate_customer_t v[GATE_CUSTOMERS_MAX];
+	size_t n;
+	gate_customer_t others;
+	uint64_t refused[AP_HOST_CREDENTIALS_KEY + 1];
+} gate_customers_t;
+
 /* When an instance was told this one's version last. */
 typedef struct gate_told {
 	char id[AP_NAME_MAX];
@@ -268,6 +291,7 @@
 	gate_told_t told[GATE_TOLD_MAX]; /* ring */
 	size_t n_told;			 /* so far */
 	gate_counters_t counters;
+	gate_customers_t customers;
 };
 
 /* gateway.c */
@@ -289,6 +313,9 @@
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 void gate_on_peer_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
+/* Responds to a request that has no exchange; nothing was sent, so it certainly did not run. */
+void gate_reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error);
+
 /** gate_call_pause() - stops reading from the targets, or goes on. */
 void gate_call_pause(gate_call_t *c, bool paused);
 /* Records and frees @c if its exchange has finished, else sets its timer. */
@@ -301,6 +328,7 @@
 
 /* gateway-headers.c */
 #define GATE_VERSION_TEXT_MAX 64
+#define GATE_CUSTOMER_TEXT_MAX (AP_NAME_MAX + 20)
 #define BUILD_TEXT_MAX 20 /* bytes of a build in hexadecimal, with terminator */
 /* Values of headers between instances. */
 typedef struct gate_text {
@@ -310,6 +338,7 @@
 	char heard[24];
 	char wait[24];
 	char pause[24];
+	char customer[GATE_CUSTOMER_TEXT_MAX];
 } gate_text_t;
 
 /*
@@ -378,6 +407,29 @@
 /* Another instance tells its version. Return: false if the message is malformed. */
 bool gate_version_told(gateway_t *gate, const char *from, const void *data, size_t len);
 
+/* gateway-customer.c: who sends a request, and counters by customer */
+/*
+ * Finds the customer who sends a request of @route. @customer is NULL if none is needed.
+ *
+ * Return: false if the request needs the key of a customer and has none; it was responded to.
+ */
+bool gate_customer_find(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			const ap_plan_route_t *route, const ap_customer_t **customer);
+/*
+ * Finds the customer of a forwarded request, whose sender has checked the key.
+ *
+ * Return: false if the customer isn't the same in this instance's version of the configuration.
+ */
+bool gate_customer_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route,
+			  const ap_customer_t **customer);
+/* Returns the request's FORWARD_HEADER_CUSTOMER; its value is formatted in @text. */
+ap_http_header_t gate_customer_header(const ap_customer_t *customer,
+				      char text[GATE_CUSTOMER_TEXT_MAX]);
+/* Counts the end of a request; @customer may be NULL. */
+void gate_customer_count(gateway_t *gate, const ap_customer_t *customer, gate_outcome_t outcome);
+/* Appends the counters by customer to the text of the metrics. */
+void gate_customer_metrics(const gateway_t *gate, struct evbuffer *out);
+
 /* gateway-serve.c: readiness, directory, metrics */
 #define GATE_ERROR_MAX 128 /* bytes of the body of an error, with terminator */
 extern const ap_http_header_t gate_json;
--- a/lib/fleet/backoff.c
+++ b/lib/fleet/backoff.c
@@ -210,7 +210,7 @@
 	for (const ap_data_centre_state_t *dc = f->data_centres; dc; dc = dc->hh.next) {
 		const ap_remote_pool_t *remote;
 
-		if (!ap_plan_allows_region(req->route, dc->region))
+		if (!ap_dispatch_allows_region(req, dc->region))
 			continue;
 		remote = ap_remote_pool(f, dc->region, req->pool->name);
 		if (remote && now < remote->pause_until)
@@ -233,7 +233,7 @@
 	ap_usec_t spread;
 	ap_usec_t rest;
 
-	if (ap_plan_allows_region(req->route, f->config.region) && !pause_here(f, req, now, &p)) {
+	if (ap_dispatch_allows_region(req, f->config.region) && !pause_here(f, req, now, &p)) {
 		if (!ap_backoff_region(f, f->config.region, req->pool->name, now))
 			return false;
 		p.until = AP_NEVER;
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -396,7 +396,7 @@
 	uint32_t shared = ap_dispatch_prefix_tokens(req);
 	candidates_t all = {0};
 
-	if (!ap_plan_allows_region(req->route, f->config.region))
+	if (!ap_dispatch_allows_region(req, f->config.region))
 		return false;
 	collect(f, req, sender, now, &all);
 	if (shared >= SHARED_TOKENS_MIN && req->pool->kv_tokens) {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -145,6 +145,13 @@
 	unsigned unreachable;
 } ap_dispatch_t;
 
+/** ap_dispatch_rank() - how urgent @req is, 0 the most: the customer's priority, or the route's. */
+static inline unsigned ap_dispatch_rank(const ap_dispatch_t *req)
+{
+	return req->customer && req->customer->has_priority ? req->customer->priority
+							    : req->route->priority;
+}
+
 /**
  * struct ap_target - where a request is sent.
  * @remote: an instance, usually of a remote region, not an upstream
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -212,7 +212,7 @@
 {
 	const ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
 
-	return p ? ap_pool_wait(f, p, ap_announced_priority(req->route->priority), now) : AP_NEVER;
+	return p ? ap_pool_wait(f, p, ap_announced_priority(ap_dispatch_rank(req)), now) : AP_NEVER;
 }
 
 static double refused_share(const ap_refusals_t *refusals, ap_usec_t now)
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -487,11 +487,18 @@
 const ap_member_t *ap_pick_member(ap_fleet_t *f, const char *region, const ap_dispatch_t *req,
 				  ap_usec_t now);
 
+/* Returns whether both the route and the customer may be served in @region. */
+static inline bool ap_dispatch_allows_region(const ap_dispatch_t *req, const char *region)
+{
+	return ap_plan_allows_region(req->route, region) &&
+	       ap_customer_allows_region(req->customer, region);
+}
+
 /* load.c */
 ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool);
 static inline unsigned ap_dispatch_priority(const ap_dispatch_t *req)
 {
-	unsigned priority = req->route->priority;
+	unsigned priority = ap_dispatch_rank(req);
 
 	return priority < AP_PRIORITIES ? priority : AP_PRIORITIES - 1;
 }
--- a/lib/fleet/remote.c
+++ b/lib/fleet/remote.c
@@ -30,7 +30,7 @@
 	const ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
 	double halves = (double)(now - remote->announced_at) / (double)WAIT_HALF_LIFE;
 	double wait =
-		(double)remote->wait[req->route->priority == 0 ? 0 : 1] * exp2(-fmax(halves, 0));
+		(double)remote->wait[ap_dispatch_rank(req) == 0 ? 0 : 1] * exp2(-fmax(halves, 0));
 
 	/* The other instances of this region are assumed to have forwarded as many. */
 	if (p && p->mean_us > 0)
@@ -53,7 +53,7 @@
 		uint32_t slots = slots_in(f, dc->region, req, now);
 		double score;
 
-		if (slots == 0 || !ap_plan_allows_region(req->route, dc->region))
+		if (slots == 0 || !ap_dispatch_allows_region(req, dc->region))
 			continue;
 		score = ap_rendezvous(key, ap_hash_str(dc->region, 0), slots);
 		if (score > best) {
@@ -75,7 +75,7 @@
 		ap_remote_pool_t *remote;
 
 		if (strcmp(dc->region, f->config.region) == 0 ||
-		    !ap_plan_allows_region(req->route, dc->region))
+		    !ap_dispatch_allows_region(req, dc->region))
 			continue;
 		slots = slots_in(f, dc->region, req, now);
 		remote = ap_remote_pool(f, dc->region, req->pool->name);
--- a/lib/plan/customer.c
+++ b/lib/plan/customer.c
@@ -19,10 +19,9 @@
 	return c && c->rate > 0;
 }
 
-double ap_customer_cost(const ap_customer_t *c, bool counted, uint64_t tokens_in,
-			uint64_t tokens_out)
+double ap_customer_cost(const ap_customer_t *c, bool counted, uint64_t tokens)
 {
 	if (c->unit == AP_UNIT_REQUESTS)
 		return 1;
-	return counted ? (double)tokens_in + (double)tokens_out : c->plain_tokens;
+	return counted ? (double)tokens : c->plain_tokens;
 }
--- a/lib/plan/customer.h
+++ b/lib/plan/customer.h
@@ -17,6 +17,7 @@
 
 /**
  * struct ap_customer - one customer; belongs to a plan and is valid as long as the plan.
+ * @hash: of its name, regions and keys; the same in all builds and at all instances
  * @has_priority: @priority takes precedence over the route's
  * @priority: 0 is the most urgent
  * @rate: allowance in units per second, over all instances; 0 for no limit
@@ -26,6 +27,7 @@
  */
 typedef struct ap_customer {
 	char name[AP_NAME_MAX];
+	uint64_t hash;
 	bool has_priority;
 	unsigned priority;
 	ap_unit_t unit;
@@ -43,9 +45,8 @@
 /**
  * ap_customer_cost() - returns the units of @c's allowance that a request uses.
  * @counted: the request names its tokens
- * @tokens_in, @tokens_out: its prompt and its longest response
+ * @tokens: those of its prompt and its longest response
  */
-double ap_customer_cost(const ap_customer_t *c, bool counted, uint64_t tokens_in,
-			uint64_t tokens_out);
+double ap_customer_cost(const ap_customer_t *c, bool counted, uint64_t tokens);
 
 #endif
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -48,11 +48,18 @@
 	return plan;
 }
 
-void ap_plan_set_customers(ap_plan_t *plan, ap_customer_t *customers, size_t n)
+void ap_plan_set_customers(ap_plan_t *plan, ap_customer_t *customers, size_t n, ap_keys_t *keys)
 {
-	free(plan->customers);
 	plan->customers = customers;
 	plan->n_customers = n;
+	plan->keys = keys;
+}
+
+const ap_customer_t *ap_plan_customer_of_key(const ap_plan_t *plan, const char *key, size_t len)
+{
+	uint32_t i = plan->keys ? ap_keys_find(plan->keys, key, len) : AP_KEY_UNKNOWN;
+
+	return i != AP_KEY_UNKNOWN ? &plan->customers[i] : NULL;
 }
 
 const ap_customer_t *ap_plan_find_customer(const ap_plan_t *plan, const char *name)
@@ -78,6 +85,7 @@
 	free_routes(plan->routes, plan->n_routes);
 	free(plan->pools);
 	free(plan->customers);
+	ap_keys_free(plan->keys);
 	free(plan);
 }
 
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -8,6 +8,7 @@
 
 #include "base/base.h"
 #include "plan/customer.h"
+#include "plan/keys.h"
 
 /* Size in bytes of a host, path prefix or health check path, including the terminator. */
 #define AP_PLAN_PATH_MAX 256
@@ -30,6 +31,7 @@
 
 /**
  * struct ap_plan_route - requests to one host whose path starts with a prefix.
+ * @open: a request needs no key, whether or not the plan has customers
  * @resumable: an interrupted stream may be resumed on another upstream
  * @prefix_affinity: requests share prompt prefixes; the choice of an upstream does not depend on it
  * @timeout: limit in microseconds until the final response; 0 for none
@@ -45,6 +47,7 @@
 	char host[AP_PLAN_PATH_MAX];
 	char prefix[AP_PLAN_PATH_MAX];
 	ap_kind_t kind;
+	bool open;
 	bool resumable;
 	bool prefix_affinity;
 	ap_usec_t timeout;
@@ -85,6 +88,7 @@
  * @version: increases with each change of the configuration
  * @routes: sorted by ap_plan_new() by host, then by length of the prefix, the longest first
  * @customers: none if requests need no key
+ * @keys: those of the customers; NULL without customers
  */
 typedef struct ap_plan {
 	int refs;
@@ -95,6 +99,7 @@
 	size_t n_pools;
 	ap_customer_t *customers;
 	size_t n_customers;
+	ap_keys_t *keys;
 } ap_plan_t;
 
 /**
@@ -106,8 +111,14 @@
  */
 ap_plan_t *ap_plan_new(uint64_t version, ap_plan_route_t *routes, size_t n_routes,
 		       ap_plan_pool_t *pools, size_t n_pools);
-/** ap_plan_set_customers() - takes ownership of @customers, which must come from malloc(). */
-void ap_plan_set_customers(ap_plan_t *plan, ap_customer_t *customers, size_t n);
+/**
+ * ap_plan_set_customers() - sets the customers of a new plan.
+ * @customers: must come from malloc(); the plan takes ownership
+ * @keys: of the customers, by their index in @customers; the plan takes ownership
+ */
+void ap_plan_set_customers(ap_plan_t *plan, ap_customer_t *customers, size_t n, ap_keys_t *keys);
+/** ap_plan_customer_of_key() - returns the customer who holds the key, or NULL. */
+const ap_customer_t *ap_plan_customer_of_key(const ap_plan_t *plan, const char *key, size_t len);
 /** ap_plan_find_customer() - returns the customer with this name, or NULL. */
 const ap_customer_t *ap_plan_find_customer(const ap_plan_t *plan, const char *name);
 ap_plan_t *ap_plan_ref(ap_plan_t *plan);
