quota: allowances of customers, decided at each instance from late reports

An allowance holds for all instances together, and a request is too rare at one instance for equal parts.

--- /dev/null
+++ b/lib/quota/report.c
@@ -0,0 +1,257 @@
+/* Sources and their reports. */
+#include "quota/private.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How long the share of a source that vanished without notice stays set aside: longer than most
+ * partitions, in which it may go on alone. */
+#define RESERVED_TIME (30 * AP_SEC)
+#define REPORTED_TIME (5 * AP_SEC) /* after the last request of a customer */
+
+static ap_quota_source_t *find_source(const ap_quota_t *q, const char *id)
+{
+	ap_quota_source_t *s;
+
+	HASH_FIND_STR(q->sources, id, s);
+	return s;
+}
+
+void ap_quota_set_source(ap_quota_t *q, const char *id, bool region, unsigned weight, ap_usec_t now)
+{
+	ap_quota_source_t *s = find_source(q, id);
+
+	if (!s) {
+		s = calloc(1, sizeof(*s));
+		if (!s)
+			return;
+		ap_copy_name(s->id, sizeof(s->id), id);
+		HASH_ADD_STR(q->sources, id, s);
+	}
+	if (weight >= s->weight || now - s->weight_at > RESERVED_TIME) {
+		s->weight = weight;
+		s->weight_at = now;
+	}
+	s->gone_at = 0;
+	s->named = true;
+	s->region = region;
+}
+
+static void forget_entries(ap_quota_t *q, const ap_quota_source_t *s)
+{
+	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+		for (size_t i = 0; i < c->n_entries; i++) {
+			if (c->entries[i].source == s)
+				c->entries[i--] = c->entries[--c->n_entries];
+		}
+	}
+}
+
+static void drop_source(ap_quota_t *q, ap_quota_source_t *s)
+{
+	forget_entries(q, s);
+	HASH_DEL(q->sources, s);
+	free(s);
+}
+
+void ap_quota_end_sources(ap_quota_t *q, ap_usec_t now)
+{
+	ap_quota_source_t *s;
+	ap_quota_source_t *next;
+
+	HASH_ITER (hh, q->sources, s, next) {
+		if (!s->named && s->gone_at == 0)
+			s->gone_at = now;
+		s->named = false;
+		if (s->gone_at != 0 && now - s->gone_at > RESERVED_TIME)
+			drop_source(q, s);
+	}
+	ap_quota_recount(q, now);
+}
+
+void ap_quota_retire_source(ap_quota_t *q, const char *id)
+{
+	ap_quota_source_t *s = find_source(q, id);
+
+	if (s)
+		drop_source(q, s);
+}
+
+static ap_quota_entry_t *entry_of(ap_quota_customer_t *c, ap_quota_source_t *s)
+{
+	ap_quota_entry_t *grown;
+
+	for (size_t i = 0; i < c->n_entries; i++) {
+		if (c->entries[i].source == s)
+			return &c->entries[i];
+	}
+	grown = realloc(c->entries, (c->n_entries + 1) * sizeof(*grown));
+	if (!grown)
+		return NULL;
+	c->entries = grown;
+	grown[c->n_entries] = (ap_quota_entry_t){.source = s};
+	return &grown[c->n_entries++];
+}
+
+/* Returns what @sender last reported; the oldest one gives way. */
+static ap_quota_base_t *base_of(ap_quota_entry_t *e, uint32_t sender, bool *found)
+{
+	*found = true;
+	for (size_t i = 0; i < e->n_bases; i++) {
+		if (e->base[i].sender == sender)
+			return &e->base[i];
+	}
+	*found = false;
+	if (e->n_bases == SENDERS_MAX) {
+		memmove(&e->base[0], &e->base[1], (SENDERS_MAX - 1) * sizeof(e->base[0]));
+		e->n_bases--;
+	}
+	e->base[e->n_bases] = (ap_quota_base_t){.sender = sender};
+	return &e->base[e->n_bases++];
+}
+
+/**
+ * struct ap_quota_report - where a report comes from.
+ * @counts: the sender is the one of its source that counts
+ * @known: it was so before, so that a customer it hadn't named used nothing until then
+ */
+typedef struct ap_quota_report {
+	uint32_t sender;
+	ap_id_t inc;
+	bool counts;
+	bool known;
+	ap_usec_t at;
+} ap_quota_report_t;
+
+/* Counts what was used since the sender's last report that counted. */
+static void count_use(ap_quota_customer_t *c, ap_quota_entry_t *e, const ap_quota_use_t *use,
+		      const ap_quota_report_t *report)
+{
+	bool found;
+	ap_quota_base_t *base = base_of(e, report->sender, &found);
+	bool same = found && ap_id_eq(base->inc, report->inc);
+	int64_t used = 0;
+
+	if (same)
+		used = use->used - base->used;
+	else if (found || report->known)
+		used = use->used;
+	if (!report->counts && same)
+		return;
+	base->inc = report->inc;
+	base->used = use->used;
+	if (!report->counts)
+		return;
+	c->level -= (double)used;
+	if (!e->source->region)
+		c->elsewhere += used;
+	e->at = report->at;
+	e->admitted = use->admitted;
+	e->asked = use->asked;
+}
+
+/* The senders of a region that don't count are taken as they are when the one that counts reports.
+ */
+static void reset_bases(ap_quota_entry_t *e, uint32_t primary)
+{
+	for (size_t i = 0; i < e->n_bases; i++) {
+		if (e->base[i].sender != primary)
+			e->base[i--] = e->base[--e->n_bases];
+	}
+}
+
+/* A source that was silent is back: gives back the refill that was set aside for it. */
+static void give_back(ap_quota_t *q, const ap_quota_source_t *s, ap_usec_t now)
+{
+	double part = s->weight / q->weight;
+
+	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+		ap_quota_refill(q, c, now);
+		c->level += c->rate * part * (double)(now - s->heard_at) / (double)AP_SEC;
+	}
+}
+
+/* Another sender of a region counts only once the one that did is silent. */
+static ap_quota_report_t report_of(ap_quota_source_t *s, const char *sender, ap_id_t inc,
+				   ap_usec_t now)
+{
+	ap_quota_report_t report = {.sender = ap_quota_tag(sender), .inc = inc, .at = now};
+
+	report.known = s->primary == report.sender && s->heard_at != 0;
+	report.counts =
+		s->primary == 0 || s->primary == report.sender || ap_quota_is_silent(s, now);
+	if (report.counts)
+		s->primary = report.sender;
+	return report;
+}
+
+void ap_quota_heard(ap_quota_t *q, const char *source, const char *sender, ap_id_t inc,
+		    unsigned silent, const ap_quota_use_t *uses, size_t n, ap_usec_t now)
+{
+	ap_quota_source_t *s = find_source(q, source);
+	ap_quota_report_t report;
+
+	if (!s)
+		return;
+	ap_quota_recount(q, now);
+	if (s->heard_at != 0 && ap_quota_is_silent(s, now))
+		give_back(q, s, now);
+	report = report_of(s, sender, inc, now);
+	for (size_t i = 0; i < n; i++) {
+		ap_quota_customer_t *c = ap_quota_customer(q, uses[i].tag, now);
+		ap_quota_entry_t *e = c ? entry_of(c, s) : NULL;
+
+		if (!e)
+			continue;
+		ap_quota_refill(q, c, now);
+		count_use(c, e, &uses[i], &report);
+		if (report.counts)
+			reset_bases(e, report.sender);
+	}
+	if (!report.counts)
+		return;
+	s->silent = silent;
+	s->heard_at = now;
+}
+
+unsigned ap_quota_silent(const ap_quota_t *q, ap_usec_t now)
+{
+	unsigned silent = 0;
+
+	for (const ap_quota_source_t *s = q->sources; s; s = s->hh.next) {
+		if (!s->region && ap_quota_is_silent(s, now))
+			silent += s->weight;
+	}
+	return silent;
+}
+
+size_t ap_quota_report(ap_quota_t *q, bool region, ap_quota_use_t *out, size_t max, ap_usec_t now)
+{
+	size_t n = 0;
+
+	for (ap_quota_customer_t *c = q->customers; c && n < max; c = c->hh.next) {
+		ap_quota_use_t use = {
+			.tag = c->tag,
+			.used = c->used,
+			.admitted = ap_quota_rate(&c->admitted, now),
+			.asked = ap_quota_rate(&c->asked, now),
+		};
+		bool active = c->active_at != 0 && now - c->active_at < REPORTED_TIME;
+
+		for (size_t i = 0; region && i < c->n_entries; i++) {
+			const ap_quota_entry_t *e = &c->entries[i];
+
+			if (e->source->region || !ap_quota_entry_holds(e, now))
+				continue;
+			use.admitted += e->admitted;
+			use.asked += e->asked;
+			active = true;
+		}
+		if (region)
+			use.used += c->elsewhere;
+		if (active)
+			out[n++] = use;
+	}
+	return n;
+}
