Allowances at the gateway: 429 with the soonest time, reports between instances, patience by customer

Instances report customers' use to their region and the sums to other regions, only where the plan has customers. A request over its customer's allowance gets 429; what did not run is given back. Where upstreams are busy, the queue that a request may wait for shrinks for customers who use more than their part by allowance.

--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -52,6 +52,7 @@
  * @apply_time: longest time from a change in the store until a new configuration is active
  * @grace: time between SIGTERM and exit
  * @directory_ttl: how long callers may cache a response of the directory
+ * @allowance_window, @allowance_over, @allowance_slack: as in struct ap_quota_config
  */
 typedef struct ap_gateway_settings {
 	bool present;
@@ -74,6 +75,9 @@
 	ap_usec_t apply_time;
 	ap_usec_t grace;
 	ap_usec_t directory_ttl;
+	ap_usec_t allowance_window;
+	double allowance_over;
+	double allowance_slack;
 	ap_data_centre_t data_centres[AP_DATA_CENTRES_MAX];
 	size_t n_data_centres;
 } ap_gateway_settings_t;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -14,10 +14,11 @@
 
 /*
  * Responds to a request that has no exchange; nothing was sent, so it certainly did not run.
+ * @retry_after: 0 if the caller isn't told when to come again
  * @version: of the configuration, if it is the reason; else NULL
  */
-static void reply_early_with(ap_http_call_t *call, int status, bool forwarded, const char *error,
-			     const char *version)
+static void reply_early_with(ap_http_call_t *call, int status, ap_usec_t retry_after,
+			     bool forwarded, const char *error, const char *version)
 {
 	ap_http_header_t headers[5] = {gate_json};
 	char body[GATE_ERROR_MAX];
@@ -25,8 +26,8 @@
 	size_t n = 1;
 	size_t len = gate_error_body(error, body);
 
-	if (status == 503) {
-		ap_host_format_retry_after(EARLY_RETRY_AFTER, wait);
+	if (retry_after > 0) {
+		ap_host_format_retry_after(retry_after, wait);
 		headers[n++] = (ap_http_header_t){ap_host_retry_after_name(), wait};
 	}
 	if (status == 401)
@@ -40,7 +41,13 @@
 
 void gate_reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error)
 {
-	reply_early_with(call, status, forwarded, error, NULL);
+	reply_early_with(call, status, status == 503 ? EARLY_RETRY_AFTER : 0, forwarded, error,
+			 NULL);
+}
+
+void gate_reply_later(ap_http_call_t *call, int status, ap_usec_t wait, const char *error)
+{
+	reply_early_with(call, status, wait, false, error, NULL);
 }
 
 /* Refuses a forwarded request that another version of the configuration would handle otherwise. */
@@ -52,7 +59,7 @@
 	snprintf(version, sizeof(version), "%" PRIu64, gate->plan->version);
 	ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.other-version", id, "s:I",
 			 "version", (json_int_t)gate->plan->version);
-	reply_early_with(call, 503, true, "other-version", version);
+	reply_early_with(call, 503, EARLY_RETRY_AFTER, true, "other-version", version);
 }
 
 static void call_free(gate_call_t *c)
@@ -254,16 +261,19 @@
 
 static void begin(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
 		  const ap_plan_route_t *route, const ap_customer_t *customer,
-		  const ap_stream_source_t *source, bool forwarded)
+		  const ap_stream_source_t *source, double charged, bool forwarded)
 {
 	ap_usec_t now = ap_now();
 	gate_call_t *c = call_new(gate, call, forwarded);
 
 	if (!c) {
+		if (charged > 0)
+			ap_quota_refund(ap_fleet_quota(gate->fleet), customer->name, charged, now);
 		gate_reply_early(call, 503, forwarded, "out-of-memory");
 		return;
 	}
 	c->x.req.customer = customer;
+	c->charged = charged;
 	fill_dispatch(c, r, now);
 	c->x.req.route = route;
 	c->x.req.build = source->build;
@@ -280,6 +290,7 @@
 {
 	const ap_plan_route_t *route;
 	const ap_customer_t *customer = NULL;
+	double charged = 0;
 	ap_host_request_t request;
 	ap_stream_source_t source;
 	ap_err_t err;
@@ -327,8 +338,10 @@
 		gate_reply_early(call, 503, forwarded, "stream-unknown");
 		return;
 	}
+	if (!forwarded && !gate_allowance_take(gate, call, &request, customer, &charged))
+		return;
 	gate->counters.taken_up += source.build != 0 && !forwarded;
-	begin(gate, call, &request, route, customer, &source, forwarded);
+	begin(gate, call, &request, route, customer, &source, charged, forwarded);
 }
 
 void gate_on_caller(void *ctx, ap_http_call_t *call)
--- a/cmd/arbutuspond/gateway-customer.c
+++ b/cmd/arbutuspond/gateway-customer.c
@@ -52,6 +52,49 @@
 	return (ap_http_header_t){FORWARD_HEADER_CUSTOMER, text};
 }
 
+static void record_over(gateway_t *gate, const ap_host_request_t *r, const ap_customer_t *customer,
+			double cost, const ap_quota_verdict_t *v)
+{
+	ap_journal_write(
+		gate->journal, AP_RECORD_ORDINARY, "request.over-allowance", r->id,
+		"s:s,s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:I,s:f,s:I,s:I", "customer", customer->name,
+		"unit", customer->unit == AP_UNIT_TOKENS ? "tokens" : "requests", "rate_per_s",
+		customer->rate, "burst", customer->burst, "cost", cost, "left", v->level,
+		"here_per_s", v->used_here, "elsewhere_per_s", v->used_elsewhere, "age_ms",
+		(json_int_t)(v->age / AP_MSEC), "silent_share", v->silent, "retry_after_ms",
+		(json_int_t)(v->retry_after / AP_MSEC), "version", (json_int_t)gate->plan->version);
+}
+
+bool gate_allowance_take(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			 const ap_customer_t *customer, double *charged)
+{
+	ap_quota_verdict_t verdict;
+	double cost;
+
+	*charged = 0;
+	if (!customer)
+		return true;
+	cost = ap_customer_cost(customer, r->counted, r->tokens);
+	if (ap_quota_take(ap_fleet_quota(gate->fleet), customer, cost, ap_now(), &verdict)) {
+		*charged = cost;
+		return true;
+	}
+	gate->counters.ended[GATE_OVER]++;
+	gate_customer_count(gate, customer, GATE_OVER);
+	record_over(gate, r, customer, cost, &verdict);
+	gate_reply_later(call, 429, verdict.retry_after, "over-allowance");
+	return false;
+}
+
+void gate_allowance_refund(gate_call_t *c)
+{
+	bool unsent = c->outcome == GATE_DISCONNECTED && c->x.sends == 0;
+
+	if (c->charged > 0 && (c->outcome == GATE_REFUSED || unsent))
+		ap_quota_refund(ap_fleet_quota(c->gate->fleet), c->x.req.customer->name, c->charged,
+				ap_now());
+}
+
 static gate_customer_t *counters_of(gate_customers_t *all, const char *name)
 {
 	gate_customer_t *c;
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -132,7 +132,7 @@
 {
 	static const char *const names[GATE_OUTCOMES] = {
 		"done", "failed",   "refused", "unknown",      "cut",
-		"left", "no-route", "invalid", "unauthorized",
+		"left", "no-route", "invalid", "unauthorized", "over-allowance",
 	};
 
 	return names[outcome];
@@ -209,6 +209,7 @@
 	ap_record_class_t cls = gate_record_class(&end, x->req.route->objective);
 
 	count(c, now - x->arrival, first);
+	gate_allowance_refund(c);
 	if (!ap_journal_accepts(c->gate->journal, cls, c->id))
 		return;
 	ap_journal_write(
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -63,6 +63,7 @@
 	GATE_NO_ROUTE,
 	GATE_INVALID,	   /* malformed or refused by the HTTP server */
 	GATE_UNAUTHORIZED, /* without the key of a customer */
+	GATE_OVER,	   /* over the customer's allowance */
 	GATE_OUTCOMES,	   /* number of outcomes */
 } gate_outcome_t;
 
@@ -144,6 +145,7 @@
  * @status: of the response to the caller
  * @attempts: by slot of the exchange
  * @resumes: id of the request that began the stream; empty if the request begins it
+ * @charged: units that were taken from the customer's allowance
  * @steps: ring of the latest steps
  * @n_steps: how many steps there were
  */
@@ -165,6 +167,7 @@
 	int status;
 	char id[AP_HOST_REQUEST_ID_MAX];
 	char resumes[AP_HOST_REQUEST_ID_MAX];
+	double charged;
 	gate_outcome_t outcome;
 	gate_step_t steps[GATE_STEPS_MAX];
 	size_t n_steps;
@@ -313,7 +316,11 @@
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 void gate_on_peer_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
-/* Responds to a request that has no exchange; nothing was sent, so it certainly did not run. */
+/*
+ * Responds to a request that has no exchange; nothing was sent, so it certainly did not run. The
+ * caller of gate_reply_later() may come again after @wait.
+ */
+void gate_reply_later(ap_http_call_t *call, int status, ap_usec_t wait, const char *error);
 void gate_reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error);
 
 /** gate_call_pause() - stops reading from the targets, or goes on. */
@@ -425,6 +432,15 @@
 /* Returns the request's FORWARD_HEADER_CUSTOMER; its value is formatted in @text. */
 ap_http_header_t gate_customer_header(const ap_customer_t *customer,
 				      char text[GATE_CUSTOMER_TEXT_MAX]);
+/*
+ * Takes a request from the allowance of @customer, which may be NULL.
+ *
+ * Return: false if it doesn't fit; it was responded to. @charged receives what was taken.
+ */
+bool gate_allowance_take(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			 const ap_customer_t *customer, double *charged);
+/* Gives back what was taken for a request that did not run. */
+void gate_allowance_refund(gate_call_t *c);
 /* Counts the end of a request; @customer may be NULL. */
 void gate_customer_count(gateway_t *gate, const ap_customer_t *customer, gate_outcome_t outcome);
 /* Appends the counters by customer to the text of the metrics. */
--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -168,7 +168,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 22);
+	msgpack_pack_array(&out.pk, 22 + ap_usage_fields(f));
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -188,6 +188,7 @@
 	msgpack_pack_uint32(&out.pk, f->relay_tag);
 	ap_wire_pack_bool(&out.pk, ap_relay_served(f, now) > 0);
 	ap_stream_weights_pack(f, &out.pk);
+	n += ap_usage_pack(f, &out.pk, false, now);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		ap_relay_send_to_region(f, peer, out.buf.data, out.buf.size, now);
@@ -274,13 +275,14 @@
 	if (!self || self->member.draining)
 		return;
 	ap_wire_out_begin(&out, AP_WIRE_WAITS, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 8);
+	msgpack_pack_array(&out.pk, 8 + ap_usage_fields(f));
 	ap_wire_pack_str(&out.pk, f->config.region);
 	pack_waits(f, self, &out.pk, now);
 	ap_suspects_pack_remote(f, &out.pk, now);
 	ap_streams_pack_remote(f, &out.pk);
 	ap_paths_pack_remote(f, &out.pk, now);
 	ap_stream_weights_pack(f, &out.pk);
+	ap_usage_pack(f, &out.pk, true, now);
 	ap_relay_mark(f, now);
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		if (m->direct && ap_is_live_other(f, m, now) && !ap_in_own_region(f, m) &&
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -49,6 +49,11 @@
 
 	if (!f)
 		return NULL;
+	f->quota = ap_quota_new(&config->quota);
+	if (!f->quota) {
+		free(f);
+		return NULL;
+	}
 	f->config = *config;
 	ap_rng_seed(&f->rng, config->seed);
 	msgpack_sbuffer_init(&f->batch);
@@ -65,6 +70,7 @@
 	f->config.retry_slack = config->retry_slack;
 	f->config.learn_time = config->learn_time;
 	f->config.entry_grace = config->entry_grace;
+	ap_quota_configure(f->quota, &config->quota);
 }
 
 /* Frees the items of a hash table after HASH_CLEAR; each item starts with its UT_hash_handle. */
@@ -107,6 +113,7 @@
 	for (size_t i = 0; i < sizeof(first) / sizeof(first[0]); i++)
 		free_items(first[i]);
 	msgpack_sbuffer_destroy(&f->batch);
+	ap_quota_free(f->quota);
 	free(f);
 }
 
@@ -218,10 +225,10 @@
  * Considers the wait for other requests only. If the request's own time counted, an estimate of it
  * that is too high would stop all requests, and could then not be corrected by their responses.
  */
-static bool too_late(const ap_dispatch_t *req, double queue, ap_usec_t now)
+static bool too_late(const ap_fleet_t *f, const ap_dispatch_t *req, double queue, ap_usec_t now)
 {
 	return queue > (double)(req->deadline - now) ||
-	       (!req->begun && queue > QUEUE_SHARE * (double)req->route->objective);
+	       (!req->begun && queue > f->patience * QUEUE_SHARE * (double)req->route->objective);
 }
 
 /* Cost of processing a large prefix again, or of relying on an upstream that has it but fails. */
@@ -266,7 +273,7 @@
 	}
 	if (ap_dispatch_tried(req, r->entry.id))
 		c->score += TRIED_COST_US;
-	if (too_late(req, c->queue, now) || (recompute && 2 * ap_replica_running(r) > slots))
+	if (too_late(f, req, c->queue, now) || (recompute && 2 * ap_replica_running(r) > slots))
 		c->score += LATE_COST_US;
 }
 
@@ -518,7 +525,7 @@
 		ap_fill_remote_target(&remote, target);
 	if (!target->remote && peer)
 		send_by_peer(peer, target);
-	return too_late(req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
+	return too_late(f, req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
 }
 
 /* Returns whether the pool's upstreams in this region are silent, as far as they have requests. */
@@ -563,6 +570,7 @@
 	ap_hold_t hold;
 
 	ap_notice_freeze(f, now);
+	f->patience = ap_usage_patience(f, req, now);
 	hold = ap_request_hold(f, req, now, &until);
 	if (hold == AP_HOLD_WAIT) {
 		*target = (ap_target_t){.wait = until - now};
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -14,6 +14,7 @@
 #include "base/base.h"
 #include "plan/plan.h"
 #include "port/port.h"
+#include "quota/quota.h"
 
 #define AP_PROMPT_PARTS_MAX 16 /* parts of a prompt that are considered */
 #define AP_TRIED_MAX 6	       /* targets remembered for one request */
@@ -304,6 +305,7 @@
  *              microseconds; 0 for none
  * @entry_grace: how long an entry that expired while the store was unreachable stays valid, in
  *               microseconds
+ * @quota: what customers may use beyond their allowances
  * @on_event: called for each change of state; may be NULL
  */
 typedef struct ap_fleet_config {
@@ -318,6 +320,7 @@
 	ap_usec_t retry_window;
 	ap_usec_t learn_time;
 	ap_usec_t entry_grace;
+	ap_quota_config_t quota;
 	uint64_t seed;
 	void *ctx;
 	void (*on_event)(void *ctx, const ap_fleet_event_t *event);
@@ -499,6 +502,9 @@
  */
 bool ap_fleet_may_retry(ap_fleet_t *f, const char *pool, ap_usec_t now);
 
+/** ap_fleet_quota() - allowances of customers; reports of their use travel with announcements. */
+ap_quota_t *ap_fleet_quota(ap_fleet_t *f);
+
 /* Announcements between instances: announce.c */
 /**
  * ap_fleet_announce() - announces this instance's load, the prefixes it sent to upstreams and
@@ -555,51 +561,7 @@
  */
 bool ap_fleet_receive(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
 
-/**
- * struct ap_skipped - what instances of other builds sent and this one doesn't know.
- * @fields: of messages; the rest of the message was read
- * @kinds: whole messages of an unknown kind
- * @versions: whole messages of a version that isn't spoken
- */
-typedef struct ap_skipped {
-	uint64_t fields;
-	uint64_t kinds;
-	uint64_t versions;
-} ap_skipped_t;
-
-/**
- * struct ap_fleet_stats - gauges for metrics.
- * @unreachable: upstreams to which this instance has lost the path
- * @backoff: upstreams that asked this instance for a pause
- * @suspect_parts: parts of prompts that may crash upstreams
- * @suspect_requests: requests that may, by fingerprint
- * @running: in-flight requests that this instance sent to upstreams
- * @relay_served: instances that this one passes on announcements to
- * @batch_dropped: messages that weren't passed on, since the batch was full
- * @other_wire: listed instances that don't read messages of this one
- */
-typedef struct ap_fleet_stats {
-	size_t replicas;
-	size_t usable;
-	size_t draining;
-	size_t cold;
-	size_t ejected;
-	size_t unreachable;
-	size_t limited;
-	size_t brittle;
-	size_t backoff;
-	size_t suspect_parts;
-	size_t suspect_requests;
-	size_t members;
-	size_t running;
-	size_t relay_served;
-	uint64_t batch_dropped;
-	size_t other_wire;
-	ap_skipped_t skipped;
-} ap_fleet_stats_t;
-
-ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now);
-
+#include "fleet/stats.h"
 #include "fleet/stream.h"
 
 #endif
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -326,6 +326,9 @@
 	size_t n_lost_paths;	      /* to upstreams of the own region, as of the last tick */
 	ap_usec_t path_back_at;	      /* when one of them was last found back */
 	bool informed;		      /* another instance said what it knows of cold upstreams */
+	ap_quota_t *quota;	      /* allowances of customers */
+	ap_usec_t sources_set_at;
+	double patience;	 /* of the request that is being placed, see choose.c */
 	size_t most_members;	 /* highest number of instances listed at once, with this one */
 	uint64_t replicas_added; /* so far */
 	ap_usec_t known_at;	 /* what an entry newly says was written after it; 0 if unknown */
@@ -547,6 +550,7 @@
 
 #include "fleet/condition.h"
 #include "fleet/relay.h"
+#include "fleet/usage.h"
 #include "fleet/remote.h"
 
 #endif
--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -215,7 +215,8 @@
 	    !apply_unnamed(f, &unnamed) || !apply_evacuations(f, &evacuations, now) ||
 	    !ap_limits_apply(f, &limits, now) || !apply_shared(f, &shared, AP_ORIGIN_REGION, now) ||
 	    !ap_leaving_apply(f, &leaving, now) || !ap_cold_apply(f, from, &colds, now) ||
-	    (m && !ap_paths_apply(m, &lost, now)) || !ap_brittle_apply(f, &brittle, now))
+	    (m && !ap_paths_apply(m, &lost, now)) || !ap_brittle_apply(f, &brittle, now) ||
+	    !ap_usage_apply(f, from, NULL, in->head.from, &r, now))
 		return false;
 	f->informed = f->informed || informed;
 	if (says_informed && !informed && !ap_fleet_uninformed(f, now) &&
@@ -255,7 +256,8 @@
 	lost = optional_array(&r);
 	shared.weights = optional_array(&r);
 	if (!r.ok || !apply_shared(f, &shared, AP_ORIGIN_REMOTE, now) ||
-	    (says_lost && !ap_paths_apply_remote(f, region, &lost, now)))
+	    (says_lost && !ap_paths_apply_remote(f, region, &lost, now)) ||
+	    !ap_usage_apply(f, from, region, in->head.from, &r, now))
 		return false;
 	f->skipped.fields += r.left;
 	while (waits.left > 0) {
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -270,6 +270,7 @@
 	ap_suspects_tick(f, now);
 	ap_paths_tick(f, now);
 	ap_brittle_tick(f, now);
+	ap_usage_tick(f, now);
 	ap_load_recount(f, now);
 }
 
--- /dev/null
+++ b/lib/fleet/usage.c
@@ -0,0 +1,117 @@
+/*
+ * Use of customers' allowances, as instances report it: each its own to its region, and the sums
+ * over a region to the others.
+ */
+#include "fleet/private.h"
+#include "quota/quota.h"
+
+#include <math.h>
+#include <string.h>
+
+#define SOURCES_INTERVAL (500 * AP_MSEC)
+#define USES_MAX 512 /* customers in one report */
+#define MILLI 1000.0
+/* Of the wait that others bear, at least, for customers who use more than their part. */
+#define PATIENCE_MIN 0.3
+#define EXCESS_MIN 1.2 /* ratio of a customer's use to its part that counts as more */
+
+ap_quota_t *ap_fleet_quota(ap_fleet_t *f)
+{
+	return f->quota;
+}
+
+static bool is_source(const ap_member_state_t *m)
+{
+	return !m->removed && !m->self;
+}
+
+static void set_regions(ap_fleet_t *f, ap_usec_t now)
+{
+	for (const ap_data_centre_state_t *dc = f->data_centres; dc; dc = dc->hh.next) {
+		size_t n = ap_fleet_count_members(f, dc->region);
+
+		if (n > 0 && strcmp(dc->region, f->config.region) != 0)
+			ap_quota_set_source(f->quota, dc->region, true, (unsigned)n, now);
+	}
+}
+
+void ap_usage_tick(ap_fleet_t *f, ap_usec_t now)
+{
+	if (!ap_quota_in_use(f->quota) || now - f->sources_set_at < SOURCES_INTERVAL)
+		return;
+	f->sources_set_at = now;
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		if (m->own_region && is_source(m))
+			ap_quota_set_source(f->quota, m->member.id, false, 1, now);
+		else if (m->own_region && m->removed && m->member.draining)
+			ap_quota_retire_source(f->quota, m->member.id);
+	}
+	set_regions(f, now);
+	ap_quota_end_sources(f->quota, now);
+}
+
+size_t ap_usage_fields(const ap_fleet_t *f)
+{
+	return ap_quota_in_use(f->quota) ? 2 : 0;
+}
+
+size_t ap_usage_pack(ap_fleet_t *f, msgpack_packer *pk, bool region, ap_usec_t now)
+{
+	ap_quota_use_t uses[USES_MAX];
+	size_t n;
+
+	if (!ap_quota_in_use(f->quota))
+		return 0;
+	n = ap_quota_report(f->quota, region, uses, USES_MAX, now);
+	msgpack_pack_uint32(pk, region ? ap_quota_silent(f->quota, now) : 0);
+	msgpack_pack_array(pk, n);
+	for (size_t i = 0; i < n; i++) {
+		msgpack_pack_array(pk, 4);
+		msgpack_pack_uint32(pk, uses[i].tag);
+		msgpack_pack_int64(pk, uses[i].used);
+		msgpack_pack_uint64(pk, (uint64_t)(uses[i].admitted * MILLI));
+		msgpack_pack_uint64(pk, (uint64_t)(uses[i].asked * MILLI));
+	}
+	return n;
+}
+
+bool ap_usage_apply(ap_fleet_t *f, const char *from, const char *region, ap_id_t inc,
+		    ap_wire_reader_t *r, ap_usec_t now)
+{
+	ap_quota_use_t uses[USES_MAX];
+	ap_wire_reader_t list;
+	unsigned silent;
+	size_t n = 0;
+
+	/* The sender knows no customers, or its build reports none. */
+	if (r->left == 0)
+		return true;
+	silent = (unsigned)ap_wire_u64(r);
+	list = ap_wire_array(r);
+	while (list.left > 0 && n < USES_MAX) {
+		ap_wire_reader_t e = ap_wire_array(&list);
+		ap_quota_use_t *use = &uses[n++];
+
+		use->tag = (uint32_t)ap_wire_u64(&e);
+		use->used = ap_wire_i64(&e);
+		use->admitted = (double)ap_wire_u64(&e) / MILLI;
+		use->asked = (double)ap_wire_u64(&e) / MILLI;
+		if (!e.ok)
+			return false;
+	}
+	if (!r->ok || !list.ok)
+		return false;
+	ap_quota_heard(f->quota, region ? region : from, from, inc, silent, uses, n, now);
+	return true;
+}
+
+/*
+ * Where upstreams are busy, customers who use more than their part are refused before others, so
+ * that one's flood does not fill the queues for all.
+ */
+double ap_usage_patience(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now)
+{
+	double excess = req->customer ? ap_quota_excess(f->quota, req->customer->name, now) : 0;
+
+	return excess > EXCESS_MIN ? fmax(1 / excess, PATIENCE_MIN) : 1;
+}
--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -91,6 +91,8 @@
  * struct ap_quota - all customers and sources.
  * @weight: number of all instances, this one included
  * @silent: of these, in silent sources
+ * @use: units per second that all customers use, as of @summed_at
+ * @entitled: sum of the rates of those who use some
  */
 struct ap_quota {
 	ap_quota_config_t config;
@@ -98,6 +100,9 @@
 	ap_quota_source_t *sources;
 	double weight;
 	double silent;
+	ap_usec_t summed_at;
+	double use;
+	double entitled;
 };
 
 /* quota.c */
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -11,6 +11,7 @@
 #define BURST_MIN_S 0.25 /* seconds of the rate; a smaller burst would fit no request */
 #define PACE_MIN 0.25	 /* limits of the rate in use, to that of the allowance, */
 #define PACE_MAX 2.0	 /* while the bucket is overdrawn or fills */
+#define SUM_INTERVAL (200 * AP_MSEC)
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
 #define QUEUE_MAX (5 * AP_SEC) /* many of those who are refused don't come back */
@@ -57,6 +58,11 @@
 	q->config = *config;
 }
 
+bool ap_quota_in_use(const ap_quota_t *q)
+{
+	return q->customers != NULL;
+}
+
 static double seconds(ap_usec_t span)
 {
 	return (double)span / (double)AP_SEC;
@@ -307,27 +313,42 @@
 	c->used -= (int64_t)ceil(cost);
 }
 
+/* Returns what all instances admit of @c, in units per second. */
+static double use_of(const ap_quota_customer_t *c, ap_usec_t now)
+{
+	double admitted;
+	double asked;
+	ap_usec_t age;
+
+	sum_others(c, now, &admitted, &asked, &age);
+	return admitted + ap_quota_rate(&c->admitted, now);
+}
+
+static void sum_use(ap_quota_t *q, ap_usec_t now)
+{
+	if (q->summed_at != 0 && now - q->summed_at < SUM_INTERVAL)
+		return;
+	q->summed_at = now;
+	q->use = 0;
+	q->entitled = 0;
+	for (const ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+		double use = use_of(c, now);
+
+		q->use += use;
+		q->entitled += use > 0 ? c->rate : 0;
+	}
+}
+
 double ap_quota_excess(ap_quota_t *q, const char *customer, ap_usec_t now)
 {
 	uint32_t tag = ap_quota_tag(customer);
 	ap_quota_customer_t *c;
-	double own = 0;
-	double all = 0;
-	size_t n = 0;
-
-	for (c = q->customers; c; c = c->hh.next) {
-		double admitted;
-		double asked;
-		ap_usec_t age;
-
-		sum_others(c, now, &admitted, &asked, &age);
-		admitted += ap_quota_rate(&c->admitted, now);
-		if (admitted <= 0)
-			continue;
-		n++;
-		all += admitted;
-		if (c->tag == tag)
-			own = admitted;
-	}
-	return all > 0 ? own * (double)n / all : 0;
+
+	HASH_FIND(hh, q->customers, &tag, sizeof(tag), c);
+	if (!c || c->rate <= 0)
+		return 0;
+	sum_use(q, now);
+	if (q->use <= 0 || q->entitled <= 0)
+		return 0;
+	return use_of(c, now) / q->use / (c->rate / q->entitled);
 }
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -60,6 +60,8 @@
 ap_quota_t *ap_quota_new(const ap_quota_config_t *config);
 void ap_quota_free(ap_quota_t *q);
 void ap_quota_configure(ap_quota_t *q, const ap_quota_config_t *config);
+/** ap_quota_in_use() - returns whether any customers were named. */
+bool ap_quota_in_use(const ap_quota_t *q);
 /** ap_quota_tag() - returns the hash that stands for a customer in reports. */
 uint32_t ap_quota_tag(const char *customer);
 /** ap_quota_set_limits() - a new plan is in force; to be called before the first request of it. */
@@ -111,8 +113,8 @@
 size_t ap_quota_report(ap_quota_t *q, bool region, ap_quota_use_t *out, size_t max, ap_usec_t now);
 
 /**
- * ap_quota_excess() - how much more than an equal share of what all customers use the customer
- * uses: 1 for an equal share, 0 if it is not known.
+ * ap_quota_excess() - how much of what all customers use @customer uses, as a ratio to its part of
+ * all allowances: 1 for its part, 0 if that isn't known or it has no allowance.
  */
 double ap_quota_excess(ap_quota_t *q, const char *customer, ap_usec_t now);
 
