quota: use is not counted twice, instances without a record may still report, steadier excess

A customer that was idle for 5 s is not reported, and a receiver that had started since took its whole use for new. Such a report counts for what its rate explains. Excess by customer is averaged over 4 s: one large request had made a small customer a flooder.

--- a/lib/fleet/usage.c
+++ b/lib/fleet/usage.c
@@ -12,17 +12,18 @@
 #define USES_MAX 512 /* customers in one report */
 #define MILLI 1000.0
 /* Of the wait that others bear, at least, for customers who use more than their part. */
-#define PATIENCE_MIN 0.3
-#define EXCESS_MIN 1.2 /* ratio of a customer's use to its part that counts as more */
+#define PATIENCE_MIN 0.6
+#define EXCESS_MIN 1.5 /* ratio of a customer's use to its part that counts as more */
 
 ap_quota_t *ap_fleet_quota(ap_fleet_t *f)
 {
 	return f->quota;
 }
 
-static bool is_source(const ap_member_state_t *m)
+/* An instance whose record has expired may still serve, and tell of it. */
+static bool is_source(const ap_fleet_t *f, const ap_member_state_t *m, ap_usec_t now)
 {
-	return !m->removed && !m->self;
+	return ap_is_live_other(f, m, now);
 }
 
 static void set_regions(ap_fleet_t *f, ap_usec_t now)
@@ -41,7 +42,7 @@
 		return;
 	f->sources_set_at = now;
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
-		if (m->own_region && is_source(m))
+		if (m->own_region && is_source(f, m, now))
 			ap_quota_set_source(f->quota, m->member.id, false, 1, now);
 		else if (m->own_region && m->removed && m->member.draining)
 			ap_quota_retire_source(f->quota, m->member.id);
--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -6,6 +6,7 @@
 
 #include <uthash.h>
 
+#define RATE_TIME 1.0	   /* seconds over which rates are averaged */
 #define SENDERS_MAX 4	   /* of one remote region */
 #define CUSTOMERS_MAX 4096 /* more than a deployment's; the rest are not limited */
 
@@ -45,6 +46,7 @@
  * @share: units that this instance may use while the bucket is low; at most 0
  * @promised: until when refused requests were told to wait
  * @used: by this instance since its start
+ * @steady: units per second that all instances use, averaged over some seconds
  * @elsewhere: by the other instances of the own region, as far as reported
  */
 typedef struct ap_quota_customer {
@@ -60,6 +62,7 @@
 	int64_t elsewhere;
 	ap_quota_rate_t admitted;
 	ap_quota_rate_t asked;
+	double steady;
 	ap_usec_t active_at;
 	ap_quota_entry_t *entries;
 	size_t n_entries;
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -4,13 +4,13 @@
 #include <math.h>
 #include <stdlib.h>
 
-#define RATE_TIME 1.0		      /* seconds over which rates are averaged */
 #define SILENT_AFTER (1500 * AP_MSEC) /* above the longest interval of reports */
 #define LOW_SHARE 0.5		      /* of the burst; below it instances keep to their shares */
 #define TOLERANCE_USED 0.25	      /* of what may be used beyond the allowance */
 #define BURST_MIN_S 0.25 /* seconds of the rate; a smaller burst would fit no request */
 #define PACE_MIN 0.25	 /* limits of the rate in use, to that of the allowance, */
 #define PACE_MAX 2.0	 /* while the bucket is overdrawn or fills */
+#define STEADY_TIME 4.0	 /* seconds over which the use by customer is averaged */
 #define SUM_INTERVAL (200 * AP_MSEC)
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
@@ -81,7 +81,7 @@
 
 bool ap_quota_is_silent(const ap_quota_source_t *s, ap_usec_t now)
 {
-	return s->gone_at != 0 || s->heard_at == 0 || now - s->heard_at > SILENT_AFTER;
+	return s->heard_at == 0 || now - s->heard_at > SILENT_AFTER;
 }
 
 bool ap_quota_entry_holds(const ap_quota_entry_t *e, ap_usec_t now)
@@ -324,18 +324,20 @@
 	return admitted + ap_quota_rate(&c->admitted, now);
 }
 
+/* Averages what customers use over some seconds: a few large requests are no flood. */
 static void sum_use(ap_quota_t *q, ap_usec_t now)
 {
+	double gain = 1 - exp(-seconds(now - q->summed_at) / STEADY_TIME);
+
 	if (q->summed_at != 0 && now - q->summed_at < SUM_INTERVAL)
 		return;
 	q->summed_at = now;
 	q->use = 0;
 	q->entitled = 0;
-	for (const ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
-		double use = use_of(c, now);
-
-		q->use += use;
-		q->entitled += use > 0 ? c->rate : 0;
+	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+		c->steady += gain * (use_of(c, now) - c->steady);
+		q->use += c->steady;
+		q->entitled += c->steady > 0 ? c->rate : 0;
 	}
 }
 
@@ -350,5 +352,5 @@
 	sum_use(q, now);
 	if (q->use <= 0 || q->entitled <= 0)
 		return 0;
-	return use_of(c, now) / q->use / (c->rate / q->entitled);
+	return c->steady / q->use / (c->rate / q->entitled);
 }
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -114,7 +114,7 @@
 /**
  * struct ap_quota_report - where a report comes from.
  * @counts: the sender is the one of its source that counts
- * @known: it was so before, so that a customer it hadn't named used nothing until then
+ * @known: it was so before
  */
 typedef struct ap_quota_report {
 	uint32_t sender;
@@ -124,6 +124,14 @@
 	ap_usec_t at;
 } ap_quota_report_t;
 
+/* What a customer that the sender hadn't named for a while used until it named it again. */
+static int64_t lately(const ap_quota_use_t *use)
+{
+	double units = use->admitted * RATE_TIME;
+
+	return (double)use->used > units ? (int64_t)units : use->used;
+}
+
 /* Counts what was used since the sender's last report that counted. */
 static void count_use(ap_quota_customer_t *c, ap_quota_entry_t *e, const ap_quota_use_t *use,
 		      const ap_quota_report_t *report)
@@ -135,8 +143,10 @@
 
 	if (same)
 		used = use->used - base->used;
+	else if (found && !e->source->region)
+		used = use->used; /* since its restart */
 	else if (found || report->known)
-		used = use->used;
+		used = lately(use);
 	if (!report->counts && same)
 		return;
 	base->inc = report->inc;
