quota: entries by the slot of their source, a recount at most every 50 ms

Each report searched the entries of a customer for its source and counted all sources anew, so that hearing 100 instances took time with the square of their number. An entry is found by its source's slot now, and sources are counted again after 50 ms or when one is added, gone or back.

--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -28,6 +28,7 @@
  * struct ap_quota_entry - use of one customer at one source.
  * @at: time of the report that last named the customer
  * @admitted, @asked: as of then, in units per second
+ * @source: NULL if the entry is not in use
  * @base: by sender; the first one of an instance is the instance itself
  */
 typedef struct ap_quota_entry {
@@ -46,6 +47,7 @@
  * @promised: until when refused requests were told to wait
  * @used: by this instance since its start
  * @elsewhere: by the other instances of the own region, as far as reported
+ * @entries: by the slot of their source
  */
 typedef struct ap_quota_customer {
 	UT_hash_handle hh;
@@ -67,6 +69,7 @@
 
 /**
  * struct ap_quota_source - another instance of the region, or a remote region.
+ * @slot: index of its entries in those of the customers
  * @heard_at: when a report that counted arrived; 0 for never
  * @weight: number of instances, the highest one lately
  * @weight_at: when it was that
@@ -77,6 +80,7 @@
 typedef struct ap_quota_source {
 	UT_hash_handle hh;
 	char id[AP_NAME_MAX];
+	size_t slot;
 	unsigned weight;
 	ap_usec_t weight_at;
 	unsigned silent;
@@ -91,6 +95,7 @@
  * struct ap_quota - all customers and sources.
  * @weight: number of all instances, this one included
  * @silent: of these, in silent sources
+ * @counted_at: when these two were counted; 0 if they have to be counted again
  * @use: units per second that all customers use, as of @summed_at
  * @entitled: sum of the rates of those who use some
  */
@@ -100,6 +105,7 @@
 	ap_quota_source_t *sources;
 	double weight;
 	double silent;
+	ap_usec_t counted_at;
 	ap_usec_t summed_at;
 	double use;
 	double entitled;
@@ -115,7 +121,7 @@
 ap_quota_customer_t *ap_quota_customer(ap_quota_t *q, uint32_t tag, ap_usec_t now);
 /* Refills the bucket of @c up to @now. */
 void ap_quota_refill(const ap_quota_t *q, ap_quota_customer_t *c, ap_usec_t now);
-/* Counts the instances and those that are silent. */
+/* Counts the instances and those that are silent, unless that was done just before. */
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now);
 
 #endif
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -12,6 +12,7 @@
 #define PACE_MIN 0.25	 /* limits of the rate in use, to that of the allowance, */
 #define PACE_MAX 2.0	 /* while the bucket is overdrawn or fills */
 #define SUM_INTERVAL (200 * AP_MSEC)
+#define RECOUNT_INTERVAL (50 * AP_MSEC) /* far below SILENT_AFTER */
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
 #define QUEUE_MAX (5 * AP_SEC) /* many of those who are refused don't come back */
@@ -35,20 +36,26 @@
 void ap_quota_free(ap_quota_t *q)
 {
 	ap_quota_customer_t *c;
-	ap_quota_customer_t *c_next;
 	ap_quota_source_t *s;
-	ap_quota_source_t *s_next;
 
 	if (!q)
 		return;
-	HASH_ITER (hh, q->customers, c, c_next) {
-		HASH_DEL(q->customers, c);
+	c = q->customers;
+	s = q->sources;
+	HASH_CLEAR(hh, q->customers);
+	HASH_CLEAR(hh, q->sources);
+	while (c) {
+		ap_quota_customer_t *next = c->hh.next;
+
 		free(c->entries);
 		free(c);
+		c = next;
 	}
-	HASH_ITER (hh, q->sources, s, s_next) {
-		HASH_DEL(q->sources, s);
+	while (s) {
+		ap_quota_source_t *next = s->hh.next;
+
 		free(s);
+		s = next;
 	}
 	free(q);
 }
@@ -86,13 +93,16 @@
 
 bool ap_quota_entry_holds(const ap_quota_entry_t *e, ap_usec_t now)
 {
-	return e->at >= e->source->heard_at && !ap_quota_is_silent(e->source, now);
+	return e->source && e->at >= e->source->heard_at && !ap_quota_is_silent(e->source, now);
 }
 
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now)
 {
 	const ap_quota_source_t *s;
 
+	if (q->counted_at != 0 && now >= q->counted_at && now - q->counted_at < RECOUNT_INTERVAL)
+		return;
+	q->counted_at = now;
 	q->weight = 1;
 	q->silent = 0;
 	for (s = q->sources; s; s = s->hh.next) {
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -18,6 +18,20 @@
 	return s;
 }
 
+/* Returns the lowest slot that no source has. */
+static size_t free_slot(const ap_quota_t *q)
+{
+	const ap_quota_source_t *s;
+	size_t slot = 0;
+
+	do {
+		for (s = q->sources; s && s->slot != slot; s = s->hh.next)
+			;
+		slot += s != NULL;
+	} while (s);
+	return slot;
+}
+
 void ap_quota_set_source(ap_quota_t *q, const char *id, bool region, unsigned weight, ap_usec_t now)
 {
 	ap_quota_source_t *s = find_source(q, id);
@@ -27,6 +41,7 @@
 		if (!s)
 			return;
 		ap_copy_name(s->id, sizeof(s->id), id);
+		s->slot = free_slot(q);
 		HASH_ADD_STR(q->sources, id, s);
 	}
 	if (weight >= s->weight || now - s->weight_at > RESERVED_TIME) {
@@ -41,10 +56,8 @@
 static void forget_entries(ap_quota_t *q, const ap_quota_source_t *s)
 {
 	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
-		for (size_t i = 0; i < c->n_entries; i++) {
-			if (c->entries[i].source == s)
-				c->entries[i--] = c->entries[--c->n_entries];
-		}
+		if (s->slot < c->n_entries)
+			c->entries[s->slot] = (ap_quota_entry_t){0};
 	}
 }
 
@@ -67,6 +80,7 @@
 		if (s->gone_at != 0 && now - s->gone_at > RESERVED_TIME)
 			drop_source(q, s);
 	}
+	q->counted_at = 0;
 	ap_quota_recount(q, now);
 }
 
@@ -74,24 +88,27 @@
 {
 	ap_quota_source_t *s = find_source(q, id);
 
-	if (s)
-		drop_source(q, s);
+	if (!s)
+		return;
+	drop_source(q, s);
+	q->counted_at = 0;
 }
 
 static ap_quota_entry_t *entry_of(ap_quota_customer_t *c, ap_quota_source_t *s)
 {
 	ap_quota_entry_t *grown;
-
-	for (size_t i = 0; i < c->n_entries; i++) {
-		if (c->entries[i].source == s)
-			return &c->entries[i];
+	size_t n = s->slot + 1;
+
+	if (c->n_entries < n) {
+		grown = realloc(c->entries, n * sizeof(*grown));
+		if (!grown)
+			return NULL;
+		memset(grown + c->n_entries, 0, (n - c->n_entries) * sizeof(*grown));
+		c->entries = grown;
+		c->n_entries = n;
 	}
-	grown = realloc(c->entries, (c->n_entries + 1) * sizeof(*grown));
-	if (!grown)
-		return NULL;
-	c->entries = grown;
-	grown[c->n_entries] = (ap_quota_entry_t){.source = s};
-	return &grown[c->n_entries++];
+	c->entries[s->slot].source = s;
+	return &c->entries[s->slot];
 }
 
 /* Returns what @sender last reported; the oldest one gives way. */
@@ -211,6 +228,8 @@
 	}
 	if (!report.counts)
 		return;
+	if (s->silent != silent || ap_quota_is_silent(s, now))
+		q->counted_at = 0;
 	s->silent = silent;
 	s->heard_at = now;
 }
@@ -242,7 +261,7 @@
 		for (size_t i = 0; region && i < c->n_entries; i++) {
 			const ap_quota_entry_t *e = &c->entries[i];
 
-			if (e->source->region || !ap_quota_entry_holds(e, now))
+			if (!ap_quota_entry_holds(e, now) || e->source->region)
 				continue;
 			use.admitted += e->admitted;
 			use.asked += e->asked;
