--- a/test/host_customer_test.c
+++ b/test/host_customer_test.c
@@ -119,12 +119,23 @@
 		PLAN("[{\"name\":\"a\",\"apiKeys\":[null]}]"),
 		PLAN("[{\"name\":\"a\",\"apiKeys\":[\"\"]}]"),
 		PLAN("[{\"name\":\"a\",\"apiKeys\":[\"se\\u0000cret\"]}]"),
+		PLAN("[{\"name\":\"a\",\"apiKeys\":\"secret\"}]"),
+		PLAN("[{\"name\":\"a\",\"apiKeys\":{}}]"),
+		PLAN("[{\"name\":\"a\",\"apiKeys\":7}]"),
 		PLAN("[{\"name\":\"a\"},{\"name\":\"a\"}]"),
 		PLAN("[{\"name\":\"a\",\"apiKeys\":[\"secret\"]},{\"name\":\"b\",\"apiKeys\":["
 		     "\"secret\"]}]"),
+		ONE("\"homeRegions\":\"north\""),
+		ONE("\"homeRegions\":{}"),
 		ONE("\"homeRegions\":[7]"),
 		ONE("\"homeRegions\":[\"" NAME_64 "\"]"),
 		ONE("\"homeRegions\":[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"8\",\"9\"]"),
+		ONE("\"priority\":\"high\""),
+		ONE("\"priority\":-1"),
+		ONE("\"ratePerS\":\"100\""),
+		ONE("\"ratePerS\":-100"),
+		ONE("\"burst\":[]"),
+		ONE("\"plainTokens\":\"9\""),
 	};
 
 	(void)state;
@@ -134,6 +145,7 @@
 
 		if (parse(wrong[i], &plan, &err) == AP_HOST_OK)
 			fail_msg("taken: %s", wrong[i]);
+		assert_null(plan);
 		assert_true(err.text[0]);
 		assert_null(strstr(err.text, "secret"));
 	}
