Customers: a key may hold any visible character

A key with a character that RFC 6750 leaves out of a b64token, such as a colon, was taken from the configuration, but each request that carried it got 401 as malformed.

--- a/test/host_customer_test.c
+++ b/test/host_customer_test.c
@@ -266,6 +266,9 @@
 		{{"authorization", "Bearer   k"}, "k"},
 		{{"Authorization", "Bearer k \t"}, "k"},
 		{{"Authorization", "Bearer aZ09-._~+/=="}, "aZ09-._~+/=="},
+		{{"Authorization", "Bearer =k=k"}, "=k=k"},
+		{{"Authorization", "Bearer a:b,c\"d"}, "a:b,c\"d"},
+		{{"Authorization", "Bearer cl\xc3\xa9"}, "cl\xc3\xa9"},
 		{{"Connection", "Authorization", "Authorization", "Bearer k"}, "k"},
 	};
 	static const fields_t malformed[] = {
