--- a/test/host_customer_test.c
+++ b/test/host_customer_test.c
@@ -386,11 +386,15 @@
 static void without_customers_headers_are_passed_on_as_before(void **state)
 {
 	static const fields_t fields = {"Tenant", "x", "Authorization", "Bearer k", "tenant", "y"};
+	static const fields_t listed = {"Connection", "Tenant, Authorization", "Tenant",
+					"x",	      "Authorization",	       "Bearer k"};
 	char text[512];
 
 	(void)state;
 	passed_on(fields, false, NULL, text);
 	assert_string_equal(text, "Host: h;Tenant: x;Authorization: Bearer k;tenant: y;");
+	passed_on(listed, false, NULL, text);
+	assert_string_equal(text, "Host: h;Authorization: Bearer k;");
 }
 
 int main(void)
