Engines fetch kept parts of prompts from each other

A request that went to another engine than the busy holders of its prompt was processed there from the start.

--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -237,6 +237,14 @@
 	return AP_SETTINGS_OK;
 }
 
+static ap_settings_status_t read_bool(loader_t *l, const char *key, json_t *value, void *at)
+{
+	if (!json_is_boolean(value))
+		return invalid(l, key, "must be true or false");
+	*(bool *)at = json_is_true(value);
+	return AP_SETTINGS_OK;
+}
+
 static ap_settings_status_t read_scaled(loader_t *l, const char *key, json_t *value, ap_usec_t unit,
 					ap_usec_t *span)
 {
@@ -373,6 +381,7 @@
 		gateway.allowance_window),
 	SETTING("gateway", "allowance_over", NEED_NEVER, read_number, gateway.allowance_over),
 	SETTING("gateway", "allowance_slack", NEED_NEVER, read_number, gateway.allowance_slack),
+	SETTING("gateway", "prompt_fetch", NEED_NEVER, read_bool, gateway.prompt_fetch),
 	SETTING("gateway", "data_centres", NEED_WITH_GATEWAY, read_data_centres, gateway),
 	SETTING("log", "level", NEED_NEVER, read_level, log_level),
 	SETTING("log", "events", NEED_NEVER, read_count, events),
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -52,6 +52,7 @@
  * @apply_time: longest time from a change in the store until a new configuration is active
  * @grace: time between SIGTERM and exit
  * @directory_ttl: how long callers may cache a response of the directory
+ * @prompt_fetch: as in struct ap_fleet_config
  * @allowance_window, @allowance_over, @allowance_slack: as in struct ap_quota_config
  */
 typedef struct ap_gateway_settings {
@@ -75,6 +76,7 @@
 	ap_usec_t apply_time;
 	ap_usec_t grace;
 	ap_usec_t directory_ttl;
+	bool prompt_fetch;
 	ap_usec_t allowance_window;
 	double allowance_over;
 	double allowance_slack;
--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -45,6 +45,8 @@
 		.priority = target->remote ? PRIORITY_OMITTED : ap_dispatch_rank(&c->x.req),
 		.last_event = last_event,
 		.weights = target->remote ? AP_WEIGHTS_ANY : c->x.req.weights,
+		.fetch_host = target->fetch.id[0] ? target->fetch.host : NULL,
+		.fetch_port = target->fetch.port,
 		.keyed = c->plan->n_customers > 0,
 		.customer = !target->remote && customer ? customer->name : NULL,
 	};
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -151,6 +151,9 @@
 	put(out, "messages_skipped_total", "{what=\"kind\"}", (double)fleet.skipped.kinds);
 	put(out, "messages_skipped_total", "{what=\"version\"}", (double)fleet.skipped.versions);
 	put(out, "fields_skipped_total", "", (double)fleet.skipped.fields);
+	put(out, "prompt_fetches_total", "", (double)fleet.fetches.asked);
+	put(out, "prompt_fetch_tokens_total", "", (double)fleet.fetches.tokens);
+	put(out, "prompt_fetches_missed_total", "", (double)fleet.fetches.missed);
 	put(out, "relay_served", "", (double)fleet.relay_served);
 	put(out, "batch_dropped_total", "", (double)fleet.batch_dropped);
 	put(out, "work_running", "", (double)fleet.running);
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -159,6 +159,7 @@
 		.retry_window = g->retry_window,
 		.learn_time = LEARN_TIME,
 		.entry_grace = ENTRY_GRACE,
+		.prompt_fetch = g->prompt_fetch,
 		.quota = {.window = g->allowance_window,
 			  .over = g->allowance_over,
 			  .slack = g->allowance_slack},
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -37,6 +37,7 @@
 #define CANDIDATES_MAX 1024
 #define JITTER_US 2000.0  /* waits that differ by less are treated as equal */
 #define KV_FULL_SHARE 0.9 /* share of the KV cache above which engines preempt requests */
+#define FETCH_WEIGHT 1.0  /* of a transfer's time, beside the wait for it: it delays others */
 #define KV_FULL_COST_US 1500000.0
 /* Time lost by refusals from which on remote regions are considered: what forwarding takes. */
 #define REFUSALS_MAX_US 150000.0
@@ -70,6 +71,7 @@
 	f->config.retry_slack = config->retry_slack;
 	f->config.learn_time = config->learn_time;
 	f->config.entry_grace = config->entry_grace;
+	f->config.prompt_fetch = config->prompt_fetch;
 	ap_quota_configure(f->quota, &config->quota);
 }
 
@@ -156,7 +158,9 @@
 
 typedef struct candidate {
 	ap_replica_t *replica;
-	uint32_t cached;
+	uint32_t kept;	 /* tokens of the prompt */
+	uint32_t cached; /* likewise, after @fetch */
+	ap_fetch_t fetch;
 	double wait;
 	double queue; /* part of the wait that is spent on other requests */
 	double score;
@@ -255,11 +259,13 @@
 	uint32_t slots = ap_replica_slots(r, req->pool);
 	bool recompute;
 
-	c->cached = ap_prefix_cache_match(f, &r->cache, req);
+	c->kept = ap_prefix_cache_match(f, &r->cache, req);
+	c->fetch = ap_fetch_for(f, req, &f->sources, r, c->kept, now);
+	c->cached = c->fetch.source ? c->fetch.tokens : c->kept;
 	recompute = req->pool->kv_tokens > 0 && !first_holder && shared >= SHARED_TOKENS_MIN &&
 		    c->cached < shared;
-	c->wait = ap_replica_wait_us(f, r, req, req->tokens_in - c->cached);
-	c->queue = c->wait - ap_dispatch_service_us(f, req, c->cached);
+	c->wait = ap_replica_wait_us(f, r, req, req->tokens_in - c->cached) + c->fetch.time;
+	c->queue = c->wait - c->fetch.time - ap_dispatch_service_us(f, req, c->cached);
 	c->wait *= ap_replica_slowdown(r, now);
 	c->score = c->wait * (1 + failure_rate) + failure_rate * FAILURE_COST_US +
 		   ap_rng_unit(&f->rng) * JITTER_US;
@@ -268,6 +274,7 @@
 
 		c->score += ap_replica_running(r) * (req->tokens_out + 1) * BATCH_US_PER_TOKEN;
 		c->score += prefix_cost(p, shared, c->cached, recompute, failure_rate);
+		c->score += FETCH_WEIGHT * c->fetch.time;
 		if (kv > KV_FULL_SHARE)
 			c->score += (kv - KV_FULL_SHARE) * KV_FULL_COST_US;
 	}
@@ -406,6 +413,7 @@
 	if (!ap_dispatch_allows_region(req, f->config.region))
 		return false;
 	collect(f, req, sender, now, &all);
+	ap_fetch_find(f, req, now, &f->sources);
 	if (shared >= SHARED_TOKENS_MIN && req->pool->kv_tokens) {
 		size_t holders = consider_holders(f, req, &all, now, best);
 
@@ -436,6 +444,7 @@
 	ap_copy_name(target->host, sizeof(target->host), r->entry.host);
 	ap_copy_name(target->region, sizeof(target->region), r->region);
 	ap_copy_name(target->version, sizeof(target->version), r->entry.version);
+	ap_fetch_fill(&c->fetch, c->kept, &target->fetch);
 }
 
 /*
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -153,6 +153,20 @@
 							    : req->route->priority;
 }
 
+/**
+ * struct ap_target_fetch - what an upstream is to fetch of a prompt before it processes the rest.
+ * @id, @host, @port: of the upstream that keeps it; @id is empty for none
+ * @tokens: number of tokens that are fetched
+ * @time: expected for the transfer, in microseconds
+ */
+typedef struct ap_target_fetch {
+	char id[AP_NAME_MAX];
+	char host[AP_HOST_MAX];
+	uint16_t port;
+	uint32_t tokens;
+	ap_usec_t time;
+} ap_target_fetch_t;
+
 /**
  * struct ap_target - where a request is sent.
  * @remote: an instance, usually of a remote region, not an upstream
@@ -161,7 +175,8 @@
  * @wait: expected time to the first chunk of the response, in microseconds; unlike the waits that
  *        regions announce, it includes the processing of the request itself
  * @queue: expected time that is spent on other requests, in microseconds
- * @cached: prompt tokens expected to be in the target's prefix cache
+ * @cached: prompt tokens expected to be in the target's prefix cache, once @fetch is done
+ * @fetch: from another upstream
  * @entry_age: age in microseconds of the upstream's entry; 0 for a remote target
  * @running: requests that the upstream is expected to be processing
  * @cold: the upstream is believed to be cold, or may be
@@ -177,6 +192,7 @@
 	ap_usec_t wait;
 	ap_usec_t queue;
 	uint32_t cached;
+	ap_target_fetch_t fetch;
 	ap_usec_t entry_age;
 	uint32_t running;
 	bool cold;
@@ -220,6 +236,7 @@
  * @expected: expected time to the first chunk, in microseconds
  * @parts: parts of the prompt that other requests may share, for an engine
  * @fingerprint: of the request; 0 if unknown
+ * @source: tag of the upstream from which @fetched tokens are to be fetched
  */
 typedef struct ap_inflight {
 	bool open;
@@ -242,6 +259,8 @@
 	uint64_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
 	uint64_t fingerprint;
+	uint32_t source;
+	uint32_t fetched;
 } ap_inflight_t;
 
 /*
@@ -305,6 +324,7 @@
  *              microseconds; 0 for none
  * @entry_grace: how long an entry that expired while the store was unreachable stays valid, in
  *               microseconds
+ * @prompt_fetch: engines may be asked to fetch parts of prompts from others
  * @quota: what customers may use beyond their allowances
  * @on_event: called for each change of state; may be NULL
  */
@@ -320,6 +340,7 @@
 	ap_usec_t retry_window;
 	ap_usec_t learn_time;
 	ap_usec_t entry_grace;
+	bool prompt_fetch;
 	ap_quota_config_t quota;
 	uint64_t seed;
 	void *ctx;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -324,6 +324,7 @@
 	ap_copy_name(inflight->region, sizeof(inflight->region), target->region);
 	for (size_t i = 0; req->pool->kv_tokens > 0 && i + 1 < req->n_parts; i++)
 		inflight->parts[inflight->n_parts++] = req->parts[i].id;
+	ap_fetch_sent(f, target, now, inflight);
 	ap_suspect_sent(f, req, now);
 	if (target->remote && strcmp(target->region, f->config.region) != 0)
 		sent_remote(f, req, target);
@@ -359,7 +360,8 @@
 	double spent = (double)(now - inflight->sent) - FIRST_STEP_US;
 	double rate;
 
-	if (!p || !inflight->alone || inflight->prefill < PREFILL_SAMPLE_MIN || spent <= 0)
+	if (!p || !inflight->alone || inflight->prefill < PREFILL_SAMPLE_MIN || spent <= 0 ||
+	    inflight->fetched > 0)
 		return;
 	rate = fmin(fmax(inflight->prefill / spent, PREFILL_MIN), PREFILL_MAX);
 	p->prefill_per_us += RATE_GAIN * (rate - p->prefill_per_us);
@@ -430,6 +432,7 @@
 		ap_backoff_responded(f, r, now);
 	if (r->serial == inflight->serial)
 		r->own.prefill[inflight->priority] -= inflight->prefill;
+	ap_fetch_done(f, inflight, now);
 	learn_prefill(f, inflight, now);
 	learn_wait(f, inflight, now);
 	learn_slowdown(r, inflight, now);
--- a/lib/fleet/prefix.c
+++ b/lib/fleet/prefix.c
@@ -51,6 +51,14 @@
 	free(entry);
 }
 
+void ap_prefix_cache_remove_part(ap_fleet_t *f, ap_prefix_cache_t *c, uint64_t id)
+{
+	ap_cache_entry_t *entry = find_entry(f, c, id);
+
+	if (entry)
+		remove_entry(f, entry);
+}
+
 void ap_prefix_cache_clear(ap_fleet_t *f, ap_prefix_cache_t *c)
 {
 	ap_cache_entry_t *next;
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -126,6 +126,8 @@
  * @brittle_seen_at: when this instance last saw a response that said so; 0 for none
  * @beyond_share: requests that this instance may send beyond its share while it is brittle
  * @paused_until: this instance sends it nothing until then, after a refusal
+ * @sends_until, @fetches_until: when the transfers that this instance asked for, from it and to it,
+ *                               are expected to end
  * @own: load sent by this instance
  * @others: sum of the load announced by other instances of the region
  * @failure_rate: share of recent requests that failed, as of @failure_rate_at; decays
@@ -184,6 +186,8 @@
 	ap_usec_t brittle_seen_at;
 	ap_bucket_t beyond_share;
 	ap_usec_t paused_until;
+	ap_usec_t sends_until;
+	ap_usec_t fetches_until;
 	ap_load_t own;
 	ap_load_t others;
 	double failure_rate;
@@ -315,6 +319,8 @@
 	ap_usec_t reported_at;	       /* last report of one that is unknown here */
 } ap_data_centre_state_t;
 
+#include "fleet/fetch.h"
+
 struct ap_fleet {
 	ap_fleet_config_t config;
 	ap_rng_t rng;
@@ -326,7 +332,9 @@
 	size_t n_lost_paths;	      /* to upstreams of the own region, as of the last tick */
 	ap_usec_t path_back_at;	      /* when one of them was last found back */
 	bool informed;		      /* another instance said what it knows of cold upstreams */
-	ap_quota_t *quota;	      /* allowances of customers */
+	ap_fetch_stats_t fetches;
+	ap_fetch_sources_t sources; /* for the request that is being placed */
+	ap_quota_t *quota;	    /* allowances of customers */
 	ap_usec_t sources_set_at;
 	double patience;	 /* of the request that is being placed, see choose.c */
 	size_t most_members;	 /* highest number of instances listed at once, with this one */
@@ -469,6 +477,8 @@
 /* Adds unnamed tokens, which no later request shares. */
 void ap_prefix_cache_add_unnamed(ap_fleet_t *f, ap_prefix_cache_t *c, uint32_t tokens,
 				 uint64_t capacity);
+/* Removes the part @id, if it is there. */
+void ap_prefix_cache_remove_part(ap_fleet_t *f, ap_prefix_cache_t *c, uint64_t id);
 void ap_prefix_cache_add_part(ap_fleet_t *f, ap_prefix_cache_t *c, const ap_prompt_part_t *part,
 			      uint64_t capacity);
 
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -306,6 +306,7 @@
 		.relay_served = ap_relay_served(f, now),
 		.batch_dropped = f->batch_dropped,
 		.skipped = f->skipped,
+		.fetches = f->fetches,
 	};
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
--- a/lib/fleet/stats.h
+++ b/lib/fleet/stats.h
@@ -16,6 +16,18 @@
 	uint64_t versions;
 } ap_skipped_t;
 
+/**
+ * struct ap_fetch_stats - since start.
+ * @asked: requests that asked an engine to fetch parts of the prompt
+ * @tokens: that were asked for
+ * @missed: of @asked, responses so late that nothing seems to have been fetched
+ */
+typedef struct ap_fetch_stats {
+	uint64_t asked;
+	uint64_t tokens;
+	uint64_t missed;
+} ap_fetch_stats_t;
+
 /**
  * struct ap_fleet_stats - gauges for metrics.
  * @unreachable: upstreams to which this instance has lost the path
@@ -45,6 +57,7 @@
 	uint64_t batch_dropped;
 	size_t other_wire;
 	ap_skipped_t skipped;
+	ap_fetch_stats_t fetches;
 } ap_fleet_stats_t;
 
 ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now);
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -69,6 +69,8 @@
  * @slots: requests that an upstream processes concurrently, unless its entry gives a number; 0 if
  *         not configured
  * @kv_tokens: size of an engine's KV cache in tokens; 0 for a plain service
+ * @kv_bytes: size of a token in the KV cache, in bytes; 0 if not configured
+ * @link_mbps: rate at which engines send each other parts of it, in Mbit/s; 0 if they don't
  * @event_tokens: tokens that each event of an engine's stream holds, but for the last one, which
  *may hold fewer; 0 if not configured
  */
@@ -80,6 +82,8 @@
 	double warmup_rate;
 	uint32_t slots;
 	uint32_t kv_tokens;
+	double kv_bytes;
+	double link_mbps;
 	uint32_t event_tokens;
 } ap_plan_pool_t;
 
