fleet_room_test: plain requests have no prompt

The requests of the test carried world_request()'s prompt of 200 tokens, which plain requests don't have. learn_mean() then took the time of a request from the prefill rate, 27 ms instead of 60.

--- a/test/fleet_room_test.c
+++ b/test/fleet_room_test.c
@@ -319,6 +319,8 @@
 		.arrived = run->now,
 		.req = world_request(&route, &pool, run->now),
 	};
+	run->active[i].req.tokens_in = 0; /* plain requests have no prompt */
+	run->active[i].req.tokens_out = 0;
 	run->counts->arrived += counted;
 	ap_fleet_count_request(run->net.fleets[origin], pool.name, run->now);
 	place(run, &run->active[i]);
