Plain services: instances share the throughput of busy upstreams by what each has to send

Upstreams of plain pools turned requests away, and instances refused requests while slots were free, since nothing divided the upstreams' throughput. While the slots of a plain pool are in use (0.75 of them, averaged over 1.5 s; to 0.6), instances announce the requests per second that they are asked for, and each sends to each upstream its part of the throughput, spread by a bucket. The throughput comes from the time of requests and follows the distance of the queues from their aim. What is beyond the part goes to another region with a probability that falls with the refusals there, or is refused. Rank 0 may draw one request ahead.

--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -168,7 +168,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, 22 + ap_usage_fields(f));
+	msgpack_pack_array(&out.pk, 22 + ap_room_and_usage_fields(f));
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -189,6 +189,7 @@
 	ap_wire_pack_bool(&out.pk, ap_relay_served(f, now) > 0);
 	ap_stream_weights_pack(f, &out.pk);
 	n += ap_usage_pack(f, &out.pk, false, now);
+	n += ap_room_pack(f, &out.pk, now);
 	if (n > 0 || f->announced_load || f->n_new_prefixes > 0 || draining ||
 	    now - f->announced_at >= IDLE_INTERVAL) {
 		ap_relay_send_to_region(f, peer, out.buf.data, out.buf.size, now);
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -5,7 +5,6 @@
 #include "fleet/private.h"
 
 #include <math.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* Costs are in microseconds and are added to an upstream's expected wait. */
@@ -43,80 +42,6 @@
 #define LOCAL_WAIT_SHARE 0.7 /* of the objective; for shorter waits, forwarding is not worth it */
 #define QUEUE_SHARE 0.7	     /* of the objective, for other requests; the rest is for this one */
 
-ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config)
-{
-	ap_fleet_t *f = calloc(1, sizeof(*f));
-
-	if (!f)
-		return NULL;
-	f->quota = ap_quota_new(&config->quota);
-	if (!f->quota) {
-		free(f);
-		return NULL;
-	}
-	f->config = *config;
-	ap_rng_seed(&f->rng, config->seed);
-	msgpack_sbuffer_init(&f->batch);
-	msgpack_packer_init(&f->batch_pk, &f->batch, msgpack_sbuffer_write);
-	ap_fleet_set_data_centre(f, config->data_centre, config->region);
-	return f;
-}
-
-void ap_fleet_set_bounds(ap_fleet_t *f, const ap_fleet_config_t *config)
-{
-	f->config.cold_over = config->cold_over;
-	f->config.cold_slack = config->cold_slack;
-	f->config.retry_ratio = config->retry_ratio;
-	f->config.retry_slack = config->retry_slack;
-	f->config.learn_time = config->learn_time;
-	f->config.entry_grace = config->entry_grace;
-	ap_quota_configure(f->quota, &config->quota);
-}
-
-/* Frees the items of a hash table after HASH_CLEAR; each item starts with its UT_hash_handle. */
-static void free_items(void *item)
-{
-	while (item) {
-		void *next = ((UT_hash_handle *)item)->next;
-
-		free(item);
-		item = next;
-	}
-}
-
-void ap_fleet_free(ap_fleet_t *f)
-{
-	if (!f)
-		return;
-	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		ap_prefix_cache_clear(f, &r->cache);
-		ap_break_forget(r);
-	}
-	for (ap_remote_pool_t *a = f->remote_pools; a; a = a->hh.next)
-		ap_prefix_cache_clear(f, &a->cache);
-	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
-		free(m->loads);
-	ap_backoff_forget_all(f);
-
-	void *const first[] = {f->replicas,	f->members, f->pools,	f->remote_pools,
-			       f->data_centres, f->leaving, f->suspects};
-
-	HASH_CLEAR(hh, f->replicas);
-	HASH_CLEAR(by_tag, f->tagged);
-	HASH_CLEAR(hh, f->members);
-	HASH_CLEAR(by_tag, f->member_tags);
-	HASH_CLEAR(hh, f->pools);
-	HASH_CLEAR(hh, f->remote_pools);
-	HASH_CLEAR(hh, f->data_centres);
-	HASH_CLEAR(hh, f->leaving);
-	HASH_CLEAR(hh, f->suspects);
-	for (size_t i = 0; i < sizeof(first) / sizeof(first[0]); i++)
-		free_items(first[i]);
-	msgpack_sbuffer_destroy(&f->batch);
-	ap_quota_free(f->quota);
-	free(f);
-}
-
 static bool has_name(const char (*names)[AP_NAME_MAX], size_t n, const char *id)
 {
 	for (size_t i = 0; i < n; i++) {
@@ -413,7 +338,14 @@
 		for (size_t i = 0; i < ASSIGNED_MAX && all.assigned[i]; i++)
 			consider(f, req, all.assigned[i], i == 0 && holders == 0, now, best);
 	}
-	consider_sample(f, req, &all, now, best);
+	if (ap_room_engaged(f, req)) {
+		ap_replica_t *roomy = ap_room_best(f, all.v, all.n, req, now);
+
+		if (roomy)
+			consider(f, req, roomy, false, now, best);
+	}
+	if (!best->replica)
+		consider_sample(f, req, &all, now, best);
 	return best->replica != NULL;
 }
 
@@ -502,14 +434,26 @@
 	double lost = 0; /* by refusals */
 	bool found_local = find_local(f, req, local_only, now, &local, &peer);
 	bool found_remote = false;
+	bool engaged = ap_room_engaged(f, req);
+	bool full;
 	ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
 	const char *prefix_region = local_only ? NULL : ap_prefix_region(f, req, now);
 
 	if (p)
 		p->warmup = req->pool->warmup;
 	/* A large prefix isn't processed again elsewhere for a refusal. */
-	if (p && found_local && ap_dispatch_prefix_tokens(req) < SHARED_TOKENS_MIN)
+	if (p && found_local && ap_dispatch_prefix_tokens(req) < SHARED_TOKENS_MIN && !engaged)
 		lost = ap_refusals_us(&p->refusals, req, now);
+	if (engaged && found_local && !peer) {
+		full = !ap_room_allows(f, local.replica, req, now);
+		if (full && !local_only && ap_best_remote(f, req, NULL, now, &remote) &&
+		    ap_rng_unit(&f->rng) < ap_room_spill(f, &remote, req, now)) {
+			ap_fill_remote_target(&remote, target);
+			return AP_FLEET_OK;
+		}
+		fill_local_target(f, req, &local, now, target);
+		return full ? AP_FLEET_LATE : AP_FLEET_OK;
+	}
 	if (!local_only && (!found_local || local.wait > wait_limit || lost > REFUSALS_MAX_US ||
 			    (prefix_region && local.cached < ap_dispatch_prefix_tokens(req))))
 		found_remote = ap_best_remote(f, req, prefix_region, now, &remote);
@@ -571,6 +515,7 @@
 
 	ap_notice_freeze(f, now);
 	f->patience = ap_usage_patience(f, req, now);
+	ap_room_asked(f, req, now);
 	hold = ap_request_hold(f, req, now, &until);
 	if (hold == AP_HOLD_WAIT) {
 		*target = (ap_target_t){.wait = until - now};
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -215,7 +215,7 @@
 	return p ? ap_pool_wait(f, p, ap_announced_priority(ap_dispatch_rank(req)), now) : AP_NEVER;
 }
 
-static double refused_share(const ap_refusals_t *refusals, ap_usec_t now)
+double ap_refused_share(const ap_refusals_t *refusals, ap_usec_t now)
 {
 	double halves = (double)(now - refusals->at) / (double)REFUSALS_HALF_LIFE;
 
@@ -224,7 +224,7 @@
 
 double ap_refusals_us(const ap_refusals_t *refusals, const ap_dispatch_t *req, ap_usec_t now)
 {
-	return refused_share(refusals, now) * REFUSAL_COST * (double)req->route->objective;
+	return ap_refused_share(refusals, now) * REFUSAL_COST * (double)req->route->objective;
 }
 
 static void learn_refusals(ap_refusals_t *refusals, ap_dispatch_result_t end, ap_usec_t now)
@@ -233,7 +233,7 @@
 
 	if (!refused && end != AP_DISPATCH_DONE && end != AP_DISPATCH_ERROR)
 		return;
-	refusals->share = refused_share(refusals, now);
+	refusals->share = ap_refused_share(refusals, now);
 	refusals->share += REFUSALS_GAIN * (refused - refusals->share);
 	refusals->at = now;
 }
@@ -343,6 +343,7 @@
 		r->within_limit.allowance -= 1;
 	ap_brittle_sent(f, r, req, now);
 	inflight->after_pause = ap_backoff_sent(f, r, now);
+	ap_room_sent(f, r, req);
 	r->own.running[inflight->priority]++;
 	r->own.prefill[inflight->priority] += inflight->prefill;
 	r->own.kv += inflight->kv;
@@ -448,6 +449,8 @@
 		       inflight->prefill / p->prefill_per_us;
 	else if (inflight->slot_wait > 0)
 		return;
+	if (inflight->prefill == 0)
+		ap_room_learn(p, took);
 	p->mean_us = p->mean_us > 0 ? p->mean_us + RATE_GAIN * (took - p->mean_us) : took;
 }
 
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -4,6 +4,7 @@
 
 #include "fleet/evidence.h"
 #include "fleet/fleet.h"
+#include "fleet/room.h"
 #include "fleet/stream-state.h"
 #include "fleet/stream.h"
 #include "wire/frame.h"
@@ -116,6 +117,7 @@
  * @watch_seen_at: time of the last response; 0 for none
  * @watch_from: when this instance begins; 0 while the store isn't silent
  * @cold: requests that this instance may send while the upstream is cold
+ * @room: requests that this instance may send while its pool is shared, see room.c
  * @limited: the upstream names a limit, as of @limit_at
  * @limit: requests per second that it takes from all instances together
  * @limit_seen_at: when this instance last saw a response that named a limit, or the end of one
@@ -172,6 +174,7 @@
 	ap_usec_t watch_seen_at;
 	ap_usec_t watch_from;
 	ap_bucket_t cold;
+	ap_bucket_t room;
 	bool limited;
 	double limit;
 	ap_usec_t limit_at;
@@ -230,6 +233,7 @@
  * @relay_silent_until: it isn't wanted as a relay until then
  * @lost_pools: hashes of the pools that it has lost all paths to, as known until @lost_until
  * @lost_at: since when it has lost any; 0 for none
+ * @demands: what it was asked for at plain pools, as announced at @demands_at
  */
 typedef struct ap_member_state {
 	UT_hash_handle hh;
@@ -266,6 +270,9 @@
 	size_t n_lost_pools;
 	ap_usec_t lost_until;
 	ap_usec_t lost_at;
+	ap_room_demand_t demands[ROOM_POOLS_MAX];
+	size_t n_demands;
+	ap_usec_t demands_at;
 } ap_member_state_t;
 
 #define BUDGET_STEPS 10 /* steps of a retry window */
@@ -298,6 +305,7 @@
 	bool versions_told;	/* of the weights, by those that have served its streams */
 	ap_refusals_t refusals; /* at the upstreams of the own region */
 	ap_budget_t budget;
+	ap_room_t room;
 } ap_pool_state_t;
 
 typedef struct ap_remote_pool ap_remote_pool_t;
@@ -515,6 +523,7 @@
  * Returns the time that is lost on average where a share of the requests is refused: an upstream
  * that refuses what it has no room for never has a long queue, however little it can take.
  */
+double ap_refused_share(const ap_refusals_t *refusals, ap_usec_t now);
 double ap_refusals_us(const ap_refusals_t *refusals, const ap_dispatch_t *req, ap_usec_t now);
 /* Sums up what the other instances announced, for each upstream. */
 void ap_load_recount(ap_fleet_t *f, ap_usec_t now);
--- a/lib/fleet/receive.c
+++ b/lib/fleet/receive.c
@@ -216,7 +216,8 @@
 	    !ap_limits_apply(f, &limits, now) || !apply_shared(f, &shared, AP_ORIGIN_REGION, now) ||
 	    !ap_leaving_apply(f, &leaving, now) || !ap_cold_apply(f, from, &colds, now) ||
 	    (m && !ap_paths_apply(m, &lost, now)) || !ap_brittle_apply(f, &brittle, now) ||
-	    !ap_usage_apply(f, from, NULL, in->head.from, &r, now))
+	    !ap_usage_apply(f, from, NULL, in->head.from, &r, now) ||
+	    (m && !ap_room_apply(m, &r, now)))
 		return false;
 	f->informed = f->informed || informed;
 	if (says_informed && !informed && !ap_fleet_uninformed(f, now) &&
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -272,6 +272,7 @@
 	ap_brittle_tick(f, now);
 	ap_usage_tick(f, now);
 	ap_load_recount(f, now);
+	ap_room_tick(f, now);
 }
 
 void ap_fleet_after_freeze(ap_fleet_t *f, ap_usec_t now)
--- a/test/fleet_room_test.c
+++ b/test/fleet_room_test.c
@@ -466,6 +466,24 @@
 
 static counts_t counts;
 
+/* Guards against upstreams that turn requests away because nothing divides their room. */
+static void check_few_turned_away(void)
+{
+	assert_true(counts.turned_away * 50 <= counts.arrived);
+}
+
+/*
+ * Guards against refusals while slots are free: the upstreams of north served at least @share of
+ * their throughput, and nearly all refusals came while all slots were in use.
+ */
+static void check_room_is_used(double share)
+{
+	double room = CAPACITY * (double)(DURATION - WARM_UP) / AP_SEC;
+
+	assert_true(counts.by_speed[0] + counts.by_speed[1] >= share * room);
+	assert_true(counts.while_free * 20 <= counts.arrived);
+}
+
 static void test_half(void **state)
 {
 	const load_t load = {.name = "0.5", .load = 0.5, .speed = {1, 1}};
@@ -483,6 +501,8 @@
 
 	(void)state;
 	play(&load, &counts);
+	assert_int_equal(counts.refused, 0);
+	check_few_turned_away();
 }
 
 static void test_over(void **state)
@@ -491,6 +511,9 @@
 
 	(void)state;
 	play(&load, &counts);
+	/* The other region has room for all that is beyond the throughput here. */
+	check_room_is_used(0.95);
+	check_few_turned_away();
 }
 
 static void test_far_over(void **state)
@@ -499,6 +522,8 @@
 
 	(void)state;
 	play(&load, &counts);
+	check_room_is_used(0.95);
+	check_few_turned_away();
 }
 
 static void test_two_speeds(void **state)
@@ -509,6 +534,8 @@
 	play(&load, &counts);
 	/* Requests go to the faster one more often. */
 	assert_true(counts.by_speed[1] > counts.by_speed[0]);
+	assert_int_equal(counts.refused, 0);
+	check_few_turned_away();
 }
 
 static void test_third_cut_off(void **state)
@@ -518,6 +545,8 @@
 
 	(void)state;
 	play(&load, &counts);
+	check_room_is_used(0.95);
+	check_few_turned_away();
 }
 
 static void test_half_at_one(void **state)
@@ -527,6 +556,8 @@
 
 	(void)state;
 	play(&load, &counts);
+	check_room_is_used(0.95);
+	check_few_turned_away();
 }
 
 int main(void)
