--- a/lib/fleet/room.c
+++ b/lib/fleet/room.c
@@ -33,7 +33,6 @@
 #define HEARD_TIME (3 * AP_SEC) /* an instance that is silent counts so long with what it said */
 #define SUM_INTERVAL (50 * AP_MSEC)
 #define MILLI 1000.0
-#define USAGE_FIELDS 2 /* see ap_usage_pack() */
 #define SPILL_MIN 0.05 /* finds out when a remote region has room again */
 
 static uint32_t tag_of(const char *pool)
@@ -248,9 +247,9 @@
 	return n;
 }
 
-size_t ap_room_and_usage_fields(const ap_fleet_t *f)
+size_t ap_room_fields(const ap_fleet_t *f, size_t all)
 {
-	return n_busy(f) > 0 ? USAGE_FIELDS + 1 : ap_usage_fields(f);
+	return n_busy(f) > 0 ? all : ap_usage_fields(f, all - 1);
 }
 
 double ap_room_spill(ap_fleet_t *f, const ap_remote_candidate_t *c, const ap_dispatch_t *req,
@@ -269,11 +268,9 @@
 
 	if (n == 0)
 		return 0;
-	/* A reader takes the fields after the others for customers' use. */
-	if (ap_usage_fields(f) == 0) {
-		msgpack_pack_uint32(pk, 0);
+	/* Without customers, the field for their use is empty. */
+	if (ap_usage_fields(f, 1) == 0)
 		msgpack_pack_array(pk, 0);
-	}
 	msgpack_pack_array(pk, n);
 	for (const ap_pool_state_t *p = f->pools; p && left > 0; p = p->hh.next) {
 		if (!p->room.busy)
--- a/lib/fleet/room.h
+++ b/lib/fleet/room.h
@@ -49,8 +49,8 @@
 /* Returns the share of the requests beyond this region's room that are sent to a remote region. */
 double ap_room_spill(ap_fleet_t *f, const ap_remote_candidate_t *c, const ap_dispatch_t *req,
 		     ap_usec_t now);
-/* Returns how many fields ap_usage_pack() and ap_room_pack() add to a message together. */
-size_t ap_room_and_usage_fields(const ap_fleet_t *f);
+/* Returns how many of @all fields of a message are sent: the last two only where they are used. */
+size_t ap_room_fields(const ap_fleet_t *f, size_t all);
 size_t ap_room_pack(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
 bool ap_room_apply(ap_member_state_t *m, ap_wire_reader_t *r, ap_usec_t now);
 
--- a/lib/fleet/usage.c
+++ b/lib/fleet/usage.c
@@ -51,9 +51,9 @@
 	ap_quota_end_sources(f->quota, now);
 }
 
-size_t ap_usage_fields(const ap_fleet_t *f)
+size_t ap_usage_fields(const ap_fleet_t *f, size_t all)
 {
-	return ap_quota_in_use(f->quota) ? 2 : 0;
+	return ap_quota_in_use(f->quota) ? all : all - 1;
 }
 
 size_t ap_usage_pack(ap_fleet_t *f, msgpack_packer *pk, bool region, ap_usec_t now)
@@ -64,8 +64,8 @@
 	if (!ap_quota_in_use(f->quota))
 		return 0;
 	n = ap_quota_report(f->quota, region, uses, USES_MAX, now);
+	msgpack_pack_array(pk, 1 + n);
 	msgpack_pack_uint32(pk, region ? ap_quota_silent(f->quota, now) : 0);
-	msgpack_pack_array(pk, n);
 	for (size_t i = 0; i < n; i++) {
 		msgpack_pack_array(pk, 4);
 		msgpack_pack_uint32(pk, uses[i].tag);
@@ -85,10 +85,10 @@
 	size_t n = 0;
 
 	/* The sender knows no customers, or its build reports none. */
-	if (r->left == 0)
+	list = r->left > 0 ? ap_wire_array(r) : (ap_wire_reader_t){.ok = true};
+	if (list.ok && list.left == 0)
 		return true;
-	silent = (unsigned)ap_wire_u64(r);
-	list = ap_wire_array(r);
+	silent = (unsigned)ap_wire_u64(&list);
 	while (list.left > 0 && n < USES_MAX) {
 		ap_wire_reader_t e = ap_wire_array(&list);
 		ap_quota_use_t *use = &uses[n++];
@@ -100,7 +100,7 @@
 		if (!e.ok)
 			return false;
 	}
-	if (!r->ok || !list.ok)
+	if (!list.ok)
 		return false;
 	ap_quota_heard(f->quota, region ? region : from, from, inc, silent, uses, n, now);
 	return true;
