Tests: customers' keys at real instances

The soak's parts start instances, store and upstreams; upstreams tell the test what they got, and links what they carry.

--- a/test/soak/link.c
+++ b/test/soak/link.c
@@ -69,21 +69,33 @@
 	event_add(p->closing, &tv);
 }
 
+void (*link_tap)(const link_t *l, const void *data, size_t len);
+
 static void move(struct bufferevent *from, struct bufferevent *to)
 {
 	bufferevent_write_buffer(to, bufferevent_get_input(from));
 }
 
+/* Passes on what is bound for the port. */
+static void move_forward(pair_t *p)
+{
+	struct evbuffer *in = bufferevent_get_input(p->near);
+
+	if (link_tap)
+		link_tap(p->link, evbuffer_pullup(in, -1), evbuffer_get_length(in));
+	move(p->near, p->far);
+}
+
 static void pass(pair_t *p)
 {
 	switch (p->link->mode) {
 	case LINK_SILENT:
 		return;
 	case LINK_ONE_WAY:
-		move(p->near, p->far);
+		move_forward(p);
 		return;
 	default:
-		move(p->near, p->far);
+		move_forward(p);
 		move(p->far, p->near);
 	}
 }
@@ -122,7 +134,7 @@
 	else if (bev == p->far)
 		hold(p);
 	else
-		move(p->near, p->far);
+		move_forward(p);
 }
 
 static void on_drained(struct bufferevent *bev, void *arg)
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -453,8 +453,7 @@
 		reply_refused(r, call, 400);
 		return;
 	}
-	r->soak->arrivals++;
-	r->soak->retries += q->arrivals++ > 0;
+	soak_arrived(r, call, q);
 	r->soak->gone += q->arrivals > 1 && q->left_at > 0 && ap_now() - q->left_at > GONE_TIME;
 	if ((expected && strcmp(expected, r->id) != 0) ||
 	    (weights && strtoul(weights, NULL, 10) != r->weights)) {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -86,6 +86,9 @@
 
 typedef struct link link_t;
 
+/* Gets the bytes that links relay towards their ports, as they are read; NULL if nobody asks. */
+extern void (*link_tap)(const link_t *l, const void *data, size_t len);
+
 /* Listens on @port of the loopback address, 0 for any, and relays to port @to there. */
 link_t *link_new(struct event_base *base, uint16_t port, uint16_t to);
 uint16_t link_port(const link_t *l);
@@ -254,9 +257,13 @@
 	bool no_weights; /* upstreams name no versions of the weights */
 	bool keep;	 /* keep the logs also of a run without findings */
 	bool no_moves;
-	bool no_ends;	 /* upstreams break off what they end early */
-	bool no_befores; /* upstreams begin also what would come after the deadline */
-	bool faulty;	 /* faults are being injected */
+	bool no_ends;	       /* upstreams break off what they end early */
+	bool no_befores;       /* upstreams begin also what would come after the deadline */
+	const char *tenants;   /* of the configuration, JSON; NULL for none */
+	bool open[SOAK_KINDS]; /* routes that need no key */
+	/* A request has arrived at an upstream, before it is checked; NULL if nobody asks. */
+	void (*arrived)(const replica_t *r, ap_http_call_t *call, const request_t *q);
+	bool faulty; /* faults are being injected */
 	store_t *store;
 	ap_http_client_t *client;
 	instance_t instances[SOAK_INSTANCES_MAX];
@@ -313,6 +320,15 @@
 	s->turn_at = now;
 }
 
+/* Counts a request that has arrived at an upstream. */
+static inline void soak_arrived(const replica_t *r, ap_http_call_t *call, request_t *q)
+{
+	if (r->soak->arrived)
+		r->soak->arrived(r, call, q);
+	r->soak->arrivals++;
+	r->soak->retries += q->arrivals++ > 0;
+}
+
 void soak_finding(soak_t *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 
 #endif
--- a/test/soak/world.c
+++ b/test/soak/world.c
@@ -39,6 +39,8 @@
 				  k == SOAK_IDEMPOTENT || k == SOAK_RESUMABLE ? 2 : 1, "resumable",
 				  k == SOAK_RESUMABLE, "gapAimMs", 800, "homeRegions");
 
+		if (s->open[k])
+			json_object_set_new(r, "public", json_true());
 		if (k == SOAK_RESUMABLE)
 			json_array_append_new(json_object_get(r, "homeRegions"),
 					      json_string(soak_regions[0]));
@@ -47,6 +49,8 @@
 	root = json_pack("{s:I,s:o,s:[{s:s},{s:s}],s:{}}", "version", (json_int_t)s->version,
 			 "routes", routes, "services", "name", pools[0], "name", pools[1],
 			 "limits");
+	if (s->tenants)
+		json_object_set_new(root, "tenants", json_loads(s->tenants, 0, NULL));
 	text = json_dumps(root, JSON_COMPACT);
 	store_put(s->store, "op/config", text, 0);
 	free(text);
