--- a/cmd/arbutuspond/gateway-customer.c
+++ b/cmd/arbutuspond/gateway-customer.c
@@ -24,7 +24,7 @@
 		return true;
 	gate->customers.refused[r->credentials]++;
 	gate->counters.ended[GATE_UNAUTHORIZED]++;
-	ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.unauthorized", r->id,
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "request.unauthorized", r->id,
 			 "s:s,s:s,s:I", "why", refusals[r->credentials], "route", route->name,
 			 "version", (json_int_t)gate->plan->version);
 	gate_reply_early(call, 401, false, refusals[r->credentials]);
--- a/test/customers/main.c
+++ b/test/customers/main.c
@@ -17,6 +17,7 @@
 #define LOAD_TURN (100 * AP_MSEC)
 #define BEGUN_MS 1500 /* work of a request whose key is removed meanwhile */
 #define ROUNDS 12
+#define WRITTEN (500 * AP_MSEC) /* after which a record is in the log */
 
 static int set_up(void **state)
 {
@@ -158,6 +159,8 @@
 	caller_t *c;
 
 	for (size_t i = 0; i < COUNT(cases); i++) {
+		const char *line;
+
 		c = customers_get(s, NORTH, SOAK_IDEMPOTENT, cases[i].fields);
 		if (!cases[i].why) {
 			assert_int_equal(c->status, 200);
@@ -168,6 +171,10 @@
 		assert_int_equal(c->q->arrivals, 0);
 		assert_non_null(strstr(c->response, cases[i].why));
 		assert_non_null(strstr(c->response, "WWW-Authenticate: Bearer"));
+		scenario_run(s, WRITTEN);
+		line = customers_line(s, NORTH, "request.unauthorized", c->q->id);
+		if (!line || !strstr(line, cases[i].why))
+			fail_msg("case %zu: %s", i, line ? line : "no line");
 	}
 	c = customers_get(s, NORTH, SOAK_IDEMPOTENT, "X: 1\r\nHost: other\r\n");
 	assert_int_not_equal(c->status, 200);
