Customers: a forwarded request outlasts a change of its customer's keys

The receiver compared the hash of the version with which a request had begun, also where its sender had the receiver's newer version already: a retry of such a request in another region got 503 once a key of its customer had been added or removed. As with routes, a version within those that the sender names is accepted, with the customer of that name and its home regions there. Before: customers_test fails in test_the_named_customer_decides, case 7 gets 503; after: 200, and the test passes.

--- a/cmd/arbutuspond/gateway-customer.c
+++ b/cmd/arbutuspond/gateway-customer.c
@@ -42,7 +42,11 @@
 		return !route || route->open || gate->plan->n_customers == 0;
 	if (name)
 		*customer = ap_plan_find_customer(gate->plan, name + 1);
-	return *customer && (*customer)->hash == strtoull(named, NULL, 16);
+	if (!*customer)
+		return false;
+	/* A request goes on if keys of its customer come or go after it began. */
+	return (*customer)->hash == strtoull(named, NULL, 16) ||
+	       gate_version_superseded(gate, call);
 }
 
 ap_http_header_t gate_customer_header(const ap_customer_t *customer,
--- a/cmd/arbutuspond/gateway-version.c
+++ b/cmd/arbutuspond/gateway-version.c
@@ -23,15 +23,32 @@
 	return (ap_http_header_t){FORWARD_HEADER_CONFIGURATION, text};
 }
 
-bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route)
+/* Reads the versions that may handle a forwarded request, and the hash of its route. */
+static bool read_versions(ap_http_call_t *call, uint64_t *first, uint64_t *last, uint64_t *hash)
 {
 	const char *named = ap_http_call_header(call, FORWARD_HEADER_CONFIGURATION);
+
+	return named && sscanf(named, "%" SCNu64 "-%" SCNu64 " %" SCNx64, first, last, hash) == 3;
+}
+
+bool gate_version_superseded(const gateway_t *gate, ap_http_call_t *call)
+{
+	uint64_t first;
+	uint64_t last;
+	uint64_t hash;
+
+	return read_versions(call, &first, &last, &hash) && gate->plan->version > first &&
+	       gate->plan->version <= last;
+}
+
+bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route)
+{
 	const char *build = ap_http_call_header(call, FORWARD_HEADER_BUILD);
 	uint64_t first;
 	uint64_t last;
 	uint64_t hash;
 
-	if (!named || sscanf(named, "%" SCNu64 "-%" SCNu64 " %" SCNx64, &first, &last, &hash) != 3)
+	if (!read_versions(call, &first, &last, &hash))
 		return true;
 	/* The pool of a stream that goes on is that of its build, whatever the version. */
 	if (build && strtoull(build, NULL, 16) != 0)
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -411,6 +411,11 @@
 bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route);
 /* The instance @by refused a request, maybe since its version is another one. */
 void gate_version_refused(gateway_t *gate, const char *by, const struct evkeyvalq *headers);
+/*
+ * Returns whether a forwarded request began with an older version than this instance has, and its
+ * sender has this one, or a newer one, by now.
+ */
+bool gate_version_superseded(const gateway_t *gate, ap_http_call_t *call);
 /* Another instance tells its version. Return: false if the message is malformed. */
 bool gate_version_told(gateway_t *gate, const char *from, const void *data, size_t len);
 
--- a/test/customers/main.c
+++ b/test/customers/main.c
@@ -416,11 +416,12 @@
 		const char *name;
 		int status;
 	} cases[] = {
-		{0, 0, acme, "acme", 200},     {0, 1, acme, "acme", 200},
-		{-1, 0, acme, "acme", 200},    {0, 0, acme + 1, "acme", 503},
-		{0, 1, acme + 1, "acme", 503}, {-1, -1, acme + 1, "acme", 503},
-		{1, 1, acme + 1, "acme", 503}, {-1, 0, acme, "nobody", 503},
-		{0, 0, acme, "beta", 503},     {0, 0, 0, "", 503},
+		{0, 0, acme, "acme", 200},	{0, 1, acme, "acme", 200},
+		{-1, 0, acme, "acme", 200},	{0, 0, acme + 1, "acme", 503},
+		{0, 1, acme + 1, "acme", 503},	{-1, -1, acme + 1, "acme", 503},
+		{1, 1, acme + 1, "acme", 503},	{-1, 0, acme + 1, "acme", 200},
+		{-1, 1, acme + 1, "acme", 200}, {-1, 0, acme, "nobody", 503},
+		{0, 0, acme, "beta", 503},	{0, 0, 0, "", 503},
 		{0, 0, 0, NULL, 503},
 	};
 
