Customers: an instance that the store turns away asks others for newer versions

It learned of a version only from a forwarded request that another instance refused: without one, a removed key worked on there, and an added one got 401. Where there are customers and the store doesn't respond, it sends its version to a member chosen at random, eight times within apply_ms; one with a newer version responds with it, as before.

--- a/cmd/arbutuspond/gateway-version.c
+++ b/cmd/arbutuspond/gateway-version.c
@@ -14,6 +14,11 @@
 #include <string.h>
 
 #define TELL_INTERVAL (200 * AP_MSEC) /* to the same instance; a round trip between regions */
+/*
+ * Within the time in which a version must be in force. Those that are asked may be cut off from the
+ * store themselves.
+ */
+#define ASKS 8
 
 ap_http_header_t gate_version_header(const gate_call_t *c, char text[GATE_VERSION_TEXT_MAX])
 {
@@ -105,6 +110,35 @@
 		tell(gate, by, its > gate->plan->version);
 }
 
+/* Of the members so far, each is equally likely to be chosen. */
+typedef struct choice {
+	gateway_t *gate;
+	const ap_member_t *chosen;
+	uint64_t n;
+} choice_t;
+
+static void on_member(void *ctx, const ap_member_t *member)
+{
+	choice_t *choice = ctx;
+
+	if (strcmp(member->id, choice->gate->self.id) != 0 && !member->draining &&
+	    ap_rng_below(&choice->gate->rng, ++choice->n) == 0)
+		choice->chosen = member;
+}
+
+void gate_version_tick(gateway_t *gate, ap_usec_t now)
+{
+	choice_t choice = {.gate = gate};
+
+	if (!gate->plan || gate->plan->n_customers == 0 || now < gate->ask_at ||
+	    !ap_follow_silent(gate->follow, now))
+		return;
+	gate->ask_at = now + gate->conf->apply_time / ASKS;
+	ap_fleet_each_member(gate->fleet, on_member, &choice);
+	if (choice.chosen)
+		tell(gate, choice.chosen->id, true);
+}
+
 /* Context of a message. */
 typedef struct told_by {
 	gateway_t *gate;
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -142,6 +142,7 @@
 	gate->last_tick_monotonic = monotonic;
 	ap_fleet_tick(gate->fleet, now);
 	gate_store_tick(gate, now);
+	gate_version_tick(gate, now);
 	gate_seed_tick(gate, now);
 	gate_health_tick(gate, now);
 	gate_peer_tick(gate, now);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -293,6 +293,7 @@
 	bool listing;			 /* a complete list of the store is being read */
 	gate_told_t told[GATE_TOLD_MAX]; /* ring */
 	size_t n_told;			 /* so far */
+	ap_usec_t ask_at;		 /* no instance is asked for a newer version before */
 	gate_counters_t counters;
 	gate_customers_t customers;
 };
@@ -411,6 +412,11 @@
 bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route);
 /* The instance @by refused a request, maybe since its version is another one. */
 void gate_version_refused(gateway_t *gate, const char *by, const struct evkeyvalq *headers);
+/*
+ * Asks another instance for a newer version while the store doesn't respond. Only where there are
+ * customers: a removed key must not work on here.
+ */
+void gate_version_tick(gateway_t *gate, ap_usec_t now);
 /*
  * Returns whether a forwarded request began with an older version than this instance has, and its
  * sender has this one, or a newer one, by now.
--- a/test/customers/main.c
+++ b/test/customers/main.c
@@ -100,7 +100,7 @@
 /*
  * Guards against a key that works at one instance and not at another once a version has had its
  * time, against one that keeps working after its removal, and against requests of other customers
- * that fail meanwhile.
+ * that fail meanwhile. The store turns one instance away from each version on.
  */
 static void test_keys_come_and_go_under_load(void **state)
 {
@@ -108,13 +108,35 @@
 	soak_t *s = *state;
 
 	for (size_t v = 0; v < COUNT(versions); v++) {
+		link_t *store = s->instances[s->n_instances - 1].store_link;
+
+		link_set_mode(store, LINK_RESET);
 		customers_publish(s, versions[v]);
 		check_load(load(s, APPLY), NULL);
 		check_load(load(s, AP_SEC), versions[v]);
+		link_set_mode(store, LINK_OPEN);
+		scenario_run(s, 2 * AP_SEC);
 	}
 	print_message("%zu requests\n", n_callers);
 }
 
+/*
+ * Guards against removed keys that work on at an instance which the store has turned away for so
+ * long that it isn't registered any more.
+ */
+static void test_an_instance_turned_away_for_long_learns_of_keys(void **state)
+{
+	soak_t *s = *state;
+	size_t last = s->n_instances - 1;
+
+	link_set_mode(s->instances[last].store_link, LINK_RESET);
+	scenario_run(s, 4 * AP_SEC);
+	customers_publish(s, NEW);
+	scenario_run(s, APPLY);
+	assert_int_equal(customers_get(s, last, SOAK_IDEMPOTENT, KEY("1"))->status, 401);
+	assert_int_equal(customers_get(s, last, SOAK_IDEMPOTENT, KEY("2"))->status, 200);
+}
+
 /* Guards against requests that end as their key is removed. */
 static void test_a_request_that_began_outlasts_its_key(void **state)
 {
@@ -479,6 +501,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		CUSTOMERS(test_keys_come_and_go_under_load),
+		CUSTOMERS(test_an_instance_turned_away_for_long_learns_of_keys),
 		CUSTOMERS(test_a_request_that_began_outlasts_its_key),
 		CUSTOMERS(test_requests_without_a_key_get_401),
 		CUSTOMERS(test_requests_are_counted_by_customer),
