--- a/cmd/arbutuspond/gateway-seed.c
+++ b/cmd/arbutuspond/gateway-seed.c
@@ -2,7 +2,8 @@
  * Start while the store is unreachable: an instance listed in the settings, a seed, responds with
  * a snapshot of what it read from the store last. The snapshot contains the secret only if the
  * requester has the address of a registered instance. Without the secret an instance exchanges no
- * messages with others until the store is reachable again.
+ * messages with others until the store is reachable again. A snapshot with customers' keys is only
+ * given to such an address.
  */
 #include "gateway.h"
 
@@ -45,7 +46,8 @@
 	size_t len = 0;
 	bool is_instance = ap_fleet_knows_host(gate->fleet, ap_http_call_peer(call));
 
-	if (strcmp(ap_http_call_path(call), SNAPSHOT_PATH) == 0 && gate->plan)
+	if (strcmp(ap_http_call_path(call), SNAPSHOT_PATH) == 0 && gate->plan &&
+	    (is_instance || gate->plan->n_customers == 0))
 		bytes = ap_snapshot_pack(gate->snapshot, is_instance ? NULL : ap_host_secret_key(),
 					 &len);
 	if (bytes)
--- a/test/customers/main.c
+++ b/test/customers/main.c
@@ -458,6 +458,19 @@
 	assert_int_equal(forward(s, SOAK_ONCE, 0, 0, 0, NULL), 200);
 }
 
+/* Guards against keys in what any host gets that asks for a snapshot of the store. */
+static void test_a_stranger_gets_no_keys(void **state)
+{
+	soak_t *s = *state;
+
+	assert_non_null(strstr(customers_snapshot(s, NORTH, "127.0.0.1"), SECRET));
+	assert_null(strstr(customers_snapshot(s, NORTH, "127.0.0.2"), SECRET));
+	s->tenants = NULL;
+	publish_config(s);
+	scenario_run(s, APPLY);
+	assert_non_null(strstr(customers_snapshot(s, NORTH, "127.0.0.2"), "routes"));
+}
+
 /*
  * Guards against fingerprints that differ between two instances: a request that fails upstreams
  * would be taken for two. Of the records of requests, those of one id in 16 are written.
@@ -511,6 +524,7 @@
 		CUSTOMERS(test_a_removed_key_is_refused_by_a_newer_version),
 		CUSTOMERS(test_home_regions_hold_for_forwarded_requests),
 		CUSTOMERS(test_the_named_customer_decides),
+		CUSTOMERS(test_a_stranger_gets_no_keys),
 		CUSTOMERS(test_both_ends_have_one_fingerprint),
 	};
 
