Forwarding: as many headers as before where no customer is named

A forwarded request needs room for seven headers of its own since one names the customer; the seventh was asked for without a customer too, and a request that filled the room got 503. Before: customers_test fails in test_without_customers_as_many_headers_are_forwarded; after: it passes.

--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -54,7 +54,7 @@
 	drop_forward_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n + 7 > AP_HOST_HEADERS_MAX)
+	if (headers->n + 6 + (customer != NULL) > AP_HOST_HEADERS_MAX)
 		return false;
 	if (customer)
 		headers->v[headers->n++] = gate_customer_header(customer, text->customer);
--- a/test/customers/main.c
+++ b/test/customers/main.c
@@ -458,6 +458,30 @@
 	assert_int_equal(forward(s, SOAK_ONCE, 0, 0, 0, NULL), 200);
 }
 
+/* Guards against a lower bound on headers of forwarded requests where there are no customers. */
+static void test_without_customers_as_many_headers_are_forwarded(void **state)
+{
+	soak_t *s = *state;
+	char fields[1024] = KEY("9") "Tenant: own\r\n";
+	caller_t *c;
+
+	/* Beside Host, the id, the deadline and those two: 6 for the other instance. */
+	for (int i = 0; i < AP_HOST_HEADERS_MAX - 3 - 2 - 6; i++)
+		snprintf(fields + strlen(fields), sizeof(fields) - strlen(fields), "X%d: 1\r\n", i);
+	s->tenants = NULL;
+	publish_config(s);
+	scenario_run(s, APPLY);
+	pause_region(s, NORTH, 10 * AP_SEC);
+	customers_get(s, NORTH, SOAK_IDEMPOTENT, "");
+	c = customers_get(s, NORTH, SOAK_IDEMPOTENT, fields);
+	assert_int_equal(c->status, 200);
+	/* They are the caller's own. */
+	assert_int_equal(c->tenants, 1);
+	assert_string_equal(c->tenant, "own");
+	assert_int_equal(c->keys, 1);
+	customers_watch(s);
+}
+
 /* Guards against keys in what any host gets that asks for a snapshot of the store. */
 static void test_a_stranger_gets_no_keys(void **state)
 {
@@ -524,6 +548,7 @@
 		CUSTOMERS(test_a_removed_key_is_refused_by_a_newer_version),
 		CUSTOMERS(test_home_regions_hold_for_forwarded_requests),
 		CUSTOMERS(test_the_named_customer_decides),
+		CUSTOMERS(test_without_customers_as_many_headers_are_forwarded),
 		CUSTOMERS(test_a_stranger_gets_no_keys),
 		CUSTOMERS(test_both_ends_have_one_fingerprint),
 	};
