--- a/cmd/arbutuspond/gateway-customer.c
+++ b/cmd/arbutuspond/gateway-customer.c
@@ -24,7 +24,7 @@
 		return true;
 	gate->customers.refused[r->credentials]++;
 	gate->counters.ended[GATE_UNAUTHORIZED]++;
-	ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.unauthorized", r->id,
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "request.unauthorized", r->id,
 			 "s:s,s:s,s:I", "why", refusals[r->credentials], "route", route->name,
 			 "version", (json_int_t)gate->plan->version);
 	gate_reply_early(call, 401, false, refusals[r->credentials]);
@@ -42,7 +42,11 @@
 		return !route || route->open || gate->plan->n_customers == 0;
 	if (name)
 		*customer = ap_plan_find_customer(gate->plan, name + 1);
-	return *customer && (*customer)->hash == strtoull(named, NULL, 16);
+	if (!*customer)
+		return false;
+	/* A request goes on if keys of its customer come or go after it began. */
+	return (*customer)->hash == strtoull(named, NULL, 16) ||
+	       gate_version_superseded(gate, call);
 }
 
 ap_http_header_t gate_customer_header(const ap_customer_t *customer,
--- a/cmd/arbutuspond/gateway-version.c
+++ b/cmd/arbutuspond/gateway-version.c
@@ -14,6 +14,11 @@
 #include <string.h>
 
 #define TELL_INTERVAL (200 * AP_MSEC) /* to the same instance; a round trip between regions */
+/*
+ * Within the time in which a version must be in force. Those that are asked may be cut off from the
+ * store themselves.
+ */
+#define ASKS 8
 
 ap_http_header_t gate_version_header(const gate_call_t *c, char text[GATE_VERSION_TEXT_MAX])
 {
@@ -23,15 +28,32 @@
 	return (ap_http_header_t){FORWARD_HEADER_CONFIGURATION, text};
 }
 
-bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route)
+/* Reads the versions that may handle a forwarded request, and the hash of its route. */
+static bool read_versions(ap_http_call_t *call, uint64_t *first, uint64_t *last, uint64_t *hash)
 {
 	const char *named = ap_http_call_header(call, FORWARD_HEADER_CONFIGURATION);
+
+	return named && sscanf(named, "%" SCNu64 "-%" SCNu64 " %" SCNx64, first, last, hash) == 3;
+}
+
+bool gate_version_superseded(const gateway_t *gate, ap_http_call_t *call)
+{
+	uint64_t first;
+	uint64_t last;
+	uint64_t hash;
+
+	return read_versions(call, &first, &last, &hash) && gate->plan->version > first &&
+	       gate->plan->version <= last;
+}
+
+bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route)
+{
 	const char *build = ap_http_call_header(call, FORWARD_HEADER_BUILD);
 	uint64_t first;
 	uint64_t last;
 	uint64_t hash;
 
-	if (!named || sscanf(named, "%" SCNu64 "-%" SCNu64 " %" SCNx64, &first, &last, &hash) != 3)
+	if (!read_versions(call, &first, &last, &hash))
 		return true;
 	/* The pool of a stream that goes on is that of its build, whatever the version. */
 	if (build && strtoull(build, NULL, 16) != 0)
@@ -88,6 +110,35 @@
 		tell(gate, by, its > gate->plan->version);
 }
 
+/* Of the members so far, each is equally likely to be chosen. */
+typedef struct choice {
+	gateway_t *gate;
+	const ap_member_t *chosen;
+	uint64_t n;
+} choice_t;
+
+static void on_member(void *ctx, const ap_member_t *member)
+{
+	choice_t *choice = ctx;
+
+	if (strcmp(member->id, choice->gate->self.id) != 0 && !member->draining &&
+	    ap_rng_below(&choice->gate->rng, ++choice->n) == 0)
+		choice->chosen = member;
+}
+
+void gate_version_tick(gateway_t *gate, ap_usec_t now)
+{
+	choice_t choice = {.gate = gate};
+
+	if (!gate->plan || gate->plan->n_customers == 0 || now < gate->ask_at ||
+	    !ap_follow_silent(gate->follow, now))
+		return;
+	gate->ask_at = now + gate->conf->apply_time / ASKS;
+	ap_fleet_each_member(gate->fleet, on_member, &choice);
+	if (choice.chosen)
+		tell(gate, choice.chosen->id, true);
+}
+
 /* Context of a message. */
 typedef struct told_by {
 	gateway_t *gate;
