quota: a low bucket is divided like the rate; sums of a region count what wasn't reported yet

A region's sum held what instances had reported, so a region saw another's use of up to two intervals before as new; the sum extrapolates like a decision now.

--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -116,6 +116,8 @@
 bool ap_quota_is_silent(const ap_quota_source_t *s, ap_usec_t now);
 /* Returns whether what the entry says of its source still holds. */
 bool ap_quota_entry_holds(const ap_quota_entry_t *e, ap_usec_t now);
+/* Returns what the entry's source is likely to have admitted since its last report. */
+double ap_quota_unreported(const ap_quota_entry_t *e, ap_usec_t now);
 double ap_quota_rate(const ap_quota_rate_t *r, ap_usec_t now);
 /* Returns the customer's state, made if there is none; NULL when out of memory or of room. */
 ap_quota_customer_t *ap_quota_customer(ap_quota_t *q, uint32_t tag, ap_usec_t now);
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -70,14 +70,15 @@
 	return q->customers != NULL;
 }
 
+/* A clock that was set back makes no span negative. */
 static double seconds(ap_usec_t span)
 {
-	return (double)span / (double)AP_SEC;
+	return span > 0 ? (double)span / (double)AP_SEC : 0;
 }
 
 double ap_quota_rate(const ap_quota_rate_t *r, ap_usec_t now)
 {
-	return r->per_s * exp(-fmax(seconds(now - r->at), 0) / RATE_TIME);
+	return r->per_s * exp(-seconds(now - r->at) / RATE_TIME);
 }
 
 static void count_rate(ap_quota_rate_t *r, double units, ap_usec_t now)
@@ -176,16 +177,19 @@
 	}
 }
 
+double ap_quota_unreported(const ap_quota_entry_t *e, ap_usec_t now)
+{
+	return e->admitted * seconds(now - e->source->heard_at);
+}
+
 /* What the other sources are likely to have admitted since their last reports. */
 static double unreported(const ap_quota_customer_t *c, ap_usec_t now)
 {
 	double units = 0;
 
 	for (size_t i = 0; i < c->n_entries; i++) {
-		const ap_quota_entry_t *e = &c->entries[i];
-
-		if (ap_quota_entry_holds(e, now))
-			units += e->admitted * seconds(now - e->source->heard_at);
+		if (ap_quota_entry_holds(&c->entries[i], now))
+			units += ap_quota_unreported(&c->entries[i], now);
 	}
 	return units;
 }
@@ -238,20 +242,36 @@
 	return TOLERANCE_USED * (q->config.over * allowed + q->config.slack) * known_part(q);
 }
 
+/* Returns this instance's part of an allowance, by what it is asked for. */
+static double own_part(const ap_quota_t *q, const ap_quota_customer_t *c, double asked_elsewhere,
+		       ap_usec_t now)
+{
+	double asked = ap_quota_rate(&c->asked, now);
+
+	return asked > 0 ? asked / (asked + asked_elsewhere) : 1 / q->weight;
+}
+
 /*
- * Returns the rate that this instance may use while the bucket is low: a part by what it is asked
- * for, of a rate that brings the bucket back to empty if it is overdrawn.
+ * Returns the rate that this instance may use while the bucket is low: its part of a rate that
+ * brings the bucket back to empty if it is overdrawn.
  */
 static double own_share(const ap_quota_t *q, const ap_quota_customer_t *c, double level,
-			double asked_elsewhere, ap_usec_t now)
+			double part)
 {
-	double asked = ap_quota_rate(&c->asked, now);
 	double pace = fmin(fmax(1 + level / burst_of(c), PACE_MIN), PACE_MAX);
-	double part = asked > 0 ? asked / (asked + asked_elsewhere) : 1 / q->weight;
 
 	return c->rate * known_part(q) * pace * part;
 }
 
+/*
+ * Returns the units that this instance may use at once while the bucket is low: its part of what is
+ * left, and more of it near @low, above which it may use all.
+ */
+static double own_credit(double level, double low, double part)
+{
+	return level > 0 && level < low ? part * level / (1 - level / low) : 0;
+}
+
 static void admit(ap_quota_customer_t *c, double cost, ap_usec_t now)
 {
 	c->level -= cost;
@@ -264,7 +284,10 @@
 		   ap_usec_t now, ap_quota_verdict_t *v)
 {
 	double asked_elsewhere;
+	double part;
 	double share;
+	double credit;
+	double low;
 	double fits;
 
 	ap_quota_refill(q, c, now);
@@ -272,21 +295,25 @@
 	v->level = c->level - unreported(c, now);
 	v->used_here = ap_quota_rate(&c->admitted, now);
 	v->silent = q->silent / q->weight;
-	share = own_share(q, c, v->level, asked_elsewhere, now);
+	part = own_part(q, c, asked_elsewhere, now);
+	share = own_share(q, c, v->level, part);
+	low = LOW_SHARE * burst_of(c) * known_part(q);
+	credit = own_credit(v->level, low, part);
 	c->share = fmin(c->share + share * seconds(now - since), 0);
 	/* A request of more than the burst fits into a full bucket. */
 	fits = fmin(cost, burst_of(c) * known_part(q));
-	if (v->level >= LOW_SHARE * burst_of(c) * known_part(q)) {
+	if (v->level >= low) {
 		v->admitted = v->level + tolerance_of(q, c) >= fits;
 		if (!v->admitted)
 			v->retry_after =
 				queue_wait(c, wait_for(fits - v->level, c->rate * known_part(q)),
 					   cost, c->rate * known_part(q), now);
 	} else {
-		v->admitted = c->share >= 0 && v->level > -2 * tolerance_of(q, c) - burst_of(c);
+		v->admitted =
+			c->share + credit >= 0 && v->level > -2 * tolerance_of(q, c) - burst_of(c);
 		if (!v->admitted)
-			v->retry_after =
-				queue_wait(c, wait_for(-c->share, share), cost, share, now);
+			v->retry_after = queue_wait(c, wait_for(-c->share - credit, share), cost,
+						    share, now);
 	}
 	return v->admitted;
 }
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -263,6 +263,7 @@
 
 			if (!ap_quota_entry_holds(e, now) || e->source->region)
 				continue;
+			use.used += (int64_t)ap_quota_unreported(e, now);
 			use.admitted += e->admitted;
 			use.asked += e->asked;
 			active = true;
