quota: what a source used before it counted as silent stays counted

What a source is likely to have admitted since its last report was dropped from the estimate at the moment in which the source became silent, and its part was set aside from then on only. Once the source is back, its report replaces the assumption, and the cap at the burst no longer comes between what is given back and the use it was for.

--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -28,6 +28,7 @@
  * struct ap_quota_entry - use of one customer at one source.
  * @at: time of the report that last named the customer
  * @admitted, @asked: as of then, in units per second
+ * @assumed: units that were counted when the source fell silent
  * @source: NULL if the entry is not in use
  * @base: by sender; the first one of an instance is the instance itself
  */
@@ -36,6 +37,7 @@
 	ap_usec_t at;
 	double admitted;
 	double asked;
+	double assumed;
 	ap_quota_base_t base[SENDERS_MAX];
 	size_t n_bases;
 } ap_quota_entry_t;
@@ -71,6 +73,7 @@
  * struct ap_quota_source - another instance of the region, or a remote region.
  * @slot: index of its entries in those of the customers
  * @heard_at: when a report that counted arrived; 0 for never
+ * @silent_at: since when its part is set aside; 0 while it isn't silent
  * @weight: number of instances, the highest one lately
  * @weight_at: when it was that
  * @silent: of these, that the region itself doesn't hear
@@ -87,6 +90,7 @@
 	bool region;
 	bool named;
 	ap_usec_t heard_at;
+	ap_usec_t silent_at;
 	uint32_t primary;
 	ap_usec_t gone_at;
 } ap_quota_source_t;
@@ -126,4 +130,8 @@
 /* Counts the instances and those that are silent, unless that was done just before. */
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now);
 
+/* report.c */
+/* A source fell silent: counts what it is likely to have admitted until its part is set aside. */
+void ap_quota_set_aside(ap_quota_t *q, ap_quota_source_t *s, ap_usec_t now);
+
 #endif
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -99,7 +99,7 @@
 
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now)
 {
-	const ap_quota_source_t *s;
+	ap_quota_source_t *s;
 
 	if (q->counted_at != 0 && now >= q->counted_at && now - q->counted_at < RECOUNT_INTERVAL)
 		return;
@@ -108,9 +108,11 @@
 	q->silent = 0;
 	for (s = q->sources; s; s = s->hh.next) {
 		q->weight += s->weight;
-		if (ap_quota_is_silent(s, now))
+		if (ap_quota_is_silent(s, now)) {
 			q->silent += s->weight;
-		else
+			if (s->silent_at == 0)
+				ap_quota_set_aside(q, s, now);
+		} else
 			q->silent += s->silent < s->weight ? s->silent : s->weight;
 	}
 }
@@ -126,15 +128,20 @@
 	return fmax(c->burst, BURST_MIN_S * c->rate);
 }
 
-void ap_quota_refill(const ap_quota_t *q, ap_quota_customer_t *c, ap_usec_t now)
+static void cap(const ap_quota_t *q, ap_quota_customer_t *c)
 {
-	if (now > c->at) {
-		c->level += c->rate * known_part(q) * seconds(now - c->at);
-		c->at = now;
-	}
 	c->level = fmin(c->level, burst_of(c) * known_part(q));
 }
 
+void ap_quota_refill(const ap_quota_t *q, ap_quota_customer_t *c, ap_usec_t now)
+{
+	if (now == c->at)
+		return;
+	c->level += c->rate * known_part(q) * seconds(now - c->at);
+	c->at = now;
+	cap(q, c);
+}
+
 ap_quota_customer_t *ap_quota_customer(ap_quota_t *q, uint32_t tag, ap_usec_t now)
 {
 	ap_quota_customer_t *c;
@@ -151,7 +158,9 @@
 	return c;
 }
 
-/* Applies the limits of the plan in force; a bucket that had none begins full. */
+/*
+ * Applies the limits of the plan in force; a bucket that had none begins full.
+ */
 static void set_limits(const ap_quota_t *q, ap_quota_customer_t *c, const ap_customer_t *limits,
 		       ap_usec_t now)
 {
@@ -164,6 +173,7 @@
 	if (first)
 		c->level = burst_of(c) * known_part(q);
 	c->at = now;
+	cap(q, c);
 }
 
 void ap_quota_set_limits(ap_quota_t *q, const ap_customer_t *customers, size_t n, ap_usec_t now)
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -151,7 +151,7 @@
 	int64_t used = 0;
 
 	if (same)
-		used = use->used - base->used;
+		used = use->used - base->used - (int64_t)e->assumed;
 	else if (found || report->known)
 		used = use->used;
 	if (!report->counts && same)
@@ -160,6 +160,7 @@
 	base->used = use->used;
 	if (!report->counts)
 		return;
+	e->assumed = 0;
 	c->level -= (double)used;
 	if (!e->source->region)
 		c->elsewhere += used;
@@ -178,15 +179,31 @@
 	}
 }
 
+void ap_quota_set_aside(ap_quota_t *q, ap_quota_source_t *s, ap_usec_t now)
+{
+	s->silent_at = now;
+	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+		ap_quota_entry_t *e = s->slot < c->n_entries ? &c->entries[s->slot] : NULL;
+
+		if (!e || !e->source || e->at < s->heard_at)
+			continue;
+		e->assumed = ceil(ap_quota_unreported(e, now));
+		c->level -= e->assumed;
+		if (!s->region)
+			c->elsewhere += (int64_t)e->assumed;
+	}
+}
+
 /* A source that was silent is back: gives back the refill that was set aside for it. */
-static void give_back(ap_quota_t *q, const ap_quota_source_t *s, ap_usec_t now)
+static void give_back(ap_quota_t *q, ap_quota_source_t *s, ap_usec_t now)
 {
 	double part = s->weight / q->weight;
 
-	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+	for (ap_quota_customer_t *c = q->customers; s->heard_at != 0 && c; c = c->hh.next) {
 		ap_quota_refill(q, c, now);
-		c->level += c->rate * part * (double)(now - s->heard_at) / (double)AP_SEC;
+		c->level += c->rate * part * (double)(now - s->silent_at) / (double)AP_SEC;
 	}
+	s->silent_at = 0;
 }
 
 /* Another sender of a region counts only once the one that did is silent. */
@@ -212,9 +229,9 @@
 	if (!s)
 		return;
 	ap_quota_recount(q, now);
-	if (s->heard_at != 0 && ap_quota_is_silent(s, now))
-		give_back(q, s, now);
 	report = report_of(s, sender, inc, now);
+	if (report.counts && s->silent_at != 0)
+		give_back(q, s, now);
 	for (size_t i = 0; i < n; i++) {
 		ap_quota_customer_t *c = ap_quota_customer(q, uses[i].tag, now);
 		ap_quota_entry_t *e = c ? entry_of(c, s) : NULL;
--- a/test/quota_test.c
+++ b/test/quota_test.c
@@ -111,6 +111,28 @@
 	world_free(w);
 }
 
+static void cut_all(world_t *w, size_t step, ap_usec_t now)
+{
+	hot_from_10(w, step, now);
+	for (int i = 0; i < w->n; i++)
+		w->v[i].cut = step >= 11 * STEPS_S && step < 21 * STEPS_S;
+}
+
+/* Fails where what a source used between its last report and its silence isn't counted. */
+static void all_cut_off_as_the_burst_is_used_up(void **state)
+{
+	static const int sizes[] = {7, 77};
+
+	(void)state;
+	for (size_t i = 0; i < 2; i++) {
+		world_t *w = world_new(sizes[i], USUAL, 23000);
+
+		play(w, cut_all);
+		check("all cut off 1 s after the load rose", w, 1);
+		world_free(w);
+	}
+}
+
 /* A lost report delays what it says until the next one; fails where reports are increments. */
 static void reports_lost(void **state)
 {
@@ -236,6 +258,7 @@
 		cmocka_unit_test(all_hot),
 		cmocka_unit_test(hot_at_one_instance),
 		cmocka_unit_test(third_of_300_cut_off_for_10_s),
+		cmocka_unit_test(all_cut_off_as_the_burst_is_used_up),
 		cmocka_unit_test(reports_lost),
 		cmocka_unit_test(sender_of_a_region_killed),
 		cmocka_unit_test(reports_just_under_the_limit_of_silence),
