quota: use under the limits before is not made up for under new ones

What is overdrawn as limits are set, and by reports of the 2 s after that, is limited to one burst; the bound holds from one window after.

--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -47,6 +47,7 @@
  * @level: units left, as of @at, without what sources admitted since their last report
  * @share: units that this instance may use while the bucket is low; at most 0
  * @promised: until when refused requests were told to wait
+ * @limited_at: when the limits were last set
  * @used: by this instance since its start
  * @elsewhere: by the other instances of the own region, as far as reported
  * @entries: by the slot of their source
@@ -60,6 +61,7 @@
 	double share;
 	ap_usec_t at;
 	ap_usec_t promised;
+	ap_usec_t limited_at;
 	int64_t used;
 	int64_t elsewhere;
 	ap_quota_rate_t admitted;
@@ -127,6 +129,8 @@
 ap_quota_customer_t *ap_quota_customer(ap_quota_t *q, uint32_t tag, ap_usec_t now);
 /* Refills the bucket of @c up to @now. */
 void ap_quota_refill(const ap_quota_t *q, ap_quota_customer_t *c, ap_usec_t now);
+/* Limits what a customer has overdrawn to one burst. */
+void ap_quota_forgive(ap_quota_customer_t *c);
 /* Counts the instances and those that are silent, unless that was done just before. */
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now);
 
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -158,8 +158,15 @@
 	return c;
 }
 
+void ap_quota_forgive(ap_quota_customer_t *c)
+{
+	c->level = fmax(c->level, -burst_of(c));
+	c->share = fmax(c->share, -burst_of(c));
+}
+
 /*
- * Applies the limits of the plan in force; a bucket that had none begins full.
+ * Applies the limits of the plan in force; a bucket that had none begins full. What was used
+ * beyond the new limits under the old ones isn't made up for.
  */
 static void set_limits(const ap_quota_t *q, ap_quota_customer_t *c, const ap_customer_t *limits,
 		       ap_usec_t now)
@@ -173,7 +180,9 @@
 	if (first)
 		c->level = burst_of(c) * known_part(q);
 	c->at = now;
+	c->limited_at = now;
 	cap(q, c);
+	ap_quota_forgive(c);
 }
 
 void ap_quota_set_limits(ap_quota_t *q, const ap_customer_t *customers, size_t n, ap_usec_t now)
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -8,6 +8,7 @@
 /* How long the share of a source that vanished without notice stays set aside: longer than most
  * partitions, in which it may go on alone. */
 #define RESERVED_TIME (30 * AP_SEC)
+#define SETTLE_TIME (2 * AP_SEC)   /* after limits were set; above the age of reports */
 #define REPORTED_TIME (5 * AP_SEC) /* after the last request of a customer */
 
 static ap_quota_source_t *find_source(const ap_quota_t *q, const char *id)
@@ -141,6 +142,12 @@
 	ap_usec_t at;
 } ap_quota_report_t;
 
+/* Whether reports still tell of use under the limits before. */
+static bool settling(const ap_quota_customer_t *c, ap_usec_t now)
+{
+	return now - c->limited_at < SETTLE_TIME;
+}
+
 /* Counts what was used since the sender's last report that counted. */
 static void count_use(ap_quota_customer_t *c, ap_quota_entry_t *e, const ap_quota_use_t *use,
 		      const ap_quota_report_t *report)
@@ -162,6 +169,8 @@
 		return;
 	e->assumed = 0;
 	c->level -= (double)used;
+	if (settling(c, report->at))
+		ap_quota_forgive(c);
 	if (!e->source->region)
 		c->elsewhere += used;
 	e->at = report->at;
--- a/test/quota_test.c
+++ b/test/quota_test.c
@@ -199,6 +199,14 @@
 	world_free(w);
 }
 
+static void limit_all(world_t *w, double rate, ap_usec_t now)
+{
+	w->c[0].limits.rate = rate;
+	w->c[0].limits.burst = rate;
+	for (int i = 0; i < w->n; i++)
+		set_limits(w, i, now);
+}
+
 static void lower_at_15(world_t *w, size_t step, ap_usec_t now)
 {
 	hot_from_10(w, step, now);
@@ -221,6 +229,59 @@
 	world_free(w);
 }
 
+static void lower_far_at_15(world_t *w, size_t step, ap_usec_t now)
+{
+	hot_from_10(w, step, now);
+	if (step == 15 * STEPS_S)
+		limit_all(w, RATE / 100, now);
+}
+
+/* Fails where what was used at the old rate is made up for at the new one. */
+static void limit_lowered_to_a_hundredth(void **state)
+{
+	world_t *w = world_new(77, USUAL, 2300);
+	double share;
+
+	(void)state;
+	play(w, lower_far_at_15);
+	share = granted(&w->c[0], 24, 36, false);
+	printf("limit lowered to a hundredth: granted from 9 s after that %.3f of the rate\n",
+	       share);
+	assert_true(worst_window(&w->c[0], RATE / 100, RATE / 100, 15 + WINDOW_S) <= 1);
+	assert_true(share > 0.8);
+	world_free(w);
+}
+
+static void remove_and_set(world_t *w, size_t step, ap_usec_t now)
+{
+	hot_from_10(w, step, now);
+	if (step == 12 * STEPS_S)
+		limit_all(w, 0, now);
+	if (step == 15 * STEPS_S)
+		limit_all(w, RATE, now);
+}
+
+/* Nothing is refused while there is no limit, and what was used then isn't made up for later. */
+static void allowance_removed_and_set_again(void **state)
+{
+	world_t *w = world_new(77, USUAL, 23000);
+	double unlimited = 0;
+	double worst;
+
+	(void)state;
+	play(w, remove_and_set);
+	for (size_t k = 12 * STEPS_S; k < 15 * STEPS_S; k++)
+		unlimited += w->c[0].used[k] / (3 * 7.5 * USUAL);
+	worst = worst_window(&w->c[0], RATE, RATE, 15);
+	printf("no limit for 3 s: granted %.3f of what was asked; worst window after that %.3f of "
+	       "the bound, granted %.3f of the rate\n",
+	       unlimited, worst, granted(&w->c[0], 16, 20, false));
+	assert_true(unlimited > 0.9);
+	assert_true(worst <= 1);
+	assert_true(granted(&w->c[0], 16, 20, false) > 0.8);
+	world_free(w);
+}
+
 static void restart_often(world_t *w, size_t step, ap_usec_t now)
 {
 	hot_from_10(w, step, now);
@@ -263,6 +324,8 @@
 		cmocka_unit_test(sender_of_a_region_killed),
 		cmocka_unit_test(reports_just_under_the_limit_of_silence),
 		cmocka_unit_test(limit_lowered),
+		cmocka_unit_test(limit_lowered_to_a_hundredth),
+		cmocka_unit_test(allowance_removed_and_set_again),
 		cmocka_unit_test(restarts_in_a_row),
 		cmocka_unit_test(small_customer_with_large_requests),
 	};
