quota: refused requests are told to come back at half of the rate, over up to 10 s

They were told to come back at the whole rate, over at most 5 s, so that the requests that come meanwhile anyhow took their place.

--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -15,7 +15,8 @@
 #define RECOUNT_INTERVAL (50 * AP_MSEC) /* far below SILENT_AFTER */
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
-#define QUEUE_MAX (5 * AP_SEC) /* many of those who are refused don't come back */
+#define QUEUE_SHARE 0.5		/* of the rate, for those who come back; the rest is for others */
+#define QUEUE_MAX (10 * AP_SEC) /* many of those who are refused don't come back */
 
 uint32_t ap_quota_tag(const char *customer)
 {
@@ -245,7 +246,7 @@
 
 	if (c->promised > at)
 		at = c->promised;
-	c->promised = at + wait_for(cost, per_s);
+	c->promised = at + wait_for(cost, QUEUE_SHARE * per_s);
 	if (c->promised > now + wait + QUEUE_MAX)
 		c->promised = now + wait;
 	if (at > now + WAIT_MAX)
--- a/test/quota_test.c
+++ b/test/quota_test.c
@@ -1,12 +1,13 @@
 /*
- * Allowances over many instances, as decisions: instances of three regions that report to each
- * other late, under loads that would break the bound if each admitted by itself, or refuse too much
- * if each kept to an equal part. Each test prints its worst window and what was refused below the
- * allowance.
+ * Allowances over many instances, as decisions: instances of three regions that
+ * report to each other late, under loads that would break the bound if each
+ * admitted by itself, or refuse too much if each kept to an equal part. Each
+ * test prints its worst window and what was refused below the allowance.
  */
 #include "quota_world.h"
 
-/* At its usual load, 0.56 of its allowance, a customer is refused less than one in a hundred. */
+/* At its usual load, 0.56 of its allowance, a customer is refused less than one
+ * in a hundred. */
 static void usual_load(void **state)
 {
 	static const int sizes[] = {7, 77, 300};
@@ -21,7 +22,8 @@
 	}
 }
 
-/* Fails where a request has to fit into a part of the bucket although others leave theirs unused.
+/* Fails where a request has to fit into a part of the bucket although others
+ * leave theirs unused.
  */
 static void load_of_0_9_of_the_allowance(void **state)
 {
@@ -48,7 +50,8 @@
 	}
 }
 
-/* Fails without extrapolation: reports that are some hundred ms old let all overrun the bound. */
+/* Fails without extrapolation: reports that are some hundred ms old let all
+ * overrun the bound. */
 static void one_hot_customer(void **state)
 {
 	static const int sizes[] = {7, 77, 300};
@@ -100,7 +103,8 @@
 		w->v[i].cut = cut && ((i % 3 == 1 && i % 2 == 0) || (i / REGIONS) % 3 == 0);
 }
 
-/* Those that are cut off go on with their part, and the others leave it to them. */
+/* Those that are cut off go on with their part, and the others leave it to
+ * them. */
 static void third_of_300_cut_off_for_10_s(void **state)
 {
 	world_t *w = world_new(300, USUAL, 23000);
@@ -118,7 +122,8 @@
 		w->v[i].cut = step >= 11 * STEPS_S && step < 21 * STEPS_S;
 }
 
-/* Fails where what a source used between its last report and its silence isn't counted. */
+/* Fails where what a source used between its last report and its silence isn't
+ * counted. */
 static void all_cut_off_as_the_burst_is_used_up(void **state)
 {
 	static const int sizes[] = {7, 77};
@@ -133,7 +138,8 @@
 	}
 }
 
-/* A lost report delays what it says until the next one; fails where reports are increments. */
+/* A lost report delays what it says until the next one; fails where reports are
+ * increments. */
 static void reports_lost(void **state)
 {
 	world_t *w = world_new(77, USUAL, 23000);
@@ -159,7 +165,8 @@
 		start(w, 0, now);
 }
 
-/* Fails where the next sender's sum is counted beside, or as the continuation of, the last one's.
+/* Fails where the next sender's sum is counted beside, or as the continuation
+ * of, the last one's.
  */
 static void sender_of_a_region_killed(void **state)
 {
@@ -179,7 +186,8 @@
 	}
 }
 
-/* Reports of the instance that all ask are as old as they may be before it counts as silent. */
+/* Reports of the instance that all ask are as old as they may be before it
+ * counts as silent. */
 static void reports_just_under_the_limit_of_silence(void **state)
 {
 	world_t *w = world_new(77, USUAL, 23000);
@@ -245,7 +253,8 @@
 	(void)state;
 	play(w, lower_far_at_15);
 	share = granted(&w->c[0], 24, 36, false);
-	printf("limit lowered to a hundredth: granted from 9 s after that %.3f of the rate\n",
+	printf("limit lowered to a hundredth: granted from 9 s after that %.3f of "
+	       "the rate\n",
 	       share);
 	assert_true(worst_window(&w->c[0], RATE / 100, RATE / 100, 15 + WINDOW_S) <= 1);
 	assert_true(share > 0.8);
@@ -261,7 +270,8 @@
 		limit_all(w, RATE, now);
 }
 
-/* Nothing is refused while there is no limit, and what was used then isn't made up for later. */
+/* Nothing is refused while there is no limit, and what was used then isn't made
+ * up for later. */
 static void allowance_removed_and_set_again(void **state)
 {
 	world_t *w = world_new(77, USUAL, 23000);
@@ -273,7 +283,8 @@
 	for (size_t k = 12 * STEPS_S; k < 15 * STEPS_S; k++)
 		unlimited += w->c[0].used[k] / (3 * 7.5 * USUAL);
 	worst = worst_window(&w->c[0], RATE, RATE, 15);
-	printf("no limit for 3 s: granted %.3f of what was asked; worst window after that %.3f of "
+	printf("no limit for 3 s: granted %.3f of what was asked; worst window after "
+	       "that %.3f of "
 	       "the bound, granted %.3f of the rate\n",
 	       unlimited, worst, granted(&w->c[0], 16, 20, false));
 	assert_true(unlimited > 0.9);
@@ -299,7 +310,8 @@
 	world_free(w);
 }
 
-/* Requests of up to twice the burst aren't starved, and don't break the bound. */
+/* Requests of up to twice the burst aren't starved, and don't break the bound.
+ */
 static void small_customer_with_large_requests(void **state)
 {
 	world_t *w = world_of(77, 1, 47000, 47000 / 1.8, 23000);
@@ -310,6 +322,38 @@
 	world_free(w);
 }
 
+static void short_peak(world_t *w, size_t step, ap_usec_t now)
+{
+	(void)now;
+	w->c[0].load = step >= 10 * STEPS_S && step < 13 * STEPS_S ? 2 * RATE : USUAL;
+}
+
+/*
+ * Refused requests of a peak of 3 s come back when they were told to, and fit
+ * once it is over. Fails where all are told the same time, and come back as a
+ * herd.
+ */
+static void refused_requests_come_back(void **state)
+{
+	world_t *w = world_new(77, USUAL, 23000);
+	size_t most = 0;
+
+	(void)state;
+	w->come_back = true;
+	w->come_back_from = AP_SEC + 13 * AP_SEC;
+	play(w, short_peak);
+	check("refused requests come back when told to", w, 1);
+	for (size_t k = 130; k < 10 * DURATION_S; k++)
+		most = w->came_at[k] > most ? w->came_at[k] : most;
+	printf("  admitted after the peak: %zu of %zu; at most %zu in 0.1 s\n", w->fit, w->came,
+	       most);
+	assert_true(w->came > 0);
+	assert_true((double)w->fit >= 0.9 * (double)w->came);
+	/* Those that the rate serves in 0.3 s. */
+	assert_true((double)most <= 0.3 * RATE / w->mean);
+	world_free(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -328,6 +372,7 @@
 		cmocka_unit_test(allowance_removed_and_set_again),
 		cmocka_unit_test(restarts_in_a_row),
 		cmocka_unit_test(small_customer_with_large_requests),
+		cmocka_unit_test(refused_requests_come_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/quota_world.h
+++ b/test/quota_world.h
@@ -86,6 +86,8 @@
  * @only: the instance that is asked; -1 for all alike
  * @lost: share of the reports that are lost on the way to each receiver
  * @come_back: refused requests come back once, @came of them so far and @fit of these admitted
+ * @come_back_from: those that come earlier aren't counted
+ * @came_at: how many come in each tenth of a second
  */
 typedef struct world {
 	int n;
@@ -101,8 +103,10 @@
 	bool come_back;
 	back_t back[BACK_MAX];
 	size_t n_back;
+	ap_usec_t come_back_from;
 	size_t came;
 	size_t fit;
+	size_t came_at[10 * DURATION_S];
 } world_t;
 
 static const ap_quota_config_t config = {.window = WINDOW_S * AP_SEC, .over = OVER, .slack = SLACK};
@@ -291,6 +295,7 @@
 static inline void come_back(world_t *w, size_t step, ap_usec_t now)
 {
 	ap_usec_t retry_after;
+	bool fits;
 
 	for (size_t k = 0; k < w->n_back; k++) {
 		back_t b = w->back[k];
@@ -298,8 +303,10 @@
 		if (b.at > now)
 			continue;
 		w->back[k--] = w->back[--w->n_back];
-		w->came++;
-		w->fit += ask(w, &w->c[0], b.instance, b.cost, step, &retry_after);
+		fits = ask(w, &w->c[0], b.instance, b.cost, step, &retry_after);
+		w->came_at[10 * step / STEPS_S]++;
+		w->came += now >= w->come_back_from;
+		w->fit += now >= w->come_back_from && fits;
 	}
 }
 
