--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -29,6 +29,7 @@
  * struct ap_quota_entry - use of one customer at one source.
  * @at: time of the report that last named the customer
  * @admitted, @asked: as of then, in units per second
+ * @assumed: units that were counted when the source fell silent
  * @source: NULL if the entry is not in use
  * @base: by sender; the first one of an instance is the instance itself
  */
@@ -37,6 +38,7 @@
 	ap_usec_t at;
 	double admitted;
 	double asked;
+	double assumed;
 	ap_quota_base_t base[SENDERS_MAX];
 	size_t n_bases;
 } ap_quota_entry_t;
@@ -46,6 +48,7 @@
  * @level: units left, as of @at, without what sources admitted since their last report
  * @share: units that this instance may use while the bucket is low; at most 0
  * @promised: until when refused requests were told to wait
+ * @limited_at: when the limits were last set
  * @used: by this instance since its start
  * @steady: units per second that all instances use, averaged over some seconds
  * @elsewhere: by the other instances of the own region, as far as reported
@@ -60,6 +63,7 @@
 	double share;
 	ap_usec_t at;
 	ap_usec_t promised;
+	ap_usec_t limited_at;
 	int64_t used;
 	int64_t elsewhere;
 	ap_quota_rate_t admitted;
@@ -74,6 +78,7 @@
  * struct ap_quota_source - another instance of the region, or a remote region.
  * @slot: index of its entries in those of the customers
  * @heard_at: when a report that counted arrived; 0 for never
+ * @silent_at: since when its part is set aside; 0 while it isn't silent
  * @weight: number of instances, the highest one lately
  * @weight_at: when it was that
  * @silent: of these, that the region itself doesn't hear
@@ -90,6 +95,7 @@
 	bool region;
 	bool named;
 	ap_usec_t heard_at;
+	ap_usec_t silent_at;
 	uint32_t primary;
 	ap_usec_t gone_at;
 } ap_quota_source_t;
@@ -119,12 +125,20 @@
 bool ap_quota_is_silent(const ap_quota_source_t *s, ap_usec_t now);
 /* Returns whether what the entry says of its source still holds. */
 bool ap_quota_entry_holds(const ap_quota_entry_t *e, ap_usec_t now);
+/* Returns what the entry's source is likely to have admitted since its last report. */
+double ap_quota_unreported(const ap_quota_entry_t *e, ap_usec_t now);
 double ap_quota_rate(const ap_quota_rate_t *r, ap_usec_t now);
 /* Returns the customer's state, made if there is none; NULL when out of memory or of room. */
 ap_quota_customer_t *ap_quota_customer(ap_quota_t *q, uint32_t tag, ap_usec_t now);
 /* Refills the bucket of @c up to @now. */
 void ap_quota_refill(const ap_quota_t *q, ap_quota_customer_t *c, ap_usec_t now);
+/* Limits what a customer has overdrawn to one burst. */
+void ap_quota_forgive(ap_quota_customer_t *c);
 /* Counts the instances and those that are silent, unless that was done just before. */
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now);
 
+/* report.c */
+/* A source fell silent: counts what it is likely to have admitted until its part is set aside. */
+void ap_quota_set_aside(ap_quota_t *q, ap_quota_source_t *s, ap_usec_t now);
+
 #endif
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -15,7 +15,8 @@
 #define RECOUNT_INTERVAL (50 * AP_MSEC) /* far below SILENT_AFTER */
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
-#define QUEUE_MAX (5 * AP_SEC) /* many of those who are refused don't come back */
+#define QUEUE_SHARE 0.5		/* of the rate, for those who come back; the rest is for others */
+#define QUEUE_MAX (10 * AP_SEC) /* many of those who are refused don't come back */
 
 uint32_t ap_quota_tag(const char *customer)
 {
@@ -70,14 +71,15 @@
 	return q->customers != NULL;
 }
 
+/* A clock that was set back makes no span negative. */
 static double seconds(ap_usec_t span)
 {
-	return (double)span / (double)AP_SEC;
+	return span > 0 ? (double)span / (double)AP_SEC : 0;
 }
 
 double ap_quota_rate(const ap_quota_rate_t *r, ap_usec_t now)
 {
-	return r->per_s * exp(-fmax(seconds(now - r->at), 0) / RATE_TIME);
+	return r->per_s * exp(-seconds(now - r->at) / RATE_TIME);
 }
 
 static void count_rate(ap_quota_rate_t *r, double units, ap_usec_t now)
@@ -98,7 +100,7 @@
 
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now)
 {
-	const ap_quota_source_t *s;
+	ap_quota_source_t *s;
 
 	if (q->counted_at != 0 && now >= q->counted_at && now - q->counted_at < RECOUNT_INTERVAL)
 		return;
@@ -107,9 +109,11 @@
 	q->silent = 0;
 	for (s = q->sources; s; s = s->hh.next) {
 		q->weight += s->weight;
-		if (ap_quota_is_silent(s, now))
+		if (ap_quota_is_silent(s, now)) {
 			q->silent += s->weight;
-		else
+			if (s->silent_at == 0)
+				ap_quota_set_aside(q, s, now);
+		} else
 			q->silent += s->silent < s->weight ? s->silent : s->weight;
 	}
 }
@@ -125,15 +129,20 @@
 	return fmax(c->burst, BURST_MIN_S * c->rate);
 }
 
-void ap_quota_refill(const ap_quota_t *q, ap_quota_customer_t *c, ap_usec_t now)
+static void cap(const ap_quota_t *q, ap_quota_customer_t *c)
 {
-	if (now > c->at) {
-		c->level += c->rate * known_part(q) * seconds(now - c->at);
-		c->at = now;
-	}
 	c->level = fmin(c->level, burst_of(c) * known_part(q));
 }
 
+void ap_quota_refill(const ap_quota_t *q, ap_quota_customer_t *c, ap_usec_t now)
+{
+	if (now == c->at)
+		return;
+	c->level += c->rate * known_part(q) * seconds(now - c->at);
+	c->at = now;
+	cap(q, c);
+}
+
 ap_quota_customer_t *ap_quota_customer(ap_quota_t *q, uint32_t tag, ap_usec_t now)
 {
 	ap_quota_customer_t *c;
@@ -150,7 +159,16 @@
 	return c;
 }
 
-/* Applies the limits of the plan in force; a bucket that had none begins full. */
+void ap_quota_forgive(ap_quota_customer_t *c)
+{
+	c->level = fmax(c->level, -burst_of(c));
+	c->share = fmax(c->share, -burst_of(c));
+}
+
+/*
+ * Applies the limits of the plan in force; a bucket that had none begins full. What was used
+ * beyond the new limits under the old ones isn't made up for.
+ */
 static void set_limits(const ap_quota_t *q, ap_quota_customer_t *c, const ap_customer_t *limits,
 		       ap_usec_t now)
 {
@@ -163,6 +181,9 @@
 	if (first)
 		c->level = burst_of(c) * known_part(q);
 	c->at = now;
+	c->limited_at = now;
+	cap(q, c);
+	ap_quota_forgive(c);
 }
 
 void ap_quota_set_limits(ap_quota_t *q, const ap_customer_t *customers, size_t n, ap_usec_t now)
@@ -176,16 +197,19 @@
 	}
 }
 
+double ap_quota_unreported(const ap_quota_entry_t *e, ap_usec_t now)
+{
+	return e->admitted * seconds(now - e->source->heard_at);
+}
+
 /* What the other sources are likely to have admitted since their last reports. */
 static double unreported(const ap_quota_customer_t *c, ap_usec_t now)
 {
 	double units = 0;
 
 	for (size_t i = 0; i < c->n_entries; i++) {
-		const ap_quota_entry_t *e = &c->entries[i];
-
-		if (ap_quota_entry_holds(e, now))
-			units += e->admitted * seconds(now - e->source->heard_at);
+		if (ap_quota_entry_holds(&c->entries[i], now))
+			units += ap_quota_unreported(&c->entries[i], now);
 	}
 	return units;
 }
@@ -222,7 +246,7 @@
 
 	if (c->promised > at)
 		at = c->promised;
-	c->promised = at + wait_for(cost, per_s);
+	c->promised = at + wait_for(cost, QUEUE_SHARE * per_s);
 	if (c->promised > now + wait + QUEUE_MAX)
 		c->promised = now + wait;
 	if (at > now + WAIT_MAX)
@@ -238,20 +262,36 @@
 	return TOLERANCE_USED * (q->config.over * allowed + q->config.slack) * known_part(q);
 }
 
+/* Returns this instance's part of an allowance, by what it is asked for. */
+static double own_part(const ap_quota_t *q, const ap_quota_customer_t *c, double asked_elsewhere,
+		       ap_usec_t now)
+{
+	double asked = ap_quota_rate(&c->asked, now);
+
+	return asked > 0 ? asked / (asked + asked_elsewhere) : 1 / q->weight;
+}
+
 /*
- * Returns the rate that this instance may use while the bucket is low: a part by what it is asked
- * for, of a rate that brings the bucket back to empty if it is overdrawn.
+ * Returns the rate that this instance may use while the bucket is low: its part of a rate that
+ * brings the bucket back to empty if it is overdrawn.
  */
 static double own_share(const ap_quota_t *q, const ap_quota_customer_t *c, double level,
-			double asked_elsewhere, ap_usec_t now)
+			double part)
 {
-	double asked = ap_quota_rate(&c->asked, now);
 	double pace = fmin(fmax(1 + level / burst_of(c), PACE_MIN), PACE_MAX);
-	double part = asked > 0 ? asked / (asked + asked_elsewhere) : 1 / q->weight;
 
 	return c->rate * known_part(q) * pace * part;
 }
 
+/*
+ * Returns the units that this instance may use at once while the bucket is low: its part of what is
+ * left, and more of it near @low, above which it may use all.
+ */
+static double own_credit(double level, double low, double part)
+{
+	return level > 0 && level < low ? part * level / (1 - level / low) : 0;
+}
+
 static void admit(ap_quota_customer_t *c, double cost, ap_usec_t now)
 {
 	c->level -= cost;
@@ -264,7 +304,10 @@
 		   ap_usec_t now, ap_quota_verdict_t *v)
 {
 	double asked_elsewhere;
+	double part;
 	double share;
+	double credit;
+	double low;
 	double fits;
 
 	ap_quota_refill(q, c, now);
@@ -272,21 +315,25 @@
 	v->level = c->level - unreported(c, now);
 	v->used_here = ap_quota_rate(&c->admitted, now);
 	v->silent = q->silent / q->weight;
-	share = own_share(q, c, v->level, asked_elsewhere, now);
+	part = own_part(q, c, asked_elsewhere, now);
+	share = own_share(q, c, v->level, part);
+	low = LOW_SHARE * burst_of(c) * known_part(q);
+	credit = own_credit(v->level, low, part);
 	c->share = fmin(c->share + share * seconds(now - since), 0);
 	/* A request of more than the burst fits into a full bucket. */
 	fits = fmin(cost, burst_of(c) * known_part(q));
-	if (v->level >= LOW_SHARE * burst_of(c) * known_part(q)) {
+	if (v->level >= low) {
 		v->admitted = v->level + tolerance_of(q, c) >= fits;
 		if (!v->admitted)
 			v->retry_after =
 				queue_wait(c, wait_for(fits - v->level, c->rate * known_part(q)),
 					   cost, c->rate * known_part(q), now);
 	} else {
-		v->admitted = c->share >= 0 && v->level > -2 * tolerance_of(q, c) - burst_of(c);
+		v->admitted =
+			c->share + credit >= 0 && v->level > -2 * tolerance_of(q, c) - burst_of(c);
 		if (!v->admitted)
-			v->retry_after =
-				queue_wait(c, wait_for(-c->share, share), cost, share, now);
+			v->retry_after = queue_wait(c, wait_for(-c->share - credit, share), cost,
+						    share, now);
 	}
 	return v->admitted;
 }
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -8,6 +8,7 @@
 /* How long the share of a source that vanished without notice stays set aside: longer than most
  * partitions, in which it may go on alone. */
 #define RESERVED_TIME (30 * AP_SEC)
+#define SETTLE_TIME (2 * AP_SEC)   /* after limits were set; above the age of reports */
 #define REPORTED_TIME (5 * AP_SEC) /* after the last request of a customer */
 
 static ap_quota_source_t *find_source(const ap_quota_t *q, const char *id)
@@ -149,6 +150,12 @@
 	return (double)use->used > units ? (int64_t)units : use->used;
 }
 
+/* Whether reports still tell of use under the limits before. */
+static bool settling(const ap_quota_customer_t *c, ap_usec_t now)
+{
+	return now - c->limited_at < SETTLE_TIME;
+}
+
 /* Counts what was used since the sender's last report that counted. */
 static void count_use(ap_quota_customer_t *c, ap_quota_entry_t *e, const ap_quota_use_t *use,
 		      const ap_quota_report_t *report)
@@ -159,7 +166,7 @@
 	int64_t used = 0;
 
 	if (same)
-		used = use->used - base->used;
+		used = use->used - base->used - (int64_t)e->assumed;
 	else if (found && !e->source->region)
 		used = use->used; /* since its restart */
 	else if (found || report->known)
@@ -170,7 +177,10 @@
 	base->used = use->used;
 	if (!report->counts)
 		return;
+	e->assumed = 0;
 	c->level -= (double)used;
+	if (settling(c, report->at))
+		ap_quota_forgive(c);
 	if (!e->source->region)
 		c->elsewhere += used;
 	e->at = report->at;
@@ -188,15 +198,31 @@
 	}
 }
 
+void ap_quota_set_aside(ap_quota_t *q, ap_quota_source_t *s, ap_usec_t now)
+{
+	s->silent_at = now;
+	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+		ap_quota_entry_t *e = s->slot < c->n_entries ? &c->entries[s->slot] : NULL;
+
+		if (!e || !e->source || e->at < s->heard_at)
+			continue;
+		e->assumed = ceil(ap_quota_unreported(e, now));
+		c->level -= e->assumed;
+		if (!s->region)
+			c->elsewhere += (int64_t)e->assumed;
+	}
+}
+
 /* A source that was silent is back: gives back the refill that was set aside for it. */
-static void give_back(ap_quota_t *q, const ap_quota_source_t *s, ap_usec_t now)
+static void give_back(ap_quota_t *q, ap_quota_source_t *s, ap_usec_t now)
 {
 	double part = s->weight / q->weight;
 
-	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
+	for (ap_quota_customer_t *c = q->customers; s->heard_at != 0 && c; c = c->hh.next) {
 		ap_quota_refill(q, c, now);
-		c->level += c->rate * part * (double)(now - s->heard_at) / (double)AP_SEC;
+		c->level += c->rate * part * (double)(now - s->silent_at) / (double)AP_SEC;
 	}
+	s->silent_at = 0;
 }
 
 /* Another sender of a region counts only once the one that did is silent. */
@@ -222,9 +248,9 @@
 	if (!s)
 		return;
 	ap_quota_recount(q, now);
-	if (s->heard_at != 0 && ap_quota_is_silent(s, now))
-		give_back(q, s, now);
 	report = report_of(s, sender, inc, now);
+	if (report.counts && s->silent_at != 0)
+		give_back(q, s, now);
 	for (size_t i = 0; i < n; i++) {
 		ap_quota_customer_t *c = ap_quota_customer(q, uses[i].tag, now);
 		ap_quota_entry_t *e = c ? entry_of(c, s) : NULL;
@@ -273,6 +299,7 @@
 
 			if (!ap_quota_entry_holds(e, now) || e->source->region)
 				continue;
+			use.used += (int64_t)ap_quota_unreported(e, now);
 			use.admitted += e->admitted;
 			use.asked += e->asked;
 			active = true;
