Upstreams that restart under their old id are new to the instances

Another value under the same id is another process: its load, failures, ejection, pace and cached prompts of before are forgotten, and requests that were sent before neither count as its failures nor teach its pace.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -45,6 +45,8 @@
 /**
  * struct ap_replica_entry - an upstream as the platform lists it.
  * @id: changes with each start of the upstream
+ * @born: when it started, in Unix milliseconds; 0 if unknown. Another one under the same id is
+ * another process, of which nothing is known yet
  * @version: of its software; upstreams of one pool may run several
  * @models: whose weights it has loaded, as far as it says
  * @slots: requests processed concurrently; 0 to use the pool's number
@@ -58,6 +60,7 @@
 	char host[AP_HOST_MAX];
 	uint16_t port;
 	char data_centre[AP_NAME_MAX];
+	uint64_t born;
 	char version[AP_NAME_MAX];
 	ap_loaded_model_t models[AP_MODELS_MAX];
 	size_t n_models;
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -429,10 +429,12 @@
 	ap_path_seen(f, r, now);
 	if (inflight->after_pause)
 		ap_backoff_responded(f, r, now);
-	if (r->serial == inflight->serial)
-		r->own.prefill[inflight->priority] -= inflight->prefill;
 	learn_prefill(f, inflight, now);
 	learn_wait(f, inflight, now);
+	/* A response of before a restart says nothing of the upstream's pace after it. */
+	if (r->serial != inflight->serial)
+		return;
+	r->own.prefill[inflight->priority] -= inflight->prefill;
 	learn_slowdown(r, inflight, now);
 }
 
@@ -489,7 +491,9 @@
 	} else if (end == AP_DISPATCH_BROKEN) {
 		ap_break_seen(f, r, inflight, now);
 	}
-	ap_replica_record_result(f, r, end, inflight->trial, now);
+	/* Likewise, requests that a restart broke off are no failures of what runs now. */
+	if (r->serial == inflight->serial)
+		ap_replica_record_result(f, r, end, inflight->trial, now);
 }
 
 /*
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -122,6 +122,26 @@
 	f->known_at = at;
 }
 
+/*
+ * The upstream restarted under its old id. Requests that were sent before belong to the state of
+ * before, see @serial.
+ */
+static void forget_life(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
+{
+	r->serial = ++f->replicas_added;
+	r->address_reused = false;
+	r->own = (ap_load_t){0};
+	r->others = (ap_load_t){0};
+	r->failure_rate = 0;
+	r->failures = 0;
+	ap_replica_readmit(f, r, now);
+	r->trial = false;
+	r->slowdown = 1;
+	r->room = (ap_bucket_t){0};
+	r->new_unnamed_tokens = 0;
+	ap_prefix_cache_clear(f, &r->cache);
+}
+
 void ap_fleet_update_replica(ap_fleet_t *f, const ap_replica_entry_t *entry, ap_usec_t now)
 {
 	ap_replica_t *r = ap_replica_find(f, entry->id);
@@ -137,6 +157,11 @@
 	if (!r)
 		return;
 	r->entry = *entry;
+	/* An entry without it says nothing of a restart. */
+	if (entry->born == 0)
+		r->entry.born = before.born;
+	else if (before.born != 0 && entry->born != before.born)
+		forget_life(f, r, now);
 	r->build = ap_build_of(entry->pool, entry->version);
 	ap_weights_listed(f, r, &before, now);
 	r->received_at = now;
