Customers: the reason of a refused version is whole text

The name in it was cut after 40 bytes, also within a character; the record store.unreadable was then written without its fields.

--- a/test/host_customer_test.c
+++ b/test/host_customer_test.c
@@ -94,6 +94,8 @@
 }
 
 #define ONE(fields) PLAN("[{\"name\":\"a\",\"apiKeys\":[\"secret\"]," fields "}]")
+#define E_10 "\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9"
+#define E_30 E_10 E_10 E_10
 #define NAME_64 "nnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnn"
 
 /*
@@ -151,6 +153,27 @@
 	}
 }
 
+/* Guards against a reason that is cut within a character: such a record is written without it. */
+static void reasons_can_be_written(void **state)
+{
+	static const char *const wrong[] = {
+		PLAN("[{\"name\":\"x" E_30 "\",\"apiKeys\":7}]"),
+		PLAN("[{\"name\":\"x" E_30 E_30 "\"}]"),
+	};
+
+	(void)state;
+	for (size_t i = 0; i < COUNT(wrong); i++) {
+		ap_plan_t *plan;
+		json_t *text;
+		ap_err_t err;
+
+		assert_int_equal(parse(wrong[i], &plan, &err), AP_HOST_INVALID);
+		text = json_string(err.text);
+		assert_non_null(text);
+		json_decref(text);
+	}
+}
+
 static void odd_customers_are_taken(void **state)
 {
 	static const char *const texts[] = {
@@ -403,6 +426,7 @@
 		cmocka_unit_test(customers_are_decoded),
 		cmocka_unit_test(a_plan_without_customers_has_none),
 		cmocka_unit_test(malformed_customers_are_refused),
+		cmocka_unit_test(reasons_can_be_written),
 		cmocka_unit_test(odd_customers_are_taken),
 		cmocka_unit_test(damaged_customers_do_no_harm),
 		cmocka_unit_test(the_hash_covers_name_regions_and_keys),
