Busy plain services: Retry-After by the part of the instance, cut-off instances, counters

Refused callers got the wait less half of the objective, the same for all. On the wire RETRY_AFTER_MIN of 100 ms holds as before.

An instance that had heard the others and was then cut off took all of the throughput after 3 s. While most of the region is silent, their last rates go on counting.

In a shared pool, the share of the objective that a queue may take counts for customers over their part only, and a request that would wait beyond its deadline is not sent. Counters: room_pools, room_requests_total.

--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -153,6 +153,9 @@
 	put(out, "fields_skipped_total", "", (double)fleet.skipped.fields);
 	put(out, "relay_served", "", (double)fleet.relay_served);
 	put(out, "batch_dropped_total", "", (double)fleet.batch_dropped);
+	put(out, "room_pools", "", (double)fleet.room_pools);
+	put(out, "room_requests_total", "{how=\"forwarded\"}", (double)fleet.room_forwarded);
+	put(out, "room_requests_total", "{how=\"refused\"}", (double)fleet.room_refused);
 	put(out, "work_running", "", (double)fleet.running);
 	put(out, "configuration_version", "", gate->plan ? (double)gate->plan->version : 0);
 	put(out, "store_age_seconds", "", age == AP_NEVER ? -1 : (double)age / (double)AP_SEC);
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -69,6 +69,8 @@
 	/* Earlier, it would be refused again. */
 	if (x->pause > 0)
 		return x->pause < RETRY_AFTER_MIN ? RETRY_AFTER_MIN : x->pause;
+	if (x->reason == AP_REASON_TOO_LATE && x->target.retry_after > RETRY_AFTER_MIN)
+		return x->target.retry_after;
 	if (x->reason == AP_REASON_TOO_LATE)
 		wait = x->target.wait - x->req.route->objective / 2;
 	else if (x->reason == AP_REASON_HELD)
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -424,6 +424,17 @@
 	return lost && best_local(f, req, SENDER_SELF, now, local);
 }
 
+/*
+ * Where instances share a pool, its queues are bounded by their parts. The share of the objective
+ * counts only for customers who use more than theirs: the estimate of a queue is too high for
+ * seconds after a change, and would refuse requests while slots are free.
+ */
+static bool late_in_part(const ap_fleet_t *f, const ap_dispatch_t *req, double queue, ap_usec_t now)
+{
+	return queue > (double)(req->deadline - now) ||
+	       (f->patience < 1 && too_late(f, req, queue, now));
+}
+
 static ap_fleet_status_t choose(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
 				ap_usec_t now, ap_target_t *target)
 {
@@ -445,13 +456,17 @@
 	if (p && found_local && ap_dispatch_prefix_tokens(req) < SHARED_TOKENS_MIN && !engaged)
 		lost = ap_refusals_us(&p->refusals, req, now);
 	if (engaged && found_local && !peer) {
-		full = !ap_room_allows(f, local.replica, req, now);
+		full = !ap_room_allows(f, local.replica, req, now) ||
+		       late_in_part(f, req, local.queue, now);
 		if (full && !local_only && ap_best_remote(f, req, NULL, now, &remote) &&
 		    ap_rng_unit(&f->rng) < ap_room_spill(f, &remote, req, now)) {
 			ap_fill_remote_target(&remote, target);
+			f->room_forwarded++;
 			return AP_FLEET_OK;
 		}
 		fill_local_target(f, req, &local, now, target);
+		if (full)
+			target->retry_after = ap_room_retry_after(f, local.replica, req, now);
 		return full ? AP_FLEET_LATE : AP_FLEET_OK;
 	}
 	if (!local_only && (!found_local || local.wait > wait_limit || lost > REFUSALS_MAX_US ||
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -164,6 +164,7 @@
  * @wait: expected time to the first chunk of the response, in microseconds; unlike the waits that
  *        regions announce, it includes the processing of the request itself
  * @queue: expected time that is spent on other requests, in microseconds
+ * @retry_after: of AP_FLEET_LATE, when the request has room, in microseconds; 0 if unknown
  * @cached: prompt tokens expected to be in the target's prefix cache
  * @entry_age: age in microseconds of the upstream's entry; 0 for a remote target
  * @running: requests that the upstream is expected to be processing
@@ -179,6 +180,7 @@
 	uint64_t build;
 	ap_usec_t wait;
 	ap_usec_t queue;
+	ap_usec_t retry_after;
 	uint32_t cached;
 	ap_usec_t entry_age;
 	uint32_t running;
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -350,6 +350,8 @@
 	ap_leaving_t *leaving;	/* upstreams, listed or not */
 	ap_backoff_t *backoffs; /* likewise */
 	ap_cached_part_t *parts;
+	uint64_t room_forwarded; /* beyond the room of this region, see room.c */
+	uint64_t room_refused;
 	bool loads_changed; /* an announcement changed @loads of a member */
 	ap_new_prefix_t new_prefixes[NEW_PREFIXES_MAX];
 	size_t n_new_prefixes;
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -330,6 +330,9 @@
 		.suspect_requests = ap_suspects_count(f, true),
 		.backoff = ap_backoff_count(f, now),
 		.relay_served = ap_relay_served(f, now),
+		.room_pools = ap_room_pools(f),
+		.room_forwarded = f->room_forwarded,
+		.room_refused = f->room_refused,
 		.batch_dropped = f->batch_dropped,
 		.skipped = f->skipped,
 	};
--- a/lib/fleet/room.c
+++ b/lib/fleet/room.c
@@ -33,6 +33,11 @@
 #define HEARD_TIME (3 * AP_SEC) /* an instance that is silent counts so long with what it said */
 #define SUM_INTERVAL (50 * AP_MSEC)
 #define MILLI 1000.0
+#define RETRY_RATE_MIN                                                                             \
+	0.2 /* requests per second that an instance's part is taken for, at least                  \
+	     */
+/* Callers who repeat at once must not move the time of the others away without end. */
+#define RETRY_MAX (5 * AP_SEC)
 #define USAGE_FIELDS 2 /* see ap_usage_pack() */
 #define SPILL_MIN 0.05 /* finds out when a remote region has room again */
 
@@ -70,12 +75,15 @@
 
 /*
  * Sums up what the instances of the region are asked for. One that has announced nothing yet counts
- * like the mean of the others; one that was heard and is silent counts for a while.
+ * like the mean of the others; one that was heard and is silent counts for a while. If most are
+ * silent, it is this instance that is cut off: they go on sending, so they go on counting.
  */
 static double total_rate(ap_fleet_t *f, ap_pool_state_t *p, ap_usec_t now)
 {
 	uint32_t tag = tag_of(p->name);
 	double sum = own_rate(&p->room, now);
+	double silent_sum = 0;
+	size_t n_silent = 0;
 	size_t known = 1;
 	size_t unknown = 0;
 
@@ -91,8 +99,15 @@
 		} else if (now - m->demands_at < HEARD_TIME) {
 			sum += rate;
 			known++;
+		} else {
+			silent_sum += rate;
+			n_silent++;
 		}
 	}
+	if (n_silent > known) {
+		sum += silent_sum;
+		known += n_silent;
+	}
 	p->room.total = sum * (double)(known + unknown) / (double)known;
 	p->room.summed_at = now;
 	return p->room.total;
@@ -221,6 +236,28 @@
 	return best;
 }
 
+ap_usec_t ap_room_retry_after(ap_fleet_t *f, const ap_replica_t *r, const ap_dispatch_t *req,
+			      ap_usec_t now)
+{
+	ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
+	double part;
+	double step;
+	ap_usec_t soonest;
+
+	f->room_refused++;
+	if (!p)
+		return 0;
+	part = fmin(own_rate(&p->room, now) / fmax(total_rate(f, p, now), 0.001), 1);
+	step = (double)AP_SEC / fmax(part * region_throughput(f, p, now), RETRY_RATE_MIN);
+	soonest = now + (ap_usec_t)(fmax(1 - r->room.allowance, 0) * step);
+	p->room.retry_at += (ap_usec_t)step;
+	if (p->room.retry_at < soonest)
+		p->room.retry_at = soonest;
+	if (p->room.retry_at > now + RETRY_MAX)
+		p->room.retry_at = now + RETRY_MAX;
+	return p->room.retry_at - now;
+}
+
 void ap_room_sent(ap_fleet_t *f, ap_replica_t *r, const ap_dispatch_t *req)
 {
 	if (!ap_room_engaged(f, req))
@@ -239,7 +276,7 @@
 		*work *= 1 + WORK_UP * (took > *work ? WORK_QUANTILE : WORK_QUANTILE - 1);
 }
 
-static size_t n_busy(const ap_fleet_t *f)
+size_t ap_room_pools(const ap_fleet_t *f)
 {
 	size_t n = 0;
 
@@ -250,7 +287,7 @@
 
 size_t ap_room_and_usage_fields(const ap_fleet_t *f)
 {
-	return n_busy(f) > 0 ? USAGE_FIELDS + 1 : ap_usage_fields(f);
+	return ap_room_pools(f) > 0 ? USAGE_FIELDS + 1 : ap_usage_fields(f);
 }
 
 double ap_room_spill(ap_fleet_t *f, const ap_remote_candidate_t *c, const ap_dispatch_t *req,
@@ -264,7 +301,7 @@
 
 size_t ap_room_pack(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now)
 {
-	size_t n = n_busy(f);
+	size_t n = ap_room_pools(f);
 	size_t left = n;
 
 	if (n == 0)
--- a/lib/fleet/room.h
+++ b/lib/fleet/room.h
@@ -27,7 +27,8 @@
 	double total;	   /* requests per second of the whole region, as of @summed_at */
 	double load; /* requests at the region's upstreams for each slot, averaged, at most 1 */
 	bool busy;
-	double pace; /* ratio of the throughput to what the work of a request gives */
+	ap_usec_t retry_at; /* when the last one that was refused has room */
+	double pace;	    /* ratio of the throughput to what the work of a request gives */
 	ap_usec_t ticked_at;
 	ap_usec_t summed_at;
 } ap_room_t;
@@ -43,12 +44,20 @@
 /* Returns the one of @n upstreams where this instance's part has the most room. */
 ap_replica_t *ap_room_best(ap_fleet_t *f, ap_replica_t *const *v, size_t n,
 			   const ap_dispatch_t *req, ap_usec_t now);
+/*
+ * Returns after how long a refused request has room in this instance's part, if those refused
+ * before it come first.
+ */
+ap_usec_t ap_room_retry_after(ap_fleet_t *f, const ap_replica_t *r, const ap_dispatch_t *req,
+			      ap_usec_t now);
 void ap_room_sent(ap_fleet_t *f, ap_replica_t *r, const ap_dispatch_t *req);
 /* A request that found no other at the upstream before it took @took. */
 void ap_room_learn(ap_pool_state_t *p, double took);
 /* Returns the share of the requests beyond this region's room that are sent to a remote region. */
 double ap_room_spill(ap_fleet_t *f, const ap_remote_candidate_t *c, const ap_dispatch_t *req,
 		     ap_usec_t now);
+/* Returns the number of pools that are busy, at most ROOM_POOLS_MAX. */
+size_t ap_room_pools(const ap_fleet_t *f);
 /* Returns how many fields ap_usage_pack() and ap_room_pack() add to a message together. */
 size_t ap_room_and_usage_fields(const ap_fleet_t *f);
 size_t ap_room_pack(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
--- a/lib/fleet/stats.h
+++ b/lib/fleet/stats.h
@@ -23,6 +23,9 @@
  * @suspect_parts: parts of prompts that may crash upstreams
  * @suspect_requests: requests that may, by fingerprint
  * @running: in-flight requests that this instance sent to upstreams
+ * @room_pools: plain pools that are busy, so that instances share them
+ * @room_forwarded: requests sent to another region since these had no room here
+ * @room_refused: requests refused since these had no room
  * @relay_served: instances that this one passes on announcements to
  * @batch_dropped: messages that weren't passed on, since the batch was full
  * @other_wire: listed instances that don't read messages of this one
@@ -41,6 +44,9 @@
 	size_t suspect_requests;
 	size_t members;
 	size_t running;
+	size_t room_pools;
+	uint64_t room_forwarded;
+	uint64_t room_refused;
 	size_t relay_served;
 	uint64_t batch_dropped;
 	size_t other_wire;
--- a/test/fleet_room_test.c
+++ b/test/fleet_room_test.c
@@ -30,7 +30,7 @@
  * struct load - what one run is about.
  * @load: requests in region north, as a share of its upstreams' throughput
  * @speed: of the two upstreams in north
- * @cut_off: instances of north whose messages are lost, and that get none
+ * @cut_off: instances of north whose messages are lost, and that get none, from @cut_after on
  * @first_share: share of the load at the first instance; 0 for an equal share
  */
 typedef struct load {
@@ -38,6 +38,7 @@
 	double load;
 	double speed[2];
 	size_t cut_off;
+	ap_usec_t cut_after;
 	double first_share;
 } load_t;
 
@@ -345,7 +346,8 @@
 
 static bool is_cut_off(const run_t *run, const char *id)
 {
-	return (size_t)strtoul(id + 1, NULL, 10) < run->load->cut_off;
+	return (size_t)strtoul(id + 1, NULL, 10) < run->load->cut_off &&
+	       run->now >= WORLD_START + run->load->cut_after;
 }
 
 /* Queues what an instance sent, with a delay that is the same for all messages of a pair. */
@@ -549,6 +551,21 @@
 	check_few_turned_away();
 }
 
+/* Instances that have heard the others before must not take all of the room once they are alone. */
+static void test_third_cut_off_later(void **state)
+{
+	const load_t load = {.name = "1.3 cut off later",
+			     .load = 1.3,
+			     .speed = {1, 1},
+			     .cut_off = NORTH / 3,
+			     .cut_after = 6 * AP_SEC};
+
+	(void)state;
+	play(&load, &counts);
+	check_room_is_used(0.95);
+	check_few_turned_away();
+}
+
 static void test_half_at_one(void **state)
 {
 	const load_t load = {
@@ -563,9 +580,13 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_half),	    cmocka_unit_test(test_nearly_full),
-		cmocka_unit_test(test_over),	    cmocka_unit_test(test_far_over),
-		cmocka_unit_test(test_two_speeds),  cmocka_unit_test(test_third_cut_off),
+		cmocka_unit_test(test_half),
+		cmocka_unit_test(test_nearly_full),
+		cmocka_unit_test(test_over),
+		cmocka_unit_test(test_far_over),
+		cmocka_unit_test(test_two_speeds),
+		cmocka_unit_test(test_third_cut_off),
+		cmocka_unit_test(test_third_cut_off_later),
 		cmocka_unit_test(test_half_at_one),
 	};
 
