--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -178,6 +178,7 @@
  * @wait: expected time to the first chunk of the response, in microseconds; unlike the waits that
  *        regions announce, it includes the processing of the request itself
  * @queue: expected time that is spent on other requests, in microseconds
+ * @retry_after: of AP_FLEET_LATE, when the request has room, in microseconds; 0 if unknown
  * @cached: prompt tokens expected to be in the target's prefix cache, once @fetch is done
  * @fetch: from another upstream
  * @entry_age: age in microseconds of the upstream's entry; 0 for a remote target
@@ -194,6 +195,7 @@
 	uint64_t build;
 	ap_usec_t wait;
 	ap_usec_t queue;
+	ap_usec_t retry_after;
 	uint32_t cached;
 	ap_target_fetch_t fetch;
 	ap_usec_t entry_age;
