quota: odd costs, plans and reports

quota_limits_test, of which five cases failed before: - A request that names 2^64 tokens was admitted by a full bucket, overflowed the count of units and left the customer overdrawn for good. What would break the bound by itself is refused now; an allowance of less than one unit a window still serves one request. - A request that costs nothing could be refused. - Customers of earlier plans were kept, and those beyond 4,096 had no limit. They are dropped a minute after their last use, and messages have no report once the plan names no customer. - A report held the first 512 customers only. The next one goes on where the last one ended; what it says holds for 1.5 s. - A count that began again at a reporter that had dropped the customer would have filled the bucket. A clock that is set back no longer stops the refill.

--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -50,6 +50,9 @@
  * @limited_at: when the limits were last set
  * @used: by this instance since its start
  * @elsewhere: by the other instances of the own region, as far as reported
+ * @active_at: when this instance was last asked
+ * @reported_at: when a source last named the customer
+ * @listed: the plan in force names the customer
  * @entries: by the slot of their source
  */
 typedef struct ap_quota_customer {
@@ -67,6 +70,8 @@
 	ap_quota_rate_t admitted;
 	ap_quota_rate_t asked;
 	ap_usec_t active_at;
+	ap_usec_t reported_at;
+	bool listed;
 	ap_quota_entry_t *entries;
 	size_t n_entries;
 } ap_quota_customer_t;
@@ -99,6 +104,8 @@
 
 /**
  * struct ap_quota - all customers and sources.
+ * @in_use: the plan in force names customers
+ * @next_report: where the next report begins, of this instance and of its region
  * @weight: number of all instances, this one included
  * @silent: of these, in silent sources
  * @counted_at: when these two were counted; 0 if they have to be counted again
@@ -109,6 +116,8 @@
 	ap_quota_config_t config;
 	ap_quota_customer_t *customers;
 	ap_quota_source_t *sources;
+	bool in_use;
+	ap_quota_customer_t *next_report[2];
 	double weight;
 	double silent;
 	ap_usec_t counted_at;
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -13,6 +13,8 @@
 #define PACE_MAX 2.0	 /* while the bucket is overdrawn or fills */
 #define SUM_INTERVAL (200 * AP_MSEC)
 #define RECOUNT_INTERVAL (50 * AP_MSEC) /* far below SILENT_AFTER */
+#define KEPT_TIME (60 * AP_SEC) /* for customers who are no longer listed, since their last use */
+#define COST_MAX 1e15		/* units of one request; sums of them fit into 64 bits */
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
 #define QUEUE_SHARE 0.5		/* of the rate, for those who come back; the rest is for others */
@@ -68,7 +70,7 @@
 
 bool ap_quota_in_use(const ap_quota_t *q)
 {
-	return q->customers != NULL;
+	return q->in_use;
 }
 
 /* A clock that was set back makes no span negative. */
@@ -95,7 +97,7 @@
 
 bool ap_quota_entry_holds(const ap_quota_entry_t *e, ap_usec_t now)
 {
-	return e->source && e->at >= e->source->heard_at && !ap_quota_is_silent(e->source, now);
+	return e->source && now - e->at <= SILENT_AFTER && !ap_quota_is_silent(e->source, now);
 }
 
 void ap_quota_recount(ap_quota_t *q, ap_usec_t now)
@@ -186,20 +188,59 @@
 	ap_quota_forgive(c);
 }
 
+static void drop_customer(ap_quota_t *q, ap_quota_customer_t *c)
+{
+	for (size_t i = 0; i < 2; i++) {
+		if (q->next_report[i] == c)
+			q->next_report[i] = c->hh.next;
+	}
+	HASH_DEL(q->customers, c); /* NOLINT(clang-analyzer-unix.Malloc) */
+	free(c->entries);
+	free(c);
+}
+
+/* Customers of earlier plans are kept while others may still report their use. */
+static void drop_unlisted(ap_quota_t *q, ap_usec_t now)
+{
+	ap_quota_customer_t *c;
+	ap_quota_customer_t *next;
+
+	HASH_ITER (hh, q->customers, c, next) {
+		if (!c->listed && now - c->active_at > KEPT_TIME &&
+		    now - c->reported_at > KEPT_TIME)
+			drop_customer(q, c);
+	}
+}
+
 void ap_quota_set_limits(ap_quota_t *q, const ap_customer_t *customers, size_t n, ap_usec_t now)
 {
 	ap_quota_recount(q, now);
+	q->in_use = n > 0;
+	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next)
+		c->listed = false;
+	for (size_t i = 0; i < n; i++) {
+		ap_quota_customer_t *c;
+		uint32_t tag = ap_quota_tag(customers[i].name);
+
+		HASH_FIND(hh, q->customers, &tag, sizeof(tag), c);
+		if (c)
+			c->listed = true;
+	}
+	drop_unlisted(q, now);
 	for (size_t i = 0; i < n; i++) {
 		ap_quota_customer_t *c = ap_quota_customer(q, ap_quota_tag(customers[i].name), now);
 
-		if (c && (c->rate != customers[i].rate || c->burst != customers[i].burst))
+		if (!c)
+			continue;
+		c->listed = true;
+		if (c->rate != customers[i].rate || c->burst != customers[i].burst)
 			set_limits(q, c, &customers[i], now);
 	}
 }
 
 double ap_quota_unreported(const ap_quota_entry_t *e, ap_usec_t now)
 {
-	return e->admitted * seconds(now - e->source->heard_at);
+	return e->admitted * seconds(now - e->at);
 }
 
 /* What the other sources are likely to have admitted since their last reports. */
@@ -228,8 +269,8 @@
 			continue;
 		*admitted += e->admitted;
 		*asked += e->asked;
-		if (now - e->source->heard_at > *age)
-			*age = now - e->source->heard_at;
+		if (now - e->at > *age)
+			*age = now - e->at;
 	}
 }
 
@@ -300,6 +341,14 @@
 	count_rate(&c->admitted, cost, now);
 }
 
+/* Returns the cost above which a request would break the bound by itself; at least one request. */
+static double window_max(const ap_quota_t *q, const ap_quota_customer_t *c)
+{
+	double allowed = c->rate * seconds(q->config.window) + c->burst;
+
+	return fmax((1 + q->config.over) * allowed + q->config.slack, 1);
+}
+
 static bool decide(ap_quota_t *q, ap_quota_customer_t *c, double cost, ap_usec_t since,
 		   ap_usec_t now, ap_quota_verdict_t *v)
 {
@@ -310,6 +359,11 @@
 	double low;
 	double fits;
 
+	if (cost > window_max(q, c)) {
+		v->admitted = false;
+		v->retry_after = WAIT_MAX;
+		return false;
+	}
 	ap_quota_refill(q, c, now);
 	sum_others(c, now, &v->used_elsewhere, &asked_elsewhere, &v->age);
 	v->level = c->level - unreported(c, now);
@@ -345,6 +399,7 @@
 	ap_usec_t since;
 
 	*v = (ap_quota_verdict_t){.admitted = true};
+	cost = fmin(cost, COST_MAX);
 	if (!c)
 		return true;
 	ap_quota_recount(q, now);
@@ -353,7 +408,7 @@
 	count_rate(&c->asked, cost, now);
 	if (c->rate != limits->rate || c->burst != limits->burst)
 		set_limits(q, c, limits, now);
-	if (ap_customer_limited(limits) && !decide(q, c, cost, since, now, v))
+	if (cost > 0 && ap_customer_limited(limits) && !decide(q, c, cost, since, now, v))
 		return false;
 	admit(c, cost, now);
 	return true;
@@ -361,10 +416,14 @@
 
 void ap_quota_refund(ap_quota_t *q, const char *customer, double cost, ap_usec_t now)
 {
-	ap_quota_customer_t *c = ap_quota_customer(q, ap_quota_tag(customer), now);
+	uint32_t tag = ap_quota_tag(customer);
+	ap_quota_customer_t *c;
 
+	HASH_FIND(hh, q->customers, &tag, sizeof(tag), c);
 	if (!c)
 		return;
+	cost = fmin(cost, COST_MAX);
+	ap_quota_refill(q, c, now);
 	c->level += cost;
 	c->share = fmin(c->share + cost, 0);
 	c->used -= (int64_t)ceil(cost);
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -148,6 +148,16 @@
 	return now - c->limited_at < SETTLE_TIME;
 }
 
+/*
+ * A count that falls to less than half, by more than refunds explain, began again: the sender had
+ * dropped the customer.
+ */
+static bool began_again(const ap_quota_customer_t *c, int64_t before, int64_t used)
+{
+	return (double)used < (double)before / 2 &&
+	       (double)before - (double)used > fmax(c->burst, c->rate);
+}
+
 /* Counts what was used since the sender's last report that counted. */
 static void count_use(ap_quota_customer_t *c, ap_quota_entry_t *e, const ap_quota_use_t *use,
 		      const ap_quota_report_t *report)
@@ -157,7 +167,7 @@
 	bool same = found && ap_id_eq(base->inc, report->inc);
 	int64_t used = 0;
 
-	if (same)
+	if (same && !began_again(c, base->used, use->used))
 		used = use->used - base->used - (int64_t)e->assumed;
 	else if (found || report->known)
 		used = use->used;
@@ -194,7 +204,7 @@
 	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
 		ap_quota_entry_t *e = s->slot < c->n_entries ? &c->entries[s->slot] : NULL;
 
-		if (!e || !e->source || e->at < s->heard_at)
+		if (!e || !e->source || now - e->at > 2 * (now - s->heard_at))
 			continue;
 		e->assumed = ceil(ap_quota_unreported(e, now));
 		c->level -= e->assumed;
@@ -248,6 +258,7 @@
 		if (!e)
 			continue;
 		ap_quota_refill(q, c, now);
+		c->reported_at = now;
 		count_use(c, e, &uses[i], &report);
 		if (report.counts)
 			reset_bases(e, report.sender);
@@ -271,33 +282,39 @@
 	return silent;
 }
 
+/* Returns whether @c is to be reported. */
+static bool fill_use(const ap_quota_customer_t *c, bool region, ap_quota_use_t *use, ap_usec_t now)
+{
+	bool active = c->active_at != 0 && now - c->active_at < REPORTED_TIME;
+
+	*use = (ap_quota_use_t){
+		.tag = c->tag,
+		.used = c->used + (region ? c->elsewhere : 0),
+		.admitted = ap_quota_rate(&c->admitted, now),
+		.asked = ap_quota_rate(&c->asked, now),
+	};
+	for (size_t i = 0; region && i < c->n_entries; i++) {
+		const ap_quota_entry_t *e = &c->entries[i];
+
+		if (!ap_quota_entry_holds(e, now) || e->source->region)
+			continue;
+		use->used += (int64_t)ap_quota_unreported(e, now);
+		use->admitted += e->admitted;
+		use->asked += e->asked;
+		active = true;
+	}
+	return active;
+}
+
 size_t ap_quota_report(ap_quota_t *q, bool region, ap_quota_use_t *out, size_t max, ap_usec_t now)
 {
+	ap_quota_customer_t *c = q->next_report[region] ? q->next_report[region] : q->customers;
 	size_t n = 0;
 
-	for (ap_quota_customer_t *c = q->customers; c && n < max; c = c->hh.next) {
-		ap_quota_use_t use = {
-			.tag = c->tag,
-			.used = c->used,
-			.admitted = ap_quota_rate(&c->admitted, now),
-			.asked = ap_quota_rate(&c->asked, now),
-		};
-		bool active = c->active_at != 0 && now - c->active_at < REPORTED_TIME;
-
-		for (size_t i = 0; region && i < c->n_entries; i++) {
-			const ap_quota_entry_t *e = &c->entries[i];
-
-			if (!ap_quota_entry_holds(e, now) || e->source->region)
-				continue;
-			use.used += (int64_t)ap_quota_unreported(e, now);
-			use.admitted += e->admitted;
-			use.asked += e->asked;
-			active = true;
-		}
-		if (region)
-			use.used += c->elsewhere;
-		if (active)
-			out[n++] = use;
+	for (size_t left = HASH_COUNT(q->customers); left > 0 && n < max; left--) {
+		n += fill_use(c, region, &out[n], now);
+		c = c->hh.next ? c->hh.next : q->customers;
 	}
+	q->next_report[region] = c;
 	return n;
 }
