Reports of use are one list at the end of a message; buckets begin once the instances are known

wire_builds_test failed since reports are sent: fields that a later build adds after those of a build without customers were read as a report, and the announcement refused. A report is one list now, empty where there is none, like the fields before it; FLEET_TODAY and WAITS_TODAY count it as the test asks of a new field.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -504,6 +504,8 @@
 
 /** ap_fleet_quota() - allowances of customers; reports of their use travel with announcements. */
 ap_quota_t *ap_fleet_quota(ap_fleet_t *f);
+/** ap_fleet_set_customers() - a new plan is in force, with these customers. */
+void ap_fleet_set_customers(ap_fleet_t *f, const ap_customer_t *customers, size_t n, ap_usec_t now);
 
 /* Announcements between instances: announce.c */
 /**
--- a/lib/fleet/usage.c
+++ b/lib/fleet/usage.c
@@ -35,10 +35,8 @@
 	}
 }
 
-void ap_usage_tick(ap_fleet_t *f, ap_usec_t now)
+static void set_sources(ap_fleet_t *f, ap_usec_t now)
 {
-	if (!ap_quota_in_use(f->quota) || now - f->sources_set_at < SOURCES_INTERVAL)
-		return;
 	f->sources_set_at = now;
 	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
 		if (m->own_region && is_source(m))
@@ -50,9 +48,23 @@
 	ap_quota_end_sources(f->quota, now);
 }
 
+void ap_usage_tick(ap_fleet_t *f, ap_usec_t now)
+{
+	if (ap_quota_in_use(f->quota) && now - f->sources_set_at >= SOURCES_INTERVAL)
+		set_sources(f, now);
+}
+
+void ap_fleet_set_customers(ap_fleet_t *f, const ap_customer_t *customers, size_t n, ap_usec_t now)
+{
+	/* Buckets begin with the part that is left to this instance until it has heard others. */
+	if (n > 0)
+		set_sources(f, now);
+	ap_quota_set_limits(f->quota, customers, n, now);
+}
+
 size_t ap_usage_fields(const ap_fleet_t *f)
 {
-	return ap_quota_in_use(f->quota) ? 2 : 0;
+	return ap_quota_in_use(f->quota) ? 1 : 0;
 }
 
 size_t ap_usage_pack(ap_fleet_t *f, msgpack_packer *pk, bool region, ap_usec_t now)
@@ -63,6 +75,7 @@
 	if (!ap_quota_in_use(f->quota))
 		return 0;
 	n = ap_quota_report(f->quota, region, uses, USES_MAX, now);
+	msgpack_pack_array(pk, 2);
 	msgpack_pack_uint32(pk, region ? ap_quota_silent(f->quota, now) : 0);
 	msgpack_pack_array(pk, n);
 	for (size_t i = 0; i < n; i++) {
@@ -79,15 +92,19 @@
 		    ap_wire_reader_t *r, ap_usec_t now)
 {
 	ap_quota_use_t uses[USES_MAX];
+	ap_wire_reader_t report;
 	ap_wire_reader_t list;
 	unsigned silent;
 	size_t n = 0;
 
-	/* The sender knows no customers, or its build reports none. */
+	/* The sender's build reports none, or it knows no customers and a later field follows. */
 	if (r->left == 0)
 		return true;
-	silent = (unsigned)ap_wire_u64(r);
-	list = ap_wire_array(r);
+	report = ap_wire_array(r);
+	if (r->ok && report.left == 0)
+		return true;
+	silent = (unsigned)ap_wire_u64(&report);
+	list = ap_wire_array(&report);
 	while (list.left > 0 && n < USES_MAX) {
 		ap_wire_reader_t e = ap_wire_array(&list);
 		ap_quota_use_t *use = &uses[n++];
@@ -99,7 +116,7 @@
 		if (!e.ok)
 			return false;
 	}
-	if (!r->ok || !list.ok)
+	if (!r->ok || !report.ok || !list.ok)
 		return false;
 	ap_quota_heard(f->quota, region ? region : from, from, inc, silent, uses, n, now);
 	return true;
--- a/test/wire_builds_test.c
+++ b/test/wire_builds_test.c
@@ -14,8 +14,8 @@
 #define WAITS_OPEN (1u << 1)
 #define FLEET_MIN 5 /* fields of the oldest announcement to the region */
 #define WAITS_MIN 2 /* of the oldest one to remote regions */
-#define FLEET_TODAY 22
-#define WAITS_TODAY 8
+#define FLEET_TODAY 23
+#define WAITS_TODAY 9
 #define HASHES 8
 #define EXTRA_MAX 4 /* fields that a later build adds */
 
