fleet_room_test: the seed is an argument; other seeds break checks

The checks hold on seed 7, which ctest runs, and not all of them on 8, 9 and 10: at most 176 of 2978 requests turned away where 2 in 100 may be (instances cut off after 6 s), 10 of 2165 refused at 0.9 with a slot free, and one of 1275 turned away at 0.5.

--- a/test/fleet_room_test.c
+++ b/test/fleet_room_test.c
@@ -108,6 +108,8 @@
 	.attempts = 2,
 };
 
+static uint64_t seed = 7; /* of the arrivals; or the first argument */
+
 static void upstream_id(char id[AP_NAME_MAX], size_t u)
 {
 	snprintf(id, AP_NAME_MAX, "desk-%s-%zu", u < 2 ? "north" : "south", u % 2);
@@ -431,7 +433,7 @@
 	run_t run = {.load = load, .counts = counts, .now = WORLD_START};
 
 	*counts = (counts_t){0};
-	ap_rng_seed(&run.rng, 7);
+	ap_rng_seed(&run.rng, seed);
 	run.active = calloc(ACTIVE_MAX, sizeof(*run.active));
 	run.mail = calloc(MAIL_MAX, sizeof(*run.mail));
 	assert_non_null(run.active);
@@ -577,7 +579,7 @@
 	check_few_turned_away();
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_half),
@@ -590,5 +592,7 @@
 		cmocka_unit_test(test_half_at_one),
 	};
 
+	if (argc > 1)
+		seed = strtoull(argv[1], NULL, 10);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
