quota: reports say what was used since the customer was last omitted

A receiver without a base for a customer counted either all use since the sender's start, or what its decaying rate explains, which loses use where a report can't hold all customers (quota_limits_test). The sender knows since when it named the customer. The number of fields is a literal again, for pages_test. quota_test, quota_limits_test, fleet_usage_test, wire_builds_test, pages_test pass.

--- a/lib/fleet/announce.c
+++ b/lib/fleet/announce.c
@@ -168,7 +168,7 @@
 	size_t n;
 
 	ap_wire_out_begin(&out, AP_WIRE_FLEET, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, ap_room_fields(f, 24));
+	ap_room_pack_header(f, &out.pk, 24);
 	n = pack_loads(f, &out.pk);
 	pack_new_prefixes(f, &out.pk);
 	ap_wire_pack_bool(&out.pk, draining);
@@ -276,7 +276,7 @@
 	if (!self || self->member.draining)
 		return;
 	ap_wire_out_begin(&out, AP_WIRE_WAITS, f->config.inc, ++f->announce_seq);
-	msgpack_pack_array(&out.pk, ap_usage_fields(f, 9));
+	ap_usage_pack_header(f, &out.pk, 9);
 	ap_wire_pack_str(&out.pk, f->config.region);
 	pack_waits(f, self, &out.pk, now);
 	ap_suspects_pack_remote(f, &out.pk, now);
--- a/lib/fleet/room.c
+++ b/lib/fleet/room.c
@@ -282,9 +282,12 @@
 	return n;
 }
 
-size_t ap_room_fields(const ap_fleet_t *f, size_t all)
+void ap_room_pack_header(const ap_fleet_t *f, msgpack_packer *pk, size_t all)
 {
-	return ap_room_pools(f) > 0 ? all : ap_usage_fields(f, all - 1);
+	if (ap_room_pools(f) > 0)
+		msgpack_pack_array(pk, all);
+	else
+		ap_usage_pack_header(f, pk, all - 1);
 }
 
 double ap_room_spill(ap_fleet_t *f, const ap_remote_candidate_t *c, const ap_dispatch_t *req,
@@ -304,7 +307,7 @@
 	if (n == 0)
 		return 0;
 	/* Without customers, the field for their use is empty. */
-	if (ap_usage_fields(f, 1) == 0)
+	if (!ap_quota_in_use(f->quota))
 		msgpack_pack_array(pk, 0);
 	msgpack_pack_array(pk, n);
 	for (const ap_pool_state_t *p = f->pools; p && left > 0; p = p->hh.next) {
--- a/lib/fleet/room.h
+++ b/lib/fleet/room.h
@@ -58,8 +58,8 @@
 		     ap_usec_t now);
 /* Returns the number of pools that are busy, at most ROOM_POOLS_MAX. */
 size_t ap_room_pools(const ap_fleet_t *f);
-/* Returns how many of @all fields of a message are sent: the last two only where they are used. */
-size_t ap_room_fields(const ap_fleet_t *f, size_t all);
+/* Begins a message of @all fields, the last two of which are sent only where they are used. */
+void ap_room_pack_header(const ap_fleet_t *f, msgpack_packer *pk, size_t all);
 size_t ap_room_pack(ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
 bool ap_room_apply(ap_member_state_t *m, ap_wire_reader_t *r, ap_usec_t now);
 
--- a/lib/fleet/usage.c
+++ b/lib/fleet/usage.c
@@ -63,9 +63,9 @@
 	ap_quota_set_limits(f->quota, customers, n, now);
 }
 
-size_t ap_usage_fields(const ap_fleet_t *f, size_t all)
+void ap_usage_pack_header(const ap_fleet_t *f, msgpack_packer *pk, size_t all)
 {
-	return ap_quota_in_use(f->quota) ? all : all - 1;
+	msgpack_pack_array(pk, ap_quota_in_use(f->quota) ? all : all - 1);
 }
 
 size_t ap_usage_pack(ap_fleet_t *f, msgpack_packer *pk, bool region, ap_usec_t now)
@@ -80,9 +80,10 @@
 	msgpack_pack_uint32(pk, region ? ap_quota_silent(f->quota, now) : 0);
 	msgpack_pack_array(pk, n);
 	for (size_t i = 0; i < n; i++) {
-		msgpack_pack_array(pk, 4);
+		msgpack_pack_array(pk, 5);
 		msgpack_pack_uint32(pk, uses[i].tag);
 		msgpack_pack_int64(pk, uses[i].used);
+		msgpack_pack_int64(pk, uses[i].lately);
 		msgpack_pack_uint64(pk, (uint64_t)(uses[i].admitted * MILLI));
 		msgpack_pack_uint64(pk, (uint64_t)(uses[i].asked * MILLI));
 	}
@@ -112,6 +113,7 @@
 
 		use->tag = (uint32_t)ap_wire_u64(&e);
 		use->used = ap_wire_i64(&e);
+		use->lately = ap_wire_i64(&e);
 		use->admitted = (double)ap_wire_u64(&e) / MILLI;
 		use->asked = (double)ap_wire_u64(&e) / MILLI;
 		if (!e.ok)
--- a/lib/fleet/usage.h
+++ b/lib/fleet/usage.h
@@ -4,9 +4,8 @@
 
 /* Tells lib/quota which instances and regions there are. To be called several times a second. */
 void ap_usage_tick(ap_fleet_t *f, ap_usec_t now);
-/* Returns how many of @all fields of a message are sent: the last one only if there are customers.
- */
-size_t ap_usage_fields(const ap_fleet_t *f, size_t all);
+/* Begins a message of @all fields, the last of which is sent only if there are customers. */
+void ap_usage_pack_header(const ap_fleet_t *f, msgpack_packer *pk, size_t all);
 /* Packs this instance's use, or that of its region. Return: the number of customers. */
 size_t ap_usage_pack(ap_fleet_t *f, msgpack_packer *pk, bool region, ap_usec_t now);
 /*
--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -51,6 +51,8 @@
  * @limited_at: when the limits were last set
  * @used: by this instance since its start
  * @steady: units per second that all instances use, averaged over some seconds
+ * @omitted: what was used when the customer was last omitted from the reports to the own region,
+ * and to the others
  * @elsewhere: by the other instances of the own region, as far as reported
  * @active_at: when this instance was last asked
  * @reported_at: when a source last named the customer
@@ -69,6 +71,7 @@
 	ap_usec_t limited_at;
 	int64_t used;
 	int64_t elsewhere;
+	int64_t omitted[2];
 	ap_quota_rate_t admitted;
 	ap_quota_rate_t asked;
 	double steady;
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -28,12 +28,14 @@
  * struct ap_quota_use - what one source, or this instance, reports of one customer.
  * @tag: ap_quota_tag() of the customer
  * @used: units since the source's start; refunds lower it
+ * @lately: likewise, since the customer was last omitted from reports as it asked for nothing
  * @admitted: units per second, lately
  * @asked: likewise, with what was refused
  */
 typedef struct ap_quota_use {
 	uint32_t tag;
 	int64_t used;
+	int64_t lately;
 	double admitted;
 	double asked;
 } ap_quota_use_t;
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -142,14 +142,6 @@
 	ap_usec_t at;
 } ap_quota_report_t;
 
-/* What a customer that the sender hadn't named for a while used until it named it again. */
-static int64_t lately(const ap_quota_use_t *use)
-{
-	double units = use->admitted * RATE_TIME;
-
-	return (double)use->used > units ? (int64_t)units : use->used;
-}
-
 /* Whether reports still tell of use under the limits before. */
 static bool settling(const ap_quota_customer_t *c, ap_usec_t now)
 {
@@ -180,7 +172,7 @@
 	else if (found && !e->source->region)
 		used = use->used; /* since its restart */
 	else if (found || report->known)
-		used = lately(use);
+		used = use->lately;
 	if (!report->counts && same)
 		return;
 	base->inc = report->inc;
@@ -293,7 +285,7 @@
 }
 
 /* Returns whether @c is to be reported. */
-static bool fill_use(const ap_quota_customer_t *c, bool region, ap_quota_use_t *use, ap_usec_t now)
+static bool fill_use(ap_quota_customer_t *c, bool region, ap_quota_use_t *use, ap_usec_t now)
 {
 	bool active = c->active_at != 0 && now - c->active_at < REPORTED_TIME;
 
@@ -313,6 +305,9 @@
 		use->asked += e->asked;
 		active = true;
 	}
+	if (!active)
+		c->omitted[region] = use->used;
+	use->lately = use->used - c->omitted[region];
 	return active;
 }
 
