--- a/test/customers/callers.c
+++ b/test/customers/callers.c
@@ -165,6 +165,20 @@
 	return get_text(s, instance, METRICS_PORT, "/metrics", "127.0.0.1");
 }
 
+unsigned customers_guests(soak_t *s, unsigned region)
+{
+	static const char name[] = "\narbutuspond_guests_total ";
+	unsigned n = 0;
+
+	for (size_t i = region; i < s->n_instances; i += REGIONS) {
+		const char *at = strstr(customers_metrics(s, i), name);
+
+		assert_non_null(at);
+		n += (unsigned)strtoul(at + strlen(name), NULL, 10);
+	}
+	return n;
+}
+
 const char *customers_snapshot(soak_t *s, size_t instance, const char *from)
 {
 	return get_text(s, instance, CONTROL_PORT, "/arbutuspond/snapshot", from);
--- a/test/customers/customers.h
+++ b/test/customers/customers.h
@@ -41,6 +41,8 @@
 void customers_publish(soak_t *s, const char *keys);
 /* Returns the text of an instance's metrics, until the next call. */
 const char *customers_metrics(soak_t *s, size_t instance);
+/* Returns how many requests the instances of @region got from others. */
+unsigned customers_guests(soak_t *s, unsigned region);
 /* Returns the text of a snapshot that the address @from asks an instance for, likewise. */
 const char *customers_snapshot(soak_t *s, size_t instance, const char *from);
 /* Returns the line of an instance's log with @event of the request @id, or NULL. */
