fleet: customers are refused by their use beyond an equal share, with or without an allowance

The queue that a request may wait for shrank by a customer's use in proportion to its allowance: a customer without one was never refused first, and tokens were compared with requests.

--- a/lib/fleet/usage.c
+++ b/lib/fleet/usage.c
@@ -11,9 +11,10 @@
 #define SOURCES_INTERVAL (500 * AP_MSEC)
 #define USES_MAX 512 /* customers in one report */
 #define MILLI 1000.0
-/* Of the wait that others bear, at least, for customers who use more than their part. */
-#define PATIENCE_MIN 0.3
-#define EXCESS_MIN 1.2 /* ratio of a customer's use to its part that counts as more */
+/* Of the wait that others bear, at least; at 0.3 large requests still filled the queues. */
+#define PATIENCE_MIN 0.15
+/* Ratio of a customer's use to an equal share that counts as more; chance alone reaches 1.2. */
+#define EXCESS_MIN 1.5
 
 ap_quota_t *ap_fleet_quota(ap_fleet_t *f)
 {
@@ -123,12 +124,15 @@
 }
 
 /*
- * Where upstreams are busy, customers who use more than their part are refused before others, so
- * that one's flood does not fill the queues for all.
+ * Where upstreams are busy, customers who use more than an equal share are refused before others,
+ * so that one's flood does not fill the queues for all. Requests that make up EXCESS_MIN of an
+ * equal share may wait like those of others, so that nobody is shut out.
  */
 double ap_usage_patience(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now)
 {
 	double excess = req->customer ? ap_quota_excess(f->quota, req->customer->name, now) : 0;
 
-	return excess > EXCESS_MIN ? fmax(1 / excess, PATIENCE_MIN) : 1;
+	if (excess <= EXCESS_MIN || ap_rng_unit(&f->rng) < EXCESS_MIN / excess)
+		return 1;
+	return fmax(1 / excess, PATIENCE_MIN);
 }
--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -6,6 +6,7 @@
 
 #include <uthash.h>
 
+#define UNITS 2		   /* of ap_unit_t */
 #define SENDERS_MAX 4	   /* of one remote region */
 #define CUSTOMERS_MAX 4096 /* more than a deployment's; the rest are not limited */
 
@@ -58,6 +59,7 @@
 typedef struct ap_quota_customer {
 	UT_hash_handle hh;
 	uint32_t tag;
+	ap_unit_t unit;
 	double rate;
 	double burst;
 	double level;
@@ -109,8 +111,8 @@
  * @weight: number of all instances, this one included
  * @silent: of these, in silent sources
  * @counted_at: when these two were counted; 0 if they have to be counted again
- * @use: units per second that all customers use, as of @summed_at
- * @entitled: sum of the rates of those who use some
+ * @use: units per second that all customers use, by unit, as of @summed_at
+ * @users: number of customers who use some
  */
 struct ap_quota {
 	ap_quota_config_t config;
@@ -122,8 +124,8 @@
 	double silent;
 	ap_usec_t counted_at;
 	ap_usec_t summed_at;
-	double use;
-	double entitled;
+	double use[UNITS];
+	double users[UNITS];
 };
 
 /* quota.c */
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define RATE_TIME 1.0		      /* seconds over which rates are averaged */
 #define SILENT_AFTER (1500 * AP_MSEC) /* above the longest interval of reports */
@@ -14,6 +15,7 @@
 #define SUM_INTERVAL (200 * AP_MSEC)
 #define RECOUNT_INTERVAL (50 * AP_MSEC) /* far below SILENT_AFTER */
 #define KEPT_TIME (60 * AP_SEC) /* for customers who are no longer listed, since their last use */
+#define USE_MIN 0.01		/* units per second, of a customer who counts as using some */
 #define COST_MAX 1e15		/* units of one request; sums of them fit into 64 bits */
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
@@ -233,6 +235,7 @@
 		if (!c)
 			continue;
 		c->listed = true;
+		c->unit = customers[i].unit;
 		if (c->rate != customers[i].rate || c->burst != customers[i].burst)
 			set_limits(q, c, &customers[i], now);
 	}
@@ -440,18 +443,19 @@
 	return admitted + ap_quota_rate(&c->admitted, now);
 }
 
+/* Customers are compared with those who count the same unit. */
 static void sum_use(ap_quota_t *q, ap_usec_t now)
 {
-	if (q->summed_at != 0 && now - q->summed_at < SUM_INTERVAL)
+	if (q->summed_at != 0 && now >= q->summed_at && now - q->summed_at < SUM_INTERVAL)
 		return;
 	q->summed_at = now;
-	q->use = 0;
-	q->entitled = 0;
+	memset(q->use, 0, sizeof(q->use));
+	memset(q->users, 0, sizeof(q->users));
 	for (const ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
-		double use = use_of(c, now);
+		double use = c->listed ? use_of(c, now) : 0;
 
-		q->use += use;
-		q->entitled += use > 0 ? c->rate : 0;
+		q->use[c->unit] += use;
+		q->users[c->unit] += use >= USE_MIN;
 	}
 }
 
@@ -461,10 +465,10 @@
 	ap_quota_customer_t *c;
 
 	HASH_FIND(hh, q->customers, &tag, sizeof(tag), c);
-	if (!c || c->rate <= 0)
+	if (!c)
 		return 0;
 	sum_use(q, now);
-	if (q->use <= 0 || q->entitled <= 0)
+	if (q->use[c->unit] <= 0)
 		return 0;
-	return use_of(c, now) / q->use / (c->rate / q->entitled);
+	return use_of(c, now) * q->users[c->unit] / q->use[c->unit];
 }
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -113,8 +113,9 @@
 size_t ap_quota_report(ap_quota_t *q, bool region, ap_quota_use_t *out, size_t max, ap_usec_t now);
 
 /**
- * ap_quota_excess() - how much of what all customers use @customer uses, as a ratio to its part of
- * all allowances: 1 for its part, 0 if that isn't known or it has no allowance.
+ * ap_quota_excess() - how much of what all customers use @customer uses, as a ratio to an equal
+ * share among those who use some: 1 for its share, 0 if that isn't known. With or without an
+ * allowance; customers are compared with those who count the same unit.
  */
 double ap_quota_excess(ap_quota_t *q, const char *customer, ap_usec_t now);
 
