--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define SILENT_AFTER (1500 * AP_MSEC) /* above the longest interval of reports */
 #define LOW_SHARE 0.5		      /* of the burst; below it instances keep to their shares */
@@ -14,6 +15,7 @@
 #define SUM_INTERVAL (200 * AP_MSEC)
 #define RECOUNT_INTERVAL (50 * AP_MSEC) /* far below SILENT_AFTER */
 #define KEPT_TIME (60 * AP_SEC) /* for customers who are no longer listed, since their last use */
+#define USE_MIN 0.01		/* units per second, of a customer who counts as using some */
 #define COST_MAX 1e15		/* units of one request; sums of them fit into 64 bits */
 #define WAIT_MIN (50 * AP_MSEC)
 #define WAIT_MAX (30 * AP_SEC)
@@ -233,6 +235,7 @@
 		if (!c)
 			continue;
 		c->listed = true;
+		c->unit = customers[i].unit;
 		if (c->rate != customers[i].rate || c->burst != customers[i].burst)
 			set_limits(q, c, &customers[i], now);
 	}
@@ -440,20 +443,31 @@
 	return admitted + ap_quota_rate(&c->admitted, now);
 }
 
-/* Averages what customers use over some seconds: a few large requests are no flood. */
+/* Customers are entitled to parts of what there is by their allowances; without one, as to 1. */
+static double part_of(const ap_quota_customer_t *c)
+{
+	return c->rate > 0 ? c->rate : 1;
+}
+
+/*
+ * Averages what customers use over some seconds, as a few large requests are no flood. Customers
+ * are compared with those who count the same unit.
+ */
 static void sum_use(ap_quota_t *q, ap_usec_t now)
 {
 	double gain = 1 - exp(-seconds(now - q->summed_at) / STEADY_TIME);
 
-	if (q->summed_at != 0 && now - q->summed_at < SUM_INTERVAL)
+	if (q->summed_at != 0 && now >= q->summed_at && now - q->summed_at < SUM_INTERVAL)
 		return;
+	if (q->summed_at == 0 || now < q->summed_at)
+		gain = 1;
 	q->summed_at = now;
-	q->use = 0;
-	q->entitled = 0;
+	memset(q->use, 0, sizeof(q->use));
+	memset(q->entitled, 0, sizeof(q->entitled));
 	for (ap_quota_customer_t *c = q->customers; c; c = c->hh.next) {
-		c->steady += gain * (use_of(c, now) - c->steady);
-		q->use += c->steady;
-		q->entitled += c->steady > 0 ? c->rate : 0;
+		c->steady += gain * ((c->listed ? use_of(c, now) : 0) - c->steady);
+		q->use[c->unit] += c->steady;
+		q->entitled[c->unit] += c->steady >= USE_MIN ? part_of(c) : 0;
 	}
 }
 
@@ -463,10 +477,10 @@
 	ap_quota_customer_t *c;
 
 	HASH_FIND(hh, q->customers, &tag, sizeof(tag), c);
-	if (!c || c->rate <= 0)
+	if (!c)
 		return 0;
 	sum_use(q, now);
-	if (q->use <= 0 || q->entitled <= 0)
+	if (q->use[c->unit] <= 0 || q->entitled[c->unit] <= 0)
 		return 0;
-	return c->steady / q->use / (c->rate / q->entitled);
+	return c->steady / q->use[c->unit] / (part_of(c) / q->entitled[c->unit]);
 }
