http: a response whose status isn't three digits from 100 to 599 is malformed

The library reads the status as a number of any length, up to the first byte that is no digit. So 600, 999, 2000, 0200 and "200x" were passed on, and 0100 and "199x" were taken for interim responses.

The syntax reader, which sees the bytes before the library does, now wants one blank, three digits from 100 to 599, and then a blank or the end of the line. The attempt fails as one that may have run.

--- a/adapters/http/syntax.c
+++ b/adapters/http/syntax.c
@@ -10,8 +10,10 @@
 #define CODING "transfer-encoding"
 #define SIZE_DIGITS 15 /* of a chunk */
 #define SIZE_MAX_BYTES ((UINT64_C(1) << 4 * SIZE_DIGITS) - 1)
-#define STATUS_AT 9 /* offset of the status code in a status line */
+#define STATUS_AT 9 /* offset of the status code in a status line, after one blank */
 #define STATUS_END 12
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 #define READ_CHUNK 512 /* bytes examined at a time */
 
 static bool is_token(char c)
@@ -62,10 +64,17 @@
 		s->place = AP_HTTP_AT_DATA;
 }
 
+/* Returns whether the status line has come as far as a status that exists. */
+static bool has_status(const ap_http_syntax_t *s)
+{
+	return s->n >= STATUS_END && s->status >= STATUS_MIN && s->status <= STATUS_MAX;
+}
+
 static void end_line(ap_http_syntax_t *s)
 {
 	switch (s->place) {
 	case AP_HTTP_AT_START_LINE:
+		s->malformed |= s->response && s->n > 0 && !has_status(s);
 		if (s->n > 0)
 			go_to(s, AP_HTTP_AT_NAME);
 		break;
@@ -89,10 +98,18 @@
 	}
 }
 
+/*
+ * The library reads the status as a number of any length and sign, up to what is no digit. The
+ * reason behind it may be missing, and the blank before that.
+ */
 static void take_start(ap_http_syntax_t *s, char c)
 {
-	if (s->response && s->n >= STATUS_AT && s->n < STATUS_END && isdigit((unsigned char)c))
+	if (s->response && s->n >= STATUS_AT && s->n < STATUS_END) {
+		s->malformed |= !isdigit((unsigned char)c);
 		s->status = s->status * 10 + c - '0';
+	} else if (s->response && (s->n == STATUS_AT - 1 || s->n == STATUS_END)) {
+		s->malformed |= c != ' ' || (s->n == STATUS_END && !has_status(s));
+	}
 	s->n++;
 }
 
