http: an answer with an invalid status shows no life of an upstream

The connection beside an unframed response took any head that begins with "HTTP/1." and names the upstream for an answer, whatever its status, so the response before it was passed on as complete.

Test first, seen to fail before: http_witness_test, a health check with status 999. It and http_witness_relay_test pass.

--- a/adapters/http/witness.c
+++ b/adapters/http/witness.c
@@ -152,6 +152,7 @@
 {
 	struct evbuffer *in = bufferevent_get_input(bev);
 	struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	ap_http_syntax_t syntax = {.response = true};
 	size_t len = end.pos < 0 ? evbuffer_get_length(in) : (size_t)end.pos + 2;
 	ap_http_witness_t *w = arg;
 	char head[ANSWER_MAX];
@@ -162,7 +163,8 @@
 			return;
 		evbuffer_copyout(in, head, len);
 		head[len] = '\0';
-		if (is_answer(w, head)) {
+		ap_http_syntax_read(&syntax, in, evbuffer_get_length(in));
+		if (!syntax.malformed && is_answer(w, head)) {
 			finish(w, true);
 			return;
 		}
--- a/test/http_witness_rig.h
+++ b/test/http_witness_rig.h
@@ -35,6 +35,7 @@
 #define HEALTH "HTTP/1.1 200 OK\r\nInstance-Id: " INSTANCE "\r\nContent-Length: 0\r\n\r\n"
 #define ANOTHER "HTTP/1.1 200 OK\r\ninstance-id:i-11\r\nContent-Length: 0\r\n\r\n"
 #define REFUSAL "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+#define INVALID "HTTP/1.1 999 OK\r\nInstance-Id: " INSTANCE "\r\nContent-Length: 0\r\n\r\n"
 #define FRAMED "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull"
 
 /* What the process is told through its pipe. */
@@ -44,7 +45,8 @@
 	CLOSE_LISTENER = 'l',
 	ACCEPT_NOTHING = 'n',
 	NAME_ANOTHER = 'i', /* its health checks name another process, */
-	REFUSE = 'f',	    /* or are refused */
+	REFUSE = 'f',	    /* or are refused, */
+	BE_INVALID = 'v',   /* or have an invalid status */
 };
 
 /* An upstream that is a process: responds on each connection that carries a request. */
@@ -87,6 +89,10 @@
 		c->health = what == REFUSE ? REFUSAL : ANOTHER;
 		return;
 	}
+	if (what == BE_INVALID) {
+		c->health = INVALID;
+		return;
+	}
 	if (what == CLOSE_LISTENER || what == ACCEPT_NOTHING) {
 		if (what == CLOSE_LISTENER)
 			close(c->polls[1].fd);
--- a/test/http_witness_test.c
+++ b/test/http_witness_test.c
@@ -183,6 +183,23 @@
 	process_kill(&p);
 }
 
+/* Guards against bytes that are no response and show life, as they name the process. */
+static void an_answer_with_an_invalid_status_shows_no_life(void **state)
+{
+	process_t p;
+	rig_t r;
+
+	(void)state;
+	process_start(&p, 0);
+	rig_init(&r);
+	begin(&r, &p);
+	process_tell(&p, BE_INVALID);
+	process_tell(&p, CLOSE_RESPONSE);
+	assert_false(lives(&r));
+	rig_clear(&r);
+	process_kill(&p);
+}
+
 static void a_freed_witness_calls_nobody(void **state)
 {
 	process_t p;
@@ -212,6 +229,7 @@
 		cmocka_unit_test(a_stopped_process_lives_on),
 		cmocka_unit_test(where_no_connection_is_made_in_time_none_shows_life),
 		cmocka_unit_test(a_process_at_an_ipv6_address_lives_on),
+		cmocka_unit_test(an_answer_with_an_invalid_status_shows_no_life),
 		cmocka_unit_test(a_freed_witness_calls_nobody),
 	};
 
