fleet, quota: what second attempts ask, and what they show

Second attempts need to know whether an upstream has a free slot and whether a customer is over its allowance, without charging it. An attempt that a second one overtook ends as AP_DISPATCH_SLOWER: no failure, but the upstream counts as slower by what its response had taken until then. As cancelled ones they would say nothing, so a slow upstream would keep its requests.

--- a/lib/fleet/ejection.c
+++ b/lib/fleet/ejection.c
@@ -109,6 +109,7 @@
 		break;
 	case AP_DISPATCH_WEIGHTS:
 	case AP_DISPATCH_CANCELLED:
+	case AP_DISPATCH_SLOWER:
 		break;
 	}
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -204,6 +204,7 @@
 	AP_DISPATCH_BROKEN,	    /* truncated or invalid response, or connection reset */
 	AP_DISPATCH_TIMED_OUT,	    /* nothing arrived within the time limit */
 	AP_DISPATCH_CANCELLED,	    /* the caller disconnected; says nothing about the target */
+	AP_DISPATCH_SLOWER,	    /* a second attempt responded first */
 } ap_dispatch_result_t;
 
 /**
@@ -459,6 +460,11 @@
  */
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 				  ap_target_t *target);
+/**
+ * ap_fleet_has_free_slot() - returns whether upstream @id processes fewer requests than it has
+ * slots, as far as known.
+ */
+bool ap_fleet_has_free_slot(const ap_fleet_t *f, const char *id, const ap_plan_pool_t *pool);
 /** ap_fleet_sent() - @req is being sent to @target; initializes @inflight. */
 void ap_fleet_sent(ap_fleet_t *f, const ap_dispatch_t *req, const ap_target_t *target,
 		   ap_usec_t now, ap_inflight_t *inflight);
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -98,6 +98,13 @@
 	return slots ? slots : 1;
 }
 
+bool ap_fleet_has_free_slot(const ap_fleet_t *f, const char *id, const ap_plan_pool_t *pool)
+{
+	const ap_replica_t *r = ap_replica_find(f, id);
+
+	return r && ap_replica_running(r) < ap_replica_slots(r, pool);
+}
+
 static double mean_us(const ap_pool_state_t *p, const ap_plan_pool_t *pool)
 {
 	if (p && p->mean_us > 0)
@@ -485,6 +492,10 @@
 		ap_suspect_completed(f, inflight, now);
 	} else if (end == AP_DISPATCH_BROKEN) {
 		ap_break_seen(f, r, inflight, now);
+	} else if (end == AP_DISPATCH_SLOWER && !inflight->has_first_chunk &&
+		   now - inflight->sent > inflight->expected) {
+		/* Its response would have come later still. */
+		learn_slowdown(r, inflight, now);
 	}
 	ap_replica_record_result(f, r, end, inflight->trial, now);
 }
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -302,6 +302,18 @@
 	return true;
 }
 
+bool ap_quota_is_over(ap_quota_t *q, const ap_customer_t *customer, ap_usec_t now)
+{
+	uint32_t tag = ap_quota_tag(customer->name);
+	ap_quota_customer_t *c;
+
+	HASH_FIND(hh, q->customers, &tag, sizeof(tag), c);
+	if (!c || !ap_customer_limited(customer))
+		return false;
+	ap_quota_refill(q, c, now);
+	return c->level - unreported(c, now) < 0;
+}
+
 void ap_quota_refund(ap_quota_t *q, const char *customer, double cost, ap_usec_t now)
 {
 	ap_quota_customer_t *c = ap_quota_customer(q, ap_quota_tag(customer), now);
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -74,6 +74,11 @@
  */
 bool ap_quota_take(ap_quota_t *q, const ap_customer_t *c, double cost, ap_usec_t now,
 		   ap_quota_verdict_t *verdict);
+/**
+ * ap_quota_is_over() - returns whether @customer has used up its allowance, as estimated. Counts
+ * nothing.
+ */
+bool ap_quota_is_over(ap_quota_t *q, const ap_customer_t *customer, ap_usec_t now);
 /** ap_quota_refund() - a request that was counted did not run. */
 void ap_quota_refund(ap_quota_t *q, const char *customer, double cost, ap_usec_t now);
 
--- a/test/quota_test.c
+++ b/test/quota_test.c
@@ -375,6 +375,27 @@
 }
 
 /* Requests of up to twice the burst aren't starved, and don't break the bound. */
+/* Guards against second attempts for a customer who has nothing left, and against charges. */
+static void a_question_counts_nothing(void **state)
+{
+	const ap_customer_t c = {.name = "c", .rate = 10, .burst = 20};
+	const ap_customer_t unlimited = {.name = "u"};
+	ap_quota_t *q = ap_quota_new(&(ap_quota_config_t){.window = 8 * AP_SEC});
+	ap_quota_verdict_t v;
+	ap_usec_t now = 100 * AP_SEC;
+
+	(void)state;
+	ap_quota_set_limits(q, &c, 1, now);
+	assert_false(ap_quota_is_over(q, &c, now));
+	assert_false(ap_quota_is_over(q, &unlimited, now));
+	/* More than the burst fits into a full bucket, and overdraws it. */
+	assert_true(ap_quota_take(q, &c, 30, now, &v));
+	assert_true(ap_quota_is_over(q, &c, now));
+	assert_true(ap_quota_is_over(q, &c, now + AP_SEC / 2));
+	assert_false(ap_quota_is_over(q, &c, now + 3 * AP_SEC));
+	ap_quota_free(q);
+}
+
 static void small_customer_with_large_requests(void **state)
 {
 	world_t *w = world_new(77, 47000 / 1.8, 23000);
@@ -403,6 +424,7 @@
 		cmocka_unit_test(third_of_300_cut_off_for_10_s),
 		cmocka_unit_test(limit_lowered),
 		cmocka_unit_test(restarts_in_a_row),
+		cmocka_unit_test(a_question_counts_nothing),
 		cmocka_unit_test(small_customer_with_large_requests),
 	};
 
