exchange: a second attempt beside one that is slow to respond

Where the driver has the callbacks slow_after and second, an attempt without a response after that time may have a second one beside it, at another upstream of the region. It is decided once for each attempt, and one is sent at most for a request. If the second one is refused or fails, the first one goes on and nothing is sent for it.

Streams get one only if the route leaves another attempt, since they may need it to go on elsewhere or to have their end confirmed. A target that is denied stays usable for retries.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -7,6 +7,8 @@
 void ap_attempt_reset(const ap_exchange_t *x, ap_attempt_t *a)
 {
 	a->has_head = false;
+	a->slow_at = AP_NEVER;
+	a->second = false;
 	a->checking = false;
 	/* What the caller has may come again. */
 	a->resuming = x->committed || x->last_event_id[0] != '\0';
@@ -270,7 +272,7 @@
 		return;
 	}
 	if (ordered > 0) {
-		ap_attempt_take_over(x, a);
+		ap_attempt_take_over(x, a, now);
 		keep_build(x);
 		deliver_ordered(x, a, from, from + ordered, now);
 		a->resuming = false;
@@ -295,7 +297,7 @@
 
 void ap_attempt_deliver(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	ap_attempt_take_over(x, a);
+	ap_attempt_take_over(x, a, now);
 	deliver_range(x, a, 0, a->buffer_len, now);
 	commit(x, a);
 	x->finished = true;
@@ -348,7 +350,7 @@
 		return;
 	if (a->buffer_len + len > BUFFERED_MAX && is_success(a) && !x->stream) {
 		/* The response is too large to be held until it is complete. */
-		ap_attempt_take_over(x, a);
+		ap_attempt_take_over(x, a, now);
 		deliver_range(x, a, 0, a->buffer_len, now);
 		a->buffer_len = 0;
 	}
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -19,29 +19,16 @@
  * The rule allows 400 ms; the head's way here and the cancel's way back take a part of them.
  */
 #define BESIDE_MAX (100 * AP_MSEC)
-#define RETRY_AFTER_MIN (100 * AP_MSEC)
-#define RETRY_AFTER_DEFAULT (500 * AP_MSEC) /* when no wait is known */
-#define RETRY_AFTER_DIVISOR 3  /* Retry-After is at most the remaining time divided by this */
 #define CONNECT_FAILURES_MAX 8 /* failed connections before a request is given up */
 #define WEIGHTS_REFUSALS_MAX 4 /* upstreams that are asked in vain for a version of the weights */
 
-static ap_attempt_t *other_than(ap_exchange_t *x, const ap_attempt_t *a)
-{
-	return &x->slot[a == &x->slot[0]];
-}
-
-static unsigned in_flight(const ap_exchange_t *x)
-{
-	return x->slot[0].in_flight + x->slot[1].in_flight;
-}
-
 static void finish_attempt(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end)
 {
 	a->in_flight = false;
 	x->ops->done(x->ctx, &a->inflight, end);
 }
 
-static void cancel_attempt(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end)
+void ap_attempt_cancel(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end)
 {
 	if (!a->in_flight)
 		return;
@@ -54,28 +41,7 @@
 {
 	x->runs += in_flight(x);
 	for (unsigned i = 0; i < AP_SLOTS; i++)
-		cancel_attempt(x, &x->slot[i], end);
-}
-
-/*
- * When a refused caller should retry. For a request that would be too late: after the part of the
- * expected wait that exceeds half of the latency objective.
- */
-static ap_usec_t retry_after(const ap_exchange_t *x, ap_usec_t now)
-{
-	ap_usec_t left = (x->req.deadline - now) / RETRY_AFTER_DIVISOR;
-	ap_usec_t wait = RETRY_AFTER_DEFAULT;
-
-	/* Earlier, it would be refused again. */
-	if (x->pause > 0)
-		return x->pause < RETRY_AFTER_MIN ? RETRY_AFTER_MIN : x->pause;
-	if (x->reason == AP_REASON_TOO_LATE)
-		wait = x->target.wait - x->req.route->objective / 2;
-	else if (x->reason == AP_REASON_HELD)
-		wait = x->target.wait;
-	if (wait > left)
-		wait = left;
-	return wait < RETRY_AFTER_MIN ? RETRY_AFTER_MIN : wait;
+		ap_attempt_cancel(x, &x->slot[i], end);
 }
 
 /*
@@ -101,14 +67,14 @@
 		return;
 	}
 	if (x->runs == 0 && reason != AP_REASON_TIMEOUT)
-		x->ops->reply(x->ctx, 503, retry_after(x, now), reason);
+		x->ops->reply(x->ctx, 503, ap_exchange_retry_after(x, now), reason);
 	else if (x->runs == 0)
 		x->ops->reply(x->ctx, 503, RETRY_AFTER_MIN, reason);
 	else
 		x->ops->reply(x->ctx, reason == AP_REASON_TIMEOUT ? 504 : 502, 0, reason);
 }
 
-static void add_name(char (*names)[AP_NAME_MAX], size_t *n, const char *id)
+void ap_names_add(char (*names)[AP_NAME_MAX], size_t *n, const char *id)
 {
 	for (size_t i = 0; i < *n; i++) {
 		if (strcmp(names[i], id) == 0)
@@ -125,20 +91,36 @@
 
 static void avoid(ap_exchange_t *x, const char *id)
 {
-	add_name(x->req.avoid, &x->req.n_avoid, id);
+	ap_names_add(x->req.avoid, &x->req.n_avoid, id);
 }
 
 static ap_step_t step_for_send(const ap_exchange_t *x, const ap_attempt_t *a)
 {
+	if (a->second)
+		return AP_STEP_SECOND;
 	if (x->sends == 1)
 		return AP_STEP_SENT;
 	return a->resuming ? AP_STEP_RESUMED : AP_STEP_RETRIED;
 }
 
-static bool send_to_target(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+/* Returns from when on @a, which is sent @now, is slow. */
+static ap_usec_t slow_at(const ap_exchange_t *x, const ap_attempt_t *a, ap_usec_t now)
+{
+	ap_usec_t after = x->ops->slow_after && !a->second ? x->ops->slow_after(x->ctx, &a->target)
+							   : AP_NEVER;
+
+	return after < AP_NEVER - now ? now + after : AP_NEVER;
+}
+
+bool ap_attempt_send(ap_exchange_t *x, ap_attempt_t *a, const ap_target_t *target, bool second,
+		     ap_usec_t now)
 {
 	ap_attempt_reset(x, a);
-	a->target = x->target;
+	x->target = *target;
+	a->target = *target;
+	a->second = second;
+	a->sent_at = now;
+	a->slow_at = slow_at(x, a, now);
 	a->last_chunk_at = now;
 	a->piece_at = now;
 	if (!x->ops->send(x->ctx, slot_of(x, a), &a->target,
@@ -153,25 +135,6 @@
 	return true;
 }
 
-static ap_reason_t reason_for(const ap_exchange_t *x, ap_fleet_status_t status)
-{
-	if (status == AP_FLEET_HELD)
-		return AP_REASON_HELD;
-	if (x->refusals > 0)
-		return AP_REASON_REFUSED;
-	if (status == AP_FLEET_BACKOFF)
-		return AP_REASON_BACKOFF;
-	return status == AP_FLEET_LATE ? AP_REASON_TOO_LATE : AP_REASON_NO_UPSTREAM;
-}
-
-/* Returns how long the request can't be sent, as far as all targets said so; 0 for unknown. */
-static ap_usec_t pause_for(const ap_exchange_t *x, ap_fleet_status_t status)
-{
-	if (status == AP_FLEET_BACKOFF)
-		return x->target.wait;
-	return status == AP_FLEET_NONE && x->untold == 0 ? x->told : 0;
-}
-
 /*
  * Sends the request to the best remaining target, in the slot of @a, or sets @no_other to the
  * reason why it can't.
@@ -184,8 +147,8 @@
 		ap_fleet_status_t status = x->ops->choose(x->ctx, &x->req, &x->target);
 
 		if (status != AP_FLEET_OK) {
-			x->no_other = reason_for(x, status);
-			x->pause = pause_for(x, status);
+			x->no_other = ap_exchange_reason(x, status);
+			x->pause = ap_exchange_pause_for(x, status);
 			return false;
 		}
 		x->pause = 0;
@@ -193,7 +156,7 @@
 			x->no_other = AP_REASON_BUDGET;
 			return false;
 		}
-		if (send_to_target(x, a, now))
+		if (ap_attempt_send(x, a, &x->target, false, now))
 			return true;
 	}
 	x->no_other = AP_REASON_NO_UPSTREAM;
@@ -277,7 +240,7 @@
 		x->connect_failures++;
 	}
 	if (other_goes_on(x, a, now)) {
-		if (!was_current && may_try_another(x))
+		if (!was_current && !a->second && may_try_another(x))
 			send_to_other(x, now);
 		return;
 	}
@@ -287,15 +250,6 @@
 		reply_error(x, AP_REASON_NO_UPSTREAM, now);
 }
 
-static void count_refusal(ap_exchange_t *x, ap_usec_t retry_after)
-{
-	x->refusals++;
-	if (retry_after <= 0)
-		x->untold++;
-	else if (x->told == 0 || retry_after < x->told)
-		x->told = retry_after;
-}
-
 static ap_dispatch_result_t refusal_of(const ap_attempt_t *a)
 {
 	if (a->head.weights_refused)
@@ -307,7 +261,7 @@
 {
 	finish_attempt(x, a, refusal_of(a));
 	x->weights_refusals += a->head.weights_refused;
-	count_refusal(x, a->head.retry_after);
+	ap_exchange_count_refusal(x, a->head.retry_after);
 	x->ops->log_step(x->ctx, AP_STEP_REFUSED_BY, &a->target);
 	attempt_refused(x, a, a->head.unsent, now);
 }
@@ -347,12 +301,28 @@
 	if (end == AP_DISPATCH_TIMED_OUT || end == AP_DISPATCH_WEIGHTS)
 		avoid(x, a->target.id);
 	else
-		add_name(x->req.tried, &x->req.n_tried, a->target.id);
+		ap_names_add(x->req.tried, &x->req.n_tried, a->target.id);
 	if (!go_on_elsewhere(x, a, now))
 		reply_error(x, reason, now);
 }
 
-void ap_attempt_take_over(ap_exchange_t *x, ap_attempt_t *a)
+/* Until when @a may send no data at first. */
+static ap_usec_t no_data_until(const ap_exchange_t *x, const ap_attempt_t *a, ap_usec_t since)
+{
+	return since + NO_DATA_WAITS * a->target.wait +
+	       x->req.route->objective / NO_DATA_OBJECTIVE_DIVISOR;
+}
+
+/* Returns what it says of the target of @other, which is current, that @a has the response. */
+static ap_dispatch_result_t loss_of(const ap_exchange_t *x, const ap_attempt_t *other,
+				    const ap_attempt_t *a, ap_usec_t now)
+{
+	if (a->second && now < no_data_until(x, other, other->last_chunk_at))
+		return AP_DISPATCH_SLOWER;
+	return AP_DISPATCH_TIMED_OUT;
+}
+
+void ap_attempt_take_over(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
 	ap_attempt_t *other = other_than(x, a);
 	bool replaces = a != current(x);
@@ -361,7 +331,7 @@
 	if (!other->in_flight)
 		return;
 	x->runs++;
-	cancel_attempt(x, other, replaces ? AP_DISPATCH_TIMED_OUT : AP_DISPATCH_CANCELLED);
+	ap_attempt_cancel(x, other, replaces ? loss_of(x, other, a, now) : AP_DISPATCH_CANCELLED);
 	x->ops->log_step(x->ctx, AP_STEP_CANCELLED, &other->target);
 }
 
@@ -384,7 +354,7 @@
 
 	finish_attempt(x, a, error ? AP_DISPATCH_ERROR : AP_DISPATCH_DONE);
 	x->runs++;
-	add_name(x->req.tried, &x->req.n_tried, a->target.id);
+	ap_names_add(x->req.tried, &x->req.n_tried, a->target.id);
 	if ((error || x->committed || (in_flight(x) > 0 && !deliverable)) &&
 	    go_on_elsewhere(x, a, now))
 		return;
@@ -396,7 +366,7 @@
 
 static void deliver_success(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
-	ap_attempt_take_over(x, a);
+	ap_attempt_take_over(x, a, now);
 	x->ops->first_chunk(x->ctx, &a->inflight);
 	finish_attempt(x, a, AP_DISPATCH_DONE);
 	x->runs++;
@@ -536,8 +506,7 @@
 	/* A stream that goes on has begun, so its objective says nothing of its next event. */
 	if (x->stream && (a->inflight.has_first_chunk || (x->committed && a->accepted_at != 0)))
 		return route->event_gap > 0 ? since + route->event_gap : AP_NEVER;
-	return since + NO_DATA_WAITS * a->target.wait +
-	       route->objective / NO_DATA_OBJECTIVE_DIVISOR;
+	return no_data_until(x, a, since);
 }
 
 /*
@@ -560,20 +529,22 @@
 	return x->committed ? x->timeout_at + ABORT_MARGIN : x->timeout_at;
 }
 
+static ap_usec_t earlier(ap_usec_t a, ap_usec_t b)
+{
+	return a < b ? a : b;
+}
+
 ap_usec_t ap_exchange_due(const ap_exchange_t *x)
 {
-	ap_usec_t silent = silent_until(x);
-	ap_usec_t beside = beside_until(x);
-	ap_usec_t settled = ap_exchange_settled_at(x);
-	ap_usec_t abort = abort_at(x);
+	ap_usec_t due = abort_at(x);
 
 	if (x->finished)
 		return AP_NEVER;
-	if (settled < abort)
-		abort = settled;
-	if (beside < abort)
-		return beside;
-	return silent < abort ? silent : abort;
+	due = earlier(due, ap_exchange_settled_at(x));
+	due = earlier(due, beside_until(x));
+	due = earlier(due, ap_exchange_unaccepted_until(x));
+	due = earlier(due, ap_exchange_second_due(x));
+	return earlier(due, silent_until(x));
 }
 
 void ap_exchange_tick(ap_exchange_t *x, ap_usec_t now)
@@ -588,8 +559,12 @@
 		reply_error(x, AP_REASON_TIMEOUT, now);
 	} else if (now >= beside_until(x)) {
 		x->waits_since = now;
-		ap_attempt_take_over(x, &x->slot[!x->current]);
+		ap_attempt_take_over(x, &x->slot[!x->current], now);
+	} else if (now >= ap_exchange_unaccepted_until(x)) {
+		ap_exchange_drop_second(x);
 	} else if (now >= silent_until(x)) {
 		send_to_other(x, now);
+	} else if (now >= ap_exchange_second_due(x)) {
+		ap_exchange_send_second(x, now);
 	}
 }
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -113,6 +113,7 @@
 	AP_STEP_UNREACHABLE,
 	AP_STEP_FAILED_AT,
 	AP_STEP_TIMED_OUT, /* no data came for too long, so another target is tried beside it */
+	AP_STEP_SECOND,	   /* sent to a second target too, as the first one is slow to respond */
 	AP_STEP_CANCELLED, /* of two targets, the other one has accepted the stream, or responded */
 	AP_STEP_CALLER_DISCONNECTED,
 	AP_STEP_GIVEN_UP, /* this instance generates the final response, or aborts it */
@@ -131,6 +132,10 @@
  * @choose: chooses the target for @req; with AP_FLEET_LATE @target holds the best one nevertheless
  * @may_retry: takes one retry from this instance's part of the retry budget. Return: false when it
  *	is spent
+ * @slow_after: returns how long after the send to @target, in microseconds, an attempt without a
+ *	response is slow, so that @second is asked; AP_NEVER for never. NULL without second attempts
+ * @second: decides whether a second attempt is sent, beside the slow one that was sent @elapsed
+ *	microseconds ago to @first; takes it from the budgets. @target is NULL if there is none
  * @send: opens a connection to @target for @slot and sends the request; @last_event_id is NULL
  *	unless a stream is resumed. Return: false when nothing was sent
  * @sent: records the request as in flight at @target and fills @inflight
@@ -158,6 +163,9 @@
 typedef struct ap_exchange_ops {
 	ap_fleet_status_t (*choose)(void *ctx, const ap_dispatch_t *req, ap_target_t *target);
 	bool (*may_retry)(void *ctx);
+	ap_usec_t (*slow_after)(void *ctx, const ap_target_t *target);
+	bool (*second)(void *ctx, const ap_target_t *first, ap_usec_t elapsed,
+		       const ap_target_t *target);
 	bool (*send)(void *ctx, unsigned slot, const ap_target_t *target,
 		     const char *last_event_id);
 	void (*sent)(void *ctx, const ap_target_t *target, ap_inflight_t *inflight);
@@ -182,6 +190,9 @@
  * @has_head: @head holds the target's response head
  * @head_at: when it arrived
  * @head_in_time: it arrived before the deadline that the target was told
+ * @sent_at: when it was sent
+ * @slow_at: from when on it is slow if it has no response; AP_NEVER for never, or once decided
+ * @second: it was sent because the other one is slow
  * @checking: the response ended with its connection, and the driver checks the target
  * @marked: the end of the forwarded stream bears the mark that it is in doubt
  * @behind: the last event that it has repeated isn't the last one that was delivered
@@ -210,6 +221,9 @@
 	bool has_head;
 	ap_usec_t head_at;
 	bool head_in_time;
+	ap_usec_t sent_at;
+	ap_usec_t slow_at;
+	bool second;
 	bool checking;
 	bool marked;
 	bool behind;
@@ -247,6 +261,7 @@
  * @attempts: how many times the request may run
  * @runs: how many times it may have run so far, without what is in flight
  * @sends: how many times it reached a target, whether refused or not
+ * @seconds: second attempts that were sent because the first one was slow; at most one
  * @connect_failures: how many targets could not be reached
  * @weights_refusals: refusals by targets that have another version of the weights
  * @weights_differ: responses that would have gone on at another version of the weights
@@ -294,6 +309,7 @@
 	unsigned attempts;
 	unsigned runs;
 	unsigned sends;
+	unsigned seconds;
 	unsigned refusals;
 	unsigned untold;
 	ap_usec_t told;
--- a/lib/exchange/names.c
+++ b/lib/exchange/names.c
@@ -22,8 +22,8 @@
 const char *ap_step_name(ap_step_t step)
 {
 	static const char *const names[AP_STEPS] = {
-		"sent",	     "sent-again", "resumed",	"refused-by",  "unreachable",
-		"failed-at", "silent",	   "cancelled", "caller-left", "given-up",
+		"sent",	  "sent-again",	    "resumed",	 "refused-by",	"unreachable", "failed-at",
+		"silent", "second-attempt", "cancelled", "caller-left", "given-up",
 	};
 
 	return names[step];
--- a/lib/exchange/private.h
+++ b/lib/exchange/private.h
@@ -4,6 +4,7 @@
 
 #include "exchange/exchange.h"
 
+#define RETRY_AFTER_MIN (100 * AP_MSEC)
 /* Bytes of a response that are held until it is complete. */
 #define BUFFERED_MAX (1 << 20)
 
@@ -17,6 +18,16 @@
 	return &x->slot[x->current];
 }
 
+static inline ap_attempt_t *other_than(ap_exchange_t *x, const ap_attempt_t *a)
+{
+	return &x->slot[a == &x->slot[0]];
+}
+
+static inline unsigned in_flight(const ap_exchange_t *x)
+{
+	return x->slot[0].in_flight + x->slot[1].in_flight;
+}
+
 static inline bool is_success(const ap_attempt_t *a)
 {
 	return a->head.status >= 200 && a->head.status < 300 && !a->head.refused;
@@ -103,10 +114,45 @@
 size_t ap_attempt_ordered_len(const ap_exchange_t *x, const ap_attempt_t *a, size_t from,
 			      size_t len);
 
+/* refusal.c */
+
+/*
+ * Returns when a refused caller should retry. For a request that would be too late: after the part
+ * of the expected wait that exceeds half of the latency objective.
+ */
+ap_usec_t ap_exchange_retry_after(const ap_exchange_t *x, ap_usec_t now);
+/* Returns why there is no target. */
+ap_reason_t ap_exchange_reason(const ap_exchange_t *x, ap_fleet_status_t status);
+/* Returns how long the request can't be sent, as far as all targets said so; 0 for unknown. */
+ap_usec_t ap_exchange_pause_for(const ap_exchange_t *x, ap_fleet_status_t status);
+/* A target refused the request; @retry_after is 0 if it didn't say for how long. */
+void ap_exchange_count_refusal(ap_exchange_t *x, ap_usec_t retry_after);
+
+/* second.c */
+
+/* Returns when to consider a second attempt beside the current one; AP_NEVER for not at all. */
+ap_usec_t ap_exchange_second_due(const ap_exchange_t *x);
+/* Considers it, and sends it if it may be. */
+void ap_exchange_send_second(ap_exchange_t *x, ap_usec_t now);
+/*
+ * Returns until when a second attempt at a stream may go without being accepted; AP_NEVER if there
+ * is none.
+ */
+ap_usec_t ap_exchange_unaccepted_until(const ap_exchange_t *x);
+/* Cancels the second attempt; the first one goes on. */
+void ap_exchange_drop_second(ap_exchange_t *x);
+
 /* exchange.c */
 
+/* Adds a target to a list of AP_TRIED_MAX names. */
+void ap_names_add(char (*names)[AP_NAME_MAX], size_t *n, const char *id);
+/* Sends the request to @target in the slot of @a. Return: false when nothing was sent. */
+bool ap_attempt_send(ap_exchange_t *x, ap_attempt_t *a, const ap_target_t *target, bool second,
+		     ap_usec_t now);
+/* Ends the attempt @a, which may have run, if it is in flight. */
+void ap_attempt_cancel(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end);
 /* The attempt @a has the response; the other one, if any, isn't needed any more. */
-void ap_attempt_take_over(ap_exchange_t *x, ap_attempt_t *a);
+void ap_attempt_take_over(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now);
 /* Gives the attempt @a up, which may have run, and replies if no other one is left. */
 void ap_attempt_failed(ap_exchange_t *x, ap_attempt_t *a, ap_dispatch_result_t end,
 		       ap_reason_t reason, ap_usec_t now);
--- a/test/exchange_hunt.h
+++ b/test/exchange_hunt.h
@@ -136,6 +136,7 @@
 	bool joined;		/* what arrives at the same time is read at once */
 	bool tick_first;	/* of what happens at the same time */
 	ap_fleet_status_t none; /* why there is no target, if there is none */
+	ap_usec_t slow_after;	/* an attempt is slow; AP_NEVER without second attempts */
 	hunt_upstream_t up[HUNT_UPSTREAMS];
 	unsigned next_run;
 	bool verbose;
@@ -218,6 +219,15 @@
 	}
 }
 
+/* Drawn apart, so that a seed plays the same request with second attempts and without. */
+static inline void hunt_draw_seconds(hunt_scene_t *s)
+{
+	ap_rng_t rng;
+
+	ap_rng_seed(&rng, ap_hash(&s->seed, sizeof(s->seed), 1));
+	s->slow_after = hunt_msec(&rng, 5, hunt_chance(&rng, 2) ? 400 : 60);
+}
+
 static inline void hunt_draw(hunt_scene_t *s, uint64_t seed, bool verbose)
 {
 	static const ap_kind_t kinds[] = {AP_KIND_STREAM, AP_KIND_STREAM, AP_KIND_STREAM,
@@ -225,7 +235,7 @@
 	static const ap_usec_t gaps[] = {0, 200 * AP_MSEC, 500 * AP_MSEC, 1200 * AP_MSEC};
 	ap_rng_t *r = &s->rng;
 
-	*s = (hunt_scene_t){.seed = seed, .verbose = verbose};
+	*s = (hunt_scene_t){.seed = seed, .verbose = verbose, .slow_after = AP_NEVER};
 	ap_rng_seed(r, seed);
 	s->route.kind = kinds[hunt_below(r, 5)];
 	s->route.objective = hunt_msec(r, 100, 800);
--- a/test/exchange_hunt_play.h
+++ b/test/exchange_hunt_play.h
@@ -310,6 +310,10 @@
 	if (!hunt_is_stream(in) || !a || !b || !a->open || !b->open || in->paused ||
 	    in->x.slot[0].checking || in->x.slot[1].checking)
 		return;
+	/* From its send, if the first one was only slow and still has the stream. */
+	if (in->x.slot[!in->x.current].second &&
+	    in->now > hunt_at(in, !in->x.current)->sent_at + HUNT_BESIDE)
+		hunt_broken(in, "a second attempt works on a stream for too long");
 	if (a->seen.accepted_at > 0 && b->seen.accepted_at > 0 &&
 	    in->now > hunt_longer(a->seen.accepted_at, b->seen.accepted_at) + HUNT_BESIDE)
 		hunt_broken(in, "two upstreams work on a stream");
--- a/test/exchange_hunt_test.c
+++ b/test/exchange_hunt_test.c
@@ -1,7 +1,8 @@
 /*
  * The exchange hunt: requests at lib/exchange in virtual time, drawn from seeds, whose upstreams
- * and callers do what docs/acts.md lists. By hand: --seed N [--requests N] [--verbose]; a request's
- * own seed, as printed, plays it alone.
+ * and callers do what docs/acts.md lists. By hand: --seed N [--requests N] [--verbose] [--seconds];
+ * a request's own seed, as printed, plays it alone. With --seconds, attempts that are slow have a
+ * second one beside them.
  */
 #include "exchange_hunt_play.h"
 
@@ -77,6 +78,8 @@
 	unsigned refused;
 	unsigned failed;
 	unsigned left;
+	unsigned seconds; /* attempts that were considered */
+	unsigned sent;	  /* and sent */
 	unsigned lost[ACTS_MAX];
 	unsigned doubts[AP_DOUBTS]; /* of these, the latest one */
 	uint64_t digest;
@@ -309,11 +312,13 @@
 }
 
 /* Plays one request. */
-static void play(hunt_scene_t *s, uint64_t seed, bool verbose, hunt_count_t *count)
+static void play(hunt_scene_t *s, uint64_t seed, bool verbose, bool seconds, hunt_count_t *count)
 {
 	static hunt_instance_t in;
 
 	hunt_draw(s, seed, verbose);
+	if (seconds)
+		hunt_draw_seconds(s);
 	in = (hunt_instance_t){.s = s, .now = HUNT_START};
 	in.x.req.weights = s->version ? ap_weights_of(s->version) : AP_WEIGHTS_ANY;
 	if (s->taken_up > 0)
@@ -326,6 +331,8 @@
 		 s->budget);
 	hunt_play(&in, s->left, s->attempts);
 	check_response(&in, count);
+	count->seconds += in.seconds;
+	count->sent += in.x.seconds;
 	count->digest = ap_hash(in.out.text, in.out.text_len, count->digest + s->lines);
 }
 
@@ -348,14 +355,15 @@
 }
 
 /* Plays @requests. Return: how many broke a rule; of each rule the shortest one is printed. */
-static unsigned hunt(uint64_t seed, unsigned requests, bool verbose, hunt_count_t *count)
+static unsigned hunt(uint64_t seed, unsigned requests, bool verbose, bool seconds,
+		     hunt_count_t *count)
 {
 	hunt_rule_t rules[RULES_MAX] = {0};
 	unsigned broken = 0;
 	hunt_scene_t s;
 
 	for (unsigned i = 0; i < requests; i++) {
-		play(&s, seed + i, verbose, count);
+		play(&s, seed + i, verbose, seconds, count);
 		if (!s.broken[0])
 			continue;
 		note_broken(rules, &s, i + 1);
@@ -366,7 +374,7 @@
 
 		printf("%s: %u times, the first one is request %u; the shortest one:\n", rule->text,
 		       rule->times, rule->first);
-		play(&s, rule->seed, true, &again);
+		play(&s, rule->seed, true, seconds, &again);
 	}
 	return broken;
 }
@@ -379,6 +387,7 @@
 	       "failed %u, left %u, digest %016llx; whole ones lost:\n",
 	       count->whole, count->untold, count->errors, count->cut, count->refused,
 	       count->failed, count->left, (unsigned long long)count->digest);
+	printf("  %5u second attempts, of %u considered\n", count->sent, count->seconds);
 	for (size_t i = 0; i < hunt_n_acts; i++) {
 		if (count->lost[i] > 0)
 			printf("  %5u %s\n", count->lost[i], hunt_acts[i].name);
@@ -393,19 +402,34 @@
 
 	(void)state;
 	for (uint64_t seed = 1; seed <= 3; seed++)
-		assert_int_equal(hunt(seed * 1000000, 40000, false, &count), 0);
+		assert_int_equal(hunt(seed * 1000000, 40000, false, false, &count), 0);
 	print_count(&count);
 	assert_true(count.whole > 0 && count.untold > 0 && count.cut > 0 && count.refused > 0);
 }
 
+/*
+ * Guards against what a second attempt may break: two upstreams at a stream, parts of two
+ * responses, more runs than the route or the budget allows, and whole responses that are lost.
+ */
+static void nor_does_one_with_second_attempts(void **state)
+{
+	hunt_count_t count = {0};
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 3; seed++)
+		assert_int_equal(hunt(seed * 1000000, 40000, false, true, &count), 0);
+	print_count(&count);
+	assert_true(count.whole > 0 && count.seconds > count.sent && count.sent > 1000);
+}
+
 static void the_same_seed_plays_the_same_request(void **state)
 {
 	hunt_count_t first = {0};
 	hunt_count_t second = {0};
 
 	(void)state;
-	hunt(7000000, 1000, false, &first);
-	hunt(7000000, 1000, false, &second);
+	hunt(7000000, 1000, false, true, &first);
+	hunt(7000000, 1000, false, true, &second);
 	assert_memory_equal(&first, &second, sizeof(first));
 }
 
@@ -413,17 +437,21 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(no_request_breaks_a_rule),
+		cmocka_unit_test(nor_does_one_with_second_attempts),
 		cmocka_unit_test(the_same_seed_plays_the_same_request),
 	};
 	hunt_count_t count = {0};
 	unsigned requests = 1;
 	uint64_t seed = 1;
 	bool verbose = false;
+	bool seconds = false;
 	unsigned broken;
 
 	for (int i = 1; i < argc; i++) {
 		if (strcmp(argv[i], "--verbose") == 0)
 			verbose = true;
+		else if (strcmp(argv[i], "--seconds") == 0)
+			seconds = true;
 		else if (strcmp(argv[i], "--seed") == 0 && i + 1 < argc)
 			seed = strtoull(argv[++i], NULL, 10);
 		else if (strcmp(argv[i], "--requests") == 0 && i + 1 < argc)
@@ -431,7 +459,7 @@
 	}
 	if (argc == 1)
 		return cmocka_run_group_tests(tests, NULL, NULL);
-	broken = hunt(seed, requests, verbose, &count);
+	broken = hunt(seed, requests, verbose, seconds, &count);
 	printf("%u of %u requests break a rule\n", broken, requests);
 	print_count(&count);
 	return broken > 0;
--- a/test/exchange_hunt_world.h
+++ b/test/exchange_hunt_world.h
@@ -67,6 +67,7 @@
 	hunt_run_t run[HUNT_RUNS_MAX];
 	unsigned n_runs;
 	unsigned granted;
+	unsigned seconds;
 	unsigned done;
 	bool over;
 	bool paused;
@@ -174,6 +175,30 @@
 	return true;
 }
 
+static inline ap_usec_t hunt_slow_after(void *ctx, const ap_target_t *target)
+{
+	const hunt_instance_t *in = ctx;
+
+	(void)target;
+	return in->s->slow_after;
+}
+
+static inline bool hunt_second(void *ctx, const ap_target_t *first, ap_usec_t elapsed,
+			       const ap_target_t *target)
+{
+	hunt_instance_t *in = ctx;
+
+	hunt_act_after_end(in);
+	if (first->remote || in->only || elapsed < in->s->slow_after)
+		hunt_broken(in, "a second attempt is considered too early, or elsewhere");
+	if (in->out.n > 0 || in->s->taken_up > 0)
+		hunt_broken(in, "a second attempt at a response that has begun");
+	if (in->x.seconds > 0)
+		hunt_broken(in, "two second attempts");
+	in->seconds++;
+	return target && hunt_may_retry(ctx);
+}
+
 static inline void hunt_forward(hunt_instance_t *in, hunt_run_t *run);
 
 static inline ap_usec_t hunt_told(const hunt_instance_t *in)
@@ -430,6 +455,8 @@
 static const ap_exchange_ops_t hunt_ops = {
 	.choose = hunt_choose,
 	.may_retry = hunt_may_retry,
+	.slow_after = hunt_slow_after,
+	.second = hunt_second,
 	.send = hunt_send,
 	.sent = hunt_sent,
 	.first_chunk = hunt_first_chunk,
--- a/test/exchange_step_test.c
+++ b/test/exchange_step_test.c
@@ -45,6 +45,13 @@
 	ap_exchange_tick(&w->x, w->now);
 }
 
+static void trigger_second(world_t *w)
+{
+	w->slow_after = 60 * AP_MSEC;
+	begin(w, AP_KIND_IDEMPOTENT, false, 2);
+	run_to(w, START + 60 * AP_MSEC);
+}
+
 static void trigger_cancelled(world_t *w)
 {
 	trigger_timed_out(w);
@@ -75,6 +82,7 @@
 		[AP_STEP_UNREACHABLE] = trigger_unreachable,
 		[AP_STEP_FAILED_AT] = trigger_failed_at,
 		[AP_STEP_TIMED_OUT] = trigger_timed_out,
+		[AP_STEP_SECOND] = trigger_second,
 		[AP_STEP_CANCELLED] = trigger_cancelled,
 		[AP_STEP_CALLER_DISCONNECTED] = trigger_caller_disconnected,
 		[AP_STEP_GIVEN_UP] = trigger_given_up,
--- a/test/exchange_world.h
+++ b/test/exchange_world.h
@@ -24,6 +24,11 @@
 	int targets;		     /* upstreams that may be chosen */
 	int unconnectable;	     /* how many sends fail to connect */
 	int budget;		     /* retries left */
+	ap_usec_t slow_after;	     /* an attempt is slow; 0: there are no second attempts */
+	bool no_second;		     /* they are denied */
+	int seconds;		     /* how often one was asked for, */
+	char second[AP_NAME_MAX];    /* and its target; empty for none */
+	ap_usec_t elapsed;	     /* since the first attempt, then */
 	ap_usec_t heard_since;	     /* of the latest choice */
 	ap_usec_t held;		     /* for how long the request is held back; 0 for not at all */
 	ap_usec_t pause;	     /* for how long no target wants requests; 0 for not at all */
@@ -92,6 +97,26 @@
 	return w->budget-- > 0;
 }
 
+static inline ap_usec_t op_slow_after(void *ctx, const ap_target_t *target)
+{
+	const world_t *w = ctx;
+
+	(void)target;
+	return w->slow_after ? w->slow_after : AP_NEVER;
+}
+
+static inline bool op_second(void *ctx, const ap_target_t *first, ap_usec_t elapsed,
+			     const ap_target_t *target)
+{
+	world_t *w = ctx;
+
+	(void)first;
+	w->seconds++;
+	w->elapsed = elapsed;
+	ap_copy_name(w->second, sizeof(w->second), target ? target->id : "");
+	return target && !w->no_second && w->budget-- > 0;
+}
+
 static inline bool op_send(void *ctx, unsigned slot, const ap_target_t *target,
 			   const char *last_event)
 {
@@ -206,6 +231,8 @@
 static const ap_exchange_ops_t ops = {
 	.choose = op_choose,
 	.may_retry = op_may_retry,
+	.slow_after = op_slow_after,
+	.second = op_second,
 	.send = op_send,
 	.sent = op_sent,
 	.first_chunk = op_first_chunk,
@@ -226,6 +253,8 @@
 {
 	int targets = w->targets ? w->targets : 3;
 	int unconnectable = w->unconnectable;
+	ap_usec_t slow_after = w->slow_after;
+	bool no_second = w->no_second;
 	ap_usec_t held = w->held;
 	ap_usec_t pause = w->pause;
 	char resumes[AP_SSE_ID_MAX];
@@ -240,6 +269,8 @@
 		.now = START,
 		.targets = targets,
 		.unconnectable = unconnectable,
+		.slow_after = slow_after,
+		.no_second = no_second,
 		.held = held,
 		.pause = pause,
 		.budget = 10,
