--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -12,7 +12,8 @@
 
 #define CURVE_TEXT_BYTES (AP_CURVE_KEY_MAX - 1)
 #define PEER_KEYS_MAX 4096
-#define TOKEN_MIN 16 /* characters of the admin token */
+#define TOKEN_MIN 16		/* characters of the admin token */
+#define SECOND_ATTEMPTS_MAX 0.2 /* of a pool's requests */
 
 typedef struct loader {
 	const char *path;
@@ -227,6 +228,17 @@
 	return AP_SETTINGS_OK;
 }
 
+static ap_settings_status_t read_second_attempts(loader_t *l, const char *key, json_t *value,
+						 void *at)
+{
+	double number = json_number_value(value);
+
+	if (!json_is_number(value) || !(number >= 0.0 && number <= SECOND_ATTEMPTS_MAX))
+		return invalid(l, key, "must be a number from 0 to 0.2");
+	*(double *)at = number;
+	return AP_SETTINGS_OK;
+}
+
 static ap_settings_status_t read_number(loader_t *l, const char *key, json_t *value, void *at)
 {
 	double number = json_number_value(value);
@@ -373,6 +385,8 @@
 		gateway.allowance_window),
 	SETTING("gateway", "allowance_over", NEED_NEVER, read_number, gateway.allowance_over),
 	SETTING("gateway", "allowance_slack", NEED_NEVER, read_number, gateway.allowance_slack),
+	SETTING("gateway", "second_attempts", NEED_NEVER, read_second_attempts,
+		gateway.second_attempts),
 	SETTING("gateway", "data_centres", NEED_WITH_GATEWAY, read_data_centres, gateway),
 	SETTING("log", "level", NEED_NEVER, read_level, log_level),
 	SETTING("log", "events", NEED_NEVER, read_count, events),
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -53,6 +53,8 @@
  * @grace: time between SIGTERM and exit
  * @directory_ttl: how long callers may cache a response of the directory
  * @allowance_window, @allowance_over, @allowance_slack: as in struct ap_quota_config
+ * @second_attempts: share of a pool's requests that may be sent a second time because the first
+ *                   attempt is slow, at most 0.2; 0 for none
  */
 typedef struct ap_gateway_settings {
 	bool present;
@@ -78,6 +80,7 @@
 	ap_usec_t allowance_window;
 	double allowance_over;
 	double allowance_slack;
+	double second_attempts;
 	ap_data_centre_t data_centres[AP_DATA_CENTRES_MAX];
 	size_t n_data_centres;
 } ap_gateway_settings_t;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -280,8 +280,10 @@
 	c->x.req.weights = source->weights;
 	c->x.req.pool = pick_pool(c);
 	ap_http_call_watch(call, c, on_closed, on_drained);
-	if (!forwarded && c->x.req.pool)
+	if (!forwarded && c->x.req.pool) {
 		ap_fleet_count_request(gate->fleet, c->x.req.pool->name, now);
+		gate_second_request(gate, c->x.req.pool->name);
+	}
 	ap_exchange_start(&c->x, attempts_of(c), now);
 	gate_call_update(c);
 }
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -145,6 +145,7 @@
 	n->ended[c->outcome]++;
 	n->own_errors[c->x.reason]++;
 	gate_customer_count(c->gate, c->x.req.customer, c->outcome);
+	gate_second_ended(c);
 	n->weights_differed += c->x.weights_differ;
 	n->doubts[c->x.doubt]++;
 	n->duration[bucket_of(took)]++;
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -309,6 +309,7 @@
 {
 	gate_call_t *c = ctx;
 
+	gate_second_first_chunk(c, inflight);
 	ap_fleet_first_chunk(c->gate->fleet, inflight, ap_now());
 }
 
@@ -316,6 +317,7 @@
 {
 	gate_call_t *c = ctx;
 
+	gate_second_done(c, inflight, end);
 	ap_fleet_done(c->gate->fleet, inflight, end, ap_now());
 }
 
@@ -533,6 +535,8 @@
 const ap_exchange_ops_t gate_ops = {
 	.choose = op_choose,
 	.may_retry = op_may_retry,
+	.slow_after = gate_second_after,
+	.second = gate_second_judge,
 	.send = op_send,
 	.sent = op_sent,
 	.first_chunk = op_first_chunk,
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -214,6 +214,7 @@
 	put_histogram(out, "request_seconds", n->duration, n->duration_sum);
 	put_gauges(out, gate);
 	gate_customer_metrics(gate, out);
+	gate_second_metrics(gate, out);
 	ap_http_reply(call, 200, &type_text, 1, evbuffer_pullup(out, -1), evbuffer_get_length(out));
 	evbuffer_free(out);
 }
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -184,8 +184,8 @@
 }
 
 /*
- * Reloads the settings. The fleet's bounds, the grace period, the directory's TTL and the seeds
- * take effect; all other settings keep the values they had at start.
+ * Reloads the settings. The fleet's bounds, the share of second attempts, the grace period, the
+ * directory's TTL and the seeds take effect; all other settings keep the values they had at start.
  */
 static void on_reload(evutil_socket_t fd, short what, void *arg)
 {
@@ -204,6 +204,9 @@
 	if (fresh.gateway.present) {
 		bounds = fleet_bounds(&fresh.gateway);
 		ap_fleet_set_bounds(gate->fleet, &bounds);
+		gate->settings->gateway.second_attempts = fresh.gateway.second_attempts;
+		if (!gate_second_configure(gate))
+			ap_log(LOG_ERR, "no memory for second attempts: there are none");
 		gate->settings->gateway.grace = fresh.gateway.grace;
 		gate->settings->gateway.directory_ttl = fresh.gateway.directory_ttl;
 		memcpy(gate->settings->gateway.seeds, fresh.gateway.seeds,
@@ -294,8 +297,9 @@
 	gate->last_tick_monotonic = monotonic_now();
 	gate->client = ap_http_client_new(gate->base);
 	fill_self(gate);
-	return gate->client && gate->http_calls && make_fleet(gate) && listen_all(gate) &&
-	       gate_store_start(gate) && start_tick_and_signals(gate);
+	return gate->client && gate->http_calls && make_fleet(gate) &&
+	       gate_second_configure(gate) && listen_all(gate) && gate_store_start(gate) &&
+	       start_tick_and_signals(gate);
 }
 
 static void stop(gateway_t *gate)
@@ -311,6 +315,7 @@
 	gate_store_stop(gate);
 	ap_peer_free(gate->peer);
 	ap_fleet_free(gate->fleet);
+	ap_hedge_free(gate->hedge);
 	ap_plan_unref(gate->plan);
 	for (size_t i = 0; i < 3; i++) {
 		if (gate->signals[i])
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -11,6 +11,7 @@
 #include "exchange/exchange.h"
 #include "fleet/fleet.h"
 #include "follow/follow.h"
+#include "hedge/hedge.h"
 #include "http/http.h"
 #include "log/log.h"
 #include "peer/peer.h"
@@ -184,6 +185,9 @@
  * @cold_sent: requests sent to upstreams that were believed to be cold
  * @forwarded_sent: requests sent to remote regions
  * @peer_sent: requests sent to other instances of the own region
+ * @seconds: second attempts that were considered, by what was decided
+ * @seconds_won: requests whose response a second attempt made
+ * @seconds_lost: other requests with one
  * @taken_up: streams that callers took up here
  * @unknown_streams: of these, refused because the build that began them, or the version of the
  *	weights, isn't known
@@ -207,6 +211,9 @@
 	uint64_t forwarded_sent;
 	uint64_t peer_sent;
 	uint64_t retries;
+	uint64_t seconds[AP_HEDGE_VERDICTS];
+	uint64_t seconds_won;
+	uint64_t seconds_lost;
 	uint64_t taken_up;
 	uint64_t unknown_streams;
 	uint64_t weights_refused;
@@ -295,6 +302,7 @@
 	size_t n_told;			 /* so far */
 	gate_counters_t counters;
 	gate_customers_t customers;
+	ap_hedge_t *hedge; /* NULL without second attempts */
 };
 
 /* gateway.c */
@@ -307,6 +315,30 @@
  */
 bool ap_gateway_task(ap_settings_t *settings, const char *path);
 
+/* gateway-second.c */
+/**
+ * gate_second_configure() - applies the share of @conf. Without second attempts nothing is kept for
+ * them.
+ *
+ * Return: false when out of memory.
+ */
+bool gate_second_configure(gateway_t *gate);
+/** gate_second_request() - a caller's request for @pool arrived. */
+void gate_second_request(gateway_t *gate, const char *pool);
+/** gate_second_after(), gate_second_judge() - as in struct ap_exchange_ops. */
+ap_usec_t gate_second_after(void *ctx, const ap_target_t *target);
+bool gate_second_judge(void *ctx, const ap_target_t *first, ap_usec_t elapsed,
+		       const ap_target_t *target);
+/** gate_second_first_chunk() - to be called before ap_fleet_first_chunk(). */
+void gate_second_first_chunk(const gate_call_t *c, const ap_inflight_t *inflight);
+/** gate_second_done() - to be called before ap_fleet_done(). */
+void gate_second_done(const gate_call_t *c, const ap_inflight_t *inflight,
+		      ap_dispatch_result_t end);
+/** gate_second_ended() - counts the end of a request. */
+void gate_second_ended(const gate_call_t *c);
+/** gate_second_metrics() - appends the counters, unless there are no second attempts. */
+void gate_second_metrics(const gateway_t *gate, struct evbuffer *out);
+
 /* gateway-call.c */
 void gate_on_caller(void *ctx, ap_http_call_t *call);
 void gate_on_peer(void *ctx, ap_http_call_t *call);
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -148,6 +148,62 @@
 	}
 }
 
+/* Returns the result of a file of a gateway instance with @line in its table. */
+static ap_settings_status_t load_gateway(const char *line, ap_settings_t *s, ap_err_t *err)
+{
+	char path[] = "/tmp/settings-XXXXXX";
+	ap_settings_status_t status;
+	FILE *f;
+	int fd = mkstemp(path);
+
+	assert_true(fd >= 0);
+	f = fdopen(fd, "w");
+	assert_non_null(f);
+	fprintf(f, "[instance]\nid = \"n1\"\nregion = \"recife\"\ndata_centre = \"rec1\"\n"
+		   "host = \"127.0.0.1\"\n[gateway]\ncallers = \"127.0.0.1:1\"\n"
+		   "ready = \"127.0.0.1:2\"\ndirectory = \"127.0.0.1:3\"\n"
+		   "metrics = \"127.0.0.1:4\"\npeer_port = 5\nstore = \"127.0.0.1:6\"\n"
+		   "cores = 0.25\nrepeat_ratio = 0.2\nrepeat_slack = 54\nrepeat_window_s = 10\n"
+		   "cold_over = 1.5\ncold_slack = 3\ndrain_ms = 3000\napply_ms = 3000\n"
+		   "grace_s = 8\ndirectory_s = 2\n");
+	fprintf(f, "%s\n[gateway.data_centres]\nrec1 = \"recife\"\n", line);
+	fclose(f);
+	status = ap_settings_load(path, s, err);
+	unlink(path);
+	return status;
+}
+
+static void test_second_attempts_are_a_share_of_at_most_a_fifth(void **state)
+{
+	static const struct {
+		const char *line;
+		double share; /* negative: invalid */
+	} rows[] = {
+		{"", 0},
+		{"second_attempts = 0", 0},
+		{"second_attempts = 0.2", 0.2},
+		{"second_attempts = 0.21", -1},
+		{"second_attempts = -0.01", -1},
+		{"second_attempts = \"0.1\"", -1},
+	};
+	ap_settings_t s;
+	ap_err_t err;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		ap_settings_status_t status = load_gateway(rows[i].line, &s, &err);
+
+		if (rows[i].share < 0) {
+			assert_int_equal(status, AP_SETTINGS_INVALID);
+			assert_non_null(strstr(err.text, "gateway.second_attempts"));
+			continue;
+		}
+		assert_int_equal(status, AP_SETTINGS_OK);
+		assert_true(s.gateway.second_attempts == rows[i].share);
+		ap_settings_clear(&s);
+	}
+}
+
 static void test_no_file(void **state)
 {
 	ap_settings_t s;
@@ -163,6 +219,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_valid_file),
 		cmocka_unit_test(test_each_fault_names_file_line_and_key),
+		cmocka_unit_test(test_second_attempts_are_a_share_of_at_most_a_fifth),
 		cmocka_unit_test(test_no_file),
 	};
 
