--- a/lib/hedge/hedge.c
+++ b/lib/hedge/hedge.c
@@ -24,8 +24,6 @@
 #define SHARE_STEPS 10
 #define CLASSES_MAX 256 /* over all pools; those beyond have no second attempts */
 #define POOLS_MAX 64
-/* A second attempt has to save this much at least, as it costs an upstream a whole request. */
-#define GAIN_MIN (10 * AP_MSEC)
 
 typedef struct class_key {
 	char pool[AP_NAME_MAX];
@@ -194,23 +192,70 @@
 		halve(t);
 }
 
-ap_usec_t ap_hedge_delay(ap_hedge_t *h, const ap_hedge_class_t *of, ap_usec_t now)
+/* Returns the step up to which QUANTILE of the responses lie. */
+static size_t slow_step(const times_t *t)
 {
-	times_t *t = times_of(h, of, false);
 	double sum = 0;
 	size_t i = 0;
 
-	if (!t || h->share <= 0)
-		return AP_NEVER;
-	forget_old(t, now);
-	if (t->total < SAMPLES_MIN)
-		return AP_NEVER;
 	for (; i < STEPS - 1; i++) {
 		sum += t->counts[i];
 		if (sum >= QUANTILE * t->total)
 			break;
 	}
-	return step_end(i) > DELAY_MIN ? step_end(i) : DELAY_MIN;
+	return i;
+}
+
+/* Returns the class if enough is known of it, else NULL. */
+static times_t *known_times(ap_hedge_t *h, const ap_hedge_class_t *of, ap_usec_t now)
+{
+	times_t *t = times_of(h, of, false);
+
+	if (!t || h->share <= 0)
+		return NULL;
+	forget_old(t, now);
+	return t->total < SAMPLES_MIN ? NULL : t;
+}
+
+static ap_usec_t delay_of(const times_t *t)
+{
+	ap_usec_t delay = step_end(slow_step(t));
+
+	return delay > DELAY_MIN ? delay : DELAY_MIN;
+}
+
+ap_usec_t ap_hedge_delay(ap_hedge_t *h, const ap_hedge_class_t *of, ap_usec_t now)
+{
+	const times_t *t = known_times(h, of, now);
+
+	return t ? delay_of(t) : AP_NEVER;
+}
+
+/* Returns how much longer than @elapsed those responses took on average that took longer. */
+static ap_usec_t mean_left(const times_t *t, ap_usec_t elapsed)
+{
+	double sum = 0;
+	double n = 0;
+
+	for (size_t i = step_of(elapsed) + 1; i < STEPS; i++) {
+		sum += t->counts[i] * (double)(step_end(i) - elapsed);
+		n += t->counts[i];
+	}
+	return n > 0 ? (ap_usec_t)(sum / n) : 0;
+}
+
+/*
+ * Returns how long the first attempt is expected to take still: at least as long as it has taken,
+ * as it is slow. What others like it took shows more, unless second attempts have cut them short;
+ * what was expected at its send may not have passed yet.
+ */
+static ap_usec_t first_left(const times_t *t, const ap_hedge_question_t *q)
+{
+	ap_usec_t left = q->elapsed;
+
+	if (mean_left(t, q->elapsed) > left)
+		left = mean_left(t, q->elapsed);
+	return q->first_wait - q->elapsed > left ? q->first_wait - q->elapsed : left;
 }
 
 void ap_hedge_unfinished(ap_hedge_t *h, const ap_hedge_class_t *of, ap_usec_t took, ap_usec_t now)
@@ -282,24 +327,18 @@
 
 ap_hedge_verdict_t ap_hedge_judge(ap_hedge_t *h, const ap_hedge_question_t *q, ap_usec_t now)
 {
-	ap_usec_t slow = ap_hedge_delay(h, &q->of, now);
-	/*
-	 * One that has taken longer than 95 in 100 is expected to go on for as long as it has
-	 * taken; what was expected at its send may not have passed yet.
-	 */
-	ap_usec_t first_left =
-		q->first_wait - q->elapsed > q->elapsed ? q->first_wait - q->elapsed : q->elapsed;
+	const times_t *t = known_times(h, &q->of, now);
 
-	if (slow == AP_NEVER || q->elapsed < slow)
+	if (!t || q->elapsed < delay_of(t))
 		return AP_HEDGE_NOT_SOONER;
 	if (q->over_allowance)
 		return AP_HEDGE_ALLOWANCE;
 	/* What the upstreams' responses show counts if it is longer than what is expected. */
-	if (q->left < q->wait || q->left < slow)
+	if (q->left < q->wait || q->left < delay_of(t))
 		return AP_HEDGE_LATE;
 	if (!q->free_slot)
 		return AP_HEDGE_CAPACITY;
-	if (q->wait + GAIN_MIN > first_left)
+	if (q->wait >= first_left(t, q))
 		return AP_HEDGE_NOT_SOONER;
 	return within_share(h, q->of.pool, now) ? AP_HEDGE_SEND : AP_HEDGE_SHARE;
 }
