--- a/test/soak/scenario.h
+++ b/test/soak/scenario.h
@@ -11,6 +11,8 @@
 
 /* Path of the daemon; set by main(). */
 extern const char *scenario_program;
+/* Further lines for the instances' table [gateway]; NULL for none. */
+extern const char *scenario_gateway;
 
 /* Starts the deployment; the state is a soak_t. */
 int scenario_set_up(void **state);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -247,6 +247,7 @@
 	ap_rng_t ends;	   /* of work that outlasts its deadline and of empty streams */
 	ap_rng_t befores;  /* of work that isn't begun as it would outlast its deadline */
 	const char *program;
+	const char *gateway; /* further lines for the instances' table [gateway], or NULL */
 	char dir[64];
 	bool verbose;
 	bool no_pauses;
