--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -76,6 +76,11 @@
  */
 bool ap_quota_take(ap_quota_t *q, const ap_customer_t *c, double cost, ap_usec_t now,
 		   ap_quota_verdict_t *verdict);
+/**
+ * ap_quota_is_over() - returns whether @customer has used up its allowance, as estimated. Counts
+ * nothing.
+ */
+bool ap_quota_is_over(ap_quota_t *q, const ap_customer_t *customer, ap_usec_t now);
 /** ap_quota_refund() - a request that was counted did not run. */
 void ap_quota_refund(ap_quota_t *q, const char *customer, double cost, ap_usec_t now);
 
@@ -115,9 +120,9 @@
 size_t ap_quota_report(ap_quota_t *q, bool region, ap_quota_use_t *out, size_t max, ap_usec_t now);
 
 /**
- * ap_quota_excess() - how much of what all customers use @customer uses, as a ratio to an equal
- * share among those who use some: 1 for its share, 0 if that isn't known. With or without an
- * allowance; customers are compared with those who count the same unit.
+ * ap_quota_excess() - how much of what all customers use @customer uses, as a ratio to its part by
+ * allowance among those who use some: 1 for its part, 0 if that isn't known. Without allowances,
+ * parts are equal. Customers are compared with those who count the same unit.
  */
 double ap_quota_excess(ap_quota_t *q, const char *customer, ap_usec_t now);
 
--- a/test/quota_test.c
+++ b/test/quota_test.c
@@ -310,8 +310,28 @@
 	world_free(w);
 }
 
-/* Requests of up to twice the burst aren't starved, and don't break the bound.
- */
+/* Guards against second attempts for a customer who has nothing left, and against charges. */
+static void a_question_counts_nothing(void **state)
+{
+	const ap_customer_t c = {.name = "c", .rate = 10, .burst = 20};
+	const ap_customer_t unlimited = {.name = "u"};
+	ap_quota_t *q = ap_quota_new(&(ap_quota_config_t){.window = 8 * AP_SEC});
+	ap_quota_verdict_t v;
+	ap_usec_t now = 100 * AP_SEC;
+
+	(void)state;
+	ap_quota_set_limits(q, &c, 1, now);
+	assert_false(ap_quota_is_over(q, &c, now));
+	assert_false(ap_quota_is_over(q, &unlimited, now));
+	/* More than the burst fits into a full bucket, and overdraws it. */
+	assert_true(ap_quota_take(q, &c, 30, now, &v));
+	assert_true(ap_quota_is_over(q, &c, now));
+	assert_true(ap_quota_is_over(q, &c, now + AP_SEC / 2));
+	assert_false(ap_quota_is_over(q, &c, now + 3 * AP_SEC));
+	ap_quota_free(q);
+}
+
+/* Requests of up to twice the burst aren't starved, and don't break the bound. */
 static void small_customer_with_large_requests(void **state)
 {
 	world_t *w = world_of(77, 1, 47000, 47000 / 1.8, 23000);
@@ -371,6 +391,7 @@
 		cmocka_unit_test(limit_lowered_to_a_hundredth),
 		cmocka_unit_test(allowance_removed_and_set_again),
 		cmocka_unit_test(restarts_in_a_row),
+		cmocka_unit_test(a_question_counts_nothing),
 		cmocka_unit_test(small_customer_with_large_requests),
 		cmocka_unit_test(refused_requests_come_back),
 	};
