settings: memory_mb, the memory of the machine

The budget of what connections may hold (docs/design/hard-load.md, part 5) will be a part of it; nothing uses it yet. The soaks' instances take it and a limit of descriptors, and their upstreams bodies as large as an instance does.

deploy_test failed on the sections for allowances, which its rendering of the template didn't know: it takes sections of the template by their form now.

--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -190,6 +190,12 @@
 	return read_size(l, key, value, 1, 1000000, at);
 }
 
+/* The smallest allows one body of the largest size, its copy for an upstream and the program. */
+static ap_settings_status_t read_memory(loader_t *l, const char *key, json_t *value, void *at)
+{
+	return read_size(l, key, value, 64, 1 << 20, at);
+}
+
 static ap_settings_status_t read_span(loader_t *l, const char *key, json_t *value, json_int_t min_s,
 				      json_int_t max_s, ap_usec_t *span)
 {
@@ -330,6 +336,7 @@
 	SETTING("instance", "region", NEED_ALWAYS, read_name, region),
 	SETTING("instance", "data_centre", NEED_ALWAYS, read_name, data_centre),
 	SETTING("instance", "host", NEED_ALWAYS, read_host, host),
+	SETTING("instance", "memory_mb", NEED_NEVER, read_memory, memory_mb),
 	SETTING("listen", "callers", NEED_WITHOUT_GATEWAY, read_port, caller_port),
 	SETTING("listen", "data", NEED_WITHOUT_GATEWAY, read_port, data_port),
 	SETTING("listen", "control", NEED_WITHOUT_GATEWAY, read_port, control_port),
@@ -470,6 +477,7 @@
 static void set_defaults(ap_settings_t *s)
 {
 	*s = (ap_settings_t){
+		.memory_mb = 256,
 		.header_bytes = 16 << 10,
 		.body_bytes = 1 << 20,
 		.connections = 1024,
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -85,7 +85,7 @@
 /**
  * struct ap_settings - all settings of a process. The tables and keys of the TOML file are:
  *
- * [instance] id, region, data_centre, host
+ * [instance] id, region, data_centre, host, memory_mb (memory of the machine; optional)
  * [listen] callers, data, control (ports on @host), admin = "IP:PORT", admin_token
  * [keys] public, secret (CURVE, Z85), peers = [accepted public keys]
  * [platform] store, instances, directory = "IP:PORT"
@@ -106,6 +106,7 @@
 	char region[AP_NAME_MAX];
 	char data_centre[AP_NAME_MAX];
 	char host[AP_HOST_MAX];
+	size_t memory_mb;
 	uint16_t caller_port;
 	uint16_t data_port;
 	uint16_t control_port;
--- a/test/deploy_test.sh
+++ b/test/deploy_test.sh
@@ -11,6 +11,7 @@
 	-e 's/{{#listen.control}}//; s/{{listen.[a-z]*}}/127.0.0.1:8001/; /{{\/listen.control}}/d' \
 	-e 's/{{#seeds}}"{{.}}"{{,}}{{\/seeds}}/"127.0.0.1:1", "127.0.0.1:2"/' \
 	-e 's/{{portRange.0}}/7660/; s/{{infra.addr}}/127.0.0.1:8142/; s/{{limits.cpuShare}}/0.25/' \
+	-e 's/{{[#/][a-z]*\.[A-Za-z]*}}//; s/{{limits.memoryLimitMb}}/160/' \
 	-e 's/{{bounds.[A-Za-z]*}}/3/' \
 	-e '/{{#zones}}/d; /{{\/zones}}/d; s/"{{@}}" = "{{.}}"/"north-1" = "north"/' \
 	deploy/settings.toml >"$DIR/good.toml"
@@ -36,4 +37,5 @@
 refused "an unknown key" 's/^cores/coers/' 'gateway.coers: unknown key'
 refused "a seed that is not an address" 's/^seeds = .*/seeds = ["x"]/' 'gateway.seeds'
 refused "a port out of range" 's/^peer_port = .*/peer_port = 70000/' 'gateway.peer_port'
+refused "too little memory" 's/^memory_mb = .*/memory_mb = 63/' 'instance.memory_mb'
 exit $FAILED
--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -73,7 +74,10 @@
 		abort();
 	fprintf(out, "[instance]\nid = \"%s\"\nregion = \"%s\"\ndata_centre = \"%s-1\"\n", inst->id,
 		soak_regions[inst->region], soak_regions[inst->region]);
-	fprintf(out, "host = \"127.0.0.1\"\n[gateway]\n");
+	fprintf(out, "host = \"127.0.0.1\"\n");
+	if (s->memory_mb > 0)
+		fprintf(out, "memory_mb = %u\n", s->memory_mb);
+	fprintf(out, "[gateway]\n");
 	fprintf(out, "callers = \"127.0.0.1:%u\"\n", inst->port + PORT_CALLERS);
 	fprintf(out, "ready = \"127.0.0.1:%u\"\n", inst->port + PORT_READY);
 	fprintf(out, "directory = \"127.0.0.1:%u\"\n", inst->port + PORT_DIRECTORY);
@@ -127,6 +131,11 @@
 		dup2(fd, STDERR_FILENO);
 		/* A connection that the soak closes must not stay open here. */
 		close_range(STDERR_FILENO + 1, ~0U, 0);
+		if (inst->soak->descriptors > 0) {
+			struct rlimit files = {inst->soak->descriptors, inst->soak->descriptors};
+
+			setrlimit(RLIMIT_NOFILE, &files);
+		}
 		execl(inst->soak->program, inst->soak->program, "--settings", settings,
 		      (char *)NULL);
 		_exit(127);
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -529,7 +529,7 @@
 		.base = s->base,
 		.host = "127.0.0.1",
 		.header_bytes = 65536,
-		.body_bytes = 1 << 20,
+		.body_bytes = 8 << 20, /* as an instance accepts */
 		.idle = 30 * AP_SEC,
 		.ctx = r,
 		.request = on_request,
--- a/test/soak/scenario.c
+++ b/test/soak/scenario.c
@@ -8,6 +8,8 @@
 #define HEARTBEAT AP_SEC
 
 const char *scenario_program;
+unsigned scenario_memory_mb;
+unsigned scenario_descriptors;
 
 void soak_finding(soak_t *s, const char *fmt, ...)
 {
@@ -55,6 +57,8 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	s->program = scenario_program;
+	s->memory_mb = scenario_memory_mb;
+	s->descriptors = scenario_descriptors;
 	ap_rng_seed(&s->rng, 1);
 	ap_rng_seed(&s->schedule, 1);
 	ap_rng_seed(&s->spoils, 1);
--- a/test/soak/scenario.h
+++ b/test/soak/scenario.h
@@ -11,6 +11,9 @@
 
 /* Path of the daemon; set by main(). */
 extern const char *scenario_program;
+/* Settings of the instances, as in soak_t. */
+extern unsigned scenario_memory_mb;
+extern unsigned scenario_descriptors;
 
 /* Starts the deployment; the state is a soak_t. */
 int scenario_set_up(void **state);
