--- /dev/null
+++ b/test/crowd/main.c
@@ -0,0 +1,477 @@
+/*
+ * Clients that fill an instance: bodies that stop short of their end, heads and empty lines without
+ * end, responses that are not read, connections without a request. The process lives within its
+ * memory and descriptors, and ordinary requests are answered.
+ */
+#include "../soak/scenario.h"
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define MEMORY_MB 64
+#ifdef __SANITIZE_ADDRESS__
+#define MEMORY_MAX_MB (MEMORY_MB + 64) /* what the sanitizer adds to a process without requests */
+#else
+#define MEMORY_MAX_MB MEMORY_MB
+#endif
+#define DESCRIPTORS_MAX 2048
+#define FEW_DESCRIPTORS 128
+#define CROWD_MAX 1200
+#define CHUNK_BYTES 16384
+#define BODY_CHUNKS 255 /* 4,177,920 bytes: 16 KB less than the largest body */
+#define SMALL_CHUNKS 1000000
+#define SEGMENTS 2500
+#define FAR_BYTES (16 << 20) /* twice what an instance accepts */
+#define LARGE_BODY (4 << 20)
+#define WRITE_BYTES (64 << 10)
+#define SEND_MAX (6 * AP_SEC) /* below the time in which a request has to arrive */
+#define HOLD (300 * AP_MSEC)
+#define ANSWER_MAX (10 * AP_SEC)
+#define LISTENERS 6 /* consecutive ports: callers, ready, directory, metrics, control, peers */
+#define PORT_METRICS 3
+
+#define POST                                                                                       \
+	"POST /once/ HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: c-%u\r\nDeadline-Ms: 3000\r\n"
+
+/*
+ * What each client sends: @head, which takes the client's number, @repeat @times times, and then
+ * nothing more.
+ * @alone: each @repeat is sent in a segment of its own
+ */
+typedef struct form {
+	const char *name;
+	const char *head;
+	const char *repeat;
+	size_t times;
+	bool alone;
+} form_t;
+
+static char large_chunk[CHUNK_BYTES + 16];
+
+static const form_t large_chunks = {"chunks of 16 KB that stop short",
+				    POST "Transfer-Encoding: chunked\r\n\r\n", large_chunk,
+				    BODY_CHUNKS, false};
+static const form_t stated_length = {"a stated length that stops one byte short",
+				     POST "Content-Length: 4177921\r\n\r\n", "x", 4177920, false};
+static const form_t small_chunks = {"chunks of one byte that stop short",
+				    POST "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n",
+				    SMALL_CHUNKS, false};
+static const form_t small_segments = {"chunks of one byte, each in a segment",
+				      POST "Transfer-Encoding: chunked\r\n\r\n1\r\nx", "\r\n1\r\nx",
+				      SEGMENTS, true};
+static const form_t far_length = {"a length far over the limit",
+				  POST "Content-Length: 99999999999\r\n\r\n", "padding",
+				  FAR_BYTES / 7, false};
+static const form_t far_chunks = {"chunks far over the limit",
+				  POST "Transfer-Encoding: chunked\r\n\r\n", large_chunk,
+				  FAR_BYTES / CHUNK_BYTES, false};
+static const form_t far_chunk = {"a chunk far over the limit",
+				 POST "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", "padding",
+				 FAR_BYTES / 7, false};
+static const form_t far_head = {"a head of fields without end", POST, "X-Pad: padding\r\n",
+				FAR_BYTES / 16, false};
+static const form_t far_field = {"a field without end", POST "X-Pad: ", "padding", FAR_BYTES / 7,
+				 false};
+static const form_t near_head = {"a head that stops short", POST, "X-Pad: padding\r\n", 900, false};
+static const form_t empty_lines = {"empty lines without end", "\r\n", "\r\n", FAR_BYTES / 2, false};
+static const form_t unread = {"responses that are not read",
+			      "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n",
+			      "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n", 1 << 18, false};
+static const form_t silent = {"connections without a request", "", "", 0, false};
+static const form_t begun = {"a head that was begun", "P", "", 0, false};
+
+/* ---- the clients' process ---- */
+
+typedef struct client {
+	int fd;
+	size_t head;	/* bytes of the head left */
+	size_t left;	/* bytes of the repeated part left */
+	size_t at;	/* next byte within the repeated part */
+	char text[512]; /* the head */
+	size_t text_len;
+} client_t;
+
+typedef struct crowd {
+	const form_t *form;
+	size_t n;
+	uint16_t first_port;
+	unsigned from; /* the clients are spread over these listeners */
+	unsigned to;
+} crowd_t;
+
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons(port),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	if (fd < 0)
+		_exit(EXIT_FAILURE);
+	/* Refused by a process that has ended, which the test notices. */
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0)
+		return -1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+/* Returns false once nothing more is to be sent, as all is, or the server has closed. */
+static bool send_some(client_t *c, const form_t *form, const char *pattern, size_t unit)
+{
+	size_t len = form->alone ? unit : WRITE_BYTES;
+	ssize_t sent;
+
+	if (c->head > 0) {
+		sent = send(c->fd, c->text + c->text_len - c->head, c->head, MSG_NOSIGNAL);
+		if (sent > 0)
+			c->head -= (size_t)sent;
+		return sent > 0 || errno == EAGAIN;
+	}
+	if (c->left == 0)
+		return false;
+	len = len < c->left ? len : c->left;
+	sent = send(c->fd, pattern + c->at, len, MSG_NOSIGNAL);
+	if (sent <= 0)
+		return sent < 0 && errno == EAGAIN;
+	c->left -= (size_t)sent;
+	c->at = (c->at + (size_t)sent) % unit;
+	return c->left > 0;
+}
+
+static void run_crowd(const crowd_t *crowd, int done)
+{
+	const form_t *form = crowd->form;
+	size_t unit = strlen(form->repeat);
+	char *pattern = malloc(unit + WRITE_BYTES + 1);
+	client_t *clients = calloc(crowd->n, sizeof(*clients));
+	bool *open = calloc(crowd->n, sizeof(*open));
+	ap_usec_t until = ap_now() + SEND_MAX;
+	bool more = true;
+
+	if (!pattern || !clients || !open)
+		_exit(EXIT_FAILURE);
+	for (size_t i = 0; unit > 0 && i < unit + WRITE_BYTES; i++)
+		pattern[i] = form->repeat[i % unit];
+	for (size_t i = 0; i < crowd->n; i++) {
+		client_t *c = &clients[i];
+		unsigned listeners = crowd->to - crowd->from + 1;
+
+		c->fd = connect_to((uint16_t)(crowd->first_port + crowd->from + i % listeners));
+		c->text_len = (size_t)snprintf(c->text, sizeof(c->text), form->head, (unsigned)i);
+		c->head = c->text_len;
+		c->left = unit * form->times;
+		open[i] = c->fd >= 0;
+	}
+	while (more && ap_now() < until) {
+		more = false;
+		for (size_t i = 0; i < crowd->n; i++) {
+			if (open[i])
+				open[i] = send_some(&clients[i], form, pattern, unit);
+			more |= open[i];
+		}
+		poll(NULL, 0, 1);
+	}
+	if (write(done, "", 1) != 1)
+		_exit(EXIT_FAILURE);
+	for (;;)
+		pause();
+}
+
+/* Starts the clients, which stay connected; @done gets a byte once they send nothing more. */
+static pid_t start_crowd(const crowd_t *crowd, int *done)
+{
+	int fds[2];
+	pid_t pid;
+
+	assert_int_equal(pipe(fds), 0);
+	pid = fork();
+	if (pid == 0) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		dup2(fds[1], STDIN_FILENO);
+		close_range(STDERR_FILENO + 1, ~0U, 0);
+		run_crowd(crowd, STDIN_FILENO);
+	}
+	close(fds[1]);
+	*done = fds[0];
+	return pid;
+}
+
+/* ---- the test ---- */
+
+typedef struct answer {
+	request_t *q;
+	int status;
+	ap_http_end_t end;
+} answer_t;
+
+static void on_head(void *ctx, const ap_http_head_t *head)
+{
+	((answer_t *)ctx)->status = head->status;
+}
+
+static void on_end(void *ctx, ap_http_end_t end, bool written)
+{
+	answer_t *a = ctx;
+
+	(void)written;
+	a->q->done = true;
+	a->end = end;
+}
+
+/* Sends an ordinary request with a body of @len bytes to the first instance. Return: its status. */
+static int ask(soak_t *s, size_t len)
+{
+	answer_t a = {.q = caller_request(s, SOAK_IDEMPOTENT)};
+	ap_http_header_t headers[] = {
+		{"Host", "soak.example"}, {"Request-Id", a.q->id}, {"Deadline-Ms", "6000"}};
+	char *body = calloc(1, len);
+	ap_http_fetch_config_t config = {
+		.host = "127.0.0.1",
+		.port = s->instances[0].port,
+		.method = EVHTTP_REQ_POST,
+		.target = soak_paths[SOAK_IDEMPOTENT],
+		.headers = headers,
+		.n_headers = sizeof(headers) / sizeof(headers[0]),
+		.body = body,
+		.len = len,
+		.no_probe = true,
+		.connect = AP_SEC,
+		.first_byte = ANSWER_MAX,
+		.between_chunks = ANSWER_MAX,
+		.response_max = 1 << 20,
+		.ctx = &a,
+		.head = on_head,
+		.end = on_end,
+	};
+	ap_http_fetch_t *fetch;
+	ap_usec_t until = ap_now() + ANSWER_MAX;
+
+	assert_non_null(body);
+	memset(body, 'b', len);
+	fetch = ap_http_fetch(s->client, &config);
+	assert_non_null(fetch);
+	while (!a.q->done && ap_now() < until)
+		scenario_run(s, SCENARIO_TURN);
+	if (!a.q->done) {
+		ap_http_fetch_cancel(fetch);
+		a.q->done = true;
+	}
+	free(body);
+	return a.end == AP_HTTP_COMPLETE ? a.status : 0;
+}
+
+/* Most memory that the process has had, in MB; 0 if it has ended. */
+static unsigned peak_memory_mb(pid_t pid)
+{
+	unsigned long kb = 0;
+	char line[128];
+	char path[64];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "r");
+	while (f && fgets(line, sizeof(line), f)) {
+		if (sscanf(line, "VmHWM: %lu", &kb) == 1)
+			break;
+	}
+	if (f)
+		fclose(f);
+	return (unsigned)(kb >> 10);
+}
+
+static unsigned descriptors(pid_t pid)
+{
+	unsigned n = 0;
+	char path[64];
+	DIR *dir;
+
+	snprintf(path, sizeof(path), "/proc/%d/fd", (int)pid);
+	dir = opendir(path);
+	while (dir && readdir(dir))
+		n++;
+	if (dir)
+		closedir(dir);
+	return n;
+}
+
+static void await(soak_t *s, int done)
+{
+	struct pollfd p = {.fd = done, .events = POLLIN};
+	ap_usec_t until = ap_now() + 3 * SEND_MAX;
+
+	while (poll(&p, 1, 0) == 0 && ap_now() < until)
+		scenario_run(s, SCENARIO_TURN);
+	assert_true(p.revents & POLLIN);
+	close(done);
+	scenario_run(s, HOLD);
+}
+
+/*
+ * The instances have been started for this form alone: the peak of memory is that of a process.
+ */
+static bool check(const form_t *form, size_t n, unsigned from, unsigned to)
+{
+	void *state = NULL;
+	crowd_t crowd = {.form = form, .n = n, .from = from, .to = to};
+	unsigned bound = scenario_descriptors ? scenario_descriptors : DESCRIPTORS_MAX;
+	unsigned memory;
+	unsigned files;
+	bool ok;
+	int during;
+	int after;
+	soak_t *s;
+	pid_t pid;
+	int done;
+
+	scenario_set_up(&state);
+	s = state;
+	crowd.first_port = s->instances[0].port;
+	memory = peak_memory_mb(s->instances[0].pid);
+	print_message("%s, %zu clients at listeners %u to %u: %u MB before,", form->name, n, from,
+		      to, memory);
+	pid = start_crowd(&crowd, &done);
+	await(s, done);
+	during = ask(s, 4);
+	files = descriptors(s->instances[0].pid);
+	memory = peak_memory_mb(s->instances[0].pid);
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+	scenario_run(s, HOLD);
+	after = ask(s, LARGE_BODY);
+	print_message(" at most %u MB, %u descriptors; status %d, %d after that\n", memory, files,
+		      during, after);
+	ok = s->instances[0].pid > 0 && memory > 0 && memory <= MEMORY_MAX_MB && files > 0 &&
+	     files <= bound && during == 200 && after == 200 && s->findings == 0;
+	scenario_tear_down(&state);
+	return ok;
+}
+
+/* Guards against LOST: the process ends with the requests of all its callers. */
+static void bodies_that_stop_short(void **state)
+{
+	(void)state;
+	assert_true(check(&large_chunks, 40, 0, 0));
+}
+
+static void lengths_that_stop_short(void **state)
+{
+	(void)state;
+	assert_true(check(&stated_length, 40, 0, 0));
+}
+
+static void small_chunks_that_stop_short(void **state)
+{
+	(void)state;
+	assert_true(check(&small_chunks, 40, 0, 0));
+}
+
+/* The library keeps a buffer of 1 KB for each segment that ends with the data of a chunk. */
+static void small_chunks_in_segments(void **state)
+{
+	(void)state;
+	assert_true(check(&small_segments, 40, 0, 0));
+}
+
+static void bodies_over_the_limit(void **state)
+{
+	bool ok;
+
+	(void)state;
+	ok = check(&far_length, 40, 0, 0);
+	ok &= check(&far_chunks, 40, 0, 0);
+	ok &= check(&far_chunk, 40, 0, 0);
+	assert_true(ok);
+}
+
+static void heads_without_end(void **state)
+{
+	bool ok;
+
+	(void)state;
+	ok = check(&far_head, 200, 0, 0);
+	ok &= check(&far_field, 200, 0, 0);
+	ok &= check(&near_head, 1000, 0, 0);
+	assert_true(ok);
+}
+
+static void empty_lines_without_end(void **state)
+{
+	(void)state;
+	assert_true(check(&empty_lines, 200, 0, 0));
+}
+
+/* The listeners share the memory of one process, so their limits may not add up. */
+static void all_listeners(void **state)
+{
+	bool ok;
+
+	(void)state;
+	ok = check(&large_chunks, 40, 1, LISTENERS - 1);
+	ok &= check(&small_segments, 40, 1, LISTENERS - 1);
+	ok &= check(&near_head, 1000, 1, LISTENERS - 1);
+	ok &= check(&empty_lines, 200, 1, LISTENERS - 1);
+	assert_true(ok);
+}
+
+/* An instance holds what a client sends ahead while it doesn't read a response. */
+static void responses_not_read(void **state)
+{
+	(void)state;
+	assert_true(check(&unread, CROWD_MAX, PORT_METRICS, PORT_METRICS));
+}
+
+/* Without a free descriptor an instance accepts no caller, and reaches no upstream. */
+static void connections_without_requests(void **state)
+{
+	bool ok;
+
+	(void)state;
+	scenario_descriptors = FEW_DESCRIPTORS;
+	ok = check(&silent, 200, 0, 0);
+	ok &= check(&begun, 200, 0, LISTENERS - 1);
+	scenario_descriptors = 0;
+	assert_true(ok);
+}
+
+static const struct {
+	const char *name;
+	void (*run)(void **state);
+} cases[] = {
+	{"bodies", bodies_that_stop_short},	  {"lengths", lengths_that_stop_short},
+	{"chunks", small_chunks_that_stop_short}, {"segments", small_chunks_in_segments},
+	{"over", bodies_over_the_limit},	  {"heads", heads_without_end},
+	{"lines", empty_lines_without_end},	  {"listeners", all_listeners},
+	{"unread", responses_not_read},		  {"connections", connections_without_requests},
+};
+
+int main(int argc, char **argv)
+{
+	struct CMUnitTest test = {0};
+
+	for (size_t i = 0; argc == 3 && i < sizeof(cases) / sizeof(cases[0]); i++) {
+		if (strcmp(cases[i].name, argv[2]) == 0)
+			test = (struct CMUnitTest){.name = argv[2], .test_func = cases[i].run};
+	}
+	if (!test.test_func) {
+		fprintf(stderr, "usage: %s PROGRAM CASE\n", argv[0]);
+		return EXIT_FAILURE;
+	}
+	snprintf(large_chunk, sizeof(large_chunk), "%x\r\n%0*d\r\n", CHUNK_BYTES, CHUNK_BYTES, 0);
+	scenario_program = argv[1];
+	scenario_memory_mb = MEMORY_MB;
+	return _cmocka_run_group_tests("crowd", &test, 1, NULL, NULL);
+}
