http: a failed accept no longer ends the process

The library calls a listener's error callback with its own evhttp in place of the server, so the first accept without a free descriptor wrote to wrong memory (SIGSEGV in event_add() from on_accept_error()). Servers are looked up by their evhttp now. crowd_connections_test: the process lives (wait status 11 before), at most 128 descriptors; the ordinary request is still not answered while the connections are open.

--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -224,6 +225,36 @@
 	}
 }
 
+/*
+ * All servers of the process, of any thread. The library calls on_accept_error() with its own
+ * object in place of the server.
+ */
+static LIST_HEAD(, ap_http_server) servers = LIST_HEAD_INITIALIZER(servers);
+static pthread_mutex_t servers_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void list_server(ap_http_server_t *server, bool listed)
+{
+	pthread_mutex_lock(&servers_lock);
+	if (listed)
+		LIST_INSERT_HEAD(&servers, server, link);
+	else
+		LIST_REMOVE(server, link);
+	pthread_mutex_unlock(&servers_lock);
+}
+
+static ap_http_server_t *server_of(const struct evhttp *http)
+{
+	ap_http_server_t *server;
+
+	pthread_mutex_lock(&servers_lock);
+	LIST_FOREACH (server, &servers, link) {
+		if (server->http == http)
+			break;
+	}
+	pthread_mutex_unlock(&servers_lock);
+	return server;
+}
+
 static void on_accept_retry(evutil_socket_t fd, short what, void *arg)
 {
 	ap_http_server_t *server = arg;
@@ -235,9 +266,11 @@
 
 static void on_accept_error(struct evconnlistener *listener, void *arg)
 {
-	ap_http_server_t *server = arg;
+	ap_http_server_t *server = server_of(arg);
 	struct timeval pause = {.tv_usec = ACCEPT_PAUSE_MS * 1000};
 
+	if (!server)
+		return;
 	evconnlistener_disable(listener);
 	event_add(server->accept_retry, &pause);
 }
@@ -311,6 +344,7 @@
 	server->idle = ap_timeval(config->idle);
 	LIST_INIT(&server->calls);
 	LIST_INIT(&server->lingering);
+	list_server(server, true);
 	server->http = evhttp_new(config->base);
 	server->accept_retry = evtimer_new(config->base, on_accept_retry, server);
 	server->close_listener = evtimer_new(config->base, on_close_listener, server);
@@ -341,6 +375,7 @@
 		return;
 	server->config.flushed = NULL;
 	server->closing = true;
+	list_server(server, false);
 	if (server->http)
 		evhttp_free(server->http);
 	conn_free_all(server);
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -79,6 +79,7 @@
 };
 
 struct ap_http_server {
+	LIST_ENTRY(ap_http_server) link;
 	ap_http_server_config_t config;
 	struct evhttp *http;
 	struct evconnlistener *listener; /* NULL once the server has stopped accepting */
