One budget of memory and connections for all listeners of an instance

Clients could make an instance hold bodies, heads, pipelined requests and unread responses without a bound over connections and listeners. What connections hold is counted against a quarter of memory_mb: above three quarters of that, large requests are not read for 50 ms at a time; then the one with the largest product of bytes and time gets 503 as not run, or its unread response is cut. Requests handed to the gateway stay. Connections are bounded by the process's descriptors; the one without progress for longest closes. Bodies in chunks are parsed 4 KB at a time, as the library keeps 1 KB for a chunk of one byte that ends a segment; 8 KB of pipelined requests are held in place of 64 KB.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -127,8 +127,42 @@
 	AP_HTTP_REFUSED_CONNECTIONS,	/* too many connections are open */
 	AP_HTTP_REFUSED_NO_MEMORY,	/* out of memory */
 	AP_HTTP_REFUSED_STOPPED,	/* complete only after ap_http_server_stop() */
+	AP_HTTP_REFUSED_BUDGET,		/* gave way, as requests hold too much memory together */
 } ap_http_refusal_t;
 
+typedef struct ap_http_budget ap_http_budget_t;
+
+/**
+ * struct ap_http_budget_stats - counters of a budget.
+ * @used, @limit: bytes
+ * @connections: open now, of all servers that share the budget
+ * @gave_way: requests and unread responses given up for want of memory
+ * @closed: connections closed since too many were open
+ * @paused: times that the reading of a request was stopped for want of memory
+ */
+typedef struct ap_http_budget_stats {
+	size_t used;
+	size_t limit;
+	size_t connections;
+	uint64_t gave_way;
+	uint64_t closed;
+	uint64_t paused;
+} ap_http_budget_stats_t;
+
+/**
+ * ap_http_budget_new() - makes the budget that servers of one event loop share: what their
+ * connections hold of requests and responses.
+ * @bytes: limit of that
+ * @connections: most of them that may be open; 0 derives it from the process's limit of descriptors
+ *
+ * Return: to be freed after the servers; NULL when out of memory.
+ */
+ap_http_budget_t *ap_http_budget_new(struct event_base *base, size_t bytes, size_t connections);
+void ap_http_budget_free(ap_http_budget_t *budget);
+/** ap_http_budget_tight() - whether what callers are sent should be bounded more closely. */
+bool ap_http_budget_tight(const ap_http_budget_t *budget);
+ap_http_budget_stats_t ap_http_budget_stats(const ap_http_budget_t *budget);
+
 /**
  * struct ap_http_server_config - configuration of a server, fixed when the server is created.
  * @host: numeric address to listen on
@@ -137,6 +171,7 @@
  * @body_bytes: maximum size of a request body
  * @connections: maximum number of open connections, 0 for no limit; requests on a few connections
  *               above the limit are refused, connections beyond those are closed at once
+ * @budget: shared with other servers of @base; NULL for none
  * @idle: timeout of a connection without a request, and of a response that the caller does not read
  * @arrival: maximum time from the first to the last byte of a request, 0 for no limit
  * @request: called for each complete request, unless the caller has left; one that has closed its
@@ -154,6 +189,7 @@
 	size_t header_bytes;
 	size_t body_bytes;
 	size_t connections;
+	ap_http_budget_t *budget;
 	ap_usec_t idle;
 	ap_usec_t arrival;
 	void *ctx;
--- a/adapters/http/response.c
+++ b/adapters/http/response.c
@@ -105,6 +105,7 @@
 		return;
 	call->server->held -= call->n_held;
 	call->n_held = 0;
+	conn_charge(call->conn);
 	evbuffer_free(call->held);
 	call->held = NULL;
 }
@@ -225,6 +226,7 @@
 	} else {
 		call->n_held += len;
 		server->held += len;
+		conn_charge(call->conn);
 	}
 }
 
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -63,7 +63,7 @@
 
 static void linger_free(lingering_conn_t *l)
 {
-	l->server->n_lingering--;
+	server_lingers(l->server, false);
 	LIST_REMOVE(l, link);
 	close(event_get_fd(l->event));
 	event_free(l->event);
@@ -97,7 +97,7 @@
 	l->server = server;
 	l->until = ap_now() + LINGER;
 	LIST_INSERT_HEAD(&server->lingering, l, link);
-	server->n_lingering++;
+	server_lingers(server, true);
 	event_add(l->event, &limit);
 }
 
@@ -111,11 +111,14 @@
 	int fd = fcntl(own, F_DUPFD_CLOEXEC, 0);
 
 	conn->refused = true;
+	conn_may_give_way(conn, false);
 	event_del(conn->timer);
 	evbuffer_write(out, own);
 	shutdown(own, SHUT_WR);
-	if (fd >= 0)
+	if (fd >= 0 && conn_may_linger(conn))
 		linger_start(conn->server, fd);
+	else if (fd >= 0)
+		close(fd);
 }
 
 static void refuse(server_conn_t *conn, ap_http_refusal_t why)
@@ -161,6 +164,7 @@
 		conn_free(conn);
 		return;
 	}
+	conn_may_give_way(conn, true);
 	evhttp_connection_set_closecb(evcon, on_closed, conn);
 	if (conn->far_over_limit) {
 		conn->server->stats.closed++;
@@ -193,6 +197,13 @@
 		call_hung_up(conn->call);
 }
 
+static void give_way(server_conn_t *conn)
+{
+	if (!conn->call && conn->arriving)
+		refuse(conn, AP_HTTP_REFUSED_BUDGET);
+	drop(conn);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	server_conn_t *conn = arg;
@@ -203,6 +214,10 @@
 		adopt(conn);
 		return;
 	}
+	if (conn->gives_way) {
+		give_way(conn);
+		return;
+	}
 	if (conn->call && conn->call->failed) {
 		call_give_up(conn->call);
 		return;
@@ -235,7 +250,9 @@
 	struct timeval limit = ap_timeval(conn->server->config.arrival);
 
 	conn->arriving = true;
+	conn->arrived = 0;
 	conn->syntax = (ap_http_syntax_t){0};
+	conn_progress(conn);
 	if (conn->server->config.arrival)
 		event_add(conn->timer, &limit);
 }
@@ -250,16 +267,20 @@
 {
 	server_conn_t *conn = arg;
 
-	if (info->n_added == 0 || conn->refused)
+	if (info->n_added == 0 || conn->refused || conn->gives_way)
 		return;
 	if (conn->call) {
 		if (evbuffer_get_length(in) >= PIPELINED_MAX)
 			conn_check_later(conn);
+		conn_charge(conn);
 		return;
 	}
 	if (!conn->arriving)
 		begin_arrival(conn);
+	conn->arrived += info->n_added;
 	read_syntax(conn, in, info->n_added);
+	conn_batch(conn);
+	conn_charge(conn);
 	if (evbuffer_get_length(in) > unparsed_max(conn->server)) {
 		conn->overfull = true;
 		event_active(conn->timer, EV_TIMEOUT, 0);
@@ -317,6 +338,10 @@
 	int status;
 
 	if (conn->call) {
+		if (info->n_deleted > 0)
+			conn_progress(conn);
+		if (!conn->gives_way)
+			conn_charge(conn);
 		if (info->n_deleted > 0 && evbuffer_get_length(out) == 0 &&
 		    conn->call->output_empty)
 			conn->call->output_empty(conn->call->ctx);
@@ -355,6 +380,7 @@
 		return NULL;
 	}
 	bufferevent_incref(conn->bev);
+	conn_count(conn);
 	HASH_ADD_PTR(server->conns, bev, conn);
 	conn->over_limit = exceeds_limit(server, 0);
 	conn->far_over_limit = exceeds_limit(server, spare_for(server));
@@ -375,6 +401,7 @@
 void conn_free(server_conn_t *conn)
 {
 	HASH_DELETE(hh, conn->server->conns, conn);
+	conn_uncount(conn);
 	event_free(conn->timer);
 	free(conn);
 }
@@ -429,7 +456,9 @@
 void conn_request_complete(server_conn_t *conn)
 {
 	conn->arriving = false;
+	conn->unread = false; /* the library has stopped reading, and begins again by itself */
 	event_del(conn->timer);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, PIPELINED_MAX);
 }
 
 void conn_response_sent(server_conn_t *conn)
@@ -437,11 +466,15 @@
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
 
 	conn->call = NULL;
+	conn->served = 0;
 	event_del(conn->timer);
-	if (evbuffer_get_length(in) == 0)
-		return;
-	begin_arrival(conn);
-	read_syntax(conn, in, evbuffer_get_length(in));
+	conn_progress(conn);
+	if (evbuffer_get_length(in) > 0) {
+		begin_arrival(conn);
+		conn->arrived = evbuffer_get_length(in);
+		read_syntax(conn, in, evbuffer_get_length(in));
+	}
+	conn_charge(conn);
 }
 
 bool conn_over_limit(server_conn_t *conn)
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -76,6 +76,7 @@
 	call->server->flushing++;
 	if (call->hangup)
 		event_del(call->hangup);
+	conn_may_give_way(call->conn, true);
 	evhttp_request_set_on_complete_cb(call->req, on_complete, call);
 }
 
@@ -190,6 +191,7 @@
 	ap_http_call_t *call = calloc(1, sizeof(*call));
 	server_conn_t *conn = conn_of(server, evhttp_request_get_connection(req));
 	struct bufferevent *bev;
+	bool gives_way;
 
 	if (!call || !conn) {
 		free(call);
@@ -205,10 +207,18 @@
 	LIST_INSERT_HEAD(&server->calls, call, link);
 	bev = call_bev(call);
 	bufferevent_set_timeouts(bev, NULL, &server->idle);
-	bufferevent_setwatermark(bev, EV_READ, 0, PIPELINED_MAX);
+	conn->served = conn->syntax.head_bytes +
+		       2 * evbuffer_get_length(evhttp_request_get_input_buffer(req));
 	if (!watch_hangup(call))
 		ap_log(LOG_ERR, "no memory to notice that a caller closes its connection");
-	if (call->hangup && conn_peer_left(conn)) {
+	conn_charge(conn);
+	gives_way = conn->gives_way;
+	conn_stay(conn);
+	conn_may_give_way(conn, false);
+	event_del(conn->timer);
+	if (gives_way) {
+		refuse_last(call, AP_HTTP_REFUSED_BUDGET);
+	} else if (call->hangup && conn_peer_left(conn)) {
 		server->stats.left++;
 		event_active(call->hangup, EV_CLOSED, 0);
 	} else if (!conn->syntax.malformed && expects_more(req)) {
@@ -487,6 +497,8 @@
 	struct evbuffer *body = evhttp_request_get_input_buffer(call->req);
 
 	evbuffer_drain(body, evbuffer_get_length(body));
+	call->conn->served = call->conn->syntax.head_bytes;
+	conn_charge(call->conn);
 }
 
 void ap_http_call_abort(ap_http_call_t *call)
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -3,6 +3,7 @@
 #define AP_HTTP_SERVER_H
 
 #include "http/syntax.h"
+#include "limit/budget.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,7 +12,7 @@
 #define HASH_FUNCTION(key, len, out) ((out) = (unsigned)ap_hash((key), (len), 0))
 #include <uthash.h>
 
-#define PIPELINED_MAX 65536 /* bytes that a caller may send while its request is in progress */
+#define PIPELINED_MAX 8192 /* bytes that a caller may send while its request is in progress */
 
 typedef struct server_conn server_conn_t;
 typedef struct lingering_conn lingering_conn_t;
@@ -61,6 +62,12 @@
  *            chunks of its body that doesn't end
  * @over_limit: the connection limit was exceeded when the connection was opened
  * @far_over_limit: the limit was exceeded so far that the connection is closed at once
+ * @entry: in the budget
+ * @arrived: bytes of the request that arrives
+ * @served: bytes that the request being served holds: its head, its body and a copy of that for an
+ *          upstream
+ * @unread: reading is stopped for want of memory
+ * @gives_way: it has to go, which is done from the event loop
  * @refused: no request follows: its last response was sent without the library, or closes it
  */
 struct server_conn {
@@ -72,6 +79,11 @@
 	ap_http_call_t *call;
 	bool arriving;
 	ap_http_syntax_t syntax;
+	ap_budget_entry_t entry;
+	size_t arrived;
+	size_t served;
+	bool unread;
+	bool gives_way;
 	bool overfull;
 	bool over_limit;
 	bool far_over_limit;
@@ -124,6 +136,25 @@
 /* conn_check_later() - checks while a request is served whether the caller has left. */
 void conn_check_later(server_conn_t *conn);
 
+/* budget.c */
+/* conn_count() - counts a new connection; an older one may have to close. */
+void conn_count(server_conn_t *conn);
+void conn_uncount(server_conn_t *conn);
+/* conn_charge() - what @conn holds has changed; it or another may have to give way. */
+void conn_charge(server_conn_t *conn);
+/* conn_progress() - the request begins to arrive, or the caller has read of its response. */
+void conn_progress(server_conn_t *conn);
+/* conn_may_give_way() - sets whether @conn may; not while its request is served. */
+void conn_may_give_way(server_conn_t *conn, bool may);
+/* conn_may_linger() - whether a refused connection may be read until its caller closes. */
+bool conn_may_linger(const server_conn_t *conn);
+/* server_lingers() - counts a lingering connection more or less. */
+void server_lingers(ap_http_server_t *server, bool more);
+/* conn_stay() - undoes that @conn has to give way, as its request is refused in another way. */
+void conn_stay(server_conn_t *conn);
+/* conn_batch() - makes the library wait for enough bytes of a body in chunks before it parses. */
+void conn_batch(server_conn_t *conn);
+
 /* server.c */
 /* call_hung_up() - the caller has left before the end of the response. */
 void call_hung_up(ap_http_call_t *call);
--- a/adapters/http/syntax.c
+++ b/adapters/http/syntax.c
@@ -56,6 +56,7 @@
 	s->malformed |= s->n == 0 || s->n > SIZE_DIGITS;
 	s->oversized = s->left > SIZE_MAX_BYTES;
 	s->trailers = s->left == 0;
+	s->body += s->left;
 	if (s->trailers)
 		go_to(s, AP_HTTP_AT_NAME);
 	else
@@ -106,6 +107,7 @@
 	bool coding;
 
 	if (c == ':') {
+		s->fields++;
 		coding = s->n == len && s->matched == len;
 		s->malformed |= s->n == 0 || (coding && s->place == AP_HTTP_AT_BLANK);
 		s->coded |= coding;
@@ -192,6 +194,8 @@
 	struct evbuffer_ptr at;
 	ev_ssize_t got = 1;
 
+	if (s->place == AP_HTTP_AT_END || s->malformed)
+		return;
 	if (evbuffer_ptr_set(in, &at, evbuffer_get_length(in) - n, EVBUFFER_PTR_SET) != 0)
 		return;
 	while (got > 0 && s->place != AP_HTTP_AT_END && !s->malformed) {
--- a/adapters/http/syntax.h
+++ b/adapters/http/syntax.h
@@ -31,9 +31,11 @@
  * @trailers: the last chunk has arrived
  * @status: of a response; 0 until it is known
  * @head_bytes: bytes of the start line and fields so far
+ * @fields: so far, with trailers
  * @n: bytes of the start line or the name, digits of the size
  * @matched: bytes of the name that are those of the field of codings
  * @left: bytes of the chunk to come
+ * @body: bytes of all chunks so far, as their sizes state
  */
 typedef struct ap_http_syntax {
 	ap_http_place_t place;
@@ -46,9 +48,11 @@
 	bool trailers;
 	int status;
 	size_t head_bytes;
+	size_t fields;
 	size_t n;
 	size_t matched;
 	uint64_t left;
+	uint64_t body;
 } ap_http_syntax_t;
 
 /* ap_http_syntax_read() - reads the last @n bytes of @in, which are the next of the message. */
--- a/cmd/arbutuspond/entry-caller.c
+++ b/cmd/arbutuspond/entry-caller.c
@@ -437,6 +437,7 @@
 						 "too many connections are open here"},
 		[AP_HTTP_REFUSED_NO_MEMORY] = {ENTRY_OVERLOADED, "out of memory"},
 		[AP_HTTP_REFUSED_STOPPED] = {ENTRY_DRAINING, "this entry is draining"},
+		[AP_HTTP_REFUSED_BUDGET] = {ENTRY_OVERLOADED, "requests hold too much memory"},
 	};
 	entry_fault_t fault = {.error = refusals[why].error};
 	entry_t *entry = ctx;
--- a/cmd/arbutuspond/entry-core.c
+++ b/cmd/arbutuspond/entry-core.c
@@ -7,7 +7,8 @@
 
 #define TICK_US 20000 /* interval of admission checks while requests are queued */
 #define IDLE_TICK_S 1
-#define REPORT_S 1 /* interval of counters and capacity offers to the control task */
+#define REPORT_S 1    /* interval of counters and capacity offers to the control task */
+#define MEMORY_PART 4 /* of the machine's memory is what connections may hold */
 #define CALLER_IDLE_TIMEOUT (75 * AP_SEC)
 
 static uint64_t wall_ms(void)
@@ -133,6 +134,14 @@
 		.flushed = on_flushed,
 	};
 
+	/* Some tests state no memory. */
+	if (settings->memory_mb > 0) {
+		entry->memory = ap_http_budget_new(entry->config.base,
+						   (settings->memory_mb << 20) / MEMORY_PART, 0);
+		if (!entry->memory)
+			return AP_HTTP_STATUS_NO_MEMORY;
+	}
+	config.budget = entry->memory;
 	return ap_http_server_new(&config, &entry->server, err);
 }
 
@@ -224,6 +233,7 @@
 			ap_http_call_watch(x->call, NULL, NULL, NULL);
 	}
 	ap_http_server_free(entry->server);
+	ap_http_budget_free(entry->memory);
 	free_exchanges(entry);
 	ap_http_client_free(entry->client);
 	ap_route_free(entry->route);
--- a/cmd/arbutuspond/entry.h
+++ b/cmd/arbutuspond/entry.h
@@ -183,6 +183,7 @@
 	ap_env_t env;
 	ap_rng_t rng;
 	ap_http_server_t *server;
+	ap_http_budget_t *memory; /* what connections hold; NULL for no limit */
 	ap_http_client_t *client;
 	ap_route_t *route;
 	ap_admission_t *admission;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -378,6 +378,7 @@
 		[AP_HTTP_REFUSED_CONNECTIONS] = {503, "too-many-connections"},
 		[AP_HTTP_REFUSED_NO_MEMORY] = {503, "out-of-memory"},
 		[AP_HTTP_REFUSED_STOPPED] = {503, "leaving"},
+		[AP_HTTP_REFUSED_BUDGET] = {503, "memory-short"},
 	};
 
 	gate->counters.ended[responses[why].status == 503 ? GATE_REFUSED : GATE_INVALID]++;
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -14,6 +14,7 @@
 #define LATE_MARGIN (1 * AP_SEC)       /* so that the exchange's own timeouts come first */
 #define RESPONSE_MAX (16 << 20)	       /* bytes of one response */
 #define PENDING_MAX (128 << 10)	       /* bytes waiting for a slow caller; reading pauses above */
+#define PENDING_TIGHT (16 << 10)       /* likewise while memory is short */
 
 static void drop_witness(gate_attempt_t *a)
 {
@@ -208,13 +209,18 @@
 	gate_call_update(c);
 }
 
+static size_t pending_max(const gateway_t *gate)
+{
+	return ap_http_budget_tight(gate->budget) ? PENDING_TIGHT : PENDING_MAX;
+}
+
 static void on_data(void *ctx, const void *data, size_t len)
 {
 	gate_attempt_t *a = ctx;
 	gate_call_t *c = a->call;
 
 	ap_exchange_data(&c->x, slot_of(a), data, len, ap_now());
-	if (c->call && c->started && ap_http_reply_pending(c->call) > PENDING_MAX)
+	if (c->call && c->started && ap_http_reply_pending(c->call) > pending_max(c->gate))
 		gate_call_pause(c, true);
 	gate_call_update(c);
 }
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -186,6 +186,7 @@
 	gateway_t *gate = ctx;
 	const gate_counters_t *n = &gate->counters;
 	ap_http_client_stats_t client = ap_http_client_stats(gate->client);
+	ap_http_budget_stats_t memory = ap_http_budget_stats(gate->budget);
 	struct evbuffer *out = evbuffer_new();
 
 	if (!out) {
@@ -200,6 +201,12 @@
 	    (double)ap_http_server_stats(gate->callers).without_chunks);
 	put(out, "responses_given_up_total", "",
 	    (double)ap_http_server_stats(gate->callers).given_up);
+	put(out, "held_bytes", "", (double)memory.used);
+	put(out, "held_bytes_limit", "", (double)memory.limit);
+	put(out, "caller_connections", "", (double)memory.connections);
+	put(out, "memory_short_total", "{what=\"paused\"}", (double)memory.paused);
+	put(out, "memory_short_total", "{what=\"gave_way\"}", (double)memory.gave_way);
+	put(out, "memory_short_total", "{what=\"closed\"}", (double)memory.closed);
 	put(out, "guests_total", "", (double)n->forwarded_received);
 	put(out, "sends_total", "", (double)n->sends);
 	put(out, "sends_away_total", "", (double)n->forwarded_sent);
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -19,6 +19,7 @@
 #define CALLER_IDLE_TIMEOUT (60 * AP_SEC) /* longer than callers keep an idle connection */
 /* From the first to the last byte of a request; several times what callers are allowed. */
 #define CALLER_ARRIVAL_TIMEOUT (10 * AP_SEC)
+#define MEMORY_PART 4	 /* of the machine's memory is the budget; as much again goes into copies */
 #define CONNECTIONS 3000 /* per listener; the other file descriptors are for upstreams */
 /*
  * The listeners are open for at most this long after SIGTERM. Requests accepted later would not be
@@ -58,6 +59,7 @@
 		.header_bytes = HEADER_BYTES,
 		.body_bytes = BODY_BYTES,
 		.connections = CONNECTIONS,
+		.budget = gate->budget,
 		.idle = CALLER_IDLE_TIMEOUT,
 		.arrival = CALLER_ARRIVAL_TIMEOUT,
 		.ctx = gate,
@@ -121,6 +123,22 @@
 		event_base_loopbreak(gate->base);
 }
 
+/* Records at most once a second that requests gave way or connections were closed. */
+static void record_memory(gateway_t *gate, ap_usec_t now)
+{
+	ap_http_budget_stats_t memory = ap_http_budget_stats(gate->budget);
+
+	if (memory.gave_way + memory.closed == gate->memory_recorded ||
+	    now - gate->memory_recorded_at < AP_SEC)
+		return;
+	gate->memory_recorded = memory.gave_way + memory.closed;
+	gate->memory_recorded_at = now;
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "memory.short", NULL, "s:I,s:I,s:I,s:I,s:I",
+			 "held", (json_int_t)memory.used, "limit", (json_int_t)memory.limit,
+			 "connections", (json_int_t)memory.connections, "gave_way",
+			 (json_int_t)memory.gave_way, "closed", (json_int_t)memory.closed);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	gateway_t *gate = arg;
@@ -145,6 +163,7 @@
 	gate_seed_tick(gate, now);
 	gate_health_tick(gate, now);
 	gate_peer_tick(gate, now);
+	record_memory(gate, now);
 	ap_journal_flush(gate->journal);
 	check_drain(gate, now);
 }
@@ -293,9 +312,11 @@
 	gate->http_calls = ap_calls_new(gate->base);
 	gate->last_tick_monotonic = monotonic_now();
 	gate->client = ap_http_client_new(gate->base);
+	gate->budget =
+		ap_http_budget_new(gate->base, (gate->settings->memory_mb << 20) / MEMORY_PART, 0);
 	fill_self(gate);
-	return gate->client && gate->http_calls && make_fleet(gate) && listen_all(gate) &&
-	       gate_store_start(gate) && start_tick_and_signals(gate);
+	return gate->client && gate->budget && gate->http_calls && make_fleet(gate) &&
+	       listen_all(gate) && gate_store_start(gate) && start_tick_and_signals(gate);
 }
 
 static void stop(gateway_t *gate)
@@ -306,6 +327,7 @@
 	ap_http_server_free(gate->directory);
 	ap_http_server_free(gate->metrics);
 	ap_http_server_free(gate->control);
+	ap_http_budget_free(gate->budget);
 	ap_calls_free(gate->http_calls);
 	ap_http_client_free(gate->client);
 	gate_store_stop(gate);
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -263,6 +263,9 @@
 	ap_registration_t *registration;
 	ap_host_store_t *store;
 	ap_http_client_t *client;
+	ap_http_budget_t *budget; /* shared by all servers */
+	uint64_t memory_recorded; /* requests and connections given up by the last record */
+	ap_usec_t memory_recorded_at;
 	ap_http_server_t *callers;
 	ap_http_server_t *peers;
 	ap_http_server_t *ready;
