--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -97,8 +97,7 @@
 #define AP_FLEET_SPEAKS_BATCHES 1
 #define AP_FLEET_SPEAKS AP_FLEET_SPEAKS_BATCHES /* all that this version understands */
 
-/* One part of a prompt. Requests whose leading parts are equal share the KV cache of these parts.
- */
+/* A part of a prompt. Requests whose leading parts are equal share the KV cache of these parts. */
 typedef struct ap_prompt_part {
 	uint64_t id;
 	uint32_t tokens;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -250,7 +250,7 @@
 	ap_rng_t ends;	   /* of work that outlasts its deadline and of empty streams */
 	ap_rng_t befores;  /* of work that isn't begun as it would outlast its deadline */
 	const char *program;
-	const char *gateway; /* further lines for the instances' table [gateway], or NULL */
+	const char *gateway;  /* further lines for the instances' table [gateway], or NULL */
 	unsigned memory_mb;   /* setting of the instances; 0 for the default */
 	unsigned descriptors; /* limit of each instance's; 0 for the one of this process */
 	char dir[64];
