--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -75,6 +76,7 @@
 	call->server->flushing++;
 	if (call->hangup)
 		event_del(call->hangup);
+	conn_may_give_way(call->conn, true);
 	evhttp_request_set_on_complete_cb(call->req, on_complete, call);
 }
 
@@ -189,6 +191,7 @@
 	ap_http_call_t *call = calloc(1, sizeof(*call));
 	server_conn_t *conn = conn_of(server, evhttp_request_get_connection(req));
 	struct bufferevent *bev;
+	bool gives_way;
 
 	if (!call || !conn) {
 		free(call);
@@ -204,10 +207,18 @@
 	LIST_INSERT_HEAD(&server->calls, call, link);
 	bev = call_bev(call);
 	bufferevent_set_timeouts(bev, NULL, &server->idle);
-	bufferevent_setwatermark(bev, EV_READ, 0, PIPELINED_MAX);
+	conn->served = conn->syntax.head_bytes +
+		       2 * evbuffer_get_length(evhttp_request_get_input_buffer(req));
 	if (!watch_hangup(call))
 		ap_log(LOG_ERR, "no memory to notice that a caller closes its connection");
-	if (call->hangup && conn_peer_left(conn)) {
+	conn_charge(conn);
+	gives_way = conn->gives_way;
+	conn_stay(conn);
+	conn_may_give_way(conn, false);
+	event_del(conn->timer);
+	if (gives_way) {
+		refuse_last(call, AP_HTTP_REFUSED_BUDGET);
+	} else if (call->hangup && conn_peer_left(conn)) {
 		server->stats.left++;
 		event_active(call->hangup, EV_CLOSED, 0);
 	} else if (!conn->syntax.malformed && expects_more(req)) {
@@ -224,6 +235,36 @@
 	}
 }
 
+/*
+ * All servers of the process, of any thread. The library calls on_accept_error() with its own
+ * object in place of the server.
+ */
+static LIST_HEAD(, ap_http_server) servers = LIST_HEAD_INITIALIZER(servers);
+static pthread_mutex_t servers_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void list_server(ap_http_server_t *server, bool listed)
+{
+	pthread_mutex_lock(&servers_lock);
+	if (listed)
+		LIST_INSERT_HEAD(&servers, server, link);
+	else
+		LIST_REMOVE(server, link);
+	pthread_mutex_unlock(&servers_lock);
+}
+
+static ap_http_server_t *server_of(const struct evhttp *http)
+{
+	ap_http_server_t *server;
+
+	pthread_mutex_lock(&servers_lock);
+	LIST_FOREACH (server, &servers, link) {
+		if (server->http == http)
+			break;
+	}
+	pthread_mutex_unlock(&servers_lock);
+	return server;
+}
+
 static void on_accept_retry(evutil_socket_t fd, short what, void *arg)
 {
 	ap_http_server_t *server = arg;
@@ -235,9 +276,11 @@
 
 static void on_accept_error(struct evconnlistener *listener, void *arg)
 {
-	ap_http_server_t *server = arg;
+	ap_http_server_t *server = server_of(arg);
 	struct timeval pause = {.tv_usec = ACCEPT_PAUSE_MS * 1000};
 
+	if (!server)
+		return;
 	evconnlistener_disable(listener);
 	event_add(server->accept_retry, &pause);
 }
@@ -311,6 +354,7 @@
 	server->idle = ap_timeval(config->idle);
 	LIST_INIT(&server->calls);
 	LIST_INIT(&server->lingering);
+	list_server(server, true);
 	server->http = evhttp_new(config->base);
 	server->accept_retry = evtimer_new(config->base, on_accept_retry, server);
 	server->close_listener = evtimer_new(config->base, on_close_listener, server);
@@ -341,6 +385,7 @@
 		return;
 	server->config.flushed = NULL;
 	server->closing = true;
+	list_server(server, false);
 	if (server->http)
 		evhttp_free(server->http);
 	conn_free_all(server);
@@ -452,6 +497,8 @@
 	struct evbuffer *body = evhttp_request_get_input_buffer(call->req);
 
 	evbuffer_drain(body, evbuffer_get_length(body));
+	call->conn->served = call->conn->syntax.head_bytes;
+	conn_charge(call->conn);
 }
 
 void ap_http_call_abort(ap_http_call_t *call)
--- a/adapters/http/syntax.c
+++ b/adapters/http/syntax.c
@@ -10,8 +10,10 @@
 #define CODING "transfer-encoding"
 #define SIZE_DIGITS 15 /* of a chunk */
 #define SIZE_MAX_BYTES ((UINT64_C(1) << 4 * SIZE_DIGITS) - 1)
-#define STATUS_AT 9 /* offset of the status code in a status line */
+#define STATUS_AT 9 /* offset of the status code in a status line, after one blank */
 #define STATUS_END 12
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 #define READ_CHUNK 512 /* bytes examined at a time */
 
 static bool is_token(char c)
@@ -56,16 +58,24 @@
 	s->malformed |= s->n == 0 || s->n > SIZE_DIGITS;
 	s->oversized = s->left > SIZE_MAX_BYTES;
 	s->trailers = s->left == 0;
+	s->body += s->left;
 	if (s->trailers)
 		go_to(s, AP_HTTP_AT_NAME);
 	else
 		s->place = AP_HTTP_AT_DATA;
 }
 
+/* Returns whether the status line has come as far as a status that exists. */
+static bool has_status(const ap_http_syntax_t *s)
+{
+	return s->n >= STATUS_END && s->status >= STATUS_MIN && s->status <= STATUS_MAX;
+}
+
 static void end_line(ap_http_syntax_t *s)
 {
 	switch (s->place) {
 	case AP_HTTP_AT_START_LINE:
+		s->malformed |= s->response && s->n > 0 && !has_status(s);
 		if (s->n > 0)
 			go_to(s, AP_HTTP_AT_NAME);
 		break;
@@ -89,10 +99,18 @@
 	}
 }
 
+/*
+ * The library reads the status as a number of any length and sign, up to what is no digit. The
+ * reason behind it may be missing, and the blank before that.
+ */
 static void take_start(ap_http_syntax_t *s, char c)
 {
-	if (s->response && s->n >= STATUS_AT && s->n < STATUS_END && isdigit((unsigned char)c))
+	if (s->response && s->n >= STATUS_AT && s->n < STATUS_END) {
+		s->malformed |= !isdigit((unsigned char)c);
 		s->status = s->status * 10 + c - '0';
+	} else if (s->response && (s->n == STATUS_AT - 1 || s->n == STATUS_END)) {
+		s->malformed |= c != ' ' || (s->n == STATUS_END && !has_status(s));
+	}
 	s->n++;
 }
 
@@ -106,6 +124,7 @@
 	bool coding;
 
 	if (c == ':') {
+		s->fields++;
 		coding = s->n == len && s->matched == len;
 		s->malformed |= s->n == 0 || (coding && s->place == AP_HTTP_AT_BLANK);
 		s->coded |= coding;
@@ -192,6 +211,8 @@
 	struct evbuffer_ptr at;
 	ev_ssize_t got = 1;
 
+	if (s->place == AP_HTTP_AT_END || s->malformed)
+		return;
 	if (evbuffer_ptr_set(in, &at, evbuffer_get_length(in) - n, EVBUFFER_PTR_SET) != 0)
 		return;
 	while (got > 0 && s->place != AP_HTTP_AT_END && !s->malformed) {
--- a/adapters/settings/settings.c
+++ b/adapters/settings/settings.c
@@ -12,7 +12,8 @@
 
 #define CURVE_TEXT_BYTES (AP_CURVE_KEY_MAX - 1)
 #define PEER_KEYS_MAX 4096
-#define TOKEN_MIN 16 /* characters of the admin token */
+#define TOKEN_MIN 16		/* characters of the admin token */
+#define SECOND_ATTEMPTS_MAX 0.2 /* of a pool's requests */
 
 typedef struct loader {
 	const char *path;
@@ -190,6 +191,12 @@
 	return read_size(l, key, value, 1, 1000000, at);
 }
 
+/* The smallest allows one body of the largest size, its copy for an upstream and the program. */
+static ap_settings_status_t read_memory(loader_t *l, const char *key, json_t *value, void *at)
+{
+	return read_size(l, key, value, 64, 1 << 20, at);
+}
+
 static ap_settings_status_t read_span(loader_t *l, const char *key, json_t *value, json_int_t min_s,
 				      json_int_t max_s, ap_usec_t *span)
 {
@@ -227,6 +234,17 @@
 	return AP_SETTINGS_OK;
 }
 
+static ap_settings_status_t read_second_attempts(loader_t *l, const char *key, json_t *value,
+						 void *at)
+{
+	double number = json_number_value(value);
+
+	if (!json_is_number(value) || !(number >= 0.0 && number <= SECOND_ATTEMPTS_MAX))
+		return invalid(l, key, "must be a number from 0 to 0.2");
+	*(double *)at = number;
+	return AP_SETTINGS_OK;
+}
+
 static ap_settings_status_t read_number(loader_t *l, const char *key, json_t *value, void *at)
 {
 	double number = json_number_value(value);
@@ -237,6 +255,14 @@
 	return AP_SETTINGS_OK;
 }
 
+static ap_settings_status_t read_bool(loader_t *l, const char *key, json_t *value, void *at)
+{
+	if (!json_is_boolean(value))
+		return invalid(l, key, "must be true or false");
+	*(bool *)at = json_is_true(value);
+	return AP_SETTINGS_OK;
+}
+
 static ap_settings_status_t read_scaled(loader_t *l, const char *key, json_t *value, ap_usec_t unit,
 					ap_usec_t *span)
 {
@@ -330,6 +356,7 @@
 	SETTING("instance", "region", NEED_ALWAYS, read_name, region),
 	SETTING("instance", "data_centre", NEED_ALWAYS, read_name, data_centre),
 	SETTING("instance", "host", NEED_ALWAYS, read_host, host),
+	SETTING("instance", "memory_mb", NEED_NEVER, read_memory, memory_mb),
 	SETTING("listen", "callers", NEED_WITHOUT_GATEWAY, read_port, caller_port),
 	SETTING("listen", "data", NEED_WITHOUT_GATEWAY, read_port, data_port),
 	SETTING("listen", "control", NEED_WITHOUT_GATEWAY, read_port, control_port),
@@ -369,6 +396,13 @@
 	SETTING("gateway", "grace_s", NEED_WITH_GATEWAY, read_seconds_float, gateway.grace),
 	SETTING("gateway", "directory_s", NEED_WITH_GATEWAY, read_seconds_float,
 		gateway.directory_ttl),
+	SETTING("gateway", "allowance_window_s", NEED_NEVER, read_seconds_float,
+		gateway.allowance_window),
+	SETTING("gateway", "allowance_over", NEED_NEVER, read_number, gateway.allowance_over),
+	SETTING("gateway", "allowance_slack", NEED_NEVER, read_number, gateway.allowance_slack),
+	SETTING("gateway", "prompt_fetch", NEED_NEVER, read_bool, gateway.prompt_fetch),
+	SETTING("gateway", "second_attempts", NEED_NEVER, read_second_attempts,
+		gateway.second_attempts),
 	SETTING("gateway", "data_centres", NEED_WITH_GATEWAY, read_data_centres, gateway),
 	SETTING("log", "level", NEED_NEVER, read_level, log_level),
 	SETTING("log", "events", NEED_NEVER, read_count, events),
@@ -466,12 +500,14 @@
 static void set_defaults(ap_settings_t *s)
 {
 	*s = (ap_settings_t){
+		.memory_mb = 256,
 		.header_bytes = 16 << 10,
 		.body_bytes = 1 << 20,
 		.connections = 1024,
 		.arrival_time = 30 * AP_SEC,
 		.request_time = 600 * AP_SEC,
 		.queue = 256,
+		.gateway = {.allowance_window = 8 * AP_SEC},
 		.retry_ratio = 0.1,
 		.lease_time = 60 * AP_SEC,
 		.log_level = LOG_INFO,
--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -52,6 +52,10 @@
  * @apply_time: longest time from a change in the store until a new configuration is active
  * @grace: time between SIGTERM and exit
  * @directory_ttl: how long callers may cache a response of the directory
+ * @prompt_fetch: as in struct ap_fleet_config
+ * @allowance_window, @allowance_over, @allowance_slack: as in struct ap_quota_config
+ * @second_attempts: share of a pool's requests that may be sent a second time because the first
+ *                   attempt is slow, at most 0.2; 0 for none
  */
 typedef struct ap_gateway_settings {
 	bool present;
@@ -74,6 +78,11 @@
 	ap_usec_t apply_time;
 	ap_usec_t grace;
 	ap_usec_t directory_ttl;
+	bool prompt_fetch;
+	ap_usec_t allowance_window;
+	double allowance_over;
+	double allowance_slack;
+	double second_attempts;
 	ap_data_centre_t data_centres[AP_DATA_CENTRES_MAX];
 	size_t n_data_centres;
 } ap_gateway_settings_t;
@@ -81,7 +90,7 @@
 /**
  * struct ap_settings - all settings of a process. The tables and keys of the TOML file are:
  *
- * [instance] id, region, data_centre, host
+ * [instance] id, region, data_centre, host, memory_mb (memory of the machine; optional)
  * [listen] callers, data, control (ports on @host), admin = "IP:PORT", admin_token
  * [keys] public, secret (CURVE, Z85), peers = [accepted public keys]
  * [platform] store, instances, directory = "IP:PORT"
@@ -102,6 +111,7 @@
 	char region[AP_NAME_MAX];
 	char data_centre[AP_NAME_MAX];
 	char host[AP_HOST_MAX];
+	size_t memory_mb;
 	uint16_t caller_port;
 	uint16_t data_port;
 	uint16_t control_port;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -10,25 +10,28 @@
 
 #define DEFAULT_TIME_LEFT (30 * AP_SEC)	  /* for requests without a deadline */
 #define HEARD_MAX (600 * AP_SEC)	  /* above any timeout of a route */
-#define EARLY_RETRY_AFTER (300 * AP_MSEC) /* in every 503 of reply_early() */
+#define EARLY_RETRY_AFTER (300 * AP_MSEC) /* in every 503 of gate_reply_early() */
 
 /*
  * Responds to a request that has no exchange; nothing was sent, so it certainly did not run.
+ * @retry_after: 0 if the caller isn't told when to come again
  * @version: of the configuration, if it is the reason; else NULL
  */
-static void reply_early_with(ap_http_call_t *call, int status, bool forwarded, const char *error,
-			     const char *version)
+static void reply_early_with(ap_http_call_t *call, int status, ap_usec_t retry_after,
+			     bool forwarded, const char *error, const char *version)
 {
-	ap_http_header_t headers[4] = {gate_json};
+	ap_http_header_t headers[5] = {gate_json};
 	char body[GATE_ERROR_MAX];
 	char wait[24];
 	size_t n = 1;
 	size_t len = gate_error_body(error, body);
 
-	if (status == 503) {
-		ap_host_format_retry_after(EARLY_RETRY_AFTER, wait);
+	if (retry_after > 0) {
+		ap_host_format_retry_after(retry_after, wait);
 		headers[n++] = (ap_http_header_t){ap_host_retry_after_name(), wait};
 	}
+	if (status == 401)
+		headers[n++] = (ap_http_header_t){"WWW-Authenticate", "Bearer"};
 	if (forwarded)
 		headers[n++] = (ap_http_header_t){FORWARD_HEADER_NOT_RUN, FORWARD_NOT_RUN_UNSENT};
 	if (version)
@@ -36,9 +39,15 @@
 	ap_http_reply(call, status, headers, n, body, len);
 }
 
-static void reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error)
+void gate_reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error)
 {
-	reply_early_with(call, status, forwarded, error, NULL);
+	reply_early_with(call, status, status == 503 ? EARLY_RETRY_AFTER : 0, forwarded, error,
+			 NULL);
+}
+
+void gate_reply_later(ap_http_call_t *call, int status, ap_usec_t wait, const char *error)
+{
+	reply_early_with(call, status, wait, false, error, NULL);
 }
 
 /* Refuses a forwarded request that another version of the configuration would handle otherwise. */
@@ -50,7 +59,7 @@
 	snprintf(version, sizeof(version), "%" PRIu64, gate->plan->version);
 	ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.other-version", id, "s:I",
 			 "version", (json_int_t)gate->plan->version);
-	reply_early_with(call, 503, true, "other-version", version);
+	reply_early_with(call, 503, EARLY_RETRY_AFTER, true, "other-version", version);
 }
 
 static void call_free(gate_call_t *c)
@@ -129,8 +138,17 @@
 	gate_call_update(c);
 }
 
+/* Returns what tells the sender of a request from others, at any instance; NULL if nothing does. */
+static const char *caller_of(const gate_call_t *c, const ap_host_request_t *r)
+{
+	/* A key isn't forwarded where there are customers. */
+	if (c->plan->n_customers > 0)
+		return c->x.req.customer ? c->x.req.customer->name : NULL;
+	return r->caller;
+}
+
 /* A repeated request has the same fingerprint, at any instance. */
-static uint64_t fingerprint_of(ap_http_call_t *call, const ap_host_request_t *r)
+static uint64_t fingerprint_of(ap_http_call_t *call, const ap_host_request_t *r, const char *caller)
 {
 	enum evhttp_cmd_type method = ap_http_call_method(call);
 	size_t len;
@@ -139,8 +157,8 @@
 
 	hash = ap_hash_str(r->host, hash);
 	hash = ap_hash_str(ap_http_call_target(call), hash);
-	if (r->caller)
-		hash = ap_hash_str(r->caller, hash);
+	if (caller)
+		hash = ap_hash_str(caller, hash);
 	hash = ap_hash(body, len, hash);
 	return hash ? hash : 1;
 }
@@ -167,7 +185,7 @@
 	req->model = r->model;
 	req->n_parts = r->n_parts;
 	memcpy(req->parts, r->parts, sizeof(req->parts));
-	req->fingerprint = fingerprint_of(c->call, r);
+	req->fingerprint = fingerprint_of(c->call, r, caller_of(c, r));
 	if (r->last_event)
 		ap_copy_name(c->x.last_event_id, sizeof(c->x.last_event_id), r->last_event);
 	if (r->resumes)
@@ -249,23 +267,30 @@
 }
 
 static void begin(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
-		  const ap_plan_route_t *route, const ap_stream_source_t *source, bool forwarded)
+		  const ap_plan_route_t *route, const ap_customer_t *customer,
+		  const ap_stream_source_t *source, double charged, bool forwarded)
 {
 	ap_usec_t now = ap_now();
 	gate_call_t *c = call_new(gate, call, forwarded);
 
 	if (!c) {
-		reply_early(call, 503, forwarded, "out-of-memory");
+		if (charged > 0)
+			ap_quota_refund(ap_fleet_quota(gate->fleet), customer->name, charged, now);
+		gate_reply_early(call, 503, forwarded, "out-of-memory");
 		return;
 	}
+	c->x.req.customer = customer;
+	c->charged = charged;
 	fill_dispatch(c, r, now);
 	c->x.req.route = route;
 	c->x.req.build = source->build;
 	c->x.req.weights = source->weights;
 	c->x.req.pool = pick_pool(c);
 	ap_http_call_watch(call, c, on_closed, on_drained);
-	if (!forwarded && c->x.req.pool)
+	if (!forwarded && c->x.req.pool) {
 		ap_fleet_count_request(gate->fleet, c->x.req.pool->name, now);
+		gate_second_request(gate, c->x.req.pool->name);
+	}
 	ap_exchange_start(&c->x, attempts_of(c), now);
 	gate_call_update(c);
 }
@@ -273,6 +298,8 @@
 static void receive(gateway_t *gate, ap_http_call_t *call, bool forwarded)
 {
 	const ap_plan_route_t *route;
+	const ap_customer_t *customer = NULL;
+	double charged = 0;
 	ap_host_request_t request;
 	ap_stream_source_t source;
 	ap_err_t err;
@@ -281,18 +308,19 @@
 	gate->counters.forwarded_received += forwarded;
 	if (!gate->plan) {
 		gate->counters.ended[GATE_REFUSED]++;
-		reply_early(call, 503, forwarded, "no-configuration");
+		gate_reply_early(call, 503, forwarded, "no-configuration");
 		return;
 	}
 	if (ap_host_parse_request(ap_http_call_headers(call), &request, &err) != AP_HOST_OK) {
 		gate->counters.ended[GATE_INVALID]++;
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "request.invalid", NULL, "s:s",
 				 "why", err.text);
-		reply_early(call, 400, forwarded, "invalid-request");
+		gate_reply_early(call, 400, forwarded, "invalid-request");
 		return;
 	}
 	route = ap_plan_match(gate->plan, request.host, ap_http_call_path(call));
-	if (forwarded && !gate_version_agrees(gate, call, route)) {
+	if (forwarded && (!gate_version_agrees(gate, call, route) ||
+			  !gate_customer_agrees(gate, call, route, &customer))) {
 		refuse_version(gate, call, request.id);
 		return;
 	}
@@ -305,20 +333,24 @@
 		 * The sender of a forwarded request may have a newer or older configuration, so the
 		 * lack of a route is not final.
 		 */
-		reply_early(call, forwarded ? 503 : 404, forwarded, "no-route");
+		gate_reply_early(call, forwarded ? 503 : 404, forwarded, "no-route");
 		return;
 	}
+	if (!forwarded && !gate_customer_find(gate, call, &request, route, &customer))
+		return;
 	if (!find_source(gate, call, &request, route, forwarded, &source)) {
 		gate->counters.unknown_streams++;
 		gate->counters.ended[GATE_REFUSED]++;
 		ap_journal_write(gate->journal, AP_RECORD_RARE, "stream.unknown", request.id, "s:s",
 				 "resumes", request.resumes ? request.resumes : "");
 		/* Another instance may still announce it. */
-		reply_early(call, 503, forwarded, "stream-unknown");
+		gate_reply_early(call, 503, forwarded, "stream-unknown");
 		return;
 	}
+	if (!forwarded && !gate_allowance_take(gate, call, &request, customer, &charged))
+		return;
 	gate->counters.taken_up += source.build != 0 && !forwarded;
-	begin(gate, call, &request, route, &source, forwarded);
+	begin(gate, call, &request, route, customer, &source, charged, forwarded);
 }
 
 void gate_on_caller(void *ctx, ap_http_call_t *call)
@@ -335,7 +367,7 @@
 		return;
 	}
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "peer.untrusted", NULL, NULL);
-	reply_early(call, 503, true, "not-an-instance");
+	gate_reply_early(call, 503, true, "not-an-instance");
 }
 
 static void reply_refused(gateway_t *gate, ap_http_call_t *call, ap_http_refusal_t why,
@@ -355,12 +387,13 @@
 		[AP_HTTP_REFUSED_CONNECTIONS] = {503, "too-many-connections"},
 		[AP_HTTP_REFUSED_NO_MEMORY] = {503, "out-of-memory"},
 		[AP_HTTP_REFUSED_STOPPED] = {503, "leaving"},
+		[AP_HTTP_REFUSED_BUDGET] = {503, "memory-short"},
 	};
 
 	gate->counters.ended[responses[why].status == 503 ? GATE_REFUSED : GATE_INVALID]++;
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "request.unreadable", NULL, "s:s", "why",
 			 responses[why].error);
-	reply_early(call, responses[why].status, forwarded, responses[why].error);
+	gate_reply_early(call, responses[why].status, forwarded, responses[why].error);
 }
 
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why)
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -14,6 +14,7 @@
 #define LATE_MARGIN (1 * AP_SEC)       /* so that the exchange's own timeouts come first */
 #define RESPONSE_MAX (16 << 20)	       /* bytes of one response */
 #define PENDING_MAX (128 << 10)	       /* bytes waiting for a slow caller; reading pauses above */
+#define PENDING_TIGHT (16 << 10)       /* likewise while memory is short */
 
 static void drop_witness(gate_attempt_t *a)
 {
@@ -196,7 +197,7 @@
 				      ap_duration(strtod(pause, NULL), AP_MSEC), ap_now());
 	if (is_far(c->gate, target) && wait)
 		ap_fleet_set_remote_wait(c->gate->fleet, target->region, c->x.req.pool->name,
-					 c->x.req.route->priority,
+					 ap_dispatch_rank(&c->x.req),
 					 ap_duration(strtod(wait, NULL), AP_MSEC), ap_now());
 	gate_clear_response(a);
 	if (!head->framed && !target->remote)
@@ -208,13 +209,18 @@
 	gate_call_update(c);
 }
 
+static size_t pending_max(const gateway_t *gate)
+{
+	return ap_http_budget_tight(gate->budget) ? PENDING_TIGHT : PENDING_MAX;
+}
+
 static void on_data(void *ctx, const void *data, size_t len)
 {
 	gate_attempt_t *a = ctx;
 	gate_call_t *c = a->call;
 
 	ap_exchange_data(&c->x, slot_of(a), data, len, ap_now());
-	if (c->call && c->started && ap_http_reply_pending(c->call) > PENDING_MAX)
+	if (c->call && c->started && ap_http_reply_pending(c->call) > pending_max(c->gate))
 		gate_call_pause(c, true);
 	gate_call_update(c);
 }
@@ -309,6 +315,7 @@
 {
 	gate_call_t *c = ctx;
 
+	gate_second_first_chunk(c, inflight);
 	ap_fleet_first_chunk(c->gate->fleet, inflight, ap_now());
 }
 
@@ -316,6 +323,7 @@
 {
 	gate_call_t *c = ctx;
 
+	gate_second_done(c, inflight, end);
 	ap_fleet_done(c->gate->fleet, inflight, end, ap_now());
 }
 
@@ -533,6 +541,8 @@
 const ap_exchange_ops_t gate_ops = {
 	.choose = op_choose,
 	.may_retry = op_may_retry,
+	.slow_after = gate_second_after,
+	.second = gate_second_judge,
 	.send = op_send,
 	.sent = op_sent,
 	.first_chunk = op_first_chunk,
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -151,8 +151,14 @@
 	put(out, "messages_skipped_total", "{what=\"kind\"}", (double)fleet.skipped.kinds);
 	put(out, "messages_skipped_total", "{what=\"version\"}", (double)fleet.skipped.versions);
 	put(out, "fields_skipped_total", "", (double)fleet.skipped.fields);
+	put(out, "prompt_fetches_total", "", (double)fleet.fetches.asked);
+	put(out, "prompt_fetch_tokens_total", "", (double)fleet.fetches.tokens);
+	put(out, "prompt_fetches_missed_total", "", (double)fleet.fetches.missed);
 	put(out, "relay_served", "", (double)fleet.relay_served);
 	put(out, "batch_dropped_total", "", (double)fleet.batch_dropped);
+	put(out, "room_pools", "", (double)fleet.room_pools);
+	put(out, "room_requests_total", "{how=\"forwarded\"}", (double)fleet.room_forwarded);
+	put(out, "room_requests_total", "{how=\"refused\"}", (double)fleet.room_refused);
 	put(out, "work_running", "", (double)fleet.running);
 	put(out, "configuration_version", "", gate->plan ? (double)gate->plan->version : 0);
 	put(out, "store_age_seconds", "", age == AP_NEVER ? -1 : (double)age / (double)AP_SEC);
@@ -186,6 +192,7 @@
 	gateway_t *gate = ctx;
 	const gate_counters_t *n = &gate->counters;
 	ap_http_client_stats_t client = ap_http_client_stats(gate->client);
+	ap_http_budget_stats_t memory = ap_http_budget_stats(gate->budget);
 	struct evbuffer *out = evbuffer_new();
 
 	if (!out) {
@@ -200,6 +207,12 @@
 	    (double)ap_http_server_stats(gate->callers).without_chunks);
 	put(out, "responses_given_up_total", "",
 	    (double)ap_http_server_stats(gate->callers).given_up);
+	put(out, "held_bytes", "", (double)memory.used);
+	put(out, "held_bytes_limit", "", (double)memory.limit);
+	put(out, "caller_connections", "", (double)memory.connections);
+	put(out, "memory_short_total", "{what=\"paused\"}", (double)memory.paused);
+	put(out, "memory_short_total", "{what=\"gave_way\"}", (double)memory.gave_way);
+	put(out, "memory_short_total", "{what=\"closed\"}", (double)memory.closed);
 	put(out, "guests_total", "", (double)n->forwarded_received);
 	put(out, "sends_total", "", (double)n->sends);
 	put(out, "sends_away_total", "", (double)n->forwarded_sent);
@@ -213,6 +226,8 @@
 	put_histogram(out, "first_piece_seconds", n->first_chunk, n->first_chunk_sum);
 	put_histogram(out, "request_seconds", n->duration, n->duration_sum);
 	put_gauges(out, gate);
+	gate_customer_metrics(gate, out);
+	gate_second_metrics(gate, out);
 	ap_http_reply(call, 200, &type_text, 1, evbuffer_pullup(out, -1), evbuffer_get_length(out));
 	evbuffer_free(out);
 }
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -19,6 +19,7 @@
 #define CALLER_IDLE_TIMEOUT (60 * AP_SEC) /* longer than callers keep an idle connection */
 /* From the first to the last byte of a request; several times what callers are allowed. */
 #define CALLER_ARRIVAL_TIMEOUT (10 * AP_SEC)
+#define MEMORY_PART 4	 /* of the machine's memory is the budget; as much again goes into copies */
 #define CONNECTIONS 3000 /* per listener; the other file descriptors are for upstreams */
 /*
  * The listeners are open for at most this long after SIGTERM. Requests accepted later would not be
@@ -58,6 +59,7 @@
 		.header_bytes = HEADER_BYTES,
 		.body_bytes = BODY_BYTES,
 		.connections = CONNECTIONS,
+		.budget = gate->budget,
 		.idle = CALLER_IDLE_TIMEOUT,
 		.arrival = CALLER_ARRIVAL_TIMEOUT,
 		.ctx = gate,
@@ -121,6 +123,22 @@
 		event_base_loopbreak(gate->base);
 }
 
+/* Records at most once a second that requests gave way or connections were closed. */
+static void record_memory(gateway_t *gate, ap_usec_t now)
+{
+	ap_http_budget_stats_t memory = ap_http_budget_stats(gate->budget);
+
+	if (memory.gave_way + memory.closed == gate->memory_recorded ||
+	    now - gate->memory_recorded_at < AP_SEC)
+		return;
+	gate->memory_recorded = memory.gave_way + memory.closed;
+	gate->memory_recorded_at = now;
+	ap_journal_write(gate->journal, AP_RECORD_RARE, "memory.short", NULL, "s:I,s:I,s:I,s:I,s:I",
+			 "held", (json_int_t)memory.used, "limit", (json_int_t)memory.limit,
+			 "connections", (json_int_t)memory.connections, "gave_way",
+			 (json_int_t)memory.gave_way, "closed", (json_int_t)memory.closed);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	gateway_t *gate = arg;
@@ -142,9 +160,11 @@
 	gate->last_tick_monotonic = monotonic;
 	ap_fleet_tick(gate->fleet, now);
 	gate_store_tick(gate, now);
+	gate_version_tick(gate, now);
 	gate_seed_tick(gate, now);
 	gate_health_tick(gate, now);
 	gate_peer_tick(gate, now);
+	record_memory(gate, now);
 	ap_journal_flush(gate->journal);
 	check_drain(gate, now);
 }
@@ -159,6 +179,10 @@
 		.retry_window = g->retry_window,
 		.learn_time = LEARN_TIME,
 		.entry_grace = ENTRY_GRACE,
+		.prompt_fetch = g->prompt_fetch,
+		.quota = {.window = g->allowance_window,
+			  .over = g->allowance_over,
+			  .slack = g->allowance_slack},
 	};
 }
 
@@ -181,8 +205,8 @@
 }
 
 /*
- * Reloads the settings. The fleet's bounds, the grace period, the directory's TTL and the seeds
- * take effect; all other settings keep the values they had at start.
+ * Reloads the settings. The fleet's bounds, the share of second attempts, the grace period, the
+ * directory's TTL and the seeds take effect; all other settings keep the values they had at start.
  */
 static void on_reload(evutil_socket_t fd, short what, void *arg)
 {
@@ -201,6 +225,9 @@
 	if (fresh.gateway.present) {
 		bounds = fleet_bounds(&fresh.gateway);
 		ap_fleet_set_bounds(gate->fleet, &bounds);
+		gate->settings->gateway.second_attempts = fresh.gateway.second_attempts;
+		if (!gate_second_configure(gate))
+			ap_log(LOG_ERR, "no memory for second attempts: there are none");
 		gate->settings->gateway.grace = fresh.gateway.grace;
 		gate->settings->gateway.directory_ttl = fresh.gateway.directory_ttl;
 		memcpy(gate->settings->gateway.seeds, fresh.gateway.seeds,
@@ -290,9 +317,12 @@
 	gate->http_calls = ap_calls_new(gate->base);
 	gate->last_tick_monotonic = monotonic_now();
 	gate->client = ap_http_client_new(gate->base);
+	gate->budget =
+		ap_http_budget_new(gate->base, (gate->settings->memory_mb << 20) / MEMORY_PART, 0);
 	fill_self(gate);
-	return gate->client && gate->http_calls && make_fleet(gate) && listen_all(gate) &&
-	       gate_store_start(gate) && start_tick_and_signals(gate);
+	return gate->client && gate->budget && gate->http_calls && make_fleet(gate) &&
+	       gate_second_configure(gate) && listen_all(gate) && gate_store_start(gate) &&
+	       start_tick_and_signals(gate);
 }
 
 static void stop(gateway_t *gate)
@@ -303,11 +333,13 @@
 	ap_http_server_free(gate->directory);
 	ap_http_server_free(gate->metrics);
 	ap_http_server_free(gate->control);
+	ap_http_budget_free(gate->budget);
 	ap_calls_free(gate->http_calls);
 	ap_http_client_free(gate->client);
 	gate_store_stop(gate);
 	ap_peer_free(gate->peer);
 	ap_fleet_free(gate->fleet);
+	ap_hedge_free(gate->hedge);
 	ap_plan_unref(gate->plan);
 	for (size_t i = 0; i < 3; i++) {
 		if (gate->signals[i])
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -11,6 +11,7 @@
 #include "exchange/exchange.h"
 #include "fleet/fleet.h"
 #include "follow/follow.h"
+#include "hedge/hedge.h"
 #include "http/http.h"
 #include "log/log.h"
 #include "peer/peer.h"
@@ -36,6 +37,7 @@
  * WEIGHTS: of a stream that goes on: the only version of the weights, as an ap_weights_t
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
+ * CUSTOMER: who sends the request, as "HASH NAME"; the sender has checked the key
  * PAUSE: how long the upstreams want no requests from this instance, in milliseconds
  */
 #define FORWARD_HEADER_PREFIX "Arbutuspond-"
@@ -47,6 +49,7 @@
 #define FORWARD_NOT_RUN_UNSENT "unsent" /* its value if the request reached no upstream */
 #define FORWARD_HEADER_HEARD FORWARD_HEADER_PREFIX "Heard-Ms"
 #define FORWARD_HEADER_PROOF FORWARD_HEADER_PREFIX "Proof"
+#define FORWARD_HEADER_CUSTOMER FORWARD_HEADER_PREFIX "Customer"
 #define FORWARD_HEADER_WAIT FORWARD_HEADER_PREFIX "Wait-Ms"
 #define FORWARD_HEADER_PAUSE FORWARD_HEADER_PREFIX "Pause-Ms"
 
@@ -59,8 +62,10 @@
 	GATE_ABORTED,	   /* the response was aborted after its head had been sent */
 	GATE_DISCONNECTED, /* the caller disconnected */
 	GATE_NO_ROUTE,
-	GATE_INVALID,  /* malformed or refused by the HTTP server */
-	GATE_OUTCOMES, /* number of outcomes */
+	GATE_INVALID,	   /* malformed or refused by the HTTP server */
+	GATE_UNAUTHORIZED, /* without the key of a customer */
+	GATE_OVER,	   /* over the customer's allowance */
+	GATE_OUTCOMES,	   /* number of outcomes */
 } gate_outcome_t;
 
 /**
@@ -141,6 +146,7 @@
  * @status: of the response to the caller
  * @attempts: by slot of the exchange
  * @resumes: id of the request that began the stream; empty if the request begins it
+ * @charged: units that were taken from the customer's allowance
  * @steps: ring of the latest steps
  * @n_steps: how many steps there were
  */
@@ -162,6 +168,7 @@
 	int status;
 	char id[AP_HOST_REQUEST_ID_MAX];
 	char resumes[AP_HOST_REQUEST_ID_MAX];
+	double charged;
 	gate_outcome_t outcome;
 	gate_step_t steps[GATE_STEPS_MAX];
 	size_t n_steps;
@@ -178,6 +185,9 @@
  * @cold_sent: requests sent to upstreams that were believed to be cold
  * @forwarded_sent: requests sent to remote regions
  * @peer_sent: requests sent to other instances of the own region
+ * @seconds: second attempts that were considered, by what was decided
+ * @seconds_won: requests whose response a second attempt made
+ * @seconds_lost: other requests with one
  * @taken_up: streams that callers took up here
  * @unknown_streams: of these, refused because the build that began them, or the version of the
  *	weights, isn't known
@@ -201,6 +211,9 @@
 	uint64_t forwarded_sent;
 	uint64_t peer_sent;
 	uint64_t retries;
+	uint64_t seconds[AP_HEDGE_VERDICTS];
+	uint64_t seconds_won;
+	uint64_t seconds_lost;
 	uint64_t taken_up;
 	uint64_t unknown_streams;
 	uint64_t weights_refused;
@@ -215,6 +228,26 @@
 	double duration_sum;
 } gate_counters_t;
 
+#define GATE_CUSTOMERS_MAX 64 /* customers with counters of their own */
+
+/* Requests of one customer since start, by outcome. */
+typedef struct gate_customer {
+	char name[AP_NAME_MAX];
+	uint64_t ended[GATE_OUTCOMES];
+} gate_customer_t;
+
+/**
+ * struct gate_customers - counters by customer.
+ * @others: those of all customers beyond the first GATE_CUSTOMERS_MAX
+ * @refused: requests without a valid key, by ap_host_credentials_t
+ */
+typedef struct gate_customers {
+	gate_customer_t v[GATE_CUSTOMERS_MAX];
+	size_t n;
+	gate_customer_t others;
+	uint64_t refused[AP_HOST_CREDENTIALS_KEY + 1];
+} gate_customers_t;
+
 /* When an instance was told this one's version last. */
 typedef struct gate_told {
 	char id[AP_NAME_MAX];
@@ -237,6 +270,9 @@
 	ap_registration_t *registration;
 	ap_host_store_t *store;
 	ap_http_client_t *client;
+	ap_http_budget_t *budget; /* shared by all servers */
+	uint64_t memory_recorded; /* requests and connections given up by the last record */
+	ap_usec_t memory_recorded_at;
 	ap_http_server_t *callers;
 	ap_http_server_t *peers;
 	ap_http_server_t *ready;
@@ -267,7 +303,10 @@
 	bool listing;			 /* a complete list of the store is being read */
 	gate_told_t told[GATE_TOLD_MAX]; /* ring */
 	size_t n_told;			 /* so far */
+	ap_usec_t ask_at;		 /* no instance is asked for a newer version before */
 	gate_counters_t counters;
+	gate_customers_t customers;
+	ap_hedge_t *hedge; /* NULL without second attempts */
 };
 
 /* gateway.c */
@@ -280,6 +319,30 @@
  */
 bool ap_gateway_task(ap_settings_t *settings, const char *path);
 
+/* gateway-second.c */
+/**
+ * gate_second_configure() - applies the share of @conf. Without second attempts nothing is kept for
+ * them.
+ *
+ * Return: false when out of memory.
+ */
+bool gate_second_configure(gateway_t *gate);
+/** gate_second_request() - a caller's request for @pool arrived. */
+void gate_second_request(gateway_t *gate, const char *pool);
+/** gate_second_after(), gate_second_judge() - as in struct ap_exchange_ops. */
+ap_usec_t gate_second_after(void *ctx, const ap_target_t *target);
+bool gate_second_judge(void *ctx, const ap_target_t *first, ap_usec_t elapsed,
+		       const ap_target_t *target);
+/** gate_second_first_chunk() - to be called before ap_fleet_first_chunk(). */
+void gate_second_first_chunk(const gate_call_t *c, const ap_inflight_t *inflight);
+/** gate_second_done() - to be called before ap_fleet_done(). */
+void gate_second_done(const gate_call_t *c, const ap_inflight_t *inflight,
+		      ap_dispatch_result_t end);
+/** gate_second_ended() - counts the end of a request. */
+void gate_second_ended(const gate_call_t *c);
+/** gate_second_metrics() - appends the counters, unless there are no second attempts. */
+void gate_second_metrics(const gateway_t *gate, struct evbuffer *out);
+
 /* gateway-call.c */
 void gate_on_caller(void *ctx, ap_http_call_t *call);
 void gate_on_peer(void *ctx, ap_http_call_t *call);
@@ -289,6 +352,13 @@
 void gate_on_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 void gate_on_peer_refused(void *ctx, ap_http_call_t *call, ap_http_refusal_t why);
 
+/*
+ * Responds to a request that has no exchange; nothing was sent, so it certainly did not run. The
+ * caller of gate_reply_later() may come again after @wait.
+ */
+void gate_reply_later(ap_http_call_t *call, int status, ap_usec_t wait, const char *error);
+void gate_reply_early(ap_http_call_t *call, int status, bool forwarded, const char *error);
+
 /** gate_call_pause() - stops reading from the targets, or goes on. */
 void gate_call_pause(gate_call_t *c, bool paused);
 /* Records and frees @c if its exchange has finished, else sets its timer. */
@@ -301,6 +371,7 @@
 
 /* gateway-headers.c */
 #define GATE_VERSION_TEXT_MAX 64
+#define GATE_CUSTOMER_TEXT_MAX (AP_NAME_MAX + 20)
 #define BUILD_TEXT_MAX 20 /* bytes of a build in hexadecimal, with terminator */
 /* Values of headers between instances. */
 typedef struct gate_text {
@@ -310,6 +381,7 @@
 	char heard[24];
 	char wait[24];
 	char pause[24];
+	char customer[GATE_CUSTOMER_TEXT_MAX];
 } gate_text_t;
 
 /*
@@ -375,9 +447,51 @@
 bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route);
 /* The instance @by refused a request, maybe since its version is another one. */
 void gate_version_refused(gateway_t *gate, const char *by, const struct evkeyvalq *headers);
+/*
+ * Asks another instance for a newer version while the store doesn't respond. Only where there are
+ * customers: a removed key must not work on here.
+ */
+void gate_version_tick(gateway_t *gate, ap_usec_t now);
+/*
+ * Returns whether a forwarded request began with an older version than this instance has, and its
+ * sender has this one, or a newer one, by now.
+ */
+bool gate_version_superseded(const gateway_t *gate, ap_http_call_t *call);
 /* Another instance tells its version. Return: false if the message is malformed. */
 bool gate_version_told(gateway_t *gate, const char *from, const void *data, size_t len);
 
+/* gateway-customer.c: who sends a request, and counters by customer */
+/*
+ * Finds the customer who sends a request of @route. @customer is NULL if none is needed.
+ *
+ * Return: false if the request needs the key of a customer and has none; it was responded to.
+ */
+bool gate_customer_find(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			const ap_plan_route_t *route, const ap_customer_t **customer);
+/*
+ * Finds the customer of a forwarded request, whose sender has checked the key.
+ *
+ * Return: false if the customer isn't the same in this instance's version of the configuration.
+ */
+bool gate_customer_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route,
+			  const ap_customer_t **customer);
+/* Returns the request's FORWARD_HEADER_CUSTOMER; its value is formatted in @text. */
+ap_http_header_t gate_customer_header(const ap_customer_t *customer,
+				      char text[GATE_CUSTOMER_TEXT_MAX]);
+/*
+ * Takes a request from the allowance of @customer, which may be NULL.
+ *
+ * Return: false if it doesn't fit; it was responded to. @charged receives what was taken.
+ */
+bool gate_allowance_take(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			 const ap_customer_t *customer, double *charged);
+/* Gives back what was taken for a request that did not run. */
+void gate_allowance_refund(gate_call_t *c);
+/* Counts the end of a request; @customer may be NULL. */
+void gate_customer_count(gateway_t *gate, const ap_customer_t *customer, gate_outcome_t outcome);
+/* Appends the counters by customer to the text of the metrics. */
+void gate_customer_metrics(const gateway_t *gate, struct evbuffer *out);
+
 /* gateway-serve.c: readiness, directory, metrics */
 #define GATE_ERROR_MAX 128 /* bytes of the body of an error, with terminator */
 extern const ap_http_header_t gate_json;
--- a/lib/fleet/choose.c
+++ b/lib/fleet/choose.c
@@ -5,7 +5,6 @@
 #include "fleet/private.h"
 
 #include <math.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* Costs are in microseconds and are added to an upstream's expected wait. */
@@ -37,79 +36,13 @@
 #define CANDIDATES_MAX 1024
 #define JITTER_US 2000.0  /* waits that differ by less are treated as equal */
 #define KV_FULL_SHARE 0.9 /* share of the KV cache above which engines preempt requests */
+#define FETCH_WEIGHT 1.0  /* of a transfer's time, beside the wait for it: it delays others */
 #define KV_FULL_COST_US 1500000.0
 /* Time lost by refusals from which on remote regions are considered: what forwarding takes. */
 #define REFUSALS_MAX_US 150000.0
 #define LOCAL_WAIT_SHARE 0.7 /* of the objective; for shorter waits, forwarding is not worth it */
 #define QUEUE_SHARE 0.7	     /* of the objective, for other requests; the rest is for this one */
 
-ap_fleet_t *ap_fleet_new(const ap_fleet_config_t *config)
-{
-	ap_fleet_t *f = calloc(1, sizeof(*f));
-
-	if (!f)
-		return NULL;
-	f->config = *config;
-	ap_rng_seed(&f->rng, config->seed);
-	msgpack_sbuffer_init(&f->batch);
-	msgpack_packer_init(&f->batch_pk, &f->batch, msgpack_sbuffer_write);
-	ap_fleet_set_data_centre(f, config->data_centre, config->region);
-	return f;
-}
-
-void ap_fleet_set_bounds(ap_fleet_t *f, const ap_fleet_config_t *config)
-{
-	f->config.cold_over = config->cold_over;
-	f->config.cold_slack = config->cold_slack;
-	f->config.retry_ratio = config->retry_ratio;
-	f->config.retry_slack = config->retry_slack;
-	f->config.learn_time = config->learn_time;
-	f->config.entry_grace = config->entry_grace;
-}
-
-/* Frees the items of a hash table after HASH_CLEAR; each item starts with its UT_hash_handle. */
-static void free_items(void *item)
-{
-	while (item) {
-		void *next = ((UT_hash_handle *)item)->next;
-
-		free(item);
-		item = next;
-	}
-}
-
-void ap_fleet_free(ap_fleet_t *f)
-{
-	if (!f)
-		return;
-	for (ap_replica_t *r = f->replicas; r; r = r->hh.next) {
-		ap_prefix_cache_clear(f, &r->cache);
-		ap_break_forget(r);
-	}
-	for (ap_remote_pool_t *a = f->remote_pools; a; a = a->hh.next)
-		ap_prefix_cache_clear(f, &a->cache);
-	for (ap_member_state_t *m = f->members; m; m = m->hh.next)
-		free(m->loads);
-	ap_backoff_forget_all(f);
-
-	void *const first[] = {f->replicas,	f->members, f->pools,	f->remote_pools,
-			       f->data_centres, f->leaving, f->suspects};
-
-	HASH_CLEAR(hh, f->replicas);
-	HASH_CLEAR(by_tag, f->tagged);
-	HASH_CLEAR(hh, f->members);
-	HASH_CLEAR(by_tag, f->member_tags);
-	HASH_CLEAR(hh, f->pools);
-	HASH_CLEAR(hh, f->remote_pools);
-	HASH_CLEAR(hh, f->data_centres);
-	HASH_CLEAR(hh, f->leaving);
-	HASH_CLEAR(hh, f->suspects);
-	for (size_t i = 0; i < sizeof(first) / sizeof(first[0]); i++)
-		free_items(first[i]);
-	msgpack_sbuffer_destroy(&f->batch);
-	free(f);
-}
-
 static bool has_name(const char (*names)[AP_NAME_MAX], size_t n, const char *id)
 {
 	for (size_t i = 0; i < n; i++) {
@@ -149,7 +82,9 @@
 
 typedef struct candidate {
 	ap_replica_t *replica;
-	uint32_t cached;
+	uint32_t kept;	 /* tokens of the prompt */
+	uint32_t cached; /* likewise, after @fetch */
+	ap_fetch_t fetch;
 	double wait;
 	double queue; /* part of the wait that is spent on other requests */
 	double score;
@@ -218,10 +153,10 @@
  * Considers the wait for other requests only. If the request's own time counted, an estimate of it
  * that is too high would stop all requests, and could then not be corrected by their responses.
  */
-static bool too_late(const ap_dispatch_t *req, double queue, ap_usec_t now)
+static bool too_late(const ap_fleet_t *f, const ap_dispatch_t *req, double queue, ap_usec_t now)
 {
 	return queue > (double)(req->deadline - now) ||
-	       (!req->begun && queue > QUEUE_SHARE * (double)req->route->objective);
+	       (!req->begun && queue > f->patience * QUEUE_SHARE * (double)req->route->objective);
 }
 
 /* Cost of processing a large prefix again, or of relying on an upstream that has it but fails. */
@@ -248,11 +183,13 @@
 	uint32_t slots = ap_replica_slots(r, req->pool);
 	bool recompute;
 
-	c->cached = ap_prefix_cache_match(f, &r->cache, req);
+	c->kept = ap_prefix_cache_match(f, &r->cache, req);
+	c->fetch = ap_fetch_for(f, req, &f->sources, r, c->kept, now);
+	c->cached = c->fetch.source ? c->fetch.tokens : c->kept;
 	recompute = req->pool->kv_tokens > 0 && !first_holder && shared >= SHARED_TOKENS_MIN &&
 		    c->cached < shared;
-	c->wait = ap_replica_wait_us(f, r, req, req->tokens_in - c->cached);
-	c->queue = c->wait - ap_dispatch_service_us(f, req, c->cached);
+	c->wait = ap_replica_wait_us(f, r, req, req->tokens_in - c->cached) + c->fetch.time;
+	c->queue = c->wait - c->fetch.time - ap_dispatch_service_us(f, req, c->cached);
 	c->wait *= ap_replica_slowdown(r, now);
 	c->score = c->wait * (1 + failure_rate) + failure_rate * FAILURE_COST_US +
 		   ap_rng_unit(&f->rng) * JITTER_US;
@@ -261,12 +198,13 @@
 
 		c->score += ap_replica_running(r) * (req->tokens_out + 1) * BATCH_US_PER_TOKEN;
 		c->score += prefix_cost(p, shared, c->cached, recompute, failure_rate);
+		c->score += FETCH_WEIGHT * c->fetch.time;
 		if (kv > KV_FULL_SHARE)
 			c->score += (kv - KV_FULL_SHARE) * KV_FULL_COST_US;
 	}
 	if (ap_dispatch_tried(req, r->entry.id))
 		c->score += TRIED_COST_US;
-	if (too_late(req, c->queue, now) || (recompute && 2 * ap_replica_running(r) > slots))
+	if (too_late(f, req, c->queue, now) || (recompute && 2 * ap_replica_running(r) > slots))
 		c->score += LATE_COST_US;
 }
 
@@ -396,9 +334,10 @@
 	uint32_t shared = ap_dispatch_prefix_tokens(req);
 	candidates_t all = {0};
 
-	if (!ap_plan_allows_region(req->route, f->config.region))
+	if (!ap_dispatch_allows_region(req, f->config.region))
 		return false;
 	collect(f, req, sender, now, &all);
+	ap_fetch_find(f, req, now, &f->sources);
 	if (shared >= SHARED_TOKENS_MIN && req->pool->kv_tokens) {
 		size_t holders = consider_holders(f, req, &all, now, best);
 
@@ -406,7 +345,14 @@
 		for (size_t i = 0; i < ASSIGNED_MAX && all.assigned[i]; i++)
 			consider(f, req, all.assigned[i], i == 0 && holders == 0, now, best);
 	}
-	consider_sample(f, req, &all, now, best);
+	if (ap_room_engaged(f, req)) {
+		ap_replica_t *roomy = ap_room_best(f, all.v, all.n, req, now);
+
+		if (roomy)
+			consider(f, req, roomy, false, now, best);
+	}
+	if (!best->replica)
+		consider_sample(f, req, &all, now, best);
 	return best->replica != NULL;
 }
 
@@ -429,6 +375,7 @@
 	ap_copy_name(target->host, sizeof(target->host), r->entry.host);
 	ap_copy_name(target->region, sizeof(target->region), r->region);
 	ap_copy_name(target->version, sizeof(target->version), r->entry.version);
+	ap_fetch_fill(&c->fetch, c->kept, &target->fetch);
 }
 
 /*
@@ -485,6 +432,17 @@
 	return lost && best_local(f, req, SENDER_SELF, now, local);
 }
 
+/*
+ * Where instances share a pool, its queues are bounded by their parts. The share of the objective
+ * counts only for customers who use more than theirs: the estimate of a queue is too high for
+ * seconds after a change, and would refuse requests while slots are free.
+ */
+static bool late_in_part(const ap_fleet_t *f, const ap_dispatch_t *req, double queue, ap_usec_t now)
+{
+	return queue > (double)(req->deadline - now) ||
+	       (f->patience < 1 && too_late(f, req, queue, now));
+}
+
 static ap_fleet_status_t choose(ap_fleet_t *f, const ap_dispatch_t *req, bool local_only,
 				ap_usec_t now, ap_target_t *target)
 {
@@ -495,14 +453,30 @@
 	double lost = 0; /* by refusals */
 	bool found_local = find_local(f, req, local_only, now, &local, &peer);
 	bool found_remote = false;
+	bool engaged = ap_room_engaged(f, req);
+	bool full;
 	ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
 	const char *prefix_region = local_only ? NULL : ap_prefix_region(f, req, now);
 
 	if (p)
 		p->warmup = req->pool->warmup;
 	/* A large prefix isn't processed again elsewhere for a refusal. */
-	if (p && found_local && ap_dispatch_prefix_tokens(req) < SHARED_TOKENS_MIN)
+	if (p && found_local && ap_dispatch_prefix_tokens(req) < SHARED_TOKENS_MIN && !engaged)
 		lost = ap_refusals_us(&p->refusals, req, now);
+	if (engaged && found_local && !peer) {
+		full = !ap_room_allows(f, local.replica, req, now) ||
+		       late_in_part(f, req, local.queue, now);
+		if (full && !local_only && ap_best_remote(f, req, NULL, now, &remote) &&
+		    ap_rng_unit(&f->rng) < ap_room_spill(f, &remote, req, now)) {
+			ap_fill_remote_target(&remote, target);
+			f->room_forwarded++;
+			return AP_FLEET_OK;
+		}
+		fill_local_target(f, req, &local, now, target);
+		if (full)
+			target->retry_after = ap_room_retry_after(f, local.replica, req, now);
+		return full ? AP_FLEET_LATE : AP_FLEET_OK;
+	}
 	if (!local_only && (!found_local || local.wait > wait_limit || lost > REFUSALS_MAX_US ||
 			    (prefix_region && local.cached < ap_dispatch_prefix_tokens(req))))
 		found_remote = ap_best_remote(f, req, prefix_region, now, &remote);
@@ -518,7 +492,7 @@
 		ap_fill_remote_target(&remote, target);
 	if (!target->remote && peer)
 		send_by_peer(peer, target);
-	return too_late(req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
+	return too_late(f, req, (double)target->queue, now) ? AP_FLEET_LATE : AP_FLEET_OK;
 }
 
 /* Returns whether the pool's upstreams in this region are silent, as far as they have requests. */
@@ -563,6 +537,8 @@
 	ap_hold_t hold;
 
 	ap_notice_freeze(f, now);
+	f->patience = ap_usage_patience(f, req, now);
+	ap_room_asked(f, req, now);
 	hold = ap_request_hold(f, req, now, &until);
 	if (hold == AP_HOLD_WAIT) {
 		*target = (ap_target_t){.wait = until - now};
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -14,6 +14,7 @@
 #include "base/base.h"
 #include "plan/plan.h"
 #include "port/port.h"
+#include "quota/quota.h"
 
 #define AP_PROMPT_PARTS_MAX 16 /* parts of a prompt that are considered */
 #define AP_TRIED_MAX 6	       /* targets remembered for one request */
@@ -44,6 +45,8 @@
 /**
  * struct ap_replica_entry - an upstream as the platform lists it.
  * @id: changes with each start of the upstream
+ * @born: when it started, in Unix milliseconds; 0 if unknown. Another one under the same id is
+ * another process, of which nothing is known yet
  * @version: of its software; upstreams of one pool may run several
  * @models: whose weights it has loaded, as far as it says
  * @slots: requests processed concurrently; 0 to use the pool's number
@@ -57,6 +60,7 @@
 	char host[AP_HOST_MAX];
 	uint16_t port;
 	char data_centre[AP_NAME_MAX];
+	uint64_t born;
 	char version[AP_NAME_MAX];
 	ap_loaded_model_t models[AP_MODELS_MAX];
 	size_t n_models;
@@ -93,8 +97,7 @@
 #define AP_FLEET_SPEAKS_BATCHES 1
 #define AP_FLEET_SPEAKS AP_FLEET_SPEAKS_BATCHES /* all that this version understands */
 
-/* One part of a prompt. Requests whose leading parts are equal share the KV cache of these parts.
- */
+/* A part of a prompt. Requests whose leading parts are equal share the KV cache of these parts. */
 typedef struct ap_prompt_part {
 	uint64_t id;
 	uint32_t tokens;
@@ -102,6 +105,7 @@
 
 /**
  * struct ap_dispatch - what is known of a request that needs a target.
+ * @customer: who sends it; NULL if the plan has no customers or the request names none
  * @local_only: was forwarded by another instance, so it is served or refused here
  * @deadline: time by which the final response is due, in microseconds
  * @tokens_in: length of the prompt
@@ -123,6 +127,7 @@
 typedef struct ap_dispatch {
 	const ap_plan_route_t *route;
 	const ap_plan_pool_t *pool;
+	const ap_customer_t *customer;
 	bool local_only;
 	ap_usec_t deadline;
 	uint32_t tokens_in;
@@ -143,6 +148,27 @@
 	unsigned unreachable;
 } ap_dispatch_t;
 
+/** ap_dispatch_rank() - how urgent @req is, 0 the most: the customer's priority, or the route's. */
+static inline unsigned ap_dispatch_rank(const ap_dispatch_t *req)
+{
+	return req->customer && req->customer->has_priority ? req->customer->priority
+							    : req->route->priority;
+}
+
+/**
+ * struct ap_target_fetch - what an upstream is to fetch of a prompt before it processes the rest.
+ * @id, @host, @port: of the upstream that keeps it; @id is empty for none
+ * @tokens: number of tokens that are fetched
+ * @time: expected for the transfer, in microseconds
+ */
+typedef struct ap_target_fetch {
+	char id[AP_NAME_MAX];
+	char host[AP_HOST_MAX];
+	uint16_t port;
+	uint32_t tokens;
+	ap_usec_t time;
+} ap_target_fetch_t;
+
 /**
  * struct ap_target - where a request is sent.
  * @remote: an instance, usually of a remote region, not an upstream
@@ -151,7 +177,9 @@
  * @wait: expected time to the first chunk of the response, in microseconds; unlike the waits that
  *        regions announce, it includes the processing of the request itself
  * @queue: expected time that is spent on other requests, in microseconds
- * @cached: prompt tokens expected to be in the target's prefix cache
+ * @retry_after: of AP_FLEET_LATE, when the request has room, in microseconds; 0 if unknown
+ * @cached: prompt tokens expected to be in the target's prefix cache, once @fetch is done
+ * @fetch: from another upstream
  * @entry_age: age in microseconds of the upstream's entry; 0 for a remote target
  * @running: requests that the upstream is expected to be processing
  * @cold: the upstream is believed to be cold, or may be
@@ -166,7 +194,9 @@
 	uint64_t build;
 	ap_usec_t wait;
 	ap_usec_t queue;
+	ap_usec_t retry_after;
 	uint32_t cached;
+	ap_target_fetch_t fetch;
 	ap_usec_t entry_age;
 	uint32_t running;
 	bool cold;
@@ -194,6 +224,7 @@
 	AP_DISPATCH_BROKEN,	    /* truncated or invalid response, or connection reset */
 	AP_DISPATCH_TIMED_OUT,	    /* nothing arrived within the time limit */
 	AP_DISPATCH_CANCELLED,	    /* the caller disconnected; says nothing about the target */
+	AP_DISPATCH_SLOWER,	    /* a second attempt responded first */
 } ap_dispatch_result_t;
 
 /**
@@ -210,6 +241,7 @@
  * @expected: expected time to the first chunk, in microseconds
  * @parts: parts of the prompt that other requests may share, for an engine
  * @fingerprint: of the request; 0 if unknown
+ * @source: tag of the upstream from which @fetched tokens are to be fetched
  */
 typedef struct ap_inflight {
 	bool open;
@@ -232,6 +264,8 @@
 	uint64_t parts[AP_PROMPT_PARTS_MAX];
 	size_t n_parts;
 	uint64_t fingerprint;
+	uint32_t source;
+	uint32_t fetched;
 } ap_inflight_t;
 
 /*
@@ -295,6 +329,8 @@
  *              microseconds; 0 for none
  * @entry_grace: how long an entry that expired while the store was unreachable stays valid, in
  *               microseconds
+ * @prompt_fetch: engines may be asked to fetch parts of prompts from others
+ * @quota: what customers may use beyond their allowances
  * @on_event: called for each change of state; may be NULL
  */
 typedef struct ap_fleet_config {
@@ -309,6 +345,8 @@
 	ap_usec_t retry_window;
 	ap_usec_t learn_time;
 	ap_usec_t entry_grace;
+	bool prompt_fetch;
+	ap_quota_config_t quota;
 	uint64_t seed;
 	void *ctx;
 	void (*on_event)(void *ctx, const ap_fleet_event_t *event);
@@ -447,6 +485,11 @@
  */
 ap_fleet_status_t ap_fleet_choose(ap_fleet_t *f, const ap_dispatch_t *req, ap_usec_t now,
 				  ap_target_t *target);
+/**
+ * ap_fleet_has_free_slot() - returns whether upstream @id processes fewer requests than it has
+ * slots, as far as known.
+ */
+bool ap_fleet_has_free_slot(const ap_fleet_t *f, const char *id, const ap_plan_pool_t *pool);
 /** ap_fleet_sent() - @req is being sent to @target; initializes @inflight. */
 void ap_fleet_sent(ap_fleet_t *f, const ap_dispatch_t *req, const ap_target_t *target,
 		   ap_usec_t now, ap_inflight_t *inflight);
@@ -490,6 +533,11 @@
  */
 bool ap_fleet_may_retry(ap_fleet_t *f, const char *pool, ap_usec_t now);
 
+/** ap_fleet_quota() - allowances of customers; reports of their use travel with announcements. */
+ap_quota_t *ap_fleet_quota(ap_fleet_t *f);
+/** ap_fleet_set_customers() - a new plan is in force, with these customers. */
+void ap_fleet_set_customers(ap_fleet_t *f, const ap_customer_t *customers, size_t n, ap_usec_t now);
+
 /* Announcements between instances: announce.c */
 /**
  * ap_fleet_announce() - announces this instance's load, the prefixes it sent to upstreams and
@@ -546,51 +594,7 @@
  */
 bool ap_fleet_receive(ap_fleet_t *f, const char *from, const void *data, size_t len, ap_usec_t now);
 
-/**
- * struct ap_skipped - what instances of other builds sent and this one doesn't know.
- * @fields: of messages; the rest of the message was read
- * @kinds: whole messages of an unknown kind
- * @versions: whole messages of a version that isn't spoken
- */
-typedef struct ap_skipped {
-	uint64_t fields;
-	uint64_t kinds;
-	uint64_t versions;
-} ap_skipped_t;
-
-/**
- * struct ap_fleet_stats - gauges for metrics.
- * @unreachable: upstreams to which this instance has lost the path
- * @backoff: upstreams that asked this instance for a pause
- * @suspect_parts: parts of prompts that may crash upstreams
- * @suspect_requests: requests that may, by fingerprint
- * @running: in-flight requests that this instance sent to upstreams
- * @relay_served: instances that this one passes on announcements to
- * @batch_dropped: messages that weren't passed on, since the batch was full
- * @other_wire: listed instances that don't read messages of this one
- */
-typedef struct ap_fleet_stats {
-	size_t replicas;
-	size_t usable;
-	size_t draining;
-	size_t cold;
-	size_t ejected;
-	size_t unreachable;
-	size_t limited;
-	size_t brittle;
-	size_t backoff;
-	size_t suspect_parts;
-	size_t suspect_requests;
-	size_t members;
-	size_t running;
-	size_t relay_served;
-	uint64_t batch_dropped;
-	size_t other_wire;
-	ap_skipped_t skipped;
-} ap_fleet_stats_t;
-
-ap_fleet_stats_t ap_fleet_stats(const ap_fleet_t *f, ap_usec_t now);
-
+#include "fleet/stats.h"
 #include "fleet/stream.h"
 
 #endif
--- a/lib/fleet/load.c
+++ b/lib/fleet/load.c
@@ -98,6 +98,13 @@
 	return slots ? slots : 1;
 }
 
+bool ap_fleet_has_free_slot(const ap_fleet_t *f, const char *id, const ap_plan_pool_t *pool)
+{
+	const ap_replica_t *r = ap_replica_find(f, id);
+
+	return r && ap_replica_running(r) < ap_replica_slots(r, pool);
+}
+
 static double mean_us(const ap_pool_state_t *p, const ap_plan_pool_t *pool)
 {
 	if (p && p->mean_us > 0)
@@ -212,10 +219,10 @@
 {
 	const ap_pool_state_t *p = ap_pool_state(f, req->pool->name);
 
-	return p ? ap_pool_wait(f, p, ap_announced_priority(req->route->priority), now) : AP_NEVER;
+	return p ? ap_pool_wait(f, p, ap_announced_priority(ap_dispatch_rank(req)), now) : AP_NEVER;
 }
 
-static double refused_share(const ap_refusals_t *refusals, ap_usec_t now)
+double ap_refused_share(const ap_refusals_t *refusals, ap_usec_t now)
 {
 	double halves = (double)(now - refusals->at) / (double)REFUSALS_HALF_LIFE;
 
@@ -224,7 +231,7 @@
 
 double ap_refusals_us(const ap_refusals_t *refusals, const ap_dispatch_t *req, ap_usec_t now)
 {
-	return refused_share(refusals, now) * REFUSAL_COST * (double)req->route->objective;
+	return ap_refused_share(refusals, now) * REFUSAL_COST * (double)req->route->objective;
 }
 
 static void learn_refusals(ap_refusals_t *refusals, ap_dispatch_result_t end, ap_usec_t now)
@@ -233,7 +240,7 @@
 
 	if (!refused && end != AP_DISPATCH_DONE && end != AP_DISPATCH_ERROR)
 		return;
-	refusals->share = refused_share(refusals, now);
+	refusals->share = ap_refused_share(refusals, now);
 	refusals->share += REFUSALS_GAIN * (refused - refusals->share);
 	refusals->at = now;
 }
@@ -324,6 +331,7 @@
 	ap_copy_name(inflight->region, sizeof(inflight->region), target->region);
 	for (size_t i = 0; req->pool->kv_tokens > 0 && i + 1 < req->n_parts; i++)
 		inflight->parts[inflight->n_parts++] = req->parts[i].id;
+	ap_fetch_sent(f, target, now, inflight);
 	ap_suspect_sent(f, req, now);
 	if (target->remote && strcmp(target->region, f->config.region) != 0)
 		sent_remote(f, req, target);
@@ -343,6 +351,7 @@
 		r->within_limit.allowance -= 1;
 	ap_brittle_sent(f, r, req, now);
 	inflight->after_pause = ap_backoff_sent(f, r, now);
+	ap_room_sent(f, r, req);
 	r->own.running[inflight->priority]++;
 	r->own.prefill[inflight->priority] += inflight->prefill;
 	r->own.kv += inflight->kv;
@@ -359,7 +368,8 @@
 	double spent = (double)(now - inflight->sent) - FIRST_STEP_US;
 	double rate;
 
-	if (!p || !inflight->alone || inflight->prefill < PREFILL_SAMPLE_MIN || spent <= 0)
+	if (!p || !inflight->alone || inflight->prefill < PREFILL_SAMPLE_MIN || spent <= 0 ||
+	    inflight->fetched > 0)
 		return;
 	rate = fmin(fmax(inflight->prefill / spent, PREFILL_MIN), PREFILL_MAX);
 	p->prefill_per_us += RATE_GAIN * (rate - p->prefill_per_us);
@@ -428,10 +438,13 @@
 	ap_path_seen(f, r, now);
 	if (inflight->after_pause)
 		ap_backoff_responded(f, r, now);
-	if (r->serial == inflight->serial)
-		r->own.prefill[inflight->priority] -= inflight->prefill;
+	ap_fetch_done(f, inflight, now);
 	learn_prefill(f, inflight, now);
 	learn_wait(f, inflight, now);
+	/* A response of before a restart says nothing of the upstream's pace after it. */
+	if (r->serial != inflight->serial)
+		return;
+	r->own.prefill[inflight->priority] -= inflight->prefill;
 	learn_slowdown(r, inflight, now);
 }
 
@@ -448,6 +461,8 @@
 		       inflight->prefill / p->prefill_per_us;
 	else if (inflight->slot_wait > 0)
 		return;
+	if (inflight->prefill == 0)
+		ap_room_learn(p, took);
 	p->mean_us = p->mean_us > 0 ? p->mean_us + RATE_GAIN * (took - p->mean_us) : took;
 }
 
@@ -485,8 +500,14 @@
 		ap_suspect_completed(f, inflight, now);
 	} else if (end == AP_DISPATCH_BROKEN) {
 		ap_break_seen(f, r, inflight, now);
+	} else if (end == AP_DISPATCH_SLOWER && !inflight->has_first_chunk &&
+		   now - inflight->sent > inflight->expected) {
+		/* Its response would have come later still. */
+		learn_slowdown(r, inflight, now);
 	}
-	ap_replica_record_result(f, r, end, inflight->trial, now);
+	/* Likewise, requests that a restart broke off are no failures of what runs now. */
+	if (r->serial == inflight->serial)
+		ap_replica_record_result(f, r, end, inflight->trial, now);
 }
 
 /*
--- a/lib/fleet/private.h
+++ b/lib/fleet/private.h
@@ -4,6 +4,7 @@
 
 #include "fleet/evidence.h"
 #include "fleet/fleet.h"
+#include "fleet/room.h"
 #include "fleet/stream-state.h"
 #include "fleet/stream.h"
 #include "wire/frame.h"
@@ -116,6 +117,7 @@
  * @watch_seen_at: time of the last response; 0 for none
  * @watch_from: when this instance begins; 0 while the store isn't silent
  * @cold: requests that this instance may send while the upstream is cold
+ * @room: requests that this instance may send while its pool is shared, see room.c
  * @limited: the upstream names a limit, as of @limit_at
  * @limit: requests per second that it takes from all instances together
  * @limit_seen_at: when this instance last saw a response that named a limit, or the end of one
@@ -126,6 +128,8 @@
  * @brittle_seen_at: when this instance last saw a response that said so; 0 for none
  * @beyond_share: requests that this instance may send beyond its share while it is brittle
  * @paused_until: this instance sends it nothing until then, after a refusal
+ * @sends_until, @fetches_until: when the transfers that this instance asked for, from it and to it,
+ *                               are expected to end
  * @own: load sent by this instance
  * @others: sum of the load announced by other instances of the region
  * @failure_rate: share of recent requests that failed, as of @failure_rate_at; decays
@@ -172,6 +176,7 @@
 	ap_usec_t watch_seen_at;
 	ap_usec_t watch_from;
 	ap_bucket_t cold;
+	ap_bucket_t room;
 	bool limited;
 	double limit;
 	ap_usec_t limit_at;
@@ -184,6 +189,8 @@
 	ap_usec_t brittle_seen_at;
 	ap_bucket_t beyond_share;
 	ap_usec_t paused_until;
+	ap_usec_t sends_until;
+	ap_usec_t fetches_until;
 	ap_load_t own;
 	ap_load_t others;
 	double failure_rate;
@@ -230,6 +237,7 @@
  * @relay_silent_until: it isn't wanted as a relay until then
  * @lost_pools: hashes of the pools that it has lost all paths to, as known until @lost_until
  * @lost_at: since when it has lost any; 0 for none
+ * @demands: what it was asked for at plain pools, as announced at @demands_at
  */
 typedef struct ap_member_state {
 	UT_hash_handle hh;
@@ -266,6 +274,9 @@
 	size_t n_lost_pools;
 	ap_usec_t lost_until;
 	ap_usec_t lost_at;
+	ap_room_demand_t demands[ROOM_POOLS_MAX];
+	size_t n_demands;
+	ap_usec_t demands_at;
 } ap_member_state_t;
 
 #define BUDGET_STEPS 10 /* steps of a retry window */
@@ -298,6 +309,7 @@
 	bool versions_told;	/* of the weights, by those that have served its streams */
 	ap_refusals_t refusals; /* at the upstreams of the own region */
 	ap_budget_t budget;
+	ap_room_t room;
 } ap_pool_state_t;
 
 typedef struct ap_remote_pool ap_remote_pool_t;
@@ -315,6 +327,8 @@
 	ap_usec_t reported_at;	       /* last report of one that is unknown here */
 } ap_data_centre_state_t;
 
+#include "fleet/fetch.h"
+
 struct ap_fleet {
 	ap_fleet_config_t config;
 	ap_rng_t rng;
@@ -326,6 +340,11 @@
 	size_t n_lost_paths;	      /* to upstreams of the own region, as of the last tick */
 	ap_usec_t path_back_at;	      /* when one of them was last found back */
 	bool informed;		      /* another instance said what it knows of cold upstreams */
+	ap_fetch_stats_t fetches;
+	ap_fetch_sources_t sources; /* for the request that is being placed */
+	ap_quota_t *quota;	    /* allowances of customers */
+	ap_usec_t sources_set_at;
+	double patience;	 /* of the request that is being placed, see choose.c */
 	size_t most_members;	 /* highest number of instances listed at once, with this one */
 	uint64_t replicas_added; /* so far */
 	ap_usec_t known_at;	 /* what an entry newly says was written after it; 0 if unknown */
@@ -339,6 +358,8 @@
 	ap_leaving_t *leaving;	/* upstreams, listed or not */
 	ap_backoff_t *backoffs; /* likewise */
 	ap_cached_part_t *parts;
+	uint64_t room_forwarded; /* beyond the room of this region, see room.c */
+	uint64_t room_refused;
 	bool loads_changed; /* an announcement changed @loads of a member */
 	ap_new_prefix_t new_prefixes[NEW_PREFIXES_MAX];
 	size_t n_new_prefixes;
@@ -466,6 +487,8 @@
 /* Adds unnamed tokens, which no later request shares. */
 void ap_prefix_cache_add_unnamed(ap_fleet_t *f, ap_prefix_cache_t *c, uint32_t tokens,
 				 uint64_t capacity);
+/* Removes the part @id, if it is there. */
+void ap_prefix_cache_remove_part(ap_fleet_t *f, ap_prefix_cache_t *c, uint64_t id);
 void ap_prefix_cache_add_part(ap_fleet_t *f, ap_prefix_cache_t *c, const ap_prompt_part_t *part,
 			      uint64_t capacity);
 
@@ -487,11 +510,18 @@
 const ap_member_t *ap_pick_member(ap_fleet_t *f, const char *region, const ap_dispatch_t *req,
 				  ap_usec_t now);
 
+/* Returns whether both the route and the customer may be served in @region. */
+static inline bool ap_dispatch_allows_region(const ap_dispatch_t *req, const char *region)
+{
+	return ap_plan_allows_region(req->route, region) &&
+	       ap_customer_allows_region(req->customer, region);
+}
+
 /* load.c */
 ap_pool_state_t *ap_pool_state(ap_fleet_t *f, const char *pool);
 static inline unsigned ap_dispatch_priority(const ap_dispatch_t *req)
 {
-	unsigned priority = req->route->priority;
+	unsigned priority = ap_dispatch_rank(req);
 
 	return priority < AP_PRIORITIES ? priority : AP_PRIORITIES - 1;
 }
@@ -505,6 +535,7 @@
  * Returns the time that is lost on average where a share of the requests is refused: an upstream
  * that refuses what it has no room for never has a long queue, however little it can take.
  */
+double ap_refused_share(const ap_refusals_t *refusals, ap_usec_t now);
 double ap_refusals_us(const ap_refusals_t *refusals, const ap_dispatch_t *req, ap_usec_t now);
 /* Sums up what the other instances announced, for each upstream. */
 void ap_load_recount(ap_fleet_t *f, ap_usec_t now);
@@ -540,6 +571,7 @@
 
 #include "fleet/condition.h"
 #include "fleet/relay.h"
+#include "fleet/usage.h"
 #include "fleet/remote.h"
 
 #endif
--- a/lib/fleet/replica.c
+++ b/lib/fleet/replica.c
@@ -122,6 +122,26 @@
 	f->known_at = at;
 }
 
+/*
+ * The upstream restarted under its old id. Requests that were sent before belong to the state of
+ * before, see @serial.
+ */
+static void forget_life(ap_fleet_t *f, ap_replica_t *r, ap_usec_t now)
+{
+	r->serial = ++f->replicas_added;
+	r->address_reused = false;
+	r->own = (ap_load_t){0};
+	r->others = (ap_load_t){0};
+	r->failure_rate = 0;
+	r->failures = 0;
+	ap_replica_readmit(f, r, now);
+	r->trial = false;
+	r->slowdown = 1;
+	r->room = (ap_bucket_t){0};
+	r->new_unnamed_tokens = 0;
+	ap_prefix_cache_clear(f, &r->cache);
+}
+
 void ap_fleet_update_replica(ap_fleet_t *f, const ap_replica_entry_t *entry, ap_usec_t now)
 {
 	ap_replica_t *r = ap_replica_find(f, entry->id);
@@ -137,6 +157,11 @@
 	if (!r)
 		return;
 	r->entry = *entry;
+	/* An entry without it says nothing of a restart. */
+	if (entry->born == 0)
+		r->entry.born = before.born;
+	else if (before.born != 0 && entry->born != before.born)
+		forget_life(f, r, now);
 	r->build = ap_build_of(entry->pool, entry->version);
 	ap_weights_listed(f, r, &before, now);
 	r->received_at = now;
@@ -270,7 +295,9 @@
 	ap_suspects_tick(f, now);
 	ap_paths_tick(f, now);
 	ap_brittle_tick(f, now);
+	ap_usage_tick(f, now);
 	ap_load_recount(f, now);
+	ap_room_tick(f, now);
 }
 
 void ap_fleet_after_freeze(ap_fleet_t *f, ap_usec_t now)
@@ -303,8 +330,12 @@
 		.suspect_requests = ap_suspects_count(f, true),
 		.backoff = ap_backoff_count(f, now),
 		.relay_served = ap_relay_served(f, now),
+		.room_pools = ap_room_pools(f),
+		.room_forwarded = f->room_forwarded,
+		.room_refused = f->room_refused,
 		.batch_dropped = f->batch_dropped,
 		.skipped = f->skipped,
+		.fetches = f->fetches,
 	};
 
 	for (const ap_replica_t *r = f->replicas; r; r = r->hh.next) {
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -453,8 +453,7 @@
 		reply_refused(r, call, 400);
 		return;
 	}
-	r->soak->arrivals++;
-	r->soak->retries += q->arrivals++ > 0;
+	soak_arrived(r, call, q);
 	r->soak->gone += q->arrivals > 1 && q->left_at > 0 && ap_now() - q->left_at > GONE_TIME;
 	if ((expected && strcmp(expected, r->id) != 0) ||
 	    (weights && strtoul(weights, NULL, 10) != r->weights)) {
@@ -529,7 +528,7 @@
 		.base = s->base,
 		.host = "127.0.0.1",
 		.header_bytes = 65536,
-		.body_bytes = 1 << 20,
+		.body_bytes = 8 << 20, /* as an instance accepts */
 		.idle = 30 * AP_SEC,
 		.ctx = r,
 		.request = on_request,
