--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -336,7 +336,8 @@
 		gate_reply_early(call, forwarded ? 503 : 404, forwarded, "no-route");
 		return;
 	}
-	if (!forwarded && !gate_customer_find(gate, call, &request, route, &customer))
+	if (!forwarded && (!gate_customer_find(gate, call, &request, route, &customer) ||
+			   !gate_customer_has_region(gate, call, &request, route, customer)))
 		return;
 	if (!find_source(gate, call, &request, route, forwarded, &source)) {
 		gate->counters.unknown_streams++;
--- a/cmd/arbutuspond/gateway-customer.c
+++ b/cmd/arbutuspond/gateway-customer.c
@@ -6,6 +6,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#define NO_REGION_RETRY (30 * AP_SEC) /* configurations change less often than callers wait */
+
 static const char *const refusals[] = {
 	[AP_HOST_CREDENTIALS_NONE] = "no-key",
 	[AP_HOST_CREDENTIALS_MALFORMED] = "malformed-key",
@@ -56,6 +58,24 @@
 	return (ap_http_header_t){FORWARD_HEADER_CUSTOMER, text};
 }
 
+/*
+ * Refuses a request that no region may serve, as the homes of its route and its customer have none
+ * in common. That lasts until another version of the configuration.
+ */
+bool gate_customer_has_region(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			      const ap_plan_route_t *route, const ap_customer_t *customer)
+{
+	if (ap_plan_has_region(route, customer))
+		return true;
+	gate->counters.ended[GATE_REFUSED]++;
+	gate_customer_count(gate, customer, GATE_REFUSED);
+	ap_journal_write(gate->journal, AP_RECORD_ORDINARY, "request.no-region", r->id,
+			 "s:s,s:s,s:I", "customer", customer->name, "route", route->name, "version",
+			 (json_int_t)gate->plan->version);
+	gate_reply_later(call, 503, NO_REGION_RETRY, "no-region");
+	return false;
+}
+
 static void record_over(gateway_t *gate, const ap_host_request_t *r, const ap_customer_t *customer,
 			double cost, const ap_quota_verdict_t *v)
 {
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -478,6 +478,9 @@
 /* Returns the request's FORWARD_HEADER_CUSTOMER; its value is formatted in @text. */
 ap_http_header_t gate_customer_header(const ap_customer_t *customer,
 				      char text[GATE_CUSTOMER_TEXT_MAX]);
+/* Returns whether a region may serve the request; else it was refused. */
+bool gate_customer_has_region(gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			      const ap_plan_route_t *route, const ap_customer_t *customer);
 /*
  * Takes a request from the allowance of @customer, which may be NULL.
  *
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -154,6 +154,17 @@
 	return route->n_homes == 0;
 }
 
+bool ap_plan_has_region(const ap_plan_route_t *route, const ap_customer_t *customer)
+{
+	if (route->n_homes == 0)
+		return true;
+	for (size_t i = 0; i < route->n_homes; i++) {
+		if (ap_customer_allows_region(customer, route->homes[i]))
+			return true;
+	}
+	return false;
+}
+
 size_t ap_plan_count_routes(const ap_plan_t *plan, const char *host, const char *region)
 {
 	size_t n = 0;
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -135,6 +135,11 @@
 					double draw);
 /** ap_plan_allows_region() - returns whether @region may serve requests of @route. */
 bool ap_plan_allows_region(const ap_plan_route_t *route, const char *region);
+/**
+ * ap_plan_has_region() - returns whether any region may serve requests of @route by @customer, who
+ * may be NULL.
+ */
+bool ap_plan_has_region(const ap_plan_route_t *route, const ap_customer_t *customer);
 /** ap_plan_count_routes() - returns the number of routes of @host that @region may serve. */
 size_t ap_plan_count_routes(const ap_plan_t *plan, const char *host, const char *region);
 /** ap_plan_retryable() - returns whether a request of @route may run more than once. */
--- a/test/customer_test.c
+++ b/test/customer_test.c
@@ -114,6 +114,23 @@
 	assert_true(ap_customer_allows_region(&c, "west"));
 }
 
+/* Fails where homes without a common region leave a request to whoever is asked. */
+static void homes_of_route_and_customer_bind_together(void **state)
+{
+	ap_plan_route_t route = {.homes = {"north", "south"}, .n_homes = 2};
+	const ap_customer_t anywhere = {.name = "a"};
+	const ap_customer_t south = {.name = "b", .homes = {"south"}, .n_homes = 1};
+	const ap_customer_t east = {.name = "c", .homes = {"east"}, .n_homes = 1};
+
+	(void)state;
+	assert_true(ap_plan_has_region(&route, NULL));
+	assert_true(ap_plan_has_region(&route, &anywhere));
+	assert_true(ap_plan_has_region(&route, &south));
+	assert_false(ap_plan_has_region(&route, &east));
+	route.n_homes = 0;
+	assert_true(ap_plan_has_region(&route, &east));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -123,6 +140,7 @@
 		cmocka_unit_test(a_customers_priority_comes_before_the_routes),
 		cmocka_unit_test(the_cost_is_in_the_customers_unit),
 		cmocka_unit_test(regions_are_those_that_the_customer_names),
+		cmocka_unit_test(homes_of_route_and_customer_bind_together),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
