--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -86,6 +86,8 @@
 			s->instances[i].port + PORT_CONTROL);
 	fprintf(out, "]\ncores = 0.25\nrepeat_ratio = 0.2\nrepeat_slack = 54\n");
 	fprintf(out, "repeat_window_s = 10\ncold_over = 1.5\ncold_slack = 3\ndrain_ms = 3000\n");
+	if (s->tenants)
+		fprintf(out, "allowance_over = 0.1\nallowance_slack = 20\n");
 	fprintf(out, "apply_ms = 3000\ngrace_s = 8\ndirectory_s = 2\n[gateway.data_centres]\n");
 	for (unsigned i = 0; i < REGIONS; i++)
 		fprintf(out, "%s-1 = \"%s\"\n", soak_regions[i], soak_regions[i]);
--- a/test/soak/scenario.c
+++ b/test/soak/scenario.c
@@ -8,6 +8,7 @@
 #define HEARTBEAT AP_SEC
 
 const char *scenario_program;
+const char *scenario_tenants;
 
 void soak_finding(soak_t *s, const char *fmt, ...)
 {
@@ -55,6 +56,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	s->program = scenario_program;
+	s->tenants = scenario_tenants;
 	ap_rng_seed(&s->rng, 1);
 	ap_rng_seed(&s->schedule, 1);
 	ap_rng_seed(&s->spoils, 1);
--- a/test/soak/scenario.h
+++ b/test/soak/scenario.h
@@ -11,6 +11,8 @@
 
 /* Path of the daemon; set by main(). */
 extern const char *scenario_program;
+/* Customers of the configuration, as JSON; NULL for none. */
+extern const char *scenario_tenants;
 
 /* Starts the deployment; the state is a soak_t. */
 int scenario_set_up(void **state);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -248,6 +248,7 @@
 	ap_rng_t befores;  /* of work that isn't begun as it would outlast its deadline */
 	const char *program;
 	char dir[64];
+	const char *tenants; /* of the configuration, as JSON; NULL for none */
 	bool verbose;
 	bool no_pauses;
 	bool no_spoils;
--- a/test/soak/world.c
+++ b/test/soak/world.c
@@ -47,6 +47,8 @@
 	root = json_pack("{s:I,s:o,s:[{s:s},{s:s}],s:{}}", "version", (json_int_t)s->version,
 			 "routes", routes, "services", "name", pools[0], "name", pools[1],
 			 "limits");
+	if (s->tenants)
+		json_object_set_new(root, "tenants", json_loads(s->tenants, 0, NULL));
 	text = json_dumps(root, JSON_COMPACT);
 	store_put(s->store, "op/config", text, 0);
 	free(text);
