--- a/test/soak/scenario.c
+++ b/test/soak/scenario.c
@@ -11,6 +11,7 @@
 const char *scenario_gateway;
 unsigned scenario_memory_mb;
 unsigned scenario_descriptors;
+const char *scenario_tenants;
 
 void soak_finding(soak_t *s, const char *fmt, ...)
 {
@@ -61,6 +62,7 @@
 	s->gateway = scenario_gateway;
 	s->memory_mb = scenario_memory_mb;
 	s->descriptors = scenario_descriptors;
+	s->tenants = scenario_tenants;
 	ap_rng_seed(&s->rng, 1);
 	ap_rng_seed(&s->schedule, 1);
 	ap_rng_seed(&s->spoils, 1);
