Tests: the soaks read an instance's metrics whole

With the new metrics a piece of the response ended within the line of the configuration's version, which the scaffold read as version 0 ("went back from version 2 to 0", callers_test, 4 of 6 cases). It collects the response and reads it once it is complete. callers_test passes.

--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -169,15 +169,26 @@
 	kill(inst->pid, signal);
 }
 
+/* A line may arrive in two pieces. */
 static void on_metrics(void *ctx, const void *data, size_t len)
 {
-	static const char name[] = "arbutuspond_configuration_version ";
 	instance_t *inst = ctx;
-	const char *at = memmem(data, len, name, strlen(name));
+
+	if (inst->n_metrics + len >= sizeof(inst->metrics))
+		abort();
+	memcpy(inst->metrics + inst->n_metrics, data, len);
+	inst->n_metrics += len;
+}
+
+static void read_metrics(instance_t *inst)
+{
+	static const char name[] = "arbutuspond_configuration_version ";
+	const char *at = memmem(inst->metrics, inst->n_metrics, name, strlen(name));
 	uint64_t version;
 
 	if (!at)
 		return;
+	inst->metrics[inst->n_metrics] = '\0';
 	version = (uint64_t)strtod(at + strlen(name), NULL);
 	if (version < inst->version)
 		soak_finding(inst->soak, "configuration: %s went back from version %llu to %llu",
@@ -192,9 +203,11 @@
 {
 	instance_t *inst = ctx;
 
-	(void)end;
 	(void)written;
 	inst->fetching = false;
+	if (end == AP_HTTP_COMPLETE)
+		read_metrics(inst);
+	inst->n_metrics = 0;
 }
 
 void instance_check_version(instance_t *inst)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -196,6 +196,8 @@
 	uint64_t version;	  /* configuration version last seen of this process */
 	ap_usec_t version_at;	  /* when it was seen first */
 	bool fetching;
+	char metrics[65536]; /* as far as they have arrived */
+	size_t n_metrics;
 } instance_t;
 
 void instance_start(instance_t *inst);
