Tests: invalid statuses at real instances

endless_run_test has two more upstreams: one that responds with status 600 and one with 2000, for plain requests and streams, four instances of two regions. No caller may get such a response.

--- a/test/endless/main.c
+++ b/test/endless/main.c
@@ -1,7 +1,8 @@
 /*
- * Upstreams that respond without end, in a head or a body, until the connection is closed, against
- * real instances. Their memory stays within that of the smallest machine, and requests to sound
- * upstreams are served.
+ * Upstreams that respond without end, in a head or a body, until the connection is closed, or with
+ * an invalid status, against real instances of two regions, which also forward to each other. No
+ * caller gets such a status. Their memory stays within that of the smallest machine, and requests
+ * to sound upstreams are served.
  */
 #include "../soak/scenario.h"
 
@@ -45,6 +46,11 @@
 	{"the size of a chunk", OWN "Transfer-Encoding: chunked\r\n\r\n", "0000000"},
 	{"events", OWN "Content-Type: text/event-stream\r\n\r\n", "data: padding\n\n"},
 	{"an error", "HTTP/1.1 500 No\r\nServer-Stamp: s\r\nRequest-Id: %s\r\n\r\n", "padding"},
+	{"an invalid status",
+	 "HTTP/1.1 600 No\r\nServer-Stamp: s\r\nRequest-Id: %s\r\nContent-Length: 7\r\n\r\n",
+	 "padding"},
+	{"a status of four digits", "HTTP/1.1 2000 OK\r\nServer-Stamp: s\r\nRequest-Id: %s\r\n\r\n",
+	 "data: padding\n\n"},
 	{"a refusal", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: %s\r\n\r\n", "padding"},
 };
 
@@ -208,6 +214,7 @@
 	unsigned sent;
 	unsigned ended;
 	unsigned served;
+	unsigned malformed;
 } counts_t;
 
 typedef struct call {
@@ -228,6 +235,7 @@
 	(void)written;
 	c->q->done = true;
 	c->counts->ended++;
+	c->counts->malformed += end == AP_HTTP_MALFORMED;
 	c->counts->served += end == AP_HTTP_COMPLETE && c->status == 200;
 	free(c);
 }
@@ -291,6 +299,11 @@
 	return most;
 }
 
+static bool has_invalid_status(const form_t *form)
+{
+	return strtol(form->head + strlen("HTTP/1.1 "), NULL, 10) > 599;
+}
+
 /* The pool of the kinds from @first on floods, the other one is sound. */
 static void check_form(soak_t *s, const form_t *form, const char *pool, unsigned first)
 {
@@ -330,6 +343,9 @@
 	assert_true(memory > 0 && memory < MEMORY_MAX_MB);
 	assert_int_equal(sound.served, sound.sent);
 	assert_int_equal(flooded.ended, flooded.sent);
+	/* Others are cut where they get too large. */
+	if (has_invalid_status(form))
+		assert_int_equal(flooded.malformed, 0);
 	assert_int_equal(s->findings, 0);
 }
 
