--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -256,7 +256,6 @@
 	unsigned memory_mb;   /* setting of the instances; 0 for the default */
 	unsigned descriptors; /* limit of each instance's; 0 for the one of this process */
 	char dir[64];
-	const char *tenants; /* of the configuration, as JSON; NULL for none */
 	bool verbose;
 	bool no_pauses;
 	bool no_spoils;
