--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -90,6 +90,8 @@
 			s->instances[i].port + PORT_CONTROL);
 	fprintf(out, "]\ncores = 0.25\nrepeat_ratio = 0.2\nrepeat_slack = 54\n");
 	fprintf(out, "repeat_window_s = 10\ncold_over = 1.5\ncold_slack = 3\ndrain_ms = 3000\n");
+	if (s->tenants)
+		fprintf(out, "allowance_over = 0.1\nallowance_slack = 20\n");
 	fprintf(out, "apply_ms = 3000\ngrace_s = 8\ndirectory_s = 2\n");
 	fprintf(out, "%s\n[gateway.data_centres]\n", s->gateway ? s->gateway : "");
 	for (unsigned i = 0; i < REGIONS; i++)
@@ -170,15 +172,26 @@
 	kill(inst->pid, signal);
 }
 
+/* A line may arrive in two pieces. */
 static void on_metrics(void *ctx, const void *data, size_t len)
 {
-	static const char name[] = "arbutuspond_configuration_version ";
 	instance_t *inst = ctx;
-	const char *at = memmem(data, len, name, strlen(name));
+
+	if (inst->n_metrics + len >= sizeof(inst->metrics))
+		abort();
+	memcpy(inst->metrics + inst->n_metrics, data, len);
+	inst->n_metrics += len;
+}
+
+static void read_metrics(instance_t *inst)
+{
+	static const char name[] = "arbutuspond_configuration_version ";
+	const char *at = memmem(inst->metrics, inst->n_metrics, name, strlen(name));
 	uint64_t version;
 
 	if (!at)
 		return;
+	inst->metrics[inst->n_metrics] = '\0';
 	version = (uint64_t)strtod(at + strlen(name), NULL);
 	if (version < inst->version)
 		soak_finding(inst->soak, "configuration: %s went back from version %llu to %llu",
@@ -193,9 +206,11 @@
 {
 	instance_t *inst = ctx;
 
-	(void)end;
 	(void)written;
 	inst->fetching = false;
+	if (end == AP_HTTP_COMPLETE)
+		read_metrics(inst);
+	inst->n_metrics = 0;
 }
 
 void instance_check_version(instance_t *inst)
--- a/test/soak/scenario.h
+++ b/test/soak/scenario.h
@@ -16,6 +16,8 @@
 /* Settings of the instances, as in soak_t. */
 extern unsigned scenario_memory_mb;
 extern unsigned scenario_descriptors;
+/* Customers of the configuration, as JSON; NULL for none. */
+extern const char *scenario_tenants;
 
 /* Starts the deployment; the state is a soak_t. */
 int scenario_set_up(void **state);
