quota: the base of the sender that counts for a region doesn't give way to others

Relays pass on reports, so an instance may hear more senders of a region than it keeps. The oldest gave way, which was the one that counts: its whole use counted with its next report.

--- a/lib/quota/private.h
+++ b/lib/quota/private.h
@@ -8,7 +8,7 @@
 
 #define RATE_TIME 1.0	   /* seconds over which rates are averaged */
 #define UNITS 2		   /* of ap_unit_t */
-#define SENDERS_MAX 4	   /* of one remote region */
+#define SENDERS_MAX 8	   /* of one remote region; relays pass on those of others */
 #define CUSTOMERS_MAX 4096 /* more than a deployment's; the rest are not limited */
 
 /* Rate of units, averaged over RATE_TIME. */
--- a/lib/quota/report.c
+++ b/lib/quota/report.c
@@ -112,7 +112,7 @@
 	return &c->entries[s->slot];
 }
 
-/* Returns what @sender last reported; the oldest one gives way. */
+/* Returns what @sender last reported; the oldest one gives way, but not the one that counts. */
 static ap_quota_base_t *base_of(ap_quota_entry_t *e, uint32_t sender, bool *found)
 {
 	*found = true;
@@ -122,7 +122,11 @@
 	}
 	*found = false;
 	if (e->n_bases == SENDERS_MAX) {
-		memmove(&e->base[0], &e->base[1], (SENDERS_MAX - 1) * sizeof(e->base[0]));
+		/* Without the base of the sender that counts, its whole use would count again. */
+		size_t oldest = e->base[0].sender == e->source->primary;
+
+		memmove(&e->base[oldest], &e->base[oldest + 1],
+			(SENDERS_MAX - 1 - oldest) * sizeof(e->base[0]));
 		e->n_bases--;
 	}
 	e->base[e->n_bases] = (ap_quota_base_t){.sender = sender};
--- a/test/quota_limits_test.c
+++ b/test/quota_limits_test.c
@@ -189,6 +189,36 @@
 	ap_quota_free(q);
 }
 
+/*
+ * Relays pass on reports, so that an instance hears many senders of a region. Fails where the base
+ * of the one that counts gives way to others, and its whole use counts with each report.
+ */
+static void many_senders_of_a_region(void **state)
+{
+	static ap_customer_t customers[MANY];
+	ap_quota_t *q = new_quota(customers, many_customers(customers, 0));
+	ap_quota_use_t use = {
+		.tag = ap_quota_tag(customers[0].name), .used = 100000, .lately = 100000};
+	double before;
+
+	(void)state;
+	ap_quota_set_source(q, "south", true, 20, START);
+	ap_quota_end_sources(q, START);
+	for (unsigned round = 0; round < 6; round++) {
+		for (unsigned sender = 0; sender < 20; sender++) {
+			char name[AP_NAME_MAX];
+
+			snprintf(name, sizeof(name), "s%u", sender);
+			ap_quota_heard(q, "south", name, (ap_id_t){1, 1}, 0, &use, 1,
+				       START + round * 500 * AP_MSEC + sender);
+		}
+		if (round == 0)
+			before = level(q, &customers[0], START + 20);
+	}
+	assert_true(level(q, &customers[0], START + 3 * AP_SEC) >= before);
+	ap_quota_free(q);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -198,6 +228,7 @@
 		cmocka_unit_test(a_refund_can_be_used_at_once),
 		cmocka_unit_test(a_clock_that_is_set_back),
 		cmocka_unit_test(plans_of_other_customers_in_a_row),
+		cmocka_unit_test(many_senders_of_a_region),
 		cmocka_unit_test(more_customers_than_a_report_holds),
 		cmocka_unit_test(a_count_that_began_again),
 	};
