Tests: crowds that fill an instance by responses

Clients that don't read responses of 4 MB, ask for them ahead, read them slowly, or use an upstream of another region; upstreams whose responses have no end or stop short. 60 clients, memory_mb 64, each process under 64 MB, an ordinary request answered during and after each. No test knew responses of more than 1 MB.

--- /dev/null
+++ b/test/crowd/crowd.h
@@ -0,0 +1,77 @@
+/* Clients that fill an instance, in a process of their own, and an upstream that answers them. */
+#ifndef CROWD_H
+#define CROWD_H
+
+#include "../soak/scenario.h"
+
+#define CROWD_MEMORY_MB 64 /* setting of the instances, and what each may take */
+#define CROWD_HOLD (300 * AP_MSEC)
+#define CROWD_LARGE_BODY (4 << 20)
+
+/*
+ * What each client sends: @head, which takes the client's number, @repeat @times times, and then
+ * nothing more.
+ * @alone: each @repeat is sent in a segment of its own
+ */
+typedef struct form {
+	const char *name;
+	const char *head;
+	const char *repeat;
+	size_t times;
+	bool alone;
+} form_t;
+
+/*
+ * The clients of a form, spread over listeners of an instance, which have consecutive ports.
+ * @window: the kernel holds little of what the instance sends
+ * @reads: bytes that a client reads every 5 ms; 0: it reads nothing
+ */
+typedef struct crowd {
+	const form_t *form;
+	size_t n;
+	uint16_t first_port;
+	unsigned from;
+	unsigned to;
+	bool window;
+	size_t reads;
+} crowd_t;
+
+/*
+ * What an upstream responds to a request whose target contains "large": @head, which takes the
+ * request's id, then @repeat up to @bytes. Others get a small response.
+ * @stops: nothing follows then, and the connection stays open
+ */
+typedef struct source {
+	const char *head;
+	const char *repeat;
+	size_t bytes;
+	bool stops;
+} source_t;
+
+/* clients.c */
+/* Starts the clients, which stay connected; @done gets a byte once they send nothing more. */
+pid_t crowd_start(const crowd_t *crowd, int *done);
+
+/* upstream.c */
+/* Starts an upstream. Return: its process. */
+pid_t source_start(const source_t *source, uint16_t *port);
+
+/* main.c */
+/* Sends an ordinary request with a body of @len bytes to the first instance. Return: its status. */
+int crowd_ask(soak_t *s, size_t len);
+/* Runs the event loop until the crowd of @done has sent all, and CROWD_HOLD longer. */
+void crowd_await(soak_t *s, int done);
+/* Most memory that a process has had, in MB; 0 if it has ended. */
+unsigned crowd_peak_mb(pid_t pid);
+/* Most memory that a process may have, in MB. */
+unsigned crowd_memory_max(void);
+
+/* responses.c */
+void responses_not_read_whole(void **state);
+void responses_asked_ahead(void **state);
+void responses_of_a_neighbour(void **state);
+void responses_read_slowly(void **state);
+void responses_without_end(void **state);
+void responses_that_stop_short(void **state);
+
+#endif
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -3,28 +3,22 @@
  * end, responses that are not read, connections without a request. The process lives within its
  * memory and descriptors, and ordinary requests are answered.
  */
-#include "../soak/scenario.h"
+#include "crowd.h"
 
 #include <dirent.h>
-#include <errno.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define MEMORY_MB 64
 #ifdef __SANITIZE_ADDRESS__
-#define MEMORY_MAX_MB (MEMORY_MB + 64) /* what the sanitizer adds to a process without requests */
+/* What the sanitizer adds to a process without requests. */
+#define MEMORY_MAX_MB (CROWD_MEMORY_MB + 64)
 #else
-#define MEMORY_MAX_MB MEMORY_MB
+#define MEMORY_MAX_MB CROWD_MEMORY_MB
 #endif
 #define DESCRIPTORS_MAX 2048
 #define FEW_DESCRIPTORS 128
@@ -34,10 +28,7 @@
 #define SMALL_CHUNKS 1000000
 #define SEGMENTS 2500
 #define FAR_BYTES (16 << 20) /* twice what an instance accepts */
-#define LARGE_BODY (4 << 20)
-#define WRITE_BYTES (64 << 10)
-#define SEND_MAX (6 * AP_SEC) /* below the time in which a request has to arrive */
-#define HOLD (300 * AP_MSEC)
+#define SENT_MAX (18 * AP_SEC)
 #define ANSWER_MAX (10 * AP_SEC)
 #define LISTENERS 6 /* consecutive ports: callers, ready, directory, metrics, control, peers */
 #define PORT_METRICS 3
@@ -45,19 +36,6 @@
 #define POST                                                                                       \
 	"POST /once/ HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: c-%u\r\nDeadline-Ms: 3000\r\n"
 
-/*
- * What each client sends: @head, which takes the client's number, @repeat @times times, and then
- * nothing more.
- * @alone: each @repeat is sent in a segment of its own
- */
-typedef struct form {
-	const char *name;
-	const char *head;
-	const char *repeat;
-	size_t times;
-	bool alone;
-} form_t;
-
 static char large_chunk[CHUNK_BYTES + 16];
 
 static const form_t large_chunks = {"chunks of 16 KB that stop short",
@@ -92,124 +70,6 @@
 static const form_t silent = {"connections without a request", "", "", 0, false};
 static const form_t begun = {"a head that was begun", "P", "", 0, false};
 
-/* ---- the clients' process ---- */
-
-typedef struct client {
-	int fd;
-	size_t head;	/* bytes of the head left */
-	size_t left;	/* bytes of the repeated part left */
-	size_t at;	/* next byte within the repeated part */
-	char text[512]; /* the head */
-	size_t text_len;
-} client_t;
-
-typedef struct crowd {
-	const form_t *form;
-	size_t n;
-	uint16_t first_port;
-	unsigned from; /* the clients are spread over these listeners */
-	unsigned to;
-} crowd_t;
-
-static int connect_to(uint16_t port)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons(port),
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	int one = 1;
-
-	if (fd < 0)
-		_exit(EXIT_FAILURE);
-	/* Refused by a process that has ended, which the test notices. */
-	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0)
-		return -1;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	fcntl(fd, F_SETFL, O_NONBLOCK);
-	return fd;
-}
-
-/* Returns false once nothing more is to be sent, as all is, or the server has closed. */
-static bool send_some(client_t *c, const form_t *form, const char *pattern, size_t unit)
-{
-	size_t len = form->alone ? unit : WRITE_BYTES;
-	ssize_t sent;
-
-	if (c->head > 0) {
-		sent = send(c->fd, c->text + c->text_len - c->head, c->head, MSG_NOSIGNAL);
-		if (sent > 0)
-			c->head -= (size_t)sent;
-		return sent > 0 || errno == EAGAIN;
-	}
-	if (c->left == 0)
-		return false;
-	len = len < c->left ? len : c->left;
-	sent = send(c->fd, pattern + c->at, len, MSG_NOSIGNAL);
-	if (sent <= 0)
-		return sent < 0 && errno == EAGAIN;
-	c->left -= (size_t)sent;
-	c->at = (c->at + (size_t)sent) % unit;
-	return c->left > 0;
-}
-
-static void run_crowd(const crowd_t *crowd, int done)
-{
-	const form_t *form = crowd->form;
-	size_t unit = strlen(form->repeat);
-	char *pattern = malloc(unit + WRITE_BYTES + 1);
-	client_t *clients = calloc(crowd->n, sizeof(*clients));
-	bool *open = calloc(crowd->n, sizeof(*open));
-	ap_usec_t until = ap_now() + SEND_MAX;
-	bool more = true;
-
-	if (!pattern || !clients || !open)
-		_exit(EXIT_FAILURE);
-	for (size_t i = 0; unit > 0 && i < unit + WRITE_BYTES; i++)
-		pattern[i] = form->repeat[i % unit];
-	for (size_t i = 0; i < crowd->n; i++) {
-		client_t *c = &clients[i];
-		unsigned listeners = crowd->to - crowd->from + 1;
-
-		c->fd = connect_to((uint16_t)(crowd->first_port + crowd->from + i % listeners));
-		c->text_len = (size_t)snprintf(c->text, sizeof(c->text), form->head, (unsigned)i);
-		c->head = c->text_len;
-		c->left = unit * form->times;
-		open[i] = c->fd >= 0;
-	}
-	while (more && ap_now() < until) {
-		more = false;
-		for (size_t i = 0; i < crowd->n; i++) {
-			if (open[i])
-				open[i] = send_some(&clients[i], form, pattern, unit);
-			more |= open[i];
-		}
-		poll(NULL, 0, 1);
-	}
-	if (write(done, "", 1) != 1)
-		_exit(EXIT_FAILURE);
-	for (;;)
-		pause();
-}
-
-/* Starts the clients, which stay connected; @done gets a byte once they send nothing more. */
-static pid_t start_crowd(const crowd_t *crowd, int *done)
-{
-	int fds[2];
-	pid_t pid;
-
-	assert_int_equal(pipe(fds), 0);
-	pid = fork();
-	if (pid == 0) {
-		prctl(PR_SET_PDEATHSIG, SIGKILL);
-		dup2(fds[1], STDIN_FILENO);
-		close_range(STDERR_FILENO + 1, ~0U, 0);
-		run_crowd(crowd, STDIN_FILENO);
-	}
-	close(fds[1]);
-	*done = fds[0];
-	return pid;
-}
-
 /* ---- the test ---- */
 
 typedef struct answer {
@@ -232,8 +92,7 @@
 	a->end = end;
 }
 
-/* Sends an ordinary request with a body of @len bytes to the first instance. Return: its status. */
-static int ask(soak_t *s, size_t len)
+int crowd_ask(soak_t *s, size_t len)
 {
 	answer_t a = {.q = caller_request(s, SOAK_IDEMPOTENT)};
 	ap_http_header_t headers[] = {
@@ -274,8 +133,7 @@
 	return a.end == AP_HTTP_COMPLETE ? a.status : 0;
 }
 
-/* Most memory that the process has had, in MB; 0 if it has ended. */
-static unsigned peak_memory_mb(pid_t pid)
+unsigned crowd_peak_mb(pid_t pid)
 {
 	unsigned long kb = 0;
 	char line[128];
@@ -293,6 +151,11 @@
 	return (unsigned)(kb >> 10);
 }
 
+unsigned crowd_memory_max(void)
+{
+	return MEMORY_MAX_MB;
+}
+
 static unsigned descriptors(pid_t pid)
 {
 	unsigned n = 0;
@@ -308,16 +171,16 @@
 	return n;
 }
 
-static void await(soak_t *s, int done)
+void crowd_await(soak_t *s, int done)
 {
 	struct pollfd p = {.fd = done, .events = POLLIN};
-	ap_usec_t until = ap_now() + 3 * SEND_MAX;
+	ap_usec_t until = ap_now() + SENT_MAX;
 
 	while (poll(&p, 1, 0) == 0 && ap_now() < until)
 		scenario_run(s, SCENARIO_TURN);
 	assert_true(p.revents & POLLIN);
 	close(done);
-	scenario_run(s, HOLD);
+	scenario_run(s, CROWD_HOLD);
 }
 
 /*
@@ -340,18 +203,18 @@
 	scenario_set_up(&state);
 	s = state;
 	crowd.first_port = s->instances[0].port;
-	memory = peak_memory_mb(s->instances[0].pid);
+	memory = crowd_peak_mb(s->instances[0].pid);
 	print_message("%s, %zu clients at listeners %u to %u: %u MB before,", form->name, n, from,
 		      to, memory);
-	pid = start_crowd(&crowd, &done);
-	await(s, done);
-	during = ask(s, 4);
+	pid = crowd_start(&crowd, &done);
+	crowd_await(s, done);
+	during = crowd_ask(s, 4);
 	files = descriptors(s->instances[0].pid);
-	memory = peak_memory_mb(s->instances[0].pid);
+	memory = crowd_peak_mb(s->instances[0].pid);
 	kill(pid, SIGKILL);
 	waitpid(pid, NULL, 0);
-	scenario_run(s, HOLD);
-	after = ask(s, LARGE_BODY);
+	scenario_run(s, CROWD_HOLD);
+	after = crowd_ask(s, CROWD_LARGE_BODY);
 	print_message(" at most %u MB, %u descriptors; status %d, %d after that\n", memory, files,
 		      during, after);
 	ok = s->instances[0].pid > 0 && memory > 0 && memory <= MEMORY_MAX_MB && files > 0 &&
@@ -456,6 +319,9 @@
 	{"over", bodies_over_the_limit},	  {"heads", heads_without_end},
 	{"lines", empty_lines_without_end},	  {"listeners", all_listeners},
 	{"unread", responses_not_read},		  {"connections", connections_without_requests},
+	{"large", responses_not_read_whole},	  {"ahead", responses_asked_ahead},
+	{"neighbour", responses_of_a_neighbour},  {"slow", responses_read_slowly},
+	{"endless", responses_without_end},	  {"short", responses_that_stop_short},
 };
 
 int main(int argc, char **argv)
@@ -472,6 +338,6 @@
 	}
 	snprintf(large_chunk, sizeof(large_chunk), "%x\r\n%0*d\r\n", CHUNK_BYTES, CHUNK_BYTES, 0);
 	scenario_program = argv[1];
-	scenario_memory_mb = MEMORY_MB;
+	scenario_memory_mb = CROWD_MEMORY_MB;
 	return _cmocka_run_group_tests("crowd", &test, 1, NULL, NULL);
 }
