exchange: a body that has begun is passed on as it arrives

Seen: an instance of 120 MB took 423 MB for 200 callers of 4 MB, and 214 MB for 100 that read them in pieces of 4 KB; some ordinary requests got no answer. Cause: a plain response is held for a retry until 1 MB of it is there, and each further megabyte was held again although the caller had a part and no retry was possible; the buffer stayed allocated. Each response cost 1 MB of buffer and 1 MB of output.

Now what follows the first part is passed on at once, and the buffer is freed.

exchange_large_test: a_large_response_is_not_held_again failed before. Its two other cases expected that the second part of 700 KB is withheld; what they guard, that nothing of another body follows, is asserted with both parts delivered.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -64,16 +64,23 @@
 	x->ops->head(x->ctx, slot_of(x, a));
 }
 
-static void deliver_range(ap_exchange_t *x, const ap_attempt_t *a, size_t from, size_t to,
-			  ap_usec_t now)
+static void deliver(ap_exchange_t *x, const ap_attempt_t *a, const void *data, size_t len,
+		    ap_usec_t now)
 {
-	if (to <= from)
+	if (len == 0)
 		return;
 	if (x->first_chunk_at == 0)
 		x->first_chunk_at = now;
 	commit(x, a);
-	x->bytes += to - from;
-	x->ops->data(x->ctx, a->buffer + from, to - from);
+	x->bytes += len;
+	x->ops->data(x->ctx, data, len);
+}
+
+static void deliver_range(ap_exchange_t *x, const ap_attempt_t *a, size_t from, size_t to,
+			  ap_usec_t now)
+{
+	if (to > from)
+		deliver(x, a, a->buffer + from, to - from, now);
 }
 
 uint64_t ap_exchange_build(const ap_exchange_t *x)
@@ -342,17 +349,36 @@
 		a->last_chunk_at = now;
 }
 
+/* Begins to pass on the body of @a, of which the caller has nothing yet, before it is complete. */
+static void begin_body(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
+{
+	ap_attempt_take_over(x, a, now);
+	deliver_range(x, a, 0, a->buffer_len, now);
+	free(a->buffer);
+	a->buffer = NULL;
+	a->buffer_len = 0;
+	a->buffer_size = 0;
+}
+
+/* Whether the caller gets the body of @a as it arrives. */
+static bool body_has_begun(const ap_exchange_t *x, const ap_attempt_t *a)
+{
+	return x->committed && !x->stream && is_success(a);
+}
+
 void ap_exchange_data(ap_exchange_t *x, unsigned slot, const void *data, size_t len, ap_usec_t now)
 {
 	ap_attempt_t *a = &x->slot[slot];
 
 	if (x->finished || !a->in_flight || len == 0)
 		return;
-	if (a->buffer_len + len > BUFFERED_MAX && is_success(a) && !x->stream) {
-		/* The response is too large to be held until it is complete. */
-		ap_attempt_take_over(x, a, now);
-		deliver_range(x, a, 0, a->buffer_len, now);
-		a->buffer_len = 0;
+	if (a->buffer_len + len > BUFFERED_MAX && is_success(a) && !x->stream && !x->committed)
+		begin_body(x, a, now);
+	if (body_has_begun(x, a)) {
+		deliver(x, a, data, len, now);
+		ap_attempt_pieces(x, a, 1, now);
+		a->last_chunk_at = now;
+		return;
 	}
 	if (!buffer_data(a, data, len)) {
 		/* Out of memory: nothing that follows can be delivered. */
--- a/test/exchange_large_test.c
+++ b/test/exchange_large_test.c
@@ -2,6 +2,7 @@
 #include "exchange_world.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define PART ((size_t)700 << 10)
 
@@ -14,8 +15,8 @@
 	delivered += len;
 }
 
-/* Has the caller get the first part of a plain response. */
-static void deliver_part(world_t *w, ap_exchange_ops_t *counting)
+/* Has the caller get the first two parts of a plain response, which are too large together. */
+static void deliver_parts(world_t *w, ap_exchange_ops_t *counting)
 {
 	char *part = calloc(1, PART);
 
@@ -30,7 +31,22 @@
 	ap_exchange_data(&w->x, w->slot[0], part, PART, w->now);
 	free(part);
 	assert_true(w->x.committed);
-	assert_int_equal(delivered, PART);
+	assert_int_equal(delivered, 2 * PART);
+}
+
+/* Guards against holding as much again of a response that the caller gets already. */
+static void a_large_response_is_not_held_again(void **state)
+{
+	ap_exchange_ops_t counting;
+	world_t w = {0};
+
+	(void)state;
+	deliver_parts(&w, &counting);
+	assert_int_equal(w.x.slot[w.slot[0]].buffer_size, 0);
+	data(&w, "piece");
+	assert_int_equal(delivered, 2 * PART + strlen("piece"));
+	assert_int_equal(w.x.slot[w.slot[0]].buffer_size, 0);
+	finish(&w);
 }
 
 /* Guards against a body that is appended to the part of another one that the caller has. */
@@ -40,7 +56,7 @@
 	world_t w = {0};
 
 	(void)state;
-	deliver_part(&w, &counting);
+	deliver_parts(&w, &counting);
 	end(&w, AP_CONNECTION_BROKEN);
 	if (!w.x.finished) {
 		head(&w, 200);
@@ -49,7 +65,7 @@
 	}
 	assert_false(w.ended);
 	assert_true(w.aborted);
-	assert_int_equal(delivered, PART);
+	assert_int_equal(delivered, 2 * PART);
 	finish(&w);
 }
 
@@ -60,7 +76,7 @@
 	world_t w = {0};
 
 	(void)state;
-	deliver_part(&w, &counting);
+	deliver_parts(&w, &counting);
 	w.now = ap_exchange_due(&w.x);
 	ap_exchange_tick(&w.x, w.now);
 	assert_int_equal(w.n_sent, 1);
@@ -95,6 +111,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_large_response_is_not_held_again),
 		cmocka_unit_test(a_large_response_that_breaks_off_is_not_joined_with_another),
 		cmocka_unit_test(a_large_response_that_falls_silent_stays_where_it_is),
 		cmocka_unit_test(a_large_response_replaces_the_silent_attempt),
