Responses that an instance holds count in its budget

Cause: what is collected of a response before it begins, up to 1 MB each, was charged to nobody, so the budget never became tight.

The gateway now states for each request what its exchange holds (ap_exchange_held(), ap_http_call_hold()), which is charged to the caller's connection. While the budget is tight, a body is passed on once 16 KB of it are there, in place of 1 MB: then it is bounded by what its caller reads, as reading from the upstream pauses. The price is that such a response isn't tried again if it breaks off; it is cut, visibly.

--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -207,7 +207,7 @@
 	size_t out = evbuffer_get_length(bufferevent_get_output(conn->bev));
 
 	if (conn->call)
-		return in + out + conn->served + conn->call->n_held;
+		return in + out + conn->served + conn->call->n_held + conn->call->owner_held;
 	return conn->arriving ? out + conn->arrived + conn->syntax.fields * FIELD_BYTES : out;
 }
 
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -288,6 +288,11 @@
 /** ap_http_call_abort() - closes the caller's connection at once, without a callback; ends @call.
  */
 void ap_http_call_abort(ap_http_call_t *call);
+/**
+ * ap_http_call_hold() - states how many bytes of the response its owner holds, which count in the
+ * budget.
+ */
+void ap_http_call_hold(ap_http_call_t *call, size_t bytes);
 /** ap_http_reply_pending() - bytes written but not yet passed to the caller's socket. */
 size_t ap_http_reply_pending(const ap_http_call_t *call);
 /** ap_http_call_pipelined() - bytes received after the request of @call, held unread. */
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -73,6 +73,7 @@
 	call->ended = true;
 	call->closed = NULL;
 	call->output_empty = NULL;
+	call->owner_held = 0;
 	call->server->flushing++;
 	if (call->hangup)
 		event_del(call->hangup);
@@ -510,6 +511,14 @@
 	evhttp_connection_free(conn->evcon);
 }
 
+void ap_http_call_hold(ap_http_call_t *call, size_t bytes)
+{
+	if (bytes == call->owner_held)
+		return;
+	call->owner_held = bytes;
+	conn_charge(call->conn);
+}
+
 size_t ap_http_call_pipelined(const ap_http_call_t *call)
 {
 	return evbuffer_get_length(bufferevent_get_input(call_bev(call)));
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -25,6 +25,7 @@
  * @begun: the head has been sent, and the body follows in parts
  * @held: body of a response that is sent once its length is known; NULL for none
  * @n_held: its bytes so far
+ * @owner_held: bytes of the response that the owner of the call holds
  * @status: of the response that comes in parts
  * @failed: the response can't be completed, and is given up from the event loop
  * @target: path and query
@@ -40,6 +41,7 @@
 	bool begun;
 	struct evbuffer *held;
 	size_t n_held;
+	size_t owner_held;
 	int status;
 	bool failed;
 	char *target;
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -86,6 +86,8 @@
 		call_free(c);
 		return;
 	}
+	if (c->call)
+		ap_http_call_hold(c->call, ap_exchange_held(&c->x));
 	if (due == c->timer_at || due == AP_NEVER)
 		return;
 	/* A timer that fires before @due has no effect; on_timer() then sets it again. */
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -15,6 +15,7 @@
 #define RESPONSE_MAX (16 << 20)	       /* bytes of one response */
 #define PENDING_MAX (128 << 10)	       /* bytes waiting for a slow caller; reading pauses above */
 #define PENDING_TIGHT (16 << 10)       /* likewise while memory is short */
+#define HOLD_TIGHT (16 << 10)	       /* bytes of a response that are held then */
 
 static void drop_witness(gate_attempt_t *a)
 {
@@ -414,6 +415,13 @@
 		headers->v[headers->n++] = (ap_http_header_t){"Content-Length", length};
 }
 
+static size_t op_hold_max(void *ctx)
+{
+	const gate_call_t *c = ctx;
+
+	return ap_http_budget_tight(c->gate->budget) ? HOLD_TIGHT : AP_EXCHANGE_HELD_MAX;
+}
+
 /*
  * Starts a response in parts. One that is no stream and has arrived completely is sent by
  * op_end() with its length instead.
@@ -552,6 +560,7 @@
 	.arrived = op_arrived,
 	.stopped = op_stopped,
 	.weights = op_weights,
+	.hold_max = op_hold_max,
 	.head = op_head,
 	.data = op_data,
 	.end = op_end,
--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -51,6 +51,11 @@
 	return true;
 }
 
+size_t ap_exchange_held(const ap_exchange_t *x)
+{
+	return x->slot[0].buffer_size + x->slot[1].buffer_size;
+}
+
 static void commit(ap_exchange_t *x, const ap_attempt_t *a)
 {
 	if (x->committed)
@@ -349,6 +354,11 @@
 		a->last_chunk_at = now;
 }
 
+static size_t hold_max(const ap_exchange_t *x)
+{
+	return x->ops->hold_max ? x->ops->hold_max(x->ctx) : AP_EXCHANGE_HELD_MAX;
+}
+
 /* Begins to pass on the body of @a, of which the caller has nothing yet, before it is complete. */
 static void begin_body(ap_exchange_t *x, ap_attempt_t *a, ap_usec_t now)
 {
@@ -372,7 +382,7 @@
 
 	if (x->finished || !a->in_flight || len == 0)
 		return;
-	if (a->buffer_len + len > BUFFERED_MAX && is_success(a) && !x->stream && !x->committed)
+	if (a->buffer_len + len > hold_max(x) && is_success(a) && !x->stream && !x->committed)
 		begin_body(x, a, now);
 	if (body_has_begun(x, a)) {
 		deliver(x, a, data, len, now);
@@ -395,7 +405,7 @@
 		a->last_chunk_at = now;
 	}
 	/* An event, or an error's body, that doesn't end. */
-	if (a->in_flight && a->buffer_len > BUFFERED_MAX && (x->stream || !is_success(a))) {
+	if (a->in_flight && a->buffer_len > AP_EXCHANGE_HELD_MAX && (x->stream || !is_success(a))) {
 		x->ops->drop_connection(x->ctx, slot);
 		ap_exchange_end(x, slot, AP_CONNECTION_BROKEN, now);
 	}
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -13,6 +13,8 @@
 
 #define AP_SSE_ID "id:"
 #define AP_SSE_DATA "data:"
+/* Bytes of a response that are held at most until it is complete. */
+#define AP_EXCHANGE_HELD_MAX (1 << 20)
 #define AP_SSE_ID_MAX 64 /* bytes of a server-sent event's id, with terminator */
 /* What an instance puts behind the events of a forwarded stream whose end is in doubt. */
 #define AP_EXCHANGE_UNCONFIRMED ": end unconfirmed\n\n"
@@ -151,6 +153,8 @@
  *	as it had announced; NULL if none announces it
  * @weights: the events of a stream are of the version @weights from number @since on, of one that
  *	isn't known if @weights is AP_WEIGHTS_ANY; NULL if the driver doesn't want to know
+ * @hold_max: returns how many bytes of a body may be held until it is complete, so that another
+ *	target can be tried if it isn't; NULL for AP_EXCHANGE_HELD_MAX
  * @head: sends the head of the response of @slot to the caller
  * @data: sends a part of the response's body to the caller
  * @end: the response is complete
@@ -176,6 +180,7 @@
 	ap_usec_t (*arrived)(void *ctx, unsigned slot);
 	bool (*stopped)(void *ctx, const ap_target_t *target, ap_usec_t within);
 	void (*weights)(void *ctx, ap_weights_t weights, uint64_t since);
+	size_t (*hold_max)(void *ctx);
 	void (*head)(void *ctx, unsigned slot);
 	void (*data)(void *ctx, const void *data, size_t len);
 	void (*end)(void *ctx);
@@ -354,6 +359,8 @@
  * @attempts: how many times the request may run, if its route allows retries at all
  */
 void ap_exchange_start(ap_exchange_t *x, unsigned attempts, ap_usec_t now);
+/** ap_exchange_held() - bytes of memory that responses take which the caller hasn't got yet. */
+size_t ap_exchange_held(const ap_exchange_t *x);
 /** ap_exchange_clear() - frees the buffers and drops connections that are still open. */
 void ap_exchange_clear(ap_exchange_t *x);
 /** ap_exchange_build() - the build of the upstream that serves the current response. */
--- a/lib/exchange/private.h
+++ b/lib/exchange/private.h
@@ -5,9 +5,6 @@
 #include "exchange/exchange.h"
 
 #define RETRY_AFTER_MIN (100 * AP_MSEC)
-/* Bytes of a response that are held until it is complete. */
-#define BUFFERED_MAX (1 << 20)
-
 static inline unsigned slot_of(const ap_exchange_t *x, const ap_attempt_t *a)
 {
 	return (unsigned)(a - x->slot);
--- a/test/exchange_large_test.c
+++ b/test/exchange_large_test.c
@@ -49,6 +49,34 @@
 	finish(&w);
 }
 
+static size_t hold_little(void *ctx)
+{
+	(void)ctx;
+	return 16;
+}
+
+/* Guards against holding responses whole while memory is short. */
+static void a_response_is_passed_on_early_where_little_may_be_held(void **state)
+{
+	ap_exchange_ops_t counting = ops;
+	world_t w = {0};
+
+	(void)state;
+	delivered = 0;
+	counting.data = count_data;
+	counting.hold_max = hold_little;
+	begin(&w, AP_KIND_IDEMPOTENT, false, 2);
+	w.x.ops = &counting;
+	head(&w, 200);
+	data(&w, "up to 16 bytes");
+	assert_int_equal(delivered, 0);
+	assert_true(ap_exchange_held(&w.x) >= strlen("up to 16 bytes"));
+	data(&w, "and more");
+	assert_int_equal(delivered, strlen("up to 16 bytes") + strlen("and more"));
+	assert_int_equal(ap_exchange_held(&w.x), 0);
+	finish(&w);
+}
+
 /* Guards against a body that is appended to the part of another one that the caller has. */
 static void a_large_response_that_breaks_off_is_not_joined_with_another(void **state)
 {
@@ -112,6 +140,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_large_response_is_not_held_again),
+		cmocka_unit_test(a_response_is_passed_on_early_where_little_may_be_held),
 		cmocka_unit_test(a_large_response_that_breaks_off_is_not_joined_with_another),
 		cmocka_unit_test(a_large_response_that_falls_silent_stays_where_it_is),
 		cmocka_unit_test(a_large_response_replaces_the_silent_attempt),
