Responses that have begun give way when nobody reads them

Seen: ordinary requests without any answer, neither a response nor a refusal, beside callers who don't read. 120 callers post 100 KB each and don't read responses of 4 MB: crowd posted got status 0.

A response that had begun never gave way, though cutting it is visible and what it holds, its request included, stays for as long as its route allows. So nothing else than new requests gave way; and the response to one of these, ordinary or a refusal, was itself the only entry that could: it was cut before the event loop had written it.

A response that has begun may give way now while its caller leaves bytes of it unread: at once if the budget is full and it is large, else once its bytes have waited for a second. The wait is that of the bytes held, on average, so a byte read now and then isn't progress. A small response that was just written stays. And while the budget is full with nobody who may give way, all connections are searched once between two ticks, no longer at each read.

Ordinary requests are sent eight times during each crowd, in place of once. budget_test: three cases.

--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -26,6 +26,7 @@
  * @leaving: connections that have to give way and aren't closed yet
  * @lingering: refused connections that are read until their callers close
  * @tight: the budget was at the last tick
+ * @searched: since the last tick, it was full and none of the others could give way
  */
 struct ap_http_budget {
 	ap_budget_t budget;
@@ -33,6 +34,7 @@
 	size_t leaving;
 	size_t lingering;
 	bool tight;
+	bool searched;
 	ap_http_budget_stats_t stats;
 };
 
@@ -65,14 +67,30 @@
 	event_active(conn->timer, EV_TIMEOUT, 0);
 }
 
-static void relieve(ap_http_budget_t *b)
+static bool relieve(ap_http_budget_t *b)
 {
 	ap_budget_entry_t *worst = ap_budget_worst(&b->budget, ap_now());
 
 	if (!worst)
-		return;
+		return false;
 	b->stats.gave_way++;
 	give_way(b, conn_at(worst));
+	return true;
+}
+
+/* Has connections give way until the budget isn't full, or none may. */
+static void relieve_fully(ap_http_budget_t *b, server_conn_t *conn)
+{
+	while (ap_budget_level(&b->budget) == AP_BUDGET_FULL && !b->searched)
+		b->searched = !relieve(b);
+	/* A search takes time with the number of connections, so there is one between ticks. */
+	if (ap_budget_level(&b->budget) == AP_BUDGET_FULL &&
+	    ap_budget_may_give_way(&b->budget, &conn->entry, ap_now())) {
+		b->stats.gave_way++;
+		give_way(b, conn);
+	}
+	if (b->searched)
+		tick_after(b, TICK);
 }
 
 static void close_oldest(ap_http_budget_t *b)
@@ -112,6 +130,7 @@
 
 	(void)fd;
 	(void)what;
+	b->searched = false;
 	close_oldest(b);
 	if (tight && b->tight)
 		relieve(b);
@@ -211,16 +230,26 @@
 	return conn->arriving ? out + conn->arrived + conn->syntax.fields * FIELD_BYTES : out;
 }
 
+/* A response that has begun may be cut while its caller leaves some of it unread. */
+static void keep_unless_unread(server_conn_t *conn)
+{
+	bool unread = evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0;
+
+	if (unread && conn->entry.kept)
+		conn_progress(conn);
+	conn->entry.kept = !unread;
+}
+
 void conn_charge(server_conn_t *conn)
 {
 	ap_http_budget_t *b = conn->server->config.budget;
 
 	if (!b || conn->gives_way || conn->server->closing)
 		return;
+	if (conn->call && conn->call->begun && !conn->call->ended)
+		keep_unless_unread(conn);
 	ap_budget_charge(&b->budget, &conn->entry, held_by(conn));
-	while (ap_budget_level(&b->budget) == AP_BUDGET_FULL &&
-	       ap_budget_worst(&b->budget, ap_now()))
-		relieve(b);
+	relieve_fully(b, conn);
 	if (conn->call || conn->unread || conn->gives_way ||
 	    ap_budget_may_read(&b->budget, &conn->entry))
 		return;
@@ -235,6 +264,20 @@
 	conn->entry.since = ap_now();
 }
 
+void conn_answers(server_conn_t *conn, bool answers)
+{
+	if (answers && !conn->entry.answering)
+		conn_progress(conn);
+	conn->entry.answering = answers;
+}
+
+void conn_read(server_conn_t *conn, size_t bytes)
+{
+	size_t left = evbuffer_get_length(bufferevent_get_output(conn->bev));
+
+	ap_budget_read(&conn->entry, bytes, left, ap_now());
+}
+
 void conn_may_give_way(server_conn_t *conn, bool may)
 {
 	conn->entry.kept = !may || conn->gives_way;
--- a/adapters/http/response.c
+++ b/adapters/http/response.c
@@ -179,6 +179,7 @@
 		return;
 	}
 	call->begun = true;
+	conn_answers(call->conn, true);
 	/* The library reads from now on. */
 	if (call->hangup)
 		event_free(call->hangup);
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -201,7 +201,10 @@
 {
 	if (!conn->call && conn->arriving)
 		refuse(conn, AP_HTTP_REFUSED_BUDGET);
-	drop(conn);
+	if (conn->call && !conn->call->ended)
+		call_hung_up(conn->call);
+	else
+		drop(conn);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -251,6 +254,7 @@
 
 	conn->arriving = true;
 	conn->arrived = 0;
+	conn_answers(conn, false);
 	conn->syntax = (ap_http_syntax_t){0};
 	conn_progress(conn);
 	if (conn->server->config.arrival)
@@ -338,8 +342,7 @@
 	int status;
 
 	if (conn->call) {
-		if (info->n_deleted > 0)
-			conn_progress(conn);
+		conn_read(conn, info->n_deleted);
 		if (!conn->gives_way)
 			conn_charge(conn);
 		if (info->n_deleted > 0 && evbuffer_get_length(out) == 0 &&
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -77,6 +77,7 @@
 	call->server->flushing++;
 	if (call->hangup)
 		event_del(call->hangup);
+	conn_answers(call->conn, true);
 	conn_may_give_way(call->conn, true);
 	evhttp_request_set_on_complete_cb(call->req, on_complete, call);
 }
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -144,8 +144,12 @@
 void conn_uncount(server_conn_t *conn);
 /* conn_charge() - what @conn holds has changed; it or another may have to give way. */
 void conn_charge(server_conn_t *conn);
-/* conn_progress() - the request begins to arrive, or the caller has read of its response. */
+/* conn_progress() - the request begins to arrive, or its response to be sent. */
 void conn_progress(server_conn_t *conn);
+/* conn_answers() - sets whether @conn sends a response. */
+void conn_answers(server_conn_t *conn, bool answers);
+/* conn_read() - the caller has read @bytes of the response. */
+void conn_read(server_conn_t *conn, size_t bytes);
 /* conn_may_give_way() - sets whether @conn may; not while its request is served. */
 void conn_may_give_way(server_conn_t *conn, bool may);
 /* conn_may_linger() - whether a refused connection may be read until its caller closes. */
--- a/lib/limit/budget.c
+++ b/lib/limit/budget.c
@@ -6,7 +6,8 @@
 #define TIGHT_DENOMINATOR 4
 /* A request up to this part of the limit is read to its end also while the budget is tight. */
 #define SMALL_DIVISOR 128
-#define AGE_MIN AP_MSEC /* so that bytes decide between entries that have just begun */
+#define UNREAD_MIN AP_SEC /* from then on a response counts as unread */
+#define AGE_MIN AP_MSEC	  /* so that bytes decide between entries that have just begun */
 
 void ap_budget_init(ap_budget_t *budget, size_t limit, size_t connections)
 {
@@ -55,6 +56,24 @@
 	return (double)entry->held * (double)(age > AGE_MIN ? age : AGE_MIN);
 }
 
+void ap_budget_read(ap_budget_entry_t *entry, size_t bytes, size_t left, ap_usec_t now)
+{
+	double part = (double)bytes / (double)(bytes + left);
+
+	if (bytes > 0)
+		entry->since += (ap_usec_t)((double)(now - entry->since) * part);
+}
+
+bool ap_budget_may_give_way(const ap_budget_t *budget, const ap_budget_entry_t *entry,
+			    ap_usec_t now)
+{
+	if (entry->kept || entry->held == 0)
+		return false;
+	return !entry->answering || now - entry->since >= UNREAD_MIN ||
+	       (ap_budget_level(budget) == AP_BUDGET_FULL &&
+		entry->held > budget->limit / SMALL_DIVISOR);
+}
+
 ap_budget_entry_t *ap_budget_worst(const ap_budget_t *budget, ap_usec_t now)
 {
 	ap_budget_entry_t *worst = NULL;
@@ -62,7 +81,7 @@
 	double most = 0;
 
 	LIST_FOREACH (entry, &budget->entries, link) {
-		if (entry->kept || weight_of(entry, now) <= most)
+		if (!ap_budget_may_give_way(budget, entry, now) || weight_of(entry, now) <= most)
 			continue;
 		most = weight_of(entry, now);
 		worst = entry;
--- a/lib/limit/budget.h
+++ b/lib/limit/budget.h
@@ -12,14 +12,17 @@
 /**
  * struct ap_budget_entry - what one connection holds; embedded in the owner's object.
  * @held: bytes
- * @since: when the request began to arrive, or its response last made progress
+ * @since: when the request began to arrive; of a response, since when its bytes have waited for the
+ *	caller on average
  * @kept: doesn't give way, such as a request that may be at an upstream
+ * @answering: the bytes are those of a response, and of its request
  */
 typedef struct ap_budget_entry {
 	LIST_ENTRY(ap_budget_entry) link;
 	size_t held;
 	ap_usec_t since;
 	bool kept;
+	bool answering;
 } ap_budget_entry_t;
 
 typedef enum ap_budget_level {
@@ -55,9 +58,19 @@
  * hold a small part of it may.
  */
 bool ap_budget_may_read(const ap_budget_t *budget, const ap_budget_entry_t *entry);
+/** ap_budget_read() - the caller has read @bytes of a response, and @left remain. */
+void ap_budget_read(ap_budget_entry_t *entry, size_t bytes, size_t left, ap_usec_t now);
 /**
- * ap_budget_worst() - the entry that gives way for want of memory: the one with the largest product
- * of bytes and time. So a body that arrives at the pace of others, and a small request, stay.
+ * ap_budget_may_give_way() - whether @entry may, for want of memory. A response may once its bytes
+ * have waited for a second, or, if the budget is full, it is large: a small one that was just
+ * written would be lost for nothing.
+ */
+bool ap_budget_may_give_way(const ap_budget_t *budget, const ap_budget_entry_t *entry,
+			    ap_usec_t now);
+/**
+ * ap_budget_worst() - the entry that gives way for want of memory: of those that may, the one with
+ * the largest product of bytes and time. So a body that arrives at the pace of others, and a small
+ * request, stay.
  *
  * Return: NULL if none may give way.
  */
--- a/test/budget_test.c
+++ b/test/budget_test.c
@@ -86,6 +86,53 @@
 	assert_true(ap_budget_may_read(&budget, &crowd[0]));
 }
 
+/* Guards against giving up, for a shortage that others make, a response that was just written. */
+static void small_response_gives_way_once_it_is_unread(void **state)
+{
+	(void)state;
+	fill(MB, 0);
+	for (size_t i = 0; i < CROWD; i++)
+		crowd[i].kept = true;
+	ap_budget_add(&budget, &caller, AP_SEC);
+	caller.answering = true;
+	ap_budget_charge(&budget, &caller, 2000);
+	assert_int_equal(ap_budget_level(&budget), AP_BUDGET_FULL);
+	assert_null(ap_budget_worst(&budget, AP_SEC));
+	assert_null(ap_budget_worst(&budget, 2 * AP_SEC - 1));
+	assert_ptr_equal(ap_budget_worst(&budget, 2 * AP_SEC), &caller);
+}
+
+/* Guards against cutting responses that are being read before reading from upstreams has slowed. */
+static void large_response_gives_way_at_once_only_if_the_budget_is_full(void **state)
+{
+	(void)state;
+	fill(LIMIT / 64, 0);
+	for (size_t i = 0; i < CROWD; i++)
+		crowd[i].kept = true;
+	ap_budget_add(&budget, &caller, 0);
+	caller.answering = true;
+	ap_budget_charge(&budget, &caller, LIMIT / 4);
+	assert_int_equal(ap_budget_level(&budget), AP_BUDGET_TIGHT);
+	assert_null(ap_budget_worst(&budget, AP_MSEC));
+	ap_budget_charge(&budget, &caller, LIMIT / 2);
+	assert_int_equal(ap_budget_level(&budget), AP_BUDGET_FULL);
+	assert_ptr_equal(ap_budget_worst(&budget, AP_MSEC), &caller);
+}
+
+/* Guards against counting a byte that is read now and then as progress. */
+static void response_is_as_old_as_its_bytes(void **state)
+{
+	(void)state;
+	fill(0, 0);
+	ap_budget_charge(&budget, &crowd[0], 100000);
+	ap_budget_read(&crowd[0], 1, 99999, 2 * AP_SEC);
+	assert_in_range(crowd[0].since, 0, AP_MSEC);
+	ap_budget_read(&crowd[0], 50000, 49999, 2 * AP_SEC);
+	assert_in_range(crowd[0].since, AP_SEC - AP_MSEC, AP_SEC + AP_MSEC);
+	ap_budget_read(&crowd[0], 49999, 0, 2 * AP_SEC);
+	assert_int_equal(crowd[0].since, 2 * AP_SEC);
+}
+
 /* Guards against new callers being shut out by connections that send nothing. */
 static void connection_without_progress_for_longest_gives_way(void **state)
 {
@@ -104,6 +151,9 @@
 		cmocka_unit_test(small_request_in_a_crowd_of_large_ones_stays),
 		cmocka_unit_test(requests_at_upstreams_never_give_way),
 		cmocka_unit_test(large_requests_are_not_read_while_the_budget_is_tight),
+		cmocka_unit_test(small_response_gives_way_once_it_is_unread),
+		cmocka_unit_test(large_response_gives_way_at_once_only_if_the_budget_is_full),
+		cmocka_unit_test(response_is_as_old_as_its_bytes),
 		cmocka_unit_test(connection_without_progress_for_longest_gives_way),
 	};
 
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -68,6 +68,9 @@
 
 /* responses.c */
 void responses_not_read_whole(void **state);
+void responses_not_read_by_many(void **state);
+void responses_that_many_wait_for(void **state);
+void responses_to_bodies_not_read(void **state);
 void responses_asked_ahead(void **state);
 void responses_of_a_neighbour(void **state);
 void responses_read_slowly(void **state);
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -314,14 +314,25 @@
 	const char *name;
 	void (*run)(void **state);
 } cases[] = {
-	{"bodies", bodies_that_stop_short},	  {"lengths", lengths_that_stop_short},
-	{"chunks", small_chunks_that_stop_short}, {"segments", small_chunks_in_segments},
-	{"over", bodies_over_the_limit},	  {"heads", heads_without_end},
-	{"lines", empty_lines_without_end},	  {"listeners", all_listeners},
-	{"unread", responses_not_read},		  {"connections", connections_without_requests},
-	{"large", responses_not_read_whole},	  {"ahead", responses_asked_ahead},
-	{"neighbour", responses_of_a_neighbour},  {"slow", responses_read_slowly},
-	{"endless", responses_without_end},	  {"short", responses_that_stop_short},
+	{"bodies", bodies_that_stop_short},
+	{"lengths", lengths_that_stop_short},
+	{"chunks", small_chunks_that_stop_short},
+	{"segments", small_chunks_in_segments},
+	{"over", bodies_over_the_limit},
+	{"heads", heads_without_end},
+	{"lines", empty_lines_without_end},
+	{"listeners", all_listeners},
+	{"unread", responses_not_read},
+	{"connections", connections_without_requests},
+	{"waiting", responses_that_many_wait_for},
+	{"posted", responses_to_bodies_not_read},
+	{"many", responses_not_read_by_many},
+	{"large", responses_not_read_whole},
+	{"ahead", responses_asked_ahead},
+	{"neighbour", responses_of_a_neighbour},
+	{"slow", responses_read_slowly},
+	{"endless", responses_without_end},
+	{"short", responses_that_stop_short},
 };
 
 int main(int argc, char **argv)
--- a/test/crowd/responses.c
+++ b/test/crowd/responses.c
@@ -13,13 +13,18 @@
 #include <unistd.h>
 
 #define CLIENTS 60
-#define SLOTS 640
+#define MANY 600
+#define WAITING 1200
+#define SLOTS 1300
 #define LISTED (500 * AP_MSEC) /* until instances use an upstream that was listed */
 #define RUN (2 * AP_SEC)       /* below the time limit of the routes */
+#define ASKS 8		       /* ordinary requests in that time */
 #define SLOWLY 4096	       /* bytes that a client reads every 5 ms, */
 #define FAST 16384	       /* and one that keeps up */
 #define HELD_BYTES 1000000     /* below what an instance holds of a response */
 #define SENT_AHEAD 1000
+#define POSTED_BYTES 100000
+#define POSTING 120
 
 #define ASK(path)                                                                                  \
 	"GET " path "large HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: c-%u\r\n"                 \
@@ -33,6 +38,12 @@
 static const form_t ahead = {"requests sent ahead", ASK("/idem/"), AHEAD, SENT_AHEAD, false};
 static const form_t stream = {"one stream each", ASK("/stream/"), "", 0, false};
 
+static const form_t posted = {
+	"one request with a body each",
+	"POST /idem/large HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: c-%u\r\n"
+	"Deadline-Ms: 6000\r\nContent-Length: 100000\r\n\r\n",
+	"x", POSTED_BYTES, false};
+
 static const source_t sized = {"HTTP/1.1 200 OK\r\n" OWN "Content-Length: 4194304\r\n\r\n",
 			       "padding", 4194304, false};
 static const source_t chunked = {"HTTP/1.1 200 OK\r\n" OWN "Transfer-Encoding: chunked\r\n\r\n",
@@ -49,6 +60,8 @@
 	"HTTP/1.1 200 OK\r\n" OWN "Content-Type: text/event-stream\r\n\r\ndata: ", "padding",
 	HELD_BYTES, true};
 
+static const source_t nothing = {"", "x", 0, true};
+
 typedef enum place {
 	EVERYWHERE,
 	NEIGHBOUR, /* the upstream is in the other region than the instance that the clients use */
@@ -101,6 +114,22 @@
 	return most;
 }
 
+/* Return: 200 if all ordinary requests were served, or the last other status. */
+static int ask_often(soak_t *s)
+{
+	int result = 200;
+
+	for (int i = 0; i < ASKS; i++) {
+		int status;
+
+		scenario_run(s, RUN / ASKS);
+		status = crowd_ask(s, 4);
+		if (status != 200)
+			result = status;
+	}
+	return result;
+}
+
 /* Streams have a pool of their own, so ordinary requests have another one. */
 static bool check(const char *what, const source_t *source, place_t place, crowd_t crowd)
 {
@@ -126,8 +155,7 @@
 	before = most_memory(s);
 	clients = crowd_start(&crowd, &done);
 	crowd_await(s, done);
-	scenario_run(s, RUN);
-	during = crowd_ask(s, 4);
+	during = ask_often(s);
 	memory = most_memory(s);
 	kill(clients, SIGKILL);
 	waitpid(clients, NULL, 0);
@@ -158,6 +186,36 @@
 	assert_true(ok);
 }
 
+/* Each holds little, but they hold it for as long as their routes allow. */
+void responses_not_read_by_many(void **state)
+{
+	crowd_t many = clients_of(&one, 0);
+
+	(void)state;
+	many.n = MANY;
+	assert_true(check("4 MB that nobody reads", &sized, EVERYWHERE, many));
+}
+
+/* Their requests are held, too, until their responses end. */
+void responses_to_bodies_not_read(void **state)
+{
+	crowd_t posting = clients_of(&posted, 0);
+
+	(void)state;
+	posting.n = POSTING;
+	assert_true(check("4 MB that nobody reads", &sized, EVERYWHERE, posting));
+}
+
+/* Small requests that wait hold more than their bytes. */
+void responses_that_many_wait_for(void **state)
+{
+	crowd_t many = clients_of(&one, 0);
+
+	(void)state;
+	many.n = WAITING;
+	assert_true(check("nothing", &nothing, EVERYWHERE, many));
+}
+
 void responses_asked_ahead(void **state)
 {
 	(void)state;
