Responses that can't be passed on are given up when memory is short

Seen: 60 upstream responses of 1 MB that stop short of their end take an instance with memory_mb 64 to 66 MB if they are errors and to 65 as one chunk, and an ordinary request gets no answer. Callers can't bring this about by themselves, an upstream that hangs can.

Cause: an error's body, an event and a chunk are held until their end, 1 MB each and without a common bound; a chunk was held by the library, where nobody counted it. What the library holds unparsed is now charged, too. If the budget is full though all that may give way has gone, a request gives up what it holds of its response, if that is over 1/128 of the limit: 502, "memory-short", which promises nothing, or a cut if it had begun.

--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -259,6 +259,14 @@
 	tick_after(b, TICK);
 }
 
+bool conn_may_hold(const server_conn_t *conn, size_t bytes)
+{
+	const ap_http_budget_t *b = conn->server->config.budget;
+
+	return !b || !ap_budget_is_large(&b->budget, bytes) ||
+	       ap_budget_level(&b->budget) != AP_BUDGET_FULL;
+}
+
 void conn_progress(server_conn_t *conn)
 {
 	conn->entry.since = ap_now();
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -291,8 +291,11 @@
 /**
  * ap_http_call_hold() - states how many bytes of the response its owner holds, which count in the
  * budget.
+ *
+ * Return: false if the budget is full and they are a large part of it, so that the owner has to
+ * give the response up.
  */
-void ap_http_call_hold(ap_http_call_t *call, size_t bytes);
+bool ap_http_call_hold(ap_http_call_t *call, size_t bytes);
 /** ap_http_reply_pending() - bytes written but not yet passed to the caller's socket. */
 size_t ap_http_reply_pending(const ap_http_call_t *call);
 /** ap_http_call_pipelined() - bytes received after the request of @call, held unread. */
@@ -345,6 +348,8 @@
  * @response_max: maximum response body in bytes
  * @head: called once the head of the response has arrived; may be NULL
  * @data: called for each part of the body; may be NULL
+ * @unparsed: called as a head or a chunk arrives of which there is more than a read's bytes, see
+ *	ap_http_fetch_unparsed(); may be NULL
  * @end: the last callback; @written tells whether any byte of the request was written to the
  *       connection
  */
@@ -370,6 +375,7 @@
 	void *ctx;
 	void (*head)(void *ctx, const ap_http_head_t *head);
 	void (*data)(void *ctx, const void *data, size_t len);
+	void (*unparsed)(void *ctx);
 	void (*end)(void *ctx, ap_http_end_t end, bool written);
 } ap_http_fetch_config_t;
 
@@ -387,6 +393,8 @@
 void ap_http_fetch_cancel(ap_http_fetch_t *fetch);
 /** ap_http_fetch_written() - whether any byte of the request was written to the connection. */
 bool ap_http_fetch_written(const ap_http_fetch_t *fetch);
+/** ap_http_fetch_unparsed() - bytes of the response that have arrived and aren't parsed. */
+size_t ap_http_fetch_unparsed(const ap_http_fetch_t *fetch);
 /**
  * ap_http_fetch_arrived() - returns when the latest bytes of the response arrived at this machine,
  * which may be long before they are read; 0 if the system doesn't tell. To be called until the end
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -512,12 +512,13 @@
 	evhttp_connection_free(conn->evcon);
 }
 
-void ap_http_call_hold(ap_http_call_t *call, size_t bytes)
+bool ap_http_call_hold(ap_http_call_t *call, size_t bytes)
 {
 	if (bytes == call->owner_held)
-		return;
+		return true;
 	call->owner_held = bytes;
 	conn_charge(call->conn);
+	return conn_may_hold(call->conn, bytes);
 }
 
 size_t ap_http_call_pipelined(const ap_http_call_t *call)
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -144,6 +144,8 @@
 void conn_uncount(server_conn_t *conn);
 /* conn_charge() - what @conn holds has changed; it or another may have to give way. */
 void conn_charge(server_conn_t *conn);
+/* conn_may_hold() - whether the owner of the call may hold @bytes, or has to give it up. */
+bool conn_may_hold(const server_conn_t *conn, size_t bytes);
 /* conn_progress() - the request begins to arrive, or its response to be sent. */
 void conn_progress(server_conn_t *conn);
 /* conn_answers() - sets whether @conn sends a response. */
--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -75,19 +75,31 @@
 	free(c);
 }
 
+static size_t held_by(const gate_call_t *c)
+{
+	size_t held = ap_exchange_held(&c->x);
+
+	for (unsigned i = 0; i < AP_SLOTS; i++) {
+		if (c->attempts[i].fetch)
+			held += ap_http_fetch_unparsed(c->attempts[i].fetch);
+	}
+	return held;
+}
+
 void gate_call_update(gate_call_t *c)
 {
-	ap_usec_t due = ap_exchange_due(&c->x);
 	struct timeval tv;
+	ap_usec_t due;
 	ap_usec_t now;
 
+	if (c->call && !ap_http_call_hold(c->call, held_by(c)))
+		ap_exchange_give_up(&c->x, AP_REASON_MEMORY, ap_now());
+	due = ap_exchange_due(&c->x);
 	if (c->x.finished) {
 		gate_record_end(c);
 		call_free(c);
 		return;
 	}
-	if (c->call)
-		ap_http_call_hold(c->call, ap_exchange_held(&c->x));
 	if (due == c->timer_at || due == AP_NEVER)
 		return;
 	/* A timer that fires before @due has no effect; on_timer() then sets it again. */
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -226,6 +226,11 @@
 	gate_call_update(c);
 }
 
+static void on_unparsed(void *ctx)
+{
+	gate_call_update(((gate_attempt_t *)ctx)->call);
+}
+
 static ap_connection_end_t connection_end(ap_http_end_t end, bool written)
 {
 	switch (end) {
@@ -285,6 +290,7 @@
 		.ctx = a,
 		.head = on_head,
 		.data = on_data,
+		.unparsed = on_unparsed,
 		.end = on_end,
 	};
 
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -94,7 +94,7 @@
 			 gate_outcome_name((gate_outcome_t)i));
 		put(out, "requests_ended_total", labels, (double)n->ended[i]);
 	}
-	for (size_t i = 1; i <= AP_REASON_UNPROVED; i++) {
+	for (size_t i = 1; i < AP_REASONS; i++) {
 		snprintf(labels, sizeof(labels), "{reason=\"%s\"}", ap_reason_name((ap_reason_t)i));
 		put(out, "answers_own_total", labels, (double)n->own_errors[i]);
 	}
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -205,7 +205,7 @@
 	uint64_t requests;
 	uint64_t forwarded_received;
 	uint64_t ended[GATE_OUTCOMES];
-	uint64_t own_errors[AP_REASON_UNPROVED + 1];
+	uint64_t own_errors[AP_REASONS];
 	uint64_t sends;
 	uint64_t cold_sent;
 	uint64_t forwarded_sent;
--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -324,6 +324,7 @@
 	{"budget", "the retry budget was spent after a failure at", "failed-at"},
 	{"broken", "the response was cut off at", "failed-at"},
 	{"timeout", "the timeout passed without a complete response from", "sent"},
+	{"memory-short", "memory was short, and too much was held of the response of", "sent"},
 	{"unproved", "an error response without proof of its origin or outcome came from", "sent"},
 };
 
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -468,6 +468,15 @@
 	}
 }
 
+void ap_exchange_give_up(ap_exchange_t *x, ap_reason_t reason, ap_usec_t now)
+{
+	if (x->finished)
+		return;
+	cancel_all(x, AP_DISPATCH_CANCELLED);
+	x->belief = AP_END_UNKNOWN;
+	reply_error(x, reason, now);
+}
+
 void ap_exchange_caller_disconnected(ap_exchange_t *x)
 {
 	ap_attempt_t *a = current(x);
--- a/lib/exchange/exchange.h
+++ b/lib/exchange/exchange.h
@@ -79,6 +79,8 @@
 	AP_REASON_TIMEOUT,
 	/* An error that no replica sent, or whose status may wrongly imply "not run". */
 	AP_REASON_UNPROVED,
+	AP_REASON_MEMORY, /* what is held of its response is too much while memory is short */
+	AP_REASONS,
 } ap_reason_t;
 
 /** ap_reason_name() - the reason's name in logs and error bodies. */
@@ -359,6 +361,8 @@
  * @attempts: how many times the request may run, if its route allows retries at all
  */
 void ap_exchange_start(ap_exchange_t *x, unsigned attempts, ap_usec_t now);
+/** ap_exchange_give_up() - ends the request with a response of this instance. */
+void ap_exchange_give_up(ap_exchange_t *x, ap_reason_t reason, ap_usec_t now);
 /** ap_exchange_held() - bytes of memory that responses take which the caller hasn't got yet. */
 size_t ap_exchange_held(const ap_exchange_t *x);
 /** ap_exchange_clear() - frees the buffers and drops connections that are still open. */
--- a/lib/exchange/names.c
+++ b/lib/exchange/names.c
@@ -3,9 +3,9 @@
 
 const char *ap_reason_name(ap_reason_t reason)
 {
-	static const char *const names[] = {
-		"none",	   "no-upstream", "too-late", "held",	 "backoff",
-		"refused", "budget",	  "broken",   "timeout", "unproved",
+	static const char *const names[AP_REASONS] = {
+		"none",	  "no-upstream", "too-late", "held",	 "backoff",	 "refused",
+		"budget", "broken",	 "timeout",  "unproved", "memory-short",
 	};
 
 	return names[reason];
--- a/lib/limit/budget.c
+++ b/lib/limit/budget.c
@@ -4,7 +4,7 @@
 /* Above this part of the limit, reading of large requests stops. */
 #define TIGHT_NUMERATOR 3
 #define TIGHT_DENOMINATOR 4
-/* A request up to this part of the limit is read to its end also while the budget is tight. */
+/* Up to this part of the limit a request is small: it is read also while the budget is tight. */
 #define SMALL_DIVISOR 128
 #define UNREAD_MIN AP_SEC /* from then on a response counts as unread */
 #define AGE_MIN AP_MSEC	  /* so that bytes decide between entries that have just begun */
@@ -46,7 +46,12 @@
 bool ap_budget_may_read(const ap_budget_t *budget, const ap_budget_entry_t *entry)
 {
 	return ap_budget_level(budget) == AP_BUDGET_FREE ||
-	       entry->held <= budget->limit / SMALL_DIVISOR;
+	       !ap_budget_is_large(budget, entry->held);
+}
+
+bool ap_budget_is_large(const ap_budget_t *budget, size_t bytes)
+{
+	return bytes > budget->limit / SMALL_DIVISOR;
 }
 
 static double weight_of(const ap_budget_entry_t *entry, ap_usec_t now)
@@ -71,7 +76,7 @@
 		return false;
 	return !entry->answering || now - entry->since >= UNREAD_MIN ||
 	       (ap_budget_level(budget) == AP_BUDGET_FULL &&
-		entry->held > budget->limit / SMALL_DIVISOR);
+		ap_budget_is_large(budget, entry->held));
 }
 
 ap_budget_entry_t *ap_budget_worst(const ap_budget_t *budget, ap_usec_t now)
--- a/lib/limit/budget.h
+++ b/lib/limit/budget.h
@@ -58,6 +58,8 @@
  * hold a small part of it may.
  */
 bool ap_budget_may_read(const ap_budget_t *budget, const ap_budget_entry_t *entry);
+/** ap_budget_is_large() - whether @bytes are a part of the budget that is worth freeing. */
+bool ap_budget_is_large(const ap_budget_t *budget, size_t bytes);
 /** ap_budget_read() - the caller has read @bytes of a response, and @left remain. */
 void ap_budget_read(ap_budget_entry_t *entry, size_t bytes, size_t left, ap_usec_t now);
 /**
--- a/test/exchange_large_test.c
+++ b/test/exchange_large_test.c
@@ -77,6 +77,23 @@
 	finish(&w);
 }
 
+/* Guards against promising "not run" of a request whose response is given up for want of memory. */
+static void a_response_that_is_given_up_promises_nothing(void **state)
+{
+	world_t w = {0};
+
+	(void)state;
+	begin(&w, AP_KIND_ONCE, false, 1);
+	head(&w, 500);
+	data(&w, "part of an error");
+	ap_exchange_give_up(&w.x, AP_REASON_MEMORY, w.now);
+	assert_true(w.x.finished);
+	assert_int_equal(w.dropped, 1);
+	assert_int_equal(w.status, 502);
+	assert_int_equal(w.reason, AP_REASON_MEMORY);
+	finish(&w);
+}
+
 /* Guards against a body that is appended to the part of another one that the caller has. */
 static void a_large_response_that_breaks_off_is_not_joined_with_another(void **state)
 {
@@ -141,6 +158,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_large_response_is_not_held_again),
 		cmocka_unit_test(a_response_is_passed_on_early_where_little_may_be_held),
+		cmocka_unit_test(a_response_that_is_given_up_promises_nothing),
 		cmocka_unit_test(a_large_response_that_breaks_off_is_not_joined_with_another),
 		cmocka_unit_test(a_large_response_that_falls_silent_stays_where_it_is),
 		cmocka_unit_test(a_large_response_replaces_the_silent_attempt),
