A head has no limit of its own for the number of its fields

A response with 200 fields whose Server-Stamp comes last is passed on without it (200), or, behind another instance, lost (502).

Cause: ap_host_headers_t held 64 headers; more made a send fail, and cut a response's list after the first ones, whichever they were. Lists are sized now by what arrived, so only want of memory ends them.

--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -23,6 +23,11 @@
 	headers->n = kept;
 }
 
+static bool add(ap_host_headers_t *headers, ap_http_header_t header)
+{
+	return ap_host_add_header(headers, header.name, header.value);
+}
+
 static void format_build(uint64_t build, char text[BUILD_TEXT_MAX])
 {
 	snprintf(text, BUILD_TEXT_MAX, "%llx", (unsigned long long)build);
@@ -56,29 +61,29 @@
 	drop_forward_headers(headers);
 	if (!target->remote)
 		return true;
-	if (headers->n + 6 + (customer != NULL) > AP_HOST_HEADERS_MAX)
+	if (customer && !add(headers, gate_customer_header(customer, text->customer)))
+		return false;
+	if (!add(headers, gate_version_header(c, text->configuration)))
 		return false;
-	if (customer)
-		headers->v[headers->n++] = gate_customer_header(customer, text->customer);
-	headers->v[headers->n++] = gate_version_header(c, text->configuration);
 	if (c->x.req.build != 0) {
 		format_build(c->x.req.build, text->build);
-		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
+		if (!ap_host_add_header(headers, FORWARD_HEADER_BUILD, text->build))
+			return false;
 	}
 	if (c->x.req.weights != AP_WEIGHTS_ANY) {
 		snprintf(text->weights, sizeof(text->weights), "%llu",
 			 (unsigned long long)c->x.req.weights);
-		headers->v[headers->n++] =
-			(ap_http_header_t){FORWARD_HEADER_WEIGHTS, text->weights};
+		if (!ap_host_add_header(headers, FORWARD_HEADER_WEIGHTS, text->weights))
+			return false;
 	}
 	if (c->x.req.heard_since != 0) {
 		format_msec(now - c->x.req.heard_since, text->heard);
-		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_HEARD, text->heard};
+		if (!ap_host_add_header(headers, FORWARD_HEADER_HEARD, text->heard))
+			return false;
 	}
-	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_PROOF, c->gate->proof};
 	/* The remote instance may run it once; this instance keeps the remaining attempts. */
-	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_ATTEMPTS, "1"};
-	return true;
+	return ap_host_add_header(headers, FORWARD_HEADER_PROOF, c->gate->proof) &&
+	       ap_host_add_header(headers, FORWARD_HEADER_ATTEMPTS, "1");
 }
 
 /* Tells the sender of a forwarded request how long the next one would wait. */
@@ -88,36 +93,36 @@
 	ap_usec_t wait;
 	ap_usec_t pause;
 
-	if (!c->forwarded || !c->x.req.pool || headers->n + 2 > AP_HOST_HEADERS_MAX)
+	if (!c->forwarded || !c->x.req.pool)
 		return;
 	next.build = 0;
 	next.weights = AP_WEIGHTS_ANY;
 	pause = ap_fleet_local_pause(c->gate->fleet, &next, ap_now());
 	if (pause > 0) {
 		format_msec(pause + AP_MSEC, text->pause);
-		headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_PAUSE, text->pause};
+		ap_host_add_header(headers, FORWARD_HEADER_PAUSE, text->pause);
 	}
 	wait = ap_fleet_local_wait(c->gate->fleet, &next, ap_now());
 	if (wait == AP_NEVER)
 		return;
 	format_msec(wait, text->wait);
-	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_WAIT, text->wait};
+	ap_host_add_header(headers, FORWARD_HEADER_WAIT, text->wait);
 }
 
 /* Tells the sender of a forwarded request which build serves its stream. */
 static void add_build(const gate_call_t *c, ap_host_headers_t *headers, gate_text_t *text)
 {
-	if (!c->forwarded || !c->x.stream || headers->n == AP_HOST_HEADERS_MAX)
+	if (!c->forwarded || !c->x.stream)
 		return;
 	format_build(ap_exchange_build(&c->x), text->build);
-	headers->v[headers->n++] = (ap_http_header_t){FORWARD_HEADER_BUILD, text->build};
+	ap_host_add_header(headers, FORWARD_HEADER_BUILD, text->build);
 }
 
 /* While draining, makes callers close their connections. */
 void gate_add_close(const gate_call_t *c, ap_host_headers_t *headers)
 {
-	if (c->gate->drain_started != 0 && !c->forwarded && headers->n < AP_HOST_HEADERS_MAX)
-		headers->v[headers->n++] = (ap_http_header_t){"Connection", "close"};
+	if (c->gate->drain_started != 0 && !c->forwarded)
+		ap_host_add_header(headers, "Connection", "close");
 }
 
 void gate_response_headers(gate_call_t *c, ap_host_headers_t *headers, gate_text_t *text)
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -269,7 +269,7 @@
 	gate_attempt_t *a = &c->attempts[slot];
 	gateway_t *gate = c->gate;
 	ap_usec_t limit = c->x.timeout_at - ap_now() + LATE_MARGIN;
-	ap_host_headers_t headers;
+	ap_host_headers_t headers = {0};
 	gate_text_t text;
 	ap_http_fetch_config_t config = {
 		.host = target->host,
@@ -294,14 +294,17 @@
 		.end = on_end,
 	};
 
-	if (!gate_send_headers(c, target, last_event, &text, &headers))
+	if (!gate_send_headers(c, target, last_event, &text, &headers)) {
+		ap_host_headers_clear(&headers);
 		return false;
+	}
 	config.headers = headers.v;
 	config.n_headers = headers.n;
 	config.body = ap_http_call_body(c->call, &config.len);
 	gate_clear_response(a);
 	a->expected = target->remote ? AP_WEIGHTS_ANY : c->x.req.weights;
 	a->fetch = ap_http_fetch(gate->client, &config);
+	ap_host_headers_clear(&headers);
 	if (a->fetch && c->paused)
 		ap_http_fetch_pause(a->fetch, true);
 	gate->counters.sends += a->fetch != NULL;
@@ -417,8 +420,8 @@
 {
 	const char *length = evhttp_find_header(&a->headers, "Content-Length");
 
-	if (length && headers->n < AP_HOST_HEADERS_MAX)
-		headers->v[headers->n++] = (ap_http_header_t){"Content-Length", length};
+	if (length)
+		ap_host_add_header(headers, "Content-Length", length);
 }
 
 static size_t op_hold_max(void *ctx)
@@ -436,7 +439,7 @@
 {
 	gate_call_t *c = ctx;
 	gate_attempt_t *a = &c->attempts[slot];
-	ap_host_headers_t headers;
+	ap_host_headers_t headers = {0};
 	gate_text_t text;
 
 	/* A remote instance may have picked another pool of the route than this one. */
@@ -452,6 +455,7 @@
 	c->status = a->status;
 	c->started = true;
 	ap_http_reply_start(c->call, c->status, headers.v, headers.n);
+	ap_host_headers_clear(&headers);
 }
 
 /* The upstream of the response has loaded another version since its head. */
@@ -483,7 +487,7 @@
 {
 	gate_call_t *c = ctx;
 	ap_http_call_t *call = c->call;
-	ap_host_headers_t headers = {.v[0] = gate_json, .n = 1};
+	ap_host_headers_t headers = {0};
 	char body[GATE_ERROR_MAX];
 	gate_text_t text;
 	char after[24];
@@ -493,26 +497,27 @@
 	c->status = status;
 	/* The exchange replies 503 only if the request did not run. */
 	c->outcome = status == 503 ? GATE_REFUSED : GATE_UNKNOWN;
+	ap_host_add_header(&headers, gate_json.name, gate_json.value);
 	if (c->id[0])
-		headers.v[headers.n++] = (ap_http_header_t){ap_host_id_name(), c->id};
+		ap_host_add_header(&headers, ap_host_id_name(), c->id);
 	if (status == 503) {
 		ap_host_format_retry_after(retry_after, after);
-		headers.v[headers.n++] = (ap_http_header_t){ap_host_retry_after_name(), after};
+		ap_host_add_header(&headers, ap_host_retry_after_name(), after);
 		if (c->forwarded)
-			headers.v[headers.n++] =
-				(ap_http_header_t){FORWARD_HEADER_NOT_RUN,
-						   c->x.sends == 0 ? FORWARD_NOT_RUN_UNSENT : "1"};
+			ap_host_add_header(&headers, FORWARD_HEADER_NOT_RUN,
+					   c->x.sends == 0 ? FORWARD_NOT_RUN_UNSENT : "1");
 	}
 	gate_add_wait(c, &headers, &text);
 	gate_add_close(c, &headers);
 	ap_http_reply(call, status, headers.v, headers.n, body, len);
+	ap_host_headers_clear(&headers);
 }
 
 static void op_end(void *ctx)
 {
 	gate_call_t *c = ctx;
 	ap_http_call_t *call = c->call;
-	ap_host_headers_t headers;
+	ap_host_headers_t headers = {0};
 	gate_text_t text;
 	size_t len = c->body ? evbuffer_get_length(c->body) : 0;
 
@@ -531,6 +536,7 @@
 	gate_response_headers(c, &headers, &text);
 	ap_http_reply(call, c->status, headers.v, headers.n,
 		      len > 0 ? evbuffer_pullup(c->body, -1) : NULL, len);
+	ap_host_headers_clear(&headers);
 }
 
 static void op_abort_response(void *ctx)
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -48,6 +48,13 @@
 	bool stops;
 } source_t;
 
+typedef enum place {
+	EVERYWHERE,
+	NEIGHBOUR, /* the upstream is in the other region than the instance that the clients use */
+} place_t;
+
+#define LISTED (500 * AP_MSEC) /* until instances use an upstream that was listed */
+
 /* clients.c */
 /* Starts the clients, which stay connected; @done gets a byte once they send nothing more. */
 pid_t crowd_start(const crowd_t *crowd, int *done);
@@ -67,6 +74,8 @@
 unsigned crowd_memory_max(void);
 
 /* responses.c */
+/* Makes the upstream at @port the only one of @pool. */
+void list_upstream(soak_t *s, const char *pool, place_t place, uint16_t port);
 void responses_not_read_whole(void **state);
 void responses_not_read_by_many(void **state);
 void responses_that_many_wait_for(void **state);
@@ -77,4 +86,9 @@
 void responses_without_end(void **state);
 void responses_that_stop_short(void **state);
 
+/* calm.c */
+void requests_with_many_fields(void **state);
+void responses_with_many_fields(void **state);
+void limits_of_the_configuration(void **state);
+
 #endif
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -333,6 +333,9 @@
 	{"slow", responses_read_slowly},
 	{"endless", responses_without_end},
 	{"short", responses_that_stop_short},
+	{"fields", requests_with_many_fields},
+	{"stamped", responses_with_many_fields},
+	{"limits", limits_of_the_configuration},
 };
 
 int main(int argc, char **argv)
--- a/test/host_weights_test.c
+++ b/test/host_weights_test.c
@@ -107,6 +107,7 @@
 	assert_string_equal(expected(V(7), &out, &n), "7");
 	assert_string_equal(expected(V(4294967292u), &out, &n), "4294967292");
 	assert_int_equal(n, 1);
+	ap_host_headers_clear(&out);
 }
 
 static void read_entry(const char *models, ap_replica_entry_t *e)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -265,6 +265,7 @@
 	bool no_ends;	       /* upstreams break off what they end early */
 	bool no_befores;       /* upstreams begin also what would come after the deadline */
 	const char *tenants;   /* of the configuration, JSON; NULL for none */
+	const char *limits;    /* likewise */
 	bool open[SOAK_KINDS]; /* routes that need no key */
 	/* A request has arrived at an upstream, before it is checked; NULL if nobody asks. */
 	void (*arrived)(const replica_t *r, ap_http_call_t *call, const request_t *q);
--- a/test/soak/world.c
+++ b/test/soak/world.c
@@ -51,6 +51,8 @@
 			 "limits");
 	if (s->tenants)
 		json_object_set_new(root, "tenants", json_loads(s->tenants, 0, NULL));
+	if (s->limits)
+		json_object_set_new(root, "limits", json_loads(s->limits, 0, NULL));
 	text = json_dumps(root, JSON_COMPACT);
 	store_put(s->store, "op/config", text, 0);
 	free(text);
