The limits of the configuration bind requests

Seen: a configuration allows maxBodyBytes 9,999,999 and maxHeaderBytes 65,536; a body of 9,000,000 bytes, with a length or in chunks, got 413, a head of 50,000 bytes 431. Lower limits did not bind.

Cause: nothing read them; 8 MB and 32 KB were constants of the program. Instances forward by versions that may differ, so their listener's limits only rise. A body may take half of the budget, as it is there twice while it is served; a version that asks for more is served up to that and recorded.

Without limits in the configuration the constants stay.

--- a/adapters/http/arrival.c
+++ b/adapters/http/arrival.c
@@ -1,4 +1,4 @@
-/* When bytes that are read late arrived. */
+/* What has arrived of a response: when, and how much of it is held. */
 #include "http/client.h"
 
 #include <event2/bufferevent.h>
@@ -19,3 +19,12 @@
 	ago = info.tcpi_last_data_recv * AP_MSEC;
 	return ap_now() - (ago > TICK ? ago - TICK : 0);
 }
+
+size_t ap_http_fetch_held(const ap_http_fetch_t *fetch)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(fetch->conn->evcon);
+	const ap_http_syntax_t *syntax = &fetch->conn->syntax;
+
+	return evbuffer_get_length(bufferevent_get_input(bev)) + syntax->head_bytes +
+	       2 * syntax->fields * AP_HTTP_FIELD_BYTES;
+}
--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -309,10 +309,9 @@
 void conn_batch(server_conn_t *conn)
 {
 	const ap_http_syntax_t *s = &conn->syntax;
-	size_t body_max = conn->server->config.body_bytes;
 	/* What is too large is left to the library, which refuses it. */
 	bool more = !s->malformed && s->coded && s->place != AP_HTTP_AT_END &&
-		    (s->place >= AP_HTTP_AT_SIZE || s->trailers) && s->body <= body_max;
+		    (s->place >= AP_HTTP_AT_SIZE || s->trailers) && s->body <= conn->body_max;
 
 	bufferevent_setwatermark(conn->bev, EV_READ, more ? BATCH_BYTES : 0, 0);
 }
--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -582,15 +582,6 @@
 	fetch_free(fetch);
 }
 
-size_t ap_http_fetch_held(const ap_http_fetch_t *fetch)
-{
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(fetch->conn->evcon);
-	const ap_http_syntax_t *syntax = &fetch->conn->syntax;
-
-	return evbuffer_get_length(bufferevent_get_input(bev)) + syntax->head_bytes +
-	       2 * syntax->fields * AP_HTTP_FIELD_BYTES;
-}
-
 bool ap_http_fetch_written(const ap_http_fetch_t *fetch)
 {
 	return fetch->written > 0;
--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -200,6 +200,11 @@
 
 ap_http_status_t ap_http_server_new(const ap_http_server_config_t *config,
 				    ap_http_server_t **server, ap_err_t *err);
+/**
+ * ap_http_server_set_limits() - sets the maximum sizes of the head and the body of requests that
+ * begin to arrive from now on.
+ */
+void ap_http_server_set_limits(ap_http_server_t *server, size_t header_bytes, size_t body_bytes);
 /** ap_http_server_free() - closes all connections; open calls get their closed callback. */
 void ap_http_server_free(ap_http_server_t *server);
 /**
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -254,6 +254,10 @@
 
 	conn->arriving = true;
 	conn->arrived = 0;
+	conn->header_max = conn->server->config.header_bytes;
+	conn->body_max = conn->server->config.body_bytes;
+	evhttp_connection_set_max_headers_size(conn->evcon, (ev_ssize_t)conn->header_max);
+	evhttp_connection_set_max_body_size(conn->evcon, (ev_ssize_t)conn->body_max);
 	conn_answers(conn, false);
 	conn->syntax = (ap_http_syntax_t){0};
 	conn_progress(conn);
@@ -262,9 +266,9 @@
 }
 
 /* Bytes of a request that the library may hold at a time: a body of a stated length, or a chunk. */
-static size_t unparsed_max(const ap_http_server_t *server)
+static size_t unparsed_max(const server_conn_t *conn)
 {
-	return server->config.header_bytes + server->config.body_bytes + PIPELINED_MAX;
+	return conn->header_max + conn->body_max + PIPELINED_MAX;
 }
 
 static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
@@ -285,7 +289,7 @@
 	read_syntax(conn, in, info->n_added);
 	conn_batch(conn);
 	conn_charge(conn);
-	if (evbuffer_get_length(in) > unparsed_max(conn->server)) {
+	if (evbuffer_get_length(in) > unparsed_max(conn)) {
 		conn->overfull = true;
 		event_active(conn->timer, EV_TIMEOUT, 0);
 	}
@@ -295,9 +299,8 @@
 {
 	switch (status) {
 	case HTTP_BADREQUEST:
-		return conn->syntax.head_bytes > conn->server->config.header_bytes
-			       ? AP_HTTP_REFUSED_HEAD_TOO_LARGE
-			       : AP_HTTP_REFUSED_MALFORMED;
+		return conn->syntax.head_bytes > conn->header_max ? AP_HTTP_REFUSED_HEAD_TOO_LARGE
+								  : AP_HTTP_REFUSED_MALFORMED;
 	case HTTP_ENTITYTOOLARGE:
 		/* The library takes some malformed sizes of chunks for large ones. */
 		return conn->syntax.malformed && !conn->syntax.oversized
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -365,8 +365,6 @@
 		ap_http_server_free(server);
 		return AP_HTTP_STATUS_NO_MEMORY;
 	}
-	evhttp_set_max_headers_size(server->http, (ev_ssize_t)config->header_bytes);
-	evhttp_set_max_body_size(server->http, (ev_ssize_t)config->body_bytes);
 	evhttp_set_timeout_tv(server->http, &server->idle);
 	evhttp_set_allowed_methods(server->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
 							 EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
@@ -382,6 +380,12 @@
 	return AP_HTTP_STATUS_OK;
 }
 
+void ap_http_server_set_limits(ap_http_server_t *server, size_t header_bytes, size_t body_bytes)
+{
+	server->config.header_bytes = header_bytes;
+	server->config.body_bytes = body_bytes;
+}
+
 void ap_http_server_free(ap_http_server_t *server)
 {
 	if (!server)
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -59,6 +59,8 @@
  *         caller has left while its bytes aren't read
  * @call: the request being served; NULL between requests
  * @arriving: part of a request has arrived
+ * @header_max: limit of its head, as the server's was when it began
+ * @body_max: likewise of its body
  * @syntax: of the request that arrives
  * @overfull: the library holds more of its request than one may have, such as a line between the
  *            chunks of its body that doesn't end
@@ -80,6 +82,8 @@
 	struct event *timer;
 	ap_http_call_t *call;
 	bool arriving;
+	size_t header_max;
+	size_t body_max;
 	ap_http_syntax_t syntax;
 	ap_budget_entry_t entry;
 	size_t arrived;
--- a/cmd/arbutuspond/gateway-store.c
+++ b/cmd/arbutuspond/gateway-store.c
@@ -133,6 +133,7 @@
 	}
 	ap_plan_unref(gate->plan);
 	gate->plan = plan;
+	gate_apply_limits(gate);
 	ap_fleet_set_customers(gate->fleet, plan->customers, plan->n_customers, ap_now());
 	ap_journal_write(gate->journal, AP_RECORD_RARE, "configuration.taken", NULL, "s:I,s:i,s:i",
 			 "version", (json_int_t)plan->version, "routes", (int)plan->n_routes,
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -14,8 +14,11 @@
 #define TICK (100 * AP_MSEC)
 /* Delay of a tick that counts as a freeze; one turn of the event loop takes less. */
 #define FREEZE_MIN (700 * AP_MSEC)
-#define HEADER_BYTES (32 << 10) /* twice what the platform's configuration allows callers */
-#define BODY_BYTES (8 << 20)	/* likewise for bodies */
+/* Limits of requests, unless the configuration states them. */
+#define HEADER_BYTES (32 << 10)
+#define BODY_BYTES (8 << 20)
+#define START_LINE 2048			  /* bytes that a head has beside its fields, */
+#define FORWARD_ROOM 2048		  /* and those of the fields that instances add */
 #define CALLER_IDLE_TIMEOUT (60 * AP_SEC) /* longer than callers keep an idle connection */
 /* From the first to the last byte of a request; several times what callers are allowed. */
 #define CALLER_ARRIVAL_TIMEOUT (10 * AP_SEC)
@@ -74,6 +77,33 @@
 	return false;
 }
 
+static size_t more(size_t a, size_t b)
+{
+	return a > b ? a : b;
+}
+
+void gate_apply_limits(gateway_t *gate)
+{
+	const ap_plan_limits_t *limits = &gate->plan->limits;
+	size_t head = limits->head ? limits->head + START_LINE : HEADER_BYTES;
+	size_t body = limits->body ? limits->body : BODY_BYTES;
+	/* A body being served is there twice, with the copy for an upstream. */
+	size_t body_max = ap_http_budget_stats(gate->budget).limit / 2;
+
+	if (body > body_max) {
+		ap_journal_write(gate->journal, AP_RECORD_RARE, "limits.beyond-memory", NULL,
+				 "s:I,s:I,s:I", "version", (json_int_t)gate->plan->version,
+				 "body_bytes", (json_int_t)body, "served", (json_int_t)body_max);
+		body = body_max;
+	}
+	ap_http_server_set_limits(gate->callers, head, body);
+	/* Instances may forward as an older or a newer version allows. */
+	gate->peer_limits.head = more(gate->peer_limits.head, more(head, HEADER_BYTES));
+	gate->peer_limits.body = more(gate->peer_limits.body, more(body, BODY_BYTES));
+	ap_http_server_set_limits(gate->peers, gate->peer_limits.head + FORWARD_ROOM,
+				  gate->peer_limits.body);
+}
+
 static bool listen_all(gateway_t *gate)
 {
 	const ap_gateway_settings_t *g = gate->conf;
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -265,6 +265,7 @@
 	ap_journal_t *journal;
 	ap_fleet_t *fleet;
 	ap_plan_t *plan;
+	ap_plan_limits_t peer_limits; /* of requests that other instances forward */
 	ap_follow_t *follow;
 	ap_snapshot_t *snapshot;
 	ap_registration_t *registration;
@@ -343,6 +344,10 @@
 /** gate_second_metrics() - appends the counters, unless there are no second attempts. */
 void gate_second_metrics(const gateway_t *gate, struct evbuffer *out);
 
+/* gateway.c */
+/* The limits of the version that is in force now bind requests that begin to arrive. */
+void gate_apply_limits(gateway_t *gate);
+
 /* gateway-call.c */
 void gate_on_caller(void *ctx, ap_http_call_t *call);
 void gate_on_peer(void *ctx, ap_http_call_t *call);
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -87,10 +87,21 @@
 	uint32_t event_tokens;
 } ap_plan_pool_t;
 
+/**
+ * struct ap_plan_limits - what callers may send, in bytes; 0 if not configured.
+ * @head: the fields of a head together
+ * @body: of a request
+ */
+typedef struct ap_plan_limits {
+	size_t head;
+	size_t body;
+} ap_plan_limits_t;
+
 /**
  * struct ap_plan - one version of the routes and pools.
  * @version: increases with each change of the configuration
  * @routes: sorted by ap_plan_new() by host, then by length of the prefix, the longest first
+ * @limits: set by the owner of a new plan
  * @customers: none if requests need no key
  * @keys: those of the customers; NULL without customers
  */
@@ -101,6 +112,7 @@
 	size_t n_routes;
 	ap_plan_pool_t *pools;
 	size_t n_pools;
+	ap_plan_limits_t limits;
 	ap_customer_t *customers;
 	size_t n_customers;
 	ap_keys_t *keys;
