The framing of chunks doesn't count as memory held

Seen: one caller in calm with a body of 4,194,304 bytes in chunks of one byte gets 503 after 1.8 s on a machine of 120 MB (outside), after 0.9 s at memory_mb 64. It was taken for a matter of processor time.

Cause: an arriving request was charged with all bytes that came, of which five in six are framing here, 25 MB: the budget became tight, and the request itself was the largest. The library keeps the data only, so a body in chunks counts its data, twice as buffers may be half empty, and what isn't parsed; never more than what came, as before.

crowd framing (2,200,000 such chunks, memory_mb 64): 503 before, 200 now.

--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -218,6 +218,20 @@
 	ap_budget_remove(&b->budget, &conn->entry);
 }
 
+/*
+ * Of a body in chunks the library holds the data, in buffers that are half full at least, and not
+ * the bytes of the framing.
+ */
+static size_t held_arriving(const server_conn_t *conn, size_t in)
+{
+	const ap_http_syntax_t *s = &conn->syntax;
+	size_t held = in + s->head_bytes + 2 * (size_t)(s->body - s->left);
+
+	if (!s->coded || held > conn->arrived)
+		held = conn->arrived;
+	return held + s->fields * AP_HTTP_FIELD_BYTES;
+}
+
 static size_t held_by(const server_conn_t *conn)
 {
 	size_t in = evbuffer_get_length(bufferevent_get_input(conn->bev));
@@ -225,8 +239,7 @@
 
 	if (conn->call)
 		return in + out + conn->served + conn->call->n_held + conn->call->owner_held;
-	return conn->arriving ? out + conn->arrived + conn->syntax.fields * AP_HTTP_FIELD_BYTES
-			      : out;
+	return out + (conn->arriving ? held_arriving(conn, in) : 0);
 }
 
 /* A response that has begun may be cut while its caller leaves some of it unread. */
--- a/test/crowd/calm.c
+++ b/test/crowd/calm.c
@@ -20,10 +20,14 @@
 #define IN_FORCE (1500 * AP_MSEC) /* until a version that was written is */
 #define DEFAULT_HEAD 16300	  /* bytes; inside the default of the pages, 16,384 */
 
+#define SMALL_CHUNK "1\r\nb\r\n"
+#define SMALL_CHUNKS 2200000 /* together over three quarters of the budget, their data far less */
+
 typedef enum framing {
 	NO_BODY,
 	LENGTH,
 	CHUNKED,
+	ONE_BYTE, /* chunks of one byte */
 } framing_t;
 
 /* A request with a head of @head bytes and a body of @body bytes. */
@@ -51,7 +55,8 @@
 /* Return: the text, to be freed, and its length. */
 static char *format_request(const asked_t *asked, size_t *len)
 {
-	char *text = malloc(asked->head + asked->body + 512);
+	size_t unit = asked->framing == ONE_BYTE ? strlen(SMALL_CHUNK) : 1;
+	char *text = malloc(asked->head + asked->body * unit + 512);
 	size_t n;
 
 	assert_non_null(text);
@@ -59,17 +64,19 @@
 				  "Request-Id: calm\r\nDeadline-Ms: 6000\r\n");
 	if (asked->framing == LENGTH)
 		n += (size_t)sprintf(text + n, "Content-Length: %zu\r\n", asked->body);
-	else if (asked->framing == CHUNKED)
+	else if (asked->framing != NO_BODY)
 		n += (size_t)sprintf(text + n, "Transfer-Encoding: chunked\r\n");
 	while (n + strlen(FIELD) + strlen("\r\n") <= asked->head)
 		n += (size_t)sprintf(text + n, FIELD);
 	n += (size_t)sprintf(text + n, "\r\n");
 	if (asked->framing == CHUNKED)
 		n += (size_t)sprintf(text + n, "%zx\r\n", asked->body);
-	memset(text + n, 'b', asked->body);
-	n += asked->body;
+	for (size_t i = 0; i < asked->body; i++, n += unit)
+		memcpy(text + n, unit > 1 ? SMALL_CHUNK : "b", unit);
 	if (asked->framing == CHUNKED)
 		n += (size_t)sprintf(text + n, "\r\n0\r\n\r\n");
+	else if (asked->framing == ONE_BYTE)
+		n += (size_t)sprintf(text + n, "0\r\n\r\n");
 	*len = n;
 	return text;
 }
@@ -161,6 +168,20 @@
 	assert_true(ok);
 }
 
+/* Guards against refusing a body for the bytes of its framing, which nobody holds. */
+void bodies_in_small_chunks(void **state)
+{
+	soak_t *s;
+	pid_t upstream;
+	bool ok;
+
+	(void)state;
+	s = set_up(&small, EVERYWHERE, &upstream);
+	ok = check(s, &(asked_t){300, ONE_BYTE, SMALL_CHUNKS}, 200);
+	tear_down(s, upstream);
+	assert_true(ok);
+}
+
 /* Guards against a response that lacks what shows whose it is, as that came last. */
 void responses_with_many_fields(void **state)
 {
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -91,6 +91,7 @@
 
 /* calm.c */
 void requests_with_many_fields(void **state);
+void bodies_in_small_chunks(void **state);
 void responses_with_many_fields(void **state);
 void limits_of_the_configuration(void **state);
 
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -335,6 +335,7 @@
 	{"endless", responses_without_end},
 	{"short", responses_that_stop_short},
 	{"fields", requests_with_many_fields},
+	{"framing", bodies_in_small_chunks},
 	{"stamped", responses_with_many_fields},
 	{"limits", limits_of_the_configuration},
 };
