peer: a connection has three seconds to show its key

Seen: 150 clients that connect to the listener of messages between instances and send nothing take all descriptors of a process that may have 128; an ordinary request gets no answer. Cause: libzmq accepts whoever connects and waits 30 s for a greeting; these connections are in no budget. It waits 3 s now, a handshake between regions takes four round trips of 0.11 s.

crowd messages: no answer before, 200 now. strangers (long frames, text without end; 200 clients): 7 MB, before as well: the greeting is checked first. A stranger who connects again and again is still bounded by the time of the handshake alone.

--- a/adapters/peer/peer.c
+++ b/adapters/peer/peer.c
@@ -20,7 +20,8 @@
 #define HEARTBEAT_MS_PER_PEER 500 /* bounds the process's total heartbeat rate */
 #define HEARTBEAT_TIMEOUT_MS 6000
 #define HEARTBEATS_MISSED_MAX 3 /* before the receiving side closes the connection */
-#define UNACKED_MS 6000 /* TCP closes a connection whose bytes stay unacknowledged this long */
+#define UNACKED_MS 6000	  /* TCP closes a connection whose bytes stay unacknowledged this long */
+#define HANDSHAKE_MS 3000 /* for a connection to show its key; a stranger holds a descriptor */
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 2000
 #define QUEUE_MESSAGES 4096
@@ -274,6 +275,7 @@
 		return AP_PEER_BIND;
 	}
 	set_common(p->router);
+	set_int(p->router, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
 	set_int(p->router, ZMQ_CURVE_SERVER, 1);
 	zmq_setsockopt(p->router, ZMQ_ZAP_DOMAIN, AP_ZAP_DOMAIN, strlen(AP_ZAP_DOMAIN));
 	if (zmq_setsockopt(p->router, ZMQ_CURVE_SECRETKEY, s->secret_key,
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -32,6 +32,7 @@
 #define ANSWER_MAX (10 * AP_SEC)
 #define LISTENERS 6 /* consecutive ports: callers, ready, directory, metrics, control, peers */
 #define PORT_METRICS 3
+#define PORT_MESSAGES 6 /* of other instances; not HTTP */
 
 #define POST                                                                                       \
 	"POST /once/ HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: c-%u\r\nDeadline-Ms: 3000\r\n"
@@ -70,6 +71,11 @@
 static const form_t silent = {"connections without a request", "", "", 0, false};
 static const form_t begun = {"a head that was begun", "P", "", 0, false};
 
+/* The greeting of a peer without security, then a frame of far more bytes than it sends. */
+static const form_t long_message = {"a message that stops short",
+				    "\xff\x01\x01\x01\x01\x01\x01\x01\x01\x7f",
+				    "\x06\x7f\x7f\x7f\x7f\x7f\x7f\x7f\x7f", 1 << 17, false};
+
 /* ---- the test ---- */
 
 typedef struct answer {
@@ -310,6 +316,30 @@
 	assert_true(ok);
 }
 
+/* Anyone may connect to the listener of messages between instances. */
+static void connections_for_messages(void **state)
+{
+	bool ok;
+
+	(void)state;
+	scenario_descriptors = FEW_DESCRIPTORS;
+	ok = check(&silent, 150, PORT_MESSAGES, PORT_MESSAGES);
+	ok &= check(&begun, 150, PORT_MESSAGES, PORT_MESSAGES);
+	scenario_descriptors = 0;
+	assert_true(ok);
+}
+
+/* Memory of what a stranger sends there. */
+static void messages_of_strangers(void **state)
+{
+	bool ok;
+
+	(void)state;
+	ok = check(&long_message, 200, PORT_MESSAGES, PORT_MESSAGES);
+	ok &= check(&far_field, 200, PORT_MESSAGES, PORT_MESSAGES);
+	assert_true(ok);
+}
+
 static const struct {
 	const char *name;
 	void (*run)(void **state);
@@ -324,6 +354,8 @@
 	{"listeners", all_listeners},
 	{"unread", responses_not_read},
 	{"connections", connections_without_requests},
+	{"messages", connections_for_messages},
+	{"strangers", messages_of_strangers},
 	{"waiting", responses_that_many_wait_for},
 	{"posted", responses_to_bodies_not_read},
 	{"tiny", responses_to_many_fields},
