Responses held for HTTP/1.0 are given up when memory is short

Seen: 60 callers of HTTP/1.0 whose responses have no length and stop short of 1 MB: ordinary requests get 503 for as long as the routes allow. Cause: such a response is held until its length is known, 1 MB each and 32 MB together whatever the machine, and never gives way as it hasn't begun. It is given up now, 502, under the same rule as what the gateway holds: if the budget is full and it is a large part.

crowd old at memory_mb 64: 503 and 47 MB before, 200 and 24 now.

--- a/adapters/http/response.c
+++ b/adapters/http/response.c
@@ -228,6 +228,9 @@
 		call->n_held += len;
 		server->held += len;
 		conn_charge(call->conn);
+		if (!conn_may_hold(call->conn, call->n_held))
+			fail(call, "memory is short, and it has to be held until its length is "
+				   "known");
 	}
 }
 
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -148,7 +148,7 @@
 void conn_uncount(server_conn_t *conn);
 /* conn_charge() - what @conn holds has changed; it or another may have to give way. */
 void conn_charge(server_conn_t *conn);
-/* conn_may_hold() - whether the owner of the call may hold @bytes, or has to give it up. */
+/* conn_may_hold() - whether @bytes of a response may be held, or it has to be given up. */
 bool conn_may_hold(const server_conn_t *conn, size_t bytes);
 /* conn_progress() - the request begins to arrive, or its response to be sent. */
 void conn_progress(server_conn_t *conn);
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -83,6 +83,7 @@
 void responses_that_many_wait_for(void **state);
 void responses_to_bodies_not_read(void **state);
 void responses_to_many_fields(void **state);
+void responses_without_chunks(void **state);
 void responses_asked_ahead(void **state);
 void responses_of_a_neighbour(void **state);
 void responses_read_slowly(void **state);
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -359,6 +359,7 @@
 	{"waiting", responses_that_many_wait_for},
 	{"posted", responses_to_bodies_not_read},
 	{"tiny", responses_to_many_fields},
+	{"old", responses_without_chunks},
 	{"many", responses_not_read_by_many},
 	{"large", responses_not_read_whole},
 	{"ahead", responses_asked_ahead},
--- a/test/crowd/responses.c
+++ b/test/crowd/responses.c
@@ -48,6 +48,11 @@
 			      POST_LARGE "Content-Length: 100000\r\n\r\n", "x", POSTED_BYTES,
 			      false};
 
+static const form_t old = {"one request of HTTP/1.0 each",
+			   "GET /idem/large HTTP/1.0\r\nHost: soak.example\r\nRequest-Id: c-%u\r\n"
+			   "Deadline-Ms: 6000\r\n\r\n",
+			   "", 0, false};
+
 static const source_t sized = {"HTTP/1.1 200 OK\r\n" OWN "Content-Length: 4194304\r\n\r\n",
 			       "padding", 4194304, false};
 static const source_t chunked = {"HTTP/1.1 200 OK\r\n" OWN "Transfer-Encoding: chunked\r\n\r\n",
@@ -65,6 +70,7 @@
 	HELD_BYTES, true};
 
 static const source_t short_head = {"HTTP/1.1 200 OK\r\n" OWN, SMALL_FIELD, 60000, true};
+static const source_t unframed = {"HTTP/1.1 200 OK\r\n" OWN "\r\n", "padding", HELD_BYTES, true};
 static const source_t nothing = {"", "x", 0, true};
 
 void list_upstream(soak_t *s, const char *pool, place_t place, uint16_t port)
@@ -221,6 +227,13 @@
 	assert_true(check("nothing", &nothing, EVERYWHERE, crowd));
 }
 
+/* Their responses are held until their length is known, as HTTP/1.0 has no chunks. */
+void responses_without_chunks(void **state)
+{
+	(void)state;
+	assert_true(check("bodies that stop short", &unframed, EVERYWHERE, clients_of(&old, FAST)));
+}
+
 /* Small requests that wait hold more than their bytes. */
 void responses_that_many_wait_for(void **state)
 {
