--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -24,7 +24,7 @@
  * @leaving: connections that have to give way and aren't closed yet
  * @lingering: refused connections that are read until their callers close
  * @tight: the budget was at the last tick
- * @searched: since the last tick, it was full and none of the others could give way
+ * @searched: since the last tick, the budget was full and nobody could give way
  */
 struct ap_http_budget {
 	ap_budget_t budget;
@@ -76,7 +76,7 @@
 	return true;
 }
 
-/* Has connections give way until the budget isn't full, or none may. */
+/* Has connections give way until the budget isn't full, or none may. @conn was charged last. */
 static void relieve_fully(ap_http_budget_t *b, server_conn_t *conn)
 {
 	while (ap_budget_level(&b->budget) == AP_BUDGET_FULL && !b->searched)
--- a/lib/exchange/exchange.c
+++ b/lib/exchange/exchange.c
@@ -473,6 +473,7 @@
 	if (x->finished)
 		return;
 	cancel_all(x, AP_DISPATCH_CANCELLED);
+	/* An end that may be right doesn't stand for what was given up behind it. */
 	x->belief = AP_END_UNKNOWN;
 	reply_error(x, reason, now);
 }
--- a/lib/limit/budget.c
+++ b/lib/limit/budget.c
@@ -63,10 +63,9 @@
 
 void ap_budget_read(ap_budget_entry_t *entry, size_t bytes, size_t left, ap_usec_t now)
 {
-	double part = (double)bytes / (double)(bytes + left);
-
 	if (bytes > 0)
-		entry->since += (ap_usec_t)((double)(now - entry->since) * part);
+		entry->since += (ap_usec_t)((double)(now - entry->since) * (double)bytes /
+					    (double)(bytes + left));
 }
 
 bool ap_budget_may_give_way(const ap_budget_t *budget, const ap_budget_entry_t *entry,
