--- a/test/crowd/calm.c
+++ b/test/crowd/calm.c
@@ -71,8 +71,8 @@
 	n += (size_t)sprintf(text + n, "\r\n");
 	if (asked->framing == CHUNKED)
 		n += (size_t)sprintf(text + n, "%zx\r\n", asked->body);
-	for (size_t i = 0; i < asked->body; i++, n += unit)
-		memcpy(text + n, unit > 1 ? SMALL_CHUNK : "b", unit);
+	for (size_t i = 0; i < asked->body * unit; i++)
+		text[n++] = unit > 1 ? SMALL_CHUNK[i % unit] : 'b';
 	if (asked->framing == CHUNKED)
 		n += (size_t)sprintf(text + n, "\r\n0\r\n\r\n");
 	else if (asked->framing == ONE_BYTE)
--- a/test/crowd/clients.c
+++ b/test/crowd/clients.c
@@ -63,7 +63,7 @@
 			c->head -= (size_t)sent;
 		return sent > 0 || errno == EAGAIN;
 	}
-	if (c->left == 0)
+	if (c->left == 0 || unit == 0)
 		return false;
 	len = len < c->left ? len : c->left;
 	sent = send(c->fd, pattern + c->at, len, MSG_NOSIGNAL);
--- a/test/crowd/responses.c
+++ b/test/crowd/responses.c
@@ -221,8 +221,8 @@
 	(void)state;
 	crowd.n = MANY_FIELDS;
 	crowd.in_turn = true;
-	for (size_t i = 0; i < SMALL_FIELDS; i++)
-		memcpy(fields + i * strlen(SMALL_FIELD), SMALL_FIELD, strlen(SMALL_FIELD));
+	for (size_t i = 0; i < SMALL_FIELDS * strlen(SMALL_FIELD); i++)
+		fields[i] = SMALL_FIELD[i % strlen(SMALL_FIELD)];
 	strcat(fields, "\r\n");
 	assert_true(check("nothing", &nothing, EVERYWHERE, crowd));
 }
--- a/test/host_test.c
+++ b/test/host_test.c
@@ -136,7 +136,7 @@
 	static const char *const invalid[] = {
 		",\"limits\":{\"maxBodyBytes\":0}", ",\"limits\":{\"maxBodyBytes\":-1}",
 		",\"limits\":{\"maxBodyBytes\":\"9\"}", ",\"limits\":{\"maxHeaderBytes\":null}"};
-	ap_plan_limits_t read;
+	ap_plan_limits_t read = {0};
 
 	(void)state;
 	assert_int_equal(limits_of(",\"limits\":{\"maxBodyBytes\":9,\"maxHeaderBytes\":8}", &read),
