budget: a response that is being read stays where there are too many connections

A response that has begun may give way since it is unread, for want of memory; so it also became a candidate where too many connections are open, before an idle one that had opened later. A response whose bytes have waited for less than a second is left out there, as it is for memory. budget_test: response_that_is_read_stays_where_there_are_too_many_connections.

--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -94,7 +94,7 @@
 static void close_oldest(ap_http_budget_t *b)
 {
 	while (has_too_many(b)) {
-		ap_budget_entry_t *oldest = ap_budget_oldest(&b->budget);
+		ap_budget_entry_t *oldest = ap_budget_oldest(&b->budget, ap_now());
 
 		if (!oldest)
 			break;
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -473,6 +473,7 @@
 
 	conn->call = NULL;
 	conn->served = 0;
+	conn_answers(conn, false);
 	event_del(conn->timer);
 	conn_progress(conn);
 	if (evbuffer_get_length(in) > 0) {
--- a/lib/limit/budget.c
+++ b/lib/limit/budget.c
@@ -68,14 +68,18 @@
 					    (double)(bytes + left));
 }
 
+static bool is_being_read(const ap_budget_entry_t *entry, ap_usec_t now)
+{
+	return entry->answering && now - entry->since < UNREAD_MIN;
+}
+
 bool ap_budget_may_give_way(const ap_budget_t *budget, const ap_budget_entry_t *entry,
 			    ap_usec_t now)
 {
 	if (entry->kept || entry->held == 0)
 		return false;
-	return !entry->answering || now - entry->since >= UNREAD_MIN ||
-	       (ap_budget_level(budget) == AP_BUDGET_FULL &&
-		ap_budget_is_large(budget, entry->held));
+	return !is_being_read(entry, now) || (ap_budget_level(budget) == AP_BUDGET_FULL &&
+					      ap_budget_is_large(budget, entry->held));
 }
 
 ap_budget_entry_t *ap_budget_worst(const ap_budget_t *budget, ap_usec_t now)
@@ -93,13 +97,14 @@
 	return worst;
 }
 
-ap_budget_entry_t *ap_budget_oldest(const ap_budget_t *budget)
+ap_budget_entry_t *ap_budget_oldest(const ap_budget_t *budget, ap_usec_t now)
 {
 	ap_budget_entry_t *oldest = NULL;
 	ap_budget_entry_t *entry;
 
 	LIST_FOREACH (entry, &budget->entries, link) {
-		if (!entry->kept && (!oldest || entry->since < oldest->since))
+		if (!entry->kept && !is_being_read(entry, now) &&
+		    (!oldest || entry->since < oldest->since))
 			oldest = entry;
 	}
 	return oldest;
--- a/lib/limit/budget.h
+++ b/lib/limit/budget.h
@@ -79,10 +79,10 @@
 ap_budget_entry_t *ap_budget_worst(const ap_budget_t *budget, ap_usec_t now);
 /**
  * ap_budget_oldest() - the entry that gives way where there are too many connections: the one that
- * has made no progress for longest.
+ * has made no progress for longest; no response that is being read.
  *
  * Return: NULL if none may give way.
  */
-ap_budget_entry_t *ap_budget_oldest(const ap_budget_t *budget);
+ap_budget_entry_t *ap_budget_oldest(const ap_budget_t *budget, ap_usec_t now);
 
 #endif
--- a/test/budget_test.c
+++ b/test/budget_test.c
@@ -63,7 +63,7 @@
 	for (size_t i = 0; i < CROWD; i++)
 		crowd[i].kept = true;
 	assert_null(ap_budget_worst(&budget, AP_SEC));
-	assert_null(ap_budget_oldest(&budget));
+	assert_null(ap_budget_oldest(&budget, 2 * AP_SEC));
 	ap_budget_add(&budget, &caller, AP_SEC);
 	ap_budget_charge(&budget, &caller, 100);
 	assert_ptr_equal(ap_budget_worst(&budget, AP_SEC), &caller);
@@ -141,7 +141,21 @@
 	crowd[7].since = 0;
 	crowd[8].since = 0;
 	crowd[8].kept = true;
-	assert_ptr_equal(ap_budget_oldest(&budget), &crowd[7]);
+	assert_ptr_equal(ap_budget_oldest(&budget, 2 * AP_SEC), &crowd[7]);
+}
+
+/* Guards against cutting a response that is being read, as another connection opens. */
+static void response_that_is_read_stays_where_there_are_too_many_connections(void **state)
+{
+	(void)state;
+	fill(1000, 0);
+	for (size_t i = 0; i < CROWD; i++)
+		crowd[i].kept = true;
+	ap_budget_add(&budget, &caller, AP_SEC);
+	caller.answering = true;
+	ap_budget_charge(&budget, &caller, 2000);
+	assert_null(ap_budget_oldest(&budget, 2 * AP_SEC - 1));
+	assert_ptr_equal(ap_budget_oldest(&budget, 2 * AP_SEC), &caller);
 }
 
 int main(void)
@@ -155,6 +169,7 @@
 		cmocka_unit_test(large_response_gives_way_at_once_only_if_the_budget_is_full),
 		cmocka_unit_test(response_is_as_old_as_its_bytes),
 		cmocka_unit_test(connection_without_progress_for_longest_gives_way),
+		cmocka_unit_test(response_that_is_read_stays_where_there_are_too_many_connections),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
