budget: requests of callers that have left are freed while reading is stopped

Cause: a request whose reading is stopped doesn't notice that its caller has left. What such callers had sent stayed until it gave way, one request in 50 ms, and each one that did let the next ones read on from the kernel. Meanwhile ordinary requests were refused for the memory of callers that were gone.

Each tick looks whether the callers of requests that aren't read have left, and drops these. They are large, each over 1/128 of the budget, so there are at most 128 of them.

--- a/adapters/http/budget.c
+++ b/adapters/http/budget.c
@@ -103,6 +103,21 @@
 	}
 }
 
+/* While reading is stopped, the library doesn't notice that a caller has left. */
+static void drop_left(ap_http_budget_t *b)
+{
+	ap_budget_entry_t *entry;
+	ap_budget_entry_t *next;
+
+	for (entry = LIST_FIRST(&b->budget.entries); entry; entry = next) {
+		server_conn_t *conn = conn_at(entry);
+
+		next = LIST_NEXT(entry, link);
+		if (conn->unread && !conn->gives_way && conn_peer_left(conn))
+			conn_drop(conn);
+	}
+}
+
 static bool read_again(ap_http_budget_t *b)
 {
 	ap_budget_entry_t *entry;
@@ -124,11 +139,13 @@
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	ap_http_budget_t *b = arg;
-	bool tight = ap_budget_level(&b->budget) != AP_BUDGET_FREE;
+	bool tight;
 
 	(void)fd;
 	(void)what;
 	b->searched = false;
+	drop_left(b);
+	tight = ap_budget_level(&b->budget) != AP_BUDGET_FREE;
 	close_oldest(b);
 	if (tight && b->tight)
 		relieve(b);
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -130,8 +130,7 @@
 		config->refused(config->ctx, &call, why);
 }
 
-/* Makes the library close the connection as if its idle limit had passed; frees @conn. */
-static void drop(server_conn_t *conn)
+void conn_drop(server_conn_t *conn)
 {
 	bufferevent_trigger_event(conn->bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
 }
@@ -168,7 +167,7 @@
 	evhttp_connection_set_closecb(evcon, on_closed, conn);
 	if (conn->far_over_limit) {
 		conn->server->stats.closed++;
-		drop(conn);
+		conn_drop(conn);
 	}
 }
 
@@ -192,7 +191,7 @@
 	if (!conn_peer_left(conn))
 		conn_check_later(conn);
 	else if (conn->call->ended)
-		drop(conn);
+		conn_drop(conn);
 	else
 		call_hung_up(conn->call);
 }
@@ -204,7 +203,7 @@
 	if (conn->call && !conn->call->ended)
 		call_hung_up(conn->call);
 	else
-		drop(conn);
+		conn_drop(conn);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -237,7 +236,7 @@
 		conn->server->stats.timed_out++;
 		refuse(conn, AP_HTTP_REFUSED_TIMEOUT);
 	}
-	drop(conn);
+	conn_drop(conn);
 }
 
 static void read_syntax(server_conn_t *conn, struct evbuffer *in, size_t n)
@@ -437,7 +436,7 @@
 
 	HASH_ITER (hh, server->conns, conn, next) {
 		if (conn->evcon && !conn->call && !conn->arriving && !has_unread(conn))
-			drop(conn);
+			conn_drop(conn);
 	}
 }
 
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -132,6 +132,8 @@
 bool conn_peer_left(const server_conn_t *conn);
 /* conn_send_last() - sends @out without the library and closes the connection. */
 void conn_send_last(server_conn_t *conn, struct evbuffer *out);
+/* conn_drop() - closes the connection as the library does at its idle limit; frees @conn. */
+void conn_drop(server_conn_t *conn);
 /* conn_drop_idle() - closes connections without a request in flight or bytes to read. */
 void conn_drop_idle(ap_http_server_t *server);
 /* conn_any_request() - whether a connection has a request in flight, arriving or to be read. */
