gateway: the state of requests counts in the budget, and responses wait at the upstream

Seen: 2,900 callers who ask for 4 MB each and don't read take an instance with memory_mb 120 to 164 MB (two trials: 167 MB of 120, 143 of 64). 2,900 is below the limit of a listener.

Cause: the budget bounds large holdings only. What each request holds beside the bytes that arrive, 12.5 KB and some 8 KB more once its response begins, counted nowhere. And with memory short, each response was still read until 16 KB of it were held and 16 KB more waited for the caller; up to 1/128 of the budget each, they neither gave way in their first second nor were given up.

Half of that state counts now, as the budget leaves as much again for copies, which it doesn't have. While memory is short, an upstream is read no further once anything waits for the caller, and a body is passed on once 4 KB of it are there: so each response holds what one read brings.

SLOTS and the backlog of the test's upstream are larger, as 2,900 requests have to reach it.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -11,6 +11,9 @@
 #define DEFAULT_TIME_LEFT (30 * AP_SEC)	  /* for requests without a deadline */
 #define HEARD_MAX (600 * AP_SEC)	  /* above any timeout of a route */
 #define EARLY_RETRY_AFTER (300 * AP_MSEC) /* in every 503 of gate_reply_early() */
+/* Memory of a request, and of an attempt whose response has begun, beside what arrives of both. */
+#define CALL_BYTES 12800
+#define RESPONSE_BYTES 8192
 
 /*
  * Responds to a request that has no exchange; nothing was sent, so it certainly did not run.
@@ -75,13 +78,16 @@
 	free(c);
 }
 
+/* The budget leaves as much again for copies, which there are none of a request's own state. */
 static size_t held_by(const gate_call_t *c)
 {
-	size_t held = ap_exchange_held(&c->x);
+	size_t held = ap_exchange_held(&c->x) + CALL_BYTES / 2;
 
 	for (unsigned i = 0; i < AP_SLOTS; i++) {
-		if (c->attempts[i].fetch)
-			held += ap_http_fetch_held(c->attempts[i].fetch);
+		const gate_attempt_t *a = &c->attempts[i];
+
+		if (a->fetch)
+			held += ap_http_fetch_held(a->fetch) + (a->status ? RESPONSE_BYTES / 2 : 0);
 	}
 	return held;
 }
--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -14,8 +14,8 @@
 #define LATE_MARGIN (1 * AP_SEC)       /* so that the exchange's own timeouts come first */
 #define RESPONSE_MAX (16 << 20)	       /* bytes of one response */
 #define PENDING_MAX (128 << 10)	       /* bytes waiting for a slow caller; reading pauses above */
-#define PENDING_TIGHT (16 << 10)       /* likewise while memory is short */
-#define HOLD_TIGHT (16 << 10)	       /* bytes of a response that are held then */
+#define PENDING_TIGHT 0		       /* likewise while memory is short */
+#define HOLD_TIGHT (4 << 10)	       /* bytes of a response that are held then */
 
 static void drop_witness(gate_attempt_t *a)
 {
--- a/test/crowd/calm.c
+++ b/test/crowd/calm.c
@@ -16,7 +16,6 @@
 #define FIELD "X-Field: v\r\n"
 #define RESPONSE_FIELDS 200
 #define ANSWER_MAX (10 * AP_SEC)
-#define SMALLEST_MB 120		  /* memory of the smallest machine */
 #define IN_FORCE (1500 * AP_MSEC) /* until a version that was written is */
 #define DEFAULT_HEAD 16300	  /* bytes; inside the default of the pages, 16,384 */
 
@@ -221,7 +220,7 @@
 	pid_t upstream;
 
 	(void)state;
-	scenario_memory_mb = SMALLEST_MB;
+	scenario_memory_mb = CROWD_SMALLEST_MB;
 	for (place_t place = EVERYWHERE; place <= NEIGHBOUR; place++) {
 		soak_t *s = set_up(&small, place, &upstream);
 
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -4,7 +4,8 @@
 
 #include "../soak/scenario.h"
 
-#define CROWD_MEMORY_MB 64 /* setting of the instances, and what each may take */
+#define CROWD_MEMORY_MB 64    /* setting of the instances, and what each may take */
+#define CROWD_SMALLEST_MB 120 /* memory of the smallest machine */
 #define CROWD_HOLD (300 * AP_MSEC)
 #define CROWD_LARGE_BODY (4 << 20)
 
@@ -26,6 +27,7 @@
  * @in_turn: each client has sent all before the next one begins
  * @window: the kernel holds little of what the instance sends
  * @reads: bytes that a client reads every 5 ms; 0: it reads nothing
+ * @fills: an instance may refuse other requests meanwhile
  */
 typedef struct crowd {
 	const form_t *form;
@@ -36,6 +38,7 @@
 	bool in_turn;
 	bool window;
 	size_t reads;
+	bool fills;
 } crowd_t;
 
 /*
@@ -80,6 +83,7 @@
 void list_upstream(soak_t *s, const char *pool, place_t place, uint16_t port);
 void responses_not_read_whole(void **state);
 void responses_not_read_by_many(void **state);
+void responses_not_read_by_thousands(void **state);
 void responses_that_many_wait_for(void **state);
 void responses_to_bodies_not_read(void **state);
 void responses_to_many_fields(void **state);
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -16,9 +16,9 @@
 
 #ifdef __SANITIZE_ADDRESS__
 /* What the sanitizer adds to a process without requests. */
-#define MEMORY_MAX_MB (CROWD_MEMORY_MB + 64)
+#define MEMORY_MAX_MB (scenario_memory_mb + 64)
 #else
-#define MEMORY_MAX_MB CROWD_MEMORY_MB
+#define MEMORY_MAX_MB scenario_memory_mb
 #endif
 #define DESCRIPTORS_MAX 2048
 #define FEW_DESCRIPTORS 128
@@ -361,6 +361,7 @@
 	{"tiny", responses_to_many_fields},
 	{"old", responses_without_chunks},
 	{"many", responses_not_read_by_many},
+	{"thousands", responses_not_read_by_thousands},
 	{"large", responses_not_read_whole},
 	{"ahead", responses_asked_ahead},
 	{"neighbour", responses_of_a_neighbour},
--- a/test/crowd/responses.c
+++ b/test/crowd/responses.c
@@ -16,7 +16,8 @@
 #define CLIENTS 60
 #define MANY 600
 #define WAITING 1200
-#define SLOTS 1300
+#define THOUSANDS 2900 /* below the limit of a listener */
+#define SLOTS 3300
 #define RUN (2 * AP_SEC)   /* below the time limit of the routes */
 #define ASKS 8		   /* ordinary requests in that time */
 #define SLOWLY 4096	   /* bytes that a client reads every 5 ms, */
@@ -169,7 +170,8 @@
 	print_message(
 		"%s, %s, %zu clients: %u MB before, at most %u MB; status %d, %d after that\n",
 		what, crowd.form->name, crowd.n, before, memory, during, after);
-	ok = memory <= crowd_memory_max() && during == 200 && after == 200 && s->findings == 0;
+	ok = memory <= crowd_memory_max() && after == 200 && s->findings == 0 &&
+	     (during == 200 || (crowd.fills && during == 503));
 	kill(upstream, SIGKILL);
 	waitpid(upstream, NULL, 0);
 	scenario_tear_down(&state);
@@ -201,6 +203,20 @@
 	assert_true(check("4 MB that nobody reads", &sized, EVERYWHERE, many));
 }
 
+/* As many as connect; what an instance holds for each of them adds up, whatever is read. */
+void responses_not_read_by_thousands(void **state)
+{
+	crowd_t thousands = clients_of(&one, 0);
+
+	(void)state;
+	scenario_memory_mb = CROWD_SMALLEST_MB;
+	thousands.n = THOUSANDS;
+	thousands.fills = true;
+	assert_true(check("4 MB that nobody reads", &sized, EVERYWHERE, thousands));
+	thousands.fills = false;
+	assert_true(check("nothing", &nothing, EVERYWHERE, thousands));
+}
+
 /* Their requests are held, too, until their responses end. */
 void responses_to_bodies_not_read(void **state)
 {
--- a/test/crowd/upstream.c
+++ b/test/crowd/upstream.c
@@ -11,7 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BACKLOG 512
+#define BACKLOG 4096
 #define HEAD_MAX (128 << 10)
 #define WRITE_BYTES (64 << 10)
 #define STACK_BYTES (256 << 10)
