The times of the configuration's limits bind requests and connections

A part of a head held its bytes and a connection for 10 s, a connection without a request for 60 s, whatever the operator had allowed; and where more than 10 or 60 s are allowed, callers within their limits were refused, or met a close.

The plan has both. A head has its own time, which doesn't bind the body; the whole request keeps 10 s, or the head's time if that is more. While a request arrives these limits alone count, not the idle one; a response that isn't read keeps 60 s. Connections are bound from their next request on.

crowd_times_test, real instances, 600 and 700 ms: no response to a part of a head within 10 s before, 408 now; a connection without a request closes; a body that comes 2 s after its head is served. host_limits_test: values that aren't whole numbers above zero reject the version, as for the sizes.

--- a/adapters/http/http.h
+++ b/adapters/http/http.h
@@ -200,11 +200,24 @@
 
 ap_http_status_t ap_http_server_new(const ap_http_server_config_t *config,
 				    ap_http_server_t **server, ap_err_t *err);
+
 /**
- * ap_http_server_set_limits() - sets the maximum sizes of the head and the body of requests that
- * begin to arrive from now on.
+ * struct ap_http_limits - limits of requests.
+ * @header_bytes: maximum size of the request line and headers together
+ * @body_bytes: maximum size of a request body
+ * @head_time: maximum time from the first byte of a request to the end of its head; 0 for that of
+ *             the whole request
+ * @idle: timeout of a connection without a request; 0 for that of the server's configuration
  */
-void ap_http_server_set_limits(ap_http_server_t *server, size_t header_bytes, size_t body_bytes);
+typedef struct ap_http_limits {
+	size_t header_bytes;
+	size_t body_bytes;
+	ap_usec_t head_time;
+	ap_usec_t idle;
+} ap_http_limits_t;
+
+/** ap_http_server_set_limits() - sets the limits of requests that begin to arrive from now on. */
+void ap_http_server_set_limits(ap_http_server_t *server, const ap_http_limits_t *limits);
 /** ap_http_server_free() - closes all connections; open calls get their closed callback. */
 void ap_http_server_free(ap_http_server_t *server);
 /**
--- a/adapters/http/server-conn.c
+++ b/adapters/http/server-conn.c
@@ -206,6 +206,28 @@
 		conn_drop(conn);
 }
 
+static bool has_head(const server_conn_t *conn)
+{
+	return conn->syntax.place >= AP_HTTP_AT_SIZE || conn->syntax.trailers;
+}
+
+/* Sets the timer to the next limit of the request that arrives. */
+static void limit_arrival(server_conn_t *conn)
+{
+	ap_usec_t at = conn->head_limit && !has_head(conn) ? conn->head_limit : conn->limit;
+	ap_usec_t now = ap_now();
+	struct timeval left = ap_timeval(at > now ? at - now : 0);
+
+	event_add(conn->timer, &left);
+}
+
+/* Whether the limit that has passed was that of a head which has arrived. */
+static bool was_head_limit(const server_conn_t *conn)
+{
+	return conn->arriving && !conn->syntax.malformed && !conn->overfull && has_head(conn) &&
+	       ap_now() < conn->limit;
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	server_conn_t *conn = arg;
@@ -228,6 +250,10 @@
 		check_unread(conn);
 		return;
 	}
+	if (was_head_limit(conn)) {
+		limit_arrival(conn);
+		return;
+	}
 	if (conn->syntax.malformed && !conn->syntax.oversized) {
 		refuse(conn, AP_HTTP_REFUSED_MALFORMED);
 	} else if (conn->syntax.oversized || conn->overfull) {
@@ -247,9 +273,15 @@
 		event_active(conn->timer, EV_TIMEOUT, 0);
 }
 
+static ap_usec_t more(ap_usec_t a, ap_usec_t b)
+{
+	return a > b ? a : b;
+}
+
 static void begin_arrival(server_conn_t *conn)
 {
-	struct timeval limit = ap_timeval(conn->server->config.arrival);
+	const ap_http_server_t *server = conn->server;
+	ap_usec_t now = ap_now();
 
 	conn->arriving = true;
 	conn->arrived = 0;
@@ -260,8 +292,13 @@
 	conn_answers(conn, false);
 	conn->syntax = (ap_http_syntax_t){0};
 	conn_progress(conn);
-	if (conn->server->config.arrival)
-		event_add(conn->timer, &limit);
+	if (!server->config.arrival)
+		return;
+	conn->head_limit = server->head_time ? now + server->head_time : 0;
+	conn->limit = more(now + server->config.arrival, conn->head_limit);
+	/* The timer has the limits from now on. */
+	bufferevent_set_timeouts(conn->bev, NULL, &server->unread);
+	limit_arrival(conn);
 }
 
 /* Bytes of a request that the library may hold at a time: a body of a stated length, or a chunk. */
--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -62,7 +62,7 @@
 
 	if (!call->server->listener)
 		close_after(req);
-	bufferevent_set_timeouts(bev, &call->server->idle, &call->server->idle);
+	bufferevent_set_timeouts(bev, &call->server->idle, &call->server->unread);
 	bufferevent_setwatermark(bev, EV_READ, 0, 0);
 	conn_response_sent(call->conn);
 	flushed(call);
@@ -208,7 +208,7 @@
 	server->stats.without_chunks += !has_http_1_1(req);
 	LIST_INSERT_HEAD(&server->calls, call, link);
 	bev = call_bev(call);
-	bufferevent_set_timeouts(bev, NULL, &server->idle);
+	bufferevent_set_timeouts(bev, NULL, &server->unread);
 	conn->served = conn->syntax.head_bytes +
 		       2 * (conn->syntax.fields * AP_HTTP_FIELD_BYTES +
 			    evbuffer_get_length(evhttp_request_get_input_buffer(req)));
@@ -355,6 +355,7 @@
 		return AP_HTTP_STATUS_NO_MEMORY;
 	server->config = *config;
 	server->idle = ap_timeval(config->idle);
+	server->unread = server->idle;
 	LIST_INIT(&server->calls);
 	LIST_INIT(&server->lingering);
 	list_server(server, true);
@@ -380,10 +381,13 @@
 	return AP_HTTP_STATUS_OK;
 }
 
-void ap_http_server_set_limits(ap_http_server_t *server, size_t header_bytes, size_t body_bytes)
+void ap_http_server_set_limits(ap_http_server_t *server, const ap_http_limits_t *limits)
 {
-	server->config.header_bytes = header_bytes;
-	server->config.body_bytes = body_bytes;
+	server->config.header_bytes = limits->header_bytes;
+	server->config.body_bytes = limits->body_bytes;
+	server->head_time = limits->head_time;
+	server->idle = ap_timeval(limits->idle ? limits->idle : server->config.idle);
+	evhttp_set_timeout_tv(server->http, &server->idle);
 }
 
 void ap_http_server_free(ap_http_server_t *server)
--- a/adapters/http/server.h
+++ b/adapters/http/server.h
@@ -61,6 +61,8 @@
  * @arriving: part of a request has arrived
  * @header_max: limit of its head, as the server's was when it began
  * @body_max: likewise of its body
+ * @head_limit: when its head has to be there; 0 for no limit of its own
+ * @limit: when all of it has to be there
  * @syntax: of the request that arrives
  * @overfull: the library holds more of its request than one may have, such as a line between the
  *            chunks of its body that doesn't end
@@ -84,6 +86,8 @@
 	bool arriving;
 	size_t header_max;
 	size_t body_max;
+	ap_usec_t head_limit;
+	ap_usec_t limit;
 	ap_http_syntax_t syntax;
 	ap_budget_entry_t entry;
 	size_t arrived;
@@ -104,8 +108,10 @@
 	struct evhttp_bound_socket *bound;
 	struct event *accept_retry;
 	struct event *close_listener;
-	ap_usec_t stopped_at; /* when the listener closed */
-	struct timeval idle;
+	ap_usec_t stopped_at;  /* when the listener closed */
+	struct timeval idle;   /* timeout of connections without a request */
+	struct timeval unread; /* timeout of a response that the caller does not read */
+	ap_usec_t head_time;   /* limit of the time of a head; 0 for none */
 	uint16_t port;
 	size_t flushing;
 	size_t held;	      /* bytes of responses that wait until they are complete */
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -96,12 +96,17 @@
 				 "body_bytes", (json_int_t)body, "served", (json_int_t)body_max);
 		body = body_max;
 	}
-	ap_http_server_set_limits(gate->callers, head, body);
+	ap_http_server_set_limits(gate->callers, &(ap_http_limits_t){.header_bytes = head,
+								     .body_bytes = body,
+								     .head_time = limits->head_time,
+								     .idle = limits->idle});
 	/* Instances may forward as an older or a newer version allows. */
 	gate->peer_limits.head = more(gate->peer_limits.head, more(head, HEADER_BYTES));
 	gate->peer_limits.body = more(gate->peer_limits.body, more(body, BODY_BYTES));
-	ap_http_server_set_limits(gate->peers, gate->peer_limits.head + FORWARD_ROOM,
-				  gate->peer_limits.body);
+	ap_http_server_set_limits(
+		gate->peers,
+		&(ap_http_limits_t){.header_bytes = gate->peer_limits.head + FORWARD_ROOM,
+				    .body_bytes = gate->peer_limits.body});
 }
 
 static bool listen_all(gateway_t *gate)
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -88,13 +88,17 @@
 } ap_plan_pool_t;
 
 /**
- * struct ap_plan_limits - what callers may send, in bytes; 0 if not configured.
- * @head: the fields of a head together
- * @body: of a request
+ * struct ap_plan_limits - what callers may send; 0 if not configured.
+ * @head: the fields of a head together, in bytes
+ * @body: of a request, in bytes
+ * @head_time: from the first byte of a request to the end of its head
+ * @idle: of a connection between requests
  */
 typedef struct ap_plan_limits {
 	size_t head;
 	size_t body;
+	ap_usec_t head_time;
+	ap_usec_t idle;
 } ap_plan_limits_t;
 
 /**
--- a/test/crowd/calm.c
+++ b/test/crowd/calm.c
@@ -80,8 +80,12 @@
 	return text;
 }
 
-/* Runs the event loop, on which instances reach the store, until there is a head. */
-static void exchange(soak_t *s, int fd, const char *text, size_t len, char *head, size_t size)
+/*
+ * Runs the event loop, on which instances reach the store, until there is a head.
+ *
+ * Return: whether the connection was closed before.
+ */
+static bool exchange(soak_t *s, int fd, const char *text, size_t len, char *head, size_t size)
 {
 	ap_usec_t until = ap_now() + ANSWER_MAX;
 	size_t sent = 0;
@@ -94,11 +98,12 @@
 		sent += n > 0 ? (size_t)n : 0;
 		n = recv(fd, head + got, size - 1 - got, MSG_DONTWAIT);
 		if (n == 0)
-			break;
+			return true;
 		got += n > 0 ? (size_t)n : 0;
 		head[got] = '\0';
 		scenario_run(s, AP_MSEC);
 	}
+	return false;
 }
 
 /* Return: the status of the response, whose head is copied. */
@@ -238,3 +243,43 @@
 	}
 	assert_true(ok);
 }
+
+/* Return: the status of the response to @text, after which nothing more is sent; 0 for a close. */
+static int status_after(soak_t *s, const char *text)
+{
+	int fd = connect_to(s->instances[0].port);
+	char head[4096];
+	int status = -1;
+
+	if (exchange(s, fd, text, strlen(text), head, sizeof(head)))
+		status = 0;
+	(void)sscanf(head, "HTTP/1.1 %d", &status);
+	print_message("'%.20s': status %d\n", text, status);
+	close(fd);
+	return status;
+}
+
+/* Guards against clients that hold connections and parts of heads for longer than is allowed. */
+void times_of_the_configuration(void **state)
+{
+	static const char head[] = "POST /idem/ HTTP/1.1\r\nHost: soak.example\r\n"
+				   "Request-Id: calm\r\nContent-Length: 2\r\n\r\n";
+	char answer[4096];
+	pid_t upstream;
+	soak_t *s;
+	int fd;
+
+	(void)state;
+	s = set_up(&small, EVERYWHERE, &upstream);
+	publish_limits(s, "{\"headerTimeoutMs\":600,\"idleTimeoutMs\":700}");
+	assert_int_equal(status_after(s, "POST /idem/ HTTP/1.1\r\nHost: so"), 408);
+	assert_int_equal(status_after(s, ""), 0);
+	/* The time of a head doesn't bind its body. */
+	fd = connect_to(s->instances[0].port);
+	assert_int_equal(send(fd, head, strlen(head), MSG_NOSIGNAL), strlen(head));
+	scenario_run(s, 2 * AP_SEC);
+	exchange(s, fd, "ab", 2, answer, sizeof(answer));
+	close(fd);
+	assert_non_null(strstr(answer, "HTTP/1.1 200"));
+	tear_down(s, upstream);
+}
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -99,5 +99,6 @@
 void bodies_in_small_chunks(void **state);
 void responses_with_many_fields(void **state);
 void limits_of_the_configuration(void **state);
+void times_of_the_configuration(void **state);
 
 #endif
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -372,6 +372,7 @@
 	{"framing", bodies_in_small_chunks},
 	{"stamped", responses_with_many_fields},
 	{"limits", limits_of_the_configuration},
+	{"times", times_of_the_configuration},
 };
 
 int main(int argc, char **argv)
--- a/test/host_limits_test.c
+++ b/test/host_limits_test.c
@@ -30,8 +30,9 @@
 static void test_limits_of_requests(void **state)
 {
 	static const char *const invalid[] = {
-		",\"limits\":{\"maxBodyBytes\":0}", ",\"limits\":{\"maxBodyBytes\":-1}",
-		",\"limits\":{\"maxBodyBytes\":\"9\"}", ",\"limits\":{\"maxHeaderBytes\":null}"};
+		",\"limits\":{\"maxBodyBytes\":0}",	",\"limits\":{\"maxBodyBytes\":-1}",
+		",\"limits\":{\"maxBodyBytes\":\"9\"}", ",\"limits\":{\"maxHeaderBytes\":null}",
+		",\"limits\":{\"headerTimeoutMs\":0}",	",\"limits\":{\"idleTimeoutMs\":\"s\"}"};
 	ap_plan_limits_t read = {0};
 
 	(void)state;
@@ -39,6 +40,13 @@
 			 AP_HOST_OK);
 	assert_int_equal(read.body, 9);
 	assert_int_equal(read.head, 8);
+	assert_int_equal(read.head_time + read.idle, 0);
+	assert_int_equal(limits_of(",\"limits\":{\"headerTimeoutMs\":3000,"
+				   "\"idleTimeoutMs\":15000}",
+				   &read),
+			 AP_HOST_OK);
+	assert_int_equal(read.head_time, 3 * AP_SEC);
+	assert_int_equal(read.idle, 15 * AP_SEC);
 	assert_int_equal(limits_of("", &read), AP_HOST_OK);
 	assert_int_equal(read.body + read.head, 0);
 	for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++)
