server: a response doesn't give way for the bytes of its request

Seen: with the budget full, a response of two bytes to a request of 400,000 was cut before it was sent, though its caller was there: a connection that closes without an answer.

Cause: a response gives way at once if it is large, and what counts as its size holds the request and a copy of it, which nobody needs once the response is complete.

The body of the request is freed as the response ends. So memory is freed without a loss, and what is left of a small response isn't large. http_budget_test: closed without a byte before; the response arrives now.

--- a/adapters/http/server.c
+++ b/adapters/http/server.c
@@ -79,6 +79,7 @@
 		event_del(call->hangup);
 	conn_answers(call->conn, true);
 	conn_may_give_way(call->conn, true);
+	ap_http_call_drop_body(call);
 	evhttp_request_set_on_complete_cb(call->req, on_complete, call);
 }
 
--- a/test/http_budget_test.c
+++ b/test/http_budget_test.c
@@ -8,6 +8,7 @@
 #define CLIENTS 24
 #define PART (60 << 10) /* what a client sends of its body; together more than the budget */
 #define BODY_MAX (4 << 20)
+#define LARGE_BODY 400000
 
 #define POST "POST / HTTP/1.1\r\nHost: h\r\n"
 
@@ -80,11 +81,43 @@
 	assert_int_equal(ap_http_budget_stats(r->budget).used, 0);
 }
 
+/*
+ * Guards against a response that is cut as it was just written, for the bytes of its request, which
+ * nobody needs any more.
+ */
+static void responses_to_large_requests_are_sent(void **state)
+{
+	static char body[LARGE_BODY];
+	rig_t *r = *state;
+	uint16_t port = ap_http_server_port(r->server);
+	struct bufferevent *large =
+		start_connect(r->seen.base, port, POST "Content-Length: 400000\r\n\r\n");
+	struct bufferevent *other;
+	struct evbuffer *in = bufferevent_get_input(large);
+	ap_http_call_t *call;
+	short what = 0;
+
+	bufferevent_setcb(large, NULL, NULL, on_end_of, &what);
+	bufferevent_write(large, body, sizeof(body));
+	RUN_UNTIL(r->seen.base, r->seen.requests == 1);
+	call = r->seen.call;
+	other = start_connect(r->seen.base, port, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	RUN_UNTIL(r->seen.base, r->seen.requests == 2);
+	ap_http_reply(call, 200, NULL, 0, "ok", 2);
+	ap_http_call_hold(r->seen.call, LIMIT / 2);
+	RUN_UNTIL(r->seen.base, (what & BEV_EVENT_EOF) || evbuffer_get_length(in) > 0);
+	assert_true(evbuffer_get_length(in) > 0);
+	bufferevent_free(large);
+	bufferevent_free(other);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(requests_whose_clients_have_left_hold_nothing,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(responses_to_large_requests_are_sent, set_up,
+						tear_down),
 	};
 
 	alarm(60);
