client: a refusal that comes before the request is written is read

Seen: crowd_tiny_test, whose ordinary request of 4 MB was refused for want of memory, has status 0, not 503. An instance that forwards a large body to one that refuses it meets the same, and so tells its caller 502, which promises nothing, where "not run" was said.

Cause: a server that refuses a request closes its own direction behind the response and reads on for a while. The library's client takes a close for a failure as long as it writes, and drops the response.

Once bytes of a response arrive before all is written, the connection isn't read until the request is; the library reads again then. If the server doesn't read on but resets, the write fails as before.

--- a/adapters/http/client.c
+++ b/adapters/http/client.c
@@ -60,9 +60,16 @@
 static void on_input(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
 {
 	conn_t *conn = arg;
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn->evcon);
 
 	if (!conn->fetch || info->n_added == 0)
 		return;
+	/*
+	 * A response that begins before its request is written may be followed by a close, which
+	 * the library would take for a failure. It reads again once all is written.
+	 */
+	if (evbuffer_get_length(bufferevent_get_output(bev)) > 0)
+		bufferevent_disable(bev, EV_READ);
 	ap_http_syntax_read(&conn->syntax, buf, info->n_added);
 	if (evbuffer_get_length(buf) > UNPARSED_MAX || ap_http_line_too_long(conn->fetch->req, buf))
 		conn->syntax.malformed = true;
--- a/test/http_budget_test.c
+++ b/test/http_budget_test.c
@@ -111,11 +111,69 @@
 	bufferevent_free(other);
 }
 
+typedef struct answer {
+	int status;
+	ap_http_end_t end;
+	bool ended;
+} answer_t;
+
+static void on_answer_head(void *ctx, const ap_http_head_t *head)
+{
+	((answer_t *)ctx)->status = head->status;
+}
+
+static void on_answer_end(void *ctx, ap_http_end_t end, bool written)
+{
+	answer_t *a = ctx;
+
+	(void)written;
+	a->end = end;
+	a->ended = true;
+}
+
+/*
+ * Guards against a refusal that is lost, as a client that still sends its body takes the close for
+ * a broken connection. Instances are such clients of each other.
+ */
+static void refusals_reach_clients_that_still_send(void **state)
+{
+	rig_t *r = *state;
+	ap_http_client_t *client = ap_http_client_new(r->seen.base);
+	answer_t a = {0};
+	char *body = calloc(1, BODY_MAX);
+	ap_http_fetch_config_t config = {
+		.host = "127.0.0.1",
+		.port = ap_http_server_port(r->server),
+		.method = EVHTTP_REQ_POST,
+		.target = "/",
+		.body = body,
+		.len = BODY_MAX,
+		.no_probe = true,
+		.first_byte = 5 * AP_SEC,
+		.between_chunks = 5 * AP_SEC,
+		.response_max = 1 << 20,
+		.ctx = &a,
+		.head = on_answer_head,
+		.end = on_answer_end,
+	};
+
+	assert_non_null(body);
+	assert_non_null(ap_http_fetch(client, &config));
+	RUN_UNTIL(r->seen.base, a.ended);
+	assert_int_equal(a.end, AP_HTTP_COMPLETE);
+	assert_int_equal(a.status, 503);
+	assert_int_equal(r->seen.requests, 0);
+	ap_http_client_free(client);
+	free(body);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(requests_whose_clients_have_left_hold_nothing,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(refusals_reach_clients_that_still_send, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(responses_to_large_requests_are_sent, set_up,
 						tear_down),
 	};
