Tests: strangers who connect again, and chunks with extensions; both red

A single chunk with an extension gets 413.

crowd/main.c and clients.c: check() is split, ports are computed in one place; the other cases, their crowds and bounds are as they were.

--- a/test/crowd/calm.c
+++ b/test/crowd/calm.c
@@ -27,6 +27,7 @@
 	LENGTH,
 	CHUNKED,
 	ONE_BYTE, /* chunks of one byte */
+	EXTENDED, /* one chunk with an extension, which nobody has to know */
 } framing_t;
 
 /* A request with a head of @head bytes and a body of @body bytes. */
@@ -68,11 +69,12 @@
 	while (n + strlen(FIELD) + strlen("\r\n") <= asked->head)
 		n += (size_t)sprintf(text + n, FIELD);
 	n += (size_t)sprintf(text + n, "\r\n");
-	if (asked->framing == CHUNKED)
-		n += (size_t)sprintf(text + n, "%zx\r\n", asked->body);
+	if (asked->framing == CHUNKED || asked->framing == EXTENDED)
+		n += (size_t)sprintf(text + n, "%zx%s\r\n", asked->body,
+				     asked->framing == EXTENDED ? ";name=value" : "");
 	for (size_t i = 0; i < asked->body * unit; i++)
 		text[n++] = unit > 1 ? SMALL_CHUNK[i % unit] : 'b';
-	if (asked->framing == CHUNKED)
+	if (asked->framing == CHUNKED || asked->framing == EXTENDED)
 		n += (size_t)sprintf(text + n, "\r\n0\r\n\r\n");
 	else if (asked->framing == ONE_BYTE)
 		n += (size_t)sprintf(text + n, "0\r\n\r\n");
@@ -186,6 +188,20 @@
 	assert_true(ok);
 }
 
+/* RFC 9112, 7.1.1: a recipient ignores extensions that it doesn't know. */
+void chunks_with_extensions(void **state)
+{
+	soak_t *s;
+	pid_t upstream;
+	bool ok;
+
+	(void)state;
+	s = set_up(&small, EVERYWHERE, &upstream);
+	ok = check(s, &(asked_t){300, EXTENDED, 1000}, 200);
+	tear_down(s, upstream);
+	assert_true(ok);
+}
+
 /* Guards against a response that lacks what shows whose it is, as that came last. */
 void responses_with_many_fields(void **state)
 {
--- a/test/crowd/clients.c
+++ b/test/crowd/clients.c
@@ -83,6 +83,29 @@
 		(void)!recv(clients[i].fd, bytes, len < READ_MAX ? len : READ_MAX, MSG_DONTWAIT);
 }
 
+static bool is_closed(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+
+	return n == 0 || (n < 0 && errno != EAGAIN);
+}
+
+static uint16_t port_of(const crowd_t *crowd, size_t i)
+{
+	return (uint16_t)(crowd->first_port + crowd->from + i % (crowd->to - crowd->from + 1));
+}
+
+static void open_again(client_t *clients, const crowd_t *crowd)
+{
+	for (size_t i = 0; crowd->again && i < crowd->n; i++) {
+		if (!is_closed(clients[i].fd))
+			continue;
+		close(clients[i].fd);
+		clients[i].fd = connect_to(port_of(crowd, i), crowd->window);
+	}
+}
+
 static void run_crowd(const crowd_t *crowd, int done)
 {
 	const form_t *form = crowd->form;
@@ -99,10 +122,8 @@
 		pattern[i] = form->repeat[i % unit];
 	for (size_t i = 0; i < crowd->n; i++) {
 		client_t *c = &clients[i];
-		unsigned listeners = crowd->to - crowd->from + 1;
 
-		c->fd = connect_to((uint16_t)(crowd->first_port + crowd->from + i % listeners),
-				   crowd->window);
+		c->fd = connect_to(port_of(crowd, i), crowd->window);
 		c->text_len = (size_t)snprintf(c->text, sizeof(c->text), form->head, (unsigned)i);
 		c->head = c->text_len;
 		c->left = unit * form->times;
@@ -127,6 +148,7 @@
 		_exit(EXIT_FAILURE);
 	for (;;) {
 		read_all(clients, crowd);
+		open_again(clients, crowd);
 		poll(NULL, 0, READ_EVERY_MS);
 	}
 }
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -27,6 +27,7 @@
  * @in_turn: each client has sent all before the next one begins
  * @window: the kernel holds little of what the instance sends
  * @reads: bytes that a client reads every 5 ms; 0: it reads nothing
+ * @again: a client whose connection was closed opens another one
  * @fills: an instance may refuse other requests meanwhile
  */
 typedef struct crowd {
@@ -38,6 +39,7 @@
 	bool in_turn;
 	bool window;
 	size_t reads;
+	bool again;
 	bool fills;
 } crowd_t;
 
@@ -97,6 +99,7 @@
 /* calm.c */
 void requests_with_many_fields(void **state);
 void bodies_in_small_chunks(void **state);
+void chunks_with_extensions(void **state);
 void responses_with_many_fields(void **state);
 void limits_of_the_configuration(void **state);
 void times_of_the_configuration(void **state);
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -22,6 +22,7 @@
 #endif
 #define DESCRIPTORS_MAX 2048
 #define FEW_DESCRIPTORS 128
+#define FREE_DESCRIPTORS 16 /* for callers and upstreams, whatever strangers hold */
 #define CROWD_MAX 1200
 #define CHUNK_BYTES 16384
 #define BODY_CHUNKS 255 /* 4,177,920 bytes: 16 KB less than the largest body */
@@ -192,13 +193,14 @@
 /*
  * The instances have been started for this form alone: the peak of memory is that of a process.
  */
-static bool check(const form_t *form, size_t n, unsigned from, unsigned to)
+static bool check_crowd(crowd_t crowd)
 {
+	const form_t *form = crowd.form;
 	void *state = NULL;
-	crowd_t crowd = {.form = form, .n = n, .from = from, .to = to};
 	unsigned bound = scenario_descriptors ? scenario_descriptors : DESCRIPTORS_MAX;
 	unsigned memory;
 	unsigned files;
+	unsigned held;
 	bool ok;
 	int during;
 	int after;
@@ -210,10 +212,11 @@
 	s = state;
 	crowd.first_port = s->instances[0].port;
 	memory = crowd_peak_mb(s->instances[0].pid);
-	print_message("%s, %zu clients at listeners %u to %u: %u MB before,", form->name, n, from,
-		      to, memory);
+	print_message("%s, %zu clients at listeners %u to %u: %u MB before,", form->name, crowd.n,
+		      crowd.from, crowd.to, memory);
 	pid = crowd_start(&crowd, &done);
 	crowd_await(s, done);
+	held = descriptors(s->instances[0].pid);
 	during = crowd_ask(s, 4);
 	files = descriptors(s->instances[0].pid);
 	memory = crowd_peak_mb(s->instances[0].pid);
@@ -221,14 +224,20 @@
 	waitpid(pid, NULL, 0);
 	scenario_run(s, CROWD_HOLD);
 	after = crowd_ask(s, CROWD_LARGE_BODY);
-	print_message(" at most %u MB, %u descriptors; status %d, %d after that\n", memory, files,
-		      during, after);
+	print_message(" at most %u MB, %u and %u descriptors; status %d, %d after that\n", memory,
+		      held, files, during, after);
 	ok = s->instances[0].pid > 0 && memory > 0 && memory <= MEMORY_MAX_MB && files > 0 &&
-	     files <= bound && during == 200 && after == 200 && s->findings == 0;
+	     files <= bound && (!crowd.again || held + FREE_DESCRIPTORS <= bound) &&
+	     during == 200 && after == 200 && s->findings == 0;
 	scenario_tear_down(&state);
 	return ok;
 }
 
+static bool check(const form_t *form, size_t n, unsigned from, unsigned to)
+{
+	return check_crowd((crowd_t){.form = form, .n = n, .from = from, .to = to});
+}
+
 /* Guards against LOST: the process ends with the requests of all its callers. */
 static void bodies_that_stop_short(void **state)
 {
@@ -329,6 +338,18 @@
 	assert_true(ok);
 }
 
+/* The same by strangers who come again as soon as they are turned away. */
+static void connections_for_messages_again(void **state)
+{
+	crowd_t again = {.form = &silent, .n = 150, .from = PORT_MESSAGES, .to = PORT_MESSAGES};
+
+	(void)state;
+	again.again = true;
+	scenario_descriptors = FEW_DESCRIPTORS;
+	assert_true(check_crowd(again));
+	scenario_descriptors = 0;
+}
+
 /* Memory of what a stranger sends there. */
 static void messages_of_strangers(void **state)
 {
@@ -355,6 +376,7 @@
 	{"unread", responses_not_read},
 	{"connections", connections_without_requests},
 	{"messages", connections_for_messages},
+	{"again", connections_for_messages_again},
 	{"strangers", messages_of_strangers},
 	{"waiting", responses_that_many_wait_for},
 	{"posted", responses_to_bodies_not_read},
@@ -369,6 +391,7 @@
 	{"endless", responses_without_end},
 	{"short", responses_that_stop_short},
 	{"fields", requests_with_many_fields},
+	{"extensions", chunks_with_extensions},
 	{"framing", bodies_in_small_chunks},
 	{"stamped", responses_with_many_fields},
 	{"limits", limits_of_the_configuration},
