skewed_series: dozens of instances in three regions, data centres with relays, herds of faults

It begins with upstreams of the first version now, and calm for as long as wanted; releases go on in each home region; in a herd three in ten instances stand still or are cut off, and four in ten of all are killed 0.1 s before those are back. Instances of another program can be among them.

--- a/test/skewed/series.c
+++ b/test/skewed/series.c
@@ -12,16 +12,26 @@
 #include <string.h>
 
 #define POOL "engines"
-#define REGION 0
 #define VERSIONS 2
-#define BOTH 3			     /* bits of the versions */
-#define UPSTREAMS 2		     /* of a version, while the pool has it */
-#define SETTLE_TIME (1500 * AP_MSEC) /* in which instances read of the upstreams */
-#define END_TIME (4 * AP_SEC)	     /* in which the callers end */
-#define CALM_TIME (5 * AP_SEC)	     /* after which an instance is undisturbed */
+#define BOTH 3		       /* bits of the versions */
+#define UPSTREAMS 2	       /* of a version, while the pool has it */
+#define END_TIME (4 * AP_SEC)  /* in which the callers end */
+#define CALM_TIME (5 * AP_SEC) /* after which an instance is undisturbed */
 #define SERVED_TIME (500 * AP_MSEC)
 #define REFUSED_TIME (600 * AP_MSEC)
-#define TRACKS 2 /* of faults of an instance, beside each other */
+#define OUT_SHARE 0.3		      /* of the instances, in a herd */
+#define KILLED_SHARE 0.4	      /* likewise */
+#define KILLED_BEFORE (100 * AP_MSEC) /* the others go on */
+#define KILLED_TIME (500 * AP_MSEC)
+
+/* Faults of an instance, beside each other. */
+typedef enum track_kind {
+	TRACK_LINKS,
+	TRACK_PROCESS,
+	TRACK_HERD_OUT, /* with others at the same moment, as the next one */
+	TRACK_HERD_KILLED,
+	TRACKS,
+} track_kind_t;
 
 typedef enum fault {
 	FAULT_CUT_OFF,
@@ -32,11 +42,11 @@
 	FAULTS,
 } fault_t;
 
-/* Faults of one instance, one after the other: of its links, or of its process. */
+/* Faults of one instance, one after the other. */
 typedef struct track {
 	ap_rng_t rng;
-	bool process;
-	ap_usec_t at; /* when the next one begins, or this one ends */
+	ap_usec_t at;	 /* when the next one begins, or this one ends */
+	ap_usec_t lasts; /* the next one of a herd */
 	bool on;
 	fault_t fault;
 } track_t;
@@ -63,16 +73,25 @@
 	caller_t *rest;
 } stream_t;
 
+/* Releases in one region, one after the other. */
+typedef struct release {
+	ap_rng_t rng;
+	unsigned region;
+	ap_usec_t at;
+	ap_usec_t drain_at; /* of the upstreams that @kept doesn't name */
+	ap_usec_t drain_time;
+	unsigned kept; /* bit of each version that the pool has */
+} release_t;
+
 typedef struct series {
 	soak_t *s;
-	ap_rng_t releases;
+	release_t releases[REGIONS_MAX];
 	ap_rng_t arrivals;
-	gate_t gates[SCENARIO_INSTANCES];
-	ap_usec_t release_at;
-	ap_usec_t drain_at; /* of the upstreams that @kept doesn't name */
-	ap_usec_t drain_time;
+	ap_rng_t herds;
+	gate_t gates[SOAK_INSTANCES_MAX];
 	ap_usec_t arrival_at;
-	unsigned kept; /* bit of each version that the pool has */
+	ap_usec_t herd_at;
+	unsigned n_herds;
 	LIST_HEAD(, stream) streams;
 	unsigned faults[FAULTS];
 	unsigned begun;
@@ -89,7 +108,10 @@
 static const char *const versions[VERSIONS] = {"v1", "v2"};
 static uint64_t seed = 1;
 static ap_usec_t run_time = 20 * AP_SEC;
-static bool may_be_late; /* refusals are counted only */
+static bool may_be_late;		     /* refusals are counted only */
+static ap_usec_t calm_time = 1500 * AP_MSEC; /* before the first fault */
+static bool has_herds;
+static unsigned rate = 1; /* factor on the callers' */
 
 static ap_usec_t draw(ap_rng_t *rng, unsigned from_ms, unsigned to_ms)
 {
@@ -116,31 +138,39 @@
 	default:
 		if (on)
 			instance_signal(inst, SIGKILL);
-		else
+		else if (inst->pid <= 0)
 			instance_start(inst);
 		break;
 	}
 }
 
-static void begin_fault(series_t *e, instance_t *inst, track_t *t)
+static void begin_fault(series_t *e, instance_t *inst, track_t *t, track_kind_t kind)
 {
-	uint64_t kind = ap_rng_below(&t->rng, 6);
+	uint64_t n = kind <= TRACK_PROCESS ? ap_rng_below(&t->rng, 6) : 0;
 
-	if (t->process)
-		t->fault = kind < 3 ? FAULT_STOPPED : FAULT_KILLED;
-	else
-		t->fault = (fault_t)(kind / 2);
+	if (kind == TRACK_PROCESS)
+		t->fault = n < 3 ? FAULT_STOPPED : FAULT_KILLED;
+	else if (kind == TRACK_LINKS)
+		t->fault = (fault_t)(n / 2);
 	set_fault(inst, t->fault, true);
 	t->on = true;
-	t->at += t->process ? draw(&t->rng, 300, 3000) : draw(&t->rng, 2000, 8000);
+	if (kind == TRACK_PROCESS)
+		t->at += draw(&t->rng, 300, 3000);
+	else
+		t->at += kind == TRACK_LINKS ? draw(&t->rng, 2000, 8000) : t->lasts;
 	e->faults[t->fault]++;
 }
 
-static void end_fault(instance_t *inst, track_t *t)
+static void end_fault(instance_t *inst, track_t *t, track_kind_t kind)
 {
 	set_fault(inst, t->fault, false);
 	t->on = false;
-	t->at += t->process ? draw(&t->rng, 2000, 18000) : draw(&t->rng, 1000, 8000);
+	if (kind > TRACK_PROCESS)
+		t->at = AP_NEVER;
+	else if (kind == TRACK_PROCESS)
+		t->at += draw(&t->rng, 2000, 18000);
+	else
+		t->at += draw(&t->rng, 1000, 8000);
 }
 
 static void turn_gate(series_t *e, size_t i, ap_usec_t now)
@@ -153,9 +183,9 @@
 		bool was_on = t->on;
 
 		if (now >= t->at && t->on)
-			end_fault(inst, t);
+			end_fault(inst, t, (track_kind_t)k);
 		else if (now >= t->at)
-			begin_fault(e, inst, t);
+			begin_fault(e, inst, t, (track_kind_t)k);
 		if (!was_on && !t->on)
 			continue;
 		inst->last_disturbed = now;
@@ -166,22 +196,58 @@
 	}
 }
 
-static bool is_of(const replica_t *r, const char *version)
+/*
+ * Some instances stand still or are cut off, and some of all are killed a moment before those are
+ * back.
+ */
+static void begin_herd(series_t *e)
+{
+	fault_t fault = ap_rng_below(&e->herds, 2) ? FAULT_STOPPED : FAULT_CUT_OFF;
+	ap_usec_t lasts = draw(&e->herds, 2000, 7000);
+
+	for (size_t i = 0; i < e->s->n_instances; i++) {
+		track_t *out = &e->gates[i].tracks[TRACK_HERD_OUT];
+		track_t *killed = &e->gates[i].tracks[TRACK_HERD_KILLED];
+
+		if (ap_rng_unit(&e->herds) < OUT_SHARE) {
+			out->fault = fault;
+			out->at = e->herd_at;
+			out->lasts = lasts;
+		}
+		if (ap_rng_unit(&e->herds) < KILLED_SHARE) {
+			killed->at = e->herd_at + lasts - KILLED_BEFORE;
+			killed->lasts = KILLED_TIME;
+		}
+	}
+	e->herd_at += lasts + draw(&e->herds, 4000, 12000);
+	e->n_herds++;
+}
+
+static bool is_of(const replica_t *r, unsigned region, const char *version)
 {
-	return r->server && !r->draining && r->region == REGION && strcmp(r->pool, POOL) == 0 &&
+	return r->server && !r->draining && r->region == region && strcmp(r->pool, POOL) == 0 &&
 	       r->version && strcmp(r->version, version) == 0;
 }
 
-static bool has_upstream(const soak_t *s, const char *version)
+static bool region_has(const soak_t *s, unsigned region, const char *version)
 {
 	for (size_t i = 0; i < s->n_replicas; i++) {
-		if (is_of(&s->replicas[i], version))
+		if (is_of(&s->replicas[i], region, version))
 			return true;
 	}
 	return false;
 }
 
-static void start_upstreams(soak_t *s, const char *version)
+static bool has_upstream(const soak_t *s, const char *version)
+{
+	for (unsigned region = 0; region < soak_n_homes(s); region++) {
+		if (region_has(s, region, version))
+			return true;
+	}
+	return false;
+}
+
+static void start_upstreams(soak_t *s, unsigned region, const char *version)
 {
 	s->release = version;
 	for (size_t n = 0; n < UPSTREAMS; n++) {
@@ -191,7 +257,7 @@
 			i++;
 		assert_true(i < REPLICAS_MAX);
 		s->n_replicas += i == s->n_replicas;
-		replica_start(s, i, POOL, REGION);
+		replica_start(s, i, POOL, region);
 	}
 }
 
@@ -204,18 +270,30 @@
 	store_remove(s->store, key);
 }
 
-static void begin_release(series_t *e)
+static void begin_release(soak_t *s, release_t *r)
 {
-	unsigned one = 1U << ap_rng_below(&e->releases, VERSIONS);
+	unsigned one = 1U << ap_rng_below(&r->rng, VERSIONS);
 
 	/* Both versions by turns with one: one that has been alone for a while is what misleads. */
-	e->kept = e->kept == BOTH ? one : BOTH;
-	e->drain_at = e->release_at + draw(&e->releases, 300, 1500);
-	e->drain_time = draw(&e->releases, 500, 2500);
-	e->release_at += draw(&e->releases, 2000, 5000);
+	r->kept = r->kept == BOTH ? one : BOTH;
+	r->drain_at = r->at + draw(&r->rng, 300, 1500);
+	r->drain_time = draw(&r->rng, 500, 2500);
+	r->at += draw(&r->rng, 2000, 5000);
 	for (size_t v = 0; v < VERSIONS; v++) {
-		if (e->kept & 1U << v && !has_upstream(e->s, versions[v]))
-			start_upstreams(e->s, versions[v]);
+		if (r->kept & 1U << v && !region_has(s, r->region, versions[v]))
+			start_upstreams(s, r->region, versions[v]);
+	}
+}
+
+static void turn_release(soak_t *s, release_t *r, ap_usec_t now)
+{
+	if (now >= r->at)
+		begin_release(s, r);
+	for (size_t i = 0; i < s->n_replicas; i++) {
+		for (size_t v = 0; v < VERSIONS && now >= r->drain_at; v++) {
+			if (!(r->kept & 1U << v) && is_of(&s->replicas[i], r->region, versions[v]))
+				replica_drain(s, i, now + r->drain_time);
+		}
 	}
 }
 
@@ -223,13 +301,9 @@
 {
 	soak_t *s = e->s;
 
-	if (now >= e->release_at)
-		begin_release(e);
+	for (unsigned region = 0; region < soak_n_homes(s); region++)
+		turn_release(s, &e->releases[region], now);
 	for (size_t i = 0; i < s->n_replicas; i++) {
-		for (size_t v = 0; v < VERSIONS && now >= e->drain_at; v++) {
-			if (!(e->kept & 1U << v) && is_of(&s->replicas[i], versions[v]))
-				replica_drain(s, i, now + e->drain_time);
-		}
 		if (s->replicas[i].server && s->replicas[i].draining &&
 		    now >= s->replicas[i].ends_at)
 			remove_upstream(s, i);
@@ -256,9 +330,9 @@
 	stream_t *t = calloc(1, sizeof(*t));
 
 	assert_non_null(t);
-	t->at = ap_rng_below(&e->arrivals, SCENARIO_INSTANCES);
-	t->then = (t->at + 1 + ap_rng_below(&e->arrivals, SCENARIO_INSTANCES - 1)) %
-		  SCENARIO_INSTANCES;
+	t->at = ap_rng_below(&e->arrivals, e->s->n_instances);
+	t->then =
+		(t->at + 1 + ap_rng_below(&e->arrivals, e->s->n_instances - 1)) % e->s->n_instances;
 	t->leave_at = 1 + (unsigned)ap_rng_below(&e->arrivals, 4);
 	t->delay = draw(&e->arrivals, 0, 500);
 	t->begun = caller_ask(e->s, &e->s->instances[t->at], NULL);
@@ -382,42 +456,49 @@
 {
 	printf("seed %llu: %u begun, %u taken up, %u refused, %u failed; of %u due %u go on, %u "
 	       "refused; %u ran wrong, %u refused late; cut off %u, turned away %u, silently %u, "
-	       "stopped %u, killed %u; %u findings\n",
+	       "stopped %u, killed %u, herds %u; %u findings\n",
 	       (unsigned long long)seed, e->begun, e->taken_up, e->refused, e->failed, e->due,
 	       e->due_served, e->due_refused, e->ran_wrong, e->late, e->faults[FAULT_CUT_OFF],
 	       e->faults[FAULT_TURNED_AWAY], e->faults[FAULT_TURNED_AWAY_SILENTLY],
-	       e->faults[FAULT_STOPPED], e->faults[FAULT_KILLED], e->s->findings);
+	       e->faults[FAULT_STOPPED], e->faults[FAULT_KILLED], e->n_herds, e->s->findings);
 	if (e->s->findings > 0)
 		printf("logs are in %s\n", e->s->dir);
 }
 
-/* The pool has upstreams of the first version only, in one region. */
+static void begin_track(track_t *t, track_kind_t kind, size_t instance, ap_usec_t now)
+{
+	if (kind > TRACK_PROCESS) {
+		t->at = AP_NEVER;
+		t->fault = FAULT_KILLED;
+		return;
+	}
+	ap_rng_seed(&t->rng, seed + 2000 * (1 + kind + 2 * instance));
+	t->at = now + draw(&t->rng, 500, kind == TRACK_PROCESS ? 14000 : 8000);
+}
+
+/* The pool has upstreams of the first version only. */
 static void begin_series(series_t *e, soak_t *s)
 {
 	ap_usec_t now;
 
-	*e = (series_t){.s = s, .kept = 1, .drain_at = AP_NEVER};
-	start_upstreams(s, versions[0]);
-	for (size_t i = 0; i < s->n_replicas; i++) {
-		if (s->replicas[i].server && !s->replicas[i].version &&
-		    strcmp(s->replicas[i].pool, POOL) == 0)
-			remove_upstream(s, i);
-	}
-	scenario_run(s, SETTLE_TIME);
+	*e = (series_t){.s = s};
+	scenario_run(s, calm_time);
 	now = ap_now();
 	s->start = now;
-	ap_rng_seed(&e->releases, seed);
+	for (unsigned region = 0; region < soak_n_homes(s); region++) {
+		release_t *r = &e->releases[region];
+
+		*r = (release_t){.region = region, .kept = 1, .drain_at = AP_NEVER};
+		ap_rng_seed(&r->rng, seed + 500 * region);
+		r->at = now + draw(&r->rng, 1000, 3000);
+	}
 	ap_rng_seed(&e->arrivals, seed + 1000);
-	e->release_at = now + draw(&e->releases, 1000, 3000);
 	e->arrival_at = now;
-	for (size_t i = 0; i < SCENARIO_INSTANCES; i++) {
-		for (size_t k = 0; k < TRACKS; k++) {
-			track_t *t = &e->gates[i].tracks[k];
-
-			ap_rng_seed(&t->rng, seed + 2000 * (1 + k + TRACKS * i));
-			t->process = k > 0;
-			t->at = now + draw(&t->rng, 500, t->process ? 14000 : 8000);
-		}
+	ap_rng_seed(&e->herds, seed + 1500);
+	e->herd_at = has_herds ? now + draw(&e->herds, 200, 2000) : AP_NEVER;
+	for (size_t i = 0; i < s->n_instances; i++) {
+		for (size_t k = 0; k < TRACKS; k++)
+			begin_track(&e->gates[i].tracks[k], (track_kind_t)k, i, now);
 	}
 }
 
@@ -425,11 +506,13 @@
 {
 	ap_usec_t now = ap_now();
 
-	for (size_t i = 0; i < SCENARIO_INSTANCES && !ends; i++)
+	if (!ends && now >= e->herd_at)
+		begin_herd(e);
+	for (size_t i = 0; i < e->s->n_instances && !ends; i++)
 		turn_gate(e, i, now);
 	if (!ends)
 		turn_upstreams(e, now);
-	for (; !ends && now >= e->arrival_at; e->arrival_at += draw(&e->arrivals, 50, 150))
+	for (; !ends && now >= e->arrival_at; e->arrival_at += draw(&e->arrivals, 50, 150) / rate)
 		begin_stream(e);
 	for (stream_t *t = LIST_FIRST(&e->streams); t; t = LIST_NEXT(t, link))
 		turn_stream(e, t, now);
@@ -444,11 +527,11 @@
 	begin_series(&e, *state);
 	while (ap_now() < e.s->start + run_time)
 		turn(&e, false);
-	for (size_t i = 0; i < SCENARIO_INSTANCES * TRACKS; i++) {
+	for (size_t i = 0; i < e.s->n_instances * TRACKS; i++) {
 		track_t *t = &e.gates[i / TRACKS].tracks[i % TRACKS];
 
 		if (t->on)
-			end_fault(&e.s->instances[i / TRACKS], t);
+			end_fault(&e.s->instances[i / TRACKS], t, (track_kind_t)(i % TRACKS));
 	}
 	while (ap_now() < e.s->start + run_time + END_TIME)
 		turn(&e, true);
@@ -465,7 +548,16 @@
 {
 	const struct option options[] = {{"seed", required_argument, NULL, 's'},
 					 {"seconds", required_argument, NULL, 't'},
+					 {"calm", required_argument, NULL, 'c'},
 					 {"late", no_argument, NULL, 'l'},
+					 {"herds", no_argument, NULL, 'h'},
+					 {"instances", required_argument, NULL, 'i'},
+					 {"regions", required_argument, NULL, 'r'},
+					 {"data-centres", required_argument, NULL, 'd'},
+					 {"homes", required_argument, NULL, 'o'},
+					 {"rate", required_argument, NULL, 'a'},
+					 {"older", required_argument, NULL, 'p'},
+					 {"older-step", required_argument, NULL, 'q'},
 					 {0}};
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(streams_go_on_at_their_build_or_are_refused,
@@ -478,11 +570,30 @@
 			seed = strtoull(optarg, NULL, 10);
 		else if (option == 't')
 			run_time = atoi(optarg) * AP_SEC;
+		else if (option == 'c')
+			calm_time = atoi(optarg) * AP_SEC;
 		else if (option == 'l')
 			may_be_late = true;
+		else if (option == 'h')
+			has_herds = true;
+		else if (option == 'i')
+			scenario_instances = strtoul(optarg, NULL, 10);
+		else if (option == 'r')
+			scenario_regions = (unsigned)strtoul(optarg, NULL, 10);
+		else if (option == 'd')
+			scenario_data_centres = (unsigned)strtoul(optarg, NULL, 10);
+		else if (option == 'o')
+			scenario_homes = (unsigned)strtoul(optarg, NULL, 10);
+		else if (option == 'a')
+			rate = (unsigned)strtoul(optarg, NULL, 10);
+		else if (option == 'p')
+			scenario_older = optarg;
+		else if (option == 'q')
+			scenario_older_step = (unsigned)strtoul(optarg, NULL, 10);
 		else
 			return EXIT_FAILURE;
 	}
+	scenario_release = versions[0];
 	scenario_program = optind < argc ? argv[optind] : "";
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -72,8 +72,9 @@
 
 	if (!out)
 		abort();
-	fprintf(out, "[instance]\nid = \"%s\"\nregion = \"%s\"\ndata_centre = \"%s-1\"\n", inst->id,
-		soak_regions[inst->region], soak_regions[inst->region]);
+	fprintf(out, "[instance]\nid = \"%s\"\nregion = \"%s\"\ndata_centre = \"%s-%u\"\n",
+		inst->id, soak_regions[inst->region], soak_regions[inst->region],
+		inst->data_centre + 1);
 	fprintf(out, "host = \"127.0.0.1\"\n");
 	if (s->memory_mb > 0)
 		fprintf(out, "memory_mb = %u\n", s->memory_mb);
@@ -94,13 +95,16 @@
 		fprintf(out, "allowance_over = 0.1\nallowance_slack = 20\n");
 	fprintf(out, "apply_ms = 3000\ngrace_s = 8\ndirectory_s = 2\n");
 	fprintf(out, "%s\n[gateway.data_centres]\n", s->gateway ? s->gateway : "");
-	for (unsigned i = 0; i < REGIONS; i++)
-		fprintf(out, "%s-1 = \"%s\"\n", soak_regions[i], soak_regions[i]);
+	for (unsigned i = 0; i < soak_n_regions(s); i++) {
+		for (unsigned k = 1; k <= (s->data_centres > 0 ? s->data_centres : 1); k++)
+			fprintf(out, "%s-%u = \"%s\"\n", soak_regions[i], k, soak_regions[i]);
+	}
 	fclose(out);
 }
 
 void instance_start(instance_t *inst)
 {
+	const char *program = inst->older ? inst->soak->older : inst->soak->program;
 	pid_t soak = getpid();
 	char settings[192];
 	char log[192];
@@ -139,8 +143,7 @@
 
 			setrlimit(RLIMIT_NOFILE, &files);
 		}
-		execl(inst->soak->program, inst->soak->program, "--settings", settings,
-		      (char *)NULL);
+		execl(program, program, "--settings", settings, (char *)NULL);
 		_exit(127);
 	}
 }
--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -102,7 +102,7 @@
 
 static void check_arrival(replica_t *r, const request_t *q)
 {
-	if (q->kind == SOAK_RESUMABLE && r->region != 0)
+	if (q->kind == SOAK_RESUMABLE && r->region >= soak_n_homes(r->soak))
 		soak_finding(r->soak, "home: home-bound request %s reached %s in another region",
 			     q->id, r->id);
 	if (r->draining)
@@ -481,7 +481,8 @@
  */
 static void check_pause(replica_t *r, ap_usec_t now)
 {
-	unsigned instances = (unsigned)(r->soak->n_instances + REGIONS - 1) / REGIONS;
+	unsigned regions = soak_n_regions(r->soak);
+	unsigned instances = ((unsigned)r->soak->n_instances + regions - 1) / regions;
 	unsigned allowed = instances * (1 + IN_GRACE_MAX + IN_PAUSE_MAX);
 
 	if (r->pause_from == 0 || now < r->pause_until)
--- a/test/soak/scenario.c
+++ b/test/soak/scenario.c
@@ -11,6 +11,13 @@
 const char *scenario_gateway;
 unsigned scenario_memory_mb;
 unsigned scenario_descriptors;
+size_t scenario_instances;
+unsigned scenario_regions;
+unsigned scenario_data_centres;
+unsigned scenario_homes;
+const char *scenario_release;
+const char *scenario_older;
+unsigned scenario_older_step = 3;
 const char *scenario_tenants;
 
 void soak_finding(soak_t *s, const char *fmt, ...)
@@ -63,11 +70,17 @@
 	s->memory_mb = scenario_memory_mb;
 	s->descriptors = scenario_descriptors;
 	s->tenants = scenario_tenants;
+	s->regions = scenario_regions;
+	s->data_centres = scenario_data_centres;
+	s->homes = scenario_homes;
+	s->release = scenario_release;
+	s->older = scenario_older;
+	s->older_step = scenario_older_step;
 	ap_rng_seed(&s->rng, 1);
 	ap_rng_seed(&s->schedule, 1);
 	ap_rng_seed(&s->spoils, 1);
 	s->start = ap_now();
-	soak_set_up(s, SCENARIO_INSTANCES);
+	soak_set_up(s, scenario_instances > 0 ? scenario_instances : SCENARIO_INSTANCES);
 	scenario_run(s, SCENARIO_WARM_UP);
 	*state = s;
 	return 0;
--- a/test/soak/scenario.h
+++ b/test/soak/scenario.h
@@ -5,7 +5,7 @@
 #include "../act.h"
 #include "soak.h"
 
-#define SCENARIO_INSTANCES 4 /* in two regions by turns */
+#define SCENARIO_INSTANCES 4 /* in two regions by turns, if nothing else is said */
 #define SCENARIO_WARM_UP (3 * AP_SEC)
 #define SCENARIO_TURN (20 * AP_MSEC)
 
@@ -16,6 +16,16 @@
 /* Settings of the instances, as in soak_t. */
 extern unsigned scenario_memory_mb;
 extern unsigned scenario_descriptors;
+/* Size of the deployment, as in soak_t; 0 for SCENARIO_INSTANCES. */
+extern size_t scenario_instances;
+extern unsigned scenario_regions;
+extern unsigned scenario_data_centres;
+extern unsigned scenario_homes;
+/* Software version of the upstreams that it starts with; NULL for none. */
+extern const char *scenario_release;
+/* Program of every @scenario_older_step th instance; NULL for none. */
+extern const char *scenario_older;
+extern unsigned scenario_older_step;
 /* Customers of the configuration, as JSON; NULL for none. */
 extern const char *scenario_tenants;
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -21,8 +21,9 @@
 #include "stream.h"
 
 #define SOAK_INSTANCES_MAX 64
-#define REPLICAS_MAX 32
-#define REGIONS 2
+#define REPLICAS_MAX 64
+#define REGIONS 2 /* unless soak_t says otherwise */
+#define REGIONS_MAX 3
 #define PUBLISHED_MAX 256	     /* versions of a run */
 #define REVERT_GRACE (250 * AP_MSEC) /* as the platform's rule allows */
 #define PAUSE_GRACE (500 * AP_MSEC)  /* as the platform's rule allows */
@@ -34,7 +35,7 @@
 	SOAK_ONCE, /* runs at most once */
 	SOAK_IDEMPOTENT,
 	SOAK_STREAM,	/* runs at most once, can't be resumed */
-	SOAK_RESUMABLE, /* home-bound to region 0 */
+	SOAK_RESUMABLE, /* home-bound to the first regions */
 	SOAK_KINDS,
 } soak_kind_t;
 
@@ -48,7 +49,7 @@
 	ENDED_WAYS,
 } ended_t;
 
-extern const char *const soak_regions[REGIONS];
+extern const char *const soak_regions[];
 extern const char *const soak_paths[SOAK_KINDS]; /* one route each */
 
 /* A caller's request, kept to the end to compare its reported outcome with what ran. */
@@ -190,7 +191,9 @@
 	soak_t *soak;
 	char id[AP_NAME_MAX];
 	unsigned region;
-	uint16_t port; /* the first of its listeners' ports */
+	unsigned data_centre; /* of its region, from 0 */
+	bool older;	      /* runs the older program */
+	uint16_t port;	      /* the first of its listeners' ports */
 	link_t *store_link;
 	link_t *peer_links[2]; /* for requests and messages of other instances */
 	pid_t pid;
@@ -235,7 +238,7 @@
 /* Returns the pool that routes of @kind have in a version. */
 const char *soak_pool(soak_kind_t kind, bool swapped);
 void publish_config(soak_t *s);
-/* Starts the store, the upstreams and @n_instances instances, by turns in each region. */
+/* Starts the store, the upstreams and @n_instances instances, by turns in each data centre. */
 void soak_set_up(soak_t *s, size_t n_instances);
 /* Ends the instances and frees the rest. */
 void soak_tear_down(soak_t *s);
@@ -253,9 +256,14 @@
 	ap_rng_t ends;	   /* of work that outlasts its deadline and of empty streams */
 	ap_rng_t befores;  /* of work that isn't begun as it would outlast its deadline */
 	const char *program;
-	const char *gateway;  /* further lines for the instances' table [gateway], or NULL */
-	unsigned memory_mb;   /* setting of the instances; 0 for the default */
-	unsigned descriptors; /* limit of each instance's; 0 for the one of this process */
+	const char *gateway;   /* further lines for the instances' table [gateway], or NULL */
+	unsigned memory_mb;    /* setting of the instances; 0 for the default */
+	unsigned descriptors;  /* limit of each instance's; 0 for the one of this process */
+	unsigned regions;      /* 0: REGIONS */
+	unsigned data_centres; /* with instances, in each region; 0: one */
+	unsigned homes;	       /* regions to which SOAK_RESUMABLE is bound; 0: one */
+	const char *older;     /* program of every @older_step th instance, or NULL */
+	unsigned older_step;
 	char dir[64];
 	bool verbose;
 	bool no_pauses;
@@ -328,6 +336,16 @@
 	s->turn_at = now;
 }
 
+static inline unsigned soak_n_regions(const soak_t *s)
+{
+	return s->regions > 0 ? s->regions : REGIONS;
+}
+
+static inline unsigned soak_n_homes(const soak_t *s)
+{
+	return s->homes > 0 ? s->homes : 1;
+}
+
 /* Counts a request that has arrived at an upstream. */
 static inline void soak_arrived(const replica_t *r, ap_http_call_t *call, request_t *q)
 {
--- a/test/soak/world.c
+++ b/test/soak/world.c
@@ -10,7 +10,7 @@
 
 #define REPLICAS_A_POOL 2 /* in each region */
 
-const char *const soak_regions[REGIONS] = {"north", "south"};
+const char *const soak_regions[REGIONS_MAX] = {"north", "south", "west"};
 const char *const soak_paths[SOAK_KINDS] = {"/once/", "/idem/", "/stream/", "/resume/"};
 static const char *const pools[] = {"desk", "engines"};
 
@@ -41,9 +41,9 @@
 
 		if (s->open[k])
 			json_object_set_new(r, "public", json_true());
-		if (k == SOAK_RESUMABLE)
+		for (unsigned i = 0; k == SOAK_RESUMABLE && i < soak_n_homes(s); i++)
 			json_array_append_new(json_object_get(r, "homeRegions"),
-					      json_string(soak_regions[0]));
+					      json_string(soak_regions[i]));
 		json_array_append_new(routes, r);
 	}
 	root = json_pack("{s:I,s:o,s:[{s:s},{s:s}],s:{}}", "version", (json_int_t)s->version,
@@ -67,7 +67,7 @@
 	s->base = ap_http_base_new();
 	s->client = ap_http_client_new(s->base);
 	s->store = store_new(s);
-	for (unsigned region = 0; region < REGIONS; region++) {
+	for (unsigned region = 0; region < soak_n_regions(s); region++) {
 		for (size_t p = 0; p < 2; p++) {
 			for (int k = 0; k < REPLICAS_A_POOL; k++)
 				replica_start(s, s->n_replicas++, pools[p], region);
@@ -76,9 +76,14 @@
 	publish_config(s);
 	s->n_instances = n_instances;
 	for (size_t i = 0; i < n_instances; i++) {
-		s->instances[i].soak = s;
-		s->instances[i].region = (unsigned)(i % REGIONS);
-		snprintf(s->instances[i].id, sizeof(s->instances[i].id), "g%zu", i);
+		instance_t *inst = &s->instances[i];
+		unsigned turn = (unsigned)i / soak_n_regions(s);
+
+		inst->soak = s;
+		inst->older = s->older && i % s->older_step == 0;
+		inst->region = (unsigned)i % soak_n_regions(s);
+		inst->data_centre = s->data_centres > 0 ? turn % s->data_centres : 0;
+		snprintf(inst->id, sizeof(inst->id), "g%zu", i);
 	}
 	for (size_t i = 0; i < n_instances; i++)
 		instance_start(&s->instances[i]);
