--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -16,8 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TOLD_MAX 1024 /* streams in one message; the rest follows with the next */
-#define BUILDS_MAX 16 /* in one message */
+#define BUILDS_MAX 16 /* of a pool, that are counted */
 /*
  * How much longer a build counts whose upstream vanished without leaving: it may go on serving
  * instances that don't read the store either.
@@ -31,99 +30,6 @@
 	return build ? build : 1;
 }
 
-static ap_stream_t *slot(ap_fleet_t *f, uint64_t number)
-{
-	return &f->streams[number % STREAMS_MAX];
-}
-
-static uint64_t *bucket_of(ap_fleet_t *f, uint64_t id)
-{
-	return &f->stream_buckets[id % STREAMS_MAX];
-}
-
-/* Returns the latest stream @id of those in its bucket up to number @n; NULL for none. */
-static const ap_stream_t *latest_of(ap_fleet_t *f, uint64_t id, uint64_t n)
-{
-	while (n > 0 && f->n_streams - n < STREAMS_MAX) {
-		const ap_stream_t *stream = slot(f, n - 1);
-
-		if (stream->id == id)
-			return stream;
-		n = stream->before;
-	}
-	return NULL;
-}
-
-static const ap_stream_t *latest(ap_fleet_t *f, uint64_t id)
-{
-	return id != 0 ? latest_of(f, id, *bucket_of(f, id)) : NULL;
-}
-
-/* Upstreams of the stream's pool name versions, whether their responses came here or not. */
-static void note_versions(ap_fleet_t *f, const ap_stream_source_t *source)
-{
-	const char *pool;
-	ap_pool_state_t *p;
-
-	if (source->weights == AP_WEIGHTS_ANY || source->build == f->told_build)
-		return;
-	pool = ap_fleet_build_pool(f, source->build);
-	p = pool ? ap_pool_state(f, pool) : NULL;
-	if (!p)
-		return; /* not listed yet */
-	p->versions_told = true;
-	f->told_build = source->build;
-}
-
-void ap_stream_add(ap_fleet_t *f, const ap_stream_t *stream)
-{
-	uint64_t *bucket = bucket_of(f, stream->id);
-	ap_stream_t *added;
-
-	note_versions(f, &stream->source);
-	added = slot(f, f->n_streams++);
-	*added = *stream;
-	added->before = *bucket;
-	*bucket = f->n_streams;
-}
-
-const ap_stream_t *ap_stream_at(ap_fleet_t *f, uint64_t i)
-{
-	return slot(f, i);
-}
-
-uint64_t ap_stream_hash(const char *id)
-{
-	return id && *id ? ap_hash_str(id, 9) : 0;
-}
-
-uint64_t ap_stream_last(const char *last_event)
-{
-	return strtoull(last_event, NULL, 10);
-}
-
-/* Until others hear of a change in a stream, they take it up at the version before. */
-static void tell_change(ap_fleet_t *f, const ap_stream_t *stream)
-{
-	if (stream->source.since == 0)
-		return;
-	if (stream->origin == AP_ORIGIN_SELF)
-		f->announced_at = 0;
-	f->waits_announced_at = 0;
-}
-
-void ap_fleet_stream_served(ap_fleet_t *f, const char *id, const ap_stream_source_t *source,
-			    ap_usec_t now)
-{
-	ap_stream_t stream = {
-		.id = ap_stream_hash(id), .source = *source, .at = now, .origin = AP_ORIGIN_SELF};
-
-	if (source->build == 0)
-		return;
-	ap_stream_add(f, &stream);
-	tell_change(f, &stream);
-}
-
 void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, bool lapsed, ap_usec_t now)
 {
 	const ap_gone_build_t gone = {.pool = ap_hash_str(r->entry.pool, 8),
@@ -179,15 +85,6 @@
 	return was_other_build(f, pool, build, kept, now) ? 0 : build;
 }
 
-const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last)
-{
-	const ap_stream_t *stream = latest(f, id);
-
-	while (stream && stream->source.since > last)
-		stream = latest_of(f, id, stream->before);
-	return stream;
-}
-
 /* Returns how old a stream of @route can be when a caller takes it up. */
 static ap_usec_t age_max(const ap_plan_route_t *route)
 {
@@ -244,22 +141,6 @@
 	return f->store_read_at >= q->asked_at && follows_store(f, kept_for(q->route), now);
 }
 
-/* Returns whether a stream of the build was heard of at another version than @source names. */
-static bool heard_of_other(ap_fleet_t *f, const ap_stream_source_t *source, ap_usec_t now)
-{
-	for (uint64_t n = f->n_streams; n > 0 && f->n_streams - n < STREAMS_MAX; n--) {
-		const ap_stream_t *stream = slot(f, n - 1);
-
-		if (now - stream->at > STREAM_MAX_AGE)
-			break;
-		if (stream->source.build == source->build &&
-		    stream->source.weights != AP_WEIGHTS_ANY &&
-		    stream->source.weights != source->weights)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Fills in the version of the weights that the stream's pool has only had, if it isn't known.
  *
@@ -274,33 +155,11 @@
 	if (source->weights != AP_WEIGHTS_ANY || !pool)
 		return true;
 	return ap_only_weights(f, pool, q->model, kept_for(q->route), now, &source->weights) &&
-	       !heard_of_other(f, source, now) &&
+	       !ap_stream_other_weights(f, source, now) &&
 	       (source->weights == AP_WEIGHTS_ANY ? !p || !p->versions_told
 						  : list_covers(f, q, now));
 }
 
-const ap_member_state_t *ap_stream_lister(ap_fleet_t *f, uint64_t id, uint64_t build,
-					  bool (*may)(const void *ctx, const ap_member_t *m),
-					  const void *ctx, ap_usec_t now)
-{
-	const ap_member_state_t *suspect = NULL;
-
-	for (const ap_stream_t *s = latest(f, id); s; s = latest_of(f, id, s->before)) {
-		const ap_member_state_t *m = NULL;
-
-		if (s->told_by == 0 || s->source.build != build)
-			continue;
-		HASH_FIND(by_tag, f->member_tags, &s->told_by, sizeof(s->told_by), m);
-		if (!m || !ap_is_live_other(f, m, now) || m->member.draining ||
-		    !may(ctx, &m->member))
-			continue;
-		if (now >= m->suspect_until)
-			return m;
-		suspect = suspect ? suspect : m;
-	}
-	return suspect;
-}
-
 static bool may_serve(const void *ctx, const ap_member_t *m)
 {
 	const ap_stream_question_t *q = ctx;
@@ -416,7 +275,7 @@
 }
 
 /* Returns whether a pool has more than one build. */
-static bool any_mixed(ap_fleet_t *f)
+bool ap_builds_mixed(ap_fleet_t *f)
 {
 	for (ap_pool_state_t *p = f->pools; p; p = p->hh.next)
 		p->build = 0;
@@ -430,149 +289,3 @@
 	}
 	return false;
 }
-
-static size_t index_of(uint64_t *builds, size_t *n, uint64_t build)
-{
-	size_t i = 0;
-
-	while (i < *n && builds[i] != build)
-		i++;
-	if (i == *n && *n < BUILDS_MAX)
-		builds[(*n)++] = build;
-	return i;
-}
-
-/*
- * Packs two arrays, the builds and the streams with their builds' numbers: those from @from on that
- * came from @origin or nearer. Return: where the next message begins.
- */
-static uint64_t pack_streams(ap_fleet_t *f, msgpack_packer *pk, uint64_t from, ap_origin_t origin)
-{
-	uint64_t builds[BUILDS_MAX];
-	uint64_t end = from;
-	size_t n_builds = 0;
-	size_t n = 0;
-
-	if (f->n_streams > STREAMS_MAX && from < f->n_streams - STREAMS_MAX)
-		from = end = f->n_streams - STREAMS_MAX;
-	for (; end < f->n_streams && n < TOLD_MAX; end++) {
-		const ap_stream_t *s = slot(f, end);
-
-		if (s->origin > origin)
-			continue;
-		if (index_of(builds, &n_builds, s->source.build) == BUILDS_MAX)
-			break;
-		n++;
-	}
-	msgpack_pack_array(pk, n_builds);
-	for (size_t i = 0; i < n_builds; i++)
-		msgpack_pack_uint64(pk, builds[i]);
-	msgpack_pack_array(pk, 2 * n);
-	for (uint64_t i = from; i < end; i++) {
-		const ap_stream_t *s = slot(f, i);
-
-		if (s->origin > origin)
-			continue;
-		msgpack_pack_uint64(pk, s->id);
-		msgpack_pack_uint64(pk, index_of(builds, &n_builds, s->source.build));
-	}
-	f->packed = (ap_packed_streams_t){.from = from, .end = end, .origin = origin, .n = n};
-	return end;
-}
-
-size_t ap_streams_pack(ap_fleet_t *f, msgpack_packer *pk)
-{
-	f->streams_told = pack_streams(f, pk, f->streams_told, AP_ORIGIN_SELF);
-	return f->packed.n;
-}
-
-void ap_streams_pack_remote(ap_fleet_t *f, msgpack_packer *pk)
-{
-	if (!any_mixed(f) && !ap_weights_mixed(f))
-		f->streams_told_remote = f->n_streams;
-	f->streams_told_remote = pack_streams(f, pk, f->streams_told_remote, AP_ORIGIN_REGION);
-}
-
-/* Returns whether all events of @s are of the version @weights. */
-static bool is_plain(const ap_stream_t *s, ap_weights_t weights)
-{
-	return s->source.weights == weights && s->source.since == 0;
-}
-
-/* Returns whether the stream @i of the ring is one of those that were packed last. */
-static bool was_packed(ap_fleet_t *f, uint64_t i)
-{
-	return slot(f, i)->origin <= f->packed.origin;
-}
-
-/* The version of the first of them, and of most, then number, version and since of each that has
- * another one. */
-void ap_stream_weights_pack(ap_fleet_t *f, msgpack_packer *pk)
-{
-	ap_weights_t most = AP_WEIGHTS_ANY;
-	uint64_t number = 0;
-	size_t others = 0;
-
-	for (uint64_t i = f->packed.end; i-- > f->packed.from;) {
-		if (was_packed(f, i) && slot(f, i)->source.since == 0)
-			most = slot(f, i)->source.weights;
-	}
-	for (uint64_t i = f->packed.from; i < f->packed.end; i++)
-		others += was_packed(f, i) && !is_plain(slot(f, i), most);
-	msgpack_pack_array(pk, 1 + 3 * others);
-	msgpack_pack_uint64(pk, most);
-	for (uint64_t i = f->packed.from; i < f->packed.end; i++) {
-		const ap_stream_t *s = slot(f, i);
-
-		if (!was_packed(f, i))
-			continue;
-		if (!is_plain(s, most)) {
-			msgpack_pack_uint64(pk, number);
-			msgpack_pack_uint64(pk, s->source.weights);
-			msgpack_pack_uint64(pk, s->source.since);
-		}
-		number++;
-	}
-}
-
-bool ap_streams_apply(ap_fleet_t *f, ap_wire_reader_t *builds, ap_wire_reader_t *streams,
-		      ap_wire_reader_t *weights, const char *from, ap_origin_t origin,
-		      ap_usec_t now)
-{
-	uint64_t known[BUILDS_MAX];
-	ap_weights_t most;
-	uint64_t other; /* number of the next stream that has another version */
-	uint32_t told_by = ap_member_tag(from);
-	size_t n = 0;
-
-	if (builds->left > BUILDS_MAX)
-		return false;
-	while (builds->ok && builds->left > 0)
-		known[n++] = ap_wire_u64(builds);
-	most = weights->left > 0 ? ap_wire_u64(weights) : AP_WEIGHTS_ANY;
-	other = weights->left > 0 ? ap_wire_u64(weights) : UINT64_MAX;
-	for (uint64_t i = 0; streams->left >= 2; i++) {
-		ap_stream_t stream = {.source = {.weights = most},
-				      .at = now,
-				      .origin = origin,
-				      .told_by = told_by};
-		uint64_t number;
-
-		stream.id = ap_wire_u64(streams);
-		number = ap_wire_u64(streams);
-		if (!streams->ok || number >= n || known[number] == 0)
-			return false;
-		stream.source.build = known[number];
-		if (i == other) {
-			stream.source.weights = ap_wire_u64(weights);
-			stream.source.since = ap_wire_u64(weights);
-			other = weights->left > 0 ? ap_wire_u64(weights) : UINT64_MAX;
-		}
-		if (!weights->ok)
-			return false;
-		ap_stream_add(f, &stream);
-		if (origin == AP_ORIGIN_REGION)
-			tell_change(f, &stream);
-	}
-	return builds->ok && streams->ok && weights->ok;
-}
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -59,6 +59,21 @@
  * vanished without leaving.
  */
 void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, bool lapsed, ap_usec_t now);
+/* Returns whether a pool has more than one build. */
+bool ap_builds_mixed(ap_fleet_t *f);
+/* Returns whether an upstream of @build is listed in a region that may serve both. */
+bool ap_build_listed(const ap_fleet_t *f, uint64_t build, const ap_plan_route_t *route,
+		     const ap_customer_t *customer);
+/* Returns whether such an upstream is listed here, or by an instance that may get the request. */
+bool ap_stream_reachable(ap_fleet_t *f, const ap_stream_question_t *q, uint64_t build,
+			 ap_usec_t now);
+/*
+ * Returns whether reading the store once more may show where the stream goes on: no change was
+ * missed while it can have been under way, and its build is known or the only one.
+ */
+bool ap_stream_reading_helps(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now);
+
+/* stream.c */
 /* Packs two arrays: the streams that began here since the last call. Return: how many. */
 size_t ap_streams_pack(ap_fleet_t *f, msgpack_packer *pk);
 /* Likewise for remote regions: those of the whole region, while they may need them. */
@@ -84,19 +99,10 @@
 const ap_member_state_t *ap_stream_lister(ap_fleet_t *f, uint64_t id, uint64_t build,
 					  bool (*may)(const void *ctx, const ap_member_t *m),
 					  const void *ctx, ap_usec_t now);
-/* Returns whether an upstream of @build is listed in a region that may serve both. */
-bool ap_build_listed(const ap_fleet_t *f, uint64_t build, const ap_plan_route_t *route,
-		     const ap_customer_t *customer);
-/* Returns whether such an upstream is listed here, or by an instance that may get the request. */
-bool ap_stream_reachable(ap_fleet_t *f, const ap_stream_question_t *q, uint64_t build,
-			 ap_usec_t now);
-/*
- * Returns whether reading the store once more may show where the stream goes on: no change was
- * missed while it can have been under way, and its build is known or the only one.
- */
-bool ap_stream_reading_helps(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now);
 /* Packs what is known of the weights of the streams that were packed last, in the same order. */
 void ap_stream_weights_pack(ap_fleet_t *f, msgpack_packer *pk);
+/* Returns whether a stream of the build was heard of at another version than @source names. */
+bool ap_stream_other_weights(ap_fleet_t *f, const ap_stream_source_t *source, ap_usec_t now);
 
 /* weights.c */
 /* Takes over what the entry of @r says of its models, where it says something new. */
