fleet: what is told of a stream counts by the number of the event, not by the order of arrival

What callers saw: events of two builds, or of two versions of the weights, in one stream that was taken up twice or as its version changed (ORDER).

Cause: ap_stream_find() took the word that arrived last. An announcement that waited at a relay, or for its turn, came after what was told at once of a change and undid it; and an instance that took a stream up at a wrong build told the others of that build as if it had begun there.

Why this works: an instance that takes a stream up says from which event on it goes on, and the earliest event's build is the stream's; of the words on that build the one with the greatest event that the caller has counts, in whatever order they came. A change is still announced at once; a stream that was merely taken up isn't.

--- a/cmd/arbutuspond/gateway-send.c
+++ b/cmd/arbutuspond/gateway-send.c
@@ -452,8 +452,9 @@
 	/* A remote instance may have picked another pool of the route than this one. */
 	if (c->x.stream && target_of(a)->remote)
 		follow_pool(c, c->x.slot[slot].head.build);
+	/* What goes on says nothing of the events before. */
 	if (c->x.stream)
-		tell_source(c, c->x.req.weights, 0);
+		tell_source(c, c->x.req.weights, strtoull(c->x.last_event_id, NULL, 10));
 	if (!c->x.stream && !a->fetch)
 		return;
 	gate_response_headers(c, &headers, &text);
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -82,14 +82,17 @@
 bool ap_streams_apply(ap_fleet_t *f, ap_wire_reader_t *builds, ap_wire_reader_t *streams,
 		      ap_wire_reader_t *weights, const char *from, ap_origin_t origin,
 		      ap_usec_t now);
-/* Keeps what an instance, or this one, said of a stream. */
-void ap_stream_add(ap_fleet_t *f, const ap_stream_t *stream);
+/* Keeps what an instance, or this one, said of a stream. Return: as it is kept. */
+const ap_stream_t *ap_stream_add(ap_fleet_t *f, const ap_stream_t *stream);
 /* Returns the number @i of the streams so far, which has to be one of the latest STREAMS_MAX. */
 const ap_stream_t *ap_stream_at(ap_fleet_t *f, uint64_t i);
 /* Returns a stream's id in messages; 0 for none. */
 uint64_t ap_stream_hash(const char *id);
 uint64_t ap_stream_last(const char *last_event);
-/* Returns what was heard last of the stream @id up to the event @last; NULL for nothing. */
+/*
+ * Returns what was told of the stream @id up to the event @last, by the number of the event and not
+ * by the order of arrival; NULL for nothing.
+ */
 const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last);
 /*
  * Returns the instance that said last that it lists the build at which the stream @id goes on, of
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -54,7 +54,7 @@
 	f->told_build = source->build;
 }
 
-void ap_stream_add(ap_fleet_t *f, const ap_stream_t *stream)
+const ap_stream_t *ap_stream_add(ap_fleet_t *f, const ap_stream_t *stream)
 {
 	uint64_t *bucket = bucket_of(f, stream->id);
 	ap_stream_t *added;
@@ -64,6 +64,7 @@
 	*added = *stream;
 	added->before = *bucket;
 	*bucket = f->n_streams;
+	return added;
 }
 
 const ap_stream_t *ap_stream_at(ap_fleet_t *f, uint64_t i)
@@ -81,10 +82,16 @@
 	return strtoull(last_event, NULL, 10);
 }
 
-/* Until others hear of a change in a stream, they take it up at the version before. */
+/*
+ * Until others hear of a change in a stream, they take it up at the version before. A stream that
+ * was taken up and that nothing else is known of may have changed.
+ */
 static void tell_change(ap_fleet_t *f, const ap_stream_t *stream)
 {
-	if (stream->source.since == 0)
+	const ap_stream_t *before = latest_of(f, stream->id, stream->before);
+
+	if (stream->source.since == 0 ||
+	    (before && before->source.weights == stream->source.weights))
 		return;
 	if (stream->origin == AP_ORIGIN_SELF)
 		f->announced_at = 0;
@@ -99,17 +106,32 @@
 
 	if (source->build == 0)
 		return;
-	ap_stream_add(f, &stream);
-	tell_change(f, &stream);
+	tell_change(f, ap_stream_add(f, &stream));
+}
+
+/* Returns the build that began stream @id: that of its earliest event that was told of. */
+static uint64_t first_build(ap_fleet_t *f, uint64_t id)
+{
+	const ap_stream_t *first = latest(f, id);
+
+	for (const ap_stream_t *s = first; s; s = latest_of(f, id, s->before)) {
+		if (s->source.since <= first->source.since)
+			first = s;
+	}
+	return first ? first->source.build : 0;
 }
 
 const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last)
 {
-	const ap_stream_t *stream = latest(f, id);
+	uint64_t build = first_build(f, id);
+	const ap_stream_t *found = NULL;
 
-	while (stream && stream->source.since > last)
-		stream = latest_of(f, id, stream->before);
-	return stream;
+	for (const ap_stream_t *s = latest(f, id); s; s = latest_of(f, id, s->before)) {
+		if (s->source.build == build && s->source.since <= last &&
+		    (!found || s->source.since > found->source.since))
+			found = s;
+	}
+	return found;
 }
 
 bool ap_stream_other_weights(ap_fleet_t *f, const ap_stream_source_t *source, ap_usec_t now)
@@ -274,6 +296,7 @@
 				      .at = now,
 				      .origin = origin,
 				      .told_by = told_by};
+		const ap_stream_t *added;
 		uint64_t number;
 
 		stream.id = ap_wire_u64(streams);
@@ -288,9 +311,9 @@
 		}
 		if (!weights->ok)
 			return false;
-		ap_stream_add(f, &stream);
+		added = ap_stream_add(f, &stream);
 		if (origin == AP_ORIGIN_REGION)
-			tell_change(f, &stream);
+			tell_change(f, added);
 	}
 	return builds->ok && streams->ok && weights->ok;
 }
--- a/lib/fleet/stream.h
+++ b/lib/fleet/stream.h
@@ -11,6 +11,7 @@
  * struct ap_stream_source - what served a stream.
  * @build: that sent its first event
  * @weights: version that made its events from number @since on; 0 for the first one on
+ * @since: of a stream that was taken up, the last event that its caller had
  */
 typedef struct ap_stream_source {
 	uint64_t build;
