What an instance was told of a stream goes before what a sender names

What callers saw: a stream of v2 goes on at v1, sent by an instance in step (ORDER).

Cause: a build that came with a forwarded request was believed whoever sent it; class: a conclusion handed on as knowledge. The sender in turn didn't look at the build at which the response went on.

Why this works: an instance that was told of the stream goes on where it was told, and says so in its response; the sender takes that over if its response has brought no event yet, and otherwise gives the attempt up, as with versions of the weights. What is told comes from who served the stream. An instance that was told nothing still follows the name.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -95,10 +95,19 @@
 	return a->target.remote ? a->head.build : a->target.build;
 }
 
-/* From its first event on, a stream may only be resumed at the same build. */
+/* Returns the build that another instance goes on at; 0 if it doesn't say. */
+static uint64_t named_build(const ap_attempt_t *a)
+{
+	return a->target.remote ? a->head.build : 0;
+}
+
+/*
+ * From its first event on, a stream may only be resumed at the same build. One that a caller takes
+ * up is sent on with the build that is known here; another instance may have been told better.
+ */
 static void keep_build(ap_exchange_t *x)
 {
-	if (x->req.build != 0 || x->committed)
+	if (x->committed || (x->req.build != 0 && named_build(current(x)) == 0))
 		return;
 	x->req.build = ap_exchange_build(x);
 	/* At an upstream whose build isn't known, it can't go on elsewhere. */
@@ -130,6 +139,13 @@
 	       x->req.weights == a->weights;
 }
 
+/* Returns whether @a goes on at the build of the events that this response has brought. */
+static bool goes_on_at_build(const ap_exchange_t *x, const ap_attempt_t *a)
+{
+	return !x->committed || x->req.build == 0 || named_build(a) == 0 ||
+	       named_build(a) == x->req.build;
+}
+
 /* The events that begin at @data are of the version that the first one names, if it does. */
 static void read_weights(const ap_exchange_t *x, ap_attempt_t *a, const char *data, size_t len)
 {
@@ -283,6 +299,10 @@
 		fail_weights(x, a, now);
 		return;
 	}
+	if (ordered > 0 && !goes_on_at_build(x, a)) {
+		fail_broken(x, a, now);
+		return;
+	}
 	if (ordered > 0) {
 		ap_attempt_take_over(x, a, now);
 		keep_build(x);
--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -120,19 +120,35 @@
 				    : 0;
 }
 
-/* Returns the build of the stream, as far as it was named or told; 0 if it wasn't. */
-static uint64_t told_build(ap_fleet_t *f, const ap_stream_question_t *q)
+/*
+ * Returns what was told of the stream, or named by the instance that forwarded the request; that
+ * one may have concluded it from a list that is older, so what was told comes first.
+ */
+static ap_stream_source_t told_source(ap_fleet_t *f, const ap_stream_question_t *q,
+				      ap_stream_evidence_t *evidence)
 {
 	const ap_stream_t *stream =
 		ap_stream_find(f, ap_stream_hash(q->id), ap_stream_last(q->last_event));
-
-	return q->named.build != 0 ? q->named.build : stream ? stream->source.build : 0;
+	ap_stream_source_t source = q->named;
+
+	*evidence = AP_STREAM_NAMED;
+	if (!stream)
+		return source;
+	if (source.build != stream->source.build) {
+		*evidence = AP_STREAM_TOLD;
+		source = stream->source;
+	}
+	if (source.weights == AP_WEIGHTS_ANY)
+		source.weights = stream->source.weights;
+	return source;
 }
 
 bool ap_stream_reading_helps(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now)
 {
+	ap_stream_evidence_t evidence;
+
 	return follows_store(f, kept_for(q->route), now) &&
-	       (told_build(f, q) != 0 || route_build(f, q->route, now) != 0);
+	       (told_source(f, q, &evidence).build != 0 || route_build(f, q->route, now) != 0);
 }
 
 /* Returns whether the list shows all that whoever began the stream can have read of. */
@@ -188,20 +204,13 @@
 
 ap_stream_place_t ap_fleet_stream_place(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now)
 {
-	const ap_stream_t *stream =
-		ap_stream_find(f, ap_stream_hash(q->id), ap_stream_last(q->last_event));
-	ap_stream_place_t place = {.source = q->named};
-	ap_stream_evidence_t evidence = AP_STREAM_NAMED;
+	ap_stream_evidence_t evidence;
+	ap_stream_place_t place = {.source = told_source(f, q, &evidence)};
 
-	if (place.source.build == 0 && stream) {
-		evidence = AP_STREAM_TOLD;
-		place.source.build = stream->source.build;
-	} else if (place.source.build == 0 && list_covers(f, q, now)) {
+	if (place.source.build == 0 && list_covers(f, q, now)) {
 		evidence = AP_STREAM_ONLY_BUILD;
 		place.source.build = route_build(f, q->route, now);
 	}
-	if (place.source.weights == AP_WEIGHTS_ANY && stream)
-		place.source.weights = stream->source.weights;
 	if (place.source.build == 0)
 		return place;
 	if (find_weights(f, q, now, &place.source))
