--- a/test/skewed/series.c
+++ b/test/skewed/series.c
@@ -4,9 +4,9 @@
  * callers: what is drawn doesn't depend on what was seen.
  */
 #include "caller.h"
+#include "faults.h"
 
 #include <getopt.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,43 +19,6 @@
 #define CALM_TIME (5 * AP_SEC) /* after which an instance is undisturbed */
 #define SERVED_TIME (500 * AP_MSEC)
 #define REFUSED_TIME (600 * AP_MSEC)
-#define OUT_SHARE 0.3		      /* of the instances, in a herd */
-#define KILLED_SHARE 0.4	      /* likewise */
-#define KILLED_BEFORE (100 * AP_MSEC) /* the others go on */
-#define KILLED_TIME (500 * AP_MSEC)
-
-/* Faults of an instance, beside each other. */
-typedef enum track_kind {
-	TRACK_LINKS,
-	TRACK_PROCESS,
-	TRACK_HERD_OUT, /* with others at the same moment, as the next one */
-	TRACK_HERD_KILLED,
-	TRACKS,
-} track_kind_t;
-
-typedef enum fault {
-	FAULT_CUT_OFF,
-	FAULT_TURNED_AWAY,
-	FAULT_TURNED_AWAY_SILENTLY,
-	FAULT_STOPPED,
-	FAULT_KILLED,
-	FAULTS,
-} fault_t;
-
-/* Faults of one instance, one after the other. */
-typedef struct track {
-	ap_rng_t rng;
-	ap_usec_t at;	 /* when the next one begins, or this one ends */
-	ap_usec_t lasts; /* the next one of a herd */
-	bool on;
-	fault_t fault;
-} track_t;
-
-typedef struct gate {
-	track_t tracks[TRACKS];
-	ap_usec_t out_at;     /* last time that it was out of step, otherwise than killed */
-	ap_usec_t stopped_at; /* last time that it was stopped */
-} gate_t;
 
 /* A stream, its caller, and the one that takes it up. */
 typedef struct stream {
@@ -87,13 +50,9 @@
 	soak_t *s;
 	release_t releases[REGIONS_MAX];
 	ap_rng_t arrivals;
-	ap_rng_t herds;
-	gate_t gates[SOAK_INSTANCES_MAX];
+	faults_t faults;
 	ap_usec_t arrival_at;
-	ap_usec_t herd_at;
-	unsigned n_herds;
 	LIST_HEAD(, stream) streams;
-	unsigned faults[FAULTS];
 	unsigned begun;
 	unsigned taken_up;
 	unsigned refused;
@@ -113,116 +72,6 @@
 static bool has_herds;
 static unsigned rate = 1; /* factor on the callers' */
 
-static ap_usec_t draw(ap_rng_t *rng, unsigned from_ms, unsigned to_ms)
-{
-	return (ap_usec_t)(from_ms + ap_rng_below(rng, to_ms - from_ms)) * AP_MSEC;
-}
-
-static void set_fault(instance_t *inst, fault_t fault, bool on)
-{
-	switch (fault) {
-	case FAULT_CUT_OFF:
-		link_set_mode(inst->store_link, on ? LINK_SILENT : LINK_OPEN);
-		for (size_t k = 0; k < 2; k++)
-			link_set_mode(inst->peer_links[k], on ? LINK_SILENT : LINK_OPEN);
-		break;
-	case FAULT_TURNED_AWAY:
-		link_set_mode(inst->store_link, on ? LINK_RESET : LINK_OPEN);
-		break;
-	case FAULT_TURNED_AWAY_SILENTLY:
-		link_set_mode(inst->store_link, on ? LINK_SILENT : LINK_OPEN);
-		break;
-	case FAULT_STOPPED:
-		instance_signal(inst, on ? SIGSTOP : SIGCONT);
-		break;
-	default:
-		if (on)
-			instance_signal(inst, SIGKILL);
-		else if (inst->pid <= 0)
-			instance_start(inst);
-		break;
-	}
-}
-
-static void begin_fault(series_t *e, instance_t *inst, track_t *t, track_kind_t kind)
-{
-	uint64_t n = kind <= TRACK_PROCESS ? ap_rng_below(&t->rng, 6) : 0;
-
-	if (kind == TRACK_PROCESS)
-		t->fault = n < 3 ? FAULT_STOPPED : FAULT_KILLED;
-	else if (kind == TRACK_LINKS)
-		t->fault = (fault_t)(n / 2);
-	set_fault(inst, t->fault, true);
-	t->on = true;
-	if (kind == TRACK_PROCESS)
-		t->at += draw(&t->rng, 300, 3000);
-	else
-		t->at += kind == TRACK_LINKS ? draw(&t->rng, 2000, 8000) : t->lasts;
-	e->faults[t->fault]++;
-}
-
-static void end_fault(instance_t *inst, track_t *t, track_kind_t kind)
-{
-	set_fault(inst, t->fault, false);
-	t->on = false;
-	if (kind > TRACK_PROCESS)
-		t->at = AP_NEVER;
-	else if (kind == TRACK_PROCESS)
-		t->at += draw(&t->rng, 2000, 18000);
-	else
-		t->at += draw(&t->rng, 1000, 8000);
-}
-
-static void turn_gate(series_t *e, size_t i, ap_usec_t now)
-{
-	instance_t *inst = &e->s->instances[i];
-	gate_t *g = &e->gates[i];
-
-	for (size_t k = 0; k < TRACKS; k++) {
-		track_t *t = &g->tracks[k];
-		bool was_on = t->on;
-
-		if (now >= t->at && t->on)
-			end_fault(inst, t, (track_kind_t)k);
-		else if (now >= t->at)
-			begin_fault(e, inst, t, (track_kind_t)k);
-		if (!was_on && !t->on)
-			continue;
-		inst->last_disturbed = now;
-		if (t->fault != FAULT_KILLED || !t->on)
-			g->out_at = now;
-		if (t->fault == FAULT_STOPPED)
-			g->stopped_at = now;
-	}
-}
-
-/*
- * Some instances stand still or are cut off, and some of all are killed a moment before those are
- * back.
- */
-static void begin_herd(series_t *e)
-{
-	fault_t fault = ap_rng_below(&e->herds, 2) ? FAULT_STOPPED : FAULT_CUT_OFF;
-	ap_usec_t lasts = draw(&e->herds, 2000, 7000);
-
-	for (size_t i = 0; i < e->s->n_instances; i++) {
-		track_t *out = &e->gates[i].tracks[TRACK_HERD_OUT];
-		track_t *killed = &e->gates[i].tracks[TRACK_HERD_KILLED];
-
-		if (ap_rng_unit(&e->herds) < OUT_SHARE) {
-			out->fault = fault;
-			out->at = e->herd_at;
-			out->lasts = lasts;
-		}
-		if (ap_rng_unit(&e->herds) < KILLED_SHARE) {
-			killed->at = e->herd_at + lasts - KILLED_BEFORE;
-			killed->lasts = KILLED_TIME;
-		}
-	}
-	e->herd_at += lasts + draw(&e->herds, 4000, 12000);
-	e->n_herds++;
-}
-
 static bool is_of(const replica_t *r, unsigned region, const char *version)
 {
 	return r->server && !r->draining && r->region == region && strcmp(r->pool, POOL) == 0 &&
@@ -276,9 +125,9 @@
 
 	/* Both versions by turns with one: one that has been alone for a while is what misleads. */
 	r->kept = r->kept == BOTH ? one : BOTH;
-	r->drain_at = r->at + draw(&r->rng, 300, 1500);
-	r->drain_time = draw(&r->rng, 500, 2500);
-	r->at += draw(&r->rng, 2000, 5000);
+	r->drain_at = r->at + faults_draw(&r->rng, 300, 1500);
+	r->drain_time = faults_draw(&r->rng, 500, 2500);
+	r->at += faults_draw(&r->rng, 2000, 5000);
 	for (size_t v = 0; v < VERSIONS; v++) {
 		if (r->kept & 1U << v && !region_has(s, r->region, versions[v]))
 			start_upstreams(s, r->region, versions[v]);
@@ -334,7 +183,7 @@
 	t->then =
 		(t->at + 1 + ap_rng_below(&e->arrivals, e->s->n_instances - 1)) % e->s->n_instances;
 	t->leave_at = 1 + (unsigned)ap_rng_below(&e->arrivals, 4);
-	t->delay = draw(&e->arrivals, 0, 500);
+	t->delay = faults_draw(&e->arrivals, 0, 500);
 	t->begun = caller_ask(e->s, &e->s->instances[t->at], NULL);
 	LIST_INSERT_HEAD(&e->streams, t, link);
 	e->begun++;
@@ -351,7 +200,7 @@
 	caller_leave(c);
 	t->left_at = now;
 	t->known = c->events > 0 && now - t->first_event > SERVED_TIME &&
-		   e->gates[t->at].out_at < c->q->sent;
+		   e->faults.gates[t->at].out_at < c->q->sent;
 }
 
 static void take_up(series_t *e, stream_t *t, ap_usec_t now)
@@ -370,7 +219,7 @@
 	ap_usec_t took = c->ended_at - c->q->sent - (soak_still(e->s, ap_now()) - c->q->still);
 
 	e->refused++;
-	if (took <= REFUSED_TIME || e->gates[t->then].stopped_at >= c->q->sent)
+	if (took <= REFUSED_TIME || e->faults.gates[t->then].stopped_at >= c->q->sent)
 		return;
 	e->late++;
 	if (may_be_late)
@@ -458,24 +307,14 @@
 	       "refused; %u ran wrong, %u refused late; cut off %u, turned away %u, silently %u, "
 	       "stopped %u, killed %u, herds %u; %u findings\n",
 	       (unsigned long long)seed, e->begun, e->taken_up, e->refused, e->failed, e->due,
-	       e->due_served, e->due_refused, e->ran_wrong, e->late, e->faults[FAULT_CUT_OFF],
-	       e->faults[FAULT_TURNED_AWAY], e->faults[FAULT_TURNED_AWAY_SILENTLY],
-	       e->faults[FAULT_STOPPED], e->faults[FAULT_KILLED], e->n_herds, e->s->findings);
-	if (e->s->findings > 0)
+	       e->due_served, e->due_refused, e->ran_wrong, e->late, e->faults.n[FAULT_CUT_OFF],
+	       e->faults.n[FAULT_TURNED_AWAY], e->faults.n[FAULT_TURNED_AWAY_SILENTLY],
+	       e->faults.n[FAULT_STOPPED], e->faults.n[FAULT_KILLED], e->faults.n_herds,
+	       e->s->findings);
+	if (e->s->findings > 0 || scenario_keep)
 		printf("logs are in %s\n", e->s->dir);
 }
 
-static void begin_track(track_t *t, track_kind_t kind, size_t instance, ap_usec_t now)
-{
-	if (kind > TRACK_PROCESS) {
-		t->at = AP_NEVER;
-		t->fault = FAULT_KILLED;
-		return;
-	}
-	ap_rng_seed(&t->rng, seed + 2000 * (1 + kind + 2 * instance));
-	t->at = now + draw(&t->rng, 500, kind == TRACK_PROCESS ? 14000 : 8000);
-}
-
 /* The pool has upstreams of the first version only. */
 static void begin_series(series_t *e, soak_t *s)
 {
@@ -490,29 +329,23 @@
 
 		*r = (release_t){.region = region, .kept = 1, .drain_at = AP_NEVER};
 		ap_rng_seed(&r->rng, seed + 500 * region);
-		r->at = now + draw(&r->rng, 1000, 3000);
+		r->at = now + faults_draw(&r->rng, 1000, 3000);
 	}
 	ap_rng_seed(&e->arrivals, seed + 1000);
 	e->arrival_at = now;
-	ap_rng_seed(&e->herds, seed + 1500);
-	e->herd_at = has_herds ? now + draw(&e->herds, 200, 2000) : AP_NEVER;
-	for (size_t i = 0; i < s->n_instances; i++) {
-		for (size_t k = 0; k < TRACKS; k++)
-			begin_track(&e->gates[i].tracks[k], (track_kind_t)k, i, now);
-	}
+	faults_begin(&e->faults, s, seed, has_herds, now);
 }
 
 static void turn(series_t *e, bool ends)
 {
 	ap_usec_t now = ap_now();
 
-	if (!ends && now >= e->herd_at)
-		begin_herd(e);
-	for (size_t i = 0; i < e->s->n_instances && !ends; i++)
-		turn_gate(e, i, now);
-	if (!ends)
+	if (!ends) {
+		faults_turn(&e->faults, now);
 		turn_upstreams(e, now);
-	for (; !ends && now >= e->arrival_at; e->arrival_at += draw(&e->arrivals, 50, 150) / rate)
+	}
+	for (; !ends && now >= e->arrival_at;
+	     e->arrival_at += faults_draw(&e->arrivals, 50, 150) / rate)
 		begin_stream(e);
 	for (stream_t *t = LIST_FIRST(&e->streams); t; t = LIST_NEXT(t, link))
 		turn_stream(e, t, now);
@@ -527,12 +360,7 @@
 	begin_series(&e, *state);
 	while (ap_now() < e.s->start + run_time)
 		turn(&e, false);
-	for (size_t i = 0; i < e.s->n_instances * TRACKS; i++) {
-		track_t *t = &e.gates[i / TRACKS].tracks[i % TRACKS];
-
-		if (t->on)
-			end_fault(&e.s->instances[i / TRACKS], t, (track_kind_t)(i % TRACKS));
-	}
+	faults_end(&e.faults);
 	while (ap_now() < e.s->start + run_time + END_TIME)
 		turn(&e, true);
 	check_streams(&e);
@@ -556,6 +384,7 @@
 					 {"data-centres", required_argument, NULL, 'd'},
 					 {"homes", required_argument, NULL, 'o'},
 					 {"rate", required_argument, NULL, 'a'},
+					 {"keep", no_argument, NULL, 'k'},
 					 {"older", required_argument, NULL, 'p'},
 					 {"older-step", required_argument, NULL, 'q'},
 					 {0}};
@@ -586,6 +415,8 @@
 			scenario_homes = (unsigned)strtoul(optarg, NULL, 10);
 		else if (option == 'a')
 			rate = (unsigned)strtoul(optarg, NULL, 10);
+		else if (option == 'k')
+			scenario_keep = true;
 		else if (option == 'p')
 			scenario_older = optarg;
 		else if (option == 'q')
--- a/test/soak/scenario.c
+++ b/test/soak/scenario.c
@@ -11,6 +11,7 @@
 const char *scenario_gateway;
 unsigned scenario_memory_mb;
 unsigned scenario_descriptors;
+bool scenario_keep;
 size_t scenario_instances;
 unsigned scenario_regions;
 unsigned scenario_data_centres;
@@ -92,7 +93,7 @@
 
 	soak_tear_down(s);
 	caller_finish(s);
-	if (s->findings == 0)
+	if (s->findings == 0 && !scenario_keep)
 		soak_remove_logs(s);
 	free(s);
 	return 0;
--- a/test/soak/scenario.h
+++ b/test/soak/scenario.h
@@ -16,6 +16,8 @@
 /* Settings of the instances, as in soak_t. */
 extern unsigned scenario_memory_mb;
 extern unsigned scenario_descriptors;
+/* The logs are kept also without findings. */
+extern bool scenario_keep;
 /* Size of the deployment, as in soak_t; 0 for SCENARIO_INSTANCES. */
 extern size_t scenario_instances;
 extern unsigned scenario_regions;
