A build that a sender doesn't say how it knows isn't believed

Cause: an earlier instance names the only build that it lists, and the one to which it forwards had no way to tell that from knowledge.

Why this works: a request says how its build is known. Without that, the build named for a stream that a caller takes up counts as none, so the others are asked as for a caller of this instance's own. Builds of streams that the sender itself serves are still believed: they come without the id of another request. What earlier instances send to upstreams themselves stays.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -250,12 +250,22 @@
 	return given ? (unsigned)strtoul(given, NULL, 10) : c->x.req.route->attempts;
 }
 
+/*
+ * Returns whether the sender of a forwarded request knows what it names. An instance that doesn't
+ * say how takes the only build that it lists for that of a stream that its caller takes up.
+ */
+static bool names_known(ap_http_call_t *call, const ap_host_request_t *r)
+{
+	return ap_http_call_header(call, FORWARD_HEADER_EVIDENCE) || !r->resumes || !*r->resumes;
+}
+
 /* Fills in what is asked about the stream that a request takes up, if it does. */
 static bool ask_of(ap_http_call_t *call, const ap_host_request_t *r, const ap_plan_route_t *route,
 		   const ap_customer_t *customer, bool forwarded, ap_stream_question_t *q)
 {
-	const char *build = forwarded ? ap_http_call_header(call, FORWARD_HEADER_BUILD) : NULL;
-	const char *weights = forwarded ? ap_http_call_header(call, FORWARD_HEADER_WEIGHTS) : NULL;
+	bool named = forwarded && names_known(call, r);
+	const char *build = named ? ap_http_call_header(call, FORWARD_HEADER_BUILD) : NULL;
+	const char *weights = named ? ap_http_call_header(call, FORWARD_HEADER_WEIGHTS) : NULL;
 
 	*q = (ap_stream_question_t){
 		.id = r->resumes,
--- a/cmd/arbutuspond/gateway-headers.c
+++ b/cmd/arbutuspond/gateway-headers.c
@@ -67,7 +67,9 @@
 		return false;
 	if (c->x.req.build != 0) {
 		format_build(c->x.req.build, text->build);
-		if (!ap_host_add_header(headers, FORWARD_HEADER_BUILD, text->build))
+		if (!ap_host_add_header(headers, FORWARD_HEADER_BUILD, text->build) ||
+		    !ap_host_add_header(headers, FORWARD_HEADER_EVIDENCE,
+					ap_stream_evidence_name(c->evidence)))
 			return false;
 	}
 	if (c->x.req.weights != AP_WEIGHTS_ANY) {
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -34,6 +34,7 @@
  * CONFIGURATION: request: FIRST-LAST HASH, the versions that may handle it, and what its route
  *	means (ap_plan_route_hash()), in hexadecimal; of a refusal for another version: that one
  * HEARD: another target is silent; within how many milliseconds the receiver's must have responded
+ * EVIDENCE: how the build that a request names is known
  * WEIGHTS: of a stream that goes on: the only version of the weights, as an ap_weights_t
  * PROOF: shows that the sender knows the secret that all instances share
  * WAIT: how long the next forwarded request would wait, in milliseconds
@@ -43,6 +44,7 @@
 #define FORWARD_HEADER_PREFIX "Arbutuspond-"
 #define FORWARD_HEADER_ATTEMPTS FORWARD_HEADER_PREFIX "Attempts"
 #define FORWARD_HEADER_BUILD FORWARD_HEADER_PREFIX "Build"
+#define FORWARD_HEADER_EVIDENCE FORWARD_HEADER_PREFIX "Evidence"
 #define FORWARD_HEADER_WEIGHTS FORWARD_HEADER_PREFIX "Weights"
 #define FORWARD_HEADER_CONFIGURATION FORWARD_HEADER_PREFIX "Configuration"
 #define FORWARD_HEADER_NOT_RUN FORWARD_HEADER_PREFIX "Not-Run"
--- a/test/skewed/caller.c
+++ b/test/skewed/caller.c
@@ -1,11 +1,14 @@
 /* Callers: they begin streams, leave, and take them up at another instance. */
 #include "caller.h"
 
+#include "fleet/private.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define STEP_MS 400 /* between two events */
+#define NAMED_MAX 3 /* headers of another instance */
 
 static LIST_HEAD(, caller) callers = LIST_HEAD_INITIALIZER(callers);
 
@@ -61,22 +64,24 @@
 	c->ended_at = ap_now();
 }
 
-caller_t *caller_ask(soak_t *s, const instance_t *inst, const caller_t *of)
+/* Sends a request to @port; @named: further headers, if @of is given. */
+static caller_t *ask(soak_t *s, uint16_t port, const caller_t *of, const ap_http_header_t *named,
+		     size_t n_named)
 {
 	caller_t *c = calloc(1, sizeof(*c));
 	char last[16];
-	ap_http_header_t headers[] = {{"Host", "soak.example"},
-				      {"Request-Id", NULL},
-				      {"Deadline-Ms", "3000"},
-				      {"Resumes", NULL},
-				      {"Last-Event-Id", last}};
+	ap_http_header_t headers[5 + NAMED_MAX] = {{"Host", "soak.example"},
+						   {"Request-Id", NULL},
+						   {"Deadline-Ms", "3000"},
+						   {"Resumes", NULL},
+						   {"Last-Event-Id", last}};
 	ap_http_fetch_config_t config = {
 		.host = "127.0.0.1",
-		.port = inst->port,
+		.port = port,
 		.method = EVHTTP_REQ_POST,
 		.target = soak_paths[SOAK_RESUMABLE],
 		.headers = headers,
-		.n_headers = of ? 5 : 3,
+		.n_headers = of ? 5 + n_named : 3,
 		.body = "body",
 		.len = 4,
 		.no_probe = true,
@@ -99,6 +104,8 @@
 		headers[3].value = of->q->id;
 		snprintf(last, sizeof(last), "%u", of->events);
 	}
+	for (size_t i = 0; i < n_named; i++)
+		headers[5 + i] = named[i];
 	c->fetch = ap_http_fetch(s->client, &config);
 	if (!c->fetch) {
 		c->q->done = true;
@@ -107,6 +114,23 @@
 	return c;
 }
 
+caller_t *caller_ask(soak_t *s, const instance_t *inst, const caller_t *of)
+{
+	return ask(s, inst->port, of, NULL, 0);
+}
+
+caller_t *caller_forward(soak_t *s, const instance_t *inst, const caller_t *of, const char *pool,
+			 const char *version, const char *evidence)
+{
+	char build[24];
+	const ap_http_header_t named[NAMED_MAX] = {{"Arbutuspond-Attempts", "1"},
+						   {"Arbutuspond-Build", build},
+						   {"Arbutuspond-Evidence", evidence}};
+
+	snprintf(build, sizeof(build), "%llx", (unsigned long long)ap_build_of(pool, version));
+	return ask(s, (uint16_t)(inst->port + INSTANCE_PEER), of, named, evidence ? 3 : 2);
+}
+
 void caller_leave(caller_t *c)
 {
 	if (c->fetch)
--- a/test/skewed/caller.h
+++ b/test/skewed/caller.h
@@ -38,6 +38,13 @@
  * caller has no fetch.
  */
 caller_t *caller_ask(soak_t *s, const instance_t *inst, const caller_t *of);
+/*
+ * Forwards the rest of @of's stream to @inst as another instance would that names @version of the
+ * pool @pool for it.
+ * @evidence: how it says that it knows; NULL: it doesn't, as instances up to 2fb350c
+ */
+caller_t *caller_forward(soak_t *s, const instance_t *inst, const caller_t *of, const char *pool,
+			 const char *version, const char *evidence);
 void caller_leave(caller_t *c);
 
 #endif
--- a/test/skewed/main.c
+++ b/test/skewed/main.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define OLDER "" /* of the upstreams that the soak starts with */
 #define NEWER "v2"
 #define READ_TIME (1200 * AP_MSEC) /* three reads of the store */
 #define TOLD_TIME (600 * AP_MSEC)  /* two announcements to the region */
@@ -198,6 +199,14 @@
 	assert_int_equal(s->findings, 0);
 }
 
+static void restart(soak_t *s, instance_t *inst)
+{
+	instance_signal(inst, SIGKILL);
+	scenario_run(s, SCENARIO_TURN);
+	instance_start(inst);
+	scenario_run(s, READ_TIME);
+}
+
 /* Guards against streams that can't go on at an instance that was restarted (LOST). */
 static void a_restarted_instance_asks_the_others(void **state)
 {
@@ -208,10 +217,7 @@
 	join_newer(s);
 	begun = begin_at(s, &s->instances[OTHER], NEWER);
 	scenario_run(s, TOLD_TIME);
-	instance_signal(&s->instances[SKEWED], SIGKILL);
-	scenario_run(s, SCENARIO_TURN);
-	instance_start(&s->instances[SKEWED]);
-	scenario_run(s, READ_TIME);
+	restart(s, &s->instances[SKEWED]);
 	caller_leave(begun);
 	rest = call(s, &s->instances[SKEWED], begun);
 	await(s, rest);
@@ -219,6 +225,32 @@
 	assert_int_equal(s->findings, 0);
 }
 
+/*
+ * Guards against a stream that goes on at another build as an instance in step follows the one that
+ * another instance, out of step or of an earlier build, has concluded and names (ORDER).
+ */
+static void an_instance_goes_on_where_it_was_told_not_where_it_is_named(void **state)
+{
+	static const char *const evidence[] = {"only-build", NULL, NULL};
+	soak_t *s = *state;
+
+	join_newer(s);
+	for (size_t i = 0; i < sizeof(evidence) / sizeof(*evidence); i++) {
+		caller_t *begun = begin_at(s, &s->instances[OTHER], NEWER);
+		caller_t *rest;
+
+		/* It is told nothing the last time, and asks. */
+		if (i == 2)
+			restart(s, &s->instances[SKEWED]);
+		caller_leave(begun);
+		rest = caller_forward(s, &s->instances[SKEWED], begun, "engines", OLDER,
+				      evidence[i]);
+		await(s, rest);
+		check_goes_on(s, rest, NEWER);
+	}
+	assert_int_equal(s->findings, 0);
+}
+
 /* Guards against a caller that is kept waiting for what nobody knows. */
 static void a_stream_that_nobody_knows_is_refused(void **state)
 {
@@ -263,6 +295,7 @@
 		SKEWED_TEST(an_instance_that_stood_still_asks_the_others),
 		SKEWED_TEST(a_young_stream_goes_on_when_its_instance_is_killed),
 		SKEWED_TEST(a_restarted_instance_asks_the_others),
+		SKEWED_TEST(an_instance_goes_on_where_it_was_told_not_where_it_is_named),
 		SKEWED_TEST(a_stream_that_nobody_knows_is_refused),
 		SKEWED_TEST(a_stream_of_the_only_build_goes_on),
 	};
--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -29,7 +29,7 @@
 	PORT_DIRECTORY,
 	PORT_METRICS,
 	PORT_CONTROL,
-	PORT_PEER, /* and the next one */
+	PORT_PEER = INSTANCE_PEER, /* and the next one */
 };
 
 static bool port_is_free(uint16_t port)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -207,6 +207,8 @@
 	size_t n_metrics;
 } instance_t;
 
+#define INSTANCE_PEER 5 /* port for requests of other instances, behind the first */
+
 void instance_start(instance_t *inst);
 void instance_signal(instance_t *inst, int signal);
 /* Records the exit of an instance with wait @status. Return: true when the exit was unexpected. */
