A region with fewer than two others has witnesses of its streams in another one

Callers lost a stream (LOST) that had begun in a region of two instances: the other one was its only witness, and was killed while the one that began it was cut off. Likewise in a large region of one data centre for a stream that begins at one of its two relays.

An instance told its own region's best two by hash, and other regions only if there was nobody in its own. It tells two now, the best of all other regions where its own has too few: whoever takes the stream up asks the best three of each region, so they are among those asked.

--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -1,7 +1,7 @@
 /*
  * Streams that callers take up here and of which nothing was heard. The instances that may know are
- * asked: of each region a few, by a hash of the stream. Those of the region where a stream begins
- * are told of it at once, so that one of them knows it when the instance that began it is gone.
+ * asked: of each region a few, by a hash of the stream. Two of those are told of it as it begins,
+ * of its region if there are two, so that one knows it when the instance that began it is gone.
  */
 #include "fleet/private.h"
 
@@ -88,15 +88,21 @@
 	return w;
 }
 
-/* Those that are told of a stream that begins here: of other regions, if there are none in this. */
+/*
+ * Those that are told of a stream that begins here. Where the own region has too few, the next are
+ * the best of all others, who are also among those that are asked in their regions.
+ */
 static witnesses_t witnesses_here(const ap_fleet_t *f, uint64_t id, ap_usec_t now)
 {
 	witnesses_t w = witnesses_in(f, ap_region_tag(f->config.region), id, now);
+	witnesses_t others = {0};
 
-	for (ap_member_state_t *m = w.n > 0 ? NULL : f->members; m; m = m->hh.next) {
-		if (may_know(f, m, now))
-			rank(&w, id, m);
+	for (ap_member_state_t *m = w.n < TOLD_AT_ONCE ? f->members : NULL; m; m = m->hh.next) {
+		if (!m->own_region && may_know(f, m, now))
+			rank(&others, id, m);
 	}
+	for (size_t i = 0; i < others.n && w.n < TOLD_AT_ONCE; i++)
+		w.v[w.n++] = others.v[i];
 	return w;
 }
 
--- a/test/lookup_test.c
+++ b/test/lookup_test.c
@@ -1,4 +1,5 @@
 /* Streams that callers take up and of which nothing was heard: what an instance may conclude. */
+#include "fleet/private.h"
 #include "lookup_net.h"
 
 #define KEPT (30 * AP_SEC) /* twice the age of a stream */
@@ -102,6 +103,32 @@
 	net_end(&net);
 }
 
+/*
+ * Guards against a stream (LOST) of which one instance was told, as its region has no other that
+ * may be: that one is killed while the one that began it is cut off.
+ */
+static void a_second_region_knows_a_stream_of_a_region_of_two(void **state)
+{
+	ap_stream_place_t place;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, 2, INSTANCES);
+	for (size_t i = 0; i < net.n; i++)
+		list(net.fleets[i], "e1", V1, WORLD_START);
+	net_announce(&net, NOW - 100 * AP_MSEC);
+	serve(&net, 0, "a", V1, NOW);
+	assert_int_equal(net.n_messages, 2);
+	net_deliver(&net, NOW);
+	kill_instance(&net, 0);
+	kill_instance(&net, 1);
+	for (size_t i = 2; i < net.n; i++) {
+		assert_true(find(&net, i, "a", NOW, &place) >= AP_STREAM_TOLD);
+		assert_int_equal(place.source.build, build_of(V1));
+	}
+	net_end(&net);
+}
+
 /* Guards against messages to all for each stream, or twice. */
 static void two_instances_are_told_of_each_stream(void **state)
 {
@@ -118,35 +145,44 @@
 	net_end(&net);
 }
 
-/* Guards against connections between all instances of a large region. */
-static void relays_are_told_where_there_are_some(void **state)
+/* Instances of a region that is large enough for relays, and some of another region. */
+static void begin_large(net_t *net, size_t south)
 {
-	ap_peer_port_t port;
-	size_t told = 0;
-	net_t net;
-
-	(void)state;
-	net_begin(&net, LARGE, 0);
-	for (size_t i = 0; i < net.n; i++) {
-		for (size_t k = 0; k < net.n; k++) {
+	net_begin(net, LARGE, south);
+	for (size_t i = 0; i < net->n; i++) {
+		for (size_t k = 0; k < LARGE; k++) {
 			ap_member_t m = {.peer_port = 81, .speaks = AP_FLEET_SPEAKS, .cores = 0.25};
 
-			ap_copy_name(m.id, sizeof(m.id), net.senders[k].id);
+			ap_copy_name(m.id, sizeof(m.id), net->senders[k].id);
 			ap_copy_name(m.region, sizeof(m.region), "north");
 			ap_copy_name(m.data_centre, sizeof(m.data_centre), "north-1");
-			ap_fleet_update_member(net.fleets[i], &m, WORLD_START);
+			ap_fleet_update_member(net->fleets[i], &m, WORLD_START);
 		}
-		list(net.fleets[i], "e1", V1, WORLD_START);
+		list(net->fleets[i], "e1", V1, WORLD_START);
 	}
-	/* What an instance announces to its relays reaches all others. */
-	for (size_t i = 0; i < net.n; i++) {
-		port = net_port(&net, i);
-		ap_fleet_announce(net.fleets[i], &port, NOW);
-		assert_true(net.n_messages > 0);
-		ap_fleet_receive(net.fleets[1], net.senders[i].id, net.messages[0].data,
-				 net.messages[0].len, NOW);
-		net.n_messages = 0;
+	/* What an instance announces to its relays reaches all others of the region. */
+	for (size_t i = 0; i < net->n; i++) {
+		ap_peer_port_t port = net_port(net, i);
+
+		const message_t *last;
+
+		ap_fleet_announce(net->fleets[i], &port, NOW);
+		assert_true(net->n_messages > 0);
+		last = &net->messages[net->n_messages - 1];
+		for (size_t k = 0; k < LARGE; k++)
+			ap_fleet_receive(net->fleets[k], last->from, last->data, last->len, NOW);
+		net->n_messages = 0;
 	}
+}
+
+/* Guards against connections between all instances of a large region. */
+static void relays_are_told_where_there_are_some(void **state)
+{
+	size_t told = 0;
+	net_t net;
+
+	(void)state;
+	begin_large(&net, 0);
 	for (int n = 0; n < 100; n++) {
 		char id[16];
 
@@ -164,6 +200,36 @@
 	net_end(&net);
 }
 
+/* Guards against the same in a large region of one data centre, for a stream that began at a relay.
+ */
+static void a_second_region_knows_a_stream_of_a_relay(void **state)
+{
+	size_t relays[RELAYS];
+	size_t n = 0;
+	net_t net;
+
+	(void)state;
+	begin_large(&net, INSTANCES);
+	ap_relay_mark(net.fleets[1], NOW);
+	for (size_t i = 0; i < LARGE && n < RELAYS; i++) {
+		if (ap_member_find(net.fleets[1], net.senders[i].id)->direct)
+			relays[n++] = i;
+	}
+	assert_int_equal(n, RELAYS);
+	serve(&net, relays[0], "a", V1, NOW);
+	assert_int_equal(net.n_messages, 2);
+	net_deliver(&net, NOW);
+	kill_instance(&net, relays[0]);
+	kill_instance(&net, relays[1]);
+	for (size_t i = 0; i < net.n; i++) {
+		ap_stream_place_t place;
+
+		if (i != relays[0] && i != relays[1])
+			assert_true(find(&net, i, "a", NOW, &place) >= AP_STREAM_TOLD);
+	}
+	net_end(&net);
+}
+
 /* Guards against a caller that is kept waiting, for an instance that is gone or for nobody. */
 static void a_lookup_ends(void **state)
 {
@@ -338,8 +404,10 @@
 		cmocka_unit_test(only_a_reading_after_the_caller_came_shows_the_only_build),
 		cmocka_unit_test(an_instance_that_missed_changes_concludes_nothing),
 		cmocka_unit_test(others_know_a_stream_as_soon_as_it_has_begun),
+		cmocka_unit_test(a_second_region_knows_a_stream_of_a_region_of_two),
 		cmocka_unit_test(two_instances_are_told_of_each_stream),
 		cmocka_unit_test(relays_are_told_where_there_are_some),
+		cmocka_unit_test(a_second_region_knows_a_stream_of_a_relay),
 		cmocka_unit_test(a_lookup_ends),
 		cmocka_unit_test(a_build_is_settled_only_once_it_is_for_the_streams_route),
 		cmocka_unit_test(a_build_is_settled_only_if_the_others_can_tell),
