fleet: one function says to whom the request of a stream may be handed

may_serve() in build.c and may_get() in lookup.c asked the same question: an instance that isn't draining, in a region that the route and the customer allow. Both callers use ap_stream_may_go() now. No change of behaviour: ap_stream_lister(), which used may_serve(), checked for itself that the instance isn't draining. lookup_lister_test, lookup_moved_test, lookup_weights_test, lookup_test and stream_words_test pass.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -176,11 +176,11 @@
 						  : list_covers(f, q, now));
 }
 
-static bool may_serve(const void *ctx, const ap_member_t *m)
+bool ap_stream_may_go(const void *question, const ap_member_t *m)
 {
-	const ap_stream_question_t *q = ctx;
+	const ap_stream_question_t *q = question;
 
-	return ap_plan_allows_region(q->route, m->region) &&
+	return !m->draining && ap_plan_allows_region(q->route, m->region) &&
 	       ap_customer_allows_region(q->customer, m->region);
 }
 
@@ -199,7 +199,7 @@
 			 ap_usec_t now)
 {
 	return ap_build_listed(f, build, q->route, q->customer) ||
-	       ap_stream_lister(f, ap_stream_hash(q->id), build, may_serve, q, now);
+	       ap_stream_lister(f, ap_stream_hash(q->id), build, ap_stream_may_go, q, now);
 }
 
 ap_stream_place_t ap_fleet_stream_place(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now)
--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -336,12 +336,6 @@
 	return true;
 }
 
-static bool may_get(const ap_stream_lookup_t *l, const ap_member_state_t *m)
-{
-	return m && !m->member.draining && ap_plan_allows_region(l->q.route, m->member.region) &&
-	       ap_customer_allows_region(l->q.customer, m->member.region);
-}
-
 /* Gives the lookups of the stream what instance @from said of it. */
 static void take_answer(ap_fleet_t *f, const ap_stream_t *stream, const ap_member_state_t *from,
 			const char *pool)
@@ -357,7 +351,7 @@
 			if (!from || l->asked[i].tag != from->tag)
 				continue;
 			l->asked[i].answered = true;
-			l->asked[i].lists = lists && may_get(l, from);
+			l->asked[i].lists = lists && ap_stream_may_go(&l->q, &from->member);
 		}
 		if (stream->source.build == 0 || stream->source.since > l->last)
 			continue;
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -64,6 +64,8 @@
 /* Returns whether an upstream of @build is listed in a region that may serve both. */
 bool ap_build_listed(const ap_fleet_t *f, uint64_t build, const ap_plan_route_t *route,
 		     const ap_customer_t *customer);
+/* Returns whether the request of the ap_stream_question_t @question may be handed to @m. */
+bool ap_stream_may_go(const void *question, const ap_member_t *m);
 /* Returns whether such an upstream is listed here, or by an instance that may get the request. */
 bool ap_stream_reachable(ap_fleet_t *f, const ap_stream_question_t *q, uint64_t build,
 			 ap_usec_t now);
