Records of streams that are taken up: who told of them, how long ago, and the build

What callers saw: streams that go on at another build (ORDER). The records said how an instance knew the build (`source`), but not from whom, how old that was, or which build it was, so that a word of an instance out of step couldn't be told from one that came late.

`request.ended` of such a stream has `stream_build` (one number at all instances), `told_origin`, `told_age_ms` and `told_by`. The word is copied as the place is found, so nothing is looked up for other requests and their records don't grow. `told_by` is the tag that ap_stream_lister() uses, so it is empty for an answer of an instance that doesn't list the build.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -341,6 +341,7 @@
 	c->charged = charged;
 	c->evidence = place->evidence;
 	c->lookup_time = waited;
+	c->told = place->told;
 	fill_dispatch(c, r, now);
 	c->x.req.route = route;
 	c->x.req.build = place->source.build;
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -195,6 +195,18 @@
 					: json_null();
 }
 
+/* The build at which a stream that was taken up goes on; NULL for other requests. */
+static json_t *stream_build(const gate_call_t *c)
+{
+	return *c->resumes && c->x.req.build != 0 ? hex(c->x.req.build) : NULL;
+}
+
+/* How old what was told of it was; NULL if nothing was. */
+static json_t *told_age(const gate_call_t *c)
+{
+	return c->told.build != 0 ? json_integer(msec(c->x.arrival - c->told.at)) : NULL;
+}
+
 void gate_record_end(gate_call_t *c)
 {
 	const ap_exchange_t *x = &c->x;
@@ -218,7 +230,8 @@
 	ap_journal_write(
 		c->gate->journal, cls, "request.ended", c->id,
 		"s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:o,"
-		"s:o,s:s,s:o,s:s,s:s,s:I,s:i,s:b,s:I,s:I,s:I,s:I,s:o,s:o,s:s,s:s,s:s,s:I",
+		"s:o,s:s,s:o,s:s,s:s,s:I,s:i,s:b,s:I,s:I,s:I,s:I,s:o,s:o,s:s,s:s,s:s,s:I,"
+		"s:o*,s:s*,s:s*,s:o*",
 		"outcome", gate_outcome_name(c->outcome), "reason", ap_reason_name(x->reason),
 		"route", x->req.route->name, "pool", x->req.pool ? x->req.pool->name : "", "guest",
 		(int)c->forwarded, "status", c->status, "first_ms", msec(first), "objective_ms",
@@ -236,5 +249,8 @@
 		msec(ap_exchange_pace(x)), "end_left_ms", msec(x->end_left), "shutdown_ms",
 		shutdown_left(c, now), "shutdown_spread_ms", shutdown_spread(c), "doubt",
 		ap_doubt_name(x->doubt), "customer", x->req.customer ? x->req.customer->name : "",
-		"source", ap_stream_evidence_name(c->evidence), "lookup_ms", msec(c->lookup_time));
+		"source", ap_stream_evidence_name(c->evidence), "lookup_ms", msec(c->lookup_time),
+		"stream_build", stream_build(c), "told_origin",
+		c->told.build != 0 ? ap_origin_name(c->told.origin) : NULL, "told_by",
+		*c->told.by ? c->told.by : NULL, "told_age_ms", told_age(c));
 }
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -150,6 +150,7 @@
  * @resumes: id of the request that began the stream; empty if the request begins it
  * @evidence: how it is known where a stream goes on
  * @lookup_time: how long it took to find out, in microseconds
+ * @told: what was told of the stream
  * @charged: units that were taken from the customer's allowance
  * @steps: ring of the latest steps
  * @n_steps: how many steps there were
@@ -174,6 +175,7 @@
 	char resumes[AP_HOST_REQUEST_ID_MAX];
 	ap_stream_evidence_t evidence;
 	ap_usec_t lookup_time;
+	ap_stream_word_t told;
 	double charged;
 	gate_outcome_t outcome;
 	gate_step_t steps[GATE_STEPS_MAX];
--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -120,15 +120,19 @@
 				    : 0;
 }
 
+/* Returns what was told of the stream; NULL for nothing. */
+static const ap_stream_t *told_of(ap_fleet_t *f, const ap_stream_question_t *q)
+{
+	return ap_stream_find(f, ap_stream_hash(q->id), ap_stream_last(q->last_event));
+}
+
 /*
- * Returns what was told of the stream, or named by the instance that forwarded the request; that
- * one may have concluded it from a list that is older, so what was told comes first.
+ * Returns what was told of the stream, @stream, or named by the instance that forwarded the
+ * request; that one may have concluded it from a list that is older, so what was told comes first.
  */
-static ap_stream_source_t told_source(ap_fleet_t *f, const ap_stream_question_t *q,
+static ap_stream_source_t told_source(const ap_stream_question_t *q, const ap_stream_t *stream,
 				      ap_stream_evidence_t *evidence)
 {
-	const ap_stream_t *stream =
-		ap_stream_find(f, ap_stream_hash(q->id), ap_stream_last(q->last_event));
 	ap_stream_source_t source = q->named;
 
 	*evidence = AP_STREAM_NAMED;
@@ -148,7 +152,8 @@
 	ap_stream_evidence_t evidence;
 
 	return follows_store(f, kept_for(q->route), now) &&
-	       (told_source(f, q, &evidence).build != 0 || route_build(f, q->route, now) != 0);
+	       (told_source(q, told_of(f, q), &evidence).build != 0 ||
+		route_build(f, q->route, now) != 0);
 }
 
 /* Returns whether the list shows all that whoever began the stream can have read of. */
@@ -204,8 +209,10 @@
 
 ap_stream_place_t ap_fleet_stream_place(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now)
 {
+	const ap_stream_t *told = told_of(f, q);
 	ap_stream_evidence_t evidence;
-	ap_stream_place_t place = {.source = told_source(f, q, &evidence)};
+	ap_stream_place_t place = {.source = told_source(q, told, &evidence),
+				   .told = ap_stream_word(f, told)};
 
 	if (place.source.build == 0 && list_covers(f, q, now)) {
 		evidence = AP_STREAM_ONLY_BUILD;
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -12,13 +12,6 @@
 #define STREAM_MAX_AGE (15 * AP_SEC) /* from its first event until a caller takes it up, */
 #define TAKE_UP_TIME (5 * AP_SEC)    /* or this much above the route's timeout */
 
-/* Who saw that a stream began, the nearest first. */
-typedef enum ap_origin {
-	AP_ORIGIN_SELF,
-	AP_ORIGIN_REGION,
-	AP_ORIGIN_REMOTE
-} ap_origin_t;
-
 /* A stream that a caller may take up. */
 typedef struct ap_stream {
 	uint64_t id; /* hash of the request's id */
@@ -96,6 +89,8 @@
  * by the order of arrival; NULL for nothing.
  */
 const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last);
+/* Returns what @stream says, for records; nothing if it is NULL. */
+ap_stream_word_t ap_stream_word(ap_fleet_t *f, const ap_stream_t *stream);
 /*
  * Returns the instance that said last that it lists the build at which the stream @id goes on, of
  * those that are there and that @may allows; a suspected one only if there is no other. NULL for
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -134,6 +134,42 @@
 	return found;
 }
 
+const char *ap_origin_name(ap_origin_t origin)
+{
+	static const char *const names[] = {
+		[AP_ORIGIN_SELF] = "self",
+		[AP_ORIGIN_REGION] = "region",
+		[AP_ORIGIN_REMOTE] = "remote",
+	};
+
+	return names[origin];
+}
+
+static const ap_member_state_t *teller(ap_fleet_t *f, const ap_stream_t *stream)
+{
+	const ap_member_state_t *m = NULL;
+
+	if (stream->told_by != 0)
+		HASH_FIND(by_tag, f->member_tags, &stream->told_by, sizeof(stream->told_by), m);
+	return m;
+}
+
+ap_stream_word_t ap_stream_word(ap_fleet_t *f, const ap_stream_t *stream)
+{
+	ap_stream_word_t word = {0};
+	const ap_member_state_t *m;
+
+	if (!stream)
+		return word;
+	word.build = stream->source.build;
+	word.origin = stream->origin;
+	word.at = stream->at;
+	m = teller(f, stream);
+	if (m)
+		ap_copy_name(word.by, sizeof(word.by), m->member.id);
+	return word;
+}
+
 bool ap_stream_other_weights(ap_fleet_t *f, const ap_stream_source_t *source, ap_usec_t now)
 {
 	for (uint64_t n = f->n_streams; n > 0 && f->n_streams - n < STREAMS_MAX; n--) {
@@ -156,11 +192,8 @@
 	const ap_member_state_t *suspect = NULL;
 
 	for (const ap_stream_t *s = latest(f, id); s; s = latest_of(f, id, s->before)) {
-		const ap_member_state_t *m = NULL;
+		const ap_member_state_t *m = s->source.build == build ? teller(f, s) : NULL;
 
-		if (s->told_by == 0 || s->source.build != build)
-			continue;
-		HASH_FIND(by_tag, f->member_tags, &s->told_by, sizeof(s->told_by), m);
 		if (!m || !ap_is_live_other(f, m, now) || m->member.draining ||
 		    !may(ctx, &m->member))
 			continue;
--- a/lib/fleet/stream.h
+++ b/lib/fleet/stream.h
@@ -71,9 +71,33 @@
 	bool guest;
 } ap_stream_question_t;
 
+/* Who saw that a stream began, the nearest first. */
+typedef enum ap_origin {
+	AP_ORIGIN_SELF,
+	AP_ORIGIN_REGION,
+	AP_ORIGIN_REMOTE
+} ap_origin_t;
+
+/* Returns its name in records. */
+const char *ap_origin_name(ap_origin_t origin);
+
+/**
+ * struct ap_stream_word - what was told of a stream, for records.
+ * @build: that it names; 0 if nothing was told
+ * @at: when it came
+ * @by: the instance that told it, if it lists the build and is known here; else empty
+ */
+typedef struct ap_stream_word {
+	uint64_t build;
+	ap_origin_t origin;
+	ap_usec_t at;
+	char by[AP_NAME_MAX];
+} ap_stream_word_t;
+
 /**
  * struct ap_stream_place - where a stream goes on.
  * @evidence: how it is known; AP_STREAM_UNKNOWN if it can't go on
+ * @told: what was told of it
  * @reachable: upstreams of its build are listed here, or, after a lookup, by an instance that may
  *             get the request
  * @pool: of the build, if an instance that was asked said so; else empty
@@ -81,6 +105,7 @@
 typedef struct ap_stream_place {
 	ap_stream_evidence_t evidence;
 	ap_stream_source_t source;
+	ap_stream_word_t told;
 	bool reachable;
 	char pool[AP_NAME_MAX];
 } ap_stream_place_t;
--- a/test/stream_words_test.c
+++ b/test/stream_words_test.c
@@ -115,12 +115,44 @@
 	net_end(&net);
 }
 
+/*
+ * Guards against records that don't say from whom an instance knows where a stream goes on, and
+ * since when, so that a wrong word can't be told from a missing one (report 2 of ORDER).
+ */
+static void the_place_of_a_stream_names_who_told_of_it(void **state)
+{
+	const ap_stream_question_t q = question("3");
+	size_t told = 0;
+	net_t net;
+
+	(void)state;
+	begin(&net);
+	for (size_t i = 0; i < net.n; i++)
+		list(net.fleets[i], "e2", V2, NOW);
+	serve(&net, 1, "a", V2, NOW);
+	net_deliver(&net, NOW);
+	for (size_t i = 0; i < INSTANCES; i++) {
+		ap_stream_place_t place = ap_fleet_stream_place(net.fleets[i], &q, NOW + AP_SEC);
+
+		if (place.told.build == 0)
+			continue;
+		assert_int_equal(place.told.build, build_of(V2));
+		assert_int_equal(place.told.at, NOW);
+		assert_string_equal(ap_origin_name(place.told.origin), i == 1 ? "self" : "region");
+		assert_string_equal(place.told.by, i == 1 ? "" : net.senders[1].id);
+		told++;
+	}
+	assert_int_equal(told, 3);
+	net_end(&net);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(who_was_told_of_a_stream_doesnt_follow_another_name),
 		cmocka_unit_test(who_takes_a_stream_up_doesnt_change_its_build),
 		cmocka_unit_test(an_announcement_that_waited_doesnt_undo_a_change),
+		cmocka_unit_test(the_place_of_a_stream_names_who_told_of_it),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
