stream.disagreed: a record where two builds are named for one stream, and a counter

What an instance was told goes before what a sender names, and the earliest word before later ones, but nothing said that words had disagreed, so an instance out of step left no trace at the one that knew better.

Who takes a stream up, or gets it forwarded, and was told of it, records once for each request which build was told, by whom and how long ago, which one the sender named, and the last other one that was told; arbutuspond_streams_disagreed_total counts them. The words on one stream are a list in the ring already; it is looked through only where something was told of a stream that is taken up.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -381,6 +381,7 @@
 	*place = found ? *found : ap_fleet_stream_place(gate->fleet, &q, q.asked_at);
 	if (!is_settled(place, forwarded) && !found && gate_lookup_start(gate, call, forwarded, &q))
 		return false;
+	gate_record_place(gate, r->id, &q, place);
 	gate->counters.taken_up_by[place->evidence]++;
 	gate->counters.taken_up += place->evidence != AP_STREAM_UNKNOWN && !forwarded;
 	if (place->evidence != AP_STREAM_UNKNOWN)
--- a/cmd/arbutuspond/gateway-record.c
+++ b/cmd/arbutuspond/gateway-record.c
@@ -254,3 +254,23 @@
 		c->told.build != 0 ? ap_origin_name(c->told.origin) : NULL, "told_by",
 		*c->told.by ? c->told.by : NULL, "told_age_ms", told_age(c));
 }
+
+void gate_record_place(gateway_t *gate, const char *request, const ap_stream_question_t *q,
+		       const ap_stream_place_t *place)
+{
+	const ap_stream_word_t *told = &place->told;
+	const ap_stream_word_t *other = place->other.build != 0 ? &place->other : NULL;
+	bool misnamed = q->named.build != 0 && q->named.build != told->build;
+
+	if (told->build == 0 || (!misnamed && !other))
+		return;
+	gate->counters.streams_disagreed++;
+	ap_journal_write(
+		gate->journal, AP_RECORD_RARE, "stream.disagreed", request,
+		"s:s,s:b,s:o,s:s,s:s,s:I,s:o*,s:o*,s:s*,s:s*", "resumes", q->id, "guest",
+		(int)q->guest, "told", hex(told->build), "told_origin",
+		ap_origin_name(told->origin), "told_by", told->by, "told_age_ms",
+		msec(q->asked_at - told->at), "named", misnamed ? hex(q->named.build) : NULL,
+		"other", other ? hex(other->build) : NULL, "other_origin",
+		other ? ap_origin_name(other->origin) : NULL, "other_by", other ? other->by : NULL);
+}
--- a/cmd/arbutuspond/gateway-serve.c
+++ b/cmd/arbutuspond/gateway-serve.c
@@ -174,6 +174,7 @@
 		snprintf(labels, sizeof(labels), "{evidence=\"%s\"}", ap_stream_evidence_name(e));
 		put(out, "streams_source_total", labels, (double)gate->counters.taken_up_by[e]);
 	}
+	put(out, "streams_disagreed_total", "", (double)gate->counters.streams_disagreed);
 	put(out, "weights_mismatch_total", "{how=\"refused\"}",
 	    (double)gate->counters.weights_refused);
 	put(out, "weights_mismatch_total", "{how=\"dropped\"}",
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -199,6 +199,7 @@
  * @taken_up: streams that callers took up here and that could go on
  * @taken_up_by: streams that were to go on here, forwarded ones included, by how it is known where;
  *	those that aren't known were refused
+ * @streams_disagreed: streams that were to go on here and for which two builds were named
  * @weights_refused: requests that upstreams refused since they have another version of the weights
  * @weights_differed: responses dropped since they would have gone on at another version
  * @checks: of upstreams whose response ended with its connection
@@ -224,6 +225,7 @@
 	uint64_t seconds_lost;
 	uint64_t taken_up;
 	uint64_t taken_up_by[AP_STREAM_EVIDENCES];
+	uint64_t streams_disagreed;
 	uint64_t weights_refused;
 	uint64_t weights_differed;
 	uint64_t checks;
@@ -463,6 +465,9 @@
 ap_record_class_t gate_record_class(const gate_end_t *end, ap_usec_t objective);
 /* Counts a finished request, and records it if the log accepts its class, ordinary or rare. */
 void gate_record_end(gate_call_t *c);
+/* Records and counts a request whose stream @place is found, if two builds were named for it. */
+void gate_record_place(gateway_t *gate, const char *request, const ap_stream_question_t *q,
+		       const ap_stream_place_t *place);
 
 /* gateway-store.c */
 bool gate_store_start(gateway_t *gate);
--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -214,6 +214,9 @@
 	ap_stream_place_t place = {.source = told_source(q, told, &evidence),
 				   .told = ap_stream_word(f, told)};
 
+	if (told)
+		place.other =
+			ap_stream_word(f, ap_stream_other_build(f, told->id, told->source.build));
 	if (place.source.build == 0 && list_covers(f, q, now)) {
 		evidence = AP_STREAM_ONLY_BUILD;
 		place.source.build = route_build(f, q->route, now);
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -89,6 +89,8 @@
  * by the order of arrival; NULL for nothing.
  */
 const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last);
+/* Returns the latest word on the stream @id that names another build; NULL for none. */
+const ap_stream_t *ap_stream_other_build(ap_fleet_t *f, uint64_t id, uint64_t build);
 /* Returns what @stream says, for records; nothing if it is NULL. */
 ap_stream_word_t ap_stream_word(ap_fleet_t *f, const ap_stream_t *stream);
 /*
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -134,6 +134,15 @@
 	return found;
 }
 
+const ap_stream_t *ap_stream_other_build(ap_fleet_t *f, uint64_t id, uint64_t build)
+{
+	const ap_stream_t *s = latest(f, id);
+
+	while (s && s->source.build == build)
+		s = latest_of(f, id, s->before);
+	return s;
+}
+
 const char *ap_origin_name(ap_origin_t origin)
 {
 	static const char *const names[] = {
--- a/test/record_test.c
+++ b/test/record_test.c
@@ -152,6 +152,53 @@
 	check_burst(5 * RATE);
 }
 
+/* Guards against a wrong word on a stream that leaves no trace (report 2 of ORDER). */
+static void two_builds_named_for_a_stream_are_recorded(void **state)
+{
+	static const struct {
+		uint64_t told;
+		uint64_t named;
+		uint64_t other;
+		const char *expected; /* NULL for no record */
+	} rows[] = {
+		{0, 0, 0, NULL},
+		{0, 2, 0, NULL},
+		{1, 0, 0, NULL},
+		{1, 1, 0, NULL},
+		{1, 2, 0,
+		 "\"told\":\"1\",\"told_origin\":\"region\",\"told_by\":\"n2\","
+		 "\"told_age_ms\":40,\"named\":\"2\"}"},
+		{1, 1, 3, "\"other\":\"3\",\"other_origin\":\"remote\",\"other_by\":\"n3\"}"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		const ap_stream_question_t q = {
+			.id = "s", .named.build = rows[i].named, .asked_at = AP_SEC};
+		const ap_stream_place_t place = {
+			.told = {.build = rows[i].told,
+				 .origin = AP_ORIGIN_REGION,
+				 .at = AP_SEC - 40 * AP_MSEC,
+				 .by = "n2"},
+			.other = {.build = rows[i].other, .origin = AP_ORIGIN_REMOTE, .by = "n3"}};
+		FILE *out = tmpfile();
+		gateway_t *gate = calloc(1, sizeof(*gate));
+		char text[1024] = "";
+
+		assert_true(out && gate);
+		gate->journal = ap_journal_new(&(ap_journal_config_t){
+			.fd = fileno(out), .instance = "n1", .rate = RATE, .backlog = 4096});
+		gate_record_place(gate, "r", &q, &place);
+		ap_journal_flush(gate->journal);
+		assert_int_equal(gate->counters.streams_disagreed, rows[i].expected ? 1 : 0);
+		assert_true(pread(fileno(out), text, sizeof(text) - 1, 0) >= 0);
+		assert_true(rows[i].expected ? strstr(text, rows[i].expected) != NULL : !*text);
+		ap_journal_free(gate->journal);
+		free(gate);
+		fclose(out);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -159,6 +206,7 @@
 		cmocka_unit_test(test_failure_after_a_retry_is_recorded),
 		cmocka_unit_test(test_what_is_always_recorded),
 		cmocka_unit_test(test_burst_of_callers_who_leave_keeps_the_bound),
+		cmocka_unit_test(two_builds_named_for_a_stream_are_recorded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/stream_words_test.c
+++ b/test/stream_words_test.c
@@ -56,6 +56,7 @@
 {
 	const ap_stream_question_t q = question("3");
 	ap_stream_place_t place;
+	size_t both = 0;
 	net_t net;
 
 	(void)state;
@@ -70,7 +71,9 @@
 		place = ap_fleet_stream_place(net.fleets[i], &q, NOW);
 		if (place.evidence != AP_STREAM_UNKNOWN && i != 2)
 			assert_int_equal(place.source.build, build_of(V2));
+		both += place.other.build == build_of(V1);
 	}
+	assert_true(both >= 1); /* who knows both can record it */
 	net_end(&net);
 }
 
