fleet: a stream that was taken up before a change goes on at the version that its caller has

Events of two versions of the weights in one stream (ORDER): it changes at event 5, of which the caller gets nothing; another instance takes it up after event 4 at the version before; its caller takes it up once more, after event 7, and it goes on at the version of the change.

Cause: since the word with the greatest event counts, also one of events that the caller never got.

Why this works: of what is said of a stream's build, the beginning comes first, and the rest in the order in which it was heard first; an announcement that waited and repeats what was told at once counts from then. What mended stays so: stream_words_test passes. Where nothing was told at once and announcements of two instances arrive out of order, the order is still that of arrival.

--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -20,6 +20,7 @@
 	ap_origin_t origin;
 	uint32_t told_by; /* tag of the instance, if it lists the build; 0 for this one */
 	uint64_t before;  /* number, from 1, of the one before it in its bucket; 0 for none */
+	uint64_t first;	  /* likewise of the first one that said the same of this stream */
 } ap_stream_t;
 
 /* A version of a model that an upstream had and has no longer. */
@@ -85,8 +86,8 @@
 uint64_t ap_stream_hash(const char *id);
 uint64_t ap_stream_last(const char *last_event);
 /*
- * Returns what was told of the stream @id up to the event @last, by the number of the event and not
- * by the order of arrival; NULL for nothing.
+ * Returns what was told of the stream @id up to the event @last, by whoever took it up last, or
+ * else by whoever began it; NULL for nothing.
  */
 const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last);
 /* Returns the latest word on the stream @id that names another build; NULL for none. */
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -54,15 +54,32 @@
 	f->told_build = source->build;
 }
 
+static bool says_the_same(const ap_stream_source_t *a, const ap_stream_source_t *b)
+{
+	return a->build == b->build && a->weights == b->weights && a->since == b->since;
+}
+
+/* Returns the number under which what @stream says was heard first; 0 if it is new. */
+static uint64_t heard_first(ap_fleet_t *f, const ap_stream_t *stream)
+{
+	for (const ap_stream_t *s = latest(f, stream->id); s; s = latest_of(f, s->id, s->before)) {
+		if (says_the_same(&s->source, &stream->source))
+			return s->first;
+	}
+	return 0;
+}
+
 const ap_stream_t *ap_stream_add(ap_fleet_t *f, const ap_stream_t *stream)
 {
 	uint64_t *bucket = bucket_of(f, stream->id);
+	uint64_t first = heard_first(f, stream);
 	ap_stream_t *added;
 
 	note_versions(f, &stream->source);
 	added = slot(f, f->n_streams++);
 	*added = *stream;
 	added->before = *bucket;
+	added->first = first ? first : f->n_streams;
 	*bucket = f->n_streams;
 	return added;
 }
@@ -109,26 +126,40 @@
 	tell_change(f, ap_stream_add(f, &stream));
 }
 
-/* Returns the build that began stream @id: that of its earliest event that was told of. */
-static uint64_t first_build(ap_fleet_t *f, uint64_t id)
+/* Returns what was told of the earliest event of stream @id, whose build began it. */
+static const ap_stream_t *first_word(ap_fleet_t *f, uint64_t id)
 {
 	const ap_stream_t *first = latest(f, id);
 
 	for (const ap_stream_t *s = first; s; s = latest_of(f, id, s->before)) {
-		if (s->source.since <= first->source.since)
+		if (s->source.since < first->source.since ||
+		    (s->source.since == first->source.since && s->first <= first->first))
 			first = s;
 	}
-	return first ? first->source.build : 0;
+	return first;
+}
+
+/*
+ * Returns whether @a tells of later events than @b. A stream may be taken up before an event that
+ * was told of, if its caller never got that one. What was repeated, perhaps by an announcement that
+ * waited, counts from when it was heard first; its beginning comes before all else.
+ */
+static bool is_later(const ap_stream_t *a, const ap_stream_t *b)
+{
+	bool a_begins = a->source.since == 0;
+	bool b_begins = b->source.since == 0;
+
+	return a_begins != b_begins ? b_begins : a->first > b->first;
 }
 
 const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last)
 {
-	uint64_t build = first_build(f, id);
+	const ap_stream_t *first = first_word(f, id);
 	const ap_stream_t *found = NULL;
 
 	for (const ap_stream_t *s = latest(f, id); s; s = latest_of(f, id, s->before)) {
-		if (s->source.build == build && s->source.since <= last &&
-		    (!found || s->source.since > found->source.since))
+		if (s->source.build == first->source.build && s->source.since <= last &&
+		    (!found || is_later(s, found)))
 			found = s;
 	}
 	return found;
--- /dev/null
+++ b/test/stream_taken_up_test.c
@@ -0,0 +1,64 @@
+/* What instances say of a stream that callers have taken up, against what they said before. */
+#include "fleet/private.h"
+#include "lookup_net.h"
+
+#define W(n) ((ap_weights_t)(n) + 1)
+
+static ap_stream_question_t question(const char *last_event)
+{
+	return (ap_stream_question_t){
+		.id = "a", .route = &route, .last_event = last_event, .asked_at = NOW};
+}
+
+/* Instance @i serves the stream at @weights, from the event @since on. */
+static void tell(net_t *net, size_t i, const char *version, ap_weights_t weights, uint64_t since)
+{
+	const ap_stream_source_t source = {
+		.build = build_of(version), .weights = weights, .since = since};
+	ap_peer_port_t port = net_port(net, i);
+
+	ap_fleet_stream_served(net->fleets[i], "a", &source, NOW);
+	ap_fleet_tell_streams(net->fleets[i], &port, NOW);
+	net_deliver(net, NOW);
+}
+
+/* The stream begins at instance 1, in front of all those that know two builds. */
+static void begin_stream(net_t *net)
+{
+	begin(net);
+	for (size_t i = 0; i < net->n; i++)
+		list(net->fleets[i], "e2", V2, NOW);
+	tell(net, 1, V2, W(1), 0);
+}
+
+/*
+ * Guards against a stream that goes on at a version of which its caller has no event (ORDER): it
+ * changed after the last event that the caller got, and was taken up at the version before.
+ */
+static void a_change_that_the_caller_never_got_stays_undone(void **state)
+{
+	const ap_stream_question_t q = question("7");
+	net_t net;
+
+	(void)state;
+	begin_stream(&net);
+	tell(&net, 1, V2, W(2), 5); /* the connection breaks before the caller has it */
+	tell(&net, 2, V2, W(1), 4);
+	net_announce(&net, NOW + AP_SEC);
+	for (size_t i = 0; i < INSTANCES; i++)
+		assert_int_equal(ap_fleet_stream_place(net.fleets[i], &q, NOW).source.weights,
+				 W(1));
+	/* A change after that counts. */
+	tell(&net, 2, V2, W(3), 6);
+	assert_int_equal(ap_fleet_stream_place(net.fleets[2], &q, NOW).source.weights, W(3));
+	net_end(&net);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_change_that_the_caller_never_got_stays_undone),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
