fleet: a version that a sender names doesn't undo a change that was told of

What callers saw: nothing yet; found in review. Events of two versions of the weights in one stream (ORDER): an instance that has heard of the beginning only names that version to one that was told of the change, which followed the name.

Why this works: a name that repeats what was told of the stream before says nothing new, so the latest that was told counts. A name that wasn't told is still followed: its sender may know of a later change.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -130,8 +130,8 @@
  * Returns what was told of the stream, @stream, or named by the instance that forwarded the
  * request; that one may have concluded it from a list that is older, so what was told comes first.
  */
-static ap_stream_source_t told_source(const ap_stream_question_t *q, const ap_stream_t *stream,
-				      ap_stream_evidence_t *evidence)
+static ap_stream_source_t told_source(ap_fleet_t *f, const ap_stream_question_t *q,
+				      const ap_stream_t *stream, ap_stream_evidence_t *evidence)
 {
 	ap_stream_source_t source = q->named;
 
@@ -142,7 +142,9 @@
 		*evidence = AP_STREAM_TOLD;
 		source = stream->source;
 	}
-	if (source.weights == AP_WEIGHTS_ANY)
+	/* Who names a version that was told of before the latest one has not heard of the change.
+	 */
+	if (source.weights == AP_WEIGHTS_ANY || ap_stream_had(f, stream->id, &source))
 		source.weights = stream->source.weights;
 	return source;
 }
@@ -152,7 +154,7 @@
 	ap_stream_evidence_t evidence;
 
 	return follows_store(f, kept_for(q->route), now) &&
-	       (told_source(q, told_of(f, q), &evidence).build != 0 ||
+	       (told_source(f, q, told_of(f, q), &evidence).build != 0 ||
 		route_build(f, q->route, now) != 0);
 }
 
@@ -211,7 +213,7 @@
 {
 	const ap_stream_t *told = told_of(f, q);
 	ap_stream_evidence_t evidence;
-	ap_stream_place_t place = {.source = told_source(q, told, &evidence),
+	ap_stream_place_t place = {.source = told_source(f, q, told, &evidence),
 				   .told = ap_stream_word(f, told)};
 
 	if (told)
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -90,6 +90,8 @@
  * else by whoever began it; NULL for nothing.
  */
 const ap_stream_t *ap_stream_find(ap_fleet_t *f, uint64_t id, uint64_t last);
+/* Returns whether it was told that the stream @id had the build and the weights of @source. */
+bool ap_stream_had(ap_fleet_t *f, uint64_t id, const ap_stream_source_t *source);
 /* Returns the latest word on the stream @id that names another build; NULL for none. */
 const ap_stream_t *ap_stream_other_build(ap_fleet_t *f, uint64_t id, uint64_t build);
 /* Returns what @stream says, for records; nothing if it is NULL. */
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -165,6 +165,15 @@
 	return found;
 }
 
+bool ap_stream_had(ap_fleet_t *f, uint64_t id, const ap_stream_source_t *source)
+{
+	for (const ap_stream_t *s = latest(f, id); s; s = latest_of(f, id, s->before)) {
+		if (s->source.build == source->build && s->source.weights == source->weights)
+			return true;
+	}
+	return false;
+}
+
 const ap_stream_t *ap_stream_other_build(ap_fleet_t *f, uint64_t id, uint64_t build)
 {
 	const ap_stream_t *s = latest(f, id);
