--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -7,8 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TOLD_MAX 1024 /* streams in one message; the rest follows with the next */
-#define BUILDS_MAX 16 /* in one message */
+#define TOLD_MAX 1024  /* streams in one message; the rest follows with the next */
+#define BUILDS_MAX 16  /* in one message */
+#define REPEATS_MAX 64 /* words on a stream, among which a repeated one is looked for */
 
 static ap_stream_t *slot(ap_fleet_t *f, uint64_t number)
 {
@@ -59,10 +60,15 @@
 	return a->build == b->build && a->weights == b->weights && a->since == b->since;
 }
 
-/* Returns the number under which what @stream says was heard first; 0 if it is new. */
+/*
+ * Returns the number under which what @stream says was heard first; 0 if it is new. A caller may
+ * take one stream up as often as it likes.
+ */
 static uint64_t heard_first(ap_fleet_t *f, const ap_stream_t *stream)
 {
-	for (const ap_stream_t *s = latest(f, stream->id); s; s = latest_of(f, s->id, s->before)) {
+	const ap_stream_t *s = latest(f, stream->id);
+
+	for (size_t i = 0; s && i < REPEATS_MAX; i++, s = latest_of(f, s->id, s->before)) {
 		if (says_the_same(&s->source, &stream->source))
 			return s->first;
 	}
