fleet: who heard only that a stream was taken up follows the name that comes with a request

A stream of v2 goes on at v1 (ORDER): an instance out of step takes it up at v1 and tells others of that; one that heard nothing else of the stream gets a request for it from an instance that was told of v2.

Why this works: since a word says whether it is of the stream's beginning. Only that goes before a name.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -128,7 +128,8 @@
 
 /*
  * Returns what was told of the stream, @stream, or named by the instance that forwarded the
- * request; that one may have concluded it from a list that is older, so what was told comes first.
+ * request; that one may have concluded it from a list that is older, so what was told of its
+ * beginning comes first.
  */
 static ap_stream_source_t told_source(ap_fleet_t *f, const ap_stream_question_t *q,
 				      const ap_stream_t *stream, ap_stream_evidence_t *evidence)
@@ -139,10 +140,12 @@
 	if (!stream)
 		return source;
 	if (source.build != stream->source.build) {
+		if (source.build != 0 && !ap_stream_begin_told(f, stream->id))
+			return source;
 		*evidence = AP_STREAM_TOLD;
 		source = stream->source;
 	}
-	/* Who names a version that was told of before the latest one has not heard of the change.
+	/* Who names a version that was told of before the latest one hasn't heard of the change.
 	 */
 	if (source.weights == AP_WEIGHTS_ANY || ap_stream_had(f, stream->id, &source))
 		source.weights = stream->source.weights;
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -96,6 +96,11 @@
 const ap_stream_t *ap_stream_other_build(ap_fleet_t *f, uint64_t id, uint64_t build);
 /* Returns what @stream says, for records; nothing if it is NULL. */
 ap_stream_word_t ap_stream_word(ap_fleet_t *f, const ap_stream_t *stream);
+/*
+ * Returns whether it was told which build began the stream @id. Whoever takes one up may have
+ * concluded its build.
+ */
+bool ap_stream_begin_told(ap_fleet_t *f, uint64_t id);
 /*
  * Returns the instance that said last that it lists the build at which the stream @id goes on, of
  * those that are there and that @may allows; a suspected one only if there is no other. NULL for
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -171,6 +171,13 @@
 	return found;
 }
 
+bool ap_stream_begin_told(ap_fleet_t *f, uint64_t id)
+{
+	const ap_stream_t *first = first_word(f, id);
+
+	return first && first->source.since == 0;
+}
+
 bool ap_stream_had(ap_fleet_t *f, uint64_t id, const ap_stream_source_t *source)
 {
 	for (const ap_stream_t *s = latest(f, id); s; s = latest_of(f, id, s->before)) {
--- a/test/stream_taken_up_test.c
+++ b/test/stream_taken_up_test.c
@@ -54,10 +54,34 @@
 	net_end(&net);
 }
 
+/*
+ * Guards against a stream that goes on at a wrong build (ORDER), as an instance that heard only of
+ * whoever took it up wrongly doesn't follow one that was told who began it.
+ */
+static void who_heard_only_of_a_take_up_follows_the_name(void **state)
+{
+	ap_stream_question_t q = question("5");
+	ap_stream_place_t place;
+	net_t net;
+
+	(void)state;
+	begin(&net);
+	for (size_t i = 0; i < net.n; i++)
+		list(net.fleets[i], "e2", V2, NOW);
+	tell(&net, 2, V1, AP_WEIGHTS_ANY, 3);
+	q.named.build = build_of(V2);
+	q.guest = true;
+	place = ap_fleet_stream_place(net.fleets[2], &q, NOW);
+	assert_int_equal(place.source.build, build_of(V2));
+	assert_int_equal(place.evidence, AP_STREAM_NAMED);
+	net_end(&net);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_change_that_the_caller_never_got_stays_undone),
+		cmocka_unit_test(who_heard_only_of_a_take_up_follows_the_name),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
