fleet: a stream that is taken up at no version of the weights isn't announced at once

Cause: lets a stream that was taken up, and that nothing was told of, count as a change, also where its version isn't known; each makes the instance announce to its region and to remote ones on its next tick (0.1 s) instead of after 0.25 and 0.5 s, and those that hear of it to remote ones.

Why this works: a change names a version. Where upstreams name versions, the first word of a stream that was taken up is still announced at once, as it may be one.

--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -107,13 +107,13 @@
 
 /*
  * Until others hear of a change in a stream, they take it up at the version before. A stream that
- * was taken up and that nothing else is known of may have changed.
+ * was taken up and that nothing else is known of may have changed, if its version is known.
  */
 static void tell_change(ap_fleet_t *f, const ap_stream_t *stream)
 {
 	const ap_stream_t *before = latest_of(f, stream->id, stream->before);
 
-	if (stream->source.since == 0 ||
+	if (stream->source.since == 0 || stream->source.weights == AP_WEIGHTS_ANY ||
 	    (before && before->source.weights == stream->source.weights))
 		return;
 	if (stream->origin == AP_ORIGIN_SELF)
--- a/test/stream_taken_up_test.c
+++ b/test/stream_taken_up_test.c
@@ -77,11 +77,28 @@
 	net_end(&net);
 }
 
+/* Guards against an announcement to all instances for each stream that is merely taken up. */
+static void a_take_up_isnt_announced_at_once(void **state)
+{
+	ap_fleet_t *f;
+	net_t net;
+
+	(void)state;
+	begin(&net);
+	f = net.fleets[2];
+	f->announced_at = f->waits_announced_at = NOW;
+	tell(&net, 2, V1, AP_WEIGHTS_ANY, 3);
+	assert_int_equal(f->announced_at, NOW);
+	assert_int_equal(f->waits_announced_at, NOW);
+	net_end(&net);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_change_that_the_caller_never_got_stays_undone),
 		cmocka_unit_test(who_heard_only_of_a_take_up_follows_the_name),
+		cmocka_unit_test(a_take_up_isnt_announced_at_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
