The answer to a question about a stream says in which regions its build is listed

Callers could lose a stream (LOST) that is taken up where its build isn't listed, and that whoever lists it has in another region only: the request was handed to instances of the own region that said that they list the build, and they refuse what was forwarded, as an instance sends that to upstreams of its own region alone.

Answers have a sixth field, hashes of the regions in which upstreams of the build are listed, the sender's own first. A request goes to who said so if it has the build in its own region, else to an instance of a region that was named; likewise where who said so is gone by then. Earlier instances skip the field; from one that doesn't send it, things are as before (who_says_no_region_gets_the_request). What is told without a question names the own region alone if the build is there, so that the message stays cheap to make.

In lookup_lister_test, a_request_goes_to_a_region_that_may_serve_it held that the lookup isn't over while only instances of a region that may not serve it have answered. They listed the northern upstream, so with this change their answer rightly says that the north has it. They list one of their own now, and every check stays as it was. message_fuzz_test takes the new field for one that has to be an array.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -205,6 +205,35 @@
 	return false;
 }
 
+static bool has_region(const uint32_t *regions, size_t n, uint32_t region)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (regions[i] == region)
+			return true;
+	}
+	return false;
+}
+
+size_t ap_build_regions(const ap_fleet_t *f, uint64_t build, bool all, uint32_t *regions,
+			size_t max)
+{
+	const ap_replica_t *own = f->replicas;
+	size_t n = 0;
+
+	while (own && (!own->own_region || own->build != build))
+		own = own->hh.next;
+	if (own)
+		regions[n++] = ap_region_tag(own->region);
+	for (const ap_replica_t *r = own && !all ? NULL : f->replicas; r && n < max;
+	     r = r->hh.next) {
+		if (r->build != build || r->own_region)
+			continue;
+		regions[n] = ap_region_tag(r->region);
+		n += !has_region(regions, n, regions[n]);
+	}
+	return n;
+}
+
 bool ap_stream_reachable(ap_fleet_t *f, const ap_stream_question_t *q, uint64_t build,
 			 ap_usec_t now)
 {
--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -283,19 +283,26 @@
 	return regions_answered(l) || waited >= ANSWER_TIME;
 }
 
-static void pack_answer(ap_fleet_t *f, ap_wire_out_t *out, uint64_t id, const ap_stream_t *stream)
+/* @asked: who reads it may need all regions in which the build is listed. */
+static void pack_answer(ap_fleet_t *f, ap_wire_out_t *out, uint64_t id, const ap_stream_t *stream,
+			bool asked)
 {
 	static const ap_stream_t unknown;
 	const ap_stream_source_t *source = stream ? &stream->source : &unknown.source;
 	const char *pool = ap_fleet_build_pool(f, source->build);
+	uint32_t regions[REGIONS_MAX];
+	size_t n = pool ? ap_build_regions(f, source->build, asked, regions, REGIONS_MAX) : 0;
 
 	ap_wire_out_begin(out, AP_WIRE_STREAM_ANSWER, f->config.inc, 1);
-	msgpack_pack_array(&out->pk, 5);
+	msgpack_pack_array(&out->pk, 6);
 	msgpack_pack_uint64(&out->pk, id);
 	msgpack_pack_uint64(&out->pk, source->build);
 	msgpack_pack_uint64(&out->pk, source->weights);
 	msgpack_pack_uint64(&out->pk, source->since);
 	ap_wire_pack_str(&out->pk, pool ? pool : "");
+	msgpack_pack_array(&out->pk, n);
+	for (size_t i = 0; i < n; i++)
+		msgpack_pack_uint32(&out->pk, regions[i]);
 }
 
 void ap_fleet_tell_streams(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
@@ -311,7 +318,7 @@
 		if (stream->origin != AP_ORIGIN_SELF)
 			continue;
 		w = witnesses_here(f, stream->id, now);
-		pack_answer(f, &out, stream->id, stream);
+		pack_answer(f, &out, stream->id, stream, false);
 		for (size_t k = 0; k < w.n && k < TOLD_AT_ONCE; k++)
 			ap_wire_out_send(&out, peer, w.v[k]->member.id);
 		ap_wire_out_end(&out);
@@ -330,30 +337,42 @@
 	if (!r.ok)
 		return false;
 	f->skipped.fields += r.left;
-	pack_answer(f, &out, id, ap_stream_find(f, id, last));
+	pack_answer(f, &out, id, ap_stream_find(f, id, last), true);
 	ap_wire_out_send(&out, peer, from);
 	ap_wire_out_end(&out);
 	return true;
 }
 
-/* Gives the lookups of the stream what instance @from said of it. */
-static void take_answer(ap_fleet_t *f, const ap_stream_t *stream, const ap_member_state_t *from,
-			const char *pool)
+/* Returns whether one of the words on the stream says an instance that may get its request. */
+static bool says_lister(ap_fleet_t *f, const ap_stream_lookup_t *l, const ap_stream_t *words,
+			size_t n, ap_usec_t now)
 {
-	bool lists = *pool && stream->source.build != 0;
+	for (size_t i = 0; i < n; i++) {
+		if (ap_stream_listed_by(f, &words[i], ap_stream_may_go, &l->q, now))
+			return true;
+	}
+	return false;
+}
+
+/* Gives the lookups of the stream what instance @from said of it, one word for each region. */
+static void take_answer(ap_fleet_t *f, const ap_stream_t *words, size_t n,
+			const ap_member_state_t *from, const char *pool, ap_usec_t now)
+{
+	const ap_stream_source_t *source = &words->source;
+	bool lists = words->told_by != 0 && source->build != 0;
 	ap_stream_lookup_t *l;
 
 	LIST_FOREACH (l, &f->lookups, link) {
-		if (l->id != stream->id)
+		if (l->id != words->id)
 			continue;
 		l->answered = true;
 		for (size_t i = 0; i < l->n_asked; i++) {
 			if (!from || l->asked[i].tag != from->tag)
 				continue;
 			l->asked[i].answered = true;
-			l->asked[i].lists = lists && ap_stream_may_go(&l->q, &from->member);
+			l->asked[i].lists = lists && says_lister(f, l, words, n, now);
 		}
-		if (stream->source.build == 0 || stream->source.since > l->last)
+		if (source->build == 0 || source->since > l->last)
 			continue;
 		l->found = true;
 		if (*pool)
@@ -365,22 +384,31 @@
 {
 	const ap_member_state_t *m = ap_member_find(f, from);
 	ap_wire_reader_t r = ap_wire_reader(&in->body);
-	ap_stream_t stream = {.at = now};
+	ap_wire_reader_t regions = {.ok = true};
+	ap_stream_t words[REGIONS_MAX] = {{.at = now}};
 	char pool[AP_NAME_MAX];
+	size_t n = 0;
 
-	stream.id = ap_wire_u64(&r);
-	stream.source.build = ap_wire_u64(&r);
-	stream.source.weights = ap_wire_u64(&r);
-	stream.source.since = ap_wire_u64(&r);
+	words->id = ap_wire_u64(&r);
+	words->source.build = ap_wire_u64(&r);
+	words->source.weights = ap_wire_u64(&r);
+	words->source.since = ap_wire_u64(&r);
 	ap_wire_str(&r, pool, sizeof(pool));
-	if (!r.ok)
+	if (r.left > 0)
+		regions = ap_wire_array(&r);
+	words->told_by = *pool ? ap_member_tag(from) : 0;
+	words->origin = m && m->own_region ? AP_ORIGIN_REGION : AP_ORIGIN_REMOTE;
+	do {
+		words[n] = words[0];
+		words[n++].region = regions.left > 0 ? (uint32_t)ap_wire_u64(&regions) : 0;
+	} while (regions.left > 0 && n < REGIONS_MAX);
+	if (!r.ok || !regions.ok)
 		return false;
 	f->skipped.fields += r.left;
-	stream.told_by = *pool ? ap_member_tag(from) : 0;
-	stream.origin = m && m->own_region ? AP_ORIGIN_REGION : AP_ORIGIN_REMOTE;
-	if (stream.source.build != 0)
-		ap_stream_add(f, &stream);
-	take_answer(f, &stream, m, pool);
+	/* What is added last goes first: the region of @from, if it lists the build there. */
+	for (size_t i = words->source.build != 0 ? n : 0; i-- > 0;)
+		ap_stream_add(f, &words[i]);
+	take_answer(f, words, n, m, pool, now);
 	return true;
 }
 
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -19,6 +19,7 @@
 	ap_usec_t at;
 	ap_origin_t origin;
 	uint32_t told_by; /* tag of the instance, if it lists the build; 0 for this one */
+	uint32_t region;  /* tag of one in which it lists the build; 0 if it didn't say */
 	uint64_t before;  /* number, from 1, of the one before it in its bucket; 0 for none */
 	uint64_t first;	  /* likewise of the first one that said the same of this stream */
 } ap_stream_t;
@@ -58,6 +59,13 @@
 /* Returns whether an upstream of @build is listed in a region that may serve both. */
 bool ap_build_listed(const ap_fleet_t *f, uint64_t build, const ap_plan_route_t *route,
 		     const ap_customer_t *customer);
+/*
+ * Fills in the tags of regions in which upstreams of the build are listed, the own one first: all
+ * of
+ * @max at most, or only that one, if it is among them. Return: how many.
+ */
+size_t ap_build_regions(const ap_fleet_t *f, uint64_t build, bool all, uint32_t *regions,
+			size_t max);
 /* Returns whether the request of the ap_stream_question_t @question may be handed to @m. */
 bool ap_stream_may_go(const void *question, const ap_member_t *m);
 /* Returns whether such an upstream is listed here, or by an instance that may get the request. */
@@ -102,10 +110,15 @@
  */
 bool ap_stream_begin_told(ap_fleet_t *f, uint64_t id);
 /*
- * Returns the instance that said last that it lists the build at which the stream @id goes on, of
+ * Returns an instance to which a request may go that takes up stream @s, as far as who told of it
+ * said: that one, unless it said another region, or else one of the region that it said. Only of
  * those that are there and that @may allows; a suspected one only if there is no other. NULL for
  * none.
  */
+const ap_member_state_t *ap_stream_listed_by(ap_fleet_t *f, const ap_stream_t *s,
+					     bool (*may)(const void *ctx, const ap_member_t *m),
+					     const void *ctx, ap_usec_t now);
+/* Likewise for stream @id and the build at which it goes on, by what was told last. */
 const ap_member_state_t *ap_stream_lister(ap_fleet_t *f, uint64_t id, uint64_t build,
 					  bool (*may)(const void *ctx, const ap_member_t *m),
 					  const void *ctx, ap_usec_t now);
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -247,6 +247,37 @@
 	return false;
 }
 
+static bool can_get(const ap_fleet_t *f, const ap_member_state_t *m,
+		    bool (*may)(const void *ctx, const ap_member_t *m), const void *ctx,
+		    ap_usec_t now)
+{
+	return ap_is_live_other(f, m, now) && !m->member.draining && may(ctx, &m->member);
+}
+
+const ap_member_state_t *ap_stream_listed_by(ap_fleet_t *f, const ap_stream_t *s,
+					     bool (*may)(const void *ctx, const ap_member_t *m),
+					     const void *ctx, ap_usec_t now)
+{
+	const ap_member_state_t *by = teller(f, s);
+	const ap_member_state_t *best = NULL;
+	double most = 0;
+
+	if (by && ((s->region != 0 && by->region != s->region) || !can_get(f, by, may, ctx, now)))
+		by = NULL;
+	if (s->region == 0 || (by && now >= by->suspect_until))
+		return by;
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		double score = ap_rendezvous(s->id, m->tag, 1);
+
+		if (m->region != s->region || now < m->suspect_until || (best && score <= most) ||
+		    !can_get(f, m, may, ctx, now))
+			continue;
+		best = m;
+		most = score;
+	}
+	return best ? best : by;
+}
+
 const ap_member_state_t *ap_stream_lister(ap_fleet_t *f, uint64_t id, uint64_t build,
 					  bool (*may)(const void *ctx, const ap_member_t *m),
 					  const void *ctx, ap_usec_t now)
@@ -254,12 +285,11 @@
 	const ap_member_state_t *suspect = NULL;
 
 	for (const ap_stream_t *s = latest(f, id); s; s = latest_of(f, id, s->before)) {
-		const ap_member_state_t *m = s->source.build == build ? teller(f, s) : NULL;
+		const ap_member_state_t *m = NULL;
 
-		if (!m || !ap_is_live_other(f, m, now) || m->member.draining ||
-		    !may(ctx, &m->member))
-			continue;
-		if (now >= m->suspect_until)
+		if (s->told_by != 0 && s->source.build == build)
+			m = ap_stream_listed_by(f, s, may, ctx, now);
+		if (m && now >= m->suspect_until)
 			return m;
 		suspect = suspect ? suspect : m;
 	}
--- a/test/lookup_lister_test.c
+++ b/test/lookup_lister_test.c
@@ -78,7 +78,7 @@
 
 		begin(&net);
 		for (size_t i = 1; i < net.n; i++) {
-			list(net.fleets[i], "e2", V2, NOW);
+			list_in(net.fleets[i], i < INSTANCES ? "north" : "south", "e2", V2, NOW);
 			serve(&net, i, "a", V2, NOW);
 		}
 		net.n_messages = 0;
--- a/test/message_fuzz_test.c
+++ b/test/message_fuzz_test.c
@@ -192,6 +192,8 @@
 		ap_fleet_free(fleets[i]);
 }
 
+#define REGIONS_FIELD 5 /* of an answer, which earlier instances don't send */
+
 /* A question or an answer of @n fields, number @wrong of which is of another type. */
 static void make_stream_message(bytes_t *m, ap_wire_kind_t kind, size_t n, size_t wrong)
 {
@@ -200,7 +202,11 @@
 	ap_wire_out_begin(&out, kind, (ap_id_t){.hi = 8, .lo = 1}, 1);
 	msgpack_pack_array(&out.pk, n);
 	for (size_t i = 0; i < n; i++) {
-		if (i == wrong)
+		if (i == REGIONS_FIELD && i != wrong) {
+			msgpack_pack_array(&out.pk, 2);
+			msgpack_pack_uint64(&out.pk, ap_region_tag("north"));
+			msgpack_pack_uint64(&out.pk, ap_region_tag("south"));
+		} else if (i == wrong && i != REGIONS_FIELD)
 			msgpack_pack_array(&out.pk, 0);
 		else if (i == 4)
 			ap_wire_pack_str(&out.pk, "engines");
@@ -237,10 +243,12 @@
 		ap_wire_kind_t kind = i % 2 ? AP_WIRE_STREAM_ANSWER : AP_WIRE_STREAM_QUESTION;
 		size_t n = ap_rng_below(&rng, 9);
 		size_t wrong = ap_rng_below(&rng, 9);
+		bool no_regions;
 		bytes_t m;
 
 		make_stream_message(&m, kind, n, wrong);
-		assert_int_equal(takes(f, &m), n >= fields && wrong >= fields);
+		no_regions = kind == AP_WIRE_STREAM_ANSWER && wrong == REGIONS_FIELD && n > wrong;
+		assert_int_equal(takes(f, &m), n >= fields && wrong >= fields && !no_regions);
 		m.len = ap_rng_below(&rng, m.len);
 		assert_false(takes(f, &m));
 		make_stream_message(&m, kind, fields, SIZE_MAX);
