arbutuspondctl explain: where a stream that was taken up went on, and how that was known

What callers saw: streams that go on at another build (ORDER), or are refused though another instance knows them. explain named neither the stream nor its build, counted stream.unknown among the events that it doesn't know, and said of such a request that it has no record.

It now says in a sentence at which upstream and build the stream went on, how the build was known, from whom and how old the word was; prints stream.disagreed and stream.unknown of the request; and names who was unheard as the cause of a refusal.

--- a/cmd/arbutuspondctl/explain.c
+++ b/cmd/arbutuspondctl/explain.c
@@ -65,8 +65,8 @@
 };
 
 static const char *const request_events[] = {
-	"request.ended",      "request.no-route",   "request.invalid",
-	"request.unreadable", "answer.headers-cut", "peer.untrusted",
+	"request.ended",      "request.no-route", "request.invalid", "request.unreadable",
+	"answer.headers-cut", "peer.untrusted",	  "stream.unknown",  "stream.disagreed",
 };
 
 #define COUNT(array) (sizeof(array) / sizeof((array)[0]))
@@ -226,6 +226,71 @@
 	}
 }
 
+/* Returns the last step that sent the request to a target, or NULL. */
+static json_t *last_send(json_t *record)
+{
+	static const char *const sends[] = {"sent", "sent-again", "resumed"};
+	json_t *found = NULL;
+	json_t *step;
+	size_t i;
+
+	json_array_foreach (json_object_get(record, "steps"), i, step) {
+		if (is_one_of(sends, COUNT(sends), text_at(step, "step")))
+			found = step;
+	}
+	return found;
+}
+
+/* How it was known where a stream goes on. */
+static const struct {
+	const char *source;
+	const char *text;
+} sources[] = {
+	{"named", "the instance that forwarded the request named the build"},
+	{"told", "this instance had been told the build"},
+	{"asked", "an instance that was asked knew the build"},
+	{"only-build", "no instance knew the build, and the store showed one for its pool"},
+};
+
+static void print_told(json_t *record)
+{
+	const char *origin = text_at(record, "told_origin");
+	const char *by = text_at(record, "told_by");
+
+	if (!*origin)
+		return;
+	if (strcmp(origin, "self") == 0)
+		printf("; it was served here");
+	else
+		printf("; told by %s (%s)", *by ? by : "an instance",
+		       strcmp(origin, "region") == 0 ? "of the region" : "of another region");
+	printf(" %" PRId64 " ms before", int_at(record, "told_age_ms"));
+}
+
+/* Where a stream that was taken up went on, and how that was known. */
+static void print_stream(json_t *record)
+{
+	json_t *step = last_send(record);
+
+	for (size_t i = 0; i < COUNT(sources); i++) {
+		if (strcmp(text_at(record, "source"), sources[i].source) != 0)
+			continue;
+		printf("    the stream of %s %s", text_at(record, "resumes"),
+		       step ? "went on at " : "was sent nowhere");
+		if (step)
+			printf("%s", text_at(step, "target"));
+		if (*text_at(step, "version"))
+			printf(" of version %s", text_at(step, "version"));
+		if (*text_at(record, "stream_build"))
+			printf(" (build %s)", text_at(record, "stream_build"));
+		printf(": %s", sources[i].text);
+		if (int_at(record, "lookup_ms") > 0)
+			printf(", found in %" PRId64 " ms", int_at(record, "lookup_ms"));
+		print_told(record);
+		putchar('\n');
+	}
+}
+
 static void print_request(json_t *record)
 {
 	printf("%.3f %s %s%s: %s%s%s, status %" PRId64 "\n", wall_at(record),
@@ -243,14 +308,17 @@
 	       "\n",
 	       int_at(record, "first_ms"), int_at(record, "objective_ms"),
 	       int_at(record, "took_ms"), int_at(record, "time_ms"));
+	print_stream(record);
 	print_steps(record);
 }
 
 static void print_state_event(json_t *record)
 {
 	static const char *const shown[] = {
-		"upstream", "other", "data_centre", "off",  "leaving",	   "version",
-		"unsure",   "why",   "lines",	    "part", "fingerprint",
+		"upstream", "other",   "data_centre", "off",	      "leaving",     "version",
+		"unsure",   "why",     "lines",	      "part",	      "fingerprint", "resumes",
+		"told",	    "told_by", "told_origin", "told_age_ms",  "named",	     "other_by",
+		"builds",   "others",  "unheard",     "store_age_ms",
 	};
 
 	printf("%.3f %s %s", wall_at(record), text_at(record, "instance"),
@@ -266,17 +334,31 @@
 	putchar('\n');
 }
 
+/* What was known of a stream that was taken up, beside the record of its request. */
+static bool is_of_stream(json_t *record)
+{
+	return strncmp(text_at(record, "event"), "stream.", strlen("stream.")) == 0;
+}
+
+/* Returns whether @record is of the state of an instance with records of the request, around it. */
+static bool is_beside(const records_t *r, json_t *record, const char *id, double from, double to)
+{
+	double at = wall_at(record);
+
+	return at >= from - STATE_BEFORE_S && at <= to + STATE_AFTER_S &&
+	       is_one_of(state_events, COUNT(state_events), text_at(record, "event")) &&
+	       instance_has_record(r, id, text_at(record, "instance"));
+}
+
 static void print_history(const records_t *r, const char *id, double from, double to)
 {
 	for (size_t i = 0; i < r->n; i++) {
 		json_t *record = r->v[i].record;
-		double at = wall_at(record);
+		bool own = is_of(record, id);
 
-		if (is_of(record, id))
+		if (own && !is_of_stream(record))
 			print_request(record);
-		else if (at >= from - STATE_BEFORE_S && at <= to + STATE_AFTER_S &&
-			 is_one_of(state_events, COUNT(state_events), text_at(record, "event")) &&
-			 instance_has_record(r, id, text_at(record, "instance")))
+		else if (own || is_beside(r, record, id, from, to))
 			print_state_event(record);
 	}
 }
@@ -295,21 +377,6 @@
 	return found;
 }
 
-/* Returns the last step that sent the request to a target, or NULL. */
-static json_t *last_send(json_t *record)
-{
-	static const char *const sends[] = {"sent", "sent-again", "resumed"};
-	json_t *found = NULL;
-	json_t *step;
-	size_t i;
-
-	json_array_foreach (json_object_get(record, "steps"), i, step) {
-		if (is_one_of(sends, COUNT(sends), text_at(step, "step")))
-			found = step;
-	}
-	return found;
-}
-
 typedef struct cause {
 	const char *reason;
 	const char *text;
@@ -454,6 +521,18 @@
 	return true;
 }
 
+static bool print_stream_unknown(json_t *record)
+{
+	if (strcmp(text_at(record, "event"), "stream.unknown") != 0)
+		return false;
+	printf("cause: no instance that could be asked knew at which build the stream goes on; "
+	       "%" PRId64 " of %" PRId64
+	       " others of the region were unheard, and the store had answered %" PRId64
+	       " ms before\n",
+	       int_at(record, "unheard"), int_at(record, "others"), int_at(record, "store_age_ms"));
+	return true;
+}
+
 /*
  * Prefers the records of the instance that the caller sent the request to over those of a remote
  * region that it was forwarded to.
@@ -468,7 +547,8 @@
 			    json_is_true(json_object_get(record, "guest")) != (forwarded == 1))
 				continue;
 			if (print_failure(record) || print_slow_response(record) ||
-			    print_left(record) || print_error_response(record))
+			    print_left(record) || print_error_response(record) ||
+			    print_stream_unknown(record))
 				return true;
 			if (strcmp(text_at(record, "event"), "request.no-route") == 0) {
 				puts("cause: no route of the active configuration matches");
--- a/test/explain_test.sh
+++ b/test/explain_test.sh
@@ -30,6 +30,11 @@
 {"wall":1014.0,"steady":19.0,"instance":"n1","event":"request.ended","request":"hasty","outcome":"left","reason":"none","status":0,"first_ms":0,"objective_ms":400,"took_ms":20,"time_ms":2500,"runs":1,"steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"caller-left","target":"u3","at_ms":20}]}
 {"wall":1014.5,"steady":19.5,"instance":"n1","event":"request.ended","request":"slow","outcome":"left","reason":"none","status":200,"first_ms":45,"objective_ms":400,"took_ms":9995,"time_ms":10000,"runs":1,"no_other":"none","steps":[{"step":"sent","target":"u5","at_ms":0,"expected_ms":40,"running":30},{"step":"caller-left","target":"u5","at_ms":9995}]}
 {"wall":1015.0,"steady":20.0,"instance":"n1","event":"request.ended","request":"twice","outcome":"failed","reason":"none","status":500,"first_ms":60,"objective_ms":400,"took_ms":60,"time_ms":2500,"runs":2,"steps":[{"step":"sent","target":"u3","at_ms":0},{"step":"failed-at","target":"u3","at_ms":30},{"step":"sent-again","target":"u4","at_ms":30,"expected_ms":40,"running":6}]}
+{"wall":1016.0,"steady":21.0,"instance":"n1","event":"request.ended","request":"again","outcome":"done","reason":"none","status":200,"first_ms":30,"objective_ms":400,"took_ms":31,"resumes":"fine","source":"told","lookup_ms":0,"stream_build":"7f2f","told_origin":"region","told_by":"n3","told_age_ms":36,"steps":[{"step":"sent","target":"u4","version":"v2","at_ms":0}]}
+{"wall":1016.0,"steady":21.0,"instance":"n1","event":"stream.disagreed","request":"again","resumes":"fine","told":"7f2f","told_origin":"region","told_by":"n3","told_age_ms":36,"named":"8a01"}
+{"wall":1017.0,"steady":22.0,"instance":"n1","event":"request.ended","request":"sought","outcome":"done","reason":"none","status":200,"first_ms":30,"objective_ms":400,"took_ms":31,"resumes":"fine","source":"asked","lookup_ms":12,"stream_build":"7f2f","told_origin":"remote","told_age_ms":2,"steps":[{"step":"sent","target":"u4","version":"v2","at_ms":0}]}
+{"wall":1018.0,"steady":23.0,"instance":"n1","event":"request.ended","request":"alone","outcome":"done","reason":"none","status":200,"first_ms":30,"objective_ms":400,"took_ms":31,"resumes":"fine","source":"only-build","lookup_ms":40,"stream_build":"7f2f","steps":[{"step":"sent","target":"u4","version":"v2","at_ms":0}]}
+{"wall":1019.0,"steady":24.0,"instance":"n1","event":"stream.unknown","request":"strange","resumes":"fine","guest":false,"builds":2,"others":3,"unheard":1,"store_age_ms":8546}
 {"wall":1006.0,"instance":"n1","event":"some.later-version","request":"fine"}
 {"wall":1006.0,"instance":"n1","event":"request.ended","request":"trunc
 not a record at all
@@ -51,6 +56,11 @@
 check "a caller who left at once" 0 "cause: the caller disconnected before the end of the response" hasty
 check "a stream that was too slow for its caller" 0 "cause: the caller's time was over after 9995 ms, before the end of the response from u5 (expected 40 ms, 30 running)" slow
 check "two failures in a row" 0 "cause: the answer was status 500 from u4 (expected 40 ms, 6 running), after a failure at u3" twice
+check "where a stream that was taken up went on, and who had told so" 1 "the stream of fine went on at u4 of version v2 (build 7f2f): this instance had been told the build; told by n3 (of the region) 36 ms before" again
+check "what else was named" 1 "stream.disagreed resumes=\"fine\" told=\"7f2f\" told_by=\"n3\" told_origin=\"region\" told_age_ms=36 named=\"8a01\"" again
+check "a stream that others were asked for" 1 "an instance that was asked knew the build, found in 12 ms; told by an instance (of another region) 2 ms before" sought
+check "a stream of which nothing was heard" 1 "(build 7f2f): no instance knew the build, and the store showed one for its pool, found in 40 ms" alone
+check "a stream of which nobody knew" 0 "cause: no instance that could be asked knew at which build the stream goes on; 1 of 3 others of the region were unheard, and the store had answered 8546 ms before" strange
 check "a request without records" 4 "" nowhere
 grep -q "lines without a record: 2, records of unknown events: 1" "$DIR/err" || {
 	echo "not ok: unreadable lines and unknown events are counted: $(cat "$DIR/err")"
