Setting gateway.log_sample: how many requests have their ordinary records written

What callers saw: streams that go on at another build (ORDER), in runs of real processes whose logs had records of one request in 16, so most wrong streams had none. The number was fixed in the program. It is a key of [gateway] now, 16 by default; skewed_series sets 1 for its instances. Earlier builds stop at a key that they don't know, so instances of an earlier build in a soak get no further lines.

--- a/adapters/settings/settings.h
+++ b/adapters/settings/settings.h
@@ -56,6 +56,7 @@
  * @allowance_window, @allowance_over, @allowance_slack: as in struct ap_quota_config
  * @second_attempts: share of a pool's requests that may be sent a second time because the first
  *                   attempt is slow, at most 0.2; 0 for none
+ * @log_sample: ordinary records are written for one request in this many
  */
 typedef struct ap_gateway_settings {
 	bool present;
@@ -83,6 +84,7 @@
 	double allowance_over;
 	double allowance_slack;
 	double second_attempts;
+	size_t log_sample;
 	ap_data_centre_t data_centres[AP_DATA_CENTRES_MAX];
 	size_t n_data_centres;
 } ap_gateway_settings_t;
--- a/cmd/arbutuspond/gateway.c
+++ b/cmd/arbutuspond/gateway.c
@@ -31,7 +31,6 @@
 #define LISTEN_MAX (2800 * AP_MSEC)
 /* Share of the grace period after which the process ends; soon after, it would be killed. */
 #define GRACE_PART 0.96
-#define LOG_SAMPLE 16 /* ordinary records are written for one request in this many */
 #define LOG_LINES_PER_SECOND 200
 #define LOG_BACKLOG (128 << 10) /* bytes */
 /*
@@ -339,7 +338,7 @@
 		.fd = STDOUT_FILENO,
 		.instance = gate->settings->id,
 		.inc = gate->inc,
-		.sample = LOG_SAMPLE,
+		.sample = (unsigned)gate->conf->log_sample,
 		.rate = LOG_LINES_PER_SECOND,
 		.backlog = LOG_BACKLOG,
 	};
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -204,6 +204,37 @@
 	}
 }
 
+/* Guards against an incident that can't be read from the logs since most requests have no record.
+ */
+static void each_request_may_be_recorded(void **state)
+{
+	static const struct {
+		const char *line;
+		size_t sample; /* 0: invalid */
+	} rows[] = {
+		{"", 16},
+		{"log_sample = 1", 1},
+		{"log_sample = 0", 0},
+		{"log_sample = 1.5", 0},
+	};
+	ap_settings_t s;
+	ap_err_t err;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		ap_settings_status_t status = load_gateway(rows[i].line, &s, &err);
+
+		if (rows[i].sample == 0) {
+			assert_int_equal(status, AP_SETTINGS_INVALID);
+			assert_non_null(strstr(err.text, "gateway.log_sample"));
+			continue;
+		}
+		assert_int_equal(status, AP_SETTINGS_OK);
+		assert_int_equal(s.gateway.log_sample, rows[i].sample);
+		ap_settings_clear(&s);
+	}
+}
+
 static void test_no_file(void **state)
 {
 	ap_settings_t s;
@@ -220,6 +251,7 @@
 		cmocka_unit_test(test_valid_file),
 		cmocka_unit_test(test_each_fault_names_file_line_and_key),
 		cmocka_unit_test(test_second_attempts_are_a_share_of_at_most_a_fifth),
+		cmocka_unit_test(each_request_may_be_recorded),
 		cmocka_unit_test(test_no_file),
 	};
 
--- a/test/skewed/series.c
+++ b/test/skewed/series.c
@@ -424,6 +424,7 @@
 		else
 			return EXIT_FAILURE;
 	}
+	scenario_gateway = "log_sample = 1";
 	scenario_release = versions[0];
 	scenario_program = optind < argc ? argv[optind] : "";
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/soak/instance.c
+++ b/test/soak/instance.c
@@ -94,7 +94,8 @@
 	if (s->tenants)
 		fprintf(out, "allowance_over = 0.1\nallowance_slack = 20\n");
 	fprintf(out, "apply_ms = 3000\ngrace_s = 8\ndirectory_s = 2\n");
-	fprintf(out, "%s\n[gateway.data_centres]\n", s->gateway ? s->gateway : "");
+	/* Earlier builds stop at settings that they don't know. */
+	fprintf(out, "%s\n[gateway.data_centres]\n", s->gateway && !inst->older ? s->gateway : "");
 	for (unsigned i = 0; i < soak_n_regions(s); i++) {
 		for (unsigned k = 1; k <= (s->data_centres > 0 ? s->data_centres : 1); k++)
 			fprintf(out, "%s-%u = \"%s\"\n", soak_regions[i], k, soak_regions[i]);
