--- a/test/skewed/series.c
+++ b/test/skewed/series.c
@@ -385,6 +385,7 @@
 					 {"homes", required_argument, NULL, 'o'},
 					 {"rate", required_argument, NULL, 'a'},
 					 {"keep", no_argument, NULL, 'k'},
+					 {"log-all", no_argument, NULL, 'g'},
 					 {"older", required_argument, NULL, 'p'},
 					 {"older-step", required_argument, NULL, 'q'},
 					 {0}};
@@ -417,6 +418,8 @@
 			rate = (unsigned)strtoul(optarg, NULL, 10);
 		else if (option == 'k')
 			scenario_keep = true;
+		else if (option == 'g') /* a setting that earlier programs don't know */
+			scenario_gateway = "log_sample = 1";
 		else if (option == 'p')
 			scenario_older = optarg;
 		else if (option == 'q')
@@ -424,7 +427,6 @@
 		else
 			return EXIT_FAILURE;
 	}
-	scenario_gateway = "log_sample = 1";
 	scenario_release = versions[0];
 	scenario_program = optind < argc ? argv[optind] : "";
 	return cmocka_run_group_tests(tests, NULL, NULL);
