A stream of which only a take-up was told is asked about

What callers saw: nothing yet; found in review. A stream goes on at a wrong build (ORDER) at an instance that heard only of whoever took it up, at a build that was concluded; witnesses of its beginning weren't asked.

Why this works: such a place counts as not settled, so the others are asked; if none of them knows better, it stands.

stream_asks_test failed before and passes; it asks as the gateway does, so it looks at the new field too. The other tests of lookups and words pass.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -359,7 +359,8 @@
 /* A forwarded request comes with its build, and goes to upstreams that are listed here. */
 static bool is_settled(const ap_stream_place_t *place, bool forwarded)
 {
-	return place->evidence != AP_STREAM_UNKNOWN && (place->reachable || forwarded);
+	return place->evidence != AP_STREAM_UNKNOWN && !place->concluded &&
+	       (place->reachable || forwarded);
 }
 
 /*
--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -259,6 +259,7 @@
 		return place;
 	if (find_weights(f, q, now, &place.source))
 		place.evidence = evidence;
+	place.concluded = place.evidence == AP_STREAM_TOLD && !ap_stream_begin_told(f, told->id);
 	/* Others are asked: who told of it may be gone, and doesn't say the pool. */
 	place.reachable = ap_build_listed(f, place.source.build, q->route, q->customer);
 	return place;
--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -259,10 +259,8 @@
 	*place = ap_fleet_stream_place(f, &l->q, now);
 	if (place->evidence == AP_STREAM_UNKNOWN)
 		return over || (all_answered(l) && !ap_fleet_lookup_wants_read(f, l, now));
-	/* Whoever took the stream up may have concluded its build; who knows its beginning decides.
-	 */
-	if (place->evidence == AP_STREAM_TOLD && !ap_stream_begin_told(f, l->id) &&
-	    !all_answered(l) && waited < ANSWER_TIME)
+	/* Who knows its beginning may answer next. */
+	if (place->concluded && !all_answered(l) && waited < ANSWER_TIME)
 		return false;
 	if (place->evidence == AP_STREAM_TOLD && l->found) {
 		place->evidence = AP_STREAM_ASKED;
--- a/lib/fleet/stream.h
+++ b/lib/fleet/stream.h
@@ -99,6 +99,8 @@
  * @evidence: how it is known; AP_STREAM_UNKNOWN if it can't go on
  * @told: what was told of it
  * @other: the latest word on it that names another build, if there is one
+ * @concluded: only whoever took it up told of it, and may have concluded its build; others are
+ * asked
  * @reachable: upstreams of its build are listed here, or, after a lookup, by an instance that may
  *             get the request
  * @pool: of the build, if an instance that was asked said so; else empty
@@ -108,6 +110,7 @@
 	ap_stream_source_t source;
 	ap_stream_word_t told;
 	ap_stream_word_t other;
+	bool concluded;
 	bool reachable;
 	char pool[AP_NAME_MAX];
 } ap_stream_place_t;
--- a/test/stream_asks_test.c
+++ b/test/stream_asks_test.c
@@ -9,7 +9,7 @@
 		.id = "a", .route = &route, .last_event = "5", .asked_at = NOW};
 
 	*place = ap_fleet_stream_place(net->fleets[i], &q, NOW);
-	if (place->evidence == AP_STREAM_UNKNOWN || !place->reachable)
+	if (place->evidence == AP_STREAM_UNKNOWN || place->concluded || !place->reachable)
 		find(net, i, "a", NOW, place);
 }
 
