exchange: another build doesn't end a response either

What callers saw: nothing yet; found in review. A stream passes for whole before its last piece (ORDER): it breaks off, two instances that it goes on at name another build, have no event after the last one, and their ends confirm each other.

For versions of the weights the head decides.

Why this works: the head names the build, so the attempt is given up there, before its events or its end count. Once one attempt has brought an event the others are cancelled, so none is left whose head came before.

--- a/lib/exchange/deliver.c
+++ b/lib/exchange/deliver.c
@@ -299,10 +299,6 @@
 		fail_weights(x, a, now);
 		return;
 	}
-	if (ordered > 0 && !goes_on_at_build(x, a)) {
-		fail_broken(x, a, now);
-		return;
-	}
 	if (ordered > 0) {
 		ap_attempt_take_over(x, a, now);
 		keep_build(x);
@@ -365,6 +361,10 @@
 		fail_weights(x, a, now);
 		return;
 	}
+	if (x->stream && is_success(a) && !goes_on_at_build(x, a)) {
+		fail_broken(x, a, now);
+		return;
+	}
 	if (is_success(a)) {
 		a->accepted_at = now;
 		pass_head(x, a);
--- a/test/exchange_build_test.c
+++ b/test/exchange_build_test.c
@@ -8,10 +8,10 @@
 #define OTHER 8
 
 /* A stream of which the caller has three events is sent on to another instance. */
-static void take_up(world_t *w)
+static void take_up(world_t *w, unsigned attempts)
 {
 	*w = (world_t){.resumes = "3"};
-	begin(w, AP_KIND_STREAM, true, 2);
+	begin(w, AP_KIND_STREAM, true, attempts);
 	w->x.req.build = KNOWN;
 }
 
@@ -33,7 +33,7 @@
 	world_t w;
 
 	(void)state;
-	take_up(&w);
+	take_up(&w, 2);
 	head_at(&w, 0, OTHER);
 	data_of(&w, 0, E4);
 	assert_string_equal(w.body, E4);
@@ -51,7 +51,7 @@
 	world_t w;
 
 	(void)state;
-	take_up(&w);
+	take_up(&w, 2);
 	head_at(&w, 0, KNOWN);
 	data_of(&w, 0, E4);
 	end_of(&w, 0, AP_CONNECTION_BROKEN);
@@ -61,13 +61,36 @@
 	finish(&w);
 }
 
+/*
+ * Guards against a stream that passes for whole (ORDER), as the run of another build has no event
+ * after the last one.
+ */
+static void another_build_doesnt_end_a_response(void **state)
+{
+	world_t w;
+
+	(void)state;
+	take_up(&w, 3);
+	head_at(&w, 0, KNOWN);
+	data_of(&w, 0, E4);
+	end_of(&w, 0, AP_CONNECTION_BROKEN);
+	for (int i = 1; i < w.n_sent; i++) {
+		head_at(&w, i, OTHER);
+		end_of(&w, i, AP_CONNECTION_COMPLETE);
+	}
+	assert_int_equal(w.n_sent, 3);
+	run_to(&w, w.x.timeout_at + AP_SEC);
+	assert_false(w.ended);
+	finish(&w);
+}
+
 /* An instance that names no build goes on at the one that it was sent. */
 static void an_instance_that_names_no_build_goes_on(void **state)
 {
 	world_t w;
 
 	(void)state;
-	take_up(&w);
+	take_up(&w, 2);
 	head_at(&w, 0, 0);
 	data_of(&w, 0, E3 E4);
 	assert_string_equal(w.body, E4);
@@ -84,6 +107,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_stream_goes_on_at_the_build_that_the_other_instance_knows),
 		cmocka_unit_test(a_response_goes_on_at_one_build),
+		cmocka_unit_test(another_build_doesnt_end_a_response),
 		cmocka_unit_test(an_instance_that_names_no_build_goes_on),
 	};
 
