fleet: halves of a large region hear each other again after a cut

Each side of a cut of more than 2.5 s in a region with 16 or more instances on each side chose relays among those that it still heard, and announced to these only. After the cut nobody told the other side anything (by two halves of 16, in one data centre and in two: 512 of 992 pairs, all across the cut, were unheard 4 s after it). lookup_relays_test failed before. In smaller regions each side took itself for too small for relays and told all.

An instance now also tells, of those that it heard once and doesn't hear any more, the first by the order of relays, which is a relay of theirs, and another one each second, as that one may be gone: two messages more, only while some are unheard. relay_run_test passes.

--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -20,6 +20,7 @@
 #define SILENT_TIME (3 * AP_SEC)      /* a silent relay isn't named again for this time */
 #define NAMED_MAX_AGE (3 * AP_SEC)    /* instances announce at least once a second */
 #define UNHEARD_MAX (2500 * AP_MSEC)  /* two announcements were lost */
+#define UNHEARD_TURN AP_SEC	      /* an announcement at least */
 #define BATCH_BYTES_MAX (1024 * 1024) /* what doesn't fit is dropped and counted */
 
 /* The first instances of a data centre, the best first. */
@@ -61,11 +62,15 @@
 	return (m->serves || m->named_relay == 0) && now - m->heard_at < NAMED_MAX_AGE;
 }
 
+static bool is_relayed_to(const ap_member_state_t *m, ap_usec_t now)
+{
+	return takes_batches(m) && !m->member.draining && ap_member_live(m, now);
+}
+
 /* Instances that have not been heard for a while are passed over before their records expire. */
 static bool may_relay(const ap_member_state_t *m, ap_usec_t now)
 {
-	return takes_batches(m) && !m->member.draining && ap_member_live(m, now) &&
-	       now >= m->relay_silent_until &&
+	return is_relayed_to(m, now) && now >= m->relay_silent_until &&
 	       (m->self || m->heard_at == 0 || now - m->heard_at < UNHEARD_MAX);
 }
 
@@ -125,6 +130,42 @@
 	return instances >= RELAYED_MIN;
 }
 
+/* Returns whether @m of this region was heard once, and isn't any more. */
+static bool is_unheard(const ap_member_state_t *m, ap_usec_t now)
+{
+	return m->own_region && !m->self && is_relayed_to(m, now) && m->heard_at > 0 &&
+	       now - m->heard_at >= UNHEARD_MAX;
+}
+
+/*
+ * After a cut, each side has relays of its own. The first one of those that aren't heard is told
+ * all the same, which is a relay of theirs, and another one by turns, as that one may be gone.
+ */
+static void mark_unheard(ap_fleet_t *f, ap_usec_t now)
+{
+	ap_member_state_t *first = NULL;
+	ap_member_state_t *other = NULL;
+	double most = 0;
+
+	for (ap_member_state_t *m = f->members; m; m = m->hh.next) {
+		double score;
+
+		if (!is_unheard(m, now))
+			continue;
+		if (!first || is_better(m, first))
+			first = m;
+		score = ap_rendezvous((uint64_t)(now / UNHEARD_TURN), m->tag, 1);
+		if (!other || score > most) {
+			other = m;
+			most = score;
+		}
+	}
+	if (first)
+		first->direct = true;
+	if (other)
+		other->direct = true;
+}
+
 void ap_relay_mark(ap_fleet_t *f, ap_usec_t now)
 {
 	const ap_member_state_t *self = ap_member_find(f, f->config.id);
@@ -139,6 +180,7 @@
 		for (size_t k = 0; k < AP_RELAYS && list[i].best[k]; k++)
 			list[i].best[k]->direct = true;
 	}
+	mark_unheard(f, now);
 }
 
 /* Returns the relay that this instance wants batches from, of its data centre or of all its region.
--- a/test/fleet_net.h
+++ b/test/fleet_net.h
@@ -18,7 +18,7 @@
 typedef struct message {
 	char from[AP_NAME_MAX];
 	char to[AP_NAME_MAX];
-	char data[4096];
+	char data[16384];
 	size_t len;
 } message_t;
 
