What was told of a stream's weights is asked for by who isn't told of changes at once

Callers could have events of two versions in a stream (ORDER): an instance that had heard of its beginning took it up at that version, while the announcement of a change was not sent yet, lost, or late.

Two instances are told of a change before the caller has the event, and are found by the hash of the stream. So who takes a stream up by what others told, whose upstream names a version, asks first, unless it is one of those two. The lookup is over when an instance that was told must have answered: two of the region of whoever told it, of three asked, so one that was killed isn't waited for; after 0.1 s what was told counts as it is. The store isn't read for it. A change whose two witnesses are gone is still missed.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -360,7 +360,7 @@
 static bool is_settled(const ap_stream_place_t *place, bool forwarded)
 {
 	return place->evidence != AP_STREAM_UNKNOWN && !place->concluded &&
-	       (place->reachable || forwarded);
+	       ((place->reachable && !place->unconfirmed) || forwarded);
 }
 
 /*
--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -241,6 +241,16 @@
 	       ap_stream_lister(f, ap_stream_hash(q->id), build, ap_stream_may_go, q, now);
 }
 
+/* Returns whether a change of the version in the stream may not have been told here yet. */
+static bool may_have_changed(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now)
+{
+	const ap_stream_t *told =
+		ap_stream_find(f, ap_stream_hash(q->id), ap_stream_last(q->last_event));
+
+	return told && told->origin != AP_ORIGIN_SELF && told->source.weights != AP_WEIGHTS_ANY &&
+	       !ap_stream_told_at_once(f, told, now);
+}
+
 ap_stream_place_t ap_fleet_stream_place(ap_fleet_t *f, const ap_stream_question_t *q, ap_usec_t now)
 {
 	const ap_stream_t *told = told_of(f, q);
@@ -262,6 +272,7 @@
 	place.concluded = place.evidence == AP_STREAM_TOLD && !ap_stream_begin_told(f, told->id);
 	/* Others are asked: who told of it may be gone, and doesn't say the pool. */
 	place.reachable = ap_build_listed(f, place.source.build, q->route, q->customer);
+	place.unconfirmed = !q->guest && may_have_changed(f, q, now);
 	return place;
 }
 
--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -13,6 +13,7 @@
 #define REGIONS_MAX 8		      /* in which instances are asked */
 #define LOOKUP_TIME (400 * AP_MSEC)   /* several round trips between regions */
 #define LOOK_INTERVAL (100 * AP_MSEC) /* what is announced meanwhile counts, too */
+#define CONFIRM_TIME LOOK_INTERVAL    /* for answers, before what was told is taken as it is */
 #define ANSWER_TIME (250 * AP_MSEC)   /* for answers of all regions, before the list decides */
 #define SILENT_MAX (2500 * AP_MSEC)   /* of an instance of the region; it is gone, or cut off */
 
@@ -34,7 +35,8 @@
 	bool answered; /* since @looked_at */
 	bool read;     /* the store has been read since the caller came, as of @looked_at */
 	ap_usec_t looked_at;
-	bool found; /* an instance that was asked knows the stream */
+	bool confirms; /* it was told of, and can go on here */
+	bool found;    /* an instance that was asked knows the stream */
 	char pool[AP_NAME_MAX];
 };
 
@@ -106,6 +108,20 @@
 	return w;
 }
 
+bool ap_stream_told_at_once(const ap_fleet_t *f, const ap_stream_t *stream, ap_usec_t now)
+{
+	const ap_member_state_t *self = ap_member_find(f, f->config.id);
+	size_t better = 0;
+
+	if (!self || !self->direct || stream->origin != AP_ORIGIN_REGION)
+		return false;
+	for (const ap_member_state_t *m = f->members; m; m = m->hh.next)
+		better += m->own_region && m->tag != stream->told_by && may_know(f, m, now) &&
+			  ap_rendezvous(stream->id, m->tag, 1) >
+				  ap_rendezvous(stream->id, self->tag, 1);
+	return better < TOLD_AT_ONCE;
+}
+
 /* Adds the other regions to the own one, which is the first. */
 static size_t find_regions(const ap_fleet_t *f, uint32_t regions[REGIONS_MAX])
 {
@@ -163,6 +179,7 @@
 					  const ap_peer_port_t *peer, ap_usec_t now)
 {
 	ap_stream_lookup_t *l = calloc(1, sizeof(*l));
+	ap_stream_place_t place;
 
 	if (!l)
 		return NULL;
@@ -171,6 +188,8 @@
 	l->q = *q;
 	l->id = ap_stream_hash(q->id);
 	l->last = ap_stream_last(q->last_event);
+	place = ap_fleet_stream_place(f, q, now);
+	l->confirms = place.unconfirmed && place.reachable;
 	LIST_INSERT_HEAD(&f->lookups, l, link);
 	if (l->id != 0 && peer && hears_any(f, now))
 		ask(f, l, peer, now);
@@ -187,7 +206,8 @@
 
 bool ap_fleet_lookup_wants_read(ap_fleet_t *f, const ap_stream_lookup_t *l, ap_usec_t now)
 {
-	return f->store_read_at < l->q.asked_at && ap_stream_reading_helps(f, &l->q, now);
+	return !l->confirms && f->store_read_at < l->q.asked_at &&
+	       ap_stream_reading_helps(f, &l->q, now);
 }
 
 static bool all_answered(const ap_stream_lookup_t *l)
@@ -245,6 +265,28 @@
 	return false;
 }
 
+/*
+ * Returns whether an instance of the region where the stream is served must have answered that is
+ * told of a change at once: of three, one at most isn't.
+ */
+static bool is_confirmed(ap_fleet_t *f, const ap_stream_lookup_t *l)
+{
+	const ap_stream_t *told = ap_stream_find(f, l->id, l->last);
+	const ap_member_state_t *m = NULL;
+	size_t waiting = 0;
+	size_t answered = 0;
+
+	if (told)
+		HASH_FIND(by_tag, f->member_tags, &told->told_by, sizeof(told->told_by), m);
+	for (size_t i = 0; i < l->n_asked; i++) {
+		if (m && l->asked[i].region != m->region)
+			continue;
+		answered += l->asked[i].answered;
+		waiting += !l->asked[i].answered;
+	}
+	return waiting == 0 || (m && answered >= TOLD_AT_ONCE);
+}
+
 bool ap_fleet_lookup_done(ap_fleet_t *f, ap_stream_lookup_t *l, ap_usec_t now,
 			  ap_stream_place_t *place)
 {
@@ -262,8 +304,10 @@
 	/* Who knows its beginning may answer next. */
 	if (place->concluded && !all_answered(l) && waited < ANSWER_TIME)
 		return false;
+	if (l->confirms && waited < CONFIRM_TIME && !is_confirmed(f, l))
+		return false;
 	if (place->evidence == AP_STREAM_TOLD && l->found) {
-		place->evidence = AP_STREAM_ASKED;
+		place->evidence = l->confirms ? AP_STREAM_TOLD : AP_STREAM_ASKED;
 		ap_copy_name(place->pool, sizeof(place->pool), l->pool);
 		place->reachable |= lister_answered(l);
 	}
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -127,6 +127,10 @@
 /* Returns whether a stream of the build was heard of at another version than @source names. */
 bool ap_stream_other_weights(ap_fleet_t *f, const ap_stream_source_t *source, ap_usec_t now);
 
+/* lookup.c */
+/* Returns whether this instance is told at once of changes in the stream, by whoever told of it. */
+bool ap_stream_told_at_once(const ap_fleet_t *f, const ap_stream_t *stream, ap_usec_t now);
+
 /* weights.c */
 /* Takes over what the entry of @r says of its models, where it says something new. */
 void ap_weights_listed(ap_fleet_t *f, ap_replica_t *r, const ap_replica_entry_t *before,
--- a/lib/fleet/stream.h
+++ b/lib/fleet/stream.h
@@ -103,6 +103,8 @@
  * asked
  * @reachable: upstreams of its build are listed here, or, after a lookup, by an instance that may
  *             get the request
+ * @unconfirmed: its version of the weights may have changed since it was told of; who was told of a
+ *               change at once is to be asked
  * @pool: of the build, if an instance that was asked said so; else empty
  */
 typedef struct ap_stream_place {
@@ -112,6 +114,7 @@
 	ap_stream_word_t other;
 	bool concluded;
 	bool reachable;
+	bool unconfirmed;
 	char pool[AP_NAME_MAX];
 } ap_stream_place_t;
 
--- a/test/lookup_change_test.c
+++ b/test/lookup_change_test.c
@@ -25,14 +25,12 @@
 	ap_stream_place_t place = ap_fleet_stream_place(net->fleets[i], &q, now);
 	ap_peer_port_t port = net_port(net, i);
 
-	if (place.evidence == AP_STREAM_UNKNOWN || !place.reachable) {
+	if (place.evidence == AP_STREAM_UNKNOWN || !place.reachable || place.unconfirmed) {
 		ap_stream_lookup_t *l = ap_fleet_lookup_begin(net->fleets[i], &q, &port, now);
 
 		net_deliver(net, now);
 		ap_fleet_set_store_known(net->fleets[i], now, WORLD_START);
-		if (!ap_fleet_lookup_done(net->fleets[i], l, now, &place))
-			assert_true(ap_fleet_lookup_done(net->fleets[i], l, now + ANSWER_BOUND,
-							 &place));
+		assert_true(ap_fleet_lookup_done(net->fleets[i], l, now, &place));
 		ap_fleet_lookup_end(l);
 	}
 	return place.evidence == AP_STREAM_UNKNOWN ? AP_WEIGHTS_ANY : place.source.weights;
@@ -56,7 +54,10 @@
 	serve_weights(&net, 1, 0, NOW - 300 * AP_MSEC);
 	net_announce(&net, NOW);
 	serve_weights(&net, 2, 10, NOW);
+	kill_instance(&net, 1); /* nobody waits for its answer */
 	for (size_t i = 0; i < INSTANCES; i++) {
+		if (i == 1)
+			continue;
 		assert_int_not_equal(weights_at(&net, i, "12", NOW), 1);
 		assert_int_equal(weights_at(&net, i, "9", NOW), 1);
 	}
