Who began later is told of builds whose upstreams lapsed

An answer of who knows nothing of a stream names the builds that lapsed there, that still count and that aren't listed any more, with the time for which they count. They are kept like those that lapsed here, so the only build isn't concluded. Earlier instances skip the field and send none.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -30,18 +30,15 @@
 	return build ? build : 1;
 }
 
-void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, bool lapsed, ap_usec_t now)
+static void keep_gone(ap_fleet_t *f, const ap_gone_build_t *gone)
 {
-	const ap_gone_build_t gone = {.pool = ap_hash_str(r->entry.pool, 8),
-				      .build = r->build,
-				      .at = lapsed ? now + LAPSED_TIME : now};
 	size_t oldest = 0;
 
 	for (size_t i = 0; i < GONE_BUILDS_MAX; i++) {
 		ap_gone_build_t *g = &f->gone_builds[i];
 
-		if (g->build == gone.build) {
-			g->at = gone.at > g->at ? gone.at : g->at;
+		if (g->build == gone->build) {
+			g->at = gone->at > g->at ? gone->at : g->at;
 			return;
 		}
 		if (g->at < f->gone_builds[oldest].at)
@@ -49,7 +46,58 @@
 	}
 	if (f->gone_builds[oldest].at > 0)
 		f->gone_build_dropped_at = f->gone_builds[oldest].at;
-	f->gone_builds[oldest] = gone;
+	f->gone_builds[oldest] = *gone;
+}
+
+void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, bool lapsed, ap_usec_t now)
+{
+	const ap_gone_build_t gone = {.pool = ap_hash_str(r->entry.pool, 8),
+				      .build = r->build,
+				      .at = lapsed ? now + LAPSED_TIME : now};
+
+	keep_gone(f, &gone);
+}
+
+/* Only builds that lapsed count for longer than who began later needs to conclude anything. */
+static bool is_told(const ap_fleet_t *f, const ap_gone_build_t *gone, ap_usec_t now)
+{
+	return gone->at > now && !ap_fleet_build_pool(f, gone->build);
+}
+
+void ap_builds_lapsed_pack(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < GONE_BUILDS_MAX; i++)
+		n += is_told(f, &f->gone_builds[i], now);
+	msgpack_pack_array(pk, 3 * n);
+	for (size_t i = 0; i < GONE_BUILDS_MAX; i++) {
+		const ap_gone_build_t *gone = &f->gone_builds[i];
+
+		if (!is_told(f, gone, now))
+			continue;
+		msgpack_pack_uint64(pk, gone->pool);
+		msgpack_pack_uint64(pk, gone->build);
+		msgpack_pack_uint64(pk, (uint64_t)(gone->at - now) / AP_MSEC);
+	}
+}
+
+bool ap_builds_lapsed_read(ap_fleet_t *f, ap_wire_reader_t *r, ap_usec_t now)
+{
+	ap_gone_build_t gone[GONE_BUILDS_MAX];
+	size_t n = 0;
+
+	while (r->ok && r->left >= 3 && n < GONE_BUILDS_MAX) {
+		ap_usec_t left;
+
+		gone[n].pool = ap_wire_u64(r);
+		gone[n].build = ap_wire_u64(r);
+		left = ap_wire_msec(r);
+		gone[n++].at = now + (left < LAPSED_TIME ? left : LAPSED_TIME);
+	}
+	for (size_t i = 0; r->ok && i < n; i++)
+		keep_gone(f, &gone[i]);
+	return r->ok;
 }
 
 /* Returns whether upstreams of another build of the pool than @build may have begun streams. */
--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -332,7 +332,7 @@
 
 /* @asked: who reads it may need all regions in which the build is listed. */
 static void pack_answer(ap_fleet_t *f, ap_wire_out_t *out, uint64_t id, const ap_stream_t *stream,
-			bool asked)
+			bool asked, ap_usec_t now)
 {
 	static const ap_stream_t unknown;
 	const ap_stream_source_t *source = stream ? &stream->source : &unknown.source;
@@ -341,7 +341,7 @@
 	size_t n = pool ? ap_build_regions(f, source->build, asked, regions, REGIONS_MAX) : 0;
 
 	ap_wire_out_begin(out, AP_WIRE_STREAM_ANSWER, f->config.inc, 1);
-	msgpack_pack_array(&out->pk, 6);
+	msgpack_pack_array(&out->pk, asked && !stream ? 7 : 6);
 	msgpack_pack_uint64(&out->pk, id);
 	msgpack_pack_uint64(&out->pk, source->build);
 	msgpack_pack_uint64(&out->pk, source->weights);
@@ -350,6 +350,9 @@
 	msgpack_pack_array(&out->pk, n);
 	for (size_t i = 0; i < n; i++)
 		msgpack_pack_uint32(&out->pk, regions[i]);
+	/* Who knows nothing of the stream may know why the list isn't enough. */
+	if (asked && !stream)
+		ap_builds_lapsed_pack(f, &out->pk, now);
 }
 
 void ap_fleet_tell_streams(ap_fleet_t *f, const ap_peer_port_t *peer, ap_usec_t now)
@@ -365,7 +368,7 @@
 		if (stream->origin != AP_ORIGIN_SELF)
 			continue;
 		w = witnesses_here(f, stream->id, now);
-		pack_answer(f, &out, stream->id, stream, false);
+		pack_answer(f, &out, stream->id, stream, false, now);
 		for (size_t k = 0; k < w.n && k < TOLD_AT_ONCE; k++)
 			ap_wire_out_send(&out, peer, w.v[k]->member.id);
 		ap_wire_out_end(&out);
@@ -374,7 +377,7 @@
 }
 
 static bool answer(ap_fleet_t *f, const ap_peer_port_t *peer, const char *from,
-		   const ap_wire_in_t *in)
+		   const ap_wire_in_t *in, ap_usec_t now)
 {
 	ap_wire_reader_t r = ap_wire_reader(&in->body);
 	uint64_t id = ap_wire_u64(&r);
@@ -384,7 +387,7 @@
 	if (!r.ok)
 		return false;
 	f->skipped.fields += r.left;
-	pack_answer(f, &out, id, ap_stream_find(f, id, last), true);
+	pack_answer(f, &out, id, ap_stream_find(f, id, last), true, now);
 	ap_wire_out_send(&out, peer, from);
 	ap_wire_out_end(&out);
 	return true;
@@ -432,6 +435,7 @@
 	const ap_member_state_t *m = ap_member_find(f, from);
 	ap_wire_reader_t r = ap_wire_reader(&in->body);
 	ap_wire_reader_t regions = {.ok = true};
+	ap_wire_reader_t lapsed = {.ok = true};
 	ap_stream_t words[REGIONS_MAX] = {{.at = now}};
 	char pool[AP_NAME_MAX];
 	size_t n = 0;
@@ -443,13 +447,15 @@
 	ap_wire_str(&r, pool, sizeof(pool));
 	if (r.left > 0)
 		regions = ap_wire_array(&r);
+	if (r.left > 0)
+		lapsed = ap_wire_array(&r);
 	words->told_by = *pool ? ap_member_tag(from) : 0;
 	words->origin = m && m->own_region ? AP_ORIGIN_REGION : AP_ORIGIN_REMOTE;
 	do {
 		words[n] = words[0];
 		words[n++].region = regions.left > 0 ? (uint32_t)ap_wire_u64(&regions) : 0;
 	} while (regions.left > 0 && n < REGIONS_MAX);
-	if (!r.ok || !regions.ok)
+	if (!r.ok || !regions.ok || !ap_builds_lapsed_read(f, &lapsed, now))
 		return false;
 	f->skipped.fields += r.left;
 	/* What is added last goes first: the region of @from, if it lists the build there. */
@@ -466,7 +472,7 @@
 	bool ok;
 
 	if (ap_wire_in_open(&in, AP_WIRE_STREAM_QUESTION, data, len, NULL))
-		ok = answer(f, peer, from, &in);
+		ok = answer(f, peer, from, &in, now);
 	else if (ap_wire_in_open(&in, AP_WIRE_STREAM_ANSWER, data, len, NULL))
 		ok = receive_answer(f, from, &in, now);
 	else
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -54,6 +54,11 @@
  * vanished without leaving.
  */
 void ap_build_gone(ap_fleet_t *f, const ap_replica_t *r, bool lapsed, ap_usec_t now);
+/* Packs an array: pool, build and for how many more ms it counts, of those that lapsed and aren't
+ * listed any more. */
+void ap_builds_lapsed_pack(const ap_fleet_t *f, msgpack_packer *pk, ap_usec_t now);
+/* Keeps those that another instance packed. Return: false, and nothing is kept, if malformed. */
+bool ap_builds_lapsed_read(ap_fleet_t *f, ap_wire_reader_t *r, ap_usec_t now);
 /* Returns whether a pool has more than one build. */
 bool ap_builds_mixed(ap_fleet_t *f);
 /* Returns whether an upstream of @build is listed in a region that may serve both. */
--- a/test/message_fuzz_test.c
+++ b/test/message_fuzz_test.c
@@ -192,7 +192,13 @@
 		ap_fleet_free(fleets[i]);
 }
 
-#define REGIONS_FIELD 5 /* of an answer, which earlier instances don't send */
+#define ARRAYS_FIRST 5 /* fields of an answer, which earlier instances don't send: regions, */
+#define ARRAYS_LAST 6  /* and builds that lapsed */
+
+static bool is_array(ap_wire_kind_t kind, size_t i)
+{
+	return kind == AP_WIRE_STREAM_ANSWER && i >= ARRAYS_FIRST && i <= ARRAYS_LAST;
+}
 
 /* A question or an answer of @n fields, number @wrong of which is of another type. */
 static void make_stream_message(bytes_t *m, ap_wire_kind_t kind, size_t n, size_t wrong)
@@ -202,13 +208,11 @@
 	ap_wire_out_begin(&out, kind, (ap_id_t){.hi = 8, .lo = 1}, 1);
 	msgpack_pack_array(&out.pk, n);
 	for (size_t i = 0; i < n; i++) {
-		if (i == REGIONS_FIELD && i != wrong) {
-			msgpack_pack_array(&out.pk, 2);
-			msgpack_pack_uint64(&out.pk, ap_region_tag("north"));
-			msgpack_pack_uint64(&out.pk, ap_region_tag("south"));
-		} else if (i == wrong && i != REGIONS_FIELD)
-			msgpack_pack_array(&out.pk, 0);
-		else if (i == 4)
+		if (is_array(kind, i) != (i == wrong)) {
+			msgpack_pack_array(&out.pk, is_array(kind, i) ? 3 : 0);
+			for (size_t k = 0; k < 3 && is_array(kind, i); k++)
+				msgpack_pack_uint64(&out.pk, 1 + k);
+		} else if (i == 4)
 			ap_wire_pack_str(&out.pk, "engines");
 		else
 			msgpack_pack_uint64(&out.pk, 1 + i);
@@ -243,15 +247,15 @@
 		ap_wire_kind_t kind = i % 2 ? AP_WIRE_STREAM_ANSWER : AP_WIRE_STREAM_QUESTION;
 		size_t n = ap_rng_below(&rng, 9);
 		size_t wrong = ap_rng_below(&rng, 9);
-		bool no_regions;
+		bool no_array;
 		bytes_t m;
 
 		make_stream_message(&m, kind, n, wrong);
-		no_regions = kind == AP_WIRE_STREAM_ANSWER && wrong == REGIONS_FIELD && n > wrong;
-		assert_int_equal(takes(f, &m), n >= fields && wrong >= fields && !no_regions);
+		no_array = is_array(kind, wrong) && n > wrong;
+		assert_int_equal(takes(f, &m), n >= fields && wrong >= fields && !no_array);
 		m.len = ap_rng_below(&rng, m.len);
 		assert_false(takes(f, &m));
-		make_stream_message(&m, kind, fields, SIZE_MAX);
+		make_stream_message(&m, kind, i % 2 ? ARRAYS_LAST + 1 : fields, SIZE_MAX);
 		change(&rng, &m);
 		takes(f, &m);
 	}
