--- a/test/stream_hearsay_test.c
+++ b/test/stream_hearsay_test.c
@@ -59,8 +59,7 @@
 static void who_was_told_of_a_change_doesnt_follow_an_older_version(void **state)
 {
 	const ap_stream_source_t began = {.build = build_of(V1), .weights = W(1)};
-	const ap_stream_source_t changed = {
-		.build = build_of(V1), .weights = W(2), .since = 5};
+	const ap_stream_source_t changed = {.build = build_of(V1), .weights = W(2), .since = 5};
 	const ap_stream_question_t q = {.id = "a",
 					.route = &route,
 					.last_event = "7",
