Lookups ask instances of up to 32 regions

A stream could be lost (LOST) where a deployment has more than eight regions: whoever took it up asked instances of eight, by the order of the list of instances, and perhaps not of the one where it began. 32 regions are counted elsewhere (lib/member, lib/route). A lookup takes 1.8 KB instead of 0.9 KB (sizeof).

instances_of_all_regions_are_asked, with 20 regions, failed before. No deployment that is measured has more than seven.

--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -10,7 +10,7 @@
 
 #define WITNESSES 3		      /* instances of a region that are asked */
 #define TOLD_AT_ONCE 2		      /* of them, that are told of a stream that begins there */
-#define REGIONS_MAX 8		      /* in which instances are asked */
+#define REGIONS_MAX 32		      /* in which instances are asked */
 #define LOOKUP_TIME (400 * AP_MSEC)   /* several round trips between regions */
 #define LOOK_INTERVAL (100 * AP_MSEC) /* what is announced meanwhile counts, too */
 #define CONFIRM_TIME LOOK_INTERVAL    /* for answers, before what was told is taken as it is */
--- a/test/lookup_test.c
+++ b/test/lookup_test.c
@@ -5,6 +5,7 @@
 #define KEPT (30 * AP_SEC) /* twice the age of a stream */
 #define LARGE 24	   /* instances, for relays */
 #define RELAYS 2	   /* of a data centre */
+#define REGIONS 20	   /* of one instance each */
 
 /* Guards against a list read before the caller came that counts as showing all builds. */
 static void only_a_reading_after_the_caller_came_shows_the_only_build(void **state)
@@ -230,6 +231,34 @@
 	net_end(&net);
 }
 
+/* Guards against a stream (LOST) that is taken up in one of many regions, which doesn't ask where
+ * it began. */
+static void instances_of_all_regions_are_asked(void **state)
+{
+	ap_stream_place_t place;
+	net_t net;
+
+	(void)state;
+	net_begin(&net, REGIONS, 0);
+	for (size_t i = 0; i < net.n; i++) {
+		ap_fleet_free(net.fleets[i]);
+		net.fleets[i] = world_fleet(net.senders[i].id, net.senders[i].id);
+		for (size_t k = 0; k < net.n; k++)
+			world_member(net.fleets[i], net.senders[k].id, net.senders[k].id, false,
+				     WORLD_START);
+		list_in(net.fleets[i], net.senders[i].id, "e1", V1, WORLD_START);
+	}
+	for (size_t i = 1; i < net.n; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "s%zu", i);
+		serve(&net, i, id, V1, NOW);
+		net.n_messages = 0; /* nobody is told */
+		assert_int_equal(find(&net, 0, id, NOW, &place), AP_STREAM_ASKED);
+	}
+	net_end(&net);
+}
+
 /* Guards against a caller that is kept waiting, for an instance that is gone or for nobody. */
 static void a_lookup_ends(void **state)
 {
@@ -408,6 +437,7 @@
 		cmocka_unit_test(two_instances_are_told_of_each_stream),
 		cmocka_unit_test(relays_are_told_where_there_are_some),
 		cmocka_unit_test(a_second_region_knows_a_stream_of_a_relay),
+		cmocka_unit_test(instances_of_all_regions_are_asked),
 		cmocka_unit_test(a_lookup_ends),
 		cmocka_unit_test(a_build_is_settled_only_once_it_is_for_the_streams_route),
 		cmocka_unit_test(a_build_is_settled_only_if_the_others_can_tell),
