Streams that only confirm what was told leave room for lookups that are needed

Since what was told of a stream's weights is asked for, a herd of callers that take streams up could hold all 512 lookups of an instance, and a stream that can't go on without one would be refused. The bound itself has no test of its own.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -357,10 +357,16 @@
 }
 
 /* A forwarded request comes with its build, and goes to upstreams that are listed here. */
+static bool may_go_on(const ap_stream_place_t *place, bool forwarded)
+{
+	return place->evidence != AP_STREAM_UNKNOWN && (place->reachable || forwarded);
+}
+
+/* Returns whether nobody is asked where the stream goes on. */
 static bool is_settled(const ap_stream_place_t *place, bool forwarded)
 {
-	return place->evidence != AP_STREAM_UNKNOWN && !place->concluded &&
-	       ((place->reachable && !place->unconfirmed) || forwarded);
+	return may_go_on(place, forwarded) && !place->concluded &&
+	       (forwarded || !place->unconfirmed);
 }
 
 /*
@@ -380,7 +386,8 @@
 		return true;
 	}
 	*place = found ? *found : ap_fleet_stream_place(gate->fleet, &q, q.asked_at);
-	if (!is_settled(place, forwarded) && !found && gate_lookup_start(gate, call, forwarded, &q))
+	if (!is_settled(place, forwarded) && !found &&
+	    gate_lookup_start(gate, call, forwarded, &q, !may_go_on(place, forwarded)))
 		return false;
 	gate_record_place(gate, r->id, &q, place);
 	gate->counters.taken_up_by[place->evidence]++;
--- a/cmd/arbutuspond/gateway-lookup.c
+++ b/cmd/arbutuspond/gateway-lookup.c
@@ -3,7 +3,8 @@
 
 #include <stdlib.h>
 
-#define LOOKUPS_MAX 512 /* each costs several messages, whoever sends the request */
+#define LOOKUPS_MAX 512		       /* each costs several messages, whoever sends the request */
+#define CONFIRMS_MAX (LOOKUPS_MAX / 2) /* the rest is for streams that can't go on without */
 
 /**
  * struct gate_lookup - a request that waits.
@@ -53,9 +54,10 @@
 }
 
 bool gate_lookup_start(gateway_t *gate, ap_http_call_t *call, bool forwarded,
-		       const ap_stream_question_t *q)
+		       const ap_stream_question_t *q, bool needed)
 {
-	gate_lookup_t *l = gate->n_lookups < LOOKUPS_MAX ? calloc(1, sizeof(*l)) : NULL;
+	bool may_wait = gate->n_lookups < (needed ? LOOKUPS_MAX : CONFIRMS_MAX);
+	gate_lookup_t *l = may_wait ? calloc(1, sizeof(*l)) : NULL;
 	ap_stream_question_t kept = *q;
 	ap_peer_port_t port = {0};
 
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -408,11 +408,12 @@
 /* gateway-lookup.c: requests that wait until it is known where their streams go on */
 /**
  * gate_lookup_start() - looks for the stream @q, whose route is of the plan in force.
+ * @needed: it can't go on without; else it is only confirmed, and fewer may wait
  *
  * Return: false if it can't, as too many wait; the request is as it was.
  */
 bool gate_lookup_start(gateway_t *gate, ap_http_call_t *call, bool forwarded,
-		       const ap_stream_question_t *q);
+		       const ap_stream_question_t *q, bool needed);
 /** gate_lookup_tick() - goes on with the requests whose streams were found, or weren't in time. */
 void gate_lookup_tick(gateway_t *gate, ap_usec_t now);
 void gate_lookup_stop(gateway_t *gate);
