Where the own region's witnesses are all the others that can be told, another region has one too

Callers could lose a stream (LOST) of a region of three whose instances are killed together, or of a large region of one data centre whose two relays are killed: these are all that were told of it, and the relays also pass on the announcement, so that nobody else hears of it. Then the region that callers come to asks, and nobody knows.

Where the own region has just two that may be told, a third one of another region is told, the best by hash, who is among those that are asked there.

a_second_region_knows_a_stream_of_a_small_region (three instances) and a_second_region_knows_a_stream_that_the_relays_were_told_of (a stream that began at no relay) failed before, also without the number of messages, which they hold as well. They take the place of the tests for a region of two and for a stream of a relay, and play these as before.

--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -91,20 +91,23 @@
 }
 
 /*
- * Those that are told of a stream that begins here. Where the own region has too few, the next are
- * the best of all others, who are also among those that are asked in their regions.
+ * Those that are told of a stream that begins here: two, and where those of the own region aren't
+ * more, which may all go at once, one of another region at least. The best of all others are also
+ * among those that are asked in their regions.
  */
 static witnesses_t witnesses_here(const ap_fleet_t *f, uint64_t id, ap_usec_t now)
 {
 	witnesses_t w = witnesses_in(f, ap_region_tag(f->config.region), id, now);
 	witnesses_t others = {0};
+	size_t n = w.n == TOLD_AT_ONCE ? TOLD_AT_ONCE + 1 : TOLD_AT_ONCE;
 
-	for (ap_member_state_t *m = w.n < TOLD_AT_ONCE ? f->members : NULL; m; m = m->hh.next) {
+	for (ap_member_state_t *m = w.n < n ? f->members : NULL; m; m = m->hh.next) {
 		if (!m->own_region && may_know(f, m, now))
 			rank(&others, id, m);
 	}
-	for (size_t i = 0; i < others.n && w.n < TOLD_AT_ONCE; i++)
+	for (size_t i = 0; i < others.n && w.n < n; i++)
 		w.v[w.n++] = others.v[i];
+	w.n = w.n < n ? w.n : n;
 	return w;
 }
 
@@ -369,7 +372,7 @@
 			continue;
 		w = witnesses_here(f, stream->id, now);
 		pack_answer(f, &out, stream->id, stream, false, now);
-		for (size_t k = 0; k < w.n && k < TOLD_AT_ONCE; k++)
+		for (size_t k = 0; k < w.n; k++)
 			ap_wire_out_send(&out, peer, w.v[k]->member.id);
 		ap_wire_out_end(&out);
 	}
--- a/test/lookup_test.c
+++ b/test/lookup_test.c
@@ -105,29 +105,31 @@
 }
 
 /*
- * Guards against a stream (LOST) of which one instance was told, as its region has no other that
- * may be: that one is killed while the one that began it is cut off.
+ * Guards against a stream (LOST) of which only instances of a small region were told: they are
+ * killed, while the one that began it is cut off or gone.
  */
-static void a_second_region_knows_a_stream_of_a_region_of_two(void **state)
+static void a_second_region_knows_a_stream_of_a_small_region(void **state)
 {
-	ap_stream_place_t place;
-	net_t net;
-
 	(void)state;
-	net_begin(&net, 2, INSTANCES);
-	for (size_t i = 0; i < net.n; i++)
-		list(net.fleets[i], "e1", V1, WORLD_START);
-	net_announce(&net, NOW - 100 * AP_MSEC);
-	serve(&net, 0, "a", V1, NOW);
-	assert_int_equal(net.n_messages, 2);
-	net_deliver(&net, NOW);
-	kill_instance(&net, 0);
-	kill_instance(&net, 1);
-	for (size_t i = 2; i < net.n; i++) {
-		assert_true(find(&net, i, "a", NOW, &place) >= AP_STREAM_TOLD);
-		assert_int_equal(place.source.build, build_of(V1));
+	for (size_t north = 2; north <= 3; north++) {
+		ap_stream_place_t place;
+		net_t net;
+
+		net_begin(&net, north, INSTANCES);
+		for (size_t i = 0; i < net.n; i++)
+			list(net.fleets[i], "e1", V1, WORLD_START);
+		net_announce(&net, NOW - 100 * AP_MSEC);
+		serve(&net, 0, "a", V1, NOW);
+		assert_int_equal(net.n_messages, north);
+		net_deliver(&net, NOW);
+		for (size_t i = 0; i < north; i++)
+			kill_instance(&net, i);
+		for (size_t i = north; i < net.n; i++) {
+			assert_true(find(&net, i, "a", NOW, &place) >= AP_STREAM_TOLD);
+			assert_int_equal(place.source.build, build_of(V1));
+		}
+		net_end(&net);
 	}
-	net_end(&net);
 }
 
 /* Guards against messages to all for each stream, or twice. */
@@ -201,34 +203,41 @@
 	net_end(&net);
 }
 
-/* Guards against the same in a large region of one data centre, for a stream that began at a relay.
+/*
+ * Guards against the same in a large region of one data centre, where the relays are told, and pass
+ * on what is announced: both are killed.
  */
-static void a_second_region_knows_a_stream_of_a_relay(void **state)
+static void a_second_region_knows_a_stream_that_the_relays_were_told_of(void **state)
 {
-	size_t relays[RELAYS];
-	size_t n = 0;
-	net_t net;
-
 	(void)state;
-	begin_large(&net, INSTANCES);
-	ap_relay_mark(net.fleets[1], NOW);
-	for (size_t i = 0; i < LARGE && n < RELAYS; i++) {
-		if (ap_member_find(net.fleets[1], net.senders[i].id)->direct)
-			relays[n++] = i;
-	}
-	assert_int_equal(n, RELAYS);
-	serve(&net, relays[0], "a", V1, NOW);
-	assert_int_equal(net.n_messages, 2);
-	net_deliver(&net, NOW);
-	kill_instance(&net, relays[0]);
-	kill_instance(&net, relays[1]);
-	for (size_t i = 0; i < net.n; i++) {
-		ap_stream_place_t place;
-
-		if (i != relays[0] && i != relays[1])
-			assert_true(find(&net, i, "a", NOW, &place) >= AP_STREAM_TOLD);
+	for (int of_relay = 0; of_relay < 2; of_relay++) {
+		size_t relays[RELAYS];
+		size_t n = 0;
+		size_t began;
+		net_t net;
+
+		begin_large(&net, INSTANCES);
+		ap_relay_mark(net.fleets[1], NOW);
+		for (size_t i = 0; i < LARGE && n < RELAYS; i++) {
+			if (ap_member_find(net.fleets[1], net.senders[i].id)->direct)
+				relays[n++] = i;
+		}
+		assert_int_equal(n, RELAYS);
+		began = of_relay ? relays[0] : 1;
+		serve(&net, began, "a", V1, NOW);
+		assert_int_equal(net.n_messages, of_relay ? 2 : 3);
+		net_deliver(&net, NOW);
+		kill_instance(&net, began);
+		for (size_t i = 0; i < RELAYS; i++)
+			kill_instance(&net, relays[i]);
+		for (size_t i = 0; i < net.n; i++) {
+			ap_stream_place_t place;
+
+			if (i != began && i != relays[0] && i != relays[1])
+				assert_true(find(&net, i, "a", NOW, &place) >= AP_STREAM_TOLD);
+		}
+		net_end(&net);
 	}
-	net_end(&net);
 }
 
 /* Guards against a stream (LOST) that is taken up in one of many regions, which doesn't ask where
@@ -433,10 +442,10 @@
 		cmocka_unit_test(only_a_reading_after_the_caller_came_shows_the_only_build),
 		cmocka_unit_test(an_instance_that_missed_changes_concludes_nothing),
 		cmocka_unit_test(others_know_a_stream_as_soon_as_it_has_begun),
-		cmocka_unit_test(a_second_region_knows_a_stream_of_a_region_of_two),
+		cmocka_unit_test(a_second_region_knows_a_stream_of_a_small_region),
 		cmocka_unit_test(two_instances_are_told_of_each_stream),
 		cmocka_unit_test(relays_are_told_where_there_are_some),
-		cmocka_unit_test(a_second_region_knows_a_stream_of_a_relay),
+		cmocka_unit_test(a_second_region_knows_a_stream_that_the_relays_were_told_of),
 		cmocka_unit_test(instances_of_all_regions_are_asked),
 		cmocka_unit_test(a_lookup_ends),
 		cmocka_unit_test(a_build_is_settled_only_once_it_is_for_the_streams_route),
