A build that isn't believed doesn't stand for the version of the configuration

A stream that an instance of an earlier build takes up and forwards could run by another version of the configuration: the version isn't compared for a request that names a build, as that decides the pool, also where the name isn't believed.

older_version_test, skewed_test, customers_test and forward_test pass; no test of its own.

--- a/cmd/arbutuspond/gateway-call.c
+++ b/cmd/arbutuspond/gateway-call.c
@@ -250,11 +250,7 @@
 	return given ? (unsigned)strtoul(given, NULL, 10) : c->x.req.route->attempts;
 }
 
-/*
- * Returns whether the sender of a forwarded request knows what it names. An instance that doesn't
- * say how takes the only build that it lists for that of a stream that its caller takes up.
- */
-static bool names_known(ap_http_call_t *call, const ap_host_request_t *r)
+bool gate_names_known(ap_http_call_t *call, const ap_host_request_t *r)
 {
 	return ap_http_call_header(call, FORWARD_HEADER_EVIDENCE) || !r->resumes || !*r->resumes;
 }
@@ -263,7 +259,7 @@
 static bool ask_of(ap_http_call_t *call, const ap_host_request_t *r, const ap_plan_route_t *route,
 		   const ap_customer_t *customer, bool forwarded, ap_stream_question_t *q)
 {
-	bool named = forwarded && names_known(call, r);
+	bool named = forwarded && gate_names_known(call, r);
 	const char *build = named ? ap_http_call_header(call, FORWARD_HEADER_BUILD) : NULL;
 	const char *weights = named ? ap_http_call_header(call, FORWARD_HEADER_WEIGHTS) : NULL;
 
@@ -429,7 +425,7 @@
 	if (request.time_left != AP_NEVER)
 		request.time_left -= waited;
 	route = ap_plan_match(gate->plan, request.host, ap_http_call_path(call));
-	if (forwarded && (!gate_version_agrees(gate, call, route) ||
+	if (forwarded && (!gate_version_agrees(gate, call, &request, route) ||
 			  !gate_customer_agrees(gate, call, route, &customer))) {
 		refuse_version(gate, call, request.id);
 		return;
--- a/cmd/arbutuspond/gateway-version.c
+++ b/cmd/arbutuspond/gateway-version.c
@@ -46,7 +46,8 @@
 	       gate->plan->version <= last;
 }
 
-bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route)
+bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			 const ap_plan_route_t *route)
 {
 	const char *build = ap_http_call_header(call, FORWARD_HEADER_BUILD);
 	uint64_t first;
@@ -56,7 +57,7 @@
 	if (!read_versions(call, &first, &last, &hash))
 		return true;
 	/* The pool of a stream that goes on is that of its build, whatever the version. */
-	if (build && strtoull(build, NULL, 16) != 0)
+	if (build && strtoull(build, NULL, 16) != 0 && gate_names_known(call, r))
 		return true;
 	if (gate->plan->version >= first && gate->plan->version <= last)
 		return true;
--- a/cmd/arbutuspond/gateway.h
+++ b/cmd/arbutuspond/gateway.h
@@ -405,6 +405,12 @@
 /* Records and frees @c if its exchange has finished, else sets its timer. */
 void gate_call_update(gate_call_t *c);
 
+/*
+ * Returns whether the sender of a forwarded request knows the build that it names. An instance that
+ * doesn't say how takes the only one that it lists for that of a stream that its caller takes up.
+ */
+bool gate_names_known(ap_http_call_t *call, const ap_host_request_t *r);
+
 /* gateway-lookup.c: requests that wait until it is known where their streams go on */
 /**
  * gate_lookup_start() - looks for the stream @q, whose route is of the plan in force.
@@ -501,7 +507,8 @@
 /* Returns the request's FORWARD_HEADER_CONFIGURATION; its value is formatted in @text. */
 ap_http_header_t gate_version_header(const gate_call_t *c, char text[GATE_VERSION_TEXT_MAX]);
 /* Returns whether a forwarded request, of @route here (NULL for none), may be handled here. */
-bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_plan_route_t *route);
+bool gate_version_agrees(const gateway_t *gate, ap_http_call_t *call, const ap_host_request_t *r,
+			 const ap_plan_route_t *route);
 /* The instance @by refused a request, maybe since its version is another one. */
 void gate_version_refused(gateway_t *gate, const char *by, const struct evkeyvalq *headers);
 /*
