--- a/test/soak/replica.c
+++ b/test/soak/replica.c
@@ -481,9 +481,7 @@
  */
 static void check_pause(replica_t *r, ap_usec_t now)
 {
-	unsigned regions = soak_n_regions(r->soak);
-	unsigned instances = ((unsigned)r->soak->n_instances + regions - 1) / regions;
-	unsigned allowed = instances * (1 + IN_GRACE_MAX + IN_PAUSE_MAX);
+	unsigned allowed = soak_region_instances(r->soak) * (1 + IN_GRACE_MAX + IN_PAUSE_MAX);
 
 	if (r->pause_from == 0 || now < r->pause_until)
 		return;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -343,6 +343,14 @@
 	return s->regions > 0 ? s->regions : REGIONS;
 }
 
+/* Returns how many instances a region has at most. */
+static inline unsigned soak_region_instances(const soak_t *s)
+{
+	unsigned regions = soak_n_regions(s);
+
+	return ((unsigned)s->n_instances + regions - 1) / regions;
+}
+
 static inline unsigned soak_n_homes(const soak_t *s)
 {
 	return s->homes > 0 ? s->homes : 1;
