fleet: an instance whose record is gone gets a request only if there is no other

Records count for 1.5 s more, and all of a region were chosen from alike; instances of other regions aren't heard. One that isn't heard and has no record now counts as one that is suspected. fleet_gone_member_test failed before.

--- a/lib/fleet/member.c
+++ b/lib/fleet/member.c
@@ -237,7 +237,8 @@
 
 static distrust_t distrust_of(const ap_member_state_t *m, const ap_dispatch_t *req, ap_usec_t now)
 {
-	if (now < m->suspect_until)
+	/* While its record is gone it may have ended; what is in flight there is waited for. */
+	if (now < m->suspect_until || (m->removed && !ap_member_heard(m, now)))
 		return DISTRUST_SUSPECTED;
 	return ap_dispatch_tried(req, m->member.id) ? DISTRUST_TRIED : DISTRUST_NONE;
 }
