--- a/test/lookup_test.c
+++ b/test/lookup_test.c
@@ -258,7 +258,7 @@
 		list_in(net.fleets[i], net.senders[i].id, "e1", V1, WORLD_START);
 	}
 	for (size_t i = 1; i < net.n; i++) {
-		char id[16];
+		char id[AP_NAME_MAX];
 
 		snprintf(id, sizeof(id), "s%zu", i);
 		serve(&net, i, id, V1, NOW);
