One search for who told of a stream; tests of words on a stream share their set-up

lookup.c searched for the teller as stream.c does; stream_words_test, stream_taken_up_test, stream_hearsay_test and stream_asks_test each had the same question and the same deployment of two versions, now in lookup_net.h.

--- a/lib/fleet/build.c
+++ b/lib/fleet/build.c
@@ -193,8 +193,7 @@
 		*evidence = AP_STREAM_TOLD;
 		source = stream->source;
 	}
-	/* Who names a version that was told of before the latest one hasn't heard of the change.
-	 */
+	/* Who names a version from before the latest one hasn't heard of the change. */
 	if (source.weights == AP_WEIGHTS_ANY || ap_stream_had(f, stream->id, &source))
 		source.weights = stream->source.weights;
 	return source;
--- a/lib/fleet/lookup.c
+++ b/lib/fleet/lookup.c
@@ -275,12 +275,10 @@
 static bool is_confirmed(ap_fleet_t *f, const ap_stream_lookup_t *l)
 {
 	const ap_stream_t *told = ap_stream_find(f, l->id, l->last);
-	const ap_member_state_t *m = NULL;
+	const ap_member_state_t *m = told ? ap_stream_teller(f, told) : NULL;
 	size_t waiting = 0;
 	size_t answered = 0;
 
-	if (told)
-		HASH_FIND(by_tag, f->member_tags, &told->told_by, sizeof(told->told_by), m);
 	for (size_t i = 0; i < l->n_asked; i++) {
 		if (m && l->asked[i].region != m->region)
 			continue;
--- a/lib/fleet/stream-state.h
+++ b/lib/fleet/stream-state.h
@@ -107,6 +107,8 @@
 bool ap_stream_had(ap_fleet_t *f, uint64_t id, const ap_stream_source_t *source);
 /* Returns the latest word on the stream @id that names another build; NULL for none. */
 const ap_stream_t *ap_stream_other_build(ap_fleet_t *f, uint64_t id, uint64_t build);
+/* Returns the instance that told of @stream, if it lists the build and is known here; else NULL. */
+const ap_member_state_t *ap_stream_teller(const ap_fleet_t *f, const ap_stream_t *stream);
 /* Returns what @stream says, for records; nothing if it is NULL. */
 ap_stream_word_t ap_stream_word(ap_fleet_t *f, const ap_stream_t *stream);
 /*
--- a/lib/fleet/stream.c
+++ b/lib/fleet/stream.c
@@ -207,7 +207,7 @@
 	return names[origin];
 }
 
-static const ap_member_state_t *teller(ap_fleet_t *f, const ap_stream_t *stream)
+const ap_member_state_t *ap_stream_teller(const ap_fleet_t *f, const ap_stream_t *stream)
 {
 	const ap_member_state_t *m = NULL;
 
@@ -226,7 +226,7 @@
 	word.build = stream->source.build;
 	word.origin = stream->origin;
 	word.at = stream->at;
-	m = teller(f, stream);
+	m = ap_stream_teller(f, stream);
 	if (m)
 		ap_copy_name(word.by, sizeof(word.by), m->member.id);
 	return word;
@@ -258,7 +258,7 @@
 					     bool (*may)(const void *ctx, const ap_member_t *m),
 					     const void *ctx, ap_usec_t now)
 {
-	const ap_member_state_t *by = teller(f, s);
+	const ap_member_state_t *by = ap_stream_teller(f, s);
 	const ap_member_state_t *best = NULL;
 	double most = 0;
 
--- a/test/lookup_net.h
+++ b/test/lookup_net.h
@@ -6,6 +6,7 @@
 
 #define V1 "v1"
 #define V2 "v2"
+#define W(n) ((ap_weights_t)(n) + 1) /* a version of the weights */
 
 static inline void list_in(ap_fleet_t *f, const char *region, const char *id, const char *version,
 			   ap_usec_t now)
@@ -33,6 +34,21 @@
 	net_announce(net, NOW - 100 * AP_MSEC);
 }
 
+/* Likewise, and one of the second version. */
+static inline void begin_mixed(net_t *net)
+{
+	begin(net);
+	for (size_t i = 0; i < net->n; i++)
+		list(net->fleets[i], "e2", V2, NOW);
+}
+
+/* The stream "a" is taken up after the event @last_event. */
+static inline ap_stream_question_t question(const char *last_event)
+{
+	return (ap_stream_question_t){
+		.id = "a", .route = &route, .last_event = last_event, .asked_at = NOW};
+}
+
 static inline uint64_t build_of(const char *version)
 {
 	static ap_fleet_t *f;
--- a/test/stream_asks_test.c
+++ b/test/stream_asks_test.c
@@ -5,8 +5,7 @@
 /* Finds where the stream goes on at instance @i, as for a caller that reaches it. */
 static void find_place(net_t *net, size_t i, ap_stream_place_t *place)
 {
-	const ap_stream_question_t q = {
-		.id = "a", .route = &route, .last_event = "5", .asked_at = NOW};
+	const ap_stream_question_t q = question("5");
 
 	*place = ap_fleet_stream_place(net->fleets[i], &q, NOW);
 	if (place->evidence == AP_STREAM_UNKNOWN || place->concluded || !place->reachable)
@@ -28,9 +27,7 @@
 	net_t net;
 
 	(void)state;
-	begin(&net);
-	for (size_t i = 0; i < net.n; i++)
-		list(net.fleets[i], "e2", V2, NOW);
+	begin_mixed(&net);
 	serve(&net, 1, "a", V2, NOW); /* tells two others */
 	net_deliver(&net, NOW);
 	for (size_t i = 0; i < INSTANCES; i++) {
--- a/test/stream_hearsay_test.c
+++ b/test/stream_hearsay_test.c
@@ -2,8 +2,6 @@
 #include "fleet/private.h"
 #include "lookup_net.h"
 
-#define W(n) ((ap_weights_t)(n) + 1)
-
 /* Instance @i has heard, and nobody else, that the stream is served from @source. */
 static void hear(net_t *net, size_t i, const ap_stream_source_t *source)
 {
@@ -30,9 +28,7 @@
 	net_t net;
 
 	(void)state;
-	begin(&net);
-	for (size_t i = 0; i < net.n; i++)
-		list(net.fleets[i], "e2", V2, NOW);
+	begin_mixed(&net);
 	hear(&net, 1, &taken_up);
 	hear(&net, 2, &began);
 	l = look_up(&net, 3, "a", NOW);
--- a/test/stream_taken_up_test.c
+++ b/test/stream_taken_up_test.c
@@ -2,14 +2,6 @@
 #include "fleet/private.h"
 #include "lookup_net.h"
 
-#define W(n) ((ap_weights_t)(n) + 1)
-
-static ap_stream_question_t question(const char *last_event)
-{
-	return (ap_stream_question_t){
-		.id = "a", .route = &route, .last_event = last_event, .asked_at = NOW};
-}
-
 /* Instance @i serves the stream at @weights, from the event @since on. */
 static void tell(net_t *net, size_t i, const char *version, ap_weights_t weights, uint64_t since)
 {
@@ -25,9 +17,7 @@
 /* The stream begins at instance 1, in front of all those that know two builds. */
 static void begin_stream(net_t *net)
 {
-	begin(net);
-	for (size_t i = 0; i < net->n; i++)
-		list(net->fleets[i], "e2", V2, NOW);
+	begin_mixed(net);
 	tell(net, 1, V2, W(1), 0);
 }
 
@@ -65,9 +55,7 @@
 	net_t net;
 
 	(void)state;
-	begin(&net);
-	for (size_t i = 0; i < net.n; i++)
-		list(net.fleets[i], "e2", V2, NOW);
+	begin_mixed(&net);
 	tell(&net, 2, V1, AP_WEIGHTS_ANY, 3);
 	q.named.build = build_of(V2);
 	q.guest = true;
--- a/test/stream_words_test.c
+++ b/test/stream_words_test.c
@@ -6,15 +6,8 @@
 #include "fleet/private.h"
 #include "lookup_net.h"
 
-#define W(n) ((ap_weights_t)(n) + 1)
 #define CHANGED_AT 5 /* the first event of other weights */
 
-static ap_stream_question_t question(const char *last_event)
-{
-	return (ap_stream_question_t){
-		.id = "a", .route = &route, .last_event = last_event, .asked_at = NOW};
-}
-
 /* Instance @i says that it serves the stream from @source. */
 static void tell(net_t *net, size_t i, const ap_stream_source_t *source)
 {
@@ -35,9 +28,7 @@
 	net_t net;
 
 	(void)state;
-	begin(&net);
-	for (size_t i = 0; i < net.n; i++)
-		list(net.fleets[i], "e2", V2, NOW);
+	begin_mixed(&net);
 	serve(&net, 1, "a", V2, NOW);
 	net_deliver(&net, NOW);
 	q.named.build = build_of(V1);
@@ -60,9 +51,7 @@
 	net_t net;
 
 	(void)state;
-	begin(&net);
-	for (size_t i = 0; i < net.n; i++)
-		list(net.fleets[i], "e2", V2, NOW);
+	begin_mixed(&net);
 	serve(&net, 1, "a", V2, NOW);
 	net_deliver(&net, NOW);
 	serve(&net, 2, "a", V1, NOW);
@@ -129,9 +118,7 @@
 	net_t net;
 
 	(void)state;
-	begin(&net);
-	for (size_t i = 0; i < net.n; i++)
-		list(net.fleets[i], "e2", V2, NOW);
+	begin_mixed(&net);
 	serve(&net, 1, "a", V2, NOW);
 	net_deliver(&net, NOW);
 	for (size_t i = 0; i < INSTANCES; i++) {
